Add the design page and a thin whole path as real processes

Change: docs/design.md; daemon, command-line tool, etcd JSON store client, in-memory store, partition table, admission, scheduler and controller roles, and stand-ins for platform, executor and worker. One test publishes a configuration, grants a key, sends requests through three daemons, runs a job and drains and returns a VM.

Conclusion: the path is complete but thin: no loans, no claims, no budgets spent atomically, no waves, no fault handling beyond retries.

--- /dev/null
+++ b/src/pomeloyard/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP application for callers: requests and jobs."""
--- /dev/null
+++ b/src/pomeloyard/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool for operators."""
--- /dev/null
+++ b/src/pomeloyard/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of the fleet: model, reader and publication."""
--- /dev/null
+++ b/src/pomeloyard/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of executors, the endpoints that run requests."""
--- /dev/null
+++ b/src/pomeloyard/errors.py
@@ -0,0 +1,65 @@
+"""Exceptions of the package, all derived from one base class."""
+
+from __future__ import annotations
+
+from .outcomes import Refused, Unknown
+
+
+class PomeloyardError(Exception):
+    """Base class of all errors raised by this package."""
+
+
+class SettingsError(PomeloyardError):
+    """The daemon's settings file is invalid."""
+
+
+class ConfigurationError(PomeloyardError):
+    """The fleet's configuration is invalid."""
+
+
+class FrameError(PomeloyardError):
+    """A frame from another daemon is malformed, oversized or of unknown version."""
+
+
+class StoreError(PomeloyardError):
+    """Base class of failures of the platform's key-value store."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store could not be reached; the operation certainly had no effect."""
+
+
+class StoreOutcomeUnknownError(StoreError):
+    """The store's answer was lost; the operation may have taken effect."""
+
+
+class StoreRequestError(StoreError):
+    """The store rejected a request as invalid, for example a value over 1 MB."""
+
+
+class CompactedError(StoreError):
+    """A watch asked for a revision that the store has already discarded."""
+
+    def __init__(self, compact_revision: int) -> None:
+        super().__init__(f"revisions before {compact_revision} were compacted")
+        self.compact_revision = compact_revision
+
+
+class LeaseLostError(StoreError):
+    """The store lease has expired or was revoked."""
+
+
+class RefusedError(PomeloyardError):
+    """An operation was refused; it certainly did not run."""
+
+    def __init__(self, refusal: Refused) -> None:
+        super().__init__(f"{refusal.reason.value}: {refusal.detail}")
+        self.refusal = refusal
+
+
+class OutcomeUnknownError(PomeloyardError):
+    """An operation may or may not have run."""
+
+    def __init__(self, unknown: Unknown) -> None:
+        super().__init__(f"{unknown.reason.value}: {unknown.detail}")
+        self.unknown = unknown
--- /dev/null
+++ b/src/pomeloyard/fleet_state.py
@@ -0,0 +1,73 @@
+"""A daemon's copy of what the store says about the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .config.model import FleetConfig
+from .keys import KeyRing
+from .partitions import PartitionTable
+from .platform.directory import Vm, VmList, VmListState, VmRole
+from .vms import VmRecord
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonRecord:
+    """Registration of a running daemon."""
+
+    incarnation: str
+    vm: str
+    peer_address: str
+    operator_address: str
+    caller_address: str
+    availability_zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoleRecord:
+    """Holder of a role; ``epoch`` is the fencing token."""
+
+    holder: str
+    epoch: int
+
+
+@dataclass
+class FleetState:
+    """Everything that a daemon follows; changed only by the follower and peers."""
+
+    config: FleetConfig = field(default_factory=lambda: FleetConfig(name=""))
+    config_content: bytes = b""
+    keys: KeyRing = field(default_factory=KeyRing)
+    bootstrap_sha256: str = ""
+    withdrawn_key_ids: set[str] = field(default_factory=set)
+    partitions: PartitionTable | None = None
+    partitions_revision: int = 0
+    daemons_by_incarnation: dict[str, DaemonRecord] = field(default_factory=dict)
+    vm_records_by_name: dict[str, VmRecord] = field(default_factory=dict)
+    vm_list: VmList = field(default_factory=lambda: VmList({}, 0))
+    roles_by_name: dict[str, RoleRecord] = field(default_factory=dict)
+    store_reachable: bool = False
+
+    def vms_of(self, pool: str, role: VmRole) -> list[Vm]:
+        """Return the VMs assigned to a pool, in name order."""
+        return [
+            vm
+            for name, vm in sorted(self.vm_list.vms_by_name.items())
+            if vm.role is role and self.pool_of(vm) == pool
+        ]
+
+    def pool_of(self, vm: Vm) -> str:
+        """Return the pool of a VM: its record's, else the platform's."""
+        record = self.vm_records_by_name.get(vm.name)
+        return record.pool if record is not None else vm.pool
+
+    def accepts_work(self, vm: Vm) -> bool:
+        """Tell whether new work may be sent to a VM."""
+        record = self.vm_records_by_name.get(vm.name)
+        if record is not None and not record.accepts_work():
+            return False
+        return vm.state is VmListState.LIVE
+
+    def available_vms(self, pool: str, role: VmRole) -> list[Vm]:
+        """Return the VMs of a pool that accept new work."""
+        return [vm for vm in self.vms_of(pool, role) if self.accepts_work(vm)]
--- /dev/null
+++ b/src/pomeloyard/operators/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP application and client for operators."""
--- /dev/null
+++ b/src/pomeloyard/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and streams between daemons."""
--- /dev/null
+++ b/src/pomeloyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value store, VM list and VM operations."""
--- /dev/null
+++ b/src/pomeloyard/platform/memory.py
@@ -0,0 +1,226 @@
+"""In-memory store with the semantics of the platform's key-value store."""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+from anyio.abc import ObjectReceiveStream
+from anyio.streams.memory import MemoryObjectSendStream
+
+from ..clock import Clock
+from ..errors import CompactedError, LeaseLostError, StoreRequestError
+from .store import (
+    MAX_OPERATIONS,
+    MAX_VALUE_BYTES,
+    CommitResult,
+    Delete,
+    Entry,
+    Page,
+    Put,
+    Store,
+    Transaction,
+    WatchBatch,
+    WatchEvent,
+)
+
+HISTORY_EVENTS = 100_000
+"""Events kept for watches that start in the past; older ones are compacted."""
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl: timedelta
+    expires_at: timedelta
+    keys: set[str] = field(default_factory=set)
+
+
+class MemoryStore(Store):
+    """Store held in memory; expired leases end at the next call or ``expire``."""
+
+    def __init__(self, clock: Clock, history_events: int = HISTORY_EVENTS) -> None:
+        self._clock = clock
+        self._entries_by_key: dict[str, Entry] = {}
+        self._sorted_keys: list[str] = []
+        self._revision = 1
+        self._compact_revision = 0
+        self._history: deque[WatchEvent] = deque()
+        self._history_events = history_events
+        self._leases_by_id: dict[int, _Lease] = {}
+        self._lease_ids = itertools.count(1)
+        self._watchers: dict[MemoryObjectSendStream[WatchBatch], str] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the current store revision."""
+        return self._revision
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of a key, or None if it is absent."""
+        self.expire()
+        return self._entries_by_key.get(key)
+
+    async def scan(self, prefix: str, *, start: str = "", limit: int = 1000) -> Page:
+        """Return entries whose key has ``prefix``, from key ``start`` on."""
+        self.expire()
+        first = bisect.bisect_left(self._sorted_keys, max(prefix, start))
+        entries: list[Entry] = []
+        for key in itertools.islice(self._sorted_keys, first, None):
+            if not key.startswith(prefix):
+                break
+            if len(entries) == limit:
+                return Page(tuple(entries), self._revision, more=True)
+            entries.append(self._entries_by_key[key])
+        return Page(tuple(entries), self._revision)
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Apply a transaction atomically."""
+        self.expire()
+        self._check(transaction)
+        for compare in transaction.compares:
+            entry = self._entries_by_key.get(compare.key)
+            if (entry.mod_revision if entry else 0) != compare.mod_revision:
+                return CommitResult(False, self._revision)
+        if transaction.operations:
+            self._apply(transaction)
+        return CommitResult(True, self._revision)
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Create a lease and return its id."""
+        lease = next(self._lease_ids)
+        self._leases_by_id[lease] = _Lease(ttl, self._clock.monotonic() + ttl)
+        return lease
+
+    async def keep_lease_alive(self, lease: int) -> timedelta:
+        """Renew a lease and return its time to live."""
+        self.expire()
+        record = self._leases_by_id.get(lease)
+        if record is None:
+            raise LeaseLostError(f"lease {lease} has expired")
+        record.expires_at = self._clock.monotonic() + record.ttl
+        return record.ttl
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete the keys attached to it."""
+        record = self._leases_by_id.pop(lease, None)
+        if record is not None:
+            self._delete_keys(record.keys)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, *, from_revision: int
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        """Yield changes under ``prefix`` from ``from_revision`` on."""
+        if from_revision <= self._compact_revision:
+            raise CompactedError(self._compact_revision + 1)
+        send, receive = anyio.create_memory_object_stream[WatchBatch](10_000)
+        past = tuple(
+            e
+            for e in self._history
+            if e.revision >= from_revision and e.key.startswith(prefix)
+        )
+        if past:
+            send.send_nowait(WatchBatch(past, self._revision))
+        self._watchers[send] = prefix
+        try:
+            yield _batches(receive)
+        finally:
+            self._watchers.pop(send, None)
+            send.close()
+            receive.close()
+
+    def expire(self) -> None:
+        """End leases whose time to live has passed."""
+        now = self._clock.monotonic()
+        lapsed = [i for i, r in self._leases_by_id.items() if r.expires_at <= now]
+        for lease in lapsed:
+            self._delete_keys(self._leases_by_id.pop(lease).keys)
+
+    def compact(self) -> None:
+        """Discard the whole history, as a store does from time to time."""
+        self._compact_revision = self._revision
+        self._history.clear()
+
+    def _check(self, transaction: Transaction) -> None:
+        if len(transaction.operations) > MAX_OPERATIONS:
+            raise StoreRequestError(f"more than {MAX_OPERATIONS} operations")
+        keys = [operation.key for operation in transaction.operations]
+        if len(set(keys)) != len(keys):
+            raise StoreRequestError("a key occurs twice in one transaction")
+        for operation in transaction.operations:
+            if not isinstance(operation, Put):
+                continue
+            if len(operation.value) > MAX_VALUE_BYTES:
+                raise StoreRequestError(f"value of {operation.key} is over 1 MB")
+            if operation.lease and operation.lease not in self._leases_by_id:
+                raise LeaseLostError(f"lease {operation.lease} does not exist")
+
+    def _apply(self, transaction: Transaction) -> None:
+        self._revision += 1
+        events: list[WatchEvent] = []
+        for operation in transaction.operations:
+            if isinstance(operation, Put):
+                entry = self._put(operation)
+                events.append(WatchEvent(operation.key, entry, self._revision))
+            elif self._remove(operation):
+                events.append(WatchEvent(operation.key, None, self._revision))
+        self._publish(events)
+
+    def _put(self, operation: Put) -> Entry:
+        old = self._entries_by_key.get(operation.key)
+        if old is None:
+            bisect.insort(self._sorted_keys, operation.key)
+        elif old.lease in self._leases_by_id:
+            self._leases_by_id[old.lease].keys.discard(operation.key)
+        if operation.lease:
+            self._leases_by_id[operation.lease].keys.add(operation.key)
+        entry = Entry(
+            key=operation.key,
+            value=operation.value,
+            create_revision=old.create_revision if old else self._revision,
+            mod_revision=self._revision,
+            lease=operation.lease,
+        )
+        self._entries_by_key[operation.key] = entry
+        return entry
+
+    def _remove(self, operation: Delete) -> bool:
+        old = self._entries_by_key.pop(operation.key, None)
+        if old is None:
+            return False
+        del self._sorted_keys[bisect.bisect_left(self._sorted_keys, operation.key)]
+        if old.lease in self._leases_by_id:
+            self._leases_by_id[old.lease].keys.discard(operation.key)
+        return True
+
+    def _delete_keys(self, keys: set[str]) -> None:
+        if keys:
+            self._apply(Transaction((), tuple(Delete(key) for key in sorted(keys))))
+
+    def _publish(self, events: list[WatchEvent]) -> None:
+        self._history.extend(events)
+        while len(self._history) > self._history_events:
+            self._compact_revision = self._history.popleft().revision
+        for stream, prefix in list(self._watchers.items()):
+            mine = tuple(e for e in events if e.key.startswith(prefix))
+            if not mine:
+                continue
+            try:
+                stream.send_nowait(WatchBatch(mine, self._revision))
+            except (anyio.WouldBlock, anyio.BrokenResourceError):
+                # A watcher that does not read must start again with a scan.
+                self._watchers.pop(stream, None)
+                stream.close()
+
+
+async def _batches(
+    receive: ObjectReceiveStream[WatchBatch],
+) -> AsyncIterator[WatchBatch]:
+    async for batch in receive:
+        yield batch
--- /dev/null
+++ b/src/pomeloyard/platform/records.py
@@ -0,0 +1,135 @@
+"""Typed records in the store, with compare-and-swap and lost-answer resolution."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from ..errors import PomeloyardError, StoreOutcomeUnknownError
+from .store import Compare, Delete, Entry, Put, Store, Transaction, new_write_id
+
+T = TypeVar("T")
+
+RECENT_WRITES = 8
+"""Write ids kept in a record, so that a lost answer can be resolved even when
+other writers have changed the record since."""
+
+RESOLVE_ATTEMPTS = 3
+
+
+class ConflictError(PomeloyardError):
+    """Another writer changed a record first; nothing was written."""
+
+    def __init__(self, key: str) -> None:
+        super().__init__(f"{key} was changed by another writer")
+        self.key = key
+
+
+class RecordError(PomeloyardError):
+    """A record in the store does not have the expected form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Versioned(Generic[T]):
+    """A record with the store revision of its last change (0: absent)."""
+
+    key: str
+    value: T
+    mod_revision: int
+    write_ids: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """New value of a record; ``value`` None deletes it.
+
+    ``expected`` is the record that the change was made from, or None when the
+    record must be absent.
+    """
+
+    key: str
+    value: Any
+    expected: Versioned[Any] | None
+    lease: int = 0
+
+
+def decode_record(entry: Entry, kind: type[T]) -> Versioned[T]:
+    """Decode a store entry as a record of class ``kind``."""
+    try:
+        envelope = msgspec.json.decode(entry.value)
+        value = msgspec.convert(envelope["data"], kind)
+        write_ids = tuple(envelope["writes"])
+    except (msgspec.MsgspecError, KeyError, TypeError) as error:
+        raise RecordError(f"{entry.key}: {error}") from error
+    return Versioned(entry.key, value, entry.mod_revision, write_ids)
+
+
+async def read_record(store: Store, key: str, kind: type[T]) -> Versioned[T] | None:
+    """Return the record at ``key``, or None if it is absent."""
+    entry = await store.get(key)
+    return None if entry is None else decode_record(entry, kind)
+
+
+async def commit_changes(store: Store, changes: Sequence[Change]) -> int:
+    """Apply all changes in one transaction and return the store revision.
+
+    Raises ConflictError if any record is not as expected. An answer lost after
+    taking effect is resolved by reading the write id back; if that fails too,
+    StoreOutcomeUnknownError is raised.
+    """
+    write_id = new_write_id()
+    transaction = _transaction(changes, write_id)
+    lost: StoreOutcomeUnknownError | None = None
+    for _ in range(RESOLVE_ATTEMPTS):
+        try:
+            result = await store.commit(transaction)
+        except StoreOutcomeUnknownError as error:
+            lost = error
+            continue
+        if result.succeeded:
+            return result.revision
+        return await _resolve(store, changes, write_id, lost)
+    raise StoreOutcomeUnknownError(f"commit of {changes[0].key}") from lost
+
+
+async def _resolve(
+    store: Store,
+    changes: Sequence[Change],
+    write_id: str,
+    lost: StoreOutcomeUnknownError | None,
+) -> int:
+    """Tell an earlier success of this same write from a conflict."""
+    if lost is None:
+        raise ConflictError(changes[0].key)
+    for change in changes:
+        entry = await store.get(change.key)
+        if entry is None:
+            continue
+        if write_id in msgspec.json.decode(entry.value).get("writes", ()):
+            return entry.mod_revision
+    if all(change.value is None for change in changes):
+        # A pure deletion leaves no write id; absence of all is what was wanted.
+        return 0
+    raise ConflictError(changes[0].key)
+
+
+def _transaction(changes: Sequence[Change], write_id: str) -> Transaction:
+    compares = tuple(
+        Compare(c.key, c.expected.mod_revision if c.expected else 0) for c in changes
+    )
+    operations = tuple(
+        Delete(c.key)
+        if c.value is None
+        else Put(c.key, _encode(c, write_id), lease=c.lease)
+        for c in changes
+    )
+    return Transaction(compares, operations)
+
+
+def _encode(change: Change, write_id: str) -> bytes:
+    earlier = change.expected.write_ids if change.expected else ()
+    writes = (*earlier, write_id)[-RECENT_WRITES:]
+    return msgspec.json.encode({"writes": writes, "data": change.value})
--- /dev/null
+++ b/src/pomeloyard/platform/store.py
@@ -0,0 +1,163 @@
+"""Interface of the platform's key-value store."""
+
+from __future__ import annotations
+
+import secrets
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from datetime import timedelta
+
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_OPERATIONS = 128
+"""Operations in one transaction; the usual limit of etcd."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value and the store revisions that made it."""
+
+    key: str
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Part of a range, in key order, read at store revision ``revision``."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+    more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """Condition that a key was last changed at ``mod_revision`` (0: is absent)."""
+
+    key: str
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write of a value, optionally deleted when ``lease`` expires."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Deletion of a key."""
+
+    key: str
+
+
+Operation = Put | Delete
+
+
+@dataclass(frozen=True, slots=True)
+class Transaction:
+    """Operations that all take effect if all comparisons hold, else none."""
+
+    compares: tuple[Compare, ...]
+    operations: tuple[Operation, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CommitResult:
+    """Whether the transaction took effect, and the store revision after it."""
+
+    succeeded: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """A change of a key; ``entry`` is None when the key was deleted."""
+
+    key: str
+    entry: Entry | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBatch:
+    """Events up to and including store revision ``revision``."""
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
+class Store(ABC):
+    """Key-value store with compare-and-swap, leases and watches.
+
+    Every method raises StoreUnavailableError when it certainly had no effect,
+    StoreOutcomeUnknownError when a write may have taken effect, and
+    StoreRequestError when the store rejects the request as invalid.
+    """
+
+    @abstractmethod
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of a key, or None if it is absent."""
+
+    @abstractmethod
+    async def scan(self, prefix: str, *, start: str = "", limit: int = 1000) -> Page:
+        """Return entries whose key has ``prefix``, from key ``start`` on."""
+
+    @abstractmethod
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Apply a transaction atomically."""
+
+    @abstractmethod
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Create a lease and return its id (never 0)."""
+
+    @abstractmethod
+    async def keep_lease_alive(self, lease: int) -> timedelta:
+        """Renew a lease and return its time to live.
+
+        Raises LeaseLostError when it has expired.
+        """
+
+    @abstractmethod
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete the keys attached to it."""
+
+    @abstractmethod
+    def watch(
+        self, prefix: str, *, from_revision: int
+    ) -> AbstractAsyncContextManager[AsyncIterator[WatchBatch]]:
+        """Yield changes under ``prefix`` from ``from_revision`` on.
+
+        Iteration raises CompactedError when those revisions are gone and
+        StoreUnavailableError when the watch breaks.
+        """
+
+    async def close(self) -> None:  # noqa: B027
+        """Release connections."""
+
+
+async def scan_all(store: Store, prefix: str) -> Page:
+    """Return all entries under ``prefix`` by reading page after page.
+
+    The revision is that of the first page, so that a watch from there on
+    misses nothing.
+    """
+    page = await store.scan(prefix)
+    entries = list(page.entries)
+    revision = page.revision
+    while page.more:
+        page = await store.scan(prefix, start=entries[-1].key + "\0")
+        entries.extend(page.entries)
+    return Page(tuple(entries), revision)
+
+
+def new_write_id() -> str:
+    """Return a random id that identifies one write when its answer is lost."""
+    return secrets.token_hex(8)
--- /dev/null
+++ b/src/pomeloyard/platform/vm_service.py
@@ -0,0 +1,71 @@
+"""HTTP client of the platform's VM list and VM operations."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+
+import anyio
+import httpcore
+import msgspec
+
+from ..errors import (
+    StoreOutcomeUnknownError,
+    StoreRequestError,
+    StoreUnavailableError,
+)
+from .directory import VmDirectory, VmList, VmOperation
+
+CALL_TIMEOUT = timedelta(seconds=2)
+
+
+class HttpVmDirectory(VmDirectory):
+    """Client of the VM service at ``url``, for example ``http://127.0.0.1:2379``."""
+
+    def __init__(self, url: str, call_timeout: timedelta = CALL_TIMEOUT) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = call_timeout.total_seconds()
+        self._pool = httpcore.AsyncConnectionPool(max_connections=4)
+
+    async def list_vms(self) -> VmList:
+        """Return the platform's current, possibly outdated, list of VMs."""
+        try:
+            response = await self._call("GET", "/v1/vms", b"")
+            return msgspec.json.decode(response.content, type=VmList)
+        except (StoreOutcomeUnknownError, msgspec.MsgspecError) as error:
+            raise StoreUnavailableError(f"VM list: {error}") from error
+
+    async def operate(
+        self, name: str, operation: VmOperation, *, operation_id: str, pool: str = ""
+    ) -> None:
+        """Start an operation; repeating an ``operation_id`` has no further effect."""
+        body = {"operation": operation.value, "operation_id": operation_id}
+        if pool:
+            body["pool"] = pool
+        path = f"/v1/vms/{name}/operations"
+        response = await self._call("POST", path, json.dumps(body).encode())
+        if response.status != 200:
+            raise StoreRequestError(f"{operation.value} {name}: {response.status}")
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _call(self, method: str, path: str, body: bytes) -> httpcore.Response:
+        try:
+            with anyio.fail_after(self._timeout):
+                return await self._pool.request(
+                    method,
+                    self._url + path,
+                    headers={"Content-Type": "application/json"},
+                    content=body,
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise StoreUnavailableError(f"{path}: {error!r}") from error
+        except (
+            TimeoutError,
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            raise StoreOutcomeUnknownError(f"{path}: {error!r}") from error
--- /dev/null
+++ b/src/pomeloyard/problems.py
@@ -0,0 +1,69 @@
+"""Errors towards callers and operators as problem details (RFC 9457)."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+
+import msgspec
+from starlette.responses import Response
+
+from .outcomes import RefusalReason, Refused, Unknown
+
+MEDIA_TYPE = "application/problem+json"
+
+STATUS_BY_REASON = {
+    RefusalReason.KEY_MISSING: 401,
+    RefusalReason.KEY_INVALID: 401,
+    RefusalReason.ROLE_INSUFFICIENT: 403,
+    RefusalReason.NOT_FOUND: 404,
+    RefusalReason.INVALID_INPUT: 400,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.DEADLINE_PASSED: 503,
+    RefusalReason.LIMIT_REACHED: 429,
+    RefusalReason.KEY_REUSED: 422,
+    RefusalReason.CONFLICT: 409,
+    RefusalReason.BUDGET_EXCEEDED: 409,
+    RefusalReason.IMPOSSIBLE: 422,
+    RefusalReason.CANCELLED: 409,
+    RefusalReason.STALE_FENCE: 409,
+}
+"""HTTP status of a refusal; 503 for those not listed."""
+
+UNKNOWN_STATUS = 502
+
+
+def refusal_response(refusal: Refused) -> Response:
+    """Return the response for an operation that certainly did not run."""
+    status = STATUS_BY_REASON.get(refusal.reason, 503)
+    return _problem(
+        status, refusal.reason.value, "not-run", refusal.detail, refusal.retry_after
+    )
+
+
+def unknown_response(unknown: Unknown) -> Response:
+    """Return the response for an operation that may have run."""
+    return _problem(UNKNOWN_STATUS, unknown.reason.value, "unknown", unknown.detail)
+
+
+def _problem(
+    status: int,
+    reason: str,
+    outcome: str,
+    detail: str,
+    retry_after: timedelta | None = None,
+) -> Response:
+    body = {
+        "type": f"urn:pomeloyard:{reason}",
+        "title": reason.replace("-", " "),
+        "status": status,
+        "detail": detail,
+        "outcome": outcome,
+    }
+    headers = {}
+    if retry_after is not None:
+        headers["Retry-After"] = str(math.ceil(retry_after.total_seconds()))
+    return Response(
+        msgspec.json.encode(body), status, headers=headers, media_type=MEDIA_TYPE
+    )
--- /dev/null
+++ b/src/pomeloyard/serving.py
@@ -0,0 +1,55 @@
+"""Run ASGI applications on loopback inside the current event loop."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+
+import anyio
+import uvicorn
+from starlette.types import ASGIApp
+
+
+class EmbeddedServer(uvicorn.Server):
+    """Uvicorn server that leaves signal handling to its host process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers."""
+        yield
+
+
+def server_config(app: ASGIApp, **options: object) -> uvicorn.Config:
+    """Return a lean uvicorn configuration for ``app``."""
+    return uvicorn.Config(
+        app,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        http="h11",
+        ws="none",
+        loop="asyncio",
+        **options,  # type: ignore[arg-type]
+    )
+
+
+@asynccontextmanager
+async def serving(
+    app: ASGIApp, host: str = "127.0.0.1", port: int = 0
+) -> AsyncIterator[str]:
+    """Serve ``app`` and yield its "host:port"."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    address = "{}:{}".format(*listener.getsockname())
+    server = EmbeddedServer(server_config(app, timeout_graceful_shutdown=1))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        while not server.started:
+            await anyio.sleep(0.005)
+        try:
+            yield address
+        finally:
+            server.should_exit = True
--- /dev/null
+++ b/src/pomeloyard/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, used by tests, the demo and --embedded."""
--- /dev/null
+++ b/src/pomeloyard/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of workers, the VMs that run tasks."""
--- /dev/null
+++ b/src/pomeloyard/workers/client.py
@@ -0,0 +1,91 @@
+"""HTTP client of workers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from ..outcomes import Done, Outcome, RefusalReason, Refused, Unknown, UnknownReason
+from .tasks import TaskReport, TaskStart
+
+CALL_TIMEOUT = timedelta(seconds=2)
+HTTP_CONFLICT = 409
+
+
+class WorkerClient:
+    """Client of the task interface that every worker offers."""
+
+    def __init__(self, call_timeout: timedelta = CALL_TIMEOUT) -> None:
+        self._timeout = call_timeout.total_seconds()
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=256, max_keepalive_connections=64, keepalive_expiry=10.0
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def start_task(self, address: str, task: TaskStart) -> Outcome[None]:
+        """Start a task; starting the same task id again has no further effect."""
+        return _without_value(await self._call(address, "/v1/tasks", task))
+
+    async def renew(
+        self, address: str, fence: int, lease_seconds: float, task_ids: Sequence[str]
+    ) -> Outcome[list[TaskReport]]:
+        """Renew the leases of tasks and return reports of all tasks."""
+        body = {
+            "fence": fence,
+            "lease_seconds": lease_seconds,
+            "task_ids": list(task_ids),
+        }
+        outcome = await self._call(address, "/v1/renew", body)
+        if not isinstance(outcome, Done):
+            return outcome
+        try:
+            return Done(msgspec.json.decode(outcome.value, type=list[TaskReport]))
+        except msgspec.MsgspecError as error:
+            return Unknown(UnknownReason.ANSWER_MISMATCHED, str(error))
+
+    async def acknowledge(
+        self, address: str, fence: int, task_ids: Sequence[str]
+    ) -> Outcome[None]:
+        """Let the worker forget reports of ended tasks."""
+        body = {"fence": fence, "task_ids": list(task_ids)}
+        return _without_value(await self._call(address, "/v1/acknowledge", body))
+
+    async def signal(
+        self, address: str, task_id: str, fence: int, action: str
+    ) -> Outcome[None]:
+        """Ask for "checkpoint", "throttle" or "stop" of a task."""
+        path = f"/v1/tasks/{task_id}/{action}"
+        return _without_value(await self._call(address, path, {"fence": fence}))
+
+    async def _call(self, address: str, path: str, body: Any) -> Outcome[bytes]:
+        try:
+            with anyio.fail_after(self._timeout):
+                response = await self._pool.request(
+                    "POST",
+                    f"http://{address}{path}",
+                    headers={"Content-Type": "application/json"},
+                    content=msgspec.json.encode(body),
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return Refused(RefusalReason.ENDPOINT_UNREACHABLE, repr(error))
+        except (TimeoutError, httpcore.TimeoutException) as error:
+            return Unknown(UnknownReason.TIMEOUT, repr(error))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return Unknown(UnknownReason.CONNECTION_LOST, repr(error))
+        if response.status == HTTP_CONFLICT:
+            return Refused(RefusalReason.STALE_FENCE, response.content.decode())
+        if response.status != 200:
+            return Refused(RefusalReason.INVALID_INPUT, response.content.decode())
+        return Done(response.content)
+
+
+def _without_value(outcome: Outcome[bytes]) -> Outcome[None]:
+    return Done(None) if isinstance(outcome, Done) else outcome
--- /dev/null
+++ b/src/pomeloyard/workers/tasks.py
@@ -0,0 +1,53 @@
+"""Data exchanged with workers about tasks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class TaskState(Enum):
+    """State of a task as the worker reports it."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    CHECKPOINTED = "checkpointed"
+    LEASE_EXPIRED = "lease_expired"
+
+
+@dataclass(frozen=True, slots=True)
+class TaskStart:
+    """Order to run a task under a lease.
+
+    ``fence`` is the scheduler's fencing token; ``lease_seconds`` is how long the
+    worker runs the task without renewal.
+    """
+
+    task_id: str
+    job_id: str
+    team: str
+    fence: int
+    lease_seconds: float
+    cores: float
+    memory_bytes: int
+    accelerators: int = 0
+    command: str = ""
+    checkpoint: str = ""
+    """Reference of the checkpoint to resume from, or empty."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskReport:
+    """State and usage of a task; usage lags behind reality."""
+
+    task_id: str
+    job_id: str
+    state: TaskState
+    fence: int
+    run_seconds: float = 0.0
+    peak_cores: float = 0.0
+    peak_memory_bytes: int = 0
+    checkpoint: str = ""
+    detail: str = ""
