Split routes and commands by subject; add decision log and measurement runner

Cause: operator routes, caller routes and commands stood in one module each, which several people cannot extend at the same time.

Change: one module for each subject, peers/calls.py for questions with answers, decisions.py for decision records, `make measure` with one module for each subject under measurements/.

--- a/Makefile
+++ b/Makefile
@@ -19,16 +19,16 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests measurements
+	$(BIN)/ruff check src tests measurements
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests measurements
+	$(BIN)/ruff check --fix src tests measurements
 
 measure: setup
-	$(BIN)/python -m tests.measure $(ONLY)
+	$(BIN)/python -m measurements $(ONLY)
 
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .mypy_cache
--- a/src/pomeloyard/callers/app.py
+++ b/src/pomeloyard/callers/app.py
@@ -1,146 +1,20 @@
-"""Routes for callers: requests to services and jobs."""
+"""The ASGI application for callers."""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from datetime import timedelta
-
-import msgspec
 from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
-from starlette.routing import Route
 
-from ..authentication import authenticate_team
-from ..errors import OutcomeUnknownError, RefusedError
 from ..fleet_state import FleetState
-from ..jobs import JobRequest, JobStore
-from ..outcomes import RefusalReason, Refused
-from ..problems import refusal_response, unknown_response
-from ..requests import RequestService, ServiceRequest
-
-ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
-HOP_HEADERS = frozenset(
-    {
-        b"authorization",
-        b"connection",
-        b"content-length",
-        b"host",
-        b"keep-alive",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"x-request-id",
-        b"x-team",
-    }
-)
-"""Headers that are not passed on in either direction."""
+from ..jobs import JobStore
+from ..problems import EXCEPTION_HANDLERS
+from ..requests import RequestService
+from .job_routes import job_routes
+from .service_routes import service_routes
 
 
 def caller_app(
     state: FleetState, requests: RequestService, jobs: JobStore
 ) -> Starlette:
-    """Return the ASGI application for callers."""
-
-    async def run_service(request: Request) -> Response:
-        key = authenticate_team(state, request.headers.get("authorization"))
-        service_request = ServiceRequest(
-            service=request.path_params["service"],
-            team=key.team,
-            method=request.method,
-            target=_target(request),
-            headers=tuple(
-                (k, v) for k, v in request.headers.raw if k not in HOP_HEADERS
-            ),
-            body=await request.body(),
-            timeout=_timeout(request),
-            urgent=request.headers.get("priority") == "urgent",
-            idempotency_key=request.headers.get("idempotency-key", ""),
-        )
-        return await _stream(requests, service_request)
-
-    async def submit_job(request: Request) -> Response:
-        key = authenticate_team(state, request.headers.get("authorization"))
-        try:
-            job_request = msgspec.json.decode(await request.body(), type=JobRequest)
-        except msgspec.MsgspecError as error:
-            raise RefusedError(
-                Refused(RefusalReason.INVALID_INPUT, str(error))
-            ) from error
-        idempotency_key = request.headers.get("idempotency-key", "")
-        job = await jobs.submit(key.team, job_request, idempotency_key)
-        return _json(job, 202)
-
-    async def job_status(request: Request) -> Response:
-        key = authenticate_team(state, request.headers.get("authorization"))
-        job = await jobs.get(request.path_params["job_id"])
-        if job is None or job.team != key.team:
-            raise RefusedError(Refused(RefusalReason.NOT_FOUND, "no such job"))
-        return _json(job)
-
-    return Starlette(
-        routes=[
-            Route("/v1/jobs", submit_job, methods=["POST"]),
-            Route("/v1/jobs/{job_id}", job_status, methods=["GET"]),
-            Route(
-                "/v1/services/{service}/{path:path}", run_service, methods=ALL_METHODS
-            ),
-        ],
-        exception_handlers={RefusedError: _refused, OutcomeUnknownError: _unknown},
-    )
-
-
-async def _stream(requests: RequestService, request: ServiceRequest) -> Response:
-    """Start a request and return a response that streams its body."""
-    context = requests.run(request)
-    response = await context.__aenter__()
-
-    async def chunks() -> AsyncIterator[bytes]:
-        failure: BaseException | None = None
-        try:
-            async for chunk in response.chunks:
-                yield chunk
-        except BaseException as error:
-            failure = error
-            raise
-        finally:
-            await context.__aexit__(type(failure) if failure else None, failure, None)
-
-    result = StreamingResponse(chunks(), response.status)
-    result.raw_headers = [
-        (k.lower(), v) for k, v in response.headers if k.lower() not in HOP_HEADERS
-    ]
-    return result
-
-
-def _target(request: Request) -> str:
-    path = "/" + request.path_params["path"]
-    return f"{path}?{request.url.query}" if request.url.query else path
-
-
-def _timeout(request: Request) -> timedelta | None:
-    text = request.headers.get("request-timeout")
-    if text is None:
-        return None
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = -1.0
-    if not 0 < seconds < 86_400:
-        raise RefusedError(Refused(RefusalReason.INVALID_INPUT, "Request-Timeout"))
-    return timedelta(seconds=seconds)
-
-
-def _json(value: object, status: int = 200) -> Response:
-    return Response(msgspec.json.encode(value), status, media_type="application/json")
-
-
-async def _refused(request: Request, error: Exception) -> Response:
-    assert isinstance(error, RefusedError)
-    return refusal_response(error.refusal)
-
-
-async def _unknown(request: Request, error: Exception) -> Response:
-    assert isinstance(error, OutcomeUnknownError)
-    return unknown_response(error.unknown)
+    """Return the application with all caller routes."""
+    routes = [*service_routes(state, requests), *job_routes(state, jobs)]
+    return Starlette(routes=routes, exception_handlers=EXCEPTION_HANDLERS)
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -21,6 +21,7 @@
 from .callers.app import caller_app
 from .clock import Clock, SystemClock
 from .controller import Controller
+from .decisions import DecisionLog
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
 from .fleet_state import DaemonRecord, FleetState
@@ -28,6 +29,8 @@
 from .jobs import JobStore
 from .membership import Membership
 from .operators.app import operator_app
+from .operators.support import OperatorContext
+from .peers.calls import PeerCalls
 from .peers.messages import Heartbeat, Hello
 from .peers.streams import PeerNetwork
 from .platform.directory import VmDirectory, VmRole
@@ -60,6 +63,7 @@
         self.store = store
         self.directory = directory
         self.state = FleetState()
+        self.decisions = DecisionLog()
         self.incarnation = f"{settings.vm}.{secrets.token_hex(4)}"
         record = DaemonRecord(
             incarnation=self.incarnation,
@@ -81,6 +85,7 @@
             ),
         )
         self.peers.addresses.update(settings.peers)
+        self.calls = PeerCalls(self.peers)
         self.admission = AdmissionController(
             clock, self._slots, self._units, self._executors, self._weight
         )
@@ -124,7 +129,7 @@
             tasks.start_soon(candidate.run)
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
-        operator = operator_app(self.state, self.store, self.controller)
+        operator = operator_app(self._operator_context())
         self._serve(tasks, caller, settings.caller_address)
         self._serve(tasks, operator, settings.operator_address)
         self._serve(tasks, self._metrics_app(), settings.metrics_address)
@@ -144,6 +149,16 @@
         await self.endpoints.close()
         await self.workers.close()
 
+    def _operator_context(self) -> OperatorContext:
+        return OperatorContext(
+            clock=self.clock,
+            state=self.state,
+            store=self.store,
+            controller=self.controller,
+            jobs=self.jobs,
+            decisions=self.decisions,
+        )
+
     def _serve(self, tasks: TaskGroup, app: Starlette, address: str) -> None:
         host, port = address.rsplit(":", 1)
         listener = socket.socket()
--- a/src/pomeloyard/membership.py
+++ b/src/pomeloyard/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import logbook
@@ -40,6 +41,9 @@
         self._lease = 0
         self.usable_from_by_partition: dict[int, timedelta] = {}
         """Monotonic time from which a taken partition's base may be used."""
+        self.on_gained: list[Callable[[int, bool], None]] = []
+        """Called with a partition and whether its former holder released it."""
+        self.on_lost: list[Callable[[int], None]] = []
 
     async def run(self) -> None:
         """Keep the registration and a fair part of the partitions."""
@@ -64,6 +68,11 @@
             if self.usable_from_by_partition.get(number, now) <= now
         )
 
+    def holder_of(self, partition: int) -> str:
+        """Return the incarnation that holds a partition, or an empty string."""
+        table = self._state.partitions
+        return table.partitions[partition].holder if table is not None else ""
+
     async def release(self) -> None:
         """Give up all partitions and the registration."""
         current = await read_record(self._store, layout.PARTITIONS, PartitionTable)
--- /dev/null
+++ b/src/pomeloyard/peers/calls.py
@@ -0,0 +1,63 @@
+"""Questions to other daemons that wait for an answer."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, TypeVar
+
+import anyio
+
+from .messages import Message
+from .streams import PeerNetwork
+
+T = TypeVar("T")
+
+
+@dataclass(eq=False)
+class _Pending:
+    asked: str
+    arrived: anyio.Event = field(default_factory=anyio.Event)
+    answer: Any = None
+
+
+class PeerCalls:
+    """Matches answers to questions by their ``request_id``."""
+
+    def __init__(self, network: PeerNetwork) -> None:
+        self._network = network
+        self._ids = itertools.count(1)
+        self._pending_by_id: dict[int, _Pending] = {}
+
+    def expect(self, reply_type: type) -> None:
+        """Route messages of ``reply_type`` to the calls that wait for them."""
+        self._network.on(reply_type, self._on_reply)
+
+    async def call(
+        self,
+        incarnation: str,
+        make_message: Callable[[int], Message],
+        reply_type: type[T],
+        timeout: timedelta,
+    ) -> T | None:
+        """Return the answer of a daemon, or None if there was none in time."""
+        request_id = next(self._ids)
+        pending = _Pending(incarnation)
+        self._pending_by_id[request_id] = pending
+        try:
+            if not self._network.send(incarnation, make_message(request_id)):
+                return None
+            with anyio.move_on_after(timeout.total_seconds()):
+                await pending.arrived.wait()
+        finally:
+            del self._pending_by_id[request_id]
+        return pending.answer if isinstance(pending.answer, reply_type) else None
+
+    def _on_reply(self, sender: str, message: Any) -> None:
+        pending = self._pending_by_id.get(message.request_id)
+        # A late answer, or one of a daemon that was not asked, is dropped.
+        if pending is not None and pending.asked == sender:
+            pending.answer = message
+            pending.arrived.set()
--- a/src/pomeloyard/problems.py
+++ b/src/pomeloyard/problems.py
@@ -6,9 +6,17 @@
 from datetime import timedelta
 
 import msgspec
+from starlette.requests import Request
 from starlette.responses import Response
 
-from .outcomes import RefusalReason, Refused, Unknown
+from .errors import (
+    OutcomeUnknownError,
+    RefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
+from .platform.records import ConflictError
 
 MEDIA_TYPE = "application/problem+json"
 
@@ -67,3 +75,39 @@
     return Response(
         msgspec.json.encode(body), status, headers=headers, media_type=MEDIA_TYPE
     )
+
+
+STORE_RETRY_AFTER = timedelta(seconds=5)
+
+
+async def _refused(request: Request, error: Exception) -> Response:
+    assert isinstance(error, RefusedError)
+    return refusal_response(error.refusal)
+
+
+async def _unknown(request: Request, error: Exception) -> Response:
+    assert isinstance(error, OutcomeUnknownError)
+    return unknown_response(error.unknown)
+
+
+async def _conflict(request: Request, error: Exception) -> Response:
+    return refusal_response(Refused(RefusalReason.CONFLICT, str(error)))
+
+
+async def _store_unavailable(request: Request, error: Exception) -> Response:
+    reason = RefusalReason.STORE_UNAVAILABLE
+    return refusal_response(Refused(reason, str(error), STORE_RETRY_AFTER))
+
+
+async def _store_unknown(request: Request, error: Exception) -> Response:
+    return unknown_response(Unknown(UnknownReason.ANSWER_LOST, str(error)))
+
+
+EXCEPTION_HANDLERS = {
+    RefusedError: _refused,
+    OutcomeUnknownError: _unknown,
+    ConflictError: _conflict,
+    StoreUnavailableError: _store_unavailable,
+    StoreOutcomeUnknownError: _store_unknown,
+}
+"""Handlers of typed errors, for the applications towards callers and operators."""
