Hold slots and limits by partitions and loans; serve teams by targets

Cause: each daemon used a fixed part of every executor and limit, so a team whose callers reach few daemons was held far below its share, and nothing said what happens to capacity when a daemon leaves.

Change: partition table with members, loan book (versioned absolute grants, statements on takeover), demand reports and advice of a coordinator, admission by deficit against targets, `measurements/shares.py` in virtual time against a fluid reference. A hypothesis model of loan books with lost, repeated and reordered messages, kills, takeovers and releases.

Ruled out: lending between any two holders (a unit's origin would be lost at a takeover); time-based return of loans (a paused borrower still uses them).

--- /dev/null
+++ b/measurements/shares.py
@@ -0,0 +1,246 @@
+"""How near each team comes to its share, against a first-come baseline.
+
+Nine daemons' real admission, loans and coordination run in virtual time on an
+in-memory network. The reference is generalized processor sharing, the fluid form
+of weighted max-min: at every moment each team with unserved work gets its part
+of the pool. A team's error is the difference between work received and entitled
+to in a window of 10 s in which its service is full, over the larger of what it
+was entitled to and one percent of the pool.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import anyio
+
+from pomeloyard.outcomes import Done
+from pomeloyard.shares import weighted_max_min
+
+from .figures import Figure, at_most
+from .support.daemons import start_nodes
+from .support.deployments import (
+    DEPLOYMENTS,
+    SHARES_BY_TEAM,
+    Deployment,
+    executors_of,
+    fleet_config,
+)
+from .support.virtual_time import LoopClock, run_virtual
+
+DAEMONS = 9
+SLOTS = 8
+WINDOW = 10
+PEAK_SECONDS = 15
+PEAK_OVER_CAPACITY = 1.5
+"""At its peak a queue asks for more than its pool holds."""
+
+TROUGH_OVER_PEAK = 0.01
+"""Five times the mean at the peak, a twentieth of it in between."""
+
+MEAN_WORK_SECONDS = 0.1
+SHARE_ERROR_BOUND = 0.02
+DEMAND_BY_TEAM = {
+    "t1": 0.30,
+    "t2": 0.25,
+    "t3": 0.20,
+    "t4": 0.15,
+    "t5": 0.07,
+    "t6": 0.03,
+}
+STEP = 0.01
+"""Time step of the fluid reference in seconds."""
+
+SEED = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request: when it comes, from whom, where, and how long it runs."""
+
+    at: float
+    service: str
+    team: str
+    daemon: int
+    work: float
+
+
+def arrivals(deployment: Deployment, seed: int) -> list[Arrival]:
+    """Return the demand of one full turn of peaks, in order of time."""
+    generator = random.Random(seed)
+    capacity = deployment.executors * SLOTS
+    end = PEAK_SECONDS * len(deployment.services)
+    result = []
+    # A client account keeps its connections, so it reaches few daemons.
+    homes = {team: generator.sample(range(DAEMONS), 4) for team in DEMAND_BY_TEAM}
+    for position, service in enumerate(deployment.services):
+        for team, part in DEMAND_BY_TEAM.items():
+            peak = PEAK_OVER_CAPACITY * capacity * part / MEAN_WORK_SECONDS
+            now = 0.0
+            while now < end:
+                in_peak = int(now // PEAK_SECONDS) == position
+                rate = peak if in_peak else peak * TROUGH_OVER_PEAK
+                now += generator.expovariate(rate)
+                work = generator.uniform(0.5, 1.5) * MEAN_WORK_SECONDS
+                daemon = generator.choice(homes[team])
+                result.append(Arrival(now, service, team, daemon, work))
+    return sorted(result, key=lambda a: a.at)
+
+
+Samples = dict[tuple[str, str], list[float]]
+"""Cumulative work by (service, team), one value a second."""
+
+
+def fluid_reference(
+    deployment: Deployment, demand: list[Arrival], seconds: int
+) -> tuple[Samples, dict[str, list[bool]]]:
+    """Return entitled work, and in which seconds each service was full."""
+    capacity = deployment.executors * SLOTS
+    samples: Samples = {}
+    full: dict[str, list[bool]] = {}
+    for service in deployment.services:
+        pending = deque(a for a in demand if a.service == service)
+        backlog = dict.fromkeys(SHARES_BY_TEAM, 0.0)
+        given = dict.fromkeys(SHARES_BY_TEAM, 0.0)
+        for team in SHARES_BY_TEAM:
+            samples[service, team] = [0.0]
+        full[service] = []
+        for second in range(seconds):
+            always_full = True
+            for step in range(round(1 / STEP)):
+                now = second + (step + 1) * STEP
+                while pending and pending[0].at <= now:
+                    arrival = pending.popleft()
+                    backlog[arrival.team] += arrival.work
+                rates = {team: work / STEP for team, work in backlog.items()}
+                share = weighted_max_min(capacity, rates, SHARES_BY_TEAM)
+                always_full &= sum(rates.values()) >= capacity
+                for team, slots in share.items():
+                    backlog[team] = max(0.0, backlog[team] - slots * STEP)
+                    given[team] += slots * STEP
+            full[service].append(always_full)
+            for team in SHARES_BY_TEAM:
+                samples[service, team].append(given[team])
+    return samples, full
+
+
+def first_come(deployment: Deployment, demand: list[Arrival], seconds: int) -> Samples:
+    """Return work received when one queue a service is served in order."""
+    samples: Samples = {}
+    for service in deployment.services:
+        free_at = [0.0] * (deployment.executors * SLOTS)
+        runs = []
+        for arrival in (a for a in demand if a.service == service):
+            slot = min(range(len(free_at)), key=free_at.__getitem__)
+            start = max(arrival.at, free_at[slot])
+            free_at[slot] = start + arrival.work
+            runs.append((arrival.team, start, start + arrival.work))
+        for team in SHARES_BY_TEAM:
+            mine = [(start, end) for t, start, end in runs if t == team]
+            samples[service, team] = [
+                sum(max(0.0, min(end, second) - start) for start, end in mine)
+                for second in range(seconds + 1)
+            ]
+    return samples
+
+
+async def run_daemons(
+    deployment: Deployment, demand: list[Arrival], seconds: int
+) -> tuple[Samples, float]:
+    """Return work received through nine daemons, and control bytes a second.
+
+    The bytes are those of the daemon that sends most, the coordinator.
+    """
+    clock = LoopClock()
+    received: dict[tuple[str, str], float] = defaultdict(float)
+    running: dict[int, tuple[tuple[str, str], float]] = {}
+    samples: Samples = {(s, t): [] for s in deployment.services for t in SHARES_BY_TEAM}
+
+    async def request(node, arrival: Arrival, number: int) -> None:
+        outcome = await node.admission.acquire(
+            arrival.service,
+            arrival.team,
+            deadline=timedelta(seconds=arrival.at + 600),
+            queue_length=1_000_000,
+        )
+        if not isinstance(outcome, Done):
+            return
+        key = (arrival.service, arrival.team)
+        running[number] = (key, anyio.current_time())
+        await anyio.sleep(arrival.work)
+        received[key] += arrival.work
+        del running[number]
+        node.admission.release(outcome.value)
+
+    def sample() -> None:
+        now = anyio.current_time()
+        total = defaultdict(float, received)
+        for key, since in running.values():
+            total[key] += now - since
+        for key, values in samples.items():
+            values.append(total[key])
+
+    async with anyio.create_task_group() as tasks:
+        nodes = start_nodes(
+            tasks,
+            clock,
+            DAEMONS,
+            fleet_config(deployment),
+            executors_of(deployment),
+            deployment.latency,
+        )
+        tasks.start_soon(_sample_each_second, sample, seconds)
+        for number, arrival in enumerate(demand):
+            await anyio.sleep_until(arrival.at)
+            node = nodes[arrival.daemon]
+            tasks.start_soon(request, node, arrival, number)
+        await anyio.sleep_until(seconds + 0.5)
+        most = max(sum(n.network.sent_bytes_by_type.values()) for n in nodes)
+        tasks.cancel_scope.cancel()
+    return samples, most / seconds
+
+
+async def _sample_each_second(sample, seconds: int) -> None:
+    for second in range(seconds + 1):
+        await anyio.sleep_until(second)
+        sample()
+
+
+def largest_error(
+    deployment: Deployment,
+    received: Samples,
+    entitled: Samples,
+    full: dict[str, list[bool]],
+) -> float:
+    """Return the largest error of any team over all windows of full service."""
+    floor = 0.01 * deployment.executors * SLOTS * WINDOW
+    worst = 0.0
+    for (service, team), values in received.items():
+        reference = entitled[service, team]
+        for end in range(WINDOW, len(full[service]) + 1):
+            if not all(full[service][end - WINDOW : end]):
+                continue
+            got = values[end] - values[end - WINDOW]
+            due = reference[end] - reference[end - WINDOW]
+            worst = max(worst, abs(got - due) / max(due, floor))
+    return worst
+
+
+def measure() -> Iterable[Figure]:
+    """Yield share errors and control traffic for both deployments."""
+    for deployment in DEPLOYMENTS:
+        seconds = PEAK_SECONDS * len(deployment.services)
+        demand = arrivals(deployment, SEED)
+        entitled, full = fluid_reference(deployment, demand, seconds)
+        baseline = first_come(deployment, demand, seconds)
+        received, control = run_virtual(run_daemons, deployment, demand, seconds)
+        error = largest_error(deployment, received, entitled, full)
+        name = deployment.name
+        yield at_most("share-error-10s", error, "ratio", SHARE_ERROR_BOUND, name)
+        worst = largest_error(deployment, baseline, entitled, full)
+        yield Figure("share-error-10s-first-come", worst, "ratio", deployment=name)
+        yield at_most("capacity-control-sent", control, "bytes/s", 2048.0, name)
--- /dev/null
+++ b/measurements/support/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that several measurements share."""
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -19,6 +19,7 @@
 
 from .admission import AdmissionController
 from .callers.app import caller_app
+from .capacity import CapacityService
 from .clock import Clock, SystemClock
 from .controller import Controller
 from .decisions import DecisionLog
@@ -74,7 +75,6 @@
             availability_zone=settings.availability_zone,
         )
         self.follower = FleetFollower(store, directory, clock, self.state)
-        self.membership = Membership(store, clock, self.state, record)
         self.peers = PeerNetwork(
             clock,
             Hello(
@@ -87,7 +87,20 @@
         self.peers.addresses.update(settings.peers)
         self.calls = PeerCalls(self.peers)
         self.admission = AdmissionController(
-            clock, self._slots, self._units, self._executors, self._weight
+            clock,
+            lambda vm: self.capacity.slots(vm),
+            lambda team: self.capacity.units(team),
+            self._executors,
+            self._weight,
+        )
+        self.capacity = CapacityService(clock, self.state, self.peers, self.admission)
+        self.membership = Membership(
+            store,
+            clock,
+            self.state,
+            record,
+            self.capacity.book,
+            self.capacity.resources,
         )
         self.endpoints = EndpointClient()
         self.workers = WorkerClient()
@@ -119,6 +132,8 @@
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.capacity.run)
+        tasks.start_soon(self.capacity.run_repeats)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -142,7 +157,7 @@
         while any(self.admission.running_by_vm.values()):
             await anyio.sleep(0.05)
         try:
-            await self.membership.release()
+            await self.membership.leave()
         except (StoreError, ConflictError) as error:
             log.warning("partitions not released: {}", error)
         await self.peers.close()
@@ -195,23 +210,8 @@
         self.peers.addresses.update(
             record.peer_address for record in self.state.daemons_by_incarnation.values()
         )
-        self.admission.dispatch_all()
-
-    def _slots(self, vm: str) -> int:
-        record = self.state.vm_list.vms_by_name.get(vm)
-        if record is None:
-            return 0
-        pool = self.state.pool_of(record)
-        for service in self.state.config.services_by_name.values():
-            if service.pool == pool:
-                return self.membership.amount(vm, service.slots_per_executor)
-        return 0
-
-    def _units(self, team: str) -> int:
-        config = self.state.config.teams_by_name.get(team)
-        if config is None:
-            return 0
-        return self.membership.amount(team, config.limit - config.job_limit)
+        self.capacity.on_state_change()
+        self.membership.follow_table()
 
     def _executors(self, service: str) -> list[str]:
         config = self.state.config.services_by_name.get(service)
--- a/src/pomeloyard/membership.py
+++ b/src/pomeloyard/membership.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 import logbook
@@ -11,36 +12,52 @@
 from .clock import Clock
 from .errors import LeaseLostError, StoreError
 from .fleet_state import DaemonRecord, FleetState
-from .partitions import (
-    DEFAULT_PARTITIONS,
-    PartitionTable,
-    base_amount,
-    new_table,
-)
+from .loans import LoanBook, Resource
+from .partitions import DEFAULT_PARTITIONS, PartitionTable, new_table, vm_of
 from .platform import layout
 from .platform.directory import VmListState
 from .platform.records import Change, ConflictError, commit_changes, read_record
 from .platform.store import Store
 
 REGISTRATION_TTL = timedelta(seconds=10)
-INTERVAL = timedelta(seconds=1)
+RENEW_INTERVAL = timedelta(seconds=3)
+INTERVAL = timedelta(milliseconds=500)
+GONE_MARGIN = timedelta(seconds=1)
+"""Added to the longest request timeout, for clocks that run at different rates."""
+
+TableChange = Callable[[PartitionTable], PartitionTable | None]
 
 log = logbook.Logger("pomeloyard.membership")
 
 
 class Membership:
-    """Registers a daemon, takes partitions and gives up surplus ones."""
+    """Registers a daemon, takes partitions and gives up surplus ones.
+
+    Nothing is read from the store while nothing has to change: decisions are
+    made on the followed copy of the table, and checked again by compare-and-swap.
+    """
 
     def __init__(
-        self, store: Store, clock: Clock, state: FleetState, record: DaemonRecord
+        self,
+        store: Store,
+        clock: Clock,
+        state: FleetState,
+        record: DaemonRecord,
+        book: LoanBook,
+        resources: Callable[[], list[Resource]],
     ) -> None:
         self._store = store
         self._clock = clock
         self._state = state
         self._record = record
+        self._me = record.incarnation
+        self._book = book
+        self._resources = resources
         self._lease = 0
-        self.usable_from_by_partition: dict[int, timedelta] = {}
-        """Monotonic time from which a taken partition's base may be used."""
+        self._renew_at = timedelta(0)
+        self._gone_since: dict[str, timedelta] = {}
+        self._held: frozenset[int] = frozenset()
+        self._leaving = False
         self.on_gained: list[Callable[[int, bool], None]] = []
         """Called with a partition and whether its former holder released it."""
         self.on_lost: list[Callable[[int], None]] = []
@@ -50,97 +67,166 @@
         while True:
             try:
                 await self._register()
-                await self._balance()
+                await self.step()
             except (StoreError, ConflictError) as error:
                 log.debug("membership: {}", error)
-            await self._clock.sleep(INTERVAL * random.uniform(0.8, 1.2))
-
-    def amount(self, name: str, total: int) -> int:
-        """Return how much of a resource this daemon's partitions carry."""
-        table = self._state.partitions
-        if table is None:
-            return 0
-        now = self._clock.monotonic()
-        count = len(table.partitions)
-        return sum(
-            base_amount(name, total, number, count)
-            for number in table.held_by(self._record.incarnation)
-            if self.usable_from_by_partition.get(number, now) <= now
-        )
+            await self._clock.sleep(INTERVAL * random.uniform(0.6, 1.4))
 
     def holder_of(self, partition: int) -> str:
         """Return the incarnation that holds a partition, or an empty string."""
         table = self._state.partitions
         return table.partitions[partition].holder if table is not None else ""
 
-    async def release(self) -> None:
-        """Give up all partitions and the registration."""
-        current = await read_record(self._store, layout.PARTITIONS, PartitionTable)
-        if current is None:
+    def follow_table(self) -> None:
+        """Tell the listeners which partitions were gained or lost."""
+        table = self._state.partitions
+        if table is None:
             return
-        table = current.value
-        for number in table.held_by(self._record.incarnation):
-            table = table.with_holder(number, "", clean=True)
-        await commit_changes(self._store, [Change(layout.PARTITIONS, table, current)])
-        await self._store.revoke_lease(self._lease)
+        held = frozenset(table.held_by(self._me))
+        for number in sorted(self._held - held):
+            for lost in self.on_lost:
+                lost(number)
+        for number in sorted(held - self._held):
+            for gained in self.on_gained:
+                gained(number, table.partitions[number].clean)
+        self._held = held
+
+    async def step(self) -> None:
+        """Make the changes to the table that are due now."""
+        self._note_gone()
+        await self._release_surplus()
+        table = self._state.partitions
+        if table is None or self._wanted(table) is not None:
+            await self._change_table(self._wanted)
+
+    async def leave(self) -> None:
+        """Give up all partitions and loans, then the membership.
+
+        The caller has stopped new requests. Returns when nothing is left; the
+        caller bounds the time.
+        """
+        self._leaving = True
+        while True:
+            self._book.return_all()
+            table = self._state.partitions
+            if table is None or self._me not in table.members:
+                break
+            try:
+                await self._release_surplus()
+                if not table.held_by(self._me) and self._book.nothing_borrowed():
+                    await self._change_table(lambda t: t.without_member(self._me))
+            except (StoreError, ConflictError) as error:
+                log.debug("leaving: {}", error)
+            await self._clock.sleep(timedelta(milliseconds=50))
+        if self._lease:
+            await self._store.revoke_lease(self._lease)
+
+    # Registration
 
     async def _register(self) -> None:
+        now = self._clock.monotonic()
+        if self._lease and now < self._renew_at:
+            return
         if self._lease:
             try:
                 await self._store.keep_lease_alive(self._lease)
+                self._renew_at = now + RENEW_INTERVAL
                 return
             except LeaseLostError:
                 self._lease = 0
         lease = await self._store.grant_lease(REGISTRATION_TTL)
-        key = layout.DAEMONS + self._record.incarnation
+        key = layout.DAEMONS + self._me
         earlier = await read_record(self._store, key, DaemonRecord)
-        await commit_changes(
-            self._store, [Change(key, self._record, earlier, lease=lease)]
-        )
+        change = Change(key, self._record, earlier, lease=lease)
+        await commit_changes(self._store, [change])
         self._lease = lease
+        self._renew_at = now + RENEW_INTERVAL
+
+    # Partition table
 
-    async def _balance(self) -> None:
+    async def _change_table(self, wanted: TableChange) -> None:
         current = await read_record(self._store, layout.PARTITIONS, PartitionTable)
-        table = current.value if current else new_table(DEFAULT_PARTITIONS)
-        changed = self._wanted_table(table)
-        if changed is not None:
-            await commit_changes(
-                self._store, [Change(layout.PARTITIONS, changed, current)]
-            )
-            self._note_taken(table, changed)
-
-    def _wanted_table(self, table: PartitionTable) -> PartitionTable | None:
-        """Return the table with one partition taken or released, if needed."""
-        me = self._record.incarnation
-        daemons = {*self._state.daemons_by_incarnation, me}
-        fair = -(-len(table.partitions) // len(daemons))
-        mine = table.held_by(me)
-        if len(mine) > fair:
-            return table.with_holder(mine[-1], "", clean=True)
-        if len(mine) == fair:
+        table = current.value if current is not None else new_table(DEFAULT_PARTITIONS)
+        changed = wanted(table)
+        if changed is not None and changed != table:
+            change = Change(layout.PARTITIONS, changed, current)
+            await commit_changes(self._store, [change])
+
+    def _wanted(self, table: PartitionTable) -> PartitionTable | None:
+        """Return the table after joining, taking and removing, or None."""
+        if self._leaving or table.superseded(self._me):
             return None
-        for partition in table.partitions:
-            if not partition.holder:
-                return table.with_holder(partition.number, me, clean=True)
-            if partition.holder != me and self._is_gone(partition.holder):
-                return table.with_holder(partition.number, me, clean=False)
-        return None
-
-    def _is_gone(self, incarnation: str) -> bool:
-        """Tell whether an incarnation is confirmed gone; time never confirms it."""
-        vm_name = incarnation.rpartition(".")[0]
-        vm = self._state.vm_list.vms_by_name.get(vm_name)
-        if vm is not None and vm.state is VmListState.GONE:
-            return True
-        return any(
-            record.vm == vm_name and name != incarnation
-            for name, record in self._state.daemons_by_incarnation.items()
-        )
+        changed = table.with_member(self._me)
+        changed = self._without_gone_members(changed)
+        missing = self._fair_part(changed) - len(changed.held_by(self._me))
+        for partition in changed.partitions:
+            if missing <= 0:
+                break
+            vacant = not partition.holder
+            if vacant or self._is_gone(partition.holder, changed):
+                clean = partition.clean if vacant else False
+                changed = changed.with_holder(partition.number, self._me, clean=clean)
+                missing -= 1
+        return changed if changed != table else None
+
+    def _fair_part(self, table: PartitionTable) -> int:
+        """Return how many partitions this daemon should hold."""
+        live = [m for m in table.members if not self._is_gone(m, table)]
+        count = max(1, len(live))
+        rank = live.index(self._me) if self._me in live else 0
+        whole, rest = divmod(len(table.partitions), count)
+        return whole + (1 if rank < rest else 0)
+
+    async def _release_surplus(self) -> None:
+        """Release partitions above the fair part once their units are unused."""
+        table = self._state.partitions
+        if table is None:
+            return
+        fair = 0 if self._leaving else self._fair_part(table)
+        surplus = table.held_by(self._me)[fair:]
+        for number in table.held_by(self._me)[:fair]:
+            self._book.cancel_release(number)
+        for number in surplus:
+            self._book.start_release(number)
+        ready = set(self._book.releasable(self._resources())) & set(surplus)
+        if ready:
+            await self._change_table(lambda current: self._released(current, ready))
+
+    def _released(self, table: PartitionTable, numbers: set[int]) -> PartitionTable:
+        for number in sorted(numbers & set(table.held_by(self._me))):
+            table = table.with_holder(number, "", clean=True)
+        return table
 
-    def _note_taken(self, old: PartitionTable, new: PartitionTable) -> None:
-        wait = self._state.config.longest_request_timeout()
+    # Members that are gone
+
+    def _note_gone(self) -> None:
+        """Remember since when this daemon knows that a member is gone."""
+        table = self._state.partitions
+        if table is None:
+            return
+        gone = [m for m in table.members if self._is_gone(m, table)]
         now = self._clock.monotonic()
-        for before, after in zip(old.partitions, new.partitions, strict=True):
-            if before != after and after.holder == self._record.incarnation:
-                delay = timedelta(0) if after.clean else wait
-                self.usable_from_by_partition[after.number] = now + delay
+        self._gone_since = {m: self._gone_since.get(m, now) for m in gone}
+
+    def _without_gone_members(self, table: PartitionTable) -> PartitionTable:
+        """Remove members whose last request must have ended."""
+        wait = self._state.config.longest_request_timeout() + GONE_MARGIN
+        now = self._clock.monotonic()
+        for member, since in self._gone_since.items():
+            if now - since < wait or not self._is_gone(member, table):
+                continue
+            for number in table.held_by(member):
+                table = table.with_holder(number, "", clean=False)
+            table = replace(table.without_member(member))
+        return table
+
+    def _is_gone(self, incarnation: str, table: PartitionTable) -> bool:
+        """Tell whether an incarnation is confirmed gone; time never confirms it.
+
+        A newer incarnation of the same VM holds the VM's peer address, so the
+        older process has ended.
+        """
+        vm = self._state.vm_list.vms_by_name.get(vm_of(incarnation))
+        if vm is not None and vm.state is VmListState.GONE:
+            return True
+        return table.superseded(incarnation)
--- a/src/pomeloyard/partitions.py
+++ b/src/pomeloyard/partitions.py
@@ -4,15 +4,16 @@
 
 import hashlib
 from dataclasses import dataclass, replace
+from functools import lru_cache
 
 DEFAULT_PARTITIONS = 18
 
 
 @dataclass(frozen=True, slots=True)
 class Partition:
-    """Holder of one partition; ``holder`` is an incarnation or empty.
+    """One partition and its holder, an incarnation or empty.
 
-    ``clean`` tells whether the former holder released it with nothing running.
+    ``clean`` tells whether the former holder released the partition itself.
     """
 
     number: int
@@ -24,18 +25,20 @@
 
 @dataclass(frozen=True, slots=True)
 class PartitionTable:
-    """All partitions, by number."""
+    """All partitions by number, and the members in the order they joined.
+
+    A member is an incarnation that may hold partitions or loans. It is removed
+    by itself when it runs nothing more, or by others when it is confirmed gone
+    and none of its requests can still be running.
+    """
 
     partitions: tuple[Partition, ...]
+    members: tuple[str, ...] = ()
 
     def held_by(self, incarnation: str) -> tuple[int, ...]:
         """Return the numbers of the partitions of a holder."""
         return tuple(p.number for p in self.partitions if p.holder == incarnation)
 
-    def holders(self) -> frozenset[str]:
-        """Return all incarnations that hold a partition."""
-        return frozenset(p.holder for p in self.partitions if p.holder)
-
     def with_holder(self, number: int, holder: str, *, clean: bool) -> PartitionTable:
         """Return the table after a change of holder."""
         old = self.partitions[number]
@@ -47,7 +50,25 @@
             former=old.holder or old.former,
         )
         changed = (*self.partitions[:number], new, *self.partitions[number + 1 :])
-        return PartitionTable(changed)
+        return replace(self, partitions=changed)
+
+    def with_member(self, incarnation: str) -> PartitionTable:
+        """Return the table with one more member."""
+        if incarnation in self.members:
+            return self
+        return replace(self, members=(*self.members, incarnation))
+
+    def without_member(self, incarnation: str) -> PartitionTable:
+        """Return the table without a member, which must hold no partition."""
+        members = tuple(m for m in self.members if m != incarnation)
+        return replace(self, members=members)
+
+    def superseded(self, incarnation: str) -> bool:
+        """Tell whether a newer incarnation of the same VM has joined."""
+        if incarnation not in self.members:
+            return False
+        later = self.members[self.members.index(incarnation) + 1 :]
+        return any(vm_of(member) == vm_of(incarnation) for member in later)
 
 
 def new_table(count: int = DEFAULT_PARTITIONS) -> PartitionTable:
@@ -55,6 +76,21 @@
     return PartitionTable(tuple(Partition(number) for number in range(count)))
 
 
+def vm_of(incarnation: str) -> str:
+    """Return the VM name of an incarnation.
+
+    >>> vm_of("entry-3.9f2c01ab")
+    'entry-3'
+    """
+    return incarnation.rpartition(".")[0]
+
+
+@lru_cache(maxsize=65_536)
+def _offset(name: str, count: int) -> int:
+    digest = hashlib.sha256(name.encode()).digest()
+    return int.from_bytes(digest[:4]) % count
+
+
 def base_amount(name: str, total: int, partition: int, count: int) -> int:
     """Return how many of ``total`` units of a resource a partition carries.
 
@@ -64,8 +100,7 @@
     >>> sum(base_amount("cut-1", 8, p, 18) for p in range(18))
     8
     """
-    offset = int.from_bytes(hashlib.sha256(name.encode()).digest()[:4]) % count
-    position = (partition + offset) % count
+    position = (partition + _offset(name, count)) % count
     return total * (position + 1) // count - total * position // count
 
 
--- /dev/null
+++ b/tests/test_loans_model.py
@@ -0,0 +1,257 @@
+"""Guards against units in use exceeding a total, whatever order things happen in.
+
+Several loan books exchange messages that are lost, repeated and reordered, follow
+the partition table late, are killed and replaced, and release and take partitions.
+"""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from pomeloyard.loans import SLOTS, LoanBook, Resource
+from pomeloyard.partitions import new_table
+from pomeloyard.peers.messages import (
+    LoanGrant,
+    LoanKept,
+    LoanQuery,
+    LoanStatement,
+)
+
+PARTITIONS = 4
+RESOURCE = Resource(SLOTS, "cut-1")
+TOTAL = 8
+INDEX = st.integers(0, 1000)
+
+
+class Node:
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.in_use = 0
+        self.alive = True
+        self.book = LoanBook(name, lambda resource: TOTAL, lambda resource: self.in_use)
+
+    def receive(self, sender, message):
+        if isinstance(message, LoanGrant):
+            return self.book.on_grant(sender, message)
+        if isinstance(message, LoanQuery):
+            return self.book.on_query(sender, message)
+        if isinstance(message, LoanKept):
+            self.book.on_kept(sender, message)
+        elif isinstance(message, LoanStatement):
+            self.book.on_statement(sender, message)
+        return []
+
+
+class LoanModel(RuleBasedStateMachine):
+    @initialize()
+    def start(self):
+        self.table = new_table(PARTITIONS)
+        self.nodes: dict[str, Node] = {}
+        self.network: list[tuple[str, str, object]] = []
+        self.started = 0
+        for _ in range(3):
+            self.join()
+        for number in range(PARTITIONS):
+            name = self.pick(number).name
+            self.table = self.table.with_holder(number, name, clean=True)
+        for node in self.alive():
+            self.send(node, node.book.follow_table(self.table))
+        self.deliver_all()
+        self.deliver_all()
+
+    def alive(self):
+        return [node for node in self.nodes.values() if node.alive]
+
+    def pick(self, index):
+        alive = self.alive()
+        return alive[index % len(alive)]
+
+    def send(self, node, messages):
+        self.network += [(node.name, to, message) for to, message in messages]
+
+    @precondition(lambda self: len(self.alive()) < 4)
+    @rule()
+    def join(self):
+        node = Node(f"entry-{self.started}.0")
+        self.started += 1
+        self.nodes[node.name] = node
+        self.table = self.table.with_member(node.name)
+
+    @rule(index=INDEX)
+    def follow(self, index):
+        node = self.pick(index)
+        self.send(node, node.book.follow_table(self.table))
+
+    @rule(index=INDEX, number=st.integers(0, PARTITIONS - 1))
+    def take(self, index, number):
+        holder = self.table.partitions[number].holder
+        gone = holder in self.nodes and not self.nodes[holder].alive
+        if not holder or gone:
+            name = self.pick(index).name
+            self.table = self.table.with_holder(number, name, clean=not gone)
+
+    @precondition(lambda self: len(self.alive()) > 1)
+    @rule(index=INDEX)
+    def kill(self, index):
+        self.pick(index).alive = False
+
+    @rule()
+    def remove_gone_members(self):
+        """Happens only after the request timeout: nothing runs any more."""
+        for node in list(self.nodes.values()):
+            if not node.alive:
+                for number in self.table.held_by(node.name):
+                    self.table = self.table.with_holder(number, "", clean=False)
+                self.table = self.table.without_member(node.name)
+                del self.nodes[node.name]
+
+    @rule(index=INDEX, number=st.integers(0, PARTITIONS - 1))
+    def release_partition(self, index, number):
+        node = self.pick(index)
+        node.book.start_release(number)
+        for ready in node.book.releasable([RESOURCE]):
+            if self.table.partitions[ready].holder == node.name:
+                self.table = self.table.with_holder(ready, "", clean=True)
+
+    @rule(index=INDEX, number=st.integers(0, PARTITIONS - 1))
+    def hand_over(self, index, number):
+        """Release a partition that may be lent out; the next holder sees it first."""
+        former = self.nodes.get(self.table.partitions[number].holder)
+        node = self.pick(index)
+        if former is None or not former.alive or former is node:
+            return
+        former.book.start_release(number)
+        if number in former.book.releasable([RESOURCE]):
+            table = self.table.with_holder(number, "", clean=True)
+            self.table = table.with_holder(number, node.name, clean=True)
+            self.send(node, node.book.follow_table(self.table))
+
+    @rule(index=INDEX)
+    def start_requests(self, index):
+        node = self.pick(index)
+        node.in_use += max(0, node.book.usable(RESOURCE) - node.in_use)
+
+    @rule()
+    def start_requests_everywhere(self):
+        for index in range(len(self.alive())):
+            self.start_requests(index)
+
+    @rule(index=INDEX, amount=st.integers(1, 8))
+    def end_requests(self, index, amount):
+        node = self.pick(index)
+        node.in_use = max(0, node.in_use - amount)
+
+    @rule(index=INDEX, borrower=INDEX, amount=st.integers(0, 4), at_once=st.booleans())
+    def advise(self, index, borrower, amount, at_once):
+        node, other = self.pick(index), self.pick(borrower)
+        if node is other:
+            return
+        node.book.want_lent(RESOURCE, {other.name: amount})
+        self.send(node, node.book.reconcile())
+        if at_once:
+            self.deliver_all()
+            self.deliver_all()
+
+    @rule(borrower=INDEX, amount=st.integers(0, 8))
+    def advise_everywhere(self, borrower, amount):
+        """Every daemon is told to lend to one of them, as at a local peak."""
+        for index, node in enumerate(self.alive()):
+            if node is not self.pick(borrower):
+                self.advise(index, borrower, amount, at_once=False)
+        self.deliver_all()
+
+    @rule(index=INDEX)
+    def reconcile(self, index):
+        node = self.pick(index)
+        self.send(node, node.book.reconcile())
+
+    @rule(index=INDEX)
+    def repeat(self, index):
+        node = self.pick(index)
+        self.send(node, node.book.questions())
+        self.send(node, node.book.unconfirmed())
+
+    @rule(index=INDEX)
+    def return_all(self, index):
+        node = self.pick(index)
+        node.book.return_all()
+        self.send(node, node.book.reconcile())
+
+    @precondition(lambda self: self.network)
+    @rule(index=INDEX, repeated=st.booleans(), lost=st.booleans())
+    def deliver(self, index, repeated, lost):
+        position = index % len(self.network)
+        sender, to, message = self.network[position]
+        if not repeated:
+            del self.network[position]
+        receiver = self.nodes.get(to)
+        if not lost and receiver is not None and receiver.alive:
+            self.send(receiver, receiver.receive(sender, message))
+
+    @precondition(lambda self: self.network)
+    @rule()
+    def deliver_all(self):
+        pending, self.network = self.network, []
+        for sender, to, message in pending:
+            receiver = self.nodes.get(to)
+            if receiver is not None and receiver.alive:
+                self.send(receiver, receiver.receive(sender, message))
+
+    @invariant()
+    def never_over_total(self):
+        used = sum(node.in_use for node in self.nodes.values())
+        assert used <= TOTAL, f"{used} of {TOTAL} in use"
+
+    def teardown(self):
+        """Once everything is delivered, the whole capacity can be used again."""
+        if not hasattr(self, "table"):
+            return
+        self.remove_gone_members()
+        holder = self.alive()[0]
+        for node in self.alive():
+            node.in_use = 0
+        for number in range(PARTITIONS):
+            if not self.table.partitions[number].holder:
+                self.table = self.table.with_holder(number, holder.name, clean=True)
+        for _ in range(8):
+            for node in self.alive():
+                for number in range(PARTITIONS):
+                    node.book.cancel_release(number)
+                node.book.want_lent(RESOURCE, {})
+                self.send(node, node.book.follow_table(self.table))
+                self.send(node, node.book.reconcile())
+                self.send(node, node.book.unconfirmed())
+            self.deliver_all()
+        usable = sum(node.book.usable(RESOURCE) for node in self.alive())
+        assert usable == TOTAL, f"{usable} of {TOTAL} usable"
+
+
+TestLoanModel = LoanModel.TestCase
+TestLoanModel.settings = settings(
+    max_examples=300,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_repeated_older_grant_does_not_raise_what_is_kept():
+    """Guards against a late duplicate of a grant undoing a later recall."""
+    borrower = Node("entry-1.0")
+    older = LoanGrant(0, 1, SLOTS, "cut-1", amount=3, version=1)
+    recall = LoanGrant(0, 1, SLOTS, "cut-1", amount=0, version=2)
+    borrower.receive("entry-0.0", older)
+    assert borrower.book.usable(RESOURCE) == 3
+    borrower.receive("entry-0.0", recall)
+    [(_, answer)] = borrower.receive("entry-0.0", older)
+    assert borrower.book.usable(RESOURCE) == 0
+    assert (answer.amount, answer.version) == (0, 2)
