Rename capacity.py to capacity_service.py

Cause: the placement of jobs has a module of the same name. Change: a rename. Conclusion: no change of behaviour.

--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from pomeloyard.admission import AdmissionController
-from pomeloyard.capacity import CapacityService
+from pomeloyard.capacity_service import CapacityService
 from pomeloyard.clock import Clock
 from pomeloyard.config.model import FleetConfig
 from pomeloyard.fleet_state import FleetState
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -19,7 +19,7 @@
 
 from .admission import AdmissionController
 from .callers.app import caller_app
-from .capacity import CapacityService
+from .capacity_service import CapacityService
 from .clock import Clock, SystemClock
 from .controller import Controller
 from .decisions import DecisionLog
