--- a/src/pomeloyard/callers/app.py
+++ b/src/pomeloyard/callers/app.py
@@ -5,7 +5,7 @@
 from starlette.applications import Starlette
 
 from ..fleet_state import FleetState
-from ..jobs import JobStore
+from ..job_store import JobStore
 from ..problems import EXCEPTION_HANDLERS
 from ..requests import RequestService
 from .job_routes import job_routes
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -26,7 +26,7 @@
 from .errors import SettingsError, StoreError
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
-from .jobs import JobStore
+from .job_store import JobStore
 from .membership import Membership
 from .operators.app import operator_app
 from .operators.support import OperatorContext
@@ -43,7 +43,7 @@
 from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
-from .workers.client import WorkerClient
+from .workers.client import HttpWorkerClient
 
 log = logbook.Logger("pomeloyard.daemon")
 
@@ -90,13 +90,15 @@
             clock, self._slots, self._units, self._executors, self._weight
         )
         self.endpoints = EndpointClient()
-        self.workers = WorkerClient()
+        self.workers = HttpWorkerClient()
         self.requests = RequestService(
             clock, self.state, self.admission, self.endpoints
         )
-        self.jobs = JobStore(store, clock)
+        self.jobs = JobStore(store, clock, lambda: self.state.config)
         self.controller = Controller(clock, self.state, store)
-        self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
+        self.scheduler = Scheduler(
+            clock, self.state, store, self.workers, self.decisions
+        )
         self._servers: list[EmbeddedServer] = []
 
     async def run(self) -> None:
--- a/src/pomeloyard/jobs.py
+++ b/src/pomeloyard/jobs.py
@@ -1,26 +1,19 @@
-"""Jobs: their records in the store and their states."""
+"""Jobs: what a caller asks for, the durable record and its states."""
 
 from __future__ import annotations
 
 import hashlib
 import math
-import secrets
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
 from enum import Enum
+from urllib.parse import quote
 
-from .clock import Clock
-from .errors import RefusedError, StoreUnavailableError
+from .config.model import FleetConfig
+from .errors import RefusedError
 from .outcomes import RefusalReason, Refused
 from .platform import layout
-from .platform.records import (
-    Change,
-    ConflictError,
-    Versioned,
-    commit_changes,
-    decode_record,
-    read_record,
-)
-from .platform.store import Store, scan_all
 
 
 class JobState(Enum):
@@ -38,6 +31,33 @@
 FINAL_STATES = frozenset(
     {JobState.SUCCEEDED, JobState.FAILED, JobState.CANCELLED, JobState.IMPOSSIBLE}
 )
+PLACED_STATES = frozenset({JobState.ASSIGNED, JobState.RUNNING})
+
+
+class JobReason(Enum):
+    """Why a job waits, cannot run, was moved or ended as it did."""
+
+    NONE = ""
+    NO_ROOM = "no-room"
+    TEAM_AT_LIMIT = "team-at-limit"
+    SHARE_USED = "share-used"
+    QUARANTINE = "workers-set-aside"
+    STORE_OUTAGE = "store-outage"
+    NO_WORKERS = "no-workers"
+    QUEUE_MISSING = "queue-missing"
+    RETRY_DELAY = "retry-delay"
+    RECOVERY = "scheduler-recovery"
+    NO_WORKER_LARGE_ENOUGH = "no-worker-large-enough"
+    TEAM_LIMIT_TOO_SMALL = "team-limit-too-small"
+    PLACED = "placed"
+    PREEMPTED = "preempted"
+    WORKER_UNREACHABLE = "worker-unreachable"
+    WORKER_GONE = "worker-gone"
+    TASK_FAILED = "task-failed"
+    OUT_OF_MEMORY = "out-of-memory"
+    FAILED_ON_SEVERAL_WORKERS = "failed-on-several-workers"
+    UNKNOWN = "unknown"
+    CANCELLED = "cancelled"
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,27 +76,84 @@
     expected_seconds: float = 60.0
     label: str = ""
 
+    @property
+    def units(self) -> int:
+        """Return the units of the team's limit that the job takes."""
+        return max(1, math.ceil(self.cores))
+
+
+@dataclass(frozen=True, slots=True)
+class JobDecision:
+    """A decision about the job, kept in its record to explain it."""
+
+    at: datetime
+    kind: str
+    choice: str
+    reason: str
+    candidates: tuple[tuple[str, str], ...] = ()
+    """Names and reasons of the options that were considered."""
+
+
+MAX_JOB_DECISIONS = 4
+
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """A durable job record."""
+    """A durable job record.
+
+    ``attempt`` numbers the starts; ``failures`` counts those that failed.
+    ``memory_floor`` grows when a task was killed for memory.
+    """
 
     job_id: str
     team: str
     request: JobRequest
+    submitted_at: datetime
     state: JobState = JobState.QUEUED
-    submitted_at: str = ""
+    reason: JobReason = JobReason.NONE
     cancel_requested: bool = False
     attempt: int = 0
+    failures: int = 0
+    failed_on: tuple[str, ...] = ()
     worker: str = ""
+    worker_boot: str = ""
     task_id: str = ""
     fence: int = 0
-    reason: str = ""
+    not_before: datetime | None = None
+    assigned_at: datetime | None = None
+    ended_at: datetime | None = None
+    checkpoint: str = ""
+    throttled: bool = False
+    memory_floor: int = 0
+    run_seconds: float = 0.0
+    peak_cores: float = 0.0
+    peak_memory_bytes: int = 0
+    detail: str = ""
+    decisions: tuple[JobDecision, ...] = field(default=())
 
     @property
     def units(self) -> int:
         """Return the units of the team's limit that the job takes."""
-        return max(1, math.ceil(self.request.cores))
+        return self.request.units
+
+    @property
+    def key(self) -> str:
+        """Return the store key of the record."""
+        return job_key(self.team, self.job_id)
+
+    @property
+    def placed(self) -> bool:
+        """Tell whether a task of the job may be running."""
+        return self.state in PLACED_STATES
+
+    @property
+    def final(self) -> bool:
+        """Tell whether the job has ended."""
+        return self.state in FINAL_STATES
+
+    def decided(self, decision: JobDecision) -> tuple[JobDecision, ...]:
+        """Return the last decisions including a new one."""
+        return (*self.decisions, decision)[-MAX_JOB_DECISIONS:]
 
 
 def job_id_of(team: str, idempotency_key: str) -> str:
@@ -84,53 +161,107 @@
 
     >>> job_id_of("mill", "order-7") == job_id_of("mill", "order-7")
     True
+    >>> job_id_of("mill", "order-7") == job_id_of("desk", "order-7")
+    False
     """
     text = f"{team}\0{idempotency_key}"
     return hashlib.sha256(text.encode()).hexdigest()[:24]
 
 
-class JobStore:
-    """Reads and writes job records."""
-
-    def __init__(self, store: Store, clock: Clock) -> None:
-        self._store = store
-        self._clock = clock
-
-    async def submit(self, team: str, request: JobRequest, idempotency_key: str) -> Job:
-        """Make a job durable and return it; repeating the key returns the first."""
-        name = idempotency_key or secrets.token_hex(16)
-        job = Job(
-            job_id=job_id_of(team, name),
-            team=team,
-            request=request,
-            submitted_at=self._clock.now().isoformat(),
-        )
-        change = Change(layout.JOBS + job.job_id, job, None)
-        try:
-            await commit_changes(self._store, [change])
-        except ConflictError:
-            return await self._existing(job)
-        except StoreUnavailableError as error:
-            refusal = Refused(RefusalReason.STORE_UNAVAILABLE, "job store")
-            raise RefusedError(refusal) from error
-        return job
-
-    async def get(self, job_id: str) -> Job | None:
-        """Return a job, or None if there is none."""
-        record = await read_record(self._store, layout.JOBS + job_id, Job)
-        return None if record is None else record.value
-
-    async def all(self) -> list[Versioned[Job]]:
-        """Return all job records."""
-        page = await scan_all(self._store, layout.JOBS)
-        return [decode_record(entry, Job) for entry in page.entries]
-
-    async def update(self, record: Versioned[Job], job: Job) -> None:
-        """Replace a job record; raises ConflictError if it has changed."""
-        await commit_changes(self._store, [Change(record.key, job, record)])
-
-    async def _existing(self, job: Job) -> Job:
-        earlier = await self.get(job.job_id)
-        if earlier is None or earlier.request != job.request:
-            raise RefusedError(Refused(RefusalReason.KEY_REUSED, job.job_id))
-        return earlier
+def team_prefix(team: str) -> str:
+    """Return the prefix of a team's job records.
+
+    >>> team_prefix("a/b")
+    'jobs/a%2Fb/'
+    """
+    return f"{layout.JOBS}{quote(team, safe='')}/"
+
+
+def job_key(team: str, job_id: str) -> str:
+    """Return the store key of a job."""
+    return team_prefix(team) + job_id
+
+
+JOB_ID_LENGTH = 24
+MAX_KEY_CHARACTERS = 200
+MAX_CORES = 1024.0
+MAX_ACCELERATORS = 64
+MIN_MEMORY_BYTES = 1024**2
+MAX_MEMORY_BYTES = 64 * 1024**4
+MAX_EXPECTED_SECONDS = 30 * 86_400.0
+MAX_RETRIES = 20
+MAX_COMMAND_CHARACTERS = 16_384
+MAX_LABEL_CHARACTERS = 200
+
+_CHECKS: Mapping[str, tuple[Callable[[JobRequest], bool], str]] = {
+    "command": (
+        lambda r: (
+            0 < len(r.command) <= MAX_COMMAND_CHARACTERS and "\0" not in r.command
+        ),
+        f"1 to {MAX_COMMAND_CHARACTERS} characters",
+    ),
+    # Comparisons are written so that NaN fails them.
+    "cores": (lambda r: 0 < r.cores <= MAX_CORES, f"above 0, at most {MAX_CORES:g}"),
+    "memory_bytes": (
+        lambda r: MIN_MEMORY_BYTES <= r.memory_bytes <= MAX_MEMORY_BYTES,
+        f"{MIN_MEMORY_BYTES} to {MAX_MEMORY_BYTES}",
+    ),
+    "accelerators": (
+        lambda r: 0 <= r.accelerators <= MAX_ACCELERATORS,
+        f"0 to {MAX_ACCELERATORS}",
+    ),
+    "retry_limit": (
+        lambda r: 0 <= r.retry_limit <= MAX_RETRIES,
+        f"0 to {MAX_RETRIES}",
+    ),
+    "expected_seconds": (
+        lambda r: 0 < r.expected_seconds <= MAX_EXPECTED_SECONDS,
+        f"above 0, at most {MAX_EXPECTED_SECONDS:g}",
+    ),
+    "label": (lambda r: valid_label(r.label), "printable, at most 200 characters"),
+}
+
+
+def valid_label(label: str) -> bool:
+    """Tell whether a label may be given to a job."""
+    return len(label) <= MAX_LABEL_CHARACTERS and (not label or label.isprintable())
+
+
+def check_request(config: FleetConfig, team: str, request: JobRequest) -> None:
+    """Raise RefusedError if a field is invalid or the queue is not for the team."""
+    for name, (check, expected) in _CHECKS.items():
+        if not check(request):
+            raise refused(RefusalReason.INVALID_INPUT, f"{name}: expected {expected}")
+    queue = config.queues_by_name.get(request.queue) if request.queue else None
+    if request.queue and queue is None:
+        raise refused(RefusalReason.INVALID_INPUT, "queue: unknown")
+    if queue is not None and not queue.open and team not in queue.teams:
+        raise refused(RefusalReason.ROLE_INSUFFICIENT, "queue: not for this team")
+
+
+def check_idempotency_key(key: str) -> None:
+    """Raise RefusedError if an idempotency key is too long or not printable."""
+    if len(key) > MAX_KEY_CHARACTERS or (key and not key.isprintable()):
+        detail = f"Idempotency-Key: at most {MAX_KEY_CHARACTERS} printable characters"
+        raise refused(RefusalReason.INVALID_INPUT, detail)
+
+
+def pools_of(config: FleetConfig, team: str, queue: str) -> tuple[str, ...] | None:
+    """Return the pools whose workers run a queue's jobs; None if it is missing.
+
+    Without a queue's name, the first queue that is only for listed teams,
+    including this one, is the team's; if there is none, all pools are used.
+    """
+    if queue:
+        named = config.queues_by_name.get(queue)
+        return None if named is None else named.pools
+    for name in sorted(config.queues_by_name):
+        own = config.queues_by_name[name]
+        if not own.open and team in own.teams:
+            return own.pools
+    return tuple(sorted(config.pools_by_name))
+
+
+def refused(reason: RefusalReason, detail: str) -> RefusedError:
+    """Return the error of a refused job operation."""
+    return RefusedError(Refused(reason, detail))
--- a/src/pomeloyard/operators/support.py
+++ b/src/pomeloyard/operators/support.py
@@ -13,7 +13,7 @@
 from ..controller import Controller
 from ..decisions import DecisionLog
 from ..fleet_state import FleetState
-from ..jobs import JobStore
+from ..job_store import JobStore
 from ..keys import KeyRecord, Role
 from ..platform.store import Store
 
--- a/src/pomeloyard/platform/records.py
+++ b/src/pomeloyard/platform/records.py
@@ -73,15 +73,18 @@
     return None if entry is None else decode_record(entry, kind)
 
 
-async def commit_changes(store: Store, changes: Sequence[Change]) -> int:
+async def commit_changes(
+    store: Store, changes: Sequence[Change], guards: Sequence[Compare] = ()
+) -> int:
     """Apply all changes in one transaction and return the store revision.
 
-    Raises ConflictError if any record is not as expected. An answer lost after
+    Raises ConflictError if any record is not as expected or a guard, a
+    comparison of a key that is not written, does not hold. An answer lost after
     taking effect is resolved by reading the write id back; if that fails too,
     StoreOutcomeUnknownError is raised.
     """
     write_id = new_write_id()
-    transaction = _transaction(changes, write_id)
+    transaction = _transaction(changes, write_id, guards)
     lost: StoreOutcomeUnknownError | None = None
     for _ in range(RESOLVE_ATTEMPTS):
         try:
@@ -116,7 +119,9 @@
     raise ConflictError(changes[0].key)
 
 
-def _transaction(changes: Sequence[Change], write_id: str) -> Transaction:
+def _transaction(
+    changes: Sequence[Change], write_id: str, guards: Sequence[Compare]
+) -> Transaction:
     compares = tuple(
         Compare(c.key, c.expected.mod_revision if c.expected else 0) for c in changes
     )
@@ -126,7 +131,7 @@
         else Put(c.key, _encode(c, write_id), lease=c.lease)
         for c in changes
     )
-    return Transaction(compares, operations)
+    return Transaction((*guards, *compares), operations)
 
 
 def _encode(change: Change, write_id: str) -> bytes:
--- a/src/pomeloyard/scheduler.py
+++ b/src/pomeloyard/scheduler.py
@@ -1,25 +1,25 @@
-"""The scheduler role: places jobs on workers and follows their tasks."""
+"""The scheduler role: follows job records and runs one term of scheduling."""
 
 from __future__ import annotations
 
-from collections import defaultdict
-from dataclasses import replace
+import random
 from datetime import timedelta
 
+import anyio
 import logbook
 
 from .clock import Clock
+from .decisions import DecisionLog
 from .errors import StoreError
 from .fleet_state import FleetState
-from .jobs import FINAL_STATES, Job, JobState, JobStore
-from .outcomes import Done
-from .platform.directory import Vm, VmRole
-from .platform.records import ConflictError, Versioned
+from .platform import layout
+from .platform.records import read_record
+from .platform.store import Compare, Store, scan_all
+from .scheduler_term import SchedulerTerm
 from .workers.client import WorkerClient
-from .workers.tasks import TaskReport, TaskStart, TaskState
 
-TICK = timedelta(seconds=0.25)
-TASK_LEASE = timedelta(seconds=10)
+RETRY_DELAY = timedelta(seconds=0.5)
+EPOCH_KEY = "epochs/scheduler"
 
 log = logbook.Logger("pomeloyard.scheduler")
 
@@ -28,99 +28,72 @@
     """Places jobs while this daemon holds the scheduler role."""
 
     def __init__(
-        self, clock: Clock, state: FleetState, jobs: JobStore, workers: WorkerClient
+        self,
+        clock: Clock,
+        state: FleetState,
+        store: Store,
+        workers: WorkerClient,
+        decisions: DecisionLog,
     ) -> None:
         self._clock = clock
         self._state = state
-        self._jobs = jobs
+        self._store = store
         self._workers = workers
+        self._decisions = decisions
+        self.term: SchedulerTerm | None = None
 
     async def run(self, epoch: int) -> None:
-        """Place and follow jobs until the role is lost."""
-        while True:
-            try:
-                await self._step(epoch)
-            except (StoreError, ConflictError) as error:
-                log.warning("scheduling step failed: {}", error)
-            await self._clock.sleep(TICK)
-
-    async def _step(self, epoch: int) -> None:
-        records = [
-            r for r in await self._jobs.all() if r.value.state not in FINAL_STATES
-        ]
-        by_worker: dict[str, list[Versioned[Job]]] = defaultdict(list)
-        for record in records:
-            if record.value.worker:
-                by_worker[record.value.worker].append(record)
-        for worker, assigned in by_worker.items():
-            await self._follow(epoch, worker, assigned)
-        for record in records:
-            if record.value.state is JobState.QUEUED:
-                await self._place(epoch, record, by_worker)
-
-    async def _follow(
-        self, epoch: int, worker: str, assigned: list[Versioned[Job]]
-    ) -> None:
-        vm = self._state.vm_list.vms_by_name.get(worker)
-        if vm is None:
+        """Place and follow jobs until cancelled or the role is lost."""
+        guard = await self._guard(epoch)
+        if guard is None:
             return
-        task_ids = [record.value.task_id for record in assigned]
-        outcome = await self._workers.renew(
-            vm.address, epoch, TASK_LEASE.total_seconds(), task_ids
+        term = SchedulerTerm(
+            self._clock,
+            self._state,
+            self._store,
+            self._workers,
+            self._decisions,
+            epoch,
+            guard,
         )
-        if not isinstance(outcome, Done):
-            return
-        reports = {report.task_id: report for report in outcome.value}
-        for record in assigned:
-            report = reports.get(record.value.task_id)
-            if report is not None and report.state is not TaskState.RUNNING:
-                await self._finish(epoch, vm, record, report)
-
-    async def _finish(
-        self, epoch: int, vm: Vm, record: Versioned[Job], report: TaskReport
-    ) -> None:
-        succeeded = report.state is TaskState.SUCCEEDED
-        state = JobState.SUCCEEDED if succeeded else JobState.FAILED
-        await self._jobs.update(record, replace(record.value, state=state))
-        await self._workers.acknowledge(vm.address, epoch, [report.task_id])
+        self.term = term
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._follow, term)
+                tasks.start_soon(term.links.run)
+                tasks.start_soon(term.run)
+                await term.ended.wait()
+                log.warning("scheduler role epoch {} was lost", epoch)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.term = None
 
-    async def _place(
-        self, epoch: int, record: Versioned[Job], by_worker: dict[str, list]
-    ) -> None:
-        job = record.value
-        for vm in self._workers_with_room(job, by_worker):
-            task_id = f"{job.job_id}.{job.attempt + 1}"
-            assigned = replace(
-                job,
-                state=JobState.ASSIGNED,
-                worker=vm.name,
-                task_id=task_id,
-                attempt=job.attempt + 1,
-                fence=epoch,
-            )
-            await self._jobs.update(record, assigned)
-            log.info("job {} placed on {}", job.job_id, vm.name)
-            start = TaskStart(
-                task_id=task_id,
-                job_id=job.job_id,
-                team=job.team,
-                fence=epoch,
-                lease_seconds=TASK_LEASE.total_seconds(),
-                cores=job.request.cores,
-                memory_bytes=job.request.memory_bytes,
-                command=job.request.command,
-            )
-            await self._workers.start_task(vm.address, start)
-            return
-
-    def _workers_with_room(
-        self, job: Job, by_worker: dict[str, list[Versioned[Job]]]
-    ) -> list[Vm]:
-        fitting = []
-        for vm in self._state.vm_list.vms_by_name.values():
-            if vm.role is not VmRole.WORKER or not self._state.accepts_work(vm):
+    async def _guard(self, epoch: int) -> Compare | None:
+        """Return the comparison that fails every write once the role is lost."""
+        while True:
+            try:
+                record = await read_record(self._store, EPOCH_KEY, int)
+            except StoreError as error:
+                log.debug("scheduler waits for the store: {}", error)
+                await self._clock.sleep(RETRY_DELAY)
                 continue
-            used = sum(r.value.request.cores for r in by_worker.get(vm.name, ()))
-            if used + job.request.cores <= vm.cores:
-                fitting.append((used, vm.name, vm))
-        return [vm for _, _, vm in sorted(fitting, key=lambda item: item[:2])]
+            if record is None or record.value != epoch:
+                return None
+            return Compare(EPOCH_KEY, record.mod_revision)
+
+    async def _follow(self, term: SchedulerTerm) -> None:
+        """Feed job records to the term: one scan, then one watch."""
+        while True:
+            try:
+                page = await scan_all(self._store, layout.JOBS)
+                term.load(page.entries)
+                async with self._store.watch(
+                    layout.JOBS, from_revision=page.revision + 1
+                ) as batches:
+                    async for batch in batches:
+                        for event in batch.events:
+                            term.table.apply(event)
+            except StoreError as error:
+                log.info("job records are not followed: {}", error)
+            term.store_lost()
+            await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
--- /dev/null
+++ b/src/pomeloyard/scheduler_term.py
@@ -0,0 +1,331 @@
+"""One term of the scheduler role, under one fencing token."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from datetime import datetime, timedelta
+
+import anyio
+import logbook
+
+from .capacity import CapacityIndex, Demand
+from .clock import Clock
+from .decisions import Candidate, Decision, DecisionKind, DecisionLog
+from .errors import StoreError
+from .estimates import Estimates
+from .fleet_state import FleetState
+from .job_store import commit_groups
+from .job_table import JobTable
+from .job_transitions import ended, not_started
+from .jobs import Job, JobDecision, JobReason, JobState, pools_of
+from .placement import Placement, Placer, Plan, TeamLimits
+from .platform.records import ConflictError, commit_changes
+from .platform.store import Compare, Entry, Store, WatchEvent
+from .preemptor import Preemptor
+from .task_follower import TaskFollower
+from .worker_roster import WorkerRoster
+from .workers.client import WorkerClient
+from .workers.links import TASK_LEASE, Track, WorkerLinks
+from .workers.tasks import TaskStart
+
+TICK = timedelta(seconds=0.1)
+PLAN_INTERVAL = timedelta(seconds=1)
+"""A plan is made at least this often, and in each tick in which jobs changed."""
+REMOVE_INTERVAL = timedelta(seconds=10)
+REASON_INTERVAL = timedelta(seconds=2)
+STORE_RETRY_INTERVAL = timedelta(seconds=1)
+MAX_REASONS = 100
+MAX_REMOVALS = 100
+EVER = 2**62
+"""A revision above all others, for a key that was read as absent."""
+
+log = logbook.Logger("pomeloyard.scheduler")
+
+
+class SchedulerTerm:
+    """State and work of the scheduler from taking the role until losing it."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: FleetState,
+        store: Store,
+        workers: WorkerClient,
+        decisions: DecisionLog,
+        epoch: int,
+        guard: Compare,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._store = store
+        self._decisions = decisions
+        self._epoch = epoch
+        self._guard = guard
+        self.ended = anyio.Event()
+        self.table = JobTable(self._job_changed)
+        self.index = CapacityIndex()
+        self.estimates = Estimates()
+        self.placer = Placer(
+            self.index, self.table.get, self._demand, self._pools, self._teams
+        )
+        self.follower = TaskFollower(clock, self.table, self.estimates, epoch)
+        self.links = WorkerLinks(clock, workers, epoch, self.follower)
+        self.follower.links = self.links
+        self.roster = WorkerRoster(
+            clock, state, self.index, self.links, self.follower.quarantine
+        )
+        self.preemptor = Preemptor(
+            clock, self.table, self.placer, self.links, self._record
+        )
+        self._delayed: list[tuple[datetime, str]] = []
+        self._to_start: dict[str, bool] = {}
+        self._loaded = False
+        self._store_up = True
+        self._changed = True
+        self._next_plan = self._next_reasons = self._next_removal = timedelta(0)
+        self._next_flush = timedelta(0)
+        self.last_plan = Plan()
+        self.transactions = 0
+
+    def load(self, entries: tuple[Entry, ...]) -> None:
+        """Take over a complete scan of the job records."""
+        self.table.load(entries)
+        if not self._loaded:
+            for key in self.table:
+                job = self.table.recorded(key)
+                if job is not None and job.state is JobState.SUCCEEDED:
+                    self.estimates.learn(job, completed=True)
+        self._loaded = True
+        self._store_up = True
+
+    def store_lost(self) -> None:
+        """Note that the watch of job records broke."""
+        self._store_up = False
+        self._next_flush = timedelta(0)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._end_when_stale)
+            while True:
+                if self._loaded:
+                    await self.tick()
+                await self._clock.sleep(TICK)
+
+    async def _end_when_stale(self) -> None:
+        await self.links.stale.wait()
+        self.ended.set()
+
+    async def tick(self) -> None:
+        """Do what is due: follow, plan, write and start."""
+        now = self._clock.monotonic()
+        self.roster.update(now)
+        self.follower.check(now)
+        self._queue_delayed()
+        if self.roster.recovered(now) and (self._changed or now >= self._next_plan):
+            self._changed = False
+            self._next_plan = now + PLAN_INTERVAL
+            self._plan(now)
+        if now >= self._next_flush:
+            await self._flush()
+        self._start_recorded()
+        if self._store_up and now >= self._next_removal:
+            self._next_removal = now + REMOVE_INTERVAL
+            await self._remove_old()
+
+    def _plan(self, now: timedelta) -> None:
+        plan = self.last_plan = self.placer.plan(now)
+        placements = [*self.preemptor.ready(now), *plan.placements]
+        for placement in placements:
+            self._assign(placement)
+        for job, reason in plan.impossible:
+            decision = JobDecision(self._clock.now(), "place", "", reason.value)
+            job = ended(job, JobState.IMPOSSIBLE, reason, self._clock.now())
+            self.table.set(replace(job, decisions=job.decided(decision)))
+        self.preemptor.make_room(now)
+        if self._store_up and now >= self._next_reasons:
+            self._next_reasons = now + REASON_INTERVAL
+            self._note_reasons(plan)
+
+    def _assign(self, placement: Placement) -> None:
+        job = placement.job
+        if not self._store_up and not job.request.idempotent:
+            # Without a record, another scheduler could start the job again.
+            self.placer.unreserve(job)
+            self.placer.enqueue(job)
+            return
+        link = self.links.by_name[placement.worker]
+        attempt = job.attempt + 1
+        now = self._clock.now()
+        reason = JobReason.PLACED
+        considered = tuple((c.worker, c.reason) for c in placement.considered)
+        decision = JobDecision(now, "place", placement.worker, reason.value, considered)
+        self.table.set(
+            replace(
+                job,
+                state=JobState.ASSIGNED,
+                reason=JobReason.NONE,
+                worker=placement.worker,
+                worker_boot=link.boot_id,
+                task_id=f"{job.job_id}.{attempt}",
+                attempt=attempt,
+                fence=self._epoch,
+                not_before=None,
+                assigned_at=now,
+                decisions=job.decided(decision),
+            )
+        )
+        self._to_start[job.key] = False
+        self._record(job, DecisionKind.PLACE, placement.worker, reason, considered)
+
+    async def _flush(self) -> None:
+        """Write pending changes; they are kept while the store is down."""
+        changes = self.table.changes()
+        if not changes:
+            return
+        try:
+            result = await commit_groups(self._store, changes, [self._guard])
+        except StoreError as error:
+            log.info("job records are not written: {}", error)
+            self._store_up = False
+            self._next_flush = self._clock.monotonic() + STORE_RETRY_INTERVAL
+            return
+        self._store_up = True
+        self.transactions += result.transactions
+        for key, revision in result.revisions_by_key.items():
+            if key in self._to_start:
+                self._to_start[key] = True
+            self.table.written(result.changes_by_key[key], revision)
+        if result.conflicts:
+            await self._resolve([change.key for change in result.conflicts])
+
+    async def _resolve(self, keys: Sequence[str]) -> None:
+        """Read what others wrote; end the term if the role was lost."""
+        try:
+            epoch = await self._store.get(self._guard.key)
+            if epoch is None or epoch.mod_revision != self._guard.mod_revision:
+                self.ended.set()
+                return
+            for key in keys:
+                entry = await self._store.get(key)
+                revision = EVER if entry is None else entry.mod_revision
+                self.table.apply(WatchEvent(key, entry, revision))
+        except StoreError as error:
+            log.info("conflict is not resolved: {}", error)
+
+    def _start_recorded(self) -> None:
+        """Start the tasks whose records are written."""
+        for key, written in list(self._to_start.items()):
+            job, pending = self.table.get(key), key in self.table.pending
+            if job is None or job.state is not JobState.ASSIGNED:
+                del self._to_start[key]
+            elif written or (not self._store_up and job.request.idempotent):
+                del self._to_start[key]
+                self._start(job)
+            elif not pending:
+                # The record was written by a call whose answer was lost; it is
+                # not known since when, so the task is placed afresh.
+                del self._to_start[key]
+                self.table.set(not_started(job, self._clock.now()))
+
+    def _start(self, job: Job) -> None:
+        link = self.links.by_name.get(job.worker)
+        if link is None:
+            self.table.set(not_started(job, self._clock.now()))
+            return
+        demand = self.placer.demand_on_worker(job.key) or self._demand(job)
+        order = TaskStart(
+            task_id=job.task_id,
+            job_id=job.job_id,
+            team=job.team,
+            fence=self._epoch,
+            lease_seconds=TASK_LEASE.total_seconds(),
+            cores=demand.cores,
+            memory_bytes=demand.memory_bytes,
+            accelerators=demand.accelerators,
+            command=job.request.command,
+            checkpoint=job.checkpoint,
+        )
+        now = self._clock.monotonic()
+        track = Track(job.key, order, now, idempotent=job.request.idempotent)
+        self.links.start(link, job.task_id, track)
+
+    async def _remove_old(self) -> None:
+        changes = self.table.removals(self._clock.now(), MAX_REMOVALS)
+        if not changes:
+            return
+        try:
+            await commit_changes(self._store, changes, [self._guard])
+        except (StoreError, ConflictError) as error:
+            # They are found again by the next term's scan.
+            log.info("old job records are not removed: {}", error)
+            return
+        for change in changes:
+            self.table.removed(change.key)
+
+    def _note_reasons(self, plan: Plan) -> None:
+        """Record why jobs wait, few at a time and only if the reason changed."""
+        budget = MAX_REASONS
+        for first, reason in plan.waiting:
+            reason = self.roster.refine(reason)
+            for key in self.placer.same_class(first, budget):
+                job = self.table.get(key)
+                if job is None or job.reason is reason:
+                    continue
+                self.table.set(replace(job, reason=reason))
+                budget -= 1
+            if budget <= 0:
+                return
+
+    def _queue_delayed(self) -> None:
+        now = self._clock.now()
+        while self._delayed and self._delayed[0][0] <= now:
+            _, key = heapq.heappop(self._delayed)
+            job = self.table.get(key)
+            if job is not None and job.state is JobState.QUEUED:
+                self.placer.enqueue(job)
+                self._changed = True
+
+    def _job_changed(self, key: str, before: Job | None, after: Job | None) -> None:
+        self.placer.job_changed(key, before, after)
+        self.follower.job_changed(before, after)
+        self._changed = True
+        if after is None or after.state is not JobState.QUEUED:
+            return
+        if before is not None and before.state is JobState.QUEUED:
+            return
+        if after.not_before is not None and after.not_before > self._clock.now():
+            heapq.heappush(self._delayed, (after.not_before, key))
+        else:
+            self.placer.enqueue(after)
+
+    def _demand(self, job: Job) -> Demand:
+        return self.estimates.demand(job)
+
+    def _pools(self, job: Job) -> tuple[str, ...] | None:
+        return pools_of(self._state.config, job.team, job.request.queue)
+
+    def _teams(self) -> Mapping[str, TeamLimits]:
+        return {
+            name: TeamLimits(team.share, team.job_limit)
+            for name, team in self._state.config.teams_by_name.items()
+        }
+
+    def _record(
+        self,
+        job: Job,
+        kind: DecisionKind,
+        choice: str,
+        reason: JobReason,
+        considered: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        # The first candidate is the chosen one or one that fits less well.
+        candidates = tuple(
+            Candidate(name, reason if name == choice else JobReason.NONE)
+            for name, _ in considered
+        )
+        subject = f"job/{job.job_id}"
+        at = self._clock.now()
+        self._decisions.record(Decision(at, kind, subject, choice, reason, candidates))
--- /dev/null
+++ b/src/pomeloyard/task_follower.py
@@ -0,0 +1,269 @@
+"""Turns what workers report, or do not report, into changes of jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from datetime import timedelta
+
+import logbook
+
+from .clock import Clock
+from .estimates import Estimates, kind_of
+from .job_table import JobTable
+from .job_transitions import after_loss, after_report, not_started
+from .jobs import Job, JobReason, JobState
+from .quarantine import Quarantine
+from .workers.links import RECOVERY_WAIT, Link, LinkEvents, Track, WorkerLinks
+from .workers.tasks import OUT_OF_MEMORY, TaskAction, TaskReport, TaskState
+
+REPORT_WAIT = timedelta(seconds=60)
+"""For this long after its lease has ended, the report of a non-idempotent task
+is waited for, because without it the job ends as unknown."""
+STOP_AGAIN = timedelta(seconds=2)
+
+log = logbook.Logger("pomeloyard.scheduler")
+
+
+class TaskFollower(LinkEvents):
+    """Follows tasks from their start to the acknowledgement of their end."""
+
+    links: WorkerLinks
+
+    def __init__(
+        self, clock: Clock, table: JobTable, estimates: Estimates, epoch: int
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._estimates = estimates
+        self._epoch = epoch
+        self.quarantine = Quarantine()
+        self._ended: dict[str, tuple[str, ...]] = {}
+        self._stops: dict[str, timedelta] = {}
+        self._cancelled: set[str] = set()
+        self._recovered: dict[str, timedelta] = {}
+
+    def job_changed(self, before: Job | None, after: Job | None) -> None:
+        """Stop following a task that ended; follow one of an earlier scheduler."""
+        if before is not None and before.placed:
+            still = after is not None and after.placed
+            if not still or (after and after.task_id != before.task_id):
+                former = self.links.by_name.get(before.worker)
+                if former is not None:
+                    former.tracks.pop(before.task_id, None)
+                self._cancelled.discard(before.key)
+                self._recovered.pop(before.key, None)
+        if after is None or not after.placed:
+            return
+        if after.cancel_requested:
+            self._cancelled.add(after.key)
+        if after.fence != self._epoch and after.key not in self._recovered:
+            # Followed from the first contact with its worker on.
+            now = self._clock.monotonic()
+            self._recovered[after.key] = now + RECOVERY_WAIT
+
+    def check(self, now: timedelta) -> None:
+        """Handle ended leases, vanished workers and requested cancellations."""
+        self._follow_recovered(now)
+        for link in list(self.links.by_name.values()):
+            if link.failures:
+                for track in list(link.tracks.values()):
+                    self._check_lease(track, now)
+        for key in list(self._cancelled):
+            job = self._table.get(key)
+            if job is not None and job.placed:
+                runs_at = self.links.by_name.get(job.worker)
+                if runs_at is not None and job.task_id in runs_at.tracks:
+                    self._stop(runs_at, job.task_id)
+
+    def _follow_recovered(self, now: timedelta) -> None:
+        for key, ended_by in list(self._recovered.items()):
+            job = self._table.get(key)
+            if job is None or not job.placed:
+                del self._recovered[key]
+                continue
+            link = self.links.by_name.get(job.worker)
+            if link is None:
+                # The list has no such worker, or has not been read yet.
+                if now >= ended_by:
+                    self._lose(job, JobReason.WORKER_GONE)
+                continue
+            del self._recovered[key]
+            track = Track(key, None, ended_by, job.request.idempotent, recovered=True)
+            link.tracks.setdefault(job.task_id, track)
+            self.links.hurry(link)
+
+    def _check_lease(self, track: Track, now: timedelta) -> None:
+        wait = timedelta(0) if track.idempotent else REPORT_WAIT
+        job = self._table.get(track.job_key)
+        if job is not None and not track.starting and now >= track.ended_by + wait:
+            self._lose(job, JobReason.WORKER_UNREACHABLE)
+
+    def worker_gone(self, link: Link) -> None:
+        """End the tasks of a worker that the platform's list no longer has."""
+        self._ended.pop(link.name, None)
+        for track in list(link.tracks.values()):
+            job = self._table.get(track.job_key)
+            if job is not None:
+                self._lose(job, JobReason.WORKER_GONE)
+
+    def reported(
+        self, link: Link, reports: Sequence[TaskReport], known: frozenset[str]
+    ) -> None:
+        """Handle all reports of a worker; it certainly had the ``known`` tasks."""
+        ended: list[str] = []
+        for report in reports:
+            if report.state is not TaskState.RUNNING:
+                ended.append(report.task_id)
+            self._handle(link, report)
+        self._ended[link.name] = tuple(ended)
+        reported = {report.task_id for report in reports}
+        for task_id, track in list(link.tracks.items()):
+            if task_id not in reported:
+                self._absent(link, task_id, track, known)
+
+    def acknowledgeable(self, link: Link) -> list[str]:
+        """Return ended tasks whose results are in the store."""
+        done: list[str] = []
+        for task_id in self._ended.get(link.name, ()):
+            job = self._table.by_job_id(task_id.rpartition(".")[0])
+            written = job is None or job.key not in self._table.pending
+            if written and not (job and job.placed and job.task_id == task_id):
+                done.append(task_id)
+        return done
+
+    def not_started(self, link: Link, task_id: str, track: Track) -> None:
+        """Handle a task that certainly was not started."""
+        job = self._table.get(track.job_key)
+        if job is not None and job.placed and job.task_id == task_id:
+            self._table.set(not_started(job, self._clock.now()))
+
+    def expected_end(self, link: Link) -> timedelta | None:
+        """Return when a task of the worker will probably end next."""
+        soonest: float | None = None
+        for track in link.tracks.values():
+            job = self._table.get(track.job_key)
+            if job is None or job.assigned_at is None:
+                continue
+            ran = (self._clock.now() - job.assigned_at).total_seconds()
+            left = self._estimates.run_seconds(job) - ran
+            # A task that is overdue is asked for less and less often.
+            left = left if left > 0 else ran / 4
+            soonest = left if soonest is None else min(soonest, left)
+        if soonest is None:
+            return None
+        return self._clock.monotonic() + timedelta(seconds=soonest)
+
+    def _handle(self, link: Link, report: TaskReport) -> None:
+        job = self._table.by_job_id(report.job_id)
+        running = report.state is TaskState.RUNNING
+        if job is not None and self._unrecorded(job, report):
+            job = self._adopt(link, job, report)
+        if job is None or not job.placed or job.task_id != report.task_id:
+            if running:
+                self._stop(link, report.task_id)
+            elif job is not None and job.state is JobState.QUEUED:
+                self._late_result(job, report)
+            return
+        track = link.tracks.get(report.task_id)
+        if track is None:
+            track = Track(job.key, None, self._clock.monotonic() + RECOVERY_WAIT)
+            track.idempotent = job.request.idempotent
+            link.tracks[report.task_id] = track
+        track.confirmed = True
+        if not running:
+            self._end(job, report)
+        elif job.state is JobState.ASSIGNED:
+            self._table.set(replace(job, state=JobState.RUNNING))
+
+    def _unrecorded(self, job: Job, report: TaskReport) -> bool:
+        """Tell whether the task was started while the store was down."""
+        attempt = report.task_id.rpartition(".")[2]
+        return (
+            job.state is JobState.QUEUED
+            and job.request.idempotent
+            and attempt.isdigit()
+            and int(attempt) > job.attempt
+        )
+
+    def _adopt(self, link: Link, job: Job, report: TaskReport) -> Job:
+        adopted = replace(
+            job,
+            state=JobState.RUNNING,
+            reason=JobReason.NONE,
+            worker=link.name,
+            worker_boot=link.boot_id,
+            task_id=report.task_id,
+            attempt=int(report.task_id.rpartition(".")[2]),
+            fence=self._epoch,
+            assigned_at=self._clock.now(),
+        )
+        self._table.set(adopted)
+        return adopted
+
+    def _late_result(self, job: Job, report: TaskReport) -> None:
+        """Accept a result that arrives after the job was queued again."""
+        if report.state is TaskState.SUCCEEDED:
+            self._table.set(after_report(job, report, self._clock.now()))
+
+    def _absent(
+        self, link: Link, task_id: str, track: Track, known: frozenset[str]
+    ) -> None:
+        """Handle a task that the worker does not report."""
+        job = self._table.get(track.job_key)
+        if job is None or track.starting:
+            return
+        now = self._clock.monotonic()
+        if task_id in known:
+            # The worker had the task and lost it, for example by a restart.
+            self._lose(job, JobReason.WORKER_UNREACHABLE)
+        elif track.recovered:
+            # The worker now refuses the former scheduler's orders, so the task
+            # cannot start any more; it can have run only before a restart.
+            never = job.state is JobState.ASSIGNED and job.worker_boot == link.boot_id
+            if never:
+                self._table.set(not_started(job, self._clock.now()))
+            else:
+                self._lose(job, JobReason.WORKER_UNREACHABLE)
+        elif track.uncertain and track.idempotent:
+            self.links.start_again(link, task_id, track)
+        elif track.uncertain and now >= track.ended_by:
+            self._lose(job, JobReason.UNKNOWN)
+
+    def _end(self, job: Job, report: TaskReport) -> None:
+        after = after_report(job, report, self._clock.now())
+        succeeded = report.state is TaskState.SUCCEEDED
+        failed = report.state is TaskState.FAILED and report.detail != OUT_OF_MEMORY
+        self._estimates.learn(after, completed=succeeded)
+        self._table.set(after)
+        if not (succeeded or failed):
+            return
+        kind = kind_of(job.team, job.request)
+        change = self.quarantine.task_ended(
+            self._clock.monotonic(),
+            job.worker,
+            job.job_id,
+            kind,
+            failed=failed,
+            fleet_size=len(self.links.by_name),
+        )
+        changes = [change] if change is not None else []
+        if after.reason is JobReason.FAILED_ON_SEVERAL_WORKERS:
+            changes += self.quarantine.blame_job(job.job_id, kind)
+        for item in changes:
+            log.warning("worker {}: {}", item.worker, item.reason.value)
+
+    def _lose(self, job: Job, reason: JobReason) -> None:
+        if job.placed:
+            self._table.set(after_loss(job, reason, self._clock.now()))
+
+    def _stop(self, link: Link, task_id: str) -> None:
+        now = self._clock.monotonic()
+        last = self._stops.get(task_id)
+        if last is None or now >= last + STOP_AGAIN:
+            if len(self._stops) > 1000:
+                self._stops = {
+                    t: at for t, at in self._stops.items() if now < at + STOP_AGAIN
+                }
+            self._stops[task_id] = now
+            self.links.signal(link, task_id, TaskAction.STOP)
--- a/src/pomeloyard/workers/client.py
+++ b/src/pomeloyard/workers/client.py
@@ -1,7 +1,8 @@
-"""HTTP client of workers."""
+"""Client of workers: the interface and its implementation over HTTP."""
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from datetime import timedelta
 from typing import Any
@@ -11,19 +12,53 @@
 import msgspec
 
 from ..outcomes import Done, Outcome, RefusalReason, Refused, Unknown, UnknownReason
-from .tasks import TaskReport, TaskStart
+from .tasks import TaskAction, TaskReport, TaskStart
 
 CALL_TIMEOUT = timedelta(seconds=2)
 HTTP_CONFLICT = 409
+HTTP_SERVER_ERROR = 500
 
 
-class WorkerClient:
-    """Client of the task interface that every worker offers."""
+class WorkerClient(ABC):
+    """Task interface of workers.
+
+    Calls for one worker with a fencing token lower than the highest it has seen
+    are refused with RefusalReason.STALE_FENCE.
+    """
+
+    @abstractmethod
+    async def start_task(self, address: str, task: TaskStart) -> Outcome[None]:
+        """Start a task; starting the same task id again has no further effect."""
+
+    @abstractmethod
+    async def renew(
+        self, address: str, fence: int, lease_seconds: float, task_ids: Sequence[str]
+    ) -> Outcome[list[TaskReport]]:
+        """Renew the leases of tasks and return reports of all tasks."""
+
+    @abstractmethod
+    async def acknowledge(
+        self, address: str, fence: int, task_ids: Sequence[str]
+    ) -> Outcome[None]:
+        """Let the worker forget reports of ended tasks."""
+
+    @abstractmethod
+    async def signal(
+        self, address: str, task_id: str, fence: int, action: TaskAction
+    ) -> Outcome[None]:
+        """Ask for an action on a running task; its effect is seen in reports."""
+
+    async def close(self) -> None:  # noqa: B027
+        """Release connections."""
+
+
+class HttpWorkerClient(WorkerClient):
+    """Client of the task interface over HTTP."""
 
     def __init__(self, call_timeout: timedelta = CALL_TIMEOUT) -> None:
         self._timeout = call_timeout.total_seconds()
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=256, max_keepalive_connections=64, keepalive_expiry=10.0
+            max_connections=256, max_keepalive_connections=256, keepalive_expiry=10.0
         )
 
     async def close(self) -> None:
@@ -59,10 +94,10 @@
         return _without_value(await self._call(address, "/v1/acknowledge", body))
 
     async def signal(
-        self, address: str, task_id: str, fence: int, action: str
+        self, address: str, task_id: str, fence: int, action: TaskAction
     ) -> Outcome[None]:
-        """Ask for "checkpoint", "throttle" or "stop" of a task."""
-        path = f"/v1/tasks/{task_id}/{action}"
+        """Ask for an action on a running task."""
+        path = f"/v1/tasks/{task_id}/{action.value}"
         return _without_value(await self._call(address, path, {"fence": fence}))
 
     async def _call(self, address: str, path: str, body: Any) -> Outcome[bytes]:
@@ -82,6 +117,8 @@
             return Unknown(UnknownReason.CONNECTION_LOST, repr(error))
         if response.status == HTTP_CONFLICT:
             return Refused(RefusalReason.STALE_FENCE, response.content.decode())
+        if response.status >= HTTP_SERVER_ERROR:
+            return Unknown(UnknownReason.ANSWER_LOST, f"status {response.status}")
         if response.status != 200:
             return Refused(RefusalReason.INVALID_INPUT, response.content.decode())
         return Done(response.content)
--- /dev/null
+++ b/src/pomeloyard/workers/links.py
@@ -0,0 +1,288 @@
+"""Regular contact with every worker: leases, reports, starts and signals."""
+
+from __future__ import annotations
+
+import heapq
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock import Clock
+from ..outcomes import Done, Outcome, RefusalReason, Refused
+from .client import CALL_TIMEOUT, WorkerClient
+from .tasks import TaskAction, TaskReport, TaskStart
+
+TASK_LEASE = timedelta(seconds=10)
+LEASE_MARGIN = timedelta(seconds=1)
+"""Added to a lease before its task counts as ended, for differences of clocks."""
+RENEW_INTERVAL = timedelta(seconds=3)
+RETRY_INTERVAL = timedelta(seconds=1)
+IDLE_INTERVAL = timedelta(seconds=15)
+MIN_INTERVAL = timedelta(seconds=0.25)
+START_WITHIN = timedelta(seconds=2)
+"""A start is sent only this soon after its record was written, so that a daemon
+that was paused in between does not start what others have given up."""
+LATE_START = timedelta(seconds=60)
+"""For this long after a start without an answer the task's report is not
+acknowledged, so that the late order meets the report and has no effect."""
+FAILURES_BEFORE_PROBING = 2
+"""After this many failed calls in a row leases are no longer renewed, so that
+they certainly end; the worker is only asked for reports."""
+MAX_CALLS = 64
+MAX_CALLS_TO_SILENT = 32
+"""Silent workers have their own calls, so that they never delay the others."""
+TICK = timedelta(seconds=0.1)
+
+
+@dataclass
+class Track:
+    """A task at a worker.
+
+    ``confirmed``: the worker is known to have it. ``uncertain``: a start had an
+    unknown outcome. ``recovered``: an earlier scheduler ordered it.
+    ``ended_by`` is when its lease has certainly ended without another renewal.
+    """
+
+    job_key: str
+    order: TaskStart | None
+    ended_by: timedelta
+    idempotent: bool = False
+    confirmed: bool = False
+    uncertain: bool = False
+    recovered: bool = False
+    starting: bool = False
+
+
+@dataclass
+class Link:
+    """What is known of one worker under this fencing token."""
+
+    name: str
+    address: str
+    boot_id: str
+    due: timedelta
+    answered: bool = False
+    failures: int = 0
+    busy: bool = False
+    tracks: dict[str, Track] = field(default_factory=dict)
+    keep_until: dict[str, timedelta] = field(default_factory=dict)
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the worker may be given tasks."""
+        return self.answered and self.failures < FAILURES_BEFORE_PROBING
+
+
+class LinkEvents(ABC):
+    """What the scheduler does about the workers' answers."""
+
+    @abstractmethod
+    def reported(
+        self, link: Link, reports: Sequence[TaskReport], known: frozenset[str]
+    ) -> None:
+        """Handle all reports of a worker; it certainly had the ``known`` tasks."""
+
+    @abstractmethod
+    def worker_gone(self, link: Link) -> None:
+        """End the tasks of a worker that the platform's list no longer has."""
+
+    @abstractmethod
+    def acknowledgeable(self, link: Link) -> list[str]:
+        """Return ended tasks whose results are in the store."""
+
+    @abstractmethod
+    def not_started(self, link: Link, task_id: str, track: Track) -> None:
+        """Handle a task that certainly was not started."""
+
+    @abstractmethod
+    def expected_end(self, link: Link) -> timedelta | None:
+        """Return when a task of the worker will probably end next."""
+
+
+class WorkerLinks:
+    """Links to all workers; calls run in parallel within bounds."""
+
+    def __init__(
+        self, clock: Clock, client: WorkerClient, fence: int, events: LinkEvents
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self._fence = fence
+        self._events = events
+        self._heap: list[tuple[timedelta, str]] = []
+        self._calls = anyio.CapacityLimiter(MAX_CALLS)
+        self._silent_calls = anyio.CapacityLimiter(MAX_CALLS_TO_SILENT)
+        self._tasks: TaskGroup | None = None
+        self.stale = anyio.Event()
+        self.by_name: dict[str, Link] = {}
+
+    async def run(self) -> None:
+        """Contact workers when due until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                now = self._clock.monotonic()
+                while self._heap and self._heap[0][0] <= now:
+                    due, name = heapq.heappop(self._heap)
+                    link = self.by_name.get(name)
+                    if link is not None and not link.busy and link.due == due:
+                        link.busy = True
+                        tasks.start_soon(self._contact, link)
+                await self._clock.sleep(TICK)
+
+    def put(self, name: str, address: str, boot_id: str) -> Link:
+        """Add a worker, or note its new address."""
+        link = self.by_name.get(name)
+        if link is None:
+            link = Link(name, address, boot_id, self._clock.monotonic())
+            self.by_name[name] = link
+            heapq.heappush(self._heap, (link.due, name))
+        link.address, link.boot_id = address, boot_id
+        return link
+
+    def remove(self, name: str) -> None:
+        """Forget a worker that is gone; its tasks have ended."""
+        self._events.worker_gone(self.by_name.pop(name))
+
+    def hurry(self, link: Link, after: timedelta = timedelta(0)) -> None:
+        """Contact a worker sooner than planned."""
+        due = self._clock.monotonic() + after
+        if due < link.due:
+            link.due = due
+            if not link.busy:
+                heapq.heappush(self._heap, (due, link.name))
+
+    def start(self, link: Link, task_id: str, track: Track) -> None:
+        """Order a task in the background; its record is in the store."""
+        link.tracks[task_id] = track
+        self._start_soon(link, task_id, track)
+
+    def start_again(self, link: Link, task_id: str, track: Track) -> None:
+        """Repeat an order whose outcome is unknown; the task id is the same."""
+        if not track.starting and track.order is not None:
+            self._start_soon(link, task_id, track)
+
+    def signal(self, link: Link, task_id: str, action: TaskAction) -> None:
+        """Ask for an action on a task in the background."""
+        assert self._tasks is not None
+        self._tasks.start_soon(self._signal, link, task_id, action)
+
+    def _start_soon(self, link: Link, task_id: str, track: Track) -> None:
+        assert self._tasks is not None
+        track.starting = True
+        sent_by = self._clock.monotonic() + START_WITHIN
+        self._tasks.start_soon(self._start, link, task_id, track, sent_by)
+
+    async def _start(
+        self, link: Link, task_id: str, track: Track, sent_by: timedelta
+    ) -> None:
+        assert track.order is not None
+        async with self._limiter(link):
+            outcome: Outcome[None]
+            if self._clock.monotonic() > sent_by:
+                reason = RefusalReason.DEADLINE_PASSED
+                outcome = Refused(reason, "start was delayed")
+            else:
+                outcome = await self._client.start_task(link.address, track.order)
+        track.starting = False
+        if self._is_stale(outcome):
+            return
+        now = self._clock.monotonic()
+        if isinstance(outcome, Done):
+            track.confirmed = True
+            track.ended_by = now + TASK_LEASE + LEASE_MARGIN
+            self.hurry(link, self._interval(link))
+        elif not isinstance(outcome, Refused):
+            track.uncertain = True
+            track.ended_by = now + TASK_LEASE + LEASE_MARGIN
+            link.keep_until[task_id] = now + LATE_START
+            self.hurry(link)
+        elif not track.uncertain:
+            link.failures += outcome.reason is RefusalReason.ENDPOINT_UNREACHABLE
+            link.tracks.pop(task_id, None)
+            self._events.not_started(link, task_id, track)
+
+    async def _signal(self, link: Link, task_id: str, action: TaskAction) -> None:
+        async with self._limiter(link):
+            outcome = await self._client.signal(
+                link.address, task_id, self._fence, action
+            )
+        self._is_stale(outcome)
+        self.hurry(link, MIN_INTERVAL)
+
+    async def _contact(self, link: Link) -> None:
+        try:
+            async with self._limiter(link):
+                await self._acknowledge(link)
+                await self._renew(link)
+        finally:
+            link.busy = False
+            if self.by_name.get(link.name) is link:
+                wait = RETRY_INTERVAL if link.failures else self._interval(link)
+                link.due = self._clock.monotonic() + wait
+                heapq.heappush(self._heap, (link.due, link.name))
+
+    async def _acknowledge(self, link: Link) -> None:
+        now = self._clock.monotonic()
+        for task_id in [t for t, until in link.keep_until.items() if until <= now]:
+            del link.keep_until[task_id]
+        ended = self._events.acknowledgeable(link)
+        ended = [task_id for task_id in ended if task_id not in link.keep_until]
+        if ended and not link.failures:
+            outcome = await self._client.acknowledge(link.address, self._fence, ended)
+            self._is_stale(outcome)
+
+    async def _renew(self, link: Link) -> None:
+        known = frozenset(t for t, track in link.tracks.items() if track.confirmed)
+        renewed: list[str] = []
+        if link.failures < FAILURES_BEFORE_PROBING:
+            renewed = [
+                t for t, track in link.tracks.items() if t in known or track.recovered
+            ]
+        outcome = await self._client.renew(
+            link.address, self._fence, TASK_LEASE.total_seconds(), renewed
+        )
+        if self._is_stale(outcome):
+            return
+        now = self._clock.monotonic()
+        if not isinstance(outcome, Refused):
+            for task_id in renewed:
+                track = link.tracks.get(task_id)
+                if track is not None:
+                    track.ended_by = now + TASK_LEASE + LEASE_MARGIN
+        if isinstance(outcome, Done):
+            link.answered = True
+            link.failures = 0
+            self._events.reported(link, outcome.value, known)
+        else:
+            link.failures += 1
+
+    def _interval(self, link: Link) -> timedelta:
+        if not link.tracks:
+            return IDLE_INTERVAL if not link.keep_until else RENEW_INTERVAL
+        expected = self._events.expected_end(link)
+        if expected is None:
+            return RENEW_INTERVAL
+        return min(
+            max(expected - self._clock.monotonic(), MIN_INTERVAL), RENEW_INTERVAL
+        )
+
+    def _limiter(self, link: Link) -> anyio.CapacityLimiter:
+        return self._silent_calls if link.failures else self._calls
+
+    def _is_stale(self, outcome: Outcome[None] | Outcome[list[TaskReport]]) -> bool:
+        stale = (
+            isinstance(outcome, Refused) and outcome.reason is RefusalReason.STALE_FENCE
+        )
+        if stale:
+            self.stale.set()
+        return stale
+
+
+RECOVERY_WAIT = TASK_LEASE + LEASE_MARGIN + CALL_TIMEOUT
+"""A new scheduler waits this long for a worker that does not answer: a lease,
+and a renewal by the former scheduler that was on its way."""
--- a/src/pomeloyard/workers/tasks.py
+++ b/src/pomeloyard/workers/tasks.py
@@ -17,6 +17,19 @@
     LEASE_EXPIRED = "lease_expired"
 
 
+class TaskAction(Enum):
+    """What a worker can be asked to do with a running task."""
+
+    CHECKPOINT = "checkpoint"
+    THROTTLE = "throttle"
+    UNTHROTTLE = "unthrottle"
+    STOP = "stop"
+
+
+OUT_OF_MEMORY = "out-of-memory"
+"""``TaskReport.detail`` of a task that was killed for exceeding its memory."""
+
+
 @dataclass(frozen=True, slots=True)
 class TaskStart:
     """Order to run a task under a lease.
--- /dev/null
+++ b/tests/support/job_fakes.py
@@ -0,0 +1,82 @@
+"""Store with faults, fake workers and a clock driver for tests of jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any
+
+import anyio
+from anyio.lowlevel import checkpoint
+
+from pomeloyard.clock import ManualClock
+from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from pomeloyard.platform.memory import MemoryStore
+
+STEP = timedelta(milliseconds=50)
+
+
+class FaultyStore(MemoryStore):
+    """In-memory store that can be down or lose its answers, and counts calls."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.down = False
+        self.answers_to_lose = 0
+        self.calls: dict[str, int] = {}
+        self.before_commit: Callable[[], Coroutine[Any, Any, None]] | None = None
+
+    def _called(self, method: str) -> None:
+        if self.down:
+            raise StoreUnavailableError("down")
+        self.calls[method] = self.calls.get(method, 0) + 1
+
+    async def get(self, key):
+        self._called("get")
+        return await super().get(key)
+
+    async def scan(self, prefix, *, start="", limit=1000):
+        self._called("scan")
+        return await super().scan(prefix, start=start, limit=limit)
+
+    async def commit(self, transaction):
+        self._called("commit")
+        if self.before_commit is not None:
+            hook, self.before_commit = self.before_commit, None
+            await hook()
+        result = await super().commit(transaction)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            raise StoreOutcomeUnknownError("answer lost")
+        return result
+
+
+async def settle(rounds: int = 30) -> None:
+    """Let all tasks that can run do so."""
+    for _ in range(rounds):
+        await checkpoint()
+
+
+async def advance(clock: ManualClock, seconds: float) -> None:
+    """Move the clock in small steps, so that sleepers wake in order."""
+    steps = round(seconds / STEP.total_seconds())
+    for _ in range(max(1, steps)):
+        clock.advance(STEP)
+        await settle()
+
+
+async def with_clock(clock: ManualClock, call: Coroutine[Any, Any, Any]) -> Any:
+    """Await a call that sleeps on the clock; errors are returned, not raised."""
+    results: list[Any] = []
+
+    async def run() -> None:
+        try:
+            results.append(await call)
+        except Exception as error:
+            results.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        while not results:
+            await advance(clock, STEP.total_seconds())
+    return results[0]
