Add fault tables for the scheduler with fake workers and a manual clock

Cause: no test covered faults between a job's record, its start and its result. Change: 37 cases (scheduler killed at seven moments, two schedulers, store down or answers lost, workers silent, refusing or late, cancellation wave, failing worker and bad job, preemption, retention). Conclusion: no non-idempotent job ran twice in any case.

--- a/src/pomeloyard/quarantine.py
+++ b/src/pomeloyard/quarantine.py
@@ -12,7 +12,8 @@
 """Ended tasks of a worker that are judged."""
 MIN_BLAME = 2.0
 MIN_BLAME_SHARE = 0.5
-"""Part of a worker's recent tasks that must have failed by its own fault."""
+"""Part of the successes expected of a worker, as the same kinds of jobs have
+elsewhere, that must have failed."""
 MIN_DISTINCT_JOBS = 2
 FIRST_REST = timedelta(seconds=60)
 MAX_REST = timedelta(hours=1)
@@ -136,7 +137,8 @@
         if len({job_id for job_id, _ in failures}) < MIN_DISTINCT_JOBS:
             return False
         blame = sum(self._success_elsewhere(kind, worker) for _, kind in failures)
-        return blame >= MIN_BLAME and blame >= MIN_BLAME_SHARE * len(tasks)
+        expected = sum(self._success_elsewhere(kind, worker) for _, kind, _ in tasks)
+        return blame >= MIN_BLAME and blame >= MIN_BLAME_SHARE * expected
 
     def _success_elsewhere(self, kind: Kind, worker: str) -> float:
         """Return the rate at which the same kind of job succeeds elsewhere.
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -121,7 +121,7 @@
     async def tick(self) -> None:
         """Do what is due: follow, plan, write and start."""
         now = self._clock.monotonic()
-        self.roster.update(now)
+        self._changed = self.roster.update(now) or self._changed
         self.follower.check(now)
         self._queue_delayed()
         if self.roster.recovered(now) and (self._changed or now >= self._next_plan):
--- a/src/pomeloyard/worker_roster.py
+++ b/src/pomeloyard/worker_roster.py
@@ -41,19 +41,22 @@
         self._recovered = False
         self._described: dict[str, tuple[object, ...]] = {}
 
-    def update(self, now: timedelta) -> None:
-        """Take over changes of the fleet and of the workers' health."""
+    def update(self, now: timedelta) -> bool:
+        """Take over changes of the fleet and of health; tell whether any."""
         for change in self._quarantine.due_trials(now):
             log.info("worker {}: {}", change.worker, change.reason.value)
         if now < self._next or self._state.vm_list.version == 0:
-            return
+            return False
         self._next = now + UPDATE_INTERVAL
         vms = self._state.vm_list.vms_by_name
-        for name in [name for name in self._links.by_name if not _present(vms, name)]:
+        gone = [name for name in self._links.by_name if not _present(vms, name)]
+        for name in gone:
             self._forget(name)
+        changed = bool(gone)
         for vm in vms.values():
             if vm.role is VmRole.WORKER and vm.state is not VmListState.GONE:
-                self._describe(vm)
+                changed = self._describe(vm) or changed
+        return changed
 
     def recovered(self, now: timedelta) -> bool:
         """Tell whether every worker has answered or its leases have ended."""
@@ -76,7 +79,7 @@
             return JobReason.QUARANTINE
         return reason
 
-    def _describe(self, vm: Vm) -> None:
+    def _describe(self, vm: Vm) -> bool:
         known = self._links.by_name.get(vm.name)
         if known is not None and known.boot_id != vm.boot_id:
             self._quarantine.forget(vm.name)
@@ -91,7 +94,7 @@
         pool = self._state.pool_of(vm)
         described = (vm, accepts, max_tasks, pool)
         if self._described.get(vm.name) == described:
-            return
+            return False
         self._described[vm.name] = described
         self._index.put(
             Worker(
@@ -108,6 +111,7 @@
                 max_tasks=max_tasks,
             )
         )
+        return True
 
     def _forget(self, name: str) -> None:
         self._links.remove(name)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,363 @@
+"""Faults at each step of a placement, with fake workers and a manual clock."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from pomeloyard.job_store import JobStore
+from pomeloyard.jobs import JobReason, JobRequest, JobState
+from pomeloyard.workers.tasks import TaskState
+from tests.support.fake_workers import GIB, Bench
+
+ONCE = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
+AGAIN = replace(ONCE, idempotent=True)
+LONG = JobRequest("sleep 500", cores=4, memory_bytes=GIB, checkpointable=True)
+
+
+def run(check, **options):
+    bench = Bench(**options)
+
+    async def main():
+        with anyio.fail_after(60):
+            await check(bench)
+
+    anyio.run(main)
+    assert bench.problems == []
+
+
+def test_jobs_run_once_and_their_reports_are_acknowledged():
+    """Guards against a task that is started, finished and started again."""
+
+    async def check(bench):
+        await bench.submit_many("mill", ONCE, 40)
+        async with bench.scheduler():
+            await bench.run(60)
+        assert bench.store.calls["scan"] == 1
+        assert bench.store.calls["commit"] < 60
+        jobs = await bench.jobs()
+        assert {job.state for job in jobs.values()} == {JobState.SUCCEEDED}
+        assert len(bench.workers.runs) == 40
+        assert not any(w.tasks for w in bench.workers.by_name.values())
+
+    run(check)
+
+
+def start_lost(worker):
+    worker.mute = 1
+
+
+def start_hangs(worker):
+    worker.unreachable = worker.keep_late = True
+
+
+def refuses(worker):
+    worker.refusing = True
+
+
+def silent_for_good(worker):
+    worker.unreachable = True
+
+
+FAULTS = [
+    # fault at the worker, what is done later, idempotent job, its end
+    (start_lost, None, False, JobState.SUCCEEDED),
+    (start_lost, None, True, JobState.SUCCEEDED),
+    (start_hangs, "deliver", False, JobState.SUCCEEDED),
+    (start_hangs, "deliver", True, JobState.SUCCEEDED),
+    (start_hangs, "gone", False, JobState.FAILED),
+    (start_hangs, "gone", True, JobState.SUCCEEDED),
+    (silent_for_good, None, False, JobState.FAILED),
+    (silent_for_good, None, True, JobState.SUCCEEDED),
+    (refuses, None, False, JobState.SUCCEEDED),
+]
+
+
+@pytest.mark.parametrize(("fault", "later", "idempotent", "end"), FAULTS)
+def test_start_with_a_fault(fault, later, idempotent, end):
+    """Guards against a second start after a start with unknown outcome (R8)."""
+
+    async def check(bench):
+        async with bench.scheduler():
+            await bench.run(1)
+            for worker in bench.workers.by_name.values():
+                fault(worker)
+            request = AGAIN if idempotent else ONCE
+            job_id = await bench.submit("mill", "k", request)
+            await bench.run(1)
+            chosen = (await bench.job(job_id)).worker
+            for name, worker in bench.workers.by_name.items():
+                if name != chosen:
+                    worker.unreachable = worker.refusing = False
+                    worker.mute = 0
+            if later == "deliver":
+                await bench.run(4)
+                worker = bench.workers.by_name[chosen]
+                worker.unreachable = False
+                for order in worker.late:
+                    bench.workers.run_order(worker, order)
+            elif later == "gone":
+                bench.remove_worker(chosen)
+            await bench.run(100)
+        job = await bench.job(job_id)
+        assert job.state is end
+        if end is JobState.FAILED:
+            assert job.reason is JobReason.UNKNOWN
+        if not idempotent:
+            assert bench.runs_of(job_id) <= 1
+
+    run(check, workers=3)
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize("kill_at", [0.05, 0.15, 0.25, 0.5, 1.5, 2.5, 4.0])
+def test_scheduler_killed_at_any_moment(kill_at, idempotent):
+    """Guards against lost or doubled work when the scheduler changes."""
+
+    async def check(bench):
+        request = AGAIN if idempotent else ONCE
+        await bench.submit_many("mill", request, 20)
+        async with bench.scheduler():
+            await bench.run(1)
+            await bench.submit("mill", "k", request)
+            for _ in range(round(kill_at / 0.05)):
+                await bench.run(0.05)
+        await bench.run(3)
+        async with bench.scheduler():
+            await bench.run(40)
+        jobs = await bench.jobs()
+        assert len(jobs) == 21
+        assert all(job.state is JobState.SUCCEEDED for job in jobs.values())
+        if not idempotent:
+            assert len(bench.workers.runs) == 21
+
+    run(check, workers=2, limits={"mill": 5})
+
+
+def test_two_schedulers_at_once():
+    """Guards against a resumed scheduler that places beside its successor."""
+
+    async def check(bench):
+        await bench.submit_many("mill", ONCE, 30)
+        async with bench.scheduler() as first:
+            await bench.run(2)
+            async with bench.scheduler():
+                await bench.run(10)
+                assert first.term is None
+                await bench.run(60)
+        jobs = await bench.jobs()
+        assert all(job.state is JobState.SUCCEEDED for job in jobs.values())
+        assert len(bench.workers.runs) == 30
+
+    run(check, limits={"mill": 5})
+
+
+def test_unreachable_worker_is_waited_out_before_placing():
+    """Guards against breaking a limit with tasks that nobody can see (R5)."""
+
+    async def check(bench):
+        long = replace(AGAIN, command="sleep 300")
+        await bench.submit_many("mill", long, 8)
+        async with bench.scheduler():
+            await bench.run(3)
+        for name in ("w0", "w1"):
+            bench.workers.by_name[name].unreachable = True
+        async with bench.scheduler():
+            await bench.run(30)
+            assert bench.workers.units_by_team()["mill"] == 4
+
+    run(check, limits={"mill": 4})
+
+
+def test_store_outage():
+    """Guards against tasks stopped or results lost because the store is down."""
+
+    async def check(bench):
+        before = [await bench.submit("mill", f"a{n}", ONCE) for n in range(2)]
+        async with bench.scheduler():
+            await bench.run(1)
+            assert sorted(before) == bench.workers.running()
+            once = await bench.submit("mill", "once", ONCE)
+            again = await bench.submit("mill", "again", AGAIN)
+            bench.store.down = True
+            await bench.run(20)
+            assert bench.runs_of(once) == 0
+            bench.store.down = False
+            await bench.run(10)
+        jobs = await bench.jobs()
+        assert {jobs[j].state for j in (*before, once, again)} == {JobState.SUCCEEDED}
+        assert all(bench.runs_of(j) == 1 for j in (*before, once))
+
+    run(check)
+
+
+def test_tasks_started_during_an_outage_are_adopted():
+    """Guards against a limit broken by tasks without a record (R5)."""
+
+    async def check(bench):
+        long = replace(AGAIN, command="sleep 60")
+        async with bench.scheduler() as scheduler:
+            await bench.run(1)
+            await bench.submit_many("mill", long, 9)
+            scheduler.term.store_lost()
+            bench.store.down = True
+            await bench.run(3)
+        bench.store.down = False
+        async with bench.scheduler():
+            await bench.run(5)
+            assert bench.workers.units_by_team()["mill"] == 3
+            await bench.run(200)
+        jobs = await bench.jobs()
+        assert all(job.state is JobState.SUCCEEDED for job in jobs.values())
+
+    run(check, limits={"mill": 3})
+
+
+def test_lost_answers_of_the_store():
+    """Guards against a start whose record was written by an unknown call."""
+
+    async def check(bench):
+        await bench.submit_many("mill", ONCE, 20)
+        async with bench.scheduler():
+            for lost in (1, 3, 4, 2, 3):
+                bench.store.answers_to_lose = lost
+                await bench.run(3)
+            await bench.run(30)
+        jobs = await bench.jobs()
+        assert all(job.state is JobState.SUCCEEDED for job in jobs.values())
+        assert len(bench.workers.runs) == 20
+
+    run(check)
+
+
+def test_silent_workers_do_not_delay_others():
+    """Guards against leases that expire because other workers are silent."""
+
+    async def check(bench):
+        await bench.submit_many("mill", replace(ONCE, command="sleep 60"), 10)
+        async with bench.scheduler():
+            await bench.run(2)
+            busy = {run[2] for run in bench.workers.runs}
+            for name, worker in bench.workers.by_name.items():
+                worker.unreachable = name not in busy
+            await bench.run(70)
+        states = [
+            t.state for w in bench.workers.by_name.values() for t in w.tasks.values()
+        ]
+        assert TaskState.LEASE_EXPIRED not in states
+        jobs = await bench.jobs()
+        assert all(job.state is JobState.SUCCEEDED for job in jobs.values())
+
+    run(check, workers=120, cores=4)
+
+
+def test_wave_of_cancellations_is_cheap():
+    """Guards against a scheduler that reads or writes for each cancelled job."""
+
+    async def check(bench):
+        blocker = replace(ONCE, command="sleep 500", cores=4.0, label="night")
+        await bench.submit_many("mill", blocker, 5000)
+        jobs = JobStore(bench.store, bench.clock, lambda: bench.state.config)
+        async with bench.scheduler():
+            await bench.run(4)
+            assert len(bench.workers.running()) == 4
+            bench.store.calls.clear()
+            await jobs.cancel("mill", label="night")
+            await bench.run(6)
+            assert bench.workers.running() == []
+            assert bench.store.calls["commit"] <= 60
+            assert bench.store.calls.get("get", 0) <= 10
+        states = {job.state for job in (await bench.jobs()).values()}
+        assert states == {JobState.CANCELLED}
+
+    run(check)
+
+
+def test_fail_all_worker_is_set_aside_and_a_bad_job_is_not_blamed_on_workers():
+    """Guards against a black hole that fails every job, and against blaming it."""
+
+    async def check(bench):
+        bench.workers.by_name["w0"].fail_all = True
+        good = replace(AGAIN, command="sleep 1", label="good", retry_limit=5)
+        bad = replace(AGAIN, command="fail", label="bad", retry_limit=20)
+        async with bench.scheduler():
+            for wave in range(10):
+                for n in range(3):
+                    await bench.submit("mill", f"g{wave}.{n}", good)
+                    await bench.submit("mill", f"b{wave}.{n}", bad)
+                await bench.run(6)
+            await bench.run(30)
+        jobs = (await bench.jobs()).values()
+        by_label = {
+            label: [j for j in jobs if j.request.label == label]
+            for label in ("good", "bad")
+        }
+        assert {j.state for j in by_label["good"]} == {JobState.SUCCEEDED}
+        assert {j.reason for j in by_label["bad"]} == {
+            JobReason.FAILED_ON_SEVERAL_WORKERS
+        }
+        assert sum(run[2] == "w0" for run in bench.workers.runs) <= 15
+
+    run(check, workers=6)
+
+
+def test_memory_kill_gets_more_memory_and_impossible_is_typed():
+    """Guards against endless retries with too little memory, and endless waits."""
+
+    async def check(bench):
+        killed = await bench.submit("mill", "k", replace(AGAIN, command="oom"))
+        huge = await bench.submit("mill", "h", replace(ONCE, cores=64))
+        many = await bench.submit("desk", "m", replace(ONCE, cores=4))
+        async with bench.scheduler():
+            await bench.run(20)
+        jobs = await bench.jobs()
+        assert jobs[killed].reason is JobReason.OUT_OF_MEMORY
+        assert jobs[killed].memory_floor > 2 * GIB
+        assert jobs[huge].reason is JobReason.NO_WORKER_LARGE_ENOUGH
+        assert jobs[many].reason is JobReason.TEAM_LIMIT_TOO_SMALL
+        assert {jobs[j].state for j in (huge, many)} == {JobState.IMPOSSIBLE}
+
+    run(check, limits={"mill": 100, "desk": 3})
+
+
+@pytest.mark.parametrize("checkpoint_seconds", [0.5, 2.5, 60.0])
+def test_urgent_job_starts_on_a_full_fleet(checkpoint_seconds):
+    """Guards against urgent work that waits, and against stopping what must run."""
+
+    async def check(bench):
+        keep = replace(LONG, checkpointable=False, label="keep")
+        kept = [await bench.submit("mill", f"k{n}", keep) for n in range(2)]
+        await bench.run(0.25)
+        await bench.submit_many("mill", replace(LONG, idempotent=True), 4)
+        async with bench.scheduler():
+            await bench.run(3)
+            assert len(bench.workers.running()) == 4
+            urgent = replace(LONG, command="sleep 5", urgent=True)
+            since = bench.clock.monotonic()
+            ids = [await bench.submit("desk", f"u{n}", urgent) for n in range(2)]
+            await bench.run(8)
+            for job_id in ids:
+                waited = bench.workers.started_at[job_id] - since
+                assert waited.total_seconds() <= 7.2
+            assert set(kept) <= set(bench.workers.running())
+            jobs = await bench.jobs()
+            resumed = [job for job in jobs.values() if job.checkpoint]
+            assert len(resumed) == (0 if checkpoint_seconds > 10 else 2)
+
+    run(check, checkpoint_seconds=checkpoint_seconds)
+
+
+def test_final_records_are_removed_after_their_time():
+    """Guards against a store that grows without bound."""
+
+    async def check(bench):
+        await bench.submit_many("mill", ONCE, 5)
+        async with bench.scheduler():
+            await bench.run(10)
+            assert len(await bench.jobs()) == 5
+            bench.clock.advance(timedelta(hours=25))
+            await bench.run(12)
+            assert await bench.jobs() == {}
+
+    run(check)
