--- a/src/pomeloyard/settings.py
+++ b/src/pomeloyard/settings.py
@@ -25,6 +25,12 @@
     store_url: str
     directory_url: str
     peers: tuple[str, ...] = ()
+    peer_listen_address: str = ""
+    """Where to listen for other daemons, if not at ``peer_address``."""
+    peer_certificate_file: str = ""
+    peer_key_file: str = ""
+    peer_ca_file: str = ""
+    """With all three files set, links between daemons use mutual TLS."""
     shutdown_seconds: float = 10.0
     log_file: str = ""
     bootstrap_key_sha256: str = ""
