--- a/src/pomeloyard/standins/platform.py
+++ b/src/pomeloyard/standins/platform.py
@@ -20,7 +20,13 @@
 from starlette.routing import Route
 
 from ..clock import Clock, SystemClock
-from ..errors import CompactedError, LeaseLostError, StoreError, StoreRequestError
+from ..errors import (
+    CompactedError,
+    LeaseLostError,
+    StoreError,
+    StoreRequestError,
+    StoreUnavailableError,
+)
 from ..platform.directory import (
     Vm,
     VmDirectory,
@@ -103,7 +109,8 @@
     async def call(request: Request) -> Response:
         body = await request.json()
         try:
-            return JSONResponse(await _CALLS[request.url.path](state.store, body))
+            answer = await _CALLS[request.url.path](state.store, body)
+            return JSONResponse(_without_defaults(answer))
         except LeaseLostError as error:
             return JSONResponse({"code": 5, "message": str(error)}, 404)
         except (StoreError, KeyError, ValueError) as error:
@@ -155,8 +162,7 @@
             "kvs": [_kv(entry)] if entry else [],
             "count": "1" if entry else "0",
         }
-    end = base64.b64decode(body["range_end"])
-    prefix = _prefix_of(end)
+    prefix = _prefix_of(base64.b64decode(body["range_end"]))
     limit = int(body.get("limit", 0)) or 1_000_000
     page = await store.scan(prefix, start=key, limit=limit)
     return {
@@ -211,7 +217,7 @@
 async def _watch_lines(
     store: MemoryStore, create: Mapping[str, Any]
 ) -> AsyncIterator[bytes]:
-    prefix = _text(create["key"])
+    prefix = _prefix_of(base64.b64decode(create["range_end"]))
     start = int(create.get("start_revision", 0)) or store.revision + 1
     yield _line({"header": _header(store), "created": True})
     try:
@@ -236,7 +242,7 @@
         with anyio.move_on_after(WATCH_PROGRESS_INTERVAL.total_seconds()) as scope:
             try:
                 batch = await anext(batches)
-            except StopAsyncIteration:
+            except (StopAsyncIteration, StoreUnavailableError):
                 return
         if scope.cancelled_caught:
             store.expire()
@@ -251,7 +257,17 @@
 
 
 def _line(result: Mapping[str, Any]) -> bytes:
-    return json.dumps({"result": result}).encode() + b"\n"
+    return json.dumps({"result": _without_defaults(result)}).encode() + b"\n"
+
+
+def _without_defaults(message: Any) -> Any:
+    """Omit zero values at all levels, as the JSON gateway does."""
+    if isinstance(message, list):
+        return [_without_defaults(item) for item in message]
+    if not isinstance(message, dict):
+        return message
+    fields = {name: _without_defaults(value) for name, value in message.items()}
+    return {k: v for k, v in fields.items() if v not in ("", "0", 0, False, [], {})}
 
 
 def _event(event: Any) -> dict[str, Any]:
@@ -293,7 +309,12 @@
 
 
 def _header(store: MemoryStore) -> dict[str, str]:
-    return {"revision": str(store.revision)}
+    return {
+        "cluster_id": "1",
+        "member_id": "1",
+        "revision": str(store.revision),
+        "raft_term": "2",
+    }
 
 
 async def expire_leases(store: MemoryStore, clock: Clock) -> None:
