--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -32,7 +32,9 @@
 from .operators.support import OperatorContext
 from .peers.calls import PeerCalls
 from .peers.messages import Heartbeat, Hello
+from .peers.replication import Replication
 from .peers.streams import PeerNetwork
+from .peers.tls import PeerTls
 from .platform.directory import VmDirectory, VmRole
 from .platform.etcd import EtcdStore
 from .platform.records import ConflictError
@@ -83,9 +85,14 @@
                 settings.peer_address,
                 settings.availability_zone,
             ),
+            listen_address=settings.peer_listen_address,
+            tls=_peer_tls(settings),
         )
-        self.peers.addresses.update(settings.peers)
+        self.peers.seeds.update(settings.peers)
         self.calls = PeerCalls(self.peers)
+        self.replication = Replication(
+            clock, self.state, self.peers, store, self.follower.changed
+        )
         self.admission = AdmissionController(
             clock, self._slots, self._units, self._executors, self._weight
         )
@@ -118,6 +125,7 @@
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
+        tasks.start_soon(self.replication.run)
         tasks.start_soon(self.membership.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
@@ -225,23 +233,40 @@
         return config.share if config is not None else 1.0
 
 
+def _peer_tls(settings: DaemonSettings) -> PeerTls | None:
+    files = (
+        settings.peer_certificate_file,
+        settings.peer_key_file,
+        settings.peer_ca_file,
+    )
+    if not any(files):
+        log.warning("links to other daemons are not encrypted")
+        return None
+    if not all(files):
+        raise SettingsError("certificate, key and CA files must be set together")
+    try:
+        return PeerTls(*map(Path, files))
+    except OSError as error:
+        raise SettingsError(f"peer certificates: {error}") from error
+
+
 def main() -> None:
     """Run the daemon with a settings file."""
     parser = argparse.ArgumentParser(prog="pomeloyardd", description=main.__doc__)
     parser.add_argument("--settings", type=Path, required=True)
     arguments = parser.parse_args()
+    logbook.StreamHandler(sys.stderr, level="INFO").push_application()
     try:
         settings = load_settings(arguments.settings)
+        daemon = Daemon(
+            settings,
+            EtcdStore(settings.store_url),
+            HttpVmDirectory(settings.directory_url),
+            SystemClock(),
+        )
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(2) from error
-    logbook.StreamHandler(sys.stderr, level="INFO").push_application()
-    daemon = Daemon(
-        settings,
-        EtcdStore(settings.store_url),
-        HttpVmDirectory(settings.directory_url),
-        SystemClock(),
-    )
     anyio.run(daemon.run)
 
 
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -233,6 +233,19 @@
     incarnation: str
 
 
+class PartitionsRequest(WireMessage, frozen=True):
+    """Request for the sender's partition table if newer than ``newer_than``."""
+
+    newer_than: int
+
+
+class PartitionsReply(WireMessage, frozen=True):
+    """Partition table with the store revision that made it."""
+
+    revision: int
+    content: bytes
+
+
 Message = (
     Hello
     | Heartbeat
@@ -258,6 +271,8 @@
     | ExplainRequest
     | ExplainReply
     | Goodbye
+    | PartitionsRequest
+    | PartitionsReply
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
