Claim idempotency keys at the partition's holder

A keyed request could run twice: nothing remembered its key. Each key is claimed at the holder of its partition. While the store is down a claim needs a second daemon's record, and a new holder reads the store and asks all daemons before it grants anything.

--- /dev/null
+++ b/src/pomeloyard/claim_service.py
@@ -0,0 +1,399 @@
+"""Claims between daemons: the asking, the holding and the recording side."""
+
+from __future__ import annotations
+
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import anyio
+import logbook
+from anyio.abc import TaskGroup
+
+from .claim_log import ClaimLog
+from .claim_takeover import Takeover
+from .claims import CLAIM_WINDOW, RETRY_AFTER, Claim, ClaimTable
+from .clock import Clock
+from .errors import RefusedError
+from .fleet_state import FleetState
+from .outcomes import RefusalReason, Refused
+from .partitions import partition_of
+from .peers.calls import PeerCalls
+from .peers.messages import (
+    ClaimQuery,
+    ClaimRecord,
+    ClaimRecorded,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    ClaimRow,
+    ClaimStatement,
+)
+from .peers.streams import PeerNetwork
+from .platform.store import Store
+
+CALL_TIMEOUT = timedelta(seconds=3)
+"""Longest wait for a holder: one store call that times out, and a record."""
+
+RECORD_TIMEOUT = timedelta(seconds=0.5)
+HOUSEKEEPING_INTERVAL = timedelta(seconds=1)
+START_GRACE = timedelta(seconds=3)
+"""Time from the start after which an unread store counts as an outage."""
+
+STATEMENT_CLAIMS = 4000
+"""Claims in one statement: under 100 bytes each, below the frame limit."""
+
+log = logbook.Logger("pomeloyard.claims")
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTicket:
+    """A granted claim; ``asked_at`` is in monotonic seconds."""
+
+    partition: int
+    key_hash: bytes
+    attempt: int
+    holder: str
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierAttempt:
+    """The key is claimed already, by ``attempt`` of daemon ``runner``."""
+
+    runner: str
+    attempt: int
+
+
+class ClaimService:
+    """Grants claims for this daemon's partitions and asks for others."""
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        state: FleetState,
+        network: PeerNetwork,
+        calls: PeerCalls,
+        incarnation: str,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._network = network
+        self._calls = calls
+        self._incarnation = incarnation
+        self._attempts = itertools.count(1)
+        self._started = self._now()
+        self._tasks: TaskGroup | None = None
+        self._fences_by_partition: dict[int, int] = defaultdict(int)
+        self._takeovers_by_partition: dict[int, Takeover] = {}
+        self.lost_until_by_partition: dict[int, timedelta] = {}
+        """Monotonic time until which claims of a partition may be unknown."""
+        self.table = ClaimTable()
+        self.recorded = ClaimTable()
+        """Claims of other daemons' partitions that the store may not hold."""
+        self.log = ClaimLog(store, clock, state, self.table, incarnation)
+        network.on(ClaimRequest, self._on_request)
+        network.on(ClaimRelease, self._on_release)
+        network.on(ClaimRecord, self._on_record)
+        network.on(ClaimQuery, self._on_query)
+        for reply in (ClaimReply, ClaimRecorded, ClaimStatement):
+            calls.expect(reply)
+
+    async def run(self) -> None:
+        """Write claims and follow the partition table until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            self._tasks.start_soon(self.log.run)
+            while True:
+                self.refresh()
+                self.table.expire(self._now())
+                self.recorded.expire(self._now())
+                self.log.wake()
+                await self._clock.sleep(HOUSEKEEPING_INTERVAL)
+
+    async def close(self) -> None:
+        """Write what is not written yet, before the partitions are released."""
+        await self.log.commit()
+
+    def refresh(self) -> None:
+        """Follow the partition table: take over new partitions, leave lost ones."""
+        late = self._now() - self._started > START_GRACE.total_seconds()
+        if not self._state.store_reachable and late:
+            self.log.last_outage = self._now()
+        table = self._state.partitions
+        if table is None:
+            return
+        for number, takeover in list(self._takeovers_by_partition.items()):
+            current = table.partitions[number]
+            if (current.holder, current.epoch) != (self._incarnation, takeover.epoch):
+                self._leave(number)
+        for number in table.held_by(self._incarnation):
+            partition = table.partitions[number]
+            stale = partition.epoch < self._fences_by_partition[number]
+            if self._tasks is None or stale or number in self._takeovers_by_partition:
+                continue
+            takeover = Takeover(self, partition, self._clock)
+            self._takeovers_by_partition[number] = takeover
+            self._tasks.start_soon(takeover.run)
+
+    def _leave(self, partition: int) -> None:
+        self._takeovers_by_partition.pop(partition).cancel()
+        self.table.drop_partition(partition)
+        self.log.close(partition)
+
+    # The asking side.
+
+    async def claim(
+        self, key_hash: bytes, fingerprint: bytes
+    ) -> ClaimTicket | EarlierAttempt:
+        """Claim a key for this daemon; raises RefusedError (certainly not run)."""
+        table = self._state.partitions
+        if table is None:
+            raise _unavailable("no partition table yet")
+        number = partition_of(key_hash, len(table.partitions))
+        partition = table.partitions[number]
+        if not partition.holder:
+            raise _unavailable("the key's partition has no holder")
+        asked_at = self._now()
+        attempt = next(self._attempts)
+        ticket = ClaimTicket(number, key_hash, attempt, partition.holder, asked_at)
+        try:
+            reply = await self._ask(ticket, partition.epoch, fingerprint)
+        except BaseException:
+            self.release(ticket)
+            raise
+        if reply is not None and reply.result == "duplicate":
+            return EarlierAttempt(reply.holder, reply.attempt)
+        if reply is not None and reply.result == "refused":
+            reason = RefusalReason(reply.reason)
+            retry = None if reason is RefusalReason.KEY_REUSED else RETRY_AFTER
+            raise RefusedError(Refused(reason, reply.detail, retry))
+        if reply is None or not self._accept(ticket, reply, fingerprint):
+            self.release(ticket)
+            raise _unavailable("the key's holder did not grant the claim in time")
+        return ticket
+
+    async def _ask(
+        self, ticket: ClaimTicket, epoch: int, fingerprint: bytes
+    ) -> ClaimReply | None:
+        def request(request_id: int) -> ClaimRequest:
+            return ClaimRequest(
+                request_id,
+                ticket.partition,
+                ticket.key_hash,
+                fingerprint,
+                max(epoch, self._fence(ticket.partition)),
+                ticket.attempt,
+            )
+
+        if ticket.holder == self._incarnation:
+            return await self.answer(self._incarnation, request(0))
+        return await self._calls.call(ticket.holder, request, ClaimReply, CALL_TIMEOUT)
+
+    def _accept(
+        self, ticket: ClaimTicket, reply: ClaimReply, fingerprint: bytes
+    ) -> bool:
+        """Record a grant that is not durable; refuse one of an earlier epoch."""
+        if reply.durable or ticket.holder == self._incarnation:
+            return True
+        if reply.epoch < self._fence(ticket.partition):
+            return False
+        claim = Claim(
+            ticket.key_hash,
+            fingerprint,
+            self._incarnation,
+            ticket.attempt,
+            ticket.asked_at,
+        )
+        return self._record(ticket.partition, claim)
+
+    def release(self, ticket: ClaimTicket) -> None:
+        """Give a claim back, because its request certainly did not run."""
+        key, attempt = ticket.key_hash, ticket.attempt
+        self.recorded.release(ticket.partition, key, self._incarnation, attempt)
+        message = ClaimRelease(ticket.partition, key, attempt)
+        if ticket.holder == self._incarnation:
+            self._on_release(self._incarnation, message)
+        else:
+            self._network.send(ticket.holder, message)
+
+    def release_absent(self, key_hash: bytes, attempt: int) -> None:
+        """Give back a claim of this daemon whose grant or release was lost."""
+        table = self._state.partitions
+        if table is None:
+            return
+        number = partition_of(key_hash, len(table.partitions))
+        holder = table.partitions[number].holder
+        self.release(ClaimTicket(number, key_hash, attempt, holder, 0.0))
+
+    # The holding side.
+
+    async def answer(self, sender: str, request: ClaimRequest) -> ClaimReply:
+        """Answer a claim request for a partition of this daemon."""
+        number, request_id = request.partition, request.request_id
+        epoch = self._open_epoch(number)
+        if epoch is None or request.epoch > epoch:
+            return _refusal(request_id, "not the open holder of the key's partition")
+        claim = Claim(
+            request.key_hash, request.fingerprint, sender, request.attempt, self._now()
+        )
+        earlier = self.table.request(number, claim)
+        if isinstance(earlier, Refused):
+            reason = earlier.reason.value
+            return ClaimReply(
+                request_id, "refused", reason=reason, detail=earlier.detail
+            )
+        if earlier is not None:
+            return ClaimReply(
+                request_id, "duplicate", earlier.runner, attempt=earlier.attempt
+            )
+        durable = await self.log.write(number, claim)
+        if durable or await self._keep_in_memory(number, epoch, claim, sender):
+            return ClaimReply(request_id, "granted", epoch=epoch, durable=durable)
+        self.table.release(number, claim.key_hash, sender, claim.attempt)
+        self.log.forget(number, claim.key_hash)
+        return _refusal(request_id, "the claim could not be recorded")
+
+    async def _keep_in_memory(
+        self, number: int, epoch: int, claim: Claim, sender: str
+    ) -> bool:
+        """Tell whether a second daemon has recorded, or will record, the claim."""
+        if self._open_epoch(number) != epoch:
+            return False
+        if sender != self._incarnation:
+            return True  # The asking daemon records it before it runs the request.
+        for peer in self._network.connected():
+            answer = await self._calls.call(
+                peer,
+                lambda i: ClaimRecord(i, number, epoch, self._row(claim)),
+                ClaimRecorded,
+                RECORD_TIMEOUT,
+            )
+            if answer is not None and answer.recorded:
+                return self._open_epoch(number) == epoch
+        return False
+
+    def _open_epoch(self, partition: int) -> int | None:
+        """Return the epoch under which this daemon may grant, if any."""
+        takeover = self._takeovers_by_partition.get(partition)
+        if takeover is None or not takeover.open:
+            return None
+        return takeover.epoch if takeover.epoch >= self._fence(partition) else None
+
+    def _fence(self, partition: int) -> int:
+        """Return the latest epoch of a partition that this daemon knows."""
+        table = self._state.partitions
+        known = table.partitions[partition].epoch if table is not None else 0
+        return max(known, self._fences_by_partition[partition])
+
+    # The recording side.
+
+    def _record(self, partition: int, claim: Claim) -> bool:
+        self.log.last_outage = self._now()
+        earlier = self.recorded.get(partition, claim.key_hash)
+        if earlier is not None:
+            # The holder grants a key again only after its release.
+            self.recorded.release(
+                partition, earlier.key_hash, earlier.runner, earlier.attempt
+            )
+        return self.recorded.request(partition, claim) is None
+
+    def answer_record(self, message: ClaimRecord) -> ClaimRecorded:
+        """Record another daemon's claim unless its epoch has passed."""
+        recorded = message.epoch >= self._fence(message.partition) and self._record(
+            message.partition, self.claim_of(message.claim)
+        )
+        return ClaimRecorded(message.request_id, recorded)
+
+    def answer_query(self, message: ClaimQuery) -> ClaimStatement:
+        """Return the claims that the store may not hold; end earlier epochs."""
+        number = message.partition
+        fence = max(self._fences_by_partition[number], message.epoch)
+        self._fences_by_partition[number] = fence
+        takeover = self._takeovers_by_partition.get(number)
+        if takeover is not None and takeover.epoch < fence:
+            self._leave(number)
+        unwritten = self.log.unwritten_by_partition.get(number, {})
+        claims = {c.key_hash: c for c in self.recorded.claims(number)} | unwritten
+        keys = sorted(key for key in claims if key > message.after)
+        lost_until = self.lost_until_by_partition.get(number, timedelta(0))
+        lost = max(timedelta(0), lost_until - self._clock.monotonic())
+        return ClaimStatement(
+            message.request_id,
+            tuple(self._row(claims[key]) for key in keys[:STATEMENT_CLAIMS]),
+            len(keys) > STATEMENT_CLAIMS,
+            self.outage_seen(),
+            round(lost.total_seconds() * 1000),
+        )
+
+    def outage_seen(self) -> bool:
+        """Tell whether claims of the window may exist in memory only."""
+        last = self.log.last_outage
+        return last is not None and self._now() - last < CLAIM_WINDOW.total_seconds()
+
+    # What a takeover needs.
+
+    def peers_to_ask(self) -> set[str]:
+        """Return the other daemons that are registered or connected."""
+        known = {*self._state.daemons_by_incarnation, *self._network.connected()}
+        return known - {self._incarnation}
+
+    async def query(
+        self, peer: str, partition: int, epoch: int, after: bytes, timeout: timedelta
+    ) -> ClaimStatement | None:
+        """Ask a daemon for the claims that it knows."""
+        return await self._calls.call(
+            peer,
+            lambda i: ClaimQuery(i, partition, epoch, after),
+            ClaimStatement,
+            timeout,
+        )
+
+    def is_registered(self, incarnation: str) -> bool:
+        """Tell whether a daemon is registered in the store."""
+        return incarnation in self._state.daemons_by_incarnation
+
+    def claim_of(self, row: ClaimRow) -> Claim:
+        """Return a claim as received from another daemon."""
+        granted_at = self._now() - row.age_ms / 1000
+        return Claim(row.key_hash, row.fingerprint, row.runner, row.attempt, granted_at)
+
+    def _row(self, claim: Claim) -> ClaimRow:
+        age_ms = max(0, round((self._now() - claim.granted_at) * 1000))
+        return ClaimRow(
+            claim.key_hash, claim.fingerprint, claim.runner, claim.attempt, age_ms
+        )
+
+    # Messages.
+
+    def _on_request(self, sender: str, message: ClaimRequest) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(self._reply, sender, message)
+
+    async def _reply(self, sender: str, message: ClaimRequest) -> None:
+        self._network.send(sender, await self.answer(sender, message))
+
+    def _on_release(self, sender: str, message: ClaimRelease) -> None:
+        number, key = message.partition, message.key_hash
+        if self.table.release(number, key, sender, message.attempt) is not None:
+            self.log.forget(number, key)
+
+    def _on_record(self, sender: str, message: ClaimRecord) -> None:
+        self._network.send(sender, self.answer_record(message))
+
+    def _on_query(self, sender: str, message: Any) -> None:
+        self._network.send(sender, self.answer_query(message))
+
+    def _now(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+
+def _unavailable(detail: str) -> RefusedError:
+    return RefusedError(Refused(RefusalReason.CLAIM_UNAVAILABLE, detail, RETRY_AFTER))
+
+
+def _refusal(request_id: int, detail: str) -> ClaimReply:
+    reason = RefusalReason.CLAIM_UNAVAILABLE.value
+    return ClaimReply(request_id, "refused", reason=reason, detail=detail)
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -122,15 +122,25 @@
     partition: int
     key_hash: bytes
     fingerprint: bytes
+    epoch: int = 0
+    attempt: int = 0
 
 
 class ClaimReply(WireMessage, frozen=True):
-    """Answer to a claim: "granted", "duplicate" or "refused"."""
+    """Answer to a claim: "granted", "duplicate" or "refused".
+
+    ``holder`` is the incarnation that runs a duplicate's first attempt. A grant
+    that is not durable counts only once the asking daemon has recorded it.
+    """
 
     request_id: int
     result: str
     holder: str = ""
     reason: str = ""
+    epoch: int = 0
+    durable: bool = True
+    detail: str = ""
+    attempt: int = 0
 
 
 class ClaimRelease(WireMessage, frozen=True):
@@ -138,13 +148,18 @@
 
     partition: int
     key_hash: bytes
+    attempt: int = 0
 
 
 class ResultRequest(WireMessage, frozen=True):
-    """Question for the stored answer of a keyed request."""
+    """Question for the stored answer of a keyed request.
+
+    ``attempt`` is the claim's; the receiver releases it if it did not run.
+    """
 
     request_id: int
     key_hash: bytes
+    attempt: int = 0
 
 
 class ResultReply(WireMessage, frozen=True):
@@ -233,6 +248,57 @@
     incarnation: str
 
 
+class ClaimRow(WireMessage, frozen=True):
+    """A claim and its age in milliseconds."""
+
+    key_hash: bytes
+    fingerprint: bytes
+    runner: str
+    attempt: int
+    age_ms: int
+
+
+class ClaimRecord(WireMessage, frozen=True):
+    """Request to record a claim while the store cannot."""
+
+    request_id: int
+    partition: int
+    epoch: int
+    claim: ClaimRow
+
+
+class ClaimRecorded(WireMessage, frozen=True):
+    """Whether the claim was recorded; not if a later epoch is known."""
+
+    request_id: int
+    recorded: bool
+
+
+class ClaimQuery(WireMessage, frozen=True):
+    """Question of a partition's new holder for recorded claims after a key.
+
+    The receiver records nothing more for the partition's earlier epochs.
+    """
+
+    request_id: int
+    partition: int
+    epoch: int
+    after: bytes = b""
+
+
+class ClaimStatement(WireMessage, frozen=True):
+    """Claims that may be missing in the store, in key order.
+
+    ``lost_ms`` is how much longer claims may exist that no daemon knows.
+    """
+
+    request_id: int
+    claims: tuple[ClaimRow, ...] = ()
+    more: bool = False
+    outage_seen: bool = False
+    lost_ms: int = 0
+
+
 Message = (
     Hello
     | Heartbeat
@@ -258,6 +324,10 @@
     | ExplainRequest
     | ExplainReply
     | Goodbye
+    | ClaimRecord
+    | ClaimRecorded
+    | ClaimQuery
+    | ClaimStatement
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
