Stream requests, bound silence and classify failures by what was sent

Requests and responses were read whole, a failed attempt released its slot at once, and retries, hedging and ejection did not exist.

--- a/src/pomeloyard/admission.py
+++ b/src/pomeloyard/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 from collections import defaultdict, deque
 from collections.abc import Callable
@@ -31,6 +32,7 @@
     team: str
     urgent: bool
     deadline: timedelta
+    exclude: frozenset[str] = frozenset()
     granted: anyio.Event = field(default_factory=anyio.Event)
     permit: Permit | None = None
 
@@ -45,12 +47,15 @@
         units: Callable[[str], int],
         executors: Callable[[str], list[str]],
         weight: Callable[[str], float],
+        prefer: Callable[[str, list[str]], list[str]] = lambda service, names: names,
     ) -> None:
         self._clock = clock
         self._slots = slots
         self._units = units
         self._executors = executors
         self._weight = weight
+        self._prefer = prefer
+        self._held: list[tuple[timedelta, int, Permit]] = []
         self._numbers = itertools.count(1)
         self.running_by_vm: dict[str, int] = defaultdict(int)
         self.running_by_team: dict[str, int] = defaultdict(int)
@@ -71,11 +76,12 @@
         deadline: timedelta,
         queue_length: int,
         urgent: bool = False,
+        exclude: frozenset[str] = frozenset(),
     ) -> Outcome[Permit]:
         """Wait for a permit until ``deadline`` (monotonic)."""
         if self.queued(service) >= queue_length:
             return Refused(RefusalReason.QUEUE_FULL, service, RETRY_AFTER)
-        waiter = _Waiter(team, urgent, deadline)
+        waiter = _Waiter(team, urgent, deadline, exclude)
         queue = self._queues_by_service[service].setdefault(team, deque())
         if urgent:
             queue.appendleft(waiter)
@@ -101,6 +107,10 @@
         self.running_by_service_team[permit.service, permit.team] -= 1
         self.dispatch_all()
 
+    def hold_until(self, permit: Permit, deadline: timedelta) -> None:
+        """Keep slot and unit occupied until a monotonic time."""
+        heapq.heappush(self._held, (deadline, permit.number, permit))
+
     def dispatch_all(self) -> None:
         """Serve waiting requests of all services."""
         for service in list(self._queues_by_service):
@@ -108,9 +118,11 @@
 
     def dispatch(self, service: str) -> None:
         """Serve waiting requests while slots and units are free."""
+        while self._held and self._held[0][0] <= self._clock.monotonic():
+            self.release(heapq.heappop(self._held)[2])
         while True:
             waiter = self._next_waiter(service)
-            vm = self._free_executor(service) if waiter is not None else None
+            vm = self._free_executor(service, waiter) if waiter is not None else None
             if waiter is None or vm is None:
                 return
             self._queues_by_service[service][waiter.team].remove(waiter)
@@ -134,13 +146,14 @@
             return None
         return self._queues_by_service[service][min(candidates)[1]][0]
 
-    def _free_executor(self, service: str) -> str | None:
+    def _free_executor(self, service: str, waiter: _Waiter) -> str | None:
         free = [
-            (self.running_by_vm[vm] - self._slots(vm), vm)
+            vm
             for vm in self._executors(service)
-            if self.running_by_vm[vm] < self._slots(vm)
+            if self.running_by_vm[vm] < self._slots(vm) and vm not in waiter.exclude
         ]
-        return min(free)[1] if free else None
+        preferred = self._prefer(service, free)
+        return preferred[0] if preferred else None
 
     def _withdraw(self, queue: deque[_Waiter], waiter: _Waiter) -> None:
         if waiter.permit is not None:
--- a/src/pomeloyard/callers/service_routes.py
+++ b/src/pomeloyard/callers/service_routes.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import math
 from datetime import timedelta
 
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import Response
 from starlette.routing import Route
 
 from ..authentication import authenticate_team
@@ -14,24 +14,13 @@
 from ..fleet_state import FleetState
 from ..outcomes import RefusalReason, Refused
 from ..requests import RequestService, ServiceRequest
+from .bodies import CallerBody
+from .headers import request_headers
+from .relay import RelayedResponse
 
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
-HOP_HEADERS = frozenset(
-    {
-        b"authorization",
-        b"connection",
-        b"content-length",
-        b"host",
-        b"keep-alive",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"x-request-id",
-        b"x-team",
-    }
-)
-"""Headers that are not passed on in either direction."""
+MAX_KEY_LENGTH = 255
+MAX_TIMEOUT_SECONDS = 86_400
 
 
 def service_routes(state: FleetState, requests: RequestService) -> list[Route]:
@@ -39,52 +28,55 @@
 
     async def run_service(request: Request) -> Response:
         key = authenticate_team(state, request.headers.get("authorization"))
+        service = requests.service(request.path_params["service"])
+        if request.scope["http_version"] == "1.0":
+            # The end of a chunked body could not be told from a lost connection.
+            raise _invalid("HTTP/1.1 is required")
+        length = _content_length(request)
+        body = CallerBody(request.receive, length, service.max_body_bytes)
+        idempotency_key = _idempotency_key(request)
         service_request = ServiceRequest(
-            service=request.path_params["service"],
+            service=service.name,
             team=key.team,
             method=request.method,
             target=_target(request),
-            headers=tuple(
-                (k, v) for k, v in request.headers.raw if k not in HOP_HEADERS
-            ),
-            body=await request.body(),
+            headers=request_headers(request.headers.raw),
+            body=await body.read(whole=bool(idempotency_key)),
             timeout=_timeout(request),
             urgent=request.headers.get("priority") == "urgent",
-            idempotency_key=request.headers.get("idempotency-key", ""),
+            idempotency_key=idempotency_key,
+            content_length=length,
         )
-        return await _stream(requests, service_request)
+        return RelayedResponse(requests, service_request, body)
 
     return [
         Route("/v1/services/{service}/{path:path}", run_service, methods=ALL_METHODS),
     ]
 
 
-async def _stream(requests: RequestService, request: ServiceRequest) -> Response:
-    """Start a request and return a response that streams its body."""
-    context = requests.run(request)
-    response = await context.__aenter__()
-
-    async def chunks() -> AsyncIterator[bytes]:
-        failure: BaseException | None = None
-        try:
-            async for chunk in response.chunks:
-                yield chunk
-        except BaseException as error:
-            failure = error
-            raise
-        finally:
-            await context.__aexit__(type(failure) if failure else None, failure, None)
-
-    result = StreamingResponse(chunks(), response.status)
-    result.raw_headers = [
-        (k.lower(), v) for k, v in response.headers if k.lower() not in HOP_HEADERS
-    ]
-    return result
+def _target(request: Request) -> bytes:
+    """Return path and query below the service as the caller encoded them."""
+    raw_path: bytes = request.scope["raw_path"]
+    parts = raw_path.split(b"/", 4)
+    path = b"/" + (parts[4] if len(parts) > 4 else b"")
+    query: bytes = request.scope["query_string"]
+    return path + b"?" + query if query else path
+
+
+def _content_length(request: Request) -> int | None:
+    text = request.headers.get("content-length")
+    if text is not None:
+        return int(text)  # h11 has checked it
+    return None if "transfer-encoding" in request.headers else 0
 
 
-def _target(request: Request) -> str:
-    path = "/" + request.path_params["path"]
-    return f"{path}?{request.url.query}" if request.url.query else path
+def _idempotency_key(request: Request) -> str:
+    keys = request.headers.getlist("idempotency-key")
+    if not keys:
+        return ""
+    if len(keys) > 1 or not 0 < len(keys[0]) <= MAX_KEY_LENGTH:
+        raise _invalid("Idempotency-Key must be given once, with 1 to 255 characters")
+    return keys[0]
 
 
 def _timeout(request: Request) -> timedelta | None:
@@ -94,7 +86,11 @@
     try:
         seconds = float(text)
     except ValueError:
-        seconds = -1.0
-    if not 0 < seconds < 86_400:
-        raise RefusedError(Refused(RefusalReason.INVALID_INPUT, "Request-Timeout"))
+        seconds = math.nan
+    if not 0 < seconds < MAX_TIMEOUT_SECONDS:
+        raise _invalid("Request-Timeout must be a number of seconds up to 86400")
     return timedelta(seconds=seconds)
+
+
+def _invalid(detail: str) -> RefusedError:
+    return RefusedError(Refused(RefusalReason.INVALID_INPUT, detail))
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -19,14 +19,17 @@
 
 from .admission import AdmissionController
 from .callers.app import caller_app
+from .claim_service import ClaimService
 from .clock import Clock, SystemClock
 from .controller import Controller
 from .decisions import DecisionLog
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
+from .exchanges import ExchangeSender
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
 from .jobs import JobStore
+from .keyed_requests import KeyedRequests
 from .membership import Membership
 from .operators.app import operator_app
 from .operators.support import OperatorContext
@@ -39,7 +42,9 @@
 from .platform.store import Store
 from .platform.vm_service import HttpVmDirectory
 from .requests import RequestService
+from .results import ResultTable
 from .roles import RoleCandidate
+from .routing import ExecutorRouter
 from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
@@ -86,14 +91,39 @@
         )
         self.peers.addresses.update(settings.peers)
         self.calls = PeerCalls(self.peers)
+        self.router = ExecutorRouter(
+            clock,
+            settings.availability_zone,
+            self._zone_of,
+            self._load_of,
+            self._executors,
+        )
         self.admission = AdmissionController(
-            clock, self._slots, self._units, self._executors, self._weight
+            clock,
+            self._slots,
+            self._units,
+            self._executors,
+            self._weight,
+            self.router.prefer,
         )
-        self.endpoints = EndpointClient()
+        self.endpoints = EndpointClient(self._connections)
         self.workers = WorkerClient()
-        self.requests = RequestService(
-            clock, self.state, self.admission, self.endpoints
+        self.claims = ClaimService(
+            store, clock, self.state, self.peers, self.calls, self.incarnation
+        )
+        self.results = ResultTable(clock)
+        keyed = KeyedRequests(
+            clock, self.claims, self.results, self.peers, self.calls, self.incarnation
         )
+        sender = ExchangeSender(
+            clock,
+            self.state,
+            self.admission,
+            self.endpoints,
+            self.router,
+            self.decisions,
+        )
+        self.requests = RequestService(clock, self.state, sender, keyed)
         self.jobs = JobStore(store, clock)
         self.controller = Controller(clock, self.state, store)
         self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
@@ -119,6 +149,7 @@
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.claims.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -142,6 +173,7 @@
         while any(self.admission.running_by_vm.values()):
             await anyio.sleep(0.05)
         try:
+            await self.claims.close()
             await self.membership.release()
         except (StoreError, ConflictError) as error:
             log.warning("partitions not released: {}", error)
@@ -195,6 +227,8 @@
         self.peers.addresses.update(
             record.peer_address for record in self.state.daemons_by_incarnation.values()
         )
+        self.claims.refresh()
+        self.router.forget_except(self.state.vm_list.vms_by_name)
         self.admission.dispatch_all()
 
     def _slots(self, vm: str) -> int:
@@ -207,6 +241,22 @@
                 return self.membership.amount(vm, service.slots_per_executor)
         return 0
 
+    def _zone_of(self, vm: str) -> str:
+        record = self.state.vm_list.vms_by_name.get(vm)
+        return record.availability_zone if record is not None else ""
+
+    def _load_of(self, vm: str) -> float:
+        return self.admission.running_by_vm.get(vm, 0) / max(1, self._slots(vm))
+
+    def _connections(self, vm: str) -> int:
+        record = self.state.vm_list.vms_by_name.get(vm)
+        pool = self.state.pool_of(record) if record is not None else ""
+        for service in self.state.config.services_by_name.values():
+            if service.pool == pool:
+                total = service.connections_per_executor
+                return self.membership.amount(f"connections/{vm}", total)
+        return 0
+
     def _units(self, team: str) -> int:
         config = self.state.config.teams_by_name.get(team)
         if config is None:
--- a/src/pomeloyard/endpoints/client.py
+++ b/src/pomeloyard/endpoints/client.py
@@ -2,84 +2,211 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
+import anyio
 import httpcore
 
 from ..errors import OutcomeUnknownError, RefusedError
 from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
+POOL_TIMEOUT = timedelta(seconds=0.5)
 KEEPALIVE = timedelta(seconds=10)
+DEFAULT_CONNECTIONS = 64
+
+NO_BODY_STATUSES = frozenset({204, 304})
 
 Headers = Sequence[tuple[bytes, bytes]]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
+class Progress:
+    """How far a request got; ``sent`` is set before its first byte is written."""
+
+    sent: bool = False
+    headers_written: bool = False
+
+    async def trace(self, event: str, info: dict[str, Any]) -> None:
+        """Follow httpcore's trace events."""
+        if event == "http11.send_request_headers.started":
+            self.sent = True
+        elif event == "http11.send_request_headers.complete":
+            self.headers_written = True
+
+
 class EndpointResponse:
-    """Status, headers and body chunks of an executor's response."""
+    """An executor's response whose body is still being received."""
 
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    chunks: AsyncIterator[bytes]
+    def __init__(self, response: httpcore.Response, done: Callable[[], None]) -> None:
+        self.status = response.status
+        self.headers: tuple[tuple[bytes, bytes], ...] = tuple(response.headers)
+        self.complete = False
+        self._response = response
+        self._done: Callable[[], None] | None = done
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises OutcomeUnknownError unless it is complete."""
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except httpcore.TimeoutException as error:
+            unknown = Unknown(UnknownReason.TIMEOUT, repr(error))
+            raise OutcomeUnknownError(unknown) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            unknown = Unknown(UnknownReason.ANSWER_TRUNCATED, repr(error))
+            raise OutcomeUnknownError(unknown) from error
+        self.complete = True
+
+    async def aclose(self) -> None:
+        """Release the connection; an incomplete response closes it."""
+        done, self._done = self._done, None
+        if done is None:
+            return
+        with anyio.CancelScope(shield=True):
+            await self._response.aclose()
+        done()
+
+
+@dataclass(eq=False)
+class _ExecutorPool:
+    """Connections to one executor, replaced when their limit changes."""
+
+    pool: httpcore.AsyncConnectionPool
+    limit: int
+    in_use: int = 0
+    retired: bool = False
 
 
 class EndpointClient:
-    """Sends requests to executors; never retries by itself."""
+    """Sends requests to executors; never sends one twice.
 
-    def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=1000, keepalive_expiry=KEEPALIVE.total_seconds()
-        )
+    httpcore reuses an idle connection only if its socket is not readable, which
+    it would be if the executor had closed it, and opens another one otherwise.
+    It never sends a request again after a byte of it was written.
+    """
+
+    def __init__(
+        self, connections: Callable[[str], int] = lambda vm: DEFAULT_CONNECTIONS
+    ) -> None:
+        self._connections = connections
+        self._pools_by_address: dict[str, _ExecutorPool] = {}
+        self._unused: list[httpcore.AsyncConnectionPool] = []
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        for entry in self._pools_by_address.values():
+            await entry.pool.aclose()
+        self._pools_by_address.clear()
+        await self._close_unused()
 
-    @asynccontextmanager
-    async def send(
+    async def open(
         self,
+        vm: str,
         address: str,
         method: str,
-        target: str,
+        target: bytes,
         headers: Headers,
         body: bytes | AsyncIterator[bytes],
         timeout: timedelta,
-    ) -> AsyncIterator[EndpointResponse]:
-        """Send a request and yield the response while it is being received.
+        progress: Progress,
+    ) -> EndpointResponse:
+        """Send a request and return its response once the headers have arrived.
 
-        Raises RefusedError if nothing was sent and OutcomeUnknownError if the
-        request may have run.
+        ``timeout`` bounds the wait for the headers and then each silence. Raises
+        RefusedError if nothing was sent and OutcomeUnknownError if the request
+        may have run. The caller must close the response.
         """
-        seconds = timeout.total_seconds()
-        connect = min(seconds, CONNECT_TIMEOUT.total_seconds())
-        limits = {"connect": connect, "read": seconds, "write": seconds, "pool": 0.5}
+        await self._close_unused()
+        entry = self._pool(vm, address)
+        host, port = address.rsplit(":", 1)
+        request = httpcore.Request(
+            method,
+            httpcore.URL(scheme=b"http", host=host, port=int(port), target=target),
+            headers=list(headers),
+            content=body,
+            extensions={"timeout": _timeouts(timeout), "trace": progress.trace},
+        )
+        entry.in_use += 1
+        response: EndpointResponse | None = None
         try:
-            async with self._pool.stream(
-                method,
-                f"http://{address}{target}",
-                headers=list(headers),
-                content=body,
-                extensions={"timeout": limits},
-            ) as response:
-                yield EndpointResponse(
-                    response.status,
-                    tuple(response.headers),
-                    response.aiter_stream(),
-                )
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            httpcore.PoolTimeout,
-        ) as error:
-            refusal = Refused(RefusalReason.ENDPOINT_UNREACHABLE, repr(error))
-            raise RefusedError(refusal) from error
-        except httpcore.TimeoutException as error:
-            unknown = Unknown(UnknownReason.TIMEOUT, repr(error))
-            raise OutcomeUnknownError(unknown) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            unknown = Unknown(UnknownReason.CONNECTION_LOST, repr(error))
-            raise OutcomeUnknownError(unknown) from error
+            with anyio.fail_after(timeout.total_seconds()):
+                raw = await entry.pool.handle_async_request(request)
+            response = EndpointResponse(raw, lambda: self._release(entry))
+            _check_framing(method, response)
+            return response
+        except BaseException as error:
+            if response is not None:
+                await response.aclose()
+            else:
+                self._release(entry)
+            raise _classified(error, progress) from error
+
+    def _pool(self, vm: str, address: str) -> _ExecutorPool:
+        limit = max(1, self._connections(vm))
+        entry = self._pools_by_address.get(address)
+        if entry is None or entry.limit != limit:
+            if entry is not None:
+                entry.retired = True
+                self._collect(entry)
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=limit, keepalive_expiry=KEEPALIVE.total_seconds()
+            )
+            entry = self._pools_by_address[address] = _ExecutorPool(pool, limit)
+        return entry
+
+    def _release(self, entry: _ExecutorPool) -> None:
+        entry.in_use -= 1
+        self._collect(entry)
+
+    def _collect(self, entry: _ExecutorPool) -> None:
+        if entry.retired and entry.in_use == 0:
+            self._unused.append(entry.pool)
+
+    async def _close_unused(self) -> None:
+        while self._unused:
+            await self._unused.pop().aclose()
+
+
+def _timeouts(timeout: timedelta) -> dict[str, float]:
+    seconds = timeout.total_seconds()
+    return {
+        "connect": min(seconds, CONNECT_TIMEOUT.total_seconds()),
+        "read": seconds,
+        "write": seconds,
+        "pool": min(seconds, POOL_TIMEOUT.total_seconds()),
+    }
+
+
+def _check_framing(method: str, response: EndpointResponse) -> None:
+    """Raise OutcomeUnknownError for a body whose end could not be recognized."""
+    if method == "HEAD" or response.status in NO_BODY_STATUSES:
+        return
+    names = {name.lower() for name, _ in response.headers}
+    if b"content-length" not in names and b"transfer-encoding" not in names:
+        detail = "the body has neither a length nor a terminating chunk"
+        raise OutcomeUnknownError(Unknown(UnknownReason.ANSWER_TRUNCATED, detail))
+
+
+def _classified(error: BaseException, progress: Progress) -> BaseException:
+    """Return the typed error for a failed exchange, by what had been sent."""
+    if isinstance(error, httpcore.LocalProtocolError) and not progress.headers_written:
+        # h11 rejects an invalid request before it produces a byte.
+        progress.sent = False
+        return RefusedError(Refused(RefusalReason.INVALID_INPUT, str(error)))
+    known = (
+        TimeoutError,
+        httpcore.TimeoutException,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+    )
+    if not isinstance(error, known):
+        return error
+    if not progress.sent:
+        return RefusedError(Refused(RefusalReason.ENDPOINT_UNREACHABLE, repr(error)))
+    if isinstance(error, (TimeoutError, httpcore.TimeoutException)):
+        return OutcomeUnknownError(Unknown(UnknownReason.TIMEOUT, repr(error)))
+    return OutcomeUnknownError(Unknown(UnknownReason.CONNECTION_LOST, repr(error)))
--- /dev/null
+++ b/src/pomeloyard/keyed_requests.py
@@ -0,0 +1,211 @@
+"""Requests with an idempotency key: claimed before, and answered again after."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .claim_service import ClaimService, ClaimTicket, EarlierAttempt
+from .claims import CLAIM_WINDOW, RETRY_AFTER, fingerprint_request, hash_claim_key
+from .clock import Clock
+from .endpoints.client import Progress
+from .errors import OutcomeUnknownError, RefusedError
+from .exchanges import ServiceRequest
+from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
+from .peers.calls import PeerCalls
+from .peers.messages import ResultReply, ResultRequest
+from .peers.streams import PeerNetwork
+from .results import MAX_RESPONSE_BYTES, ResultState, ResultTable, StoredResponse
+
+RESULT_TIMEOUT = timedelta(seconds=1)
+MAX_CLAIM_AGE = CLAIM_WINDOW / 4
+"""Age after which a granted claim is not used any more.
+
+A daemon that was paused between the grant and the sending could otherwise run a
+request whose claim has been dropped meanwhile.
+"""
+
+REPLAYED = (b"idempotency-replayed", b"true")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Status, headers and body chunks for the caller."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    chunks: AsyncIterator[bytes]
+
+
+Runner = Callable[[ServiceRequest, Progress], AbstractAsyncContextManager[Answer]]
+
+
+class KeyedRequests:
+    """Runs each keyed request at most once within the window."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        claims: ClaimService,
+        results: ResultTable,
+        network: PeerNetwork,
+        calls: PeerCalls,
+        incarnation: str,
+    ) -> None:
+        self._clock = clock
+        self._claims = claims
+        self._results = results
+        self._network = network
+        self._calls = calls
+        self._incarnation = incarnation
+        network.on(ResultRequest, self._on_result_request)
+        calls.expect(ResultReply)
+
+    @asynccontextmanager
+    async def run(self, request: ServiceRequest, run: Runner) -> AsyncIterator[Answer]:
+        """Claim the key, run the request and keep its result.
+
+        Raises RefusedError or OutcomeUnknownError as ``run`` does, and for a
+        repeated key if the first attempt's response cannot be given.
+        """
+        assert isinstance(request.body, bytes), "a keyed body is read whole"
+        key = hash_claim_key(request.team, request.service, request.idempotency_key)
+        fingerprint = fingerprint_request(
+            request.method, request.target.decode("latin-1"), request.body
+        )
+        ticket = await self._claim(key, fingerprint)
+        if isinstance(ticket, StoredResponse):
+            yield _replay(ticket)
+            return
+        progress = Progress()
+        recorder = _Recorder()
+        try:
+            self._check_age(ticket)
+            async with run(request, progress) as answer:
+                chunks = recorder.record(answer.chunks)
+                yield Answer(answer.status, answer.headers, chunks)
+        except BaseException as error:
+            if isinstance(error, RefusedError) or not progress.sent:
+                self._claims.release(ticket)
+                self._results.forget(key)
+            elif not recorder.complete:
+                self._results.finish(key, ResultState.UNKNOWN, None)
+            raise
+        finally:
+            if recorder.complete:
+                # The response is kept even if it could not be passed on.
+                self._results.finish(key, ResultState.DONE, recorder.response(answer))
+        if not recorder.complete:
+            self._results.finish(key, ResultState.UNKNOWN, None)
+
+    async def _claim(
+        self, key: bytes, fingerprint: bytes
+    ) -> ClaimTicket | StoredResponse:
+        """Return the claim, or the response of the attempt that has run."""
+        own = self._results.get(key)
+        if own is not None:
+            if own.fingerprint != fingerprint:
+                raise RefusedError(Refused(RefusalReason.KEY_REUSED))
+            return _stored(own.state, own.response)
+        if not self._results.begin(key, fingerprint):
+            detail = "too many keyed requests"
+            raise RefusedError(
+                Refused(RefusalReason.CLAIM_UNAVAILABLE, detail, RETRY_AFTER)
+            )
+        try:
+            ticket = await self._claims.claim(key, fingerprint)
+        except BaseException:
+            self._results.forget(key)
+            raise
+        if isinstance(ticket, ClaimTicket):
+            return ticket
+        self._results.forget(key)
+        return await self._earlier(key, ticket)
+
+    async def _earlier(self, key: bytes, earlier: EarlierAttempt) -> StoredResponse:
+        """Ask the daemon that was granted the claim how the request went."""
+        if earlier.runner == self._incarnation:
+            self._claims.release_absent(key, earlier.attempt)
+            raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
+        reply = await self._calls.call(
+            earlier.runner,
+            lambda i: ResultRequest(i, key, earlier.attempt),
+            ResultReply,
+            RESULT_TIMEOUT,
+        )
+        if reply is None:
+            detail = f"{earlier.runner} does not answer"
+            raise OutcomeUnknownError(Unknown(UnknownReason.EARLIER_ATTEMPT, detail))
+        if reply.state == "absent":
+            # The runner has just given the claim back; the next attempt may run.
+            raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
+        held = StoredResponse(reply.status, reply.headers, reply.body)
+        return _stored(ResultState(reply.state), held if reply.status else None)
+
+    def _check_age(self, ticket: ClaimTicket) -> None:
+        age = self._clock.monotonic().total_seconds() - ticket.asked_at
+        if age > MAX_CLAIM_AGE.total_seconds():
+            raise RefusedError(Refused(RefusalReason.DEADLINE_PASSED, "claim too old"))
+
+    def _on_result_request(self, sender: str, message: ResultRequest) -> None:
+        result = self._results.get(message.key_hash)
+        if result is None:
+            self._claims.release_absent(message.key_hash, message.attempt)
+            reply = ResultReply(message.request_id, "absent")
+        elif result.response is None:
+            reply = ResultReply(message.request_id, result.state.value)
+        else:
+            held = result.response
+            reply = ResultReply(
+                message.request_id,
+                result.state.value,
+                held.status,
+                held.headers,
+                held.body,
+            )
+        self._network.send(sender, reply)
+
+
+class _Recorder:
+    """Keeps a copy of a response's body while it is passed on."""
+
+    def __init__(self) -> None:
+        self.complete = False
+        self._chunks: list[bytes] | None = []
+        self._size = 0
+
+    async def record(self, chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+        """Yield the chunks; those of a long body are not kept."""
+        async for chunk in chunks:
+            self._size += len(chunk)
+            if self._size > MAX_RESPONSE_BYTES:
+                self._chunks = None
+            elif self._chunks is not None:
+                self._chunks.append(chunk)
+            yield chunk
+        self.complete = True
+
+    def response(self, answer: Answer) -> StoredResponse | None:
+        """Return the complete response, or None if it is too long to keep."""
+        if self._chunks is None:
+            return None
+        return StoredResponse(answer.status, answer.headers, b"".join(self._chunks))
+
+
+def _stored(state: ResultState, response: StoredResponse | None) -> StoredResponse:
+    if state is ResultState.RUNNING:
+        raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
+    if response is None:
+        detail = "the first attempt's response is not held"
+        raise OutcomeUnknownError(Unknown(UnknownReason.EARLIER_ATTEMPT, detail))
+    return response
+
+
+def _replay(response: StoredResponse) -> Answer:
+    async def chunks() -> AsyncIterator[bytes]:
+        if response.body:
+            yield response.body
+
+    return Answer(response.status, (*response.headers, REPLAYED), chunks())
--- a/src/pomeloyard/outcomes.py
+++ b/src/pomeloyard/outcomes.py
@@ -47,6 +47,7 @@
     IN_PROGRESS = "in-progress"
     EARLIER_ATTEMPT = "earlier-attempt"
     ANSWER_LOST = "answer-lost"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/problems.py
+++ b/src/pomeloyard/problems.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 import msgspec
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 
@@ -18,6 +21,8 @@
 from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
 from .platform.records import ConflictError
 
+ExceptionHandler = Callable[[Request, Exception], Awaitable[Response]]
+
 MEDIA_TYPE = "application/problem+json"
 
 STATUS_BY_REASON = {
@@ -39,20 +44,53 @@
 }
 """HTTP status of a refusal; 503 for those not listed."""
 
-UNKNOWN_STATUS = 502
+UNKNOWN_STATUS_BY_REASON = {
+    UnknownReason.TIMEOUT: 504,
+    UnknownReason.IN_PROGRESS: 409,
+    UnknownReason.EARLIER_ATTEMPT: 409,
+    UnknownReason.INTERNAL_ERROR: 500,
+}
+"""HTTP status of an unknown outcome; 502 for those not listed."""
+
+RETRIABLE_REASONS = frozenset(
+    {
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.DEADLINE_PASSED,
+        RefusalReason.LIMIT_REACHED,
+        RefusalReason.NO_CAPACITY,
+        RefusalReason.NO_EXECUTOR,
+        RefusalReason.ENDPOINT_UNREACHABLE,
+        RefusalReason.CLAIM_UNAVAILABLE,
+        RefusalReason.STORE_UNAVAILABLE,
+        RefusalReason.NOT_READY,
+        RefusalReason.SHUTTING_DOWN,
+        UnknownReason.IN_PROGRESS,
+    }
+)
+"""Reasons that pass by themselves, so that a later retry makes sense."""
+
+RETRY_AFTER = timedelta(seconds=1)
+METHOD_NOT_ALLOWED = 405
 
 
 def refusal_response(refusal: Refused) -> Response:
     """Return the response for an operation that certainly did not run."""
     status = STATUS_BY_REASON.get(refusal.reason, 503)
+    retry_after = refusal.retry_after
+    if retry_after is None and refusal.reason in RETRIABLE_REASONS:
+        retry_after = RETRY_AFTER
     return _problem(
-        status, refusal.reason.value, "not-run", refusal.detail, refusal.retry_after
+        status, refusal.reason.value, "not-run", refusal.detail, retry_after
     )
 
 
 def unknown_response(unknown: Unknown) -> Response:
     """Return the response for an operation that may have run."""
-    return _problem(UNKNOWN_STATUS, unknown.reason.value, "unknown", unknown.detail)
+    status = UNKNOWN_STATUS_BY_REASON.get(unknown.reason, 502)
+    retry_after = RETRY_AFTER if unknown.reason in RETRIABLE_REASONS else None
+    return _problem(
+        status, unknown.reason.value, "unknown", unknown.detail, retry_after
+    )
 
 
 def _problem(
@@ -103,7 +141,21 @@
     return unknown_response(Unknown(UnknownReason.ANSWER_LOST, str(error)))
 
 
-EXCEPTION_HANDLERS = {
+async def _not_routed(request: Request, error: Exception) -> Response:
+    assert isinstance(error, HTTPException)
+    if error.status_code == METHOD_NOT_ALLOWED:
+        reason = RefusalReason.INVALID_INPUT.value
+        return _problem(METHOD_NOT_ALLOWED, reason, "not-run", "method not allowed")
+    return refusal_response(Refused(RefusalReason.NOT_FOUND, request.url.path))
+
+
+async def _internal(request: Request, error: Exception) -> Response:
+    return unknown_response(Unknown(UnknownReason.INTERNAL_ERROR, type(error).__name__))
+
+
+EXCEPTION_HANDLERS: dict[Any, ExceptionHandler] = {
+    HTTPException: _not_routed,
+    Exception: _internal,
     RefusedError: _refused,
     OutcomeUnknownError: _unknown,
     ConflictError: _conflict,
--- a/src/pomeloyard/requests.py
+++ b/src/pomeloyard/requests.py
@@ -1,42 +1,49 @@
-"""The path of a request: admission, choice of executor, sending, release."""
+"""The path of a request: claim, attempts within the retry budget, result."""
 
 from __future__ import annotations
 
-import secrets
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .admission import AdmissionController, Permit
+import anyio
+
+from .claims import CLAIM_WINDOW
 from .clock import Clock
-from .endpoints.client import EndpointClient, EndpointResponse
+from .config.model import ServiceConfig
+from .endpoints.client import Progress
 from .errors import OutcomeUnknownError, RefusedError
+from .exchanges import Exchange, ExchangeSender, ServiceRequest
 from .fleet_state import FleetState
-from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
+from .keyed_requests import Answer, KeyedRequests
+from .outcomes import RefusalReason, Refused
+from .platform.directory import VmRole
+from .routing import RetryBudget
+
+__all__ = ["Answer", "RequestService", "ServiceRequest"]
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
-REQUEST_ID = b"x-request-id"
+FIRST_BACKOFF = timedelta(milliseconds=20)
+MAX_BACKOFF = timedelta(seconds=1)
+MAX_ATTEMPTS = 4
+MAX_REQUEST_TIME = CLAIM_WINDOW / 2
+"""Longest time until a request is sent; a claim is still held then."""
 
+RETRIABLE_REFUSALS = frozenset(
+    {RefusalReason.ENDPOINT_UNREACHABLE, RefusalReason.NO_EXECUTOR}
+)
+"""Refusals of one executor, after which another one may accept the request."""
 
-@dataclass(frozen=True, slots=True)
-class ServiceRequest:
-    """A caller's request; ``target`` is path and query below the service."""
 
-    service: str
-    team: str
-    method: str
-    target: str
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    timeout: timedelta | None = None
-    urgent: bool = False
-    idempotency_key: str = ""
+@dataclass(eq=False)
+class _Race:
+    """Attempts of one request of which the first answer is used."""
 
-    @property
-    def idempotent(self) -> bool:
-        """Tell whether the request may be sent more than once."""
-        return self.method in IDEMPOTENT_METHODS
+    decided: anyio.Event = field(default_factory=anyio.Event)
+    winner: Exchange | None = None
+    failures: list[RefusedError | OutcomeUnknownError] = field(default_factory=list)
+    running: int = 0
 
 
 class RequestService:
@@ -46,76 +53,151 @@
         self,
         clock: Clock,
         state: FleetState,
-        admission: AdmissionController,
-        client: EndpointClient,
+        sender: ExchangeSender,
+        keyed: KeyedRequests,
     ) -> None:
         self._clock = clock
         self._state = state
-        self._admission = admission
-        self._client = client
+        self._sender = sender
+        self._keyed = keyed
+        self._budget = RetryBudget()
+
+    def service(self, name: str) -> ServiceConfig:
+        """Return a service's configuration; raises RefusedError."""
+        service = self._state.config.services_by_name.get(name)
+        if service is None:
+            raise RefusedError(Refused(RefusalReason.NOT_FOUND, f"no service {name}"))
+        return service
+
+    @asynccontextmanager
+    async def run(self, request: ServiceRequest) -> AsyncIterator[Answer]:
+        """Run a request and yield its answer while it is being received.
+
+        Raises RefusedError if it certainly did not run, and OutcomeUnknownError
+        if it may have run, also from the answer's chunks.
+        """
+        if request.idempotency_key and not request.idempotent:
+            async with self._keyed.run(request, self._run_once) as answer:
+                yield answer
+        else:
+            async with self._run_once(request, Progress()) as answer:
+                yield answer
 
     @asynccontextmanager
-    async def run(self, request: ServiceRequest) -> AsyncIterator[EndpointResponse]:
-        """Run a request and yield its response; raises Refused/OutcomeUnknownError."""
-        permit = await self._admit(request)
-        held = True
+    async def _run_once(
+        self, request: ServiceRequest, progress: Progress
+    ) -> AsyncIterator[Answer]:
+        service = self.service(request.service)
+        exchange = await self._open(request, service, progress)
         try:
-            async with self._send(request, permit) as response:
-                yield response
-        except OutcomeUnknownError:
-            # The request may still run: its slot and unit stay taken until then.
-            held = False
-            self._release_later(permit)
-            raise
+            response = exchange.response
+            yield Answer(response.status, response.headers, response.chunks())
         finally:
-            if held:
-                self._admission.release(permit)
+            with anyio.CancelScope(shield=True):
+                await exchange.aclose()
 
-    async def _admit(self, request: ServiceRequest) -> Permit:
-        service = self._state.config.services_by_name.get(request.service)
-        if service is None:
-            raise RefusedError(Refused(RefusalReason.NOT_FOUND, request.service))
-        wait = min(service.queue_timeout, request.timeout or service.queue_timeout)
-        outcome = await self._admission.acquire(
-            request.service,
-            request.team,
-            deadline=self._clock.monotonic() + wait,
-            queue_length=service.queue_length,
-            urgent=request.urgent,
+    async def _open(
+        self, request: ServiceRequest, service: ServiceConfig, progress: Progress
+    ) -> Exchange:
+        """Return the first answer; retry and hedge where that is safe."""
+        limit = request.timeout or service.queue_timeout + service.request_timeout
+        deadline = self._clock.monotonic() + min(limit, MAX_REQUEST_TIME)
+        tried: set[str] = set()
+        unknown: OutcomeUnknownError | None = None
+        self._budget.note_request()
+        for attempt in range(MAX_ATTEMPTS):
+            try:
+                return await self._attempt(request, service, deadline, tried, progress)
+            except OutcomeUnknownError as error:
+                unknown = error
+                if not request.idempotent:
+                    raise
+            except RefusedError as error:
+                # What may have run in an earlier attempt is not refused.
+                if error.refusal.reason not in RETRIABLE_REFUSALS:
+                    raise unknown or error from error
+                if attempt + 1 == MAX_ATTEMPTS or not self._may_retry(request, tried):
+                    raise unknown or error from error
+            else:
+                raise AssertionError("an attempt returns or raises")
+            if unknown is not None and not self._may_retry(request, tried):
+                raise unknown
+            if not await self._back_off(attempt, deadline):
+                break
+        raise unknown or RefusedError(
+            Refused(RefusalReason.DEADLINE_PASSED, service.name)
         )
-        if isinstance(outcome, Refused):
-            raise RefusedError(outcome)
-        if isinstance(outcome, Unknown):
-            raise OutcomeUnknownError(outcome)
-        return outcome.value
 
-    @asynccontextmanager
-    async def _send(
-        self, request: ServiceRequest, permit: Permit
-    ) -> AsyncIterator[EndpointResponse]:
-        vm = self._state.vm_list.vms_by_name[permit.vm]
-        service = self._state.config.services_by_name[request.service]
-        request_id = secrets.token_hex(8).encode()
-        headers = (
-            *request.headers,
-            (b"host", vm.address.encode()),
-            (REQUEST_ID, request_id),
-            (b"x-team", request.team.encode()),
-        )
-        async with self._client.send(
-            vm.address,
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            service.request_timeout,
-        ) as response:
-            echoed = [v for k, v in response.headers if k.lower() == REQUEST_ID]
-            if echoed and echoed != [request_id]:
-                raise OutcomeUnknownError(
-                    Unknown(UnknownReason.ANSWER_MISMATCHED, permit.vm)
+    def _may_retry(self, request: ServiceRequest, tried: set[str]) -> bool:
+        service = self.service(request.service)
+        names = {
+            vm.name for vm in self._state.available_vms(service.pool, VmRole.EXECUTOR)
+        }
+        return request.replayable and bool(names - tried) and self._budget.take()
+
+    async def _back_off(self, attempt: int, deadline: timedelta) -> bool:
+        """Wait before the next attempt; return False if the deadline is earlier."""
+        longest = min(MAX_BACKOFF, FIRST_BACKOFF * 2**attempt)
+        delay = longest * random.uniform(0.5, 1.0)
+        if self._clock.monotonic() + delay >= deadline:
+            return False
+        await self._clock.sleep(delay)
+        return True
+
+    async def _attempt(
+        self,
+        request: ServiceRequest,
+        service: ServiceConfig,
+        deadline: timedelta,
+        tried: set[str],
+        progress: Progress,
+    ) -> Exchange:
+        hedge_after = service.hedge_after
+        if hedge_after is None or not (request.idempotent and request.replayable):
+            return await self._sender.open(request, service, deadline, tried, progress)
+        race = _Race()
+
+        async def enter() -> None:
+            race.running += 1
+            try:
+                exchange = await self._sender.open(
+                    request, service, deadline, tried, progress
                 )
-            yield response
+            except (RefusedError, OutcomeUnknownError) as error:
+                race.failures.append(error)
+            else:
+                if race.winner is None:
+                    race.winner = exchange
+                else:
+                    await exchange.aclose()
+            finally:
+                race.running -= 1
+                if race.winner is not None or race.running == 0:
+                    race.decided.set()
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(enter)
+                with anyio.move_on_after(hedge_after.total_seconds()):
+                    await race.decided.wait()
+                if not race.decided.is_set() and tried:
+                    if self._may_retry(request, tried):
+                        tasks.start_soon(enter)
+                    await race.decided.wait()
+                elif not race.decided.is_set():
+                    await race.decided.wait()
+                tasks.cancel_scope.cancel()
+        except BaseException:
+            if race.winner is not None:
+                await race.winner.aclose()
+            raise
+        return _winner(race)
+
 
-    def _release_later(self, permit: Permit) -> None:
-        self._admission.release(permit)
+def _winner(race: _Race) -> Exchange:
+    if race.winner is not None:
+        return race.winner
+    for failure in race.failures:
+        if isinstance(failure, OutcomeUnknownError):
+            raise failure
+    raise race.failures[0]
