--- a/src/pomeloyard/capacity_service.py
+++ b/src/pomeloyard/capacity_service.py
@@ -63,6 +63,7 @@
         self._table_revision = 0
         self._totals_key: tuple[int, int] = (0, 0)
         self._totals: dict[Resource, int] = {}
+        self._connections: dict[str, int] = {}
         self.book = LoanBook(self._me, self.total_of, self.in_use)
         admission.on_shortage = self._on_shortage
         network.on(DemandReport, self._on_report)
@@ -80,6 +81,10 @@
         """Return how many units of a team's limit this daemon may use."""
         return self.book.usable(Resource(LIMIT, team))
 
+    def connections(self, vm: str) -> int:
+        """Return how many connections to a VM this daemon may have open."""
+        return self.book.base(f"connections/{vm}", self._connections.get(vm, 0))
+
     def in_use(self, resource: Resource) -> int:
         """Return how many units of a resource this daemon uses."""
         if resource.kind == SLOTS:
@@ -283,15 +288,14 @@
     def _refresh_totals(self) -> None:
         """Read the totals from the configuration and the VMs' pools."""
         state = self._state
-        slots_by_pool = {
-            service.pool: service.slots_per_executor
-            for service in state.config.services_by_name.values()
-        }
-        totals = {
-            Resource(SLOTS, vm.name): slots_by_pool[state.pool_of(vm)]
-            for vm in state.vm_list.vms_by_name.values()
-            if vm.role is VmRole.EXECUTOR and state.pool_of(vm) in slots_by_pool
-        }
+        by_pool = {s.pool: s for s in state.config.services_by_name.values()}
+        totals: dict[Resource, int] = {}
+        self._connections = {}
+        for vm in state.vm_list.vms_by_name.values():
+            service = by_pool.get(state.pool_of(vm))
+            if vm.role is VmRole.EXECUTOR and service is not None:
+                totals[Resource(SLOTS, vm.name)] = service.slots_per_executor
+                self._connections[vm.name] = service.connections_per_executor
         for team in state.config.teams_by_name.values():
             totals[Resource(LIMIT, team.name)] = max(0, team.limit - team.job_limit)
         if totals != self._totals:
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -20,14 +20,17 @@
 from .admission import AdmissionController
 from .callers.app import caller_app
 from .capacity_service import CapacityService
+from .claim_service import ClaimService
 from .clock import Clock, SystemClock
 from .controller import Controller
 from .decisions import DecisionLog
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
+from .exchanges import ExchangeSender
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
 from .job_store import JobStore
+from .keyed_requests import KeyedRequests
 from .membership import Membership
 from .operators.app import operator_app
 from .operators.support import OperatorContext
@@ -42,7 +45,9 @@
 from .platform.store import Store
 from .platform.vm_service import HttpVmDirectory
 from .requests import RequestService
+from .results import ResultTable
 from .roles import RoleCandidate
+from .routing import ExecutorRouter
 from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
@@ -93,12 +98,20 @@
         self.replication = Replication(
             clock, self.state, self.peers, store, self.follower.changed
         )
+        self.router = ExecutorRouter(
+            clock,
+            settings.availability_zone,
+            self._zone_of,
+            self._load_of,
+            self._executors,
+        )
         self.admission = AdmissionController(
             clock,
             lambda vm: self.capacity.slots(vm),
             lambda team: self.capacity.units(team),
             self._executors,
             self._weight,
+            self.router.prefer,
         )
         self.capacity = CapacityService(clock, self.state, self.peers, self.admission)
         self.membership = Membership(
@@ -109,11 +122,24 @@
             self.capacity.book,
             self.capacity.resources,
         )
-        self.endpoints = EndpointClient()
+        self.endpoints = EndpointClient(self.capacity.connections)
         self.workers = HttpWorkerClient()
-        self.requests = RequestService(
-            clock, self.state, self.admission, self.endpoints
+        self.claims = ClaimService(
+            store, clock, self.state, self.peers, self.calls, self.incarnation
         )
+        self.results = ResultTable(clock)
+        keyed = KeyedRequests(
+            clock, self.claims, self.results, self.peers, self.calls, self.incarnation
+        )
+        sender = ExchangeSender(
+            clock,
+            self.state,
+            self.admission,
+            self.endpoints,
+            self.router,
+            self.decisions,
+        )
+        self.requests = RequestService(clock, self.state, sender, keyed)
         self.jobs = JobStore(store, clock, lambda: self.state.config)
         self.controller = Controller(clock, self.state, store)
         self.scheduler = Scheduler(
@@ -144,6 +170,7 @@
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.capacity.run)
         tasks.start_soon(self.capacity.run_repeats)
+        tasks.start_soon(self.claims.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -167,6 +194,7 @@
         while any(self.admission.running_by_vm.values()):
             await anyio.sleep(0.05)
         try:
+            await self.claims.close()
             await self.membership.leave()
         except (StoreError, ConflictError) as error:
             log.warning("partitions not released: {}", error)
@@ -222,6 +250,15 @@
         )
         self.capacity.on_state_change()
         self.membership.follow_table()
+        self.claims.refresh()
+        self.router.forget_except(self.state.vm_list.vms_by_name)
+
+    def _zone_of(self, vm: str) -> str:
+        record = self.state.vm_list.vms_by_name.get(vm)
+        return record.availability_zone if record is not None else ""
+
+    def _load_of(self, vm: str) -> float:
+        return self.admission.running_by_vm.get(vm, 0) / max(1, self.capacity.slots(vm))
 
     def _executors(self, service: str) -> list[str]:
         config = self.state.config.services_by_name.get(service)
--- a/src/pomeloyard/errors.py
+++ b/src/pomeloyard/errors.py
@@ -33,6 +33,10 @@
     """The store's answer was lost; the operation may have taken effect."""
 
 
+class WriteSupersededError(StoreOutcomeUnknownError):
+    """The answer was lost and the record was replaced since, so it cannot tell."""
+
+
 class StoreRequestError(StoreError):
     """The store rejected a request as invalid, for example a value over 1 MB."""
 
--- a/src/pomeloyard/job_store.py
+++ b/src/pomeloyard/job_store.py
@@ -11,7 +11,12 @@
 
 from .clock import Clock
 from .config.model import FleetConfig
-from .errors import RefusedError, StoreError, StoreUnavailableError
+from .errors import (
+    RefusedError,
+    StoreError,
+    StoreUnavailableError,
+    WriteSupersededError,
+)
 from .jobs import (
     JOB_ID_LENGTH,
     Job,
@@ -112,13 +117,14 @@
             await commit_changes(
                 self._store, [Change(s.job.key, s.job, None) for s in group]
             )
-        except ConflictError as conflict:
+        except (ConflictError, WriteSupersededError):
+            # A job's id follows from its key, so that creating it again is safe.
             if len(group) > 1:
                 middle = len(group) // 2
                 await self._commit_group(group[:middle])
                 await self._commit_group(group[middle:])
                 return
-            error = conflict
+            error = ConflictError(group[0].job.key)
         except StoreError as failure:
             error = failure
         for submission in group:
--- a/src/pomeloyard/loans.py
+++ b/src/pomeloyard/loans.py
@@ -106,6 +106,14 @@
             self._usable[resource] = cached
         return cached
 
+    def base(self, name: str, total: int) -> int:
+        """Return the part of a total that is never lent, such as connections."""
+        return sum(
+            base_amount(name, total, number, self._count)
+            for number, own in self._own.items()
+            if own.ready
+        )
+
     def ready_partitions(self) -> tuple[int, ...]:
         """Return the partitions whose units can be used or lent."""
         return tuple(sorted(n for n, own in self._own.items() if own.ready))
@@ -279,12 +287,7 @@
     # Internals
 
     def _base(self, resource: Resource) -> int:
-        total = self._total_of(resource)
-        return sum(
-            base_amount(resource.name, total, number, self._count)
-            for number, own in self._own.items()
-            if own.ready
-        )
+        return self.base(resource.name, self._total_of(resource))
 
     def _kept(self, resource: Resource) -> int:
         return sum(b.kept for (_, r), b in self._borrowed.items() if r == resource)
--- a/src/pomeloyard/platform/records.py
+++ b/src/pomeloyard/platform/records.py
@@ -9,7 +9,12 @@
 import logbook
 import msgspec
 
-from ..errors import PomeloyardError, StoreError, StoreOutcomeUnknownError
+from ..errors import (
+    PomeloyardError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    WriteSupersededError,
+)
 from .store import Compare, Delete, Entry, Put, Store, Transaction, new_write_id
 
 T = TypeVar("T")
@@ -98,6 +103,8 @@
             if lost is None:
                 raise ConflictError(changes[0].key)
             return await _resolve(store, changes, write_id)
+        except WriteSupersededError:
+            raise
         except StoreOutcomeUnknownError as error:
             lost = error
         except StoreError as error:
@@ -121,7 +128,7 @@
         raise ConflictError(changes[0].key)
     if not any(entries) and all(change.value is None for change in changes):
         return 0  # A deletion leaves no write id; absence is what was wanted.
-    raise StoreOutcomeUnknownError(f"{changes[0].key} was replaced since")
+    raise WriteSupersededError(f"{changes[0].key} was replaced since")
 
 
 def _certainly_not_written(change: Change, entry: Entry | None) -> bool:
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -23,13 +23,13 @@
         super().__init__(clock)
         self.down = False
         self.answers_to_lose = 0
-        self.calls: dict[str, int] = {}
+        self.calls_by_method: dict[str, int] = {}
         self.before_commit: Callable[[], Coroutine[Any, Any, None]] | None = None
 
     def _called(self, method: str) -> None:
         if self.down:
             raise StoreUnavailableError("down")
-        self.calls[method] = self.calls.get(method, 0) + 1
+        self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
 
     async def get(self, key):
         self._called("get")
--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -73,7 +73,7 @@
             clock, jobs.submit("desk", replace(GOOD, **changes), "")
         )
         assert result.refusal.reason is reason
-        assert not store.calls
+        assert not store.calls_by_method
 
     anyio.run(check)
 
@@ -84,7 +84,7 @@
     async def check():
         clock, store, jobs = make()
         first = await with_clock(clock, jobs.submit("mill", GOOD, "k7"))
-        store.calls.clear()
+        store.calls_by_method.clear()
         other = replace(GOOD, cores=3.0)
         wave = [(GOOD, f"k{n}") for n in range(150)]
         wave += [(GOOD, "k8"), (other, "k9"), (other, "k7")]
@@ -95,7 +95,7 @@
         assert results[151:] == [RefusalReason.KEY_REUSED] * 2
         assert len({job.job_id for job in results[:150]}) == 150
         assert len((await store.scan("jobs/")).entries) == 150
-        assert store.calls["commit"] <= 20
+        assert store.calls_by_method["commit"] <= 20
         # Open queues accept any team; a repeat later returns the same job.
         night = replace(GOOD, queue="night")
         assert (await with_clock(clock, jobs.submit("desk", night, "x"))).team == "desk"
@@ -148,11 +148,11 @@
         clock, store, jobs = make()
         wave = [(GOOD, str(n)) for n in range(5000)]
         mine = await submit_all(clock, jobs, "mill", wave)
-        store.calls.clear()
+        store.calls_by_method.clear()
         ids = [] if by_label else [job.job_id for job in mine]
         states = await jobs.cancel("mill", ids, "nightly" if by_label else "")
         assert set(states.values()) == {JobState.CANCELLED}
         assert len(states) == 5000
-        assert store.calls == {"scan": 5, "commit": 50}
+        assert store.calls_by_method == {"scan": 5, "commit": 50}
 
     anyio.run(check)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -34,8 +34,8 @@
         await bench.submit_many("mill", ONCE, 40)
         async with bench.scheduler():
             await bench.run(60)
-        assert bench.store.calls["scan"] == 1
-        assert bench.store.calls["commit"] < 60
+        assert bench.store.calls_by_method["scan"] == 1
+        assert bench.store.calls_by_method["commit"] < 60
         jobs = await bench.jobs()
         assert {job.state for job in jobs.values()} == {JobState.SUCCEEDED}
         assert len(bench.workers.runs) == 40
@@ -262,12 +262,12 @@
         async with bench.scheduler():
             await bench.run(4)
             assert len(bench.workers.running()) == 4
-            bench.store.calls.clear()
+            bench.store.calls_by_method.clear()
             await jobs.cancel("mill", label="night")
             await bench.run(6)
             assert bench.workers.running() == []
-            assert bench.store.calls["commit"] <= 60
-            assert bench.store.calls.get("get", 0) <= 10
+            assert bench.store.calls_by_method["commit"] <= 60
+            assert bench.store.calls_by_method.get("get", 0) <= 10
         states = {job.state for job in (await bench.jobs()).values()}
         assert states == {JobState.CANCELLED}
 
