Report every error of all configuration files at once

The reader stopped at the first error of an entry, let untyped errors out for malformed tables and checked neither ranges nor references.

Entries are now converted field by field, with the allowed range of every number, name patterns, durations as texts, suggestions for misspelt names, duplicates across files, and references between tables. The checks of a whole configuration are pure, so that a daemon can repeat them.

--- /dev/null
+++ b/src/pomeloyard/config/checks.py
@@ -0,0 +1,128 @@
+"""Checks of a whole configuration; pure, used by the tool and by the daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from .conversion import range_problems
+from .model import FleetConfig
+from .problems import ConfigProblem
+
+TABLES = ("regions", "pools", "services", "teams", "queues")
+
+FileOf = Callable[[str], str]
+"""Returns the file that defines a path such as "pools.orders"."""
+
+
+def no_file(path: str) -> str:
+    """Return an empty name, for a configuration that did not come from files."""
+    return ""
+
+
+def entries_by_table(config: FleetConfig) -> dict[str, Mapping[str, Any]]:
+    """Return the entries of each table by name."""
+    return {table: getattr(config, f"{table}_by_name") for table in TABLES}
+
+
+def config_problems(
+    config: FleetConfig, file_of: FileOf = no_file
+) -> list[ConfigProblem]:
+    """Return everything that is wrong with a configuration of valid types."""
+    problems: list[ConfigProblem] = []
+    if not config.name:
+        problems.append(
+            ConfigProblem(file_of("fleet"), "fleet.name", "is missing", "a name")
+        )
+    problems += range_problems(
+        config.maintenance, file_of("maintenance"), "maintenance"
+    )
+    for table, entries in entries_by_table(config).items():
+        for name, entry in entries.items():
+            path = f"{table}.{name}"
+            problems += range_problems(entry, file_of(path), path)
+            if entry.name != name:
+                problems.append(
+                    ConfigProblem(
+                        file_of(path), f"{path}.name", "differs from its key", name
+                    )
+                )
+    for check in (_region_problems, _service_problems, _team_problems, _queue_problems):
+        problems += check(config, file_of)
+    return problems
+
+
+def _region_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
+    region_by_zone: dict[str, str] = {}
+    for region in config.regions_by_name.values():
+        path = f"regions.{region.name}"
+        if not region.availability_zones:
+            place = f"{path}.availability_zones"
+            yield ConfigProblem(file_of(path), place, "is empty", "at least one zone")
+        for zone in region.availability_zones:
+            other = region_by_zone.setdefault(zone, region.name)
+            if other != region.name or region.availability_zones.count(zone) > 1:
+                wrong = f'zone "{zone}" occurs twice, first in region "{other}"'
+                yield ConfigProblem(file_of(path), f"{path}.availability_zones", wrong)
+
+
+def _service_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
+    zones = {z for r in config.regions_by_name.values() for z in r.availability_zones}
+    for service in config.services_by_name.values():
+        path = f"services.{service.name}"
+        file = file_of(path)
+        yield from _missing(
+            file, f"{path}.pool", "pool", [service.pool], config.pools_by_name
+        )
+        owner = [service.team] if service.team is not None else []
+        yield from _missing(file, f"{path}.team", "team", owner, config.teams_by_name)
+        pool = config.pools_by_name.get(service.pool)
+        if pool is None:
+            continue
+        total = pool.executors + pool.workers
+        needed = service.budget.min_available
+        if isinstance(needed, int) and needed > total:
+            wrong = f"{needed} VMs, but pool {pool.name} has {total}"
+            place = f"{path}.budget.min_available"
+            yield ConfigProblem(file, place, wrong, f"at most {total}")
+        per_zone = service.budget.min_available_per_zone
+        if isinstance(per_zone, int) and per_zone * len(zones) > total:
+            wrong = f"{per_zone} VMs in {len(zones)} zones, but the pool has {total}"
+            yield ConfigProblem(file, f"{path}.budget.min_available_per_zone", wrong)
+
+
+def _team_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
+    for team in config.teams_by_name.values():
+        if team.job_limit > team.limit:
+            path = f"teams.{team.name}"
+            wrong = f"{team.job_limit} is over the team's limit"
+            expected = f"at most {team.limit}"
+            yield ConfigProblem(file_of(path), f"{path}.job_limit", wrong, expected)
+
+
+def _queue_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
+    for queue in config.queues_by_name.values():
+        path = f"queues.{queue.name}"
+        file = file_of(path)
+        yield from _missing(
+            file, f"{path}.pools", "pool", queue.pools, config.pools_by_name
+        )
+        yield from _missing(
+            file, f"{path}.teams", "team", queue.teams, config.teams_by_name
+        )
+        if not queue.pools:
+            yield ConfigProblem(file, f"{path}.pools", "is empty", "at least one pool")
+        if queue.open == bool(queue.teams):
+            wrong = "a queue is open to all teams or to the listed teams"
+            yield ConfigProblem(file, path, wrong, "either open = true or teams")
+
+
+def _missing(
+    file: str, path: str, kind: str, names: Iterable[str], known: Mapping[str, object]
+) -> Iterable[ConfigProblem]:
+    for name in names:
+        if name not in known:
+            shown = ", ".join(sorted(known)[:10]) or "none is defined"
+            yield ConfigProblem(
+                file, path, f'there is no {kind} "{name[:100]}"', f"one of: {shown}"
+            )
--- a/src/pomeloyard/config/reader.py
+++ b/src/pomeloyard/config/reader.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
-from ..errors import ConfigurationError
+from .checks import config_problems
+from .conversion import convert
+from .limits import EXPECTED_NAME, NAME_PATTERN
 from .model import (
     FleetConfig,
     MaintenanceConfig,
@@ -20,65 +20,164 @@
     ServiceConfig,
     TeamConfig,
 )
+from .problems import ConfigProblem, ConfigProblemsError, unknown_name
+
+__all__ = ["ConfigProblem", "ConfigProblemsError", "read_directories"]
 
 FILE_PATTERN = "*.pomeloyard.toml"
+MAX_FILE_BYTES = 1024 * 1024
 
+_KINDS_BY_TABLE: dict[str, type] = {
+    "regions": RegionConfig,
+    "pools": PoolConfig,
+    "services": ServiceConfig,
+    "teams": TeamConfig,
+    "queues": QueueConfig,
+}
+_SINGLE_TABLES = ("fleet", "maintenance")
+_LINE = re.compile(r"\(at line (\d+), column \d+\)")
 
-@dataclass(frozen=True, slots=True)
-class ConfigProblem:
-    """One error: where it is, what is wrong and what was expected."""
 
-    file: str
-    path: str
-    problem: str
-    expected: str = ""
+def read_directories(directories: Iterable[Path]) -> FleetConfig:
+    """Read and check all files below the directories; raises ConfigProblemsError."""
+    problems: list[ConfigProblem] = []
+    files: set[Path] = set()
+    for directory in directories:
+        found = [directory] if directory.is_file() else directory.rglob(FILE_PATTERN)
+        before = len(files)
+        files.update(found)
+        if len(files) == before:
+            problems.append(
+                ConfigProblem(str(directory), "", "no files found", FILE_PATTERN)
+            )
+    contents: dict[str, dict[str, Any]] = {}
+    for file in sorted(files):
+        try:
+            contents[str(file)] = parse_file(file.read_bytes(), str(file))
+        except ConfigProblemsError as error:
+            problems += error.problems
+        except OSError as error:
+            wrong = error.strerror or repr(error)
+            problems.append(ConfigProblem(str(file), "", wrong, "a readable file"))
+    return read_contents(contents, problems)
 
 
-class ConfigProblemsError(ConfigurationError):
-    """The configuration files contain errors; nothing was published."""
+def parse_file(content: bytes, file: str) -> dict[str, Any]:
+    """Return the TOML document of one file; raises ConfigProblemsError."""
+    try:
+        if len(content) > MAX_FILE_BYTES:
+            raise ValueError(f"{len(content)} bytes are over {MAX_FILE_BYTES}")
+        return tomllib.loads(content.decode())
+    except (ValueError, RecursionError) as error:
+        text = str(error)
+        match = _LINE.search(text)
+        line = int(match[1]) if match else 0
+        problem = ConfigProblem(file, "", text, "valid TOML in UTF-8", line)
+        raise ConfigProblemsError([problem]) from error
 
-    def __init__(self, problems: list[ConfigProblem]) -> None:
-        super().__init__(f"{len(problems)} errors in the configuration")
-        self.problems = problems
 
+def read_contents(
+    contents_by_file: Mapping[str, dict[str, Any]],
+    earlier_problems: Iterable[ConfigProblem] = (),
+) -> FleetConfig:
+    """Return the configuration of parsed files; raises ConfigProblemsError."""
+    collector = _Collector()
+    collector.problems += earlier_problems
+    for file, content in contents_by_file.items():
+        collector.add_file(file, content)
+    return collector.finish()
 
-_TABLES: dict[str, tuple[str, type]] = {
-    "regions": ("regions_by_name", RegionConfig),
-    "pools": ("pools_by_name", PoolConfig),
-    "services": ("services_by_name", ServiceConfig),
-    "teams": ("teams_by_name", TeamConfig),
-    "queues": ("queues_by_name", QueueConfig),
-}
 
+class _Collector:
+    """Collects entries of all files with the file that defines each."""
 
-def read_directories(directories: Iterable[Path]) -> FleetConfig:
-    """Read all files below the directories; raises ConfigProblemsError."""
-    files = sorted(f for d in directories for f in d.rglob(FILE_PATTERN))
-    problems: list[ConfigProblem] = []
-    values: dict[str, Any] = {field: {} for field, _ in _TABLES.values()}
-    name = ""
-    for file in files:
-        try:
-            content = tomllib.loads(file.read_text())
-        except (OSError, tomllib.TOMLDecodeError) as error:
-            problems.append(ConfigProblem(str(file), "", str(error), "valid TOML"))
-            continue
-        name = content.pop("fleet", {}).get("name", name)
-        if "maintenance" in content:
-            values["maintenance"] = msgspec.convert(
-                content.pop("maintenance"), MaintenanceConfig, strict=False
+    def __init__(self) -> None:
+        self.problems: list[ConfigProblem] = []
+        self._file_by_path: dict[str, str] = {}
+        self._entries: dict[str, dict[str, Any]] = {t: {} for t in _KINDS_BY_TABLE}
+        self._name = ""
+        self._maintenance = MaintenanceConfig()
+
+    def add_file(self, file: str, content: dict[str, Any]) -> None:
+        """Add the tables of one file."""
+        for table, value in content.items():
+            if table not in _KINDS_BY_TABLE and table not in _SINGLE_TABLES:
+                known = [*_KINDS_BY_TABLE, *_SINGLE_TABLES]
+                self.problems.append(unknown_name(file, table, table, known))
+            elif not isinstance(value, dict):
+                self._add_problem(file, table, "is not a table", f"[{table}]")
+            elif table in _KINDS_BY_TABLE:
+                for name, entry in value.items():
+                    self._add_entry(file, table, name, entry)
+            elif self._is_new(file, table):
+                self._add_single(file, table, value)
+
+    def finish(self) -> FleetConfig:
+        """Return the checked configuration; raises ConfigProblemsError."""
+        entries = {f"{table}_by_name": e for table, e in self._entries.items()}
+        config = FleetConfig(
+            name=self._name,
+            maintenance=self._maintenance,
+            **entries,  # type: ignore[arg-type]
+        )
+        # References to entries with errors of their own would be reported twice.
+        broken = {p.path for p in self.problems}
+        for problem in config_problems(config, lambda p: self._file_by_path.get(p, "")):
+            if problem.path not in broken and not self._refers_to_broken(problem):
+                self.problems.append(problem)
+        if self.problems:
+            raise ConfigProblemsError(self.problems)
+        return config
+
+    def _refers_to_broken(self, problem: ConfigProblem) -> bool:
+        return any(
+            problem.problem == f'there is no {table[:-1]} "{name}"'
+            for table, _, name in (p.partition(".") for p in self._file_by_path)
+            if name and name not in self._entries.get(table, {})
+        )
+
+    def _add_entry(self, file: str, table: str, name: str, entry: object) -> None:
+        path = f"{table}.{name[:100]}"
+        if not self._is_new(file, path):
+            return
+        if not NAME_PATTERN.fullmatch(name):
+            self._add_problem(file, path, "invalid name", EXPECTED_NAME)
+        elif not isinstance(entry, dict):
+            self._add_problem(file, path, "is not a table", f"[{path}]")
+        elif "name" in entry:
+            self._add_problem(file, f"{path}.name", "the table's key is the name")
+        else:
+            kind = _KINDS_BY_TABLE[table]
+            item, problems = convert({"name": name, **entry}, kind, file, path)
+            self.problems += problems
+            if item is not None:
+                self._entries[table][name] = item
+
+    def _add_single(self, file: str, table: str, value: dict[str, Any]) -> None:
+        if table == "maintenance":
+            item, problems = convert(value, MaintenanceConfig, file, table)
+            self.problems += problems
+            self._maintenance = item or self._maintenance
+            return
+        for key in value:
+            if key != "name":
+                place = f"{table}.{key}"
+                self.problems.append(unknown_name(file, place, key, ["name"]))
+        name = value.get("name")
+        if isinstance(name, str) and NAME_PATTERN.fullmatch(name):
+            self._name = name
+        else:
+            self._add_problem(file, "fleet.name", "invalid name", EXPECTED_NAME)
+
+    def _is_new(self, file: str, path: str) -> bool:
+        other = self._file_by_path.setdefault(path, file)
+        if other != file:
+            self._add_problem(
+                file, path, f"is also defined in {other}", "one definition"
             )
-        for table, entries in content.items():
-            if table not in _TABLES:
-                problems.append(ConfigProblem(str(file), table, "unknown table"))
-                continue
-            field, kind = _TABLES[table]
-            for key, entry in entries.items():
-                try:
-                    values[field][key] = msgspec.convert({"name": key, **entry}, kind)
-                except msgspec.ValidationError as error:
-                    path = f"{table}.{key}"
-                    problems.append(ConfigProblem(str(file), path, str(error)))
-    if problems:
-        raise ConfigProblemsError(problems)
-    return FleetConfig(name=name, **values)
+        return other == file
+
+    def _add_problem(
+        self, file: str, path: str, problem: str, expected: str = ""
+    ) -> None:
+        self.problems.append(ConfigProblem(file, path, problem, expected))
