Publish revisions with typed conflicts, history and rollback; withdraw keys at once

Cause: a lost race was a bare conflict, history was unbounded, and a key could not be withdrawn while the store was down. A commit whose answer was lost and whose retry met an outage was reported as certainly not written, although it may have been.

A withdrawal holds locally and is sent to peers before the store write, which a task repeats after an outage. commit_changes now reports an outage after a lost answer as unknown. Peer handlers of one message type may be several.

--- a/src/pomeloyard/admission.py
+++ b/src/pomeloyard/admission.py
@@ -63,6 +63,14 @@
         """Return how many requests wait for a service."""
         return sum(len(q) for q in self._queues_by_service[service].values())
 
+    def queued_by_team(self) -> dict[str, int]:
+        """Return how many requests of each team wait, over all services."""
+        counts: dict[str, int] = defaultdict(int)
+        for queues in self._queues_by_service.values():
+            for team, queue in queues.items():
+                counts[team] += len(queue)
+        return counts
+
     async def acquire(
         self,
         service: str,
--- a/src/pomeloyard/cli/keys.py
+++ b/src/pomeloyard/cli/keys.py
@@ -19,7 +19,7 @@
 @click.pass_obj
 def grant(client: OperatorClient, team: str, role: str) -> None:
     """Grant a key to a team or an operator."""
-    show(client.call("POST", "/v1/keys", {"team": team, "role": role}))
+    show(client.call("POST", "/v1/keys", {"team": team, "role": role or None}))
 
 
 @key.command("withdraw")
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -26,7 +26,9 @@
 from .errors import SettingsError, StoreError
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
+from .heartbeats import HeartbeatBook
 from .jobs import JobStore
+from .key_service import KeyService
 from .membership import Membership
 from .operators.app import operator_app
 from .operators.support import OperatorContext
@@ -43,6 +45,7 @@
 from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
+from .usage import TeamUsage, team_usages
 from .workers.client import WorkerClient
 
 log = logbook.Logger("pomeloyard.daemon")
@@ -95,6 +98,11 @@
             clock, self.state, self.admission, self.endpoints
         )
         self.jobs = JobStore(store, clock)
+        self.heartbeats = HeartbeatBook(clock)
+        self.peers.on(Heartbeat, self.heartbeats.note)
+        self.keys = KeyService(
+            store, clock, self.state, self.peers.broadcast, self.decisions
+        )
         self.controller = Controller(clock, self.state, store)
         self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
         self._servers: list[EmbeddedServer] = []
@@ -119,6 +127,7 @@
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.keys.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -157,6 +166,11 @@
             controller=self.controller,
             jobs=self.jobs,
             decisions=self.decisions,
+            keys=self.keys,
+            daemon_statuses=lambda: self.heartbeats.statuses(
+                self.state, self.incarnation, self._heartbeat()
+            ),
+            team_usage=self._team_usage,
         )
 
     def _serve(self, tasks: TaskGroup, app: Starlette, address: str) -> None:
@@ -191,6 +205,11 @@
             state.store_reachable,
         )
 
+    def _team_usage(self) -> list[TeamUsage]:
+        teams = self.state.config.teams_by_name
+        queued = self.admission.queued_by_team()
+        return team_usages(teams, self.admission.running_by_team, queued)
+
     def _on_change(self) -> None:
         self.peers.addresses.update(
             record.peer_address for record in self.state.daemons_by_incarnation.values()
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from .config.model import FleetConfig
@@ -47,6 +48,8 @@
     vm_list: VmList = field(default_factory=lambda: VmList({}, 0))
     roles_by_name: dict[str, RoleRecord] = field(default_factory=dict)
     store_reachable: bool = False
+    failed_authentications: Counter[str] = field(default_factory=Counter)
+    """Refused authentications since the start, by reason."""
 
     def vms_of(self, pool: str, role: VmRole) -> list[Vm]:
         """Return the VMs assigned to a pool, in name order."""
--- a/src/pomeloyard/keys.py
+++ b/src/pomeloyard/keys.py
@@ -5,10 +5,16 @@
 import hashlib
 import hmac
 import secrets
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
 KEY_PREFIX = "py1"
+NO_KEY_SHA256 = "0" * 64
+MAX_KEYS = 4000
+"""Keys in the ring; at about 200 bytes each it stays below the store's 1 MB."""
+MAX_WITHDRAWN = 1000
+"""Withdrawn keys kept for listing; a key without a record is invalid as well."""
 
 
 class Role(Enum):
@@ -31,6 +37,9 @@
     team: str = ""
     role: Role | None = None
     withdrawn: bool = False
+    granted_at: str = ""
+    granted_by: str = ""
+    withdrawn_at: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +55,24 @@
 
     def without_key(self, key_id: str) -> KeyRing:
         """Return a ring in which the key is marked as withdrawn."""
-        record = replace(self.keys_by_id[key_id], withdrawn=True)
-        return KeyRing(self.version + 1, {**self.keys_by_id, key_id: record})
+        return self.without_keys((key_id,))
+
+    def without_keys(self, key_ids: Collection[str], at: str = "") -> KeyRing:
+        """Return a ring in which the keys are marked as withdrawn at ``at``.
+
+        Only the latest withdrawn keys are kept.
+        """
+        keys = dict(self.keys_by_id)
+        for key_id in key_ids:
+            keys[key_id] = replace(keys[key_id], withdrawn=True, withdrawn_at=at)
+        withdrawn = sorted((k.withdrawn_at, i) for i, k in keys.items() if k.withdrawn)
+        for _, key_id in withdrawn[:-MAX_WITHDRAWN]:
+            del keys[key_id]
+        return KeyRing(self.version + 1, keys)
+
+    def valid_ids(self) -> frozenset[str]:
+        """Return the ids of the keys that are not withdrawn."""
+        return frozenset(i for i, k in self.keys_by_id.items() if not k.withdrawn)
 
 
 def new_key(team: str = "", role: Role | None = None) -> tuple[str, KeyRecord]:
@@ -62,6 +87,12 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def key_id_of(text: str) -> str:
+    """Return the public id within a key's text, or an empty string."""
+    parts = text.split(".")
+    return parts[1] if len(parts) == 3 and parts[0] == KEY_PREFIX else ""
+
+
 def find_key(
     ring: KeyRing, text: str, withdrawn_ids: frozenset[str] | set[str] = frozenset()
 ) -> KeyRecord | None:
@@ -73,12 +104,19 @@
     >>> find_key(KeyRing().with_key(record), text + "x") is None
     True
     """
-    parts = text.split(".")
-    if len(parts) != 3 or parts[0] != KEY_PREFIX:
-        return None
-    record = ring.keys_by_id.get(parts[1])
-    expected = record.sha256 if record is not None else "0" * 64
-    matches = hmac.compare_digest(expected, hash_key(text))
+    return find_key_by_hash(ring, key_id_of(text), hash_key(text), withdrawn_ids)
+
+
+def find_key_by_hash(
+    ring: KeyRing,
+    key_id: str,
+    sha256: str,
+    withdrawn_ids: frozenset[str] | set[str] = frozenset(),
+) -> KeyRecord | None:
+    """Return the record of a valid key from its id and the hash of its text."""
+    record = ring.keys_by_id.get(key_id)
+    expected = record.sha256 if record is not None else NO_KEY_SHA256
+    matches = hmac.compare_digest(expected, sha256)
     if record is None or not matches:
         return None
     if record.withdrawn or record.key_id in withdrawn_ids:
--- a/src/pomeloyard/operators/support.py
+++ b/src/pomeloyard/operators/support.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 from starlette.requests import Request
@@ -12,11 +14,19 @@
 from ..clock import Clock
 from ..controller import Controller
 from ..decisions import DecisionLog
+from ..errors import RefusedError
 from ..fleet_state import FleetState
+from ..heartbeats import DaemonStatus
 from ..jobs import JobStore
+from ..key_service import KeyService
 from ..keys import KeyRecord, Role
+from ..outcomes import RefusalReason, Refused
 from ..platform.store import Store
 
+MAX_BODY_BYTES = 2 * 1024 * 1024
+
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class OperatorContext:
@@ -28,6 +38,9 @@
     controller: Controller
     jobs: JobStore
     decisions: DecisionLog
+    keys: KeyService
+    daemon_statuses: Callable[[], list[DaemonStatus]]
+    team_usage: Callable[[], object]
 
     def check(self, request: Request, role: Role) -> KeyRecord:
         """Return the operator's key record; raises RefusedError."""
@@ -38,3 +51,26 @@
 def json_response(value: object, status: int = 200) -> Response:
     """Return a JSON response."""
     return Response(msgspec.json.encode(value), status, media_type="application/json")
+
+
+async def read_json(request: Request, kind: type[T]) -> T:
+    """Return the body as an instance of ``kind``; raises RefusedError."""
+    body = b""
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            detail = f"the body is over {MAX_BODY_BYTES} bytes"
+            raise RefusedError(Refused(RefusalReason.TOO_LARGE, detail))
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise RefusedError(Refused(RefusalReason.INVALID_INPUT, str(error))) from error
+
+
+def query_number(request: Request, name: str) -> int:
+    """Return a required number of the query; raises RefusedError."""
+    text = request.query_params.get(name, "")
+    if not (text.isascii() and text.isdigit() and len(text) <= 10):
+        detail = f"{name} must be a whole number"
+        raise RefusedError(Refused(RefusalReason.INVALID_INPUT, detail))
+    return int(text)
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -60,14 +60,14 @@
         self.heartbeat: Callable[[], Message | None] = lambda: None
         self.on_connect: list[Callable[[str], None]] = []
         self.on_goodbye: list[Callable[[str], None]] = []
-        self._handlers_by_type: dict[type, Handler] = {}
+        self._handlers_by_type: dict[type, list[Handler]] = {}
         self._dialling: set[str] = set()
         self._tasks: TaskGroup | None = None
         self._listener: anyio.abc.Listener[Any] | None = None
 
     def on(self, kind: type, handler: Handler) -> None:
-        """Register the handler of a message type; it must not block."""
-        self._handlers_by_type[kind] = handler
+        """Add a handler of a message type; it must not block."""
+        self._handlers_by_type.setdefault(kind, []).append(handler)
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen on the daemon's own address and dial the others."""
@@ -201,8 +201,7 @@
                 for callback in self.on_goodbye:
                     callback(message.incarnation)
                 return
-            handler = self._handlers_by_type.get(type(message))
-            if handler is not None:
+            for handler in self._handlers_by_type.get(type(message), ()):
                 handler(connection.hello.incarnation, message)
 
     async def _receive(self, reader: BufferedByteReceiveStream) -> Message:
--- a/src/pomeloyard/platform/layout.py
+++ b/src/pomeloyard/platform/layout.py
@@ -13,6 +13,7 @@
 ROLES = "f/roles/"
 
 CONFIG_REVISIONS = "config/revisions/"
+CONFIG_HISTORY = "config/history"
 JOBS = "jobs/"
 CLAIMS = "claims/"
 BUDGETS = "budgets/"
--- a/src/pomeloyard/platform/records.py
+++ b/src/pomeloyard/platform/records.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from ..errors import PomeloyardError, StoreOutcomeUnknownError
+from ..errors import (
+    PomeloyardError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from .store import Compare, Delete, Entry, Put, Store, Transaction, new_write_id
 
 T = TypeVar("T")
@@ -89,9 +93,18 @@
         except StoreOutcomeUnknownError as error:
             lost = error
             continue
+        except StoreUnavailableError:
+            # Only the first attempt's failure shows that nothing was written.
+            if lost is None:
+                raise
+            continue
         if result.succeeded:
             return result.revision
-        return await _resolve(store, changes, write_id, lost)
+        try:
+            return await _resolve(store, changes, write_id, lost)
+        except StoreUnavailableError as error:
+            detail = f"commit of {changes[0].key}"
+            raise StoreOutcomeUnknownError(detail) from error
     raise StoreOutcomeUnknownError(f"commit of {changes[0].key}") from lost
 
 
--- a/src/pomeloyard/problems.py
+++ b/src/pomeloyard/problems.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from datetime import timedelta
 
 import msgspec
@@ -42,11 +43,21 @@
 UNKNOWN_STATUS = 502
 
 
-def refusal_response(refusal: Refused) -> Response:
-    """Return the response for an operation that certainly did not run."""
+def refusal_response(
+    refusal: Refused, members: Mapping[str, object] | None = None
+) -> Response:
+    """Return the response for an operation that certainly did not run.
+
+    ``members`` are extension members of the problem details.
+    """
     status = STATUS_BY_REASON.get(refusal.reason, 503)
     return _problem(
-        status, refusal.reason.value, "not-run", refusal.detail, refusal.retry_after
+        status,
+        refusal.reason.value,
+        "not-run",
+        refusal.detail,
+        refusal.retry_after,
+        members,
     )
 
 
@@ -61,8 +72,10 @@
     outcome: str,
     detail: str,
     retry_after: timedelta | None = None,
+    members: Mapping[str, object] | None = None,
 ) -> Response:
     body = {
+        **(members or {}),
         "type": f"urn:pomeloyard:{reason}",
         "title": reason.replace("-", " "),
         "status": status,
--- /dev/null
+++ b/tests/support/faulty_store.py
@@ -0,0 +1,35 @@
+"""In-memory store with outages and lost answers."""
+
+from __future__ import annotations
+
+from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from pomeloyard.platform.memory import MemoryStore
+
+
+class FaultyStore(MemoryStore):
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.down = False
+        self.lost_answers = 0
+        self.down_after_lost = False
+        self.before_commit = None
+
+    async def get(self, key):
+        self._check_up()
+        return await super().get(key)
+
+    async def commit(self, transaction):
+        self._check_up()
+        if self.before_commit is not None:
+            race, self.before_commit = self.before_commit, None
+            await race()
+        result = await super().commit(transaction)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            self.down = self.down_after_lost
+            raise StoreOutcomeUnknownError("answer lost")
+        return result
+
+    def _check_up(self):
+        if self.down:
+            raise StoreUnavailableError("down")
