--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -6,16 +6,14 @@
 import secrets
 import signal
 import socket
+import ssl
 import sys
 from pathlib import Path
 
 import anyio
 import logbook
 from anyio.abc import TaskGroup
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
+from starlette.types import ASGIApp
 
 from .admission import AdmissionController
 from .callers.app import caller_app
@@ -29,7 +27,10 @@
 from .heartbeats import HeartbeatBook
 from .jobs import JobStore
 from .key_service import KeyService
+from .logs import DecisionSink, JsonLogHandler, LogWriter
 from .membership import Membership
+from .metrics import FleetMetrics, MetricSources, RequestMetrics
+from .monitoring import monitoring_app
 from .operators.app import operator_app
 from .operators.support import OperatorContext
 from .peers.calls import PeerCalls
@@ -40,11 +41,13 @@
 from .platform.records import ConflictError
 from .platform.store import Store
 from .platform.vm_service import HttpVmDirectory
+from .readiness import NotReadyReason, not_ready_reasons
 from .requests import RequestService
 from .roles import RoleCandidate
 from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
+from .tls import TlsContexts
 from .usage import TeamUsage, team_usages
 from .workers.client import WorkerClient
 
@@ -67,6 +70,8 @@
         self.directory = directory
         self.state = FleetState()
         self.decisions = DecisionLog()
+        self.tls = TlsContexts(settings)
+        self.log_writer = LogWriter(clock, settings.log_file, settings.log_queue_lines)
         self.incarnation = f"{settings.vm}.{secrets.token_hex(4)}"
         record = DaemonRecord(
             incarnation=self.incarnation,
@@ -88,6 +93,8 @@
             ),
         )
         self.peers.addresses.update(settings.peers)
+        self.peers.server_tls = self.tls.peer_server
+        self.peers.client_tls = self.tls.peer_client
         self.calls = PeerCalls(self.peers)
         self.admission = AdmissionController(
             clock, self._slots, self._units, self._executors, self._weight
@@ -105,10 +112,33 @@
         )
         self.controller = Controller(clock, self.state, store)
         self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
+        self.metrics = FleetMetrics(
+            clock,
+            MetricSources(
+                self.incarnation,
+                self.state,
+                self.admission,
+                self.peers,
+                self.log_writer,
+                self._team_usage,
+            ),
+        )
+        self.decisions.sinks += [
+            DecisionSink(self.log_writer),
+            self.metrics.count_decision,
+        ]
         self._servers: list[EmbeddedServer] = []
+        self._closing = False
 
     async def run(self) -> None:
-        """Run until SIGTERM or SIGINT."""
+        """Run until SIGTERM or SIGINT, logging JSON lines."""
+        try:
+            with JsonLogHandler(self.log_writer, self.settings.log_level):
+                await self._run()
+        finally:
+            self.log_writer.close()
+
+    async def _run(self) -> None:
         async with anyio.create_task_group() as tasks:
             await self.start(tasks)
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -128,6 +158,8 @@
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.keys.run)
+        tasks.start_soon(self.log_writer.run)
+        tasks.start_soon(self.tls.run, self.clock)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -139,13 +171,18 @@
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
         operator = operator_app(self._operator_context())
-        self._serve(tasks, caller, settings.caller_address)
-        self._serve(tasks, operator, settings.operator_address)
-        self._serve(tasks, self._metrics_app(), settings.metrics_address)
+        counted = RequestMetrics(caller, self.metrics, self.clock, self.state)
+        self._serve(tasks, counted, settings.caller_address, self.tls.caller)
+        self._serve(tasks, operator, settings.operator_address, self.tls.operator)
+        monitoring = monitoring_app(self.metrics, self._not_ready_reasons)
+        self._serve(tasks, monitoring, settings.metrics_address, self.tls.operator)
+        if settings.allow_plaintext:
+            log.warning("plaintext is allowed on addresses other than loopback")
         log.info("{} started", self.incarnation)
 
     async def close(self) -> None:
         """Stop accepting, finish running requests and give up partitions."""
+        self._closing = True
         for server in self._servers:
             server.should_exit = True
         while any(self.admission.running_by_vm.values()):
@@ -173,29 +210,24 @@
             team_usage=self._team_usage,
         )
 
-    def _serve(self, tasks: TaskGroup, app: Starlette, address: str) -> None:
+    def _not_ready_reasons(self) -> list[NotReadyReason]:
+        return not_ready_reasons(self.state, closing=self._closing)
+
+    def _serve(
+        self,
+        tasks: TaskGroup,
+        app: ASGIApp,
+        address: str,
+        tls: ssl.SSLContext | None,
+    ) -> None:
         host, port = address.rsplit(":", 1)
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
-        server = EmbeddedServer(server_config(app))
+        server = EmbeddedServer(server_config(app, tls=tls))
         self._servers.append(server)
         tasks.start_soon(server.serve, [listener])
 
-    def _metrics_app(self) -> Starlette:
-        async def ready(request: Request) -> Response:
-            is_ready = self.state.config.revision > 0
-            return Response(
-                "ready" if is_ready else "not ready", 200 if is_ready else 503
-            )
-
-        return Starlette(
-            routes=[
-                Route("/healthz", lambda request: Response("ok")),
-                Route("/readyz", ready),
-            ]
-        )
-
     def _heartbeat(self) -> Heartbeat:
         state = self.state
         return Heartbeat(
@@ -245,22 +277,22 @@
 
 
 def main() -> None:
-    """Run the daemon with a settings file."""
+    """Run the daemon with a settings file, or a whole small fleet for trying it out."""
     parser = argparse.ArgumentParser(prog="pomeloyardd", description=main.__doc__)
-    parser.add_argument("--settings", type=Path, required=True)
+    ways = parser.add_mutually_exclusive_group(required=True)
+    ways.add_argument("--settings", type=Path, help="TOML file of this daemon")
     arguments = parser.parse_args()
     try:
         settings = load_settings(arguments.settings)
+        daemon = Daemon(
+            settings,
+            EtcdStore(settings.store_url),
+            HttpVmDirectory(settings.directory_url),
+            SystemClock(),
+        )
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(2) from error
-    logbook.StreamHandler(sys.stderr, level="INFO").push_application()
-    daemon = Daemon(
-        settings,
-        EtcdStore(settings.store_url),
-        HttpVmDirectory(settings.directory_url),
-        SystemClock(),
-    )
     anyio.run(daemon.run)
 
 
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -12,6 +13,7 @@
 from anyio.abc import ByteStream, SocketAttribute, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from anyio.streams.tls import TLSStream
 
 from ..clock import Clock
 from ..errors import FrameError
@@ -61,6 +63,8 @@
         self.on_connect: list[Callable[[str], None]] = []
         self.on_goodbye: list[Callable[[str], None]] = []
         self._handlers_by_type: dict[type, list[Handler]] = {}
+        self.server_tls: ssl.SSLContext | None = None
+        self.client_tls: ssl.SSLContext | None = None
         self._dialling: set[str] = set()
         self._tasks: TaskGroup | None = None
         self._listener: anyio.abc.Listener[Any] | None = None
@@ -131,8 +135,8 @@
         host, port = address.rsplit(":", 1)
         try:
             with anyio.fail_after(DIAL_TIMEOUT.total_seconds()):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError):
+                stream = await self._connect(host, int(port))
+        except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.EndOfStream):
             self._dialling.discard(address)
             return
         try:
@@ -140,7 +144,27 @@
         finally:
             self._dialling.discard(address)
 
+    async def _connect(self, host: str, port: int) -> ByteStream:
+        if self.client_tls is None:
+            return await anyio.connect_tcp(host, port)
+        return await anyio.connect_tcp(host, port, ssl_context=self.client_tls)
+
     async def _accept(self, stream: ByteStream) -> None:
+        if self.server_tls is not None:
+            try:
+                with anyio.fail_after(DIAL_TIMEOUT.total_seconds()):
+                    stream = await TLSStream.wrap(
+                        stream, server_side=True, ssl_context=self.server_tls
+                    )
+            except (
+                OSError,
+                TimeoutError,
+                anyio.BrokenResourceError,
+                anyio.EndOfStream,
+            ):
+                # A stranger without a certificate must not end the listener.
+                self.traffic.rejected_frames += 1
+                return
         await self._converse(stream)
 
     async def _converse(self, stream: ByteStream) -> None:
--- a/src/pomeloyard/serving.py
+++ b/src/pomeloyard/serving.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import ssl
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 
@@ -21,8 +22,12 @@
         yield
 
 
-def server_config(app: ASGIApp, **options: object) -> uvicorn.Config:
+def server_config(
+    app: ASGIApp, tls: ssl.SSLContext | None = None, **options: object
+) -> uvicorn.Config:
     """Return a lean uvicorn configuration for ``app``."""
+    if tls is not None:
+        options["ssl_context_factory"] = lambda config, default: tls
     return uvicorn.Config(
         app,
         log_config=None,
