--- a/src/pomeloyard/operators/client.py
+++ b/src/pomeloyard/operators/client.py
@@ -3,51 +3,149 @@
 from __future__ import annotations
 
 import json
+import ssl
+from collections.abc import Sequence
+from datetime import timedelta
 from typing import Any
 
 import httpcore
 
 from ..errors import PomeloyardError
 
+CONNECT_TIMEOUT = timedelta(seconds=2)
+CALL_TIMEOUT = timedelta(seconds=30)
+PROBLEM_PREFIX = "urn:pomeloyard:"
+
+_NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
+_NO_ANSWER = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
 
 class OperatorCallError(PomeloyardError):
-    """The daemon answered with a problem."""
+    """The call was refused, failed or has an unknown outcome.
 
-    def __init__(self, status: int, problem: dict[str, Any]) -> None:
+    ``status`` is the HTTP status, or 0 if there was no answer; ``problem``
+    holds the problem details; ``retry_after`` is in seconds.
+    """
+
+    def __init__(
+        self, status: int, problem: dict[str, Any], retry_after: str = ""
+    ) -> None:
         super().__init__(f"{problem.get('type')}: {problem.get('detail')}")
         self.status = status
         self.problem = problem
+        self.retry_after = retry_after
+
+    @property
+    def reason(self) -> str:
+        """Return the problem type without its prefix."""
+        return str(self.problem.get("type", "")).removeprefix(PROBLEM_PREFIX)
+
+    @property
+    def outcome(self) -> str:
+        """Return "not-run" or "unknown"."""
+        return str(self.problem.get("outcome", "unknown"))
 
 
 class OperatorClient:
     """Calls the first reachable daemon of a list of "host:port" addresses."""
 
-    def __init__(self, addresses: list[str], key: str) -> None:
-        self._addresses = addresses
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        key: str,
+        *,
+        timeout: timedelta = CALL_TIMEOUT,
+        ca_file: str = "",
+    ) -> None:
+        self._addresses = list(addresses)
         self._key = key
-        self._pool = httpcore.ConnectionPool()
+        self._timeout = timeout
+        self._scheme = "https" if ca_file else "http"
+        context = ssl.create_default_context(cafile=ca_file) if ca_file else None
+        self._pool = httpcore.ConnectionPool(ssl_context=context)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        repeatable: bool | None = None,
+    ) -> Any:
+        """Return the decoded answer; raises OperatorCallError.
 
-    def call(self, method: str, path: str, body: object = None) -> Any:
-        """Return the decoded answer; raises OperatorCallError."""
-        last: Exception | None = None
-        for address in self._addresses:
+        The next daemon is tried when a connection cannot be opened. A call
+        that was sent and not answered is repeated only if it is repeatable,
+        which reading calls are.
+        """
+        if repeatable is None:
+            repeatable = method == "GET"
+        failure: Exception | None = None
+        sent = False
+        for address in list(self._addresses):
             try:
-                response = self._pool.request(
-                    method,
-                    f"http://{address}{path}",
-                    headers={"Authorization": f"Bearer {self._key}"},
-                    content=json.dumps(body).encode() if body is not None else None,
-                    extensions={"timeout": {"connect": 2.0, "read": 30.0}},
-                )
-            except httpcore.ConnectError as error:
-                last = error
-                continue
-            answer = json.loads(response.content)
-            if response.status >= 400:
-                raise OperatorCallError(response.status, answer)
-            return answer
-        raise OperatorCallError(0, {"type": "unreachable", "detail": repr(last)})
+                response = self._send(address, method, path, body)
+            except _NOT_CONNECTED as error:
+                failure = error
+            except _NO_ANSWER as error:
+                failure, sent = error, True
+                if not repeatable:
+                    break
+            else:
+                self._prefer(address)
+                return _decode(response)
+        raise _no_answer(failure, sent=sent)
 
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
+
+    def _send(
+        self, address: str, method: str, path: str, body: object
+    ) -> httpcore.Response:
+        seconds = self._timeout.total_seconds()
+        connect = min(seconds, CONNECT_TIMEOUT.total_seconds())
+        return self._pool.request(
+            method,
+            f"{self._scheme}://{address}{path}",
+            headers={"Authorization": f"Bearer {self._key}"},
+            content=json.dumps(body).encode() if body is not None else None,
+            extensions={
+                "timeout": {"connect": connect, "read": seconds, "write": seconds}
+            },
+        )
+
+    def _prefer(self, address: str) -> None:
+        """Try the daemon that answered first next time."""
+        self._addresses.remove(address)
+        self._addresses.insert(0, address)
+
+
+def _decode(response: httpcore.Response) -> Any:
+    try:
+        answer = json.loads(response.content)
+    except ValueError:
+        answer = None
+    if response.status < 400 and answer is not None:
+        return answer
+    headers = {k.lower(): v.decode("latin-1") for k, v in response.headers}
+    retry_after = headers.get(b"retry-after", "")
+    if not isinstance(answer, dict):
+        detail = f"status {response.status} without problem details"
+        answer = _problem("invalid-answer", detail, "unknown")
+    raise OperatorCallError(response.status, answer, retry_after)
+
+
+def _no_answer(failure: Exception | None, *, sent: bool) -> OperatorCallError:
+    detail = repr(failure) if failure is not None else "no daemon is given"
+    if sent:
+        return OperatorCallError(0, _problem("no-answer", detail, "unknown"))
+    return OperatorCallError(0, _problem("unreachable", detail, "not-run"))
+
+
+def _problem(reason: str, detail: str, outcome: str) -> dict[str, Any]:
+    return {"type": PROBLEM_PREFIX + reason, "detail": detail, "outcome": outcome}
