Add the demonstration, the embedded fleet and the example deployments

Cause: nothing showed a newcomer what the product does, and the only example was a fleet that only a test used.

A wait for a watch batch may now be cancelled: the stand-in's progress lines ended each idle watch every 5 s.

--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -36,6 +36,7 @@
 from .peers.calls import PeerCalls
 from .peers.messages import Heartbeat, Hello
 from .peers.streams import PeerNetwork
+from .peers.tls import PeerTls
 from .platform.directory import VmDirectory, VmRole
 from .platform.etcd import EtcdStore
 from .platform.records import ConflictError
@@ -91,10 +92,10 @@
                 settings.peer_address,
                 settings.availability_zone,
             ),
+            listen_address=settings.peer_listen_address,
+            tls=_peer_tls(settings),
         )
-        self.peers.addresses.update(settings.peers)
-        self.peers.server_tls = self.tls.peer_server
-        self.peers.client_tls = self.tls.peer_client
+        self.peers.seeds.update(settings.peers)
         self.calls = PeerCalls(self.peers)
         self.admission = AdmissionController(
             clock, self._slots, self._units, self._executors, self._weight
@@ -276,12 +277,35 @@
         return config.share if config is not None else 1.0
 
 
+def _peer_tls(settings: DaemonSettings) -> PeerTls | None:
+    files = (
+        settings.peer_certificate_file,
+        settings.peer_key_file,
+        settings.peer_ca_file,
+    )
+    if not any(files):
+        return None
+    try:
+        return PeerTls(*map(Path, files))
+    except OSError as error:
+        raise SettingsError(f"peer certificates: {error}") from error
+
+
 def main() -> None:
     """Run the daemon with a settings file, or a whole small fleet for trying it out."""
     parser = argparse.ArgumentParser(prog="pomeloyardd", description=main.__doc__)
     ways = parser.add_mutually_exclusive_group(required=True)
     ways.add_argument("--settings", type=Path, help="TOML file of this daemon")
+    ways.add_argument(
+        "--embedded", action="store_true", help="a fleet in memory, on free ports"
+    )
     arguments = parser.parse_args()
+    if arguments.embedded:
+        # Only here, because a daemon of a fleet needs no stand-ins.
+        from .standins.embedded import main as run_embedded
+
+        run_embedded()
+        return
     try:
         settings = load_settings(arguments.settings)
         daemon = Daemon(
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -78,6 +78,7 @@
         """Yield all metrics that are read from the daemon's state."""
         yield from self._counted()
         yield from self._state_gauges()
+        yield from self._peer_counters()
         yield from self._team_gauges()
         yield from self._queue_gauges()
         yield from self._log_counters()
@@ -143,14 +144,31 @@
         for pair, count in Counter((r.pool, r.state.value) for r in records).items():
             vms.add_metric(list(pair), count)
         yield vms
+
+    def _peer_counters(self) -> Iterator[Metric]:
         traffic = self._sources.peers.traffic
+        for name, text, counts in (
+            ("sent_bytes", "Bytes sent", traffic.sent_bytes_by_type),
+            ("received_bytes", "Bytes received", traffic.received_bytes_by_type),
+            ("sent_messages", "Messages sent", traffic.sent_messages_by_type),
+            (
+                "received_messages",
+                "Messages received",
+                traffic.received_messages_by_type,
+            ),
+        ):
+            counter = CounterMetricFamily(
+                f"pomeloyard_peer_{name}", f"{text}, by message type", labels=["type"]
+            )
+            for kind, count in counts.items():
+                counter.add_metric([kind], count)
+            yield counter
         for name, text, value in (
-            ("peer_sent_bytes", "Bytes sent to other daemons", traffic.sent_bytes),
-            ("peer_received_bytes", "Bytes from other daemons", traffic.received_bytes),
-            ("peer_dropped_messages", "Messages dropped", traffic.dropped_messages),
-            ("peer_rejected_frames", "Malformed frames", traffic.rejected_frames),
+            ("dropped_messages", "Messages dropped", traffic.dropped_messages),
+            ("rejected_frames", "Malformed frames", traffic.rejected_frames),
+            ("failed_handlers", "Failed handlers", traffic.failed_handlers),
         ):
-            yield CounterMetricFamily(f"pomeloyard_{name}", text, value=value)
+            yield CounterMetricFamily(f"pomeloyard_peer_{name}", text, value=value)
 
     def _team_gauges(self) -> Iterator[Metric]:
         usages = self._sources.team_usage()
--- a/src/pomeloyard/operators/team_routes.py
+++ b/src/pomeloyard/operators/team_routes.py
@@ -43,13 +43,10 @@
     async def fleet_status(request: Request) -> Response:
         context.check(request, Role.READ)
         records = state.vm_records_by_name.values()
-        held = (
-            Counter(p.holder for p in state.partitions.partitions)
-            if state.partitions
-            else {}
-        )
+        partitions = state.partitions.partitions if state.partitions else ()
+        held = Counter(partition.holder for partition in partitions)
         daemons = [
-            {"daemon": status, "partitions": held.get(status.incarnation, 0)}
+            {"daemon": status, "partitions": held[status.incarnation]}
             for status in context.daemon_statuses()
         ]
         return json_response(
@@ -57,6 +54,7 @@
                 "name": state.config.name,
                 "config_revision": state.config.revision,
                 "store_reachable": state.store_reachable,
+                "unheld_partitions": held[""],
                 "daemons": daemons,
                 "roles": {n: r.holder for n, r in sorted(state.roles_by_name.items())},
                 "vms_by_state": Counter(record.state.value for record in records),
--- a/src/pomeloyard/peers/codec.py
+++ b/src/pomeloyard/peers/codec.py
@@ -38,12 +38,12 @@
     """Return the sequence number and message of a frame's payload."""
     try:
         frame = msgpack.unpackb(payload)
-    except (ValueError, msgpack.UnpackException, RecursionError) as error:
+    except (ValueError, TypeError, msgpack.UnpackException, RecursionError) as error:
         raise FrameError(f"malformed frame: {error!r}") from error
     if not isinstance(frame, list) or len(frame) != 4:
         raise FrameError("a frame must be an array of 4 elements")
     version, number, sequence, body = frame
-    if version != PROTOCOL_VERSION:
+    if type(version) is not int or version != PROTOCOL_VERSION:
         raise FrameError(f"protocol version {version!r} is not supported")
     if type(number) is not int or not 0 <= number < len(MESSAGE_TYPES):
         raise FrameError(f"unknown message type {number!r}")
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -34,85 +34,85 @@
     store_reachable: bool
 
 
-class TeamDemand(WireMessage, frozen=True):
-    """Demand of one team for one service at one daemon.
+class DemandReport(WireMessage, frozen=True):
+    """Demand at one daemon and the partitions whose capacity it can use.
 
-    ``served_ms`` is the cumulative slot time of the incarnation in milliseconds.
+    Services and teams are positions in the sorted names of configuration
+    ``config_revision``. Each demand is (service, team, queued, running, served
+    slot time in milliseconds since the start of the incarnation).
     """
 
-    service: str
-    team: str
-    queued: int
-    running: int
-    served_ms: int
-
-
-class ResourceAmount(WireMessage, frozen=True):
-    """Units of a countable resource: kind "slots" (VM) or "limit" (team)."""
-
-    kind: str
-    name: str
-    amount: int
-
-
-class DemandReport(WireMessage, frozen=True):
-    """Demand and holdings of one daemon, sent to the coordinator."""
-
     sequence: int
-    demands: tuple[TeamDemand, ...]
-    held: tuple[ResourceAmount, ...]
-    in_use: tuple[ResourceAmount, ...]
+    config_revision: int
+    ready_partitions: tuple[int, ...]
+    demands: tuple[tuple[int, int, int, int, int], ...]
 
 
 class LendItem(WireMessage, frozen=True):
-    """Advice to lend units of a resource to another daemon."""
+    """Total amount of a resource that the receiver should lend to a borrower."""
 
     borrower: str
-    resource: ResourceAmount
-
-
-class TeamTarget(WireMessage, frozen=True):
-    """Slots that a team should use for a service at the receiving daemon."""
-
-    service: str
-    team: str
-    slots: float
+    kind: str
+    name: str
+    amount: int
 
 
 class LendAdvice(WireMessage, frozen=True):
-    """The coordinator's advice to one daemon."""
+    """The coordinator's complete advice to one daemon.
+
+    ``targets`` are (service, team, hundredths of a slot); positions are as in
+    DemandReport. ``lend`` replaces all earlier advice of the same resources.
+    """
 
     round: int
-    targets: tuple[TeamTarget, ...]
+    config_revision: int
+    targets: tuple[tuple[int, int, int], ...]
     lend: tuple[LendItem, ...]
 
 
 class LoanGrant(WireMessage, frozen=True):
-    """Total amount that the sender lends to the receiver, per version."""
+    """Amount of a partition's resource that the receiver may keep at most."""
 
-    resource: ResourceAmount
+    partition: int
+    epoch: int
+    kind: str
+    name: str
+    amount: int
     version: int
 
 
 class LoanKept(WireMessage, frozen=True):
-    """Amount that the borrower keeps, answering grant ``version``."""
+    """Amount that the borrower keeps, answering the grant ``version``."""
 
-    resource: ResourceAmount
+    partition: int
+    epoch: int
+    kind: str
+    name: str
+    amount: int
     version: int
 
 
 class LoanQuery(WireMessage, frozen=True):
-    """Question of a partition's new holder about the former incarnation."""
+    """Question of a new holder about what the receiver keeps of a partition."""
 
-    former: str
+    partition: int
+    epoch: int
+
+
+class KeptAmount(WireMessage, frozen=True):
+    """Units of a resource that a borrower keeps."""
+
+    kind: str
+    name: str
+    amount: int
 
 
 class LoanStatement(WireMessage, frozen=True):
-    """Loans between the sender and a former incarnation."""
+    """Everything that the sender keeps of a partition, for its new holder."""
 
-    former: str
-    borrowed_from_former: tuple[ResourceAmount, ...]
-    lent_to_former: tuple[ResourceAmount, ...]
+    partition: int
+    epoch: int
+    kept: tuple[KeptAmount, ...]
 
 
 class ClaimRequest(WireMessage, frozen=True):
@@ -233,6 +233,19 @@
     incarnation: str
 
 
+class PartitionsRequest(WireMessage, frozen=True):
+    """Request for the sender's partition table if newer than ``newer_than``."""
+
+    newer_than: int
+
+
+class PartitionsReply(WireMessage, frozen=True):
+    """Partition table with the store revision that made it."""
+
+    revision: int
+    content: bytes
+
+
 Message = (
     Hello
     | Heartbeat
@@ -258,6 +271,8 @@
     | ExplainRequest
     | ExplainReply
     | Goodbye
+    | PartitionsRequest
+    | PartitionsReply
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -3,31 +3,44 @@
 from __future__ import annotations
 
 import random
-import ssl
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute, TaskGroup
+import logbook
+from anyio.abc import ByteStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
-from anyio.streams.tls import TLSStream
 
 from ..clock import Clock
 from ..errors import FrameError
 from .codec import LENGTH, decode_length, decode_payload, encode_frame
+from .dialling import DIAL_INTERVAL, DialPlan
 from .messages import Goodbye, Hello, Message
+from .tls import PeerTls
+from .traffic import Traffic
 
 HEARTBEAT_INTERVAL = timedelta(seconds=1)
 SILENCE_TIMEOUT = timedelta(seconds=3)
 DIAL_TIMEOUT = timedelta(seconds=1)
-DIAL_INTERVAL = timedelta(seconds=0.5)
+CLOSE_TIMEOUT = timedelta(seconds=0.5)
+DUPLICATE_GRACE = timedelta(seconds=2)
+"""How long two connections to one daemon are kept before one is closed."""
+
 SEND_QUEUE_MESSAGES = 1000
+SEND_QUEUE_BYTES = 4 * 1024 * 1024
+"""A slow reader may hold at most this much memory of a 32 MB daemon."""
+
+MAX_CONNECTIONS = 256
+"""Connections accepted at once, so that a fault cannot exhaust descriptors."""
 
 Handler = Callable[[str, Any], None]
 
+log = logbook.Logger("pomeloyard.peers")
+
 
 @dataclass(eq=False)
 class Connection:
@@ -37,35 +50,43 @@
     outgoing: MemoryObjectSendStream[bytes]
     scope: anyio.CancelScope
     heard_at: timedelta
-    sent_bytes: int = 0
-
-
-@dataclass
-class Traffic:
-    """Bytes exchanged with other daemons since the start."""
-
-    sent_bytes: int = 0
-    received_bytes: int = 0
-    dropped_messages: int = 0
-    rejected_frames: int = 0
+    opened_at: timedelta = timedelta(0)
+    dialled: bool = False
+    queued_bytes: int = 0
 
 
 class PeerNetwork:
-    """Connections to all other daemons and the dispatch of their messages."""
+    """Connections to all other daemons and the dispatch of their messages.
+
+    Nothing that is received ends the daemon: a malformed frame, a failing
+    handler or a silent peer ends its connection, which is then dialled again.
+    """
 
-    def __init__(self, clock: Clock, hello: Hello) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        hello: Hello,
+        *,
+        listen_address: str = "",
+        tls: PeerTls | None = None,
+    ) -> None:
         self._clock = clock
         self.hello = hello
+        self._listen_address = listen_address or hello.address
+        self._tls = tls
         self.connections_by_incarnation: dict[str, Connection] = {}
+        self.seeds: set[str] = set()
+        """Addresses from the settings, which are always dialled."""
         self.addresses: set[str] = set()
+        """Addresses learned from registrations and from other daemons."""
         self.traffic = Traffic()
         self.heartbeat: Callable[[], Message | None] = lambda: None
         self.on_connect: list[Callable[[str], None]] = []
         self.on_goodbye: list[Callable[[str], None]] = []
         self._handlers_by_type: dict[type, list[Handler]] = {}
-        self.server_tls: ssl.SSLContext | None = None
-        self.client_tls: ssl.SSLContext | None = None
-        self._dialling: set[str] = set()
+        self._connections: set[Connection] = set()
+        self._accepted = 0
+        self._plan = DialPlan(hello.address)
         self._tasks: TaskGroup | None = None
         self._listener: anyio.abc.Listener[Any] | None = None
 
@@ -76,7 +97,7 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Listen on the daemon's own address and dial the others."""
         self._tasks = tasks
-        host, port = self.hello.address.rsplit(":", 1)
+        host, port = self._listen_address.rsplit(":", 1)
         self._listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), reuse_port=False
         )
@@ -90,31 +111,51 @@
         await anyio.sleep(0)
         if self._listener is not None:
             await self._listener.aclose()
-        for connection in list(self.connections_by_incarnation.values()):
+        for connection in list(self._connections):
             connection.outgoing.close()
+        with anyio.move_on_after(CLOSE_TIMEOUT.total_seconds()):
+            while self._connections:
+                await anyio.sleep(0.01)
 
     def send(self, incarnation: str, message: Message) -> bool:
         """Queue a message; return False if it was dropped."""
         connection = self.connections_by_incarnation.get(incarnation)
         if connection is None:
             return False
-        frame = encode_frame(message)
-        try:
-            connection.outgoing.send_nowait(frame)
-        except (anyio.WouldBlock, anyio.ClosedResourceError, anyio.BrokenResourceError):
-            self.traffic.dropped_messages += 1
-            return False
-        self.traffic.sent_bytes += len(frame)
-        return True
+        return self._queue(connection, message, self._encode(message))
 
     def broadcast(self, message: Message) -> int:
         """Queue a message for all connected daemons; return how many."""
-        return sum(self.send(i, message) for i in list(self.connections_by_incarnation))
+        frame = self._encode(message)
+        connections = list(self.connections_by_incarnation.values())
+        return sum(self._queue(c, message, frame) for c in connections)
 
     def connected(self) -> list[str]:
         """Return the incarnations of connected daemons, sorted."""
         return sorted(self.connections_by_incarnation)
 
+    def _encode(self, message: Message) -> bytes | None:
+        try:
+            return encode_frame(message)
+        except FrameError as error:
+            log.error("message not sent: {}", error)
+            return None
+
+    def _queue(
+        self, connection: Connection, message: Message, frame: bytes | None
+    ) -> bool:
+        full = connection.queued_bytes + len(frame or b"") > SEND_QUEUE_BYTES
+        try:
+            if frame is None or full:
+                raise anyio.WouldBlock
+            connection.outgoing.send_nowait(frame)
+        except (anyio.WouldBlock, anyio.ClosedResourceError, anyio.BrokenResourceError):
+            self.traffic.dropped_messages += 1
+            return False
+        connection.queued_bytes += len(frame)
+        self.traffic.note_sent(type(message), len(frame))
+        return True
+
     async def _listen(self, listener: anyio.abc.Listener[Any]) -> None:
         try:
             await listener.serve(self._accept)
@@ -123,74 +164,54 @@
 
     async def _dial_all(self) -> None:
         while True:
-            linked = {c.hello.address for c in self.connections_by_incarnation.values()}
-            for address in self.addresses - linked - self._dialling:
-                if address != self.hello.address and self._tasks is not None:
-                    self._dialling.add(address)
+            now = self._clock.monotonic()
+            linked = {c.hello.address for c in self._connections}
+            wanted = self.seeds | self.addresses
+            for address in self._plan.due(wanted, linked, now):
+                if self._tasks is not None:
                     self._tasks.start_soon(self._dial, address)
-            jitter = random.uniform(0.5, 1.5)
-            await self._clock.sleep(DIAL_INTERVAL * jitter)
+            self.addresses -= self._plan.hopeless(now)
+            await self._clock.sleep(DIAL_INTERVAL * random.uniform(0.5, 1.5))
 
     async def _dial(self, address: str) -> None:
-        host, port = address.rsplit(":", 1)
+        host, _, port = address.rpartition(":")
         try:
             with anyio.fail_after(DIAL_TIMEOUT.total_seconds()):
-                stream = await self._connect(host, int(port))
-        except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.EndOfStream):
-            self._dialling.discard(address)
-            return
-        try:
-            await self._converse(stream)
+                stream = await anyio.connect_tcp(host, int(port))
+            await self._converse(stream, dialled=True)
+        except (OSError, ValueError, OverflowError):
+            pass  # Dialled again with backoff, or an address that is none.
         finally:
-            self._dialling.discard(address)
-
-    async def _connect(self, host: str, port: int) -> ByteStream:
-        if self.client_tls is None:
-            return await anyio.connect_tcp(host, port)
-        return await anyio.connect_tcp(host, port, ssl_context=self.client_tls)
+            self._plan.ended(address)
 
     async def _accept(self, stream: ByteStream) -> None:
-        if self.server_tls is not None:
-            try:
-                with anyio.fail_after(DIAL_TIMEOUT.total_seconds()):
-                    stream = await TLSStream.wrap(
-                        stream, server_side=True, ssl_context=self.server_tls
-                    )
-            except (
-                OSError,
-                TimeoutError,
-                anyio.BrokenResourceError,
-                anyio.EndOfStream,
-            ):
-                # A stranger without a certificate must not end the listener.
-                self.traffic.rejected_frames += 1
-                return
-        await self._converse(stream)
+        if self._accepted >= MAX_CONNECTIONS:
+            await anyio.aclose_forcefully(stream)
+            return
+        self._accepted += 1
+        try:
+            await self._converse(stream, dialled=False)
+        finally:
+            self._accepted -= 1
 
-    async def _converse(self, stream: ByteStream) -> None:
+    async def _converse(self, stream: ByteStream, *, dialled: bool) -> None:
         """Exchange messages until the connection ends or is silent."""
-        connection: Connection | None = None
         try:
-            async with stream, anyio.create_task_group() as tasks:
-                stream.extra(SocketAttribute.raw_socket)  # fails if already closed
-                await stream.send(encode_frame(self.hello))
-                reader = BufferedByteReceiveStream(stream)
+            async with AsyncExitStack() as stack:
+                stack.push_async_callback(stream.aclose)
                 with anyio.fail_after(SILENCE_TIMEOUT.total_seconds()):
+                    if self._tls is not None:
+                        stream = await self._tls.wrap(stream, server_side=not dialled)
+                    await stream.send(encode_frame(self.hello))
+                    reader = BufferedByteReceiveStream(stream)
                     first = await self._receive(reader)
                 if not isinstance(first, Hello):
                     raise FrameError("the first message must be Hello")
-                send, receive = anyio.create_memory_object_stream[bytes](
-                    SEND_QUEUE_MESSAGES
-                )
-                connection = Connection(
-                    first, send, tasks.cancel_scope, self._clock.monotonic()
-                )
-                self._register(connection)
-                tasks.start_soon(self._send_queued, stream, receive, connection)
-                await self._dispatch(reader, connection)
-                tasks.cancel_scope.cancel()
-        except* FrameError:
+                if first.incarnation != self.hello.incarnation:
+                    await self._exchange(stream, reader, first, dialled)
+        except* FrameError as group:
             self.traffic.rejected_frames += 1
+            log.warning("connection ended: {}", group.exceptions[0])
         except* (
             OSError,
             anyio.EndOfStream,
@@ -199,9 +220,27 @@
             anyio.ClosedResourceError,
         ):
             pass  # An ended connection is dialled again by _dial_all.
-        finally:
-            if connection is not None:
+
+    async def _exchange(
+        self,
+        stream: ByteStream,
+        reader: BufferedByteReceiveStream,
+        hello: Hello,
+        dialled: bool,
+    ) -> None:
+        send, receive = anyio.create_memory_object_stream[bytes](SEND_QUEUE_MESSAGES)
+        now = self._clock.monotonic()
+        async with anyio.create_task_group() as tasks:
+            scope = tasks.cancel_scope
+            connection = Connection(hello, send, scope, now, now, dialled)
+            self._register(connection)
+            try:
+                tasks.start_soon(self._send_queued, stream, receive, connection)
+                await self._dispatch(reader, connection)
+                scope.cancel()
+            finally:
                 self._unregister(connection)
+                send.close()
 
     async def _send_queued(
         self,
@@ -209,9 +248,11 @@
         receive: MemoryObjectReceiveStream[bytes],
         connection: Connection,
     ) -> None:
-        async for frame in receive:
-            with anyio.fail_after(SILENCE_TIMEOUT.total_seconds()):
-                await stream.send(frame)
+        with receive:
+            async for frame in receive:
+                with anyio.fail_after(SILENCE_TIMEOUT.total_seconds()):
+                    await stream.send(frame)
+                connection.queued_bytes -= len(frame)
         connection.scope.cancel()
 
     async def _dispatch(
@@ -221,35 +262,78 @@
             with anyio.fail_after(SILENCE_TIMEOUT.total_seconds()):
                 message = await self._receive(reader)
             connection.heard_at = self._clock.monotonic()
+            sender = connection.hello.incarnation
             if isinstance(message, Goodbye):
-                for callback in self.on_goodbye:
-                    callback(message.incarnation)
+                # Only a daemon itself can say that it runs nothing more.
+                if message.incarnation == sender:
+                    self._notify(self.on_goodbye, sender)
                 return
-            for handler in self._handlers_by_type.get(type(message), ()):
-                handler(connection.hello.incarnation, message)
+            self._notify(self._handlers_by_type.get(type(message), ()), sender, message)
+
+    def _notify(self, callbacks: Any, *arguments: Any) -> None:
+        """Call all callbacks; a failing one must not end the daemon."""
+        for callback in callbacks:
+            try:
+                callback(*arguments)
+            except Exception:
+                self.traffic.failed_handlers += 1
+                log.exception("handler of {!r} failed", arguments[-1])
 
     async def _receive(self, reader: BufferedByteReceiveStream) -> Message:
         length = decode_length(await reader.receive_exactly(LENGTH.size))
         payload = await reader.receive_exactly(length)
-        self.traffic.received_bytes += LENGTH.size + length
-        return decode_payload(payload)[1]
+        message = decode_payload(payload)[1]
+        self.traffic.note_received(type(message), LENGTH.size + length)
+        return message
 
     def _register(self, connection: Connection) -> None:
         incarnation = connection.hello.incarnation
+        self._connections.add(connection)
         self.addresses.add(connection.hello.address)
-        # The newest connection is used; an older one may have lost its way.
+        # The newest connection is used; an older one may hang.
         self.connections_by_incarnation[incarnation] = connection
-        for callback in self.on_connect:
-            callback(incarnation)
+        self._notify(self.on_connect, incarnation)
 
     def _unregister(self, connection: Connection) -> None:
+        self._connections.discard(connection)
         incarnation = connection.hello.incarnation
-        if self.connections_by_incarnation.get(incarnation) is connection:
+        if self.connections_by_incarnation.get(incarnation) is not connection:
+            return
+        others = [c for c in self._connections if c.hello.incarnation == incarnation]
+        if others:
+            newest = max(others, key=lambda c: c.opened_at)
+            self.connections_by_incarnation[incarnation] = newest
+        else:
             del self.connections_by_incarnation[incarnation]
 
     async def _beat(self) -> None:
+        """Send heartbeats on all connections, as each is watched for silence."""
         while True:
             message = self.heartbeat()
             if message is not None:
-                self.broadcast(message)
+                frame = self._encode(message)
+                for connection in list(self._connections):
+                    self._queue(connection, message, frame)
+            self._close_duplicates()
             await self._clock.sleep(HEARTBEAT_INTERVAL)
+
+    def _close_duplicates(self) -> None:
+        """Close a surplus connection that this daemon dialled.
+
+        Of two daemons that dialled each other, only the one with the greater
+        incarnation closes its own, so that one connection always remains.
+        """
+        now = self._clock.monotonic()
+        for connection in list(self._connections):
+            other = connection.hello.incarnation
+            if not connection.dialled or self.hello.incarnation < other:
+                continue
+            if any(
+                c is not connection
+                and c.hello.incarnation == other
+                and not c.dialled
+                and now - c.opened_at >= DUPLICATE_GRACE
+                and now - c.heard_at < DUPLICATE_GRACE
+                for c in self._connections
+            ):
+                connection.outgoing.close()
--- a/src/pomeloyard/platform/memory.py
+++ b/src/pomeloyard/platform/memory.py
@@ -15,10 +15,9 @@
 from anyio.streams.memory import MemoryObjectSendStream
 
 from ..clock import Clock
-from ..errors import CompactedError, LeaseLostError, StoreRequestError
+from ..errors import CompactedError, LeaseLostError, StoreUnavailableError
 from .store import (
-    MAX_OPERATIONS,
-    MAX_VALUE_BYTES,
+    CallCounter,
     CommitResult,
     Delete,
     Entry,
@@ -28,6 +27,7 @@
     Transaction,
     WatchBatch,
     WatchEvent,
+    check_transaction,
 )
 
 HISTORY_EVENTS = 100_000
@@ -46,6 +46,7 @@
 
     def __init__(self, clock: Clock, history_events: int = HISTORY_EVENTS) -> None:
         self._clock = clock
+        self.calls = CallCounter()
         self._entries_by_key: dict[str, Entry] = {}
         self._sorted_keys: list[str] = []
         self._revision = 1
@@ -63,11 +64,13 @@
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if it is absent."""
+        self.calls.reads += 1
         self.expire()
         return self._entries_by_key.get(key)
 
     async def scan(self, prefix: str, *, start: str = "", limit: int = 1000) -> Page:
         """Return entries whose key has ``prefix``, from key ``start`` on."""
+        self.calls.reads += 1
         self.expire()
         first = bisect.bisect_left(self._sorted_keys, max(prefix, start))
         entries: list[Entry] = []
@@ -81,6 +84,7 @@
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply a transaction atomically."""
+        self.calls.writes += 1
         self.expire()
         self._check(transaction)
         for compare in transaction.compares:
@@ -93,12 +97,14 @@
 
     async def grant_lease(self, ttl: timedelta) -> int:
         """Create a lease and return its id."""
+        self.calls.writes += 1
         lease = next(self._lease_ids)
         self._leases_by_id[lease] = _Lease(ttl, self._clock.monotonic() + ttl)
         return lease
 
     async def keep_lease_alive(self, lease: int) -> timedelta:
         """Renew a lease and return its time to live."""
+        self.calls.writes += 1
         self.expire()
         record = self._leases_by_id.get(lease)
         if record is None:
@@ -108,6 +114,7 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete the keys attached to it."""
+        self.calls.writes += 1
         record = self._leases_by_id.pop(lease, None)
         if record is not None:
             self._delete_keys(record.keys)
@@ -128,9 +135,12 @@
         if past:
             send.send_nowait(WatchBatch(past, self._revision))
         self._watchers[send] = prefix
+        self.calls.watches_opened += 1
+        self.calls.watches_waiting += 1
         try:
-            yield _batches(receive)
+            yield _Batches(receive)
         finally:
+            self.calls.watches_waiting -= 1
             self._watchers.pop(send, None)
             send.close()
             receive.close()
@@ -147,19 +157,18 @@
         self._compact_revision = self._revision
         self._history.clear()
 
+    def break_watches(self) -> None:
+        """End all open watches, as a store does when it restarts."""
+        for stream in list(self._watchers):
+            stream.close()
+        self._watchers.clear()
+
     def _check(self, transaction: Transaction) -> None:
-        if len(transaction.operations) > MAX_OPERATIONS:
-            raise StoreRequestError(f"more than {MAX_OPERATIONS} operations")
-        keys = [operation.key for operation in transaction.operations]
-        if len(set(keys)) != len(keys):
-            raise StoreRequestError("a key occurs twice in one transaction")
+        check_transaction(transaction)
         for operation in transaction.operations:
-            if not isinstance(operation, Put):
-                continue
-            if len(operation.value) > MAX_VALUE_BYTES:
-                raise StoreRequestError(f"value of {operation.key} is over 1 MB")
-            if operation.lease and operation.lease not in self._leases_by_id:
-                raise LeaseLostError(f"lease {operation.lease} does not exist")
+            lease = operation.lease if isinstance(operation, Put) else 0
+            if lease and lease not in self._leases_by_id:
+                raise LeaseLostError(f"lease {lease} does not exist")
 
     def _apply(self, transaction: Transaction) -> None:
         self._revision += 1
@@ -219,8 +228,14 @@
                 stream.close()
 
 
-async def _batches(
-    receive: ObjectReceiveStream[WatchBatch],
-) -> AsyncIterator[WatchBatch]:
-    async for batch in receive:
-        yield batch
+class _Batches(AsyncIterator[WatchBatch]):
+    """Batches of one watch; a cancelled wait for the next one loses nothing."""
+
+    def __init__(self, receive: ObjectReceiveStream[WatchBatch]) -> None:
+        self._receive = receive
+
+    async def __anext__(self) -> WatchBatch:
+        try:
+            return await self._receive.receive()
+        except anyio.EndOfStream as error:
+            raise StoreUnavailableError("the watch ended") from error
--- a/src/pomeloyard/platform/records.py
+++ b/src/pomeloyard/platform/records.py
@@ -6,13 +6,10 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
+import logbook
 import msgspec
 
-from ..errors import (
-    PomeloyardError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
+from ..errors import PomeloyardError, StoreError, StoreOutcomeUnknownError
 from .store import Compare, Delete, Entry, Put, Store, Transaction, new_write_id
 
 T = TypeVar("T")
@@ -23,6 +20,8 @@
 
 RESOLVE_ATTEMPTS = 3
 
+log = logbook.Logger("pomeloyard.platform.records")
+
 
 class ConflictError(PomeloyardError):
     """Another writer changed a record first; nothing was written."""
@@ -77,59 +76,78 @@
     return None if entry is None else decode_record(entry, kind)
 
 
-async def commit_changes(store: Store, changes: Sequence[Change]) -> int:
+async def commit_changes(
+    store: Store, changes: Sequence[Change], guards: Sequence[Compare] = ()
+) -> int:
     """Apply all changes in one transaction and return the store revision.
 
-    Raises ConflictError if any record is not as expected. An answer lost after
+    Raises ConflictError if any record is not as expected or a guard, a
+    comparison of a key that is not written, does not hold. An answer lost after
     taking effect is resolved by reading the write id back; if that fails too,
-    StoreOutcomeUnknownError is raised.
+    StoreOutcomeUnknownError is raised. Other store errors mean that nothing was
+    written.
     """
     write_id = new_write_id()
-    transaction = _transaction(changes, write_id)
+    transaction = _transaction(changes, write_id, guards)
     lost: StoreOutcomeUnknownError | None = None
     for _ in range(RESOLVE_ATTEMPTS):
         try:
             result = await store.commit(transaction)
+            if result.succeeded:
+                return result.revision
+            if lost is None:
+                raise ConflictError(changes[0].key)
+            return await _resolve(store, changes, write_id)
         except StoreOutcomeUnknownError as error:
             lost = error
-            continue
-        except StoreUnavailableError:
-            # Only the first attempt's failure shows that nothing was written.
+        except StoreError as error:
             if lost is None:
                 raise
-            continue
-        if result.succeeded:
-            return result.revision
-        try:
-            return await _resolve(store, changes, write_id, lost)
-        except StoreUnavailableError as error:
-            detail = f"commit of {changes[0].key}"
-            raise StoreOutcomeUnknownError(detail) from error
+            # This attempt had no effect, but the earlier one may have had.
+            log.debug("write of {} not resolved: {}", changes[0].key, error)
     raise StoreOutcomeUnknownError(f"commit of {changes[0].key}") from lost
 
 
-async def _resolve(
-    store: Store,
-    changes: Sequence[Change],
-    write_id: str,
-    lost: StoreOutcomeUnknownError | None,
-) -> int:
-    """Tell an earlier success of this same write from a conflict."""
-    if lost is None:
-        raise ConflictError(changes[0].key)
-    for change in changes:
-        entry = await store.get(change.key)
-        if entry is None:
-            continue
-        if write_id in msgspec.json.decode(entry.value).get("writes", ()):
+async def _resolve(store: Store, changes: Sequence[Change], write_id: str) -> int:
+    """Tell an earlier success of this same write from a conflict.
+
+    The transaction is atomic, so that one record decides for all of them.
+    """
+    entries = [await store.get(change.key) for change in changes]
+    for entry in entries:
+        if entry is not None and write_id in _write_ids(entry):
             return entry.mod_revision
-    if all(change.value is None for change in changes):
-        # A pure deletion leaves no write id; absence of all is what was wanted.
-        return 0
-    raise ConflictError(changes[0].key)
+    if any(map(_certainly_not_written, changes, entries)):
+        raise ConflictError(changes[0].key)
+    if not any(entries) and all(change.value is None for change in changes):
+        return 0  # A deletion leaves no write id; absence is what was wanted.
+    raise StoreOutcomeUnknownError(f"{changes[0].key} was replaced since")
+
+
+def _certainly_not_written(change: Change, entry: Entry | None) -> bool:
+    """Tell whether ``entry``, which lacks the write id, proves no effect."""
+    expected = change.expected
+    if entry is None or expected is None:
+        # The record may have been written, deleted and created by another.
+        return False
+    if entry.create_revision > expected.mod_revision:
+        return False  # Created again after a deletion, which drops write ids.
+    if change.value is None:
+        return True
+    found = _write_ids(entry)
+    return len(found) < RECENT_WRITES or set(expected.write_ids[-1:]) <= set(found)
+
+
+def _write_ids(entry: Entry) -> tuple[str, ...]:
+    try:
+        return tuple(msgspec.json.decode(entry.value)["writes"])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return ()
 
 
-def _transaction(changes: Sequence[Change], write_id: str) -> Transaction:
+def _transaction(
+    changes: Sequence[Change], write_id: str, guards: Sequence[Compare]
+) -> Transaction:
     compares = tuple(
         Compare(c.key, c.expected.mod_revision if c.expected else 0) for c in changes
     )
@@ -139,7 +157,7 @@
         else Put(c.key, _encode(c, write_id), lease=c.lease)
         for c in changes
     )
-    return Transaction(compares, operations)
+    return Transaction((*guards, *compares), operations)
 
 
 def _encode(change: Change, write_id: str) -> bytes:
--- a/src/pomeloyard/platform/store.py
+++ b/src/pomeloyard/platform/store.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from ..errors import StoreRequestError
+
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_OPERATIONS = 128
 """Operations in one transaction; the usual limit of etcd."""
@@ -94,6 +96,21 @@
     revision: int
 
 
+@dataclass
+class CallCounter:
+    """Calls to the store, as the platform counts them against its rates.
+
+    ``failures`` counts calls without an answer; ``watches_waiting`` is the
+    number of watches that are open now.
+    """
+
+    reads: int = 0
+    writes: int = 0
+    failures: int = 0
+    watches_opened: int = 0
+    watches_waiting: int = 0
+
+
 class Store(ABC):
     """Key-value store with compare-and-swap, leases and watches.
 
@@ -102,6 +119,8 @@
     StoreRequestError when the store rejects the request as invalid.
     """
 
+    calls: CallCounter
+
     @abstractmethod
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if it is absent."""
@@ -143,6 +162,18 @@
         """Release connections."""
 
 
+def check_transaction(transaction: Transaction) -> None:
+    """Raise StoreRequestError for a transaction that no store accepts."""
+    operations = transaction.operations
+    if max(len(operations), len(transaction.compares)) > MAX_OPERATIONS:
+        raise StoreRequestError(f"more than {MAX_OPERATIONS} operations")
+    if len({operation.key for operation in operations}) != len(operations):
+        raise StoreRequestError("a key occurs twice in one transaction")
+    for operation in operations:
+        if isinstance(operation, Put) and len(operation.value) > MAX_VALUE_BYTES:
+            raise StoreRequestError(f"value of {operation.key} is over 1 MB")
+
+
 async def scan_all(store: Store, prefix: str) -> Page:
     """Return all entries under ``prefix`` by reading page after page.
 
--- a/src/pomeloyard/settings.py
+++ b/src/pomeloyard/settings.py
@@ -61,6 +61,11 @@
     peer_address: str = setting(
         "Listening address for other daemons, reachable by them", expected=ADDRESS
     )
+    peer_listen_address: str = setting(
+        "Where to listen for other daemons, if not at peer_address",
+        "",
+        expected=ADDRESS,
+    )
     metrics_address: str = setting(
         "Listening address of /metrics, /healthz and /readyz", expected=ADDRESS
     )
@@ -98,21 +103,21 @@
     allow_plaintext: bool = setting(
         "Allow addresses other than loopback without TLS", False
     )
-    caller_tls_certificate: str = setting(
+    caller_certificate_file: str = setting(
         "Certificate chain for callers", "", expected=FILE
     )
-    caller_tls_key: str = setting("Private key for callers", "", expected=FILE)
-    operator_tls_certificate: str = setting(
+    caller_key_file: str = setting("Private key for callers", "", expected=FILE)
+    operator_certificate_file: str = setting(
         "Certificate chain for operators and metrics", "", expected=FILE
     )
-    operator_tls_key: str = setting(
+    operator_key_file: str = setting(
         "Private key for operators and metrics", "", expected=FILE
     )
-    peer_tls_certificate: str = setting(
+    peer_certificate_file: str = setting(
         "Certificate chain of this daemon towards peers", "", expected=FILE
     )
-    peer_tls_key: str = setting("Private key towards peers", "", expected=FILE)
-    peer_tls_ca: str = setting(
+    peer_key_file: str = setting("Private key towards peers", "", expected=FILE)
+    peer_ca_file: str = setting(
         "CA certificates that peers' certificates must come from", "", expected=FILE
     )
 
@@ -223,9 +228,9 @@
 
 def _tls_problems(settings: DaemonSettings, file: str) -> Iterable[ConfigProblem]:
     for prefix in sorted(set(TLS_PREFIX_BY_ADDRESS.values())):
-        names = [f"{prefix}_tls_certificate", f"{prefix}_tls_key"]
+        names = [f"{prefix}_certificate_file", f"{prefix}_key_file"]
         if prefix == "peer":
-            names.append("peer_tls_ca")
+            names.append("peer_ca_file")
         given = [name for name in names if getattr(settings, name)]
         for name in names:
             if given and name not in given:
@@ -238,10 +243,12 @@
     name_by_address: dict[str, str] = {}
     for name, prefix in TLS_PREFIX_BY_ADDRESS.items():
         address = getattr(settings, name)
+        if name == "peer_address":
+            address = settings.peer_listen_address or address
         other = name_by_address.setdefault(address, name)
         if other != name:
             yield ConfigProblem(file, name, f"is the same as {other}", "an own address")
-        has_tls = bool(getattr(settings, f"{prefix}_tls_certificate"))
+        has_tls = bool(getattr(settings, f"{prefix}_certificate_file"))
         if not (has_tls or settings.allow_plaintext or is_loopback(address)):
             expected = "a loopback address, TLS files or allow_plaintext = true"
             yield ConfigProblem(file, name, f"{address} without TLS", expected)
--- a/src/pomeloyard/tls.py
+++ b/src/pomeloyard/tls.py
@@ -20,15 +20,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TlsFiles:
-    """Files in PEM format; ``ca`` is empty where no client certificate is asked."""
+    """Certificate chain and private key in PEM format."""
 
     certificate: str
     key: str
-    ca: str = ""
 
     def stamp(self) -> tuple[int, ...]:
         """Return the modification times of the files."""
-        names = [name for name in (self.certificate, self.key, self.ca) if name]
+        names = (self.certificate, self.key)
         return tuple(Path(name).stat().st_mtime_ns for name in names)
 
 
@@ -49,8 +48,6 @@
             stamp = self.files.stamp()
             if stamp == self.stamp:
                 return False
-            if self.files.ca:
-                self.context.load_verify_locations(self.files.ca)
             self.context.load_cert_chain(self.files.certificate, self.files.key)
         except (OSError, ssl.SSLError) as error:
             # The files are often replaced one after the other.
@@ -61,19 +58,16 @@
 
 
 class TlsContexts:
-    """The contexts of one daemon; each is None without TLS."""
+    """Contexts towards callers and operators; each is None without TLS."""
 
     def __init__(self, settings: DaemonSettings) -> None:
         self._reloaded: list[ReloadedContext] = []
-        self.caller = self._server("caller", settings)
-        self.operator = self._server("operator", settings)
-        self.peer_server = self._server("peer", settings)
-        self.peer_client: ssl.SSLContext | None = None
-        if self.peer_server is not None:
-            context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-            # Peers are dialled by address; their CA says who they are.
-            context.check_hostname = False
-            self.peer_client = self._add(context, _files("peer", settings))
+        self.caller = self._server(
+            settings.caller_certificate_file, settings.caller_key_file
+        )
+        self.operator = self._server(
+            settings.operator_certificate_file, settings.operator_key_file
+        )
 
     async def run(self, clock: Clock) -> None:
         """Take up changed files until cancelled."""
@@ -83,27 +77,13 @@
                 if reloaded.reload_if_changed():
                     log.info("TLS certificate {} loaded", reloaded.files.certificate)
 
-    def _server(self, name: str, settings: DaemonSettings) -> ssl.SSLContext | None:
-        files = _files(name, settings)
-        if not files.certificate:
+    def _server(self, certificate: str, key: str) -> ssl.SSLContext | None:
+        if not certificate:
             return None
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        if files.ca:
-            context.verify_mode = ssl.CERT_REQUIRED
-        return self._add(context, files)
-
-    def _add(self, context: ssl.SSLContext, files: TlsFiles) -> ssl.SSLContext:
         context.minimum_version = ssl.TLSVersion.TLSv1_2
-        reloaded = ReloadedContext(context, files)
+        reloaded = ReloadedContext(context, TlsFiles(certificate, key))
         if not reloaded.reload_if_changed():
-            raise SettingsError(f"{files.certificate}, {files.key}: not usable for TLS")
+            raise SettingsError(f"{certificate}, {key}: not usable for TLS")
         self._reloaded.append(reloaded)
         return context
-
-
-def _files(name: str, settings: DaemonSettings) -> TlsFiles:
-    return TlsFiles(
-        getattr(settings, f"{name}_tls_certificate"),
-        getattr(settings, f"{name}_tls_key"),
-        settings.peer_tls_ca if name == "peer" else "",
-    )
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -6,21 +6,16 @@
 import ssl
 from pathlib import Path
 
-import anyio
 import pytest
 import trustme
 from cryptography import x509
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from pomeloyard.clock import SystemClock
 from pomeloyard.config.reference import reference_page
 from pomeloyard.errors import SettingsError
-from pomeloyard.peers.messages import Hello
-from pomeloyard.peers.streams import PeerNetwork
 from pomeloyard.settings import DaemonSettings, load_settings
 from pomeloyard.tls import ReloadedContext, TlsContexts, TlsFiles
-from tests.support.processes import free_port
 
 GOOD = """\
 vm = "entry-1"
@@ -50,7 +45,13 @@
     ("\nstore", '\nlog_level = "loud"\nstore', 7, "log_level", "debug, info"),
     ("\nstore", '\npeers = ["a"]\nstore', 7, "peers", "host:port"),
     ("\nstore", '\nbootstrap_key_sha256 = "x"\nstore', 7, "bootstrap_key", "64 lower"),
-    ("\nstore", '\ncaller_tls_key = "/absent"\nstore', 7, "caller_tls_key", "readable"),
+    (
+        "\nstore",
+        '\ncaller_key_file = "/absent"\nstore',
+        7,
+        "caller_key_file",
+        "readable",
+    ),
 ]
 
 
@@ -100,70 +101,21 @@
     certificate = ca.issue_cert(name)
     certificate.cert_chain_pems[0].write_to_path(directory / "cert.pem")
     certificate.private_key_pem.write_to_path(directory / "key.pem")
-    ca.cert_pem.write_to_path(directory / "ca.pem")
-
-
-def peer_settings(directory, name):
-    values = {
-        f"{kind}_address": f"127.0.0.1:{free_port()}"
-        for kind in ("caller", "operator", "peer", "metrics")
-    }
-    return DaemonSettings(
-        vm=name,
-        availability_zone="bulacan",
-        store_url="http://127.0.0.1:1",
-        directory_url="http://127.0.0.1:1",
-        peer_tls_certificate=str(directory / "cert.pem"),
-        peer_tls_key=str(directory / "key.pem"),
-        peer_tls_ca=str(directory / "ca.pem"),
-        **values,
-    )
 
 
-def test_peers_connect_over_tls_and_strangers_are_turned_away(tmp_path):
-    write_certificate(tmp_path, trustme.CA(), "127.0.0.1")
-    (tmp_path / "stranger").mkdir()
-    write_certificate(tmp_path / "stranger", trustme.CA(), "127.0.0.1")
-
-    def network(name, directory):
-        of = peer_settings(directory, name)
-        peers = PeerNetwork(
-            SystemClock(), Hello(f"{name}.1", name, of.peer_address, "z")
-        )
-        contexts = TlsContexts(of)
-        peers.server_tls, peers.client_tls = contexts.peer_server, contexts.peer_client
-        return peers
-
-    async def connect():
-        first, second = network("entry-1", tmp_path), network("entry-2", tmp_path)
-        stranger = network("entry-3", tmp_path / "stranger")
-        address = first.hello.address
-        async with anyio.create_task_group() as tasks:
-            await first.start(tasks)
-            async with await anyio.connect_tcp(
-                "127.0.0.1", int(address.rsplit(":")[-1])
-            ) as raw:
-                await raw.send(b"\0\0\0\1x")  # plaintext
-            stranger.addresses.add(address)
-            await stranger.start(tasks)
-            with anyio.fail_after(10):
-                while first.traffic.rejected_frames < 2:
-                    await anyio.sleep(0.01)
-                second.addresses.add(address)
-                await second.start(tasks)
-                while first.connected() != ["entry-2.1"]:
-                    await anyio.sleep(0.01)
-            assert stranger.connected() == []
-            tasks.cancel_scope.cancel()
-
-    anyio.run(connect)
+def tls_settings(directory):
+    content = GOOD.replace("127.0.0.1:8080", "10.0.0.1:8080")
+    for kind, file in (("certificate", "cert"), ("key", "key")):
+        content += f'caller_{kind}_file = "{directory}/{file}.pem"\n'
+    file = directory / "daemon.toml"
+    file.write_text(content)
+    return load_settings(file)
 
 
 def test_changed_certificate_is_used_by_new_connections(tmp_path):
     ca = trustme.CA()
     write_certificate(tmp_path, ca, "first.example")
-    server = TlsContexts(peer_settings(tmp_path, "entry-1")).peer_server
-    server.verify_mode = ssl.CERT_NONE
+    server = TlsContexts(tls_settings(tmp_path)).caller
     reloaded = ReloadedContext(
         server, TlsFiles(str(tmp_path / "cert.pem"), str(tmp_path / "key.pem"))
     )
--- a/tests/operators/test_operator_app.py
+++ b/tests/operators/test_operator_app.py
@@ -22,8 +22,8 @@
 from pomeloyard.platform import layout
 from pomeloyard.settings import DaemonSettings
 from pomeloyard.standins.platform import MemoryVmDirectory
+from tests.operators.store_faults import FaultyStore
 from tests.support.asgi import call_app
-from tests.support.faulty_store import FaultyStore
 
 BOOTSTRAP = new_key()[0]
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -4,7 +4,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,17 +15,12 @@
 
 from pomeloyard.keys import KeyRecord, hash_key, new_key
 from pomeloyard.platform.directory import Vm, VmRole
+from pomeloyard.standins.launcher import free_port
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_SECONDS = 20.0
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def wait_until(condition: Callable[[], bool], seconds: float = 15.0) -> None:
     """Wait for a condition; fail with the condition's name when time is up."""
     end = time.monotonic() + seconds
@@ -75,6 +69,12 @@
         self._process.kill()
         self._process.wait()
 
+    def pause(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self.signal(signal.SIGCONT)
+
 
 class Fleet:
     """Platform, executors, workers and daemons of one test, as processes."""
@@ -85,12 +85,55 @@
         self.settings: dict[str, dict[str, object]] = {}
         self.vms: list[Vm] = []
         self.platform_url = ""
+        self._control_url = ""
+        self._listen_ports: dict[str, str] = {}
         self.operator_key, record = new_key()
         self.bootstrap_sha256 = hash_key(self.operator_key)
         assert isinstance(record, KeyRecord)
 
-    def add_vm(self, name: str, role: VmRole, pool: str, zone: str, **more) -> Vm:
+    def start_proxies(self) -> None:
+        """Start the process that runs the fault proxies of this fleet."""
+        port = free_port()
+        self._control_url = f"http://127.0.0.1:{port}"
+        self._start("proxies", "pomeloyard.standins.fault_proxy", "--port", str(port))
+        self.wait_for_url(f"{self._control_url}/healthz")
+
+    def link(self, name: str, target: str) -> str:
+        """Add a fault proxy to ``target`` and return its "host:port"."""
+        return str(self._control("PUT", f"/links/{name}", target=target)["address"])
+
+    def set_faults(self, name: str, **faults: object) -> None:
+        """Replace the faults of a link; see ``fault_proxy.Faults``."""
+        self._control("POST", f"/links/{name}/faults", **faults)
+
+    def cut(self, name: str) -> None:
+        self._control("POST", f"/links/{name}/cut")
+
+    def silence(self, name: str) -> None:
+        self._control("POST", f"/links/{name}/silence")
+
+    def _control(self, method: str, path: str, **body: object) -> dict[str, object]:
+        response = httpcore.request(
+            method, self._control_url + path, content=msgspec.json.encode(body)
+        )
+        assert response.status == 200, response.content
+        return dict(msgspec.json.decode(response.content))
+
+    def add_vm(
+        self,
+        name: str,
+        role: VmRole,
+        pool: str,
+        zone: str,
+        *,
+        proxied: bool = False,
+        **more,
+    ) -> Vm:
+        """Add a VM; when proxied, daemons reach it through the link of its name."""
         address = f"127.0.0.1:{free_port()}"
+        self._listen_ports[name] = address.rsplit(":", 1)[1]
+        if proxied:
+            address = self.link(name, address)
         rack = more.pop("rack", f"{zone}-1")
         vm = Vm(name, role, pool, "luzon", zone, rack, address, **more)
         self.vms.append(vm)
@@ -112,14 +155,28 @@
         modules = {VmRole.EXECUTOR: "endpoint", VmRole.WORKER: "worker"}
         for vm in self.vms:
             if vm.role in modules:
-                port = vm.address.rsplit(":", 1)[1]
+                port = self._listen_ports[vm.name]
                 module = f"pomeloyard.standins.{modules[vm.role]}"
                 self._start(vm.name, module, "--port", port, "--name", vm.name)
         for vm in self.vms:
             if vm.role in modules:
                 self.wait_for_url(f"http://{vm.address}/healthz")
 
-    def start_daemon(self, name: str, zone: str, **more: object) -> None:
+    def start_daemon(
+        self,
+        name: str,
+        zone: str,
+        *,
+        store_link: str = "",
+        proxied_peers: bool = False,
+        **more: object,
+    ) -> None:
+        """Start a daemon.
+
+        ``store_link`` is the address of a link to the platform that the daemon
+        uses for the store. With ``proxied_peers``, other daemons reach it
+        through the link "peer-NAME".
+        """
         settings: dict[str, object] = {
             "vm": name,
             "availability_zone": zone,
@@ -130,6 +187,12 @@
         }
         for kind in ("caller", "operator", "peer", "metrics"):
             settings[f"{kind}_address"] = f"127.0.0.1:{free_port()}"
+        if store_link:
+            settings["store_url"] = f"http://{store_link}"
+        if proxied_peers:
+            listen = str(settings["peer_address"])
+            settings["peer_listen_address"] = listen
+            settings["peer_address"] = self.link(f"peer-{name}", listen)
         settings.update(self.settings.get(name, {}))
         settings.update(more)
         self.settings[name] = settings
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -15,7 +15,7 @@
 
 from .support.processes import SOURCE, Fleet, wait_until
 
-EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
+CONFIGURATION = Path(__file__).resolve().parent / "fleets"
 DAEMONS = ("entry-1", "entry-2", "entry-3")
 
 
@@ -64,7 +64,7 @@
 
 
 def test_request_job_and_drain_pass_through_three_daemons(fleet):
-    assert run_tool(fleet, "config", "publish", str(EXAMPLES)) == 1
+    assert run_tool(fleet, "config", "publish", str(CONFIGURATION)) == 1
     fleet.wait_ready(*DAEMONS)
     team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
 
