--- a/src/pomeloyard/admission.py
+++ b/src/pomeloyard/admission.py
@@ -135,6 +135,14 @@
         record = self._services_by_name.get(service)
         return record.queued if record is not None else 0
 
+    def queued_by_team(self) -> dict[str, int]:
+        """Return how many requests of each team wait, over all services."""
+        counts: dict[str, int] = {}
+        for record in self._services_by_name.values():
+            for name, team in record.teams_by_name.items():
+                counts[name] = counts.get(name, 0) + team.queued
+        return counts
+
     def use_by_service_team(self) -> dict[tuple[str, str], TeamUse]:
         """Return queue, running requests and served time of all teams."""
         now = self._clock.monotonic()
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -6,16 +6,14 @@
 import secrets
 import signal
 import socket
+import ssl
 import sys
 from pathlib import Path
 
 import anyio
 import logbook
 from anyio.abc import TaskGroup
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
+from starlette.types import ASGIApp
 
 from .admission import AdmissionController
 from .callers.app import caller_app
@@ -29,9 +27,14 @@
 from .exchanges import ExchangeSender
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
+from .heartbeats import HeartbeatBook
 from .job_store import JobStore
+from .key_service import KeyService
 from .keyed_requests import KeyedRequests
+from .logs import DecisionSink, JsonLogHandler, LogWriter
 from .membership import Membership
+from .metrics import FleetMetrics, MetricSources, RequestMetrics
+from .monitoring import monitoring_app
 from .operators.app import operator_app
 from .operators.support import OperatorContext
 from .peers.calls import PeerCalls
@@ -44,6 +47,7 @@
 from .platform.records import ConflictError
 from .platform.store import Store
 from .platform.vm_service import HttpVmDirectory
+from .readiness import NotReadyReason, not_ready_reasons
 from .requests import RequestService
 from .results import ResultTable
 from .roles import RoleCandidate
@@ -51,6 +55,8 @@
 from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
+from .tls import TlsContexts
+from .usage import TeamUsage, team_usages
 from .workers.client import HttpWorkerClient
 
 log = logbook.Logger("pomeloyard.daemon")
@@ -72,6 +78,8 @@
         self.directory = directory
         self.state = FleetState()
         self.decisions = DecisionLog()
+        self.tls = TlsContexts(settings)
+        self.log_writer = LogWriter(clock, settings.log_file, settings.log_queue_lines)
         self.incarnation = f"{settings.vm}.{secrets.token_hex(4)}"
         record = DaemonRecord(
             incarnation=self.incarnation,
@@ -145,10 +153,38 @@
         self.scheduler = Scheduler(
             clock, self.state, store, self.workers, self.decisions
         )
+        self.heartbeats = HeartbeatBook(clock)
+        self.peers.on(Heartbeat, self.heartbeats.note)
+        self.keys = KeyService(
+            store, clock, self.state, self.peers.broadcast, self.decisions
+        )
+        self.metrics = FleetMetrics(
+            clock,
+            MetricSources(
+                self.incarnation,
+                self.state,
+                self.admission,
+                self.peers,
+                self.log_writer,
+                self._team_usage,
+            ),
+        )
+        self.decisions.sinks += [
+            DecisionSink(self.log_writer),
+            self.metrics.count_decision,
+        ]
         self._servers: list[EmbeddedServer] = []
+        self._closing = False
 
     async def run(self) -> None:
-        """Run until SIGTERM or SIGINT."""
+        """Run until SIGTERM or SIGINT, logging JSON lines."""
+        try:
+            with JsonLogHandler(self.log_writer, self.settings.log_level):
+                await self._run()
+        finally:
+            self.log_writer.close()
+
+    async def _run(self) -> None:
         async with anyio.create_task_group() as tasks:
             await self.start(tasks)
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -171,6 +207,9 @@
         tasks.start_soon(self.capacity.run)
         tasks.start_soon(self.capacity.run_repeats)
         tasks.start_soon(self.claims.run)
+        tasks.start_soon(self.keys.run)
+        tasks.start_soon(self.log_writer.run)
+        tasks.start_soon(self.tls.run, self.clock)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -182,13 +221,18 @@
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
         operator = operator_app(self._operator_context())
-        self._serve(tasks, caller, settings.caller_address)
-        self._serve(tasks, operator, settings.operator_address)
-        self._serve(tasks, self._metrics_app(), settings.metrics_address)
+        counted = RequestMetrics(caller, self.metrics, self.clock, self.state)
+        self._serve(tasks, counted, settings.caller_address, self.tls.caller)
+        self._serve(tasks, operator, settings.operator_address, self.tls.operator)
+        monitoring = monitoring_app(self.metrics, self._not_ready_reasons)
+        self._serve(tasks, monitoring, settings.metrics_address, self.tls.operator)
+        if settings.allow_plaintext:
+            log.warning("plaintext is allowed on addresses other than loopback")
         log.info("{} started", self.incarnation)
 
     async def close(self) -> None:
         """Stop accepting, finish running requests and give up partitions."""
+        self._closing = True
         for server in self._servers:
             server.should_exit = True
         while any(self.admission.running_by_vm.values()):
@@ -210,31 +254,31 @@
             controller=self.controller,
             jobs=self.jobs,
             decisions=self.decisions,
+            keys=self.keys,
+            daemon_statuses=lambda: self.heartbeats.statuses(
+                self.state, self.incarnation, self._heartbeat()
+            ),
+            team_usage=self._team_usage,
         )
 
-    def _serve(self, tasks: TaskGroup, app: Starlette, address: str) -> None:
+    def _not_ready_reasons(self) -> list[NotReadyReason]:
+        return not_ready_reasons(self.state, closing=self._closing)
+
+    def _serve(
+        self,
+        tasks: TaskGroup,
+        app: ASGIApp,
+        address: str,
+        tls: ssl.SSLContext | None,
+    ) -> None:
         host, port = address.rsplit(":", 1)
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
-        server = EmbeddedServer(server_config(app))
+        server = EmbeddedServer(server_config(app, tls=tls))
         self._servers.append(server)
         tasks.start_soon(server.serve, [listener])
 
-    def _metrics_app(self) -> Starlette:
-        async def ready(request: Request) -> Response:
-            is_ready = self.state.config.revision > 0
-            return Response(
-                "ready" if is_ready else "not ready", 200 if is_ready else 503
-            )
-
-        return Starlette(
-            routes=[
-                Route("/healthz", lambda request: Response("ok")),
-                Route("/readyz", ready),
-            ]
-        )
-
     def _heartbeat(self) -> Heartbeat:
         state = self.state
         return Heartbeat(
@@ -244,6 +288,11 @@
             state.store_reachable,
         )
 
+    def _team_usage(self) -> list[TeamUsage]:
+        teams = self.state.config.teams_by_name
+        queued = self.admission.queued_by_team()
+        return team_usages(teams, self.admission.running_by_team, queued)
+
     def _on_change(self) -> None:
         self.peers.addresses.update(
             record.peer_address for record in self.state.daemons_by_incarnation.values()
@@ -279,10 +328,7 @@
         settings.peer_ca_file,
     )
     if not any(files):
-        log.warning("links to other daemons are not encrypted")
         return None
-    if not all(files):
-        raise SettingsError("certificate, key and CA files must be set together")
     try:
         return PeerTls(*map(Path, files))
     except OSError as error:
@@ -290,11 +336,20 @@
 
 
 def main() -> None:
-    """Run the daemon with a settings file."""
+    """Run the daemon with a settings file, or a whole small fleet for trying it out."""
     parser = argparse.ArgumentParser(prog="pomeloyardd", description=main.__doc__)
-    parser.add_argument("--settings", type=Path, required=True)
+    ways = parser.add_mutually_exclusive_group(required=True)
+    ways.add_argument("--settings", type=Path, help="TOML file of this daemon")
+    ways.add_argument(
+        "--embedded", action="store_true", help="a fleet in memory, on free ports"
+    )
     arguments = parser.parse_args()
-    logbook.StreamHandler(sys.stderr, level="INFO").push_application()
+    if arguments.embedded:
+        # Only here, because a daemon of a fleet needs no stand-ins.
+        from .standins.embedded import main as run_embedded
+
+        run_embedded()
+        return
     try:
         settings = load_settings(arguments.settings)
         daemon = Daemon(
--- a/src/pomeloyard/problems.py
+++ b/src/pomeloyard/problems.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -73,14 +73,24 @@
 METHOD_NOT_ALLOWED = 405
 
 
-def refusal_response(refusal: Refused) -> Response:
-    """Return the response for an operation that certainly did not run."""
+def refusal_response(
+    refusal: Refused, members: Mapping[str, object] | None = None
+) -> Response:
+    """Return the response for an operation that certainly did not run.
+
+    ``members`` are extension members of the problem details.
+    """
     status = STATUS_BY_REASON.get(refusal.reason, 503)
     retry_after = refusal.retry_after
     if retry_after is None and refusal.reason in RETRIABLE_REASONS:
         retry_after = RETRY_AFTER
     return _problem(
-        status, refusal.reason.value, "not-run", refusal.detail, retry_after
+        status,
+        refusal.reason.value,
+        "not-run",
+        refusal.detail,
+        retry_after,
+        members,
     )
 
 
@@ -99,8 +109,10 @@
     outcome: str,
     detail: str,
     retry_after: timedelta | None = None,
+    members: Mapping[str, object] | None = None,
 ) -> Response:
     body = {
+        **(members or {}),
         "type": f"urn:pomeloyard:{reason}",
         "title": reason.replace("-", " "),
         "status": status,
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -4,7 +4,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,17 +15,12 @@
 
 from pomeloyard.keys import KeyRecord, hash_key, new_key
 from pomeloyard.platform.directory import Vm, VmRole
+from pomeloyard.standins.launcher import free_port
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_SECONDS = 20.0
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def wait_until(condition: Callable[[], bool], seconds: float = 15.0) -> None:
     """Wait for a condition; fail with the condition's name when time is up."""
     end = time.monotonic() + seconds
