--- /dev/null
+++ b/src/pomeloyard/budgets.py
@@ -0,0 +1,285 @@
+"""Availability budgets: what a service needs, what is spent, and by which VM."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Collection
+from dataclasses import dataclass, field, replace
+from datetime import datetime
+from enum import Enum
+
+from .config.model import BudgetConfig, FleetConfig, PoolConfig, ServiceConfig
+from .platform.directory import VmRole
+from .vms import Cause, VmRecord, VmState
+
+
+class SpendingKind(Enum):
+    """How a VM came to be unavailable."""
+
+    PLANNED = "planned"
+    UNPLANNED = "unplanned"
+    JOINING = "joining"
+    """Moved in and not yet in service; the budget is not yet counted over it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Spending:
+    """One unavailable VM: by a planned operation or by a loss."""
+
+    kind: SpendingKind
+    operation: str
+    cause: Cause
+    since: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A VM of the service's pool."""
+
+    role: VmRole
+    availability_zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetRecord:
+    """Members of a service's pool and the unavailable ones among them."""
+
+    service: str
+    members_by_vm: dict[str, Member] = field(default_factory=dict)
+    spending_by_vm: dict[str, Spending] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """Part of a pool that a budget covers; zone "" is the whole pool."""
+
+    role: VmRole
+    availability_zone: str = ""
+
+
+@dataclass(slots=True)
+class Headroom:
+    """VMs of a scope: how many must be and how many are available."""
+
+    total: int
+    needed: int
+    available: int
+
+    @property
+    def spare(self) -> int:
+        """Return how many more VMs may become unavailable."""
+        return self.available - self.needed
+
+
+HeadroomByScope = dict[Scope, Headroom]
+
+
+def needed_vms(
+    minimum: int | float, base: int, role: VmRole, pool: PoolConfig | None
+) -> int:
+    """Return how many of ``base`` VMs of a role must stay available.
+
+    A count is stated for executors. Workers of a pool that also has executors
+    need the same proportion, rounded down, so that one worker beside two
+    executors can still be maintained. Shares are rounded up.
+
+    >>> needed_vms(0.5, 5, VmRole.EXECUTOR, None)
+    3
+    >>> needed_vms(1, 1, VmRole.WORKER, PoolConfig("p", executors=2, workers=1))
+    0
+    """
+    if isinstance(minimum, float):
+        # The tolerance keeps 0.7 * 10 (7.000000000000001) from needing 8.
+        return math.ceil(minimum * base - 1e-9)
+    if role is VmRole.WORKER and pool is not None and pool.executors:
+        return minimum * pool.workers // pool.executors
+    return minimum
+
+
+def configured_vms(pool: PoolConfig | None, role: VmRole) -> int:
+    """Return the configured size of a pool for a role, 0 if not stated."""
+    if pool is None:
+        return 0
+    return pool.executors if role is VmRole.EXECUTOR else pool.workers
+
+
+def headroom_of(
+    record: BudgetRecord,
+    budget: BudgetConfig,
+    pool: PoolConfig | None,
+    unavailable: Collection[str] = (),
+) -> HeadroomByScope:
+    """Return the headroom of every scope of a budget.
+
+    ``unavailable`` names VMs known to be lost that are not yet entered. Shares of
+    the whole pool are counted over its configured size, so that lending VMs away
+    does not lower what must stay.
+    """
+    totals: Counter[Scope] = Counter()
+    available: Counter[Scope] = Counter()
+    for name, member in record.members_by_vm.items():
+        spending = record.spending_by_vm.get(name)
+        scopes = (Scope(member.role), Scope(member.role, member.availability_zone))
+        if spending is None or spending.kind is not SpendingKind.JOINING:
+            totals.update(scopes)
+        if spending is None and name not in unavailable:
+            available.update(scopes)
+    return {
+        scope: Headroom(
+            total, _needed(scope, total, budget, pool), available.get(scope, 0)
+        )
+        for scope, total in totals.items()
+    }
+
+
+def _needed(
+    scope: Scope, total: int, budget: BudgetConfig, pool: PoolConfig | None
+) -> int:
+    if scope.availability_zone:
+        return needed_vms(budget.min_available_per_zone, total, scope.role, pool)
+    base = configured_vms(pool, scope.role) or total
+    return needed_vms(budget.min_available, base, scope.role, pool)
+
+
+def blocking_scope(
+    headroom: HeadroomByScope, role: VmRole, availability_zone: str
+) -> Scope | None:
+    """Return a scope that does not allow one more unavailable VM, or None."""
+    for scope in (Scope(role), Scope(role, availability_zone)):
+        room = headroom.get(scope)
+        if room is not None and room.spare < 1:
+            return scope
+    return None
+
+
+def spend_headroom(
+    headroom: HeadroomByScope, role: VmRole, availability_zone: str
+) -> None:
+    """Count one more unavailable VM in a planner's own copy."""
+    for scope in (Scope(role), Scope(role, availability_zone)):
+        if scope in headroom:
+            headroom[scope].available -= 1
+
+
+def used_up_by_loss(
+    record: BudgetRecord, headroom: HeadroomByScope, unavailable: Collection[str] = ()
+) -> Scope | None:
+    """Return a scope whose whole allowance is taken by unplanned losses, or None."""
+    lost: Counter[Scope] = Counter()
+    for name, member in record.members_by_vm.items():
+        spending = record.spending_by_vm.get(name)
+        unplanned = spending is not None and spending.kind is SpendingKind.UNPLANNED
+        if unplanned or (spending is None and name in unavailable):
+            lost[Scope(member.role)] += 1
+            lost[Scope(member.role, member.availability_zone)] += 1
+    for scope, count in lost.items():
+        room = headroom.get(scope)
+        if room is not None and count >= max(1, room.total - room.needed):
+            return scope
+    return None
+
+
+def with_vm(
+    record: BudgetRecord,
+    pool: str,
+    old: VmRecord | None,
+    new: VmRecord,
+    now: datetime,
+    *,
+    lost: bool = False,
+) -> BudgetRecord:
+    """Return the budget record of a service of ``pool`` after a VM's change.
+
+    Members and spending follow from the VM record; an entry keeps its kind until
+    the VM is back in service. ``lost`` says that the platform's list does not
+    show the VM as live, so that whatever is planned for it is an unplanned loss.
+    """
+    members = dict(record.members_by_vm)
+    spending = dict(record.spending_by_vm)
+    if new.pool != pool:
+        members.pop(new.name, None)
+        spending.pop(new.name, None)
+        return replace(record, members_by_vm=members, spending_by_vm=spending)
+    members[new.name] = Member(new.role, new.availability_zone)
+    if new.state is VmState.IN_SERVICE:
+        spending.pop(new.name, None)
+    elif new.name not in spending:
+        kind = _kind_of(old, new, lost)
+        cause = new.reasons[-1].cause if new.reasons else Cause.ADOPTED
+        spending[new.name] = Spending(kind, new.operation, cause, now)
+    return replace(record, members_by_vm=members, spending_by_vm=spending)
+
+
+def _kind_of(old: VmRecord | None, new: VmRecord, lost: bool) -> SpendingKind:
+    if old is not None and old.pool != new.pool:
+        return SpendingKind.JOINING
+    if old is None or old.state is not VmState.IN_SERVICE:
+        # Entered late, for example for a service that was added to the pool.
+        return SpendingKind.UNPLANNED
+    if lost or new.state is VmState.FAILED:
+        return SpendingKind.UNPLANNED
+    return SpendingKind.PLANNED
+
+
+class BudgetProblemKind(Enum):
+    """Why no plan can meet a budget."""
+
+    NOT_A_SHARE = "not-a-share"
+    NEGATIVE = "negative"
+    MORE_THAN_POOL = "more-than-pool"
+    NO_MAINTENANCE = "leaves-no-vm-for-maintenance"
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetProblem:
+    """A budget that no plan can meet."""
+
+    service: str
+    setting: str
+    kind: BudgetProblemKind
+    role: VmRole
+    needed: float
+    vms: int
+
+
+def budget_problems(config: FleetConfig) -> list[BudgetProblem]:
+    """Return the budgets that no plan can meet, in order of service names.
+
+    Maintenance is required of every VM, so each budget must leave at least one
+    VM of every role that the pool has.
+    """
+    problems = []
+    for _, service in sorted(config.services_by_name.items()):
+        pool = config.pools_by_name.get(service.pool)
+        if pool is None:
+            continue  # Reported by the reader as an unknown pool.
+        for setting in ("min_available", "min_available_per_zone"):
+            problems += _setting_problems(service, pool, setting)
+    return problems
+
+
+def _setting_problems(
+    service: ServiceConfig, pool: PoolConfig, setting: str
+) -> list[BudgetProblem]:
+    minimum = getattr(service.budget, setting)
+
+    def problem(kind: BudgetProblemKind, role: VmRole, vms: int) -> BudgetProblem:
+        return BudgetProblem(service.name, setting, kind, role, minimum, vms)
+
+    if minimum < 0:
+        return [problem(BudgetProblemKind.NEGATIVE, VmRole.EXECUTOR, pool.executors)]
+    if isinstance(minimum, float) and minimum > 1:
+        return [problem(BudgetProblemKind.NOT_A_SHARE, VmRole.EXECUTOR, pool.executors)]
+    problems = []
+    for role in (VmRole.EXECUTOR, VmRole.WORKER):
+        vms = configured_vms(pool, role)
+        needed = needed_vms(minimum, vms, role, pool)
+        only_role = role is VmRole.EXECUTOR and not pool.workers
+        if vms == 0 and not (only_role and needed):
+            continue
+        if needed > vms:
+            problems.append(problem(BudgetProblemKind.MORE_THAN_POOL, role, vms))
+        elif needed == vms:
+            problems.append(problem(BudgetProblemKind.NO_MAINTENANCE, role, vms))
+    return problems
--- /dev/null
+++ b/src/pomeloyard/buffers.py
@@ -0,0 +1,168 @@
+"""Carry out lending between the spare pool and pools whose queues peak."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Callable, Mapping
+from datetime import datetime, timedelta
+
+import logbook
+
+from .decisions import Decision, DecisionKind, DecisionLog
+from .errors import RefusedError, StoreError
+from .fleet_records import FleetRecords
+from .forecasts import (
+    LendDecision,
+    LendReason,
+    PoolDemand,
+    PoolForecast,
+    median_time,
+    plan_lending,
+)
+from .operations import VmOperations
+from .platform.directory import VmRole
+from .platform.records import ConflictError
+from .vms import Cause, VmPlan, VmRecord, VmState
+
+FIRST_MOVE_TIME = timedelta(seconds=5)
+"""Time that a move is taken to need until one was seen."""
+
+MOVES_REMEMBERED = 20
+
+CONTROLLER = "controller"
+
+log = logbook.Logger("pomeloyard.buffers")
+
+
+class BufferManager:
+    """Lends executors to pools with peaks, within the budgets."""
+
+    def __init__(
+        self,
+        records: FleetRecords,
+        operations: VmOperations,
+        decisions: DecisionLog,
+        demand_by_pool: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._records = records
+        self._operations = operations
+        self._decisions = decisions
+        self._demand_by_pool = demand_by_pool
+        self._forecasts: dict[str, PoolForecast] = defaultdict(PoolForecast)
+        self._move_began_at: dict[str, datetime] = {}
+        self._move_times: deque[timedelta] = deque(maxlen=MOVES_REMEMBERED)
+        self._last_not_moved: dict[str, LendReason] = {}
+
+    def move_time(self) -> timedelta:
+        """Return the median time of recent moves, from drain to service."""
+        return median_time(self._move_times) if self._move_times else FIRST_MOVE_TIME
+
+    async def step(self) -> None:
+        """Take a sample of the demand and start the moves that are worth it."""
+        config, now = self._records.state.config, self._records.clock.now()
+        spare = [p.name for p in config.pools_by_name.values() if p.spare]
+        self._note_moves(now)
+        if not spare:
+            return
+        pools = self._pool_demands(spare[0], now)
+        free = self._free_vms(spare[0])
+        plan = plan_lending(pools, spare[0], len(free), now, self.move_time())
+        for decision in plan:
+            await self._carry_out(decision, spare[0])
+
+    def _pool_demands(self, spare: str, now: datetime) -> list[PoolDemand]:
+        demand = self._demand_by_pool()
+        own: dict[str, int] = defaultdict(int)
+        borrowed: dict[str, int] = defaultdict(int)
+        for vm in self._records.state.vm_records_by_name.values():
+            if vm.role is not VmRole.EXECUTOR:
+                continue
+            pool = vm.target_pool or vm.pool
+            if vm.home_pool == spare or (vm.pool == spare and vm.target_pool):
+                borrowed[pool] += 1
+            elif vm.accepts_work():
+                own[pool] += 1
+        pools = []
+        for pool in sorted(demand.keys() - {spare}):
+            self._forecasts[pool].observe(now, demand[pool], own[pool])
+            pools.append(
+                PoolDemand(pool, own[pool], borrowed[pool], self._forecasts[pool])
+            )
+        return pools
+
+    def _free_vms(self, pool: str) -> list[VmRecord]:
+        """Return executors of a pool that may be lent on, in name order.
+
+        Of other pools than the spare one, only borrowed VMs are free.
+        """
+        config = self._records.state.config.pools_by_name.get(pool)
+        spare = config is not None and config.spare
+        vms = self._records.state.vm_records_by_name
+        return [
+            vm
+            for _, vm in sorted(vms.items())
+            if vm.pool == pool
+            and vm.role is VmRole.EXECUTOR
+            and vm.state is VmState.IN_SERVICE
+            and (spare or vm.home_pool)
+        ]
+
+    async def _carry_out(self, decision: LendDecision, spare: str) -> None:
+        self._decide(decision)
+        cause = Cause.GIVE_BACK if decision.target == spare else Cause.LEND
+        started = 0
+        for vm in self._free_vms(decision.source):
+            if started == decision.vms:
+                return
+            try:
+                await self._operations.move(
+                    vm.name,
+                    decision.target,
+                    CONTROLLER,
+                    cause,
+                    operation=f"lend.{vm.name}.{vm.epoch}",
+                )
+            except (RefusedError, ConflictError) as error:
+                log.info("{} not lent: {}", vm.name, error)
+            except StoreError as error:
+                log.warning("{} not lent: {}", vm.name, error)
+                return
+            else:
+                started += 1
+
+    def _note_moves(self, now: datetime) -> None:
+        """Learn how long moves take."""
+        for name, vm in self._records.state.vm_records_by_name.items():
+            moving = vm.plan is VmPlan.MOVE and vm.state is not VmState.SET_ASIDE
+            if moving:
+                self._move_began_at.setdefault(name, now)
+            elif name in self._move_began_at:
+                began_at = self._move_began_at.pop(name)
+                if vm.state is VmState.IN_SERVICE:
+                    self._move_times.append(now - began_at)
+
+    def _decide(self, decision: LendDecision) -> None:
+        subject = f"pool/{decision.target}"
+        if decision.vms == 0:
+            # The same refusal would otherwise be recorded twice a second.
+            if self._last_not_moved.get(subject) is decision.reason:
+                return
+            self._last_not_moved[subject] = decision.reason
+        else:
+            self._last_not_moved.pop(subject, None)
+        self._decisions.record(
+            Decision(
+                self._records.clock.now(),
+                DecisionKind.MOVE,
+                subject,
+                f"{decision.vms} VMs from {decision.source}"
+                if decision.vms
+                else "no move",
+                decision.reason,
+                inputs={
+                    "demand_vms": decision.demand,
+                    "wanted_vms": decision.wanted,
+                    "move_seconds": self.move_time().total_seconds(),
+                },
+            )
+        )
--- a/src/pomeloyard/cli/main.py
+++ b/src/pomeloyard/cli/main.py
@@ -6,9 +6,12 @@
 
 from ..errors import PomeloyardError
 from ..operators.client import OperatorClient
+from .budgets import budget
 from .config import config
 from .keys import key
+from .pools import pool
 from .vms import vm
+from .waves import wave
 
 
 @click.group()
@@ -20,7 +23,7 @@
     context.obj = OperatorClient(list(daemon), key)
 
 
-for group in (config, key, vm):
+for group in (budget, config, key, pool, vm, wave):
     cli.add_command(group)
 
 
--- a/src/pomeloyard/controller.py
+++ b/src/pomeloyard/controller.py
@@ -1,21 +1,28 @@
-"""The controller role: drains, returns and repairs VMs within budgets."""
+"""The controller role: a loop over the fleet's state machines and plans."""
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 import logbook
 
+from .buffers import BufferManager
 from .clock import Clock
+from .decisions import DecisionLog
+from .drains import AskRunning, DrainVerifier, TaskCounts
 from .errors import RefusedError, StoreError
+from .fleet_records import FleetRecords
 from .fleet_state import FleetState
-from .outcomes import RefusalReason, Refused
-from .platform import layout
-from .platform.directory import Vm, VmRole
-from .platform.records import Change, ConflictError, commit_changes, read_record
+from .lifecycle import VmLifecycle
+from .operations import VmOperations
+from .platform.directory import VmDirectory
+from .platform.records import ConflictError
 from .platform.store import Store
-from .vms import MAX_REASONS, Reason, VmRecord, VmState
+from .repair import HealthBook
+from .repairs import RepairManager
+from .vms import VmRecord
+from .wave_runner import WaveRunner
 
 TICK = timedelta(seconds=0.5)
 
@@ -23,80 +30,57 @@
 
 
 class Controller:
-    """Changes VM records; every step is one compare-and-swap."""
-
-    def __init__(self, clock: Clock, state: FleetState, store: Store) -> None:
+    """Changes VM records and waves while this daemon holds the role.
+
+    ``operations`` and ``waves`` also serve operators at daemons without the role,
+    as every step is one transaction.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: FleetState,
+        store: Store,
+        directory: VmDirectory,
+        decisions: DecisionLog,
+        ask: AskRunning,
+        tasks: TaskCounts,
+        announce: Callable[[VmRecord], None] = lambda record: None,
+        demand_by_pool: Callable[[], Mapping[str, float]] = dict,
+    ) -> None:
         self._clock = clock
         self._state = state
-        self._store = store
+        self.records = FleetRecords(store, clock, state)
+        self.operations = VmOperations(self.records, decisions, announce)
+        self.waves = WaveRunner(self.records, self.operations, decisions)
+        self.repairs = RepairManager(
+            self.records, self.operations, decisions, HealthBook()
+        )
+        self.buffers = BufferManager(
+            self.records, self.operations, decisions, demand_by_pool
+        )
+        verifier = DrainVerifier(clock, state, ask, tasks)
+        self.lifecycle = VmLifecycle(
+            self.records, directory, verifier, self.repairs.is_failing
+        )
 
     async def run(self, epoch: int) -> None:
-        """Adopt new VMs and advance drains until the role is lost."""
+        """Step until the role is lost; a failed step is tried again."""
         while True:
             try:
-                await self._adopt_new_vms()
-                await self._advance_drains()
-            except (StoreError, ConflictError) as error:
+                await self.step()
+            except (StoreError, ConflictError, RefusedError) as error:
                 log.warning("controller step failed: {}", error)
             await self._clock.sleep(TICK)
 
-    async def drain(self, name: str, cause: str, by: str) -> VmRecord:
-        """Start draining a VM if its service's budget allows it."""
-        vm = self._state.vm_list.vms_by_name.get(name)
-        if vm is None:
-            raise RefusedError(Refused(RefusalReason.NOT_FOUND, name))
-        self._check_budget(vm)
-        return await self._change(name, VmState.DRAINING, cause, by)
-
-    async def return_to_service(self, name: str, cause: str, by: str) -> VmRecord:
-        """Put a drained VM back into service."""
-        return await self._change(name, VmState.IN_SERVICE, cause, by)
-
-    def _check_budget(self, vm: Vm) -> None:
-        pool = self._state.pool_of(vm)
-        total = self._state.vms_of(pool, VmRole.EXECUTOR)
-        available = self._state.available_vms(pool, VmRole.EXECUTOR)
-        for service in self._state.config.services_by_name.values():
-            if service.pool != pool:
-                continue
-            needed = service.budget.min_available
-            if isinstance(needed, float):
-                needed = -int(-needed * len(total) // 1)
-            if len(available) - 1 < needed:
-                detail = f"{service.name} needs {needed} of {len(total)} VMs"
-                raise RefusedError(Refused(RefusalReason.BUDGET_EXCEEDED, detail))
-
-    async def _change(self, name: str, state: VmState, cause: str, by: str) -> VmRecord:
-        key = layout.VMS + name
-        current = await read_record(self._store, key, VmRecord)
-        if current is None:
-            raise RefusedError(Refused(RefusalReason.NOT_FOUND, name))
-        at = self._clock.now().isoformat()
-        reasons = (*current.value.reasons, Reason(at, state.value, cause, by))
-        record = replace(
-            current.value,
-            state=state,
-            epoch=current.value.epoch + 1,
-            reasons=reasons[-MAX_REASONS:],
-        )
-        await commit_changes(self._store, [Change(key, record, current)])
-        return record
-
-    async def _adopt_new_vms(self) -> None:
-        for vm in self._state.vm_list.vms_by_name.values():
-            if vm.role is VmRole.ENTRY or vm.name in self._state.vm_records_by_name:
-                continue
-            record = VmRecord(vm.name, vm.role, vm.pool)
-            try:
-                await commit_changes(
-                    self._store, [Change(layout.VMS + vm.name, record, None)]
-                )
-            except ConflictError:
-                continue  # Another controller adopted it first.
-
-    async def _advance_drains(self) -> None:
-        for record in list(self._state.vm_records_by_name.values()):
-            if record.state is VmState.DRAINING:
-                await self._change(
-                    record.name, VmState.DRAINED, "nothing is running", "controller"
-                )
+    async def step(self) -> None:
+        """Advance the whole fleet once."""
+        if self._state.config.revision == 0 or self._state.vm_list.version == 0:
+            return  # Without the VM list, every VM would look lost.
+        await self.lifecycle.adopt_new_vms()
+        await self.lifecycle.advance_all()
+        budgets = await self.records.budgets()
+        await self.records.reconcile(budgets)
+        await self.waves.step(budgets)
+        await self.repairs.step()
+        await self.buffers.step()
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -22,6 +22,8 @@
 from .clock import Clock, SystemClock
 from .controller import Controller
 from .decisions import DecisionLog
+from .drain_notices import DrainNotices
+from .drains import JobTaskCounts
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
 from .fleet_state import DaemonRecord, FleetState
@@ -95,7 +97,23 @@
             clock, self.state, self.admission, self.endpoints
         )
         self.jobs = JobStore(store, clock)
-        self.controller = Controller(clock, self.state, store)
+        self.drain_notices = DrainNotices(
+            self.peers,
+            self.calls,
+            self.state,
+            lambda vm: self.admission.running_by_vm.get(vm, 0),
+        )
+        self.controller = Controller(
+            clock,
+            self.state,
+            store,
+            directory,
+            self.decisions,
+            self.drain_notices.ask,
+            JobTaskCounts(self.jobs),
+            self.drain_notices.announce,
+            self._demand_by_pool,
+        )
         self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
         self._servers: list[EmbeddedServer] = []
 
@@ -115,6 +133,7 @@
         self.state.bootstrap_sha256 = self.settings.bootstrap_key_sha256
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
+        self.drain_notices.start()
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
@@ -220,6 +239,21 @@
         vms = self.state.available_vms(config.pool, VmRole.EXECUTOR)
         return [vm.name for vm in vms]
 
+    def _demand_by_pool(self) -> dict[str, float]:
+        """Return the demand of pools in VMs, extrapolated from this daemon's."""
+        daemons = max(1, len(self.state.daemons_by_incarnation))
+        demand: dict[str, float] = {}
+        for service in self.state.config.services_by_name.values():
+            running = sum(
+                count
+                for (name, _), count in self.admission.running_by_service_team.items()
+                if name == service.name
+            )
+            slots = (running + self.admission.queued(service.name)) * daemons
+            vms = slots / max(1, service.slots_per_executor)
+            demand[service.pool] = demand.get(service.pool, 0.0) + vms
+        return demand
+
     def _weight(self, team: str) -> float:
         config = self.state.config.teams_by_name.get(team)
         return config.share if config is not None else 1.0
--- /dev/null
+++ b/src/pomeloyard/drains.py
@@ -0,0 +1,155 @@
+"""Verification that nothing runs at a draining VM."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+import anyio
+
+from .clock import Clock
+from .fleet_state import FleetState
+from .jobs import FINAL_STATES, JobStore
+from .platform.directory import VmRole
+from .vms import VmRecord
+
+ASK_INTERVAL = timedelta(seconds=1)
+"""Least time between two questions to one daemon about one VM."""
+
+SETTLE = timedelta(seconds=3)
+"""Time that a worker must stay without tasks after the last daemon has learned of
+the drain. A placement that was decided before is written within the store's call
+timeout of 2 s."""
+
+AskRunning = Callable[[str, VmRecord], Awaitable[int | None]]
+"""Returns the requests that a daemon runs at a VM, or None without an answer.
+
+The question also tells the daemon to send no new work to the VM."""
+
+
+class DrainStatus(Enum):
+    """Whether a drain is complete, and what it waits for."""
+
+    CLEAR = "clear"
+    REQUESTS_RUNNING = "requests-running"
+    TASKS_RUNNING = "tasks-running"
+    DAEMONS_SILENT = "daemons-silent"
+    TIMED_OUT_SILENT = "silent-daemons-timed-out"
+
+
+@dataclass(frozen=True, slots=True)
+class DrainCheck:
+    """Result of one verification; ``waiting_for`` names daemons."""
+
+    status: DrainStatus
+    running: int = 0
+    waiting_for: tuple[str, ...] = ()
+
+
+class TaskCounts(ABC):
+    """Tasks that run, or may run, at workers."""
+
+    @abstractmethod
+    async def running_tasks(self) -> dict[str, int]:
+        """Return the number of tasks by VM; VMs without tasks may be absent."""
+
+
+class JobTaskCounts(TaskCounts):
+    """Counts tasks in the job records; a checkpointed task is no longer assigned."""
+
+    def __init__(self, jobs: JobStore) -> None:
+        self._jobs = jobs
+
+    async def running_tasks(self) -> dict[str, int]:
+        """Return the number of tasks by VM."""
+        jobs = [record.value for record in await self._jobs.all()]
+        return dict(
+            Counter(j.worker for j in jobs if j.worker and j.state not in FINAL_STATES)
+        )
+
+
+@dataclass(eq=False)
+class _Drain:
+    """What is known of one drain (one epoch of a VM's record)."""
+
+    epoch: int
+    confirmed: set[str] = field(default_factory=set)
+    running_by_daemon: dict[str, int] = field(default_factory=dict)
+    asked_at_by_daemon: dict[str, timedelta] = field(default_factory=dict)
+    all_confirmed_at: timedelta | None = None
+
+
+class DrainVerifier:
+    """Asks every daemon whether something runs at a draining VM.
+
+    What is known is kept in memory: a controller that takes over asks again.
+    """
+
+    def __init__(
+        self, clock: Clock, state: FleetState, ask: AskRunning, tasks: TaskCounts
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._ask = ask
+        self._tasks = tasks
+        self._drains_by_vm: dict[str, _Drain] = {}
+
+    async def task_counts(self) -> dict[str, int]:
+        """Return the running tasks by VM, for one round of verifications."""
+        return await self._tasks.running_tasks()
+
+    async def check(self, record: VmRecord, tasks: dict[str, int]) -> DrainCheck:
+        """Return whether a draining VM is free of requests and tasks."""
+        drain = self._drain_of(record)
+        daemons = {*record.asked, *self._state.daemons_by_incarnation}
+        async with anyio.create_task_group() as group:
+            for daemon in sorted(daemons - drain.confirmed):
+                if self._due(drain, daemon):
+                    group.start_soon(self._ask_daemon, drain, daemon, record)
+        running = sum(drain.running_by_daemon.values())
+        if running:
+            return DrainCheck(DrainStatus.REQUESTS_RUNNING, running)
+        silent = tuple(sorted(daemons - drain.confirmed))
+        expired = record.verify_by is not None and self._clock.now() >= record.verify_by
+        if silent and not expired:
+            return DrainCheck(DrainStatus.DAEMONS_SILENT, 0, silent)
+        if record.role is VmRole.WORKER:
+            settled = self._settled(drain)
+            count = tasks.get(record.name, 0)
+            if count or not settled:
+                return DrainCheck(DrainStatus.TASKS_RUNNING, count)
+        status = DrainStatus.TIMED_OUT_SILENT if silent else DrainStatus.CLEAR
+        return DrainCheck(status, 0, silent)
+
+    def forget(self, name: str) -> None:
+        """Drop what is known about a VM whose drain has ended."""
+        self._drains_by_vm.pop(name, None)
+
+    def _drain_of(self, record: VmRecord) -> _Drain:
+        drain = self._drains_by_vm.get(record.name)
+        if drain is None or drain.epoch != record.epoch:
+            drain = self._drains_by_vm[record.name] = _Drain(record.epoch)
+        return drain
+
+    def _due(self, drain: _Drain, daemon: str) -> bool:
+        asked_at = drain.asked_at_by_daemon.get(daemon)
+        return asked_at is None or self._clock.monotonic() - asked_at >= ASK_INTERVAL
+
+    async def _ask_daemon(self, drain: _Drain, daemon: str, record: VmRecord) -> None:
+        drain.asked_at_by_daemon[daemon] = self._clock.monotonic()
+        running = await self._ask(daemon, record)
+        if running == 0:
+            drain.running_by_daemon.pop(daemon, None)
+            drain.confirmed.add(daemon)
+        elif running is not None:
+            drain.running_by_daemon[daemon] = running
+
+    def _settled(self, drain: _Drain) -> bool:
+        now = self._clock.monotonic()
+        if drain.all_confirmed_at is None:
+            drain.all_confirmed_at = now
+        return now - drain.all_confirmed_at >= SETTLE
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -47,6 +47,13 @@
     vm_list: VmList = field(default_factory=lambda: VmList({}, 0))
     roles_by_name: dict[str, RoleRecord] = field(default_factory=dict)
     store_reachable: bool = False
+    drain_epochs_by_vm: dict[str, int] = field(default_factory=dict)
+    """Epochs of drains that peers announced, perhaps before the watch did."""
+
+    def note_drain(self, name: str, epoch: int) -> None:
+        """Stop new work at a VM until its record of a later epoch arrives."""
+        known = self.drain_epochs_by_vm.get(name, 0)
+        self.drain_epochs_by_vm[name] = max(known, epoch)
 
     def vms_of(self, pool: str, role: VmRole) -> list[Vm]:
         """Return the VMs assigned to a pool, in name order."""
@@ -64,8 +71,11 @@
     def accepts_work(self, vm: Vm) -> bool:
         """Tell whether new work may be sent to a VM."""
         record = self.vm_records_by_name.get(vm.name)
-        if record is not None and not record.accepts_work():
-            return False
+        if record is not None:
+            if not record.accepts_work():
+                return False
+            if self.drain_epochs_by_vm.get(vm.name, 0) > record.epoch:
+                return False
         return vm.state is VmListState.LIVE
 
     def available_vms(self, pool: str, role: VmRole) -> list[Vm]:
--- /dev/null
+++ b/src/pomeloyard/forecasts.py
@@ -0,0 +1,250 @@
+"""Forecast the peaks of pools and decide which VMs to lend, move on or give back.
+
+Demand is measured in VMs: running and queued work over what one VM carries.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import Enum
+from itertools import pairwise
+from statistics import median
+
+PEAKS_KEPT = 8
+PEAKS_FOR_PREDICTION = 3
+"""Peaks needed before the next one is predicted."""
+
+REGULAR_SPREAD = 0.25
+"""Largest deviation of the time between peaks, as a share of its median, for which
+the next peak is predicted."""
+
+PEAK_END_SHARE = 0.5
+"""A peak begins above the pool's own capacity and ends below this share of it, so
+that demand near the capacity does not count as many peaks."""
+
+PREDICTION_MARGIN = 0.1
+"""Share of the time between peaks by which a prediction comes early."""
+
+GIVE_BACK_AFTER = timedelta(minutes=10)
+"""Time without a peak after which lent VMs return to the spare pool. Until then
+they stay where they are, as a VM idles at the same cost in any pool."""
+
+
+def median_time(times: Iterable[timedelta]) -> timedelta:
+    """Return the median of at least one duration."""
+    return timedelta(seconds=median(time.total_seconds() for time in times))
+
+
+@dataclass(frozen=True, slots=True)
+class Peak:
+    """Demand above a pool's own capacity; height in VMs."""
+
+    started_at: datetime
+    ended_at: datetime
+    height: float
+
+
+@dataclass
+class PoolForecast:
+    """Past peaks of one pool and the peak that is on, if any."""
+
+    peaks: deque[Peak] = field(default_factory=lambda: deque(maxlen=PEAKS_KEPT))
+    peak_began_at: datetime | None = None
+    height: float = 0.0
+    demand: float = 0.0
+
+    def observe(self, at: datetime, demand: float, own_vms: int) -> None:
+        """Take a sample of the demand, in VMs, into account."""
+        self.demand = demand
+        if self.peak_began_at is None:
+            if demand > own_vms:
+                self.peak_began_at, self.height = at, demand
+            return
+        self.height = max(self.height, demand)
+        if demand < PEAK_END_SHARE * own_vms:
+            self.peaks.append(Peak(self.peak_began_at, at, self.height))
+            self.peak_began_at = None
+
+    def expected_length(self) -> timedelta | None:
+        """Return the median length of past peaks, or None if there were none."""
+        lengths = [peak.ended_at - peak.started_at for peak in self.peaks]
+        return median_time(lengths) if lengths else None
+
+    def expected_height(self) -> float:
+        """Return the height to prepare for: the highest of the last peaks."""
+        return max((peak.height for peak in self.peaks), default=0.0)
+
+    def remaining(self, now: datetime) -> timedelta | None:
+        """Return how long the present peak is expected to go on."""
+        length = self.expected_length()
+        if length is None or self.peak_began_at is None:
+            return None
+        return max(timedelta(0), self.peak_began_at + length - now)
+
+    def period(self) -> timedelta | None:
+        """Return the time between peaks if it is regular."""
+        if len(self.peaks) < PEAKS_FOR_PREDICTION:
+            return None
+        starts = [peak.started_at for peak in self.peaks]
+        gaps = [b - a for a, b in pairwise(starts)]
+        middle = median_time(gaps)
+        if any(abs(gap - middle) > REGULAR_SPREAD * middle for gap in gaps):
+            return None
+        return middle
+
+    def next_start(self, now: datetime) -> datetime | None:
+        """Return when the next peak is expected, or None if peaks are irregular."""
+        period = self.period()
+        if period is None or self.peak_began_at is not None:
+            return None
+        start = self.peaks[-1].started_at + period
+        # A peak that is overdue by more than the margin is no longer prepared for.
+        late = now - start > PREDICTION_MARGIN * period
+        return None if late else start
+
+
+class LendReason(Enum):
+    """Why VMs are moved, or not moved."""
+
+    PEAK = "peak"
+    PREDICTED_PEAK = "predicted-peak"
+    PEAK_TOO_SHORT = "peak-shorter-than-move"
+    NO_VM_FREE = "no-vm-free"
+    NO_PEAK = "no-peak-for-long"
+
+
+@dataclass(frozen=True, slots=True)
+class PoolDemand:
+    """A pool at one moment: its own VMs, borrowed VMs and forecast.
+
+    ``borrowed`` counts borrowed VMs that are in service or on the way.
+    """
+
+    pool: str
+    own_vms: int
+    borrowed: int
+    forecast: PoolForecast
+
+
+@dataclass(frozen=True, slots=True)
+class LendDecision:
+    """Move ``vms`` VMs between pools; 0 VMs is a decision not to move."""
+
+    source: str
+    target: str
+    vms: int
+    reason: LendReason
+    demand: float
+    wanted: int
+
+
+def wanted_vms(
+    pool: PoolDemand, now: datetime, move_time: timedelta
+) -> tuple[int, LendReason]:
+    """Return the extra VMs that a pool should have once a move would be over.
+
+    A peak of unknown length is taken to go on for as long as it has lasted, so
+    that a first, short peak moves nothing.
+    """
+    forecast = pool.forecast
+    if forecast.peak_began_at is not None:
+        remaining = forecast.remaining(now)
+        if remaining is None:
+            remaining = now - forecast.peak_began_at
+        extra = math.ceil(max(forecast.demand, forecast.height) - pool.own_vms)
+        if remaining <= move_time and extra > pool.borrowed:
+            return pool.borrowed, LendReason.PEAK_TOO_SHORT
+        return max(0, extra), LendReason.PEAK
+    start, period = forecast.next_start(now), forecast.period()
+    if start is None or period is None:
+        return 0, LendReason.NO_PEAK
+    if start - now <= move_time + PREDICTION_MARGIN * period:
+        extra = math.ceil(forecast.expected_height() - pool.own_vms)
+        return max(0, extra), LendReason.PREDICTED_PEAK
+    return 0, LendReason.NO_PEAK
+
+
+def plan_lending(
+    pools: Sequence[PoolDemand],
+    spare_pool: str,
+    free_vms: int,
+    now: datetime,
+    move_time: timedelta,
+) -> list[LendDecision]:
+    """Return the moves to start, at most ``free_vms`` of them from the spare pool.
+
+    Pools with a peak come before those with a predicted one. VMs are taken from
+    the spare pool, then from pools that no longer want what they borrowed.
+    """
+    wanted = {pool.pool: wanted_vms(pool, now, move_time) for pool in pools}
+    surplus = {
+        pool.pool: max(0, pool.borrowed - wanted[pool.pool][0])
+        for pool in pools
+        if pool.forecast.peak_began_at is None
+    }
+    decisions: list[LendDecision] = []
+    order = sorted(pools, key=lambda p: (_urgency(wanted[p.pool][1]), p.pool))
+    for pool in order:
+        extra, reason = wanted[pool.pool]
+        missing = extra - pool.borrowed
+        demand = pool.forecast.demand
+        if reason is LendReason.PEAK_TOO_SHORT:
+            decisions.append(
+                LendDecision("", pool.pool, 0, reason, demand, pool.borrowed)
+            )
+        for source in (spare_pool, *sorted(surplus)):
+            if missing <= 0:
+                break
+            free = free_vms if source == spare_pool else surplus[source]
+            vms = min(missing, free) if source != pool.pool else 0
+            if vms == 0:
+                continue
+            if source == spare_pool:
+                free_vms -= vms
+            else:
+                surplus[source] -= vms
+            missing -= vms
+            decisions.append(
+                LendDecision(source, pool.pool, vms, reason, demand, extra)
+            )
+        if missing > 0:
+            none = LendReason.NO_VM_FREE
+            decisions.append(LendDecision("", pool.pool, 0, none, demand, extra))
+    return decisions + _give_back(pools, surplus, spare_pool, now)
+
+
+def _give_back(
+    pools: Sequence[PoolDemand],
+    surplus: Mapping[str, int],
+    spare_pool: str,
+    now: datetime,
+) -> list[LendDecision]:
+    decisions = []
+    for pool in pools:
+        vms, peaks = surplus.get(pool.pool, 0), pool.forecast.peaks
+        if vms == 0 or not peaks or now - peaks[-1].ended_at < GIVE_BACK_AFTER:
+            continue
+        reason, demand = LendReason.NO_PEAK, pool.forecast.demand
+        decisions.append(LendDecision(pool.pool, spare_pool, vms, reason, demand, 0))
+    return decisions
+
+
+def _urgency(reason: LendReason) -> int:
+    return 0 if reason is LendReason.PEAK else 1
+
+
+def idle_cost(
+    idle_vm_hours: float, moves: int, move_time: timedelta, rate: float
+) -> float:
+    """Return the cost of a buffer: idle VMs, and VMs that are being moved.
+
+    ``rate`` is PoolConfig.idle_cost_per_hour.
+
+    >>> idle_cost(10, 6, timedelta(minutes=10), 2.0)
+    22.0
+    """
+    return rate * (idle_vm_hours + moves * (move_time / timedelta(hours=1)))
--- /dev/null
+++ b/src/pomeloyard/lifecycle.py
@@ -0,0 +1,191 @@
+"""Advance VMs through drains, reboots, moves and trials, one step at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import anyio
+import logbook
+
+from . import vm_steps
+from .drains import DrainCheck, DrainStatus, DrainVerifier
+from .errors import RefusedError, StoreError, StoreRequestError
+from .fleet_records import FleetRecords, Step
+from .platform.directory import Vm, VmDirectory, VmListState, VmOperation, VmRole
+from .platform.records import ConflictError
+from .vms import Cause, VmPlan, VmRecord, VmState
+
+PARALLEL_STEPS = 4
+"""VMs advanced at once; the store allows 8 calls in flight for each daemon."""
+
+REISSUE_INTERVAL = timedelta(seconds=30)
+"""Time after which an operation that has had no effect is sent again, with the
+same id."""
+
+NO_TASKS: dict[str, int] = {}
+
+log = logbook.Logger("pomeloyard.lifecycle")
+
+
+class VmLifecycle:
+    """Carries out the next step of every VM that is not simply in service."""
+
+    def __init__(
+        self,
+        records: FleetRecords,
+        directory: VmDirectory,
+        verifier: DrainVerifier,
+        is_failing: Callable[[str], bool] = lambda name: False,
+    ) -> None:
+        self._records = records
+        self._directory = directory
+        self._verifier = verifier
+        self._is_failing = is_failing
+        self._issued_at_by_id: dict[str, timedelta] = {}
+        self.drain_checks_by_vm: dict[str, DrainCheck] = {}
+        """Latest verification of each draining VM, to explain what it waits for."""
+
+    async def adopt_new_vms(self) -> None:
+        """Create the records of VMs that have none."""
+        state = self._records.state
+        for vm in list(state.vm_list.vms_by_name.values()):
+            known = vm.name in state.vm_records_by_name
+            if known or vm.role is VmRole.ENTRY or vm.state is VmListState.GONE:
+                continue
+            try:
+                await self._records.adopt(vm.name)
+            except ConflictError:
+                continue  # Another controller adopted it first.
+
+    async def advance_all(self) -> None:
+        """Advance every VM by at most one step; one VM's failure stops no other."""
+        state = self._records.state
+        active = [r for r in list(state.vm_records_by_name.values()) if self._active(r)]
+        draining = {r.name for r in active if r.state is VmState.DRAINING}
+        for name in self.drain_checks_by_vm.keys() - draining:
+            del self.drain_checks_by_vm[name]
+            self._verifier.forget(name)
+        workers = any(r.name in draining and r.role is VmRole.WORKER for r in active)
+        tasks = await self._verifier.task_counts() if workers else NO_TASKS
+        limiter = anyio.CapacityLimiter(PARALLEL_STEPS)
+        async with anyio.create_task_group() as group:
+            for record in active:
+                group.start_soon(self._advance_safely, limiter, record, tasks)
+
+    async def _advance_safely(
+        self, limiter: anyio.CapacityLimiter, record: VmRecord, tasks: dict[str, int]
+    ) -> None:
+        async with limiter:
+            try:
+                await self._advance(record, tasks)
+            except (StoreError, ConflictError, RefusedError) as error:
+                log.warning("step of {} failed: {}", record.name, error)
+
+    async def _advance(self, record: VmRecord, tasks: dict[str, int]) -> None:
+        if record.state is VmState.DRAINING:
+            await self._verify(record, tasks)
+        elif vm_steps.operation_of(record) is not None:
+            await self._issue(record)
+            await self._apply(record)
+        elif record.state is VmState.TRIAL:
+            await self._return_at_platform(record)
+            await self._apply(record)
+        else:
+            await self._apply(record)
+
+    async def _verify(self, record: VmRecord, tasks: dict[str, int]) -> None:
+        check = await self._verifier.check(record, tasks)
+        self.drain_checks_by_vm[record.name] = check
+        causes = {
+            DrainStatus.CLEAR: Cause.NOTHING_RUNNING,
+            DrainStatus.TIMED_OUT_SILENT: Cause.DAEMONS_SILENT,
+        }
+        cause = causes.get(check.status)
+        if cause is None:
+            return
+        now = self._records.clock.now()
+
+        def finish(current: VmRecord) -> VmRecord | None:
+            # Only the drain that was verified is finished; a return and a second
+            # drain in between have another epoch.
+            if current.epoch != record.epoch:
+                return None
+            return vm_steps.finish_drain(current, now, cause)
+
+        await self._records.change(record.name, finish)
+
+    async def _apply(self, record: VmRecord) -> None:
+        now = self._records.clock.now()
+        await self._records.change(record.name, self._step(record, now))
+
+    def _step(self, record: VmRecord, now: datetime) -> Step:
+        """Return the step for a record; it applies only to the same epoch."""
+        maintenance = self._records.state.config.maintenance
+        vm = self._vm(record.name)
+        timeout, trial = maintenance.reboot_timeout, maintenance.trial
+        failing = self._is_failing(record.name)
+
+        def step(current: VmRecord) -> VmRecord | None:
+            if current.epoch != record.epoch:
+                return None
+            return (
+                vm_steps.check_loss(current, now, vm)
+                or vm_steps.continue_plan(current, now, vm, timeout)
+                or vm_steps.check_reboot(current, now, vm, timeout, trial)
+                or vm_steps.finish_assign(current, now, vm, timeout)
+                or vm_steps.check_trial(current, now, vm, failing, trial)
+            )
+
+        return step
+
+    def _active(self, record: VmRecord) -> bool:
+        """Tell whether a VM has a step to take, without reading the store."""
+        if record.state in (VmState.DRAINING, VmState.REBOOTING, VmState.MOVING):
+            return True
+        if record.state is VmState.DRAINED:
+            return record.plan is not VmPlan.HOLD
+        if record.state is VmState.SET_ASIDE:
+            return False
+        now = self._records.clock.now()
+        return self._step(record, now)(record) is not None or (
+            record.state is VmState.TRIAL and self._leaving(record.name)
+        )
+
+    async def _issue(self, record: VmRecord) -> None:
+        """Start the platform operation that the record calls for."""
+        operation = vm_steps.operation_of(record)
+        if operation is not None:
+            pool = record.target_pool if operation[0] is VmOperation.ASSIGN else ""
+            await self._operate(record.name, *operation, pool)
+
+    async def _return_at_platform(self, record: VmRecord) -> None:
+        if self._leaving(record.name):
+            operation_id = f"{record.operation or 'back'}.return.{record.epoch}"
+            await self._operate(record.name, VmOperation.RETURN, operation_id)
+
+    async def _operate(
+        self, name: str, operation: VmOperation, operation_id: str, pool: str = ""
+    ) -> None:
+        now = self._records.clock.monotonic()
+        issued_at = self._issued_at_by_id.get(operation_id)
+        if issued_at is not None and now - issued_at < REISSUE_INTERVAL:
+            return
+        try:
+            await self._directory.operate(
+                name, operation, operation_id=operation_id, pool=pool
+            )
+        except StoreRequestError as error:
+            # Refused by the platform: the state's deadline leads to the next try.
+            log.warning("{} of {} refused: {}", operation.value, name, error)
+        except StoreError as error:
+            log.warning("{} of {}: {}", operation.value, name, error)
+            return
+        self._issued_at_by_id[operation_id] = now
+
+    def _vm(self, name: str) -> Vm | None:
+        return self._records.state.vm_list.vms_by_name.get(name)
+
+    def _leaving(self, name: str) -> bool:
+        vm = self._vm(name)
+        return vm is not None and vm.state is VmListState.LEAVING
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -199,10 +199,11 @@
 
 
 class RunningQuery(WireMessage, frozen=True):
-    """Question how many requests run at a VM."""
+    """Question how many requests run at a VM that drains since ``epoch``."""
 
     request_id: int
     vm: str
+    epoch: int = 0
 
 
 class RunningReply(WireMessage, frozen=True):
--- /dev/null
+++ b/src/pomeloyard/repairs.py
@@ -0,0 +1,140 @@
+"""Carry out repairs of failed VMs, within the limits of each pool."""
+
+from __future__ import annotations
+
+import logbook
+
+from . import vm_steps
+from .decisions import Candidate, Decision, DecisionKind, DecisionLog
+from .errors import RefusedError
+from .fleet_records import FleetRecords
+from .operations import VmOperations
+from .platform.directory import VmListState
+from .platform.records import ConflictError
+from .repair import REPAIR, HealthBook, RepairAlarm, Suspicion, plan_repairs
+from .vms import Cause, VmPlan, VmRecord, VmState
+
+CONTROLLER = "controller"
+
+log = logbook.Logger("pomeloyard.repairs")
+
+
+class RepairManager:
+    """Finds failed VMs and starts their repair."""
+
+    def __init__(
+        self,
+        records: FleetRecords,
+        operations: VmOperations,
+        decisions: DecisionLog,
+        health: HealthBook,
+    ) -> None:
+        self._records = records
+        self._operations = operations
+        self._decisions = decisions
+        self.health = health
+        self.alarms_by_pool: dict[str, RepairAlarm] = {}
+
+    def is_failing(self, name: str) -> bool:
+        """Tell whether a VM on trial fails what it is given."""
+        return self.health.is_failing(name, self._records.clock.now())
+
+    async def step(self) -> None:
+        """Note boots, and start the repairs that each pool's limit allows."""
+        now = self._records.clock.now()
+        self._note_boots()
+        by_pool: dict[str, dict[str, VmRecord]] = {}
+        for name, vm in self._records.state.vm_records_by_name.items():
+            by_pool.setdefault(vm.pool, {})[name] = vm
+        share = self._records.state.config.maintenance.max_repairs
+        for pool, vms in sorted(by_pool.items()):
+            suspicions = self.health.suspicions(vms, now)
+            plan = plan_repairs(pool, vms, suspicions, now, share)
+            self._note_alarm(pool, plan.alarm)
+            for suspicion in plan.fail:
+                await self._fail(suspicion)
+            for suspicion in plan.drain:
+                await self._drain(
+                    suspicion.vm, VmPlan.REBOOT, suspicion.cause, suspicion.evidence
+                )
+            for name, repair in plan.repair:
+                cause = vms[name].reasons[-1].cause
+                await self._drain(name, repair, cause, "failed")
+
+    async def _fail(self, suspicion: Suspicion) -> None:
+        now = self._records.clock.now()
+        try:
+            await self._records.change(
+                suspicion.vm,
+                lambda current: vm_steps.fail(current, now, suspicion.cause),
+            )
+        except (ConflictError, RefusedError) as error:
+            log.info("{} not taken out of service: {}", suspicion.vm, error)
+            return
+        self.health.forget(suspicion.vm)
+        self._decide(suspicion.vm, "fail", suspicion.cause, suspicion.evidence)
+
+    async def _drain(
+        self, name: str, plan: VmPlan, cause: Cause, evidence: str
+    ) -> None:
+        epoch = self._records.state.vm_records_by_name[name].epoch
+        try:
+            await self._operations.drain(
+                name,
+                CONTROLLER,
+                plan=plan,
+                cause=cause,
+                operation=f"{REPAIR}{name}.{epoch}",
+            )
+        except (ConflictError, RefusedError) as error:
+            log.info("repair of {} not started: {}", name, error)
+            return
+        self.health.forget(name)
+        self._decide(name, plan.value, cause, evidence)
+
+    def _note_boots(self) -> None:
+        now = self._records.clock.now()
+        for name, vm in self._records.state.vm_list.vms_by_name.items():
+            record = self._records.state.vm_records_by_name.get(name)
+            if record is None or vm.state is VmListState.GONE:
+                continue
+            planned = record.state is not VmState.IN_SERVICE
+            self.health.note_boot(name, vm.boot_id, now, planned)
+
+    def _note_alarm(self, pool: str, alarm: RepairAlarm | None) -> None:
+        if alarm is None:
+            self.alarms_by_pool.pop(pool, None)
+            return
+        if self.alarms_by_pool.get(pool) == alarm:
+            return
+        self.alarms_by_pool[pool] = alarm
+        log.error(
+            "repairs in {} stopped: {} look failed, at most {} are repaired at once",
+            pool,
+            ", ".join(alarm.suspects),
+            alarm.limit,
+        )
+        candidates = tuple(Candidate(n, Cause.VM_FAILED) for n in alarm.suspects)
+        self._decisions.record(
+            Decision(
+                self._records.clock.now(),
+                DecisionKind.REPAIR,
+                f"pool/{pool}",
+                "stop",
+                Cause.VM_FAILED,
+                candidates,
+                {"limit": alarm.limit, "suspects": len(alarm.suspects)},
+            )
+        )
+
+    def _decide(self, name: str, choice: str, cause: Cause, evidence: str) -> None:
+        self._decisions.record(
+            Decision(
+                self._records.clock.now(),
+                DecisionKind.REPAIR,
+                f"vm/{name}",
+                choice,
+                cause,
+                inputs={"evidence": evidence},
+            )
+        )
--- a/src/pomeloyard/vms.py
+++ b/src/pomeloyard/vms.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from datetime import datetime
 from enum import Enum
+from typing import Any
 
 from .platform.directory import VmRole
 
@@ -21,22 +23,62 @@
     SET_ASIDE = "set_aside"
 
 
+class VmPlan(Enum):
+    """What follows once a VM is drained."""
+
+    NONE = "none"
+    HOLD = "hold"
+    REBOOT = "reboot"
+    REPLACE = "replace"
+    MOVE = "move"
+
+
+class Cause(Enum):
+    """Why a VM's record was changed."""
+
+    ADOPTED = "adopted"
+    OPERATOR = "asked-for-by-operator"
+    WAVE = "wave"
+    WAVE_STOPPED = "wave-stopped"
+    WAVE_CANCELLED = "wave-cancelled"
+    LEND = "lent-to-peak"
+    GIVE_BACK = "given-back"
+    NOTHING_RUNNING = "nothing-running"
+    DAEMONS_SILENT = "silent-daemons-timed-out"
+    PLAN = "next-step-of-plan"
+    NEW_BOOT = "new-boot-seen"
+    ASSIGNED = "assigned-to-pool"
+    TRIAL_PASSED = "trial-passed"
+    TRIAL_FAILED = "trial-failed"
+    OPERATION_TIMED_OUT = "operation-timed-out"
+    ATTEMPTS_USED_UP = "attempts-used-up"
+    VM_BACK = "vm-back-in-list"
+    VM_GONE = "vm-gone"
+    VM_LEAVING = "vm-leaving"
+    VM_SILENT = "vm-silent"
+    VM_FAILED = "vm-failed"
+    VM_FLAPPING = "vm-flapping"
+    VM_PARTLY_FAILED = "vm-partly-failed"
+
+
 MAX_REASONS = 20
+"""Steps of a VM's history that its record keeps."""
 
 
 @dataclass(frozen=True, slots=True)
 class Reason:
-    """One step in a VM's history: when, what and why."""
+    """One step in a VM's history: when, which state, why and by whom."""
 
-    at: str
-    action: str
-    cause: str
+    at: datetime
+    action: VmState
+    cause: Cause
     by: str = ""
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class VmRecord:
-    """Assignment of a VM to exactly one pool, and its state."""
+    """Assignment of a VM to exactly one pool, its state and its operation."""
 
     name: str
     role: VmRole
@@ -44,8 +86,58 @@
     state: VmState = VmState.IN_SERVICE
     epoch: int = 1
     operation: str = ""
+    """Id of the operation that took the VM out of service, or empty."""
+    plan: VmPlan = VmPlan.NONE
+    target_pool: str = ""
+    home_pool: str = ""
+    """Pool that lent the VM, or empty."""
+    availability_zone: str = ""
+    rack: str = ""
+    since: datetime | None = None
+    deadline: datetime | None = None
+    """End of the state's time: drain timeout, reboot timeout or trial."""
+    verify_by: datetime | None = None
+    """Time after which a daemon that does not answer no longer blocks a drain."""
+    asked: tuple[str, ...] = ()
+    """Daemons known at the start of the drain, each of which must answer."""
+    boot_id: str = ""
+    """Boot seen before a reboot, or the one that is on trial."""
+    attempts: int = 0
+    wave: str = ""
+    last_wave: str = ""
+    maintained_at: datetime | None = None
+    failed_at: datetime | None = None
     reasons: tuple[Reason, ...] = ()
 
     def accepts_work(self) -> bool:
         """Tell whether new work may be sent to the VM."""
         return self.state in (VmState.IN_SERVICE, VmState.TRIAL)
+
+    def must_evacuate(self, now: datetime) -> bool:
+        """Tell whether tasks must be checkpointed or moved: time has run out."""
+        return (
+            self.state is VmState.DRAINING
+            and self.deadline is not None
+            and now >= self.deadline
+        )
+
+    def after(
+        self,
+        now: datetime,
+        state: VmState,
+        cause: Cause,
+        *,
+        by: str = "controller",
+        detail: str = "",
+        **changes: Any,
+    ) -> VmRecord:
+        """Return the record after one step, with the step in its history."""
+        reasons = (*self.reasons, Reason(now, state, cause, by, detail))
+        return replace(
+            self,
+            state=state,
+            epoch=self.epoch + 1,
+            since=now,
+            reasons=reasons[-MAX_REASONS:],
+            **changes,
+        )
--- /dev/null
+++ b/src/pomeloyard/wave_runner.py
@@ -0,0 +1,379 @@
+"""Run maintenance waves: start, pause, resume, cancel, and each next drain."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+
+import logbook
+
+from .budgets import BudgetRecord, headroom_of, used_up_by_loss
+from .decisions import Candidate, Decision, DecisionKind, DecisionLog
+from .errors import RefusedError
+from .fleet_records import FleetRecords
+from .operations import VmOperations
+from .outcomes import RefusalReason, Refused
+from .platform import layout
+from .platform.directory import VmRole
+from .platform.records import (
+    Change,
+    ConflictError,
+    Versioned,
+    commit_changes,
+    decode_record,
+    read_record,
+)
+from .platform.store import scan_all
+from .vm_steps import UNDOABLE
+from .vms import Cause, VmRecord, VmState
+from .waves import (
+    PoolHeadroom,
+    Progress,
+    WaveCause,
+    WaveKind,
+    WaveRecord,
+    WaveState,
+    change_wave,
+    correlated_failure,
+    due_pools,
+    plan_drains,
+    progress_of,
+)
+
+MAX_AUTOMATIC_WAVES = 2
+"""Waves that the controller starts by itself and that run at one time."""
+
+KEPT_WAVES = 50
+"""Ended waves whose records are kept."""
+
+HELD_PATIENCE = timedelta(minutes=30)
+"""How long a wave waits for VMs that something else holds out of service."""
+
+CONTROLLER = "controller"
+
+log = logbook.Logger("pomeloyard.waves")
+
+
+@dataclass(frozen=True, slots=True)
+class WaveStatus:
+    """A wave with its progress; ``blocked`` names scopes without headroom."""
+
+    wave: WaveRecord
+    vms_by_progress: dict[str, int]
+    in_progress: tuple[str, ...]
+    set_aside: tuple[str, ...]
+
+
+class WaveRunner:
+    """Changes wave records and drains their VMs within the budgets."""
+
+    def __init__(
+        self, records: FleetRecords, operations: VmOperations, decisions: DecisionLog
+    ) -> None:
+        self._records = records
+        self._operations = operations
+        self._decisions = decisions
+
+    async def waves(self) -> dict[str, Versioned[WaveRecord]]:
+        """Return all wave records by id."""
+        page = await scan_all(self._records.store, layout.WAVES)
+        waves = [decode_record(entry, WaveRecord) for entry in page.entries]
+        return {wave.value.wave_id: wave for wave in waves}
+
+    async def start(
+        self,
+        scope: str,
+        kind: WaveKind,
+        by: str,
+        cause: WaveCause = WaveCause.OPERATOR,
+        targets: tuple[str, ...] = (),
+    ) -> WaveRecord:
+        """Start a wave over "pool/<name>", "service/<name>" or "all".
+
+        Raises RefusedError with a conflict while a wave of the same scope has not
+        ended; of two operators who start one at once, one receives the conflict.
+        """
+        now = self._records.clock.now()
+        waves = [w.value for w in (await self.waves()).values()]
+        same = [wave for wave in waves if wave.scope == scope]
+        for wave in same:
+            if not wave.is_final():
+                detail = f"wave {wave.wave_id} over {scope} is {wave.state.value}"
+                raise RefusedError(Refused(RefusalReason.CONFLICT, detail))
+        number = 1 + max((_number(wave.wave_id) for wave in same), default=0)
+        wave = WaveRecord(
+            wave_id=f"{scope.replace('/', '-')}-{number}",
+            kind=kind,
+            targets=targets or self._targets(scope),
+            started_at=now,
+            scope=scope,
+        ).after(now, WaveState.RUNNING, cause, by)
+        key = layout.WAVES + wave.wave_id
+        await commit_changes(self._records.store, [Change(key, wave, None)])
+        self._decide(wave, "start", cause)
+        return wave
+
+    async def change(self, wave_id: str, state: WaveState, by: str) -> WaveRecord:
+        """Pause, resume (RUNNING) or cancel a wave for an operator."""
+        current = await self._read(wave_id)
+        now = self._records.clock.now()
+        wave = change_wave(current.value, now, state, by)
+        await self._write(current, wave)
+        self._decide(wave, state.value, WaveCause.OPERATOR)
+        return wave
+
+    async def status(self, wave_id: str) -> WaveStatus:
+        """Return a wave and what it has done so far."""
+        return self.status_of((await self._read(wave_id)).value)
+
+    def status_of(self, wave: WaveRecord) -> WaveStatus:
+        """Return a wave's progress from the VM records."""
+        by_progress = self._by_progress(wave)
+        return WaveStatus(
+            wave,
+            {progress.value: len(vms) for progress, vms in by_progress.items()},
+            tuple(vm.name for vm in by_progress[Progress.IN_PROGRESS]),
+            tuple(vm.name for vm in by_progress[Progress.SET_ASIDE]),
+        )
+
+    async def step(self, budgets: Mapping[str, Versioned[BudgetRecord]]) -> None:
+        """Advance all waves once."""
+        waves = await self.waves()
+        headroom, held = self.headroom_by_pool(budgets)
+        for current in waves.values():
+            if current.value.state is WaveState.RUNNING:
+                try:
+                    await self._advance(current, headroom, held)
+                except (ConflictError, RefusedError) as error:
+                    log.info("wave {}: {}", current.value.wave_id, error)
+        await self._undo_drains(waves, held)
+        await self._start_due(waves)
+        await self._forget_old(waves)
+
+    def headroom_by_pool(
+        self, budgets: Mapping[str, Versioned[BudgetRecord]]
+    ) -> tuple[dict[str, PoolHeadroom], set[str]]:
+        """Return each pool's headroom, and the pools used up by unplanned loss."""
+        config = self._records.state.config
+        unavailable = self._records.unavailable()
+        headroom: dict[str, PoolHeadroom] = {}
+        held: set[str] = set()
+        for service in self._records.services_of(*config.pools_by_name):
+            stored = budgets.get(service.name)
+            if stored is None:
+                continue
+            pool = config.pools_by_name.get(service.pool)
+            room = headroom_of(stored.value, service.budget, pool, unavailable)
+            headroom.setdefault(service.pool, PoolHeadroom()).by_service[
+                service.name
+            ] = room
+            if used_up_by_loss(stored.value, room, unavailable) is not None:
+                held.add(service.pool)
+        return headroom, held
+
+    async def _advance(
+        self,
+        current: Versioned[WaveRecord],
+        headroom: Mapping[str, PoolHeadroom],
+        held: set[str],
+    ) -> None:
+        now = self._records.clock.now()
+        by_progress = self._by_progress(current.value)
+        changed = self._stopped(current.value, now)
+        if changed is None:
+            changed = self._held(current.value, now, held)
+        if changed is None and self._is_done(by_progress, now):
+            changed = self._done(current.value, by_progress, now)
+        if changed is not None:
+            await self._write(current, changed)
+            self._decide(changed, changed.state.value, changed.reasons[-1].cause)
+            if changed.state is not WaveState.RUNNING:
+                return
+        waiting = [vm for vm in by_progress[Progress.WAITING] if vm.pool not in held]
+        in_progress = by_progress[Progress.IN_PROGRESS]
+        for vm in plan_drains(waiting, in_progress, headroom):
+            await self._drain(current.value, vm)
+
+    async def _drain(self, wave: WaveRecord, vm: VmRecord) -> None:
+        try:
+            await self._operations.drain(
+                vm.name,
+                CONTROLLER,
+                plan=wave.plan,
+                cause=Cause.WAVE,
+                # The same id for two controllers that act on the same record.
+                operation=f"{wave.wave_id}.{vm.name}.{vm.epoch}",
+                wave=wave.wave_id,
+            )
+        except (ConflictError, RefusedError) as error:
+            log.info("wave {}: {} not drained: {}", wave.wave_id, vm.name, error)
+
+    def _stopped(self, wave: WaveRecord, now: datetime) -> WaveRecord | None:
+        """Return the wave stopped if VMs of one failure domain failed together."""
+        vms = self._records.state.vm_records_by_name
+        pools = {vms[name].pool for name in wave.targets if name in vms}
+        failure = correlated_failure(
+            wave, [vm for vm in vms.values() if vm.pool in pools], now
+        )
+        if failure is None:
+            return None
+        detail = f"{failure.domain}: {', '.join(failure.vms)}"
+        return wave.after(now, WaveState.STOPPED, failure.cause, detail=detail)
+
+    def _held(
+        self, wave: WaveRecord, now: datetime, held: set[str]
+    ) -> WaveRecord | None:
+        """Return the wave with its held pools if these have changed."""
+        vms = self._records.state.vm_records_by_name
+        pools = {vms[name].pool for name in wave.targets if name in vms}
+        held_pools = tuple(sorted(pools & held))
+        if held_pools == wave.held_pools:
+            return None
+        cause = WaveCause.BUDGET_USED_UP if held_pools else WaveCause.LOSS_OVER
+        changed = wave.after(now, wave.state, cause, detail=", ".join(held_pools))
+        return replace(changed, held_pools=held_pools)
+
+    def _is_done(
+        self, by_progress: Mapping[Progress, list[VmRecord]], now: datetime
+    ) -> bool:
+        if by_progress[Progress.WAITING] or by_progress[Progress.IN_PROGRESS]:
+            return False
+        return all(
+            vm.since is not None and now - vm.since >= HELD_PATIENCE
+            for vm in by_progress[Progress.HELD]
+        )
+
+    def _done(
+        self,
+        wave: WaveRecord,
+        by_progress: Mapping[Progress, list[VmRecord]],
+        now: datetime,
+    ) -> WaveRecord:
+        left = [*by_progress[Progress.SET_ASIDE], *by_progress[Progress.HELD]]
+        skipped = tuple(sorted(vm.name for vm in left))
+        detail = f"{len(wave.targets) - len(skipped)} of {len(wave.targets)} VMs"
+        done = wave.after(now, WaveState.DONE, WaveCause.ALL_DONE, detail=detail)
+        return replace(done, skipped=skipped, ended_at=now)
+
+    async def _undo_drains(
+        self, waves: Mapping[str, Versioned[WaveRecord]], held: set[str]
+    ) -> None:
+        """Return VMs drained for a wave that may not go on and not yet rebooted."""
+        for vm in list(self._records.state.vm_records_by_name.values()):
+            if not vm.wave or vm.state not in UNDOABLE:
+                continue
+            stored = waves.get(vm.wave)
+            state = stored.value.state if stored is not None else WaveState.CANCELLED
+            cancelled = state is WaveState.CANCELLED
+            if not cancelled and state is not WaveState.STOPPED and vm.pool not in held:
+                continue
+            cause = Cause.WAVE_CANCELLED if cancelled else Cause.WAVE_STOPPED
+            try:
+                await self._operations.undo(vm.name, vm.wave, cause)
+            except (ConflictError, RefusedError) as error:
+                log.info("{} not returned: {}", vm.name, error)
+
+    async def _start_due(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
+        """Start waves over pools whose maintenance is due."""
+        state = self._records.state
+        now, interval = self._records.clock.now(), state.config.maintenance.interval
+        if interval <= timedelta(0):
+            return
+        open_waves = [w.value for w in waves.values() if not w.value.is_final()]
+        busy = {
+            state.vm_records_by_name[name].pool
+            for wave in open_waves
+            for name in wave.targets
+            if name in state.vm_records_by_name
+        }
+        automatic = sum(
+            w.reasons[0].cause is WaveCause.MAINTENANCE_DUE for w in open_waves
+        )
+        records = state.vm_records_by_name.values()
+        for pool, _ in due_pools(records, now, interval):
+            if automatic >= MAX_AUTOMATIC_WAVES or pool in busy:
+                continue
+            targets = tuple(
+                sorted(
+                    vm.name
+                    for vm in records
+                    if vm.pool == pool
+                    and vm.maintained_at is not None
+                    and now - vm.maintained_at > interval / 2
+                )
+            )
+            await self.start(
+                f"pool/{pool}",
+                WaveKind.REBOOT,
+                CONTROLLER,
+                WaveCause.MAINTENANCE_DUE,
+                targets,
+            )
+            automatic += 1
+
+    async def _forget_old(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
+        ended = [w for w in waves.values() if w.value.ended_at is not None]
+        ended.sort(key=lambda w: (w.value.ended_at, w.key))
+        for wave in ended[:-KEPT_WAVES]:
+            change = Change(wave.key, None, wave)
+            await commit_changes(self._records.store, [change])
+
+    def _targets(self, scope: str) -> tuple[str, ...]:
+        config = self._records.state.config
+        kind, _, name = scope.partition("/")
+        pool = name
+        if kind == "service" and name in config.services_by_name:
+            pool = config.services_by_name[name].pool
+        elif scope != "all" and (kind != "pool" or name not in config.pools_by_name):
+            raise RefusedError(Refused(RefusalReason.NOT_FOUND, scope))
+        return tuple(
+            sorted(
+                vm.name
+                for vm in self._records.state.vm_records_by_name.values()
+                if vm.role is not VmRole.ENTRY
+                and vm.state is not VmState.SET_ASIDE
+                and (scope == "all" or vm.pool == pool)
+            )
+        )
+
+    def _by_progress(self, wave: WaveRecord) -> dict[Progress, list[VmRecord]]:
+        """Return the wave's VMs by progress, without those that are gone."""
+        vms = self._records.state.vm_records_by_name
+        by_progress: dict[Progress, list[VmRecord]] = {p: [] for p in Progress}
+        for name in wave.targets:
+            vm = vms.get(name)
+            if vm is not None:
+                by_progress[progress_of(wave, vm)].append(vm)
+        return by_progress
+
+    async def _read(self, wave_id: str) -> Versioned[WaveRecord]:
+        key = layout.WAVES + wave_id
+        current = await read_record(self._records.store, key, WaveRecord)
+        if current is None:
+            raise RefusedError(Refused(RefusalReason.NOT_FOUND, f"wave {wave_id}"))
+        return current
+
+    async def _write(self, current: Versioned[WaveRecord], wave: WaveRecord) -> None:
+        change = Change(current.key, wave, current)
+        await commit_changes(self._records.store, [change])
+
+    def _decide(self, wave: WaveRecord, choice: str, cause: WaveCause) -> None:
+        by_progress = self.status_of(wave).vms_by_progress
+        candidates = tuple(Candidate(pool, cause) for pool in wave.held_pools)
+        self._decisions.record(
+            Decision(
+                self._records.clock.now(),
+                DecisionKind.WAVE,
+                f"wave/{wave.wave_id}",
+                choice,
+                cause,
+                candidates,
+                inputs=dict(Counter(by_progress)),
+            )
+        )
+
+
+def _number(wave_id: str) -> int:
+    return int(wave_id.rsplit("-", 1)[1])
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,390 @@
+"""A fleet in memory: controllers, a store and a platform that can fail."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+import anyio
+
+from pomeloyard.budgets import BudgetRecord, SpendingKind
+from pomeloyard.clock import ManualClock
+from pomeloyard.config.model import (
+    BudgetConfig,
+    FleetConfig,
+    MaintenanceConfig,
+    PoolConfig,
+    ServiceConfig,
+)
+from pomeloyard.controller import Controller
+from pomeloyard.decisions import DecisionLog
+from pomeloyard.drains import TaskCounts
+from pomeloyard.errors import (
+    PomeloyardError,
+    RefusedError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRequestError,
+    StoreUnavailableError,
+)
+from pomeloyard.fleet_state import DaemonRecord, FleetState
+from pomeloyard.platform import layout
+from pomeloyard.platform.directory import Vm, VmListState, VmOperation, VmRole
+from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.platform.records import ConflictError, decode_record
+from pomeloyard.platform.store import scan_all
+from pomeloyard.standins.platform import MemoryVmDirectory
+from pomeloyard.vms import VmRecord, VmState
+
+DAEMONS = ("entry-1.a", "entry-2.b")
+
+
+class Killed(BaseException):
+    """The process that made the call was killed."""
+
+
+class FaultyStore(MemoryStore):
+    """Store that can be down, lose answers, or see its caller killed."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.down = False
+        self.lose_answers = 0
+        self.kill_at_commit: int | None = None
+        self.kill_after_effect = False
+        self.after_commit: list[Callable[[], None]] = []
+
+    async def get(self, key):
+        self._check_up()
+        return await super().get(key)
+
+    async def scan(self, prefix, *, start="", limit=1000):
+        self._check_up()
+        return await super().scan(prefix, start=start, limit=limit)
+
+    async def commit(self, transaction):
+        self._check_up()
+        kill = self._kill_now()
+        if kill and not self.kill_after_effect:
+            raise Killed
+        result = await super().commit(transaction)
+        if result.succeeded and transaction.operations:
+            for check in self.after_commit:
+                check()
+        if kill:
+            raise Killed
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknownError("answer lost")
+        return result
+
+    def _check_up(self):
+        if self.down:
+            raise StoreUnavailableError("store is down")
+
+    def _kill_now(self):
+        if self.kill_at_commit is None:
+            return False
+        self.kill_at_commit -= 1
+        if self.kill_at_commit < 0:
+            self.kill_at_commit = None
+            return True
+        return False
+
+
+class FaultyDirectory(MemoryVmDirectory):
+    """Platform whose operations take time, fail or get lost."""
+
+    def __init__(self, clock: ManualClock, vms: list[Vm]) -> None:
+        super().__init__(clock, vms)
+        self.delay = timedelta(seconds=2)
+        self.down = False
+        self.refuse = False
+        self.lose = 0
+        self.answer_lost = 0
+        self.broken: set[str] = set()
+        """VMs whose reboots and replacements have no effect."""
+        self.started: list[tuple[str, VmOperation, str]] = []
+        self._pending: list[tuple[timedelta, str, VmOperation, str, str]] = []
+
+    async def operate(self, name, operation, *, operation_id, pool=""):
+        if self.down:
+            raise StoreUnavailableError("platform is down")
+        if self.refuse:
+            raise StoreRequestError("refused")
+        if operation_id not in {started[2] for started in self.started}:
+            self.started.append((name, operation, operation_id))
+            if self.lose:
+                self.lose -= 1
+            else:
+                due = self._clock.monotonic() + self.delay
+                self._pending.append((due, name, operation, operation_id, pool))
+        if self.answer_lost:
+            self.answer_lost -= 1
+            raise StoreOutcomeUnknownError("answer lost")
+
+    async def settle(self) -> None:
+        """Let the operations that are due take effect."""
+        now = self._clock.monotonic()
+        due = [p for p in self._pending if p[0] <= now]
+        self._pending = [p for p in self._pending if p[0] > now]
+        for _, name, operation, operation_id, pool in due:
+            if name in self.broken and operation is not VmOperation.ASSIGN:
+                continue
+            await super().operate(name, operation, operation_id=operation_id, pool=pool)
+
+    def lose_vms(self, names: Iterable[str]) -> None:
+        for name in names:
+            vm = self._vms_by_name[name]
+            self.put(replace(vm, state=VmListState.GONE))
+
+    def restore_vms(self, names: Iterable[str]) -> None:
+        for name in names:
+            vm = self._vms_by_name[name]
+            self.put(replace(vm, state=VmListState.LIVE))
+
+
+@dataclass
+class Tasks(TaskCounts):
+    """Task counts that a test sets."""
+
+    count_by_vm: dict[str, int] = field(default_factory=dict)
+
+    async def running_tasks(self):
+        return self.count_by_vm
+
+
+class Fleet:
+    """A store, a platform and any number of controllers on one manual clock."""
+
+    def __init__(self, config: FleetConfig, vms: list[Vm], controllers: int = 1):
+        self.clock = ManualClock()
+        self.config = config
+        self.store = FaultyStore(self.clock)
+        self.directory = FaultyDirectory(self.clock, vms)
+        self.tasks = Tasks()
+        self.running: dict[tuple[str, str], int | None] = {}
+        """Requests by daemon and VM; None: the daemon does not answer."""
+        self.demand: dict[str, float] = {}
+        self.violations: list[str] = []
+        self.store.after_commit.append(self._check_invariants)
+        self._known_spending: set[tuple[str, str, str]] = set()
+        self.controllers = [self.new_controller() for _ in range(controllers)]
+
+    def new_controller(self) -> Controller:
+        state = FleetState(config=self.config, store_reachable=True)
+        for name in DAEMONS:
+            record = DaemonRecord(name, name.split(".")[0], "", "", "", "bulacan")
+            state.daemons_by_incarnation[name] = record
+
+        async def ask(daemon, record):
+            key = (daemon, record.name)
+            return self.running.get(key, self.running.get((daemon, ""), 0))
+
+        return Controller(
+            self.clock,
+            state,
+            self.store,
+            self.directory,
+            DecisionLog(),
+            ask,
+            self.tasks,
+            demand_by_pool=lambda: self.demand,
+        )
+
+    @property
+    def controller(self) -> Controller:
+        return self.controllers[0]
+
+    async def refresh(self, controller: Controller) -> None:
+        """Bring a controller's copy up to date, as its follower does."""
+        state = controller._state
+        listing = await self.directory.list_vms()
+        state.vm_list = replace(listing)
+        try:
+            page = await scan_all(self.store, layout.VMS)
+        except StoreError:
+            return
+        records = [decode_record(e, VmRecord).value for e in page.entries]
+        state.vm_records_by_name = {r.name: r for r in records}
+
+    async def step(self, seconds: float = 0.5, refresh: bool = True) -> None:
+        """Advance the clock and let every controller take one step."""
+        self.clock.advance(timedelta(seconds=seconds))
+        await self.directory.settle()
+        for number, controller in enumerate(self.controllers):
+            if refresh:
+                await self.refresh(controller)
+            try:
+                await controller.step()
+            except (StoreError, ConflictError, RefusedError):
+                pass
+            except BaseException as error:
+                if not killed(error):
+                    raise
+                self.controllers[number] = self.new_controller()
+
+    async def run_until(
+        self, condition: Callable[[], bool], seconds: float = 600, step: float = 0.5
+    ) -> float:
+        """Step until a condition holds; return the seconds that it took."""
+        began = self.clock.monotonic()
+        while not condition():
+            passed = (self.clock.monotonic() - began).total_seconds()
+            assert passed < seconds, self.summary()
+            await self.step(step)
+        return (self.clock.monotonic() - began).total_seconds()
+
+    def vm(self, name: str) -> VmRecord:
+        return self.stored(layout.VMS, VmRecord)[name]
+
+    def stored(self, prefix: str, kind: type) -> dict:
+        entries = self.store._entries_by_key
+        return {
+            key.removeprefix(prefix): decode_record(entry, kind).value
+            for key, entry in entries.items()
+            if key.startswith(prefix)
+        }
+
+    def budgets(self) -> dict[str, BudgetRecord]:
+        return self.stored(layout.BUDGETS, BudgetRecord)
+
+    def states(self) -> set[VmState]:
+        return {vm.state for vm in self.stored(layout.VMS, VmRecord).values()}
+
+    def all_in_service(self) -> bool:
+        return self.states() == {VmState.IN_SERVICE}
+
+    def spent(self) -> set[str]:
+        return {vm for b in self.budgets().values() for vm in b.spending_by_vm}
+
+    def summary(self) -> str:
+        vms = self.stored(layout.VMS, VmRecord).values()
+        return "\n".join(
+            f"{v.name} {v.pool} {v.state} {v.reasons[-1]}"
+            for v in vms
+            if v.state is not VmState.IN_SERVICE
+        )
+
+    def _check_invariants(self) -> None:
+        """Note planned spending beyond a budget and VMs not in exactly one pool.
+
+        Counts anew, without the functions under test.
+        """
+        vms = self.stored(layout.VMS, VmRecord)
+        listed = self.directory._vms_by_name
+        for service in self.config.services_by_name.values():
+            budget = self.budgets().get(service.name, BudgetRecord(service.name))
+            for name, spending in budget.spending_by_vm.items():
+                entry = (service.name, name, spending.since.isoformat())
+                if entry in self._known_spending:
+                    continue
+                self._known_spending.add(entry)
+                if spending.kind is SpendingKind.PLANNED:
+                    self._check_planned(service, budget, name, listed)
+            for name in budget.members_by_vm:
+                if vms[name].pool != service.pool:
+                    self.violations.append(f"{name} counted in {service.pool}")
+
+    def _check_planned(self, service, budget, name, listed) -> None:
+        role = budget.members_by_vm[name].role
+        pool = self.config.pools_by_name[service.pool]
+        size = pool.executors if role is VmRole.EXECUTOR else pool.workers
+        needed = service.budget.min_available
+        if isinstance(needed, float):
+            needed *= size
+        elif role is VmRole.WORKER and pool.executors:
+            needed = needed * pool.workers // pool.executors
+        left = [
+            vm
+            for vm, member in budget.members_by_vm.items()
+            if member.role is role
+            and vm not in budget.spending_by_vm
+            and listed[vm].state is VmListState.LIVE
+        ]
+        if len(left) < needed:
+            self.violations.append(
+                f"{service.name}: {name} leaves {len(left)} of {needed}"
+            )
+
+
+def killed(error: BaseException) -> bool:
+    """Tell whether an error is the end of a killed process, also in a group."""
+    if isinstance(error, BaseExceptionGroup):
+        return any(killed(inner) for inner in error.exceptions)
+    return isinstance(error, Killed)
+
+
+def make_vms(
+    pool: str,
+    executors: int,
+    workers: int = 0,
+    zones: tuple[str, ...] = ("bulacan", "pampanga", "laguna"),
+    per_rack: int = 4,
+) -> list[Vm]:
+    """Return the VMs of a pool, spread over zones, ``per_rack`` to a rack."""
+    vms = []
+    for role, count in ((VmRole.EXECUTOR, executors), (VmRole.WORKER, workers)):
+        for n in range(count):
+            zone, place = zones[n % len(zones)], n // len(zones)
+            vms.append(
+                Vm(
+                    f"{pool}-{role.value[0]}{n:03d}",
+                    role,
+                    pool,
+                    "luzon",
+                    zone,
+                    f"{pool}-{role.value[0]}-{zone}-{place // per_rack}",
+                    "",
+                    boot_id="first",
+                )
+            )
+    return vms
+
+
+def make_config(
+    pools: dict[str, tuple[int, int]],
+    min_available: int | float = 0.5,
+    *,
+    spare: str = "",
+    drain_seconds: float = 5,
+    per_zone: int | float = 0,
+    **maintenance,
+) -> FleetConfig:
+    """Return a configuration with one service for each pool but the spare one."""
+    values = {
+        "trial": timedelta(seconds=4),
+        "reboot_timeout": timedelta(seconds=20),
+        **maintenance,
+    }
+    return FleetConfig(
+        "test",
+        revision=1,
+        pools_by_name={
+            name: PoolConfig(name, *sizes, spare=name == spare)
+            for name, sizes in pools.items()
+        },
+        services_by_name={
+            name: ServiceConfig(
+                name,
+                name,
+                BudgetConfig(min_available, per_zone),
+                request_timeout=timedelta(seconds=3),
+                drain_timeout=timedelta(seconds=drain_seconds),
+            )
+            for name in pools
+            if name != spare
+        },
+        maintenance=MaintenanceConfig(**values),
+    )
+
+
+def run(work: Callable, *arguments) -> None:
+    """Run an async test body with a fixed seed."""
+    random.seed(7)
+    anyio.run(work, *arguments)
+
+
+__all__ = ["DAEMONS", "Fleet", "PomeloyardError", "make_config", "make_vms", "run"]
--- /dev/null
+++ b/tests/test_vm_operations.py
@@ -0,0 +1,258 @@
+"""Drains, moves and returns: the failure table of each step."""
+
+from __future__ import annotations
+
+import pytest
+
+from pomeloyard.errors import RefusedError, StoreError
+from pomeloyard.outcomes import RefusalReason
+from pomeloyard.platform.directory import VmOperation
+from pomeloyard.platform.records import ConflictError
+from pomeloyard.vms import Cause, VmPlan, VmState
+
+from .support.fleet import DAEMONS, Fleet, killed, make_config, make_vms, run
+
+POOLS = {"orders": (6, 6), "mill": (6, 0)}
+VM = "orders-e000"
+
+
+def new_fleet(controllers=1, **config):
+    vms = [vm for pool, sizes in POOLS.items() for vm in make_vms(pool, *sizes)]
+    return Fleet(make_config(POOLS, **config), vms, controllers)
+
+
+async def adopted(fleet):
+    await fleet.step()
+    assert fleet.all_in_service()
+    return fleet
+
+
+async def begin(fleet, plan):
+    """Start a plan and repeat it, as an operator would, until it is taken up."""
+    pool = "mill" if plan is VmPlan.MOVE else ""
+    for _ in range(50):
+        controller = fleet.controller
+        await fleet.refresh(controller)
+        try:
+            return await controller.operations.drain(
+                VM, "op", plan=plan, operation="op-1", target_pool=pool
+            )
+        except (StoreError, ConflictError):
+            await fleet.step()
+        except BaseException as error:
+            if not killed(error):
+                raise
+            fleet.controllers[0] = fleet.new_controller()
+    raise AssertionError("never started")
+
+
+def store_down(fleet, step):
+    if step == 4:
+        fleet.store.down = True
+    if step == 10:
+        fleet.store.down = False
+
+
+def platform_down(fleet, step):
+    fleet.directory.down = step < 10
+
+
+def platform_slow(fleet, step):
+    # Longer than the reboot timeout: a second attempt overlaps with the first.
+    fleet.directory.delay = fleet.config.maintenance.reboot_timeout * 1.5
+
+
+def operation_lost(fleet, step):
+    if step == 0:
+        fleet.directory.lose = 1
+
+
+def platform_answer_lost(fleet, step):
+    if step == 0:
+        fleet.directory.answer_lost = 2
+
+
+def platform_refuses(fleet, step):
+    fleet.directory.refuse = step < 10
+
+
+def store_answers_lost(fleet, step):
+    if step % 2 == 0:
+        fleet.store.lose_answers = 1
+
+
+FAULTS = [
+    store_down,
+    store_answers_lost,
+    platform_down,
+    platform_slow,
+    operation_lost,
+    platform_answer_lost,
+    platform_refuses,
+]
+KILLS = [(commit, after) for commit in range(7) for after in (False, True)]
+PLANS = [VmPlan.REBOOT, VmPlan.REPLACE, VmPlan.MOVE]
+
+
+@pytest.mark.parametrize("plan", PLANS)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_plan_ends_in_service_after_fault(plan, fault):
+    """Guards against a VM stuck, lost or counted twice after an outside fault."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        await begin(fleet, plan)
+        for step in range(600):
+            fault(fleet, step)
+            await fleet.step()
+            if step > 12 and fleet.all_in_service():
+                break
+        check_end(fleet, plan)
+
+    run(body)
+
+
+@pytest.mark.parametrize("plan", PLANS)
+@pytest.mark.parametrize(("commit", "after_effect"), KILLS)
+def test_plan_is_resumed_after_kill_at_each_step(plan, commit, after_effect):
+    """Guards against a step that only the controller that began it can finish."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        fleet.store.kill_at_commit = commit
+        fleet.store.kill_after_effect = after_effect
+        await begin(fleet, plan)
+        await fleet.run_until(lambda: fleet.all_in_service())
+        check_end(fleet, plan)
+        operations = [o for name, o, _ in fleet.directory.started if name == VM]
+        assert len(operations) == 1, "a resumed step repeated the operation"
+
+    run(body)
+
+
+@pytest.mark.parametrize("plan", PLANS)
+@pytest.mark.parametrize("stale", [False, True])
+def test_two_controllers_at_once_do_each_step_once(plan, stale):
+    """Guards against double operations by a paused controller that resumes."""
+
+    async def body():
+        fleet = await adopted(new_fleet(controllers=2))
+        await begin(fleet, plan)
+        for step in range(200):
+            # A stale controller decides on a copy that is 15 s old.
+            await fleet.step(refresh=not stale or step % 30 == 0)
+            if step > 60 and fleet.all_in_service():
+                break
+        check_end(fleet, plan)
+        operations = [o for name, o, _ in fleet.directory.started if name == VM]
+        assert len(operations) == 1
+
+    run(body)
+
+
+def check_end(fleet, plan):
+    assert fleet.all_in_service(), fleet.summary()
+    assert fleet.spent() == set()
+    assert fleet.violations == []
+    vm = fleet.vm(VM)
+    assert vm.pool == ("mill" if plan is VmPlan.MOVE else "orders")
+    in_budgets = [n for n, b in fleet.budgets().items() if VM in b.members_by_vm]
+    assert in_budgets == [vm.pool]
+    if plan is not VmPlan.MOVE:
+        assert vm.boot_id != "first"
+
+
+def test_two_operators_race_for_the_last_vm_of_a_budget():
+    """Guards against check and spending in two steps: only one may succeed."""
+
+    async def body():
+        fleet = await adopted(new_fleet(2, min_available=5))
+        first, second = fleet.controllers
+        await first.operations.drain("orders-e000", "op-a")
+        # The second daemon's copy does not show the first drain yet.
+        with pytest.raises(RefusedError) as caught:
+            await second.operations.drain("orders-e001", "op-b")
+        assert caught.value.refusal.reason is RefusalReason.BUDGET_EXCEEDED
+        with pytest.raises(RefusedError) as caught:
+            await second.operations.drain("orders-e000", "op-b")
+        assert caught.value.refusal.reason is RefusalReason.CONFLICT
+        assert fleet.violations == []
+
+    run(body)
+
+
+def test_silent_daemon_blocks_a_drain_until_its_requests_have_ended():
+    """Guards against rebooting a VM at which a paused daemon has requests."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        fleet.running[DAEMONS[1], VM] = None
+        record = await begin(fleet, VmPlan.HOLD)
+        await fleet.run_until(lambda: fleet.vm(VM).state is VmState.DRAINED)
+        # drain_timeout 5 s + longest request timeout 3 s
+        waited = (fleet.clock.now() - record.since).total_seconds()
+        assert 8 <= waited < 9
+        assert fleet.vm(VM).reasons[-1].cause is Cause.DAEMONS_SILENT
+
+    run(body)
+
+
+@pytest.mark.parametrize("kind", ["request", "task"])
+def test_drain_waits_for_running_work(kind):
+    """Guards against a planned stop that is not graceful."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        name = VM if kind == "request" else "orders-w000"
+        fleet.running[DAEMONS[0], VM] = 1 if kind == "request" else 0
+        fleet.tasks.count_by_vm[name] = 1 if kind == "task" else 0
+        await fleet.controller.operations.drain(name, "op")
+        for _ in range(60):
+            await fleet.step()
+        assert fleet.vm(name).state is VmState.DRAINING
+        assert fleet.vm(name).must_evacuate(fleet.clock.now())
+        fleet.running.clear()
+        fleet.tasks.count_by_vm.clear()
+        await fleet.run_until(lambda: fleet.vm(name).state is VmState.DRAINED, 5)
+        await fleet.controller.operations.return_to_service(name, "op")
+        assert fleet.all_in_service()
+        assert fleet.spent() == set()
+
+    run(body)
+
+
+def test_unplanned_loss_is_counted_and_may_exceed_the_budget():
+    """Guards against planned work in a pool that has lost what it may spend."""
+
+    async def body():
+        fleet = await adopted(new_fleet(min_available=5))
+        fleet.directory.lose_vms(["orders-e003"])
+        # Counted from the list at once, before a controller has entered it.
+        await fleet.refresh(fleet.controller)
+        with pytest.raises(RefusedError):
+            await fleet.controller.operations.drain(VM, "op")
+        fleet.directory.lose_vms(["orders-e004"])
+        await fleet.step()
+        assert fleet.spent() == {"orders-e003", "orders-e004"}
+        fleet.directory.restore_vms(["orders-e003", "orders-e004"])
+        await fleet.run_until(fleet.all_in_service, 30)
+        assert fleet.spent() == set()
+
+    run(body)
+
+
+def test_vm_that_does_not_boot_is_replaced_and_then_set_aside():
+    """Guards against retrying a broken VM for ever, at a budget's expense."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        fleet.directory.broken.add(VM)
+        await begin(fleet, VmPlan.REBOOT)
+        await fleet.run_until(lambda: fleet.vm(VM).state is VmState.SET_ASIDE)
+        operations = [o for name, o, _ in fleet.directory.started if name == VM]
+        reboot, replace = VmOperation.REBOOT, VmOperation.REPLACE
+        assert operations == [reboot, reboot, replace]
+        assert fleet.vm(VM).reasons[-1].cause is Cause.ATTEMPTS_USED_UP
+        assert fleet.spent() == {VM}
+
+    run(body)
