--- a/src/pomeloyard/operations.py
+++ b/src/pomeloyard/operations.py
@@ -48,6 +48,9 @@
         Raises RefusedError (budget exceeded, conflict, not found).
         """
         state = self._records.state
+        if state.vm_list.version == 0:
+            # Losses that only the list shows could not be counted.
+            raise RefusedError(Refused(RefusalReason.NOT_READY, "VM list not read"))
         known = state.vm_records_by_name.get(name)
         if known is None:
             raise RefusedError(Refused(RefusalReason.NOT_FOUND, name))
