--- a/src/pomeloyard/budgets.py
+++ b/src/pomeloyard/budgets.py
@@ -192,8 +192,9 @@
     """Return the budget record of a service of ``pool`` after a VM's change.
 
     Members and spending follow from the VM record; an entry keeps its kind until
-    the VM is back in service. ``lost`` says that the platform's list does not
-    show the VM as live, so that whatever is planned for it is an unplanned loss.
+    the VM is back in service or has failed. ``lost`` says that the platform's
+    list does not show the VM as live, so that whatever is planned for it is an
+    unplanned loss.
     """
     members = dict(record.members_by_vm)
     spending = dict(record.spending_by_vm)
@@ -204,21 +205,22 @@
     members[new.name] = Member(new.role, new.availability_zone)
     if new.state is VmState.IN_SERVICE:
         spending.pop(new.name, None)
-    elif new.name not in spending:
+    elif new.name not in spending or new.state is VmState.FAILED:
         kind = _kind_of(old, new, lost)
         cause = new.reasons[-1].cause if new.reasons else Cause.ADOPTED
-        spending[new.name] = Spending(kind, new.operation, cause, now)
+        since = spending[new.name].since if new.name in spending else now
+        spending[new.name] = Spending(kind, new.operation, cause, since)
     return replace(record, members_by_vm=members, spending_by_vm=spending)
 
 
 def _kind_of(old: VmRecord | None, new: VmRecord, lost: bool) -> SpendingKind:
     if old is not None and old.pool != new.pool:
         return SpendingKind.JOINING
+    if lost or new.state is VmState.FAILED:
+        return SpendingKind.UNPLANNED
     if old is None or old.state is not VmState.IN_SERVICE:
         # Entered late, for example for a service that was added to the pool.
         return SpendingKind.UNPLANNED
-    if lost or new.state is VmState.FAILED:
-        return SpendingKind.UNPLANNED
     return SpendingKind.PLANNED
 
 
--- a/src/pomeloyard/controller.py
+++ b/src/pomeloyard/controller.py
@@ -78,9 +78,12 @@
         if self._state.config.revision == 0 or self._state.vm_list.version == 0:
             return  # Without the VM list, every VM would look lost.
         await self.lifecycle.adopt_new_vms()
-        await self.lifecycle.advance_all()
+        await self.lifecycle.enter_losses()
         budgets = await self.records.budgets()
         await self.records.reconcile(budgets)
+        # Before the VMs advance, so that a wave that has just lost a rack or was
+        # cancelled returns what it drained and has not yet rebooted.
         await self.waves.step(budgets)
+        await self.lifecycle.advance_all()
         await self.repairs.step()
         await self.buffers.step()
--- a/src/pomeloyard/lifecycle.py
+++ b/src/pomeloyard/lifecycle.py
@@ -23,6 +23,11 @@
 """Time after which an operation that has had no effect is sent again, with the
 same id."""
 
+LOSS_STATES = frozenset(
+    {VmState.IN_SERVICE, VmState.DRAINING, VmState.DRAINED, VmState.FAILED}
+)
+"""States in which the platform's list alone may lead to a step."""
+
 NO_TASKS: dict[str, int] = {}
 
 log = logbook.Logger("pomeloyard.lifecycle")
@@ -58,19 +63,34 @@
             except ConflictError:
                 continue  # Another controller adopted it first.
 
+    async def enter_losses(self) -> None:
+        """Enter VMs that the platform lost or returned into records and budgets."""
+        await self._advance_each(
+            [
+                record
+                for record in self._vm_records()
+                if record.state in LOSS_STATES and self._loss(record) is not None
+            ],
+            NO_TASKS,
+        )
+
     async def advance_all(self) -> None:
         """Advance every VM by at most one step; one VM's failure stops no other."""
-        state = self._records.state
-        active = [r for r in list(state.vm_records_by_name.values()) if self._active(r)]
+        active = [record for record in self._vm_records() if self._active(record)]
         draining = {r.name for r in active if r.state is VmState.DRAINING}
         for name in self.drain_checks_by_vm.keys() - draining:
             del self.drain_checks_by_vm[name]
             self._verifier.forget(name)
         workers = any(r.name in draining and r.role is VmRole.WORKER for r in active)
         tasks = await self._verifier.task_counts() if workers else NO_TASKS
+        await self._advance_each(active, tasks)
+
+    async def _advance_each(
+        self, records: list[VmRecord], tasks: dict[str, int]
+    ) -> None:
         limiter = anyio.CapacityLimiter(PARALLEL_STEPS)
         async with anyio.create_task_group() as group:
-            for record in active:
+            for record in records:
                 group.start_soon(self._advance_safely, limiter, record, tasks)
 
     async def _advance_safely(
@@ -83,7 +103,9 @@
                 log.warning("step of {} failed: {}", record.name, error)
 
     async def _advance(self, record: VmRecord, tasks: dict[str, int]) -> None:
-        if record.state is VmState.DRAINING:
+        if self._loss(record) is not None:
+            await self._apply(record)
+        elif record.state is VmState.DRAINING:
             await self._verify(record, tasks)
         elif vm_steps.operation_of(record) is not None:
             await self._issue(record)
@@ -145,12 +167,20 @@
             return True
         if record.state is VmState.DRAINED:
             return record.plan is not VmPlan.HOLD
-        if record.state is VmState.SET_ASIDE:
-            return False
+        if record.state is VmState.TRIAL:
+            return self._leaving(record.name) or self._next(record) is not None
+        return False
+
+    def _loss(self, record: VmRecord) -> VmRecord | None:
         now = self._records.clock.now()
-        return self._step(record, now)(record) is not None or (
-            record.state is VmState.TRIAL and self._leaving(record.name)
-        )
+        return vm_steps.check_loss(record, now, self._vm(record.name))
+
+    def _next(self, record: VmRecord) -> VmRecord | None:
+        """Return the next record by this daemon's copies, without the store."""
+        return self._step(record, self._records.clock.now())(record)
+
+    def _vm_records(self) -> list[VmRecord]:
+        return list(self._records.state.vm_records_by_name.values())
 
     async def _issue(self, record: VmRecord) -> None:
         """Start the platform operation that the record calls for."""
--- a/src/pomeloyard/vm_steps.py
+++ b/src/pomeloyard/vm_steps.py
@@ -182,9 +182,14 @@
 
 
 def check_loss(record: VmRecord, now: datetime, vm: Vm | None) -> VmRecord | None:
-    """Enter a VM that the platform lost or takes away, and its coming back."""
-    if record.state is VmState.IN_SERVICE and not _live(vm):
-        gone = vm is None or vm.state is VmListState.GONE
+    """Enter a VM that the platform lost or takes away, and its coming back.
+
+    While it is rebooted or replaced, a VM may be missing from the list; then only
+    the operation's deadline counts.
+    """
+    gone = vm is None or vm.state is VmListState.GONE
+    lost = record.state is VmState.IN_SERVICE and not _live(vm)
+    if lost or (record.state in UNDOABLE and gone):
         return record.after(
             now,
             VmState.FAILED,
--- a/src/pomeloyard/wave_runner.py
+++ b/src/pomeloyard/wave_runner.py
@@ -142,13 +142,14 @@
         """Advance all waves once."""
         waves = await self.waves()
         headroom, held = self.headroom_by_pool(budgets)
-        for current in waves.values():
+        states = {wave_id: wave.value.state for wave_id, wave in waves.items()}
+        for wave_id, current in waves.items():
             if current.value.state is WaveState.RUNNING:
                 try:
-                    await self._advance(current, headroom, held)
+                    states[wave_id] = await self._advance(current, headroom, held)
                 except (ConflictError, RefusedError) as error:
                     log.info("wave {}: {}", current.value.wave_id, error)
-        await self._undo_drains(waves, held)
+        await self._undo_drains(states, held)
         await self._start_due(waves)
         await self._forget_old(waves)
 
@@ -178,7 +179,8 @@
         current: Versioned[WaveRecord],
         headroom: Mapping[str, PoolHeadroom],
         held: set[str],
-    ) -> None:
+    ) -> WaveState:
+        """Take a wave's next step and return the state that it is in now."""
         now = self._records.clock.now()
         by_progress = self._by_progress(current.value)
         changed = self._stopped(current.value, now)
@@ -190,11 +192,12 @@
             await self._write(current, changed)
             self._decide(changed, changed.state.value, changed.reasons[-1].cause)
             if changed.state is not WaveState.RUNNING:
-                return
+                return changed.state
         waiting = [vm for vm in by_progress[Progress.WAITING] if vm.pool not in held]
         in_progress = by_progress[Progress.IN_PROGRESS]
         for vm in plan_drains(waiting, in_progress, headroom):
             await self._drain(current.value, vm)
+        return WaveState.RUNNING
 
     async def _drain(self, wave: WaveRecord, vm: VmRecord) -> None:
         try:
@@ -258,14 +261,13 @@
         return replace(done, skipped=skipped, ended_at=now)
 
     async def _undo_drains(
-        self, waves: Mapping[str, Versioned[WaveRecord]], held: set[str]
+        self, states: Mapping[str, WaveState], held: set[str]
     ) -> None:
         """Return VMs drained for a wave that may not go on and not yet rebooted."""
         for vm in list(self._records.state.vm_records_by_name.values()):
             if not vm.wave or vm.state not in UNDOABLE:
                 continue
-            stored = waves.get(vm.wave)
-            state = stored.value.state if stored is not None else WaveState.CANCELLED
+            state = states.get(vm.wave, WaveState.CANCELLED)
             cancelled = state is WaveState.CANCELLED
             if not cancelled and state is not WaveState.STOPPED and vm.pool not in held:
                 continue
