Test budgets and repairs; a replaced VM needs no second loss entry

Cause: the repair of a VM that is gone fell back to failed in its own drain, because the drain's loss check saw the VM as lost again (found by the new test). Change: repairs by replacement skip that check. Tests cover five ways to fail, a broken detector, a fault of the service itself and the limit of repairs. Conclusion: repair holds its limits and stops with an alarm beyond them.

--- a/src/pomeloyard/vm_steps.py
+++ b/src/pomeloyard/vm_steps.py
@@ -189,7 +189,9 @@
     """
     gone = vm is None or vm.state is VmListState.GONE
     lost = record.state is VmState.IN_SERVICE and not _live(vm)
-    if lost or (record.state in UNDOABLE and gone):
+    # The repair of a VM that is gone replaces it; it needs no second entry.
+    in_repair = record.plan is VmPlan.REPLACE and not record.wave
+    if lost or (record.state in UNDOABLE and gone and not in_repair):
         return record.after(
             now,
             VmState.FAILED,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -140,6 +140,10 @@
             vm = self._vms_by_name[name]
             self.put(replace(vm, state=VmListState.GONE))
 
+    def boot(self, name: str, boot_id: str) -> None:
+        """Let a VM boot by itself."""
+        self.put(replace(self._vms_by_name[name], boot_id=boot_id))
+
     def restore_vms(self, names: Iterable[str]) -> None:
         for name in names:
             vm = self._vms_by_name[name]
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,38 @@
+"""Budgets: what they need, and which of them no plan can meet."""
+
+from __future__ import annotations
+
+import pytest
+
+from pomeloyard.budgets import BudgetProblemKind, budget_problems
+from pomeloyard.platform.directory import VmRole
+
+from .support.fleet import make_config
+
+EXECUTOR, WORKER = VmRole.EXECUTOR, VmRole.WORKER
+MORE, NONE_LEFT = BudgetProblemKind.MORE_THAN_POOL, BudgetProblemKind.NO_MAINTENANCE
+
+
+@pytest.mark.parametrize(
+    ("pool", "minimum", "per_zone", "expected"),
+    [
+        ((2, 1), 1, 0, []),
+        ((6, 6), 0.8, 0, []),
+        ((6, 6), 5, 1, []),
+        ((6, 6), 6, 0, [(NONE_LEFT, EXECUTOR), (NONE_LEFT, WORKER)]),
+        ((6, 6), 1.0, 0, [(NONE_LEFT, EXECUTOR), (NONE_LEFT, WORKER)]),
+        ((6, 0), 0.9, 0, [(NONE_LEFT, EXECUTOR)]),
+        ((6, 0), 7, 0, [(MORE, EXECUTOR)]),
+        ((0, 4), 5, 0, [(MORE, WORKER)]),
+        ((0, 0), 1, 0, [(MORE, EXECUTOR)]),
+        ((6, 0), 1, 1.0, [(NONE_LEFT, EXECUTOR)]),
+        ((6, 0), 1.5, 0, [(BudgetProblemKind.NOT_A_SHARE, EXECUTOR)]),
+        ((6, 0), -1, 0, [(BudgetProblemKind.NEGATIVE, EXECUTOR)]),
+    ],
+)
+def test_budget_that_no_plan_can_meet_is_a_problem(pool, minimum, per_zone, expected):
+    """Guards against publishing a budget under which no VM is ever maintained."""
+    config = make_config({"orders": pool}, minimum, per_zone=per_zone)
+    problems = budget_problems(config)
+    assert [(p.kind, p.role) for p in problems] == expected
+    assert all(p.service == "orders" for p in problems)
--- /dev/null
+++ b/tests/test_repairs.py
@@ -0,0 +1,171 @@
+"""Repair: what is found, what is done, and when repairs stop."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from pomeloyard.platform.directory import VmOperation
+from pomeloyard.repair import Observation, ObservationKind
+from pomeloyard.vms import Cause, VmState
+
+from .support.fleet import Fleet, make_config, make_vms, run
+
+OK, FAILED = ObservationKind.REQUEST_DONE, ObservationKind.REQUEST_FAILED
+SILENT = ObservationKind.UNRESPONSIVE
+SICK = "orders-e001"
+
+
+async def new_fleet(**config):
+    fleet = Fleet(make_config({"orders": (6, 0)}, 4, **config), make_vms("orders", 6))
+    await fleet.step()
+    return fleet
+
+
+def observe(fleet, name, kind, count=1):
+    for controller in fleet.controllers:
+        for _ in range(count):
+            observation = Observation(name, kind, fleet.clock.now())
+            controller.repairs.health.observe(observation)
+
+
+def observe_rest(fleet, failures=0):
+    for n in range(6):
+        name = f"orders-e{n:03d}"
+        if name != SICK:
+            observe(fleet, name, OK, 30)
+            observe(fleet, name, FAILED, failures)
+
+
+async def silent(fleet):
+    observe(fleet, SICK, SILENT)
+    await fleet.step(21)
+
+
+async def failing(fleet):
+    observe_rest(fleet)
+    observe(fleet, SICK, FAILED, 12)
+
+
+async def partly_failing(fleet):
+    observe_rest(fleet)
+    observe(fleet, SICK, OK, 20)
+    observe(fleet, SICK, FAILED, 15)
+
+
+async def flapping(fleet):
+    for boot in range(4):
+        fleet.directory.boot(SICK, f"own-{boot}")
+        await fleet.step()
+
+
+async def gone(fleet):
+    fleet.directory.lose_vms([SICK])
+    await fleet.step(1)
+    await fleet.step(61)
+
+
+@pytest.mark.parametrize(
+    ("fault", "cause", "operation"),
+    [
+        (silent, Cause.VM_SILENT, VmOperation.REBOOT),
+        (failing, Cause.VM_FAILED, VmOperation.REBOOT),
+        (partly_failing, Cause.VM_PARTLY_FAILED, VmOperation.REBOOT),
+        (flapping, Cause.VM_FLAPPING, VmOperation.REBOOT),
+        (gone, Cause.VM_GONE, VmOperation.REPLACE),
+    ],
+)
+def test_failed_vm_is_repaired_and_returns_after_a_trial(fault, cause, operation):
+    """Guards against VMs that fail in ways that the platform does not report."""
+
+    async def body():
+        fleet = await new_fleet()
+        await fault(fleet)
+        for _ in range(4):
+            await fleet.step()
+        assert not fleet.all_in_service()
+        await fleet.run_until(fleet.all_in_service, 120)
+        steps = [(r.action, r.cause) for r in fleet.vm(SICK).reasons]
+        assert cause in [c for _, c in steps]
+        assert (VmState.TRIAL, Cause.NEW_BOOT) in steps
+        done = [(name, o) for name, o, _ in fleet.directory.started]
+        assert done == [(SICK, operation)]
+        assert fleet.spent() == set()
+        assert fleet.violations == []
+
+    run(body)
+
+
+def test_wrong_detector_cannot_take_the_fleet_down():
+    """Guards against rebooting all VMs because the detector itself is broken."""
+
+    async def body():
+        fleet = await new_fleet()
+        for n in range(6):
+            observe(fleet, f"orders-e{n:03d}", SILENT)
+        await fleet.step(30)
+        for _ in range(20):
+            await fleet.step()
+        assert fleet.all_in_service()
+        assert fleet.directory.started == []
+        alarm = fleet.controller.repairs.alarms_by_pool["orders"]
+        assert alarm.limit == 1
+        assert len(alarm.suspects) == 6
+        subject = fleet.controller.repairs._decisions.about("pool/orders")
+        assert [decision.choice for decision in subject] == ["stop"]
+
+    run(body)
+
+
+def test_fault_of_the_service_makes_no_vm_suspect():
+    """Guards against repairing VMs for an error that all of them show alike."""
+
+    async def body():
+        fleet = await new_fleet()
+        observe_rest(fleet, failures=30)
+        observe(fleet, SICK, FAILED, 20)
+        observe(fleet, SICK, OK, 15)
+        for _ in range(5):
+            await fleet.step()
+        assert fleet.all_in_service()
+
+    run(body)
+
+
+def test_vm_that_fails_its_trial_is_replaced():
+    """Guards against returning a VM that reboots but still fails its work."""
+
+    async def body():
+        fleet = await new_fleet()
+        await failing(fleet)
+        await fleet.run_until(lambda: fleet.vm(SICK).state is VmState.TRIAL)
+        observe(fleet, SICK, FAILED, 3)
+        await fleet.run_until(fleet.all_in_service)
+        operations = [o for _, o, _ in fleet.directory.started]
+        assert operations == [VmOperation.REBOOT, VmOperation.REPLACE]
+
+    run(body)
+
+
+def test_repairs_at_once_are_limited_when_vms_are_gone():
+    """Guards against replacing a whole rack at once; one at a time for six VMs."""
+
+    async def body():
+        fleet = await new_fleet()
+        names = [f"orders-e{n:03d}" for n in range(3)]
+        fleet.directory.lose_vms(names)
+        fleet.directory.delay = timedelta(seconds=5)
+        most = 0
+        await fleet.step(1)
+        await fleet.step(61)
+        for _ in range(200):
+            await fleet.step()
+            vms = [fleet.vm(name) for name in names]
+            working = (VmState.DRAINING, VmState.DRAINED, VmState.REBOOTING)
+            most = max(most, sum(vm.state in working for vm in vms))
+        assert most == 1
+        assert fleet.all_in_service(), fleet.summary()
+        assert fleet.spent() == set()
+
+    run(body)
