--- a/src/pomeloyard/cli/main.py
+++ b/src/pomeloyard/cli/main.py
@@ -9,14 +9,17 @@
 import click
 
 from ..errors import PomeloyardError
+from .budgets import budget
 from .config import config
 from .failures import show_failure
 from .fleet import fleet
 from .keys import key as key_group
 from .output import JSON, TABLE
+from .pools import pool
 from .session import Session, load_options, read_key
 from .teams import share, team
 from .vms import vm
+from .waves import wave
 
 
 class ToolGroup(click.Group):
@@ -103,7 +106,7 @@
     context.call_on_close(session.close)
 
 
-for group in (config, key_group, team, share, fleet, vm):
+for group in (budget, config, fleet, key_group, pool, share, team, vm, wave):
     cli.add_command(group)
 
 
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -22,6 +22,8 @@
 from .clock import Clock, SystemClock
 from .controller import Controller
 from .decisions import DecisionLog
+from .drain_notices import DrainNotices
+from .drains import JobTaskCounts
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
 from .exchanges import ExchangeSender
@@ -149,7 +151,23 @@
         )
         self.requests = RequestService(clock, self.state, sender, keyed)
         self.jobs = JobStore(store, clock, lambda: self.state.config)
-        self.controller = Controller(clock, self.state, store)
+        self.drain_notices = DrainNotices(
+            self.peers,
+            self.calls,
+            self.state,
+            lambda vm: self.admission.running_by_vm.get(vm, 0),
+        )
+        self.controller = Controller(
+            clock,
+            self.state,
+            store,
+            directory,
+            self.decisions,
+            self.drain_notices.ask,
+            JobTaskCounts(store),
+            self.drain_notices.announce,
+            self._demand_by_pool,
+        )
         self.scheduler = Scheduler(
             clock, self.state, store, self.workers, self.decisions
         )
@@ -199,6 +217,7 @@
         self.state.bootstrap_sha256 = self.settings.bootstrap_key_sha256
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
+        self.drain_notices.start()
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
@@ -316,6 +335,18 @@
         vms = self.state.available_vms(config.pool, VmRole.EXECUTOR)
         return [vm.name for vm in vms]
 
+    def _demand_by_pool(self) -> dict[str, float]:
+        """Return the demand of pools in VMs, extrapolated from this daemon's."""
+        daemons = max(1, len(self.state.daemons_by_incarnation))
+        demand: dict[str, float] = {}
+        for service in self.state.config.services_by_name.values():
+            uses = self.admission.use_by_service_team().items()
+            asked = sum(u.queued + u.running for (n, _), u in uses if n == service.name)
+            slots = asked * daemons
+            vms = slots / max(1, service.slots_per_executor)
+            demand[service.pool] = demand.get(service.pool, 0.0) + vms
+        return demand
+
     def _weight(self, team: str) -> float:
         config = self.state.config.teams_by_name.get(team)
         return config.share if config is not None else 1.0
--- a/src/pomeloyard/standins/demo.py
+++ b/src/pomeloyard/standins/demo.py
@@ -25,7 +25,7 @@
 TEAMS = ("bulacan-desk", "pampanga-desk", "mill")
 ZONES = ("bulacan", "pampanga", "laguna")
 SERVICES = ("cutting-mill", "catalog")
-EXECUTORS_PER_POOL = 4
+EXECUTORS_PER_POOL = 6
 REQUESTS_PER_TEAM = 30
 JOBS_PER_TEAM = 2
 RETRIED_STATUSES = (429, 503)
@@ -59,7 +59,7 @@
                 name = f"{service}-e{number + 1}"
                 fleet.add_vm(name, VmRole.EXECUTOR, service, "luzon", zone)
             fleet.add_vm(f"{service}-w1", VmRole.WORKER, service, "luzon", ZONES[0])
-        _say("Starting the platform, 8 executors, 2 workers and 3 daemons")
+        _say("Starting the platform, 12 executors, 2 workers and 3 daemons")
         fleet.start_platform()
         fleet.start_vms()
         for number, zone in enumerate(ZONES, 1):
