Settle loans when requests end; send only changed advice

Cause: a unit that another daemon should get stayed idle until the lender's or borrower's next round (up to 250 ms), and the coordinator repeated all targets to every daemon four times a second.

Change: loans of a resource are settled whenever one of its requests ends; a daemon reports at once when its queue for a service begins or ends; advice carries only changed targets and resources; an amount is kept within 0.6 units of the need.

--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -36,6 +36,7 @@
         self.others: dict[str, MemoryNetwork] = {}
         self.sent_bytes_by_type: Counter[str] = Counter()
         self.cut = False
+        self.on_connect: list[Any] = []
         self._clock = clock
         self._latency = latency
         self._handlers: dict[type, Any] = {}
--- a/src/pomeloyard/admission.py
+++ b/src/pomeloyard/admission.py
@@ -129,6 +129,8 @@
         self.running_by_team: dict[str, int] = {}
         self.on_shortage: Callable[[], None] = lambda: None
         """Called when a request has to wait, so that demand is reported early."""
+        self.on_release: Callable[[Permit], None] = lambda permit: None
+        """Called when a slot and a unit came free, before they are used again."""
 
     def queued(self, service: str) -> int:
         """Return how many requests wait for a service."""
@@ -154,17 +156,23 @@
                 result[service, name] = use
         return result
 
-    def set_targets(self, targets: Mapping[tuple[str, str], float]) -> None:
+    def set_targets(
+        self, targets: Mapping[tuple[str, str], float], *, replace_all: bool = True
+    ) -> None:
         """Adopt the coordinator's targets in slots, by (service, team)."""
         now = self._clock.monotonic()
         self._advance_all(now)
         for record in self._services_by_name.values():
-            record.targets_by_team = {}
+            if replace_all:
+                record.targets_by_team = {}
             record.targets_at = now
         for (service, team), slots in targets.items():
             record = self._service(service)
-            record.targets_by_team[team] = slots
             record.targets_at = now
+            if slots > 0:
+                record.targets_by_team[team] = slots
+            else:
+                record.targets_by_team.pop(team, None)
         self.dispatch_all()
 
     async def acquire(
@@ -206,6 +214,7 @@
         team.running -= 1
         self.running_by_vm[permit.vm] -= 1
         self.running_by_team[permit.team] -= 1
+        self.on_release(permit)
         self.dispatch_all()
 
     def hold_until(self, permit: Permit, deadline: timedelta) -> None:
--- a/src/pomeloyard/capacity_service.py
+++ b/src/pomeloyard/capacity_service.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from datetime import timedelta
 
 import anyio
 import logbook
 
-from .admission import AdmissionController
+from .admission import AdmissionController, Permit
 from .clock import Clock
 from .coordination import Advice, Coordinator, Demand, FleetShape, Report
 from .fleet_state import FleetState
@@ -35,10 +36,61 @@
 
 COORDINATOR_TIMEOUT = timedelta(seconds=1.5)
 HUNDREDTHS = 100
+MIN_TARGET_CHANGE = 0.1
+"""Slots."""
+
+RELATIVE_TARGET_CHANGE = 0.05
 
 log = logbook.Logger("pomeloyard.capacity")
 
 
+class SentAdvice:
+    """What one daemon was last told, so that only changes are sent."""
+
+    def __init__(self, config_revision: int) -> None:
+        self.config_revision = config_revision
+        self.at = timedelta(0)
+        self._targets: dict[tuple[str, str], float] = {}
+        self._lend: dict[Resource, dict[str, int]] = {}
+
+    def changed_targets(
+        self, targets: Mapping[tuple[str, str], float]
+    ) -> dict[tuple[str, str], float]:
+        """Return and remember the targets that differ noticeably; 0 if dropped."""
+        changed = {}
+        for key in self._targets.keys() | targets.keys():
+            before, now = self._targets.get(key), targets.get(key, 0.0)
+            if before is None or abs(now - before) > _tolerance(now):
+                changed[key] = now
+            elif key not in targets and before:
+                changed[key] = 0.0
+        self._targets.update(changed)
+        for key in [k for k in self._targets if k not in targets]:
+            del self._targets[key]
+        return changed
+
+    def changed_lending(
+        self, lend: Mapping[Resource, Mapping[str, int]]
+    ) -> tuple[LendItem, ...]:
+        """Return and remember the resources that should be lent differently."""
+        items: list[LendItem] = []
+        for resource in sorted(
+            self._lend.keys() | lend.keys(), key=lambda r: (r.kind, r.name)
+        ):
+            amounts = dict(lend.get(resource, {}))
+            if amounts == self._lend.get(resource, {}):
+                continue
+            self._lend[resource] = amounts
+            for borrower, amount in sorted(amounts.items()) or [("", 0)]:
+                items.append(LendItem(borrower, resource.kind, resource.name, amount))
+        return tuple(items)
+
+
+def _tolerance(slots: float) -> float:
+    """Return the change of a target that is too small to be sent."""
+    return max(MIN_TARGET_CHANGE, RELATIVE_TARGET_CHANGE * slots)
+
+
 class CapacityService:
     """Keeps this daemon's capacity in step with the demand of the fleet."""
 
@@ -58,14 +110,17 @@
         self._sequence = 0
         self._wake = anyio.Event()
         self._busy = False
-        self._short_reporters: set[str] = set()
-        self._sent_advice: dict[str, tuple[timedelta, LendAdvice]] = {}
+        self._queued_services: set[str] = set()
+        self._short_by_reporter: dict[str, frozenset[str]] = {}
+        self._sent_advice: dict[str, SentAdvice] = {}
         self._table_revision = 0
         self._totals_key: tuple[int, int] = (0, 0)
         self._totals: dict[Resource, int] = {}
         self._connections: dict[str, int] = {}
         self.book = LoanBook(self._me, self.total_of, self.in_use)
         admission.on_shortage = self._on_shortage
+        admission.on_release = self._on_release
+        network.on_connect.append(lambda name: self._sent_advice.pop(name, None))
         network.on(DemandReport, self._on_report)
         network.on(LendAdvice, self._on_advice)
         network.on(LoanGrant, self._on_grant)
@@ -140,6 +195,15 @@
         if not self._busy:
             self._wake.set()
 
+    def _on_release(self, permit: Permit) -> None:
+        service = permit.service
+        if service in self._queued_services and not self._admission.queued(service):
+            # Others may need the slots that this daemon has no more use for.
+            self._queued_services.discard(service)
+            self._wake.set()
+        self._send(self.book.settle(Resource(SLOTS, permit.vm)))
+        self._send(self.book.settle(Resource(LIMIT, permit.team)))
+
     # Reports
 
     def _report(self) -> bool:
@@ -158,6 +222,7 @@
             for (service, team), use in sorted(uses.items())
             if service in services and team in teams and use.served_seconds + use.queued
         )
+        self._queued_services = {s for (s, _), use in uses.items() if use.queued}
         self._sequence += 1
         report = DemandReport(
             self._sequence, config.revision, self.book.ready_partitions(), demands
@@ -186,10 +251,9 @@
         self._coordinator.add_report(
             Report(sender, now, report.ready_partitions, demands)
         )
-        if not any(demand.queued for demand in demands):
-            self._short_reporters.discard(sender)
-        elif sender not in self._short_reporters:
-            self._short_reporters.add(sender)
+        short = frozenset(demand.service for demand in demands if demand.queued)
+        if short != self._short_by_reporter.get(sender, frozenset()):
+            self._short_by_reporter[sender] = short
             self._wake.set()
 
     def _coordinator_incarnation(self) -> str:
@@ -212,35 +276,40 @@
     def _advise(self) -> None:
         now = self._clock.monotonic()
         for name, advice in self._coordinator.plan(self._shape(), now).items():
-            message = self._advice_message(advice)
-            sent = self._sent_advice.get(name)
-            if (
-                sent is not None
-                and sent[1] == message
-                and now - sent[0] < ADVICE_REPEAT
-            ):
+            message = self._advice_message(name, advice, now)
+            if message is None:
                 continue
-            self._sent_advice[name] = (now, message)
             if name == self._me:
                 self._adopt(message)
-            else:
-                self._network.send(name, message)
-
-    def _advice_message(self, advice: Advice) -> LendAdvice:
+            elif not self._network.send(name, message):
+                self._sent_advice.pop(name, None)
+
+    def _advice_message(
+        self, name: str, advice: Advice, now: timedelta
+    ) -> LendAdvice | None:
+        """Return what has changed since the last advice to a daemon, if anything."""
+        sent = self._sent_advice.get(name)
+        revision = self._state.config.revision
+        full = sent is None or sent.config_revision != revision
+        if sent is None or full:
+            sent = self._sent_advice[name] = SentAdvice(revision)
+        targets = sent.changed_targets(advice.targets)
+        lend = sent.changed_lending(advice.lend)
+        if not (full or targets or lend) and now - sent.at < ADVICE_REPEAT:
+            return None
+        sent.at = now
+        return LendAdvice(full, revision, self._target_rows(targets), lend)
+
+    def _target_rows(
+        self, targets: Mapping[tuple[str, str], float]
+    ) -> tuple[tuple[int, int, int], ...]:
         config = self._state.config
         services, teams = sorted(config.services_by_name), sorted(config.teams_by_name)
-        targets = tuple(
+        return tuple(
             (services.index(s), teams.index(t), round(slots * HUNDREDTHS))
-            for (s, t), slots in sorted(advice.targets.items())
-        )
-        lend = tuple(
-            LendItem(borrower, resource.kind, resource.name, amount)
-            for resource, amounts in sorted(
-                advice.lend.items(), key=lambda item: (item[0].kind, item[0].name)
-            )
-            for borrower, amount in sorted(amounts.items())
+            for (s, t), slots in sorted(targets.items())
+            if s in config.services_by_name and t in config.teams_by_name
         )
-        return LendAdvice(0, config.revision, targets, lend)
 
     def _on_advice(self, sender: str, advice: LendAdvice) -> None:
         if sender == self._coordinator_incarnation():
@@ -258,13 +327,15 @@
             }
         except IndexError:
             return
-        wanted: dict[Resource, dict[str, int]] = {r: {} for r in self._totals}
+        wanted: dict[Resource, dict[str, int]] = {}
+        if advice.full:
+            wanted = {resource: {} for resource in self._totals}
         for item in advice.lend:
             resource = Resource(item.kind, item.name)
             wanted.setdefault(resource, {})[item.borrower] = item.amount
         for resource, amounts in wanted.items():
             self.book.want_lent(resource, amounts)
-        self._admission.set_targets(targets)
+        self._admission.set_targets(targets, replace_all=advice.full)
         self._send(self.book.reconcile())
 
     def _shape(self) -> FleetShape:
--- a/src/pomeloyard/coordination.py
+++ b/src/pomeloyard/coordination.py
@@ -26,6 +26,10 @@
 """Decay of credits; the share error is read over windows of 10 s."""
 
 
+KEEP_WITHIN = 0.6
+"""Units by which an amount may differ from the need before a unit is moved."""
+
+
 @dataclass(frozen=True, slots=True)
 class Demand:
     """Requests of a team for a service at one daemon.
@@ -252,7 +256,7 @@
 ) -> dict[str, int]:
     """Divide ``total`` units as needed; what nobody needs stays where it was.
 
-    An amount within one unit of the need is kept, because every move of a unit
+    An amount close to the need is kept, because every move of a unit
     costs a recall and a grant.
 
     >>> whole_amounts(6, {"a": 3.4, "b": 0.6}, {"a": 3, "b": 3}, {"a": 3, "b": 3})
@@ -267,8 +271,7 @@
         exact[name] += spare * weight[name] / weights if weights else 0.0
     kept = {
         name: before.get(name, 0)
-        if abs(exact[name] - before.get(name, 0)) < 1.0
-        and before.get(name, 0) >= exact[name] - 0.75
+        if abs(exact[name] - before.get(name, 0)) <= KEEP_WITHIN
         else math.floor(exact[name])
         for name in needed
     }
--- a/src/pomeloyard/loans.py
+++ b/src/pomeloyard/loans.py
@@ -197,10 +197,23 @@
         """Return the grants, recalls and returns that are due."""
         resources = {r for own in self._own.values() for _, r in own.lent}
         resources.update(self._desired)
+        resources.update(resource for _, resource in self._borrowed)
         messages: Outgoing = []
-        for key, borrowed in list(self._borrowed.items()):
-            messages += self._give_back(key, borrowed)
         for resource in sorted(resources, key=lambda r: (r.kind, r.name)):
+            messages += self.settle(resource)
+        return messages
+
+    def settle(self, resource: Resource) -> Outgoing:
+        """Return what is due for one resource, for example when a request ends.
+
+        Without this, a unit that another daemon should get would stay idle until
+        the next round.
+        """
+        messages: Outgoing = []
+        for key, borrowed in self._borrowed.items():
+            if key[1] == resource and borrowed.kept > borrowed.allowed:
+                messages += self._give_back(key, borrowed)
+        if resource in self._desired or self._borrowers(resource):
             messages += self._recall(resource)
             messages += self._lend(resource)
         return messages
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -58,13 +58,15 @@
 
 
 class LendAdvice(WireMessage, frozen=True):
-    """The coordinator's complete advice to one daemon.
+    """The coordinator's advice to one daemon.
 
     ``targets`` are (service, team, hundredths of a slot); positions are as in
-    DemandReport. ``lend`` replaces all earlier advice of the same resources.
+    DemandReport. Full advice replaces all earlier advice. Otherwise it replaces
+    the targets and the resources that it names; an amount of 0 for the borrower
+    "" says that a resource is lent to nobody.
     """
 
-    round: int
+    full: bool
     config_revision: int
     targets: tuple[tuple[int, int, int], ...]
     lend: tuple[LendItem, ...]
