Test replication and peer links under garbage, silence and loss

The decoder and a live PeerNetwork meet fuzzed and hostile frames, a link that hangs for good, mutual dialling, a reader that never reads, foreign and renewed certificates. Replication is tested over a line of three daemons with a model of lost, repeated and reordered messages.

--- /dev/null
+++ b/tests/test_peer_streams.py
@@ -0,0 +1,350 @@
+"""Connections between daemons under garbage, silence, slowness and wrong keys."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import ssl
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import msgpack
+import pytest
+import trustme
+from anyio.streams.buffered import BufferedByteReceiveStream
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from pomeloyard.clock import SystemClock
+from pomeloyard.errors import FrameError
+from pomeloyard.peers.codec import (
+    LENGTH,
+    MAX_FRAME_BYTES,
+    decode_length,
+    decode_payload,
+    encode_frame,
+)
+from pomeloyard.peers.dialling import FORGET_AFTER, MAX_DIAL_INTERVAL, DialPlan
+from pomeloyard.peers.messages import (
+    MESSAGE_TYPES,
+    ConfigReply,
+    Goodbye,
+    Heartbeat,
+    Hello,
+    KeyWithdrawn,
+    LoanKept,
+    ResourceAmount,
+)
+from pomeloyard.peers.streams import SEND_QUEUE_BYTES, PeerNetwork
+from pomeloyard.peers.tls import PeerTls
+from pomeloyard.standins.fault_proxy import proxying
+
+from .support.processes import free_port
+
+SILENCE_NOTICED_SECONDS = 3.0
+"""The design's time in which a silent peer is noticed."""
+
+BEAT = Heartbeat(1, 1, 1, True)
+DEEP = b"\x91" * 100_000
+HUGE_ARRAY = b"\xdd\xff\xff\xff\xff"
+
+ANYTHING = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=5)
+    | st.binary(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=5)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=12,
+)
+TYPE_NUMBER = st.integers(-1, len(MESSAGE_TYPES) + 1)
+FRAMES = st.one_of(
+    st.binary(max_size=200),
+    st.tuples(st.sampled_from([0, 1, 2, True, None]), TYPE_NUMBER, ANYTHING, ANYTHING)
+    .map(list)
+    .map(msgpack.packb),
+    st.tuples(st.just(1), TYPE_NUMBER, st.just(0), st.lists(ANYTHING, max_size=7))
+    .map(list)
+    .map(msgpack.packb),
+)
+
+
+@settings(max_examples=500, deadline=None, derandomize=True, database=None)
+@given(FRAMES)
+@example(DEEP)
+@example(HUGE_ARRAY)
+@example(b"\xc7\x0c\xff" + b"\xff" * 12)
+@example(b"\x81\xc0\xc0")
+def test_decoder_gives_a_message_or_a_frame_error(payload):
+    """Guards against any other exception, which would end the daemon."""
+    try:
+        _, message = decode_payload(payload)
+    except FrameError:
+        return
+    assert type(message) in MESSAGE_TYPES
+    again = decode_payload(encode_frame(message)[LENGTH.size :])[1]
+    assert type(again) is type(message)
+
+
+@pytest.mark.parametrize("length", [MAX_FRAME_BYTES + 1, 2**32 - 1])
+def test_oversized_length_is_refused_before_it_is_read(length):
+    """Guards against memory taken for a length that a broken peer claims."""
+    with pytest.raises(FrameError):
+        decode_length(LENGTH.pack(length))
+
+
+class Peer:
+    """A PeerNetwork with a record of what happens to it."""
+
+    def __init__(self, name, *, address="", listen="", tls=None):
+        self.name = f"{name}.00000000"
+        self.listen = listen or f"127.0.0.1:{free_port()}"
+        hello = Hello(self.name, name, address or self.listen, "zone")
+        self.network = PeerNetwork(
+            SystemClock(), hello, listen_address=self.listen, tls=tls
+        )
+        self.network.heartbeat = lambda: BEAT
+        self.connected = []
+        self.heard = []
+        self.network.on_connect.append(self.connected.append)
+        self.network.on(KeyWithdrawn, lambda s, m: self.heard.append((s, m.key_id)))
+
+    def linked(self, other):
+        return other.name in self.network.connections_by_incarnation
+
+
+@asynccontextmanager
+async def running(*peers):
+    async with anyio.create_task_group() as tasks:
+        for peer in peers:
+            await peer.network.start(tasks)
+        yield
+        for peer in peers:
+            await peer.network.close()
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition, seconds=5.0):
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def dial(address):
+    host, port = address.rsplit(":", 1)
+    return await anyio.connect_tcp(host, int(port))
+
+
+def framed(payload):
+    return LENGTH.pack(len(payload)) + payload
+
+
+HELLO = encode_frame(Hello("raw.11111111", "raw", "127.0.0.1:1", "zone"))
+GARBAGE = [
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"\xff" * 100,
+    LENGTH.pack(MAX_FRAME_BYTES + 1),
+    framed(b""),
+    framed(DEEP),
+    framed(HUGE_ARRAY),
+    framed(msgpack.packb([2, 1, 0, [1, 1, 1, True]])),
+    framed(msgpack.packb([1, 999, 0, []])),
+    framed(msgpack.packb([1, 1, 0, ["x", None, [], {}]])),
+    encode_frame(BEAT),
+    encode_frame(Hello("a.00000000", "a", "not an address", "zone")),
+    HELLO + framed(DEEP),
+    HELLO + framed(msgpack.packb([1, 1, 0, []])),
+    HELLO + LENGTH.pack(50) + b"too short",
+    HELLO + encode_frame(LoanKept(ResourceAmount("?", "?", -(2**62)), -1)),
+    HELLO + encode_frame(Goodbye("b.00000000")),
+    encode_frame(Hello("raw.2", "raw", "nonsense", "zone")) + encode_frame(BEAT),
+]
+
+
+def test_nothing_received_ends_a_daemon_or_its_other_connections():
+    """Guards against garbage and failing handlers that end the task group."""
+
+    async def run():
+        a, b = Peer("a"), Peer("b")
+        goodbyes = []
+        a.network.on_goodbye.append(goodbyes.append)
+        a.network.on(LoanKept, lambda sender, message: {}[sender])
+        async with running(a, b):
+            b.network.seeds.add(a.listen)
+            await until(lambda: a.linked(b) and b.linked(a))
+            for garbage in GARBAGE:
+                async with await dial(a.listen) as stream:
+                    await stream.send(garbage)
+            generator = random.Random(7)
+            for _ in range(30):
+                async with await dial(a.listen) as stream:
+                    await stream.send(HELLO * generator.randrange(2))
+                    await stream.send(generator.randbytes(generator.randrange(300)))
+            await until(lambda: a.network.traffic.rejected_frames >= 10)
+            await until(lambda: a.network.traffic.failed_handlers == 1)
+            assert b.network.send(a.name, KeyWithdrawn("k"))
+            await until(lambda: (b.name, "k") in a.heard)
+            # Another daemon must not be able to say goodbye for b.
+            assert goodbyes == []
+            assert a.connected.count(b.name) == 1
+
+    anyio.run(run)
+
+
+def test_silent_connection_is_noticed_and_replaced_in_both_directions():
+    """Guards against a link that hangs for good while new ones work."""
+
+    async def run():
+        listen = f"127.0.0.1:{free_port()}"
+        async with proxying(listen) as proxy:
+            a, b = Peer("a"), Peer("b", address=proxy.address, listen=listen)
+            async with running(a, b):
+                a.network.seeds.add(proxy.address)
+                await until(lambda: a.linked(b) and b.linked(a))
+                await anyio.sleep(1.1)  # Heartbeats flow before the fault.
+                proxy.silence()
+                start = time.monotonic()
+                await until(lambda: len(a.connected) == 2 and len(b.connected) == 2)
+                # Noticed in time, then dialled again after at most one backoff.
+                limit = SILENCE_NOTICED_SECONDS + MAX_DIAL_INTERVAL.total_seconds()
+                assert time.monotonic() - start < limit
+                assert a.network.send(b.name, KeyWithdrawn("new"))
+                assert b.network.send(a.name, KeyWithdrawn("new"))
+                await until(lambda: a.heard and b.heard)
+
+    anyio.run(run)
+
+
+def test_several_connections_between_a_pair_are_reduced_without_a_gap():
+    """Guards against two daemons that dial each other and then flap for ever."""
+
+    async def run():
+        a, b = Peer("a"), Peer("b")
+        async with running(a, b), anyio.create_task_group() as tasks:
+            tasks.start_soon(a.network._dial, b.listen)
+            tasks.start_soon(b.network._dial, a.listen)
+            tasks.start_soon(a.network._dial, b.listen)
+            await until(lambda: len(a.network._connections) == 3)
+            end = time.monotonic() + 4.5
+            while time.monotonic() < end:
+                assert a.linked(b)
+                assert b.linked(a)
+                await anyio.sleep(0.02)
+            assert len(a.connected) == len(b.connected) == 3
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_slow_reader_neither_blocks_the_loop_nor_takes_memory():
+    """Guards against one stuck daemon that stops the others or exhausts memory."""
+
+    async def run():
+        a = Peer("a")
+        async with running(a):
+            stream = await dial(a.listen)
+            await stream.send(HELLO)
+            await until(lambda: "raw.11111111" in a.network.connections_by_incarnation)
+            large = ConfigReply(1, b"c" * 500_000)
+            slowest = 0.0
+            for _ in range(60):
+                start = time.monotonic()
+                a.network.send("raw.11111111", large)
+                await anyio.sleep(0)
+                slowest = max(slowest, time.monotonic() - start)
+            assert slowest < 0.1
+            assert a.network.traffic.dropped_messages > 0
+            connection = a.network.connections_by_incarnation["raw.11111111"]
+            assert connection.queued_bytes <= SEND_QUEUE_BYTES
+            await until(lambda: not a.network.connections_by_incarnation)
+            await anyio.aclose_forcefully(stream)
+
+    anyio.run(run)
+
+
+def test_dialling_is_jittered_backs_off_and_forgets():
+    """Guards against dial storms, and against dialling replaced VMs for ever."""
+    random.seed(3)
+    plan, other = DialPlan("a:1"), DialPlan("c:1")
+    now, dialled = timedelta(0), []
+    step = timedelta(milliseconds=50)
+    while now < FORGET_AFTER - step:
+        for address in plan.due({"b:1"}, set(), now):
+            dialled.append(now)
+            plan.ended(address)
+        now += step
+    gaps = [later - earlier for earlier, later in itertools.pairwise(dialled)]
+    assert max(gaps) <= 1.5 * MAX_DIAL_INTERVAL + step
+    assert len({round(gap.total_seconds(), 1) for gap in gaps[5:]}) > 5
+    assert plan.hopeless(now) == set()
+    assert plan.hopeless(now + timedelta(minutes=1)) == {"b:1"}
+    # The daemon with the smaller address dials first.
+    assert other.due({"b:1"}, set(), timedelta(0)) == []
+    assert other.due({"b:1"}, set(), timedelta(seconds=2)) == ["b:1"]
+    # An address stays out while it is being dialled or is linked.
+    assert other.due({"b:1"}, set(), timedelta(seconds=60)) == []
+    other.ended("b:1")
+    assert other.due({"b:1"}, {"b:1"}, timedelta(seconds=60)) == []
+
+
+def issue(directory, authority):
+    certificate = authority.issue_cert("127.0.0.1")
+    certificate.cert_chain_pems[0].write_to_path(directory / "cert.pem")
+    certificate.private_key_pem.write_to_path(directory / "key.pem")
+    authority.cert_pem.write_to_path(directory / "ca.pem")
+    return directory / "cert.pem", directory / "key.pem", directory / "ca.pem"
+
+
+def test_links_need_a_certificate_of_the_fleet_and_take_renewed_ones(tmp_path):
+    """Guards against a stranger that speaks as a daemon, and expiring files."""
+
+    async def run():
+        fleet, strangers = trustme.CA(), trustme.CA()
+        (tmp_path / "other").mkdir()
+        files = issue(tmp_path, fleet)
+        tls = PeerTls(*files)
+        a, b = Peer("a", tls=tls), Peer("b", tls=tls)
+        stranger = Peer("s", tls=PeerTls(*issue(tmp_path / "other", strangers)))
+        plain = Peer("p")
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(running(a, b, stranger, plain))
+            for peer in (b, stranger, plain):
+                peer.network.seeds.add(a.listen)
+            a.network.seeds.update({stranger.listen, plain.listen})
+            await until(lambda: a.linked(b) and b.linked(a))
+            assert b.network.send(a.name, KeyWithdrawn("secret"))
+            await until(lambda: a.heard)
+            files[0].write_text("half written")
+            await anyio.sleep(1.5)  # Strangers dial several times meanwhile.
+            assert set(a.connected) == {b.name}
+            assert set(stranger.connected) == set(plain.connected) == set()
+
+            issue(tmp_path, strangers)
+            await until(lambda: stranger.linked(a))
+
+    anyio.run(run)
+
+
+def test_plain_text_reveals_nothing_of_a_tls_daemon(tmp_path):
+    """Guards against a daemon that answers before the handshake."""
+
+    async def run():
+        a = Peer("a", tls=PeerTls(*issue(tmp_path, trustme.CA())))
+        async with running(a), await dial(a.listen) as stream:
+            await stream.send(HELLO)
+            received = b""
+            try:
+                while True:
+                    received += await BufferedByteReceiveStream(stream).receive(100)
+            except (anyio.EndOfStream, anyio.BrokenResourceError, ssl.SSLError):
+                pass
+            assert b"127.0.0.1" not in received
+            assert a.connected == []
+
+    anyio.run(run)
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,281 @@
+"""Configuration, keys and partition table from peers during a store outage."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+
+import anyio
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pomeloyard.clock import ManualClock
+from pomeloyard.config.model import FleetConfig
+from pomeloyard.fleet_state import FleetState
+from pomeloyard.follower import adopt_config
+from pomeloyard.keys import KeyRecord, KeyRing, find_key, new_key
+from pomeloyard.partitions import new_table
+from pomeloyard.peers.messages import (
+    ConfigReply,
+    Heartbeat,
+    KeysReply,
+    KeyWithdrawn,
+    PartitionsReply,
+)
+from pomeloyard.peers.replication import Replication
+from pomeloyard.platform import layout
+from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.platform.records import Change, commit_changes, read_record
+
+from .support.faulty_store import FaultyStore
+
+WITHDRAWN_EVERYWHERE = timedelta(seconds=5)
+IN_FORCE_EVERYWHERE = timedelta(seconds=15)
+
+
+class Network:
+    """Messages between daemons, kept until delivered in a chosen order."""
+
+    def __init__(self, links):
+        self.links = links
+        self.ports = {}
+        self.queued = []
+
+    def deliver(self, position=0):
+        sender, receiver, message = self.queued.pop(position)
+        for handler in self.ports[receiver].handlers.get(type(message), ()):
+            handler(sender, message)
+
+    def deliver_all(self):
+        while self.queued:
+            self.deliver()
+
+
+class Port:
+    """The part of PeerNetwork that replication uses, for one daemon."""
+
+    def __init__(self, network, name):
+        self.network, self.name = network, name
+        self.handlers, self.on_connect = {}, []
+        network.ports[name] = self
+
+    def on(self, kind, handler):
+        self.handlers.setdefault(kind, []).append(handler)
+
+    def send(self, receiver, message):
+        if {self.name, receiver} not in self.network.links:
+            return False
+        self.network.queued.append((self.name, receiver, message))
+        return True
+
+    def broadcast(self, message):
+        return sum(self.send(name, message) for name in list(self.network.ports))
+
+
+class Bench:
+    """Daemons that are connected in a line: a - b - c."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.memory = MemoryStore(self.clock)
+        self.store = FaultyStore(self.memory)
+        self.network = Network([{"a", "b"}, {"b", "c"}])
+        self.states, self.daemons, self.changes = {}, {}, []
+        for name in "abc":
+            self.states[name] = FleetState()
+            self.daemons[name] = Replication(
+                self.clock,
+                self.states[name],
+                Port(self.network, name),
+                self.store,
+                lambda name=name: self.changes.append(name),
+            )
+
+    def beat(self):
+        for name, state in self.states.items():
+            self.network.ports[name].broadcast(
+                Heartbeat(
+                    state.config.revision,
+                    state.keys.version,
+                    state.partitions_revision,
+                    state.store_reachable,
+                )
+            )
+        self.network.deliver_all()
+
+    def pass_time(self, delay):
+        while delay > timedelta(0):
+            self.beat()
+            self.clock.advance(timedelta(seconds=1))
+            delay -= timedelta(seconds=1)
+
+
+def config(revision):
+    return FleetConfig(name=f"r{revision}", revision=revision)
+
+
+def ring_with(*key_ids, version=1):
+    return KeyRing(version, {i: KeyRecord(i, "0" * 64, "mill") for i in key_ids})
+
+
+def test_records_reach_daemons_without_the_store_over_other_daemons():
+    """Guards against a daemon that starts in an outage and learns nothing."""
+    bench = Bench()
+    adopt_config(bench.states["a"], config(7))
+    bench.states["a"].keys = ring_with("k", version=3)
+    bench.states["a"].partitions = new_table()
+    bench.states["a"].partitions_revision = 42
+    bench.pass_time(IN_FORCE_EVERYWHERE)
+    last = bench.states["c"]
+    assert (last.config, last.keys) == (config(7), ring_with("k", version=3))
+    assert (last.partitions, last.partitions_revision) == (new_table(), 42)
+    assert "c" in bench.changes
+    quiet = len(bench.changes)
+    bench.pass_time(timedelta(seconds=20))
+    assert len(bench.changes) == quiet
+
+
+def test_peers_are_not_asked_while_the_watch_may_still_bring_the_record():
+    """Guards against up to 1 MB sent to every daemon with each publication."""
+    bench = Bench()
+    for state in bench.states.values():
+        state.store_reachable = True
+    adopt_config(bench.states["a"], config(1))
+    bench.beat()
+    assert bench.states["b"].config.revision == 0
+    bench.pass_time(IN_FORCE_EVERYWHERE)
+    assert bench.states["c"].config.revision == 1
+
+
+REPLIES = [
+    ConfigReply(9, b"{"),
+    ConfigReply(9, msgspec.json.encode(config(1))),
+    ConfigReply(1, msgspec.json.encode(config(1))),
+    KeysReply(9, b"[" * 90_000),
+    KeysReply(9, msgspec.json.encode(ring_with("x", version=1))),
+    KeysReply(1, msgspec.json.encode(ring_with("x", version=1))),
+    PartitionsReply(9, b"7"),
+    PartitionsReply(1, msgspec.json.encode(new_table(3))),
+]
+
+
+@pytest.mark.parametrize("reply", REPLIES, ids=lambda r: type(r).__name__)
+def test_damaged_and_older_replies_are_ignored(reply):
+    """Guards against a peer that takes a daemon back to an older state."""
+    bench = Bench()
+    state = bench.states["b"]
+    adopt_config(state, config(2))
+    state.keys, state.partitions = ring_with("k", version=2), new_table()
+    state.partitions_revision = 2
+    bench.network.ports["a"].send("b", reply)
+    bench.network.deliver_all()
+    assert state.config == config(2)
+    assert state.keys == ring_with("k", version=2)
+    assert (state.partitions, state.partitions_revision) == (new_table(), 2)
+
+
+def test_withdrawal_reaches_all_daemons_and_is_stored_when_the_store_recovers():
+    """Guards against a withdrawn key that works again after an outage."""
+
+    async def run():
+        bench = Bench()
+        text, record = new_key(team="mill")
+        stored = KeyRing().with_key(record)
+        await commit_changes(bench.memory, [Change(layout.KEYS, stored, None)])
+        for state in bench.states.values():
+            state.keys = stored
+        bench.store.set_available(False)
+        # Nobody is connected to c at first; the tombstone waits for it.
+        bench.network.links.remove({"b", "c"})
+        bench.daemons["a"].withdraw_key(record.key_id)
+        bench.network.deliver_all()
+        assert find_key(stored, text, bench.states["b"].withdrawn_key_ids) is None
+        bench.network.links.append({"b", "c"})
+        bench.network.ports["b"].on_connect[0]("c")
+        bench.pass_time(WITHDRAWN_EVERYWHERE)
+        assert find_key(stored, text, bench.states["c"].withdrawn_key_ids) is None
+
+        async with anyio.create_task_group() as tasks:
+            for name in "bc":
+                tasks.start_soon(bench.daemons[name].run)
+                bench.states[name].store_reachable = True
+            for available in (False, True):
+                bench.store.set_available(available)
+                bench.store.lose_answers = 1
+                for _ in range(6):
+                    for _ in range(20):
+                        await anyio.sleep(0)
+                    bench.clock.advance(timedelta(seconds=1))
+            tasks.cancel_scope.cancel()
+        current = await read_record(bench.memory, layout.KEYS, KeyRing)
+        assert current.value.keys_by_id[record.key_id].withdrawn
+        # One more version, although two daemons wrote and one answer was lost.
+        assert current.value.version == stored.version + 1
+        bench.states["a"].keys = current.value
+        assert bench.daemons["a"].unstored_withdrawals() == ()
+
+    anyio.run(run)
+
+
+ACTIONS = st.lists(
+    st.one_of(
+        st.tuples(st.just("publish"), st.sampled_from("abc")),
+        st.tuples(st.just("grant"), st.sampled_from("abc")),
+        st.tuples(st.just("withdraw"), st.sampled_from("abc")),
+        st.tuples(st.just("beat")),
+        st.tuples(st.just("deliver"), st.integers(0, 30)),
+        st.tuples(st.just("repeat"), st.integers(0, 30)),
+        st.tuples(st.just("lose"), st.integers(0, 30)),
+    ),
+    min_size=10,
+    max_size=60,
+)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+@given(ACTIONS)
+def test_versions_only_grow_and_withdrawals_accumulate(actions):
+    """Guards against late, lost and repeated messages that revive old state."""
+    bench = Bench()
+    network, version = bench.network, 0
+    highest = dict.fromkeys("abc", (0, 0, 0))
+    for kind, *arguments in actions:
+        position = (
+            arguments[0] % len(network.queued)
+            if (network.queued and arguments and isinstance(arguments[0], int))
+            else None
+        )
+        if kind == "publish":
+            version += 1
+            adopt_config(bench.states[arguments[0]], config(version))
+        elif kind == "grant":
+            version += 1
+            ring = replace(bench.states[arguments[0]].keys, version=version)
+            bench.states[arguments[0]].keys = ring
+        elif kind == "withdraw":
+            bench.daemons[arguments[0]].withdraw_key(f"k{version}")
+        elif kind == "beat":
+            bench.clock.advance(timedelta(seconds=1))
+            bench.beat()
+        elif position is not None and kind == "deliver":
+            network.deliver(position)
+        elif position is not None and kind == "repeat":
+            network.queued.append(network.queued[position])
+        elif position is not None and not isinstance(
+            network.queued[position][2], KeyWithdrawn
+        ):
+            network.queued.pop(position)  # Withdrawals also pass on reconnection.
+        for name, state in bench.states.items():
+            current = (
+                state.config.revision,
+                state.keys.version,
+                len(state.withdrawn_key_ids),
+            )
+            assert all(n >= h for n, h in zip(current, highest[name], strict=True))
+            highest[name] = current
+    bench.pass_time(IN_FORCE_EVERYWHERE)
+    assert len({s.config.revision for s in bench.states.values()}) == 1
+    assert len({s.keys.version for s in bench.states.values()}) == 1
+    assert len({frozenset(s.withdrawn_key_ids) for s in bench.states.values()}) == 1
