Stop a role's work at the first step after its lease, and let stand-ins fail

A holder that was paused continued its work until the next renewal, candidates wrote two lease calls every 1.5 s while another held the role, and a lost answer on taking the role left a record that nobody served. The work's coroutine is now checked against the lease on each resumption; candidates read before they write. Endpoint, worker and platform stand-ins can be slow, silent, wrong, truncated, lagging and failing.

--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -104,6 +104,7 @@
         self.jobs = JobStore(store, clock)
         self.controller = Controller(clock, self.state, store)
         self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
+        self.roles_by_name: dict[str, RoleCandidate] = {}
         self._servers: list[EmbeddedServer] = []
 
     async def run(self) -> None:
@@ -134,6 +135,7 @@
             candidate = RoleCandidate(
                 self.store, self.clock, name, self.incarnation, work
             )
+            self.roles_by_name[name] = candidate
             tasks.start_soon(candidate.run)
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Coroutine
+import types
+from collections.abc import Callable, Coroutine, Generator
 from datetime import timedelta
 from typing import Any
 
@@ -11,20 +12,37 @@
 import logbook
 
 from .clock import Clock
-from .errors import LeaseLostError, StoreError
+from .errors import LeaseLostError, PomeloyardError, StoreError
 from .fleet_state import RoleRecord
 from .platform import layout
-from .platform.records import Change, ConflictError, commit_changes, read_record
+from .platform.records import (
+    Change,
+    ConflictError,
+    RecordError,
+    commit_changes,
+    read_record,
+)
 from .platform.store import Store
 
 ROLE_TTL = timedelta(seconds=5)
 RENEW_INTERVAL = timedelta(seconds=1.5)
+EPOCHS = "epochs/"
 
 log = logbook.Logger("pomeloyard.roles")
 
 
+class RoleLostError(PomeloyardError):
+    """The role may be held by another daemon; its work must stop."""
+
+
 class RoleCandidate:
-    """Tries to hold a role and runs its work while it does."""
+    """Tries to hold a role and runs its work while it does.
+
+    ``work`` is called with the epoch, which is the fencing token. Each time the
+    work continues after waiting, the lease is checked first, so that a holder
+    that was paused does nothing more. Tasks that the work starts itself are not
+    covered; they call ``still_held``.
+    """
 
     def __init__(
         self,
@@ -39,54 +57,120 @@
         self._name = name
         self._incarnation = incarnation
         self._work = work
+        self._held_until: timedelta | None = None
+
+    def still_held(self) -> bool:
+        """Tell whether no other daemon can have taken the role.
+
+        True until the store lease ends, and during an outage for as long as the
+        store was found unreachable within the last lease time: nobody else can
+        take the role then. After a pause it is False until the lease is renewed.
+        """
+        until = self._held_until
+        return until is not None and self._clock.monotonic() < until
 
     async def run(self) -> None:
         """Compete for the role until cancelled."""
         while True:
             try:
-                lease = await self._store.grant_lease(ROLE_TTL)
-                epoch = await self._take(lease)
-                if epoch is not None:
-                    log.info(
-                        "{} holds role {} epoch {}",
-                        self._incarnation,
-                        self._name,
-                        epoch,
-                    )
-                    await self._hold(lease, epoch)
-                else:
-                    await self._store.revoke_lease(lease)
-            except (StoreError, ConflictError) as error:
+                await self._compete()
+            except (StoreError, ConflictError, RecordError) as error:
                 log.debug("role {}: {}", self._name, error)
             await self._clock.sleep(RENEW_INTERVAL * random.uniform(0.8, 1.2))
 
-    async def _take(self, lease: int) -> int | None:
-        """Return the epoch of the role if this daemon now holds it."""
+    async def _compete(self) -> None:
         holder_key = layout.ROLES + self._name
         if await self._store.get(holder_key) is not None:
-            return None
-        epoch_key = f"epochs/{self._name}"
+            return
+        asked_at = self._clock.monotonic()
+        lease = await self._store.grant_lease(ROLE_TTL)
+        try:
+            epoch = await self._take(lease)
+            self._held_until = asked_at + ROLE_TTL
+            log.info("{} holds role {} epoch {}", self._incarnation, self._name, epoch)
+            await self._hold(lease, epoch)
+        finally:
+            self._held_until = None
+            with anyio.CancelScope(shield=True):
+                await self._give_up(lease)
+
+    async def _take(self, lease: int) -> int:
+        """Create the holder's record and raise the epoch in one transaction."""
+        epoch_key = EPOCHS + self._name
         earlier = await read_record(self._store, epoch_key, int)
         epoch = (earlier.value if earlier else 0) + 1
         role = RoleRecord(self._incarnation, epoch)
         await commit_changes(
             self._store,
             [
-                Change(holder_key, role, None, lease=lease),
+                Change(layout.ROLES + self._name, role, None, lease=lease),
                 Change(epoch_key, epoch, earlier),
             ],
         )
         return epoch
 
+    async def _give_up(self, lease: int) -> None:
+        """Let others take the role at once; otherwise the lease expires."""
+        try:
+            await self._store.revoke_lease(lease)
+        except StoreError as error:
+            log.debug("role {}: {}", self._name, error)
+
     async def _hold(self, lease: int, epoch: int) -> None:
+        """Run the work until the lease is lost."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._work, epoch)
-            while True:
+            tasks.start_soon(self._run_work, epoch, tasks.cancel_scope)
+            while await self._renew(lease):
                 await self._clock.sleep(RENEW_INTERVAL)
-                try:
-                    await self._store.keep_lease_alive(lease)
-                except LeaseLostError:
-                    break
-                except StoreError:
-                    continue  # Nobody can take over while the store is down.
             tasks.cancel_scope.cancel()
+        log.info("{} lost role {} epoch {}", self._incarnation, self._name, epoch)
+
+    async def _run_work(self, epoch: int, scope: anyio.CancelScope) -> None:
+        try:
+            await _guarded(self._work(epoch), self.still_held)
+        except RoleLostError:
+            log.warning("work of role {} epoch {} stopped", self._name, epoch)
+        scope.cancel()
+
+    async def _renew(self, lease: int) -> bool:
+        """Renew the lease; return False when the role is or may be lost."""
+        if not self.still_held():
+            return False
+        asked_at = self._clock.monotonic()
+        ttl = ROLE_TTL
+        try:
+            ttl = min(ttl, await self._store.keep_lease_alive(lease))
+        except LeaseLostError:
+            self._held_until = None
+            return False
+        except StoreError as error:
+            # Nobody can take the role while the store is down. A holder that
+            # is cut off alone is stopped by its outdated fencing token.
+            log.debug("role {}: {}", self._name, error)
+        if self.still_held():
+            self._held_until = asked_at + ttl
+        return self.still_held()
+
+
+@types.coroutine
+def _guarded(
+    coroutine: Coroutine[Any, Any, None], guard: Callable[[], bool]
+) -> Generator[Any, Any, None]:
+    """Run a coroutine; raise RoleLostError in it if ``guard`` fails on resumption."""
+    try:
+        awaited = coroutine.send(None)
+        while True:
+            error: BaseException | None = None
+            value = None
+            try:
+                value = yield awaited
+            except BaseException as caught:
+                error = caught
+            # A cancellation is passed on, as the work then ends anyway.
+            if not guard() and (error is None or isinstance(error, Exception)):
+                error = RoleLostError("the lease ended while the work waited")
+            awaited = coroutine.throw(error) if error else coroutine.send(value)
+    except StopIteration:
+        return
+    finally:
+        coroutine.close()
--- a/src/pomeloyard/standins/endpoint.py
+++ b/src/pomeloyard/standins/endpoint.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import argparse
-from dataclasses import dataclass, field
+import time
+from dataclasses import dataclass, field, fields
+from enum import Enum
+from typing import Any
 
 import anyio
+import msgspec
 import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 from ..serving import server_config
 
@@ -19,7 +24,10 @@
 
 @dataclass
 class Execution:
-    """One request that the executor ran, as its own record for audits."""
+    """One request that the executor ran, as its own record for audits.
+
+    Times are of the monotonic clock that all processes of a machine share.
+    """
 
     request_id: str
     idempotency_key: str
@@ -30,51 +38,104 @@
     ended: float | None = None
 
 
+class Truncation(Enum):
+    """How a response body is cut in half."""
+
+    NONE = ""
+    LENGTH = "length"
+    CHUNKED = "chunked"
+
+
+class Echo(Enum):
+    """How a response states the id of its request."""
+
+    RIGHT = "right"
+    WRONG = "wrong"
+    NONE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How requests are handled; each field is also a query parameter.
+
+    ``work_ms`` is how long a request runs, ``status`` and ``size`` are those of
+    the response (0: an echo of the request). ``silent`` runs the request and
+    never responds.
+    """
+
+    work_ms: float = 0.0
+    status: int = 200
+    size: int = 0
+    truncate: Truncation = Truncation.NONE
+    echo: Echo = Echo.RIGHT
+    silent: bool = False
+
+
 @dataclass
 class EndpointState:
     """Executions and counters of one executor."""
 
     name: str = "endpoint"
     slots: int = 8
+    behaviour: Behaviour = Behaviour()
     executions: list[Execution] = field(default_factory=list)
     running: int = 0
     most_running: int = 0
     over_slots: int = 0
 
 
+class TruncatedResponse(Response):
+    """Response that ends in the middle of its body."""
+
+    def __init__(self, content: bytes, kind: Truncation, **options: Any) -> None:
+        super().__init__(content, **options)
+        if kind is Truncation.CHUNKED:
+            del self.headers["content-length"]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send half of the body and end the connection."""
+        start = {"status": self.status_code, "headers": self.raw_headers}
+        await send({"type": "http.response.start", **start})
+        half = bytes(self.body)[: len(self.body) // 2]
+        await send({"type": "http.response.body", "body": half, "more_body": True})
+        raise ConnectionAbortedError("truncated on request")
+
+
 def endpoint_app(state: EndpointState) -> Starlette:
     """Return the ASGI application of an executor.
 
-    Query parameters: ``work_ms`` is how long the request runs, ``size`` is the
-    length of the response body in bytes, ``status`` its status.
+    ``POST /standin/behaviour`` replaces the Behaviour of requests without
+    query parameters of their own.
     """
 
     async def run(request: Request) -> Response:
         body = await request.body()
+        behaviour = _behaviour_of(request, state.behaviour)
         execution = Execution(
             request_id=request.headers.get("x-request-id", ""),
             idempotency_key=request.headers.get("idempotency-key", ""),
             team=request.headers.get("x-team", ""),
             method=request.method,
             path=request.url.path,
-            started=anyio.current_time(),
+            started=time.monotonic(),
         )
         state.executions.append(execution)
         state.running += 1
         state.most_running = max(state.most_running, state.running)
         state.over_slots += state.running > state.slots
         try:
-            await anyio.sleep(float(request.query_params.get("work_ms", "0")) / 1000)
+            await anyio.sleep(behaviour.work_ms / 1000)
+            while behaviour.silent and not await request.is_disconnected():
+                await anyio.sleep(0.05)
         finally:
             state.running -= 1
-            execution.ended = anyio.current_time()
-        size = int(request.query_params.get("size", "0"))
-        content = b"x" * size if size else _echo(state, execution, body)
-        return Response(
-            content,
-            int(request.query_params.get("status", "200")),
-            headers={"X-Request-Id": execution.request_id, "X-Executor": state.name},
-        )
+            execution.ended = time.monotonic()
+        return _response(state, behaviour, execution, body)
+
+    async def behave(request: Request) -> Response:
+        body = msgspec.json.decode(await request.body())
+        state.behaviour = msgspec.convert(body, Behaviour)
+        return JSONResponse({})
 
     async def audit(request: Request) -> Response:
         return JSONResponse(
@@ -90,15 +151,42 @@
     return Starlette(
         routes=[
             Route("/standin/audit", audit),
+            Route("/standin/behaviour", behave, methods=["POST"]),
             Route("/healthz", lambda request: Response("ok")),
             Route("/{path:path}", run, methods=ALL_METHODS),
         ]
     )
 
 
-def _echo(state: EndpointState, execution: Execution, body: bytes) -> bytes:
-    line = f"{state.name} ran {execution.method} {execution.path} "
-    return line.encode() + body
+def _behaviour_of(request: Request, default: Behaviour) -> Behaviour:
+    """Return the behaviour with the request's query parameters applied."""
+    names = {field.name for field in fields(Behaviour)}
+    given = {k: v for k, v in request.query_params.items() if k in names}
+    if not given:
+        return default
+    values = {name: getattr(default, name) for name in names} | given
+    return msgspec.convert(values, Behaviour, strict=False)
+
+
+def _response(
+    state: EndpointState, behaviour: Behaviour, execution: Execution, body: bytes
+) -> Response:
+    content = b"x" * behaviour.size
+    if not behaviour.size:
+        line = f"{state.name} ran {execution.method} {execution.path} "
+        content = line.encode() + body
+    headers = {"X-Executor": state.name}
+    if behaviour.echo is not Echo.NONE:
+        right = behaviour.echo is Echo.RIGHT
+        headers["X-Request-Id"] = execution.request_id if right else "another"
+    if behaviour.truncate is not Truncation.NONE:
+        return TruncatedResponse(
+            content,
+            behaviour.truncate,
+            status_code=behaviour.status,
+            headers=headers,
+        )
+    return Response(content, behaviour.status, headers)
 
 
 def main() -> None:
--- a/src/pomeloyard/standins/platform.py
+++ b/src/pomeloyard/standins/platform.py
@@ -5,8 +5,8 @@
 import argparse
 import base64
 import json
-from collections.abc import AsyncIterator, Callable, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -24,16 +24,9 @@
     CompactedError,
     LeaseLostError,
     StoreError,
-    StoreRequestError,
     StoreUnavailableError,
 )
-from ..platform.directory import (
-    Vm,
-    VmDirectory,
-    VmList,
-    VmListState,
-    VmOperation,
-)
+from ..platform.directory import Vm, VmOperation
 from ..platform.memory import MemoryStore
 from ..platform.store import (
     Compare,
@@ -45,56 +38,11 @@
     WatchBatch,
 )
 from ..serving import server_config
+from .vm_directory import DirectoryBehaviour, MemoryVmDirectory
 
 WATCH_PROGRESS_INTERVAL = timedelta(seconds=5)
 
 
-class MemoryVmDirectory(VmDirectory):
-    """VM list held in memory; operations take effect at once or after a delay."""
-
-    def __init__(self, clock: Clock, vms: list[Vm] | None = None) -> None:
-        self._clock = clock
-        self._vms_by_name = {vm.name: vm for vm in vms or []}
-        self._version = 1
-        self._done_operations: set[str] = set()
-        self.on_operation: Callable[[str, VmOperation], None] | None = None
-
-    async def list_vms(self) -> VmList:
-        """Return the list."""
-        return VmList(dict(self._vms_by_name), self._version)
-
-    async def operate(
-        self, name: str, operation: VmOperation, *, operation_id: str, pool: str = ""
-    ) -> None:
-        """Apply an operation once for each ``operation_id``."""
-        if operation_id in self._done_operations:
-            return
-        if name not in self._vms_by_name:
-            raise StoreRequestError(f"no VM named {name}")
-        self._done_operations.add(operation_id)
-        vm = self._vms_by_name[name]
-        self.put(_after_operation(vm, operation, operation_id, pool))
-        if self.on_operation is not None:
-            self.on_operation(name, operation)
-
-    def put(self, vm: Vm) -> None:
-        """Add or change a VM."""
-        self._vms_by_name[vm.name] = vm
-        self._version += 1
-
-
-def _after_operation(
-    vm: Vm, operation: VmOperation, operation_id: str, pool: str
-) -> Vm:
-    if operation is VmOperation.DRAIN:
-        return replace(vm, state=VmListState.LEAVING)
-    if operation is VmOperation.RETURN:
-        return replace(vm, state=VmListState.LIVE)
-    if operation is VmOperation.ASSIGN:
-        return replace(vm, pool=pool)
-    return replace(vm, boot_id=operation_id, state=VmListState.LIVE)
-
-
 @dataclass
 class PlatformState:
     """State shared by the routes."""
@@ -143,9 +91,15 @@
         state.directory.put(vm)
         return JSONResponse({})
 
+    async def behave(request: Request) -> Response:
+        body = msgspec.json.decode(await request.body())
+        state.directory.behaviour = msgspec.convert(body, DirectoryBehaviour)
+        return JSONResponse({})
+
     routes = [Route(path, call, methods=["POST"]) for path in _CALLS]
     routes += [
         Route("/v3/watch", watch, methods=["POST"]),
+        Route("/standin/behaviour", behave, methods=["POST"]),
         Route("/v1/vms", list_vms),
         Route("/v1/vms/{name}", put_vm, methods=["PUT"]),
         Route("/v1/vms/{name}/operations", operate, methods=["POST"]),
--- a/src/pomeloyard/standins/worker.py
+++ b/src/pomeloyard/standins/worker.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import argparse
+import time
+from collections import deque
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -20,6 +22,31 @@
 
 TICK = timedelta(seconds=0.05)
 DEFAULT_RUN_SECONDS = 0.5
+THROTTLED_SPEED = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerBehaviour:
+    """Faults of a worker.
+
+    ``report_lag`` is the age of reports in seconds. The factors are real usage
+    divided by the declared size, unless a command states its own usage.
+    """
+
+    fail_all: bool = False
+    report_lag: float = 0.0
+    cores_factor: float = 1.0
+    memory_factor: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A parsed command such as ``sleep 1.5 cores=3 memory=1000`` or ``fail``."""
+
+    run_seconds: float = DEFAULT_RUN_SECONDS
+    fails: bool = False
+    cores: float | None = None
+    memory: float | None = None
 
 
 @dataclass
@@ -29,10 +56,13 @@
     start: TaskStart
     started: timedelta
     lease_until: timedelta
-    run_seconds: float
+    command: Command
     state: TaskState = TaskState.RUNNING
     ended: timedelta | None = None
     speed: float = 1.0
+    progress_seconds: float = 0.0
+    checkpoint: str = ""
+    record: dict[str, object] = field(default_factory=dict)
 
 
 @dataclass
@@ -43,39 +73,90 @@
     name: str = "worker"
     fail_all: bool = False
     highest_fence: int = 0
+    behaviour: WorkerBehaviour = WorkerBehaviour()
     tasks_by_id: dict[str, Task] = field(default_factory=dict)
     history: list[dict[str, object]] = field(default_factory=list)
+    snapshots: deque[tuple[timedelta, list[TaskReport]]] = field(default_factory=deque)
+    ticked_at: timedelta | None = None
+
+    def begin(self, order: TaskStart) -> None:
+        """Run a task, from its checkpoint if it has one."""
+        now = self.clock.monotonic()
+        record: dict[str, object] = {
+            "task": order.task_id,
+            "job": order.job_id,
+            "team": order.team,
+            "cores": order.cores,
+            "fence": order.fence,
+            "started": time.monotonic(),
+            "ended": None,
+            "state": TaskState.RUNNING.value,
+        }
+        self.history.append(record)
+        self.tasks_by_id[order.task_id] = Task(
+            start=order,
+            started=now,
+            lease_until=now + timedelta(seconds=order.lease_seconds),
+            command=parse_command(order.command),
+            progress_seconds=_progress_of(order.checkpoint),
+            record=record,
+        )
 
     def tick(self) -> None:
         """End tasks that have finished or whose lease has expired."""
         now = self.clock.monotonic()
+        elapsed = (now - (self.ticked_at or now)).total_seconds()
+        self.ticked_at = now
         for task in self.tasks_by_id.values():
             if task.state is not TaskState.RUNNING:
                 continue
+            run = min(elapsed, (now - task.started).total_seconds())
+            task.progress_seconds += run * task.speed
             if now >= task.lease_until:
                 self.end(task, TaskState.LEASE_EXPIRED)
-            elif (now - task.started).total_seconds() >= task.run_seconds:
-                failed = self.fail_all or task.start.command == "fail"
+            elif task.progress_seconds >= task.command.run_seconds:
+                fail_all = self.fail_all or self.behaviour.fail_all
+                failed = fail_all or task.command.fails
                 self.end(task, TaskState.FAILED if failed else TaskState.SUCCEEDED)
+        self._snapshot(now)
 
     def end(self, task: Task, state: TaskState) -> None:
         """Record the end of a task."""
         task.state = state
         task.ended = self.clock.monotonic()
+        task.record.update(ended=time.monotonic(), state=state.value)
+        if state is TaskState.CHECKPOINTED:
+            task.checkpoint = f"{task.start.task_id}@{task.progress_seconds:.3f}"
 
     def report(self, task: Task) -> TaskReport:
-        """Return what the worker reports about a task."""
+        """Return the present state and usage of a task."""
         until = task.ended or self.clock.monotonic()
+        command, behaviour = task.command, self.behaviour
+        cores = task.start.cores * behaviour.cores_factor
+        memory = task.start.memory_bytes * behaviour.memory_factor
         return TaskReport(
             task_id=task.start.task_id,
             job_id=task.start.job_id,
             state=task.state,
             fence=task.start.fence,
             run_seconds=(until - task.started).total_seconds(),
-            peak_cores=task.start.cores,
-            peak_memory_bytes=task.start.memory_bytes,
+            peak_cores=cores if command.cores is None else command.cores,
+            peak_memory_bytes=int(memory if command.memory is None else command.memory),
+            checkpoint=task.checkpoint,
         )
 
+    def reports(self) -> list[TaskReport]:
+        """Return what the worker reports, which is ``report_lag`` old."""
+        self.tick()
+        return self.snapshots[0][1]
+
+    def _snapshot(self, now: timedelta) -> None:
+        present = [self.report(task) for task in self.tasks_by_id.values()]
+        self.snapshots.append((now, present))
+        until = now - timedelta(seconds=self.behaviour.report_lag)
+        while len(self.snapshots) > 1 and self.snapshots[1][0] <= until:
+            self.snapshots.popleft()
+
 
 def worker_app(state: WorkerState) -> Starlette:
     """Return the ASGI application of a worker."""
@@ -94,14 +175,7 @@
         if not fenced(order.fence):
             return stale()
         if order.task_id not in state.tasks_by_id:
-            now = state.clock.monotonic()
-            state.tasks_by_id[order.task_id] = Task(
-                start=order,
-                started=now,
-                lease_until=now + timedelta(seconds=order.lease_seconds),
-                run_seconds=_run_seconds(order.command),
-            )
-            state.history.append({"task": order.task_id, "job": order.job_id})
+            state.begin(order)
         return JSONResponse({})
 
     async def renew(request: Request) -> Response:
@@ -115,8 +189,8 @@
             if task is not None and task.state is TaskState.RUNNING:
                 task.lease_until = until
                 task.start = replace(task.start, fence=body["fence"])
-        reports = [state.report(task) for task in state.tasks_by_id.values()]
-        return Response(msgspec.json.encode(reports), media_type="application/json")
+        reports = msgspec.json.encode(state.reports())
+        return Response(reports, media_type="application/json")
 
     async def acknowledge(request: Request) -> Response:
         body = await request.json()
@@ -134,11 +208,17 @@
             return stale()
         task = state.tasks_by_id.get(request.path_params["task_id"])
         if task is not None and task.state is TaskState.RUNNING:
+            state.tick()
             action = request.path_params["action"]
-            if action == "stop":
-                state.end(task, TaskState.STOPPED)
-            elif action == "checkpoint":
-                state.end(task, TaskState.CHECKPOINTED)
+            if action == "throttle":
+                task.speed = THROTTLED_SPEED
+            elif task.state is TaskState.RUNNING and action in _ENDS:
+                state.end(task, _ENDS[action])
+        return JSONResponse({})
+
+    async def behave(request: Request) -> Response:
+        body = msgspec.json.decode(await request.body())
+        state.behaviour = msgspec.convert(body, WorkerBehaviour)
         return JSONResponse({})
 
     async def audit(request: Request) -> Response:
@@ -158,17 +238,37 @@
             Route("/v1/acknowledge", acknowledge, methods=["POST"]),
             Route("/v1/tasks/{task_id}/{action}", signal, methods=["POST"]),
             Route("/standin/audit", audit),
+            Route("/standin/behaviour", behave, methods=["POST"]),
             Route("/healthz", lambda request: Response("ok")),
         ]
     )
 
 
-def _run_seconds(command: str) -> float:
-    """Return the run time of a command such as "sleep 1.5"."""
-    words = command.split()
-    if len(words) == 2 and words[0] == "sleep":
-        return float(words[1])
-    return DEFAULT_RUN_SECONDS
+_ENDS = {"stop": TaskState.STOPPED, "checkpoint": TaskState.CHECKPOINTED}
+
+
+def parse_command(text: str) -> Command:
+    """Parse a task's command.
+
+    >>> parse_command("sleep 1.5 cores=3").cores
+    3.0
+    >>> parse_command("fail").fails
+    True
+    """
+    words = text.split()
+    values = dict(word.split("=", 1) for word in words if "=" in word)
+    seconds = words[1] if words[:1] == ["sleep"] and len(words) > 1 else None
+    return Command(
+        run_seconds=float(seconds) if seconds else DEFAULT_RUN_SECONDS,
+        fails="fail" in words,
+        cores=float(values["cores"]) if "cores" in values else None,
+        memory=float(values["memory"]) if "memory" in values else None,
+    )
+
+
+def _progress_of(checkpoint: str) -> float:
+    """Return the seconds of work that a checkpoint has saved."""
+    return float(checkpoint.rpartition("@")[2] or 0)
 
 
 async def run_ticks(state: WorkerState) -> None:
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,284 @@
+"""Roles under pauses, outages, races and lost answers."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pomeloyard.clock import ManualClock
+from pomeloyard.platform import layout
+from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.platform.records import read_record
+from pomeloyard.roles import RENEW_INTERVAL, ROLE_TTL, RoleCandidate, RoleLostError
+
+from .support.faulty_store import FaultyStore
+
+FAILOVER = timedelta(seconds=5) + 2 * RENEW_INTERVAL
+"""The design's 5 s lease, then the candidates' interval."""
+
+WORK_INTERVAL = timedelta(seconds=0.25)
+
+
+class PausableClock(ManualClock):
+    """Clock of one process, whose timers fire late while it is paused."""
+
+    def __init__(self, shared):
+        super().__init__()
+        self.shared = shared
+        self.paused = False
+
+    def monotonic(self):
+        return self.shared.monotonic()
+
+    def catch_up(self):
+        """Fire the timers that are due, unless the process is paused."""
+        if not self.paused:
+            self.advance(self.shared.monotonic() - self._elapsed)
+
+
+class Daemon:
+    """A candidate whose work records each step with the time and epoch."""
+
+    def __init__(self, bench, name):
+        self.bench, self.name = bench, name
+        self.clock = PausableClock(bench.clock)
+        self.store = FaultyStore(bench.memory)
+        self.running = None
+        self.cleaned_up = 0
+        self.candidate = RoleCandidate(
+            self.store, self.clock, "scheduler", name, self.work
+        )
+
+    async def work(self, epoch):
+        assert epoch not in self.bench.holder_by_epoch, "an epoch was used twice"
+        self.bench.holder_by_epoch[epoch] = self.name
+        self.running = epoch
+        try:
+            while True:
+                self.bench.note_step(self, epoch)
+                await self.clock.sleep(WORK_INTERVAL)
+        finally:
+            self.running = None
+            self.cleaned_up += 1
+
+
+class Bench:
+    def __init__(self, count=3):
+        self.clock = ManualClock()
+        self.memory = MemoryStore(self.clock)
+        self.holder_by_epoch = {}
+        self.steps = []
+        self.daemons = [Daemon(self, f"d{n}") for n in range(count)]
+
+    def note_step(self, daemon, epoch):
+        assert not daemon.clock.paused
+        assert daemon.candidate.still_held()
+        self.steps.append((self.clock.monotonic(), daemon.name, epoch))
+
+    async def pass_time(self, delay):
+        end = self.clock.monotonic() + delay
+        while self.clock.monotonic() < end:
+            self.clock.advance(timedelta(seconds=0.25))
+            self.memory.expire()
+            for daemon in self.daemons:
+                daemon.clock.catch_up()
+            for _ in range(25):
+                await anyio.sleep(0)
+
+    def holders(self):
+        return [d for d in self.daemons if d.running is not None]
+
+
+def compete(test, count=3):
+    async def run():
+        bench = Bench(count)
+        async with anyio.create_task_group() as tasks:
+            for daemon in bench.daemons:
+                tasks.start_soon(daemon.candidate.run)
+            await bench.pass_time(FAILOVER)
+            await test(bench)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_paused_holder_does_nothing_more_and_another_has_a_higher_epoch():
+    """Guards against work under an expired lease, before the role notices it."""
+
+    async def test(bench):
+        (first,) = bench.holders()
+        first.clock.paused = True
+        await bench.pass_time(timedelta(seconds=15))
+        second = next(d for d in bench.holders() if d is not first)
+        steps = [s for s in bench.steps if s[1] == first.name]
+        # The first timers that fire after the pause are those of the work.
+        first.clock.paused = False
+        await bench.pass_time(timedelta(seconds=5))
+        assert steps == [s for s in bench.steps if s[1] == first.name]
+        assert first.cleaned_up == 1
+        assert bench.holders() == [second]
+        assert second.running > steps[-1][2]
+
+    compete(test)
+
+
+def test_holder_continues_in_an_outage_and_takes_the_role_again_afterwards():
+    """Guards against running jobs that nobody follows while the store is down."""
+
+    async def test(bench):
+        (holder,) = bench.holders()
+        epoch = holder.running
+        for daemon in bench.daemons:
+            daemon.store.set_available(False)
+        await bench.pass_time(timedelta(seconds=30))
+        assert bench.holders() == [holder]
+        assert holder.running == epoch
+        assert bench.steps[-1][0] > bench.clock.monotonic() - timedelta(seconds=1)
+        for daemon in bench.daemons:
+            daemon.store.set_available(True)
+        await bench.pass_time(FAILOVER)
+        (after,) = bench.holders()
+        assert after.running > epoch
+
+    compete(test)
+
+
+def test_holder_paused_during_an_outage_stops_until_the_store_answers():
+    """Guards against the case that the store was up while the holder was paused."""
+
+    async def test(bench):
+        (holder,) = bench.holders()
+        holder.store.set_available(False)
+        holder.clock.paused = True
+        await bench.pass_time(timedelta(seconds=15))
+        holder.clock.paused = False
+        await bench.pass_time(timedelta(seconds=1))
+        assert holder.running is None
+        assert len(bench.holders()) == 1
+
+    compete(test)
+
+
+def test_leaving_holder_gives_the_role_up_at_once():
+    """Guards against a planned stop that leaves the role unheld for 5 s."""
+
+    async def run():
+        bench = Bench(2)
+        async with anyio.create_task_group() as tasks:
+            scopes = [anyio.CancelScope() for _ in bench.daemons]
+
+            async def candidate(daemon, scope):
+                with scope:
+                    await daemon.candidate.run()
+
+            for daemon, scope in zip(bench.daemons, scopes, strict=True):
+                tasks.start_soon(candidate, daemon, scope)
+            await bench.pass_time(FAILOVER)
+            (holder,) = bench.holders()
+            scopes[bench.daemons.index(holder)].cancel()
+            await bench.pass_time(2 * RENEW_INTERVAL)
+            assert len(bench.holders()) == 1
+            assert bench.holders() != [holder]
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_work_that_catches_errors_cannot_continue_after_the_lease():
+    """Guards against a broad except clause in a role's work."""
+
+    async def run():
+        clock = ManualClock()
+        steps, lost = [], []
+
+        async def stubborn(epoch):
+            for _ in range(100):
+                try:
+                    await clock.sleep(WORK_INTERVAL)
+                    steps.append(clock.monotonic())
+                except RoleLostError as error:
+                    lost.append(error)
+                    if len(lost) == 3:
+                        raise
+
+        store = MemoryStore(clock)
+        candidate = RoleCandidate(store, clock, "scheduler", "d", stubborn)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(candidate.run)
+            for delay in (WORK_INTERVAL, timedelta(seconds=15), *[WORK_INTERVAL] * 5):
+                for _ in range(25):
+                    await anyio.sleep(0)
+                clock.advance(delay)
+            assert steps == [WORK_INTERVAL]
+            assert lost
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["pause", "outage", "answers", "requests", "all_out"]),
+        st.integers(0, 2),
+        st.integers(0, 60),
+    ),
+    max_size=15,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(FAULTS)
+def test_epochs_grow_and_one_daemon_reaches_the_store_as_holder(faults):
+    """Guards against two holders under one epoch, and a role that nobody takes."""
+
+    async def test(bench):
+        for kind, number, quarters in faults:
+            daemon = bench.daemons[number]
+            if kind == "pause":
+                daemon.clock.paused = not daemon.clock.paused
+            elif kind == "outage":
+                daemon.store.set_available(not daemon.store.available)
+            elif kind == "answers":
+                daemon.store.lose_answers = 1 + quarters % 4
+            elif kind == "requests":
+                daemon.store.lose_requests = 1 + quarters % 4
+            else:
+                for other in bench.daemons:
+                    other.store.set_available(quarters % 2 == 0)
+            await bench.pass_time(quarters * timedelta(seconds=0.25))
+        for daemon in bench.daemons:
+            daemon.clock.paused = False
+            daemon.store.set_available(True)
+            daemon.store.lose_answers = daemon.store.lose_requests = 0
+        await bench.pass_time(2 * FAILOVER)
+        (holder,) = bench.holders()
+        epochs = list(bench.holder_by_epoch)
+        assert epochs == sorted(epochs)
+        stored = await read_record(bench.memory, "epochs/scheduler", int)
+        assert stored.value >= holder.running == epochs[-1]
+
+    compete(test)
+
+
+@pytest.mark.parametrize("losses", range(1, 7))
+@pytest.mark.parametrize("kind", ["lose_answers", "lose_requests"])
+def test_lost_answers_on_taking_the_role(kind, losses):
+    """Guards against a role held by a daemon that believes that it is not."""
+
+    async def run():
+        bench = Bench(1)
+        (daemon,) = bench.daemons
+        setattr(daemon.store, kind, losses)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(daemon.candidate.run)
+            await bench.pass_time(ROLE_TTL + 4 * FAILOVER)
+            assert bench.holders() == [daemon]
+            entry = await bench.memory.get(layout.ROLES + "scheduler")
+            assert entry is not None
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
