Audit the whole system under faults from the executors' own records

No test showed what executors and workers saw. Five daemons, six executors and four workers run under a steady load of three accounts, with silent and lost store answers, an outage of 10 s, a pause, a kill, a drain, a withdrawal and a publication; the records are then compared with what clients were told.

The stand-in ended each watch after its first idle period, as a cancelled wait closed the generator behind it; a watch now survives that. VM operations that meet a 5xx status are unknown, no longer refused. Calls to a daemon end when its last connection ends.

--- a/src/pomeloyard/peers/calls.py
+++ b/src/pomeloyard/peers/calls.py
@@ -30,6 +30,7 @@
         self._network = network
         self._ids = itertools.count(1)
         self._pending_by_id: dict[int, _Pending] = {}
+        network.on_disconnect.append(self._on_disconnect)
 
     def expect(self, reply_type: type) -> None:
         """Route messages of ``reply_type`` to the calls that wait for them."""
@@ -42,7 +43,10 @@
         reply_type: type[T],
         timeout: timedelta,
     ) -> T | None:
-        """Return the answer of a daemon, or None if there was none in time."""
+        """Return the answer of a daemon, or None if there was none in time.
+
+        None says nothing about whether the question arrived.
+        """
         request_id = next(self._ids)
         pending = _Pending(incarnation)
         self._pending_by_id[request_id] = pending
@@ -55,6 +59,12 @@
             del self._pending_by_id[request_id]
         return pending.answer if isinstance(pending.answer, reply_type) else None
 
+    def _on_disconnect(self, incarnation: str) -> None:
+        """End the calls that wait for a daemon whose answer can no longer come."""
+        for pending in self._pending_by_id.values():
+            if pending.asked == incarnation:
+                pending.arrived.set()
+
     def _on_reply(self, sender: str, message: Any) -> None:
         pending = self._pending_by_id.get(message.request_id)
         # A late answer, or one of a daemon that was not asked, is dropped.
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -82,6 +82,8 @@
         self.traffic = Traffic()
         self.heartbeat: Callable[[], Message | None] = lambda: None
         self.on_connect: list[Callable[[str], None]] = []
+        self.on_disconnect: list[Callable[[str], None]] = []
+        """Called when the last connection to a daemon has ended."""
         self.on_goodbye: list[Callable[[str], None]] = []
         self._handlers_by_type: dict[type, list[Handler]] = {}
         self._connections: set[Connection] = set()
@@ -305,6 +307,7 @@
             self.connections_by_incarnation[incarnation] = newest
         else:
             del self.connections_by_incarnation[incarnation]
+            self._notify(self.on_disconnect, incarnation)
 
     async def _beat(self) -> None:
         """Send heartbeats on all connections, as each is watched for silence."""
--- a/src/pomeloyard/platform/memory.py
+++ b/src/pomeloyard/platform/memory.py
@@ -138,7 +138,7 @@
         self.calls.watches_opened += 1
         self.calls.watches_waiting += 1
         try:
-            yield _batches(receive)
+            yield _Batches(receive)
         finally:
             self.calls.watches_waiting -= 1
             self._watchers.pop(send, None)
@@ -228,9 +228,14 @@
                 stream.close()
 
 
-async def _batches(
-    receive: ObjectReceiveStream[WatchBatch],
-) -> AsyncIterator[WatchBatch]:
-    async for batch in receive:
-        yield batch
-    raise StoreUnavailableError("the watch ended")
+class _Batches(AsyncIterator[WatchBatch]):
+    """Batches of a watch; unlike a generator, it survives a cancelled wait."""
+
+    def __init__(self, receive: ObjectReceiveStream[WatchBatch]) -> None:
+        self._receive = receive
+
+    async def __anext__(self) -> WatchBatch:
+        try:
+            return await self._receive.receive()
+        except anyio.EndOfStream:
+            raise StoreUnavailableError("the watch ended") from None
--- a/src/pomeloyard/platform/vm_service.py
+++ b/src/pomeloyard/platform/vm_service.py
@@ -17,6 +17,8 @@
 from .directory import VmDirectory, VmList, VmOperation
 
 CALL_TIMEOUT = timedelta(seconds=2)
+HTTP_CLIENT_ERROR = 400
+HTTP_SERVER_ERROR = 500
 
 
 class HttpVmDirectory(VmDirectory):
@@ -44,8 +46,13 @@
             body["pool"] = pool
         path = f"/v1/vms/{name}/operations"
         response = await self._call("POST", path, json.dumps(body).encode())
-        if response.status != 200:
-            raise StoreRequestError(f"{operation.value} {name}: {response.status}")
+        if response.status == 200:
+            return
+        detail = f"{operation.value} {name}: status {response.status}"
+        if HTTP_CLIENT_ERROR <= response.status < HTTP_SERVER_ERROR:
+            raise StoreRequestError(detail)
+        # A gateway may give up after the platform has started the operation.
+        raise StoreOutcomeUnknownError(detail)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import ssl
+import threading
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
@@ -19,6 +20,7 @@
 
 from pomeloyard.clock import SystemClock
 from pomeloyard.errors import FrameError
+from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.codec import (
     LENGTH,
     MAX_FRAME_BYTES,
@@ -36,6 +38,8 @@
     KeyWithdrawn,
     LoanKept,
     ResourceAmount,
+    RunningQuery,
+    RunningReply,
 )
 from pomeloyard.peers.streams import SEND_QUEUE_BYTES, PeerNetwork
 from pomeloyard.peers.tls import PeerTls
@@ -46,6 +50,7 @@
 SILENCE_NOTICED_SECONDS = 3.0
 """The design's time in which a silent peer is noticed."""
 
+LONG = timedelta(minutes=1)
 BEAT = Heartbeat(1, 1, 1, True)
 DEEP = b"\x91" * 100_000
 HUGE_ARRAY = b"\xdd\xff\xff\xff\xff"
@@ -221,6 +226,47 @@
     anyio.run(run)
 
 
+def test_paused_daemon_is_noticed_and_reconnects_when_it_wakes_up():
+    """Guards against a paused daemon that stays cut off, and calls that hang."""
+    a, b = Peer("a"), Peer("b")
+    pause, stop = threading.Event(), threading.Event()
+
+    async def run_b():
+        async with running(b):
+            while not stop.is_set():
+                if pause.is_set():
+                    time.sleep(SILENCE_NOTICED_SECONDS + 1)
+                    pause.clear()
+                await anyio.sleep(0.02)
+
+    async def run():
+        calls = PeerCalls(a.network)
+        calls.expect(RunningReply)
+        async with running(a):
+            a.network.seeds.add(b.listen)
+            await until(lambda: a.linked(b) and b.linked(a))
+            pause.set()
+            start = time.monotonic()
+            answer = await calls.call(
+                b.name, lambda i: RunningQuery(i, "vm"), RunningReply, LONG
+            )
+            assert answer is None
+            assert not a.linked(b)
+            # One heartbeat may still have been under way.
+            assert time.monotonic() - start < SILENCE_NOTICED_SECONDS + 1
+            await until(lambda: a.linked(b) and b.linked(a) and not pause.is_set())
+            assert a.network.send(b.name, KeyWithdrawn("k"))
+            await until(lambda: (a.name, "k") in b.heard)
+
+    thread = threading.Thread(target=lambda: anyio.run(run_b))
+    thread.start()
+    try:
+        anyio.run(run)
+    finally:
+        stop.set()
+        thread.join()
+
+
 def test_several_connections_between_a_pair_are_reduced_without_a_gap():
     """Guards against two daemons that dial each other and then flap for ever."""
 
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -21,6 +21,7 @@
     StoreRequestError,
     StoreUnavailableError,
 )
+from pomeloyard.platform.directory import VmOperation
 from pomeloyard.platform.etcd import CALL_TIMEOUT, MAX_CALLS_IN_FLIGHT, EtcdStore
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.platform.records import (
@@ -38,6 +39,7 @@
     Transaction,
     scan_all,
 )
+from pomeloyard.platform.vm_service import HttpVmDirectory
 from pomeloyard.serving import serving
 from pomeloyard.standins.fault_proxy import Faults, proxying
 from pomeloyard.standins.platform import (
@@ -182,6 +184,23 @@
         assert memory.revision == revision
 
 
+async def cancelled_wait(store, memory, clock):
+    async with store.watch("a", from_revision=memory.revision + 1) as batches:
+        with anyio.move_on_after(0.01):
+            await anext(batches)
+        if store is memory:  # A client's connection ends with the cancellation.
+            await store.commit(put("a", b"1"))
+            assert (await anext(batches)).events[0].entry.value == b"1"
+
+
+async def idle_watch(store, memory, clock):
+    async with store.watch("a", from_revision=memory.revision + 1) as batches:
+        await anyio.sleep(0.1)
+        await store.commit(put("a", b"1"))
+        with anyio.fail_after(5):
+            assert (await anext(batches)).events[0].entry.value == b"1"
+
+
 async def counted_calls(store, memory, clock):
     before = (store.calls.reads, store.calls.writes)
     await store.get("a")
@@ -201,14 +220,18 @@
     compaction,
     broken_watch,
     limits_of_a_transaction,
+    cancelled_wait,
+    idle_watch,
     counted_calls,
 ]
 
 
 @pytest.mark.parametrize("over_http", [False, True], ids=["memory", "etcd"])
 @pytest.mark.parametrize("case", CONTRACT, ids=lambda case: case.__name__)
-def test_store_contract(case, over_http):
+def test_store_contract(case, over_http, monkeypatch):
     """Guards against a stand-in that is kinder than the store's protocol."""
+    progress = "pomeloyard.standins.platform.WATCH_PROGRESS_INTERVAL"
+    monkeypatch.setattr(progress, timedelta(seconds=0.02))
 
     async def run():
         clock = ManualClock()
@@ -508,3 +531,51 @@
     """Run a coroutine that never waits, as those of MemoryStore."""
     with pytest.raises(StopIteration):
         coroutine.send(None)
+
+
+OPERATIONS = [
+    (200, None),
+    (400, StoreRequestError),
+    (404, StoreRequestError),
+    (500, StoreOutcomeUnknownError),
+    (504, StoreOutcomeUnknownError),
+    ("drop", StoreOutcomeUnknownError),
+    ("hang", StoreOutcomeUnknownError),
+    ("refuse", StoreUnavailableError),
+]
+
+
+def test_vm_operations_have_typed_outcomes():
+    """Guards against a reboot that was started and is reported as refused."""
+
+    async def run():
+        status = 200
+
+        async def answer(request):
+            return Response(b"{}", status)
+
+        route = Route("/{path:path}", answer, methods=["GET", "POST"])
+        async with (
+            serving(Starlette(routes=[route])) as address,
+            proxying(address) as proxy,
+        ):
+            for fault, expected in OPERATIONS:
+                status = fault if isinstance(fault, int) else 200
+                faults = {
+                    "drop": Faults(drop_answers=1),
+                    "hang": Faults(hang=True),
+                    "refuse": Faults(refuse=True),
+                }
+                proxy.cut()
+                await proxy.set_faults(faults.get(fault, Faults()))
+                directory = HttpVmDirectory(f"http://{proxy.address}", LEASE / 10)
+                call = directory.operate("a", VmOperation.REBOOT, operation_id="1")
+                if expected is None:
+                    await call
+                else:
+                    await raises(expected, call)
+                # A list that cannot be read is never an empty list.
+                await raises(StoreUnavailableError, directory.list_vms())
+                await directory.close()
+
+    anyio.run(run)
--- /dev/null
+++ b/tests/test_whole_system.py
@@ -0,0 +1,243 @@
+"""The whole system under load and faults, audited from the other side.
+
+Executors and workers keep their own records. At the end they are compared with
+what the clients were told.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+
+import httpcore
+import msgspec
+import pytest
+
+from pomeloyard.config.reader import read_directories
+from pomeloyard.operators.client import OperatorCallError, OperatorClient
+from pomeloyard.platform.directory import VmListState, VmRole
+
+from .support.audit import find_faults, read_audits
+from .support.load import DONE, Account, Load
+from .support.processes import Fleet, wait_until
+
+DAEMONS = ("entry-1", "entry-2", "entry-3", "entry-4", "entry-5")
+ZONES = ("bulacan", "pampanga", "laguna")
+LIMITS = {"mill": 24, "desk": 16, "shop": 12}
+STORE = "store"
+FAULTY_EXECUTOR = "cutting-e3"
+
+WITHDRAWN_EVERYWHERE_SECONDS = 5.0
+LEAVING_NOTICED_SECONDS = 3.0
+IN_FORCE_EVERYWHERE_SECONDS = 15.0
+OUTAGE_SECONDS = 10.0
+PAUSE_SECONDS = 6.0
+
+FILES = """
+[fleet]
+name = "whole"
+
+[regions.luzon]
+availability_zones = ["bulacan", "pampanga", "laguna"]
+
+[pools.orders]
+executors = 3
+workers = 2
+[pools.cutting]
+executors = 3
+workers = 2
+
+[services.orders]
+pool = "orders"
+budget = { min_available = 1 }
+request_timeout = "PT3S"
+queue_timeout = "PT2S"
+[services.cutting]
+pool = "cutting"
+budget = { min_available = 1 }
+request_timeout = "PT3S"
+queue_timeout = "PT2S"
+
+[teams.mill]
+share = 2.0
+limit = 24
+job_limit = 6
+[teams.desk]
+share = 1.0
+limit = 16
+job_limit = 4
+[teams.shop]
+share = 1.0
+limit = 12
+job_limit = 4
+"""
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = Fleet(tmp_path)
+    fleet.start_proxies()
+    for pool in ("orders", "cutting"):
+        for number, zone in enumerate(ZONES, 1):
+            name = f"{pool}-e{number}"
+            proxied = name == FAULTY_EXECUTOR
+            fleet.add_vm(name, VmRole.EXECUTOR, pool, zone, proxied=proxied)
+        for number, zone in enumerate(ZONES[:2], 1):
+            fleet.add_vm(f"{pool}-w{number}", VmRole.WORKER, pool, zone, cores=16)
+    for name in DAEMONS:
+        fleet.add_vm(name, VmRole.ENTRY, "", "bulacan")
+    fleet.start_platform()
+    fleet.start_standins()
+    link = fleet.link(STORE, fleet.platform_url.removeprefix("http://"))
+    for number, name in enumerate(DAEMONS):
+        fleet.start_daemon(name, ZONES[number % 3], store_link=link)
+    for name in DAEMONS:
+        fleet.wait_for_url(f"http://{fleet.address(name, 'metrics')}/healthz")
+    try:
+        yield fleet
+    finally:
+        fleet.close()
+
+
+class Operator:
+    """What operators do, through any daemon that answers."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        addresses = [fleet.address(name, "operator") for name in DAEMONS]
+        self.client = OperatorClient(addresses, fleet.operator_key)
+        self.directory = fleet.directory / "config"
+        self.directory.mkdir()
+
+    def publish(self, text):
+        (self.directory / "all.pomeloyard.toml").write_text(text)
+        body = msgspec.to_builtins(read_directories([self.directory]))
+        made_from = self.client.call("GET", "/v1/config")["revision"]
+        path = f"/v1/config?made_from={made_from}"
+        return self.client.call("POST", path, body)["revision"]
+
+    def grant(self, team):
+        granted = self.client.call("POST", "/v1/keys", {"team": team})
+        return granted["key"], granted["key_id"]
+
+    def revisions(self, *daemons):
+        return {self._revision(name) for name in daemons}
+
+    def _revision(self, daemon):
+        client = OperatorClient(
+            [self.fleet.address(daemon, "operator")], self.fleet.operator_key
+        )
+        try:
+            return client.call("GET", "/v1/config")["revision"]
+        except OperatorCallError:
+            return 0
+        finally:
+            client.close()
+
+
+def status(fleet, daemon, key):
+    """Return the status of a short request at one daemon."""
+    response = httpcore.request(
+        "GET",
+        f"http://{fleet.address(daemon, 'caller')}/v1/services/orders/probe",
+        headers={"Authorization": f"Bearer {key}"},
+    )
+    return response.status
+
+
+class AllAnswer:
+    """Condition that a key has a status at all daemons; shows what was seen."""
+
+    def __init__(self, fleet, daemons, key, wanted):
+        self.fleet, self.daemons, self.key = fleet, daemons, key
+        self.wanted = wanted
+        self.seen = {}
+
+    def __call__(self):
+        self.seen = {n: status(self.fleet, n, self.key) for n in self.daemons}
+        return set(self.seen.values()) == {self.wanted}
+
+    def __repr__(self):
+        return f"status {self.wanted} at all of {self.seen}"
+
+
+def mark_gone(fleet, name):
+    vm = next(vm for vm in fleet.vms if vm.name == name)
+    body = msgspec.to_builtins(vm) | {"state": VmListState.GONE.value}
+    url = f"{fleet.platform_url}/v1/vms/{name}"
+    assert httpcore.request("PUT", url, content=msgspec.json.encode(body)).status == 200
+
+
+def test_no_work_is_lost_duplicated_or_over_limit_under_faults(fleet):
+    """Guards against every invariant of the design's section 1.1 that shows here."""
+    operator = Operator(fleet)
+    assert operator.publish(FILES) == 1
+    fleet.wait_ready(*DAEMONS)
+    keys = {team: operator.grant(team)[0] for team in LIMITS}
+    spare_key, spare_id = operator.grant("mill")
+    for key in (*keys.values(), spare_key):
+        wait_until(AllAnswer(fleet, DAEMONS, key, 200), 20.0)
+
+    load = Load(
+        [fleet.address(name, "caller") for name in DAEMONS],
+        [
+            Account("mill", keys["mill"], 20.0, 150),
+            Account("desk", keys["desk"], 15.0, 150),
+            Account("shop", keys["shop"], 20.0, 300),
+        ],
+    )
+    load.start()
+    time.sleep(3.0)
+
+    operator.client.call("POST", "/v1/vms/orders-e1/drain")
+    drained_at = time.monotonic()
+    time.sleep(2.0)
+
+    operator.client.call("DELETE", f"/v1/keys/{spare_id}")
+    refused = AllAnswer(fleet, DAEMONS, spare_key, 401)
+    wait_until(refused, WITHDRAWN_EVERYWHERE_SECONDS)
+
+    # Requests run at this executor, and the answers are lost.
+    fleet.set_faults(FAULTY_EXECUTOR, drop_answers=3)
+    # All watches hang without an error, and so do the kept connections.
+    fleet.silence(STORE)
+    time.sleep(3.0)
+    assert operator.publish(FILES.replace("share = 2.0", "share = 3.0")) == 2
+    wait_until(lambda: operator.revisions(*DAEMONS) == {2}, IN_FORCE_EVERYWHERE_SECONDS)
+
+    fleet.set_faults(STORE, refuse=True)
+    fleet.cut(STORE)
+    cut_at = time.monotonic()
+    time.sleep(2.0)
+    fleet.processes["entry-4"].pause()
+    time.sleep(PAUSE_SECONDS)
+    fleet.processes["entry-4"].resume()
+    time.sleep(max(0.0, cut_at + OUTAGE_SECONDS - time.monotonic()))
+    fleet.set_faults(STORE, drop_answers=5)
+    fleet.silence(FAULTY_EXECUTOR)
+    time.sleep(2.0)
+
+    fleet.processes["entry-5"].kill()
+    mark_gone(fleet, "entry-5")
+    time.sleep(6.0)
+    load.finish()
+
+    live = DAEMONS[:4]
+    for key in keys.values():
+        wait_until(AllAnswer(fleet, live, key, 200), 20.0)
+    assert AllAnswer(fleet, live, spare_key, 401)()
+    assert operator.revisions(*live) == {2}
+    assert all(fleet.processes[name].running() for name in live)
+
+    vms = [vm for vm in fleet.vms if vm.role is VmRole.EXECUTOR]
+    executors = read_audits(vm.address for vm in vms)
+    workers = read_audits(vm.address for vm in fleet.vms if vm.role is VmRole.WORKER)
+    faults = find_faults(load.sent, load.jobs, executors, workers, LIMITS)
+    latest = max(e["started"] for e in executors[0]["executions"])
+    if latest > drained_at + LEAVING_NOTICED_SECONDS:
+        faults.append(f"drained VM got work {latest - drained_at:.1f} s later")
+    outcomes = Counter(sent.outcome() for sent in load.sent)
+    print(f"requests by outcome: {dict(outcomes)}, jobs: {len(load.jobs)}")
+    assert not faults, f"{len(faults)} faults:\n" + "\n".join(faults[:20])
+    # Most requests are within every limit, also during the faults.
+    assert outcomes[DONE] > 0.8 * len(load.sent)
