Contain failures of handlers, role work and accept; start daemons in an outage

A failing change callback, a damaged record in a role's work or exhausted file descriptors ended the daemon's task group. They are now logged and end at most the role, the callback or the connection; RecordError is a StoreError, which every loop over the store already handles. The whole-system test now runs with mutual TLS, a daemon that starts during the outage and a peer link that hangs.

--- a/src/pomeloyard/follower.py
+++ b/src/pomeloyard/follower.py
@@ -88,7 +88,10 @@
     def changed(self) -> None:
         """Tell the daemon's parts that the fleet state has changed."""
         for callback in self.on_change:
-            callback()
+            try:
+                callback()
+            except Exception:
+                log.exception("a part failed to take a change of the fleet state")
 
     def _lost_store(self, error: StoreError, followed: bool) -> None:
         """Note a failure; after a scan it is confirmed only by the next scan."""
--- a/src/pomeloyard/peers/replication.py
+++ b/src/pomeloyard/peers/replication.py
@@ -25,7 +25,6 @@
 from ..platform.records import (
     Change,
     ConflictError,
-    RecordError,
     commit_changes,
     read_record,
 )
@@ -89,7 +88,7 @@
             if self._state.store_reachable and self.unstored_withdrawals():
                 try:
                     await self._store_withdrawals()
-                except (StoreError, ConflictError, RecordError) as error:
+                except (StoreError, ConflictError) as error:
                     log.debug("withdrawals not stored: {}", error)
 
     def withdraw_key(self, key_id: str) -> None:
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -159,10 +159,16 @@
         return True
 
     async def _listen(self, listener: anyio.abc.Listener[Any]) -> None:
-        try:
-            await listener.serve(self._accept)
-        except* anyio.ClosedResourceError:
-            pass  # close() ends the listener.
+        listening = True
+        while listening:
+            try:
+                await listener.serve(self._accept)
+            except* anyio.ClosedResourceError:
+                listening = False  # close() ends the listener.
+            except* OSError as group:
+                # Accepting fails while file descriptors are exhausted.
+                log.error("connections are not accepted: {}", group.exceptions[0])
+                await self._clock.sleep(DIAL_INTERVAL)
 
     async def _dial_all(self) -> None:
         while True:
@@ -222,6 +228,8 @@
             anyio.ClosedResourceError,
         ):
             pass  # An ended connection is dialled again by _dial_all.
+        except* Exception:
+            log.exception("connection ended")
 
     async def _exchange(
         self,
--- a/src/pomeloyard/platform/records.py
+++ b/src/pomeloyard/platform/records.py
@@ -31,7 +31,7 @@
         self.key = key
 
 
-class RecordError(PomeloyardError):
+class RecordError(StoreError):
     """A record in the store does not have the expected form."""
 
 
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -18,7 +18,6 @@
 from .platform.records import (
     Change,
     ConflictError,
-    RecordError,
     commit_changes,
     read_record,
 )
@@ -74,7 +73,7 @@
         while True:
             try:
                 await self._compete()
-            except (StoreError, ConflictError, RecordError) as error:
+            except (StoreError, ConflictError) as error:
                 log.debug("role {}: {}", self._name, error)
             await self._clock.sleep(RENEW_INTERVAL * random.uniform(0.8, 1.2))
 
@@ -130,6 +129,9 @@
             await _guarded(self._work(epoch), self.still_held)
         except RoleLostError:
             log.warning("work of role {} epoch {} stopped", self._name, epoch)
+        except Exception:
+            # The role is given up, and the daemon's requests are not affected.
+            log.exception("work of role {} epoch {} failed", self._name, epoch)
         scope.cancel()
 
     async def _renew(self, lease: int) -> bool:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -158,7 +158,15 @@
     async def test(bench):
         epoch = revision = 0
         epochs, deleted = {}, {}
-        bench.follower.on_change.append(lambda: check(bench.state))
+        failures = []
+
+        def checked():
+            try:
+                check(bench.state)
+            except AssertionError as error:  # Contained by the follower.
+                failures.append(error)
+
+        bench.follower.on_change.append(checked)
 
         def check(state):
             assert state.config.revision >= epochs.get("config", 0)
@@ -196,6 +204,7 @@
         bench.store.change_batch = unchanged
         bench.memory.break_watches()
         await bench.pass_time(IN_FORCE_EVERYWHERE)
+        assert not failures, failures[0]
         page = await scan_all(bench.memory, layout.VMS)
         stored = {entry.key.removeprefix(layout.VMS) for entry in page.entries}
         assert bench.state.vm_records_by_name.keys() == stored
@@ -246,6 +255,7 @@
     """Guards against one bad record that stops a daemon from following."""
 
     async def test(bench):
+        bench.follower.on_change.append(lambda: {}["a failing part"])
         await bench.publish(1)
         await bench.set_keys(1)
         await bench.set_vm("a", 1)
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import itertools
 import random
 import ssl
@@ -202,31 +203,28 @@
     anyio.run(run)
 
 
-def test_silent_connection_is_noticed_and_replaced_in_both_directions():
+async def silent_connection_is_replaced_in_both_directions():
     """Guards against a link that hangs for good while new ones work."""
 
-    async def run():
-        listen = f"127.0.0.1:{free_port()}"
-        async with proxying(listen) as proxy:
-            a, b = Peer("a"), Peer("b", address=proxy.address, listen=listen)
-            async with running(a, b):
-                a.network.seeds.add(proxy.address)
-                await until(lambda: a.linked(b) and b.linked(a))
-                await anyio.sleep(1.1)  # Heartbeats flow before the fault.
-                proxy.silence()
-                start = time.monotonic()
-                await until(lambda: len(a.connected) == 2 and len(b.connected) == 2)
-                # Noticed in time, then dialled again after at most one backoff.
-                limit = SILENCE_NOTICED_SECONDS + MAX_DIAL_INTERVAL.total_seconds()
-                assert time.monotonic() - start < limit
-                assert a.network.send(b.name, KeyWithdrawn("new"))
-                assert b.network.send(a.name, KeyWithdrawn("new"))
-                await until(lambda: a.heard and b.heard)
-
-    anyio.run(run)
+    listen = f"127.0.0.1:{free_port()}"
+    async with proxying(listen) as proxy:
+        a, b = Peer("a"), Peer("b", address=proxy.address, listen=listen)
+        async with running(a, b):
+            a.network.seeds.add(proxy.address)
+            await until(lambda: a.linked(b) and b.linked(a))
+            await anyio.sleep(1.1)  # Heartbeats flow before the fault.
+            proxy.silence()
+            start = time.monotonic()
+            await until(lambda: len(a.connected) == 2 and len(b.connected) == 2)
+            # Noticed in time, then dialled again after at most one backoff.
+            limit = SILENCE_NOTICED_SECONDS + MAX_DIAL_INTERVAL.total_seconds()
+            assert time.monotonic() - start < limit
+            assert a.network.send(b.name, KeyWithdrawn("new"))
+            assert b.network.send(a.name, KeyWithdrawn("new"))
+            await until(lambda: a.heard and b.heard)
 
 
-def test_paused_daemon_is_noticed_and_reconnects_when_it_wakes_up():
+async def paused_daemon_reconnects_when_it_wakes_up():
     """Guards against a paused daemon that stays cut off, and calls that hang."""
     a, b = Peer("a"), Peer("b")
     pause, stop = threading.Event(), threading.Event()
@@ -261,55 +259,88 @@
     thread = threading.Thread(target=lambda: anyio.run(run_b))
     thread.start()
     try:
-        anyio.run(run)
+        await run()
     finally:
         stop.set()
-        thread.join()
+        await anyio.to_thread.run_sync(thread.join)
 
 
-def test_several_connections_between_a_pair_are_reduced_without_a_gap():
+async def several_connections_are_reduced_without_a_gap():
     """Guards against two daemons that dial each other and then flap for ever."""
 
+    a, b = Peer("a"), Peer("b")
+    async with running(a, b), anyio.create_task_group() as tasks:
+        tasks.start_soon(a.network._dial, b.listen)
+        tasks.start_soon(b.network._dial, a.listen)
+        tasks.start_soon(a.network._dial, b.listen)
+        await until(lambda: len(a.network._connections) == 3)
+        end = time.monotonic() + 4.5
+        while time.monotonic() < end:
+            assert a.linked(b)
+            assert b.linked(a)
+            await anyio.sleep(0.02)
+        assert len(a.connected) == len(b.connected) == 3
+        tasks.cancel_scope.cancel()
+
+
+async def slow_reader_neither_blocks_the_loop_nor_takes_memory():
+    """Guards against one stuck daemon that stops the others or exhausts memory."""
+
+    a = Peer("a")
+    async with running(a):
+        stream = await dial(a.listen)
+        await stream.send(HELLO)
+        await until(lambda: "raw.11111111" in a.network.connections_by_incarnation)
+        large = ConfigReply(1, b"c" * 500_000)
+        slowest = 0.0
+        for _ in range(60):
+            start = time.monotonic()
+            a.network.send("raw.11111111", large)
+            await anyio.sleep(0)
+            slowest = max(slowest, time.monotonic() - start)
+        assert slowest < 0.1
+        assert a.network.traffic.dropped_messages > 0
+        connection = a.network.connections_by_incarnation["raw.11111111"]
+        assert connection.queued_bytes <= SEND_QUEUE_BYTES
+        await until(lambda: not a.network.connections_by_incarnation)
+        await anyio.aclose_forcefully(stream)
+
+
+LINK_FAULTS = [
+    silent_connection_is_replaced_in_both_directions,
+    paused_daemon_reconnects_when_it_wakes_up,
+    several_connections_are_reduced_without_a_gap,
+    slow_reader_neither_blocks_the_loop_nor_takes_memory,
+]
+
+
+def test_link_faults_that_take_real_time():
+    """Run the cases side by side, as each waits for 3 s of silence or longer."""
+
     async def run():
-        a, b = Peer("a"), Peer("b")
-        async with running(a, b), anyio.create_task_group() as tasks:
-            tasks.start_soon(a.network._dial, b.listen)
-            tasks.start_soon(b.network._dial, a.listen)
-            tasks.start_soon(a.network._dial, b.listen)
-            await until(lambda: len(a.network._connections) == 3)
-            end = time.monotonic() + 4.5
-            while time.monotonic() < end:
-                assert a.linked(b)
-                assert b.linked(a)
-                await anyio.sleep(0.02)
-            assert len(a.connected) == len(b.connected) == 3
-            tasks.cancel_scope.cancel()
+        async with anyio.create_task_group() as tasks:
+            for case in LINK_FAULTS:
+                tasks.start_soon(case, name=case.__name__)
 
     anyio.run(run)
 
 
-def test_slow_reader_neither_blocks_the_loop_nor_takes_memory():
-    """Guards against one stuck daemon that stops the others or exhausts memory."""
+def test_exhausted_descriptors_do_not_end_a_daemon():
+    """Guards against an error of accept, which ends the task group."""
+
+    class Listener:
+        served = 0
+
+        async def serve(self, handler):
+            self.served += 1
+            if self.served == 1:
+                raise OSError(errno.EMFILE, "too many open files")
+            raise anyio.ClosedResourceError
 
     async def run():
-        a = Peer("a")
-        async with running(a):
-            stream = await dial(a.listen)
-            await stream.send(HELLO)
-            await until(lambda: "raw.11111111" in a.network.connections_by_incarnation)
-            large = ConfigReply(1, b"c" * 500_000)
-            slowest = 0.0
-            for _ in range(60):
-                start = time.monotonic()
-                a.network.send("raw.11111111", large)
-                await anyio.sleep(0)
-                slowest = max(slowest, time.monotonic() - start)
-            assert slowest < 0.1
-            assert a.network.traffic.dropped_messages > 0
-            connection = a.network.connections_by_incarnation["raw.11111111"]
-            assert connection.queued_bytes <= SEND_QUEUE_BYTES
-            await until(lambda: not a.network.connections_by_incarnation)
-            await anyio.aclose_forcefully(stream)
+        listener = Listener()
+        await Peer("a").network._listen(listener)
+        assert listener.served == 2
 
     anyio.run(run)
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -188,6 +188,23 @@
     anyio.run(run)
 
 
+def test_failing_work_gives_the_role_up_and_does_not_end_the_daemon():
+    """Guards against one bad record that ends every daemon in turn."""
+
+    async def test(bench):
+        (holder,) = bench.holders()
+        epoch = holder.running
+        bench.note_step = lambda daemon, epoch: {}[epoch]
+        await bench.pass_time(timedelta(seconds=1))
+        assert bench.holders() == []
+        del bench.note_step
+        await bench.pass_time(FAILOVER)
+        (holder,) = bench.holders()
+        assert holder.running > epoch
+
+    compete(test)
+
+
 def test_work_that_catches_errors_cannot_continue_after_the_lease():
     """Guards against a broad except clause in a role's work."""
 
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -12,6 +12,7 @@
 import httpcore
 import msgspec
 import pytest
+import trustme
 
 from pomeloyard.config.reader import read_directories
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
@@ -26,6 +27,8 @@
 LIMITS = {"mill": 24, "desk": 16, "shop": 12}
 STORE = "store"
 FAULTY_EXECUTOR = "cutting-e3"
+FAULTY_DAEMON = "entry-3"
+LATE_DAEMON = "entry-6"
 
 WITHDRAWN_EVERYWHERE_SECONDS = 5.0
 LEAVING_NOTICED_SECONDS = 3.0
@@ -89,8 +92,21 @@
     fleet.start_platform()
     fleet.start_standins()
     link = fleet.link(STORE, fleet.platform_url.removeprefix("http://"))
+    encryption = certificates(tmp_path)
     for number, name in enumerate(DAEMONS):
-        fleet.start_daemon(name, ZONES[number % 3], store_link=link)
+        fleet.start_daemon(
+            name,
+            ZONES[number % 3],
+            store_link=link,
+            proxied_peers=name == FAULTY_DAEMON,
+            **encryption,
+        )
+    # Started by the test itself, during the outage.
+    fleet.settings[LATE_DAEMON] = {
+        "store_url": f"http://{link}",
+        "peers": [fleet.address("entry-1", "peer")],
+        **encryption,
+    }
     for name in DAEMONS:
         fleet.wait_for_url(f"http://{fleet.address(name, 'metrics')}/healthz")
     try:
@@ -99,6 +115,17 @@
         fleet.close()
 
 
+def certificates(directory):
+    """Write the files of a fleet's authority; return the settings for them."""
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    files = {name: directory / f"{name}.pem" for name in ("certificate", "key", "ca")}
+    certificate.cert_chain_pems[0].write_to_path(files["certificate"])
+    certificate.private_key_pem.write_to_path(files["key"])
+    authority.cert_pem.write_to_path(files["ca"])
+    return {f"peer_{name}_file": str(file) for name, file in files.items()}
+
+
 class Operator:
     """What operators do, through any daemon that answers."""
 
@@ -208,13 +235,20 @@
     fleet.set_faults(STORE, refuse=True)
     fleet.cut(STORE)
     cut_at = time.monotonic()
+    fleet.start_daemon(LATE_DAEMON, "laguna")
     time.sleep(2.0)
     fleet.processes["entry-4"].pause()
     time.sleep(PAUSE_SECONDS)
     fleet.processes["entry-4"].resume()
+    # Configuration and keys come from other daemons while the store is down.
+    fleet.wait_ready(LATE_DAEMON)
+    assert status(fleet, LATE_DAEMON, spare_key) == 401
+    assert operator.revisions(LATE_DAEMON) == {2}
+    assert time.monotonic() < cut_at + OUTAGE_SECONDS
     time.sleep(max(0.0, cut_at + OUTAGE_SECONDS - time.monotonic()))
     fleet.set_faults(STORE, drop_answers=5)
     fleet.silence(FAULTY_EXECUTOR)
+    fleet.silence(f"peer-{FAULTY_DAEMON}")
     time.sleep(2.0)
 
     fleet.processes["entry-5"].kill()
@@ -222,7 +256,7 @@
     time.sleep(6.0)
     load.finish()
 
-    live = DAEMONS[:4]
+    live = (*DAEMONS[:4], LATE_DAEMON)
     for key in keys.values():
         wait_until(AllAnswer(fleet, live, key, 200), 20.0)
     assert AllAnswer(fleet, live, spare_key, 401)()
