Offer the client load and the audit as stand-ins

Measurements and the demo need them as well as the whole-system test. The audit now comes before the check that all daemons serve again, so that one failure does not hide the other.

--- a/tests/support/audit.py
+++ b/src/pomeloyard/standins/audit.py
@@ -6,13 +6,16 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from typing import Any
 
 import httpcore
 
-from .load import DONE, NOT_RUN, Sent
+from .clients import DONE, NOT_RUN, Sent
 
+Record = dict[str, Any]
 
-def read_audits(addresses: Iterable[str]) -> list[dict]:
+
+def read_audits(addresses: Iterable[str]) -> list[Record]:
     """Return the records of executors or workers."""
     return [
         json.loads(httpcore.request("GET", f"http://{a}/standin/audit").content)
@@ -23,8 +26,8 @@
 def find_faults(
     sent: list[Sent],
     jobs: list[Sent],
-    executors: list[dict],
-    workers: list[dict],
+    executors: list[Record],
+    workers: list[Record],
     limits: dict[str, int],
 ) -> list[str]:
     """Return one line for each broken invariant."""
@@ -46,7 +49,8 @@
     return all(a.status in (0, 202) or a.status >= 400 for a in job.attempts)
 
 
-def duplicates(executions: list[dict], tasks: list[dict]) -> list[str]:
+def duplicates(executions: list[Record], tasks: list[Record]) -> list[str]:
+    """Return keys that ran, and jobs that were started, more than once."""
     keys = Counter(e["idempotency_key"] for e in executions if e["idempotency_key"])
     starts = Counter(task["job"] for task in tasks)
     return [
@@ -55,7 +59,8 @@
     ]
 
 
-def false_refusals(sent: list[Sent], executions: list[dict]) -> list[str]:
+def false_refusals(sent: list[Sent], executions: list[Record]) -> list[str]:
+    """Return requests that ran although all answers said "not run"."""
     ran = {e["path"].rpartition("/")[2] for e in executions}
     return [
         f"{s.path} was refused as not run, and ran"
@@ -64,7 +69,8 @@
     ]
 
 
-def lost(sent: list[Sent], executions: list[dict]) -> list[str]:
+def lost(sent: list[Sent], executions: list[Record]) -> list[str]:
+    """Return requests that were answered as done and never ran."""
     ran = {e["path"].rpartition("/")[2] for e in executions}
     return [
         f"{s.path} was answered as done, and did not run"
@@ -74,6 +80,7 @@
 
 
 def wrong_answers(sent: list[Sent]) -> list[str]:
+    """Return answers that are incomplete or belong to another request."""
     faults = []
     for s in sent:
         expected = f"ran {s.method} /{_name(s)} ".encode() + s.body
@@ -84,9 +91,9 @@
 
 
 def over_limit(
-    executions: list[dict], tasks: list[dict], limits: dict[str, int]
+    executions: list[Record], tasks: list[Record], limits: dict[str, int]
 ) -> list[str]:
-    """Sweep over the starts and ends of all work; ends come first at a tie."""
+    """Return teams whose work in progress, over all VMs, exceeded their limit."""
     events_by_team: dict[str, list[tuple[float, int]]] = defaultdict(list)
     works = [(e["team"], 1, e["started"], e["ended"]) for e in executions]
     works += [
@@ -99,7 +106,7 @@
     faults = []
     for team, events in events_by_team.items():
         running = most = 0
-        for _, units in sorted(events):
+        for _, units in sorted(events):  # At a tie, ends come first.
             running += units
             most = max(most, running)
         if most > limits[team]:
@@ -107,7 +114,8 @@
     return faults
 
 
-def over_slots(executors: list[dict]) -> list[str]:
+def over_slots(executors: list[Record]) -> list[str]:
+    """Return executors that had more requests at once than slots."""
     return [
         f"{e['name']} was over its slots {e['over_slots']} times ({e['most_running']})"
         for e in executors
--- a/tests/support/load.py
+++ b/src/pomeloyard/standins/clients.py
@@ -1,4 +1,4 @@
-"""A steady load of client accounts, with a record of every request."""
+"""Stand-in for client accounts: a steady load, with a record of every request."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 
 import anyio
 import httpcore
+from anyio.abc import TaskGroup
 
 NOT_RUN, UNKNOWN, DONE = "not-run", "unknown", "done"
 CLIENT_TIMEOUT_SECONDS = 10.0
@@ -74,11 +75,13 @@
         """Stop sending, and wait for the responses that are outstanding."""
         self._ending.set()
         self.join(MAX_ATTEMPTS * CLIENT_TIMEOUT_SECONDS)
-        assert not self.is_alive()
+        if self.is_alive():
+            raise TimeoutError("requests are outstanding beyond their timeouts")
         if self.failure is not None:
             raise self.failure
 
     def run(self) -> None:
+        """Send until ``finish`` is called."""
         try:
             anyio.run(self._run)
         except BaseException as error:
@@ -92,7 +95,9 @@
             for account in self.accounts:
                 tasks.start_soon(self._send_steadily, pool, account, tasks)
 
-    async def _send_steadily(self, pool, account, tasks) -> None:
+    async def _send_steadily(
+        self, pool: httpcore.AsyncConnectionPool, account: Account, tasks: TaskGroup
+    ) -> None:
         number = 0
         start = time.monotonic()
         while not self._ending.is_set():
@@ -122,7 +127,9 @@
         self.jobs.append(sent)
         return sent
 
-    async def _send(self, pool, account: Account, sent: Sent) -> None:
+    async def _send(
+        self, pool: httpcore.AsyncConnectionPool, account: Account, sent: Sent
+    ) -> None:
         if sent.key and self._random.random() < SENT_TWICE:
             await self._send_twice(pool, account, sent)
             return
@@ -137,7 +144,9 @@
                 return
             await anyio.sleep(0.2)
 
-    async def _send_twice(self, pool, account: Account, sent: Sent) -> None:
+    async def _send_twice(
+        self, pool: httpcore.AsyncConnectionPool, account: Account, sent: Sent
+    ) -> None:
         """Send one key to two daemons at once, as a hasty client does."""
 
         async def send(address: str) -> None:
@@ -147,14 +156,20 @@
             for address in self._random.sample(self.addresses, 2):
                 tasks.start_soon(send, address)
 
-    async def _attempt(self, pool, account, sent: Sent, address: str) -> Attempt:
-        headers = {
-            "Host": address,
-            "Authorization": f"Bearer {account.key}",
-            "Request-Timeout": "3",
-        }
+    async def _attempt(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        account: Account,
+        sent: Sent,
+        address: str,
+    ) -> Attempt:
+        headers = [
+            ("Host", address),
+            ("Authorization", f"Bearer {account.key}"),
+            ("Request-Timeout", "3"),
+        ]
         if sent.key:
-            headers["Idempotency-Key"] = sent.key
+            headers.append(("Idempotency-Key", sent.key))
         outcome, status, body = UNKNOWN, 0, b""
         try:
             with anyio.fail_after(CLIENT_TIMEOUT_SECONDS):
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -17,9 +17,9 @@
 from pomeloyard.config.reader import read_directories
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
 from pomeloyard.platform.directory import VmListState, VmRole
+from pomeloyard.standins.audit import find_faults, read_audits
+from pomeloyard.standins.clients import DONE, Account, Load
 
-from .support.audit import find_faults, read_audits
-from .support.load import DONE, Account, Load
 from .support.processes import Fleet, wait_until
 
 DAEMONS = ("entry-1", "entry-2", "entry-3", "entry-4", "entry-5")
@@ -256,13 +256,6 @@
     time.sleep(6.0)
     load.finish()
 
-    live = (*DAEMONS[:4], LATE_DAEMON)
-    for key in keys.values():
-        wait_until(AllAnswer(fleet, live, key, 200), 20.0)
-    assert AllAnswer(fleet, live, spare_key, 401)()
-    assert operator.revisions(*live) == {2}
-    assert all(fleet.processes[name].running() for name in live)
-
     vms = [vm for vm in fleet.vms if vm.role is VmRole.EXECUTOR]
     executors = read_audits(vm.address for vm in vms)
     workers = read_audits(vm.address for vm in fleet.vms if vm.role is VmRole.WORKER)
@@ -275,3 +268,10 @@
     assert not faults, f"{len(faults)} faults:\n" + "\n".join(faults[:20])
     # Most requests are within every limit, also during the faults.
     assert outcomes[DONE] > 0.8 * len(load.sent)
+
+    live = (*DAEMONS[:4], LATE_DAEMON)
+    for key in keys.values():
+        wait_until(AllAnswer(fleet, live, key, 200), 20.0)
+    assert AllAnswer(fleet, live, spare_key, 401)()
+    assert operator.revisions(*live) == {2}
+    assert all(fleet.processes[name].running() for name in live)
