--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -145,6 +145,10 @@
         self.vms.append(vm)
         return vm
 
+    def direct_address(self, vm: Vm) -> str:
+        """Return the address of a VM behind its link, if it has one."""
+        return f"127.0.0.1:{self._listen_ports[vm.name]}"
+
     def start_platform(self) -> None:
         port = free_port()
         file = self.directory / "vms.json"
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -256,9 +256,10 @@
     time.sleep(6.0)
     load.finish()
 
-    vms = [vm for vm in fleet.vms if vm.role is VmRole.EXECUTOR]
-    executors = read_audits(vm.address for vm in vms)
-    workers = read_audits(vm.address for vm in fleet.vms if vm.role is VmRole.WORKER)
+    executors, workers = (
+        read_audits(fleet.direct_address(vm) for vm in fleet.vms if vm.role is role)
+        for role in (VmRole.EXECUTOR, VmRole.WORKER)
+    )
     faults = find_faults(load.sent, load.jobs, executors, workers, LIMITS)
     latest = max(e["started"] for e in executors[0]["executions"])
     if latest > drained_at + LEAVING_NOTICED_SECONDS:
