--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -191,6 +191,7 @@
             DecisionSink(self.log_writer),
             self.metrics.count_decision,
         ]
+        self.roles_by_name: dict[str, RoleCandidate] = {}
         self._servers: list[EmbeddedServer] = []
         self._closing = False
 
@@ -236,6 +237,7 @@
             candidate = RoleCandidate(
                 self.store, self.clock, name, self.incarnation, work
             )
+            self.roles_by_name[name] = candidate
             tasks.start_soon(candidate.run)
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -82,6 +82,8 @@
         self.traffic = Traffic()
         self.heartbeat: Callable[[], Message | None] = lambda: None
         self.on_connect: list[Callable[[str], None]] = []
+        self.on_disconnect: list[Callable[[str], None]] = []
+        """Called when the last connection to a daemon has ended."""
         self.on_goodbye: list[Callable[[str], None]] = []
         self._handlers_by_type: dict[type, list[Handler]] = {}
         self._connections: set[Connection] = set()
@@ -157,10 +159,16 @@
         return True
 
     async def _listen(self, listener: anyio.abc.Listener[Any]) -> None:
-        try:
-            await listener.serve(self._accept)
-        except* anyio.ClosedResourceError:
-            pass  # close() ends the listener.
+        listening = True
+        while listening:
+            try:
+                await listener.serve(self._accept)
+            except* anyio.ClosedResourceError:
+                listening = False  # close() ends the listener.
+            except* OSError as group:
+                # Accepting fails while file descriptors are exhausted.
+                log.error("connections are not accepted: {}", group.exceptions[0])
+                await self._clock.sleep(DIAL_INTERVAL)
 
     async def _dial_all(self) -> None:
         while True:
@@ -220,6 +228,8 @@
             anyio.ClosedResourceError,
         ):
             pass  # An ended connection is dialled again by _dial_all.
+        except* Exception:
+            log.exception("connection ended")
 
     async def _exchange(
         self,
@@ -305,6 +315,7 @@
             self.connections_by_incarnation[incarnation] = newest
         else:
             del self.connections_by_incarnation[incarnation]
+            self._notify(self.on_disconnect, incarnation)
 
     async def _beat(self) -> None:
         """Send heartbeats on all connections, as each is watched for silence."""
--- a/src/pomeloyard/platform/memory.py
+++ b/src/pomeloyard/platform/memory.py
@@ -229,7 +229,7 @@
 
 
 class _Batches(AsyncIterator[WatchBatch]):
-    """Batches of one watch; a cancelled wait for the next one loses nothing."""
+    """Batches of a watch; unlike a generator, it survives a cancelled wait."""
 
     def __init__(self, receive: ObjectReceiveStream[WatchBatch]) -> None:
         self._receive = receive
@@ -237,5 +237,5 @@
     async def __anext__(self) -> WatchBatch:
         try:
             return await self._receive.receive()
-        except anyio.EndOfStream as error:
-            raise StoreUnavailableError("the watch ended") from error
+        except anyio.EndOfStream:
+            raise StoreUnavailableError("the watch ended") from None
