--- a/src/pomeloyard/claim_service.py
+++ b/src/pomeloyard/claim_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import defaultdict
 from dataclasses import dataclass
 from datetime import timedelta
@@ -22,6 +23,7 @@
 from .partitions import partition_of
 from .peers.calls import PeerCalls
 from .peers.messages import (
+    ClaimOutage,
     ClaimQuery,
     ClaimRecord,
     ClaimRecorded,
@@ -32,6 +34,7 @@
     ClaimStatement,
 )
 from .peers.streams import PeerNetwork
+from .platform.directory import VmListState
 from .platform.store import Store
 
 CALL_TIMEOUT = timedelta(seconds=3)
@@ -42,6 +45,9 @@
 START_GRACE = timedelta(seconds=3)
 """Time from the start after which an unread store counts as an outage."""
 
+WATCH_GAP = timedelta(seconds=4)
+"""Time without housekeeping after which a daemon no longer vouches for the past."""
+
 STATEMENT_CLAIMS = 4000
 """Claims in one statement: under 100 bytes each, below the frame limit."""
 
@@ -83,10 +89,12 @@
         self._state = state
         self._network = network
         self._calls = calls
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._attempts = itertools.count(1)
-        self._started = self._now()
+        self._started = self._watching_since = self._ticked = self._now()
+        self._announced = -math.inf
         self._tasks: TaskGroup | None = None
+        self._seen_at_by_incarnation: dict[str, float] = {}
         self._fences_by_partition: dict[int, int] = defaultdict(int)
         self._takeovers_by_partition: dict[int, Takeover] = {}
         self.lost_until_by_partition: dict[int, timedelta] = {}
@@ -99,6 +107,8 @@
         network.on(ClaimRelease, self._on_release)
         network.on(ClaimRecord, self._on_record)
         network.on(ClaimQuery, self._on_query)
+        network.on(ClaimOutage, self._on_outage)
+        network.on_connect.append(self._tell_outage)
         for reply in (ClaimReply, ClaimRecorded, ClaimStatement):
             calls.expect(reply)
 
@@ -119,17 +129,22 @@
 
     def refresh(self) -> None:
         """Follow the partition table: take over new partitions, leave lost ones."""
-        late = self._now() - self._started > START_GRACE.total_seconds()
+        now = self._now()
+        if now - self._ticked > WATCH_GAP.total_seconds():
+            self._watching_since = now  # This process was paused.
+        self._ticked = now
+        late = now - self._started > START_GRACE.total_seconds()
         if not self._state.store_reachable and late:
-            self.log.last_outage = self._now()
+            self.log.last_outage = now
+        self._note_daemons()
         table = self._state.partitions
         if table is None:
             return
         for number, takeover in list(self._takeovers_by_partition.items()):
             current = table.partitions[number]
-            if (current.holder, current.epoch) != (self._incarnation, takeover.epoch):
+            if (current.holder, current.epoch) != (self.incarnation, takeover.epoch):
                 self._leave(number)
-        for number in table.held_by(self._incarnation):
+        for number in table.held_by(self.incarnation):
             partition = table.partitions[number]
             stale = partition.epoch < self._fences_by_partition[number]
             if self._tasks is None or stale or number in self._takeovers_by_partition:
@@ -138,6 +153,15 @@
             self._takeovers_by_partition[number] = takeover
             self._tasks.start_soon(takeover.run)
 
+    def _note_daemons(self) -> None:
+        now = self._now()
+        seen = self._seen_at_by_incarnation
+        for name in (*self._state.daemons_by_incarnation, *self._network.connected()):
+            seen[name] = now
+        horizon = now - CLAIM_WINDOW.total_seconds()
+        for name in [n for n, at in seen.items() if at < horizon]:
+            del seen[name]
+
     def _leave(self, partition: int) -> None:
         self._takeovers_by_partition.pop(partition).cancel()
         self.table.drop_partition(partition)
@@ -188,22 +212,22 @@
                 ticket.attempt,
             )
 
-        if ticket.holder == self._incarnation:
-            return await self.answer(self._incarnation, request(0))
+        if ticket.holder == self.incarnation:
+            return await self.answer(self.incarnation, request(0))
         return await self._calls.call(ticket.holder, request, ClaimReply, CALL_TIMEOUT)
 
     def _accept(
         self, ticket: ClaimTicket, reply: ClaimReply, fingerprint: bytes
     ) -> bool:
         """Record a grant that is not durable; refuse one of an earlier epoch."""
-        if reply.durable or ticket.holder == self._incarnation:
+        if reply.durable or ticket.holder == self.incarnation:
             return True
         if reply.epoch < self._fence(ticket.partition):
             return False
         claim = Claim(
             ticket.key_hash,
             fingerprint,
-            self._incarnation,
+            self.incarnation,
             ticket.attempt,
             ticket.asked_at,
         )
@@ -212,10 +236,10 @@
     def release(self, ticket: ClaimTicket) -> None:
         """Give a claim back, because its request certainly did not run."""
         key, attempt = ticket.key_hash, ticket.attempt
-        self.recorded.release(ticket.partition, key, self._incarnation, attempt)
+        self.recorded.release(ticket.partition, key, self.incarnation, attempt)
         message = ClaimRelease(ticket.partition, key, attempt)
-        if ticket.holder == self._incarnation:
-            self._on_release(self._incarnation, message)
+        if ticket.holder == self.incarnation:
+            self._on_release(self.incarnation, message)
         else:
             self._network.send(ticket.holder, message)
 
@@ -262,7 +286,12 @@
         """Tell whether a second daemon has recorded, or will record, the claim."""
         if self._open_epoch(number) != epoch:
             return False
-        if sender != self._incarnation:
+        if self._now() - self._announced > HOUSEKEEPING_INTERVAL.total_seconds():
+            # A later takeover must know that claims exist in memory only, even
+            # if both daemons that know this claim are gone by then.
+            self._announced = self._now()
+            self._network.broadcast(ClaimOutage(0))
+        if sender != self.incarnation:
             return True  # The asking daemon records it before it runs the request.
         for peer in self._network.connected():
             answer = await self._calls.call(
@@ -326,6 +355,8 @@
             len(keys) > STATEMENT_CLAIMS,
             self.outage_seen(),
             round(lost.total_seconds() * 1000),
+            self.vouches(),
+            tuple(sorted(self.peers_to_ask())),
         )
 
     def outage_seen(self) -> bool:
@@ -336,9 +367,18 @@
     # What a takeover needs.
 
     def peers_to_ask(self) -> set[str]:
-        """Return the other daemons that are registered or connected."""
-        known = {*self._state.daemons_by_incarnation, *self._network.connected()}
-        return known - {self._incarnation}
+        """Return the other daemons that were seen during the window.
+
+        A paused daemon loses its registration and connections, but not the
+        claims that it has recorded.
+        """
+        self._note_daemons()
+        return set(self._seen_at_by_incarnation) - {self.incarnation}
+
+    def vouches(self) -> bool:
+        """Tell whether no claim of the window can be in memory only."""
+        watched = self._now() - self._watching_since
+        return watched > CLAIM_WINDOW.total_seconds() and not self.outage_seen()
 
     async def query(
         self, peer: str, partition: int, epoch: int, after: bytes, timeout: timedelta
@@ -351,9 +391,16 @@
             timeout,
         )
 
-    def is_registered(self, incarnation: str) -> bool:
-        """Tell whether a daemon is registered in the store."""
-        return incarnation in self._state.daemons_by_incarnation
+    def is_gone(self, incarnation: str) -> bool:
+        """Tell whether a daemon is confirmed gone, with what it had in memory."""
+        vm_name = incarnation.rpartition(".")[0]
+        vm = self._state.vm_list.vms_by_name.get(vm_name)
+        if vm is not None and vm.state is VmListState.GONE:
+            return True
+        return any(
+            record.vm == vm_name and name != incarnation
+            for name, record in self._state.daemons_by_incarnation.items()
+        )
 
     def claim_of(self, row: ClaimRow) -> Claim:
         """Return a claim as received from another daemon."""
@@ -383,6 +430,15 @@
     def _on_record(self, sender: str, message: ClaimRecord) -> None:
         self._network.send(sender, self.answer_record(message))
 
+    def _on_outage(self, sender: str, message: ClaimOutage) -> None:
+        at = self._now() - message.age_ms / 1000
+        self.log.last_outage = max(self.log.last_outage or at, at)
+
+    def _tell_outage(self, peer: str) -> None:
+        if self.log.last_outage is not None and self.outage_seen():
+            age = self._now() - self.log.last_outage
+            self._network.send(peer, ClaimOutage(round(age * 1000)))
+
     def _on_query(self, sender: str, message: Any) -> None:
         self._network.send(sender, self.answer_query(message))
 
--- a/src/pomeloyard/claim_takeover.py
+++ b/src/pomeloyard/claim_takeover.py
@@ -41,6 +41,9 @@
         self._started = clock.monotonic()
         self._inherited = timedelta(0)
         self._outage_seen = False
+        self._vouched = False
+        self._asked = {service.incarnation}
+        self._known: set[str] = set()
         self.open = False
 
     @property
@@ -60,7 +63,7 @@
             await self._load()
             missing = self._service.peers_to_ask()
             while not self._cancelled:
-                missing = await self._ask(missing)
+                missing = await self._ask_all(missing)
                 if self._clock.monotonic() >= self._lost_until(missing):
                     break
                 await self._clock.sleep(RETRY_INTERVAL)
@@ -79,6 +82,15 @@
                 self._service.table.add(number, self._service.recorded.claims(number))
                 return
 
+    async def _ask_all(self, peers: set[str]) -> set[str]:
+        """Ask peers, and those that they know of; return who did not answer."""
+        missing: set[str] = set()
+        while peers:
+            self._asked |= peers
+            missing |= await self._ask(peers)
+            peers = self._known - self._asked
+        return missing
+
     async def _ask(self, peers: set[str]) -> set[str]:
         """Collect the claims that peers know; return those that did not answer."""
         answered: set[str] = set()
@@ -105,6 +117,8 @@
             if statement is None:
                 return None
             self._outage_seen |= statement.outage_seen
+            self._vouched |= statement.vouches
+            self._known |= set(statement.known)
             inherited = timedelta(milliseconds=statement.lost_ms)
             self._inherited = max(self._inherited, self._clock.monotonic() + inherited)
             claims += [self._service.claim_of(row) for row in statement.claims]
@@ -122,7 +136,19 @@
         elif former not in missing:
             missing = set()
         until = self._inherited
-        if missing and (self._outage_seen or self._service.outage_seen()):
+        if missing and not self._no_outage(missing):
             until = max(until, self._started + CLAIM_WINDOW)
         self._service.lost_until_by_partition[self._partition.number] = until
         return until
+
+    def _no_outage(self, missing: set[str]) -> bool:
+        """Tell whether the missing daemons hold no claims of their own.
+
+        A daemon that may still answer is waited for unless a daemon that has
+        watched the store for the whole window vouches that there was no outage.
+        """
+        if self._outage_seen or self._service.outage_seen():
+            return False
+        if self._vouched or self._service.vouches():
+            return True
+        return all(self._service.is_gone(name) for name in missing)
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -289,7 +289,9 @@
 class ClaimStatement(WireMessage, frozen=True):
     """Claims that may be missing in the store, in key order.
 
-    ``lost_ms`` is how much longer claims may exist that no daemon knows.
+    ``lost_ms`` is how much longer claims may exist that no daemon knows;
+    ``vouches`` tells that the sender was up for the whole window and saw no
+    outage, and ``known`` are the incarnations that it saw during the window.
     """
 
     request_id: int
@@ -297,6 +299,14 @@
     more: bool = False
     outage_seen: bool = False
     lost_ms: int = 0
+    vouches: bool = False
+    known: tuple[str, ...] = ()
+
+
+class ClaimOutage(WireMessage, frozen=True):
+    """Notice that claims were granted while the store was down, ``age_ms`` ago."""
+
+    age_ms: int
 
 
 Message = (
@@ -328,6 +338,7 @@
     | ClaimRecorded
     | ClaimQuery
     | ClaimStatement
+    | ClaimOutage
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
