--- a/src/pomeloyard/claim_log.py
+++ b/src/pomeloyard/claim_log.py
@@ -40,7 +40,7 @@
 several hundred.
 """
 
-MAX_WAIT = timedelta(seconds=1.5)
+MAX_WAIT = timedelta(seconds=1.2)
 """Time after which a claim is treated as if the store were down."""
 
 RETRY_INTERVAL = timedelta(seconds=0.5)
@@ -77,6 +77,7 @@
         self._incarnation = incarnation
         self._indexes_by_partition: dict[int, SegmentIndex] = {}
         self._pending: list[_Pending] = []
+        self._waiting: set[_Pending] = set()
         self._doubtful: list[str] = []
         self._wanted = anyio.Event()
         self._fence_revision = 0
@@ -99,8 +100,11 @@
             pending = _Pending(partition, claim)
             self._pending.append(pending)
             self._wanted.set()
-            with anyio.move_on_after(MAX_WAIT.total_seconds()):
+            self._waiting.add(pending)
+            try:
                 await pending.settled.wait()
+            finally:
+                self._waiting.discard(pending)
             if pending.durable:
                 return True
             self.last_outage = self._now()
@@ -136,9 +140,16 @@
         """Stop writing a partition; its unwritten claims stay known."""
         self._indexes_by_partition.pop(partition, None)
 
-    def wake(self) -> None:
-        """Write unwritten claims and delete expired segments soon."""
+    def keep_up(self) -> None:
+        """Write unwritten claims and delete expired segments soon.
+
+        Claims that have waited too long are handled as if the store were down.
+        """
         self._wanted.set()
+        horizon = self._now() - MAX_WAIT.total_seconds()
+        for pending in self._waiting:
+            if pending.claim.granted_at < horizon:
+                pending.settled.set()
 
     async def run(self) -> None:
         """Commit waiting claims in groups until cancelled."""
--- a/src/pomeloyard/claim_service.py
+++ b/src/pomeloyard/claim_service.py
@@ -41,7 +41,7 @@
 """Longest wait for a holder: one store call that times out, and a record."""
 
 RECORD_TIMEOUT = timedelta(seconds=0.5)
-HOUSEKEEPING_INTERVAL = timedelta(seconds=1)
+HOUSEKEEPING_INTERVAL = timedelta(seconds=0.5)
 START_GRACE = timedelta(seconds=3)
 """Time from the start after which an unread store counts as an outage."""
 
@@ -120,7 +120,7 @@
                 self.refresh()
                 self.table.expire(self._now())
                 self.recorded.expire(self._now())
-                self.log.wake()
+                self.log.keep_up()
                 await self._clock.sleep(HOUSEKEEPING_INTERVAL)
 
     async def close(self) -> None:
@@ -304,6 +304,10 @@
                 return self._open_epoch(number) == epoch
         return False
 
+    def opening(self) -> bool:
+        """Tell whether a partition of this daemon does not grant claims yet."""
+        return not all(t.open for t in self._takeovers_by_partition.values())
+
     def _open_epoch(self, partition: int) -> int | None:
         """Return the epoch under which this daemon may grant, if any."""
         takeover = self._takeovers_by_partition.get(partition)
