Measure the request path with a daemon's part of the connections

With 64 connections to each executor httpcore's pool checks every one of them for each request. A daemon's part is 8.

--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -42,6 +42,8 @@
 from .processes import free_port
 
 UNITS = 20
+CONNECTIONS = 8
+"""A daemon's part of an executor's 64 connections, with eight or nine daemons."""
 
 
 class RequestPath:
@@ -66,7 +68,7 @@
             lambda team: 1.0,
             self.router.prefer,
         )
-        self.client = EndpointClient()
+        self.client = EndpointClient(lambda vm: CONNECTIONS)
         self.decisions = DecisionLog()
         self.claims = ClaimService(
             store, self.clock, self.state, self.network, self.calls, name
