--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -19,11 +19,14 @@
 import httpcore
 
 from pomeloyard.claim_log import ClaimLog
+from pomeloyard.claim_watch import ClaimWatch
 from pomeloyard.claims import CLAIM_BYTES, Claim, ClaimTable
 from pomeloyard.clock import ManualClock, SystemClock
 from pomeloyard.errors import StoreUnavailableError
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.partitions import new_table
+from pomeloyard.peers.messages import Hello
+from pomeloyard.peers.streams import PeerNetwork
 from pomeloyard.platform import layout
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.platform.records import Change, commit_changes
@@ -237,7 +240,9 @@
     revision = await commit_changes(store, [Change(layout.PARTITIONS, table, None)])
     state = FleetState(partitions=table, partitions_revision=revision)
     claims = ClaimTable()
-    log = ClaimLog(store, clock, state, claims, "a.1")
+    network = PeerNetwork(clock, Hello("a.1", "a", "", "east"))
+    watch = ClaimWatch(clock, state, network, "a.1")
+    log = ClaimLog(store, clock, state, watch, claims, "a.1")
     for number in (0, 1):
         await log.open(number, table.partitions[number].epoch)
     store.commits = store.written_bytes = 0
--- a/src/pomeloyard/claim_log.py
+++ b/src/pomeloyard/claim_log.py
@@ -15,6 +15,7 @@
     decode_segment,
     partition_prefix,
 )
+from .claim_watch import ClaimWatch
 from .claims import CLAIM_WINDOW, Claim, ClaimTable
 from .clock import Clock
 from .errors import StoreError, StoreOutcomeUnknownError
@@ -67,12 +68,14 @@
         store: Store,
         clock: Clock,
         state: FleetState,
+        watch: ClaimWatch,
         table: ClaimTable,
         incarnation: str,
     ) -> None:
         self._store = store
         self._clock = clock
         self._state = state
+        self._watch = watch
         self._table = table
         self._incarnation = incarnation
         self._indexes_by_partition: dict[int, SegmentIndex] = {}
@@ -85,8 +88,6 @@
         self.unwritten_by_partition: dict[int, dict[bytes, Claim]] = {}
         """Claims granted from memory that the store may not hold yet."""
         self.store_down = False
-        self.last_outage: float | None = None
-        """Monotonic seconds of the last failure of the store."""
 
     async def write(self, partition: int, claim: Claim) -> bool:
         """Make a claim durable; return False if the store cannot at present.
@@ -107,7 +108,7 @@
                 self._waiting.discard(pending)
             if pending.durable:
                 return True
-            self.last_outage = self._now()
+            self._watch.note_outage()
         unwritten = self.unwritten_by_partition.setdefault(partition, {})
         unwritten[claim.key_hash] = claim
         self._wanted.set()
@@ -181,7 +182,7 @@
         if not self.store_down:
             log.warning("claims are granted from memory: {}", reason)
         self.store_down = True
-        self.last_outage = self._now()
+        self._watch.note_outage()
 
     def _settle(self, batch: list[_Pending], durable: set[int]) -> None:
         for pending in batch:
--- a/src/pomeloyard/claim_service.py
+++ b/src/pomeloyard/claim_service.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
 import itertools
-import math
 from collections import defaultdict
 from dataclasses import dataclass
 from datetime import timedelta
@@ -15,7 +15,8 @@
 
 from .claim_log import ClaimLog
 from .claim_takeover import Takeover
-from .claims import CLAIM_WINDOW, RETRY_AFTER, Claim, ClaimTable
+from .claim_watch import ClaimWatch
+from .claims import RETRY_AFTER, Claim, ClaimTable
 from .clock import Clock
 from .errors import RefusedError
 from .fleet_state import FleetState
@@ -23,7 +24,6 @@
 from .partitions import partition_of
 from .peers.calls import PeerCalls
 from .peers.messages import (
-    ClaimOutage,
     ClaimQuery,
     ClaimRecord,
     ClaimRecorded,
@@ -34,20 +34,14 @@
     ClaimStatement,
 )
 from .peers.streams import PeerNetwork
-from .platform.directory import VmListState
 from .platform.store import Store
 
 CALL_TIMEOUT = timedelta(seconds=3)
 """Longest wait for a holder: one store call that times out, and a record."""
 
 RECORD_TIMEOUT = timedelta(seconds=0.5)
+MAX_RECORD_PEERS = 3
 HOUSEKEEPING_INTERVAL = timedelta(seconds=0.5)
-START_GRACE = timedelta(seconds=3)
-"""Time from the start after which an unread store counts as an outage."""
-
-WATCH_GAP = timedelta(seconds=4)
-"""Time without housekeeping after which a daemon no longer vouches for the past."""
-
 STATEMENT_CLAIMS = 4000
 """Claims in one statement: under 100 bytes each, below the frame limit."""
 
@@ -91,10 +85,7 @@
         self._calls = calls
         self.incarnation = incarnation
         self._attempts = itertools.count(1)
-        self._started = self._watching_since = self._ticked = self._now()
-        self._announced = -math.inf
         self._tasks: TaskGroup | None = None
-        self._seen_at_by_incarnation: dict[str, float] = {}
         self._fences_by_partition: dict[int, int] = defaultdict(int)
         self._takeovers_by_partition: dict[int, Takeover] = {}
         self.lost_until_by_partition: dict[int, timedelta] = {}
@@ -102,13 +93,12 @@
         self.table = ClaimTable()
         self.recorded = ClaimTable()
         """Claims of other daemons' partitions that the store may not hold."""
-        self.log = ClaimLog(store, clock, state, self.table, incarnation)
+        self.watch = ClaimWatch(clock, state, network, incarnation)
+        self.log = ClaimLog(store, clock, state, self.watch, self.table, incarnation)
         network.on(ClaimRequest, self._on_request)
         network.on(ClaimRelease, self._on_release)
         network.on(ClaimRecord, self._on_record)
         network.on(ClaimQuery, self._on_query)
-        network.on(ClaimOutage, self._on_outage)
-        network.on_connect.append(self._tell_outage)
         for reply in (ClaimReply, ClaimRecorded, ClaimStatement):
             calls.expect(reply)
 
@@ -129,14 +119,7 @@
 
     def refresh(self) -> None:
         """Follow the partition table: take over new partitions, leave lost ones."""
-        now = self._now()
-        if now - self._ticked > WATCH_GAP.total_seconds():
-            self._watching_since = now  # This process was paused.
-        self._ticked = now
-        late = now - self._started > START_GRACE.total_seconds()
-        if not self._state.store_reachable and late:
-            self.log.last_outage = now
-        self._note_daemons()
+        self.watch.look()
         table = self._state.partitions
         if table is None:
             return
@@ -153,15 +136,6 @@
             self._takeovers_by_partition[number] = takeover
             self._tasks.start_soon(takeover.run)
 
-    def _note_daemons(self) -> None:
-        now = self._now()
-        seen = self._seen_at_by_incarnation
-        for name in (*self._state.daemons_by_incarnation, *self._network.connected()):
-            seen[name] = now
-        horizon = now - CLAIM_WINDOW.total_seconds()
-        for name in [n for n, at in seen.items() if at < horizon]:
-            del seen[name]
-
     def _leave(self, partition: int) -> None:
         self._takeovers_by_partition.pop(partition).cancel()
         self.table.drop_partition(partition)
@@ -286,14 +260,13 @@
         """Tell whether a second daemon has recorded, or will record, the claim."""
         if self._open_epoch(number) != epoch:
             return False
-        if self._now() - self._announced > HOUSEKEEPING_INTERVAL.total_seconds():
-            # A later takeover must know that claims exist in memory only, even
-            # if both daemons that know this claim are gone by then.
-            self._announced = self._now()
-            self._network.broadcast(ClaimOutage(0))
+        self.watch.announce_outage()
         if sender != self.incarnation:
             return True  # The asking daemon records it before it runs the request.
-        for peer in self._network.connected():
+        peers = self._network.connected()
+        first = bisect.bisect(peers, self.incarnation)
+        # Each daemon starts at another peer, so that records are spread.
+        for peer in [*peers[first:], *peers[:first]][:MAX_RECORD_PEERS]:
             answer = await self._calls.call(
                 peer,
                 lambda i: ClaimRecord(i, number, epoch, self._row(claim)),
@@ -324,7 +297,7 @@
     # The recording side.
 
     def _record(self, partition: int, claim: Claim) -> bool:
-        self.log.last_outage = self._now()
+        self.watch.note_outage()
         earlier = self.recorded.get(partition, claim.key_hash)
         if earlier is not None:
             # The holder grants a key again only after its release.
@@ -357,33 +330,14 @@
             message.request_id,
             tuple(self._row(claims[key]) for key in keys[:STATEMENT_CLAIMS]),
             len(keys) > STATEMENT_CLAIMS,
-            self.outage_seen(),
+            self.watch.outage_seen(),
             round(lost.total_seconds() * 1000),
-            self.vouches(),
-            tuple(sorted(self.peers_to_ask())),
+            self.watch.vouches(),
+            tuple(sorted(self.watch.known_daemons())),
         )
 
-    def outage_seen(self) -> bool:
-        """Tell whether claims of the window may exist in memory only."""
-        last = self.log.last_outage
-        return last is not None and self._now() - last < CLAIM_WINDOW.total_seconds()
-
     # What a takeover needs.
 
-    def peers_to_ask(self) -> set[str]:
-        """Return the other daemons that were seen during the window.
-
-        A paused daemon loses its registration and connections, but not the
-        claims that it has recorded.
-        """
-        self._note_daemons()
-        return set(self._seen_at_by_incarnation) - {self.incarnation}
-
-    def vouches(self) -> bool:
-        """Tell whether no claim of the window can be in memory only."""
-        watched = self._now() - self._watching_since
-        return watched > CLAIM_WINDOW.total_seconds() and not self.outage_seen()
-
     async def query(
         self, peer: str, partition: int, epoch: int, after: bytes, timeout: timedelta
     ) -> ClaimStatement | None:
@@ -395,17 +349,6 @@
             timeout,
         )
 
-    def is_gone(self, incarnation: str) -> bool:
-        """Tell whether a daemon is confirmed gone, with what it had in memory."""
-        vm_name = incarnation.rpartition(".")[0]
-        vm = self._state.vm_list.vms_by_name.get(vm_name)
-        if vm is not None and vm.state is VmListState.GONE:
-            return True
-        return any(
-            record.vm == vm_name and name != incarnation
-            for name, record in self._state.daemons_by_incarnation.items()
-        )
-
     def claim_of(self, row: ClaimRow) -> Claim:
         """Return a claim as received from another daemon."""
         granted_at = self._now() - row.age_ms / 1000
@@ -434,15 +377,6 @@
     def _on_record(self, sender: str, message: ClaimRecord) -> None:
         self._network.send(sender, self.answer_record(message))
 
-    def _on_outage(self, sender: str, message: ClaimOutage) -> None:
-        at = self._now() - message.age_ms / 1000
-        self.log.last_outage = max(self.log.last_outage or at, at)
-
-    def _tell_outage(self, peer: str) -> None:
-        if self.log.last_outage is not None and self.outage_seen():
-            age = self._now() - self.log.last_outage
-            self._network.send(peer, ClaimOutage(round(age * 1000)))
-
     def _on_query(self, sender: str, message: Any) -> None:
         self._network.send(sender, self.answer_query(message))
 
--- a/src/pomeloyard/claim_takeover.py
+++ b/src/pomeloyard/claim_takeover.py
@@ -61,7 +61,7 @@
         """Open the partition as soon as all of its claims are known."""
         with self._scope:
             await self._load()
-            missing = self._service.peers_to_ask()
+            missing = self._service.watch.known_daemons()
             while not self._cancelled:
                 missing = await self._ask_all(missing)
                 if self._clock.monotonic() >= self._lost_until(missing):
@@ -147,8 +147,8 @@
         A daemon that may still answer is waited for unless a daemon that has
         watched the store for the whole window vouches that there was no outage.
         """
-        if self._outage_seen or self._service.outage_seen():
+        if self._outage_seen or self._service.watch.outage_seen():
             return False
-        if self._vouched or self._service.vouches():
+        if self._vouched or self._service.watch.vouches():
             return True
-        return all(self._service.is_gone(name) for name in missing)
+        return all(self._service.watch.is_gone(name) for name in missing)
--- a/src/pomeloyard/keyed_requests.py
+++ b/src/pomeloyard/keyed_requests.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import anyio
+
 from .claim_service import ClaimService, ClaimTicket, EarlierAttempt
 from .claims import CLAIM_WINDOW, RETRY_AFTER, fingerprint_request, hash_claim_key
 from .clock import Clock
@@ -64,7 +66,9 @@
         calls.expect(ResultReply)
 
     @asynccontextmanager
-    async def run(self, request: ServiceRequest, run: Runner) -> AsyncIterator[Answer]:
+    async def run(
+        self, request: ServiceRequest, deadline: timedelta, run: Runner
+    ) -> AsyncIterator[Answer]:
         """Claim the key, run the request and keep its result.
 
         Raises RefusedError or OutcomeUnknownError as ``run`` does, and for a
@@ -75,7 +79,13 @@
         fingerprint = fingerprint_request(
             request.method, request.target.decode("latin-1"), request.body
         )
-        ticket = await self._claim(key, fingerprint)
+        remaining = deadline - self._clock.monotonic()
+        ticket: ClaimTicket | StoredResponse | None = None
+        with anyio.move_on_after(remaining.total_seconds()):
+            ticket = await self._claim(key, fingerprint)
+        if ticket is None:
+            detail = "the key could not be claimed in time"
+            raise RefusedError(Refused(RefusalReason.DEADLINE_PASSED, detail))
         if isinstance(ticket, StoredResponse):
             yield _replay(ticket)
             return
--- a/src/pomeloyard/requests.py
+++ b/src/pomeloyard/requests.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 
 import anyio
 
@@ -76,19 +77,27 @@
         Raises RefusedError if it certainly did not run, and OutcomeUnknownError
         if it may have run, also from the answer's chunks.
         """
+        deadline = self._deadline(request)
+        run_once = partial(self._run_once, deadline)
         if request.idempotency_key and not request.idempotent:
-            async with self._keyed.run(request, self._run_once) as answer:
+            async with self._keyed.run(request, deadline, run_once) as answer:
                 yield answer
         else:
-            async with self._run_once(request, Progress()) as answer:
+            async with run_once(request, Progress()) as answer:
                 yield answer
 
+    def _deadline(self, request: ServiceRequest) -> timedelta:
+        """Return the monotonic time until which the request may be sent."""
+        service = self.service(request.service)
+        limit = request.timeout or service.queue_timeout + service.request_timeout
+        return self._clock.monotonic() + min(limit, MAX_REQUEST_TIME)
+
     @asynccontextmanager
     async def _run_once(
-        self, request: ServiceRequest, progress: Progress
+        self, deadline: timedelta, request: ServiceRequest, progress: Progress
     ) -> AsyncIterator[Answer]:
         service = self.service(request.service)
-        exchange = await self._open(request, service, progress)
+        exchange = await self._open(request, service, deadline, progress)
         try:
             response = exchange.response
             yield Answer(response.status, response.headers, response.chunks())
@@ -97,11 +106,13 @@
                 await exchange.aclose()
 
     async def _open(
-        self, request: ServiceRequest, service: ServiceConfig, progress: Progress
+        self,
+        request: ServiceRequest,
+        service: ServiceConfig,
+        deadline: timedelta,
+        progress: Progress,
     ) -> Exchange:
         """Return the first answer; retry and hedge where that is safe."""
-        limit = request.timeout or service.queue_timeout + service.request_timeout
-        deadline = self._clock.monotonic() + min(limit, MAX_REQUEST_TIME)
         tried: set[str] = set()
         unknown: OutcomeUnknownError | None = None
         self._budget.note_request()
--- a/src/pomeloyard/routing.py
+++ b/src/pomeloyard/routing.py
@@ -132,12 +132,6 @@
         for name in [n for n in self._health_by_vm if n not in kept]:
             del self._health_by_vm[name]
 
-    def is_ejected(self, vm: str) -> bool:
-        """Tell whether an executor is ejected and not yet due for a trial."""
-        return vm in self._health_by_vm and not self._usable(
-            vm, self._clock.monotonic()
-        )
-
     def decision(self, service: str, chosen: str) -> Decision:
         """Return the record of a routed request."""
         candidates = tuple(
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -132,7 +132,8 @@
         # 30 requests, 10 tokens at the start and 3 earned.
         assert sum(len(e.requests) for e in executors) <= 30 + 13
 
-    run(check, "reset after", "reset after")
+    short = timedelta(seconds=0.1)
+    run(check, "reset after", "reset after", queue_timeout=short)
 
 
 def test_hedge_answers_while_the_first_executor_is_silent():
@@ -335,4 +336,4 @@
         assert paths[0].running() <= UNITS
         assert len(executors[0].requests) + len(executors[1].requests) <= UNITS
 
-    run(check, *["silent"] * 4, request_timeout=timedelta(seconds=1))
+    run(check, *["silent"] * 4)
