--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -124,7 +124,7 @@
         figures.append(Figure(f"request_{name}_through_daemon", with_daemon, "ms"))
         figures.append(Figure(f"request_{name}_ratio", with_daemon / base, "1"))
     figures.append(Figure("requests_per_second_one_daemon", rate, "1/s"))
-    figures.append(Figure("daemon_core_share_at_that_rate", cpu, "1"))
+    figures.append(Figure("requests_per_daemon_cpu_second", rate / cpu, "1/s"))
     return figures
 
 
@@ -174,7 +174,12 @@
     store = _SwitchableStore(SystemClock())
     figures = []
     async with request_path({}, names=("a.1", "b.1"), store=store) as (paths, _):
-        for state, down in (("up", False), ("down", True)):
+        # Claims 10 ms apart wait for the next group; those 60 ms apart do not.
+        for state, down, pause in (
+            ("up_busy", False, 0.01),
+            ("up_idle", False, 0.06),
+            ("down", True, 0.01),
+        ):
             store.down = down
             for path in paths:
                 path.state.store_reachable = not down
@@ -184,7 +189,7 @@
                     started = time.perf_counter()
                     await path.claims.claim(os.urandom(16), bytes(16))
                     taken.append((time.perf_counter() - started) * 1000)
-                    await anyio.sleep(0.01)
+                    await anyio.sleep(pause)
                 name = f"claim_{side}_store_{state}"
                 figures.append(
                     at_most(f"{name}_p50", _quantile(taken, 0.5), "ms", CLAIM_WAIT_MS)
