Write the claims that a takeover learns from other daemons to the store

They were in the new holder's memory only, so that a second death before their window ended left them with the first recorder alone.

pytest tests/test_claim_model.py tests/test_request_faults.py: 35 passed.

--- a/src/pomeloyard/claim_log.py
+++ b/src/pomeloyard/claim_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -139,6 +140,15 @@
         claims += self.unwritten_by_partition.get(partition, {}).values()
         return [claim for claim in claims if claim.granted_at > horizon]
 
+    def adopt(self, partition: int, claims: Iterable[Claim]) -> None:
+        """Write claims that other daemons have recorded, as the table has them."""
+        unwritten = self.unwritten_by_partition.setdefault(partition, {})
+        for claim in claims:
+            entered = self._table.get(partition, claim.key_hash)
+            if entered is not None:
+                unwritten[claim.key_hash] = entered
+        self._wanted.set()
+
     def holds(self, partition: int) -> bool:
         """Tell whether the partition is open and not known to be lost."""
         return partition in self._indexes_by_partition
--- a/src/pomeloyard/claim_takeover.py
+++ b/src/pomeloyard/claim_takeover.py
@@ -79,9 +79,15 @@
                 await self._clock.sleep(RETRY_INTERVAL)
             else:
                 self._service.table.add(number, claims)
-                self._service.table.add(number, self._service.recorded.claims(number))
+                self._add(self._service.recorded.claims(number))
                 return
 
+    def _add(self, claims: list[Claim]) -> None:
+        """Enter claims that the store may not hold, and have them written."""
+        number = self._partition.number
+        self._service.table.add(number, claims)
+        self._service.log.adopt(number, claims)
+
     async def _ask_all(self, peers: set[str]) -> set[str]:
         """Ask peers, and those that they know of; return who did not answer."""
         missing: set[str] = set()
@@ -98,7 +104,7 @@
         async def ask(peer: str) -> None:
             claims = await self._collect(peer)
             if claims is not None:
-                self._service.table.add(self._partition.number, claims)
+                self._add(claims)
                 answered.add(peer)
 
         async with anyio.create_task_group() as tasks:
