Close idle connections to executors after 10 s without further requests

httpcore closes expired connections only when the same pool sends its next request, so that connections to an idle or removed executor stayed open.

--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -150,6 +150,7 @@
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.claims.run)
+        tasks.start_soon(self.endpoints.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
--- a/src/pomeloyard/endpoints/client.py
+++ b/src/pomeloyard/endpoints/client.py
@@ -16,6 +16,7 @@
 CONNECT_TIMEOUT = timedelta(seconds=1)
 POOL_TIMEOUT = timedelta(seconds=0.5)
 KEEPALIVE = timedelta(seconds=10)
+IDLE_CHECK_INTERVAL = timedelta(seconds=2)
 DEFAULT_CONNECTIONS = 64
 
 NO_BODY_STATUSES = frozenset({204, 304})
@@ -90,12 +91,35 @@
     """
 
     def __init__(
-        self, connections: Callable[[str], int] = lambda vm: DEFAULT_CONNECTIONS
+        self,
+        connections: Callable[[str], int] = lambda vm: DEFAULT_CONNECTIONS,
+        keepalive: timedelta = KEEPALIVE,
     ) -> None:
         self._connections = connections
+        self._keepalive = keepalive
         self._pools_by_address: dict[str, _ExecutorPool] = {}
         self._unused: list[httpcore.AsyncConnectionPool] = []
 
+    async def run(self) -> None:
+        """Close connections that were idle for too long, until cancelled."""
+        while True:
+            await anyio.sleep(IDLE_CHECK_INTERVAL.total_seconds())
+            await self.close_idle()
+
+    async def close_idle(self) -> None:
+        """Close expired connections and forget executors without any.
+
+        httpcore does this only when the next request to the executor is sent.
+        """
+        for address, entry in list(self._pools_by_address.items()):
+            for connection in entry.pool.connections:
+                if connection.is_idle() and connection.has_expired():
+                    await connection.aclose()
+            unused = all(c.is_closed() for c in entry.pool.connections)
+            if unused and entry.in_use == 0:
+                del self._pools_by_address[address]
+        await self._close_unused()
+
     async def close(self) -> None:
         """Close all connections."""
         for entry in self._pools_by_address.values():
@@ -153,7 +177,7 @@
                 entry.retired = True
                 self._collect(entry)
             pool = httpcore.AsyncConnectionPool(
-                max_connections=limit, keepalive_expiry=KEEPALIVE.total_seconds()
+                max_connections=limit, keepalive_expiry=self._keepalive.total_seconds()
             )
             entry = self._pools_by_address[address] = _ExecutorPool(pool, limit)
         return entry
--- a/tests/support/executors.py
+++ b/tests/support/executors.py
@@ -17,7 +17,7 @@
         self.fault = "none"
         self.address = ""
         self.requests = []
-        self.connections = 0
+        self.connections = self.open_connections = 0
         self.released = anyio.Event()
         self.sent_bytes = 0
 
@@ -33,6 +33,13 @@
 
     async def _serve(self, stream):
         self.connections += 1
+        self.open_connections += 1
+        try:
+            await self._converse(stream)
+        finally:
+            self.open_connections -= 1
+
+    async def _converse(self, stream):
         async with stream:
             if self.fault == "reset before":
                 return
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -162,6 +162,23 @@
     run(check, "none")
 
 
+def test_expired_idle_connections_are_closed_without_further_requests():
+    """Guards against idle connections that an executor keeps for ever."""
+
+    async def check(paths, pool, executors):
+        client = paths[0].client
+        client._keepalive = timedelta(seconds=0.05)
+        assert (await paths[0].call(pool, "POST")).status == 200
+        assert executors[0].open_connections == 1
+        while executors[0].open_connections:
+            await anyio.sleep(0.02)
+            await client.close_idle()
+        assert (await paths[0].call(pool, "POST")).status == 200
+        assert executors[0].connections == 2
+
+    run(check, "none")
+
+
 def test_headers_of_one_connection_and_of_the_team_are_not_passed_on():
     """Guards against a caller that acts as another team, or smuggles a header."""
 
