--- a/src/pomeloyard/claim_log.py
+++ b/src/pomeloyard/claim_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -15,6 +16,7 @@
     decode_segment,
     partition_prefix,
 )
+from .claim_watch import ClaimWatch
 from .claims import CLAIM_WINDOW, Claim, ClaimTable
 from .clock import Clock
 from .errors import StoreError, StoreOutcomeUnknownError
@@ -40,7 +42,7 @@
 several hundred.
 """
 
-MAX_WAIT = timedelta(seconds=1.5)
+MAX_WAIT = timedelta(seconds=1.2)
 """Time after which a claim is treated as if the store were down."""
 
 RETRY_INTERVAL = timedelta(seconds=0.5)
@@ -67,16 +69,19 @@
         store: Store,
         clock: Clock,
         state: FleetState,
+        watch: ClaimWatch,
         table: ClaimTable,
         incarnation: str,
     ) -> None:
         self._store = store
         self._clock = clock
         self._state = state
+        self._watch = watch
         self._table = table
         self._incarnation = incarnation
         self._indexes_by_partition: dict[int, SegmentIndex] = {}
         self._pending: list[_Pending] = []
+        self._waiting: set[_Pending] = set()
         self._doubtful: list[str] = []
         self._wanted = anyio.Event()
         self._fence_revision = 0
@@ -84,8 +89,6 @@
         self.unwritten_by_partition: dict[int, dict[bytes, Claim]] = {}
         """Claims granted from memory that the store may not hold yet."""
         self.store_down = False
-        self.last_outage: float | None = None
-        """Monotonic seconds of the last failure of the store."""
 
     async def write(self, partition: int, claim: Claim) -> bool:
         """Make a claim durable; return False if the store cannot at present.
@@ -99,11 +102,16 @@
             pending = _Pending(partition, claim)
             self._pending.append(pending)
             self._wanted.set()
-            with anyio.move_on_after(MAX_WAIT.total_seconds()):
+            self._waiting.add(pending)
+            try:
                 await pending.settled.wait()
+            finally:
+                self._waiting.discard(pending)
             if pending.durable:
                 return True
-            self.last_outage = self._now()
+            self._watch.note_outage()
+        if self._table.get(partition, claim.key_hash) is not claim:
+            return False  # It was released meanwhile.
         unwritten = self.unwritten_by_partition.setdefault(partition, {})
         unwritten[claim.key_hash] = claim
         self._wanted.set()
@@ -132,13 +140,33 @@
         claims += self.unwritten_by_partition.get(partition, {}).values()
         return [claim for claim in claims if claim.granted_at > horizon]
 
+    def adopt(self, partition: int, claims: Iterable[Claim]) -> None:
+        """Write claims that other daemons have recorded, as the table has them."""
+        unwritten = self.unwritten_by_partition.setdefault(partition, {})
+        for claim in claims:
+            entered = self._table.get(partition, claim.key_hash)
+            if entered is not None:
+                unwritten[claim.key_hash] = entered
+        self._wanted.set()
+
+    def holds(self, partition: int) -> bool:
+        """Tell whether the partition is open and not known to be lost."""
+        return partition in self._indexes_by_partition
+
     def close(self, partition: int) -> None:
         """Stop writing a partition; its unwritten claims stay known."""
         self._indexes_by_partition.pop(partition, None)
 
-    def wake(self) -> None:
-        """Write unwritten claims and delete expired segments soon."""
+    def keep_up(self) -> None:
+        """Write unwritten claims and delete expired segments soon.
+
+        Claims that have waited too long are handled as if the store were down.
+        """
         self._wanted.set()
+        horizon = self._now() - MAX_WAIT.total_seconds()
+        for pending in self._waiting:
+            if pending.claim.granted_at < horizon:
+                pending.settled.set()
 
     async def run(self) -> None:
         """Commit waiting claims in groups until cancelled."""
@@ -170,7 +198,7 @@
         if not self.store_down:
             log.warning("claims are granted from memory: {}", reason)
         self.store_down = True
-        self.last_outage = self._now()
+        self._watch.note_outage()
 
     def _settle(self, batch: list[_Pending], durable: set[int]) -> None:
         for pending in batch:
--- a/src/pomeloyard/claim_service.py
+++ b/src/pomeloyard/claim_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import itertools
 from collections import defaultdict
 from dataclasses import dataclass
@@ -14,7 +15,8 @@
 
 from .claim_log import ClaimLog
 from .claim_takeover import Takeover
-from .claims import CLAIM_WINDOW, RETRY_AFTER, Claim, ClaimTable
+from .claim_watch import ClaimWatch
+from .claims import RETRY_AFTER, Claim, ClaimTable
 from .clock import Clock
 from .errors import RefusedError
 from .fleet_state import FleetState
@@ -38,10 +40,8 @@
 """Longest wait for a holder: one store call that times out, and a record."""
 
 RECORD_TIMEOUT = timedelta(seconds=0.5)
-HOUSEKEEPING_INTERVAL = timedelta(seconds=1)
-START_GRACE = timedelta(seconds=3)
-"""Time from the start after which an unread store counts as an outage."""
-
+MAX_RECORD_PEERS = 3
+HOUSEKEEPING_INTERVAL = timedelta(seconds=0.5)
 STATEMENT_CLAIMS = 4000
 """Claims in one statement: under 100 bytes each, below the frame limit."""
 
@@ -83,9 +83,8 @@
         self._state = state
         self._network = network
         self._calls = calls
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._attempts = itertools.count(1)
-        self._started = self._now()
         self._tasks: TaskGroup | None = None
         self._fences_by_partition: dict[int, int] = defaultdict(int)
         self._takeovers_by_partition: dict[int, Takeover] = {}
@@ -94,7 +93,8 @@
         self.table = ClaimTable()
         self.recorded = ClaimTable()
         """Claims of other daemons' partitions that the store may not hold."""
-        self.log = ClaimLog(store, clock, state, self.table, incarnation)
+        self.watch = ClaimWatch(clock, state, network, incarnation)
+        self.log = ClaimLog(store, clock, state, self.watch, self.table, incarnation)
         network.on(ClaimRequest, self._on_request)
         network.on(ClaimRelease, self._on_release)
         network.on(ClaimRecord, self._on_record)
@@ -110,7 +110,7 @@
                 self.refresh()
                 self.table.expire(self._now())
                 self.recorded.expire(self._now())
-                self.log.wake()
+                self.log.keep_up()
                 await self._clock.sleep(HOUSEKEEPING_INTERVAL)
 
     async def close(self) -> None:
@@ -119,17 +119,15 @@
 
     def refresh(self) -> None:
         """Follow the partition table: take over new partitions, leave lost ones."""
-        late = self._now() - self._started > START_GRACE.total_seconds()
-        if not self._state.store_reachable and late:
-            self.log.last_outage = self._now()
+        self.watch.look()
         table = self._state.partitions
         if table is None:
             return
         for number, takeover in list(self._takeovers_by_partition.items()):
             current = table.partitions[number]
-            if (current.holder, current.epoch) != (self._incarnation, takeover.epoch):
+            if (current.holder, current.epoch) != (self.incarnation, takeover.epoch):
                 self._leave(number)
-        for number in table.held_by(self._incarnation):
+        for number in table.held_by(self.incarnation):
             partition = table.partitions[number]
             stale = partition.epoch < self._fences_by_partition[number]
             if self._tasks is None or stale or number in self._takeovers_by_partition:
@@ -188,22 +186,22 @@
                 ticket.attempt,
             )
 
-        if ticket.holder == self._incarnation:
-            return await self.answer(self._incarnation, request(0))
+        if ticket.holder == self.incarnation:
+            return await self.answer(self.incarnation, request(0))
         return await self._calls.call(ticket.holder, request, ClaimReply, CALL_TIMEOUT)
 
     def _accept(
         self, ticket: ClaimTicket, reply: ClaimReply, fingerprint: bytes
     ) -> bool:
         """Record a grant that is not durable; refuse one of an earlier epoch."""
-        if reply.durable or ticket.holder == self._incarnation:
+        if reply.durable or ticket.holder == self.incarnation:
             return True
         if reply.epoch < self._fence(ticket.partition):
             return False
         claim = Claim(
             ticket.key_hash,
             fingerprint,
-            self._incarnation,
+            self.incarnation,
             ticket.attempt,
             ticket.asked_at,
         )
@@ -212,10 +210,10 @@
     def release(self, ticket: ClaimTicket) -> None:
         """Give a claim back, because its request certainly did not run."""
         key, attempt = ticket.key_hash, ticket.attempt
-        self.recorded.release(ticket.partition, key, self._incarnation, attempt)
+        self.recorded.release(ticket.partition, key, self.incarnation, attempt)
         message = ClaimRelease(ticket.partition, key, attempt)
-        if ticket.holder == self._incarnation:
-            self._on_release(self._incarnation, message)
+        if ticket.holder == self.incarnation:
+            self._on_release(self.incarnation, message)
         else:
             self._network.send(ticket.holder, message)
 
@@ -250,10 +248,11 @@
                 request_id, "duplicate", earlier.runner, attempt=earlier.attempt
             )
         durable = await self.log.write(number, claim)
-        if durable or await self._keep_in_memory(number, epoch, claim, sender):
+        kept = durable or await self._keep_in_memory(number, epoch, claim, sender)
+        if kept and self.table.get(number, claim.key_hash) is claim:
             return ClaimReply(request_id, "granted", epoch=epoch, durable=durable)
-        self.table.release(number, claim.key_hash, sender, claim.attempt)
-        self.log.forget(number, claim.key_hash)
+        if self.table.release(number, claim.key_hash, sender, claim.attempt):
+            self.log.forget(number, claim.key_hash)
         return _refusal(request_id, "the claim could not be recorded")
 
     async def _keep_in_memory(
@@ -262,9 +261,13 @@
         """Tell whether a second daemon has recorded, or will record, the claim."""
         if self._open_epoch(number) != epoch:
             return False
-        if sender != self._incarnation:
+        self.watch.announce_outage()
+        if sender != self.incarnation:
             return True  # The asking daemon records it before it runs the request.
-        for peer in self._network.connected():
+        peers = self._network.connected()
+        first = bisect.bisect(peers, self.incarnation)
+        # Each daemon starts at another peer, so that records are spread.
+        for peer in [*peers[first:], *peers[:first]][:MAX_RECORD_PEERS]:
             answer = await self._calls.call(
                 peer,
                 lambda i: ClaimRecord(i, number, epoch, self._row(claim)),
@@ -275,10 +278,14 @@
                 return self._open_epoch(number) == epoch
         return False
 
+    def opening(self) -> bool:
+        """Tell whether a partition of this daemon does not grant claims yet."""
+        return not all(t.open for t in self._takeovers_by_partition.values())
+
     def _open_epoch(self, partition: int) -> int | None:
         """Return the epoch under which this daemon may grant, if any."""
         takeover = self._takeovers_by_partition.get(partition)
-        if takeover is None or not takeover.open:
+        if takeover is None or not takeover.open or not self.log.holds(partition):
             return None
         return takeover.epoch if takeover.epoch >= self._fence(partition) else None
 
@@ -291,7 +298,7 @@
     # The recording side.
 
     def _record(self, partition: int, claim: Claim) -> bool:
-        self.log.last_outage = self._now()
+        self.watch.note_outage()
         earlier = self.recorded.get(partition, claim.key_hash)
         if earlier is not None:
             # The holder grants a key again only after its release.
@@ -324,22 +331,14 @@
             message.request_id,
             tuple(self._row(claims[key]) for key in keys[:STATEMENT_CLAIMS]),
             len(keys) > STATEMENT_CLAIMS,
-            self.outage_seen(),
+            self.watch.outage_seen(),
             round(lost.total_seconds() * 1000),
+            self.watch.vouches(),
+            tuple(sorted(self.watch.known_daemons())),
         )
 
-    def outage_seen(self) -> bool:
-        """Tell whether claims of the window may exist in memory only."""
-        last = self.log.last_outage
-        return last is not None and self._now() - last < CLAIM_WINDOW.total_seconds()
-
     # What a takeover needs.
 
-    def peers_to_ask(self) -> set[str]:
-        """Return the other daemons that are registered or connected."""
-        known = {*self._state.daemons_by_incarnation, *self._network.connected()}
-        return known - {self._incarnation}
-
     async def query(
         self, peer: str, partition: int, epoch: int, after: bytes, timeout: timedelta
     ) -> ClaimStatement | None:
@@ -351,10 +350,6 @@
             timeout,
         )
 
-    def is_registered(self, incarnation: str) -> bool:
-        """Tell whether a daemon is registered in the store."""
-        return incarnation in self._state.daemons_by_incarnation
-
     def claim_of(self, row: ClaimRow) -> Claim:
         """Return a claim as received from another daemon."""
         granted_at = self._now() - row.age_ms / 1000
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -230,6 +230,7 @@
         tasks.start_soon(self.keys.run)
         tasks.start_soon(self.log_writer.run)
         tasks.start_soon(self.tls.run, self.clock)
+        tasks.start_soon(self.endpoints.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -293,7 +294,8 @@
         tls: ssl.SSLContext | None,
     ) -> None:
         host, port = address.rsplit(":", 1)
-        listener = socket.socket()
+        # As in serving.py: asyncio disables Nagle only with a stated protocol.
+        listener = socket.socket(proto=socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         server = EmbeddedServer(server_config(app, tls=tls))
