Add the job client and commands; count late starts against the limit

Cause: jobs could be submitted only with a hand-made HTTP call. Units of an unanswered start stay counted until the worker has answered or is gone; a worker that refuses a connection gets no further task until it answers.

--- a/src/pomeloyard/cli/main.py
+++ b/src/pomeloyard/cli/main.py
@@ -7,20 +7,21 @@
 from ..errors import PomeloyardError
 from ..operators.client import OperatorClient
 from .config import config
+from .jobs import job
 from .keys import key
 from .vms import vm
 
 
 @click.group()
-@click.option("--daemon", multiple=True, envvar="POMELOYARD_DAEMONS", required=True)
-@click.option("--key", envvar="POMELOYARD_KEY", required=True)
+@click.option("--daemon", multiple=True, envvar="POMELOYARD_DAEMONS")
+@click.option("--key", envvar="POMELOYARD_KEY", default="")
 @click.pass_context
 def cli(context: click.Context, daemon: tuple[str, ...], key: str) -> None:
     """Operate a fleet."""
     context.obj = OperatorClient(list(daemon), key)
 
 
-for group in (config, key, vm):
+for group in (config, job, key, vm):
     cli.add_command(group)
 
 
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -70,7 +70,9 @@
         self.placer = Placer(
             self.index, self.table.get, self._demand, self._pools, self._teams
         )
-        self.follower = TaskFollower(clock, self.table, self.estimates, epoch)
+        self.follower = TaskFollower(
+            clock, self.table, self.estimates, self.placer.units_by_team, epoch
+        )
         self.links = WorkerLinks(clock, workers, epoch, self.follower)
         self.follower.links = self.links
         self.roster = WorkerRoster(
--- a/src/pomeloyard/task_follower.py
+++ b/src/pomeloyard/task_follower.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import logbook
@@ -14,7 +15,14 @@
 from .job_transitions import after_loss, after_report, not_started
 from .jobs import Job, JobReason, JobState
 from .quarantine import Quarantine
-from .workers.links import RECOVERY_WAIT, Link, LinkEvents, Track, WorkerLinks
+from .workers.links import (
+    LATE_START,
+    RECOVERY_WAIT,
+    Link,
+    LinkEvents,
+    Track,
+    WorkerLinks,
+)
 from .workers.tasks import OUT_OF_MEMORY, TaskAction, TaskReport, TaskState
 
 REPORT_WAIT = timedelta(seconds=60)
@@ -25,18 +33,34 @@
 log = logbook.Logger("pomeloyard.scheduler")
 
 
+@dataclass(frozen=True, slots=True)
+class _LateStart:
+    """An order that a silent worker may still carry out."""
+
+    team: str
+    units: int
+    until: timedelta
+
+
 class TaskFollower(LinkEvents):
     """Follows tasks from their start to the acknowledgement of their end."""
 
     links: WorkerLinks
 
     def __init__(
-        self, clock: Clock, table: JobTable, estimates: Estimates, epoch: int
+        self,
+        clock: Clock,
+        table: JobTable,
+        estimates: Estimates,
+        units_by_team: Counter[str],
+        epoch: int,
     ) -> None:
         self._clock = clock
         self._table = table
         self._estimates = estimates
+        self._units_by_team = units_by_team
         self._epoch = epoch
+        self._late_starts: dict[str, dict[str, _LateStart]] = {}
         self.quarantine = Quarantine()
         self._ended: dict[str, tuple[str, ...]] = {}
         self._stops: dict[str, timedelta] = {}
@@ -96,12 +120,29 @@
     def _check_lease(self, track: Track, now: timedelta) -> None:
         wait = timedelta(0) if track.idempotent else REPORT_WAIT
         job = self._table.get(track.job_key)
-        if job is not None and not track.starting and now >= track.ended_by + wait:
-            self._lose(job, JobReason.WORKER_UNREACHABLE)
+        if job is None or track.starting or now < track.ended_by + wait:
+            return
+        if track.uncertain and not track.confirmed:
+            # A paused worker may carry out the order when it resumes, so the
+            # order's units stay counted until the worker has answered.
+            late = _LateStart(job.team, job.units, now + LATE_START)
+            self._late_starts.setdefault(job.worker, {})[job.task_id] = late
+            self._units_by_team[job.team] += job.units
+        self._lose(job, JobReason.WORKER_UNREACHABLE)
+
+    def _forget_late_starts(self, link: Link, running: set[str]) -> None:
+        now = self._clock.monotonic()
+        late_starts = self._late_starts.get(link.name, {})
+        for task_id, late in list(late_starts.items()):
+            if task_id not in running and now >= late.until:
+                del late_starts[task_id]
+                self._units_by_team[late.team] -= late.units
 
     def worker_gone(self, link: Link) -> None:
         """End the tasks of a worker that the platform's list no longer has."""
         self._ended.pop(link.name, None)
+        for late in self._late_starts.pop(link.name, {}).values():
+            self._units_by_team[late.team] -= late.units
         for track in list(link.tracks.values()):
             job = self._table.get(track.job_key)
             if job is not None:
@@ -118,6 +159,7 @@
             self._handle(link, report)
         self._ended[link.name] = tuple(ended)
         reported = {report.task_id for report in reports}
+        self._forget_late_starts(link, reported.difference(ended))
         for task_id, track in list(link.tracks.items()):
             if task_id not in reported:
                 self._absent(link, task_id, track, known)
--- a/src/pomeloyard/worker_roster.py
+++ b/src/pomeloyard/worker_roster.py
@@ -45,8 +45,10 @@
         """Take over changes of the fleet and of health; tell whether any."""
         for change in self._quarantine.due_trials(now):
             log.info("worker {}: {}", change.worker, change.reason.value)
-        if now < self._next or self._state.vm_list.version == 0:
+        due = now >= self._next or self._links.health_changed
+        if not due or self._state.vm_list.version == 0:
             return False
+        self._links.health_changed = False
         self._next = now + UPDATE_INTERVAL
         vms = self._state.vm_list.vms_by_name
         gone = [name for name in self._links.by_name if not _present(vms, name)]
--- a/src/pomeloyard/workers/links.py
+++ b/src/pomeloyard/workers/links.py
@@ -119,6 +119,8 @@
         self._tasks: TaskGroup | None = None
         self.stale = anyio.Event()
         self.by_name: dict[str, Link] = {}
+        self.health_changed = False
+        """Set when a worker became reachable or unreachable."""
 
     async def run(self) -> None:
         """Contact workers when due until cancelled."""
@@ -202,7 +204,11 @@
             link.keep_until[task_id] = now + LATE_START
             self.hurry(link)
         elif not track.uncertain:
-            link.failures += outcome.reason is RefusalReason.ENDPOINT_UNREACHABLE
+            if outcome.reason is RefusalReason.ENDPOINT_UNREACHABLE:
+                # Not given other tasks until it has answered again.
+                link.failures = max(link.failures, FAILURES_BEFORE_PROBING)
+                self.health_changed = True
+                self.hurry(link)
             link.tracks.pop(task_id, None)
             self._events.not_started(link, task_id, track)
 
@@ -254,12 +260,15 @@
                 track = link.tracks.get(task_id)
                 if track is not None:
                     track.ended_by = now + TASK_LEASE + LEASE_MARGIN
+        was_reachable = link.reachable
         if isinstance(outcome, Done):
             link.answered = True
             link.failures = 0
             self._events.reported(link, outcome.value, known)
         else:
             link.failures += 1
+        if link.reachable is not was_reachable:
+            self.health_changed = True
 
     def _interval(self, link: Link) -> timedelta:
         if not link.tracks:
