--- a/src/pomeloyard/capacity.py
+++ b/src/pomeloyard/capacity.py
@@ -5,8 +5,12 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
-LEVELS = 16
-"""Steps into which a worker's free cores and memory are divided in the index."""
+CORE_STEP = 0.25
+"""Step of free cores in the index; learned sizes are multiples of it."""
+MEMORY_LEVELS = 64
+"""Steps into which a worker's free memory is divided in the index."""
+CLOSED = (-1, -1)
+"""Place in the index of workers that take no more tasks."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +80,9 @@
 Shape = tuple[float, int, int, int]
 """Capacity of a worker and its free accelerators."""
 Level = tuple[int, int]
-"""Free cores and memory in steps of the worker's capacity."""
+"""Free cores and memory in steps."""
+Shelf = dict[int, dict[int, dict[str, "Worker"]]]
+"""Workers of one shape by step of free cores, step of free memory and name."""
 
 
 class CapacityIndex:
@@ -85,9 +91,7 @@
     def __init__(self) -> None:
         self.workers_by_name: dict[str, Worker] = {}
         self._places: dict[str, tuple[str, str, Shape, Level]] = {}
-        self._buckets: dict[
-            tuple[str, str], dict[Shape, dict[Level, dict[str, Worker]]]
-        ] = {}
+        self._shelves: dict[tuple[str, str], dict[Shape, Shelf]] = {}
         self._orphans: dict[str, dict[str, Demand]] = {}
 
     def put(self, worker: Worker) -> None:
@@ -129,15 +133,14 @@
         # Drained and set-aside workers are included: their state is temporary.
         return {
             Demand(*shape[:3])
-            for (pool, _), shapes in self._buckets.items()
+            for (pool, _), shapes in self._shelves.items()
             if pool in pools
-            for shape, levels in shapes.items()
-            if levels
+            for shape in shapes
         }
 
     def zones(self, pools: Collection[str]) -> set[str]:
         """Return the availability zones in which some pools have workers."""
-        return {zone for pool, zone in self._buckets if pool in pools}
+        return {zone for pool, zone in self._shelves if pool in pools}
 
     def fitting(
         self, pools: Collection[str], zone: str, demand: Demand, limit: int
@@ -158,22 +161,23 @@
         self, pools: Collection[str], zone: str, demand: Demand
     ) -> Iterator[Worker]:
         shapes = [
-            (shape, levels)
+            (shape, shelf)
             for pool in pools
-            for shape, levels in self._buckets.get((pool, zone), {}).items()
+            for shape, shelf in self._shelves.get((pool, zone), {}).items()
             if shape[3] >= demand.accelerators
         ]
         if demand.accelerators:
             shapes.sort(key=lambda item: (item[0][3], item[0][2]))
         else:
             shapes.sort(key=lambda item: (item[0][2], item[0][3]))
-        for shape, levels in shapes:
-            cores = _level(demand.cores, shape[0])
-            memory = _level(demand.memory_bytes, shape[1])
-            fitting = [k for k in levels if k[0] >= cores and k[1] >= memory]
-            for level in sorted(fitting):
-                # Only buckets on the boundary hold workers that do not fit.
-                yield from levels[level].values()
+        cores = _core_level(demand.cores)
+        for shape, shelf in shapes:
+            memory = _memory_level(demand.memory_bytes, shape[1])
+            for core_level in sorted(level for level in shelf if level >= cores):
+                by_memory = shelf[core_level]
+                for level in sorted(level for level in by_memory if level >= memory):
+                    # Only workers at the boundary of a step may not fit.
+                    yield from by_memory[level].values()
 
     def _reindex(self, worker: Worker) -> None:
         worker.refresh()
@@ -184,12 +188,13 @@
             capacity.accelerators,
             worker.free_accelerators,
         )
-        level = (
-            _level(worker.free_cores, capacity.cores),
-            _level(worker.free_memory_bytes, capacity.memory_bytes),
-        )
-        if not worker.open():
-            level = (-1, -1)
+        level = CLOSED
+        if worker.open():
+            free = worker.free_memory_bytes
+            level = (
+                _core_level(worker.free_cores),
+                _memory_level(free, capacity.memory_bytes),
+            )
         place = (worker.pool, worker.availability_zone, shape, level)
         if self._places.get(worker.name) == place:
             self._bucket(place)[worker.name] = worker
@@ -199,28 +204,37 @@
         self._bucket(place)[worker.name] = worker
 
     def _bucket(self, place: tuple[str, str, Shape, Level]) -> dict[str, Worker]:
-        pool, zone, shape, level = place
-        shapes = self._buckets.setdefault((pool, zone), {})
-        return shapes.setdefault(shape, {}).setdefault(level, {})
+        pool, zone, shape, (cores, memory) = place
+        shapes = self._shelves.setdefault((pool, zone), {})
+        by_memory = shapes.setdefault(shape, {}).setdefault(cores, {})
+        return by_memory.setdefault(memory, {})
 
     def _unplace(self, worker: Worker) -> None:
         place = self._places.pop(worker.name, None)
         if place is None:
             return
-        pool, zone, shape, level = place
-        shapes = self._buckets[(pool, zone)]
-        bucket = shapes[shape][level]
-        del bucket[worker.name]
-        if not bucket:
-            del shapes[shape][level]
-        if not shapes[shape]:
+        pool, zone, shape, (cores, memory) = place
+        shapes = self._shelves[(pool, zone)]
+        shelf = shapes[shape]
+        del shelf[cores][memory][worker.name]
+        if not shelf[cores][memory]:
+            del shelf[cores][memory]
+        if not shelf[cores]:
+            del shelf[cores]
+        if not shelf:
             del shapes[shape]
         if not shapes:
-            del self._buckets[(pool, zone)]
+            del self._shelves[(pool, zone)]
+
+
+def _core_level(cores: float) -> int:
+    return int(cores // CORE_STEP)
+
 
+def _memory_level(amount: int, capacity: int) -> int:
+    """Return an amount in steps of the capacity, rounded down.
 
-def _level(amount: float, capacity: float) -> int:
-    """Return an amount in steps of the capacity, rounded down."""
-    if capacity <= 0:
-        return LEVELS if amount <= 0 else 0
-    return int(LEVELS * amount // capacity)
+    >>> _memory_level(3, 128), _memory_level(128, 128)
+    (1, 64)
+    """
+    return MEMORY_LEVELS * amount // capacity if capacity > 0 else 0
--- a/src/pomeloyard/placement.py
+++ b/src/pomeloyard/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import Enum
 
 from .capacity import CapacityIndex, Demand, Worker
 from .job_queues import JobClass, TeamQueue, class_of
@@ -23,6 +24,15 @@
 Pools = tuple[str, ...]
 
 
+class CandidateReason(Enum):
+    """Why a worker was or was not chosen."""
+
+    CHOSEN = "chosen"
+    FITS_LESS_WELL = "fits-less-well"
+    ROOM_MADE = "room-made"
+    ROOM_KEPT = "room-kept"
+
+
 @dataclass(frozen=True, slots=True)
 class TeamLimits:
     """A team's weight and the units that its jobs may take together."""
@@ -36,7 +46,7 @@
     """A worker that was considered, and why it was or was not chosen."""
 
     worker: str
-    reason: str
+    reason: CandidateReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +74,7 @@
 
     plan: Plan
     entitled: dict[str, float]
+    limit: int
     taken: set[str] = field(default_factory=set)
     too_large: dict[tuple[Pools, Collection[str]], list[Demand]] = field(
         default_factory=lambda: defaultdict(list)
@@ -99,6 +110,7 @@
         self._spread: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
         self._deficits: dict[str, float] = defaultdict(float)
         self._last_plan: timedelta | None = None
+        self._cores_since_plan: dict[str, float] = {}
 
     def job_changed(self, key: str, before: Job | None, after: Job | None) -> None:
         """Take over a change of a job."""
@@ -136,12 +148,13 @@
         found.sort(key=lambda job: (job.submitted_at, job.job_id))
         return found
 
-    def plan(self, now: timedelta) -> Plan:
+    def plan(self, now: timedelta, limit: int = MAX_PLACEMENTS) -> Plan:
         """Choose jobs and workers; what is chosen is reserved in the index."""
         teams = self._teams()
-        step = _Step(Plan(), self._update_shares(now, teams))
+        step = _Step(Plan(), self._update_shares(now, teams), limit)
         for urgent in (True, False):
             self._plan_priority(step, teams, urgent)
+        self._cores_since_plan = dict(self._placed_cores)
         return step.plan
 
     def _plan_priority(
@@ -156,7 +169,7 @@
                     heads_by_team[team] = heads
                     order.append((self._rank(step, teams, team), team))
         heapq.heapify(order)
-        while order and len(step.plan.placements) < MAX_PLACEMENTS:
+        while order and len(step.plan.placements) < step.limit:
             _, team = heapq.heappop(order)
             if self._serve(step, teams[team], team, heads_by_team[team], urgent):
                 heapq.heappush(order, (self._rank(step, teams, team), team))
@@ -253,8 +266,9 @@
                     else (w.free_accelerators, spread[f"rack:{w.rack}"])
                 ),
             )
+            chosen, less_well = CandidateReason.CHOSEN, CandidateReason.FITS_LESS_WELL
             considered = tuple(
-                Considered(w.name, "chosen" if w is worker else "fits-less-well")
+                Considered(w.name, chosen if w is worker else less_well)
                 for w in fitting[:CANDIDATES]
             )
             return worker, considered
@@ -364,7 +378,7 @@
         window = SHARE_WINDOW.total_seconds()
         seconds = min(window, elapsed.total_seconds()) if elapsed is not None else 0.0
         for team, amount in entitled.items():
-            missing = amount - self._placed_cores[team]
+            missing = amount - self._cores_since_plan.get(team, 0.0)
             deficit = self._deficits[team] * (1 - seconds / window)
             # What is owed from before the window is forgotten, not paid later.
             self._deficits[team] = deficit + missing * seconds if amount else 0.0
--- a/src/pomeloyard/preemptor.py
+++ b/src/pomeloyard/preemptor.py
@@ -9,10 +9,10 @@
 
 from .capacity import Demand, Worker
 from .clock import Clock
-from .decisions import DecisionKind
+from .decisions import Candidate, DecisionKind
 from .job_table import JobTable
 from .jobs import Job, JobDecision, JobReason, JobState
-from .placement import Considered, Placement, Placer
+from .placement import CandidateReason, Considered, Placement, Placer, Plan
 from .preemption import (
     THROTTLED_SHARE,
     Mildness,
@@ -32,6 +32,12 @@
 HOLD_TIMEOUT = timedelta(seconds=6)
 POLL = timedelta(seconds=0.4)
 HOLD_PREFIX = "hold:"
+KEEP_ROOM_AFTER = timedelta(seconds=30)
+"""A job that found no room for this long gets a worker kept free for it, or
+smaller jobs could pass it for ever."""
+KEEP_ROOM_FOR = timedelta(minutes=30)
+MAX_KEPT_SHARE = 0.05
+"""Part of the workers, but at least one, that may be kept free in this way."""
 
 _ACTIONS = {
     Mildness.CHECKPOINT: TaskAction.CHECKPOINT,
@@ -48,6 +54,8 @@
     demand: Demand
     preemption: Preemption
     began: timedelta
+    reason: CandidateReason = CandidateReason.ROOM_MADE
+    timeout: timedelta = HOLD_TIMEOUT
     escalated: bool = False
 
 
@@ -82,13 +90,13 @@
                 or job.state is not JobState.QUEUED
                 or worker is None
                 or not worker.accepts_work
-                or now >= hold.began + HOLD_TIMEOUT
+                or now >= hold.began + hold.timeout
             ):
                 self._drop(key)
             elif _has_room(worker):
                 self._drop(key)
                 self._placer.reserve(job, worker.name, hold.demand)
-                made = Considered(worker.name, "room-made")
+                made = Considered(worker.name, hold.reason)
                 placements.append(Placement(job, worker.name, hold.demand, (made,)))
             else:
                 self._press(hold, now)
@@ -129,6 +137,40 @@
             ]
             self._begin(_Hold(job, demand, chosen, now))
 
+    def keep_room(self, now: timedelta, plan: Plan) -> None:
+        """Keep a worker free for the oldest jobs that smaller ones have passed."""
+        workers = self._index.workers_by_name
+        kept = [h for h in self._holds.values() if not h.preemption.victims]
+        limit = max(1, int(len(workers) * MAX_KEPT_SHARE))
+        oldest = self._clock.now() - KEEP_ROOM_AFTER
+        waiting = [
+            job
+            for job, reason in plan.waiting
+            if reason is JobReason.NO_ROOM
+            and job.submitted_at <= oldest
+            and job.key not in self._holds
+        ]
+        waiting.sort(key=lambda job: (job.submitted_at, job.job_id))
+        held_workers = {hold.preemption.worker for hold in self._holds.values()}
+        for job in waiting[: limit - len(kept)] if limit > len(kept) else ():
+            demand = self._placer.demand_for_job(job)
+            pools = self._placer.pools_for(job) or ()
+            fitting = [
+                worker
+                for name, worker in workers.items()
+                if worker.pool in pools
+                and worker.open()
+                and demand.within(worker.capacity)
+                and name not in held_workers
+                and name not in job.failed_on
+            ]
+            if fitting:
+                worker = max(fitting, key=lambda w: (w.free_cores, w.name))
+                held_workers.add(worker.name)
+                reason = CandidateReason.ROOM_KEPT
+                chosen = Preemption(worker.name, ())
+                self._begin(_Hold(job, demand, chosen, now, reason, KEEP_ROOM_FOR))
+
     def _begin(self, hold: _Hold) -> None:
         job, worker = hold.job, hold.preemption.worker
         self._holds[job.key] = hold
@@ -136,10 +178,12 @@
         for victim in hold.preemption.victims:
             self._signal(worker, victim)
         victims = tuple(
-            (victim.task.job_key.rpartition("/")[2], victim.way.name.lower())
+            Candidate(victim.task.job_key.rpartition("/")[2], victim.way)
             for victim in hold.preemption.victims
         )
-        self._record(job, DecisionKind.PREEMPT, worker, JobReason.PREEMPTED, victims)
+        if victims:
+            reason = JobReason.PREEMPTED
+            self._record(job, DecisionKind.PREEMPT, worker, reason, victims)
 
     def _signal(self, worker: str, victim: Victim) -> None:
         task = self._table.get(victim.task.job_key)
@@ -160,6 +204,8 @@
 
     def _press(self, hold: _Hold, now: timedelta) -> None:
         """Ask for reports, and stop victims that take too long."""
+        if not hold.preemption.victims:
+            return
         link = self._links.by_name.get(hold.preemption.worker)
         if link is not None:
             self._links.hurry(link, POLL)
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -138,15 +138,17 @@
             await self._remove_old()
 
     def _plan(self, now: timedelta) -> None:
+        for placement in self.preemptor.ready(now):
+            self._assign(placement)
         plan = self.last_plan = self.placer.plan(now)
-        placements = [*self.preemptor.ready(now), *plan.placements]
-        for placement in placements:
+        for placement in plan.placements:
             self._assign(placement)
         for job, reason in plan.impossible:
             decision = JobDecision(self._clock.now(), "place", "", reason.value)
             job = ended(job, JobState.IMPOSSIBLE, reason, self._clock.now())
             self.table.set(replace(job, decisions=job.decided(decision)))
         self.preemptor.make_room(now)
+        self.preemptor.keep_room(now, plan)
         if self._store_up and now >= self._next_reasons:
             self._next_reasons = now + REASON_INTERVAL
             self._note_reasons(plan)
@@ -162,7 +164,7 @@
         attempt = job.attempt + 1
         now = self._clock.now()
         reason = JobReason.PLACED
-        considered = tuple((c.worker, c.reason) for c in placement.considered)
+        considered = tuple((c.worker, c.reason.value) for c in placement.considered)
         decision = JobDecision(now, "place", placement.worker, reason.value, considered)
         self.table.set(
             replace(
@@ -180,7 +182,8 @@
             )
         )
         self._to_start[job.key] = False
-        self._record(job, DecisionKind.PLACE, placement.worker, reason, considered)
+        candidates = tuple(Candidate(c.worker, c.reason) for c in placement.considered)
+        self._record(job, DecisionKind.PLACE, placement.worker, reason, candidates)
 
     async def _flush(self) -> None:
         """Write pending changes; they are kept while the store is down."""
@@ -321,13 +324,8 @@
         kind: DecisionKind,
         choice: str,
         reason: JobReason,
-        considered: tuple[tuple[str, str], ...] = (),
+        candidates: tuple[Candidate, ...] = (),
     ) -> None:
-        # The first candidate is the chosen one or one that fits less well.
-        candidates = tuple(
-            Candidate(name, reason if name == choice else JobReason.NONE)
-            for name, _ in considered
-        )
         subject = f"job/{job.job_id}"
         at = self._clock.now()
         self._decisions.record(Decision(at, kind, subject, choice, reason, candidates))
--- a/src/pomeloyard/task_follower.py
+++ b/src/pomeloyard/task_follower.py
@@ -28,6 +28,7 @@
 REPORT_WAIT = timedelta(seconds=60)
 """For this long after its lease has ended, the report of a non-idempotent task
 is waited for, because without it the job ends as unknown."""
+LEASE_CHECK_INTERVAL = timedelta(seconds=0.5)
 STOP_AGAIN = timedelta(seconds=2)
 
 log = logbook.Logger("pomeloyard.scheduler")
@@ -60,6 +61,7 @@
         self._estimates = estimates
         self._units_by_team = units_by_team
         self._epoch = epoch
+        self._next_lease_check = timedelta(0)
         self._late_starts: dict[str, dict[str, _LateStart]] = {}
         self.quarantine = Quarantine()
         self._ended: dict[str, tuple[str, ...]] = {}
@@ -89,10 +91,12 @@
     def check(self, now: timedelta) -> None:
         """Handle ended leases, vanished workers and requested cancellations."""
         self._follow_recovered(now)
-        for link in list(self.links.by_name.values()):
-            if link.failures:
-                for track in list(link.tracks.values()):
-                    self._check_lease(track, now)
+        if now >= self._next_lease_check:
+            self._next_lease_check = now + LEASE_CHECK_INTERVAL
+            for link in self.links.by_name.values():
+                if link.failures:
+                    for track in list(link.tracks.values()):
+                        self._check_lease(track, now)
         for key in list(self._cancelled):
             job = self._table.get(key)
             if job is not None and job.placed:
--- a/src/pomeloyard/workers/links.py
+++ b/src/pomeloyard/workers/links.py
@@ -22,7 +22,10 @@
 RENEW_INTERVAL = timedelta(seconds=3)
 RETRY_INTERVAL = timedelta(seconds=1)
 IDLE_INTERVAL = timedelta(seconds=15)
-MIN_INTERVAL = timedelta(seconds=0.25)
+EARLY_INTERVAL = timedelta(seconds=1)
+"""Least time between contacts that are made because a task should have ended."""
+SIGNAL_INTERVAL = timedelta(seconds=0.25)
+"""Time from a signal to the contact that shows its effect."""
 START_WITHIN = timedelta(seconds=2)
 """A start is sent only this soon after its record was written, so that a daemon
 that was paused in between does not start what others have given up."""
@@ -218,7 +221,7 @@
                 link.address, task_id, self._fence, action
             )
         self._is_stale(outcome)
-        self.hurry(link, MIN_INTERVAL)
+        self.hurry(link, SIGNAL_INTERVAL)
 
     async def _contact(self, link: Link) -> None:
         try:
@@ -277,7 +280,7 @@
         if expected is None:
             return RENEW_INTERVAL
         return min(
-            max(expected - self._clock.monotonic(), MIN_INTERVAL), RENEW_INTERVAL
+            max(expected - self._clock.monotonic(), EARLY_INTERVAL), RENEW_INTERVAL
         )
 
     def _limiter(self, link: Link) -> anyio.CapacityLimiter:
