--- a/measurements/jobs.py
+++ b/measurements/jobs.py
@@ -145,6 +145,7 @@
         lambda job: Demand(job.request.cores, job.request.memory_bytes),
         lambda job: ("p",),
         lambda: teams,
+        lambda: timedelta(0),
     )
     for n in range(size):
         zone = f"az{n % 6}"
--- a/src/pomeloyard/placement.py
+++ b/src/pomeloyard/placement.py
@@ -95,6 +95,7 @@
         demand_of: Callable[[Job], Demand],
         pools_of: Callable[[Job], Pools | None],
         teams: Callable[[], Mapping[str, TeamLimits]],
+        now: Callable[[], timedelta],
     ) -> None:
         self.index = index
         self.units_by_team: Counter[str] = Counter()
@@ -110,7 +111,10 @@
         self._spread: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
         self._deficits: dict[str, float] = defaultdict(float)
         self._last_plan: timedelta | None = None
-        self._cores_since_plan: dict[str, float] = {}
+        self._now = now
+        self._held: dict[str, float] = defaultdict(float)
+        """Core seconds that each team has held since the last plan."""
+        self._held_until: dict[str, timedelta] = {}
 
     def job_changed(self, key: str, before: Job | None, after: Job | None) -> None:
         """Take over a change of a job."""
@@ -154,7 +158,6 @@
         step = _Step(Plan(), self._update_shares(now, teams), limit)
         for urgent in (True, False):
             self._plan_priority(step, teams, urgent)
-        self._cores_since_plan = dict(self._placed_cores)
         return step.plan
 
     def _plan_priority(
@@ -281,7 +284,7 @@
         self._placed[job.key] = (worker, demand)
         self.index.allocate(worker, job.key, demand)
         self.units_by_team[job.team] += job.units
-        self._placed_cores[job.team] += demand.cores
+        self._change_cores(job.team, demand.cores)
         self._count_spread(job, worker, 1)
 
     def unreserve(self, job: Job) -> None:
@@ -297,7 +300,7 @@
         """Change what a placed job takes of its worker."""
         worker, before = self._placed[job.key]
         self._placed[job.key] = (worker, demand)
-        self._placed_cores[job.team] += demand.cores - before.cores
+        self._change_cores(job.team, demand.cores - before.cores)
         self.index.allocate(worker, job.key, demand)
 
     def over_share(self, team: str) -> float:
@@ -332,7 +335,15 @@
         self._count_spread(job, worker, -1)
         self.index.release(worker, key)
         self.units_by_team[job.team] -= job.units
-        self._placed_cores[job.team] -= demand.cores
+        self._change_cores(job.team, -demand.cores)
+
+    def _change_cores(self, team: str, change: float) -> None:
+        """Change what a team holds, and sum up what it has held until now."""
+        now = self._now()
+        since = self._held_until.get(team, now)
+        self._held[team] += self._placed_cores[team] * (now - since).total_seconds()
+        self._held_until[team] = now
+        self._placed_cores[team] += change
 
     def _count_spread(self, job: Job, name: str, change: int) -> None:
         worker = self.index.workers_by_name.get(name)
@@ -373,15 +384,17 @@
         }
         weights = {team: limits.weight for team, limits in teams.items()}
         entitled = weighted_max_min(capacity, demands, weights)
-        elapsed = (now - self._last_plan) if self._last_plan is not None else None
+        elapsed = now - (self._last_plan if self._last_plan is not None else now)
         self._last_plan = now
         window = SHARE_WINDOW.total_seconds()
-        seconds = min(window, elapsed.total_seconds()) if elapsed is not None else 0.0
+        seconds = elapsed.total_seconds()
+        kept = max(0.0, 1 - seconds / window)
         for team, amount in entitled.items():
-            missing = amount - self._cores_since_plan.get(team, 0.0)
-            deficit = self._deficits[team] * (1 - seconds / window)
+            self._change_cores(team, 0.0)
+            missing = amount * seconds - self._held.pop(team, 0.0)
+            deficit = self._deficits[team] * kept
             # What is owed from before the window is forgotten, not paid later.
-            self._deficits[team] = deficit + missing * seconds if amount else 0.0
+            self._deficits[team] = deficit + missing if amount else 0.0
         return entitled
 
 
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -68,7 +68,12 @@
         self.index = CapacityIndex()
         self.estimates = Estimates()
         self.placer = Placer(
-            self.index, self.table.get, self._demand, self._pools, self._teams
+            self.index,
+            self.table.get,
+            self._demand,
+            self._pools,
+            self._teams,
+            clock.monotonic,
         )
         self.follower = TaskFollower(
             clock, self.table, self.estimates, self.placer.units_by_team, epoch
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -31,6 +31,7 @@
             Estimates().demand,
             lambda job: ("p",),
             lambda: teams,
+            lambda: timedelta(0),
         )
         for n in range(workers):
             zone = f"az{n % 3}"
