--- a/measurements/jobs.py
+++ b/measurements/jobs.py
@@ -19,7 +19,8 @@
 from pomeloyard.capacity import CapacityIndex, Demand, Worker
 from pomeloyard.job_store import JobStore
 from pomeloyard.jobs import Job, JobRequest, JobState, job_id_of
-from pomeloyard.placement import Placer, TeamLimits
+from pomeloyard.placement import Placer
+from pomeloyard.team_shares import TeamLimits
 from tests.support.fake_workers import GIB, Bench
 
 URGENT_BOUND_SECONDS = 7.2
@@ -224,7 +225,7 @@
         for _ in range(round(SHARE_WINDOW_SECONDS / 0.25)):
             await bench.run(0.25)
             for team in weights:
-                held[team] += scheduler.term.placer.over_share(team)
+                held[team] += scheduler.term.placer.shares.held_by_weight(team)
     # Cores for each unit of weight are equal when all are at their shares.
     mean = sum(held[t] * w for t, w in weights.items()) / sum(weights.values())
     return max(abs(held[team] / mean - 1) * 100 for team in weights)
--- a/src/pomeloyard/preemptor.py
+++ b/src/pomeloyard/preemptor.py
@@ -120,7 +120,9 @@
             pools = self._placer.pools_for(job)
             if not pools or not self._placer.within_limit(job, held.get(job.team, 0)):
                 continue
-            demand = self._placer.demand_for_job(job)
+            demand = self._placer.fitting_demand(job, pools)
+            if demand is None:
+                continue
             workers = [
                 (worker, tasks_by_worker.get(worker.name, []))
                 for worker in self._index.workers_by_name.values()
@@ -146,15 +148,17 @@
         waiting = [
             job
             for job, reason in plan.waiting
-            if reason is JobReason.NO_ROOM
+            if reason in (JobReason.NO_ROOM, JobReason.SHARE_USED)
             and job.submitted_at <= oldest
             and job.key not in self._holds
         ]
         waiting.sort(key=lambda job: (job.submitted_at, job.job_id))
         held_workers = {hold.preemption.worker for hold in self._holds.values()}
         for job in waiting[: limit - len(kept)] if limit > len(kept) else ():
-            demand = self._placer.demand_for_job(job)
             pools = self._placer.pools_for(job) or ()
+            demand = self._placer.fitting_demand(job, pools)
+            if demand is None:
+                continue
             fitting = [
                 worker
                 for name, worker in workers.items()
@@ -263,7 +267,7 @@
                         job.request.checkpointable,
                         job.request.idempotent,
                         job.throttled,
-                        self._placer.over_share(job.team),
+                        self._placer.shares.held_by_weight(job.team),
                         (now - started).total_seconds(),
                     )
                 )
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -20,11 +20,12 @@
 from .job_table import JobTable
 from .job_transitions import ended, not_started
 from .jobs import Job, JobDecision, JobReason, JobState, pools_of
-from .placement import Placement, Placer, Plan, TeamLimits
+from .placement import Placement, Placer, Plan
 from .platform.records import ConflictError, commit_changes
 from .platform.store import Compare, Entry, Store, WatchEvent
 from .preemptor import Preemptor
 from .task_follower import TaskFollower
+from .team_shares import TeamLimits
 from .worker_roster import WorkerRoster
 from .workers.client import WorkerClient
 from .workers.links import TASK_LEASE, Track, WorkerLinks
--- a/src/pomeloyard/worker_roster.py
+++ b/src/pomeloyard/worker_roster.py
@@ -70,7 +70,7 @@
 
     def refine(self, reason: JobReason) -> JobReason:
         """Name the cause of missing room more precisely."""
-        if reason is not JobReason.NO_ROOM:
+        if reason not in (JobReason.NO_ROOM, JobReason.SHARE_USED):
             return reason
         workers = self._index.workers_by_name
         if all(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -231,6 +231,27 @@
     run(check)
 
 
+@pytest.mark.parametrize(("store_delay", "worker_delay"), [(1.9, 0.0), (0.0, 1.9)])
+def test_slow_store_or_workers(store_delay, worker_delay):
+    """Guards against leases that expire, and starts that are lost, by slowness."""
+
+    async def check(bench):
+        for worker in bench.workers.by_name.values():
+            worker.slow = worker_delay
+        async with bench.scheduler():
+            await bench.run(3)
+            request = replace(ONCE, command="sleep 15")
+            ids = [await bench.submit("mill", f"k{n}", request) for n in range(12)]
+            bench.store.delay = timedelta(seconds=store_delay)
+            await bench.run(60)
+            bench.store.delay = timedelta(0)
+        jobs = await bench.jobs()
+        assert {jobs[j].state for j in ids} == {JobState.SUCCEEDED}
+        assert len(bench.workers.runs) == 12
+
+    run(check)
+
+
 def test_silent_workers_do_not_delay_others():
     """Guards against leases that expire because other workers are silent."""
 
