Keep only key and revision of ended jobs in the scheduler's memory

Cause: up to 50,000 ended records of about 1.2 KB each would exceed the 32 MB that a daemon may use for control. Change: an ended job is released from the table once it is written; at most 20,000 ended records are kept in the store.

--- a/src/pomeloyard/job_table.py
+++ b/src/pomeloyard/job_table.py
@@ -15,8 +15,9 @@
 
 RETENTION = timedelta(hours=24)
 """Time for which final records are kept; it bounds idempotency of submissions."""
-MAX_FINAL_RECORDS = 50_000
-"""Above this many final records the oldest are removed before their time."""
+MAX_FINAL_RECORDS = 20_000
+"""Above this many final records the oldest are removed before their time, which
+bounds the store's size (about 30 MB) and the time to take the role."""
 
 OnChange = Callable[[str, Job | None, Job | None], None]
 
@@ -34,6 +35,8 @@
         self._records: dict[str, Versioned[Job]] = {}
         self._keys_by_job_id: dict[str, str] = {}
         self._final: list[tuple[datetime, str]] = []
+        self._final_revisions: dict[str, int] = {}
+        """Ended jobs, of which only key and revision are kept in memory."""
         self.pending: dict[str, Job] = {}
 
     def __len__(self) -> int:
@@ -60,13 +63,23 @@
     def __iter__(self) -> Iterator[str]:
         return iter(list(self._records))
 
-    def load(self, entries: tuple[Entry, ...]) -> None:
-        """Take over a complete scan; jobs that are absent from it are forgotten."""
+    def load(
+        self,
+        entries: tuple[Entry, ...],
+        on_ended: Callable[[Job], None] | None = None,
+    ) -> None:
+        """Take over a complete scan; jobs that are absent from it are forgotten.
+
+        ``on_ended`` is called with each job that has ended.
+        """
         present = {entry.key for entry in entries}
-        for key in [key for key in self._records if key not in present]:
+        known = [*self._records, *self._final_revisions]
+        for key in [key for key in known if key not in present]:
             self._forget(key)
         for entry in entries:
-            self._put(entry)
+            job = self._put(entry)
+            if on_ended is not None and job is not None and job.final:
+                on_ended(job)
 
     def apply(self, event: WatchEvent) -> None:
         """Take over a change that the watch reports."""
@@ -101,9 +114,10 @@
             return
         job: Job = change.value
         writes = change.expected.write_ids if change.expected else ()
-        self._store_record(Versioned(change.key, job, revision, writes))
+        self._records[change.key] = Versioned(change.key, job, revision, writes)
         if self.pending.get(change.key) is job:
             del self.pending[change.key]
+        self._release_final(change.key)
 
     def removals(self, now: datetime, limit: int) -> list[Change]:
         """Return deletions of final records whose retention time has passed."""
@@ -114,8 +128,9 @@
             if ended_at + RETENTION > now and not surplus:
                 break
             heapq.heappop(self._final)
-            record = self._records.get(key)
-            if record is not None and record.value.final and key not in self.pending:
+            revision = self._final_revisions.get(key)
+            if revision is not None:
+                record = Versioned(key, None, revision)
                 changes.append(Change(key, None, record))
         return changes
 
@@ -123,22 +138,25 @@
         """Note that a record was deleted from the store."""
         self._forget(key)
 
-    def _put(self, entry: Entry) -> None:
+    def _put(self, entry: Entry) -> Job | None:
         # Equal revisions are applied again: after a lost answer the local copy
         # may have been noted under a revision that another writer made.
         if entry.mod_revision < self._revision(entry.key):
-            return
+            return None
         try:
             record = decode_record(entry, Job)
         except RecordError as error:
             log.error("job record ignored: {}", error)
-            return
-        before = self.get(entry.key)
-        self._store_record(record)
-        self._rebase(entry.key)
-        after = self.get(entry.key)
-        if before != after:
-            self._on_change(entry.key, before, after)
+            return None
+        key, before = entry.key, self.get(entry.key)
+        self._records[key] = record
+        self._keys_by_job_id[record.value.job_id] = key
+        self._rebase(key)
+        after = self.get(key)
+        if before != after and not (before is None and record.value.final):
+            self._on_change(key, before, after)
+        self._release_final(key)
+        return record.value
 
     def _rebase(self, key: str) -> None:
         """Apply a pending change to a record that a caller has changed."""
@@ -156,17 +174,22 @@
                 after = replace(after, state=JobState.CANCELLED)
             self.pending[key] = after
 
-    def _store_record(self, record: Versioned[Job]) -> None:
-        known = self._records.get(record.key)
-        self._records[record.key] = record
+    def _release_final(self, key: str) -> None:
+        """Keep only the revision of a job that has ended."""
+        record = self._records[key]
         job = record.value
-        self._keys_by_job_id[job.job_id] = record.key
-        if job.final and not (known is not None and known.value.final):
-            heapq.heappush(self._final, (job.ended_at or job.submitted_at, record.key))
+        if not job.final or key in self.pending:
+            return
+        del self._records[key]
+        del self._keys_by_job_id[job.job_id]
+        if key not in self._final_revisions:
+            heapq.heappush(self._final, (job.ended_at or job.submitted_at, key))
+        self._final_revisions[key] = record.mod_revision
 
     def _forget(self, key: str) -> None:
         before = self.get(key)
         self.pending.pop(key, None)
+        self._final_revisions.pop(key, None)
         record = self._records.pop(key, None)
         if record is not None:
             self._keys_by_job_id.pop(record.value.job_id, None)
@@ -175,4 +198,6 @@
 
     def _revision(self, key: str) -> int:
         record = self._records.get(key)
-        return 0 if record is None else record.mod_revision
+        if record is None:
+            return self._final_revisions.get(key, 0)
+        return record.mod_revision
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -99,15 +99,15 @@
 
     def load(self, entries: tuple[Entry, ...]) -> None:
         """Take over a complete scan of the job records."""
-        self.table.load(entries)
-        if not self._loaded:
-            for key in self.table:
-                job = self.table.recorded(key)
-                if job is not None and job.state is JobState.SUCCEEDED:
-                    self.estimates.learn(job, completed=True)
+        first = not self._loaded
+        self.table.load(entries, self._learn_from_ended if first else None)
         self._loaded = True
         self._store_up = True
 
+    def _learn_from_ended(self, job: Job) -> None:
+        if job.state is JobState.SUCCEEDED:
+            self.estimates.learn(job, completed=True)
+
     def store_lost(self) -> None:
         """Note that the watch of job records broke."""
         self._store_up = False
