Make room for many urgent jobs at once

Cause: victims were chosen by looking at all tasks for each urgent job, room that was already being made on a worker was not counted, and a hanging checkpoint of a task that must not be stopped held up the urgent job. Change: the cheapest preemption of each worker is kept in a heap for each size; victims that are leaving count as room to come; after 3 s without a checkpoint room is made elsewhere.

--- a/src/pomeloyard/preemption.py
+++ b/src/pomeloyard/preemption.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+import heapq
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -55,6 +57,8 @@
     @property
     def cost(self) -> tuple[float, ...]:
         """Return the order of choice: mildest way, fewest and cheapest victims."""
+        if not self.victims:
+            return (0.0, 0.0, 0.0, 0.0)
         worst = max(v.way for v in self.victims)
         # A checkpointed task loses no work; a stopped one all that it has done.
         lost = sum(v.task.run_seconds for v in self.victims if v.way is Mildness.STOP)
@@ -75,31 +79,86 @@
     return found
 
 
-def choose_victims(
-    demand: Demand, workers: Iterable[tuple[Worker, Sequence[RunningTask]]]
-) -> Preemption | None:
-    """Return the mildest preemption that lets a demand fit, or None.
+class VictimChooser:
+    """Chooses victims for several urgent jobs in one step.
 
-    Takes time linear in the tasks (apart from sorting those of one worker).
+    The cheapest preemption of each worker is found once for each size of job and
+    again only for workers that were chosen, so that n workers and m jobs cost
+    n log n + m log n and not m * n. Each worker comes with the tasks that may
+    have to make room and the victims that are already doing so.
     """
-    best: Preemption | None = None
-    for worker, tasks in workers:
+
+    def __init__(
+        self, workers: Iterable[tuple[Worker, Sequence[RunningTask], Sequence[Victim]]]
+    ) -> None:
+        self._workers: dict[str, tuple[Worker, Sequence[RunningTask]]] = {}
+        self._leaving: dict[str, list[Victim]] = {}
+        for worker, tasks, leaving in workers:
+            self._workers[worker.name] = (worker, tasks)
+            self._leaving[worker.name] = list(leaving)
+        self._used: dict[str, int] = defaultdict(int)
+        self._heaps: dict[
+            tuple[Demand, Collection[str]],
+            list[tuple[tuple[float, ...], str, int, Preemption]],
+        ] = {}
+
+    def choose(
+        self, demand: Demand, pools: Collection[str], avoid: Collection[str] = ()
+    ) -> Preemption | None:
+        """Return the mildest preemption that lets a demand fit, or None."""
+        heap = self._heaps.get((demand, pools))
+        if heap is None:
+            heap = self._heaps[(demand, pools)] = []
+            for worker, _ in self._workers.values():
+                if worker.pool in pools:
+                    self._push(heap, demand, worker.name)
+        skipped = []
+        chosen: Preemption | None = None
+        while heap and chosen is None:
+            entry = heapq.heappop(heap)
+            _, name, used, preemption = entry
+            if used != self._used[name]:
+                self._push(heap, demand, name)
+            elif name in avoid:
+                skipped.append(entry)
+            else:
+                chosen = preemption
+        for entry in skipped:
+            heapq.heappush(heap, entry)
+        return chosen
+
+    def use(self, preemption: Preemption) -> None:
+        """Take a preemption's tasks out of the choice; room must be held already."""
+        worker, tasks = self._workers[preemption.worker]
+        keys = {victim.task.job_key for victim in preemption.victims}
+        left = [task for task in tasks if task.job_key not in keys]
+        self._workers[preemption.worker] = (worker, left)
+        self._leaving[preemption.worker].extend(preemption.victims)
+        self._used[preemption.worker] += 1
+
+    def _push(self, heap: list, demand: Demand, name: str) -> None:
+        worker, tasks = self._workers[name]
         if not worker.open() or not demand.within(worker.capacity):
-            continue
-        found = _on_worker(demand, worker, tasks)
-        if found is not None and (best is None or found.cost < best.cost):
-            best = found
-    return best
+            return
+        found = _on_worker(demand, worker, tasks, self._leaving[name])
+        if found is not None:
+            heapq.heappush(heap, (found.cost, name, self._used[name], found))
 
 
 def _on_worker(
-    demand: Demand, worker: Worker, tasks: Sequence[RunningTask]
+    demand: Demand,
+    worker: Worker,
+    tasks: Sequence[RunningTask],
+    leaving: Sequence[Victim],
 ) -> Preemption | None:
+    coming = _sum(leaving)
     missing = Demand(
-        demand.cores - worker.free_cores,
-        demand.memory_bytes - worker.free_memory_bytes,
-        demand.accelerators - worker.free_accelerators,
+        demand.cores - worker.free_cores - coming.cores,
+        demand.memory_bytes - worker.free_memory_bytes - coming.memory_bytes,
+        demand.accelerators - worker.free_accelerators - coming.accelerators,
     )
+    if _freed((), missing):
+        return Preemption(worker.name, ())
     options = [victim for task in tasks for victim in ways(task)]
     for allowed in Mildness:
         victims = _enough(missing, [v for v in options if v.way <= allowed])
@@ -130,12 +189,14 @@
 
 
 def _freed(victims: Iterable[Victim], missing: Demand) -> bool:
-    freed = Demand(0.0, 0, 0)
-    for victim in victims:
-        freed = replace(
-            freed,
-            cores=freed.cores + victim.freed.cores,
-            memory_bytes=freed.memory_bytes + victim.freed.memory_bytes,
-            accelerators=freed.accelerators + victim.freed.accelerators,
-        )
+    freed = _sum(victims)
     return missing.within(replace(freed, cores=freed.cores + 1e-6))
+
+
+def _sum(victims: Iterable[Victim]) -> Demand:
+    cores, memory, accelerators = 0.0, 0, 0
+    for victim in victims:
+        cores += victim.freed.cores
+        memory += victim.freed.memory_bytes
+        accelerators += victim.freed.accelerators
+    return Demand(cores, memory, accelerators)
--- a/src/pomeloyard/preemptor.py
+++ b/src/pomeloyard/preemptor.py
@@ -19,17 +19,23 @@
     Preemption,
     RunningTask,
     Victim,
-    choose_victims,
+    VictimChooser,
 )
 from .workers.links import WorkerLinks
 from .workers.tasks import TaskAction
 
 MAX_URGENT = 64
 """Urgent jobs of each team for which room is made at the same time."""
-CHECKPOINT_TIMEOUT = timedelta(seconds=3.5)
+CHECKPOINT_TIMEOUT = timedelta(seconds=3)
 """After this time an idempotent task that has not written its checkpoint is
-stopped, so that the urgent job still starts within 7.2 s."""
+stopped; if another has not, room is made elsewhere. With a shorter time for the
+second choice the urgent job still starts within 7.2 s."""
+SECOND_CHECKPOINT_TIMEOUT = timedelta(seconds=1.5)
+STUCK_FOR = timedelta(seconds=60)
+"""For this long a task whose checkpoint hung is not chosen again."""
 HOLD_TIMEOUT = timedelta(seconds=6)
+CHOICE_INTERVAL = timedelta(seconds=0.5)
+"""Victims are chosen at most this often, since it looks at all running tasks."""
 POLL = timedelta(seconds=0.4)
 HOLD_PREFIX = "hold:"
 KEEP_ROOM_AFTER = timedelta(seconds=30)
@@ -78,6 +84,9 @@
         self._record = record
         self._holds: dict[str, _Hold] = {}
         self._throttled: set[str] = set()
+        self._next_choice = timedelta(0)
+        self._stuck_until: dict[str, timedelta] = {}
+        self._second_choice: set[str] = set()
 
     def ready(self, now: timedelta) -> list[Placement]:
         """Return placements of urgent jobs whose room has been made."""
@@ -95,6 +104,7 @@
                 self._drop(key)
             elif _has_room(worker):
                 self._drop(key)
+                self._second_choice.discard(key)
                 self._placer.reserve(job, worker.name, hold.demand)
                 made = Considered(worker.name, hold.reason)
                 placements.append(Placement(job, worker.name, hold.demand, (made,)))
@@ -105,6 +115,8 @@
 
     def make_room(self, now: timedelta) -> None:
         """Start making room for urgent jobs that wait."""
+        if now < self._next_choice:
+            return
         waiting = [
             job
             for job in self._placer.queued_urgent(MAX_URGENT)
@@ -115,7 +127,8 @@
         held: dict[str, int] = {}
         for hold in self._holds.values():
             held[hold.job.team] = held.get(hold.job.team, 0) + hold.job.units
-        tasks_by_worker = dict(self._running_tasks())
+        self._next_choice = now + CHOICE_INTERVAL
+        chooser = VictimChooser(self._running_tasks())
         for job in waiting:
             pools = self._placer.pools_for(job)
             if not pools or not self._placer.within_limit(job, held.get(job.team, 0)):
@@ -123,26 +136,20 @@
             demand = self._placer.fitting_demand(job, pools)
             if demand is None:
                 continue
-            workers = [
-                (worker, tasks_by_worker.get(worker.name, []))
-                for worker in self._index.workers_by_name.values()
-                if worker.pool in pools and worker.name not in job.failed_on
-            ]
-            chosen = choose_victims(demand, workers)
-            if chosen is None:
-                continue
-            held[job.team] = held.get(job.team, 0) + job.units
-            used = {victim.task.job_key for victim in chosen.victims}
-            tasks = tasks_by_worker[chosen.worker]
-            tasks_by_worker[chosen.worker] = [
-                task for task in tasks if task.job_key not in used
-            ]
-            self._begin(_Hold(job, demand, chosen, now))
+            chosen = chooser.choose(demand, pools, job.failed_on)
+            if chosen is not None:
+                held[job.team] = held.get(job.team, 0) + job.units
+                self._begin(_Hold(job, demand, chosen, now))
+                chooser.use(chosen)
 
     def keep_room(self, now: timedelta, plan: Plan) -> None:
         """Keep a worker free for the oldest jobs that smaller ones have passed."""
         workers = self._index.workers_by_name
-        kept = [h for h in self._holds.values() if not h.preemption.victims]
+        kept = [
+            hold
+            for hold in self._holds.values()
+            if hold.reason is CandidateReason.ROOM_KEPT
+        ]
         limit = max(1, int(len(workers) * MAX_KEPT_SHARE))
         oldest = self._clock.now() - KEEP_ROOM_AFTER
         waiting = [
@@ -208,18 +215,28 @@
 
     def _press(self, hold: _Hold, now: timedelta) -> None:
         """Ask for reports, and stop victims that take too long."""
-        if not hold.preemption.victims:
+        if hold.reason is CandidateReason.ROOM_KEPT:
             return
         link = self._links.by_name.get(hold.preemption.worker)
         if link is not None:
             self._links.hurry(link, POLL)
-        if hold.escalated or now < hold.began + CHECKPOINT_TIMEOUT:
+        second = hold.job.key in self._second_choice
+        patience = SECOND_CHECKPOINT_TIMEOUT if second else CHECKPOINT_TIMEOUT
+        if hold.escalated or now < hold.began + patience:
             return
         hold.escalated = True
         for victim in hold.preemption.victims:
+            if not self._still_frees(victim, hold.preemption.worker):
+                continue
             if victim.way is Mildness.CHECKPOINT and victim.task.idempotent:
                 stop = replace(victim, way=Mildness.STOP)
                 self._signal(hold.preemption.worker, stop)
+            elif victim.way is Mildness.CHECKPOINT:
+                self._stuck_until[victim.task.job_key] = now + STUCK_FOR
+                self._second_choice.add(hold.job.key)
+        if any(v.task.job_key in self._stuck_until for v in hold.preemption.victims):
+            self._drop(hold.job.key)
+            self._next_choice = now
 
     def _drop(self, key: str) -> None:
         hold = self._holds.pop(key)
@@ -244,13 +261,22 @@
                 self._links.signal(link, job.task_id, TaskAction.UNTHROTTLE)
                 self._table.set(replace(job, throttled=False))
 
-    def _running_tasks(self) -> Iterator[tuple[str, list[RunningTask]]]:
+    def _running_tasks(
+        self,
+    ) -> Iterator[tuple[Worker, list[RunningTask], list[Victim]]]:
         now = self._clock.now()
-        busy = {
-            victim.task.job_key
-            for hold in self._holds.values()
-            for victim in hold.preemption.victims
+        leaving: dict[str, list[Victim]] = {}
+        stuck = self._stuck_until
+        stuck = {
+            k: until for k, until in stuck.items() if until > self._clock.monotonic()
         }
+        self._stuck_until = stuck
+        busy = set(stuck)
+        for hold in self._holds.values():
+            for victim in hold.preemption.victims:
+                busy.add(victim.task.job_key)
+                if self._still_frees(victim, hold.preemption.worker):
+                    leaving.setdefault(hold.preemption.worker, []).append(victim)
         for worker in self._index.workers_by_name.values():
             tasks: list[RunningTask] = []
             for key, demand in worker.demands_by_job.items():
@@ -271,7 +297,14 @@
                         (now - started).total_seconds(),
                     )
                 )
-            yield worker.name, tasks
+            yield worker, tasks, leaving.get(worker.name, [])
+
+    def _still_frees(self, victim: Victim, worker: str) -> bool:
+        """Tell whether a victim's room is not free yet but will be."""
+        job = self._table.get(victim.task.job_key)
+        if victim.way is Mildness.THROTTLE or job is None:
+            return False  # A throttled task's smaller size is counted at once.
+        return job.placed and job.worker == worker
 
 
 def _has_room(worker: Worker) -> bool:
