Start scheduling again after an unexpected error

Cause: an error in a scheduling step ended the daemon, and each successor in the role would have met it as well. Change: the error is logged and a new term begins under the same epoch; it reads everything afresh and adopts running tasks. An order that the failed term may have left on its way is followed until its lease has ended. Conclusion: no non-idempotent job ran twice after an injected error.

--- a/src/pomeloyard/scheduler.py
+++ b/src/pomeloyard/scheduler.py
@@ -19,6 +19,7 @@
 from .workers.client import WorkerClient
 
 RETRY_DELAY = timedelta(seconds=0.5)
+RESTART_DELAY = timedelta(seconds=1)
 EPOCH_KEY = "epochs/scheduler"
 
 log = logbook.Logger("pomeloyard.scheduler")
@@ -45,8 +46,19 @@
     async def run(self, epoch: int) -> None:
         """Place and follow jobs until cancelled or the role is lost."""
         guard = await self._guard(epoch)
-        if guard is None:
-            return
+        while guard is not None:
+            try:
+                await self._run_term(epoch, guard)
+            except Exception:
+                # The daemon also serves requests, and a successor would meet the
+                # same error; a new term reads everything afresh.
+                log.exception("scheduling failed and starts again")
+                await self._clock.sleep(RESTART_DELAY)
+            else:
+                log.warning("scheduler role epoch {} was lost", epoch)
+                return
+
+    async def _run_term(self, epoch: int, guard: Compare) -> None:
         term = SchedulerTerm(
             self._clock,
             self._state,
@@ -63,7 +75,6 @@
                 tasks.start_soon(term.links.run)
                 tasks.start_soon(term.run)
                 await term.ended.wait()
-                log.warning("scheduler role epoch {} was lost", epoch)
                 tasks.cancel_scope.cancel()
         finally:
             self.term = None
--- a/src/pomeloyard/task_follower.py
+++ b/src/pomeloyard/task_follower.py
@@ -83,7 +83,8 @@
             return
         if after.cancel_requested:
             self._cancelled.add(after.key)
-        if after.fence != self._epoch and after.key not in self._recovered:
+        earlier = before is None or after.fence != self._epoch
+        if earlier and after.key not in self._recovered:
             # Followed from the first contact with its worker on.
             now = self._clock.monotonic()
             self._recovered[after.key] = now + RECOVERY_WAIT
@@ -118,6 +119,7 @@
                 continue
             del self._recovered[key]
             track = Track(key, None, ended_by, job.request.idempotent, recovered=True)
+            track.superseded = job.fence != self._epoch
             link.tracks.setdefault(job.task_id, track)
             self.links.hurry(link)
 
@@ -263,6 +265,10 @@
         if task_id in known:
             # The worker had the task and lost it, for example by a restart.
             self._lose(job, JobReason.WORKER_UNREACHABLE)
+        elif track.recovered and not track.superseded:
+            # An order of a term that failed may still arrive: it is followed, but
+            # not renewed, until its lease has ended.
+            track.recovered, track.uncertain = False, True
         elif track.recovered:
             # The worker now refuses the former scheduler's orders, so the task
             # cannot start any more; it can have run only before a restart.
@@ -271,7 +277,7 @@
                 self._table.set(not_started(job, self._clock.now()))
             else:
                 self._lose(job, JobReason.WORKER_UNREACHABLE)
-        elif track.uncertain and track.idempotent:
+        elif track.uncertain and track.idempotent and track.order is not None:
             self.links.start_again(link, task_id, track)
         elif track.uncertain and now >= track.ended_by:
             self._lose(job, JobReason.UNKNOWN)
--- a/src/pomeloyard/workers/links.py
+++ b/src/pomeloyard/workers/links.py
@@ -46,7 +46,8 @@
     """A task at a worker.
 
     ``confirmed``: the worker is known to have it. ``uncertain``: a start had an
-    unknown outcome. ``recovered``: an earlier scheduler ordered it.
+    unknown outcome. ``recovered``: it was ordered before this term began;
+    ``superseded``: under a lower fencing token, which the worker now refuses.
     ``ended_by`` is when its lease has certainly ended without another renewal.
     """
 
@@ -57,6 +58,7 @@
     confirmed: bool = False
     uncertain: bool = False
     recovered: bool = False
+    superseded: bool = False
     starting: bool = False
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,6 +10,7 @@
 from pomeloyard.jobs import JobReason, JobRequest, JobState
 from pomeloyard.workers.tasks import TaskState
 from tests.support.fake_workers import GIB, Bench
+from tests.support.job_fakes import advance
 
 ONCE = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
 AGAIN = replace(ONCE, idempotent=True)
@@ -121,8 +122,7 @@
         async with bench.scheduler():
             await bench.run(1)
             await bench.submit("mill", "k", request)
-            for _ in range(round(kill_at / 0.05)):
-                await bench.run(0.05)
+            await advance(bench.clock, kill_at)
         await bench.run(3)
         async with bench.scheduler():
             await bench.run(40)
@@ -135,6 +135,28 @@
     run(check, workers=2, limits={"mill": 5})
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize("fail_at", [0.05, 0.15, 0.5, 1.5, 2.5])
+def test_term_that_fails_starts_again(fail_at, idempotent):
+    """Guards against an error in scheduling that ends the daemon or loses tasks."""
+
+    def broken(*_):
+        raise RuntimeError("injected")
+
+    async def check(bench):
+        request = AGAIN if idempotent else ONCE
+        await bench.submit_many("mill", request, 20)
+        async with bench.scheduler() as scheduler:
+            await advance(bench.clock, fail_at)
+            scheduler.term.placer.plan = broken
+            await bench.run(60)
+        jobs = await bench.jobs()
+        assert all(job.state is JobState.SUCCEEDED for job in jobs.values())
+        assert len(bench.workers.runs) == 20
+
+    run(check, workers=2, limits={"mill": 5})
+
+
 def test_two_schedulers_at_once():
     """Guards against a resumed scheduler that places beside its successor."""
 
