--- a/src/pomeloyard/budgets.py
+++ b/src/pomeloyard/budgets.py
@@ -116,20 +116,25 @@
     the whole pool are counted over its configured size, so that lending VMs away
     does not lower what must stay.
     """
-    totals: Counter[Scope] = Counter()
-    available: Counter[Scope] = Counter()
+    counts: dict[tuple[str, str], list[int]] = {}
     for name, member in record.members_by_vm.items():
+        # Counted by plain strings, as this is done for every VM in every step.
+        key = (member.role.value, member.availability_zone)
+        count = counts.setdefault(key, [0, 0])
         spending = record.spending_by_vm.get(name)
-        scopes = (Scope(member.role), Scope(member.role, member.availability_zone))
         if spending is None or spending.kind is not SpendingKind.JOINING:
-            totals.update(scopes)
+            count[0] += 1
         if spending is None and name not in unavailable:
-            available.update(scopes)
+            count[1] += 1
+    by_scope: dict[Scope, tuple[int, int]] = {}
+    for (role, zone), (total, available) in counts.items():
+        by_scope[Scope(VmRole(role), zone)] = (total, available)
+        whole = by_scope.get(Scope(VmRole(role)), (0, 0))
+        by_scope[Scope(VmRole(role))] = (whole[0] + total, whole[1] + available)
     return {
-        scope: Headroom(
-            total, _needed(scope, total, budget, pool), available.get(scope, 0)
-        )
-        for scope, total in totals.items()
+        scope: Headroom(total, _needed(scope, total, budget, pool), available)
+        for scope, (total, available) in by_scope.items()
+        if total
     }
 
 
--- a/src/pomeloyard/buffers.py
+++ b/src/pomeloyard/buffers.py
@@ -2,26 +2,31 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable, Mapping
 from datetime import datetime, timedelta
 
 import logbook
 
+from .budgets import BudgetRecord, Scope
 from .decisions import Decision, DecisionKind, DecisionLog
 from .errors import RefusedError, StoreError
 from .fleet_records import FleetRecords
 from .forecasts import (
+    TURN_MARGIN,
     LendDecision,
     LendReason,
     PoolDemand,
     PoolForecast,
+    TurnForecast,
     median_time,
     plan_lending,
+    wanted_vms,
 )
 from .operations import VmOperations
 from .platform.directory import VmRole
-from .platform.records import ConflictError
+from .platform.records import ConflictError, Versioned
 from .vms import Cause, VmPlan, VmRecord, VmState
 
 FIRST_MOVE_TIME = timedelta(seconds=5)
@@ -51,13 +56,14 @@
         self._forecasts: dict[str, PoolForecast] = defaultdict(PoolForecast)
         self._move_began_at: dict[str, datetime] = {}
         self._move_times: deque[timedelta] = deque(maxlen=MOVES_REMEMBERED)
+        self._turns = TurnForecast()
         self._last_not_moved: dict[str, LendReason] = {}
 
     def move_time(self) -> timedelta:
         """Return the median time of recent moves, from drain to service."""
         return median_time(self._move_times) if self._move_times else FIRST_MOVE_TIME
 
-    async def step(self) -> None:
+    async def step(self, budgets: Mapping[str, Versioned[BudgetRecord]]) -> None:
         """Take a sample of the demand and start the moves that are worth it."""
         config, now = self._records.state.config, self._records.clock.now()
         spare = [p.name for p in config.pools_by_name.values() if p.spare]
@@ -65,8 +71,8 @@
         if not spare:
             return
         pools = self._pool_demands(spare[0], now)
-        free = self._free_vms(spare[0])
-        plan = plan_lending(pools, spare[0], len(free), now, self.move_time())
+        free = self._lendable(spare[0], pools, budgets)
+        plan = plan_lending(pools, spare[0], free, now, self.move_time())
         for decision in plan:
             await self._carry_out(decision, spare[0])
 
@@ -78,18 +84,68 @@
             if vm.role is not VmRole.EXECUTOR:
                 continue
             pool = vm.target_pool or vm.pool
-            if vm.home_pool == spare or (vm.pool == spare and vm.target_pool):
+            lent = vm.home_pool == spare or vm.pool == spare
+            if lent and pool != spare:
                 borrowed[pool] += 1
-            elif vm.accepts_work():
+            elif vm.accepts_work() or vm.target_pool:
                 own[pool] += 1
+        for pool in sorted(demand):
+            forecast = self._forecasts[pool]
+            was_peak = forecast.peak_began_at
+            forecast.observe(now, demand[pool], self._ordinary_vms(pool, own[pool]))
+            if was_peak is None and forecast.peak_began_at is not None:
+                self._turns.note_start(pool, now)
+        turn = self._turns.next_peak(now)
         pools = []
-        for pool in sorted(demand.keys() - {spare}):
-            self._forecasts[pool].observe(now, demand[pool], own[pool])
+        for pool in sorted(demand):
+            prepare_from = self._forecasts[pool].prepare_from(now)
+            if turn is not None and turn[0] == pool:
+                prepare_from = turn[1] - turn[2] * TURN_MARGIN
             pools.append(
-                PoolDemand(pool, own[pool], borrowed[pool], self._forecasts[pool])
+                PoolDemand(
+                    pool,
+                    own[pool],
+                    borrowed[pool],
+                    self._forecasts[pool],
+                    prepare_from,
+                )
             )
         return pools
 
+    def _ordinary_vms(self, pool: str, own: int) -> int:
+        """Return the VMs above whose load a pool's demand counts as a peak.
+
+        The spare pool has more VMs than its own service needs, which is what the
+        pool's configured size says.
+        """
+        config = self._records.state.config.pools_by_name.get(pool)
+        configured = config.executors if config is not None else 0
+        return min(own, configured) if configured else own
+
+    def _lendable(
+        self,
+        spare: str,
+        pools: list[PoolDemand],
+        budgets: Mapping[str, Versioned[BudgetRecord]],
+    ) -> int:
+        """Return how many VMs the spare pool can lend within its own needs."""
+        free = len(self._free_vms(spare))
+        own = next((pool for pool in pools if pool.pool == spare), None)
+        if own is not None:
+            needed = math.ceil(own.forecast.demand)
+            _, reason = wanted_vms(own, self._records.clock.now(), self.move_time())
+            if reason is not LendReason.NO_PEAK:
+                needed = max(needed, math.ceil(own.forecast.height_now()))
+            free = min(free, own.own_vms - needed)
+        for service in self._records.services_of(spare):
+            budget = budgets.get(service.name)
+            if budget is None:
+                continue
+            room = self._records.headroom(service, budget.value)
+            if Scope(VmRole.EXECUTOR) in room:
+                free = min(free, room[Scope(VmRole.EXECUTOR)].spare)
+        return max(0, free)
+
     def _free_vms(self, pool: str) -> list[VmRecord]:
         """Return executors of a pool that may be lent on, in name order.
 
--- a/src/pomeloyard/controller.py
+++ b/src/pomeloyard/controller.py
@@ -11,13 +11,12 @@
 from .clock import Clock
 from .decisions import DecisionLog
 from .drains import AskRunning, DrainVerifier, TaskCounts
-from .errors import RefusedError, StoreError
+from .errors import PomeloyardError
 from .fleet_records import FleetRecords
 from .fleet_state import FleetState
 from .lifecycle import VmLifecycle
 from .operations import VmOperations
 from .platform.directory import VmDirectory
-from .platform.records import ConflictError
 from .platform.store import Store
 from .repair import HealthBook
 from .repairs import RepairManager
@@ -69,7 +68,7 @@
         while True:
             try:
                 await self.step()
-            except (StoreError, ConflictError, RefusedError) as error:
+            except PomeloyardError as error:
                 log.warning("controller step failed: {}", error)
             await self._clock.sleep(TICK)
 
@@ -86,4 +85,4 @@
         await self.waves.step(budgets)
         await self.lifecycle.advance_all()
         await self.repairs.step()
-        await self.buffers.step()
+        await self.buffers.step(budgets)
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -110,7 +110,7 @@
             directory,
             self.decisions,
             self.drain_notices.ask,
-            JobTaskCounts(self.jobs),
+            JobTaskCounts(store),
             self.drain_notices.announce,
             self._demand_by_pool,
         )
--- a/src/pomeloyard/drains.py
+++ b/src/pomeloyard/drains.py
@@ -10,20 +10,27 @@
 from enum import Enum
 
 import anyio
+import msgspec
 
 from .clock import Clock
 from .fleet_state import FleetState
-from .jobs import FINAL_STATES, JobStore
+from .jobs import FINAL_STATES, JobState
+from .platform import layout
 from .platform.directory import VmRole
+from .platform.records import RecordError
+from .platform.store import Store, scan_all
 from .vms import VmRecord
 
 ASK_INTERVAL = timedelta(seconds=1)
 """Least time between two questions to one daemon about one VM."""
 
-SETTLE = timedelta(seconds=3)
+SETTLE = timedelta(seconds=2.5)
 """Time that a worker must stay without tasks after the last daemon has learned of
-the drain. A placement that was decided before is written within the store's call
-timeout of 2 s."""
+the drain, with a count taken after that. A placement that was decided before is
+written within the store's call timeout of 2 s."""
+
+COUNT_INTERVAL = timedelta(seconds=2)
+"""Least time between two scans of the job records."""
 
 AskRunning = Callable[[str, VmRecord], Awaitable[int | None]]
 """Returns the requests that a daemon runs at a VM, or None without an answer.
@@ -58,17 +65,41 @@
         """Return the number of tasks by VM; VMs without tasks may be absent."""
 
 
+class _JobHead(msgspec.Struct):
+    """The fields of a job record that say where it runs."""
+
+    worker: str
+    state: JobState
+
+
+class _JobRecord(msgspec.Struct):
+    data: _JobHead
+
+
+_JOB_DECODER = msgspec.json.Decoder(_JobRecord)
+"""Skips all other fields, as thousands of records are read at a time."""
+
+
 class JobTaskCounts(TaskCounts):
     """Counts tasks in the job records; a checkpointed task is no longer assigned."""
 
-    def __init__(self, jobs: JobStore) -> None:
-        self._jobs = jobs
+    def __init__(self, store: Store) -> None:
+        self._store = store
 
     async def running_tasks(self) -> dict[str, int]:
         """Return the number of tasks by VM."""
-        jobs = [record.value for record in await self._jobs.all()]
+        page = await scan_all(self._store, layout.JOBS)
+        try:
+            heads = [_JOB_DECODER.decode(entry.value).data for entry in page.entries]
+        except msgspec.MsgspecError as error:
+            # A task that cannot be read may run at any worker.
+            raise RecordError(f"{layout.JOBS}: {error}") from error
         return dict(
-            Counter(j.worker for j in jobs if j.worker and j.state not in FINAL_STATES)
+            Counter(
+                head.worker
+                for head in heads
+                if head.worker and head.state not in FINAL_STATES
+            )
         )
 
 
@@ -97,10 +128,16 @@
         self._ask = ask
         self._tasks = tasks
         self._drains_by_vm: dict[str, _Drain] = {}
+        self._task_counts: dict[str, int] = {}
+        self._counted_at: timedelta | None = None
 
     async def task_counts(self) -> dict[str, int]:
-        """Return the running tasks by VM, for one round of verifications."""
-        return await self._tasks.running_tasks()
+        """Return the running tasks by VM, counted at most once in an interval."""
+        now = self._clock.monotonic()
+        if self._counted_at is None or now - self._counted_at >= COUNT_INTERVAL:
+            self._task_counts = await self._tasks.running_tasks()
+            self._counted_at = now
+        return self._task_counts
 
     async def check(self, record: VmRecord, tasks: dict[str, int]) -> DrainCheck:
         """Return whether a draining VM is free of requests and tasks."""
@@ -118,9 +155,8 @@
         if silent and not expired:
             return DrainCheck(DrainStatus.DAEMONS_SILENT, 0, silent)
         if record.role is VmRole.WORKER:
-            settled = self._settled(drain)
             count = tasks.get(record.name, 0)
-            if count or not settled:
+            if not self._settled(drain) or count:
                 return DrainCheck(DrainStatus.TASKS_RUNNING, count)
         status = DrainStatus.TIMED_OUT_SILENT if silent else DrainStatus.CLEAR
         return DrainCheck(status, 0, silent)
@@ -149,7 +185,7 @@
             drain.running_by_daemon[daemon] = running
 
     def _settled(self, drain: _Drain) -> bool:
-        now = self._clock.monotonic()
         if drain.all_confirmed_at is None:
-            drain.all_confirmed_at = now
-        return now - drain.all_confirmed_at >= SETTLE
+            drain.all_confirmed_at = self._clock.monotonic()
+        counted_at = self._counted_at
+        return counted_at is not None and counted_at - drain.all_confirmed_at >= SETTLE
--- a/src/pomeloyard/fleet_records.py
+++ b/src/pomeloyard/fleet_records.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from .budgets import (
     BudgetRecord,
+    HeadroomByScope,
     SpendingKind,
     blocking_scope,
     headroom_of,
@@ -94,11 +95,17 @@
         services = sorted(self.state.config.services_by_name.items())
         return [service for _, service in services if service.pool in pools]
 
-    def unavailable(self) -> set[str]:
-        """Return VMs that the platform's list does not show as live."""
+    def unavailable(self, names: Iterable[str]) -> set[str]:
+        """Return those of the VMs that the platform's list does not show as live."""
         vms = self.state.vm_list.vms_by_name
-        lost = {name for name, vm in vms.items() if vm.state is not VmListState.LIVE}
-        return lost | (self.state.vm_records_by_name.keys() - vms.keys())
+        live = VmListState.LIVE
+        return {n for n in names if n not in vms or vms[n].state is not live}
+
+    def headroom(self, service: ServiceConfig, budget: BudgetRecord) -> HeadroomByScope:
+        """Return the headroom of a service's budget, with the losses known here."""
+        pool = self.state.config.pools_by_name.get(service.pool)
+        lost = self.unavailable(budget.members_by_vm)
+        return headroom_of(budget, service.budget, pool, lost)
 
     async def reconcile(self, budgets: dict[str, Versioned[BudgetRecord]]) -> None:
         """Enter VMs of services that were added to, or moved between, pools."""
@@ -145,8 +152,7 @@
         before = old.value if old is not None else None
         pools = {new.pool} | ({before.pool} if before is not None else set())
         changes = []
-        unavailable = self.unavailable()
-        lost = new.name in unavailable
+        lost = bool(self.unavailable([new.name]))
         for service in self.services_of(*pools):
             key = layout.BUDGETS + service.name
             stored = await read_record(self.store, key, BudgetRecord)
@@ -158,7 +164,7 @@
                 # change and the budget are of one moment.
                 changes.append(Change(key, budget, stored))
                 continue
-            self._check(service, budget, after, new, unavailable)
+            self._check(service, budget, after, new)
             changes.append(Change(key, after, stored))
         return changes
 
@@ -168,7 +174,6 @@
         before: BudgetRecord,
         after: BudgetRecord,
         vm: VmRecord,
-        unavailable: set[str],
     ) -> None:
         """Refuse planned spending that the budget does not allow."""
         entry = after.spending_by_vm.get(vm.name)
@@ -176,8 +181,7 @@
             return
         if entry.kind is not SpendingKind.PLANNED:
             return
-        pool = self.state.config.pools_by_name.get(service.pool)
-        headroom = headroom_of(before, service.budget, pool, unavailable)
+        headroom = self.headroom(service, before)
         scope = blocking_scope(headroom, vm.role, vm.availability_zone)
         if scope is not None:
             raise RefusedError(
--- a/src/pomeloyard/forecasts.py
+++ b/src/pomeloyard/forecasts.py
@@ -22,6 +22,14 @@
 """Largest deviation of the time between peaks, as a share of its median, for which
 the next peak is predicted."""
 
+TURNS_KEPT = 4
+TURNS_FOR_PREDICTION = 2
+"""Equal turns after which the next pool is prepared for."""
+
+TURN_MARGIN = 0.5
+"""Share of the time between turns by which VMs are moved ahead of a turn; VMs
+that the last peak but one has left idle in any case."""
+
 PEAK_END_SHARE = 0.5
 """A peak begins above the pool's own capacity and ends below this share of it, so
 that demand near the capacity does not count as many peaks."""
@@ -75,8 +83,17 @@
         return median_time(lengths) if lengths else None
 
     def expected_height(self) -> float:
-        """Return the height to prepare for: the highest of the last peaks."""
-        return max((peak.height for peak in self.peaks), default=0.0)
+        """Return the height to prepare for, in VMs.
+
+        The median, as a peak that met too few VMs looks higher by its queue.
+        """
+        return median([peak.height for peak in self.peaks]) if self.peaks else 0.0
+
+    def height_now(self) -> float:
+        """Return the height of the present peak, else of the one to prepare for."""
+        if self.peak_began_at is None:
+            return self.expected_height()
+        return max(self.height, self.demand)
 
     def remaining(self, now: datetime) -> timedelta | None:
         """Return how long the present peak is expected to go on."""
@@ -96,15 +113,45 @@
             return None
         return middle
 
-    def next_start(self, now: datetime) -> datetime | None:
-        """Return when the next peak is expected, or None if peaks are irregular."""
+    def prepare_from(self, now: datetime) -> datetime | None:
+        """Return when to prepare for the next peak, or None if it is not foreseen."""
         period = self.period()
         if period is None or self.peak_began_at is not None:
             return None
         start = self.peaks[-1].started_at + period
         # A peak that is overdue by more than the margin is no longer prepared for.
         late = now - start > PREDICTION_MARGIN * period
-        return None if late else start
+        return None if late else start - PREDICTION_MARGIN * period
+
+
+class TurnForecast:
+    """Which pool's peak follows which, for peaks that come in turns."""
+
+    def __init__(self) -> None:
+        self._last: tuple[str, datetime] | None = None
+        self._followers: dict[str, deque[tuple[str, timedelta]]] = {}
+
+    def note_start(self, pool: str, at: datetime) -> None:
+        """Note that a pool's peak has begun."""
+        if self._last is not None and self._last[0] != pool:
+            earlier, began_at = self._last
+            followers = self._followers.setdefault(earlier, deque(maxlen=TURNS_KEPT))
+            followers.append((pool, at - began_at))
+        self._last = (pool, at)
+
+    def next_peak(self, now: datetime) -> tuple[str, datetime, timedelta] | None:
+        """Return the pool whose turn is next, when, and the usual time between."""
+        if self._last is None:
+            return None
+        followers = self._followers.get(self._last[0], ())
+        pools = {pool for pool, _ in followers}
+        if len(followers) < TURNS_FOR_PREDICTION or len(pools) != 1:
+            return None
+        gap = median_time(gap for _, gap in followers)
+        start = self._last[1] + gap
+        if now - start > gap / 2:
+            return None  # Overdue: the turns have changed or ended.
+        return pools.pop(), start, gap
 
 
 class LendReason(Enum):
@@ -128,6 +175,8 @@
     own_vms: int
     borrowed: int
     forecast: PoolForecast
+    prepare_from: datetime | None = None
+    """When to begin to prepare for the next peak, or None if none is foreseen."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,14 +204,11 @@
         remaining = forecast.remaining(now)
         if remaining is None:
             remaining = now - forecast.peak_began_at
-        extra = math.ceil(max(forecast.demand, forecast.height) - pool.own_vms)
+        extra = math.ceil(forecast.height_now() - pool.own_vms)
         if remaining <= move_time and extra > pool.borrowed:
             return pool.borrowed, LendReason.PEAK_TOO_SHORT
         return max(0, extra), LendReason.PEAK
-    start, period = forecast.next_start(now), forecast.period()
-    if start is None or period is None:
-        return 0, LendReason.NO_PEAK
-    if start - now <= move_time + PREDICTION_MARGIN * period:
+    if pool.prepare_from is not None and now + move_time >= pool.prepare_from:
         extra = math.ceil(forecast.expected_height() - pool.own_vms)
         return max(0, extra), LendReason.PREDICTED_PEAK
     return 0, LendReason.NO_PEAK
--- a/src/pomeloyard/operators/pool_routes.py
+++ b/src/pomeloyard/operators/pool_routes.py
@@ -9,7 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ..budgets import BudgetRecord, headroom_of
+from ..budgets import BudgetRecord
 from ..keys import Role
 from .bodies import read_body
 from .support import OperatorContext, json_response
@@ -68,9 +68,7 @@
     service = config.services_by_name.get(record.service)
     scopes = []
     if service is not None:
-        pool = config.pools_by_name.get(service.pool)
-        unavailable = context.controller.records.unavailable()
-        headroom = headroom_of(record, service.budget, pool, unavailable)
+        headroom = context.controller.records.headroom(service, record)
         scopes = [
             {
                 "role": scope.role.value,
--- a/src/pomeloyard/wave_runner.py
+++ b/src/pomeloyard/wave_runner.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from .budgets import BudgetRecord, headroom_of, used_up_by_loss
+from .budgets import BudgetRecord, used_up_by_loss
 from .decisions import Candidate, Decision, DecisionKind, DecisionLog
 from .errors import RefusedError
 from .fleet_records import FleetRecords
@@ -158,15 +158,14 @@
     ) -> tuple[dict[str, PoolHeadroom], set[str]]:
         """Return each pool's headroom, and the pools used up by unplanned loss."""
         config = self._records.state.config
-        unavailable = self._records.unavailable()
         headroom: dict[str, PoolHeadroom] = {}
         held: set[str] = set()
         for service in self._records.services_of(*config.pools_by_name):
             stored = budgets.get(service.name)
             if stored is None:
                 continue
-            pool = config.pools_by_name.get(service.pool)
-            room = headroom_of(stored.value, service.budget, pool, unavailable)
+            room = self._records.headroom(service, stored.value)
+            unavailable = self._records.unavailable(stored.value.members_by_vm)
             headroom.setdefault(service.pool, PoolHeadroom()).by_service[
                 service.name
             ] = room
