--- a/src/pomeloyard/vm_steps.py
+++ b/src/pomeloyard/vm_steps.py
@@ -52,7 +52,8 @@
     if record.operation == order.operation and record.state is not VmState.IN_SERVICE:
         return None
     held = record.state is VmState.DRAINED and record.plan is VmPlan.HOLD
-    if record.state not in DRAINABLE and not held:
+    goes_on = held and order.plan is not VmPlan.HOLD
+    if record.state not in DRAINABLE and not goes_on:
         raise _conflict(record)
     if order.plan is VmPlan.MOVE and record.pool == order.target_pool:
         raise RefusedError(
--- /dev/null
+++ b/tests/test_drain_notices.py
@@ -0,0 +1,95 @@
+"""Drain notices and running queries between daemons, without sockets."""
+
+from __future__ import annotations
+
+from pomeloyard.drain_notices import DrainNotices
+from pomeloyard.fleet_state import FleetState
+from pomeloyard.peers.calls import PeerCalls
+from pomeloyard.peers.messages import DrainNotice, Hello, RunningQuery, RunningReply
+from pomeloyard.platform.directory import Vm, VmList, VmRole
+from pomeloyard.vms import VmRecord, VmState
+
+from .support.fleet import run
+
+VM = Vm("cut-1", VmRole.EXECUTOR, "mill", "luzon", "bulacan", "r1", "")
+
+
+class Network:
+    """Delivers messages between daemons at once."""
+
+    def __init__(self, name, networks):
+        self.hello = Hello(name, name, "", "bulacan")
+        self.handlers = {}
+        self.networks = networks
+        networks[name] = self
+
+    def on(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, incarnation, message):
+        peer = self.networks.get(incarnation)
+        if peer is None:
+            return False
+        peer.handlers[type(message)](self.hello.incarnation, message)
+        return True
+
+    def broadcast(self, message):
+        return sum(self.send(n, message) for n in self.networks if n != self.name())
+
+    def name(self):
+        return self.hello.incarnation
+
+
+def daemon(name, networks, running=0):
+    network = Network(name, networks)
+    state = FleetState(vm_list=VmList({VM.name: VM}, 1))
+    state.vm_records_by_name[VM.name] = VmRecord(VM.name, VM.role, "mill", epoch=4)
+    notices = DrainNotices(network, PeerCalls(network), state, lambda vm: running)
+    notices.start()
+    return notices, state
+
+
+DRAINING = VmRecord(VM.name, VM.role, "mill", VmState.DRAINING, epoch=5)
+
+
+def test_notice_stops_new_work_before_the_watch_does():
+    """Guards against work sent to a draining VM while a watch is slow."""
+    networks = {}
+    sender, _ = daemon("a", networks)
+    _, state = daemon("b", networks)
+    assert state.accepts_work(VM)
+    sender.announce(DRAINING)
+    assert not state.accepts_work(VM)
+    # The record of the return is newer than the notice.
+    state.vm_records_by_name[VM.name] = VmRecord(VM.name, VM.role, "mill", epoch=6)
+    assert state.accepts_work(VM)
+    # A notice that was delayed on the way changes nothing any more.
+    sender.announce(DRAINING)
+    assert state.accepts_work(VM)
+
+
+def test_answer_of_a_daemon_also_stops_its_new_work():
+    """Guards against a daemon that answers 0 and then sends a request."""
+
+    async def body():
+        networks = {}
+        asking, _ = daemon("a", networks, running=3)
+        _, state = daemon("b", networks, running=2)
+        assert await asking.ask("b", DRAINING) == 2
+        assert not state.accepts_work(VM)
+        assert await asking.ask("a", DRAINING) == 3
+        assert await asking.ask("unreachable", DRAINING) is None
+
+    run(body)
+
+
+def test_query_of_an_older_daemon_without_epoch_is_answered():
+    """Guards against a rolling upgrade that blocks drains."""
+    networks = {}
+    daemon("b", networks, running=1)
+    answers = []
+    network = Network("a", networks)
+    network.on(RunningReply, lambda sender, message: answers.append(message.running))
+    network.send("b", RunningQuery(1, VM.name))
+    network.send("b", DrainNotice(VM.name, "in_service", 9))
+    assert answers == [1]
