Report observations to the controller and remove VMs that left the platform

Cause: the repair detectors saw only the controller's own daemon, and a VM that the platform took away for good stayed in its budget for ever. Questions to daemons no longer queue behind one that is silent. Lending is measured in a subject of its own.

--- /dev/null
+++ b/measurements/buffers.py
@@ -0,0 +1,165 @@
+"""Lending between pools against a fixed buffer for each pool's own peak.
+
+Controllers, store and records are the product's; the platform and the queues are
+small fakes on a manual clock.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+import anyio
+
+from pomeloyard.forecasts import idle_cost
+from pomeloyard.platform.directory import VmOperation, VmRole
+from pomeloyard.vms import VmState
+from tests.support.fleet import Fleet, make_vms
+
+from .figures import Figure, at_most
+from .fleet import HSINCHU, LILIM, STEP_SECONDS, Site, step
+
+BUFFER_COST_BOUND = 0.5
+SLOTS = 8
+PRICE_PER_HOUR = 1.0
+PEAK_SECONDS = 20.0
+PEAK_JITTER = 0.2
+LEARNING_CYCLES = 4
+"""Turns of all pools before queue delay is compared; forecasts start empty."""
+
+MEASURED_CYCLES = 12
+
+
+def measure() -> Iterable[Figure]:
+    """Yield all figures."""
+    for site in (LILIM, HSINCHU):
+        yield from lending(site)
+
+
+@dataclass
+class Queue:
+    """Fluid queue of one pool; work in slot-seconds."""
+
+    waiting: float = 0.0
+    worst_delay: float = 0.0
+    delay_sum: float = 0.0
+
+    def step(self, demand: float, capacity: float, measured: bool) -> None:
+        """Advance by one step; delay is the waiting work over the capacity."""
+        self.waiting = max(0.0, self.waiting + (demand - capacity) * STEP_SECONDS)
+        if measured:
+            delay = self.waiting / max(capacity, 1.0)
+            self.worst_delay = max(self.worst_delay, delay)
+            self.delay_sum += delay * demand * STEP_SECONDS
+
+
+def lending(site: Site) -> Iterator[Figure]:
+    """Compare lending with a fixed buffer sized for each pool's own peak."""
+    result = anyio.run(_buffers, site, False)
+    yield at_most(
+        "fleet_buffer_cost_over_fixed",
+        result["cost_ratio"],
+        "ratio",
+        BUFFER_COST_BOUND,
+        site.name,
+    )
+    yield at_most(
+        "fleet_buffer_worst_delay",
+        result["worst_delay"],
+        "s",
+        result["fixed_worst_delay"],
+        site.name,
+    )
+    yield at_most(
+        "fleet_buffer_mean_delay",
+        result["mean_delay"],
+        "s",
+        result["fixed_mean_delay"],
+        site.name,
+    )
+    yield Figure(
+        "fleet_buffer_moves_per_hour", result["moves"], "1/h", deployment=site.name
+    )
+    yield at_most("fleet_buffer_violations", result["violations"], "VMs", 0, site.name)
+    # Without a bound: the demand that is promised comes in turns.
+    result = anyio.run(_buffers, site, True)
+    for key in ("worst_delay", "mean_delay"):
+        name = f"fleet_buffer_{key}_random_order"
+        yield Figure(name, result[key], "s", deployment=site.name)
+
+
+async def _buffers(site: Site, random_order: bool) -> dict[str, float]:
+    spare = site.pools[-1]
+    peak, low = 5.0 * site.mean_slots, site.mean_slots / 20
+    peak_vms = math.ceil(peak / SLOTS)
+    extra = peak_vms - site.executors
+    # Two sets: one serves the present peak, one stands ready for the next.
+    buffer_vms = 2 * extra
+    site_vms = [vm for vm in site.vms() if vm.role is VmRole.EXECUTOR]
+    more = make_vms(spare, site.executors + buffer_vms, 0, site.zones)
+    vms = [vm for vm in site_vms if vm.pool != spare] + more
+    fleet = Fleet(site.config(), vms)
+    pools = fleet.config.pools_by_name
+    pools[spare] = replace(pools[spare], spare=True)
+    await step(fleet)
+    lent, fixed = ({pool: Queue() for pool in site.pools} for _ in range(2))
+    turns = _turns(site, random_order)
+    measured_seconds = 0.0
+    for turn, pool_at_peak, seconds in turns:
+        measured = turn >= LEARNING_CYCLES * len(site.pools)
+        for _ in range(round(seconds / STEP_SECONDS)):
+            demand = {p: peak if p == pool_at_peak else low for p in site.pools}
+            fleet.demand = {p: d / SLOTS for p, d in demand.items()}
+            await step(fleet)
+            in_service = _in_service(fleet)
+            for pool in site.pools:
+                capacity = in_service.get(pool, 0) * SLOTS
+                lent[pool].step(demand[pool], capacity, measured)
+                fixed[pool].step(demand[pool], peak_vms * SLOTS, measured)
+            measured_seconds += STEP_SECONDS if measured else 0.0
+            if not measured:
+                fleet.directory.started.clear()
+    hours = measured_seconds / 3600
+    moves = sum(o is VmOperation.ASSIGN for _, o, _ in fleet.directory.started)
+    move_time = fleet.controller.buffers.move_time()
+    cost = idle_cost(buffer_vms * hours, moves, move_time, PRICE_PER_HOUR)
+    fixed_cost = PRICE_PER_HOUR * extra * len(site.pools) * hours
+    work = sum(q.delay_sum for q in lent.values())
+    fixed_work = sum(q.delay_sum for q in fixed.values())
+    total = sum(peak * s for t, _, s in turns if t >= LEARNING_CYCLES)
+    return {
+        "cost_ratio": cost / fixed_cost,
+        "worst_delay": max(q.worst_delay for q in lent.values()),
+        "fixed_worst_delay": max(q.worst_delay for q in fixed.values()),
+        "mean_delay": work / total,
+        "fixed_mean_delay": fixed_work / total,
+        "moves": moves / hours,
+        "violations": float(len(fleet.violations)),
+    }
+
+
+def _turns(site: Site, random_order: bool) -> list[tuple[int, str, float]]:
+    """Return the peaks in turn, or in any order, with lengths that vary."""
+    chance = random.Random(11)
+    count = (LEARNING_CYCLES + MEASURED_CYCLES) * len(site.pools)
+    order = list(site.pools) * (LEARNING_CYCLES + MEASURED_CYCLES)
+    if random_order:
+        chance.shuffle(order)
+    return [
+        (
+            turn,
+            order[turn],
+            PEAK_SECONDS * chance.uniform(1 - PEAK_JITTER, 1 + PEAK_JITTER),
+        )
+        for turn in range(count)
+    ]
+
+
+def _in_service(fleet: Fleet) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for vm in fleet.controller._state.vm_records_by_name.values():
+        if vm.role is VmRole.EXECUTOR and vm.state is VmState.IN_SERVICE:
+            counts[vm.pool] = counts.get(vm.pool, 0) + 1
+    return counts
--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -1,7 +1,7 @@
-"""Waves, budgets, buffers and the cost of planning, on a manual clock.
+"""Waves, budgets and the cost of planning, on a manual clock.
 
 Only decisions are measured: controllers, store and records are the product's,
-the platform and the queues are small fakes.
+the platform is a small fake.
 """
 
 from __future__ import annotations
@@ -10,38 +10,28 @@
 import random
 import time
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 
 import anyio
 
 from pomeloyard.budgets import Scope
 from pomeloyard.config.model import FleetConfig
-from pomeloyard.forecasts import idle_cost
 from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmOperation, VmRole
-from pomeloyard.vms import VmRecord, VmState
+from pomeloyard.platform.directory import Vm, VmRole
+from pomeloyard.vms import VmRecord
 from pomeloyard.waves import WaveKind, WaveRecord, WaveState
 from tests.support.fleet import Fleet, make_config, make_vms
 
 from .figures import Figure, at_most
 
 ROLLOUT_BOUND = 1.25
-BUFFER_COST_BOUND = 0.5
 GROWTH_SIZES = (70, 740, 7400)
-SLOTS = 8
 STEP_SECONDS = 0.5
 CPU_SHARE_BOUND = 0.04
 """A daemon's whole control; the stand-ins for store and platform are included."""
 
 WAVE_STEPS = 300
-PRICE_PER_HOUR = 1.0
-PEAK_SECONDS = 20.0
-PEAK_JITTER = 0.2
-LEARNING_CYCLES = 4
-"""Turns of all pools before queue delay is compared; forecasts start empty."""
-
-MEASURED_CYCLES = 12
 
 
 @dataclass(frozen=True)
@@ -121,8 +111,6 @@
         yield from losses_during_wave(site, whole_rack=False)
         yield from losses_during_wave(site, whole_rack=True)
     yield from losses_during_wave(LATER, whole_rack=True)
-    for site in (LILIM, HSINCHU):
-        yield from buffers(site)
     yield from growth()
 
 
@@ -134,8 +122,8 @@
 
 
 async def _rollout(site: Site) -> tuple[float, int]:
-    fleet = _fleet(site)
-    await _step(fleet)
+    fleet = new_fleet(site)
+    await step(fleet)
     least = least_rounds(fleet) * _seconds_for_one_vm(fleet)
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
     seconds = await _run_wave(fleet)
@@ -188,18 +176,19 @@
 
     began = fleet.clock.monotonic()
     while not ended():
-        await _step(fleet)
+        await step(fleet)
     return (fleet.clock.monotonic() - began).total_seconds()
 
 
-async def _step(fleet: Fleet) -> None:
+async def step(fleet: Fleet) -> None:
     """Advance by one tick of the controller, with a current VM list."""
     for controller in fleet.controllers:
         controller._state.vm_list = await fleet.directory.list_vms()
     await fleet.step(STEP_SECONDS, refresh=False)
 
 
-def _fleet(site: Site) -> Fleet:
+def new_fleet(site: Site) -> Fleet:
+    """Return a site's fleet with a platform that needs 30 s for a reboot."""
     config = site.config(
         trial=timedelta(seconds=30),
         reboot_timeout=timedelta(seconds=120),
@@ -224,23 +213,23 @@
 
 async def _losses(site: Site, whole_rack: bool) -> tuple[int, bool]:
     chance = random.Random(7)
-    fleet = _fleet(site)
-    await _step(fleet)
+    fleet = new_fleet(site)
+    await step(fleet)
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
     listed = list(fleet.directory._vms_by_name.values())
     lost: dict[int, set[str]] = {}
-    for step in range(40, 2000):
-        if step % 150 == 40 and step < 700:
+    for tick in range(40, 2000):
+        if tick % 150 == 40 and tick < 700:
             victim = chance.choice(listed)
             names = {victim.name}
             if whole_rack:
                 names = {vm.name for vm in listed if vm.rack == victim.rack}
             fleet.directory.lose_vms(names)
-            lost[step + 120] = names
-        fleet.directory.restore_vms(lost.pop(step, ()))
-        await _step(fleet)
+            lost[tick + 120] = names
+        fleet.directory.restore_vms(lost.pop(tick, ()))
+        await step(fleet)
         for wave in fleet.stored(layout.WAVES, WaveRecord).values():
-            if wave.state is WaveState.STOPPED and step % 100 == 0:
+            if wave.state is WaveState.STOPPED and tick % 100 == 0:
                 await fleet.controller.waves.change(
                     wave.wave_id, WaveState.RUNNING, "measurement"
                 )
@@ -249,140 +238,12 @@
     return len(fleet.violations), False
 
 
-@dataclass
-class Queue:
-    """Fluid queue of one pool; work in slot-seconds."""
-
-    waiting: float = 0.0
-    worst_delay: float = 0.0
-    delay_sum: float = 0.0
-
-    def step(self, demand: float, capacity: float, measured: bool) -> None:
-        """Advance by one step; delay is the waiting work over the capacity."""
-        self.waiting = max(0.0, self.waiting + (demand - capacity) * STEP_SECONDS)
-        if measured:
-            delay = self.waiting / max(capacity, 1.0)
-            self.worst_delay = max(self.worst_delay, delay)
-            self.delay_sum += delay * demand * STEP_SECONDS
-
-
-def buffers(site: Site) -> Iterator[Figure]:
-    """Compare lending with a fixed buffer sized for each pool's own peak."""
-    result = anyio.run(_buffers, site, False)
-    yield at_most(
-        "fleet_buffer_cost_over_fixed",
-        result["cost_ratio"],
-        "ratio",
-        BUFFER_COST_BOUND,
-        site.name,
-    )
-    yield at_most(
-        "fleet_buffer_worst_delay",
-        result["worst_delay"],
-        "s",
-        result["fixed_worst_delay"],
-        site.name,
-    )
-    yield at_most(
-        "fleet_buffer_mean_delay",
-        result["mean_delay"],
-        "s",
-        result["fixed_mean_delay"],
-        site.name,
-    )
-    yield Figure(
-        "fleet_buffer_moves_per_hour", result["moves"], "1/h", deployment=site.name
-    )
-    yield at_most("fleet_buffer_violations", result["violations"], "VMs", 0, site.name)
-    # Without a bound: the demand that is promised comes in turns.
-    result = anyio.run(_buffers, site, True)
-    for key in ("worst_delay", "mean_delay"):
-        name = f"fleet_buffer_{key}_random_order"
-        yield Figure(name, result[key], "s", deployment=site.name)
-
-
-async def _buffers(site: Site, random_order: bool) -> dict[str, float]:
-    spare = site.pools[-1]
-    peak, low = 5.0 * site.mean_slots, site.mean_slots / 20
-    peak_vms = math.ceil(peak / SLOTS)
-    extra = peak_vms - site.executors
-    # Two sets: one serves the present peak, one stands ready for the next.
-    buffer_vms = 2 * extra
-    site_vms = [vm for vm in site.vms() if vm.role is VmRole.EXECUTOR]
-    more = make_vms(spare, site.executors + buffer_vms, 0, site.zones)
-    vms = [vm for vm in site_vms if vm.pool != spare] + more
-    fleet = Fleet(site.config(), vms)
-    pools = fleet.config.pools_by_name
-    pools[spare] = replace(pools[spare], spare=True)
-    await _step(fleet)
-    lent, fixed = ({pool: Queue() for pool in site.pools} for _ in range(2))
-    turns = _turns(site, random_order)
-    measured_seconds = 0.0
-    for turn, pool_at_peak, seconds in turns:
-        measured = turn >= LEARNING_CYCLES * len(site.pools)
-        for _ in range(round(seconds / STEP_SECONDS)):
-            demand = {p: peak if p == pool_at_peak else low for p in site.pools}
-            fleet.demand = {p: d / SLOTS for p, d in demand.items()}
-            await _step(fleet)
-            in_service = _in_service(fleet)
-            for pool in site.pools:
-                capacity = in_service.get(pool, 0) * SLOTS
-                lent[pool].step(demand[pool], capacity, measured)
-                fixed[pool].step(demand[pool], peak_vms * SLOTS, measured)
-            measured_seconds += STEP_SECONDS if measured else 0.0
-            if not measured:
-                fleet.directory.started.clear()
-    hours = measured_seconds / 3600
-    moves = sum(o is VmOperation.ASSIGN for _, o, _ in fleet.directory.started)
-    move_time = fleet.controller.buffers.move_time()
-    cost = idle_cost(buffer_vms * hours, moves, move_time, PRICE_PER_HOUR)
-    fixed_cost = PRICE_PER_HOUR * extra * len(site.pools) * hours
-    work = sum(q.delay_sum for q in lent.values())
-    fixed_work = sum(q.delay_sum for q in fixed.values())
-    total = sum(peak * s for t, _, s in turns if t >= LEARNING_CYCLES)
-    return {
-        "cost_ratio": cost / fixed_cost,
-        "worst_delay": max(q.worst_delay for q in lent.values()),
-        "fixed_worst_delay": max(q.worst_delay for q in fixed.values()),
-        "mean_delay": work / total,
-        "fixed_mean_delay": fixed_work / total,
-        "moves": moves / hours,
-        "violations": float(len(fleet.violations)),
-    }
-
-
-def _turns(site: Site, random_order: bool) -> list[tuple[int, str, float]]:
-    """Return the peaks in turn, or in any order, with lengths that vary."""
-    chance = random.Random(11)
-    count = (LEARNING_CYCLES + MEASURED_CYCLES) * len(site.pools)
-    order = list(site.pools) * (LEARNING_CYCLES + MEASURED_CYCLES)
-    if random_order:
-        chance.shuffle(order)
-    return [
-        (
-            turn,
-            order[turn],
-            PEAK_SECONDS * chance.uniform(1 - PEAK_JITTER, 1 + PEAK_JITTER),
-        )
-        for turn in range(count)
-    ]
-
-
-def _in_service(fleet: Fleet) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    for vm in fleet.controller._state.vm_records_by_name.values():
-        if vm.role is VmRole.EXECUTOR and vm.state is VmState.IN_SERVICE:
-            counts[vm.pool] = counts.get(vm.pool, 0) + 1
-    return counts
-
-
 def growth() -> Iterator[Figure]:
     """Measure one planning step of a running wave at growing sizes."""
     seconds = {size: anyio.run(_planning_step, size) for size in GROWTH_SIZES}
     for size, value in seconds.items():
         yield Figure(f"fleet_planning_step_{size}", value * 1000, "ms")
-    step = anyio.run(_controller_step)
-    share = step / STEP_SECONDS
+    share = anyio.run(_controller_step) / STEP_SECONDS
     yield at_most(
         "fleet_controller_cpu_share", share, "cores", CPU_SHARE_BOUND, LATER.name
     )
@@ -395,13 +256,13 @@
 
 async def _controller_step() -> float:
     """Return the mean time of the whole controller's step during a wave."""
-    fleet = _fleet(LATER)
+    fleet = new_fleet(LATER)
     fleet.store.after_commit.clear()
-    await _step(fleet)
+    await step(fleet)
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
     began = time.process_time()
     for _ in range(WAVE_STEPS):
-        await _step(fleet)
+        await step(fleet)
     return (time.process_time() - began) / WAVE_STEPS
 
 
@@ -416,11 +277,11 @@
         LATER.zones,
         0.85,
     )
-    fleet = _fleet(site)
+    fleet = new_fleet(site)
     fleet.store.after_commit.clear()
     await fleet.step()
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
-    await _step(fleet)
+    await step(fleet)
     times = []
     for _ in range(9):
         budgets = await fleet.controller.records.budgets()
--- a/src/pomeloyard/budgets.py
+++ b/src/pomeloyard/budgets.py
@@ -201,12 +201,10 @@
     list does not show the VM as live, so that whatever is planned for it is an
     unplanned loss.
     """
+    if new.pool != pool:
+        return without_vm(record, new.name)
     members = dict(record.members_by_vm)
     spending = dict(record.spending_by_vm)
-    if new.pool != pool:
-        members.pop(new.name, None)
-        spending.pop(new.name, None)
-        return replace(record, members_by_vm=members, spending_by_vm=spending)
     members[new.name] = Member(new.role, new.availability_zone)
     if new.state is VmState.IN_SERVICE:
         spending.pop(new.name, None)
@@ -218,6 +216,13 @@
     return replace(record, members_by_vm=members, spending_by_vm=spending)
 
 
+def without_vm(record: BudgetRecord, name: str) -> BudgetRecord:
+    """Return the budget record without a VM."""
+    members = {n: m for n, m in record.members_by_vm.items() if n != name}
+    spending = {n: s for n, s in record.spending_by_vm.items() if n != name}
+    return replace(record, members_by_vm=members, spending_by_vm=spending)
+
+
 def _kind_of(old: VmRecord | None, new: VmRecord, lost: bool) -> SpendingKind:
     if old is not None and old.pool != new.pool:
         return SpendingKind.JOINING
--- a/src/pomeloyard/controller.py
+++ b/src/pomeloyard/controller.py
@@ -77,6 +77,7 @@
         if self._state.config.revision == 0 or self._state.vm_list.version == 0:
             return  # Without the VM list, every VM would look lost.
         await self.lifecycle.adopt_new_vms()
+        await self.lifecycle.remove_missing_vms()
         await self.lifecycle.enter_losses()
         budgets = await self.records.budgets()
         await self.records.reconcile(budgets)
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -28,6 +28,7 @@
 from .errors import SettingsError, StoreError
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
+from .health_reports import HealthReports
 from .jobs import JobStore
 from .membership import Membership
 from .operators.app import operator_app
@@ -114,6 +115,9 @@
             self.drain_notices.announce,
             self._demand_by_pool,
         )
+        self.health_reports = HealthReports(
+            clock, self.peers, self.state, self.controller.repairs.health.observe
+        )
         self.scheduler = Scheduler(clock, self.state, self.jobs, self.workers)
         self._servers: list[EmbeddedServer] = []
 
@@ -134,10 +138,12 @@
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
         self.drain_notices.start()
+        self.health_reports.start()
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.health_reports.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
--- a/src/pomeloyard/fleet_records.py
+++ b/src/pomeloyard/fleet_records.py
@@ -11,6 +11,7 @@
     blocking_scope,
     headroom_of,
     with_vm,
+    without_vm,
 )
 from .clock import Clock
 from .config.model import ServiceConfig
@@ -84,6 +85,22 @@
         await self._commit(None, record)
         self.state.vm_records_by_name[name] = record
 
+    async def remove(self, name: str) -> None:
+        """Delete the record of a VM that the platform has taken away for good."""
+        key = layout.VMS + name
+        current = await read_record(self.store, key, VmRecord)
+        if current is None or current.value.state is not VmState.SET_ASIDE:
+            return
+        changes = [Change(key, None, current)]
+        for service in self.services_of(current.value.pool):
+            budget_key = layout.BUDGETS + service.name
+            budget = await read_record(self.store, budget_key, BudgetRecord)
+            if budget is not None:
+                after = without_vm(budget.value, name)
+                changes.append(Change(budget_key, after, budget))
+        await commit_changes(self.store, changes)
+        self.state.vm_records_by_name.pop(name, None)
+
     async def budgets(self) -> dict[str, Versioned[BudgetRecord]]:
         """Return all budget records by service."""
         page = await scan_all(self.store, layout.BUDGETS)
--- a/src/pomeloyard/lifecycle.py
+++ b/src/pomeloyard/lifecycle.py
@@ -16,8 +16,14 @@
 from .platform.records import ConflictError
 from .vms import Cause, VmPlan, VmRecord, VmState
 
-PARALLEL_STEPS = 4
-"""VMs advanced at once; the store allows 8 calls in flight for each daemon."""
+PARALLEL_STEPS = 64
+"""VMs advanced at once. A question to a daemon that does not answer takes 1 s, and
+must not make the other drains wait in a queue; the store client limits its own
+calls in flight."""
+
+REMOVE_AFTER = timedelta(days=1)
+"""Time after which a VM that was set aside and is missing from the platform's list
+is removed from its pool; until then an operator can see and return it."""
 
 REISSUE_INTERVAL = timedelta(seconds=30)
 """Time after which an operation that has had no effect is sent again, with the
@@ -63,6 +69,16 @@
             except ConflictError:
                 continue  # Another controller adopted it first.
 
+    async def remove_missing_vms(self) -> None:
+        """Delete the records of set-aside VMs that have long left the list."""
+        now = self._records.clock.now()
+        for record in self._vm_records():
+            if record.state is not VmState.SET_ASIDE or record.since is None:
+                continue
+            if self._vm(record.name) is None and now - record.since >= REMOVE_AFTER:
+                log.info("{} is no longer in the platform's list", record.name)
+                await self._records.remove(record.name)
+
     async def enter_losses(self) -> None:
         """Enter VMs that the platform lost or returned into records and budgets."""
         await self._advance_each(
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -234,6 +234,20 @@
     incarnation: str
 
 
+class VmOutcomes(WireMessage, frozen=True):
+    """Observations of one kind at one VM (see repair.ObservationKind)."""
+
+    vm: str
+    kind: str
+    count: int
+
+
+class HealthReport(WireMessage, frozen=True):
+    """Observations of VMs since the last report, sent to the controller."""
+
+    outcomes: tuple[VmOutcomes, ...]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -259,6 +273,7 @@
     | ExplainRequest
     | ExplainReply
     | Goodbye
+    | HealthReport
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -22,7 +22,6 @@
 from pomeloyard.decisions import DecisionLog
 from pomeloyard.drains import TaskCounts
 from pomeloyard.errors import (
-    PomeloyardError,
     RefusedError,
     StoreError,
     StoreOutcomeUnknownError,
@@ -140,6 +139,11 @@
             vm = self._vms_by_name[name]
             self.put(replace(vm, state=VmListState.GONE))
 
+    def remove(self, name: str) -> None:
+        """Drop a VM from the list for good."""
+        del self._vms_by_name[name]
+        self._version += 1
+
     def boot(self, name: str, boot_id: str) -> None:
         """Let a VM boot by itself."""
         self.put(replace(self._vms_by_name[name], boot_id=boot_id))
@@ -404,6 +408,3 @@
     """Run an async test body with a fixed seed."""
     random.seed(7)
     anyio.run(work, *arguments)
-
-
-__all__ = ["DAEMONS", "Fleet", "PomeloyardError", "make_config", "make_vms", "run"]
--- a/tests/test_drain_notices.py
+++ b/tests/test_drain_notices.py
@@ -5,41 +5,16 @@
 from pomeloyard.drain_notices import DrainNotices
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.peers.calls import PeerCalls
-from pomeloyard.peers.messages import DrainNotice, Hello, RunningQuery, RunningReply
+from pomeloyard.peers.messages import DrainNotice, RunningQuery, RunningReply
 from pomeloyard.platform.directory import Vm, VmList, VmRole
 from pomeloyard.vms import VmRecord, VmState
 
 from .support.fleet import run
+from .support.network import Network
 
 VM = Vm("cut-1", VmRole.EXECUTOR, "mill", "luzon", "bulacan", "r1", "")
 
 
-class Network:
-    """Delivers messages between daemons at once."""
-
-    def __init__(self, name, networks):
-        self.hello = Hello(name, name, "", "bulacan")
-        self.handlers = {}
-        self.networks = networks
-        networks[name] = self
-
-    def on(self, kind, handler):
-        self.handlers[kind] = handler
-
-    def send(self, incarnation, message):
-        peer = self.networks.get(incarnation)
-        if peer is None:
-            return False
-        peer.handlers[type(message)](self.hello.incarnation, message)
-        return True
-
-    def broadcast(self, message):
-        return sum(self.send(n, message) for n in self.networks if n != self.name())
-
-    def name(self):
-        return self.hello.incarnation
-
-
 def daemon(name, networks, running=0):
     network = Network(name, networks)
     state = FleetState(vm_list=VmList({VM.name: VM}, 1))
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -6,11 +6,15 @@
 
 import pytest
 
+from pomeloyard.fleet_state import FleetState, RoleRecord
+from pomeloyard.health_reports import HealthReports
+from pomeloyard.platform import layout
 from pomeloyard.platform.directory import VmOperation
 from pomeloyard.repair import Observation, ObservationKind
-from pomeloyard.vms import Cause, VmState
+from pomeloyard.vms import Cause, VmRecord, VmState
 
 from .support.fleet import Fleet, make_config, make_vms, run
+from .support.network import Network
 
 OK, FAILED = ObservationKind.REQUEST_DONE, ObservationKind.REQUEST_FAILED
 SILENT = ObservationKind.UNRESPONSIVE
@@ -169,3 +173,44 @@
         assert fleet.spent() == set()
 
     run(body)
+
+
+def test_vm_that_left_the_platform_is_removed_from_its_pool():
+    """Guards against a budget that counts a VM which will never return."""
+
+    async def body():
+        fleet = await new_fleet()
+        fleet.directory.remove(SICK)
+        fleet.directory.refuse = True  # The platform cannot replace it either.
+        gone_for_good = VmState.SET_ASIDE
+        await fleet.run_until(lambda: fleet.vm(SICK).state is gone_for_good, step=5)
+        await fleet.step(24 * 3600)
+        assert SICK not in fleet.stored(layout.VMS, VmRecord)
+        assert SICK not in fleet.budgets()["orders"].members_by_vm
+        assert fleet.spent() == set()
+
+    run(body)
+
+
+def test_observations_of_all_daemons_reach_the_controller():
+    """Guards against a detector that sees only its own daemon's requests."""
+
+    async def body():
+        fleet = await new_fleet()
+        health = fleet.controller.repairs.health
+        networks = {}
+        reports = {}
+        for name in ("entry-1.a", "entry-2.b"):
+            state = FleetState(roles_by_name={"controller": RoleRecord("entry-1.a", 1)})
+            network = Network(name, networks)
+            reports[name] = HealthReports(fleet.clock, network, state, health.observe)
+            reports[name].start()
+        observe_rest(fleet)
+        for report in reports.values():
+            for _ in range(6):
+                report.note(SICK, FAILED)
+            report.report()
+        [suspicion] = health.suspicions([SICK, "orders-e000"], fleet.clock.now())
+        assert suspicion.cause is Cause.VM_FAILED
+
+    run(body)
