--- a/src/pomeloyard/budgets.py
+++ b/src/pomeloyard/budgets.py
@@ -116,20 +116,25 @@
     the whole pool are counted over its configured size, so that lending VMs away
     does not lower what must stay.
     """
-    totals: Counter[Scope] = Counter()
-    available: Counter[Scope] = Counter()
+    counts: dict[tuple[str, str], list[int]] = {}
     for name, member in record.members_by_vm.items():
+        # Counted by plain strings, as this is done for every VM in every step.
+        key = (member.role.value, member.availability_zone)
+        count = counts.setdefault(key, [0, 0])
         spending = record.spending_by_vm.get(name)
-        scopes = (Scope(member.role), Scope(member.role, member.availability_zone))
         if spending is None or spending.kind is not SpendingKind.JOINING:
-            totals.update(scopes)
+            count[0] += 1
         if spending is None and name not in unavailable:
-            available.update(scopes)
+            count[1] += 1
+    by_scope: dict[Scope, tuple[int, int]] = {}
+    for (role, zone), (total, available) in counts.items():
+        by_scope[Scope(VmRole(role), zone)] = (total, available)
+        whole = by_scope.get(Scope(VmRole(role)), (0, 0))
+        by_scope[Scope(VmRole(role))] = (whole[0] + total, whole[1] + available)
     return {
-        scope: Headroom(
-            total, _needed(scope, total, budget, pool), available.get(scope, 0)
-        )
-        for scope, total in totals.items()
+        scope: Headroom(total, _needed(scope, total, budget, pool), available)
+        for scope, (total, available) in by_scope.items()
+        if total
     }
 
 
@@ -196,12 +201,10 @@
     list does not show the VM as live, so that whatever is planned for it is an
     unplanned loss.
     """
+    if new.pool != pool:
+        return without_vm(record, new.name)
     members = dict(record.members_by_vm)
     spending = dict(record.spending_by_vm)
-    if new.pool != pool:
-        members.pop(new.name, None)
-        spending.pop(new.name, None)
-        return replace(record, members_by_vm=members, spending_by_vm=spending)
     members[new.name] = Member(new.role, new.availability_zone)
     if new.state is VmState.IN_SERVICE:
         spending.pop(new.name, None)
@@ -213,6 +216,13 @@
     return replace(record, members_by_vm=members, spending_by_vm=spending)
 
 
+def without_vm(record: BudgetRecord, name: str) -> BudgetRecord:
+    """Return the budget record without a VM."""
+    members = {n: m for n, m in record.members_by_vm.items() if n != name}
+    spending = {n: s for n, s in record.spending_by_vm.items() if n != name}
+    return replace(record, members_by_vm=members, spending_by_vm=spending)
+
+
 def _kind_of(old: VmRecord | None, new: VmRecord, lost: bool) -> SpendingKind:
     if old is not None and old.pool != new.pool:
         return SpendingKind.JOINING
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -29,6 +29,7 @@
 from .exchanges import ExchangeSender
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
+from .health_reports import HealthReports
 from .heartbeats import HeartbeatBook
 from .job_store import JobStore
 from .key_service import KeyService
@@ -192,6 +193,9 @@
             self.metrics.count_decision,
         ]
         self.roles_by_name: dict[str, RoleCandidate] = {}
+        self.health_reports = HealthReports(
+            clock, self.peers, self.state, self.controller.repairs.health.observe
+        )
         self._servers: list[EmbeddedServer] = []
         self._closing = False
 
@@ -219,6 +223,7 @@
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
         self.drain_notices.start()
+        self.health_reports.start()
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
@@ -231,6 +236,7 @@
         tasks.start_soon(self.log_writer.run)
         tasks.start_soon(self.tls.run, self.clock)
         tasks.start_soon(self.endpoints.run)
+        tasks.start_soon(self.health_reports.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
--- a/src/pomeloyard/forecasts.py
+++ b/src/pomeloyard/forecasts.py
@@ -22,6 +22,14 @@
 """Largest deviation of the time between peaks, as a share of its median, for which
 the next peak is predicted."""
 
+TURNS_KEPT = 4
+TURNS_FOR_PREDICTION = 2
+"""Equal turns after which the next pool is prepared for."""
+
+TURN_MARGIN = 0.5
+"""Share of the time between turns by which VMs are moved ahead of a turn; VMs
+that the last peak but one has left idle in any case."""
+
 PEAK_END_SHARE = 0.5
 """A peak begins above the pool's own capacity and ends below this share of it, so
 that demand near the capacity does not count as many peaks."""
@@ -75,8 +83,17 @@
         return median_time(lengths) if lengths else None
 
     def expected_height(self) -> float:
-        """Return the height to prepare for: the highest of the last peaks."""
-        return max((peak.height for peak in self.peaks), default=0.0)
+        """Return the height to prepare for, in VMs.
+
+        The median, as a peak that met too few VMs looks higher by its queue.
+        """
+        return median([peak.height for peak in self.peaks]) if self.peaks else 0.0
+
+    def height_now(self) -> float:
+        """Return the height of the present peak, else of the one to prepare for."""
+        if self.peak_began_at is None:
+            return self.expected_height()
+        return max(self.height, self.demand)
 
     def remaining(self, now: datetime) -> timedelta | None:
         """Return how long the present peak is expected to go on."""
@@ -96,15 +113,45 @@
             return None
         return middle
 
-    def next_start(self, now: datetime) -> datetime | None:
-        """Return when the next peak is expected, or None if peaks are irregular."""
+    def prepare_from(self, now: datetime) -> datetime | None:
+        """Return when to prepare for the next peak, or None if it is not foreseen."""
         period = self.period()
         if period is None or self.peak_began_at is not None:
             return None
         start = self.peaks[-1].started_at + period
         # A peak that is overdue by more than the margin is no longer prepared for.
         late = now - start > PREDICTION_MARGIN * period
-        return None if late else start
+        return None if late else start - PREDICTION_MARGIN * period
+
+
+class TurnForecast:
+    """Which pool's peak follows which, for peaks that come in turns."""
+
+    def __init__(self) -> None:
+        self._last: tuple[str, datetime] | None = None
+        self._followers: dict[str, deque[tuple[str, timedelta]]] = {}
+
+    def note_start(self, pool: str, at: datetime) -> None:
+        """Note that a pool's peak has begun."""
+        if self._last is not None and self._last[0] != pool:
+            earlier, began_at = self._last
+            followers = self._followers.setdefault(earlier, deque(maxlen=TURNS_KEPT))
+            followers.append((pool, at - began_at))
+        self._last = (pool, at)
+
+    def next_peak(self, now: datetime) -> tuple[str, datetime, timedelta] | None:
+        """Return the pool whose turn is next, when, and the usual time between."""
+        if self._last is None:
+            return None
+        followers = self._followers.get(self._last[0], ())
+        pools = {pool for pool, _ in followers}
+        if len(followers) < TURNS_FOR_PREDICTION or len(pools) != 1:
+            return None
+        gap = median_time(gap for _, gap in followers)
+        start = self._last[1] + gap
+        if now - start > gap / 2:
+            return None  # Overdue: the turns have changed or ended.
+        return pools.pop(), start, gap
 
 
 class LendReason(Enum):
@@ -121,13 +168,17 @@
 class PoolDemand:
     """A pool at one moment: its own VMs, borrowed VMs and forecast.
 
-    ``borrowed`` counts borrowed VMs that are in service or on the way.
+    ``borrowed`` counts borrowed VMs that are in service or on the way, ``movable``
+    those in service.
     """
 
     pool: str
     own_vms: int
     borrowed: int
     forecast: PoolForecast
+    movable: int = 0
+    prepare_from: datetime | None = None
+    """When to begin to prepare for the next peak, or None if none is foreseen."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,14 +206,11 @@
         remaining = forecast.remaining(now)
         if remaining is None:
             remaining = now - forecast.peak_began_at
-        extra = math.ceil(max(forecast.demand, forecast.height) - pool.own_vms)
+        extra = math.ceil(forecast.height_now() - pool.own_vms)
         if remaining <= move_time and extra > pool.borrowed:
             return pool.borrowed, LendReason.PEAK_TOO_SHORT
         return max(0, extra), LendReason.PEAK
-    start, period = forecast.next_start(now), forecast.period()
-    if start is None or period is None:
-        return 0, LendReason.NO_PEAK
-    if start - now <= move_time + PREDICTION_MARGIN * period:
+    if pool.prepare_from is not None and now + move_time >= pool.prepare_from:
         extra = math.ceil(forecast.expected_height() - pool.own_vms)
         return max(0, extra), LendReason.PREDICTED_PEAK
     return 0, LendReason.NO_PEAK
@@ -174,39 +222,28 @@
     free_vms: int,
     now: datetime,
     move_time: timedelta,
+    reserve_vms: int = 0,
 ) -> list[LendDecision]:
-    """Return the moves to start, at most ``free_vms`` of them from the spare pool.
+    """Return the moves to start.
 
     Pools with a peak come before those with a predicted one. VMs are taken from
-    the spare pool, then from pools that no longer want what they borrowed.
+    the ``free_vms`` of the spare pool, then from pools that no longer want what
+    they borrowed. A present peak also takes ``reserve_vms``, which the spare
+    pool's own service may need, and then VMs that stand ready elsewhere.
     """
     wanted = {pool.pool: wanted_vms(pool, now, move_time) for pool in pools}
-    surplus = {
-        pool.pool: max(0, pool.borrowed - wanted[pool.pool][0])
-        for pool in pools
-        if pool.forecast.peak_began_at is None
-    }
+    sources = _Sources(spare_pool, free_vms, reserve_vms, pools, wanted)
     decisions: list[LendDecision] = []
     order = sorted(pools, key=lambda p: (_urgency(wanted[p.pool][1]), p.pool))
     for pool in order:
         extra, reason = wanted[pool.pool]
-        missing = extra - pool.borrowed
         demand = pool.forecast.demand
         if reason is LendReason.PEAK_TOO_SHORT:
             decisions.append(
                 LendDecision("", pool.pool, 0, reason, demand, pool.borrowed)
             )
-        for source in (spare_pool, *sorted(surplus)):
-            if missing <= 0:
-                break
-            free = free_vms if source == spare_pool else surplus[source]
-            vms = min(missing, free) if source != pool.pool else 0
-            if vms == 0:
-                continue
-            if source == spare_pool:
-                free_vms -= vms
-            else:
-                surplus[source] -= vms
+        missing = extra - pool.borrowed
+        for source, vms in sources.take(pool.pool, missing, reason):
             missing -= vms
             decisions.append(
                 LendDecision(source, pool.pool, vms, reason, demand, extra)
@@ -214,7 +251,44 @@
         if missing > 0:
             none = LendReason.NO_VM_FREE
             decisions.append(LendDecision("", pool.pool, 0, none, demand, extra))
-    return decisions + _give_back(pools, surplus, spare_pool, now)
+    return decisions + _give_back(pools, sources.surplus, spare_pool, now)
+
+
+class _Sources:
+    """VMs that may be moved: spare ones, surplus ones, and ones kept ready."""
+
+    def __init__(
+        self,
+        spare_pool: str,
+        free_vms: int,
+        reserve_vms: int,
+        pools: Sequence[PoolDemand],
+        wanted: Mapping[str, tuple[int, LendReason]],
+    ) -> None:
+        idle = [pool for pool in pools if pool.forecast.peak_began_at is None]
+        self.spare = {spare_pool: free_vms}
+        self.reserve = {spare_pool: reserve_vms}
+        self.surplus = {
+            p.pool: max(0, min(p.movable, p.borrowed - wanted[p.pool][0])) for p in idle
+        }
+        self.ready = {p.pool: p.movable - self.surplus[p.pool] for p in idle}
+
+    def take(
+        self, target: str, missing: int, reason: LendReason
+    ) -> list[tuple[str, int]]:
+        """Return where to take VMs from; only a present peak takes ready ones."""
+        kinds = [self.spare, self.surplus]
+        if reason is LendReason.PEAK:
+            kinds += [self.reserve, self.ready]
+        taken = []
+        for free_by_pool in kinds:
+            for source, free in sorted(free_by_pool.items()):
+                vms = min(missing, free) if source != target else 0
+                if vms > 0:
+                    free_by_pool[source] -= vms
+                    missing -= vms
+                    taken.append((source, vms))
+        return taken
 
 
 def _give_back(
--- a/src/pomeloyard/lifecycle.py
+++ b/src/pomeloyard/lifecycle.py
@@ -16,8 +16,18 @@
 from .platform.records import ConflictError
 from .vms import Cause, VmPlan, VmRecord, VmState
 
-PARALLEL_STEPS = 4
-"""VMs advanced at once; the store allows 8 calls in flight for each daemon."""
+PARALLEL_STEPS = 64
+"""VMs advanced at once. A question to a daemon that does not answer takes 1 s, and
+must not make the other drains wait in a queue; the store client limits its own
+calls in flight."""
+
+STEPS_AT_ONCE = 4
+"""Steps of one VM in a row, so that a move does not wait for the next tick after
+each of its steps."""
+
+REMOVE_AFTER = timedelta(days=1)
+"""Time after which a VM that was set aside and is missing from the platform's list
+is removed from its pool; until then an operator can see and return it."""
 
 REISSUE_INTERVAL = timedelta(seconds=30)
 """Time after which an operation that has had no effect is sent again, with the
@@ -63,6 +73,16 @@
             except ConflictError:
                 continue  # Another controller adopted it first.
 
+    async def remove_missing_vms(self) -> None:
+        """Delete the records of set-aside VMs that have long left the list."""
+        now = self._records.clock.now()
+        for record in self._vm_records():
+            if record.state is not VmState.SET_ASIDE or record.since is None:
+                continue
+            if self._vm(record.name) is None and now - record.since >= REMOVE_AFTER:
+                log.info("{} is no longer in the platform's list", record.name)
+                await self._records.remove(record.name)
+
     async def enter_losses(self) -> None:
         """Enter VMs that the platform lost or returned into records and budgets."""
         await self._advance_each(
@@ -75,7 +95,7 @@
         )
 
     async def advance_all(self) -> None:
-        """Advance every VM by at most one step; one VM's failure stops no other."""
+        """Advance every VM; one VM's failure stops no other."""
         active = [record for record in self._vm_records() if self._active(record)]
         draining = {r.name for r in active if r.state is VmState.DRAINING}
         for name in self.drain_checks_by_vm.keys() - draining:
@@ -98,7 +118,12 @@
     ) -> None:
         async with limiter:
             try:
-                await self._advance(record, tasks)
+                for _ in range(STEPS_AT_ONCE):
+                    await self._advance(record, tasks)
+                    after = self._records.state.vm_records_by_name[record.name]
+                    if after.epoch == record.epoch or not self._active(after):
+                        break
+                    record = after
             except (StoreError, ConflictError, RefusedError) as error:
                 log.warning("step of {} failed: {}", record.name, error)
 
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -328,6 +328,20 @@
     age_ms: int
 
 
+class VmOutcomes(WireMessage, frozen=True):
+    """Observations of one kind at one VM (see repair.ObservationKind)."""
+
+    vm: str
+    kind: str
+    count: int
+
+
+class HealthReport(WireMessage, frozen=True):
+    """Observations of VMs since the last report, sent to the controller."""
+
+    outcomes: tuple[VmOutcomes, ...]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -360,6 +374,7 @@
     | ClaimQuery
     | ClaimStatement
     | ClaimOutage
+    | HealthReport
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
