--- a/src/pomeloyard/config/publication.py
+++ b/src/pomeloyard/config/publication.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
 
+import anyio
 import msgspec
 
-from ..errors import RefusedError
+from ..errors import RefusedError, StoreError
 from ..outcomes import RefusalReason, Refused
 from ..platform import layout
 from ..platform.records import (
@@ -16,7 +19,7 @@
     commit_changes,
     read_record,
 )
-from ..platform.store import MAX_VALUE_BYTES, Store
+from ..platform.store import MAX_VALUE_BYTES, Entry, Store
 from .diff import ItemChange, diff_configs
 from .model import FleetConfig
 
@@ -86,14 +89,13 @@
     if size > MAX_VALUE_BYTES - ENVELOPE_BYTES:
         detail = f"{size} bytes are over {MAX_VALUE_BYTES - ENVELOPE_BYTES}"
         raise RefusedError(Refused(RefusalReason.TOO_LARGE, detail))
-    head = await read_record(store, layout.CONFIG_HEAD, int)
-    if (head.value if head else 0) != made_from:
+    basis = await _read_basis(store, made_from)
+    if (basis.head.value if basis.head else 0) != made_from:
         raise await _conflict(store, made_from)
-    earlier = await read_revision(store, made_from) if head else FleetConfig(name="")
-    changes = diff_configs(earlier, config)
+    changes = diff_configs(basis.earlier, config)
     info = RevisionInfo(config.revision, at, by, note, len(changes))
     try:
-        await commit_changes(store, await _record_changes(store, config, head, info))
+        await commit_changes(store, _record_changes(config, basis, info))
     except ConflictError as error:
         raise await _conflict(store, made_from) from error
     return Published(config, changes)
@@ -128,23 +130,80 @@
     return tuple(reversed(record.value)) if record else ()
 
 
-async def _record_changes(
-    store: Store, config: FleetConfig, head: Versioned[int] | None, info: RevisionInfo
+@dataclass
+class _Basis:
+    """The records that a publication is made from."""
+
+    head: Versioned[int] | None = None
+    earlier: FleetConfig = field(default_factory=lambda: FleetConfig(name=""))
+    kept: Versioned[tuple[RevisionInfo, ...]] | None = None
+    oldest: Entry | None = None
+
+
+async def _read_basis(store: Store, made_from: int) -> _Basis:
+    """Read all records at once, as each call may take long on a slow store."""
+    basis = _Basis()
+
+    async def read_head() -> None:
+        basis.head = await read_record(store, layout.CONFIG_HEAD, int)
+
+    async def read_earlier() -> None:
+        key = layout.config_revision_key(made_from)
+        record = await read_record(store, key, FleetConfig)
+        basis.earlier = record.value if record else basis.earlier
+
+    async def read_history() -> None:
+        kind = tuple[RevisionInfo, ...]
+        basis.kept = await read_record(store, layout.CONFIG_HISTORY, kind)
+
+    async def read_oldest() -> None:
+        key = layout.config_revision_key(made_from + 1 - KEPT_REVISIONS)
+        basis.oldest = await store.get(key)
+
+    reads = [read_head, read_history]
+    if made_from > 0:
+        reads.append(read_earlier)
+    if made_from >= KEPT_REVISIONS:
+        reads.append(read_oldest)
+    await _run_all(reads)
+    return basis
+
+
+async def _run_all(reads: Sequence[Callable[[], Coroutine[Any, Any, None]]]) -> None:
+    """Run reads side by side; the first store error ends them all."""
+    failure: StoreError | None = None
+
+    async def run(read: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        nonlocal failure
+        try:
+            await read()
+        except StoreError as error:
+            failure = error
+            tasks.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tasks:
+        for read in reads:
+            tasks.start_soon(run, read)
+    if failure is not None:
+        raise failure
+
+
+def _record_changes(
+    config: FleetConfig, basis: _Basis, info: RevisionInfo
 ) -> list[Change]:
-    """Return the record changes of one publication."""
-    kept = await read_record(store, layout.CONFIG_HISTORY, tuple[RevisionInfo, ...])
-    infos = (*(kept.value if kept else ()), info)
+    """Return the record changes of one publication.
+
+    Each publication deletes the one revision that is no longer kept.
+    """
+    infos = (*(basis.kept.value if basis.kept else ()), info)[-KEPT_REVISIONS:]
     changes = [
-        Change(layout.CONFIG_HEAD, config.revision, head),
+        Change(layout.CONFIG_HEAD, config.revision, basis.head),
         Change(layout.config_revision_key(config.revision), config, None),
-        Change(layout.CONFIG_HISTORY, infos[-KEPT_REVISIONS:], kept),
+        Change(layout.CONFIG_HISTORY, infos, basis.kept),
     ]
-    for old in infos[:-KEPT_REVISIONS]:
-        key = layout.config_revision_key(old.revision)
-        entry = await store.get(key)
-        if entry is not None:
-            expected = Versioned(key, None, entry.mod_revision)
-            changes.append(Change(key, None, expected))
+    if basis.oldest is not None:
+        old = Versioned(basis.oldest.key, None, basis.oldest.mod_revision)
+        changes.append(Change(old.key, None, old))
     return changes
 
 
--- a/src/pomeloyard/platform/etcd.py
+++ b/src/pomeloyard/platform/etcd.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
-from typing import Any
+from typing import Any, TypeVar
 
 import anyio
 import httpcore
@@ -25,6 +26,7 @@
     StoreUnavailableError,
 )
 from .store import (
+    CallCounter,
     CommitResult,
     Entry,
     Operation,
@@ -34,23 +36,25 @@
     Transaction,
     WatchBatch,
     WatchEvent,
+    check_transaction,
 )
 
 CALL_TIMEOUT = timedelta(seconds=2)
 MAX_CALLS_IN_FLIGHT = 8
-WATCH_IDLE_TIMEOUT = timedelta(seconds=30)
+WATCH_IDLE_SECONDS = 30.0
 """A watch that shows no sign of life for this long is opened again."""
 
-HTTP_UNAVAILABLE = 503
-HTTP_CLIENT_ERROR = 400
+MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
+FIRST_KEY = "\0"
+"""Start of a range over all keys, as the empty key is not valid."""
+
 GRPC_NOT_FOUND = 5
-GRPC_UNAVAILABLE = 14
+GRPC_RESOURCE_EXHAUSTED = 8
+GRPC_INVALID = frozenset({3, 7, 9, 11, 12, 16})
+"""Invalid argument, permission denied, failed precondition, out of range,
+unimplemented and unauthenticated: rejected without effect."""
 
-_BEFORE_SENDING = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
+T = TypeVar("T")
 
 
 class EtcdStore(Store):
@@ -59,10 +63,10 @@
     def __init__(self, url: str, call_timeout: timedelta = CALL_TIMEOUT) -> None:
         self._url = url.rstrip("/")
         self._timeout = call_timeout.total_seconds()
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CALLS_IN_FLIGHT, keepalive_expiry=30.0
-        )
-        self._watch_pool = httpcore.AsyncConnectionPool(max_connections=4)
+        self._in_flight = anyio.Semaphore(MAX_CALLS_IN_FLIGHT)
+        self._pool = httpcore.AsyncConnectionPool(keepalive_expiry=30.0)
+        self._watch_pool = httpcore.AsyncConnectionPool(keepalive_expiry=0.0)
+        self.calls = CallCounter()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -71,24 +75,21 @@
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if it is absent."""
-        answer = await self._read("/v3/kv/range", {"key": encode_text(key)})
-        kvs = answer.get("kvs") or []
-        return decode_entry(kvs[0]) if kvs else None
+        page = await self._range({"key": encode_text(key)})
+        return page.entries[0] if page.entries else None
 
     async def scan(self, prefix: str, *, start: str = "", limit: int = 1000) -> Page:
         """Return entries whose key has ``prefix``, from key ``start`` on."""
         body = {
-            "key": encode_text(max(prefix, start)),
+            "key": encode_text(max(prefix, start) or FIRST_KEY),
             "range_end": encode_bytes(prefix_end(prefix)),
             "limit": str(limit),
         }
-        answer = await self._read("/v3/kv/range", body)
-        entries = tuple(decode_entry(kv) for kv in answer.get("kvs") or [])
-        revision = int(answer["header"]["revision"])
-        return Page(entries, revision, more=bool(answer.get("more")))
+        return await self._range(body)
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply a transaction atomically."""
+        check_transaction(transaction)
         body = {
             "compare": [
                 {
@@ -101,30 +102,26 @@
             ],
             "success": [encode_operation(op) for op in transaction.operations],
         }
-        answer = await self._call("/v3/kv/txn", body)
-        revision = int(answer["header"]["revision"])
-        return CommitResult(bool(answer.get("succeeded")), revision)
+        return await self._write("/v3/kv/txn", body, decode_commit)
 
     async def grant_lease(self, ttl: timedelta) -> int:
         """Create a lease and return its id."""
         seconds = max(1, round(ttl.total_seconds()))
-        answer = await self._call("/v3/lease/grant", {"TTL": str(seconds), "ID": "0"})
-        return int(answer["ID"])
+        body = {"TTL": str(seconds), "ID": "0"}
+        return await self._write("/v3/lease/grant", body, lambda a: int(a["ID"]))
 
     async def keep_lease_alive(self, lease: int) -> timedelta:
         """Renew a lease and return its time to live."""
-        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
-        ttl = int(answer.get("result", answer).get("TTL", 0))
+        body = {"ID": str(lease)}
+        ttl = await self._write("/v3/lease/keepalive", body, decode_ttl)
         if ttl <= 0:
             raise LeaseLostError(f"lease {lease} has expired")
         return timedelta(seconds=ttl)
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete the keys attached to it."""
-        try:
-            await self._call("/v3/lease/revoke", {"ID": str(lease)})
-        except LeaseLostError:
-            return
+        with contextlib.suppress(LeaseLostError):
+            await self._write("/v3/lease/revoke", {"ID": str(lease)}, dict)
 
     @asynccontextmanager
     async def watch(
@@ -133,54 +130,80 @@
         """Yield changes under ``prefix`` from ``from_revision`` on."""
         request = {
             "create_request": {
-                "key": encode_text(prefix),
+                "key": encode_text(prefix or FIRST_KEY),
                 "range_end": encode_bytes(prefix_end(prefix)),
                 "start_revision": str(from_revision),
                 "progress_notify": True,
             }
         }
-        timeout = {
-            "connect": self._timeout,
-            "read": WATCH_IDLE_TIMEOUT.total_seconds(),
-            "write": self._timeout,
-            "pool": self._timeout,
-        }
+        self.calls.watches_opened += 1
+        self.calls.watches_waiting += 1
         try:
-            async with self._watch_pool.stream(
-                "POST",
-                f"{self._url}/v3/watch",
-                headers={"Content-Type": "application/json"},
-                content=json.dumps(request).encode(),
-                extensions={"timeout": timeout},
-            ) as response:
+            async with AsyncExitStack() as stack:
+                with anyio.fail_after(self._timeout):
+                    response = await stack.enter_async_context(
+                        self._watch_pool.stream(
+                            "POST",
+                            f"{self._url}/v3/watch",
+                            headers={"Content-Type": "application/json"},
+                            content=json.dumps(request).encode(),
+                            extensions={"timeout": {"read": WATCH_IDLE_SECONDS}},
+                        )
+                    )
                 if response.status != 200:
                     raise StoreUnavailableError(f"watch status {response.status}")
                 yield _watch_batches(response)
-        except _TRANSPORT_ERRORS as error:
+        except (TimeoutError, *_TRANSPORT_ERRORS) as error:
             raise StoreUnavailableError(f"watch: {error!r}") from error
+        finally:
+            self.calls.watches_waiting -= 1
 
-    async def _read(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
+    async def _range(self, body: Mapping[str, Any]) -> Page:
+        self.calls.reads += 1
         try:
-            return await self._call(path, body)
+            return await self._call("/v3/kv/range", body, decode_page)
         except StoreOutcomeUnknownError as error:
             # A read has no effect, so a lost answer is the same as no call.
             raise StoreUnavailableError(str(error)) from error
 
-    async def _call(self, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
+    async def _write(
+        self, path: str, body: Mapping[str, Any], decode: Callable[[Any], T]
+    ) -> T:
+        self.calls.writes += 1
+        return await self._call(path, body, decode)
+
+    async def _call(
+        self, path: str, body: Mapping[str, Any], decode: Callable[[Any], T]
+    ) -> T:
+        sent = False
         try:
             with anyio.fail_after(self._timeout):
-                response = await self._pool.request(
-                    "POST",
-                    self._url + path,
-                    headers={"Content-Type": "application/json"},
-                    content=json.dumps(body).encode(),
-                    extensions={"timeout": {"connect": self._timeout}},
-                )
-        except _BEFORE_SENDING as error:
+                async with self._in_flight:
+                    sent = True
+                    response = await self._pool.request(
+                        "POST",
+                        self._url + path,
+                        headers={"Content-Type": "application/json"},
+                        content=json.dumps(body).encode(),
+                        extensions={"timeout": {"connect": self._timeout / 2}},
+                    )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            self.calls.failures += 1
             raise StoreUnavailableError(f"{path}: {error!r}") from error
         except (TimeoutError, *_TRANSPORT_ERRORS) as error:
+            self.calls.failures += 1
+            if not sent:
+                text = f"{path}: {MAX_CALLS_IN_FLIGHT} other calls are in flight"
+                raise StoreUnavailableError(text) from error
+            await self._close_idle()
             raise StoreOutcomeUnknownError(f"{path}: {error!r}") from error
-        return _decode_answer(path, response)
+        return _decode_answer(path, response, decode)
+
+    async def _close_idle(self) -> None:
+        """Close kept connections, as they may hang like the one that failed."""
+        for connection in self._pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
 
 
 _TRANSPORT_ERRORS = (
@@ -189,41 +212,76 @@
     httpcore.ProtocolError,
 )
 
+_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, IndexError)
+
 
-def _decode_answer(path: str, response: httpcore.Response) -> dict[str, Any]:
+def _decode_answer(
+    path: str, response: httpcore.Response, decode: Callable[[Any], T]
+) -> T:
     try:
         answer = json.loads(response.content)
-    except ValueError as error:
-        raise StoreOutcomeUnknownError(f"{path}: answer is not JSON") from error
-    if not isinstance(answer, dict):
-        raise StoreOutcomeUnknownError(f"{path}: answer is not an object")
-    if response.status == 200:
-        return answer
-    raise _status_error(path, response.status, answer)
-
-
-def _status_error(path: str, status: int, answer: Mapping[str, Any]) -> StoreError:
-    detail = f"{path}: status {status}: {answer.get('message', '')}"
-    code = answer.get("code")
+        if response.status == 200:
+            return decode(answer)
+        detail = f"{path}: status {response.status}: {answer.get('message', '')}"
+        code = answer.get("code")
+    except (*_DECODE_ERRORS, RecursionError) as error:
+        text = f"{path}: status {response.status}, malformed answer: {error!r}"
+        raise StoreOutcomeUnknownError(text) from error
+    raise _status_error(response.status, code, detail)
+
+
+def _status_error(status: int, code: Any, detail: str) -> StoreError:
     if code == GRPC_NOT_FOUND:
         return LeaseLostError(detail)
-    if HTTP_CLIENT_ERROR <= status < 500:
+    if code == GRPC_RESOURCE_EXHAUSTED:
+        return StoreUnavailableError(detail)  # Refused before it was proposed.
+    if code in GRPC_INVALID:
         return StoreRequestError(detail)
     # etcd may answer "unavailable" after a proposal was already replicated.
     return StoreOutcomeUnknownError(detail)
 
 
+def decode_page(answer: Mapping[str, Any]) -> Page:
+    """Decode the answer of a range; zero values are omitted by the gateway."""
+    entries = tuple(decode_entry(kv) for kv in answer.get("kvs") or ())
+    revision = int(answer["header"]["revision"])
+    return Page(entries, revision, more=bool(answer.get("more")))
+
+
+def decode_commit(answer: Mapping[str, Any]) -> CommitResult:
+    """Decode the answer of a transaction."""
+    revision = int(answer["header"]["revision"])
+    return CommitResult(bool(answer.get("succeeded")), revision)
+
+
+def decode_ttl(answer: Mapping[str, Any]) -> int:
+    """Decode the first message of a keepalive stream, in seconds."""
+    result = answer["result"]
+    int(result["header"]["revision"])
+    return int(result.get("TTL", 0))
+
+
 async def _watch_batches(response: httpcore.Response) -> AsyncIterator[WatchBatch]:
+    try:
+        async for line in _lines(response):
+            batch = _decode_watch(line)
+            if batch is not None:
+                yield batch
+    except _TRANSPORT_ERRORS as error:
+        raise StoreUnavailableError(f"watch: {error!r}") from error
+    raise StoreUnavailableError("the store ended the watch")
+
+
+async def _lines(response: httpcore.Response) -> AsyncIterator[bytes]:
     buffer = b""
     async for chunk in response.aiter_stream():
         buffer += chunk
+        if len(buffer) > MAX_WATCH_LINE_BYTES:
+            raise StoreUnavailableError("a watch event is too large")
         while b"\n" in buffer:
             line, buffer = buffer.split(b"\n", 1)
             if line.strip():
-                batch = _decode_watch(line)
-                if batch is not None:
-                    yield batch
-    raise StoreUnavailableError("the store ended the watch")
+                yield line
 
 
 def _decode_watch(line: bytes) -> WatchBatch | None:
@@ -231,12 +289,13 @@
         result = json.loads(line)["result"]
         compacted = int(result.get("compact_revision", 0))
         revision = int(result["header"]["revision"])
-        events = tuple(decode_event(event) for event in result.get("events") or [])
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        cancelled = bool(result.get("canceled"))
+        events = tuple(decode_event(event) for event in result.get("events") or ())
+    except (*_DECODE_ERRORS, RecursionError) as error:
         raise StoreUnavailableError(f"malformed watch event: {error!r}") from error
     if compacted:
         raise CompactedError(compacted)
-    if result.get("canceled"):
+    if cancelled:
         raise StoreUnavailableError("the store cancelled the watch")
     return WatchBatch(events, revision) if events else None
 
--- a/src/pomeloyard/standins/launcher.py
+++ b/src/pomeloyard/standins/launcher.py
@@ -81,6 +81,7 @@
         self._vms: list[Vm] = []
         self.operator_key = new_key()[0]
         self.platform_url = ""
+        self.slow_store_url = ""
 
     @property
     def daemons(self) -> list[str]:
@@ -119,6 +120,19 @@
         url = f"{self.platform_url}/v1/vms"
         wait_until(lambda: answers(url), "platform answers")
 
+    def start_slow_store(self, delay_ms: int) -> str:
+        """Start a proxy that delays what passes, and return its store URL."""
+        port = free_port()
+        self.start("proxy", "pomeloyard.standins.fault_proxy", "--port", str(port))
+        control = f"http://127.0.0.1:{port}"
+        wait_until(partial(answers, f"{control}/healthz"), "proxy answers")
+        target = self.platform_url.removeprefix("http://")
+        link = _control("PUT", f"{control}/links/store", {"target": target})
+        faults = {"delay_seconds": delay_ms / 1000}
+        _control("POST", f"{control}/links/store/faults", faults)
+        self.slow_store_url = f"http://{link['address']}"
+        return self.slow_store_url
+
     def start_vms(self) -> None:
         """Start the stand-ins of all executors and workers."""
         for vm in self._vms:
@@ -198,6 +212,13 @@
             process.wait()
 
 
+def _control(method: str, url: str, body: object) -> dict[str, object]:
+    response = httpcore.request(method, url, content=msgspec.json.encode(body))
+    if response.status != 200:
+        raise LaunchError(f"{url}: status {response.status}")
+    return dict(msgspec.json.decode(response.content))
+
+
 def _wait(process: subprocess.Popen[bytes]) -> int:
     try:
         return process.wait(STOP_SECONDS)
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -4,8 +4,10 @@
 
 import json
 import os
+import re
 import time
 from datetime import timedelta
+from pathlib import Path
 
 import anyio
 import logbook
@@ -141,3 +143,17 @@
     answer = anyio.run(call_app, app, "GET", "/readyz")
     assert answer.status == 503
     assert answer.json["reasons"] == ["no-configuration", "no-vm-list"]
+
+
+def test_alarms_page_names_only_metrics_that_exist():
+    page = (Path(__file__).parents[2] / "docs/operators/alarms.md").read_text()
+    operator = Operator()
+    operator.daemon.metrics.count_request("orders", "mill", "done", timedelta(0))
+    operator.state.failed_authentications["key-invalid"] += 1
+    text = operator.daemon.metrics.text().decode()
+    named = set(re.findall(r"pomeloyard_\w+", page))
+    assert len(named) > 8
+    missing = [n for n in named if f"{n}{{" not in text and f"{n} " not in text]
+    assert [
+        n for n in missing if f"# TYPE {n.removesuffix('_total')}" not in text
+    ] == []
