Show shares over all daemons by weighted max-min; count store calls

Cause: pomeloyard share showed one daemon's requests and divided them by weight even if a team asked for less than its part; store calls were not in the metrics.

Store calls by kind and open watches are metrics.

--- a/src/pomeloyard/cli/session.py
+++ b/src/pomeloyard/cli/session.py
@@ -34,12 +34,20 @@
         repeatable: bool | None = None,
     ) -> Any:
         """Return the decoded answer; a missing option is a usage error."""
+        self._check_complete()
+        return super().call(method, path, body, repeatable=repeatable)
+
+    def call_all(self, path: str) -> tuple[list[Any], list[str]]:
+        """Read from every daemon; a missing option is a usage error."""
+        self._check_complete()
+        return super().call_all(path)
+
+    def _check_complete(self) -> None:
         if not self._complete:
             raise click.UsageError(
                 "give --daemon and --key, or POMELOYARD_DAEMONS and POMELOYARD_KEY, "
                 f"or daemon and key in {OPTIONS_FILE}"
             )
-        return super().call(method, path, body, repeatable=repeatable)
 
 
 def load_options(
--- a/src/pomeloyard/cli/teams.py
+++ b/src/pomeloyard/cli/teams.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import click
+import msgspec
 
 from ..operators.client import OperatorClient
-from .output import show
+from ..usage import TeamUsage, combined
+from .output import note, show
 
 
 @click.group()
@@ -33,11 +35,15 @@
 @click.command()
 @click.pass_obj
 def share(client: OperatorClient) -> None:
-    """Show what each team receives and is entitled to at the answering daemon.
+    """Show what each team receives and is entitled to, over all daemons given.
 
     \b
     Examples:
       pomeloyard share
       pomeloyard --daemon 10.0.0.2:8081 share
     """
-    show(client.call("GET", "/v1/shares"))
+    answers, silent = client.call_all("/v1/shares")
+    for address in silent:
+        note(f"no answer from {address}; its requests are not counted")
+    usages = msgspec.convert([row for rows in answers for row in rows], list[TeamUsage])
+    show(msgspec.to_builtins(combined(usages)))
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -122,6 +122,7 @@
                 self.peers,
                 self.log_writer,
                 self._team_usage,
+                store.calls,
             ),
         )
         self.decisions.sinks += [
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -19,6 +19,7 @@
 from .keys import key_id_of
 from .logs import LogWriter
 from .peers.streams import PeerNetwork
+from .platform.store import CallCounter
 from .problems import MEDIA_TYPE
 from .usage import TeamUsage
 
@@ -37,6 +38,7 @@
     peers: PeerNetwork
     log_writer: LogWriter
     team_usage: Callable[[], list[TeamUsage]]
+    store_calls: CallCounter
     more: list[Callable[[], Iterable[Metric]]] = field(default_factory=list)
     """Further collectors, added by the parts that own their figures."""
 
@@ -78,6 +80,7 @@
         """Yield all metrics that are read from the daemon's state."""
         yield from self._counted()
         yield from self._state_gauges()
+        yield from self._store_counters()
         yield from self._peer_counters()
         yield from self._team_gauges()
         yield from self._queue_gauges()
@@ -145,6 +148,23 @@
             vms.add_metric(list(pair), count)
         yield vms
 
+    def _store_counters(self) -> Iterator[Metric]:
+        calls = self._sources.store_calls
+        counter = CounterMetricFamily(
+            "pomeloyard_store_calls", "Calls to the store", labels=["kind"]
+        )
+        for kind, count in (
+            ("read", calls.reads),
+            ("write", calls.writes),
+            ("failed", calls.failures),
+            ("watch", calls.watches_opened),
+        ):
+            counter.add_metric([kind], count)
+        yield counter
+        text = "Watches that are open"
+        watches = calls.watches_waiting
+        yield GaugeMetricFamily("pomeloyard_store_open_watches", text, value=watches)
+
     def _peer_counters(self) -> Iterator[Metric]:
         traffic = self._sources.peers.traffic
         for name, text, counts in (
--- a/src/pomeloyard/operators/client.py
+++ b/src/pomeloyard/operators/client.py
@@ -100,6 +100,19 @@
                 return _decode(response)
         raise _no_answer(failure, sent=sent)
 
+    def call_all(self, path: str) -> tuple[list[Any], list[str]]:
+        """Read from every daemon; return the answers and who gave none."""
+        answers: list[Any] = []
+        silent: list[str] = []
+        for address in list(self._addresses):
+            try:
+                answers.append(_decode(self._send(address, "GET", path, None)))
+            except (*_NOT_CONNECTED, *_NO_ANSWER):
+                silent.append(address)
+        if not answers:
+            raise _no_answer(None, sent=False)
+        return answers, silent
+
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
@@ -141,7 +154,7 @@
 
 
 def _no_answer(failure: Exception | None, *, sent: bool) -> OperatorCallError:
-    detail = repr(failure) if failure is not None else "no daemon is given"
+    detail = repr(failure) if failure is not None else "no daemon answers"
     if sent:
         return OperatorCallError(0, _problem("no-answer", detail, "unknown"))
     return OperatorCallError(0, _problem("unreachable", detail, "not-run"))
--- a/src/pomeloyard/usage.py
+++ b/src/pomeloyard/usage.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
 
 from .config.model import TeamConfig
+from .shares import weighted_max_min
 
 
 @dataclass(frozen=True, slots=True)
 class TeamUsage:
-    """Units of a team at the answering daemon.
+    """Units of a team, at one daemon or at several together.
 
     ``running`` and ``queued`` are requests; ``received`` and ``entitled`` are
-    parts of all running requests, the latter by the weights of the teams that
-    have requests.
+    parts of all running requests, the latter by weighted max-min of what the
+    teams ask for.
     """
 
     team: str
@@ -34,23 +35,51 @@
     """Return the usage of every team, by name.
 
     >>> teams = {"a": TeamConfig("a", 3, 10), "b": TeamConfig("b", 1, 10)}
-    >>> [(u.received, u.entitled) for u in team_usages(teams, {"a": 1, "b": 1}, {})]
+    >>> usages = team_usages(teams, {"a": 2, "b": 2}, {"a": 9})
+    >>> [(usage.received, usage.entitled) for usage in usages]
     [(0.5, 0.75), (0.5, 0.25)]
     """
-    running = {name: running_by_team.get(name, 0) for name in teams_by_name}
-    queued = {name: queued_by_team.get(name, 0) for name in teams_by_name}
-    total = sum(running.values())
-    active = [t for n, t in teams_by_name.items() if running[n] or queued[n]]
-    weights = sum(team.share for team in active)
-    return [
+    usages = [
         TeamUsage(
             name,
             team.share,
             team.limit,
-            running[name],
-            queued[name],
-            round(running[name] / total, 4) if total else 0.0,
-            round(team.share / weights, 4) if team in active else 0.0,
+            running_by_team.get(name, 0),
+            queued_by_team.get(name, 0),
+            0.0,
+            0.0,
         )
         for name, team in sorted(teams_by_name.items())
     ]
+    return with_shares(usages)
+
+
+def combined(usages: Iterable[TeamUsage]) -> list[TeamUsage]:
+    """Return the usage of every team over several daemons, by name."""
+    by_team: dict[str, TeamUsage] = {}
+    for usage in usages:
+        other = by_team.get(usage.team)
+        if other is not None:
+            usage = replace(
+                usage,
+                running=usage.running + other.running,
+                queued=usage.queued + other.queued,
+            )
+        by_team[usage.team] = usage
+    return with_shares([by_team[name] for name in sorted(by_team)])
+
+
+def with_shares(usages: list[TeamUsage]) -> list[TeamUsage]:
+    """Return the usages with the parts received and entitled to."""
+    total = sum(usage.running for usage in usages)
+    demands = {usage.team: float(usage.running + usage.queued) for usage in usages}
+    weights = {usage.team: usage.share for usage in usages}
+    entitled = weighted_max_min(total, demands, weights)
+    return [
+        replace(
+            usage,
+            received=round(usage.running / total, 4) if total else 0.0,
+            entitled=round(entitled[usage.team] / total, 4) if total else 0.0,
+        )
+        for usage in usages
+    ]
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -138,7 +138,16 @@
     register(served)
     assert run(served, "fleet", "status")["daemons"][0]["daemon"]["vm"] == "entry-1"
     assert "entry-1" in run(served, "fleet", "status", output="table").stdout
-    assert run(served, "share") == []
+
+
+def test_share_adds_up_all_daemons_and_names_the_silent_ones(served, directory):
+    run(served, "config", "publish", directory)
+    served.daemon.admission.running_by_team["mill"] = 3
+    silent = f"127.0.0.1:{free_port()}"
+    result = run(served, "share", output="table", daemons=[served.address, silent])
+    assert f"no answer from {silent}" in result.stderr
+    usage = run(served, "share", daemons=[served.address])[0]
+    assert (usage["running"], usage["received"], usage["entitled"]) == (6, 1.0, 1.0)
 
 
 def test_next_daemon_is_tried_when_one_is_gone(served):
