--- a/measurements/configuration.py
+++ b/measurements/configuration.py
@@ -47,6 +47,7 @@
             yield from _propagation(fleet, deployment)
             if not delay_ms:
                 yield from _idle_costs(fleet, deployment)
+                yield from _outage(fleet, deployment)
 
 
 @contextmanager
@@ -91,13 +92,29 @@
     times = [_publish(clients, number) for number in range(PUBLICATIONS)]
     name = "configuration in force everywhere, greatest"
     yield at_most(name, round(max(times), 3), "s", IN_FORCE_BOUND_SECONDS, deployment)
-    times = [_withdraw(fleet, clients) for _ in range(WITHDRAWALS)]
+    times = [_grant_and_withdraw(fleet, clients) for _ in range(WITHDRAWALS)]
     name = "withdrawn key refused everywhere, greatest"
     yield at_most(name, round(max(times), 3), "s", WITHDRAWN_BOUND_SECONDS, deployment)
     for client in clients:
         client.close()
 
 
+def _outage(fleet: LocalFleet, deployment: str) -> Iterable[Figure]:
+    """Withdraw a key while the store is down."""
+    clients = [
+        OperatorClient([address], fleet.operator_key)
+        for address in fleet.addresses("operator")
+    ]
+    granted = clients[0].call("POST", "/v1/keys", {"team": "mill"})
+    _wait_accepted(fleet, granted["key"])
+    fleet.kill("platform")
+    seconds = _withdraw(fleet, clients[-1], granted)
+    name = "withdrawn key refused everywhere, store down"
+    yield at_most(name, round(seconds, 3), "s", WITHDRAWN_BOUND_SECONDS, deployment)
+    for client in clients:
+        client.close()
+
+
 def _publish(clients: list[OperatorClient], number: int) -> float:
     """Return the seconds from publishing until every daemon itself reports it."""
     team = TeamConfig("mill", 1.0, 10 + number)
@@ -126,18 +143,26 @@
     return bool(client.call("GET", "/v1/config")["revision"] >= revision)
 
 
-def _withdraw(fleet: LocalFleet, clients: list[OperatorClient]) -> float:
-    """Return the seconds from a withdrawal until every daemon refuses the key."""
+def _grant_and_withdraw(fleet: LocalFleet, clients: list[OperatorClient]) -> float:
     granted = clients[0].call("POST", "/v1/keys", {"team": "mill"})
+    _wait_accepted(fleet, granted["key"])
+    return _withdraw(fleet, clients[-1], granted)
+
+
+def _wait_accepted(fleet: LocalFleet, key: str) -> None:
     for daemon in fleet.daemons:
-        accepted = partial(_is_accepted, fleet, daemon, granted["key"])
-        wait_until(accepted, f"{daemon} accepts the key")
+        wait_until(partial(_is_accepted, fleet, daemon, key), f"{daemon} accepts it")
+
+
+def _withdraw(
+    fleet: LocalFleet, client: OperatorClient, granted: dict[str, str]
+) -> float:
+    """Return the seconds from a withdrawal until every daemon refuses the key."""
     started = time.monotonic()
-    clients[-1].call("DELETE", f"/v1/keys/{granted['key_id']}")
+    client.call("DELETE", f"/v1/keys/{granted['key_id']}")
     for daemon in fleet.daemons:
-        wait_until(
-            partial(_is_refused, fleet, daemon, granted["key"]), f"{daemon} refuses"
-        )
+        refused = partial(_is_refused, fleet, daemon, granted["key"])
+        wait_until(refused, f"{daemon} refuses it")
     return time.monotonic() - started
 
 
--- a/src/pomeloyard/standins/launcher.py
+++ b/src/pomeloyard/standins/launcher.py
@@ -196,6 +196,11 @@
                 env={**os.environ, "PYTHONPATH": str(SOURCE)},
             )
 
+    def kill(self, name: str) -> None:
+        """End a process without warning, as a fault does."""
+        self._processes_by_name[name].kill()
+        self._processes_by_name[name].wait()
+
     def stop_daemons(self) -> dict[str, int]:
         """Stop the daemons gracefully and return their exit statuses by name."""
         processes = {name: self._processes_by_name[name] for name in self.daemons}
