--- a/tests/operators/test_operator_app.py
+++ b/tests/operators/test_operator_app.py
@@ -6,9 +6,11 @@
 from datetime import timedelta
 
 import anyio
+import logbook
 import msgspec
 import pytest
 
+from pomeloyard import authentication
 from pomeloyard.clock import ManualClock
 from pomeloyard.config.model import FleetConfig, PoolConfig, TeamConfig
 from pomeloyard.config.publication import KEPT_REVISIONS
@@ -313,3 +315,27 @@
     operator.grant(team="mill")
     with pytest.raises(RefusedError, match="limit-reached"):
         anyio.run(operator.daemon.keys.grant, "mill", None, "x")
+
+
+def test_authentication_hashes_once_and_never_logs_the_key(operator, monkeypatch):
+    hashed = []
+    real = authentication.hash_key
+    monkeypatch.setattr(
+        authentication, "hash_key", lambda t: hashed.append(t) or real(t)
+    )
+    granted = operator.grant(team="mill")
+    key_id, secret = granted["key_id"], granted["key"].split(".")[2]
+    with logbook.TestHandler() as handler:
+        for wrong in (
+            f"py1.{key_id}.guess",
+            f"py1.guess.{secret}",
+            "x" * 500,
+            "one two",
+        ):
+            hashed.clear()
+            assert operator.call("GET", "/v1/teams", key=wrong).status == 401
+            assert len(hashed) <= 1
+    lines = [record.message for record in handler.records]
+    assert lines[0] == f"authentication failed: key-invalid key_id={key_id}"
+    assert not [line for line in lines if "guess" in line or secret in line]
+    assert operator.state.failed_authentications["key-invalid"] == 4
--- a/tests/test_trying_out.py
+++ b/tests/test_trying_out.py
@@ -34,6 +34,15 @@
         assert len(file.read_text().splitlines()) < 60
 
 
+def test_daemon_imports_nothing_that_only_tools_need():
+    code = "import sys, pomeloyard.daemon; print(*sys.modules)"
+    command = [sys.executable, "-c", code]
+    output = subprocess.check_output(command, env=ENVIRONMENT, text=True)
+    loaded = {name.partition(".")[0] for name in output.split()}
+    assert loaded.isdisjoint({"rich", "matplotlib", "numpy", "pytest", "hypothesis"})
+    assert not [m for m in output.split() if m.startswith("pomeloyard.standins")]
+
+
 def test_demo_ends_with_status_0_and_leaves_no_process():
     command = [sys.executable, "-m", "pomeloyard.standins.demo"]
     demo = subprocess.Popen(
