Bound metric labels; test TLS between the tool and a daemon

Cause: an executor's own problem response could have made metric labels of any text, and the TLS path of the operators' interface had no test.

Change: only reasons of the closed lists become labels; serving() takes a TLS context; a test calls a daemon over TLS with its CA and with a stranger's.

Verified with: pytest tests/daemon tests/operators.

--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -18,6 +18,7 @@
 from .fleet_state import FleetState
 from .keys import key_id_of
 from .logs import LogWriter
+from .outcomes import RefusalReason, UnknownReason
 from .peers.streams import PeerNetwork
 from .platform.store import CallCounter
 from .problems import MEDIA_TYPE
@@ -270,7 +271,7 @@
                 if problem is not None and len(problem) < MAX_PROBLEM_BYTES:
                     problem += message.get("body", b"")
                 if not message.get("more_body", False):
-                    outcome = "done" if problem is None else _problem_outcome(problem)
+                    outcome = "done" if problem is None else problem_outcome(problem)
             await send(message)
 
         try:
@@ -292,10 +293,21 @@
         return service, key.team if key is not None else ""
 
 
-def _problem_outcome(body: bytes) -> str:
+_REASONS = frozenset(r.value for r in (*RefusalReason, *UnknownReason))
+
+
+def problem_outcome(body: bytes) -> str:
+    """Return outcome and reason of a problem of this daemon, else "done".
+
+    An executor may answer with problems of its own; only known reasons become
+    labels, so that their number stays small.
+    """
     try:
         problem = json.loads(body)
         reason = problem["type"].removeprefix("urn:pomeloyard:")
-        return f"{problem['outcome']}:{reason}"
+        outcome = problem["outcome"]
     except (ValueError, KeyError, TypeError, AttributeError):
         return "done"
+    if reason not in _REASONS or outcome not in ("not-run", "unknown"):
+        return "done"
+    return f"{outcome}:{reason}"
--- a/src/pomeloyard/serving.py
+++ b/src/pomeloyard/serving.py
@@ -42,14 +42,17 @@
 
 @asynccontextmanager
 async def serving(
-    app: ASGIApp, host: str = "127.0.0.1", port: int = 0
+    app: ASGIApp,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    tls: ssl.SSLContext | None = None,
 ) -> AsyncIterator[str]:
     """Serve ``app`` and yield its "host:port"."""
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     address = "{}:{}".format(*listener.getsockname())
-    server = EmbeddedServer(server_config(app, timeout_graceful_shutdown=1))
+    server = EmbeddedServer(server_config(app, tls, timeout_graceful_shutdown=1))
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve, [listener])
         while not server.started:
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -18,7 +18,7 @@
 from pomeloyard.decisions import Candidate, Decision, DecisionKind
 from pomeloyard.keys import KeyRing, new_key
 from pomeloyard.logs import DecisionSink, JsonLogHandler, LogWriter
-from pomeloyard.metrics import RequestMetrics
+from pomeloyard.metrics import RequestMetrics, problem_outcome
 from pomeloyard.monitoring import monitoring_app
 from pomeloyard.outcomes import RefusalReason
 from tests.operators.test_operator_app import Operator, fleet_config
@@ -137,6 +137,21 @@
     assert decided[0].labels["reason"] == "no-executor"
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"not json",
+        b"[]",
+        b'{"type": 3, "outcome": "not-run"}',
+        b'{"type": "urn:own:error", "outcome": "not-run"}',
+        b'{"type": "urn:pomeloyard:not-found", "outcome": "label"}',
+        b'{"type": ["not-found"], "outcome": ["x"]}',
+    ],
+)
+def test_problems_of_executors_make_no_labels(body):
+    assert problem_outcome(body) == "done"
+
+
 def test_readiness_states_typed_reasons():
     daemon = Operator().daemon
     app = monitoring_app(daemon.metrics, daemon._not_ready_reasons)
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -4,11 +4,13 @@
 
 import json
 import os
+import ssl
 from functools import partial
 
 import anyio.from_thread
 import click
 import pytest
+import trustme
 from click.testing import CliRunner
 
 from pomeloyard.cli.main import cli
@@ -189,6 +191,32 @@
     assert calls == ["received"]
 
 
+def test_tool_checks_the_certificate_of_the_daemon(served, tmp_path):
+    ca, stranger = trustme.CA(), trustme.CA()
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    ca.issue_cert("127.0.0.1").configure_cert(context)
+    app = operator_app(served.daemon._operator_context())
+    with anyio.from_thread.start_blocking_portal() as portal:
+        server = portal.call(partial(serving, app, tls=context))
+        with portal.wrap_async_context_manager(server) as address:
+            for authority, status in ((ca, 0), (stranger, 1)):
+                file = tmp_path / "ca.pem"
+                authority.cert_pem.write_to_path(file)
+                arguments = [
+                    "--daemon",
+                    address,
+                    "--ca-file",
+                    str(file),
+                    "team",
+                    "list",
+                ]
+                environment = {"POMELOYARD_KEY": BOOTSTRAP, "HOME": str(tmp_path)}
+                result = CliRunner().invoke(cli, arguments, env=environment)
+                assert result.exit_code == status, result.output
+    assert "unreachable" in result.stderr
+    assert "CERTIFICATE_VERIFY_FAILED" in result.stderr
+
+
 def test_missing_options_are_a_usage_error(tmp_path):
     environment = {
         "POMELOYARD_DAEMONS": "",
