Give out each free port once

Ports were drawn at random from 22,000; with 26 ports for a fleet, two are equal in about 1.5% of the runs, and other runs beside it add to that.

Change: each process counts upwards from a port that follows from its process id, and gives out every port once.

Verified with: pytest tests/test_trying_out.py tests/operators.

--- a/src/pomeloyard/standins/launcher.py
+++ b/src/pomeloyard/standins/launcher.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
 import os
-import random
 import socket
 import subprocess
 import sys
@@ -20,7 +20,10 @@
 from ..platform.directory import Vm, VmRole
 
 SOURCE = Path(__file__).resolve().parents[2]
-PORTS = (10_000, 32_000)
+FIRST_PORT = 10_000
+PORT_COUNT = 22_000
+PORTS_PER_PROCESS = 101
+"""Distance of the first ports of two processes that start one after the other."""
 START_SECONDS = 30.0
 STOP_SECONDS = 15.0
 ADDRESS_KINDS = ("caller", "operator", "peer", "metrics")
@@ -31,6 +34,9 @@
 }
 
 
+_port_numbers = itertools.count(os.getpid() * PORTS_PER_PROCESS)
+
+
 class LaunchError(PomeloyardError):
     """A process did not reach the expected state in time."""
 
@@ -38,11 +44,12 @@
 def free_port() -> int:
     """Return a port of the loopback interface that nothing listens on.
 
-    The port is below the range from which the system takes the ports of
-    outgoing connections; one of those could be taken again before its use.
+    The ports are below the range from which the system takes the ports of
+    outgoing connections, and each is given out once: a port is free until its
+    user listens, so that the same one could be found again.
     """
     while True:
-        port = random.randrange(*PORTS)
+        port = FIRST_PORT + next(_port_numbers) % PORT_COUNT
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
