--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -186,6 +186,7 @@
                 self.peers,
                 self.log_writer,
                 self._team_usage,
+                store.calls,
             ),
         )
         self.decisions.sinks += [
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -18,7 +18,9 @@
 from .fleet_state import FleetState
 from .keys import key_id_of
 from .logs import LogWriter
+from .outcomes import RefusalReason, UnknownReason
 from .peers.streams import PeerNetwork
+from .platform.store import CallCounter
 from .problems import MEDIA_TYPE
 from .usage import TeamUsage
 
@@ -37,6 +39,7 @@
     peers: PeerNetwork
     log_writer: LogWriter
     team_usage: Callable[[], list[TeamUsage]]
+    store_calls: CallCounter
     more: list[Callable[[], Iterable[Metric]]] = field(default_factory=list)
     """Further collectors, added by the parts that own their figures."""
 
@@ -78,6 +81,7 @@
         """Yield all metrics that are read from the daemon's state."""
         yield from self._counted()
         yield from self._state_gauges()
+        yield from self._store_counters()
         yield from self._peer_counters()
         yield from self._team_gauges()
         yield from self._queue_gauges()
@@ -145,6 +149,23 @@
             vms.add_metric(list(pair), count)
         yield vms
 
+    def _store_counters(self) -> Iterator[Metric]:
+        calls = self._sources.store_calls
+        counter = CounterMetricFamily(
+            "pomeloyard_store_calls", "Calls to the store", labels=["kind"]
+        )
+        for kind, count in (
+            ("read", calls.reads),
+            ("write", calls.writes),
+            ("failed", calls.failures),
+            ("watch", calls.watches_opened),
+        ):
+            counter.add_metric([kind], count)
+        yield counter
+        text = "Watches that are open"
+        watches = calls.watches_waiting
+        yield GaugeMetricFamily("pomeloyard_store_open_watches", text, value=watches)
+
     def _peer_counters(self) -> Iterator[Metric]:
         traffic = self._sources.peers.traffic
         for name, text, counts in (
@@ -250,7 +271,7 @@
                 if problem is not None and len(problem) < MAX_PROBLEM_BYTES:
                     problem += message.get("body", b"")
                 if not message.get("more_body", False):
-                    outcome = "done" if problem is None else _problem_outcome(problem)
+                    outcome = "done" if problem is None else problem_outcome(problem)
             await send(message)
 
         try:
@@ -272,10 +293,21 @@
         return service, key.team if key is not None else ""
 
 
-def _problem_outcome(body: bytes) -> str:
+_REASONS = frozenset(r.value for r in (*RefusalReason, *UnknownReason))
+
+
+def problem_outcome(body: bytes) -> str:
+    """Return outcome and reason of a problem of this daemon, else "done".
+
+    An executor may answer with problems of its own; only known reasons become
+    labels, so that their number stays small.
+    """
     try:
         problem = json.loads(body)
         reason = problem["type"].removeprefix("urn:pomeloyard:")
-        return f"{problem['outcome']}:{reason}"
+        outcome = problem["outcome"]
     except (ValueError, KeyError, TypeError, AttributeError):
         return "done"
+    if reason not in _REASONS or outcome not in ("not-run", "unknown"):
+        return "done"
+    return f"{outcome}:{reason}"
--- a/src/pomeloyard/standins/launcher.py
+++ b/src/pomeloyard/standins/launcher.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
 import os
-import random
 import socket
 import subprocess
 import sys
@@ -20,7 +20,10 @@
 from ..platform.directory import Vm, VmRole
 
 SOURCE = Path(__file__).resolve().parents[2]
-PORTS = (10_000, 32_000)
+FIRST_PORT = 10_000
+PORT_COUNT = 22_000
+PORTS_PER_PROCESS = 101
+"""Distance of the first ports of two processes that start one after the other."""
 START_SECONDS = 30.0
 STOP_SECONDS = 15.0
 ADDRESS_KINDS = ("caller", "operator", "peer", "metrics")
@@ -31,6 +34,9 @@
 }
 
 
+_port_numbers = itertools.count(os.getpid() * PORTS_PER_PROCESS)
+
+
 class LaunchError(PomeloyardError):
     """A process did not reach the expected state in time."""
 
@@ -38,11 +44,12 @@
 def free_port() -> int:
     """Return a port of the loopback interface that nothing listens on.
 
-    The port is below the range from which the system takes the ports of
-    outgoing connections; one of those could be taken again before its use.
+    The ports are below the range from which the system takes the ports of
+    outgoing connections, and each is given out once: a port is free until its
+    user listens, so that the same one could be found again.
     """
     while True:
-        port = random.randrange(*PORTS)
+        port = FIRST_PORT + next(_port_numbers) % PORT_COUNT
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -81,6 +88,7 @@
         self._vms: list[Vm] = []
         self.operator_key = new_key()[0]
         self.platform_url = ""
+        self.slow_store_url = ""
 
     @property
     def daemons(self) -> list[str]:
@@ -119,6 +127,19 @@
         url = f"{self.platform_url}/v1/vms"
         wait_until(lambda: answers(url), "platform answers")
 
+    def start_slow_store(self, delay_ms: int) -> str:
+        """Start a proxy that delays what passes, and return its store URL."""
+        port = free_port()
+        self.start("proxy", "pomeloyard.standins.fault_proxy", "--port", str(port))
+        control = f"http://127.0.0.1:{port}"
+        wait_until(partial(answers, f"{control}/healthz"), "proxy answers")
+        target = self.platform_url.removeprefix("http://")
+        link = _control("PUT", f"{control}/links/store", {"target": target})
+        faults = {"delay_seconds": delay_ms / 1000}
+        _control("POST", f"{control}/links/store/faults", faults)
+        self.slow_store_url = f"http://{link['address']}"
+        return self.slow_store_url
+
     def start_vms(self) -> None:
         """Start the stand-ins of all executors and workers."""
         for vm in self._vms:
@@ -182,6 +203,11 @@
                 env={**os.environ, "PYTHONPATH": str(SOURCE)},
             )
 
+    def kill(self, name: str) -> None:
+        """End a process without warning, as a fault does."""
+        self._processes_by_name[name].kill()
+        self._processes_by_name[name].wait()
+
     def stop_daemons(self) -> dict[str, int]:
         """Stop the daemons gracefully and return their exit statuses by name."""
         processes = {name: self._processes_by_name[name] for name in self.daemons}
@@ -198,6 +224,13 @@
             process.wait()
 
 
+def _control(method: str, url: str, body: object) -> dict[str, object]:
+    response = httpcore.request(method, url, content=msgspec.json.encode(body))
+    if response.status != 200:
+        raise LaunchError(f"{url}: status {response.status}")
+    return dict(msgspec.json.decode(response.content))
+
+
 def _wait(process: subprocess.Popen[bytes]) -> int:
     try:
         return process.wait(STOP_SECONDS)
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -4,8 +4,10 @@
 
 import json
 import os
+import re
 import time
 from datetime import timedelta
+from pathlib import Path
 
 import anyio
 import logbook
@@ -16,7 +18,7 @@
 from pomeloyard.decisions import Candidate, Decision, DecisionKind
 from pomeloyard.keys import KeyRing, new_key
 from pomeloyard.logs import DecisionSink, JsonLogHandler, LogWriter
-from pomeloyard.metrics import RequestMetrics
+from pomeloyard.metrics import RequestMetrics, problem_outcome
 from pomeloyard.monitoring import monitoring_app
 from pomeloyard.outcomes import RefusalReason
 from tests.operators.test_operator_app import Operator, fleet_config
@@ -135,9 +137,38 @@
     assert decided[0].labels["reason"] == "no-executor"
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"not json",
+        b"[]",
+        b'{"type": 3, "outcome": "not-run"}',
+        b'{"type": "urn:own:error", "outcome": "not-run"}',
+        b'{"type": "urn:pomeloyard:not-found", "outcome": "label"}',
+        b'{"type": ["not-found"], "outcome": ["x"]}',
+    ],
+)
+def test_problems_of_executors_make_no_labels(body):
+    assert problem_outcome(body) == "done"
+
+
 def test_readiness_states_typed_reasons():
     daemon = Operator().daemon
     app = monitoring_app(daemon.metrics, daemon._not_ready_reasons)
     answer = anyio.run(call_app, app, "GET", "/readyz")
     assert answer.status == 503
     assert answer.json["reasons"] == ["no-configuration", "no-vm-list"]
+
+
+def test_alarms_page_names_only_metrics_that_exist():
+    page = (Path(__file__).parents[2] / "docs/operators/alarms.md").read_text()
+    operator = Operator()
+    operator.daemon.metrics.count_request("orders", "mill", "done", timedelta(0))
+    operator.state.failed_authentications["key-invalid"] += 1
+    text = operator.daemon.metrics.text().decode()
+    named = set(re.findall(r"pomeloyard_\w+", page))
+    assert len(named) > 8
+    missing = [n for n in named if f"{n}{{" not in text and f"{n} " not in text]
+    assert [
+        n for n in missing if f"# TYPE {n.removesuffix('_total')}" not in text
+    ] == []
