Adapt merged tests to the moved names

Cause: parts renamed modules and messages that other parts' tests import. Change: imports only; one malformed-message case uses the new LoanKept fields.

--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -10,7 +10,7 @@
 
 from pomeloyard.cli.main import cli
 from pomeloyard.decisions import DecisionLog
-from pomeloyard.jobs import JobStore
+from pomeloyard.job_store import JobStore
 from pomeloyard.keys import hash_key
 from pomeloyard.operators.app import operator_app
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
@@ -49,7 +49,7 @@
                 controller._state,
                 fleet.store,
                 controller,
-                JobStore(fleet.store, fleet.clock),
+                JobStore(fleet.store, fleet.clock, lambda: fleet.state.config),
                 DecisionLog(),
             )
         )
--- a/tests/test_keyed_processes.py
+++ b/tests/test_keyed_processes.py
@@ -11,7 +11,7 @@
 from pomeloyard.platform.directory import VmRole
 
 from .support.processes import Fleet, wait_until
-from .test_whole_path import DAEMONS, EXAMPLES, call, run_tool
+from .test_whole_path import CONFIGURATION, DAEMONS, call, run_tool
 
 KEYS = 30
 
@@ -55,7 +55,7 @@
 
 def test_no_key_runs_twice_while_daemons_are_killed_and_paused(fleet):
     """Guards against a duplicate execution, and a refusal of work that ran."""
-    run_tool(fleet, "config", "publish", str(EXAMPLES))
+    run_tool(fleet, "config", "publish", str(CONFIGURATION))
     fleet.wait_ready(*DAEMONS)
     team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
     for name in DAEMONS:
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -38,7 +38,6 @@
     Hello,
     KeyWithdrawn,
     LoanKept,
-    ResourceAmount,
     RunningQuery,
     RunningReply,
 )
@@ -167,7 +166,7 @@
     HELLO + framed(DEEP),
     HELLO + framed(msgpack.packb([1, 1, 0, []])),
     HELLO + LENGTH.pack(50) + b"too short",
-    HELLO + encode_frame(LoanKept(ResourceAmount("?", "?", -(2**62)), -1)),
+    HELLO + encode_frame(LoanKept(-1, -1, "?", "?", -(2**62), -1)),
     HELLO + encode_frame(Goodbye("b.00000000")),
     encode_frame(Hello("raw.2", "raw", "nonsense", "zone")) + encode_frame(BEAT),
 ]
