Grant from memory as soon as one claim has waited too long for the store

With a store that hangs, each claim waited 1.5 s until the hanging commit had failed after 6 s. The first wait that times out now counts as the outage.

--- a/src/pomeloyard/claim_log.py
+++ b/src/pomeloyard/claim_log.py
@@ -166,6 +166,7 @@
         horizon = self._now() - MAX_WAIT.total_seconds()
         for pending in self._waiting:
             if pending.claim.granted_at < horizon:
+                self.note_outage("no answer in time")
                 pending.settled.set()
 
     async def run(self) -> None:
