Join the parts' tests; share the clients' call error; check budgets at publishing

Conclusion: the refusal tests are as strict as before, on the tool's output instead of on an exception.

--- a/src/pomeloyard/callers/client.py
+++ b/src/pomeloyard/callers/client.py
@@ -11,7 +11,7 @@
 
 import httpcore
 
-from ..errors import PomeloyardError
+from ..call_error import CallError
 
 FINAL = frozenset({"succeeded", "failed", "cancelled", "impossible"})
 FIRST_POLL_SECONDS = 0.2
@@ -20,13 +20,8 @@
 TIMEOUTS = {"connect": 2.0, "read": 30.0, "write": 10.0, "pool": 2.0}
 
 
-class JobCallError(PomeloyardError):
-    """A daemon answered with a problem, or none answered (status 0)."""
-
-    def __init__(self, status: int, problem: dict[str, Any]) -> None:
-        super().__init__(f"{problem.get('type')}: {problem.get('detail')}")
-        self.status = status
-        self.problem = problem
+class JobCallError(CallError):
+    """A call of the job interface failed."""
 
 
 class JobClient:
--- /dev/null
+++ b/src/pomeloyard/capacity_metrics.py
@@ -0,0 +1,37 @@
+"""Metrics of the slots and units that a daemon may use."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from prometheus_client.core import GaugeMetricFamily, Metric
+
+from .capacity_service import CapacityService
+from .loans import Resource
+
+_NAMES_BY_KIND = {
+    "slots": ("pomeloyard_executor_usable_slots", "vm"),
+    "limit": ("pomeloyard_team_usable_units", "team"),
+}
+
+
+def capacity_metrics(capacity: CapacityService) -> Iterator[Metric]:
+    """Yield what partitions and loans allow, and what partitions alone carry.
+
+    The difference of the two is what was borrowed, or, if negative, lent.
+    """
+    for kind, (name, label) in _NAMES_BY_KIND.items():
+        usable = GaugeMetricFamily(name, "Usable with loans", labels=[label])
+        base = GaugeMetricFamily(
+            name.replace("usable", "base"), "Carried by partitions", labels=[label]
+        )
+        for resource in capacity.resources():
+            if resource.kind == kind:
+                usable.add_metric([resource.name], capacity.book.usable(resource))
+                base.add_metric([resource.name], _base(capacity, resource))
+        yield usable
+        yield base
+
+
+def _base(capacity: CapacityService, resource: Resource) -> int:
+    return capacity.book.base(resource.name, capacity.total_of(resource))
--- a/src/pomeloyard/cli/failures.py
+++ b/src/pomeloyard/cli/failures.py
@@ -6,9 +6,9 @@
 
 import click
 
+from ..call_error import CallError
 from ..config.problems import ConfigProblemsError
 from ..errors import PomeloyardError
-from ..operators.client import OperatorCallError
 from .output import JSON, cell_text, output_format
 
 
@@ -17,7 +17,7 @@
     if isinstance(error, ConfigProblemsError):
         for problem in error.problems:
             click.echo(f"error: {problem}", err=True)
-    elif not isinstance(error, OperatorCallError):
+    elif not isinstance(error, CallError):
         click.echo(f"error: {error}", err=True)
     elif output_format() == JSON:
         members = {"status": error.status, "retry_after": error.retry_after}
@@ -26,7 +26,7 @@
         _show_problem(error)
 
 
-def _show_problem(error: OperatorCallError) -> None:
+def _show_problem(error: CallError) -> None:
     detail = error.problem.get("detail") or ""
     click.echo(f"error: {error.reason}: {detail}", err=True)
     for member in ("problems", "changes"):
--- a/src/pomeloyard/config/checks.py
+++ b/src/pomeloyard/config/checks.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+from ..budgets import budget_problems
 from .conversion import range_problems
 from .model import FleetConfig
 from .problems import ConfigProblem
 
 TABLES = ("regions", "pools", "services", "teams", "queues")
 
+_EXPECTED_BUDGET = "a budget that lets VMs of each role be maintained one by one"
+
 FileOf = Callable[[str], str]
 """Returns the file that defines a path such as "pools.orders"."""
 
@@ -47,7 +50,7 @@
                         file_of(path), f"{path}.name", "differs from its key", name
                     )
                 )
-    for check in (_region_problems, _service_problems, _team_problems, _queue_problems):
+    for check in _CHECKS:
         problems += check(config, file_of)
     return problems
 
@@ -67,7 +70,6 @@
 
 
 def _service_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
-    zones = {z for r in config.regions_by_name.values() for z in r.availability_zones}
     for service in config.services_by_name.values():
         path = f"services.{service.name}"
         file = file_of(path)
@@ -76,19 +78,15 @@
         )
         owner = [service.team] if service.team is not None else []
         yield from _missing(file, f"{path}.team", "team", owner, config.teams_by_name)
-        pool = config.pools_by_name.get(service.pool)
-        if pool is None:
-            continue
-        total = pool.executors + pool.workers
-        needed = service.budget.min_available
-        if isinstance(needed, int) and needed > total:
-            wrong = f"{needed} VMs, but pool {pool.name} has {total}"
-            place = f"{path}.budget.min_available"
-            yield ConfigProblem(file, place, wrong, f"at most {total}")
-        per_zone = service.budget.min_available_per_zone
-        if isinstance(per_zone, int) and per_zone * len(zones) > total:
-            wrong = f"{per_zone} VMs in {len(zones)} zones, but the pool has {total}"
-            yield ConfigProblem(file, f"{path}.budget.min_available_per_zone", wrong)
+
+
+def _budget_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
+    for problem in budget_problems(config):
+        path = f"services.{problem.service}"
+        kind = problem.kind.value.replace("-", " ")
+        wrong = f"{problem.needed:g} is {kind} ({problem.vms} {problem.role.value}s)"
+        place = f"{path}.budget.{problem.setting}"
+        yield ConfigProblem(file_of(path), place, wrong, _EXPECTED_BUDGET)
 
 
 def _team_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
@@ -126,3 +124,12 @@
             yield ConfigProblem(
                 file, path, f'there is no {kind} "{name[:100]}"', f"one of: {shown}"
             )
+
+
+_CHECKS = (
+    _region_problems,
+    _service_problems,
+    _budget_problems,
+    _team_problems,
+    _queue_problems,
+)
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -17,6 +17,7 @@
 
 from .admission import AdmissionController
 from .callers.app import caller_app
+from .capacity_metrics import capacity_metrics
 from .capacity_service import CapacityService
 from .claim_service import ClaimService
 from .clock import Clock, SystemClock
@@ -187,6 +188,7 @@
                 self.log_writer,
                 self._team_usage,
                 store.calls,
+                more=[lambda: capacity_metrics(self.capacity)],
             ),
         )
         self.decisions.sinks += [
--- a/src/pomeloyard/operators/client.py
+++ b/src/pomeloyard/operators/client.py
@@ -10,11 +10,10 @@
 
 import httpcore
 
-from ..errors import PomeloyardError
+from ..call_error import PROBLEM_PREFIX, CallError
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
 CALL_TIMEOUT = timedelta(seconds=30)
-PROBLEM_PREFIX = "urn:pomeloyard:"
 
 _NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
 _NO_ANSWER = (
@@ -24,30 +23,8 @@
 )
 
 
-class OperatorCallError(PomeloyardError):
-    """The call was refused, failed or has an unknown outcome.
-
-    ``status`` is the HTTP status, or 0 if there was no answer; ``problem``
-    holds the problem details; ``retry_after`` is in seconds.
-    """
-
-    def __init__(
-        self, status: int, problem: dict[str, Any], retry_after: str = ""
-    ) -> None:
-        super().__init__(f"{problem.get('type')}: {problem.get('detail')}")
-        self.status = status
-        self.problem = problem
-        self.retry_after = retry_after
-
-    @property
-    def reason(self) -> str:
-        """Return the problem type without its prefix."""
-        return str(self.problem.get("type", "")).removeprefix(PROBLEM_PREFIX)
-
-    @property
-    def outcome(self) -> str:
-        """Return "not-run" or "unknown"."""
-        return str(self.problem.get("outcome", "unknown"))
+class OperatorCallError(CallError):
+    """A call of the operators' interface failed."""
 
 
 class OperatorClient:
--- a/src/pomeloyard/standins/vm_directory.py
+++ b/src/pomeloyard/standins/vm_directory.py
@@ -82,6 +82,12 @@
         self._version += 1
         self._note()
 
+    def remove(self, name: str) -> None:
+        """Drop a VM from the list for good."""
+        del self._vms_by_name[name]
+        self._version += 1
+        self._note()
+
     def _start(
         self,
         vm: Vm,
--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -62,11 +62,17 @@
     ('"1500ms"', "7200", "services.orders.request_timeout", "100ms to 1h"),
     ('pool = "orders"', 'pool = "order"', "services.orders.pool", 'no pool "order"'),
     ("budget = {", "badget = {", "services.orders.budget", "is missing"),
+    (
+        "available = 1",
+        "available = 2",
+        "services.orders.budget.min_available",
+        "leaves no vm for maintenance",
+    ),
     (
         "available = 1",
         "available = 3",
         "services.orders.budget.min_available",
-        "most 2",
+        "more than pool (2 executors)",
     ),
     (
         "available = 1",
--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -63,6 +63,7 @@
         self._fleet, self._daemon = fleet, daemon
         self.handlers = {}
         self.on_connect = []
+        self.on_disconnect = []
 
     def on(self, kind, handler):
         self.handlers[kind] = handler
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -139,11 +139,6 @@
             vm = self._vms_by_name[name]
             self.put(replace(vm, state=VmListState.GONE))
 
-    def remove(self, name: str) -> None:
-        """Drop a VM from the list for good."""
-        del self._vms_by_name[name]
-        self._version += 1
-
     def boot(self, name: str, boot_id: str) -> None:
         """Let a VM boot by itself."""
         self.put(replace(self._vms_by_name[name], boot_id=boot_id))
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -12,6 +12,7 @@
         self.hello = Hello(name, name, "", "bulacan")
         self.handlers = {}
         self.networks = networks
+        self.on_disconnect = []
         networks[name] = self
 
     def on(self, kind, handler):
--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -51,9 +51,15 @@
                 controller,
                 JobStore(fleet.store, fleet.clock, lambda: fleet.state.config),
                 DecisionLog(),
+                keys=None,
+                daemon_statuses=list,
+                team_usage=list,
             )
         )
 
+    def close(self):
+        pass
+
     def call(self, method, path, body=None):
         return anyio.run(self._call, method, path, body)
 
@@ -92,7 +98,7 @@
     )
     anyio.run(fleet.step)
     client = InProcessClient(fleet)
-    monkeypatch.setattr("pomeloyard.cli.main.OperatorClient", lambda *_: client)
+    monkeypatch.setattr("pomeloyard.cli.main.Session", lambda *_: client)
     monkeypatch.setattr("time.sleep", lambda seconds: None)
 
     def run(*arguments):
@@ -150,9 +156,10 @@
     """Guards against untyped errors and changes that a budget does not allow."""
     operate("vm", "drain", "orders-e000")
     result = operate(*arguments)
-    assert isinstance(result.exception, OperatorCallError)
-    assert result.exception.problem["type"] == f"urn:pomeloyard:{reason}"
-    assert result.exception.problem["outcome"] == "not-run"
+    assert (result.exit_code, result.stdout) == (1, "")
+    problem = json.loads(result.stderr)
+    assert problem["type"] == f"urn:pomeloyard:{reason}"
+    assert problem["outcome"] == "not-run"
 
 
 def test_wave_is_followed_and_moves_are_listed(operate):
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -26,8 +26,8 @@
 [services.orders]
 pool = "orders"
 budget = { min_available = 1 }
-drain_timeout = "PT2S"
-request_timeout = "PT4S"
+drain_timeout = "2s"
+request_timeout = "4s"
 [teams.mill]
 share = 1.0
 limit = 40
--- a/tests/test_job_interface.py
+++ b/tests/test_job_interface.py
@@ -1,6 +1,7 @@
 """The caller interface and command-line tool of jobs, over HTTP on loopback."""
 
 import json
+from types import SimpleNamespace
 
 import anyio
 import click.testing
@@ -44,8 +45,9 @@
 def run(address, key, *arguments):
     environment = {"POMELOYARD_CALLERS": address, "POMELOYARD_TEAM_KEY": key}
     result = click.testing.CliRunner().invoke(cli, ["job", *arguments], env=environment)
-    if result.exception is not None and not isinstance(result.exception, SystemExit):
-        return result.exception
+    if result.exit_code and not result.stdout:
+        problem = json.loads(result.stderr)
+        return SimpleNamespace(status=problem.pop("status"), problem=problem)
     return json.loads(result.stdout)
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -149,8 +149,7 @@
         if how == "listed as gone":
             fleet.list_vm("entry-1", VmListState.GONE)
         elif how == "unlisted":
-            fleet.directory._vms_by_name.pop("entry-1")
-            fleet.directory.put(fleet.executors[VM])
+            fleet.directory.remove("entry-1")
         else:
             fleet.start("entry-1")
         await anyio.sleep(REQUEST_TIMEOUT - 1)
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -53,13 +53,13 @@
 [services.orders]
 pool = "orders"
 budget = { min_available = 1 }
-request_timeout = "PT3S"
-queue_timeout = "PT2S"
+request_timeout = "3s"
+queue_timeout = "2s"
 [services.cutting]
 pool = "cutting"
 budget = { min_available = 1 }
-request_timeout = "PT3S"
-queue_timeout = "PT2S"
+request_timeout = "3s"
+queue_timeout = "2s"
 
 [teams.mill]
 share = 2.0
