Do not take a task that a restarted worker forgot for one that never started

Conclusion: the price is an unknown end for jobs caught between record and start on a worker without an older task.

--- a/src/pomeloyard/task_follower.py
+++ b/src/pomeloyard/task_follower.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import logbook
 
@@ -29,6 +29,8 @@
 """For this long after its lease has ended, the report of a non-idempotent task
 is waited for, because without it the job ends as unknown."""
 LEASE_CHECK_INTERVAL = timedelta(seconds=0.5)
+CLOCK_MARGIN = timedelta(seconds=1)
+"""Allowed difference between the clocks of two daemons."""
 STOP_AGAIN = timedelta(seconds=2)
 
 log = logbook.Logger("pomeloyard.scheduler")
@@ -166,9 +168,10 @@
         self._ended[link.name] = tuple(ended)
         reported = {report.task_id for report in reports}
         self._forget_late_starts(link, reported.difference(ended))
+        up_since = self._up_since(reports)
         for task_id, track in list(link.tracks.items()):
             if task_id not in reported:
-                self._absent(link, task_id, track, known)
+                self._absent(link, task_id, track, known, up_since)
 
     def acknowledgeable(self, link: Link) -> list[str]:
         """Return ended tasks whose results are in the store."""
@@ -254,8 +257,18 @@
         if report.state is TaskState.SUCCEEDED:
             self._table.set(after_report(job, report, self._clock.now()))
 
+    def _up_since(self, reports: Sequence[TaskReport]) -> datetime:
+        """Return since when the worker certainly has not forgotten its tasks."""
+        running = [r.run_seconds for r in reports if r.state is TaskState.RUNNING]
+        return self._clock.now() - timedelta(seconds=max(running, default=0.0))
+
     def _absent(
-        self, link: Link, task_id: str, track: Track, known: frozenset[str]
+        self,
+        link: Link,
+        task_id: str,
+        track: Track,
+        known: frozenset[str],
+        up_since: datetime,
     ) -> None:
         """Handle a task that the worker does not report."""
         job = self._table.get(track.job_key)
@@ -271,9 +284,15 @@
             track.recovered, track.uncertain = False, True
         elif track.recovered:
             # The worker now refuses the former scheduler's orders, so the task
-            # cannot start any more; it can have run only before a restart.
-            never = job.state is JobState.ASSIGNED and job.worker_boot == link.boot_id
-            if never:
+            # cannot start any more. It can have run only before a restart, which
+            # an older running task excludes; the list shows restarts too late.
+            assigned_at = job.assigned_at or self._clock.now()
+            never = (
+                job.state is JobState.ASSIGNED
+                and job.worker_boot == link.boot_id
+                and up_since + CLOCK_MARGIN < assigned_at
+            )
+            if never or (job.state is JobState.ASSIGNED and track.idempotent):
                 self._table.set(not_started(job, self._clock.now()))
             else:
                 self._lose(job, JobReason.WORKER_UNREACHABLE)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -157,6 +157,29 @@
     run(check, workers=2, limits={"mill": 5})
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "end"), [(False, JobState.FAILED), (True, JobState.SUCCEEDED)]
+)
+def test_worker_restarts_while_the_scheduler_changes(idempotent, end):
+    """Guards against taking a forgotten task for one that never started (R8)."""
+
+    async def check(bench):
+        job_id = await bench.submit("mill", "k", AGAIN if idempotent else ONCE)
+        async with bench.scheduler():
+            while not bench.workers.runs:
+                await advance(bench.clock, 0.05)
+        # The record still says assigned, and the worker has forgotten the task.
+        assert (await bench.job(job_id)).state is JobState.ASSIGNED
+        for worker in bench.workers.by_name.values():
+            worker.tasks.clear()
+        async with bench.scheduler():
+            await bench.run(30)
+        assert (await bench.job(job_id)).state is end
+        assert bench.runs_of(job_id) == (2 if idempotent else 1)
+
+    run(check)
+
+
 def test_two_schedulers_at_once():
     """Guards against a resumed scheduler that places beside its successor."""
 
