Move tasks away from draining workers after the drain timeout

Cause: a drained worker with a long task stayed busy until the task's end. Change: after the drain timeout of the pool's service, checkpointable tasks are checkpointed and idempotent ones stopped, and placed elsewhere. Conclusion: tasks that must run on still delay a drain, as intended.

--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -26,6 +26,7 @@
 from .preemptor import Preemptor
 from .task_follower import TaskFollower
 from .team_shares import TeamLimits
+from .worker_drain import WorkerDrain
 from .worker_roster import WorkerRoster
 from .workers.client import WorkerClient
 from .workers.links import TASK_LEASE, Track, WorkerLinks
@@ -87,6 +88,7 @@
         self.preemptor = Preemptor(
             clock, self.table, self.placer, self.links, self._record
         )
+        self.drain = WorkerDrain(clock, state, self.table, self.links)
         self._delayed: list[tuple[datetime, str]] = []
         self._to_start: dict[str, bool] = {}
         self._loaded = False
@@ -131,6 +133,7 @@
         now = self._clock.monotonic()
         self._changed = self.roster.update(now) or self._changed
         self.follower.check(now)
+        self.drain.check(now)
         self._queue_delayed()
         if self.roster.recovered(now) and (self._changed or now >= self._next_plan):
             self._changed = False
--- /dev/null
+++ b/src/pomeloyard/worker_drain.py
@@ -0,0 +1,71 @@
+"""Moves tasks away from workers that are draining or leaving."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from .clock import Clock
+from .fleet_state import FleetState
+from .job_table import JobTable
+from .platform.directory import Vm
+from .workers.links import Link, WorkerLinks
+from .workers.tasks import TaskAction
+
+DEFAULT_DRAIN_TIMEOUT = timedelta(seconds=60)
+CHECK_INTERVAL = timedelta(seconds=1)
+SIGNAL_AGAIN = timedelta(seconds=10)
+
+
+class WorkerDrain:
+    """Lets tasks finish until the drain timeout, then moves those that can be.
+
+    Checkpointable tasks are checkpointed and idempotent ones stopped; both are
+    placed elsewhere. All others run to their end.
+    """
+
+    def __init__(
+        self, clock: Clock, state: FleetState, table: JobTable, links: WorkerLinks
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._table = table
+        self._links = links
+        self._next = timedelta(0)
+        self._since: dict[str, timedelta] = {}
+        self._signalled: dict[str, timedelta] = {}
+
+    def check(self, now: timedelta) -> None:
+        """Signal the tasks of workers whose drain timeout has passed."""
+        if now < self._next:
+            return
+        self._next = now + CHECK_INTERVAL
+        vms = self._state.vm_list.vms_by_name
+        for name, link in self._links.by_name.items():
+            vm = vms.get(name)
+            if vm is None or self._state.accepts_work(vm) or not link.tracks:
+                self._since.pop(name, None)
+                continue
+            since = self._since.setdefault(name, now)
+            if now >= since + self._timeout(vm):
+                self._move_tasks(link, now)
+        again = now - SIGNAL_AGAIN
+        self._signalled = {t: at for t, at in self._signalled.items() if at > again}
+
+    def _timeout(self, vm: Vm) -> timedelta:
+        pool = self._state.pool_of(vm)
+        services = self._state.config.services_by_name.values()
+        timeouts = [s.drain_timeout for s in services if s.pool == pool]
+        return max(timeouts, default=DEFAULT_DRAIN_TIMEOUT)
+
+    def _move_tasks(self, link: Link, now: timedelta) -> None:
+        for task_id, track in link.tracks.items():
+            job = self._table.get(track.job_key)
+            if job is None or not track.confirmed or task_id in self._signalled:
+                continue
+            action = TaskAction.STOP
+            if job.request.checkpointable:
+                action = TaskAction.CHECKPOINT
+            elif not job.request.idempotent:
+                continue
+            self._signalled[task_id] = now
+            self._links.signal(link, task_id, action)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,6 +8,8 @@
 
 from pomeloyard.job_store import JobStore
 from pomeloyard.jobs import JobReason, JobRequest, JobState
+from pomeloyard.platform.directory import VmRole
+from pomeloyard.vms import VmRecord, VmState
 from pomeloyard.workers.tasks import TaskState
 from tests.support.fake_workers import GIB, Bench
 from tests.support.job_fakes import advance
@@ -418,6 +420,35 @@
     run(check, checkpoint_seconds=checkpoint_seconds)
 
 
+def test_drain_moves_tasks_that_can_be_moved():
+    """Guards against a drain that never ends, or that ends work which must run on."""
+
+    async def check(bench):
+        kinds = {
+            "finish": replace(ONCE, command="sleep 100"),
+            "move": replace(LONG, cores=1),
+            "stop": replace(AGAIN, command="sleep 300"),
+        }
+        async with bench.scheduler():
+            await bench.run(1)
+            ids = {k: await bench.submit("mill", k, r) for k, r in kinds.items()}
+            await bench.run(2)
+            bench.add_worker("spare", "az1", "az1-r0", cores=4)
+            record = VmRecord("w0", VmRole.WORKER, "p", VmState.DRAINING)
+            bench.state.vm_records_by_name["w0"] = record
+            await bench.run(50)
+            assert len(bench.workers.runs) == 3
+            await bench.run(20)
+            jobs = await bench.jobs()
+            workers = {kind: jobs[job_id].worker for kind, job_id in ids.items()}
+            assert workers == {"finish": "w0", "move": "spare", "stop": "spare"}
+            assert jobs[ids["move"]].checkpoint
+            await bench.run(60)
+        assert (await bench.job(ids["finish"])).state is JobState.SUCCEEDED
+
+    run(check, workers=1)
+
+
 def test_final_records_are_removed_after_their_time():
     """Guards against a store that grows without bound."""
 
