Refuse jobs of a team that is not configured

Cause: such a job had no limit to be checked against and waited without a reason. Change: submission is refused as not run (not-ready).

--- a/src/pomeloyard/jobs.py
+++ b/src/pomeloyard/jobs.py
@@ -229,6 +229,9 @@
     for name, (check, expected) in _CHECKS.items():
         if not check(request):
             raise refused(RefusalReason.INVALID_INPUT, f"{name}: expected {expected}")
+    if team not in config.teams_by_name:
+        # Such a job could neither run nor be called impossible.
+        raise refused(RefusalReason.NOT_READY, "the team is not configured yet")
     queue = config.queues_by_name.get(request.queue) if request.queue else None
     if request.queue and queue is None:
         raise refused(RefusalReason.INVALID_INPUT, "queue: unknown")
--- a/tests/test_job_interface.py
+++ b/tests/test_job_interface.py
@@ -11,6 +11,7 @@
 from pomeloyard.callers.job_routes import job_routes
 from pomeloyard.cli.main import cli
 from pomeloyard.clock import SystemClock
+from pomeloyard.config.model import FleetConfig, TeamConfig
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.job_store import JobStore
 from pomeloyard.keys import KeyRing, new_key
@@ -27,7 +28,8 @@
 def with_daemon(keys, check):
     async def main():
         clock = SystemClock()
-        state = FleetState()
+        teams = {team: TeamConfig(team, 1.0, 10, 10) for team in keys}
+        state = FleetState(config=FleetConfig("t", teams_by_name=teams))
         for _, record in keys.values():
             state.keys = state.keys.with_key(record)
         assert isinstance(state.keys, KeyRing)
--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -78,6 +78,18 @@
     anyio.run(check)
 
 
+def test_unconfigured_team_is_refused():
+    """Guards against jobs that wait for ever because no team has a limit for them."""
+
+    async def check():
+        clock, store, jobs = make()
+        error = await with_clock(clock, jobs.submit("other", GOOD, ""))
+        assert error.refusal.reason is RefusalReason.NOT_READY
+        assert not store.calls
+
+    anyio.run(check)
+
+
 def test_one_conflict_does_not_fail_the_group():
     """Guards against lost or doubled submissions when a group meets one repeat."""
 
