--- a/src/pomeloyard/job_table.py
+++ b/src/pomeloyard/job_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import datetime, timedelta
 
@@ -60,9 +60,6 @@
         key = self._keys_by_job_id.get(job_id)
         return None if key is None else self.get(key)
 
-    def __iter__(self) -> Iterator[str]:
-        return iter(list(self._records))
-
     def load(
         self,
         entries: tuple[Entry, ...],
@@ -96,12 +93,6 @@
         self.pending[job.key] = job
         self._on_change(job.key, before, job)
 
-    def drop_pending(self, key: str) -> None:
-        """Give up a change that was not written."""
-        before = self.pending.pop(key, None)
-        if before is not None:
-            self._on_change(key, before, self.recorded(key))
-
     def changes(self) -> list[Change]:
         """Return the pending changes, made from the records as known now."""
         return [
