--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,6 +8,8 @@
 
 from pomeloyard.job_store import JobStore
 from pomeloyard.jobs import JobReason, JobRequest, JobState
+from pomeloyard.platform.directory import VmRole
+from pomeloyard.vms import VmRecord, VmState
 from pomeloyard.workers.tasks import TaskState
 from tests.support.fake_workers import GIB, Bench
 from tests.support.job_fakes import advance
@@ -157,6 +159,29 @@
     run(check, workers=2, limits={"mill": 5})
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "end"), [(False, JobState.FAILED), (True, JobState.SUCCEEDED)]
+)
+def test_worker_restarts_while_the_scheduler_changes(idempotent, end):
+    """Guards against taking a forgotten task for one that never started (R8)."""
+
+    async def check(bench):
+        job_id = await bench.submit("mill", "k", AGAIN if idempotent else ONCE)
+        async with bench.scheduler():
+            while not bench.workers.runs:
+                await advance(bench.clock, 0.05)
+        # The record still says assigned, and the worker has forgotten the task.
+        assert (await bench.job(job_id)).state is JobState.ASSIGNED
+        for worker in bench.workers.by_name.values():
+            worker.tasks.clear()
+        async with bench.scheduler():
+            await bench.run(30)
+        assert (await bench.job(job_id)).state is end
+        assert bench.runs_of(job_id) == (2 if idempotent else 1)
+
+    run(check)
+
+
 def test_two_schedulers_at_once():
     """Guards against a resumed scheduler that places beside its successor."""
 
@@ -395,6 +420,35 @@
     run(check, checkpoint_seconds=checkpoint_seconds)
 
 
+def test_drain_moves_tasks_that_can_be_moved():
+    """Guards against a drain that never ends, or that ends work which must run on."""
+
+    async def check(bench):
+        kinds = {
+            "finish": replace(ONCE, command="sleep 100"),
+            "move": replace(LONG, cores=1),
+            "stop": replace(AGAIN, command="sleep 300"),
+        }
+        async with bench.scheduler():
+            await bench.run(1)
+            ids = {k: await bench.submit("mill", k, r) for k, r in kinds.items()}
+            await bench.run(2)
+            bench.add_worker("spare", "az1", "az1-r0", cores=4)
+            record = VmRecord("w0", VmRole.WORKER, "p", VmState.DRAINING)
+            bench.state.vm_records_by_name["w0"] = record
+            await bench.run(50)
+            assert len(bench.workers.runs) == 3
+            await bench.run(20)
+            jobs = await bench.jobs()
+            workers = {kind: jobs[job_id].worker for kind, job_id in ids.items()}
+            assert workers == {"finish": "w0", "move": "spare", "stop": "spare"}
+            assert jobs[ids["move"]].checkpoint
+            await bench.run(60)
+        assert (await bench.job(ids["finish"])).state is JobState.SUCCEEDED
+
+    run(check, workers=1)
+
+
 def test_final_records_are_removed_after_their_time():
     """Guards against a store that grows without bound."""
 
