--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -85,7 +85,7 @@
         clock, store, jobs = make()
         error = await with_clock(clock, jobs.submit("other", GOOD, ""))
         assert error.refusal.reason is RefusalReason.NOT_READY
-        assert not store.calls
+        assert not store.calls_by_method
 
     anyio.run(check)
 
