Run the whole-system test with nine daemons

It publishes a typed configuration instead of a file, so that it does not depend on the file format, and peer tests use messages that no other part changes. Callbacks of PeerNetwork may return a value, which is ignored.

--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -81,10 +81,10 @@
         """Addresses learned from registrations and from other daemons."""
         self.traffic = Traffic()
         self.heartbeat: Callable[[], Message | None] = lambda: None
-        self.on_connect: list[Callable[[str], None]] = []
-        self.on_disconnect: list[Callable[[str], None]] = []
+        self.on_connect: list[Callable[[str], object]] = []
+        self.on_disconnect: list[Callable[[str], object]] = []
         """Called when the last connection to a daemon has ended."""
-        self.on_goodbye: list[Callable[[str], None]] = []
+        self.on_goodbye: list[Callable[[str], object]] = []
         self._handlers_by_type: dict[type, list[Handler]] = {}
         self._connections: set[Connection] = set()
         self._accepted = 0
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -37,8 +37,6 @@
     Heartbeat,
     Hello,
     KeyWithdrawn,
-    LoanKept,
-    ResourceAmount,
     RunningQuery,
     RunningReply,
 )
@@ -167,7 +165,7 @@
     HELLO + framed(DEEP),
     HELLO + framed(msgpack.packb([1, 1, 0, []])),
     HELLO + LENGTH.pack(50) + b"too short",
-    HELLO + encode_frame(LoanKept(ResourceAmount("?", "?", -(2**62)), -1)),
+    HELLO + encode_frame(RunningQuery(-(2**62), "?")),
     HELLO + encode_frame(Goodbye("b.00000000")),
     encode_frame(Hello("raw.2", "raw", "nonsense", "zone")) + encode_frame(BEAT),
 ]
@@ -180,7 +178,7 @@
         a, b = Peer("a"), Peer("b")
         goodbyes = []
         a.network.on_goodbye.append(goodbyes.append)
-        a.network.on(LoanKept, lambda sender, message: {}[sender])
+        a.network.on(RunningQuery, lambda sender, message: {}[sender])
         async with running(a, b):
             b.network.seeds.add(a.listen)
             await until(lambda: a.linked(b) and b.linked(a))
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -8,13 +8,22 @@
 
 import time
 from collections import Counter
+from dataclasses import replace
+from datetime import timedelta
 
 import httpcore
 import msgspec
 import pytest
 import trustme
 
-from pomeloyard.config.reader import read_directories
+from pomeloyard.config.model import (
+    BudgetConfig,
+    FleetConfig,
+    PoolConfig,
+    RegionConfig,
+    ServiceConfig,
+    TeamConfig,
+)
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
 from pomeloyard.platform.directory import VmListState, VmRole
 from pomeloyard.standins.audit import find_faults, read_audits
@@ -22,13 +31,15 @@
 
 from .support.processes import Fleet, wait_until
 
-DAEMONS = ("entry-1", "entry-2", "entry-3", "entry-4", "entry-5")
+DAEMONS = tuple(f"entry-{number}" for number in range(1, 10))
 ZONES = ("bulacan", "pampanga", "laguna")
 LIMITS = {"mill": 24, "desk": 16, "shop": 12}
 STORE = "store"
 FAULTY_EXECUTOR = "cutting-e3"
 FAULTY_DAEMON = "entry-3"
-LATE_DAEMON = "entry-6"
+PAUSED_DAEMON = "entry-4"
+KILLED_DAEMON = "entry-5"
+LATE_DAEMON = "entry-10"
 
 WITHDRAWN_EVERYWHERE_SECONDS = 5.0
 LEAVING_NOTICED_SECONDS = 3.0
@@ -36,44 +47,26 @@
 OUTAGE_SECONDS = 10.0
 PAUSE_SECONDS = 6.0
 
-FILES = """
-[fleet]
-name = "whole"
-
-[regions.luzon]
-availability_zones = ["bulacan", "pampanga", "laguna"]
-
-[pools.orders]
-executors = 3
-workers = 2
-[pools.cutting]
-executors = 3
-workers = 2
-
-[services.orders]
-pool = "orders"
-budget = { min_available = 1 }
-request_timeout = "PT3S"
-queue_timeout = "PT2S"
-[services.cutting]
-pool = "cutting"
-budget = { min_available = 1 }
-request_timeout = "PT3S"
-queue_timeout = "PT2S"
-
-[teams.mill]
-share = 2.0
-limit = 24
-job_limit = 6
-[teams.desk]
-share = 1.0
-limit = 16
-job_limit = 4
-[teams.shop]
-share = 1.0
-limit = 12
-job_limit = 4
-"""
+SERVICES = ("orders", "cutting")
+CONFIG = FleetConfig(
+    name="whole",
+    regions_by_name={"luzon": RegionConfig("luzon", ZONES)},
+    pools_by_name={name: PoolConfig(name, 3, 2) for name in SERVICES},
+    services_by_name={
+        name: ServiceConfig(
+            name,
+            name,
+            BudgetConfig(min_available=1),
+            request_timeout=timedelta(seconds=3),
+            queue_timeout=timedelta(seconds=2),
+        )
+        for name in SERVICES
+    },
+    teams_by_name={
+        name: TeamConfig(name, share=1.0, limit=limit, job_limit=limit // 4)
+        for name, limit in LIMITS.items()
+    },
+)
 
 
 @pytest.fixture
@@ -133,12 +126,9 @@
         self.fleet = fleet
         addresses = [fleet.address(name, "operator") for name in DAEMONS]
         self.client = OperatorClient(addresses, fleet.operator_key)
-        self.directory = fleet.directory / "config"
-        self.directory.mkdir()
 
-    def publish(self, text):
-        (self.directory / "all.pomeloyard.toml").write_text(text)
-        body = msgspec.to_builtins(read_directories([self.directory]))
+    def publish(self, config):
+        body = msgspec.to_builtins(config)
         made_from = self.client.call("GET", "/v1/config")["revision"]
         path = f"/v1/config?made_from={made_from}"
         return self.client.call("POST", path, body)["revision"]
@@ -198,7 +188,7 @@
 def test_no_work_is_lost_duplicated_or_over_limit_under_faults(fleet):
     """Guards against every invariant of the design's section 1.1 that shows here."""
     operator = Operator(fleet)
-    assert operator.publish(FILES) == 1
+    assert operator.publish(CONFIG) == 1
     fleet.wait_ready(*DAEMONS)
     keys = {team: operator.grant(team)[0] for team in LIMITS}
     spare_key, spare_id = operator.grant("mill")
@@ -229,7 +219,7 @@
     # All watches hang without an error, and so do the kept connections.
     fleet.silence(STORE)
     time.sleep(3.0)
-    assert operator.publish(FILES.replace("share = 2.0", "share = 3.0")) == 2
+    assert operator.publish(replace(CONFIG, name="second")) == 2
     wait_until(lambda: operator.revisions(*DAEMONS) == {2}, IN_FORCE_EVERYWHERE_SECONDS)
 
     fleet.set_faults(STORE, refuse=True)
@@ -237,9 +227,9 @@
     cut_at = time.monotonic()
     fleet.start_daemon(LATE_DAEMON, "laguna")
     time.sleep(2.0)
-    fleet.processes["entry-4"].pause()
+    fleet.processes[PAUSED_DAEMON].pause()
     time.sleep(PAUSE_SECONDS)
-    fleet.processes["entry-4"].resume()
+    fleet.processes[PAUSED_DAEMON].resume()
     # Configuration and keys come from other daemons while the store is down.
     fleet.wait_ready(LATE_DAEMON)
     assert status(fleet, LATE_DAEMON, spare_key) == 401
@@ -251,8 +241,8 @@
     fleet.silence(f"peer-{FAULTY_DAEMON}")
     time.sleep(2.0)
 
-    fleet.processes["entry-5"].kill()
-    mark_gone(fleet, "entry-5")
+    fleet.processes[KILLED_DAEMON].kill()
+    mark_gone(fleet, KILLED_DAEMON)
     time.sleep(6.0)
     load.finish()
 
@@ -270,7 +260,7 @@
     # Most requests are within every limit, also during the faults.
     assert outcomes[DONE] > 0.8 * len(load.sent)
 
-    live = (*DAEMONS[:4], LATE_DAEMON)
+    live = {*DAEMONS, LATE_DAEMON} - {KILLED_DAEMON}
     for key in keys.values():
         wait_until(AllAnswer(fleet, live, key, 200), 20.0)
     assert AllAnswer(fleet, live, spare_key, 401)()
