Keep what a drain waits for in the VM record; bound both growth steps

Cause: only the controller's daemon knew what a drain waits for, pools without services were drained all at once by a wave, a VM that was leaving and then gone was never replaced, and growth was bounded between two sizes only. Change: the status is stored when it changes, with the same epoch; waves take a quarter of a pool without budget; leaving VMs that are gone are replaced. The maintenance schedule and the test faults have modules of their own.

--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import pairwise
 
 import anyio
 
@@ -32,6 +33,7 @@
 """A daemon's whole control; the stand-ins for store and platform are included."""
 
 WAVE_STEPS = 300
+PLANNING_STEPS = 40
 
 
 @dataclass(frozen=True)
@@ -247,11 +249,13 @@
     yield at_most(
         "fleet_controller_cpu_share", share, "cores", CPU_SHARE_BOUND, LATER.name
     )
-    small, large = GROWTH_SIZES[1], GROWTH_SIZES[2]
-    exponent = math.log(seconds[large] / seconds[small]) / math.log(large / small)
-    # The exponent that n log n itself shows between the two sizes.
-    bound = 1 + math.log(math.log(large) / math.log(small)) / math.log(large / small)
-    yield at_most("fleet_planning_growth_exponent", exponent, "exponent", bound)
+    for small, large in pairwise(GROWTH_SIZES):
+        exponent = math.log(seconds[large] / seconds[small]) / math.log(large / small)
+        # The exponent that n log n itself shows between the two sizes.
+        steeper = math.log(math.log(large) / math.log(small))
+        bound = 1 + steeper / math.log(large / small)
+        name = f"fleet_planning_growth_exponent_{small}_{large}"
+        yield at_most(name, exponent, "exponent", bound)
 
 
 async def _controller_step() -> float:
@@ -283,9 +287,9 @@
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
     await step(fleet)
     times = []
-    for _ in range(9):
+    for _ in range(PLANNING_STEPS):
         budgets = await fleet.controller.records.budgets()
-        began = time.perf_counter()
+        began = time.process_time()
         await fleet.controller.waves.step(budgets)
-        times.append(time.perf_counter() - began)
+        times.append(time.process_time() - began)
     return min(times)
--- a/src/pomeloyard/buffers.py
+++ b/src/pomeloyard/buffers.py
@@ -34,6 +34,9 @@
 
 MOVES_REMEMBERED = 20
 
+REFUSED_TRIES = 4
+"""Further VMs that are tried when a zone's budget refuses some."""
+
 CONTROLLER = "controller"
 
 log = logbook.Logger("pomeloyard.buffers")
@@ -174,7 +177,8 @@
         self._decide(decision)
         cause = Cause.GIVE_BACK if decision.target == spare else Cause.LEND
         started = 0
-        for vm in self._free_vms(decision.source):
+        tries = decision.vms + REFUSED_TRIES
+        for vm in self._free_vms(decision.source)[:tries]:
             if started == decision.vms:
                 return
             try:
--- a/src/pomeloyard/cli/vms.py
+++ b/src/pomeloyard/cli/vms.py
@@ -94,10 +94,8 @@
     """Print each change of what the drain waits for; return the last record."""
     shown = ""
     while True:
-        answer = client.call("GET", f"/v1/vms/{name}/explain")
-        record, check = answer["vm"], answer["drain"] or {}
-        waiting = check.get("status", "")
-        line = f"{name}: {record['state']} {waiting}".rstrip()
+        record = client.call("GET", f"/v1/vms/{name}")
+        line = f"{name}: {record['state']} {record['waiting'] or ''}".rstrip()
         if line != shown:
             click.echo(line, err=True)
             shown = line
--- a/src/pomeloyard/controller.py
+++ b/src/pomeloyard/controller.py
@@ -15,6 +15,7 @@
 from .fleet_records import FleetRecords
 from .fleet_state import FleetState
 from .lifecycle import VmLifecycle
+from .maintenance import MaintenanceSchedule
 from .operations import VmOperations
 from .platform.directory import VmDirectory
 from .platform.store import Store
@@ -52,6 +53,7 @@
         self.records = FleetRecords(store, clock, state)
         self.operations = VmOperations(self.records, decisions, announce)
         self.waves = WaveRunner(self.records, self.operations, decisions)
+        self.maintenance = MaintenanceSchedule(self.records, self.waves)
         self.repairs = RepairManager(
             self.records, self.operations, decisions, HealthBook()
         )
@@ -83,7 +85,8 @@
         await self.records.reconcile(budgets)
         # Before the VMs advance, so that a wave that has just lost a rack or was
         # cancelled returns what it drained and has not yet rebooted.
-        await self.waves.step(budgets)
+        waves = await self.waves.step(budgets)
         await self.lifecycle.advance_all()
+        await self.maintenance.step(waves)
         await self.repairs.step()
         await self.buffers.step(budgets)
--- a/src/pomeloyard/drains.py
+++ b/src/pomeloyard/drains.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
-from enum import Enum
 
 import anyio
 import msgspec
@@ -19,7 +18,7 @@
 from .platform.directory import VmRole
 from .platform.records import RecordError
 from .platform.store import Store, scan_all
-from .vms import VmRecord
+from .vms import DrainStatus, VmRecord
 
 ASK_INTERVAL = timedelta(seconds=1)
 """Least time between two questions to one daemon about one VM."""
@@ -38,16 +37,6 @@
 The question also tells the daemon to send no new work to the VM."""
 
 
-class DrainStatus(Enum):
-    """Whether a drain is complete, and what it waits for."""
-
-    CLEAR = "clear"
-    REQUESTS_RUNNING = "requests-running"
-    TASKS_RUNNING = "tasks-running"
-    DAEMONS_SILENT = "daemons-silent"
-    TIMED_OUT_SILENT = "silent-daemons-timed-out"
-
-
 @dataclass(frozen=True, slots=True)
 class DrainCheck:
     """Result of one verification; ``waiting_for`` names daemons."""
--- a/src/pomeloyard/lifecycle.py
+++ b/src/pomeloyard/lifecycle.py
@@ -9,12 +9,12 @@
 import logbook
 
 from . import vm_steps
-from .drains import DrainCheck, DrainStatus, DrainVerifier
+from .drains import DrainCheck, DrainVerifier
 from .errors import RefusedError, StoreError, StoreRequestError
 from .fleet_records import FleetRecords, Step
 from .platform.directory import Vm, VmDirectory, VmListState, VmOperation, VmRole
 from .platform.records import ConflictError
-from .vms import Cause, VmPlan, VmRecord, VmState
+from .vms import Cause, DrainStatus, VmPlan, VmRecord, VmState
 
 PARALLEL_STEPS = 64
 """VMs advanced at once. A question to a daemon that does not answer takes 1 s, and
@@ -150,6 +150,13 @@
         }
         cause = causes.get(check.status)
         if cause is None:
+            if record.waiting is not check.status:
+                await self._records.change(
+                    record.name,
+                    lambda current: vm_steps.note_waiting(
+                        current, record.epoch, check.status
+                    ),
+                )
             return
         now = self._records.clock.now()
 
--- a/src/pomeloyard/vm_steps.py
+++ b/src/pomeloyard/vm_steps.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
 from .errors import RefusedError
 from .outcomes import RefusalReason, Refused
 from .platform.directory import Vm, VmListState, VmOperation
-from .vms import Cause, VmPlan, VmRecord, VmState
+from .vms import Cause, DrainStatus, VmPlan, VmRecord, VmState
 
 OPERATIONS_BY_PLAN = {
     VmPlan.REBOOT: (VmOperation.REBOOT, VmOperation.REBOOT, VmOperation.REPLACE),
@@ -71,17 +71,27 @@
         target_pool=order.target_pool,
         deadline=deadline,
         verify_by=deadline + order.request_timeout,
+        waiting=None,
         asked=order.asked,
         attempts=0,
         wave=order.wave,
     )
 
 
+def note_waiting(record: VmRecord, epoch: int, status: DrainStatus) -> VmRecord | None:
+    """Note what a drain waits for, without a step: the epoch stays."""
+    if record.epoch != epoch or record.waiting is status:
+        return None
+    return replace(record, waiting=status)
+
+
 def finish_drain(record: VmRecord, now: datetime, cause: Cause) -> VmRecord | None:
     """Note that nothing runs at the VM any more."""
     if record.state is not VmState.DRAINING:
         return None
-    return record.after(now, VmState.DRAINED, cause, asked=(), deadline=None)
+    return record.after(
+        now, VmState.DRAINED, cause, waiting=None, asked=(), deadline=None
+    )
 
 
 def continue_plan(
@@ -202,6 +212,11 @@
             wave="",
             failed_at=now,
         )
+    taken_away = record.state is VmState.FAILED and (
+        record.reasons[-1].cause is Cause.VM_LEAVING
+    )
+    if taken_away and gone:
+        return record.after(now, VmState.FAILED, Cause.VM_GONE)
     lost_by_list = record.state is VmState.FAILED and record.reasons[-1].cause in (
         Cause.VM_GONE,
         Cause.VM_LEAVING,
@@ -263,6 +278,7 @@
         target_pool="",
         deadline=None,
         verify_by=None,
+        waiting=None,
         asked=(),
         attempts=0,
         wave="",
--- a/src/pomeloyard/vms.py
+++ b/src/pomeloyard/vms.py
@@ -33,6 +33,16 @@
     MOVE = "move"
 
 
+class DrainStatus(Enum):
+    """Whether a drain is complete, and what it waits for."""
+
+    CLEAR = "clear"
+    REQUESTS_RUNNING = "requests-running"
+    TASKS_RUNNING = "tasks-running"
+    DAEMONS_SILENT = "daemons-silent"
+    TIMED_OUT_SILENT = "silent-daemons-timed-out"
+
+
 class Cause(Enum):
     """Why a VM's record was changed."""
 
@@ -98,6 +108,8 @@
     """End of the state's time: drain timeout, reboot timeout or trial."""
     verify_by: datetime | None = None
     """Time after which a daemon that does not answer no longer blocks a drain."""
+    waiting: DrainStatus | None = None
+    """What a drain waits for, as last verified."""
     asked: tuple[str, ...] = ()
     """Daemons known at the start of the drain, each of which must answer."""
     boot_id: str = ""
--- a/src/pomeloyard/wave_runner.py
+++ b/src/pomeloyard/wave_runner.py
@@ -37,20 +37,19 @@
     WaveState,
     change_wave,
     correlated_failure,
-    due_pools,
     plan_drains,
     progress_of,
 )
 
-MAX_AUTOMATIC_WAVES = 2
-"""Waves that the controller starts by itself and that run at one time."""
-
 KEPT_WAVES = 50
 """Ended waves whose records are kept."""
 
 HELD_PATIENCE = timedelta(minutes=30)
 """How long a wave waits for VMs that something else holds out of service."""
 
+MAX_CANDIDATES = 20
+"""Candidates that one decision lists."""
+
 CONTROLLER = "controller"
 
 log = logbook.Logger("pomeloyard.waves")
@@ -138,8 +137,10 @@
             tuple(vm.name for vm in by_progress[Progress.SET_ASIDE]),
         )
 
-    async def step(self, budgets: Mapping[str, Versioned[BudgetRecord]]) -> None:
-        """Advance all waves once."""
+    async def step(
+        self, budgets: Mapping[str, Versioned[BudgetRecord]]
+    ) -> list[WaveRecord]:
+        """Advance all waves once and return them as they were read."""
         waves = await self.waves()
         headroom, held = self.headroom_by_pool(budgets)
         states = {wave_id: wave.value.state for wave_id, wave in waves.items()}
@@ -150,8 +151,8 @@
                 except (ConflictError, RefusedError) as error:
                     log.info("wave {}: {}", current.value.wave_id, error)
         await self._undo_drains(states, held)
-        await self._start_due(waves)
         await self._forget_old(waves)
+        return [wave.value for wave in waves.values()]
 
     def headroom_by_pool(
         self, budgets: Mapping[str, Versioned[BudgetRecord]]
@@ -194,7 +195,10 @@
                 return changed.state
         waiting = [vm for vm in by_progress[Progress.WAITING] if vm.pool not in held]
         in_progress = by_progress[Progress.IN_PROGRESS]
-        for vm in plan_drains(waiting, in_progress, headroom):
+        chosen = plan_drains(waiting, in_progress, headroom)
+        if chosen:
+            self._decide_drains(current.value, waiting, chosen)
+        for vm in chosen:
             await self._drain(current.value, vm)
         return WaveState.RUNNING
 
@@ -276,44 +280,6 @@
             except (ConflictError, RefusedError) as error:
                 log.info("{} not returned: {}", vm.name, error)
 
-    async def _start_due(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
-        """Start waves over pools whose maintenance is due."""
-        state = self._records.state
-        now, interval = self._records.clock.now(), state.config.maintenance.interval
-        if interval <= timedelta(0):
-            return
-        open_waves = [w.value for w in waves.values() if not w.value.is_final()]
-        busy = {
-            state.vm_records_by_name[name].pool
-            for wave in open_waves
-            for name in wave.targets
-            if name in state.vm_records_by_name
-        }
-        automatic = sum(
-            w.reasons[0].cause is WaveCause.MAINTENANCE_DUE for w in open_waves
-        )
-        records = state.vm_records_by_name.values()
-        for pool, _ in due_pools(records, now, interval):
-            if automatic >= MAX_AUTOMATIC_WAVES or pool in busy:
-                continue
-            targets = tuple(
-                sorted(
-                    vm.name
-                    for vm in records
-                    if vm.pool == pool
-                    and vm.maintained_at is not None
-                    and now - vm.maintained_at > interval / 2
-                )
-            )
-            await self.start(
-                f"pool/{pool}",
-                WaveKind.REBOOT,
-                CONTROLLER,
-                WaveCause.MAINTENANCE_DUE,
-                targets,
-            )
-            automatic += 1
-
     async def _forget_old(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
         ended = [w for w in waves.values() if w.value.ended_at is not None]
         ended.sort(key=lambda w: (w.value.ended_at, w.key))
@@ -360,6 +326,26 @@
         change = Change(current.key, wave, current)
         await commit_changes(self._records.store, [change])
 
+    def _decide_drains(
+        self, wave: WaveRecord, waiting: list[VmRecord], chosen: list[VmRecord]
+    ) -> None:
+        """Record which VMs are drained now, and some of those that must wait."""
+        names = {vm.name for vm in chosen}
+        left = [vm for vm in waiting if vm.name not in names]
+        candidates = [Candidate(vm.name, WaveCause.CHOSEN) for vm in chosen]
+        candidates += [Candidate(vm.name, WaveCause.BUDGET) for vm in left]
+        self._decisions.record(
+            Decision(
+                self._records.clock.now(),
+                DecisionKind.WAVE,
+                f"wave/{wave.wave_id}",
+                f"drain {len(chosen)}",
+                WaveCause.CHOSEN,
+                tuple(candidates[:MAX_CANDIDATES]),
+                {"waiting": len(left), "chosen": len(chosen)},
+            )
+        )
+
     def _decide(self, wave: WaveRecord, choice: str, cause: WaveCause) -> None:
         by_progress = self.status_of(wave).vms_by_progress
         candidates = tuple(Candidate(pool, cause) for pool in wave.held_pools)
--- a/src/pomeloyard/waves.py
+++ b/src/pomeloyard/waves.py
@@ -21,6 +21,11 @@
 7,400 VMs in 6 availability zones, three within 15 minutes in one zone are rare."""
 
 
+UNBUDGETED_SHARE = 0.25
+"""Part of a pool without services, such as a spare pool, that a wave takes at once;
+no budget limits it, and all of its VMs must not be away together."""
+
+
 class WaveState(Enum):
     """State of a wave; the last two are final."""
 
@@ -232,16 +237,24 @@
     VMs are taken rack by rack within an availability zone, so that few failure
     domains are in maintenance at once. A zone whose own budget makes it the
     longest comes first, so that zones proceed side by side where that decides
-    when the wave ends. The headroom is used up by the chosen VMs.
+    when the wave ends. The headroom is used up by the chosen VMs. Pools that are
+    not in ``headroom_by_pool`` have no budget.
     """
     groups: dict[tuple[str, VmRole], list[VmRecord]] = defaultdict(list)
     for vm in waiting:
         groups[vm.pool, vm.role].append(vm)
+    in_progress = list(in_progress)
     racks_begun = {(vm.availability_zone, vm.rack) for vm in in_progress}
     chosen: list[VmRecord] = []
-    for (pool, _), vms in sorted(groups.items(), key=_group_order):
-        headroom = headroom_by_pool.get(pool, PoolHeadroom())
-        for vm in _by_failure_domain(vms, headroom, racks_begun):
+    away = Counter((vm.pool, vm.role) for vm in in_progress)
+    for group, vms in sorted(groups.items(), key=_group_order):
+        headroom = headroom_by_pool.get(group[0])
+        ordered = _by_failure_domain(vms, headroom or PoolHeadroom(), racks_begun)
+        if headroom is None:
+            allowed = max(1, int(UNBUDGETED_SHARE * (len(vms) + away[group])))
+            chosen += ordered[: max(0, allowed - away[group])]
+            continue
+        for vm in ordered:
             if headroom.blocking(vm) is None:
                 headroom.spend(vm)
                 chosen.append(vm)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -24,134 +24,17 @@
 from pomeloyard.errors import (
     RefusedError,
     StoreError,
-    StoreOutcomeUnknownError,
-    StoreRequestError,
-    StoreUnavailableError,
 )
 from pomeloyard.fleet_state import DaemonRecord, FleetState
 from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmListState, VmOperation, VmRole
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.platform.directory import Vm, VmRole
 from pomeloyard.platform.records import ConflictError, decode_record
 from pomeloyard.platform.store import scan_all
-from pomeloyard.standins.platform import MemoryVmDirectory
 from pomeloyard.vms import VmRecord, VmState
 
-DAEMONS = ("entry-1.a", "entry-2.b")
-
-
-class Killed(BaseException):
-    """The process that made the call was killed."""
-
-
-class FaultyStore(MemoryStore):
-    """Store that can be down, lose answers, or see its caller killed."""
-
-    def __init__(self, clock: ManualClock) -> None:
-        super().__init__(clock)
-        self.down = False
-        self.lose_answers = 0
-        self.kill_at_commit: int | None = None
-        self.kill_after_effect = False
-        self.after_commit: list[Callable[[object], None]] = []
-
-    async def get(self, key):
-        self._check_up()
-        return await super().get(key)
-
-    async def scan(self, prefix, *, start="", limit=1000):
-        self._check_up()
-        return await super().scan(prefix, start=start, limit=limit)
-
-    async def commit(self, transaction):
-        self._check_up()
-        kill = self._kill_now()
-        if kill and not self.kill_after_effect:
-            raise Killed
-        result = await super().commit(transaction)
-        if result.succeeded and transaction.operations:
-            for check in self.after_commit:
-                check(transaction)
-        if kill:
-            raise Killed
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise StoreOutcomeUnknownError("answer lost")
-        return result
-
-    def _check_up(self):
-        if self.down:
-            raise StoreUnavailableError("store is down")
-
-    def _kill_now(self):
-        if self.kill_at_commit is None:
-            return False
-        self.kill_at_commit -= 1
-        if self.kill_at_commit < 0:
-            self.kill_at_commit = None
-            return True
-        return False
-
-
-class FaultyDirectory(MemoryVmDirectory):
-    """Platform whose operations take time, fail or get lost."""
-
-    def __init__(self, clock: ManualClock, vms: list[Vm]) -> None:
-        super().__init__(clock, vms)
-        self.delay = timedelta(seconds=2)
-        self.down = False
-        self.refuse = False
-        self.lose = 0
-        self.answer_lost = 0
-        self.broken: set[str] = set()
-        """VMs whose reboots and replacements have no effect."""
-        self.started: list[tuple[str, VmOperation, str]] = []
-        self._pending: list[tuple[timedelta, str, VmOperation, str, str]] = []
-
-    async def operate(self, name, operation, *, operation_id, pool=""):
-        if self.down:
-            raise StoreUnavailableError("platform is down")
-        if self.refuse:
-            raise StoreRequestError("refused")
-        if operation_id not in {started[2] for started in self.started}:
-            self.started.append((name, operation, operation_id))
-            if self.lose:
-                self.lose -= 1
-            else:
-                due = self._clock.monotonic() + self.delay
-                self._pending.append((due, name, operation, operation_id, pool))
-        if self.answer_lost:
-            self.answer_lost -= 1
-            raise StoreOutcomeUnknownError("answer lost")
-
-    async def settle(self) -> None:
-        """Let the operations that are due take effect."""
-        now = self._clock.monotonic()
-        due = [p for p in self._pending if p[0] <= now]
-        self._pending = [p for p in self._pending if p[0] > now]
-        for _, name, operation, operation_id, pool in due:
-            if name in self.broken and operation is not VmOperation.ASSIGN:
-                continue
-            await super().operate(name, operation, operation_id=operation_id, pool=pool)
-
-    def lose_vms(self, names: Iterable[str]) -> None:
-        for name in names:
-            vm = self._vms_by_name[name]
-            self.put(replace(vm, state=VmListState.GONE))
+from .fleet_faults import FaultyDirectory, FaultyStore, killed
 
-    def remove(self, name: str) -> None:
-        """Drop a VM from the list for good."""
-        del self._vms_by_name[name]
-        self._version += 1
-
-    def boot(self, name: str, boot_id: str) -> None:
-        """Let a VM boot by itself."""
-        self.put(replace(self._vms_by_name[name], boot_id=boot_id))
-
-    def restore_vms(self, names: Iterable[str]) -> None:
-        for name in names:
-            vm = self._vms_by_name[name]
-            self.put(replace(vm, state=VmListState.LIVE))
+DAEMONS = ("entry-1.a", "entry-2.b")
 
 
 @dataclass
@@ -333,13 +216,6 @@
             )
 
 
-def killed(error: BaseException) -> bool:
-    """Tell whether an error is the end of a killed process, also in a group."""
-    if isinstance(error, BaseExceptionGroup):
-        return any(killed(inner) for inner in error.exceptions)
-    return isinstance(error, Killed)
-
-
 def make_vms(
     pool: str,
     executors: int,
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -13,7 +13,8 @@
 from pomeloyard.vms import VmPlan, VmRecord, VmState
 from pomeloyard.waves import WaveKind, WaveRecord, WaveState
 
-from .support.fleet import Fleet, killed, make_config, make_vms
+from .support.fleet import Fleet, make_config, make_vms
+from .support.fleet_faults import killed
 
 POOLS = {"orders": (6, 4), "mill": (4, 0), "spare": (3, 0)}
 VMS = [vm for pool, sizes in POOLS.items() for vm in make_vms(pool, *sizes)]
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -64,6 +64,13 @@
         await fleet.step()
 
 
+async def taken_away(fleet):
+    fleet.directory.let_leave(SICK)
+    await fleet.step()
+    assert fleet.vm(SICK).reasons[-1].cause is Cause.VM_LEAVING
+    await gone(fleet)
+
+
 async def gone(fleet):
     fleet.directory.lose_vms([SICK])
     await fleet.step(1)
@@ -78,6 +85,7 @@
         (partly_failing, Cause.VM_PARTLY_FAILED, VmOperation.REBOOT),
         (flapping, Cause.VM_FLAPPING, VmOperation.REBOOT),
         (gone, Cause.VM_GONE, VmOperation.REPLACE),
+        (taken_away, Cause.VM_LEAVING, VmOperation.REPLACE),
     ],
 )
 def test_failed_vm_is_repaired_and_returns_after_a_trial(fault, cause, operation):
--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -10,7 +10,8 @@
 from pomeloyard.platform.records import ConflictError
 from pomeloyard.vms import Cause, VmPlan, VmState
 
-from .support.fleet import DAEMONS, Fleet, killed, make_config, make_vms, run
+from .support.fleet import DAEMONS, Fleet, make_config, make_vms, run
+from .support.fleet_faults import killed
 
 POOLS = {"orders": (6, 6), "mill": (6, 0)}
 VM = "orders-e000"
@@ -210,6 +211,8 @@
         for _ in range(60):
             await fleet.step()
         assert fleet.vm(name).state is VmState.DRAINING
+        waiting = {"request": "requests-running", "task": "tasks-running"}
+        assert fleet.vm(name).waiting.value == waiting[kind]
         assert fleet.vm(name).must_evacuate(fleet.clock.now())
         fleet.running.clear()
         fleet.tasks.count_by_vm.clear()
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -272,6 +272,25 @@
     run(body)
 
 
+def test_pool_without_services_is_not_drained_at_once():
+    """Guards against a spare pool that is empty while queues peak."""
+
+    async def body():
+        fleet = Fleet(
+            make_config({"spare": (8, 0)}, spare="spare"), make_vms("spare", 8)
+        )
+        await fleet.step()
+        await fleet.controller.waves.start("pool/spare", WaveKind.REBOOT, "op")
+        most = 0
+        while not ended(fleet):
+            await fleet.step()
+            vms = fleet.stored(layout.VMS, VmRecord).values()
+            most = max(most, sum(vm.state is not VmState.IN_SERVICE for vm in vms))
+        assert most == 2
+
+    run(body)
+
+
 def test_every_vm_is_maintained_within_the_interval_without_an_operator():
     """Guards against pools that nobody remembers, and waves all on one day."""
 
