Let a daemon that is confirmed gone block a drain for less time

Change: an incarnation that is confirmed gone starts nothing more, so only the longest request timeout is waited out. Conclusion: restarts of daemons delay maintenance by the request timeout only.

--- a/src/pomeloyard/drains.py
+++ b/src/pomeloyard/drains.py
@@ -15,7 +15,7 @@
 from .fleet_state import FleetState
 from .jobs import FINAL_STATES, JobState
 from .platform import layout
-from .platform.directory import VmRole
+from .platform.directory import VmListState, VmRole
 from .platform.records import RecordError
 from .platform.store import Store, scan_all
 from .vms import DrainStatus, VmRecord
@@ -140,9 +140,9 @@
         if running:
             return DrainCheck(DrainStatus.REQUESTS_RUNNING, running)
         silent = tuple(sorted(daemons - drain.confirmed))
-        expired = record.verify_by is not None and self._clock.now() >= record.verify_by
-        if silent and not expired:
-            return DrainCheck(DrainStatus.DAEMONS_SILENT, 0, silent)
+        blocking = tuple(name for name in silent if self._blocks(record, name))
+        if blocking:
+            return DrainCheck(DrainStatus.DAEMONS_SILENT, 0, blocking)
         if record.role is VmRole.WORKER:
             count = tasks.get(record.name, 0)
             if not self._settled(drain) or count:
@@ -160,6 +160,26 @@
             drain = self._drains_by_vm[record.name] = _Drain(record.epoch)
         return drain
 
+    def _blocks(self, record: VmRecord, daemon: str) -> bool:
+        """Tell whether a daemon that does not answer may have requests running.
+
+        One that is confirmed gone starts nothing more; what it sent before ends
+        with the request timeout.
+        """
+        until = record.verify_by
+        if record.since is not None and self._is_gone(daemon):
+            until = record.since + self._state.config.longest_request_timeout()
+        return until is not None and self._clock.now() < until
+
+    def _is_gone(self, incarnation: str) -> bool:
+        """Tell whether an incarnation is confirmed gone; time never confirms it."""
+        name = incarnation.rpartition(".")[0]
+        vm = self._state.vm_list.vms_by_name.get(name)
+        if vm is not None and vm.state is VmListState.GONE:
+            return True
+        registered = self._state.daemons_by_incarnation
+        return any(r.vm == name and i != incarnation for i, r in registered.items())
+
     def _due(self, drain: _Drain, daemon: str) -> bool:
         asked_at = drain.asked_at_by_daemon.get(daemon)
         return asked_at is None or self._clock.monotonic() - asked_at >= ASK_INTERVAL
