Test two guards of the VM steps that mutants had survived

Cause: of eleven mutants in a trial copy, three survived: the epoch guard of finished drains, the second trial after a late boot, and the spare pool's headroom, which the transaction's own check covers as well. Change: one test for each of the first two.

--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -267,3 +267,46 @@
         assert fleet.spent() == {VM}
 
     run(body)
+
+
+def test_verification_of_an_earlier_drain_does_not_finish_a_later_one():
+    """Guards against a reboot after a return and a second drain in between."""
+
+    async def body():
+        fleet = await adopted(new_fleet(controllers=2))
+        await begin(fleet, VmPlan.REBOOT)
+        first, second = fleet.controllers
+        await fleet.refresh(second)
+        verifier = first.lifecycle._verifier
+        check = verifier.check
+
+        async def check_while_an_operator_acts(record, tasks):
+            result = await check(record, tasks)
+            await second.operations.return_to_service(VM, "op")
+            fleet.running[DAEMONS[0], VM] = 1  # New work came in between.
+            await second.operations.drain(VM, "op", plan=VmPlan.REBOOT)
+            return result
+
+        verifier.check = check_while_an_operator_acts
+        await first.lifecycle.advance_all()
+        assert fleet.vm(VM).state is VmState.DRAINING
+        assert fleet.directory.started == []
+
+    run(body)
+
+
+def test_late_reboot_of_an_earlier_attempt_begins_the_trial_anew():
+    """Guards against returning a VM that is booting once more."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        await begin(fleet, VmPlan.REBOOT)
+        await fleet.run_until(lambda: fleet.vm(VM).state is VmState.TRIAL)
+        await fleet.step(3)  # Of a trial of 4 s.
+        fleet.directory.boot(VM, "late")
+        await fleet.step(2)
+        assert fleet.vm(VM).state is VmState.TRIAL
+        assert fleet.vm(VM).boot_id == "late"
+        await fleet.run_until(fleet.all_in_service, 5)
+
+    run(body)
