--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from pomeloyard.errors import RefusedError, StoreError
@@ -10,7 +12,8 @@
 from pomeloyard.platform.records import ConflictError
 from pomeloyard.vms import Cause, VmPlan, VmState
 
-from .support.fleet import DAEMONS, Fleet, killed, make_config, make_vms, run
+from .support.fleet import DAEMONS, Fleet, make_config, make_vms, run
+from .support.fleet_faults import killed
 
 POOLS = {"orders": (6, 6), "mill": (6, 0)}
 VM = "orders-e000"
@@ -181,17 +184,23 @@
     run(body)
 
 
-def test_silent_daemon_blocks_a_drain_until_its_requests_have_ended():
-    """Guards against rebooting a VM at which a paused daemon has requests."""
+@pytest.mark.parametrize(("restarted", "seconds"), [(False, 8), (True, 3)])
+def test_silent_daemon_blocks_a_drain_until_its_requests_have_ended(restarted, seconds):
+    """Guards against rebooting a VM at which a paused or killed daemon has requests."""
 
     async def body():
         fleet = await adopted(new_fleet())
         fleet.running[DAEMONS[1], VM] = None
         record = await begin(fleet, VmPlan.HOLD)
+        if restarted:
+            daemons = fleet.controller._state.daemons_by_incarnation
+            old = daemons.pop(DAEMONS[1])
+            daemons["entry-2.c"] = replace(old, incarnation="entry-2.c")
         await fleet.run_until(lambda: fleet.vm(VM).state is VmState.DRAINED)
-        # drain_timeout 5 s + longest request timeout 3 s
+        # The longest request timeout is 3 s. A daemon that may only be paused has
+        # the drain timeout of 5 s too.
         waited = (fleet.clock.now() - record.since).total_seconds()
-        assert 8 <= waited < 9
+        assert seconds <= waited < seconds + 1
         assert fleet.vm(VM).reasons[-1].cause is Cause.DAEMONS_SILENT
 
     run(body)
@@ -210,6 +219,8 @@
         for _ in range(60):
             await fleet.step()
         assert fleet.vm(name).state is VmState.DRAINING
+        waiting = {"request": "requests-running", "task": "tasks-running"}
+        assert fleet.vm(name).waiting.value == waiting[kind]
         assert fleet.vm(name).must_evacuate(fleet.clock.now())
         fleet.running.clear()
         fleet.tasks.count_by_vm.clear()
@@ -256,3 +267,46 @@
         assert fleet.spent() == {VM}
 
     run(body)
+
+
+def test_verification_of_an_earlier_drain_does_not_finish_a_later_one():
+    """Guards against a reboot after a return and a second drain in between."""
+
+    async def body():
+        fleet = await adopted(new_fleet(controllers=2))
+        await begin(fleet, VmPlan.REBOOT)
+        first, second = fleet.controllers
+        await fleet.refresh(second)
+        verifier = first.lifecycle._verifier
+        check = verifier.check
+
+        async def check_while_an_operator_acts(record, tasks):
+            result = await check(record, tasks)
+            await second.operations.return_to_service(VM, "op")
+            fleet.running[DAEMONS[0], VM] = 1  # New work came in between.
+            await second.operations.drain(VM, "op", plan=VmPlan.REBOOT)
+            return result
+
+        verifier.check = check_while_an_operator_acts
+        await first.lifecycle.advance_all()
+        assert fleet.vm(VM).state is VmState.DRAINING
+        assert fleet.directory.started == []
+
+    run(body)
+
+
+def test_late_reboot_of_an_earlier_attempt_begins_the_trial_anew():
+    """Guards against returning a VM that is booting once more."""
+
+    async def body():
+        fleet = await adopted(new_fleet())
+        await begin(fleet, VmPlan.REBOOT)
+        await fleet.run_until(lambda: fleet.vm(VM).state is VmState.TRIAL)
+        await fleet.step(3)  # Of a trial of 4 s.
+        fleet.directory.boot(VM, "late")
+        await fleet.step(2)
+        assert fleet.vm(VM).state is VmState.TRIAL
+        assert fleet.vm(VM).boot_id == "late"
+        await fleet.run_until(fleet.all_in_service, 5)
+
+    run(body)
