Report outcomes of requests and the state of workers to the repair detectors

Cause: nothing called HealthReports.note, so that silent and failing VMs were never repaired in a running daemon; only VMs gone from the list were.

Change: the executor router passes on each outcome, with silence told from failure; a task observes the scheduler's workers every 5 s. Outcomes of single tasks are not passed on, since a bad job fails on good workers; a worker that the quarantine keeps set aside for a minute counts as failed.

Conclusion: the detectors' thresholds are unchanged; repairs stay limited by max_repairs and the alarm.

--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -31,6 +31,7 @@
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
 from .health_reports import HealthReports
+from .health_sources import WorkerObserver, note_executor
 from .heartbeats import HeartbeatBook
 from .job_store import JobStore
 from .key_service import KeyService
@@ -199,6 +200,10 @@
         self.health_reports = HealthReports(
             clock, self.peers, self.state, self.controller.repairs.health.observe
         )
+        self.router.on_outcome = self._on_executor_outcome
+        self.worker_observer = WorkerObserver(
+            clock, self.scheduler, self.health_reports.note
+        )
         self._servers: list[EmbeddedServer] = []
         self._closing = False
 
@@ -240,6 +245,7 @@
         tasks.start_soon(self.tls.run, self.clock)
         tasks.start_soon(self.endpoints.run)
         tasks.start_soon(self.health_reports.run)
+        tasks.start_soon(self.worker_observer.run)
         for name, work in (
             ("scheduler", self.scheduler.run),
             ("controller", self.controller.run),
@@ -334,6 +340,9 @@
         self.claims.refresh()
         self.router.forget_except(self.state.vm_list.vms_by_name)
 
+    def _on_executor_outcome(self, vm: str, failed: bool, silent: bool) -> None:
+        note_executor(self.health_reports.note, vm, failed=failed, silent=silent)
+
     def _zone_of(self, vm: str) -> str:
         record = self.state.vm_list.vms_by_name.get(vm)
         return record.availability_zone if record is not None else ""
--- a/src/pomeloyard/exchanges.py
+++ b/src/pomeloyard/exchanges.py
@@ -121,7 +121,8 @@
         except BaseException as error:
             self.settle(service, permit, maybe_running=own.sent)
             if isinstance(error, OutcomeUnknownError) or _unreachable(error):
-                self._router.failed(service.name, permit.vm)
+                silent = _unreachable(error) or _timed_out(error)
+                self._router.failed(service.name, permit.vm, silent=silent)
             raise
         finally:
             progress.sent = progress.sent or own.sent
@@ -201,6 +202,13 @@
         return response
 
 
+def _timed_out(error: BaseException) -> bool:
+    return (
+        isinstance(error, OutcomeUnknownError)
+        and error.unknown.reason is UnknownReason.TIMEOUT
+    )
+
+
 def _unreachable(error: BaseException) -> bool:
     return (
         isinstance(error, RefusedError)
--- /dev/null
+++ b/src/pomeloyard/health_sources.py
@@ -0,0 +1,60 @@
+"""Turn outcomes of requests and the state of workers into health observations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from .clock import Clock
+from .quarantine import WorkerHealth
+from .repair import ObservationKind
+from .scheduler import Scheduler
+
+Note = Callable[[str, ObservationKind], None]
+
+WORKER_INTERVAL = timedelta(seconds=5)
+"""A worker that stays set aside for a minute gives the ten failed outcomes after
+which it is taken for failed."""
+
+
+def note_executor(note: Note, vm: str, *, failed: bool, silent: bool) -> None:
+    """Note the outcome of one request at an executor."""
+    if silent:
+        note(vm, ObservationKind.UNRESPONSIVE)
+    elif failed:
+        note(vm, ObservationKind.REQUEST_FAILED)
+    else:
+        note(vm, ObservationKind.REQUEST_DONE)
+
+
+class WorkerObserver:
+    """Reports workers that do not answer or fail their tasks.
+
+    Outcomes of single tasks are not reported: a bad job fails on good workers,
+    and the quarantine tells the two apart.
+    """
+
+    def __init__(self, clock: Clock, scheduler: Scheduler, note: Note) -> None:
+        self._clock = clock
+        self._scheduler = scheduler
+        self._note = note
+
+    async def run(self) -> None:
+        """Observe the workers regularly until cancelled."""
+        while True:
+            await self._clock.sleep(WORKER_INTERVAL)
+            self.observe()
+
+    def observe(self) -> None:
+        """Note the present state of each worker, if this daemon schedules."""
+        term = self._scheduler.term
+        if term is None:
+            return
+        for name, link in term.links.by_name.items():
+            if link.reachable:
+                self._note(name, ObservationKind.RESPONSIVE)
+            elif link.failures:
+                self._note(name, ObservationKind.UNRESPONSIVE)
+            health = term.follower.quarantine.health(name)
+            if health is WorkerHealth.SET_ASIDE:
+                self._note(name, ObservationKind.TASK_FAILED)
--- a/src/pomeloyard/routing.py
+++ b/src/pomeloyard/routing.py
@@ -90,6 +90,8 @@
         self._load_of = load_of
         self._executors = executors
         self._health_by_vm: dict[str, ExecutorHealth] = {}
+        self.on_outcome: Callable[[str, bool, bool], None] = lambda *_: None
+        """Called with an executor and whether it failed and was silent."""
 
     def prefer(self, service: str, names: list[str]) -> list[str]:
         """Return names in order of preference, without the ejected ones."""
@@ -117,9 +119,11 @@
         health.failures_in_row = 0
         health.ejections = 0
         health.ejected_until = health.trial_until = None
+        self.on_outcome(vm, False, False)
 
-    def failed(self, service: str, vm: str) -> None:
+    def failed(self, service: str, vm: str, *, silent: bool = False) -> None:
         """Note a refused connection, a broken exchange or silence."""
+        self.on_outcome(vm, True, silent)
         health = self._health_by_vm.setdefault(vm, ExecutorHealth())
         health.failures_in_row += 1
         again = health.ejected_until is not None
