Refuse waiting requests at shutdown and say what was not finished

Cause: at SIGTERM waiting requests stayed in the queue until the shutdown time was over and then lost their connection; nothing said what was left.

Change: AdmissionController.close refuses waiting and new requests as not run with Retry-After, so that another daemon can take them; the daemon logs what still runs, and which partitions and permits it could not release.

Conclusion: a planned stop gives each waiting request its final answer at once.

--- a/src/pomeloyard/admission.py
+++ b/src/pomeloyard/admission.py
@@ -127,6 +127,7 @@
         self._held: list[tuple[timedelta, int, Permit]] = []
         self.running_by_vm: dict[str, int] = {}
         self.running_by_team: dict[str, int] = {}
+        self._closing = False
         self.on_shortage: Callable[[], None] = lambda: None
         """Called when a request has to wait, so that demand is reported early."""
         self.on_release: Callable[[Permit], None] = lambda permit: None
@@ -187,6 +188,8 @@
     ) -> Outcome[Permit]:
         """Wait for a permit until ``deadline`` (monotonic)."""
         record = self._service(service)
+        if self._closing:
+            return Refused(RefusalReason.SHUTTING_DOWN, service, MIN_RETRY_AFTER)
         if record.queued >= queue_length:
             return Refused(RefusalReason.QUEUE_FULL, service, self._retry_after(record))
         waiter = self._enqueue(record, _Waiter(service, team, exclude), urgent)
@@ -206,6 +209,18 @@
         self._withdraw(record, waiter)
         return self._refusal(record, team)
 
+    def close(self) -> None:
+        """Refuse waiting and new requests; another daemon can take them at once."""
+        self._closing = True
+        for record in self._services_by_name.values():
+            for team in record.teams_by_name.values():
+                for waiter in (*team.urgent, *team.normal):
+                    waiter.granted.set()
+
+    def running(self) -> int:
+        """Return how many requests run or may still run."""
+        return sum(self.running_by_vm.values())
+
     def release(self, permit: Permit) -> None:
         """Return a permit's slot and unit and serve the next request."""
         record = self._service(permit.service)
@@ -243,7 +258,7 @@
     def dispatch(self, service: str) -> None:
         """Serve waiting requests while slots and units are free."""
         record = self._service(service)
-        if not record.queued:
+        if not record.queued or self._closing:
             return
         free = self._free_executors(service)
         if not free:
@@ -366,6 +381,8 @@
             record.queued -= 1
 
     def _refusal(self, record: _Service, team: str) -> Refused:
+        if self._closing:
+            return Refused(RefusalReason.SHUTTING_DOWN, team, MIN_RETRY_AFTER)
         reason = RefusalReason.DEADLINE_PASSED
         if self.running_by_team.get(team, 0) >= self._units(team):
             reason = RefusalReason.LIMIT_REACHED
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -221,8 +221,10 @@
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
                 async for _ in signals:
                     break
-            with anyio.move_on_after(self.settings.shutdown_seconds):
+            with anyio.move_on_after(self.settings.shutdown_seconds) as scope:
                 await self.close()
+            if scope.cancelled_caught:
+                self._log_unfinished()
             tasks.cancel_scope.cancel()
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -270,9 +272,10 @@
     async def close(self) -> None:
         """Stop accepting, finish running requests and give up partitions."""
         self._closing = True
+        self.admission.close()
         for server in self._servers:
             server.should_exit = True
-        while any(self.admission.running_by_vm.values()):
+        while self.admission.running():
             await anyio.sleep(0.05)
         try:
             await self.claims.close()
@@ -283,6 +286,17 @@
         await self.endpoints.close()
         await self.workers.close()
 
+    def _log_unfinished(self) -> None:
+        table = self.state.partitions
+        held = table.held_by(self.incarnation) if table is not None else ()
+        log.warning(
+            "shutdown time is over: {} requests may still run, {} partitions and "
+            "{} permits after unknown outcomes are not released",
+            self.admission.running(),
+            len(held),
+            self.admission.held(),
+        )
+
     def _operator_context(self) -> OperatorContext:
         return OperatorContext(
             clock=self.clock,
