Stop queued requests and jobs of a withdrawn key

Cause: a key was checked when a request or job arrived; one that waited in a queue was still started after its key had been withdrawn.

Change: requests carry the key's id and it is checked again before sending; jobs record the key they came with, and the scheduler ends queued ones with the reason key-withdrawn when the key ring or the withdrawals change. Running work goes on: it was started for a valid key.

Conclusion: queued work of a withdrawn key is refused as not run or ended.

--- a/src/pomeloyard/callers/job_routes.py
+++ b/src/pomeloyard/callers/job_routes.py
@@ -14,6 +14,7 @@
 from ..fleet_state import FleetState
 from ..job_store import JobStore
 from ..jobs import Job, JobRequest, refused, valid_label
+from ..keys import KeyRecord
 from ..outcomes import RefusalReason
 
 T = TypeVar("T")
@@ -32,8 +33,11 @@
 def job_routes(state: FleetState, jobs: JobStore) -> list[Route]:
     """Return the routes below /v1/jobs."""
 
+    def key_of(request: Request) -> KeyRecord:
+        return authenticate_team(state, request.headers.get("authorization"))
+
     def team_of(request: Request) -> str:
-        return authenticate_team(state, request.headers.get("authorization")).team
+        return key_of(request).team
 
     async def own_job(request: Request) -> Job:
         job = await jobs.get(team_of(request), request.path_params["job_id"])
@@ -42,10 +46,11 @@
         return job
 
     async def submit_job(request: Request) -> Response:
-        team = team_of(request)
+        key = key_of(request)
         job_request = await _decode(request, JobRequest)
         idempotency_key = request.headers.get("idempotency-key", "")
-        return _json(await jobs.submit(team, job_request, idempotency_key), 202)
+        job = await jobs.submit(key.team, job_request, idempotency_key, key.key_id)
+        return _json(job, 202)
 
     async def cancel_jobs(request: Request) -> Response:
         team = team_of(request)
--- a/src/pomeloyard/callers/service_routes.py
+++ b/src/pomeloyard/callers/service_routes.py
@@ -38,6 +38,7 @@
         service_request = ServiceRequest(
             service=service.name,
             team=key.team,
+            key_id=key.key_id,
             method=request.method,
             target=_target(request),
             headers=request_headers(request.headers.raw),
--- a/src/pomeloyard/exchanges.py
+++ b/src/pomeloyard/exchanges.py
@@ -42,6 +42,8 @@
     urgent: bool = False
     idempotency_key: str = ""
     content_length: int | None = None
+    key_id: str = ""
+    """The key that came with the request, checked again when it is sent."""
 
     @property
     def idempotent(self) -> bool:
@@ -179,6 +181,9 @@
         # A daemon that was paused meanwhile must not start late work.
         if started >= deadline:
             raise RefusedError(Refused(RefusalReason.DEADLINE_PASSED, service.name))
+        if self._state.is_withdrawn(request.key_id):
+            detail = "the key was withdrawn while the request waited"
+            raise RefusedError(Refused(RefusalReason.KEY_INVALID, detail))
         response = await self._client.open(
             vm.name,
             vm.address,
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -58,6 +58,12 @@
         known = self.drain_epochs_by_vm.get(name, 0)
         self.drain_epochs_by_vm[name] = max(known, epoch)
 
+    def is_withdrawn(self, key_id: str) -> bool:
+        """Tell whether a key, by its id, is known to be withdrawn."""
+        record = self.keys.keys_by_id.get(key_id)
+        known = record is not None and record.withdrawn
+        return known or key_id in self.withdrawn_key_ids
+
     def vms_of(self, pool: str, role: VmRole) -> list[Vm]:
         """Return the VMs assigned to a pool, in name order."""
         return [
--- a/src/pomeloyard/job_store.py
+++ b/src/pomeloyard/job_store.py
@@ -72,7 +72,9 @@
         self._config = config
         self._waiting: dict[str, _Submission] = {}
 
-    async def submit(self, team: str, request: JobRequest, idempotency_key: str) -> Job:
+    async def submit(
+        self, team: str, request: JobRequest, idempotency_key: str, key_id: str = ""
+    ) -> Job:
         """Make a job durable and return it; repeating the key returns the first.
 
         Raises RefusedError (not run) or StoreOutcomeUnknownError.
@@ -80,7 +82,8 @@
         check_request(self._config(), team, request)
         check_idempotency_key(idempotency_key)
         name = idempotency_key or secrets.token_hex(16)
-        job = Job(job_id_of(team, name), team, request, self._clock.now())
+        now = self._clock.now()
+        job = Job(job_id_of(team, name), team, request, now, key_id=key_id)
         waiting = self._waiting.get(job.key)
         if waiting is not None:
             if waiting.job.request != request:
--- a/src/pomeloyard/jobs.py
+++ b/src/pomeloyard/jobs.py
@@ -55,6 +55,7 @@
     FAILED_ON_SEVERAL_WORKERS = "failed-on-several-workers"
     UNKNOWN = "unknown"
     CANCELLED = "cancelled"
+    KEY_WITHDRAWN = "key-withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +128,8 @@
     peak_memory_bytes: int = 0
     detail: str = ""
     decisions: tuple[JobDecision, ...] = field(default=())
+    key_id: str = ""
+    """The key that the job was submitted with; a queued job ends with its key."""
 
     @property
     def units(self) -> int:
--- a/src/pomeloyard/placement.py
+++ b/src/pomeloyard/placement.py
@@ -133,6 +133,10 @@
             queue = self._queues[queue_key] = TeamQueue(self._is_queued)
         queue.add(job)
 
+    def queued_keys(self) -> list[str]:
+        """Return the store keys of all queued jobs."""
+        return list(self._queued_costs)
+
     def queued_urgent(self, limit: int) -> list[Job]:
         """Return urgent jobs that wait, at most ``limit`` of each team."""
         found: list[Job] = []
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/scheduler_term.py
@@ -91,6 +91,9 @@
         self.drain = WorkerDrain(clock, state, self.table, self.links)
         self._delayed: list[tuple[datetime, str]] = []
         self._to_start: dict[str, bool] = {}
+        self._keys_seen = (0, 0)
+        self._keys_to_check: set[str] = set()
+        """Store keys of queued jobs that came since the last check."""
         self._loaded = False
         self._store_up = True
         self._changed = True
@@ -146,9 +149,27 @@
             self._next_removal = now + REMOVE_INTERVAL
             await self._remove_old()
 
+    def _end_jobs_of_withdrawn_keys(self) -> None:
+        """End the queued jobs whose key was withdrawn; running ones go on."""
+        state = self._state
+        seen = (state.keys.version, len(state.withdrawn_key_ids))
+        if seen != self._keys_seen:
+            self._keys_seen = seen
+            self._keys_to_check.update(self.placer.queued_keys())
+        now = self._clock.now()
+        for key in self._keys_to_check:
+            job = self.table.get(key)
+            if job is None or job.state is not JobState.QUEUED:
+                continue
+            if state.is_withdrawn(job.key_id):
+                reason = JobReason.KEY_WITHDRAWN
+                self.table.set(ended(job, JobState.CANCELLED, reason, now))
+        self._keys_to_check.clear()
+
     def _plan(self, now: timedelta) -> None:
         for placement in self.preemptor.ready(now):
             self._assign(placement)
+        self._end_jobs_of_withdrawn_keys()
         plan = self.last_plan = self.placer.plan(now)
         for placement in plan.placements:
             self._assign(placement)
@@ -310,6 +331,7 @@
             return
         if before is not None and before.state is JobState.QUEUED:
             return
+        self._keys_to_check.add(key)
         if after.not_before is not None and after.not_before > self._clock.now():
             heapq.heappush(self._delayed, (after.not_before, key))
         else:
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -372,3 +372,33 @@
         assert len(executors[0].requests) + len(executors[1].requests) <= UNITS
 
     run(check, *["silent"] * 4)
+
+
+def test_request_that_waits_is_refused_when_its_key_is_withdrawn():
+    """Guards against a request sent for a key withdrawn while it was queued (R4)."""
+
+    async def check(paths, pool, executors):
+        path = paths[0]
+        permits = []
+        for _ in range(16):
+            outcome = await path.admission.acquire(
+                "orders", "mill", deadline=timedelta(days=1), queue_length=100
+            )
+            permits.append(outcome.value)
+        answers = []
+
+        async def call():
+            answers.append(await path.call(pool, "POST", Idempotency_Key="k"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            while not path.admission.queued("orders"):
+                await anyio.sleep(0.001)
+            path.state.withdrawn_key_ids.update(path.state.keys.keys_by_id)
+            for permit in permits:
+                path.admission.release(permit)
+        assert problem(answers[0])[:3] == (401, "key-invalid", "not-run")
+        assert not any(executor.requests for executor in executors)
+        assert path.running() == 0
+
+    run(check, "none", "none")
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -462,3 +462,36 @@
             assert await bench.jobs() == {}
 
     run(check)
+
+
+def test_queued_jobs_end_with_their_key_and_running_ones_go_on():
+    """Guards against work that starts for a withdrawn key."""
+
+    async def check(bench):
+        jobs = JobStore(bench.store, bench.clock, lambda: bench.state.config)
+        request = replace(ONCE, command="sleep 20", cores=4.0)
+        ids: dict[str, list[str]] = {"old": [], "new": []}
+
+        async def submit(key_id, number):
+            job = await jobs.submit("mill", request, f"{key_id}{number}", key_id)
+            ids[key_id].append(job.job_id)
+
+        async with bench.scheduler(), anyio.create_task_group() as tasks:
+            for key_id in ids:
+                for number in range(6):
+                    tasks.start_soon(submit, key_id, number)
+            await bench.run(4)
+            running = set(bench.workers.running())
+            bench.state.withdrawn_key_ids.add("old")
+            tasks.start_soon(submit, "old", 99)
+            await bench.run(200)
+        states = await bench.jobs()
+        for job_id in ids["old"]:
+            expected = JobState.SUCCEEDED if job_id in running else JobState.CANCELLED
+            assert states[job_id].state is expected
+            if expected is JobState.CANCELLED:
+                assert states[job_id].reason is JobReason.KEY_WITHDRAWN
+        assert {states[i].state for i in ids["new"]} == {JobState.SUCCEEDED}
+        assert len(ids["old"]) == 7
+
+    run(check)
