Measure capacity, scheduler, controller and store calls by size

Completes the lines for every role: coordinator rounds and loan book by active pairs, VMs and resources; memory and steps of the scheduler; lease renewals; controller steps and writes; store calls of idle fleets and writes per event.

--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -6,19 +6,79 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
-from .figures import Figure
-from .support import slopes_state
+from .control_links import READS_PER_SECOND, WRITES_PER_SECOND
+from .figures import Figure, at_most
+from .support import slopes_capacity, slopes_fleet, slopes_jobs, slopes_state
+from .support.lines import MEMORY_MIB
+from .support.target_fleet import CONFIG_CHANGES_PER_DAY, DAEMONS, DAY_SECONDS
 
 PARTS = (
     slopes_state.state_figures,
     slopes_state.heartbeat_figures,
     slopes_state.claim_figures,
+    slopes_capacity.coordinator_figures,
+    slopes_capacity.loan_figures,
+    slopes_jobs.memory_figures,
+    slopes_jobs.step_figures,
+    slopes_jobs.renewal_figures,
+    slopes_fleet.controller_figures,
+    slopes_fleet.idle_figures,
+    slopes_fleet.event_figures,
 )
 
 
+MEMORY_PARTS = (
+    "state.vms.memory.at_target",
+    "loans.memory.at_target",
+    "claims.memory.at_target",
+    "scheduler.queued.memory.at_target",
+    "scheduler.running.memory.at_target",
+)
+WRITE_PARTS = (
+    "store.idle_writes.at_target",
+    "store.writes_by_controller",
+    "store.writes_by_publications",
+)
+READ_PARTS = ("store.idle_reads.at_target", "controller.idle_reads.at_target")
+
+
 def measure() -> Iterable[Figure]:
     """Yield the figures of all roles."""
+    value_by_name: dict[str, float] = {}
     for part in PARTS:
-        yield from part()
+        for figure in part():
+            value_by_name[figure.name] = figure.value
+            yield figure
+    yield from _sums(value_by_name)
+
+
+def _sums(value_by_name: dict[str, float]) -> Iterator[Figure]:
+    """Yield sums at the target size over parts that one daemon or store has."""
+
+    def total(names: tuple[str, ...]) -> float:
+        return sum(value_by_name[f"slopes.{name}"] for name in names)
+
+    yield at_most(
+        "slopes.sum.memory",
+        total(MEMORY_PARTS),
+        "MiB",
+        MEMORY_MIB,
+        "a daemon with all roles and full tables",
+    )
+    yield at_most(
+        "slopes.sum.store_writes",
+        total(WRITE_PARTS),
+        "writes/s",
+        WRITES_PER_SECOND,
+        "target, without jobs and claims",
+    )
+    followed = DAEMONS * CONFIG_CHANGES_PER_DAY / DAY_SECONDS
+    yield at_most(
+        "slopes.sum.store_reads",
+        total(READ_PARTS) + followed,
+        "reads/s",
+        READS_PER_SECOND,
+        "target, without waves, jobs and claims",
+    )
--- /dev/null
+++ b/measurements/support/slopes_capacity.py
@@ -0,0 +1,257 @@
+"""Coordinator and loan book, with the product's capacity service of one daemon."""
+
+from __future__ import annotations
+
+import gc
+import random
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from statistics import median
+from typing import Any
+
+from measurements.figures import Figure
+from pomeloyard.admission import AdmissionController
+from pomeloyard.capacity_service import BUSY_INTERVAL, CapacityService
+from pomeloyard.clock import ManualClock
+from pomeloyard.fleet_state import FleetState
+from pomeloyard.loans import LIMIT, SLOTS, LoanBook, Resource
+from pomeloyard.partitions import vm_of
+from pomeloyard.peers.codec import LENGTH, decode_payload, encode_frame
+from pomeloyard.peers.messages import DemandReport, Hello, LoanGrant, LoanStatement
+
+from . import target_fleet as target
+from .daemons import MemoryNetwork
+from .lines import (
+    CONTROL_BYTES_PER_SECOND,
+    CORE_PERCENT,
+    MEMORY_MIB,
+    MIB,
+    growth_exponent,
+    least_seconds,
+    line_figures,
+    traced_bytes,
+)
+
+TEAMS_BY_PAIRS = {30: 6, 280: 28, 840: 84}
+TARGET_PAIRS = 840
+VM_SIZES = (70, 740, 2000)
+LOAN_SIZES = {36: (30, 6), 108: (80, 28), 316: (232, 84)}
+"""Resources: (executors, teams); the last is the target."""
+
+HOMES = 4
+"""Daemons that a client account's connections reach."""
+
+ROUNDS = 12
+SEED = 7
+ROUNDS_PER_SECOND = 1 / BUSY_INTERVAL.total_seconds()
+
+
+class CountingNetwork(MemoryNetwork):
+    """Encodes and counts what is sent, and delivers nothing."""
+
+    def send(self, incarnation: str, message: Any) -> bool:
+        """Count a message."""
+        size = len(encode_frame(message))
+        self.sent_bytes_by_type[type(message).__name__] += size
+        return True
+
+
+class CoordinatorBench:
+    """The coordinating daemon, which receives all daemons' reports each round."""
+
+    def __init__(self, pairs: int, vms: int) -> None:
+        self.clock = ManualClock()
+        self._chance = random.Random(SEED)
+        self._table = target.partition_table()
+        self.state = FleetState(
+            config=target.config(),
+            vm_list=target.vm_list(vms),
+            partitions=self._table,
+            partitions_revision=1,
+        )
+        me = target.MEMBERS[0]
+        self.network: Any = CountingNetwork(
+            Hello(me, vm_of(me), "", ""), self.clock, timedelta(0)
+        )
+        admission = AdmissionController(
+            self.clock,
+            lambda vm: self.service.slots(vm),
+            lambda team: self.service.units(team),
+            lambda service: [],
+            lambda team: 1.0,
+        )
+        self.service = CapacityService(self.clock, self.state, self.network, admission)
+        self.service.on_state_change()
+        for number in self._table.held_by(me):
+            epoch = self._table.partitions[number].epoch
+            for member in target.MEMBERS[1:]:
+                self.service.book.on_statement(member, LoanStatement(number, epoch, ()))
+        teams = TEAMS_BY_PAIRS[pairs]
+        self._homes = {
+            (
+                (number * (pairs // teams) + k) % target.SERVICES,
+                number,
+            ): self._chance.sample(range(target.DAEMONS), HOMES)
+            for number in range(teams)
+            for k in range(pairs // teams)
+        }
+        self._served: Counter[tuple[tuple[int, int], int]] = Counter()
+
+    def reports(self, sequence: int) -> list[bytes]:
+        """Return each daemon's report of a random demand, as a frame."""
+        rows = defaultdict(list)
+        for pair, homes in self._homes.items():
+            for daemon in homes:
+                queued, running = self._chance.randrange(6), self._chance.randrange(4)
+                self._served[pair, daemon] += 250 * running + 1
+                served = self._served[pair, daemon]
+                row = (*pair, queued, running, served)
+                rows[daemon].append(row)
+        return [
+            encode_frame(
+                DemandReport(
+                    sequence, 1, self._table.held_by(member), tuple(rows[daemon])
+                ),
+                sequence,
+            )
+            for daemon, member in enumerate(target.MEMBERS)
+        ]
+
+    def round(self, frames: list[bytes]) -> float:
+        """Take all reports and advise; return the processor time."""
+        gc.collect()
+        began = time.process_time()
+        for member, frame in zip(target.MEMBERS, frames, strict=True):
+            report: Any = decode_payload(frame[LENGTH.size :])[1]
+            self.service._on_report(member, report)
+        self.service._advise()
+        return time.process_time() - began
+
+    def plan_seconds(self) -> float:
+        """Return the time of ``Coordinator.plan`` alone, on the last reports."""
+        shape, now = self.service._shape(), self.clock.monotonic()
+        return least_seconds(lambda: self.service._coordinator.plan(shape, now), 5)
+
+
+@dataclass(frozen=True, slots=True)
+class Rounds:
+    """Medians of a round's processor time, and means of its bytes."""
+
+    seconds: float
+    plan_seconds: float
+    report_bytes: float
+    advice_bytes: float
+
+
+def measure_rounds(pairs: int, vms: int) -> Rounds:
+    """Run rounds of changing demand; the first, with full advice, is left out."""
+    bench = CoordinatorBench(pairs, vms)
+    seconds, reports = [], []
+    for sequence in range(ROUNDS + 1):
+        frames = bench.reports(sequence)
+        bench.clock.advance(BUSY_INTERVAL)
+        taken = bench.round(frames)
+        if sequence == 0:
+            bench.network.sent_bytes_by_type.clear()
+            continue
+        seconds.append(taken)
+        reports.append(sum(map(len, frames)))
+    advice = bench.network.sent_bytes_by_type["LendAdvice"] / ROUNDS
+    others = target.DAEMONS - 1
+    return Rounds(
+        median(seconds),
+        bench.plan_seconds(),
+        sum(reports) / ROUNDS * others / target.DAEMONS,
+        advice,
+    )
+
+
+def coordinator_figures() -> Iterable[Figure]:
+    """Yield time and traffic of rounds by active pairs and by VMs."""
+    by_pairs = {n: measure_rounds(n, target.VMS) for n in TEAMS_BY_PAIRS}
+    by_vms = {n: measure_rounds(TARGET_PAIRS, n) for n in VM_SIZES}
+    for name, per, cases, size in (
+        ("coordinator.pairs", "active pairs", by_pairs, TARGET_PAIRS),
+        ("coordinator.vms", "VMs", by_vms, target.VMS),
+    ):
+        plan = {n: c.plan_seconds * 1000 for n, c in cases.items()}
+        yield from line_figures(f"{name}.plan", "ms", per, plan, size)
+        whole = {n: c.seconds * 1000 for n, c in cases.items()}
+        yield from line_figures(f"{name}.round", "ms", per, whole, size)
+        share = {n: c.seconds * ROUNDS_PER_SECOND * 100 for n, c in cases.items()}
+        yield from line_figures(
+            f"{name}.core", "% of a core", per, share, size, CORE_PERCENT
+        )
+    yield from _traffic(by_pairs)
+    changes = {n: _change_seconds(n) * 1000 for n in VM_SIZES}
+    yield from line_figures("capacity.state_change", "ms", "VMs", changes, target.VMS)
+
+
+def _change_seconds(vms: int) -> float:
+    """Return the time to take a change of VM list, records or configuration."""
+    bench = CoordinatorBench(TARGET_PAIRS, vms)
+    return least_seconds(bench.service.on_state_change)
+
+
+def _traffic(by_pairs: dict[int, Rounds]) -> Iterator[Figure]:
+    others = target.DAEMONS - 1
+    for name, daemons, attribute in (
+        ("coordinator.reports_received", 1, "report_bytes"),
+        ("coordinator.advice_sent", 1, "advice_bytes"),
+        ("daemon.reports_sent", others, "report_bytes"),
+        ("daemon.advice_received", others, "advice_bytes"),
+    ):
+        rate = {
+            n: getattr(case, attribute) * ROUNDS_PER_SECOND / daemons
+            for n, case in by_pairs.items()
+        }
+        yield from line_figures(
+            name, "B/s", "active pairs", rate, TARGET_PAIRS, CONTROL_BYTES_PER_SECOND
+        )
+
+
+def loan_figures() -> Iterable[Figure]:
+    """Yield time and memory of the loan book by resources."""
+    largest = max(LOAN_SIZES)
+    books = {n: traced_bytes(lambda n=n: _book(*LOAN_SIZES[n])) for n in LOAN_SIZES}
+    memory = {n: used / MIB for n, (_, used) in books.items()}
+    yield from line_figures(
+        "loans.memory", "MiB", "resources", memory, largest, MEMORY_MIB
+    )
+    seconds = {n: least_seconds(book.reconcile) for n, (book, _) in books.items()}
+    times = {n: taken * 1000 for n, taken in seconds.items()}
+    yield from line_figures("loans.reconcile", "ms", "resources", times, largest)
+    exponent = growth_exponent(times)
+    yield Figure("slopes.loans.reconcile.growth", exponent, "exponent")
+    # A round reconciles once by itself and once more for the advice that came.
+    share = {n: s * 2 * ROUNDS_PER_SECOND * 100 for n, s in seconds.items()}
+    yield from line_figures(
+        "loans.core", "% of a core", "resources", share, largest, CORE_PERCENT
+    )
+
+
+def _book(executors: int, teams: int) -> LoanBook:
+    """Return a book that lends a unit of each resource and borrows from four."""
+    chance = random.Random(SEED)
+    totals = {Resource(SLOTS, f"vm-{n:04d}"): 8 for n in range(executors)}
+    totals.update({Resource(LIMIT, f"team-{n:02d}"): 300 for n in range(teams)})
+    table = target.partition_table()
+    me, *others = target.MEMBERS
+    book = LoanBook(me, lambda resource: totals[resource], lambda resource: 0)
+    book.follow_table(table)
+    for number in table.held_by(me):
+        for member in others:
+            epoch = table.partitions[number].epoch
+            book.on_statement(member, LoanStatement(number, epoch, ()))
+    for resource in totals:
+        book.want_lent(resource, {chance.choice(others): 1})
+        for lender in chance.sample(others, HOMES):
+            number = table.held_by(lender)[0]
+            epoch = table.partitions[number].epoch
+            grant = LoanGrant(number, epoch, resource.kind, resource.name, 1, 1)
+            book.on_grant(lender, grant)
+    book.reconcile()
+    return book
