Record the capacity figures of each role

Memory is now given in MB, the limit's own unit, and figures are printed with four digits, as the page has them.

--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
 from .control_links import READS_PER_SECOND, WRITES_PER_SECOND
 from .figures import Figure, at_most
 from .support import slopes_capacity, slopes_fleet, slopes_jobs, slopes_state
-from .support.lines import MEMORY_MIB
+from .support.lines import MEMORY_MB
 from .support.target_fleet import CONFIG_CHANGES_PER_DAY, DAEMONS, DAY_SECONDS
 
 PARTS = (
@@ -50,8 +51,13 @@
     for part in PARTS:
         for figure in part():
             value_by_name[figure.name] = figure.value
-            yield figure
-    yield from _sums(value_by_name)
+            yield _rounded(figure)
+    yield from map(_rounded, _sums(value_by_name))
+
+
+def _rounded(figure: Figure) -> Figure:
+    """Return a figure with four digits; its bound was checked before."""
+    return replace(figure, value=float(f"{figure.value:.4g}"))
 
 
 def _sums(value_by_name: dict[str, float]) -> Iterator[Figure]:
@@ -63,8 +69,8 @@
     yield at_most(
         "slopes.sum.memory",
         total(MEMORY_PARTS),
-        "MiB",
-        MEMORY_MIB,
+        "MB",
+        MEMORY_MB,
         "a daemon with all roles and full tables",
     )
     yield at_most(
--- a/measurements/support/lines.py
+++ b/measurements/support/lines.py
@@ -15,9 +15,9 @@
 
 T = TypeVar("T")
 
-MIB = 1024 * 1024
+MEGABYTE = 1_000_000
 CORE_PERCENT = 4.0
-MEMORY_MIB = 32.0
+MEMORY_MB = 32.0
 CONTROL_BYTES_PER_SECOND = 2048.0
 """What a daemon may use for control: section 1.3 of the design page."""
 
--- a/measurements/support/slopes_capacity.py
+++ b/measurements/support/slopes_capacity.py
@@ -27,8 +27,8 @@
 from .lines import (
     CONTROL_BYTES_PER_SECOND,
     CORE_PERCENT,
-    MEMORY_MIB,
-    MIB,
+    MEGABYTE,
+    MEMORY_MB,
     growth_exponent,
     least_seconds,
     line_figures,
@@ -217,9 +217,9 @@
     """Yield time and memory of the loan book by resources."""
     largest = max(LOAN_SIZES)
     books = {n: traced_bytes(lambda n=n: _book(*LOAN_SIZES[n])) for n in LOAN_SIZES}
-    memory = {n: used / MIB for n, (_, used) in books.items()}
+    memory = {n: used / MEGABYTE for n, (_, used) in books.items()}
     yield from line_figures(
-        "loans.memory", "MiB", "resources", memory, largest, MEMORY_MIB
+        "loans.memory", "MB", "resources", memory, largest, MEMORY_MB
     )
     seconds = {n: least_seconds(book.reconcile) for n, (book, _) in books.items()}
     times = {n: taken * 1000 for n, taken in seconds.items()}
--- a/measurements/support/slopes_jobs.py
+++ b/measurements/support/slopes_jobs.py
@@ -27,8 +27,8 @@
 from .lines import (
     CONTROL_BYTES_PER_SECOND,
     CORE_PERCENT,
-    MEMORY_MIB,
-    MIB,
+    MEGABYTE,
+    MEMORY_MB,
     line_figures,
 )
 
@@ -51,23 +51,23 @@
 
 def memory_figures() -> Iterable[Figure]:
     """Yield the memory of a scheduler that takes over jobs, by their number."""
-    queued = {n: anyio.run(_queued_bytes, n) / MIB for n in QUEUED_SIZES}
+    queued = {n: anyio.run(_queued_bytes, n) / MEGABYTE for n in QUEUED_SIZES}
     yield from line_figures(
         "scheduler.queued.memory",
-        "MiB",
+        "MB",
         "queued jobs",
         queued,
         TARGET_QUEUED,
-        MEMORY_MIB,
+        MEMORY_MB,
     )
-    running = {n: anyio.run(_running_bytes, n) / MIB for n in RUNNING_SIZES}
+    running = {n: anyio.run(_running_bytes, n) / MEGABYTE for n in RUNNING_SIZES}
     yield from line_figures(
         "scheduler.running.memory",
-        "MiB",
+        "MB",
         "running jobs",
         running,
         TARGET_RUNNING,
-        MEMORY_MIB,
+        MEMORY_MB,
     )
 
 
--- a/measurements/support/slopes_state.py
+++ b/measurements/support/slopes_state.py
@@ -25,8 +25,8 @@
 from . import target_fleet as target
 from .lines import (
     CONTROL_BYTES_PER_SECOND,
-    MEMORY_MIB,
-    MIB,
+    MEGABYTE,
+    MEMORY_MB,
     least_seconds,
     line_figures,
     traced_bytes,
@@ -87,8 +87,8 @@
     ):
         name = "state.vms" if per == "VM records" else "state.teams"
         traced = {n: traced_bytes(case.follow) for n, case in cases.items()}
-        memory = {n: used / MIB for n, (_, used) in traced.items()}
-        yield from line_figures(f"{name}.memory", "MiB", per, memory, size, MEMORY_MIB)
+        memory = {n: used / MEGABYTE for n, (_, used) in traced.items()}
+        yield from line_figures(f"{name}.memory", "MB", per, memory, size, MEMORY_MB)
         scan = {n: least_seconds(c.follow, 5) * 1000 for n, c in cases.items()}
         yield from line_figures(f"{name}.scan", "ms", per, scan, size)
     events = {n: case.event_seconds() * 1e6 for n, case in by_vms.items()}
@@ -148,9 +148,9 @@
 
 def claim_figures() -> Iterable[Figure]:
     """Yield the memory of the claim table, up to its limit."""
-    used = {n: traced_bytes(lambda n=n: _claims(n))[1] / MIB for n in CLAIM_SIZES}
+    used = {n: traced_bytes(lambda n=n: _claims(n))[1] / MEGABYTE for n in CLAIM_SIZES}
     yield from line_figures(
-        "claims.memory", "MiB", "claims", used, MAX_CLAIMS, MEMORY_MIB
+        "claims.memory", "MB", "claims", used, MAX_CLAIMS, MEMORY_MB
     )
 
 
