--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -18,7 +18,7 @@
 from pomeloyard.partitions import new_table
 from pomeloyard.peers.codec import encode_frame
 from pomeloyard.peers.messages import Hello, Message
-from pomeloyard.platform.directory import Vm, VmList, VmRole
+from pomeloyard.platform.directory import Vm, VmList
 
 
 @dataclass
@@ -101,8 +101,7 @@
         self.capacity = CapacityService(clock, self.state, network, self.admission)
 
     def _executors(self, service: str) -> list[str]:
-        vms = self.state.available_vms(service, VmRole.EXECUTOR)
-        return [vm.name for vm in vms]
+        return self.capacity.executors(service)
 
 
 def start_nodes(
--- a/src/pomeloyard/capacity_service.py
+++ b/src/pomeloyard/capacity_service.py
@@ -22,7 +22,7 @@
     LoanStatement,
 )
 from .peers.streams import PeerNetwork
-from .platform.directory import VmRole
+from .platform.directory import Vm, VmRole
 
 BUSY_INTERVAL = timedelta(milliseconds=250)
 IDLE_INTERVAL = timedelta(seconds=1)
@@ -65,6 +65,7 @@
         self._totals_key: tuple[int, int] = (0, 0)
         self._totals: dict[Resource, int] = {}
         self._connections: dict[str, int] = {}
+        self._executors_by_pool: dict[str, list[Vm]] = {}
         self.book = LoanBook(self._me, self.total_of, self.in_use)
         admission.on_shortage = self._on_shortage
         admission.on_release = self._on_release
@@ -84,6 +85,14 @@
         """Return how many units of a team's limit this daemon may use."""
         return self.book.usable(Resource(LIMIT, team))
 
+    def executors(self, service: str) -> list[str]:
+        """Return the executors of a service that accept work, in name order."""
+        config = self._state.config.services_by_name.get(service)
+        if config is None:
+            return []
+        vms = self._executors_by_pool.get(config.pool, ())
+        return [vm.name for vm in vms if self._state.accepts_work(vm)]
+
     def connections(self, vm: str) -> int:
         """Return how many connections to a VM this daemon may have open."""
         return self.book.base(f"connections/{vm}", self._connections.get(vm, 0))
@@ -287,10 +296,7 @@
         state = self._state
         config = state.config
         vms_by_service = {
-            service.name: tuple(
-                vm.name for vm in state.available_vms(service.pool, VmRole.EXECUTOR)
-            )
-            for service in config.services_by_name.values()
+            name: tuple(self.executors(name)) for name in config.services_by_name
         }
         totals = self._totals
         return FleetShape(
@@ -307,9 +313,14 @@
         by_pool = {s.pool: s for s in state.config.services_by_name.values()}
         totals: dict[Resource, int] = {}
         self._connections = {}
-        for vm in state.vm_list.vms_by_name.values():
-            service = by_pool.get(state.pool_of(vm))
-            if vm.role is VmRole.EXECUTOR and service is not None:
+        self._executors_by_pool = {}
+        for _, vm in sorted(state.vm_list.vms_by_name.items()):
+            if vm.role is not VmRole.EXECUTOR:
+                continue
+            pool = state.pool_of(vm)
+            self._executors_by_pool.setdefault(pool, []).append(vm)
+            service = by_pool.get(pool)
+            if service is not None:
                 totals[Resource(SLOTS, vm.name)] = service.slots_per_executor
                 self._connections[vm.name] = service.connections_per_executor
         for team in state.config.teams_by_name.values():
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -47,7 +47,7 @@
 from .peers.replication import Replication
 from .peers.streams import PeerNetwork
 from .peers.tls import PeerTls
-from .platform.directory import VmDirectory, VmRole
+from .platform.directory import VmDirectory
 from .platform.etcd import EtcdStore
 from .platform.records import ConflictError
 from .platform.store import Store
@@ -365,11 +365,7 @@
         return self.admission.running_by_vm.get(vm, 0) / max(1, self.capacity.slots(vm))
 
     def _executors(self, service: str) -> list[str]:
-        config = self.state.config.services_by_name.get(service)
-        if config is None:
-            return []
-        vms = self.state.available_vms(config.pool, VmRole.EXECUTOR)
-        return [vm.name for vm in vms]
+        return self.capacity.executors(service)
 
     def _demand_by_pool(self) -> dict[str, float]:
         """Return the demand of pools in VMs, extrapolated from this daemon's."""
--- a/src/pomeloyard/loans.py
+++ b/src/pomeloyard/loans.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from .partitions import PartitionTable, base_amount
@@ -61,14 +61,15 @@
     epoch: int
     waiting_for: set[str] = field(default_factory=set)
     releasing: bool = False
-    lent: dict[tuple[str, Resource], _Lent] = field(default_factory=dict)
+    lent: dict[Resource, dict[str, _Lent]] = field(default_factory=dict)
+    """Loans by resource and borrower."""
 
     @property
     def ready(self) -> bool:
         return not self.waiting_for and not self.releasing
 
     def counted(self, resource: Resource) -> int:
-        return sum(x.counted for (_, r), x in self.lent.items() if r == resource)
+        return sum(lent.counted for lent in self.lent.get(resource, {}).values())
 
 
 class LoanBook:
@@ -85,7 +86,8 @@
         self._in_use = in_use
         self._count = 1
         self._own: dict[int, _OwnPartition] = {}
-        self._borrowed: dict[tuple[int, Resource], _Borrowed] = {}
+        self._borrowed: dict[Resource, dict[int, _Borrowed]] = {}
+        """Loans taken, by resource and partition."""
         self._desired: dict[Resource, dict[str, int]] = {}
         self._epochs: dict[int, int] = defaultdict(int)
         self._members: frozenset[str] = frozenset()
@@ -172,7 +174,7 @@
 
     def nothing_borrowed(self) -> bool:
         """Tell whether this daemon keeps no unit of another's partition."""
-        return not any(b.kept for b in self._borrowed.values())
+        return not any(b.kept for _, b in self._all_borrowed())
 
     # Advice
 
@@ -189,15 +191,15 @@
 
     def return_all(self) -> None:
         """Keep nothing of other daemons' partitions once it is not in use."""
-        for borrowed in self._borrowed.values():
+        for _, borrowed in self._all_borrowed():
             borrowed.allowed = 0
-            self._usable.clear()
+        self._usable.clear()
 
     def reconcile(self) -> Outgoing:
         """Return the grants, recalls and returns that are due."""
-        resources = {r for own in self._own.values() for _, r in own.lent}
+        resources = {r for own in self._own.values() for r in own.lent}
         resources.update(self._desired)
-        resources.update(resource for _, resource in self._borrowed)
+        resources.update(self._borrowed)
         messages: Outgoing = []
         for resource in sorted(resources, key=lambda r: (r.kind, r.name)):
             messages += self.settle(resource)
@@ -210,9 +212,9 @@
         the next round.
         """
         messages: Outgoing = []
-        for key, borrowed in self._borrowed.items():
-            if key[1] == resource and borrowed.kept > borrowed.allowed:
-                messages += self._give_back(key, borrowed)
+        for number, borrowed in self._borrowed.get(resource, {}).items():
+            if borrowed.kept > borrowed.allowed:
+                messages += self._give_back(number, resource, borrowed)
         if resource in self._desired or self._borrowers(resource):
             messages += self._recall(resource)
             messages += self._lend(resource)
@@ -223,7 +225,8 @@
         return [
             (borrower, self._grant_message(number, own, resource, lent))
             for number, own in sorted(self._own.items())
-            for (borrower, resource), lent in own.lent.items()
+            for resource, lent_by_borrower in own.lent.items()
+            for borrower, lent in lent_by_borrower.items()
             if lent.confirmed_version < lent.version or lent.counted > lent.granted
         ]
 
@@ -235,19 +238,19 @@
             return []
         self._epochs[grant.partition] = grant.epoch
         resource = Resource(grant.kind, grant.name)
-        key = (grant.partition, resource)
-        borrowed = self._borrowed.get(key)
+        by_partition = self._borrowed.setdefault(resource, {})
+        borrowed = by_partition.get(grant.partition)
         if borrowed is None or borrowed.epoch < grant.epoch:
             kept = borrowed.kept if borrowed is not None else 0
             borrowed = _Borrowed(sender, grant.epoch, kept=kept)
-            self._borrowed[key] = borrowed
+            by_partition[grant.partition] = borrowed
         if grant.version > borrowed.version:
             borrowed.version = grant.version
             borrowed.allowed = grant.amount
             borrowed.kept = max(borrowed.kept, grant.amount)
         self._usable.pop(resource, None)
         self._reduce(resource, borrowed)
-        return [(sender, self._kept_message(key, borrowed))]
+        return [(sender, self._kept_message(grant.partition, resource, borrowed))]
 
     def on_kept(self, sender: str, kept: LoanKept) -> None:
         """Lower the count of what a borrower may have."""
@@ -255,7 +258,7 @@
         if own is None or own.epoch != kept.epoch:
             return
         resource = Resource(kept.kind, kept.name)
-        lent = own.lent.get((sender, resource))
+        lent = own.lent.get(resource, {}).get(sender)
         if lent is None or kept.version != lent.version:
             return
         lent.confirmed_version = kept.version
@@ -270,8 +273,9 @@
             return []
         self._epochs[query.partition] = query.epoch
         kept = []
-        for (number, resource), borrowed in self._borrowed.items():
-            if number != query.partition:
+        for resource, by_partition in self._borrowed.items():
+            borrowed = by_partition.get(query.partition)
+            if borrowed is None:
                 continue
             if borrowed.epoch < query.epoch:
                 borrowed.lender = sender
@@ -293,7 +297,7 @@
             if item.amount > 0:
                 resource = Resource(item.kind, item.name)
                 lent = _Lent(granted=item.amount, counted=item.amount)
-                own.lent[sender, resource] = lent
+                own.lent.setdefault(resource, {})[sender] = lent
         own.waiting_for.discard(sender)
         self._usable.clear()
 
@@ -303,11 +307,11 @@
         return self.base(resource.name, self._total_of(resource))
 
     def _kept(self, resource: Resource) -> int:
-        return sum(b.kept for (_, r), b in self._borrowed.items() if r == resource)
+        return sum(b.kept for b in self._borrowed.get(resource, {}).values())
 
     def _allowed(self, resource: Resource) -> int:
         """Return the borrowed units that are not being recalled."""
-        borrowed = (b for (_, r), b in self._borrowed.items() if r == resource)
+        borrowed = self._borrowed.get(resource, {}).values()
         return sum(min(b.kept, b.allowed) for b in borrowed)
 
     def _counted(self, resource: Resource) -> int:
@@ -323,9 +327,8 @@
         counted: dict[str, int] = defaultdict(int)
         for own in self._own.values():
             if own.ready:
-                for (borrower, r), lent in own.lent.items():
-                    if r == resource:
-                        counted[borrower] += lent.counted
+                for borrower, lent in own.lent.get(resource, {}).items():
+                    counted[borrower] += lent.counted
         desired = self._desired.get(resource, {})
         members = counted.keys() | (desired.keys() & self._members)
         return sum(max(counted.get(b, 0), desired.get(b, 0)) for b in members)
@@ -337,7 +340,7 @@
         for borrower in self._borrowers(resource):
             surplus = self._granted(resource, borrower) - desired.get(borrower, 0)
             for number, own in sorted(self._own.items()):
-                lent = own.lent.get((borrower, resource))
+                lent = own.lent.get(resource, {}).get(borrower)
                 if surplus <= 0 or lent is None or not own.ready:
                     continue
                 lowered = min(surplus, lent.granted)
@@ -361,7 +364,8 @@
                 amount = min(missing, free, self._free_in(number, own, resource))
                 if amount <= 0:
                     continue
-                lent = own.lent.setdefault((borrower, resource), _Lent())
+                lent_by_borrower = own.lent.setdefault(resource, {})
+                lent = lent_by_borrower.setdefault(borrower, _Lent())
                 before = lent.counted
                 lent.granted += amount
                 lent.counted = max(lent.counted, lent.granted)
@@ -380,12 +384,14 @@
         base = base_amount(resource.name, total, number, self._count)
         return base - own.counted(resource)
 
-    def _give_back(self, key: tuple[int, Resource], borrowed: _Borrowed) -> Outgoing:
+    def _give_back(
+        self, number: int, resource: Resource, borrowed: _Borrowed
+    ) -> Outgoing:
         before = borrowed.kept
-        self._reduce(key[1], borrowed)
+        self._reduce(resource, borrowed)
         if borrowed.kept == before:
             return []
-        return [(borrowed.lender, self._kept_message(key, borrowed))]
+        return [(borrowed.lender, self._kept_message(number, resource, borrowed))]
 
     def _reduce(self, resource: Resource, borrowed: _Borrowed) -> None:
         """Lower what is kept towards what is allowed, as far as it is not in use."""
@@ -396,24 +402,25 @@
         self._usable.pop(resource, None)
 
     def _borrowers(self, resource: Resource) -> list[str]:
-        lent = (b for own in self._own.values() for b, r in own.lent if r == resource)
-        return sorted(set(lent))
+        lent = (own.lent.get(resource, {}) for own in self._own.values())
+        return sorted({borrower for by_borrower in lent for borrower in by_borrower})
 
     def _granted(self, resource: Resource, borrower: str) -> int:
-        lents = (own.lent.get((borrower, resource)) for own in self._own.values())
-        return sum(lent.granted for lent in lents if lent is not None)
+        lent = (own.lent.get(resource, {}).get(borrower) for own in self._own.values())
+        return sum(x.granted for x in lent if x is not None)
 
     def _borrowed_become_own(self, number: int) -> None:
         """Merge loans of a partition that this daemon now holds itself."""
-        for key in [k for k in self._borrowed if k[0] == number]:
-            del self._borrowed[key]
+        for by_partition in self._borrowed.values():
+            by_partition.pop(number, None)
 
     def _forget_former_members(self) -> None:
         """Take back what former members had; nothing of theirs runs any more."""
         for own in self._own.values():
             own.waiting_for &= self._members
-            for key in [k for k in own.lent if k[0] not in self._members]:
-                del own.lent[key]
+            for by_borrower in own.lent.values():
+                for borrower in by_borrower.keys() - self._members:
+                    del by_borrower[borrower]
 
     def _grant_message(
         self, number: int, own: _OwnPartition, resource: Resource, lent: _Lent
@@ -422,8 +429,14 @@
             number, own.epoch, resource.kind, resource.name, lent.granted, lent.version
         )
 
-    def _kept_message(self, key: tuple[int, Resource], borrowed: _Borrowed) -> LoanKept:
-        number, resource = key
+    def _all_borrowed(self) -> Iterator[tuple[Resource, _Borrowed]]:
+        for resource, by_partition in self._borrowed.items():
+            for borrowed in by_partition.values():
+                yield resource, borrowed
+
+    def _kept_message(
+        self, number: int, resource: Resource, borrowed: _Borrowed
+    ) -> LoanKept:
         return LoanKept(
             number,
             borrowed.epoch,
