Explain decisions from any daemon

Cause: decisions beyond the VM record were shown only by the daemon that made them. In a trial with three daemon processes (tests.support.processes), after a drain GET /v1/vms/orders-e1/explain showed 1, 0 and 0 decisions at the three.

Operators read it with GET /v1/explain/{kind}/{name} and `pomeloyard explain`; `vm explain` shows the merged decisions. Silent daemons, damaged records and omitted decisions are named. ExplainReply has a new last field with a default. Gained and lost partitions are recorded with typed reasons. Routes have a ring of their own, so that requests do not drop all other decisions.

The store double of the operators' tests now also fails scans during an outage.

Tests: pytest tests/test_explanations.py tests/operators tests/test_fleet_commands.py tests/test_whole_path.py tests/test_membership.py tests/daemon.

Conclusion: every daemon gives the same explanation, or names who is missing.

--- a/src/pomeloyard/cli/main.py
+++ b/src/pomeloyard/cli/main.py
@@ -11,6 +11,7 @@
 from ..errors import PomeloyardError
 from .budgets import budget
 from .config import config
+from .explain import explain
 from .failures import show_failure
 from .fleet import fleet
 from .jobs import job
@@ -109,6 +110,7 @@
 
 for group in (budget, config, fleet, job, key_group, pool, share, team, vm, wave):
     cli.add_command(group)
+cli.add_command(explain)
 
 
 def main() -> None:
--- a/src/pomeloyard/cli/vms.py
+++ b/src/pomeloyard/cli/vms.py
@@ -9,7 +9,8 @@
 
 from ..errors import PomeloyardError
 from ..operators.client import OperatorClient
-from .output import show
+from .explain import show_decisions
+from .output import JSON, output_format, show
 
 POLL_SECONDS = 1.0
 SETTLED_STATES = frozenset({"drained", "in_service", "set_aside", "failed"})
@@ -81,13 +82,18 @@
 @click.argument("name")
 @click.pass_obj
 def explain(client: OperatorClient, name: str) -> None:
-    """Show a VM's history, what its drain waits for, and decisions about it.
+    """Show a VM's history, what its drain waits for, and all daemons' decisions.
 
     \b
     Examples:
       pomeloyard vm explain cut-3
     """
-    show(client.call("GET", f"/v1/vms/{name}/explain"))
+    answer = client.call("GET", f"/v1/vms/{name}/explain")
+    if output_format() == JSON:
+        show(answer)
+        return
+    show(answer, ["vm", "listed", "drain"])
+    show_decisions(answer)
 
 
 def _wait_until_drained(client: OperatorClient, name: str) -> Any:
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -28,6 +28,7 @@
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
 from .exchanges import ExchangeSender
+from .explanations import Explanations
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
 from .health_reports import HealthReports
@@ -37,6 +38,7 @@
 from .keyed_requests import KeyedRequests
 from .logs import DecisionSink, JsonLogHandler, LogWriter
 from .membership import Membership
+from .membership_decisions import MembershipDecisions
 from .metrics import FleetMetrics, MetricSources, RequestMetrics
 from .monitoring import monitoring_app
 from .operators.app import operator_app
@@ -134,6 +136,14 @@
             self.capacity.book,
             self.capacity.resources,
         )
+        changes = MembershipDecisions(
+            clock, self.state, self.incarnation, self.decisions
+        )
+        self.membership.on_gained.append(changes.note_gained)
+        self.membership.on_lost.append(changes.note_lost)
+        self.explanations = Explanations(
+            self.peers, self.calls, self.state, self.decisions
+        )
         self.endpoints = EndpointClient(self.capacity.connections)
         self.workers = HttpWorkerClient()
         self.claims = ClaimService(
@@ -226,6 +236,7 @@
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
         self.drain_notices.start()
+        self.explanations.start()
         self.health_reports.start()
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
@@ -290,6 +301,7 @@
                 self.state, self.incarnation, self._heartbeat()
             ),
             team_usage=self._team_usage,
+            explain=self.explanations.explain,
         )
 
     def _not_ready_reasons(self) -> list[NotReadyReason]:
--- a/src/pomeloyard/decisions.py
+++ b/src/pomeloyard/decisions.py
@@ -9,7 +9,9 @@
 from enum import Enum
 
 MAX_DECISIONS = 2000
-"""Decisions kept in a daemon's memory; the oldest are dropped first."""
+"""Decisions kept in a daemon's memory; the oldest are dropped first. Routes take at
+most half, because one is recorded for each request and they would otherwise drop
+all others within seconds."""
 
 
 class DecisionKind(Enum):
@@ -56,15 +58,18 @@
     """Keeps the latest decisions and passes each one to its sinks."""
 
     def __init__(self, limit: int = MAX_DECISIONS) -> None:
-        self._decisions: deque[Decision] = deque(maxlen=limit)
+        self._routes: deque[Decision] = deque(maxlen=limit // 2)
+        self._others: deque[Decision] = deque(maxlen=limit - limit // 2)
         self.sinks: list[Callable[[Decision], None]] = []
 
     def record(self, decision: Decision) -> None:
         """Keep a decision; sinks must not block."""
-        self._decisions.append(decision)
+        routed = decision.kind is DecisionKind.ROUTE
+        (self._routes if routed else self._others).append(decision)
         for sink in self.sinks:
             sink(decision)
 
     def about(self, subject: str) -> list[Decision]:
         """Return the decisions about a subject, oldest first."""
-        return [d for d in self._decisions if d.subject == subject]
+        kept = [*self._routes, *self._others]
+        return sorted((d for d in kept if d.subject == subject), key=lambda d: d.at)
--- /dev/null
+++ b/src/pomeloyard/membership_decisions.py
@@ -0,0 +1,88 @@
+"""Decision records of partitions that this daemon gained or lost."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from .clock import Clock
+from .decisions import Decision, DecisionKind, DecisionLog
+from .fleet_state import FleetState
+from .partitions import Partition, vm_of
+
+
+class MembershipReason(Enum):
+    """Why a partition changed its holder."""
+
+    FIRST_HOLDER = "first-holder"
+    RELEASED_BY_FORMER_HOLDER = "released-by-former-holder"
+    FORMER_HOLDER_GONE = "former-holder-gone"
+    RELEASED = "released"
+    CONFIRMED_GONE = "confirmed-gone"
+    """Another daemon took this one as gone."""
+    CHANGED_UNSEEN = "changed-unseen"
+    """Later holders followed before this daemon saw the change."""
+
+
+class MembershipDecisions:
+    """Records each partition that a daemon gains or loses.
+
+    The subject is "membership/<VM of the daemon>", which stays the same when the
+    daemon restarts.
+    """
+
+    def __init__(
+        self, clock: Clock, state: FleetState, incarnation: str, decisions: DecisionLog
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._me = incarnation
+        self._decisions = decisions
+
+    def note_gained(self, number: int, clean: bool) -> None:
+        """Record a partition that this daemon holds now."""
+        partition = self._partition(number)
+        if partition is None:
+            return
+        if not clean:
+            reason = MembershipReason.FORMER_HOLDER_GONE
+        elif not partition.former:
+            reason = MembershipReason.FIRST_HOLDER
+        else:
+            reason = MembershipReason.RELEASED_BY_FORMER_HOLDER
+        self._record("gain", partition, reason)
+
+    def note_lost(self, number: int) -> None:
+        """Record a partition that this daemon holds no longer."""
+        partition = self._partition(number)
+        if partition is None:
+            return
+        if partition.former != self._me:
+            reason = MembershipReason.CHANGED_UNSEEN
+        elif partition.clean:
+            reason = MembershipReason.RELEASED
+        else:
+            reason = MembershipReason.CONFIRMED_GONE
+        self._record("lose", partition, reason)
+
+    def _partition(self, number: int) -> Partition | None:
+        table = self._state.partitions
+        return table.partitions[number] if table is not None else None
+
+    def _record(
+        self, action: str, partition: Partition, reason: MembershipReason
+    ) -> None:
+        self._decisions.record(
+            Decision(
+                self._clock.now(),
+                DecisionKind.MEMBERSHIP,
+                f"membership/{vm_of(self._me)}",
+                f"{action} partition {partition.number}",
+                reason,
+                inputs={
+                    "partition": partition.number,
+                    "epoch": partition.epoch,
+                    "holder": partition.holder,
+                    "former": partition.former,
+                },
+            )
+        )
--- a/src/pomeloyard/operators/app.py
+++ b/src/pomeloyard/operators/app.py
@@ -8,6 +8,7 @@
 from ..config.publication import ConfigConflictError
 from ..problems import EXCEPTION_HANDLERS
 from .config_routes import config_routes, conflict_response, problems_response
+from .explain_routes import explain_routes
 from .fleet_routes import fleet_routes
 from .key_routes import key_routes
 from .support import OperatorContext
@@ -21,6 +22,7 @@
         *key_routes(context),
         *team_routes(context),
         *fleet_routes(context),
+        *explain_routes(context),
     ]
     handlers = {
         **EXCEPTION_HANDLERS,
--- a/src/pomeloyard/operators/support.py
+++ b/src/pomeloyard/operators/support.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -15,6 +15,7 @@
 from ..controller import Controller
 from ..decisions import DecisionLog
 from ..errors import RefusedError
+from ..explanations import Explanation
 from ..fleet_state import FleetState
 from ..heartbeats import DaemonStatus
 from ..job_store import JobStore
@@ -41,6 +42,8 @@
     keys: KeyService
     daemon_statuses: Callable[[], list[DaemonStatus]]
     team_usage: Callable[[], object]
+    explain: Callable[[str], Awaitable[Explanation]]
+    """Returns all daemons' decisions about a subject such as "vm/cut-3"."""
 
     def check(self, request: Request, role: Role) -> KeyRecord:
         """Return the operator's key record; raises RefusedError."""
--- a/src/pomeloyard/operators/vm_routes.py
+++ b/src/pomeloyard/operators/vm_routes.py
@@ -6,7 +6,6 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ..decisions import Decision
 from ..errors import RefusedError
 from ..keys import Role
 from ..outcomes import RefusalReason, Refused
@@ -32,13 +31,17 @@
         context.check(request, Role.READ)
         name = request.path_params["name"]
         record = _record(context, name)
+        explanation = await context.explain(f"vm/{name}")
         check = lifecycle.drain_checks_by_vm.get(name)
         return json_response(
             {
                 "vm": record,
                 "listed": context.state.vm_list.vms_by_name.get(name),
                 "drain": check,
-                "decisions": _decisions(context, f"vm/{name}"),
+                "decisions": explanation.decisions,
+                "silent": explanation.silent,
+                "damaged": explanation.damaged,
+                "omitted": explanation.omitted,
             }
         )
 
@@ -65,7 +68,3 @@
     if record is None:
         raise RefusedError(Refused(RefusalReason.NOT_FOUND, name))
     return record
-
-
-def _decisions(context: OperatorContext, subject: str) -> list[Decision]:
-    return context.decisions.about(subject)
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -242,10 +242,11 @@
 
 
 class ExplainReply(WireMessage, frozen=True):
-    """Decision records about a subject, as JSON."""
+    """Decision records about a subject, as JSON; ``omitted`` counts older ones."""
 
     request_id: int
     records: tuple[bytes, ...] = ()
+    omitted: int = 0
 
 
 class Goodbye(WireMessage, frozen=True):
--- a/tests/operators/store_faults.py
+++ b/tests/operators/store_faults.py
@@ -18,6 +18,10 @@
         self._check_up()
         return await super().get(key)
 
+    async def scan(self, prefix, *, start="", limit=1000):
+        self._check_up()
+        return await super().scan(prefix, start=start, limit=limit)
+
     async def commit(self, transaction):
         self._check_up()
         if self.before_commit is not None:
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -28,5 +28,8 @@
     def broadcast(self, message):
         return sum(self.send(n, message) for n in self.networks if n != self.name())
 
+    def connected(self):
+        return sorted(n for n in self.networks if n != self.name())
+
     def name(self):
         return self.hello.incarnation
--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -10,6 +10,7 @@
 
 from pomeloyard.cli.main import cli
 from pomeloyard.decisions import DecisionLog
+from pomeloyard.explanations import Explanation
 from pomeloyard.job_store import JobStore
 from pomeloyard.keys import hash_key
 from pomeloyard.operators.app import operator_app
@@ -33,9 +34,14 @@
     ["wave", "resume"],
     ["wave", "cancel"],
     ["budget"],
+    ["explain"],
 ]
 
 
+async def no_decisions(subject):
+    return Explanation(subject)
+
+
 class InProcessClient(OperatorClient):
     """Calls the operator application directly; the fleet steps between calls."""
 
@@ -54,6 +60,7 @@
                 keys=None,
                 daemon_statuses=list,
                 team_usage=list,
+                explain=no_decisions,
             )
         )
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -97,6 +97,12 @@
     for name in DAEMONS:
         _, body = call(fleet, name, "GET", "/v1/services/orders/quote", team_key)
         assert body.startswith(b"orders-e2")
+    explained = [explain(fleet, name, "vm/orders-e1") for name in DAEMONS]
+    assert explained[0] == explained[1] == explained[2]
+    assert "asked-for-by-operator" in [d["reason"] for d in explained[0]["decisions"]]
+    assert explained[0]["silent"] == []
+    gained = explain(fleet, "entry-1", "membership/entry-2")["decisions"]
+    assert {d["kind"] for d in gained} == {"membership"}
     run_tool(fleet, "vm", "return", "orders-e1")
     assert vm_state(fleet, "orders-e1") == "in_service"
 
@@ -107,3 +113,10 @@
 def vm_state(fleet, name):
     records = run_tool(fleet, "vm", "list")
     return {r["name"]: r["state"] for r in records}[name]
+
+
+def explain(fleet, daemon, subject):
+    url = f"http://{fleet.address(daemon, 'operator')}/v1/explain/{subject}"
+    headers = {"Authorization": f"Bearer {fleet.operator_key}"}
+    response = httpcore.request("GET", url, headers=headers)
+    return json.loads(response.content)["explanation"]
