Read one wave instead of all to explain it

Cause: the explain route scanned all waves to find one by its id. Change: it reads the wave's record, one store read. Checked: pytest tests/test_explanations.py tests/operators tests/test_fleet_commands.py tests/test_whole_path.py passes. Conclusion: the cost no longer grows with the number of waves.

--- a/src/pomeloyard/operators/explain_routes.py
+++ b/src/pomeloyard/operators/explain_routes.py
@@ -68,9 +68,10 @@
     if kind is SubjectKind.VM:
         return context.state.vm_records_by_name.get(name)
     if kind is SubjectKind.WAVE:
-        stored = await context.controller.waves.waves()
-        waves = [w.value for w in stored.values() if w.value.wave_id == name]
-        return context.controller.waves.status_of(waves[0]) if waves else None
+        try:
+            return await context.controller.waves.status(name)
+        except RefusedError:
+            return None
     if kind is SubjectKind.JOB:
         return await _job(context, name)
     return None
