--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -177,6 +177,8 @@
     assert status["vms_by_progress"]["done"] == 3
     assert "pool-orders-1: running" in result.stderr
     assert answer_of(operate("wave", "status"))[0]["wave"]["wave_id"]
+    explained = answer_of(operate("explain", "wave", "pool-orders-1"))
+    assert explained["record"] == answer_of(operate("wave", "status"))[0]
     answer_of(operate("pool", "move", "spare-e000", "orders"))
     for _ in range(20):
         pools = {p["name"]: p for p in answer_of(operate("pool", "list"))}
