--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -10,6 +10,7 @@
 
 from pomeloyard.cli.main import cli
 from pomeloyard.decisions import DecisionLog
+from pomeloyard.explanations import Explanation
 from pomeloyard.job_store import JobStore
 from pomeloyard.keys import hash_key
 from pomeloyard.operators.app import operator_app
@@ -33,9 +34,14 @@
     ["wave", "resume"],
     ["wave", "cancel"],
     ["budget"],
+    ["explain"],
 ]
 
 
+async def no_decisions(subject):
+    return Explanation(subject)
+
+
 class InProcessClient(OperatorClient):
     """Calls the operator application directly; the fleet steps between calls."""
 
@@ -54,6 +60,7 @@
                 keys=None,
                 daemon_statuses=list,
                 team_usage=list,
+                explain=no_decisions,
             )
         )
 
@@ -170,6 +177,8 @@
     assert status["vms_by_progress"]["done"] == 3
     assert "pool-orders-1: running" in result.stderr
     assert answer_of(operate("wave", "status"))[0]["wave"]["wave_id"]
+    explained = answer_of(operate("explain", "wave", "pool-orders-1"))
+    assert explained["record"] == answer_of(operate("wave", "status"))[0]
     answer_of(operate("pool", "move", "spare-e000", "orders"))
     for _ in range(20):
         pools = {p["name"]: p for p in answer_of(operate("pool", "list"))}
