--- a/measurements/buffers.py
+++ b/measurements/buffers.py
@@ -9,7 +9,8 @@
 import math
 import random
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from functools import cache
 
 import anyio
 
@@ -55,9 +56,47 @@
             self.delay_sum += delay * demand * STEP_SECONDS
 
 
+@dataclass
+class Series:
+    """Executors at each step: held by the pools, in demand, and a fixed buffer."""
+
+    seconds: list[float] = field(default_factory=list)
+    demanded: dict[str, list[float]] = field(default_factory=dict)
+    in_service: dict[str, list[int]] = field(default_factory=dict)
+    fixed_vms: int = 0
+    """What a pool holds all the time if it keeps a buffer for its own peak."""
+
+    spare_pool: str = ""
+    lending_vms: int = 0
+    """All executors that lending has, in whatever pool they are."""
+
+    def append(
+        self, demanded: dict[str, float], in_service: dict[str, int], measured: float
+    ) -> None:
+        """Add one step of all pools."""
+        self.seconds.append(measured)
+        for pool, vms in demanded.items():
+            self.demanded.setdefault(pool, []).append(vms)
+            self.in_service.setdefault(pool, []).append(in_service.get(pool, 0))
+
+
+@dataclass
+class BuffersRun:
+    """Results of one run by name, and its series after the learning cycles."""
+
+    results: dict[str, float]
+    series: Series
+
+
+@cache
+def buffers_run(site: Site, random_order: bool = False) -> BuffersRun:
+    """Run a site's peaks once; figures and plots share the result."""
+    return anyio.run(_buffers, site, random_order)
+
+
 def lending(site: Site) -> Iterator[Figure]:
     """Compare lending with a fixed buffer sized for each pool's own peak."""
-    result = anyio.run(_buffers, site, False)
+    result = buffers_run(site).results
     yield at_most(
         "fleet_buffer_cost_over_fixed",
         result["cost_ratio"],
@@ -84,13 +123,13 @@
     )
     yield at_most("fleet_buffer_violations", result["violations"], "VMs", 0, site.name)
     # Without a bound: the demand that is promised comes in turns.
-    result = anyio.run(_buffers, site, True)
+    result = buffers_run(site, True).results
     for key in ("worst_delay", "mean_delay"):
         name = f"fleet_buffer_{key}_random_order"
         yield Figure(name, result[key], "s", deployment=site.name)
 
 
-async def _buffers(site: Site, random_order: bool) -> dict[str, float]:
+async def _buffers(site: Site, random_order: bool) -> BuffersRun:
     spare = site.pools[-1]
     peak, low = 5.0 * site.mean_slots, site.mean_slots / 20
     peak_vms = math.ceil(peak / SLOTS)
@@ -107,6 +146,7 @@
     lent, fixed = ({pool: Queue() for pool in site.pools} for _ in range(2))
     turns = _turns(site, random_order)
     measured_seconds = 0.0
+    series = Series(fixed_vms=peak_vms, spare_pool=spare, lending_vms=len(vms))
     for turn, pool_at_peak, seconds in turns:
         measured = turn >= LEARNING_CYCLES * len(site.pools)
         for _ in range(round(seconds / STEP_SECONDS)):
@@ -118,6 +158,8 @@
                 capacity = in_service.get(pool, 0) * SLOTS
                 lent[pool].step(demand[pool], capacity, measured)
                 fixed[pool].step(demand[pool], peak_vms * SLOTS, measured)
+            if measured:
+                series.append(fleet.demand, in_service, measured_seconds)
             measured_seconds += STEP_SECONDS if measured else 0.0
             if not measured:
                 fleet.directory.started.clear()
@@ -129,7 +171,7 @@
     work = sum(q.delay_sum for q in lent.values())
     fixed_work = sum(q.delay_sum for q in fixed.values())
     total = sum(peak * s for t, _, s in turns if t >= LEARNING_CYCLES)
-    return {
+    results = {
         "cost_ratio": cost / fixed_cost,
         "worst_delay": max(q.worst_delay for q in lent.values()),
         "fixed_worst_delay": max(q.worst_delay for q in fixed.values()),
@@ -138,6 +180,7 @@
         "moves": moves / hours,
         "violations": float(len(fleet.violations)),
     }
+    return BuffersRun(results, series)
 
 
 def _turns(site: Site, random_order: bool) -> list[tuple[int, str, float]]:
--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -9,9 +9,11 @@
 import math
 import random
 import time
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import cache
 from itertools import pairwise
 
 import anyio
@@ -116,38 +118,89 @@
     yield from growth()
 
 
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """One full wave: its time, the least time, and the VMs maintained over time."""
+
+    seconds: float
+    least_seconds: float
+    violations: int
+    maintained: list[tuple[float, int]]
+    most_maintained: list[tuple[float, int]]
+    """The most VMs that the budgets allow after each round."""
+
+
+@cache
+def rollout_run(site: Site) -> Rollout:
+    """Run a site's full wave once; figures and plots share the result."""
+    return anyio.run(_rollout, site)
+
+
 def rollout(site: Site) -> Iterator[Figure]:
     """Compare a full wave's time with the least that the budgets allow."""
-    ratio, violations = anyio.run(_rollout, site)
+    run = rollout_run(site)
+    ratio = run.seconds / run.least_seconds
     yield at_most("fleet_rollout_over_least", ratio, "ratio", ROLLOUT_BOUND, site.name)
-    yield at_most("fleet_budget_violations", violations, "VMs", 0, site.name)
+    yield at_most("fleet_budget_violations", run.violations, "VMs", 0, site.name)
 
 
-async def _rollout(site: Site) -> tuple[float, int]:
+async def _rollout(site: Site) -> Rollout:
     fleet = new_fleet(site)
     await step(fleet)
-    least = least_rounds(fleet) * _seconds_for_one_vm(fleet)
+    one = _seconds_for_one_vm(fleet)
+    rounds = least_rounds(fleet)
+    most = [(n * one, _most_after(fleet, n)) for n in range(rounds + 1)]
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
-    seconds = await _run_wave(fleet)
-    return seconds / least, len(fleet.violations)
+    maintained = await _run_wave(fleet)
+    seconds = maintained[-1][0]
+    return Rollout(seconds, rounds * one, len(fleet.violations), maintained, most)
 
 
-def least_rounds(fleet: Fleet) -> int:
-    """Return the rounds that any plan needs, by the budgets alone."""
+@dataclass(frozen=True, slots=True)
+class Group:
+    """VMs of one pool and role, and how many may be out of service at a time."""
+
+    size: int
+    allowed: int
+    zones: tuple[tuple[int, int], ...]
+    """Size and allowed number in each availability zone."""
+
+
+def _groups(fleet: Fleet) -> Iterator[Group]:
     vms = list(fleet.stored(layout.VMS, VmRecord).values())
-    rounds = 0
     for pool in fleet.config.pools_by_name:
         for role in (VmRole.EXECUTOR, VmRole.WORKER):
             mine = [vm for vm in vms if vm.pool == pool and vm.role is role]
-            zones = {vm.availability_zone for vm in mine}
-            groups = [(Scope(role), mine)] + [
-                (Scope(role, z), [vm for vm in mine if vm.availability_zone == z])
-                for z in zones
-            ]
-            for scope, group in groups:
-                allowed = _allowed(fleet, pool, scope, len(group))
-                rounds = max(rounds, math.ceil(len(group) / allowed) if group else 0)
-    return rounds
+            if not mine:
+                continue
+            sizes = Counter(vm.availability_zone for vm in mine)
+            zones = tuple(
+                (size, _allowed(fleet, pool, Scope(role, zone), size))
+                for zone, size in sizes.items()
+            )
+            allowed = _allowed(fleet, pool, Scope(role), len(mine))
+            yield Group(len(mine), allowed, zones)
+
+
+def least_rounds(fleet: Fleet) -> int:
+    """Return the rounds that any plan needs, by the budgets alone."""
+    limits = [
+        limit
+        for group in _groups(fleet)
+        for limit in ((group.size, group.allowed), *group.zones)
+    ]
+    return max(math.ceil(size / allowed) for size, allowed in limits)
+
+
+def _most_after(fleet: Fleet, rounds: int) -> int:
+    """Return the most VMs that any plan can have maintained after some rounds."""
+    return sum(
+        min(
+            rounds * group.allowed,
+            sum(min(size, rounds * allowed) for size, allowed in group.zones),
+        )
+        for group in _groups(fleet)
+    )
 
 
 def _allowed(fleet: Fleet, pool: str, scope: Scope, total: int) -> int:
@@ -171,15 +224,26 @@
     return reboot.total_seconds()
 
 
-async def _run_wave(fleet: Fleet) -> float:
+async def _run_wave(fleet: Fleet) -> list[tuple[float, int]]:
+    """Return the VMs maintained at each step until the wave has ended."""
+
     def ended() -> bool:
         waves = fleet.stored(layout.WAVES, WaveRecord).values()
         return all(wave.state is WaveState.DONE for wave in waves)
 
+    def maintained() -> int:
+        # A new VM counts as maintained, so a time before the wave is left out.
+        vms = fleet.stored(layout.VMS, VmRecord).values()
+        return sum(bool(vm.maintained_at and vm.maintained_at > start) for vm in vms)
+
+    start = fleet.clock.now()
     began = fleet.clock.monotonic()
+    counts = [(0.0, maintained())]
     while not ended():
         await step(fleet)
-    return (fleet.clock.monotonic() - began).total_seconds()
+        seconds = (fleet.clock.monotonic() - began).total_seconds()
+        counts.append((seconds, maintained()))
+    return counts
 
 
 async def step(fleet: Fleet) -> None:
--- a/measurements/shares.py
+++ b/measurements/shares.py
@@ -15,9 +15,10 @@
 import math
 import random
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import cache
 
 import anyio
 
@@ -225,15 +226,27 @@
         sample()
 
 
-def largest_error(
+@dataclass(frozen=True, slots=True)
+class Window:
+    """Work of a team in one window of full service, in slot-seconds."""
+
+    service: str
+    team: str
+    end: int
+    received: float
+    entitled: float
+    error: float
+    """Received less entitled, over the larger of entitled and the floor."""
+
+
+def full_windows(
     deployment: Deployment,
     received: Samples,
     entitled: Samples,
     full: dict[str, list[bool]],
-) -> float:
-    """Return the largest error of any team over all windows of full service."""
+) -> Iterator[Window]:
+    """Yield every team's windows in which its service is full throughout."""
     floor = 0.01 * deployment.executors * SLOTS * WINDOW
-    worst = 0.0
     for (service, team), values in received.items():
         reference = entitled[service, team]
         for end in range(WINDOW, len(full[service]) + 1):
@@ -241,25 +254,53 @@
                 continue
             got = values[end] - values[end - WINDOW]
             due = reference[end] - reference[end - WINDOW]
-            worst = max(worst, abs(got - due) / max(due, floor))
-    return worst
+            error = (got - due) / max(due, floor)
+            yield Window(service, team, end, got, due, error)
+
+
+@dataclass(frozen=True, slots=True)
+class SharesRun:
+    """Windows of one run under the daemons and under first-come service."""
+
+    seconds: int
+    daemons: list[Window]
+    first_come: list[Window]
+    control: list[float]
+    """Control bytes a second that each daemon sends."""
+
+
+@cache
+def shares_run(deployment: Deployment) -> SharesRun:
+    """Run a deployment's demand once; figures and plots share the result."""
+    seconds = total_seconds(deployment)
+    demand = arrivals(deployment, SEED)
+    entitled, full = fluid_reference(deployment, demand, seconds)
+    baseline = first_come(deployment, demand, seconds)
+    received, control = run_virtual(run_daemons, deployment, demand, seconds)
+    return SharesRun(
+        seconds,
+        list(full_windows(deployment, received, entitled, full)),
+        list(full_windows(deployment, baseline, entitled, full)),
+        control,
+    )
+
+
+def largest_error(windows: list[Window]) -> float:
+    """Return the largest error of any team over all windows of full service."""
+    return max((abs(window.error) for window in windows), default=0.0)
 
 
 def measure() -> Iterable[Figure]:
     """Yield share errors and control traffic for both deployments."""
     for deployment in DEPLOYMENTS:
-        seconds = total_seconds(deployment)
-        demand = arrivals(deployment, SEED)
-        entitled, full = fluid_reference(deployment, demand, seconds)
-        baseline = first_come(deployment, demand, seconds)
-        received, control = run_virtual(run_daemons, deployment, demand, seconds)
-        error = largest_error(deployment, received, entitled, full)
+        run = shares_run(deployment)
         name = deployment.name
+        error = largest_error(run.daemons)
         yield at_most("share-error-10s", error, "ratio", SHARE_ERROR_BOUND, name)
-        worst = largest_error(deployment, baseline, entitled, full)
+        worst = largest_error(run.first_come)
         yield Figure("share-error-10s-first-come", worst, "ratio", deployment=name)
-        mean = sum(control) / len(control)
+        mean = sum(run.control) / len(run.control)
         yield at_most("capacity-control-sent-mean", mean, "bytes/s", 2048.0, name)
         # The coordinator sends most.
-        most = max(control)
+        most = max(run.control)
         yield at_most("capacity-control-sent-greatest", most, "bytes/s", 2048.0, name)
