--- a/measurements/support/report.py
+++ b/measurements/support/report.py
@@ -62,7 +62,8 @@
     # Large values keep all digits before the point, small ones four digits.
     whole = float(value).is_integer() or abs(value) >= 1000
     number = f"{value:.0f}" if whole else f"{value:.4g}"
-    return f"{number} {unit}".strip()
+    # A unit such as "1 = yes" explains the number instead of following it.
+    return f"{number} ({unit})" if "=" in unit else f"{number} {unit}".strip()
 
 
 def current_commit() -> str:
--- a/tests/test_measurement_support.py
+++ b/tests/test_measurement_support.py
@@ -25,6 +25,7 @@
 def test_figures_out_of_bounds_come_first():
     figures = [
         Figure("free", 12345.678, "ms"),
+        Figure("ended", 1.0, "1 = yes", 1.0, True),
         at_most("kept", 0.01, "ratio", 0.02, "lilim"),
         at_most("missed", 3, "VMs", 0, "hsinchu"),
     ]
@@ -34,6 +35,7 @@
     assert "| `missed` | hsinchu | 3 VMs | 0 VMs | no |" in outside
     assert "kept" not in outside
     assert "| `kept` | lilim | 0.01 ratio | 0.02 ratio | yes |" in others
+    assert "| `ended` |  | 1 (1 = yes) | 1 (1 = yes) | yes |" in others
     assert "| `free` |  | 12346 ms |  | no bound |" in others
 
 
