Put the legends of the plots below the axes

Cause: the legend covered lines in the plots of shares and buffers.

Change: one legend below the axes, with constrained layout; all six plots written again by python -m measurements.support.plots.

--- a/measurements/support/plots.py
+++ b/measurements/support/plots.py
@@ -30,6 +30,7 @@
 # Without a fixed salt the ids in the file differ from one run to the next.
 mpl.rcParams["svg.hashsalt"] = "pomeloyard"
 mpl.rcParams["svg.fonttype"] = "none"
+mpl.rcParams["figure.constrained_layout.use"] = True
 
 
 def save(canvas: Canvas, name: str) -> None:
@@ -44,6 +45,12 @@
     print(path)
 
 
+def _legend_below(canvas: Canvas, axes: Axes) -> None:
+    # Inside the axes it would cover lines.
+    handles, labels = axes.get_legend_handles_labels()
+    canvas.legend(handles, labels, loc="outside lower center", ncols=len(labels))
+
+
 def plot_shares() -> None:
     """Plot received over entitled work, for daemons and first-come service."""
     for deployment in DEPLOYMENTS:
@@ -51,12 +58,11 @@
         canvas, rows = plt.subplots(2, sharex=True, figsize=(10, 7), squeeze=True)
         _windows(rows[0], run.daemons, "Daemons")
         _windows(rows[1], run.first_come, "First come, first served")
-        rows[0].legend(loc="upper right", ncols=7, fontsize="small")
+        _legend_below(canvas, rows[0])
         rows[1].set_xlabel("end of the 10 s window (s)")
         canvas.suptitle(
             f"{deployment.name}: work received over entitled, windows of full service"
         )
-        canvas.tight_layout()
         save(canvas, f"{deployment.name}-shares")
 
 
@@ -101,7 +107,6 @@
         axes.set_ylabel("VMs maintained")
         axes.set_title(f"{site.name}: a wave over all VMs")
         axes.legend(loc="lower right")
-        canvas.tight_layout()
         save(canvas, f"{site.name}-rollout")
 
 
@@ -123,11 +128,10 @@
             axes.set_title(pool + spare, fontsize="small")
             axes.set_ylim(0, None)
         _totals(rows[-1], site, series, count)
-        rows[0].legend(loc="upper right", ncols=3, fontsize="small")
+        _legend_below(canvas, rows[0])
         rows[-1].set_xlabel("time after the learning cycles (s)")
         canvas.supylabel("executors")
         canvas.suptitle(f"{site.name}: executors in service against demand")
-        canvas.tight_layout()
         save(canvas, f"{site.name}-buffers")
 
 
