--- a/measurements/buffers.py
+++ b/measurements/buffers.py
@@ -14,9 +14,9 @@
 
 import anyio
 
-from pomeloyard.forecasts import idle_cost
+from pomeloyard.fleet.forecasts import idle_cost
+from pomeloyard.fleet.vms import VmState
 from pomeloyard.platform.directory import VmOperation, VmRole
-from pomeloyard.vms import VmState
 from tests.support.fleet import Fleet, make_vms
 
 from .figures import Figure, at_most
--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -18,12 +18,12 @@
 
 import anyio
 
-from pomeloyard.budgets import Scope
 from pomeloyard.config.model import FleetConfig
+from pomeloyard.fleet.budgets import Scope
+from pomeloyard.fleet.vms import VmRecord
+from pomeloyard.fleet.waves import WaveKind, WaveRecord, WaveState
 from pomeloyard.platform import layout
 from pomeloyard.platform.directory import Vm, VmRole
-from pomeloyard.vms import VmRecord
-from pomeloyard.waves import WaveKind, WaveRecord, WaveState
 from tests.support.fleet import Fleet, make_config, make_vms
 
 from .figures import Figure, at_most
--- a/measurements/jobs.py
+++ b/measurements/jobs.py
@@ -16,11 +16,11 @@
 import anyio
 
 from measurements.figures import Figure, at_most
-from pomeloyard.capacity import CapacityIndex, Demand, Worker
-from pomeloyard.job_store import JobStore
-from pomeloyard.jobs import Job, JobRequest, JobState, job_id_of
-from pomeloyard.placement import Placer
-from pomeloyard.team_shares import TeamLimits
+from pomeloyard.jobs.capacity import CapacityIndex, Demand, Worker
+from pomeloyard.jobs.job import Job, JobRequest, JobState, job_id_of
+from pomeloyard.jobs.placement import Placer
+from pomeloyard.jobs.store import JobStore
+from pomeloyard.jobs.team_shares import TeamLimits
 from tests.support.fake_workers import GIB, Bench
 
 URGENT_BOUND_SECONDS = 7.2
--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -18,13 +18,13 @@
 import anyio
 import httpcore
 
-from pomeloyard.claim_log import ClaimLog
-from pomeloyard.claim_watch import ClaimWatch
-from pomeloyard.claims import CLAIM_BYTES, Claim, ClaimTable
+from pomeloyard.allocation.partitions import new_table
+from pomeloyard.claims.log import ClaimLog
+from pomeloyard.claims.table import CLAIM_BYTES, Claim, ClaimTable
+from pomeloyard.claims.watch import ClaimWatch
 from pomeloyard.clock import ManualClock, SystemClock
 from pomeloyard.errors import StoreUnavailableError
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.partitions import new_table
 from pomeloyard.peers.messages import Hello
 from pomeloyard.peers.streams import PeerNetwork
 from pomeloyard.platform import layout
--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -10,12 +10,12 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from pomeloyard.admission import AdmissionController
-from pomeloyard.capacity_service import CapacityService
+from pomeloyard.allocation.admission import AdmissionController
+from pomeloyard.allocation.partitions import new_table
+from pomeloyard.allocation.service import CapacityService
 from pomeloyard.clock import Clock
 from pomeloyard.config.model import FleetConfig
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.partitions import new_table
 from pomeloyard.peers.codec import encode_frame
 from pomeloyard.peers.messages import Hello, Message
 from pomeloyard.platform.directory import Vm, VmList
--- a/measurements/support/slopes_capacity.py
+++ b/measurements/support/slopes_capacity.py
@@ -13,12 +13,12 @@
 from typing import Any
 
 from measurements.figures import Figure
-from pomeloyard.admission import AdmissionController
-from pomeloyard.capacity_service import BUSY_INTERVAL, CapacityService
+from pomeloyard.allocation.admission import AdmissionController
+from pomeloyard.allocation.loans import LIMIT, SLOTS, LoanBook, Resource
+from pomeloyard.allocation.partitions import vm_of
+from pomeloyard.allocation.service import BUSY_INTERVAL, CapacityService
 from pomeloyard.clock import ManualClock
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.loans import LIMIT, SLOTS, LoanBook, Resource
-from pomeloyard.partitions import vm_of
 from pomeloyard.peers.codec import LENGTH, decode_payload, encode_frame
 from pomeloyard.peers.messages import DemandReport, Hello, LoanGrant, LoanStatement
 
--- a/measurements/support/slopes_fleet.py
+++ b/measurements/support/slopes_fleet.py
@@ -30,13 +30,13 @@
 from measurements.requests import _steady_claims
 from pomeloyard.clock import ManualClock, SystemClock
 from pomeloyard.config.publication import publish
-from pomeloyard.job_store import JobStore
-from pomeloyard.jobs import JobRequest
+from pomeloyard.fleet.waves import WaveKind
+from pomeloyard.jobs.job import JobRequest
+from pomeloyard.jobs.store import JobStore
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.serving import serving
 from pomeloyard.standins.platform import PlatformState, platform_app
 from pomeloyard.standins.vm_directory import MemoryVmDirectory
-from pomeloyard.waves import WaveKind
 from tests.support.fake_workers import GIB, Bench
 
 from . import target_fleet as target
--- a/measurements/support/slopes_jobs.py
+++ b/measurements/support/slopes_jobs.py
@@ -15,9 +15,9 @@
 
 from measurements.figures import Figure
 from measurements.jobs import _step_seconds
-from pomeloyard.jobs import JobRequest, job_id_of
+from pomeloyard.jobs.job import JobRequest, job_id_of
+from pomeloyard.jobs.term import PLAN_INTERVAL, TICK
 from pomeloyard.outcomes import Done
-from pomeloyard.scheduler_term import PLAN_INTERVAL, TICK
 from pomeloyard.workers.client import HttpWorkerClient
 from pomeloyard.workers.links import IDLE_INTERVAL, RENEW_INTERVAL, TASK_LEASE
 from pomeloyard.workers.tasks import TaskReport, TaskState
--- a/measurements/support/slopes_state.py
+++ b/measurements/support/slopes_state.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from measurements.figures import Figure
-from pomeloyard.claims import MAX_CLAIMS, Claim, ClaimTable
+from pomeloyard.claims.table import MAX_CLAIMS, Claim, ClaimTable
 from pomeloyard.clock import ManualClock
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.follower import CHECK_INTERVAL, FleetFollower
--- a/measurements/support/target_fleet.py
+++ b/measurements/support/target_fleet.py
@@ -5,6 +5,7 @@
 import math
 from datetime import UTC, datetime
 
+from pomeloyard.allocation.partitions import PartitionTable, new_table
 from pomeloyard.config.model import (
     BudgetConfig,
     FleetConfig,
@@ -12,15 +13,14 @@
     ServiceConfig,
     TeamConfig,
 )
+from pomeloyard.fleet.vms import MAX_REASONS, Cause, VmRecord, VmState
 from pomeloyard.fleet_state import DaemonRecord, RoleRecord
 from pomeloyard.keys import KeyRing, new_key
-from pomeloyard.partitions import PartitionTable, new_table
 from pomeloyard.platform import layout
 from pomeloyard.platform.directory import Vm, VmList, VmRole
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.platform.records import Change, commit_changes
 from pomeloyard.platform.store import Store
-from pomeloyard.vms import MAX_REASONS, Cause, VmRecord, VmState
 
 WORKERS = 740
 SERVICES = 29
--- /dev/null
+++ b/src/pomeloyard/allocation/__init__.py
@@ -0,0 +1,1 @@
+"""Slots and limits held without agreement: partitions, loans and admission."""
--- a/src/pomeloyard/admission.py
+++ b/src/pomeloyard/allocation/admission.py
@@ -11,9 +11,9 @@
 
 import anyio
 
-from .clock import Clock
-from .outcomes import Done, Outcome, RefusalReason, Refused
-from .shares import weighted_max_min
+from ..clock import Clock
+from ..outcomes import Done, Outcome, RefusalReason, Refused
+from ..shares import weighted_max_min
 
 MIN_RETRY_AFTER = timedelta(seconds=1)
 MAX_RETRY_AFTER = timedelta(seconds=30)
--- a/src/pomeloyard/advice.py
+++ b/src/pomeloyard/allocation/advice.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from ..peers.messages import LendAdvice, LendItem
 from .coordination import Advice
 from .loans import Resource
-from .peers.messages import LendAdvice, LendItem
 
 HUNDREDTHS = 100
 MIN_TARGET_CHANGE = 0.1
--- a/src/pomeloyard/coordination.py
+++ b/src/pomeloyard/allocation/coordination.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from ..shares import weighted_max_min
 from .loans import LIMIT, SLOTS, Resource
 from .partitions import base_amount
-from .shares import weighted_max_min
 
 REPORT_LIFETIME = timedelta(seconds=1.5)
 """A daemon that has not reported for this long is left out of the targets."""
--- a/src/pomeloyard/membership_decisions.py
+++ b/src/pomeloyard/allocation/decisions.py
@@ -4,9 +4,9 @@
 
 from enum import Enum
 
-from .clock import Clock
-from .decisions import Decision, DecisionKind, DecisionLog
-from .fleet_state import FleetState
+from ..clock import Clock
+from ..decisions import Decision, DecisionKind, DecisionLog
+from ..fleet_state import FleetState
 from .partitions import Partition, vm_of
 
 
--- a/src/pomeloyard/loans.py
+++ b/src/pomeloyard/allocation/loans.py
@@ -13,8 +13,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from .partitions import PartitionTable, base_amount
-from .peers.messages import (
+from ..peers.messages import (
     KeptAmount,
     LoanGrant,
     LoanKept,
@@ -22,6 +21,7 @@
     LoanStatement,
     Message,
 )
+from .partitions import PartitionTable, base_amount
 
 SLOTS = "slots"
 LIMIT = "limit"
--- a/src/pomeloyard/membership.py
+++ b/src/pomeloyard/allocation/membership.py
@@ -9,15 +9,15 @@
 
 import logbook
 
-from .clock import Clock
-from .errors import LeaseLostError, StoreError
-from .fleet_state import DaemonRecord, FleetState
+from ..clock import Clock
+from ..errors import LeaseLostError, StoreError
+from ..fleet_state import DaemonRecord, FleetState
+from ..platform import layout
+from ..platform.directory import VmListState
+from ..platform.records import Change, ConflictError, commit_changes, read_record
+from ..platform.store import Store
 from .loans import LoanBook, Resource
 from .partitions import DEFAULT_PARTITIONS, PartitionTable, new_table, vm_of
-from .platform import layout
-from .platform.directory import VmListState
-from .platform.records import Change, ConflictError, commit_changes, read_record
-from .platform.store import Store
 
 REGISTRATION_TTL = timedelta(seconds=10)
 RENEW_INTERVAL = timedelta(seconds=3)
@@ -32,7 +32,7 @@
 
 TableChange = Callable[[PartitionTable], PartitionTable | None]
 
-log = logbook.Logger("pomeloyard.membership")
+log = logbook.Logger("pomeloyard.allocation.membership")
 
 
 class Membership:
--- a/src/pomeloyard/capacity_metrics.py
+++ b/src/pomeloyard/allocation/metrics.py
@@ -6,8 +6,8 @@
 
 from prometheus_client.core import GaugeMetricFamily, Metric
 
-from .capacity_service import CapacityService
 from .loans import Resource
+from .service import CapacityService
 
 _NAMES_BY_KIND = {
     "slots": ("pomeloyard_executor_usable_slots", "vm"),
--- a/src/pomeloyard/capacity_service.py
+++ b/src/pomeloyard/allocation/service.py
@@ -7,13 +7,9 @@
 import anyio
 import logbook
 
-from .admission import AdmissionController, Permit
-from .advice import AdviceIndex, SentAdvice, read_advice
-from .clock import Clock
-from .coordination import Advice, Coordinator, Demand, FleetShape, Report
-from .fleet_state import FleetState
-from .loans import LIMIT, SLOTS, LoanBook, Outgoing, Resource
-from .peers.messages import (
+from ..clock import Clock
+from ..fleet_state import FleetState
+from ..peers.messages import (
     DemandReport,
     LendAdvice,
     LoanGrant,
@@ -21,8 +17,12 @@
     LoanQuery,
     LoanStatement,
 )
-from .peers.streams import PeerNetwork
-from .platform.directory import Vm, VmRole
+from ..peers.streams import PeerNetwork
+from ..platform.directory import Vm, VmRole
+from .admission import AdmissionController, Permit
+from .advice import AdviceIndex, SentAdvice, read_advice
+from .coordination import Advice, Coordinator, Demand, FleetShape, Report
+from .loans import LIMIT, SLOTS, LoanBook, Outgoing, Resource
 
 BUSY_INTERVAL = timedelta(milliseconds=250)
 IDLE_INTERVAL = timedelta(seconds=1)
@@ -35,7 +35,7 @@
 
 COORDINATOR_TIMEOUT = timedelta(seconds=1.5)
 
-log = logbook.Logger("pomeloyard.capacity")
+log = logbook.Logger("pomeloyard.jobs.capacity")
 
 
 class CapacityService:
--- a/src/pomeloyard/callers/app.py
+++ b/src/pomeloyard/callers/app.py
@@ -5,9 +5,9 @@
 from starlette.applications import Starlette
 
 from ..fleet_state import FleetState
-from ..job_store import JobStore
+from ..jobs.store import JobStore
 from ..problems import EXCEPTION_HANDLERS
-from ..requests import RequestService
+from ..requests.service import RequestService
 from .job_routes import job_routes
 from .service_routes import service_routes
 
--- a/src/pomeloyard/callers/job_routes.py
+++ b/src/pomeloyard/callers/job_routes.py
@@ -12,8 +12,8 @@
 
 from ..authentication import authenticate_team
 from ..fleet_state import FleetState
-from ..job_store import JobStore
-from ..jobs import Job, JobRequest, refused, valid_label
+from ..jobs.job import Job, JobRequest, refused, valid_label
+from ..jobs.store import JobStore
 from ..keys import KeyRecord
 from ..outcomes import RefusalReason
 
--- a/src/pomeloyard/callers/relay.py
+++ b/src/pomeloyard/callers/relay.py
@@ -10,9 +10,9 @@
 from starlette.types import Receive, Scope, Send
 
 from ..errors import OutcomeUnknownError
-from ..exchanges import ServiceRequest
 from ..outcomes import Unknown, UnknownReason
-from ..requests import RequestService
+from ..requests.exchanges import ServiceRequest
+from ..requests.service import RequestService
 from .bodies import CallerBody
 from .headers import response_headers
 
--- a/src/pomeloyard/callers/service_routes.py
+++ b/src/pomeloyard/callers/service_routes.py
@@ -13,7 +13,7 @@
 from ..errors import RefusedError
 from ..fleet_state import FleetState
 from ..outcomes import RefusalReason, Refused
-from ..requests import RequestService, ServiceRequest
+from ..requests.service import RequestService, ServiceRequest
 from .bodies import CallerBody
 from .headers import request_headers
 from .relay import RelayedResponse
--- a/src/pomeloyard/claim_log.py
+++ b/src/pomeloyard/claims/log.py
@@ -9,22 +9,13 @@
 import anyio
 import logbook
 
-from .claim_segments import (
-    SegmentError,
-    SegmentIndex,
-    SegmentWrite,
-    decode_segment,
-    partition_prefix,
-)
-from .claim_watch import ClaimWatch
-from .claims import CLAIM_WINDOW, Claim, ClaimTable
-from .clock import Clock
-from .errors import StoreError, StoreOutcomeUnknownError
-from .fleet_state import FleetState
-from .partitions import PartitionTable
-from .platform import layout
-from .platform.records import read_record
-from .platform.store import (
+from ..allocation.partitions import PartitionTable
+from ..clock import Clock
+from ..errors import StoreError, StoreOutcomeUnknownError
+from ..fleet_state import FleetState
+from ..platform import layout
+from ..platform.records import read_record
+from ..platform.store import (
     MAX_OPERATIONS,
     Compare,
     Delete,
@@ -34,6 +25,15 @@
     Transaction,
     scan_all,
 )
+from .segments import (
+    SegmentError,
+    SegmentIndex,
+    SegmentWrite,
+    decode_segment,
+    partition_prefix,
+)
+from .table import CLAIM_WINDOW, Claim, ClaimTable
+from .watch import ClaimWatch
 
 COMMIT_INTERVAL = timedelta(milliseconds=40)
 """Shortest time between two transactions of one daemon.
@@ -50,7 +50,7 @@
 DOUBTFUL_DELETES = 16
 """Deletions, in one transaction, of segments whose write was not confirmed."""
 
-log = logbook.Logger("pomeloyard.claims")
+log = logbook.Logger("pomeloyard.claims.table")
 
 
 @dataclass(eq=False)
--- a/src/pomeloyard/claim_segments.py
+++ b/src/pomeloyard/claims/segments.py
@@ -13,10 +13,10 @@
 
 import msgpack
 
-from .claims import CLAIM_WINDOW, Claim, ClaimTable
-from .errors import PomeloyardError
-from .platform import layout
-from .platform.store import Entry
+from ..errors import PomeloyardError
+from ..platform import layout
+from ..platform.store import Entry
+from .table import CLAIM_WINDOW, Claim, ClaimTable
 
 MERGE_SEGMENTS = 16
 MAX_TIER = 3
--- a/src/pomeloyard/claim_service.py
+++ b/src/pomeloyard/claims/service.py
@@ -13,17 +13,13 @@
 import logbook
 from anyio.abc import TaskGroup
 
-from .claim_log import ClaimLog
-from .claim_takeover import Takeover
-from .claim_watch import ClaimWatch
-from .claims import RETRY_AFTER, Claim, ClaimTable
-from .clock import Clock
-from .errors import RefusedError
-from .fleet_state import FleetState
-from .outcomes import RefusalReason, Refused
-from .partitions import partition_of
-from .peers.calls import PeerCalls
-from .peers.messages import (
+from ..allocation.partitions import partition_of
+from ..clock import Clock
+from ..errors import RefusedError
+from ..fleet_state import FleetState
+from ..outcomes import RefusalReason, Refused
+from ..peers.calls import PeerCalls
+from ..peers.messages import (
     ClaimQuery,
     ClaimRecord,
     ClaimRecorded,
@@ -33,8 +29,12 @@
     ClaimRow,
     ClaimStatement,
 )
-from .peers.streams import PeerNetwork
-from .platform.store import Store
+from ..peers.streams import PeerNetwork
+from ..platform.store import Store
+from .log import ClaimLog
+from .table import RETRY_AFTER, Claim, ClaimTable
+from .takeover import Takeover
+from .watch import ClaimWatch
 
 CALL_TIMEOUT = timedelta(seconds=3)
 """Longest wait for a holder: one store call that times out, and a record."""
@@ -45,7 +45,7 @@
 STATEMENT_CLAIMS = 4000
 """Claims in one statement: under 100 bytes each, below the frame limit."""
 
-log = logbook.Logger("pomeloyard.claims")
+log = logbook.Logger("pomeloyard.claims.table")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/claims.py
+++ b/src/pomeloyard/claims/table.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
-from .outcomes import RefusalReason, Refused
+from ..outcomes import RefusalReason, Refused
 
 CLAIM_WINDOW = timedelta(minutes=10)
 """Time for which a key is remembered after its claim was granted."""
--- a/src/pomeloyard/claim_takeover.py
+++ b/src/pomeloyard/claims/takeover.py
@@ -8,18 +8,18 @@
 import anyio
 import logbook
 
-from .claims import CLAIM_WINDOW, Claim
-from .clock import Clock
-from .errors import StoreError
-from .partitions import Partition
+from ..allocation.partitions import Partition
+from ..clock import Clock
+from ..errors import StoreError
+from .table import CLAIM_WINDOW, Claim
 
 if TYPE_CHECKING:
-    from .claim_service import ClaimService
+    from .service import ClaimService
 
 QUERY_TIMEOUT = timedelta(seconds=1)
 RETRY_INTERVAL = timedelta(seconds=1)
 
-log = logbook.Logger("pomeloyard.claims")
+log = logbook.Logger("pomeloyard.claims.table")
 
 
 class Takeover:
--- a/src/pomeloyard/claim_watch.py
+++ b/src/pomeloyard/claims/watch.py
@@ -5,12 +5,12 @@
 import math
 from datetime import timedelta
 
-from .claims import CLAIM_WINDOW
-from .clock import Clock
-from .fleet_state import FleetState
-from .peers.messages import ClaimOutage
-from .peers.streams import PeerNetwork
-from .platform.directory import VmListState
+from ..clock import Clock
+from ..fleet_state import FleetState
+from ..peers.messages import ClaimOutage
+from ..peers.streams import PeerNetwork
+from ..platform.directory import VmListState
+from .table import CLAIM_WINDOW
 
 START_GRACE = timedelta(seconds=3)
 """Time from the start after which an unread store counts as an outage."""
--- a/src/pomeloyard/config/checks.py
+++ b/src/pomeloyard/config/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from ..budgets import budget_problems
+from ..fleet.budgets import budget_problems
 from .conversion import range_problems
 from .model import FleetConfig
 from .problems import ConfigProblem
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -15,31 +15,30 @@
 from anyio.abc import TaskGroup
 from starlette.types import ASGIApp
 
-from .admission import AdmissionController
+from .allocation.admission import AdmissionController
+from .allocation.decisions import MembershipDecisions
+from .allocation.membership import Membership
+from .allocation.metrics import capacity_metrics
+from .allocation.service import CapacityService
 from .callers.app import caller_app
-from .capacity_metrics import capacity_metrics
-from .capacity_service import CapacityService
-from .claim_service import ClaimService
+from .claims.service import ClaimService
 from .clock import Clock, SystemClock
-from .controller import Controller
 from .decisions import DecisionLog
-from .drain_notices import DrainNotices
-from .drains import JobTaskCounts
 from .endpoints.client import EndpointClient
 from .errors import SettingsError, StoreError
-from .exchanges import ExchangeSender
 from .explanations import Explanations
+from .fleet.controller import Controller
+from .fleet.drain_notices import DrainNotices
+from .fleet.drains import JobTaskCounts
+from .fleet.health_reports import HealthReports
+from .fleet.health_sources import WorkerObserver, note_executor
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
-from .health_reports import HealthReports
-from .health_sources import WorkerObserver, note_executor
 from .heartbeats import HeartbeatBook
-from .job_store import JobStore
+from .jobs.scheduler import Scheduler
+from .jobs.store import JobStore
 from .key_service import KeyService
-from .keyed_requests import KeyedRequests
 from .logs import DecisionSink, JsonLogHandler, LogWriter
-from .membership import Membership
-from .membership_decisions import MembershipDecisions
 from .metrics import FleetMetrics, MetricSources, RequestMetrics
 from .monitoring import monitoring_app
 from .operators.app import operator_app
@@ -55,11 +54,12 @@
 from .platform.store import Store
 from .platform.vm_service import HttpVmDirectory
 from .readiness import NotReadyReason, not_ready_reasons
-from .requests import RequestService
-from .results import ResultTable
+from .requests.exchanges import ExchangeSender
+from .requests.keyed import KeyedRequests
+from .requests.results import ResultTable
+from .requests.routing import ExecutorRouter
+from .requests.service import RequestService
 from .roles import RoleCandidate
-from .routing import ExecutorRouter
-from .scheduler import Scheduler
 from .serving import EmbeddedServer, server_config
 from .settings import DaemonSettings, load_settings
 from .tls import TlsContexts
--- /dev/null
+++ b/src/pomeloyard/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""VMs, pools, budgets, waves, repairs, and the controller role."""
--- a/src/pomeloyard/budgets.py
+++ b/src/pomeloyard/fleet/budgets.py
@@ -9,8 +9,8 @@
 from datetime import datetime
 from enum import Enum
 
-from .config.model import BudgetConfig, FleetConfig, PoolConfig, ServiceConfig
-from .platform.directory import VmRole
+from ..config.model import BudgetConfig, FleetConfig, PoolConfig, ServiceConfig
+from ..platform.directory import VmRole
 from .vms import Cause, VmRecord, VmState
 
 
--- a/src/pomeloyard/buffers.py
+++ b/src/pomeloyard/fleet/buffers.py
@@ -9,10 +9,11 @@
 
 import logbook
 
+from ..decisions import Decision, DecisionKind, DecisionLog
+from ..errors import RefusedError, StoreError
+from ..platform.directory import VmRole
+from ..platform.records import ConflictError, Versioned
 from .budgets import BudgetRecord, Scope
-from .decisions import Decision, DecisionKind, DecisionLog
-from .errors import RefusedError, StoreError
-from .fleet_records import FleetRecords
 from .forecasts import (
     TURN_MARGIN,
     LendDecision,
@@ -25,8 +26,7 @@
     wanted_vms,
 )
 from .operations import VmOperations
-from .platform.directory import VmRole
-from .platform.records import ConflictError, Versioned
+from .records import FleetRecords
 from .vms import Cause, VmPlan, VmRecord, VmState
 
 FIRST_MOVE_TIME = timedelta(seconds=5)
@@ -39,7 +39,7 @@
 
 CONTROLLER = "controller"
 
-log = logbook.Logger("pomeloyard.buffers")
+log = logbook.Logger("pomeloyard.fleet.buffers")
 
 
 class BufferManager:
--- a/src/pomeloyard/controller.py
+++ b/src/pomeloyard/fleet/controller.py
@@ -7,18 +7,18 @@
 
 import logbook
 
+from ..clock import Clock
+from ..decisions import DecisionLog
+from ..errors import PomeloyardError
+from ..fleet_state import FleetState
+from ..platform.directory import VmDirectory
+from ..platform.store import Store
 from .buffers import BufferManager
-from .clock import Clock
-from .decisions import DecisionLog
 from .drains import AskRunning, DrainVerifier, TaskCounts
-from .errors import PomeloyardError
-from .fleet_records import FleetRecords
-from .fleet_state import FleetState
 from .lifecycle import VmLifecycle
 from .maintenance import MaintenanceSchedule
 from .operations import VmOperations
-from .platform.directory import VmDirectory
-from .platform.store import Store
+from .records import FleetRecords
 from .repair import HealthBook
 from .repairs import RepairManager
 from .vms import VmRecord
@@ -26,7 +26,7 @@
 
 TICK = timedelta(seconds=0.5)
 
-log = logbook.Logger("pomeloyard.controller")
+log = logbook.Logger("pomeloyard.fleet.controller")
 
 
 class Controller:
--- a/src/pomeloyard/drain_notices.py
+++ b/src/pomeloyard/fleet/drain_notices.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from .fleet_state import FleetState
-from .peers.calls import PeerCalls
-from .peers.messages import DrainNotice, RunningQuery, RunningReply
-from .peers.streams import PeerNetwork
+from ..fleet_state import FleetState
+from ..peers.calls import PeerCalls
+from ..peers.messages import DrainNotice, RunningQuery, RunningReply
+from ..peers.streams import PeerNetwork
 from .vms import VmRecord, VmState
 
 ANSWER_TIMEOUT = timedelta(seconds=1)
--- a/src/pomeloyard/drains.py
+++ b/src/pomeloyard/fleet/drains.py
@@ -11,13 +11,13 @@
 import anyio
 import msgspec
 
-from .clock import Clock
-from .fleet_state import FleetState
-from .jobs import FINAL_STATES, JobState
-from .platform import layout
-from .platform.directory import VmListState, VmRole
-from .platform.records import RecordError
-from .platform.store import Store, scan_all
+from ..clock import Clock
+from ..fleet_state import FleetState
+from ..jobs.job import FINAL_STATES, JobState
+from ..platform import layout
+from ..platform.directory import VmListState, VmRole
+from ..platform.records import RecordError
+from ..platform.store import Store, scan_all
 from .vms import DrainStatus, VmRecord
 
 ASK_INTERVAL = timedelta(seconds=1)
--- a/src/pomeloyard/health_reports.py
+++ b/src/pomeloyard/fleet/health_reports.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from .clock import Clock
-from .fleet_state import FleetState
-from .peers.messages import HealthReport, VmOutcomes
-from .peers.streams import PeerNetwork
+from ..clock import Clock
+from ..fleet_state import FleetState
+from ..peers.messages import HealthReport, VmOutcomes
+from ..peers.streams import PeerNetwork
 from .repair import Observation, ObservationKind
 
 REPORT_INTERVAL = timedelta(seconds=5)
--- a/src/pomeloyard/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from .clock import Clock
-from .quarantine import WorkerHealth
+from ..clock import Clock
+from ..jobs.quarantine import WorkerHealth
+from ..jobs.scheduler import Scheduler
 from .repair import ObservationKind
-from .scheduler import Scheduler
 
 Note = Callable[[str, ObservationKind], None]
 
--- a/src/pomeloyard/lifecycle.py
+++ b/src/pomeloyard/fleet/lifecycle.py
@@ -8,12 +8,12 @@
 import anyio
 import logbook
 
+from ..errors import RefusedError, StoreError, StoreRequestError
+from ..platform.directory import Vm, VmDirectory, VmListState, VmOperation, VmRole
+from ..platform.records import ConflictError
 from . import vm_steps
 from .drains import DrainCheck, DrainVerifier
-from .errors import RefusedError, StoreError, StoreRequestError
-from .fleet_records import FleetRecords, Step
-from .platform.directory import Vm, VmDirectory, VmListState, VmOperation, VmRole
-from .platform.records import ConflictError
+from .records import FleetRecords, Step
 from .vms import Cause, DrainStatus, VmPlan, VmRecord, VmState
 
 PARALLEL_STEPS = 64
@@ -40,7 +40,7 @@
 
 NO_TASKS: dict[str, int] = {}
 
-log = logbook.Logger("pomeloyard.lifecycle")
+log = logbook.Logger("pomeloyard.fleet.lifecycle")
 
 
 class VmLifecycle:
--- a/src/pomeloyard/maintenance.py
+++ b/src/pomeloyard/fleet/maintenance.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from .fleet_records import FleetRecords
+from .records import FleetRecords
 from .wave_runner import CONTROLLER, WaveRunner
 from .waves import WaveCause, WaveKind, WaveRecord, due_pools
 
--- a/src/pomeloyard/operations.py
+++ b/src/pomeloyard/fleet/operations.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from ..config.model import ServiceConfig
+from ..decisions import Decision, DecisionKind, DecisionLog
+from ..errors import RefusedError
+from ..outcomes import RefusalReason, Refused
 from . import vm_steps
-from .config.model import ServiceConfig
-from .decisions import Decision, DecisionKind, DecisionLog
-from .errors import RefusedError
-from .fleet_records import FleetRecords
-from .outcomes import RefusalReason, Refused
+from .records import FleetRecords
 from .vm_steps import DrainOrder
 from .vms import Cause, VmPlan, VmRecord
 
--- a/src/pomeloyard/fleet_records.py
+++ b/src/pomeloyard/fleet/records.py
@@ -4,6 +4,22 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
+from ..clock import Clock
+from ..config.model import ServiceConfig
+from ..errors import RefusedError
+from ..fleet_state import FleetState
+from ..outcomes import RefusalReason, Refused
+from ..platform import layout
+from ..platform.directory import VmListState, VmRole
+from ..platform.records import (
+    Change,
+    ConflictError,
+    Versioned,
+    commit_changes,
+    decode_record,
+    read_record,
+)
+from ..platform.store import Store, scan_all
 from .budgets import (
     BudgetRecord,
     HeadroomByScope,
@@ -13,22 +29,6 @@
     with_vm,
     without_vm,
 )
-from .clock import Clock
-from .config.model import ServiceConfig
-from .errors import RefusedError
-from .fleet_state import FleetState
-from .outcomes import RefusalReason, Refused
-from .platform import layout
-from .platform.directory import VmListState, VmRole
-from .platform.records import (
-    Change,
-    ConflictError,
-    Versioned,
-    commit_changes,
-    decode_record,
-    read_record,
-)
-from .platform.store import Store, scan_all
 from .vms import Cause, VmRecord, VmState
 
 ATTEMPTS = 5
--- a/src/pomeloyard/repairs.py
+++ b/src/pomeloyard/fleet/repairs.py
@@ -4,19 +4,19 @@
 
 import logbook
 
+from ..decisions import Candidate, Decision, DecisionKind, DecisionLog
+from ..errors import RefusedError
+from ..platform.directory import VmListState
+from ..platform.records import ConflictError
 from . import vm_steps
-from .decisions import Candidate, Decision, DecisionKind, DecisionLog
-from .errors import RefusedError
-from .fleet_records import FleetRecords
 from .operations import VmOperations
-from .platform.directory import VmListState
-from .platform.records import ConflictError
+from .records import FleetRecords
 from .repair import REPAIR, HealthBook, RepairAlarm, Suspicion, plan_repairs
 from .vms import Cause, VmPlan, VmRecord, VmState
 
 CONTROLLER = "controller"
 
-log = logbook.Logger("pomeloyard.repairs")
+log = logbook.Logger("pomeloyard.fleet.repairs")
 
 
 class RepairManager:
--- a/src/pomeloyard/vm_steps.py
+++ b/src/pomeloyard/fleet/vm_steps.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
-from .errors import RefusedError
-from .outcomes import RefusalReason, Refused
-from .platform.directory import Vm, VmListState, VmOperation
+from ..errors import RefusedError
+from ..outcomes import RefusalReason, Refused
+from ..platform.directory import Vm, VmListState, VmOperation
 from .vms import Cause, DrainStatus, VmPlan, VmRecord, VmState
 
 OPERATIONS_BY_PLAN = {
--- a/src/pomeloyard/wave_runner.py
+++ b/src/pomeloyard/fleet/wave_runner.py
@@ -9,15 +9,12 @@
 
 import logbook
 
-from .budgets import BudgetRecord, used_up_by_loss
-from .decisions import Candidate, Decision, DecisionKind, DecisionLog
-from .errors import RefusedError
-from .fleet_records import FleetRecords
-from .operations import VmOperations
-from .outcomes import RefusalReason, Refused
-from .platform import layout
-from .platform.directory import VmRole
-from .platform.records import (
+from ..decisions import Candidate, Decision, DecisionKind, DecisionLog
+from ..errors import RefusedError
+from ..outcomes import RefusalReason, Refused
+from ..platform import layout
+from ..platform.directory import VmRole
+from ..platform.records import (
     Change,
     ConflictError,
     Versioned,
@@ -25,7 +22,10 @@
     decode_record,
     read_record,
 )
-from .platform.store import scan_all
+from ..platform.store import scan_all
+from .budgets import BudgetRecord, used_up_by_loss
+from .operations import VmOperations
+from .records import FleetRecords
 from .vm_steps import UNDOABLE
 from .vms import Cause, VmRecord, VmState
 from .waves import (
@@ -52,7 +52,7 @@
 
 CONTROLLER = "controller"
 
-log = logbook.Logger("pomeloyard.waves")
+log = logbook.Logger("pomeloyard.fleet.waves")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/waves.py
+++ b/src/pomeloyard/fleet/waves.py
@@ -9,10 +9,10 @@
 from datetime import datetime, timedelta
 from enum import Enum
 
+from ..errors import RefusedError
+from ..outcomes import RefusalReason, Refused
+from ..platform.directory import VmRole
 from .budgets import HeadroomByScope, Scope, blocking_scope, spend_headroom
-from .errors import RefusedError
-from .outcomes import RefusalReason, Refused
-from .platform.directory import VmRole
 from .vms import MAX_REASONS, VmPlan, VmRecord, VmState
 
 CORRELATED_FAILURES = 3
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -5,11 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from .allocation.partitions import PartitionTable
 from .config.model import FleetConfig
+from .fleet.vms import VmRecord
 from .keys import KeyRing
-from .partitions import PartitionTable
 from .platform.directory import Vm, VmList, VmListState, VmRole
-from .vms import VmRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/follower.py
+++ b/src/pomeloyard/follower.py
@@ -11,17 +11,17 @@
 import logbook
 import msgspec
 
+from .allocation.partitions import PartitionTable
 from .clock import Clock
 from .config.model import FleetConfig
 from .errors import CompactedError, StoreError
+from .fleet.vms import VmRecord
 from .fleet_state import DaemonRecord, FleetState, RoleRecord
 from .keys import KeyRing
-from .partitions import PartitionTable
 from .platform import layout
 from .platform.directory import VmDirectory
 from .platform.records import RecordError, decode_record, read_record
 from .platform.store import Entry, Page, Store, scan_all
-from .vms import VmRecord
 
 MIN_RETRY_DELAY = timedelta(seconds=0.25)
 MAX_RETRY_DELAY = timedelta(seconds=4)
--- /dev/null
+++ b/src/pomeloyard/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs from submission to result, and the scheduler role."""
--- a/src/pomeloyard/estimates.py
+++ b/src/pomeloyard/jobs/estimates.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from .capacity import Demand
-from .jobs import Job, JobRequest
+from .job import Job, JobRequest
 
 MIN_SAMPLES = 3
 """Tasks of one kind that must have ended before a smaller size is believed."""
--- a/src/pomeloyard/jobs.py
+++ b/src/pomeloyard/jobs/job.py
@@ -10,10 +10,10 @@
 from enum import Enum
 from urllib.parse import quote
 
-from .config.model import FleetConfig
-from .errors import RefusedError
-from .outcomes import RefusalReason, Refused
-from .platform import layout
+from ..config.model import FleetConfig
+from ..errors import RefusedError
+from ..outcomes import RefusalReason, Refused
+from ..platform import layout
 
 
 class JobState(Enum):
--- a/src/pomeloyard/placement.py
+++ b/src/pomeloyard/jobs/placement.py
@@ -10,8 +10,8 @@
 from enum import Enum
 
 from .capacity import CapacityIndex, Demand, Worker
-from .job_queues import JobClass, TeamQueue, class_of
-from .jobs import Job, JobReason, JobState
+from .job import Job, JobReason, JobState
+from .queues import JobClass, TeamQueue, class_of
 from .team_shares import TeamLimits, TeamShares
 
 CANDIDATES = 4
--- a/src/pomeloyard/preemptor.py
+++ b/src/pomeloyard/jobs/preemptor.py
@@ -7,11 +7,12 @@
 from datetime import timedelta
 from typing import Any
 
+from ..clock import Clock
+from ..decisions import Candidate, DecisionKind
+from ..workers.links import WorkerLinks
+from ..workers.tasks import TaskAction
 from .capacity import Demand, Worker
-from .clock import Clock
-from .decisions import Candidate, DecisionKind
-from .job_table import JobTable
-from .jobs import Job, JobDecision, JobReason, JobState
+from .job import Job, JobDecision, JobReason, JobState
 from .placement import CandidateReason, Considered, Placement, Placer, Plan
 from .preemption import (
     THROTTLED_SHARE,
@@ -21,8 +22,7 @@
     Victim,
     VictimChooser,
 )
-from .workers.links import WorkerLinks
-from .workers.tasks import TaskAction
+from .table import JobTable
 
 MAX_URGENT = 64
 """Urgent jobs of each team for which room is made at the same time."""
--- a/src/pomeloyard/job_queues.py
+++ b/src/pomeloyard/jobs/queues.py
@@ -8,7 +8,7 @@
 from datetime import datetime
 from itertools import islice
 
-from .jobs import Job, JobRequest
+from .job import Job, JobRequest
 
 JobClass = tuple[object, ...]
 MAX_CLASSES_PER_STEP = 256
--- a/src/pomeloyard/scheduler.py
+++ b/src/pomeloyard/jobs/scheduler.py
@@ -8,21 +8,21 @@
 import anyio
 import logbook
 
-from .clock import Clock
-from .decisions import DecisionLog
-from .errors import StoreError
-from .fleet_state import FleetState
-from .platform import layout
-from .platform.records import read_record
-from .platform.store import Compare, Store, scan_all
-from .scheduler_term import SchedulerTerm
-from .workers.client import WorkerClient
+from ..clock import Clock
+from ..decisions import DecisionLog
+from ..errors import StoreError
+from ..fleet_state import FleetState
+from ..platform import layout
+from ..platform.records import read_record
+from ..platform.store import Compare, Store, scan_all
+from ..workers.client import WorkerClient
+from .term import SchedulerTerm
 
 RETRY_DELAY = timedelta(seconds=0.5)
 RESTART_DELAY = timedelta(seconds=1)
 EPOCH_KEY = "epochs/scheduler"
 
-log = logbook.Logger("pomeloyard.scheduler")
+log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 class Scheduler:
--- a/src/pomeloyard/job_store.py
+++ b/src/pomeloyard/jobs/store.py
@@ -9,15 +9,25 @@
 
 import anyio
 
-from .clock import Clock
-from .config.model import FleetConfig
-from .errors import (
+from ..clock import Clock
+from ..config.model import FleetConfig
+from ..errors import (
     RefusedError,
     StoreError,
     StoreUnavailableError,
     WriteSupersededError,
 )
-from .jobs import (
+from ..outcomes import RefusalReason, Refused
+from ..platform.records import (
+    Change,
+    ConflictError,
+    Versioned,
+    commit_changes,
+    decode_record,
+    read_record,
+)
+from ..platform.store import Compare, Store, scan_all
+from .job import (
     JOB_ID_LENGTH,
     Job,
     JobReason,
@@ -30,16 +40,6 @@
     refused,
     team_prefix,
 )
-from .outcomes import RefusalReason, Refused
-from .platform.records import (
-    Change,
-    ConflictError,
-    Versioned,
-    commit_changes,
-    decode_record,
-    read_record,
-)
-from .platform.store import Compare, Store, scan_all
 
 GROUP_RECORDS = 100
 """Records in one transaction; the platform accepts 128 operations."""
--- a/src/pomeloyard/job_table.py
+++ b/src/pomeloyard/jobs/table.py
@@ -9,9 +9,9 @@
 
 import logbook
 
-from .jobs import Job, JobState
-from .platform.records import Change, RecordError, Versioned, decode_record
-from .platform.store import Entry, WatchEvent
+from ..platform.records import Change, RecordError, Versioned, decode_record
+from ..platform.store import Entry, WatchEvent
+from .job import Job, JobState
 
 RETENTION = timedelta(hours=24)
 """Time for which final records are kept; it bounds idempotency of submissions."""
@@ -21,7 +21,7 @@
 
 OnChange = Callable[[str, Job | None, Job | None], None]
 
-log = logbook.Logger("pomeloyard.jobs")
+log = logbook.Logger("pomeloyard.jobs.job")
 
 
 class JobTable:
--- a/src/pomeloyard/task_follower.py
+++ b/src/pomeloyard/jobs/task_follower.py
@@ -9,13 +9,8 @@
 
 import logbook
 
-from .clock import Clock
-from .estimates import Estimates, kind_of
-from .job_table import JobTable
-from .job_transitions import after_loss, after_report, not_started
-from .jobs import Job, JobReason, JobState
-from .quarantine import Quarantine
-from .workers.links import (
+from ..clock import Clock
+from ..workers.links import (
     LATE_START,
     RECOVERY_WAIT,
     Link,
@@ -23,7 +18,12 @@
     Track,
     WorkerLinks,
 )
-from .workers.tasks import OUT_OF_MEMORY, TaskAction, TaskReport, TaskState
+from ..workers.tasks import OUT_OF_MEMORY, TaskAction, TaskReport, TaskState
+from .estimates import Estimates, kind_of
+from .job import Job, JobReason, JobState
+from .quarantine import Quarantine
+from .table import JobTable
+from .transitions import after_loss, after_report, not_started
 
 REPORT_WAIT = timedelta(seconds=60)
 """For this long after its lease has ended, the report of a non-idempotent task
@@ -33,7 +33,7 @@
 """Allowed difference between the clocks of two daemons."""
 STOP_AGAIN = timedelta(seconds=2)
 
-log = logbook.Logger("pomeloyard.scheduler")
+log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/team_shares.py
+++ b/src/pomeloyard/jobs/team_shares.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from ..shares import weighted_max_min
 from .capacity import Demand, Worker
-from .shares import weighted_max_min
 
 SHARE_WINDOW = timedelta(seconds=10)
 """Time over which a team's work is compared with its share."""
--- a/src/pomeloyard/scheduler_term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -10,27 +10,27 @@
 import anyio
 import logbook
 
+from ..clock import Clock
+from ..decisions import Candidate, Decision, DecisionKind, DecisionLog
+from ..errors import StoreError
+from ..fleet_state import FleetState
+from ..platform.records import ConflictError, commit_changes
+from ..platform.store import Compare, Entry, Store, WatchEvent
+from ..workers.client import WorkerClient
+from ..workers.links import TASK_LEASE, Track, WorkerLinks
+from ..workers.tasks import TaskStart
 from .capacity import CapacityIndex, Demand
-from .clock import Clock
-from .decisions import Candidate, Decision, DecisionKind, DecisionLog
-from .errors import StoreError
 from .estimates import Estimates
-from .fleet_state import FleetState
-from .job_store import commit_groups
-from .job_table import JobTable
-from .job_transitions import ended, not_started
-from .jobs import Job, JobDecision, JobReason, JobState, pools_of
+from .job import Job, JobDecision, JobReason, JobState, pools_of
 from .placement import Placement, Placer, Plan
-from .platform.records import ConflictError, commit_changes
-from .platform.store import Compare, Entry, Store, WatchEvent
 from .preemptor import Preemptor
+from .store import commit_groups
+from .table import JobTable
 from .task_follower import TaskFollower
 from .team_shares import TeamLimits
+from .transitions import ended, not_started
 from .worker_drain import WorkerDrain
 from .worker_roster import WorkerRoster
-from .workers.client import WorkerClient
-from .workers.links import TASK_LEASE, Track, WorkerLinks
-from .workers.tasks import TaskStart
 
 TICK = timedelta(seconds=0.1)
 PLAN_INTERVAL = timedelta(seconds=1)
@@ -43,7 +43,7 @@
 EVER = 2**62
 """A revision above all others, for a key that was read as absent."""
 
-log = logbook.Logger("pomeloyard.scheduler")
+log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 class SchedulerTerm:
--- a/src/pomeloyard/job_transitions.py
+++ b/src/pomeloyard/jobs/transitions.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from datetime import datetime, timedelta
 
+from ..workers.tasks import OUT_OF_MEMORY, TaskReport, TaskState
 from .estimates import memory_after_kill
-from .jobs import Job, JobReason, JobState
-from .workers.tasks import OUT_OF_MEMORY, TaskReport, TaskState
+from .job import Job, JobReason, JobState
 
 FIRST_RETRY_DELAY = timedelta(seconds=1)
 MAX_RETRY_DELAY = timedelta(seconds=60)
--- a/src/pomeloyard/worker_drain.py
+++ b/src/pomeloyard/jobs/worker_drain.py
@@ -4,12 +4,12 @@
 
 from datetime import timedelta
 
-from .clock import Clock
-from .fleet_state import FleetState
-from .job_table import JobTable
-from .platform.directory import Vm
-from .workers.links import Link, WorkerLinks
-from .workers.tasks import TaskAction
+from ..clock import Clock
+from ..fleet_state import FleetState
+from ..platform.directory import Vm
+from ..workers.links import Link, WorkerLinks
+from ..workers.tasks import TaskAction
+from .table import JobTable
 
 DEFAULT_DRAIN_TIMEOUT = timedelta(seconds=60)
 CHECK_INTERVAL = timedelta(seconds=1)
--- a/src/pomeloyard/worker_roster.py
+++ b/src/pomeloyard/jobs/worker_roster.py
@@ -6,19 +6,19 @@
 
 import logbook
 
+from ..clock import Clock
+from ..fleet_state import FleetState
+from ..platform.directory import Vm, VmListState, VmRole
+from ..workers.links import RECOVERY_WAIT, WorkerLinks
 from .capacity import CapacityIndex, Demand, Worker
-from .clock import Clock
-from .fleet_state import FleetState
-from .jobs import JobReason
-from .platform.directory import Vm, VmListState, VmRole
+from .job import JobReason
 from .quarantine import Quarantine, WorkerHealth
-from .workers.links import RECOVERY_WAIT, WorkerLinks
 
 UNSTATED_MEMORY_BYTES = 2**62
 """Memory of a worker whose memory the platform's list does not state."""
 UPDATE_INTERVAL = timedelta(seconds=0.5)
 
-log = logbook.Logger("pomeloyard.scheduler")
+log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 class WorkerRoster:
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -12,7 +12,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from .admission import AdmissionController
+from .allocation.admission import AdmissionController
 from .clock import Clock
 from .decisions import Decision
 from .fleet_state import FleetState
--- a/src/pomeloyard/operators/pool_routes.py
+++ b/src/pomeloyard/operators/pool_routes.py
@@ -9,7 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ..budgets import BudgetRecord
+from ..fleet.budgets import BudgetRecord
 from ..keys import Role
 from .bodies import read_body
 from .support import OperatorContext, json_response
--- a/src/pomeloyard/operators/support.py
+++ b/src/pomeloyard/operators/support.py
@@ -12,13 +12,13 @@
 
 from ..authentication import authenticate_operator
 from ..clock import Clock
-from ..controller import Controller
 from ..decisions import DecisionLog
 from ..errors import RefusedError
 from ..explanations import Explanation
+from ..fleet.controller import Controller
 from ..fleet_state import FleetState
 from ..heartbeats import DaemonStatus
-from ..job_store import JobStore
+from ..jobs.store import JobStore
 from ..key_service import KeyService
 from ..keys import KeyRecord, Role
 from ..outcomes import RefusalReason, Refused
--- a/src/pomeloyard/operators/vm_routes.py
+++ b/src/pomeloyard/operators/vm_routes.py
@@ -7,9 +7,9 @@
 from starlette.routing import Route
 
 from ..errors import RefusedError
+from ..fleet.vms import VmRecord
 from ..keys import Role
 from ..outcomes import RefusalReason, Refused
-from ..vms import VmRecord
 from .support import OperatorContext, json_response
 
 
--- a/src/pomeloyard/operators/wave_routes.py
+++ b/src/pomeloyard/operators/wave_routes.py
@@ -9,9 +9,9 @@
 from starlette.routing import Route
 
 from ..errors import RefusedError
+from ..fleet.waves import WaveKind, WaveState
 from ..keys import Role
 from ..outcomes import RefusalReason, Refused
-from ..waves import WaveKind, WaveState
 from .bodies import read_body
 from .support import OperatorContext, json_response
 
--- a/src/pomeloyard/peers/replication.py
+++ b/src/pomeloyard/peers/replication.py
@@ -14,13 +14,13 @@
 import logbook
 import msgspec
 
+from ..allocation.partitions import PartitionTable
 from ..clock import Clock
 from ..config.model import FleetConfig
 from ..errors import StoreError
 from ..fleet_state import FleetState
 from ..follower import adopt_config, adopt_keys, adopt_partitions
 from ..keys import KeyRing
-from ..partitions import PartitionTable
 from ..platform import layout
 from ..platform.records import (
     Change,
--- /dev/null
+++ b/src/pomeloyard/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request from admission to the whole response."""
--- a/src/pomeloyard/exchanges.py
+++ b/src/pomeloyard/requests/exchanges.py
@@ -7,14 +7,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from .admission import AdmissionController, Permit
-from .clock import Clock
-from .config.model import ServiceConfig
-from .decisions import DecisionLog
-from .endpoints.client import EndpointClient, EndpointResponse, Progress
-from .errors import OutcomeUnknownError, RefusedError
-from .fleet_state import FleetState
-from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
+from ..allocation.admission import AdmissionController, Permit
+from ..clock import Clock
+from ..config.model import ServiceConfig
+from ..decisions import DecisionLog
+from ..endpoints.client import EndpointClient, EndpointResponse, Progress
+from ..errors import OutcomeUnknownError, RefusedError
+from ..fleet_state import FleetState
+from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 from .routing import ExecutorRouter
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
--- a/src/pomeloyard/keyed_requests.py
+++ b/src/pomeloyard/requests/keyed.py
@@ -9,16 +9,21 @@
 
 import anyio
 
-from .claim_service import ClaimService, ClaimTicket, EarlierAttempt
-from .claims import CLAIM_WINDOW, RETRY_AFTER, fingerprint_request, hash_claim_key
-from .clock import Clock
-from .endpoints.client import Progress
-from .errors import OutcomeUnknownError, RefusedError
+from ..claims.service import ClaimService, ClaimTicket, EarlierAttempt
+from ..claims.table import (
+    CLAIM_WINDOW,
+    RETRY_AFTER,
+    fingerprint_request,
+    hash_claim_key,
+)
+from ..clock import Clock
+from ..endpoints.client import Progress
+from ..errors import OutcomeUnknownError, RefusedError
+from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
+from ..peers.calls import PeerCalls
+from ..peers.messages import ResultReply, ResultRequest
+from ..peers.streams import PeerNetwork
 from .exchanges import ServiceRequest
-from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
-from .peers.calls import PeerCalls
-from .peers.messages import ResultReply, ResultRequest
-from .peers.streams import PeerNetwork
 from .results import MAX_RESPONSE_BYTES, ResultState, ResultTable, StoredResponse
 
 RESULT_TIMEOUT = timedelta(seconds=1)
--- a/src/pomeloyard/results.py
+++ b/src/pomeloyard/requests/results.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from enum import Enum
 
-from .claims import CLAIM_WINDOW
-from .clock import Clock
+from ..claims.table import CLAIM_WINDOW
+from ..clock import Clock
 
 RESULT_WINDOW = CLAIM_WINDOW + timedelta(minutes=2)
 """Longer than a claim is held, so that a claim's runner always knows its state."""
--- a/src/pomeloyard/routing.py
+++ b/src/pomeloyard/requests/routing.py
@@ -7,8 +7,8 @@
 from datetime import timedelta
 from enum import Enum
 
-from .clock import Clock
-from .decisions import Candidate, Decision, DecisionKind
+from ..clock import Clock
+from ..decisions import Candidate, Decision, DecisionKind
 
 FAILURES_TO_EJECT = 3
 """Failures in a row after which an executor is ejected."""
--- a/src/pomeloyard/requests.py
+++ b/src/pomeloyard/requests/service.py
@@ -11,16 +11,16 @@
 
 import anyio
 
-from .claims import CLAIM_WINDOW
-from .clock import Clock
-from .config.model import ServiceConfig
-from .endpoints.client import Progress
-from .errors import OutcomeUnknownError, RefusedError
+from ..claims.table import CLAIM_WINDOW
+from ..clock import Clock
+from ..config.model import ServiceConfig
+from ..endpoints.client import Progress
+from ..errors import OutcomeUnknownError, RefusedError
+from ..fleet_state import FleetState
+from ..outcomes import RefusalReason, Refused
+from ..platform.directory import VmRole
 from .exchanges import Exchange, ExchangeSender, ServiceRequest
-from .fleet_state import FleetState
-from .keyed_requests import Answer, KeyedRequests
-from .outcomes import RefusalReason, Refused
-from .platform.directory import VmRole
+from .keyed import Answer, KeyedRequests
 from .routing import RetryBudget
 
 __all__ = ["Answer", "RequestService", "ServiceRequest"]
--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -7,14 +7,14 @@
 import random
 from datetime import timedelta
 
-from pomeloyard.claim_service import ClaimService, ClaimTicket
+from pomeloyard.allocation.partitions import PartitionTable, new_table
+from pomeloyard.claims.service import ClaimService, ClaimTicket
 from pomeloyard.errors import (
     RefusedError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from pomeloyard.fleet_state import DaemonRecord, FleetState
-from pomeloyard.partitions import PartitionTable, new_table
 from pomeloyard.peers.calls import PeerCalls, _Pending
 from pomeloyard.peers.messages import ClaimOutage
 from pomeloyard.platform import layout
--- a/tests/support/fake_workers.py
+++ b/tests/support/fake_workers.py
@@ -15,7 +15,8 @@
 from pomeloyard.config.model import FleetConfig, PoolConfig, TeamConfig
 from pomeloyard.decisions import DecisionLog
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.jobs import Job, JobRequest, job_id_of
+from pomeloyard.jobs.job import Job, JobRequest, job_id_of
+from pomeloyard.jobs.scheduler import EPOCH_KEY, Scheduler
 from pomeloyard.outcomes import Done, RefusalReason, Refused, Unknown, UnknownReason
 from pomeloyard.platform.directory import Vm, VmList, VmRole
 from pomeloyard.platform.records import (
@@ -25,7 +26,6 @@
     read_record,
 )
 from pomeloyard.platform.store import scan_all
-from pomeloyard.scheduler import EPOCH_KEY, Scheduler
 from pomeloyard.workers.client import WorkerClient
 from pomeloyard.workers.tasks import (
     OUT_OF_MEMORY,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,7 +9,6 @@
 
 import anyio
 
-from pomeloyard.budgets import BudgetRecord, SpendingKind
 from pomeloyard.clock import ManualClock
 from pomeloyard.config.model import (
     BudgetConfig,
@@ -18,19 +17,20 @@
     PoolConfig,
     ServiceConfig,
 )
-from pomeloyard.controller import Controller
 from pomeloyard.decisions import DecisionLog
-from pomeloyard.drains import TaskCounts
 from pomeloyard.errors import (
     RefusedError,
     StoreError,
 )
+from pomeloyard.fleet.budgets import BudgetRecord, SpendingKind
+from pomeloyard.fleet.controller import Controller
+from pomeloyard.fleet.drains import TaskCounts
+from pomeloyard.fleet.vms import VmRecord, VmState
 from pomeloyard.fleet_state import DaemonRecord, FleetState
 from pomeloyard.platform import layout
 from pomeloyard.platform.directory import Vm, VmRole
 from pomeloyard.platform.records import ConflictError, decode_record
 from pomeloyard.platform.store import scan_all
-from pomeloyard.vms import VmRecord, VmState
 
 from .fleet_faults import FaultyDirectory, FaultyStore, killed
 
--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -9,9 +9,10 @@
 import httpcore
 from starlette.applications import Starlette
 
-from pomeloyard.admission import AdmissionController
+from pomeloyard.allocation.admission import AdmissionController
+from pomeloyard.allocation.partitions import PartitionTable, new_table
 from pomeloyard.callers.service_routes import service_routes
-from pomeloyard.claim_service import ClaimService
+from pomeloyard.claims.service import ClaimService
 from pomeloyard.clock import SystemClock
 from pomeloyard.config.model import (
     BudgetConfig,
@@ -21,11 +22,8 @@
 )
 from pomeloyard.decisions import DecisionLog
 from pomeloyard.endpoints.client import EndpointClient
-from pomeloyard.exchanges import ExchangeSender
 from pomeloyard.fleet_state import DaemonRecord, FleetState
-from pomeloyard.keyed_requests import KeyedRequests
 from pomeloyard.keys import KeyRing, new_key
-from pomeloyard.partitions import PartitionTable, new_table
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.messages import Hello
 from pomeloyard.peers.streams import PeerNetwork
@@ -34,9 +32,11 @@
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.platform.records import Change, commit_changes, read_record
 from pomeloyard.problems import EXCEPTION_HANDLERS
-from pomeloyard.requests import RequestService
-from pomeloyard.results import ResultTable
-from pomeloyard.routing import ExecutorRouter
+from pomeloyard.requests.exchanges import ExchangeSender
+from pomeloyard.requests.keyed import KeyedRequests
+from pomeloyard.requests.results import ResultTable
+from pomeloyard.requests.routing import ExecutorRouter
+from pomeloyard.requests.service import RequestService
 from pomeloyard.serving import serving
 
 from .processes import free_port
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,7 +9,7 @@
 import pytest
 
 from measurements.support.virtual_time import LoopClock, run_virtual
-from pomeloyard.admission import AdmissionController
+from pomeloyard.allocation.admission import AdmissionController
 from pomeloyard.outcomes import Done, RefusalReason, Refused
 
 SLOTS = 4
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pomeloyard.forecasts import (
+from pomeloyard.fleet.forecasts import (
     LendReason,
     PoolDemand,
     PoolForecast,
@@ -14,8 +14,8 @@
     plan_lending,
     wanted_vms,
 )
+from pomeloyard.fleet.vms import VmRecord
 from pomeloyard.platform import layout
-from pomeloyard.vms import VmRecord
 
 from .support.fleet import Fleet, make_config, make_vms, run
 
--- a/tests/test_claim_model.py
+++ b/tests/test_claim_model.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from pomeloyard.claims import CLAIM_WINDOW
+from pomeloyard.claims.table import CLAIM_WINDOW
 from pomeloyard.clock import ManualClock
 
 from .support.claim_fleet import ClaimFleet
--- a/tests/test_drain_notices.py
+++ b/tests/test_drain_notices.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from pomeloyard.drain_notices import DrainNotices
+from pomeloyard.fleet.drain_notices import DrainNotices
+from pomeloyard.fleet.vms import VmRecord, VmState
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.messages import DrainNotice, RunningQuery, RunningReply
 from pomeloyard.platform.directory import Vm, VmList, VmRole
-from pomeloyard.vms import VmRecord, VmState
 
 from .support.fleet import run
 from .support.network import Network
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -9,16 +9,16 @@
 import pytest
 
 from measurements.support.virtual_time import run_virtual
+from pomeloyard.allocation.decisions import MembershipDecisions, MembershipReason
+from pomeloyard.allocation.partitions import new_table
 from pomeloyard.clock import ManualClock
 from pomeloyard.decisions import Decision, DecisionKind, DecisionLog
 from pomeloyard.explanations import ANSWER_TIMEOUT, MAX_RECORDS, Explanations
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.membership_decisions import MembershipDecisions, MembershipReason
-from pomeloyard.partitions import new_table
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.codec import MAX_FRAME_BYTES, encode_frame
 from pomeloyard.peers.messages import ExplainReply, ExplainRequest
-from pomeloyard.routing import RouteReason
+from pomeloyard.requests.routing import RouteReason
 
 from .support.network import Network
 
--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -11,7 +11,7 @@
 from pomeloyard.cli.main import cli
 from pomeloyard.decisions import DecisionLog
 from pomeloyard.explanations import Explanation
-from pomeloyard.job_store import JobStore
+from pomeloyard.jobs.store import JobStore
 from pomeloyard.keys import hash_key
 from pomeloyard.operators.app import operator_app
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -9,9 +9,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pomeloyard.errors import PomeloyardError
+from pomeloyard.fleet.vms import VmPlan, VmRecord, VmState
+from pomeloyard.fleet.waves import WaveKind, WaveRecord, WaveState
 from pomeloyard.platform import layout
-from pomeloyard.vms import VmPlan, VmRecord, VmState
-from pomeloyard.waves import WaveKind, WaveRecord, WaveState
 
 from .support.fleet import Fleet, make_config, make_vms
 from .support.fleet_faults import killed
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,19 +10,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pomeloyard.allocation.partitions import new_table
 from pomeloyard.clock import ManualClock
 from pomeloyard.config.model import FleetConfig
+from pomeloyard.fleet.vms import VmRecord
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.follower import MAX_RETRY_DELAY, FleetFollower
 from pomeloyard.keys import KeyRing
-from pomeloyard.partitions import new_table
 from pomeloyard.platform import layout
 from pomeloyard.platform.directory import Vm, VmList, VmRole
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.platform.records import Change, commit_changes, read_record
 from pomeloyard.platform.store import Put, Transaction, WatchBatch, scan_all
 from pomeloyard.standins.platform import MemoryVmDirectory
-from pomeloyard.vms import VmRecord
 
 from .support.faulty_store import FaultyStore
 
--- a/tests/test_health_sources.py
+++ b/tests/test_health_sources.py
@@ -8,9 +8,9 @@
 import pytest
 
 from pomeloyard.clock import ManualClock
-from pomeloyard.health_sources import WorkerObserver, note_executor
-from pomeloyard.quarantine import WorkerHealth
-from pomeloyard.repair import ObservationKind
+from pomeloyard.fleet.health_sources import WorkerObserver, note_executor
+from pomeloyard.fleet.repair import ObservationKind
+from pomeloyard.jobs.quarantine import WorkerHealth
 
 
 @pytest.mark.parametrize(
--- a/tests/test_job_interface.py
+++ b/tests/test_job_interface.py
@@ -14,7 +14,7 @@
 from pomeloyard.clock import SystemClock
 from pomeloyard.config.model import FleetConfig, TeamConfig
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.job_store import JobStore
+from pomeloyard.jobs.store import JobStore
 from pomeloyard.keys import KeyRing, new_key
 from pomeloyard.platform.memory import MemoryStore
 from pomeloyard.problems import EXCEPTION_HANDLERS
--- a/tests/test_job_model.py
+++ b/tests/test_job_model.py
@@ -4,8 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pomeloyard.job_store import JobStore
-from pomeloyard.jobs import JobRequest, JobState
+from pomeloyard.jobs.job import JobRequest, JobState
+from pomeloyard.jobs.store import JobStore
 from tests.support.fake_workers import GIB, Bench
 
 LIMITS = {"mill": 4, "desk": 3}
--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -7,8 +7,8 @@
 from pomeloyard.clock import ManualClock
 from pomeloyard.config.model import FleetConfig, QueueConfig, TeamConfig
 from pomeloyard.errors import RefusedError
-from pomeloyard.job_store import JobStore
-from pomeloyard.jobs import JobRequest, JobState
+from pomeloyard.jobs.job import JobRequest, JobState
+from pomeloyard.jobs.store import JobStore
 from pomeloyard.outcomes import RefusalReason
 from tests.support.job_fakes import FaultyStore, with_clock
 
--- a/tests/test_loans_model.py
+++ b/tests/test_loans_model.py
@@ -16,8 +16,8 @@
     rule,
 )
 
-from pomeloyard.loans import SLOTS, LoanBook, Resource
-from pomeloyard.partitions import new_table
+from pomeloyard.allocation.loans import SLOTS, LoanBook, Resource
+from pomeloyard.allocation.partitions import new_table
 from pomeloyard.peers.messages import (
     LoanGrant,
     LoanKept,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,12 +11,12 @@
 from measurements.support.daemons import CapacityNode
 from measurements.support.deployments import LILIM, executors_of, fleet_config
 from measurements.support.virtual_time import LoopClock, run_virtual
+from pomeloyard.allocation.loans import LIMIT, SLOTS, Resource
+from pomeloyard.allocation.membership import Membership
+from pomeloyard.allocation.partitions import PartitionTable
 from pomeloyard.fleet_state import DaemonRecord
 from pomeloyard.follower import FleetFollower
-from pomeloyard.loans import LIMIT, SLOTS, Resource
-from pomeloyard.membership import Membership
 from pomeloyard.outcomes import Done
-from pomeloyard.partitions import PartitionTable
 from pomeloyard.platform import layout
 from pomeloyard.platform.directory import Vm, VmListState, VmRole
 from pomeloyard.platform.memory import MemoryStore
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,13 +7,13 @@
 import anyio
 import pytest
 
-from pomeloyard.capacity import CapacityIndex, Demand, Worker
-from pomeloyard.estimates import MAX_FACTOR, Estimates
-from pomeloyard.jobs import Job, JobReason, JobRequest, JobState, job_id_of
-from pomeloyard.placement import Placer
-from pomeloyard.preemption import Mildness, RunningTask, VictimChooser
-from pomeloyard.quarantine import Quarantine, WorkerHealth
-from pomeloyard.team_shares import TeamLimits
+from pomeloyard.jobs.capacity import CapacityIndex, Demand, Worker
+from pomeloyard.jobs.estimates import MAX_FACTOR, Estimates
+from pomeloyard.jobs.job import Job, JobReason, JobRequest, JobState, job_id_of
+from pomeloyard.jobs.placement import Placer
+from pomeloyard.jobs.preemption import Mildness, RunningTask, VictimChooser
+from pomeloyard.jobs.quarantine import Quarantine, WorkerHealth
+from pomeloyard.jobs.team_shares import TeamLimits
 from tests.support.fake_workers import GIB, Bench
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -6,12 +6,12 @@
 
 import pytest
 
+from pomeloyard.fleet.health_reports import HealthReports
+from pomeloyard.fleet.repair import Observation, ObservationKind
+from pomeloyard.fleet.vms import Cause, VmRecord, VmState
 from pomeloyard.fleet_state import FleetState, RoleRecord
-from pomeloyard.health_reports import HealthReports
 from pomeloyard.platform import layout
 from pomeloyard.platform.directory import VmOperation
-from pomeloyard.repair import Observation, ObservationKind
-from pomeloyard.vms import Cause, VmRecord, VmState
 
 from .support.fleet import Fleet, make_config, make_vms, run
 from .support.network import Network
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -11,12 +11,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pomeloyard.allocation.partitions import new_table
 from pomeloyard.clock import ManualClock
 from pomeloyard.config.model import FleetConfig
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.follower import adopt_config
 from pomeloyard.keys import KeyRecord, KeyRing, find_key, new_key
-from pomeloyard.partitions import new_table
 from pomeloyard.peers.messages import (
     ConfigReply,
     Heartbeat,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from pomeloyard.claim_segments import SegmentIndex, decode_segment
-from pomeloyard.claims import CLAIM_WINDOW, Claim, ClaimTable
+from pomeloyard.claims.segments import SegmentIndex, decode_segment
+from pomeloyard.claims.table import CLAIM_WINDOW, Claim, ClaimTable
 from pomeloyard.clock import ManualClock
 from pomeloyard.platform.store import Entry
-from pomeloyard.results import ResultState, ResultTable, StoredResponse
-from pomeloyard.routing import (
+from pomeloyard.requests.results import ResultState, ResultTable, StoredResponse
+from pomeloyard.requests.routing import (
     FAILURES_TO_EJECT,
     FIRST_EJECTION,
     ExecutorRouter,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,10 +6,10 @@
 import anyio
 import pytest
 
-from pomeloyard.job_store import JobStore
-from pomeloyard.jobs import JobReason, JobRequest, JobState
+from pomeloyard.fleet.vms import VmRecord, VmState
+from pomeloyard.jobs.job import JobReason, JobRequest, JobState
+from pomeloyard.jobs.store import JobStore
 from pomeloyard.platform.directory import VmRole
-from pomeloyard.vms import VmRecord, VmState
 from pomeloyard.workers.tasks import TaskState
 from tests.support.fake_workers import GIB, Bench
 from tests.support.job_fakes import advance
--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -7,10 +7,10 @@
 import pytest
 
 from pomeloyard.errors import RefusedError, StoreError
+from pomeloyard.fleet.vms import Cause, VmPlan, VmState
 from pomeloyard.outcomes import RefusalReason
 from pomeloyard.platform.directory import VmOperation
 from pomeloyard.platform.records import ConflictError
-from pomeloyard.vms import Cause, VmPlan, VmState
 
 from .support.fleet import DAEMONS, Fleet, make_config, make_vms, run
 from .support.fleet_faults import killed
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -7,12 +7,8 @@
 import pytest
 
 from pomeloyard.errors import RefusedError
-from pomeloyard.outcomes import RefusalReason
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import VmRole
-from pomeloyard.platform.records import ConflictError
-from pomeloyard.vms import VmRecord, VmState
-from pomeloyard.waves import (
+from pomeloyard.fleet.vms import VmRecord, VmState
+from pomeloyard.fleet.waves import (
     PoolHeadroom,
     WaveCause,
     WaveKind,
@@ -20,6 +16,10 @@
     WaveState,
     plan_drains,
 )
+from pomeloyard.outcomes import RefusalReason
+from pomeloyard.platform import layout
+from pomeloyard.platform.directory import VmRole
+from pomeloyard.platform.records import ConflictError
 
 from .support.fleet import Fleet, make_config, make_vms, run
 
