Write withdrawals to the store in one place only

Cause: KeyService and Replication both wrote withdrawals after an outage, with two implementations of the same compare-and-swap loop.

Change: Replication only passes withdrawals on; KeyService, which also records the decision and the time, writes them.

Conclusion: one writer less to keep in step.

--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -111,7 +111,7 @@
         self.peers.seeds.update(settings.peers)
         self.calls = PeerCalls(self.peers)
         self.replication = Replication(
-            clock, self.state, self.peers, store, self.follower.changed
+            clock, self.state, self.peers, self.follower.changed
         )
         self.router = ExecutorRouter(
             clock,
@@ -248,7 +248,6 @@
         await self.peers.start(tasks)
         tasks.start_soon(self.follower.run)
         tasks.start_soon(self.follower.run_vm_list)
-        tasks.start_soon(self.replication.run)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.capacity.run)
         tasks.start_soon(self.capacity.run_repeats)
--- a/src/pomeloyard/peers/replication.py
+++ b/src/pomeloyard/peers/replication.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -17,18 +16,9 @@
 from ..allocation.partitions import PartitionTable
 from ..clock import Clock
 from ..config.model import FleetConfig
-from ..errors import StoreError
 from ..fleet_state import FleetState
 from ..follower import adopt_config, adopt_keys, adopt_partitions
 from ..keys import KeyRing
-from ..platform import layout
-from ..platform.records import (
-    Change,
-    ConflictError,
-    commit_changes,
-    read_record,
-)
-from ..platform.store import Store
 from .messages import (
     ConfigReply,
     ConfigRequest,
@@ -48,8 +38,6 @@
 ASK_INTERVAL = timedelta(seconds=2)
 """Time between two questions for the same record, as an answer may be lost."""
 
-STORE_INTERVAL = timedelta(seconds=1)
-
 log = logbook.Logger("pomeloyard.peers.replication")
 
 
@@ -61,13 +49,11 @@
         clock: Clock,
         state: FleetState,
         network: PeerNetwork,
-        store: Store,
         changed: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._state = state
         self._network = network
-        self._store = store
         self._changed = changed
         self._behind_since_by_kind: dict[type, timedelta] = {}
         self._asked_at_by_kind: dict[type, timedelta] = {}
@@ -81,16 +67,6 @@
         network.on(PartitionsReply, self._on_partitions_reply)
         network.on_connect.append(self._on_connect)
 
-    async def run(self) -> None:
-        """Write withdrawals to the store that it does not have yet."""
-        while True:
-            await self._clock.sleep(STORE_INTERVAL * random.uniform(0.5, 1.5))
-            if self._state.store_reachable and self.unstored_withdrawals():
-                try:
-                    await self._store_withdrawals()
-                except (StoreError, ConflictError) as error:
-                    log.debug("withdrawals not stored: {}", error)
-
     def withdraw_key(self, key_id: str) -> None:
         """Make a key invalid here and at all reachable daemons immediately."""
         if key_id in self._state.withdrawn_key_ids:
@@ -109,18 +85,6 @@
             if key_id not in keys or not keys[key_id].withdrawn
         )
 
-    async def _store_withdrawals(self) -> None:
-        current = await read_record(self._store, layout.KEYS, KeyRing)
-        if current is None:
-            return
-        ring = current.value
-        for key_id in self.unstored_withdrawals():
-            record = ring.keys_by_id.get(key_id)
-            if record is not None and not record.withdrawn:
-                ring = ring.without_key(key_id)
-        if ring is not current.value:
-            await commit_changes(self._store, [Change(layout.KEYS, ring, current)])
-
     def _on_connect(self, incarnation: str) -> None:
         for key_id in self.unstored_withdrawals():
             self._network.send(incarnation, KeyWithdrawn(key_id))
