Stop admitting on an unlisted VM before others can take it as gone

Cause: a daemon whose VM was never in the platform's list counts as gone after 60 s without a registration; one that was alone cut off from the store kept admitting, so that its units could be used twice.

Change: on such a VM a daemon stops admitting 45 s after its last renewal. Daemons on listed VMs are not affected, and go on in an outage of any length.

Figures: in virtual time the cut-off daemon stops after less than 60 s, and the other uses its units no earlier than the request timeout of 10 s after that.

Conclusion: the rule that silence confirms nothing now has no exception that the silent side does not know of, up to a pause between the check and the start.

--- a/src/pomeloyard/allocation/membership.py
+++ b/src/pomeloyard/allocation/membership.py
@@ -30,6 +30,10 @@
 which a member's VM is taken as gone. The list lags, so that a young VM may be
 missing from it, but a member that runs and is not listed is registered."""
 
+UNLISTED_GRACE = timedelta(seconds=45)
+"""Time without a renewed registration after which a daemon whose VM was never
+listed stops admitting: less than ABSENCE, after which others take it as gone."""
+
 TableChange = Callable[[PartitionTable], PartitionTable | None]
 
 log = logbook.Logger("pomeloyard.allocation.membership")
@@ -60,6 +64,7 @@
         self._resources = resources
         self._lease = 0
         self._renew_at = timedelta(0)
+        self._registered_at: timedelta | None = None
         self._gone_since: dict[str, timedelta] = {}
         self._listed_vms: set[str] = set()
         self._absent_since: dict[str, timedelta] = {}
@@ -79,6 +84,19 @@
                 log.debug("membership: {}", error)
             await self._clock.sleep(INTERVAL * random.uniform(0.6, 1.4))
 
+    def may_admit(self) -> bool:
+        """Tell whether no other daemon can have taken this one as gone by absence.
+
+        A listed VM is gone only when the list says so. A daemon on a VM that was
+        never listed depends on its registration instead.
+        """
+        name = vm_of(self._me)
+        if name in self._listed_vms or name in self._state.vm_list.vms_by_name:
+            return True
+        if self._registered_at is None:
+            return False
+        return self._clock.monotonic() - self._registered_at < UNLISTED_GRACE
+
     def holder_of(self, partition: int) -> str:
         """Return the incarnation that holds a partition, or an empty string."""
         table = self._state.partitions
@@ -137,6 +155,7 @@
         if self._lease:
             try:
                 await self._store.keep_lease_alive(self._lease)
+                self._registered_at = now
                 self._renew_at = now + RENEW_INTERVAL
                 return
             except LeaseLostError:
@@ -147,6 +166,7 @@
         change = Change(key, self._record, earlier, lease=lease)
         await commit_changes(self._store, [change])
         self._lease = lease
+        self._registered_at = now
         self._renew_at = now + RENEW_INTERVAL
 
     # Partition table
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -140,7 +140,7 @@
         )
         self.admission = AdmissionController(
             self.clock,
-            lambda vm: self.capacity.slots(vm),
+            lambda vm: self.capacity.slots(vm) if self.membership.may_admit() else 0,
             lambda team: self.capacity.units(team),
             self._executors,
             self._weight,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,6 +14,7 @@
 from pomeloyard.allocation.loans import LIMIT, SLOTS, Resource
 from pomeloyard.allocation.membership import Membership
 from pomeloyard.allocation.partitions import PartitionTable
+from pomeloyard.errors import StoreUnavailableError
 from pomeloyard.fleet_state import DaemonRecord
 from pomeloyard.follower import FleetFollower
 from pomeloyard.outcomes import Done
@@ -28,6 +29,19 @@
 REQUEST_TIMEOUT = 10
 
 
+class DownStore:
+    """Store that one daemon cannot reach."""
+
+    def __init__(self, store):
+        self.calls = store.calls
+
+    def __getattr__(self, name):
+        async def unavailable(*arguments, **options):
+            raise StoreUnavailableError(name)
+
+        return unavailable
+
+
 class Member:
     """One daemon's membership, capacity service and follower."""
 
@@ -210,3 +224,28 @@
         assert sum(c.book.usable(Resource(LIMIT, "t1")) for c in others) == 0
 
     in_virtual_time(check)
+
+
+def test_unlisted_daemon_stops_admitting_before_others_take_it_as_gone():
+    """Guards against a unit used twice: here cut off from the store, there free."""
+
+    async def check(fleet):
+        members = [fleet.start(f"entry-{n}") for n in (1, 2)]
+        for name in ("entry-1", "entry-2"):
+            fleet.directory.remove(name)
+        await anyio.sleep(10)
+        cut_off, other = members
+        assert cut_off.membership.may_admit()
+        cut_off.membership._store = DownStore(fleet.store)
+        lost_at = anyio.current_time()
+        while cut_off.membership.may_admit():
+            await anyio.sleep(1)
+            assert anyio.current_time() < lost_at + 60
+            assert fleet.usable(Resource(LIMIT, "t1")) == LIMIT_OF_T1
+        stopped_at = anyio.current_time()
+        while other.node.capacity.book.usable(Resource(LIMIT, "t1")) < LIMIT_OF_T1:
+            await anyio.sleep(1)
+        # Its last request was admitted before it stopped, and has ended.
+        assert anyio.current_time() >= stopped_at + REQUEST_TIMEOUT
+
+    in_virtual_time(check)
