--- a/src/pomeloyard/callers/service_routes.py
+++ b/src/pomeloyard/callers/service_routes.py
@@ -67,7 +67,9 @@
 def _content_length(request: Request) -> int | None:
     text = request.headers.get("content-length")
     if text is not None:
-        return int(text)  # h11 has checked it
+        if not (text.isascii() and text.isdigit()):
+            raise RefusedError(Refused(RefusalReason.INVALID_INPUT, "Content-Length"))
+        return int(text)
     return None if "transfer-encoding" in request.headers else 0
 
 
