Kill three daemons and run a wave in the whole-system test

Change: entry-5 to entry-7 are killed two seconds apart after the outage, a reboot wave of the cutting pool starts beside the drain; at the end the wave must have reached VMs and every budget must have what it needs.

--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -38,7 +38,7 @@
 FAULTY_EXECUTOR = "cutting-e3"
 FAULTY_DAEMON = "entry-3"
 PAUSED_DAEMON = "entry-4"
-KILLED_DAEMON = "entry-5"
+KILLED_DAEMONS = ("entry-5", "entry-6", "entry-7")
 LATE_DAEMON = "entry-10"
 
 WITHDRAWN_EVERYWHERE_SECONDS = 5.0
@@ -213,6 +213,8 @@
 
     operator.client.call("POST", "/v1/vms/orders-e1/drain")
     drained_at = time.monotonic()
+    wave = {"scope": "pool/cutting", "kind": "reboot"}
+    wave_id = operator.client.call("POST", "/v1/waves", wave)["wave"]["wave_id"]
     time.sleep(2.0)
 
     operator.client.call("DELETE", f"/v1/keys/{spare_id}")
@@ -247,11 +249,20 @@
     fleet.processes[PAUSED_DAEMON].resume()
     time.sleep(1.0)
 
-    fleet.processes[KILLED_DAEMON].kill()
-    mark_gone(fleet, KILLED_DAEMON)
-    time.sleep(6.0)
+    for name in KILLED_DAEMONS:
+        fleet.processes[name].kill()
+        mark_gone(fleet, name)
+        time.sleep(2.0)
     load.finish()
 
+    status_of_wave = operator.client.call("GET", f"/v1/waves/{wave_id}")
+    print("wave:", status_of_wave["wave"]["state"], status_of_wave["vms_by_progress"])
+    progress = status_of_wave["vms_by_progress"]
+    assert progress["in_progress"] + progress["done"] > 0
+    for budget in operator.client.call("GET", "/v1/budgets"):
+        for scope in budget["scopes"]:
+            assert scope["available"] >= scope["needed"], budget
+
     executors, workers = (
         read_audits(fleet.direct_address(vm) for vm in fleet.vms if vm.role is role)
         for role in (VmRole.EXECUTOR, VmRole.WORKER)
@@ -266,7 +277,7 @@
     # Most requests are within every limit, also during the faults.
     assert outcomes[DONE] > 0.8 * len(load.sent)
 
-    live = {*DAEMONS, LATE_DAEMON} - {KILLED_DAEMON}
+    live = {*DAEMONS, LATE_DAEMON} - {*KILLED_DAEMONS}
     for key in keys.values():
         wait_until(AllAnswer(fleet, live, key, 200), 20.0)
     assert AllAnswer(fleet, live, spare_key, 401)()
