--- a/measurements/buffers.py
+++ b/measurements/buffers.py
@@ -16,7 +16,7 @@
 
 from pomeloyard.fleet.forecasts import idle_cost
 from pomeloyard.fleet.vms import VmState
-from pomeloyard.platform.directory import VmOperation, VmRole
+from pomeloyard.vm_platform.directory import VmOperation, VmRole
 from tests.support.fleet import Fleet, make_vms
 
 from .figures import Figure, at_most
--- a/measurements/control_links.py
+++ b/measurements/control_links.py
@@ -9,13 +9,13 @@
 
 from pomeloyard.clock import SystemClock
 from pomeloyard.daemon import Daemon
-from pomeloyard.platform.etcd import EtcdStore
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.vm_service import HttpVmDirectory
+from pomeloyard.keyvalue.etcd import EtcdStore
+from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.serving import serving
 from pomeloyard.settings import DaemonSettings
 from pomeloyard.standins.platform import PlatformState, platform_app
 from pomeloyard.standins.vm_directory import MemoryVmDirectory
+from pomeloyard.vm_platform.vm_service import HttpVmDirectory
 from tests.support.processes import free_port
 
 from .figures import Figure, at_most
--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -22,8 +22,8 @@
 from pomeloyard.fleet.budgets import Scope
 from pomeloyard.fleet.vms import VmRecord
 from pomeloyard.fleet.waves import WaveKind, WaveRecord, WaveState
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmRole
+from pomeloyard.keyvalue import layout
+from pomeloyard.vm_platform.directory import Vm, VmRole
 from tests.support.fleet import Fleet, make_config, make_vms
 
 from .figures import Figure, at_most
--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -25,12 +25,12 @@
 from pomeloyard.clock import ManualClock, SystemClock
 from pomeloyard.errors import StoreUnavailableError
 from pomeloyard.fleet_state import FleetState
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import Change, commit_changes
+from pomeloyard.keyvalue.store import Put
 from pomeloyard.peers.messages import Hello
 from pomeloyard.peers.streams import PeerNetwork
-from pomeloyard.platform import layout
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import Change, commit_changes
-from pomeloyard.platform.store import Put
 from pomeloyard.serving import serving
 from pomeloyard.standins.endpoint import EndpointState, endpoint_app
 from tests.support.request_path import request_path
--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -18,7 +18,7 @@
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.peers.codec import encode_frame
 from pomeloyard.peers.messages import Hello, Message
-from pomeloyard.platform.directory import Vm, VmList
+from pomeloyard.vm_platform.directory import Vm, VmList
 
 
 @dataclass
--- a/measurements/support/deployments.py
+++ b/measurements/support/deployments.py
@@ -12,7 +12,7 @@
     ServiceConfig,
     TeamConfig,
 )
-from pomeloyard.platform.directory import Vm, VmRole
+from pomeloyard.vm_platform.directory import Vm, VmRole
 
 
 @dataclass(frozen=True, slots=True)
--- a/measurements/support/slopes_fleet.py
+++ b/measurements/support/slopes_fleet.py
@@ -33,7 +33,7 @@
 from pomeloyard.fleet.waves import WaveKind
 from pomeloyard.jobs.job import JobRequest
 from pomeloyard.jobs.store import JobStore
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.serving import serving
 from pomeloyard.standins.platform import PlatformState, platform_app
 from pomeloyard.standins.vm_directory import MemoryVmDirectory
--- a/measurements/support/slopes_state.py
+++ b/measurements/support/slopes_state.py
@@ -13,14 +13,14 @@
 from pomeloyard.clock import ManualClock
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.follower import CHECK_INTERVAL, FleetFollower
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.store import WatchEvent
 from pomeloyard.peers.codec import encode_frame
 from pomeloyard.peers.messages import Heartbeat
 from pomeloyard.peers.streams import HEARTBEAT_INTERVAL
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import VmList
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.store import WatchEvent
 from pomeloyard.standins.vm_directory import MemoryVmDirectory
+from pomeloyard.vm_platform.directory import VmList
 
 from . import target_fleet as target
 from .lines import (
--- a/measurements/support/target_fleet.py
+++ b/measurements/support/target_fleet.py
@@ -16,11 +16,11 @@
 from pomeloyard.fleet.vms import MAX_REASONS, Cause, VmRecord, VmState
 from pomeloyard.fleet_state import DaemonRecord, RoleRecord
 from pomeloyard.keys import KeyRing, new_key
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmList, VmRole
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import Change, commit_changes
-from pomeloyard.platform.store import Store
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import Change, commit_changes
+from pomeloyard.keyvalue.store import Store
+from pomeloyard.vm_platform.directory import Vm, VmList, VmRole
 
 WORKERS = 740
 SERVICES = 29
--- a/src/pomeloyard/allocation/membership.py
+++ b/src/pomeloyard/allocation/membership.py
@@ -12,10 +12,10 @@
 from ..clock import Clock
 from ..errors import LeaseLostError, StoreError
 from ..fleet_state import DaemonRecord, FleetState
-from ..platform import layout
-from ..platform.directory import VmListState
-from ..platform.records import Change, ConflictError, commit_changes, read_record
-from ..platform.store import Store
+from ..keyvalue import layout
+from ..keyvalue.records import Change, ConflictError, commit_changes, read_record
+from ..keyvalue.store import Store
+from ..vm_platform.directory import VmListState
 from .loans import LoanBook, Resource
 from .partitions import DEFAULT_PARTITIONS, PartitionTable, new_table, vm_of
 
--- a/src/pomeloyard/allocation/service.py
+++ b/src/pomeloyard/allocation/service.py
@@ -18,7 +18,7 @@
     LoanStatement,
 )
 from ..peers.streams import PeerNetwork
-from ..platform.directory import Vm, VmRole
+from ..vm_platform.directory import Vm, VmRole
 from .admission import AdmissionController, Permit
 from .advice import AdviceIndex, SentAdvice, read_advice
 from .coordination import Advice, Coordinator, Demand, FleetShape, Report
--- /dev/null
+++ b/src/pomeloyard/batch/follow.py
@@ -0,0 +1,168 @@
+"""Follows what operators write, with a timed proof of being current."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+
+import anyio
+import logbook
+
+from ..clock import Clock
+from ..errors import CompactedError, PomeloyardError, StoreError
+from ..keyvalue.store import Entry, PollingStore
+from .model import Configuration, Wave
+
+POLL_WAIT = timedelta(seconds=0.6)
+"""How long a poll waits for news. Each answer proves the daemon current, so this
+stays well below the shortest bound on configuration changes, 2 s."""
+RETRY_DELAY = timedelta(seconds=0.1)
+
+log = logbook.Logger("pomeloyard.batch.follow")
+
+
+class DocumentError(PomeloyardError):
+    """A document of the operators does not have the expected form."""
+
+
+class OperatorDocuments(Protocol):
+    """Where operators write, and how their documents are decoded.
+
+    Both decoders raise DocumentError.
+    """
+
+    prefix: str
+    configuration_key: str
+
+    def configuration(self, content: bytes) -> Configuration:
+        """Decode a configuration."""
+        ...
+
+    def wave(self, key: str, content: bytes) -> Wave | None:
+        """Decode a wave; None if the key is not one of a wave."""
+        ...
+
+
+class OperatorFollower:
+    """Keeps the newest configuration and the waves."""
+
+    def __init__(
+        self, clock: Clock, store: PollingStore, documents: OperatorDocuments
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._documents = documents
+        self.current: Configuration | None = None
+        self.revision = 0
+        """Store revision of the configuration's key."""
+        self.waves_by_id: dict[int, Wave] = {}
+        self.wave_seen_at_by_id: dict[int, timedelta] = {}
+        self._proved_at: timedelta | None = None
+        self._changed = anyio.Event()
+        self.on_change: list[Callable[[], None]] = []
+        self._reachable = False
+
+    @property
+    def configuration_key(self) -> str:
+        """Return the store key of the configuration."""
+        return self._documents.configuration_key
+
+    def proof_age(self) -> timedelta:
+        """Return how long ago the daemon was certainly current."""
+        if self._proved_at is None:
+            return timedelta.max
+        return self._clock.monotonic() - self._proved_at
+
+    async def wait_for_change(self, timeout: timedelta) -> None:
+        """Return at the next change of the configuration, or after ``timeout``."""
+        changed = self._changed
+        with anyio.move_on_after(timeout.total_seconds()):
+            await changed.wait()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        position: int | None = None
+        while True:
+            try:
+                asked_at = self._clock.monotonic()
+                if position is None:
+                    position = await self._read_all()
+                else:
+                    batch = await self._store.poll_changes(
+                        self._documents.prefix, position, POLL_WAIT
+                    )
+                    for event in batch.events:
+                        if event.entry is not None:
+                            self._apply(event.entry)
+                    position = batch.revision
+                self._proved_at = asked_at
+                self._note_reachable(True, "")
+            except CompactedError as error:
+                log.info("history was dropped, reading all again: {}", error)
+                position = None
+            except StoreError as error:
+                self._note_reachable(False, str(error))
+                await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
+
+    async def _read_all(self) -> int:
+        page = await self._store.scan(self._documents.prefix)
+        revision = page.revision
+        while True:
+            for entry in page.entries:
+                self._apply(entry)
+            if not page.more:
+                return revision
+            last = page.entries[-1].key
+            page = await self._store.scan(self._documents.prefix, start=last + "\0")
+
+    def _apply(self, entry: Entry) -> None:
+        try:
+            if entry.key == self._documents.configuration_key:
+                self._adopt(entry)
+            else:
+                self._note_wave(entry)
+        except DocumentError as error:
+            log.warning("{} is ignored: {}", entry.key, error)
+
+    def _adopt(self, entry: Entry) -> None:
+        """Take a configuration over unless it is older than the present one."""
+        if entry.mod_revision <= self.revision:
+            return
+        configuration = self._documents.configuration(entry.value)
+        self.revision = entry.mod_revision
+        if self.current is not None and configuration.version < self.current.version:
+            log.warning(
+                "configuration {} is older than {}",
+                configuration.version,
+                self.current.version,
+            )
+            return
+        self.current = configuration
+        log.info(
+            "configuration {} in force, store revision {}",
+            configuration.version,
+            entry.mod_revision,
+        )
+        self._tell()
+
+    def _note_wave(self, entry: Entry) -> None:
+        wave = self._documents.wave(entry.key, entry.value)
+        if wave is not None and self.waves_by_id.get(wave.wave_id) != wave:
+            self.waves_by_id[wave.wave_id] = wave
+            now = self._clock.monotonic()
+            self.wave_seen_at_by_id.setdefault(wave.wave_id, now)
+            log.info("wave {} of {} VMs", wave.wave_id, len(wave.vms))
+            self._tell()
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+        for listener in self.on_change:
+            listener()
+
+    def _note_reachable(self, reachable: bool, detail: str) -> None:
+        if reachable != self._reachable:
+            self._reachable = reachable
+            log.info("store {} {}", "regained" if reachable else "lost", detail)
--- /dev/null
+++ b/src/pomeloyard/batch/layout.py
@@ -0,0 +1,28 @@
+"""Keys of the job records in the store.
+
+| key | written by | condition |
+|---|---|---|
+| ``b/in/job/ID`` | the daemon that takes the job | absent, configuration unchanged |
+| ``b/in/cancel/ID`` | any daemon | the job's key unchanged |
+| ``b/waiting/QUEUE/ID`` | with the job; deleted with its first start | as those |
+| ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
+"""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+INCOMING = "b/in/"
+JOBS = "b/in/job/"
+CANCELS = "b/in/cancel/"
+WAITING = "b/waiting/"
+RUNS = "b/runs/"
+
+
+def waiting_prefix(queue: str) -> str:
+    """Return the prefix of the markers of a queue's jobs that have not begun.
+
+    >>> waiting_prefix("a/b")
+    'b/waiting/a%2Fb/'
+    """
+    return f"{WAITING}{quote(queue, safe='')}/"
--- /dev/null
+++ b/src/pomeloyard/batch/link.py
@@ -0,0 +1,469 @@
+"""The placing daemon's link to one executor: its runs, leases and ends."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from enum import Enum
+from typing import Any, Protocol
+
+import anyio
+import logbook
+
+from ..clock import Clock
+from ..errors import CallNotSentError, CallUnansweredError, StaleFenceError
+from .executors import (
+    EndedTask,
+    Executor,
+    ExecutorClient,
+    Report,
+    RunningTask,
+    StartAnswer,
+    StartOrder,
+)
+from .progress import EndKind, Task
+
+LEASE = timedelta(seconds=7)
+"""Long enough for tasks to outlive a store outage and the change of the placing
+daemon, short enough that the tasks of a silent executor start again soon."""
+CLOCK_DRIFT = 1.02
+"""An executor's steady clock may be this much slow."""
+LATE_ORDER = timedelta(seconds=12)
+"""An order without an answer may be carried out this much later."""
+LOOK_WAIT = timedelta(seconds=1.5)
+WATCHFUL_WAIT = timedelta(seconds=0.5)
+"""Wait while a run's fate is open or serving and filling tasks share the executor."""
+LOOK_TIMEOUT = timedelta(seconds=1)
+"""Beyond the wait that was asked for."""
+ORDER_TIMEOUT = timedelta(seconds=1)
+RETRY_DELAY = timedelta(seconds=0.15)
+MAX_RETRY_DELAY = timedelta(seconds=0.8)
+STALL_TIME = timedelta(seconds=2.5)
+"""A run whose progress does not move for this long is stalled; the slowest sound
+executors still move by some percent in that time."""
+
+log = logbook.Logger("pomeloyard.batch.link")
+
+
+class Phase(Enum):
+    """What is known of a run."""
+
+    ASSIGNED = "assigned"
+    """Not yet durable; no order was sent."""
+    ORDERED = "ordered"
+    RUNNING = "running"
+    UNSURE = "unsure"
+    """The order has no answer."""
+    STOPPING = "stopping"
+
+
+class PlacedRun:
+    """A run that may exist on the executor."""
+
+    __slots__ = (
+        "acknowledged_at",
+        "fence",
+        "gauge",
+        "moved_at",
+        "pace",
+        "pace_sent_at",
+        "percent",
+        "phase",
+        "run",
+        "stop_answered_at",
+        "task",
+        "ticket",
+    )
+
+    def __init__(self, task: Task, run: int, phase: Phase, fence: int) -> None:
+        self.task = task
+        self.run = run
+        self.phase = phase
+        self.fence = fence
+        self.ticket = ""
+        self.acknowledged_at: timedelta | None = None
+        self.stop_answered_at: timedelta | None = None
+        self.percent = 0
+        self.gauge = 0
+        self.moved_at: timedelta | None = None
+        self.pace = 100
+        self.pace_sent_at = timedelta(0)
+
+
+class LinkHandler(Protocol):
+    """What the placing term does with what a link learns."""
+
+    def run_ended(
+        self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
+    ) -> None:
+        """Note that a run has ended."""
+
+    def run_listed(
+        self, link: ExecutorLink, placed: PlacedRun, row: RunningTask
+    ) -> None:
+        """Note what an executor says of a run that is at work."""
+
+    def order_refused(
+        self, link: ExecutorLink, placed: PlacedRun, answer: StartAnswer
+    ) -> None:
+        """Note that a start was certainly not carried out."""
+
+    def link_changed(self, link: ExecutorLink) -> None:
+        """Note that an executor became usable or unusable."""
+
+    async def ends_stored(self, link: ExecutorLink) -> None:
+        """Return once all ends that the link has applied are durable."""
+
+    def spawn(
+        self,
+        link: ExecutorLink | None,
+        work: Callable[..., Coroutine[Any, Any, None]],
+        *args: object,
+    ) -> None:
+        """Run a coroutine function in the background of the term."""
+
+    def fence_lost(self, link: ExecutorLink) -> None:
+        """End the term, as an executor knows a higher fencing token."""
+
+
+class ExecutorLink:
+    """Holds the leases of one executor's runs and follows them."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        client: ExecutorClient,
+        executor: Executor,
+        fence: int,
+        handler: LinkHandler,
+        lease: timedelta = LEASE,
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self.executor = executor
+        self.fence = fence
+        self._handler = handler
+        self._lease = lease
+        self.registered = True
+        self.reachable = False
+        """Whether the last look was answered, under this fence."""
+        self.draining = executor.draining
+        self.incarnation: int | None = None
+        self.runs_by_name: dict[str, PlacedRun] = {}
+        self.foreign_runs: set[tuple[str, int]] = set()
+        """Runs that are listed but not assigned here; no room is taken as known
+        while there are any."""
+        self.applied_end = 0
+        self._acknowledge = 0
+        self._clock_offset: timedelta | None = None
+        """The executor's clock less ours, at most."""
+        self._last_order_at = clock.monotonic()
+        self._work = anyio.Event()
+        self._failures = 0
+        self.silent_since: timedelta | None = None
+        self.closed = False
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether new runs may be placed here."""
+        return (
+            self.registered
+            and self.reachable
+            and not self.draining
+            and not self.foreign_runs
+            and not self.closed
+        )
+
+    def wake(self) -> None:
+        """Look soon, as there is work to follow."""
+        self._work.set()
+
+    def certainly_over(self, now: timedelta) -> bool:
+        """Tell whether all leases given here have ended, whatever arrived late."""
+        lease = max(self._lease, timedelta(seconds=10)) * CLOCK_DRIFT
+        return now >= self._last_order_at + LATE_ORDER + lease
+
+    async def run(self) -> None:
+        """Look at the executor whenever there is something to follow."""
+        while not self.closed:
+            if self.reachable and not self.runs_by_name and not self.foreign_runs:
+                self._work = anyio.Event()
+                await self._work.wait()
+                continue
+            try:
+                await self._look()
+            except StaleFenceError as error:
+                log.warning("executor {}: {}", self.executor.executor_id, error)
+                self._handler.fence_lost(self)
+                return
+            except (CallNotSentError, CallUnansweredError) as error:
+                self._note_silent(str(error))
+                delay = RETRY_DELAY * min(2**self._failures, 16)
+                delay = min(delay, MAX_RETRY_DELAY) * random.uniform(0.7, 1.3)
+                await self._clock.sleep(delay)
+
+    async def _look(self) -> None:
+        asked_at = self._clock.monotonic()
+        first = not self.reachable or self._clock_offset is None
+        until = None
+        if not first and self._clock_offset is not None:
+            until = asked_at + self._clock_offset + self._lease
+            self._last_order_at = asked_at
+        wait = timedelta(0) if first else self._wait()
+        with anyio.fail_after(10):
+            report = await self._client.look(
+                self.executor,
+                fence=self.fence,
+                acknowledged=0 if first else self._acknowledge,
+                lease_until=until,
+                wait=wait,
+            )
+        now = self._clock.monotonic()
+        self._clock_offset = report.clock - now
+        self._failures = 0
+        self.silent_since = None
+        if report.incarnation != self.incarnation:
+            if self.incarnation is not None:
+                log.info(
+                    "executor {} was restarted, incarnation {}",
+                    self.executor.executor_id,
+                    report.incarnation,
+                )
+            self.incarnation = report.incarnation
+            self.applied_end = self._acknowledge = 0
+        self._apply(report, asked_at, now)
+        was_usable = self.usable
+        self.reachable = True
+        self.draining = self.executor.draining or report.draining
+        if self.usable != was_usable:
+            self._handler.link_changed(self)
+        if self.applied_end > self._acknowledge:
+            await self._handler.ends_stored(self)
+            self._acknowledge = self.applied_end
+
+    def _wait(self) -> timedelta:
+        serving = filling = False
+        for placed in self.runs_by_name.values():
+            if placed.phase in (Phase.UNSURE, Phase.STOPPING):
+                return WATCHFUL_WAIT
+            spec = placed.task.step.spec
+            serving = serving or spec.target_tail_ms > 0
+            filling = filling or spec.fills
+        return WATCHFUL_WAIT if serving and filling else LOOK_WAIT
+
+    def _apply(self, report: Report, asked_at: timedelta, now: timedelta) -> None:
+        """Compare both lists with the runs that were assigned here."""
+        for end in report.ended:
+            if end.number > self.applied_end:
+                self.applied_end = end.number
+                self._apply_end(end)
+        listed = {row.task: row for row in report.running}
+        for name, placed in list(self.runs_by_name.items()):
+            row = listed.get(name)
+            if row is not None and row.run == placed.run:
+                self._apply_row(placed, row, now)
+            elif not report.ended_truncated:
+                self._apply_absence(placed, asked_at)
+        self.foreign_runs = {
+            (row.task, row.run)
+            for row in report.running
+            if (mine := self.runs_by_name.get(row.task)) is None or mine.run != row.run
+        }
+        for task, run in self.foreign_runs:
+            log.warning(
+                "executor {} runs {} run {}, which is not assigned to it",
+                self.executor.executor_id,
+                task,
+                run,
+            )
+            self._handler.spawn(self, self._stop_foreign, task, run)
+
+    def _apply_end(self, end: EndedTask) -> None:
+        placed = self.runs_by_name.get(end.task)
+        if placed is None or placed.run != end.run:
+            return
+        self.forget(placed)
+        self._handler.run_ended(self, placed, end.kind, end.saved)
+
+    def _apply_row(self, placed: PlacedRun, row: RunningTask, now: timedelta) -> None:
+        if placed.phase in (Phase.ORDERED, Phase.UNSURE, Phase.ASSIGNED):
+            placed.phase = Phase.RUNNING
+        if placed.acknowledged_at is None:
+            placed.acknowledged_at = now
+        if placed.percent != row.percent or placed.moved_at is None:
+            placed.moved_at = now
+        placed.percent = row.percent
+        placed.gauge = row.gauge
+        if row.saved:
+            placed.task.saved = row.saved
+        self._handler.run_listed(self, placed, row)
+
+    def _apply_absence(self, placed: PlacedRun, asked_at: timedelta) -> None:
+        """Decide what it means that a run is in neither list.
+
+        A run that was acknowledged before the look is gone. One whose order may
+        still arrive is stopped first, which makes that order void.
+        """
+        if placed.fence < self.fence and placed.phase is Phase.UNSURE:
+            # The executor has answered under a higher fence than the order's.
+            self._lose(placed)
+        elif placed.phase is Phase.RUNNING:
+            if placed.acknowledged_at is None or placed.acknowledged_at <= asked_at:
+                self._lose(placed)
+        elif placed.phase is Phase.UNSURE:
+            self.stop(placed)
+        elif placed.phase is Phase.STOPPING:
+            answered = placed.stop_answered_at
+            if answered is not None and answered <= asked_at:
+                self._lose(placed)
+
+    def _lose(self, placed: PlacedRun) -> None:
+        self.forget(placed)
+        self._handler.run_ended(self, placed, EndKind.LOST, "")
+
+    def forget(self, placed: PlacedRun) -> None:
+        """Stop following a run that is over."""
+        if self.runs_by_name.get(placed.task.name) is placed:
+            del self.runs_by_name[placed.task.name]
+
+    def lose_all(self, reason: str) -> None:
+        """Give up all runs here, as they are certainly over."""
+        if self.runs_by_name:
+            log.info(
+                "executor {}: {} runs are over: {}",
+                self.executor.executor_id,
+                len(self.runs_by_name),
+                reason,
+            )
+        for placed in list(self.runs_by_name.values()):
+            self._lose(placed)
+
+    def assign(self, placed: PlacedRun) -> None:
+        """Follow a run from its assignment on."""
+        self.runs_by_name[placed.task.name] = placed
+        self._work.set()
+
+    def start(self, placed: PlacedRun) -> None:
+        """Order the start of a run whose assignment is durable."""
+        if self.runs_by_name.get(placed.task.name) is not placed:
+            return
+        if placed.phase is Phase.ASSIGNED:
+            placed.phase = Phase.ORDERED
+            self._handler.spawn(self, self._order, placed)
+
+    async def _order(self, placed: PlacedRun) -> None:
+        now = self._clock.monotonic()
+        task = placed.task
+        if self._clock_offset is None or not self.usable:
+            self._refuse(placed, StartAnswer.NOT_TAKEN)
+            return
+        order = StartOrder(
+            task=task.name,
+            run=placed.run,
+            payload=task.step.job.record.spec.payload,
+            saved=task.saved,
+            lease_until=now + self._clock_offset + self._lease,
+            fence=self.fence,
+            ticket=placed.ticket,
+        )
+        self._last_order_at = now
+        try:
+            answer, clock = await self._client.start(
+                self.executor, order, ORDER_TIMEOUT
+            )
+        except StaleFenceError:
+            self._handler.fence_lost(self)
+            return
+        except CallNotSentError as error:
+            self._note_silent(str(error))
+            self._refuse(placed, StartAnswer.NOT_TAKEN)
+            return
+        except CallUnansweredError as error:
+            log.info("start of {} run {}: {}", task.name, placed.run, error)
+            if placed.phase is Phase.ORDERED:
+                placed.phase = Phase.UNSURE
+            self.wake()
+            return
+        answered_at = self._clock.monotonic()
+        if clock is not None:
+            self._clock_offset = clock - answered_at
+        if answer is not StartAnswer.STARTED:
+            self._refuse(placed, answer)
+        elif placed.phase is Phase.ORDERED:
+            placed.phase = Phase.RUNNING
+            placed.acknowledged_at = answered_at
+            task.started_at = answered_at
+
+    def _refuse(self, placed: PlacedRun, answer: StartAnswer) -> None:
+        if self.runs_by_name.get(placed.task.name) is placed:
+            self.forget(placed)
+            self._handler.order_refused(self, placed, answer)
+
+    def stop(self, placed: PlacedRun) -> None:
+        """Stop a run, whether or not its order has arrived."""
+        if placed.phase is Phase.ASSIGNED:
+            # Never ordered: the record that names it is replaced before it could be.
+            self._lose(placed)
+        elif placed.phase is not Phase.STOPPING:
+            placed.phase = Phase.STOPPING
+            self._handler.spawn(self, self._stop_until_answered, placed)
+
+    async def _stop_until_answered(self, placed: PlacedRun) -> None:
+        name = placed.task.name
+        while not self.closed and self.runs_by_name.get(name) is placed:
+            try:
+                await self._client.stop(
+                    self.executor, name, placed.run, self.fence, ORDER_TIMEOUT
+                )
+            except StaleFenceError:
+                self._handler.fence_lost(self)
+                return
+            except (CallNotSentError, CallUnansweredError) as error:
+                log.debug("stop of {} run {}: {}", name, placed.run, error)
+                await self._clock.sleep(RETRY_DELAY)
+                continue
+            placed.stop_answered_at = self._clock.monotonic()
+            self.wake()
+            return
+
+    async def _stop_foreign(self, task: str, run: int) -> None:
+        try:
+            await self._client.stop(self.executor, task, run, self.fence, ORDER_TIMEOUT)
+        except StaleFenceError:
+            self._handler.fence_lost(self)
+        except (CallNotSentError, CallUnansweredError) as error:
+            log.debug("stop of {} run {}: {}", task, run, error)
+
+    def pace(self, placed: PlacedRun, percent: int) -> None:
+        """Limit the share at which a run works."""
+        placed.pace = percent
+        placed.pace_sent_at = self._clock.monotonic()
+        self._handler.spawn(self, self._send_pace, placed, percent)
+
+    async def _send_pace(self, placed: PlacedRun, percent: int) -> None:
+        try:
+            await self._client.pace(
+                self.executor,
+                placed.task.name,
+                placed.run,
+                percent,
+                self.fence,
+                ORDER_TIMEOUT,
+            )
+        except StaleFenceError:
+            self._handler.fence_lost(self)
+        except (CallNotSentError, CallUnansweredError) as error:
+            log.info("pace of {}: {}", placed.task.name, error)
+            # The next look decides again from what it finds.
+            placed.pace = -1
+
+    def _note_silent(self, detail: str) -> None:
+        if self.silent_since is None:
+            self.silent_since = self._clock.monotonic()
+            log.info("executor {} lost: {}", self.executor.executor_id, detail)
+        self._failures += 1
+        if self.reachable:
+            self.reachable = False
+            self._handler.link_changed(self)
+        self._work.set()
--- /dev/null
+++ b/src/pomeloyard/batch/model.py
@@ -0,0 +1,235 @@
+"""Jobs, queues, pools and teams as the placing role sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import Enum
+
+from ..errors import RefusedError
+from ..outcomes import RefusalReason, Refused
+
+MAX_TASKS = 20_000
+"""Tasks of one job over all occurrences; its run record stays below 1 MB."""
+MAX_PAYLOAD_BYTES = 4000
+MAX_STEPS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of room; 0 in a limit means that there is none."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits(self, room: Resources) -> bool:
+        """Tell whether this amount is within ``room``."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+
+NOTHING = Resources()
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """Tasks of one kind.
+
+    ``cpu_millis`` and ``memory_mb`` are for each task; ``estimate_ms`` is the
+    submitter's guess and may be far off.
+    """
+
+    count: int
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    """Earlier steps whose tasks must all be done first."""
+    checkpoints: bool = False
+    gang: bool = False
+    """All tasks of one run work only together and are done together."""
+    same_rack: bool = False
+    label: str = ""
+    """Label that the executor must have."""
+    data_rack: str = ""
+    max_per_executor: int = 0
+    speculative: bool = False
+    """Copies may run at the same time; the first to finish counts."""
+    lasting: bool = False
+    """Tasks run until the job is cancelled and are started again when they end."""
+    image: str = ""
+    target_tail_ms: int = 0
+    fills: bool = False
+    """Tasks use what others on the executor leave idle; their cpu is not counted."""
+    may_be_away: int = 0
+    """Tasks of a lasting step that the system itself may make unavailable at once."""
+
+    @property
+    def need(self) -> Resources:
+        """Return what a task takes of a team's limit."""
+        return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
+
+    @property
+    def room(self) -> Resources:
+        """Return what a task takes of an executor's capacity."""
+        cpu = 0 if self.fills else self.cpu_millis
+        return Resources(cpu, self.memory_mb, self.accelerators)
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What a caller asks for; times of occurrences are milliseconds since 1970."""
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    occurrences: int = 0
+    """How many times the steps run by the clock; 0: once, now."""
+
+
+class JobState(Enum):
+    """State of a job; the last three are final."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementAdvice:
+    """A queue whose policy lets only some executors run a step."""
+
+    decide: timedelta
+    each: timedelta
+    valid: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue of jobs; callers name it by host and path."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    """0 comes first and may preempt others."""
+    max_attempts: int = 1
+    stretch: float = 1.0
+    """The objective is this times the longest chain of work, and ``objective`` more."""
+    objective: timedelta = timedelta(0)
+    public: bool = False
+    advice: PlacementAdvice | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """The executors of a service."""
+
+    name: str
+    rejects_overload: bool = False
+    standby: bool = False
+    """The VMs of the pool are off and cost nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class TeamLimits:
+    """A team's keys, share and upper limit; a limit of 0 means none."""
+
+    name: str
+    keys: tuple[str, ...] = ()
+    weight: float = 1.0
+    maximum: Resources = NOTHING
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of the operators' configuration."""
+
+    version: int
+    queues_by_name: Mapping[str, Queue] = field(default_factory=dict)
+    pools_by_name: Mapping[str, Pool] = field(default_factory=dict)
+    teams_by_name: Mapping[str, TeamLimits] = field(default_factory=dict)
+    team_by_key: Mapping[str, str] = field(default_factory=dict)
+    max_body_bytes: int = 262_144
+
+    def queue_at(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path`` at a host."""
+        best = None
+        for queue in self.queues_by_name.values():
+            longer = best is None or len(queue.path_prefix) > len(best.path_prefix)
+            if queue.host == host and path.startswith(queue.path_prefix) and longer:
+                best = queue
+        return best
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """An operators' order to maintain VMs in time."""
+
+    wave_id: int
+    vms: tuple[str, ...]
+    complete_by: timedelta
+    """Time from the order's appearance until the last VM must be maintained."""
+    max_at_once: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """What a caller handed in, as it is stored before the caller is answered."""
+
+    queue: str
+    team: str
+    spec: JobSpec
+    submitted_at: datetime
+    write_id: str
+
+
+def check_spec(spec: JobSpec) -> None:
+    """Raise RefusedError when a job is not well formed."""
+    if not spec.steps or len(spec.steps) > MAX_STEPS:
+        raise _invalid(f"steps: expected 1 to {MAX_STEPS}")
+    if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise _invalid(f"payload: at most {MAX_PAYLOAD_BYTES} bytes")
+    if spec.occurrences < 0 or spec.interval_ms < 0:
+        raise _invalid("occurrences and interval: not negative")
+    tasks = sum(step.count for step in spec.steps) * max(1, spec.occurrences)
+    if tasks > MAX_TASKS:
+        raise _invalid(f"at most {MAX_TASKS} tasks")
+    for number, step in enumerate(spec.steps):
+        if step.count < 1:
+            raise _invalid(f"step {number}: count must be positive")
+        if any(not 0 <= before < number for before in step.after):
+            raise _invalid(f"step {number}: only earlier steps can come first")
+        if min(step.cpu_millis, step.memory_mb, step.accelerators) < 0:
+            raise _invalid(f"step {number}: sizes must not be negative")
+
+
+def _invalid(detail: str) -> RefusedError:
+    return RefusedError(Refused(RefusalReason.INVALID_INPUT, detail))
--- /dev/null
+++ b/src/pomeloyard/batch/order.py
@@ -0,0 +1,84 @@
+"""Which waiting job goes next; pure.
+
+Answers peaks of five times the mean that come in turns: more comes than the pool can
+do in time. Jobs that can still meet their objective go before those that cannot, as
+a late job is worth little to its caller; among them those with the least work left
+for what they are worth. Jobs that are late already share what is left, oldest
+first, so none waits for ever.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from .model import Queue
+from .progress import JobRun, StepRun
+
+BASE_WORTH = 0.3
+"""Part of a job's worth that does not depend on its size; the rest grows with it."""
+
+
+def remaining_chain_ms(job: JobRun, expected_ms: Callable[[StepRun], float]) -> float:
+    """Return the longest chain of work that is left, in ms."""
+    longest = 0.0
+    for steps in job.occurrences.values():
+        chain: list[float] = []
+        for step in steps:
+            before = max((chain[i] for i in step.spec.after), default=0.0)
+            own = 0.0 if step.complete else expected_ms(step)
+            chain.append(before + own)
+        longest = max([longest, *chain])
+    return longest
+
+
+def chain_ms(job: JobRun, expected_ms: Callable[[StepRun], float]) -> float:
+    """Return the longest chain of work of the whole job, in ms."""
+    longest = 0.0
+    for steps in job.occurrences.values():
+        chain: list[float] = []
+        for step in steps:
+            before = max((chain[i] for i in step.spec.after), default=0.0)
+            chain.append(before + expected_ms(step))
+        longest = max([longest, *chain])
+    return longest
+
+
+def remaining_work(job: JobRun, expected_ms: Callable[[StepRun], float]) -> float:
+    """Return the work of the tasks that are not done, in core-seconds."""
+    return sum(
+        (step.spec.count - step.done)
+        * step.spec.cpu_millis
+        * expected_ms(step)
+        / 1_000_000.0
+        for step in job.steps()
+        if not step.spec.lasting
+    )
+
+
+def rank(
+    job: JobRun,
+    queue: Queue,
+    age: timedelta,
+    expected_ms: Callable[[StepRun], float],
+    mean_work: float,
+) -> tuple[float, ...]:
+    """Return the sort key of a job; the lowest goes first.
+
+    ``age`` is the time since the caller first sent it; ``mean_work`` is the usual
+    work of a job of its queue, in core-seconds.
+    """
+    if job.lasting:
+        return (float(queue.priority), 0.0, 0.0)
+    objective_ms = queue.stretch * chain_ms(
+        job, expected_ms
+    ) + queue.objective / timedelta(milliseconds=1)
+    age_ms = age / timedelta(milliseconds=1)
+    finish_ms = age_ms + remaining_chain_ms(job, expected_ms)
+    left = max(remaining_work(job, expected_ms), 0.001)
+    if finish_ms <= objective_ms:
+        worth = BASE_WORTH + (1 - BASE_WORTH) * left / max(mean_work, 0.001)
+        return (float(queue.priority), 1.0, -worth / left)
+    if finish_ms <= 3 * objective_ms:
+        return (float(queue.priority), 2.0, left)
+    return (float(queue.priority), 3.0, -age_ms)
--- /dev/null
+++ b/src/pomeloyard/batch/progress.py
@@ -0,0 +1,323 @@
+"""Progress of one job through its steps; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+from .model import FINAL_STATES, JobRecord, JobState, Queue, StepSpec
+from .records import RunRecord, StepRows, TaskRow
+
+
+class TaskState(Enum):
+    """Where a task stands; the values are stored."""
+
+    WAITING = 0
+    PLACED = 1
+    DONE = 2
+
+
+class EndKind(Enum):
+    """How a run of a task ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    """Another member of its gang ended."""
+    ALONE = "alone"
+    """The other members of its gang did not come."""
+    LOST = "lost"
+    """The executor no longer has it and cannot say how it ended."""
+
+
+class Task:
+    """One task; ``run`` numbers its starts and only rises."""
+
+    __slots__ = (
+        "executor",
+        "failed_on",
+        "failures",
+        "index",
+        "name",
+        "not_before",
+        "run",
+        "saved",
+        "started_at",
+        "state",
+        "step",
+    )
+
+    def __init__(self, step: StepRun, index: int) -> None:
+        self.step = step
+        self.index = index
+        job = step.job
+        self.name = f"{job.job_id}.{step.occurrence}.{step.number}.{index}"
+        self.state = TaskState.WAITING
+        self.run = 0
+        self.failures = 0
+        self.executor = ""
+        self.saved = ""
+        self.failed_on: tuple[str, ...] = ()
+        self.not_before = timedelta(0)
+        self.started_at = timedelta(0)
+
+
+class StepRun:
+    """The tasks of one step in one occurrence."""
+
+    __slots__ = (
+        "done",
+        "gang_failures",
+        "job",
+        "number",
+        "occurrence",
+        "placed",
+        "spec",
+        "tasks",
+        "waiting",
+    )
+
+    def __init__(self, job: JobRun, occurrence: int, number: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec: StepSpec = job.record.spec.steps[number]
+        self.tasks = [Task(self, index) for index in range(self.spec.count)]
+        self.waiting: dict[int, Task] = dict(enumerate(self.tasks))
+        self.placed = 0
+        self.done = 0
+        self.gang_failures = 0
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether all tasks are done."""
+        return self.done == self.spec.count
+
+    @property
+    def name(self) -> str:
+        """Return the name of the step in this occurrence."""
+        return f"{self.job.job_id}.{self.occurrence}.{self.number}"
+
+
+class JobRun:
+    """A job, its tasks and what of them is not yet stored."""
+
+    def __init__(
+        self, job_id: str, record: JobRecord, queue: Queue | None, now: timedelta
+    ) -> None:
+        self.job_id = job_id
+        self.record = record
+        self.max_attempts = queue.max_attempts if queue else 1
+        self.state = JobState.PENDING
+        self.begun = False
+        self.seen_at = now
+        self.ended_at: timedelta | None = None
+        self.revision = 0
+        """Store revision of the run record; 0: there is none."""
+        self.marker_stored = True
+        """Whether the marker of a job that has not begun may be in the store."""
+        self.occurrences: dict[int, list[StepRun]] = {}
+        self.next_occurrence = 0
+        if record.spec.occurrences == 0:
+            self._open_occurrence(0)
+        self.lasting = any(step.lasting for step in record.spec.steps)
+
+    @property
+    def final(self) -> bool:
+        """Tell whether the job has ended."""
+        return self.state in FINAL_STATES
+
+    @property
+    def total_occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.record.spec.occurrences)
+
+    def open_due(self, unix_ms: float) -> bool:
+        """Open the occurrences that are due; return whether there were any."""
+        spec = self.record.spec
+        opened = False
+        while not self.final and self.next_occurrence < spec.occurrences:
+            if unix_ms < spec.first_due_ms + self.next_occurrence * spec.interval_ms:
+                break
+            self._open_occurrence(self.next_occurrence)
+            opened = True
+        return opened
+
+    def next_due_ms(self) -> int | None:
+        """Return when the next occurrence is due, in ms since 1970."""
+        spec = self.record.spec
+        if self.final or self.next_occurrence >= spec.occurrences:
+            return None
+        return spec.first_due_ms + self.next_occurrence * spec.interval_ms
+
+    def _open_occurrence(self, number: int) -> None:
+        steps = [StepRun(self, number, i) for i in range(len(self.record.spec.steps))]
+        self.occurrences[number] = steps
+        self.next_occurrence = number + 1
+
+    def ready_steps(self) -> Iterator[StepRun]:
+        """Return the steps that have waiting tasks and wait for no other step."""
+        if self.final:
+            return
+        for steps in self.occurrences.values():
+            for step in steps:
+                if step.waiting and all(steps[i].complete for i in step.spec.after):
+                    yield step
+
+    def steps(self) -> Iterator[StepRun]:
+        """Return all steps of the open occurrences."""
+        for steps in self.occurrences.values():
+            yield from steps
+
+    def placed_tasks(self) -> list[Task]:
+        """Return the tasks that may be running."""
+        return [
+            task
+            for step in self.steps()
+            if step.placed
+            for task in step.tasks
+            if task.state is TaskState.PLACED
+        ]
+
+    def place(self, task: Task, executor: str, run: int, now: timedelta) -> None:
+        """Assign a waiting task to an executor under a run number."""
+        task.state = TaskState.PLACED
+        task.executor = executor
+        task.run = run
+        task.started_at = now
+        task.step.waiting.pop(task.index, None)
+        task.step.placed += 1
+        self.begun = True
+        if self.state is JobState.PENDING:
+            self.state = JobState.RUNNING
+
+    def end(self, task: Task, run: int, kind: EndKind, saved: str) -> None:
+        """Note the end of a run; ends of earlier runs change nothing."""
+        if task.state is TaskState.DONE or run != task.run:
+            return
+        step = task.step
+        if task.state is TaskState.PLACED:
+            step.placed -= 1
+        if saved:
+            task.saved = saved
+        if kind is EndKind.DONE and not step.spec.lasting:
+            self._finish(step, task)
+            return
+        if kind is EndKind.FAILED:
+            self._count_failure(step, task)
+        task.state = TaskState.WAITING
+        task.executor = ""
+        if not self.final:
+            step.waiting[task.index] = task
+
+    def _finish(self, step: StepRun, task: Task) -> None:
+        """Mark a task done, or all tasks of a gang, which end together."""
+        finished = step.tasks if step.spec.gang else [task]
+        for member in finished:
+            if member.state is TaskState.DONE:
+                continue
+            if member is not task and member.state is TaskState.PLACED:
+                step.placed -= 1
+            member.state = TaskState.DONE
+            member.saved = ""
+            step.waiting.pop(member.index, None)
+            step.done += 1
+        if not self.final and self._all_complete():
+            self.state = JobState.COMPLETED
+
+    def _count_failure(self, step: StepRun, task: Task) -> None:
+        task.failed_on = (*task.failed_on, task.executor)[-4:]
+        if step.spec.lasting:
+            return
+        if step.spec.gang:
+            step.gang_failures += 1
+            failures = step.gang_failures
+        else:
+            task.failures += 1
+            failures = task.failures
+        if failures >= self.max_attempts and not self.final:
+            self.state = JobState.FAILED
+            self._drop_waiting()
+
+    def cancel(self) -> bool:
+        """Cancel the job unless it has ended; return whether it changed."""
+        if self.final:
+            return False
+        self.state = JobState.CANCELLED
+        self._drop_waiting()
+        return True
+
+    def _drop_waiting(self) -> None:
+        for step in self.steps():
+            step.waiting.clear()
+
+    def _all_complete(self) -> bool:
+        return self.next_occurrence >= self.total_occurrences and all(
+            step.complete for step in self.steps()
+        )
+
+    def pack(self) -> bytes:
+        """Return the run record; a job that has ended keeps only what still runs."""
+        packed = []
+        for step in self.steps():
+            rows = [
+                _row(task)
+                for task in step.tasks
+                if task.run and not (self.final and task.state is not TaskState.PLACED)
+            ]
+            if rows:
+                packed.append(
+                    StepRows(step.occurrence, step.number, rows, step.gang_failures)
+                )
+        return msgspec.msgpack.encode(RunRecord(self.state.value, packed))
+
+    def restore(self, content: bytes, revision: int) -> None:
+        """Take the progress over from a stored run record."""
+        record = msgspec.msgpack.decode(content, type=RunRecord)
+        self.revision = revision
+        self.marker_stored = False
+        self.begun = True
+        for rows in record.steps:
+            while self.next_occurrence <= rows.occurrence:
+                self._open_occurrence(self.next_occurrence)
+            step = self.occurrences[rows.occurrence][rows.step]
+            step.gang_failures = rows.gang_failures
+            for row in rows.rows:
+                _restore_row(step, row)
+        self.state = JobState(record.state)
+        if self.final:
+            self._drop_waiting()
+
+
+def _row(task: Task) -> TaskRow:
+    if task.state is TaskState.DONE:
+        return TaskRow(task.index, task.state.value, task.run)
+    return TaskRow(
+        task.index,
+        task.state.value,
+        task.run,
+        task.failures,
+        task.executor,
+        task.saved,
+    )
+
+
+def _restore_row(step: StepRun, row: TaskRow) -> None:
+    task = step.tasks[row.index]
+    task.run = row.run
+    task.failures = row.failures
+    task.saved = row.saved
+    task.state = TaskState(row.code)
+    if task.state is TaskState.WAITING:
+        return
+    step.waiting.pop(row.index, None)
+    if task.state is TaskState.DONE:
+        step.done += 1
+    else:
+        task.executor = row.executor
+        step.placed += 1
--- /dev/null
+++ b/src/pomeloyard/batch/usage.py
@@ -0,0 +1,90 @@
+"""Room that is taken on executors and by teams; pure.
+
+Whatever may be running counts: assigned, ordered without an answer, running and
+being stopped.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from .model import Resources, StepSpec
+from .progress import StepRun, Task
+
+
+class Usage:
+    """Counts what may be running by executor, by team and by step."""
+
+    def __init__(self) -> None:
+        self._by_executor: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0])
+        self._by_team: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0])
+        self._tasks_by_executor_step: Counter[tuple[str, str]] = Counter()
+        self._tasks_by_step_rack: Counter[tuple[str, str]] = Counter()
+
+    def add(self, executor: str, rack: str, task: Task) -> None:
+        """Count a task that may run on an executor."""
+        self._change(executor, rack, task, 1)
+
+    def remove(self, executor: str, rack: str, task: Task) -> None:
+        """Count a task no longer."""
+        self._change(executor, rack, task, -1)
+
+    def _change(self, executor: str, rack: str, task: Task, sign: int) -> None:
+        spec = task.step.spec
+        used = self._by_executor[executor]
+        if not spec.fills:
+            used[0] += sign * spec.cpu_millis
+        used[1] += sign * spec.memory_mb
+        used[2] += sign * spec.accelerators
+        team = self._by_team[task.step.job.record.team]
+        team[0] += sign * spec.cpu_millis
+        team[1] += sign * spec.memory_mb
+        team[2] += sign * spec.accelerators
+        self._tasks_by_executor_step[executor, task.step.name] += sign
+        self._tasks_by_step_rack[task.step.name, rack] += sign
+
+    def free(self, executor: str, capacity: Resources) -> Resources:
+        """Return what an executor has left."""
+        cpu, memory, accelerators = self._by_executor[executor]
+        return Resources(
+            capacity.cpu_millis - cpu,
+            capacity.memory_mb - memory,
+            capacity.accelerators - accelerators,
+        )
+
+    def free_cpu(self, executor: str, capacity: Resources) -> int:
+        """Return the cpu that an executor has left, in thousandths of a core."""
+        return capacity.cpu_millis - self._by_executor[executor][0]
+
+    def fits(self, executor: str, capacity: Resources, spec: StepSpec) -> bool:
+        """Tell whether a task of a step fits on an executor."""
+        cpu, memory, accelerators = self._by_executor[executor]
+        return (
+            (spec.fills or cpu + spec.cpu_millis <= capacity.cpu_millis)
+            and memory + spec.memory_mb <= capacity.memory_mb
+            and accelerators + spec.accelerators <= capacity.accelerators
+        )
+
+    def team_fits(self, team: str, maximum: Resources, spec: StepSpec) -> bool:
+        """Tell whether a task keeps a team within its limit; 0 is no limit."""
+        used = self._by_team[team]
+        return not (
+            (maximum.cpu_millis and used[0] + spec.cpu_millis > maximum.cpu_millis)
+            or (maximum.memory_mb and used[1] + spec.memory_mb > maximum.memory_mb)
+            or (
+                maximum.accelerators
+                and used[2] + spec.accelerators > maximum.accelerators
+            )
+        )
+
+    def team_cpu(self, team: str) -> int:
+        """Return the cpu that a team may have running, in thousandths of a core."""
+        return self._by_team[team][0]
+
+    def tasks_of_step(self, executor: str, step: StepRun) -> int:
+        """Return how many tasks of a step may run on an executor."""
+        return self._tasks_by_executor_step[executor, step.name]
+
+    def tasks_in_rack(self, step: StepRun, rack: str) -> int:
+        """Return how many tasks of a step may run in a rack."""
+        return self._tasks_by_step_rack[step.name, rack]
--- a/src/pomeloyard/claims/log.py
+++ b/src/pomeloyard/claims/log.py
@@ -13,9 +13,9 @@
 from ..clock import Clock
 from ..errors import StoreError, StoreOutcomeUnknownError
 from ..fleet_state import FleetState
-from ..platform import layout
-from ..platform.records import read_record
-from ..platform.store import (
+from ..keyvalue import layout
+from ..keyvalue.records import read_record
+from ..keyvalue.store import (
     MAX_OPERATIONS,
     Compare,
     Delete,
--- a/src/pomeloyard/claims/segments.py
+++ b/src/pomeloyard/claims/segments.py
@@ -14,8 +14,8 @@
 import msgpack
 
 from ..errors import PomeloyardError
-from ..platform import layout
-from ..platform.store import Entry
+from ..keyvalue import layout
+from ..keyvalue.store import Entry
 from .table import CLAIM_WINDOW, Claim, ClaimTable
 
 MERGE_SEGMENTS = 16
--- a/src/pomeloyard/claims/service.py
+++ b/src/pomeloyard/claims/service.py
@@ -17,6 +17,7 @@
 from ..clock import Clock
 from ..errors import RefusedError
 from ..fleet_state import FleetState
+from ..keyvalue.store import Store
 from ..outcomes import RefusalReason, Refused
 from ..peers.calls import PeerCalls
 from ..peers.messages import (
@@ -30,7 +31,6 @@
     ClaimStatement,
 )
 from ..peers.streams import PeerNetwork
-from ..platform.store import Store
 from .log import ClaimLog
 from .table import RETRY_AFTER, Claim, ClaimTable
 from .takeover import Takeover
--- a/src/pomeloyard/claims/watch.py
+++ b/src/pomeloyard/claims/watch.py
@@ -9,7 +9,7 @@
 from ..fleet_state import FleetState
 from ..peers.messages import ClaimOutage
 from ..peers.streams import PeerNetwork
-from ..platform.directory import VmListState
+from ..vm_platform.directory import VmListState
 from .table import CLAIM_WINDOW
 
 START_GRACE = timedelta(seconds=3)
--- a/src/pomeloyard/clock.py
+++ b/src/pomeloyard/clock.py
@@ -35,8 +35,8 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> timedelta:
-        """Return the monotonic clock, which also counts while a process is paused."""
-        return timedelta(seconds=time.monotonic())
+        """Return the time since boot, which also counts while the VM is suspended."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     async def sleep(self, delay: timedelta) -> None:
         """Suspend the calling task for ``delay``."""
--- a/src/pomeloyard/config/publication.py
+++ b/src/pomeloyard/config/publication.py
@@ -10,16 +10,16 @@
 import msgspec
 
 from ..errors import RefusedError, StoreError
-from ..outcomes import RefusalReason, Refused
-from ..platform import layout
-from ..platform.records import (
+from ..keyvalue import layout
+from ..keyvalue.records import (
     Change,
     ConflictError,
     Versioned,
     commit_changes,
     read_record,
 )
-from ..platform.store import MAX_VALUE_BYTES, Entry, Store
+from ..keyvalue.store import MAX_VALUE_BYTES, Entry, Store
+from ..outcomes import RefusalReason, Refused
 from .diff import ItemChange, diff_configs
 from .model import FleetConfig
 
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -38,6 +38,9 @@
 from .jobs.scheduler import Scheduler
 from .jobs.store import JobStore
 from .key_service import KeyService
+from .keyvalue.etcd import EtcdStore
+from .keyvalue.records import ConflictError
+from .keyvalue.store import Store
 from .logs import DecisionSink, JsonLogHandler, LogWriter
 from .metrics import FleetMetrics, MetricSources, RequestMetrics
 from .monitoring import monitoring_app
@@ -48,11 +51,6 @@
 from .peers.replication import Replication
 from .peers.streams import PeerNetwork
 from .peers.tls import PeerTls
-from .platform.directory import VmDirectory
-from .platform.etcd import EtcdStore
-from .platform.records import ConflictError
-from .platform.store import Store
-from .platform.vm_service import HttpVmDirectory
 from .readiness import NotReadyReason, not_ready_reasons
 from .requests.exchanges import ExchangeSender
 from .requests.keyed import KeyedRequests
@@ -64,6 +62,8 @@
 from .settings import DaemonSettings, load_settings
 from .tls import TlsContexts
 from .usage import TeamUsage, team_usages
+from .vm_platform.directory import VmDirectory
+from .vm_platform.vm_service import HttpVmDirectory
 from .workers.client import HttpWorkerClient
 
 log = logbook.Logger("pomeloyard.daemon")
--- a/src/pomeloyard/errors.py
+++ b/src/pomeloyard/errors.py
@@ -21,6 +21,18 @@
     """A frame from another daemon is malformed, oversized or of unknown version."""
 
 
+class CallNotSentError(PomeloyardError):
+    """A call certainly did not reach its peer."""
+
+
+class CallUnansweredError(PomeloyardError):
+    """A call got no whole answer; the peer may have carried it out."""
+
+
+class StaleFenceError(PomeloyardError):
+    """A peer has seen a higher fencing token: another daemon holds the role."""
+
+
 class StoreError(PomeloyardError):
     """Base class of failures of the platform's key-value store."""
 
--- a/src/pomeloyard/fleet/budgets.py
+++ b/src/pomeloyard/fleet/budgets.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from ..config.model import BudgetConfig, FleetConfig, PoolConfig, ServiceConfig
-from ..platform.directory import VmRole
+from ..vm_platform.directory import VmRole
 from .vms import Cause, VmRecord, VmState
 
 
--- a/src/pomeloyard/fleet/buffers.py
+++ b/src/pomeloyard/fleet/buffers.py
@@ -11,8 +11,8 @@
 
 from ..decisions import Decision, DecisionKind, DecisionLog
 from ..errors import RefusedError, StoreError
-from ..platform.directory import VmRole
-from ..platform.records import ConflictError, Versioned
+from ..keyvalue.records import ConflictError, Versioned
+from ..vm_platform.directory import VmRole
 from .budgets import BudgetRecord, Scope
 from .forecasts import (
     TURN_MARGIN,
--- a/src/pomeloyard/fleet/controller.py
+++ b/src/pomeloyard/fleet/controller.py
@@ -11,8 +11,8 @@
 from ..decisions import DecisionLog
 from ..errors import PomeloyardError
 from ..fleet_state import FleetState
-from ..platform.directory import VmDirectory
-from ..platform.store import Store
+from ..keyvalue.store import Store
+from ..vm_platform.directory import VmDirectory
 from .buffers import BufferManager
 from .drains import AskRunning, DrainVerifier, TaskCounts
 from .lifecycle import VmLifecycle
--- a/src/pomeloyard/fleet/drains.py
+++ b/src/pomeloyard/fleet/drains.py
@@ -14,10 +14,10 @@
 from ..clock import Clock
 from ..fleet_state import FleetState
 from ..jobs.job import FINAL_STATES, JobState
-from ..platform import layout
-from ..platform.directory import VmListState, VmRole
-from ..platform.records import RecordError
-from ..platform.store import Store, scan_all
+from ..keyvalue import layout
+from ..keyvalue.records import RecordError
+from ..keyvalue.store import Store, scan_all
+from ..vm_platform.directory import VmListState, VmRole
 from .vms import DrainStatus, VmRecord
 
 ASK_INTERVAL = timedelta(seconds=1)
--- a/src/pomeloyard/fleet/lifecycle.py
+++ b/src/pomeloyard/fleet/lifecycle.py
@@ -9,8 +9,8 @@
 import logbook
 
 from ..errors import RefusedError, StoreError, StoreRequestError
-from ..platform.directory import Vm, VmDirectory, VmListState, VmOperation, VmRole
-from ..platform.records import ConflictError
+from ..keyvalue.records import ConflictError
+from ..vm_platform.directory import Vm, VmDirectory, VmListState, VmOperation, VmRole
 from . import vm_steps
 from .drains import DrainCheck, DrainVerifier
 from .records import FleetRecords, Step
--- a/src/pomeloyard/fleet/records.py
+++ b/src/pomeloyard/fleet/records.py
@@ -8,10 +8,8 @@
 from ..config.model import ServiceConfig
 from ..errors import RefusedError
 from ..fleet_state import FleetState
-from ..outcomes import RefusalReason, Refused
-from ..platform import layout
-from ..platform.directory import VmListState, VmRole
-from ..platform.records import (
+from ..keyvalue import layout
+from ..keyvalue.records import (
     Change,
     ConflictError,
     Versioned,
@@ -19,7 +17,9 @@
     decode_record,
     read_record,
 )
-from ..platform.store import Store, scan_all
+from ..keyvalue.store import Store, scan_all
+from ..outcomes import RefusalReason, Refused
+from ..vm_platform.directory import VmListState, VmRole
 from .budgets import (
     BudgetRecord,
     HeadroomByScope,
--- a/src/pomeloyard/fleet/repairs.py
+++ b/src/pomeloyard/fleet/repairs.py
@@ -6,8 +6,8 @@
 
 from ..decisions import Candidate, Decision, DecisionKind, DecisionLog
 from ..errors import RefusedError
-from ..platform.directory import VmListState
-from ..platform.records import ConflictError
+from ..keyvalue.records import ConflictError
+from ..vm_platform.directory import VmListState
 from . import vm_steps
 from .operations import VmOperations
 from .records import FleetRecords
--- a/src/pomeloyard/fleet/vm_steps.py
+++ b/src/pomeloyard/fleet/vm_steps.py
@@ -12,7 +12,7 @@
 
 from ..errors import RefusedError
 from ..outcomes import RefusalReason, Refused
-from ..platform.directory import Vm, VmListState, VmOperation
+from ..vm_platform.directory import Vm, VmListState, VmOperation
 from .vms import Cause, DrainStatus, VmPlan, VmRecord, VmState
 
 OPERATIONS_BY_PLAN = {
--- a/src/pomeloyard/fleet/vms.py
+++ b/src/pomeloyard/fleet/vms.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from ..platform.directory import VmRole
+from ..vm_platform.directory import VmRole
 
 
 class VmState(Enum):
--- a/src/pomeloyard/fleet/wave_runner.py
+++ b/src/pomeloyard/fleet/wave_runner.py
@@ -11,10 +11,8 @@
 
 from ..decisions import Candidate, Decision, DecisionKind, DecisionLog
 from ..errors import RefusedError
-from ..outcomes import RefusalReason, Refused
-from ..platform import layout
-from ..platform.directory import VmRole
-from ..platform.records import (
+from ..keyvalue import layout
+from ..keyvalue.records import (
     Change,
     ConflictError,
     Versioned,
@@ -22,7 +20,9 @@
     decode_record,
     read_record,
 )
-from ..platform.store import scan_all
+from ..keyvalue.store import scan_all
+from ..outcomes import RefusalReason, Refused
+from ..vm_platform.directory import VmRole
 from .budgets import BudgetRecord, used_up_by_loss
 from .operations import VmOperations
 from .records import FleetRecords
--- a/src/pomeloyard/fleet/waves.py
+++ b/src/pomeloyard/fleet/waves.py
@@ -11,7 +11,7 @@
 
 from ..errors import RefusedError
 from ..outcomes import RefusalReason, Refused
-from ..platform.directory import VmRole
+from ..vm_platform.directory import VmRole
 from .budgets import HeadroomByScope, Scope, blocking_scope, spend_headroom
 from .vms import MAX_REASONS, VmPlan, VmRecord, VmState
 
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -9,7 +9,7 @@
 from .config.model import FleetConfig
 from .fleet.vms import VmRecord
 from .keys import KeyRing
-from .platform.directory import Vm, VmList, VmListState, VmRole
+from .vm_platform.directory import Vm, VmList, VmListState, VmRole
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/follower.py
+++ b/src/pomeloyard/follower.py
@@ -18,10 +18,10 @@
 from .fleet.vms import VmRecord
 from .fleet_state import DaemonRecord, FleetState, RoleRecord
 from .keys import KeyRing
-from .platform import layout
-from .platform.directory import VmDirectory
-from .platform.records import RecordError, decode_record, read_record
-from .platform.store import Entry, Page, Store, scan_all
+from .keyvalue import layout
+from .keyvalue.records import RecordError, decode_record, read_record
+from .keyvalue.store import Entry, Page, Store, scan_all
+from .vm_platform.directory import VmDirectory
 
 MIN_RETRY_DELAY = timedelta(seconds=0.25)
 MAX_RETRY_DELAY = timedelta(seconds=4)
--- a/src/pomeloyard/jobs/job.py
+++ b/src/pomeloyard/jobs/job.py
@@ -12,8 +12,8 @@
 
 from ..config.model import FleetConfig
 from ..errors import RefusedError
+from ..keyvalue import layout
 from ..outcomes import RefusalReason, Refused
-from ..platform import layout
 
 
 class JobState(Enum):
--- a/src/pomeloyard/jobs/scheduler.py
+++ b/src/pomeloyard/jobs/scheduler.py
@@ -12,9 +12,9 @@
 from ..decisions import DecisionLog
 from ..errors import StoreError
 from ..fleet_state import FleetState
-from ..platform import layout
-from ..platform.records import read_record
-from ..platform.store import Compare, Store, scan_all
+from ..keyvalue import layout
+from ..keyvalue.records import read_record
+from ..keyvalue.store import Compare, Store, scan_all
 from ..workers.client import WorkerClient
 from .term import SchedulerTerm
 
--- a/src/pomeloyard/jobs/store.py
+++ b/src/pomeloyard/jobs/store.py
@@ -17,8 +17,7 @@
     StoreUnavailableError,
     WriteSupersededError,
 )
-from ..outcomes import RefusalReason, Refused
-from ..platform.records import (
+from ..keyvalue.records import (
     Change,
     ConflictError,
     Versioned,
@@ -26,7 +25,8 @@
     decode_record,
     read_record,
 )
-from ..platform.store import Compare, Store, scan_all
+from ..keyvalue.store import Compare, Store, scan_all
+from ..outcomes import RefusalReason, Refused
 from .job import (
     JOB_ID_LENGTH,
     Job,
--- a/src/pomeloyard/jobs/table.py
+++ b/src/pomeloyard/jobs/table.py
@@ -9,8 +9,8 @@
 
 import logbook
 
-from ..platform.records import Change, RecordError, Versioned, decode_record
-from ..platform.store import Entry, WatchEvent
+from ..keyvalue.records import Change, RecordError, Versioned, decode_record
+from ..keyvalue.store import Entry, WatchEvent
 from .job import Job, JobState
 
 RETENTION = timedelta(hours=24)
--- a/src/pomeloyard/jobs/term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -14,8 +14,8 @@
 from ..decisions import Candidate, Decision, DecisionKind, DecisionLog
 from ..errors import StoreError
 from ..fleet_state import FleetState
-from ..platform.records import ConflictError, commit_changes
-from ..platform.store import Compare, Entry, Store, WatchEvent
+from ..keyvalue.records import ConflictError, commit_changes
+from ..keyvalue.store import Compare, Entry, Store, WatchEvent
 from ..workers.client import WorkerClient
 from ..workers.links import TASK_LEASE, Track, WorkerLinks
 from ..workers.tasks import TaskStart
--- a/src/pomeloyard/jobs/worker_drain.py
+++ b/src/pomeloyard/jobs/worker_drain.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..fleet_state import FleetState
-from ..platform.directory import Vm
+from ..vm_platform.directory import Vm
 from ..workers.links import Link, WorkerLinks
 from ..workers.tasks import TaskAction
 from .table import JobTable
--- a/src/pomeloyard/jobs/worker_roster.py
+++ b/src/pomeloyard/jobs/worker_roster.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..fleet_state import FleetState
-from ..platform.directory import Vm, VmListState, VmRole
+from ..vm_platform.directory import Vm, VmListState, VmRole
 from ..workers.links import RECOVERY_WAIT, WorkerLinks
 from .capacity import CapacityIndex, Demand, Worker
 from .job import JobReason
--- a/src/pomeloyard/key_service.py
+++ b/src/pomeloyard/key_service.py
@@ -16,11 +16,11 @@
 from .fleet_state import FleetState
 from .follower import adopt_keys
 from .keys import MAX_KEYS, KeyRecord, KeyRing, Role, new_key
+from .keyvalue import layout
+from .keyvalue.records import Change, ConflictError, commit_changes, read_record
+from .keyvalue.store import Store
 from .outcomes import RefusalReason, Refused
 from .peers.messages import KeyWithdrawn, Message
-from .platform import layout
-from .platform.records import Change, ConflictError, commit_changes, read_record
-from .platform.store import Store
 
 CONFLICT_ATTEMPTS = 8
 CONFLICT_DELAY = timedelta(seconds=0.05)
--- /dev/null
+++ b/src/pomeloyard/keyvalue/__init__.py
@@ -0,0 +1,1 @@
+"""Key-value store: interface, records, and its etcd and in-memory forms."""
--- a/src/pomeloyard/platform/memory.py
+++ b/src/pomeloyard/keyvalue/memory.py
@@ -22,8 +22,8 @@
     Delete,
     Entry,
     Page,
+    PollingStore,
     Put,
-    Store,
     Transaction,
     WatchBatch,
     WatchEvent,
@@ -41,7 +41,7 @@
     keys: set[str] = field(default_factory=set)
 
 
-class MemoryStore(Store):
+class MemoryStore(PollingStore):
     """Store held in memory; expired leases end at the next call or ``expire``."""
 
     def __init__(self, clock: Clock, history_events: int = HISTORY_EVENTS) -> None:
@@ -145,6 +145,16 @@
             send.close()
             receive.close()
 
+    async def poll_changes(
+        self, prefix: str, after_revision: int, wait: timedelta
+    ) -> WatchBatch:
+        """Return changes after a revision, or an empty batch when ``wait`` is over."""
+        start = after_revision + 1
+        async with self.watch(prefix, from_revision=start) as batches:
+            with anyio.move_on_after(wait.total_seconds()):
+                return await anext(batches)
+        return WatchBatch((), max(self._revision, after_revision))
+
     def expire(self) -> None:
         """End leases whose time to live has passed."""
         now = self._clock.monotonic()
--- a/src/pomeloyard/platform/records.py
+++ b/src/pomeloyard/keyvalue/records.py
@@ -25,7 +25,7 @@
 
 RESOLVE_ATTEMPTS = 3
 
-log = logbook.Logger("pomeloyard.platform.records")
+log = logbook.Logger("pomeloyard.keyvalue.records")
 
 
 class ConflictError(PomeloyardError):
--- a/src/pomeloyard/platform/store.py
+++ b/src/pomeloyard/keyvalue/store.py
@@ -162,6 +162,24 @@
         """Release connections."""
 
 
+class PollingStore(Store):
+    """Store whose changes can also be polled.
+
+    An answered poll proves that the caller was current when it was asked, which a
+    watch that has nothing to tell does not.
+    """
+
+    @abstractmethod
+    async def poll_changes(
+        self, prefix: str, after_revision: int, wait: timedelta
+    ) -> WatchBatch:
+        """Return changes after a revision, or an empty batch when ``wait`` is over.
+
+        Raises CompactedError when those revisions are gone and
+        StoreUnavailableError when there is no answer.
+        """
+
+
 def check_transaction(transaction: Transaction) -> None:
     """Raise StoreRequestError for a transaction that no store accepts."""
     operations = transaction.operations
--- a/src/pomeloyard/logs.py
+++ b/src/pomeloyard/logs.py
@@ -21,22 +21,29 @@
 """Bound on the time of one flush; about 5 MB/s at the flush interval."""
 MAX_LINE_BYTES = 16 * 1024
 REOPEN_INTERVAL = timedelta(seconds=1)
+STDOUT = 1
 STDERR = 2
 
 
 class LogWriter:
-    """Writes lines to a file, or to standard error, in bounded batches.
+    """Writes lines to a file, or to a standard stream, in bounded batches.
 
     Lines that find the queue full are dropped and counted.
     """
 
-    def __init__(self, clock: Clock, file: str = "", max_lines: int = 10_000) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        file: str = "",
+        max_lines: int = 10_000,
+        stream: int = STDERR,
+    ) -> None:
         self._clock = clock
         self._file = file
         self._max_lines = max_lines
         self._lines: deque[bytes] = deque()
         self._rest = b""
-        self._descriptor: int | None = None if file else STDERR
+        self._descriptor: int | None = None if file else stream
         self._retry_at = timedelta(0)
         self.dropped_lines = 0
         self.written_bytes = 0
@@ -57,7 +64,8 @@
     async def run(self) -> None:
         """Write queued lines until cancelled."""
         while True:
-            self.flush()
+            if self._lines or self._rest:
+                self.flush()
             await self._clock.sleep(FLUSH_INTERVAL)
 
     def flush(self) -> None:
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -17,10 +17,10 @@
 from .decisions import Decision
 from .fleet_state import FleetState
 from .keys import key_id_of
+from .keyvalue.store import CallCounter
 from .logs import LogWriter
 from .outcomes import RefusalReason, UnknownReason
 from .peers.streams import PeerNetwork
-from .platform.store import CallCounter
 from .problems import MEDIA_TYPE
 from .usage import TeamUsage
 
--- a/src/pomeloyard/operators/support.py
+++ b/src/pomeloyard/operators/support.py
@@ -21,8 +21,8 @@
 from ..jobs.store import JobStore
 from ..key_service import KeyService
 from ..keys import KeyRecord, Role
+from ..keyvalue.store import Store
 from ..outcomes import RefusalReason, Refused
-from ..platform.store import Store
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
 
--- a/src/pomeloyard/platform/__init__.py
+++ b/src/pomeloyard/platform/__init__.py
@@ -1,1 +1,4 @@
-"""The platform's key-value store, VM list and VM operations."""
+"""Adapter to the operators' platform: its wire names, calls and settings file.
+
+Nothing outside this package knows the platform's field names or paths.
+"""
--- /dev/null
+++ b/src/pomeloyard/platform/daemon.py
@@ -0,0 +1,159 @@
+"""The daemon as it runs on each entry VM of the operators' platform."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from datetime import timedelta
+
+import anyio
+import logbook
+from starlette.types import ASGIApp
+
+from ..batch.decisions import DecisionLines
+from ..batch.follow import OperatorFollower
+from ..batch.intake import Intake
+from ..batch.placing import ROLE, TIMES, PlacingRole
+from ..batch.registry import ExecutorRegistry
+from ..batch.term import PlacingTerm
+from ..clock import Clock, SystemClock
+from ..errors import SettingsError
+from ..keyvalue.store import Compare
+from ..logs import STDOUT, JsonLogHandler, LogWriter
+from ..roles import RoleCandidate
+from ..serving import EmbeddedServer, server_config
+from .documents import PlatformDocuments, RegistrationDocuments
+from .executors import PlatformExecutors
+from .front import Front, Readiness
+from .http import HttpCaller
+from .kv import PlatformStore
+from .settings import PlatformSettings, read_settings
+
+RETENTION_SLACK = timedelta(seconds=30)
+"""Job states are kept this much longer than callers may ask for them."""
+CLOSING_TIME = timedelta(seconds=1.5)
+"""Between SIGTERM and the end of the listeners, while the balancer learns that the
+daemon is not ready and callers are told to leave their connections."""
+BACKLOG = 512
+KEEP_ALIVE_S = 60
+
+log = logbook.Logger("pomeloyard.platform.daemon")
+
+
+class PlatformDaemon:
+    """Serves callers and competes for the placing role."""
+
+    def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self.writer = LogWriter(clock, stream=STDOUT)
+        self._lines = DecisionLines(clock, self.writer, settings.vm)
+        self._caller = HttpCaller()
+        self._store = PlatformStore(self._caller, settings.store_address)
+        self._follower = OperatorFollower(clock, self._store, PlatformDocuments())
+        intake = Intake(clock, self._store, self._follower)
+        self._front = Front(
+            clock,
+            self._follower,
+            intake,
+            self._lines,
+            settings.config_bound,
+            settings.withdrawal_bound,
+        )
+        self._role = PlacingRole(clock, self._store, self._new_term)
+        self._candidate = RoleCandidate(
+            self._store, clock, ROLE, settings.vm, self._role.run, TIMES
+        )
+
+    def _new_term(self, epoch: int, guard: Compare) -> PlacingTerm:
+        registry = ExecutorRegistry(self._clock, self._store, RegistrationDocuments())
+        return PlacingTerm(
+            self._clock,
+            self._store,
+            self._follower,
+            registry,
+            PlatformExecutors(self._caller),
+            self._lines,
+            epoch,
+            guard,
+            self._settings.job_retention + RETENTION_SLACK,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        log.info("daemon starts on {}", self._settings.vm)
+        front = _server(self._front, self._settings.caller_address)
+        ready = _server(Readiness(self._front), self._settings.readiness_address)
+        async with anyio.create_task_group() as tasks:
+            role_scope = anyio.CancelScope()
+            tasks.start_soon(self.writer.run)
+            tasks.start_soon(self._follower.run)
+            tasks.start_soon(front.serve, [_listener(self._settings.caller_address)])
+            tasks.start_soon(ready.serve, [_listener(self._settings.readiness_address)])
+            tasks.start_soon(self._compete, role_scope)
+            await _until_stopped()
+            self._front.closing = True
+            log.info("daemon stops")
+            role_scope.cancel()
+            await self._clock.sleep(CLOSING_TIME)
+            front.should_exit = ready.should_exit = True
+            limit = self._settings.stop_grace - 2 * CLOSING_TIME
+            await _wait_closed(front, limit)
+            tasks.cancel_scope.cancel()
+        await self._caller.close()
+        self.writer.close()
+
+    async def _compete(self, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self._candidate.run()
+
+
+async def _until_stopped() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received == signal.SIGTERM:
+                return
+            # Settings name addresses and limits, which a running process keeps.
+            log.info("settings changed; they hold from the next start")
+
+
+async def _wait_closed(server: EmbeddedServer, limit: timedelta) -> None:
+    with anyio.move_on_after(limit.total_seconds()):
+        while server.server_state.connections:
+            await anyio.sleep(0.02)
+
+
+def _server(app: ASGIApp, address: str) -> EmbeddedServer:
+    config = server_config(
+        app,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=1,
+        server_header=False,
+        date_header=False,
+    )
+    return EmbeddedServer(config)
+
+
+def _listener(address: str) -> socket.socket:
+    # asyncio disables Nagle only on sockets that state their protocol.
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(proto=socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(BACKLOG)
+    return listener
+
+
+def main() -> int:
+    """Run the daemon; return its exit status."""
+    clock = SystemClock()
+    try:
+        settings = read_settings()
+    except SettingsError as error:
+        logbook.StderrHandler().push_application()
+        log.error("{}", error)
+        return 2
+    daemon = PlatformDaemon(settings, clock)
+    JsonLogHandler(daemon.writer).push_application()
+    anyio.run(daemon.run)
+    return 0
--- /dev/null
+++ b/src/pomeloyard/platform/documents.py
@@ -0,0 +1,215 @@
+"""Decodes what operators and executors write into the platform's store."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from types import MappingProxyType
+from typing import TypeVar
+
+import msgspec
+
+from ..batch.executors import Executor
+from ..batch.follow import DocumentError
+from ..batch.model import (
+    Configuration,
+    PlacementAdvice,
+    Pool,
+    Queue,
+    Resources,
+    TeamLimits,
+    Wave,
+)
+
+T = TypeVar("T")
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: float = 0
+    each_ms: float = 0
+    valid_ms: float = 0
+
+
+class _Route(msgspec.Struct):
+    """A queue."""
+
+    name: str
+    hostname: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    slo_ms: float = 0
+    """Added to the stretched chain of work; not an objective by itself."""
+    public: bool = False
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    rejects_overload: bool = False
+    standby: bool = False
+
+
+class _Resources(msgspec.Struct):
+    cpu: int = 0
+    """Thousandths of a core."""
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    maximum: _Resources = msgspec.field(default_factory=_Resources)
+    """What may be running at once; 0 in a field means no limit."""
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 262_144
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: list[str]
+    complete_by_s: float
+    """Seconds from the order's appearance."""
+    maximum: int
+    """How many may be down for their upkeep at once."""
+
+
+class _Registration(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Resources
+    labels: list[str]
+    """The kind of the VM and, last, its rack."""
+    sequence: int
+    born: int = 0
+    """Unix milliseconds of the start: names the incarnation."""
+
+
+def decode(content: bytes, kind: type[T]) -> T:
+    """Decode a JSON document; raises DocumentError."""
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise DocumentError(str(error)) from error
+
+
+class PlatformDocuments:
+    """Documents of operators under ``op/``."""
+
+    prefix = "op/"
+    configuration_key = "op/config"
+    wave_prefix = "op/wave/"
+
+    def configuration(self, content: bytes) -> Configuration:
+        """Decode the configuration; raises DocumentError."""
+        file = decode(content, _Configuration)
+        team_by_key = {
+            key: tenant.name for tenant in file.tenants for key in tenant.api_keys
+        }
+        return Configuration(
+            version=file.version,
+            queues_by_name=MappingProxyType(
+                {route.name: _queue(route) for route in file.routes}
+            ),
+            pools_by_name=MappingProxyType(
+                {
+                    service.name: Pool(
+                        service.name, service.rejects_overload, service.standby
+                    )
+                    for service in file.services
+                }
+            ),
+            teams_by_name=MappingProxyType(
+                {
+                    tenant.name: TeamLimits(
+                        tenant.name,
+                        tuple(tenant.api_keys),
+                        tenant.weight,
+                        resources(tenant.maximum),
+                    )
+                    for tenant in file.tenants
+                }
+            ),
+            team_by_key=MappingProxyType(team_by_key),
+            max_body_bytes=file.limits.max_body_bytes,
+        )
+
+    def wave(self, key: str, content: bytes) -> Wave | None:
+        """Decode a wave; None for other keys. Raises DocumentError."""
+        if not key.startswith(self.wave_prefix):
+            return None
+        wave = decode(content, _Wave)
+        return Wave(
+            wave.wave,
+            tuple(wave.machines),
+            timedelta(seconds=wave.complete_by_s),
+            wave.maximum,
+        )
+
+
+class RegistrationDocuments:
+    """Registrations of executors under ``servers/``."""
+
+    prefix = "servers/"
+
+    def executor(self, key: str, content: bytes) -> Executor:
+        """Decode an executor's registration; raises DocumentError."""
+        entry = decode(content, _Registration)
+        if entry.state not in ("ready", "draining"):
+            raise DocumentError(f"unknown state {entry.state!r}")
+        host, _, port = entry.address.rpartition(":")
+        if not host or not port.isdigit():
+            raise DocumentError(f"no address: {entry.address!r}")
+        return Executor(
+            executor_id=key.removeprefix(self.prefix),
+            address=entry.address,
+            service=entry.service,
+            availability_zone=entry.zone,
+            capacity=resources(entry.capacity),
+            labels=tuple(entry.labels),
+            draining=entry.state == "draining",
+            incarnation=entry.born,
+            rack=entry.labels[-1] if entry.labels else "",
+        )
+
+
+def resources(amount: _Resources) -> Resources:
+    """Return an amount in the product's type."""
+    return Resources(amount.cpu, amount.mem_mb, amount.gpu)
+
+
+def _queue(route: _Route) -> Queue:
+    advice = None
+    if route.advice is not None:
+        advice = PlacementAdvice(
+            timedelta(milliseconds=route.advice.decide_ms),
+            timedelta(milliseconds=route.advice.each_ms),
+            timedelta(milliseconds=route.advice.valid_ms),
+        )
+    return Queue(
+        name=route.name,
+        host=route.hostname,
+        path_prefix=route.prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        objective=timedelta(milliseconds=route.slo_ms),
+        public=route.public,
+        advice=advice,
+    )
--- /dev/null
+++ b/src/pomeloyard/platform/kv.py
@@ -0,0 +1,248 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from ..errors import (
+    CallNotSentError,
+    CallUnansweredError,
+    CompactedError,
+    LeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreRequestError,
+    StoreUnavailableError,
+)
+from ..keyvalue.store import (
+    CallCounter,
+    CommitResult,
+    Entry,
+    Page,
+    PollingStore,
+    Put,
+    Transaction,
+    WatchBatch,
+    WatchEvent,
+)
+from .http import Answer, HttpCaller
+
+CALL_TIMEOUT = timedelta(seconds=1.2)
+"""A slow store answers within 0.4 s; beyond that a new connection is better."""
+WATCH_SLACK = timedelta(seconds=0.6)
+"""Added to the wait of a poll before it counts as silent."""
+WATCH_WAIT = timedelta(seconds=10)
+MAX_ENTRIES = 32
+"""Conditions, writes and deletions together in one transaction."""
+TOO_MANY_CALLS = 429
+
+T = TypeVar("T")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    rev: int
+    value: str = ""
+    """Base64 text."""
+    created: int = 0
+    """Revision of the key's creation, not a time."""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _ItemAnswer(_Item):
+    current_rev: int = 0
+
+
+class _RangeAnswer(msgspec.Struct):
+    items: list[_Item]
+    current_rev: int
+    truncated: bool = False
+
+
+class _WatchAnswer(msgspec.Struct):
+    events: list[_Item]
+    current_rev: int
+
+
+class _CommitAnswer(msgspec.Struct):
+    rev: int
+
+
+class _LeaseAnswer(msgspec.Struct):
+    ttl_ms: int
+    lease: int = 0
+
+
+class PlatformStore(PollingStore):
+    """Store at one address of the platform."""
+
+    def __init__(self, caller: HttpCaller, address: str) -> None:
+        self._caller = caller
+        self._address = address
+        self.calls = CallCounter()
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of a key, or None if it is absent."""
+        answer = await self._read(f"/kv-key?key={quote(key, safe='')}")
+        if answer.status == 404:
+            return None
+        return _entry(_decode(answer, _ItemAnswer))
+
+    async def scan(self, prefix: str, *, start: str = "", limit: int = 1000) -> Page:
+        """Return entries whose key has ``prefix``; the store chooses the page's size.
+
+        ``start`` is a key of the page before with a zero byte appended, or "".
+        """
+        target = f"/kv-range?prefix={quote(prefix, safe='')}"
+        if start:
+            target += f"&after={quote(start.removesuffix(chr(0)), safe='')}"
+        page = _decode(await self._read(target), _RangeAnswer)
+        return Page(
+            tuple(_entry(item) for item in page.items),
+            page.current_rev,
+            page.truncated and bool(page.items),
+        )
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Apply a transaction atomically."""
+        puts = [op for op in transaction.operations if isinstance(op, Put)]
+        drops = [op.key for op in transaction.operations if not isinstance(op, Put)]
+        if len(transaction.compares) + len(transaction.operations) > MAX_ENTRIES:
+            raise StoreRequestError(f"more than {MAX_ENTRIES} entries")
+        body = {
+            "expected": [
+                {"key": compare.key, "rev": compare.mod_revision}
+                for compare in transaction.compares
+            ],
+            "puts": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in puts
+            ],
+            "drop": drops,
+        }
+        answer = await self._write("POST", "/kv-txn", body)
+        if answer.status == 412:
+            return CommitResult(False, 0)
+        if answer.status == 404:
+            raise LeaseLostError("a key of the transaction names an ended lease")
+        return CommitResult(True, _decode(answer, _CommitAnswer).rev)
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Create a lease and return its id."""
+        body = {"ttl_ms": round(ttl.total_seconds() * 1000)}
+        answer = await self._write("POST", "/kv-lease", body)
+        return _decode(answer, _LeaseAnswer).lease
+
+    async def keep_lease_alive(self, lease: int) -> timedelta:
+        """Renew a lease and return its time to live."""
+        answer = await self._write("POST", f"/kv-keep/{lease}", {})
+        if answer.status == 404:
+            raise LeaseLostError(f"lease {lease} has expired")
+        return timedelta(milliseconds=_decode(answer, _LeaseAnswer).ttl_ms)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete the keys attached to it."""
+        await self._write("DELETE", f"/kv-lease-end/{lease}", None)
+
+    async def poll_changes(
+        self, prefix: str, after_revision: int, wait: timedelta
+    ) -> WatchBatch:
+        """Return changes after a revision, or an empty batch when ``wait`` is over."""
+        wait_ms = round(wait.total_seconds() * 1000)
+        target = (
+            f"/kv-watch?prefix={quote(prefix, safe='')}"
+            f"&after={after_revision}&wait_ms={wait_ms}"
+        )
+        self.calls.watches_waiting += 1
+        try:
+            answer = await self._read(target, wait + WATCH_SLACK)
+        finally:
+            self.calls.watches_waiting -= 1
+        if answer.status == 410:
+            raise CompactedError(after_revision)
+        batch = _decode(answer, _WatchAnswer)
+        events = tuple(
+            WatchEvent(item.key, None if item.deleted else _entry(item), item.rev)
+            for item in batch.events
+        )
+        return WatchBatch(events, max(batch.current_rev, after_revision))
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, *, from_revision: int
+    ) -> AsyncIterator[AsyncIterator[WatchBatch]]:
+        """Yield changes under ``prefix`` from ``from_revision`` on."""
+        self.calls.watches_opened += 1
+
+        async def batches() -> AsyncIterator[WatchBatch]:
+            revision = from_revision - 1
+            while True:
+                batch = await self.poll_changes(prefix, revision, WATCH_WAIT)
+                revision = batch.revision
+                if batch.events:
+                    yield batch
+
+        yield batches()
+
+    async def _read(self, target: str, timeout: timedelta = CALL_TIMEOUT) -> Answer:
+        self.calls.reads += 1
+        try:
+            answer = await self._caller.call("GET", self._address, target, timeout)
+        except (CallNotSentError, CallUnansweredError) as error:
+            self.calls.failures += 1
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status in (200, 404, 410):
+            return answer
+        self.calls.failures += 1
+        raise StoreUnavailableError(f"GET {target}: status {answer.status}")
+
+    async def _write(self, method: str, target: str, body: object) -> Answer:
+        self.calls.writes += 1
+        content = b"" if body is None else msgspec.json.encode(body)
+        try:
+            answer = await self._caller.call(
+                method, self._address, target, CALL_TIMEOUT, content
+            )
+        except CallNotSentError as error:
+            self.calls.failures += 1
+            raise StoreUnavailableError(str(error)) from error
+        except CallUnansweredError as error:
+            self.calls.failures += 1
+            raise StoreOutcomeUnknownError(str(error)) from error
+        if answer.status in (200, 404, 412):
+            return answer
+        self.calls.failures += 1
+        message = f"{method} {target}: status {answer.status}"
+        if answer.status in (503, TOO_MANY_CALLS):
+            raise StoreUnavailableError(message)
+        if 400 <= answer.status < 500:
+            raise StoreRequestError(message)
+        raise StoreOutcomeUnknownError(message)
+
+
+def _decode(answer: Answer, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreOutcomeUnknownError(f"unreadable answer: {error}") from error
+
+
+def _entry(item: _Item) -> Entry:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except (binascii.Error, ValueError):
+        # Another writer's bytes; whoever reads the entry rejects them with a reason.
+        value = b"\xff"
+    return Entry(item.key, value, item.created, item.rev, item.lease)
--- /dev/null
+++ b/src/pomeloyard/platform/settings.py
@@ -0,0 +1,142 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from ..errors import SettingsError
+
+PATH_VARIABLE = "POMELOYARD_CONFIG"
+METRICS_PORT = 9464
+"""The port registered for OpenMetrics exporters; deploy/system.toml names it."""
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready_addr: str
+
+
+class _Limits(msgspec.Struct):
+    cpu_share: float = 1.0
+    """Share of a core; times ``cores``, the speed of one core."""
+    cores: float = 1.0
+    memory_mb: int = 0
+
+
+class _Bounds(msgspec.Struct):
+    # Whole numbers and fractions come without a fixed form.
+    config_ms: float = 2000
+    revoke_ms: float = 5000
+    grace_s: float = 6
+    hold_max_ms: float = 10_000
+    stop_ms: float = 900
+    lease_ms: float = 3000
+    gang_ms: float = 3000
+    notice_ms: float = 4500
+    save_s: float = 1
+    restore_ms: float = 600
+    remote_factor: float = 1.5
+    move_s: float = 1.5
+    upkeep_s: float = 2
+    status_s: float = 120
+    pace_ms: float = 100
+    harm_ms: float = 4000
+
+
+class _StorePlace(msgspec.Struct):
+    address: str
+    writes_per_s: float = 400
+    reads_per_s: float = 2000
+
+
+class _CloudPlace(msgspec.Struct):
+    address: str = ""
+    per_s: float = 16
+    duty_per_s: float = 16
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    listen_addrs: _Listen
+    platform: _StorePlace
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    cloud_api: _CloudPlace | None = None
+    advice: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a daemon learns from the platform at its start."""
+
+    vm: str
+    availability_zone: str
+    caller_address: str
+    readiness_address: str
+    metrics_address: str
+    store_address: str
+    vm_service_address: str
+    advice_address: str
+    core_speed: float
+    """Speed of this VM's core; 1.0 is one whole core."""
+    config_bound: timedelta
+    """Within this, a new configuration is in force."""
+    withdrawal_bound: timedelta
+    """Within this, a withdrawn key has stopped working."""
+    stop_grace: timedelta
+    """Time between SIGTERM and SIGKILL."""
+    longest_lease: timedelta
+    """Executors shorten longer leases to this."""
+    takeover_pause: timedelta
+    """Two holders must not operate on one VM within this time."""
+    absence_notice: timedelta
+    """A lasting task not at work for this long counts as unavailable."""
+    save_interval: timedelta
+    move_time: timedelta
+    upkeep_time: timedelta
+    job_retention: timedelta
+
+
+def read_settings(path: Path | None = None) -> PlatformSettings:
+    """Read the settings file.
+
+    Raises SettingsError when it is missing, unreadable or incomplete.
+    """
+    source = path or Path(os.environ.get(PATH_VARIABLE, ""))
+    try:
+        content = source.read_bytes()
+    except OSError as error:
+        raise SettingsError(f"settings file {source}: {error}") from error
+    try:
+        file = msgspec.json.decode(content, type=_File)
+    except msgspec.MsgspecError as error:
+        raise SettingsError(f"settings file {source}: {error}") from error
+    bounds = file.bounds
+    return PlatformSettings(
+        vm=file.node_name,
+        availability_zone=file.zone,
+        caller_address=file.listen_addrs.front,
+        readiness_address=file.listen_addrs.ready_addr,
+        metrics_address=f"{file.ip}:{METRICS_PORT}",
+        store_address=file.platform.address,
+        vm_service_address=file.cloud_api.address if file.cloud_api else "",
+        advice_address=file.advice or "",
+        core_speed=file.limits.cpu_share * file.limits.cores,
+        config_bound=timedelta(milliseconds=bounds.config_ms),
+        withdrawal_bound=timedelta(milliseconds=bounds.revoke_ms),
+        stop_grace=timedelta(seconds=bounds.grace_s),
+        longest_lease=timedelta(milliseconds=bounds.hold_max_ms),
+        takeover_pause=timedelta(milliseconds=bounds.lease_ms),
+        absence_notice=timedelta(milliseconds=bounds.notice_ms),
+        save_interval=timedelta(seconds=bounds.save_s),
+        move_time=timedelta(seconds=bounds.move_s),
+        upkeep_time=timedelta(seconds=bounds.upkeep_s),
+        job_retention=timedelta(seconds=bounds.status_s),
+    )
--- a/src/pomeloyard/problems.py
+++ b/src/pomeloyard/problems.py
@@ -18,8 +18,8 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from .keyvalue.records import ConflictError
 from .outcomes import RefusalReason, Refused, Unknown, UnknownReason
-from .platform.records import ConflictError
 
 ExceptionHandler = Callable[[Request, Exception], Awaitable[Response]]
 
--- a/src/pomeloyard/requests/service.py
+++ b/src/pomeloyard/requests/service.py
@@ -18,7 +18,7 @@
 from ..errors import OutcomeUnknownError, RefusedError
 from ..fleet_state import FleetState
 from ..outcomes import RefusalReason, Refused
-from ..platform.directory import VmRole
+from ..vm_platform.directory import VmRole
 from .exchanges import Exchange, ExchangeSender, ServiceRequest
 from .keyed import Answer, KeyedRequests
 from .routing import RetryBudget
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -5,6 +5,7 @@
 import random
 import types
 from collections.abc import Callable, Coroutine, Generator
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -14,22 +15,38 @@
 from .clock import Clock
 from .errors import LeaseLostError, PomeloyardError, StoreError
 from .fleet_state import RoleRecord
-from .platform import layout
-from .platform.records import (
+from .keyvalue import layout
+from .keyvalue.records import (
     Change,
     ConflictError,
     commit_changes,
     read_record,
 )
-from .platform.store import Store
+from .keyvalue.store import PollingStore, Store
 
 ROLE_TTL = timedelta(seconds=5)
 RENEW_INTERVAL = timedelta(seconds=1.5)
+VACANCY_WAIT = timedelta(seconds=10)
+"""Longest poll for a vacancy; a silent poll costs the candidate no more."""
 EPOCHS = "epochs/"
 
 log = logbook.Logger("pomeloyard.roles")
 
 
+@dataclass(frozen=True, slots=True)
+class RoleTimes:
+    """How long a role's lease lasts and how often it is renewed.
+
+    ``head_start`` delays a candidate that is less suited, so that others win.
+    """
+
+    ttl: timedelta = ROLE_TTL
+    renew_interval: timedelta = RENEW_INTERVAL
+    head_start: timedelta = timedelta(0)
+    polls: bool = False
+    """Whether candidates learn of a vacancy by a poll of the store's changes."""
+
+
 class RoleLostError(PomeloyardError):
     """The role may be held by another daemon; its work must stop."""
 
@@ -50,7 +67,9 @@
         name: str,
         incarnation: str,
         work: Callable[[int], Coroutine[Any, Any, None]],
+        times: RoleTimes | None = None,
     ) -> None:
+        self._times = times or RoleTimes()
         self._store = store
         self._clock = clock
         self._name = name
@@ -75,17 +94,35 @@
                 await self._compete()
             except (StoreError, ConflictError) as error:
                 log.debug("role {}: {}", self._name, error)
-            await self._clock.sleep(RENEW_INTERVAL * random.uniform(0.8, 1.2))
+            await self._await_vacancy()
+
+    async def _await_vacancy(self) -> None:
+        """Wait for a change of the role's key, or for a renewal interval."""
+        store = self._store
+        if not (self._times.polls and isinstance(store, PollingStore)):
+            pause = self._times.renew_interval * random.uniform(0.8, 1.2)
+            await self._clock.sleep(pause)
+            return
+        key = layout.ROLES + self._name
+        try:
+            page = await store.scan(key)
+            if page.entries:
+                await store.poll_changes(key, page.revision, VACANCY_WAIT)
+        except StoreError as error:
+            log.debug("role {}: {}", self._name, error)
+            pause = self._times.renew_interval * random.uniform(0.4, 0.8)
+            await self._clock.sleep(pause)
+        await self._clock.sleep(self._times.head_start)
 
     async def _compete(self) -> None:
         holder_key = layout.ROLES + self._name
         if await self._store.get(holder_key) is not None:
             return
         asked_at = self._clock.monotonic()
-        lease = await self._store.grant_lease(ROLE_TTL)
+        lease = await self._store.grant_lease(self._times.ttl)
         try:
             epoch = await self._take(lease)
-            self._held_until = asked_at + ROLE_TTL
+            self._held_until = asked_at + self._times.ttl
             log.info("{} holds role {} epoch {}", self._incarnation, self._name, epoch)
             await self._hold(lease, epoch)
         finally:
@@ -120,7 +157,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_work, epoch, tasks.cancel_scope)
             while await self._renew(lease):
-                await self._clock.sleep(RENEW_INTERVAL)
+                await self._clock.sleep(self._times.renew_interval)
             tasks.cancel_scope.cancel()
         log.info("{} lost role {} epoch {}", self._incarnation, self._name, epoch)
 
@@ -139,7 +176,7 @@
         if not self.still_held():
             return False
         asked_at = self._clock.monotonic()
-        ttl = ROLE_TTL
+        ttl = self._times.ttl
         try:
             ttl = min(ttl, await self._store.keep_lease_alive(lease))
         except LeaseLostError:
--- a/src/pomeloyard/standins/demo.py
+++ b/src/pomeloyard/standins/demo.py
@@ -18,7 +18,7 @@
 import httpcore
 
 from ..operators.client import OperatorClient
-from ..platform.directory import VmRole
+from ..vm_platform.directory import VmRole
 from .launcher import SOURCE, LaunchError, LocalFleet, wait_until
 
 EXAMPLE = SOURCE.parent / "examples" / "lilim"
--- a/src/pomeloyard/standins/embedded.py
+++ b/src/pomeloyard/standins/embedded.py
@@ -14,11 +14,11 @@
 from ..config.reader import parse_file, read_contents
 from ..daemon import Daemon
 from ..keys import Role, hash_key, new_key
+from ..keyvalue.memory import MemoryStore
 from ..logs import JsonLogHandler
-from ..platform.directory import Vm, VmRole
-from ..platform.memory import MemoryStore
 from ..serving import serving
 from ..settings import DaemonSettings
+from ..vm_platform.directory import Vm, VmRole
 from .endpoint import EndpointState, endpoint_app
 from .launcher import free_port
 from .platform import MemoryVmDirectory, expire_leases
--- a/src/pomeloyard/standins/launcher.py
+++ b/src/pomeloyard/standins/launcher.py
@@ -17,7 +17,7 @@
 
 from ..errors import PomeloyardError
 from ..keys import hash_key, new_key
-from ..platform.directory import Vm, VmRole
+from ..vm_platform.directory import Vm, VmRole
 
 SOURCE = Path(__file__).resolve().parents[2]
 FIRST_PORT = 10_000
--- a/src/pomeloyard/standins/platform.py
+++ b/src/pomeloyard/standins/platform.py
@@ -26,9 +26,8 @@
     StoreError,
     StoreUnavailableError,
 )
-from ..platform.directory import Vm, VmOperation
-from ..platform.memory import MemoryStore
-from ..platform.store import (
+from ..keyvalue.memory import MemoryStore
+from ..keyvalue.store import (
     Compare,
     Delete,
     Entry,
@@ -38,6 +37,7 @@
     WatchBatch,
 )
 from ..serving import server_config
+from ..vm_platform.directory import Vm, VmOperation
 from .vm_directory import DirectoryBehaviour, MemoryVmDirectory
 
 WATCH_PROGRESS_INTERVAL = timedelta(seconds=5)
--- a/src/pomeloyard/standins/vm_directory.py
+++ b/src/pomeloyard/standins/vm_directory.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..errors import StoreRequestError
-from ..platform.directory import (
+from ..vm_platform.directory import (
     Vm,
     VmDirectory,
     VmList,
--- /dev/null
+++ b/src/pomeloyard/vm_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The VM service and the lagging list of VMs, as interfaces."""
--- a/tests/operators/store_faults.py
+++ b/tests/operators/store_faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.keyvalue.memory import MemoryStore
 
 
 class FaultyStore(MemoryStore):
--- a/tests/operators/test_explain.py
+++ b/tests/operators/test_explain.py
@@ -10,10 +10,10 @@
 from pomeloyard.fleet.vms import VmRecord
 from pomeloyard.jobs.job import Job, JobRequest, job_key
 from pomeloyard.keys import KeyRing, Role, new_key
+from pomeloyard.keyvalue.records import Change, commit_changes
 from pomeloyard.operators.app import operator_app
-from pomeloyard.platform.directory import VmRole
-from pomeloyard.platform.records import Change, commit_changes
 from pomeloyard.serving import serving
+from pomeloyard.vm_platform.directory import VmRole
 from tests.operators.test_commands import run
 from tests.operators.test_operator_app import Operator
 from tests.test_explanations import daemon as peer_daemon
--- a/tests/operators/test_operator_app.py
+++ b/tests/operators/test_operator_app.py
@@ -19,9 +19,9 @@
 from pomeloyard.fleet_state import DaemonRecord
 from pomeloyard.follower import adopt_config, adopt_keys
 from pomeloyard.keys import KeyRing, find_key, hash_key, new_key
+from pomeloyard.keyvalue import layout
 from pomeloyard.operators.app import operator_app
 from pomeloyard.peers.messages import Heartbeat, KeyWithdrawn
-from pomeloyard.platform import layout
 from pomeloyard.settings import DaemonSettings
 from pomeloyard.standins.platform import MemoryVmDirectory
 from tests.operators.store_faults import FaultyStore
--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -15,11 +15,11 @@
     StoreUnavailableError,
 )
 from pomeloyard.fleet_state import DaemonRecord, FleetState
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import Change, commit_changes, read_record
 from pomeloyard.peers.calls import PeerCalls, _Pending
 from pomeloyard.peers.messages import ClaimOutage
-from pomeloyard.platform import layout
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import Change, commit_changes, read_record
 
 STEP = timedelta(milliseconds=50)
 MAX_TICKET_AGE_SECONDS = 150
--- a/tests/support/fake_workers.py
+++ b/tests/support/fake_workers.py
@@ -17,15 +17,15 @@
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.jobs.job import Job, JobRequest, job_id_of
 from pomeloyard.jobs.scheduler import EPOCH_KEY, Scheduler
-from pomeloyard.outcomes import Done, RefusalReason, Refused, Unknown, UnknownReason
-from pomeloyard.platform.directory import Vm, VmList, VmRole
-from pomeloyard.platform.records import (
+from pomeloyard.keyvalue.records import (
     Change,
     commit_changes,
     decode_record,
     read_record,
 )
-from pomeloyard.platform.store import scan_all
+from pomeloyard.keyvalue.store import scan_all
+from pomeloyard.outcomes import Done, RefusalReason, Refused, Unknown, UnknownReason
+from pomeloyard.vm_platform.directory import Vm, VmList, VmRole
 from pomeloyard.workers.client import WorkerClient
 from pomeloyard.workers.tasks import (
     OUT_OF_MEMORY,
--- a/tests/support/faulty_store.py
+++ b/tests/support/faulty_store.py
@@ -7,8 +7,8 @@
 from datetime import timedelta
 
 from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.store import (
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.store import (
     CommitResult,
     Entry,
     Page,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -27,10 +27,10 @@
 from pomeloyard.fleet.drains import TaskCounts
 from pomeloyard.fleet.vms import VmRecord, VmState
 from pomeloyard.fleet_state import DaemonRecord, FleetState
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmRole
-from pomeloyard.platform.records import ConflictError, decode_record
-from pomeloyard.platform.store import scan_all
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.records import ConflictError, decode_record
+from pomeloyard.keyvalue.store import scan_all
+from pomeloyard.vm_platform.directory import Vm, VmRole
 
 from .fleet_faults import FaultyDirectory, FaultyStore, killed
 
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -12,9 +12,9 @@
     StoreRequestError,
     StoreUnavailableError,
 )
-from pomeloyard.platform.directory import Vm, VmListState, VmOperation
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.standins.platform import MemoryVmDirectory
+from pomeloyard.vm_platform.directory import Vm, VmListState, VmOperation
 
 
 class Killed(BaseException):
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -11,7 +11,7 @@
 
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.keyvalue.memory import MemoryStore
 
 STEP = timedelta(milliseconds=50)
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from pomeloyard.keys import KeyRecord, hash_key, new_key
-from pomeloyard.platform.directory import Vm, VmRole
 from pomeloyard.standins.launcher import free_port
+from pomeloyard.vm_platform.directory import Vm, VmRole
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_SECONDS = 20.0
--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -24,13 +24,12 @@
 from pomeloyard.endpoints.client import EndpointClient
 from pomeloyard.fleet_state import DaemonRecord, FleetState
 from pomeloyard.keys import KeyRing, new_key
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import Change, commit_changes, read_record
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.messages import Hello
 from pomeloyard.peers.streams import PeerNetwork
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmList, VmRole
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import Change, commit_changes, read_record
 from pomeloyard.problems import EXCEPTION_HANDLERS
 from pomeloyard.requests.exchanges import ExchangeSender
 from pomeloyard.requests.keyed import KeyedRequests
@@ -38,6 +37,7 @@
 from pomeloyard.requests.routing import ExecutorRouter
 from pomeloyard.requests.service import RequestService
 from pomeloyard.serving import serving
+from pomeloyard.vm_platform.directory import Vm, VmList, VmRole
 
 from .processes import free_port
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pomeloyard.fleet.budgets import BudgetProblemKind, budget_problems
-from pomeloyard.platform.directory import VmRole
+from pomeloyard.vm_platform.directory import VmRole
 
 from .support.fleet import make_config
 
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -15,7 +15,7 @@
     wanted_vms,
 )
 from pomeloyard.fleet.vms import VmRecord
-from pomeloyard.platform import layout
+from pomeloyard.keyvalue import layout
 
 from .support.fleet import Fleet, make_config, make_vms, run
 
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -12,8 +12,8 @@
 from pomeloyard.callers.app import caller_app
 from pomeloyard.clock import SystemClock
 from pomeloyard.jobs.store import JobStore
+from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.outcomes import RefusalReason, UnknownReason
-from pomeloyard.platform.memory import MemoryStore
 
 from .support.request_path import RequestPath
 
--- a/tests/test_drain_notices.py
+++ b/tests/test_drain_notices.py
@@ -7,7 +7,7 @@
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.messages import DrainNotice, RunningQuery, RunningReply
-from pomeloyard.platform.directory import Vm, VmList, VmRole
+from pomeloyard.vm_platform.directory import Vm, VmList, VmRole
 
 from .support.fleet import run
 from .support.network import Network
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -11,7 +11,7 @@
 from pomeloyard.errors import PomeloyardError
 from pomeloyard.fleet.vms import VmPlan, VmRecord, VmState
 from pomeloyard.fleet.waves import WaveKind, WaveRecord, WaveState
-from pomeloyard.platform import layout
+from pomeloyard.keyvalue import layout
 
 from .support.fleet import Fleet, make_config, make_vms
 from .support.fleet_faults import killed
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -12,8 +12,8 @@
 import httpcore
 import pytest
 
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import VmRole
+from pomeloyard.keyvalue import layout
+from pomeloyard.vm_platform.directory import VmRole
 
 from .support.processes import SOURCE, Fleet, wait_until
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -17,12 +17,12 @@
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.follower import MAX_RETRY_DELAY, FleetFollower
 from pomeloyard.keys import KeyRing
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmList, VmRole
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import Change, commit_changes, read_record
-from pomeloyard.platform.store import Put, Transaction, WatchBatch, scan_all
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import Change, commit_changes, read_record
+from pomeloyard.keyvalue.store import Put, Transaction, WatchBatch, scan_all
 from pomeloyard.standins.platform import MemoryVmDirectory
+from pomeloyard.vm_platform.directory import Vm, VmList, VmRole
 
 from .support.faulty_store import FaultyStore
 
--- a/tests/test_job_interface.py
+++ b/tests/test_job_interface.py
@@ -16,7 +16,7 @@
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.jobs.store import JobStore
 from pomeloyard.keys import KeyRing, new_key
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.problems import EXCEPTION_HANDLERS
 from pomeloyard.serving import serving
 
--- a/tests/test_jobs_processes.py
+++ b/tests/test_jobs_processes.py
@@ -8,10 +8,10 @@
 import pytest
 
 from pomeloyard.fleet_state import RoleRecord
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import VmRole
-from pomeloyard.platform.etcd import EtcdStore
-from pomeloyard.platform.records import read_record
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.etcd import EtcdStore
+from pomeloyard.keyvalue.records import read_record
+from pomeloyard.vm_platform.directory import VmRole
 from tests.support.processes import Fleet, wait_until
 from tests.test_whole_path import CONFIGURATION, DAEMONS, call, run_tool
 
--- a/tests/test_keyed_processes.py
+++ b/tests/test_keyed_processes.py
@@ -8,7 +8,7 @@
 import httpcore
 import pytest
 
-from pomeloyard.platform.directory import VmRole
+from pomeloyard.vm_platform.directory import VmRole
 
 from .support.processes import Fleet, wait_until
 from .test_whole_path import CONFIGURATION, DAEMONS, call, run_tool
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,12 +17,12 @@
 from pomeloyard.errors import StoreUnavailableError
 from pomeloyard.fleet_state import DaemonRecord
 from pomeloyard.follower import FleetFollower
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import read_record
 from pomeloyard.outcomes import Done
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import Vm, VmListState, VmRole
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import read_record
 from pomeloyard.standins.platform import MemoryVmDirectory
+from pomeloyard.vm_platform.directory import Vm, VmListState, VmRole
 
 VM = "mill-e1"
 LIMIT_OF_T1 = 40
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -10,8 +10,8 @@
 from pomeloyard.fleet.repair import Observation, ObservationKind
 from pomeloyard.fleet.vms import Cause, VmRecord, VmState
 from pomeloyard.fleet_state import FleetState, RoleRecord
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import VmOperation
+from pomeloyard.keyvalue import layout
+from pomeloyard.vm_platform.directory import VmOperation
 
 from .support.fleet import Fleet, make_config, make_vms, run
 from .support.network import Network
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -19,6 +19,9 @@
 from pomeloyard.follower import adopt_config
 from pomeloyard.key_service import KeyService
 from pomeloyard.keys import KeyRecord, KeyRing, find_key, new_key
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import Change, commit_changes, read_record
 from pomeloyard.peers.messages import (
     ConfigReply,
     Heartbeat,
@@ -27,9 +30,6 @@
     PartitionsReply,
 )
 from pomeloyard.peers.replication import Replication
-from pomeloyard.platform import layout
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import Change, commit_changes, read_record
 
 from .support.faulty_store import FaultyStore
 
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -9,7 +9,7 @@
 
 from pomeloyard.clock import SystemClock
 from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from pomeloyard.platform.memory import MemoryStore
+from pomeloyard.keyvalue.memory import MemoryStore
 
 from .support.executors import FaultyExecutor
 from .support.request_path import UNITS, request_path
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from pomeloyard.clock import ManualClock
-from pomeloyard.platform import layout
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import read_record
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import read_record
 from pomeloyard.roles import RENEW_INTERVAL, ROLE_TTL, RoleCandidate, RoleLostError
 
 from .support.faulty_store import FaultyStore
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,7 +8,7 @@
 from pomeloyard.claims.segments import SegmentIndex, decode_segment
 from pomeloyard.claims.table import CLAIM_WINDOW, Claim, ClaimTable
 from pomeloyard.clock import ManualClock
-from pomeloyard.platform.store import Entry
+from pomeloyard.keyvalue.store import Entry
 from pomeloyard.requests.results import ResultState, ResultTable, StoredResponse
 from pomeloyard.requests.routing import (
     FAILURES_TO_EJECT,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,7 +9,7 @@
 from pomeloyard.fleet.vms import VmRecord, VmState
 from pomeloyard.jobs.job import JobReason, JobRequest, JobState
 from pomeloyard.jobs.store import JobStore
-from pomeloyard.platform.directory import VmRole
+from pomeloyard.vm_platform.directory import VmRole
 from pomeloyard.workers.tasks import TaskState
 from tests.support.fake_workers import GIB, Bench
 from tests.support.job_fakes import advance
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,7 +11,6 @@
 
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import StoreRequestError
-from pomeloyard.platform.directory import Vm, VmListState, VmOperation, VmRole
 from pomeloyard.serving import serving
 from pomeloyard.standins.endpoint import EndpointState, endpoint_app
 from pomeloyard.standins.vm_directory import (
@@ -20,6 +19,7 @@
     OperationFault,
 )
 from pomeloyard.standins.worker import WorkerBehaviour, WorkerState
+from pomeloyard.vm_platform.directory import Vm, VmListState, VmOperation, VmRole
 from pomeloyard.workers.tasks import TaskStart, TaskState
 
 RESPONSES = [
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -22,17 +22,16 @@
     StoreRequestError,
     StoreUnavailableError,
 )
-from pomeloyard.platform.directory import Vm, VmOperation, VmRole
-from pomeloyard.platform.etcd import CALL_TIMEOUT, MAX_CALLS_IN_FLIGHT, EtcdStore
-from pomeloyard.platform.memory import MemoryStore
-from pomeloyard.platform.records import (
+from pomeloyard.keyvalue.etcd import CALL_TIMEOUT, MAX_CALLS_IN_FLIGHT, EtcdStore
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.records import (
     RECENT_WRITES,
     Change,
     ConflictError,
     commit_changes,
     read_record,
 )
-from pomeloyard.platform.store import (
+from pomeloyard.keyvalue.store import (
     MAX_VALUE_BYTES,
     Compare,
     Delete,
@@ -40,7 +39,6 @@
     Transaction,
     scan_all,
 )
-from pomeloyard.platform.vm_service import HttpVmDirectory
 from pomeloyard.serving import serving
 from pomeloyard.standins.fault_proxy import Faults, proxying
 from pomeloyard.standins.platform import (
@@ -48,6 +46,8 @@
     PlatformState,
     platform_app,
 )
+from pomeloyard.vm_platform.directory import Vm, VmOperation, VmRole
+from pomeloyard.vm_platform.vm_service import HttpVmDirectory
 
 from .support.faulty_store import FaultyStore
 
--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -8,9 +8,9 @@
 
 from pomeloyard.errors import RefusedError, StoreError
 from pomeloyard.fleet.vms import Cause, VmPlan, VmState
+from pomeloyard.keyvalue.records import ConflictError
 from pomeloyard.outcomes import RefusalReason
-from pomeloyard.platform.directory import VmOperation
-from pomeloyard.platform.records import ConflictError
+from pomeloyard.vm_platform.directory import VmOperation
 
 from .support.fleet import DAEMONS, Fleet, make_config, make_vms, run
 from .support.fleet_faults import killed
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -16,10 +16,10 @@
     WaveState,
     plan_drains,
 )
+from pomeloyard.keyvalue import layout
+from pomeloyard.keyvalue.records import ConflictError
 from pomeloyard.outcomes import RefusalReason
-from pomeloyard.platform import layout
-from pomeloyard.platform.directory import VmRole
-from pomeloyard.platform.records import ConflictError
+from pomeloyard.vm_platform.directory import VmRole
 
 from .support.fleet import Fleet, make_config, make_vms, run
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -11,7 +11,7 @@
 import httpcore
 import pytest
 
-from pomeloyard.platform.directory import VmRole
+from pomeloyard.vm_platform.directory import VmRole
 
 from .support.processes import SOURCE, Fleet, wait_until
 
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -25,9 +25,9 @@
     TeamConfig,
 )
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
-from pomeloyard.platform.directory import VmListState, VmRole
 from pomeloyard.standins.audit import find_faults, read_audits
 from pomeloyard.standins.clients import DONE, Account, Load
+from pomeloyard.vm_platform.directory import VmListState, VmRole
 
 from .support.processes import Fleet, wait_until
 
