--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -34,6 +34,8 @@
 CLOSING_TIME = timedelta(seconds=1.5)
 """Between SIGTERM and the end of the listeners, while the balancer learns that the
 daemon is not ready and callers are told to leave their connections."""
+EXECUTOR_CONNECTIONS = 3
+"""One for the look that waits, two for orders; each new one has a price."""
 BACKLOG = 512
 KEEP_ALIVE_S = 60
 
@@ -49,6 +51,7 @@
         self.writer = LogWriter(clock, stream=STDOUT)
         self._lines = DecisionLines(clock, self.writer, settings.vm)
         self._caller = HttpCaller()
+        self._executor_caller = HttpCaller(EXECUTOR_CONNECTIONS)
         self._store = PlatformStore(self._caller, settings.store_address)
         self._follower = OperatorFollower(clock, self._store, PlatformDocuments())
         intake = Intake(clock, self._store, self._follower)
@@ -72,7 +75,7 @@
             self._store,
             self._follower,
             registry,
-            PlatformExecutors(self._caller),
+            PlatformExecutors(self._executor_caller),
             self._lines,
             epoch,
             guard,
@@ -101,6 +104,7 @@
             await _wait_closed(front, limit)
             tasks.cancel_scope.cancel()
         await self._caller.close()
+        await self._executor_caller.close()
         self.writer.close()
 
     async def _compete(self, scope: anyio.CancelScope) -> None:
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -19,7 +19,9 @@
 """Unacknowledged bytes end a connection after this long (TCP_USER_TIMEOUT)."""
 KEEPALIVE_EXPIRY_S = 20.0
 """Idle connections are closed before the peers' usual limit of 30 s."""
-MAX_CONNECTIONS = 600
+MAX_CONNECTIONS = 8
+"""To one address: more calls at once wait for each other. New connections have a
+price, and the pool's work grows with their square."""
 
 _SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -46,16 +48,32 @@
     """Client for many peers on kept connections."""
 
     def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            socket_options=_SOCKET_OPTIONS,
-        )
+        self._max_connections = max_connections
+        self._pools_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        for pool in self._pools_by_address.values():
+            await pool.aclose()
+        self._pools_by_address.clear()
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address that is no longer in use."""
+        pool = self._pools_by_address.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=self._max_connections,
+                max_keepalive_connections=self._max_connections,
+                keepalive_expiry=KEEPALIVE_EXPIRY_S,
+                socket_options=_SOCKET_OPTIONS,
+            )
+            self._pools_by_address[address] = pool
+        return pool
 
     async def call(
         self,
@@ -77,7 +95,7 @@
         connect = min(limit, CONNECT_TIMEOUT.total_seconds())
         try:
             with anyio.fail_after(limit):
-                response = await self._pool.request(
+                response = await self._pool(address).request(
                     method,
                     f"http://{address}{target}",
                     headers=lines,
