Carry out waves, lend VMs between pools, confirm lost executors by the VM list

Change: a keeper in the placing term lists VMs, maintains those of waves within what may be away, and moves idle VMs from and to the standby pool.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -163,6 +163,10 @@
         self._failures = 0
         self.silent_since: timedelta | None = None
         self.closed = False
+        self.reserved = False
+        """Whether the VM is being emptied and gets no new runs."""
+        self.leaving = False
+        """Whether an operation that ends all runs may have been ordered."""
 
     @property
     def usable(self) -> bool:
@@ -173,6 +177,8 @@
             and not self.draining
             and not self.foreign_runs
             and not self.closed
+            and not self.reserved
+            and not self.leaving
         )
 
     def wake(self) -> None:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -42,6 +42,7 @@
 from .registry import ExecutorRegistry
 from .spread import choose_executor
 from .usage import Usage
+from .vm_keeper import VmKeeper
 
 MAX_TRANSACTION_ENTRIES = 30
 """The platform's store takes 32 in one transaction."""
@@ -71,6 +72,7 @@
         epoch: int,
         guard: Compare,
         retention: timedelta,
+        new_keeper: Callable[[PlacingTerm], VmKeeper] | None = None,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -79,8 +81,9 @@
         self._client = client
         self._lines = lines
         self.epoch = epoch
-        self._guard = guard
+        self.guard = guard
         self._retention = retention
+        self.keeper = new_keeper(self) if new_keeper else None
         self.jobs_by_id: dict[str, JobRun] = {}
         self.links_by_id: dict[str, ExecutorLink] = {}
         self.usage = Usage()
@@ -111,6 +114,8 @@
             tasks.start_soon(self._follow_jobs, position)
             tasks.start_soon(self._keep_house)
             tasks.start_soon(self._work)
+            if self.keeper is not None:
+                tasks.start_soon(self.keeper.run)
             await self._over.wait()
             tasks.cancel_scope.cancel()
 
@@ -299,7 +304,7 @@
             for prefix in (layout.JOBS, layout.CANCELS, layout.RUNS)
         )
         try:
-            await self._store.commit(Transaction((self._guard,), operations))
+            await self._store.commit(Transaction((self.guard,), operations))
         except StoreError as error:
             log.info("old job {} is kept: {}", job.job_id, error)
 
@@ -322,6 +327,39 @@
         )
         self._over.set()
 
+    def end_term(self, reason: str) -> None:
+        """Give the role up."""
+        self._lines.decided("role", f"epoch/{self.epoch}", "lost", reason=reason)
+        self._over.set()
+
+    def pool_loads(self) -> dict[str, float]:
+        """Return the core-seconds that could run now if there were room, by pool."""
+        loads: dict[str, float] = defaultdict(float)
+        configuration = self._follower.current
+        if configuration is None:
+            return loads
+        for job in self._live_jobs.values():
+            queue = configuration.queues_by_name.get(job.record.queue)
+            if queue is None:
+                continue
+            for step in job.ready_steps():
+                if step.spec.lasting:
+                    continue
+                each = step.spec.cpu_millis * self._expected_ms(step) / 1_000_000
+                loads[queue.service] += len(step.waiting) * each
+        return loads
+
+    def short_work(self, link: ExecutorLink) -> float:
+        """Return the unsaved work of short tasks on an executor, in core-seconds."""
+        now = self._clock.monotonic()
+        return sum(
+            placed.task.step.spec.cpu_millis
+            * ((now - placed.task.started_at) / timedelta(seconds=1) + 0.1)
+            / 1000
+            for placed in link.runs_by_name.values()
+            if not placed.task.step.spec.lasting
+        )
+
     def link_changed(self, link: ExecutorLink) -> None:
         """Plan again with an executor that became usable or unusable."""
         self.wake()
@@ -599,7 +637,7 @@
 
     async def _commit(self, jobs: list[JobRun]) -> None:
         """Store the records of some jobs; returns only when they are durable."""
-        compares = [self._guard]
+        compares = [self.guard]
         operations: list[Operation] = []
         contents: list[tuple[JobRun, str, bytes]] = []
         for job in jobs:
--- /dev/null
+++ b/src/pomeloyard/batch/upkeep.py
@@ -0,0 +1,84 @@
+"""Which VMs of a wave are maintained next; pure.
+
+Answers waves that fall due while queues peak: VMs whose pool has nothing waiting go
+first, a VM is emptied of short tasks before it goes down, and no more are down at
+once than the time that is left asks for.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .model import Wave
+
+MARGIN = timedelta(seconds=3)
+"""The last VM should be back this long before the wave's end."""
+MAX_PATIENCE = timedelta(seconds=3)
+"""A VM is emptied for at most this long; usual tasks are shorter."""
+OVERHEAD = timedelta(seconds=1)
+"""Time around each upkeep: noticing that the VM is back, choosing the next one."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepCandidate:
+    """A VM of the wave that still needs its upkeep."""
+
+    vm: str
+    short_work: float
+    """Work of short tasks that would be lost, in core-seconds."""
+    may_go: bool
+    """Whether the lasting tasks on it may be away now."""
+    pool_waits: bool
+    """Whether jobs wait for room in its pool."""
+    reserved_for: timedelta | None
+    """How long it has been emptied already."""
+
+
+def wanted_at_once(
+    wave: Wave, left: int, time_left: timedelta, upkeep_time: timedelta
+) -> int:
+    """Return how many VMs should be emptied or down at once."""
+    cycle = upkeep_time + OVERHEAD + MAX_PATIENCE / 2
+    usable = max(time_left - MARGIN, cycle)
+    return max(1, min(wave.max_at_once, left, math.ceil(left * cycle / usable)))
+
+
+def choose(
+    candidates: Sequence[UpkeepCandidate],
+    free_slots: int,
+    time_left: timedelta,
+    needed: timedelta,
+) -> tuple[list[str], Collection[str]]:
+    """Return the VMs whose upkeep begins now, and those to be emptied.
+
+    ``needed`` is the time that the candidates need at the present pace; with less
+    time than that, VMs are not emptied first.
+    """
+    if free_slots <= 0:
+        return [], ()
+    pressed = time_left <= needed
+    ordered = sorted(
+        candidates,
+        key=lambda c: (
+            not c.may_go,
+            c.reserved_for is None,
+            c.pool_waits and not pressed,
+            c.short_work,
+        ),
+    )
+    begin: list[str] = []
+    empty: list[str] = []
+    for candidate in ordered[:free_slots]:
+        if not candidate.may_go:
+            continue
+        if candidate.pool_waits and not pressed and candidate.reserved_for is None:
+            continue
+        waited = candidate.reserved_for or timedelta(0)
+        if candidate.short_work == 0 or pressed or waited >= MAX_PATIENCE:
+            begin.append(candidate.vm)
+        else:
+            empty.append(candidate.vm)
+    return begin, empty
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -16,6 +16,7 @@
 from ..batch.placing import ROLE, TIMES, PlacingRole
 from ..batch.registry import ExecutorRegistry
 from ..batch.term import PlacingTerm
+from ..batch.vm_keeper import VmKeeper
 from ..clock import Clock, SystemClock
 from ..errors import SettingsError
 from ..keyvalue.store import Compare
@@ -28,6 +29,7 @@
 from .http import HttpCaller
 from .kv import PlatformStore
 from .settings import PlatformSettings, read_settings
+from .vms import PlatformVms
 
 RETENTION_SLACK = timedelta(seconds=30)
 """Job states are kept this much longer than callers may ask for them."""
@@ -80,6 +82,25 @@
             epoch,
             guard,
             self._settings.job_retention + RETENTION_SLACK,
+            self._new_keeper if self._settings.vm_service_address else None,
+        )
+
+    def _new_keeper(self, term: PlacingTerm) -> VmKeeper:
+        settings = self._settings
+        return VmKeeper(
+            self._clock,
+            self._store,
+            self._follower,
+            PlatformVms(self._caller, settings.vm_service_address),
+            PlatformDocuments(),
+            self._lines,
+            term,
+            settings.vm,
+            term.epoch,
+            term.guard,
+            upkeep_time=settings.upkeep_time,
+            move_time=settings.move_time,
+            takeover_pause=settings.takeover_pause,
         )
 
     async def run(self) -> None:
--- a/src/pomeloyard/platform/documents.py
+++ b/src/pomeloyard/platform/documents.py
@@ -149,6 +149,12 @@
             max_body_bytes=file.limits.max_body_bytes,
         )
 
+    def wave_status(self, wave_id: int, completed: bool) -> tuple[str, bytes]:
+        """Return where operators read how far a wave is, and what to write there."""
+        state = "completed" if completed else "running"
+        content = msgspec.json.encode({"wave": wave_id, "state": state})
+        return f"status/wave/{wave_id}", content
+
     def wave(self, key: str, content: bytes) -> Wave | None:
         """Decode a wave; None for other keys. Raises DocumentError."""
         if not key.startswith(self.wave_prefix):
