Borrow VMs from standby only, and give back only what was borrowed

Change: each pool's own number of VMs is stored by the first term; only VMs beyond it are given back or lent on.

--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -16,8 +16,8 @@
 """Work waiting, in seconds of the whole pool, from which a VM is borrowed."""
 VM_WORK_SECONDS = 2.0
 """Work, in seconds of one VM, that justifies each borrowed VM."""
-GIVE_BACK_IDLE = timedelta(seconds=1.5)
-"""A borrowed VM that was idle this long goes back."""
+GIVE_BACK_IDLE = timedelta(seconds=2)
+"""A borrowed VM that was idle this long goes back; a peak has pauses of a second."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +31,8 @@
     vm_cores: float
     arriving_vms: int
     """VMs on their way to the pool."""
+    extra_vms: int
+    """VMs beyond the pool's own number."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,7 @@
     waits: Mapping[str, bool] = {
         load.name: load.waiting_core_seconds > 0 for load in loads
     }
+    extra = {load.name: load.extra_vms for load in loads}
     for load in sorted(loads, key=lambda d: -d.waiting_core_seconds):
         arriving = load.arriving_vms * load.vm_cores * VM_WORK_SECONDS
         backlog = load.waiting_core_seconds - arriving
@@ -71,10 +74,17 @@
                 break
             if spare.pool == load.name or waits.get(spare.pool):
                 continue
+            if not spare.on_standby and extra.get(spare.pool, 0) <= 0:
+                continue
+            if not spare.on_standby:
+                extra[spare.pool] -= 1
             free.remove(spare)
             moves.append(Move(spare.vm, load.name))
             wanted -= 1
     for spare in free:
-        if not spare.on_standby and spare.idle_for >= GIVE_BACK_IDLE:
+        if spare.on_standby or spare.idle_for < GIVE_BACK_IDLE:
+            continue
+        if extra.get(spare.pool, 0) > 0 and not waits.get(spare.pool):
+            extra[spare.pool] -= 1
             moves.append(Move(spare.vm, standby_pool))
     return moves
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -38,6 +38,8 @@
 LISTS_TO_CONFIRM = 2
 TAKEOVER_SLACK = timedelta(milliseconds=300)
 WAVES = "b/waves/"
+POOL_SIZES = "b/pool-sizes"
+"""How many VMs each pool had when the first term began."""
 
 log = logbook.Logger("pomeloyard.batch.vm_keeper")
 
@@ -147,6 +149,7 @@
         self._reserved_at: dict[str, timedelta] = {}
         self._idle_since: dict[str, timedelta] = {}
         self._missing_lists: dict[str, int] = {}
+        self._own_vms_by_pool: dict[str, int] | None = None
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -231,6 +234,8 @@
         configuration = self._follower.current
         if configuration is None:
             return
+        if self._own_vms_by_pool is None:
+            self._own_vms_by_pool = await self._load_pool_sizes()
         waiting = self._yard.pool_loads()
         for wave in list(self._follower.waves_by_id.values()):
             await self._advance_wave(wave, waiting, now)
@@ -526,11 +531,27 @@
                 for operation in self._operations.values()
             )
             vm_cores = cores / len(links) if links else 1.0
-            loads.append(
-                PoolLoad(name, waiting.get(name, 0.0), cores, vm_cores, arriving)
+            own = (self._own_vms_by_pool or {}).get(name, 0)
+            size = sum(
+                vm.pool == name and vm.name not in self._operations
+                for vm in self.vms_by_name.values()
             )
+            backlog = waiting.get(name, 0.0)
+            extra = size + arriving - own
+            loads.append(PoolLoad(name, backlog, cores, vm_cores, arriving, extra))
         return loads
 
+    async def _load_pool_sizes(self) -> dict[str, int]:
+        """Return each pool's own number of VMs, as the first term saw it."""
+        entry = await self._store.get(POOL_SIZES)
+        if entry is not None:
+            return msgspec.msgpack.decode(entry.value, type=dict[str, int])
+        sizes: dict[str, int] = {}
+        for vm in self.vms_by_name.values():
+            sizes[vm.pool] = sizes.get(vm.pool, 0) + 1
+        await self._put(Put(POOL_SIZES, msgspec.msgpack.encode(sizes)))
+        return sizes
+
     def _begin_move(self, vm: PoolVm, move: Move, now: timedelta) -> None:
         self._operations[vm.name] = _Operation(
             "move", move.pool, vm.executor_id, now, self._move_time
