--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -296,7 +296,11 @@
         needed = cycles * (self._upkeep_time + timedelta(seconds=1.5))
         begin, empty = choose(candidates, slots, time_left, needed)
         for name in begin:
-            self._begin(work, self.vms_by_name[name], now)
+            # Each VM that begins changes what may be away for the next one.
+            vm = self.vms_by_name[name]
+            link = self._yard.links_by_id.get(vm.executor_id)
+            if link is None or self._may_go(link):
+                self._begin(work, vm, now)
         self._reserve(wave, {*empty, *begin}, now)
 
     def _candidate(
--- /dev/null
+++ b/tests/support/batch_world.py
@@ -0,0 +1,394 @@
+"""A yard in virtual time: executors with leases and fences, a store, one term."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import msgspec
+
+from pomeloyard.batch import layout
+from pomeloyard.batch.decisions import DecisionLines
+from pomeloyard.batch.executors import (
+    EndedTask,
+    Executor,
+    ExecutorClient,
+    Report,
+    RunningTask,
+    StartAnswer,
+)
+from pomeloyard.batch.follow import DocumentError, OperatorFollower
+from pomeloyard.batch.intake import Authorized, Intake
+from pomeloyard.batch.model import (
+    Configuration,
+    JobSpec,
+    JobState,
+    Pool,
+    Queue,
+    Resources,
+    StepSpec,
+    TeamLimits,
+    Wave,
+)
+from pomeloyard.batch.progress import EndKind
+from pomeloyard.batch.registry import ExecutorRegistry
+from pomeloyard.batch.term import PlacingTerm
+from pomeloyard.clock import ManualClock
+from pomeloyard.errors import (
+    CallNotSentError,
+    CallUnansweredError,
+    StaleFenceError,
+)
+from pomeloyard.keyvalue.store import Compare, Put, Transaction
+from pomeloyard.logs import LogWriter
+
+from .job_fakes import FaultyStore, settle
+
+STEP = timedelta(milliseconds=50)
+HOLD_MAX = timedelta(seconds=10)
+EPOCH_KEY = "epochs/placing"
+QUEUE = Queue("cuts", "desk.example", "/cuts/", "mill", max_attempts=3, stretch=1.6)
+TEAM = TeamLimits("nets", ("key-1",), 1.0, Resources(0, 0, 0))
+
+
+def configuration(version=1, queues=(QUEUE,), teams=(TEAM,), pools=None):
+    pools = pools or [Pool("mill"), Pool("spare", standby=True)]
+    return Configuration(
+        version,
+        {queue.name: queue for queue in queues},
+        {pool.name: pool for pool in pools},
+        {team.name: team for team in teams},
+        {key: team.name for team in teams for key in team.keys},
+    )
+
+
+class ConfigDocuments:
+    """Operators' documents as msgpack of the product's own types."""
+
+    prefix = "op/"
+    configuration_key = "op/config"
+
+    def configuration(self, content):
+        try:
+            return msgspec.msgpack.decode(content, type=Configuration)
+        except msgspec.MsgspecError as error:
+            raise DocumentError(str(error)) from error
+
+    def wave(self, key, content):
+        if not key.startswith("op/wave/"):
+            return None
+        return msgspec.msgpack.decode(content, type=Wave)
+
+    def wave_status(self, wave_id, completed):
+        return f"status/{wave_id}", b"completed" if completed else b"running"
+
+
+class RegistrationDocuments:
+    prefix = "executors/"
+
+    def executor(self, key, content):
+        try:
+            return msgspec.msgpack.decode(content, type=Executor)
+        except msgspec.MsgspecError as error:
+            raise DocumentError(str(error)) from error
+
+
+class Run:
+    def __init__(self, run, saved, ends_at, lease_until):
+        self.run = run
+        self.saved = saved
+        self.ends_at = ends_at
+        self.lease_until = lease_until
+
+
+class FakeExecutor:
+    """One executor; ``silent`` calls get no answer and have no effect."""
+
+    def __init__(self, clock, executor_id, cpu=4000, service="mill", rack="r1"):
+        self.clock = clock
+        self.executor = Executor(
+            executor_id,
+            f"{executor_id}:1",
+            service,
+            "zone-1",
+            Resources(cpu, 64_000, 0),
+            ("plain", rack),
+            False,
+            1,
+            rack,
+        )
+        self.silent = False
+        self.swallow_starts = 0
+        """Starts that get no answer and are kept for ``carry_out_late``."""
+        self.kept_orders = []
+        self.fails = False
+        self.stalls = False
+        self.restart()
+
+    def restart(self):
+        """Lose everything, as after a crash."""
+        self.born = self.clock.monotonic()
+        self.incarnation = getattr(self, "incarnation", 0) + 1
+        self.fence = 0
+        self.runs = {}
+        self.ended = []
+        self.next_end = 1
+        self.highest_run = {}
+
+    def now(self):
+        return self.clock.monotonic() - self.born
+
+    def check_fence(self, fence):
+        if fence < self.fence:
+            raise StaleFenceError("stale")
+        self.fence = fence
+
+    def end(self, task, kind, saved=""):
+        run = self.runs.pop(task)
+        self.highest_run[task] = max(self.highest_run.get(task, 0), run.run)
+        self.ended.append(EndedTask(self.next_end, task, run.run, kind, saved))
+        self.next_end += 1
+
+    def advance(self):
+        for task, run in list(self.runs.items()):
+            if self.now() >= run.lease_until:
+                self.end(task, EndKind.LAPSED)
+            elif self.now() >= run.ends_at and not self.stalls:
+                self.end(task, EndKind.FAILED if self.fails else EndKind.DONE)
+
+
+class FakeExecutors(ExecutorClient):
+    """All executors, and an audit of what they were told."""
+
+    def __init__(self, clock, world):
+        self.clock = clock
+        self.world = world
+        self.by_id = {}
+        self.run_time = timedelta(seconds=1)
+        self.lasting = set()
+        self.started = []
+        self.stopped = []
+        self.looks = 0
+        self.violations = []
+
+    def _reach(self, executor):
+        fake = self.by_id.get(executor.executor_id)
+        if fake is None:
+            raise CallNotSentError("nobody listens")
+        if fake.silent:
+            raise CallUnansweredError("silent")
+        fake.advance()
+        return fake
+
+    async def start(self, executor, order, timeout):
+        self.world.check_durable(order, executor.executor_id)
+        fake = self._reach(executor)
+        if fake.swallow_starts:
+            fake.swallow_starts -= 1
+            fake.kept_orders.append(order)
+            raise CallUnansweredError("no answer")
+        return self.carry_out(fake, order), fake.now()
+
+    def carry_out(self, fake, order):
+        fake.check_fence(order.fence)
+        if order.task in fake.runs and fake.runs[order.task].run == order.run:
+            return StartAnswer.STARTED
+        if order.run <= fake.highest_run.get(order.task, 0):
+            return StartAnswer.STALE_RUN
+        if order.lease_until <= fake.now():
+            return StartAnswer.TOO_LATE
+        for other in self.by_id.values():
+            other.advance()
+            if order.task in other.runs:
+                self.violations.append(f"{order.task} runs twice")
+        if any(task == order.task for task, _ in self.world.done):
+            self.violations.append(f"{order.task} starts after it was done")
+        lasts = order.task.split(".")[0] in self.lasting
+        takes = timedelta(days=1) if lasts else self.run_time
+        until = min(order.lease_until, fake.now() + HOLD_MAX)
+        fake.runs[order.task] = Run(order.run, order.saved, fake.now() + takes, until)
+        self.started.append((order.task, order.run, fake.executor.executor_id))
+        used = sum(self.world.cpu_of(task) for task in fake.runs)
+        if used > fake.executor.capacity.cpu_millis:
+            self.violations.append(f"{fake.executor.executor_id} is over its room")
+        return StartAnswer.STARTED
+
+    def carry_out_late(self, fake):
+        """Carry out the orders that were kept."""
+        for order in fake.kept_orders:
+            try:
+                self.carry_out(fake, order)
+            except StaleFenceError:
+                continue
+        fake.kept_orders = []
+
+    async def stop(self, executor, task, run, fence, timeout):
+        fake = self._reach(executor)
+        fake.check_fence(fence)
+        self.stopped.append((task, run))
+        fake.highest_run[task] = max(fake.highest_run.get(task, 0), run)
+        if task in fake.runs and fake.runs[task].run == run:
+            fake.end(task, EndKind.STOPPED)
+
+    async def look(self, executor, *, fence, acknowledged, lease_until, wait):
+        self.looks += 1
+        deadline = self.clock.monotonic() + wait
+        while True:
+            fake = self._reach(executor)
+            fake.check_fence(fence)
+            for end in fake.ended:
+                if end.number <= acknowledged and end.kind is EndKind.DONE:
+                    self.world.done.add((end.task, end.run))
+                    self.world.check_end_durable(end.task)
+            fake.ended = [e for e in fake.ended if e.number > acknowledged]
+            if lease_until is not None:
+                until = min(lease_until, fake.now() + HOLD_MAX)
+                for run in fake.runs.values():
+                    run.lease_until = max(run.lease_until, until)
+            if fake.ended or self.clock.monotonic() >= deadline:
+                break
+            await self.clock.sleep(STEP)
+        rows = tuple(
+            RunningTask(task, run.run, run.saved, 100, 0)
+            for task, run in fake.runs.items()
+        )
+        return Report(
+            fake.now(), fake.incarnation, rows, tuple(fake.ended), False, False
+        )
+
+    async def pace(self, executor, task, run, percent, fence, timeout):
+        self._reach(executor).check_fence(fence)
+
+
+class World:
+    """Everything around a term."""
+
+    def __init__(self, executors=2, cpu=4000):
+        self.clock = ManualClock()
+        self.store = FaultyStore(self.clock)
+        self.done = set()
+        self.specs = {}
+        self.client = FakeExecutors(self.clock, self)
+        self.follower = OperatorFollower(self.clock, self.store, ConfigDocuments())
+        self.intake = Intake(self.clock, self.store, self.follower)
+        writer = LogWriter(self.clock)
+        self.lines = DecisionLines(self.clock, writer, "daemon-1")
+        self.fakes = [
+            FakeExecutor(self.clock, f"e-{n}", cpu, rack=f"r{n % 2}")
+            for n in range(executors)
+        ]
+        for fake in self.fakes:
+            self.client.by_id[fake.executor.executor_id] = fake
+        self.epoch = 0
+        self.new_keeper = None
+
+    def cpu_of(self, task):
+        job, _, step, _ = task.split(".")
+        return self.specs[job].steps[int(step)].cpu_millis
+
+    def entry(self, key):
+        return self.store._entries_by_key.get(key)
+
+    def rows(self, job):
+        entry = self.entry(layout.RUNS + job)
+        return [] if entry is None else msgspec.msgpack.decode(entry.value)[1]
+
+    def check_durable(self, order, executor_id):
+        """Every order was stored before it is sent."""
+        job, _, step, index = order.task.split(".")
+        for _, number, rows, _ in self.rows(job):
+            for row in rows:
+                same = number == int(step) and row[0] == int(index)
+                if same and row[2] == order.run and row[4] == executor_id:
+                    return
+        self.client.violations.append(f"{order.task} was ordered before it was stored")
+
+    def check_end_durable(self, task):
+        """Every end is stored before it is acknowledged."""
+        job, _, step, index = task.split(".")
+        if self.state(job) in (JobState.COMPLETED, JobState.CANCELLED):
+            return
+        for _, number, rows, _ in self.rows(job):
+            for row in rows:
+                if number == int(step) and row[0] == int(index) and row[1] == 2:
+                    return
+        self.client.violations.append(f"{task} was acknowledged before it was stored")
+
+    def state(self, job):
+        entry = self.entry(layout.RUNS + job)
+        if entry is None:
+            return JobState.PENDING
+        return JobState(msgspec.msgpack.decode(entry.value)[0])
+
+    async def put(self, key, value):
+        content = value if isinstance(value, bytes) else msgspec.msgpack.encode(value)
+        await self.store.commit(Transaction((), (Put(key, content),)))
+
+    async def publish(self, config):
+        await self.put("op/config", config)
+        await settle()
+
+    async def submit(self, job, *steps, **fields):
+        spec = JobSpec("payload", tuple(steps or [StepSpec(1, 1000, 100)]), **fields)
+        self.specs[job] = spec
+        if any(step.lasting for step in spec.steps):
+            self.client.lasting.add(job)
+
+        def authorize():
+            return Authorized(QUEUE, TEAM.name, self.follower.revision)
+
+        deadline = self.clock.monotonic() + timedelta(seconds=3)
+        await self.intake.submit(job, spec, authorize, deadline)
+
+    async def new_term(self):
+        self.epoch += 1
+        await self.put(EPOCH_KEY, self.epoch)
+        guard = Compare(EPOCH_KEY, self.entry(EPOCH_KEY).mod_revision)
+        registry = ExecutorRegistry(self.clock, self.store, RegistrationDocuments())
+        return PlacingTerm(
+            self.clock,
+            self.store,
+            self.follower,
+            registry,
+            self.client,
+            self.lines,
+            self.epoch,
+            guard,
+            timedelta(seconds=60),
+            self.new_keeper,
+        )
+
+    async def drive(self, seconds, until=None):
+        """Let time pass, or return early once ``until`` holds."""
+        for _ in range(round(seconds / STEP.total_seconds())):
+            await settle(40)
+            if until is not None and until():
+                return True
+            self.clock.advance(STEP)
+        await settle(40)
+        return until is not None and until()
+
+    @asynccontextmanager
+    async def term(self):
+        """Run one term."""
+        term = await self.new_term()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(term.run)
+            await settle()
+            yield term
+            tasks.cancel_scope.cancel()
+
+    @asynccontextmanager
+    async def running(self):
+        """Run the followers and the first term; check the audit at the end."""
+        await self.publish(configuration())
+        for fake in self.fakes:
+            await self.put(f"executors/{fake.executor.executor_id}", fake.executor)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.run)
+            await settle()
+            async with self.term() as term:
+                yield term
+            tasks.cancel_scope.cancel()
+        assert self.client.violations == []
--- /dev/null
+++ b/tests/test_batch_decisions.py
@@ -0,0 +1,257 @@
+"""The pure decisions, each under the load that it answers."""
+
+from __future__ import annotations
+
+import random
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from pomeloyard.batch.learning import QUARANTINE, Learning
+from pomeloyard.batch.link import Phase, PlacedRun
+from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec
+from pomeloyard.batch.order import rank
+from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
+from pomeloyard.batch.pools import PoolLoad, SpareVm, choose_moves
+from pomeloyard.batch.progress import EndKind, JobRun, TaskState
+from pomeloyard.batch.upkeep import (
+    MAX_PATIENCE,
+    UpkeepCandidate,
+    choose,
+    wanted_at_once,
+)
+from pomeloyard.batch.model import Wave
+from pomeloyard.clock import ManualClock
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+QUEUE = Queue("q", "h", "/q/", "mill", stretch=1.6, objective=timedelta(seconds=0.6))
+SECOND = timedelta(seconds=1)
+
+
+def job_of(*steps, job_id="a1", attempts=3):
+    queue = Queue("q", "h", "/q/", "mill", max_attempts=attempts)
+    record = JobRecord("q", "nets", JobSpec("p", tuple(steps)), NOW, "w")
+    return JobRun(job_id, record, queue, timedelta(0))
+
+
+def expected_ms(step):
+    return float(step.spec.estimate_ms)
+
+
+class Replay:
+    """A pool of cores that serves arriving jobs of one task in an order."""
+
+    def __init__(self, arrivals, cores, key):
+        self.cores = cores
+        self.key = key
+        self.arrivals = arrivals
+        self.in_time = 0
+        self.largest_wait = 0
+
+    def run(self, step_ms=50, until_ms=60_000):
+        waiting, running = [], []
+        arrivals = list(self.arrivals)
+        for now in range(0, until_ms, step_ms):
+            while arrivals and arrivals[0][0] <= now:
+                waiting.append(arrivals.pop(0))
+            running = [end for end in running if end > now]
+            waiting.sort(key=lambda arrival: self.key(arrival, now))
+            while waiting and len(running) < self.cores:
+                at, work_ms, job = waiting.pop(0)
+                running.append(now + work_ms)
+                limit = 1.6 * work_ms + 600
+                self.in_time += now + work_ms - at <= limit
+                self.largest_wait = max(self.largest_wait, now - at)
+        return self
+
+
+def peak(seed):
+    """Peaks of five times the mean for 4 s in turns of 16 s, above the room."""
+    chance = random.Random(seed)
+    arrivals = []
+    for now in range(0, 40_000, 50):
+        rate = 12.0 if now % 16_000 < 4000 else 0.2
+        if chance.random() < rate * 0.05:
+            work = chance.choice([400, 800, 1600, 3200])
+            job = job_of(StepSpec(1, 1000, 100, estimate_ms=work), job_id=str(now))
+            arrivals.append((now, work, job))
+    return arrivals
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_more_jobs_are_in_time_at_a_peak_than_first_come_first_served(seed):
+    def ranked(arrival, now):
+        at, _, job = arrival
+        age = timedelta(milliseconds=now - at)
+        return rank(job, QUEUE, age, expected_ms, 1.5)
+
+    first_come = Replay(peak(seed), 8, lambda a, now: a[0]).run()
+    by_rank = Replay(peak(seed), 8, ranked).run()
+    assert by_rank.in_time > first_come.in_time
+
+
+def test_jobs_that_are_late_for_good_are_served_oldest_first():
+    long_late = job_of(StepSpec(1, 1000, 100, estimate_ms=500))
+    keys = [
+        rank(long_late, QUEUE, timedelta(seconds=age), expected_ms, 1.0)
+        for age in (20, 40)
+    ]
+    assert keys[1] < keys[0]
+
+
+def test_a_failing_executor_is_set_aside_but_not_for_one_bad_job():
+    learning = Learning()
+    for _ in range(6):
+        assert not learning.task_failed("e-1", "bad", timedelta(0))
+    learning = Learning()
+    results = [learning.task_failed("e-2", f"j{n}", timedelta(0)) for n in range(3)]
+    assert results == [False, False, True]
+    assert learning.is_aside("e-2", QUARANTINE / 2)
+    assert not learning.is_aside("e-2", QUARANTINE * 2)
+
+
+def test_a_slow_executor_is_noticed_and_tried_again():
+    learning = Learning()
+    for _ in range(2):
+        learning.task_done(
+            "image", "e-1", 6000, SECOND, resumed=False, usual_ms=1000
+        )
+    assert learning.slowness("e-1", SECOND) > 2
+    assert learning.slowness("e-1", SECOND * 20) == 1.0
+
+
+def test_a_resumed_task_does_not_teach_a_shorter_run_time():
+    learning = Learning()
+    learning.task_done("image", "e", 1000, SECOND, resumed=False, usual_ms=1000)
+    learning.task_done("image", "e", 10, SECOND, resumed=True, usual_ms=1000)
+    assert learning.expected_ms("image", 0) == 1000
+
+
+def test_progress_survives_storing_and_loading():
+    job = job_of(StepSpec(3, 1000, 100), StepSpec(1, after=(0,)))
+    first, second, _ = job.occurrences[0][0].tasks
+    job.place(first, "e-1", 1, timedelta(0))
+    job.place(second, "e-2", 4, timedelta(0))
+    job.end(first, 1, EndKind.DONE, "")
+    loaded = job_of(StepSpec(3, 1000, 100), StepSpec(1, after=(0,)))
+    loaded.restore(job.pack(), 9)
+    states = [task.state for task in loaded.occurrences[0][0].tasks]
+    assert states == [TaskState.DONE, TaskState.PLACED, TaskState.WAITING]
+    assert loaded.occurrences[0][0].tasks[1].run == 4
+    assert [step.number for step in loaded.ready_steps()] == [0]
+
+
+def test_an_end_of_an_earlier_run_changes_nothing():
+    job = job_of(StepSpec(1, 1000, 100))
+    (task,) = job.occurrences[0][0].tasks
+    job.place(task, "e-1", 2, timedelta(0))
+    job.end(task, 1, EndKind.DONE, "")
+    assert task.state is TaskState.PLACED
+
+
+def test_one_end_of_a_gang_ends_all_of_it_and_one_failure_counts_once():
+    job = job_of(StepSpec(3, 1000, 100, gang=True), attempts=2)
+    tasks = job.occurrences[0][0].tasks
+    for task in tasks:
+        job.place(task, "e-1", 1, timedelta(0))
+    job.end(tasks[0], 1, EndKind.FAILED, "")
+    for task in tasks[1:]:
+        job.end(task, 1, EndKind.BROKEN, "")
+    assert job.occurrences[0][0].gang_failures == 1
+    for task in tasks:
+        job.place(task, "e-1", 2, timedelta(0))
+    job.end(tasks[1], 2, EndKind.DONE, "")
+    assert job.state.value == "completed"
+
+
+def pool(name, waiting, extra=0, arriving=0):
+    return PoolLoad(name, waiting, 96.0, 16.0, arriving, extra)
+
+
+def test_a_peak_borrows_vms_from_standby_and_no_more_than_it_needs():
+    spares = [SpareVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
+    moves = choose_moves([pool("a", 120.0), pool("b", 0.0)], spares, "spare")
+    assert [move.pool for move in moves] == ["a"] * 3
+
+
+def test_vms_that_are_on_their_way_count():
+    spares = [SpareVm("s1", "spare", True, timedelta(0))]
+    assert choose_moves([pool("a", 120.0, 4, 4)], spares, "spare") == []
+
+
+def test_an_idle_vm_goes_back_only_if_it_was_borrowed():
+    idle = SpareVm("v1", "a", False, timedelta(seconds=5))
+    assert choose_moves([pool("a", 0.0, 0)], [idle], "spare") == []
+    moves = choose_moves([pool("a", 0.0, 1)], [idle], "spare")
+    assert [(move.vm, move.pool) for move in moves] == [("v1", "spare")]
+
+
+def test_a_borrowed_idle_vm_goes_straight_to_the_next_peak():
+    idle = SpareVm("v1", "a", False, timedelta(seconds=0.2))
+    moves = choose_moves([pool("a", 0.0, 1), pool("b", 150.0)], [idle], "spare")
+    assert [(move.vm, move.pool) for move in moves] == [("v1", "b")]
+
+
+WAVE = Wave(1, tuple(f"v{n}" for n in range(13)), timedelta(seconds=27), 5)
+
+
+def candidate(vm, work=0.0, may_go=True, waits=False, reserved=None):
+    return UpkeepCandidate(vm, work, may_go, waits, reserved)
+
+
+def test_a_wave_takes_no_more_vms_at_once_than_its_time_asks_for():
+    upkeep = timedelta(seconds=2)
+    assert wanted_at_once(WAVE, 13, timedelta(seconds=27), upkeep) == 3
+    assert wanted_at_once(WAVE, 13, timedelta(seconds=8), upkeep) == 5
+    assert wanted_at_once(WAVE, 1, timedelta(seconds=27), upkeep) == 1
+
+
+def test_a_vm_is_emptied_first_and_taken_when_empty_or_after_its_patience():
+    long = timedelta(seconds=20)
+    busy = candidate("v1", work=3.0)
+    assert choose([busy], 1, long, SECOND) == ([], ["v1"])
+    idle = candidate("v1", reserved=SECOND)
+    assert choose([idle], 1, long, SECOND)[0] == ["v1"]
+    late = candidate("v1", work=3.0, reserved=MAX_PATIENCE)
+    assert choose([late], 1, long, SECOND)[0] == ["v1"]
+
+
+def test_a_vm_whose_lasting_tasks_may_not_be_away_stays_up_even_when_late():
+    stuck = candidate("v1", may_go=False)
+    assert choose([stuck], 3, timedelta(0), SECOND) == ([], [])
+
+
+def test_vms_of_pools_in_a_peak_wait_while_there_is_time():
+    waits = candidate("v1", waits=True)
+    assert choose([waits], 1, timedelta(seconds=20), SECOND) == ([], [])
+    assert choose([waits], 1, timedelta(seconds=1), SECOND * 2)[0] == ["v1"]
+
+
+def pair(gauge, pace=100):
+    serving = job_of(StepSpec(1, lasting=True, target_tail_ms=100))
+    filling = job_of(StepSpec(1, lasting=True, fills=True), job_id="a2")
+    runs = []
+    for job in (serving, filling):
+        (task,) = job.occurrences[0][0].tasks
+        runs.append(PlacedRun(task, 1, Phase.RUNNING, 1))
+    runs[0].gauge = gauge
+    runs[1].pace = pace
+    return runs
+
+
+@pytest.mark.parametrize(
+    ("gauge", "pace", "wanted"),
+    [(150, 100, 0), (95, 100, 50), (95, 12, 0), (80, 50, None), (50, 50, 70)],
+)
+def test_what_fills_backs_off_by_the_tail_of_what_serves(gauge, pace, wanted):
+    clock = ManualClock()
+    clock.advance(CHANGE_INTERVAL)
+    runs = pair(gauge, pace)
+    assert next_pace(runs[1], runs, clock) == wanted
+
+
+def test_a_pace_is_not_changed_again_before_it_shows():
+    clock = ManualClock()
+    runs = pair(150)
+    runs[1].pace_sent_at = clock.monotonic()
+    assert next_pace(runs[1], runs, clock) is None
--- /dev/null
+++ b/tests/test_batch_follow.py
@@ -0,0 +1,73 @@
+"""Following configurations: never back, bad documents, proof of being current."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from pomeloyard.batch.executors import Executor
+from pomeloyard.batch.model import Resources
+from pomeloyard.batch.registry import ExecutorRegistry
+
+from .support.batch_world import RegistrationDocuments, World, configuration
+from .support.job_fakes import settle
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_an_older_version_is_never_adopted():
+    world = World()
+    await world.publish(configuration(7))
+    await world.follower._read_all()
+    await world.publish(configuration(5))
+    await world.follower._read_all()
+    assert world.follower.current.version == 7
+
+
+async def test_an_unreadable_configuration_leaves_the_present_one():
+    world = World()
+    await world.publish(configuration(7))
+    await world.follower._read_all()
+    await world.put("op/config", b"\xff\xff")
+    await world.follower._read_all()
+    assert world.follower.current.version == 7
+
+
+async def test_the_proof_ages_while_the_store_is_away():
+    world = World()
+    await world.publish(configuration())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(world.follower.run)
+        await settle(200)
+        assert world.follower.proof_age() == timedelta(0)
+        world.store.down = True
+        world.store._watchers.clear()
+        for _ in range(3):
+            world.clock.advance(timedelta(seconds=1))
+            await settle()
+        assert world.follower.proof_age() >= timedelta(seconds=2)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_daemon_without_any_answer_has_no_proof():
+    assert World().follower.proof_age() == timedelta.max
+
+
+async def test_a_registration_by_another_writer_names_no_executor():
+    world = World()
+    registry = ExecutorRegistry(world.clock, world.store, RegistrationDocuments())
+    good = Executor("e", "e:1", "mill", "z", Resources(1), (), False, 1)
+    await world.put("executors/e", good)
+    await world.put("executors/bad", b"\xc1nonsense")
+    await registry._read_all()
+    assert list(registry.executors_by_id) == ["e"]
+    await world.put("executors/e", b"\xc1")
+    await registry._read_all()
+    assert registry.executors_by_id == {}
--- /dev/null
+++ b/tests/test_batch_intake.py
@@ -0,0 +1,158 @@
+"""Accepting and cancelling under lost answers, outages and withdrawn keys."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from pomeloyard.batch import layout
+from pomeloyard.batch.intake import Authorized
+from pomeloyard.batch.model import JobSpec, JobState, StepSpec
+from pomeloyard.errors import OutcomeUnknownError, RefusedError
+from pomeloyard.outcomes import RefusalReason, Refused
+
+from .support.batch_world import QUEUE, TEAM, World, configuration
+from .support.job_fakes import settle
+
+pytestmark = pytest.mark.anyio
+SPEC = JobSpec("payload", (StepSpec(1, 1000, 100),))
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Caller:
+    """Submits to one daemon; its key may be withdrawn."""
+
+    def __init__(self, world):
+        self.world = world
+        self.outcome = None
+
+    def authorize(self):
+        current = self.world.follower.current
+        if "key-1" not in current.team_by_key:
+            raise RefusedError(Refused(RefusalReason.KEY_INVALID))
+        return Authorized(QUEUE, TEAM.name, self.world.follower.revision)
+
+    async def submit(self, job="a1", patience=3.0):
+        deadline = self.world.clock.monotonic() + timedelta(seconds=patience)
+        try:
+            await self.world.intake.submit(job, SPEC, self.authorize, deadline)
+            self.outcome = "accepted"
+        except RefusedError as error:
+            self.outcome = error.refusal.reason.value
+        except OutcomeUnknownError:
+            self.outcome = "unknown"
+
+
+async def ready_world():
+    world = World()
+    await world.publish(configuration())
+    await world.follower._read_all()
+    return world
+
+
+async def submit_in_time(world, caller, patience=3.0):
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(caller.submit, "a1", patience)
+        await world.drive(patience + 1, lambda: caller.outcome is not None)
+    return caller.outcome
+
+
+async def test_an_accepted_job_is_stored_with_its_marker():
+    world = await ready_world()
+    assert await submit_in_time(world, Caller(world)) == "accepted"
+    assert world.entry(layout.JOBS + "a1") is not None
+    assert await world.intake.waiting(QUEUE.name) == 1
+    assert await world.intake.state("a1") is JobState.PENDING
+
+
+async def test_the_same_id_again_is_the_same_job():
+    world = await ready_world()
+    await submit_in_time(world, Caller(world))
+    first = world.entry(layout.JOBS + "a1")
+    assert await submit_in_time(world, Caller(world)) == "accepted"
+    assert world.entry(layout.JOBS + "a1") is first
+
+
+async def test_a_lost_answer_is_resolved_by_asking_again():
+    world = await ready_world()
+    world.store.answers_to_lose = 1
+    assert await submit_in_time(world, Caller(world)) == "accepted"
+
+
+async def test_an_unresolved_answer_is_never_called_a_refusal():
+    world = await ready_world()
+    world.store.answers_to_lose = 1000
+    assert await submit_in_time(world, Caller(world), 1.0) == "unknown"
+    assert world.entry(layout.JOBS + "a1") is not None
+
+
+async def test_a_store_outage_refuses_at_once_and_stores_nothing():
+    world = await ready_world()
+    world.store.down = True
+    before = world.clock.monotonic()
+    assert await submit_in_time(world, Caller(world)) == "store-unavailable"
+    assert world.clock.monotonic() - before < timedelta(milliseconds=500)
+    world.store.down = False
+    assert world.entry(layout.JOBS + "a1") is None
+
+
+async def test_an_outage_after_a_lost_answer_stays_unknown():
+    world = await ready_world()
+    world.store.answers_to_lose = 1
+    caller = Caller(world)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(caller.submit, "a1", 1.0)
+        await settle()
+        world.store.down = True
+        await world.drive(2, lambda: caller.outcome is not None)
+    assert caller.outcome == "unknown"
+
+
+async def test_a_key_withdrawn_before_the_write_stores_nothing():
+    world = await ready_world()
+    # The daemon has not heard of the withdrawal yet.
+    await world.publish(configuration(2, teams=()))
+    caller = Caller(world)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(caller.submit)
+        await world.drive(0.2)
+        await world.follower._read_all()
+        await world.drive(2, lambda: caller.outcome is not None)
+    assert caller.outcome == "key-invalid"
+    assert world.entry(layout.JOBS + "a1") is None
+
+
+async def test_a_job_that_is_not_well_formed_is_refused():
+    world = await ready_world()
+    caller = Caller(world)
+    bad = JobSpec("p", (StepSpec(0),))
+    with pytest.raises(RefusedError) as caught:
+        await world.intake.submit("a1", bad, caller.authorize, timedelta(seconds=9))
+    assert caught.value.refusal.reason is RefusalReason.INVALID_INPUT
+
+
+async def test_cancelling_an_unknown_job_says_so():
+    world = await ready_world()
+    assert not await world.intake.cancel("a9", timedelta(seconds=3))
+
+
+async def test_a_cancellation_survives_a_lost_answer():
+    world = await ready_world()
+    await submit_in_time(world, Caller(world))
+    world.store.answers_to_lose = 1
+    done = []
+
+    async def cancel():
+        done.append(await world.intake.cancel("a1", timedelta(seconds=9)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cancel)
+        await world.drive(2, lambda: bool(done))
+    assert done == [True]
+    assert world.entry(layout.CANCELS + "a1") is not None
--- /dev/null
+++ b/tests/test_batch_term.py
@@ -0,0 +1,227 @@
+"""The placing term: order of effects, faults of executors and store, takeovers."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from pomeloyard.batch import layout
+from pomeloyard.batch.model import JobState, Resources, StepSpec, TeamLimits
+
+from .support.batch_world import QUEUE, World, configuration
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def completed(world, job="a1"):
+    return lambda: world.state(job) is JobState.COMPLETED
+
+
+async def test_steps_run_in_order_and_the_job_completes():
+    world = World()
+    async with world.running():
+        await world.submit(
+            "a1", StepSpec(3, 1000, 100), StepSpec(2, 1000, 100, after=(0,))
+        )
+        assert await world.drive(5, completed(world))
+        steps = [task.split(".")[2] for task, _, _ in world.client.started]
+        assert steps == ["0", "0", "0", "1", "1"]
+        assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
+
+
+async def test_a_full_executor_gets_no_more_than_it_holds():
+    world = World(executors=1, cpu=2500)
+    async with world.running():
+        await world.submit("a1", StepSpec(7, 1000, 100))
+        assert await world.drive(10, completed(world))
+
+
+async def test_an_order_without_an_answer_is_void_before_it_is_given_again():
+    world = World()
+    async with world.running():
+        world.fakes[0].swallow_starts = world.fakes[1].swallow_starts = 1
+        await world.submit("a1")
+        await world.drive(3)
+        for fake in world.fakes:
+            world.client.carry_out_late(fake)
+        assert await world.drive(6, completed(world))
+        assert world.client.stopped == [("a1.0.0.0", 1)]
+
+
+async def test_a_late_order_that_took_effect_is_kept():
+    world = World(executors=1)
+    async with world.running():
+        world.fakes[0].swallow_starts = 1
+        await world.submit("a1")
+        await world.drive(0.2)
+        world.client.carry_out_late(world.fakes[0])
+        assert await world.drive(6, completed(world))
+        assert [run for _, run, _ in world.client.started] == [1]
+
+
+async def test_a_successor_takes_running_tasks_over():
+    world = World()
+    world.client.run_time = timedelta(seconds=3)
+    async with world.running() as first:
+        await world.submit("a1", StepSpec(4, 1000, 100))
+        await world.drive(1)
+        first._over.set()
+        await world.drive(0.5)
+        async with world.term():
+            assert await world.drive(8, completed(world))
+        assert len(world.client.started) == 4
+
+
+async def test_a_predecessor_that_goes_on_is_fenced_off():
+    world = World()
+    world.client.run_time = timedelta(seconds=2)
+    async with world.running() as first:
+        await world.submit("a1", StepSpec(2, 1000, 100))
+        await world.drive(0.5)
+        async with world.term():
+            await world.drive(1)
+            await world.submit("a2", StepSpec(2, 1000, 100))
+            assert await world.drive(8, completed(world, "a2"))
+            assert first._over.is_set()
+
+
+async def test_tasks_of_a_silent_executor_wait_until_its_leases_have_ended():
+    world = World()
+    world.client.run_time = timedelta(seconds=60)
+    async with world.running():
+        await world.submit("a1")
+        await world.drive(1)
+        ((_, _, first),) = world.client.started
+        world.client.by_id[first].silent = True
+        await world.drive(12)
+        assert len(world.client.started) == 1
+        assert await world.drive(14, lambda: len(world.client.started) == 2)
+
+
+async def test_tasks_of_a_restarted_executor_start_again_at_once():
+    world = World()
+    async with world.running():
+        await world.submit("a1", StepSpec(4, 1000, 100))
+        await world.drive(0.3)
+        world.fakes[0].restart()
+        world.fakes[1].restart()
+        assert await world.drive(8, completed(world))
+
+
+async def test_a_cancelled_job_stops_and_frees_its_room():
+    world = World(executors=1)
+    world.client.run_time = timedelta(seconds=60)
+    async with world.running():
+        await world.submit("a1", StepSpec(4, 1000, 100))
+        await world.drive(1)
+        deadline = world.clock.monotonic() + timedelta(seconds=3)
+        assert await world.intake.cancel("a1", deadline)
+        await world.drive(1)
+        assert world.state("a1") is JobState.CANCELLED
+        assert world.fakes[0].runs == {}
+        world.client.run_time = timedelta(seconds=1)
+        await world.submit("a2", StepSpec(4, 1000, 100))
+        assert await world.drive(5, completed(world, "a2"))
+
+
+async def test_a_job_cancelled_before_its_first_start_never_starts():
+    world = World(executors=1, cpu=500)
+    async with world.running():
+        await world.submit("a1")
+        await world.drive(0.5)
+        await world.intake.cancel("a1", world.clock.monotonic() + timedelta(seconds=3))
+        await world.drive(1)
+        assert world.state("a1") is JobState.CANCELLED
+        assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
+
+
+async def test_a_task_that_always_fails_ends_its_job():
+    world = World()
+    for fake in world.fakes:
+        fake.fails = True
+    async with world.running():
+        await world.submit("a1")
+        assert await world.drive(9, lambda: world.state("a1") is JobState.FAILED)
+        assert [run for _, run, _ in world.client.started] == [1, 2, 3]
+
+
+async def test_lasting_tasks_start_again_however_they_end():
+    world = World()
+    async with world.running():
+        await world.submit("a1", StepSpec(2, 1000, 100, lasting=True))
+        await world.drive(1)
+        fake = next(f for f in world.fakes if f.runs)
+        fake.restart()
+        assert await world.drive(6, lambda: len(world.client.started) >= 3)
+        assert world.state("a1") is JobState.RUNNING
+
+
+async def test_at_most_so_many_tasks_of_a_step_run_on_one_executor():
+    world = World()
+    async with world.running():
+        await world.submit("a1", StepSpec(4, 500, 100, max_per_executor=1))
+        assert await world.drive(6, completed(world))
+        together = [executor for _, _, executor in world.client.started[:2]]
+        assert len(set(together)) == 2
+
+
+async def test_a_team_stays_below_its_limit():
+    world = World()
+    team = TeamLimits("nets", ("key-1",), 1.0, Resources(2000, 0, 0))
+    async with world.running():
+        await world.publish(configuration(2, teams=[team]))
+        await world.submit("a1", StepSpec(6, 1000, 100))
+        most = 0
+        for _ in range(80):
+            await world.drive(0.1)
+            most = max(most, sum(len(fake.runs) for fake in world.fakes))
+        assert world.state("a1") is JobState.COMPLETED
+        assert most == 2
+
+
+async def test_all_members_of_a_gang_start_with_one_run_number():
+    world = World()
+    async with world.running():
+        await world.submit("a1", StepSpec(5, 1000, 100, gang=True))
+        assert await world.drive(6, completed(world))
+        assert {run for _, run, _ in world.client.started} == {1}
+
+
+@pytest.mark.parametrize("lost", [1, 2, 5])
+async def test_lost_answers_of_the_store_delay_but_double_nothing(lost):
+    world = World()
+    async with world.running():
+        await world.submit("a1", StepSpec(3, 1000, 100))
+        world.store.answers_to_lose = lost
+        assert await world.drive(8, completed(world))
+
+
+async def test_a_store_outage_delays_but_loses_nothing():
+    world = World()
+    async with world.running():
+        await world.submit("a1", StepSpec(3, 1000, 100))
+        await world.drive(0.3)
+        world.store.down = True
+        await world.drive(4)
+        world.store.down = False
+        assert await world.drive(8, completed(world))
+
+
+async def test_an_occurrence_starts_when_it_is_due():
+    world = World()
+    due = world.clock.now().timestamp() * 1000 + 2000
+    async with world.running():
+        await world.submit(
+            "a1", first_due_ms=round(due), interval_ms=1500, occurrences=2
+        )
+        await world.drive(1.8)
+        assert world.client.started == []
+        assert await world.drive(6, completed(world))
+        names = [task for task, _, _ in world.client.started]
+        assert names == ["a1.0.0.0", "a1.1.0.0"]
