Ask the VM list about executors that are not registered; test the placing term

Change: such a link counts as silent from its creation. The term, the intake, the keeper and the pure decisions have tests in virtual time; the new one failed before.

--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -191,6 +191,9 @@
             executor = known or Executor(executor_id, "", "", "", NOTHING, (), True, 0)
             link = ExecutorLink(self._clock, self._client, executor, self.epoch, self)
             link.registered = known is not None
+            if known is None:
+                # Nobody can be asked; the list of VMs may say that it is gone.
+                link.silent_since = self._clock.monotonic()
             self.links_by_id[executor_id] = link
             if known is not None:
                 self.spawn(link, link.run)
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -34,13 +35,15 @@
 from pomeloyard.batch.progress import EndKind
 from pomeloyard.batch.registry import ExecutorRegistry
 from pomeloyard.batch.term import PlacingTerm
+from pomeloyard.batch.vm_keeper import VmKeeper
+from pomeloyard.batch.vms import PoolVm, VmAnswer, VmService, VmState
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import (
     CallNotSentError,
     CallUnansweredError,
     StaleFenceError,
 )
-from pomeloyard.keyvalue.store import Compare, Put, Transaction
+from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction
 from pomeloyard.logs import LogWriter
 
 from .job_fakes import FaultyStore, settle
@@ -282,6 +285,9 @@
             self.client.by_id[fake.executor.executor_id] = fake
         self.epoch = 0
         self.new_keeper = None
+        self.arrivals = []
+        """Registrations to write or, with None, to delete."""
+        self.lasting_tasks = 0
 
     def cpu_of(self, task):
         job, _, step, _ = task.split(".")
@@ -341,6 +347,30 @@
         deadline = self.clock.monotonic() + timedelta(seconds=3)
         await self.intake.submit(job, spec, authorize, deadline)
 
+    def keep_vms(self, standby=0):
+        """Give the terms a keeper and return the VMs."""
+        vms = FakeVms(self, standby)
+
+        def new_keeper(term):
+            return VmKeeper(
+                self.clock,
+                self.store,
+                self.follower,
+                vms,
+                ConfigDocuments(),
+                self.lines,
+                term,
+                "daemon-1",
+                term.epoch,
+                term.guard,
+                upkeep_time=FakeVms.OPERATION_TIME,
+                move_time=FakeVms.OPERATION_TIME,
+                takeover_pause=timedelta(seconds=3),
+            )
+
+        self.new_keeper = new_keeper
+        return vms
+
     async def new_term(self):
         self.epoch += 1
         await self.put(EPOCH_KEY, self.epoch)
@@ -363,6 +393,10 @@
         """Let time pass, or return early once ``until`` holds."""
         for _ in range(round(seconds / STEP.total_seconds())):
             await settle(40)
+            while self.arrivals:
+                key, content = self.arrivals.pop(0)
+                change = Delete(key) if content is None else Put(key, content)
+                await self.store.commit(Transaction((), (change,)))
             if until is not None and until():
                 return True
             self.clock.advance(STEP)
@@ -392,3 +426,110 @@
                 yield term
             tasks.cancel_scope.cancel()
         assert self.client.violations == []
+
+
+class FakeVms(VmService):
+    """VMs of the fakes' executors; an operation gives a VM a new executor."""
+
+    OPERATION_TIME = timedelta(seconds=2)
+
+    def __init__(self, world, standby=0):
+        self.world = world
+        self.vms = {}
+        self.back_at = {}
+        self.fence = 0
+        self.swallow = 0
+        """Operations that are carried out and not answered."""
+        self.maintained = []
+        self.moves = []
+        self.down_at_once = 0
+        self.most_away = 0
+        for fake in world.fakes:
+            vm = f"vm-{fake.executor.executor_id}"
+            self.vms[vm] = PoolVm(
+                vm, fake.executor.service, VmState.UP, fake.executor.executor_id
+            )
+        for number in range(standby):
+            self.vms[f"vm-s{number}"] = PoolVm(f"vm-s{number}", "spare", VmState.UP, "")
+
+    async def list(self):
+        self._advance()
+        await anyio.lowlevel.checkpoint()
+        return tuple(self.vms.values())
+
+    def crash(self, executor_id):
+        """Let an executor go dark and its VM be listed as down."""
+        fake = self.world.client.by_id[executor_id]
+        fake.silent = True
+        fake.runs.clear()
+        vm = next(v for v in self.vms.values() if v.executor_id == executor_id)
+        self.vms[vm.name] = replace(vm, state=VmState.DOWN, executor_id="")
+
+    def _advance(self):
+        for name, at in list(self.back_at.items()):
+            if self.world.clock.monotonic() >= at:
+                del self.back_at[name]
+                self._revive(name)
+
+    def _revive(self, name):
+        vm = self.vms[name]
+        if vm.pool == "spare":
+            self.vms[name] = replace(vm, state=VmState.UP, executor_id="")
+            return
+        executor_id = f"{name}-{len(self.maintained) + len(self.moves)}"
+        fake = FakeExecutor(self.world.clock, executor_id, service=vm.pool)
+        self.world.client.by_id[executor_id] = fake
+        self.world.fakes.append(fake)
+        self.vms[name] = replace(vm, state=VmState.UP, executor_id=executor_id)
+        key = f"executors/{executor_id}"
+        entry = msgspec.msgpack.encode(fake.executor)
+        self.world.arrivals.append((key, entry))
+
+    def _take(self, name, pool, state):
+        vm = self.vms[name]
+        fake = self.world.client.by_id.pop(vm.executor_id, None)
+        if fake is not None:
+            fake.runs.clear()
+            self.world.fakes.remove(fake)
+            self.world.arrivals.append((f"executors/{vm.executor_id}", None))
+        self.vms[name] = PoolVm(name, pool, state, "")
+        self.back_at[name] = self.world.clock.monotonic() + self.OPERATION_TIME
+
+    async def _operate(self, fence):
+        if fence < self.fence:
+            raise StaleFenceError("stale")
+        self.fence = fence
+        await anyio.lowlevel.checkpoint()
+
+    async def _answer(self):
+        if self.swallow:
+            self.swallow -= 1
+            raise CallUnansweredError("no answer")
+        return VmAnswer.DONE
+
+    async def maintain(self, vm, wave, holder, fence):
+        await self._operate(fence)
+        if (vm, wave) in self.maintained:
+            return VmAnswer.DONE
+        if self.vms[vm].state is not VmState.UP:
+            return VmAnswer.BUSY
+        self.maintained.append((vm, wave))
+        self._take(vm, self.vms[vm].pool, VmState.IN_UPKEEP)
+        self.down_at_once = max(self.down_at_once, len(self.back_at))
+        away = self.world.lasting_tasks - sum(
+            task.split(".")[0] in self.world.client.lasting
+            for fake in self.world.fakes
+            for task in fake.runs
+        )
+        self.most_away = max(self.most_away, away)
+        return await self._answer()
+
+    async def move(self, vm, pool, holder, fence):
+        await self._operate(fence)
+        if self.vms[vm].pool == pool:
+            return VmAnswer.DONE
+        if self.vms[vm].state is not VmState.UP:
+            return VmAnswer.BUSY
+        self.moves.append((vm, pool))
+        self._take(vm, pool, VmState.MOVING)
+        return await self._answer()
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -9,7 +9,7 @@
 
 from pomeloyard.batch.learning import QUARANTINE, Learning
 from pomeloyard.batch.link import Phase, PlacedRun
-from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec
+from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec, Wave
 from pomeloyard.batch.order import rank
 from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
 from pomeloyard.batch.pools import PoolLoad, SpareVm, choose_moves
@@ -20,7 +20,6 @@
     choose,
     wanted_at_once,
 )
-from pomeloyard.batch.model import Wave
 from pomeloyard.clock import ManualClock
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -113,9 +112,7 @@
 def test_a_slow_executor_is_noticed_and_tried_again():
     learning = Learning()
     for _ in range(2):
-        learning.task_done(
-            "image", "e-1", 6000, SECOND, resumed=False, usual_ms=1000
-        )
+        learning.task_done("image", "e-1", 6000, SECOND, resumed=False, usual_ms=1000)
     assert learning.slowness("e-1", SECOND) > 2
     assert learning.slowness("e-1", SECOND * 20) == 1.0
 
--- /dev/null
+++ b/tests/test_batch_vms.py
@@ -0,0 +1,135 @@
+"""Waves, lent VMs and lost executors under faults, in virtual time."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from pomeloyard.batch.model import StepSpec, Wave
+from pomeloyard.batch.vms import VmState
+
+from .support.batch_world import World, configuration
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def wave_of(vms, at_once=2, seconds=30):
+    return Wave(1, tuple(vms.vms), timedelta(seconds=seconds), at_once)
+
+
+def status(world):
+    entry = world.entry("status/1")
+    return None if entry is None else entry.value
+
+
+async def test_a_wave_maintains_each_vm_once_within_its_limit():
+    world = World(executors=4)
+    vms = world.keep_vms(standby=1)
+    async with world.running():
+        await world.put("op/wave/1", wave_of(vms))
+        assert await world.drive(33, lambda: status(world) == b"completed")
+        assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
+        assert vms.down_at_once <= 2
+
+
+async def test_lasting_tasks_are_away_one_at_a_time():
+    world = World(executors=4)
+    vms = world.keep_vms()
+    world.lasting_tasks = 3
+    step = StepSpec(3, 500, 100, lasting=True, max_per_executor=1, may_be_away=1)
+    async with world.running():
+        await world.submit("a1", step)
+        await world.drive(2)
+        await world.put("op/wave/1", wave_of(vms, at_once=4))
+        assert await world.drive(40, lambda: status(world) == b"completed")
+        assert vms.most_away == 1
+
+
+async def test_an_upkeep_without_an_answer_is_asked_again_and_counts():
+    world = World(executors=3)
+    vms = world.keep_vms()
+    vms.swallow = 2
+    async with world.running():
+        await world.put("op/wave/1", wave_of(vms, at_once=1))
+        assert await world.drive(33, lambda: status(world) == b"completed")
+        assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
+        assert vms.down_at_once == 1
+
+
+async def test_a_wave_goes_on_after_the_term_changes():
+    world = World(executors=4)
+    vms = world.keep_vms()
+    async with world.running() as first:
+        await world.put("op/wave/1", wave_of(vms, at_once=1))
+        assert await world.drive(10, lambda: len(vms.maintained) == 1)
+        first._over.set()
+        async with world.term():
+            assert await world.drive(40, lambda: status(world) == b"completed")
+        assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
+        assert vms.down_at_once == 1
+
+
+async def test_tasks_of_an_executor_that_is_listed_as_gone_start_again():
+    world = World(executors=2)
+    vms = world.keep_vms()
+    async with world.running():
+        await world.submit("a1", StepSpec(1, 500, 100, lasting=True))
+        await world.drive(1)
+        ((_, _, executor),) = world.client.started
+        vms.crash(executor)
+        assert await world.drive(6, lambda: len(world.client.started) == 2)
+
+
+async def test_a_successor_restarts_tasks_of_an_executor_that_left_before():
+    world = World(executors=2)
+    vms = world.keep_vms()
+    async with world.running() as first:
+        await world.submit("a1", StepSpec(1, 500, 100, lasting=True))
+        await world.drive(1)
+        ((_, _, executor),) = world.client.started
+        first._over.set()
+        await world.drive(0.5)
+        vms.crash(executor)
+        world.arrivals.append((f"executors/{executor}", None))
+        await world.drive(0.2)
+        async with world.term():
+            assert await world.drive(6, lambda: len(world.client.started) == 2)
+
+
+async def test_a_silent_executor_that_is_listed_as_up_keeps_its_tasks():
+    world = World(executors=2)
+    world.keep_vms()
+    async with world.running():
+        await world.submit("a1", StepSpec(1, 500, 100, lasting=True))
+        await world.drive(1)
+        ((_, _, executor),) = world.client.started
+        world.client.by_id[executor].silent = True
+        await world.drive(5)
+        world.client.by_id[executor].silent = False
+        await world.drive(3)
+        assert len(world.client.started) == 1
+
+
+async def test_a_peak_borrows_standby_vms_and_gives_them_back():
+    world = World(executors=2)
+    vms = world.keep_vms(standby=3)
+    world.client.run_time = timedelta(seconds=2)
+    async with world.running():
+        await world.publish(configuration(2))
+        await world.drive(4)
+        await world.submit("a1", StepSpec(30, 1000, 100, estimate_ms=2000))
+        await world.drive(5)
+        assert {pool for _, pool in vms.moves} == {"mill"}
+        lent = len(vms.moves)
+        assert lent > 0
+        assert await world.drive(20, lambda: len(vms.moves) == 2 * lent)
+        await world.drive(3)
+        standby = [vm for vm in vms.vms.values() if vm.pool == "spare"]
+        assert len(standby) == 3
+        assert all(vm.state is VmState.UP for vm in standby)
