Size pools by the turns of their peaks; separate lasting tasks that share a VM

Change: the period and the place of each pool's peak are learned from the arrivals in the first cycle; a pool keeps its own VMs until then, and later gets VMs 2.5 s before its peak and gives idle ones up after it.

--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -1,23 +1,35 @@
-"""How many VMs each pool borrows from the standby pool; pure.
+"""How many VMs each pool has; pure.
 
 Answers demand that peaks by turns at four to five times its mean for some seconds:
 a VM off standby costs nothing, one in a pool costs each second, and a move costs
-about what a VM costs in a second. So VMs are borrowed when the work that waits would
-keep the pool busy beyond the time that its jobs have, and given back when empty.
+about what a VM costs in a second. So a pool gets VMs while more work waits than it
+can clear in time, from standby or from pools whose own peak is over. Once the turns of
+the peaks are known, a pool also gets its VMs shortly before its peak and gives idle
+ones up after it; before that it keeps its own.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
-BORROW_BACKLOG = timedelta(seconds=0.8)
-"""Work waiting, in seconds of the whole pool, from which a VM is borrowed."""
-VM_WORK_SECONDS = 2.0
-"""Work, in seconds of one VM, that justifies each borrowed VM."""
+from .turns import Peak
+
+CLEAR_TIME = timedelta(seconds=1.5)
+"""Waiting work should be cleared within this, about the slack of a usual job."""
+FLOOR_SHARE = 0.5
+"""Share of its own VMs that a pool keeps when idle."""
+LEAD = timedelta(seconds=2.5)
+"""A VM is asked for this long before a peak; a move takes 1.5 s, noticing 0.5 s."""
+TAIL = timedelta(seconds=1.5)
+"""A peak that ends before a move does is not worth the move."""
+PEAK_SHARE_SERVED = 1.0
+MOST_SHARE = 1.8
+"""A pool gets no more than this times its own VMs ahead of a peak."""
 GIVE_BACK_IDLE = timedelta(seconds=2)
-"""A borrowed VM that was idle this long goes back; a peak has pauses of a second."""
+"""A VM that was idle this long is given up; a peak has pauses of a second."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,12 +39,44 @@
     name: str
     waiting_core_seconds: float
     """Work of the tasks that could run now if there were room."""
-    cores: float
     vm_cores: float
+    vms: int
+    """VMs of the pool, with those on their way to it."""
     arriving_vms: int
-    """VMs on their way to the pool."""
-    extra_vms: int
-    """VMs beyond the pool's own number."""
+    own_vms: int
+    """VMs that the pool had at first."""
+    lasting_vms: int = 0
+    """VMs that its lasting tasks need, each on another one."""
+    peak: Peak | None = None
+
+    @property
+    def peak_is_near(self) -> bool:
+        """Tell whether the pool's peak is at work or comes before a move ends."""
+        peak = self.peak
+        if peak is None:
+            return False
+        return peak.starts_in <= LEAD and peak.ends_in >= TAIL
+
+    @property
+    def floor(self) -> int:
+        """Return how many VMs the pool keeps even when idle."""
+        if self.peak is None or self.peak_is_near:
+            return self.own_vms
+        return max(math.ceil(self.own_vms * FLOOR_SHARE), self.lasting_vms)
+
+    @property
+    def wanted_before_peak(self) -> int:
+        """Return how many VMs the pool needs for a peak that is near."""
+        if self.peak is None or not self.peak_is_near:
+            return 0
+        needed = math.ceil(self.peak.core_rate * PEAK_SHARE_SERVED / self.vm_cores)
+        most = math.ceil(self.own_vms * MOST_SHARE)
+        return min(max(self.own_vms, needed), most)
+
+    @property
+    def extra_vms(self) -> int:
+        """Return how many VMs the pool can give up."""
+        return self.vms - max(self.floor, self.wanted_before_peak)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +107,12 @@
         load.name: load.waiting_core_seconds > 0 for load in loads
     }
     extra = {load.name: load.extra_vms for load in loads}
-    for load in sorted(loads, key=lambda d: -d.waiting_core_seconds):
-        arriving = load.arriving_vms * load.vm_cores * VM_WORK_SECONDS
-        backlog = load.waiting_core_seconds - arriving
-        if backlog <= load.cores * BORROW_BACKLOG.total_seconds():
-            continue
-        wanted = int(backlog / (load.vm_cores * VM_WORK_SECONDS))
+    for load in sorted(loads, key=lambda d: (-d.waiting_core_seconds, d.name)):
+        each = load.vm_cores * CLEAR_TIME.total_seconds()
+        wanted = max(
+            round(load.waiting_core_seconds / each) - load.arriving_vms,
+            load.wanted_before_peak - load.vms,
+        )
         for spare in list(free):
             if wanted <= 0:
                 break
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -41,6 +41,7 @@
 from .progress import EndKind, JobRun, StepRun, Task, TaskState
 from .registry import ExecutorRegistry
 from .spread import choose_executor
+from .turns import Peak, Turns
 from .usage import Usage
 from .vm_keeper import VmKeeper
 
@@ -88,6 +89,7 @@
         self.links_by_id: dict[str, ExecutorLink] = {}
         self.usage = Usage()
         self.learning = Learning()
+        self.turns = Turns()
         self._dirty: dict[str, JobRun] = {}
         self._to_start: list[tuple[ExecutorLink, PlacedRun]] = []
         self._wake = anyio.Event()
@@ -172,6 +174,24 @@
             job.open_due(self._unix_ms())
         for task in job.placed_tasks():
             self._adopt(task)
+        queue = self._queue(record.queue)
+        if queue is not None and not job.lasting:
+            work = remaining_work(job, self._expected_ms)
+            self.turns.arrived(queue.service, job.seen_at, work)
+        self._lines.decided(
+            "job",
+            job_id,
+            "found",
+            queue=record.queue,
+            team=record.team,
+            state=job.state.value,
+            tasks=sum(step.count for step in record.spec.steps),
+            steps=len(record.spec.steps),
+            lasting=job.lasting,
+            at_most=max(step.max_per_executor for step in record.spec.steps),
+            away=max(step.may_be_away for step in record.spec.steps),
+            cpu=max(step.cpu_millis for step in record.spec.steps),
+        )
 
     def _adopt(self, task: Task) -> None:
         """Follow a run that an earlier term assigned."""
@@ -352,6 +372,20 @@
                 loads[queue.service] += len(step.waiting) * each
         return loads
 
+    def lasting_vms(self, pool: str) -> int:
+        """Return how many VMs the lasting tasks of a pool need, one for each."""
+        most = 0
+        for job in self._live_jobs.values():
+            queue = self._queue(job.record.queue)
+            if job.lasting and queue is not None and queue.service == pool:
+                counts = [s.spec.count for s in job.steps() if s.spec.lasting]
+                most = max([most, *counts])
+        return most
+
+    def next_peak(self, pool: str) -> Peak | None:
+        """Return a pool's present or next peak, if it can be told."""
+        return self.turns.peak(pool, self._clock.monotonic())
+
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         now = self._clock.monotonic()
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -20,10 +20,11 @@
 from ..keyvalue.store import Compare, Put, Store, Transaction
 from .decisions import DecisionLines
 from .follow import OperatorFollower
-from .link import ExecutorLink, Phase
+from .link import ExecutorLink, Phase, PlacedRun
 from .model import Configuration, Wave
 from .pools import Move, PoolLoad, SpareVm, choose_moves
 from .progress import StepRun, TaskState
+from .turns import Peak
 from .upkeep import UpkeepCandidate, choose, wanted_at_once
 from .vms import PoolVm, VmAnswer, VmService, VmState
 
@@ -73,6 +74,14 @@
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         ...
 
+    def lasting_vms(self, pool: str) -> int:
+        """Return how many VMs the lasting tasks of a pool need."""
+        ...
+
+    def next_peak(self, pool: str) -> Peak | None:
+        """Return a pool's present or next peak, if it can be told."""
+        ...
+
     def end_term(self, reason: str) -> None:
         """Give the role up."""
         ...
@@ -302,6 +311,12 @@
             if link is None or self._may_go(link):
                 self._begin(work, vm, now)
         self._reserve(wave, {*empty, *begin}, now)
+        if slots > len(begin) + len(empty):
+            for candidate in candidates:
+                vm = self.vms_by_name[candidate.vm]
+                link = self._yard.links_by_id.get(vm.executor_id)
+                if not candidate.may_go and link is not None:
+                    self._separate(link)
 
     def _candidate(
         self, vm: PoolVm, waiting: dict[str, float], now: timedelta
@@ -329,6 +344,37 @@
             for step, count in steps.values()
         )
 
+    def _separate(self, link: ExecutorLink) -> None:
+        """Stop one of several tasks of a step, so that its VM may go later.
+
+        The VM is reserved, so the task starts again on another one.
+        """
+        by_step: dict[str, list[PlacedRun]] = {}
+        for placed in link.runs_by_name.values():
+            spec = placed.task.step.spec
+            if spec.lasting and placed.phase is Phase.RUNNING:
+                by_step.setdefault(placed.task.step.name, []).append(placed)
+        for together in by_step.values():
+            step = together[0].task.step
+            limit = max(1, step.spec.may_be_away)
+            if len(together) > limit and self._away(step, link) == 0:
+                at_work = all(placed.percent >= 100 for placed in together)
+                if at_work and self._has_room_elsewhere(step, link):
+                    self._lines.decided(
+                        "upkeep", link.executor.executor_id, "separated", step=step.name
+                    )
+                    link.stop(together[-1])
+                    return
+
+    def _has_room_elsewhere(self, step: StepRun, link: ExecutorLink) -> bool:
+        return any(
+            other.usable
+            and other.executor.service == link.executor.service
+            and not any(r.task.step is step for r in other.runs_by_name.values())
+            for other in self._yard.links_by_id.values()
+            if other is not link
+        )
+
     def _away(self, step: StepRun, without: ExecutorLink) -> int:
         """Return how many tasks of a step are not at work on other executors."""
         away = 0
@@ -530,19 +576,29 @@
                 if link.executor.service == name and link.usable
             ]
             cores = sum(link.executor.capacity.cpu_millis for link in links) / 1000
+            vm_cores = cores / len(links) if links else 1.0
             arriving = sum(
                 operation.kind == "move" and operation.target == name
                 for operation in self._operations.values()
             )
-            vm_cores = cores / len(links) if links else 1.0
-            own = (self._own_vms_by_pool or {}).get(name, 0)
-            size = sum(
+            present = sum(
                 vm.pool == name and vm.name not in self._operations
                 for vm in self.vms_by_name.values()
             )
+            own = (self._own_vms_by_pool or {}).get(name, 0)
             backlog = waiting.get(name, 0.0)
-            extra = size + arriving - own
-            loads.append(PoolLoad(name, backlog, cores, vm_cores, arriving, extra))
+            loads.append(
+                PoolLoad(
+                    name,
+                    backlog,
+                    vm_cores,
+                    present + arriving,
+                    arriving,
+                    own,
+                    lasting_vms=self._yard.lasting_vms(name),
+                    peak=self._yard.next_peak(name),
+                )
+            )
         return loads
 
     async def _load_pool_sizes(self) -> dict[str, int]:
