--- /dev/null
+++ b/tests/platform/test_peers.py
@@ -0,0 +1,169 @@
+"""Calls to executors and to the VM service, and what their answers mean."""
+
+from __future__ import annotations
+
+import json
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import pytest
+
+from pomeloyard.batch.executors import Executor, StartAnswer, StartOrder
+from pomeloyard.batch.model import Resources
+from pomeloyard.batch.progress import EndKind
+from pomeloyard.batch.vms import VmAnswer, VmState
+from pomeloyard.errors import CallNotSentError, CallUnansweredError, StaleFenceError
+from pomeloyard.platform.executors import PlatformExecutors
+from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.vms import PlatformVms
+from pomeloyard.serving import serving
+from tests.support.platform_standin import ScriptedPeer
+
+pytestmark = pytest.mark.anyio
+SECOND = timedelta(seconds=1)
+ORDER = StartOrder("a1.0.0.0", 2, "text", "cp", timedelta(seconds=9), 7)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@asynccontextmanager
+async def peer_and_executor():
+    peer = ScriptedPeer()
+    caller = HttpCaller()
+    async with serving(peer) as address:
+        executor = Executor("i-1", address, "s", "z", Resources(1), (), False, 5)
+        yield peer, caller, executor
+        await caller.close()
+
+
+@pytest.mark.parametrize(
+    ("status", "reason", "answer"),
+    [
+        (200, "", StartAnswer.STARTED),
+        (409, "old", StartAnswer.STALE_RUN),
+        (409, "late", StartAnswer.TOO_LATE),
+        (409, "room", StartAnswer.NO_ROOM),
+        (409, "ticket", StartAnswer.NO_TICKET),
+        (421, "", StartAnswer.OTHER_INCARNATION),
+        (429, "", StartAnswer.NOT_TAKEN),
+        (503, "", StartAnswer.NOT_TAKEN),
+    ],
+)
+async def test_answers_to_a_start(status, reason, answer):
+    async with peer_and_executor() as (peer, caller, executor):
+        peer.script("/run-start", status, {"clock_ms": 1500, "reason": reason})
+        told, _ = await PlatformExecutors(caller).start(executor, ORDER, SECOND)
+        assert told is answer
+        _, headers, body = peer.calls[0]
+        assert headers["x-expect-instance"] == "i-1"
+        assert json.loads(body) == {
+            "task": "a1.0.0.0",
+            "run_id": 2,
+            "task_spec": "text",
+            "until_ms": 9000,
+            "fencing_token": 7,
+            "saved": "cp",
+        }
+
+
+async def test_a_higher_fence_is_an_error_of_its_own():
+    async with peer_and_executor() as (peer, caller, executor):
+        for path in ("/run-start", "/run-stop", "/hold"):
+            peer.script(path, 409, {"clock_ms": 1, "reason": "fence"})
+        client = PlatformExecutors(caller)
+        with pytest.raises(StaleFenceError):
+            await client.start(executor, ORDER, SECOND)
+        with pytest.raises(StaleFenceError):
+            await client.stop(executor, "t", 1, 7, SECOND)
+        with pytest.raises(StaleFenceError):
+            await look(client, executor)
+
+
+async def look(client, executor):
+    return await client.look(
+        executor, fence=7, acknowledged=3, lease_until=None, wait=timedelta(0)
+    )
+
+
+async def test_both_lists_are_decoded():
+    async with peer_and_executor() as (peer, caller, executor):
+        lists = {
+            "clock_ms": 2000,
+            "born": 77,
+            "running": [["a", 1, "s", 40, 12], ["b", 2, "", 100]],
+            "ended": [[4, "c", 1, "done", ""]],
+            "remaining_ms": 100,
+        }
+        peer.script("/hold", 200, lists)
+        report = await look(PlatformExecutors(caller), executor)
+        assert report.clock == 2 * SECOND
+        assert report.incarnation == 77
+        assert [row.gauge for row in report.running] == [12, 0]
+        assert report.ended[0].kind is EndKind.DONE
+        assert report.draining
+
+
+@pytest.mark.parametrize(
+    "lists",
+    [
+        b"not json",
+        {"clock_ms": 1, "running": [["a"]], "ended": []},
+        {"clock_ms": 1, "running": [], "ended": [[1, "a", 1, "melted", ""]]},
+        {"clock_ms": 1, "running": 5, "ended": []},
+    ],
+)
+async def test_lists_that_cannot_be_read_count_as_no_answer(lists):
+    async with peer_and_executor() as (peer, caller, executor):
+        peer.script("/hold", 200, lists)
+        with pytest.raises(CallUnansweredError):
+            await look(PlatformExecutors(caller), executor)
+
+
+async def test_nobody_listens_means_that_nothing_was_ordered():
+    executor = Executor("i", "127.0.0.1:9", "s", "z", Resources(1), (), False, 5)
+    with pytest.raises(CallNotSentError):
+        await PlatformExecutors(HttpCaller()).start(executor, ORDER, SECOND)
+
+
+@pytest.mark.parametrize(
+    ("status", "reason", "answer"),
+    [
+        (200, "", VmAnswer.DONE),
+        (409, "busy", VmAnswer.BUSY),
+        (409, "wave", VmAnswer.NOT_OF_WAVE),
+        (400, "", VmAnswer.INVALID),
+        (429, "", VmAnswer.THROTTLED),
+    ],
+)
+async def test_answers_to_an_operation_on_a_vm(status, reason, answer):
+    async with peer_and_executor() as (peer, caller, executor):
+        service = PlatformVms(caller, executor.address)
+        for path in ("/machine-move", "/machine-upkeep"):
+            peer.script(path, status, {"reason": reason})
+        assert await service.move("m", "p", "d-1", 12) is answer
+        assert await service.maintain("m", 3, "d-1", 12) is answer
+        assert peer.calls[0][1]["x-fencing-token"] == "12"
+        assert peer.calls[0][1]["x-duty-holder"] == "d-1"
+        peer.script("/machine-move", 409, {"reason": "fence"})
+        with pytest.raises(StaleFenceError):
+            await service.move("m", "p", "d-1", 12)
+
+
+async def test_vms_are_listed_with_their_present_executor():
+    async with peer_and_executor() as (peer, caller, executor):
+        rows = [
+            {"machine": "m1", "pool": "p", "state": "up", "id": "i", "labels": ["r"]},
+            {"machine": "m2", "pool": "p", "state": "upkeep", "id": None},
+            {"machine": "m3", "pool": "p", "state": "new word"},
+        ]
+        peer.script("/machines", 200, {"machines": rows, "next_token": None})
+        vms = await PlatformVms(caller, executor.address).list()
+        assert [vm.state for vm in vms] == [
+            VmState.UP,
+            VmState.IN_UPKEEP,
+            VmState.DOWN,
+        ]
+        assert vms[0].executor_id == "i"
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,121 @@
+"""The client of the platform's store against a stand-in over HTTP."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import pytest
+
+from pomeloyard.clock import SystemClock
+from pomeloyard.errors import (
+    CompactedError,
+    LeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreRequestError,
+    StoreUnavailableError,
+)
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction, scan_all
+from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.kv import MAX_ENTRIES, PlatformStore
+from pomeloyard.serving import serving
+from tests.support.platform_standin import ScriptedPeer, store_app
+
+pytestmark = pytest.mark.anyio
+SHORT = timedelta(milliseconds=50)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@asynccontextmanager
+async def client_of(app):
+    caller = HttpCaller()
+    async with serving(app) as address:
+        yield PlatformStore(caller, address)
+        await caller.close()
+
+
+async def put(store, key, value=b"1", *compares, lease=0):
+    return await store.commit(Transaction(compares, (Put(key, value, lease),)))
+
+
+async def test_items_pages_conditions_and_deletions():
+    memory = MemoryStore(SystemClock())
+    async with client_of(store_app(memory)) as store:
+        assert await store.get("a/1") is None
+        first = await put(store, "a/1", b"\x00\xff")
+        entry = await store.get("a/1")
+        assert (entry.value, entry.mod_revision) == (b"\x00\xff", first.revision)
+        assert not (await put(store, "a/1", b"x", Compare("a/1", 0))).succeeded
+        assert (await put(store, "a/1", b"y", Compare("a/1", first.revision))).succeeded
+        for number in range(2, 9):
+            await put(store, f"a/{number}")
+        page = await scan_all(store, "a/")
+        assert [e.key for e in page.entries] == [f"a/{n}" for n in range(1, 9)]
+        await store.commit(Transaction((), (Delete("a/1"),)))
+        assert await store.get("a/1") is None
+
+
+async def test_changes_are_polled_from_a_revision_on():
+    memory = MemoryStore(SystemClock())
+    async with client_of(store_app(memory)) as store:
+        start = (await put(store, "b/1")).revision
+        assert (await store.poll_changes("b/", start, SHORT)).events == ()
+        await put(store, "b/2", b"v")
+        await store.commit(Transaction((), (Delete("b/1"),)))
+        batch = await store.poll_changes("b/", start, SHORT)
+        assert [event.key for event in batch.events] == ["b/2", "b/1"]
+        assert batch.events[1].entry is None
+        memory.compact()
+        with pytest.raises(CompactedError):
+            await store.poll_changes("b/", start, SHORT)
+
+
+async def test_leases_end_with_their_keys():
+    memory = MemoryStore(SystemClock())
+    async with client_of(store_app(memory)) as store:
+        lease = await store.grant_lease(timedelta(seconds=5))
+        await put(store, "c", lease=lease)
+        assert await store.keep_lease_alive(lease) > timedelta(0)
+        await store.revoke_lease(lease)
+        assert await store.get("c") is None
+        with pytest.raises(LeaseLostError):
+            await store.keep_lease_alive(lease)
+        with pytest.raises(LeaseLostError):
+            await put(store, "c", lease=lease)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "error"),
+    [
+        (503, None, StoreUnavailableError),
+        (429, None, StoreUnavailableError),
+        (403, None, StoreRequestError),
+        (400, None, StoreRequestError),
+        (500, None, StoreOutcomeUnknownError),
+        (200, b"{nonsense", StoreOutcomeUnknownError),
+    ],
+)
+async def test_answers_to_a_write_that_is_not_taken(status, body, error):
+    peer = ScriptedPeer()
+    peer.script("/kv-txn", status, body)
+    async with client_of(peer) as store:
+        with pytest.raises(error):
+            await put(store, "a")
+
+
+async def test_nobody_listens_means_that_nothing_was_done():
+    store = PlatformStore(HttpCaller(), "127.0.0.1:9")
+    with pytest.raises(StoreUnavailableError):
+        await put(store, "a")
+
+
+async def test_a_transaction_that_the_store_cannot_take_is_not_sent():
+    store = PlatformStore(HttpCaller(), "127.0.0.1:9")
+    operations = tuple(Put(str(n), b"") for n in range(MAX_ENTRIES + 1))
+    with pytest.raises(StoreRequestError):
+        await store.commit(Transaction((), operations))
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -38,7 +38,8 @@
         assert vms.down_at_once <= 2
 
 
-async def test_lasting_tasks_are_away_one_at_a_time():
+@pytest.mark.parametrize("seconds", [8, 30])
+async def test_lasting_tasks_are_away_one_at_a_time(seconds):
     world = World(executors=4)
     vms = world.keep_vms()
     world.lasting_tasks = 3
@@ -46,7 +47,7 @@
     async with world.running():
         await world.submit("a1", step)
         await world.drive(2)
-        await world.put("op/wave/1", wave_of(vms, at_once=4))
+        await world.put("op/wave/1", wave_of(vms, at_once=4, seconds=seconds))
         assert await world.drive(40, lambda: status(world) == b"completed")
         assert vms.most_away == 1
 
