Know a step by its own tasks, weigh estimates, count whole worth against work left

The order divided the worth of the work left by that work, so a job that was nearly done did not go first.

--- a/src/pomeloyard/batch/learning.py
+++ b/src/pomeloyard/batch/learning.py
@@ -1,4 +1,4 @@
-"""What runs teach about images and executors; pure.
+"""What runs teach about steps, queues and executors; pure.
 
 Answers two load patterns: declared run times that are off by a factor of two, and
 executors that fail, stall or slow down while their health looks good.
@@ -6,12 +6,22 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-IMAGE_WEIGHT = 0.2
-"""Weight of a new run time; an image's tasks differ by some ten percent."""
+from .progress import StepRun
+
+QUEUE_WEIGHT = 0.05
+"""Weight of a new run time in its queue's mean; steps of a queue differ by half."""
+STEP_WEIGHT = 0.3
+"""Weight of a new run time in its step's mean; tasks of a step differ by a quarter."""
+ESTIMATE_WEIGHT = 0.5
+"""Weight of the submitter's estimate against the queue's mean, in logarithms: both
+are off by about the same factor."""
+DEFAULT_RUN_MS = 1000.0
+"""Assumed of the first tasks of a queue whose submitter gave no estimate."""
 SLOWNESS_WEIGHT = 0.5
 """Weight of a new ratio; an executor's slow spell lasts some seconds."""
 SLOW_FACTOR = 2.0
@@ -32,41 +42,58 @@
 
 
 class Learning:
-    """Run times by image, and speed and failures by executor."""
+    """Run times by step and queue, and speed and failures by executor."""
 
     def __init__(self) -> None:
-        self._run_ms_by_image: dict[str, float] = {}
-        self._estimate_ratio_by_image: dict[str, float] = {}
+        self._log_ms_by_queue: dict[str, float] = {}
         self._by_executor: dict[str, _ExecutorRecord] = defaultdict(_ExecutorRecord)
 
-    def expected_ms(self, image: str, estimate_ms: int) -> float:
-        """Return the usual run time of an image, or the submitter's estimate."""
-        return self._run_ms_by_image.get(image, float(estimate_ms or 1000))
+    def expected_ms(self, step: StepRun) -> float:
+        """Return the usual run time of a step's tasks.
+
+        Before the first of them is done, it lies between the submitter's estimate
+        and what is usual in the queue.
+        """
+        if step.usual_ms is not None:
+            return step.usual_ms
+        estimate = step.spec.estimate_ms
+        usual = self._log_ms_by_queue.get(step.job.record.queue)
+        if usual is None:
+            return float(estimate or DEFAULT_RUN_MS)
+        if not estimate:
+            return math.exp(usual)
+        share = ESTIMATE_WEIGHT
+        return math.exp(share * math.log(estimate) + (1 - share) * usual)
 
     def task_done(
         self,
-        image: str,
+        step: StepRun,
         executor: str,
         run_ms: float,
         now: timedelta,
         *,
         resumed: bool,
-        usual_ms: float,
     ) -> None:
         """Learn from a task that was done after ``run_ms``.
 
-        ``usual_ms`` is what was expected of it; a resumed run tells nothing of the
-        image, as only a part of the work was left.
+        A resumed run tells nothing of the step, as only a part of the work was left.
         """
         record = self._by_executor[executor]
         record.failed_jobs.clear()
         record.aside_until = timedelta(0)
         if resumed:
             return
-        self._note_speed(record, run_ms / max(usual_ms, 1.0), now)
-        if record.slowness < SLOW_FACTOR:
-            before = self._run_ms_by_image.get(image, run_ms)
-            self._run_ms_by_image[image] = before + IMAGE_WEIGHT * (run_ms - before)
+        self._note_speed(record, run_ms / max(self.expected_ms(step), 1.0), now)
+        if record.slowness >= SLOW_FACTOR:
+            return
+        before = step.usual_ms
+        step.usual_ms = (
+            run_ms if before is None else before + STEP_WEIGHT * (run_ms - before)
+        )
+        queue = step.job.record.queue
+        log_ms = math.log(max(run_ms, 1.0))
+        usual = self._log_ms_by_queue.get(queue, log_ms)
+        self._log_ms_by_queue[queue] = usual + QUEUE_WEIGHT * (log_ms - usual)
 
     def run_seen(self, executor: str, ratio: float, now: timedelta) -> None:
         """Learn from a running task that projects to ``ratio`` of the usual time."""
--- a/src/pomeloyard/batch/order.py
+++ b/src/pomeloyard/batch/order.py
@@ -19,35 +19,36 @@
 """Part of a job's worth that does not depend on its size; the rest grows with it."""
 
 
-def remaining_chain_ms(job: JobRun, expected_ms: Callable[[StepRun], float]) -> float:
-    """Return the longest chain of work that is left, in ms."""
-    longest = 0.0
-    for steps in job.occurrences.values():
-        chain: list[float] = []
-        for step in steps:
-            before = max((chain[i] for i in step.spec.after), default=0.0)
-            own = 0.0 if step.complete else expected_ms(step)
-            chain.append(before + own)
-        longest = max([longest, *chain])
-    return longest
+STEP_OVERHEAD_MS = 60.0
+"""Between the end of a step and the start of the next: two writes and two calls."""
 
 
-def chain_ms(job: JobRun, expected_ms: Callable[[StepRun], float]) -> float:
-    """Return the longest chain of work of the whole job, in ms."""
+def chain_ms(
+    job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
+) -> float:
+    """Return the longest chain of work, in ms; of what is left, or of the whole job."""
     longest = 0.0
     for steps in job.occurrences.values():
         chain: list[float] = []
         for step in steps:
             before = max((chain[i] for i in step.spec.after), default=0.0)
-            chain.append(before + expected_ms(step))
+            if not remaining:
+                own = expected_ms(step)
+            elif step.complete:
+                own = 0.0
+            else:
+                own = expected_ms(step) + STEP_OVERHEAD_MS
+            chain.append(before + own)
         longest = max([longest, *chain])
     return longest
 
 
-def remaining_work(job: JobRun, expected_ms: Callable[[StepRun], float]) -> float:
-    """Return the work of the tasks that are not done, in core-seconds."""
+def work_of(
+    job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
+) -> float:
+    """Return the work of the tasks, or of those that are not done, in core-seconds."""
     return sum(
-        (step.spec.count - step.done)
+        (step.spec.count - (step.done if remaining else 0))
         * step.spec.cpu_millis
         * expected_ms(step)
         / 1_000_000.0
@@ -71,13 +72,14 @@
     if job.lasting:
         return (float(queue.priority), 0.0, 0.0)
     objective_ms = queue.stretch * chain_ms(
-        job, expected_ms
+        job, expected_ms, remaining=False
     ) + queue.objective / timedelta(milliseconds=1)
     age_ms = age / timedelta(milliseconds=1)
-    finish_ms = age_ms + remaining_chain_ms(job, expected_ms)
-    left = max(remaining_work(job, expected_ms), 0.001)
+    finish_ms = age_ms + chain_ms(job, expected_ms, remaining=True)
+    left = max(work_of(job, expected_ms, remaining=True), 0.001)
     if finish_ms <= objective_ms:
-        worth = BASE_WORTH + (1 - BASE_WORTH) * left / max(mean_work, 0.001)
+        whole = work_of(job, expected_ms, remaining=False)
+        worth = BASE_WORTH + (1 - BASE_WORTH) * whole / max(mean_work, 0.001)
         return (float(queue.priority), 1.0, -worth / left)
     if finish_ms <= 3 * objective_ms:
         return (float(queue.priority), 2.0, left)
--- a/src/pomeloyard/batch/placing.py
+++ b/src/pomeloyard/batch/placing.py
@@ -16,9 +16,10 @@
 
 ROLE = "placing"
 TIMES = RoleTimes(
-    ttl=timedelta(seconds=2), renew_interval=timedelta(seconds=0.5), polls=True
+    ttl=timedelta(seconds=1.5), renew_interval=timedelta(seconds=0.4), polls=True
 )
-"""A killed holder is replaced after the lease; a renewal costs a tenth of a read."""
+"""A killed holder is replaced after the lease, in which a slow store still answers
+three renewals; a renewal costs a tenth of a read."""
 RETRY_DELAY = timedelta(seconds=0.1)
 
 log = logbook.Logger("pomeloyard.batch.placing")
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -79,6 +79,7 @@
         "placed",
         "spec",
         "tasks",
+        "usual_ms",
         "waiting",
     )
 
@@ -92,6 +93,8 @@
         self.placed = 0
         self.done = 0
         self.gang_failures = 0
+        self.usual_ms: float | None = None
+        """Run time of its tasks, once one is done."""
 
     @property
     def complete(self) -> bool:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -36,7 +36,7 @@
 from .learning import Learning
 from .link import ExecutorLink, Phase, PlacedRun
 from .model import NOTHING, Configuration, JobRecord, JobState, Queue
-from .order import rank, remaining_work
+from .order import rank, work_of
 from .pacing import next_pace
 from .progress import EndKind, JobRun, StepRun, Task, TaskState
 from .registry import ExecutorRegistry
@@ -55,6 +55,7 @@
 tight loop while the executor's state is being learned."""
 FAILURE_PAUSE = timedelta(milliseconds=50)
 MEAN_WORK_WEIGHT = 0.05
+"""Weight of a new job in its queue's mean work."""
 
 log = logbook.Logger("pomeloyard.batch.term")
 
@@ -176,7 +177,10 @@
             self._adopt(task)
         queue = self._queue(record.queue)
         if queue is not None and not job.lasting:
-            work = remaining_work(job, self._expected_ms)
+            work = work_of(job, self.learning.expected_ms, remaining=False)
+            mean = self._mean_work_by_queue.get(queue.name, work)
+            mean += MEAN_WORK_WEIGHT * (work - mean)
+            self._mean_work_by_queue[queue.name] = mean
             self.turns.arrived(queue.service, job.seen_at, work)
         self._lines.decided(
             "job",
@@ -368,7 +372,9 @@
             for step in job.ready_steps():
                 if step.spec.lasting:
                     continue
-                each = step.spec.cpu_millis * self._expected_ms(step) / 1_000_000
+                each = (
+                    step.spec.cpu_millis * self.learning.expected_ms(step) / 1_000_000
+                )
                 loads[queue.service] += len(step.waiting) * each
         return loads
 
@@ -464,10 +470,8 @@
         if spec.lasting:
             return
         if kind is EndKind.DONE:
-            image = self._image(task.step)
-            usual = self.learning.expected_ms(image, spec.estimate_ms)
             self.learning.task_done(
-                image, executor_id, run_ms, now, resumed=resumed, usual_ms=usual
+                task.step, executor_id, run_ms, now, resumed=resumed
             )
         elif kind is EndKind.FAILED:
             job_id = task.step.job.job_id
@@ -531,16 +535,9 @@
     def _rank(self, job: JobRun, queue: Queue, now: timedelta) -> tuple[float, ...]:
         mean = self._mean_work_by_queue.get(queue.name)
         if mean is None:
-            mean = self._mean_work_by_queue[queue.name] = remaining_work(
-                job, self._expected_ms
-            )
-        return rank(job, queue, now - job.seen_at, self._expected_ms, mean)
-
-    def _expected_ms(self, step: StepRun) -> float:
-        return self.learning.expected_ms(self._image(step), step.spec.estimate_ms)
-
-    def _image(self, step: StepRun) -> str:
-        return step.spec.image or f"{step.job.record.queue}/{step.job.job_id}"
+            mean = work_of(job, self.learning.expected_ms, remaining=False)
+            self._mean_work_by_queue[queue.name] = mean
+        return rank(job, queue, now - job.seen_at, self.learning.expected_ms, mean)
 
     def _place_jobs(
         self,
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -110,19 +110,59 @@
     assert not learning.is_aside("e-2", QUARANTINE * 2)
 
 
+def step_of(estimate=0, job_id="a1"):
+    return job_of(StepSpec(9, 1000, 100, estimate_ms=estimate), job_id=job_id)
+
+
+def done(learning, job, run_ms, now=SECOND, resumed=False, executor="e-1"):
+    step = job.occurrences[0][0]
+    learning.task_done(step, executor, run_ms, now, resumed=resumed)
+
+
 def test_a_slow_executor_is_noticed_and_tried_again():
     learning = Learning()
+    job = step_of(1000)
     for _ in range(2):
-        learning.task_done("image", "e-1", 6000, SECOND, resumed=False, usual_ms=1000)
+        done(learning, job, 6000)
     assert learning.slowness("e-1", SECOND) > 2
     assert learning.slowness("e-1", SECOND * 20) == 1.0
+    assert learning.expected_ms(job.occurrences[0][0]) == 1000
+
+
+def test_a_step_is_known_by_its_first_tasks_not_by_its_estimate():
+    learning = Learning()
+    job = step_of(300)
+    assert learning.expected_ms(job.occurrences[0][0]) == 300
+    done(learning, job, 550)
+    assert learning.expected_ms(job.occurrences[0][0]) == 550
+
+
+def test_an_estimate_is_weighed_against_what_is_usual_in_the_queue():
+    learning = Learning()
+    done(learning, step_of(1000), 1000)
+    far_off = step_of(60, "a2").occurrences[0][0]
+    assert 200 < learning.expected_ms(far_off) < 300
+    none = step_of(0, "a3").occurrences[0][0]
+    assert round(learning.expected_ms(none)) == 1000
 
 
 def test_a_resumed_task_does_not_teach_a_shorter_run_time():
     learning = Learning()
-    learning.task_done("image", "e", 1000, SECOND, resumed=False, usual_ms=1000)
-    learning.task_done("image", "e", 10, SECOND, resumed=True, usual_ms=1000)
-    assert learning.expected_ms("image", 0) == 1000
+    job = step_of(1000)
+    done(learning, job, 1000)
+    done(learning, job, 10, resumed=True)
+    assert learning.expected_ms(job.occurrences[0][0]) == 1000
+
+
+def test_a_job_that_is_nearly_done_goes_first():
+    nearly = job_of(*[StepSpec(4, 1000, 100, estimate_ms=800)] * 2)
+    for task in nearly.occurrences[0][0].tasks:
+        nearly.place(task, "e", 1, timedelta(0))
+        nearly.end(task, 1, EndKind.DONE, "")
+    fresh = job_of(*[StepSpec(4, 1000, 100, estimate_ms=800)] * 2, job_id="a2")
+    age = timedelta(seconds=0.5)
+    first = rank(nearly, QUEUE, age, expected_ms, 6.4)
+    assert first < rank(fresh, QUEUE, age, expected_ms, 6.4)
 
 
 def test_progress_survives_storing_and_loading():
