Let a pool rest after its first peak

Change: a pool whose peak is over gives idle VMs up until its next one can come; a peak is seen over 2 s, so that queues of one or two jobs a second have one too.

--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -3,9 +3,9 @@
 Answers demand that peaks by turns at four to five times its mean for some seconds:
 a VM off standby costs nothing, one in a pool costs each second, and a move costs
 about what a VM costs in a second. So a pool gets VMs while more work waits than it
-can clear in time, from standby or from pools whose own peak is over. Once the turns of
-the peaks are known, a pool also gets its VMs shortly before its peak and gives idle
-ones up after it; before that it keeps its own.
+can clear in time, from standby or from pools whose own peak is over. After its peak a
+pool gives idle VMs up; once the turns of the peaks are known, it gets them back
+shortly before the next one. Before its first peak it keeps its own.
 """
 
 from __future__ import annotations
@@ -48,6 +48,8 @@
     lasting_vms: int = 0
     """VMs that its lasting tasks need, each on another one."""
     peak: Peak | None = None
+    rests: bool = False
+    """Whether its peak is over and its next one cannot come yet."""
 
     @property
     def peak_is_near(self) -> bool:
@@ -60,7 +62,8 @@
     @property
     def floor(self) -> int:
         """Return how many VMs the pool keeps even when idle."""
-        if self.peak is None or self.peak_is_near:
+        between_peaks = self.rests if self.peak is None else not self.peak_is_near
+        if not between_peaks:
             return self.own_vms
         return max(math.ceil(self.own_vms * FLOOR_SHARE), self.lasting_vms)
 
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -392,6 +392,10 @@
         """Return a pool's present or next peak, if it can be told."""
         return self.turns.peak(pool, self._clock.monotonic())
 
+    def rests(self, pool: str) -> bool:
+        """Tell whether a pool's peak is over and its next one cannot come yet."""
+        return self.turns.rests(pool, self._clock.monotonic())
+
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         now = self._clock.monotonic()
--- a/src/pomeloyard/batch/turns.py
+++ b/src/pomeloyard/batch/turns.py
@@ -1,7 +1,7 @@
 """When each pool's next peak comes; pure.
 
-Answers demand whose peaks come by turns and again: the first cycle is only watched,
-from the second on a pool is given its VMs before its peak and gives them up after.
+Answers demand whose peaks come by turns and again. In the first cycle a pool rests
+after its own peak; from the second on it gets its VMs before its peak.
 """
 
 from __future__ import annotations
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-ONSET_WINDOW = timedelta(seconds=1)
+ONSET_WINDOW = timedelta(seconds=2)
+"""Long enough for queues of a job or two a second at their peak."""
 ONSET_ARRIVALS = 4
 """Fewer jobs within the window are no peak, however quiet it was before."""
 ONSET_FACTOR = 2.2
@@ -20,6 +21,12 @@
 """Below this share of the mean rate a peak is over."""
 SHORTEST_PERIOD = timedelta(seconds=6)
 LONGEST_PERIOD = timedelta(seconds=90)
+REST_FACTOR = 2.5
+"""A pool rests for this many times the length of its peak; with three pools or more
+that take turns, its next one comes later."""
+SHORTEST_REST = timedelta(seconds=6)
+PEAK_OVER = timedelta(seconds=2)
+"""Without dense arrivals for this long a peak is over."""
 MEMORY = timedelta(seconds=240)
 MIN_ARRIVALS = 5
 PEAK_SHARE = 0.8
@@ -42,6 +49,8 @@
         self.arrivals: list[tuple[timedelta, float]] = []
         self.onsets: list[timedelta] = []
         self.in_peak = False
+        self.dense_at: timedelta | None = None
+        """Last arrival within a peak."""
 
 
 class Turns:
@@ -64,16 +73,28 @@
     def _note_onset(self, state: _PoolArrivals, now: timedelta) -> None:
         assert self._began_at is not None
         recent = sum(at > now - ONSET_WINDOW for at, _ in reversed(state.arrivals))
-        passed = now - min(self._began_at, state.arrivals[0][0])
+        passed = now - self._began_at
         passed = max(passed, 3 * ONSET_WINDOW)
         mean = len(state.arrivals) * (ONSET_WINDOW / passed)
+        if state.in_peak and recent >= ONSET_ARRIVALS:
+            state.dense_at = now
         if recent >= ONSET_ARRIVALS and recent >= ONSET_FACTOR * mean:
+            state.dense_at = now
             if not state.in_peak:
                 state.in_peak = True
                 state.onsets.append(now - ONSET_WINDOW / 2)
         elif recent < QUIET_FACTOR * mean:
             state.in_peak = False
 
+    def rests(self, pool: str, now: timedelta) -> bool:
+        """Tell whether a pool's peak is over and its next one cannot come yet."""
+        state = self._pools.get(pool)
+        if state is None or state.dense_at is None or not state.onsets:
+            return False
+        quiet = now - state.dense_at
+        length = state.dense_at - state.onsets[-1]
+        return PEAK_OVER <= quiet <= max(REST_FACTOR * length, SHORTEST_REST)
+
     def period(self) -> timedelta | None:
         """Return the time from a peak to the next of the same pool, if known."""
         found = [
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -82,6 +82,10 @@
         """Return a pool's present or next peak, if it can be told."""
         ...
 
+    def rests(self, pool: str) -> bool:
+        """Tell whether a pool's peak is over and its next one cannot come yet."""
+        ...
+
     def end_term(self, reason: str) -> None:
         """Give the role up."""
         ...
@@ -597,6 +601,7 @@
                     own,
                     lasting_vms=self._yard.lasting_vms(name),
                     peak=self._yard.next_peak(name),
+                    rests=self._yard.rests(name),
                 )
             )
         return loads
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -202,8 +202,8 @@
     assert job.state.value == "completed"
 
 
-def pool(name, waiting, vms=6, arriving=0, peak=None):
-    return PoolLoad(name, waiting, 16.0, vms, arriving, 6, 2, peak)
+def pool(name, waiting, vms=6, arriving=0, peak=None, rests=False):
+    return PoolLoad(name, waiting, 16.0, vms, arriving, 6, 2, peak, rests)
 
 
 def peak_in(seconds, rate=90.0):
@@ -234,6 +234,27 @@
     assert choose_moves([pool("a", 0.0, 3, peak=peak_in(9))], idle, "spare") == []
 
 
+def test_a_pool_rests_after_its_first_peak():
+    idle = [SpareVm(f"v{n}", "a", False, timedelta(seconds=5)) for n in range(6)]
+    assert len(choose_moves([pool("a", 0.0, rests=True)], idle, "spare")) == 3
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("rate", [0.5, 3.0])
+def test_a_peak_of_a_sparse_or_busy_queue_is_seen_and_is_followed_by_rest(seed, rate):
+    chance = random.Random(seed)
+    turns = Turns()
+    turns.arrived("b", timedelta(0), 5.0)
+    for tick in range(400):
+        now = tick * 0.05
+        if 4 <= now < 12 and chance.random() < rate * 4 * 0.05:
+            turns.arrived("a", now * SECOND, 5.0)
+        if now < 4:
+            assert not turns.rests("a", now * SECOND)
+    assert turns.rests("a", 17 * SECOND)
+    assert not turns.rests("a", 45 * SECOND)
+
+
 def test_a_peak_finds_its_vms_already_there():
     spares = [SpareVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
     moves = choose_moves([pool("a", 0.0, 3, peak=peak_in(2, 130.0))], spares, "spare")
