--- /dev/null
+++ b/src/pomeloyard/batch/metrics.py
@@ -0,0 +1,105 @@
+"""Counters and latency histograms of one daemon, in the Prometheus text format."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from datetime import timedelta
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from ..keyvalue.store import CallCounter
+from ..logs import LogWriter
+from .decisions import DecisionLines
+from .follow import OperatorFollower
+from .placing import PlacingRole
+
+SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+
+
+class BatchMetrics:
+    """Registry of a daemon; everything but histograms is read when it is asked for."""
+
+    def __init__(
+        self,
+        lines: DecisionLines,
+        writer: LogWriter,
+        calls: CallCounter,
+        follower: OperatorFollower,
+        role: PlacingRole,
+    ) -> None:
+        self._lines = lines
+        self._writer = writer
+        self._calls = calls
+        self._follower = follower
+        self._role = role
+        self._registry = CollectorRegistry()
+        self.call_seconds = Histogram(
+            "pomeloyard_call_seconds",
+            "Time from a caller's request to its answer",
+            ["method", "status"],
+            buckets=SECONDS_BUCKETS,
+            registry=self._registry,
+        )
+        self._registry.register(self)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Return the metrics that other parts keep."""
+        decisions = CounterMetricFamily(
+            "pomeloyard_decisions",
+            "Decisions by kind and outcome",
+            labels=["kind", "outcome"],
+        )
+        for (kind, outcome), count in self._lines.counts.items():
+            decisions.add_metric([kind, outcome], count)
+        yield decisions
+        calls = CounterMetricFamily(
+            "pomeloyard_store_calls", "Calls to the store", labels=["kind"]
+        )
+        calls.add_metric(["read"], self._calls.reads)
+        calls.add_metric(["write"], self._calls.writes)
+        calls.add_metric(["failed"], self._calls.failures)
+        yield calls
+        dropped = CounterMetricFamily(
+            "pomeloyard_log_lines_dropped", "Log lines over the bound on volume"
+        )
+        dropped.add_metric([], self._lines.suppressed + self._writer.dropped_lines)
+        yield dropped
+        age = min(self._follower.proof_age(), timedelta(days=1))
+        yield GaugeMetricFamily(
+            "pomeloyard_configuration_age_seconds",
+            "Time since the daemon was certainly current",
+            value=age.total_seconds(),
+        )
+        yield from self._term_metrics()
+
+    def _term_metrics(self) -> Iterator[Metric]:
+        term = self._role.term
+        yield GaugeMetricFamily(
+            "pomeloyard_placing_epoch",
+            "Epoch of the placing role, 0 if another daemon holds it",
+            value=term.epoch if term else 0,
+        )
+        if term is None:
+            return
+        jobs = GaugeMetricFamily("pomeloyard_jobs", "Jobs by state", labels=["state"])
+        for state, count in term.job_counts().items():
+            jobs.add_metric([state.value], count)
+        yield jobs
+        executors = GaugeMetricFamily(
+            "pomeloyard_executors",
+            "Executors by whether they take tasks",
+            labels=["usable"],
+        )
+        usable = sum(link.usable for link in term.links_by_id.values())
+        executors.add_metric(["yes"], usable)
+        executors.add_metric(["no"], len(term.links_by_id) - usable)
+        yield executors
+        running = sum(len(link.runs_by_name) for link in term.links_by_id.values())
+        yield GaugeMetricFamily(
+            "pomeloyard_runs", "Runs of tasks that may exist", value=running
+        )
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -283,6 +283,13 @@
             if link is not None and placed is not None:
                 link.stop(placed)
 
+    def job_counts(self) -> dict[JobState, int]:
+        """Return how many jobs are in each state."""
+        counts: dict[JobState, int] = defaultdict(int)
+        for job in self.jobs_by_id.values():
+            counts[job.state] += 1
+        return counts
+
     def wake(self) -> None:
         """Plan soon."""
         self._wake.set()
@@ -730,11 +737,3 @@
 
     def _unix_ms(self) -> float:
         return self._clock.now().timestamp() * 1000
-
-
-def job_state_counts(jobs: Iterable[JobRun]) -> dict[JobState, int]:
-    """Return how many jobs are in each state."""
-    counts: dict[JobState, int] = defaultdict(int)
-    for job in jobs:
-        counts[job.state] += 1
-    return counts
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -13,6 +13,7 @@
 from ..batch.decisions import DecisionLines
 from ..batch.follow import OperatorFollower
 from ..batch.intake import Intake
+from ..batch.metrics import BatchMetrics
 from ..batch.placing import ROLE, TIMES, PlacingRole
 from ..batch.registry import ExecutorRegistry
 from ..batch.term import PlacingTerm
@@ -25,7 +26,7 @@
 from ..serving import EmbeddedServer, server_config
 from .documents import PlatformDocuments, RegistrationDocuments
 from .executors import PlatformExecutors
-from .front import Front, Readiness
+from .front import Front, MetricText, Readiness
 from .http import HttpCaller
 from .kv import PlatformStore
 from .settings import PlatformSettings, read_settings
@@ -57,6 +58,10 @@
         self._store = PlatformStore(self._caller, settings.store_address)
         self._follower = OperatorFollower(clock, self._store, PlatformDocuments())
         intake = Intake(clock, self._store, self._follower)
+        self._role = PlacingRole(clock, self._store, self._new_term)
+        self._metrics = BatchMetrics(
+            self._lines, self.writer, self._store.calls, self._follower, self._role
+        )
         self._front = Front(
             clock,
             self._follower,
@@ -64,8 +69,8 @@
             self._lines,
             settings.config_bound,
             settings.withdrawal_bound,
+            self._metrics,
         )
-        self._role = PlacingRole(clock, self._store, self._new_term)
         self._candidate = RoleCandidate(
             self._store, clock, ROLE, settings.vm, self._role.run, TIMES
         )
@@ -115,12 +120,14 @@
             tasks.start_soon(front.serve, [_listener(self._settings.caller_address)])
             tasks.start_soon(ready.serve, [_listener(self._settings.readiness_address)])
             tasks.start_soon(self._compete, role_scope)
+            metrics = _server(MetricText(self._metrics), self._settings.metrics_address)
+            tasks.start_soon(metrics.serve, [_listener(self._settings.metrics_address)])
             await _until_stopped()
             self._front.closing = True
             log.info("daemon stops")
             role_scope.cancel()
             await self._clock.sleep(CLOSING_TIME)
-            front.should_exit = ready.should_exit = True
+            front.should_exit = ready.should_exit = metrics.should_exit = True
             limit = self._settings.stop_grace - 2 * CLOSING_TIME
             await _wait_closed(front, limit)
             tasks.cancel_scope.cancel()
--- a/src/pomeloyard/platform/front.py
+++ b/src/pomeloyard/platform/front.py
@@ -8,11 +8,13 @@
 from typing import Any
 
 import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST
 from starlette.types import Receive, Scope, Send
 
 from ..batch.decisions import DecisionLines
 from ..batch.follow import OperatorFollower
 from ..batch.intake import Authorized, Intake
+from ..batch.metrics import BatchMetrics
 from ..batch.model import JobSpec, StepSpec
 from ..clock import Clock
 from ..errors import OutcomeUnknownError, RefusedError
@@ -123,7 +125,9 @@
         lines: DecisionLines,
         config_bound: timedelta,
         withdrawal_bound: timedelta,
+        metrics: BatchMetrics | None = None,
     ) -> None:
+        self._metrics = metrics
         self._clock = clock
         self._follower = follower
         self._intake = intake
@@ -175,6 +179,10 @@
         if self.closing or status == HTTPStatus.SERVICE_UNAVAILABLE:
             # The caller's next connection goes to a daemon that can serve it.
             extra.append((b"connection", b"close"))
+        if self._metrics is not None:
+            took = self._clock.monotonic() - started_at
+            series = self._metrics.call_seconds.labels(method, str(int(status)))
+            series.observe(took.total_seconds())
         content = msgspec.json.encode(body)
         response_headers = [
             (b"content-type", b"application/json"),
@@ -284,6 +292,23 @@
         await send({"type": "http.response.body", "body": b""})
 
 
+class MetricText:
+    """ASGI application that serves the metrics at every path."""
+
+    def __init__(self, metrics: BatchMetrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer with all metrics."""
+        content = self._metrics.text()
+        headers = [
+            (b"content-type", CONTENT_TYPE_LATEST.encode()),
+            (b"content-length", str(len(content)).encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": content})
+
+
 def _patience(headers: dict[bytes, bytes]) -> timedelta:
     try:
         return timedelta(milliseconds=float(headers[b"x-deadline-ms"]))
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -7,13 +7,15 @@
 
 import pytest
 
-from pomeloyard.batch.decisions import DecisionLines
+from pomeloyard.batch.decisions import MAX_LINES_PER_SECOND, DecisionLines
 from pomeloyard.batch.follow import DocumentError, OperatorFollower
 from pomeloyard.batch.intake import Intake
+from pomeloyard.batch.metrics import BatchMetrics
+from pomeloyard.batch.placing import PlacingRole
 from pomeloyard.errors import RefusedError, SettingsError
 from pomeloyard.logs import LogWriter
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
-from pomeloyard.platform.front import Front, Readiness, decode_job
+from pomeloyard.platform.front import Front, MetricText, Readiness, decode_job
 from pomeloyard.platform.settings import read_settings
 from tests.support.asgi import Answer
 from tests.support.batch_world import World
@@ -139,6 +141,36 @@
     assert (await caller.call("GET", "/ready", app=ready)).status == 503
 
 
+async def test_metrics_count_calls_and_decisions():
+    caller = Caller()
+    role = PlacingRole(caller.world.clock, caller.world.store, None)
+    lines = caller.front._lines
+    metrics = BatchMetrics(
+        lines,
+        LogWriter(caller.world.clock),
+        caller.world.store.calls,
+        caller.follower,
+        role,
+    )
+    caller.front._metrics = metrics
+    await caller.publish(CONFIG)
+    await caller.call("POST", "/q/1", JOB)
+    text = (await caller.call("GET", "/", app=MetricText(metrics))).body.decode()
+    assert 'pomeloyard_call_seconds_count{method="POST",status="200"} 1.0' in text
+    assert 'pomeloyard_decisions_total{kind="call",outcome="200"} 1.0' in text
+    assert "pomeloyard_placing_epoch 0.0" in text
+
+
+async def test_log_volume_is_bounded_and_what_is_left_out_is_counted():
+    world = World()
+    for number in range(MAX_LINES_PER_SECOND + 50):
+        world.lines.decided("call", str(number), "200")
+    assert world.lines.suppressed == 50
+    world.clock.advance(timedelta(seconds=1))
+    world.lines.decided("call", "x", "200")
+    assert world.lines.suppressed == 50
+
+
 async def test_a_withdrawn_key_stops_working():
     caller = Caller()
     await caller.publish(CONFIG)
