--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -30,17 +30,26 @@
     scan_all,
 )
 from . import layout
+from .advice import MAX_ASKED, AdviceService, Advisor
 from .decisions import DecisionLines
 from .executors import Executor, ExecutorClient, RunningTask, StartAnswer
 from .follow import OperatorFollower
 from .learning import Learning
 from .link import ExecutorLink, Phase, PlacedRun
-from .model import NOTHING, Configuration, JobRecord, JobState, Queue
+from .model import (
+    NOTHING,
+    Configuration,
+    JobRecord,
+    JobState,
+    PlacementAdvice,
+    Queue,
+    Resources,
+)
 from .order import rank, work_of
 from .pacing import next_pace
 from .progress import EndKind, JobRun, StepRun, Task, TaskState
 from .registry import ExecutorRegistry
-from .spread import choose_executor
+from .spread import choose_executor, may_run
 from .turns import Peak, Turns
 from .usage import Usage
 from .vm_keeper import VmKeeper
@@ -75,6 +84,7 @@
         guard: Compare,
         retention: timedelta,
         new_keeper: Callable[[PlacingTerm], VmKeeper] | None = None,
+        advice: AdviceService | None = None,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -86,6 +96,7 @@
         self.guard = guard
         self._retention = retention
         self.keeper = new_keeper(self) if new_keeper else None
+        self._advisor = Advisor(clock, advice, self.wake) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
         self.links_by_id: dict[str, ExecutorLink] = {}
         self.usage = Usage()
@@ -119,6 +130,8 @@
             tasks.start_soon(self._work)
             if self.keeper is not None:
                 tasks.start_soon(self.keeper.run)
+            if self._advisor is not None:
+                tasks.start_soon(self._advisor.run)
             await self._over.wait()
             tasks.cancel_scope.cancel()
 
@@ -276,6 +289,8 @@
         """Stop what runs of a job that has ended and store its state."""
         job.ended_at = self._clock.monotonic()
         self._live_jobs.pop(job.job_id, None)
+        if self._advisor is not None:
+            self._advisor.forget(job.job_id)
         self._mark(job)
         for task in job.placed_tasks():
             link = self.links_by_id.get(task.executor)
@@ -504,6 +519,8 @@
         """Place a task again whose start was certainly not carried out."""
         task = placed.task
         now = self._clock.monotonic()
+        if answer is StartAnswer.NO_TICKET and self._advisor is not None:
+            self._advisor.reject(task.step, link.executor.executor_id)
         self._lines.decided(
             "start",
             task.name,
@@ -538,6 +555,8 @@
             if any(True for _ in job.ready_steps()):
                 key = self._rank(job, queue, now)
                 jobs_by_service[queue.service].append((key, job))
+        if self._advisor is not None:
+            self._advisor.clear_wanted()
         for service, ranked in jobs_by_service.items():
             ranked.sort(key=lambda pair: pair[0])
             jobs = [job for _, job in ranked]
@@ -560,22 +579,66 @@
         for job in jobs:
             team = configuration.teams_by_name.get(job.record.team)
             maximum = team.maximum if team else NOTHING
+            advice = configuration.queues_by_name[job.record.queue].advice
             for step in list(job.ready_steps()):
-                if step.spec.gang:
-                    self._place_gang(step, links, maximum, now)
-                    continue
-                for task in list(step.waiting.values()):
-                    if now < task.not_before:
-                        continue
-                    if not self.usage.team_fits(job.record.team, maximum, step.spec):
-                        break
-                    rack = step.spec.data_rack or self._rack_of(step)
-                    link = choose_executor(
-                        task, links, self.usage, self.learning, now, rack
-                    )
-                    if link is None:
-                        break
-                    self._assign(task, link, task.run + 1, now)
+                if advice is not None:
+                    self._place_advised(step, links, maximum, advice, now)
+                else:
+                    self._place_step(step, links, maximum, now)
+
+    def _place_advised(
+        self,
+        step: StepRun,
+        links: list[ExecutorLink],
+        maximum: Resources,
+        advice: PlacementAdvice,
+        now: timedelta,
+    ) -> None:
+        """Place a step on the executors that its queue's policy allows."""
+        if self._advisor is None:
+            return
+        tickets = self._advisor.tickets(step, now)
+        allowed = [ln for ln in links if ln.executor.executor_id in tickets]
+        self._place_step(step, allowed, maximum, now, tickets)
+        if not step.waiting or any(now < task.not_before for task in step.tasks):
+            return
+        roomy = [
+            link
+            for link in links
+            if may_run(link, step, self.usage)
+            and link.executor.executor_id not in tickets
+        ]
+        roomy.sort(
+            key=lambda ln: (
+                -self.usage.free_cpu(ln.executor.executor_id, ln.executor.capacity)
+            )
+        )
+        executors = [link.executor.executor_id for link in roomy]
+        if executors:
+            duration = advice.decide + advice.each * min(len(executors), MAX_ASKED)
+            self._advisor.want(step, executors, duration)
+
+    def _place_step(
+        self,
+        step: StepRun,
+        links: list[ExecutorLink],
+        maximum: Resources,
+        now: timedelta,
+        tickets: Mapping[str, str] | None = None,
+    ) -> None:
+        if step.spec.gang:
+            self._place_gang(step, links, maximum, now, tickets)
+            return
+        for task in list(step.waiting.values()):
+            if now < task.not_before:
+                continue
+            if not self.usage.team_fits(step.job.record.team, maximum, step.spec):
+                break
+            rack = step.spec.data_rack or self._rack_of(step)
+            link = choose_executor(task, links, self.usage, self.learning, now, rack)
+            if link is None:
+                break
+            self._assign(task, link, task.run + 1, now, tickets)
 
     def _rack_of(self, step: StepRun) -> str:
         """Return the rack of a step's placed tasks, if it has to stay in one."""
@@ -591,8 +654,9 @@
         self,
         step: StepRun,
         links: list[ExecutorLink],
-        maximum: Any,
+        maximum: Resources,
         now: timedelta,
+        tickets: Mapping[str, str] | None = None,
     ) -> None:
         """Place all members of a gang, or none."""
         if step.placed or len(step.waiting) < step.spec.count:
@@ -628,13 +692,22 @@
                 saved = max((task.saved for task in step.tasks), default="")
                 for task, link in chosen:
                     task.saved = saved
-                    self._assign(task, link, run, now)
+                    self._assign(task, link, run, now, tickets)
                 return
 
-    def _assign(self, task: Task, link: ExecutorLink, run: int, now: timedelta) -> None:
+    def _assign(
+        self,
+        task: Task,
+        link: ExecutorLink,
+        run: int,
+        now: timedelta,
+        tickets: Mapping[str, str] | None = None,
+    ) -> None:
         executor = link.executor
         job = task.step.job
         placed = PlacedRun(task, run, Phase.ASSIGNED, self.epoch)
+        if tickets is not None:
+            placed.ticket = tickets[executor.executor_id]
         job.place(task, executor.executor_id, run, now)
         self.usage.add(executor.executor_id, executor.rack, task)
         link.assign(placed)
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -25,6 +25,7 @@
 from ..logs import STDOUT, JsonLogHandler, LogWriter
 from ..roles import RoleCandidate
 from ..serving import EmbeddedServer, server_config
+from .advice import PlatformAdvice
 from .documents import PlatformDocuments, RegistrationDocuments
 from .executors import PlatformExecutors
 from .front import Front, MetricText, Readiness
@@ -61,6 +62,11 @@
         self._caller = HttpCaller()
         self._executor_caller = HttpCaller(EXECUTOR_CONNECTIONS)
         self._store = PlatformStore(self._caller, settings.store_address)
+        self._advice = (
+            PlatformAdvice(self._caller, settings.advice_address)
+            if settings.advice_address
+            else None
+        )
         self._follower = OperatorFollower(clock, self._store, PlatformDocuments())
         intake = Intake(clock, self._store, self._follower)
         self._role = PlacingRole(clock, self._store, self._new_term)
@@ -95,6 +101,7 @@
             guard,
             self._settings.job_retention + RETENTION_SLACK,
             self._new_keeper if self._settings.vm_service_address else None,
+            self._advice,
         )
 
     def _new_keeper(self, term: PlacingTerm) -> VmKeeper:
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -13,6 +13,7 @@
 from pomeloyard.batch.progress import EndKind
 from pomeloyard.batch.vms import VmAnswer, VmState
 from pomeloyard.errors import CallNotSentError, CallUnansweredError, StaleFenceError
+from pomeloyard.platform.advice import PlatformAdvice
 from pomeloyard.platform.executors import PlatformExecutors
 from pomeloyard.platform.http import HttpCaller
 from pomeloyard.platform.vms import PlatformVms
@@ -167,3 +168,18 @@
             VmState.DOWN,
         ]
         assert vms[0].executor_id == "i"
+
+
+async def test_advice_is_asked_for_and_decoded():
+    async with peer_and_executor() as (peer, caller, executor):
+        service = PlatformAdvice(caller, executor.address)
+        peer.script("/advise", 200, {"good": [["i-1", "t-1"]], "valid_ms": 3000})
+        advice = await service.advise("a1.0.0", ["i-1", "i-2"], SECOND)
+        assert advice.ticket_by_executor == {"i-1": "t-1"}
+        assert advice.valid == 3 * SECOND
+        asked = json.loads(peer.calls[0][2])
+        assert asked == {"step": "a1.0.0", "workers": ["i-1", "i-2"]}
+        for status, body in ((429, None), (200, b"{"), (200, {"good": 3})):
+            peer.script("/advise", status, body)
+            with pytest.raises(CallUnansweredError):
+                await service.advise("a1.0.0", ["i-1"], SECOND)
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pomeloyard.batch import layout
+from pomeloyard.batch.advice import Advice, AdviceService
 from pomeloyard.batch.decisions import DecisionLines
 from pomeloyard.batch.executors import (
     EndedTask,
@@ -195,6 +196,9 @@
 
     def carry_out(self, fake, order):
         fake.check_fence(order.fence)
+        advice = self.world.advice
+        if advice is not None and not advice.holds(order, fake.executor.executor_id):
+            return StartAnswer.NO_TICKET
         if order.task in fake.runs and fake.runs[order.task].run == order.run:
             return StartAnswer.STARTED
         if order.run <= fake.highest_run.get(order.task, 0):
@@ -264,6 +268,32 @@
         self._reach(executor).check_fence(fence)
 
 
+class FakeAdvice(AdviceService):
+    """Lets a step run on some executors, with tickets that expire."""
+
+    def __init__(self, world, good, valid=timedelta(seconds=3)):
+        self.world = world
+        self.good = good
+        self.valid = valid
+        self.questions = []
+        self.expiry = {}
+
+    async def advise(self, step, executors, timeout):
+        self.questions.append((step, tuple(executors)))
+        await self.world.clock.sleep(STEP)
+        number = len(self.questions)
+        tickets = {e: f"{step}/{e}/{number}" for e in executors if e in self.good}
+        until = self.world.clock.monotonic() + self.valid
+        self.expiry.update((ticket, until) for ticket in tickets.values())
+        return Advice(tickets, self.valid)
+
+    def holds(self, order, executor_id):
+        step = order.task.rpartition(".")[0]
+        until = self.expiry.get(order.ticket, timedelta(0))
+        mine = order.ticket.startswith(f"{step}/{executor_id}/")
+        return mine and self.world.clock.monotonic() < until
+
+
 class World:
     """Everything around a term."""
 
@@ -285,6 +315,7 @@
             self.client.by_id[fake.executor.executor_id] = fake
         self.epoch = 0
         self.new_keeper = None
+        self.advice = None
         self.arrivals = []
         """Registrations to write or, with None, to delete."""
         self.lasting_tasks = 0
@@ -387,6 +418,7 @@
             guard,
             timedelta(seconds=60),
             self.new_keeper,
+            self.advice,
         )
 
     async def drive(self, seconds, until=None):
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
 from pomeloyard.batch import layout
-from pomeloyard.batch.model import JobState, Resources, StepSpec, TeamLimits
+from pomeloyard.batch.model import (
+    JobState,
+    PlacementAdvice,
+    Resources,
+    StepSpec,
+    TeamLimits,
+)
 
-from .support.batch_world import QUEUE, World, configuration
+from .support.batch_world import QUEUE, FakeAdvice, World, configuration
 
 pytestmark = pytest.mark.anyio
 
@@ -225,3 +232,40 @@
         assert await world.drive(6, completed(world))
         names = [task for task, _, _ in world.client.started]
         assert names == ["a1.0.0.0", "a1.1.0.0"]
+
+
+ADVISED = replace(
+    QUEUE, advice=PlacementAdvice(timedelta(0), timedelta(0), timedelta(seconds=3))
+)
+
+
+async def test_a_step_runs_only_where_its_queue_s_policy_allows():
+    world = World(executors=3)
+    world.advice = FakeAdvice(world, {"e-1"})
+    async with world.running():
+        await world.publish(configuration(2, queues=[ADVISED]))
+        await world.submit("a1", StepSpec(6, 1000, 100))
+        assert await world.drive(8, completed(world))
+        assert {executor for _, _, executor in world.client.started} == {"e-1"}
+
+
+async def test_tickets_that_expired_are_asked_for_again():
+    world = World(executors=2)
+    world.advice = FakeAdvice(world, {"e-0"}, valid=timedelta(seconds=1))
+    world.client.run_time = timedelta(seconds=1.5)
+    async with world.running():
+        await world.publish(configuration(2, queues=[ADVISED]))
+        await world.submit("a1", StepSpec(8, 1000, 100))
+        assert await world.drive(12, completed(world))
+        assert len(world.advice.questions) <= 8
+
+
+async def test_a_step_that_no_executor_may_run_waits_without_being_asked_for_ever():
+    world = World(executors=2)
+    world.advice = FakeAdvice(world, set())
+    async with world.running():
+        await world.publish(configuration(2, queues=[ADVISED]))
+        await world.submit("a1")
+        await world.drive(5)
+        assert len(world.advice.questions) == 1
+        assert world.client.started == []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+
 from tests.soak.soak_run import play
 
 SEEDS = [1, 2]
