Notice executors that go dark, stand still or slow down while their runs are listed

Runs that stand still were never moved, and slow executors were only known by the ends of their tasks. Change: VMs are listed every 0.5 s; one listed as down is asked at once with 0.5 s to answer, and its runs are over when two lists agree and it is silent. A pool whose executors are all in doubt is still used. Tests: dark executors within 2.5 s (was 6 s), one that answers is kept, stalled runs.

--- a/src/pomeloyard/batch/executors.py
+++ b/src/pomeloyard/batch/executors.py
@@ -120,10 +120,12 @@
         acknowledged: int,
         lease_until: timedelta | None,
         wait: timedelta,
+        timeout: timedelta,
     ) -> Report:
         """Read both lists, extend all leases and acknowledge ends.
 
-        Waits up to ``wait`` for an end that is not acknowledged.
+        Waits up to ``wait`` for an end that is not acknowledged, and in all up to
+        ``timeout``.
         """
 
     @abstractmethod
--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -39,9 +39,8 @@
 ORDER_TIMEOUT = timedelta(seconds=1)
 RETRY_DELAY = timedelta(seconds=0.15)
 MAX_RETRY_DELAY = timedelta(seconds=0.8)
-STALL_TIME = timedelta(seconds=2.5)
-"""A run whose progress does not move for this long is stalled; the slowest sound
-executors still move by some percent in that time."""
+SUSPECT_TIMEOUT = timedelta(seconds=0.5)
+"""Time for an answer of an executor whose VM is listed as down."""
 
 log = logbook.Logger("pomeloyard.batch.link")
 
@@ -70,6 +69,7 @@
         "pace_sent_at",
         "percent",
         "phase",
+        "resumed",
         "run",
         "stop_answered_at",
         "task",
@@ -82,6 +82,7 @@
         self.phase = phase
         self.fence = fence
         self.ticket = ""
+        self.resumed = bool(task.saved)
         self.acknowledged_at: timedelta | None = None
         self.stop_answered_at: timedelta | None = None
         self.percent = 0
@@ -162,6 +163,9 @@
         self._work = anyio.Event()
         self._failures = 0
         self.silent_since: timedelta | None = None
+        self.suspected = False
+        """Whether the platform lists the VM as down."""
+        self._look_scope = anyio.CancelScope()
         self.closed = False
         self.reserved = False
         """Whether the VM is being emptied and gets no new runs."""
@@ -179,12 +183,20 @@
             and not self.closed
             and not self.reserved
             and not self.leaving
+            and not self.suspected
         )
 
     def wake(self) -> None:
         """Look soon, as there is work to follow."""
         self._work.set()
 
+    def suspect(self) -> None:
+        """Ask at once whether the executor lives, as its VM is listed as down."""
+        if not self.suspected:
+            self.suspected = True
+            self._look_scope.cancel()
+            self.wake()
+
     def certainly_over(self, now: timedelta) -> bool:
         """Tell whether all leases given here have ended, whatever arrived late."""
         lease = max(self._lease, timedelta(seconds=10)) * CLOCK_DRIFT
@@ -193,12 +205,14 @@
     async def run(self) -> None:
         """Look at the executor whenever there is something to follow."""
         while not self.closed:
-            if self.reachable and not self.runs_by_name and not self.foreign_runs:
+            idle = not self.runs_by_name and not self.foreign_runs
+            if self.reachable and idle and not self.suspected:
                 self._work = anyio.Event()
                 await self._work.wait()
                 continue
             try:
-                await self._look()
+                with anyio.CancelScope() as self._look_scope:
+                    await self._look()
             except StaleFenceError as error:
                 log.warning("executor {}: {}", self.executor.executor_id, error)
                 self._handler.fence_lost(self)
@@ -211,24 +225,27 @@
 
     async def _look(self) -> None:
         asked_at = self._clock.monotonic()
-        first = not self.reachable or self._clock_offset is None
+        first = not self.reachable or self.suspected or self._clock_offset is None
         until = None
         if not first and self._clock_offset is not None:
             until = asked_at + self._clock_offset + self._lease
             self._last_order_at = asked_at
         wait = timedelta(0) if first else self._wait()
-        with anyio.fail_after(10):
-            report = await self._client.look(
-                self.executor,
-                fence=self.fence,
-                acknowledged=0 if first else self._acknowledge,
-                lease_until=until,
-                wait=wait,
-            )
+        report = await self._client.look(
+            self.executor,
+            fence=self.fence,
+            acknowledged=0 if first else self._acknowledge,
+            lease_until=until,
+            wait=wait,
+            timeout=SUSPECT_TIMEOUT if self.suspected else wait + LOOK_TIMEOUT,
+        )
         now = self._clock.monotonic()
         self._clock_offset = report.clock - now
         self._failures = 0
         self.silent_since = None
+        was_suspected, self.suspected = self.suspected, False
+        if was_suspected:
+            log.info("executor {} lives", self.executor.executor_id)
         if report.incarnation != self.incarnation:
             if self.incarnation is not None:
                 log.info(
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -50,6 +50,7 @@
 from .progress import EndKind, JobRun, StepRun, Task, TaskState
 from .registry import ExecutorRegistry
 from .spread import choose_executor, may_run
+from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
 from .turns import Peak, Turns
 from .usage import Usage
 from .vm_keeper import VmKeeper
@@ -451,7 +452,7 @@
         executor_id = link.executor.executor_id
         self.usage.remove(executor_id, link.executor.rack, task)
         run_ms = (now - task.started_at) / timedelta(milliseconds=1)
-        resumed = bool(task.saved)
+        resumed = placed.resumed
         self._learn(task, executor_id, kind, run_ms, resumed, now)
         was_final = job.final
         job.end(task, placed.run, kind, saved)
@@ -507,11 +508,41 @@
     def run_listed(
         self, link: ExecutorLink, placed: PlacedRun, row: RunningTask
     ) -> None:
-        """Pace a filling task by the tails of those that serve beside it."""
-        if placed.task.step.spec.fills and placed.phase is Phase.RUNNING:
+        """Pace what fills, and notice short runs that stand still or are slow."""
+        if placed.phase is not Phase.RUNNING:
+            return
+        spec = placed.task.step.spec
+        if spec.fills:
             percent = next_pace(placed, link.runs_by_name.values(), self._clock)
             if percent is not None:
                 link.pace(placed, percent)
+        elif not spec.lasting and not spec.gang and placed.percent < 100:
+            self._check_speed(link, placed)
+
+    def _check_speed(self, link: ExecutorLink, placed: PlacedRun) -> None:
+        now = self._clock.monotonic()
+        executor_id = link.executor.executor_id
+        expected_ms = self.learning.expected_ms(placed.task.step)
+        still = still_for(placed.moved_at, expected_ms, now)
+        if still >= STILL_TIME:
+            self.learning.set_aside(executor_id, now + AVOID_TIME)
+        if still >= STALLED_TIME:
+            self._lines.decided(
+                "end",
+                placed.task.name,
+                "stalled",
+                run=placed.run,
+                executor=executor_id,
+                percent=placed.percent,
+                still_ms=round(still / timedelta(milliseconds=1)),
+            )
+            link.stop(placed)
+            return
+        if not placed.resumed:
+            running_for = now - placed.task.started_at
+            ratio = slowness(placed.percent, running_for, expected_ms)
+            if ratio is not None:
+                self.learning.run_seen(executor_id, ratio, now)
 
     def order_refused(
         self, link: ExecutorLink, placed: PlacedRun, answer: StartAnswer
@@ -542,10 +573,17 @@
             return
         now = self._clock.monotonic()
         links_by_service: dict[str, list[ExecutorLink]] = defaultdict(list)
+        aside_by_service: dict[str, list[ExecutorLink]] = defaultdict(list)
         for link in self.links_by_id.values():
+            if not link.usable:
+                continue
             aside = self.learning.is_aside(link.executor.executor_id, now)
-            if link.usable and not aside:
-                links_by_service[link.executor.service].append(link)
+            chosen = aside_by_service if aside else links_by_service
+            chosen[link.executor.service].append(link)
+        for service, links in aside_by_service.items():
+            # Doubtful executors are better than none.
+            if service not in links_by_service:
+                links_by_service[service] = links
         jobs_by_service: dict[str, list[tuple[tuple[float, ...], JobRun]]]
         jobs_by_service = defaultdict(list)
         for job in self._live_jobs.values():
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -30,12 +30,13 @@
 
 STEP_INTERVAL = timedelta(milliseconds=250)
 LIST_INTERVAL = timedelta(milliseconds=500)
-"""Between lists while operations, waves or silent executors need them."""
-IDLE_LIST_INTERVAL = timedelta(seconds=2)
+"""Between lists; one costs as much as any read, and tells of VMs that went down."""
 RETRY_DELAY = timedelta(milliseconds=400)
 SILENCE_BEFORE_LISTS = timedelta(seconds=1)
-"""How long an executor must be silent before the list may say that it is gone; the
-list lags behind by less than that."""
+"""How long an executor must be silent before a list without it says that it is gone;
+the list lags behind by less than that."""
+SILENCE_WHEN_DOWN = timedelta(seconds=0.3)
+"""The same when its VM is listed as down."""
 LISTS_TO_CONFIRM = 2
 TAKEOVER_SLACK = timedelta(milliseconds=300)
 WAVES = "b/waves/"
@@ -163,6 +164,7 @@
         self._idle_since: dict[str, timedelta] = {}
         self._missing_lists: dict[str, int] = {}
         self._own_vms_by_pool: dict[str, int] | None = None
+        self._last_executor_by_vm: dict[str, str] = {}
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -185,13 +187,7 @@
     def _list_due(self, now: timedelta) -> bool:
         if self._listed_at is None:
             return True
-        silent = any(
-            link.runs_by_name and not link.reachable
-            for link in self._yard.links_by_id.values()
-        )
-        waves = any(not work.record.completed for work in self._waves.values())
-        busy = bool(self._operations) or waves or silent
-        return now - self._listed_at >= (LIST_INTERVAL if busy else IDLE_LIST_INTERVAL)
+        return now - self._listed_at >= LIST_INTERVAL
 
     async def _read_list(self) -> None:
         asked_at = self._clock.monotonic()
@@ -204,6 +200,9 @@
             log.info("VMs by pool and state: {}", pools)
         self.vms_by_name = {vm.name: vm for vm in vms}
         self._listed_at = asked_at
+        for vm in vms:
+            if vm.executor_id:
+                self._last_executor_by_vm[vm.name] = vm.executor_id
         self._finish_operations(asked_at)
         self._confirm_gone(asked_at)
 
@@ -228,12 +227,17 @@
             for vm in self.vms_by_name.values()
             if vm.state is VmState.UP and vm.executor_id
         }
+        down = {
+            self._last_executor_by_vm.get(vm.name, "")
+            for vm in self.vms_by_name.values()
+            if vm.state is VmState.DOWN
+        }
         for executor_id, link in self._yard.links_by_id.items():
+            if executor_id in down and link.reachable:
+                link.suspect()
             silent_since = link.silent_since
-            settled = (
-                silent_since is not None
-                and asked_at >= silent_since + SILENCE_BEFORE_LISTS
-            )
+            silence = SILENCE_WHEN_DOWN if executor_id in down else SILENCE_BEFORE_LISTS
+            settled = silent_since is not None and asked_at >= silent_since + silence
             if not settled or executor_id in alive or not link.runs_by_name:
                 self._missing_lists.pop(executor_id, None)
                 continue
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -21,8 +21,6 @@
 from .http import Answer, HttpCaller
 
 INSTANCE_HEADER = "X-Expect-Instance"
-LOOK_SLACK = timedelta(seconds=1)
-"""Time for an answer beyond the wait that was asked for."""
 MAX_ENDS = 500
 """Ends in one answer; more follow in the next."""
 
@@ -104,6 +102,7 @@
         acknowledged: int,
         lease_until: timedelta | None,
         wait: timedelta,
+        timeout: timedelta,
     ) -> Report:
         """Read both lists, extend all leases and acknowledge ends."""
         body: dict[str, object] = {"fencing_token": fence, "last_seen": acknowledged}
@@ -111,7 +110,7 @@
             body["until_ms"] = _ms(lease_until)
         if wait:
             body["wait_ms"] = _ms(wait)
-        answer = await self._call(executor, "/hold", body, wait + LOOK_SLACK)
+        answer = await self._call(executor, "/hold", body, timeout)
         if answer.status == 409:
             _check_fence(executor, _decode(answer, _Clock).reason)
         if answer.status != 200:
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -85,7 +85,12 @@
 
 async def look(client, executor):
     return await client.look(
-        executor, fence=7, acknowledged=3, lease_until=None, wait=timedelta(0)
+        executor,
+        fence=7,
+        acknowledged=3,
+        lease_until=None,
+        wait=timedelta(0),
+        timeout=SECOND,
     )
 
 
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -99,10 +99,12 @@
 
 
 class Run:
-    def __init__(self, run, saved, ends_at, lease_until):
+    def __init__(self, run, saved, started, takes, lease_until):
         self.run = run
         self.saved = saved
-        self.ends_at = ends_at
+        self.started = started
+        self.takes = takes
+        self.ends_at = started + takes
         self.lease_until = lease_until
 
 
@@ -143,6 +145,14 @@
     def now(self):
         return self.clock.monotonic() - self.born
 
+    def percent(self, task):
+        run = self.runs[task]
+        if run.takes > timedelta(hours=1):
+            return 100
+        if self.stalls:
+            return 40
+        return min(99, round((self.now() - run.started) / run.takes * 100))
+
     def check_fence(self, fence):
         if fence < self.fence:
             raise StaleFenceError("stale")
@@ -214,7 +224,7 @@
         lasts = order.task.split(".")[0] in self.lasting
         takes = timedelta(days=1) if lasts else self.run_time
         until = min(order.lease_until, fake.now() + HOLD_MAX)
-        fake.runs[order.task] = Run(order.run, order.saved, fake.now() + takes, until)
+        fake.runs[order.task] = Run(order.run, order.saved, fake.now(), takes, until)
         self.started.append((order.task, order.run, fake.executor.executor_id))
         used = sum(self.world.cpu_of(task) for task in fake.runs)
         if used > fake.executor.capacity.cpu_millis:
@@ -238,10 +248,14 @@
         if task in fake.runs and fake.runs[task].run == run:
             fake.end(task, EndKind.STOPPED)
 
-    async def look(self, executor, *, fence, acknowledged, lease_until, wait):
+    async def look(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
         self.looks += 1
         deadline = self.clock.monotonic() + wait
+        gives_up = self.clock.monotonic() + timeout
         while True:
+            fake = self.by_id.get(executor.executor_id)
+            if fake is not None and fake.silent:
+                await self.clock.sleep(gives_up - self.clock.monotonic())
             fake = self._reach(executor)
             fake.check_fence(fence)
             for end in fake.ended:
@@ -257,7 +271,7 @@
                 break
             await self.clock.sleep(STEP)
         rows = tuple(
-            RunningTask(task, run.run, run.saved, 100, 0)
+            RunningTask(task, run.run, run.saved, fake.percent(task), 0)
             for task, run in fake.runs.items()
         )
         return Report(
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -14,6 +14,7 @@
 from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
 from pomeloyard.batch.pools import PoolLoad, SpareVm, choose_moves
 from pomeloyard.batch.progress import EndKind, JobRun, TaskState
+from pomeloyard.batch.stalls import slowness, still_for
 from pomeloyard.batch.turns import Peak, Turns
 from pomeloyard.batch.upkeep import (
     MAX_PATIENCE,
@@ -361,3 +362,12 @@
     runs = pair(150)
     runs[1].pace_sent_at = clock.monotonic()
     assert next_pace(runs[1], runs, clock) is None
+
+
+def test_a_run_is_still_or_slow_by_what_is_usual_for_it():
+    ago = timedelta(seconds=7)
+    assert still_for(ago, 1000, ago + 2 * SECOND) > SECOND
+    assert still_for(ago, 60_000, ago + 2 * SECOND) == timedelta(0)
+    assert still_for(None, 1000, ago) == timedelta(0)
+    assert slowness(50, 3 * SECOND, 1000) == 6.0
+    assert slowness(2, 3 * SECOND, 1000) is None
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -269,3 +269,22 @@
         await world.drive(5)
         assert len(world.advice.questions) == 1
         assert world.client.started == []
+
+
+async def test_a_run_that_stands_still_is_placed_elsewhere():
+    world = World(executors=2)
+    async with world.running():
+        await world.submit("a1", StepSpec(2, 1000, 100, estimate_ms=1000))
+        await world.drive(0.2)
+        ((_, _, first), *_) = world.client.started
+        world.client.by_id[first].stalls = True
+        assert await world.drive(9, completed(world))
+        assert any(e != first for _, _, e in world.client.started)
+
+
+async def test_a_pool_of_doubtful_executors_is_still_used():
+    world = World(executors=1)
+    async with world.running() as term:
+        term.learning.set_aside("e-0", timedelta(days=1))
+        await world.submit("a1")
+        assert await world.drive(4, completed(world))
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -84,7 +84,7 @@
         await world.drive(1)
         ((_, _, executor),) = world.client.started
         vms.crash(executor)
-        assert await world.drive(6, lambda: len(world.client.started) == 2)
+        assert await world.drive(2.5, lambda: len(world.client.started) == 2)
 
 
 async def test_a_successor_restarts_tasks_of_an_executor_that_left_before():
@@ -117,6 +117,22 @@
         assert len(world.client.started) == 1
 
 
+async def test_an_executor_that_answers_is_not_taken_for_gone():
+    world = World(executors=2)
+    vms = world.keep_vms()
+    async with world.running() as term:
+        await world.submit("a1", StepSpec(1, 500, 100, lasting=True))
+        await world.drive(1)
+        ((_, _, executor),) = world.client.started
+        vms.crash(executor)
+        world.client.by_id[executor].silent = False
+        name = next(v.name for v in vms.vms.values() if v.state is VmState.DOWN)
+        await world.drive(0.1)
+        assert vms.vms[name].state is VmState.DOWN
+        await world.drive(5)
+        assert term.links_by_id[executor].reachable
+
+
 async def test_a_peak_borrows_standby_vms_and_gives_them_back():
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
