--- a/src/pomeloyard/batch/advice.py
+++ b/src/pomeloyard/batch/advice.py
@@ -105,6 +105,7 @@
         chosen = [e for e in executors if known is None or e in known.good]
         if known is not None and not chosen:
             chosen = [e for e in executors if e not in known.asked]
+        self._wanted = [wanted for wanted in self._wanted if wanted[0] is not step]
         if chosen:
             self._wanted.append((step, chosen[:MAX_ASKED], duration))
             self._work.set()
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -172,6 +172,13 @@
                 if step.waiting and all(steps[i].complete for i in step.spec.after):
                     yield step
 
+    def smallest_ready_cpu(self) -> int | None:
+        """Return the least cpu that a task which could run needs; None without one."""
+        return min(
+            (0 if s.spec.fills else s.spec.cpu_millis for s in self.ready_steps()),
+            default=None,
+        )
+
     def steps(self) -> Iterator[StepRun]:
         """Return all steps of the open occurrences."""
         for steps in self.occurrences.values():
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -106,6 +106,9 @@
         self._dirty: dict[str, JobRun] = {}
         self._to_start: list[tuple[ExecutorLink, PlacedRun]] = []
         self._wake = anyio.Event()
+        self._touched: set[str] = set()
+        """Services with news since the last plan."""
+        self._all_touched = True
         self._stored = anyio.Event()
         self._changes = 0
         """Changes of progress so far; those up to ``_changes_stored`` are durable."""
@@ -277,7 +280,9 @@
             job_id = event.key.removeprefix(layout.JOBS)
             if job_id not in self.jobs_by_id:
                 self._add_job(job_id, event.entry, None)
-        self.wake()
+                job = self.jobs_by_id.get(job_id)
+                if job is not None:
+                    self._touch_queue(job.record.queue)
 
     def _cancel(self, job_id: str) -> None:
         job = self.jobs_by_id.get(job_id)
@@ -307,7 +312,17 @@
         return counts
 
     def wake(self) -> None:
-        """Plan soon."""
+        """Plan all services soon."""
+        self._all_touched = True
+        self._wake.set()
+
+    def _touch_queue(self, name: str) -> None:
+        queue = self._queue(name)
+        self._touch(queue.service if queue is not None else "")
+
+    def _touch(self, service: str) -> None:
+        """Plan one service soon."""
+        self._touched.add(service)
         self._wake.set()
 
     async def _work(self) -> None:
@@ -432,14 +447,14 @@
 
     def link_changed(self, link: ExecutorLink) -> None:
         """Plan again with an executor that became usable or unusable."""
-        self.wake()
+        self._touch(link.executor.service)
 
     async def ends_stored(self, link: ExecutorLink) -> None:
         """Return once all ends applied before are durable."""
         target = self._changes
         while self._changes_stored < target:
             stored = self._stored
-            self.wake()
+            self._wake.set()
             await stored.wait()
 
     def run_ended(
@@ -567,39 +582,55 @@
     # Planning
 
     def _plan(self) -> None:
-        """Assign waiting tasks to executors that have room."""
+        """Assign waiting tasks of the services with news to executors with room."""
         configuration = self._follower.current
         if configuration is None:
             return
         now = self._clock.monotonic()
-        links_by_service: dict[str, list[ExecutorLink]] = defaultdict(list)
-        aside_by_service: dict[str, list[ExecutorLink]] = defaultdict(list)
-        for link in self.links_by_id.values():
-            if not link.usable:
-                continue
-            aside = self.learning.is_aside(link.executor.executor_id, now)
-            chosen = aside_by_service if aside else links_by_service
-            chosen[link.executor.service].append(link)
-        for service, links in aside_by_service.items():
-            # Doubtful executors are better than none.
-            if service not in links_by_service:
-                links_by_service[service] = links
-        jobs_by_service: dict[str, list[tuple[tuple[float, ...], JobRun]]]
-        jobs_by_service = defaultdict(list)
+        touched = None if self._all_touched else self._touched
+        self._all_touched = False
+        self._touched = set()
+        links_by_service = self._links_by_service(touched, now)
+        free_by_service = {
+            service: max(
+                self.usage.free_cpu(ln.executor.executor_id, ln.executor.capacity)
+                for ln in links
+            )
+            for service, links in links_by_service.items()
+        }
+        ranked_by_service: dict[str, list[tuple[tuple[float, ...], JobRun]]]
+        ranked_by_service = defaultdict(list)
         for job in self._live_jobs.values():
             queue = configuration.queues_by_name.get(job.record.queue)
             if queue is None or queue.service not in links_by_service:
                 continue
-            if any(True for _ in job.ready_steps()):
-                key = self._rank(job, queue, now)
-                jobs_by_service[queue.service].append((key, job))
-        if self._advisor is not None:
+            smallest = job.smallest_ready_cpu()
+            if smallest is None or smallest > free_by_service[queue.service]:
+                continue
+            key = self._rank(job, queue, now)
+            ranked_by_service[queue.service].append((key, job))
+        if self._advisor is not None and touched is None:
             self._advisor.clear_wanted()
-        for service, ranked in jobs_by_service.items():
+        for service, ranked in ranked_by_service.items():
             ranked.sort(key=lambda pair: pair[0])
             jobs = [job for _, job in ranked]
             self._place_jobs(jobs, links_by_service[service], configuration, now)
 
+    def _links_by_service(
+        self, touched: set[str] | None, now: timedelta
+    ) -> dict[str, list[ExecutorLink]]:
+        """Return the executors that may get tasks now, of the touched services."""
+        sound: dict[str, list[ExecutorLink]] = defaultdict(list)
+        doubtful: dict[str, list[ExecutorLink]] = defaultdict(list)
+        for link in self.links_by_id.values():
+            service = link.executor.service
+            if not link.usable or (touched is not None and service not in touched):
+                continue
+            aside = self.learning.is_aside(link.executor.executor_id, now)
+            (doubtful if aside else sound)[service].append(link)
+        # Doubtful executors are better than none.
+        return {**doubtful, **sound}
+
     def _rank(self, job: JobRun, queue: Queue, now: timedelta) -> tuple[float, ...]:
         mean = self._mean_work_by_queue.get(queue.name)
         if mean is None:
@@ -765,7 +796,7 @@
     def _mark(self, job: JobRun) -> None:
         self._dirty[job.job_id] = job
         self._changes += 1
-        self.wake()
+        self._touch_queue(job.record.queue)
 
     async def _flush(self) -> None:
         """Store all changed jobs, then send the orders that waited for it."""
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -379,18 +379,24 @@
             self.audit.note("LOST", f"{job} is {self.done.get(job, 'unknown')}")
 
 
+def crashes(text):
+    """Return the exceptions that a daemon's output shows."""
+    lines = text.splitlines()
+    found = []
+    for number, line in enumerate(lines):
+        if line.startswith("Traceback") or "+ Exception Group" in line:
+            found.append("EXIT: " + " | ".join(lines[number : number + 60])[-1500:])
+        elif '"exception"' in line:
+            found.append(f"EXIT: {line[-1500:]}")
+    return found[:3]
+
+
 async def play(seed, seconds):
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, Path(folder))
         broken = await soak.run()
-        crashes = [
-            line
-            for daemon in soak.daemons
-            for line in daemon.log.read_text(errors="replace").splitlines()
-            if "Traceback" in line or '"exception"' in line
-        ]
-        for line in crashes[:3]:
-            broken.append(f"EXIT: {line[:1500]}")
+        for daemon in soak.daemons:
+            broken.extend(crashes(daemon.log.read_text(errors="replace")))
         counts = f"{len(soak.audit.accepted)} jobs, {soak.audit.starts} starts"
     return broken, counts
 
