Acknowledge ends only right after a report of the same incarnation

Change: a look more than 0.3 s after the last report acknowledges nothing. The test in virtual time fails before.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -39,6 +39,9 @@
 ORDER_TIMEOUT = timedelta(seconds=1)
 RETRY_DELAY = timedelta(seconds=0.15)
 MAX_RETRY_DELAY = timedelta(seconds=0.8)
+FRESH_REPORT = timedelta(seconds=0.3)
+"""Ends are acknowledged within this time of a report only: in a longer one the
+executor may have restarted, run a task to its end and counted anew."""
 SUSPECT_TIMEOUT = timedelta(seconds=0.5)
 """Time for an answer of an executor whose VM is listed as down."""
 
@@ -157,6 +160,7 @@
         while there are any."""
         self.applied_end = 0
         self._acknowledge = 0
+        self._reported_at: timedelta | None = None
         self._clock_offset: timedelta | None = None
         """The executor's clock less ours, at most."""
         self._last_order_at = clock.monotonic()
@@ -234,12 +238,13 @@
         report = await self._client.look(
             self.executor,
             fence=self.fence,
-            acknowledged=0 if first else self._acknowledge,
+            acknowledged=0 if first else self._acknowledged_at(asked_at),
             lease_until=until,
             wait=wait,
             timeout=SUSPECT_TIMEOUT if self.suspected else wait + LOOK_TIMEOUT,
         )
         now = self._clock.monotonic()
+        self._reported_at = now
         self._clock_offset = report.clock - now
         self._failures = 0
         self.silent_since = None
@@ -265,6 +270,13 @@
             await self._handler.ends_stored(self)
             self._acknowledge = self.applied_end
 
+    def _acknowledged_at(self, now: timedelta) -> int:
+        """Return up to which end the incarnation of the last report is acknowledged."""
+        reported_at = self._reported_at
+        if reported_at is None or now - reported_at > FRESH_REPORT:
+            return 0
+        return self._acknowledge
+
     def _wait(self) -> timedelta:
         serving = filling = False
         for placed in self.runs_by_name.values():
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -58,8 +58,13 @@
         )
         self.process = None
         self.paused = False
+        self.double_starts = 0
 
     def start(self):
+        if self.running():
+            # Two overlapping faults of one daemon: the first has started it again.
+            self.double_starts += 1
+            return
         environment = {**os.environ, "POMELOYARD_CONFIG": str(self.file)}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -398,6 +403,8 @@
         for daemon in soak.daemons:
             broken.extend(crashes(daemon.log.read_text(errors="replace")))
         counts = f"{len(soak.audit.accepted)} jobs, {soak.audit.starts} starts"
+        doubled = sum(daemon.double_starts for daemon in soak.daemons)
+        counts += f", {doubled} overlapping restarts"
     return broken, counts
 
 
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -288,3 +288,16 @@
         term.learning.set_aside("e-0", timedelta(days=1))
         await world.submit("a1")
         assert await world.drive(4, completed(world))
+
+
+async def test_ends_of_a_new_life_are_not_acknowledged_by_the_count_of_the_old():
+    # Soak seed 11: an idle executor restarted between two jobs.
+    world = World(executors=1)
+    async with world.running():
+        await world.submit("a1")
+        assert await world.drive(4, completed(world))
+        await world.drive(2)
+        world.fakes[0].restart()
+        await world.submit("a2")
+        assert await world.drive(6, completed(world, "a2"))
+        assert [run for _, run, _ in world.client.started] == [1, 1]
