--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -5,7 +5,7 @@
 about what a VM costs in a second. So a pool gets VMs while more work waits than it
 can clear in time, from standby or from pools whose own peak is over. After its peak a
 pool gives idle VMs up; once the turns of the peaks are known, it gets them back
-shortly before the next one. Before its first peak it keeps most of its own.
+shortly before the next one. Before its first peak it keeps its own.
 """
 
 from __future__ import annotations
@@ -21,9 +21,6 @@
 """Waiting work should be cleared within this, about the slack of a usual job."""
 FLOOR_SHARE = 0.5
 """Share of its own VMs that a pool keeps when idle between its peaks."""
-EARLY_FLOOR_SHARE = 0.75
-"""The same of a pool whose next peak may come at any time: what is missing at its
-start is there again before the slack of a usual job is used up."""
 LEAD = timedelta(seconds=2.5)
 """A VM is asked for this long before a peak; a move takes 1.5 s, noticing 0.5 s."""
 TAIL = timedelta(seconds=1.5)
@@ -64,11 +61,9 @@
     @property
     def floor(self) -> int:
         """Return how many VMs the pool keeps even when idle."""
-        if self.peak is not None and self.peak_is_near:
+        between_peaks = self.rests if self.peak is None else not self.peak_is_near
+        if not between_peaks:
             return self.own_vms
-        if self.peak is None and not self.rests:
-            early = math.ceil(self.own_vms * EARLY_FLOOR_SHARE)
-            return max(early, self.lasting_vms)
         return max(math.ceil(self.own_vms * FLOOR_SHARE), self.lasting_vms)
 
     @property
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -222,10 +222,10 @@
     assert choose_moves([pool("a", 72.0, 9, 3)], spares, "spare") == []
 
 
-def test_a_pool_keeps_most_of_its_vms_until_the_turns_are_known():
+def test_a_pool_keeps_its_own_vms_until_the_turns_are_known():
     idle = [SpareVm(f"v{n}", "a", False, timedelta(seconds=5)) for n in range(6)]
-    assert len(choose_moves([pool("a", 0.0)], idle, "spare")) == 1
-    assert len(choose_moves([pool("a", 0.0, 8)], idle, "spare")) == 3
+    assert choose_moves([pool("a", 0.0)], idle, "spare") == []
+    assert len(choose_moves([pool("a", 0.0, 8)], idle, "spare")) == 2
 
 
 def test_idle_vms_are_given_up_between_peaks_down_to_the_floor():
