Finish jobs of removed queues; count a VM as gone only after 3 s without it

Cause: found by reading. A job kept only its queue's name, so removing the queue stopped it, and a term that began before its configuration took one attempt as the limit. A wave was completed when one list left its last VM out. Change: the queue is stored with the job; lists must leave a VM out for 3 s. The tests of both fail before.

--- a/src/pomeloyard/batch/intake.py
+++ b/src/pomeloyard/batch/intake.py
@@ -118,7 +118,9 @@
     ) -> Transaction:
         """Return the write that creates a job under the authorizing configuration."""
         queue = allowed.queue.name
-        record = JobRecord(queue, allowed.team, spec, self._clock.now(), write_id)
+        record = JobRecord(
+            queue, allowed.team, spec, self._clock.now(), write_id, allowed.queue
+        )
         key = layout.JOBS + job_id
         return Transaction(
             (
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -209,6 +209,8 @@
     spec: JobSpec
     submitted_at: datetime
     write_id: str
+    accepted_queue: Queue | None = None
+    """The queue as it was when the job was accepted; holds once it is removed."""
 
 
 def check_spec(spec: JobSpec) -> None:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -181,7 +181,7 @@
             return
         now = self._clock.monotonic()
         age = max(timedelta(0), self._clock.now() - record.submitted_at)
-        job = JobRun(job_id, record, self._queue(record.queue), now - age)
+        job = JobRun(job_id, record, self._queue(record), now - age)
         if run is not None:
             job.restore(run.value, run.mod_revision)
         self.jobs_by_id[job_id] = job
@@ -192,7 +192,7 @@
             job.open_due(self._unix_ms())
         for task in job.placed_tasks():
             self._adopt(task)
-        queue = self._queue(record.queue)
+        queue = self._queue(record)
         if queue is not None and not job.lasting:
             work = work_of(job, self.learning.expected_ms, remaining=False)
             mean = self._mean_work_by_queue.get(queue.name, work)
@@ -282,7 +282,7 @@
                 self._add_job(job_id, event.entry, None)
                 job = self.jobs_by_id.get(job_id)
                 if job is not None:
-                    self._touch_queue(job.record.queue)
+                    self._touch_queue(job.record)
 
     def _cancel(self, job_id: str) -> None:
         job = self.jobs_by_id.get(job_id)
@@ -316,8 +316,8 @@
         self._all_touched = True
         self._wake.set()
 
-    def _touch_queue(self, name: str) -> None:
-        queue = self._queue(name)
+    def _touch_queue(self, record: JobRecord) -> None:
+        queue = self._queue(record)
         self._touch(queue.service if queue is not None else "")
 
     def _touch(self, service: str) -> None:
@@ -400,11 +400,8 @@
     def pool_loads(self) -> dict[str, float]:
         """Return the core-seconds that could run now if there were room, by pool."""
         loads: dict[str, float] = defaultdict(float)
-        configuration = self._follower.current
-        if configuration is None:
-            return loads
         for job in self._live_jobs.values():
-            queue = configuration.queues_by_name.get(job.record.queue)
+            queue = self._queue(job.record)
             if queue is None:
                 continue
             for step in job.ready_steps():
@@ -420,7 +417,7 @@
         """Return how many VMs the lasting tasks of a pool need, one for each."""
         most = 0
         for job in self._live_jobs.values():
-            queue = self._queue(job.record.queue)
+            queue = self._queue(job.record)
             if job.lasting and queue is not None and queue.service == pool:
                 counts = [s.spec.count for s in job.steps() if s.spec.lasting]
                 most = max([most, *counts])
@@ -601,7 +598,7 @@
         ranked_by_service: dict[str, list[tuple[tuple[float, ...], JobRun]]]
         ranked_by_service = defaultdict(list)
         for job in self._live_jobs.values():
-            queue = configuration.queues_by_name.get(job.record.queue)
+            queue = self._queue(job.record)
             if queue is None or queue.service not in links_by_service:
                 continue
             smallest = job.smallest_ready_cpu()
@@ -648,7 +645,8 @@
         for job in jobs:
             team = configuration.teams_by_name.get(job.record.team)
             maximum = team.maximum if team else NOTHING
-            advice = configuration.queues_by_name[job.record.queue].advice
+            queue = self._queue(job.record)
+            advice = queue.advice if queue is not None else None
             for step in list(job.ready_steps()):
                 if advice is not None:
                     self._place_advised(step, links, maximum, advice, now)
@@ -796,7 +794,7 @@
     def _mark(self, job: JobRun) -> None:
         self._dirty[job.job_id] = job
         self._changes += 1
-        self._touch_queue(job.record.queue)
+        self._touch_queue(job.record)
 
     async def _flush(self) -> None:
         """Store all changed jobs, then send the orders that waited for it."""
@@ -873,9 +871,11 @@
             job.revision = entry.mod_revision
         return True
 
-    def _queue(self, name: str) -> Queue | None:
+    def _queue(self, record: JobRecord) -> Queue | None:
+        """Return a job's queue; one that was removed is as it was at acceptance."""
         configuration = self._follower.current
-        return configuration.queues_by_name.get(name) if configuration else None
+        queues = configuration.queues_by_name if configuration else {}
+        return queues.get(record.queue, record.accepted_queue)
 
     def _unix_ms(self) -> float:
         return self._clock.now().timestamp() * 1000
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -38,6 +38,8 @@
 SILENCE_WHEN_DOWN = timedelta(seconds=0.3)
 """The same when its VM is listed as down."""
 LISTS_TO_CONFIRM = 2
+ABSENCE_BEFORE_GONE = timedelta(seconds=3)
+"""A VM of a wave that no list shows for this long is gone."""
 TAKEOVER_SLACK = timedelta(milliseconds=300)
 WAVES = "b/waves/"
 POOL_SIZES = "b/pool-sizes"
@@ -165,6 +167,8 @@
         self._missing_lists: dict[str, int] = {}
         self._own_vms_by_pool: dict[str, int] | None = None
         self._last_executor_by_vm: dict[str, str] = {}
+        self._last_listed_at: dict[str, timedelta] = {}
+        self._first_listed_at = timedelta(0)
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -193,6 +197,7 @@
         asked_at = self._clock.monotonic()
         vms = await self._service.list()
         if self._listed_at is None:
+            self._first_listed_at = asked_at
             pools: dict[str, int] = {}
             for vm in vms:
                 place = f"{vm.pool}/{vm.state.value}"
@@ -201,6 +206,7 @@
         self.vms_by_name = {vm.name: vm for vm in vms}
         self._listed_at = asked_at
         for vm in vms:
+            self._last_listed_at[vm.name] = asked_at
             if vm.executor_id:
                 self._last_executor_by_vm[vm.name] = vm.executor_id
         self._finish_operations(asked_at)
@@ -275,7 +281,7 @@
         left = [
             name
             for name in wave.vms
-            if name in self.vms_by_name and name not in work.record.answered
+            if name not in work.record.answered and not self._is_gone(name)
         ]
         if not left:
             await self._complete(work)
@@ -285,12 +291,16 @@
             name
             for name in wave.vms
             if name in self._operations
-            or (vm := self.vms_by_name.get(name)) is None
-            or vm.state is VmState.IN_UPKEEP
+            or (
+                vm.state is VmState.IN_UPKEEP
+                if (vm := self.vms_by_name.get(name)) is not None
+                else not self._is_gone(name)
+            )
         ]
+        listed = [name for name in left if name in self.vms_by_name]
         unanswered = [
             name
-            for name in left
+            for name in listed
             if name in work.record.begun and name not in self._operations
         ]
         for name in unanswered:
@@ -304,7 +314,7 @@
         slots = min(wave.max_at_once, wanted) - len(down)
         candidates = [
             self._candidate(self.vms_by_name[name], waiting, now)
-            for name in left
+            for name in listed
             if name not in self._operations
             and name not in unanswered
             and self.vms_by_name[name].state is VmState.UP
@@ -326,6 +336,13 @@
                 if not candidate.may_go and link is not None:
                     self._separate(link)
 
+    def _is_gone(self, name: str) -> bool:
+        """Tell whether a VM has been missing from the lists for long."""
+        if name in self.vms_by_name or self._listed_at is None:
+            return False
+        last = self._last_listed_at.get(name, self._first_listed_at)
+        return self._listed_at - last >= ABSENCE_BEFORE_GONE
+
     def _candidate(
         self, vm: PoolVm, waiting: dict[str, float], now: timedelta
     ) -> UpkeepCandidate:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -301,3 +301,13 @@
         await world.submit("a2")
         assert await world.drive(6, completed(world, "a2"))
         assert [run for _, run, _ in world.client.started] == [1, 1]
+
+
+async def test_a_job_whose_queue_was_removed_is_still_finished():
+    world = World()
+    async with world.running():
+        world.client.run_time = timedelta(seconds=2)
+        await world.submit("a1", StepSpec(1, 1000, 100), StepSpec(1, after=(0,)))
+        await world.drive(1)
+        await world.publish(configuration(2, queues=[]))
+        assert await world.drive(8, completed(world))
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -133,6 +133,30 @@
         assert term.links_by_id[executor].reachable
 
 
+async def test_a_vm_that_lists_leave_out_for_a_moment_keeps_its_wave_open():
+    world = World(executors=2)
+    vms = world.keep_vms()
+    async with world.running():
+        await world.drive(4)
+        hidden = vms.vms.pop("vm-e-1")
+        await world.put("op/wave/1", Wave(1, ("vm-e-1",), timedelta(seconds=20), 1))
+        await world.drive(1.5)
+        assert status(world) == b"running"
+        vms.vms["vm-e-1"] = hidden
+        assert await world.drive(12, lambda: status(world) == b"completed")
+        assert vms.maintained == [("vm-e-1", 1)]
+
+
+async def test_a_vm_that_is_gone_does_not_keep_its_wave_open():
+    world = World(executors=2)
+    vms = world.keep_vms()
+    async with world.running():
+        await world.drive(4)
+        del vms.vms["vm-e-1"]
+        await world.put("op/wave/1", Wave(1, ("vm-e-1",), timedelta(seconds=20), 1))
+        assert await world.drive(6, lambda: status(world) == b"completed")
+
+
 async def test_a_peak_borrows_standby_vms_and_gives_them_back():
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
