Maintain VMs with lasting tasks first and place those on VMs that are not due

The test of the order fails before; the one of a whole wave passes before, too, and stays as a check.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -173,6 +173,8 @@
         self.closed = False
         self.reserved = False
         """Whether the VM is being emptied and gets no new runs."""
+        self.due = False
+        """Whether the VM still needs its upkeep in a wave."""
         self.leaving = False
         """Whether an operation that ends all runs may have been ordered."""
 
@@ -283,6 +285,9 @@
             if placed.phase in (Phase.UNSURE, Phase.STOPPING):
                 return WATCHFUL_WAIT
             spec = placed.task.step.spec
+            if spec.lasting and placed.percent < 100:
+                # Others of its step may be away only once it is at work again.
+                return WATCHFUL_WAIT
             serving = serving or spec.target_tail_ms > 0
             filling = filling or spec.fills
         return WATCHFUL_WAIT if serving and filling else LOOK_WAIT
--- a/src/pomeloyard/batch/spread.py
+++ b/src/pomeloyard/batch/spread.py
@@ -58,6 +58,7 @@
                 float(executor_id in task.failed_on),
                 float(slow),
                 float(usage.tasks_of_step(executor_id, step)),
+                float(link.due),
                 float(usage.tasks_in_rack(step, executor.rack)),
                 float(-free) if spec.fills else float(free),
             )
--- a/src/pomeloyard/batch/upkeep.py
+++ b/src/pomeloyard/batch/upkeep.py
@@ -1,8 +1,9 @@
 """Which VMs of a wave are maintained next; pure.
 
-Answers waves that fall due while queues peak: VMs whose pool has nothing waiting go
-first, a VM is emptied of short tasks before it goes down, and no more are down at
-once than the time that is left asks for.
+Answers waves that fall due while queues peak: VMs with lasting tasks go first, as only
+few of these may be away; then those whose pool has nothing waiting. A VM is emptied of
+short tasks before it goes down, and no more are down at once than the time that is
+left asks for.
 """
 
 from __future__ import annotations
@@ -35,6 +36,9 @@
     """Whether jobs wait for room in its pool."""
     reserved_for: timedelta | None
     """How long it has been emptied already."""
+    has_lasting: bool = False
+    """Whether lasting tasks run on it; few of a step may be away at once, so these
+    VMs decide how long the wave takes."""
 
 
 def wanted_at_once(
@@ -65,6 +69,7 @@
         key=lambda c: (
             not c.may_go,
             c.reserved_for is None,
+            not c.has_lasting,
             c.pool_waits and not pressed,
             c.short_work,
         ),
@@ -74,7 +79,8 @@
     for candidate in ordered[:free_slots]:
         if not candidate.may_go:
             continue
-        if candidate.pool_waits and not pressed and candidate.reserved_for is None:
+        busy_pool = candidate.pool_waits and not candidate.has_lasting
+        if busy_pool and not pressed and candidate.reserved_for is None:
             continue
         waited = candidate.reserved_for or timedelta(0)
         if candidate.short_work == 0 or pressed or waited >= MAX_PATIENCE:
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -328,7 +328,7 @@
             link = self._yard.links_by_id.get(vm.executor_id)
             if link is None or self._may_go(link):
                 self._begin(work, vm, now)
-        self._reserve(wave, {*empty, *begin}, now)
+        self._reserve(work, {*empty, *begin}, now)
         if slots > len(begin) + len(empty):
             for candidate in candidates:
                 vm = self.vms_by_name[candidate.vm]
@@ -354,6 +354,10 @@
             may_go=self._may_go(link) if link else True,
             pool_waits=waiting.get(vm.pool, 0.0) > 0,
             reserved_for=None if reserved_at is None else now - reserved_at,
+            has_lasting=link is not None
+            and any(
+                placed.task.step.spec.lasting for placed in link.runs_by_name.values()
+            ),
         )
 
     def _may_go(self, link: ExecutorLink) -> bool:
@@ -420,11 +424,13 @@
             away += not at_work
         return away
 
-    def _reserve(self, wave: Wave, names: set[str], now: timedelta) -> None:
+    def _reserve(self, work: _WaveWork, names: set[str], now: timedelta) -> None:
         """Give the VMs that are being emptied no new tasks."""
-        for name in wave.vms:
+        for name in work.wave.vms:
             vm = self.vms_by_name.get(name)
             link = self._yard.links_by_id.get(vm.executor_id) if vm else None
+            if link is not None:
+                link.due = name not in work.record.answered
             if name in names:
                 self._reserved_at.setdefault(name, now)
             else:
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -51,6 +51,8 @@
 
 STEP = timedelta(milliseconds=50)
 HOLD_MAX = timedelta(seconds=10)
+LASTING_START = timedelta(seconds=0.9)
+"""A lasting task is at work this long after its start."""
 EPOCH_KEY = "epochs/placing"
 QUEUE = Queue("cuts", "desk.example", "/cuts/", "mill", max_attempts=3, stretch=1.6)
 TEAM = TeamLimits("nets", ("key-1",), 1.0, Resources(0, 0, 0))
@@ -148,7 +150,7 @@
     def percent(self, task):
         run = self.runs[task]
         if run.takes > timedelta(hours=1):
-            return 100
+            return 100 if self.now() - run.started >= LASTING_START else 50
         if self.stalls:
             return 40
         return min(99, round((self.now() - run.started) / run.takes * 100))
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 import pytest
@@ -328,6 +329,12 @@
     assert choose([stuck], 3, timedelta(0), SECOND) == ([], [])
 
 
+def test_vms_with_lasting_tasks_go_first_as_they_decide_how_long_a_wave_takes():
+    plain = candidate("v1")
+    lasting = replace(candidate("v2", waits=True), has_lasting=True)
+    assert choose([plain, lasting], 1, timedelta(seconds=20), SECOND)[0] == ["v2"]
+
+
 def test_vms_of_pools_in_a_peak_wait_while_there_is_time():
     waits = candidate("v1", waits=True)
     assert choose([waits], 1, timedelta(seconds=20), SECOND) == ([], [])
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -52,6 +52,17 @@
         assert vms.most_away == 1
 
 
+async def test_a_wave_over_all_vms_of_many_lasting_tasks_is_done_in_time():
+    world = World(executors=12)
+    vms = world.keep_vms()
+    step = StepSpec(8, 500, 100, lasting=True, max_per_executor=1, may_be_away=1)
+    async with world.running():
+        await world.submit("a1", step)
+        await world.drive(3.5)
+        await world.put("op/wave/1", wave_of(vms, at_once=6, seconds=20))
+        assert await world.drive(20, lambda: status(world) == b"completed")
+
+
 async def test_an_upkeep_without_an_answer_is_asked_again_and_counts():
     world = World(executors=3)
     vms = world.keep_vms()
