--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -38,6 +38,8 @@
 """After the faults all accepted jobs must end within this: the longest wait for a
 silent executor's leases, 22.2 s, a change of the role and the work itself."""
 START_LIMIT_S = 15.0
+EXIT_LIMIT_S = 10.0
+"""The platform's grace of 6 s, and a pause that overlaps it."""
 CALL_TIMEOUT = timedelta(seconds=2.5)
 
 
@@ -259,9 +261,13 @@
         await self.restart(daemon, seconds / 2)
 
     async def restart(self, daemon, seconds):
+        ending = daemon.process
         await anyio.sleep(seconds)
-        while daemon.running():
-            await anyio.sleep(0.1)
+        with anyio.move_on_after(EXIT_LIMIT_S) as waiting:
+            while ending.poll() is None:
+                await anyio.sleep(0.1)
+        if waiting.cancelled_caught and not daemon.paused:
+            self.audit.note("EXIT", f"daemon {daemon.number} does not stop")
         if not daemon.paused:
             daemon.start()
 
