Hear of silent channels to the store within 1.6 s

The placing term's poll for jobs waits 5 s; a channel that goes silent hides cancellations and new jobs for 5.6 s while all other calls work. Change: polls of 1 s for jobs and 1.2 s for executors. The soak keeps the output and the faults of a seed that fails.

--- a/src/pomeloyard/batch/registry.py
+++ b/src/pomeloyard/batch/registry.py
@@ -16,10 +16,10 @@
 from .executors import Executor
 from .follow import DocumentError
 
-POLL_WAIT = timedelta(seconds=3)
+POLL_WAIT = timedelta(seconds=1.2)
+"""A channel that went silent hides executors that leave for this long; nothing may be
+started on them 2 s after they said so."""
 RETRY_DELAY = timedelta(seconds=0.1)
-RETURN_WAIT = timedelta(seconds=2.5)
-"""Executors whose entries lapsed in an outage are back this long after its end."""
 
 log = logbook.Logger("pomeloyard.batch.registry")
 
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -58,7 +58,9 @@
 MAX_TRANSACTION_ENTRIES = 30
 """The platform's store takes 32 in one transaction."""
 RETRY_DELAY = timedelta(milliseconds=80)
-WATCH_WAIT = timedelta(seconds=5)
+WATCH_WAIT = timedelta(seconds=1)
+"""A channel that went silent hides new jobs and cancellations for this long and 0.6 s;
+callers' cancellations must take effect within 3 s."""
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)
 REFUSAL_PAUSE = timedelta(milliseconds=400)
 """A task whose start was refused waits this long, so that it is not ordered in a
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -12,6 +12,7 @@
 import json
 import logging
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -106,6 +107,7 @@
         self.executor_proxies = {}
         self.faults_until = 0.0
         self.done = {}
+        self.faults = []
         self.answers = {}
 
     async def run(self):
@@ -253,7 +255,10 @@
         ]
         while time.monotonic() < ends - 1:
             await anyio.sleep(self.chance.uniform(0.2, 1.2))
-            await self.chance.choice(kinds)(self.chance.uniform(0.5, 3.0))
+            kind = self.chance.choice(kinds)
+            self.faults.append(f"{time.time() % 1000:.1f} {kind.__name__}")
+            await kind(self.chance.uniform(0.5, 3.0))
+            self.faults.append(f"{time.time() % 1000:.1f} end of {kind.__name__}")
 
     async def kill(self, seconds):
         daemon = self.chance.choice(self.daemons)
@@ -390,6 +395,13 @@
             self.audit.note("LOST", f"{job} is {self.done.get(job, 'unknown')}")
 
 
+def keep_logs(soak, folder, broken):
+    """Keep the daemons' output and the faults of a seed that failed."""
+    kept = ROOT / "target" / "soak" / str(soak.seed)
+    shutil.copytree(folder, kept, dirs_exist_ok=True)
+    (kept / "faults.txt").write_text("\n".join([*broken, *soak.faults]) + "\n")
+
+
 def crashes(text):
     """Return the exceptions that a daemon's output shows."""
     lines = text.splitlines()
@@ -408,6 +420,8 @@
         broken = await soak.run()
         for daemon in soak.daemons:
             broken.extend(crashes(daemon.log.read_text(errors="replace")))
+        if broken:
+            keep_logs(soak, folder, broken)
         counts = f"{len(soak.audit.accepted)} jobs, {soak.audit.starts} starts"
         doubled = sum(daemon.double_starts for daemon in soak.daemons)
         counts += f", {doubled} overlapping restarts"
--- a/tests/soak/soak_yard.py
+++ b/tests/soak/soak_yard.py
@@ -39,7 +39,7 @@
         self.starts = 0
 
     def note(self, rule, detail):
-        self.broken.append(f"{rule}: {detail}")
+        self.broken.append(f"{time.time() % 1000:.1f} {rule}: {detail}")
 
     def started(self, task, executor, late):
         self.starts += 1
