--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -14,6 +14,7 @@
 from pomeloyard.keyvalue.memory import MemoryStore
 
 STEP = timedelta(milliseconds=50)
+SILENT_SLACK = timedelta(seconds=0.6)
 
 
 class FaultyStore(MemoryStore):
@@ -25,6 +26,15 @@
         self.answers_to_lose = 0
         self.calls_by_method: dict[str, int] = {}
         self.delay = timedelta(0)
+        self.deaf_prefix = ""
+        """The next poll of this prefix hears nothing and breaks after its wait."""
+
+    async def poll_changes(self, prefix, after_revision, wait):
+        if self.deaf_prefix == prefix:
+            self.deaf_prefix = ""
+            await self._clock.sleep(wait + SILENT_SLACK)
+            raise StoreUnavailableError("silent")
+        return await super().poll_changes(prefix, after_revision, wait)
 
     def _called(self, method: str) -> None:
         if self.down:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -311,3 +311,12 @@
         await world.drive(1)
         await world.publish(configuration(2, queues=[]))
         assert await world.drive(8, completed(world))
+
+
+async def test_a_silent_channel_to_the_store_hides_jobs_for_less_than_a_cancellation():
+    # Soak seed 12: a cancellation was heard after 3.6 s; it has 3 s.
+    world = World()
+    world.store.deaf_prefix = layout.INCOMING
+    async with world.running():
+        await world.submit("a1")
+        assert await world.drive(3, lambda: world.client.started != [])
