--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -460,8 +460,8 @@
             options = ["--seeds", str(seeds.pop(0))]
             options += ["--seconds", str(arguments.seconds)]
             running.append(subprocess.Popen(command + options, cwd=ROOT))
-        running[0].wait()
-        failed = failed or running.pop(0).returncode != 0
+        ended = running.pop(0)
+        failed = ended.wait() != 0 or failed
     return int(failed)
 
 
