Look at a new incarnation of a registered executor before it is used

Cause: found by reading. An idle executor that had drained and started again under its id stayed unusable, as nothing looked at it. The test fails before.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -196,6 +196,16 @@
         """Look soon, as there is work to follow."""
         self._work.set()
 
+    def update(self, executor: Executor) -> None:
+        """Take a registration over; a new incarnation is looked at before its use."""
+        if executor.incarnation != self.executor.incarnation:
+            self.reachable = False
+            self.draining = False
+        self.executor = executor
+        self.draining = self.draining or executor.draining
+        self.registered = True
+        self.wake()
+
     def suspect(self) -> None:
         """Ask at once whether the executor lives, as its VM is listed as down."""
         if not self.suspected:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -248,10 +248,7 @@
             link = self._link_of(executor_id)
             if not link.executor.address:
                 self.spawn(link, link.run)
-            link.executor = executor
-            link.draining = link.draining or executor.draining
-            link.registered = True
-            link.wake()
+            link.update(executor)
         for executor_id, link in self.links_by_id.items():
             if executor_id not in self._registry.executors_by_id:
                 link.registered = False
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -320,3 +320,16 @@
     async with world.running():
         await world.submit("a1")
         assert await world.drive(3, lambda: world.client.started != [])
+
+
+async def test_an_executor_that_drained_and_restarted_is_used_again():
+    world = World(executors=1)
+    async with world.running():
+        fake = world.fakes[0]
+        key = f"executors/{fake.executor.executor_id}"
+        await world.put(key, replace(fake.executor, draining=True))
+        await world.drive(1)
+        fake.restart()
+        await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
+        await world.submit("a1")
+        assert await world.drive(4, completed(world))
