Split planning and storing from the term; stop a gang that lost a member

Change: planner.py and progress_writer.py, behaviour unchanged; the other members of the same run are stopped. The test of a gang fails before.

--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Coroutine, Iterable, Mapping
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -17,20 +17,18 @@
 import msgspec
 
 from ..clock import Clock
-from ..errors import StoreError, StoreOutcomeUnknownError
+from ..errors import StoreError
 from ..keyvalue.store import (
     Compare,
     Delete,
     Entry,
-    Operation,
     PollingStore,
-    Put,
     Transaction,
     WatchEvent,
     scan_all,
 )
 from . import layout
-from .advice import MAX_ASKED, AdviceService, Advisor
+from .advice import AdviceService, Advisor
 from .decisions import DecisionLines
 from .executors import Executor, ExecutorClient, RunningTask, StartAnswer
 from .follow import OperatorFollower
@@ -38,25 +36,21 @@
 from .link import ExecutorLink, Phase, PlacedRun
 from .model import (
     NOTHING,
-    Configuration,
     JobRecord,
     JobState,
-    PlacementAdvice,
     Queue,
-    Resources,
 )
-from .order import rank, work_of
+from .order import work_of
 from .pacing import next_pace
-from .progress import EndKind, JobRun, StepRun, Task, TaskState
+from .planner import Planner
+from .progress import EndKind, JobRun, Task
+from .progress_writer import ProgressWriter
 from .registry import ExecutorRegistry
-from .spread import choose_executor, may_run
 from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
 from .turns import Peak, Turns
 from .usage import Usage
 from .vm_keeper import VmKeeper
 
-MAX_TRANSACTION_ENTRIES = 30
-"""The platform's store takes 32 in one transaction."""
 RETRY_DELAY = timedelta(milliseconds=80)
 WATCH_WAIT = timedelta(seconds=1)
 """A channel that went silent hides new jobs and cancellations for this long and 0.6 s;
@@ -66,8 +60,6 @@
 """A task whose start was refused waits this long, so that it is not ordered in a
 tight loop while the executor's state is being learned."""
 FAILURE_PAUSE = timedelta(milliseconds=50)
-MEAN_WORK_WEIGHT = 0.05
-"""Weight of a new job in its queue's mean work."""
 
 log = logbook.Logger("pomeloyard.batch.term")
 
@@ -105,20 +97,27 @@
         self.usage = Usage()
         self.learning = Learning()
         self.turns = Turns()
-        self._dirty: dict[str, JobRun] = {}
-        self._to_start: list[tuple[ExecutorLink, PlacedRun]] = []
         self._wake = anyio.Event()
         self._touched: set[str] = set()
         """Services with news since the last plan."""
         self._all_touched = True
-        self._stored = anyio.Event()
-        self._changes = 0
-        """Changes of progress so far; those up to ``_changes_stored`` are durable."""
-        self._changes_stored = 0
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = anyio.Event()
-        self._mean_work_by_queue: dict[str, float] = {}
         self._live_jobs: dict[str, JobRun] = {}
+        self._writer = ProgressWriter(clock, store, guard)
+        self._planner = Planner(
+            clock,
+            follower,
+            self.usage,
+            self.learning,
+            lines,
+            epoch,
+            self.links_by_id,
+            self._live_jobs,
+            self._advisor,
+            self._queue,
+            self._mark,
+        )
 
     # Running
 
@@ -197,9 +196,7 @@
         queue = self._queue(record)
         if queue is not None and not job.lasting:
             work = work_of(job, self.learning.expected_ms, remaining=False)
-            mean = self._mean_work_by_queue.get(queue.name, work)
-            mean += MEAN_WORK_WEIGHT * (work - mean)
-            self._mean_work_by_queue[queue.name] = mean
+            self._planner.note_job(queue, work)
             self.turns.arrived(queue.service, job.seen_at, work)
         self._lines.decided(
             "job",
@@ -328,8 +325,16 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
-            self._plan()
-            await self._flush()
+            touched = None if self._all_touched else self._touched
+            self._all_touched = False
+            self._touched = set()
+            self._planner.plan(touched)
+            starts = self._planner.take_starts()
+            if not await self._writer.flush():
+                self.end_term("the epoch or a record was replaced")
+                return
+            for link, placed in starts:
+                link.start(placed)
 
     async def _keep_house(self) -> None:
         while True:
@@ -357,7 +362,7 @@
         for job_id, job in list(self.jobs_by_id.items()):
             if job.ended_at is None or now - job.ended_at < self._retention:
                 continue
-            if job.placed_tasks() or job_id in self._dirty:
+            if job.placed_tasks() or self._writer.is_marked(job_id):
                 continue
             self.spawn(None, self._delete_job, job)
             del self.jobs_by_id[job_id]
@@ -447,11 +452,8 @@
 
     async def ends_stored(self, link: ExecutorLink) -> None:
         """Return once all ends applied before are durable."""
-        target = self._changes
-        while self._changes_stored < target:
-            stored = self._stored
-            self._wake.set()
-            await stored.wait()
+        self._wake.set()
+        await self._writer.changes_stored()
 
     def run_ended(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
@@ -479,10 +481,22 @@
                 run_ms=round(run_ms),
                 job=job.state.value,
             )
+        if kind is not EndKind.DONE:
+            self._break_gang(task, placed.run)
         if job.final and not was_final:
             self._note_ended(job)
         self._mark(job)
 
+    def _break_gang(self, task: Task, run: int) -> None:
+        """Stop the other members of a gang's run, which cannot work without one."""
+        if not task.step.spec.gang:
+            return
+        for member in task.step.tasks:
+            link = self.links_by_id.get(member.executor)
+            placed = link.runs_by_name.get(member.name) if link else None
+            if link is not None and placed is not None and placed.run == run:
+                link.stop(placed)
+
     def _note_ended(self, job: JobRun) -> None:
         age = self._clock.monotonic() - job.seen_at
         self._lines.decided(
@@ -573,303 +587,14 @@
         self.usage.remove(link.executor.executor_id, link.executor.rack, task)
         task.step.job.end(task, placed.run, EndKind.LOST, "")
         task.not_before = now + REFUSAL_PAUSE
+        self._break_gang(task, placed.run)
         self._mark(task.step.job)
 
-    # Planning
-
-    def _plan(self) -> None:
-        """Assign waiting tasks of the services with news to executors with room."""
-        configuration = self._follower.current
-        if configuration is None:
-            return
-        now = self._clock.monotonic()
-        touched = None if self._all_touched else self._touched
-        self._all_touched = False
-        self._touched = set()
-        links_by_service = self._links_by_service(touched, now)
-        free_by_service = {
-            service: max(
-                self.usage.free_cpu(ln.executor.executor_id, ln.executor.capacity)
-                for ln in links
-            )
-            for service, links in links_by_service.items()
-        }
-        ranked_by_service: dict[str, list[tuple[tuple[float, ...], JobRun]]]
-        ranked_by_service = defaultdict(list)
-        for job in self._live_jobs.values():
-            queue = self._queue(job.record)
-            if queue is None or queue.service not in links_by_service:
-                continue
-            smallest = job.smallest_ready_cpu()
-            if smallest is None or smallest > free_by_service[queue.service]:
-                continue
-            key = self._rank(job, queue, now)
-            ranked_by_service[queue.service].append((key, job))
-        if self._advisor is not None and touched is None:
-            self._advisor.clear_wanted()
-        for service, ranked in ranked_by_service.items():
-            ranked.sort(key=lambda pair: pair[0])
-            jobs = [job for _, job in ranked]
-            self._place_jobs(jobs, links_by_service[service], configuration, now)
-
-    def _links_by_service(
-        self, touched: set[str] | None, now: timedelta
-    ) -> dict[str, list[ExecutorLink]]:
-        """Return the executors that may get tasks now, of the touched services."""
-        sound: dict[str, list[ExecutorLink]] = defaultdict(list)
-        doubtful: dict[str, list[ExecutorLink]] = defaultdict(list)
-        for link in self.links_by_id.values():
-            service = link.executor.service
-            if not link.usable or (touched is not None and service not in touched):
-                continue
-            aside = self.learning.is_aside(link.executor.executor_id, now)
-            (doubtful if aside else sound)[service].append(link)
-        # Doubtful executors are better than none.
-        return {**doubtful, **sound}
-
-    def _rank(self, job: JobRun, queue: Queue, now: timedelta) -> tuple[float, ...]:
-        mean = self._mean_work_by_queue.get(queue.name)
-        if mean is None:
-            mean = work_of(job, self.learning.expected_ms, remaining=False)
-            self._mean_work_by_queue[queue.name] = mean
-        return rank(job, queue, now - job.seen_at, self.learning.expected_ms, mean)
-
-    def _place_jobs(
-        self,
-        jobs: Iterable[JobRun],
-        links: list[ExecutorLink],
-        configuration: Configuration,
-        now: timedelta,
-    ) -> None:
-        for job in jobs:
-            team = configuration.teams_by_name.get(job.record.team)
-            maximum = team.maximum if team else NOTHING
-            queue = self._queue(job.record)
-            advice = queue.advice if queue is not None else None
-            for step in list(job.ready_steps()):
-                if advice is not None:
-                    self._place_advised(step, links, maximum, advice, now)
-                else:
-                    self._place_step(step, links, maximum, now)
-
-    def _place_advised(
-        self,
-        step: StepRun,
-        links: list[ExecutorLink],
-        maximum: Resources,
-        advice: PlacementAdvice,
-        now: timedelta,
-    ) -> None:
-        """Place a step on the executors that its queue's policy allows."""
-        if self._advisor is None:
-            return
-        tickets = self._advisor.tickets(step, now)
-        allowed = [ln for ln in links if ln.executor.executor_id in tickets]
-        self._place_step(step, allowed, maximum, now, tickets)
-        if not step.waiting or any(now < task.not_before for task in step.tasks):
-            return
-        roomy = [
-            link
-            for link in links
-            if may_run(link, step, self.usage)
-            and link.executor.executor_id not in tickets
-        ]
-        roomy.sort(
-            key=lambda ln: (
-                -self.usage.free_cpu(ln.executor.executor_id, ln.executor.capacity)
-            )
-        )
-        executors = [link.executor.executor_id for link in roomy]
-        if executors:
-            duration = advice.decide + advice.each * min(len(executors), MAX_ASKED)
-            self._advisor.want(step, executors, duration)
-
-    def _place_step(
-        self,
-        step: StepRun,
-        links: list[ExecutorLink],
-        maximum: Resources,
-        now: timedelta,
-        tickets: Mapping[str, str] | None = None,
-    ) -> None:
-        if step.spec.gang:
-            self._place_gang(step, links, maximum, now, tickets)
-            return
-        for task in list(step.waiting.values()):
-            if now < task.not_before:
-                continue
-            if not self.usage.team_fits(step.job.record.team, maximum, step.spec):
-                break
-            rack = step.spec.data_rack or self._rack_of(step)
-            link = choose_executor(task, links, self.usage, self.learning, now, rack)
-            if link is None:
-                break
-            self._assign(task, link, task.run + 1, now, tickets)
-
-    def _rack_of(self, step: StepRun) -> str:
-        """Return the rack of a step's placed tasks, if it has to stay in one."""
-        if not step.spec.same_rack:
-            return ""
-        for task in step.tasks:
-            if task.state is TaskState.PLACED:
-                link = self.links_by_id.get(task.executor)
-                return link.executor.rack if link else ""
-        return ""
-
-    def _place_gang(
-        self,
-        step: StepRun,
-        links: list[ExecutorLink],
-        maximum: Resources,
-        now: timedelta,
-        tickets: Mapping[str, str] | None = None,
-    ) -> None:
-        """Place all members of a gang, or none."""
-        if step.placed or len(step.waiting) < step.spec.count:
-            return
-        if any(now < task.not_before for task in step.tasks):
-            return
-        run = max(task.run for task in step.tasks) + 1
-        team = step.job.record.team
-        racks = [step.spec.data_rack]
-        if step.spec.same_rack:
-            racks += sorted({link.executor.rack for link in links})
-        elif not racks[0]:
-            racks = [""]
-        for rack in racks:
-            strict = step.spec.same_rack and rack
-            pool = [ln for ln in links if not strict or ln.executor.rack == rack]
-            chosen: list[tuple[Task, ExecutorLink]] = []
-            for task in step.tasks:
-                link = None
-                if self.usage.team_fits(team, maximum, step.spec):
-                    link = choose_executor(
-                        task, pool, self.usage, self.learning, now, rack
-                    )
-                if link is None:
-                    break
-                executor = link.executor
-                self.usage.add(executor.executor_id, executor.rack, task)
-                chosen.append((task, link))
-            for task, link in chosen:
-                executor = link.executor
-                self.usage.remove(executor.executor_id, executor.rack, task)
-            if len(chosen) == step.spec.count:
-                saved = max((task.saved for task in step.tasks), default="")
-                for task, link in chosen:
-                    task.saved = saved
-                    self._assign(task, link, run, now, tickets)
-                return
-
-    def _assign(
-        self,
-        task: Task,
-        link: ExecutorLink,
-        run: int,
-        now: timedelta,
-        tickets: Mapping[str, str] | None = None,
-    ) -> None:
-        executor = link.executor
-        job = task.step.job
-        placed = PlacedRun(task, run, Phase.ASSIGNED, self.epoch)
-        if tickets is not None:
-            placed.ticket = tickets[executor.executor_id]
-        job.place(task, executor.executor_id, run, now)
-        self.usage.add(executor.executor_id, executor.rack, task)
-        link.assign(placed)
-        self._to_start.append((link, placed))
-        self._mark(job)
-        self._lines.decided(
-            "place",
-            task.name,
-            executor.executor_id,
-            run=run,
-            age_ms=round((now - job.seen_at) / timedelta(milliseconds=1)),
-            free_cpu=self.usage.free_cpu(executor.executor_id, executor.capacity),
-        )
-
-    # Storing
-
     def _mark(self, job: JobRun) -> None:
-        self._dirty[job.job_id] = job
-        self._changes += 1
+        """Store a job's progress soon."""
+        self._writer.mark(job)
         self._touch_queue(job.record)
 
-    async def _flush(self) -> None:
-        """Store all changed jobs, then send the orders that waited for it."""
-        changed = list(self._dirty.values())
-        self._dirty = {}
-        changes = self._changes
-        starts = self._to_start
-        self._to_start = []
-        group: list[JobRun] = []
-        entries = 1
-        for job in changed:
-            cost = 3 if job.marker_stored and (job.begun or job.final) else 2
-            if entries + cost > MAX_TRANSACTION_ENTRIES:
-                await self._commit(group)
-                group, entries = [], 1
-            group.append(job)
-            entries += cost
-        if group:
-            await self._commit(group)
-        for link, placed in starts:
-            link.start(placed)
-        self._changes_stored = changes
-        self._stored.set()
-        self._stored = anyio.Event()
-
-    async def _commit(self, jobs: list[JobRun]) -> None:
-        """Store the records of some jobs; returns only when they are durable."""
-        compares = [self.guard]
-        operations: list[Operation] = []
-        contents: list[tuple[JobRun, str, bytes]] = []
-        for job in jobs:
-            key = layout.RUNS + job.job_id
-            content = job.pack()
-            compares.append(Compare(key, job.revision))
-            operations.append(Put(key, content))
-            contents.append((job, key, content))
-            if job.marker_stored and (job.begun or job.final):
-                marker = layout.waiting_prefix(job.record.queue) + job.job_id
-                operations.append(Delete(marker))
-                job.marker_stored = False
-        transaction = Transaction(tuple(compares), tuple(operations))
-        lost = False
-        while True:
-            try:
-                result = await self._store.commit(transaction)
-            except StoreError as error:
-                lost = lost or isinstance(error, StoreOutcomeUnknownError)
-                log.info("progress is not stored yet: {}", error)
-                await self._clock.sleep(RETRY_DELAY)
-                continue
-            if result.succeeded:
-                for job, _, _ in contents:
-                    job.revision = result.revision
-                return
-            if lost and await self._read_back(contents):
-                return
-            log.warning("epoch {} or a record was replaced", self.epoch)
-            self._over.set()
-            await anyio.sleep_forever()
-
-    async def _read_back(self, contents: list[tuple[JobRun, str, bytes]]) -> bool:
-        """Tell whether a write whose answer was lost has taken effect."""
-        for job, key, content in contents:
-            while True:
-                try:
-                    entry = await self._store.get(key)
-                except StoreError as error:
-                    log.info("reading {} back: {}", key, error)
-                    await self._clock.sleep(RETRY_DELAY)
-                    continue
-                break
-            if entry is None or entry.value != content:
-                return False
-            job.revision = entry.mod_revision
-        return True
-
     def _queue(self, record: JobRecord) -> Queue | None:
         """Return a job's queue; one that was removed is as it was at acceptance."""
         configuration = self._follower.current
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -333,3 +333,16 @@
         await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
         await world.submit("a1")
         assert await world.drive(4, completed(world))
+
+
+async def test_a_gang_that_lost_a_member_starts_again_as_a_whole():
+    world = World(executors=2, cpu=1000)
+    world.client.run_time = timedelta(seconds=2)
+    async with world.running():
+        await world.submit("a1", StepSpec(2, 1000, 100, gang=True))
+        await world.drive(1)
+        assert len(world.client.started) == 2
+        world.fakes[0].restart()
+        assert await world.drive(9, completed(world))
+        assert [run for _, run, _ in world.client.started] == [1, 1, 2, 2]
+        assert len(world.client.stopped) == 1
