--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -90,7 +90,6 @@
         self.epoch = epoch
         self.guard = guard
         self._retention = retention
-        self.keeper = new_keeper(self) if new_keeper else None
         self._advisor = Advisor(clock, advice, self.wake) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
         self.links_by_id: dict[str, ExecutorLink] = {}
@@ -104,6 +103,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = anyio.Event()
         self._live_jobs: dict[str, JobRun] = {}
+        self.keeper = new_keeper(self) if new_keeper else None
         self._writer = ProgressWriter(clock, store, guard)
         self._planner = Planner(
             clock,
--- /dev/null
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -0,0 +1,99 @@
+"""Orders for VMs: what may have been sent, repeated until it is answered."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import logbook
+
+from ..clock import Clock
+from ..errors import CallNotSentError, CallUnansweredError, StaleFenceError
+from .vm_listing import VmListing
+from .vms import PoolVm, VmAnswer, VmState
+
+RETRY_DELAY = timedelta(milliseconds=400)
+
+log = logbook.Logger("pomeloyard.batch.vm_orders")
+
+
+@dataclass
+class VmOperation:
+    """An order that may have been sent for a VM."""
+
+    kind: str
+    target: str
+    executor_id: str
+    duration: timedelta
+    answered_at: timedelta | None = None
+
+
+class VmOrders:
+    """The operations at work; a VM with one counts as down."""
+
+    def __init__(
+        self, clock: Clock, listing: VmListing, end_term: Callable[[str], None]
+    ) -> None:
+        self._clock = clock
+        self._listing = listing
+        self._end_term = end_term
+        self.by_vm: dict[str, VmOperation] = {}
+
+    def begin(self, vm: PoolVm, kind: str, target: str, duration: timedelta) -> None:
+        """Note that an order may be sent; its VM gets no new runs."""
+        self.by_vm[vm.name] = VmOperation(kind, target, vm.executor_id, duration)
+        link = self._listing.link_of(vm)
+        if link is not None:
+            link.leaving = True
+
+    def answered(self, vm: PoolVm) -> None:
+        """Note that an order took effect."""
+        self.by_vm[vm.name].answered_at = self._clock.monotonic()
+
+    def end_runs(self, vm: PoolVm, reason: str) -> None:
+        """Note that all runs on a VM have ended with its executor."""
+        link = self._listing.link_of(vm)
+        if link is not None:
+            link.lose_all(reason)
+            link.registered = False
+            link.reachable = False
+
+    def abandon(self, vm: PoolVm) -> None:
+        """Forget an operation that did not take effect."""
+        self.by_vm.pop(vm.name, None)
+        link = self._listing.link_of(vm)
+        if link is not None:
+            link.leaving = False
+
+    async def repeat(self, call: Callable[[], Awaitable[VmAnswer]]) -> VmAnswer | None:
+        """Repeat an order until it is answered; None if the term ends.
+
+        Orders are repeated under the same fence; they do nothing when done already.
+        """
+        while True:
+            try:
+                return await call()
+            except StaleFenceError as error:
+                self._end_term(str(error))
+                return None
+            except CallNotSentError as error:
+                log.info("order for a VM was not sent: {}", error)
+            except CallUnansweredError as error:
+                log.info("order for a VM has no answer: {}", error)
+            await self._clock.sleep(RETRY_DELAY)
+
+    def finish(self, asked_at: timedelta) -> None:
+        """Forget the operations whose VMs a list shows to be back."""
+        for name, operation in list(self.by_vm.items()):
+            if operation.answered_at is None:
+                continue
+            if asked_at < operation.answered_at + operation.duration:
+                continue
+            vm = self._listing.vms_by_name.get(name)
+            renewed = vm is None or (
+                vm.state is VmState.UP and vm.executor_id != operation.executor_id
+            )
+            off = vm is not None and vm.state is VmState.UP and not vm.executor_id
+            if renewed or off:
+                del self.by_vm[name]
