--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -167,9 +167,12 @@
             await _guarded(self._work(epoch), self.still_held)
         except RoleLostError:
             log.warning("work of role {} epoch {} stopped", self._name, epoch)
-        except Exception:
-            # The role is given up, and the daemon's requests are not affected.
-            log.exception("work of role {} epoch {} failed", self._name, epoch)
+        except Exception as error:
+            if _only_lost(error):
+                log.warning("work of role {} epoch {} stopped", self._name, epoch)
+            else:
+                # The role is given up, and the daemon's requests are not affected.
+                log.exception("work of role {} epoch {} failed", self._name, epoch)
         scope.cancel()
 
     async def _renew(self, lease: int) -> bool:
@@ -192,6 +195,11 @@
         return self.still_held()
 
 
+def _only_lost(error: Exception) -> bool:
+    """Tell whether a task group failed for nothing but the loss of the role."""
+    return isinstance(error, ExceptionGroup) and error.split(RoleLostError)[1] is None
+
+
 @types.coroutine
 def _guarded(
     coroutine: Coroutine[Any, Any, None], guard: Callable[[], bool]
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import anyio
+import logbook
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -237,6 +238,32 @@
     anyio.run(run)
 
 
+def test_a_role_lost_within_a_task_group_is_no_failure_of_the_work():
+    # Soak seed 36.
+    async def run():
+        clock = ManualClock()
+
+        async def grouped(epoch):
+            async with anyio.create_task_group():
+                await clock.sleep(WORK_INTERVAL)
+
+        candidate = RoleCandidate(MemoryStore(clock), clock, "scheduler", "d", grouped)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(candidate.run)
+            for delay in (WORK_INTERVAL / 2, timedelta(seconds=15)):
+                for _ in range(25):
+                    await anyio.sleep(0)
+                clock.advance(delay)
+            for _ in range(25):
+                await anyio.sleep(0)
+            tasks.cancel_scope.cancel()
+
+    with logbook.TestHandler() as logs:
+        anyio.run(run)
+    assert not logs.has_errors
+    assert logs.has_warning("work of role scheduler epoch 1 stopped")
+
+
 FAULTS = st.lists(
     st.tuples(
         st.sampled_from(["pause", "outage", "answers", "requests", "all_out"]),
