--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -244,7 +244,8 @@
         clock = ManualClock()
 
         async def grouped(epoch):
-            async with anyio.create_task_group():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(anyio.sleep_forever)
                 await clock.sleep(WORK_INTERVAL)
 
         candidate = RoleCandidate(MemoryStore(clock), clock, "scheduler", "d", grouped)
