--- a/src/pomeloyard/batch/follow.py
+++ b/src/pomeloyard/batch/follow.py
@@ -19,6 +19,7 @@
 """How long a poll waits for news. A proof is as old as two polls at most; with a store
 that takes 0.35 s to answer this stays below the shortest bound on changes, 2 s."""
 RETRY_DELAY = timedelta(seconds=0.1)
+"""Mean pause after a store error; the proof may age by a second at most."""
 
 log = logbook.Logger("pomeloyard.batch.follow")
 
--- a/src/pomeloyard/batch/guarded_records.py
+++ b/src/pomeloyard/batch/guarded_records.py
@@ -12,6 +12,7 @@
 from ..keyvalue.store import Compare, Entry, Put, Store, Transaction
 
 RETRY_DELAY = timedelta(milliseconds=200)
+"""Pause after a store error; nobody waits for these records."""
 
 log = logbook.Logger("pomeloyard.batch.guarded_records")
 
--- a/src/pomeloyard/batch/intake.py
+++ b/src/pomeloyard/batch/intake.py
@@ -45,6 +45,7 @@
 CATCH_UP_WAIT = timedelta(milliseconds=300)
 """How long a submission waits for the configuration that outdated its check."""
 RETRY_AFTER = timedelta(seconds=1)
+"""The shortest that the header can say; other daemons may reach the store now."""
 
 log = logbook.Logger("pomeloyard.batch.intake")
 
--- a/src/pomeloyard/batch/learning.py
+++ b/src/pomeloyard/batch/learning.py
@@ -31,6 +31,7 @@
 FAILURES_TO_SUSPECT = 3
 """Failures in a row, of at least two jobs, that set an executor aside."""
 QUARANTINE = timedelta(seconds=5)
+"""About as long as the spells in which executors fail."""
 
 
 @dataclass
--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -32,13 +32,17 @@
 LATE_ORDER = timedelta(seconds=12)
 """An order without an answer may be carried out this much later."""
 LOOK_WAIT = timedelta(seconds=1.5)
+"""A look waits this long for an end; leases of 7 s allow several lost looks."""
 WATCHFUL_WAIT = timedelta(seconds=0.5)
 """Wait while a run's fate is open or serving and filling tasks share the executor."""
 LOOK_TIMEOUT = timedelta(seconds=1)
 """Beyond the wait that was asked for."""
 ORDER_TIMEOUT = timedelta(seconds=1)
+"""An executor answers within milliseconds; later the answer counts as lost."""
 RETRY_DELAY = timedelta(seconds=0.15)
+"""First pause after a call without an answer; doubled each time."""
 MAX_RETRY_DELAY = timedelta(seconds=0.8)
+"""Longest pause; an executor that comes back is used within a second."""
 FRESH_REPORT = timedelta(seconds=0.3)
 """Ends are acknowledged within this time of a report only: in a longer one the
 executor may have restarted, run a task to its end and counted anew."""
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -14,6 +14,7 @@
 """Tasks of one job over all occurrences; its run record stays below 1 MB."""
 MAX_PAYLOAD_BYTES = 4000
 MAX_STEPS = 64
+"""Steps of one job; planning walks them at each event."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/batch/placing.py
+++ b/src/pomeloyard/batch/placing.py
@@ -21,6 +21,7 @@
 """A killed holder is replaced after the lease, in which a slow store still answers
 three renewals; a renewal costs a tenth of a read."""
 RETRY_DELAY = timedelta(seconds=0.1)
+"""Pause after a store error; the role ends with its lease meanwhile."""
 
 log = logbook.Logger("pomeloyard.batch.placing")
 
--- a/src/pomeloyard/batch/progress_writer.py
+++ b/src/pomeloyard/batch/progress_writer.py
@@ -16,6 +16,7 @@
 MAX_TRANSACTION_ENTRIES = 30
 """The platform's store takes 32 in one transaction."""
 RETRY_DELAY = timedelta(milliseconds=80)
+"""Pause after a store error; starts and acknowledgements wait for it."""
 
 log = logbook.Logger("pomeloyard.batch.progress_writer")
 
--- a/src/pomeloyard/batch/registry.py
+++ b/src/pomeloyard/batch/registry.py
@@ -20,6 +20,7 @@
 """A channel that went silent hides executors that leave for this long; nothing may be
 started on them 2 s after they said so."""
 RETRY_DELAY = timedelta(seconds=0.1)
+"""Mean pause after a store error."""
 
 log = logbook.Logger("pomeloyard.batch.registry")
 
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -52,14 +52,17 @@
 from .vm_keeper import VmKeeper
 
 RETRY_DELAY = timedelta(milliseconds=80)
+"""Pause after a store error; the role ends with its lease meanwhile."""
 WATCH_WAIT = timedelta(seconds=1)
 """A channel that went silent hides new jobs and cancellations for this long and 0.6 s;
 callers' cancellations must take effect within 3 s."""
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)
+"""Between checks of silent executors, due occurrences and old jobs."""
 REFUSAL_PAUSE = timedelta(milliseconds=400)
 """A task whose start was refused waits this long, so that it is not ordered in a
 tight loop while the executor's state is being learned."""
 FAILURE_PAUSE = timedelta(milliseconds=50)
+"""A failed task waits this long, so that a failing executor is noticed first."""
 
 log = logbook.Logger("pomeloyard.batch.term")
 
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -25,6 +25,7 @@
 from .wave_runner import WaveRunner, WaveStatus, WaveYard
 
 STEP_INTERVAL = timedelta(milliseconds=250)
+"""Between steps; a peak needs VMs within a second."""
 TAKEOVER_SLACK = timedelta(milliseconds=300)
 """Beyond the time within which two holders must not operate on one VM."""
 
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -20,6 +20,7 @@
 SILENCE_WHEN_DOWN = timedelta(seconds=0.3)
 """The same when its VM is listed as down."""
 LISTS_TO_CONFIRM = 2
+"""One list may be older than the executor."""
 ABSENCE_BEFORE_GONE = timedelta(seconds=3)
 """A VM of a wave that no list shows for this long is gone."""
 
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -14,6 +14,7 @@
 from .vms import PoolVm, VmAnswer, VmState
 
 RETRY_DELAY = timedelta(milliseconds=400)
+"""Pause after an order without an answer; the service takes few calls a second."""
 
 log = logbook.Logger("pomeloyard.batch.vm_orders")
 
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -46,7 +46,9 @@
 EXECUTOR_CONNECTIONS = 3
 """One for the look that waits, two for orders; each new one has a price."""
 BACKLOG = 512
+"""Connections that wait to be accepted; a full queue costs callers seconds."""
 KEEP_ALIVE_S = 60
+"""Idle connections of callers are kept longer than they pause between calls."""
 
 log = logbook.Logger("pomeloyard.platform.daemon")
 
--- a/src/pomeloyard/platform/front.py
+++ b/src/pomeloyard/platform/front.py
@@ -30,6 +30,7 @@
 MAX_KEYED_PROOF_AGE_SHARE = 0.5
 """The same of the bound on withdrawn keys."""
 MAX_ID_CHARACTERS = 64
+"""Callers choose 16; longer ones are no ids."""
 
 _STATUS = {
     RefusalReason.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -42,6 +42,7 @@
 MAX_ENTRIES = 32
 """Conditions, writes and deletions together in one transaction."""
 TOO_MANY_CALLS = 429
+"""Status of a call beyond the rate that all daemons share."""
 
 T = TypeVar("T")
 
--- a/src/pomeloyard/platform/vms.py
+++ b/src/pomeloyard/platform/vms.py
@@ -12,6 +12,7 @@
 
 CALL_TIMEOUT = timedelta(seconds=1.5)
 MAX_PAGES = 50
+"""Bound on one list, should its pages never end."""
 
 _STATES = {
     "up": VmState.UP,
