--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -45,6 +45,9 @@
 """Advantage of large VMs in the competition for the placing role."""
 EXECUTOR_CONNECTIONS = 3
 """One for the look that waits, two for orders; each new one has a price."""
+CALL_END_S = 3
+"""Calls in flight at the end of the listeners have this long to be answered; callers
+wait 3 s, and it stays within the platform's grace of 6 s."""
 BACKLOG = 512
 """Connections that wait to be accepted; a full queue costs callers seconds."""
 KEEP_ALIVE_S = 60
@@ -175,7 +178,7 @@
     config = server_config(
         app,
         timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=1,
+        timeout_graceful_shutdown=CALL_END_S,
         server_header=False,
         date_header=False,
     )
