Keep connections usable after a crowd of calls timed out

Executors that lived were never reached again: calls that waited in httpcore's pool were given a connection at the moment at which they timed out together; such a connection is neither idle nor closed, and with three a peer the pool was full for good (one PoolTimeout in the log, then silence). Ruled out: the executors (their list entries were up, orders of other executors went on), the placing term (its other links worked). A call that never got room is now certainly not sent.

--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -44,7 +44,8 @@
 HEAD_START = timedelta(seconds=0.4)
 """Advantage of large VMs in the competition for the placing role."""
 EXECUTOR_CONNECTIONS = 3
-"""One for the look that waits, two for orders; each new one has a price."""
+"""Prompt calls at once to one executor; each new connection has a price. A look that
+waits and orders without an answer are counted apart (``http.MAX_OVERDUE``)."""
 CALL_END_S = 3
 """Calls in flight at the end of the listeners have this long to be answered; callers
 wait 3 s, and it stays within the platform's grace of 6 s."""
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,88 @@
+"""Calls on kept connections against a peer that leaves some unanswered."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import pytest
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from pomeloyard.errors import CallNotSentError, CallUnansweredError
+from pomeloyard.platform.http import HttpCaller
+from pomeloyard.serving import serving
+
+pytestmark = pytest.mark.anyio
+SHORT = timedelta(milliseconds=100)
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def hang(request):
+    await anyio.sleep(60)
+
+
+async def answer(request):
+    return Response(b"here")
+
+
+PEER = Starlette(routes=[Route("/hang", hang), Route("/answer", answer)])
+
+
+@asynccontextmanager
+async def calling(connections):
+    caller = HttpCaller(connections)
+    async with serving(PEER) as address:
+        yield caller, address
+        await caller.close()
+
+
+async def call_many(caller, address, target, count, timeout):
+    """Make calls at once; return how many ended in each way."""
+    outcomes = []
+
+    async def one():
+        try:
+            await caller.call("GET", address, target, timeout)
+        except (CallNotSentError, CallUnansweredError) as error:
+            outcomes.append(type(error))
+        else:
+            outcomes.append(None)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            tasks.start_soon(one)
+    return outcomes
+
+
+@pytest.mark.parametrize("round_size", [3, 4, 5, 17])
+async def test_answers_come_after_a_crowd_of_calls_timed_out(round_size):
+    # A peer left 30% of its orders unanswered in peaks of 20; the calls that waited
+    # for a connection timed out together and left none for any later call.
+    async with calling(4) as (caller, address):
+        for _ in range(4):
+            outcomes = await call_many(caller, address, "/hang", round_size, SHORT)
+            assert None not in outcomes
+            assert await call_many(caller, address, "/answer", 8, SECOND) == [None] * 8
+
+
+async def test_calls_that_wait_for_a_connection_are_certainly_not_sent():
+    async with calling(2) as (caller, address):
+        outcomes = await call_many(caller, address, "/hang", 6, SHORT)
+    assert outcomes.count(CallUnansweredError) == 2
+    assert outcomes.count(CallNotSentError) == 4
+
+
+async def test_calls_are_answered_while_others_of_their_peer_are_cancelled():
+    async with calling(3) as (caller, address):
+        for number in range(30):
+            with anyio.move_on_after(0.001 * (number % 10)):
+                await call_many(caller, address, "/answer", 6, SECOND)
+        assert await call_many(caller, address, "/answer", 6, SECOND) == [None] * 6
