Stop unanswered orders again in an executor's next life

Ruled out: telling the lives apart by the header that names the intended one. Change: the first look at a new life is followed by a stop of each order of the last 12 s that had no answer; only then is the executor used again. What is left is the time from the restart to that stop. Fakes now break connections at a restart, as a crash does. Test: an order kept over a restart, fails without the change.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -162,6 +162,9 @@
         self.foreign_runs: set[tuple[str, int]] = set()
         """Runs that are listed but not assigned here; no room is taken as known
         while there are any."""
+        self._unanswered_orders: dict[str, tuple[int, timedelta]] = {}
+        """Run and time of the last order without an answer, by task; the executor may
+        keep it and carry it out in its next life."""
         self.applied_end = 0
         self._acknowledge = 0
         self._reported_at: timedelta | None = None
@@ -274,6 +277,7 @@
                     self.executor.executor_id,
                     report.incarnation,
                 )
+                await self._void_unanswered_orders(now)
             self.incarnation = report.incarnation
             self.applied_end = self._acknowledge = 0
         self._apply(report, asked_at, now)
@@ -286,6 +290,18 @@
             await self._handler.ends_stored(self)
             self._acknowledge = self.applied_end
 
+    async def _void_unanswered_orders(self, now: timedelta) -> None:
+        """Stop, in a new life, what was ordered without an answer in the one before.
+
+        The new life knows nothing of earlier stops and would carry the order out.
+        """
+        for task, (run, ordered_at) in list(self._unanswered_orders.items()):
+            if now < ordered_at + LATE_ORDER:
+                await self._client.stop(
+                    self.executor, task, run, self.fence, ORDER_TIMEOUT
+                )
+            del self._unanswered_orders[task]
+
     def _acknowledged_at(self, now: timedelta) -> int:
         """Return up to which end the incarnation of the last report is acknowledged."""
         reported_at = self._reported_at
@@ -435,6 +451,7 @@
             return
         except CallUnansweredError as error:
             log.info("start of {} run {}: {}", task.name, placed.run, error)
+            self._note_unanswered(placed, now)
             if placed.phase is Phase.ORDERED:
                 placed.phase = Phase.UNSURE
             self.wake()
@@ -449,6 +466,13 @@
             placed.acknowledged_at = answered_at
             task.started_at = answered_at
 
+    def _note_unanswered(self, placed: PlacedRun, ordered_at: timedelta) -> None:
+        orders = self._unanswered_orders
+        for task, (_, at) in list(orders.items()):
+            if ordered_at >= at + LATE_ORDER:
+                del orders[task]
+        orders[placed.task.name] = (placed.run, ordered_at)
+
     def _refuse(self, placed: PlacedRun, answer: StartAnswer) -> None:
         if self.runs_by_name.get(placed.task.name) is placed:
             self.forget(placed)
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -254,8 +254,12 @@
         self.looks += 1
         deadline = self.clock.monotonic() + wait
         gives_up = self.clock.monotonic() + timeout
+        life = None
         while True:
             fake = self.by_id.get(executor.executor_id)
+            if fake is not None and life not in (None, fake.incarnation):
+                raise CallUnansweredError("the crash broke the connection")
+            life = fake.incarnation if fake is not None else None
             if fake is not None and fake.silent:
                 await self.clock.sleep(gives_up - self.clock.monotonic())
             fake = self._reach(executor)
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -61,6 +61,25 @@
         assert world.client.stopped == [("a1.0.0.0", 1)]
 
 
+async def test_an_order_kept_over_a_restart_is_void_in_the_next_life():
+    # Soak seed 74: the next life knew nothing of the stop and carried the order out.
+    world = World(executors=1)
+    world.client.run_time = timedelta(milliseconds=300)
+    async with world.running():
+        fake = world.fakes[0]
+        fake.swallow_starts = 1
+        await world.submit("a1")
+        assert await world.drive(6, completed(world))
+        await world.submit("a2")
+        assert await world.drive(6, completed(world, "a2"))
+        assert [order.run for order in fake.kept_orders] == [1]
+        fake.restart()
+        key = f"executors/{fake.executor.executor_id}"
+        await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
+        await world.drive(0.6)
+        world.client.carry_out_late(fake)
+
+
 async def test_a_late_order_that_took_effect_is_kept():
     world = World(executors=1)
     async with world.running():
