Apply cancellations after their jobs when all jobs are read again

Ruled out: the load at the begin of a term (applies cancellations last), the watch (ordered by revision). Change: entries are applied in the order in which they were written. Test: a job cancelled while jobs were not followed; it started without the change.

--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -267,7 +267,8 @@
                 log.info("jobs are not followed: {}", error)
                 await self._clock.sleep(RETRY_DELAY)
                 entries, position = await self._scan(layout.INCOMING)
-                for entry in entries:
+                # A job before its cancellation, which precedes it by key.
+                for entry in sorted(entries, key=lambda e: e.mod_revision):
                     self._apply(WatchEvent(entry.key, entry, entry.mod_revision))
 
     def _apply(self, event: WatchEvent) -> None:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -341,6 +341,19 @@
         assert await world.drive(3, lambda: world.client.started != [])
 
 
+async def test_a_job_cancelled_while_jobs_were_not_followed_never_starts():
+    # Soak seed 70: all was read again, by key, and the cancellation came first.
+    world = World()
+    world.store.deaf_prefix = layout.INCOMING
+    async with world.running():
+        await world.submit("a1")
+        deadline = world.clock.monotonic() + timedelta(seconds=3)
+        assert await world.intake.cancel("a1", deadline)
+        await world.drive(4)
+        assert world.client.started == []
+        assert world.state("a1") is JobState.CANCELLED
+
+
 async def test_an_executor_that_drained_and_restarted_is_used_again():
     world = World(executors=1)
     async with world.running():
