--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
@@ -46,6 +47,7 @@
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter
 from .registry import ExecutorRegistry
+from .spread import LASTING_PER_VM
 from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
 from .turns import Peak, Turns
 from .usage import Usage
@@ -422,14 +424,14 @@
         return loads
 
     def lasting_vms(self, pool: str) -> int:
-        """Return how many VMs the lasting tasks of a pool need, one for each."""
+        """Return how many VMs the lasting tasks of a pool need."""
         most = 0
         for job in self._live_jobs.values():
             queue = self._queue(job.record)
             if job.lasting and queue is not None and queue.service == pool:
                 counts = [s.spec.count for s in job.steps() if s.spec.lasting]
                 most = max([most, *counts])
-        return most
+        return math.ceil(most / LASTING_PER_VM)
 
     def next_peak(self, pool: str) -> Peak | None:
         """Return a pool's present or next peak, if it can be told."""
