Store other jobs' progress while an answer of the store takes long

A start waited for the flush at work and then for its own. While the store answers at once, changes still share writes. Starts are ordered once their own group is durable, ends acknowledged once the job's last change is. Tests: tests/test_batch_progress_writer.py; what changes during a slow answer does not wait for it, a job has one write at a time, an end is not acknowledged before its write.

--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -45,7 +45,7 @@
 from .pacing import next_pace
 from .planner import Planner
 from .progress import EndKind, JobRun, Task
-from .progress_writer import ProgressWriter
+from .progress_writer import ProgressWriter, RecordGroup
 from .registry import ExecutorRegistry
 from .spread import LASTING_PER_VM
 from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
@@ -330,17 +330,28 @@
     async def _work(self) -> None:
         while True:
             await self._wake.wait()
+            await self._writer.gather()
             self._wake = anyio.Event()
             touched = None if self._all_touched else self._touched
             self._all_touched = False
             self._touched = set()
             self._planner.plan(touched)
-            starts = self._planner.take_starts()
-            if not await self._writer.flush():
-                self.end_term("the epoch or a record was replaced")
-                return
-            for link, placed in starts:
-                link.start(placed)
+            self._writer.hold(self._planner.take_starts())
+            groups = self._writer.take()
+            for group in groups:
+                self.spawn(None, self._store_group, group)
+            if groups:
+                self.spawn(None, self._writer.end_gathering)
+
+    async def _store_group(self, group: RecordGroup) -> None:
+        """Store some records, then order what was assigned in them."""
+        if not await self._writer.store(group):
+            self.end_term("the epoch or a record was replaced")
+            return
+        for link, placed in group.starts:
+            link.start(placed)
+        if self._writer.has_waiting:
+            self._wake.set()
 
     async def _keep_house(self) -> None:
         while True:
--- a/tests/test_batch_progress_writer.py
+++ b/tests/test_batch_progress_writer.py
@@ -10,7 +10,7 @@
 from pomeloyard.batch import layout
 from pomeloyard.batch.model import JobRecord, JobSpec, StepSpec
 from pomeloyard.batch.progress import JobRun
-from pomeloyard.batch.progress_writer import ProgressWriter
+from pomeloyard.batch.progress_writer import MAX_GROUPS, ProgressWriter
 from pomeloyard.clock import ManualClock
 from pomeloyard.keyvalue.store import Compare
 from tests.support.job_fakes import FaultyStore, settle
@@ -45,6 +45,27 @@
     def stored(self):
         return sum(k.startswith(layout.RUNS) for k in self.store._entries_by_key)
 
+    async def store_all(self, tasks, results):
+        """Take and store groups as a term does."""
+        while self.writer.has_waiting:
+            await self.writer.gather()
+            groups = self.writer.take()
+            for group in groups:
+                tasks.start_soon(self.store_group, group, results)
+            if groups:
+                tasks.start_soon(self.writer.end_gathering)
+            else:
+                await anyio.sleep(0)
+
+    async def store_group(self, group, results):
+        results.append(await self.writer.store(group))
+
+    async def drive(self, milliseconds):
+        for _ in range(round(milliseconds / 25)):
+            await settle(60)
+            self.clock.advance(timedelta(milliseconds=25))
+        await settle(60)
+
 
 async def test_a_peak_is_stored_in_the_time_of_one_slow_answer():
     # Grown Lilim, trouble-2: a store that was 50 to 100 times as slow took its time for
@@ -52,44 +73,94 @@
     writing = Writing()
     writing.store.delay = timedelta(milliseconds=400)
     writing.place(85)
-    results = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(writing.store_all, tasks, [])
+        await writing.drive(425)
+        assert writing.stored() == 85
+        tasks.cancel_scope.cancel()
 
-    async def flush():
-        results.append(await writing.writer.flush())
 
+async def test_what_changes_during_a_slow_answer_does_not_wait_for_it():
+    # The second half of a peak comes while the first half is being stored.
+    writing = Writing()
+    writing.store.delay = timedelta(milliseconds=400)
+    writing.place(40)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(flush)
-        await settle(40)
-        writing.clock.advance(timedelta(milliseconds=400))
-        await settle(400)
+        tasks.start_soon(writing.store_all, tasks, [])
+        await writing.drive(100)
+        writing.place(40)
+        tasks.start_soon(writing.store_all, tasks, [])
+        await writing.drive(325)
+        assert writing.stored() == 40
+        await writing.drive(125)
+        assert writing.stored() == 80
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_job_has_one_write_at_a_time_and_its_starts_wait_for_theirs():
+    writing = Writing()
+    writing.store.delay = timedelta(milliseconds=400)
+    writing.place(1)
+    (first,) = writing.writer.take()
+    writing.writer.mark(writing.jobs[0])
+    assert writing.writer.take() == []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(writing.store_group, first, results := [])
+        await writing.drive(400)
         assert results == [True]
-        assert writing.stored() == 85
+        (second,) = writing.writer.take()
+        assert second.transaction.compares[1].mod_revision == writing.jobs[0].revision
         tasks.cancel_scope.cancel()
 
 
+async def test_an_end_is_not_acknowledged_before_its_own_write():
+    writing = Writing()
+    writing.store.delay = timedelta(milliseconds=400)
+    writing.place(2)
+    groups = writing.writer.take()
+    writing.writer.mark(writing.jobs[0])
+    waited = []
+
+    async def wait():
+        await writing.writer.changes_stored()
+        waited.append(writing.clock.monotonic())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wait)
+        tasks.start_soon(writing.store_group, groups[0], [])
+        await writing.drive(425)
+        assert waited == []
+        tasks.start_soon(writing.store_all, tasks, [])
+        await writing.drive(425)
+        assert len(waited) == 1
+        tasks.cancel_scope.cancel()
+
+
+async def test_an_outage_is_met_by_a_bounded_number_of_writes():
+    writing = Writing()
+    writing.place(500)
+    groups = writing.writer.take()
+    assert len(groups) == MAX_GROUPS
+    assert all(len(g.transaction.operations) <= 30 for g in groups)
+    assert writing.writer.take() == []
+
+
 @pytest.mark.parametrize("lost", [1, 3, 6])
 async def test_groups_whose_answers_are_lost_are_read_back(lost):
     writing = Writing()
     writing.store.answers_to_lose = lost
     writing.place(85)
-    results = []
-
-    async def flush():
-        results.append(await writing.writer.flush())
-
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(flush)
-        for _ in range(20):
-            await settle(40)
-            writing.clock.advance(timedelta(milliseconds=50))
-        assert results == [True]
+        tasks.start_soon(writing.store_all, tasks, results := [])
+        await writing.drive(1000)
+        assert set(results) == {True}
         assert writing.stored() == 85
         tasks.cancel_scope.cancel()
 
 
-async def test_a_replaced_epoch_is_noticed_in_any_group():
+async def test_a_replaced_epoch_is_noticed():
     writing = Writing()
     writing.writer = ProgressWriter(writing.clock, writing.store, Compare("epoch", 9))
     writing.place(85)
-    assert not await writing.writer.flush()
+    assert not await writing.writer.store(writing.writer.take()[0])
     assert writing.stored() == 0
