Revert two lasting tasks of a step on one VM

Cause: a VM of a pair is maintained only after one of the two was moved and is at work again, and the pace of a wave does not count that.

--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -46,7 +46,7 @@
     own_vms: int
     """VMs that the pool had at first."""
     lasting_vms: int = 0
-    """VMs that its lasting tasks need."""
+    """VMs that its lasting tasks need, each on another one."""
     peak: Peak | None = None
     rests: bool = False
     """Whether its peak is over and its next one cannot come yet."""
--- a/src/pomeloyard/batch/spread.py
+++ b/src/pomeloyard/batch/spread.py
@@ -2,8 +2,7 @@
 
 Answers peaks in which a pool is full: tasks are packed on few executors, so that
 large tasks still find room, and go first to those that are not slow. Lasting tasks
-are spread over racks, as racks fail as a whole, but two of a step share a VM, so that
-a pool between its peaks can give up VMs.
+are spread over racks, as racks fail as a whole.
 """
 
 from __future__ import annotations
@@ -16,10 +15,6 @@
 from .progress import StepRun, Task
 from .usage import Usage
 
-LASTING_PER_VM = 2
-"""Tasks of a lasting step that share a VM when there is a choice. Each needs a move of
-its own before the VM's upkeep; more at once would be away when a VM fails."""
-
 
 def may_run(link: ExecutorLink, step: StepRun, usage: Usage) -> bool:
     """Tell whether a task of a step may be placed on an executor now."""
@@ -59,13 +54,11 @@
         free = usage.free_cpu(executor_id, executor.capacity)
         score: tuple[float, ...]
         if spec.lasting:
-            together = usage.tasks_of_step(executor_id, step)
             score = (
                 float(executor_id in task.failed_on),
                 float(slow),
-                float(max(0, together - LASTING_PER_VM + 1)),
+                float(usage.tasks_of_step(executor_id, step)),
                 float(link.due),
-                float(together == 0),
                 float(usage.tasks_in_rack(step, executor.rack)),
                 float(-free) if spec.fills else float(free),
             )
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
@@ -49,7 +48,6 @@
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter, RecordGroup
 from .registry import ExecutorRegistry
-from .spread import LASTING_PER_VM
 from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
 from .turns import Peak, Turns
 from .usage import Usage
@@ -439,14 +437,14 @@
         return loads
 
     def lasting_vms(self, pool: str) -> int:
-        """Return how many VMs the lasting tasks of a pool need."""
+        """Return how many VMs the lasting tasks of a pool need, one for each."""
         most = 0
         for job in self._live_jobs.values():
             queue = self._queue(job.record)
             if job.lasting and queue is not None and queue.service == pool:
                 counts = [s.spec.count for s in job.steps() if s.spec.lasting]
                 most = max([most, *counts])
-        return math.ceil(most / LASTING_PER_VM)
+        return most
 
     def next_peak(self, pool: str) -> Peak | None:
         """Return a pool's present or next peak, if it can be told."""
