--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -3,8 +3,7 @@
 Answers demand that peaks by turns at four to five times its mean for some seconds:
 a VM off standby costs nothing, one in a pool costs each second, and a move costs
 about what a VM costs in a second. So a pool gets VMs while more work waits than it
-can clear in time or arrives than it can do, from standby or from pools whose own peak
-is over. After its peak a
+can clear in time, from standby or from pools whose own peak is over. After its peak a
 pool gives idle VMs up; once the turns of the peaks are known, it gets them back
 shortly before the next one. Before its first peak it keeps its own.
 """
@@ -27,7 +26,7 @@
 TAIL = timedelta(seconds=1.5)
 """A peak that ends before a move does is not worth the move."""
 MOST_SHARE = 1.8
-"""A pool gets no more than this times its own VMs before work waits."""
+"""A pool gets no more than this times its own VMs ahead of a peak."""
 GIVE_BACK_IDLE = timedelta(seconds=2)
 """A VM that was idle this long is given up; a peak has pauses of a second."""
 
@@ -50,8 +49,6 @@
     peak: Peak | None = None
     rests: bool = False
     """Whether its peak is over and its next one cannot come yet."""
-    arriving_core_rate: float = 0.0
-    """Work that arrives now, in core-seconds a second."""
 
     @property
     def peak_is_near(self) -> bool:
@@ -74,28 +71,14 @@
         """Return how many VMs the pool needs for a peak that is near."""
         if self.peak is None or not self.peak_is_near:
             return 0
-        return min(max(self.own_vms, self._vms_for(self.peak.core_rate)), self._most)
-
-    @property
-    def wanted_for_arrivals(self) -> int:
-        """Return how many VMs the work that arrives now needs.
-
-        At the onset of a peak this is known a second before work waits.
-        """
-        return min(self._vms_for(self.arriving_core_rate), self._most)
-
-    def _vms_for(self, core_rate: float) -> int:
-        return math.ceil(core_rate / self.vm_cores)
-
-    @property
-    def _most(self) -> int:
-        return math.ceil(self.own_vms * MOST_SHARE)
+        needed = math.ceil(self.peak.core_rate / self.vm_cores)
+        most = math.ceil(self.own_vms * MOST_SHARE)
+        return min(max(self.own_vms, needed), most)
 
     @property
     def extra_vms(self) -> int:
         """Return how many VMs the pool can give up."""
-        kept = max(self.floor, self.wanted_before_peak, self.wanted_for_arrivals)
-        return self.vms - kept
+        return self.vms - max(self.floor, self.wanted_before_peak)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,16 +109,11 @@
         load.name: load.waiting_core_seconds > 0 for load in loads
     }
     extra = {load.name: load.extra_vms for load in loads}
-    by_need = sorted(
-        loads,
-        key=lambda d: (-d.waiting_core_seconds, -d.arriving_core_rate, d.name),
-    )
-    for load in by_need:
+    for load in sorted(loads, key=lambda d: (-d.waiting_core_seconds, d.name)):
         each = load.vm_cores * CLEAR_TIME.total_seconds()
         wanted = max(
             round(load.waiting_core_seconds / each) - load.arriving_vms,
             load.wanted_before_peak - load.vms,
-            load.wanted_for_arrivals - load.vms,
         )
         for spare in list(free):
             if wanted <= 0:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -450,10 +450,6 @@
         """Return a pool's present or next peak, if it can be told."""
         return self.turns.peak(pool, self._clock.monotonic())
 
-    def arriving_core_rate(self, pool: str) -> float:
-        """Return the work that arrives now, in core-seconds a second."""
-        return self.turns.core_rate(pool, self._clock.monotonic())
-
     def rests(self, pool: str) -> bool:
         """Tell whether a pool's peak is over and its next one cannot come yet."""
         return self.turns.rests(pool, self._clock.monotonic())
--- a/src/pomeloyard/batch/turns.py
+++ b/src/pomeloyard/batch/turns.py
@@ -27,10 +27,6 @@
 SHORTEST_REST = timedelta(seconds=6)
 PEAK_OVER = timedelta(seconds=2)
 """Without dense arrivals for this long a peak is over."""
-RATE_WINDOW = timedelta(seconds=1)
-"""Long enough to tell a peak of three jobs a second from single large ones."""
-RATE_ARRIVALS = 3
-"""Fewer jobs within the window say nothing of the rate."""
 MEMORY = timedelta(seconds=240)
 MIN_ARRIVALS = 5
 PEAK_SHARE = 0.8
@@ -90,18 +86,6 @@
         elif recent < QUIET_FACTOR * mean:
             state.in_peak = False
 
-    def core_rate(self, pool: str, now: timedelta) -> float:
-        """Return the work that arrives now, in core-seconds a second; 0 if sparse."""
-        state = self._pools.get(pool)
-        recent = []
-        for at, core_seconds in reversed(state.arrivals if state else ()):
-            if at <= now - RATE_WINDOW:
-                break
-            recent.append(core_seconds)
-        if len(recent) < RATE_ARRIVALS:
-            return 0.0
-        return sum(recent) / RATE_WINDOW.total_seconds()
-
     def rests(self, pool: str, now: timedelta) -> bool:
         """Tell whether a pool's peak is over and its next one cannot come yet."""
         state = self._pools.get(pool)
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -35,10 +35,6 @@
         """Return a pool's present or next peak, if it can be told."""
         ...
 
-    def arriving_core_rate(self, pool: str) -> float:
-        """Return the work that arrives now, in core-seconds a second."""
-        ...
-
     def rests(self, pool: str) -> bool:
         """Tell whether a pool's peak is over and its next one cannot come yet."""
         ...
@@ -156,7 +152,6 @@
                     lasting_vms=self._yard.lasting_vms(name),
                     peak=self._yard.next_peak(name),
                     rests=self._yard.rests(name),
-                    arriving_core_rate=self._yard.arriving_core_rate(name),
                 )
             )
         return loads
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -276,34 +276,6 @@
     assert [(move.vm, move.pool) for move in moves] == [("v1", "b")]
 
 
-def onset_move_times(seed, jobs_a_second, core_seconds):
-    """Return when VMs are first asked for in 5 quiet seconds and a peak of 4 s."""
-    chance = random.Random(seed)
-    turns = Turns()
-    spares = [SpareVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
-    for tick in range(180):
-        now = tick * 0.05
-        rate = jobs_a_second * (0.05 if now < 5 else 4.0)
-        if chance.random() < rate * 0.05:
-            turns.arrived("a", now * SECOND, core_seconds * chance.uniform(0.5, 1.5))
-        load = replace(
-            pool("a", 0.0), arriving_core_rate=turns.core_rate("a", now * SECOND)
-        )
-        if choose_moves([load], spares, "spare"):
-            yield now
-
-
-@pytest.mark.parametrize("seed", range(6))
-@pytest.mark.parametrize(("jobs_a_second", "work"), [(4.6, 10.0), (0.7, 70.0)])
-def test_vms_are_asked_for_at_the_onset_of_a_peak_before_work_waits(
-    seed, jobs_a_second, work
-):
-    # Peaks of four times the mean ask for about twice the 96 cores of a pool. Many
-    # small jobs show it within a second, few large ones within three.
-    first = next(onset_move_times(seed, jobs_a_second, work))
-    assert 5.0 < first < (6.2 if jobs_a_second > 1 else 8.0)
-
-
 def turns_after(seconds, seed=1):
     """Two pools of many small jobs and two of few large ones, in turns of 4 s."""
     chance = random.Random(seed)
