Explain a job from the daemons' output

Cause: from an id to its cause an engineer searched all daemons' output by hand and had to know which lines of executors, roles and stores belong to it. Tests: tests/test_batch_history.py.

--- /dev/null
+++ b/src/pomeloyard/cli/logs.py
@@ -0,0 +1,60 @@
+"""Commands that read the daemons' output; they call no daemon."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from ..batch.history import LogLine, causes, course, parse_line
+from ..errors import PomeloyardError
+from .output import note, show
+
+
+class UnknownJobError(PomeloyardError):
+    """No line of the given output names the job."""
+
+
+@click.group(epilog="Example: pomeloyard log job 5b3041f9338636bd daemon-*.log")
+def log() -> None:
+    """Explain decisions from the daemons' output."""
+
+
+@log.command("job", epilog="Example: log job 5b3041f9338636bd daemon-*.log")
+@click.argument("job_id")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+def job(job_id: str, files: tuple[Path, ...]) -> None:
+    """Print the course of JOB_ID from the output of all daemons in FILES.
+
+    Its causes go to standard error.
+    """
+    lines = [line for path in files for line in _read(path)]
+    found = course(lines, job_id)
+    if not found:
+        raise UnknownJobError(f"no line of {len(files)} files names job {job_id}")
+    show([_row(line) for line in found])
+    for text in causes(found, job_id):
+        note(text)
+
+
+def _read(path: Path) -> list[LogLine]:
+    with path.open(encoding="utf-8", errors="replace") as stream:
+        parsed = (parse_line(text, path.stem) for text in stream)
+        return [line for line in parsed if line is not None]
+
+
+def _row(line: LogLine) -> dict[str, str]:
+    inputs = " ".join(f"{name}={value}" for name, value in line.inputs.items())
+    return {
+        "at": line.at.isoformat(timespec="milliseconds"),
+        "daemon": line.daemon,
+        "decision": line.decision or "message",
+        "subject": line.subject,
+        "outcome": line.outcome,
+        "inputs": inputs,
+    }
--- a/src/pomeloyard/cli/main.py
+++ b/src/pomeloyard/cli/main.py
@@ -16,6 +16,7 @@
 from .fleet import fleet
 from .jobs import job
 from .keys import key as key_group
+from .logs import log
 from .output import JSON, TABLE
 from .pools import pool
 from .session import Session, load_options, read_key
@@ -108,7 +109,7 @@
     context.call_on_close(session.close)
 
 
-for group in (budget, config, fleet, job, key_group, pool, share, team, vm, wave):
+for group in (budget, config, fleet, job, key_group, log, pool, share, team, vm, wave):
     cli.add_command(group)
 cli.add_command(explain)
 
--- /dev/null
+++ b/tests/test_batch_history.py
@@ -0,0 +1,130 @@
+"""From a job's id to its cause, by the output of the daemons."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from pomeloyard.batch.history import causes, course, parse_line
+from pomeloyard.cli.main import cli
+
+JOB = "5b3041f9338636bd"
+
+
+def decision(second, daemon, kind, subject, outcome, **inputs):
+    at = f"2026-12-04T06:00:{second:09.6f}Z"
+    head = {"at": at, "daemon": daemon, "decision": kind, "subject": subject}
+    return json.dumps({**head, "outcome": outcome, **inputs})
+
+
+def message(second, text):
+    return json.dumps({"at": f"2026-12-04T06:00:{second:09.6f}", "message": text})
+
+
+def read(*texts, source="d-1"):
+    return [parse_line(text, source) for text in texts]
+
+
+def explained(lines):
+    return causes(course(lines, JOB), JOB)
+
+
+def test_an_unknown_outcome_names_the_store_that_was_lost():
+    lines = read(
+        message(18.0, "store lost GET /x: TimeoutError()"),
+        decision(
+            18.6, "d-1", "call", JOB, "504", method="POST", detail="may be stored"
+        ),
+    )
+    (text, state) = explained(lines)
+    assert "504 by d-1" in text
+    assert "may have taken effect" in text
+    assert "store was lost 0.6 s before" in text
+    assert state == "no placing daemon's output names it"
+
+
+def test_a_refusal_says_that_nothing_was_done():
+    lines = read(decision(1, "d-1", "call", JOB, "503", method="POST", detail="down"))
+    assert "did not take effect" in explained(lines)[0]
+
+
+def test_a_late_job_names_the_change_of_the_placing_daemon():
+    lines = read(
+        decision(9.0, "d-2", "call", JOB, "200", method="POST"),
+        message(11.8, "placing begins, epoch 2"),
+        decision(11.9, "d-1", "job", JOB, "found", state="pending"),
+        decision(11.9, "d-1", "place", f"{JOB}.0.0.0", "i-1", run=1, age_ms=2900),
+        decision(13.0, "d-1", "job", JOB, "completed", age_ms=4000),
+        decision(40.0, "d-3", "job", JOB, "found", state="completed"),
+    )
+    assert explained(lines) == [
+        "it waited 2.9 s for its first assignment; a new placing daemon, d-1, began "
+        "2.8 s in",
+        "it is completed after 4.0 s",
+    ]
+
+
+def test_a_late_job_without_a_change_waited_for_room():
+    lines = read(
+        decision(11.9, "d-1", "place", f"{JOB}.0.0.0", "i-1", run=1, age_ms=2900)
+    )
+    assert "its pool had no room" in explained(lines)[0]
+
+
+def test_a_lost_run_names_what_became_of_its_executor():
+    task = f"{JOB}.0.0.4"
+    lines = read(
+        decision(5.0, "d-1", "place", task, "i-9", run=1, age_ms=10),
+        decision(6.0, "d-1", "upkeep", "m-1", "ordered", executor="i-9"),
+        decision(6.1, "d-1", "end", task, "lost", executor="i-9", run=1),
+        decision(6.2, "d-1", "upkeep", "m-2", "ordered", executor="i-8"),
+    )
+    assert f"{task} was lost on i-9 (upkeep ordered)" in explained(lines)
+
+
+@pytest.mark.parametrize(
+    ("executors", "expected"),
+    [
+        (("i-1", "i-2", "i-1"), "failed 3 times, on 2 executors"),
+        (("i-1", "i-1", "i-1"), "failed 3 times, on i-1 only"),
+    ],
+)
+def test_a_failed_job_says_whether_the_job_or_an_executor_is_at_fault(
+    executors, expected
+):
+    task = f"{JOB}.0.0.0"
+    lines = read(
+        *(
+            decision(n, "d-1", "end", task, "failed", executor=executor, run=n)
+            for n, executor in enumerate(executors, 1)
+        ),
+        decision(9, "d-1", "job", JOB, "failed", age_ms=1000),
+    )
+    assert explained(lines) == [f"{task} {expected}", "it is failed after 1.0 s"]
+
+
+def test_lines_of_other_jobs_and_text_that_is_no_line_are_left_out():
+    lines = read(decision(1, "d-1", "job", "ffff", "found"))
+    assert parse_line("Traceback (most recent call last):", "d-1") is None
+    assert parse_line('{"at": "never"}', "d-1") is None
+    assert course(lines, JOB) == []
+    assert causes([], JOB) == ["no daemon's output names this job"]
+    assert parse_line("  3.2 d-7 " + message(1, "x"), "file").daemon == "d-7"
+
+
+def test_the_command_prints_the_course_and_the_causes(tmp_path):
+    first, second = tmp_path / "d-1.log", tmp_path / "d-2.log"
+    first.write_text(
+        decision(2, "d-1", "job", JOB, "cancelled", age_ms=900) + "\nnoise\n"
+    )
+    second.write_text(decision(1, "d-2", "call", JOB, "200", method="POST") + "\n")
+    arguments = ["--output", "json", "log", "job", JOB, str(first), str(second)]
+    result = CliRunner().invoke(cli, arguments)
+    assert result.exit_code == 0
+    rows = json.loads(result.stdout)
+    assert [row["daemon"] for row in rows] == ["d-2", "d-1"]
+    assert "it is cancelled after 0.9 s" in result.stderr
+    unknown = CliRunner().invoke(cli, ["log", "job", "ffff", str(first)])
+    assert unknown.exit_code == 1
