Find out sooner what became of calls without an answer

Looks, too, got no answer; an executor whose look was lost was blind for 1.5 + 1 s, and a task whose order was lost was free only after 1 s, the end of the look at work, a stop and one more look. Ruled out: the store (writes of that time were answered), room (ends that had happened at 7 s were seen at 8.4 s). Change: an answer counts as lost after 0.5 s instead of 1; after an unanswered order a look without a wait follows at once, and one more as soon as its stop was answered; while calls to several executors get lost, looks wait 0.5 s instead of 1.5; a connection that is not there in time is told from a lost answer. Tests: two in tests/test_batch_term.py and one rule fail without the change. The test of a late order that is kept asked for an order that took effect 0.2 s after its loss; such orders come 2 to 12 s later, so it is replaced by one whose answer alone was lost, which also must not be stopped.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -35,12 +35,15 @@
 """A look waits this long for an end; leases of 7 s allow several lost looks."""
 WATCHFUL_WAIT = timedelta(seconds=0.5)
 """Wait while a run's fate is open or serving and filling tasks share the executor."""
-LOOK_TIMEOUT = timedelta(seconds=1)
-"""Beyond the wait that was asked for."""
-ORDER_TIMEOUT = timedelta(seconds=1)
-"""An executor answers within milliseconds; later the answer counts as lost."""
-RETRY_DELAY = timedelta(seconds=0.15)
-"""First pause after a call without an answer; doubled each time."""
+LOOK_TIMEOUT = timedelta(seconds=0.5)
+"""Beyond the wait that was asked for; executors answer within milliseconds, or within
+0.3 s if a packet is lost."""
+ORDER_TIMEOUT = timedelta(seconds=0.5)
+"""Later the answer counts as lost, and the next look tells what became of the order."""
+RETRY_DELAY = timedelta(seconds=0.05)
+"""Pause after a look without an answer, doubled with each one from the first on."""
+STOP_RETRY_DELAY = timedelta(seconds=0.15)
+"""Pause before a stop is sent again; many runs of one executor may be stopped."""
 MAX_RETRY_DELAY = timedelta(seconds=0.8)
 """Longest pause; an executor that comes back is used within a second."""
 FRESH_REPORT = timedelta(seconds=0.3)
@@ -81,6 +84,7 @@
         "stop_answered_at",
         "task",
         "ticket",
+        "unsure",
     )
 
     def __init__(self, task: Task, run: int, phase: Phase, fence: int) -> None:
@@ -92,6 +96,8 @@
         self.resumed = bool(task.saved)
         self.acknowledged_at: timedelta | None = None
         self.stop_answered_at: timedelta | None = None
+        self.unsure = False
+        """Whether its order had no answer and no look has shown the run."""
         self.percent = 0
         self.gauge = 0
         self.moved_at: timedelta | None = None
@@ -134,6 +140,13 @@
     def fence_lost(self, link: ExecutorLink) -> None:
         """End the term, as an executor knows a higher fencing token."""
 
+    def call_lost(self, link: ExecutorLink) -> None:
+        """Note that a call to an executor got no answer."""
+
+    def calls_get_lost(self) -> bool:
+        """Tell whether calls to several executors were lost just now."""
+        ...
+
 
 class ExecutorLink:
     """Holds the leases of one executor's runs and follows them."""
@@ -213,6 +226,12 @@
         self.registered = True
         self.wake()
 
+    def look_now(self) -> None:
+        """Look at once, instead of waiting for the look at work."""
+        if self.reachable:
+            self._look_scope.cancel()
+        self.wake()
+
     def suspect(self) -> None:
         """Ask at once whether the executor lives, as its VM is listed as down."""
         if not self.suspected:
@@ -241,6 +260,8 @@
                 self._handler.fence_lost(self)
                 return
             except (CallNotSentError, CallUnansweredError) as error:
+                if isinstance(error, CallUnansweredError):
+                    self._handler.call_lost(self)
                 self._note_silent(str(error))
                 delay = RETRY_DELAY * min(2**self._failures, 16)
                 delay = min(delay, MAX_RETRY_DELAY) * random.uniform(0.7, 1.3)
@@ -311,16 +332,22 @@
 
     def _wait(self) -> timedelta:
         serving = filling = False
+        longest = WATCHFUL_WAIT if self._handler.calls_get_lost() else LOOK_WAIT
         for placed in self.runs_by_name.values():
+            if placed.unsure and placed.phase is Phase.UNSURE:
+                return timedelta(0)
+            if placed.unsure and placed.stop_answered_at is not None:
+                # The order is void; nothing will end there that a look could show.
+                return timedelta(0)
             if placed.phase in (Phase.UNSURE, Phase.STOPPING):
-                return WATCHFUL_WAIT
+                longest = WATCHFUL_WAIT
             spec = placed.task.step.spec
             if spec.lasting and placed.percent < 100:
                 # Others of its step may be away only once it is at work again.
-                return WATCHFUL_WAIT
+                longest = WATCHFUL_WAIT
             serving = serving or spec.target_tail_ms > 0
             filling = filling or spec.fills
-        return WATCHFUL_WAIT if serving and filling else LOOK_WAIT
+        return WATCHFUL_WAIT if serving and filling else longest
 
     def _apply(self, report: Report, asked_at: timedelta, now: timedelta) -> None:
         """Compare both lists with the runs that were assigned here."""
@@ -357,6 +384,7 @@
         self._handler.run_ended(self, placed, end.kind, end.saved)
 
     def _apply_row(self, placed: PlacedRun, row: RunningTask, now: timedelta) -> None:
+        placed.unsure = False
         if placed.phase in (Phase.ORDERED, Phase.UNSURE, Phase.ASSIGNED):
             placed.phase = Phase.RUNNING
         if placed.acknowledged_at is None:
@@ -452,9 +480,11 @@
         except CallUnansweredError as error:
             log.info("start of {} run {}: {}", task.name, placed.run, error)
             self._note_unanswered(placed, now)
+            self._handler.call_lost(self)
             if placed.phase is Phase.ORDERED:
                 placed.phase = Phase.UNSURE
-            self.wake()
+                placed.unsure = True
+                self.look_now()
             return
         answered_at = self._clock.monotonic()
         if clock is not None:
@@ -499,10 +529,11 @@
                 return
             except (CallNotSentError, CallUnansweredError) as error:
                 log.debug("stop of {} run {}: {}", name, placed.run, error)
-                await self._clock.sleep(RETRY_DELAY)
+                await self._clock.sleep(STOP_RETRY_DELAY)
                 continue
             placed.stop_answered_at = self._clock.monotonic()
-            self.wake()
+            if placed.unsure:
+                self.look_now()
             return
 
     async def _stop_foreign(self, task: str, run: int) -> None:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -36,6 +36,7 @@
 from .follow import OperatorFollower
 from .learning import Learning
 from .link import ExecutorLink, Phase, PlacedRun
+from .losses import CallLosses
 from .model import (
     NOTHING,
     JobRecord,
@@ -102,6 +103,7 @@
         self.usage = Usage()
         self.learning = Learning()
         self.turns = Turns()
+        self._losses = CallLosses()
         self._wake = anyio.Event()
         self._touched: set[str] = set()
         """Services with news since the last plan."""
@@ -415,6 +417,14 @@
         )
         self._over.set()
 
+    def call_lost(self, link: ExecutorLink) -> None:
+        """Note that a call to an executor got no answer."""
+        self._losses.note(link.executor.executor_id, self._clock.monotonic())
+
+    def calls_get_lost(self) -> bool:
+        """Tell whether calls to several executors were lost just now."""
+        return self._losses.recent(self._clock.monotonic())
+
     def end_term(self, reason: str) -> None:
         """Give the role up."""
         self._lines.decided("role", f"epoch/{self.epoch}", "lost", reason=reason)
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -17,6 +17,8 @@
 CONNECT_TIMEOUT = timedelta(seconds=1)
 """A connection within a region takes milliseconds; a dropped SYN is sent again
 after one second, by which time another peer is the better choice."""
+CONNECT_SHARE = 0.8
+"""Share of a short call's time after which a connection is given up."""
 USER_TIMEOUT_MS = 3000
 """Unacknowledged bytes end a connection after this long (TCP_USER_TIMEOUT)."""
 KEEPALIVE_EXPIRY_S = 20.0
@@ -150,7 +152,8 @@
         if body:
             lines.append(("Content-Type", "application/json"))
         limit = timeout.total_seconds()
-        connect = min(limit, CONNECT_TIMEOUT.total_seconds())
+        # Ends before the whole call does: a call without a connection was not sent.
+        connect = min(CONNECT_SHARE * limit, CONNECT_TIMEOUT.total_seconds())
         peer = self._peer(address)
         sent = False
         try:
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -132,6 +132,10 @@
         self.swallow_starts = 0
         """Starts that get no answer and are kept for ``carry_out_late``."""
         self.kept_orders = []
+        self.lose_start_answers = 0
+        """Starts that are carried out at once and get no answer."""
+        self.lose_looks = 0
+        """Looks that get no answer, as a spell of lost calls does."""
         self.fails = False
         self.stalls = False
         self.restart()
@@ -188,6 +192,7 @@
         self.started = []
         self.stopped = []
         self.looks = 0
+        self.waits = []
         self.violations = []
 
     def _reach(self, executor):
@@ -206,7 +211,11 @@
             fake.swallow_starts -= 1
             fake.kept_orders.append(order)
             raise CallUnansweredError("no answer")
-        return self.carry_out(fake, order), fake.now()
+        answer = self.carry_out(fake, order)
+        if fake.lose_start_answers:
+            fake.lose_start_answers -= 1
+            raise CallUnansweredError("the answer was lost")
+        return answer, fake.now()
 
     def carry_out(self, fake, order):
         fake.check_fence(order.fence)
@@ -254,9 +263,15 @@
 
     async def look(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
         self.looks += 1
+        self.waits.append(wait)
         deadline = self.clock.monotonic() + wait
         gives_up = self.clock.monotonic() + timeout
         life = None
+        target = self.by_id.get(executor.executor_id)
+        if target is not None and target.lose_looks:
+            target.lose_looks -= 1
+            await self.clock.sleep(timeout)
+            raise CallUnansweredError("lost")
         while True:
             fake = self.by_id.get(executor.executor_id)
             if fake is not None and life not in (None, fake.incarnation):
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -10,6 +10,7 @@
 
 from pomeloyard.batch.learning import QUARANTINE, Learning
 from pomeloyard.batch.link import Phase, PlacedRun
+from pomeloyard.batch.losses import CallLosses
 from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec, Wave
 from pomeloyard.batch.order import rank
 from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
@@ -101,6 +102,17 @@
     assert keys[1] < keys[0]
 
 
+def test_calls_get_lost_only_if_several_executors_lose_them():
+    losses = CallLosses()
+    losses.note("e-1", SECOND)
+    losses.note("e-1", 2 * SECOND)
+    assert not losses.recent(2 * SECOND)
+    losses.note("e-2", 3 * SECOND)
+    assert losses.recent(3 * SECOND)
+    assert losses.recent(5.9 * SECOND)
+    assert not losses.recent(6 * SECOND)
+
+
 def test_a_failing_executor_is_set_aside_but_not_for_one_bad_job():
     learning = Learning()
     for _ in range(6):
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pomeloyard.batch import layout
+from pomeloyard.batch.link import LOOK_WAIT, WATCHFUL_WAIT
 from pomeloyard.batch.model import (
     JobState,
     PlacementAdvice,
@@ -80,15 +81,49 @@
         world.client.carry_out_late(fake)
 
 
-async def test_a_late_order_that_took_effect_is_kept():
+async def test_an_order_that_took_effect_without_an_answer_is_kept():
     world = World(executors=1)
     async with world.running():
-        world.fakes[0].swallow_starts = 1
+        world.fakes[0].lose_start_answers = 1
         await world.submit("a1")
-        await world.drive(0.2)
-        world.client.carry_out_late(world.fakes[0])
         assert await world.drive(6, completed(world))
         assert [run for _, run, _ in world.client.started] == [1]
+        assert world.client.stopped == []
+
+
+async def test_an_order_without_an_answer_costs_its_task_little_time():
+    # Lilim scale-2, orders that are carried out 2 to 12 s late: a task was free again
+    # only after the look at work, another look and a stop had waited for each other.
+    world = World(executors=2)
+    world.client.run_time = timedelta(seconds=3)
+    async with world.running():
+        await world.submit("a1")
+        await world.drive(0.5)
+        world.fakes[0].swallow_starts = world.fakes[1].swallow_starts = 1
+        await world.submit("a2")
+        assert await world.drive(
+            0.3, lambda: "a2.0.0.0" in [task for task, _, _ in world.client.started]
+        )
+
+
+async def test_looks_are_short_while_calls_get_lost():
+    # The same spell: an executor whose look was lost was blind for 2.5 s.
+    world = World(executors=3)
+    world.client.run_time = timedelta(seconds=30)
+    async with world.running():
+        await world.submit("a1", StepSpec(12, 1000, 100, estimate_ms=30_000))
+        await world.drive(2)
+        assert max(world.client.waits) == LOOK_WAIT
+        for fake in world.fakes:
+            fake.lose_looks = 1
+        await world.drive(2.5)
+        assert not any(fake.lose_looks for fake in world.fakes)
+        world.client.waits.clear()
+        await world.drive(1.5)
+        assert 6 <= len(world.client.waits) <= 18
+        assert max(world.client.waits) == WATCHFUL_WAIT
+        await world.drive(6)
+        assert world.client.waits[-1] == LOOK_WAIT
 
 
 async def test_a_successor_takes_running_tasks_over():
