--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup demo test lint format measure clean
+.PHONY: setup demo test lint format measure report clean
 
 setup: .venv/.complete
 
@@ -30,5 +30,8 @@
 measure: setup
 	$(BIN)/python -m measurements $(ONLY)
 
+report: setup
+	$(BIN)/python -m measurements.rounds
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .mypy_cache
--- /dev/null
+++ b/tests/test_rounds_report.py
@@ -0,0 +1,69 @@
+"""The page of measured rounds from journal entries."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from measurements.rounds import page, read_rounds
+
+
+def entry(number, command="score", days=(), **fields):
+    return {
+        "id": f"e{number}",
+        "at": [f"2026-12-04T0{number}:00:00Z", ""],
+        "cmd": command,
+        "site": "yard",
+        "head": "0123456789",
+        "days": list(days),
+        **fields,
+    }
+
+
+def day(name, worth, rules=None, prices=()):
+    return {"name": name, "G": worth, "score": worth, "rules": rules, "prices": prices}
+
+
+@pytest.fixture
+def journal(tmp_path):
+    prices = [["moves", 3, 0.01], ["machines in pools", 900, 0.25]]
+    entries = [
+        entry(
+            1,
+            score=0.5,
+            figures={"gate": 1.0},
+            days=[
+                day("quiet-1", 0.6, prices=prices),
+                day("trouble-1", 0.1),
+                day("scale-1", 0.3),
+            ],
+        ),
+        entry(2, "hunt", [day("mix", 0.2, {"LOST": 3}), day("mix", 0.3, {})]),
+        entry(3, "run"),
+    ]
+    for number, content in enumerate(entries):
+        (tmp_path / f"{number}.json").write_text(json.dumps(content))
+    return tmp_path
+
+
+def test_rounds_are_read_in_order_and_entries_without_a_result_counted(journal):
+    rounds, without = read_rounds(journal.glob("*.json"))
+    assert [one.entry for one in rounds] == ["e1", "e2"]
+    assert without == 1
+    assert rounds[0].worth_under_load == pytest.approx(0.2)
+    assert rounds[1].score is None
+
+
+def test_the_page_tells_scores_prices_and_broken_rules(journal):
+    text = page(*read_rounds(journal.glob("*.json")))
+    assert "| 2026-12-04T01:00:00Z | e1 | 0123456 | 0.500 | passed | 0.200 |" in text
+    assert "| quiet-1 | 0.600 | 0.60 | machines in pools 0.250, moves 0.010 |" in text
+    assert "| e2 | 0123456 | 2 | 1 (LOST) |" in text
+    assert "1 without one" in text
+
+
+def test_an_unreadable_entry_is_an_error_and_not_left_out(tmp_path):
+    (tmp_path / "1.json").write_text("{")
+    with pytest.raises(ValueError, match="Expecting"):
+        read_rounds(tmp_path.glob("*.json"))
