Pass borrowed VMs from a late backlog to the next peak

It had 13 VMs until 17 s, busy with work that was late already, while the next pool's peak ran on its own 6 from 9 s on: only idle VMs were moved, and a pool with a backlog has none. Ruled out: the listing (it showed 13 and 6), the rate of moves (one move in 3 s). Change: where no VM is left on standby, borrowed VMs without lasting tasks get no new tasks and are moved once empty, to a pool with three times the urgent work for each VM; urgent is what waits for jobs that can still be in time. A pool keeps its own VMs. Tests: rules in tests/test_batch_decisions.py, the whole in tests/test_batch_vms.py.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -195,6 +195,8 @@
         self.closed = False
         self.reserved = False
         """Whether the VM is being emptied and gets no new runs."""
+        self.lent = False
+        """Whether the VM is being emptied for another pool and gets no new runs."""
         self.due = False
         """Whether the VM still needs its upkeep in a wave."""
         self.leaving = False
@@ -210,6 +212,7 @@
             and not self.foreign_runs
             and not self.closed
             and not self.reserved
+            and not self.lent
             and not self.leaving
             and not self.suspected
         )
--- a/src/pomeloyard/batch/order.py
+++ b/src/pomeloyard/batch/order.py
@@ -57,6 +57,25 @@
     )
 
 
+def time_left_ms(
+    job: JobRun,
+    queue: Queue,
+    age: timedelta,
+    expected_ms: Callable[[StepRun], float],
+) -> tuple[float, float]:
+    """Return when a job would end if it ran from now on, and its objective, in ms.
+
+    Both count from the time at which the caller first sent it.
+    """
+    objective_ms = queue.stretch * chain_ms(
+        job, expected_ms, remaining=False
+    ) + queue.objective / timedelta(milliseconds=1)
+    finish_ms = age / timedelta(milliseconds=1) + chain_ms(
+        job, expected_ms, remaining=True
+    )
+    return finish_ms, objective_ms
+
+
 def rank(
     job: JobRun,
     queue: Queue,
@@ -71,11 +90,7 @@
     """
     if job.lasting:
         return (float(queue.priority), 0.0, 0.0)
-    objective_ms = queue.stretch * chain_ms(
-        job, expected_ms, remaining=False
-    ) + queue.objective / timedelta(milliseconds=1)
-    age_ms = age / timedelta(milliseconds=1)
-    finish_ms = age_ms + chain_ms(job, expected_ms, remaining=True)
+    finish_ms, objective_ms = time_left_ms(job, queue, age, expected_ms)
     left = max(work_of(job, expected_ms, remaining=True), 0.001)
     if finish_ms <= objective_ms:
         whole = work_of(job, expected_ms, remaining=False)
@@ -83,4 +98,4 @@
         return (float(queue.priority), 1.0, -worth / left)
     if finish_ms <= 3 * objective_ms:
         return (float(queue.priority), 2.0, left)
-    return (float(queue.priority), 3.0, -age_ms)
+    return (float(queue.priority), 3.0, -age / timedelta(milliseconds=1))
--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -27,6 +27,10 @@
 """A peak that ends before a move does is not worth the move."""
 MOST_SHARE = 1.8
 """A pool gets no more than this times its own VMs ahead of a peak."""
+LENT_URGENCY = 3.0
+"""A VM costs its pool the time of emptying it and the move, about 2.5 s."""
+LEAST_URGENCY = 0.1
+"""Seconds of urgent work below which a pool is as good as idle."""
 GIVE_BACK_IDLE = timedelta(seconds=2)
 """A VM that was idle this long is given up; a peak has pauses of a second."""
 
@@ -49,6 +53,8 @@
     peak: Peak | None = None
     rests: bool = False
     """Whether its peak is over and its next one cannot come yet."""
+    urgent_core_seconds: float = 0.0
+    """Part of the waiting work whose jobs can still be in time."""
 
     @property
     def peak_is_near(self) -> bool:
@@ -75,6 +81,11 @@
         most = math.ceil(self.own_vms * MOST_SHARE)
         return min(max(self.own_vms, needed), most)
 
+    @property
+    def urgency(self) -> float:
+        """Return the urgent work in seconds of all its VMs."""
+        return self.urgent_core_seconds / (self.vm_cores * max(1, self.vms))
+
     @property
     def extra_vms(self) -> int:
         """Return how many VMs the pool can give up."""
@@ -91,6 +102,16 @@
     idle_for: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class BusyVm:
+    """A VM that runs nothing but short tasks."""
+
+    vm: str
+    pool: str
+    short_work: float
+    """Work of its tasks so far, in core-seconds."""
+
+
 @dataclass(frozen=True, slots=True)
 class Move:
     """A VM and the pool that it should join."""
@@ -134,3 +155,42 @@
             extra[spare.pool] -= 1
             moves.append(Move(spare.vm, standby_pool))
     return moves
+
+
+def choose_to_empty(
+    loads: Sequence[PoolLoad],
+    busy: Sequence[BusyVm],
+    promised: Mapping[str, int],
+    leaving: Mapping[str, int],
+) -> list[Move]:
+    """Return the busy VMs that should be emptied and then passed on.
+
+    Answers a peak that ends with a backlog while the next pool's peak begins: the VMs
+    that the first pool had borrowed are never idle, but most of what waits there is
+    late already. Only borrowed VMs are passed on, to a pool with LENT_URGENCY times the
+    urgent work for each VM. ``promised`` says how many are being emptied for a pool,
+    ``leaving`` how many of a pool are.
+    """
+    moves: list[Move] = []
+    free = sorted(busy, key=lambda b: (b.short_work, b.vm))
+    lendable = {
+        load.name: load.vms - load.own_vms - leaving.get(load.name, 0) for load in loads
+    }
+    by_name = {load.name: load for load in loads}
+    for load in sorted(loads, key=lambda d: (-d.urgency, d.name)):
+        each = load.vm_cores * CLEAR_TIME.total_seconds()
+        wanted = round(load.urgent_core_seconds / each)
+        wanted -= load.arriving_vms + promised.get(load.name, 0)
+        for candidate in list(free):
+            if wanted <= 0:
+                break
+            lender = by_name.get(candidate.pool)
+            if lender is None or lender is load or lendable[lender.name] <= 0:
+                continue
+            if load.urgency < LENT_URGENCY * max(lender.urgency, LEAST_URGENCY):
+                continue
+            free.remove(candidate)
+            lendable[lender.name] -= 1
+            wanted -= 1
+            moves.append(Move(candidate.vm, load.name))
+    return moves
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -43,7 +43,7 @@
     JobState,
     Queue,
 )
-from .order import work_of
+from .order import time_left_ms, work_of
 from .pacing import next_pace
 from .planner import Planner
 from .progress import EndKind, JobRun, Task
@@ -446,6 +446,23 @@
                 loads[queue.service] += len(step.waiting) * each
         return loads
 
+    def urgent_loads(self) -> dict[str, float]:
+        """Return the part of ``pool_loads`` whose jobs can still be in time."""
+        now = self._clock.monotonic()
+        expected_ms = self.learning.expected_ms
+        loads: dict[str, float] = defaultdict(float)
+        for job in self._live_jobs.values():
+            queue = self._queue(job.record)
+            if queue is None or job.lasting or job.smallest_ready_cpu() is None:
+                continue
+            finish, objective = time_left_ms(job, queue, now - job.seen_at, expected_ms)
+            if finish > objective:
+                continue
+            for step in job.ready_steps():
+                each = step.spec.cpu_millis * expected_ms(step) / 1_000_000
+                loads[queue.service] += len(step.waiting) * each
+        return loads
+
     def lasting_vms(self, pool: str) -> int:
         """Return how many VMs the lasting tasks of a pool need, one for each."""
         most = 0
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Coroutine
+from collections import Counter
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -12,12 +13,21 @@
 from .guarded_records import GuardedRecords
 from .link import ExecutorLink
 from .model import Configuration
-from .pools import Move, PoolLoad, SpareVm, choose_moves
+from .pools import (
+    BusyVm,
+    Move,
+    PoolLoad,
+    SpareVm,
+    choose_moves,
+    choose_to_empty,
+)
 from .turns import Peak
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
 from .vms import PoolVm, VmAnswer, VmService, VmState
 
+MAX_EMPTYING = timedelta(seconds=3)
+"""A VM that is not empty by then stays; usual tasks are shorter."""
 POOL_SIZES = "b/pool-sizes"
 """How many VMs each pool had when the first term began."""
 
@@ -35,6 +45,14 @@
         """Return a pool's present or next peak, if it can be told."""
         ...
 
+    def urgent_loads(self) -> dict[str, float]:
+        """Return the part of the waiting work that can still be in time, by pool."""
+        ...
+
+    def short_work(self, link: ExecutorLink) -> float:
+        """Return the unsaved work of short tasks on an executor, in core-seconds."""
+        ...
+
     def rests(self, pool: str) -> bool:
         """Tell whether a pool's peak is over and its next one cannot come yet."""
         ...
@@ -75,6 +93,8 @@
         self._move_time = move_time
         self._own_vms_by_pool: dict[str, int] = {}
         self._idle_since: dict[str, timedelta] = {}
+        self._emptied_for: dict[str, tuple[str, timedelta]] = {}
+        """Pool that a busy VM is emptied for, and since when, by VM."""
 
     def move(
         self,
@@ -95,6 +115,7 @@
         if standby is None:
             return
         spares = []
+        busy = []
         for vm in self._listing.vms_by_name.values():
             if not self._orders.may_order(vm.name) or vm.name in due:
                 continue
@@ -103,10 +124,60 @@
             spare = self._spare(vm, vm.pool == standby, now)
             if spare is not None:
                 spares.append(spare)
+            elif vm.name not in self._emptied_for:
+                busy.extend(self._busy(vm))
         loads = self._loads(configuration, waiting, standby)
+        self._pass_on(loads, spares, busy, now)
+        spares = [spare for spare in spares if spare.vm not in self._emptied_for]
         for move in choose_moves(loads, spares, standby):
             self._begin_move(self._listing.vms_by_name[move.vm], move)
 
+    def _busy(self, vm: PoolVm) -> list[BusyVm]:
+        """Return a VM that could be emptied, if it runs short tasks only."""
+        link = self._yard.links_by_id.get(vm.executor_id)
+        if link is None or not link.usable:
+            return []
+        if any(run.task.step.spec.lasting for run in link.runs_by_name.values()):
+            return []
+        return [BusyVm(vm.name, vm.pool, self._yard.short_work(link))]
+
+    def _pass_on(
+        self,
+        loads: Sequence[PoolLoad],
+        spares: Sequence[SpareVm],
+        busy: Sequence[BusyVm],
+        now: timedelta,
+    ) -> None:
+        """Empty busy VMs for a pool in greater need, and move them once empty."""
+        standby_left = sum(spare.on_standby for spare in spares)
+        urgent = {load.name for load in loads if load.urgent_core_seconds > 0}
+        for name, (pool, since) in list(self._emptied_for.items()):
+            vm = self._listing.vms_by_name.get(name)
+            link = self._yard.links_by_id.get(vm.executor_id) if vm else None
+            if vm is not None and link is not None and not link.runs_by_name:
+                del self._emptied_for[name]
+                link.lent = False
+                if self._orders.may_order(name) and vm.state is VmState.UP:
+                    self._begin_move(vm, Move(name, pool))
+            elif link is None or pool not in urgent or now > since + MAX_EMPTYING:
+                del self._emptied_for[name]
+                if link is not None:
+                    link.lent = False
+        if standby_left:
+            # VMs off standby come sooner and cost nobody anything.
+            return
+        promised = Counter(pool for pool, _ in self._emptied_for.values())
+        leaving = Counter(
+            self._listing.vms_by_name[name].pool for name in self._emptied_for
+        )
+        for move in choose_to_empty(loads, busy, promised, leaving):
+            vm = self._listing.vms_by_name[move.vm]
+            self._emptied_for[move.vm] = (move.pool, now)
+            self._yard.links_by_id[vm.executor_id].lent = True
+            self._lines.decided(
+                "move", move.vm, "emptied", origin=vm.pool, target=move.pool
+            )
+
     def _spare(self, vm: PoolVm, on_standby: bool, now: timedelta) -> SpareVm | None:
         if on_standby:
             return SpareVm(vm.name, vm.pool, True, timedelta(0))
@@ -121,13 +192,14 @@
         self, configuration: Configuration, waiting: dict[str, float], standby: str
     ) -> list[PoolLoad]:
         loads = []
+        urgent_loads = self._yard.urgent_loads()
         for name in configuration.pools_by_name:
             if name == standby:
                 continue
             links = [
                 link
                 for link in self._yard.links_by_id.values()
-                if link.executor.service == name and link.usable
+                if link.executor.service == name and (link.usable or link.lent)
             ]
             cores = sum(link.executor.capacity.cpu_millis for link in links) / 1000
             vm_cores = cores / len(links) if links else 1.0
@@ -141,6 +213,7 @@
             )
             own = self._own_vms_by_pool.get(name, 0)
             backlog = waiting.get(name, 0.0)
+            urgent = urgent_loads.get(name, 0.0)
             loads.append(
                 PoolLoad(
                     name,
@@ -152,6 +225,7 @@
                     lasting_vms=self._yard.lasting_vms(name),
                     peak=self._yard.next_peak(name),
                     rests=self._yard.rests(name),
+                    urgent_core_seconds=urgent,
                 )
             )
         return loads
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -403,14 +403,14 @@
         await self.put("op/config", config)
         await settle()
 
-    async def submit(self, job, *steps, **fields):
+    async def submit(self, job, *steps, queue=QUEUE, **fields):
         spec = JobSpec("payload", tuple(steps or [StepSpec(1, 1000, 100)]), **fields)
         self.specs[job] = spec
         if any(step.lasting for step in spec.steps):
             self.client.lasting.add(job)
 
         def authorize():
-            return Authorized(QUEUE, TEAM.name, self.follower.revision)
+            return Authorized(queue, TEAM.name, self.follower.revision)
 
         deadline = self.clock.monotonic() + timedelta(seconds=3)
         await self.intake.submit(job, spec, authorize, deadline)
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -14,7 +14,13 @@
 from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec, Wave
 from pomeloyard.batch.order import rank
 from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
-from pomeloyard.batch.pools import PoolLoad, SpareVm, choose_moves
+from pomeloyard.batch.pools import (
+    BusyVm,
+    PoolLoad,
+    SpareVm,
+    choose_moves,
+    choose_to_empty,
+)
 from pomeloyard.batch.progress import EndKind, JobRun, TaskState
 from pomeloyard.batch.stalls import slowness, still_for
 from pomeloyard.batch.turns import Peak, Turns
@@ -288,6 +294,28 @@
     assert [(move.vm, move.pool) for move in moves] == [("v1", "b")]
 
 
+def test_borrowed_vms_of_a_late_backlog_are_emptied_for_the_next_peak():
+    # hunt-b109-39: 13 VMs worked off a late backlog while the next pool had 6 for 8 s.
+    late = replace(pool("a", 300.0, vms=13), urgent_core_seconds=5.0)
+    peak = replace(pool("b", 200.0, vms=6), urgent_core_seconds=150.0)
+    busy = [BusyVm(f"v{n}", "a", float(n % 3)) for n in range(10)]
+    moves = choose_to_empty([late, peak], busy, {}, {})
+    assert {move.pool for move in moves} == {"b"}
+    assert [move.vm for move in moves[:4]] == ["v0", "v3", "v6", "v9"]
+    assert len(moves) == 6
+    assert len(choose_to_empty([late, peak], busy, {"b": 4}, {"a": 4})) == 2
+    assert len(choose_to_empty([late, peak], busy, {"b": 2}, {"a": 6})) == 1
+
+
+def test_a_pool_keeps_its_own_vms_and_those_that_its_own_peak_needs():
+    peak = replace(pool("b", 200.0, vms=6), urgent_core_seconds=150.0)
+    busy = [BusyVm(f"v{n}", "a", 0.0) for n in range(10)]
+    own_only = replace(pool("a", 300.0, vms=6), urgent_core_seconds=0.0)
+    assert choose_to_empty([own_only, peak], busy, {}, {}) == []
+    also_urgent = replace(pool("a", 300.0, vms=13), urgent_core_seconds=150.0)
+    assert choose_to_empty([also_urgent, peak], busy, {}, {}) == []
+
+
 def turns_after(seconds, seed=1):
     """Two pools of many small jobs and two of few large ones, in turns of 4 s."""
     chance = random.Random(seed)
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
-from pomeloyard.batch.model import StepSpec, Wave
+from pomeloyard.batch.model import Pool, StepSpec, Wave
 from pomeloyard.batch.vms import VmState
 
-from .support.batch_world import World, configuration
+from .support.batch_world import QUEUE, FakeExecutor, World, configuration
 
 pytestmark = pytest.mark.anyio
 
@@ -206,6 +207,30 @@
         assert await world.drive(6, lambda: status(world) == b"completed")
 
 
+async def test_borrowed_vms_pass_from_a_late_backlog_to_the_next_peak():
+    # hunt-b109-39: the VMs of one peak stayed with its backlog through the next one.
+    saw = replace(QUEUE, name="saws", path_prefix="/saws/", service="saw")
+    saw = replace(saw, objective=timedelta(seconds=6))
+    world = World(executors=2)
+    sawing = FakeExecutor(world.clock, "e-saw", service="saw")
+    world.fakes.append(sawing)
+    world.client.by_id["e-saw"] = sawing
+    vms = world.keep_vms(standby=2)
+    pools = [Pool("mill"), Pool("saw"), Pool("spare", standby=True)]
+    async with world.running():
+        await world.publish(configuration(2, queues=(QUEUE, saw), pools=pools))
+        await world.drive(1)
+        await world.submit("a1", StepSpec(120, 1000, 100, estimate_ms=1000))
+        assert await world.drive(5, lambda: len(vms.moves) == 2)
+        assert {pool for _, pool in vms.moves} == {"mill"}
+        await world.drive(3)
+        await world.submit("b1", StepSpec(24, 1000, 100, estimate_ms=1000), queue=saw)
+        assert await world.drive(
+            3.5, lambda: [pool for _, pool in vms.moves[2:]] == ["saw", "saw"]
+        )
+        assert world.client.stopped == []
+
+
 async def test_a_peak_borrows_standby_vms_and_gives_them_back():
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
