Wait unanswered orders out where executors keep their ids

Ruled out: the header (takes the id), stopping again (nobody can be reached yet). Change: once an executor has restarted under its id, which is kept in the store for later terms, a task whose order had no answer is placed again only when the order is too old to be carried out. Lasting tasks are not delayed. The first such restart is still exposed. Test: fails without the change.

--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -6,6 +6,7 @@
 | ``b/in/cancel/ID`` | any daemon | the job's key unchanged |
 | ``b/waiting/QUEUE/ID`` | with the job; deleted with its first start | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
+| ``b/ids-kept`` | the placing daemon, once | its epoch |
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 CANCELS = "b/in/cancel/"
 WAITING = "b/waiting/"
 RUNS = "b/runs/"
+IDS_KEPT = "b/ids-kept"
+"""Present once an executor has restarted under the id that it had."""
 
 
 def waiting_prefix(queue: str) -> str:
--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -75,6 +75,7 @@
         "fence",
         "gauge",
         "moved_at",
+        "ordered_at",
         "pace",
         "pace_sent_at",
         "percent",
@@ -96,6 +97,7 @@
         self.resumed = bool(task.saved)
         self.acknowledged_at: timedelta | None = None
         self.stop_answered_at: timedelta | None = None
+        self.ordered_at: timedelta | None = None
         self.unsure = False
         """Whether its order had no answer and no look has shown the run."""
         self.percent = 0
@@ -140,6 +142,9 @@
     def fence_lost(self, link: ExecutorLink) -> None:
         """End the term, as an executor knows a higher fencing token."""
 
+    def id_kept(self, link: ExecutorLink) -> None:
+        """Note that an executor has restarted under the id that it had."""
+
     def call_lost(self, link: ExecutorLink) -> None:
         """Note that a call to an executor got no answer."""
 
@@ -303,6 +308,7 @@
                     self.executor.executor_id,
                     report.incarnation,
                 )
+                self._handler.id_kept(self)
                 await self._void_unanswered_orders(now)
             self.incarnation = report.incarnation
             self.applied_end = self._acknowledge = 0
@@ -472,7 +478,7 @@
             fence=self.fence,
             ticket=placed.ticket,
         )
-        self._last_order_at = now
+        self._last_order_at = placed.ordered_at = now
         try:
             answer, clock = await self._client.start(
                 self.executor, order, ORDER_TIMEOUT
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -24,6 +24,7 @@
     Delete,
     Entry,
     PollingStore,
+    Put,
     Transaction,
     WatchEvent,
     scan_all,
@@ -35,7 +36,7 @@
 from .executors import Executor, ExecutorClient, RunningTask, StartAnswer
 from .follow import OperatorFollower
 from .learning import Learning
-from .link import ExecutorLink, Phase, PlacedRun
+from .link import LATE_ORDER, ExecutorLink, Phase, PlacedRun
 from .losses import CallLosses
 from .model import (
     NOTHING,
@@ -104,6 +105,8 @@
         self.learning = Learning()
         self.turns = Turns()
         self._losses = CallLosses()
+        self._ids_are_kept = False
+        """Whether a next life of an executor can have the id of the one before."""
         self._wake = anyio.Event()
         self._touched: set[str] = set()
         """Services with news since the last plan."""
@@ -149,10 +152,14 @@
 
     async def _load(self) -> int:
         """Read all jobs and their progress; return the position to follow from."""
-        incoming, runs = await both(
-            lambda: self._scan(layout.INCOMING), lambda: self._scan(layout.RUNS)
+        (incoming, runs), kept = await both(
+            lambda: both(
+                lambda: self._scan(layout.INCOMING), lambda: self._scan(layout.RUNS)
+            ),
+            lambda: self._scan(layout.IDS_KEPT),
         )
         await self._registry.loaded.wait()
+        self._ids_are_kept = bool(kept[0])
         runs_by_id = {e.key.removeprefix(layout.RUNS): e for e in runs[0]}
         cancelled = []
         for entry in incoming[0]:
@@ -417,6 +424,21 @@
         )
         self._over.set()
 
+    def id_kept(self, link: ExecutorLink) -> None:
+        """Remember that executors restart under their ids, also for later terms."""
+        if not self._ids_are_kept:
+            self._ids_are_kept = True
+            self._lines.decided("executor", link.executor.executor_id, "id-kept")
+            self.spawn(link, self._store_ids_kept)
+
+    async def _store_ids_kept(self) -> None:
+        operation = Put(layout.IDS_KEPT, b"1")
+        try:
+            await self._store.commit(Transaction((self.guard,), (operation,)))
+        except StoreError as error:
+            # The next restart that a term sees stores it.
+            log.info("that ids are kept is not stored: {}", error)
+
     def call_lost(self, link: ExecutorLink) -> None:
         """Note that a call to an executor got no answer."""
         self._losses.note(link.executor.executor_id, self._clock.monotonic())
@@ -517,6 +539,8 @@
         job.end(task, placed.run, kind, saved)
         if kind is EndKind.FAILED:
             task.not_before = now + FAILURE_PAUSE
+        if kind is EndKind.LOST:
+            self._delay_after_unanswered(placed)
         if kind is not EndKind.DONE or job.final:
             self._lines.decided(
                 "end",
@@ -533,6 +557,19 @@
             self._note_ended(job)
         self._mark(job)
 
+    def _delay_after_unanswered(self, placed: PlacedRun) -> None:
+        """Let a task wait until its unanswered order cannot be carried out any more.
+
+        Needed only where executors keep their ids: a next life could do it, and neither
+        the id nor a stop of the life before would prevent that. Lasting tasks start
+        again at once, as being away is worse for them.
+        """
+        spec = placed.task.step.spec
+        if not self._ids_are_kept or spec.lasting or not placed.unsure:
+            return
+        if placed.ordered_at is not None:
+            placed.task.not_before = placed.ordered_at + LATE_ORDER
+
     def _break_gang(self, task: Task, run: int) -> None:
         """Stop the other members of a gang's run, which cannot work without one."""
         if not task.step.spec.gang:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -81,6 +81,29 @@
         world.client.carry_out_late(fake)
 
 
+async def test_an_unanswered_order_is_waited_out_where_executors_keep_their_ids():
+    # Soak seeds 13, 27 and 28: a next life that nobody could reach yet carried out an
+    # order whose task had been done elsewhere.
+    world = World()
+    async with world.running():
+        fake = world.fakes[0]
+        await world.submit("a1")
+        assert await world.drive(6, completed(world))
+        fake.restart()
+        key = f"executors/{fake.executor.executor_id}"
+        await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
+        await world.drive(2)
+        async with world.term():
+            fake.swallow_starts = 1
+            await world.submit("a2")
+            await world.drive(1)
+            assert [order.task for order in fake.kept_orders] == ["a2.0.0.0"]
+            started = world.client.started
+            ordered_at = world.clock.monotonic()
+            assert await world.drive(14, lambda: len(started) == 2)
+            assert world.clock.monotonic() - ordered_at > timedelta(seconds=10)
+
+
 async def test_an_order_that_took_effect_without_an_answer_is_kept():
     world = World(executors=1)
     async with world.running():
