End the soak's daemons when it is terminated

Change: SIGTERM ends the soak as an interrupt does, with its daemons; the parent of several seeds terminates them.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -434,6 +434,8 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
     arguments = parser.parse_args()
+    # Ends like an interrupt, so that no daemon is left with the addresses of its seed.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     # The stand-ins' servers report the connections that the faults cut.
     logging.disable(logging.CRITICAL)
     first, _, last = arguments.seeds.partition("-")
@@ -455,13 +457,17 @@
     command = [sys.executable, "-m", "tests.soak.soak_run"]
     running = []
     failed = False
-    while seeds or running:
-        while seeds and len(running) < arguments.jobs:
-            options = ["--seeds", str(seeds.pop(0))]
-            options += ["--seconds", str(arguments.seconds)]
-            running.append(subprocess.Popen(command + options, cwd=ROOT))
-        ended = running.pop(0)
-        failed = ended.wait() != 0 or failed
+    try:
+        while seeds or running:
+            while seeds and len(running) < arguments.jobs:
+                options = ["--seeds", str(seeds.pop(0))]
+                options += ["--seconds", str(arguments.seconds)]
+                running.append(subprocess.Popen(command + options, cwd=ROOT))
+            ended = running.pop(0)
+            failed = ended.wait() != 0 or failed
+    finally:
+        for process in running:
+            process.terminate()
     return int(failed)
 
 
