Let the soak's known line pass on its listed seeds only

That went beyond KNOWN-RED.txt: seed 11 had been strict, and a new seed that shows the line is a finding. Change: the pass holds for the six seeds that showed it; 1, 10, 12, 36 and 70 are strict.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,10 +17,10 @@
 70: a call hung on a store that was cut off until the daemon's end; and, all jobs read
     again, a cancellation was applied before its job was known.
 """
-KNOWN_RED = [13, 27, 28, 74, 78]
-"""Failed once with the line of KNOWN-RED.txt, 1: an order without an answer was carried
-out by the executor's next life before it could be reached; 11 did, too. It hangs on the
-moment of a restart, not on the seed, so this line alone is let pass and printed on all.
+KNOWN_RED = [11, 13, 27, 28, 74, 78]
+"""Listed in KNOWN-RED.txt, 1: an order without an answer was carried out by the
+executor's next life before it could be reached. That line alone is let pass, on these
+seeds alone; on any other it fails, as a finding.
 
 78 also: as 70, a call that hung until the daemon's end.
 """
@@ -31,9 +31,9 @@
     return " TWICE: " in line and line.endswith(" after it was done")
 
 
-@pytest.mark.parametrize("seed", [*SEEDS, *KNOWN_RED])
+@pytest.mark.parametrize("seed", sorted({*SEEDS, *KNOWN_RED}))
 def test_promises_hold_under_random_faults(seed):
     broken, counts = anyio.run(play, seed, 8.0)
-    if broken and all(map(is_known, broken)):
+    if seed in KNOWN_RED and broken and all(map(is_known, broken)):
         pytest.xfail(f"KNOWN-RED.txt, 1: {broken}")
     assert broken == [], counts
