Call executors and the store over connections of our own, with a parser in C

Profiled outside of the bench, one call to an executor through httpcore cost 760 us of processor time on a busy machine, half of it in its pool, its locks and a parser in Python; a task takes about three calls.

Change: Connection (anyio stream, httptools parser) and a list of kept ones for each peer. Outcomes are as before: no connection means not sent, all after it unanswered. Addresses and ids that can't be sent are CallNotSentError; int() of a malformed address would otherwise have ended the term.

--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -2,51 +2,42 @@
 
 from __future__ import annotations
 
-import socket
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 import anyio
-import httpcore
-import logbook
 
 from ..errors import CallNotSentError, CallUnansweredError
+from .connection import BadAnswerError, Connection, PeerClosedError, request_bytes
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 """A connection within a region takes milliseconds; a dropped SYN is sent again
 after one second, by which time another peer is the better choice."""
 CONNECT_SHARE = 0.8
 """Share of a short call's time after which a connection is given up."""
-USER_TIMEOUT_MS = 3000
-"""Unacknowledged bytes end a connection after this long (TCP_USER_TIMEOUT)."""
 KEEPALIVE_EXPIRY_S = 20.0
 """Idle connections are closed before the peers' usual limit of 30 s."""
 MAX_CONNECTIONS = 8
-"""To one address: more prompt calls at once wait for each other. New connections have
-a price, and the pool's work grows with their square."""
+"""To one address: more prompt calls at once wait for each other, as new connections
+have a price."""
 PROMPT_S = 0.15
 """A call without an answer for this long, several times what peers usually take, no
 longer holds up the calls that wait behind it."""
 MAX_OVERDUE = 12
 """Calls to one address beyond the limit that may wait for an answer; half of a peak's
 orders to one executor may stay unanswered, each for a second."""
+MAX_PORT = 65_535
 
-_SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-]
-_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _UNANSWERED = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    BadAnswerError,
     OSError,
+    PeerClosedError,
+    TimeoutError,
 )
 
-log = logbook.Logger("pomeloyard.platform.http")
-
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -57,33 +48,47 @@
 
 
 class _Peer:
-    """Connections to one address, and the calls on them.
-
-    Calls wait here and never in httpcore's pool: a call that is cancelled there just
-    as it was given a connection leaves that connection unusable but counted.
-    """
+    """Connections to one address, and the calls on them."""
 
-    def __init__(self, prompt_calls: int) -> None:
+    def __init__(self, address: str, prompt_calls: int) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        if not host or not 0 < self._port <= MAX_PORT:
+            raise ValueError(f"{address!r} is no address")
         self._prompt_calls = prompt_calls
         self._line = anyio.Lock()
         """Keeps the calls that wait for room in order."""
         self._began_at: list[float] = []
         """Times at which the calls in flight began, in seconds."""
         self._freed = anyio.Event()
-        self.pool = self._new_pool()
-
-    def _new_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=self._prompt_calls + MAX_OVERDUE,
-            max_keepalive_connections=self._prompt_calls,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            socket_options=_SOCKET_OPTIONS,
-        )
+        self._waits = False
+        """Whether a call waits for ``_freed``."""
+        self._idle: list[Connection] = []
+        """The one that was used last comes last."""
+
+    async def connection(self, connect_s: float) -> Connection:
+        """Return a kept connection that is still open, or a new one in time."""
+        too_old = anyio.current_time() - KEEPALIVE_EXPIRY_S
+        while self._idle:
+            kept = self._idle.pop()
+            if kept.idle_since >= too_old and not kept.is_stale():
+                return kept
+            await kept.close()
+        with anyio.fail_after(connect_s):
+            return await Connection.open(self._host, self._port)
+
+    async def keep(self, connection: Connection) -> None:
+        """Keep a connection whose call was answered for the next one."""
+        if not connection.reusable or len(self._idle) >= self._prompt_calls:
+            await connection.close()
+            return
+        connection.idle_since = anyio.current_time()
+        self._idle.append(connection)
 
-    async def replace_pool(self) -> None:
-        """Start with new connections, as the old pool gives none."""
-        old, self.pool = self.pool, self._new_pool()
-        await old.aclose()
+    async def close(self) -> None:
+        """Close the connections that no call uses."""
+        while self._idle:
+            await self._idle.pop().close()
 
     def _has_room(self) -> bool:
         if len(self._began_at) >= self._prompt_calls + MAX_OVERDUE:
@@ -92,20 +97,23 @@
         prompt = sum(began_at > since for began_at in self._began_at)
         return prompt < self._prompt_calls
 
-    @asynccontextmanager
-    async def room(self) -> AsyncIterator[None]:
-        """Wait until there is room for one more call, and hold it."""
+    async def enter(self) -> float:
+        """Wait until there is room for one more call; return when it began."""
         if self._line.locked() or not self._has_room():
             async with self._line:
                 while not self._has_room():
+                    self._waits = True
                     with anyio.move_on_after(PROMPT_S):
                         await self._freed.wait()
+                self._waits = False
         began_at = anyio.current_time()
         self._began_at.append(began_at)
-        try:
-            yield
-        finally:
-            self._began_at.remove(began_at)
+        return began_at
+
+    def leave(self, began_at: float) -> None:
+        """Give the room of a call to the next."""
+        self._began_at.remove(began_at)
+        if self._waits:
             self._freed.set()
             self._freed = anyio.Event()
 
@@ -120,19 +128,21 @@
     async def close(self) -> None:
         """Close all connections."""
         for peer in self._peers_by_address.values():
-            await peer.pool.aclose()
+            await peer.close()
         self._peers_by_address.clear()
 
     async def forget(self, address: str) -> None:
         """Close the connections to an address that is no longer in use."""
         peer = self._peers_by_address.pop(address, None)
         if peer is not None:
-            await peer.pool.aclose()
+            await peer.close()
 
     def _peer(self, address: str) -> _Peer:
         peer = self._peers_by_address.get(address)
         if peer is None:
-            peer = self._peers_by_address[address] = _Peer(self._max_connections)
+            peer = self._peers_by_address[address] = _Peer(
+                address, self._max_connections
+            )
         return peer
 
     async def call(
@@ -148,33 +158,37 @@
 
         Raises CallNotSentError or CallUnansweredError within ``timeout``.
         """
-        lines = list({"Host": address, **(headers or {})}.items())
+        lines = {"Host": address, **(headers or {})}
         if body:
-            lines.append(("Content-Type", "application/json"))
+            lines["Content-Type"] = "application/json"
         limit = timeout.total_seconds()
         # Ends before the whole call does: a call without a connection was not sent.
         connect = min(CONNECT_SHARE * limit, CONNECT_TIMEOUT.total_seconds())
-        peer = self._peer(address)
-        sent = False
+        try:
+            peer = self._peer(address)
+            request = request_bytes(method, target, lines, body)
+        except ValueError as error:
+            # Addresses and ids come from what others have written.
+            raise CallNotSentError(f"{method} {target}: {error}") from error
+        connection: Connection | None = None
+        began_at: float | None = None
         try:
             with anyio.fail_after(limit):
-                async with peer.room():
-                    sent = True
-                    response = await peer.pool.request(
-                        method,
-                        f"http://{address}{target}",
-                        headers=lines,
-                        content=body,
-                        extensions={"timeout": {"connect": connect, "pool": connect}},
-                    )
-        except _NOT_SENT as error:
-            if isinstance(error, httpcore.PoolTimeout):
-                log.warning("no connection to {} became free; all are new", address)
-                await peer.replace_pool()
-            raise CallNotSentError(f"{method} {target}: {error!r}") from error
-        except (*_UNANSWERED, TimeoutError) as error:
-            if not sent:
-                detail = "no room among the calls in flight"
+                began_at = await peer.enter()
+                connection = await peer.connection(connect)
+                status, content = await connection.call(request)
+                await peer.keep(connection)
+                connection = None
+        except _UNANSWERED as error:
+            if connection is None:
+                detail = f"no connection: {error!r}"
                 raise CallNotSentError(f"{method} {target}: {detail}") from error
             raise CallUnansweredError(f"{method} {target}: {error!r}") from error
-        return Answer(response.status, response.content)
+        finally:
+            if connection is not None:
+                # Also after a cancellation: its answer would be taken for the next.
+                with anyio.CancelScope(shield=True):
+                    await connection.close()
+            if began_at is not None:
+                peer.leave(began_at)
+        return Answer(status, content)
