Keep executors by free room and waiting jobs by pool, instead of asking all for each task

Cause: at each wake the planner ranked all live jobs of the touched services, walked all 276 links, and asked each usable executor of the pool for each waiting task.

Change: Rooms holds a pool's executors in the order of their free cpu, so that the best one is found by bisection and a full pool is known at once; jobs with tasks that could run are kept by pool and noted when they change; the rank of a job holds until it changes or time alone gives it another place. Every half second all is built anew. An unreadable progress record no longer ends the term: that job is not run.

Ruled out for now: a placing role for each pool. It changes the order of effects.

--- a/src/pomeloyard/batch/order.py
+++ b/src/pomeloyard/batch/order.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from .model import Queue
@@ -76,26 +77,39 @@
     return finish_ms, objective_ms
 
 
+@dataclass(frozen=True, slots=True)
+class Rank:
+    """Place of a job among others; it holds while nothing of the job changes."""
+
+    key: tuple[float, ...]
+    """The lowest goes first."""
+    valid_until: timedelta
+    """When time alone gives the job another place."""
+
+
 def rank(
     job: JobRun,
     queue: Queue,
-    age: timedelta,
+    now: timedelta,
     expected_ms: Callable[[StepRun], float],
     mean_work: float,
-) -> tuple[float, ...]:
-    """Return the sort key of a job; the lowest goes first.
+) -> Rank:
+    """Return the place of a job among those that wait.
 
-    ``age`` is the time since the caller first sent it; ``mean_work`` is the usual
-    work of a job of its queue, in core-seconds.
+    ``mean_work`` is the usual work of a job of its queue, in core-seconds.
     """
+    priority = float(queue.priority)
     if job.lasting:
-        return (float(queue.priority), 0.0, 0.0)
+        return Rank((priority, 0.0, 0.0), timedelta.max)
+    age = now - job.seen_at
     finish_ms, objective_ms = time_left_ms(job, queue, age, expected_ms)
     left = max(work_of(job, expected_ms, remaining=True), 0.001)
     if finish_ms <= objective_ms:
         whole = work_of(job, expected_ms, remaining=False)
         worth = BASE_WORTH + (1 - BASE_WORTH) * whole / max(mean_work, 0.001)
-        return (float(queue.priority), 1.0, -worth / left)
+        until = now + timedelta(milliseconds=objective_ms - finish_ms)
+        return Rank((priority, 1.0, -worth / left), until)
     if finish_ms <= 3 * objective_ms:
-        return (float(queue.priority), 2.0, left)
-    return (float(queue.priority), 3.0, -age / timedelta(milliseconds=1))
+        until = now + timedelta(milliseconds=3 * objective_ms - finish_ms)
+        return Rank((priority, 2.0, left), until)
+    return Rank((priority, 3.0, job.seen_at.total_seconds()), timedelta.max)
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 
 from ..clock import Clock
@@ -20,15 +20,27 @@
     Queue,
     Resources,
 )
-from .order import rank, work_of
+from .order import Rank, rank, work_of
 from .progress import JobRun, StepRun, Task, TaskState
-from .spread import choose_executor, may_run
+from .spread import Rooms, may_run
 from .usage import Usage
 
 MEAN_WORK_WEIGHT = 0.05
 """Weight of a new job in its queue's mean work."""
 
 
+class _WaitingJob:
+    """A job with tasks that could run now, as it was when it last changed."""
+
+    __slots__ = ("job", "queue", "rank", "smallest_cpu")
+
+    def __init__(self, job: JobRun, queue: Queue, smallest_cpu: int) -> None:
+        self.job = job
+        self.queue = queue
+        self.smallest_cpu = smallest_cpu
+        self.rank: Rank | None = None
+
+
 class Planner:
     """Ranks jobs, chooses executors and keeps what is to be ordered once stored."""
 
@@ -59,6 +71,10 @@
         self._changed = changed
         self._mean_work_by_queue: dict[str, float] = {}
         self._to_start: list[tuple[ExecutorLink, PlacedRun]] = []
+        self._links_by_service: dict[str, list[ExecutorLink]] = {}
+        """All links, as they stood when all services were planned last."""
+        self._waiting_by_service: dict[str, dict[str, _WaitingJob]] = {}
+        """Jobs with tasks that could run now if there were room, by id."""
 
     def take_starts(self) -> list[tuple[ExecutorLink, PlacedRun]]:
         """Return the assignments since the last call; they are not durable yet."""
@@ -70,6 +86,18 @@
         mean = self._mean_work_by_queue.get(queue.name, work)
         self._mean_work_by_queue[queue.name] = mean + MEAN_WORK_WEIGHT * (work - mean)
 
+    def job_changed(self, job: JobRun) -> None:
+        """Note that tasks of a job were added, placed or have ended."""
+        queue = self._queue_of(job.record)
+        if queue is None:
+            return
+        waiting = self._waiting_by_service.setdefault(queue.service, {})
+        smallest = job.smallest_ready_cpu()
+        if job.job_id not in self._live_jobs or smallest is None:
+            waiting.pop(job.job_id, None)
+        else:
+            waiting[job.job_id] = _WaitingJob(job, queue, smallest)
+
     def plan(self, touched: set[str] | None) -> None:
         """Assign waiting tasks to executors with room.
 
@@ -79,76 +107,83 @@
         if configuration is None:
             return
         now = self._clock.monotonic()
-        links_by_service = self._links_by_service(touched, now)
-        free_by_service = {
-            service: max(
-                self._usage.free_cpu(ln.executor.executor_id, ln.executor.capacity)
-                for ln in links
-            )
-            for service, links in links_by_service.items()
-        }
-        ranked_by_service: dict[str, list[tuple[tuple[float, ...], JobRun]]]
-        ranked_by_service = defaultdict(list)
-        for job in self._live_jobs.values():
-            queue = self._queue_of(job.record)
-            if queue is None or queue.service not in links_by_service:
-                continue
-            smallest = job.smallest_ready_cpu()
-            if smallest is None or smallest > free_by_service[queue.service]:
+        if touched is None:
+            self._regroup()
+            if self._advisor is not None:
+                self._advisor.clear_wanted()
+        for service in self._links_by_service if touched is None else touched:
+            waiting = self._waiting_by_service.get(service)
+            if not waiting:
                 continue
-            key = self._rank(job, queue, now)
-            ranked_by_service[queue.service].append((key, job))
-        if self._advisor is not None and touched is None:
-            self._advisor.clear_wanted()
-        for service, ranked in ranked_by_service.items():
-            ranked.sort(key=lambda pair: pair[0])
-            jobs = [job for _, job in ranked]
-            self._place_jobs(jobs, links_by_service[service], configuration, now)
+            links = self._usable_links(service, now)
+            rooms = Rooms(links, self._usage, self._learning, now)
+            ranked = self._ranked(waiting.values(), rooms.most_free_cpu, now)
+            self._place_jobs(ranked, rooms, configuration, now)
 
-    def _links_by_service(
-        self, touched: set[str] | None, now: timedelta
-    ) -> dict[str, list[ExecutorLink]]:
-        """Return the executors that may get tasks now, of the touched services."""
-        sound: dict[str, list[ExecutorLink]] = defaultdict(list)
-        doubtful: dict[str, list[ExecutorLink]] = defaultdict(list)
+    def _regroup(self) -> None:
+        """Sort executors and jobs by service anew, as any of them may have moved."""
+        links_by_service: dict[str, list[ExecutorLink]] = defaultdict(list)
         for link in self._links_by_id.values():
-            service = link.executor.service
-            if not link.usable or (touched is not None and service not in touched):
-                continue
-            aside = self._learning.is_aside(link.executor.executor_id, now)
-            (doubtful if aside else sound)[service].append(link)
+            links_by_service[link.executor.service].append(link)
+        self._links_by_service = links_by_service
+        self._waiting_by_service = {}
+        for job in self._live_jobs.values():
+            self.job_changed(job)
+
+    def _usable_links(self, service: str, now: timedelta) -> list[ExecutorLink]:
+        """Return the executors of a service that may get tasks now."""
+        usable = [
+            link for link in self._links_by_service.get(service, ()) if link.usable
+        ]
+        sound = [
+            link
+            for link in usable
+            if not self._learning.is_aside(link.executor.executor_id, now)
+        ]
         # Doubtful executors are better than none.
-        return {**doubtful, **sound}
+        return sound or usable
+
+    def _ranked(
+        self, waiting: Iterable[_WaitingJob], most_free_cpu: int, now: timedelta
+    ) -> list[_WaitingJob]:
+        """Return the jobs of which a task may fit, the most urgent first."""
+        fitting = [entry for entry in waiting if entry.smallest_cpu <= most_free_cpu]
+        fitting.sort(key=lambda entry: self._rank(entry, now))
+        return fitting
 
-    def _rank(self, job: JobRun, queue: Queue, now: timedelta) -> tuple[float, ...]:
-        mean = self._mean_work_by_queue.get(queue.name)
-        if mean is None:
-            mean = work_of(job, self._learning.expected_ms, remaining=False)
-            self._mean_work_by_queue[queue.name] = mean
-        return rank(job, queue, now - job.seen_at, self._learning.expected_ms, mean)
+    def _rank(self, entry: _WaitingJob, now: timedelta) -> tuple[float, ...]:
+        if entry.rank is None or now >= entry.rank.valid_until:
+            job, queue = entry.job, entry.queue
+            mean = self._mean_work_by_queue.get(queue.name)
+            if mean is None:
+                mean = work_of(job, self._learning.expected_ms, remaining=False)
+                self._mean_work_by_queue[queue.name] = mean
+            entry.rank = rank(job, queue, now, self._learning.expected_ms, mean)
+        return entry.rank.key
 
     def _place_jobs(
         self,
-        jobs: Iterable[JobRun],
-        links: list[ExecutorLink],
+        ranked: Iterable[_WaitingJob],
+        rooms: Rooms,
         configuration: Configuration,
         now: timedelta,
     ) -> None:
-        for job in jobs:
+        for entry in ranked:
+            if entry.smallest_cpu > rooms.most_free_cpu:
+                continue
+            job, advice = entry.job, entry.queue.advice
             team = configuration.teams_by_name.get(job.record.team)
             maximum = team.maximum if team else NOTHING
-            queue = self._queue_of(job.record)
-            advice = queue.advice if queue is not None else None
             for step in list(job.ready_steps()):
                 if advice is not None:
-                    self._place_advised(step, links, maximum, advice, now)
+                    self._place_advised(step, rooms, maximum, advice, now)
                 else:
-                    self._place_step(step, links, maximum, now)
+                    self._place_step(step, rooms, maximum, now)
 
     def _place_advised(
         self,
         step: StepRun,
-        links: list[ExecutorLink],
+        rooms: Rooms,
         maximum: Resources,
         advice: PlacementAdvice,
         now: timedelta,
@@ -157,13 +192,12 @@
         if self._advisor is None:
             return
         tickets = self._advisor.tickets(step, now)
-        allowed = [ln for ln in links if ln.executor.executor_id in tickets]
-        self._place_step(step, allowed, maximum, now, tickets)
+        self._place_step(step, rooms, maximum, now, tickets)
         if not step.waiting or any(now < task.not_before for task in step.tasks):
             return
         roomy = [
             link
-            for link in links
+            for link in rooms.links
             if may_run(link, step, self._usage)
             and link.executor.executor_id not in tickets
         ]
@@ -180,13 +214,13 @@
     def _place_step(
         self,
         step: StepRun,
-        links: list[ExecutorLink],
+        rooms: Rooms,
         maximum: Resources,
         now: timedelta,
         tickets: Mapping[str, str] | None = None,
     ) -> None:
         if step.spec.gang:
-            self._place_gang(step, links, maximum, now, tickets)
+            self._place_gang(step, rooms, maximum, now, tickets)
             return
         for task in list(step.waiting.values()):
             if now < task.not_before:
@@ -194,26 +228,20 @@
             if not self._usage.team_fits(step.job.record.team, maximum, step.spec):
                 break
             rack = step.spec.data_rack or self._rack_of(step)
-            allowed = self._allowed_links(task, links, now)
-            link = choose_executor(
-                task, allowed, self._usage, self._learning, now, rack
-            )
+            only_on = self._only_on(task, now)
+            link = rooms.choose(task, rack, only_on or tickets)
             if link is None:
-                if allowed is not links:
+                if only_on:
                     continue
                 break
-            self._assign(task, link, task.run + 1, now, tickets)
+            self._assign(task, link, rooms, task.run + 1, now, tickets)
 
-    def _allowed_links(
-        self, task: Task, links: list[ExecutorLink], now: timedelta
-    ) -> list[ExecutorLink]:
-        """Return the executors on which a task can't run twice."""
+    def _only_on(self, task: Task, now: timedelta) -> tuple[str, ...]:
+        """Return the one executor on which a task can't run twice, if it is bound."""
         if now >= task.only_on_until:
-            return links
+            return ()
         only = self._links_by_id.get(task.only_on)
-        if only is None or not only.registered:
-            return links
-        return [link for link in links if link is only]
+        return (task.only_on,) if only is not None and only.registered else ()
 
     def _rack_of(self, step: StepRun) -> str:
         """Return the rack of a step's placed tasks, if it has to stay in one."""
@@ -228,7 +256,7 @@
     def _place_gang(
         self,
         step: StepRun,
-        links: list[ExecutorLink],
+        rooms: Rooms,
         maximum: Resources,
         now: timedelta,
         tickets: Mapping[str, str] | None = None,
@@ -242,38 +270,41 @@
         team = step.job.record.team
         racks = [step.spec.data_rack]
         if step.spec.same_rack:
-            racks += sorted({link.executor.rack for link in links})
+            racks += sorted({link.executor.rack for link in rooms.links})
         elif not racks[0]:
             racks = [""]
         for rack in racks:
-            strict = step.spec.same_rack and rack
-            pool = [ln for ln in links if not strict or ln.executor.rack == rack]
+            among: Collection[str] | None = tickets
+            if step.spec.same_rack and rack:
+                among = {
+                    link.executor.executor_id
+                    for link in rooms.links
+                    if link.executor.rack == rack
+                    and (tickets is None or link.executor.executor_id in tickets)
+                }
             chosen: list[tuple[Task, ExecutorLink]] = []
             for task in step.tasks:
                 link = None
                 if self._usage.team_fits(team, maximum, step.spec):
-                    link = choose_executor(
-                        task, pool, self._usage, self._learning, now, rack
-                    )
+                    link = rooms.choose(task, rack, among)
                 if link is None:
                     break
-                executor = link.executor
-                self._usage.add(executor.executor_id, executor.rack, task)
+                rooms.fill(link, task)
                 chosen.append((task, link))
             for task, link in chosen:
-                executor = link.executor
-                self._usage.remove(executor.executor_id, executor.rack, task)
+                rooms.clear(link, task)
             if len(chosen) == step.spec.count:
                 saved = max((task.saved for task in step.tasks), default="")
                 for task, link in chosen:
                     task.saved = saved
-                    self._assign(task, link, run, now, tickets)
+                    self._assign(task, link, rooms, run, now, tickets)
                 return
 
     def _assign(
         self,
         task: Task,
         link: ExecutorLink,
+        rooms: Rooms,
         run: int,
         now: timedelta,
         tickets: Mapping[str, str] | None = None,
@@ -284,7 +315,7 @@
         if tickets is not None:
             placed.ticket = tickets[executor.executor_id]
         job.place(task, executor.executor_id, run, now)
-        self._usage.add(executor.executor_id, executor.rack, task)
+        rooms.fill(link, task)
         link.assign(placed)
         self._to_start.append((link, placed))
         self._changed(job)
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -79,6 +79,7 @@
         "done",
         "gang_failures",
         "job",
+        "name",
         "number",
         "occurrence",
         "placed",
@@ -100,17 +101,14 @@
         self.gang_failures = 0
         self.usual_ms: float | None = None
         """Run time of its tasks, once one is done."""
+        self.name = f"{job.job_id}.{occurrence}.{number}"
+        """Name of the step in this occurrence."""
 
     @property
     def complete(self) -> bool:
         """Tell whether all tasks are done."""
         return self.done == self.spec.count
 
-    @property
-    def name(self) -> str:
-        """Return the name of the step in this occurrence."""
-        return f"{self.job.job_id}.{self.occurrence}.{self.number}"
-
 
 class JobRun:
     """A job, its tasks and what of them is not yet stored."""
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -202,7 +202,12 @@
         age = max(timedelta(0), self._clock.now() - record.submitted_at)
         job = JobRun(job_id, record, self._queue(record), now - age)
         if run is not None:
-            job.restore(run.value, run.mod_revision)
+            try:
+                job.restore(run.value, run.mod_revision)
+            except (msgspec.MsgspecError, LookupError, ValueError) as error:
+                # What of it has run is not known, so none of it is started.
+                log.error("progress of {} is unreadable, not run: {}", job_id, error)
+                return
         self.jobs_by_id[job_id] = job
         if job.final:
             job.ended_at = now
@@ -218,6 +223,7 @@
             work = work_of(job, self.learning.expected_ms, remaining=False)
             self._planner.note_job(queue, work)
             self.turns.arrived(queue.service, job.seen_at, work)
+        self._planner.job_changed(job)
         self._lines.decided(
             "job",
             job_id,
@@ -696,6 +702,7 @@
     def _mark(self, job: JobRun) -> None:
         """Store a job's progress soon."""
         self._writer.mark(job)
+        self._planner.job_changed(job)
         self._touch_queue(job.record)
 
     def _queue(self, record: JobRecord) -> Queue | None:
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -92,7 +92,7 @@
     def ranked(arrival, now):
         at, _, job = arrival
         age = timedelta(milliseconds=now - at)
-        return rank(job, QUEUE, age, expected_ms, 1.5)
+        return rank(job, QUEUE, age, expected_ms, 1.5).key
 
     first_come = Replay(peak(seed), 8, lambda a, now: a[0]).run()
     by_rank = Replay(peak(seed), 8, ranked).run()
@@ -100,14 +100,25 @@
 
 
 def test_jobs_that_are_late_for_good_are_served_oldest_first():
-    long_late = job_of(StepSpec(1, 1000, 100, estimate_ms=500))
-    keys = [
-        rank(long_late, QUEUE, timedelta(seconds=age), expected_ms, 1.0)
-        for age in (20, 40)
-    ]
+    late, later = (job_of(StepSpec(1, 1000, 100, estimate_ms=500)) for _ in range(2))
+    late.seen_at = timedelta(seconds=20)
+    now = timedelta(seconds=40)
+    keys = [rank(job, QUEUE, now, expected_ms, 1.0).key for job in (late, later)]
     assert keys[1] < keys[0]
 
 
+def test_a_rank_holds_until_the_job_can_no_longer_be_in_time():
+    job = job_of(StepSpec(1, 1000, 100, estimate_ms=500))
+    first = rank(job, QUEUE, timedelta(0), expected_ms, 1.0)
+    just_before = first.valid_until - timedelta(milliseconds=1)
+    assert rank(job, QUEUE, just_before, expected_ms, 1.0).key == first.key
+    after = first.valid_until + timedelta(milliseconds=1)
+    late = rank(job, QUEUE, after, expected_ms, 1.0)
+    assert late.key > first.key
+    after = late.valid_until + timedelta(milliseconds=1)
+    assert rank(job, QUEUE, after, expected_ms, 1.0).key > late.key
+
+
 def test_calls_get_lost_only_if_several_executors_lose_them():
     losses = CallLosses()
     losses.note("e-1", SECOND)
@@ -182,7 +193,7 @@
     fresh = job_of(*[StepSpec(4, 1000, 100, estimate_ms=800)] * 2, job_id="a2")
     age = timedelta(seconds=0.5)
     first = rank(nearly, QUEUE, age, expected_ms, 6.4)
-    assert first < rank(fresh, QUEUE, age, expected_ms, 6.4)
+    assert first.key < rank(fresh, QUEUE, age, expected_ms, 6.4).key
 
 
 def test_progress_survives_storing_and_loading():
