Learn the turns of peaks in the order of the jobs after a change of the term

Cause: a new term loads jobs by their keys, which are random, and noted each job's arrival in that order. The onsets of peaks, whether one is at work, and the period were then wrong, so that a pool was taken to rest in its own peak, or to be near one. Found by reading. Ruled out: sorting in Turns (arrivals come in order but here).

Change: jobs are added in the order of their acceptance (the store's revisions). Test: test_a_successor_knows_when_the_peaks_began, failed before.

--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -164,7 +164,8 @@
         self._ids_are_kept = self._ids_are_kept or bool(kept[0])
         runs_by_id = {e.key.removeprefix(layout.RUNS): e for e in runs[0]}
         cancelled = []
-        for entry in incoming[0]:
+        # In the order of their acceptance, by which the turns of peaks are learned.
+        for entry in sorted(incoming[0], key=lambda found: found.mod_revision):
             if entry.key.startswith(layout.CANCELS):
                 cancelled.append(entry.key.removeprefix(layout.CANCELS))
             else:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -501,3 +501,26 @@
         assert await world.drive(9, completed(world))
         assert [run for _, run, _ in world.client.started] == [1, 1, 2, 2]
         assert len(world.client.stopped) == 1
+
+
+async def test_a_successor_knows_when_the_peaks_began():
+    # Jobs are loaded by their ids, which say nothing of time: the arrivals of a peak
+    # looked like several, and the pool was taken to rest while its peak was at work.
+    world = World(executors=1, cpu=40_000)
+    async with world.running() as term:
+        number = 0
+        for _ in range(2):
+            await world.drive(8)
+            for _ in range(12):
+                number += 1
+                # Ids that come in another order than the jobs.
+                await world.submit(f"{number * 7919 % 1000:04}")
+                await world.drive(0.2)
+        async with world.term() as successor:
+            await world.drive(0.5)
+            now = world.clock.monotonic()
+            assert successor.turns.period() == term.turns.period()
+            peaks = [known.turns.peak("mill", now) for known in (term, successor)]
+            assert peaks[1].starts_in == peaks[0].starts_in
+            assert peaks[1].core_rate == pytest.approx(peaks[0].core_rate)
+            assert successor.rests("mill") == term.rests("mill")
