Send nothing on a role that ran out in a pause; contain one peer's bad message

Cause 1 (a paused process acts on a permission that has run out): the lease is checked whenever the work's own coroutine goes on, but orders, looks and VM operations run in tasks of their own, and wait for room and a connection after the last check. The fence refuses them at an executor that the successor has met; at a VM that it has not met yet, a move or an upkeep of the paused holder would have been carried out and would have ended what runs there. Now still_held() is asked right before the bytes are sent.

Cause 2 (one malformed message takes everything down): times beyond what a timedelta holds raised OverflowError, in a wave's time (the follower, so the whole daemon), in an executor's clock and in advice (the term, and each successor's). Now typed as the other unreadable messages. Any unexpected error of work on one executor's link is logged, its orders count as unanswered, and the term goes on.

A task whose order had no answer tries another executor first: one that answers none would otherwise be chosen again and again, as it is the fullest.

Ruled out: swallowing errors in the writer or the VM keeper; there the term still ends.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -273,9 +273,26 @@
                 if isinstance(error, CallUnansweredError):
                     self._handler.call_lost(self)
                 self._note_silent(str(error))
-                delay = RETRY_DELAY * min(2**self._failures, 16)
-                delay = min(delay, MAX_RETRY_DELAY) * random.uniform(0.7, 1.3)
-                await self._clock.sleep(delay)
+                await self._pause()
+            except Exception as error:
+                # One executor's trouble must not end the term for all others.
+                log.exception("look at executor {} failed", self.executor.executor_id)
+                self._note_silent(repr(error))
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before the next look, longer with each one that failed."""
+        delay = RETRY_DELAY * min(2**self._failures, 16)
+        delay = min(delay, MAX_RETRY_DELAY) * random.uniform(0.7, 1.3)
+        await self._clock.sleep(delay)
+
+    def doubt(self, reason: str) -> None:
+        """Take what was ordered for unanswered, as work on this link has failed."""
+        self._note_silent(reason)
+        for placed in self.runs_by_name.values():
+            if placed.phase is Phase.ORDERED:
+                placed.phase = Phase.UNSURE
+                placed.unsure = True
 
     async def _look(self) -> None:
         asked_at = self._clock.monotonic()
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -11,6 +11,9 @@
 from .model import FINAL_STATES, JobRecord, JobState, Queue, StepSpec
 from .records import RunRecord, StepRows, TaskRow
 
+MAX_AVOIDED = 4
+"""Executors that a task avoids; more would leave none in a small pool."""
+
 
 class TaskState(Enum):
     """Where a task stands; the values are stored."""
@@ -71,6 +74,10 @@
         self.only_on_until = timedelta(0)
         self.started_at = timedelta(0)
 
+    def avoid(self, executor: str) -> None:
+        """Prefer others to an executor on which a run failed or got lost."""
+        self.failed_on = (*self.failed_on, executor)[-MAX_AVOIDED:]
+
 
 class StepRun:
     """The tasks of one step in one occurrence."""
@@ -244,7 +251,7 @@
             self.state = JobState.COMPLETED
 
     def _count_failure(self, step: StepRun, task: Task) -> None:
-        task.failed_on = (*task.failed_on, task.executor)[-4:]
+        task.avoid(task.executor)
         if step.spec.lasting:
             return
         if step.spec.gang:
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -438,9 +438,29 @@
         work: Callable[..., Coroutine[Any, Any, None]],
         *args: object,
     ) -> None:
-        """Run a coroutine function in the background of the term."""
-        if self._tasks is not None and not self._over.is_set():
+        """Run a coroutine function in the background of the term.
+
+        An unexpected failure of work on a link concerns its executor only; any other
+        ends the term.
+        """
+        if self._tasks is None or self._over.is_set():
+            return
+        if link is None:
             self._tasks.start_soon(work, *args)
+        else:
+            self._tasks.start_soon(self._contain, link, work, *args)
+
+    async def _contain(
+        self,
+        link: ExecutorLink,
+        work: Callable[..., Coroutine[Any, Any, None]],
+        *args: object,
+    ) -> None:
+        try:
+            await work(*args)
+        except Exception as error:
+            log.exception("work on executor {} failed", link.executor.executor_id)
+            link.doubt(repr(error))
 
     def fence_lost(self, link: ExecutorLink) -> None:
         """End the term, as an executor knows a higher fencing token."""
@@ -578,7 +598,9 @@
         job.end(task, placed.run, kind, saved)
         if kind is EndKind.FAILED:
             task.not_before = now + FAILURE_PAUSE
-        if kind is EndKind.LOST:
+        if kind is EndKind.LOST and placed.unsure:
+            # Another executor is tried first, as this one may answer none.
+            task.avoid(executor_id)
             self._delay_after_unanswered(link, placed)
         if kind is not EndKind.DONE or job.final:
             self._lines.decided(
@@ -603,7 +625,7 @@
         the id nor a stop of the life before would prevent that. A lasting task starts
         again at once, on the same executor, where the late order cannot double it.
         """
-        if not self._ids_are_kept or not placed.unsure or placed.ordered_at is None:
+        if not self._ids_are_kept or placed.ordered_at is None:
             return
         task = placed.task
         until = placed.ordered_at + LATE_ORDER
--- a/src/pomeloyard/platform/advice.py
+++ b/src/pomeloyard/platform/advice.py
@@ -9,6 +9,7 @@
 
 from ..batch.advice import Advice, AdviceService
 from ..errors import CallUnansweredError
+from .executors import time_of
 from .http import HttpCaller
 
 
@@ -39,4 +40,4 @@
             told = msgspec.json.decode(answer.body, type=_Answer)
         except msgspec.MsgspecError as error:
             raise CallUnansweredError(f"/advise: {error}") from error
-        return Advice(dict(told.good), timedelta(milliseconds=told.valid_ms))
+        return Advice(dict(told.good), time_of(told.valid_ms))
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -98,7 +98,7 @@
             self._store,
             self._follower,
             registry,
-            PlatformExecutors(self._executor_caller),
+            PlatformExecutors(self._executor_caller, role.still_held),
             self._lines,
             role,
             guard,
@@ -114,7 +114,9 @@
             self._clock,
             self._store,
             self._follower,
-            PlatformVms(self._caller, settings.vm_service_address),
+            PlatformVms(
+                self._caller, settings.vm_service_address, term.role.still_held
+            ),
             PlatformDocuments(),
             self._lines,
             term,
--- a/src/pomeloyard/platform/documents.py
+++ b/src/pomeloyard/platform/documents.py
@@ -163,7 +163,7 @@
         return Wave(
             wave.wave,
             tuple(wave.machines),
-            timedelta(seconds=wave.complete_by_s),
+            _ms(wave.complete_by_s * 1000),
             wave.maximum,
         )
 
@@ -203,9 +203,9 @@
     advice = None
     if route.advice is not None:
         advice = PlacementAdvice(
-            timedelta(milliseconds=route.advice.decide_ms),
-            timedelta(milliseconds=route.advice.each_ms),
-            timedelta(milliseconds=route.advice.valid_ms),
+            _ms(route.advice.decide_ms),
+            _ms(route.advice.each_ms),
+            _ms(route.advice.valid_ms),
         )
     return Queue(
         name=route.name,
@@ -215,7 +215,14 @@
         priority=route.priority,
         max_attempts=route.max_attempts,
         stretch=route.stretch,
-        objective=timedelta(milliseconds=route.slo_ms),
+        objective=_ms(route.slo_ms),
         public=route.public,
         advice=advice,
     )
+
+
+def _ms(milliseconds: float) -> timedelta:
+    try:
+        return timedelta(milliseconds=milliseconds)
+    except OverflowError as error:
+        raise DocumentError(f"no length of time: {milliseconds} ms") from error
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import TypeVar
 
@@ -18,7 +19,7 @@
 )
 from ..batch.progress import EndKind
 from ..errors import CallUnansweredError, StaleFenceError
-from .http import Answer, HttpCaller
+from .http import Answer, HttpCaller, always
 
 INSTANCE_HEADER = "X-Expect-Instance"
 MAX_ENDS = 500
@@ -49,10 +50,13 @@
 
 
 class PlatformExecutors(ExecutorClient):
-    """Client of all executors."""
+    """Client of all executors; calls only while ``permitted`` says so."""
 
-    def __init__(self, caller: HttpCaller) -> None:
+    def __init__(
+        self, caller: HttpCaller, permitted: Callable[[], bool] = always
+    ) -> None:
         self._caller = caller
+        self._permitted = permitted
 
     async def start(
         self, executor: Executor, order: StartOrder, timeout: timedelta
@@ -77,7 +81,7 @@
         if answer.status not in (200, 409):
             raise CallUnansweredError(f"/run-start: status {answer.status}")
         told = _decode(answer, _Clock)
-        clock = _time(told.clock_ms)
+        clock = None if told.clock_ms is None else time_of(told.clock_ms)
         if answer.status == 200:
             return StartAnswer.STARTED, clock
         _check_fence(executor, told.reason)
@@ -117,7 +121,7 @@
             raise CallUnansweredError(f"/hold: status {answer.status}")
         lists = _decode(answer, _Lists)
         return Report(
-            clock=timedelta(milliseconds=lists.clock_ms),
+            clock=time_of(lists.clock_ms),
             incarnation=lists.born,
             running=tuple(_running(row) for row in lists.running),
             ended=tuple(_end(*row) for row in lists.ended),
@@ -155,6 +159,7 @@
             timeout,
             msgspec.json.encode(body),
             {INSTANCE_HEADER: executor.executor_id},
+            self._permitted,
         )
 
 
@@ -169,7 +174,7 @@
             int(percent),  # type: ignore[call-overload]
             int(gauge or 0),  # type: ignore[call-overload]
         )
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, OverflowError) as error:
         raise CallUnansweredError(f"unreadable row {row!r}") from error
 
 
@@ -196,5 +201,9 @@
     return round(time / timedelta(milliseconds=1))
 
 
-def _time(milliseconds: float | None) -> timedelta | None:
-    return None if milliseconds is None else timedelta(milliseconds=milliseconds)
+def time_of(milliseconds: float) -> timedelta:
+    """Return a length of time that a peer told; raises CallUnansweredError."""
+    try:
+        return timedelta(milliseconds=milliseconds)
+    except OverflowError as error:
+        raise CallUnansweredError(f"no time: {milliseconds}") from error
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -47,6 +47,11 @@
     body: bytes
 
 
+def always() -> bool:
+    """Permit every call."""
+    return True
+
+
 class _Peer:
     """Connections to one address, and the calls on them."""
 
@@ -153,9 +158,12 @@
         timeout: timedelta,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        permitted: Callable[[], bool] = always,
     ) -> Answer:
         """Send one call to ``host:port`` and return its answer.
 
+        ``permitted`` is asked right before the call is sent, after all waiting.
+
         Raises CallNotSentError or CallUnansweredError within ``timeout``.
         """
         lines = {"Host": address, **(headers or {})}
@@ -176,6 +184,8 @@
             with anyio.fail_after(limit):
                 began_at = await peer.enter()
                 connection = await peer.connection(connect)
+                if not permitted():
+                    raise CallNotSentError(f"{method} {target}: no longer permitted")
                 status, content = await connection.call(request)
                 await peer.keep(connection)
                 connection = None
--- a/src/pomeloyard/platform/vms.py
+++ b/src/pomeloyard/platform/vms.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
+from urllib.parse import quote
 
 import msgspec
 
 from ..batch.vms import PoolVm, VmAnswer, VmService, VmState
 from ..errors import CallUnansweredError, StaleFenceError
-from .http import HttpCaller
+from .http import HttpCaller, always
 
 CALL_TIMEOUT = timedelta(seconds=1.5)
 MAX_PAGES = 50
@@ -44,9 +46,15 @@
 class PlatformVms(VmService):
     """Client of the VM service at one address."""
 
-    def __init__(self, caller: HttpCaller, address: str) -> None:
+    def __init__(
+        self,
+        caller: HttpCaller,
+        address: str,
+        permitted: Callable[[], bool] = always,
+    ) -> None:
         self._caller = caller
         self._address = address
+        self._permitted = permitted
 
     async def list(self) -> tuple[PoolVm, ...]:
         """Return all VMs."""
@@ -63,7 +71,7 @@
             found.extend(_vm(machine) for machine in page.machines)
             if not page.next_token:
                 break
-            target = f"/machines?page_token={page.next_token}"
+            target = f"/machines?page_token={quote(page.next_token, safe='')}"
         return tuple(found)
 
     async def move(self, vm: str, pool: str, holder: str, fence: int) -> VmAnswer:
@@ -86,6 +94,7 @@
             CALL_TIMEOUT,
             msgspec.json.encode(body),
             {"X-Duty-Holder": holder, "X-Fencing-Token": str(fence)},
+            self._permitted,
         )
         if answer.status == 200:
             return VmAnswer.DONE
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -60,6 +60,9 @@
     vacant_at: timedelta
     """When the role was seen vacant, by the clock's monotonic time; the holder before
     had stopped by then."""
+    still_held: Callable[[], bool] = lambda: True
+    """Tells whether no other daemon can have taken the role; asked right before each
+    effect, as the process may have been paused since the last wait."""
 
 
 class RoleLostError(PomeloyardError):
@@ -180,7 +183,7 @@
                 Change(EPOCHS + self._name, epoch, earlier),
             ],
         )
-        return HeldRole(epoch, revision, vacant_at)
+        return HeldRole(epoch, revision, vacant_at, self.still_held)
 
     async def _give_up(self, lease: int) -> None:
         """Let others take the role at once; otherwise the lease expires."""
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -104,3 +104,38 @@
             with anyio.move_on_after(0.001 * (number % 10)):
                 await call_many(caller, address, "/answer", 6, SECOND)
         assert await call_many(caller, address, "/answer", 6, SECOND) == [None] * 6
+
+
+async def test_nothing_is_sent_on_a_permission_that_ran_out_while_the_call_waited():
+    # A paused process goes on between its last wait and the send; see role-guard.md.
+    permitted = True
+
+    async def slow_answer(request):
+        nonlocal permitted
+        permitted = False
+        await anyio.sleep(0)
+        return Response(b"here")
+
+    calls = 0
+
+    async def count(request):
+        nonlocal calls
+        calls += 1
+        return Response(b"here")
+
+    peer = Starlette(routes=[Route("/slow", slow_answer), Route("/count", count)])
+    async with serving(peer) as address:
+        caller = HttpCaller(1)
+
+        async def call():
+            with pytest.raises(CallNotSentError):
+                await caller.call(
+                    "GET", address, "/count", SECOND, permitted=lambda: permitted
+                )
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(caller.call, "GET", address, "/slow", SECOND)
+            await anyio.lowlevel.checkpoint()
+            tasks.start_soon(call)
+        assert calls == 0
+        await caller.close()
--- /dev/null
+++ b/tests/platform/test_malformed.py
@@ -0,0 +1,177 @@
+"""Messages with fields that are missing, of another type, or beyond all bounds."""
+
+from __future__ import annotations
+
+import copy
+import json
+import random
+from datetime import timedelta
+
+import pytest
+
+from pomeloyard.batch.executors import Executor, StartOrder
+from pomeloyard.batch.follow import DocumentError
+from pomeloyard.batch.model import Resources, check_spec
+from pomeloyard.errors import CallNotSentError, CallUnansweredError, RefusedError
+from pomeloyard.platform.advice import PlatformAdvice
+from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
+from pomeloyard.platform.executors import PlatformExecutors
+from pomeloyard.platform.front import decode_job
+from pomeloyard.platform.http import Answer
+from pomeloyard.platform.vms import PlatformVms
+
+pytestmark = pytest.mark.anyio
+SEEDS = range(400)
+SECOND = timedelta(seconds=1)
+ODD = [None, "", "x", -1, 0, 1.5, 1e300, -1e300, 10**30, True, [], {}, [[]], "\u2603"]
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "hostname": "h",
+            "prefix": "/p/",
+            "service": "s",
+            "priority": 1,
+            "max_attempts": 3,
+            "stretch": 1.6,
+            "slo_ms": 600,
+            "advice": {"decide_ms": 1, "each_ms": 1, "valid_ms": 10},
+        }
+    ],
+    "services": [{"name": "s", "standby": True}],
+    "tenants": [{"name": "t", "api_keys": ["k"], "maximum": {"cpu": 1}}],
+    "limits": {"max_body_bytes": 1000},
+}
+WAVE = {"wave": 3, "machines": ["m"], "complete_by_s": 25.0, "maximum": 4}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 0},
+    "labels": ["a", "r1"],
+    "sequence": 1,
+    "born": 5,
+}
+LISTS = {
+    "clock_ms": 2000,
+    "born": 77,
+    "running": [["a", 1, "s", 40, 12]],
+    "ended": [[4, "c", 1, "done", ""]],
+    "remaining_ms": 100,
+}
+STARTED = {"clock_ms": 1, "reason": "room"}
+MACHINES = {
+    "machines": [{"machine": "m", "pool": "p", "state": "up", "id": "i"}],
+    "next_token": None,
+}
+ADVICE = {"good": [["i-1", "t-1"]], "valid_ms": 3000}
+JOB = {
+    "task_spec": "text",
+    "steps": [
+        {"count": 4, "cpu": 500, "mem_mb": 256, "est_ms": 900, "affinity": "r1"},
+        {"count": 2, "after": [0], "saves_progress": True},
+    ],
+    "first_ms": 1,
+    "interval_ms": 1,
+    "repeat_count": 2,
+}
+
+
+def damaged(message, seed):
+    """Return the message as bytes with one or two places changed."""
+    chance = random.Random(seed)
+    message = copy.deepcopy(message)
+    for _ in range(chance.choice([1, 1, 2])):
+        place = message
+        while True:
+            keys = list(place) if isinstance(place, dict) else list(range(len(place)))
+            if not keys:
+                break
+            key = chance.choice(keys)
+            if isinstance(place[key], dict | list) and chance.random() < 0.7:
+                place = place[key]
+                continue
+            if chance.random() < 0.2 and isinstance(place, dict):
+                del place[key]
+            else:
+                place[key] = copy.deepcopy(chance.choice(ODD))
+            break
+    content = json.dumps(message).encode()
+    if chance.random() < 0.1:
+        content = content[: chance.randrange(len(content))]
+    return content
+
+
+class Caller:
+    """Answers every call with the same bytes."""
+
+    def __init__(self, content, status=200):
+        self.answer = Answer(status, content)
+
+    async def call(self, *args, **options):
+        return self.answer
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.parametrize(
+    ("message", "decode"),
+    [
+        (CONFIG, PlatformDocuments().configuration),
+        (WAVE, lambda content: PlatformDocuments().wave("op/wave/3", content)),
+        (ENTRY, lambda content: RegistrationDocuments().executor("servers/i", content)),
+    ],
+    ids=["configuration", "wave", "registration"],
+)
+def test_what_others_wrote_to_the_store_is_taken_or_ignored(message, decode):
+    decode(json.dumps(message).encode())
+    for seed in SEEDS:
+        try:
+            decode(damaged(message, seed))
+        except DocumentError:
+            continue
+
+
+def test_a_submission_is_taken_or_refused():
+    check_spec(decode_job(json.dumps(JOB).encode()))
+    for seed in SEEDS:
+        try:
+            check_spec(decode_job(damaged(JOB, seed)))
+        except RefusedError:
+            continue
+
+
+async def test_answers_of_peers_are_taken_or_count_as_none():
+    executor = Executor("i", "a:1", "s", "z", Resources(1), (), False, 5)
+    order = StartOrder("a1.0.0.0", 2, "text", "cp", 9 * SECOND, 7)
+    for seed in SEEDS:
+        random.seed(seed)
+        calls = (
+            lambda content: PlatformExecutors(Caller(content)).look(
+                executor,
+                fence=1,
+                acknowledged=0,
+                lease_until=None,
+                wait=SECOND,
+                timeout=SECOND,
+            ),
+            lambda content: PlatformVms(Caller(content), "a:1").list(),
+            lambda content: PlatformAdvice(Caller(content), "a:1").advise(
+                "a1.0.0", ["i"], SECOND
+            ),
+            lambda content: PlatformExecutors(
+                Caller(content, random.choice([200, 409]))
+            ).start(executor, order, SECOND),
+        )
+        messages = (LISTS, MACHINES, ADVICE, STARTED)
+        for message, call in zip(messages, calls, strict=True):
+            try:
+                await call(damaged(message, seed))
+            except (CallUnansweredError, CallNotSentError):
+                continue
