Let VMs on their way to another pool hold up no upkeep

As the peaks end, dozens are given to standby; seven idle ones then waited for their upkeep from second 23 to 30, one, three and four at a time, with 47 allowed at once.

Ruled out: lasting tasks (none was on these VMs), the pace (8 were wanted at once).

Change: only an upkeep that is ordered, or that the list shows, counts.

Test: test_vms_on_their_way_to_another_pool_hold_up_no_upkeep, failed before.

--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -132,16 +132,7 @@
             await self._complete(work)
             return
         await self._tell_status(work, completed=False)
-        down = [
-            name
-            for name in wave.vms
-            if name in self._orders.by_vm
-            or (
-                vm.state is VmState.IN_UPKEEP
-                if (vm := self._listing.vms_by_name.get(name)) is not None
-                else not self._listing.is_gone(name)
-            )
-        ]
+        down = [name for name in wave.vms if self._is_down(name)]
         listed = [name for name in left if name in self._listing.vms_by_name]
         unanswered = [
             name
@@ -182,6 +173,16 @@
                 if not candidate.may_go and link is not None:
                     self._separate(link)
 
+    def _is_down(self, name: str) -> bool:
+        """Tell whether a VM may be down for its upkeep; a move is none."""
+        operation = self._orders.by_vm.get(name)
+        if operation is not None:
+            return operation.kind == "upkeep"
+        vm = self._listing.vms_by_name.get(name)
+        if vm is None:
+            return not self._listing.is_gone(name)
+        return vm.state is VmState.IN_UPKEEP
+
     def _candidate(
         self, vm: PoolVm, waiting: dict[str, float], now: timedelta
     ) -> UpkeepCandidate:
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -64,6 +64,23 @@
         assert await world.drive(20, lambda: status(world) == b"completed")
 
 
+async def test_vms_on_their_way_to_another_pool_hold_up_no_upkeep():
+    # lilim-yard-large quiet-1, b6e8d5dc: peaks ended and VMs went to standby, and seven
+    # VMs of the wave waited 5 s for the moves of others.
+    world = World(executors=4)
+    vms = world.keep_vms()
+    async with world.running() as term:
+        await world.drive(2)
+        names = sorted(vms.vms)
+        for name in names[:2]:
+            term.keeper._orders.begin(
+                vms.vms[name], "move", "spare", timedelta(seconds=60)
+            )
+        await world.put("op/wave/1", wave_of(vms, at_once=2))
+        assert await world.drive(8, lambda: len(vms.maintained) == 2)
+        assert sorted(vm for vm, _ in vms.maintained) == names[2:]
+
+
 async def test_an_upkeep_without_an_answer_is_asked_again_and_counts():
     world = World(executors=3)
     vms = world.keep_vms()
