--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -546,3 +546,20 @@
         assert await world.drive(8, completed(world, "a2"))
         assert {executor for _, _, executor in world.client.started} == {"e-1"}
         assert not term._over.is_set()
+
+
+async def test_an_unreadable_progress_record_runs_nothing_and_ends_no_term():
+    # What of the job has run is not known, so starting it could double it.
+    unreadable = (b"\xc1", b"\x93\x01", b"\x92\xa7running\x91\x94\x09\x09\x90\x00")
+    world = World()
+    async with world.running() as term:
+        term.end_term("the next ones load the records")
+        await world.drive(0.1)
+        for number, content in enumerate(unreadable):
+            await world.submit(f"a{number}")
+            await world.put(f"{layout.RUNS}a{number}", content)
+            async with world.term():
+                await world.submit(f"b{number}")
+                assert await world.drive(5, completed(world, f"b{number}"))
+        jobs = [task.split(".")[0] for task, _, _ in world.client.started]
+        assert jobs == ["b0", "b1", "b2"]
