Pass store calls on for daemons that the store turns away

Where it turns a third of the daemons away, their callers get 503 and lose part of their 3 s.

Change: after two failed calls in a row a daemon calls the store through another one, which it knows from the store (relays/VM), until a probe is answered directly. A relay that does not reach the store answers 503 at once, so an outage for all causes no rush.

Tests: tests/platform/test_relay.py (both kinds of refusal, a relay that is turned away too, an answer lost behind the relay is unknown, no relaying for relays, probes, damaged calls, an outage with 96 peers).

--- a/src/pomeloyard/keyvalue/layout.py
+++ b/src/pomeloyard/keyvalue/layout.py
@@ -12,6 +12,9 @@
 VMS = "f/vms/"
 ROLES = "f/roles/"
 
+RELAYS = "relays/"
+"""Addresses at which daemons pass calls to the store on, by VM."""
+
 CONFIG_REVISIONS = "config/revisions/"
 CONFIG_HISTORY = "config/history"
 JOBS = "jobs/"
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -30,6 +30,7 @@
 from .front import Front, MetricText, Readiness
 from .http import HttpCaller
 from .kv import PlatformStore
+from .relay import Relay, RelayPeers
 from .settings import PlatformSettings, read_settings
 from .vms import PlatformVms
 
@@ -65,6 +66,9 @@
         self._caller = HttpCaller()
         self._executor_caller = HttpCaller(EXECUTOR_CONNECTIONS)
         self._store = PlatformStore(self._caller, settings.store_address)
+        self._peers = RelayPeers(
+            clock, self._store, settings.vm, settings.relay_address
+        )
         self._advice = (
             PlatformAdvice(self._caller, settings.advice_address)
             if settings.advice_address
@@ -141,6 +145,10 @@
             tasks.start_soon(
                 ready.serve, [tcp_listener(self._settings.readiness_address)]
             )
+            relay = _server(Relay(self._store), self._settings.relay_address)
+            tasks.start_soon(relay.serve, [tcp_listener(self._settings.relay_address)])
+            tasks.start_soon(self._peers.run)
+            tasks.start_soon(self._peers.probe)
             tasks.start_soon(self._compete, role_scope)
             metrics = _server(MetricText(self._metrics), self._settings.metrics_address)
             tasks.start_soon(
@@ -151,7 +159,8 @@
             log.info("daemon stops")
             role_scope.cancel()
             await self._clock.sleep(CLOSING_TIME)
-            front.should_exit = ready.should_exit = metrics.should_exit = True
+            for server in (front, ready, metrics, relay):
+                server.should_exit = True
             limit = self._settings.stop_grace - 2 * CLOSING_TIME
             await wait_idle(front, limit)
             tasks.cancel_scope.cancel()
--- a/src/pomeloyard/platform/front.py
+++ b/src/pomeloyard/platform/front.py
@@ -19,7 +19,8 @@
 from ..batch.model import JobSpec, StepSpec
 from ..clock import Clock
 from ..errors import OutcomeUnknownError, RefusedError
-from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
+from ..outcomes import RefusalReason, Unknown, UnknownReason
+from .bodies import read_body, refused
 
 DEFAULT_DEADLINE = timedelta(seconds=3)
 """For callers that do not say how long they wait."""
@@ -84,8 +85,7 @@
     try:
         job = msgspec.json.decode(body, type=_Job)
     except msgspec.MsgspecError as error:
-        refusal = Refused(RefusalReason.INVALID_INPUT, str(error))
-        raise RefusedError(refusal) from error
+        raise refused(RefusalReason.INVALID_INPUT, str(error)) from error
     return JobSpec(
         payload=job.task_spec,
         steps=tuple(_step(step) for step in job.steps),
@@ -244,14 +244,14 @@
         limit = max(deadline - self._clock.monotonic(), timedelta(0))
         body: bytes | None = None
         with anyio.move_on_after(limit.total_seconds()):
-            body = await _read_body(receive, self._max_body())
+            body = await read_body(receive, self._max_body())
             return await self._answer(method, path, headers, body, deadline)
         if body is None:
-            raise _refused(RefusalReason.NOT_READY, "the body came too late")
+            raise refused(RefusalReason.NOT_READY, "the body came too late")
         detail = "no answer from the store while the caller waited"
         if method in CHANGING_METHODS:
             raise OutcomeUnknownError(Unknown(UnknownReason.ANSWER_LOST, detail))
-        raise _refused(RefusalReason.NOT_READY, detail, seconds=1)
+        raise refused(RefusalReason.NOT_READY, detail, seconds=1)
 
     async def _answer(
         self,
@@ -274,7 +274,7 @@
             authorize()
             return HTTPStatus.OK, {"waiting": waiting}
         if not job_id or len(job_id) > MAX_ID_CHARACTERS or not job_id.isalnum():
-            raise _refused(RefusalReason.NOT_FOUND, "no such job")
+            raise refused(RefusalReason.NOT_FOUND, "no such job")
         if method == "POST":
             await self._intake.submit(job_id, decode_job(body), authorize, deadline)
             return HTTPStatus.OK, {}
@@ -298,15 +298,15 @@
         """Return queue and team of a call; raises RefusedError."""
         current = self._follower.current
         if current is None or not self._is_current():
-            raise _refused(
+            raise refused(
                 RefusalReason.NOT_READY, "configuration may be outdated", seconds=1
             )
         queue = current.queue_at(host, path)
         if queue is None:
-            raise _refused(RefusalReason.NOT_FOUND, "no such queue")
+            raise refused(RefusalReason.NOT_FOUND, "no such queue")
         team = current.team_by_key.get(key, "")
         if not team and not queue.public:
-            raise _refused(RefusalReason.KEY_INVALID, "unknown key")
+            raise refused(RefusalReason.KEY_INVALID, "unknown key")
         return Authorized(queue, team, self._follower.revision)
 
 
@@ -350,25 +350,5 @@
         return DEFAULT_DEADLINE
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes:
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise _refused(RefusalReason.CANCELLED, "the caller left")
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > limit:
-            raise _refused(RefusalReason.TOO_LARGE, f"at most {limit} bytes")
-        if not message.get("more_body"):
-            return b"".join(parts)
-
-
-def _refused(reason: RefusalReason, detail: str, seconds: int = 0) -> RefusedError:
-    retry_after = timedelta(seconds=seconds) if seconds else None
-    return RefusedError(Refused(reason, detail, retry_after))
-
-
 def _ms(time: timedelta) -> int:
     return round(time / timedelta(milliseconds=1))
--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -11,6 +11,7 @@
 from urllib.parse import quote
 
 import anyio
+import logbook
 import msgspec
 
 from ..errors import (
@@ -22,7 +23,9 @@
     StoreRequestError,
     StoreUnavailableError,
 )
+from ..keyvalue import layout
 from ..keyvalue.answer_times import AnswerTimes
+from ..keyvalue.detour import Detour
 from ..keyvalue.store import (
     CallCounter,
     CommitResult,
@@ -45,11 +48,24 @@
 WATCH_WAIT = timedelta(seconds=10)
 MAX_ENTRIES = 32
 """Conditions, writes and deletions together in one transaction."""
+RELAY_TIME_HEADER = "x-relay-ms"
+"""How long a daemon that relays a call may take for it, in whole milliseconds."""
+RELAY_SLACK = timedelta(seconds=0.1)
+"""Added to the time of a call that another daemon relays."""
+TURNED_AWAY = (503, 429)
+"""Answers of a store that does nothing for this daemon at present."""
+NOT_RELAYED = (503, 504)
+"""Answers of a daemon that cannot relay: nothing done, or nobody knows."""
 TOO_MANY_CALLS = 429
 """Status of a call beyond the rate that all daemons share."""
 
+PROBED_KEY = layout.ROLES + "placing"
+"""A small entry that is always there or soon will be."""
+
 T = TypeVar("T")
 
+log = logbook.Logger("pomeloyard.platform.kv")
+
 
 class _Item(msgspec.Struct):
     key: str
@@ -94,6 +110,7 @@
         self._address = address
         self._times = AnswerTimes(SHORTEST_WAIT, LONGEST_WAIT)
         self.calls = CallCounter()
+        self.detour = Detour()
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if it is absent."""
@@ -202,6 +219,31 @@
 
         yield batches()
 
+    async def relay(
+        self, method: str, target: str, body: bytes, limit: timedelta
+    ) -> Answer:
+        """Make a call for another daemon.
+
+        Raises CallNotSentError, also if the store is not reached from here either, or
+        CallUnansweredError.
+        """
+        if not self.detour.may_relay(_now()):
+            raise CallNotSentError(f"{method} {target}: no sound way to the store")
+        if method == "GET":
+            self.calls.reads += 1
+        else:
+            self.calls.writes += 1
+        return await self._call_directly(method, target, body, limit)
+
+    async def probe(self) -> None:
+        """Find out whether the store is reached directly again."""
+        self.calls.reads += 1
+        target = f"/kv-key?key={quote(PROBED_KEY, safe='')}"
+        try:
+            await self._call_directly("GET", target, b"", self._times.limit(_now()))
+        except (CallNotSentError, CallUnansweredError) as error:
+            log.debug("probe of the store: {}", error)
+
     async def _call(
         self,
         method: str,
@@ -210,19 +252,59 @@
         timeout: timedelta | None = None,
     ) -> Answer:
         """Make a call within a time that fits what the store takes at present."""
-        if timeout is not None:
-            return await self._caller.call(method, self._address, target, timeout)
-        began_at = timedelta(seconds=anyio.current_time())
-        limit = self._times.limit(began_at)
+        began_at = _now()
+        limit = timeout or self._times.limit(began_at)
+        detour = self.detour.is_needed
+        call = self._call_through_peer if detour else self._call_directly
+        try:
+            answer = await call(method, target, content, limit)
+        except CallUnansweredError:
+            if timeout is None:
+                self._times.lost()
+            raise
+        if timeout is None:
+            now = _now()
+            self._times.answered(now, now - began_at)
+        return answer
+
+    async def _call_directly(
+        self, method: str, target: str, content: bytes, limit: timedelta
+    ) -> Answer:
         try:
             answer = await self._caller.call(
                 method, self._address, target, limit, content
             )
-        except CallUnansweredError:
-            self._times.lost()
+        except (CallNotSentError, CallUnansweredError):
+            self.detour.failed()
             raise
-        now = timedelta(seconds=anyio.current_time())
-        self._times.answered(now, now - began_at)
+        if answer.status in TURNED_AWAY:
+            self.detour.failed()
+        else:
+            self.detour.answered(_now())
+        return answer
+
+    async def _call_through_peer(
+        self, method: str, target: str, content: bytes, limit: timedelta
+    ) -> Answer:
+        """Call through another daemon; one that cannot relay is not asked for a while.
+
+        Raises CallNotSentError where none should be asked now.
+        """
+        peer = self.detour.peer(_now())
+        if peer is None:
+            raise CallNotSentError(f"{method} {target}: no way to the store")
+        headers = {RELAY_TIME_HEADER: str(round(limit / timedelta(milliseconds=1)))}
+        try:
+            answer = await self._caller.call(
+                method, peer, target, limit + RELAY_SLACK, content, headers
+            )
+        except (CallNotSentError, CallUnansweredError):
+            self.detour.refused(peer, _now())
+            raise
+        if answer.status in NOT_RELAYED:
+            self.detour.refused(peer, _now())
+        else:
+            self.detour.relayed(peer)
         return answer
 
     async def _read(self, target: str, timeout: timedelta | None = None) -> Answer:
@@ -259,6 +341,10 @@
         raise StoreOutcomeUnknownError(message)
 
 
+def _now() -> timedelta:
+    return timedelta(seconds=anyio.current_time())
+
+
 def _decode(answer: Answer, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(answer.body, type=kind)
--- a/src/pomeloyard/platform/settings.py
+++ b/src/pomeloyard/platform/settings.py
@@ -72,6 +72,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud_api: _CloudPlace | None = None
     advice: str | None = None
+    port_range: tuple[int, int] = (7600, 7615)
+    """First and last port that daemons may use among themselves."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,8 @@
     caller_address: str
     readiness_address: str
     metrics_address: str
+    relay_address: str
+    """Where other daemons may have their store calls passed on."""
     store_address: str
     vm_service_address: str
     advice_address: str
@@ -133,6 +137,7 @@
         caller_address=file.listen_addrs.front,
         readiness_address=file.listen_addrs.ready_addr,
         metrics_address=f"{file.ip}:{METRICS_PORT}",
+        relay_address=f"{file.ip}:{file.port_range[0]}",
         store_address=file.platform.address,
         vm_service_address=file.cloud_api.address if file.cloud_api else "",
         advice_address=file.advice or "",
