--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -63,6 +63,7 @@
         calls.add_metric(["read"], self._calls.reads)
         calls.add_metric(["write"], self._calls.writes)
         calls.add_metric(["failed"], self._calls.failures)
+        calls.add_metric(["relayed"], self._calls.relayed)
         yield calls
         dropped = CounterMetricFamily(
             "pomeloyard_log_lines_dropped", "Log lines over the bound on volume"
--- a/src/pomeloyard/keyvalue/store.py
+++ b/src/pomeloyard/keyvalue/store.py
@@ -100,13 +100,14 @@
 class CallCounter:
     """Calls to the store, as the platform counts them against its rates.
 
-    ``failures`` counts calls without an answer; ``watches_waiting`` is the
-    number of watches that are open now.
+    ``failures`` counts calls without an answer; ``relayed`` those that were made for
+    other daemons; ``watches_waiting`` is the number of watches that are open now.
     """
 
     reads: int = 0
     writes: int = 0
     failures: int = 0
+    relayed: int = 0
     watches_opened: int = 0
     watches_waiting: int = 0
 
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -30,8 +30,8 @@
 from .front import Front, MetricText, Readiness
 from .http import HttpCaller
 from .kv import PlatformStore
-from .relay import Relay, RelayPeers
 from .settings import PlatformSettings, read_settings
+from .store_relay import RelayPeers, StoreRelay
 from .vms import PlatformVms
 
 RETENTION_SLACK = timedelta(seconds=30)
@@ -145,7 +145,7 @@
             tasks.start_soon(
                 ready.serve, [tcp_listener(self._settings.readiness_address)]
             )
-            relay = _server(Relay(self._store), self._settings.relay_address)
+            relay = _server(StoreRelay(self._store), self._settings.relay_address)
             tasks.start_soon(relay.serve, [tcp_listener(self._settings.relay_address)])
             tasks.start_soon(self._peers.run)
             tasks.start_soon(self._peers.probe)
--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -229,6 +229,7 @@
         """
         if not self.detour.may_relay(_now()):
             raise CallNotSentError(f"{method} {target}: no sound way to the store")
+        self.calls.relayed += 1
         if method == "GET":
             self.calls.reads += 1
         else:
--- a/src/pomeloyard/platform/relay.py
+++ b/src/pomeloyard/platform/store_relay.py
@@ -30,10 +30,10 @@
 PROBE_INTERVAL = timedelta(seconds=0.25)
 """While calls take a detour, the store itself is asked this often."""
 
-log = logbook.Logger("pomeloyard.platform.relay")
+log = logbook.Logger("pomeloyard.platform.store_relay")
 
 
-class Relay:
+class StoreRelay:
     """ASGI application that other daemons call instead of the store."""
 
     def __init__(self, store: PlatformStore) -> None:
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -21,7 +21,7 @@
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
 from pomeloyard.platform.http import HttpCaller
 from pomeloyard.platform.kv import PlatformStore
-from pomeloyard.platform.relay import Relay, RelayPeers
+from pomeloyard.platform.store_relay import RelayPeers, StoreRelay
 from pomeloyard.serving import serving
 from tests.support.platform_standin import store_app
 
@@ -83,7 +83,7 @@
             member = Member(memory)
             address = await stack.enter_async_context(serving(member.gate))
             member.store = PlatformStore(caller, address)
-            relay = Relay(member.store)
+            relay = StoreRelay(member.store)
             member.address = await stack.enter_async_context(serving(relay))
             await member.store.get("first")
             found.append(member)
