Keep a relay whose store loses answers

The way was as good as before.

Change: 504 leaves the relay in use; one whose own calls fail answers 503 next. Test: the last lines of test_an_answer_that_the_relay_did_not_get_is_unknown, failing before.

--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -54,8 +54,10 @@
 """Added to the time of a call that another daemon relays."""
 TURNED_AWAY = (503, 429)
 """Answers of a store that does nothing for this daemon at present."""
-NOT_RELAYED = (503, 504)
-"""Answers of a daemon that cannot relay: nothing done, or nobody knows."""
+NOT_RELAYED = 503
+"""Answer of a daemon that cannot relay, or of the store to it: nothing was done."""
+LOST_BEHIND_RELAY = 504
+"""Answer of a daemon that relays and did not get the store's answer."""
 TOO_MANY_CALLS = 429
 """Status of a call beyond the rate that all daemons share."""
 
@@ -302,9 +304,9 @@
         except (CallNotSentError, CallUnansweredError):
             self.detour.refused(peer, _now())
             raise
-        if answer.status in NOT_RELAYED:
+        if answer.status == NOT_RELAYED:
             self.detour.refused(peer, _now())
-        else:
+        elif answer.status != LOST_BEHIND_RELAY:
             self.detour.relayed(peer)
         return answer
 
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -132,6 +132,10 @@
         with pytest.raises(StoreOutcomeUnknownError):
             await first.store.commit(WRITE)
         assert (await memory.get("k")).value == b"v"
+        # While answers get lost for all, the way itself is as good as before.
+        second.gate.loses_answers = False
+        second.store.detour.answered(timedelta(seconds=anyio.current_time()))
+        assert (await first.store.get("k")).value == b"v"
 
 
 async def test_a_relay_relays_for_no_other_relay():
