--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -573,9 +573,11 @@
         await world.submit("a1")
         assert await world.drive(5, completed(world))
         scans = world.store.calls_by_method["scan"]
-        world.store.down = True
-        await world.drive(1.5)
-        world.store.down = False
+        # The poll that tells of the next job is answered, the one after it is not.
+        world.store.deaf_prefix = layout.INCOMING
         await world.submit("a2")
         assert await world.drive(3, completed(world, "a2"))
+        assert not world.store.deaf_prefix
+        await world.submit("a3")
+        assert await world.drive(6, completed(world, "a3"))
         assert world.store.calls_by_method["scan"] == scans
