--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -33,6 +33,7 @@
 from . import layout
 from .advice import AdviceService, Advisor
 from .decisions import DecisionLines
+from .demand import PoolDemand
 from .executors import Executor, ExecutorClient, RunningTask, StartAnswer
 from .follow import OperatorFollower
 from .learning import Learning
@@ -44,15 +45,14 @@
     JobState,
     Queue,
 )
-from .order import time_left_ms, work_of
+from .order import work_of
 from .pacing import next_pace
 from .planner import Planner
-from .pools import LastingLoad
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter, RecordGroup
 from .registry import ExecutorRegistry
 from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
-from .turns import Peak, Turns
+from .turns import Turns
 from .usage import Usage
 from .vm_keeper import VmKeeper
 
@@ -119,6 +119,9 @@
         self._live_jobs: dict[str, JobRun] = {}
         self.keeper = new_keeper(self) if new_keeper else None
         self._writer = ProgressWriter(clock, store, guard)
+        self.demand = PoolDemand(
+            clock, self._live_jobs, self.learning, self.turns, self._queue
+        )
         self._planner = Planner(
             clock,
             follower,
@@ -501,71 +504,6 @@
         self._lines.decided("role", f"epoch/{self.epoch}", "lost", reason=reason)
         self._over.set()
 
-    def pool_loads(self) -> dict[str, float]:
-        """Return the core-seconds that could run now if there were room, by pool."""
-        loads: dict[str, float] = defaultdict(float)
-        for job in self._live_jobs.values():
-            queue = self._queue(job.record)
-            if queue is None:
-                continue
-            for step in job.ready_steps():
-                if step.spec.lasting:
-                    continue
-                each = (
-                    step.spec.cpu_millis * self.learning.expected_ms(step) / 1_000_000
-                )
-                loads[queue.service] += len(step.waiting) * each
-        return loads
-
-    def urgent_loads(self) -> dict[str, float]:
-        """Return the part of ``pool_loads`` whose jobs can still be in time."""
-        now = self._clock.monotonic()
-        expected_ms = self.learning.expected_ms
-        loads: dict[str, float] = defaultdict(float)
-        for job in self._live_jobs.values():
-            queue = self._queue(job.record)
-            if queue is None or job.lasting or job.smallest_ready_cpu() is None:
-                continue
-            finish, objective = time_left_ms(job, queue, now - job.seen_at, expected_ms)
-            if finish > objective:
-                continue
-            for step in job.ready_steps():
-                each = step.spec.cpu_millis * expected_ms(step) / 1_000_000
-                loads[queue.service] += len(step.waiting) * each
-        return loads
-
-    def lasting_loads(self) -> dict[str, LastingLoad]:
-        """Return what the lasting tasks of each pool need."""
-        loads: dict[str, LastingLoad] = {}
-        for job in self._live_jobs.values():
-            queue = self._queue(job.record)
-            if queue is None or not job.lasting:
-                continue
-            before = loads.get(queue.service, LastingLoad())
-            steps = [step for step in job.steps() if step.spec.lasting]
-            vms = max((step.spec.count for step in steps), default=0)
-            millis = sum(
-                step.placed * step.spec.cpu_millis
-                for step in steps
-                if not step.spec.fills
-            )
-            loads[queue.service] = LastingLoad(
-                max(before.vms, vms), before.cores + millis / 1000
-            )
-        return loads
-
-    def core_rate(self, pool: str) -> float:
-        """Return the rate at which work surely arrives, in core-seconds a second."""
-        return self.turns.core_rate(pool, self._clock.monotonic())
-
-    def next_peak(self, pool: str) -> Peak | None:
-        """Return a pool's present or next peak, if it can be told."""
-        return self.turns.peak(pool, self._clock.monotonic())
-
-    def rests(self, pool: str) -> bool:
-        """Tell whether a pool's peak is over and its next one cannot come yet."""
-        return self.turns.rests(pool, self._clock.monotonic())
-
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         now = self._clock.monotonic()
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -37,10 +37,6 @@
 class Yard(WaveYard, PoolYard, Protocol):
     """What the keeper needs of the placing term."""
 
-    def pool_loads(self) -> dict[str, float]:
-        """Return the core-seconds that could run now if there were room, by pool."""
-        ...
-
 
 class VmKeeper:
     """Reads the list of VMs, carries out waves and lends VMs between pools."""
@@ -124,7 +120,7 @@
                 self._yard.end_term("the epoch was replaced")
                 return
             self._loaded = True
-        waiting = self._yard.pool_loads()
+        waiting = self._yard.demand.waiting()
         for wave in list(self._follower.waves_by_id.values()):
             await self._waves.advance(wave, waiting, now)
         self._mover.move(configuration, waiting, self._waves.reserved_at, now)
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .decisions import DecisionLines
+from .demand import PoolDemand
 from .guarded_records import GuardedRecords
 from .link import ExecutorLink
 from .model import Configuration
@@ -22,7 +23,6 @@
     choose_moves,
     choose_to_empty,
 )
-from .turns import Peak
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
 from .vms import PoolVm, VmAnswer, VmService, VmState
@@ -37,31 +37,12 @@
     """What moves need of the placing term."""
 
     links_by_id: dict[str, ExecutorLink]
-
-    def lasting_loads(self) -> dict[str, LastingLoad]:
-        """Return what the lasting tasks of each pool need."""
-        ...
-
-    def core_rate(self, pool: str) -> float:
-        """Return the rate at which work surely arrives, in core-seconds a second."""
-        ...
-
-    def next_peak(self, pool: str) -> Peak | None:
-        """Return a pool's present or next peak, if it can be told."""
-        ...
-
-    def urgent_loads(self) -> dict[str, float]:
-        """Return the part of the waiting work that can still be in time, by pool."""
-        ...
+    demand: PoolDemand
 
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         ...
 
-    def rests(self, pool: str) -> bool:
-        """Tell whether a pool's peak is over and its next one cannot come yet."""
-        ...
-
     def spawn(
         self,
         link: ExecutorLink | None,
@@ -197,8 +178,9 @@
         self, configuration: Configuration, waiting: dict[str, float], standby: str
     ) -> list[PoolLoad]:
         loads = []
-        urgent_loads = self._yard.urgent_loads()
-        lasting_loads = self._yard.lasting_loads()
+        demand = self._yard.demand
+        urgent_loads = demand.urgent()
+        lasting_loads = demand.lasting()
         for name in configuration.pools_by_name:
             if name == standby:
                 continue
@@ -230,10 +212,10 @@
                     arriving,
                     own,
                     lasting_vms=lasting.vms,
-                    peak=self._yard.next_peak(name),
-                    rests=self._yard.rests(name),
+                    peak=demand.next_peak(name),
+                    rests=demand.rests(name),
                     urgent_core_seconds=urgent,
-                    arriving_cores=self._yard.core_rate(name),
+                    arriving_cores=demand.core_rate(name),
                     short_cores=cores - lasting.cores,
                 )
             )
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -524,7 +524,7 @@
             peaks = [known.turns.peak("mill", now) for known in (term, successor)]
             assert peaks[1].starts_in == peaks[0].starts_in
             assert peaks[1].core_rate == pytest.approx(peaks[0].core_rate)
-            assert successor.rests("mill") == term.rests("mill")
+            assert successor.demand.rests("mill") == term.demand.rests("mill")
 
 
 @pytest.mark.parametrize("method", ["look", "start"])
