Look at no more than 100 executors at once in a new term

Change: a link holds one of 100 places during its first look only; an executor that is silent gives it back after half a second and is asked again without one.

Test: test_a_new_term_does_not_look_at_all_executors_ at_once, failing before.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -110,6 +110,9 @@
 class LinkHandler(Protocol):
     """What the placing term does with what a link learns."""
 
+    first_contacts: anyio.Semaphore
+    """Held by links during their first look."""
+
     def run_ended(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
@@ -256,30 +259,40 @@
 
     async def run(self) -> None:
         """Look at the executor whenever there is something to follow."""
+        async with self._handler.first_contacts:
+            answered = await self._look_once()
+        if not answered:
+            await self._pause()
         while not self.closed:
             idle = not self.runs_by_name and not self.foreign_runs
             if self.reachable and idle and not self.suspected:
                 self._work = anyio.Event()
                 await self._work.wait()
                 continue
-            try:
-                with anyio.CancelScope() as self._look_scope:
-                    await self._look()
-            except StaleFenceError as error:
-                log.warning("executor {}: {}", self.executor.executor_id, error)
-                self._handler.fence_lost(self)
-                return
-            except (CallNotSentError, CallUnansweredError) as error:
-                if isinstance(error, CallUnansweredError):
-                    self._handler.call_lost(self)
-                self._note_silent(str(error))
-                await self._pause()
-            except Exception as error:
-                # One executor's trouble must not end the term for all others.
-                log.exception("look at executor {} failed", self.executor.executor_id)
-                self._note_silent(repr(error))
+            if not await self._look_once():
                 await self._pause()
 
+    async def _look_once(self) -> bool:
+        """Look, or note why there was no answer; return whether there was one."""
+        try:
+            with anyio.CancelScope() as self._look_scope:
+                await self._look()
+        except StaleFenceError as error:
+            log.warning("executor {}: {}", self.executor.executor_id, error)
+            self.closed = True
+            self._handler.fence_lost(self)
+        except (CallNotSentError, CallUnansweredError) as error:
+            if isinstance(error, CallUnansweredError):
+                self._handler.call_lost(self)
+            self._note_silent(str(error))
+            return False
+        except Exception as error:
+            # One executor's trouble must not end the term for all others.
+            log.exception("look at executor {} failed", self.executor.executor_id)
+            self._note_silent(repr(error))
+            return False
+        return True
+
     async def _pause(self) -> None:
         """Wait before the next look, longer with each one that failed."""
         delay = RETRY_DELAY * min(2**self._failures, 16)
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -69,6 +69,10 @@
 FAILURE_PAUSE = timedelta(milliseconds=50)
 """A failed task waits this long, so that a failing executor is noticed first."""
 
+MAX_FIRST_CONTACTS = 100
+"""Executors that a new term looks at for the first time at once. A look takes about a
+millisecond of processor time and has half a second; thousands at once run out of it."""
+
 log = logbook.Logger("pomeloyard.batch.term")
 
 
@@ -107,6 +111,7 @@
         self.usage = Usage()
         self.learning = Learning()
         self.turns = Turns()
+        self.first_contacts = anyio.Semaphore(MAX_FIRST_CONTACTS)
         self._losses = CallLosses()
         self._ids_are_kept = ids_kept
         """Whether a next life of an executor can have the id of the one before."""
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -16,6 +16,7 @@
     StepSpec,
     TeamLimits,
 )
+from pomeloyard.batch.term import MAX_FIRST_CONTACTS
 
 from .support.batch_world import QUEUE, FakeAdvice, World, configuration
 
@@ -581,3 +582,27 @@
         await world.submit("a3")
         assert await world.drive(6, completed(world, "a3"))
         assert world.store.calls_by_method["scan"] == scans
+
+
+async def test_a_new_term_does_not_look_at_all_executors_at_once():
+    # sweep-300 (08955440): 2,998 first looks shared a core, and all ran out of time.
+    world = World(executors=2 * MAX_FIRST_CONTACTS)
+    at_once = most = 0
+    plain = world.client.look
+
+    async def counted(executor, **options):
+        nonlocal at_once, most
+        at_once += 1
+        most = max(most, at_once)
+        try:
+            await world.clock.sleep(timedelta(milliseconds=100))
+            return await plain(executor, **options)
+        finally:
+            at_once -= 1
+
+    world.client.look = counted
+    async with world.running() as term:
+        assert await world.drive(
+            3, lambda: sum(link.usable for link in term.links_by_id.values()) == 200
+        )
+        assert most == MAX_FIRST_CONTACTS
