Let a daemon's end wait for the calls that it relays

Change: the end waits for both servers within the one limit. Relayed polls take 1.8 s at most, the limit is 3 s.

--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Sequence
 from dataclasses import replace
 from datetime import timedelta
 
@@ -166,7 +167,7 @@
             for server in (front, ready, metrics, relay):
                 server.should_exit = True
             limit = self._settings.stop_grace - 2 * CLOSING_TIME
-            await wait_idle(front, limit)
+            await wait_idle((front, relay), limit)
             tasks.cancel_scope.cancel()
         await self._caller.close()
         await self._executor_caller.close()
@@ -186,14 +187,14 @@
             log.info("settings changed; they hold from the next start")
 
 
-async def wait_idle(server: EmbeddedServer, limit: timedelta) -> None:
+async def wait_idle(servers: Sequence[EmbeddedServer], limit: timedelta) -> None:
     """Return once no connection is open and no call at work, or after ``limit``.
 
     A call whose caller has left goes on without a connection.
     """
-    state = server.server_state
+    states = [server.server_state for server in servers]
     with anyio.move_on_after(limit.total_seconds()):
-        while state.connections or state.tasks:
+        while any(state.connections or state.tasks for state in states):
             await anyio.sleep(0.02)
 
 
--- a/tests/platform/test_daemon_end.py
+++ b/tests/platform/test_daemon_end.py
@@ -29,11 +29,13 @@
 
     listener = tcp_listener("127.0.0.1:0")
     server = EmbeddedServer(server_config(app))
+    # Soak seed 217: the end waited for callers, not for calls that it relayed.
+    idle = EmbeddedServer(server_config(app))
     waited = False
 
     async def wait():
         nonlocal waited
-        await wait_idle(server, timedelta(seconds=10))
+        await wait_idle((idle, server), timedelta(seconds=10))
         waited = True
 
     async with anyio.create_task_group() as tasks:
