Check what may be away right before each order that ends lasting tasks

Of three lasting tasks of a step on one VM, _separate stopped one, and 250 ms later a second: the tasks on that VM were left out of the count, so the one being stopped was not away. By reading, two more ways: an upkeep decided on is announced in the store first, and what goes away meanwhile was not seen; a successor repeated an upkeep of the term before without any check. By the random policy: a move to a VM's own pool is answered as done and its runs were given up and ran twice.

Change: Availability counts per step what is away, all VMs included, and is asked in ExecutorLink.stop and before each attempt of a VM order. What chooses VMs and executors is a Policy; executors are checked after it chose. Moves to the own pool are not ordered.

Ruled out: the moves themselves, which take only VMs without runs.

--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -146,6 +146,10 @@
     ) -> None:
         """Run a coroutine function in the background of the term."""
 
+    def may_stop(self, placed: PlacedRun) -> bool:
+        """Tell whether a run may be stopped without too many of its step away."""
+        ...
+
     def fence_lost(self, link: ExecutorLink) -> None:
         """End the term, as an executor knows a higher fencing token."""
 
@@ -213,6 +217,9 @@
         """Whether the VM still needs its upkeep in a wave."""
         self.leaving = False
         """Whether an operation that ends all runs may have been ordered."""
+        self.ending = False
+        """Whether this term orders such an operation; an order of an earlier term that
+        is still to be repeated may never come."""
 
     @property
     def usable(self) -> bool:
@@ -558,14 +565,20 @@
             self.forget(placed)
             self._handler.order_refused(self, placed, answer)
 
-    def stop(self, placed: PlacedRun) -> None:
-        """Stop a run, whether or not its order has arrived."""
+    def stop(self, placed: PlacedRun) -> bool:
+        """Stop a run, whether or not its order has arrived.
+
+        False: it is a lasting task at work of which too many would be away.
+        """
         if placed.phase is Phase.ASSIGNED:
             # Never ordered: the record that names it is replaced before it could be.
             self._lose(placed)
         elif placed.phase is not Phase.STOPPING:
+            if placed.phase is Phase.RUNNING and not self._handler.may_stop(placed):
+                return False
             placed.phase = Phase.STOPPING
             self._handler.spawn(self, self._stop_until_answered, placed)
+        return True
 
     async def _stop_until_answered(self, placed: PlacedRun) -> None:
         name = placed.task.name
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -21,6 +21,7 @@
     Resources,
 )
 from .order import Rank, rank, work_of
+from .policy import Policy
 from .progress import JobRun, StepRun, Task, TaskState
 from .spread import Rooms, may_run
 from .usage import Usage
@@ -57,6 +58,7 @@
         advisor: Advisor | None,
         queue_of: Callable[[JobRecord], Queue | None],
         changed: Callable[[JobRun], None],
+        policy: Policy,
     ) -> None:
         self._clock = clock
         self._follower = follower
@@ -69,6 +71,7 @@
         self._advisor = advisor
         self._queue_of = queue_of
         self._changed = changed
+        self._policy = policy
         self._mean_work_by_queue: dict[str, float] = {}
         self._to_start: list[tuple[ExecutorLink, PlacedRun]] = []
         self._links_by_service: dict[str, list[ExecutorLink]] = {}
@@ -229,13 +232,24 @@
                 break
             rack = step.spec.data_rack or self._rack_of(step)
             only_on = self._only_on(task, now)
-            link = rooms.choose(task, rack, only_on or tickets)
+            link = self._choose(rooms, task, rack, only_on or tickets)
             if link is None:
                 if only_on:
                     continue
                 break
             self._assign(task, link, rooms, task.run + 1, now, tickets)
 
+    def _choose(
+        self, rooms: Rooms, task: Task, rack: str, among: Collection[str] | None
+    ) -> ExecutorLink | None:
+        """Return the policy's executor, unless the task may not run there."""
+        link = self._policy.choose_executor(rooms, task, rack, among)
+        if link is None or not rooms.has(link):
+            return None
+        if among is not None and link.executor.executor_id not in among:
+            return None
+        return link if may_run(link, task.step, self._usage) else None
+
     def _only_on(self, task: Task, now: timedelta) -> tuple[str, ...]:
         """Return the one executor on which a task can't run twice, if it is bound."""
         if now >= task.only_on_until:
@@ -286,7 +300,7 @@
             for task in step.tasks:
                 link = None
                 if self._usage.team_fits(team, maximum, step.spec):
-                    link = rooms.choose(task, rack, among)
+                    link = self._choose(rooms, task, rack, among)
                 if link is None:
                     break
                 rooms.fill(link, task)
--- a/src/pomeloyard/batch/spread.py
+++ b/src/pomeloyard/batch/spread.py
@@ -69,6 +69,10 @@
         """Return all executors."""
         return list(self._links_by_id.values())
 
+    def has(self, link: ExecutorLink) -> bool:
+        """Tell whether an executor is one of these."""
+        return self._links_by_id.get(link.executor.executor_id) is link
+
     @property
     def most_free_cpu(self) -> int:
         """Return the most cpu that one executor has free; -1 without executors."""
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -32,6 +32,7 @@
 from ..roles import HeldRole
 from . import layout
 from .advice import AdviceService, Advisor
+from .availability import Availability
 from .decisions import DecisionLines
 from .demand import PoolDemand
 from .executors import (
@@ -54,6 +55,7 @@
 from .order import work_of
 from .pacing import next_pace
 from .planner import Planner
+from .policy import Policy, UsualPolicy
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter, RecordGroup
 from .registry import ExecutorRegistry
@@ -100,6 +102,7 @@
         advice: AdviceService | None = None,
         *,
         ids_kept: bool = False,
+        policy: Policy | None = None,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -114,6 +117,8 @@
         self._advisor = Advisor(clock, advice, self.wake) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
         self.links_by_id: dict[str, ExecutorLink] = {}
+        self.availability = Availability(self.links_by_id)
+        self.policy = policy or UsualPolicy()
         self.usage = Usage()
         self.learning = Learning()
         self.turns = Turns()
@@ -145,6 +150,7 @@
             self._advisor,
             self._queue,
             self._mark,
+            self.policy,
         )
 
     # Running
@@ -480,6 +486,10 @@
             log.exception("work on executor {} failed", link.executor.executor_id)
             link.doubt(repr(error))
 
+    def may_stop(self, placed: PlacedRun) -> bool:
+        """Tell whether a run may be stopped without too many of its step away."""
+        return self.availability.may_end([placed])
+
     def fence_lost(self, link: ExecutorLink) -> None:
         """End the term, as an executor knows a higher fencing token."""
         self._lines.decided(
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_keeper.py
@@ -66,7 +66,9 @@
         self._recent = RecentOrders(
             clock, records, takeover_pause + TAKEOVER_SLACK, role.vacant_at
         )
-        self._orders = VmOrders(clock, self._listing, self._recent, yard.end_term)
+        self._orders = VmOrders(
+            clock, self._listing, self._recent, yard.availability, yard.end_term
+        )
         self._waves = WaveRunner(
             clock,
             records,
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -14,15 +14,8 @@
 from .guarded_records import GuardedRecords
 from .link import ExecutorLink
 from .model import Configuration
-from .pools import (
-    BusyVm,
-    LastingLoad,
-    Move,
-    PoolLoad,
-    SpareVm,
-    choose_moves,
-    choose_to_empty,
-)
+from .policy import Policy
+from .pools import BusyVm, LastingLoad, Move, PoolLoad, SpareVm
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
 from .vms import PoolVm, VmAnswer, VmService, VmState
@@ -38,6 +31,7 @@
 
     links_by_id: dict[str, ExecutorLink]
     demand: PoolDemand
+    policy: Policy
 
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
@@ -115,7 +109,7 @@
         loads = self._loads(configuration, waiting, standby)
         self._pass_on(loads, spares, busy, now)
         spares = [spare for spare in spares if spare.vm not in self._emptied_for]
-        for move in choose_moves(loads, spares, standby):
+        for move in self._yard.policy.choose_moves(loads, spares, standby):
             self._begin_move(self._listing.vms_by_name[move.vm], move)
 
     def _busy(self, vm: PoolVm) -> list[BusyVm]:
@@ -143,8 +137,7 @@
             if vm is not None and link is not None and not link.runs_by_name:
                 del self._emptied_for[name]
                 link.lent = False
-                if self._orders.may_order(name) and vm.state is VmState.UP:
-                    self._begin_move(vm, Move(name, pool))
+                self._begin_move(vm, Move(name, pool))
             elif link is None or pool not in urgent or now > since + MAX_EMPTYING:
                 del self._emptied_for[name]
                 if link is not None:
@@ -156,7 +149,7 @@
         leaving = Counter(
             self._listing.vms_by_name[name].pool for name in self._emptied_for
         )
-        for move in choose_to_empty(loads, busy, promised, leaving):
+        for move in self._yard.policy.choose_to_empty(loads, busy, promised, leaving):
             vm = self._listing.vms_by_name[move.vm]
             self._emptied_for[move.vm] = (move.pool, now)
             self._yard.links_by_id[vm.executor_id].lent = True
@@ -238,6 +231,11 @@
         return await self._records.write(POOL_SIZES, content)
 
     def _begin_move(self, vm: PoolVm, move: Move) -> None:
+        if not self._orders.may_order(vm.name) or vm.state is not VmState.UP:
+            return
+        if vm.pool == move.pool:
+            # It would be answered as done, and nothing on the VM would have ended.
+            return
         self._orders.begin(vm, "move", move.pool, self._move_time)
         self._idle_since.pop(vm.name, None)
         self._yard.spawn(None, self._move, vm, move)
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..errors import CallNotSentError, CallUnansweredError, StaleFenceError
+from .availability import Availability
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vms import PoolVm, VmAnswer, VmState
@@ -42,11 +43,13 @@
         clock: Clock,
         listing: VmListing,
         recent: RecentOrders,
+        availability: Availability,
         end_term: Callable[[str], None],
     ) -> None:
         self._clock = clock
         self._listing = listing
         self._recent = recent
+        self._availability = availability
         self._end_term = end_term
         self.by_vm: dict[str, VmOperation] = {}
 
@@ -66,6 +69,7 @@
         link = self._listing.link_of(vm)
         if link is not None:
             link.leaving = True
+            link.ending = not repeated
 
     def answered(self, vm: PoolVm) -> None:
         """Note that an order took effect."""
@@ -84,7 +88,7 @@
         self.by_vm.pop(vm.name, None)
         link = self._listing.link_of(vm)
         if link is not None:
-            link.leaving = False
+            link.leaving = link.ending = False
 
     def may_order(self, vm: str) -> bool:
         """Tell whether no operation is at work on a VM and none was just before."""
@@ -96,12 +100,24 @@
         """Repeat an order until it is answered; None if the term ends.
 
         The order is announced to the next holder first. Orders are repeated under the
-        same fence; they do nothing when done already.
+        same fence; they do nothing when done already. What would be away is checked
+        again before each attempt, as tasks of the same steps may have gone meanwhile:
+        HELD_BACK if no attempt has been made, else the next attempt waits.
         """
         if not await self._recent.announce(vm.name, self.by_vm):
             self._end_term("the epoch was replaced")
             return None
+        may_be_done = self.by_vm[vm.name].repeated
         while True:
+            link = self._listing.link_of(vm)
+            if link is not None and not self._availability.may_end_all(link):
+                if not may_be_done:
+                    return VmAnswer.HELD_BACK
+                await self._clock.sleep(RETRY_DELAY)
+                continue
+            if link is not None:
+                link.ending = True
+            may_be_done = True
             self._recent.touch(vm.name)
             try:
                 return await call()
--- a/src/pomeloyard/batch/vms.py
+++ b/src/pomeloyard/batch/vms.py
@@ -29,7 +29,7 @@
 
 
 class VmAnswer(Enum):
-    """What the platform said of an operation; only DONE means that it took effect."""
+    """What became of an operation; only DONE means that it took effect."""
 
     DONE = "done"
     BUSY = "busy"
@@ -37,6 +37,8 @@
     NOT_OF_WAVE = "not-of-wave"
     INVALID = "invalid"
     THROTTLED = "throttled"
+    HELD_BACK = "held-back"
+    """It was never ordered: too many lasting tasks would be away."""
 
 
 class VmService(ABC):
--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -10,13 +10,15 @@
 import msgspec
 
 from ..clock import Clock
+from .availability import Availability
 from .decisions import DecisionLines
 from .follow import OperatorFollower
 from .guarded_records import GuardedRecords
 from .link import ExecutorLink, Phase, PlacedRun
 from .model import Wave
-from .progress import StepRun, TaskState
-from .upkeep import UpkeepCandidate, choose, wanted_at_once
+from .policy import Policy
+from .progress import StepRun
+from .upkeep import UpkeepCandidate, wanted_at_once
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
 from .vms import PoolVm, VmAnswer, VmService, VmState
@@ -46,6 +48,8 @@
     """What waves need of the placing term."""
 
     links_by_id: dict[str, ExecutorLink]
+    availability: Availability
+    policy: Policy
 
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
@@ -158,12 +162,14 @@
         ]
         cycles = -(-len(left) // max(1, wave.max_at_once))
         needed = cycles * (self._upkeep_time + TIME_AROUND_UPKEEP)
-        begin, empty = choose(candidates, slots, time_left, needed)
-        for name in begin:
+        begin, empty = self._yard.policy.choose_upkeeps(
+            candidates, slots, time_left, needed
+        )
+        for name in begin[: max(0, slots)]:
             # Each VM that begins changes what may be away for the next one.
             vm = self._listing.vms_by_name[name]
             link = self._yard.links_by_id.get(vm.executor_id)
-            if link is None or self._may_go(link):
+            if link is None or self._yard.availability.may_end_all(link):
                 self._begin(work, vm)
         self._reserve(work, {*empty, *begin}, now)
         if slots > len(begin) + len(empty):
@@ -191,7 +197,7 @@
         return UpkeepCandidate(
             vm=vm.name,
             short_work=self._yard.short_work(link) if link else 0.0,
-            may_go=self._may_go(link) if link else True,
+            may_go=link is None or self._yard.availability.may_end_all(link),
             pool_waits=waiting.get(vm.pool, 0.0) > 0,
             reserved_for=None if reserved_at is None else now - reserved_at,
             has_lasting=link is not None
@@ -200,19 +206,6 @@
             ),
         )
 
-    def _may_go(self, link: ExecutorLink) -> bool:
-        """Tell whether all lasting tasks on an executor may be away now."""
-        steps: dict[str, tuple[StepRun, int]] = {}
-        for placed in link.runs_by_name.values():
-            step = placed.task.step
-            if step.spec.lasting and not step.job.final:
-                count = steps.get(step.name, (step, 0))[1]
-                steps[step.name] = (step, count + 1)
-        return all(
-            self._away(step, link) + count <= max(1, step.spec.may_be_away)
-            for step, count in steps.values()
-        )
-
     def _separate(self, link: ExecutorLink) -> None:
         """Stop one of several tasks of a step, so that its VM may go later.
 
@@ -226,14 +219,14 @@
         for together in by_step.values():
             step = together[0].task.step
             limit = max(1, step.spec.may_be_away)
-            if len(together) > limit and self._away(step, link) == 0:
-                at_work = all(placed.percent >= 100 for placed in together)
-                if at_work and self._has_room_elsewhere(step, link):
-                    self._lines.decided(
-                        "upkeep", link.executor.executor_id, "separated", step=step.name
-                    )
-                    link.stop(together[-1])
-                    return
+            at_work = all(placed.percent >= 100 for placed in together)
+            if len(together) <= limit or not at_work:
+                continue
+            if self._has_room_elsewhere(step, link) and link.stop(together[-1]):
+                self._lines.decided(
+                    "upkeep", link.executor.executor_id, "separated", step=step.name
+                )
+                return
 
     def _has_room_elsewhere(self, step: StepRun, link: ExecutorLink) -> bool:
         return any(
@@ -244,26 +237,6 @@
             if other is not link
         )
 
-    def _away(self, step: StepRun, without: ExecutorLink) -> int:
-        """Return how many tasks of a step are not at work on other executors."""
-        away = 0
-        for task in step.tasks:
-            if task.executor == without.executor.executor_id:
-                continue
-            link = self._yard.links_by_id.get(task.executor)
-            placed = link.runs_by_name.get(task.name) if link else None
-            at_work = (
-                task.state is TaskState.PLACED
-                and link is not None
-                and link.reachable
-                and not link.leaving
-                and placed is not None
-                and placed.phase is Phase.RUNNING
-                and placed.percent >= 100
-            )
-            away += not at_work
-        return away
-
     def _reserve(self, work: WaveWork, names: set[str], now: timedelta) -> None:
         """Give the VMs that are being emptied no new tasks."""
         for name in work.wave.vms:
@@ -300,8 +273,10 @@
         )
         if answer is None:
             return
-        if answer in (VmAnswer.BUSY, VmAnswer.THROTTLED):
+        if answer in (VmAnswer.BUSY, VmAnswer.THROTTLED, VmAnswer.HELD_BACK):
             self._lines.decided("upkeep", vm.name, answer.value, wave=wave_id)
+            if answer is VmAnswer.HELD_BACK:
+                work.record.begun.discard(vm.name)
             self._orders.abandon(vm)
             return
         work.record.answered.add(vm.name)
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -257,6 +257,8 @@
         fake = self._reach(executor)
         fake.check_fence(fence)
         self.stopped.append((task, run))
+        if task in fake.runs and fake.runs[task].run == run:
+            self.world.note_ended_by_order(fake, [task])
         fake.highest_run[task] = max(fake.highest_run.get(task, 0), run)
         if task in fake.runs and fake.runs[task].run == run:
             fake.end(task, EndKind.STOPPED)
@@ -356,6 +358,9 @@
         self.arrivals = []
         """Registrations to write or, with None, to delete."""
         self.lasting_tasks = 0
+        self.ended_by_order = set()
+        """Lasting tasks that an order has ended and that are not at work again."""
+        self.policy = None
         self.ids_kept = False
         """Whether the deployment says that executors keep their ids."""
 
@@ -363,6 +368,24 @@
         job, _, step, _ = task.split(".")
         return self.specs[job].steps[int(step)].cpu_millis
 
+    def note_ended_by_order(self, fake, tasks):
+        """Check that no more of a lasting step is away than may be."""
+        for other in self.fakes:
+            at_work = {task for task in other.runs if other.percent(task) >= 100}
+            self.ended_by_order -= at_work
+        final = (JobState.CANCELLED, JobState.FAILED)
+        for task in tasks:
+            job, _, number, _ = task.split(".")
+            step = self.specs[job].steps[int(number)]
+            if not step.lasting or self.state(job) in final:
+                continue
+            name = task.rpartition(".")[0]
+            away = {t for t in self.ended_by_order if t.startswith(f"{name}.")}
+            at_work = fake.percent(task) >= 100
+            if at_work and len(away - {task}) >= max(1, step.may_be_away):
+                self.client.violations.append(f"{task} is ended while {away} are away")
+            self.ended_by_order.add(task)
+
     def entry(self, key):
         return self.store._entries_by_key.get(key)
 
@@ -461,6 +484,7 @@
             self.new_keeper,
             self.advice,
             ids_kept=self.ids_kept,
+            policy=self.policy,
         )
 
     async def drive(self, seconds, until=None):
@@ -499,7 +523,7 @@
             async with self.term() as term:
                 yield term
             tasks.cancel_scope.cancel()
-        assert self.client.violations == []
+        assert self.client.violations == [], self.client.violations
 
 
 class FakeVms(VmService):
@@ -569,6 +593,8 @@
         vm = self.vms[name]
         fake = self.world.client.by_id.pop(vm.executor_id, None)
         if fake is not None:
+            fake.advance()
+            self.world.note_ended_by_order(fake, list(fake.runs))
             fake.runs.clear()
             self.world.fakes.remove(fake)
             self.world.arrivals.append((f"executors/{vm.executor_id}", None))
