--- a/src/pomeloyard/batch/decisions.py
+++ b/src/pomeloyard/batch/decisions.py
@@ -30,7 +30,7 @@
         self, kind: str, subject: str, outcome: str, **inputs: str | int | float | bool
     ) -> None:
         """Write what was decided about a subject, from which inputs."""
-        known = kind in ("place", "executor", "upkeep", "move")
+        known = kind in ("place", "executor", "upkeep", "move", "pool")
         self.counts[kind, "" if known else outcome] += 1
         now = self._clock.monotonic()
         passed = (now - self._filled_at) / timedelta(seconds=1)
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -16,12 +16,15 @@
 from .model import Configuration
 from .policy import Policy
 from .pools import BusyVm, LastingLoad, Move, PoolLoad, SpareVm
+from .usage import Usage
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
 from .vms import PoolVm, VmAnswer, VmService, VmState
 
 MAX_EMPTYING = timedelta(seconds=3)
 """A VM that is not empty by then stays; usual tasks are shorter."""
+LINE_INTERVAL = timedelta(seconds=1)
+"""Between the lines that tell what pools have and ask for."""
 POOL_SIZES = "b/pool-sizes"
 """How many VMs each pool had when the first term began."""
 
@@ -32,6 +35,7 @@
     links_by_id: dict[str, ExecutorLink]
     demand: PoolDemand
     policy: Policy
+    usage: Usage
 
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
@@ -73,6 +77,7 @@
         self._move_time = move_time
         self._own_vms_by_pool: dict[str, int] = {}
         self._idle_since: dict[str, timedelta] = {}
+        self._told_at: timedelta | None = None
         self._emptied_for: dict[str, tuple[str, timedelta]] = {}
         """Pool that a busy VM is emptied for, and since when, by VM."""
 
@@ -107,6 +112,7 @@
             elif vm.name not in self._emptied_for:
                 busy.extend(self._busy(vm))
         loads = self._loads(configuration, waiting, standby)
+        self._tell(loads, now)
         self._pass_on(loads, spares, busy, now)
         spares = [spare for spare in spares if spare.vm not in self._emptied_for]
         for move in self._yard.policy.choose_moves(loads, spares, standby):
@@ -214,6 +220,44 @@
             )
         return loads
 
+    def _tell(self, loads: Sequence[PoolLoad], now: timedelta) -> None:
+        if self._told_at is not None and now < self._told_at + LINE_INTERVAL:
+            return
+        self._told_at = now
+        for load in loads:
+            self._lines.decided(
+                "pool",
+                load.name,
+                "load",
+                vms=load.vms,
+                arriving=load.arriving_vms,
+                floor=load.floor,
+                lasting=load.lasting_vms,
+                vm_cores=round(load.vm_cores, 1),
+                busy_cores=round(self._busy_cores(load.name), 1),
+                waiting=round(load.waiting_core_seconds, 1),
+                urgent=round(load.urgent_core_seconds, 1),
+                rate=round(load.arriving_cores, 1),
+                rests=load.rests,
+                peak_in=round(load.peak.starts_in.total_seconds(), 1)
+                if load.peak
+                else "",
+            )
+
+    def _busy_cores(self, pool: str) -> float:
+        usage = self._yard.usage
+        return (
+            sum(
+                executor.capacity.cpu_millis
+                - usage.free_cpu(executor.executor_id, executor.capacity)
+                for executor in (
+                    link.executor for link in self._yard.links_by_id.values()
+                )
+                if executor.service == pool
+            )
+            / 1000
+        )
+
     async def load(self) -> bool:
         """Read each pool's own number of VMs, as the first term saw it.
 
--- a/src/pomeloyard/cli/logs.py
+++ b/src/pomeloyard/cli/logs.py
@@ -7,6 +7,7 @@
 import click
 
 from ..batch.history import LogLine, causes, course, parse_line
+from ..batch.pool_history import PoolSecond, pool_seconds, totals
 from ..errors import PomeloyardError
 from .output import note, show
 
@@ -15,6 +16,10 @@
     """No line of the given output names the job."""
 
 
+class NoPoolLinesError(PomeloyardError):
+    """The given output says nothing of pools."""
+
+
 @click.group(epilog="Example: pomeloyard log job 5b3041f9338636bd daemon-*.log")
 def log() -> None:
     """Explain decisions from the daemons' output."""
@@ -42,6 +47,37 @@
         note(text)
 
 
+@log.command("pools", epilog="Example: log pools daemon-*.log")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+def pools(files: tuple[Path, ...]) -> None:
+    """Print by second the VMs that each pool held and those that its work needed.
+
+    The sums go to standard error.
+    """
+    rows = pool_seconds(line for path in files for line in _read(path))
+    if not rows:
+        raise NoPoolLinesError(f"no line of {len(files)} files tells of pools")
+    show([_pool_row(row) for row in rows])
+    for pool, (held, needed) in totals(rows).items():
+        note(f"{pool}: {held} VM-seconds held, {needed} needed")
+
+
+def _pool_row(row: PoolSecond) -> dict[str, str | int | float]:
+    return {
+        "at": row.at.isoformat(timespec="milliseconds"),
+        "pool": row.pool,
+        "vms": row.vms,
+        "needed": row.needed,
+        "idle": row.vms - row.needed,
+        "waiting": row.waiting_core_seconds,
+    }
+
+
 def _read(path: Path) -> list[LogLine]:
     with path.open(encoding="utf-8", errors="replace") as stream:
         parsed = (parse_line(text, path.stem) for text in stream)
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -128,3 +128,47 @@
     assert "it is cancelled after 0.9 s" in result.stderr
     unknown = CliRunner().invoke(cli, ["log", "job", "ffff", str(first)])
     assert unknown.exit_code == 1
+
+
+def test_pools_are_shown_by_second_with_what_they_held_and_needed(tmp_path):
+    load = {"vm_cores": 64.0, "arriving": 0}
+    output = tmp_path / "d-1.log"
+    output.write_text(
+        "\n".join(
+            [
+                decision(
+                    1,
+                    "d-1",
+                    "pool",
+                    "mill",
+                    "load",
+                    vms=6,
+                    busy_cores=70.0,
+                    waiting=0.0,
+                    **load,
+                ),
+                decision(
+                    2,
+                    "d-1",
+                    "pool",
+                    "mill",
+                    "load",
+                    vms=4,
+                    busy_cores=0.0,
+                    waiting=9.5,
+                    **load,
+                ),
+            ]
+        )
+    )
+    result = CliRunner().invoke(cli, ["log", "pools", str(output)])
+    assert result.exit_code == 0
+    assert "9.5" in result.output
+    assert "mill: 10 VM-seconds held, 2 needed" in result.output
+
+
+def test_output_without_pools_is_said_to_have_none(tmp_path):
+    output = tmp_path / "d-1.log"
+    output.write_text(message(1, "daemon starts"))
+    result = CliRunner().invoke(cli, ["log", "pools", str(output)])
+    assert result.exit_code == 1
