Move lasting tasks off a crowded VM of a wave one by one, to VMs that are not due

Change: such VMs are chosen for separation, one of a pool at a time, reserved while it lasts, and any VM with room takes the task; VMs that are still due take lasting tasks last.

Test: test_lasting_tasks_that_share_vms_hold_up_no_wave (5 tasks on 3 VMs; fails before).

--- a/src/pomeloyard/batch/policy.py
+++ b/src/pomeloyard/batch/policy.py
@@ -16,7 +16,7 @@
 from .pools import BusyVm, Move, PoolLoad, SpareVm
 from .progress import Task
 from .spread import Rooms
-from .upkeep import UpkeepCandidate
+from .upkeep import UpkeepCandidate, UpkeepChoice
 
 
 class Policy(ABC):
@@ -45,7 +45,7 @@
         free_slots: int,
         time_left: timedelta,
         needed: timedelta,
-    ) -> tuple[list[str], Collection[str]]:
+    ) -> UpkeepChoice:
         """Return the VMs whose upkeep begins now, and those to be emptied."""
 
     @abstractmethod
@@ -80,7 +80,7 @@
         free_slots: int,
         time_left: timedelta,
         needed: timedelta,
-    ) -> tuple[list[str], Collection[str]]:
+    ) -> UpkeepChoice:
         """Return the VMs whose upkeep begins now, and those to be emptied."""
         return upkeep.choose(candidates, free_slots, time_left, needed)
 
--- a/src/pomeloyard/batch/spread.py
+++ b/src/pomeloyard/batch/spread.py
@@ -156,8 +156,8 @@
             score = (
                 float(executor_id in task.failed_on),
                 float(self._slow[executor_id]),
-                float(self._usage.tasks_of_step(executor_id, step)),
                 float(link.due),
+                float(self._usage.tasks_of_step(executor_id, step)),
                 float(self._usage.tasks_in_rack(step, executor.rack)),
                 float(-free) if step.spec.fills else float(free),
             )
--- a/src/pomeloyard/batch/upkeep.py
+++ b/src/pomeloyard/batch/upkeep.py
@@ -3,13 +3,14 @@
 Answers waves that fall due while queues peak: VMs with lasting tasks go first, as only
 few of these may be away; then those whose pool has nothing waiting. A VM is emptied of
 short tasks before it goes down, and no more are down at once than the time that is
-left asks for.
+left asks for. Where more lasting tasks of a step share a VM than may be away, they
+leave it one by one, in one VM of a pool at a time.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -31,6 +32,7 @@
     """A VM of the wave that still needs its upkeep."""
 
     vm: str
+    pool: str
     short_work: float
     """Work of short tasks that would be lost, in core-seconds."""
     may_go: bool
@@ -39,11 +41,24 @@
     """Whether jobs wait for room in its pool."""
     reserved_for: timedelta | None
     """How long it has been emptied already."""
+    crowded: bool = False
+    """Whether more lasting tasks of a step run on it than may be away at once."""
     has_lasting: bool = False
     """Whether lasting tasks run on it; few of a step may be away at once, so these
     VMs decide how long the wave takes."""
 
 
+@dataclass(frozen=True, slots=True)
+class UpkeepChoice:
+    """VMs by what happens to them now."""
+
+    begin: tuple[str, ...] = ()
+    empty: tuple[str, ...] = ()
+    """They get no new tasks."""
+    separate: tuple[str, ...] = ()
+    """They get no new tasks, and one of their lasting tasks starts elsewhere."""
+
+
 def wanted_at_once(
     wave: Wave, left: int, time_left: timedelta, upkeep_time: timedelta
 ) -> int:
@@ -59,14 +74,14 @@
     free_slots: int,
     time_left: timedelta,
     needed: timedelta,
-) -> tuple[list[str], Collection[str]]:
+) -> UpkeepChoice:
     """Return the VMs whose upkeep begins now, and those to be emptied.
 
     ``needed`` is the time that the candidates need at the present pace; with less
     time than that, VMs are not emptied first.
     """
     if free_slots <= 0:
-        return [], ()
+        return UpkeepChoice()
     pressed = time_left <= needed
     ordered = sorted(
         candidates,
@@ -74,14 +89,18 @@
             not c.may_go,
             c.reserved_for is None,
             not c.has_lasting,
+            not c.crowded,
             c.pool_waits and not pressed,
             c.short_work,
         ),
     )
     begin: list[str] = []
     empty: list[str] = []
+    separate_by_pool: dict[str, str] = {}
     for candidate in ordered[:free_slots]:
         if not candidate.may_go:
+            if candidate.crowded:
+                separate_by_pool.setdefault(candidate.pool, candidate.vm)
             continue
         busy_pool = candidate.pool_waits and not candidate.has_lasting
         if busy_pool and not pressed and candidate.reserved_for is None:
@@ -91,4 +110,4 @@
             begin.append(candidate.vm)
         else:
             empty.append(candidate.vm)
-    return begin, empty
+    return UpkeepChoice(tuple(begin), tuple(empty), tuple(separate_by_pool.values()))
--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, Protocol
@@ -18,7 +18,9 @@
 from .model import Wave
 from .policy import Policy
 from .progress import StepRun
+from .spread import may_run
 from .upkeep import UpkeepCandidate, wanted_at_once
+from .usage import Usage
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
 from .vms import PoolVm, VmAnswer, VmService, VmState
@@ -50,6 +52,7 @@
     links_by_id: dict[str, ExecutorLink]
     availability: Availability
     policy: Policy
+    usage: Usage
 
     def short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
@@ -69,6 +72,20 @@
         ...
 
 
+def _lasting_by_step(link: ExecutorLink) -> dict[str, list[PlacedRun]]:
+    """Return an executor's runs of lasting tasks by the names of their steps."""
+    runs: dict[str, list[PlacedRun]] = {}
+    for placed in link.runs_by_name.values():
+        if placed.task.step.spec.lasting:
+            runs.setdefault(placed.task.step.name, []).append(placed)
+    return runs
+
+
+def _exceeds_away(runs: Sequence[PlacedRun]) -> bool:
+    """Tell whether some runs of one step are more than may be away at once."""
+    return len(runs) > max(1, runs[0].task.step.spec.may_be_away)
+
+
 @dataclass
 class WaveWork:
     """A wave at work."""
@@ -162,22 +179,18 @@
         ]
         cycles = -(-len(left) // max(1, wave.max_at_once))
         needed = cycles * (self._upkeep_time + TIME_AROUND_UPKEEP)
-        begin, empty = self._yard.policy.choose_upkeeps(
-            candidates, slots, time_left, needed
-        )
-        for name in begin[: max(0, slots)]:
+        choice = self._yard.policy.choose_upkeeps(candidates, slots, time_left, needed)
+        for name in choice.begin[: max(0, slots)]:
             # Each VM that begins changes what may be away for the next one.
             vm = self._listing.vms_by_name[name]
-            link = self._yard.links_by_id.get(vm.executor_id)
+            link = self._listing.link_of(vm)
             if link is None or self._yard.availability.may_end_all(link):
                 self._begin(work, vm)
-        self._reserve(work, {*empty, *begin}, now)
-        if slots > len(begin) + len(empty):
-            for candidate in candidates:
-                vm = self._listing.vms_by_name[candidate.vm]
-                link = self._yard.links_by_id.get(vm.executor_id)
-                if not candidate.may_go and link is not None:
-                    self._separate(link)
+        self._reserve(work, {*choice.begin, *choice.empty, *choice.separate}, now)
+        for name in choice.separate:
+            link = self._listing.link_of(self._listing.vms_by_name[name])
+            if link is not None:
+                self._separate(link)
 
     def _is_down(self, name: str) -> bool:
         """Tell whether a VM may be down for its upkeep; a move is none."""
@@ -192,18 +205,18 @@
     def _candidate(
         self, vm: PoolVm, waiting: dict[str, float], now: timedelta
     ) -> UpkeepCandidate:
-        link = self._yard.links_by_id.get(vm.executor_id)
+        link = self._listing.link_of(vm)
+        lasting = _lasting_by_step(link) if link is not None else {}
         reserved_at = self.reserved_at.get(vm.name)
         return UpkeepCandidate(
             vm=vm.name,
+            pool=vm.pool,
             short_work=self._yard.short_work(link) if link else 0.0,
             may_go=link is None or self._yard.availability.may_end_all(link),
             pool_waits=waiting.get(vm.pool, 0.0) > 0,
             reserved_for=None if reserved_at is None else now - reserved_at,
-            has_lasting=link is not None
-            and any(
-                placed.task.step.spec.lasting for placed in link.runs_by_name.values()
-            ),
+            crowded=any(_exceeds_away(runs) for runs in lasting.values()),
+            has_lasting=bool(lasting),
         )
 
     def _separate(self, link: ExecutorLink) -> None:
@@ -211,18 +224,14 @@
 
         The VM is reserved, so the task starts again on another one.
         """
-        by_step: dict[str, list[PlacedRun]] = {}
-        for placed in link.runs_by_name.values():
-            spec = placed.task.step.spec
-            if spec.lasting and placed.phase is Phase.RUNNING:
-                by_step.setdefault(placed.task.step.name, []).append(placed)
-        for together in by_step.values():
-            step = together[0].task.step
-            limit = max(1, step.spec.may_be_away)
-            at_work = all(placed.percent >= 100 for placed in together)
-            if len(together) <= limit or not at_work:
+        for runs in _lasting_by_step(link).values():
+            step = runs[0].task.step
+            at_work = all(
+                run.phase is Phase.RUNNING and run.percent >= 100 for run in runs
+            )
+            if not at_work or not _exceeds_away(runs):
                 continue
-            if self._has_room_elsewhere(step, link) and link.stop(together[-1]):
+            if self._has_room_elsewhere(step, link) and link.stop(runs[-1]):
                 self._lines.decided(
                     "upkeep", link.executor.executor_id, "separated", step=step.name
                 )
@@ -232,7 +241,7 @@
         return any(
             other.usable
             and other.executor.service == link.executor.service
-            and not any(r.task.step is step for r in other.runs_by_name.values())
+            and may_run(other, step, self._yard.usage)
             for other in self._yard.links_by_id.values()
             if other is not link
         )
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -27,6 +27,7 @@
 from pomeloyard.batch.upkeep import (
     MAX_PATIENCE,
     UpkeepCandidate,
+    UpkeepChoice,
     choose,
     wanted_at_once,
 )
@@ -422,7 +423,7 @@
 
 
 def candidate(vm, work=0.0, may_go=True, waits=False, reserved=None):
-    return UpkeepCandidate(vm, work, may_go, waits, reserved)
+    return UpkeepCandidate(vm, "mill", work, may_go, waits, reserved)
 
 
 def test_a_wave_takes_no_more_vms_at_once_than_its_time_asks_for():
@@ -448,28 +449,40 @@
 def test_a_vm_is_emptied_first_and_taken_when_empty_or_after_its_patience():
     long = timedelta(seconds=20)
     busy = candidate("v1", work=3.0)
-    assert choose([busy], 1, long, SECOND) == ([], ["v1"])
+    assert choose([busy], 1, long, SECOND) == UpkeepChoice(empty=("v1",))
     idle = candidate("v1", reserved=SECOND)
-    assert choose([idle], 1, long, SECOND)[0] == ["v1"]
+    assert choose([idle], 1, long, SECOND).begin == ("v1",)
     late = candidate("v1", work=3.0, reserved=MAX_PATIENCE)
-    assert choose([late], 1, long, SECOND)[0] == ["v1"]
+    assert choose([late], 1, long, SECOND).begin == ("v1",)
 
 
 def test_a_vm_whose_lasting_tasks_may_not_be_away_stays_up_even_when_late():
     stuck = candidate("v1", may_go=False)
-    assert choose([stuck], 3, timedelta(0), SECOND) == ([], [])
+    assert choose([stuck], 3, timedelta(0), SECOND) == UpkeepChoice()
 
 
 def test_vms_with_lasting_tasks_go_first_as_they_decide_how_long_a_wave_takes():
     plain = candidate("v1")
     lasting = replace(candidate("v2", waits=True), has_lasting=True)
-    assert choose([plain, lasting], 1, timedelta(seconds=20), SECOND)[0] == ["v2"]
+    assert choose([plain, lasting], 1, timedelta(seconds=20), SECOND).begin == ("v2",)
+
+
+def test_lasting_tasks_leave_a_crowded_vm_in_one_vm_of_a_pool_at_a_time():
+    crowded = [
+        replace(candidate(vm, may_go=False), crowded=True, pool=pool)
+        for vm, pool in (("v1", "mill"), ("v2", "mill"), ("v3", "saw"))
+    ]
+    choice = choose(crowded, 3, timedelta(seconds=20), SECOND)
+    assert choice == UpkeepChoice(separate=("v1", "v3"))
+    begun = [crowded[0], replace(crowded[1], reserved_for=SECOND)]
+    choice = choose(begun, 3, timedelta(seconds=20), SECOND)
+    assert choice.separate == ("v2",)
 
 
 def test_vms_of_pools_in_a_peak_wait_while_there_is_time():
     waits = candidate("v1", waits=True)
-    assert choose([waits], 1, timedelta(seconds=20), SECOND) == ([], [])
-    assert choose([waits], 1, timedelta(seconds=1), SECOND * 2)[0] == ["v1"]
+    assert choose([waits], 1, timedelta(seconds=20), SECOND) == UpkeepChoice()
+    assert choose([waits], 1, timedelta(seconds=1), SECOND * 2).begin == ("v1",)
 
 
 def pair(gauge, pace=100):
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -64,6 +64,22 @@
         assert await world.drive(20, lambda: status(world) == b"completed")
 
 
+async def test_lasting_tasks_that_share_vms_hold_up_no_wave():
+    # Trials on laurentien-ledger: with two lasting tasks on a VM, 3 or 4 of 16 VMs were
+    # late on each day; a task that was moved off its VM started there again.
+    world = World(executors=3, cpu=4000)
+    vms = world.keep_vms()
+    world.lasting_tasks = 5
+    async with world.running():
+        await world.submit("a1", StepSpec(5, 500, 100, lasting=True, may_be_away=1))
+        await world.drive(2)
+        await world.put("op/wave/1", wave_of(vms, at_once=2, seconds=20))
+        assert await world.drive(14, lambda: status(world) == b"completed")
+        assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
+        restarts = len(world.client.started) - 5
+        assert restarts <= 7
+
+
 async def test_vms_on_their_way_to_another_pool_hold_up_no_upkeep():
     # lilim-yard-large quiet-1, b6e8d5dc: peaks ended and VMs went to standby, and seven
     # VMs of the wave waited 5 s for the moves of others.
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -17,6 +17,7 @@
 from pomeloyard.batch.model import Pool, StepSpec, Wave
 from pomeloyard.batch.policy import Policy
 from pomeloyard.batch.pools import Move
+from pomeloyard.batch.upkeep import UpkeepChoice
 
 from .support.batch_world import QUEUE, FakeExecutor, World, configuration
 from .support.job_fakes import settle
@@ -60,7 +61,7 @@
     def choose_upkeeps(self, candidates, free_slots, time_left, needed):
         begin = [one.vm for one in candidates if self.draw.random() < 0.3]
         empty = [one.vm for one in candidates if self.draw.random() < 0.1]
-        return begin, empty
+        return UpkeepChoice(tuple(begin), tuple(empty), tuple(empty))
 
     def choose_executor(self, rooms, task, rack, among):
         if self.draw.random() < 0.05 or not rooms.links:
