Let idle pools be small: lasting tasks share VMs, and VMs are ordered by rate

Change: two tasks of a lasting step share a VM (as many as may be away, if more); a pool keeps half of its VMs or what lasting tasks need from its first job on, and its own before that; VMs are ordered for the rate of the last half second, for the part of it that has jobs at work when they come. Lasting tasks leave crowded VMs of a wave ahead of their turn, also to VMs on which a run once failed. The rest after a first peak has nothing left to decide and is gone, with its tests. A VM listed as down counts no more.

--- a/src/pomeloyard/batch/demand.py
+++ b/src/pomeloyard/batch/demand.py
@@ -4,6 +4,8 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping
+from datetime import timedelta
+from math import ceil
 
 from ..clock import Clock
 from .learning import Learning
@@ -11,6 +13,7 @@
 from .order import time_left_ms
 from .pools import LastingLoad
 from .progress import JobRun, StepRun
+from .spread import lasting_on_one_vm
 from .turns import Peak, Turns
 
 
@@ -64,7 +67,10 @@
                 continue
             before = loads.get(queue.service, LastingLoad())
             steps = [step for step in job.steps() if step.spec.lasting]
-            vms = max((step.spec.count for step in steps), default=0)
+            vms = max(
+                (ceil(s.spec.count / lasting_on_one_vm(s.spec)) for s in steps),
+                default=0,
+            )
             millis = sum(
                 step.placed * step.spec.cpu_millis
                 for step in steps
@@ -76,16 +82,20 @@
         return loads
 
     def core_rate(self, pool: str) -> float:
-        """Return the rate at which work surely arrives, in core-seconds a second."""
+        """Return the rate at which work arrives, in core-seconds a second."""
         return self._turns.core_rate(pool, self._clock.monotonic())
 
     def next_peak(self, pool: str) -> Peak | None:
         """Return a pool's present or next peak, if it can be told."""
         return self._turns.peak(pool, self._clock.monotonic())
 
-    def rests(self, pool: str) -> bool:
-        """Tell whether a pool's peak is over and its next one cannot come yet."""
-        return self._turns.rests(pool, self._clock.monotonic())
+    def chain(self, pool: str) -> timedelta:
+        """Return the mean of the longest chains of a pool's jobs."""
+        return self._turns.chain(pool)
+
+    def is_known(self, pool: str) -> bool:
+        """Tell whether any job has come for a pool."""
+        return self._turns.has_arrivals(pool) or pool in self.lasting()
 
     def _jobs(self) -> Iterator[tuple[JobRun, Queue]]:
         for job in self._live_jobs.values():
--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -213,6 +213,8 @@
         """Whether the VM is being emptied and gets no new runs."""
         self.lent = False
         """Whether the VM is being emptied for another pool and gets no new runs."""
+        self.separating = False
+        """Whether lasting tasks are moved off the VM one by one."""
         self.due = False
         """Whether the VM still needs its upkeep in a wave."""
         self.leaving = False
--- a/src/pomeloyard/batch/order.py
+++ b/src/pomeloyard/batch/order.py
@@ -24,7 +24,7 @@
 """Between the end of a step and the start of the next: two writes and two calls."""
 
 
-def chain_ms(
+def longest_chain_ms(
     job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
 ) -> float:
     """Return the longest chain of work, in ms; of what is left, or of the whole job."""
@@ -68,10 +68,10 @@
 
     Both count from the time at which the caller first sent it.
     """
-    objective_ms = queue.stretch * chain_ms(
+    objective_ms = queue.stretch * longest_chain_ms(
         job, expected_ms, remaining=False
     ) + queue.objective / timedelta(milliseconds=1)
-    finish_ms = age / timedelta(milliseconds=1) + chain_ms(
+    finish_ms = age / timedelta(milliseconds=1) + longest_chain_ms(
         job, expected_ms, remaining=True
     )
     return finish_ms, objective_ms
--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -3,11 +3,10 @@
 Answers demand that peaks by turns at four to five times its mean for some seconds:
 a VM off standby costs nothing, one in a pool costs each second, and a move costs
 about what a VM costs in a second. So a pool gets VMs while more work waits than it
-can clear in time, from standby or from pools whose own peak is over. After its peak a
+can clear in time, from standby or from pools whose own peak is over. Outside of peaks a
 pool gives idle VMs up; once the turns of the peaks are known, it gets them back
-shortly before the next one. Before its first peak it keeps its own. A peak of dozens of
-jobs a second outgrows its pool within the time of a move, so a full pool also gets the
-VMs that the rate of arrivals asks for, before the backlog shows it.
+shortly before the next one. A peak outgrows its pool within the time of a move, so a
+pool gets the VMs that the rate of arrivals asks for before a backlog shows it.
 """
 
 from __future__ import annotations
@@ -22,7 +21,7 @@
 CLEAR_TIME = timedelta(seconds=1.5)
 """Waiting work should be cleared within this, about the slack of a usual job."""
 FLOOR_SHARE = 0.5
-"""Share of its own VMs that a pool keeps when idle between its peaks."""
+"""Share of its own VMs that a pool keeps when idle; a peak begins on these."""
 LEAD = timedelta(seconds=2.5)
 """A VM is asked for this long before a peak; a move takes 1.5 s, noticing 0.5 s."""
 TAIL = timedelta(seconds=1.5)
@@ -42,7 +41,7 @@
     """What the lasting tasks of a pool need."""
 
     vms: int = 0
-    """One for each task of the largest step."""
+    """For the tasks of the largest step, some of which share a VM."""
     cores: float = 0.0
     """Of the tasks that are placed."""
 
@@ -61,16 +60,22 @@
     own_vms: int
     """VMs that the pool had at first."""
     lasting_vms: int = 0
-    """VMs that its lasting tasks need, each on another one."""
+    """VMs that its lasting tasks need."""
     peak: Peak | None = None
-    rests: bool = False
-    """Whether its peak is over and its next one cannot come yet."""
     urgent_core_seconds: float = 0.0
     """Part of the waiting work whose jobs can still be in time."""
     arriving_cores: float = 0.0
-    """Work that surely keeps arriving, in core-seconds a second."""
+    """Work that keeps arriving, in core-seconds a second."""
+    chain: timedelta = timedelta(0)
+    """Mean of the longest chains of its jobs."""
+    lead: timedelta = timedelta(0)
+    """From the order of a VM until it runs tasks."""
+    busy_cores: float = 0.0
+    """Cores that tasks which do not last have."""
     short_cores: float = 0.0
     """Cores of its present VMs that lasting tasks leave to others."""
+    demand_known: bool = True
+    """Whether any job has come for the pool yet."""
 
     @property
     def peak_is_near(self) -> bool:
@@ -83,8 +88,7 @@
     @property
     def floor(self) -> int:
         """Return how many VMs the pool keeps even when idle."""
-        between_peaks = self.rests if self.peak is None else not self.peak_is_near
-        if not between_peaks:
+        if not self.demand_known:
             return self.own_vms
         return max(math.ceil(self.own_vms * FLOOR_SHARE), self.lasting_vms)
 
@@ -99,14 +103,23 @@
 
     @property
     def wanted_in_backlog(self) -> int:
-        """Return how many more VMs a full pool needs, with those on their way."""
-        if self.waiting_core_seconds <= 0:
-            return 0
+        """Return how many more VMs the pool needs, with those on their way."""
         to_clear = self.waiting_core_seconds / (
             self.vm_cores * CLEAR_TIME.total_seconds()
         )
-        to_keep_up = max(0.0, self.arriving_cores - self.short_cores) / self.vm_cores
-        return round(to_clear + to_keep_up)
+        missing_cores = max(0.0, self._cores_after_lead - self.short_cores)
+        return round(to_clear + missing_cores / self.vm_cores)
+
+    @property
+    def _cores_after_lead(self) -> float:
+        """Return the cores that arriving work needs when a VM ordered now has come.
+
+        Work that keeps arriving needs as many cores as it has core-seconds a second
+        once it has arrived for as long as its jobs take; until then, only a part.
+        """
+        part = min(1.0, self.lead / self.chain) if self.chain else 1.0
+        growing = self.busy_cores + self.arriving_cores * part
+        return min(self.arriving_cores, growing)
 
     @property
     def urgency(self) -> float:
@@ -161,6 +174,7 @@
         wanted = max(
             load.wanted_in_backlog - load.arriving_vms,
             load.wanted_before_peak - load.vms,
+            load.lasting_vms - load.vms,
         )
         for spare in list(free):
             if wanted <= 0:
--- a/src/pomeloyard/batch/spread.py
+++ b/src/pomeloyard/batch/spread.py
@@ -2,9 +2,10 @@
 
 Answers peaks in which a pool is full: tasks are packed on few executors, so that
 large tasks still find room, and go first to those that are not slow. Lasting tasks
-are spread over racks, as racks fail as a whole. A peak asks for hundreds of tasks at
-once of a hundred executors that are nearly all full, so executors are kept in the
-order of their free cpu.
+share VMs, so that an idle pool needs few, but only as many of a step as upkeep can move
+off one by one; they are spread over racks, as racks fail as a whole. A peak asks for
+hundreds of tasks at once of a hundred executors that are nearly all full, so executors
+are kept in the order of their free cpu.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 from .learning import SLOW_FACTOR, Learning
 from .link import ExecutorLink
+from .model import StepSpec
 from .progress import StepRun, Task
 from .usage import Usage
 
@@ -23,6 +25,10 @@
 """For tasks whose cpu is not counted."""
 
 
+SHARED_LASTING = 2
+"""Tasks of a lasting step on one VM: with each more, its upkeep takes the restart of a
+task longer, and the loss of one VM takes another share of the step."""
+
 _Place = tuple[int, str]
 
 
@@ -38,6 +44,15 @@
     return not spec.max_per_executor or on_executor < spec.max_per_executor
 
 
+def lasting_on_one_vm(spec: StepSpec) -> int:
+    """Return how many tasks of a lasting step should share a VM.
+
+    As many as may be away need not be moved off one by one.
+    """
+    shared = max(SHARED_LASTING, spec.may_be_away)
+    return min(shared, spec.max_per_executor) if spec.max_per_executor else shared
+
+
 class Rooms:
     """Usable executors of a pool by the cpu that they have free.
 
@@ -145,6 +160,7 @@
         best: ExecutorLink | None = None
         best_score: tuple[float, ...] = ()
         step = task.step
+        shared = lasting_on_one_vm(step.spec)
         for link in self._links_by_id.values():
             executor = link.executor
             executor_id = executor.executor_id
@@ -154,10 +170,12 @@
                 continue
             free = self._usage.free_cpu(executor_id, executor.capacity)
             score = (
+                float(link.separating),
                 float(executor_id in task.failed_on),
                 float(self._slow[executor_id]),
                 float(link.due),
-                float(self._usage.tasks_of_step(executor_id, step)),
+                float(self._usage.tasks_of_step(executor_id, step) >= shared),
+                float(not self._usage.lasting_tasks(executor_id)),
                 float(self._usage.tasks_in_rack(step, executor.rack)),
                 float(-free) if step.spec.fills else float(free),
             )
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -52,7 +52,7 @@
     JobState,
     Queue,
 )
-from .order import work_of
+from .order import longest_chain_ms, work_of
 from .pacing import next_pace
 from .planner import Planner
 from .policy import Policy, UsualPolicy
@@ -236,7 +236,9 @@
         if queue is not None and not job.lasting:
             work = work_of(job, self.learning.expected_ms, remaining=False)
             self._planner.note_job(queue, work)
-            self.turns.arrived(queue.service, job.seen_at, work)
+            chain_ms = longest_chain_ms(job, self.learning.expected_ms, remaining=False)
+            chain = timedelta(milliseconds=chain_ms)
+            self.turns.arrived(queue.service, job.seen_at, work, chain)
         for task in job.placed_tasks():
             self._adopt(task)
         if job.final:
--- a/src/pomeloyard/batch/turns.py
+++ b/src/pomeloyard/batch/turns.py
@@ -1,7 +1,8 @@
 """When each pool's next peak comes; pure.
 
-Answers demand whose peaks come by turns and again. In the first cycle a pool rests
-after its own peak; from the second on it gets its VMs before its peak.
+Answers demand whose peaks come by turns and again. In the first cycle the rate of the
+last arrivals is all that tells of a peak; from the second on a pool gets its VMs before
+its peak.
 """
 
 from __future__ import annotations
@@ -21,14 +22,11 @@
 """Below this share of the mean rate a peak is over."""
 SHORTEST_PERIOD = timedelta(seconds=6)
 LONGEST_PERIOD = timedelta(seconds=90)
-REST_FACTOR = 2.5
-"""A pool rests for this many times the length of its peak; with three pools or more
-that take turns, its next one comes later."""
-SHORTEST_REST = timedelta(seconds=6)
-PEAK_OVER = timedelta(seconds=2)
-"""Without dense arrivals for this long a peak is over."""
-RATE_WINDOW = timedelta(seconds=1)
-"""Shorter than a VM's move, long enough for the dozens of jobs of a large peak."""
+RATE_WINDOWS = (timedelta(seconds=0.5), timedelta(seconds=1))
+"""Shorter than a move of a VM; the shorter one shows the start of a peak sooner, the
+longer one tells the rate of queues with few jobs."""
+CHAIN_WEIGHT = 0.1
+"""Weight of a new job in its pool's mean chain; jobs of a queue differ by half."""
 MEMORY = timedelta(seconds=240)
 MIN_ARRIVALS = 5
 PEAK_SHARE = 0.8
@@ -51,8 +49,8 @@
         self.arrivals: list[tuple[timedelta, float]] = []
         self.onsets: list[timedelta] = []
         self.in_peak = False
-        self.dense_at: timedelta | None = None
-        """Last arrival within a peak."""
+        self.chain: timedelta | None = None
+        """Mean of the longest chains of the jobs."""
 
     def since(self, earliest: timedelta) -> list[float]:
         """Return the work of each job after a time; jobs come nearly in order."""
@@ -71,12 +69,20 @@
         self._pools: dict[str, _PoolArrivals] = defaultdict(_PoolArrivals)
         self._began_at: timedelta | None = None
 
-    def arrived(self, pool: str, now: timedelta, core_seconds: float) -> None:
-        """Note a job for a pool."""
+    def arrived(
+        self,
+        pool: str,
+        now: timedelta,
+        core_seconds: float,
+        chain: timedelta = timedelta(0),
+    ) -> None:
+        """Note a job for a pool, with its work and its longest chain."""
         if self._began_at is None:
             self._began_at = now
         state = self._pools[pool]
         state.arrivals.append((now, core_seconds))
+        before = state.chain if state.chain is not None else chain
+        state.chain = before + CHAIN_WEIGHT * (chain - before)
         while state.arrivals[0][0] < now - MEMORY:
             state.arrivals.pop(0)
         self._note_onset(state, now)
@@ -87,10 +93,7 @@
         passed = now - self._began_at
         passed = max(passed, 3 * ONSET_WINDOW)
         mean = len(state.arrivals) * (ONSET_WINDOW / passed)
-        if state.in_peak and recent >= ONSET_ARRIVALS:
-            state.dense_at = now
         if recent >= ONSET_ARRIVALS and recent >= ONSET_FACTOR * mean:
-            state.dense_at = now
             if not state.in_peak:
                 state.in_peak = True
                 state.onsets.append(now - ONSET_WINDOW / 2)
@@ -98,28 +101,20 @@
             state.in_peak = False
 
     def core_rate(self, pool: str, now: timedelta) -> float:
-        """Return the rate at which work surely arrives, in core-seconds a second.
-
-        One standard deviation below what the window shows, so that few jobs tell
-        little.
-        """
+        """Return the rate at which work arrives, in core-seconds a second."""
         state = self._pools.get(pool)
         if state is None:
             return 0.0
-        works = state.since(now - RATE_WINDOW)
-        if not works:
-            return 0.0
-        certain = 1 - 1 / math.sqrt(len(works))
-        return certain * sum(works) / RATE_WINDOW.total_seconds()
+        return max(_rate(state.since(now - window), window) for window in RATE_WINDOWS)
+
+    def has_arrivals(self, pool: str) -> bool:
+        """Tell whether any job has come for a pool."""
+        return pool in self._pools
 
-    def rests(self, pool: str, now: timedelta) -> bool:
-        """Tell whether a pool's peak is over and its next one cannot come yet."""
+    def chain(self, pool: str) -> timedelta:
+        """Return the mean of the longest chains of a pool's jobs."""
         state = self._pools.get(pool)
-        if state is None or state.dense_at is None or not state.onsets:
-            return False
-        quiet = now - state.dense_at
-        length = state.dense_at - state.onsets[-1]
-        return PEAK_OVER <= quiet <= max(REST_FACTOR * length, SHORTEST_REST)
+        return (state.chain if state is not None else None) or timedelta(0)
 
     def period(self) -> timedelta | None:
         """Return the time from a peak to the next of the same pool, if known."""
@@ -157,6 +152,17 @@
         )
 
 
+def _rate(works: list[float], window: timedelta) -> float:
+    """Return the rate of work that arrived in a window.
+
+    One job is left out: a window that is looked at because a job came shows one more
+    than is usual, and a single job tells no rate.
+    """
+    if not works:
+        return 0.0
+    return (1 - 1 / len(works)) * sum(works) / window.total_seconds()
+
+
 def _densest(phases: list[tuple[float, float]], span: float) -> tuple[float, float]:
     """Return start and length of the shortest arc with most of the arrivals."""
     count = len(phases)
--- a/src/pomeloyard/batch/upkeep.py
+++ b/src/pomeloyard/batch/upkeep.py
@@ -43,9 +43,11 @@
     """How long it has been emptied already."""
     crowded: bool = False
     """Whether more lasting tasks of a step run on it than may be away at once."""
-    has_lasting: bool = False
-    """Whether lasting tasks run on it; few of a step may be away at once, so these
-    VMs decide how long the wave takes."""
+    separating: bool = False
+    """Whether they are leaving it already."""
+    lasting_tasks: int = 0
+    """Few of a step may be away at once, so VMs with lasting tasks decide how long the
+    wave takes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +58,7 @@
     empty: tuple[str, ...] = ()
     """They get no new tasks."""
     separate: tuple[str, ...] = ()
-    """They get no new tasks, and one of their lasting tasks starts elsewhere."""
+    """One of their lasting tasks starts elsewhere, ahead of their turn."""
 
 
 def wanted_at_once(
@@ -81,28 +83,24 @@
     time than that, VMs are not emptied first.
     """
     if free_slots <= 0:
-        return UpkeepChoice()
+        return UpkeepChoice(separate=_choose_to_separate(candidates))
     pressed = time_left <= needed
     ordered = sorted(
         candidates,
         key=lambda c: (
             not c.may_go,
             c.reserved_for is None,
-            not c.has_lasting,
-            not c.crowded,
+            not c.lasting_tasks,
             c.pool_waits and not pressed,
             c.short_work,
         ),
     )
     begin: list[str] = []
     empty: list[str] = []
-    separate_by_pool: dict[str, str] = {}
     for candidate in ordered[:free_slots]:
         if not candidate.may_go:
-            if candidate.crowded:
-                separate_by_pool.setdefault(candidate.pool, candidate.vm)
             continue
-        busy_pool = candidate.pool_waits and not candidate.has_lasting
+        busy_pool = candidate.pool_waits and not candidate.lasting_tasks
         if busy_pool and not pressed and candidate.reserved_for is None:
             continue
         waited = candidate.reserved_for or timedelta(0)
@@ -110,4 +108,13 @@
             begin.append(candidate.vm)
         else:
             empty.append(candidate.vm)
-    return UpkeepChoice(tuple(begin), tuple(empty), tuple(separate_by_pool.values()))
+    return UpkeepChoice(tuple(begin), tuple(empty), _choose_to_separate(candidates))
+
+
+def _choose_to_separate(candidates: Sequence[UpkeepCandidate]) -> tuple[str, ...]:
+    """Return a crowded VM of each pool: one that is at it, else the least crowded."""
+    by_pool: dict[str, UpkeepCandidate] = {}
+    crowded = (candidate for candidate in candidates if candidate.crowded)
+    for candidate in sorted(crowded, key=lambda c: (not c.separating, c.lasting_tasks)):
+        by_pool.setdefault(candidate.pool, candidate)
+    return tuple(candidate.vm for candidate in by_pool.values())
--- a/src/pomeloyard/batch/usage.py
+++ b/src/pomeloyard/batch/usage.py
@@ -20,6 +20,7 @@
         self._by_team: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0])
         self._tasks_by_executor_step: Counter[tuple[str, str]] = Counter()
         self._tasks_by_step_rack: Counter[tuple[str, str]] = Counter()
+        self._lasting_by_executor: Counter[str] = Counter()
 
     def add(self, executor: str, rack: str, task: Task) -> None:
         """Count a task that may run on an executor."""
@@ -42,6 +43,8 @@
         team[2] += sign * spec.accelerators
         self._tasks_by_executor_step[executor, task.step.name] += sign
         self._tasks_by_step_rack[task.step.name, rack] += sign
+        if spec.lasting:
+            self._lasting_by_executor[executor] += sign
 
     def free(self, executor: str, capacity: Resources) -> Resources:
         """Return what an executor has left."""
@@ -85,6 +88,10 @@
         """Return how many tasks of a step may run on an executor."""
         return self._tasks_by_executor_step[executor, step.name]
 
+    def lasting_tasks(self, executor: str) -> int:
+        """Return how many lasting tasks may run on an executor."""
+        return self._lasting_by_executor[executor]
+
     def tasks_in_rack(self, step: StepRun, rack: str) -> int:
         """Return how many tasks of a step may run in a rack."""
         return self._tasks_by_step_rack[step.name, rack]
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -23,6 +23,8 @@
 
 MAX_EMPTYING = timedelta(seconds=3)
 """A VM that is not empty by then stays; usual tasks are shorter."""
+NOTICE_TIME = timedelta(milliseconds=250)
+"""Between the end of a move and the first look at the new executor."""
 LINE_INTERVAL = timedelta(seconds=1)
 """Between the lines that tell what pools have and ask for."""
 POOL_SIZES = "b/pool-sizes"
@@ -195,7 +197,9 @@
                 for operation in self._orders.by_vm.values()
             )
             present = sum(
-                vm.pool == name and vm.name not in self._orders.by_vm
+                vm.pool == name
+                and vm.state is not VmState.DOWN
+                and vm.name not in self._orders.by_vm
                 for vm in self._listing.vms_by_name.values()
             )
             own = self._own_vms_by_pool.get(name, 0)
@@ -212,10 +216,13 @@
                     own,
                     lasting_vms=lasting.vms,
                     peak=demand.next_peak(name),
-                    rests=demand.rests(name),
                     urgent_core_seconds=urgent,
                     arriving_cores=demand.core_rate(name),
+                    chain=demand.chain(name),
+                    lead=self._move_time + NOTICE_TIME,
+                    busy_cores=self._busy_cores(name) - lasting.cores,
                     short_cores=cores - lasting.cores,
+                    demand_known=demand.is_known(name),
                 )
             )
         return loads
@@ -238,7 +245,6 @@
                 waiting=round(load.waiting_core_seconds, 1),
                 urgent=round(load.urgent_core_seconds, 1),
                 rate=round(load.arriving_cores, 1),
-                rests=load.rests,
                 peak_in=round(load.peak.starts_in.total_seconds(), 1)
                 if load.peak
                 else "",
--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -186,11 +186,13 @@
             link = self._listing.link_of(vm)
             if link is None or self._yard.availability.may_end_all(link):
                 self._begin(work, vm)
-        self._reserve(work, {*choice.begin, *choice.empty, *choice.separate}, now)
-        for name in choice.separate:
-            link = self._listing.link_of(self._listing.vms_by_name[name])
+        self._reserve(work, {*choice.begin, *choice.empty}, now)
+        for name in wave.vms:
+            link = self._listing.link_of(self._listing.vms_by_name.get(name))
             if link is not None:
-                self._separate(link)
+                link.separating = name in choice.separate
+                if link.separating:
+                    self._separate(link)
 
     def _is_down(self, name: str) -> bool:
         """Tell whether a VM may be down for its upkeep; a move is none."""
@@ -216,13 +218,14 @@
             pool_waits=waiting.get(vm.pool, 0.0) > 0,
             reserved_for=None if reserved_at is None else now - reserved_at,
             crowded=any(_exceeds_away(runs) for runs in lasting.values()),
-            has_lasting=bool(lasting),
+            separating=link is not None and link.separating,
+            lasting_tasks=sum(map(len, lasting.values())),
         )
 
     def _separate(self, link: ExecutorLink) -> None:
         """Stop one of several tasks of a step, so that its VM may go later.
 
-        The VM is reserved, so the task starts again on another one.
+        The task starts again on another one, as this one is being separated.
         """
         for runs in _lasting_by_step(link).values():
             step = runs[0].task.step
