--- a/measurements/rounds.py
+++ b/measurements/rounds.py
@@ -23,8 +23,14 @@
 ROOT = Path(__file__).resolve().parents[1]
 JOURNAL = ROOT / "journal"
 PAGE = ROOT / "docs" / "rounds.md"
-MOST_PRICES = 6
-"""Prices of a day that are shown; the others are below a hundredth each."""
+PRICE_COLUMNS = {
+    "seconds of machines in pools": "pools",
+    "machine-seconds": "daemons' VMs",
+    "machines moved": "moves",
+    "cloud calls": "store calls",
+    "duties missed": "waves late",
+}
+"""Prices with a column of their own; the others are below a hundredth each."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +42,15 @@
     score: float | None
     broken: tuple[str, ...]
     prices: dict[str, float]
+    losses: dict[str, float]
+    """Worth that is not earned, by part of the measure."""
+
+    @property
+    def other_prices(self) -> float:
+        """Return the prices that have no column of their own."""
+        return sum(
+            price for name, price in self.prices.items() if name not in PRICE_COLUMNS
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +107,7 @@
                 day.get("score"),
                 tuple(day.get("rules") or ()),
                 {name: price for name, _, price in day.get("prices") or ()},
+                _losses(day.get("parts") or ()),
             )
             for day in content["days"]
             if day.get("G") is not None
@@ -99,6 +115,13 @@
     )
 
 
+def _losses(parts: Iterable[tuple[str, float, float]]) -> dict[str, float]:
+    """Return the worth that each part of the measure lacks; they add up to it all."""
+    kept = list(parts)
+    weights = sum(weight for _, weight, _ in kept)
+    return {name: weight * (1 - value) / weights for name, weight, value in kept}
+
+
 def page(rounds: Sequence[Round], without: int) -> str:
     """Return the page in Markdown."""
     parts = [
@@ -143,17 +166,19 @@
         return []
     lines = [
         "",
-        f"Days of the last score ({scores[-1].entry}), and what they paid for:",
+        f"Days of the last score ({scores[-1].entry}): worth, and what it lacks to 1, "
+        "by part of the measure and by price:",
         "",
     ]
-    lines += ["| day | worth | score | largest prices |", "|---|---|---|---|"]
+    parts = list(dict.fromkeys(name for day in scores[-1].days for name in day.losses))
+    columns = ["day", "worth", *parts, *PRICE_COLUMNS.values(), "other prices"]
+    lines += ["| " + " | ".join(columns) + " |", "|---" * len(columns) + "|"]
     for day in scores[-1].days:
-        largest = sorted(day.prices.items(), key=lambda item: -item[1])[:MOST_PRICES]
-        prices = ", ".join(
-            f"{name} {price:.3f}" for name, price in largest if price > 0
-        )
-        score = "-" if day.score is None else f"{day.score:.2f}"
-        lines.append(f"| {day.name} | {day.worth:.3f} | {score} | {prices} |")
+        cells = [day.worth, *(day.losses.get(part, 0.0) for part in parts)]
+        cells += [day.prices.get(name, 0.0) for name in PRICE_COLUMNS]
+        cells.append(day.other_prices)
+        shown = " | ".join(f"{cell:.3f}" for cell in cells)
+        lines.append(f"| {day.name} | {shown} |")
     return lines
 
 
--- a/tests/test_rounds_report.py
+++ b/tests/test_rounds_report.py
@@ -21,20 +21,23 @@
     }
 
 
-def day(name, worth, rules=None, prices=()):
-    return {"name": name, "G": worth, "score": worth, "rules": rules, "prices": prices}
+def day(name, worth, rules=None, prices=(), parts=()):
+    fields = {"rules": rules, "prices": prices, "parts": parts}
+    return {"name": name, "G": worth, "score": worth, **fields}
 
 
 @pytest.fixture
 def journal(tmp_path):
-    prices = [["moves", 3, 0.01], ["machines in pools", 900, 0.25]]
+    prices = [["machines moved", 3, 0.01], ["seconds of machines in pools", 900, 0.25]]
+    prices.append(["memory", 2, 0.005])
+    parts = [["whole day", 0.7, 0.9], ["worst windows", 0.3, 0.783333]]
     entries = [
         entry(
             1,
             score=0.5,
             figures={"gate": 1.0},
             days=[
-                day("quiet-1", 0.6, prices=prices),
+                day("quiet-1", 0.6, prices=prices, parts=parts),
                 day("trouble-1", 0.1),
                 day("scale-1", 0.3),
             ],
@@ -58,7 +61,9 @@
 def test_the_page_tells_scores_prices_and_broken_rules(journal):
     text = page(*read_rounds(journal.glob("*.json")))
     assert "| 2026-12-04T01:00:00Z | e1 | 0123456 | 0.500 | passed | 0.200 |" in text
-    assert "| quiet-1 | 0.600 | 0.60 | machines in pools 0.250, moves 0.010 |" in text
+    assert "| quiet-1 | 0.600 | 0.070 | 0.065 | 0.250 | 0.000 | 0.010 |" in text
+    (row,) = (line for line in text.splitlines() if line.startswith("| quiet-1"))
+    assert sum(map(float, row.split(" | ")[1:-1])) + 0.005 == pytest.approx(1.0)
     assert "| e2 | 0123456 | 2 | 1 (LOST) |" in text
     assert "1 without one" in text
 
