Learn no run times from tasks that the term before had started

Cause: a task adopted by a new term counts as started at its adoption, so its end 3 to 9 ms later taught its step and its queue that run time. Also ranks and the time that a job needs were wrong from each change of the term on.

Change: such a run is partial, like one that goes on from saved progress, and teaches nothing.

--- a/src/pomeloyard/batch/learning.py
+++ b/src/pomeloyard/batch/learning.py
@@ -73,16 +73,17 @@
         run_ms: float,
         now: timedelta,
         *,
-        resumed: bool,
+        partial: bool,
     ) -> None:
         """Learn from a task that was done after ``run_ms``.
 
-        A resumed run tells nothing of the step, as only a part of the work was left.
+        A partial run tells nothing of the step: it went on from saved progress, or its
+        start was not seen.
         """
         record = self._by_executor[executor]
         record.failed_jobs.clear()
         record.aside_until = timedelta(0)
-        if resumed:
+        if partial:
             return
         self._note_speed(record, run_ms / max(self.expected_ms(step), 1.0), now)
         if record.slowness >= SLOW_FACTOR:
--- a/src/pomeloyard/batch/link.py
+++ b/src/pomeloyard/batch/link.py
@@ -78,9 +78,9 @@
         "ordered_at",
         "pace",
         "pace_sent_at",
+        "partial",
         "percent",
         "phase",
-        "resumed",
         "run",
         "stop_answered_at",
         "task",
@@ -94,7 +94,8 @@
         self.phase = phase
         self.fence = fence
         self.ticket = ""
-        self.resumed = bool(task.saved)
+        self.partial = bool(task.saved)
+        """Whether it goes on from saved progress, or began in an earlier term."""
         self.acknowledged_at: timedelta | None = None
         self.stop_answered_at: timedelta | None = None
         self.ordered_at: timedelta | None = None
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -280,7 +280,8 @@
         placed = PlacedRun(task, task.run, Phase.UNSURE, self.epoch - 1)
         self.usage.add(task.executor, link.executor.rack, task)
         task.started_at = self._clock.monotonic()
-        # Whether its order had an answer is not stored.
+        # Neither its start nor whether its order had an answer is stored.
+        placed.partial = True
         placed.unsure = True
         placed.ordered_at = task.started_at
         link.assign(placed)
@@ -557,8 +558,8 @@
         executor_id = link.executor.executor_id
         self.usage.remove(executor_id, link.executor.rack, task)
         run_ms = (now - task.started_at) / timedelta(milliseconds=1)
-        resumed = placed.resumed
-        self._learn(task, executor_id, kind, run_ms, resumed, now)
+        partial = placed.partial
+        self._learn(task, executor_id, kind, run_ms, partial, now)
         was_final = job.final
         job.end(task, placed.run, kind, saved)
         if kind is EndKind.FAILED:
@@ -652,7 +653,7 @@
         executor_id: str,
         kind: EndKind,
         run_ms: float,
-        resumed: bool,
+        partial: bool,
         now: timedelta,
     ) -> None:
         spec = task.step.spec
@@ -660,7 +661,7 @@
             return
         if kind is EndKind.DONE:
             self.learning.task_done(
-                task.step, executor_id, run_ms, now, resumed=resumed
+                task.step, executor_id, run_ms, now, partial=partial
             )
         elif kind is EndKind.FAILED:
             job_id = task.step.job.job_id
@@ -700,7 +701,7 @@
             )
             link.stop(placed)
             return
-        if not placed.resumed:
+        if not placed.partial:
             running_for = now - placed.task.started_at
             ratio = slowness(placed.percent, running_for, expected_ms)
             if ratio is not None:
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -146,9 +146,9 @@
     return job_of(StepSpec(9, 1000, 100, estimate_ms=estimate), job_id=job_id)
 
 
-def done(learning, job, run_ms, now=SECOND, resumed=False, executor="e-1"):
+def done(learning, job, run_ms, now=SECOND, partial=False, executor="e-1"):
     step = job.occurrences[0][0]
-    learning.task_done(step, executor, run_ms, now, resumed=resumed)
+    learning.task_done(step, executor, run_ms, now, partial=partial)
 
 
 def test_a_slow_executor_is_noticed_and_tried_again():
@@ -182,7 +182,7 @@
     learning = Learning()
     job = step_of(1000)
     done(learning, job, 1000)
-    done(learning, job, 10, resumed=True)
+    done(learning, job, 10, partial=True)
     assert learning.expected_ms(job.occurrences[0][0]) == 1000
 
 
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -550,6 +550,24 @@
         assert len(world.client.stopped) == 1
 
 
+async def test_runs_of_the_term_before_teach_no_run_time():
+    # laurentien-ledger trouble-3, after all daemons were killed: tasks that ended 8 ms
+    # after the new term had begun were taken to run that long, so pools whose VMs were
+    # full while jobs waited asked for no more VMs.
+    world = World(executors=2)
+    world.client.run_time = timedelta(seconds=3)
+    async with world.running() as first:
+        await world.submit("a1", StepSpec(2, 500, 100, estimate_ms=3000))
+        await world.drive(2.9)
+        first._over.set()
+        async with world.term() as successor:
+            assert await world.drive(2, completed(world))
+            await world.submit("a2", StepSpec(1, 500, 100, estimate_ms=3000))
+            await world.drive(0.2)
+            (step,) = successor.jobs_by_id["a2"].occurrences[0]
+            assert successor.learning.expected_ms(step) == 3000
+
+
 async def test_a_successor_knows_when_the_peaks_began():
     # Jobs are loaded by their ids, which say nothing of time: the arrivals of a peak
     # looked like several, and the pool was taken to rest while its peak was at work.
