--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections import Counter
 from dataclasses import replace
@@ -26,7 +27,7 @@
 )
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
 from pomeloyard.standins.audit import find_faults, read_audits
-from pomeloyard.standins.clients import DONE, Account, Load
+from pomeloyard.standins.clients import DONE, NOT_RUN, Account, Load
 from pomeloyard.vm_platform.directory import VmListState, VmRole
 
 from .support.processes import Fleet, wait_until
@@ -190,6 +191,19 @@
     assert httpcore.request("PUT", url, content=msgspec.json.encode(body)).status == 200
 
 
+def refusals(sent):
+    """Count the requests that were not run by team, reason and 5 s of the test."""
+    begin = min(one.attempts[0].at for one in sent if one.attempts)
+    found = Counter()
+    for one in sent:
+        if one.outcome() == NOT_RUN:
+            last = one.attempts[-1]
+            problem = last.body and json.loads(last.body)
+            reason = problem["type"] if problem else "no connection"
+            found[one.account, reason, 5 * int((last.at - begin) // 5)] += 1
+    return found
+
+
 def test_no_work_is_lost_duplicated_or_over_limit_under_faults(fleet):
     """Guards against every invariant of the design's section 1.1 that shows here."""
     operator = Operator(fleet)
@@ -273,6 +287,8 @@
         faults.append(f"drained VM got work {latest - drained_at:.1f} s later")
     outcomes = Counter(sent.outcome() for sent in load.sent)
     print(f"requests by outcome: {dict(outcomes)}, jobs: {len(load.jobs)}")
+    for reason, count in refusals(load.sent).most_common():
+        print(count, "not run:", *reason)
     assert not faults, f"{len(faults)} faults:\n" + "\n".join(faults[:20])
     # Most requests are within every limit, also during the faults.
     assert outcomes[DONE] > 0.8 * len(load.sent)
