--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -264,6 +264,19 @@
         assert world.client.stopped == []
 
 
+@pytest.mark.parametrize("phase", [0.05, 0.1, 0.15, 0.2, 0.25])
+async def test_a_job_that_outgrows_its_pool_gets_vms_at_once(phase):
+    # laurentien-ledger quiet-1: callers of a first peak waited up to 250 ms for a look
+    # at the pools, on top of the 1.5 s that a VM takes.
+    world = World(executors=2)
+    vms = world.keep_vms(standby=3)
+    async with world.running():
+        await world.publish(configuration(2))
+        await world.drive(4 + phase)
+        await world.submit("a1", StepSpec(30, 1000, 100, estimate_ms=2000))
+        assert await world.drive(0.2, lambda: vms.moves != [])
+
+
 async def test_a_peak_borrows_standby_vms_and_gives_them_back():
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
