--- a/src/pomeloyard/batch/demand.py
+++ b/src/pomeloyard/batch/demand.py
@@ -4,7 +4,6 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping
-from datetime import timedelta
 from math import ceil
 
 from ..clock import Clock
@@ -14,7 +13,7 @@
 from .pools import LastingLoad
 from .progress import JobRun, StepRun
 from .spread import lasting_on_one_vm
-from .turns import Peak, Turns
+from .turns import ArrivalRate, Peak, Turns
 
 
 class PoolDemand:
@@ -81,22 +80,14 @@
             )
         return loads
 
-    def core_rate(self, pool: str) -> float:
-        """Return the rate at which work arrives, in core-seconds a second."""
-        return self._turns.core_rate(pool, self._clock.monotonic())
+    def rate(self, pool: str) -> ArrivalRate | None:
+        """Return the rate of a pool's jobs; None if none has ever come."""
+        return self._turns.rate(pool, self._clock.monotonic())
 
     def next_peak(self, pool: str) -> Peak | None:
         """Return a pool's present or next peak, if it can be told."""
         return self._turns.peak(pool, self._clock.monotonic())
 
-    def chain(self, pool: str) -> timedelta:
-        """Return the mean of the longest chains of a pool's jobs."""
-        return self._turns.chain(pool)
-
-    def is_known(self, pool: str) -> bool:
-        """Tell whether any job has come for a pool."""
-        return self._turns.has_arrivals(pool) or pool in self.lasting()
-
     def _jobs(self) -> Iterator[tuple[JobRun, Queue]]:
         for job in self._live_jobs.values():
             queue = self._queue_of(job.record)
--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pools.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from .turns import Peak
+from .turns import NO_ARRIVALS, ArrivalRate, Peak
 
 CLEAR_TIME = timedelta(seconds=1.5)
 """Waiting work should be cleared within this, about the slack of a usual job."""
@@ -64,10 +64,7 @@
     peak: Peak | None = None
     urgent_core_seconds: float = 0.0
     """Part of the waiting work whose jobs can still be in time."""
-    arriving_cores: float = 0.0
-    """Work that keeps arriving, in core-seconds a second."""
-    chain: timedelta = timedelta(0)
-    """Mean of the longest chains of its jobs."""
+    rate: ArrivalRate = NO_ARRIVALS
     lead: timedelta = timedelta(0)
     """From the order of a VM until it runs tasks."""
     busy_cores: float = 0.0
@@ -107,20 +104,10 @@
         to_clear = self.waiting_core_seconds / (
             self.vm_cores * CLEAR_TIME.total_seconds()
         )
-        missing_cores = max(0.0, self._cores_after_lead - self.short_cores)
+        needed_cores = self.rate.cores_after(self.lead, self.busy_cores)
+        missing_cores = max(0.0, needed_cores - self.short_cores)
         return round(to_clear + missing_cores / self.vm_cores)
 
-    @property
-    def _cores_after_lead(self) -> float:
-        """Return the cores that arriving work needs when a VM ordered now has come.
-
-        Work that keeps arriving needs as many cores as it has core-seconds a second
-        once it has arrived for as long as its jobs take; until then, only a part.
-        """
-        part = min(1.0, self.lead / self.chain) if self.chain else 1.0
-        growing = self.busy_cores + self.arriving_cores * part
-        return min(self.arriving_cores, growing)
-
     @property
     def urgency(self) -> float:
         """Return the urgent work in seconds of all its VMs."""
--- a/src/pomeloyard/batch/turns.py
+++ b/src/pomeloyard/batch/turns.py
@@ -44,12 +44,34 @@
     """Work that arrives during it, in core-seconds a second."""
 
 
+@dataclass(frozen=True, slots=True)
+class ArrivalRate:
+    """Jobs that come for a pool, by the last second."""
+
+    cores: float = 0.0
+    """Work that arrives, in core-seconds a second."""
+    chain: timedelta = timedelta(0)
+    """Mean of the longest chains of its jobs."""
+
+    def cores_after(self, lead: timedelta, busy_cores: float) -> float:
+        """Return the cores that the jobs need after a time, if they keep coming.
+
+        They need as many cores as they have core-seconds a second once they have come
+        for as long as they take; until then, only a part beside what is busy now.
+        """
+        part = min(1.0, lead / self.chain) if self.chain else 1.0
+        return min(self.cores, busy_cores + self.cores * part)
+
+
+NO_ARRIVALS = ArrivalRate()
+
+
 class _PoolArrivals:
     def __init__(self) -> None:
         self.arrivals: list[tuple[timedelta, float]] = []
         self.onsets: list[timedelta] = []
         self.in_peak = False
-        self.chain: timedelta | None = None
+        self.chain = timedelta(0)
         """Mean of the longest chains of the jobs."""
 
     def since(self, earliest: timedelta) -> list[float]:
@@ -81,8 +103,8 @@
             self._began_at = now
         state = self._pools[pool]
         state.arrivals.append((now, core_seconds))
-        before = state.chain if state.chain is not None else chain
-        state.chain = before + CHAIN_WEIGHT * (chain - before)
+        first = len(state.arrivals) == 1
+        state.chain += (1.0 if first else CHAIN_WEIGHT) * (chain - state.chain)
         while state.arrivals[0][0] < now - MEMORY:
             state.arrivals.pop(0)
         self._note_onset(state, now)
@@ -100,21 +122,13 @@
         elif recent < QUIET_FACTOR * mean:
             state.in_peak = False
 
-    def core_rate(self, pool: str, now: timedelta) -> float:
-        """Return the rate at which work arrives, in core-seconds a second."""
+    def rate(self, pool: str, now: timedelta) -> ArrivalRate | None:
+        """Return the rate of a pool's jobs; None if none has ever come."""
         state = self._pools.get(pool)
         if state is None:
-            return 0.0
-        return max(_rate(state.since(now - window), window) for window in RATE_WINDOWS)
-
-    def has_arrivals(self, pool: str) -> bool:
-        """Tell whether any job has come for a pool."""
-        return pool in self._pools
-
-    def chain(self, pool: str) -> timedelta:
-        """Return the mean of the longest chains of a pool's jobs."""
-        state = self._pools.get(pool)
-        return (state.chain if state is not None else None) or timedelta(0)
+            return None
+        cores = max(_rate(state.since(now - window), window) for window in RATE_WINDOWS)
+        return ArrivalRate(cores, state.chain)
 
     def period(self) -> timedelta | None:
         """Return the time from a peak to the next of the same pool, if known."""
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -16,6 +16,7 @@
 from .model import Configuration
 from .policy import Policy
 from .pools import BusyVm, LastingLoad, Move, PoolLoad, SpareVm
+from .turns import NO_ARRIVALS
 from .usage import Usage
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
@@ -202,27 +203,24 @@
                 and vm.name not in self._orders.by_vm
                 for vm in self._listing.vms_by_name.values()
             )
-            own = self._own_vms_by_pool.get(name, 0)
-            backlog = waiting.get(name, 0.0)
-            urgent = urgent_loads.get(name, 0.0)
             lasting = lasting_loads.get(name, LastingLoad())
+            rate = demand.rate(name)
             loads.append(
                 PoolLoad(
                     name,
-                    backlog,
+                    waiting.get(name, 0.0),
                     vm_cores,
                     present + arriving,
                     arriving,
-                    own,
+                    self._own_vms_by_pool.get(name, 0),
                     lasting_vms=lasting.vms,
                     peak=demand.next_peak(name),
-                    urgent_core_seconds=urgent,
-                    arriving_cores=demand.core_rate(name),
-                    chain=demand.chain(name),
+                    urgent_core_seconds=urgent_loads.get(name, 0.0),
+                    rate=rate or NO_ARRIVALS,
                     lead=self._move_time + NOTICE_TIME,
                     busy_cores=self._busy_cores(name) - lasting.cores,
                     short_cores=cores - lasting.cores,
-                    demand_known=demand.is_known(name),
+                    demand_known=rate is not None or name in lasting_loads,
                 )
             )
         return loads
@@ -244,7 +242,7 @@
                 busy_cores=round(self._busy_cores(load.name), 1),
                 waiting=round(load.waiting_core_seconds, 1),
                 urgent=round(load.urgent_core_seconds, 1),
-                rate=round(load.arriving_cores, 1),
+                rate=round(load.rate.cores, 1),
                 peak_in=round(load.peak.starts_in.total_seconds(), 1)
                 if load.peak
                 else "",
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -23,7 +23,7 @@
 )
 from pomeloyard.batch.progress import EndKind, JobRun, TaskState
 from pomeloyard.batch.stalls import slowness, still_for
-from pomeloyard.batch.turns import Peak, Turns
+from pomeloyard.batch.turns import NO_ARRIVALS, Peak, Turns
 from pomeloyard.batch.upkeep import (
     MAX_PATIENCE,
     UpkeepCandidate,
@@ -287,8 +287,9 @@
                 load = PoolLoad(
                     "a", backlog, 16.0, vms + len(moving), len(moving), 50, 24
                 )
-                rate = turns.core_rate("a", now * SECOND) if with_rate else 0.0
-                load = replace(load, arriving_cores=rate, short_cores=vms * 11.5)
+                rate = turns.rate("a", now * SECOND) if with_rate else None
+                rate = rate or NO_ARRIVALS
+                load = replace(load, rate=rate, short_cores=vms * 11.5)
                 spares = [
                     SpareVm(f"s{n}", "spare", True, timedelta(0))
                     for n in range(95 - vms - len(moving))
@@ -336,8 +337,7 @@
                 if by_rate:
                     load = replace(
                         load,
-                        arriving_cores=turns.core_rate("a", now * SECOND),
-                        chain=turns.chain("a"),
+                        rate=turns.rate("a", now * SECOND),
                         lead=1.75 * SECOND,
                         busy_cores=21.0 * len(busy),
                         short_cores=float(cores),
@@ -361,12 +361,12 @@
 def test_few_jobs_do_not_tell_a_rate():
     turns = Turns()
     turns.arrived("a", SECOND, 500.0)
-    assert turns.core_rate("a", SECOND) == 0.0
+    assert turns.rate("a", SECOND).cores == 0.0
     for _ in range(3):
         turns.arrived("a", SECOND, 500.0)
     # Three of four jobs within half a second.
-    assert turns.core_rate("a", SECOND) == 3000.0
-    assert turns.core_rate("a", 3 * SECOND) == 0.0
+    assert turns.rate("a", SECOND).cores == 3000.0
+    assert turns.rate("a", 3 * SECOND).cores == 0.0
 
 
 def test_vms_that_are_on_their_way_count():
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -588,7 +588,8 @@
             peaks = [known.turns.peak("mill", now) for known in (term, successor)]
             assert peaks[1].starts_in == peaks[0].starts_in
             assert peaks[1].core_rate == pytest.approx(peaks[0].core_rate)
-            assert successor.demand.chain("mill") == term.demand.chain("mill")
+            rates = [known.demand.rate("mill") for known in (term, successor)]
+            assert rates[1].chain == rates[0].chain
 
 
 @pytest.mark.parametrize("method", ["look", "start"])
