--- a/measurements/rounds.py
+++ b/measurements/rounds.py
@@ -63,6 +63,8 @@
     command: str
     deployment: str
     commit: str
+    edited: bool
+    """Whether its sources were edited during the run; its figures count for nothing."""
     reason: str
     score: float | None
     gate: bool | None
@@ -97,6 +99,7 @@
         command=content["cmd"],
         deployment=content["site"],
         commit=content["head"][:7] + ("+" if content.get("dirty") else ""),
+        edited=bool(content.get("edited_meanwhile")),
         reason=content.get("why") or "",
         score=content.get("score"),
         gate=bool(figures["gate"]) if "gate" in figures else None,
@@ -129,7 +132,8 @@
         "",
         "Written by `make report` from the entries below `journal/`: "
         f"{len(rounds)} with a result, {without} without one. A `+` marks a commit "
-        "with changes on top. Single runs are not shown.",
+        "with changes on top, a `*` sources that were edited during the run: its figures "
+        "count for nothing. Single runs are not shown.",
     ]
     by_deployment: dict[str, list[Round]] = defaultdict(list)
     for one in rounds:
@@ -154,14 +158,22 @@
         gate = "-" if one.gate is None else ("passed" if one.gate else "failed")
         worth = one.worth_under_load
         lines.append(
-            f"| {one.began_at} | {one.entry} | {one.commit} | {one.score:.3f} "
+            f"| {one.began_at} | {one.entry} | {_commit(one)} | {one.score:.3f} "
             f"| {gate} | {'-' if worth is None else f'{worth:.3f}'} |"
         )
     return lines
 
 
+def _commit(one: Round) -> str:
+    return one.commit + ("*" if one.edited else "")
+
+
 def _last(rounds: Sequence[Round]) -> list[str]:
-    scores = [one for one in rounds if one.command == "score" and one.score is not None]
+    scores = [
+        one
+        for one in rounds
+        if one.command == "score" and one.score is not None and not one.edited
+    ]
     if not scores:
         return []
     lines = [
@@ -191,7 +203,7 @@
         broken = [day for day in one.days if day.broken]
         rules = sorted({rule for day in broken for rule in day.broken})
         told = f"{len(broken)} ({', '.join(rules)})" if broken else "0"
-        lines.append(f"| {one.entry} | {one.commit} | {len(one.days)} | {told} |")
+        lines.append(f"| {one.entry} | {_commit(one)} | {len(one.days)} | {told} |")
     return lines
 
 
--- a/tests/test_rounds_report.py
+++ b/tests/test_rounds_report.py
@@ -68,6 +68,14 @@
     assert "1 without one" in text
 
 
+def test_a_score_of_sources_that_were_edited_is_marked_and_not_shown_by_day(journal):
+    edited = entry(4, score=0.9, edited_meanwhile=True, days=[day("quiet-1", 0.9)])
+    (journal / "4.json").write_text(json.dumps(edited))
+    text = page(*read_rounds(journal.glob("*.json")))
+    assert "| e4 | 0123456* | 0.900 |" in text
+    assert "Days of the last score (e1)" in text
+
+
 def test_an_unreadable_entry_is_an_error_and_not_left_out(tmp_path):
     (tmp_path / "1.json").write_text("{")
     with pytest.raises(ValueError, match="Expecting"):
