--- a/measurements/rounds.py
+++ b/measurements/rounds.py
@@ -132,8 +132,8 @@
         "",
         "Written by `make report` from the entries below `journal/`: "
         f"{len(rounds)} with a result, {without} without one. A `+` marks a commit "
-        "with changes on top, a `*` sources that were edited during the run: its figures "
-        "count for nothing. Single runs are not shown.",
+        "with changes on top, a `*` sources that were edited during the run; its "
+        "figures count for nothing. Single runs are not shown.",
     ]
     by_deployment: dict[str, list[Round]] = defaultdict(list)
     for one in rounds:
