--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -249,18 +249,16 @@
             )
 
     def _busy_cores(self, pool: str) -> float:
+        """Return the cores that all tasks of a pool have."""
         usage = self._yard.usage
-        return (
-            sum(
-                executor.capacity.cpu_millis
-                - usage.free_cpu(executor.executor_id, executor.capacity)
-                for executor in (
-                    link.executor for link in self._yard.links_by_id.values()
-                )
-                if executor.service == pool
-            )
-            / 1000
+        links = self._yard.links_by_id.values()
+        executors = [link.executor for link in links if link.executor.service == pool]
+        busy_millis = sum(
+            executor.capacity.cpu_millis
+            - usage.free_cpu(executor.executor_id, executor.capacity)
+            for executor in executors
         )
+        return busy_millis / 1000
 
     async def load(self) -> bool:
         """Read each pool's own number of VMs, as the first term saw it.
