--- a/tests/test_trying_out.py
+++ b/tests/test_trying_out.py
@@ -52,7 +52,12 @@
         text=True,
         start_new_session=True,
     )
-    output, _ = demo.communicate(timeout=60)
+    try:
+        output, _ = demo.communicate(timeout=60)
+    except subprocess.TimeoutExpired:
+        demo.terminate()
+        output, _ = demo.communicate(timeout=20)
+        pytest.fail(f"the demonstration has not ended after 60 s:\n{output}")
     assert demo.returncode == 0, output
     assert "refuses it after" in output
     assert "the budget refused" in output
