--- a/src/pomeloyard/batch/advice.py
+++ b/src/pomeloyard/batch/advice.py
@@ -48,7 +48,7 @@
 
 @dataclass
 class _StepAdvice:
-    asked: set[str]
+    requested: set[str]
     tickets: dict[str, tuple[str, timedelta]]
     """Ticket and its expiry by executor; the approval of an executor is permanent."""
 
@@ -68,20 +68,20 @@
 
     def valid_tickets(self, step: StepRun, now: timedelta) -> dict[str, str]:
         """Return the valid tickets of a step, by executor."""
-        known = self._by_step.get(step.name)
-        if known is None:
+        cached = self._by_step.get(step.name)
+        if cached is None:
             return {}
         return {
             executor: ticket
-            for executor, (ticket, expires_at) in known.tickets.items()
+            for executor, (ticket, expires_at) in cached.tickets.items()
             if now < expires_at
         }
 
     def reject(self, step: StepRun, executor: str) -> None:
         """Discard a ticket that an executor rejected."""
-        known = self._by_step.get(step.name)
-        if known is not None and executor in known.tickets:
-            known.tickets[executor] = ("", timedelta(0))
+        cached = self._by_step.get(step.name)
+        if cached is not None and executor in cached.tickets:
+            cached.tickets[executor] = ("", timedelta(0))
 
     def forget(self, job_id: str) -> None:
         """Discard the advice on all steps of a job."""
@@ -101,10 +101,10 @@
         ``executors`` are those with free capacity, best first; ``duration`` is the
         maximum response time of the service.
         """
-        known = self._by_step.get(step.name)
-        selected = [e for e in executors if known is None or e in known.tickets]
-        if known is not None and not selected:
-            selected = [e for e in executors if e not in known.asked]
+        cached = self._by_step.get(step.name)
+        selected = [e for e in executors if cached is None or e in cached.tickets]
+        if cached is not None and not selected:
+            selected = [e for e in executors if e not in cached.requested]
         self._queue = [request for request in self._queue if request[0] is not step]
         if selected:
             self._queue.append((step, selected[:MAX_EXECUTORS_PER_REQUEST], duration))
@@ -130,8 +130,8 @@
             self._answered()
 
     def _store(self, step: StepRun, executors: Sequence[str], advice: Advice) -> None:
-        known = self._by_step.setdefault(step.name, _StepAdvice(set(), {}))
-        known.asked.update(executors)
+        cached = self._by_step.setdefault(step.name, _StepAdvice(set(), {}))
+        cached.requested.update(executors)
         expires_at = self._clock.monotonic() + advice.valid - EXPIRY_MARGIN
         for executor, ticket in advice.ticket_by_executor.items():
-            known.tickets[executor] = (ticket, expires_at)
+            cached.tickets[executor] = (ticket, expires_at)
--- a/src/pomeloyard/batch/learning.py
+++ b/src/pomeloyard/batch/learning.py
@@ -52,19 +52,19 @@
     def expected_ms(self, step: StepRun) -> float:
         """Return the expected run time of a step's tasks.
 
-        Until the first of them is done, it is a weighted mean of the submitter's
-        estimate and the queue's mean.
+        Until the first of them is done, it is a weighted geometric mean of the
+        submitter's estimate and the queue's mean.
         """
         if step.usual_ms is not None:
             return step.usual_ms
         estimate = step.spec.estimate_ms
-        usual = self._log_ms_by_queue.get(step.job.record.queue)
-        if usual is None:
+        mean_log_ms = self._log_ms_by_queue.get(step.job.record.queue)
+        if mean_log_ms is None:
             return float(estimate or DEFAULT_RUN_MS)
         if not estimate:
-            return math.exp(usual)
+            return math.exp(mean_log_ms)
         weight = ESTIMATE_WEIGHT
-        return math.exp(weight * math.log(estimate) + (1 - weight) * usual)
+        return math.exp(weight * math.log(estimate) + (1 - weight) * mean_log_ms)
 
     def task_done(
         self,
@@ -94,8 +94,10 @@
         )
         queue = step.job.record.queue
         log_ms = math.log(max(run_ms, 1.0))
-        usual = self._log_ms_by_queue.get(queue, log_ms)
-        self._log_ms_by_queue[queue] = usual + QUEUE_WEIGHT * (log_ms - usual)
+        mean_log_ms = self._log_ms_by_queue.get(queue, log_ms)
+        self._log_ms_by_queue[queue] = mean_log_ms + QUEUE_WEIGHT * (
+            log_ms - mean_log_ms
+        )
 
     def run_seen(self, executor: str, ratio: float, now: timedelta) -> None:
         """Record the ratio of projected to usual run time of a run in progress."""
--- a/src/pomeloyard/batch/losses.py
+++ b/src/pomeloyard/batch/losses.py
@@ -21,18 +21,16 @@
     """The last unanswered calls to different executors."""
 
     def __init__(self) -> None:
-        self._recent_losses: list[tuple[timedelta, str]] = []
+        self._losses: list[tuple[timedelta, str]] = []
 
     def note(self, executor: str, now: timedelta) -> None:
         """Record an unanswered call to an executor."""
-        self._recent_losses = [
-            (at, e) for at, e in self._recent_losses if e != executor
-        ]
-        self._recent_losses = [*self._recent_losses, (now, executor)][-MIN_EXECUTORS:]
+        self._losses = [(at, e) for at, e in self._losses if e != executor]
+        self._losses = [*self._losses, (now, executor)][-MIN_EXECUTORS:]
 
     def recent(self, now: timedelta) -> bool:
         """Tell whether calls to several executors were lost recently."""
         return (
-            len(self._recent_losses) == MIN_EXECUTORS
-            and now < self._recent_losses[0][0] + LOSS_PERIOD
+            len(self._losses) == MIN_EXECUTORS
+            and now < self._losses[0][0] + LOSS_PERIOD
         )
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -25,12 +25,12 @@
     memory_mb: int = 0
     accelerators: int = 0
 
-    def fits(self, room: Resources) -> bool:
-        """Tell whether this amount is at most ``room``."""
+    def fits(self, available: Resources) -> bool:
+        """Tell whether this amount is at most ``available``."""
         return (
-            self.cpu_millis <= room.cpu_millis
-            and self.memory_mb <= room.memory_mb
-            and self.accelerators <= room.accelerators
+            self.cpu_millis <= available.cpu_millis
+            and self.memory_mb <= available.memory_mb
+            and self.accelerators <= available.accelerators
         )
 
     def __add__(self, other: Resources) -> Resources:
@@ -99,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
-    """Specification of a submitted job; ``first_due_ms`` is in Unix time."""
+    """Specification of a submitted job; ``first_due_ms`` counts from 1970 (UTC)."""
 
     payload: str
     steps: tuple[StepSpec, ...]
--- a/src/pomeloyard/batch/pacing.py
+++ b/src/pomeloyard/batch/pacing.py
@@ -1,4 +1,4 @@
-"""Throttling of best-effort tasks (``fills``) (no I/O).
+"""Throttling of best-effort tasks (no I/O).
 
 The tail latency of serving tasks can rise within seconds because of a best-effort task
 on the same executor. Its pace is halved on the first measurement that exceeds the
--- a/src/pomeloyard/batch/upkeep.py
+++ b/src/pomeloyard/batch/upkeep.py
@@ -96,7 +96,7 @@
         ),
     )
     begin: list[str] = []
-    empty: list[str] = []
+    drain: list[str] = []
     for candidate in ordered[:free_slots]:
         if not candidate.may_go:
             continue
@@ -107,8 +107,8 @@
         if candidate.short_work == 0 or late or drained_for >= MAX_DRAIN_TIME:
             begin.append(candidate.vm)
         else:
-            empty.append(candidate.vm)
-    return UpkeepChoice(tuple(begin), tuple(empty), _choose_separations(candidates))
+            drain.append(candidate.vm)
+    return UpkeepChoice(tuple(begin), tuple(drain), _choose_separations(candidates))
 
 
 def _choose_separations(candidates: Sequence[UpkeepCandidate]) -> tuple[str, ...]:
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -301,7 +301,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_scaling_by_arrival_rate_finishes_more_jobs_of_a_large_pool_in_time(seed):
-    # By backlog alone, VMs were ordered only 3 s after the peak had begun.
+    # By backlog alone, VMs for a peak at second 2 were ordered 3 s after its start.
     by_backlog, by_rate = PeakReplay(seed, False), PeakReplay(seed, True)
     assert by_rate.jobs == by_backlog.jobs
     assert by_rate.in_time > by_backlog.in_time
