--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -1,4 +1,4 @@
-"""Progress of one job through its steps; pure."""
+"""In-memory progress of one job through its steps; does no I/O."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from .model import FINAL_STATES, JobRecord, JobState, Queue, StepSpec
 from .records import RunRecord, StepRows, TaskRow
 
-MAX_AVOIDED = 4
-"""Executors that a task avoids; more would leave none in a small pool."""
+MAX_AVOIDED_EXECUTORS = 4
+"""Limit of executors that a task avoids; more could rule out a whole small pool."""
 
 
 class TaskState(Enum):
-    """Where a task stands; the values are stored."""
+    """State of a task; the values are stored."""
 
     WAITING = 0
     PLACED = 1
@@ -33,13 +33,13 @@
     BROKEN = "broken"
     """Another member of its gang ended."""
     ALONE = "alone"
-    """The other members of its gang did not come."""
+    """The other members of its gang did not start."""
     LOST = "lost"
-    """The executor no longer has it and cannot say how it ended."""
+    """The executor no longer lists the run and did not report how it ended."""
 
 
 class Task:
-    """One task; ``run`` numbers its starts and only rises."""
+    """One task; ``run`` is the number of its latest start and never decreases."""
 
     __slots__ = (
         "executor",
@@ -70,13 +70,13 @@
         self.failed_on: tuple[str, ...] = ()
         self.not_before = timedelta(0)
         self.only_on = ""
-        """Executor that may still carry an earlier order out, until a time."""
+        """Executor that may still execute an earlier start, until ``only_on_until``."""
         self.only_on_until = timedelta(0)
         self.started_at = timedelta(0)
 
-    def avoid(self, executor: str) -> None:
-        """Prefer others to an executor on which a run failed or got lost."""
-        self.failed_on = (*self.failed_on, executor)[-MAX_AVOIDED:]
+    def avoid_executor(self, executor: str) -> None:
+        """Prefer other executors to one on which a run failed or was lost."""
+        self.failed_on = (*self.failed_on, executor)[-MAX_AVOIDED_EXECUTORS:]
 
 
 class StepRun:
@@ -107,9 +107,9 @@
         self.done = 0
         self.gang_failures = 0
         self.usual_ms: float | None = None
-        """Run time of its tasks, once one is done."""
+        """Typical run time of its tasks, None until one is done."""
         self.name = f"{job.job_id}.{occurrence}.{number}"
-        """Name of the step in this occurrence."""
+        """Name of the step within this occurrence, prefix of its tasks' names."""
 
     @property
     def complete(self) -> bool:
@@ -118,7 +118,7 @@
 
 
 class JobRun:
-    """A job, its tasks and what of them is not yet stored."""
+    """A job, its tasks and the state of its stored records."""
 
     def __init__(
         self, job_id: str, record: JobRecord, queue: Queue | None, now: timedelta
@@ -131,9 +131,9 @@
         self.seen_at = now
         self.ended_at: timedelta | None = None
         self.revision = 0
-        """Store revision of the run record; 0: there is none."""
-        self.marker_stored = True
-        """Whether the marker of a job that has not begun may be in the store."""
+        """Store revision of the run record, 0 if there is none."""
+        self.waiting_marker_stored = True
+        """Whether the marker of a job that has not begun may still be in the store."""
         self.occurrences: dict[int, list[StepRun]] = {}
         self.next_occurrence = 0
         if record.spec.occurrences == 0:
@@ -146,12 +146,12 @@
         return self.state in FINAL_STATES
 
     @property
-    def total_occurrences(self) -> int:
-        """Return how many times the steps run."""
+    def occurrence_count(self) -> int:
+        """Return how many times the job's steps run."""
         return max(1, self.record.spec.occurrences)
 
-    def open_due(self, unix_ms: float) -> bool:
-        """Open the occurrences that are due; return whether there were any."""
+    def open_due_occurrences(self, unix_ms: float) -> bool:
+        """Create the steps of due occurrences; return whether any was due."""
         spec = self.record.spec
         opened = False
         while not self.final and self.next_occurrence < spec.occurrences:
@@ -162,7 +162,7 @@
         return opened
 
     def next_due_ms(self) -> int | None:
-        """Return when the next occurrence is due, in ms since 1970."""
+        """Return when the next occurrence is due, in Unix milliseconds."""
         spec = self.record.spec
         if self.final or self.next_occurrence >= spec.occurrences:
             return None
@@ -174,7 +174,7 @@
         self.next_occurrence = number + 1
 
     def ready_steps(self) -> Iterator[StepRun]:
-        """Return the steps that have waiting tasks and wait for no other step."""
+        """Yield the steps with waiting tasks whose dependencies are complete."""
         if self.final:
             return
         for steps in self.occurrences.values():
@@ -183,14 +183,14 @@
                     yield step
 
     def smallest_ready_cpu(self) -> int | None:
-        """Return the least cpu that a task which could run needs; None without one."""
+        """Return the smallest CPU request of a ready task, None if no task is ready."""
         return min(
             (0 if s.spec.fills else s.spec.cpu_millis for s in self.ready_steps()),
             default=None,
         )
 
     def steps(self) -> Iterator[StepRun]:
-        """Return all steps of the open occurrences."""
+        """Yield all steps of the open occurrences."""
         for steps in self.occurrences.values():
             yield from steps
 
@@ -217,7 +217,7 @@
             self.state = JobState.RUNNING
 
     def end(self, task: Task, run: int, kind: EndKind, saved: str) -> None:
-        """Note the end of a run; ends of earlier runs change nothing."""
+        """Record the end of a task's current run; ends of earlier runs are ignored."""
         if task.state is TaskState.DONE or run != task.run:
             return
         step = task.step
@@ -235,10 +235,10 @@
         if not self.final:
             step.waiting[task.index] = task
 
-    def end_of_given_up(self, task: Task, run: int) -> bool:
-        """Note that a run that was given up is done; return whether this is news.
+    def complete_superseded_run(self, task: Task, run: int) -> bool:
+        """Mark a task done by a run that was assumed lost; return whether it changed.
 
-        A later run of the task may be at work, and is then to be stopped.
+        A later run of the task may be active; the caller must stop it.
         """
         if task.state is TaskState.DONE or run > task.run or task.step.spec.lasting:
             return False
@@ -247,15 +247,15 @@
         self._finish(task.step, task)
         return True
 
-    def task_named(self, name: str) -> Task | None:
-        """Return one of the job's tasks by its name."""
+    def find_task(self, name: str) -> Task | None:
+        """Return a task of this job by name, None if there is none."""
         for step in self.steps():
             if name.rpartition(".")[0] == step.name:
                 return next((task for task in step.tasks if task.name == name), None)
         return None
 
     def _finish(self, step: StepRun, task: Task) -> None:
-        """Mark a task done, or all tasks of a gang, which end together."""
+        """Mark a task done; the tasks of a gang are done together."""
         finished = step.tasks if step.spec.gang else [task]
         for member in finished:
             if member.state is TaskState.DONE:
@@ -266,11 +266,11 @@
             member.saved = ""
             step.waiting.pop(member.index, None)
             step.done += 1
-        if not self.final and self._all_complete():
+        if not self.final and self._all_steps_complete():
             self.state = JobState.COMPLETED
 
     def _count_failure(self, step: StepRun, task: Task) -> None:
-        task.avoid(task.executor)
+        task.avoid_executor(task.executor)
         if step.spec.lasting:
             return
         if step.spec.gang:
@@ -281,31 +281,31 @@
             failures = task.failures
         if failures >= self.max_attempts and not self.final:
             self.state = JobState.FAILED
-            self._drop_waiting()
+            self._discard_waiting_tasks()
 
     def cancel(self) -> bool:
         """Cancel the job unless it has ended; return whether it changed."""
         if self.final:
             return False
         self.state = JobState.CANCELLED
-        self._drop_waiting()
+        self._discard_waiting_tasks()
         return True
 
-    def _drop_waiting(self) -> None:
+    def _discard_waiting_tasks(self) -> None:
         for step in self.steps():
             step.waiting.clear()
 
-    def _all_complete(self) -> bool:
-        return self.next_occurrence >= self.total_occurrences and all(
+    def _all_steps_complete(self) -> bool:
+        return self.next_occurrence >= self.occurrence_count and all(
             step.complete for step in self.steps()
         )
 
     def pack(self) -> bytes:
-        """Return the run record; a job that has ended keeps only what still runs."""
+        """Encode the run record; an ended job keeps only tasks that may still run."""
         packed = []
         for step in self.steps():
             rows = [
-                _row(task)
+                _encode_row(task)
                 for task in step.tasks
                 if task.run and not (self.final and task.state is not TaskState.PLACED)
             ]
@@ -316,10 +316,10 @@
         return msgspec.msgpack.encode(RunRecord(self.state.value, packed))
 
     def restore(self, content: bytes, revision: int) -> None:
-        """Take the progress over from a stored run record."""
+        """Restore the progress from a stored run record."""
         record = msgspec.msgpack.decode(content, type=RunRecord)
         self.revision = revision
-        self.marker_stored = False
+        self.waiting_marker_stored = False
         self.begun = True
         for rows in record.steps:
             while self.next_occurrence <= rows.occurrence:
@@ -330,10 +330,10 @@
                 _restore_row(step, row)
         self.state = JobState(record.state)
         if self.final:
-            self._drop_waiting()
+            self._discard_waiting_tasks()
 
 
-def _row(task: Task) -> TaskRow:
+def _encode_row(task: Task) -> TaskRow:
     if task.state is TaskState.DONE:
         return TaskRow(task.index, task.state.value, task.run)
     return TaskRow(
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -1,8 +1,8 @@
-"""One term of the placing role: loads, places, stores and follows jobs.
+"""One term of the placing role: loads jobs, assigns tasks and stores progress.
 
-Effects follow one order. An assignment is durable before its order is sent; an end
-is durable before it is acknowledged to the executor. Every write compares the
-role's epoch and the last revision of each record that it replaces.
+Effects happen in a fixed order. An assignment is durable before the executor is told
+to start it; an end is durable before it is acknowledged to the executor. Every write
+compares the role's epoch and the last revision of each record that it replaces.
 """
 
 from __future__ import annotations
@@ -65,30 +65,33 @@
 from .vm_keeper import VmKeeper
 
 RETRY_DELAY = timedelta(milliseconds=80)
-"""Pause after a store error; the role ends with its lease meanwhile."""
+"""Pause after a store error. Retries are unlimited: if the store stays unreachable,
+the role's lease expires and ends the term."""
 WATCH_WAIT = timedelta(seconds=1)
-"""A channel that went silent hides new jobs and cancellations for this long and 0.6 s;
-callers' cancellations must take effect within 3 s."""
-DOUBTED_WATCH_WAIT = timedelta(seconds=0.3)
-"""The wait after a poll that failed: a second channel that is silent too must not hide
-a cancellation beyond its 3 s."""
+"""A connection that silently stopped delivering hides new jobs and cancellations for
+this long plus 0.6 s; cancellations must take effect within 3 s."""
+RETRY_WATCH_WAIT = timedelta(seconds=0.3)
+"""Wait of the poll after a failed one, so that two silent connections in a row do not
+delay a cancellation beyond its 3 s."""
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)
-"""Between checks of silent executors, due occurrences and old jobs."""
-REFUSAL_PAUSE = timedelta(milliseconds=400)
-"""A task whose start was refused waits this long, so that it is not ordered in a
-tight loop while the executor's state is being learned."""
-FAILURE_PAUSE = timedelta(milliseconds=50)
-"""A failed task waits this long, so that a failing executor is noticed first."""
-
-MAX_FIRST_CONTACTS = 100
-"""Executors that a new term looks at for the first time at once. A look takes about a
-millisecond of processor time and has half a second; thousands at once run out of it."""
+"""Interval between checks for unreachable executors, due occurrences and expired
+jobs."""
+REFUSED_START_DELAY = timedelta(milliseconds=400)
+"""Delay before a task whose start was refused is placed again, which prevents a tight
+loop while the executor's state is still unknown."""
+FAILED_TASK_DELAY = timedelta(milliseconds=50)
+"""Delay before a failed task is placed again, so that a failing executor is detected
+first."""
+
+MAX_CONCURRENT_FIRST_POLLS = 100
+"""Concurrent first polls of executors in a new term. A poll takes about a millisecond
+of CPU time and times out after half a second, so thousands at once would time out."""
 
 log = logbook.Logger("pomeloyard.batch.term")
 
 
 class PlacingTerm:
-    """State and work from taking the role until losing it."""
+    """State and background tasks from acquiring the role until losing it."""
 
     def __init__(
         self,
@@ -112,7 +115,7 @@
         self._follower = follower
         self._registry = registry
         self._client = client
-        self._lines = lines
+        self._decision_log = lines
         self.role = role
         self.epoch = role.epoch
         self.guard = guard
@@ -125,21 +128,21 @@
         self.usage = Usage()
         self.learning = Learning()
         self.turns = Turns()
-        self.first_contacts = anyio.Semaphore(MAX_FIRST_CONTACTS)
-        self._losses = CallLosses()
-        self._ids_are_kept = ids_kept
-        """Whether a next life of an executor can have the id of the one before."""
-        self._wake = anyio.Event()
-        self._touched: set[str] = set()
-        """Services with news since the last plan."""
-        self._all_touched = True
+        self.first_contacts = anyio.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
+        self._lost_calls = CallLosses()
+        self._ids_survive_restarts = ids_kept
+        """Whether an executor can restart under the same id."""
+        self._plan_requested = anyio.Event()
+        self._services_to_plan: set[str] = set()
+        """Services with changes since the last planning round."""
+        self._replan_all = True
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = anyio.Event()
-        self._live_jobs: dict[str, JobRun] = {}
+        self._active_jobs: dict[str, JobRun] = {}
         self.keeper = new_keeper(self) if new_keeper else None
         self._writer = ProgressWriter(clock, store, guard)
         self.demand = PoolDemand(
-            clock, self._live_jobs, self.learning, self.turns, self._queue
+            clock, self._active_jobs, self.learning, self.turns, self._queue_of
         )
         self._planner = Planner(
             clock,
@@ -149,26 +152,26 @@
             lines,
             role.epoch,
             self.links_by_id,
-            self._live_jobs,
+            self._active_jobs,
             self._advisor,
-            self._queue,
-            self._mark,
+            self._queue_of,
+            self._job_changed,
             self.policy,
         )
 
     # Running
 
     async def run(self) -> None:
-        """Work until the role is lost or the term is cancelled."""
+        """Run until the role is lost or the term is cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._registry.run)
             position = await self._load()
-            self._registry.on_change = self._executors_changed
-            self._executors_changed()
-            tasks.start_soon(self._follow_jobs, position)
-            tasks.start_soon(self._keep_house)
-            tasks.start_soon(self._work)
+            self._registry.on_change = self._update_links
+            self._update_links()
+            tasks.start_soon(self._watch_jobs, position)
+            tasks.start_soon(self._run_housekeeping)
+            tasks.start_soon(self._run_planner)
             if self.keeper is not None:
                 tasks.start_soon(self.keeper.run)
             if self._advisor is not None:
@@ -177,19 +180,19 @@
             tasks.cancel_scope.cancel()
 
     async def _load(self) -> int:
-        """Read all jobs and their progress; return the position to follow from."""
-        (incoming, runs), kept = await both(
+        """Load all jobs and their progress; return the revision to watch from."""
+        (incoming, runs), id_flags = await both(
             lambda: both(
                 lambda: self._scan(layout.INCOMING), lambda: self._scan(layout.RUNS)
             ),
             lambda: self._scan(layout.IDS_KEPT),
         )
         await self._registry.loaded.wait()
-        self._ids_are_kept = self._ids_are_kept or bool(kept[0])
+        self._ids_survive_restarts = self._ids_survive_restarts or bool(id_flags[0])
         runs_by_id = {e.key.removeprefix(layout.RUNS): e for e in runs[0]}
         cancelled = []
-        # In the order of their acceptance, by which the turns of peaks are learned.
-        for entry in sorted(incoming[0], key=lambda found: found.mod_revision):
+        # In order of acceptance, which the prediction of load peaks depends on.
+        for entry in sorted(incoming[0], key=lambda e: e.mod_revision):
             if entry.key.startswith(layout.CANCELS):
                 cancelled.append(entry.key.removeprefix(layout.CANCELS))
             else:
@@ -210,7 +213,7 @@
             try:
                 page = await scan_all(self._store, prefix)
             except StoreError as error:
-                log.info("reading {}: {}", prefix, error)
+                log.info("scan of {} failed, retrying: {}", prefix, error)
                 await self._clock.sleep(RETRY_DELAY)
                 continue
             return list(page.entries), page.revision
@@ -221,21 +224,25 @@
         try:
             record = msgspec.msgpack.decode(entry.value, type=JobRecord)
         except msgspec.MsgspecError as error:
-            log.error("job {} is unreadable and not run: {}", job_id, error)
+            log.error("job {} cannot be decoded and is not run: {}", job_id, error)
             return
         now = self._clock.monotonic()
         age = max(timedelta(0), self._clock.now() - record.submitted_at)
-        job = JobRun(job_id, record, self._queue(record), now - age)
+        job = JobRun(job_id, record, self._queue_of(record), now - age)
         if run is not None:
             try:
                 job.restore(run.value, run.mod_revision)
             except (msgspec.MsgspecError, LookupError, ValueError) as error:
-                # What of it has run is not known, so none of it is started.
-                log.error("progress of {} is unreadable, not run: {}", job_id, error)
+                # Unknown which tasks have run, so none is started.
+                log.error(
+                    "progress of job {} cannot be decoded, job is not run: {}",
+                    job_id,
+                    error,
+                )
                 return
         self.jobs_by_id[job_id] = job
-        job.open_due(self._unix_ms())
-        queue = self._queue(record)
+        job.open_due_occurrences(self._unix_ms())
+        queue = self._queue_of(record)
         if queue is not None and not job.lasting:
             work = work_of(job, self.learning.expected_ms, remaining=False)
             self._planner.note_job(queue, work)
@@ -243,16 +250,16 @@
             chain = timedelta(milliseconds=chain_ms)
             self.turns.arrived(queue.service, job.seen_at, work, chain)
         for task in job.placed_tasks():
-            self._adopt(task)
+            self._restore_run(task)
         if job.final:
-            # Most jobs that a successor loads; nothing is decided about them.
+            # Most jobs that a new term loads have ended; they are not logged.
             job.ended_at = now
             return
-        self._live_jobs[job_id] = job
-        if run is not None and self._ids_are_kept:
-            self._delay_restored(job, now)
+        self._active_jobs[job_id] = job
+        if run is not None and self._ids_survive_restarts:
+            self._delay_waiting_tasks(job, now)
         self._planner.job_changed(job)
-        self._lines.decided(
+        self._decision_log.decided(
             "job",
             job_id,
             "found",
@@ -267,23 +274,23 @@
             cpu=max(step.cpu_millis for step in record.spec.steps),
         )
 
-    def _delay_restored(self, job: JobRun, now: timedelta) -> None:
-        """Let waiting tasks wait out the orders that the term before may have lost.
+    def _delay_waiting_tasks(self, job: JobRun, now: timedelta) -> None:
+        """Delay waiting tasks until unanswered starts of the previous term are void.
 
-        Which of their orders had an answer is not stored.
+        Which starts were answered is not stored.
         """
         for step in job.steps():
             for task in step.waiting.values():
                 if task.run and not step.spec.lasting:
                     task.not_before = now + LATE_ORDER
 
-    def _adopt(self, task: Task) -> None:
-        """Follow a run that an earlier term assigned."""
-        link = self._link_of(task.executor)
+    def _restore_run(self, task: Task) -> None:
+        """Track a run that an earlier term assigned."""
+        link = self._get_or_create_link(task.executor)
         placed = PlacedRun(task, task.run, Phase.UNSURE, self.epoch - 1)
         self.usage.add(task.executor, link.executor.rack, task)
         task.started_at = self._clock.monotonic()
-        # Neither its start nor whether its order had an answer is stored.
+        # Neither its start time nor whether the start was answered is stored.
         placed.partial = True
         placed.unsure = True
         placed.ordered_at = task.started_at
@@ -291,8 +298,8 @@
         if task.step.job.final:
             link.stop(placed)
 
-    def _link_of(self, executor_id: str) -> ExecutorLink:
-        """Return the link of an executor, also of one that is not registered."""
+    def _get_or_create_link(self, executor_id: str) -> ExecutorLink:
+        """Return an executor's link, creating it even if it is not registered."""
         link = self.links_by_id.get(executor_id)
         if link is None:
             known = self._registry.executors_by_id.get(executor_id)
@@ -300,17 +307,17 @@
             link = ExecutorLink(self._clock, self._client, executor, self.epoch, self)
             link.registered = known is not None
             if known is None:
-                # Nobody can be asked; the list of VMs may say that it is gone.
+                # It has no address to poll; the VM list may show that it is gone.
                 link.silent_since = self._clock.monotonic()
             self.links_by_id[executor_id] = link
             if known is not None:
                 self.spawn(link, link.run)
         return link
 
-    def _executors_changed(self) -> None:
-        """Follow what is registered now."""
+    def _update_links(self) -> None:
+        """Update the links to match the registered executors."""
         for executor_id, executor in self._registry.executors_by_id.items():
-            link = self._link_of(executor_id)
+            link = self._get_or_create_link(executor_id)
             if not link.executor.address:
                 self.spawn(link, link.run)
             link.update(executor)
@@ -319,7 +326,7 @@
                 link.registered = False
         self.wake()
 
-    async def _follow_jobs(self, position: int) -> None:
+    async def _watch_jobs(self, position: int) -> None:
         wait = WATCH_WAIT
         while True:
             try:
@@ -329,15 +336,16 @@
                     self._apply(event)
                 position = batch.revision
             except CompactedError as error:
-                log.info("history was dropped, reading all jobs again: {}", error)
+                log.info("watch revision was compacted, reloading all jobs: {}", error)
                 entries, position = await self._scan(layout.INCOMING)
-                # A job before its cancellation, which precedes it by key.
+                # Sorted so that a job is applied before its cancellation, whose key
+                # sorts first.
                 for entry in sorted(entries, key=lambda e: e.mod_revision):
                     self._apply(WatchEvent(entry.key, entry, entry.mod_revision))
             except StoreError as error:
-                # The next poll goes on from the same position and misses nothing.
-                log.info("jobs are not followed: {}", error)
-                wait = DOUBTED_WATCH_WAIT
+                # The next poll resumes from the same revision and misses no event.
+                log.info("job watch failed, retrying: {}", error)
+                wait = RETRY_WATCH_WAIT
                 await self._clock.sleep(RETRY_DELAY)
 
     def _apply(self, event: WatchEvent) -> None:
@@ -351,7 +359,7 @@
                 self._add_job(job_id, event.entry, None)
                 job = self.jobs_by_id.get(job_id)
                 if job is not None:
-                    self._touch_queue(job.record)
+                    self._plan_queue_soon(job.record)
                     if self.keeper is not None:
                         self.keeper.job_arrived()
 
@@ -359,16 +367,16 @@
         job = self.jobs_by_id.get(job_id)
         if job is None or not job.cancel():
             return
-        self._lines.decided("cancel", job_id, "stopped", running=job.begun)
-        self._close(job)
+        self._decision_log.decided("cancel", job_id, "stopped", running=job.begun)
+        self._end_job(job)
 
-    def _close(self, job: JobRun) -> None:
-        """Stop what runs of a job that has ended and store its state."""
+    def _end_job(self, job: JobRun) -> None:
+        """Store the final state of a job and stop its remaining runs."""
         job.ended_at = self._clock.monotonic()
-        self._live_jobs.pop(job.job_id, None)
+        self._active_jobs.pop(job.job_id, None)
         if self._advisor is not None:
             self._advisor.forget(job.job_id)
-        self._mark(job)
+        self._job_changed(job)
         for task in job.placed_tasks():
             link = self.links_by_id.get(task.executor)
             placed = link.runs_by_name.get(task.name) if link else None
@@ -383,72 +391,72 @@
         return counts
 
     def wake(self) -> None:
-        """Plan all services soon."""
-        self._all_touched = True
-        self._wake.set()
+        """Request a planning round for all services."""
+        self._replan_all = True
+        self._plan_requested.set()
 
-    def _touch_queue(self, record: JobRecord) -> None:
-        queue = self._queue(record)
-        self._touch(queue.service if queue is not None else "")
+    def _plan_queue_soon(self, record: JobRecord) -> None:
+        queue = self._queue_of(record)
+        self._plan_service_soon(queue.service if queue is not None else "")
 
-    def _touch(self, service: str) -> None:
-        """Plan one service soon."""
-        self._touched.add(service)
-        self._wake.set()
+    def _plan_service_soon(self, service: str) -> None:
+        """Request a planning round for one service."""
+        self._services_to_plan.add(service)
+        self._plan_requested.set()
 
-    async def _work(self) -> None:
+    async def _run_planner(self) -> None:
         while True:
-            await self._wake.wait()
-            await self._writer.gather()
-            self._wake = anyio.Event()
-            touched = None if self._all_touched else self._touched
-            self._all_touched = False
-            self._touched = set()
-            self._planner.plan(touched)
-            self._writer.hold(self._planner.take_starts())
-            groups = self._writer.take()
+            await self._plan_requested.wait()
+            await self._writer.wait_for_batching()
+            self._plan_requested = anyio.Event()
+            services = None if self._replan_all else self._services_to_plan
+            self._replan_all = False
+            self._services_to_plan = set()
+            self._planner.plan(services)
+            self._writer.defer_starts(self._planner.take_starts())
+            groups = self._writer.take_groups()
             for group in groups:
                 self.spawn(None, self._store_group, group)
             if groups:
-                self.spawn(None, self._writer.end_gathering)
+                self.spawn(None, self._writer.end_batching)
 
     async def _store_group(self, group: RecordGroup) -> None:
-        """Store some records, then order what was assigned in them."""
-        if not await self._writer.store(group):
-            self.end_term("the epoch or a record was replaced")
+        """Store a group of records, then start the runs assigned in them."""
+        if not await self._writer.store_group(group):
+            self.end_term("the epoch or a job record was replaced by another term")
             return
         for link, placed in group.starts:
             link.start(placed)
-        if self._writer.has_waiting:
-            self._wake.set()
+        if self._writer.has_unwritten_changes:
+            self._plan_requested.set()
 
-    async def _keep_house(self) -> None:
+    async def _run_housekeeping(self) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
             now = self._clock.monotonic()
-            for job in list(self._live_jobs.values()):
-                if job.open_due(self._unix_ms()):
-                    self._mark(job)
+            for job in list(self._active_jobs.values()):
+                if job.open_due_occurrences(self._unix_ms()):
+                    self._job_changed(job)
             for link in list(self.links_by_id.values()):
                 self._check_link(link, now)
-            self._remove_old(now)
+            self._expire_jobs(now)
             self.wake()
 
     def _check_link(self, link: ExecutorLink, now: timedelta) -> None:
         silent = not link.reachable
         if silent and link.runs_by_name and link.certainly_over(now):
-            link.lose_all("no answer until all leases have ended")
+            link.lose_all("unreachable until all task leases expired")
         if not link.registered and not link.runs_by_name and silent:
             link.closed = True
             link.wake()
             self.links_by_id.pop(link.executor.executor_id, None)
 
-    def _remove_old(self, now: timedelta) -> None:
-        """Forget jobs whose state callers may no longer ask for."""
+    def _expire_jobs(self, now: timedelta) -> None:
+        """Delete ended jobs after the retention period."""
         for job_id, job in list(self.jobs_by_id.items()):
             if job.ended_at is None or now - job.ended_at < self._retention:
                 continue
-            if job.placed_tasks() or self._writer.is_marked(job_id):
+            if job.placed_tasks() or self._writer.has_undurable_changes(job_id):
                 continue
             self.spawn(None, self._delete_job, job)
             del self.jobs_by_id[job_id]
@@ -461,9 +469,9 @@
         try:
             await self._store.commit(Transaction((self.guard,), operations))
         except StoreError as error:
-            log.info("old job {} is kept: {}", job.job_id, error)
+            log.info("expired job {} was not deleted: {}", job.job_id, error)
 
-    # What links report
+    # Callbacks of executor links
 
     def spawn(
         self,
@@ -471,19 +479,19 @@
         work: Callable[..., Coroutine[Any, Any, None]],
         *args: object,
     ) -> None:
-        """Run a coroutine function in the background of the term.
+        """Run a coroutine function in the term's task group.
 
-        An unexpected failure of work on a link concerns its executor only; any other
-        ends the term.
+        An unexpected error in work on a link affects only that executor; any other
+        unexpected error ends the term.
         """
         if self._tasks is None or self._over.is_set():
             return
         if link is None:
             self._tasks.start_soon(work, *args)
         else:
-            self._tasks.start_soon(self._contain, link, work, *args)
+            self._tasks.start_soon(self._run_isolated, link, work, *args)
 
-    async def _contain(
+    async def _run_isolated(
         self,
         link: ExecutorLink,
         work: Callable[..., Coroutine[Any, Any, None]],
@@ -496,46 +504,46 @@
             link.doubt(repr(error))
 
     def may_stop(self, placed: PlacedRun) -> bool:
-        """Tell whether a run may be stopped without too many of its step away."""
+        """Tell whether stopping a run respects its step's disruption budget."""
         return self.availability.may_end([placed])
 
     def fence_lost(self, link: ExecutorLink) -> None:
-        """End the term, as an executor knows a higher fencing token."""
-        self._lines.decided(
+        """End the term after an executor reported a higher fencing token."""
+        self._decision_log.decided(
             "role", f"epoch/{self.epoch}", "lost", by=link.executor.executor_id
         )
         self._over.set()
 
     def id_kept(self, link: ExecutorLink) -> None:
-        """Remember that executors restart under their ids, also for later terms."""
-        if not self._ids_are_kept:
-            self._ids_are_kept = True
-            self._lines.decided("executor", link.executor.executor_id, "id-kept")
-            self.spawn(link, self._store_ids_kept)
+        """Record durably that executors restart under the same ids."""
+        if not self._ids_survive_restarts:
+            self._ids_survive_restarts = True
+            self._decision_log.decided("executor", link.executor.executor_id, "id-kept")
+            self.spawn(link, self._store_ids_survive_restarts)
 
-    async def _store_ids_kept(self) -> None:
+    async def _store_ids_survive_restarts(self) -> None:
         operation = Put(layout.IDS_KEPT, b"1")
         try:
             await self._store.commit(Transaction((self.guard,), (operation,)))
         except StoreError as error:
-            # The next restart that a term sees stores it.
-            log.info("that ids are kept is not stored: {}", error)
+            # Stored at the next restart that a term detects.
+            log.info("reuse of executor ids was not stored: {}", error)
 
     def call_lost(self, link: ExecutorLink) -> None:
-        """Note that a call to an executor got no answer."""
-        self._losses.note(link.executor.executor_id, self._clock.monotonic())
+        """Record that a call to an executor got no answer."""
+        self._lost_calls.note(link.executor.executor_id, self._clock.monotonic())
 
     def calls_get_lost(self) -> bool:
-        """Tell whether calls to several executors were lost just now."""
-        return self._losses.recent(self._clock.monotonic())
+        """Tell whether calls to several executors were recently lost."""
+        return self._lost_calls.recent(self._clock.monotonic())
 
     def end_term(self, reason: str) -> None:
-        """Give the role up."""
-        self._lines.decided("role", f"epoch/{self.epoch}", "lost", reason=reason)
+        """End the term and give up the role."""
+        self._decision_log.decided("role", f"epoch/{self.epoch}", "lost", reason=reason)
         self._over.set()
 
     def short_work(self, link: ExecutorLink) -> float:
-        """Return the unsaved work of short tasks on an executor, in core-seconds."""
+        """Return the unsaved work of batch tasks on an executor, in core-seconds."""
         now = self._clock.monotonic()
         return sum(
             placed.task.step.spec.cpu_millis
@@ -546,18 +554,18 @@
         )
 
     def link_changed(self, link: ExecutorLink) -> None:
-        """Plan again with an executor that became usable or unusable."""
-        self._touch(link.executor.service)
+        """Replan the service of an executor that became usable or unusable."""
+        self._plan_service_soon(link.executor.service)
 
     async def jobs_stored(self, job_ids: Collection[str]) -> None:
-        """Return once all that was noted of some jobs is durable."""
-        self._wake.set()
-        await self._writer.stored(job_ids)
+        """Return once all earlier changes to the given jobs are durable."""
+        self._plan_requested.set()
+        await self._writer.wait_until_durable(job_ids)
 
     def run_ended(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
-        """Note that a run has ended."""
+        """Record the end of a run and replan its job."""
         task = placed.task
         job = task.step.job
         now = self._clock.monotonic()
@@ -565,17 +573,17 @@
         self.usage.remove(executor_id, link.executor.rack, task)
         run_ms = (now - task.started_at) / timedelta(milliseconds=1)
         partial = placed.partial
-        self._learn(task, executor_id, kind, run_ms, partial, now)
+        self._update_estimates(task, executor_id, kind, run_ms, partial, now)
         was_final = job.final
         job.end(task, placed.run, kind, saved)
         if kind is EndKind.FAILED:
-            task.not_before = now + FAILURE_PAUSE
+            task.not_before = now + FAILED_TASK_DELAY
         if kind is EndKind.LOST and placed.unsure:
-            # Another executor is tried first, as this one may answer none.
-            task.avoid(executor_id)
-            self._delay_after_unanswered(link, placed)
+            # Prefer another executor, as this one may not answer at all.
+            task.avoid_executor(executor_id)
+            self._delay_after_unanswered_start(link, placed)
         if kind is not EndKind.DONE or job.final:
-            self._lines.decided(
+            self._decision_log.decided(
                 "end",
                 task.name,
                 kind.value,
@@ -585,44 +593,48 @@
                 job=job.state.value,
             )
         if kind is not EndKind.DONE:
-            self._break_gang(task, placed.run)
+            self._stop_gang(task, placed.run)
         if job.final and not was_final:
-            self._note_ended(job)
-        self._mark(job)
+            self._finish_job(job)
+        self._job_changed(job)
 
     def unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
-        """Take a task for done whose run was given up and has run all the same.
+        """Mark a task done whose run was assumed lost but completed.
 
-        An executor's next life may carry out an order that the one before left without
-        an answer. Running the task once more would double it.
+        A restarted executor may execute a start that its previous incarnation left
+        unanswered. Running the task again would duplicate it. Returns the job's id,
+        or "" if nothing changed.
         """
         job = self.jobs_by_id.get(end.task.partition(".")[0])
-        task = job.task_named(end.task) if job is not None else None
+        task = job.find_task(end.task) if job is not None else None
         if job is None or task is None or end.kind is not EndKind.DONE or job.final:
             return ""
-        later = self.links_by_id.get(task.executor)
-        if not job.end_of_given_up(task, end.run):
+        current = self.links_by_id.get(task.executor)
+        if not job.complete_superseded_run(task, end.run):
             return ""
         executor_id = link.executor.executor_id
-        self._lines.decided(
+        self._decision_log.decided(
             "end", task.name, "done-late", run=end.run, executor=executor_id
         )
-        placed = later.runs_by_name.get(task.name) if later is not None else None
-        if later is not None and placed is not None:
-            later.stop(placed)
+        placed = current.runs_by_name.get(task.name) if current is not None else None
+        if current is not None and placed is not None:
+            current.stop(placed)
         if job.final:
-            self._note_ended(job)
-        self._mark(job)
+            self._finish_job(job)
+        self._job_changed(job)
         return job.job_id
 
-    def _delay_after_unanswered(self, link: ExecutorLink, placed: PlacedRun) -> None:
-        """Let a task wait until its unanswered order cannot be carried out any more.
+    def _delay_after_unanswered_start(
+        self, link: ExecutorLink, placed: PlacedRun
+    ) -> None:
+        """Delay a task until its unanswered start can no longer take effect.
 
-        Needed only where executors keep their ids: a next life could do it, and neither
-        the id nor a stop of the life before would prevent that. A lasting task starts
-        again at once, on the same executor, where the late order cannot double it.
+        Needed only where executors restart under the same id: the next incarnation
+        could execute the start, and neither the id nor a stop sent to the previous
+        incarnation would prevent that. A long-running task restarts at once, but only
+        on the same executor, where the late start cannot duplicate it.
         """
-        if not self._ids_are_kept or placed.ordered_at is None:
+        if not self._ids_survive_restarts or placed.ordered_at is None:
             return
         task = placed.task
         until = placed.ordered_at + LATE_ORDER
@@ -631,8 +643,8 @@
         else:
             task.not_before = until
 
-    def _break_gang(self, task: Task, run: int) -> None:
-        """Stop the other members of a gang's run, which cannot work without one."""
+    def _stop_gang(self, task: Task, run: int) -> None:
+        """Stop the other members of a gang, which cannot run incomplete."""
         if not task.step.spec.gang:
             return
         for member in task.step.tasks:
@@ -641,9 +653,9 @@
             if link is not None and placed is not None and placed.run == run:
                 link.stop(placed)
 
-    def _note_ended(self, job: JobRun) -> None:
+    def _finish_job(self, job: JobRun) -> None:
         age = self._clock.monotonic() - job.seen_at
-        self._lines.decided(
+        self._decision_log.decided(
             "job",
             job.job_id,
             job.state.value,
@@ -651,9 +663,9 @@
             team=job.record.team,
             age_ms=round(age / timedelta(milliseconds=1)),
         )
-        self._close(job)
+        self._end_job(job)
 
-    def _learn(
+    def _update_estimates(
         self,
         task: Task,
         executor_id: str,
@@ -672,12 +684,14 @@
         elif kind is EndKind.FAILED:
             job_id = task.step.job.job_id
             if self.learning.task_failed(executor_id, job_id, now):
-                self._lines.decided("executor", executor_id, "set-aside", job=job_id)
+                self._decision_log.decided(
+                    "executor", executor_id, "set-aside", job=job_id
+                )
 
     def run_listed(
         self, link: ExecutorLink, placed: PlacedRun, row: RunningTask
     ) -> None:
-        """Pace what fills, and notice short runs that stand still or are slow."""
+        """Throttle filler tasks and detect stalled or slow batch runs."""
         if placed.phase is not Phase.RUNNING:
             return
         spec = placed.task.step.spec
@@ -686,24 +700,24 @@
             if percent is not None:
                 link.pace(placed, percent)
         elif not spec.lasting and not spec.gang and placed.percent < 100:
-            self._check_speed(link, placed)
+            self._check_progress(link, placed)
 
-    def _check_speed(self, link: ExecutorLink, placed: PlacedRun) -> None:
+    def _check_progress(self, link: ExecutorLink, placed: PlacedRun) -> None:
         now = self._clock.monotonic()
         executor_id = link.executor.executor_id
         expected_ms = self.learning.expected_ms(placed.task.step)
-        still = still_for(placed.moved_at, expected_ms, now)
-        if still >= STILL_TIME:
+        stalled_for = still_for(placed.moved_at, expected_ms, now)
+        if stalled_for >= STILL_TIME:
             self.learning.set_aside(executor_id, now + AVOID_TIME)
-        if still >= STALLED_TIME:
-            self._lines.decided(
+        if stalled_for >= STALLED_TIME:
+            self._decision_log.decided(
                 "end",
                 placed.task.name,
                 "stalled",
                 run=placed.run,
                 executor=executor_id,
                 percent=placed.percent,
-                still_ms=round(still / timedelta(milliseconds=1)),
+                still_ms=round(stalled_for / timedelta(milliseconds=1)),
             )
             link.stop(placed)
             return
@@ -716,12 +730,12 @@
     def order_refused(
         self, link: ExecutorLink, placed: PlacedRun, answer: StartAnswer
     ) -> None:
-        """Place a task again whose start was certainly not carried out."""
+        """Requeue a task whose start was refused and certainly had no effect."""
         task = placed.task
         now = self._clock.monotonic()
         if answer is StartAnswer.NO_TICKET and self._advisor is not None:
             self._advisor.reject(task.step, link.executor.executor_id)
-        self._lines.decided(
+        self._decision_log.decided(
             "start",
             task.name,
             answer.value,
@@ -730,18 +744,18 @@
         )
         self.usage.remove(link.executor.executor_id, link.executor.rack, task)
         task.step.job.end(task, placed.run, EndKind.LOST, "")
-        task.not_before = now + REFUSAL_PAUSE
-        self._break_gang(task, placed.run)
-        self._mark(task.step.job)
+        task.not_before = now + REFUSED_START_DELAY
+        self._stop_gang(task, placed.run)
+        self._job_changed(task.step.job)
 
-    def _mark(self, job: JobRun) -> None:
-        """Store a job's progress soon."""
-        self._writer.mark(job)
+    def _job_changed(self, job: JobRun) -> None:
+        """Schedule a job's progress to be stored and its queue to be replanned."""
+        self._writer.mark_changed(job)
         self._planner.job_changed(job)
-        self._touch_queue(job.record)
+        self._plan_queue_soon(job.record)
 
-    def _queue(self, record: JobRecord) -> Queue | None:
-        """Return a job's queue; one that was removed is as it was at acceptance."""
+    def _queue_of(self, record: JobRecord) -> Queue | None:
+        """Return a job's queue, or its state at acceptance if it was removed."""
         configuration = self._follower.current
         queues = configuration.queues_by_name if configuration else {}
         return queues.get(record.queue, record.accepted_queue)
--- a/tests/test_batch_progress_writer.py
+++ b/tests/test_batch_progress_writer.py
@@ -10,7 +10,7 @@
 from pomeloyard.batch import layout
 from pomeloyard.batch.model import JobRecord, JobSpec, StepSpec
 from pomeloyard.batch.progress import JobRun
-from pomeloyard.batch.progress_writer import MAX_GROUPS, ProgressWriter
+from pomeloyard.batch.progress_writer import MAX_CONCURRENT_WRITES, ProgressWriter
 from pomeloyard.clock import ManualClock
 from pomeloyard.keyvalue.store import Compare
 from tests.support.job_fakes import FaultyStore, settle
@@ -40,25 +40,25 @@
             step = next(iter(job.ready_steps()))
             job.place(step.tasks[0], "e-0", 1, timedelta(0))
             self.jobs.append(job)
-            self.writer.mark(job)
+            self.writer.mark_changed(job)
 
     def stored(self):
         return sum(k.startswith(layout.RUNS) for k in self.store._entries_by_key)
 
     async def store_all(self, tasks, results):
         """Take and store groups as a term does."""
-        while self.writer.has_waiting:
-            await self.writer.gather()
-            groups = self.writer.take()
+        while self.writer.has_unwritten_changes:
+            await self.writer.wait_for_batching()
+            groups = self.writer.take_groups()
             for group in groups:
                 tasks.start_soon(self.store_group, group, results)
             if groups:
-                tasks.start_soon(self.writer.end_gathering)
+                tasks.start_soon(self.writer.end_batching)
             else:
                 await anyio.sleep(0)
 
     async def store_group(self, group, results):
-        results.append(await self.writer.store(group))
+        results.append(await self.writer.store_group(group))
 
     async def drive(self, milliseconds):
         for _ in range(round(milliseconds / 25)):
@@ -101,14 +101,14 @@
     writing = Writing()
     writing.store.delay = timedelta(milliseconds=400)
     writing.place(1)
-    (first,) = writing.writer.take()
-    writing.writer.mark(writing.jobs[0])
-    assert writing.writer.take() == []
+    (first,) = writing.writer.take_groups()
+    writing.writer.mark_changed(writing.jobs[0])
+    assert writing.writer.take_groups() == []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(writing.store_group, first, results := [])
         await writing.drive(400)
         assert results == [True]
-        (second,) = writing.writer.take()
+        (second,) = writing.writer.take_groups()
         assert second.transaction.compares[1].mod_revision == writing.jobs[0].revision
         tasks.cancel_scope.cancel()
 
@@ -117,12 +117,12 @@
     writing = Writing()
     writing.store.delay = timedelta(milliseconds=400)
     writing.place(2)
-    groups = writing.writer.take()
-    writing.writer.mark(writing.jobs[0])
+    groups = writing.writer.take_groups()
+    writing.writer.mark_changed(writing.jobs[0])
     waited = []
 
     async def wait():
-        await writing.writer.stored({writing.jobs[0].job_id})
+        await writing.writer.wait_until_durable({writing.jobs[0].job_id})
         waited.append(writing.clock.monotonic())
 
     async with anyio.create_task_group() as tasks:
@@ -147,21 +147,21 @@
         await writing.drive(300)
         writing.place(1)
         other = writing.jobs[2].job_id
-        assert writing.writer.is_marked(other)
+        assert writing.writer.has_undurable_changes(other)
         await writing.drive(125)
         with anyio.fail_after(5):
-            await writing.writer.stored({writing.jobs[0].job_id})
-        assert writing.writer.is_marked(other)
+            await writing.writer.wait_until_durable({writing.jobs[0].job_id})
+        assert writing.writer.has_undurable_changes(other)
         tasks.cancel_scope.cancel()
 
 
 async def test_an_outage_is_met_by_a_bounded_number_of_writes():
     writing = Writing()
     writing.place(500)
-    groups = writing.writer.take()
-    assert len(groups) == MAX_GROUPS
+    groups = writing.writer.take_groups()
+    assert len(groups) == MAX_CONCURRENT_WRITES
     assert all(len(g.transaction.operations) <= 30 for g in groups)
-    assert writing.writer.take() == []
+    assert writing.writer.take_groups() == []
 
 
 @pytest.mark.parametrize("lost", [1, 3, 6])
@@ -181,5 +181,5 @@
     writing = Writing()
     writing.writer = ProgressWriter(writing.clock, writing.store, Compare("epoch", 9))
     writing.place(85)
-    assert not await writing.writer.store(writing.writer.take()[0])
+    assert not await writing.writer.store_group(writing.writer.take_groups()[0])
     assert writing.stored() == 0
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -18,7 +18,7 @@
     TeamLimits,
 )
 from pomeloyard.batch.progress import EndKind
-from pomeloyard.batch.term import MAX_FIRST_CONTACTS
+from pomeloyard.batch.term import MAX_CONCURRENT_FIRST_POLLS
 
 from .support.batch_world import QUEUE, FakeAdvice, World, configuration
 
@@ -660,7 +660,7 @@
 
 async def test_a_new_term_does_not_look_at_all_executors_at_once():
     # sweep-300 (08955440): 2,998 first looks shared a core, and all ran out of time.
-    world = World(executors=2 * MAX_FIRST_CONTACTS)
+    world = World(executors=2 * MAX_CONCURRENT_FIRST_POLLS)
     at_once = most = 0
     plain = world.client.look
 
@@ -679,4 +679,4 @@
         assert await world.drive(
             3, lambda: sum(link.usable for link in term.links_by_id.values()) == 200
         )
-        assert most == MAX_FIRST_CONTACTS
+        assert most == MAX_CONCURRENT_FIRST_POLLS
