--- a/src/pomeloyard/batch/__init__.py
+++ b/src/pomeloyard/batch/__init__.py
@@ -1,5 +1,5 @@
-"""Jobs of many tasks in steps: accepting, placing, following and maintaining.
+"""Batch jobs of many tasks in steps: submission, placement, tracking, VM maintenance.
 
-The daemon that takes a call stores the job; one daemon at a time, the holder of
-the placing role, starts its tasks on executors and follows them to their end.
+The daemon that receives a submission stores the job. One daemon at a time, the holder
+of the placing role, starts the tasks on executors and tracks them until they end.
 """
--- a/src/pomeloyard/batch/decisions.py
+++ b/src/pomeloyard/batch/decisions.py
@@ -1,4 +1,4 @@
-"""One JSON line for each decision on a job, and counters of them."""
+"""Rate-limited JSON log of decisions on jobs, and counters by kind."""
 
 from __future__ import annotations
 
@@ -11,11 +11,12 @@
 from ..logs import LogWriter
 
 MAX_LINES_PER_SECOND = 600
-"""Bound on the volume of one daemon, about 150 KB/s; more are counted only."""
+"""Limits the log volume of one daemon to about 150 KB/s; excess lines are counted but
+not written."""
 
 
 class DecisionLines:
-    """Writes decision lines at a bounded rate and never waits."""
+    """Writes decision lines at a limited rate without blocking."""
 
     def __init__(self, clock: Clock, writer: LogWriter, daemon: str) -> None:
         self._clock = clock
@@ -23,24 +24,24 @@
         self._daemon = daemon
         self.counts: Counter[tuple[str, str]] = Counter()
         self.suppressed = 0
-        self._budget = float(MAX_LINES_PER_SECOND)
-        self._filled_at = clock.monotonic()
+        self._tokens = float(MAX_LINES_PER_SECOND)
+        self._refilled_at = clock.monotonic()
 
     def decided(
         self, kind: str, subject: str, outcome: str, **inputs: str | int | float | bool
     ) -> None:
-        """Write what was decided about a subject, from which inputs."""
-        known = kind in ("place", "executor", "upkeep", "move", "pool")
-        self.counts[kind, "" if known else outcome] += 1
+        """Log a decision about a subject with its inputs."""
+        omit_outcome = kind in ("place", "executor", "upkeep", "move", "pool")
+        self.counts[kind, "" if omit_outcome else outcome] += 1
         now = self._clock.monotonic()
-        passed = (now - self._filled_at) / timedelta(seconds=1)
-        self._filled_at = now
-        refilled = self._budget + passed * MAX_LINES_PER_SECOND
-        self._budget = min(float(MAX_LINES_PER_SECOND), refilled)
-        if self._budget < 1:
+        elapsed = (now - self._refilled_at) / timedelta(seconds=1)
+        self._refilled_at = now
+        refilled = self._tokens + elapsed * MAX_LINES_PER_SECOND
+        self._tokens = min(float(MAX_LINES_PER_SECOND), refilled)
+        if self._tokens < 1:
             self.suppressed += 1
             return
-        self._budget -= 1
+        self._tokens -= 1
         line = {
             "at": self._clock.now(),
             "daemon": self._daemon,
--- a/src/pomeloyard/batch/follow.py
+++ b/src/pomeloyard/batch/follow.py
@@ -1,4 +1,4 @@
-"""Follows what operators write, with a timed proof of being current."""
+"""Follows configurations and waves, and measures how current the copy is."""
 
 from __future__ import annotations
 
@@ -16,20 +16,22 @@
 from .model import Configuration, Wave
 
 POLL_WAIT = timedelta(seconds=0.5)
-"""How long a poll waits for news. A proof is as old as two polls at most; with a store
-that takes 0.35 s to answer this stays below the shortest bound on changes, 2 s."""
+"""How long a poll waits for changes. The copy was confirmed current at most two polls
+ago; with a store that takes 0.35 s to answer this stays below the shortest bound on
+configuration changes, 2 s."""
 RETRY_DELAY = timedelta(seconds=0.1)
-"""Mean pause after a store error; the proof may age by a second at most."""
+"""Mean pause after a store error; the copy may be unconfirmed for a second longer at
+most."""
 
 log = logbook.Logger("pomeloyard.batch.follow")
 
 
 class DocumentError(PomeloyardError):
-    """A document of the operators does not have the expected form."""
+    """A configuration, wave or registration cannot be decoded."""
 
 
 class OperatorDocuments(Protocol):
-    """Where operators write, and how their documents are decoded.
+    """Store keys and decoders of configurations and waves.
 
     Both decoders raise DocumentError.
     """
@@ -42,12 +44,12 @@
         ...
 
     def wave(self, key: str, content: bytes) -> Wave | None:
-        """Decode a wave; None if the key is not one of a wave."""
+        """Decode a wave; None if the key does not belong to a wave."""
         ...
 
 
 class OperatorFollower:
-    """Keeps the newest configuration and the waves."""
+    """Keeps a current copy of the newest configuration and the waves."""
 
     def __init__(
         self, clock: Clock, store: PollingStore, documents: OperatorDocuments
@@ -63,7 +65,7 @@
         self._proved_at: timedelta | None = None
         self._changed = anyio.Event()
         self.on_change: list[Callable[[], None]] = []
-        self._reachable = False
+        self._store_reachable = False
 
     @property
     def configuration_key(self) -> str:
@@ -71,13 +73,13 @@
         return self._documents.configuration_key
 
     def proof_age(self) -> timedelta:
-        """Return how long ago the daemon was certainly current."""
+        """Return the time since the copy was last confirmed current."""
         if self._proved_at is None:
             return timedelta.max
         return self._clock.monotonic() - self._proved_at
 
     async def wait_for_change(self, timeout: timedelta) -> None:
-        """Return at the next change of the configuration, or after ``timeout``."""
+        """Return at the next change of configuration or waves, or after ``timeout``."""
         changed = self._changed
         with anyio.move_on_after(timeout.total_seconds()):
             await changed.wait()
@@ -99,12 +101,12 @@
                             self._apply(event.entry)
                     position = batch.revision
                 self._proved_at = asked_at
-                self._note_reachable(True, "")
+                self._set_store_reachable(True, "")
             except CompactedError as error:
-                log.info("history was dropped, reading all again: {}", error)
+                log.info("watch revision was compacted, reloading all: {}", error)
                 position = None
             except StoreError as error:
-                self._note_reachable(False, str(error))
+                self._set_store_reachable(False, str(error))
                 await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
     async def _read_all(self) -> int:
@@ -121,49 +123,49 @@
     def _apply(self, entry: Entry) -> None:
         try:
             if entry.key == self._documents.configuration_key:
-                self._adopt(entry)
+                self._apply_configuration(entry)
             else:
-                self._note_wave(entry)
+                self._apply_wave(entry)
         except DocumentError as error:
-            log.warning("{} is ignored: {}", entry.key, error)
+            log.warning("ignoring {}, which cannot be decoded: {}", entry.key, error)
 
-    def _adopt(self, entry: Entry) -> None:
-        """Take a configuration over unless it is older than the present one."""
+    def _apply_configuration(self, entry: Entry) -> None:
+        """Apply a configuration unless it is older than the current one."""
         if entry.mod_revision <= self.revision:
             return
         configuration = self._documents.configuration(entry.value)
         self.revision = entry.mod_revision
         if self.current is not None and configuration.version < self.current.version:
             log.warning(
-                "configuration {} is older than {}",
+                "ignoring configuration {}, which is older than {}",
                 configuration.version,
                 self.current.version,
             )
             return
         self.current = configuration
         log.info(
-            "configuration {} in force, store revision {}",
+            "configuration {} is in force, store revision {}",
             configuration.version,
             entry.mod_revision,
         )
-        self._tell()
+        self._notify()
 
-    def _note_wave(self, entry: Entry) -> None:
+    def _apply_wave(self, entry: Entry) -> None:
         wave = self._documents.wave(entry.key, entry.value)
         if wave is not None and self.waves_by_id.get(wave.wave_id) != wave:
             self.waves_by_id[wave.wave_id] = wave
             now = self._clock.monotonic()
             self.wave_seen_at_by_id.setdefault(wave.wave_id, now)
-            log.info("wave {} of {} VMs", wave.wave_id, len(wave.vms))
-            self._tell()
+            log.info("wave {} received, {} VMs", wave.wave_id, len(wave.vms))
+            self._notify()
 
-    def _tell(self) -> None:
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
         for listener in self.on_change:
             listener()
 
-    def _note_reachable(self, reachable: bool, detail: str) -> None:
-        if reachable != self._reachable:
-            self._reachable = reachable
+    def _set_store_reachable(self, reachable: bool, detail: str) -> None:
+        if reachable != self._store_reachable:
+            self._store_reachable = reachable
             log.info("store {} {}", "regained" if reachable else "lost", detail)
--- a/src/pomeloyard/batch/guarded_records.py
+++ b/src/pomeloyard/batch/guarded_records.py
@@ -1,4 +1,4 @@
-"""Writes of one term to records that no other writer changes in its epoch."""
+"""Writes to records that only the holder of an epoch changes."""
 
 from __future__ import annotations
 
@@ -14,16 +14,16 @@
 from ..keyvalue.store import Compare, Entry, Put, Store, Transaction
 
 RETRY_DELAY = timedelta(milliseconds=200)
-"""Pause after a store error; nobody waits for these records."""
+"""Pause after a store error; these records are not time-critical."""
 
 log = logbook.Logger("pomeloyard.batch.guarded_records")
 
 
 class GuardedRecords:
-    """Writes each key from its last revision on, one write at a time.
+    """Writes each key compared with its last revision, one write at a time.
 
-    A write whose answer was lost may be carried out seconds later; the revision
-    keeps it from replacing a newer one.
+    A write whose answer was lost may take effect seconds later; comparing the revision
+    prevents it from overwriting a newer one.
     """
 
     def __init__(self, clock: Clock, store: Store, guard: Compare) -> None:
@@ -32,36 +32,36 @@
         self._guard = guard
         self._revisions_by_key: dict[str, int] = {}
         self._contents_by_key: dict[str, bytes] = {}
-        """What this term has stored."""
+        """Last content stored by this term."""
         self._locks_by_key: dict[str, anyio.Lock] = defaultdict(anyio.Lock)
 
     async def read(self, key: str) -> Entry | None:
-        """Return a record; returns only when the store has answered."""
+        """Return a record, retrying until the store answers."""
         while True:
             try:
                 entry = await self._store.get(key)
             except StoreError as error:
-                log.info("{} is not read yet: {}", key, error)
+                log.info("reading {} failed, retrying: {}", key, error)
                 await self._clock.sleep(RETRY_DELAY)
                 continue
             self._revisions_by_key[key] = entry.mod_revision if entry else 0
             return entry
 
     async def write(self, key: str, content: bytes) -> bool:
-        """Store a record; return when it is durable.
+        """Store a record, retrying until it is durable.
 
-        False: the epoch was replaced.
+        Returns False if the epoch was replaced.
         """
         return await self.write_latest(key, lambda: content)
 
-    async def write_latest(self, key: str, pack: Callable[[], bytes]) -> bool:
-        """Store what ``pack`` returns when the write's turn has come.
+    async def write_latest(self, key: str, encode: Callable[[], bytes]) -> bool:
+        """Store what ``encode`` returns once earlier writes of the key have finished.
 
-        Changes of one moment share a write: what an earlier one has stored is not
-        written again. False: the epoch was replaced.
+        Concurrent changes share a write: content that is already stored is not written
+        again. Returns False if the epoch was replaced.
         """
         async with self._locks_by_key[key]:
-            content = pack()
+            content = encode()
             if self._contents_by_key.get(key) == content:
                 return True
             if not await self._write(key, content):
@@ -78,13 +78,12 @@
             try:
                 result = await self._store.commit(transaction)
             except StoreError as error:
-                log.info("{} is not stored yet: {}", key, error)
+                log.info("storing {} failed, retrying: {}", key, error)
                 await self._clock.sleep(RETRY_DELAY)
                 continue
             if result.succeeded:
                 self._revisions_by_key[key] = result.revision
                 return True
-            # Either the epoch was replaced, or an attempt without an answer has
-            # taken effect.
+            # Either the epoch was replaced, or an unanswered attempt took effect.
             entry = await self.read(key)
             return entry is not None and entry.value == content
--- a/src/pomeloyard/batch/intake.py
+++ b/src/pomeloyard/batch/intake.py
@@ -1,7 +1,6 @@
-"""Accepts, reports and cancels jobs; runs in every daemon.
+"""Submission, state queries and cancellation of jobs; runs in every daemon.
 
-Nothing is kept in memory: an answer says what the store holds, so any daemon
-gives the same one.
+It is stateless: answers are read from the store, so every daemon gives the same answer.
 """
 
 from __future__ import annotations
@@ -39,20 +38,22 @@
 from .records import RunHeader
 
 RETRY_DELAY = timedelta(milliseconds=60)
-MAX_CERTAIN_RETRIES = 1
-"""Retries of a write that certainly had no effect; then the caller is refused, as
-another daemon may still reach the store."""
-CATCH_UP_WAIT = timedelta(milliseconds=300)
-"""How long a submission waits for the configuration that outdated its check."""
+MAX_RETRIES_WITHOUT_EFFECT = 1
+"""Retries of a write that certainly had no effect. The caller is then refused and may
+try another daemon, which may still reach the store."""
+CONFIGURATION_WAIT = timedelta(milliseconds=300)
+"""Maximum wait of a submission for the newer configuration that its write conflicted
+with."""
 RETRY_AFTER = timedelta(seconds=1)
-"""The shortest that the header can say; other daemons may reach the store now."""
+"""The shortest value that the Retry-After header can express; other daemons may reach
+the store already."""
 
 log = logbook.Logger("pomeloyard.batch.intake")
 
 
 @dataclass(frozen=True, slots=True)
 class Authorized:
-    """Queue and team that a call was allowed for, under a store revision."""
+    """Queue and team of an authorized call, and the configuration's store revision."""
 
     queue: Queue
     team: str
@@ -60,7 +61,7 @@
 
 
 class Intake:
-    """The callers' operations on jobs."""
+    """Operations on jobs that callers request."""
 
     def __init__(self, clock: Clock, store: Store, follower: OperatorFollower) -> None:
         self._clock = clock
@@ -76,57 +77,62 @@
     ) -> None:
         """Store a job; return once it is durable.
 
-        ``authorize`` is called again whenever the configuration changed before the
-        write, and raises RefusedError. ``deadline`` is in the clock's monotonic
-        time. Raises RefusedError if the job was certainly not stored and
-        OutcomeUnknownError if it may have been.
+        ``authorize`` raises RefusedError; it is called again before each attempt, so
+        that a configuration change is taken into account. ``deadline`` is in the
+        clock's monotonic time. Raises RefusedError if the job was certainly not
+        stored and OutcomeUnknownError if it may have been.
         """
         check_spec(spec)
         write_id = new_write_id()
-        lost = False
-        refusals = 0
+        outcome_unknown = False
+        failures = 0
         while True:
             try:
-                allowed = authorize()
-                transaction = self._creation(job_id, spec, allowed, write_id)
+                authorized = authorize()
+                transaction = self._creation_transaction(
+                    job_id, spec, authorized, write_id
+                )
                 if (await self._store.commit(transaction)).succeeded:
                     return
                 if await self._store.get(layout.JOBS + job_id) is not None:
                     return
-                if self._follower.revision == allowed.revision:
-                    await self._follower.wait_for_change(CATCH_UP_WAIT)
+                if self._follower.revision == authorized.revision:
+                    await self._follower.wait_for_change(CONFIGURATION_WAIT)
             except StoreOutcomeUnknownError as error:
-                lost = True
+                outcome_unknown = True
                 log.info("job {}: store answer lost: {}", job_id, error)
             except StoreUnavailableError as error:
-                refusals += 1
-                if not lost and refusals > MAX_CERTAIN_RETRIES:
-                    raise _store_refusal(error) from error
+                failures += 1
+                if not outcome_unknown and failures > MAX_RETRIES_WITHOUT_EFFECT:
+                    raise _refusal_of(error) from error
             except StoreRequestError as error:
-                raise _store_refusal(error) from error
+                raise _refusal_of(error) from error
             except RefusedError as error:
-                if lost:
-                    raise _unknown(job_id) from error
+                if outcome_unknown:
+                    raise _outcome_unknown(job_id) from error
                 raise
             if self._clock.monotonic() + RETRY_DELAY >= deadline:
-                if lost:
-                    raise _unknown(job_id)
-                raise _refused("the store did not answer in time")
+                if outcome_unknown:
+                    raise _outcome_unknown(job_id)
+                raise _store_unavailable("the store did not answer in time")
             await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
-    def _creation(
-        self, job_id: str, spec: JobSpec, allowed: Authorized, write_id: str
+    def _creation_transaction(
+        self, job_id: str, spec: JobSpec, authorized: Authorized, write_id: str
     ) -> Transaction:
-        """Return the write that creates a job under the authorizing configuration."""
-        queue = allowed.queue.name
+        """Return the transaction that creates a job.
+
+        It fails if the configuration changed since the call was authorized.
+        """
+        queue = authorized.queue.name
         record = JobRecord(
-            queue, allowed.team, spec, self._clock.now(), write_id, allowed.queue
+            queue, authorized.team, spec, self._clock.now(), write_id, authorized.queue
         )
         key = layout.JOBS + job_id
         return Transaction(
             (
                 Compare(key, 0),
-                Compare(self._follower.configuration_key, allowed.revision),
+                Compare(self._follower.configuration_key, authorized.revision),
             ),
             (
                 Put(key, msgspec.msgpack.encode(record)),
@@ -142,21 +148,21 @@
         try:
             run = await self._store.get(layout.RUNS + job_id)
             if run is not None:
-                return _state_of(run)
+                return _decode_state(run)
             job = await self._store.get(layout.JOBS + job_id)
         except StoreError as error:
-            raise _store_refusal(error) from error
+            raise _refusal_of(error) from error
         return None if job is None else JobState.PENDING
 
     async def waiting(self, queue: str) -> int:
-        """Return how many accepted jobs of a queue have not begun.
+        """Return the number of accepted jobs of a queue that have not begun.
 
         Raises RefusedError when the store does not answer.
         """
         try:
             page = await scan_all(self._store, layout.waiting_prefix(queue))
         except StoreError as error:
-            raise _store_refusal(error) from error
+            raise _refusal_of(error) from error
         return len(page.entries)
 
     async def cancel(self, job_id: str, deadline: timedelta) -> bool:
@@ -164,8 +170,8 @@
 
         Raises RefusedError or OutcomeUnknownError as ``submit`` does.
         """
-        lost = False
-        refusals = 0
+        outcome_unknown = False
+        failures = 0
         while True:
             try:
                 job = await self._store.get(layout.JOBS + job_id)
@@ -178,32 +184,32 @@
                 if (await self._store.commit(transaction)).succeeded:
                     return True
             except StoreOutcomeUnknownError as error:
-                lost = True
+                outcome_unknown = True
                 log.info("cancellation of {}: store answer lost: {}", job_id, error)
             except StoreError as error:
-                refusals += 1
-                if not lost and refusals > MAX_CERTAIN_RETRIES:
-                    raise _store_refusal(error) from error
+                failures += 1
+                if not outcome_unknown and failures > MAX_RETRIES_WITHOUT_EFFECT:
+                    raise _refusal_of(error) from error
             if self._clock.monotonic() + RETRY_DELAY >= deadline:
-                if lost:
-                    raise _unknown(job_id)
-                raise _refused("the store did not answer in time")
+                if outcome_unknown:
+                    raise _outcome_unknown(job_id)
+                raise _store_unavailable("the store did not answer in time")
             await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
 
-def _state_of(run: Entry) -> JobState:
+def _decode_state(run: Entry) -> JobState:
     return JobState(msgspec.msgpack.decode(run.value, type=RunHeader).state)
 
 
-def _refused(detail: str) -> RefusedError:
+def _store_unavailable(detail: str) -> RefusedError:
     return RefusedError(Refused(RefusalReason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
 
 
-def _store_refusal(error: StoreError) -> RefusedError:
-    return _refused(str(error))
+def _refusal_of(error: StoreError) -> RefusedError:
+    return _store_unavailable(str(error))
 
 
-def _unknown(job_id: str) -> OutcomeUnknownError:
+def _outcome_unknown(job_id: str) -> OutcomeUnknownError:
     return OutcomeUnknownError(
         Unknown(UnknownReason.ANSWER_LOST, f"job {job_id} may have been stored")
     )
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -1,10 +1,10 @@
-"""Keys of the job records in the store.
+"""Store keys of job records.
 
-| key | written by | condition |
+| key | written by | write condition |
 |---|---|---|
-| ``b/in/job/ID`` | the daemon that takes the job | absent, configuration unchanged |
+| ``b/in/job/ID`` | the daemon that accepts the job | absent, configuration unchanged |
 | ``b/in/cancel/ID`` | any daemon | the job's key unchanged |
-| ``b/waiting/QUEUE/ID`` | with the job; deleted with its first start | as those |
+| ``b/waiting/QUEUE/ID`` | created with the job, deleted at its first start | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
 | ``b/ids-kept`` | the placing daemon, once | its epoch |
 """
@@ -18,8 +18,8 @@
 CANCELS = "b/in/cancel/"
 WAITING = "b/waiting/"
 RUNS = "b/runs/"
-IDS_KEPT = "b/ids-kept"
-"""Present once an executor has restarted under the id that it had."""
+EXECUTOR_IDS_REUSED = "b/ids-kept"
+"""Present once an executor has restarted under the same id."""
 
 
 def waiting_prefix(queue: str) -> str:
--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of one daemon, in the Prometheus text format."""
+"""Prometheus metrics of one daemon that runs batch jobs."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class BatchMetrics:
-    """Registry of a daemon; everything but histograms is read when it is asked for."""
+    """Metrics registry of a daemon; all but histograms are collected on request."""
 
     def __init__(
         self,
@@ -28,7 +28,7 @@
         follower: OperatorFollower,
         role: PlacingRole,
     ) -> None:
-        self._lines = lines
+        self._decision_log = lines
         self._writer = writer
         self._calls = calls
         self._follower = follower
@@ -44,17 +44,17 @@
         self._registry.register(self)
 
     def text(self) -> bytes:
-        """Return all metrics in the text format."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
     def collect(self) -> Iterator[Metric]:
-        """Return the metrics that other parts keep."""
+        """Yield the metrics collected from other components."""
         decisions = CounterMetricFamily(
             "pomeloyard_decisions",
             "Decisions by kind and outcome",
             labels=["kind", "outcome"],
         )
-        for (kind, outcome), count in self._lines.counts.items():
+        for (kind, outcome), count in self._decision_log.counts.items():
             decisions.add_metric([kind, outcome], count)
         yield decisions
         calls = CounterMetricFamily(
@@ -68,7 +68,9 @@
         dropped = CounterMetricFamily(
             "pomeloyard_log_lines_dropped", "Log lines over the bound on volume"
         )
-        dropped.add_metric([], self._lines.suppressed + self._writer.dropped_lines)
+        dropped.add_metric(
+            [], self._decision_log.suppressed + self._writer.dropped_lines
+        )
         yield dropped
         age = min(self._follower.proof_age(), timedelta(days=1))
         yield GaugeMetricFamily(
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -162,7 +162,7 @@
         return opened
 
     def next_due_ms(self) -> int | None:
-        """Return when the next occurrence is due, in Unix milliseconds."""
+        """Return when the next occurrence is due, in ms since 1970 (Unix time)."""
         spec = self.record.spec
         if self.final or self.next_occurrence >= spec.occurrences:
             return None
--- a/src/pomeloyard/batch/records.py
+++ b/src/pomeloyard/batch/records.py
@@ -1,4 +1,4 @@
-"""The durable record of a job's progress."""
+"""Stored form of a job's progress."""
 
 from __future__ import annotations
 
@@ -6,27 +6,27 @@
 
 
 class RunHeader(msgspec.Struct, array_like=True):
-    """The part of a run record that callers' daemons need."""
+    """The part of a run record that daemons decode to answer callers."""
 
     state: str
 
 
 class TaskRow(msgspec.Struct, array_like=True):
-    """A task that is no longer as it was submitted; all others have no row."""
+    """A task that has been started at least once; all others have no row."""
 
     index: int
     code: int
-    """0 waits, 1 may run on ``executor``, 2 is done."""
+    """0: waiting, 1: may run on ``executor``, 2: done."""
     run: int
-    """Number of its last start."""
+    """Number of its latest start."""
     failures: int = 0
     executor: str = ""
     saved: str = ""
-    """Checkpoint to resume from, or ""."""
+    """Checkpoint to resume from, "" if there is none."""
 
 
 class StepRows(msgspec.Struct, array_like=True):
-    """Rows of one step in one occurrence."""
+    """Task rows of one step in one occurrence."""
 
     occurrence: int
     step: int
@@ -35,7 +35,7 @@
 
 
 class RunRecord(msgspec.Struct, array_like=True):
-    """A job's state and its tasks; the first field is that of RunHeader."""
+    """A job's state and its tasks; starts with the field of RunHeader."""
 
     state: str
     steps: list[StepRows] = []
--- a/src/pomeloyard/batch/registry.py
+++ b/src/pomeloyard/batch/registry.py
@@ -1,4 +1,4 @@
-"""Follows the registrations of executors."""
+"""Watches the registrations of executors."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 from .follow import DocumentError
 
 POLL_WAIT = timedelta(seconds=1.2)
-"""A channel that went silent hides executors that leave for this long; nothing may be
-started on them 2 s after they said so."""
+"""A connection that silently stopped delivering hides draining executors for this long;
+nothing may be started on them 2 s after they announced the drain."""
 RETRY_DELAY = timedelta(seconds=0.1)
 """Mean pause after a store error."""
 
@@ -26,17 +26,17 @@
 
 
 class ExecutorDocuments(Protocol):
-    """Where executors register, and how an entry is decoded."""
+    """Store prefix and decoder of executor registrations."""
 
     prefix: str
 
     def executor(self, key: str, content: bytes) -> Executor:
-        """Decode an entry; raises DocumentError."""
+        """Decode a registration; raises DocumentError."""
         ...
 
 
 class ExecutorRegistry:
-    """The executors that are registered now."""
+    """Keeps the currently registered executors."""
 
     def __init__(
         self, clock: Clock, store: PollingStore, documents: ExecutorDocuments
@@ -49,7 +49,7 @@
         self.on_change: Callable[[], None] | None = None
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Watch the registrations until cancelled."""
         position: int | None = None
         while True:
             try:
@@ -68,10 +68,10 @@
                 if self.on_change is not None:
                     self.on_change()
             except CompactedError as error:
-                log.info("history was dropped, reading all again: {}", error)
+                log.info("watch revision was compacted, reloading all: {}", error)
                 position = None
             except StoreError as error:
-                log.info("executors are not followed: {}", error)
+                log.info("executor watch failed, retrying: {}", error)
                 await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
     async def _read_all(self) -> int:
@@ -100,7 +100,7 @@
         try:
             executor = self._documents.executor(key, entry.value)
         except DocumentError as error:
-            log.warning("registration {} is ignored: {}", key, error)
+            log.warning("ignoring registration {}, which is invalid: {}", key, error)
             self.executors_by_id.pop(executor_id, None)
             return
         self.executors_by_id[executor_id] = executor
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -185,7 +185,7 @@
             lambda: both(
                 lambda: self._scan(layout.INCOMING), lambda: self._scan(layout.RUNS)
             ),
-            lambda: self._scan(layout.IDS_KEPT),
+            lambda: self._scan(layout.EXECUTOR_IDS_REUSED),
         )
         await self._registry.loaded.wait()
         self._ids_survive_restarts = self._ids_survive_restarts or bool(id_flags[0])
@@ -522,7 +522,7 @@
             self.spawn(link, self._store_ids_survive_restarts)
 
     async def _store_ids_survive_restarts(self) -> None:
-        operation = Put(layout.IDS_KEPT, b"1")
+        operation = Put(layout.EXECUTOR_IDS_REUSED, b"1")
         try:
             await self._store.commit(Transaction((self.guard,), (operation,)))
         except StoreError as error:
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -1,4 +1,4 @@
-"""A yard in virtual time: executors with leases and fences, a store, one term."""
+"""Simulated batch system on a manual clock: executors, VMs, a store and one term."""
 
 from __future__ import annotations
 
@@ -52,9 +52,9 @@
 from .job_fakes import FaultyStore, settle
 
 STEP = timedelta(milliseconds=50)
-HOLD_MAX = timedelta(seconds=10)
-LASTING_START = timedelta(seconds=0.9)
-"""A lasting task is at work this long after its start."""
+MAX_LEASE = timedelta(seconds=10)
+LASTING_START_TIME = timedelta(seconds=0.9)
+"""Time from the start of a lasting task until it counts as available."""
 EPOCH_KEY = "epochs/placing"
 QUEUE = Queue("cuts", "desk.example", "/cuts/", "mill", max_attempts=3, stretch=1.6)
 TEAM = TeamLimits("nets", ("key-1",), 1.0, Resources(0, 0, 0))
@@ -72,7 +72,7 @@
 
 
 class ConfigDocuments:
-    """Operators' documents as msgpack of the product's own types."""
+    """Configurations and waves encoded as msgpack of the model's types."""
 
     prefix = "op/"
     configuration_key = "op/config"
@@ -102,18 +102,18 @@
             raise DocumentError(str(error)) from error
 
 
-class Run:
-    def __init__(self, run, saved, started, takes, lease_until):
+class FakeRun:
+    def __init__(self, run, saved, started, duration, lease_until):
         self.run = run
         self.saved = saved
         self.started = started
-        self.takes = takes
-        self.ends_at = started + takes
+        self.duration = duration
+        self.ends_at = started + duration
         self.lease_until = lease_until
 
 
 class FakeExecutor:
-    """One executor; ``silent`` calls get no answer and have no effect."""
+    """One executor; while ``silent`` its calls get no answer and have no effect."""
 
     def __init__(self, clock, executor_id, cpu=4000, service="mill", rack="r1"):
         self.clock = clock
@@ -129,37 +129,37 @@
             rack,
         )
         self.silent = False
-        self.swallow_starts = 0
-        """Starts that get no answer and are kept for ``carry_out_late``."""
-        self.kept_orders = []
+        self.starts_to_delay = 0
+        """Number of next starts that get no answer and wait in ``delayed_orders``."""
+        self.delayed_orders = []
         self.lose_start_answers = 0
-        """Starts that are carried out at once and get no answer."""
+        """Number of next starts that take effect but get no answer."""
         self.lose_looks = 0
-        """Looks that get no answer, as a spell of lost calls does."""
+        """Number of next polls that get no answer."""
         self.fails = False
         self.stalls = False
         self.restart()
 
     def restart(self):
-        """Lose everything, as after a crash."""
+        """Lose all state, as after a crash."""
         self.born = self.clock.monotonic()
         self.incarnation = getattr(self, "incarnation", 0) + 1
         self.fence = 0
         self.runs = {}
         self.ended = []
-        self.next_end = 1
-        self.highest_run = {}
+        self.next_end_number = 1
+        self.highest_run_by_task = {}
 
     def now(self):
         return self.clock.monotonic() - self.born
 
     def percent(self, task):
         run = self.runs[task]
-        if run.takes > timedelta(hours=1):
-            return 100 if self.now() - run.started >= LASTING_START else 50
+        if run.duration > timedelta(hours=1):
+            return 100 if self.now() - run.started >= LASTING_START_TIME else 50
         if self.stalls:
             return 40
-        return min(99, round((self.now() - run.started) / run.takes * 100))
+        return min(99, round((self.now() - run.started) / run.duration * 100))
 
     def check_fence(self, fence):
         if fence < self.fence:
@@ -168,9 +168,11 @@
 
     def end(self, task, kind, saved=""):
         run = self.runs.pop(task)
-        self.highest_run[task] = max(self.highest_run.get(task, 0), run.run)
-        self.ended.append(EndedTask(self.next_end, task, run.run, kind, saved))
-        self.next_end += 1
+        self.highest_run_by_task[task] = max(
+            self.highest_run_by_task.get(task, 0), run.run
+        )
+        self.ended.append(EndedTask(self.next_end_number, task, run.run, kind, saved))
+        self.next_end_number += 1
 
     def advance(self):
         for task, run in list(self.runs.items()):
@@ -181,7 +183,7 @@
 
 
 class FakeExecutors(ExecutorClient):
-    """All executors, and an audit of what they were told."""
+    """All executors; records the orders they receive and violations of invariants."""
 
     def __init__(self, clock, world):
         self.clock = clock
@@ -195,36 +197,38 @@
         self.waits = []
         self.violations = []
 
-    def _reach(self, executor):
+    def _connect(self, executor):
         fake = self.by_id.get(executor.executor_id)
         if fake is None:
-            raise CallNotSentError("nobody listens")
+            raise CallNotSentError("connection refused")
         if fake.silent:
             raise CallUnansweredError("silent")
         fake.advance()
         return fake
 
     async def start(self, executor, order, timeout):
-        self.world.check_durable(order, executor.executor_id)
-        fake = self._reach(executor)
-        if fake.swallow_starts:
-            fake.swallow_starts -= 1
-            fake.kept_orders.append(order)
+        self.world.check_assignment_durable(order, executor.executor_id)
+        fake = self._connect(executor)
+        if fake.starts_to_delay:
+            fake.starts_to_delay -= 1
+            fake.delayed_orders.append(order)
             raise CallUnansweredError("no answer")
-        answer = self.carry_out(fake, order)
+        answer = self.execute_order(fake, order)
         if fake.lose_start_answers:
             fake.lose_start_answers -= 1
             raise CallUnansweredError("the answer was lost")
         return answer, fake.now()
 
-    def carry_out(self, fake, order):
+    def execute_order(self, fake, order):
         fake.check_fence(order.fence)
         advice = self.world.advice
-        if advice is not None and not advice.holds(order, fake.executor.executor_id):
+        if advice is not None and not advice.is_valid_for(
+            order, fake.executor.executor_id
+        ):
             return StartAnswer.NO_TICKET
         if order.task in fake.runs and fake.runs[order.task].run == order.run:
             return StartAnswer.STARTED
-        if order.run <= fake.highest_run.get(order.task, 0):
+        if order.run <= fake.highest_run_by_task.get(order.task, 0):
             return StartAnswer.STALE_RUN
         if order.lease_until <= fake.now():
             return StartAnswer.TOO_LATE
@@ -235,31 +239,33 @@
         if any(task == order.task for task, _ in self.world.done):
             self.violations.append(f"{order.task} starts after it was done")
         lasts = order.task.split(".")[0] in self.lasting
-        takes = timedelta(days=1) if lasts else self.run_time
-        until = min(order.lease_until, fake.now() + HOLD_MAX)
-        fake.runs[order.task] = Run(order.run, order.saved, fake.now(), takes, until)
+        duration = timedelta(days=1) if lasts else self.run_time
+        until = min(order.lease_until, fake.now() + MAX_LEASE)
+        fake.runs[order.task] = FakeRun(
+            order.run, order.saved, fake.now(), duration, until
+        )
         self.started.append((order.task, order.run, fake.executor.executor_id))
-        used = sum(self.world.cpu_of(task) for task in fake.runs)
+        used = sum(self.world.cpu_millis_of(task) for task in fake.runs)
         if used > fake.executor.capacity.cpu_millis:
-            self.violations.append(f"{fake.executor.executor_id} is over its room")
+            self.violations.append(f"{fake.executor.executor_id} exceeds its capacity")
         return StartAnswer.STARTED
 
-    def carry_out_late(self, fake):
-        """Carry out the orders that were kept."""
-        for order in fake.kept_orders:
+    def execute_delayed_orders(self, fake):
+        """Execute the delayed start orders."""
+        for order in fake.delayed_orders:
             try:
-                self.carry_out(fake, order)
+                self.execute_order(fake, order)
             except StaleFenceError:
                 continue
-        fake.kept_orders = []
+        fake.delayed_orders = []
 
     async def stop(self, executor, task, run, fence, timeout):
-        fake = self._reach(executor)
+        fake = self._connect(executor)
         fake.check_fence(fence)
         self.stopped.append((task, run))
         if task in fake.runs and fake.runs[task].run == run:
-            self.world.note_ended_by_order(fake, [task])
-        fake.highest_run[task] = max(fake.highest_run.get(task, 0), run)
+            self.world.record_stopped_tasks(fake, [task])
+        fake.highest_run_by_task[task] = max(fake.highest_run_by_task.get(task, 0), run)
         if task in fake.runs and fake.runs[task].run == run:
             fake.end(task, EndKind.STOPPED)
 
@@ -267,8 +273,8 @@
         self.looks += 1
         self.waits.append(wait)
         deadline = self.clock.monotonic() + wait
-        gives_up = self.clock.monotonic() + timeout
-        life = None
+        times_out_at = self.clock.monotonic() + timeout
+        incarnation = None
         target = self.by_id.get(executor.executor_id)
         if target is not None and target.lose_looks:
             target.lose_looks -= 1
@@ -276,12 +282,12 @@
             raise CallUnansweredError("lost")
         while True:
             fake = self.by_id.get(executor.executor_id)
-            if fake is not None and life not in (None, fake.incarnation):
+            if fake is not None and incarnation not in (None, fake.incarnation):
                 raise CallUnansweredError("the crash broke the connection")
-            life = fake.incarnation if fake is not None else None
+            incarnation = fake.incarnation if fake is not None else None
             if fake is not None and fake.silent:
-                await self.clock.sleep(gives_up - self.clock.monotonic())
-            fake = self._reach(executor)
+                await self.clock.sleep(times_out_at - self.clock.monotonic())
+            fake = self._connect(executor)
             fake.check_fence(fence)
             for end in fake.ended:
                 if end.number <= acknowledged and end.kind is EndKind.DONE:
@@ -289,7 +295,7 @@
                     self.world.check_end_durable(end.task)
             fake.ended = [e for e in fake.ended if e.number > acknowledged]
             if lease_until is not None:
-                until = min(lease_until, fake.now() + HOLD_MAX)
+                until = min(lease_until, fake.now() + MAX_LEASE)
                 for run in fake.runs.values():
                     run.lease_until = max(run.lease_until, until)
             if fake.ended or self.clock.monotonic() >= deadline:
@@ -304,43 +310,43 @@
         )
 
     async def pace(self, executor, task, run, percent, fence, timeout):
-        self._reach(executor).check_fence(fence)
+        self._connect(executor).check_fence(fence)
 
 
 class FakeAdvice(AdviceService):
-    """Lets a step run on some executors, with tickets that expire."""
+    """Allows steps on some executors, with tickets that expire."""
 
-    def __init__(self, world, good, valid=timedelta(seconds=3)):
+    def __init__(self, world, allowed, valid=timedelta(seconds=3)):
         self.world = world
-        self.good = good
+        self.allowed = allowed
         self.valid = valid
-        self.questions = []
-        self.expiry = {}
+        self.requests = []
+        self.expires_at_by_ticket = {}
 
     async def advise(self, step, executors, timeout):
-        self.questions.append((step, tuple(executors)))
+        self.requests.append((step, tuple(executors)))
         await self.world.clock.sleep(STEP)
-        number = len(self.questions)
-        tickets = {e: f"{step}/{e}/{number}" for e in executors if e in self.good}
+        number = len(self.requests)
+        tickets = {e: f"{step}/{e}/{number}" for e in executors if e in self.allowed}
         until = self.world.clock.monotonic() + self.valid
-        self.expiry.update((ticket, until) for ticket in tickets.values())
+        self.expires_at_by_ticket.update((ticket, until) for ticket in tickets.values())
         return Advice(tickets, self.valid)
 
-    def holds(self, order, executor_id):
+    def is_valid_for(self, order, executor_id):
         step = order.task.rpartition(".")[0]
-        until = self.expiry.get(order.ticket, timedelta(0))
-        mine = order.ticket.startswith(f"{step}/{executor_id}/")
-        return mine and self.world.clock.monotonic() < until
+        until = self.expires_at_by_ticket.get(order.ticket, timedelta(0))
+        matches = order.ticket.startswith(f"{step}/{executor_id}/")
+        return matches and self.world.clock.monotonic() < until
 
 
 class World:
-    """Everything around a term."""
+    """The environment of a placing term, with faults that tests inject."""
 
     def __init__(self, executors=2, cpu=4000):
         self.clock = ManualClock()
         self.store = FaultyStore(self.clock)
         self.done = set()
-        self.specs = {}
+        self.specs_by_job = {}
         self.client = FakeExecutors(self.clock, self)
         self.follower = OperatorFollower(self.clock, self.store, ConfigDocuments())
         self.intake = Intake(self.clock, self.store, self.follower)
@@ -353,38 +359,40 @@
         for fake in self.fakes:
             self.client.by_id[fake.executor.executor_id] = fake
         self.epoch = 0
-        self.new_keeper = None
+        self.new_vm_keeper = None
         self.advice = None
         self.arrivals = []
-        """Registrations to write or, with None, to delete."""
+        """Registrations to write, or to delete if the content is None."""
         self.lasting_tasks = 0
-        self.ended_by_order = set()
-        """Lasting tasks that an order has ended and that are not at work again."""
+        self.stopped_lasting_tasks = set()
+        """Lasting tasks stopped by an order and not available again yet."""
         self.policy = None
         self.ids_kept = False
-        """Whether the deployment says that executors keep their ids."""
+        """Whether the deployment states that executors restart under the same id."""
 
-    def cpu_of(self, task):
+    def cpu_millis_of(self, task):
         job, _, step, _ = task.split(".")
-        return self.specs[job].steps[int(step)].cpu_millis
+        return self.specs_by_job[job].steps[int(step)].cpu_millis
 
-    def note_ended_by_order(self, fake, tasks):
-        """Check that no more of a lasting step is away than may be."""
+    def record_stopped_tasks(self, fake, tasks):
+        """Check that a lasting step has no more unavailable tasks than allowed."""
         for other in self.fakes:
             at_work = {task for task in other.runs if other.percent(task) >= 100}
-            self.ended_by_order -= at_work
+            self.stopped_lasting_tasks -= at_work
         final = (JobState.CANCELLED, JobState.FAILED)
         for task in tasks:
             job, _, number, _ = task.split(".")
-            step = self.specs[job].steps[int(number)]
+            step = self.specs_by_job[job].steps[int(number)]
             if not step.lasting or self.state(job) in final:
                 continue
             name = task.rpartition(".")[0]
-            away = {t for t in self.ended_by_order if t.startswith(f"{name}.")}
+            away = {t for t in self.stopped_lasting_tasks if t.startswith(f"{name}.")}
             at_work = fake.percent(task) >= 100
             if at_work and len(away - {task}) >= max(1, step.may_be_away):
-                self.client.violations.append(f"{task} is ended while {away} are away")
-            self.ended_by_order.add(task)
+                self.client.violations.append(
+                    f"{task} is stopped while {away} are unavailable"
+                )
+            self.stopped_lasting_tasks.add(task)
 
     def entry(self, key):
         return self.store._entries_by_key.get(key)
@@ -393,8 +401,8 @@
         entry = self.entry(layout.RUNS + job)
         return [] if entry is None else msgspec.msgpack.decode(entry.value)[1]
 
-    def check_durable(self, order, executor_id):
-        """Every order was stored before it is sent."""
+    def check_assignment_durable(self, order, executor_id):
+        """Check that an assignment was stored before its start is sent."""
         job, _, step, index = order.task.split(".")
         for _, number, rows, _ in self.rows(job):
             for row in rows:
@@ -404,7 +412,7 @@
         self.client.violations.append(f"{order.task} was ordered before it was stored")
 
     def check_end_durable(self, task):
-        """Every end is stored before it is acknowledged."""
+        """Check that an end was stored before it is acknowledged."""
         job, _, step, index = task.split(".")
         if self.state(job) in (JobState.COMPLETED, JobState.CANCELLED):
             return
@@ -430,7 +438,7 @@
 
     async def submit(self, job, *steps, queue=QUEUE, **fields):
         spec = JobSpec("payload", tuple(steps or [StepSpec(1, 1000, 100)]), **fields)
-        self.specs[job] = spec
+        self.specs_by_job[job] = spec
         if any(step.lasting for step in spec.steps):
             self.client.lasting.add(job)
 
@@ -441,10 +449,10 @@
         await self.intake.submit(job, spec, authorize, deadline)
 
     def keep_vms(self, standby=0):
-        """Give the terms a keeper and return the VMs."""
+        """Let the terms manage VMs, and return the fake VM service."""
         vms = FakeVms(self, standby)
 
-        def new_keeper(term):
+        def new_vm_keeper(term):
             return VmKeeper(
                 self.clock,
                 self.store,
@@ -461,7 +469,7 @@
                 takeover_pause=timedelta(seconds=3),
             )
 
-        self.new_keeper = new_keeper
+        self.new_vm_keeper = new_vm_keeper
         return vms
 
     async def new_term(self):
@@ -481,14 +489,14 @@
             role,
             guard,
             timedelta(seconds=60),
-            self.new_keeper,
+            self.new_vm_keeper,
             self.advice,
             ids_kept=self.ids_kept,
             policy=self.policy,
         )
 
     async def drive(self, seconds, until=None):
-        """Let time pass, or return early once ``until`` holds."""
+        """Advance the clock; return True early once ``until`` returns True."""
         for _ in range(round(seconds / STEP.total_seconds())):
             await settle(40)
             while self.arrivals:
@@ -503,7 +511,7 @@
 
     @asynccontextmanager
     async def term(self):
-        """Run one term."""
+        """Run one term in the background."""
         term = await self.new_term()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(term.run)
@@ -513,7 +521,7 @@
 
     @asynccontextmanager
     async def running(self):
-        """Run the followers and the first term; check the audit at the end."""
+        """Run the follower and a first term; check for violations at the end."""
         await self.publish(configuration())
         for fake in self.fakes:
             await self.put(f"executors/{fake.executor.executor_id}", fake.executor)
@@ -527,26 +535,26 @@
 
 
 class FakeVms(VmService):
-    """VMs of the fakes' executors; an operation gives a VM a new executor."""
+    """VMs of the fake executors; an operation gives a VM a new executor."""
 
     OPERATION_TIME = timedelta(seconds=2)
 
     def __init__(self, world, standby=0):
         self.world = world
         self.vms = {}
-        self.back_at = {}
+        self.available_at_by_vm = {}
         self.fence = 0
         self.swallow = 0
-        """Operations that are carried out and not answered."""
+        """Number of next operations that take effect but get no answer."""
         self.hidden = set()
-        """VMs that the list leaves out."""
+        """VMs that are missing from the list."""
         self.maintained = []
         self.moves = []
         self.down_at_once = 0
         self.most_away = 0
         self.turns = []
-        """Orders of two holders for one VM within the time that forbids it."""
-        self.last_order = {}
+        """Orders that two role holders sent for one VM within 3 s."""
+        self.last_order_by_vm = {}
         self.ordered_at = defaultdict(list)
         for fake in world.fakes:
             vm = f"vm-{fake.executor.executor_id}"
@@ -562,7 +570,7 @@
         return tuple(vm for vm in self.vms.values() if vm.name not in self.hidden)
 
     def crash(self, executor_id):
-        """Let an executor go dark and its VM be listed as down."""
+        """Make an executor silent and list its VM as down."""
         fake = self.world.client.by_id[executor_id]
         fake.silent = True
         fake.runs.clear()
@@ -570,12 +578,12 @@
         self.vms[vm.name] = replace(vm, state=VmState.DOWN, executor_id="")
 
     def _advance(self):
-        for name, at in list(self.back_at.items()):
+        for name, at in list(self.available_at_by_vm.items()):
             if self.world.clock.monotonic() >= at:
-                del self.back_at[name]
-                self._revive(name)
+                del self.available_at_by_vm[name]
+                self._return_to_service(name)
 
-    def _revive(self, name):
+    def _return_to_service(self, name):
         vm = self.vms[name]
         if vm.pool == "spare":
             self.vms[name] = replace(vm, state=VmState.UP, executor_id="")
@@ -589,24 +597,26 @@
         entry = msgspec.msgpack.encode(fake.executor)
         self.world.arrivals.append((key, entry))
 
-    def _take(self, name, pool, state):
+    def _detach_executor(self, name, pool, state):
         vm = self.vms[name]
         fake = self.world.client.by_id.pop(vm.executor_id, None)
         if fake is not None:
             fake.advance()
-            self.world.note_ended_by_order(fake, list(fake.runs))
+            self.world.record_stopped_tasks(fake, list(fake.runs))
             fake.runs.clear()
             self.world.fakes.remove(fake)
             self.world.arrivals.append((f"executors/{vm.executor_id}", None))
         self.vms[name] = PoolVm(name, pool, state, "")
-        self.back_at[name] = self.world.clock.monotonic() + self.OPERATION_TIME
+        self.available_at_by_vm[name] = (
+            self.world.clock.monotonic() + self.OPERATION_TIME
+        )
 
-    async def _operate(self, fence, vm):
+    async def _check_order(self, fence, vm):
         now = self.world.clock.monotonic()
-        before, at = self.last_order.get(vm, (fence, now))
+        before, at = self.last_order_by_vm.get(vm, (fence, now))
         if before != fence and now < at + timedelta(seconds=3):
             self.turns.append((vm, before, fence))
-        self.last_order[vm] = (fence, now)
+        self.last_order_by_vm[vm] = (fence, now)
         self.ordered_at[vm].append(now)
         if fence < self.fence:
             raise StaleFenceError("stale")
@@ -620,7 +630,7 @@
         return VmAnswer.DONE
 
     async def maintain(self, vm, wave, holder, fence):
-        await self._operate(fence, vm)
+        await self._check_order(fence, vm)
         if (vm, wave) in self.maintained:
             return VmAnswer.DONE
         if vm not in self.vms:
@@ -628,8 +638,8 @@
         if self.vms[vm].state is not VmState.UP:
             return VmAnswer.BUSY
         self.maintained.append((vm, wave))
-        self._take(vm, self.vms[vm].pool, VmState.IN_UPKEEP)
-        self.down_at_once = max(self.down_at_once, len(self.back_at))
+        self._detach_executor(vm, self.vms[vm].pool, VmState.IN_UPKEEP)
+        self.down_at_once = max(self.down_at_once, len(self.available_at_by_vm))
         away = self.world.lasting_tasks - sum(
             task.split(".")[0] in self.world.client.lasting
             for fake in self.world.fakes
@@ -639,11 +649,11 @@
         return await self._answer()
 
     async def move(self, vm, pool, holder, fence):
-        await self._operate(fence, vm)
+        await self._check_order(fence, vm)
         if self.vms[vm].pool == pool:
             return VmAnswer.DONE
         if self.vms[vm].state is not VmState.UP:
             return VmAnswer.BUSY
         self.moves.append((vm, pool))
-        self._take(vm, pool, VmState.MOVING)
+        self._detach_executor(vm, pool, VmState.MOVING)
         return await self._answer()
--- a/tests/support/job_fakes.py
+++ b/tests/support/job_fakes.py
@@ -1,4 +1,4 @@
-"""Store with faults, fake workers and a clock driver for tests of jobs."""
+"""Store with injected faults and helpers that drive a manual clock."""
 
 from __future__ import annotations
 
@@ -14,11 +14,11 @@
 from pomeloyard.keyvalue.memory import MemoryStore
 
 STEP = timedelta(milliseconds=50)
-SILENT_SLACK = timedelta(seconds=0.6)
+SILENT_POLL_EXTRA_WAIT = timedelta(seconds=0.6)
 
 
 class FaultyStore(MemoryStore):
-    """In-memory store that can be down or lose its answers, and counts calls."""
+    """In-memory store with injected faults, which also counts calls."""
 
     def __init__(self, clock: ManualClock) -> None:
         super().__init__(clock)
@@ -26,39 +26,39 @@
         self.answers_to_lose = 0
         self.calls_by_method: dict[str, int] = {}
         self.delay = timedelta(0)
-        self.deaf_prefix = ""
-        """The next polls of this prefix hear nothing and break after their wait."""
-        self.deaf_polls = 1
+        self.silent_prefix = ""
+        """Prefix whose next ``silent_polls`` polls get no events and then fail."""
+        self.silent_polls = 1
 
     async def poll_changes(self, prefix, after_revision, wait):
-        if self.deaf_prefix == prefix:
-            self.deaf_polls -= 1
-            if self.deaf_polls == 0:
-                self.deaf_prefix, self.deaf_polls = "", 1
-            await self._clock.sleep(wait + SILENT_SLACK)
+        if self.silent_prefix == prefix:
+            self.silent_polls -= 1
+            if self.silent_polls == 0:
+                self.silent_prefix, self.silent_polls = "", 1
+            await self._clock.sleep(wait + SILENT_POLL_EXTRA_WAIT)
             raise StoreUnavailableError("silent")
         return await super().poll_changes(prefix, after_revision, wait)
 
-    def _called(self, method: str) -> None:
+    def _record_call(self, method: str) -> None:
         if self.down:
             raise StoreUnavailableError("down")
         self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
 
     async def get(self, key):
-        self._called("get")
+        self._record_call("get")
         return await super().get(key)
 
     async def scan(self, prefix, *, start="", limit=1000):
-        self._called("scan")
+        self._record_call("scan")
         return await super().scan(prefix, start=start, limit=limit)
 
     async def commit(self, transaction):
-        self._called("commit")
+        self._record_call("commit")
         if self.delay:
             await self._clock.sleep(self.delay)
         result = await super().commit(transaction)
         if self.calls_by_method["commit"] % 2:
-            # Every second answer comes after the watch has shown the change.
+            # Every second answer arrives after watchers have seen the change.
             await settle(10)
         if self.answers_to_lose:
             self.answers_to_lose -= 1
@@ -67,13 +67,13 @@
 
 
 async def settle(rounds: int = 30) -> None:
-    """Let all tasks that can run do so."""
+    """Yield to the event loop until all runnable tasks have run."""
     for _ in range(rounds):
         await checkpoint()
 
 
 async def advance(clock: ManualClock, seconds: float) -> None:
-    """Move the clock in small steps, so that sleepers wake in order."""
+    """Advance the clock in small steps, so that sleeping tasks wake in order."""
     steps = round(seconds / STEP.total_seconds())
     for _ in range(max(1, steps)):
         clock.advance(STEP)
@@ -81,7 +81,7 @@
 
 
 async def with_clock(clock: ManualClock, call: Coroutine[Any, Any, Any]) -> Any:
-    """Await a call that sleeps on the clock; errors are returned, not raised."""
+    """Await a call while advancing the clock; errors are returned, not raised."""
     results: list[Any] = []
 
     async def run() -> None:
--- a/tests/test_batch_follow.py
+++ b/tests/test_batch_follow.py
@@ -1,4 +1,4 @@
-"""Following configurations: never back, bad documents, proof of being current."""
+"""Following configurations: older versions, bad documents, age of the copy."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     return "asyncio"
 
 
-async def test_an_older_version_is_never_adopted():
+async def test_an_older_version_is_never_applied():
     world = World()
     await world.publish(configuration(7))
     await world.follower._read_all()
@@ -31,7 +31,7 @@
     assert world.follower.current.version == 7
 
 
-async def test_an_unreadable_configuration_leaves_the_present_one():
+async def test_an_undecodable_configuration_keeps_the_current_one():
     world = World()
     await world.publish(configuration(7))
     await world.follower._read_all()
@@ -40,7 +40,7 @@
     assert world.follower.current.version == 7
 
 
-async def test_the_proof_ages_while_the_store_is_away():
+async def test_the_proof_age_grows_while_the_store_is_down():
     world = World()
     await world.publish(configuration())
     async with anyio.create_task_group() as tasks:
@@ -56,11 +56,11 @@
         tasks.cancel_scope.cancel()
 
 
-async def test_a_daemon_without_any_answer_has_no_proof():
+async def test_the_proof_age_is_unbounded_before_the_first_answer():
     assert World().follower.proof_age() == timedelta.max
 
 
-async def test_a_registration_by_another_writer_names_no_executor():
+async def test_an_undecodable_registration_is_ignored():
     world = World()
     registry = ExecutorRegistry(world.clock, world.store, RegistrationDocuments())
     good = Executor("e", "e:1", "mill", "z", Resources(1), (), False, 1)
--- a/tests/test_batch_guarded_records.py
+++ b/tests/test_batch_guarded_records.py
@@ -1,4 +1,4 @@
-"""Records of one term under lost, late and concurrent writes."""
+"""Guarded records with lost, delayed and fenced writes."""
 
 from __future__ import annotations
 
@@ -21,40 +21,40 @@
 
 
 class LateStore(FaultyStore):
-    """Keeps the next write to be carried out later, without an answer."""
+    """Leaves the next writes unanswered; the test commits the last of them later."""
 
-    keeps = 0
+    writes_to_delay = 0
 
     async def commit(self, transaction):
-        if self.keeps:
-            self.keeps -= 1
-            self.kept = transaction
+        if self.writes_to_delay:
+            self.writes_to_delay -= 1
+            self.delayed_transaction = transaction
             raise StoreOutcomeUnknownError("no answer yet")
         return await super().commit(transaction)
 
 
-async def records_of(world):
+async def new_records(world):
     await world.put(EPOCH_KEY, 1)
     guard = Compare(EPOCH_KEY, world.entry(EPOCH_KEY).mod_revision)
     return GuardedRecords(world.clock, world.store, guard)
 
 
-async def test_a_write_that_is_carried_out_late_replaces_no_newer_one():
+async def test_a_late_write_does_not_replace_a_newer_one():
     world = World()
     world.store = LateStore(world.clock)
-    records = await records_of(world)
-    world.store.keeps = 1
+    records = await new_records(world)
+    world.store.writes_to_delay = 1
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(records.write, "k", b"first")
         await world.drive(1)
     assert await records.write("k", b"second")
-    assert not (await world.store.commit(world.store.kept)).succeeded
+    assert not (await world.store.commit(world.store.delayed_transaction)).succeeded
     assert world.entry("k").value == b"second"
 
 
 async def test_a_lost_answer_is_read_back():
     world = World()
-    records = await records_of(world)
+    records = await new_records(world)
     world.store.answers_to_lose = 1
     done = []
 
@@ -70,7 +70,7 @@
 
 async def test_a_replaced_epoch_stops_the_writes():
     world = World()
-    records = await records_of(world)
+    records = await new_records(world)
     await world.put(EPOCH_KEY, 2)
     assert not await records.write("k", b"v")
     assert world.entry("k") is None
--- a/tests/test_batch_intake.py
+++ b/tests/test_batch_intake.py
@@ -1,4 +1,4 @@
-"""Accepting and cancelling under lost answers, outages and withdrawn keys."""
+"""Submission and cancellation with lost answers, outages and withdrawn keys."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class Caller:
-    """Submits to one daemon; its key may be withdrawn."""
+    """Submits jobs to one daemon with a key that may be withdrawn."""
 
     def __init__(self, world):
         self.world = world
@@ -38,8 +38,8 @@
             raise RefusedError(Refused(RefusalReason.KEY_INVALID))
         return Authorized(QUEUE, TEAM.name, self.world.follower.revision)
 
-    async def submit(self, job="a1", patience=3.0):
-        deadline = self.world.clock.monotonic() + timedelta(seconds=patience)
+    async def submit(self, job="a1", timeout=3.0):
+        deadline = self.world.clock.monotonic() + timedelta(seconds=timeout)
         try:
             await self.world.intake.submit(job, SPEC, self.authorize, deadline)
             self.outcome = "accepted"
@@ -49,61 +49,61 @@
             self.outcome = "unknown"
 
 
-async def ready_world():
+async def configured_world():
     world = World()
     await world.publish(configuration())
     await world.follower._read_all()
     return world
 
 
-async def submit_in_time(world, caller, patience=3.0):
+async def submit_until_outcome(world, caller, timeout=3.0):
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(caller.submit, "a1", patience)
-        await world.drive(patience + 1, lambda: caller.outcome is not None)
+        tasks.start_soon(caller.submit, "a1", timeout)
+        await world.drive(timeout + 1, lambda: caller.outcome is not None)
     return caller.outcome
 
 
 async def test_an_accepted_job_is_stored_with_its_marker():
-    world = await ready_world()
-    assert await submit_in_time(world, Caller(world)) == "accepted"
+    world = await configured_world()
+    assert await submit_until_outcome(world, Caller(world)) == "accepted"
     assert world.entry(layout.JOBS + "a1") is not None
     assert await world.intake.waiting(QUEUE.name) == 1
     assert await world.intake.state("a1") is JobState.PENDING
 
 
-async def test_the_same_id_again_is_the_same_job():
-    world = await ready_world()
-    await submit_in_time(world, Caller(world))
+async def test_a_repeated_submission_of_an_id_is_idempotent():
+    world = await configured_world()
+    await submit_until_outcome(world, Caller(world))
     first = world.entry(layout.JOBS + "a1")
-    assert await submit_in_time(world, Caller(world)) == "accepted"
+    assert await submit_until_outcome(world, Caller(world)) == "accepted"
     assert world.entry(layout.JOBS + "a1") is first
 
 
-async def test_a_lost_answer_is_resolved_by_asking_again():
-    world = await ready_world()
+async def test_a_lost_answer_is_resolved_by_a_retry():
+    world = await configured_world()
     world.store.answers_to_lose = 1
-    assert await submit_in_time(world, Caller(world)) == "accepted"
+    assert await submit_until_outcome(world, Caller(world)) == "accepted"
 
 
-async def test_an_unresolved_answer_is_never_called_a_refusal():
-    world = await ready_world()
+async def test_an_unresolved_answer_is_never_reported_as_refusal():
+    world = await configured_world()
     world.store.answers_to_lose = 1000
-    assert await submit_in_time(world, Caller(world), 1.0) == "unknown"
+    assert await submit_until_outcome(world, Caller(world), 1.0) == "unknown"
     assert world.entry(layout.JOBS + "a1") is not None
 
 
 async def test_a_store_outage_refuses_at_once_and_stores_nothing():
-    world = await ready_world()
+    world = await configured_world()
     world.store.down = True
     before = world.clock.monotonic()
-    assert await submit_in_time(world, Caller(world)) == "store-unavailable"
+    assert await submit_until_outcome(world, Caller(world)) == "store-unavailable"
     assert world.clock.monotonic() - before < timedelta(milliseconds=500)
     world.store.down = False
     assert world.entry(layout.JOBS + "a1") is None
 
 
 async def test_an_outage_after_a_lost_answer_stays_unknown():
-    world = await ready_world()
+    world = await configured_world()
     world.store.answers_to_lose = 1
     caller = Caller(world)
     async with anyio.create_task_group() as tasks:
@@ -115,8 +115,8 @@
 
 
 async def test_a_key_withdrawn_before_the_write_stores_nothing():
-    world = await ready_world()
-    # The daemon has not heard of the withdrawal yet.
+    world = await configured_world()
+    # The daemon has not received this configuration yet.
     await world.publish(configuration(2, teams=()))
     caller = Caller(world)
     async with anyio.create_task_group() as tasks:
@@ -128,8 +128,8 @@
     assert world.entry(layout.JOBS + "a1") is None
 
 
-async def test_a_job_that_is_not_well_formed_is_refused():
-    world = await ready_world()
+async def test_an_invalid_job_is_refused():
+    world = await configured_world()
     caller = Caller(world)
     bad = JobSpec("p", (StepSpec(0),))
     with pytest.raises(RefusedError) as caught:
@@ -137,14 +137,14 @@
     assert caught.value.refusal.reason is RefusalReason.INVALID_INPUT
 
 
-async def test_cancelling_an_unknown_job_says_so():
-    world = await ready_world()
+async def test_cancelling_an_unknown_job_returns_false():
+    world = await configured_world()
     assert not await world.intake.cancel("a9", timedelta(seconds=3))
 
 
 async def test_a_cancellation_survives_a_lost_answer():
-    world = await ready_world()
-    await submit_in_time(world, Caller(world))
+    world = await configured_world()
+    await submit_until_outcome(world, Caller(world))
     world.store.answers_to_lose = 1
     done = []
 
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -1,4 +1,4 @@
-"""The placing term: order of effects, faults of executors and store, takeovers."""
+"""The placing term: order of effects, executor and store faults, takeovers."""
 
 from __future__ import annotations
 
@@ -46,48 +46,48 @@
         assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
 
 
-async def test_a_full_executor_gets_no_more_than_it_holds():
+async def test_an_executor_is_not_overcommitted():
     world = World(executors=1, cpu=2500)
     async with world.running():
         await world.submit("a1", StepSpec(7, 1000, 100))
         assert await world.drive(10, completed(world))
 
 
-async def test_an_order_without_an_answer_is_void_before_it_is_given_again():
+async def test_an_unanswered_start_is_voided_before_the_task_starts_again():
     world = World()
     async with world.running():
-        world.fakes[0].swallow_starts = world.fakes[1].swallow_starts = 1
+        world.fakes[0].starts_to_delay = world.fakes[1].starts_to_delay = 1
         await world.submit("a1")
         await world.drive(3)
         for fake in world.fakes:
-            world.client.carry_out_late(fake)
+            world.client.execute_delayed_orders(fake)
         assert await world.drive(6, completed(world))
-        # The second order goes to the other executor, which answers none either.
+        # The second start goes to the other executor, which does not answer either.
         assert world.client.stopped == [("a1.0.0.0", 1), ("a1.0.0.0", 2)]
 
 
-async def test_an_order_kept_over_a_restart_is_void_in_the_next_life():
-    # Soak seed 74: the next life knew nothing of the stop and carried the order out.
+async def test_a_start_delayed_over_a_restart_is_rejected_by_the_next_incarnation():
+    # Soak seed 74: the restarted executor had lost the stop and executed the start.
     world = World(executors=1)
     world.client.run_time = timedelta(milliseconds=300)
     async with world.running():
         fake = world.fakes[0]
-        fake.swallow_starts = 1
+        fake.starts_to_delay = 1
         await world.submit("a1")
         assert await world.drive(6, completed(world))
         await world.submit("a2")
         assert await world.drive(6, completed(world, "a2"))
-        assert [order.run for order in fake.kept_orders] == [1]
+        assert [order.run for order in fake.delayed_orders] == [1]
         fake.restart()
         key = f"executors/{fake.executor.executor_id}"
         await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
         await world.drive(0.6)
-        world.client.carry_out_late(fake)
+        world.client.execute_delayed_orders(fake)
 
 
-async def test_an_unanswered_order_is_waited_out_where_executors_keep_their_ids():
-    # Soak seeds 13, 27 and 28: a next life that nobody could reach yet carried out an
-    # order whose task had been done elsewhere.
+async def test_an_unanswered_start_delays_its_task_where_executors_reuse_ids():
+    # Soak seeds 13, 27 and 28: a restarted executor that could not be reached yet
+    # executed a start whose task was done elsewhere by then.
     world = World()
     async with world.running():
         fake = world.fakes[0]
@@ -98,86 +98,90 @@
         await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
         await world.drive(2)
         async with world.term():
-            fake.swallow_starts = 1
+            fake.starts_to_delay = 1
             await world.submit("a2")
             await world.drive(1)
-            assert [order.task for order in fake.kept_orders] == ["a2.0.0.0"]
+            assert [order.task for order in fake.delayed_orders] == ["a2.0.0.0"]
             started = world.client.started
             ordered_at = world.clock.monotonic()
             assert await world.drive(14, lambda: len(started) == 2)
             assert world.clock.monotonic() - ordered_at > timedelta(seconds=10)
 
 
-async def keep_one_order(world, job, *steps):
-    """Let the first order of a job go without an answer; return its executor."""
+async def submit_with_delayed_order(world, job, *steps):
+    """Submit a job and leave its first start unanswered; return the executor."""
     for fake in world.fakes:
-        fake.swallow_starts = 1
+        fake.starts_to_delay = 1
     await world.submit(job, *steps)
-    assert await world.drive(2, lambda: any(fake.kept_orders for fake in world.fakes))
+    assert await world.drive(
+        2, lambda: any(fake.delayed_orders for fake in world.fakes)
+    )
     for fake in world.fakes:
-        fake.swallow_starts = 0
-    return next(fake for fake in world.fakes if fake.kept_orders)
+        fake.starts_to_delay = 0
+    return next(fake for fake in world.fakes if fake.delayed_orders)
 
 
-async def carry_out_in_the_next_life(world, fake):
+async def restart_and_execute_delayed_orders(world, fake):
     fake.restart()
-    world.client.carry_out_late(fake)
+    world.client.execute_delayed_orders(fake)
     key = f"executors/{fake.executor.executor_id}"
     await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
 
 
-async def test_the_first_restart_is_safe_where_the_deployment_says_that_ids_are_kept():
-    # Soak seeds 11, 13, 27, 28, 74 and 78: no restart under the same id had been seen.
+async def test_the_first_restart_is_safe_where_the_deployment_declares_id_reuse():
+    # Soak seeds 11, 13, 27, 28, 74 and 78: the term had not seen a restart under the
+    # same id before, so it did not delay the task.
     world = World()
     world.ids_kept = True
     async with world.running():
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
-        fake = await keep_one_order(world, "a1")
+        fake = await submit_with_delayed_order(world, "a1")
         await world.drive(4)
-        await carry_out_in_the_next_life(world, fake)
+        await restart_and_execute_delayed_orders(world, fake)
         assert await world.drive(25, completed(world))
 
 
-async def test_orders_of_the_term_before_are_waited_out_where_ids_are_kept():
-    # The next term can't tell whether an order whose run is not listed had an answer.
+async def test_starts_of_the_previous_term_delay_tasks_where_ids_are_reused():
+    # A new term cannot tell whether a start whose run is not listed was answered.
     world = World()
     world.ids_kept = True
     async with world.running() as term:
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
-        fake = await keep_one_order(world, "a1")
-        term.end_term("the test ends it")
+        fake = await submit_with_delayed_order(world, "a1")
+        term.end_term("ended by the test")
         async with world.term():
             await world.drive(4)
-            await carry_out_in_the_next_life(world, fake)
+            await restart_and_execute_delayed_orders(world, fake)
             assert await world.drive(25, completed(world))
 
 
-async def test_a_task_that_ran_in_the_next_life_is_done_and_not_run_again():
-    # Soak seeds 217 and 218: the next life carried the order out and was done before it
-    # was looked at; the end was acknowledged, and the task ran once more 12 s later.
+async def test_a_task_completed_by_a_restarted_executor_is_not_run_again():
+    # Soak seeds 217 and 218: the restarted executor executed the start and was done
+    # before its first poll; its end was acknowledged, but the task ran again 12 s
+    # later.
     world = World()
     world.ids_kept = True
     world.client.run_time = timedelta(0)
     async with world.running():
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
-        fake = await keep_one_order(world, "a1", StepSpec(1, 1000, 100))
+        fake = await submit_with_delayed_order(world, "a1", StepSpec(1, 1000, 100))
         await world.drive(2)
         assert world.state("a1") is JobState.RUNNING
-        await carry_out_in_the_next_life(world, fake)
+        await restart_and_execute_delayed_orders(world, fake)
         assert await world.drive(3, completed(world))
         await world.drive(15)
         runs = [run for task, run, _ in world.client.started if task == "a1.0.0.0"]
         assert runs == [1]
 
 
-async def test_a_later_run_is_stopped_once_an_earlier_one_turns_out_done():
-    # Where ids are not known to be kept, the later run is at work already.
+async def test_a_later_run_is_stopped_if_an_earlier_one_completed():
+    # Where ids are not known to be reused, the later run has started already.
     world = World()
     async with world.running() as term:
         await world.submit(
             "b1", StepSpec(2, 100, 100, lasting=True, max_per_executor=1)
         )
-        fake = await keep_one_order(world, "a1", StepSpec(1, 1000, 100))
+        fake = await submit_with_delayed_order(world, "a1", StepSpec(1, 1000, 100))
         await world.drive(0.5)
         (later,) = (
             link
@@ -195,28 +199,28 @@
         assert free == 4000 - 100
 
 
-async def test_a_lasting_task_stays_with_an_executor_that_may_carry_its_order_out():
-    # Waiting the late order out would leave the task away for 12 s.
+async def test_a_lasting_task_restarts_on_the_executor_of_its_unanswered_start():
+    # Waiting until the start is void would leave the task unavailable for 12 s.
     world = World()
     world.ids_kept = True
     async with world.running():
         for fake in world.fakes:
             fake.lose_looks = 2
         lasting = StepSpec(1, 1000, 100, lasting=True)
-        fake = await keep_one_order(world, "a1", lasting)
+        fake = await submit_with_delayed_order(world, "a1", lasting)
         (other,) = (f for f in world.fakes if f is not fake)
-        # Tasks are packed, so the other executor is the better choice from now on.
+        # Bin packing prefers the other executor from now on.
         rack = StepSpec(1, 2000, 100, lasting=True, label=other.executor.rack)
         await world.submit("b1", rack)
         started = world.client.started
         assert await world.drive(5, lambda: len(started) == 2)
         assert ("a1.0.0.0", 2, fake.executor.executor_id) in started
-        await carry_out_in_the_next_life(world, fake)
+        await restart_and_execute_delayed_orders(world, fake)
         await world.drive(20)
         assert [run.run for run in fake.runs.values()] == [3]
 
 
-async def test_an_order_that_took_effect_without_an_answer_is_kept():
+async def test_a_start_that_took_effect_without_an_answer_is_not_repeated():
     world = World(executors=1)
     async with world.running():
         world.fakes[0].lose_start_answers = 1
@@ -226,23 +230,23 @@
         assert world.client.stopped == []
 
 
-async def test_an_order_without_an_answer_costs_its_task_little_time():
-    # Lilim scale-2, orders that are carried out 2 to 12 s late: a task was free again
-    # only after the look at work, another look and a stop had waited for each other.
+async def test_an_unanswered_start_delays_its_task_only_briefly():
+    # Lilim scale-2, starts executed 2 to 12 s late: a task was placed again only after
+    # the current poll, another poll and a stop had run one after another.
     world = World(executors=2)
     world.client.run_time = timedelta(seconds=3)
     async with world.running():
         await world.submit("a1")
         await world.drive(0.5)
-        world.fakes[0].swallow_starts = world.fakes[1].swallow_starts = 1
+        world.fakes[0].starts_to_delay = world.fakes[1].starts_to_delay = 1
         await world.submit("a2")
         assert await world.drive(
             0.3, lambda: "a2.0.0.0" in [task for task, _, _ in world.client.started]
         )
 
 
-async def test_looks_are_short_while_calls_get_lost():
-    # The same spell: an executor whose look was lost was blind for 2.5 s.
+async def test_polls_are_short_while_calls_are_lost():
+    # Lilim scale-2: after a lost poll, ends on that executor went unnoticed for 2.5 s.
     world = World(executors=3)
     world.client.run_time = timedelta(seconds=30)
     async with world.running():
@@ -261,7 +265,7 @@
         assert world.client.waits[-1] == LOOK_WAIT
 
 
-async def test_a_successor_takes_running_tasks_over():
+async def test_a_new_term_takes_over_running_tasks():
     world = World()
     world.client.run_time = timedelta(seconds=3)
     async with world.running() as first:
@@ -274,7 +278,7 @@
         assert len(world.client.started) == 4
 
 
-async def test_a_predecessor_that_goes_on_is_fenced_off():
+async def test_a_previous_term_that_continues_is_fenced():
     world = World()
     world.client.run_time = timedelta(seconds=2)
     async with world.running() as first:
@@ -287,7 +291,7 @@
             assert first._over.is_set()
 
 
-async def test_tasks_of_a_silent_executor_wait_until_its_leases_have_ended():
+async def test_tasks_of_a_silent_executor_wait_until_its_leases_expire():
     world = World()
     world.client.run_time = timedelta(seconds=60)
     async with world.running():
@@ -300,7 +304,7 @@
         assert await world.drive(14, lambda: len(world.client.started) == 2)
 
 
-async def test_tasks_of_a_restarted_executor_start_again_at_once():
+async def test_tasks_of_a_restarted_executor_restart_immediately():
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(4, 1000, 100))
@@ -310,7 +314,7 @@
         assert await world.drive(8, completed(world))
 
 
-async def test_a_cancelled_job_stops_and_frees_its_room():
+async def test_a_cancelled_job_stops_and_releases_its_capacity():
     world = World(executors=1)
     world.client.run_time = timedelta(seconds=60)
     async with world.running():
@@ -337,7 +341,7 @@
         assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
 
 
-async def test_a_task_that_always_fails_ends_its_job():
+async def test_a_task_that_always_fails_fails_its_job():
     world = World()
     for fake in world.fakes:
         fake.fails = True
@@ -347,7 +351,7 @@
         assert [run for _, run, _ in world.client.started] == [1, 2, 3]
 
 
-async def test_lasting_tasks_start_again_however_they_end():
+async def test_lasting_tasks_restart_after_any_end():
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(2, 1000, 100, lasting=True))
@@ -358,7 +362,7 @@
         assert world.state("a1") is JobState.RUNNING
 
 
-async def test_at_most_so_many_tasks_of_a_step_run_on_one_executor():
+async def test_max_per_executor_limits_the_tasks_of_a_step():
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(4, 500, 100, max_per_executor=1))
@@ -373,12 +377,12 @@
     async with world.running():
         await world.publish(configuration(2, teams=[team]))
         await world.submit("a1", StepSpec(6, 1000, 100))
-        most = 0
+        maximum = 0
         for _ in range(80):
             await world.drive(0.1)
-            most = max(most, sum(len(fake.runs) for fake in world.fakes))
+            maximum = max(maximum, sum(len(fake.runs) for fake in world.fakes))
         assert world.state("a1") is JobState.COMPLETED
-        assert most == 2
+        assert maximum == 2
 
 
 async def test_all_members_of_a_gang_start_with_one_run_number():
@@ -390,7 +394,7 @@
 
 
 @pytest.mark.parametrize("lost", [1, 2, 5])
-async def test_lost_answers_of_the_store_delay_but_double_nothing(lost):
+async def test_lost_store_answers_duplicate_no_task(lost):
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(3, 1000, 100))
@@ -398,7 +402,7 @@
         assert await world.drive(8, completed(world))
 
 
-async def test_a_store_outage_delays_but_loses_nothing():
+async def test_a_job_completes_after_a_store_outage():
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(3, 1000, 100))
@@ -428,7 +432,7 @@
 )
 
 
-async def test_a_step_runs_only_where_its_queue_s_policy_allows():
+async def test_a_step_runs_only_where_advice_allows():
     world = World(executors=3)
     world.advice = FakeAdvice(world, {"e-1"})
     async with world.running():
@@ -438,7 +442,7 @@
         assert {executor for _, _, executor in world.client.started} == {"e-1"}
 
 
-async def test_tickets_that_expired_are_asked_for_again():
+async def test_expired_tickets_are_requested_again():
     world = World(executors=2)
     world.advice = FakeAdvice(world, {"e-0"}, valid=timedelta(seconds=1))
     world.client.run_time = timedelta(seconds=1.5)
@@ -446,21 +450,21 @@
         await world.publish(configuration(2, queues=[ADVISED]))
         await world.submit("a1", StepSpec(8, 1000, 100))
         assert await world.drive(12, completed(world))
-        assert len(world.advice.questions) <= 8
+        assert len(world.advice.requests) <= 8
 
 
-async def test_a_step_that_no_executor_may_run_waits_without_being_asked_for_ever():
+async def test_a_step_allowed_nowhere_waits_without_repeated_requests():
     world = World(executors=2)
     world.advice = FakeAdvice(world, set())
     async with world.running():
         await world.publish(configuration(2, queues=[ADVISED]))
         await world.submit("a1")
         await world.drive(5)
-        assert len(world.advice.questions) == 1
+        assert len(world.advice.requests) == 1
         assert world.client.started == []
 
 
-async def test_a_run_that_stands_still_is_placed_elsewhere():
+async def test_a_stalled_run_is_placed_elsewhere():
     world = World(executors=2)
     async with world.running():
         await world.submit("a1", StepSpec(2, 1000, 100, estimate_ms=1000))
@@ -471,7 +475,7 @@
         assert any(e != first for _, _, e in world.client.started)
 
 
-async def test_a_pool_of_doubtful_executors_is_still_used():
+async def test_a_pool_of_avoided_executors_is_still_used():
     world = World(executors=1)
     async with world.running() as term:
         term.learning.set_aside("e-0", timedelta(days=1))
@@ -479,8 +483,9 @@
         assert await world.drive(4, completed(world))
 
 
-async def test_ends_of_a_new_life_are_not_acknowledged_by_the_count_of_the_old():
-    # Soak seed 11: an idle executor restarted between two jobs.
+async def test_ends_after_a_restart_are_not_acknowledged_by_earlier_numbers():
+    # Soak seed 11: an idle executor restarted between two jobs, and its ends are
+    # numbered from 1 again.
     world = World(executors=1)
     async with world.running():
         await world.submit("a1")
@@ -502,29 +507,30 @@
         assert await world.drive(8, completed(world))
 
 
-async def test_a_silent_channel_to_the_store_hides_jobs_for_less_than_a_cancellation():
-    # Soak seed 12: a cancellation was heard after 3.6 s; it has 3 s.
+async def test_one_silent_connection_delays_jobs_less_than_the_cancellation_limit():
+    # Soak seed 12: a cancellation was received after 3.6 s; the limit is 3 s.
     world = World()
-    world.store.deaf_prefix = layout.INCOMING
+    world.store.silent_prefix = layout.INCOMING
     async with world.running():
         await world.submit("a1")
         assert await world.drive(3, lambda: world.client.started != [])
 
 
-async def test_two_silent_channels_in_a_row_hide_jobs_for_less_than_a_cancellation():
-    # Soak seed 36 beside load: two polls in a row were cut off, the cancellation was
-    # heard 3.2 s after it was confirmed, and the job's next step had started.
+async def test_two_silent_connections_delay_jobs_less_than_the_cancellation_limit():
+    # Soak seed 36: two polls in a row were cut off. The cancellation was received 3.2 s
+    # after it was confirmed, when the job's next step had started.
     world = World()
-    world.store.deaf_prefix, world.store.deaf_polls = layout.INCOMING, 2
+    world.store.silent_prefix, world.store.silent_polls = layout.INCOMING, 2
     async with world.running():
         await world.submit("a1")
         assert await world.drive(3, lambda: world.client.started != [])
 
 
-async def test_a_job_cancelled_while_jobs_were_not_followed_never_starts():
-    # Soak seed 70: all was read again, by key, and the cancellation came first.
+async def test_a_job_cancelled_during_a_watch_outage_never_starts():
+    # Soak seed 70: all entries were reloaded in key order, so the cancellation was
+    # applied before its job and had no effect.
     world = World()
-    world.store.deaf_prefix = layout.INCOMING
+    world.store.silent_prefix = layout.INCOMING
     async with world.running():
         await world.submit("a1")
         deadline = world.clock.monotonic() + timedelta(seconds=3)
@@ -547,7 +553,7 @@
         assert await world.drive(4, completed(world))
 
 
-async def test_a_gang_that_lost_a_member_starts_again_as_a_whole():
+async def test_a_gang_that_lost_a_member_restarts_as_a_whole():
     world = World(executors=2, cpu=1000)
     world.client.run_time = timedelta(seconds=2)
     async with world.running():
@@ -560,10 +566,10 @@
         assert len(world.client.stopped) == 1
 
 
-async def test_runs_of_the_term_before_teach_no_run_time():
+async def test_runs_of_the_previous_term_do_not_change_run_time_estimates():
     # laurentien-ledger trouble-3, after all daemons were killed: tasks that ended 8 ms
-    # after the new term had begun were taken to run that long, so pools whose VMs were
-    # full while jobs waited asked for no more VMs.
+    # after the new term began were recorded with that run time, so full pools with a
+    # backlog requested no VMs.
     world = World(executors=2)
     world.client.run_time = timedelta(seconds=3)
     async with world.running() as first:
@@ -578,9 +584,9 @@
             assert successor.learning.expected_ms(step) == 3000
 
 
-async def test_a_successor_knows_when_the_peaks_began():
-    # Jobs are loaded by their ids, which say nothing of time: the arrivals of a peak
-    # looked like several, and the pool was taken to rest while its peak was at work.
+async def test_a_new_term_restores_when_the_load_peaks_began():
+    # Jobs were loaded in order of their ids, which is unrelated to time: the arrivals
+    # of one peak looked like several, and the pool seemed idle during its peak.
     world = World(executors=1, cpu=40_000)
     async with world.running() as term:
         number = 0
@@ -588,7 +594,7 @@
             await world.drive(8)
             for _ in range(12):
                 number += 1
-                # Ids that come in another order than the jobs.
+                # Ids whose order differs from the order of arrival.
                 await world.submit(f"{number * 7919 % 1000:04}")
                 await world.drive(0.2)
         async with world.term() as successor:
@@ -603,16 +609,16 @@
 
 
 @pytest.mark.parametrize("method", ["look", "start"])
-async def test_an_unexpected_error_with_one_executor_does_not_end_the_term(method):
-    # A clock beyond what a time can hold ended the term, and that of each successor.
+async def test_an_unexpected_error_of_one_executor_does_not_end_the_term(method):
+    # An executor's clock beyond the range of timedelta ended this and each later term.
     world = World()
     async with world.running() as term:
-        plain = getattr(world.client, method)
+        original = getattr(world.client, method)
 
         async def failing(executor, *args, **options):
             if executor.executor_id == "e-0":
                 raise OverflowError("a clock of 1e300 ms")
-            return await plain(executor, *args, **options)
+            return await original(executor, *args, **options)
 
         setattr(world.client, method, failing)
         await world.submit("a1", StepSpec(4, 1000, 100))
@@ -623,14 +629,14 @@
         assert not term._over.is_set()
 
 
-async def test_an_unreadable_progress_record_runs_nothing_and_ends_no_term():
-    # What of the job has run is not known, so starting it could double it.
-    unreadable = (b"\xc1", b"\x93\x01", b"\x92\xa7running\x91\x94\x09\x09\x90\x00")
+async def test_an_undecodable_progress_record_runs_nothing_and_ends_no_term():
+    # Unknown which tasks have run, so starting any could run it twice.
+    undecodable = (b"\xc1", b"\x93\x01", b"\x92\xa7running\x91\x94\x09\x09\x90\x00")
     world = World()
     async with world.running() as term:
-        term.end_term("the next ones load the records")
+        term.end_term("later terms load the records")
         await world.drive(0.1)
-        for number, content in enumerate(unreadable):
+        for number, content in enumerate(undecodable):
             await world.submit(f"a{number}")
             await world.put(f"{layout.RUNS}a{number}", content)
             async with world.term():
@@ -640,43 +646,43 @@
         assert jobs == ["b0", "b1", "b2"]
 
 
-async def test_a_short_loss_of_the_store_reads_no_jobs_again():
-    # lilim-yard-large trouble-1, second 18.6: 1,100 jobs were read again over another
-    # daemon, and for 1.5 s of a peak no new job was found.
+async def test_a_short_store_outage_does_not_reload_jobs():
+    # lilim-yard-large trouble-1, second 18.6: 1,100 jobs were reloaded through another
+    # daemon, and no new job was noticed for 1.5 s of a peak.
     world = World()
     async with world.running():
         await world.submit("a1")
         assert await world.drive(5, completed(world))
         scans = world.store.calls_by_method["scan"]
-        # The poll that tells of the next job is answered, the one after it is not.
-        world.store.deaf_prefix = layout.INCOMING
+        # The poll that returns the next job is answered, the one after it is not.
+        world.store.silent_prefix = layout.INCOMING
         await world.submit("a2")
         assert await world.drive(3, completed(world, "a2"))
-        assert not world.store.deaf_prefix
+        assert not world.store.silent_prefix
         await world.submit("a3")
         assert await world.drive(6, completed(world, "a3"))
         assert world.store.calls_by_method["scan"] == scans
 
 
-async def test_a_new_term_does_not_look_at_all_executors_at_once():
-    # sweep-300 (08955440): 2,998 first looks shared a core, and all ran out of time.
+async def test_a_new_term_limits_concurrent_first_polls():
+    # sweep-300 (08955440): 2,998 concurrent first polls on one core all timed out.
     world = World(executors=2 * MAX_CONCURRENT_FIRST_POLLS)
-    at_once = most = 0
-    plain = world.client.look
+    concurrent = maximum = 0
+    original = world.client.look
 
     async def counted(executor, **options):
-        nonlocal at_once, most
-        at_once += 1
-        most = max(most, at_once)
+        nonlocal concurrent, maximum
+        concurrent += 1
+        maximum = max(maximum, concurrent)
         try:
             await world.clock.sleep(timedelta(milliseconds=100))
-            return await plain(executor, **options)
+            return await original(executor, **options)
         finally:
-            at_once -= 1
+            concurrent -= 1
 
     world.client.look = counted
     async with world.running() as term:
         assert await world.drive(
             3, lambda: sum(link.usable for link in term.links_by_id.values()) == 200
         )
-        assert most == MAX_CONCURRENT_FIRST_POLLS
+        assert maximum == MAX_CONCURRENT_FIRST_POLLS
