--- a/src/pomeloyard/batch/follow.py
+++ b/src/pomeloyard/batch/follow.py
@@ -20,8 +20,7 @@
 ago; with a store that takes 0.35 s to answer this stays below the shortest bound on
 configuration changes, 2 s."""
 RETRY_DELAY = timedelta(seconds=0.1)
-"""Mean pause after a store error; the copy may be unconfirmed for a second longer at
-most."""
+"""Mean pause after a store error; the copy may go unconfirmed for a second at most."""
 
 log = logbook.Logger("pomeloyard.batch.follow")
 
