--- a/tests/support/executors.py
+++ b/tests/support/executors.py
@@ -1,4 +1,4 @@
-"""Executors on loopback that fail at a chosen point of an exchange."""
+"""Executors on loopback with injected faults."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 import anyio
 from anyio.abc import SocketAttribute
 
-HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Request-Id: "
+RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Request-Id: "
 
 
 class FaultyExecutor:
-    """A raw HTTP/1.1 server; ``fault`` is how it treats the next requests."""
+    """A raw HTTP/1.1 server; ``fault`` selects how it fails the next requests."""
 
     def __init__(self):
         self.fault = "none"
@@ -35,11 +35,11 @@
         self.connections += 1
         self.open_connections += 1
         try:
-            await self._converse(stream)
+            await self._serve_requests(stream)
         finally:
             self.open_connections -= 1
 
-    async def _converse(self, stream):
+    async def _serve_requests(self, stream):
         async with stream:
             if self.fault == "reset before":
                 return
@@ -67,7 +67,7 @@
         body = b"0123456789"
         if self.fault == "truncated":
             body = body[:4]
-        head = HEAD + request_id + b"\r\n\r\n"
+        head = RESPONSE_HEAD + request_id + b"\r\n\r\n"
         if self.fault == "no length":
             head = head.replace(b"Content-Length: 10", b"Connection: close")
         if self.fault == "hop headers":
@@ -81,7 +81,7 @@
 
     async def _send_endlessly(self, stream, request_id):
         length = 1 << 40
-        head = HEAD.replace(b"10", b"%d" % length)
+        head = RESPONSE_HEAD.replace(b"10", b"%d" % length)
         await stream.send(head + request_id + b"\r\n\r\n")
         while True:
             await stream.send(bytes(64 * 1024))
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -1,4 +1,4 @@
-"""Waves, lent VMs and lost executors under faults, in virtual time."""
+"""Maintenance waves, moved VMs and lost executors under faults, in virtual time."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     return Wave(1, tuple(vms.vms), timedelta(seconds=seconds), at_once)
 
 
-def status(world):
+def wave_status(world):
     entry = world.entry("status/1")
     return None if entry is None else entry.value
 
@@ -34,13 +34,13 @@
     vms = world.keep_vms(standby=1)
     async with world.running():
         await world.put("op/wave/1", wave_of(vms))
-        assert await world.drive(33, lambda: status(world) == b"completed")
+        assert await world.drive(33, lambda: wave_status(world) == b"completed")
         assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
         assert vms.down_at_once <= 2
 
 
 @pytest.mark.parametrize("seconds", [8, 30])
-async def test_lasting_tasks_are_away_one_at_a_time(seconds):
+async def test_lasting_tasks_are_unavailable_one_at_a_time(seconds):
     world = World(executors=4)
     vms = world.keep_vms()
     world.lasting_tasks = 3
@@ -49,11 +49,11 @@
         await world.submit("a1", step)
         await world.drive(2)
         await world.put("op/wave/1", wave_of(vms, at_once=4, seconds=seconds))
-        assert await world.drive(40, lambda: status(world) == b"completed")
+        assert await world.drive(40, lambda: wave_status(world) == b"completed")
         assert vms.most_away == 1
 
 
-async def test_a_wave_over_all_vms_of_many_lasting_tasks_is_done_in_time():
+async def test_a_wave_over_all_vms_of_many_lasting_tasks_meets_its_deadline():
     world = World(executors=12)
     vms = world.keep_vms()
     step = StepSpec(8, 500, 100, lasting=True, max_per_executor=1, may_be_away=1)
@@ -61,12 +61,12 @@
         await world.submit("a1", step)
         await world.drive(3.5)
         await world.put("op/wave/1", wave_of(vms, at_once=6, seconds=20))
-        assert await world.drive(20, lambda: status(world) == b"completed")
+        assert await world.drive(20, lambda: wave_status(world) == b"completed")
 
 
-async def test_lasting_tasks_that_share_vms_hold_up_no_wave():
-    # Trials on laurentien-ledger: with two lasting tasks on a VM, 3 or 4 of 16 VMs were
-    # late on each day; a task that was moved off its VM started there again.
+async def test_lasting_tasks_that_share_vms_do_not_delay_a_wave():
+    # A task that was moved off its VM must not restart there. When it did, 3 or 4 of 16
+    # VMs were late in each run with two lasting tasks on a VM.
     world = World(executors=3, cpu=4000)
     vms = world.keep_vms()
     world.lasting_tasks = 5
@@ -74,15 +74,15 @@
         await world.submit("a1", StepSpec(5, 500, 100, lasting=True, may_be_away=1))
         await world.drive(2)
         await world.put("op/wave/1", wave_of(vms, at_once=2, seconds=20))
-        assert await world.drive(14, lambda: status(world) == b"completed")
+        assert await world.drive(14, lambda: wave_status(world) == b"completed")
         assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
         restarts = len(world.client.started) - 5
         assert restarts <= 7
 
 
-async def test_vms_on_their_way_to_another_pool_hold_up_no_upkeep():
-    # lilim-yard-large quiet-1, b6e8d5dc: peaks ended and VMs went to standby, and seven
-    # VMs of the wave waited 5 s for the moves of others.
+async def test_moves_to_another_pool_do_not_delay_maintenance():
+    # Moving VMs must not count as down for the wave. When they did, seven VMs of a wave
+    # waited 5 s while others returned to standby after a peak.
     world = World(executors=4)
     vms = world.keep_vms()
     async with world.running() as term:
@@ -97,18 +97,18 @@
         assert sorted(vm for vm, _ in vms.maintained) == names[2:]
 
 
-async def test_an_upkeep_without_an_answer_is_asked_again_and_counts():
+async def test_unanswered_maintenance_is_requested_again_and_counts_as_down():
     world = World(executors=3)
     vms = world.keep_vms()
     vms.swallow = 2
     async with world.running():
         await world.put("op/wave/1", wave_of(vms, at_once=1))
-        assert await world.drive(33, lambda: status(world) == b"completed")
+        assert await world.drive(33, lambda: wave_status(world) == b"completed")
         assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
         assert vms.down_at_once == 1
 
 
-async def test_a_wave_goes_on_after_the_term_changes():
+async def test_a_wave_continues_in_the_next_term():
     world = World(executors=4)
     vms = world.keep_vms()
     async with world.running() as first:
@@ -116,15 +116,15 @@
         assert await world.drive(10, lambda: len(vms.maintained) == 1)
         first._over.set()
         async with world.term():
-            assert await world.drive(40, lambda: status(world) == b"completed")
+            assert await world.drive(40, lambda: wave_status(world) == b"completed")
         assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
         assert vms.down_at_once == 1
 
 
 @pytest.mark.parametrize("answered", [True, False])
-async def test_a_successor_orders_other_vms_at_once_and_recent_ones_later(answered):
-    # Lilim scale-2: after all daemons had lost power in a peak, no VM was ordered for
-    # 3.3 s; the limit is for a VM that the holder before has ordered.
+async def test_a_successor_holds_back_only_recently_ordered_vms(answered):
+    # Only VMs on which the previous holder requested operations may be held back. When
+    # all were, no VM was requested for 3.3 s after all daemons lost power in a peak.
     world = World(executors=4)
     vms = world.keep_vms()
     async with world.running() as first:
@@ -136,16 +136,16 @@
         vms.swallow = 0
         changed_at = world.clock.monotonic()
         async with world.term():
-            assert await world.drive(40, lambda: status(world) == b"completed")
+            assert await world.drive(40, lambda: wave_status(world) == b"completed")
         others = [vm for vm in vms.vms if vm not in ordered_before]
-        first_others = min(vms.ordered_at[vm][0] for vm in others)
+        first_other_order = min(vms.ordered_at[vm][0] for vm in others)
         assert vms.turns == []
         assert vms.down_at_once <= 2
         if answered:
-            assert first_others - changed_at < timedelta(seconds=3)
+            assert first_other_order - changed_at < timedelta(seconds=3)
 
 
-async def test_a_peak_gets_vms_right_after_a_change_of_the_holder():
+async def test_a_peak_gets_vms_right_after_a_failover():
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
     world.client.run_time = timedelta(seconds=2)
@@ -158,7 +158,7 @@
             assert await world.drive(1, lambda: vms.moves != [])
 
 
-async def test_tasks_of_an_executor_that_is_listed_as_gone_start_again():
+async def test_tasks_of_an_executor_that_is_listed_as_gone_are_restarted():
     world = World(executors=2)
     vms = world.keep_vms()
     async with world.running():
@@ -169,7 +169,7 @@
         assert await world.drive(2.5, lambda: len(world.client.started) == 2)
 
 
-async def test_a_successor_restarts_tasks_of_an_executor_that_left_before():
+async def test_a_successor_restarts_tasks_of_an_executor_lost_before_its_term():
     world = World(executors=2)
     vms = world.keep_vms()
     async with world.running() as first:
@@ -185,7 +185,7 @@
             assert await world.drive(6, lambda: len(world.client.started) == 2)
 
 
-async def test_a_silent_executor_that_is_listed_as_up_keeps_its_tasks():
+async def test_an_unreachable_executor_that_is_listed_as_up_keeps_its_tasks():
     world = World(executors=2)
     world.keep_vms()
     async with world.running():
@@ -199,7 +199,7 @@
         assert len(world.client.started) == 1
 
 
-async def test_an_executor_that_answers_is_not_taken_for_gone():
+async def test_an_executor_that_answers_is_not_treated_as_gone():
     world = World(executors=2)
     vms = world.keep_vms()
     async with world.running() as term:
@@ -215,7 +215,7 @@
         assert term.links_by_id[executor].reachable
 
 
-async def test_a_vm_that_lists_leave_out_for_a_moment_keeps_its_wave_open():
+async def test_a_vm_briefly_missing_from_the_lists_keeps_its_wave_running():
     world = World(executors=2)
     vms = world.keep_vms()
     async with world.running():
@@ -224,30 +224,31 @@
         await world.drive(0.6)
         await world.put("op/wave/1", Wave(1, ("vm-e-1",), timedelta(seconds=20), 1))
         await world.drive(1.5)
-        assert status(world) == b"running"
+        assert wave_status(world) == b"running"
         vms.hidden.clear()
-        assert await world.drive(12, lambda: status(world) == b"completed")
+        assert await world.drive(12, lambda: wave_status(world) == b"completed")
         assert vms.maintained == [("vm-e-1", 1)]
 
 
-async def test_a_vm_that_is_gone_does_not_keep_its_wave_open():
+async def test_a_vm_that_is_gone_does_not_keep_its_wave_running():
     world = World(executors=2)
     vms = world.keep_vms()
     async with world.running():
         await world.drive(4)
         del vms.vms["vm-e-1"]
         await world.put("op/wave/1", Wave(1, ("vm-e-1",), timedelta(seconds=20), 1))
-        assert await world.drive(6, lambda: status(world) == b"completed")
+        assert await world.drive(6, lambda: wave_status(world) == b"completed")
 
 
-async def test_borrowed_vms_pass_from_a_late_backlog_to_the_next_peak():
-    # hunt-b109-39: the VMs of one peak stayed with its backlog through the next one.
+async def test_borrowed_vms_move_from_a_late_backlog_to_the_next_peak():
+    # The VMs borrowed for one peak must not stay with its late backlog through the next
+    # peak.
     saw = replace(QUEUE, name="saws", path_prefix="/saws/", service="saw")
     saw = replace(saw, objective=timedelta(seconds=6))
     world = World(executors=2)
-    sawing = FakeExecutor(world.clock, "e-saw", service="saw")
-    world.fakes.append(sawing)
-    world.client.by_id["e-saw"] = sawing
+    saw_executor = FakeExecutor(world.clock, "e-saw", service="saw")
+    world.fakes.append(saw_executor)
+    world.client.by_id["e-saw"] = saw_executor
     vms = world.keep_vms(standby=2)
     pools = [Pool("mill"), Pool("saw"), Pool("spare", standby=True)]
     async with world.running():
@@ -265,9 +266,9 @@
 
 
 @pytest.mark.parametrize("phase", [0.05, 0.1, 0.15, 0.2, 0.25])
-async def test_a_job_that_outgrows_its_pool_gets_vms_at_once(phase):
-    # laurentien-ledger quiet-1: callers of a first peak waited up to 250 ms for a look
-    # at the pools, on top of the 1.5 s that a VM takes.
+async def test_a_job_that_exceeds_its_pool_gets_vms_at_once(phase):
+    # A job that arrives brings the next reconciliation forward. Callers of a first peak
+    # waited up to 250 ms for it, in addition to the 1.5 s that a VM takes.
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
     async with world.running():
@@ -277,7 +278,7 @@
         assert await world.drive(0.2, lambda: vms.moves != [])
 
 
-async def test_a_peak_borrows_standby_vms_and_gives_them_back():
+async def test_a_peak_borrows_standby_vms_and_returns_them():
     world = World(executors=2)
     vms = world.keep_vms(standby=3)
     world.client.run_time = timedelta(seconds=2)
@@ -287,10 +288,10 @@
         await world.submit("a1", StepSpec(30, 1000, 100, estimate_ms=2000))
         await world.drive(5)
         assert {pool for _, pool in vms.moves} == {"mill"}
-        lent = len(vms.moves)
-        assert lent > 0
-        # Those that were lent, and of its own two the one that an idle pool needs not.
-        assert await world.drive(20, lambda: len(vms.moves) == 2 * lent + 1)
+        borrowed = len(vms.moves)
+        assert borrowed > 0
+        # The borrowed VMs, and one of the pool's own two, which it can spare when idle.
+        assert await world.drive(20, lambda: len(vms.moves) == 2 * borrowed + 1)
         await world.drive(3)
         standby = [vm for vm in vms.vms.values() if vm.pool == "spare"]
         assert len(standby) == 4
