--- a/src/pomeloyard/platform/__init__.py
+++ b/src/pomeloyard/platform/__init__.py
@@ -1,4 +1,4 @@
 """Adapter to the operators' platform: its wire names, calls and settings file.
 
-Nothing outside this package knows the platform's field names or paths.
+The platform's field names and paths are used only within this package.
 """
--- a/src/pomeloyard/platform/advice.py
+++ b/src/pomeloyard/platform/advice.py
@@ -1,4 +1,4 @@
-"""Calls to the operators' advice service."""
+"""Client for the operators' placement advice service."""
 
 from __future__ import annotations
 
@@ -9,18 +9,18 @@
 
 from ..batch.advice import Advice, AdviceService
 from ..errors import CallUnansweredError
-from .executors import time_of
+from .executors import to_duration
 from .http import HttpCaller
 
 
-class _Answer(msgspec.Struct):
+class _AdviceResponse(msgspec.Struct):
     good: list[tuple[str, str]]
-    """Executor's id and ticket."""
+    """Executor id and ticket."""
     valid_ms: float = 0
 
 
 class PlatformAdvice(AdviceService):
-    """Client of the service at one address."""
+    """Client for the advice service at one address."""
 
     def __init__(self, caller: HttpCaller, address: str) -> None:
         self._caller = caller
@@ -29,15 +29,15 @@
     async def advise(
         self, step: str, executors: Sequence[str], timeout: timedelta
     ) -> Advice:
-        """Ask which of some executors may run a step."""
+        """Ask which of the given executors may run a step."""
         body = msgspec.json.encode({"step": step, "workers": list(executors)})
-        answer = await self._caller.call(
+        response = await self._caller.call(
             "POST", self._address, "/advise", timeout, body
         )
-        if answer.status != 200:
-            raise CallUnansweredError(f"/advise: status {answer.status}")
+        if response.status != 200:
+            raise CallUnansweredError(f"/advise: status {response.status}")
         try:
-            told = msgspec.json.decode(answer.body, type=_Answer)
+            decoded = msgspec.json.decode(response.body, type=_AdviceResponse)
         except msgspec.MsgspecError as error:
             raise CallUnansweredError(f"/advise: {error}") from error
-        return Advice(dict(told.good), time_of(told.valid_ms))
+        return Advice(dict(decoded.good), to_duration(decoded.valid_ms))
--- a/src/pomeloyard/platform/bodies.py
+++ b/src/pomeloyard/platform/bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of requests, and refusals of those that cannot be read."""
+"""Read request bodies and build refusals."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 async def read_body(receive: Receive, limit: int) -> bytes:
-    """Return a body of at most ``limit`` bytes; raises RefusedError."""
+    """Read a body of at most ``limit`` bytes; raises RefusedError."""
     parts = []
     size = 0
     while True:
@@ -27,6 +27,6 @@
 
 
 def refused(reason: RefusalReason, detail: str, seconds: int = 0) -> RefusedError:
-    """Return the error of a refusal, with the time after which to come again."""
+    """Return the error for a refusal; 0 seconds means no retry delay."""
     retry_after = timedelta(seconds=seconds) if seconds else None
     return RefusedError(Refused(reason, detail, retry_after))
--- a/src/pomeloyard/platform/connection.py
+++ b/src/pomeloyard/platform/connection.py
@@ -1,4 +1,4 @@
-"""A kept connection to one peer that carries one HTTP/1.1 call at a time."""
+"""A persistent HTTP/1.1 connection that carries one call at a time."""
 
 from __future__ import annotations
 
@@ -11,21 +11,21 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 USER_TIMEOUT_MS = 3000
-"""Unacknowledged bytes end a connection after this long (TCP_USER_TIMEOUT)."""
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Largest body that is read; a page of the store holds about 1 MB."""
+"""Bytes unacknowledged for this long end a connection (TCP_USER_TIMEOUT)."""
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Largest accepted body; a page of the store holds about 1 MB."""
 
 
 class PeerClosedError(Exception):
-    """The peer ended the connection before its answer was whole."""
+    """The peer closed the connection before its response was complete."""
 
 
 class BadAnswerError(Exception):
-    """What came is no HTTP answer, or too large."""
+    """The peer sent an invalid or oversized HTTP response."""
 
 
-class _Answer:
-    """Collects an answer from the parser's callbacks."""
+class _ResponseParser:
+    """Collects a response from the callbacks of the HTTP parser."""
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
@@ -33,29 +33,29 @@
         self.size = 0
         self.status = 0
         self.reusable = False
-        """Whether the peer keeps the connection."""
-        self.whole = False
+        """Whether the peer keeps the connection open."""
+        self.complete = False
 
     def on_body(self, content: bytes) -> None:
         self.size += len(content)
-        if self.size > MAX_ANSWER_BYTES:
-            raise BadAnswerError(f"more than {MAX_ANSWER_BYTES} bytes")
+        if self.size > MAX_RESPONSE_BYTES:
+            raise BadAnswerError(f"more than {MAX_RESPONSE_BYTES} bytes")
         self.chunks.append(content)
 
     def on_message_complete(self) -> None:
-        # Both are known only until the parser goes on.
+        # The parser has both only until it reads the next message.
         self.status = self.parser.get_status_code()
         self.reusable = self.parser.should_keep_alive()
-        # An interim answer precedes the one to the call.
-        self.whole = self.status >= 200
+        # An interim (1xx) response precedes the final one.
+        self.complete = self.status >= 200
 
 
 def request_bytes(
     method: str, target: str, headers: Mapping[str, str], body: bytes
 ) -> bytes:
-    r"""Return a request as it is sent.
+    r"""Return an encoded request.
 
-    Raises ValueError if a part cannot stand in the head of a request.
+    Raises ValueError if the target or a header is not valid in a request head.
 
     >>> request_bytes("GET", "/a", {"Host": "b"}, b"")
     b'GET /a HTTP/1.1\r\nHost: b\r\n\r\n'
@@ -71,15 +71,15 @@
 
 
 class Connection:
-    """An open connection; after any failure it must be closed."""
+    """An open connection; it must be closed after any failure."""
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
         self._socket = stream.extra(SocketAttribute.raw_socket)
         self.idle_since = 0.0
-        """Time at which it became idle, in seconds of the event loop."""
+        """Time at which it became idle, in seconds of the event loop's clock."""
         self.reusable = True
-        """Whether the peer keeps the connection after the last answer."""
+        """Whether the peer keeps the connection open after the last response."""
 
     @classmethod
     async def open(cls, host: str, port: int) -> Connection:
@@ -91,9 +91,9 @@
         return connection
 
     def is_stale(self) -> bool:
-        """Tell whether an idle connection has bytes or an end to read.
+        """Tell whether an idle connection is readable.
 
-        No answer is due on it, so the peer has closed it or speaks out of turn.
+        No response is due, so the peer has closed it or sent unexpected bytes.
         """
         descriptor = self._socket.fileno()
         if descriptor < 0:
@@ -103,22 +103,22 @@
         return bool(poll.poll(0))
 
     async def call(self, request: bytes) -> tuple[int, bytes]:
-        """Send one request and return status and body of its answer.
+        """Send one request and return status and body of the response.
 
-        Raises PeerClosedError, BadAnswerError or anyio's errors of streams.
+        Raises PeerClosedError, BadAnswerError or anyio's stream errors.
         """
         await self._stream.send(request)
-        answer = _Answer()
-        while not answer.whole:
+        response = _ResponseParser()
+        while not response.complete:
             try:
-                answer.parser.feed_data(await self._stream.receive())
+                response.parser.feed_data(await self._stream.receive())
             except anyio.EndOfStream as error:
                 raise PeerClosedError("the connection ended in an answer") from error
             except httptools.HttpParserError as error:
                 raise BadAnswerError(str(error)) from error
-        self.reusable = answer.reusable
-        return answer.status, b"".join(answer.chunks)
+        self.reusable = response.reusable
+        return response.status, b"".join(response.chunks)
 
     async def close(self) -> None:
-        """Close at once, without waiting for the peer."""
+        """Close immediately, without waiting for the peer."""
         await anyio.aclose_forcefully(self._stream)
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon as it runs on each entry VM of the operators' platform."""
+"""The daemon that runs on each entry VM of the operators' platform."""
 
 from __future__ import annotations
 
@@ -28,36 +28,36 @@
 from .advice import PlatformAdvice
 from .documents import PlatformDocuments, RegistrationDocuments
 from .executors import PlatformExecutors
-from .front import Front, MetricText, Readiness
+from .front import CallerApp, MetricsApp, ReadinessApp
 from .http import HttpCaller
 from .kv import PlatformStore
 from .settings import PlatformSettings, read_settings
 from .store_relay import RelayPeers, StoreRelay
 from .vms import PlatformVms
 
-RETENTION_SLACK = timedelta(seconds=30)
-"""Job states are kept this much longer than callers may ask for them."""
-CLOSING_TIME = timedelta(seconds=1.5)
-"""Between SIGTERM and the end of the listeners, while the balancer learns that the
-daemon is not ready and callers are told to leave their connections."""
-SMALL_VM_SPEED = 1.0
-"""Placing takes up to 0.4 of a core for 180 executors; slower VMs should not do it."""
-HEAD_START = timedelta(seconds=0.4)
-"""Advantage of large VMs in the competition for the placing role."""
-EXECUTOR_CONNECTIONS = 3
-"""Prompt calls at once to one executor; each new connection has a price. A look that
-waits and orders without an answer are counted apart (``http.MAX_OVERDUE``)."""
-CALL_END_S = 3
-"""Calls in flight at the end of the listeners have this long to be answered; callers
-wait 3 s, and it stays within the platform's grace of 6 s."""
-KEEP_ALIVE_S = 60
-"""Idle connections of callers are kept longer than they pause between calls."""
+RETENTION_MARGIN = timedelta(seconds=30)
+"""Job states are kept this much longer than callers may query them."""
+LISTENER_CLOSE_DELAY = timedelta(seconds=1.5)
+"""Between SIGTERM and the close of the listeners. Meanwhile the load balancer sees the
+failing readiness check, and responses tell callers to close their connections."""
+MIN_PLACING_SPEED = 1.0
+"""Placing for 180 executors takes up to 0.4 of a core; slower VMs defer to others."""
+SMALL_VM_DELAY = timedelta(seconds=0.4)
+"""Delay of small VMs in acquiring the placing role, so that larger ones win."""
+MAX_EXECUTOR_CALLS = 3
+"""Concurrent calls to one executor, as each new connection has a cost. Long polls and
+orders without a response have a limit of their own (``http.MAX_OVERDUE_CALLS``)."""
+SHUTDOWN_TIMEOUT_S = 3
+"""Time to finish calls in flight once the listeners close: callers wait 3 s, and the
+platform kills the process 6 s after SIGTERM."""
+KEEP_ALIVE_TIMEOUT_S = 60
+"""Longer than callers pause between calls, so that they reuse connections."""
 
 log = logbook.Logger("pomeloyard.platform.daemon")
 
 
 class PlatformDaemon:
-    """Serves callers and competes for the placing role."""
+    """Serves callers and is a candidate for the placing role."""
 
     def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
         self._settings = settings
@@ -65,9 +65,9 @@
         self.writer = LogWriter(clock, stream=STDOUT)
         self._lines = DecisionLines(clock, self.writer, settings.vm)
         self._caller = HttpCaller()
-        self._executor_caller = HttpCaller(EXECUTOR_CONNECTIONS)
+        self._executor_caller = HttpCaller(MAX_EXECUTOR_CALLS)
         self._store = PlatformStore(self._caller, settings.store_address)
-        self._peers = RelayPeers(
+        self._relay_peers = RelayPeers(
             clock,
             self._store,
             settings.vm,
@@ -85,7 +85,7 @@
         self._metrics = BatchMetrics(
             self._lines, self.writer, self._store.calls, self._follower, self._role
         )
-        self._front = Front(
+        self._caller_app = CallerApp(
             clock,
             self._follower,
             intake,
@@ -94,8 +94,8 @@
             settings.withdrawal_bound,
             self._metrics,
         )
-        small = settings.core_speed < SMALL_VM_SPEED
-        times = replace(TIMES, head_start=HEAD_START if small else timedelta(0))
+        small = settings.core_speed < MIN_PLACING_SPEED
+        times = replace(TIMES, head_start=SMALL_VM_DELAY if small else timedelta(0))
         self._candidate = RoleCandidate(
             self._store, clock, ROLE, settings.vm, self._role.run, times
         )
@@ -111,13 +111,13 @@
             self._lines,
             role,
             guard,
-            self._settings.job_retention + RETENTION_SLACK,
-            self._new_keeper if self._settings.vm_service_address else None,
+            self._settings.job_retention + RETENTION_MARGIN,
+            self._new_vm_keeper if self._settings.vm_service_address else None,
             self._advice,
             ids_kept=self._settings.executor_ids_kept,
         )
 
-    def _new_keeper(self, term: PlacingTerm) -> VmKeeper:
+    def _new_vm_keeper(self, term: PlacingTerm) -> VmKeeper:
         settings = self._settings
         return VmKeeper(
             self._clock,
@@ -139,59 +139,72 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
-        log.info("daemon starts on {}", self._settings.vm)
-        front = _server(self._front, self._settings.caller_address)
-        ready = _server(Readiness(self._front), self._settings.readiness_address)
+        log.info("daemon starting on {}", self._settings.vm)
+        caller_server = _server(self._caller_app, self._settings.caller_address)
+        readiness_server = _server(
+            ReadinessApp(self._caller_app), self._settings.readiness_address
+        )
         async with anyio.create_task_group() as tasks:
             role_scope = anyio.CancelScope()
             tasks.start_soon(self.writer.run)
             tasks.start_soon(self._follower.run)
-            tasks.start_soon(front.serve, [tcp_listener(self._settings.caller_address)])
             tasks.start_soon(
-                ready.serve, [tcp_listener(self._settings.readiness_address)]
+                caller_server.serve, [tcp_listener(self._settings.caller_address)]
+            )
+            tasks.start_soon(
+                readiness_server.serve, [tcp_listener(self._settings.readiness_address)]
             )
             store_relay = StoreRelay(self._store)
-            relay = _server(store_relay, self._settings.relay_address)
-            tasks.start_soon(relay.serve, [tcp_listener(self._settings.relay_address)])
-            tasks.start_soon(self._peers.run)
-            tasks.start_soon(self._peers.probe)
-            tasks.start_soon(self._compete, role_scope)
-            metrics = _server(MetricText(self._metrics), self._settings.metrics_address)
+            relay_server = _server(store_relay, self._settings.relay_address)
+            tasks.start_soon(
+                relay_server.serve, [tcp_listener(self._settings.relay_address)]
+            )
+            tasks.start_soon(self._relay_peers.run)
+            tasks.start_soon(self._relay_peers.probe)
+            tasks.start_soon(self._run_candidate, role_scope)
+            metrics_server = _server(
+                MetricsApp(self._metrics), self._settings.metrics_address
+            )
             tasks.start_soon(
-                metrics.serve, [tcp_listener(self._settings.metrics_address)]
+                metrics_server.serve, [tcp_listener(self._settings.metrics_address)]
             )
-            await _until_stopped()
-            self._front.closing = store_relay.closing = True
-            log.info("daemon stops")
+            await _wait_for_sigterm()
+            self._caller_app.closing = store_relay.closing = True
+            log.info("SIGTERM received, daemon shutting down")
             role_scope.cancel()
-            await self._clock.sleep(CLOSING_TIME)
-            for server in (front, ready, metrics, relay):
+            await self._clock.sleep(LISTENER_CLOSE_DELAY)
+            for server in (
+                caller_server,
+                readiness_server,
+                metrics_server,
+                relay_server,
+            ):
                 server.should_exit = True
-            limit = self._settings.stop_grace - 2 * CLOSING_TIME
-            await wait_idle((front, relay), limit)
+            limit = self._settings.stop_grace - 2 * LISTENER_CLOSE_DELAY
+            await wait_idle((caller_server, relay_server), limit)
             tasks.cancel_scope.cancel()
         await self._caller.close()
         await self._executor_caller.close()
         self.writer.close()
 
-    async def _compete(self, scope: anyio.CancelScope) -> None:
+    async def _run_candidate(self, scope: anyio.CancelScope) -> None:
         with scope:
             await self._candidate.run()
 
 
-async def _until_stopped() -> None:
+async def _wait_for_sigterm() -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async for received in signals:
             if received == signal.SIGTERM:
                 return
-            # Settings name addresses and limits, which a running process keeps.
-            log.info("settings changed; they hold from the next start")
+            # Addresses and limits cannot be changed in a running process.
+            log.info("SIGHUP received; changed settings apply after a restart")
 
 
 async def wait_idle(servers: Sequence[EmbeddedServer], limit: timedelta) -> None:
-    """Return once no connection is open and no call at work, or after ``limit``.
+    """Return once no connection is open and no call in progress, or after ``limit``.
 
-    A call whose caller has left goes on without a connection.
+    A call continues without a connection after its caller has disconnected.
     """
     states = [server.server_state for server in servers]
     with anyio.move_on_after(limit.total_seconds()):
@@ -202,8 +215,8 @@
 def _server(app: ASGIApp, address: str) -> EmbeddedServer:
     config = server_config(
         app,
-        timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=CALL_END_S,
+        timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
+        timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
         server_header=False,
         date_header=False,
     )
@@ -211,7 +224,7 @@
 
 
 def main() -> int:
-    """Run the daemon; return its exit status."""
+    """Run the daemon and return its exit status."""
     clock = SystemClock()
     try:
         settings = read_settings()
--- a/src/pomeloyard/platform/documents.py
+++ b/src/pomeloyard/platform/documents.py
@@ -1,4 +1,4 @@
-"""Decodes what operators and executors write into the platform's store."""
+"""Decoders for documents that operators and executors write to the store."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     slo_ms: float = 0
-    """Added to the stretched chain of work; not an objective by itself."""
+    """Added to the stretched critical path of a job; not an objective by itself."""
     public: bool = False
     advice: _Advice | None = None
 
@@ -63,7 +63,7 @@
     api_keys: list[str] = []
     weight: float = 1.0
     maximum: _Resources = msgspec.field(default_factory=_Resources)
-    """What may be running at once; 0 in a field means no limit."""
+    """Limit on the resources in use at once; a field of 0 is unlimited."""
 
 
 class _Limits(msgspec.Struct):
@@ -82,9 +82,9 @@
     wave: int
     machines: list[str]
     complete_by_s: float
-    """Seconds from the order's appearance."""
+    """Seconds from when the order appeared in the store."""
     maximum: int
-    """How many may be down for their upkeep at once."""
+    """Limit on the machines that are down for maintenance at once."""
 
 
 class _Registration(msgspec.Struct):
@@ -94,10 +94,10 @@
     state: str
     capacity: _Resources
     labels: list[str]
-    """The kind of the VM and, last, its rack."""
+    """The kind of VM first, the rack last."""
     sequence: int
     born: int = 0
-    """Unix milliseconds of the start: names the incarnation."""
+    """Start time in Unix milliseconds, which identifies the incarnation."""
 
 
 def decode(content: bytes, kind: type[T]) -> T:
@@ -109,7 +109,7 @@
 
 
 class PlatformDocuments:
-    """Documents of operators under ``op/``."""
+    """Documents that operators write under ``op/``."""
 
     prefix = "op/"
     configuration_key = "op/config"
@@ -117,21 +117,21 @@
 
     def configuration(self, content: bytes) -> Configuration:
         """Decode the configuration; raises DocumentError."""
-        file = decode(content, _Configuration)
+        document = decode(content, _Configuration)
         team_by_key = {
-            key: tenant.name for tenant in file.tenants for key in tenant.api_keys
+            key: tenant.name for tenant in document.tenants for key in tenant.api_keys
         }
         return Configuration(
-            version=file.version,
+            version=document.version,
             queues_by_name=MappingProxyType(
-                {route.name: _queue(route) for route in file.routes}
+                {route.name: _queue(route) for route in document.routes}
             ),
             pools_by_name=MappingProxyType(
                 {
                     service.name: Pool(
                         service.name, service.rejects_overload, service.standby
                     )
-                    for service in file.services
+                    for service in document.services
                 }
             ),
             teams_by_name=MappingProxyType(
@@ -140,23 +140,23 @@
                         tenant.name,
                         tuple(tenant.api_keys),
                         tenant.weight,
-                        resources(tenant.maximum),
+                        to_resources(tenant.maximum),
                     )
-                    for tenant in file.tenants
+                    for tenant in document.tenants
                 }
             ),
             team_by_key=MappingProxyType(team_by_key),
-            max_body_bytes=file.limits.max_body_bytes,
+            max_body_bytes=document.limits.max_body_bytes,
         )
 
     def wave_status(self, wave_id: int, completed: bool) -> tuple[str, bytes]:
-        """Return where operators read how far a wave is, and what to write there."""
+        """Return the key and the value of a wave's status entry for operators."""
         state = "completed" if completed else "running"
         content = msgspec.json.encode({"wave": wave_id, "state": state})
         return f"status/wave/{wave_id}", content
 
     def wave(self, key: str, content: bytes) -> Wave | None:
-        """Decode a wave; None for other keys. Raises DocumentError."""
+        """Decode a wave, or return None for other keys; raises DocumentError."""
         if not key.startswith(self.wave_prefix):
             return None
         wave = decode(content, _Wave)
@@ -169,7 +169,7 @@
 
 
 class RegistrationDocuments:
-    """Registrations of executors under ``servers/``."""
+    """Registrations that executors write under ``servers/``."""
 
     prefix = "servers/"
 
@@ -180,13 +180,13 @@
             raise DocumentError(f"unknown state {entry.state!r}")
         host, _, port = entry.address.rpartition(":")
         if not host or not port.isdigit():
-            raise DocumentError(f"no address: {entry.address!r}")
+            raise DocumentError(f"not a host:port address: {entry.address!r}")
         return Executor(
             executor_id=key.removeprefix(self.prefix),
             address=entry.address,
             service=entry.service,
             availability_zone=entry.zone,
-            capacity=resources(entry.capacity),
+            capacity=to_resources(entry.capacity),
             labels=tuple(entry.labels),
             draining=entry.state == "draining",
             incarnation=entry.born,
@@ -194,8 +194,8 @@
         )
 
 
-def resources(amount: _Resources) -> Resources:
-    """Return an amount in the product's type."""
+def to_resources(amount: _Resources) -> Resources:
+    """Convert platform resources to the product's type."""
     return Resources(amount.cpu, amount.mem_mb, amount.gpu)
 
 
@@ -225,4 +225,4 @@
     try:
         return timedelta(milliseconds=milliseconds)
     except OverflowError as error:
-        raise DocumentError(f"no length of time: {milliseconds} ms") from error
+        raise DocumentError(f"duration out of range: {milliseconds} ms") from error
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's executors."""
+"""Client for the platform's executors."""
 
 from __future__ import annotations
 
@@ -19,15 +19,15 @@
 )
 from ..batch.progress import EndKind
 from ..errors import CallUnansweredError, StaleFenceError
-from .http import Answer, HttpCaller, always
+from .http import HttpCaller, Response, always_permitted
 
 INSTANCE_HEADER = "X-Expect-Instance"
-MAX_ENDS = 500
-"""Ends in one answer; more follow in the next."""
+MAX_ENDED_TASKS = 500
+"""Ended tasks in one response; the rest follow in the next."""
 
 T = TypeVar("T")
 
-_ANSWERS = {
+_START_ANSWER_BY_REASON = {
     "old": StartAnswer.STALE_RUN,
     "late": StartAnswer.TOO_LATE,
     "room": StartAnswer.NO_ROOM,
@@ -35,13 +35,13 @@
 }
 
 
-class _Clock(msgspec.Struct):
+class _StartResponse(msgspec.Struct):
     clock_ms: float | None = None
-    """Steady clock of the executor, from its start."""
+    """Monotonic clock of the executor, from its start."""
     reason: str = ""
 
 
-class _Lists(msgspec.Struct):
+class _HoldResponse(msgspec.Struct):
     clock_ms: float
     running: list[list[object]]
     ended: list[tuple[int, str, int, str, str]]
@@ -50,10 +50,10 @@
 
 
 class PlatformExecutors(ExecutorClient):
-    """Client of all executors; calls only while ``permitted`` says so."""
+    """Client for all executors; sends nothing once ``permitted`` returns False."""
 
     def __init__(
-        self, caller: HttpCaller, permitted: Callable[[], bool] = always
+        self, caller: HttpCaller, permitted: Callable[[], bool] = always_permitted
     ) -> None:
         self._caller = caller
         self._permitted = permitted
@@ -61,7 +61,7 @@
     async def start(
         self, executor: Executor, order: StartOrder, timeout: timedelta
     ) -> tuple[StartAnswer, timedelta | None]:
-        """Order a start; return the answer and the executor's clock if it told."""
+        """Order a start; return the result and the executor's clock if it sent one."""
         body: dict[str, object] = {
             "task": order.task,
             "run_id": order.run,
@@ -73,30 +73,30 @@
             body["saved"] = order.saved
         if order.ticket:
             body["ticket"] = order.ticket
-        answer = await self._call(executor, "/run-start", body, timeout)
-        if answer.status == 421:
+        response = await self._call(executor, "/run-start", body, timeout)
+        if response.status == 421:
             return StartAnswer.OTHER_INCARNATION, None
-        if answer.status in (400, 429, 503):
+        if response.status in (400, 429, 503):
             return StartAnswer.NOT_TAKEN, None
-        if answer.status not in (200, 409):
-            raise CallUnansweredError(f"/run-start: status {answer.status}")
-        told = _decode(answer, _Clock)
-        clock = None if told.clock_ms is None else time_of(told.clock_ms)
-        if answer.status == 200:
+        if response.status not in (200, 409):
+            raise CallUnansweredError(f"/run-start: status {response.status}")
+        decoded = _decode(response, _StartResponse)
+        clock = None if decoded.clock_ms is None else to_duration(decoded.clock_ms)
+        if response.status == 200:
             return StartAnswer.STARTED, clock
-        _check_fence(executor, told.reason)
-        return _ANSWERS.get(told.reason, StartAnswer.NOT_TAKEN), clock
+        _check_fence(executor, decoded.reason)
+        return _START_ANSWER_BY_REASON.get(decoded.reason, StartAnswer.NOT_TAKEN), clock
 
     async def stop(
         self, executor: Executor, task: str, run: int, fence: int, timeout: timedelta
     ) -> None:
-        """Stop a run, or make a start of it that has not arrived void."""
+        """Stop a run, or invalidate a start order for it that is still in transit."""
         body = {"task": task, "run_id": run, "fencing_token": fence}
-        answer = await self._call(executor, "/run-stop", body, timeout)
-        if answer.status == 409:
-            _check_fence(executor, _decode(answer, _Clock).reason)
-        if answer.status not in (200, 409, 421):
-            raise CallUnansweredError(f"/run-stop: status {answer.status}")
+        response = await self._call(executor, "/run-stop", body, timeout)
+        if response.status == 409:
+            _check_fence(executor, _decode(response, _StartResponse).reason)
+        if response.status not in (200, 409, 421):
+            raise CallUnansweredError(f"/run-stop: status {response.status}")
 
     async def look(
         self,
@@ -108,24 +108,24 @@
         wait: timedelta,
         timeout: timedelta,
     ) -> Report:
-        """Read both lists, extend all leases and acknowledge ends."""
+        """Read both task lists, extend all leases and acknowledge ended tasks."""
         body: dict[str, object] = {"fencing_token": fence, "last_seen": acknowledged}
         if lease_until is not None:
             body["until_ms"] = _ms(lease_until)
         if wait:
             body["wait_ms"] = _ms(wait)
-        answer = await self._call(executor, "/hold", body, timeout)
-        if answer.status == 409:
-            _check_fence(executor, _decode(answer, _Clock).reason)
-        if answer.status != 200:
-            raise CallUnansweredError(f"/hold: status {answer.status}")
-        lists = _decode(answer, _Lists)
+        response = await self._call(executor, "/hold", body, timeout)
+        if response.status == 409:
+            _check_fence(executor, _decode(response, _StartResponse).reason)
+        if response.status != 200:
+            raise CallUnansweredError(f"/hold: status {response.status}")
+        lists = _decode(response, _HoldResponse)
         return Report(
-            clock=time_of(lists.clock_ms),
+            clock=to_duration(lists.clock_ms),
             incarnation=lists.born,
-            running=tuple(_running(row) for row in lists.running),
-            ended=tuple(_end(*row) for row in lists.ended),
-            ended_truncated=len(lists.ended) >= MAX_ENDS,
+            running=tuple(_running_task(row) for row in lists.running),
+            ended=tuple(_ended_task(*row) for row in lists.ended),
+            ended_truncated=len(lists.ended) >= MAX_ENDED_TASKS,
             draining=lists.remaining_ms is not None,
         )
 
@@ -138,20 +138,20 @@
         fence: int,
         timeout: timedelta,
     ) -> None:
-        """Limit the share at which a run works."""
+        """Throttle a run to a percentage of its full speed."""
         body = {
             "task": task,
             "run_id": run,
             "percent": percent,
             "fencing_token": fence,
         }
-        answer = await self._call(executor, "/pace", body, timeout)
-        if answer.status == 409:
-            _check_fence(executor, _decode(answer, _Clock).reason)
+        response = await self._call(executor, "/pace", body, timeout)
+        if response.status == 409:
+            _check_fence(executor, _decode(response, _StartResponse).reason)
 
     async def _call(
         self, executor: Executor, path: str, body: object, timeout: timedelta
-    ) -> Answer:
+    ) -> Response:
         return await self._caller.call(
             "POST",
             executor.address,
@@ -163,7 +163,7 @@
         )
 
 
-def _running(row: list[object]) -> RunningTask:
+def _running_task(row: list[object]) -> RunningTask:
     try:
         task, run, saved, percent, *rest = row
         gauge = rest[0] if rest else 0
@@ -175,35 +175,41 @@
             int(gauge or 0),  # type: ignore[call-overload]
         )
     except (ValueError, TypeError, OverflowError) as error:
-        raise CallUnansweredError(f"unreadable row {row!r}") from error
+        raise CallUnansweredError(f"cannot decode running task {row!r}") from error
 
 
-def _end(number: int, task: str, run: int, how: str, saved: str) -> EndedTask:
+def _ended_task(number: int, task: str, run: int, kind: str, saved: str) -> EndedTask:
     try:
-        return EndedTask(number, task, run, EndKind(how), saved)
+        return EndedTask(number, task, run, EndKind(kind), saved)
     except ValueError as error:
-        raise CallUnansweredError(f"unknown end {how!r} of {task}") from error
+        raise CallUnansweredError(
+            f"unknown end kind {kind!r} of task {task}"
+        ) from error
 
 
-def _decode(answer: Answer, kind: type[T]) -> T:
+def _decode(response: Response, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(answer.body, type=kind)
+        return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
-        raise CallUnansweredError(f"unreadable answer: {error}") from error
+        raise CallUnansweredError(f"cannot decode response: {error}") from error
 
 
 def _check_fence(executor: Executor, reason: str) -> None:
     if reason == "fence":
-        raise StaleFenceError(f"executor {executor.executor_id} knows a higher fence")
+        raise StaleFenceError(
+            f"executor {executor.executor_id} has seen a higher fencing token"
+        )
 
 
 def _ms(time: timedelta) -> int:
     return round(time / timedelta(milliseconds=1))
 
 
-def time_of(milliseconds: float) -> timedelta:
-    """Return a length of time that a peer told; raises CallUnansweredError."""
+def to_duration(milliseconds: float) -> timedelta:
+    """Convert a duration sent by a peer; raises CallUnansweredError."""
     try:
         return timedelta(milliseconds=milliseconds)
     except OverflowError as error:
-        raise CallUnansweredError(f"no time: {milliseconds}") from error
+        raise CallUnansweredError(
+            f"duration out of range: {milliseconds} ms"
+        ) from error
--- a/src/pomeloyard/platform/front.py
+++ b/src/pomeloyard/platform/front.py
@@ -1,4 +1,4 @@
-"""Callers' requests as the platform forwards them."""
+"""HTTP API for callers, whose requests the platform forwards."""
 
 from __future__ import annotations
 
@@ -22,21 +22,21 @@
 from ..outcomes import RefusalReason, Unknown, UnknownReason
 from .bodies import read_body, refused
 
-DEFAULT_DEADLINE = timedelta(seconds=3)
-"""For callers that do not say how long they wait."""
-ANSWER_MARGIN = timedelta(milliseconds=150)
-"""An answer is sent this much before the caller stops waiting."""
-CHANGING_METHODS = ("POST", "DELETE")
-"""A call of these may have changed the store when its time is over."""
-MAX_PROOF_AGE_SHARE = 0.95
-"""Share of the bound on configuration changes after which a daemon that cannot
-prove that it is current refuses calls; what it missed is younger than its proof."""
-MAX_KEYED_PROOF_AGE_SHARE = 0.5
-"""The same of the bound on withdrawn keys."""
-MAX_ID_CHARACTERS = 64
-"""Callers choose 16; longer ones are no ids."""
-
-_STATUS = {
+DEFAULT_CALL_TIMEOUT = timedelta(seconds=3)
+"""Applies to requests without a deadline header."""
+RESPONSE_MARGIN = timedelta(milliseconds=150)
+"""A response is sent this long before the caller times out."""
+MUTATING_METHODS = ("POST", "DELETE")
+"""A request with one of these may have changed the store when it times out."""
+MAX_CONFIG_AGE_RATIO = 0.95
+"""Fraction of the bound on configuration changes. A daemon that last verified its
+configuration longer ago refuses calls; a change that it missed is newer than that."""
+MAX_KEY_AGE_RATIO = 0.5
+"""The corresponding fraction of the bound on withdrawn keys."""
+MAX_JOB_ID_LENGTH = 64
+"""Callers use 16 characters; longer paths are not job ids."""
+
+_STATUS_BY_REASON = {
     RefusalReason.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
     RefusalReason.KEY_INVALID: HTTPStatus.UNAUTHORIZED,
     RefusalReason.NOT_FOUND: HTTPStatus.NOT_FOUND,
@@ -45,7 +45,7 @@
     RefusalReason.QUEUE_FULL: HTTPStatus.TOO_MANY_REQUESTS,
     RefusalReason.LIMIT_REACHED: HTTPStatus.TOO_MANY_REQUESTS,
 }
-"""Every other refusal is 503: not run, come again."""
+"""All other refusals are 503: the call had no effect and may be retried."""
 
 
 class _Step(msgspec.Struct):
@@ -60,9 +60,9 @@
     gang: bool = False
     same_rack: bool = False
     requirements: str = ""
-    """One label that the executor must have."""
+    """A label that the executor must have."""
     affinity: str = ""
-    """Rack of the data; elsewhere tasks only take longer."""
+    """Rack of the data; tasks also run in other racks, but take longer."""
     max_per_server: int = 0
     speculative: bool = False
     long_running: bool = False
@@ -81,7 +81,7 @@
 
 
 def decode_job(body: bytes) -> JobSpec:
-    """Decode a submission; raises RefusedError."""
+    """Decode a submitted job; raises RefusedError."""
     try:
         job = msgspec.json.decode(body, type=_Job)
     except msgspec.MsgspecError as error:
@@ -118,8 +118,8 @@
     )
 
 
-class Front:
-    """ASGI application of the callers' interface."""
+class CallerApp:
+    """ASGI application for callers: submit, query and cancel jobs."""
 
     def __init__(
         self,
@@ -136,44 +136,46 @@
         self._follower = follower
         self._intake = intake
         self._lines = lines
-        self._max_proof_age = min(
-            config_bound * MAX_PROOF_AGE_SHARE,
-            withdrawal_bound * MAX_KEYED_PROOF_AGE_SHARE,
+        self._max_config_age = min(
+            config_bound * MAX_CONFIG_AGE_RATIO,
+            withdrawal_bound * MAX_KEY_AGE_RATIO,
         )
         self.closing = False
 
     @property
     def ready(self) -> bool:
-        """Tell whether new connections are welcome."""
+        """Tell whether the daemon accepts new connections."""
         return not self.closing and self._is_current()
 
     def _is_current(self) -> bool:
         return (
             self._follower.current is not None
-            and self._follower.proof_age() <= self._max_proof_age
+            and self._follower.proof_age() <= self._max_config_age
         )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer one request."""
+        """Handle one request."""
         if scope["type"] != "http":
             return
         method, path = scope["method"], scope["path"]
         started_at = self._clock.monotonic()
         headers = dict(scope["headers"])
         job_id = path.rpartition("/")[2]
-        extra: list[tuple[bytes, bytes]] = []
-        deadline = started_at + _patience(headers) - ANSWER_MARGIN
+        extra_headers: list[tuple[bytes, bytes]] = []
+        deadline = started_at + _call_timeout(headers) - RESPONSE_MARGIN
         try:
-            status, body = await self._answer_in_time(
+            status, body = await self._handle_in_time(
                 method, path, headers, receive, deadline
             )
         except RefusedError as error:
             refusal = error.refusal
-            status = _STATUS.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+            status = _STATUS_BY_REASON.get(
+                refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE
+            )
             body = {"error": refusal.reason.value, "detail": refusal.detail}
             if refusal.retry_after is not None:
                 seconds = max(1, math.ceil(refusal.retry_after.total_seconds()))
-                extra.append((b"retry-after", str(seconds).encode()))
+                extra_headers.append((b"retry-after", str(seconds).encode()))
             self._log(method, path, job_id, status, started_at, refusal.detail)
         except OutcomeUnknownError as error:
             status = HTTPStatus.GATEWAY_TIMEOUT
@@ -184,8 +186,8 @@
             if method != "GET":
                 self._log(method, path, job_id, status, started_at, "")
         if self.closing or status == HTTPStatus.SERVICE_UNAVAILABLE:
-            # The caller's next connection goes to a daemon that can serve it.
-            extra.append((b"connection", b"close"))
+            # The caller reconnects through the balancer, to a daemon that is ready.
+            extra_headers.append((b"connection", b"close"))
         if self._metrics is not None:
             took = self._clock.monotonic() - started_at
             series = self._metrics.call_seconds.labels(method, str(int(status)))
@@ -194,7 +196,7 @@
         response_headers = [
             (b"content-type", b"application/json"),
             (b"content-length", str(len(content)).encode()),
-            *extra,
+            *extra_headers,
         ]
         await send(
             {
@@ -229,7 +231,7 @@
             detail=detail,
         )
 
-    async def _answer_in_time(
+    async def _handle_in_time(
         self,
         method: str,
         path: str,
@@ -237,23 +239,23 @@
         receive: Receive,
         deadline: timedelta,
     ) -> tuple[int, dict[str, Any]]:
-        """Answer before the caller stops waiting, whatever the store does.
+        """Respond before the caller times out, even if the store does not answer.
 
-        A change whose write may have reached the store has an unknown outcome then.
+        On a time-out, a request that changes the store has an unknown outcome.
         """
         limit = max(deadline - self._clock.monotonic(), timedelta(0))
         body: bytes | None = None
         with anyio.move_on_after(limit.total_seconds()):
             body = await read_body(receive, self._max_body())
-            return await self._answer(method, path, headers, body, deadline)
+            return await self._handle(method, path, headers, body, deadline)
         if body is None:
             raise refused(RefusalReason.NOT_READY, "the body came too late")
         detail = "no answer from the store while the caller waited"
-        if method in CHANGING_METHODS:
+        if method in MUTATING_METHODS:
             raise OutcomeUnknownError(Unknown(UnknownReason.ANSWER_LOST, detail))
         raise refused(RefusalReason.NOT_READY, detail, seconds=1)
 
-    async def _answer(
+    async def _handle(
         self,
         method: str,
         path: str,
@@ -273,7 +275,7 @@
             waiting = await self._intake.waiting(queue.name)
             authorize()
             return HTTPStatus.OK, {"waiting": waiting}
-        if not job_id or len(job_id) > MAX_ID_CHARACTERS or not job_id.isalnum():
+        if not job_id or len(job_id) > MAX_JOB_ID_LENGTH or not job_id.isalnum():
             raise refused(RefusalReason.NOT_FOUND, "no such job")
         if method == "POST":
             await self._intake.submit(job_id, decode_job(body), authorize, deadline)
@@ -295,7 +297,7 @@
         return current.max_body_bytes if current else 262_144
 
     def _authorize(self, host: str, path: str, key: str) -> Authorized:
-        """Return queue and team of a call; raises RefusedError."""
+        """Return the queue and the team of a call; raises RefusedError."""
         current = self._follower.current
         if current is None or not self._is_current():
             raise refused(
@@ -310,15 +312,15 @@
         return Authorized(queue, team, self._follower.revision)
 
 
-class Readiness:
-    """ASGI application that the platform's balancer asks."""
+class ReadinessApp:
+    """ASGI application for the readiness check of the platform's load balancer."""
 
-    def __init__(self, front: Front) -> None:
-        self._front = front
+    def __init__(self, caller_app: CallerApp) -> None:
+        self._caller_app = caller_app
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer 200 when new connections are welcome, else 503."""
-        status = 200 if self._front.ready else 503
+        """Respond 200 if the daemon accepts new connections, else 503."""
+        status = 200 if self._caller_app.ready else 503
         headers = [(b"content-length", b"0")]
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
@@ -326,14 +328,14 @@
         await send({"type": "http.response.body", "body": b""})
 
 
-class MetricText:
-    """ASGI application that serves the metrics at every path."""
+class MetricsApp:
+    """ASGI application that serves the metrics on every path."""
 
     def __init__(self, metrics: BatchMetrics) -> None:
         self._metrics = metrics
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer with all metrics."""
+        """Respond with all metrics in text form."""
         content = self._metrics.text()
         headers = [
             (b"content-type", CONTENT_TYPE_LATEST.encode()),
@@ -343,11 +345,11 @@
         await send({"type": "http.response.body", "body": content})
 
 
-def _patience(headers: dict[bytes, bytes]) -> timedelta:
+def _call_timeout(headers: dict[bytes, bytes]) -> timedelta:
     try:
         return timedelta(milliseconds=float(headers[b"x-deadline-ms"]))
     except (KeyError, ValueError, OverflowError):
-        return DEFAULT_DEADLINE
+        return DEFAULT_CALL_TIMEOUT
 
 
 def _ms(time: timedelta) -> int:
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -1,4 +1,4 @@
-"""HTTP calls with a bound on each, and with three outcomes."""
+"""HTTP client whose calls have a time-out and one of three outcomes."""
 
 from __future__ import annotations
 
@@ -12,24 +12,24 @@
 from .connection import BadAnswerError, Connection, PeerClosedError, request_bytes
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
-"""A connection within a region takes milliseconds; a dropped SYN is sent again
-after one second, by which time another peer is the better choice."""
-CONNECT_SHARE = 0.8
-"""Share of a short call's time after which a connection is given up."""
+"""Connecting within a region takes milliseconds; a lost SYN is sent again only after
+one second, by which time another peer is the better choice."""
+CONNECT_TIMEOUT_RATIO = 0.8
+"""Fraction of a short call's time-out that may be spent on connecting."""
 KEEPALIVE_EXPIRY_S = 20.0
-"""Idle connections are closed before the peers' usual limit of 30 s."""
+"""Below the idle limit of 30 s that is usual for peers."""
 MAX_CONNECTIONS = 8
-"""To one address: more prompt calls at once wait for each other, as new connections
-have a price."""
-PROMPT_S = 0.15
-"""A call without an answer for this long, several times what peers usually take, no
-longer holds up the calls that wait behind it."""
-MAX_OVERDUE = 12
-"""Calls to one address beyond the limit that may wait for an answer; half of a peak's
-orders to one executor may stay unanswered, each for a second."""
+"""Concurrent calls to one address, as new connections have a cost; further calls queue.
+Overdue calls are not counted."""
+OVERDUE_AFTER_S = 0.15
+"""A call without a response for this long, several times the usual, is overdue and no
+longer blocks the calls queued behind it."""
+MAX_OVERDUE_CALLS = 12
+"""Calls to one address in flight beyond the limit: at a peak, half of the orders to an
+executor may get no response and take a second each to time out."""
 MAX_PORT = 65_535
 
-_UNANSWERED = (
+_TRANSPORT_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     BadAnswerError,
@@ -40,95 +40,95 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
-    """Status and body of an answer."""
+class Response:
+    """Status and body of a response."""
 
     status: int
     body: bytes
 
 
-def always() -> bool:
+def always_permitted() -> bool:
     """Permit every call."""
     return True
 
 
-class _Peer:
-    """Connections to one address, and the calls on them."""
+class _PeerConnections:
+    """Connections to one address and the limit on concurrent calls."""
 
-    def __init__(self, address: str, prompt_calls: int) -> None:
+    def __init__(self, address: str, max_recent_calls: int) -> None:
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         if not host or not 0 < self._port <= MAX_PORT:
             raise ValueError(f"{address!r} is no address")
-        self._prompt_calls = prompt_calls
-        self._line = anyio.Lock()
-        """Keeps the calls that wait for room in order."""
-        self._began_at: list[float] = []
-        """Times at which the calls in flight began, in seconds."""
-        self._freed = anyio.Event()
-        self._waits = False
-        """Whether a call waits for ``_freed``."""
+        self._max_recent_calls = max_recent_calls
+        self._queue_lock = anyio.Lock()
+        """Queues waiting calls first in, first out."""
+        self._start_times: list[float] = []
+        """Start times of the calls in flight, in seconds of the event loop."""
+        self._slot_freed = anyio.Event()
+        self._has_waiter = False
+        """Whether a call waits for ``_slot_freed``."""
         self._idle: list[Connection] = []
-        """The one that was used last comes last."""
+        """Least recently used first."""
 
-    async def connection(self, connect_s: float) -> Connection:
-        """Return a kept connection that is still open, or a new one in time."""
-        too_old = anyio.current_time() - KEEPALIVE_EXPIRY_S
+    async def acquire_connection(self, connect_s: float) -> Connection:
+        """Return an idle connection that is still open, or else a new one."""
+        min_idle_since = anyio.current_time() - KEEPALIVE_EXPIRY_S
         while self._idle:
-            kept = self._idle.pop()
-            if kept.idle_since >= too_old and not kept.is_stale():
-                return kept
-            await kept.close()
+            connection = self._idle.pop()
+            if connection.idle_since >= min_idle_since and not connection.is_stale():
+                return connection
+            await connection.close()
         with anyio.fail_after(connect_s):
             return await Connection.open(self._host, self._port)
 
-    async def keep(self, connection: Connection) -> None:
-        """Keep a connection whose call was answered for the next one."""
-        if not connection.reusable or len(self._idle) >= self._prompt_calls:
+    async def release_connection(self, connection: Connection) -> None:
+        """Return a connection to the idle ones after its response was read."""
+        if not connection.reusable or len(self._idle) >= self._max_recent_calls:
             await connection.close()
             return
         connection.idle_since = anyio.current_time()
         self._idle.append(connection)
 
     async def close(self) -> None:
-        """Close the connections that no call uses."""
+        """Close the idle connections."""
         while self._idle:
             await self._idle.pop().close()
 
-    def _has_room(self) -> bool:
-        if len(self._began_at) >= self._prompt_calls + MAX_OVERDUE:
+    def _has_free_slot(self) -> bool:
+        if len(self._start_times) >= self._max_recent_calls + MAX_OVERDUE_CALLS:
             return False
-        since = anyio.current_time() - PROMPT_S
-        prompt = sum(began_at > since for began_at in self._began_at)
-        return prompt < self._prompt_calls
-
-    async def enter(self) -> float:
-        """Wait until there is room for one more call; return when it began."""
-        if self._line.locked() or not self._has_room():
-            async with self._line:
-                while not self._has_room():
-                    self._waits = True
-                    with anyio.move_on_after(PROMPT_S):
-                        await self._freed.wait()
-                self._waits = False
-        began_at = anyio.current_time()
-        self._began_at.append(began_at)
-        return began_at
-
-    def leave(self, began_at: float) -> None:
-        """Give the room of a call to the next."""
-        self._began_at.remove(began_at)
-        if self._waits:
-            self._freed.set()
-            self._freed = anyio.Event()
+        recent_after = anyio.current_time() - OVERDUE_AFTER_S
+        recent = sum(started_at > recent_after for started_at in self._start_times)
+        return recent < self._max_recent_calls
+
+    async def acquire_slot(self) -> float:
+        """Wait for a free slot; return the call's start time, which identifies it."""
+        if self._queue_lock.locked() or not self._has_free_slot():
+            async with self._queue_lock:
+                while not self._has_free_slot():
+                    self._has_waiter = True
+                    with anyio.move_on_after(OVERDUE_AFTER_S):
+                        await self._slot_freed.wait()
+                self._has_waiter = False
+        started_at = anyio.current_time()
+        self._start_times.append(started_at)
+        return started_at
+
+    def release_slot(self, started_at: float) -> None:
+        """Free the slot of a call that started at this time."""
+        self._start_times.remove(started_at)
+        if self._has_waiter:
+            self._slot_freed.set()
+            self._slot_freed = anyio.Event()
 
 
 class HttpCaller:
-    """Client for many peers on kept connections."""
+    """HTTP client with persistent connections to many peers."""
 
     def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
         self._max_connections = max_connections
-        self._peers_by_address: dict[str, _Peer] = {}
+        self._peers_by_address: dict[str, _PeerConnections] = {}
 
     async def close(self) -> None:
         """Close all connections."""
@@ -142,10 +142,10 @@
         if peer is not None:
             await peer.close()
 
-    def _peer(self, address: str) -> _Peer:
+    def _peer(self, address: str) -> _PeerConnections:
         peer = self._peers_by_address.get(address)
         if peer is None:
-            peer = self._peers_by_address[address] = _Peer(
+            peer = self._peers_by_address[address] = _PeerConnections(
                 address, self._max_connections
             )
         return peer
@@ -158,47 +158,47 @@
         timeout: timedelta,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
-        permitted: Callable[[], bool] = always,
-    ) -> Answer:
-        """Send one call to ``host:port`` and return its answer.
+        permitted: Callable[[], bool] = always_permitted,
+    ) -> Response:
+        """Send one request to ``host:port`` and return the response.
 
-        ``permitted`` is asked right before the call is sent, after all waiting.
+        ``permitted`` is checked after all waiting, immediately before sending.
 
         Raises CallNotSentError or CallUnansweredError within ``timeout``.
         """
-        lines = {"Host": address, **(headers or {})}
+        all_headers = {"Host": address, **(headers or {})}
         if body:
-            lines["Content-Type"] = "application/json"
+            all_headers["Content-Type"] = "application/json"
         limit = timeout.total_seconds()
-        # Ends before the whole call does: a call without a connection was not sent.
-        connect = min(CONNECT_SHARE * limit, CONNECT_TIMEOUT.total_seconds())
+        # Below the call's time-out, so that a failed connect counts as not sent.
+        connect_s = min(CONNECT_TIMEOUT_RATIO * limit, CONNECT_TIMEOUT.total_seconds())
         try:
             peer = self._peer(address)
-            request = request_bytes(method, target, lines, body)
+            request = request_bytes(method, target, all_headers, body)
         except ValueError as error:
-            # Addresses and ids come from what others have written.
+            # Addresses and ids come from registrations that other programs write.
             raise CallNotSentError(f"{method} {target}: {error}") from error
         connection: Connection | None = None
-        began_at: float | None = None
+        started_at: float | None = None
         try:
             with anyio.fail_after(limit):
-                began_at = await peer.enter()
-                connection = await peer.connection(connect)
+                started_at = await peer.acquire_slot()
+                connection = await peer.acquire_connection(connect_s)
                 if not permitted():
                     raise CallNotSentError(f"{method} {target}: no longer permitted")
                 status, content = await connection.call(request)
-                await peer.keep(connection)
+                await peer.release_connection(connection)
                 connection = None
-        except _UNANSWERED as error:
+        except _TRANSPORT_ERRORS as error:
             if connection is None:
                 detail = f"no connection: {error!r}"
                 raise CallNotSentError(f"{method} {target}: {detail}") from error
             raise CallUnansweredError(f"{method} {target}: {error!r}") from error
         finally:
             if connection is not None:
-                # Also after a cancellation: its answer would be taken for the next.
+                # Also on cancellation: the next call would read this call's response.
                 with anyio.CancelScope(shield=True):
                     await connection.close()
-            if began_at is not None:
-                peer.leave(began_at)
-        return Answer(status, content)
+            if started_at is not None:
+                peer.release_slot(started_at)
+        return Response(status, content)
--- a/src/pomeloyard/platform/settings.py
+++ b/src/pomeloyard/platform/settings.py
@@ -13,25 +13,25 @@
 
 PATH_VARIABLE = "POMELOYARD_CONFIG"
 IDS_VARIABLE = "POMELOYARD_EXECUTOR_IDS"
-"""In the deploy file: "kept" where executors restart under their ids, else "new"."""
+"""Set at deployment: "kept" if executors keep their ids on restart, else "new"."""
 METRICS_PORT = 9464
 """The port registered for OpenMetrics exporters; deploy/system.toml names it."""
 
 
-class _Listen(msgspec.Struct):
+class _ListenAddresses(msgspec.Struct):
     front: str
     ready_addr: str
 
 
 class _Limits(msgspec.Struct):
     cpu_share: float = 1.0
-    """Share of a core; times ``cores``, the speed of one core."""
+    """Fraction of a core; times ``cores``, the speed of one core."""
     cores: float = 1.0
     memory_mb: int = 0
 
 
 class _Bounds(msgspec.Struct):
-    # Whole numbers and fractions come without a fixed form.
+    # The platform writes each value either as an integer or as a fraction.
     config_ms: float = 2000
     revoke_ms: float = 5000
     grace_s: float = 6
@@ -50,35 +50,35 @@
     harm_ms: float = 4000
 
 
-class _StorePlace(msgspec.Struct):
+class _StoreSection(msgspec.Struct):
     address: str
     writes_per_s: float = 400
     reads_per_s: float = 2000
 
 
-class _CloudPlace(msgspec.Struct):
+class _CloudApiSection(msgspec.Struct):
     address: str = ""
     per_s: float = 16
     duty_per_s: float = 16
 
 
-class _File(msgspec.Struct):
+class _SettingsFile(msgspec.Struct):
     node_name: str
     ip: str
     zone: str
-    listen_addrs: _Listen
-    platform: _StorePlace
+    listen_addrs: _ListenAddresses
+    platform: _StoreSection
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    cloud_api: _CloudPlace | None = None
+    cloud_api: _CloudApiSection | None = None
     advice: str | None = None
     port_range: tuple[int, int] = (7600, 7615)
-    """First and last port that daemons may use among themselves."""
+    """First and last port for connections between daemons."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
-    """What a daemon learns from the platform at its start."""
+    """Settings that the platform gives a daemon at its start."""
 
     vm: str
     availability_zone: str
@@ -86,37 +86,37 @@
     readiness_address: str
     metrics_address: str
     relay_address: str
-    """Where other daemons may have their store calls passed on."""
+    """Listens for store calls to relay for other daemons."""
     store_address: str
     vm_service_address: str
     advice_address: str
     core_speed: float
     """Speed of this VM's core; 1.0 is one whole core."""
     config_bound: timedelta
-    """Within this, a new configuration is in force."""
+    """Time limit for a new configuration to take effect."""
     withdrawal_bound: timedelta
-    """Within this, a withdrawn key has stopped working."""
+    """Time limit for a withdrawn key to be rejected."""
     stop_grace: timedelta
     """Time between SIGTERM and SIGKILL."""
-    longest_lease: timedelta
-    """Executors shorten longer leases to this."""
+    max_lease: timedelta
+    """Executors cap leases at this."""
     takeover_pause: timedelta
-    """Two holders must not operate on one VM within this time."""
+    """Two holders of the role must not operate on one VM within this time."""
     absence_notice: timedelta
-    """A lasting task not at work for this long counts as unavailable."""
+    """A long-running task that is not at work for this long is unavailable."""
     save_interval: timedelta
     move_time: timedelta
     upkeep_time: timedelta
     job_retention: timedelta
     executor_ids_kept: bool = False
-    """Whether a next life of an executor has the id of the one before. Where this is
-    not said, it is learned from the first such restart."""
+    """Whether a restarted executor keeps its id. If this is not set, it is learned from
+    the first such restart."""
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
     """Read the settings file.
 
-    Raises SettingsError when it is missing, unreadable or incomplete.
+    Raises SettingsError if it is missing, invalid or incomplete.
     """
     source = path or Path(os.environ.get(PATH_VARIABLE, ""))
     try:
@@ -124,7 +124,7 @@
     except OSError as error:
         raise SettingsError(f"settings file {source}: {error}") from error
     try:
-        file = msgspec.json.decode(content, type=_File)
+        file = msgspec.json.decode(content, type=_SettingsFile)
     except msgspec.MsgspecError as error:
         raise SettingsError(f"settings file {source}: {error}") from error
     ids = os.environ.get(IDS_VARIABLE, "new")
@@ -145,7 +145,7 @@
         config_bound=timedelta(milliseconds=bounds.config_ms),
         withdrawal_bound=timedelta(milliseconds=bounds.revoke_ms),
         stop_grace=timedelta(seconds=bounds.grace_s),
-        longest_lease=timedelta(milliseconds=bounds.hold_max_ms),
+        max_lease=timedelta(milliseconds=bounds.hold_max_ms),
         takeover_pause=timedelta(milliseconds=bounds.lease_ms),
         absence_notice=timedelta(milliseconds=bounds.notice_ms),
         save_interval=timedelta(seconds=bounds.save_s),
--- a/src/pomeloyard/platform/store_relay.py
+++ b/src/pomeloyard/platform/store_relay.py
@@ -1,4 +1,4 @@
-"""Passes store calls on for daemons that the platform's store turns away."""
+"""Relays store calls for daemons whose own calls the platform's store refuses."""
 
 from __future__ import annotations
 
@@ -16,87 +16,87 @@
 from ..keyvalue import layout
 from ..keyvalue.store import Entry, Put, Transaction, scan_all
 from .bodies import read_body
-from .http import Answer
+from .http import Response
 from .kv import RELAY_TIME_HEADER, PlatformStore
 
-STORE_PATH = "/kv-"
-"""Only calls of the store are passed on."""
-MAX_RELAYED_BYTES = 2 * 1024 * 1024
-"""A transaction of 32 entries; the largest value takes 1.4 MB in base64."""
-LONGEST_RELAY = timedelta(seconds=4)
-"""Polls wait 1.2 s and slow answers as long again. A call that came right before the
-daemon was told to stop is answered within its closing, 1.5 s, and end, 3 s."""
-PEERS_INTERVAL = timedelta(seconds=20)
-"""Between looks for other daemons; machines are replaced some times a day."""
-FIRST_PEERS = timedelta(seconds=3)
-"""All daemons may start at once and have registered by then."""
+STORE_PATH_PREFIX = "/kv-"
+"""Only store calls are relayed."""
+MAX_RELAYED_BODY_BYTES = 2 * 1024 * 1024
+"""Room for a transaction of 32 entries; the largest value is 1.4 MB in base64."""
+MAX_RELAY_TIME = timedelta(seconds=4)
+"""A poll waits 1.2 s, and a slow response takes as long again. A call received just
+before SIGTERM is answered within the listeners' 1.5 s delay and 3 s shutdown."""
+PEER_SCAN_INTERVAL = timedelta(seconds=20)
+"""Between scans for other daemons; VMs are replaced a few times a day."""
+SECOND_SCAN_DELAY = timedelta(seconds=3)
+"""Delay of the second scan: daemons that start together have registered by then."""
 PROBE_INTERVAL = timedelta(seconds=0.25)
-"""While calls take a detour, the store itself is asked this often."""
+"""Between probes of the direct route while calls go through peers."""
 
 log = logbook.Logger("pomeloyard.platform.store_relay")
 
 
-class _Relay(msgspec.Struct, frozen=True, array_like=True):
-    """A relay as it is registered."""
+class _RelayEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A relay's entry in the store."""
 
     address: str
     speed: float
-    """Speed of its VM's core; links are as unequal as cores."""
+    """Core speed of its VM; network links differ as much as cores do."""
 
 
 class StoreRelay:
-    """ASGI application that other daemons call instead of the store."""
+    """ASGI application that other daemons call in place of the store."""
 
     def __init__(self, store: PlatformStore) -> None:
         self._store = store
         self.closing = False
-        """Whether the daemon stops; callers then find another relay."""
+        """Whether the daemon is shutting down; callers then choose another relay."""
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Pass one call on, or refuse it if the store is not reached from here.
+        """Relay one call, or refuse it if the store is unreachable from this daemon.
 
-        503 means that nothing was done, 504 that the outcome is unknown.
+        503 means that the call had no effect, 504 that its outcome is unknown.
         """
         if scope["type"] != "http":
             return
-        answer = await self._answer(scope, receive)
-        length = str(len(answer.body)).encode()
+        response = await self._relay_call(scope, receive)
+        length = str(len(response.body)).encode()
         await send(
             {
                 "type": "http.response.start",
-                "status": answer.status,
+                "status": response.status,
                 "headers": [(b"content-length", length)],
             }
         )
-        await send({"type": "http.response.body", "body": answer.body})
+        await send({"type": "http.response.body", "body": response.body})
 
-    async def _answer(self, scope: Scope, receive: Receive) -> Answer:
-        if not scope["path"].startswith(STORE_PATH):
-            return Answer(HTTPStatus.NOT_FOUND, b"")
+    async def _relay_call(self, scope: Scope, receive: Receive) -> Response:
+        if not scope["path"].startswith(STORE_PATH_PREFIX):
+            return Response(HTTPStatus.NOT_FOUND, b"")
         if self.closing:
-            return Answer(HTTPStatus.SERVICE_UNAVAILABLE, b"")
+            return Response(HTTPStatus.SERVICE_UNAVAILABLE, b"")
         headers = dict(scope["headers"])
         try:
             limit = timedelta(milliseconds=int(headers[RELAY_TIME_HEADER.encode()]))
-            body = await read_body(receive, MAX_RELAYED_BYTES)
+            body = await read_body(receive, MAX_RELAYED_BODY_BYTES)
         except (KeyError, ValueError, OverflowError, RefusedError) as error:
-            log.info("call is not relayed: {!r}", error)
-            return Answer(HTTPStatus.BAD_REQUEST, b"")
+            log.info("invalid relay request: {!r}", error)
+            return Response(HTTPStatus.BAD_REQUEST, b"")
         target = scope["path"]
         if scope["query_string"]:
             target += "?" + scope["query_string"].decode("latin-1")
         try:
             return await self._store.relay(
-                scope["method"], target, body, min(limit, LONGEST_RELAY)
+                scope["method"], target, body, min(limit, MAX_RELAY_TIME)
             )
         except CallNotSentError:
-            return Answer(HTTPStatus.SERVICE_UNAVAILABLE, b"")
+            return Response(HTTPStatus.SERVICE_UNAVAILABLE, b"")
         except CallUnansweredError:
-            return Answer(HTTPStatus.GATEWAY_TIMEOUT, b"")
+            return Response(HTTPStatus.GATEWAY_TIMEOUT, b"")
 
 
 class RelayPeers:
-    """Registers this daemon's relay, and follows those of the others."""
+    """Registers this daemon's relay and tracks the relays of other daemons."""
 
     def __init__(
         self, clock: Clock, store: PlatformStore, vm: str, address: str, speed: float
@@ -104,49 +104,49 @@
         self._clock = clock
         self._store = store
         self._key = layout.RELAYS + vm
-        self._own = _Relay(address, speed)
+        self._own_entry = _RelayEntry(address, speed)
 
     async def run(self) -> None:
-        """Keep the peers current until cancelled."""
+        """Refresh the list of peers until cancelled."""
         registered = False
-        pause = FIRST_PEERS
+        delay = SECOND_SCAN_DELAY
         while True:
             try:
                 if not registered:
-                    put = Put(self._key, msgspec.msgpack.encode(self._own))
+                    put = Put(self._key, msgspec.msgpack.encode(self._own_entry))
                     registered = (
                         await self._store.commit(Transaction((), (put,)))
                     ).succeeded
                 page = await scan_all(self._store, layout.RELAYS)
             except StoreError as error:
-                log.info("relays are not followed: {}", error)
+                log.info("cannot refresh the list of relays: {}", error)
             else:
-                self._store.detour.set_peers(self._others(page.entries))
-            await self._clock.sleep(pause * random.uniform(0.7, 1.3))
-            pause = PEERS_INTERVAL
+                self._store.detour.set_peers(self._decode_others(page.entries))
+            await self._clock.sleep(delay * random.uniform(0.7, 1.3))
+            delay = PEER_SCAN_INTERVAL
 
-    def _others(self, entries: Iterable[Entry]) -> dict[str, float]:
-        """Return the speed of each other relay by its address."""
-        found = {}
+    def _decode_others(self, entries: Iterable[Entry]) -> dict[str, float]:
+        """Return the core speeds of the other relays by address."""
+        speed_by_address = {}
         for entry in entries:
             try:
-                relay = msgspec.msgpack.decode(entry.value, type=_Relay)
+                relay = msgspec.msgpack.decode(entry.value, type=_RelayEntry)
             except msgspec.MsgspecError as error:
-                log.warning("relay {} is ignored: {}", entry.key, error)
+                log.warning("ignoring undecodable relay entry {}: {}", entry.key, error)
                 continue
-            if relay.address != self._own.address:
-                found[relay.address] = relay.speed
-        return found
+            if relay.address != self._own_entry.address:
+                speed_by_address[relay.address] = relay.speed
+        return speed_by_address
 
     async def probe(self) -> None:
-        """Ask the store itself while calls take a detour, until cancelled."""
+        """Probe the store directly while calls go through peers, until cancelled."""
         detour = self._store.detour
-        told = False
+        through_peers = False
         while True:
             await self._clock.sleep(PROBE_INTERVAL * random.uniform(0.7, 1.3))
-            if detour.is_needed != told:
-                told = detour.is_needed
-                way = "through other daemons" if told else "directly"
-                log.info("the store is called {}", way)
-            if told:
+            if detour.is_needed != through_peers:
+                through_peers = detour.is_needed
+                route = "through other daemons" if through_peers else "directly"
+                log.info("the store is called {}", route)
+            if through_peers:
                 await self._store.probe()
--- a/src/pomeloyard/platform/vms.py
+++ b/src/pomeloyard/platform/vms.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's service of VMs."""
+"""Client for the platform's VM service."""
 
 from __future__ import annotations
 
@@ -10,19 +10,19 @@
 
 from ..batch.vms import PoolVm, VmAnswer, VmService, VmState
 from ..errors import CallUnansweredError, StaleFenceError
-from .http import HttpCaller, always
+from .http import HttpCaller, always_permitted
 
 CALL_TIMEOUT = timedelta(seconds=1.5)
 MAX_PAGES = 50
-"""Bound on one list, should its pages never end."""
+"""Ends a listing whose pages always name a next one."""
 
-_STATES = {
+_STATE_BY_NAME = {
     "up": VmState.UP,
     "moving": VmState.MOVING,
     "upkeep": VmState.IN_UPKEEP,
     "down": VmState.DOWN,
 }
-_REASONS = {"busy": VmAnswer.BUSY, "wave": VmAnswer.NOT_OF_WAVE}
+_ANSWER_BY_REASON = {"busy": VmAnswer.BUSY, "wave": VmAnswer.NOT_OF_WAVE}
 
 
 class _Machine(msgspec.Struct):
@@ -30,27 +30,27 @@
     pool: str
     state: str
     id: str | None = None
-    """Id of the present executor, not of the machine."""
+    """Id of the current executor, not of the machine."""
     labels: list[str] = []
 
 
-class _Page(msgspec.Struct):
+class _MachinePage(msgspec.Struct):
     machines: list[_Machine]
     next_token: str | None = None
 
 
-class _Reason(msgspec.Struct):
+class _ConflictResponse(msgspec.Struct):
     reason: str = ""
 
 
 class PlatformVms(VmService):
-    """Client of the VM service at one address."""
+    """Client for the VM service at one address."""
 
     def __init__(
         self,
         caller: HttpCaller,
         address: str,
-        permitted: Callable[[], bool] = always,
+        permitted: Callable[[], bool] = always_permitted,
     ) -> None:
         self._caller = caller
         self._address = address
@@ -61,11 +61,13 @@
         found: list[PoolVm] = []
         target = "/machines"
         for _ in range(MAX_PAGES):
-            answer = await self._caller.call("GET", self._address, target, CALL_TIMEOUT)
-            if answer.status != 200:
-                raise CallUnansweredError(f"{target}: status {answer.status}")
+            response = await self._caller.call(
+                "GET", self._address, target, CALL_TIMEOUT
+            )
+            if response.status != 200:
+                raise CallUnansweredError(f"{target}: status {response.status}")
             try:
-                page = msgspec.json.decode(answer.body, type=_Page)
+                page = msgspec.json.decode(response.body, type=_MachinePage)
             except msgspec.MsgspecError as error:
                 raise CallUnansweredError(f"{target}: {error}") from error
             found.extend(_vm(machine) for machine in page.machines)
@@ -75,19 +77,19 @@
         return tuple(found)
 
     async def move(self, vm: str, pool: str, holder: str, fence: int) -> VmAnswer:
-        """Move a VM; all that runs on it ends at once."""
+        """Move a VM to another pool; everything running on it ends immediately."""
         body = {"machine": vm, "pool": pool}
-        return await self._operate("/machine-move", body, holder, fence)
+        return await self._send_operation("/machine-move", body, holder, fence)
 
     async def maintain(self, vm: str, wave: int, holder: str, fence: int) -> VmAnswer:
-        """Begin the maintenance of a VM; all that runs on it ends at once."""
+        """Start maintenance of a VM; everything running on it ends immediately."""
         body = {"machine": vm, "wave": wave}
-        return await self._operate("/machine-upkeep", body, holder, fence)
+        return await self._send_operation("/machine-upkeep", body, holder, fence)
 
-    async def _operate(
+    async def _send_operation(
         self, path: str, body: object, holder: str, fence: int
     ) -> VmAnswer:
-        answer = await self._caller.call(
+        response = await self._caller.call(
             "POST",
             self._address,
             path,
@@ -96,24 +98,24 @@
             {"X-Duty-Holder": holder, "X-Fencing-Token": str(fence)},
             self._permitted,
         )
-        if answer.status == 200:
+        if response.status == 200:
             return VmAnswer.DONE
-        if answer.status in (429, 503):
+        if response.status in (429, 503):
             return VmAnswer.THROTTLED
-        if answer.status == 400:
+        if response.status == 400:
             return VmAnswer.INVALID
-        if answer.status != 409:
-            raise CallUnansweredError(f"{path}: status {answer.status}")
+        if response.status != 409:
+            raise CallUnansweredError(f"{path}: status {response.status}")
         try:
-            reason = msgspec.json.decode(answer.body, type=_Reason).reason
+            reason = msgspec.json.decode(response.body, type=_ConflictResponse).reason
         except msgspec.MsgspecError as error:
             raise CallUnansweredError(f"{path}: {error}") from error
         if reason == "fence":
-            raise StaleFenceError(f"{path}: a higher fence was used")
-        return _REASONS.get(reason, VmAnswer.BUSY)
+            raise StaleFenceError(f"{path}: a higher fencing token was used")
+        return _ANSWER_BY_REASON.get(reason, VmAnswer.BUSY)
 
 
 def _vm(machine: _Machine) -> PoolVm:
-    state = _STATES.get(machine.state, VmState.DOWN)
+    state = _STATE_BY_NAME.get(machine.state, VmState.DOWN)
     rack = machine.labels[-1] if machine.labels else ""
     return PoolVm(machine.machine, machine.pool, state, machine.id or "", rack)
--- a/tests/platform/test_connection.py
+++ b/tests/platform/test_connection.py
@@ -102,7 +102,7 @@
     ],
 )
 async def test_an_answer_that_is_not_whole_is_never_passed_on(answer, monkeypatch):
-    monkeypatch.setattr(connection, "MAX_ANSWER_BYTES", 1000)
+    monkeypatch.setattr(connection, "MAX_RESPONSE_BYTES", 1000)
     parts = [p for p in answer if p] if isinstance(answer, list) else answer
     async with Peer(parts).calling() as call:
         with pytest.raises(CallUnansweredError):
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -16,7 +16,7 @@
 from pomeloyard.errors import RefusedError, SettingsError
 from pomeloyard.logs import LogWriter
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
-from pomeloyard.platform.front import Front, MetricText, Readiness, decode_job
+from pomeloyard.platform.front import CallerApp, MetricsApp, ReadinessApp, decode_job
 from pomeloyard.platform.settings import read_settings
 from tests.support.asgi import Answer
 from tests.support.batch_world import World
@@ -66,7 +66,7 @@
         clock = self.world.clock
         self.follower = OperatorFollower(clock, self.world.store, PlatformDocuments())
         lines = DecisionLines(clock, LogWriter(clock), "d")
-        self.front = Front(
+        self.front = CallerApp(
             clock,
             self.follower,
             Intake(clock, self.world.store, self.follower),
@@ -142,7 +142,7 @@
 
 async def test_a_daemon_that_may_be_outdated_refuses_and_is_not_ready():
     caller = Caller()
-    ready = Readiness(caller.front)
+    ready = ReadinessApp(caller.front)
     assert (await caller.call("POST", "/q/1", JOB)).status == 503
     assert (await caller.call("GET", "/ready", app=ready)).status == 503
     await caller.publish(CONFIG)
@@ -169,7 +169,7 @@
     caller.front._metrics = metrics
     await caller.publish(CONFIG)
     await caller.call("POST", "/q/1", JOB)
-    text = (await caller.call("GET", "/", app=MetricText(metrics))).body.decode()
+    text = (await caller.call("GET", "/", app=MetricsApp(metrics))).body.decode()
     assert 'pomeloyard_call_seconds_count{method="POST",status="200"} 1.0' in text
     assert 'pomeloyard_decisions_total{kind="call",outcome="200"} 1.0' in text
     assert "pomeloyard_placing_epoch 0.0" in text
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -77,7 +77,7 @@
 
 
 async def test_calls_that_wait_for_a_connection_are_certainly_not_sent(monkeypatch):
-    monkeypatch.setattr(http, "PROMPT_S", 60.0)
+    monkeypatch.setattr(http, "OVERDUE_AFTER_S", 60.0)
     async with calling(2) as (caller, address), anyio.create_task_group() as tasks:
         for _ in range(2):
             tasks.start_soon(call_many, caller, address, "/hang", 1, SECOND * 60)
@@ -90,7 +90,7 @@
 
 
 async def test_calls_without_an_answer_do_not_hold_up_others(monkeypatch):
-    monkeypatch.setattr(http, "PROMPT_S", 0.01)
+    monkeypatch.setattr(http, "OVERDUE_AFTER_S", 0.01)
     async with calling(2) as (caller, address), anyio.create_task_group() as tasks:
         for _ in range(8):
             tasks.start_soon(call_many, caller, address, "/hang", 1, SECOND * 60)
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -17,7 +17,7 @@
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
 from pomeloyard.platform.executors import PlatformExecutors
 from pomeloyard.platform.front import decode_job
-from pomeloyard.platform.http import Answer
+from pomeloyard.platform.http import Response
 from pomeloyard.platform.vms import PlatformVms
 
 pytestmark = pytest.mark.anyio
@@ -109,7 +109,7 @@
     """Answers every call with the same bytes."""
 
     def __init__(self, content, status=200):
-        self.answer = Answer(status, content)
+        self.answer = Response(status, content)
 
     async def call(self, *args, **options):
         return self.answer
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -21,9 +21,9 @@
 from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction, scan_all
 from pomeloyard.platform.http import HttpCaller
 from pomeloyard.platform.kv import (
-    LONGEST_WAIT,
-    MAX_ENTRIES,
-    SHORTEST_WAIT,
+    MAX_CALL_TIMEOUT,
+    MAX_TRANSACTION_ENTRIES,
+    MIN_CALL_TIMEOUT,
     PlatformStore,
 )
 from pomeloyard.serving import serving
@@ -123,34 +123,39 @@
 
 async def test_a_transaction_that_the_store_cannot_take_is_not_sent():
     store = PlatformStore(HttpCaller(), "127.0.0.1:9")
-    operations = tuple(Put(str(n), b"") for n in range(MAX_ENTRIES + 1))
+    operations = tuple(Put(str(n), b"") for n in range(MAX_TRANSACTION_ENTRIES + 1))
     with pytest.raises(StoreRequestError):
         await store.commit(Transaction((), operations))
 
 
 def test_a_lost_answer_is_found_out_soon_unless_the_store_is_slow():
     # Lilim, a day with 30% of the store's answers lost: each cost 1.2 s without starts.
-    times = AnswerTimes(SHORTEST_WAIT, LONGEST_WAIT)
+    times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     second = timedelta(seconds=1)
     times.answered(second, 0.005 * second)
-    assert times.limit(second) == SHORTEST_WAIT
+    assert times.limit(second) == MIN_CALL_TIMEOUT
     times.answered(1.1 * second, 0.33 * second)
     times.answered(1.2 * second, 0.3 * second)
     assert times.limit(2 * second) == 0.99 * second
     assert times.limit(6.15 * second) == 0.9 * second
-    assert times.limit(7 * second) == SHORTEST_WAIT
+    assert times.limit(7 * second) == MIN_CALL_TIMEOUT
 
 
 def test_a_store_that_becomes_slow_is_waited_for_longer_with_each_loss():
-    times = AnswerTimes(SHORTEST_WAIT, LONGEST_WAIT)
+    times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     now = timedelta(0)
     limits = []
     for _ in range(4):
         limits.append(times.limit(now))
         times.lost()
-    assert limits == [SHORTEST_WAIT, 2 * SHORTEST_WAIT, LONGEST_WAIT, LONGEST_WAIT]
+    assert limits == [
+        MIN_CALL_TIMEOUT,
+        2 * MIN_CALL_TIMEOUT,
+        MAX_CALL_TIMEOUT,
+        MAX_CALL_TIMEOUT,
+    ]
     times.answered(now, timedelta(seconds=0.005))
-    assert times.limit(now) == SHORTEST_WAIT
+    assert times.limit(now) == MIN_CALL_TIMEOUT
 
 
 async def test_a_write_without_an_answer_is_unknown_before_a_role_would_be_lost():
@@ -163,5 +168,5 @@
         began_at = anyio.current_time()
         with pytest.raises(StoreOutcomeUnknownError):
             await store.keep_lease_alive(1)
-        assert anyio.current_time() - began_at < LONGEST_WAIT.total_seconds()
+        assert anyio.current_time() - began_at < MAX_CALL_TIMEOUT.total_seconds()
         await caller.close()
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -20,10 +20,10 @@
 )
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
-from pomeloyard.platform.daemon import CALL_END_S, CLOSING_TIME
+from pomeloyard.platform.daemon import LISTENER_CLOSE_DELAY, SHUTDOWN_TIMEOUT_S
 from pomeloyard.platform.http import HttpCaller
 from pomeloyard.platform.kv import PlatformStore
-from pomeloyard.platform.store_relay import LONGEST_RELAY, RelayPeers, StoreRelay
+from pomeloyard.platform.store_relay import MAX_RELAY_TIME, RelayPeers, StoreRelay
 from pomeloyard.serving import serving
 from tests.support.platform_standin import store_app
 
@@ -130,7 +130,9 @@
 async def test_a_daemon_that_stops_relays_nothing_more():
     # Soak seed 36 beside load: a call relayed for up to 5 s was cut at a daemon's
     # end, which takes 4.5 s from its SIGTERM, and was logged as a failure.
-    assert CLOSING_TIME + timedelta(seconds=CALL_END_S) >= LONGEST_RELAY
+    assert (
+        LISTENER_CLOSE_DELAY + timedelta(seconds=SHUTDOWN_TIMEOUT_S) >= MAX_RELAY_TIME
+    )
     async with members(2) as (memory, (first, second)):
         await turn_away(first)
         second.relay.closing = True
