--- a/src/pomeloyard/callers/__init__.py
+++ b/src/pomeloyard/callers/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP application for callers: requests and jobs."""
+"""HTTP API for callers: requests to services, and jobs."""
--- a/src/pomeloyard/callers/app.py
+++ b/src/pomeloyard/callers/app.py
@@ -1,4 +1,4 @@
-"""The ASGI application for callers."""
+"""ASGI application for callers."""
 
 from __future__ import annotations
 
@@ -15,6 +15,6 @@
 def caller_app(
     state: FleetState, requests: RequestService, jobs: JobStore
 ) -> Starlette:
-    """Return the application with all caller routes."""
+    """Return an application with all routes for callers."""
     routes = [*service_routes(state, requests), *job_routes(state, jobs)]
     return Starlette(routes=routes, exception_handlers=EXCEPTION_HANDLERS)
--- a/src/pomeloyard/callers/bodies.py
+++ b/src/pomeloyard/callers/bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of callers' requests, read whole if short and passed on if long."""
+"""Request bodies of callers: short ones are buffered, long ones streamed."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 from ..errors import OutcomeUnknownError, RefusedError
 from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 
-WHOLE_BODY_BYTES = 64 * 1024
-"""Bodies up to this length are read before the request is admitted, so that the
-request can be sent again to another executor."""
+MAX_BUFFERED_BODY_BYTES = 64 * 1024
+"""Bodies up to this length are buffered before admission, so that the request can be
+retried on another executor."""
 
-SILENCE_TIMEOUT = timedelta(seconds=10)
+CHUNK_READ_TIMEOUT = timedelta(seconds=10)
 
 
 class CallerBody:
-    """The body of one request as uvicorn receives it."""
+    """The body of one request, read from uvicorn."""
 
     def __init__(self, receive: Receive, length: int | None, max_bytes: int) -> None:
         self._receive = receive
@@ -29,38 +29,38 @@
         if length is not None and length > max_bytes:
             raise _too_large(max_bytes)
 
-    async def read(self, *, whole: bool) -> bytes | AsyncIterator[bytes]:
-        """Return the body as bytes, or as an iterator if it is long.
+    async def read(self, *, buffered: bool) -> bytes | AsyncIterator[bytes]:
+        """Return the body as bytes, or as an iterator of chunks if it is long.
 
-        Raises RefusedError as nothing of the body has been passed on yet.
+        Raises RefusedError: no part of the body has been forwarded yet.
         """
-        limit = self._max_bytes if whole else WHOLE_BODY_BYTES
-        parts: list[bytes] = []
+        limit = self._max_bytes if buffered else MAX_BUFFERED_BODY_BYTES
+        chunks: list[bytes] = []
         try:
             while not self.ended and self._received <= limit:
-                parts.append(await self._next())
+                chunks.append(await self._receive_chunk())
         except OutcomeUnknownError as error:
             refusal = Refused(RefusalReason.CANCELLED, error.unknown.detail)
             raise RefusedError(refusal) from error
         if self._received > self._max_bytes:
             raise _too_large(self._max_bytes)
-        return b"".join(parts) if self.ended else self._rest(b"".join(parts))
+        return b"".join(chunks) if self.ended else self._stream(b"".join(chunks))
 
-    async def _rest(self, start: bytes) -> AsyncIterator[bytes]:
-        yield start
+    async def _stream(self, buffered_part: bytes) -> AsyncIterator[bytes]:
+        yield buffered_part
         while not self.ended:
-            chunk = await self._next()
+            chunk = await self._receive_chunk()
             if self._received > self._max_bytes:
-                # A part has been passed on, so this is no refusal any more.
+                # Part of the body has been forwarded, so the outcome is unknown.
                 detail = f"the body is over {self._max_bytes} bytes"
                 raise OutcomeUnknownError(
                     Unknown(UnknownReason.CONNECTION_LOST, detail)
                 )
             yield chunk
 
-    async def _next(self) -> bytes:
+    async def _receive_chunk(self) -> bytes:
         message = None
-        with anyio.move_on_after(SILENCE_TIMEOUT.total_seconds()):
+        with anyio.move_on_after(CHUNK_READ_TIMEOUT.total_seconds()):
             message = await self._receive()
         if message is None or message["type"] == "http.disconnect":
             detail = "the caller did not send the whole body"
--- a/src/pomeloyard/callers/client.py
+++ b/src/pomeloyard/callers/client.py
@@ -1,4 +1,4 @@
-"""HTTP client of the job interface, usable without the command line."""
+"""HTTP client for the job API, usable without the command line."""
 
 from __future__ import annotations
 
@@ -13,19 +13,19 @@
 
 from ..call_error import CallError
 
-FINAL = frozenset({"succeeded", "failed", "cancelled", "impossible"})
+FINAL_STATES = frozenset({"succeeded", "failed", "cancelled", "impossible"})
 FIRST_POLL_SECONDS = 0.2
 MAX_POLL_SECONDS = 10.0
-ATTEMPTS = 4
-TIMEOUTS = {"connect": 2.0, "read": 30.0, "write": 10.0, "pool": 2.0}
+MIN_ATTEMPTS = 4
+TIMEOUTS_S = {"connect": 2.0, "read": 30.0, "write": 10.0, "pool": 2.0}
 
 
 class JobCallError(CallError):
-    """A call of the job interface failed."""
+    """A call to the job API failed."""
 
 
 class JobClient:
-    """Submits and follows a team's jobs at the first daemon that answers."""
+    """Submits and monitors a team's jobs through the first daemon that responds."""
 
     def __init__(self, addresses: Sequence[str], key: str) -> None:
         self._addresses = list(addresses)
@@ -33,7 +33,7 @@
         self._pool = httpcore.ConnectionPool()
 
     def submit(self, request: dict[str, Any], idempotency_key: str = "") -> Any:
-        """Submit a job; a lost answer is repeated under the same key."""
+        """Submit a job; retries after a lost response use the same key."""
         headers = {"Idempotency-Key": idempotency_key or secrets.token_hex(16)}
         return self._call("POST", "/v1/jobs", request, headers)
 
@@ -42,16 +42,16 @@
         return self._call("GET", f"/v1/jobs/{quote(job_id, safe='')}")
 
     def explain(self, job_id: str) -> Any:
-        """Return why a job waits, where it was placed and why."""
+        """Explain why a job waits, or where it was placed and why."""
         return self._call("GET", f"/v1/jobs/{quote(job_id, safe='')}/explain")
 
     def page(self, after: str = "", limit: int = 100) -> Any:
-        """Return a page of the team's jobs and the id to continue after."""
+        """Return a page of the team's jobs and ``after`` for the next page."""
         query = f"?limit={limit}&after={quote(after, safe='')}"
         return self._call("GET", f"/v1/jobs{query}")
 
     def cancel(self, job_ids: Sequence[str] = (), label: str = "") -> Any:
-        """Cancel jobs by id or by label; return the states by id."""
+        """Cancel jobs by id or by label; return their states by id."""
         body = {"job_ids": list(job_ids), "label": label}
         return self._call("POST", "/v1/jobs/cancel", body)["states_by_id"]
 
@@ -61,15 +61,15 @@
         on_change: Callable[[dict[str, Any]], None],
         sleep: Callable[[float], None] = time.sleep,
     ) -> Any:
-        """Poll with growing delays until the job has ended; return its record."""
-        delay, shown = FIRST_POLL_SECONDS, None
+        """Poll with exponential back-off until the job has ended; return its record."""
+        delay, last_state = FIRST_POLL_SECONDS, None
         while True:
             job = self.status(job_id)
             state = (job["state"], job["reason"])
-            if state != shown:
+            if state != last_state:
                 on_change(job)
-                shown, delay = state, FIRST_POLL_SECONDS
-            if job["state"] in FINAL:
+                last_state, delay = state, FIRST_POLL_SECONDS
+            if job["state"] in FINAL_STATES:
                 return job
             sleep(delay)
             delay = min(delay * 1.5, MAX_POLL_SECONDS)
@@ -85,11 +85,11 @@
         body: object = None,
         headers: dict[str, str] | None = None,
     ) -> Any:
-        """Return the decoded answer; all calls may be repeated safely."""
+        """Return the decoded response; all calls are safe to retry."""
         all_headers = [("Authorization", f"Bearer {self._key}")]
         all_headers += list((headers or {}).items())
-        last: Exception | None = None
-        for attempt in range(max(ATTEMPTS, len(self._addresses))):
+        last_error: Exception | None = None
+        for attempt in range(max(MIN_ATTEMPTS, len(self._addresses))):
             if not self._addresses:
                 break
             address = self._addresses[attempt % len(self._addresses)]
@@ -99,17 +99,17 @@
                     f"http://{address}{path}",
                     headers=all_headers,
                     content=json.dumps(body).encode() if body is not None else None,
-                    extensions={"timeout": TIMEOUTS},
+                    extensions={"timeout": TIMEOUTS_S},
                 )
             except (
                 httpcore.NetworkError,
                 httpcore.TimeoutException,
                 httpcore.ProtocolError,
             ) as error:
-                last = error
+                last_error = error
                 continue
-            answer = json.loads(response.content)
+            decoded = json.loads(response.content)
             if response.status >= 400:
-                raise JobCallError(response.status, answer)
-            return answer
-        raise JobCallError(0, {"type": "unreachable", "detail": repr(last)})
+                raise JobCallError(response.status, decoded)
+            return decoded
+        raise JobCallError(0, {"type": "unreachable", "detail": repr(last_error)})
--- a/src/pomeloyard/callers/headers.py
+++ b/src/pomeloyard/callers/headers.py
@@ -1,4 +1,4 @@
-"""Headers that are passed on between callers and executors."""
+"""Filters for headers forwarded between callers and executors."""
 
 from __future__ import annotations
 
@@ -19,9 +19,9 @@
         b"upgrade",
     }
 )
-"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+"""Headers that apply to a single connection (RFC 9110, section 7.6.1)."""
 
-SET_BY_DAEMON = frozenset(
+NOT_FOR_EXECUTORS = frozenset(
     {
         b"authorization",
         b"content-length",
@@ -32,33 +32,33 @@
         b"x-team",
     }
 )
-"""Request headers that are the daemon's own, or meant for it alone."""
+"""Request headers that the daemon sets or that are meant only for it."""
 
 NOT_FOR_CALLERS = frozenset({b"x-request-id", b"x-team"})
 
 
 def request_headers(headers: Iterable[tuple[bytes, bytes]]) -> RawHeaders:
-    """Return a caller's headers for an executor; names are lower case.
+    """Return the headers of a caller to forward to an executor, in lower case.
 
     >>> request_headers([(b"x-team", b"a"), (b"accept", b"*/*")])
     ((b'accept', b'*/*'),)
     """
-    return _passed_on(headers, SET_BY_DAEMON)
+    return _forwarded(headers, NOT_FOR_EXECUTORS)
 
 
 def response_headers(headers: Iterable[tuple[bytes, bytes]]) -> RawHeaders:
-    """Return an executor's headers for the caller; names are lower case."""
-    return _passed_on(headers, NOT_FOR_CALLERS)
+    """Return the headers of an executor to forward to the caller, in lower case."""
+    return _forwarded(headers, NOT_FOR_CALLERS)
 
 
-def _passed_on(
+def _forwarded(
     headers: Iterable[tuple[bytes, bytes]], excluded: frozenset[bytes]
 ) -> RawHeaders:
-    lowered = [(name.lower(), value) for name, value in headers]
+    lower_case_headers = [(name.lower(), value) for name, value in headers]
     dropped = HOP_BY_HOP | excluded
-    for name, value in lowered:
+    for name, value in lower_case_headers:
         if name == b"connection":
-            # Content-Length frames the body and cannot be named away.
-            named = {part.strip().lower() for part in value.split(b",")}
-            dropped = dropped | (named - {b"content-length"})
-    return tuple(item for item in lowered if item[0] not in dropped)
+            # Content-Length frames the body, so Connection must not remove it.
+            connection_options = {part.strip().lower() for part in value.split(b",")}
+            dropped = dropped | (connection_options - {b"content-length"})
+    return tuple(item for item in lower_case_headers if item[0] not in dropped)
--- a/src/pomeloyard/callers/job_routes.py
+++ b/src/pomeloyard/callers/job_routes.py
@@ -1,4 +1,4 @@
-"""Caller routes for jobs; a team sees only its own jobs."""
+"""Routes for jobs; a team can access only its own jobs."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelRequest:
-    """Jobs to cancel: either ids or a label."""
+    """Jobs to cancel, by ids or by a label."""
 
     job_ids: tuple[str, ...] = ()
     label: str = ""
 
 
 def job_routes(state: FleetState, jobs: JobStore) -> list[Route]:
-    """Return the routes below /v1/jobs."""
+    """Return the routes under /v1/jobs."""
 
     def key_of(request: Request) -> KeyRecord:
         return authenticate_team(state, request.headers.get("authorization"))
@@ -54,10 +54,10 @@
 
     async def cancel_jobs(request: Request) -> Response:
         team = team_of(request)
-        wanted = await _decode(request, CancelRequest)
-        if not valid_label(wanted.label):
+        cancel_request = await _decode(request, CancelRequest)
+        if not valid_label(cancel_request.label):
             raise refused(RefusalReason.INVALID_INPUT, "label")
-        states = await jobs.cancel(team, wanted.job_ids, wanted.label)
+        states = await jobs.cancel(team, cancel_request.job_ids, cancel_request.label)
         return _json({"states_by_id": states})
 
     async def list_jobs(request: Request) -> Response:
@@ -66,8 +66,8 @@
         text = request.query_params.get("limit", "100")
         if not (text.isascii() and text.isdigit() and len(text) < 6):
             raise refused(RefusalReason.INVALID_INPUT, "limit")
-        page, following = await jobs.page(team, after, int(text))
-        return _json({"jobs": page, "after": following})
+        page, next_after = await jobs.page(team, after, int(text))
+        return _json({"jobs": page, "after": next_after})
 
     async def job_status(request: Request) -> Response:
         return _json(await own_job(request))
@@ -92,14 +92,14 @@
     ]
 
 
-async def _decode(request: Request, kind: type[T]) -> T:
+async def _decode(request: Request, request_type: type[T]) -> T:
     body = b""
     async for chunk in request.stream():
         body += chunk
         if len(body) > MAX_BODY_BYTES:
             raise refused(RefusalReason.TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes")
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(body, type=request_type)
     except msgspec.MsgspecError as error:
         raise refused(RefusalReason.INVALID_INPUT, str(error)) from error
 
--- a/src/pomeloyard/callers/relay.py
+++ b/src/pomeloyard/callers/relay.py
@@ -1,4 +1,4 @@
-"""Pass an executor's answer on to the caller while it is being received."""
+"""Stream an executor's response to the caller."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 from .headers import response_headers
 
 SEND_TIMEOUT = timedelta(seconds=10)
-"""Longest time for which a caller that does not read may hold a slot."""
+"""Limit on how long a caller that does not read may occupy a slot."""
 
 log = logbook.Logger("pomeloyard.callers")
 
 
 class RelayedResponse(Response):
-    """Runs a request and relays its answer chunk by chunk.
+    """Runs a request and relays its response chunk by chunk.
 
-    At most one chunk (64 KiB) is held: uvicorn's ``send`` waits while its write
-    buffer is full, and the executor's connection is not read meanwhile. An error
-    after the start makes uvicorn close the connection, so that the caller never
-    takes a truncated body as complete.
+    At most one chunk (64 KiB) is buffered: uvicorn's ``send`` waits while its write
+    buffer is full, and the executor's connection is not read meanwhile. On an error
+    after the response has started, uvicorn closes the connection, so that the caller
+    never takes a truncated body for a complete one.
     """
 
     def __init__(
@@ -41,54 +41,53 @@
         self._started = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Run the request; typed errors before the start pass to the handlers."""
+        """Run the request; errors before the response starts reach the handlers."""
         try:
             await self._run(receive, send)
         except OutcomeUnknownError as error:
             if not self._started:
                 raise
-            # Returning without the end of the body makes uvicorn close the
-            # connection.
+            # uvicorn closes the connection if the app returns before the body ends.
             service = self._request.service
-            log.warning("response of {} cut short: {}", service, error)
+            log.warning("response from service {} truncated: {}", service, error)
 
     async def _run(self, receive: Receive, send: Send) -> None:
         if not (self._request.idempotent and self._caller_body.ended):
-            # Such a request runs to its end, and its result is kept for a retry.
-            await self._relay(send)
+            # Runs to its end without its caller: its result is kept for a retry.
+            await self._stream_response(send)
             return
-        failure: Exception | None = None
+        run_error: Exception | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
             try:
-                await self._relay(send)
+                await self._stream_response(send)
             except Exception as error:
-                failure = error
+                run_error = error
             tasks.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
+        if run_error is not None:
+            raise run_error
 
-    async def _relay(self, send: Send) -> None:
-        async with self._requests.run(self._request) as answer:
-            headers = response_headers(answer.headers)
+    async def _stream_response(self, send: Send) -> None:
+        async with self._requests.run(self._request) as response:
+            headers = response_headers(response.headers)
             self._started = True
-            await _send_within(
+            await _send_with_timeout(
                 send,
                 {
                     "type": "http.response.start",
-                    "status": answer.status,
+                    "status": response.status,
                     "headers": headers,
                 },
             )
-            async for chunk in answer.chunks:
-                await _send_within(
+            async for chunk in response.chunks:
+                await _send_with_timeout(
                     send,
                     {"type": "http.response.body", "body": chunk, "more_body": True},
                 )
-        await _send_within(send, {"type": "http.response.body", "body": b""})
+        await _send_with_timeout(send, {"type": "http.response.body", "body": b""})
 
 
-async def _send_within(send: Send, message: dict[str, object]) -> None:
+async def _send_with_timeout(send: Send, message: dict[str, object]) -> None:
     with anyio.move_on_after(SEND_TIMEOUT.total_seconds()):
         await send(message)
         return
--- a/src/pomeloyard/callers/service_routes.py
+++ b/src/pomeloyard/callers/service_routes.py
@@ -1,4 +1,4 @@
-"""Caller routes for requests to services."""
+"""Routes for requests to services."""
 
 from __future__ import annotations
 
@@ -19,18 +19,18 @@
 from .relay import RelayedResponse
 
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
-MAX_KEY_LENGTH = 255
-MAX_TIMEOUT_SECONDS = 86_400
+MAX_IDEMPOTENCY_KEY_LENGTH = 255
+MAX_REQUEST_TIMEOUT_SECONDS = 86_400
 
 
 def service_routes(state: FleetState, requests: RequestService) -> list[Route]:
-    """Return the routes below /v1/services."""
+    """Return the routes under /v1/services."""
 
     async def run_service(request: Request) -> Response:
         key = authenticate_team(state, request.headers.get("authorization"))
         service = requests.service(request.path_params["service"])
         if request.scope["http_version"] == "1.0":
-            # The end of a chunked body could not be told from a lost connection.
+            # Without chunked encoding, a lost connection looks like the end of a body.
             raise _invalid("HTTP/1.1 is required")
         length = _content_length(request)
         body = CallerBody(request.receive, length, service.max_body_bytes)
@@ -42,7 +42,7 @@
             method=request.method,
             target=_target(request),
             headers=request_headers(request.headers.raw),
-            body=await body.read(whole=bool(idempotency_key)),
+            body=await body.read(buffered=bool(idempotency_key)),
             timeout=_timeout(request),
             urgent=request.headers.get("priority") == "urgent",
             idempotency_key=idempotency_key,
@@ -56,10 +56,10 @@
 
 
 def _target(request: Request) -> bytes:
-    """Return path and query below the service as the caller encoded them."""
+    """Return path and query relative to the service, as the caller encoded them."""
     raw_path: bytes = request.scope["raw_path"]
-    parts = raw_path.split(b"/", 4)
-    path = b"/" + (parts[4] if len(parts) > 4 else b"")
+    segments = raw_path.split(b"/", 4)
+    path = b"/" + (segments[4] if len(segments) > 4 else b"")
     query: bytes = request.scope["query_string"]
     return path + b"?" + query if query else path
 
@@ -77,7 +77,7 @@
     keys = request.headers.getlist("idempotency-key")
     if not keys:
         return ""
-    if len(keys) > 1 or not 0 < len(keys[0]) <= MAX_KEY_LENGTH:
+    if len(keys) > 1 or not 0 < len(keys[0]) <= MAX_IDEMPOTENCY_KEY_LENGTH:
         raise _invalid("Idempotency-Key must be given once, with 1 to 255 characters")
     return keys[0]
 
@@ -90,7 +90,7 @@
         seconds = float(text)
     except ValueError:
         seconds = math.nan
-    if not 0 < seconds < MAX_TIMEOUT_SECONDS:
+    if not 0 < seconds < MAX_REQUEST_TIMEOUT_SECONDS:
         raise _invalid("Request-Timeout must be a number of seconds up to 86400")
     return timedelta(seconds=seconds)
 
