--- a/tests/platform/test_connection.py
+++ b/tests/platform/test_connection.py
@@ -1,4 +1,4 @@
-"""Calls against peers that answer in ways that HTTP allows, or does not."""
+"""Calls to peers that send valid, unusual or invalid HTTP responses."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 pytestmark = pytest.mark.anyio
 SECOND = timedelta(seconds=1)
-WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhere"
+COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhere"
 
 
 @pytest.fixture
@@ -24,34 +24,34 @@
 
 
 class Peer:
-    """Answers each request on a connection with the next of some byte strings.
+    """Responds to each request with the next of the given byte strings.
 
     None closes the connection.
     """
 
-    def __init__(self, *answers):
-        self.answers = list(answers)
+    def __init__(self, *responses):
+        self.responses = list(responses)
         self.connections = 0
-        self.ended = anyio.Event()
-        """Set once the first connection was closed by the peer."""
+        self.closed = anyio.Event()
+        """Set once the peer has closed its first connection."""
 
     async def serve(self, stream):
         self.connections += 1
-        await self.answer_all(stream)
+        await self.respond_all(stream)
         stream.extra(anyio.abc.SocketAttribute.raw_socket).shutdown(socket.SHUT_RDWR)
         await stream.aclose()
-        self.ended.set()
+        self.closed.set()
 
-    async def answer_all(self, stream):
-        while self.answers:
+    async def respond_all(self, stream):
+        while self.responses:
             try:
                 await stream.receive()
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 return
-            answer = self.answers.pop(0)
-            if answer is None:
+            response = self.responses.pop(0)
+            if response is None:
                 return
-            for part in answer if isinstance(answer, list) else [answer]:
+            for part in response if isinstance(response, list) else [response]:
                 await stream.send(part)
                 await anyio.sleep(0)
 
@@ -73,16 +73,16 @@
 
 
 @pytest.mark.parametrize(
-    "answer",
+    "response",
     [
-        WHOLE,
-        [WHOLE[:9], WHOLE[9:30], WHOLE[30:-2], WHOLE[-2:]],
-        b"HTTP/1.1 102 Processing\r\n\r\n" + WHOLE,
+        COMPLETE,
+        [COMPLETE[:9], COMPLETE[9:30], COMPLETE[30:-2], COMPLETE[-2:]],
+        b"HTTP/1.1 102 Processing\r\n\r\n" + COMPLETE,
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhere\r\n0\r\n\r\n",
     ],
 )
-async def test_whole_answers(answer):
-    peer = Peer(answer, answer)
+async def test_complete_responses(response):
+    peer = Peer(response, response)
     async with peer.calling() as call:
         for _ in range(2):
             result = await call()
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize(
-    "answer",
+    "response",
     [
         None,
         [b"HTTP/1.1 200 OK\r\nContent-Le", None],
@@ -101,36 +101,39 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"y" * 2000,
     ],
 )
-async def test_an_answer_that_is_not_whole_is_never_passed_on(answer, monkeypatch):
+async def test_an_incomplete_or_invalid_response_is_an_error(response, monkeypatch):
     monkeypatch.setattr(connection, "MAX_RESPONSE_BYTES", 1000)
-    parts = [p for p in answer if p] if isinstance(answer, list) else answer
+    parts = [p for p in response if p] if isinstance(response, list) else response
     async with Peer(parts).calling() as call:
         with pytest.raises(CallUnansweredError):
             await call()
 
 
-async def test_a_connection_that_the_peer_closed_is_not_used_again():
-    peer = Peer(WHOLE, None, WHOLE)
-    peer.answers = [WHOLE.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n"), WHOLE]
+async def test_a_connection_closed_by_the_peer_is_not_reused():
+    peer = Peer(COMPLETE, None, COMPLETE)
+    peer.responses = [
+        COMPLETE.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n"),
+        COMPLETE,
+    ]
     async with peer.calling() as call:
         await call()
         await call()
     assert peer.connections == 2
 
 
-async def test_a_connection_that_ended_while_idle_is_not_used_again():
-    peer = Peer(WHOLE)
+async def test_a_connection_closed_while_idle_is_not_reused():
+    peer = Peer(COMPLETE)
     async with peer.calling() as call:
         await call()
         with anyio.fail_after(5):
-            await peer.ended.wait()
-        peer.answers = [WHOLE]
+            await peer.closed.wait()
+        peer.responses = [COMPLETE]
         await call()
     assert peer.connections == 2
 
 
-async def test_an_answer_that_came_too_late_is_not_taken_for_the_next():
-    peer = Peer(b"", WHOLE)
+async def test_a_late_response_is_not_taken_for_that_of_the_next_call():
+    peer = Peer(b"", COMPLETE)
     async with peer.calling() as call:
         with pytest.raises(CallUnansweredError):
             await call(timeout=SECOND * 0.05)
@@ -149,9 +152,9 @@
         ("127.0.0.1:1", "\u2603"),
     ],
 )
-async def test_what_cannot_be_sent_is_certainly_not_sent(address, header):
-    # Registrations come from other writers; one that made a call fail in another way
-    # would end the term of the placing role.
+async def test_an_invalid_address_or_header_counts_as_not_sent(address, header):
+    # Addresses and ids come from registrations that other programs write. Any other
+    # error would end the term of the placing role.
     caller = HttpCaller()
     with pytest.raises(CallNotSentError):
         await caller.call("GET", address, "/a", SECOND, b"", {"X-Id": header})
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,4 +1,4 @@
-"""Callers' requests, operators' documents and the settings file."""
+"""Requests of callers, documents of operators and the settings file."""
 
 from __future__ import annotations
 
@@ -66,7 +66,7 @@
         clock = self.world.clock
         self.follower = OperatorFollower(clock, self.world.store, PlatformDocuments())
         lines = DecisionLines(clock, LogWriter(clock), "d")
-        self.front = CallerApp(
+        self.caller_app = CallerApp(
             clock,
             self.follower,
             Intake(clock, self.world.store, self.follower),
@@ -88,7 +88,7 @@
         key="k",
         app=None,
         host="a.example",
-        patience_ms=3000,
+        timeout_ms=3000,
     ):
         scope = {
             "type": "http",
@@ -97,7 +97,7 @@
             "headers": [
                 (b"host", host.encode()),
                 (b"x-credential", key.encode()),
-                (b"x-deadline-ms", str(patience_ms).encode()),
+                (b"x-deadline-ms", str(timeout_ms).encode()),
             ],
         }
         answer = Answer()
@@ -113,11 +113,11 @@
             else:
                 answer.body += message["body"]
 
-        await (app or self.front)(scope, receive, send)
+        await (app or self.caller_app)(scope, receive, send)
         return answer
 
 
-async def test_a_job_is_submitted_asked_for_and_cancelled():
+async def test_a_job_is_submitted_queried_and_cancelled():
     caller = Caller()
     await caller.publish(CONFIG)
     assert (await caller.call("GET", "/q/00ab")).status == 410
@@ -140,9 +140,9 @@
     assert (await caller.call("GET", "/q/2")).status == 410
 
 
-async def test_a_daemon_that_may_be_outdated_refuses_and_is_not_ready():
+async def test_a_daemon_with_unverified_configuration_refuses_and_is_not_ready():
     caller = Caller()
-    ready = ReadinessApp(caller.front)
+    ready = ReadinessApp(caller.caller_app)
     assert (await caller.call("POST", "/q/1", JOB)).status == 503
     assert (await caller.call("GET", "/ready", app=ready)).status == 503
     await caller.publish(CONFIG)
@@ -158,7 +158,7 @@
 async def test_metrics_count_calls_and_decisions():
     caller = Caller()
     role = PlacingRole(None)
-    lines = caller.front._lines
+    lines = caller.caller_app._lines
     metrics = BatchMetrics(
         lines,
         LogWriter(caller.world.clock),
@@ -166,7 +166,7 @@
         caller.follower,
         role,
     )
-    caller.front._metrics = metrics
+    caller.caller_app._metrics = metrics
     await caller.publish(CONFIG)
     await caller.call("POST", "/q/1", JOB)
     text = (await caller.call("GET", "/", app=MetricsApp(metrics))).body.decode()
@@ -175,7 +175,7 @@
     assert "pomeloyard_placing_epoch 0.0" in text
 
 
-async def test_log_volume_is_bounded_and_what_is_left_out_is_counted():
+async def test_the_log_rate_is_limited_and_suppressed_lines_are_counted():
     world = World()
     for number in range(MAX_LINES_PER_SECOND + 50):
         world.lines.decided("call", str(number), "200")
@@ -222,7 +222,7 @@
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b'{"steps":[{"count":1,"cpu":"x"}]}'])
-def test_a_body_that_is_no_job_is_refused(body):
+def test_an_invalid_job_is_refused(body):
     with pytest.raises(RefusedError):
         decode_job(body)
 
@@ -237,7 +237,7 @@
         {"service": 4},
     ],
 )
-def test_a_registration_of_another_form_is_refused(change):
+def test_an_invalid_registration_is_refused(change):
     entry = {
         "service": "s",
         "address": "10.0.0.1:80",
@@ -301,8 +301,8 @@
         ("GET", "/q/", 503),
     ],
 )
-async def test_a_call_is_answered_before_its_caller_leaves(method, path, status):
-    # Soak seeds 70 and 78: a call hung for over 3 s on a store that was cut off.
+async def test_a_call_is_answered_before_its_caller_times_out(method, path, status):
+    # Soak seeds 70 and 78: a call hung for over 3 s while the store was unreachable.
     caller = Caller()
     await caller.publish(CONFIG)
 
@@ -312,5 +312,5 @@
     for name in ("get", "commit", "scan"):
         setattr(caller.world.store, name, hang)
     with anyio.fail_after(5):
-        answer = await caller.call(method, path, JOB, patience_ms=250)
+        answer = await caller.call(method, path, JOB, timeout_ms=250)
     assert answer.status == status
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -1,4 +1,4 @@
-"""Calls on kept connections against a peer that leaves some unanswered."""
+"""Calls on persistent connections to a peer that leaves some unanswered."""
 
 from __future__ import annotations
 
@@ -48,7 +48,7 @@
 
 
 async def call_many(caller, address, target, count, timeout):
-    """Make calls at once; return how many ended in each way."""
+    """Make concurrent calls; return their error types, None for a success."""
     outcomes = []
 
     async def one():
@@ -66,9 +66,9 @@
 
 
 @pytest.mark.parametrize("round_size", [3, 4, 5, 17])
-async def test_answers_come_after_a_crowd_of_calls_timed_out(round_size):
-    # A peer left 30% of its orders unanswered in peaks of 20; the calls that waited
-    # for a connection timed out together and left none for any later call.
+async def test_calls_succeed_after_many_concurrent_calls_timed_out(round_size):
+    # A peer did not answer 30% of its orders, at peaks of 20 calls. Calls queued for a
+    # connection timed out together and left no connection for any later call.
     async with calling(4) as (caller, address):
         for _ in range(4):
             outcomes = await call_many(caller, address, "/hang", round_size, SHORT)
@@ -76,7 +76,7 @@
             assert await call_many(caller, address, "/answer", 8, SECOND) == [None] * 8
 
 
-async def test_calls_that_wait_for_a_connection_are_certainly_not_sent(monkeypatch):
+async def test_a_call_that_times_out_in_the_queue_counts_as_not_sent(monkeypatch):
     monkeypatch.setattr(http, "OVERDUE_AFTER_S", 60.0)
     async with calling(2) as (caller, address), anyio.create_task_group() as tasks:
         for _ in range(2):
@@ -89,7 +89,7 @@
         tasks.cancel_scope.cancel()
 
 
-async def test_calls_without_an_answer_do_not_hold_up_others(monkeypatch):
+async def test_overdue_calls_do_not_block_others(monkeypatch):
     monkeypatch.setattr(http, "OVERDUE_AFTER_S", 0.01)
     async with calling(2) as (caller, address), anyio.create_task_group() as tasks:
         for _ in range(8):
@@ -98,7 +98,7 @@
         tasks.cancel_scope.cancel()
 
 
-async def test_calls_are_answered_while_others_of_their_peer_are_cancelled():
+async def test_calls_succeed_after_others_to_the_peer_were_cancelled():
     async with calling(3) as (caller, address):
         for number in range(30):
             with anyio.move_on_after(0.001 * (number % 10)):
@@ -106,8 +106,9 @@
         assert await call_many(caller, address, "/answer", 6, SECOND) == [None] * 6
 
 
-async def test_nothing_is_sent_on_a_permission_that_ran_out_while_the_call_waited():
-    # A paused process goes on between its last wait and the send; see role-guard.md.
+async def test_nothing_is_sent_if_permission_ended_while_the_call_waited():
+    # A process paused between a check of its role and the send may resume after it
+    # has lost the role; see role-guard.md.
     permitted = True
 
     async def slow_answer(request):
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -1,4 +1,4 @@
-"""Messages with fields that are missing, of another type, or beyond all bounds."""
+"""Messages with fields that are missing, of the wrong type or out of range."""
 
 from __future__ import annotations
 
@@ -80,39 +80,39 @@
 }
 
 
-def damaged(message, seed):
-    """Return the message as bytes with one or two places changed."""
-    chance = random.Random(seed)
+def corrupted(message, seed):
+    """Return the encoded message with one or two random changes, or truncated."""
+    rng = random.Random(seed)
     message = copy.deepcopy(message)
-    for _ in range(chance.choice([1, 1, 2])):
-        place = message
+    for _ in range(rng.choice([1, 1, 2])):
+        node = message
         while True:
-            keys = list(place) if isinstance(place, dict) else list(range(len(place)))
+            keys = list(node) if isinstance(node, dict) else list(range(len(node)))
             if not keys:
                 break
-            key = chance.choice(keys)
-            if isinstance(place[key], dict | list) and chance.random() < 0.7:
-                place = place[key]
+            key = rng.choice(keys)
+            if isinstance(node[key], dict | list) and rng.random() < 0.7:
+                node = node[key]
                 continue
-            if chance.random() < 0.2 and isinstance(place, dict):
-                del place[key]
+            if rng.random() < 0.2 and isinstance(node, dict):
+                del node[key]
             else:
-                place[key] = copy.deepcopy(chance.choice(ODD))
+                node[key] = copy.deepcopy(rng.choice(ODD))
             break
     content = json.dumps(message).encode()
-    if chance.random() < 0.1:
-        content = content[: chance.randrange(len(content))]
+    if rng.random() < 0.1:
+        content = content[: rng.randrange(len(content))]
     return content
 
 
 class Caller:
-    """Answers every call with the same bytes."""
+    """Returns the same response to every call."""
 
     def __init__(self, content, status=200):
-        self.answer = Response(status, content)
+        self.response = Response(status, content)
 
     async def call(self, *args, **options):
-        return self.answer
+        return self.response
 
 
 @pytest.fixture
@@ -129,25 +129,25 @@
     ],
     ids=["configuration", "wave", "registration"],
 )
-def test_what_others_wrote_to_the_store_is_taken_or_ignored(message, decode):
+def test_documents_in_the_store_are_decoded_or_rejected(message, decode):
     decode(json.dumps(message).encode())
     for seed in SEEDS:
         try:
-            decode(damaged(message, seed))
+            decode(corrupted(message, seed))
         except DocumentError:
             continue
 
 
-def test_a_submission_is_taken_or_refused():
+def test_a_job_is_accepted_or_refused():
     check_spec(decode_job(json.dumps(JOB).encode()))
     for seed in SEEDS:
         try:
-            check_spec(decode_job(damaged(JOB, seed)))
+            check_spec(decode_job(corrupted(JOB, seed)))
         except RefusedError:
             continue
 
 
-async def test_answers_of_peers_are_taken_or_count_as_none():
+async def test_responses_of_peers_are_decoded_or_count_as_unanswered():
     executor = Executor("i", "a:1", "s", "z", Resources(1), (), False, 5)
     order = StartOrder("a1.0.0.0", 2, "text", "cp", 9 * SECOND, 7)
     for seed in SEEDS:
@@ -172,6 +172,6 @@
         messages = (LISTS, MACHINES, ADVICE, STARTED)
         for message, call in zip(messages, calls, strict=True):
             try:
-                await call(damaged(message, seed))
+                await call(corrupted(message, seed))
             except (CallUnansweredError, CallNotSentError):
                 continue
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -1,4 +1,4 @@
-"""Calls to executors and to the VM service, and what their answers mean."""
+"""Calls to executors and to the VM service, and the meaning of their responses."""
 
 from __future__ import annotations
 
@@ -56,8 +56,8 @@
 async def test_answers_to_a_start(status, reason, answer):
     async with peer_and_executor() as (peer, caller, executor):
         peer.script("/run-start", status, {"clock_ms": 1500, "reason": reason})
-        told, _ = await PlatformExecutors(caller).start(executor, ORDER, SECOND)
-        assert told is answer
+        start_answer, _ = await PlatformExecutors(caller).start(executor, ORDER, SECOND)
+        assert start_answer is answer
         _, headers, body = peer.calls[0]
         assert headers["x-expect-instance"] == "i-1"
         assert json.loads(body) == {
@@ -70,7 +70,7 @@
         }
 
 
-async def test_a_higher_fence_is_an_error_of_its_own():
+async def test_a_higher_fencing_token_raises_its_own_error():
     async with peer_and_executor() as (peer, caller, executor):
         for path in ("/run-start", "/run-stop", "/hold"):
             peer.script(path, 409, {"clock_ms": 1, "reason": "fence"})
@@ -94,7 +94,7 @@
     )
 
 
-async def test_both_lists_are_decoded():
+async def test_both_task_lists_are_decoded():
     async with peer_and_executor() as (peer, caller, executor):
         lists = {
             "clock_ms": 2000,
@@ -121,14 +121,14 @@
         {"clock_ms": 1, "running": 5, "ended": []},
     ],
 )
-async def test_lists_that_cannot_be_read_count_as_no_answer(lists):
+async def test_invalid_task_lists_count_as_unanswered(lists):
     async with peer_and_executor() as (peer, caller, executor):
         peer.script("/hold", 200, lists)
         with pytest.raises(CallUnansweredError):
             await look(PlatformExecutors(caller), executor)
 
 
-async def test_nobody_listens_means_that_nothing_was_ordered():
+async def test_an_order_to_a_closed_port_counts_as_not_sent():
     executor = Executor("i", "127.0.0.1:9", "s", "z", Resources(1), (), False, 5)
     with pytest.raises(CallNotSentError):
         await PlatformExecutors(HttpCaller()).start(executor, ORDER, SECOND)
@@ -158,7 +158,7 @@
             await service.move("m", "p", "d-1", 12)
 
 
-async def test_vms_are_listed_with_their_present_executor():
+async def test_vms_are_listed_with_their_current_executor():
     async with peer_and_executor() as (peer, caller, executor):
         rows = [
             {"machine": "m1", "pool": "p", "state": "up", "id": "i", "labels": ["r"]},
@@ -175,15 +175,15 @@
         assert vms[0].executor_id == "i"
 
 
-async def test_advice_is_asked_for_and_decoded():
+async def test_advice_is_requested_and_decoded():
     async with peer_and_executor() as (peer, caller, executor):
         service = PlatformAdvice(caller, executor.address)
         peer.script("/advise", 200, {"good": [["i-1", "t-1"]], "valid_ms": 3000})
         advice = await service.advise("a1.0.0", ["i-1", "i-2"], SECOND)
         assert advice.ticket_by_executor == {"i-1": "t-1"}
         assert advice.valid == 3 * SECOND
-        asked = json.loads(peer.calls[0][2])
-        assert asked == {"step": "a1.0.0", "workers": ["i-1", "i-2"]}
+        request = json.loads(peer.calls[0][2])
+        assert request == {"step": "a1.0.0", "workers": ["i-1", "i-2"]}
         for status, body in ((429, None), (200, b"{"), (200, {"good": 3})):
             peer.script("/advise", status, body)
             with pytest.raises(CallUnansweredError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""The client of the platform's store against a stand-in over HTTP."""
+"""The client for the platform's store against a stand-in over HTTP."""
 
 from __future__ import annotations
 
@@ -107,7 +107,7 @@
         (200, b"{nonsense", StoreOutcomeUnknownError),
     ],
 )
-async def test_answers_to_a_write_that_is_not_taken(status, body, error):
+async def test_errors_of_writes_that_the_store_rejects(status, body, error):
     peer = ScriptedPeer()
     peer.script("/kv-txn", status, body)
     async with client_of(peer) as store:
@@ -115,21 +115,22 @@
             await put(store, "a")
 
 
-async def test_nobody_listens_means_that_nothing_was_done():
+async def test_a_write_to_a_closed_port_has_no_effect():
     store = PlatformStore(HttpCaller(), "127.0.0.1:9")
     with pytest.raises(StoreUnavailableError):
         await put(store, "a")
 
 
-async def test_a_transaction_that_the_store_cannot_take_is_not_sent():
+async def test_an_oversized_transaction_is_not_sent():
     store = PlatformStore(HttpCaller(), "127.0.0.1:9")
     operations = tuple(Put(str(n), b"") for n in range(MAX_TRANSACTION_ENTRIES + 1))
     with pytest.raises(StoreRequestError):
         await store.commit(Transaction((), operations))
 
 
-def test_a_lost_answer_is_found_out_soon_unless_the_store_is_slow():
-    # Lilim, a day with 30% of the store's answers lost: each cost 1.2 s without starts.
+def test_the_time_out_is_short_unless_the_store_is_slow():
+    # Lilim, with 30% of the store's responses lost for a day: each loss stopped task
+    # starts for 1.2 s.
     times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     second = timedelta(seconds=1)
     times.answered(second, 0.005 * second)
@@ -141,7 +142,7 @@
     assert times.limit(7 * second) == MIN_CALL_TIMEOUT
 
 
-def test_a_store_that_becomes_slow_is_waited_for_longer_with_each_loss():
+def test_the_time_out_doubles_with_each_lost_response():
     times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     now = timedelta(0)
     limits = []
@@ -158,7 +159,7 @@
     assert times.limit(now) == MIN_CALL_TIMEOUT
 
 
-async def test_a_write_without_an_answer_is_unknown_before_a_role_would_be_lost():
+async def test_an_unanswered_write_times_out_before_a_role_would_be_lost():
     async def hang(scope, receive, send):
         await anyio.sleep(60)
 
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -1,4 +1,4 @@
-"""Store calls through other daemons when the store turns one away."""
+"""Store calls through other daemons when the store refuses a daemon's own."""
 
 from __future__ import annotations
 
@@ -37,13 +37,13 @@
     return "asyncio"
 
 
-class Gate:
-    """The store as one daemon meets it."""
+class FaultyStore:
+    """The store as one daemon sees it, with faults for that daemon alone."""
 
     def __init__(self, app):
         self.app = app
-        self.turned_away = 0
-        """Status of a store that turns this daemon away; 0: it serves it."""
+        self.refusal_status = 0
+        """Status with which the store refuses this daemon; 0 to serve it."""
         self.loses_answers = False
         self.calls = 0
 
@@ -56,56 +56,56 @@
 
             await self.app(scope, receive, keep)
             await anyio.sleep(30)
-        if self.turned_away:
+        if self.refusal_status:
             headers = [(b"content-length", b"0")]
-            start = {"type": "http.response.start", "status": self.turned_away}
+            start = {"type": "http.response.start", "status": self.refusal_status}
             await send({**start, "headers": headers})
             await send({"type": "http.response.body", "body": b""})
             return
         await self.app(scope, receive, send)
 
 
-class Member:
-    """A daemon's store client, its gate and its relay."""
+class Daemon:
+    """A daemon's store client, its faulty store and its relay."""
 
     def __init__(self, memory):
-        self.gate = Gate(store_app(memory))
+        self.faulty_store = FaultyStore(store_app(memory))
         self.store = None
         self.address = ""
 
 
 @asynccontextmanager
-async def members(count):
+async def daemons(count):
     memory = MemoryStore(SystemClock())
     caller = HttpCaller()
     async with AsyncExitStack() as stack:
         stack.push_async_callback(caller.close)
-        found = []
+        started = []
         for _ in range(count):
-            member = Member(memory)
-            address = await stack.enter_async_context(serving(member.gate))
-            member.store = PlatformStore(caller, address)
-            member.relay = StoreRelay(member.store)
-            member.address = await stack.enter_async_context(serving(member.relay))
-            await member.store.get("first")
-            found.append(member)
-        for member in found:
-            others = {o.address: 1.0 for o in found if o is not member}
-            member.store.detour.set_peers(others)
-        yield memory, found
-
-
-async def turn_away(member, status=503):
-    member.gate.turned_away = status
+            daemon = Daemon(memory)
+            address = await stack.enter_async_context(serving(daemon.faulty_store))
+            daemon.store = PlatformStore(caller, address)
+            daemon.relay = StoreRelay(daemon.store)
+            daemon.address = await stack.enter_async_context(serving(daemon.relay))
+            await daemon.store.get("first")
+            started.append(daemon)
+        for daemon in started:
+            others = {o.address: 1.0 for o in started if o is not daemon}
+            daemon.store.detour.set_peers(others)
+        yield memory, started
+
+
+async def refuse(daemon, status=503):
+    daemon.faulty_store.refusal_status = status
     for _ in range(FAILURES_TO_DETOUR):
         with pytest.raises(StoreUnavailableError):
-            await member.store.get("k")
+            await daemon.store.get("k")
 
 
 @pytest.mark.parametrize("status", [503, 429])
-async def test_a_daemon_that_is_turned_away_works_through_another(status):
-    async with members(2) as (memory, (first, _)):
-        await turn_away(first, status)
+async def test_a_daemon_refused_by_the_store_calls_through_another(status):
+    async with daemons(2) as (memory, (first, _)):
+        await refuse(first, status)
         assert (await first.store.commit(WRITE)).succeeded
         assert (await first.store.get("k")).value == b"v"
         assert not (await first.store.commit(WRITE)).succeeded
@@ -118,64 +118,64 @@
         assert (await memory.get("k")).value == b"v"
 
 
-async def test_a_relay_that_is_turned_away_too_says_that_nothing_was_done():
-    async with members(2) as (memory, (first, second)):
-        await turn_away(second)
-        await turn_away(first)
+async def test_a_call_through_a_relay_that_is_also_refused_has_no_effect():
+    async with daemons(2) as (memory, (first, second)):
+        await refuse(second)
+        await refuse(first)
         with pytest.raises(StoreUnavailableError):
             await first.store.commit(WRITE)
         assert await memory.get("k") is None
 
 
-async def test_a_daemon_that_stops_relays_nothing_more():
-    # Soak seed 36 beside load: a call relayed for up to 5 s was cut at a daemon's
-    # end, which takes 4.5 s from its SIGTERM, and was logged as a failure.
+async def test_a_daemon_relays_no_calls_during_shutdown():
+    # Soak seed 36 on a loaded machine: a call relayed for up to 5 s was cancelled when
+    # the daemon ended 4.5 s after its SIGTERM, and was logged as a failure.
     assert (
         LISTENER_CLOSE_DELAY + timedelta(seconds=SHUTDOWN_TIMEOUT_S) >= MAX_RELAY_TIME
     )
-    async with members(2) as (memory, (first, second)):
-        await turn_away(first)
+    async with daemons(2) as (memory, (first, second)):
+        await refuse(first)
         second.relay.closing = True
         with pytest.raises(StoreUnavailableError):
             await first.store.commit(WRITE)
         assert await memory.get("k") is None
 
 
-async def test_an_answer_that_the_relay_did_not_get_is_unknown():
-    async with members(2) as (memory, (first, second)):
-        await turn_away(first)
-        second.gate.loses_answers = True
+async def test_a_response_lost_behind_the_relay_is_an_unknown_outcome():
+    async with daemons(2) as (memory, (first, second)):
+        await refuse(first)
+        second.faulty_store.loses_answers = True
         with pytest.raises(StoreOutcomeUnknownError):
             await first.store.commit(WRITE)
         assert (await memory.get("k")).value == b"v"
-        # While answers get lost for all, the way itself is as good as before.
-        second.gate.loses_answers = False
+        # A lost response does not make the peer unavailable as a relay.
+        second.faulty_store.loses_answers = False
         second.store.detour.answered(timedelta(seconds=anyio.current_time()))
         assert (await first.store.get("k")).value == b"v"
 
 
-async def test_a_relay_relays_for_no_other_relay():
-    async with members(3) as (_, (first, second, third)):
-        await turn_away(second)
+async def test_relayed_calls_are_not_relayed_again():
+    async with daemons(3) as (_, (first, second, third)):
+        await refuse(second)
         first.store.detour.set_peers({second.address: 1.0})
-        await turn_away(first)
-        calls = third.gate.calls
+        await refuse(first)
+        calls = third.faulty_store.calls
         with pytest.raises(StoreUnavailableError):
             await first.store.get("k")
-        assert third.gate.calls == calls
+        assert third.faulty_store.calls == calls
 
 
-async def test_calls_go_to_the_store_again_once_a_probe_was_answered():
-    async with members(2) as (_, (first, second)):
-        await turn_away(first)
+async def test_calls_are_direct_again_after_a_successful_probe():
+    async with daemons(2) as (_, (first, second)):
+        await refuse(first)
         await first.store.probe()
         assert first.store.detour.is_needed
-        first.gate.turned_away = 0
+        first.faulty_store.refusal_status = 0
         await first.store.probe()
         assert not first.store.detour.is_needed
-        calls = second.gate.calls
+        calls = second.faulty_store.calls
         await first.store.get("k")
-        assert second.gate.calls == calls
+        assert second.faulty_store.calls == calls
 
 
 @pytest.mark.parametrize(
@@ -187,26 +187,26 @@
         ("/kv-key?key=k", {"x-relay-ms": "9" * 400}),
     ],
 )
-async def test_only_whole_calls_of_the_store_are_relayed(path, headers):
-    async with members(1) as (_, (member,)):
-        calls = member.gate.calls
+async def test_only_valid_store_calls_are_relayed(path, headers):
+    async with daemons(1) as (_, (daemon,)):
+        calls = daemon.faulty_store.calls
         caller = HttpCaller()
-        answer = await caller.call("GET", member.address, path, SECOND, headers=headers)
+        answer = await caller.call("GET", daemon.address, path, SECOND, headers=headers)
         assert answer.status in (400, 404)
-        assert member.gate.calls == calls
+        assert daemon.faulty_store.calls == calls
         await caller.close()
 
 
 async def test_daemons_find_each_other_in_the_store():
-    async with members(2) as (memory, (first, second)):
+    async with daemons(2) as (memory, (first, second)):
         clock = SystemClock()
         unreadable = Put(layout.RELAYS + "d9", b"\xc1")
         await memory.commit(Transaction((), (unreadable,)))
         async with anyio.create_task_group() as tasks:
-            for number, member in enumerate((first, second)):
-                member.store.detour.set_peers({})
+            for number, daemon in enumerate((first, second)):
+                daemon.store.detour.set_peers({})
                 address = f"{number}:1"
-                peers = RelayPeers(clock, member.store, f"d{number}", address, 2.0)
+                peers = RelayPeers(clock, daemon.store, f"d{number}", address, 2.0)
                 tasks.start_soon(peers.run)
             with anyio.fail_after(30):
                 while first.store.detour.speed_by_peer != {"1:1": 2.0}:
@@ -216,7 +216,7 @@
             tasks.cancel_scope.cancel()
 
 
-def test_an_outage_for_all_causes_no_rush_among_the_daemons():
+def test_calls_to_peers_are_rate_limited_in_a_full_outage():
     detour = Detour()
     detour.set_peers({f"p{n}": float(n % 3) for n in range(96)})
     for _ in range(FAILURES_TO_DETOUR):
@@ -231,7 +231,7 @@
     assert asked <= 10 * SECOND / RETRY_INTERVAL
 
 
-def test_a_peer_that_refused_rests_and_one_that_helped_is_kept():
+def test_a_refusing_peer_is_paused_and_a_working_one_is_kept():
     detour = Detour()
     detour.set_peers({"a": 1.0})
     assert not detour.is_needed
@@ -249,9 +249,9 @@
     assert not detour.is_needed
 
 
-def test_a_fast_vm_is_asked_before_a_small_one():
-    # A scan of all jobs took 1 s over the link of a small VM, and no job was found
-    # meanwhile (lilim-yard-large trouble-1, second 18.6).
+def test_fast_peers_are_tried_before_slow_ones():
+    # A scan of all jobs through a small VM took 1 s for its slow link, and no job was
+    # found meanwhile (lilim-yard-large trouble-1, second 18.6).
     detour = Detour()
     detour.set_peers({"small": 0.5, "fast": 2.0, "slow": 0.2})
     for _ in range(FAILURES_TO_DETOUR):
@@ -264,7 +264,7 @@
     assert asked == ["fast", "small", "slow"]
 
 
-def test_only_a_daemon_that_reaches_the_store_relays():
+def test_only_a_daemon_with_recent_direct_responses_relays():
     detour = Detour()
     assert not detour.may_relay(SECOND)
     detour.answered(SECOND)
--- a/tests/support/platform_standin.py
+++ b/tests/support/platform_standin.py
@@ -1,4 +1,4 @@
-"""Stand-in of the operators' platform: its store and scripted peers, over HTTP."""
+"""Stand-in for the operators' platform: its store and scripted peers over HTTP."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def store_app(memory):
-    """Serve a MemoryStore the way the platform's store speaks."""
+    """Return an app that serves a MemoryStore over the platform's store protocol."""
 
     async def key(request: Request):
         entry = await memory.get(request.query_params["key"])
@@ -108,14 +108,14 @@
 
 
 class ScriptedPeer:
-    """Answers each path with what the test scripted, and keeps what it was told."""
+    """Sends the responses that a test sets per path and records all calls."""
 
     def __init__(self):
-        self.answers = {}
+        self.responses = {}
         self.calls = []
 
     def script(self, path, status, body=None):
-        self.answers[path] = (status, body)
+        self.responses[path] = (status, body)
 
     async def __call__(self, scope, receive, send):
         content = b""
@@ -126,7 +126,7 @@
                 break
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
         self.calls.append((scope["path"], headers, content))
-        status, body = self.answers.get(scope["path"], (404, None))
+        status, body = self.responses.get(scope["path"], (404, None))
         raw = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
         length = str(len(raw)).encode()
         await send(
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -1,4 +1,4 @@
-"""Guards against caller input that ends in an untyped error or in another's data."""
+"""Guards against caller input that causes an untyped error or reads foreign data."""
 
 from __future__ import annotations
 
@@ -72,21 +72,21 @@
         "query_string": b"",
         "headers": headers,
     }
-    sent = []
-    received = [{"type": "http.request", "body": body, "more_body": False}]
+    messages_sent = []
+    unread = [{"type": "http.request", "body": body, "more_body": False}]
 
     async def receive():
-        if not received:
+        if not unread:
             await anyio.sleep_forever()  # The caller stays connected.
-        return received.pop()
+        return unread.pop()
 
     async def send(message):
-        sent.append(message)
+        messages_sent.append(message)
 
     with anyio.fail_after(5):
         await app(scope, receive, send)
-    content = b"".join(message.get("body", b"") for message in sent[1:])
-    return sent[0]["status"], dict(sent[0]["headers"]), content
+    content = b"".join(message.get("body", b"") for message in messages_sent[1:])
+    return messages_sent[0]["status"], dict(messages_sent[0]["headers"]), content
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
@@ -102,14 +102,14 @@
         clock = SystemClock()
         store = MemoryStore(clock)
         wait = timedelta(seconds=0.01)
-        part = RequestPath("a.1", {}, store, "127.0.0.1:1", queue_timeout=wait)
-        jobs = JobStore(store, clock, lambda: part.state.config)
-        app = caller_app(part.state, part.requests, jobs)
-        key = [(b"authorization", b"Bearer " + part.key.encode())] if with_key else []
+        setup = RequestPath("a.1", {}, store, "127.0.0.1:1", queue_timeout=wait)
+        jobs = JobStore(store, clock, lambda: setup.state.config)
+        app = caller_app(setup.state, setup.requests, jobs)
+        key = [(b"authorization", b"Bearer " + setup.key.encode())] if with_key else []
         status, answer_headers, content = await call(
             app, method, path, [*key, *headers], body
         )
-        assert part.running() == 0
+        assert setup.running() == 0
         if status < 400:
             assert with_key
             return
