--- a/src/pomeloyard/fleet/budgets.py
+++ b/src/pomeloyard/fleet/budgets.py
@@ -1,4 +1,4 @@
-"""Availability budgets: what a service needs, what is spent, and by which VM."""
+"""Availability budgets: VMs a service needs, and the VMs that are unavailable."""
 
 from __future__ import annotations
 
@@ -15,17 +15,17 @@
 
 
 class SpendingKind(Enum):
-    """How a VM came to be unavailable."""
+    """Why a VM is unavailable."""
 
     PLANNED = "planned"
     UNPLANNED = "unplanned"
     JOINING = "joining"
-    """Moved in and not yet in service; the budget is not yet counted over it."""
+    """Moved in and not yet in service; not yet part of the budget's total."""
 
 
 @dataclass(frozen=True, slots=True)
 class Spending:
-    """One unavailable VM: by a planned operation or by a loss."""
+    """One unavailable VM, due to a planned operation or a loss."""
 
     kind: SpendingKind
     operation: str
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BudgetRecord:
-    """Members of a service's pool and the unavailable ones among them."""
+    """Members of a service's pool and which of them are unavailable."""
 
     service: str
     members_by_vm: dict[str, Member] = field(default_factory=dict)
@@ -60,7 +60,7 @@
 
 @dataclass(slots=True)
 class Headroom:
-    """VMs of a scope: how many must be and how many are available."""
+    """VMs of a scope: how many must be available and how many are."""
 
     total: int
     needed: int
@@ -80,8 +80,8 @@
 ) -> int:
     """Return how many of ``base`` VMs of a role must stay available.
 
-    A count is stated for executors. Workers of a pool that also has executors
-    need the same proportion, rounded down, so that one worker beside two
+    A count applies to executors. Workers of a pool that also has executors need
+    the same proportion, rounded down, so that the only worker of a pool with two
     executors can still be maintained. Shares are rounded up.
 
     >>> needed_vms(0.5, 5, VmRole.EXECUTOR, None)
@@ -90,7 +90,7 @@
     0
     """
     if isinstance(minimum, float):
-        # The tolerance keeps 0.7 * 10 (7.000000000000001) from needing 8.
+        # Rounding error: 0.7 * 10 is 7.000000000000001, which must not need 8.
         return math.ceil(minimum * base - 1e-9)
     if role is VmRole.WORKER and pool is not None and pool.executors:
         return minimum * pool.workers // pool.executors
@@ -98,7 +98,7 @@
 
 
 def configured_vms(pool: PoolConfig | None, role: VmRole) -> int:
-    """Return the configured size of a pool for a role, 0 if not stated."""
+    """Return the configured size of a pool for a role, 0 if not configured."""
     if pool is None:
         return 0
     return pool.executors if role is VmRole.EXECUTOR else pool.workers
@@ -112,13 +112,13 @@
 ) -> HeadroomByScope:
     """Return the headroom of every scope of a budget.
 
-    ``unavailable`` names VMs known to be lost that are not yet entered. Shares of
-    the whole pool are counted over its configured size, so that lending VMs away
-    does not lower what must stay.
+    ``unavailable`` names lost VMs that the record does not show yet. Shares of the
+    whole pool refer to its configured size, so that lending VMs to other pools
+    does not lower the minimum.
     """
     counts: dict[tuple[str, str], list[int]] = {}
     for name, member in record.members_by_vm.items():
-        # Counted by plain strings, as this is done for every VM in every step.
+        # Plain strings are cheap keys; this runs for every VM in every step.
         key = (member.role.value, member.availability_zone)
         count = counts.setdefault(key, [0, 0])
         spending = record.spending_by_vm.get(name)
@@ -161,16 +161,16 @@
 def spend_headroom(
     headroom: HeadroomByScope, role: VmRole, availability_zone: str
 ) -> None:
-    """Count one more unavailable VM in a planner's own copy."""
+    """Count one more unavailable VM; the headroom is the planner's own copy."""
     for scope in (Scope(role), Scope(role, availability_zone)):
         if scope in headroom:
             headroom[scope].available -= 1
 
 
-def used_up_by_loss(
+def exhausted_by_losses(
     record: BudgetRecord, headroom: HeadroomByScope, unavailable: Collection[str] = ()
 ) -> Scope | None:
-    """Return a scope whose whole allowance is taken by unplanned losses, or None."""
+    """Return a scope whose budget is exhausted by unplanned losses, or None."""
     lost: Counter[Scope] = Counter()
     for name, member in record.members_by_vm.items():
         spending = record.spending_by_vm.get(name)
@@ -194,12 +194,12 @@
     *,
     lost: bool = False,
 ) -> BudgetRecord:
-    """Return the budget record of a service of ``pool`` after a VM's change.
+    """Return the budget record of a service of ``pool`` after a VM changed.
 
-    Members and spending follow from the VM record; an entry keeps its kind until
-    the VM is back in service or has failed. ``lost`` says that the platform's
-    list does not show the VM as live, so that whatever is planned for it is an
-    unplanned loss.
+    Members and spending are derived from the VM record; an entry keeps its kind
+    until the VM is back in service or has failed. ``lost`` means that the
+    platform's list does not show the VM as live, so that even a planned operation
+    counts as an unplanned loss.
     """
     if new.pool != pool:
         return without_vm(record, new.name)
@@ -229,13 +229,13 @@
     if lost or new.state is VmState.FAILED:
         return SpendingKind.UNPLANNED
     if old is None or old.state is not VmState.IN_SERVICE:
-        # Entered late, for example for a service that was added to the pool.
+        # Recorded late, for example for a service that was added to the pool.
         return SpendingKind.UNPLANNED
     return SpendingKind.PLANNED
 
 
 class BudgetProblemKind(Enum):
-    """Why no plan can meet a budget."""
+    """Why a budget cannot be met."""
 
     NOT_A_SHARE = "not-a-share"
     NEGATIVE = "negative"
@@ -245,7 +245,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BudgetProblem:
-    """A budget that no plan can meet."""
+    """A budget that cannot be met."""
 
     service: str
     setting: str
@@ -256,16 +256,16 @@
 
 
 def budget_problems(config: FleetConfig) -> list[BudgetProblem]:
-    """Return the budgets that no plan can meet, in order of service names.
+    """Return the budgets that cannot be met, in order of service names.
 
-    Maintenance is required of every VM, so each budget must leave at least one
-    VM of every role that the pool has.
+    Every VM needs maintenance, so each budget must allow at least one VM of every
+    role in the pool to be unavailable.
     """
     problems = []
     for _, service in sorted(config.services_by_name.items()):
         pool = config.pools_by_name.get(service.pool)
         if pool is None:
-            continue  # Reported by the reader as an unknown pool.
+            continue  # Reported as an unknown pool when the configuration is read.
         for setting in ("min_available", "min_available_per_zone"):
             problems += _setting_problems(service, pool, setting)
     return problems
--- a/src/pomeloyard/fleet/buffers.py
+++ b/src/pomeloyard/fleet/buffers.py
@@ -1,4 +1,4 @@
-"""Carry out lending between the spare pool and pools whose queues peak."""
+"""Lend VMs of the spare pool to pools with peak demand."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 from ..vm_platform.directory import VmRole
 from .budgets import BudgetRecord, Scope
 from .forecasts import (
-    TURN_MARGIN,
+    SUCCESSOR_MARGIN,
     LendDecision,
     LendReason,
+    PeakOrderForecast,
     PoolDemand,
     PoolForecast,
-    TurnForecast,
     median_time,
     plan_lending,
     wanted_vms,
@@ -29,13 +29,13 @@
 from .records import FleetRecords
 from .vms import Cause, VmPlan, VmRecord, VmState
 
-FIRST_MOVE_TIME = timedelta(seconds=5)
-"""Time that a move is taken to need until one was seen."""
+DEFAULT_MOVE_TIME = timedelta(seconds=5)
+"""Assumed duration of a move until one has been measured."""
 
-MOVES_REMEMBERED = 20
+MAX_MOVE_SAMPLES = 20
 
-REFUSED_TRIES = 4
-"""Further VMs that are tried when a zone's budget refuses some."""
+EXTRA_CANDIDATES = 4
+"""VMs tried beyond those needed, as a zone's budget may refuse some."""
 
 CONTROLLER = "controller"
 
@@ -58,30 +58,30 @@
         self._demand_by_pool = demand_by_pool
         self._forecasts: dict[str, PoolForecast] = defaultdict(PoolForecast)
         self._move_began_at: dict[str, datetime] = {}
-        self._move_times: deque[timedelta] = deque(maxlen=MOVES_REMEMBERED)
-        self._turns = TurnForecast()
-        self._last_not_moved: dict[str, LendReason] = {}
+        self._move_times: deque[timedelta] = deque(maxlen=MAX_MOVE_SAMPLES)
+        self._peak_order = PeakOrderForecast()
+        self._last_refusal_by_subject: dict[str, LendReason] = {}
 
     def move_time(self) -> timedelta:
-        """Return the median time of recent moves, from drain to service."""
-        return median_time(self._move_times) if self._move_times else FIRST_MOVE_TIME
+        """Return the median duration of recent moves, from drain to service."""
+        return median_time(self._move_times) if self._move_times else DEFAULT_MOVE_TIME
 
     async def step(self, budgets: Mapping[str, Versioned[BudgetRecord]]) -> None:
-        """Take a sample of the demand and start the moves that are worth it."""
+        """Sample the demand and start the moves that pay off."""
         config, now = self._records.state.config, self._records.clock.now()
         spare = [p.name for p in config.pools_by_name.values() if p.spare]
-        self._note_moves(now)
+        self._record_move_times(now)
         if not spare:
             return
         pools = self._pool_demands(spare[0], now)
-        lendable = self._lendable(spare[0], pools, budgets)
+        lendable = self._lendable_vms(spare[0], pools, budgets)
         ordinary = config.pools_by_name[spare[0]].executors
         free = max(0, min(lendable, len(self._free_vms(spare[0])) - ordinary))
         plan = plan_lending(
             pools, spare[0], free, now, self.move_time(), lendable - free
         )
         for decision in plan:
-            await self._carry_out(decision, spare[0])
+            await self._execute(decision, spare[0])
 
     def _pool_demands(self, spare: str, now: datetime) -> list[PoolDemand]:
         demand = self._demand_by_pool()
@@ -100,16 +100,16 @@
                 own[pool] += 1
         for pool in sorted(demand):
             forecast = self._forecasts[pool]
-            was_peak = forecast.peak_began_at
-            forecast.observe(now, demand[pool], self._ordinary_vms(pool, own[pool]))
-            if was_peak is None and forecast.peak_began_at is not None:
-                self._turns.note_start(pool, now)
-        turn = self._turns.next_peak(now)
+            peak_before = forecast.peak_began_at
+            forecast.observe(now, demand[pool], self._base_capacity(pool, own[pool]))
+            if peak_before is None and forecast.peak_began_at is not None:
+                self._peak_order.record_peak_start(pool, now)
+        predicted = self._peak_order.next_peak(now)
         pools = []
         for pool in sorted(demand):
             prepare_from = self._forecasts[pool].prepare_from(now)
-            if turn is not None and turn[0] == pool:
-                prepare_from = turn[1] - turn[2] * TURN_MARGIN
+            if predicted is not None and predicted[0] == pool:
+                prepare_from = predicted[1] - predicted[2] * SUCCESSOR_MARGIN
             pools.append(
                 PoolDemand(
                     pool,
@@ -122,30 +122,30 @@
             )
         return pools
 
-    def _ordinary_vms(self, pool: str, own: int) -> int:
-        """Return the VMs above whose load a pool's demand counts as a peak.
+    def _base_capacity(self, pool: str, own: int) -> int:
+        """Return the capacity, in VMs, above which a pool's demand counts as a peak.
 
-        The spare pool has more VMs than its own service needs, which is what the
-        pool's configured size says.
+        The spare pool has more VMs than its own service needs; what that service
+        needs is the pool's configured size.
         """
         config = self._records.state.config.pools_by_name.get(pool)
         configured = config.executors if config is not None else 0
         return min(own, configured) if configured else own
 
-    def _lendable(
+    def _lendable_vms(
         self,
         spare: str,
         pools: list[PoolDemand],
         budgets: Mapping[str, Versioned[BudgetRecord]],
     ) -> int:
-        """Return how many VMs the spare pool can lend within its own needs."""
+        """Return how many VMs the spare pool can lend beyond its own needs."""
         free = len(self._free_vms(spare))
         own = next((pool for pool in pools if pool.pool == spare), None)
         if own is not None:
             needed = math.ceil(own.forecast.demand)
             _, reason = wanted_vms(own, self._records.clock.now(), self.move_time())
             if reason is not LendReason.NO_PEAK:
-                needed = max(needed, math.ceil(own.forecast.height_now()))
+                needed = max(needed, math.ceil(own.forecast.current_height()))
             free = min(free, own.own_vms - needed)
         for service in self._records.services_of(spare):
             budget = budgets.get(service.name)
@@ -157,9 +157,9 @@
         return max(0, free)
 
     def _free_vms(self, pool: str) -> list[VmRecord]:
-        """Return executors of a pool that may be lent on, in name order.
+        """Return executors of a pool that may be lent, in name order.
 
-        Of other pools than the spare one, only borrowed VMs are free.
+        In pools other than the spare one, only borrowed VMs are free.
         """
         config = self._records.state.config.pools_by_name.get(pool)
         spare = config is not None and config.spare
@@ -173,11 +173,11 @@
             and (spare or vm.home_pool)
         ]
 
-    async def _carry_out(self, decision: LendDecision, spare: str) -> None:
-        self._decide(decision)
+    async def _execute(self, decision: LendDecision, spare: str) -> None:
+        self._record_decision(decision)
         cause = Cause.GIVE_BACK if decision.target == spare else Cause.LEND
         started = 0
-        tries = decision.vms + REFUSED_TRIES
+        tries = decision.vms + EXTRA_CANDIDATES
         for vm in self._free_vms(decision.source)[:tries]:
             if started == decision.vms:
                 return
@@ -190,15 +190,15 @@
                     operation=f"lend.{vm.name}.{vm.epoch}",
                 )
             except (RefusedError, ConflictError) as error:
-                log.info("{} not lent: {}", vm.name, error)
+                log.info("VM {} not lent: {}", vm.name, error)
             except StoreError as error:
-                log.warning("{} not lent: {}", vm.name, error)
+                log.warning("VM {} not lent, store call failed: {}", vm.name, error)
                 return
             else:
                 started += 1
 
-    def _note_moves(self, now: datetime) -> None:
-        """Learn how long moves take."""
+    def _record_move_times(self, now: datetime) -> None:
+        """Measure the duration of moves."""
         for name, vm in self._records.state.vm_records_by_name.items():
             moving = vm.plan is VmPlan.MOVE and vm.state is not VmState.SET_ASIDE
             if moving:
@@ -208,15 +208,15 @@
                 if vm.state is VmState.IN_SERVICE:
                     self._move_times.append(now - began_at)
 
-    def _decide(self, decision: LendDecision) -> None:
+    def _record_decision(self, decision: LendDecision) -> None:
         subject = f"pool/{decision.target}"
         if decision.vms == 0:
-            # The same refusal would otherwise be recorded twice a second.
-            if self._last_not_moved.get(subject) is decision.reason:
+            # Each tick, twice a second, would otherwise record the same refusal.
+            if self._last_refusal_by_subject.get(subject) is decision.reason:
                 return
-            self._last_not_moved[subject] = decision.reason
+            self._last_refusal_by_subject[subject] = decision.reason
         else:
-            self._last_not_moved.pop(subject, None)
+            self._last_refusal_by_subject.pop(subject, None)
         self._decisions.record(
             Decision(
                 self._records.clock.now(),
--- a/src/pomeloyard/fleet/controller.py
+++ b/src/pomeloyard/fleet/controller.py
@@ -1,4 +1,4 @@
-"""The controller role: a loop over the fleet's state machines and plans."""
+"""The controller role: a loop that advances VMs, waves, repairs and lending."""
 
 from __future__ import annotations
 
@@ -14,12 +14,12 @@
 from ..keyvalue.store import Store
 from ..vm_platform.directory import VmDirectory
 from .buffers import BufferManager
-from .drains import AskRunning, DrainVerifier, TaskCounts
+from .drains import DrainVerifier, QueryRunning, TaskCounts
 from .lifecycle import VmLifecycle
 from .maintenance import MaintenanceSchedule
 from .operations import VmOperations
 from .records import FleetRecords
-from .repair import HealthBook
+from .repair import HealthTracker
 from .repairs import RepairManager
 from .vms import VmRecord
 from .wave_runner import WaveRunner
@@ -43,7 +43,7 @@
         store: Store,
         directory: VmDirectory,
         decisions: DecisionLog,
-        ask: AskRunning,
+        ask: QueryRunning,
         tasks: TaskCounts,
         announce: Callable[[VmRecord], None] = lambda record: None,
         demand_by_pool: Callable[[], Mapping[str, float]] = dict,
@@ -55,7 +55,7 @@
         self.waves = WaveRunner(self.records, self.operations, decisions)
         self.maintenance = MaintenanceSchedule(self.records, self.waves)
         self.repairs = RepairManager(
-            self.records, self.operations, decisions, HealthBook()
+            self.records, self.operations, decisions, HealthTracker()
         )
         self.buffers = BufferManager(
             self.records, self.operations, decisions, demand_by_pool
@@ -66,7 +66,7 @@
         )
 
     async def run(self, epoch: int) -> None:
-        """Step until the role is lost; a failed step is tried again."""
+        """Step until cancelled on loss of the role; retry failed steps."""
         while True:
             try:
                 await self.step()
@@ -80,11 +80,11 @@
             return  # Without the VM list, every VM would look lost.
         await self.lifecycle.adopt_new_vms()
         await self.lifecycle.remove_missing_vms()
-        await self.lifecycle.enter_losses()
+        await self.lifecycle.record_losses()
         budgets = await self.records.budgets()
         await self.records.reconcile(budgets)
-        # Before the VMs advance, so that a wave that has just lost a rack or was
-        # cancelled returns what it drained and has not yet rebooted.
+        # Waves step before the VMs advance, so that the drains of a wave that was
+        # cancelled or has just lost a rack are undone before the VMs reboot.
         waves = await self.waves.step(budgets)
         await self.lifecycle.advance_all()
         await self.maintenance.step(waves)
--- a/src/pomeloyard/fleet/drain_notices.py
+++ b/src/pomeloyard/fleet/drain_notices.py
@@ -1,4 +1,4 @@
-"""Exchange of drain notices and running requests between daemons."""
+"""Exchange drain notices and counts of running requests between daemons."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class DrainNotices:
-    """Tells other daemons of drains and answers what runs here."""
+    """Notifies other daemons of drains and answers their queries."""
 
     def __init__(
         self,
@@ -30,19 +30,19 @@
         self._running_at = running_at
 
     def start(self) -> None:
-        """Answer other daemons from now on."""
+        """Register the handlers for other daemons' messages."""
         self._calls.expect(RunningReply)
         self._network.on(DrainNotice, self._on_notice)
         self._network.on(RunningQuery, self._on_query)
 
     def announce(self, record: VmRecord) -> None:
-        """Tell all daemons of a VM's state without waiting for their watches."""
+        """Send a VM's state to all daemons, ahead of their store watches."""
         self._network.broadcast(
             DrainNotice(record.name, record.state.value, record.epoch)
         )
 
     async def ask(self, incarnation: str, record: VmRecord) -> int | None:
-        """Return what a daemon runs at a VM, or None if it does not answer."""
+        """Return how many requests a daemon runs at a VM, or None without an answer."""
         if incarnation == self._network.hello.incarnation:
             return self._running_at(record.name)
         reply = await self._calls.call(
@@ -60,8 +60,8 @@
             self._state.note_drain(notice.vm, notice.epoch)
 
     def _on_query(self, sender: str, query: RunningQuery) -> None:
-        # The notice is taken from the question too, so that an answer of 0 also
-        # means that nothing will be sent to the VM from here.
+        # A query also acts as a notice, so that an answer of 0 means that this
+        # daemon sends no more requests to the VM either.
         self._state.note_drain(query.vm, query.epoch)
         running = self._running_at(query.vm)
         self._network.send(sender, RunningReply(query.request_id, query.vm, running))
--- a/src/pomeloyard/fleet/drains.py
+++ b/src/pomeloyard/fleet/drains.py
@@ -1,4 +1,4 @@
-"""Verification that nothing runs at a draining VM."""
+"""Verification that no requests or tasks run at a draining VM."""
 
 from __future__ import annotations
 
@@ -20,26 +20,26 @@
 from ..vm_platform.directory import VmListState, VmRole
 from .vms import DrainStatus, VmRecord
 
-ASK_INTERVAL = timedelta(seconds=1)
-"""Least time between two questions to one daemon about one VM."""
+QUERY_INTERVAL = timedelta(seconds=1)
+"""Minimum time between two queries to one daemon about one VM."""
 
-SETTLE = timedelta(seconds=2.5)
-"""Time that a worker must stay without tasks after the last daemon has learned of
-the drain, with a count taken after that. A placement that was decided before is
-written within the store's call timeout of 2 s."""
+SETTLE_TIME = timedelta(seconds=2.5)
+"""Minimum time from the last daemon's confirmation of a drain to a count that finds
+the worker without tasks. A placement decided before the confirmation is written
+within the store's call timeout of 2 s."""
 
-COUNT_INTERVAL = timedelta(seconds=2)
-"""Least time between two scans of the job records."""
+SCAN_INTERVAL = timedelta(seconds=2)
+"""Minimum time between two scans of the job records."""
 
-AskRunning = Callable[[str, VmRecord], Awaitable[int | None]]
-"""Returns the requests that a daemon runs at a VM, or None without an answer.
+QueryRunning = Callable[[str, VmRecord], Awaitable[int | None]]
+"""Returns how many requests a daemon runs at a VM, or None without an answer.
 
-The question also tells the daemon to send no new work to the VM."""
+The query also tells the daemon to send no new work to the VM."""
 
 
 @dataclass(frozen=True, slots=True)
 class DrainCheck:
-    """Result of one verification; ``waiting_for`` names daemons."""
+    """Result of one verification; ``waiting_for`` names unconfirmed daemons."""
 
     status: DrainStatus
     running: int = 0
@@ -47,7 +47,7 @@
 
 
 class TaskCounts(ABC):
-    """Tasks that run, or may run, at workers."""
+    """Counts the tasks that run, or may run, at workers."""
 
     @abstractmethod
     async def running_tasks(self) -> dict[str, int]:
@@ -55,7 +55,7 @@
 
 
 class _JobHead(msgspec.Struct):
-    """The fields of a job record that say where it runs."""
+    """The fields of a job record that say whether and where it runs."""
 
     worker: str
     state: JobState
@@ -66,11 +66,11 @@
 
 
 _JOB_DECODER = msgspec.json.Decoder(_JobRecord)
-"""Skips all other fields, as thousands of records are read at a time."""
+"""Skips all other fields for speed, as thousands of records are read at a time."""
 
 
 class JobTaskCounts(TaskCounts):
-    """Counts tasks in the job records; a checkpointed task is no longer assigned."""
+    """Counts tasks by the job records; a checkpointed task has no worker any more."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
@@ -94,23 +94,23 @@
 
 @dataclass(eq=False)
 class _Drain:
-    """What is known of one drain (one epoch of a VM's record)."""
+    """Verification state of one drain, that is, one epoch of a VM's record."""
 
     epoch: int
     confirmed: set[str] = field(default_factory=set)
     running_by_daemon: dict[str, int] = field(default_factory=dict)
-    asked_at_by_daemon: dict[str, timedelta] = field(default_factory=dict)
+    queried_at_by_daemon: dict[str, timedelta] = field(default_factory=dict)
     all_confirmed_at: timedelta | None = None
 
 
 class DrainVerifier:
-    """Asks every daemon whether something runs at a draining VM.
+    """Queries every daemon for requests running at a draining VM.
 
-    What is known is kept in memory: a controller that takes over asks again.
+    The answers are kept in memory only: a controller that takes over queries again.
     """
 
     def __init__(
-        self, clock: Clock, state: FleetState, ask: AskRunning, tasks: TaskCounts
+        self, clock: Clock, state: FleetState, ask: QueryRunning, tasks: TaskCounts
     ) -> None:
         self._clock = clock
         self._state = state
@@ -121,21 +121,21 @@
         self._counted_at: timedelta | None = None
 
     async def task_counts(self) -> dict[str, int]:
-        """Return the running tasks by VM, counted at most once in an interval."""
+        """Return the running tasks by VM, scanned at most once per SCAN_INTERVAL."""
         now = self._clock.monotonic()
-        if self._counted_at is None or now - self._counted_at >= COUNT_INTERVAL:
+        if self._counted_at is None or now - self._counted_at >= SCAN_INTERVAL:
             self._task_counts = await self._tasks.running_tasks()
             self._counted_at = now
         return self._task_counts
 
     async def check(self, record: VmRecord, tasks: dict[str, int]) -> DrainCheck:
-        """Return whether a draining VM is free of requests and tasks."""
+        """Return whether requests or tasks still run at a draining VM."""
         drain = self._drain_of(record)
         daemons = {*record.asked, *self._state.daemons_by_incarnation}
         async with anyio.create_task_group() as group:
             for daemon in sorted(daemons - drain.confirmed):
-                if self._due(drain, daemon):
-                    group.start_soon(self._ask_daemon, drain, daemon, record)
+                if self._query_due(drain, daemon):
+                    group.start_soon(self._query_daemon, drain, daemon, record)
         running = sum(drain.running_by_daemon.values())
         if running:
             return DrainCheck(DrainStatus.REQUESTS_RUNNING, running)
@@ -151,7 +151,7 @@
         return DrainCheck(status, 0, silent)
 
     def forget(self, name: str) -> None:
-        """Drop what is known about a VM whose drain has ended."""
+        """Discard the verification state of a VM whose drain has ended."""
         self._drains_by_vm.pop(name, None)
 
     def _drain_of(self, record: VmRecord) -> _Drain:
@@ -163,8 +163,8 @@
     def _blocks(self, record: VmRecord, daemon: str) -> bool:
         """Tell whether a daemon that does not answer may have requests running.
 
-        One that is confirmed gone starts nothing more; what it sent before ends
-        with the request timeout.
+        A daemon that is confirmed gone starts no more requests; those that it sent
+        before end within the request timeout.
         """
         until = record.verify_by
         if record.since is not None and self._is_gone(daemon):
@@ -172,7 +172,7 @@
         return until is not None and self._clock.now() < until
 
     def _is_gone(self, incarnation: str) -> bool:
-        """Tell whether an incarnation is confirmed gone; time never confirms it."""
+        """Tell whether an incarnation is confirmed gone, not merely silent for long."""
         name = incarnation.rpartition(".")[0]
         vm = self._state.vm_list.vms_by_name.get(name)
         if vm is not None and vm.state is VmListState.GONE:
@@ -180,12 +180,12 @@
         registered = self._state.daemons_by_incarnation
         return any(r.vm == name and i != incarnation for i, r in registered.items())
 
-    def _due(self, drain: _Drain, daemon: str) -> bool:
-        asked_at = drain.asked_at_by_daemon.get(daemon)
-        return asked_at is None or self._clock.monotonic() - asked_at >= ASK_INTERVAL
+    def _query_due(self, drain: _Drain, daemon: str) -> bool:
+        asked_at = drain.queried_at_by_daemon.get(daemon)
+        return asked_at is None or self._clock.monotonic() - asked_at >= QUERY_INTERVAL
 
-    async def _ask_daemon(self, drain: _Drain, daemon: str, record: VmRecord) -> None:
-        drain.asked_at_by_daemon[daemon] = self._clock.monotonic()
+    async def _query_daemon(self, drain: _Drain, daemon: str, record: VmRecord) -> None:
+        drain.queried_at_by_daemon[daemon] = self._clock.monotonic()
         running = await self._ask(daemon, record)
         if running == 0:
             drain.running_by_daemon.pop(daemon, None)
@@ -197,4 +197,7 @@
         if drain.all_confirmed_at is None:
             drain.all_confirmed_at = self._clock.monotonic()
         counted_at = self._counted_at
-        return counted_at is not None and counted_at - drain.all_confirmed_at >= SETTLE
+        return (
+            counted_at is not None
+            and counted_at - drain.all_confirmed_at >= SETTLE_TIME
+        )
--- a/src/pomeloyard/fleet/forecasts.py
+++ b/src/pomeloyard/fleet/forecasts.py
@@ -1,6 +1,6 @@
-"""Forecast the peaks of pools and decide which VMs to lend, move on or give back.
+"""Forecast the peaks of pools and decide which VMs to lend, move or return.
 
-Demand is measured in VMs: running and queued work over what one VM carries.
+Demand is measured in VMs: running and queued work divided by the capacity of a VM.
 """
 
 from __future__ import annotations
@@ -14,32 +14,32 @@
 from itertools import pairwise
 from statistics import median
 
-PEAKS_KEPT = 8
-PEAKS_FOR_PREDICTION = 3
-"""Peaks needed before the next one is predicted."""
+MAX_PEAKS = 8
+MIN_PEAKS = 3
+"""Number of peaks needed to predict the next one."""
 
-REGULAR_SPREAD = 0.25
-"""Largest deviation of the time between peaks, as a share of its median, for which
-the next peak is predicted."""
+MAX_PERIOD_DEVIATION = 0.25
+"""Largest deviation of the time between peaks, as a share of its median, at which
+the next peak is still predicted."""
 
-TURNS_KEPT = 4
-TURNS_FOR_PREDICTION = 2
-"""Equal turns after which the next pool is prepared for."""
+MAX_SUCCESSORS = 4
+MIN_SUCCESSORS = 2
+"""Number of equal successors after which a pool's successor is predicted."""
 
-TURN_MARGIN = 0.5
-"""Share of the time between turns by which VMs are moved ahead of a turn; VMs
-that the last peak but one has left idle in any case."""
+SUCCESSOR_MARGIN = 0.5
+"""Share of the time between two pools' peaks by which VMs move ahead of the next
+peak. The VMs moved are those that have been idle since the last peak but one."""
 
 PEAK_END_SHARE = 0.5
-"""A peak begins above the pool's own capacity and ends below this share of it, so
-that demand near the capacity does not count as many peaks."""
+"""A peak begins above the pool's own capacity and ends below this share of it. This
+hysteresis keeps demand near the capacity from counting as many peaks."""
 
 PREDICTION_MARGIN = 0.1
-"""Share of the time between peaks by which a prediction comes early."""
+"""Share of the time between peaks by which preparation starts early."""
 
-GIVE_BACK_AFTER = timedelta(minutes=10)
-"""Time without a peak after which lent VMs return to the spare pool. Until then
-they stay where they are, as a VM idles at the same cost in any pool."""
+RETURN_AFTER = timedelta(minutes=10)
+"""Time without a peak after which lent VMs return to the spare pool. They don't
+return earlier, as an idle VM costs the same in any pool."""
 
 
 def median_time(times: Iterable[timedelta]) -> timedelta:
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Peak:
-    """Demand above a pool's own capacity; height in VMs."""
+    """A period of demand above a pool's own capacity; height in VMs."""
 
     started_at: datetime
     ended_at: datetime
@@ -58,15 +58,15 @@
 
 @dataclass
 class PoolForecast:
-    """Past peaks of one pool and the peak that is on, if any."""
+    """Past peaks of one pool and its current peak, if any."""
 
-    peaks: deque[Peak] = field(default_factory=lambda: deque(maxlen=PEAKS_KEPT))
+    peaks: deque[Peak] = field(default_factory=lambda: deque(maxlen=MAX_PEAKS))
     peak_began_at: datetime | None = None
     height: float = 0.0
     demand: float = 0.0
 
     def observe(self, at: datetime, demand: float, own_vms: int) -> None:
-        """Take a sample of the demand, in VMs, into account."""
+        """Add a sample of the demand, in VMs."""
         self.demand = demand
         if self.peak_began_at is None:
             if demand > own_vms:
@@ -85,18 +85,18 @@
     def expected_height(self) -> float:
         """Return the height to prepare for, in VMs.
 
-        The median, as a peak that met too few VMs looks higher by its queue.
+        The median, as the queue of a peak with too few VMs makes it look higher.
         """
         return median([peak.height for peak in self.peaks]) if self.peaks else 0.0
 
-    def height_now(self) -> float:
-        """Return the height of the present peak, else of the one to prepare for."""
+    def current_height(self) -> float:
+        """Return the height of the current peak, or else of the next one."""
         if self.peak_began_at is None:
             return self.expected_height()
         return max(self.height, self.demand)
 
     def remaining(self, now: datetime) -> timedelta | None:
-        """Return how long the present peak is expected to go on."""
+        """Return the expected remaining time of the current peak."""
         length = self.expected_length()
         if length is None or self.peak_began_at is None:
             return None
@@ -104,53 +104,55 @@
 
     def period(self) -> timedelta | None:
         """Return the time between peaks if it is regular."""
-        if len(self.peaks) < PEAKS_FOR_PREDICTION:
+        if len(self.peaks) < MIN_PEAKS:
             return None
         starts = [peak.started_at for peak in self.peaks]
         gaps = [b - a for a, b in pairwise(starts)]
         middle = median_time(gaps)
-        if any(abs(gap - middle) > REGULAR_SPREAD * middle for gap in gaps):
+        if any(abs(gap - middle) > MAX_PERIOD_DEVIATION * middle for gap in gaps):
             return None
         return middle
 
     def prepare_from(self, now: datetime) -> datetime | None:
-        """Return when to prepare for the next peak, or None if it is not foreseen."""
+        """Return when to prepare for the next peak, or None without a prediction."""
         period = self.period()
         if period is None or self.peak_began_at is not None:
             return None
         start = self.peaks[-1].started_at + period
-        # A peak that is overdue by more than the margin is no longer prepared for.
+        # A peak that is overdue by more than the margin is no longer expected.
         late = now - start > PREDICTION_MARGIN * period
         return None if late else start - PREDICTION_MARGIN * period
 
 
-class TurnForecast:
-    """Which pool's peak follows which, for peaks that come in turns."""
+class PeakOrderForecast:
+    """Predicts whose peak comes next when pools peak in a fixed order."""
 
     def __init__(self) -> None:
         self._last: tuple[str, datetime] | None = None
-        self._followers: dict[str, deque[tuple[str, timedelta]]] = {}
+        self._successors_by_pool: dict[str, deque[tuple[str, timedelta]]] = {}
 
-    def note_start(self, pool: str, at: datetime) -> None:
-        """Note that a pool's peak has begun."""
+    def record_peak_start(self, pool: str, at: datetime) -> None:
+        """Record the start of a pool's peak."""
         if self._last is not None and self._last[0] != pool:
             earlier, began_at = self._last
-            followers = self._followers.setdefault(earlier, deque(maxlen=TURNS_KEPT))
-            followers.append((pool, at - began_at))
+            successors = self._successors_by_pool.setdefault(
+                earlier, deque(maxlen=MAX_SUCCESSORS)
+            )
+            successors.append((pool, at - began_at))
         self._last = (pool, at)
 
     def next_peak(self, now: datetime) -> tuple[str, datetime, timedelta] | None:
-        """Return the pool whose turn is next, when, and the usual time between."""
+        """Return the next pool to peak, its start, and the median time until it."""
         if self._last is None:
             return None
-        followers = self._followers.get(self._last[0], ())
-        pools = {pool for pool, _ in followers}
-        if len(followers) < TURNS_FOR_PREDICTION or len(pools) != 1:
+        successors = self._successors_by_pool.get(self._last[0], ())
+        pools = {pool for pool, _ in successors}
+        if len(successors) < MIN_SUCCESSORS or len(pools) != 1:
             return None
-        gap = median_time(gap for _, gap in followers)
+        gap = median_time(gap for _, gap in successors)
         start = self._last[1] + gap
         if now - start > gap / 2:
-            return None  # Overdue: the turns have changed or ended.
+            return None  # Overdue: the order has changed or the peaks have ended.
         return pools.pop(), start, gap
 
 
@@ -166,10 +168,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolDemand:
-    """A pool at one moment: its own VMs, borrowed VMs and forecast.
+    """Snapshot of a pool: its own VMs, borrowed VMs and forecast.
 
-    ``borrowed`` counts borrowed VMs that are in service or on the way, ``movable``
-    those in service.
+    ``borrowed`` counts borrowed VMs that are in service or being moved in,
+    ``movable`` only those in service.
     """
 
     pool: str
@@ -178,7 +180,7 @@
     forecast: PoolForecast
     movable: int = 0
     prepare_from: datetime | None = None
-    """When to begin to prepare for the next peak, or None if none is foreseen."""
+    """When to begin to prepare for the next peak, or None if none is predicted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,17 +198,17 @@
 def wanted_vms(
     pool: PoolDemand, now: datetime, move_time: timedelta
 ) -> tuple[int, LendReason]:
-    """Return the extra VMs that a pool should have once a move would be over.
+    """Return the extra VMs that a pool should have when a move started now ends.
 
-    A peak of unknown length is taken to go on for as long as it has lasted, so
-    that a first, short peak moves nothing.
+    A peak of unknown length is assumed to last as long again as it has lasted so
+    far, so that a first, short peak moves no VMs.
     """
     forecast = pool.forecast
     if forecast.peak_began_at is not None:
         remaining = forecast.remaining(now)
         if remaining is None:
             remaining = now - forecast.peak_began_at
-        extra = math.ceil(forecast.height_now() - pool.own_vms)
+        extra = math.ceil(forecast.current_height() - pool.own_vms)
         if remaining <= move_time and extra > pool.borrowed:
             return pool.borrowed, LendReason.PEAK_TOO_SHORT
         return max(0, extra), LendReason.PEAK
@@ -226,15 +228,16 @@
 ) -> list[LendDecision]:
     """Return the moves to start.
 
-    Pools with a peak come before those with a predicted one. VMs are taken from
-    the ``free_vms`` of the spare pool, then from pools that no longer want what
-    they borrowed. A present peak also takes ``reserve_vms``, which the spare
-    pool's own service may need, and then VMs that stand ready elsewhere.
+    Pools with a current peak come before those with a predicted one. VMs are taken
+    from the ``free_vms`` of the spare pool, then from pools that no longer need
+    their borrowed VMs. A current peak also takes ``reserve_vms``, which the spare
+    pool's own service may need, and then VMs held by other pools for predicted
+    peaks.
     """
     wanted = {pool.pool: wanted_vms(pool, now, move_time) for pool in pools}
     sources = _Sources(spare_pool, free_vms, reserve_vms, pools, wanted)
     decisions: list[LendDecision] = []
-    order = sorted(pools, key=lambda p: (_urgency(wanted[p.pool][1]), p.pool))
+    order = sorted(pools, key=lambda p: (_priority(wanted[p.pool][1]), p.pool))
     for pool in order:
         extra, reason = wanted[pool.pool]
         demand = pool.forecast.demand
@@ -251,11 +254,11 @@
         if missing > 0:
             none = LendReason.NO_VM_FREE
             decisions.append(LendDecision("", pool.pool, 0, none, demand, extra))
-    return decisions + _give_back(pools, sources.surplus, spare_pool, now)
+    return decisions + _plan_returns(pools, sources.surplus, spare_pool, now)
 
 
 class _Sources:
-    """VMs that may be moved: spare ones, surplus ones, and ones kept ready."""
+    """VMs that may be moved: spare, surplus, reserve and prepared ones."""
 
     def __init__(
         self,
@@ -271,15 +274,15 @@
         self.surplus = {
             p.pool: max(0, min(p.movable, p.borrowed - wanted[p.pool][0])) for p in idle
         }
-        self.ready = {p.pool: p.movable - self.surplus[p.pool] for p in idle}
+        self.prepared = {p.pool: p.movable - self.surplus[p.pool] for p in idle}
 
     def take(
         self, target: str, missing: int, reason: LendReason
     ) -> list[tuple[str, int]]:
-        """Return where to take VMs from; only a present peak takes ready ones."""
+        """Return where to take VMs from; reserve and prepared VMs only for a peak."""
         kinds = [self.spare, self.surplus]
         if reason is LendReason.PEAK:
-            kinds += [self.reserve, self.ready]
+            kinds += [self.reserve, self.prepared]
         taken = []
         for free_by_pool in kinds:
             for source, free in sorted(free_by_pool.items()):
@@ -291,7 +294,7 @@
         return taken
 
 
-def _give_back(
+def _plan_returns(
     pools: Sequence[PoolDemand],
     surplus: Mapping[str, int],
     spare_pool: str,
@@ -300,21 +303,21 @@
     decisions = []
     for pool in pools:
         vms, peaks = surplus.get(pool.pool, 0), pool.forecast.peaks
-        if vms == 0 or not peaks or now - peaks[-1].ended_at < GIVE_BACK_AFTER:
+        if vms == 0 or not peaks or now - peaks[-1].ended_at < RETURN_AFTER:
             continue
         reason, demand = LendReason.NO_PEAK, pool.forecast.demand
         decisions.append(LendDecision(pool.pool, spare_pool, vms, reason, demand, 0))
     return decisions
 
 
-def _urgency(reason: LendReason) -> int:
+def _priority(reason: LendReason) -> int:
     return 0 if reason is LendReason.PEAK else 1
 
 
 def idle_cost(
     idle_vm_hours: float, moves: int, move_time: timedelta, rate: float
 ) -> float:
-    """Return the cost of a buffer: idle VMs, and VMs that are being moved.
+    """Return the cost of a buffer: idle VMs and VMs that are being moved.
 
     ``rate`` is PoolConfig.idle_cost_per_hour.
 
--- a/src/pomeloyard/fleet/health_reports.py
+++ b/src/pomeloyard/fleet/health_reports.py
@@ -1,4 +1,4 @@
-"""Carry observations of VMs from every daemon to the controller."""
+"""Send observations of VMs from every daemon to the controller."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 REPORT_INTERVAL = timedelta(seconds=5)
 MAX_REPORTED_OUTCOMES = 50
-"""Outcomes of one kind at one VM that a report carries; more add no evidence."""
+"""Maximum outcomes of one kind at one VM in a report; more add no evidence."""
 
 
 class HealthReports:
@@ -34,7 +34,7 @@
         self._counts: Counter[tuple[str, ObservationKind]] = Counter()
 
     def start(self) -> None:
-        """Take other daemons' reports from now on."""
+        """Register the handler for other daemons' reports."""
         self._network.on(HealthReport, self._on_report)
 
     def note(self, vm: str, kind: ObservationKind) -> None:
@@ -48,7 +48,7 @@
             self.report()
 
     def report(self) -> None:
-        """Send what was counted; a report that cannot be sent is dropped."""
+        """Send the counts; a report that cannot be sent is dropped."""
         counts, self._counts = self._counts, Counter()
         holder = self._state.roles_by_name.get("controller")
         if holder is None or not counts:
@@ -71,6 +71,6 @@
         for outcome in report.outcomes:
             kind = kinds.get(outcome.kind)
             if kind is None:
-                continue  # A newer daemon's kind.
+                continue  # Kind unknown to this version, sent by a newer daemon.
             for _ in range(min(outcome.count, MAX_REPORTED_OUTCOMES)):
                 self._observe(Observation(outcome.vm, kind, now))
--- a/src/pomeloyard/fleet/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -1,4 +1,4 @@
-"""Turn outcomes of requests and the state of workers into health observations."""
+"""Derive health observations from request outcomes and worker states."""
 
 from __future__ import annotations
 
@@ -10,15 +10,17 @@
 from ..jobs.scheduler import Scheduler
 from .repair import ObservationKind
 
-Note = Callable[[str, ObservationKind], None]
+RecordObservation = Callable[[str, ObservationKind], None]
 
 WORKER_INTERVAL = timedelta(seconds=5)
-"""A worker that stays set aside for a minute gives the ten failed outcomes after
-which it is taken for failed."""
+"""A worker set aside for a minute yields the ten failed outcomes at which it
+counts as failed."""
 
 
-def note_executor(note: Note, vm: str, *, failed: bool, silent: bool) -> None:
-    """Note the outcome of one request at an executor."""
+def note_executor(
+    note: RecordObservation, vm: str, *, failed: bool, silent: bool
+) -> None:
+    """Record the outcome of one request at an executor."""
     if silent:
         note(vm, ObservationKind.UNRESPONSIVE)
     elif failed:
@@ -30,11 +32,13 @@
 class WorkerObserver:
     """Reports workers that do not answer or fail their tasks.
 
-    Outcomes of single tasks are not reported: a bad job fails on good workers,
-    and the quarantine tells the two apart.
+    Outcomes of single tasks are not reported, as a faulty job also fails on healthy
+    workers; the quarantine distinguishes the two.
     """
 
-    def __init__(self, clock: Clock, scheduler: Scheduler, note: Note) -> None:
+    def __init__(
+        self, clock: Clock, scheduler: Scheduler, note: RecordObservation
+    ) -> None:
         self._clock = clock
         self._scheduler = scheduler
         self._note = note
@@ -46,7 +50,7 @@
             self.observe()
 
     def observe(self) -> None:
-        """Note the present state of each worker, if this daemon schedules."""
+        """Record the state of each worker if this daemon is the scheduler."""
         term = self._scheduler.term
         if term is None:
             return
--- a/src/pomeloyard/fleet/lifecycle.py
+++ b/src/pomeloyard/fleet/lifecycle.py
@@ -1,4 +1,4 @@
-"""Advance VMs through drains, reboots, moves and trials, one step at a time."""
+"""Advance VMs through drains, reboots, moves and trials step by step."""
 
 from __future__ import annotations
 
@@ -16,27 +16,25 @@
 from .records import FleetRecords, Step
 from .vms import Cause, DrainStatus, VmPlan, VmRecord, VmState
 
-PARALLEL_STEPS = 64
-"""VMs advanced at once. A question to a daemon that does not answer takes 1 s, and
-must not make the other drains wait in a queue; the store client limits its own
-calls in flight."""
+MAX_CONCURRENT_VMS = 64
+"""VMs advanced concurrently. A query to a daemon that does not answer takes 1 s and
+must not delay other drains; the store client limits its own calls in flight."""
 
-STEPS_AT_ONCE = 4
-"""Steps of one VM in a row, so that a move does not wait for the next tick after
-each of its steps."""
+MAX_STEPS_PER_TICK = 4
+"""Steps of one VM per tick; more than one, so that a move does not wait for the next
+tick after each of its steps."""
 
 REMOVE_AFTER = timedelta(days=1)
-"""Time after which a VM that was set aside and is missing from the platform's list
-is removed from its pool; until then an operator can see and return it."""
+"""Time after which a set-aside VM that is missing from the platform's list is removed
+from its pool; until then an operator can see it and return it to service."""
 
 REISSUE_INTERVAL = timedelta(seconds=30)
-"""Time after which an operation that has had no effect is sent again, with the
-same id."""
+"""Time after which an operation without effect is sent again with the same ID."""
 
 LOSS_STATES = frozenset(
     {VmState.IN_SERVICE, VmState.DRAINING, VmState.DRAINED, VmState.FAILED}
 )
-"""States in which the platform's list alone may lead to a step."""
+"""States in which a change of the platform's list alone may cause a step."""
 
 NO_TASKS: dict[str, int] = {}
 
@@ -44,7 +42,7 @@
 
 
 class VmLifecycle:
-    """Carries out the next step of every VM that is not simply in service."""
+    """Takes the next step of every VM that has one."""
 
     def __init__(
         self,
@@ -59,10 +57,10 @@
         self._is_failing = is_failing
         self._issued_at_by_id: dict[str, timedelta] = {}
         self.drain_checks_by_vm: dict[str, DrainCheck] = {}
-        """Latest verification of each draining VM, to explain what it waits for."""
+        """Latest verification of each draining VM; shows what the drain waits for."""
 
     async def adopt_new_vms(self) -> None:
-        """Create the records of VMs that have none."""
+        """Create records for listed VMs that have none."""
         state = self._records.state
         for vm in list(state.vm_list.vms_by_name.values()):
             known = vm.name in state.vm_records_by_name
@@ -74,17 +72,19 @@
                 continue  # Another controller adopted it first.
 
     async def remove_missing_vms(self) -> None:
-        """Delete the records of set-aside VMs that have long left the list."""
+        """Delete the records of VMs long set aside that are no longer listed."""
         now = self._records.clock.now()
         for record in self._vm_records():
             if record.state is not VmState.SET_ASIDE or record.since is None:
                 continue
             if self._vm(record.name) is None and now - record.since >= REMOVE_AFTER:
-                log.info("{} is no longer in the platform's list", record.name)
+                log.info(
+                    "removing VM {}: missing from the platform's list", record.name
+                )
                 await self._records.remove(record.name)
 
-    async def enter_losses(self) -> None:
-        """Enter VMs that the platform lost or returned into records and budgets."""
+    async def record_losses(self) -> None:
+        """Record VMs that the platform lost or returned, also in the budgets."""
         await self._advance_each(
             [
                 record
@@ -95,8 +95,8 @@
         )
 
     async def advance_all(self) -> None:
-        """Advance every VM; one VM's failure stops no other."""
-        active = [record for record in self._vm_records() if self._active(record)]
+        """Advance every VM; a failure of one VM does not affect the others."""
+        active = [record for record in self._vm_records() if self._has_step(record)]
         draining = {r.name for r in active if r.state is VmState.DRAINING}
         for name in self.drain_checks_by_vm.keys() - draining:
             del self.drain_checks_by_vm[name]
@@ -108,7 +108,7 @@
     async def _advance_each(
         self, records: list[VmRecord], tasks: dict[str, int]
     ) -> None:
-        limiter = anyio.CapacityLimiter(PARALLEL_STEPS)
+        limiter = anyio.CapacityLimiter(MAX_CONCURRENT_VMS)
         async with anyio.create_task_group() as group:
             for record in records:
                 group.start_soon(self._advance_safely, limiter, record, tasks)
@@ -118,14 +118,14 @@
     ) -> None:
         async with limiter:
             try:
-                for _ in range(STEPS_AT_ONCE):
+                for _ in range(MAX_STEPS_PER_TICK):
                     await self._advance(record, tasks)
                     after = self._records.state.vm_records_by_name[record.name]
-                    if after.epoch == record.epoch or not self._active(after):
+                    if after.epoch == record.epoch or not self._has_step(after):
                         break
                     record = after
             except (StoreError, ConflictError, RefusedError) as error:
-                log.warning("step of {} failed: {}", record.name, error)
+                log.warning("step of VM {} failed: {}", record.name, error)
 
     async def _advance(self, record: VmRecord, tasks: dict[str, int]) -> None:
         if self._loss(record) is not None:
@@ -153,7 +153,7 @@
             if record.waiting is not check.status:
                 await self._records.change(
                     record.name,
-                    lambda current: vm_steps.note_waiting(
+                    lambda current: vm_steps.record_waiting(
                         current, record.epoch, check.status
                     ),
                 )
@@ -161,8 +161,8 @@
         now = self._records.clock.now()
 
         def finish(current: VmRecord) -> VmRecord | None:
-            # Only the drain that was verified is finished; a return and a second
-            # drain in between have another epoch.
+            # Finish only the drain that was verified: after a return and a second
+            # drain in the meantime, the epoch differs.
             if current.epoch != record.epoch:
                 return None
             return vm_steps.finish_drain(current, now, cause)
@@ -174,7 +174,7 @@
         await self._records.change(record.name, self._step(record, now))
 
     def _step(self, record: VmRecord, now: datetime) -> Step:
-        """Return the step for a record; it applies only to the same epoch."""
+        """Return the step for a record; it does nothing at another epoch."""
         maintenance = self._records.state.config.maintenance
         vm = self._vm(record.name)
         timeout, trial = maintenance.reboot_timeout, maintenance.trial
@@ -193,36 +193,38 @@
 
         return step
 
-    def _active(self, record: VmRecord) -> bool:
-        """Tell whether a VM has a step to take, without reading the store."""
+    def _has_step(self, record: VmRecord) -> bool:
+        """Tell whether a VM may have a step to take, without reading the store."""
         if record.state in (VmState.DRAINING, VmState.REBOOTING, VmState.MOVING):
             return True
         if record.state is VmState.DRAINED:
             return record.plan is not VmPlan.HOLD
         if record.state is VmState.TRIAL:
-            return self._leaving(record.name) or self._next(record) is not None
+            return (
+                self._is_leaving(record.name) or self._next_record(record) is not None
+            )
         return False
 
     def _loss(self, record: VmRecord) -> VmRecord | None:
         now = self._records.clock.now()
         return vm_steps.check_loss(record, now, self._vm(record.name))
 
-    def _next(self, record: VmRecord) -> VmRecord | None:
-        """Return the next record by this daemon's copies, without the store."""
+    def _next_record(self, record: VmRecord) -> VmRecord | None:
+        """Return the next record according to local copies, without the store."""
         return self._step(record, self._records.clock.now())(record)
 
     def _vm_records(self) -> list[VmRecord]:
         return list(self._records.state.vm_records_by_name.values())
 
     async def _issue(self, record: VmRecord) -> None:
-        """Start the platform operation that the record calls for."""
+        """Start the platform operation that the record requires."""
         operation = vm_steps.operation_of(record)
         if operation is not None:
             pool = record.target_pool if operation[0] is VmOperation.ASSIGN else ""
             await self._operate(record.name, *operation, pool)
 
     async def _return_at_platform(self, record: VmRecord) -> None:
-        if self._leaving(record.name):
+        if self._is_leaving(record.name):
             operation_id = f"{record.operation or 'back'}.return.{record.epoch}"
             await self._operate(record.name, VmOperation.RETURN, operation_id)
 
@@ -238,16 +240,16 @@
                 name, operation, operation_id=operation_id, pool=pool
             )
         except StoreRequestError as error:
-            # Refused by the platform: the state's deadline leads to the next try.
-            log.warning("{} of {} refused: {}", operation.value, name, error)
+            # Refused by the platform: retried when the state's deadline has passed.
+            log.warning("{} of VM {} refused: {}", operation.value, name, error)
         except StoreError as error:
-            log.warning("{} of {}: {}", operation.value, name, error)
+            log.warning("{} of VM {} failed: {}", operation.value, name, error)
             return
         self._issued_at_by_id[operation_id] = now
 
     def _vm(self, name: str) -> Vm | None:
         return self._records.state.vm_list.vms_by_name.get(name)
 
-    def _leaving(self, name: str) -> bool:
+    def _is_leaving(self, name: str) -> bool:
         vm = self._vm(name)
         return vm is not None and vm.state is VmListState.LEAVING
--- a/src/pomeloyard/fleet/maintenance.py
+++ b/src/pomeloyard/fleet/maintenance.py
@@ -1,4 +1,4 @@
-"""Start maintenance waves by themselves, spread over the maintenance interval."""
+"""Start maintenance waves automatically, spread over the maintenance interval."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from .waves import WaveCause, WaveKind, WaveRecord, due_pools
 
 MAX_AUTOMATIC_WAVES = 2
-"""Waves that the controller starts by itself and that run at one time."""
+"""Maximum number of automatically started waves that are open at a time."""
 
 
 class MaintenanceSchedule:
@@ -48,7 +48,7 @@
         return {vms[n].pool for wave in waves for n in wave.targets if n in vms}
 
     def _targets(self, pool: str, interval: timedelta) -> tuple[str, ...]:
-        """Return the VMs of a pool that were not maintained lately."""
+        """Return the VMs of a pool without maintenance in the last half interval."""
         now = self._records.clock.now()
         return tuple(
             sorted(
--- a/src/pomeloyard/fleet/operations.py
+++ b/src/pomeloyard/fleet/operations.py
@@ -1,4 +1,4 @@
-"""Operations on VMs, for operators and for the controller's own plans."""
+"""Operations on VMs, for operators and the controller."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class VmOperations:
-    """Starts drains, moves and returns; every step is one transaction."""
+    """Starts drains, moves and returns to service, each in one transaction."""
 
     def __init__(
         self,
@@ -49,7 +49,7 @@
         """
         state = self._records.state
         if state.vm_list.version == 0:
-            # Losses that only the list shows could not be counted.
+            # Without the list, its losses would be missing from the headroom.
             raise RefusedError(Refused(RefusalReason.NOT_READY, "VM list not read"))
         known = state.vm_records_by_name.get(name)
         if known is None:
@@ -73,7 +73,7 @@
             name, lambda current: vm_steps.begin_drain(current, now, order)
         )
         self._announce(record)
-        self._decide(DecisionKind.DRAIN, record, plan.value, cause)
+        self._record_decision(DecisionKind.DRAIN, record, plan.value, cause)
         return record
 
     async def move(
@@ -84,7 +84,7 @@
         cause: Cause = Cause.OPERATOR,
         operation: str = "",
     ) -> VmRecord:
-        """Start moving a VM to another pool: drain, assign, return."""
+        """Start moving a VM to another pool: drain, assign, return to service."""
         record = await self.drain(
             name,
             by,
@@ -93,39 +93,39 @@
             operation=operation,
             target_pool=pool,
         )
-        self._decide(DecisionKind.MOVE, record, pool, cause)
+        self._record_decision(DecisionKind.MOVE, record, pool, cause)
         return record
 
     async def return_to_service(
         self, name: str, by: str, cause: Cause = Cause.OPERATOR
     ) -> VmRecord:
-        """Undo a drain, or try a VM that was set aside or has failed again."""
+        """Undo a drain, or put a set-aside or failed VM on trial again."""
         now = self._records.clock.now()
         vm = self._records.state.vm_list.vms_by_name.get(name)
         record = await self._records.change(
             name, lambda current: vm_steps.return_vm(current, now, vm, cause, by)
         )
-        self._decide(DecisionKind.RETURN, record, record.state.value, cause)
+        self._record_decision(DecisionKind.RETURN, record, record.state.value, cause)
         return record
 
     async def undo(self, name: str, wave: str, cause: Cause) -> VmRecord:
-        """Return a VM that a wave drained but did not yet reboot."""
+        """Return a VM to service that a wave drained but did not yet reboot."""
         now = self._records.clock.now()
         record = await self._records.change(
             name, lambda current: vm_steps.undo_drain(current, now, wave, cause)
         )
-        self._decide(DecisionKind.RETURN, record, record.state.value, cause)
+        self._record_decision(DecisionKind.RETURN, record, record.state.value, cause)
         return record
 
     def _daemons(self) -> tuple[str, ...]:
-        """Return the daemons that may run requests, also those that are silent."""
+        """Return all daemons that may run requests, including unresponsive ones."""
         state = self._records.state
         holders = set()
         if state.partitions is not None:
             holders = {p.holder for p in state.partitions.partitions if p.holder}
         return tuple(sorted(holders | state.daemons_by_incarnation.keys()))
 
-    def _decide(
+    def _record_decision(
         self, kind: DecisionKind, record: VmRecord, choice: str, cause: Cause
     ) -> None:
         self._decisions.record(
--- a/src/pomeloyard/fleet/records.py
+++ b/src/pomeloyard/fleet/records.py
@@ -1,4 +1,4 @@
-"""Changes of VM records together with the budgets that they spend."""
+"""Change VM records together with the budgets that they affect."""
 
 from __future__ import annotations
 
@@ -31,11 +31,11 @@
 )
 from .vms import Cause, VmRecord, VmState
 
-ATTEMPTS = 5
-"""Tries of one change; each failure means that another writer succeeded."""
+MAX_ATTEMPTS = 5
+"""Attempts at one change; each failure means that another writer succeeded."""
 
 Step = Callable[[VmRecord], VmRecord | None]
-"""Returns the next record, or None for no change; raises RefusedError."""
+"""Returns the next record or None for no change, or raises RefusedError."""
 
 
 class FleetRecords:
@@ -49,10 +49,10 @@
     async def change(self, name: str, step: Step) -> VmRecord:
         """Apply a step to a VM's record and to the budgets of its pools.
 
-        Another writer's change leads to a new read, so that the step decides on
-        what is stored. Raises RefusedError and ConflictError.
+        After a conflict with another writer the record is read again, so that the
+        step acts on what is stored. Raises RefusedError and ConflictError.
         """
-        for attempt in range(ATTEMPTS):
+        for attempt in range(MAX_ATTEMPTS):
             current = await read_record(self.store, layout.VMS + name, VmRecord)
             if current is None:
                 raise RefusedError(Refused(RefusalReason.NOT_FOUND, name))
@@ -62,7 +62,7 @@
             try:
                 await self._commit(current, record)
             except ConflictError:
-                if attempt == ATTEMPTS - 1:
+                if attempt == MAX_ATTEMPTS - 1:
                     raise
                 continue
             self.state.vm_records_by_name[name] = record
@@ -86,7 +86,7 @@
         self.state.vm_records_by_name[name] = record
 
     async def remove(self, name: str) -> None:
-        """Delete the record of a VM that the platform has taken away for good."""
+        """Delete the record of a set-aside VM that the platform has removed."""
         key = layout.VMS + name
         current = await read_record(self.store, key, VmRecord)
         if current is None or current.value.state is not VmState.SET_ASIDE:
@@ -113,19 +113,19 @@
         return [service for _, service in services if service.pool in pools]
 
     def unavailable(self, names: Iterable[str]) -> set[str]:
-        """Return those of the VMs that the platform's list does not show as live."""
+        """Return the VMs that the platform's list does not show as live."""
         vms = self.state.vm_list.vms_by_name
         live = VmListState.LIVE
         return {n for n in names if n not in vms or vms[n].state is not live}
 
     def headroom(self, service: ServiceConfig, budget: BudgetRecord) -> HeadroomByScope:
-        """Return the headroom of a service's budget, with the losses known here."""
+        """Return the headroom of a service's budget, including losses known locally."""
         pool = self.state.config.pools_by_name.get(service.pool)
         lost = self.unavailable(budget.members_by_vm)
         return headroom_of(budget, service.budget, pool, lost)
 
     async def reconcile(self, budgets: dict[str, Versioned[BudgetRecord]]) -> None:
-        """Enter VMs of services that were added to, or moved between, pools."""
+        """Correct budget members of services that were added or changed pools."""
         for service in self.services_of(*self.state.config.pools_by_name):
             record = budgets.get(service.name)
             members = set(record.value.members_by_vm) if record else set()
@@ -146,7 +146,7 @@
             await self._commit(current, current.value)
 
     async def _drop_or_touch(self, service: ServiceConfig, name: str) -> None:
-        """Remove a member whose VM is in another pool, under its VM record."""
+        """Remove a member whose VM is in another pool, guarded by the VM record."""
         vm = await read_record(self.store, layout.VMS + name, VmRecord)
         key = layout.BUDGETS + service.name
         budget = await read_record(self.store, key, BudgetRecord)
@@ -177,8 +177,8 @@
             now = self.clock.now()
             after = with_vm(budget, service.pool, before, new, now, lost=lost)
             if after == budget:
-                # The transaction still compares the record, so that the VM's
-                # change and the budget are of one moment.
+                # Include the record anyway: the transaction compares it, so that
+                # the VM and the budget change consistently.
                 changes.append(Change(key, budget, stored))
                 continue
             self._check(service, budget, after, new)
@@ -192,7 +192,7 @@
         after: BudgetRecord,
         vm: VmRecord,
     ) -> None:
-        """Refuse planned spending that the budget does not allow."""
+        """Refuse a planned operation that the budget does not allow."""
         entry = after.spending_by_vm.get(vm.name)
         if entry is None or vm.name in before.spending_by_vm:
             return
--- a/src/pomeloyard/fleet/repair.py
+++ b/src/pomeloyard/fleet/repair.py
@@ -1,4 +1,4 @@
-"""Find failed VMs from observations and decide which of them to repair."""
+"""Detect failed VMs from observations and decide which of them to repair."""
 
 from __future__ import annotations
 
@@ -11,37 +11,38 @@
 from .vms import Cause, VmPlan, VmRecord, VmState
 
 WINDOW = timedelta(seconds=60)
-"""Age up to which outcomes are counted."""
+"""Maximum age of outcomes that are counted."""
 
 MAX_OUTCOMES = 200
 """Outcomes kept for each VM."""
 
-SILENT_AFTER = timedelta(seconds=20)
-"""Silence that counts as a loss; a paused process (15 s) is not one."""
+SILENCE_TIMEOUT = timedelta(seconds=20)
+"""Time without an answer after which a VM counts as failed; longer than the 15 s
+for which a process may be paused."""
 
 MIN_FAILED_OUTCOMES = 10
 FAILED_SHARE = 0.9
 MIN_PARTLY_FAILED_OUTCOMES = 20
 PARTLY_FAILED_SHARE = 0.2
 PARTLY_FAILED_RATIO = 3.0
-"""A VM's failures over those of the rest of its pool; a fault of the service
-itself shows at all VMs alike and does not make one of them suspect."""
+"""Minimum ratio of a VM's failure rate to that of the rest of its pool. A fault of
+the service itself affects all VMs alike and makes none of them suspect."""
 
-FLAPS = 3
-FLAP_WINDOW = timedelta(hours=1)
-GONE_PATIENCE = timedelta(seconds=60)
-"""Time for the platform to bring back a VM before it is asked to replace it."""
+FLAPPING_BOOTS = 3
+FLAPPING_WINDOW = timedelta(hours=1)
+REPLACE_DELAY = timedelta(seconds=60)
+"""Time in which the platform may bring back a VM before a replacement is requested."""
 
-DETECTED = (Cause.VM_SILENT, Cause.VM_FAILED)
-"""Findings of detectors for which a VM is taken out of service at once; it serves
-nothing. A VM that is found partly failed or flapping is drained as planned work."""
+DETECTED_FAILURES = (Cause.VM_SILENT, Cause.VM_FAILED)
+"""Causes for which a VM is taken out of service without a drain, as it serves
+nothing. A partly failed or flapping VM is drained as planned work."""
 
-REPAIR = "repair-"
+REPAIR_PREFIX = "repair-"
 """Prefix of the operation ids of repairs."""
 
 
 class ObservationKind(Enum):
-    """What was observed at a VM."""
+    """What was observed of a VM."""
 
     REQUEST_DONE = "request-done"
     REQUEST_FAILED = "request-failed"
@@ -80,22 +81,22 @@
     )
     silent_since: datetime | None = None
     boot_id: str = ""
-    boots: deque[datetime] = field(default_factory=lambda: deque(maxlen=FLAPS))
+    boots: deque[datetime] = field(default_factory=lambda: deque(maxlen=FLAPPING_BOOTS))
 
     def counts(self, now: datetime) -> tuple[int, int]:
-        """Return recent outcomes and the failures among them."""
+        """Return the number of recent outcomes and of failures among them."""
         recent = [failed for at, failed in self.outcomes if now - at <= WINDOW]
         return len(recent), sum(recent)
 
 
-class HealthBook:
-    """Recent observations of each VM."""
+class HealthTracker:
+    """Keeps recent observations of each VM and detects failures."""
 
     def __init__(self) -> None:
         self._health_by_vm: dict[str, _Health] = defaultdict(_Health)
 
     def observe(self, observation: Observation) -> None:
-        """Take one observation into account."""
+        """Add one observation."""
         health = self._health_by_vm[observation.vm]
         if observation.kind is _SILENT:
             if health.silent_since is None:
@@ -106,8 +107,8 @@
             failed = observation.kind in _FAILURES
             health.outcomes.append((observation.at, failed))
 
-    def note_boot(self, name: str, boot_id: str, at: datetime, planned: bool) -> None:
-        """Count a boot that nobody planned."""
+    def record_boot(self, name: str, boot_id: str, at: datetime, planned: bool) -> None:
+        """Record a VM's boot ID and count the boot if it was not planned."""
         health = self._health_by_vm[name]
         if health.boot_id not in ("", boot_id) and not planned:
             health.boots.append(at)
@@ -138,7 +139,7 @@
         return suspicions
 
     def is_failing(self, name: str, now: datetime) -> bool:
-        """Tell whether a VM on trial fails what it is given."""
+        """Tell whether a VM on trial fails its requests or tasks."""
         if name not in self._health_by_vm:
             return False
         count, failures = self._health_by_vm[name].counts(now)
@@ -149,7 +150,7 @@
     ) -> Suspicion | None:
         health = self._health_by_vm[name]
         silent_since = health.silent_since
-        if silent_since is not None and now - silent_since >= SILENT_AFTER:
+        if silent_since is not None and now - silent_since >= SILENCE_TIMEOUT:
             return Suspicion(name, Cause.VM_SILENT, f"since {silent_since}")
         rate = failures / count if count else 0.0
         evidence = f"{failures} of {count} failed, {rest_rate:.0%} elsewhere"
@@ -159,15 +160,15 @@
         many = count >= MIN_PARTLY_FAILED_OUTCOMES
         if many and rate >= PARTLY_FAILED_SHARE and unusual:
             return Suspicion(name, Cause.VM_PARTLY_FAILED, evidence)
-        recent = [at for at in health.boots if now - at <= FLAP_WINDOW]
-        if len(recent) >= FLAPS:
+        recent = [at for at in health.boots if now - at <= FLAPPING_WINDOW]
+        if len(recent) >= FLAPPING_BOOTS:
             return Suspicion(name, Cause.VM_FLAPPING, f"{len(recent)} boots")
         return None
 
 
 @dataclass(frozen=True, slots=True)
 class RepairAlarm:
-    """More VMs of a pool look failed at once than may be repaired; none is."""
+    """More VMs of a pool are suspect at once than may be repaired; none is."""
 
     pool: str
     limit: int
@@ -176,7 +177,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RepairPlan:
-    """What to do in one pool: fail VMs, drain others under the budget, repair."""
+    """Actions in one pool: fail VMs, drain VMs within the budget, and repair."""
 
     fail: tuple[Suspicion, ...] = ()
     drain: tuple[Suspicion, ...] = ()
@@ -202,42 +203,42 @@
 ) -> RepairPlan:
     """Return the repairs to start in a pool.
 
-    VMs that the platform itself calls gone are certain, and are repaired up to
-    the limit. Suspicions come from detectors that may be wrong; when more VMs
-    look failed at once than the limit, none is acted on.
+    VMs that the platform reports as gone are certain and are repaired up to the
+    limit. Suspicions come from detectors that may be wrong; when more VMs are
+    suspect at once than the limit allows, none of them is acted on.
     """
     limit = repair_limit(len(vms_by_name), max_repairs)
     vms = [vm for _, vm in sorted(vms_by_name.items())]
-    room = max(0, limit - sum(_in_repair(vm) for vm in vms))
+    free = max(0, limit - sum(_in_repair(vm) for vm in vms))
     failed = [vm for vm in vms if vm.state is VmState.FAILED]
-    planned = [(vm.name, plan) for vm in failed if (plan := _repair_of(vm, now))]
-    repair = tuple(planned[:room])
+    planned = [(vm.name, plan) for vm in failed if (plan := _repair_plan(vm, now))]
+    repair = tuple(planned[:free])
     suspects = [s for s in suspicions if vms_by_name[s.vm].state is VmState.IN_SERVICE]
-    detected = sum(vm.reasons[-1].cause in DETECTED for vm in failed)
+    detected = sum(vm.reasons[-1].cause in DETECTED_FAILURES for vm in failed)
     if detected + len(suspects) > limit:
         names = tuple(s.vm for s in suspects)
         return RepairPlan(repair=repair, alarm=RepairAlarm(pool, limit, names))
-    chosen = suspects[: max(0, room - len(planned))]
+    chosen = suspects[: max(0, free - len(planned))]
     return RepairPlan(
-        fail=tuple(s for s in chosen if s.cause in DETECTED),
-        drain=tuple(s for s in chosen if s.cause not in DETECTED),
+        fail=tuple(s for s in chosen if s.cause in DETECTED_FAILURES),
+        drain=tuple(s for s in chosen if s.cause not in DETECTED_FAILURES),
         repair=repair,
     )
 
 
 def _in_repair(vm: VmRecord) -> bool:
     idle = (VmState.IN_SERVICE, VmState.FAILED, VmState.SET_ASIDE)
-    return vm.state not in idle and vm.operation.startswith(REPAIR)
+    return vm.state not in idle and vm.operation.startswith(REPAIR_PREFIX)
 
 
-def _repair_of(vm: VmRecord, now: datetime) -> VmPlan | None:
+def _repair_plan(vm: VmRecord, now: datetime) -> VmPlan | None:
     """Return the plan for a failed VM, or None to wait."""
     cause = vm.reasons[-1].cause
     if cause is Cause.VM_LEAVING:
-        return None  # The platform takes it away, or returns it.
+        return None  # The platform will remove the VM or return it.
     if cause is Cause.VM_GONE:
-        patient = vm.since is None or now - vm.since >= GONE_PATIENCE
-        return VmPlan.REPLACE if patient else None
+        overdue = vm.since is None or now - vm.since >= REPLACE_DELAY
+        return VmPlan.REPLACE if overdue else None
     if cause is Cause.TRIAL_FAILED:
         return VmPlan.REPLACE
     return VmPlan.REBOOT
--- a/src/pomeloyard/fleet/repairs.py
+++ b/src/pomeloyard/fleet/repairs.py
@@ -1,4 +1,4 @@
-"""Carry out repairs of failed VMs, within the limits of each pool."""
+"""Start repairs of failed VMs within the limit of each pool."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from . import vm_steps
 from .operations import VmOperations
 from .records import FleetRecords
-from .repair import REPAIR, HealthBook, RepairAlarm, Suspicion, plan_repairs
+from .repair import REPAIR_PREFIX, HealthTracker, RepairAlarm, Suspicion, plan_repairs
 from .vms import Cause, VmPlan, VmRecord, VmState
 
 CONTROLLER = "controller"
@@ -20,14 +20,14 @@
 
 
 class RepairManager:
-    """Finds failed VMs and starts their repair."""
+    """Detects failed VMs and starts their repair."""
 
     def __init__(
         self,
         records: FleetRecords,
         operations: VmOperations,
         decisions: DecisionLog,
-        health: HealthBook,
+        health: HealthTracker,
     ) -> None:
         self._records = records
         self._operations = operations
@@ -36,13 +36,13 @@
         self.alarms_by_pool: dict[str, RepairAlarm] = {}
 
     def is_failing(self, name: str) -> bool:
-        """Tell whether a VM on trial fails what it is given."""
+        """Tell whether a VM on trial fails its requests or tasks."""
         return self.health.is_failing(name, self._records.clock.now())
 
     async def step(self) -> None:
-        """Note boots, and start the repairs that each pool's limit allows."""
+        """Record boots and start the repairs that each pool's limit allows."""
         now = self._records.clock.now()
-        self._note_boots()
+        self._record_boots()
         by_pool: dict[str, dict[str, VmRecord]] = {}
         for name, vm in self._records.state.vm_records_by_name.items():
             by_pool.setdefault(vm.pool, {})[name] = vm
@@ -50,7 +50,7 @@
         for pool, vms in sorted(by_pool.items()):
             suspicions = self.health.suspicions(vms, now)
             plan = plan_repairs(pool, vms, suspicions, now, share)
-            self._note_alarm(pool, plan.alarm)
+            self._update_alarm(pool, plan.alarm)
             for suspicion in plan.fail:
                 await self._fail(suspicion)
             for suspicion in plan.drain:
@@ -69,10 +69,10 @@
                 lambda current: vm_steps.fail(current, now, suspicion.cause),
             )
         except (ConflictError, RefusedError) as error:
-            log.info("{} not taken out of service: {}", suspicion.vm, error)
+            log.info("VM {} not taken out of service: {}", suspicion.vm, error)
             return
         self.health.forget(suspicion.vm)
-        self._decide(suspicion.vm, "fail", suspicion.cause, suspicion.evidence)
+        self._record_decision(suspicion.vm, "fail", suspicion.cause, suspicion.evidence)
 
     async def _drain(
         self, name: str, plan: VmPlan, cause: Cause, evidence: str
@@ -84,24 +84,24 @@
                 CONTROLLER,
                 plan=plan,
                 cause=cause,
-                operation=f"{REPAIR}{name}.{epoch}",
+                operation=f"{REPAIR_PREFIX}{name}.{epoch}",
             )
         except (ConflictError, RefusedError) as error:
-            log.info("repair of {} not started: {}", name, error)
+            log.info("repair of VM {} not started: {}", name, error)
             return
         self.health.forget(name)
-        self._decide(name, plan.value, cause, evidence)
+        self._record_decision(name, plan.value, cause, evidence)
 
-    def _note_boots(self) -> None:
+    def _record_boots(self) -> None:
         now = self._records.clock.now()
         for name, vm in self._records.state.vm_list.vms_by_name.items():
             record = self._records.state.vm_records_by_name.get(name)
             if record is None or vm.state is VmListState.GONE:
                 continue
             planned = record.state is not VmState.IN_SERVICE
-            self.health.note_boot(name, vm.boot_id, now, planned)
+            self.health.record_boot(name, vm.boot_id, now, planned)
 
-    def _note_alarm(self, pool: str, alarm: RepairAlarm | None) -> None:
+    def _update_alarm(self, pool: str, alarm: RepairAlarm | None) -> None:
         if alarm is None:
             self.alarms_by_pool.pop(pool, None)
             return
@@ -109,7 +109,7 @@
             return
         self.alarms_by_pool[pool] = alarm
         log.error(
-            "repairs in {} stopped: {} look failed, at most {} are repaired at once",
+            "repairs in pool {} stopped: {} look failed, at most {} may be in repair",
             pool,
             ", ".join(alarm.suspects),
             alarm.limit,
@@ -127,7 +127,9 @@
             )
         )
 
-    def _decide(self, name: str, choice: str, cause: Cause, evidence: str) -> None:
+    def _record_decision(
+        self, name: str, choice: str, cause: Cause, evidence: str
+    ) -> None:
         self._decisions.record(
             Decision(
                 self._records.clock.now(),
--- a/src/pomeloyard/fleet/vm_steps.py
+++ b/src/pomeloyard/fleet/vm_steps.py
@@ -1,7 +1,7 @@
 """Steps of VM records: drain, reboot, move, trial and return.
 
-Each function returns the next record, or None when there is nothing to do, or
-raises RefusedError when the VM's state does not allow the step.
+Each function returns the next record, or None if there is nothing to do, or raises
+RefusedError if the VM's state does not allow the step.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
     VmPlan.REBOOT: (VmOperation.REBOOT, VmOperation.REBOOT, VmOperation.REPLACE),
     VmPlan.REPLACE: (VmOperation.REPLACE, VmOperation.REPLACE),
 }
-"""Platform operations that are tried in turn before a VM is set aside."""
+"""Platform operations tried one after another before a VM is set aside."""
 
 ASSIGN_ATTEMPTS = 3
 
@@ -27,14 +27,14 @@
     {VmState.IN_SERVICE, VmState.TRIAL, VmState.FAILED, VmState.SET_ASIDE}
 )
 UNDOABLE = frozenset({VmState.DRAINING, VmState.DRAINED})
-"""States in which a drain can be undone, as nothing was done at the platform."""
+"""States in which a drain can be undone, as no platform operation has started."""
 
 RETURNABLE = UNDOABLE | {VmState.SET_ASIDE, VmState.FAILED}
 
 
 @dataclass(frozen=True, slots=True)
 class DrainOrder:
-    """What a drain is for; ``asked`` are the daemons that must confirm it."""
+    """Parameters of a drain; ``asked`` are the daemons that must confirm it."""
 
     operation: str
     plan: VmPlan
@@ -48,12 +48,12 @@
 
 
 def begin_drain(record: VmRecord, now: datetime, order: DrainOrder) -> VmRecord | None:
-    """Stop new work at a VM; repeating an order changes nothing."""
+    """Stop new work at a VM; a repeated order has no effect."""
     if record.operation == order.operation and record.state is not VmState.IN_SERVICE:
         return None
     held = record.state is VmState.DRAINED and record.plan is VmPlan.HOLD
-    goes_on = held and order.plan is not VmPlan.HOLD
-    if record.state not in DRAINABLE and not goes_on:
+    continues = held and order.plan is not VmPlan.HOLD
+    if record.state not in DRAINABLE and not continues:
         raise _conflict(record)
     if order.plan is VmPlan.MOVE and record.pool == order.target_pool:
         raise RefusedError(
@@ -78,15 +78,17 @@
     )
 
 
-def note_waiting(record: VmRecord, epoch: int, status: DrainStatus) -> VmRecord | None:
-    """Note what a drain waits for, without a step: the epoch stays."""
+def record_waiting(
+    record: VmRecord, epoch: int, status: DrainStatus
+) -> VmRecord | None:
+    """Record what a drain waits for; this is not a step and keeps the epoch."""
     if record.epoch != epoch or record.waiting is status:
         return None
     return replace(record, waiting=status)
 
 
 def finish_drain(record: VmRecord, now: datetime, cause: Cause) -> VmRecord | None:
-    """Note that nothing runs at the VM any more."""
+    """Record that nothing runs at the VM any more."""
     if record.state is not VmState.DRAINING:
         return None
     return record.after(
@@ -97,7 +99,7 @@
 def continue_plan(
     record: VmRecord, now: datetime, vm: Vm | None, timeout: timedelta
 ) -> VmRecord | None:
-    """Start what the plan says once the VM is drained."""
+    """Start the plan of a drained VM."""
     if record.state is not VmState.DRAINED:
         return None
     if record.plan is VmPlan.MOVE:
@@ -108,9 +110,9 @@
 
 
 def operation_of(record: VmRecord) -> tuple[VmOperation, str] | None:
-    """Return the platform operation that the record's state calls for, with its id.
+    """Return the platform operation that the record's state requires, with its ID.
 
-    The id follows from the record alone, so that any controller that resumes the
+    The ID is derived from the record alone, so that a controller that resumes the
     step repeats the same operation.
     """
     if record.state is VmState.REBOOTING:
@@ -125,10 +127,10 @@
 def check_reboot(
     record: VmRecord, now: datetime, vm: Vm | None, timeout: timedelta, trial: timedelta
 ) -> VmRecord | None:
-    """Put a VM on trial when it has booted anew, or try again when it has not."""
+    """Put a VM on trial after a new boot, or try again after the timeout."""
     if record.state is not VmState.REBOOTING:
         return None
-    if _live(vm) and vm is not None and vm.boot_id != record.boot_id:
+    if _is_live(vm) and vm is not None and vm.boot_id != record.boot_id:
         return record.after(
             now,
             VmState.TRIAL,
@@ -147,7 +149,7 @@
 ) -> VmRecord | None:
     """Change the pool once the platform's list shows the VM in the new one.
 
-    Until then the VM belongs to its old pool, in which it is counted as spent.
+    Until then the VM belongs to its old pool and is unavailable in its budgets.
     """
     if record.state is not VmState.MOVING:
         return None
@@ -178,7 +180,7 @@
     if failing or vm is None or vm.state is VmListState.GONE:
         return record.after(now, VmState.FAILED, Cause.TRIAL_FAILED, failed_at=now)
     if vm.boot_id != record.boot_id:
-        # A late operation of an earlier attempt rebooted the VM once more.
+        # A delayed operation of an earlier attempt has rebooted the VM again.
         return record.after(
             now,
             VmState.TRIAL,
@@ -187,20 +189,20 @@
             boot_id=vm.boot_id,
             deadline=now + trial,
         )
-    if _live(vm) and (record.deadline is None or now >= record.deadline):
+    if _is_live(vm) and (record.deadline is None or now >= record.deadline):
         return _in_service(record, now, Cause.TRIAL_PASSED, "controller")
     return None
 
 
 def check_loss(record: VmRecord, now: datetime, vm: Vm | None) -> VmRecord | None:
-    """Enter a VM that the platform lost or takes away, and its coming back.
+    """Record that the platform lost, takes away or returned a VM.
 
-    While it is rebooted or replaced, a VM may be missing from the list; then only
-    the operation's deadline counts.
+    During a reboot or replacement a VM may be missing from the list; then only the
+    operation's deadline counts.
     """
     gone = vm is None or vm.state is VmListState.GONE
-    lost = record.state is VmState.IN_SERVICE and not _live(vm)
-    # The repair of a VM that is gone replaces it; it needs no second entry.
+    lost = record.state is VmState.IN_SERVICE and not _is_live(vm)
+    # A repair that replaces the VM has already recorded its loss.
     in_repair = record.plan is VmPlan.REPLACE and not record.wave
     if lost or (record.state in UNDOABLE and gone and not in_repair):
         return record.after(
@@ -221,7 +223,7 @@
         Cause.VM_GONE,
         Cause.VM_LEAVING,
     )
-    if lost_by_list and _live(vm) and vm is not None:
+    if lost_by_list and _is_live(vm) and vm is not None:
         return record.after(
             now, VmState.TRIAL, Cause.VM_BACK, boot_id=vm.boot_id, deadline=now
         )
@@ -229,7 +231,7 @@
 
 
 def fail(record: VmRecord, now: datetime, cause: Cause) -> VmRecord | None:
-    """Take a VM out of service because it was found failed."""
+    """Take a VM out of service that a detector found failed."""
     if record.state is not VmState.IN_SERVICE:
         return None
     return record.after(
@@ -246,12 +248,12 @@
 def return_vm(
     record: VmRecord, now: datetime, vm: Vm | None, cause: Cause, by: str
 ) -> VmRecord | None:
-    """Undo a drain, or put a VM that was set aside on trial again."""
+    """Undo a drain, or put a set-aside or failed VM on trial again."""
     if record.state is VmState.IN_SERVICE:
         return None
     if record.state not in RETURNABLE:
         raise _conflict(record)
-    if record.state in UNDOABLE and _live(vm):
+    if record.state in UNDOABLE and _is_live(vm):
         return _in_service(record, now, cause, by)
     boot_id = vm.boot_id if vm is not None else record.boot_id
     return record.after(
@@ -260,7 +262,7 @@
 
 
 def undo_drain(record: VmRecord, now: datetime, wave: str, cause: Cause) -> VmRecord:
-    """Return a VM that a wave drained and did not yet reboot."""
+    """Return a VM to service that a wave drained and did not yet reboot."""
     if record.wave != wave or record.state not in UNDOABLE:
         raise _conflict(record)
     return _in_service(record, now, cause, "controller")
@@ -335,7 +337,7 @@
     )
 
 
-def _live(vm: Vm | None) -> bool:
+def _is_live(vm: Vm | None) -> bool:
     return vm is not None and vm.state is VmListState.LIVE
 
 
--- a/src/pomeloyard/fleet/vms.py
+++ b/src/pomeloyard/fleet/vms.py
@@ -1,4 +1,4 @@
-"""Records of VMs: the pool they belong to and what is being done with them."""
+"""VM records: pool, state, operation in progress and history."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class VmPlan(Enum):
-    """What follows once a VM is drained."""
+    """What happens to a VM once it is drained."""
 
     NONE = "none"
     HOLD = "hold"
@@ -44,7 +44,7 @@
 
 
 class Cause(Enum):
-    """Why a VM's record was changed."""
+    """Why a VM's record changed."""
 
     ADOPTED = "adopted"
     OPERATOR = "asked-for-by-operator"
@@ -72,12 +72,12 @@
 
 
 MAX_REASONS = 20
-"""Steps of a VM's history that its record keeps."""
+"""Number of history entries that a VM's record keeps."""
 
 
 @dataclass(frozen=True, slots=True)
 class Reason:
-    """One step in a VM's history: when, which state, why and by whom."""
+    """One entry of a VM's history: when, which new state, why and by whom."""
 
     at: datetime
     action: VmState
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VmRecord:
-    """Assignment of a VM to exactly one pool, its state and its operation."""
+    """A VM's assignment to exactly one pool, its state and its operation."""
 
     name: str
     role: VmRole
@@ -96,7 +96,7 @@
     state: VmState = VmState.IN_SERVICE
     epoch: int = 1
     operation: str = ""
-    """Id of the operation that took the VM out of service, or empty."""
+    """ID of the operation that took the VM out of service, or empty."""
     plan: VmPlan = VmPlan.NONE
     target_pool: str = ""
     home_pool: str = ""
@@ -105,15 +105,15 @@
     rack: str = ""
     since: datetime | None = None
     deadline: datetime | None = None
-    """End of the state's time: drain timeout, reboot timeout or trial."""
+    """When the state times out: end of the drain timeout, reboot timeout or trial."""
     verify_by: datetime | None = None
     """Time after which a daemon that does not answer no longer blocks a drain."""
     waiting: DrainStatus | None = None
-    """What a drain waits for, as last verified."""
+    """What a drain waits for, according to the latest verification."""
     asked: tuple[str, ...] = ()
-    """Daemons known at the start of the drain, each of which must answer."""
+    """Daemons known at the start of the drain; each must confirm it."""
     boot_id: str = ""
-    """Boot seen before a reboot, or the one that is on trial."""
+    """Boot ID before a reboot, or that of the boot on trial."""
     attempts: int = 0
     wave: str = ""
     last_wave: str = ""
@@ -126,7 +126,7 @@
         return self.state in (VmState.IN_SERVICE, VmState.TRIAL)
 
     def must_evacuate(self, now: datetime) -> bool:
-        """Tell whether tasks must be checkpointed or moved: time has run out."""
+        """Tell whether the drain timed out and tasks must be checkpointed or moved."""
         return (
             self.state is VmState.DRAINING
             and self.deadline is not None
@@ -143,7 +143,7 @@
         detail: str = "",
         **changes: Any,
     ) -> VmRecord:
-        """Return the record after one step, with the step in its history."""
+        """Return the record after one step, which is added to its history."""
         reasons = (*self.reasons, Reason(now, state, cause, by, detail))
         return replace(
             self,
--- a/src/pomeloyard/fleet/wave_runner.py
+++ b/src/pomeloyard/fleet/wave_runner.py
@@ -1,4 +1,4 @@
-"""Run maintenance waves: start, pause, resume, cancel, and each next drain."""
+"""Run maintenance waves: start, pause, resume and cancel them, and drain VMs."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 from ..keyvalue.store import scan_all
 from ..outcomes import RefusalReason, Refused
 from ..vm_platform.directory import VmRole
-from .budgets import BudgetRecord, used_up_by_loss
+from .budgets import BudgetRecord, exhausted_by_losses
 from .operations import VmOperations
 from .records import FleetRecords
 from .vm_steps import UNDOABLE
@@ -41,14 +41,14 @@
     progress_of,
 )
 
-KEPT_WAVES = 50
-"""Ended waves whose records are kept."""
+MAX_ENDED_WAVES = 50
+"""Number of ended waves whose records are kept."""
 
-HELD_PATIENCE = timedelta(minutes=30)
-"""How long a wave waits for VMs that something else holds out of service."""
+HELD_TIMEOUT = timedelta(minutes=30)
+"""How long a wave waits for VMs that are out of service for another reason."""
 
 MAX_CANDIDATES = 20
-"""Candidates that one decision lists."""
+"""Maximum number of candidates that one decision lists."""
 
 CONTROLLER = "controller"
 
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveStatus:
-    """A wave with its progress; ``blocked`` names scopes without headroom."""
+    """A wave with its progress."""
 
     wave: WaveRecord
     vms_by_progress: dict[str, int]
@@ -76,7 +76,7 @@
         self._decisions = decisions
 
     async def waves(self) -> dict[str, Versioned[WaveRecord]]:
-        """Return all wave records by id."""
+        """Return all wave records by ID."""
         page = await scan_all(self._records.store, layout.WAVES)
         waves = [decode_record(entry, WaveRecord) for entry in page.entries]
         return {wave.value.wave_id: wave for wave in waves}
@@ -92,7 +92,7 @@
         """Start a wave over "pool/<name>", "service/<name>" or "all".
 
         Raises RefusedError with a conflict while a wave of the same scope has not
-        ended; of two operators who start one at once, one receives the conflict.
+        ended; if two operators start one concurrently, one receives a conflict.
         """
         now = self._records.clock.now()
         waves = [w.value for w in (await self.waves()).values()]
@@ -111,7 +111,7 @@
         ).after(now, WaveState.RUNNING, cause, by)
         key = layout.WAVES + wave.wave_id
         await commit_changes(self._records.store, [Change(key, wave, None)])
-        self._decide(wave, "start", cause)
+        self._record_decision(wave, "start", cause)
         return wave
 
     async def change(self, wave_id: str, state: WaveState, by: str) -> WaveRecord:
@@ -120,15 +120,15 @@
         now = self._records.clock.now()
         wave = change_wave(current.value, now, state, by)
         await self._write(current, wave)
-        self._decide(wave, state.value, WaveCause.OPERATOR)
+        self._record_decision(wave, state.value, WaveCause.OPERATOR)
         return wave
 
     async def status(self, wave_id: str) -> WaveStatus:
-        """Return a wave and what it has done so far."""
+        """Return a wave and its progress."""
         return self.status_of((await self._read(wave_id)).value)
 
     def status_of(self, wave: WaveRecord) -> WaveStatus:
-        """Return a wave's progress from the VM records."""
+        """Return a wave with its progress according to the VM records."""
         by_progress = self._by_progress(wave)
         return WaveStatus(
             wave,
@@ -149,15 +149,15 @@
                 try:
                     states[wave_id] = await self._advance(current, headroom, held)
                 except (ConflictError, RefusedError) as error:
-                    log.info("wave {}: {}", current.value.wave_id, error)
+                    log.info("wave {} not advanced: {}", current.value.wave_id, error)
         await self._undo_drains(states, held)
-        await self._forget_old(waves)
+        await self._delete_old(waves)
         return [wave.value for wave in waves.values()]
 
     def headroom_by_pool(
         self, budgets: Mapping[str, Versioned[BudgetRecord]]
     ) -> tuple[dict[str, PoolHeadroom], set[str]]:
-        """Return each pool's headroom, and the pools used up by unplanned loss."""
+        """Return the headroom of pools, and pools exhausted by unplanned losses."""
         config = self._records.state.config
         headroom: dict[str, PoolHeadroom] = {}
         held: set[str] = set()
@@ -170,7 +170,7 @@
             headroom.setdefault(service.pool, PoolHeadroom()).by_service[
                 service.name
             ] = room
-            if used_up_by_loss(stored.value, room, unavailable) is not None:
+            if exhausted_by_losses(stored.value, room, unavailable) is not None:
                 held.add(service.pool)
         return headroom, held
 
@@ -180,24 +180,26 @@
         headroom: Mapping[str, PoolHeadroom],
         held: set[str],
     ) -> WaveState:
-        """Take a wave's next step and return the state that it is in now."""
+        """Take a wave's next step and return its new state."""
         now = self._records.clock.now()
         by_progress = self._by_progress(current.value)
-        changed = self._stopped(current.value, now)
+        changed = self._stop_on_failures(current.value, now)
         if changed is None:
-            changed = self._held(current.value, now, held)
-        if changed is None and self._is_done(by_progress, now):
-            changed = self._done(current.value, by_progress, now)
+            changed = self._update_held_pools(current.value, now, held)
+        if changed is None and self._is_finished(by_progress, now):
+            changed = self._finish(current.value, by_progress, now)
         if changed is not None:
             await self._write(current, changed)
-            self._decide(changed, changed.state.value, changed.reasons[-1].cause)
+            self._record_decision(
+                changed, changed.state.value, changed.reasons[-1].cause
+            )
             if changed.state is not WaveState.RUNNING:
                 return changed.state
         waiting = [vm for vm in by_progress[Progress.WAITING] if vm.pool not in held]
         in_progress = by_progress[Progress.IN_PROGRESS]
         chosen = plan_drains(waiting, in_progress, headroom)
         if chosen:
-            self._decide_drains(current.value, waiting, chosen)
+            self._record_drain_decision(current.value, waiting, chosen)
         for vm in chosen:
             await self._drain(current.value, vm)
         return WaveState.RUNNING
@@ -209,15 +211,15 @@
                 CONTROLLER,
                 plan=wave.plan,
                 cause=Cause.WAVE,
-                # The same id for two controllers that act on the same record.
+                # Two controllers that act on the same record use the same ID.
                 operation=f"{wave.wave_id}.{vm.name}.{vm.epoch}",
                 wave=wave.wave_id,
             )
         except (ConflictError, RefusedError) as error:
-            log.info("wave {}: {} not drained: {}", wave.wave_id, vm.name, error)
+            log.info("wave {}: VM {} not drained: {}", wave.wave_id, vm.name, error)
 
-    def _stopped(self, wave: WaveRecord, now: datetime) -> WaveRecord | None:
-        """Return the wave stopped if VMs of one failure domain failed together."""
+    def _stop_on_failures(self, wave: WaveRecord, now: datetime) -> WaveRecord | None:
+        """Return the stopped wave if VMs of one failure domain failed together."""
         vms = self._records.state.vm_records_by_name
         pools = {vms[name].pool for name in wave.targets if name in vms}
         failure = correlated_failure(
@@ -228,10 +230,10 @@
         detail = f"{failure.domain}: {', '.join(failure.vms)}"
         return wave.after(now, WaveState.STOPPED, failure.cause, detail=detail)
 
-    def _held(
+    def _update_held_pools(
         self, wave: WaveRecord, now: datetime, held: set[str]
     ) -> WaveRecord | None:
-        """Return the wave with its held pools if these have changed."""
+        """Return the wave with its new held pools if these have changed."""
         vms = self._records.state.vm_records_by_name
         pools = {vms[name].pool for name in wave.targets if name in vms}
         held_pools = tuple(sorted(pools & held))
@@ -241,17 +243,17 @@
         changed = wave.after(now, wave.state, cause, detail=", ".join(held_pools))
         return replace(changed, held_pools=held_pools)
 
-    def _is_done(
+    def _is_finished(
         self, by_progress: Mapping[Progress, list[VmRecord]], now: datetime
     ) -> bool:
         if by_progress[Progress.WAITING] or by_progress[Progress.IN_PROGRESS]:
             return False
         return all(
-            vm.since is not None and now - vm.since >= HELD_PATIENCE
+            vm.since is not None and now - vm.since >= HELD_TIMEOUT
             for vm in by_progress[Progress.HELD]
         )
 
-    def _done(
+    def _finish(
         self,
         wave: WaveRecord,
         by_progress: Mapping[Progress, list[VmRecord]],
@@ -266,7 +268,7 @@
     async def _undo_drains(
         self, states: Mapping[str, WaveState], held: set[str]
     ) -> None:
-        """Return VMs drained for a wave that may not go on and not yet rebooted."""
+        """Undo drains of waves that may not continue, for VMs not yet rebooted."""
         for vm in list(self._records.state.vm_records_by_name.values()):
             if not vm.wave or vm.state not in UNDOABLE:
                 continue
@@ -278,12 +280,14 @@
             try:
                 await self._operations.undo(vm.name, vm.wave, cause)
             except (ConflictError, RefusedError) as error:
-                log.info("{} not returned: {}", vm.name, error)
+                log.info(
+                    "wave {}: drain of VM {} not undone: {}", vm.wave, vm.name, error
+                )
 
-    async def _forget_old(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
+    async def _delete_old(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
         ended = [w for w in waves.values() if w.value.ended_at is not None]
         ended.sort(key=lambda w: (w.value.ended_at, w.key))
-        for wave in ended[:-KEPT_WAVES]:
+        for wave in ended[:-MAX_ENDED_WAVES]:
             change = Change(wave.key, None, wave)
             await commit_changes(self._records.store, [change])
 
@@ -306,7 +310,7 @@
         )
 
     def _by_progress(self, wave: WaveRecord) -> dict[Progress, list[VmRecord]]:
-        """Return the wave's VMs by progress, without those that are gone."""
+        """Return the wave's VMs by progress, without those that have no record."""
         vms = self._records.state.vm_records_by_name
         by_progress: dict[Progress, list[VmRecord]] = {p: [] for p in Progress}
         for name in wave.targets:
@@ -326,10 +330,10 @@
         change = Change(current.key, wave, current)
         await commit_changes(self._records.store, [change])
 
-    def _decide_drains(
+    def _record_drain_decision(
         self, wave: WaveRecord, waiting: list[VmRecord], chosen: list[VmRecord]
     ) -> None:
-        """Record which VMs are drained now, and some of those that must wait."""
+        """Record which VMs are drained now and some of those that must wait."""
         names = {vm.name for vm in chosen}
         left = [vm for vm in waiting if vm.name not in names]
         candidates = [Candidate(vm.name, WaveCause.CHOSEN) for vm in chosen]
@@ -346,7 +350,7 @@
             )
         )
 
-    def _decide(self, wave: WaveRecord, choice: str, cause: WaveCause) -> None:
+    def _record_decision(self, wave: WaveRecord, choice: str, cause: WaveCause) -> None:
         by_progress = self.status_of(wave).vms_by_progress
         candidates = tuple(Candidate(pool, cause) for pool in wave.held_pools)
         self._decisions.record(
--- a/src/pomeloyard/fleet/waves.py
+++ b/src/pomeloyard/fleet/waves.py
@@ -1,4 +1,4 @@
-"""Maintenance waves: their records, their order and their next drains."""
+"""Maintenance waves: records, order of VMs and selection of the next drains."""
 
 from __future__ import annotations
 
@@ -17,13 +17,12 @@
 
 CORRELATED_FAILURES = 3
 CORRELATION_WINDOW = timedelta(minutes=15)
-"""Failures further apart are not taken as one cause: at 120 failures a day among
-7,400 VMs in 6 availability zones, three within 15 minutes in one zone are rare."""
-
+"""Failures further apart are treated as unrelated: at 120 failures a day among 7,400
+VMs in 6 availability zones, three within 15 minutes in one zone are rare."""
 
 UNBUDGETED_SHARE = 0.25
-"""Part of a pool without services, such as a spare pool, that a wave takes at once;
-no budget limits it, and all of its VMs must not be away together."""
+"""Share of a pool without services, such as a spare pool, that a wave drains at once.
+No budget limits it, but its VMs must not all be unavailable together."""
 
 
 class WaveState(Enum):
@@ -44,7 +43,7 @@
 
 
 class WaveCause(Enum):
-    """Why a wave changed its state or did not drain a VM."""
+    """Why a wave changed its state, or did or did not drain a VM."""
 
     OPERATOR = "asked-for-by-operator"
     MAINTENANCE_DUE = "maintenance-due"
@@ -70,18 +69,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveRecord:
-    """A wave over VMs. Which of them are done is in the VM records."""
+    """A wave over VMs; the VM records say which of them are done."""
 
     wave_id: str
     kind: WaveKind
     targets: tuple[str, ...]
     started_at: datetime
     scope: str = ""
-    """What the operator named: "pool/<name>", "service/<name>" or "all"."""
+    """Scope that the operator gave: "pool/<name>", "service/<name>" or "all"."""
     state: WaveState = WaveState.RUNNING
     epoch: int = 1
     counted_from: datetime | None = None
-    """Failures before this time no longer count; set when a wave is resumed."""
+    """Failures before this time are ignored; set when a wave is resumed."""
     held_pools: tuple[str, ...] = ()
     skipped: tuple[str, ...] = ()
     ended_at: datetime | None = None
@@ -89,7 +88,7 @@
 
     @property
     def plan(self) -> VmPlan:
-        """Return the plan of the wave's drains."""
+        """Return the plan that the wave's drains carry."""
         return VmPlan.REBOOT if self.kind is WaveKind.REBOOT else VmPlan.REPLACE
 
     def is_final(self) -> bool:
@@ -104,7 +103,7 @@
         by: str = "controller",
         detail: str = "",
     ) -> WaveRecord:
-        """Return the record after one step, with the step in its history."""
+        """Return the record after one step, which is added to its history."""
         reasons = (*self.reasons, WaveReason(now, state, cause, by, detail))
         return replace(
             self, state=state, epoch=self.epoch + 1, reasons=reasons[-MAX_REASONS:]
@@ -121,7 +120,7 @@
 def change_wave(
     wave: WaveRecord, now: datetime, state: WaveState, by: str
 ) -> WaveRecord:
-    """Return the wave after an operator's change; raises RefusedError."""
+    """Return the wave after an operator's change, or raise RefusedError."""
     if wave.state not in _ALLOWED_FROM[state]:
         last = wave.reasons[-1]
         detail = f"wave {wave.wave_id} is {wave.state.value} ({last.cause.value})"
@@ -134,29 +133,29 @@
     return changed
 
 
-_WORKED_ON = frozenset(
+_IN_PROGRESS_STATES = frozenset(
     {VmState.DRAINING, VmState.DRAINED, VmState.REBOOTING, VmState.TRIAL}
 )
 
 
 class Progress(Enum):
-    """What a wave has done with one of its VMs."""
+    """Progress of a wave with one of its VMs."""
 
     WAITING = "waiting"
     IN_PROGRESS = "in_progress"
     DONE = "done"
     SET_ASIDE = "set_aside"
     HELD = "held"
-    """Out of service for another reason; the wave does not touch it."""
+    """Out of service for another reason; the wave leaves it alone."""
 
 
 def progress_of(wave: WaveRecord, vm: VmRecord | None) -> Progress:
-    """Return what a wave has done with a VM; a VM that is gone for good is done."""
+    """Return a wave's progress with a VM; a VM without a record counts as done."""
     if vm is None:
         return Progress.DONE
     if vm.state is VmState.SET_ASIDE:
         return Progress.SET_ASIDE
-    if vm.wave == wave.wave_id and vm.state in _WORKED_ON:
+    if vm.wave == wave.wave_id and vm.state in _IN_PROGRESS_STATES:
         return Progress.IN_PROGRESS
     maintained = vm.maintained_at is not None and vm.maintained_at > wave.started_at
     if vm.last_wave == wave.wave_id or maintained:
@@ -168,7 +167,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CorrelatedFailure:
-    """Failures of one cause in a failure domain."""
+    """Failures in one failure domain that probably have a common cause."""
 
     cause: WaveCause
     domain: str
@@ -178,7 +177,7 @@
 def correlated_failure(
     wave: WaveRecord, vms: Iterable[VmRecord], now: datetime
 ) -> CorrelatedFailure | None:
-    """Return a rack or availability zone in which too many VMs failed together."""
+    """Return a rack or zone in which too many VMs failed together, or None."""
     counted_from = max(wave.counted_from or wave.started_at, now - CORRELATION_WINDOW)
     racks: dict[str, list[str]] = defaultdict(list)
     zones: dict[str, list[str]] = defaultdict(list)
@@ -199,12 +198,12 @@
 
 @dataclass
 class PoolHeadroom:
-    """Headroom of all services of a pool; a VM must fit into each of them."""
+    """Headroom of each service of a pool; a drain must fit into all of them."""
 
     by_service: dict[str, HeadroomByScope] = field(default_factory=dict)
 
     def blocking(self, vm: VmRecord) -> Scope | None:
-        """Return a scope that does not allow the VM to leave, or None."""
+        """Return a scope that does not allow the VM to be drained, or None."""
         for headroom in self.by_service.values():
             scope = blocking_scope(headroom, vm.role, vm.availability_zone)
             if scope is not None:
@@ -216,8 +215,8 @@
         for headroom in self.by_service.values():
             spend_headroom(headroom, vm.role, vm.availability_zone)
 
-    def limits_zone(self, vm: VmRecord) -> int:
-        """Return how many VMs may be away in the VM's zone, by its own budget."""
+    def zone_limit(self, vm: VmRecord) -> int:
+        """Return how many VMs the budgets of the VM's zone allow to be unavailable."""
         scope = Scope(vm.role, vm.availability_zone)
         limits = [
             h[scope].total - h[scope].needed
@@ -235,24 +234,24 @@
     """Return the VMs to drain now, as many as the budgets allow.
 
     VMs are taken rack by rack within an availability zone, so that few failure
-    domains are in maintenance at once. A zone whose own budget makes it the
-    longest comes first, so that zones proceed side by side where that decides
-    when the wave ends. The headroom is used up by the chosen VMs. Pools that are
-    not in ``headroom_by_pool`` have no budget.
+    domains are in maintenance at once. Zones whose own budget makes them take the
+    longest come first, so that zones proceed in parallel where they determine when
+    the wave ends. The headroom is reduced by the chosen VMs. Pools that are not in
+    ``headroom_by_pool`` have no budget.
     """
     groups: dict[tuple[str, VmRole], list[VmRecord]] = defaultdict(list)
     for vm in waiting:
         groups[vm.pool, vm.role].append(vm)
     in_progress = list(in_progress)
-    racks_begun = {(vm.availability_zone, vm.rack) for vm in in_progress}
+    racks_in_progress = {(vm.availability_zone, vm.rack) for vm in in_progress}
     chosen: list[VmRecord] = []
-    away = Counter((vm.pool, vm.role) for vm in in_progress)
+    unavailable = Counter((vm.pool, vm.role) for vm in in_progress)
     for group, vms in sorted(groups.items(), key=_group_order):
         headroom = headroom_by_pool.get(group[0])
-        ordered = _by_failure_domain(vms, headroom or PoolHeadroom(), racks_begun)
+        ordered = _by_failure_domain(vms, headroom or PoolHeadroom(), racks_in_progress)
         if headroom is None:
-            allowed = max(1, int(UNBUDGETED_SHARE * (len(vms) + away[group])))
-            chosen += ordered[: max(0, allowed - away[group])]
+            allowed = max(1, int(UNBUDGETED_SHARE * (len(vms) + unavailable[group])))
+            chosen += ordered[: max(0, allowed - unavailable[group])]
             continue
         for vm in ordered:
             if headroom.blocking(vm) is None:
@@ -266,15 +265,15 @@
 
 
 def _by_failure_domain(
-    vms: list[VmRecord], headroom: PoolHeadroom, begun: set[tuple[str, str]]
+    vms: list[VmRecord], headroom: PoolHeadroom, in_progress: set[tuple[str, str]]
 ) -> list[VmRecord]:
-    left_by_zone = Counter(vm.availability_zone for vm in vms)
-    limits = {vm.availability_zone: headroom.limits_zone(vm) for vm in vms}
-    rounds = {zone: math.ceil(n / limits[zone]) for zone, n in left_by_zone.items()}
+    waiting_by_zone = Counter(vm.availability_zone for vm in vms)
+    limits = {vm.availability_zone: headroom.zone_limit(vm) for vm in vms}
+    rounds = {zone: math.ceil(n / limits[zone]) for zone, n in waiting_by_zone.items()}
 
     def order(vm: VmRecord) -> tuple[int, bool, str, str, str]:
         domain = (vm.availability_zone, vm.rack)
-        return (-rounds[domain[0]], domain not in begun, *domain, vm.name)
+        return (-rounds[domain[0]], domain not in in_progress, *domain, vm.name)
 
     return sorted(vms, key=order)
 
@@ -282,19 +281,19 @@
 def due_pools(
     vms: Iterable[VmRecord], now: datetime, interval: timedelta
 ) -> list[tuple[str, timedelta]]:
-    """Return the pools to be maintained, the most overdue first, and by how much.
+    """Return the pools due for maintenance and how overdue, the most overdue first.
 
-    A pool is due when its VM longest without maintenance is, at an age between
-    55% and 85% of the interval that differs from pool to pool, so that the waves
-    of a fleet that started on one day are spread over a third of the interval.
+    A pool is due when the oldest maintenance of its VMs reaches an age between 55%
+    and 85% of the interval. The age differs from pool to pool, so that the waves of
+    a fleet that started on one day are spread over a third of the interval.
     """
     oldest: dict[str, datetime] = {}
     for vm in vms:
         if vm.maintained_at is not None and vm.state is not VmState.SET_ASIDE:
             oldest[vm.pool] = min(vm.maintained_at, oldest.get(vm.pool, now))
     due = []
-    for place, (pool, maintained_at) in enumerate(sorted(oldest.items())):
-        fraction = 0.55 + 0.3 * place / max(1, len(oldest) - 1)
+    for index, (pool, maintained_at) in enumerate(sorted(oldest.items())):
+        fraction = 0.55 + 0.3 * index / max(1, len(oldest) - 1)
         overdue = now - maintained_at - interval * fraction
         if overdue >= timedelta(0):
             due.append((pool, overdue))
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -8,9 +8,9 @@
 
 from pomeloyard.fleet.forecasts import (
     LendReason,
+    PeakOrderForecast,
     PoolDemand,
     PoolForecast,
-    TurnForecast,
     plan_lending,
     wanted_vms,
 )
@@ -63,13 +63,13 @@
 
 def test_next_turn_is_foreseen_and_dropped_when_the_order_changes():
     """Guards against preparing for a pool whose turn it is no longer."""
-    turns = TurnForecast()
+    turns = PeakOrderForecast()
     for n, pool in enumerate(["a", "b", "c"] * 3):
-        turns.note_start(pool, after(n * 20))
+        turns.record_peak_start(pool, after(n * 20))
     assert turns.next_peak(after(165)) == ("a", after(180), timedelta(seconds=20))
     assert turns.next_peak(after(195)) is None
     for n, pool in enumerate(["b", "a", "c"]):
-        turns.note_start(pool, after(200 + n * 20))
+        turns.record_peak_start(pool, after(200 + n * 20))
     assert turns.next_peak(after(245)) is None
 
 
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -18,7 +18,7 @@
 
 OK, FAILED = ObservationKind.REQUEST_DONE, ObservationKind.REQUEST_FAILED
 SILENT = ObservationKind.UNRESPONSIVE
-SICK = "orders-e001"
+FAULTY_VM = "orders-e001"
 
 
 async def new_fleet(**config):
@@ -37,42 +37,42 @@
 def observe_rest(fleet, failures=0):
     for n in range(6):
         name = f"orders-e{n:03d}"
-        if name != SICK:
+        if name != FAULTY_VM:
             observe(fleet, name, OK, 30)
             observe(fleet, name, FAILED, failures)
 
 
 async def silent(fleet):
-    observe(fleet, SICK, SILENT)
+    observe(fleet, FAULTY_VM, SILENT)
     await fleet.step(21)
 
 
 async def failing(fleet):
     observe_rest(fleet)
-    observe(fleet, SICK, FAILED, 12)
+    observe(fleet, FAULTY_VM, FAILED, 12)
 
 
 async def partly_failing(fleet):
     observe_rest(fleet)
-    observe(fleet, SICK, OK, 20)
-    observe(fleet, SICK, FAILED, 15)
+    observe(fleet, FAULTY_VM, OK, 20)
+    observe(fleet, FAULTY_VM, FAILED, 15)
 
 
 async def flapping(fleet):
     for boot in range(4):
-        fleet.directory.boot(SICK, f"own-{boot}")
+        fleet.directory.boot(FAULTY_VM, f"own-{boot}")
         await fleet.step()
 
 
 async def taken_away(fleet):
-    fleet.directory.let_leave(SICK)
+    fleet.directory.let_leave(FAULTY_VM)
     await fleet.step()
-    assert fleet.vm(SICK).reasons[-1].cause is Cause.VM_LEAVING
+    assert fleet.vm(FAULTY_VM).reasons[-1].cause is Cause.VM_LEAVING
     await gone(fleet)
 
 
 async def gone(fleet):
-    fleet.directory.lose_vms([SICK])
+    fleet.directory.lose_vms([FAULTY_VM])
     await fleet.step(1)
     await fleet.step(61)
 
@@ -98,11 +98,11 @@
             await fleet.step()
         assert not fleet.all_in_service()
         await fleet.run_until(fleet.all_in_service, 120)
-        steps = [(r.action, r.cause) for r in fleet.vm(SICK).reasons]
+        steps = [(r.action, r.cause) for r in fleet.vm(FAULTY_VM).reasons]
         assert cause in [c for _, c in steps]
         assert (VmState.TRIAL, Cause.NEW_BOOT) in steps
         done = [(name, o) for name, o, _ in fleet.directory.started]
-        assert done == [(SICK, operation)]
+        assert done == [(FAULTY_VM, operation)]
         assert fleet.spent() == set()
         assert fleet.violations == []
 
@@ -136,8 +136,8 @@
     async def body():
         fleet = await new_fleet()
         observe_rest(fleet, failures=30)
-        observe(fleet, SICK, FAILED, 20)
-        observe(fleet, SICK, OK, 15)
+        observe(fleet, FAULTY_VM, FAILED, 20)
+        observe(fleet, FAULTY_VM, OK, 15)
         for _ in range(5):
             await fleet.step()
         assert fleet.all_in_service()
@@ -151,8 +151,8 @@
     async def body():
         fleet = await new_fleet()
         await failing(fleet)
-        await fleet.run_until(lambda: fleet.vm(SICK).state is VmState.TRIAL)
-        observe(fleet, SICK, FAILED, 3)
+        await fleet.run_until(lambda: fleet.vm(FAULTY_VM).state is VmState.TRIAL)
+        observe(fleet, FAULTY_VM, FAILED, 3)
         await fleet.run_until(fleet.all_in_service)
         operations = [o for _, o, _ in fleet.directory.started]
         assert operations == [VmOperation.REBOOT, VmOperation.REPLACE]
@@ -188,13 +188,15 @@
 
     async def body():
         fleet = await new_fleet()
-        fleet.directory.remove(SICK)
+        fleet.directory.remove(FAULTY_VM)
         fleet.directory.refuse = True  # The platform cannot replace it either.
         gone_for_good = VmState.SET_ASIDE
-        await fleet.run_until(lambda: fleet.vm(SICK).state is gone_for_good, step=5)
+        await fleet.run_until(
+            lambda: fleet.vm(FAULTY_VM).state is gone_for_good, step=5
+        )
         await fleet.step(24 * 3600)
-        assert SICK not in fleet.stored(layout.VMS, VmRecord)
-        assert SICK not in fleet.budgets()["orders"].members_by_vm
+        assert FAULTY_VM not in fleet.stored(layout.VMS, VmRecord)
+        assert FAULTY_VM not in fleet.budgets()["orders"].members_by_vm
         assert fleet.spent() == set()
 
     run(body)
@@ -216,9 +218,9 @@
         observe_rest(fleet)
         for report in reports.values():
             for _ in range(6):
-                report.note(SICK, FAILED)
+                report.note(FAULTY_VM, FAILED)
             report.report()
-        [suspicion] = health.suspicions([SICK, "orders-e000"], fleet.clock.now())
+        [suspicion] = health.suspicions([FAULTY_VM, "orders-e000"], fleet.clock.now())
         assert suspicion.cause is Cause.VM_FAILED
 
     run(body)
