--- a/src/pomeloyard/fleet/wave_runner.py
+++ b/src/pomeloyard/fleet/wave_runner.py
@@ -280,9 +280,7 @@
             try:
                 await self._operations.undo(vm.name, vm.wave, cause)
             except (ConflictError, RefusedError) as error:
-                log.info(
-                    "wave {}: drain of VM {} not undone: {}", vm.wave, vm.name, error
-                )
+                log.info("drain of VM {} not undone: {}", vm.name, error)
 
     async def _delete_old(self, waves: Mapping[str, Versioned[WaveRecord]]) -> None:
         ended = [w for w in waves.values() if w.value.ended_at is not None]
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -1,4 +1,4 @@
-"""A fleet in memory: controllers, a store and a platform that can fail."""
+"""An in-memory fleet: controllers, and a store and a platform with faults."""
 
 from __future__ import annotations
 
@@ -57,7 +57,7 @@
         self.directory = FaultyDirectory(self.clock, vms)
         self.tasks = Tasks()
         self.running: dict[tuple[str, str], int | None] = {}
-        """Requests by daemon and VM; None: the daemon does not answer."""
+        """Running requests by daemon and VM; None if the daemon does not answer."""
         self.demand: dict[str, float] = {}
         self.violations: list[str] = []
         self._decoded: dict[str, tuple[int, object]] = {}
@@ -91,7 +91,7 @@
         return self.controllers[0]
 
     async def refresh(self, controller: Controller) -> None:
-        """Bring a controller's copy up to date, as its follower does."""
+        """Update a controller's local copy, as its follower does."""
         state = controller._state
         listing = await self.directory.list_vms()
         state.vm_list = replace(listing)
@@ -121,7 +121,7 @@
     async def run_until(
         self, condition: Callable[[], bool], seconds: float = 600, step: float = 0.5
     ) -> float:
-        """Step until a condition holds; return the seconds that it took."""
+        """Step until a condition holds and return the elapsed seconds."""
         began = self.clock.monotonic()
         while not condition():
             passed = (self.clock.monotonic() - began).total_seconds()
@@ -168,9 +168,9 @@
         )
 
     def _check_invariants(self, transaction) -> None:
-        """Note planned spending beyond a budget and VMs not in exactly one pool.
+        """Record planned drains beyond a budget and VMs not in exactly one pool.
 
-        Counts anew, without the functions under test.
+        Counts independently of the functions under test.
         """
         for operation in transaction.operations:
             if operation.key.startswith(layout.BUDGETS):
@@ -191,7 +191,7 @@
                 self._check_planned(service, budget, name)
 
     def _check_planned(self, service, budget, name) -> None:
-        # The list lags: a loss counts once every controller has seen it.
+        # Copies of the list lag: a loss counts once every controller has seen it.
         members = budget.members_by_vm
         known = [c.records.unavailable(members) for c in self.controllers]
         lost = set.intersection(*known)
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -1,4 +1,4 @@
-"""A store and a platform that can fail, and callers that can be killed."""
+"""A store and a platform with injected faults, including killed callers."""
 
 from __future__ import annotations
 
@@ -18,11 +18,11 @@
 
 
 class Killed(BaseException):
-    """The process that made the call was killed."""
+    """Stands for the death of the calling process."""
 
 
 class FaultyStore(MemoryStore):
-    """Store that can be down, lose answers, or see its caller killed."""
+    """Store that can be down, lose answers or kill its caller."""
 
     def __init__(self, clock: ManualClock) -> None:
         super().__init__(clock)
@@ -71,7 +71,7 @@
 
 
 class FaultyDirectory(MemoryVmDirectory):
-    """Platform whose operations take time, fail or get lost."""
+    """Platform whose operations are delayed, fail or get lost."""
 
     def __init__(self, clock: ManualClock, vms: list[Vm]) -> None:
         super().__init__(clock, vms)
@@ -102,7 +102,7 @@
             raise StoreOutcomeUnknownError("answer lost")
 
     async def settle(self) -> None:
-        """Let the operations that are due take effect."""
+        """Apply the operations that are due."""
         now = self._clock.monotonic()
         due = [p for p in self._pending if p[0] <= now]
         self._pending = [p for p in self._pending if p[0] > now]
@@ -117,11 +117,11 @@
             self.put(replace(vm, state=VmListState.GONE))
 
     def let_leave(self, name: str) -> None:
-        """Show a VM as leaving by the platform's own decision."""
+        """Show a VM as leaving, as decided by the platform."""
         self.put(replace(self._vms_by_name[name], state=VmListState.LEAVING))
 
     def boot(self, name: str, boot_id: str) -> None:
-        """Let a VM boot by itself."""
+        """Give a VM a new boot that no operation caused."""
         self.put(replace(self._vms_by_name[name], boot_id=boot_id))
 
     def restore_vms(self, names: Iterable[str]) -> None:
@@ -131,7 +131,7 @@
 
 
 def killed(error: BaseException) -> bool:
-    """Tell whether an error is the end of a killed process, also in a group."""
+    """Tell whether an error is a simulated kill, also within an exception group."""
     if isinstance(error, BaseExceptionGroup):
         return any(killed(inner) for inner in error.exceptions)
     return isinstance(error, Killed)
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -1,4 +1,4 @@
-"""Connections between daemons in one process, without sockets."""
+"""Peer network between daemons of one process, without sockets."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class Network:
-    """Delivers messages between daemons at once."""
+    """Delivers messages between daemons synchronously."""
 
     def __init__(self, name, networks):
         self.hello = Hello(name, name, "", "bulacan")
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,4 +1,4 @@
-"""Budgets: what they need, and which of them no plan can meet."""
+"""Validation of budgets that cannot be met."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 from .support.fleet import make_config
 
 EXECUTOR, WORKER = VmRole.EXECUTOR, VmRole.WORKER
-MORE, NONE_LEFT = BudgetProblemKind.MORE_THAN_POOL, BudgetProblemKind.NO_MAINTENANCE
+MORE_THAN_POOL, NO_MAINTENANCE = (
+    BudgetProblemKind.MORE_THAN_POOL,
+    BudgetProblemKind.NO_MAINTENANCE,
+)
 
 
 @pytest.mark.parametrize(
@@ -19,19 +22,19 @@
         ((2, 1), 1, 0, []),
         ((6, 6), 0.8, 0, []),
         ((6, 6), 5, 1, []),
-        ((6, 6), 6, 0, [(NONE_LEFT, EXECUTOR), (NONE_LEFT, WORKER)]),
-        ((6, 6), 1.0, 0, [(NONE_LEFT, EXECUTOR), (NONE_LEFT, WORKER)]),
-        ((6, 0), 0.9, 0, [(NONE_LEFT, EXECUTOR)]),
-        ((6, 0), 7, 0, [(MORE, EXECUTOR)]),
-        ((0, 4), 5, 0, [(MORE, WORKER)]),
-        ((0, 0), 1, 0, [(MORE, EXECUTOR)]),
-        ((6, 0), 1, 1.0, [(NONE_LEFT, EXECUTOR)]),
+        ((6, 6), 6, 0, [(NO_MAINTENANCE, EXECUTOR), (NO_MAINTENANCE, WORKER)]),
+        ((6, 6), 1.0, 0, [(NO_MAINTENANCE, EXECUTOR), (NO_MAINTENANCE, WORKER)]),
+        ((6, 0), 0.9, 0, [(NO_MAINTENANCE, EXECUTOR)]),
+        ((6, 0), 7, 0, [(MORE_THAN_POOL, EXECUTOR)]),
+        ((0, 4), 5, 0, [(MORE_THAN_POOL, WORKER)]),
+        ((0, 0), 1, 0, [(MORE_THAN_POOL, EXECUTOR)]),
+        ((6, 0), 1, 1.0, [(NO_MAINTENANCE, EXECUTOR)]),
         ((6, 0), 1.5, 0, [(BudgetProblemKind.NOT_A_SHARE, EXECUTOR)]),
         ((6, 0), -1, 0, [(BudgetProblemKind.NEGATIVE, EXECUTOR)]),
     ],
 )
-def test_budget_that_no_plan_can_meet_is_a_problem(pool, minimum, per_zone, expected):
-    """Guards against publishing a budget under which no VM is ever maintained."""
+def test_budget_that_cannot_be_met_is_reported(pool, minimum, per_zone, expected):
+    """Guards against publishing a budget that never allows maintenance."""
     config = make_config({"orders": pool}, minimum, per_zone=per_zone)
     problems = budget_problems(config)
     assert [(p.kind, p.role) for p in problems] == expected
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -1,4 +1,4 @@
-"""Lending: forecasts of peaks, moves that pay, budgets and hysteresis."""
+"""Lending of VMs: peak forecasts, worthwhile moves, budgets and hysteresis."""
 
 from __future__ import annotations
 
@@ -43,8 +43,8 @@
         (20, 30, (0, LendReason.PEAK_TOO_SHORT)),
     ],
 )
-def test_peak_shorter_than_the_move_moves_nothing(peak_length, move_seconds, expected):
-    """Guards against VMs that arrive when the peak is over."""
+def test_peak_shorter_than_a_move_starts_no_moves(peak_length, move_seconds, expected):
+    """Guards against moves that complete after the peak has ended."""
     forecast = forecast_with_peaks(peak_length)
     forecast.observe(after(500), 8.0, 4)
     pool = PoolDemand("orders", 4, 0, forecast)
@@ -52,8 +52,8 @@
     assert result == expected
 
 
-def test_demand_around_the_capacity_is_one_peak():
-    """Guards against moves back and forth when demand hovers at the threshold."""
+def test_demand_oscillating_around_capacity_is_one_peak():
+    """Guards against moving VMs back and forth when demand is near the threshold."""
     forecast = PoolForecast()
     for second in range(60):
         forecast.observe(after(second), 4.2 if second % 2 else 3.8, 4)
@@ -61,24 +61,24 @@
     assert not forecast.peaks
 
 
-def test_next_turn_is_foreseen_and_dropped_when_the_order_changes():
-    """Guards against preparing for a pool whose turn it is no longer."""
-    turns = PeakOrderForecast()
+def test_next_peak_is_predicted_until_the_order_of_pools_changes():
+    """Guards against preparing for a peak that the old order predicts."""
+    peak_order = PeakOrderForecast()
     for n, pool in enumerate(["a", "b", "c"] * 3):
-        turns.record_peak_start(pool, after(n * 20))
-    assert turns.next_peak(after(165)) == ("a", after(180), timedelta(seconds=20))
-    assert turns.next_peak(after(195)) is None
+        peak_order.record_peak_start(pool, after(n * 20))
+    assert peak_order.next_peak(after(165)) == ("a", after(180), timedelta(seconds=20))
+    assert peak_order.next_peak(after(195)) is None
     for n, pool in enumerate(["b", "a", "c"]):
-        turns.record_peak_start(pool, after(200 + n * 20))
-    assert turns.next_peak(after(245)) is None
+        peak_order.record_peak_start(pool, after(200 + n * 20))
+    assert peak_order.next_peak(after(245)) is None
 
 
-def test_present_peak_comes_before_a_foreseen_one():
-    """Guards against keeping VMs ready while another pool's queue grows."""
-    ready = PoolDemand("a", 4, 0, forecast_with_peaks(20), prepare_from=after(0))
+def test_current_peak_comes_before_a_predicted_one():
+    """Guards against reserving VMs for a prediction while a queue grows."""
+    predicted = PoolDemand("a", 4, 0, forecast_with_peaks(20), prepare_from=after(0))
     peaking = forecast_with_peaks(20)
     peaking.observe(after(400), 8.0, 4)
-    pools = [ready, PoolDemand("b", 4, 0, peaking)]
+    pools = [predicted, PoolDemand("b", 4, 0, peaking)]
     plan = plan_lending(pools, "spare", 5, after(401), timedelta(seconds=3))
     moves = [(d.target, d.vms, d.reason) for d in plan]
     assert moves == [
@@ -104,8 +104,8 @@
     return sizes
 
 
-def test_lent_vms_go_to_the_next_peak_and_home_when_peaks_end():
-    """Guards against VMs lost to a pool, and a detour over the spare pool."""
+def test_lent_vms_move_to_the_next_peak_and_return_after_the_last():
+    """Guards against VMs that are not returned or move through the spare pool."""
 
     async def body():
         fleet = await lending_fleet()
@@ -117,7 +117,7 @@
         fleet.demand = {"orders": 0.2, "mill": 0.2}
         for _ in range(20):
             await fleet.step()
-        assert pool_sizes(fleet)["mill"] == 7, "given back too early"
+        assert pool_sizes(fleet)["mill"] == 7, "VMs returned before RETURN_AFTER"
         await fleet.run_until(lambda: pool_sizes(fleet)["mill"] == 4, 700, 5)
         await fleet.run_until(fleet.all_in_service)
         homes = [v.home_pool for v in fleet.stored(layout.VMS, VmRecord).values()]
@@ -130,7 +130,7 @@
 
 @pytest.mark.parametrize("after_effect", [False, True])
 def test_lending_survives_a_killed_controller_at_each_step(after_effect):
-    """Guards against VMs in two pools or none after a crash during a move."""
+    """Guards against VMs in two pools or in none after a crash during a move."""
 
     async def body():
         for commit in range(12):
@@ -147,7 +147,7 @@
 
 
 def test_spare_pool_keeps_what_its_own_service_needs():
-    """Guards against lending VMs that a budget or the own demand needs."""
+    """Guards against lending VMs that the budget or the pool's own demand needs."""
 
     async def body():
         sizes = {"orders": (4, 0), "catalog": (4, 0)}
--- a/tests/test_drain_notices.py
+++ b/tests/test_drain_notices.py
@@ -27,8 +27,8 @@
 DRAINING = VmRecord(VM.name, VM.role, "mill", VmState.DRAINING, epoch=5)
 
 
-def test_notice_stops_new_work_before_the_watch_does():
-    """Guards against work sent to a draining VM while a watch is slow."""
+def test_notice_stops_new_work_before_the_watch_event():
+    """Guards against work sent to a draining VM while the store watch is slow."""
     networks = {}
     sender, _ = daemon("a", networks)
     _, state = daemon("b", networks)
@@ -38,28 +38,28 @@
     # The record of the return is newer than the notice.
     state.vm_records_by_name[VM.name] = VmRecord(VM.name, VM.role, "mill", epoch=6)
     assert state.accepts_work(VM)
-    # A notice that was delayed on the way changes nothing any more.
+    # A delayed notice has no effect.
     sender.announce(DRAINING)
     assert state.accepts_work(VM)
 
 
-def test_answer_of_a_daemon_also_stops_its_new_work():
-    """Guards against a daemon that answers 0 and then sends a request."""
+def test_query_stops_new_work_at_the_daemon_that_answers():
+    """Guards against a daemon that answers 0 and then sends a request to the VM."""
 
     async def body():
         networks = {}
-        asking, _ = daemon("a", networks, running=3)
+        querying, _ = daemon("a", networks, running=3)
         _, state = daemon("b", networks, running=2)
-        assert await asking.ask("b", DRAINING) == 2
+        assert await querying.ask("b", DRAINING) == 2
         assert not state.accepts_work(VM)
-        assert await asking.ask("a", DRAINING) == 3
-        assert await asking.ask("unreachable", DRAINING) is None
+        assert await querying.ask("a", DRAINING) == 3
+        assert await querying.ask("unreachable", DRAINING) is None
 
     run(body)
 
 
 def test_query_of_an_older_daemon_without_epoch_is_answered():
-    """Guards against a rolling upgrade that blocks drains."""
+    """Guards against drains that block during a rolling upgrade."""
     networks = {}
     daemon("b", networks, running=1)
     answers = []
--- a/tests/test_fleet_commands.py
+++ b/tests/test_fleet_commands.py
@@ -1,4 +1,4 @@
-"""Operators' commands and routes for VMs, pools, waves and budgets."""
+"""Operator commands and routes for VMs, pools, waves and budgets."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 class InProcessClient(OperatorClient):
-    """Calls the operator application directly; the fleet steps between calls."""
+    """Calls the operator application directly and steps the fleet after each call."""
 
     def __init__(self, fleet: Fleet) -> None:
         controller = fleet.controller
@@ -121,8 +121,8 @@
 
 
 @pytest.mark.parametrize("command", COMMANDS)
-def test_each_command_explains_itself_with_an_example(command):
-    """Guards against commands that an operator cannot use without the pages."""
+def test_help_of_each_command_has_an_example(command):
+    """Guards against commands that cannot be used without the manual."""
     runner = click.testing.CliRunner()
     options = ["--daemon", "local", "--key", KEY]
     output = runner.invoke(cli, [*options, *command, "--help"]).output
@@ -130,13 +130,13 @@
     assert "Examples:\n" in output
 
 
-def test_drain_waits_and_shows_progress_and_explain_shows_the_chain(operate):
+def test_drain_waits_with_progress_and_explain_shows_the_history(operate):
     """Guards against a command that ends before the VM is drained."""
     result = operate("vm", "drain", "orders-e000", "--wait")
     assert answer_of(result)["state"] == "drained"
     assert "orders-e000: drained" in result.stderr
-    chain = answer_of(operate("vm", "explain", "orders-e000"))["vm"]["reasons"]
-    assert [step["cause"] for step in chain] == [
+    history = answer_of(operate("vm", "explain", "orders-e000"))["vm"]["reasons"]
+    assert [step["cause"] for step in history] == [
         "adopted",
         "asked-for-by-operator",
         "nothing-running",
@@ -160,7 +160,7 @@
     ],
 )
 def test_refusals_are_typed(operate, arguments, reason):
-    """Guards against untyped errors and changes that a budget does not allow."""
+    """Guards against untyped errors and changes beyond a budget."""
     operate("vm", "drain", "orders-e000")
     result = operate(*arguments)
     assert (result.exit_code, result.stdout) == (1, "")
@@ -170,7 +170,7 @@
 
 
 def test_wave_is_followed_and_moves_are_listed(operate):
-    """Guards against a wave that reports its end before its VMs are back."""
+    """Guards against a wave that ends before its VMs are back in service."""
     result = operate("wave", "start", "pool/orders", "--follow")
     status = answer_of(result)
     assert status["wave"]["state"] == "done"
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -1,4 +1,4 @@
-"""Model of pool membership and budgets under racing operators and faults."""
+"""Model test of pool membership and budgets with concurrent operators and faults."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class FleetModel(RuleBasedStateMachine):
-    """Operators, controllers and faults in any order."""
+    """Runs operators' calls, controller steps and faults in any order."""
 
     def __init__(self):
         super().__init__()
@@ -133,7 +133,7 @@
             assert set(budget.spending_by_vm) == out
 
     def teardown(self):
-        self.heal()
+        self.clear_faults()
         for step in range(400):
             self.attempt(self.fleet.step(2))
             if step % 20 == 19:
@@ -145,8 +145,8 @@
         assert set(self.fleet.stored(layout.VMS, VmRecord)) == set(NAMES)
         self.runner.close()
 
-    def heal(self):
-        """End all faults, as in the end they do."""
+    def clear_faults(self):
+        """End all faults and cancel all waves."""
         fleet = self.fleet
         fleet.store.down, fleet.store.lose_answers = False, 0
         fleet.store.kill_at_commit = None
@@ -158,7 +158,7 @@
         self.cancel_waves(0)
 
     def return_all(self):
-        """Return what operators hold and what was set aside."""
+        """Return VMs to service that are drained, set aside or failed."""
         for name, vm in self.fleet.stored(layout.VMS, VmRecord).items():
             if vm.state in (VmState.DRAINED, VmState.SET_ASIDE, VmState.FAILED):
                 self.return_vm(name, 0)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,4 +1,4 @@
-"""Drains across real daemons: running requests and a killed controller."""
+"""Drains with real daemon processes, running requests and a killed controller."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
         start(fleet, tmp_path)
         yield fleet
     finally:
-        # Also when the start fails, so that no process is left behind.
+        # Also if the start fails, so that no process keeps running.
         fleet.close()
 
 
@@ -80,7 +80,7 @@
 
 
 def controller_of(fleet):
-    """Return the daemon that took the controller role last, by the logs."""
+    """Return a daemon that has held the controller role, according to its log."""
     holders = [
         name
         for name in DAEMONS
@@ -108,7 +108,7 @@
 
 
 def test_drain_waits_for_requests_and_survives_a_killed_controller(fleet):
-    """Guards against reboots under running requests, and drains nobody finishes."""
+    """Guards against reboots during requests and drains that never complete."""
     wait_until(lambda: len(operate(fleet, "vm", "list")) == 2)
     wait_until(lambda: controller_of(fleet) is not None)
     controller = controller_of(fleet)
@@ -116,7 +116,7 @@
     key = operate(fleet, "key", "grant", "--team", "mill")["key"]
     url = f"http://{fleet.address(entry, 'caller')}/v1/services/orders/cut"
     headers = {"Authorization": f"Bearer {key}"}
-    # Partitions are taken one a second; before, requests may wait for a slot.
+    # Daemons take one partition a second; with fewer, requests may wait for a slot.
     wait_until(lambda: partitions_of(fleet, entry) >= 6)
     wait_until(lambda: httpcore.request("GET", url, headers=headers).status == 200)
 
@@ -131,8 +131,8 @@
     ]
     for thread in threads:
         thread.start()
-    # The drain must not lose a request that has started; which of the executors
-    # runs them follows from the slots that the daemon's partitions carry.
+    # The drain must not lose a request that has started. Which executor runs them
+    # depends on the slots of the daemon's partitions.
     names = [vm.name for vm in fleet.vms]
     wait_until(lambda: sum(running_at(fleet, name) for name in names) == 2)
     names.sort(key=lambda name: running_at(fleet, name))
--- a/tests/test_health_sources.py
+++ b/tests/test_health_sources.py
@@ -1,4 +1,4 @@
-"""Observations that daemons make of executors and workers."""
+"""Health observations of executors and workers."""
 
 from __future__ import annotations
 
@@ -21,13 +21,13 @@
         (True, True, ObservationKind.UNRESPONSIVE),
     ],
 )
-def test_outcome_of_a_request_is_noted(failed, silent, kind):
-    """Guards against a silent executor that counts as merely failing."""
-    noted = Counter()
+def test_request_outcome_is_recorded(failed, silent, kind):
+    """Guards against counting an unresponsive executor as merely failing."""
+    recorded = Counter()
     note_executor(
-        lambda vm, k: noted.update([(vm, k)]), "e1", failed=failed, silent=silent
+        lambda vm, k: recorded.update([(vm, k)]), "e1", failed=failed, silent=silent
     )
-    assert noted == {("e1", kind): 1}
+    assert recorded == {("e1", kind): 1}
 
 
 @pytest.mark.parametrize(
@@ -44,8 +44,8 @@
         ),
     ],
 )
-def test_state_of_a_worker_is_noted(reachable, failures, health, kinds):
-    """Guards against a worker that is repaired for a bad job or never repaired."""
+def test_worker_state_is_recorded(reachable, failures, health, kinds):
+    """Guards against repairing a worker for a faulty job, or never repairing it."""
     link = SimpleNamespace(reachable=reachable, failures=failures)
     quarantine = SimpleNamespace(health=lambda name: health)
     term = SimpleNamespace(
@@ -53,12 +53,12 @@
         follower=SimpleNamespace(quarantine=quarantine),
     )
     scheduler = SimpleNamespace(term=term)
-    noted = []
+    recorded = []
     observer = WorkerObserver(
-        ManualClock(), scheduler, lambda vm, kind: noted.append((vm, kind))
+        ManualClock(), scheduler, lambda vm, kind: recorded.append((vm, kind))
     )
     observer.observe()
-    assert noted == [("w1", kind) for kind in kinds]
+    assert recorded == [("w1", kind) for kind in kinds]
     scheduler.term = None
     observer.observe()
-    assert len(noted) == len(kinds)
+    assert len(recorded) == len(kinds)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -1,4 +1,4 @@
-"""Repair: what is found, what is done, and when repairs stop."""
+"""Repairs: failure detection, operations started, and limits."""
 
 from __future__ import annotations
 
@@ -89,7 +89,7 @@
     ],
 )
 def test_failed_vm_is_repaired_and_returns_after_a_trial(fault, cause, operation):
-    """Guards against VMs that fail in ways that the platform does not report."""
+    """Guards against missing failures that the platform does not report."""
 
     async def body():
         fleet = await new_fleet()
@@ -109,8 +109,8 @@
     run(body)
 
 
-def test_wrong_detector_cannot_take_the_fleet_down():
-    """Guards against rebooting all VMs because the detector itself is broken."""
+def test_faulty_detector_does_not_take_the_fleet_out_of_service():
+    """Guards against rebooting all VMs when the detector itself is faulty."""
 
     async def body():
         fleet = await new_fleet()
@@ -130,8 +130,8 @@
     run(body)
 
 
-def test_fault_of_the_service_makes_no_vm_suspect():
-    """Guards against repairing VMs for an error that all of them show alike."""
+def test_service_fault_on_all_vms_makes_none_suspect():
+    """Guards against repairing VMs for an error that occurs on all of them."""
 
     async def body():
         fleet = await new_fleet()
@@ -146,7 +146,7 @@
 
 
 def test_vm_that_fails_its_trial_is_replaced():
-    """Guards against returning a VM that reboots but still fails its work."""
+    """Guards against returning a VM to service that still fails after a reboot."""
 
     async def body():
         fleet = await new_fleet()
@@ -160,8 +160,8 @@
     run(body)
 
 
-def test_repairs_at_once_are_limited_when_vms_are_gone():
-    """Guards against replacing a whole rack at once; one at a time for six VMs."""
+def test_concurrent_repairs_are_limited_when_vms_are_gone():
+    """Guards against replacing a whole rack at once; the limit for six VMs is one."""
 
     async def body():
         fleet = await new_fleet()
@@ -184,12 +184,12 @@
 
 
 def test_vm_that_left_the_platform_is_removed_from_its_pool():
-    """Guards against a budget that counts a VM which will never return."""
+    """Guards against budgets that count a VM which will never return."""
 
     async def body():
         fleet = await new_fleet()
         fleet.directory.remove(FAULTY_VM)
-        fleet.directory.refuse = True  # The platform cannot replace it either.
+        fleet.directory.refuse = True  # The platform refuses to replace it.
         gone_for_good = VmState.SET_ASIDE
         await fleet.run_until(
             lambda: fleet.vm(FAULTY_VM).state is gone_for_good, step=5
@@ -203,7 +203,7 @@
 
 
 def test_observations_of_all_daemons_reach_the_controller():
-    """Guards against a detector that sees only its own daemon's requests."""
+    """Guards against detection based on one daemon's requests only."""
 
     async def body():
         fleet = await new_fleet()
--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -1,4 +1,4 @@
-"""Drains, moves and returns: the failure table of each step."""
+"""Drains, moves and returns to service under a fault at each step."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 async def begin(fleet, plan):
-    """Start a plan and repeat it, as an operator would, until it is taken up."""
+    """Start a plan, retrying as an operator would until it is accepted."""
     pool = "mill" if plan is VmPlan.MOVE else ""
     for _ in range(50):
         controller = fleet.controller
@@ -46,7 +46,7 @@
             if not killed(error):
                 raise
             fleet.controllers[0] = fleet.new_controller()
-    raise AssertionError("never started")
+    raise AssertionError("drain was not accepted in 50 attempts")
 
 
 def store_down(fleet, step):
@@ -61,7 +61,7 @@
 
 
 def platform_slow(fleet, step):
-    # Longer than the reboot timeout: a second attempt overlaps with the first.
+    # Longer than the reboot timeout, so that a second attempt overlaps the first.
     fleet.directory.delay = fleet.config.maintenance.reboot_timeout * 1.5
 
 
@@ -100,7 +100,7 @@
 @pytest.mark.parametrize("plan", PLANS)
 @pytest.mark.parametrize("fault", FAULTS)
 def test_plan_ends_in_service_after_fault(plan, fault):
-    """Guards against a VM stuck, lost or counted twice after an outside fault."""
+    """Guards against a stuck, lost or doubly counted VM after an external fault."""
 
     async def body():
         fleet = await adopted(new_fleet())
@@ -118,7 +118,7 @@
 @pytest.mark.parametrize("plan", PLANS)
 @pytest.mark.parametrize(("commit", "after_effect"), KILLS)
 def test_plan_is_resumed_after_kill_at_each_step(plan, commit, after_effect):
-    """Guards against a step that only the controller that began it can finish."""
+    """Guards against steps that only the controller that began them can finish."""
 
     async def body():
         fleet = await adopted(new_fleet())
@@ -135,14 +135,14 @@
 
 @pytest.mark.parametrize("plan", PLANS)
 @pytest.mark.parametrize("stale", [False, True])
-def test_two_controllers_at_once_do_each_step_once(plan, stale):
-    """Guards against double operations by a paused controller that resumes."""
+def test_two_concurrent_controllers_take_each_step_once(plan, stale):
+    """Guards against repeated operations by a controller that resumes after a pause."""
 
     async def body():
         fleet = await adopted(new_fleet(controllers=2))
         await begin(fleet, plan)
         for step in range(200):
-            # A stale controller decides on a copy that is 15 s old.
+            # A stale controller acts on a copy that is up to 15 s old.
             await fleet.step(refresh=not stale or step % 30 == 0)
             if step > 60 and fleet.all_in_service():
                 break
@@ -165,14 +165,14 @@
         assert vm.boot_id != "first"
 
 
-def test_two_operators_race_for_the_last_vm_of_a_budget():
-    """Guards against check and spending in two steps: only one may succeed."""
+def test_concurrent_drains_of_the_last_allowed_vm_succeed_once():
+    """Guards against a race between checking the budget and using it."""
 
     async def body():
         fleet = await adopted(new_fleet(2, min_available=5))
         first, second = fleet.controllers
         await first.operations.drain("orders-e000", "op-a")
-        # The second daemon's copy does not show the first drain yet.
+        # The second controller's copy does not show the first drain yet.
         with pytest.raises(RefusedError) as caught:
             await second.operations.drain("orders-e001", "op-b")
         assert caught.value.refusal.reason is RefusalReason.BUDGET_EXCEEDED
@@ -197,8 +197,8 @@
             old = daemons.pop(DAEMONS[1])
             daemons["entry-2.c"] = replace(old, incarnation="entry-2.c")
         await fleet.run_until(lambda: fleet.vm(VM).state is VmState.DRAINED)
-        # The longest request timeout is 3 s. A daemon that may only be paused has
-        # the drain timeout of 5 s too.
+        # The longest request timeout is 3 s. For a daemon that may merely be paused,
+        # the drain timeout of 5 s is added.
         waited = (fleet.clock.now() - record.since).total_seconds()
         assert seconds <= waited < seconds + 1
         assert fleet.vm(VM).reasons[-1].cause is Cause.DAEMONS_SILENT
@@ -208,7 +208,7 @@
 
 @pytest.mark.parametrize("kind", ["request", "task"])
 def test_drain_waits_for_running_work(kind):
-    """Guards against a planned stop that is not graceful."""
+    """Guards against a planned drain that interrupts running work."""
 
     async def body():
         fleet = await adopted(new_fleet())
@@ -233,12 +233,12 @@
 
 
 def test_unplanned_loss_is_counted_and_may_exceed_the_budget():
-    """Guards against planned work in a pool that has lost what it may spend."""
+    """Guards against drains in a pool whose budget is exhausted by losses."""
 
     async def body():
         fleet = await adopted(new_fleet(min_available=5))
         fleet.directory.lose_vms(["orders-e003"])
-        # Counted from the list at once, before a controller has entered it.
+        # The list counts at once, before a controller has recorded the loss.
         await fleet.refresh(fleet.controller)
         with pytest.raises(RefusedError):
             await fleet.controller.operations.drain(VM, "op")
@@ -253,7 +253,7 @@
 
 
 def test_vm_that_does_not_boot_is_replaced_and_then_set_aside():
-    """Guards against retrying a broken VM for ever, at a budget's expense."""
+    """Guards against retrying a failed VM forever while it uses up the budget."""
 
     async def body():
         fleet = await adopted(new_fleet())
@@ -270,7 +270,7 @@
 
 
 def test_verification_of_an_earlier_drain_does_not_finish_a_later_one():
-    """Guards against a reboot after a return and a second drain in between."""
+    """Guards against a reboot when the VM was returned and drained again meanwhile."""
 
     async def body():
         fleet = await adopted(new_fleet(controllers=2))
@@ -280,14 +280,14 @@
         verifier = first.lifecycle._verifier
         check = verifier.check
 
-        async def check_while_an_operator_acts(record, tasks):
+        async def check_then_drain_again(record, tasks):
             result = await check(record, tasks)
             await second.operations.return_to_service(VM, "op")
-            fleet.running[DAEMONS[0], VM] = 1  # New work came in between.
+            fleet.running[DAEMONS[0], VM] = 1  # New work arrived after the return.
             await second.operations.drain(VM, "op", plan=VmPlan.REBOOT)
             return result
 
-        verifier.check = check_while_an_operator_acts
+        verifier.check = check_then_drain_again
         await first.lifecycle.advance_all()
         assert fleet.vm(VM).state is VmState.DRAINING
         assert fleet.directory.started == []
@@ -295,14 +295,14 @@
     run(body)
 
 
-def test_late_reboot_of_an_earlier_attempt_begins_the_trial_anew():
-    """Guards against returning a VM that is booting once more."""
+def test_delayed_reboot_of_an_earlier_attempt_restarts_the_trial():
+    """Guards against returning a VM to service that is booting again."""
 
     async def body():
         fleet = await adopted(new_fleet())
         await begin(fleet, VmPlan.REBOOT)
         await fleet.run_until(lambda: fleet.vm(VM).state is VmState.TRIAL)
-        await fleet.step(3)  # Of a trial of 4 s.
+        await fleet.step(3)  # The trial lasts 4 s.
         fleet.directory.boot(VM, "late")
         await fleet.step(2)
         assert fleet.vm(VM).state is VmState.TRIAL
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -1,4 +1,4 @@
-"""Maintenance waves: order, faults, races between operators, and schedule."""
+"""Maintenance waves: order, faults, races between operators and scheduling."""
 
 from __future__ import annotations
 
@@ -51,16 +51,16 @@
 
 
 @pytest.mark.parametrize("kind", WaveKind)
-def test_wave_maintains_each_vm_once_with_the_parallelism_of_the_budget(kind):
-    """Guards against forgotten VMs, double reboots and idle budget."""
+def test_wave_maintains_each_vm_once_and_uses_the_whole_budget(kind):
+    """Guards against skipped VMs, double reboots and unused budget."""
 
     async def body():
         fleet = await started(kind=kind)
         most = 0
         while not ended(fleet):
             await fleet.step()
-            away = [n for n in fleet.spent() if "-e" in n]
-            most = max(most, len(away))
+            unavailable = [n for n in fleet.spent() if "-e" in n]
+            most = max(most, len(unavailable))
         assert most == 4
         assert len(fleet.directory.started) == 18
         assert {o.value for _, o, _ in fleet.directory.started} == {kind.value}
@@ -96,7 +96,7 @@
     [kill_controller, lose_answers, store_outage, platform_outage, slow_platform],
 )
 def test_wave_ends_within_budget_despite_fault(fault, controllers):
-    """Guards against a wave that a fault stalls, repeats or takes over budget."""
+    """Guards against waves that stall, repeat steps or exceed budgets after a fault."""
 
     async def body():
         fleet = await started(controllers)
@@ -104,8 +104,8 @@
             fault(fleet, step)
             await fleet.step()
             if wave_of(fleet).state is WaveState.STOPPED:
-                # A platform that is too slow for the timeout looks like
-                # correlated failures; an operator resumes.
+                # Timeouts due to a slow platform look like correlated failures;
+                # an operator resumes the wave.
                 assert fault is slow_platform
                 await fleet.controller.waves.change(
                     wave_of(fleet).wave_id, WaveState.RUNNING, "op"
@@ -121,16 +121,16 @@
 
 @pytest.mark.parametrize("at_step", [0, 1, 2, 3, 5, 8, 13, 21])
 def test_rack_lost_during_a_wave_stops_it_and_undoes_drains(at_step):
-    """Guards against taking more VMs away from a pool that just lost a rack."""
+    """Guards against draining more VMs of a pool that has just lost a rack."""
 
     async def body():
         fleet = await started(max_repairs=0.5, min_available=6)
-        fleet.running["entry-1.a", "orders-e001"] = 1  # This drain stays open.
+        fleet.running["entry-1.a", "orders-e001"] = 1  # Keeps this drain open.
         for _ in range(at_step):
             await fleet.step()
         fleet.directory.lose_vms(RACK)
         fleet.directory.broken.update(RACK)
-        # Two steps, or the reboot timeout for VMs whose reboot hides the loss.
+        # Takes two steps, or the reboot timeout if VMs are lost during a reboot.
         await fleet.run_until(lambda: wave_of(fleet).state is WaveState.STOPPED, 22)
         causes = (WaveCause.CORRELATED_IN_RACK, WaveCause.CORRELATED_IN_ZONE)
         assert wave_of(fleet).reasons[-1].cause in causes
@@ -151,7 +151,7 @@
 
 
 def test_three_failed_reboots_in_a_rack_stop_the_wave():
-    """Guards against rolling a bad image over the whole fleet."""
+    """Guards against rolling out a faulty image to the whole fleet."""
 
     async def body():
         fleet = await started()
@@ -163,8 +163,8 @@
     run(body)
 
 
-def test_vm_that_never_boots_is_set_aside_and_the_wave_goes_on():
-    """Guards against one broken VM that blocks the whole wave."""
+def test_vm_that_never_boots_is_set_aside_and_the_wave_continues():
+    """Guards against one failed VM blocking the whole wave."""
 
     async def body():
         fleet = await started()
@@ -176,8 +176,8 @@
     run(body)
 
 
-def test_budget_used_up_by_loss_holds_the_wave_until_the_loss_is_over():
-    """Guards against maintenance in a pool without anything left to spend."""
+def test_budget_exhausted_by_loss_holds_the_wave_until_recovery():
+    """Guards against maintenance in a pool whose budget is exhausted."""
 
     async def body():
         fleet = await started(min_available=11, max_repairs=0.05)
@@ -197,7 +197,7 @@
     run(body)
 
 
-def test_operators_racing_over_a_wave_receive_typed_conflicts():
+def test_concurrent_operators_of_a_wave_receive_typed_conflicts():
     """Guards against two waves over one pool and against lost state changes."""
 
     async def body():
@@ -217,7 +217,7 @@
         done = len(drained)
         for _ in range(10):
             await fleet.step()
-        assert len(fleet.directory.started) == done, "a paused wave went on"
+        assert len(fleet.directory.started) == done, "a paused wave started operations"
         fleet.running["entry-1.a", ""] = 1  # No drain can complete.
         await waves[0].change(wave_id, WaveState.RUNNING, "a")
         await fleet.step()
@@ -231,8 +231,8 @@
     run(body)
 
 
-def test_start_of_one_wave_by_two_operators_at_once_succeeds_once():
-    """Guards against a race between reading the waves and writing a new one."""
+def test_concurrent_starts_of_one_wave_succeed_once():
+    """Guards against a race between reading waves and writing a new one."""
 
     async def body():
         fleet = Fleet(make_config(POOLS, 8), make_vms("orders", 12, 6), 2)
@@ -240,19 +240,19 @@
         first, second = (c.waves for c in fleet.controllers)
         seen = await second.waves()
 
-        async def waves_as_read_before():
+        async def stale_waves():
             return seen
 
         await first.start("all", WaveKind.REBOOT, "a")
-        second.waves = waves_as_read_before
+        second.waves = stale_waves
         with pytest.raises(ConflictError):
             await second.start("all", WaveKind.REBOOT, "b")
 
     run(body)
 
 
-def test_zones_with_their_own_budget_are_maintained_side_by_side():
-    """Guards against one zone at a time where each zone's budget allows one VM."""
+def test_zones_with_their_own_budget_are_maintained_in_parallel():
+    """Guards against maintaining zones in sequence when each may drain one VM."""
     vms = [
         VmRecord(vm.name, vm.role, vm.pool, availability_zone=vm.availability_zone)
         for vm in make_vms("orders", 9)
@@ -273,7 +273,7 @@
 
 
 def test_pool_without_services_is_not_drained_at_once():
-    """Guards against a spare pool that is empty while queues peak."""
+    """Guards against a spare pool without available VMs during a peak."""
 
     async def body():
         fleet = Fleet(
@@ -292,7 +292,7 @@
 
 
 def test_every_vm_is_maintained_within_the_interval_without_an_operator():
-    """Guards against pools that nobody remembers, and waves all on one day."""
+    """Guards against pools without maintenance, and all waves on the same day."""
 
     async def body():
         names = ["a", "b", "c", "d", "e", "f"]
