--- a/src/pomeloyard/fleet/controller.py
+++ b/src/pomeloyard/fleet/controller.py
@@ -43,7 +43,7 @@
         store: Store,
         directory: VmDirectory,
         decisions: DecisionLog,
-        ask: QueryRunning,
+        query_running: QueryRunning,
         tasks: TaskCounts,
         announce: Callable[[VmRecord], None] = lambda record: None,
         demand_by_pool: Callable[[], Mapping[str, float]] = dict,
@@ -60,7 +60,7 @@
         self.buffers = BufferManager(
             self.records, self.operations, decisions, demand_by_pool
         )
-        verifier = DrainVerifier(clock, state, ask, tasks)
+        verifier = DrainVerifier(clock, state, query_running, tasks)
         self.lifecycle = VmLifecycle(
             self.records, directory, verifier, self.repairs.is_failing
         )
--- a/src/pomeloyard/fleet/drains.py
+++ b/src/pomeloyard/fleet/drains.py
@@ -110,11 +110,15 @@
     """
 
     def __init__(
-        self, clock: Clock, state: FleetState, ask: QueryRunning, tasks: TaskCounts
+        self,
+        clock: Clock,
+        state: FleetState,
+        query_running: QueryRunning,
+        tasks: TaskCounts,
     ) -> None:
         self._clock = clock
         self._state = state
-        self._ask = ask
+        self._query_running = query_running
         self._tasks = tasks
         self._drains_by_vm: dict[str, _Drain] = {}
         self._task_counts: dict[str, int] = {}
@@ -186,7 +190,7 @@
 
     async def _query_daemon(self, drain: _Drain, daemon: str, record: VmRecord) -> None:
         drain.queried_at_by_daemon[daemon] = self._clock.monotonic()
-        running = await self._ask(daemon, record)
+        running = await self._query_running(daemon, record)
         if running == 0:
             drain.running_by_daemon.pop(daemon, None)
             drain.confirmed.add(daemon)
--- a/src/pomeloyard/fleet/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -18,15 +18,15 @@
 
 
 def note_executor(
-    note: RecordObservation, vm: str, *, failed: bool, silent: bool
+    record: RecordObservation, vm: str, *, failed: bool, silent: bool
 ) -> None:
     """Record the outcome of one request at an executor."""
     if silent:
-        note(vm, ObservationKind.UNRESPONSIVE)
+        record(vm, ObservationKind.UNRESPONSIVE)
     elif failed:
-        note(vm, ObservationKind.REQUEST_FAILED)
+        record(vm, ObservationKind.REQUEST_FAILED)
     else:
-        note(vm, ObservationKind.REQUEST_DONE)
+        record(vm, ObservationKind.REQUEST_DONE)
 
 
 class WorkerObserver:
@@ -37,11 +37,11 @@
     """
 
     def __init__(
-        self, clock: Clock, scheduler: Scheduler, note: RecordObservation
+        self, clock: Clock, scheduler: Scheduler, record: RecordObservation
     ) -> None:
         self._clock = clock
         self._scheduler = scheduler
-        self._note = note
+        self._record = record
 
     async def run(self) -> None:
         """Observe the workers regularly until cancelled."""
@@ -56,9 +56,9 @@
             return
         for name, link in term.links.by_name.items():
             if link.reachable:
-                self._note(name, ObservationKind.RESPONSIVE)
+                self._record(name, ObservationKind.RESPONSIVE)
             elif link.failures:
-                self._note(name, ObservationKind.UNRESPONSIVE)
+                self._record(name, ObservationKind.UNRESPONSIVE)
             health = term.follower.quarantine.health(name)
             if health is WorkerHealth.SET_ASIDE:
-                self._note(name, ObservationKind.TASK_FAILED)
+                self._record(name, ObservationKind.TASK_FAILED)
--- a/src/pomeloyard/fleet/operations.py
+++ b/src/pomeloyard/fleet/operations.py
@@ -108,7 +108,7 @@
         self._record_decision(DecisionKind.RETURN, record, record.state.value, cause)
         return record
 
-    async def undo(self, name: str, wave: str, cause: Cause) -> VmRecord:
+    async def undo_drain(self, name: str, wave: str, cause: Cause) -> VmRecord:
         """Return a VM to service that a wave drained but did not yet reboot."""
         now = self._records.clock.now()
         record = await self._records.change(
--- a/src/pomeloyard/fleet/repair.py
+++ b/src/pomeloyard/fleet/repair.py
@@ -38,7 +38,7 @@
 nothing. A partly failed or flapping VM is drained as planned work."""
 
 REPAIR_PREFIX = "repair-"
-"""Prefix of the operation ids of repairs."""
+"""Prefix of the operation IDs of repairs."""
 
 
 class ObservationKind(Enum):
@@ -114,7 +114,7 @@
             health.boots.append(at)
         health.boot_id = boot_id
 
-    def forget(self, name: str) -> None:
+    def reset(self, name: str) -> None:
         """Drop the observations of a VM, for example after its reboot."""
         health = self._health_by_vm[name]
         self._health_by_vm[name] = _Health(boot_id=health.boot_id)
--- a/src/pomeloyard/fleet/repairs.py
+++ b/src/pomeloyard/fleet/repairs.py
@@ -66,12 +66,12 @@
         try:
             await self._records.change(
                 suspicion.vm,
-                lambda current: vm_steps.fail(current, now, suspicion.cause),
+                lambda current: vm_steps.mark_failed(current, now, suspicion.cause),
             )
         except (ConflictError, RefusedError) as error:
             log.info("VM {} not taken out of service: {}", suspicion.vm, error)
             return
-        self.health.forget(suspicion.vm)
+        self.health.reset(suspicion.vm)
         self._record_decision(suspicion.vm, "fail", suspicion.cause, suspicion.evidence)
 
     async def _drain(
@@ -89,7 +89,7 @@
         except (ConflictError, RefusedError) as error:
             log.info("repair of VM {} not started: {}", name, error)
             return
-        self.health.forget(name)
+        self.health.reset(name)
         self._record_decision(name, plan.value, cause, evidence)
 
     def _record_boots(self) -> None:
--- a/src/pomeloyard/fleet/vm_steps.py
+++ b/src/pomeloyard/fleet/vm_steps.py
@@ -230,7 +230,7 @@
     return None
 
 
-def fail(record: VmRecord, now: datetime, cause: Cause) -> VmRecord | None:
+def mark_failed(record: VmRecord, now: datetime, cause: Cause) -> VmRecord | None:
     """Take a VM out of service that a detector found failed."""
     if record.state is not VmState.IN_SERVICE:
         return None
--- a/src/pomeloyard/fleet/wave_runner.py
+++ b/src/pomeloyard/fleet/wave_runner.py
@@ -278,7 +278,7 @@
                 continue
             cause = Cause.WAVE_CANCELLED if cancelled else Cause.WAVE_STOPPED
             try:
-                await self._operations.undo(vm.name, vm.wave, cause)
+                await self._operations.undo_drain(vm.name, vm.wave, cause)
             except (ConflictError, RefusedError) as error:
                 log.info("drain of VM {} not undone: {}", vm.name, error)
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -32,13 +32,13 @@
 from pomeloyard.keyvalue.store import scan_all
 from pomeloyard.vm_platform.directory import Vm, VmRole
 
-from .fleet_faults import FaultyDirectory, FaultyStore, killed
+from .fleet_faults import FaultyDirectory, FaultyStore, is_kill
 
 DAEMONS = ("entry-1.a", "entry-2.b")
 
 
 @dataclass
-class Tasks(TaskCounts):
+class FakeTaskCounts(TaskCounts):
     """Task counts that a test sets."""
 
     count_by_vm: dict[str, int] = field(default_factory=dict)
@@ -55,7 +55,7 @@
         self.config = config
         self.store = FaultyStore(self.clock)
         self.directory = FaultyDirectory(self.clock, vms)
-        self.tasks = Tasks()
+        self.tasks = FakeTaskCounts()
         self.running: dict[tuple[str, str], int | None] = {}
         """Running requests by daemon and VM; None if the daemon does not answer."""
         self.demand: dict[str, float] = {}
@@ -105,7 +105,7 @@
     async def step(self, seconds: float = 0.5, refresh: bool = True) -> None:
         """Advance the clock and let every controller take one step."""
         self.clock.advance(timedelta(seconds=seconds))
-        await self.directory.settle()
+        await self.directory.apply_due_operations()
         for number, controller in enumerate(self.controllers):
             if refresh:
                 await self.refresh(controller)
@@ -114,7 +114,7 @@
             except (StoreError, ConflictError, RefusedError):
                 pass
             except BaseException as error:
-                if not killed(error):
+                if not is_kill(error):
                     raise
                 self.controllers[number] = self.new_controller()
 
@@ -156,7 +156,7 @@
     def all_in_service(self) -> bool:
         return self.states() == {VmState.IN_SERVICE}
 
-    def spent(self) -> set[str]:
+    def unavailable_vms(self) -> set[str]:
         return {vm for b in self.budgets().values() for vm in b.spending_by_vm}
 
     def summary(self) -> str:
--- a/tests/support/fleet_faults.py
+++ b/tests/support/fleet_faults.py
@@ -101,7 +101,7 @@
             self.answer_lost -= 1
             raise StoreOutcomeUnknownError("answer lost")
 
-    async def settle(self) -> None:
+    async def apply_due_operations(self) -> None:
         """Apply the operations that are due."""
         now = self._clock.monotonic()
         due = [p for p in self._pending if p[0] <= now]
@@ -116,7 +116,7 @@
             vm = self._vms_by_name[name]
             self.put(replace(vm, state=VmListState.GONE))
 
-    def let_leave(self, name: str) -> None:
+    def mark_leaving(self, name: str) -> None:
         """Show a VM as leaving, as decided by the platform."""
         self.put(replace(self._vms_by_name[name], state=VmListState.LEAVING))
 
@@ -130,8 +130,8 @@
             self.put(replace(vm, state=VmListState.LIVE))
 
 
-def killed(error: BaseException) -> bool:
+def is_kill(error: BaseException) -> bool:
     """Tell whether an error is a simulated kill, also within an exception group."""
     if isinstance(error, BaseExceptionGroup):
-        return any(killed(inner) for inner in error.exceptions)
+        return any(is_kill(inner) for inner in error.exceptions)
     return isinstance(error, Killed)
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -141,7 +141,7 @@
             await fleet.run_until(lambda f=fleet: pool_sizes(f).get("orders") == 7, 60)
             await fleet.run_until(fleet.all_in_service, 60)
             assert sum(pool_sizes(fleet).values()) == 12
-            assert fleet.spent() == set()
+            assert fleet.unavailable_vms() == set()
 
     run(body)
 
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -14,7 +14,7 @@
 from pomeloyard.keyvalue import layout
 
 from .support.fleet import Fleet, make_config, make_vms
-from .support.fleet_faults import killed
+from .support.fleet_faults import is_kill
 
 POOLS = {"orders": (6, 4), "mill": (4, 0), "spare": (3, 0)}
 VMS = [vm for pool, sizes in POOLS.items() for vm in make_vms(pool, *sizes)]
@@ -42,7 +42,7 @@
         except PomeloyardError:
             return None
         except BaseException as error:
-            if not killed(error):
+            if not is_kill(error):
                 raise
             return None
 
@@ -141,7 +141,7 @@
             if self.fleet.all_in_service():
                 break
         assert self.fleet.all_in_service(), self.fleet.summary()
-        assert self.fleet.spent() == set()
+        assert self.fleet.unavailable_vms() == set()
         assert set(self.fleet.stored(layout.VMS, VmRecord)) == set(NAMES)
         self.runner.close()
 
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -65,7 +65,7 @@
 
 
 async def taken_away(fleet):
-    fleet.directory.let_leave(FAULTY_VM)
+    fleet.directory.mark_leaving(FAULTY_VM)
     await fleet.step()
     assert fleet.vm(FAULTY_VM).reasons[-1].cause is Cause.VM_LEAVING
     await gone(fleet)
@@ -103,7 +103,7 @@
         assert (VmState.TRIAL, Cause.NEW_BOOT) in steps
         done = [(name, o) for name, o, _ in fleet.directory.started]
         assert done == [(FAULTY_VM, operation)]
-        assert fleet.spent() == set()
+        assert fleet.unavailable_vms() == set()
         assert fleet.violations == []
 
     run(body)
@@ -178,7 +178,7 @@
             most = max(most, sum(vm.state in working for vm in vms))
         assert most == 1
         assert fleet.all_in_service(), fleet.summary()
-        assert fleet.spent() == set()
+        assert fleet.unavailable_vms() == set()
 
     run(body)
 
@@ -197,7 +197,7 @@
         await fleet.step(24 * 3600)
         assert FAULTY_VM not in fleet.stored(layout.VMS, VmRecord)
         assert FAULTY_VM not in fleet.budgets()["orders"].members_by_vm
-        assert fleet.spent() == set()
+        assert fleet.unavailable_vms() == set()
 
     run(body)
 
--- a/tests/test_vm_operations.py
+++ b/tests/test_vm_operations.py
@@ -13,7 +13,7 @@
 from pomeloyard.vm_platform.directory import VmOperation
 
 from .support.fleet import DAEMONS, Fleet, make_config, make_vms, run
-from .support.fleet_faults import killed
+from .support.fleet_faults import is_kill
 
 POOLS = {"orders": (6, 6), "mill": (6, 0)}
 VM = "orders-e000"
@@ -43,7 +43,7 @@
         except (StoreError, ConflictError):
             await fleet.step()
         except BaseException as error:
-            if not killed(error):
+            if not is_kill(error):
                 raise
             fleet.controllers[0] = fleet.new_controller()
     raise AssertionError("drain was not accepted in 50 attempts")
@@ -155,7 +155,7 @@
 
 def check_end(fleet, plan):
     assert fleet.all_in_service(), fleet.summary()
-    assert fleet.spent() == set()
+    assert fleet.unavailable_vms() == set()
     assert fleet.violations == []
     vm = fleet.vm(VM)
     assert vm.pool == ("mill" if plan is VmPlan.MOVE else "orders")
@@ -227,7 +227,7 @@
         await fleet.run_until(lambda: fleet.vm(name).state is VmState.DRAINED, 5)
         await fleet.controller.operations.return_to_service(name, "op")
         assert fleet.all_in_service()
-        assert fleet.spent() == set()
+        assert fleet.unavailable_vms() == set()
 
     run(body)
 
@@ -244,10 +244,10 @@
             await fleet.controller.operations.drain(VM, "op")
         fleet.directory.lose_vms(["orders-e004"])
         await fleet.step()
-        assert fleet.spent() == {"orders-e003", "orders-e004"}
+        assert fleet.unavailable_vms() == {"orders-e003", "orders-e004"}
         fleet.directory.restore_vms(["orders-e003", "orders-e004"])
         await fleet.run_until(fleet.all_in_service, 30)
-        assert fleet.spent() == set()
+        assert fleet.unavailable_vms() == set()
 
     run(body)
 
@@ -264,7 +264,7 @@
         reboot, replace = VmOperation.REBOOT, VmOperation.REPLACE
         assert operations == [reboot, reboot, replace]
         assert fleet.vm(VM).reasons[-1].cause is Cause.ATTEMPTS_USED_UP
-        assert fleet.spent() == {VM}
+        assert fleet.unavailable_vms() == {VM}
 
     run(body)
 
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -59,7 +59,7 @@
         most = 0
         while not ended(fleet):
             await fleet.step()
-            unavailable = [n for n in fleet.spent() if "-e" in n]
+            unavailable = [n for n in fleet.unavailable_vms() if "-e" in n]
             most = max(most, len(unavailable))
         assert most == 4
         assert len(fleet.directory.started) == 18
@@ -114,7 +114,7 @@
                 break
         assert ended(fleet), fleet.summary()
         assert fleet.violations == []
-        assert fleet.spent() == set()
+        assert fleet.unavailable_vms() == set()
 
     run(body)
 
@@ -171,7 +171,7 @@
         fleet.directory.broken.add("orders-e001")
         await fleet.run_until(lambda: wave_of(fleet).state is WaveState.DONE)
         assert wave_of(fleet).skipped == ("orders-e001",)
-        assert fleet.spent() == {"orders-e001"}
+        assert fleet.unavailable_vms() == {"orders-e001"}
 
     run(body)
 
@@ -188,7 +188,7 @@
         for _ in range(3):
             await fleet.step()
         assert wave_of(fleet).held_pools == ("orders",)
-        assert {n for n in fleet.spent() if "-e" in n} == {lost}
+        assert {n for n in fleet.unavailable_vms() if "-e" in n} == {lost}
         fleet.running.clear()
         fleet.directory.restore_vms([lost])
         await fleet.run_until(lambda: ended(fleet), 900)
