--- a/src/pomeloyard/requests/__init__.py
+++ b/src/pomeloyard/requests/__init__.py
@@ -1,1 +1,1 @@
-"""The path of a request from admission to the whole response."""
+"""Request handling from admission to the complete response."""
--- a/src/pomeloyard/requests/exchanges.py
+++ b/src/pomeloyard/requests/exchanges.py
@@ -1,4 +1,4 @@
-"""One request on one executor, from the permit to the released slot."""
+"""One attempt at one executor, from the permit to the release of its slot."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 GATEWAY_FAILURES = frozenset({502, 503, 504})
-"""Statuses with which an executor says that it cannot work at present."""
+"""Statuses by which an executor reports that it cannot serve at present."""
 
 REQUEST_ID = b"x-request-id"
 
@@ -28,8 +28,8 @@
 class ServiceRequest:
     """A caller's request; ``target`` is path and query below the service.
 
-    ``body`` is an iterator if it is passed on while it is being received;
-    ``content_length`` is then its length, or None if it is not known.
+    ``body`` is an iterator if it is streamed; ``content_length`` is then its
+    length, or None if it is unknown.
     """
 
     service: str
@@ -43,7 +43,7 @@
     idempotency_key: str = ""
     content_length: int | None = None
     key_id: str = ""
-    """The key that came with the request, checked again when it is sent."""
+    """Id of the caller's API key, checked again just before the request is sent."""
 
     @property
     def idempotent(self) -> bool:
@@ -52,12 +52,12 @@
 
     @property
     def replayable(self) -> bool:
-        """Tell whether the body is still there for another attempt."""
+        """Tell whether the body is buffered and can be sent again."""
         return isinstance(self.body, bytes)
 
 
 class Exchange:
-    """A request that an executor is answering; must be closed."""
+    """A request whose response is being received; must be closed."""
 
     def __init__(
         self,
@@ -72,20 +72,20 @@
         self.response = response
 
     async def aclose(self) -> None:
-        """Close the response and give the permit back, now or later."""
+        """Close the response and release the permit, now or when it is safe."""
         permit, self._permit = self._permit, None
         if permit is None:
             return
         try:
             await self.response.aclose()
         finally:
-            self._sender.settle(
+            self._sender.release_permit(
                 self._service, permit, maybe_running=not self.response.complete
             )
 
 
 class ExchangeSender:
-    """Admits a request, sends it to the chosen executor and checks the answer."""
+    """Admits a request, sends it to the chosen executor and checks the response."""
 
     def __init__(
         self,
@@ -117,26 +117,28 @@
         """
         permit = await self._admit(request, service, deadline, tried)
         tried.add(permit.vm)
-        own = Progress()
+        attempt_progress = Progress()
         try:
-            response = await self._send(request, service, permit, deadline, own)
+            response = await self._send(
+                request, service, permit, deadline, attempt_progress
+            )
         except BaseException as error:
-            self.settle(service, permit, maybe_running=own.sent)
-            if isinstance(error, OutcomeUnknownError) or _unreachable(error):
-                silent = _unreachable(error) or _timed_out(error)
-                self._router.failed(service.name, permit.vm, silent=silent)
+            self.release_permit(service, permit, maybe_running=attempt_progress.sent)
+            if isinstance(error, OutcomeUnknownError) or _is_unreachable(error):
+                no_response = _is_unreachable(error) or _is_timeout(error)
+                self._router.failed(service.name, permit.vm, no_response=no_response)
             raise
         finally:
-            progress.sent = progress.sent or own.sent
+            progress.sent = progress.sent or attempt_progress.sent
         return Exchange(self, service, permit, response)
 
-    def settle(
+    def release_permit(
         self, service: ServiceConfig, permit: Permit, *, maybe_running: bool
     ) -> None:
-        """Release a permit; if the request may still run, once it cannot."""
+        """Release a permit; if the request may still run, after its time-out."""
         if maybe_running:
-            end = self._clock.monotonic() + service.request_timeout
-            self._admission.hold_until(permit, end)
+            running_until = self._clock.monotonic() + service.request_timeout
+            self._admission.hold_until(permit, running_until)
         else:
             self._admission.release(permit)
 
@@ -147,11 +149,11 @@
         deadline: timedelta,
         tried: set[str],
     ) -> Permit:
-        wait_until = self._clock.monotonic() + service.queue_timeout
+        queue_deadline = self._clock.monotonic() + service.queue_timeout
         outcome = await self._admission.acquire(
             request.service,
             request.team,
-            deadline=min(deadline, wait_until),
+            deadline=min(deadline, queue_deadline),
             queue_length=service.queue_length,
             urgent=request.urgent,
             exclude=frozenset(tried),
@@ -178,7 +180,7 @@
         self._router.started(permit.vm)
         request_id = secrets.token_hex(8).encode()
         started = self._clock.monotonic()
-        # A daemon that was paused meanwhile must not start late work.
+        # A daemon that was paused in between must not send after the deadline.
         if started >= deadline:
             raise RefusedError(Refused(RefusalReason.DEADLINE_PASSED, service.name))
         if self._state.is_withdrawn(request.key_id):
@@ -189,7 +191,7 @@
             vm.address,
             request.method,
             request.target,
-            _headers(request, vm.address, request_id),
+            _request_headers(request, vm.address, request_id),
             request.body,
             min(service.request_timeout, deadline - started),
             progress,
@@ -207,21 +209,21 @@
         return response
 
 
-def _timed_out(error: BaseException) -> bool:
+def _is_timeout(error: BaseException) -> bool:
     return (
         isinstance(error, OutcomeUnknownError)
         and error.unknown.reason is UnknownReason.TIMEOUT
     )
 
 
-def _unreachable(error: BaseException) -> bool:
+def _is_unreachable(error: BaseException) -> bool:
     return (
         isinstance(error, RefusedError)
         and error.refusal.reason is RefusalReason.ENDPOINT_UNREACHABLE
     )
 
 
-def _headers(
+def _request_headers(
     request: ServiceRequest, address: str, request_id: bytes
 ) -> list[tuple[bytes, bytes]]:
     headers = [(b"host", address.encode()), *request.headers]
--- a/src/pomeloyard/requests/keyed.py
+++ b/src/pomeloyard/requests/keyed.py
@@ -1,4 +1,4 @@
-"""Requests with an idempotency key: claimed before, and answered again after."""
+"""Requests with an idempotency key: claimed before they run, then replayed."""
 
 from __future__ import annotations
 
@@ -28,10 +28,10 @@
 
 RESULT_TIMEOUT = timedelta(seconds=1)
 MAX_CLAIM_AGE = CLAIM_WINDOW / 4
-"""Age after which a granted claim is not used any more.
+"""Age at which a granted claim is no longer used.
 
-A daemon that was paused between the grant and the sending could otherwise run a
-request whose claim has been dropped meanwhile.
+Otherwise a daemon that was paused between the grant and the sending could run a
+request whose claim has expired in the meantime.
 """
 
 REPLAYED = (b"idempotency-replayed", b"true")
@@ -46,7 +46,9 @@
     chunks: AsyncIterator[bytes]
 
 
-Runner = Callable[[ServiceRequest, Progress], AbstractAsyncContextManager[Answer]]
+RequestRunner = Callable[
+    [ServiceRequest, Progress], AbstractAsyncContextManager[Answer]
+]
 
 
 class KeyedRequests:
@@ -72,14 +74,16 @@
 
     @asynccontextmanager
     async def run(
-        self, request: ServiceRequest, deadline: timedelta, run: Runner
+        self, request: ServiceRequest, deadline: timedelta, run: RequestRunner
     ) -> AsyncIterator[Answer]:
-        """Claim the key, run the request and keep its result.
+        """Claim the key, run the request and store its result.
 
         Raises RefusedError or OutcomeUnknownError as ``run`` does, and for a
-        repeated key if the first attempt's response cannot be given.
+        repeated key if the first attempt's response cannot be replayed.
         """
-        assert isinstance(request.body, bytes), "a keyed body is read whole"
+        assert isinstance(request.body, bytes), (
+            "the body of a keyed request must be buffered"
+        )
         key = hash_claim_key(request.team, request.service, request.idempotency_key)
         fingerprint = fingerprint_request(
             request.method, request.target.decode("latin-1"), request.body
@@ -95,7 +99,7 @@
             yield _replay(ticket)
             return
         progress = Progress()
-        recorder = _Recorder()
+        recorder = _BodyRecorder()
         try:
             self._check_age(ticket)
             async with run(request, progress) as answer:
@@ -110,7 +114,7 @@
             raise
         finally:
             if recorder.complete:
-                # The response is kept even if it could not be passed on.
+                # Stored even if the response could not be passed to the caller.
                 self._results.finish(key, ResultState.DONE, recorder.response(answer))
         if not recorder.complete:
             self._results.finish(key, ResultState.UNKNOWN, None)
@@ -118,12 +122,12 @@
     async def _claim(
         self, key: bytes, fingerprint: bytes
     ) -> ClaimTicket | StoredResponse:
-        """Return the claim, or the response of the attempt that has run."""
-        own = self._results.get(key)
-        if own is not None:
-            if own.fingerprint != fingerprint:
+        """Return the claim, or the stored response of an earlier attempt."""
+        local = self._results.get(key)
+        if local is not None:
+            if local.fingerprint != fingerprint:
                 raise RefusedError(Refused(RefusalReason.KEY_REUSED))
-            return _stored(own.state, own.response)
+            return _completed_response(local.state, local.response)
         if not self._results.begin(key, fingerprint):
             detail = "too many keyed requests"
             raise RefusedError(
@@ -137,10 +141,12 @@
         if isinstance(ticket, ClaimTicket):
             return ticket
         self._results.forget(key)
-        return await self._earlier(key, ticket)
+        return await self._fetch_earlier_response(key, ticket)
 
-    async def _earlier(self, key: bytes, earlier: EarlierAttempt) -> StoredResponse:
-        """Ask the daemon that was granted the claim how the request went."""
+    async def _fetch_earlier_response(
+        self, key: bytes, earlier: EarlierAttempt
+    ) -> StoredResponse:
+        """Ask the daemon that holds the claim for the result of its attempt."""
         if earlier.runner == self._incarnation:
             self._claims.release_absent(key, earlier.attempt)
             raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
@@ -154,10 +160,12 @@
             detail = f"{earlier.runner} does not answer"
             raise OutcomeUnknownError(Unknown(UnknownReason.EARLIER_ATTEMPT, detail))
         if reply.state == "absent":
-            # The runner has just given the claim back; the next attempt may run.
+            # That daemon has just released the claim, so the next attempt may run.
             raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
-        held = StoredResponse(reply.status, reply.headers, reply.body)
-        return _stored(ResultState(reply.state), held if reply.status else None)
+        response = StoredResponse(reply.status, reply.headers, reply.body)
+        return _completed_response(
+            ResultState(reply.state), response if reply.status else None
+        )
 
     def _check_age(self, ticket: ClaimTicket) -> None:
         age = self._clock.monotonic().total_seconds() - ticket.asked_at
@@ -172,19 +180,19 @@
         elif result.response is None:
             reply = ResultReply(message.request_id, result.state.value)
         else:
-            held = result.response
+            response = result.response
             reply = ResultReply(
                 message.request_id,
                 result.state.value,
-                held.status,
-                held.headers,
-                held.body,
+                response.status,
+                response.headers,
+                response.body,
             )
         self._network.send(sender, reply)
 
 
-class _Recorder:
-    """Keeps a copy of a response's body while it is passed on."""
+class _BodyRecorder:
+    """Copies a response's body while it is streamed to the caller."""
 
     def __init__(self) -> None:
         self.complete = False
@@ -192,7 +200,7 @@
         self._size = 0
 
     async def record(self, chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-        """Yield the chunks; those of a long body are not kept."""
+        """Yield the chunks; a body over MAX_RESPONSE_BYTES is not copied."""
         async for chunk in chunks:
             self._size += len(chunk)
             if self._size > MAX_RESPONSE_BYTES:
@@ -203,13 +211,15 @@
         self.complete = True
 
     def response(self, answer: Answer) -> StoredResponse | None:
-        """Return the complete response, or None if it is too long to keep."""
+        """Return the complete response, or None if its body was too long to copy."""
         if self._chunks is None:
             return None
         return StoredResponse(answer.status, answer.headers, b"".join(self._chunks))
 
 
-def _stored(state: ResultState, response: StoredResponse | None) -> StoredResponse:
+def _completed_response(
+    state: ResultState, response: StoredResponse | None
+) -> StoredResponse:
     if state is ResultState.RUNNING:
         raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
     if response is None:
--- a/src/pomeloyard/requests/results.py
+++ b/src/pomeloyard/requests/results.py
@@ -1,4 +1,4 @@
-"""Results of the keyed requests that this daemon ran, kept for repeated requests."""
+"""Results of this daemon's keyed requests, stored to answer repeated ones."""
 
 from __future__ import annotations
 
@@ -10,20 +10,20 @@
 from ..clock import Clock
 
 RESULT_WINDOW = CLAIM_WINDOW + timedelta(minutes=2)
-"""Longer than a claim is held, so that a claim's runner always knows its state."""
+"""Longer than a claim, so that a claim's holder always knows the request's state."""
 
 MAX_RESPONSE_BYTES = 64 * 1024
-"""Longest body of a response that is kept."""
+"""Longest response body that is stored."""
 
-MAX_KEPT_BYTES = 4 * 1024 * 1024
-"""Bytes of all kept responses of one daemon; the oldest are dropped first."""
+MAX_STORED_BYTES = 4 * 1024 * 1024
+"""Total size of a daemon's stored responses; the oldest are evicted first."""
 
 MAX_RESULTS = 50_000
 RESPONSE_OVERHEAD_BYTES = 512
 
 
 class ResultState(Enum):
-    """What the daemon that was granted a claim knows of its request."""
+    """State of a request at the daemon that holds its claim."""
 
     RUNNING = "running"
     DONE = "done"
@@ -39,14 +39,14 @@
     body: bytes
 
     def size(self) -> int:
-        """Return the bytes that count towards the limit."""
-        names = sum(len(name) + len(value) for name, value in self.headers)
-        return RESPONSE_OVERHEAD_BYTES + names + len(self.body)
+        """Return the number of bytes that count towards the limit."""
+        headers = sum(len(name) + len(value) for name, value in self.headers)
+        return RESPONSE_OVERHEAD_BYTES + headers + len(self.body)
 
 
 @dataclass(slots=True)
 class Result:
-    """State of one keyed request; ``response`` is None if it is not held."""
+    """State of one keyed request; ``response`` is None if it is not stored."""
 
     fingerprint: bytes
     started: timedelta
@@ -55,31 +55,31 @@
 
 
 class ResultTable:
-    """Results by key, bounded in number, age and bytes."""
+    """Results by key hash, bounded in number, age and bytes."""
 
     def __init__(
         self,
         clock: Clock,
         max_results: int = MAX_RESULTS,
-        max_kept_bytes: int = MAX_KEPT_BYTES,
+        max_stored_bytes: int = MAX_STORED_BYTES,
     ) -> None:
         self._clock = clock
         self._max_results = max_results
-        self._max_kept_bytes = max_kept_bytes
+        self._max_stored_bytes = max_stored_bytes
         self._results_by_key: dict[bytes, Result] = {}
-        self._kept: dict[bytes, int] = {}
-        self.kept_bytes = 0
+        self._sizes_by_key: dict[bytes, int] = {}
+        self.stored_bytes = 0
 
     def __len__(self) -> int:
         return len(self._results_by_key)
 
     def get(self, key_hash: bytes) -> Result | None:
-        """Return the result of a key, or None if it did not run here."""
+        """Return the result of a key, or None if this daemon has none."""
         self._expire()
         return self._results_by_key.get(key_hash)
 
     def begin(self, key_hash: bytes, fingerprint: bytes) -> bool:
-        """Note that a request is about to be claimed; False if there is no room."""
+        """Add a request before it is claimed; return False if the table is full."""
         self._expire()
         if len(self._results_by_key) >= self._max_results:
             return False
@@ -94,7 +94,7 @@
     def finish(
         self, key_hash: bytes, state: ResultState, response: StoredResponse | None
     ) -> None:
-        """Note how a request ended and keep its response if there is room."""
+        """Record how a request ended and store its response if it is short enough."""
         result = self._results_by_key.get(key_hash)
         if result is None:
             return
@@ -102,22 +102,22 @@
         if response is None or len(response.body) > MAX_RESPONSE_BYTES:
             return
         result.response = response
-        self._kept[key_hash] = response.size()
-        self.kept_bytes += response.size()
-        while self.kept_bytes > self._max_kept_bytes:
-            self._drop_response(next(iter(self._kept)))
+        self._sizes_by_key[key_hash] = response.size()
+        self.stored_bytes += response.size()
+        while self.stored_bytes > self._max_stored_bytes:
+            self._drop_response(next(iter(self._sizes_by_key)))
 
     def _drop_response(self, key_hash: bytes) -> None:
-        self.kept_bytes -= self._kept.pop(key_hash, 0)
+        self.stored_bytes -= self._sizes_by_key.pop(key_hash, 0)
         result = self._results_by_key.get(key_hash)
         if result is not None:
             result.response = None
 
     def _expire(self) -> None:
-        horizon = self._clock.monotonic() - RESULT_WINDOW
+        cutoff = self._clock.monotonic() - RESULT_WINDOW
         while self._results_by_key:
             first = next(iter(self._results_by_key))
             result = self._results_by_key[first]
-            if result.started > horizon or result.state is ResultState.RUNNING:
+            if result.started > cutoff or result.state is ResultState.RUNNING:
                 return
             self.forget(first)
--- a/src/pomeloyard/requests/service.py
+++ b/src/pomeloyard/requests/service.py
@@ -1,4 +1,4 @@
-"""The path of a request: claim, attempts within the retry budget, result."""
+"""Request execution: claim, attempts within the retry budget, result."""
 
 from __future__ import annotations
 
@@ -29,20 +29,20 @@
 MAX_BACKOFF = timedelta(seconds=1)
 MAX_ATTEMPTS = 4
 MAX_REQUEST_TIME = CLAIM_WINDOW / 2
-"""Longest time until a request is sent; a claim is still held then."""
+"""Latest time to send a request; its claim cannot have expired by then."""
 
 RETRIABLE_REFUSALS = frozenset(
     {RefusalReason.ENDPOINT_UNREACHABLE, RefusalReason.NO_EXECUTOR}
 )
-"""Refusals of one executor, after which another one may accept the request."""
+"""Refusals after which another executor may accept the request."""
 
 
 @dataclass(eq=False)
-class _Race:
-    """Attempts of one request of which the first answer is used."""
+class _HedgedAttempts:
+    """Hedged attempts of one request; the first response is used."""
 
-    decided: anyio.Event = field(default_factory=anyio.Event)
-    winner: Exchange | None = None
+    settled: anyio.Event = field(default_factory=anyio.Event)
+    chosen: Exchange | None = None
     failures: list[RefusedError | OutcomeUnknownError] = field(default_factory=list)
     running: int = 0
 
@@ -72,10 +72,10 @@
 
     @asynccontextmanager
     async def run(self, request: ServiceRequest) -> AsyncIterator[Answer]:
-        """Run a request and yield its answer while it is being received.
+        """Run a request and yield its answer while the body is being received.
 
         Raises RefusedError if it certainly did not run, and OutcomeUnknownError
-        if it may have run, also from the answer's chunks.
+        if it may have run; the latter also while the chunks are read.
         """
         deadline = self._deadline(request)
         run_once = partial(self._run_once, deadline)
@@ -87,7 +87,7 @@
                 yield answer
 
     def _deadline(self, request: ServiceRequest) -> timedelta:
-        """Return the monotonic time until which the request may be sent."""
+        """Return the monotonic time after which the request must not be sent."""
         service = self.service(request.service)
         limit = request.timeout or service.queue_timeout + service.request_timeout
         return self._clock.monotonic() + min(limit, MAX_REQUEST_TIME)
@@ -112,10 +112,10 @@
         deadline: timedelta,
         progress: Progress,
     ) -> Exchange:
-        """Return the first answer; retry and hedge where that is safe."""
+        """Return the first exchange; retry and hedge where that is safe."""
         tried: set[str] = set()
         unknown: OutcomeUnknownError | None = None
-        self._budget.note_request()
+        self._budget.record_request()
         for attempt in range(MAX_ATTEMPTS):
             try:
                 return await self._attempt(request, service, deadline, tried, progress)
@@ -124,14 +124,14 @@
                 if not request.idempotent:
                     raise
             except RefusedError as error:
-                # What may have run in an earlier attempt is not refused.
+                # Not reported as refused if an earlier attempt may have run.
                 if error.refusal.reason not in RETRIABLE_REFUSALS:
                     raise unknown or error from error
-                if attempt + 1 == MAX_ATTEMPTS or not self._may_retry(request, tried):
+                if attempt + 1 == MAX_ATTEMPTS or not self._take_retry(request, tried):
                     raise unknown or error from error
             else:
                 raise AssertionError("an attempt returns or raises")
-            if unknown is not None and not self._may_retry(request, tried):
+            if unknown is not None and not self._take_retry(request, tried):
                 raise unknown
             if not await self._back_off(attempt, deadline):
                 break
@@ -139,17 +139,17 @@
             Refused(RefusalReason.DEADLINE_PASSED, service.name)
         )
 
-    def _may_retry(self, request: ServiceRequest, tried: set[str]) -> bool:
+    def _take_retry(self, request: ServiceRequest, tried: set[str]) -> bool:
         service = self.service(request.service)
         names = {
             vm.name for vm in self._state.available_vms(service.pool, VmRole.EXECUTOR)
         }
-        return request.replayable and bool(names - tried) and self._budget.take()
+        return request.replayable and bool(names - tried) and self._budget.try_take()
 
     async def _back_off(self, attempt: int, deadline: timedelta) -> bool:
-        """Wait before the next attempt; return False if the deadline is earlier."""
-        longest = min(MAX_BACKOFF, FIRST_BACKOFF * 2**attempt)
-        delay = longest * random.uniform(0.5, 1.0)
+        """Wait before the next attempt; return False if the deadline would pass."""
+        max_delay = min(MAX_BACKOFF, FIRST_BACKOFF * 2**attempt)
+        delay = max_delay * random.uniform(0.5, 1.0)
         if self._clock.monotonic() + delay >= deadline:
             return False
         await self._clock.sleep(delay)
@@ -166,49 +166,49 @@
         hedge_after = service.hedge_after
         if hedge_after is None or not (request.idempotent and request.replayable):
             return await self._sender.open(request, service, deadline, tried, progress)
-        race = _Race()
+        hedge = _HedgedAttempts()
 
-        async def enter() -> None:
-            race.running += 1
+        async def run_attempt() -> None:
+            hedge.running += 1
             try:
                 exchange = await self._sender.open(
                     request, service, deadline, tried, progress
                 )
             except (RefusedError, OutcomeUnknownError) as error:
-                race.failures.append(error)
+                hedge.failures.append(error)
             else:
-                if race.winner is None:
-                    race.winner = exchange
+                if hedge.chosen is None:
+                    hedge.chosen = exchange
                 else:
                     await exchange.aclose()
             finally:
-                race.running -= 1
-                if race.winner is not None or race.running == 0:
-                    race.decided.set()
+                hedge.running -= 1
+                if hedge.chosen is not None or hedge.running == 0:
+                    hedge.settled.set()
 
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(enter)
+                tasks.start_soon(run_attempt)
                 with anyio.move_on_after(hedge_after.total_seconds()):
-                    await race.decided.wait()
-                if not race.decided.is_set() and tried:
-                    if self._may_retry(request, tried):
-                        tasks.start_soon(enter)
-                    await race.decided.wait()
-                elif not race.decided.is_set():
-                    await race.decided.wait()
+                    await hedge.settled.wait()
+                if not hedge.settled.is_set() and tried:
+                    if self._take_retry(request, tried):
+                        tasks.start_soon(run_attempt)
+                    await hedge.settled.wait()
+                elif not hedge.settled.is_set():
+                    await hedge.settled.wait()
                 tasks.cancel_scope.cancel()
         except BaseException:
-            if race.winner is not None:
-                await race.winner.aclose()
+            if hedge.chosen is not None:
+                await hedge.chosen.aclose()
             raise
-        return _winner(race)
+        return _chosen_exchange(hedge)
 
 
-def _winner(race: _Race) -> Exchange:
-    if race.winner is not None:
-        return race.winner
-    for failure in race.failures:
+def _chosen_exchange(hedge: _HedgedAttempts) -> Exchange:
+    if hedge.chosen is not None:
+        return hedge.chosen
+    for failure in hedge.failures:
         if isinstance(failure, OutcomeUnknownError):
             raise failure
-    raise race.failures[0]
+    raise hedge.failures[0]
--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -1,4 +1,4 @@
-"""One daemon's request path on loopback, without a store's or peers' network."""
+"""Request path of daemons on loopback, with an in-memory store."""
 
 from __future__ import annotations
 
@@ -43,11 +43,11 @@
 
 UNITS = 20
 CONNECTIONS = 8
-"""A daemon's part of an executor's 64 connections, with eight or nine daemons."""
+"""A daemon's share of an executor's 64 connections, with eight or nine daemons."""
 
 
 class RequestPath:
-    """The parts of one daemon ``name`` that handle requests."""
+    """The components of the daemon ``name`` that handle requests."""
 
     def __init__(self, name, executors, store, network_address, **options):
         self.clock = SystemClock()
@@ -149,8 +149,8 @@
     return FleetState(config=config, vm_list=VmList(vms, 1), store_reachable=True)
 
 
-async def give_partitions(store, paths, holders):
-    """Write a table that gives partition i to ``holders[i]`` and let paths read it."""
+async def assign_partitions(store, paths, holders):
+    """Store a table that assigns partition i to ``holders[i]`` and load it in paths."""
     table = new_table(len(holders))
     for number, holder in enumerate(holders):
         table = table.with_holder(number, holder, clean=True)
@@ -171,7 +171,7 @@
 
 @asynccontextmanager
 async def request_path(executors, names=("a.1",), store=None, **options):
-    """Serve the request paths of some daemons that share the partitions."""
+    """Serve the request paths of connected daemons; the first holds the partition."""
     store = store or MemoryStore(SystemClock())
     async with AsyncExitStack() as stack:
         paths = []
@@ -182,6 +182,6 @@
             paths.append(await stack.enter_async_context(path.serving()))
         while any(len(p.network.connected()) < len(names) - 1 for p in paths):
             await anyio.sleep(0.01)
-        await give_partitions(store, paths, [names[0]])
+        await assign_partitions(store, paths, [names[0]])
         pool = await stack.enter_async_context(httpcore.AsyncConnectionPool())
         yield paths, pool
--- a/tests/test_keyed_processes.py
+++ b/tests/test_keyed_processes.py
@@ -1,4 +1,4 @@
-"""Keyed requests through real daemons while daemons are killed and paused."""
+"""Keyed requests to real daemon processes that are killed and paused."""
 
 import json
 import signal
@@ -54,7 +54,7 @@
 
 
 def test_no_key_runs_twice_while_daemons_are_killed_and_paused(fleet):
-    """Guards against a duplicate execution, and a refusal of work that ran."""
+    """Guards against a duplicate execution, and reporting work that ran as refused."""
     run_tool(fleet, "config", "publish", str(CONFIGURATION))
     fleet.wait_ready(*DAEMONS)
     team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
@@ -63,20 +63,20 @@
 
     answers = {f"k{number}": [] for number in range(KEYS)}
 
-    def repeat(offset):
-        for number, (key, seen) in enumerate(answers.items()):
+    def send_all_keys(offset):
+        for number, (key, responses) in enumerate(answers.items()):
             name = DAEMONS[(number + offset) % len(DAEMONS)]
             if name == "entry-3" and offset == 2:
-                continue  # the paused daemon would hold this thread
-            seen.append(send(fleet, name, team_key, key))
+                continue  # the paused daemon would block this thread
+            responses.append(send(fleet, name, team_key, key))
             time.sleep(0.01)
 
-    threads = [threading.Thread(target=repeat, args=(o,)) for o in (0, 1, 2)]
+    threads = [threading.Thread(target=send_all_keys, args=(o,)) for o in (0, 1, 2)]
     for thread in threads:
         thread.start()
     fleet.processes["entry-3"].signal(signal.SIGSTOP)
     fleet.processes["entry-1"].kill()
-    time.sleep(0.5)  # the fault lasts for some requests; nothing is checked by it
+    time.sleep(0.5)  # lets the fault last for some requests; no check depends on it
     fleet.processes["entry-3"].signal(signal.SIGCONT)
     fleet.start_daemon("entry-1", "bulacan")
     for thread in threads:
@@ -90,6 +90,6 @@
         wait_until(lambda key=key: settled(key))
     counts = executions(fleet)
     assert all(counts[key] == 1 for key in answers if counts.get(key, 0)), counts
-    for key, seen in answers.items():
-        if any(status == 200 for status, _ in seen):
+    for key, responses in answers.items():
+        if any(status == 200 for status, _ in responses):
             assert counts[key] == 1
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -1,4 +1,4 @@
-"""Faults of executors and daemons against what the caller sees and what ran."""
+"""What the caller sees and what runs under faults of executors and daemons."""
 
 import json
 from datetime import timedelta
@@ -14,7 +14,7 @@
 from .support.executors import FaultyExecutor
 from .support.request_path import UNITS, request_path
 
-WHOLE = b"0123456789"
+COMPLETE_BODY = b"0123456789"
 
 
 def run(test, *faults, **options):
@@ -47,7 +47,7 @@
     return response.status, content["type"].split(":")[-1], content["outcome"], retry
 
 
-# fault, method -> status, type, outcome, Retry-After; requests received; permits kept
+# fault, method, (status, type, outcome, Retry-After), requests received, permits held
 FAULTS = [
     ("refused", "POST", (503, "endpoint-unreachable", "not-run", True), 0, 0),
     ("refused", "GET", (503, "endpoint-unreachable", "not-run", True), 0, 0),
@@ -61,18 +61,18 @@
 ]
 
 
-@pytest.mark.parametrize(("fault", "method", "seen", "received", "kept"), FAULTS)
-def test_fault_gives_outcome_that_is_true(fault, method, seen, received, kept):
-    """Guards against a refusal of work that ran and a slot that is freed early."""
+@pytest.mark.parametrize(("fault", "method", "expected", "received", "held"), FAULTS)
+def test_fault_gives_outcome_that_is_true(fault, method, expected, received, held):
+    """Guards against reporting work that ran as refused, and early slot release."""
 
     async def check(paths, pool, executors):
         if fault == "refused":
             vm = paths[0].state.vm_list.vms_by_name["e0"]
             object.__setattr__(vm, "address", "127.0.0.1:1")
         response = await paths[0].call(pool, method, body=b"x")
-        assert problem(response) == seen
+        assert problem(response) == expected
         assert len(executors[0].requests) == received
-        assert paths[0].running() == kept
+        assert paths[0].running() == held
 
     run(check, fault)
 
@@ -94,12 +94,12 @@
     [("GET", {200}, 1), ("POST", {200, 502}, 1), ("PUT", {200}, 1)],
 )
 def test_only_idempotent_requests_are_sent_again(method, statuses, received):
-    """Guards against a second execution of a POST, and a GET that is given up."""
+    """Guards against a second execution of a POST, and a GET that is not retried."""
 
     async def check(paths, pool, executors):
         response = await paths[0].call(pool, method, body=b"x")
         assert response.status in statuses
-        assert response.status != 200 or response.content == WHOLE
+        assert response.status != 200 or response.content == COMPLETE_BODY
         total = sum(len(e.requests) for e in executors)
         assert total <= (2 if method != "POST" else 1)
         assert len(executors[1].requests) <= received
@@ -108,7 +108,7 @@
 
 
 def test_refused_connection_moves_a_post_to_another_executor():
-    """Guards against giving up a request that was certainly not sent."""
+    """Guards against failing a request that was certainly not sent."""
 
     async def check(paths, pool, executors):
         vm = paths[0].state.vm_list.vms_by_name["e0"]
@@ -129,7 +129,7 @@
             for permit in list(paths[0].admission._held):
                 paths[0].admission._held.remove(permit)
                 paths[0].admission.release(permit[2])
-        # 30 requests, 10 tokens at the start and 3 earned.
+        # 30 requests, 10 initial retry tokens and 3 added by the requests.
         assert sum(len(e.requests) for e in executors) <= 30 + 13
 
     short = timedelta(seconds=0.1)
@@ -137,12 +137,12 @@
 
 
 def test_hedge_answers_while_the_first_executor_is_silent():
-    """Guards against a caller that waits for one silent executor."""
+    """Guards against a caller that waits for one unresponsive executor."""
 
     async def check(paths, pool, executors):
         with anyio.fail_after(0.35):
             for _ in range(2):
-                assert (await paths[0].call(pool, "GET")).content == WHOLE
+                assert (await paths[0].call(pool, "GET")).content == COMPLETE_BODY
 
     run(check, "silent", "none", hedge_after=timedelta(seconds=0.05))
 
@@ -163,7 +163,7 @@
 
 
 def test_expired_idle_connections_are_closed_without_further_requests():
-    """Guards against idle connections that an executor keeps for ever."""
+    """Guards against idle connections that stay open at an executor indefinitely."""
 
     async def check(paths, pool, executors):
         client = paths[0].client
@@ -180,7 +180,7 @@
 
 
 def test_headers_of_one_connection_and_of_the_team_are_not_passed_on():
-    """Guards against a caller that acts as another team, or smuggles a header."""
+    """Guards against a caller that impersonates another team or smuggles headers."""
 
     async def check(paths, pool, executors):
         response = await paths[0].call(
@@ -205,7 +205,7 @@
 
 
 @pytest.mark.parametrize(
-    ("size", "known", "seen"),
+    ("size", "known", "expected"),
     [
         (100, True, 200),
         (150_000, True, 200),
@@ -214,8 +214,8 @@
         (300_000, False, "connection-lost"),
     ],
 )
-def test_bodies_are_streamed_up_to_the_limit(size, known, seen):
-    """Guards against unbounded bodies and bodies that change on the way."""
+def test_bodies_are_streamed_up_to_the_limit(size, known, expected):
+    """Guards against unbounded bodies and bodies altered in transit."""
 
     async def check(paths, pool, executors):
         async def chunks():
@@ -224,11 +224,11 @@
 
         body = b"z" * size if known else chunks()
         response = await paths[0].call(pool, "POST", body=body)
-        if seen == 200:
+        if expected == 200:
             assert response.status == 200
             assert executors[0].requests[0].body.count(b"z") == size
         else:
-            assert problem(response)[1] == seen
+            assert problem(response)[1] == expected
 
     run(check, "none", request_timeout=timedelta(seconds=3))
 
@@ -245,14 +245,14 @@
             while sent != executors[0].sent_bytes:
                 sent = executors[0].sent_bytes
                 await anyio.sleep(0.2)
-        # The kernel's buffers on loopback hold some megabytes for each socket.
+        # The kernel buffers some megabytes for each loopback socket.
         assert 0 < sent < 32 * 1024 * 1024
 
     run(check, "endless", request_timeout=timedelta(seconds=5))
 
 
 def test_disconnect_cancels_a_get_and_leaves_a_keyed_post_running():
-    """Guards against leaked permits and lost results of callers that went away."""
+    """Guards against leaked permits and lost results after callers disconnect."""
 
     async def check(paths, pool, executors):
         path, executor = paths[0], executors[0]
@@ -260,13 +260,13 @@
             async with httpcore.AsyncConnectionPool() as own:
                 with anyio.move_on_after(0.2):
                     await path.call(own, method, **options)
-        assert path.running() == 2  # the GET may still run at the executor
+        assert path.running() == 2  # the executor may still run the GET
         executor.released.set()
         with anyio.fail_after(5):
             while path.running() > 1:
                 await anyio.sleep(0.01)
         answer = await path.call(pool, "POST", Idempotency_Key="k")
-        assert answer.content == WHOLE
+        assert answer.content == COMPLETE_BODY
         assert (b"idempotency-replayed", b"true") in answer.headers
         assert [r.method for r in executor.requests] == ["GET", "POST"]
 
@@ -274,7 +274,7 @@
 
 
 class FailingStore(MemoryStore):
-    """Fails writes of claims while ``mode`` says so."""
+    """A store whose commits fail or are delayed as ``mode`` says."""
 
     mode = "up"
 
@@ -342,7 +342,7 @@
     ],
 )
 def test_key_of_a_failed_request(fault, first, second):
-    """Guards against a key that stays used, or a retry after an unknown outcome."""
+    """Guards against a key that stays claimed, or a retry after an unknown outcome."""
 
     async def check(paths, pool, executors):
         vm = paths[1].state.vm_list.vms_by_name["e0"]
@@ -362,7 +362,7 @@
 
 
 def test_limit_holds_while_outcomes_are_unknown():
-    """Guards against a unit that is given again while its request may run (R5)."""
+    """Guards against reuse of a unit while its request may still run (R5)."""
 
     async def check(paths, pool, executors):
         async with anyio.create_task_group() as tasks:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Order of executors, ejection, retry budget, and the bounds of what is kept."""
+"""Executor selection, ejection, retry budget and bounds of stored records."""
 
 import itertools
 from datetime import timedelta
@@ -11,8 +11,8 @@
 from pomeloyard.keyvalue.store import Entry
 from pomeloyard.requests.results import ResultState, ResultTable, StoredResponse
 from pomeloyard.requests.routing import (
-    FAILURES_TO_EJECT,
-    FIRST_EJECTION,
+    CONSECUTIVE_FAILURES_TO_EJECT,
+    FIRST_EJECTION_TIME,
     ExecutorRouter,
     RetryBudget,
     RouteReason,
@@ -22,19 +22,19 @@
 ZONES = {"e1": "east", "e2": "west", "e3": "east", "e4": "west"}
 
 
-def router(loads=None):
+def make_router(loads=None):
     clock = ManualClock()
     loads = loads or {}
-    made = ExecutorRouter(
+    router = ExecutorRouter(
         clock, "east", ZONES.__getitem__, lambda n: loads.get(n, 0.0), lambda s: NAMES
     )
-    return made, clock
+    return router, clock
 
 
-def fail(made, *names):
+def fail(router, *names):
     for name in names:
-        for _ in range(FAILURES_TO_EJECT):
-            made.failed("s", name)
+        for _ in range(CONSECUTIVE_FAILURES_TO_EJECT):
+            router.failed("s", name)
 
 
 @pytest.mark.parametrize(
@@ -48,77 +48,77 @@
     ],
 )
 def test_preferred_executor(loads, latencies, failed, first):
-    """Guards against a choice that ignores zone, load, latency or failures."""
-    made, _ = router(loads)
+    """Guards against a selection that ignores zone, load, latency or failures."""
+    router, _ = make_router(loads)
     for name, seconds in latencies.items():
-        made.succeeded(name, timedelta(seconds=seconds))
+        router.succeeded(name, timedelta(seconds=seconds))
     for name in failed:
-        made.failed("s", name)
-    assert made.prefer("s", NAMES)[0] == first
+        router.failed("s", name)
+    assert router.prefer("s", NAMES)[0] == first
 
 
 def test_ejection_backs_off_and_lets_one_trial_through():
-    """Guards against a failing executor that is hammered or never used again."""
-    made, clock = router()
-    fail(made, "e1")
-    for doubling in range(3):
-        assert "e1" not in made.prefer("s", NAMES)
-        clock.advance(FIRST_EJECTION * 2**doubling)
-        assert made.prefer("s", NAMES)[0] == "e1"
-        made.started("e1")
-        assert made.decision("s", "e1").reason is RouteReason.TRIAL
-        assert "e1" not in made.prefer("s", NAMES), "a second trial at once"
-        made.failed("s", "e1")
+    """Guards against a failing executor that is retried too often or never again."""
+    router, clock = make_router()
+    fail(router, "e1")
+    for doublings in range(3):
+        assert "e1" not in router.prefer("s", NAMES)
+        clock.advance(FIRST_EJECTION_TIME * 2**doublings)
+        assert router.prefer("s", NAMES)[0] == "e1"
+        router.started("e1")
+        assert router.decision("s", "e1").reason is RouteReason.TRIAL
+        assert "e1" not in router.prefer("s", NAMES), "a second trial at once"
+        router.failed("s", "e1")
     clock.advance(timedelta(minutes=1))
-    made.started("e1")
-    made.succeeded("e1", timedelta(0))
-    assert made.prefer("s", NAMES)[0] == "e1"
-    reasons = {c.name: c.reason for c in made.decision("s", "e3").candidates}
+    router.started("e1")
+    router.succeeded("e1", timedelta(0))
+    assert router.prefer("s", NAMES)[0] == "e1"
+    reasons = {c.name: c.reason for c in router.decision("s", "e3").candidates}
     assert reasons["e3"] is RouteReason.CHOSEN
     assert reasons["e1"] is RouteReason.LESS_PREFERRED
 
 
 def test_at_most_half_of_the_executors_are_ejected():
-    """Guards against a fault of all executors that leaves none to try."""
+    """Guards against a fault of all executors that ejects every one of them."""
     for order in itertools.permutations(NAMES):
-        made, _ = router()
-        fail(made, *order)
-        assert len(made.prefer("s", NAMES)) == 2
+        router, _ = make_router()
+        fail(router, *order)
+        assert len(router.prefer("s", NAMES)) == 2
 
 
 def test_retry_budget_is_a_tenth_of_the_requests():
-    """Guards against retries beyond the budget."""
+    """Guards against more retries than the budget allows."""
     budget = RetryBudget(limit=1.0)
-    assert [budget.take(), budget.take()] == [True, False]
+    assert [budget.try_take(), budget.try_take()] == [True, False]
     for _ in range(9):
-        budget.note_request()
-    assert not budget.take()
+        budget.record_request()
+    assert not budget.try_take()
     for _ in range(2):
-        budget.note_request()
-    assert budget.take()
+        budget.record_request()
+    assert budget.try_take()
 
 
 def test_results_are_bounded_and_outlive_their_claims():
-    """Guards against unbounded memory, and a result forgotten before its claim."""
+    """Guards against unbounded memory, and a result dropped before its claim."""
     clock = ManualClock()
-    results = ResultTable(clock, max_results=3, max_kept_bytes=2000)
+    results = ResultTable(clock, max_results=3, max_stored_bytes=2000)
     for key in (b"1", b"2", b"3"):
         assert results.begin(key, b"f")
         response = StoredResponse(200, (), b"x" * 400)
         results.finish(key, ResultState.DONE, response)
     assert not results.begin(b"4", b"f")
-    assert results.kept_bytes <= 2000
+    assert results.stored_bytes <= 2000
     assert results.get(b"1").response is None
     assert results.get(b"3").response.body == b"x" * 400
     clock.advance(CLAIM_WINDOW)
     assert results.get(b"1").state is ResultState.DONE
     clock.advance(timedelta(minutes=3))
     assert results.get(b"1") is None
-    assert results.kept_bytes == 0
+    assert results.stored_bytes == 0
 
 
 def test_claims_are_bounded_and_end_after_the_window():
-    """Guards against unbounded claims and keys that are never free again."""
+    """Guards against unbounded claims and keys that are never released."""
     table = ClaimTable(limit=2)
     claims = [Claim(bytes([n]), b"f", "d", n, float(n)) for n in range(3)]
     assert table.request(0, claims[0]) is None
@@ -131,9 +131,9 @@
 
 
 def test_merged_segments_hold_every_claim_of_the_window():
-    """Guards against claims lost by a merge, and takeovers that read many keys."""
+    """Guards against claims lost in a merge, and takeovers that read many keys."""
     table, index, stored = ClaimTable(), SegmentIndex(0, 1), {}
-    most, window = 0, CLAIM_WINDOW.total_seconds()
+    max_stored, window = 0, CLAIM_WINDOW.total_seconds()
     for number in range(3000):
         now = number * 0.5
         claim = Claim(number.to_bytes(16), b"f" * 16, "d", number, now)
@@ -145,10 +145,10 @@
         for segment in write.delete:
             del stored[segment.key]
         index.applied(write)
-        most = max(most, len(stored))
+        max_stored = max(max_stored, len(stored))
     found = set()
     for key, value in stored.items():
         _, claims = decode_segment(Entry(key, value, 1, 1), 0.0)
         found |= {c.attempt for c in claims}
     assert {c.attempt for c in table.claims(0) if c.granted_at > now - window} <= found
-    assert most <= 60
+    assert max_stored <= 60
