--- a/src/pomeloyard/peers/__init__.py
+++ b/src/pomeloyard/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Messages and streams between daemons."""
+"""Messages and connections between daemons."""
--- a/src/pomeloyard/peers/calls.py
+++ b/src/pomeloyard/peers/calls.py
@@ -1,4 +1,4 @@
-"""Questions to other daemons that wait for an answer."""
+"""Calls to other daemons: a request message and the reply to it."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class PeerCalls:
-    """Matches answers to questions by their ``request_id``."""
+    """Matches replies to requests by their ``request_id``."""
 
     def __init__(self, network: PeerNetwork) -> None:
         self._network = network
@@ -33,7 +33,7 @@
         network.on_disconnect.append(self._on_disconnect)
 
     def expect(self, reply_type: type) -> None:
-        """Route messages of ``reply_type`` to the calls that wait for them."""
+        """Register ``reply_type``, so that its messages complete waiting calls."""
         self._network.on(reply_type, self._on_reply)
 
     async def call(
@@ -43,9 +43,9 @@
         reply_type: type[T],
         timeout: timedelta,
     ) -> T | None:
-        """Return the answer of a daemon, or None if there was none in time.
+        """Return the reply of a daemon, or None if there was none in time.
 
-        None says nothing about whether the question arrived.
+        None does not tell whether the request arrived.
         """
         request_id = next(self._ids)
         pending = _Pending(incarnation)
@@ -60,14 +60,14 @@
         return pending.answer if isinstance(pending.answer, reply_type) else None
 
     def _on_disconnect(self, incarnation: str) -> None:
-        """End the calls that wait for a daemon whose answer can no longer come."""
+        """End the calls to a disconnected daemon, whose reply can no longer arrive."""
         for pending in self._pending_by_id.values():
             if pending.asked == incarnation:
                 pending.arrived.set()
 
     def _on_reply(self, sender: str, message: Any) -> None:
         pending = self._pending_by_id.get(message.request_id)
-        # A late answer, or one of a daemon that was not asked, is dropped.
+        # Late replies and those of a daemon that was not called are dropped.
         if pending is not None and pending.asked == sender:
             pending.answer = message
             pending.arrived.set()
--- a/src/pomeloyard/peers/codec.py
+++ b/src/pomeloyard/peers/codec.py
@@ -13,16 +13,20 @@
 MAX_FRAME_BYTES = 1024 * 1024
 LENGTH = struct.Struct(">I")
 
-_NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
+_TYPE_NUMBERS = {
+    message_type: number for number, message_type in enumerate(MESSAGE_TYPES)
+}
 
 
 def encode_frame(message: Message, sequence: int = 0) -> bytes:
-    """Return the frame of a message: 4 bytes of length, then msgpack."""
-    number = _NUMBERS_BY_TYPE[type(message)]
+    """Return the frame of a message: a 4-byte length, then msgpack."""
+    number = _TYPE_NUMBERS[type(message)]
     body = msgspec.to_builtins(message, builtin_types=(bytes,))
     payload: bytes = msgpack.packb([PROTOCOL_VERSION, number, sequence, body])
     if len(payload) > MAX_FRAME_BYTES:
-        raise FrameError(f"{type(message).__name__} takes {len(payload)} bytes")
+        raise FrameError(
+            f"{type(message).__name__} frame of {len(payload)} bytes is too large"
+        )
     return LENGTH.pack(len(payload)) + payload
 
 
@@ -30,7 +34,9 @@
     """Return the payload length of a frame from its 4-byte prefix."""
     (length,) = LENGTH.unpack(prefix)
     if length > MAX_FRAME_BYTES:
-        raise FrameError(f"frame of {length} bytes is over {MAX_FRAME_BYTES}")
+        raise FrameError(
+            f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}"
+        )
     return int(length)
 
 
@@ -41,14 +47,14 @@
     except (ValueError, TypeError, msgpack.UnpackException, RecursionError) as error:
         raise FrameError(f"malformed frame: {error!r}") from error
     if not isinstance(frame, list) or len(frame) != 4:
-        raise FrameError("a frame must be an array of 4 elements")
+        raise FrameError("frame is not an array of 4 elements")
     version, number, sequence, body = frame
     if type(version) is not int or version != PROTOCOL_VERSION:
         raise FrameError(f"protocol version {version!r} is not supported")
     if type(number) is not int or not 0 <= number < len(MESSAGE_TYPES):
         raise FrameError(f"unknown message type {number!r}")
     if type(sequence) is not int:
-        raise FrameError("sequence must be an integer")
+        raise FrameError("sequence number is not an integer")
     try:
         return sequence, msgspec.convert(body, MESSAGE_TYPES[number])
     except (msgspec.MsgspecError, RecursionError) as error:
--- a/src/pomeloyard/peers/messages.py
+++ b/src/pomeloyard/peers/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages between daemons."""
+"""Types of the messages between daemons."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class WireMessage(msgspec.Struct, frozen=True, array_like=True):
-    """Base of messages, which travel as arrays of their fields.
+    """Base of messages, which are encoded as arrays of their fields.
 
     New fields are appended with a default, so that an older daemon of the same
     protocol version ignores them.
@@ -37,7 +37,7 @@
 class DemandReport(WireMessage, frozen=True):
     """Demand at one daemon and the partitions whose capacity it can use.
 
-    Services and teams are positions in the sorted names of configuration
+    Services and teams are indexes into the sorted names of configuration
     ``config_revision``. Each demand is (service, team, queued, running, served
     slot time in milliseconds since the start of the incarnation).
     """
@@ -51,7 +51,7 @@
 class LendItem(WireMessage, frozen=True):
     """Amounts of a resource that the receiver should lend, by borrower.
 
-    Borrowers are positions in the partition table's members.
+    Borrowers are indexes into the partition table's members.
     """
 
     kind: str
@@ -60,12 +60,12 @@
 
 
 class LendAdvice(WireMessage, frozen=True):
-    """The coordinator's advice to one daemon.
+    """Capacity targets and loans that the coordinator advises to one daemon.
 
-    ``targets`` are (service, team, hundredths of a slot); positions are as in
+    ``targets`` are (service, team, hundredths of a slot), with indexes as in
     DemandReport. Full advice replaces all earlier advice, other advice only the
-    targets and the resources that it names. Advice made from another revision of
-    the configuration or the partition table is ignored.
+    targets and the resources that it names. Advice for another revision of the
+    configuration or the partition table is ignored.
     """
 
     full: bool
@@ -76,7 +76,7 @@
 
 
 class LoanGrant(WireMessage, frozen=True):
-    """Amount of a partition's resource that the receiver may keep at most."""
+    """Upper limit of a partition's resource that the receiver may keep."""
 
     partition: int
     epoch: int
@@ -87,7 +87,7 @@
 
 
 class LoanKept(WireMessage, frozen=True):
-    """Amount that the borrower keeps, answering the grant ``version``."""
+    """Amount that the borrower keeps, in reply to grant ``version``."""
 
     partition: int
     epoch: int
@@ -98,7 +98,7 @@
 
 
 class LoanQuery(WireMessage, frozen=True):
-    """Question of a new holder about what the receiver keeps of a partition."""
+    """Request of a new holder for what the receiver keeps of a partition."""
 
     partition: int
     epoch: int
@@ -113,7 +113,7 @@
 
 
 class LoanStatement(WireMessage, frozen=True):
-    """Everything that the sender keeps of a partition, for its new holder."""
+    """All amounts that the sender keeps of a partition, for its new holder."""
 
     partition: int
     epoch: int
@@ -132,10 +132,10 @@
 
 
 class ClaimReply(WireMessage, frozen=True):
-    """Answer to a claim: "granted", "duplicate" or "refused".
+    """Reply to a claim: "granted", "duplicate" or "refused".
 
     ``holder`` is the incarnation that runs a duplicate's first attempt. A grant
-    that is not durable counts only once the asking daemon has recorded it.
+    that is not durable takes effect only once the requesting daemon has recorded it.
     """
 
     request_id: int
@@ -149,7 +149,7 @@
 
 
 class ClaimRelease(WireMessage, frozen=True):
-    """Notice that a claimed request did not run."""
+    """Notice that a claimed request did not run, so its claim can be released."""
 
     partition: int
     key_hash: bytes
@@ -157,9 +157,10 @@
 
 
 class ResultRequest(WireMessage, frozen=True):
-    """Question for the stored answer of a keyed request.
+    """Request for the stored result of a keyed request.
 
-    ``attempt`` is the claim's; the receiver releases it if it did not run.
+    ``attempt`` is that of the claim, which the receiver releases if it has no
+    result.
     """
 
     request_id: int
@@ -197,7 +198,7 @@
 
 
 class KeysReply(WireMessage, frozen=True):
-    """Key records as stored, and withdrawals that are not yet stored."""
+    """Key records as stored, and ids of withdrawals that are not yet stored."""
 
     version: int
     content: bytes
@@ -205,13 +206,13 @@
 
 
 class KeyWithdrawn(WireMessage, frozen=True):
-    """Notice that a key (by its id) must no longer work."""
+    """Notice that the key with this id is no longer valid."""
 
     key_id: str
 
 
 class DrainNotice(WireMessage, frozen=True):
-    """Notice of a VM's new state, with the epoch of its record."""
+    """Notice of a VM's new state, with the epoch of the VM's record."""
 
     vm: str
     state: str
@@ -219,7 +220,7 @@
 
 
 class RunningQuery(WireMessage, frozen=True):
-    """Question how many requests run at a VM that drains since ``epoch``."""
+    """Request for the number of requests running at a VM drained since ``epoch``."""
 
     request_id: int
     vm: str
@@ -227,7 +228,7 @@
 
 
 class RunningReply(WireMessage, frozen=True):
-    """Requests of the sender that run, or may run, at a VM."""
+    """Number of the sender's requests that run, or may run, at a VM."""
 
     request_id: int
     vm: str
@@ -235,7 +236,7 @@
 
 
 class ExplainRequest(WireMessage, frozen=True):
-    """Question for decisions about a subject, for example "vm/cut-3"."""
+    """Request for the decisions about a subject, for example "vm/cut-3"."""
 
     request_id: int
     subject: str
@@ -250,7 +251,7 @@
 
 
 class Goodbye(WireMessage, frozen=True):
-    """Last message of a daemon that stops; its incarnation runs nothing more."""
+    """Last message of a daemon that stops; its incarnation runs no more requests."""
 
     incarnation: str
 
@@ -262,7 +263,7 @@
 
 
 class PartitionsReply(WireMessage, frozen=True):
-    """Partition table with the store revision that made it."""
+    """Partition table with the store revision at which it was written."""
 
     revision: int
     content: bytes
@@ -279,7 +280,7 @@
 
 
 class ClaimRecord(WireMessage, frozen=True):
-    """Request to record a claim while the store cannot."""
+    """Request to record a claim while the store is unavailable."""
 
     request_id: int
     partition: int
@@ -288,16 +289,16 @@
 
 
 class ClaimRecorded(WireMessage, frozen=True):
-    """Whether the claim was recorded; not if a later epoch is known."""
+    """Whether the claim was recorded; it is not if a later epoch is known."""
 
     request_id: int
     recorded: bool
 
 
 class ClaimQuery(WireMessage, frozen=True):
-    """Question of a partition's new holder for recorded claims after a key.
+    """Request of a partition's new holder for the recorded claims after a key.
 
-    The receiver records nothing more for the partition's earlier epochs.
+    The receiver no longer records claims of the partition's earlier epochs.
     """
 
     request_id: int
@@ -307,11 +308,11 @@
 
 
 class ClaimStatement(WireMessage, frozen=True):
-    """Claims that may be missing in the store, in key order.
+    """Claims that may be missing from the store, in key order.
 
     ``lost_ms`` is how much longer claims may exist that no daemon knows;
     ``vouches`` tells that the sender was up for the whole window and saw no
-    outage, and ``known`` are the incarnations that it saw during the window.
+    store outage, and ``known`` are the incarnations that it saw in that time.
     """
 
     request_id: int
@@ -324,7 +325,7 @@
 
 
 class ClaimOutage(WireMessage, frozen=True):
-    """Notice that claims were granted while the store was down, ``age_ms`` ago."""
+    """Notice that claims were granted during a store outage ``age_ms`` ago."""
 
     age_ms: int
 
@@ -379,4 +380,4 @@
 )
 
 MESSAGE_TYPES: tuple[type, ...] = Message.__args__
-"""The position of a class is its type number on the wire; append only."""
+"""The index of a class is its type number on the wire; only append to it."""
--- a/src/pomeloyard/peers/replication.py
+++ b/src/pomeloyard/peers/replication.py
@@ -1,7 +1,7 @@
-"""Configuration, keys and partition table from other daemons.
+"""Replication of configuration, keys and partition table between daemons.
 
-A daemon that cannot use the store, or whose watch is late, learns from the
-revisions in heartbeats that a peer knows more, and asks it.
+A daemon that cannot use the store, or whose watch is late, sees from the
+revisions in heartbeats that a peer has newer records, and requests them.
 """
 
 from __future__ import annotations
@@ -32,17 +32,17 @@
 )
 from .streams import PeerNetwork
 
-GRACE = timedelta(seconds=1)
-"""Time for the store's watch to bring a change before a peer is asked for it."""
+WATCH_GRACE = timedelta(seconds=1)
+"""Time for the store's watch to deliver a change before a peer is asked for it."""
 
-ASK_INTERVAL = timedelta(seconds=2)
-"""Time between two questions for the same record, as an answer may be lost."""
+REQUEST_INTERVAL = timedelta(seconds=2)
+"""Time after which a record is requested again, as a reply may be lost."""
 
 log = logbook.Logger("pomeloyard.peers.replication")
 
 
 class Replication:
-    """Exchanges the records that every daemon needs with the other daemons."""
+    """Exchanges the records that all daemons need with the other daemons."""
 
     def __init__(
         self,
@@ -56,7 +56,7 @@
         self._network = network
         self._changed = changed
         self._behind_since_by_kind: dict[type, timedelta] = {}
-        self._asked_at_by_kind: dict[type, timedelta] = {}
+        self._requested_at_by_kind: dict[type, timedelta] = {}
         network.on(Heartbeat, self._on_heartbeat)
         network.on(ConfigRequest, self._on_config_request)
         network.on(ConfigReply, self._on_config_reply)
@@ -68,16 +68,16 @@
         network.on_connect.append(self._on_connect)
 
     def withdraw_key(self, key_id: str) -> None:
-        """Make a key invalid here and at all reachable daemons immediately."""
+        """Invalidate a key at this daemon and all reachable daemons immediately."""
         if key_id in self._state.withdrawn_key_ids:
             return
         self._state.withdrawn_key_ids.add(key_id)
         self._changed()
-        # Passed on by each receiver, as not all daemons may be connected.
+        # Each receiver broadcasts it again, as not all daemons may be connected.
         self._network.broadcast(KeyWithdrawn(key_id))
 
     def unstored_withdrawals(self) -> tuple[str, ...]:
-        """Return withdrawn keys that the known key ring still calls valid."""
+        """Return withdrawn keys that are still valid in the current key ring."""
         keys = self._state.keys.keys_by_id
         return tuple(
             key_id
@@ -89,33 +89,37 @@
         for key_id in self.unstored_withdrawals():
             self._network.send(incarnation, KeyWithdrawn(key_id))
 
-    def _on_heartbeat(self, sender: str, beat: Heartbeat) -> None:
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
         state = self._state
-        for request, known, offered in (
-            (ConfigRequest, state.config.revision, beat.config_revision),
-            (KeysRequest, state.keys.version, beat.keys_version),
-            (PartitionsRequest, state.partitions_revision, beat.partitions_revision),
+        for request, own, offered in (
+            (ConfigRequest, state.config.revision, heartbeat.config_revision),
+            (KeysRequest, state.keys.version, heartbeat.keys_version),
+            (
+                PartitionsRequest,
+                state.partitions_revision,
+                heartbeat.partitions_revision,
+            ),
         ):
-            if offered <= known:
+            if offered <= own:
                 continue
-            if self._should_ask(request):
-                self._network.send(sender, request(known))
+            if self._should_request(request):
+                self._network.send(sender, request(own))
 
-    def _should_ask(self, kind: type) -> bool:
-        """Tell whether to ask for a record now that a peer has a newer one."""
+    def _should_request(self, kind: type) -> bool:
+        """Tell whether to request a record of which a peer has a newer revision."""
         now = self._clock.monotonic()
-        asked = self._asked_at_by_kind.get(kind)
-        if asked is not None and now - asked < ASK_INTERVAL:
+        requested_at = self._requested_at_by_kind.get(kind)
+        if requested_at is not None and now - requested_at < REQUEST_INTERVAL:
             return False
         since = self._behind_since_by_kind.get(kind)
         if self._state.store_reachable:
-            if since is None or now - since > 2 * ASK_INTERVAL:
+            if since is None or now - since > 2 * REQUEST_INTERVAL:
                 self._behind_since_by_kind[kind] = now
                 return False
-            if now - since < GRACE:
+            if now - since < WATCH_GRACE:
                 return False
         self._behind_since_by_kind.pop(kind, None)
-        self._asked_at_by_kind[kind] = now
+        self._requested_at_by_kind[kind] = now
         return True
 
     def _on_config_request(self, sender: str, request: ConfigRequest) -> None:
@@ -127,7 +131,7 @@
     def _on_config_reply(self, sender: str, reply: ConfigReply) -> None:
         config = _decode(reply, FleetConfig)
         if config is not None and config.revision == reply.revision:
-            self._adopted(adopt_config(self._state, config), sender, reply)
+            self._finish_adoption(adopt_config(self._state, config), sender, reply)
 
     def _on_keys_request(self, sender: str, request: KeysRequest) -> None:
         state = self._state
@@ -140,9 +144,9 @@
     def _on_keys_reply(self, sender: str, reply: KeysReply) -> None:
         for key_id in reply.withdrawn:
             self.withdraw_key(key_id)
-        ring = _decode(reply, KeyRing)
-        if ring is not None and ring.version == reply.version:
-            self._adopted(adopt_keys(self._state, ring), sender, reply)
+        key_ring = _decode(reply, KeyRing)
+        if key_ring is not None and key_ring.version == reply.version:
+            self._finish_adoption(adopt_keys(self._state, key_ring), sender, reply)
 
     def _on_key_withdrawn(self, sender: str, message: KeyWithdrawn) -> None:
         self.withdraw_key(message.key_id)
@@ -159,18 +163,18 @@
         table = _decode(reply, PartitionTable)
         if table is not None:
             adopted = adopt_partitions(self._state, table, reply.revision)
-            self._adopted(adopted, sender, reply)
+            self._finish_adoption(adopted, sender, reply)
 
-    def _adopted(self, adopted: bool, sender: str, reply: Message) -> None:
+    def _finish_adoption(self, adopted: bool, sender: str, reply: Message) -> None:
         if adopted:
             log.info("{} adopted from {}", type(reply).__name__, sender)
             self._changed()
 
 
 def _decode(reply: Any, kind: type[Any]) -> Any:
-    """Return the content of a reply, or None if it is damaged."""
+    """Return the decoded content of a reply, or None if it is invalid."""
     try:
         return msgspec.json.decode(reply.content, type=kind)
     except (msgspec.MsgspecError, RecursionError) as error:
-        log.error("{} ignored: {}", type(reply).__name__, error)
+        log.error("invalid {} ignored: {}", type(reply).__name__, error)
         return None
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -18,7 +18,7 @@
 from ..clock import Clock
 from ..errors import FrameError
 from .codec import LENGTH, decode_length, decode_payload, encode_frame
-from .dialling import DIAL_INTERVAL, DialPlan
+from .dialling import DIAL_INTERVAL, DialSchedule
 from .messages import Goodbye, Hello, Message
 from .tls import PeerTls
 from .traffic import Traffic
@@ -28,14 +28,15 @@
 DIAL_TIMEOUT = timedelta(seconds=1)
 CLOSE_TIMEOUT = timedelta(seconds=0.5)
 DUPLICATE_GRACE = timedelta(seconds=2)
-"""How long two connections to one daemon are kept before one is closed."""
+"""How long two connections to the same daemon stay open before one is closed."""
 
 SEND_QUEUE_MESSAGES = 1000
 SEND_QUEUE_BYTES = 4 * 1024 * 1024
-"""A slow reader may hold at most this much memory of a 32 MB daemon."""
+"""Limit of the memory that one slow reader occupies in a daemon of 32 MB."""
 
 MAX_CONNECTIONS = 256
-"""Connections accepted at once, so that a fault cannot exhaust descriptors."""
+"""Limit of open accepted connections, so that a faulty peer cannot exhaust the
+file descriptors."""
 
 Handler = Callable[[str, Any], None]
 
@@ -58,8 +59,8 @@
 class PeerNetwork:
     """Connections to all other daemons and the dispatch of their messages.
 
-    Nothing that is received ends the daemon: a malformed frame, a failing
-    handler or a silent peer ends its connection, which is then dialled again.
+    Received data cannot end the daemon: a malformed frame, a failing handler or
+    a silent peer ends only its connection, which is then dialled again.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         self._tls = tls
         self.connections_by_incarnation: dict[str, Connection] = {}
         self.seeds: set[str] = set()
-        """Addresses from the settings, which are always dialled."""
+        """Addresses from the settings; never removed."""
         self.addresses: set[str] = set()
         """Addresses learned from registrations and from other daemons."""
         self.traffic = Traffic()
@@ -88,12 +89,12 @@
         self._handlers_by_type: dict[type, list[Handler]] = {}
         self._connections: set[Connection] = set()
         self._accepted = 0
-        self._plan = DialPlan(hello.address)
+        self._dial_schedule = DialSchedule(hello.address)
         self._tasks: TaskGroup | None = None
         self._listener: anyio.abc.Listener[Any] | None = None
 
     def on(self, kind: type, handler: Handler) -> None:
-        """Add a handler of a message type; it must not block."""
+        """Register a handler of a message type; it must not block."""
         self._handlers_by_type.setdefault(kind, []).append(handler)
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -105,10 +106,10 @@
         )
         tasks.start_soon(self._listen, self._listener)
         tasks.start_soon(self._dial_all)
-        tasks.start_soon(self._beat)
+        tasks.start_soon(self._send_heartbeats)
 
     async def close(self) -> None:
-        """Say goodbye and close all connections."""
+        """Send Goodbye and close all connections."""
         self.broadcast(Goodbye(self.hello.incarnation))
         await anyio.sleep(0)
         if self._listener is not None:
@@ -127,7 +128,7 @@
         return self._queue(connection, message, self._encode(message))
 
     def broadcast(self, message: Message) -> int:
-        """Queue a message for all connected daemons; return how many."""
+        """Queue a message for all connected daemons; return for how many."""
         frame = self._encode(message)
         connections = list(self.connections_by_incarnation.values())
         return sum(self._queue(c, message, frame) for c in connections)
@@ -140,7 +141,7 @@
         try:
             return encode_frame(message)
         except FrameError as error:
-            log.error("message not sent: {}", error)
+            log.error("message dropped, cannot encode it: {}", error)
             return None
 
     def _queue(
@@ -155,7 +156,7 @@
             self.traffic.dropped_messages += 1
             return False
         connection.queued_bytes += len(frame)
-        self.traffic.note_sent(type(message), len(frame))
+        self.traffic.record_sent(type(message), len(frame))
         return True
 
     async def _listen(self, listener: anyio.abc.Listener[Any]) -> None:
@@ -167,18 +168,18 @@
                 listening = False  # close() ends the listener.
             except* OSError as group:
                 # Accepting fails while file descriptors are exhausted.
-                log.error("connections are not accepted: {}", group.exceptions[0])
+                log.error("cannot accept connections: {}", group.exceptions[0])
                 await self._clock.sleep(DIAL_INTERVAL)
 
     async def _dial_all(self) -> None:
         while True:
             now = self._clock.monotonic()
-            linked = {c.hello.address for c in self._connections}
-            wanted = self.seeds | self.addresses
-            for address in self._plan.due(wanted, linked, now):
+            connected = {c.hello.address for c in self._connections}
+            addresses = self.seeds | self.addresses
+            for address in self._dial_schedule.due(addresses, connected, now):
                 if self._tasks is not None:
                     self._tasks.start_soon(self._dial, address)
-            self.addresses -= self._plan.hopeless(now)
+            self.addresses -= self._dial_schedule.expired(now)
             await self._clock.sleep(DIAL_INTERVAL * random.uniform(0.5, 1.5))
 
     async def _dial(self, address: str) -> None:
@@ -186,11 +187,11 @@
         try:
             with anyio.fail_after(DIAL_TIMEOUT.total_seconds()):
                 stream = await anyio.connect_tcp(host, int(port))
-            await self._converse(stream, dialled=True)
+            await self._run_connection(stream, dialled=True)
         except (OSError, ValueError, OverflowError):
-            pass  # Dialled again with backoff, or an address that is none.
+            pass  # Unreachable or invalid address; dialled again with back-off.
         finally:
-            self._plan.ended(address)
+            self._dial_schedule.ended(address)
 
     async def _accept(self, stream: ByteStream) -> None:
         if self._accepted >= MAX_CONNECTIONS:
@@ -198,12 +199,12 @@
             return
         self._accepted += 1
         try:
-            await self._converse(stream, dialled=False)
+            await self._run_connection(stream, dialled=False)
         finally:
             self._accepted -= 1
 
-    async def _converse(self, stream: ByteStream, *, dialled: bool) -> None:
-        """Exchange messages until the connection ends or is silent."""
+    async def _run_connection(self, stream: ByteStream, *, dialled: bool) -> None:
+        """Exchange messages until the connection ends or is silent for too long."""
         try:
             async with AsyncExitStack() as stack:
                 stack.push_async_callback(stream.aclose)
@@ -214,12 +215,12 @@
                     reader = BufferedByteReceiveStream(stream)
                     first = await self._receive(reader)
                 if not isinstance(first, Hello):
-                    raise FrameError("the first message must be Hello")
+                    raise FrameError("first message is not Hello")
                 if first.incarnation != self.hello.incarnation:
-                    await self._exchange(stream, reader, first, dialled)
+                    await self._exchange_messages(stream, reader, first, dialled)
         except* FrameError as group:
             self.traffic.rejected_frames += 1
-            log.warning("connection ended: {}", group.exceptions[0])
+            log.warning("connection to a peer closed: {}", group.exceptions[0])
         except* (
             OSError,
             anyio.EndOfStream,
@@ -229,9 +230,9 @@
         ):
             pass  # An ended connection is dialled again by _dial_all.
         except* Exception:
-            log.exception("connection ended")
+            log.exception("connection to a peer closed by an unexpected error")
 
-    async def _exchange(
+    async def _exchange_messages(
         self,
         stream: ByteStream,
         reader: BufferedByteReceiveStream,
@@ -274,33 +275,33 @@
             connection.heard_at = self._clock.monotonic()
             sender = connection.hello.incarnation
             if isinstance(message, Goodbye):
-                # Only a daemon itself can say that it runs nothing more.
+                # A daemon can only announce its own end.
                 if message.incarnation == sender:
                     self._notify(self.on_goodbye, sender)
                 return
             self._notify(self._handlers_by_type.get(type(message), ()), sender, message)
 
     def _notify(self, callbacks: Any, *arguments: Any) -> None:
-        """Call all callbacks; a failing one must not end the daemon."""
+        """Call all callbacks; an exception in one must not end the daemon."""
         for callback in callbacks:
             try:
                 callback(*arguments)
             except Exception:
                 self.traffic.failed_handlers += 1
-                log.exception("handler of {!r} failed", arguments[-1])
+                log.exception("handler failed for {!r}", arguments[-1])
 
     async def _receive(self, reader: BufferedByteReceiveStream) -> Message:
         length = decode_length(await reader.receive_exactly(LENGTH.size))
         payload = await reader.receive_exactly(length)
         message = decode_payload(payload)[1]
-        self.traffic.note_received(type(message), LENGTH.size + length)
+        self.traffic.record_received(type(message), LENGTH.size + length)
         return message
 
     def _register(self, connection: Connection) -> None:
         incarnation = connection.hello.incarnation
         self._connections.add(connection)
         self.addresses.add(connection.hello.address)
-        # The newest connection is used; an older one may hang.
+        # The newest connection is used, as an older one may be dead.
         self.connections_by_incarnation[incarnation] = connection
         self._notify(self.on_connect, incarnation)
 
@@ -317,8 +318,8 @@
             del self.connections_by_incarnation[incarnation]
             self._notify(self.on_disconnect, incarnation)
 
-    async def _beat(self) -> None:
-        """Send heartbeats on all connections, as each is watched for silence."""
+    async def _send_heartbeats(self) -> None:
+        """Send heartbeats on all connections, as each has its own silence time-out."""
         while True:
             message = self.heartbeat()
             if message is not None:
@@ -329,7 +330,7 @@
             await self._clock.sleep(HEARTBEAT_INTERVAL)
 
     def _close_duplicates(self) -> None:
-        """Close a surplus connection that this daemon dialled.
+        """Close a duplicate connection that this daemon dialled.
 
         Of two daemons that dialled each other, only the one with the greater
         incarnation closes its own, so that one connection always remains.
--- a/src/pomeloyard/peers/tls.py
+++ b/src/pomeloyard/peers/tls.py
@@ -1,4 +1,4 @@
-"""Mutual TLS between daemons, with certificates that may be replaced."""
+"""Mutual TLS between daemons; certificates are reloaded when they change."""
 
 from __future__ import annotations
 
@@ -13,23 +13,23 @@
 
 
 class PeerTls:
-    """Wraps connections; certificate files are read again when they change.
+    """Wraps connections in TLS and reloads the certificate files when they change.
 
-    Both sides must present a certificate signed by the fleet's own authority.
-    Host names are not compared: entry VMs are replaced and change addresses,
-    and the authority signs only daemons.
+    Both sides must present a certificate signed by the fleet's own CA. Host
+    names are not verified: entry VMs are replaced and change addresses, and the
+    CA signs certificates of daemons only.
     """
 
     def __init__(self, certificate: Path, key: Path, authority: Path) -> None:
         self._certificate = certificate
         self._key = key
         self._authority = authority
-        self._loaded_from: tuple[object, ...] = ()
+        self._loaded_versions: tuple[object, ...] = ()
         self._contexts = self._load()
-        self._loaded_from = self._versions()
+        self._loaded_versions = self._file_versions()
 
     async def wrap(self, stream: ByteStream, *, server_side: bool) -> ByteStream:
-        """Return the encrypted stream after a handshake."""
+        """Return the encrypted stream after the TLS handshake."""
         self._reload()
         server, client = self._contexts
         return await TLSStream.wrap(
@@ -41,16 +41,16 @@
 
     def _reload(self) -> None:
         try:
-            versions = self._versions()
-            if versions != self._loaded_from:
+            versions = self._file_versions()
+            if versions != self._loaded_versions:
                 self._contexts = self._load()
-                self._loaded_from = versions
-                log.info("certificates were read again")
+                self._loaded_versions = versions
+                log.info("TLS certificates reloaded")
         except OSError as error:  # ssl.SSLError is an OSError.
-            # The files may be half written; the earlier ones stay in use.
-            log.warning("certificates not read: {}", error)
+            # The files may be partly written; the previous certificates stay in use.
+            log.warning("cannot reload TLS certificates: {}", error)
 
-    def _versions(self) -> tuple[object, ...]:
+    def _file_versions(self) -> tuple[object, ...]:
         files = (self._certificate, self._key, self._authority)
         return tuple(
             (s.st_mtime_ns, s.st_size, s.st_ino) for s in map(Path.stat, files)
--- a/src/pomeloyard/peers/traffic.py
+++ b/src/pomeloyard/peers/traffic.py
@@ -1,4 +1,4 @@
-"""Counters of the traffic between daemons."""
+"""Counters of the traffic with other daemons."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 @dataclass
 class Traffic:
-    """Bytes and messages exchanged with other daemons since the start."""
+    """Bytes and messages exchanged with other daemons since this one started."""
 
     sent_bytes_by_type: Counter[str] = field(default_factory=Counter)
     received_bytes_by_type: Counter[str] = field(default_factory=Counter)
@@ -28,12 +28,12 @@
         """Return the bytes of all valid frames received."""
         return self.received_bytes_by_type.total()
 
-    def note_sent(self, kind: type, size: int) -> None:
+    def record_sent(self, kind: type, size: int) -> None:
         """Count a sent message of ``size`` bytes."""
         self.sent_bytes_by_type[kind.__name__] += size
         self.sent_messages_by_type[kind.__name__] += 1
 
-    def note_received(self, kind: type, size: int) -> None:
+    def record_received(self, kind: type, size: int) -> None:
         """Count a received message of ``size`` bytes."""
         self.received_bytes_by_type[kind.__name__] += size
         self.received_messages_by_type[kind.__name__] += 1
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -1,4 +1,4 @@
-"""Connections between daemons under garbage, silence, slowness and wrong keys."""
+"""Peer connections with invalid data, silent or slow peers and wrong certificates."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
     decode_payload,
     encode_frame,
 )
-from pomeloyard.peers.dialling import FORGET_AFTER, MAX_DIAL_INTERVAL, DialPlan
+from pomeloyard.peers.dialling import ADDRESS_EXPIRY, MAX_DIAL_INTERVAL, DialSchedule
 from pomeloyard.peers.messages import (
     MESSAGE_TYPES,
     ConfigReply,
@@ -47,15 +47,15 @@
 
 from .support.processes import free_port
 
-SILENCE_NOTICED_SECONDS = 3.0
-"""The design's time in which a silent peer is noticed."""
+SILENCE_DETECTION_SECONDS = 3.0
+"""Time in which a silent peer must be detected, from the design."""
 
 LONG = timedelta(minutes=1)
-BEAT = Heartbeat(1, 1, 1, True)
-DEEP = b"\x91" * 100_000
+HEARTBEAT = Heartbeat(1, 1, 1, True)
+DEEP_NESTING = b"\x91" * 100_000
 HUGE_ARRAY = b"\xdd\xff\xff\xff\xff"
 
-ANYTHING = st.recursive(
+ANY_VALUE = st.recursive(
     st.none()
     | st.booleans()
     | st.integers(-(2**63), 2**64 - 1)
@@ -71,10 +71,10 @@
 TYPE_NUMBER = st.integers(-1, len(MESSAGE_TYPES) + 1)
 FRAMES = st.one_of(
     st.binary(max_size=200),
-    st.tuples(st.sampled_from([0, 1, 2, True, None]), TYPE_NUMBER, ANYTHING, ANYTHING)
+    st.tuples(st.sampled_from([0, 1, 2, True, None]), TYPE_NUMBER, ANY_VALUE, ANY_VALUE)
     .map(list)
     .map(msgpack.packb),
-    st.tuples(st.just(1), TYPE_NUMBER, st.just(0), st.lists(ANYTHING, max_size=7))
+    st.tuples(st.just(1), TYPE_NUMBER, st.just(0), st.lists(ANY_VALUE, max_size=7))
     .map(list)
     .map(msgpack.packb),
 )
@@ -82,12 +82,12 @@
 
 @settings(max_examples=500, deadline=None, derandomize=True, database=None)
 @given(FRAMES)
-@example(DEEP)
+@example(DEEP_NESTING)
 @example(HUGE_ARRAY)
 @example(b"\xc7\x0c\xff" + b"\xff" * 12)
 @example(b"\x81\xc0\xc0")
 def test_decoder_gives_a_message_or_a_frame_error(payload):
-    """Guards against any other exception, which would end the daemon."""
+    """Guards against other exceptions, which would end the daemon."""
     try:
         _, message = decode_payload(payload)
     except FrameError:
@@ -99,13 +99,13 @@
 
 @pytest.mark.parametrize("length", [MAX_FRAME_BYTES + 1, 2**32 - 1])
 def test_oversized_length_is_refused_before_it_is_read(length):
-    """Guards against memory taken for a length that a broken peer claims."""
+    """Guards against allocating memory for a false length from a faulty peer."""
     with pytest.raises(FrameError):
         decode_length(LENGTH.pack(length))
 
 
 class Peer:
-    """A PeerNetwork with a record of what happens to it."""
+    """A PeerNetwork that records its connections and received messages."""
 
     def __init__(self, name, *, address="", listen="", tls=None):
         self.name = f"{name}.00000000"
@@ -114,13 +114,13 @@
         self.network = PeerNetwork(
             SystemClock(), hello, listen_address=self.listen, tls=tls
         )
-        self.network.heartbeat = lambda: BEAT
+        self.network.heartbeat = lambda: HEARTBEAT
         self.connected = []
-        self.heard = []
+        self.received = []
         self.network.on_connect.append(self.connected.append)
-        self.network.on(KeyWithdrawn, lambda s, m: self.heard.append((s, m.key_id)))
+        self.network.on(KeyWithdrawn, lambda s, m: self.received.append((s, m.key_id)))
 
-    def linked(self, other):
+    def is_connected_to(self, other):
         return other.name in self.network.connections_by_incarnation
 
 
@@ -151,30 +151,30 @@
 
 
 HELLO = encode_frame(Hello("raw.11111111", "raw", "127.0.0.1:1", "zone"))
-GARBAGE = [
+INVALID_STREAMS = [
     b"GET / HTTP/1.1\r\n\r\n",
     b"\xff" * 100,
     LENGTH.pack(MAX_FRAME_BYTES + 1),
     framed(b""),
-    framed(DEEP),
+    framed(DEEP_NESTING),
     framed(HUGE_ARRAY),
     framed(msgpack.packb([2, 1, 0, [1, 1, 1, True]])),
     framed(msgpack.packb([1, 999, 0, []])),
     framed(msgpack.packb([1, 1, 0, ["x", None, [], {}]])),
-    encode_frame(BEAT),
+    encode_frame(HEARTBEAT),
     encode_frame(Hello("a.00000000", "a", "not an address", "zone")),
-    HELLO + framed(DEEP),
+    HELLO + framed(DEEP_NESTING),
     HELLO + framed(msgpack.packb([1, 1, 0, []])),
     HELLO + LENGTH.pack(50) + b"too short",
     HELLO + encode_frame(LoanKept(-1, -1, "?", "?", -(2**62), -1)),
     HELLO + encode_frame(RunningQuery(-(2**62), "?")),
     HELLO + encode_frame(Goodbye("b.00000000")),
-    encode_frame(Hello("raw.2", "raw", "nonsense", "zone")) + encode_frame(BEAT),
+    encode_frame(Hello("raw.2", "raw", "nonsense", "zone")) + encode_frame(HEARTBEAT),
 ]
 
 
 def test_nothing_received_ends_a_daemon_or_its_other_connections():
-    """Guards against garbage and failing handlers that end the task group."""
+    """Guards against invalid data and failing handlers that end the task group."""
 
     async def run():
         a, b = Peer("a"), Peer("b")
@@ -183,10 +183,10 @@
         a.network.on(RunningQuery, lambda sender, message: {}[sender])
         async with running(a, b):
             b.network.seeds.add(a.listen)
-            await until(lambda: a.linked(b) and b.linked(a))
-            for garbage in GARBAGE:
+            await until(lambda: a.is_connected_to(b) and b.is_connected_to(a))
+            for content in INVALID_STREAMS:
                 async with await dial(a.listen) as stream:
-                    await stream.send(garbage)
+                    await stream.send(content)
             generator = random.Random(7)
             for _ in range(30):
                 async with await dial(a.listen) as stream:
@@ -195,8 +195,8 @@
             await until(lambda: a.network.traffic.rejected_frames >= 10)
             await until(lambda: a.network.traffic.failed_handlers == 1)
             assert b.network.send(a.name, KeyWithdrawn("k"))
-            await until(lambda: (b.name, "k") in a.heard)
-            # Another daemon must not be able to say goodbye for b.
+            await until(lambda: (b.name, "k") in a.received)
+            # Another daemon must not be able to send Goodbye for b.
             assert goodbyes == []
             assert a.connected.count(b.name) == 1
 
@@ -204,28 +204,28 @@
 
 
 async def silent_connection_is_replaced_in_both_directions():
-    """Guards against a link that hangs for good while new ones work."""
+    """Guards against a dead connection that is never replaced by a new one."""
 
     listen = f"127.0.0.1:{free_port()}"
     async with proxying(listen) as proxy:
         a, b = Peer("a"), Peer("b", address=proxy.address, listen=listen)
         async with running(a, b):
             a.network.seeds.add(proxy.address)
-            await until(lambda: a.linked(b) and b.linked(a))
-            await anyio.sleep(1.1)  # Heartbeats flow before the fault.
+            await until(lambda: a.is_connected_to(b) and b.is_connected_to(a))
+            await anyio.sleep(1.1)  # Heartbeats are exchanged before the fault.
             proxy.silence()
             start = time.monotonic()
             await until(lambda: len(a.connected) == 2 and len(b.connected) == 2)
-            # Noticed in time, then dialled again after at most one backoff.
-            limit = SILENCE_NOTICED_SECONDS + MAX_DIAL_INTERVAL.total_seconds()
+            # Detected in time, then dialled again after at most one back-off.
+            limit = SILENCE_DETECTION_SECONDS + MAX_DIAL_INTERVAL.total_seconds()
             assert time.monotonic() - start < limit
             assert a.network.send(b.name, KeyWithdrawn("new"))
             assert b.network.send(a.name, KeyWithdrawn("new"))
-            await until(lambda: a.heard and b.heard)
+            await until(lambda: a.received and b.received)
 
 
-async def paused_daemon_reconnects_when_it_wakes_up():
-    """Guards against a paused daemon that stays cut off, and calls that hang."""
+async def paused_daemon_reconnects_when_resumed():
+    """Guards against a paused daemon that stays disconnected, and calls that hang."""
     a, b = Peer("a"), Peer("b")
     pause, stop = threading.Event(), threading.Event()
 
@@ -233,7 +233,7 @@
         async with running(b):
             while not stop.is_set():
                 if pause.is_set():
-                    time.sleep(SILENCE_NOTICED_SECONDS + 1)
+                    time.sleep(SILENCE_DETECTION_SECONDS + 1)
                     pause.clear()
                 await anyio.sleep(0.02)
 
@@ -242,19 +242,23 @@
         calls.expect(RunningReply)
         async with running(a):
             a.network.seeds.add(b.listen)
-            await until(lambda: a.linked(b) and b.linked(a))
+            await until(lambda: a.is_connected_to(b) and b.is_connected_to(a))
             pause.set()
             start = time.monotonic()
             answer = await calls.call(
                 b.name, lambda i: RunningQuery(i, "vm"), RunningReply, LONG
             )
             assert answer is None
-            assert not a.linked(b)
-            # One heartbeat may still have been under way.
-            assert time.monotonic() - start < SILENCE_NOTICED_SECONDS + 1
-            await until(lambda: a.linked(b) and b.linked(a) and not pause.is_set())
+            assert not a.is_connected_to(b)
+            # One heartbeat may still have been in flight.
+            assert time.monotonic() - start < SILENCE_DETECTION_SECONDS + 1
+            await until(
+                lambda: (
+                    a.is_connected_to(b) and b.is_connected_to(a) and not pause.is_set()
+                )
+            )
             assert a.network.send(b.name, KeyWithdrawn("k"))
-            await until(lambda: (a.name, "k") in b.heard)
+            await until(lambda: (a.name, "k") in b.received)
 
     thread = threading.Thread(target=lambda: anyio.run(run_b))
     thread.start()
@@ -265,8 +269,8 @@
         await anyio.to_thread.run_sync(thread.join)
 
 
-async def several_connections_are_reduced_without_a_gap():
-    """Guards against two daemons that dial each other and then flap for ever."""
+async def duplicate_connections_are_closed_without_a_gap():
+    """Guards against two daemons that dial each other and reconnect endlessly."""
 
     a, b = Peer("a"), Peer("b")
     async with running(a, b), anyio.create_task_group() as tasks:
@@ -276,15 +280,15 @@
         await until(lambda: len(a.network._connections) == 3)
         end = time.monotonic() + 4.5
         while time.monotonic() < end:
-            assert a.linked(b)
-            assert b.linked(a)
+            assert a.is_connected_to(b)
+            assert b.is_connected_to(a)
             await anyio.sleep(0.02)
         assert len(a.connected) == len(b.connected) == 3
         tasks.cancel_scope.cancel()
 
 
 async def slow_reader_neither_blocks_the_loop_nor_takes_memory():
-    """Guards against one stuck daemon that stops the others or exhausts memory."""
+    """Guards against one blocked daemon that stalls others or exhausts memory."""
 
     a = Peer("a")
     async with running(a):
@@ -306,27 +310,27 @@
         await anyio.aclose_forcefully(stream)
 
 
-LINK_FAULTS = [
+CONNECTION_FAULTS = [
     silent_connection_is_replaced_in_both_directions,
-    paused_daemon_reconnects_when_it_wakes_up,
-    several_connections_are_reduced_without_a_gap,
+    paused_daemon_reconnects_when_resumed,
+    duplicate_connections_are_closed_without_a_gap,
     slow_reader_neither_blocks_the_loop_nor_takes_memory,
 ]
 
 
 def test_link_faults_that_take_real_time():
-    """Run the cases side by side, as each waits for 3 s of silence or longer."""
+    """Run the cases concurrently, as each waits for 3 s of silence or longer."""
 
     async def run():
         async with anyio.create_task_group() as tasks:
-            for case in LINK_FAULTS:
+            for case in CONNECTION_FAULTS:
                 tasks.start_soon(case, name=case.__name__)
 
     anyio.run(run)
 
 
 def test_exhausted_descriptors_do_not_end_a_daemon():
-    """Guards against an error of accept, which ends the task group."""
+    """Guards against an error from accept() that ends the task group."""
 
     class Listener:
         served = 0
@@ -346,31 +350,31 @@
 
 
 def test_dialling_is_jittered_backs_off_and_forgets():
-    """Guards against dial storms, and against dialling replaced VMs for ever."""
+    """Guards against dial storms, and against dialling replaced VMs forever."""
     random.seed(3)
-    plan, other = DialPlan("a:1"), DialPlan("c:1")
+    schedule, other = DialSchedule("a:1"), DialSchedule("c:1")
     now, dialled = timedelta(0), []
     step = timedelta(milliseconds=50)
-    while now < FORGET_AFTER - step:
-        for address in plan.due({"b:1"}, set(), now):
+    while now < ADDRESS_EXPIRY - step:
+        for address in schedule.due({"b:1"}, set(), now):
             dialled.append(now)
-            plan.ended(address)
+            schedule.ended(address)
         now += step
     gaps = [later - earlier for earlier, later in itertools.pairwise(dialled)]
     assert max(gaps) <= 1.5 * MAX_DIAL_INTERVAL + step
     assert len({round(gap.total_seconds(), 1) for gap in gaps[5:]}) > 5
-    assert plan.hopeless(now) == set()
-    assert plan.hopeless(now + timedelta(minutes=1)) == {"b:1"}
+    assert schedule.expired(now) == set()
+    assert schedule.expired(now + timedelta(minutes=1)) == {"b:1"}
     # The daemon with the smaller address dials first.
     assert other.due({"b:1"}, set(), timedelta(0)) == []
     assert other.due({"b:1"}, set(), timedelta(seconds=2)) == ["b:1"]
-    # An address stays out while it is being dialled or is linked.
+    # An address is not due while it is being dialled or is connected.
     assert other.due({"b:1"}, set(), timedelta(seconds=60)) == []
     other.ended("b:1")
     assert other.due({"b:1"}, {"b:1"}, timedelta(seconds=60)) == []
 
 
-def issue(directory, authority):
+def issue_certificate(directory, authority):
     certificate = authority.issue_cert("127.0.0.1")
     certificate.cert_chain_pems[0].write_to_path(directory / "cert.pem")
     certificate.private_key_pem.write_to_path(directory / "key.pem")
@@ -379,40 +383,42 @@
 
 
 def test_links_need_a_certificate_of_the_fleet_and_take_renewed_ones(tmp_path):
-    """Guards against a stranger that speaks as a daemon, and expiring files."""
+    """Guards against a peer with a foreign certificate, and expired certificates."""
 
     async def run():
-        fleet, strangers = trustme.CA(), trustme.CA()
+        fleet, foreign_ca = trustme.CA(), trustme.CA()
         (tmp_path / "other").mkdir()
-        files = issue(tmp_path, fleet)
+        files = issue_certificate(tmp_path, fleet)
         tls = PeerTls(*files)
         a, b = Peer("a", tls=tls), Peer("b", tls=tls)
-        stranger = Peer("s", tls=PeerTls(*issue(tmp_path / "other", strangers)))
-        plain = Peer("p")
+        foreign_peer = Peer(
+            "s", tls=PeerTls(*issue_certificate(tmp_path / "other", foreign_ca))
+        )
+        plaintext_peer = Peer("p")
         async with AsyncExitStack() as stack:
-            await stack.enter_async_context(running(a, b, stranger, plain))
-            for peer in (b, stranger, plain):
+            await stack.enter_async_context(running(a, b, foreign_peer, plaintext_peer))
+            for peer in (b, foreign_peer, plaintext_peer):
                 peer.network.seeds.add(a.listen)
-            a.network.seeds.update({stranger.listen, plain.listen})
-            await until(lambda: a.linked(b) and b.linked(a))
+            a.network.seeds.update({foreign_peer.listen, plaintext_peer.listen})
+            await until(lambda: a.is_connected_to(b) and b.is_connected_to(a))
             assert b.network.send(a.name, KeyWithdrawn("secret"))
-            await until(lambda: a.heard)
+            await until(lambda: a.received)
             files[0].write_text("half written")
-            await anyio.sleep(1.5)  # Strangers dial several times meanwhile.
+            await anyio.sleep(1.5)  # The rejected peers dial several times in between.
             assert set(a.connected) == {b.name}
-            assert set(stranger.connected) == set(plain.connected) == set()
+            assert set(foreign_peer.connected) == set(plaintext_peer.connected) == set()
 
-            issue(tmp_path, strangers)
-            await until(lambda: stranger.linked(a))
+            issue_certificate(tmp_path, foreign_ca)
+            await until(lambda: foreign_peer.is_connected_to(a))
 
     anyio.run(run)
 
 
 def test_plain_text_reveals_nothing_of_a_tls_daemon(tmp_path):
-    """Guards against a daemon that answers before the handshake."""
+    """Guards against a daemon that sends data before the TLS handshake."""
 
     async def run():
-        a = Peer("a", tls=PeerTls(*issue(tmp_path, trustme.CA())))
+        a = Peer("a", tls=PeerTls(*issue_certificate(tmp_path, trustme.CA())))
         async with running(a), await dial(a.listen) as stream:
             await stream.send(HELLO)
             received = b""
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,4 +1,4 @@
-"""Configuration, keys and partition table from peers during a store outage."""
+"""Replication of configuration, keys and partition table without the store."""
 
 from __future__ import annotations
 
@@ -33,21 +33,21 @@
 
 from .support.faulty_store import FaultyStore
 
-WITHDRAWN_EVERYWHERE = timedelta(seconds=5)
-IN_FORCE_EVERYWHERE = timedelta(seconds=15)
+WITHDRAWAL_PROPAGATION_TIME = timedelta(seconds=5)
+CONFIG_PROPAGATION_TIME = timedelta(seconds=15)
 
 
 class Network:
-    """Messages between daemons, kept until delivered in a chosen order."""
+    """In-memory network that holds messages until the test delivers them."""
 
     def __init__(self, links):
         self.links = links
-        self.ports = {}
+        self.peer_networks = {}
         self.queued = []
 
     def deliver(self, position=0):
         sender, receiver, message = self.queued.pop(position)
-        for handler in self.ports[receiver].handlers.get(type(message), ()):
+        for handler in self.peer_networks[receiver].handlers.get(type(message), ()):
             handler(sender, message)
 
     def deliver_all(self):
@@ -55,13 +55,13 @@
             self.deliver()
 
 
-class Port:
-    """The part of PeerNetwork that replication uses, for one daemon."""
+class FakePeerNetwork:
+    """Fake of a daemon's PeerNetwork, with the methods that Replication uses."""
 
     def __init__(self, network, name):
         self.network, self.name = network, name
         self.handlers, self.on_connect = {}, []
-        network.ports[name] = self
+        network.peer_networks[name] = self
 
     def on(self, kind, handler):
         self.handlers.setdefault(kind, []).append(handler)
@@ -73,11 +73,13 @@
         return True
 
     def broadcast(self, message):
-        return sum(self.send(name, message) for name in list(self.network.ports))
+        return sum(
+            self.send(name, message) for name in list(self.network.peer_networks)
+        )
 
 
-class Bench:
-    """Daemons that are connected in a line: a - b - c."""
+class Cluster:
+    """Three daemons connected in a line: a - b - c."""
 
     def __init__(self):
         self.clock = ManualClock()
@@ -90,17 +92,19 @@
             self.daemons[name] = Replication(
                 self.clock,
                 self.states[name],
-                Port(self.network, name),
+                FakePeerNetwork(self.network, name),
                 lambda name=name: self.changes.append(name),
             )
 
     def key_service(self, name):
-        state, port = self.states[name], self.network.ports[name]
-        return KeyService(self.store, self.clock, state, port.broadcast, DecisionLog())
+        state, peer_network = self.states[name], self.network.peer_networks[name]
+        return KeyService(
+            self.store, self.clock, state, peer_network.broadcast, DecisionLog()
+        )
 
-    def beat(self):
+    def exchange_heartbeats(self):
         for name, state in self.states.items():
-            self.network.ports[name].broadcast(
+            self.network.peer_networks[name].broadcast(
                 Heartbeat(
                     state.config.revision,
                     state.keys.version,
@@ -110,11 +114,11 @@
             )
         self.network.deliver_all()
 
-    def pass_time(self, delay):
-        while delay > timedelta(0):
-            self.beat()
+    def run_for(self, duration):
+        while duration > timedelta(0):
+            self.exchange_heartbeats()
             self.clock.advance(timedelta(seconds=1))
-            delay -= timedelta(seconds=1)
+            duration -= timedelta(seconds=1)
 
 
 def config(revision):
@@ -126,32 +130,32 @@
 
 
 def test_records_reach_daemons_without_the_store_over_other_daemons():
-    """Guards against a daemon that starts in an outage and learns nothing."""
-    bench = Bench()
-    adopt_config(bench.states["a"], config(7))
-    bench.states["a"].keys = ring_with("k", version=3)
-    bench.states["a"].partitions = new_table()
-    bench.states["a"].partitions_revision = 42
-    bench.pass_time(IN_FORCE_EVERYWHERE)
-    last = bench.states["c"]
+    """Guards against a daemon that starts in an outage and gets no records."""
+    cluster = Cluster()
+    adopt_config(cluster.states["a"], config(7))
+    cluster.states["a"].keys = ring_with("k", version=3)
+    cluster.states["a"].partitions = new_table()
+    cluster.states["a"].partitions_revision = 42
+    cluster.run_for(CONFIG_PROPAGATION_TIME)
+    last = cluster.states["c"]
     assert (last.config, last.keys) == (config(7), ring_with("k", version=3))
     assert (last.partitions, last.partitions_revision) == (new_table(), 42)
-    assert "c" in bench.changes
-    quiet = len(bench.changes)
-    bench.pass_time(timedelta(seconds=20))
-    assert len(bench.changes) == quiet
+    assert "c" in cluster.changes
+    settled = len(cluster.changes)
+    cluster.run_for(timedelta(seconds=20))
+    assert len(cluster.changes) == settled
 
 
 def test_peers_are_not_asked_while_the_watch_may_still_bring_the_record():
-    """Guards against up to 1 MB sent to every daemon with each publication."""
-    bench = Bench()
-    for state in bench.states.values():
+    """Guards against sending up to 1 MB to every daemon with each publication."""
+    cluster = Cluster()
+    for state in cluster.states.values():
         state.store_reachable = True
-    adopt_config(bench.states["a"], config(1))
-    bench.beat()
-    assert bench.states["b"].config.revision == 0
-    bench.pass_time(IN_FORCE_EVERYWHERE)
-    assert bench.states["c"].config.revision == 1
+    adopt_config(cluster.states["a"], config(1))
+    cluster.exchange_heartbeats()
+    assert cluster.states["b"].config.revision == 0
+    cluster.run_for(CONFIG_PROPAGATION_TIME)
+    assert cluster.states["c"].config.revision == 1
 
 
 REPLIES = [
@@ -168,58 +172,58 @@
 
 @pytest.mark.parametrize("reply", REPLIES, ids=lambda r: type(r).__name__)
 def test_damaged_and_older_replies_are_ignored(reply):
-    """Guards against a peer that takes a daemon back to an older state."""
-    bench = Bench()
-    state = bench.states["b"]
+    """Guards against a peer that reverts a daemon to an older state."""
+    cluster = Cluster()
+    state = cluster.states["b"]
     adopt_config(state, config(2))
     state.keys, state.partitions = ring_with("k", version=2), new_table()
     state.partitions_revision = 2
-    bench.network.ports["a"].send("b", reply)
-    bench.network.deliver_all()
+    cluster.network.peer_networks["a"].send("b", reply)
+    cluster.network.deliver_all()
     assert state.config == config(2)
     assert state.keys == ring_with("k", version=2)
     assert (state.partitions, state.partitions_revision) == (new_table(), 2)
 
 
 def test_withdrawal_reaches_all_daemons_and_is_stored_when_the_store_recovers():
-    """Guards against a withdrawn key that works again after an outage."""
+    """Guards against a withdrawn key that is valid again after an outage."""
 
     async def run():
-        bench = Bench()
+        cluster = Cluster()
         text, record = new_key(team="mill")
         stored = KeyRing().with_key(record)
-        await commit_changes(bench.memory, [Change(layout.KEYS, stored, None)])
-        for state in bench.states.values():
+        await commit_changes(cluster.memory, [Change(layout.KEYS, stored, None)])
+        for state in cluster.states.values():
             state.keys = stored
-        bench.store.set_available(False)
-        # Nobody is connected to c at first; the tombstone waits for it.
-        bench.network.links.remove({"b", "c"})
-        bench.daemons["a"].withdraw_key(record.key_id)
-        bench.network.deliver_all()
-        assert find_key(stored, text, bench.states["b"].withdrawn_key_ids) is None
-        bench.network.links.append({"b", "c"})
-        bench.network.ports["b"].on_connect[0]("c")
-        bench.pass_time(WITHDRAWN_EVERYWHERE)
-        assert find_key(stored, text, bench.states["c"].withdrawn_key_ids) is None
+        cluster.store.set_available(False)
+        # No daemon is connected to c at first; b notifies it on connecting.
+        cluster.network.links.remove({"b", "c"})
+        cluster.daemons["a"].withdraw_key(record.key_id)
+        cluster.network.deliver_all()
+        assert find_key(stored, text, cluster.states["b"].withdrawn_key_ids) is None
+        cluster.network.links.append({"b", "c"})
+        cluster.network.peer_networks["b"].on_connect[0]("c")
+        cluster.run_for(WITHDRAWAL_PROPAGATION_TIME)
+        assert find_key(stored, text, cluster.states["c"].withdrawn_key_ids) is None
 
         async with anyio.create_task_group() as tasks:
             for name in "bc":
-                tasks.start_soon(bench.key_service(name).run)
-                bench.states[name].store_reachable = True
+                tasks.start_soon(cluster.key_service(name).run)
+                cluster.states[name].store_reachable = True
             for available in (False, True):
-                bench.store.set_available(available)
-                bench.store.lose_answers = 1
+                cluster.store.set_available(available)
+                cluster.store.lose_answers = 1
                 for _ in range(12):
                     for _ in range(20):
                         await anyio.sleep(0)
-                    bench.clock.advance(timedelta(seconds=1))
+                    cluster.clock.advance(timedelta(seconds=1))
             tasks.cancel_scope.cancel()
-        current = await read_record(bench.memory, layout.KEYS, KeyRing)
+        current = await read_record(cluster.memory, layout.KEYS, KeyRing)
         assert current.value.keys_by_id[record.key_id].withdrawn
-        # One more version, although two daemons wrote and one answer was lost.
+        # Only one new version, although two daemons wrote and one answer was lost.
         assert current.value.version == stored.version + 1
-        bench.states["a"].keys = current.value
-        assert bench.daemons["a"].unstored_withdrawals() == ()
+        cluster.states["a"].keys = current.value
+        assert cluster.daemons["a"].unstored_withdrawals() == ()
 
     anyio.run(run)
 
@@ -242,9 +246,9 @@
 @settings(max_examples=100, deadline=None, derandomize=True, database=None)
 @given(ACTIONS)
 def test_versions_only_grow_and_withdrawals_accumulate(actions):
-    """Guards against late, lost and repeated messages that revive old state."""
-    bench = Bench()
-    network, version = bench.network, 0
+    """Guards against late, lost and repeated messages that restore old state."""
+    cluster = Cluster()
+    network, version = cluster.network, 0
     highest = dict.fromkeys("abc", (0, 0, 0))
     for kind, *arguments in actions:
         position = (
@@ -254,16 +258,16 @@
         )
         if kind == "publish":
             version += 1
-            adopt_config(bench.states[arguments[0]], config(version))
+            adopt_config(cluster.states[arguments[0]], config(version))
         elif kind == "grant":
             version += 1
-            ring = replace(bench.states[arguments[0]].keys, version=version)
-            bench.states[arguments[0]].keys = ring
+            ring = replace(cluster.states[arguments[0]].keys, version=version)
+            cluster.states[arguments[0]].keys = ring
         elif kind == "withdraw":
-            bench.daemons[arguments[0]].withdraw_key(f"k{version}")
+            cluster.daemons[arguments[0]].withdraw_key(f"k{version}")
         elif kind == "beat":
-            bench.clock.advance(timedelta(seconds=1))
-            bench.beat()
+            cluster.clock.advance(timedelta(seconds=1))
+            cluster.exchange_heartbeats()
         elif position is not None and kind == "deliver":
             network.deliver(position)
         elif position is not None and kind == "repeat":
@@ -271,8 +275,9 @@
         elif position is not None and not isinstance(
             network.queued[position][2], KeyWithdrawn
         ):
-            network.queued.pop(position)  # Withdrawals also pass on reconnection.
-        for name, state in bench.states.items():
+            # Withdrawals are never lost here: they are sent again on reconnection.
+            network.queued.pop(position)
+        for name, state in cluster.states.items():
             current = (
                 state.config.revision,
                 state.keys.version,
@@ -280,7 +285,7 @@
             )
             assert all(n >= h for n, h in zip(current, highest[name], strict=True))
             highest[name] = current
-    bench.pass_time(IN_FORCE_EVERYWHERE)
-    assert len({s.config.revision for s in bench.states.values()}) == 1
-    assert len({s.keys.version for s in bench.states.values()}) == 1
-    assert len({frozenset(s.withdrawn_key_ids) for s in bench.states.values()}) == 1
+    cluster.run_for(CONFIG_PROPAGATION_TIME)
+    assert len({s.config.revision for s in cluster.states.values()}) == 1
+    assert len({s.keys.version for s in cluster.states.values()}) == 1
+    assert len({frozenset(s.withdrawn_key_ids) for s in cluster.states.values()}) == 1
