--- a/src/pomeloyard/endpoints/__init__.py
+++ b/src/pomeloyard/endpoints/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of executors, the endpoints that run requests."""
+"""HTTP client of executors, the endpoints that run requests."""
--- a/src/pomeloyard/endpoints/client.py
+++ b/src/pomeloyard/endpoints/client.py
@@ -26,13 +26,13 @@
 
 @dataclass(slots=True)
 class Progress:
-    """How far a request got; ``sent`` is set before its first byte is written."""
+    """Progress of a request; ``sent`` is set before its first byte is written."""
 
     sent: bool = False
     headers_written: bool = False
 
     async def trace(self, event: str, info: dict[str, Any]) -> None:
-        """Follow httpcore's trace events."""
+        """Record httpcore's trace events."""
         if event == "http11.send_request_headers.started":
             self.sent = True
         elif event == "http11.send_request_headers.complete":
@@ -40,17 +40,19 @@
 
 
 class EndpointResponse:
-    """An executor's response whose body is still being received."""
+    """An executor's response, whose body may still be being received."""
 
-    def __init__(self, response: httpcore.Response, done: Callable[[], None]) -> None:
+    def __init__(
+        self, response: httpcore.Response, on_close: Callable[[], None]
+    ) -> None:
         self.status = response.status
         self.headers: tuple[tuple[bytes, bytes], ...] = tuple(response.headers)
         self.complete = False
         self._response = response
-        self._done: Callable[[], None] | None = done
+        self._on_close: Callable[[], None] | None = on_close
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises OutcomeUnknownError unless it is complete."""
+        """Yield the body; raises OutcomeUnknownError if it ends early."""
         try:
             async for chunk in self._response.aiter_stream():
                 yield chunk
@@ -63,31 +65,31 @@
         self.complete = True
 
     async def aclose(self) -> None:
-        """Release the connection; an incomplete response closes it."""
-        done, self._done = self._done, None
-        if done is None:
+        """Release the connection, or close it if the response is incomplete."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is None:
             return
         with anyio.CancelScope(shield=True):
             await self._response.aclose()
-        done()
+        on_close()
 
 
 @dataclass(eq=False)
 class _ExecutorPool:
-    """Connections to one executor, replaced when their limit changes."""
+    """Connection pool of one executor, replaced when its limit changes."""
 
     pool: httpcore.AsyncConnectionPool
     limit: int
-    in_use: int = 0
-    retired: bool = False
+    open_requests: int = 0
+    replaced: bool = False
 
 
 class EndpointClient:
-    """Sends requests to executors; never sends one twice.
+    """Sends requests to executors, each at most once.
 
-    httpcore reuses an idle connection only if its socket is not readable, which
-    it would be if the executor had closed it, and opens another one otherwise.
-    It never sends a request again after a byte of it was written.
+    httpcore reuses an idle connection only if its socket is not readable (it is
+    readable once the executor has closed it), and opens a new one otherwise. It
+    never sends a request again after a byte of it was written.
     """
 
     def __init__(
@@ -98,34 +100,34 @@
         self._connections = connections
         self._keepalive = keepalive
         self._pools_by_address: dict[str, _ExecutorPool] = {}
-        self._unused: list[httpcore.AsyncConnectionPool] = []
+        self._pools_to_close: list[httpcore.AsyncConnectionPool] = []
 
     async def run(self) -> None:
-        """Close connections that were idle for too long, until cancelled."""
+        """Close expired idle connections periodically until cancelled."""
         while True:
             await anyio.sleep(IDLE_CHECK_INTERVAL.total_seconds())
             await self.close_idle()
 
     async def close_idle(self) -> None:
-        """Close expired connections and forget executors without any.
+        """Close expired connections and drop pools that have none left.
 
-        httpcore does this only when the next request to the executor is sent.
+        httpcore closes them only when the next request to the executor is sent.
         """
         for address, entry in list(self._pools_by_address.items()):
             for connection in entry.pool.connections:
                 if connection.is_idle() and connection.has_expired():
                     await connection.aclose()
             unused = all(c.is_closed() for c in entry.pool.connections)
-            if unused and entry.in_use == 0:
+            if unused and entry.open_requests == 0:
                 del self._pools_by_address[address]
-        await self._close_unused()
+        await self._close_replaced_pools()
 
     async def close(self) -> None:
         """Close all connections."""
         for entry in self._pools_by_address.values():
             await entry.pool.aclose()
         self._pools_by_address.clear()
-        await self._close_unused()
+        await self._close_replaced_pools()
 
     async def open(
         self,
@@ -140,11 +142,11 @@
     ) -> EndpointResponse:
         """Send a request and return its response once the headers have arrived.
 
-        ``timeout`` bounds the wait for the headers and then each silence. Raises
-        RefusedError if nothing was sent and OutcomeUnknownError if the request
-        may have run. The caller must close the response.
+        ``timeout`` bounds the wait for the headers and then each wait for data.
+        Raises RefusedError if nothing was sent and OutcomeUnknownError if the
+        request may have run. The caller must close the response.
         """
-        await self._close_unused()
+        await self._close_replaced_pools()
         entry = self._pool(vm, address)
         host, port = address.rsplit(":", 1)
         request = httpcore.Request(
@@ -154,7 +156,7 @@
             content=body,
             extensions={"timeout": _timeouts(timeout), "trace": progress.trace},
         )
-        entry.in_use += 1
+        entry.open_requests += 1
         response: EndpointResponse | None = None
         try:
             with anyio.fail_after(timeout.total_seconds()):
@@ -167,15 +169,15 @@
                 await response.aclose()
             else:
                 self._release(entry)
-            raise _classified(error, progress) from error
+            raise _typed_error(error, progress) from error
 
     def _pool(self, vm: str, address: str) -> _ExecutorPool:
         limit = max(1, self._connections(vm))
         entry = self._pools_by_address.get(address)
         if entry is None or entry.limit != limit:
             if entry is not None:
-                entry.retired = True
-                self._collect(entry)
+                entry.replaced = True
+                self._close_later_if_unused(entry)
             pool = httpcore.AsyncConnectionPool(
                 max_connections=limit, keepalive_expiry=self._keepalive.total_seconds()
             )
@@ -183,16 +185,16 @@
         return entry
 
     def _release(self, entry: _ExecutorPool) -> None:
-        entry.in_use -= 1
-        self._collect(entry)
+        entry.open_requests -= 1
+        self._close_later_if_unused(entry)
 
-    def _collect(self, entry: _ExecutorPool) -> None:
-        if entry.retired and entry.in_use == 0:
-            self._unused.append(entry.pool)
+    def _close_later_if_unused(self, entry: _ExecutorPool) -> None:
+        if entry.replaced and entry.open_requests == 0:
+            self._pools_to_close.append(entry.pool)
 
-    async def _close_unused(self) -> None:
-        while self._unused:
-            await self._unused.pop().aclose()
+    async def _close_replaced_pools(self) -> None:
+        while self._pools_to_close:
+            await self._pools_to_close.pop().aclose()
 
 
 def _timeouts(timeout: timedelta) -> dict[str, float]:
@@ -206,7 +208,7 @@
 
 
 def _check_framing(method: str, response: EndpointResponse) -> None:
-    """Raise OutcomeUnknownError for a body whose end could not be recognized."""
+    """Raise OutcomeUnknownError for a body of which truncation cannot be detected."""
     if method == "HEAD" or response.status in NO_BODY_STATUSES:
         return
     names = {name.lower() for name, _ in response.headers}
@@ -215,19 +217,19 @@
         raise OutcomeUnknownError(Unknown(UnknownReason.ANSWER_TRUNCATED, detail))
 
 
-def _classified(error: BaseException, progress: Progress) -> BaseException:
-    """Return the typed error for a failed exchange, by what had been sent."""
+def _typed_error(error: BaseException, progress: Progress) -> BaseException:
+    """Return the typed error of a failed request, depending on what was sent."""
     if isinstance(error, httpcore.LocalProtocolError) and not progress.headers_written:
-        # h11 rejects an invalid request before it produces a byte.
+        # h11 rejects an invalid request before it writes a byte.
         progress.sent = False
         return RefusedError(Refused(RefusalReason.INVALID_INPUT, str(error)))
-    known = (
+    transport_errors = (
         TimeoutError,
         httpcore.TimeoutException,
         httpcore.NetworkError,
         httpcore.ProtocolError,
     )
-    if not isinstance(error, known):
+    if not isinstance(error, transport_errors):
         return error
     if not progress.sent:
         return RefusedError(Refused(RefusalReason.ENDPOINT_UNREACHABLE, repr(error)))
--- a/src/pomeloyard/workers/client.py
+++ b/src/pomeloyard/workers/client.py
@@ -1,4 +1,4 @@
-"""Client of workers: the interface and its implementation over HTTP."""
+"""Client of workers: interface and HTTP implementation."""
 
 from __future__ import annotations
 
@@ -22,13 +22,13 @@
 class WorkerClient(ABC):
     """Task interface of workers.
 
-    Calls for one worker with a fencing token lower than the highest it has seen
-    are refused with RefusalReason.STALE_FENCE.
+    A worker refuses calls whose fencing token is lower than the highest that it
+    has seen, with RefusalReason.STALE_FENCE.
     """
 
     @abstractmethod
     async def start_task(self, address: str, task: TaskStart) -> Outcome[None]:
-        """Start a task; starting the same task id again has no further effect."""
+        """Start a task; repeating this with the same task id has no effect."""
 
     @abstractmethod
     async def renew(
@@ -40,13 +40,13 @@
     async def acknowledge(
         self, address: str, fence: int, task_ids: Sequence[str]
     ) -> Outcome[None]:
-        """Let the worker forget reports of ended tasks."""
+        """Allow the worker to discard the reports of ended tasks."""
 
     @abstractmethod
     async def signal(
         self, address: str, task_id: str, fence: int, action: TaskAction
     ) -> Outcome[None]:
-        """Ask for an action on a running task; its effect is seen in reports."""
+        """Request an action on a running task; its effect shows in later reports."""
 
     async def close(self) -> None:  # noqa: B027
         """Release connections."""
@@ -66,8 +66,8 @@
         await self._pool.aclose()
 
     async def start_task(self, address: str, task: TaskStart) -> Outcome[None]:
-        """Start a task; starting the same task id again has no further effect."""
-        return _without_value(await self._call(address, "/v1/tasks", task))
+        """Start a task; repeating this with the same task id has no effect."""
+        return _discard_value(await self._call(address, "/v1/tasks", task))
 
     async def renew(
         self, address: str, fence: int, lease_seconds: float, task_ids: Sequence[str]
@@ -89,16 +89,16 @@
     async def acknowledge(
         self, address: str, fence: int, task_ids: Sequence[str]
     ) -> Outcome[None]:
-        """Let the worker forget reports of ended tasks."""
+        """Allow the worker to discard the reports of ended tasks."""
         body = {"fence": fence, "task_ids": list(task_ids)}
-        return _without_value(await self._call(address, "/v1/acknowledge", body))
+        return _discard_value(await self._call(address, "/v1/acknowledge", body))
 
     async def signal(
         self, address: str, task_id: str, fence: int, action: TaskAction
     ) -> Outcome[None]:
-        """Ask for an action on a running task."""
+        """Request an action on a running task."""
         path = f"/v1/tasks/{task_id}/{action.value}"
-        return _without_value(await self._call(address, path, {"fence": fence}))
+        return _discard_value(await self._call(address, path, {"fence": fence}))
 
     async def _call(self, address: str, path: str, body: Any) -> Outcome[bytes]:
         try:
@@ -124,5 +124,5 @@
         return Done(response.content)
 
 
-def _without_value(outcome: Outcome[bytes]) -> Outcome[None]:
+def _discard_value(outcome: Outcome[bytes]) -> Outcome[None]:
     return Done(None) if isinstance(outcome, Done) else outcome
--- a/src/pomeloyard/workers/links.py
+++ b/src/pomeloyard/workers/links.py
@@ -1,4 +1,4 @@
-"""Regular contact with every worker: leases, reports, starts and signals."""
+"""Periodic calls to all workers: lease renewals, reports, starts and signals."""
 
 from __future__ import annotations
 
@@ -18,37 +18,40 @@
 
 TASK_LEASE = timedelta(seconds=10)
 LEASE_MARGIN = timedelta(seconds=1)
-"""Added to a lease before its task counts as ended, for differences of clocks."""
+"""Added to a lease before its task counts as ended, to allow for clock differences."""
 RENEW_INTERVAL = timedelta(seconds=3)
 RETRY_INTERVAL = timedelta(seconds=1)
 IDLE_INTERVAL = timedelta(seconds=15)
-EARLY_INTERVAL = timedelta(seconds=1)
-"""Least time between contacts that are made because a task should have ended."""
-SIGNAL_INTERVAL = timedelta(seconds=0.25)
-"""Time from a signal to the contact that shows its effect."""
-START_WITHIN = timedelta(seconds=2)
-"""A start is sent only this soon after its record was written, so that a daemon
-that was paused in between does not start what others have given up."""
+MIN_EXPECTED_END_INTERVAL = timedelta(seconds=1)
+"""Minimum time between calls made because a task is expected to have ended."""
+SIGNAL_REPORT_DELAY = timedelta(seconds=0.25)
+"""Time from a signal to the call that reports its effect."""
+MAX_START_DELAY = timedelta(seconds=2)
+"""Time after the write of a task's record in which its start may be sent, so that
+a daemon that was paused in between does not start a task that another scheduler
+has given up."""
 LATE_START = timedelta(seconds=60)
-"""For this long after a start without an answer the task's report is not
-acknowledged, so that the late order meets the report and has no effect."""
+"""Time after an unanswered start in which the task's report is not acknowledged:
+if the start arrives late, the worker still has the report and does not run the
+task again."""
 FAILURES_BEFORE_PROBING = 2
-"""After this many failed calls in a row leases are no longer renewed, so that
-they certainly end; the worker is only asked for reports."""
+"""After this many consecutive failed calls, leases are no longer renewed, so that
+they certainly expire; the worker is only asked for reports."""
 MAX_CALLS = 64
-MAX_CALLS_TO_SILENT = 32
-"""Silent workers have their own calls, so that they never delay the others."""
-TICK = timedelta(seconds=0.1)
+MAX_CALLS_TO_UNRESPONSIVE = 32
+"""Unresponsive workers have a limit of their own, so that they cannot delay calls
+to the others."""
+POLL_INTERVAL = timedelta(seconds=0.1)
 
 
 @dataclass
 class Track:
-    """A task at a worker.
+    """A task assigned to a worker.
 
     ``confirmed``: the worker is known to have it. ``uncertain``: a start had an
-    unknown outcome. ``recovered``: it was ordered before this term began;
+    unknown outcome. ``recovered``: it was started before this scheduler's term;
     ``superseded``: under a lower fencing token, which the worker now refuses.
-    ``ended_by`` is when its lease has certainly ended without another renewal.
+    ``ended_by`` is when its lease has certainly expired unless it is renewed.
     """
 
     job_key: str
@@ -64,7 +67,7 @@
 
 @dataclass
 class Link:
-    """What is known of one worker under this fencing token."""
+    """State of one worker under this fencing token."""
 
     name: str
     address: str
@@ -78,26 +81,26 @@
 
     @property
     def reachable(self) -> bool:
-        """Tell whether the worker may be given tasks."""
+        """Tell whether tasks may be assigned to the worker."""
         return self.answered and self.failures < FAILURES_BEFORE_PROBING
 
 
 class LinkEvents(ABC):
-    """What the scheduler does about the workers' answers."""
+    """Callbacks of the scheduler for the results of calls to workers."""
 
     @abstractmethod
     def reported(
         self, link: Link, reports: Sequence[TaskReport], known: frozenset[str]
     ) -> None:
-        """Handle all reports of a worker; it certainly had the ``known`` tasks."""
+        """Handle all reports of a worker, which certainly had the ``known`` tasks."""
 
     @abstractmethod
     def worker_gone(self, link: Link) -> None:
-        """End the tasks of a worker that the platform's list no longer has."""
+        """End the tasks of a worker that is no longer in the platform's VM list."""
 
     @abstractmethod
     def acknowledgeable(self, link: Link) -> list[str]:
-        """Return ended tasks whose results are in the store."""
+        """Return ended tasks whose results have been stored."""
 
     @abstractmethod
     def not_started(self, link: Link, task_id: str, track: Track) -> None:
@@ -105,11 +108,11 @@
 
     @abstractmethod
     def expected_end(self, link: Link) -> timedelta | None:
-        """Return when a task of the worker will probably end next."""
+        """Return the expected end of the worker's task that ends next, if known."""
 
 
 class WorkerLinks:
-    """Links to all workers; calls run in parallel within bounds."""
+    """Calls to all workers, with a limit on parallel calls."""
 
     def __init__(
         self, clock: Clock, client: WorkerClient, fence: int, events: LinkEvents
@@ -118,70 +121,71 @@
         self._client = client
         self._fence = fence
         self._events = events
-        self._heap: list[tuple[timedelta, str]] = []
+        self._due_heap: list[tuple[timedelta, str]] = []
         self._calls = anyio.CapacityLimiter(MAX_CALLS)
-        self._silent_calls = anyio.CapacityLimiter(MAX_CALLS_TO_SILENT)
+        self._unresponsive_calls = anyio.CapacityLimiter(MAX_CALLS_TO_UNRESPONSIVE)
         self._tasks: TaskGroup | None = None
         self.stale = anyio.Event()
+        """Set when a worker has refused a call because of a newer fencing token."""
         self.by_name: dict[str, Link] = {}
         self.health_changed = False
-        """Set when a worker became reachable or unreachable."""
+        """Set when a worker has become reachable or unreachable."""
 
     async def run(self) -> None:
-        """Contact workers when due until cancelled."""
+        """Call workers when they are due, until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
                 now = self._clock.monotonic()
-                while self._heap and self._heap[0][0] <= now:
-                    due, name = heapq.heappop(self._heap)
+                while self._due_heap and self._due_heap[0][0] <= now:
+                    due, name = heapq.heappop(self._due_heap)
                     link = self.by_name.get(name)
                     if link is not None and not link.busy and link.due == due:
                         link.busy = True
-                        tasks.start_soon(self._contact, link)
-                await self._clock.sleep(TICK)
+                        tasks.start_soon(self._call_worker, link)
+                await self._clock.sleep(POLL_INTERVAL)
 
     def put(self, name: str, address: str, boot_id: str) -> Link:
-        """Add a worker, or note its new address."""
+        """Add a worker, or update its address and boot id."""
         link = self.by_name.get(name)
         if link is None:
             link = Link(name, address, boot_id, self._clock.monotonic())
             self.by_name[name] = link
-            heapq.heappush(self._heap, (link.due, name))
+            heapq.heappush(self._due_heap, (link.due, name))
         link.address, link.boot_id = address, boot_id
         return link
 
     def remove(self, name: str) -> None:
-        """Forget a worker that is gone; its tasks have ended."""
+        """Remove a worker that no longer exists; its tasks have ended."""
         self._events.worker_gone(self.by_name.pop(name))
 
     def hurry(self, link: Link, after: timedelta = timedelta(0)) -> None:
-        """Contact a worker sooner than planned."""
+        """Call a worker sooner than scheduled."""
         due = self._clock.monotonic() + after
         if due < link.due:
             link.due = due
             if not link.busy:
-                heapq.heappush(self._heap, (due, link.name))
+                heapq.heappush(self._due_heap, (due, link.name))
 
     def start(self, link: Link, task_id: str, track: Track) -> None:
-        """Order a task in the background; its record is in the store."""
+        """Start a task in the background; its record must already be stored."""
         link.tracks[task_id] = track
-        self._start_soon(link, task_id, track)
+        self._start_in_background(link, task_id, track)
 
     def start_again(self, link: Link, task_id: str, track: Track) -> None:
-        """Repeat an order whose outcome is unknown; the task id is the same."""
+        """Repeat a start whose outcome is unknown, with the same task id."""
         if not track.starting and track.order is not None:
-            self._start_soon(link, task_id, track)
+            self._start_in_background(link, task_id, track)
 
     def signal(self, link: Link, task_id: str, action: TaskAction) -> None:
-        """Ask for an action on a task in the background."""
+        """Request an action on a task in the background."""
         assert self._tasks is not None
         self._tasks.start_soon(self._signal, link, task_id, action)
 
-    def _start_soon(self, link: Link, task_id: str, track: Track) -> None:
+    def _start_in_background(self, link: Link, task_id: str, track: Track) -> None:
         assert self._tasks is not None
         track.starting = True
-        sent_by = self._clock.monotonic() + START_WITHIN
+        sent_by = self._clock.monotonic() + MAX_START_DELAY
         self._tasks.start_soon(self._start, link, task_id, track, sent_by)
 
     async def _start(
@@ -202,7 +206,7 @@
         if isinstance(outcome, Done):
             track.confirmed = True
             track.ended_by = now + TASK_LEASE + LEASE_MARGIN
-            self.hurry(link, self._interval(link))
+            self.hurry(link, self._call_interval(link))
         elif not isinstance(outcome, Refused):
             track.uncertain = True
             track.ended_by = now + TASK_LEASE + LEASE_MARGIN
@@ -210,7 +214,7 @@
             self.hurry(link)
         elif not track.uncertain:
             if outcome.reason is RefusalReason.ENDPOINT_UNREACHABLE:
-                # Not given other tasks until it has answered again.
+                # The worker gets no other tasks until it has answered again.
                 link.failures = max(link.failures, FAILURES_BEFORE_PROBING)
                 self.health_changed = True
                 self.hurry(link)
@@ -223,9 +227,9 @@
                 link.address, task_id, self._fence, action
             )
         self._is_stale(outcome)
-        self.hurry(link, SIGNAL_INTERVAL)
+        self.hurry(link, SIGNAL_REPORT_DELAY)
 
-    async def _contact(self, link: Link) -> None:
+    async def _call_worker(self, link: Link) -> None:
         try:
             async with self._limiter(link):
                 await self._acknowledge(link)
@@ -233,9 +237,9 @@
         finally:
             link.busy = False
             if self.by_name.get(link.name) is link:
-                wait = RETRY_INTERVAL if link.failures else self._interval(link)
+                wait = RETRY_INTERVAL if link.failures else self._call_interval(link)
                 link.due = self._clock.monotonic() + wait
-                heapq.heappush(self._heap, (link.due, link.name))
+                heapq.heappush(self._due_heap, (link.due, link.name))
 
     async def _acknowledge(self, link: Link) -> None:
         now = self._clock.monotonic()
@@ -275,18 +279,19 @@
         if link.reachable is not was_reachable:
             self.health_changed = True
 
-    def _interval(self, link: Link) -> timedelta:
+    def _call_interval(self, link: Link) -> timedelta:
         if not link.tracks:
             return IDLE_INTERVAL if not link.keep_until else RENEW_INTERVAL
         expected = self._events.expected_end(link)
         if expected is None:
             return RENEW_INTERVAL
         return min(
-            max(expected - self._clock.monotonic(), EARLY_INTERVAL), RENEW_INTERVAL
+            max(expected - self._clock.monotonic(), MIN_EXPECTED_END_INTERVAL),
+            RENEW_INTERVAL,
         )
 
     def _limiter(self, link: Link) -> anyio.CapacityLimiter:
-        return self._silent_calls if link.failures else self._calls
+        return self._unresponsive_calls if link.failures else self._calls
 
     def _is_stale(self, outcome: Outcome[None] | Outcome[list[TaskReport]]) -> bool:
         stale = (
@@ -298,5 +303,5 @@
 
 
 RECOVERY_WAIT = TASK_LEASE + LEASE_MARGIN + CALL_TIMEOUT
-"""A new scheduler waits this long for a worker that does not answer: a lease,
-and a renewal by the former scheduler that was on its way."""
+"""Time that a new scheduler waits for a worker that does not answer: one lease,
+plus a renewal by the previous scheduler that was still in flight."""
--- a/src/pomeloyard/workers/tasks.py
+++ b/src/pomeloyard/workers/tasks.py
@@ -18,7 +18,7 @@
 
 
 class TaskAction(Enum):
-    """What a worker can be asked to do with a running task."""
+    """Action that a worker can be asked to take on a running task."""
 
     CHECKPOINT = "checkpoint"
     THROTTLE = "throttle"
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskStart:
-    """Order to run a task under a lease.
+    """Request to run a task under a lease.
 
     ``fence`` is the scheduler's fencing token; ``lease_seconds`` is how long the
     worker runs the task without renewal.
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskReport:
-    """State and usage of a task; usage lags behind reality."""
+    """State and resource usage of a task; the usage may be out of date."""
 
     task_id: str
     job_id: str
--- a/tests/support/faulty_store.py
+++ b/tests/support/faulty_store.py
@@ -1,4 +1,4 @@
-"""A store that fails on request, for tests of everything above the store."""
+"""Store with injected faults, for tests of the code that uses the store."""
 
 from __future__ import annotations
 
@@ -23,9 +23,9 @@
 
     ``lose_answers`` is how many of the next writes take effect and then raise
     StoreOutcomeUnknownError; ``lose_requests`` is how many raise it without
-    effect. ``stale_page`` is returned by scans in place of the present content.
-    ``change_batch`` turns each watch batch into any number of batches. ``before``
-    is called with the name of each operation before it runs.
+    effect. ``stale_page`` is returned by scans instead of the current content.
+    ``change_batch`` maps each watch batch to any number of batches. ``before`` is
+    called with the name of each operation before it runs.
     """
 
     def __init__(self, inner: MemoryStore) -> None:
@@ -39,7 +39,7 @@
         self.before: Callable[[str], None] = lambda operation: None
 
     def set_available(self, available: bool) -> None:
-        """Start or end an outage; an outage also ends open watches."""
+        """Start or end an outage; its start also ends open watches."""
         self.available = available
         if not available:
             self.inner.break_watches()
