--- a/src/pomeloyard/allocation/__init__.py
+++ b/src/pomeloyard/allocation/__init__.py
@@ -1,1 +1,5 @@
-"""Slots and limits held without agreement: partitions, loans and admission."""
+"""Capacity allocation without a consensus round per request.
+
+Partitions divide slots and limits among the daemons, loans move them, and admission
+spends them.
+"""
--- a/src/pomeloyard/allocation/admission.py
+++ b/src/pomeloyard/allocation/admission.py
@@ -1,4 +1,4 @@
-"""Admission of requests: queues, executor slots and units of team limits."""
+"""Request admission: queues, executor slots and units of team limits."""
 
 from __future__ import annotations
 
@@ -18,19 +18,19 @@
 MIN_RETRY_AFTER = timedelta(seconds=1)
 MAX_RETRY_AFTER = timedelta(seconds=30)
 TARGET_LIFETIME = timedelta(seconds=3)
-"""Targets of the coordinator older than this are replaced by local shares."""
+"""Coordinator targets older than this are dropped in favour of local shares."""
 
 LOCAL_SHARE_INTERVAL = timedelta(milliseconds=100)
 MAX_DEFICIT_SECONDS = 2.0
-"""Bound of a team's deficit, in seconds of its target."""
+"""Largest absolute deficit of a team, in seconds of its target."""
 
-Prefer = Callable[[str, list[str]], list[str]]
-"""Orders the free executors of a service by preference, without unusable ones."""
+ExecutorPreference = Callable[[str, list[str]], list[str]]
+"""Sorts a service's free executors by preference and filters out unusable ones."""
 
 
 @dataclass(frozen=True, slots=True)
 class Permit:
-    """Right to run one request of ``team`` on executor ``vm``."""
+    """Permission to run one request of ``team`` on executor ``vm``."""
 
     number: int
     service: str
@@ -39,8 +39,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamUse:
-    """A team's requests for a service; served time counts running ones too."""
+class TeamUsage:
+    """A team's usage of a service; served time includes requests still running."""
 
     queued: int
     running: int
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True)
 class _Team:
-    """Queue, use and deficit of one team for one service."""
+    """Queues, usage and deficit of one team for one service."""
 
     urgent: deque[_Waiter] = field(default_factory=deque)
     normal: deque[_Waiter] = field(default_factory=deque)
@@ -67,10 +67,10 @@
     running: int = 0
     served_seconds: float = 0.0
     deficit: float = 0.0
-    updated: timedelta = timedelta(0)
+    updated_at: timedelta = timedelta(0)
 
     def head(self) -> _Waiter | None:
-        """Return the next request that still waits."""
+        """Return the next waiting request, skipping abandoned ones."""
         for queue in (self.urgent, self.normal):
             while queue and queue[0].abandoned:
                 queue.popleft()
@@ -94,7 +94,7 @@
     queued: int = 0
 
     def target(self, team: str) -> float:
-        """Return a team's target; local shares serve teams new to the coordinator."""
+        """Return a team's target, or its local share if the coordinator sent none."""
         local = self.local_targets_by_team.get(team, 0.0)
         return self.targets_by_team.get(team, local)
 
@@ -102,9 +102,9 @@
 class AdmissionController:
     """Grants permits within the slots and units that this daemon may use.
 
-    ``slots`` and ``units`` return what may be in use of a VM and of a team's
-    limit, ``executors`` the VMs of a service that accept work, ``weight`` a
-    team's share.
+    ``slots`` returns how many slots of a VM may be in use, ``units`` how many
+    units of a team's limit, ``executors`` the VMs of a service that accept work,
+    and ``weight`` a team's share.
     """
 
     def __init__(
@@ -114,7 +114,7 @@
         units: Callable[[str], int],
         executors: Callable[[str], list[str]],
         weight: Callable[[str], float],
-        prefer: Prefer | None = None,
+        prefer: ExecutorPreference | None = None,
     ) -> None:
         self._clock = clock
         self._slots = slots
@@ -122,58 +122,58 @@
         self._executors = executors
         self._weight = weight
         self._prefer = prefer or (lambda service, names: names)
-        self._numbers = itertools.count(1)
+        self._permit_numbers = itertools.count(1)
         self._services_by_name: dict[str, _Service] = {}
         self._held: list[tuple[timedelta, int, Permit]] = []
         self.running_by_vm: dict[str, int] = {}
         self.running_by_team: dict[str, int] = {}
         self._closing = False
-        self.on_shortage: Callable[[], None] = lambda: None
-        """Called when a request has to wait, so that demand is reported early."""
+        self.on_request_queued: Callable[[], None] = lambda: None
+        """Called when a request has to wait, to trigger an early demand report."""
         self.on_release: Callable[[Permit], None] = lambda permit: None
-        """Called when a slot and a unit came free, before they are used again."""
+        """Called when a slot and a unit are freed, before they are reused."""
 
     def queued(self, service: str) -> int:
-        """Return how many requests wait for a service."""
-        record = self._services_by_name.get(service)
-        return record.queued if record is not None else 0
+        """Return the number of requests queued for a service."""
+        state = self._services_by_name.get(service)
+        return state.queued if state is not None else 0
 
     def queued_by_team(self) -> dict[str, int]:
-        """Return how many requests of each team wait, over all services."""
+        """Return the number of queued requests per team, over all services."""
         counts: dict[str, int] = {}
-        for record in self._services_by_name.values():
-            for name, team in record.teams_by_name.items():
+        for state in self._services_by_name.values():
+            for name, team in state.teams_by_name.items():
                 counts[name] = counts.get(name, 0) + team.queued
         return counts
 
-    def use_by_service_team(self) -> dict[tuple[str, str], TeamUse]:
-        """Return queue, running requests and served time of all teams."""
+    def use_by_service_team(self) -> dict[tuple[str, str], TeamUsage]:
+        """Return queued and running requests and served time by (service, team)."""
         now = self._clock.monotonic()
         result = {}
-        for service, record in self._services_by_name.items():
-            for name, team in record.teams_by_name.items():
-                self._advance(record, name, team, now)
-                use = TeamUse(team.queued, team.running, team.served_seconds)
-                result[service, name] = use
+        for service, state in self._services_by_name.items():
+            for name, team in state.teams_by_name.items():
+                self._update_deficit(state, name, team, now)
+                usage = TeamUsage(team.queued, team.running, team.served_seconds)
+                result[service, name] = usage
         return result
 
     def set_targets(
         self, targets: Mapping[tuple[str, str], float], *, replace_all: bool = True
     ) -> None:
-        """Adopt the coordinator's targets in slots, by (service, team)."""
+        """Apply the coordinator's targets in slots, by (service, team)."""
         now = self._clock.monotonic()
-        self._advance_all(now)
-        for record in self._services_by_name.values():
+        self._update_all_deficits(now)
+        for state in self._services_by_name.values():
             if replace_all:
-                record.targets_by_team = {}
-            record.targets_at = now
+                state.targets_by_team = {}
+            state.targets_at = now
         for (service, team), slots in targets.items():
-            record = self._service(service)
-            record.targets_at = now
+            state = self._service_state(service)
+            state.targets_at = now
             if slots > 0:
-                record.targets_by_team[team] = slots
+                state.targets_by_team[team] = slots
             else:
-                record.targets_by_team.pop(team, None)
+                state.targets_by_team.pop(team, None)
         self.dispatch_all()
 
     async def acquire(
@@ -186,46 +186,46 @@
         urgent: bool = False,
         exclude: frozenset[str] = frozenset(),
     ) -> Outcome[Permit]:
-        """Wait for a permit until ``deadline`` (monotonic)."""
-        record = self._service(service)
+        """Wait for a permit until ``deadline``, in monotonic time."""
+        state = self._service_state(service)
         if self._closing:
             return Refused(RefusalReason.SHUTTING_DOWN, service, MIN_RETRY_AFTER)
-        if record.queued >= queue_length:
-            return Refused(RefusalReason.QUEUE_FULL, service, self._retry_after(record))
-        waiter = self._enqueue(record, _Waiter(service, team, exclude), urgent)
+        if state.queued >= queue_length:
+            return Refused(RefusalReason.QUEUE_FULL, service, self._retry_after(state))
+        waiter = self._enqueue(state, _Waiter(service, team, exclude), urgent)
         self.dispatch(service)
         if waiter.permit is not None:
             return Done(waiter.permit)
-        self.on_shortage()
+        self.on_request_queued()
         try:
             remaining = deadline - self._clock.monotonic()
             with anyio.move_on_after(max(0.0, remaining.total_seconds())):
                 await waiter.granted.wait()
         except BaseException:
-            self._withdraw(record, waiter)
+            self._withdraw(state, waiter)
             raise
         if waiter.permit is not None:
             return Done(waiter.permit)
-        self._withdraw(record, waiter)
-        return self._refusal(record, team)
+        self._withdraw(state, waiter)
+        return self._refusal(state, team)
 
     def close(self) -> None:
-        """Refuse waiting and new requests; another daemon can take them at once."""
+        """Refuse queued and new requests, so that callers retry at another daemon."""
         self._closing = True
-        for record in self._services_by_name.values():
-            for team in record.teams_by_name.values():
+        for state in self._services_by_name.values():
+            for team in state.teams_by_name.values():
                 for waiter in (*team.urgent, *team.normal):
                     waiter.granted.set()
 
     def running(self) -> int:
-        """Return how many requests run or may still run."""
+        """Return the number of requests that run or may still be running."""
         return sum(self.running_by_vm.values())
 
     def release(self, permit: Permit) -> None:
-        """Return a permit's slot and unit and serve the next request."""
-        record = self._service(permit.service)
-        team = record.teams_by_name[permit.team]
-        self._advance(record, permit.team, team, self._clock.monotonic())
+        """Free a permit's slot and unit and admit waiting requests."""
+        state = self._service_state(permit.service)
+        team = state.teams_by_name[permit.team]
+        self._update_deficit(state, permit.team, team, self._clock.monotonic())
         team.running -= 1
         self.running_by_vm[permit.vm] -= 1
         self.running_by_team[permit.team] -= 1
@@ -233,51 +233,51 @@
         self.dispatch_all()
 
     def hold_until(self, permit: Permit, deadline: timedelta) -> None:
-        """Keep a permit's slot and unit in use until ``deadline`` (monotonic).
+        """Keep a permit's slot and unit reserved until ``deadline`` (monotonic).
 
-        Used after an unknown outcome, since the request may still be running.
+        Used when the outcome is unknown and the request may still be running.
         """
         heapq.heappush(self._held, (deadline, permit.number, permit))
 
-    def release_due(self) -> None:
-        """Return the held permits whose deadline has passed."""
+    def release_expired_holds(self) -> None:
+        """Release the held permits whose deadline has passed."""
         now = self._clock.monotonic()
         while self._held and self._held[0][0] <= now:
             self.release(heapq.heappop(self._held)[2])
 
     def held(self) -> int:
-        """Return how many permits are held after unknown outcomes."""
+        """Return the number of permits held after unknown outcomes."""
         return len(self._held)
 
     def dispatch_all(self) -> None:
-        """Serve waiting requests of all services."""
-        for service, record in self._services_by_name.items():
-            if record.queued:
+        """Admit queued requests of all services."""
+        for service, state in self._services_by_name.items():
+            if state.queued:
                 self.dispatch(service)
 
     def dispatch(self, service: str) -> None:
-        """Serve waiting requests while slots and units are free."""
-        record = self._service(service)
-        if not record.queued or self._closing:
+        """Admit a service's queued requests while slots and units are free."""
+        state = self._service_state(service)
+        if not state.queued or self._closing:
             return
         free = self._free_executors(service)
         if not free:
             return
         now = self._clock.monotonic()
-        self._refresh_targets(service, record, now)
-        for name, team in record.teams_by_name.items():
-            self._advance(record, name, team, now)
-        blocked: set[str] = set()
+        self._refresh_targets(service, state, now)
+        for name, team in state.teams_by_name.items():
+            self._update_deficit(state, name, team, now)
+        skipped_teams: set[str] = set()
         while free:
-            chosen = self._next_team(record, blocked)
+            chosen = self._next_team(state, skipped_teams)
             if chosen is None:
                 return
-            if not self._grant(record, chosen, free):
-                blocked.add(chosen)
+            if not self._grant(state, chosen, free):
+                skipped_teams.add(chosen)
 
-    def _grant(self, record: _Service, name: str, free: dict[str, int]) -> bool:
-        """Give the team's next request a slot; return False if none suits it."""
-        team = record.teams_by_name[name]
+    def _grant(self, state: _Service, name: str, free: dict[str, int]) -> bool:
+        """Grant the team's next request a slot; return False if none is usable."""
+        team = state.teams_by_name[name]
         waiter = team.head()
         if waiter is None:
             return False
@@ -287,27 +287,28 @@
             return False
         vm = preferred[0]
         team.pop()
-        record.queued -= 1
+        state.queued -= 1
         team.running += 1
         self.running_by_vm[vm] = self.running_by_vm.get(vm, 0) + 1
         self.running_by_team[name] = self.running_by_team.get(name, 0) + 1
         free[vm] -= 1
         if not free[vm]:
             del free[vm]
-        waiter.permit = Permit(next(self._numbers), waiter.service, name, vm)
+        waiter.permit = Permit(next(self._permit_numbers), waiter.service, name, vm)
         waiter.granted.set()
         return True
 
-    def _next_team(self, record: _Service, blocked: set[str]) -> str | None:
-        """Return the team with the largest deficit that may start a request."""
+    def _next_team(self, state: _Service, skipped_teams: set[str]) -> str | None:
+        """Return the team with the largest deficit among those below their limit."""
         best: tuple[float, float, str] | None = None
-        for name, team in record.teams_by_name.items():
-            if not team.queued or name in blocked or team.head() is None:
+        for name, team in state.teams_by_name.items():
+            if not team.queued or name in skipped_teams or team.head() is None:
                 continue
             if self.running_by_team.get(name, 0) >= self._units(name):
                 continue
-            target = record.target(name)
-            # Requests granted now weigh against the next choice at this moment.
+            target = state.target(name)
+            # Deficits change only with time; the running count lets requests granted
+            # in the same dispatch lower the team's rank at once.
             rank = (team.deficit + target - team.running, -team.running, name)
             if best is None or rank > best:
                 best = rank
@@ -321,75 +322,75 @@
                 free[vm] = slots
         return free
 
-    def _refresh_targets(self, service: str, record: _Service, now: timedelta) -> None:
-        """Compute local shares, and drop targets of a coordinator not heard from."""
-        if record.targets_at is not None and now - record.targets_at > TARGET_LIFETIME:
-            record.targets_by_team = {}
-            record.targets_at = None
-        if record.local_at is not None and now - record.local_at < LOCAL_SHARE_INTERVAL:
+    def _refresh_targets(self, service: str, state: _Service, now: timedelta) -> None:
+        """Recompute local shares, and drop coordinator targets that have expired."""
+        if state.targets_at is not None and now - state.targets_at > TARGET_LIFETIME:
+            state.targets_by_team = {}
+            state.targets_at = None
+        if state.local_at is not None and now - state.local_at < LOCAL_SHARE_INTERVAL:
             return
-        record.local_at = now
+        state.local_at = now
         capacity = sum(self._slots(vm) for vm in self._executors(service))
         demands = {
             name: float(team.queued + team.running)
-            for name, team in record.teams_by_name.items()
+            for name, team in state.teams_by_name.items()
         }
         weights = {name: self._weight(name) for name in demands}
-        record.local_targets_by_team = weighted_max_min(capacity, demands, weights)
+        state.local_targets_by_team = weighted_max_min(capacity, demands, weights)
 
-    def _advance_all(self, now: timedelta) -> None:
-        for record in self._services_by_name.values():
-            for name, team in record.teams_by_name.items():
-                self._advance(record, name, team, now)
+    def _update_all_deficits(self, now: timedelta) -> None:
+        for state in self._services_by_name.values():
+            for name, team in state.teams_by_name.items():
+                self._update_deficit(state, name, team, now)
 
-    def _advance(
-        self, record: _Service, name: str, team: _Team, now: timedelta
+    def _update_deficit(
+        self, state: _Service, name: str, team: _Team, now: timedelta
     ) -> None:
-        """Account for the time since the last change of the team's use."""
-        elapsed = (now - team.updated).total_seconds()
+        """Add the time since the last update to served time and deficit."""
+        elapsed = (now - team.updated_at).total_seconds()
         if elapsed <= 0:
             return
-        team.updated = now
+        team.updated_at = now
         team.served_seconds += team.running * elapsed
-        target = record.target(name)
-        bound = MAX_DEFICIT_SECONDS * (1.0 + target)
-        # A team without a queue earns nothing, but what it received in excess still
-        # counts: its queue may be empty just because it was served too early.
-        most = bound if team.queued else 0.0
+        target = state.target(name)
+        max_deficit = MAX_DEFICIT_SECONDS * (1.0 + target)
+        # A team without queued requests accrues no deficit, but keeps a negative
+        # one: its queue may be empty only because it received more than its share.
+        upper_bound = max_deficit if team.queued else 0.0
         deficit = team.deficit + (target - team.running) * elapsed
-        team.deficit = max(-bound, min(most, deficit))
+        team.deficit = max(-max_deficit, min(upper_bound, deficit))
 
-    def _service(self, name: str) -> _Service:
+    def _service_state(self, name: str) -> _Service:
         return self._services_by_name.setdefault(name, _Service())
 
-    def _enqueue(self, record: _Service, waiter: _Waiter, urgent: bool) -> _Waiter:
-        team = record.teams_by_name.get(waiter.team)
+    def _enqueue(self, state: _Service, waiter: _Waiter, urgent: bool) -> _Waiter:
+        team = state.teams_by_name.get(waiter.team)
         if team is None:
-            team = _Team(updated=self._clock.monotonic())
-            record.teams_by_name[waiter.team] = team
+            team = _Team(updated_at=self._clock.monotonic())
+            state.teams_by_name[waiter.team] = team
         (team.urgent if urgent else team.normal).append(waiter)
         team.queued += 1
-        record.queued += 1
+        state.queued += 1
         return waiter
 
-    def _withdraw(self, record: _Service, waiter: _Waiter) -> None:
+    def _withdraw(self, state: _Service, waiter: _Waiter) -> None:
         if waiter.permit is not None:
             self.release(waiter.permit)
         elif not waiter.abandoned:
             waiter.abandoned = True
-            record.teams_by_name[waiter.team].queued -= 1
-            record.queued -= 1
+            state.teams_by_name[waiter.team].queued -= 1
+            state.queued -= 1
 
-    def _refusal(self, record: _Service, team: str) -> Refused:
+    def _refusal(self, state: _Service, team: str) -> Refused:
         if self._closing:
             return Refused(RefusalReason.SHUTTING_DOWN, team, MIN_RETRY_AFTER)
         reason = RefusalReason.DEADLINE_PASSED
         if self.running_by_team.get(team, 0) >= self._units(team):
             reason = RefusalReason.LIMIT_REACHED
-        return Refused(reason, team, self._retry_after(record))
+        return Refused(reason, team, self._retry_after(state))
 
-    def _retry_after(self, record: _Service) -> timedelta:
-        """Return about how long the present queue takes to drain."""
-        running = sum(team.running for team in record.teams_by_name.values())
-        seconds = record.queued / max(1, running)
+    def _retry_after(self, state: _Service) -> timedelta:
+        """Estimate how long the current queue takes to drain."""
+        running = sum(team.running for team in state.teams_by_name.values())
+        seconds = state.queued / max(1, running)
         return min(max(MIN_RETRY_AFTER, timedelta(seconds=seconds)), MAX_RETRY_AFTER)
--- a/src/pomeloyard/allocation/advice.py
+++ b/src/pomeloyard/allocation/advice.py
@@ -1,4 +1,4 @@
-"""Advice of the coordinator as messages that carry only what has changed."""
+"""Encoding of coordinator advice as messages that carry only changes."""
 
 from __future__ import annotations
 
@@ -10,18 +10,20 @@
 from .coordination import Advice
 from .loans import Resource
 
-HUNDREDTHS = 100
+TARGET_SCALE = 100
+"""Targets are sent as integers, in hundredths of a slot."""
+
 MIN_TARGET_CHANGE = 0.1
-"""Slots by which a target must differ from the one sent, at least."""
+"""Smallest change of a target that is sent, in slots."""
 
 RELATIVE_TARGET_CHANGE = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class AdviceIndex:
-    """What positions in messages mean, for one configuration and one table.
+    """Maps positions in messages to names, for one configuration and table.
 
-    ``revisions`` are those of the configuration and of the partition table.
+    ``revisions`` are the revisions of the configuration and the partition table.
     """
 
     revisions: tuple[int, int]
@@ -31,16 +33,16 @@
 
 
 class SentAdvice:
-    """What one daemon was last told, so that only changes are sent."""
+    """Remembers the advice sent to one daemon, so that only changes are sent."""
 
     def __init__(self, index: AdviceIndex) -> None:
         self.index = index
-        self.at = timedelta(0)
-        self._targets: dict[tuple[str, str], float] = {}
-        self._lend: dict[Resource, dict[str, int]] = {}
+        self.sent_at = timedelta(0)
+        self._sent_targets: dict[tuple[str, str], float] = {}
+        self._sent_lending: dict[Resource, dict[str, int]] = {}
 
     def next_message(self, advice: Advice, *, full: bool) -> LendAdvice:
-        """Return and remember what differs from what was sent before."""
+        """Return the changes since the last message, and record them as sent."""
         config_revision, partitions_revision = self.index.revisions
         return LendAdvice(
             full,
@@ -53,20 +55,20 @@
     def _changed_targets(
         self, targets: Mapping[tuple[str, str], float]
     ) -> tuple[tuple[int, int, int], ...]:
-        """Return rows of targets that differ noticeably; 0 when dropped."""
+        """Return rows for targets beyond the minimum change; 0 for dropped ones."""
         rows = []
-        for service, team in sorted(self._targets.keys() | targets.keys()):
+        for service, team in sorted(self._sent_targets.keys() | targets.keys()):
             if service not in self.index.services or team not in self.index.teams:
                 continue
             key = (service, team)
-            before, now = self._targets.get(key), targets.get(key)
+            before, now = self._sent_targets.get(key), targets.get(key)
             if now is None:
-                del self._targets[key]
-            elif before is None or abs(now - before) > _tolerance(now):
-                self._targets[key] = now
+                del self._sent_targets[key]
+            elif before is None or abs(now - before) > _min_change(now):
+                self._sent_targets[key] = now
             else:
                 continue
-            hundredths = round((now or 0.0) * HUNDREDTHS)
+            hundredths = round((now or 0.0) * TARGET_SCALE)
             position = self.index.services.index(service)
             rows.append((position, self.index.teams.index(team), hundredths))
         return tuple(rows)
@@ -74,14 +76,14 @@
     def _changed_lending(
         self, lend: Mapping[Resource, Mapping[str, int]]
     ) -> tuple[LendItem, ...]:
-        """Return the resources that should be lent differently than before."""
+        """Return the resources whose lending differs from what was sent."""
         items = []
-        resources = self._lend.keys() | lend.keys()
+        resources = self._sent_lending.keys() | lend.keys()
         for resource in sorted(resources, key=lambda r: (r.kind, r.name)):
             amounts = dict(lend.get(resource, {}))
-            if amounts == self._lend.get(resource, {}):
+            if amounts == self._sent_lending.get(resource, {}):
                 continue
-            self._lend[resource] = amounts
+            self._sent_lending[resource] = amounts
             rows = tuple(
                 (self.index.members.index(borrower), amount)
                 for borrower, amount in sorted(amounts.items())
@@ -92,13 +94,13 @@
 
 
 def read_advice(message: LendAdvice, index: AdviceIndex) -> Advice | None:
-    """Return the advice of a message, or None if its positions cannot be read."""
+    """Decode a message, or return None if its positions do not fit the index."""
     if (message.config_revision, message.partitions_revision) != index.revisions:
         return None
     try:
         return Advice(
             {
-                (index.services[s], index.teams[t]): slots / HUNDREDTHS
+                (index.services[s], index.teams[t]): slots / TARGET_SCALE
                 for s, t, slots in message.targets
             },
             {
@@ -112,6 +114,6 @@
         return None
 
 
-def _tolerance(slots: float) -> float:
-    """Return the change of a target that is too small to be sent."""
+def _min_change(slots: float) -> float:
+    """Return the change above which a target is sent again."""
     return max(MIN_TARGET_CHANGE, RELATIVE_TARGET_CHANGE * slots)
--- a/src/pomeloyard/allocation/decisions.py
+++ b/src/pomeloyard/allocation/decisions.py
@@ -1,4 +1,4 @@
-"""Decision records of partitions that this daemon gained or lost."""
+"""Decision records for partitions that this daemon gains or loses."""
 
 from __future__ import annotations
 
@@ -11,23 +11,23 @@
 
 
 class MembershipReason(Enum):
-    """Why a partition changed its holder."""
+    """Reasons for a change of a partition's holder."""
 
     FIRST_HOLDER = "first-holder"
     RELEASED_BY_FORMER_HOLDER = "released-by-former-holder"
     FORMER_HOLDER_GONE = "former-holder-gone"
     RELEASED = "released"
     CONFIRMED_GONE = "confirmed-gone"
-    """Another daemon took this one as gone."""
+    """Other daemons considered this one gone and took the partition."""
     CHANGED_UNSEEN = "changed-unseen"
-    """Later holders followed before this daemon saw the change."""
+    """The partition changed hands again before this daemon saw the change."""
 
 
 class MembershipDecisions:
     """Records each partition that a daemon gains or loses.
 
-    The subject is "membership/<VM of the daemon>", which stays the same when the
-    daemon restarts.
+    The subject is "membership/<VM of the daemon>", so that it does not change when
+    the daemon restarts.
     """
 
     def __init__(
@@ -35,11 +35,11 @@
     ) -> None:
         self._clock = clock
         self._state = state
-        self._me = incarnation
+        self._incarnation = incarnation
         self._decisions = decisions
 
     def note_gained(self, number: int, clean: bool) -> None:
-        """Record a partition that this daemon holds now."""
+        """Record that this daemon has gained a partition."""
         partition = self._partition(number)
         if partition is None:
             return
@@ -52,11 +52,11 @@
         self._record("gain", partition, reason)
 
     def note_lost(self, number: int) -> None:
-        """Record a partition that this daemon holds no longer."""
+        """Record that this daemon has lost a partition."""
         partition = self._partition(number)
         if partition is None:
             return
-        if partition.former != self._me:
+        if partition.former != self._incarnation:
             reason = MembershipReason.CHANGED_UNSEEN
         elif partition.clean:
             reason = MembershipReason.RELEASED
@@ -75,7 +75,7 @@
             Decision(
                 self._clock.now(),
                 DecisionKind.MEMBERSHIP,
-                f"membership/{vm_of(self._me)}",
+                f"membership/{vm_of(self._incarnation)}",
                 f"{action} partition {partition.number}",
                 reason,
                 inputs={
--- a/src/pomeloyard/allocation/metrics.py
+++ b/src/pomeloyard/allocation/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of the slots and units that a daemon may use."""
+"""Metrics for the slots and limit units that a daemon may use."""
 
 from __future__ import annotations
 
@@ -16,9 +16,9 @@
 
 
 def capacity_metrics(capacity: CapacityService) -> Iterator[Metric]:
-    """Yield what partitions and loans allow, and what partitions alone carry.
+    """Yield gauges of the usable amounts, and of the amounts before loans.
 
-    The difference of the two is what was borrowed, or, if negative, lent.
+    The difference is the amount borrowed or, if negative, lent.
     """
     for kind, (name, label) in _NAMES_BY_KIND.items():
         usable = GaugeMetricFamily(name, "Usable with loans", labels=[label])
--- a/src/pomeloyard/allocation/partitions.py
+++ b/src/pomeloyard/allocation/partitions.py
@@ -1,4 +1,4 @@
-"""Partitions of countable capacity and of the idempotency key space."""
+"""Partitioning of countable capacity and of the idempotency key space."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Partition:
-    """One partition and its holder, an incarnation or empty.
+    """One partition; ``holder`` is an incarnation, or empty without a holder.
 
-    ``clean`` tells whether the former holder released the partition itself.
+    ``clean`` is true if the former holder released the partition itself.
     """
 
     number: int
@@ -27,20 +27,20 @@
 class PartitionTable:
     """All partitions by number, and the members in the order they joined.
 
-    A member is an incarnation that may hold partitions or loans. It is removed
-    by itself when it runs nothing more, or by others when it is confirmed gone
-    and none of its requests can still be running.
+    A member is an incarnation that may hold partitions or loans. It removes
+    itself once all its requests have ended; others remove it once it is confirmed
+    gone and none of its requests can still be running.
     """
 
     partitions: tuple[Partition, ...]
     members: tuple[str, ...] = ()
 
     def held_by(self, incarnation: str) -> tuple[int, ...]:
-        """Return the numbers of the partitions of a holder."""
+        """Return the numbers of the partitions that an incarnation holds."""
         return tuple(p.number for p in self.partitions if p.holder == incarnation)
 
     def with_holder(self, number: int, holder: str, *, clean: bool) -> PartitionTable:
-        """Return the table after a change of holder."""
+        """Return the table with a new holder and the next epoch for a partition."""
         old = self.partitions[number]
         new = replace(
             old,
@@ -53,18 +53,18 @@
         return replace(self, partitions=changed)
 
     def with_member(self, incarnation: str) -> PartitionTable:
-        """Return the table with one more member."""
+        """Return the table with a member added."""
         if incarnation in self.members:
             return self
         return replace(self, members=(*self.members, incarnation))
 
     def without_member(self, incarnation: str) -> PartitionTable:
-        """Return the table without a member, which must hold no partition."""
+        """Return the table without a member; it must not hold any partition."""
         members = tuple(m for m in self.members if m != incarnation)
         return replace(self, members=members)
 
-    def superseded(self, incarnation: str) -> bool:
-        """Tell whether a newer incarnation of the same VM has joined."""
+    def is_superseded(self, incarnation: str) -> bool:
+        """Return whether a newer incarnation of the same VM has joined."""
         if incarnation not in self.members:
             return False
         later = self.members[self.members.index(incarnation) + 1 :]
@@ -72,7 +72,7 @@
 
 
 def new_table(count: int = DEFAULT_PARTITIONS) -> PartitionTable:
-    """Return a table of partitions without holders."""
+    """Return a table whose partitions have no holders."""
     return PartitionTable(tuple(Partition(number) for number in range(count)))
 
 
@@ -94,8 +94,8 @@
 def base_amount(name: str, total: int, partition: int, count: int) -> int:
     """Return how many of ``total`` units of a resource a partition carries.
 
-    The amounts of all partitions sum to ``total``. The remainder starts at a
-    partition that depends on the name, so that small totals spread evenly.
+    The amounts of all partitions add up to ``total``. The resource's name decides
+    which partitions get the remainder, so that small totals spread evenly.
 
     >>> sum(base_amount("cut-1", 8, p, 18) for p in range(18))
     8
@@ -105,5 +105,5 @@
 
 
 def partition_of(key_hash: bytes, count: int) -> int:
-    """Return the partition that owns an idempotency key."""
+    """Return the partition to which an idempotency key belongs."""
     return int.from_bytes(key_hash[:8]) % count
--- a/src/pomeloyard/allocation/service.py
+++ b/src/pomeloyard/allocation/service.py
@@ -1,4 +1,4 @@
-"""Connects loans, coordination and admission to the other daemons."""
+"""Exchange of demand reports, advice and loans with the other daemons."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 from ..vm_platform.directory import Vm, VmRole
 from .admission import AdmissionController, Permit
 from .advice import AdviceIndex, SentAdvice, read_advice
-from .coordination import Advice, Coordinator, Demand, FleetShape, Report
-from .loans import LIMIT, SLOTS, LoanBook, Outgoing, Resource
+from .coordination import Advice, Coordinator, Demand, FleetCapacity, Report
+from .loans import LIMIT, SLOTS, LoanBook, OutgoingMessages, Resource
 
 BUSY_INTERVAL = timedelta(milliseconds=250)
 IDLE_INTERVAL = timedelta(seconds=1)
-EARLY_INTERVAL = timedelta(milliseconds=50)
-"""Least time between reports when a request has to wait."""
+MIN_REPORT_INTERVAL = timedelta(milliseconds=50)
+"""Minimum time between reports, also when a newly queued request triggers one."""
 
-REPEAT_INTERVAL = timedelta(seconds=1)
-ADVICE_REPEAT = timedelta(seconds=2)
-"""Unchanged advice is repeated so that targets stay in force."""
+RETRANSMIT_INTERVAL = timedelta(seconds=1)
+ADVICE_REPEAT_INTERVAL = timedelta(seconds=2)
+"""Unchanged advice is repeated before the targets expire at the receiver."""
 
 COORDINATOR_TIMEOUT = timedelta(seconds=1.5)
 
@@ -39,7 +39,7 @@
 
 
 class CapacityService:
-    """Keeps this daemon's capacity in step with the demand of the fleet."""
+    """Adjusts this daemon's usable capacity to the demand of the whole fleet."""
 
     def __init__(
         self,
@@ -52,22 +52,22 @@
         self._state = state
         self._network = network
         self._admission = admission
-        self._me = network.hello.incarnation
+        self._incarnation = network.hello.incarnation
         self._coordinator = Coordinator()
         self._sequence = 0
         self._wake = anyio.Event()
         self._busy = False
         self._queued_services: set[str] = set()
-        self._short_by_reporter: dict[str, frozenset[str]] = {}
+        self._queued_services_by_daemon: dict[str, frozenset[str]] = {}
         self._index_cache: AdviceIndex | None = None
         self._sent_advice: dict[str, SentAdvice] = {}
-        self._table_revision = 0
+        self._applied_table_revision = 0
         self._totals_key: tuple[int, int] = (0, 0)
         self._totals: dict[Resource, int] = {}
         self._connections: dict[str, int] = {}
         self._executors_by_pool: dict[str, list[Vm]] = {}
-        self.book = LoanBook(self._me, self.total_of, self.in_use)
-        admission.on_shortage = self._on_shortage
+        self.book = LoanBook(self._incarnation, self.total_of, self.in_use)
+        admission.on_request_queued = self._on_request_queued
         admission.on_release = self._on_release
         network.on_connect.append(self._on_connect)
         network.on(DemandReport, self._on_report)
@@ -78,15 +78,15 @@
         network.on(LoanStatement, self._on_statement)
 
     def slots(self, vm: str) -> int:
-        """Return how many slots of a VM this daemon may use."""
+        """Return the number of slots of a VM that this daemon may use."""
         return self.book.usable(Resource(SLOTS, vm))
 
     def units(self, team: str) -> int:
-        """Return how many units of a team's limit this daemon may use."""
+        """Return the number of units of a team's limit that this daemon may use."""
         return self.book.usable(Resource(LIMIT, team))
 
     def executors(self, service: str) -> list[str]:
-        """Return the executors of a service that accept work, in name order."""
+        """Return the names of a service's executors that accept work, sorted."""
         config = self._state.config.services_by_name.get(service)
         if config is None:
             return []
@@ -94,111 +94,113 @@
         return [vm.name for vm in vms if self._state.accepts_work(vm)]
 
     def connections(self, vm: str) -> int:
-        """Return how many connections to a VM this daemon may have open."""
+        """Return the number of connections that this daemon may open to a VM."""
         return self.book.base(f"connections/{vm}", self._connections.get(vm, 0))
 
     def in_use(self, resource: Resource) -> int:
-        """Return how many units of a resource this daemon uses."""
+        """Return the number of units of a resource in use at this daemon."""
         if resource.kind == SLOTS:
             return self._admission.running_by_vm.get(resource.name, 0)
         return self._admission.running_by_team.get(resource.name, 0)
 
     def total_of(self, resource: Resource) -> int:
-        """Return a resource's total in the whole fleet."""
+        """Return the fleet-wide total of a resource."""
         return self._totals.get(resource, 0)
 
     def resources(self) -> list[Resource]:
-        """Return all resources."""
+        """Return all resources of the current configuration and VM list."""
         return list(self._totals)
 
     def on_state_change(self) -> None:
-        """Adopt a new partition table, configuration or VM list."""
+        """Apply a new partition table, configuration or VM list."""
         state = self._state
         self._refresh_totals()
         if state.partitions is None:
             return
-        if state.partitions_revision > self._table_revision:
-            self._table_revision = state.partitions_revision
+        if state.partitions_revision > self._applied_table_revision:
+            self._applied_table_revision = state.partitions_revision
             self._send(self.book.follow_table(state.partitions))
         self._admission.dispatch_all()
 
     async def run(self) -> None:
-        """Report demand, advise if coordinating, and lend, until cancelled."""
+        """Report demand, send advice if coordinator, and reconcile loans in a loop."""
         while True:
             self._busy = self._report()
-            if self._coordinating():
+            if self._is_coordinator():
                 self._advise()
             self._send(self.book.reconcile())
-            self._admission.release_due()
+            self._admission.release_expired_holds()
             await self._pause(BUSY_INTERVAL if self._busy else IDLE_INTERVAL)
 
     async def run_repeats(self) -> None:
-        """Repeat questions and grants that have not been answered."""
+        """Resend unanswered queries and grants periodically."""
         while True:
-            await self._clock.sleep(REPEAT_INTERVAL)
-            self._send(self.book.questions())
-            self._send(self.book.unconfirmed())
-            self._admission.release_due()
+            await self._clock.sleep(RETRANSMIT_INTERVAL)
+            self._send(self.book.pending_queries())
+            self._send(self.book.unconfirmed_grants())
+            self._admission.release_expired_holds()
 
     async def _pause(self, interval: timedelta) -> None:
-        await self._clock.sleep(EARLY_INTERVAL)
-        with anyio.move_on_after((interval - EARLY_INTERVAL).total_seconds()):
+        await self._clock.sleep(MIN_REPORT_INTERVAL)
+        with anyio.move_on_after((interval - MIN_REPORT_INTERVAL).total_seconds()):
             await self._wake.wait()
         self._wake = anyio.Event()
 
     def _on_connect(self, incarnation: str) -> None:
-        # What was sent on an earlier connection may be lost.
+        # Advice sent over the earlier connection may be lost: send it in full again.
         self._sent_advice.pop(incarnation, None)
 
-    def _on_shortage(self) -> None:
-        # Only the first shortage is reported early; while it lasts, reports at
-        # the busy interval keep the control traffic bounded.
+    def _on_request_queued(self) -> None:
+        # Only the first queued request triggers an early report. While requests
+        # stay queued, the busy interval bounds the control traffic.
         if not self._busy:
             self._wake.set()
 
     def _on_release(self, permit: Permit) -> None:
         service = permit.service
         if service in self._queued_services and not self._admission.queued(service):
-            # Others may need the slots that this daemon has no more use for.
+            # The queue is empty now: report early, as others may need the slots.
             self._queued_services.discard(service)
             self._wake.set()
-        self._send(self.book.settle(Resource(SLOTS, permit.vm)))
-        self._send(self.book.settle(Resource(LIMIT, permit.team)))
+        self._send(self.book.reconcile_resource(Resource(SLOTS, permit.vm)))
+        self._send(self.book.reconcile_resource(Resource(LIMIT, permit.team)))
 
     # Reports
 
     def _report(self) -> bool:
-        """Send a demand report to the coordinator; return whether there is any."""
+        """Send demand to the coordinator; return whether any request is queued."""
         index = self._index()
         services, teams = index.services, index.teams
-        uses = self._admission.use_by_service_team()
+        usages = self._admission.use_by_service_team()
         demands = tuple(
             (
                 services.index(service),
                 teams.index(team),
-                use.queued,
-                use.running,
-                round(use.served_seconds * 1000),
+                usage.queued,
+                usage.running,
+                round(usage.served_seconds * 1000),
             )
-            for (service, team), use in sorted(uses.items())
-            if service in services and team in teams and use.served_seconds + use.queued
+            for (service, team), usage in sorted(usages.items())
+            if service in services
+            and team in teams
+            and usage.served_seconds + usage.queued
         )
-        self._queued_services = {s for (s, _), use in uses.items() if use.queued}
+        self._queued_services = {s for (s, _), usage in usages.items() if usage.queued}
         self._sequence += 1
         report = DemandReport(
             self._sequence, index.revisions[0], self.book.ready_partitions(), demands
         )
         coordinator = self._coordinator_incarnation()
-        if coordinator == self._me:
-            self._on_report(self._me, report)
+        if coordinator == self._incarnation:
+            self._on_report(self._incarnation, report)
         elif coordinator:
             self._network.send(coordinator, report)
-        return any(use.queued for use in uses.values())
+        return any(usage.queued for usage in usages.values())
 
     def _on_report(self, sender: str, report: DemandReport) -> None:
         index = self._index()
         if report.config_revision != index.revisions[0]:
-            return  # The positions mean something else in another revision.
+            return  # Positions refer to other names in another revision.
         services, teams = index.services, index.teams
         try:
             demands = tuple(
@@ -206,31 +208,33 @@
                 for s, t, queued, running, served in report.demands
             )
         except IndexError:
-            log.warning("demand report of {} has an unknown position", sender)
+            log.warning("ignoring demand report of {}: position out of range", sender)
             return
         now = self._clock.monotonic()
         self._coordinator.add_report(
             Report(sender, now, report.ready_partitions, demands)
         )
-        short = frozenset(demand.service for demand in demands if demand.queued)
-        if short != self._short_by_reporter.get(sender, frozenset()):
-            self._short_by_reporter[sender] = short
+        queued_services = frozenset(
+            demand.service for demand in demands if demand.queued
+        )
+        if queued_services != self._queued_services_by_daemon.get(sender, frozenset()):
+            self._queued_services_by_daemon[sender] = queued_services
             self._wake.set()
 
     def _coordinator_incarnation(self) -> str:
-        """Return the holder of the lowest partition that is heard from."""
+        """Return the first reachable holder in order of partition numbers."""
         table = self._state.partitions
         now = self._clock.monotonic()
         for partition in table.partitions if table is not None else ():
-            if partition.holder == self._me:
-                return self._me
+            if partition.holder == self._incarnation:
+                return self._incarnation
             link = self._network.connections_by_incarnation.get(partition.holder)
             if link is not None and now - link.heard_at < COORDINATOR_TIMEOUT:
                 return partition.holder
         return ""
 
-    def _coordinating(self) -> bool:
-        return self._coordinator_incarnation() == self._me
+    def _is_coordinator(self) -> bool:
+        return self._coordinator_incarnation() == self._incarnation
 
     # Advice
 
@@ -240,15 +244,15 @@
             message = self._advice_message(name, advice, now)
             if message is None:
                 continue
-            if name == self._me:
-                self._adopt(message)
+            if name == self._incarnation:
+                self._apply_advice(message)
             elif not self._network.send(name, message):
                 self._sent_advice.pop(name, None)
 
     def _advice_message(
         self, name: str, advice: Advice, now: timedelta
     ) -> LendAdvice | None:
-        """Return what has changed since the last advice to a daemon, if anything."""
+        """Return the next message to a daemon, or None if none is due."""
         sent = self._sent_advice.get(name)
         index = self._index()
         full = sent is None or sent.index != index
@@ -256,13 +260,13 @@
             sent = self._sent_advice[name] = SentAdvice(index)
         message = sent.next_message(advice, full=full)
         unchanged = not (full or message.targets or message.lend)
-        if unchanged and now - sent.at < ADVICE_REPEAT:
+        if unchanged and now - sent.sent_at < ADVICE_REPEAT_INTERVAL:
             return None
-        sent.at = now
+        sent.sent_at = now
         return message
 
     def _index(self) -> AdviceIndex:
-        """Return the meaning of positions, in the revisions known here."""
+        """Return the index of positions for the revisions known to this daemon."""
         state = self._state
         key = (state.config.revision, state.partitions_revision)
         if self._index_cache is None or self._index_cache.revisions != key:
@@ -278,9 +282,9 @@
 
     def _on_advice(self, sender: str, advice: LendAdvice) -> None:
         if sender == self._coordinator_incarnation():
-            self._adopt(advice)
+            self._apply_advice(advice)
 
-    def _adopt(self, message: LendAdvice) -> None:
+    def _apply_advice(self, message: LendAdvice) -> None:
         advice = read_advice(message, self._index())
         if advice is None:
             return
@@ -292,14 +296,14 @@
         self._admission.set_targets(advice.targets, replace_all=message.full)
         self._send(self.book.reconcile())
 
-    def _shape(self) -> FleetShape:
+    def _shape(self) -> FleetCapacity:
         state = self._state
         config = state.config
         vms_by_service = {
             name: tuple(self.executors(name)) for name in config.services_by_name
         }
         totals = self._totals
-        return FleetShape(
+        return FleetCapacity(
             partitions=len(state.partitions.partitions) if state.partitions else 1,
             slots_by_vm={r.name: n for r, n in totals.items() if r.kind == SLOTS},
             vms_by_service=vms_by_service,
@@ -308,7 +312,7 @@
         )
 
     def _refresh_totals(self) -> None:
-        """Read the totals from the configuration and the VMs' pools."""
+        """Recompute the totals from the configuration and the VM list."""
         state = self._state
         by_pool = {s.pool: s for s in state.config.services_by_name.values()}
         totals: dict[Resource, int] = {}
@@ -327,7 +331,7 @@
             totals[Resource(LIMIT, team.name)] = max(0, team.limit - team.job_limit)
         if totals != self._totals:
             self._totals = totals
-            self.book.forget_totals()
+            self.book.invalidate_usable()
 
     # Loans
 
@@ -347,6 +351,6 @@
         self.book.on_statement(sender, statement)
         self._admission.dispatch_all()
 
-    def _send(self, messages: Outgoing) -> None:
+    def _send(self, messages: OutgoingMessages) -> None:
         for incarnation, message in messages:
             self._network.send(incarnation, message)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Admission by deficits, limits and queues."""
+"""Tests for admission by deficits, limits and queues."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from pomeloyard.outcomes import Done, RefusalReason, Refused
 
 SLOTS = 4
-FAR = timedelta(seconds=1000)
+FAR_DEADLINE = timedelta(seconds=1000)
 
 
 def controller(units=100, slots=SLOTS):
@@ -26,14 +26,14 @@
     )
 
 
-async def acquire(admission, team, deadline=FAR, **more):
+async def acquire(admission, team, deadline=FAR_DEADLINE, **more):
     return await admission.acquire(
         "cut", team, deadline=deadline, queue_length=10_000, **more
     )
 
 
 def test_teams_receive_slots_by_their_shares_when_full():
-    """Guards against a team that gains by asking for more."""
+    """Guards against a team that gets a larger share by sending more requests."""
 
     async def check():
         admission = controller()
@@ -68,7 +68,7 @@
     ],
 )
 def test_waiting_request_is_refused_with_its_reason(case, reason, seconds):
-    """Guards against a refusal that comes late or names the wrong cause."""
+    """Guards against refusals that come late or give the wrong reason."""
 
     async def check():
         admission = controller(units=1 if case == "limit" else 100, slots=1)
@@ -94,7 +94,7 @@
 
 
 def test_held_permit_occupies_slot_and_unit_until_its_time():
-    """Guards against using a slot on which a request may still run."""
+    """Guards against reusing a slot on which a request may still be running."""
 
     async def check():
         admission = controller(slots=1)
@@ -103,14 +103,14 @@
         refused = await acquire(admission, "small", timedelta(seconds=4))
         assert isinstance(refused, Refused)
         await anyio.sleep_until(5)
-        admission.release_due()
+        admission.release_expired_holds()
         assert isinstance(await acquire(admission, "small"), Done)
 
     run_virtual(check)
 
 
 def test_cancelled_request_leaves_nothing_behind():
-    """Guards against a permit or a place in the queue leaked by a disconnect."""
+    """Guards against leaking a permit or a queue entry when a caller disconnects."""
 
     async def check():
         admission = controller(slots=1)
@@ -131,7 +131,7 @@
 
 
 def test_urgent_requests_go_before_others_of_their_team():
-    """Guards against urgent work that waits behind a queue of its own team."""
+    """Guards against urgent requests queued behind normal ones of their team."""
 
     async def check():
         admission = controller(slots=1)
--- a/tests/test_loans_model.py
+++ b/tests/test_loans_model.py
@@ -1,7 +1,7 @@
-"""Guards against units in use exceeding a total, whatever order things happen in.
+"""Model test: the units in use never exceed the total, in any order of events.
 
-Several loan books exchange messages that are lost, repeated and reordered, follow
-the partition table late, are killed and replaced, and release and take partitions.
+Several daemons exchange messages that are lost, repeated and reordered, follow the
+partition table with delay, are killed and replaced, and release and take partitions.
 """
 
 from __future__ import annotations
@@ -105,7 +105,7 @@
 
     @rule()
     def remove_gone_members(self):
-        """Happens only after the request timeout: nothing runs any more."""
+        """Remove killed members; their requests have ended by the request timeout."""
         for node in list(self.nodes.values()):
             if not node.alive:
                 for number in self.table.held_by(node.name):
@@ -123,7 +123,7 @@
 
     @rule(index=INDEX, number=st.integers(0, PARTITIONS - 1))
     def hand_over(self, index, number):
-        """Release a partition that may be lent out; the next holder sees it first."""
+        """Release a partition with possible loans; its next holder sees it first."""
         former = self.nodes.get(self.table.partitions[number].holder)
         node = self.pick(index)
         if former is None or not former.alive or former is node:
@@ -162,7 +162,7 @@
 
     @rule(borrower=INDEX, amount=st.integers(0, 8))
     def advise_everywhere(self, borrower, amount):
-        """Every daemon is told to lend to one of them, as at a local peak."""
+        """Advise all daemons to lend to one, as during a local load peak."""
         for index, node in enumerate(self.alive()):
             if node is not self.pick(borrower):
                 self.advise(index, borrower, amount, at_once=False)
@@ -176,13 +176,13 @@
     @rule(index=INDEX)
     def repeat(self, index):
         node = self.pick(index)
-        self.send(node, node.book.questions())
-        self.send(node, node.book.unconfirmed())
+        self.send(node, node.book.pending_queries())
+        self.send(node, node.book.unconfirmed_grants())
 
     @rule(index=INDEX)
-    def return_all(self, index):
+    def return_all_borrowed(self, index):
         node = self.pick(index)
-        node.book.return_all()
+        node.book.return_all_borrowed()
         self.send(node, node.book.reconcile())
 
     @precondition(lambda self: self.network)
@@ -211,7 +211,7 @@
         assert used <= TOTAL, f"{used} of {TOTAL} in use"
 
     def teardown(self):
-        """Once everything is delivered, the whole capacity can be used again."""
+        """Check that the whole capacity is usable after all messages are delivered."""
         if not hasattr(self, "table"):
             return
         self.remove_gone_members()
@@ -228,7 +228,7 @@
                 node.book.want_lent(RESOURCE, {})
                 self.send(node, node.book.follow_table(self.table))
                 self.send(node, node.book.reconcile())
-                self.send(node, node.book.unconfirmed())
+                self.send(node, node.book.unconfirmed_grants())
             self.deliver_all()
         usable = sum(node.book.usable(RESOURCE) for node in self.alive())
         assert usable == TOTAL, f"{usable} of {TOTAL} usable"
@@ -245,7 +245,7 @@
 
 
 def test_repeated_older_grant_does_not_raise_what_is_kept():
-    """Guards against a late duplicate of a grant undoing a later recall."""
+    """Guards against a late duplicate of a grant that undoes a newer recall."""
     borrower = Node("entry-1.0")
     older = LoanGrant(0, 1, SLOTS, "cut-1", amount=3, version=1)
     recall = LoanGrant(0, 1, SLOTS, "cut-1", amount=0, version=2)
@@ -258,7 +258,7 @@
 
 
 def lender_of_all(total=TOTAL):
-    """Return a lender that holds every partition and a borrower."""
+    """Return a lender that holds all partitions, and a borrower."""
     lender, borrower = Node("entry-0.0", total), Node("entry-1.0", total)
     table = new_table(PARTITIONS)
     for number in range(PARTITIONS):
@@ -274,7 +274,7 @@
 
 
 def test_answer_to_an_earlier_grant_does_not_free_a_later_one():
-    """Guards against units used twice when a return and a new grant cross."""
+    """Guards against units used twice when a return crosses a new grant."""
     lender, borrower = lender_of_all()
     for grant in advise(lender, borrower, 1):
         borrower.receive(lender.name, grant)
@@ -290,7 +290,7 @@
 
 
 def test_smaller_grant_after_a_recall_still_counts_what_is_in_use():
-    """Guards against forgetting units that the borrower has not returned yet."""
+    """Guards against reusing units that the borrower has not returned yet."""
     lender, borrower = lender_of_all(total=2 * TOTAL)
     for grant in advise(lender, borrower, 2):
         borrower.receive(lender.name, grant)
@@ -302,7 +302,7 @@
 
 
 def test_query_and_grant_of_a_former_holder_are_ignored():
-    """Guards against loans from a daemon that no longer holds the partition."""
+    """Guards against accepting loans from a daemon that lost the partition."""
     borrower = Node("entry-1.0")
     assert borrower.receive("entry-2.0", LoanQuery(0, epoch=5))
     assert borrower.receive("entry-0.0", LoanQuery(0, epoch=4)) == []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Partitions and members over several daemons, in virtual time."""
+"""Tests for partitions and membership of several daemons, in virtual time."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class DownStore:
-    """Store that one daemon cannot reach."""
+    """Store whose every call fails as unavailable."""
 
     def __init__(self, store):
         self.calls = store.calls
@@ -79,7 +79,7 @@
 
 
 class Members:
-    """Several members on one store and one VM list."""
+    """Several members that share a store and a VM list."""
 
     def __init__(self, tasks):
         self.clock = LoopClock()
@@ -129,7 +129,7 @@
 
 
 def test_partitions_are_divided_and_divided_again_when_a_daemon_joins():
-    """Guards against capacity left out or counted twice as daemons join."""
+    """Guards against capacity lost or counted twice as daemons join."""
 
     async def check(fleet):
         first = fleet.start("entry-1")
@@ -148,7 +148,7 @@
 
 @pytest.mark.parametrize("how", ["listed as gone", "unlisted", "restarted"])
 def test_capacity_of_a_killed_daemon_returns_after_its_requests_have_ended(how):
-    """Guards against using a unit while a dead daemon's request may still run."""
+    """Guards against reusing a unit while a killed daemon's request may still run."""
 
     async def check(fleet):
         members = [fleet.start(f"entry-{n}") for n in (1, 2, 3)]
@@ -158,7 +158,7 @@
         remaining = fleet.usable(Resource(LIMIT, "t1"))
         assert remaining < LIMIT_OF_T1
         await anyio.sleep(30)
-        # Silence alone never returns anything.
+        # Missing heartbeats alone must not return any capacity.
         assert fleet.usable(Resource(LIMIT, "t1")) == remaining
         if how == "listed as gone":
             fleet.list_vm("entry-1", VmListState.GONE)
@@ -176,7 +176,7 @@
 
 
 def test_a_daemon_that_leaves_hands_over_at_once():
-    """Guards against a planned stop that strands capacity."""
+    """Guards against capacity that stays unusable after a planned stop."""
 
     async def check(fleet):
         members = [fleet.start(f"entry-{n}") for n in (1, 2, 3)]
@@ -194,7 +194,7 @@
 
 
 def test_units_lent_out_are_counted_after_the_lender_was_replaced():
-    """Guards against a new holder using units that a borrower still uses."""
+    """Guards against a new holder reusing units that a borrower still uses."""
 
     async def check(fleet):
         members = [fleet.start(f"entry-{n}") for n in (1, 2, 3)]
@@ -215,7 +215,7 @@
         for _ in range(60):
             fleet.tasks.start_soon(request)
         await anyio.sleep(5)
-        assert len(permits) == LIMIT_OF_T1  # All units were lent to one daemon.
+        assert len(permits) == LIMIT_OF_T1  # One daemon has borrowed all units.
         fleet.kill(members[0])
         fleet.list_vm("entry-1", VmListState.GONE)
         await anyio.sleep(30)
@@ -227,7 +227,11 @@
 
 
 def test_unlisted_daemon_stops_admitting_before_others_take_it_as_gone():
-    """Guards against a unit used twice: here cut off from the store, there free."""
+    """Guards against a unit used twice when a daemon is cut off from the store.
+
+    The others reuse its units after the absence timeout; it must have stopped
+    admitting before.
+    """
 
     async def check(fleet):
         members = [fleet.start(f"entry-{n}") for n in (1, 2)]
@@ -245,7 +249,7 @@
         stopped_at = anyio.current_time()
         while other.node.capacity.book.usable(Resource(LIMIT, "t1")) < LIMIT_OF_T1:
             await anyio.sleep(1)
-        # Its last request was admitted before it stopped, and has ended.
+        # The last request it admitted before stopping must have ended by now.
         assert anyio.current_time() >= stopped_at + REQUEST_TIMEOUT
 
     in_virtual_time(check)
