--- a/src/pomeloyard/claims/__init__.py
+++ b/src/pomeloyard/claims/__init__.py
@@ -1,1 +1,1 @@
-"""Claims of idempotency keys, so that a request runs at most once."""
+"""Claims on idempotency keys, so that a keyed request runs at most once."""
--- a/src/pomeloyard/claims/log.py
+++ b/src/pomeloyard/claims/log.py
@@ -1,4 +1,4 @@
-"""Durable claims: group commits of claim segments, fenced by the partition table."""
+"""Durable claims: group commit of claim segments, fenced by the partition table."""
 
 from __future__ import annotations
 
@@ -36,19 +36,19 @@
 from .watch import ClaimWatch
 
 COMMIT_INTERVAL = timedelta(milliseconds=40)
-"""Shortest time between two transactions of one daemon.
+"""Minimum time between two transactions of one daemon.
 
-Nine daemons then write at most 225 times per second, less than the store's
-several hundred.
+Nine daemons then commit at most 225 transactions per second, below the several
+hundred that the store can take.
 """
 
-MAX_WAIT = timedelta(seconds=1.2)
-"""Time after which a claim is treated as if the store were down."""
+MAX_COMMIT_WAIT = timedelta(seconds=1.2)
+"""Time after which an uncommitted claim is handled as in a store outage."""
 
 RETRY_INTERVAL = timedelta(seconds=0.5)
 COMMIT_ATTEMPTS = 3
-DOUBTFUL_DELETES = 16
-"""Deletions, in one transaction, of segments whose write was not confirmed."""
+MAX_UNCONFIRMED_DELETES = 16
+"""Deletions per transaction of segments whose write was not confirmed."""
 
 log = logbook.Logger("pomeloyard.claims.table")
 
@@ -57,12 +57,12 @@
 class _Pending:
     partition: int
     claim: Claim
-    settled: anyio.Event = field(default_factory=anyio.Event)
+    completed: anyio.Event = field(default_factory=anyio.Event)
     durable: bool = False
 
 
 class ClaimLog:
-    """Writes the claims of the partitions that this daemon holds."""
+    """Commits the claims of the partitions that this daemon holds."""
 
     def __init__(
         self,
@@ -82,47 +82,47 @@
         self._indexes_by_partition: dict[int, SegmentIndex] = {}
         self._pending: list[_Pending] = []
         self._waiting: set[_Pending] = set()
-        self._doubtful: list[str] = []
-        self._wanted = anyio.Event()
+        self._unconfirmed_keys: list[str] = []
+        self._commit_needed = anyio.Event()
         self._fence_revision = 0
         self._fence_table: PartitionTable | None = None
         self.unwritten_by_partition: dict[int, dict[bytes, Claim]] = {}
-        """Claims granted from memory that the store may not hold yet."""
+        """Claims granted from memory that may not be in the store yet."""
         self.store_down = False
 
     async def write(self, partition: int, claim: Claim) -> bool:
-        """Make a claim durable; return False if the store cannot at present.
+        """Make a claim durable; return False if this is not possible now.
 
-        A claim that is not durable stays among the unwritten ones, and is
-        written when the store recovers, unless ``forget`` is called.
+        A claim that is not durable is kept as unwritten and committed when the
+        store recovers, unless ``discard_unwritten`` is called.
         """
         if partition not in self._indexes_by_partition:
             return False
         if not self.store_down:
             pending = _Pending(partition, claim)
             self._pending.append(pending)
-            self._wanted.set()
+            self._commit_needed.set()
             self._waiting.add(pending)
             try:
-                await pending.settled.wait()
+                await pending.completed.wait()
             finally:
                 self._waiting.discard(pending)
             if pending.durable:
                 return True
-            self._watch.note_outage()
+            self._watch.record_outage()
         if self._table.get(partition, claim.key_hash) is not claim:
-            return False  # It was released meanwhile.
+            return False  # The claim was released in the meantime.
         unwritten = self.unwritten_by_partition.setdefault(partition, {})
         unwritten[claim.key_hash] = claim
-        self._wanted.set()
+        self._commit_needed.set()
         return False
 
-    def forget(self, partition: int, key_hash: bytes) -> None:
-        """Drop a claim that was not granted or was released."""
+    def discard_unwritten(self, partition: int, key_hash: bytes) -> None:
+        """Discard an unwritten claim that was not granted or was released."""
         self.unwritten_by_partition.get(partition, {}).pop(key_hash, None)
 
     async def open(self, partition: int, epoch: int) -> list[Claim]:
-        """Read a partition's claims and start writing it; raises StoreError."""
+        """Read a partition's claims and accept writes to it; raises StoreError."""
         page = await scan_all(self._store, partition_prefix(partition))
         index = SegmentIndex(partition, epoch)
         offset = self._clock_offset()
@@ -131,7 +131,7 @@
             try:
                 segment, rows = decode_segment(entry, offset)
             except SegmentError as error:
-                log.error("claim segment ignored: {}", error)
+                log.error("ignoring malformed claim segment: {}", error)
                 continue
             index.segments.append(segment)
             claims += rows
@@ -140,86 +140,86 @@
         claims += self.unwritten_by_partition.get(partition, {}).values()
         return [claim for claim in claims if claim.granted_at > horizon]
 
-    def adopt(self, partition: int, claims: Iterable[Claim]) -> None:
-        """Write claims that other daemons have recorded, as the table has them."""
+    def add_unwritten(self, partition: int, claims: Iterable[Claim]) -> None:
+        """Queue claims recorded by other daemons for writing, as the table has them."""
         unwritten = self.unwritten_by_partition.setdefault(partition, {})
         for claim in claims:
-            entered = self._table.get(partition, claim.key_hash)
-            if entered is not None:
-                unwritten[claim.key_hash] = entered
-        self._wanted.set()
+            known = self._table.get(partition, claim.key_hash)
+            if known is not None:
+                unwritten[claim.key_hash] = known
+        self._commit_needed.set()
 
-    def holds(self, partition: int) -> bool:
-        """Tell whether the partition is open and not known to be lost."""
+    def is_open(self, partition: int) -> bool:
+        """Return whether the partition is open and not known to be lost."""
         return partition in self._indexes_by_partition
 
     def close(self, partition: int) -> None:
-        """Stop writing a partition; its unwritten claims stay known."""
+        """Stop writing to a partition; its unwritten claims are kept."""
         self._indexes_by_partition.pop(partition, None)
 
-    def keep_up(self) -> None:
-        """Write unwritten claims and delete expired segments soon.
+    def maintain(self) -> None:
+        """Trigger a commit, which also deletes expired segments.
 
-        Claims that have waited too long are handled as if the store were down.
+        Claims that have waited too long are handled as in a store outage.
         """
-        self._wanted.set()
-        horizon = self._now() - MAX_WAIT.total_seconds()
+        self._commit_needed.set()
+        horizon = self._now() - MAX_COMMIT_WAIT.total_seconds()
         for pending in self._waiting:
             if pending.claim.granted_at < horizon:
-                self.note_outage("no answer in time")
-                pending.settled.set()
+                self.record_outage("commit of a claim timed out")
+                pending.completed.set()
 
     async def run(self) -> None:
-        """Commit waiting claims in groups until cancelled."""
+        """Commit pending claims in groups until cancelled."""
         while True:
-            await self._wanted.wait()
-            self._wanted = anyio.Event()
+            await self._commit_needed.wait()
+            self._commit_needed = anyio.Event()
             await self.commit()
             down = self.store_down
             await self._clock.sleep(RETRY_INTERVAL if down else COMMIT_INTERVAL)
             if down or self._pending:
-                self._wanted.set()
+                self._commit_needed.set()
 
     async def commit(self) -> None:
-        """Write all waiting and unwritten claims in one transaction."""
+        """Commit all pending and unwritten claims in one transaction."""
         batch, self._pending = self._pending, []
         self._drop_expired()
         try:
             durable = await self._commit_batch(batch)
         except StoreError as error:
-            self.note_outage(str(error))
+            self.record_outage(str(error))
             durable = set()
         except BaseException:
-            self._settle(batch, set())
+            self._complete(batch, set())
             raise
-        self._settle(batch, durable)
+        self._complete(batch, durable)
 
-    def note_outage(self, reason: str) -> None:
-        """Note that the store does not answer."""
+    def record_outage(self, reason: str) -> None:
+        """Record that the store is unavailable."""
         if not self.store_down:
-            log.warning("claims are granted from memory: {}", reason)
+            log.warning("store unavailable, granting claims from memory: {}", reason)
         self.store_down = True
-        self._watch.note_outage()
+        self._watch.record_outage()
 
-    def _settle(self, batch: list[_Pending], durable: set[int]) -> None:
+    def _complete(self, batch: list[_Pending], durable: set[int]) -> None:
         for pending in batch:
             pending.durable = pending.partition in durable
-            pending.settled.set()
+            pending.completed.set()
 
     async def _commit_batch(self, batch: list[_Pending]) -> set[int]:
         """Return the partitions whose claims were written."""
         for _ in range(COMMIT_ATTEMPTS):
-            fence = self._fence()
+            fence = self._refresh_fence()
             writes = self._plan(batch)
-            doubtful = self._doubtful[:DOUBTFUL_DELETES]
-            transaction = self._transaction(writes, doubtful, fence)
+            unconfirmed_keys = self._unconfirmed_keys[:MAX_UNCONFIRMED_DELETES]
+            transaction = self._transaction(writes, unconfirmed_keys, fence)
             if not transaction.operations:
                 if self.store_down:
                     await self._read_fence()
                     self.store_down = False
                 return set()
             if await self._apply(transaction):
-                self._applied(writes, doubtful)
+                self._record_written(writes, unconfirmed_keys)
                 return set(writes)
             await self._read_fence()
         return set()
@@ -231,7 +231,7 @@
         for pending in batch:
             new.setdefault(pending.partition, []).append(pending.claim)
         writes: dict[int, SegmentWrite] = {}
-        operations = DOUBTFUL_DELETES
+        operations = MAX_UNCONFIRMED_DELETES
         for partition, index in self._indexes_by_partition.items():
             write = index.plan(
                 self._table, new.get(partition, []), self._now(), self._clock_offset()
@@ -243,9 +243,9 @@
         return writes
 
     def _transaction(
-        self, writes: dict[int, SegmentWrite], doubtful: list[str], fence: int
+        self, writes: dict[int, SegmentWrite], unconfirmed_keys: list[str], fence: int
     ) -> Transaction:
-        operations: list[Operation] = [Delete(key) for key in doubtful]
+        operations: list[Operation] = [Delete(key) for key in unconfirmed_keys]
         compares = [Compare(layout.PARTITIONS, fence)]
         for write in writes.values():
             for segment, value in write.put:
@@ -255,47 +255,51 @@
         return Transaction(tuple(compares), tuple(operations))
 
     async def _apply(self, transaction: Transaction) -> bool:
-        """Commit; a lost answer is resolved by the segments' unique keys."""
-        lost: StoreOutcomeUnknownError | None = None
+        """Commit; the segments' unique keys resolve an unknown outcome."""
+        unknown_outcome: StoreOutcomeUnknownError | None = None
         puts = [op.key for op in transaction.operations if isinstance(op, Put)]
         try:
             for _ in range(COMMIT_ATTEMPTS):
                 try:
                     result = await self._store.commit(transaction)
                 except StoreOutcomeUnknownError as error:
-                    lost = error
+                    unknown_outcome = error
                     continue
                 if result.succeeded:
                     return True
-                # The keys are this daemon's own, so their presence is the proof.
-                return bool(lost and puts and await self._store.get(puts[0]))
-            raise lost or StoreOutcomeUnknownError("claims")
+                # Only this daemon writes these keys: their presence proves the write.
+                return bool(unknown_outcome and puts and await self._store.get(puts[0]))
+            raise unknown_outcome or StoreOutcomeUnknownError("claims")
         except StoreError:
-            if lost is not None:
-                self._doubtful += puts
+            if unknown_outcome is not None:
+                self._unconfirmed_keys += puts
             raise
 
-    def _applied(self, writes: dict[int, SegmentWrite], doubtful: list[str]) -> None:
+    def _record_written(
+        self, writes: dict[int, SegmentWrite], unconfirmed_keys: list[str]
+    ) -> None:
         self.store_down = False
-        self._doubtful = [key for key in self._doubtful if key not in doubtful]
+        self._unconfirmed_keys = [
+            key for key in self._unconfirmed_keys if key not in unconfirmed_keys
+        ]
         for partition, write in writes.items():
             index = self._indexes_by_partition.get(partition)
             if index is not None:
                 index.applied(write)
             if write.put:
-                self._forget_written(partition, write)
+                self._discard_written(partition, write)
 
-    def _forget_written(self, partition: int, write: SegmentWrite) -> None:
+    def _discard_written(self, partition: int, write: SegmentWrite) -> None:
         unwritten = self.unwritten_by_partition.get(partition, {})
         for claim in write.claims:
             if unwritten.get(claim.key_hash) is claim:
                 del unwritten[claim.key_hash]
 
-    def _fence(self) -> int:
-        """Return the table revision to write under; close what it took away.
+    def _refresh_fence(self) -> int:
+        """Return the table revision to compare with; close partitions that were lost.
 
-        The revision and the table must belong together: a commit that succeeds
-        at this revision proves that the partitions were held when it took effect.
+        Revision and table must belong together: a commit that succeeds at this
+        revision proves that this daemon held the partitions when it took effect.
         """
         if self._state.partitions_revision >= self._fence_revision:
             self._fence_revision = self._state.partitions_revision
@@ -303,13 +307,13 @@
         for partition, index in list(self._indexes_by_partition.items()):
             table = self._fence_table
             current = table.partitions[partition] if table is not None else None
-            mine = (self._incarnation, index.epoch)
-            if current is None or (current.holder, current.epoch) != mine:
+            expected = (self._incarnation, index.epoch)
+            if current is None or (current.holder, current.epoch) != expected:
                 self.close(partition)
         return self._fence_revision
 
     async def _read_fence(self) -> None:
-        """Read the partition table, which another daemon has changed."""
+        """Read the partition table from the store for a newer revision."""
         record = await read_record(self._store, layout.PARTITIONS, PartitionTable)
         if record is not None and record.mod_revision > self._fence_revision:
             self._fence_revision = record.mod_revision
--- a/src/pomeloyard/claims/segments.py
+++ b/src/pomeloyard/claims/segments.py
@@ -1,9 +1,9 @@
-"""Claims in the store: groups of claims as segments, merged in tiers.
+"""Storage of claims as segments, which are merged in tiers.
 
-A segment is one value that holds the claims of one or more group commits. When
-``MERGE_SEGMENTS`` segments of a tier exist, the next commit writes one segment of
-the next tier in their place, so that a takeover reads a few dozen values and
-every claim is rewritten at most ``MAX_TIER`` times.
+A segment is one stored value with the claims of one or more group commits. Once a
+tier has ``MERGE_SEGMENTS`` segments, the next commit replaces them by one segment
+of the next tier, so that a takeover reads a few dozen values and every claim is
+rewritten at most ``MAX_TIER`` times.
 """
 
 from __future__ import annotations
@@ -21,16 +21,16 @@
 MERGE_SEGMENTS = 16
 MAX_TIER = 3
 MAX_SEGMENT_CLAIMS = 8000
-"""Bound on claims in one segment: under 80 bytes each, a value stays under 1 MB."""
+"""At less than 80 bytes per claim, a segment's value stays below 1 MB."""
 
 
 class SegmentError(PomeloyardError):
-    """A claim segment in the store does not have the expected form."""
+    """A claim segment in the store is malformed."""
 
 
 @dataclass(frozen=True, slots=True)
 class Segment:
-    """A segment in the store; times are seconds of the local monotonic clock."""
+    """A stored segment; times are in seconds of the local monotonic clock."""
 
     key: str
     tier: int
@@ -39,7 +39,7 @@
 
 
 def partition_prefix(partition: int) -> str:
-    """Return the prefix of a partition's segments.
+    """Return the key prefix of a partition's segments.
 
     >>> partition_prefix(3)
     'claims/0003/'
@@ -48,12 +48,12 @@
 
 
 def segment_key(partition: int, epoch: int, number: int) -> str:
-    """Return the key of a segment; it is never used twice, as the epoch grows."""
+    """Return a segment's key; epochs only increase, so no key is reused."""
     return f"{partition_prefix(partition)}{epoch:010d}-{number:08d}"
 
 
 def encode_segment(tier: int, claims: Iterable[Claim], clock_offset: float) -> bytes:
-    """Return a segment's value; times are stored in seconds of UTC."""
+    """Encode a segment; times are stored as UTC timestamps in seconds."""
     numbers_by_runner: dict[str, int] = {}
     rows = [
         (
@@ -70,12 +70,12 @@
 
 
 def decode_segment(entry: Entry, clock_offset: float) -> tuple[Segment, list[Claim]]:
-    """Return a segment and its claims; raises SegmentError."""
+    """Decode a segment and its claims; raises SegmentError."""
     try:
         tier, runners, rows = msgpack.unpackb(entry.value)
         claims = [
-            Claim(key, print_, runners[number], attempt, at - clock_offset)
-            for key, print_, number, attempt, at in rows
+            Claim(key, fingerprint, runners[number], attempt, at - clock_offset)
+            for key, fingerprint, number, attempt, at in rows
         ]
     except (ValueError, TypeError, LookupError, msgpack.UnpackException) as error:
         raise SegmentError(f"{entry.key}: {error!r}") from error
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SegmentWrite:
-    """One commit's change of a partition's segments."""
+    """Changes that one commit makes to a partition's segments."""
 
     put: tuple[tuple[Segment, bytes], ...]
     delete: tuple[Segment, ...]
@@ -97,7 +97,7 @@
 
 
 class SegmentIndex:
-    """The segments of one partition under its present holder."""
+    """Segments of one partition under its current holder."""
 
     def __init__(self, partition: int, epoch: int) -> None:
         self.partition = partition
@@ -121,8 +121,8 @@
             delete += merged
             live = [s for s in live if s.tier != tier]
             oldest = min(s.oldest for s in merged)
-            # Claims are kept by age, so the merged segments' claims are among these.
-            new = [*new, *table.since(self.partition, oldest)]
+            # The table is ordered by age, so these include the merged segments' claims.
+            new = [*new, *table.granted_since(self.partition, oldest)]
             tier += 1
         rows = list({claim.key_hash: claim for claim in new}.values())
         put = tuple(
@@ -132,7 +132,7 @@
         return SegmentWrite(put, tuple(delete), written)
 
     def applied(self, write: SegmentWrite) -> None:
-        """Note that a planned write has taken effect."""
+        """Update the index after a planned write was committed."""
         deleted = set(write.delete)
         self.segments = [s for s in self.segments if s not in deleted]
         self.segments += [segment for segment, _ in write.put]
--- a/src/pomeloyard/claims/service.py
+++ b/src/pomeloyard/claims/service.py
@@ -1,4 +1,4 @@
-"""Claims between daemons: the asking, the holding and the recording side."""
+"""Claim protocol between daemons: requesters, partition holders and recorders."""
 
 from __future__ import annotations
 
@@ -37,13 +37,13 @@
 from .watch import ClaimWatch
 
 CALL_TIMEOUT = timedelta(seconds=3)
-"""Longest wait for a holder: one store call that times out, and a record."""
+"""Covers a store call that times out at the holder, and recording a claim."""
 
 RECORD_TIMEOUT = timedelta(seconds=0.5)
 MAX_RECORD_PEERS = 3
 HOUSEKEEPING_INTERVAL = timedelta(seconds=0.5)
-STATEMENT_CLAIMS = 4000
-"""Claims in one statement: under 100 bytes each, below the frame limit."""
+MAX_STATEMENT_CLAIMS = 4000
+"""At less than 100 bytes per claim, a statement stays below the frame limit."""
 
 log = logbook.Logger("pomeloyard.claims.table")
 
@@ -61,14 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EarlierAttempt:
-    """The key is claimed already, by ``attempt`` of daemon ``runner``."""
+    """The key was claimed before, by ``attempt`` of daemon ``runner``."""
 
     runner: str
     attempt: int
 
 
 class ClaimService:
-    """Grants claims for this daemon's partitions and asks for others."""
+    """Grants claims for this daemon's partitions, and requests them from others."""
 
     def __init__(
         self,
@@ -89,10 +89,10 @@
         self._fences_by_partition: dict[int, int] = defaultdict(int)
         self._takeovers_by_partition: dict[int, Takeover] = {}
         self.lost_until_by_partition: dict[int, timedelta] = {}
-        """Monotonic time until which claims of a partition may be unknown."""
+        """Monotonic time until which unknown claims of a partition may exist."""
         self.table = ClaimTable()
         self.recorded = ClaimTable()
-        """Claims of other daemons' partitions that the store may not hold."""
+        """Claims of other daemons' partitions that may not be in the store."""
         self.watch = ClaimWatch(clock, state, network, incarnation)
         self.log = ClaimLog(store, clock, state, self.watch, self.table, incarnation)
         network.on(ClaimRequest, self._on_request)
@@ -103,30 +103,30 @@
             calls.expect(reply)
 
     async def run(self) -> None:
-        """Write claims and follow the partition table until cancelled."""
+        """Commit claims and follow the partition table until cancelled."""
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self.log.run)
             while True:
                 self.refresh()
                 self.table.expire(self._now())
                 self.recorded.expire(self._now())
-                self.log.keep_up()
+                self.log.maintain()
                 await self._clock.sleep(HOUSEKEEPING_INTERVAL)
 
     async def close(self) -> None:
-        """Write what is not written yet, before the partitions are released."""
+        """Commit unwritten claims before the partitions are released."""
         await self.log.commit()
 
     def refresh(self) -> None:
-        """Follow the partition table: take over new partitions, leave lost ones."""
-        self.watch.look()
+        """Apply the partition table: take over gained partitions, drop lost ones."""
+        self.watch.update()
         table = self._state.partitions
         if table is None:
             return
         for number, takeover in list(self._takeovers_by_partition.items()):
             current = table.partitions[number]
             if (current.holder, current.epoch) != (self.incarnation, takeover.epoch):
-                self._leave(number)
+                self._drop_partition(number)
         for number in table.held_by(self.incarnation):
             partition = table.partitions[number]
             stale = partition.epoch < self._fences_by_partition[number]
@@ -136,17 +136,20 @@
             self._takeovers_by_partition[number] = takeover
             self._tasks.start_soon(takeover.run)
 
-    def _leave(self, partition: int) -> None:
+    def _drop_partition(self, partition: int) -> None:
         self._takeovers_by_partition.pop(partition).cancel()
         self.table.drop_partition(partition)
         self.log.close(partition)
 
-    # The asking side.
+    # Requesting claims.
 
     async def claim(
         self, key_hash: bytes, fingerprint: bytes
     ) -> ClaimTicket | EarlierAttempt:
-        """Claim a key for this daemon; raises RefusedError (certainly not run)."""
+        """Claim a key for this daemon.
+
+        RefusedError means that the request has certainly not run.
+        """
         table = self._state.partitions
         if table is None:
             raise _unavailable("no partition table yet")
@@ -158,7 +161,7 @@
         attempt = next(self._attempts)
         ticket = ClaimTicket(number, key_hash, attempt, partition.holder, asked_at)
         try:
-            reply = await self._ask(ticket, partition.epoch, fingerprint)
+            reply = await self._request_claim(ticket, partition.epoch, fingerprint)
         except BaseException:
             self.release(ticket)
             raise
@@ -168,12 +171,12 @@
             reason = RefusalReason(reply.reason)
             retry = None if reason is RefusalReason.KEY_REUSED else RETRY_AFTER
             raise RefusedError(Refused(reason, reply.detail, retry))
-        if reply is None or not self._accept(ticket, reply, fingerprint):
+        if reply is None or not self._accept_grant(ticket, reply, fingerprint):
             self.release(ticket)
             raise _unavailable("the key's holder did not grant the claim in time")
         return ticket
 
-    async def _ask(
+    async def _request_claim(
         self, ticket: ClaimTicket, epoch: int, fingerprint: bytes
     ) -> ClaimReply | None:
         def request(request_id: int) -> ClaimRequest:
@@ -182,7 +185,7 @@
                 ticket.partition,
                 ticket.key_hash,
                 fingerprint,
-                max(epoch, self._fence(ticket.partition)),
+                max(epoch, self._latest_epoch(ticket.partition)),
                 ticket.attempt,
             )
 
@@ -190,13 +193,13 @@
             return await self.answer(self.incarnation, request(0))
         return await self._calls.call(ticket.holder, request, ClaimReply, CALL_TIMEOUT)
 
-    def _accept(
+    def _accept_grant(
         self, ticket: ClaimTicket, reply: ClaimReply, fingerprint: bytes
     ) -> bool:
-        """Record a grant that is not durable; refuse one of an earlier epoch."""
+        """Record a grant that is not durable; reject one of an earlier epoch."""
         if reply.durable or ticket.holder == self.incarnation:
             return True
-        if reply.epoch < self._fence(ticket.partition):
+        if reply.epoch < self._latest_epoch(ticket.partition):
             return False
         claim = Claim(
             ticket.key_hash,
@@ -205,10 +208,10 @@
             ticket.attempt,
             ticket.asked_at,
         )
-        return self._record(ticket.partition, claim)
+        return self._record_claim(ticket.partition, claim)
 
     def release(self, ticket: ClaimTicket) -> None:
-        """Give a claim back, because its request certainly did not run."""
+        """Release a claim whose request certainly did not run."""
         key, attempt = ticket.key_hash, ticket.attempt
         self.recorded.release(ticket.partition, key, self.incarnation, attempt)
         message = ClaimRelease(ticket.partition, key, attempt)
@@ -218,7 +221,7 @@
             self._network.send(ticket.holder, message)
 
     def release_absent(self, key_hash: bytes, attempt: int) -> None:
-        """Give back a claim of this daemon whose grant or release was lost."""
+        """Release a claim of this daemon whose grant or release message was lost."""
         table = self._state.partitions
         if table is None:
             return
@@ -226,7 +229,7 @@
         holder = table.partitions[number].holder
         self.release(ClaimTicket(number, key_hash, attempt, holder, 0.0))
 
-    # The holding side.
+    # Granting claims for partitions held by this daemon.
 
     async def answer(self, sender: str, request: ClaimRequest) -> ClaimReply:
         """Answer a claim request for a partition of this daemon."""
@@ -248,29 +251,29 @@
                 request_id, "duplicate", earlier.runner, attempt=earlier.attempt
             )
         durable = await self.log.write(number, claim)
-        kept = durable or await self._keep_in_memory(number, epoch, claim, sender)
+        kept = durable or await self._replicate_in_memory(number, epoch, claim, sender)
         if kept and self.table.get(number, claim.key_hash) is claim:
             return ClaimReply(request_id, "granted", epoch=epoch, durable=durable)
         if self.table.release(number, claim.key_hash, sender, claim.attempt):
-            self.log.forget(number, claim.key_hash)
+            self.log.discard_unwritten(number, claim.key_hash)
         return _refusal(request_id, "the claim could not be recorded")
 
-    async def _keep_in_memory(
+    async def _replicate_in_memory(
         self, number: int, epoch: int, claim: Claim, sender: str
     ) -> bool:
-        """Tell whether a second daemon has recorded, or will record, the claim."""
+        """Return whether a second daemon has recorded or will record the claim."""
         if self._open_epoch(number) != epoch:
             return False
         self.watch.announce_outage()
         if sender != self.incarnation:
-            return True  # The asking daemon records it before it runs the request.
+            return True  # The requester records it before it runs the request.
         peers = self._network.connected()
         first = bisect.bisect(peers, self.incarnation)
-        # Each daemon starts at another peer, so that records are spread.
+        # Each daemon starts at a different peer, to spread the records.
         for peer in [*peers[first:], *peers[:first]][:MAX_RECORD_PEERS]:
             answer = await self._calls.call(
                 peer,
-                lambda i: ClaimRecord(i, number, epoch, self._row(claim)),
+                lambda i: ClaimRecord(i, number, epoch, self._claim_row(claim)),
                 ClaimRecorded,
                 RECORD_TIMEOUT,
             )
@@ -279,49 +282,51 @@
         return False
 
     def opening(self) -> bool:
-        """Tell whether a partition of this daemon does not grant claims yet."""
+        """Return whether any partition of this daemon cannot grant claims yet."""
         return not all(t.open for t in self._takeovers_by_partition.values())
 
     def _open_epoch(self, partition: int) -> int | None:
-        """Return the epoch under which this daemon may grant, if any."""
+        """Return the epoch under which this daemon may grant claims, or None."""
         takeover = self._takeovers_by_partition.get(partition)
-        if takeover is None or not takeover.open or not self.log.holds(partition):
+        if takeover is None or not takeover.open or not self.log.is_open(partition):
             return None
-        return takeover.epoch if takeover.epoch >= self._fence(partition) else None
+        return (
+            takeover.epoch if takeover.epoch >= self._latest_epoch(partition) else None
+        )
 
-    def _fence(self, partition: int) -> int:
-        """Return the latest epoch of a partition that this daemon knows."""
+    def _latest_epoch(self, partition: int) -> int:
+        """Return the latest epoch of a partition known to this daemon."""
         table = self._state.partitions
         known = table.partitions[partition].epoch if table is not None else 0
         return max(known, self._fences_by_partition[partition])
 
-    # The recording side.
+    # Recording claims for other daemons.
 
-    def _record(self, partition: int, claim: Claim) -> bool:
-        self.watch.note_outage()
+    def _record_claim(self, partition: int, claim: Claim) -> bool:
+        self.watch.record_outage()
         earlier = self.recorded.get(partition, claim.key_hash)
         if earlier is not None:
-            # The holder grants a key again only after its release.
+            # The holder grants a key again only after the earlier claim's release.
             self.recorded.release(
                 partition, earlier.key_hash, earlier.runner, earlier.attempt
             )
         return self.recorded.request(partition, claim) is None
 
     def answer_record(self, message: ClaimRecord) -> ClaimRecorded:
-        """Record another daemon's claim unless its epoch has passed."""
-        recorded = message.epoch >= self._fence(message.partition) and self._record(
-            message.partition, self.claim_of(message.claim)
-        )
+        """Record another daemon's claim unless its epoch is outdated."""
+        recorded = message.epoch >= self._latest_epoch(
+            message.partition
+        ) and self._record_claim(message.partition, self.claim_from_row(message.claim))
         return ClaimRecorded(message.request_id, recorded)
 
     def answer_query(self, message: ClaimQuery) -> ClaimStatement:
-        """Return the claims that the store may not hold; end earlier epochs."""
+        """Return claims that may not be in the store, and fence off earlier epochs."""
         number = message.partition
         fence = max(self._fences_by_partition[number], message.epoch)
         self._fences_by_partition[number] = fence
         takeover = self._takeovers_by_partition.get(number)
         if takeover is not None and takeover.epoch < fence:
-            self._leave(number)
+            self._drop_partition(number)
         unwritten = self.log.unwritten_by_partition.get(number, {})
         claims = {c.key_hash: c for c in self.recorded.claims(number)} | unwritten
         keys = sorted(key for key in claims if key > message.after)
@@ -329,20 +334,20 @@
         lost = max(timedelta(0), lost_until - self._clock.monotonic())
         return ClaimStatement(
             message.request_id,
-            tuple(self._row(claims[key]) for key in keys[:STATEMENT_CLAIMS]),
-            len(keys) > STATEMENT_CLAIMS,
+            tuple(self._claim_row(claims[key]) for key in keys[:MAX_STATEMENT_CLAIMS]),
+            len(keys) > MAX_STATEMENT_CLAIMS,
             self.watch.outage_seen(),
             round(lost.total_seconds() * 1000),
-            self.watch.vouches(),
+            self.watch.confirms_no_outage(),
             tuple(sorted(self.watch.known_daemons())),
         )
 
-    # What a takeover needs.
+    # Used by takeovers.
 
     async def query(
         self, peer: str, partition: int, epoch: int, after: bytes, timeout: timedelta
     ) -> ClaimStatement | None:
-        """Ask a daemon for the claims that it knows."""
+        """Query a daemon for the claims that it knows."""
         return await self._calls.call(
             peer,
             lambda i: ClaimQuery(i, partition, epoch, after),
@@ -350,12 +355,12 @@
             timeout,
         )
 
-    def claim_of(self, row: ClaimRow) -> Claim:
-        """Return a claim as received from another daemon."""
+    def claim_from_row(self, row: ClaimRow) -> Claim:
+        """Return the claim in a row that another daemon sent."""
         granted_at = self._now() - row.age_ms / 1000
         return Claim(row.key_hash, row.fingerprint, row.runner, row.attempt, granted_at)
 
-    def _row(self, claim: Claim) -> ClaimRow:
+    def _claim_row(self, claim: Claim) -> ClaimRow:
         age_ms = max(0, round((self._now() - claim.granted_at) * 1000))
         return ClaimRow(
             claim.key_hash, claim.fingerprint, claim.runner, claim.attempt, age_ms
@@ -373,7 +378,7 @@
     def _on_release(self, sender: str, message: ClaimRelease) -> None:
         number, key = message.partition, message.key_hash
         if self.table.release(number, key, sender, message.attempt) is not None:
-            self.log.forget(number, key)
+            self.log.discard_unwritten(number, key)
 
     def _on_record(self, sender: str, message: ClaimRecord) -> None:
         self._network.send(sender, self.answer_record(message))
--- a/src/pomeloyard/claims/table.py
+++ b/src/pomeloyard/claims/table.py
@@ -1,9 +1,9 @@
-"""Claims of idempotency keys: who runs a keyed request, for one window.
+"""Claims on idempotency keys: which daemon runs a keyed request.
 
-A claim is made once at the holder of the key's partition. It exists from the
-grant until it is released (the request certainly did not run) or until the
-window has passed. Whether the request is running or done is known by the daemon
-that runs it (``results.py``), which the claim names.
+The holder of the key's partition grants each claim once. A claim exists until it
+is released, because the request certainly did not run, or until the claim window
+has passed. It names the daemon that runs the request; that daemon knows whether
+the request is running or done (``results.py``).
 """
 
 from __future__ import annotations
@@ -16,16 +16,16 @@
 from ..outcomes import RefusalReason, Refused
 
 CLAIM_WINDOW = timedelta(minutes=10)
-"""Time for which a key is remembered after its claim was granted."""
+"""Time for which a claim is kept after it was granted."""
 
 MAX_CLAIMS = 50_000
-"""Claims held by one daemon; further keyed requests are refused.
+"""Maximum number of claims at one daemon; further keyed requests are refused.
 
-With nine daemons this is 750 keyed requests per second over the whole window.
+With nine daemons this allows 750 keyed requests per second over the whole window.
 """
 
 CLAIM_BYTES = 512
-"""Memory of one held claim in bytes, at most; see measurements/requests.py."""
+"""Upper bound on the memory of one claim; see measurements/requests.py."""
 
 UNKNOWN_RUNNER = ""
 HASH_BYTES = 16
@@ -34,10 +34,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Right of daemon ``runner`` to run the request of a key once.
+    """Permission of daemon ``runner`` to run a key's request once.
 
-    ``attempt`` distinguishes claims of the same runner for the same key, and
-    ``granted_at`` is in seconds of the keeping daemon's monotonic clock.
+    ``attempt`` distinguishes claims of the same runner for the same key.
+    ``granted_at`` is in seconds of the local daemon's monotonic clock.
     """
 
     key_hash: bytes
@@ -57,7 +57,7 @@
 
 
 def fingerprint_request(method: str, target: str, body: bytes) -> bytes:
-    """Return the hash by which a repeated request is recognized."""
+    """Return the hash that tells a repeated request from a different one."""
     return _digest(method.encode(), target.encode(), body)
 
 
@@ -81,7 +81,7 @@
         return self._count
 
     def request(self, partition: int, claim: Claim) -> Claim | Refused | None:
-        """Enter a claim; return None, the earlier claim, or why it is refused."""
+        """Add a claim; return None, the earlier claim or the refusal."""
         self.expire(claim.granted_at)
         claims = self._claims_by_partition.setdefault(partition, {})
         earlier = claims.get(claim.key_hash)
@@ -100,11 +100,11 @@
         return None
 
     def add(self, partition: int, claims: Iterable[Claim]) -> None:
-        """Enter claims known from the store or from other daemons, by age.
+        """Add claims from the store or from other daemons, ordered by age.
 
-        Of two claims of one key, one has been released, but it is not known
-        which: the key then counts as run by an unknown daemon. The limit does not
-        apply, because forgetting a claim could let its request run twice.
+        If two claims differ for one key, one was released, but it is not known
+        which: the key is then claimed by an unknown runner. The limit does not
+        apply, because dropping a claim could let its request run twice.
         """
         known = self._claims_by_partition.get(partition, {})
         merged = dict(known)
@@ -127,7 +127,7 @@
     def release(
         self, partition: int, key_hash: bytes, runner: str, attempt: int
     ) -> Claim | None:
-        """Remove a claim if it is the stated attempt's, and return it."""
+        """Remove and return a claim if runner and attempt match."""
         claims = self._claims_by_partition.get(partition, {})
         claim = claims.get(key_hash)
         if claim is None or (claim.runner, claim.attempt) != (runner, attempt):
@@ -137,14 +137,14 @@
         return claim
 
     def drop_partition(self, partition: int) -> None:
-        """Forget a partition that another daemon now holds."""
+        """Drop the claims of a partition that another daemon holds now."""
         self._count -= len(self._claims_by_partition.pop(partition, {}))
 
     def claims(self, partition: int) -> list[Claim]:
         """Return a partition's claims, oldest first."""
         return list(self._claims_by_partition.get(partition, {}).values())
 
-    def since(self, partition: int, oldest: float) -> Iterator[Claim]:
+    def granted_since(self, partition: int, oldest: float) -> Iterator[Claim]:
         """Yield the claims granted at ``oldest`` or later, newest first."""
         claims = self._claims_by_partition.get(partition, {})
         for claim in reversed(claims.values()):
@@ -153,7 +153,7 @@
             yield claim
 
     def expire(self, now: float) -> None:
-        """Drop the claims whose window has passed."""
+        """Drop claims older than the claim window."""
         horizon = now - CLAIM_WINDOW.total_seconds()
         for claims in self._claims_by_partition.values():
             while claims:
--- a/src/pomeloyard/claims/takeover.py
+++ b/src/pomeloyard/claims/takeover.py
@@ -1,4 +1,4 @@
-"""Takeover of a partition's claims by its new holder."""
+"""Takeover of a partition's claims by a new holder."""
 
 from __future__ import annotations
 
@@ -23,11 +23,11 @@
 
 
 class Takeover:
-    """Collects a partition's claims; ``open`` once claims may be granted.
+    """Collects a partition's claims; ``open`` is set once claims may be granted.
 
-    The store holds every claim that was granted while it was up. The others are
-    known by at least two daemons, so after an unclean takeover they are lost only
-    if another daemon than the former holder does not answer either.
+    The store has every claim that was granted while it was available. At least two
+    daemons know each of the others, so after an unclean takeover a claim can be
+    missed only if another daemon besides the former holder does not answer.
     """
 
     def __init__(
@@ -38,17 +38,17 @@
         self._clock = clock
         self._scope = anyio.CancelScope()
         self._cancelled = False
-        self._started = clock.monotonic()
-        self._inherited = timedelta(0)
+        self._started_at = clock.monotonic()
+        self._inherited_lost_until = timedelta(0)
         self._outage_seen = False
-        self._vouched = False
-        self._asked = {service.incarnation}
-        self._known: set[str] = set()
+        self._no_outage_confirmed = False
+        self._queried_peers = {service.incarnation}
+        self._known_peers: set[str] = set()
         self.open = False
 
     @property
     def epoch(self) -> int:
-        """Return the epoch under which the partition is held."""
+        """Return the epoch under which this daemon holds the partition."""
         return self._partition.epoch
 
     def cancel(self) -> None:
@@ -58,12 +58,12 @@
         self._scope.cancel()
 
     async def run(self) -> None:
-        """Open the partition as soon as all of its claims are known."""
+        """Open the partition once all of its claims are known."""
         with self._scope:
             await self._load()
             missing = self._service.watch.known_daemons()
             while not self._cancelled:
-                missing = await self._ask_all(missing)
+                missing = await self._query_all_peers(missing)
                 if self._clock.monotonic() >= self._lost_until(missing):
                     break
                 await self._clock.sleep(RETRY_INTERVAL)
@@ -75,45 +75,45 @@
             try:
                 claims = await self._service.log.open(number, self.epoch)
             except StoreError as error:
-                self._service.log.note_outage(str(error))
+                self._service.log.record_outage(str(error))
                 await self._clock.sleep(RETRY_INTERVAL)
             else:
                 self._service.table.add(number, claims)
-                self._add(self._service.recorded.claims(number))
+                self._add_claims(self._service.recorded.claims(number))
                 return
 
-    def _add(self, claims: list[Claim]) -> None:
-        """Enter claims that the store may not hold, and have them written."""
+    def _add_claims(self, claims: list[Claim]) -> None:
+        """Add claims that may not be in the store, and queue them for writing."""
         number = self._partition.number
         self._service.table.add(number, claims)
-        self._service.log.adopt(number, claims)
+        self._service.log.add_unwritten(number, claims)
 
-    async def _ask_all(self, peers: set[str]) -> set[str]:
-        """Ask peers, and those that they know of; return who did not answer."""
+    async def _query_all_peers(self, peers: set[str]) -> set[str]:
+        """Query peers and the daemons they know; return those that did not answer."""
         missing: set[str] = set()
         while peers:
-            self._asked |= peers
-            missing |= await self._ask(peers)
-            peers = self._known - self._asked
+            self._queried_peers |= peers
+            missing |= await self._query_peers(peers)
+            peers = self._known_peers - self._queried_peers
         return missing
 
-    async def _ask(self, peers: set[str]) -> set[str]:
-        """Collect the claims that peers know; return those that did not answer."""
+    async def _query_peers(self, peers: set[str]) -> set[str]:
+        """Add the claims that peers know; return the peers that did not answer."""
         answered: set[str] = set()
 
-        async def ask(peer: str) -> None:
-            claims = await self._collect(peer)
+        async def query_peer(peer: str) -> None:
+            claims = await self._collect_claims(peer)
             if claims is not None:
-                self._add(claims)
+                self._add_claims(claims)
                 answered.add(peer)
 
         async with anyio.create_task_group() as tasks:
             for peer in sorted(peers):
-                tasks.start_soon(ask, peer)
-        # A daemon that has gone without an answer took its claims along.
+                tasks.start_soon(query_peer, peer)
+        # The claims in the memory of a daemon that ended without answering are lost.
         return peers - answered
 
-    async def _collect(self, peer: str) -> list[Claim] | None:
+    async def _collect_claims(self, peer: str) -> list[Claim] | None:
         claims: list[Claim] = []
         after = b""
         while True:
@@ -123,38 +123,41 @@
             if statement is None:
                 return None
             self._outage_seen |= statement.outage_seen
-            self._vouched |= statement.vouches
-            self._known |= set(statement.known)
-            inherited = timedelta(milliseconds=statement.lost_ms)
-            self._inherited = max(self._inherited, self._clock.monotonic() + inherited)
-            claims += [self._service.claim_of(row) for row in statement.claims]
+            self._no_outage_confirmed |= statement.vouches
+            self._known_peers |= set(statement.known)
+            lost = timedelta(milliseconds=statement.lost_ms)
+            self._inherited_lost_until = max(
+                self._inherited_lost_until, self._clock.monotonic() + lost
+            )
+            claims += [self._service.claim_from_row(row) for row in statement.claims]
             if not statement.more:
                 return claims
             after = statement.claims[-1].key_hash
 
     def _lost_until(self, missing: set[str]) -> timedelta:
-        """Return until when unknown claims may exist (a past time: none do)."""
-        # The former holder's claims are also known by a second daemon, unless it
-        # released the partition and is alive: then they are still its to tell.
+        """Return until when unknown claims may exist; a past time means none do."""
+        # A second daemon also knows the former holder's claims. After a clean
+        # release, the former holder is alive and its answer alone is sufficient.
         former = self._partition.former
         if not self._partition.clean:
             missing = missing - {former}
         elif former not in missing:
             missing = set()
-        until = self._inherited
+        until = self._inherited_lost_until
         if missing and not self._no_outage(missing):
-            until = max(until, self._started + CLAIM_WINDOW)
+            until = max(until, self._started_at + CLAIM_WINDOW)
         self._service.lost_until_by_partition[self._partition.number] = until
         return until
 
     def _no_outage(self, missing: set[str]) -> bool:
-        """Tell whether the missing daemons hold no claims of their own.
+        """Return whether the missing daemons cannot hold claims absent from the store.
 
-        A daemon that may still answer is waited for unless a daemon that has
-        watched the store for the whole window vouches that there was no outage.
+        This is so if a daemon that has watched the store for the whole window
+        confirms that there was no outage, or if all missing daemons are gone.
+        Other missing daemons may still answer and must be waited for.
         """
         if self._outage_seen or self._service.watch.outage_seen():
             return False
-        if self._vouched or self._service.watch.vouches():
+        if self._no_outage_confirmed or self._service.watch.confirms_no_outage():
             return True
         return all(self._service.watch.is_gone(name) for name in missing)
--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -1,4 +1,4 @@
-"""Several claim services in one event loop, with faults and a passed-in clock."""
+"""Several claim services in one event loop, with fault injection and a given clock."""
 
 from __future__ import annotations
 
@@ -26,26 +26,26 @@
 
 
 class FaultyStore:
-    """A daemon's view of the store: pauses with the daemon, fails, loses answers."""
+    """One daemon's store client, which pauses with it, fails and loses answers."""
 
     def __init__(self, fleet, daemon):
         self._fleet, self._daemon = fleet, daemon
 
-    async def _before(self):
+    async def _check_available(self):
         await self._daemon.resumed.wait()
         if self._fleet.store_down or self._daemon.killed:
             raise StoreUnavailableError("down")
 
     async def get(self, key):
-        await self._before()
+        await self._check_available()
         return await self._fleet.store.get(key)
 
     async def scan(self, *arguments, **options):
-        await self._before()
+        await self._check_available()
         return await self._fleet.store.scan(*arguments, **options)
 
     async def commit(self, transaction):
-        await self._before()
+        await self._check_available()
         loss = self._fleet.next_write_loss()
         if loss == "before":
             raise StoreOutcomeUnknownError("request lost")
@@ -57,7 +57,7 @@
 
 
 class Network:
-    """Delivers messages at once, later to paused daemons, or not at all."""
+    """Delivers messages immediately, after a pause of either side, or not at all."""
 
     def __init__(self, fleet, daemon):
         self._fleet, self._daemon = fleet, daemon
@@ -83,7 +83,7 @@
 
 
 class Calls(PeerCalls):
-    """Calls that end when the fleet says that their time is up."""
+    """Calls that time out only when the test expires them."""
 
     async def call(self, incarnation, make_message, reply_type, timeout):
         request_id = next(self._ids)
@@ -122,7 +122,7 @@
 
 
 class ClaimFleet:
-    """Daemons, the store's partition table and the record of what ran."""
+    """Daemons on one store, with a record of the requests that ran."""
 
     def __init__(self, clock, vms=("a", "b", "c"), partitions=2, seed=0):
         self.clock = clock
@@ -163,9 +163,9 @@
         target = next((d for d in self.live() if d.name == name), None)
         if sender.killed or target is None:
             return False
-        # A lost connection is opened again, and an outage is then told again.
-        loses = not isinstance(message, ClaimOutage) and self.message_losses > 0
-        if loses and self.random.random() < 0.5:
+        # Outage notices are never lost: they are resent after a reconnect.
+        is_lost = not isinstance(message, ClaimOutage) and self.message_losses > 0
+        if is_lost and self.random.random() < 0.5:
             self.message_losses -= 1
             return True
         if target.resumed.is_set():
@@ -175,7 +175,7 @@
         return True
 
     async def sync(self, *only):
-        """Let daemons follow the store, unless it is down or they are paused."""
+        """Update daemons from the store, unless it is down or they are paused."""
         if not self.store_down:
             record = await read_record(self.store, layout.PARTITIONS, PartitionTable)
             registered = {
@@ -187,10 +187,10 @@
                     daemon.state.partitions_revision = record.mod_revision
                     daemon.state.daemons_by_incarnation = registered
                     daemon.service.refresh()
-        await self.settle(2)
+        await self.run_steps(2)
 
-    async def settle(self, steps):
-        """Let all tasks run while the clock moves."""
+    async def run_steps(self, steps):
+        """Run all tasks while the clock advances by a number of steps."""
         for _ in range(steps):
             for _ in range(12):
                 await asyncio.sleep(0)
@@ -202,7 +202,7 @@
         for daemon in self.live():
             if daemon.resumed.is_set():
                 daemon.calls.expire()
-        await self.settle(2)
+        await self.run_steps(2)
 
     def set_store_down(self, down):
         self.store_down = down
@@ -231,7 +231,7 @@
             return
         record = await read_record(self.store, layout.PARTITIONS, PartitionTable)
         if clean:
-            # A holder that releases a partition has written its claims before.
+            # A holder writes its claims before it releases a partition.
             former = record.value.partitions[number].holder
             for daemon in self.live():
                 if daemon.name == former and daemon.resumed.is_set():
@@ -240,7 +240,7 @@
         await commit_changes(self.store, [Change(layout.PARTITIONS, table, record)])
 
     def submit(self, daemon, key, *, runs=True):
-        """Claim a key at a daemon and run its request, or release it as not run."""
+        """Claim a key at a daemon; then run its request, or release the claim unrun."""
         task = asyncio.create_task(self._run(daemon, key, runs))
         self.tasks.append(task)
         return task
@@ -253,7 +253,7 @@
             return error.refusal.reason.value
         if not isinstance(ticket, ClaimTicket):
             return "duplicate"
-        # A paused daemon acts only when it runs again, a killed one never.
+        # A paused daemon continues only once resumed, a killed one never.
         while not daemon.resumed.is_set():
             await daemon.resumed.wait()
         age = self.clock.monotonic().total_seconds() - ticket.asked_at
--- a/tests/test_claim_model.py
+++ b/tests/test_claim_model.py
@@ -1,4 +1,4 @@
-"""Claims over several daemons: no key runs twice, whatever fails meanwhile."""
+"""Model test of claims on several daemons: no key runs twice despite failures."""
 
 import asyncio
 import itertools
@@ -17,14 +17,14 @@
 
 
 class ClaimModel(RuleBasedStateMachine):
-    """Random claims, outages, pauses, deaths, takeovers and lost messages."""
+    """Random claims, outages, pauses, kills, takeovers and lost messages."""
 
     def __init__(self):
         super().__init__()
         self.runner = asyncio.Runner()
         self.fleet = ClaimFleet(ManualClock(), partitions=1)
         self.runner.run(self.fleet.start())
-        self.runner.run(self.fleet.settle(4))
+        self.runner.run(self.fleet.run_steps(4))
         self.newest_key = 1
 
     def pick(self, number):
@@ -41,7 +41,7 @@
                 daemon = self.pick(number)
                 if daemon.resumed.is_set():
                     self.fleet.submit(daemon, self.newest_key - key, runs=runs)
-            await self.fleet.settle(steps)
+            await self.fleet.run_steps(steps)
 
         self.runner.run(submit())
 
@@ -51,48 +51,50 @@
 
     @rule(
         first=DAEMON,
-        fate=st.sampled_from(["kill", "pause", "resume later", "none"]),
-        heir=DAEMON,
+        holder_fault=st.sampled_from(["kill", "pause", "resume later", "none"]),
+        successor=DAEMON,
         late=st.booleans(),
         down=st.booleans(),
         down_again=st.booleans(),
     )
-    def claim_and_lose_holder(self, first, fate, heir, late, down, down_again):
-        """Claim, lose the holder, take its partition over and claim again."""
+    def claim_and_lose_holder(
+        self, first, holder_fault, successor, late, down, down_again
+    ):
+        """Claim, fail the holder, take over its partition and claim again."""
 
         async def sequence():
             fleet = self.fleet
             self.newest_key += 1
             fleet.set_store_down(down)
-            await fleet.settle(2)
+            await fleet.run_steps(2)
             self.submit(first)
-            if fate == "resume later":
+            if holder_fault == "resume later":
                 fleet.pause(self.holder())
-            await fleet.settle(4)
+            await fleet.run_steps(4)
             holder = self.holder()
-            if fate == "kill" and holder.vm != "a":
+            if holder_fault == "kill" and holder.vm != "a":
                 fleet.kill(holder)
                 fleet.add(holder.vm)
-            elif fate == "pause":
+            elif holder_fault == "pause":
                 fleet.pause(holder)
             fleet.set_store_down(False)
-            await self.change_holder(heir, False, late)
+            await self.change_holder(successor, False, late)
             for number in range(3):
                 self.submit(number)
-            await fleet.settle(4)
+            await fleet.run_steps(4)
             fleet.set_store_down(down_again)
-            if fate == "resume later":
+            if holder_fault == "resume later":
                 await fleet.resume(holder)
-                await fleet.settle(4)
+                await fleet.run_steps(4)
             await fleet.time_out_calls()
             for number in range(3):
                 self.submit(number)
-            await fleet.settle(30)
+            await fleet.run_steps(30)
 
         self.runner.run(sequence())
 
     def holder(self):
-        """Return the daemon that the first daemon takes for the holder."""
+        """Return the holder according to the first daemon's partition table."""
         name = self.fleet.live()[0].state.partitions.partitions[0].holder
         return next((d for d in self.fleet.live() if d.name == name), self.pick(0))
 
@@ -103,14 +105,14 @@
 
     @rule(steps=st.sampled_from([20, 70]), time_out=st.booleans())
     def pass_time(self, steps, time_out):
-        self.runner.run(self.fleet.settle(steps))
+        self.runner.run(self.fleet.run_steps(steps))
         if time_out:
             self.runner.run(self.fleet.time_out_calls())
 
     @rule()
     def switch_store(self):
         self.fleet.set_store_down(not self.fleet.store_down)
-        self.runner.run(self.fleet.settle(1))
+        self.runner.run(self.fleet.run_steps(1))
 
     @rule(losses=st.lists(st.sampled_from(["before", "after"]), max_size=4))
     def lose_store_answers(self, losses):
@@ -127,7 +129,7 @@
             self.fleet.pause(daemon)
         else:
             self.runner.run(self.fleet.resume(daemon))
-        self.runner.run(self.fleet.settle(1))
+        self.runner.run(self.fleet.run_steps(1))
 
     @rule(number=DAEMON)
     def follow_store(self, number):
@@ -140,24 +142,26 @@
     async def change_holder(self, number, clean, late):
         holder = self.pick(number)
         await self.fleet.take_over(0, holder, clean=clean)
-        # With ``late`` only the new holder learns of the change at once.
+        # With ``late``, only the new holder follows the change immediately.
         await self.fleet.sync(*([holder] if late else []))
-        await self.fleet.settle(4)
+        await self.fleet.run_steps(4)
 
-    @rule(number=DAEMON, heir=DAEMON, outage_ends=st.booleans(), late=st.booleans())
-    def kill_and_replace(self, number, heir, outage_ends, late):
+    @rule(
+        number=DAEMON, successor=DAEMON, outage_ends=st.booleans(), late=st.booleans()
+    )
+    def kill_and_replace(self, number, successor, outage_ends, late):
         async def replace():
             daemon = self.pick(number)
             if daemon.vm == "a":
-                # One daemon of those that heard of an outage must survive; see
-                # docs/decisions/at-most-once.md for what is lost otherwise.
+                # One daemon that was notified of an outage must survive;
+                # docs/decisions/at-most-once.md says what is lost otherwise.
                 return
             self.fleet.kill(daemon)
             added = self.fleet.add(daemon.vm)
             if outage_ends:
                 self.fleet.set_store_down(False)
             await self.fleet.sync(added)
-            await self.change_holder(heir, False, late)
+            await self.change_holder(successor, False, late)
 
         self.runner.run(replace())
 
