--- a/src/pomeloyard/jobs/capacity.py
+++ b/src/pomeloyard/jobs/capacity.py
@@ -1,4 +1,4 @@
-"""Free capacity of workers, indexed so that a fitting one is found quickly."""
+"""Index of the workers' free capacity, for best-fit search."""
 
 from __future__ import annotations
 
@@ -6,23 +6,23 @@
 from dataclasses import dataclass, field
 
 CORE_STEP = 0.25
-"""Step of free cores in the index; learned sizes are multiples of it."""
+"""Bucket width of free cores; learned core demands are multiples of it."""
 MEMORY_LEVELS = 64
-"""Steps into which a worker's free memory is divided in the index."""
-CLOSED = (-1, -1)
-"""Place in the index of workers that take no more tasks."""
+"""Number of buckets into which a worker's memory is divided."""
+CLOSED_LEVEL = (-1, -1)
+"""Level of workers that cannot start another task."""
 
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Amounts of a job or of a worker; memory is in bytes."""
+    """Resources that a job needs or a worker has."""
 
     cores: float
     memory_bytes: int
     accelerators: int = 0
 
     def within(self, other: Demand) -> bool:
-        """Tell whether all amounts are at most the other's.
+        """Tell whether no amount exceeds the other's.
 
         >>> Demand(1, 10).within(Demand(2, 10))
         True
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class Worker:
-    """A worker as placement sees it; ``demands_by_job`` are its allocations."""
+    """A worker's capacity and its allocations, ``demands_by_job``."""
 
     name: str
     pool: str
@@ -51,9 +51,9 @@
     free_accelerators: int = 0
 
     def refresh(self) -> None:
-        """Recompute the free amounts; they are negative when overcommitted."""
-        # Summed afresh each time, because adding and subtracting fractions of
-        # cores in turn would let rounding errors grow without bound.
+        """Recompute the free resources; they are negative when overcommitted."""
+        # Recomputed from the allocations, since rounding errors of incremental
+        # updates with fractions of cores would accumulate.
         demands = self.demands_by_job.values()
         cores = round(self.capacity.cores - sum(d.cores for d in demands), 6)
         self.free_cores = cores
@@ -62,15 +62,15 @@
         accelerators = sum(d.accelerators for d in demands)
         self.free_accelerators = self.capacity.accelerators - accelerators
 
-    def open(self) -> bool:
-        """Tell whether another task may be started at all."""
+    def can_start_task(self) -> bool:
+        """Tell whether the worker accepts another task of any size."""
         full = self.max_tasks is not None and len(self.demands_by_job) >= self.max_tasks
         return self.accepts_work and not full
 
-    def has_room(self, demand: Demand) -> bool:
-        """Tell whether a demand fits now."""
+    def fits(self, demand: Demand) -> bool:
+        """Tell whether a task with this demand can start now."""
         return (
-            self.open()
+            self.can_start_task()
             and demand.cores <= self.free_cores
             and demand.memory_bytes <= self.free_memory_bytes
             and demand.accelerators <= self.free_accelerators
@@ -78,11 +78,11 @@
 
 
 Shape = tuple[float, int, int, int]
-"""Capacity of a worker and its free accelerators."""
+"""A worker's cores, memory and accelerators, and its free accelerators."""
 Level = tuple[int, int]
-"""Free cores and memory in steps."""
-Shelf = dict[int, dict[int, dict[str, "Worker"]]]
-"""Workers of one shape by step of free cores, step of free memory and name."""
+"""Bucket numbers of free cores and free memory."""
+Buckets = dict[int, dict[int, dict[str, "Worker"]]]
+"""Workers of one shape by level of free cores, level of free memory and name."""
 
 
 class CapacityIndex:
@@ -90,68 +90,68 @@
 
     def __init__(self) -> None:
         self.workers_by_name: dict[str, Worker] = {}
-        self._places: dict[str, tuple[str, str, Shape, Level]] = {}
-        self._shelves: dict[tuple[str, str], dict[Shape, Shelf]] = {}
-        self._orphans: dict[str, dict[str, Demand]] = {}
+        self._positions: dict[str, tuple[str, str, Shape, Level]] = {}
+        self._shapes_by_zone: dict[tuple[str, str], dict[Shape, Buckets]] = {}
+        self._orphaned_demands: dict[str, dict[str, Demand]] = {}
 
     def put(self, worker: Worker) -> None:
-        """Add a worker or replace its description; allocations are kept."""
+        """Add a worker or replace its description; keep its allocations."""
         known = self.workers_by_name.get(worker.name)
         if known is not None:
             worker.demands_by_job = known.demands_by_job
         else:
-            worker.demands_by_job = self._orphans.pop(worker.name, {})
+            worker.demands_by_job = self._orphaned_demands.pop(worker.name, {})
         self.workers_by_name[worker.name] = worker
         self._reindex(worker)
 
     def remove(self, name: str) -> None:
-        """Remove a worker; its allocations are kept in case it comes back."""
+        """Remove a worker, but keep its allocations in case it returns."""
         worker = self.workers_by_name.pop(name)
-        self._unplace(worker)
+        self._remove_from_index(worker)
         if worker.demands_by_job:
-            self._orphans[name] = worker.demands_by_job
+            self._orphaned_demands[name] = worker.demands_by_job
 
     def allocate(self, name: str, job_key: str, demand: Demand) -> None:
-        """Set what a job takes of a worker."""
+        """Set a job's allocation on a worker."""
         worker = self.workers_by_name.get(name)
         if worker is None:
-            self._orphans.setdefault(name, {})[job_key] = demand
+            self._orphaned_demands.setdefault(name, {})[job_key] = demand
             return
         worker.demands_by_job[job_key] = demand
         self._reindex(worker)
 
     def release(self, name: str, job_key: str) -> None:
-        """Give back what a job took of a worker."""
+        """Remove a job's allocation from a worker."""
         worker = self.workers_by_name.get(name)
         if worker is None:
-            self._orphans.get(name, {}).pop(job_key, None)
+            self._orphaned_demands.get(name, {}).pop(job_key, None)
         elif worker.demands_by_job.pop(job_key, None) is not None:
             self._reindex(worker)
 
     def shapes(self, pools: Collection[str]) -> set[Demand]:
-        """Return the distinct capacities of all workers of some pools."""
-        # Drained and set-aside workers are included: their state is temporary.
+        """Return the distinct capacities of the workers in some pools."""
+        # Drained and quarantined workers count too: their state is temporary.
         return {
             Demand(*shape[:3])
-            for (pool, _), shapes in self._shelves.items()
+            for (pool, _), shapes in self._shapes_by_zone.items()
             if pool in pools
             for shape in shapes
         }
 
     def zones(self, pools: Collection[str]) -> set[str]:
         """Return the availability zones in which some pools have workers."""
-        return {zone for pool, zone in self._shelves if pool in pools}
+        return {zone for pool, zone in self._shapes_by_zone if pool in pools}
 
     def fitting(
         self, pools: Collection[str], zone: str, demand: Demand, limit: int
     ) -> list[Worker]:
-        """Return up to ``limit`` workers with room, the tightest fits first.
+        """Return up to ``limit`` workers that fit a demand, best fit first.
 
-        Workers without accelerators come first for a demand without any.
+        For a demand without accelerators, workers without any come first.
         """
         found: list[Worker] = []
         for worker in self._in_order(pools, zone, demand):
-            if worker.has_room(demand):
+            if worker.fits(demand):
                 found.append(worker)
                 if len(found) == limit:
                     break
@@ -161,9 +161,9 @@
         self, pools: Collection[str], zone: str, demand: Demand
     ) -> Iterator[Worker]:
         shapes = [
-            (shape, shelf)
+            (shape, buckets)
             for pool in pools
-            for shape, shelf in self._shelves.get((pool, zone), {}).items()
+            for shape, buckets in self._shapes_by_zone.get((pool, zone), {}).items()
             if shape[3] >= demand.accelerators
         ]
         if demand.accelerators:
@@ -171,12 +171,13 @@
         else:
             shapes.sort(key=lambda item: (item[0][2], item[0][3]))
         cores = _core_level(demand.cores)
-        for shape, shelf in shapes:
+        for shape, buckets in shapes:
             memory = _memory_level(demand.memory_bytes, shape[1])
-            for core_level in sorted(level for level in shelf if level >= cores):
-                by_memory = shelf[core_level]
+            for core_level in sorted(level for level in buckets if level >= cores):
+                by_memory = buckets[core_level]
                 for level in sorted(level for level in by_memory if level >= memory):
-                    # Only workers at the boundary of a step may not fit.
+                    # The caller checks each worker: those in the lowest bucket may
+                    # still be too small.
                     yield from by_memory[level].values()
 
     def _reindex(self, worker: Worker) -> None:
@@ -188,43 +189,43 @@
             capacity.accelerators,
             worker.free_accelerators,
         )
-        level = CLOSED
-        if worker.open():
+        level = CLOSED_LEVEL
+        if worker.can_start_task():
             free = worker.free_memory_bytes
             level = (
                 _core_level(worker.free_cores),
                 _memory_level(free, capacity.memory_bytes),
             )
-        place = (worker.pool, worker.availability_zone, shape, level)
-        if self._places.get(worker.name) == place:
-            self._bucket(place)[worker.name] = worker
+        position = (worker.pool, worker.availability_zone, shape, level)
+        if self._positions.get(worker.name) == position:
+            self._bucket(position)[worker.name] = worker
             return
-        self._unplace(worker)
-        self._places[worker.name] = place
-        self._bucket(place)[worker.name] = worker
+        self._remove_from_index(worker)
+        self._positions[worker.name] = position
+        self._bucket(position)[worker.name] = worker
 
-    def _bucket(self, place: tuple[str, str, Shape, Level]) -> dict[str, Worker]:
-        pool, zone, shape, (cores, memory) = place
-        shapes = self._shelves.setdefault((pool, zone), {})
+    def _bucket(self, position: tuple[str, str, Shape, Level]) -> dict[str, Worker]:
+        pool, zone, shape, (cores, memory) = position
+        shapes = self._shapes_by_zone.setdefault((pool, zone), {})
         by_memory = shapes.setdefault(shape, {}).setdefault(cores, {})
         return by_memory.setdefault(memory, {})
 
-    def _unplace(self, worker: Worker) -> None:
-        place = self._places.pop(worker.name, None)
-        if place is None:
+    def _remove_from_index(self, worker: Worker) -> None:
+        position = self._positions.pop(worker.name, None)
+        if position is None:
             return
-        pool, zone, shape, (cores, memory) = place
-        shapes = self._shelves[(pool, zone)]
-        shelf = shapes[shape]
-        del shelf[cores][memory][worker.name]
-        if not shelf[cores][memory]:
-            del shelf[cores][memory]
-        if not shelf[cores]:
-            del shelf[cores]
-        if not shelf:
+        pool, zone, shape, (cores, memory) = position
+        shapes = self._shapes_by_zone[(pool, zone)]
+        buckets = shapes[shape]
+        del buckets[cores][memory][worker.name]
+        if not buckets[cores][memory]:
+            del buckets[cores][memory]
+        if not buckets[cores]:
+            del buckets[cores]
+        if not buckets:
             del shapes[shape]
         if not shapes:
-            del self._shelves[(pool, zone)]
+            del self._shapes_by_zone[(pool, zone)]
 
 
 def _core_level(cores: float) -> int:
@@ -232,7 +233,7 @@
 
 
 def _memory_level(amount: int, capacity: int) -> int:
-    """Return an amount in steps of the capacity, rounded down.
+    """Return the memory bucket of an amount, rounded down.
 
     >>> _memory_level(3, 128), _memory_level(128, 128)
     (1, 64)
--- a/src/pomeloyard/jobs/placement.py
+++ b/src/pomeloyard/jobs/placement.py
@@ -1,4 +1,4 @@
-"""Which queued job runs next and on which worker."""
+"""Selection of the next queued job and of the worker that runs it."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 from .queues import JobClass, TeamQueue, class_of
 from .team_shares import TeamLimits, TeamShares
 
-CANDIDATES = 4
-"""Fitting workers of one availability zone that are compared."""
+MAX_CANDIDATES = 4
+"""Fitting workers compared in one availability zone."""
 MAX_PLACEMENTS = 200
-"""Jobs placed in one step, so that a step stays short and is soon recorded."""
+"""Most jobs placed in one step, to bound its duration and the records to write."""
 
 Pools = tuple[str, ...]
 
@@ -27,13 +27,13 @@
 
     CHOSEN = "chosen"
     FITS_LESS_WELL = "fits-less-well"
-    ROOM_MADE = "room-made"
-    ROOM_KEPT = "room-kept"
+    PREEMPTED = "room-made"
+    RESERVED = "room-kept"
 
 
 @dataclass(frozen=True, slots=True)
-class Considered:
-    """A worker that was considered, and why it was or was not chosen."""
+class WorkerCandidate:
+    """A worker compared for a job, and why it was or was not chosen."""
 
     worker: str
     reason: CandidateReason
@@ -41,17 +41,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """A job to be started on a worker."""
+    """A job to start on a worker."""
 
     job: Job
     worker: str
     demand: Demand
-    considered: tuple[Considered, ...] = ()
+    considered: tuple[WorkerCandidate, ...] = ()
 
 
 @dataclass
 class Plan:
-    """Result of one planning step; ``waiting`` holds one job for each class."""
+    """Result of one planning step; ``waiting`` has one job of each class."""
 
     placements: list[Placement] = field(default_factory=list)
     waiting: list[tuple[Job, JobReason]] = field(default_factory=list)
@@ -60,17 +60,21 @@
 
 @dataclass(frozen=True, slots=True)
 class _Allocation:
-    """What a placed job takes, its cost in cores, and its zone and rack."""
+    """Resources of a placed job, their cost in cores, and its zone and rack."""
 
     worker: str
     demand: Demand
     cost: float
-    places: tuple[str, ...]
+    failure_domains: tuple[str, ...]
 
 
 @dataclass
 class _Step:
-    """Working state of one planning step."""
+    """State of one planning step.
+
+    ``taken`` has the keys of jobs already handled, ``too_large`` the demands that
+    fitted no worker in this step.
+    """
 
     plan: Plan
     limit: int
@@ -82,9 +86,9 @@
 
 
 class Placer:
-    """Queues and sums kept up to date with each job, and the planning step.
+    """Queues and totals updated with each job change, and the planning step.
 
-    Every method is a pure function of what it was told; time is passed in.
+    Does no I/O and reads no clock; callers pass in the time.
     """
 
     def __init__(
@@ -106,27 +110,27 @@
         self.shares = TeamShares(teams, now)
         self._queued_costs: dict[str, float] = {}
         self._allocations: dict[str, _Allocation] = {}
-        self._spread: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
+        self._domain_counts: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
 
     def job_changed(self, key: str, before: Job | None, after: Job | None) -> None:
-        """Take over a change of a job."""
+        """Update queues and allocations after a job has changed."""
         if before and after and before.placed and after.placed:
             return
         if before is not None and before.placed:
-            self._unplace(key, before)
+            self._deallocate(key, before)
         if before is not None and key in self._queued_costs:
             cost = self._queued_costs.pop(key)
-            self.shares.want(before.team, -cost, -before.units)
+            self.shares.adjust_queued(before.team, -cost, -before.units)
         if after is None:
             return
         if after.placed:
-            self._place(key, after)
+            self._allocate(key, after)
         elif after.state is JobState.QUEUED:
             cost = self._queued_costs[key] = self.shares.cost(declared(after))
-            self.shares.want(after.team, cost, after.units)
+            self.shares.adjust_queued(after.team, cost, after.units)
 
     def enqueue(self, job: Job) -> None:
-        """Let a queued job, whose retry delay has passed, be placed."""
+        """Add a queued job whose retry delay has passed to its team's queue."""
         queue_key = (job.team, job.request.urgent)
         queue = self._queues.get(queue_key)
         if queue is None:
@@ -138,7 +142,7 @@
         return list(self._queued_costs)
 
     def queued_urgent(self, limit: int) -> list[Job]:
-        """Return urgent jobs that wait, at most ``limit`` of each team."""
+        """Return queued urgent jobs, at most ``limit`` per team, oldest first."""
         found: list[Job] = []
         for (_, urgent), queue in self._queues.items():
             if urgent:
@@ -148,7 +152,7 @@
         return found
 
     def plan(self, now: timedelta, limit: int = MAX_PLACEMENTS) -> Plan:
-        """Choose jobs and workers; what is chosen is reserved in the index."""
+        """Choose jobs and workers, and reserve the capacity in the index."""
         teams = self._teams()
         workers = self.index.workers_by_name.values()
         self.shares.update(now, workers, self.units_by_team)
@@ -171,25 +175,25 @@
         heapq.heapify(order)
         while order and len(step.plan.placements) < step.limit:
             _, team = heapq.heappop(order)
-            if self._serve(step, teams[team], team, heads_by_team[team], urgent):
+            if self._place_next(step, teams[team], team, heads_by_team[team], urgent):
                 heapq.heappush(order, (self.shares.above_share(team), team))
 
-    def _serve(
+    def _place_next(
         self, step: _Step, limits: TeamLimits, team: str, heads: list, urgent: bool
     ) -> bool:
-        """Place the next job of a team; tell whether it may have another."""
+        """Place a team's next job; return whether the team may place another."""
         while heads:
             _, key, job_class = heads[0]
             job = self._get_job(key)
             if job is None or key in step.taken or not self._is_queued(key, job_class):
-                self._next_head(step, heads, team, urgent)
+                self._advance_head(step, heads, team, urgent)
                 continue
-            reason = self._try(step, limits, job)
+            reason = self._try_to_place(step, limits, job)
             if reason is JobReason.PLACED:
-                self._next_head(step, heads, team, urgent)
+                self._advance_head(step, heads, team, urgent)
                 return True
             if reason is JobReason.TEAM_AT_LIMIT:
-                # Smaller jobs behind it must wait too, or it might never run.
+                # Smaller jobs behind it wait too; otherwise they could starve it.
                 step.plan.waiting.append((job, reason))
                 return False
             if reason in (
@@ -198,7 +202,7 @@
             ):
                 step.taken.add(key)
                 step.plan.impossible.append((job, reason))
-                self._next_head(step, heads, team, urgent)
+                self._advance_head(step, heads, team, urgent)
                 continue
             if reason is JobReason.NO_ROOM and self.shares.above_share(team) >= 0:
                 reason = JobReason.SHARE_USED
@@ -206,8 +210,8 @@
             heapq.heappop(heads)
         return False
 
-    def _next_head(self, step: _Step, heads: list, team: str, urgent: bool) -> None:
-        """Replace the first head by the next job of the same class."""
+    def _advance_head(self, step: _Step, heads: list, team: str, urgent: bool) -> None:
+        """Replace the first head with the next job of the same class."""
         _, key, job_class = heads[0]
         step.taken.add(key)
         queue = self._queues[(team, urgent)]
@@ -217,7 +221,7 @@
         else:
             heapq.heapreplace(heads, (*head, job_class))
 
-    def _try(self, step: _Step, limits: TeamLimits, job: Job) -> JobReason:
+    def _try_to_place(self, step: _Step, limits: TeamLimits, job: Job) -> JobReason:
         pools = self._pools_of(job)
         if pools is None:
             return JobReason.QUEUE_MISSING
@@ -228,17 +232,17 @@
             return JobReason.TEAM_LIMIT_TOO_SMALL
         if not shapes:
             return JobReason.NO_WORKERS
-        wanted = declared(job)
-        holding = [shape for shape in shapes if wanted.within(shape)]
-        if not holding:
+        requested = declared(job)
+        large_enough = [shape for shape in shapes if requested.within(shape)]
+        if not large_enough:
             return JobReason.NO_WORKER_LARGE_ENOUGH
         if self.units_by_team[job.team] + job.units > limits.job_limit:
             return JobReason.TEAM_AT_LIMIT
-        demand = clip(self.demand_for_job(job), holding)
+        demand = clip(self.demand_for_job(job), large_enough)
         failed = step.too_large[(pools, job.failed_on)]
         if any(smaller.within(demand) for smaller in failed):
             return JobReason.NO_ROOM
-        chosen = self._choose(job, pools, demand)
+        chosen = self._choose_worker(job, pools, demand)
         if chosen is None:
             failed.append(demand)
             return JobReason.NO_ROOM
@@ -247,18 +251,18 @@
         self.reserve(job, worker.name, demand)
         return JobReason.PLACED
 
-    def _choose(
+    def _choose_worker(
         self, job: Job, pools: Pools, demand: Demand
-    ) -> tuple[Worker, tuple[Considered, ...]] | None:
-        spread = self._spread.get(spread_group(job), Counter())
+    ) -> tuple[Worker, tuple[WorkerCandidate, ...]] | None:
+        spread = self._domain_counts.get(spread_group(job), Counter())
         zones = sorted(self.index.zones(pools), key=lambda z: (spread[f"zone:{z}"], z))
         for zone in zones:
-            limit = CANDIDATES + len(job.failed_on)
+            limit = MAX_CANDIDATES + len(job.failed_on)
             fitting = self.index.fitting(pools, zone, demand, limit)
             fitting = [w for w in fitting if w.name not in job.failed_on]
             if not fitting:
                 continue
-            # The order of the index, the tightest fit first, decides ties.
+            # min() keeps the index order, best fit first, among equals.
             worker = min(
                 fitting,
                 key=lambda w: (
@@ -267,81 +271,81 @@
                     else (w.free_accelerators, spread[f"rack:{w.rack}"])
                 ),
             )
-            chosen, less_well = CandidateReason.CHOSEN, CandidateReason.FITS_LESS_WELL
+            chosen, rejected = CandidateReason.CHOSEN, CandidateReason.FITS_LESS_WELL
             considered = tuple(
-                Considered(w.name, chosen if w is worker else less_well)
-                for w in fitting[:CANDIDATES]
+                WorkerCandidate(w.name, chosen if w is worker else rejected)
+                for w in fitting[:MAX_CANDIDATES]
             )
             return worker, considered
         return None
 
     def reserve(self, job: Job, worker: str, demand: Demand) -> None:
-        """Count a job on a worker before its record says so."""
+        """Allocate a worker's capacity to a job before the assignment is recorded."""
         if job.key in self._allocations:
             return
-        described = self.index.workers_by_name.get(worker)
-        places: tuple[str, ...] = ()
-        if described is not None:
-            places = (f"zone:{described.availability_zone}", f"rack:{described.rack}")
+        known = self.index.workers_by_name.get(worker)
+        failure_domains: tuple[str, ...] = ()
+        if known is not None:
+            failure_domains = (f"zone:{known.availability_zone}", f"rack:{known.rack}")
         cost = self.shares.cost(demand)
-        self._allocations[job.key] = _Allocation(worker, demand, cost, places)
+        self._allocations[job.key] = _Allocation(worker, demand, cost, failure_domains)
         self.index.allocate(worker, job.key, demand)
         self.units_by_team[job.team] += job.units
-        self.shares.hold(job.team, cost)
-        self._spread[spread_group(job)].update(places)
+        self.shares.adjust_held(job.team, cost)
+        self._domain_counts[spread_group(job)].update(failure_domains)
 
     def unreserve(self, job: Job) -> None:
-        """Give back a reservation whose placement was not recorded."""
-        self._unplace(job.key, job)
+        """Release the reservation of a job whose assignment was not recorded."""
+        self._deallocate(job.key, job)
 
     def demand_on_worker(self, key: str) -> Demand | None:
-        """Return what a placed job takes of its worker."""
+        """Return the resources allocated to a placed job."""
         allocation = self._allocations.get(key)
         return None if allocation is None else allocation.demand
 
     def resize(self, job: Job, demand: Demand) -> None:
-        """Change what a placed job takes of its worker."""
+        """Change the resources allocated to a placed job."""
         before = self._allocations[job.key]
         cost = self.shares.cost(demand)
         self._allocations[job.key] = replace(before, demand=demand, cost=cost)
-        self.shares.hold(job.team, cost - before.cost)
+        self.shares.adjust_held(job.team, cost - before.cost)
         self.index.allocate(before.worker, job.key, demand)
 
     def fitting_demand(self, job: Job, pools: Pools) -> Demand | None:
-        """Return the size to reserve, or None if no worker could ever hold it."""
-        wanted = declared(job)
-        shapes = [s for s in self.index.shapes(pools) if wanted.within(s)]
+        """Return the demand to reserve, or None if no worker is large enough."""
+        requested = declared(job)
+        shapes = [s for s in self.index.shapes(pools) if requested.within(s)]
         return clip(self.demand_for_job(job), shapes) if shapes else None
 
     def pools_for(self, job: Job) -> Pools | None:
-        """Return the pools whose workers may run a job."""
+        """Return the pools whose workers may run a job, or None without its queue."""
         return self._pools_of(job)
 
     def within_limit(self, job: Job, held_units: int = 0) -> bool:
-        """Tell whether the team's limit allows the job beside what runs."""
+        """Tell whether the team's limit allows the job besides its placed jobs."""
         limits = self._teams().get(job.team)
         used = self.units_by_team[job.team] + held_units
         return limits is not None and used + job.units <= limits.job_limit
 
     def same_class(self, job: Job, limit: int) -> list[str]:
-        """Return queued jobs that wait for the same reason as a job."""
+        """Return the keys of queued jobs that wait for the same reason as a job."""
         queue = self._queues.get((job.team, job.request.urgent))
         return [] if queue is None else queue.of_class(class_of(job), limit)
 
-    def _place(self, key: str, job: Job) -> None:
+    def _allocate(self, key: str, job: Job) -> None:
         self.reserve(job, job.worker, self.demand_for_job(job))
 
-    def _unplace(self, key: str, job: Job) -> None:
+    def _deallocate(self, key: str, job: Job) -> None:
         allocation = self._allocations.pop(key, None)
         if allocation is None:
             return
         self.index.release(allocation.worker, key)
         self.units_by_team[job.team] -= job.units
-        self.shares.hold(job.team, -allocation.cost)
-        counts = self._spread[spread_group(job)]
-        counts.subtract(allocation.places)
+        self.shares.adjust_held(job.team, -allocation.cost)
+        counts = self._domain_counts[spread_group(job)]
+        counts.subtract(allocation.failure_domains)
         if not any(counts.values()):
-            del self._spread[spread_group(job)]
+            del self._domain_counts[spread_group(job)]
 
     def _is_queued(self, key: str, job_class: JobClass) -> bool:
         job = self._get_job(key)
@@ -353,18 +357,18 @@
 
 
 def declared(job: Job) -> Demand:
-    """Return the size that the caller declared."""
+    """Return the demand that the caller declared."""
     request = job.request
     return Demand(request.cores, request.memory_bytes, request.accelerators)
 
 
 def spread_group(job: Job) -> tuple[str, str]:
-    """Return the group whose tasks are spread over racks and zones."""
+    """Return the group whose tasks are spread across racks and zones."""
     return job.team, job.request.label
 
 
 def clip(demand: Demand, shapes: Collection[Demand]) -> Demand:
-    """Limit a learned size to the largest worker that holds the declared size."""
+    """Limit a learned demand to the largest worker that fits the declared one."""
     if any(demand.within(shape) for shape in shapes):
         return demand
     largest = max(shapes, key=lambda s: (s.memory_bytes, s.cores, s.accelerators))
--- a/src/pomeloyard/jobs/preemption.py
+++ b/src/pomeloyard/jobs/preemption.py
@@ -1,4 +1,4 @@
-"""Which running tasks make room for an urgent job, the mildest way first."""
+"""Selection of running tasks to preempt for an urgent job."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 from .capacity import Demand, Worker
 
-THROTTLED_SHARE = 0.5
-"""Share of its cores that a throttled task keeps."""
+THROTTLED_CORE_FRACTION = 0.5
+"""Fraction of its cores that a throttled task keeps."""
 
 
-class Mildness(IntEnum):
-    """Ways to free capacity, the mildest first."""
+class PreemptionMethod(IntEnum):
+    """Methods of freeing capacity, the least disruptive first."""
 
     CHECKPOINT = 1
     THROTTLE = 2
@@ -24,9 +24,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningTask:
-    """A task that may have to make room; never an urgent one.
+    """A task that may be preempted; never an urgent one.
 
-    ``over_share`` orders teams by how far they are over their share.
+    ``over_share`` orders teams by how far they exceed their fair share.
     """
 
     job_key: str
@@ -40,72 +40,79 @@
 
 @dataclass(frozen=True, slots=True)
 class Victim:
-    """A task that makes room, how, and what it frees."""
+    """A task to preempt, the method and the resources that this frees."""
 
     task: RunningTask
-    way: Mildness
+    method: PreemptionMethod
     freed: Demand
 
 
 @dataclass(frozen=True, slots=True)
 class Preemption:
-    """A worker on which an urgent job fits once the victims have made room."""
+    """A worker on which an urgent job fits once the victims are preempted."""
 
     worker: str
     victims: tuple[Victim, ...]
 
     @property
     def cost(self) -> tuple[float, ...]:
-        """Return the order of choice: mildest way, fewest and cheapest victims."""
+        """Return the sort key: method, lost work, number of victims, share."""
         if not self.victims:
             return (0.0, 0.0, 0.0, 0.0)
-        worst = max(v.way for v in self.victims)
-        # A checkpointed task loses no work; a stopped one all that it has done.
-        lost = sum(v.task.run_seconds for v in self.victims if v.way is Mildness.STOP)
-        least_over = min(v.task.over_share for v in self.victims)
-        return (float(worst), lost, float(len(self.victims)), -least_over)
-
-
-def ways(task: RunningTask) -> list[Victim]:
-    """Return how a task can make room; a task that must run on has no stop."""
+        harshest = max(v.method for v in self.victims)
+        # Checkpointing loses no work; stopping loses all work since the start.
+        lost = sum(
+            v.task.run_seconds
+            for v in self.victims
+            if v.method is PreemptionMethod.STOP
+        )
+        min_over_share = min(v.task.over_share for v in self.victims)
+        return (float(harshest), lost, float(len(self.victims)), -min_over_share)
+
+
+def options_for(task: RunningTask) -> list[Victim]:
+    """Return the ways to preempt a task; only an idempotent task can be stopped."""
     found: list[Victim] = []
     if task.checkpointable:
-        found.append(Victim(task, Mildness.CHECKPOINT, task.demand))
+        found.append(Victim(task, PreemptionMethod.CHECKPOINT, task.demand))
     elif not task.throttled:
-        freed = Demand(task.demand.cores * (1 - THROTTLED_SHARE), 0, 0)
-        found.append(Victim(task, Mildness.THROTTLE, freed))
+        freed = Demand(task.demand.cores * (1 - THROTTLED_CORE_FRACTION), 0, 0)
+        found.append(Victim(task, PreemptionMethod.THROTTLE, freed))
     if task.idempotent and not task.checkpointable:
-        found.append(Victim(task, Mildness.STOP, task.demand))
+        found.append(Victim(task, PreemptionMethod.STOP, task.demand))
     return found
 
 
 class VictimChooser:
     """Chooses victims for several urgent jobs in one step.
 
-    The cheapest preemption of each worker is found once for each size of job and
-    again only for workers that were chosen, so that n workers and m jobs cost
-    n log n + m log n and not m * n. Each worker comes with the tasks that may
-    have to make room and the victims that are already doing so.
+    The cheapest preemption on each worker is computed once per demand, and again
+    only for workers that were chosen, so that n workers and m jobs take
+    n log n + m log n steps instead of m * n. Each worker is passed with the tasks
+    that may be preempted and the victims whose preemption is in progress.
     """
 
     def __init__(
         self, workers: Iterable[tuple[Worker, Sequence[RunningTask], Sequence[Victim]]]
     ) -> None:
         self._workers: dict[str, tuple[Worker, Sequence[RunningTask]]] = {}
-        self._leaving: dict[str, list[Victim]] = {}
-        for worker, tasks, leaving in workers:
+        self._pending_victims: dict[str, list[Victim]] = {}
+        for worker, tasks, pending in workers:
             self._workers[worker.name] = (worker, tasks)
-            self._leaving[worker.name] = list(leaving)
-        self._used: dict[str, int] = defaultdict(int)
+            self._pending_victims[worker.name] = list(pending)
+        self._versions: dict[str, int] = defaultdict(int)
         self._heaps: dict[
             tuple[Demand, Collection[str]],
             list[tuple[tuple[float, ...], str, int, Preemption]],
         ] = {}
 
     def choose(
-        self, demand: Demand, pools: Collection[str], avoid: Collection[str] = ()
+        self,
+        demand: Demand,
+        pools: Collection[str],
+        excluded_workers: Collection[str] = (),
     ) -> Preemption | None:
-        """Return the mildest preemption that lets a demand fit, or None."""
+        """Return the least disruptive preemption that fits a demand, or None."""
         heap = self._heaps.get((demand, pools))
         if heap is None:
             heap = self._heaps[(demand, pools)] = []
@@ -116,10 +123,10 @@
         chosen: Preemption | None = None
         while heap and chosen is None:
             entry = heapq.heappop(heap)
-            _, name, used, preemption = entry
-            if used != self._used[name]:
+            _, name, version, preemption = entry
+            if version != self._versions[name]:
                 self._push(heap, demand, name)
-            elif name in avoid:
+            elif name in excluded_workers:
                 skipped.append(entry)
             else:
                 chosen = preemption
@@ -127,73 +134,73 @@
             heapq.heappush(heap, entry)
         return chosen
 
-    def use(self, preemption: Preemption) -> None:
-        """Take a preemption's tasks out of the choice; room must be held already."""
+    def accept(self, preemption: Preemption) -> None:
+        """Exclude a preemption's victims; call it after reserving the capacity."""
         worker, tasks = self._workers[preemption.worker]
         keys = {victim.task.job_key for victim in preemption.victims}
-        left = [task for task in tasks if task.job_key not in keys]
-        self._workers[preemption.worker] = (worker, left)
-        self._leaving[preemption.worker].extend(preemption.victims)
-        self._used[preemption.worker] += 1
+        remaining = [task for task in tasks if task.job_key not in keys]
+        self._workers[preemption.worker] = (worker, remaining)
+        self._pending_victims[preemption.worker].extend(preemption.victims)
+        self._versions[preemption.worker] += 1
 
     def _push(self, heap: list, demand: Demand, name: str) -> None:
         worker, tasks = self._workers[name]
-        if not worker.open() or not demand.within(worker.capacity):
+        if not worker.can_start_task() or not demand.within(worker.capacity):
             return
-        found = _on_worker(demand, worker, tasks, self._leaving[name])
+        found = _cheapest_on_worker(demand, worker, tasks, self._pending_victims[name])
         if found is not None:
-            heapq.heappush(heap, (found.cost, name, self._used[name], found))
+            heapq.heappush(heap, (found.cost, name, self._versions[name], found))
 
 
-def _on_worker(
+def _cheapest_on_worker(
     demand: Demand,
     worker: Worker,
     tasks: Sequence[RunningTask],
-    leaving: Sequence[Victim],
+    pending: Sequence[Victim],
 ) -> Preemption | None:
-    coming = _sum(leaving)
+    pending_total = _total_freed(pending)
     missing = Demand(
-        demand.cores - worker.free_cores - coming.cores,
-        demand.memory_bytes - worker.free_memory_bytes - coming.memory_bytes,
-        demand.accelerators - worker.free_accelerators - coming.accelerators,
+        demand.cores - worker.free_cores - pending_total.cores,
+        demand.memory_bytes - worker.free_memory_bytes - pending_total.memory_bytes,
+        demand.accelerators - worker.free_accelerators - pending_total.accelerators,
     )
-    if _freed((), missing):
+    if _covers((), missing):
         return Preemption(worker.name, ())
-    options = [victim for task in tasks for victim in ways(task)]
-    for allowed in Mildness:
-        victims = _enough(missing, [v for v in options if v.way <= allowed])
+    options = [victim for task in tasks for victim in options_for(task)]
+    for allowed in PreemptionMethod:
+        victims = _minimal_victims(missing, [v for v in options if v.method <= allowed])
         if victims:
             return Preemption(worker.name, tuple(victims))
     return None
 
 
-def _enough(missing: Demand, options: list[Victim]) -> list[Victim] | None:
-    """Return a minimal set of victims that frees what is missing, or None."""
+def _minimal_victims(missing: Demand, options: list[Victim]) -> list[Victim] | None:
+    """Return a minimal set of victims that frees the missing amounts, or None."""
     options.sort(
-        key=lambda v: (v.way, -v.task.over_share, v.task.run_seconds, v.task.job_key)
+        key=lambda v: (v.method, -v.task.over_share, v.task.run_seconds, v.task.job_key)
     )
     chosen: dict[str, Victim] = {}
     for victim in options:
-        if _freed(chosen.values(), missing):
+        if _covers(chosen.values(), missing):
             break
-        # A stop of a task that would only be throttled replaces the throttling.
+        # Stopping a task replaces throttling the same task.
         chosen.pop(victim.task.job_key, None)
         chosen[victim.task.job_key] = victim
-    if not _freed(chosen.values(), missing):
+    if not _covers(chosen.values(), missing):
         return None
     for key in reversed(list(chosen)):
         rest = [victim for k, victim in chosen.items() if k != key]
-        if _freed(rest, missing):
+        if _covers(rest, missing):
             del chosen[key]
     return list(chosen.values())
 
 
-def _freed(victims: Iterable[Victim], missing: Demand) -> bool:
-    freed = _sum(victims)
+def _covers(victims: Iterable[Victim], missing: Demand) -> bool:
+    freed = _total_freed(victims)
     return missing.within(replace(freed, cores=freed.cores + 1e-6))
 
 
-def _sum(victims: Iterable[Victim]) -> Demand:
+def _total_freed(victims: Iterable[Victim]) -> Demand:
     cores, memory, accelerators = 0.0, 0, 0
     for victim in victims:
         cores += victim.freed.cores
--- a/src/pomeloyard/jobs/queues.py
+++ b/src/pomeloyard/jobs/queues.py
@@ -1,4 +1,4 @@
-"""Queued jobs of each team, grouped by what decides whether they fit."""
+"""Queued jobs of each team, grouped into classes with equal requirements."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 JobClass = tuple[object, ...]
 MAX_CLASSES_PER_STEP = 256
-"""Distinct kinds of jobs of one team that one planning step looks at."""
+"""Most job classes per team and priority that one planning step considers."""
 
 
 def class_of(job: Job) -> JobClass:
-    """Return what all jobs have in common that fit the same workers."""
+    """Return the class of a job; all jobs of one class fit the same workers."""
     request: JobRequest = job.request
     return (
         request.queue,
@@ -32,8 +32,8 @@
 class TeamQueue:
     """Queued jobs of one team and priority, oldest first within each class.
 
-    Jobs that are no longer queued are dropped when they reach the head, so that
-    a cancellation costs nothing here.
+    Jobs that are no longer queued are removed only when they reach the head, so
+    that a cancellation does not have to search the queue.
     """
 
     def __init__(self, is_queued: Callable[[str, JobClass], bool]) -> None:
@@ -76,9 +76,9 @@
     def next_after(
         self, job_class: JobClass, taken: set[str]
     ) -> tuple[datetime, str] | None:
-        """Return the oldest queued job of a class that was not taken yet.
+        """Return the oldest queued job of a class that is not in ``taken``.
 
-        Taken jobs leave the queue; they are added again if they are not placed.
+        Taken jobs are removed; the caller adds them again if they are not placed.
         """
         while True:
             head = self.head(job_class)
--- a/src/pomeloyard/jobs/task_follower.py
+++ b/src/pomeloyard/jobs/task_follower.py
@@ -1,4 +1,4 @@
-"""Turns what workers report, or do not report, into changes of jobs."""
+"""Updates jobs from the workers' reports, missing reports and expired leases."""
 
 from __future__ import annotations
 
@@ -26,19 +26,19 @@
 from .transitions import after_loss, after_report, not_started
 
 REPORT_WAIT = timedelta(seconds=60)
-"""For this long after its lease has ended, the report of a non-idempotent task
-is waited for, because without it the job ends as unknown."""
+"""Time after its lease has expired to wait for the report of a non-idempotent task;
+without the report the job ends with an unknown result."""
 LEASE_CHECK_INTERVAL = timedelta(seconds=0.5)
 CLOCK_MARGIN = timedelta(seconds=1)
-"""Allowed difference between the clocks of two daemons."""
-STOP_AGAIN = timedelta(seconds=2)
+"""Allowed clock difference between two daemons."""
+STOP_RETRY_INTERVAL = timedelta(seconds=2)
 
 log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 @dataclass(frozen=True, slots=True)
 class _LateStart:
-    """An order that a silent worker may still carry out."""
+    """A start order that an unresponsive worker may still execute."""
 
     team: str
     units: int
@@ -46,7 +46,7 @@
 
 
 class TaskFollower(LinkEvents):
-    """Follows tasks from their start to the acknowledgement of their end."""
+    """Tracks tasks from their start until their results are acknowledged."""
 
     links: WorkerLinks
 
@@ -66,13 +66,13 @@
         self._next_lease_check = timedelta(0)
         self._late_starts: dict[str, dict[str, _LateStart]] = {}
         self.quarantine = Quarantine()
-        self._ended: dict[str, tuple[str, ...]] = {}
-        self._stops: dict[str, timedelta] = {}
+        self._ended_tasks: dict[str, tuple[str, ...]] = {}
+        self._stop_sent_at: dict[str, timedelta] = {}
         self._cancelled: set[str] = set()
         self._recovered: dict[str, timedelta] = {}
 
     def job_changed(self, before: Job | None, after: Job | None) -> None:
-        """Stop following a task that ended; follow one of an earlier scheduler."""
+        """Stop tracking a task that ended; track tasks of an earlier scheduler."""
         if before is not None and before.placed:
             still = after is not None and after.placed
             if not still or (after and after.task_id != before.task_id):
@@ -87,12 +87,12 @@
             self._cancelled.add(after.key)
         earlier = before is None or after.fence != self._epoch
         if earlier and after.key not in self._recovered:
-            # Followed from the first contact with its worker on.
+            # Tracked as soon as its worker is known.
             now = self._clock.monotonic()
             self._recovered[after.key] = now + RECOVERY_WAIT
 
     def check(self, now: timedelta) -> None:
-        """Handle ended leases, vanished workers and requested cancellations."""
+        """Handle expired leases, removed workers and requested cancellations."""
         self._follow_recovered(now)
         if now >= self._next_lease_check:
             self._next_lease_check = now + LEASE_CHECK_INTERVAL
@@ -103,9 +103,9 @@
         for key in list(self._cancelled):
             job = self._table.get(key)
             if job is not None and job.placed:
-                runs_at = self.links.by_name.get(job.worker)
-                if runs_at is not None and job.task_id in runs_at.tracks:
-                    self._stop(runs_at, job.task_id)
+                current = self.links.by_name.get(job.worker)
+                if current is not None and job.task_id in current.tracks:
+                    self._stop(current, job.task_id)
 
     def _follow_recovered(self, now: timedelta) -> None:
         for key, ended_by in list(self._recovered.items()):
@@ -115,9 +115,9 @@
                 continue
             link = self.links.by_name.get(job.worker)
             if link is None:
-                # The list has no such worker, or has not been read yet.
+                # The VM list lacks the worker or has not been read yet.
                 if now >= ended_by:
-                    self._lose(job, JobReason.WORKER_GONE)
+                    self._mark_lost(job, JobReason.WORKER_GONE)
                 continue
             del self._recovered[key]
             track = Track(key, None, ended_by, job.request.idempotent, recovered=True)
@@ -131,14 +131,14 @@
         if job is None or track.starting or now < track.ended_by + wait:
             return
         if track.uncertain and not track.confirmed:
-            # A paused worker may carry out the order when it resumes, so the
-            # order's units stay counted until the worker has answered.
+            # A paused worker may execute the order when it resumes, so its units
+            # count toward the team's limit until the worker has answered.
             late = _LateStart(job.team, job.units, now + LATE_START)
             self._late_starts.setdefault(job.worker, {})[job.task_id] = late
             self._units_by_team[job.team] += job.units
-        self._lose(job, JobReason.WORKER_UNREACHABLE)
+        self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
 
-    def _forget_late_starts(self, link: Link, running: set[str]) -> None:
+    def _expire_late_starts(self, link: Link, running: set[str]) -> None:
         now = self._clock.monotonic()
         late_starts = self._late_starts.get(link.name, {})
         for task_id, late in list(late_starts.items()):
@@ -147,36 +147,36 @@
                 self._units_by_team[late.team] -= late.units
 
     def worker_gone(self, link: Link) -> None:
-        """End the tasks of a worker that the platform's list no longer has."""
-        self._ended.pop(link.name, None)
+        """Handle the loss of a worker that is no longer in the platform's VM list."""
+        self._ended_tasks.pop(link.name, None)
         for late in self._late_starts.pop(link.name, {}).values():
             self._units_by_team[late.team] -= late.units
         for track in list(link.tracks.values()):
             job = self._table.get(track.job_key)
             if job is not None:
-                self._lose(job, JobReason.WORKER_GONE)
+                self._mark_lost(job, JobReason.WORKER_GONE)
 
     def reported(
         self, link: Link, reports: Sequence[TaskReport], known: frozenset[str]
     ) -> None:
-        """Handle all reports of a worker; it certainly had the ``known`` tasks."""
+        """Handle a worker's reports; it had confirmed the ``known`` tasks before."""
         ended: list[str] = []
         for report in reports:
             if report.state is not TaskState.RUNNING:
                 ended.append(report.task_id)
             self._handle(link, report)
-        self._ended[link.name] = tuple(ended)
+        self._ended_tasks[link.name] = tuple(ended)
         reported = {report.task_id for report in reports}
-        self._forget_late_starts(link, reported.difference(ended))
+        self._expire_late_starts(link, reported.difference(ended))
         up_since = self._up_since(reports)
         for task_id, track in list(link.tracks.items()):
             if task_id not in reported:
-                self._absent(link, task_id, track, known, up_since)
+                self._handle_missing(link, task_id, track, known, up_since)
 
     def acknowledgeable(self, link: Link) -> list[str]:
         """Return ended tasks whose results are in the store."""
         done: list[str] = []
-        for task_id in self._ended.get(link.name, ()):
+        for task_id in self._ended_tasks.get(link.name, ()):
             job = self._table.by_job_id(task_id.rpartition(".")[0])
             written = job is None or job.key not in self._table.pending
             if written and not (job and job.placed and job.task_id == task_id):
@@ -184,13 +184,13 @@
         return done
 
     def not_started(self, link: Link, task_id: str, track: Track) -> None:
-        """Handle a task that certainly was not started."""
+        """Handle a task that was definitely not started."""
         job = self._table.get(track.job_key)
         if job is not None and job.placed and job.task_id == task_id:
             self._table.set(not_started(job, self._clock.now()))
 
     def expected_end(self, link: Link) -> timedelta | None:
-        """Return when a task of the worker will probably end next."""
+        """Return when the worker's next task is expected to end."""
         soonest: float | None = None
         for track in link.tracks.values():
             job = self._table.get(track.job_key)
@@ -198,7 +198,7 @@
                 continue
             ran = (self._clock.now() - job.assigned_at).total_seconds()
             left = self._estimates.run_seconds(job) - ran
-            # A task that is overdue is asked for less and less often.
+            # Polls of an overdue task become less and less frequent.
             left = left if left > 0 else ran / 4
             soonest = left if soonest is None else min(soonest, left)
         if soonest is None:
@@ -208,13 +208,13 @@
     def _handle(self, link: Link, report: TaskReport) -> None:
         job = self._table.by_job_id(report.job_id)
         running = report.state is TaskState.RUNNING
-        if job is not None and self._unrecorded(job, report):
-            job = self._adopt(link, job, report)
+        if job is not None and self._is_unrecorded(job, report):
+            job = self._adopt_task(link, job, report)
         if job is None or not job.placed or job.task_id != report.task_id:
             if running:
                 self._stop(link, report.task_id)
             elif job is not None and job.state is JobState.QUEUED:
-                self._late_result(job, report)
+                self._accept_late_result(job, report)
             return
         track = link.tracks.get(report.task_id)
         if track is None:
@@ -223,12 +223,12 @@
             link.tracks[report.task_id] = track
         track.confirmed = True
         if not running:
-            self._end(job, report)
+            self._record_end(job, report)
         elif job.state is JobState.ASSIGNED:
             self._table.set(replace(job, state=JobState.RUNNING))
 
-    def _unrecorded(self, job: Job, report: TaskReport) -> bool:
-        """Tell whether the task was started while the store was down."""
+    def _is_unrecorded(self, job: Job, report: TaskReport) -> bool:
+        """Tell whether the task was started while the store was unavailable."""
         attempt = report.task_id.rpartition(".")[2]
         return (
             job.state is JobState.QUEUED
@@ -237,7 +237,7 @@
             and int(attempt) > job.attempt
         )
 
-    def _adopt(self, link: Link, job: Job, report: TaskReport) -> Job:
+    def _adopt_task(self, link: Link, job: Job, report: TaskReport) -> Job:
         adopted = replace(
             job,
             state=JobState.RUNNING,
@@ -252,17 +252,17 @@
         self._table.set(adopted)
         return adopted
 
-    def _late_result(self, job: Job, report: TaskReport) -> None:
-        """Accept a result that arrives after the job was queued again."""
+    def _accept_late_result(self, job: Job, report: TaskReport) -> None:
+        """Accept a success that arrives after the job was requeued."""
         if report.state is TaskState.SUCCEEDED:
             self._table.set(after_report(job, report, self._clock.now()))
 
     def _up_since(self, reports: Sequence[TaskReport]) -> datetime:
-        """Return since when the worker certainly has not forgotten its tasks."""
+        """Return a time since which the worker has certainly not restarted."""
         running = [r.run_seconds for r in reports if r.state is TaskState.RUNNING]
         return self._clock.now() - timedelta(seconds=max(running, default=0.0))
 
-    def _absent(
+    def _handle_missing(
         self,
         link: Link,
         task_id: str,
@@ -276,32 +276,33 @@
             return
         now = self._clock.monotonic()
         if task_id in known:
-            # The worker had the task and lost it, for example by a restart.
-            self._lose(job, JobReason.WORKER_UNREACHABLE)
+            # The worker had the task but lost it, for example in a restart.
+            self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
         elif track.recovered and not track.superseded:
-            # An order of a term that failed may still arrive: it is followed, but
-            # not renewed, until its lease has ended.
+            # An order of a failed term may still arrive: track it without renewing
+            # its lease until the lease has expired.
             track.recovered, track.uncertain = False, True
         elif track.recovered:
-            # The worker now refuses the former scheduler's orders, so the task
-            # cannot start any more. It can have run only before a restart, which
-            # an older running task excludes; the list shows restarts too late.
+            # The worker now rejects the previous scheduler's fencing token, so the
+            # task cannot start any more. It can have run only before a restart of
+            # the worker, which an older running task rules out; the boot id in the
+            # VM list changes too late to rely on alone.
             assigned_at = job.assigned_at or self._clock.now()
-            never = (
+            never_ran = (
                 job.state is JobState.ASSIGNED
                 and job.worker_boot == link.boot_id
                 and up_since + CLOCK_MARGIN < assigned_at
             )
-            if never or (job.state is JobState.ASSIGNED and track.idempotent):
+            if never_ran or (job.state is JobState.ASSIGNED and track.idempotent):
                 self._table.set(not_started(job, self._clock.now()))
             else:
-                self._lose(job, JobReason.WORKER_UNREACHABLE)
+                self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
         elif track.uncertain and track.idempotent and track.order is not None:
             self.links.start_again(link, task_id, track)
         elif track.uncertain and now >= track.ended_by:
-            self._lose(job, JobReason.UNKNOWN)
+            self._mark_lost(job, JobReason.UNKNOWN)
 
-    def _end(self, job: Job, report: TaskReport) -> None:
+    def _record_end(self, job: Job, report: TaskReport) -> None:
         after = after_report(job, report, self._clock.now())
         succeeded = report.state is TaskState.SUCCEEDED
         failed = report.state is TaskState.FAILED and report.detail != OUT_OF_MEMORY
@@ -320,21 +321,23 @@
         )
         changes = [change] if change is not None else []
         if after.reason is JobReason.FAILED_ON_SEVERAL_WORKERS:
-            changes += self.quarantine.blame_job(job.job_id, kind)
+            changes += self.quarantine.retract_failures(job.job_id, kind)
         for item in changes:
             log.warning("worker {}: {}", item.worker, item.reason.value)
 
-    def _lose(self, job: Job, reason: JobReason) -> None:
+    def _mark_lost(self, job: Job, reason: JobReason) -> None:
         if job.placed:
             self._table.set(after_loss(job, reason, self._clock.now()))
 
     def _stop(self, link: Link, task_id: str) -> None:
         now = self._clock.monotonic()
-        last = self._stops.get(task_id)
-        if last is None or now >= last + STOP_AGAIN:
-            if len(self._stops) > 1000:
-                self._stops = {
-                    t: at for t, at in self._stops.items() if now < at + STOP_AGAIN
+        last = self._stop_sent_at.get(task_id)
+        if last is None or now >= last + STOP_RETRY_INTERVAL:
+            if len(self._stop_sent_at) > 1000:
+                self._stop_sent_at = {
+                    t: at
+                    for t, at in self._stop_sent_at.items()
+                    if now < at + STOP_RETRY_INTERVAL
                 }
-            self._stops[task_id] = now
+            self._stop_sent_at[task_id] = now
             self.links.signal(link, task_id, TaskAction.STOP)
--- a/src/pomeloyard/jobs/team_shares.py
+++ b/src/pomeloyard/jobs/team_shares.py
@@ -1,4 +1,4 @@
-"""What each team holds of the workers, compared with its weighted share."""
+"""Resources held by each team, compared with its weighted fair share."""
 
 from __future__ import annotations
 
@@ -11,23 +11,23 @@
 from .capacity import Demand, Worker
 
 SHARE_WINDOW = timedelta(seconds=10)
-"""Time over which a team's work is compared with its share."""
-SMALLEST_WEIGHT = 1e-9
+"""Window over which a team's usage is compared with its share."""
+MIN_WEIGHT = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
 class TeamLimits:
-    """A team's weight and the units that its jobs may take together."""
+    """A team's weight and the units that its placed jobs may use together."""
 
     weight: float
     job_limit: int
 
 
 class TeamShares:
-    """Amounts held and wanted by each team, entitlements and what is owed.
+    """Held and queued resources, entitlements and deficits of each team.
 
-    Amounts are in cores: the cost of a demand is the greatest of its parts of
-    all workers' cores, memory and accelerators, expressed in cores.
+    Amounts are in cores: the cost of a demand is its dominant share of all workers'
+    cores, memory and accelerators, times the total cores.
     """
 
     def __init__(
@@ -39,12 +39,12 @@
         self._now = now
         self._capacity = Demand(0.0, 0, 0)
         self._held: dict[str, float] = defaultdict(float)
-        self._wanted: dict[str, float] = defaultdict(float)
-        self._wanted_units: dict[str, int] = defaultdict(int)
-        self._integral: dict[str, float] = defaultdict(float)
-        """Core seconds that each team has held since the last update."""
-        self._integral_until: dict[str, timedelta] = {}
-        self._owed: dict[str, float] = defaultdict(float)
+        self._queued: dict[str, float] = defaultdict(float)
+        self._queued_units: dict[str, int] = defaultdict(int)
+        self._held_core_seconds: dict[str, float] = defaultdict(float)
+        """Core seconds held by each team since the last update."""
+        self._summed_until: dict[str, timedelta] = {}
+        self._deficit: dict[str, float] = defaultdict(float)
         self._entitled: dict[str, float] = {}
         self._updated: timedelta | None = None
 
@@ -64,27 +64,29 @@
             parts.append(demand.accelerators / total.accelerators * total.cores)
         return max(parts)
 
-    def hold(self, team: str, change: float) -> None:
-        """Change what a team holds, and sum up what it has held until now."""
+    def adjust_held(self, team: str, change: float) -> None:
+        """Change the cost a team holds, after adding up core seconds until now."""
         now = self._now()
-        since = self._integral_until.get(team, now)
-        self._integral[team] += self._held[team] * (now - since).total_seconds()
-        self._integral_until[team] = now
+        since = self._summed_until.get(team, now)
+        self._held_core_seconds[team] += (
+            self._held[team] * (now - since).total_seconds()
+        )
+        self._summed_until[team] = now
         self._held[team] += change
 
-    def want(self, team: str, change: float, units: int) -> None:
-        """Change what a team has queued, in cores and in units of its limit."""
-        self._wanted[team] += change
-        self._wanted_units[team] += units
+    def adjust_queued(self, team: str, change: float, units: int) -> None:
+        """Change a team's queued cost in cores and its queued units."""
+        self._queued[team] += change
+        self._queued_units[team] += units
 
     def held_by_weight(self, team: str) -> float:
-        """Return what a team holds for each unit of its weight."""
+        """Return the cost that a team holds per unit of weight."""
         return self._held[team] / self._weight(team)
 
     def above_share(self, team: str) -> float:
-        """Return how far a team is above its share, by weight; negative if below."""
-        owed = self._owed[team] / SHARE_WINDOW.total_seconds()
-        above = self._held[team] - self._entitled.get(team, 0.0) - owed
+        """Return a team's excess over its share by weight; negative if below."""
+        deficit = self._deficit[team] / SHARE_WINDOW.total_seconds()
+        above = self._held[team] - self._entitled.get(team, 0.0) - deficit
         return above / self._weight(team)
 
     def update(
@@ -93,13 +95,13 @@
         workers: Iterable[Worker],
         units_by_team: Mapping[str, int],
     ) -> None:
-        """Compute entitlements for the present demand and carry on what is owed."""
+        """Compute entitlements for the current demand and update deficits."""
         teams = self._teams()
-        open_workers = [w.capacity for w in workers if w.accepts_work]
+        capacities = [w.capacity for w in workers if w.accepts_work]
         self._capacity = Demand(
-            sum(c.cores for c in open_workers),
-            sum(c.memory_bytes for c in open_workers),
-            sum(c.accelerators for c in open_workers),
+            sum(c.cores for c in capacities),
+            sum(c.memory_bytes for c in capacities),
+            sum(c.accelerators for c in capacities),
         )
         demands = {
             team: self._demand(team, limits.job_limit - units_by_team[team])
@@ -110,19 +112,23 @@
         elapsed = now - (self._updated if self._updated is not None else now)
         self._updated = now
         seconds = elapsed.total_seconds()
-        kept = max(0.0, 1 - seconds / SHARE_WINDOW.total_seconds())
+        retained = max(0.0, 1 - seconds / SHARE_WINDOW.total_seconds())
         for team, amount in self._entitled.items():
-            self.hold(team, 0.0)
-            missing = amount * seconds - self._integral.pop(team, 0.0)
-            # What is owed from before the window is forgotten, not paid later.
-            self._owed[team] = self._owed[team] * kept + missing if amount else 0.0
+            self.adjust_held(team, 0.0)
+            shortfall = amount * seconds - self._held_core_seconds.pop(team, 0.0)
+            # Deficits decay over the window; older ones are not compensated.
+            self._deficit[team] = (
+                self._deficit[team] * retained + shortfall if amount else 0.0
+            )
 
     def _demand(self, team: str, free_units: int) -> float:
-        """Return what a team can use: what it holds and, up to its limit, wants."""
-        wanted_units = self._wanted_units[team]
-        part = min(1.0, max(0, free_units) / wanted_units) if wanted_units > 0 else 0.0
-        return max(0.0, self._held[team] + self._wanted[team] * part)
+        """Return the cost that a team can use: held, and queued up to its limit."""
+        queued_units = self._queued_units[team]
+        fraction = (
+            min(1.0, max(0, free_units) / queued_units) if queued_units > 0 else 0.0
+        )
+        return max(0.0, self._held[team] + self._queued[team] * fraction)
 
     def _weight(self, team: str) -> float:
         limits = self._teams().get(team)
-        return max(limits.weight if limits is not None else 0.0, SMALLEST_WEIGHT)
+        return max(limits.weight if limits is not None else 0.0, MIN_WEIGHT)
--- a/src/pomeloyard/jobs/term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -1,4 +1,4 @@
-"""One term of the scheduler role, under one fencing token."""
+"""One term of the scheduler role, with one fencing token."""
 
 from __future__ import annotations
 
@@ -34,20 +34,20 @@
 
 TICK = timedelta(seconds=0.1)
 PLAN_INTERVAL = timedelta(seconds=1)
-"""A plan is made at least this often, and in each tick in which jobs changed."""
+"""Maximum time between plans; a tick in which jobs changed also makes one."""
 REMOVE_INTERVAL = timedelta(seconds=10)
 REASON_INTERVAL = timedelta(seconds=2)
 STORE_RETRY_INTERVAL = timedelta(seconds=1)
-MAX_REASONS = 100
+MAX_REASON_UPDATES = 100
 MAX_REMOVALS = 100
-EVER = 2**62
-"""A revision above all others, for a key that was read as absent."""
+MAX_REVISION = 2**62
+"""Revision above all others, for a key that was read as absent."""
 
 log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 class SchedulerTerm:
-    """State and work of the scheduler from taking the role until losing it."""
+    """Scheduler state and main loop from acquiring the role until losing it."""
 
     def __init__(
         self,
@@ -86,40 +86,40 @@
             clock, state, self.index, self.links, self.follower.quarantine
         )
         self.preemptor = Preemptor(
-            clock, self.table, self.placer, self.links, self._record
+            clock, self.table, self.placer, self.links, self._record_decision
         )
         self.drain = WorkerDrain(clock, state, self.table, self.links)
         self._delayed: list[tuple[datetime, str]] = []
-        self._to_start: dict[str, bool] = {}
-        self._keys_seen = (0, 0)
-        self._keys_to_check: set[str] = set()
-        """Store keys of queued jobs that came since the last check."""
+        self._pending_starts: dict[str, bool] = {}
+        self._last_key_state = (0, 0)
+        self._unchecked_keys: set[str] = set()
+        """Store keys of jobs queued since the last check for withdrawn API keys."""
         self._loaded = False
-        self._store_up = True
-        self._changed = True
+        self._store_available = True
+        self._plan_needed = True
         self._next_plan = self._next_reasons = self._next_removal = timedelta(0)
         self._next_flush = timedelta(0)
         self.last_plan = Plan()
         self.transactions = 0
 
     def load(self, entries: tuple[Entry, ...]) -> None:
-        """Take over a complete scan of the job records."""
+        """Load a complete scan of the job records."""
         first = not self._loaded
         self.table.load(entries, self._learn_from_ended if first else None)
         self._loaded = True
-        self._store_up = True
+        self._store_available = True
 
     def _learn_from_ended(self, job: Job) -> None:
         if job.state is JobState.SUCCEEDED:
             self.estimates.learn(job, completed=True)
 
     def store_lost(self) -> None:
-        """Note that the watch of job records broke."""
-        self._store_up = False
+        """Mark the store as unavailable after the watch of job records broke."""
+        self._store_available = False
         self._next_flush = timedelta(0)
 
     async def run(self) -> None:
-        """Work until cancelled."""
+        """Run ticks until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._end_when_stale)
             while True:
@@ -132,44 +132,44 @@
         self.ended.set()
 
     async def tick(self) -> None:
-        """Do what is due: follow, plan, write and start."""
+        """Update workers and tasks, plan, write changes and start tasks."""
         now = self._clock.monotonic()
-        self._changed = self.roster.update(now) or self._changed
+        self._plan_needed = self.roster.update(now) or self._plan_needed
         self.follower.check(now)
         self.drain.check(now)
-        self._queue_delayed()
-        if self.roster.recovered(now) and (self._changed or now >= self._next_plan):
-            self._changed = False
+        self._enqueue_delayed()
+        if self.roster.recovered(now) and (self._plan_needed or now >= self._next_plan):
+            self._plan_needed = False
             self._next_plan = now + PLAN_INTERVAL
             self._plan(now)
         if now >= self._next_flush:
             await self._flush()
-        self._start_recorded()
-        if self._store_up and now >= self._next_removal:
+        self._start_assigned()
+        if self._store_available and now >= self._next_removal:
             self._next_removal = now + REMOVE_INTERVAL
-            await self._remove_old()
+            await self._remove_expired()
 
-    def _end_jobs_of_withdrawn_keys(self) -> None:
-        """End the queued jobs whose key was withdrawn; running ones go on."""
+    def _cancel_jobs_of_withdrawn_keys(self) -> None:
+        """Cancel queued jobs whose API key was withdrawn; running jobs continue."""
         state = self._state
-        seen = (state.keys.version, len(state.withdrawn_key_ids))
-        if seen != self._keys_seen:
-            self._keys_seen = seen
-            self._keys_to_check.update(self.placer.queued_keys())
+        key_state = (state.keys.version, len(state.withdrawn_key_ids))
+        if key_state != self._last_key_state:
+            self._last_key_state = key_state
+            self._unchecked_keys.update(self.placer.queued_keys())
         now = self._clock.now()
-        for key in self._keys_to_check:
+        for key in self._unchecked_keys:
             job = self.table.get(key)
             if job is None or job.state is not JobState.QUEUED:
                 continue
             if state.is_withdrawn(job.key_id):
                 reason = JobReason.KEY_WITHDRAWN
                 self.table.set(ended(job, JobState.CANCELLED, reason, now))
-        self._keys_to_check.clear()
+        self._unchecked_keys.clear()
 
     def _plan(self, now: timedelta) -> None:
-        for placement in self.preemptor.ready(now):
+        for placement in self.preemptor.take_ready(now):
             self._assign(placement)
-        self._end_jobs_of_withdrawn_keys()
+        self._cancel_jobs_of_withdrawn_keys()
         plan = self.last_plan = self.placer.plan(now)
         for placement in plan.placements:
             self._assign(placement)
@@ -177,16 +177,16 @@
             decision = JobDecision(self._clock.now(), "place", "", reason.value)
             job = ended(job, JobState.IMPOSSIBLE, reason, self._clock.now())
             self.table.set(replace(job, decisions=job.decided(decision)))
-        self.preemptor.make_room(now)
-        self.preemptor.keep_room(now, plan)
-        if self._store_up and now >= self._next_reasons:
+        self.preemptor.preempt_for_urgent(now)
+        self.preemptor.reserve_for_starved(now, plan)
+        if self._store_available and now >= self._next_reasons:
             self._next_reasons = now + REASON_INTERVAL
-            self._note_reasons(plan)
+            self._record_waiting_reasons(plan)
 
     def _assign(self, placement: Placement) -> None:
         job = placement.job
-        if not self._store_up and not job.request.idempotent:
-            # Without a record, another scheduler could start the job again.
+        if not self._store_available and not job.request.idempotent:
+            # Without a record, the next scheduler could start the job again.
             self.placer.unreserve(job)
             self.placer.enqueue(job)
             return
@@ -211,33 +211,35 @@
                 decisions=job.decided(decision),
             )
         )
-        self._to_start[job.key] = False
+        self._pending_starts[job.key] = False
         candidates = tuple(Candidate(c.worker, c.reason) for c in placement.considered)
-        self._record(job, DecisionKind.PLACE, placement.worker, reason, candidates)
+        self._record_decision(
+            job, DecisionKind.PLACE, placement.worker, reason, candidates
+        )
 
     async def _flush(self) -> None:
-        """Write pending changes; they are kept while the store is down."""
+        """Write pending changes; keep them while the store is unavailable."""
         changes = self.table.changes()
         if not changes:
             return
         try:
             result = await commit_groups(self._store, changes, [self._guard])
         except StoreError as error:
-            log.info("job records are not written: {}", error)
-            self._store_up = False
+            log.info("writing job records failed: {}", error)
+            self._store_available = False
             self._next_flush = self._clock.monotonic() + STORE_RETRY_INTERVAL
             return
-        self._store_up = True
+        self._store_available = True
         self.transactions += result.transactions
         for key, revision in result.revisions_by_key.items():
-            if key in self._to_start:
-                self._to_start[key] = True
+            if key in self._pending_starts:
+                self._pending_starts[key] = True
             self.table.written(result.changes_by_key[key], revision)
         if result.conflicts:
-            await self._resolve([change.key for change in result.conflicts])
+            await self._resolve_conflicts([change.key for change in result.conflicts])
 
-    async def _resolve(self, keys: Sequence[str]) -> None:
-        """Read what others wrote; end the term if the role was lost."""
+    async def _resolve_conflicts(self, keys: Sequence[str]) -> None:
+        """Reload records that others changed; end the term if the role was lost."""
         try:
             epoch = await self._store.get(self._guard.key)
             if epoch is None or epoch.mod_revision != self._guard.mod_revision:
@@ -245,24 +247,24 @@
                 return
             for key in keys:
                 entry = await self._store.get(key)
-                revision = EVER if entry is None else entry.mod_revision
+                revision = MAX_REVISION if entry is None else entry.mod_revision
                 self.table.apply(WatchEvent(key, entry, revision))
         except StoreError as error:
-            log.info("conflict is not resolved: {}", error)
+            log.info("reloading conflicting job records failed: {}", error)
 
-    def _start_recorded(self) -> None:
-        """Start the tasks whose records are written."""
-        for key, written in list(self._to_start.items()):
+    def _start_assigned(self) -> None:
+        """Start the tasks whose assignments are recorded."""
+        for key, written in list(self._pending_starts.items()):
             job, pending = self.table.get(key), key in self.table.pending
             if job is None or job.state is not JobState.ASSIGNED:
-                del self._to_start[key]
-            elif written or (not self._store_up and job.request.idempotent):
-                del self._to_start[key]
+                del self._pending_starts[key]
+            elif written or (not self._store_available and job.request.idempotent):
+                del self._pending_starts[key]
                 self._start(job)
             elif not pending:
-                # The record was written by a call whose answer was lost; it is
-                # not known since when, so the task is placed afresh.
-                del self._to_start[key]
+                # A call whose answer was lost wrote the record at an unknown time,
+                # perhaps too long ago to start the task, so requeue the job.
+                del self._pending_starts[key]
                 self.table.set(not_started(job, self._clock.now()))
 
     def _start(self, job: Job) -> None:
@@ -287,51 +289,51 @@
         track = Track(job.key, order, now, idempotent=job.request.idempotent)
         self.links.start(link, job.task_id, track)
 
-    async def _remove_old(self) -> None:
+    async def _remove_expired(self) -> None:
         changes = self.table.removals(self._clock.now(), MAX_REMOVALS)
         if not changes:
             return
         try:
             await commit_changes(self._store, changes, [self._guard])
         except (StoreError, ConflictError) as error:
-            # They are found again by the next term's scan.
-            log.info("old job records are not removed: {}", error)
+            # The scan of the next term finds these records again.
+            log.info("removing expired job records failed: {}", error)
             return
         for change in changes:
             self.table.removed(change.key)
 
-    def _note_reasons(self, plan: Plan) -> None:
-        """Record why jobs wait, few at a time and only if the reason changed."""
-        budget = MAX_REASONS
+    def _record_waiting_reasons(self, plan: Plan) -> None:
+        """Record why jobs wait, for a bounded number of changed reasons."""
+        remaining = MAX_REASON_UPDATES
         for first, reason in plan.waiting:
-            reason = self.roster.refine(reason)
-            for key in self.placer.same_class(first, budget):
+            reason = self.roster.refine_reason(reason)
+            for key in self.placer.same_class(first, remaining):
                 job = self.table.get(key)
                 if job is None or job.reason is reason:
                     continue
                 self.table.set(replace(job, reason=reason))
-                budget -= 1
-            if budget <= 0:
+                remaining -= 1
+            if remaining <= 0:
                 return
 
-    def _queue_delayed(self) -> None:
+    def _enqueue_delayed(self) -> None:
         now = self._clock.now()
         while self._delayed and self._delayed[0][0] <= now:
             _, key = heapq.heappop(self._delayed)
             job = self.table.get(key)
             if job is not None and job.state is JobState.QUEUED:
                 self.placer.enqueue(job)
-                self._changed = True
+                self._plan_needed = True
 
     def _job_changed(self, key: str, before: Job | None, after: Job | None) -> None:
         self.placer.job_changed(key, before, after)
         self.follower.job_changed(before, after)
-        self._changed = True
+        self._plan_needed = True
         if after is None or after.state is not JobState.QUEUED:
             return
         if before is not None and before.state is JobState.QUEUED:
             return
-        self._keys_to_check.add(key)
+        self._unchecked_keys.add(key)
         if after.not_before is not None and after.not_before > self._clock.now():
             heapq.heappush(self._delayed, (after.not_before, key))
         else:
@@ -349,7 +351,7 @@
             for name, team in self._state.config.teams_by_name.items()
         }
 
-    def _record(
+    def _record_decision(
         self,
         job: Job,
         kind: DecisionKind,
--- a/src/pomeloyard/jobs/worker_roster.py
+++ b/src/pomeloyard/jobs/worker_roster.py
@@ -1,4 +1,4 @@
-"""Which workers may be given tasks: list, records, reachability and health."""
+"""Workers that accept tasks, from VM list, VM records, reachability and health."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 from .quarantine import Quarantine, WorkerHealth
 
 UNSTATED_MEMORY_BYTES = 2**62
-"""Memory of a worker whose memory the platform's list does not state."""
+"""Memory assumed for a worker if the platform's VM list does not state it."""
 UPDATE_INTERVAL = timedelta(seconds=0.5)
 
 log = logbook.Logger("pomeloyard.jobs.scheduler")
 
 
 class WorkerRoster:
-    """Keeps the capacity index and the links in step with the fleet."""
+    """Updates the capacity index and the worker links from the fleet state."""
 
     def __init__(
         self,
@@ -36,40 +36,40 @@
         self._index = index
         self._links = links
         self._quarantine = quarantine
-        self._began = clock.monotonic()
-        self._next = timedelta(0)
+        self._started_at = clock.monotonic()
+        self._next_update = timedelta(0)
         self._recovered = False
-        self._described: dict[str, tuple[object, ...]] = {}
+        self._descriptions: dict[str, tuple[object, ...]] = {}
 
     def update(self, now: timedelta) -> bool:
-        """Take over changes of the fleet and of health; tell whether any."""
-        for change in self._quarantine.due_trials(now):
+        """Apply changes of the fleet and of health; return whether there were any."""
+        for change in self._quarantine.start_due_trials(now):
             log.info("worker {}: {}", change.worker, change.reason.value)
-        due = now >= self._next or self._links.health_changed
+        due = now >= self._next_update or self._links.health_changed
         if not due or self._state.vm_list.version == 0:
             return False
         self._links.health_changed = False
-        self._next = now + UPDATE_INTERVAL
+        self._next_update = now + UPDATE_INTERVAL
         vms = self._state.vm_list.vms_by_name
-        gone = [name for name in self._links.by_name if not _present(vms, name)]
-        for name in gone:
-            self._forget(name)
-        changed = bool(gone)
+        removed = [name for name in self._links.by_name if not _is_listed(vms, name)]
+        for name in removed:
+            self._remove_worker(name)
+        changed = bool(removed)
         for vm in vms.values():
             if vm.role is VmRole.WORKER and vm.state is not VmListState.GONE:
-                changed = self._describe(vm) or changed
+                changed = self._update_worker(vm) or changed
         return changed
 
     def recovered(self, now: timedelta) -> bool:
-        """Tell whether every worker has answered or its leases have ended."""
+        """Tell whether each worker has answered or all earlier leases have expired."""
         if not self._recovered and self._state.vm_list.version:
-            waited = now >= self._began + RECOVERY_WAIT
+            waited = now >= self._started_at + RECOVERY_WAIT
             links = self._links.by_name.values()
             self._recovered = waited or all(link.answered for link in links)
         return self._recovered
 
-    def refine(self, reason: JobReason) -> JobReason:
-        """Name the cause of missing room more precisely."""
+    def refine_reason(self, reason: JobReason) -> JobReason:
+        """Return a more specific reason for a lack of capacity, if there is one."""
         if reason not in (JobReason.NO_ROOM, JobReason.SHARE_USED):
             return reason
         workers = self._index.workers_by_name
@@ -81,7 +81,7 @@
             return JobReason.QUARANTINE
         return reason
 
-    def _describe(self, vm: Vm) -> bool:
+    def _update_worker(self, vm: Vm) -> bool:
         known = self._links.by_name.get(vm.name)
         if known is not None and known.boot_id != vm.boot_id:
             self._quarantine.forget(vm.name)
@@ -94,10 +94,10 @@
         )
         max_tasks = 1 if health is WorkerHealth.ON_TRIAL else None
         pool = self._state.pool_of(vm)
-        described = (vm, accepts, max_tasks, pool)
-        if self._described.get(vm.name) == described:
+        description = (vm, accepts, max_tasks, pool)
+        if self._descriptions.get(vm.name) == description:
             return False
-        self._described[vm.name] = described
+        self._descriptions[vm.name] = description
         self._index.put(
             Worker(
                 name=vm.name,
@@ -115,13 +115,13 @@
         )
         return True
 
-    def _forget(self, name: str) -> None:
+    def _remove_worker(self, name: str) -> None:
         self._links.remove(name)
         self._quarantine.forget(name)
-        if self._described.pop(name, None) is not None:
+        if self._descriptions.pop(name, None) is not None:
             self._index.remove(name)
 
 
-def _present(vms: dict[str, Vm], name: str) -> bool:
+def _is_listed(vms: dict[str, Vm], name: str) -> bool:
     vm = vms.get(name)
     return vm is not None and vm.state is not VmListState.GONE
--- a/tests/support/fake_workers.py
+++ b/tests/support/fake_workers.py
@@ -1,4 +1,4 @@
-"""Fake workers on the same client interface, and a fleet to schedule on."""
+"""Fake workers behind the worker client interface, and a test bench."""
 
 from __future__ import annotations
 
@@ -52,22 +52,25 @@
 
 @dataclass
 class FakeWorker:
-    """One worker; ``unreachable`` loses orders, ``mute`` loses only answers."""
+    """One worker; ``unresponsive`` loses calls, ``answers_to_drop`` only answers.
+
+    With ``delays_orders`` it keeps the start orders sent while unresponsive.
+    """
 
     name: str
-    unreachable: bool = False
-    refusing: bool = False
-    mute: int = 0
-    slow: float = 0.0
+    unresponsive: bool = False
+    refuses_calls: bool = False
+    answers_to_drop: int = 0
+    delay_seconds: float = 0.0
     fail_all: bool = False
     fence: int = 0
     tasks: dict[str, FakeTask] = field(default_factory=dict)
-    late: list[TaskStart] = field(default_factory=list)
-    keep_late: bool = False
+    delayed_orders: list[TaskStart] = field(default_factory=list)
+    delays_orders: bool = False
 
 
 class FakeWorkers(WorkerClient):
-    """All workers of a fleet; ``runs`` has every start that took effect."""
+    """All workers of a fleet; ``starts`` has each start that took effect."""
 
     def __init__(
         self,
@@ -77,7 +80,7 @@
         self.clock = clock
         self.checkpoint_seconds = checkpoint_seconds
         self.by_name: dict[str, FakeWorker] = {}
-        self.runs: list[tuple[str, str, str]] = []
+        self.starts: list[tuple[str, str, str]] = []
         self.started_at: dict[str, timedelta] = {}
         self.signals: Counter[TaskAction] = Counter()
         self.calls: Counter[str] = Counter()
@@ -85,7 +88,7 @@
     def units_by_team(self) -> Counter[str]:
         units: Counter[str] = Counter()
         for worker in self.by_name.values():
-            self._tick(worker)
+            self._update_tasks(worker)
             for task in worker.tasks.values():
                 if task.state is TaskState.RUNNING:
                     units[task.order.team] += max(1, math.ceil(task.order.cores))
@@ -101,18 +104,18 @@
 
     async def start_task(self, address, task):
         worker = self.by_name[address]
-        if worker.unreachable and worker.keep_late and not worker.refusing:
-            worker.late.append(task)
-        failure = await self._before(worker, "start")
+        if worker.unresponsive and worker.delays_orders and not worker.refuses_calls:
+            worker.delayed_orders.append(task)
+        failure = await self._apply_fault(worker, "start")
         if failure is not None:
             return failure
-        self._tick(worker)
+        self._update_tasks(worker)
         if task.fence < worker.fence:
             return Refused(RefusalReason.STALE_FENCE)
-        self.run_order(worker, task)
+        self.execute_order(worker, task)
         return self._answer(worker, None)
 
-    def run_order(self, worker: FakeWorker, order: TaskStart) -> None:
+    def execute_order(self, worker: FakeWorker, order: TaskStart) -> None:
         if order.fence < worker.fence or order.task_id in worker.tasks:
             return
         worker.fence = order.fence
@@ -125,15 +128,15 @@
             now + timedelta(seconds=seconds),
             started=now,
         )
-        self.runs.append((order.job_id, order.task_id, worker.name))
+        self.starts.append((order.job_id, order.task_id, worker.name))
         self.started_at.setdefault(order.job_id, now)
 
     async def renew(self, address, fence, lease_seconds, task_ids):
         worker = self.by_name[address]
-        failure = await self._before(worker, "renew")
+        failure = await self._apply_fault(worker, "renew")
         if failure is not None:
             return failure
-        self._tick(worker)
+        self._update_tasks(worker)
         if fence < worker.fence:
             return Refused(RefusalReason.STALE_FENCE)
         worker.fence = fence
@@ -145,7 +148,7 @@
 
     async def acknowledge(self, address, fence, task_ids):
         worker = self.by_name[address]
-        failure = await self._before(worker, "acknowledge")
+        failure = await self._apply_fault(worker, "acknowledge")
         if failure is not None:
             return failure
         for task_id in task_ids:
@@ -156,10 +159,10 @@
 
     async def signal(self, address, task_id, fence, action):
         worker = self.by_name[address]
-        failure = await self._before(worker, "signal")
+        failure = await self._apply_fault(worker, "signal")
         if failure is not None:
             return failure
-        self._tick(worker)
+        self._update_tasks(worker)
         if fence < worker.fence:
             return Refused(RefusalReason.STALE_FENCE)
         self.signals[action] += 1
@@ -177,24 +180,24 @@
                 task.order = replace(task.order, cores=cores)
         return self._answer(worker, None)
 
-    async def _before(self, worker, method):
+    async def _apply_fault(self, worker, method):
         self.calls[method] += 1
-        if worker.refusing:
+        if worker.refuses_calls:
             return Refused(RefusalReason.ENDPOINT_UNREACHABLE)
-        if worker.unreachable:
+        if worker.unresponsive:
             await self.clock.sleep(timedelta(seconds=2))
             return Unknown(UnknownReason.TIMEOUT)
-        if worker.slow:
-            await self.clock.sleep(timedelta(seconds=worker.slow))
+        if worker.delay_seconds:
+            await self.clock.sleep(timedelta(seconds=worker.delay_seconds))
         return None
 
     def _answer(self, worker, value):
-        if worker.mute > 0:
-            worker.mute -= 1
+        if worker.answers_to_drop > 0:
+            worker.answers_to_drop -= 1
             return Unknown(UnknownReason.CONNECTION_LOST)
         return Done(value)
 
-    def _tick(self, worker: FakeWorker) -> None:
+    def _update_tasks(self, worker: FakeWorker) -> None:
         now = self.clock.monotonic()
         for task in worker.tasks.values():
             if task.state is not TaskState.RUNNING:
@@ -229,7 +232,7 @@
 
 
 class Bench:
-    """Store, workers and schedulers of one test."""
+    """Store, workers, fleet state and schedulers of one test."""
 
     def __init__(
         self,
@@ -303,7 +306,7 @@
 
     @asynccontextmanager
     async def scheduler(self) -> AsyncIterator[Scheduler]:
-        """Run a scheduler that has just taken the role."""
+        """Run a scheduler that has just acquired the role."""
         epoch = await self.take_role()
         scheduler = Scheduler(
             self.clock, self.state, self.store, self.workers, DecisionLog()
@@ -314,12 +317,12 @@
             tasks.cancel_scope.cancel()
 
     async def run(self, seconds: float) -> None:
-        """Let time pass; note every breach of a team's limit."""
+        """Advance the clock; record each time a team exceeds its limit."""
         for _ in range(max(1, round(seconds / 0.25))):
             await advance(self.clock, 0.25)
             for team, units in self.workers.units_by_team().items():
                 if units > self.limits[team]:
                     self.problems.append(f"{team}: {units} units")
 
-    def runs_of(self, job_id: str) -> int:
-        return sum(run[0] == job_id for run in self.workers.runs)
+    def start_count(self, job_id: str) -> int:
+        return sum(run[0] == job_id for run in self.workers.starts)
--- a/tests/test_job_model.py
+++ b/tests/test_job_model.py
@@ -1,4 +1,4 @@
-"""Random faults in any order: what must hold for jobs whatever happens."""
+"""Invariants of jobs under random faults in any order."""
 
 import anyio
 from hypothesis import given, settings
@@ -34,7 +34,7 @@
 
 
 class Model:
-    """Applies actions to a bench and remembers what was accepted."""
+    """Applies actions to a bench and records the accepted jobs."""
 
     def __init__(self):
         self.bench = Bench(workers=4, cores=2, limits=LIMITS)
@@ -46,14 +46,14 @@
         self.scheduler_scopes: list[anyio.CancelScope] = []
 
     async def start_scheduler(self, tasks):
-        async def hold(scope):
+        async def run_scheduler(scope):
             with scope:
                 async with self.bench.scheduler():
                     await anyio.sleep_forever()
 
         scope = anyio.CancelScope()
         self.scheduler_scopes.append(scope)
-        tasks.start_soon(hold, scope)
+        tasks.start_soon(run_scheduler, scope)
         await self.bench.run(0.25)
 
     async def apply(self, tasks, action, arguments):
@@ -77,7 +77,7 @@
             await bench.run(arguments[0] / 2)
         elif action == "new scheduler" and store_was_up:
             bench.store.answers_to_lose = 0
-            # The earlier one may continue for a while beside its successor.
+            # The previous scheduler may continue for a while after the failover.
             if arguments[0] or len(self.scheduler_scopes) > 1:
                 self.scheduler_scopes.pop(0).cancel()
             await self.start_scheduler(tasks)
@@ -98,39 +98,39 @@
     def apply_to_worker(self, action, name, arguments):
         worker = self.bench.workers.by_name[name]
         if action == "silent":
-            worker.unreachable, worker.keep_late = True, arguments[1]
+            worker.unresponsive, worker.delays_orders = True, arguments[1]
         elif action == "mute":
-            worker.mute = arguments[1]
+            worker.answers_to_drop = arguments[1]
         elif action == "refusing":
-            worker.refusing = True
+            worker.refuses_calls = True
         elif action == "restart":
             worker.tasks.clear()
         elif action == "gone":
             worker.tasks.clear()
-            worker.refusing = True
+            worker.refuses_calls = True
             if name in self.bench.state.vm_list.vms_by_name:
                 self.bench.remove_worker(name)
         else:
-            self.heal(name)
+            self.repair(name)
 
-    def heal(self, name):
+    def repair(self, name):
         worker = self.bench.workers.by_name[name]
         if name not in self.bench.state.vm_list.vms_by_name:
             self.bench.workers.by_name.pop(name)
             self.bench.add_worker(name, "az0", "az0-r0", cores=2)
             return
-        worker.unreachable = worker.refusing = False
-        worker.mute = 0
-        for order in worker.late:
-            self.bench.workers.run_order(worker, order)
-        worker.late.clear()
+        worker.unresponsive = worker.refuses_calls = False
+        worker.answers_to_drop = 0
+        for order in worker.delayed_orders:
+            self.bench.workers.execute_order(worker, order)
+        worker.delayed_orders.clear()
 
     async def end(self):
-        """Repair everything, wait, and check that every job has ended."""
+        """Repair all faults, wait, and check that every job has ended."""
         bench = self.bench
         bench.store.down, bench.store.answers_to_lose = False, 0
         for name in list(bench.workers.by_name):
-            self.heal(name)
+            self.repair(name)
         await bench.run(200)
         jobs = await bench.jobs()
         assert not bench.problems, bench.problems
@@ -138,7 +138,7 @@
             job = jobs[job_id]
             assert job.final, job
             if not idempotent and not job.checkpoint:
-                assert bench.runs_of(job_id) <= 1, job
+                assert bench.start_count(job_id) <= 1, job
             if idempotent and job_id not in self.cancelled:
                 assert job.state is JobState.SUCCEEDED, job
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Placement, preemption, quarantine and learned sizes as pure functions."""
+"""Placement, preemption, quarantine and learned demands, without I/O."""
 
 from collections import Counter
 from dataclasses import replace
@@ -11,7 +11,7 @@
 from pomeloyard.jobs.estimates import MAX_FACTOR, Estimates
 from pomeloyard.jobs.job import Job, JobReason, JobRequest, JobState, job_id_of
 from pomeloyard.jobs.placement import Placer
-from pomeloyard.jobs.preemption import Mildness, RunningTask, VictimChooser
+from pomeloyard.jobs.preemption import PreemptionMethod, RunningTask, VictimChooser
 from pomeloyard.jobs.quarantine import Quarantine, WorkerHealth
 from pomeloyard.jobs.team_shares import TeamLimits
 from tests.support.fake_workers import GIB, Bench
@@ -61,7 +61,7 @@
 
 
 def test_full_fleet_is_divided_by_share_and_a_limit_holds():
-    """Guards against a team that fills the fleet, and against a limit passed."""
+    """Guards against a team exceeding its fair share or its job limit."""
     fleet = Fleet()
     fleet.queue("mill", 200)
     fleet.queue("desk", 200)
@@ -75,7 +75,10 @@
 
 
 def test_tasks_are_spread_and_accelerators_are_left_to_those_who_need_them():
-    """Guards against a label that is lost with one zone, and wasted accelerators."""
+    """Guards against losing all tasks of a label with one zone.
+
+    Also guards against tasks without accelerators on workers that have some.
+    """
     fleet = Fleet(accelerated=(0, 1, 2))
     fleet.queue("desk", 12, cores=8.0, memory_bytes=GIB, label="a")
     workers = [p.worker for p in fleet.step(0).placements]
@@ -116,7 +119,7 @@
 
 
 def test_large_job_is_not_passed_for_ever():
-    """Guards against starvation of a large job by a stream of small ones."""
+    """Guards against starvation of a large job by a stream of small jobs."""
 
     async def check():
         bench = Bench(workers=2, cores=4)
@@ -130,7 +133,7 @@
             for n in range(240):
                 await bench.submit("mill", f"t{n}", small)
                 await bench.run(0.5)
-        assert bench.runs_of(job_id) == 1
+        assert bench.start_count(job_id) == 1
 
     anyio.run(check)
 
@@ -154,7 +157,7 @@
 @pytest.mark.parametrize(
     ("tasks", "cores", "expected"),
     [
-        # Checkpointing comes before anything else, least over share last.
+        # Checkpointing is preferred, starting with the team most over its share.
         (
             [
                 task("a", idempotent=True),
@@ -163,13 +166,13 @@
                 task("d"),
             ],
             4.0,
-            {"c": Mildness.CHECKPOINT},
+            {"c": PreemptionMethod.CHECKPOINT},
         ),
         # Throttling frees enough, so nothing is stopped.
         (
             [task(n, idempotent=True) for n in "abcd"],
             4.0,
-            {"a": Mildness.THROTTLE, "b": Mildness.THROTTLE},
+            {"a": PreemptionMethod.THROTTLE, "b": PreemptionMethod.THROTTLE},
         ),
         # Only idempotent tasks are stopped, and only the one needed.
         (
@@ -180,21 +183,24 @@
                 task("d", throttled=True),
             ],
             4.0,
-            {"c": Mildness.STOP},
+            {"c": PreemptionMethod.STOP},
         ),
-        # What must run on is never stopped.
+        # Tasks that are not idempotent are never stopped.
         ([task(n, throttled=True) for n in "abcd"], 4.0, None),
     ],
 )
 def test_mildest_victims(tasks, cores, expected):
-    """Guards against lost work where a milder way would do."""
+    """Guards against lost work where a less disruptive method suffices."""
     chosen = VictimChooser([full_worker("w", tasks)]).choose(Demand(cores, GIB), ("p",))
-    ways = chosen and {v.task.job_key: v.way for v in chosen.victims}
-    assert ways == expected
+    methods = chosen and {v.task.job_key: v.method for v in chosen.victims}
+    assert methods == expected
 
 
 def test_quarantine_judges_workers_by_what_jobs_do_elsewhere():
-    """Guards against condemning good workers, and the whole fleet at once."""
+    """Guards against quarantine of workers that only ran failing jobs.
+
+    Also guards against quarantine of more than a tenth of the fleet.
+    """
     now, kind, bad = timedelta(0), ("t", "good"), ("t", "bad")
 
     def end(quarantine, worker, job_id, of_kind, failed, at=now, fleet=20):
@@ -211,40 +217,40 @@
     for n in range(4):
         health = end(quarantine, "hole", f"h{n}", kind, failed=True)
     assert health is WorkerHealth.SET_ASIDE
-    # At most a tenth is set aside: two of twenty.
+    # At most a tenth is quarantined: two of twenty.
     for worker in ("hole2", "hole3"):
         for n in range(4):
             end(quarantine, worker, f"{worker}.{n}", kind, failed=True)
     assert quarantine.health("hole2") is WorkerHealth.SET_ASIDE
     assert quarantine.health("hole3") is WorkerHealth.GOOD
-    # Each failed trial doubles the rest; a good one ends it.
+    # Each failed trial doubles the quarantine; a successful one ends it.
     at = now
     for rest in (60, 120, 240):
-        quarantine.due_trials(at + timedelta(seconds=rest - 1))
+        quarantine.start_due_trials(at + timedelta(seconds=rest - 1))
         assert quarantine.health("hole") is WorkerHealth.SET_ASIDE
         at += timedelta(seconds=rest)
-        quarantine.due_trials(at)
+        quarantine.start_due_trials(at)
         assert quarantine.health("hole") is WorkerHealth.ON_TRIAL
         end(quarantine, "hole", f"trial{rest}", kind, failed=True, at=at)
-    quarantine.due_trials(at + timedelta(hours=2))
+    quarantine.start_due_trials(at + timedelta(hours=2))
     assert end(quarantine, "hole", "ok", kind, failed=False) is WorkerHealth.GOOD
 
 
 def test_failures_of_a_bad_job_are_taken_back():
-    """Guards against a worker that stays condemned for a job's own failure."""
+    """Guards against a worker that stays in quarantine because of a failing job."""
     quarantine, now, kind = Quarantine(), timedelta(0), ("t", "x")
     for n in range(9):
         quarantine.task_ended(now, "w9", f"g{n}", kind, failed=False, fleet_size=9)
     for job_id in ("bad", "bad", "other"):
         quarantine.task_ended(now, "w1", job_id, kind, failed=True, fleet_size=9)
     assert quarantine.health("w1") is WorkerHealth.SET_ASIDE
-    changes = quarantine.blame_job("bad", kind)
+    changes = quarantine.retract_failures("bad", kind)
     assert [c.worker for c in changes] == ["w1"]
     assert quarantine.health("w1") is WorkerHealth.GOOD
 
 
 def test_learned_sizes_stay_between_what_was_seen_and_the_bound():
-    """Guards against a size that is too small for what the job has used."""
+    """Guards against learned demands below the observed usage."""
     estimates = Estimates()
     request = JobRequest("x", cores=8, memory_bytes=8 * GIB)
     job = Job("0" * 24, "t", request, START)
