--- a/src/pomeloyard/jobs/estimates.py
+++ b/src/pomeloyard/jobs/estimates.py
@@ -1,4 +1,4 @@
-"""Sizes and run times learned from what earlier tasks used."""
+"""Resource demands and run times learned from the usage of earlier tasks."""
 
 from __future__ import annotations
 
@@ -9,21 +9,21 @@
 from .job import Job, JobRequest
 
 MIN_SAMPLES = 3
-"""Tasks of one kind that must have ended before a smaller size is believed."""
+"""Completed tasks of a kind before less than the declared size is reserved."""
 MARGIN = 1.15
-"""Room above the greatest use seen, since usage reports lag behind."""
+"""Headroom factor above the peak usage, since usage reports lag."""
 MAX_FACTOR = 4.0
-"""A learned size is at most this multiple of the declared size."""
+"""Largest ratio of the learned to the declared size."""
 MEMORY_GROWTH = 1.5
-"""Growth of the memory of a job that was killed for memory."""
+"""Factor by which a job's memory grows after it ran out of memory."""
 MAX_KINDS = 5_000
 RECENT_WEIGHT = 0.2
-"""Weight of the latest run time in the moving average."""
+"""Weight of the latest run time in the exponential moving average."""
 
 
 @dataclass(slots=True)
 class Usage:
-    """What tasks of one kind used; the peaks are the greatest seen."""
+    """Resource usage of the tasks of one kind."""
 
     samples: int = 0
     peak_cores: float = 0.0
@@ -32,21 +32,21 @@
 
 
 def kind_of(team: str, request: JobRequest) -> tuple[str, str]:
-    """Return what jobs of one kind have in common: team, and label or command."""
+    """Return the kind of a job: its team, and its label or command."""
     return team, request.label or request.command
 
 
 class Estimates:
-    """Learned usage of each kind of job; the least recently used are dropped."""
+    """Usage by kind of job; the least recently updated kinds are evicted."""
 
     def __init__(self) -> None:
         self._usage_by_kind: OrderedDict[tuple[str, str], Usage] = OrderedDict()
 
     def learn(self, job: Job, *, completed: bool) -> None:
-        """Take over what a job's last task used.
+        """Update the usage of a job's kind from its last task.
 
-        A task that did not complete shows a lower bound of its peaks and says
-        nothing about the run time.
+        A task that did not complete gives lower bounds of the peaks, and no run
+        time.
         """
         if not job.run_seconds and not job.peak_memory_bytes:
             return
@@ -63,10 +63,10 @@
             self._usage_by_kind.popitem(last=False)
 
     def demand(self, job: Job) -> Demand:
-        """Return the size to reserve for a job.
+        """Return the resources to reserve for a job.
 
-        Never below what was seen (up to the bound) and never more than
-        MAX_FACTOR times what was declared.
+        They are not below the observed peaks and not above MAX_FACTOR times the
+        declared size; the upper bound takes precedence.
         """
         request = job.request
         usage = self._usage_by_kind.get(kind_of(job.team, request), Usage())
@@ -74,7 +74,7 @@
         memory = _size(
             float(request.memory_bytes), float(usage.peak_memory_bytes), usage.samples
         )
-        # Whole steps of 1/4 core and 16 MiB keep the number of distinct sizes low.
+        # Steps of 1/4 core and 16 MiB limit the number of distinct demands.
         cores = max(0.25, -(-cores // 0.25) * 0.25)
         step = 16 * 1024**2
         memory = max(memory, float(job.memory_floor))
@@ -90,13 +90,13 @@
 
 
 def memory_after_kill(job: Job) -> int:
-    """Return the memory that a job needs after it was killed for memory."""
+    """Return the memory to reserve for a job that ran out of memory."""
     used = max(job.request.memory_bytes, job.memory_floor, job.peak_memory_bytes)
     return int(min(used * MEMORY_GROWTH, job.request.memory_bytes * MAX_FACTOR))
 
 
-def _size(declared: float, seen: float, samples: int) -> float:
-    wanted = min(seen * MARGIN, max(declared, seen))
+def _size(declared: float, peak: float, samples: int) -> float:
+    size = min(peak * MARGIN, max(declared, peak))
     if samples < MIN_SAMPLES:
-        wanted = max(declared, wanted)
-    return min(wanted, declared * MAX_FACTOR) if wanted > 0 else declared
+        size = max(declared, size)
+    return min(size, declared * MAX_FACTOR) if size > 0 else declared
--- a/src/pomeloyard/jobs/job.py
+++ b/src/pomeloyard/jobs/job.py
@@ -1,4 +1,4 @@
-"""Jobs: what a caller asks for, the durable record and its states."""
+"""Jobs: the caller's request, the stored record and its states."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class JobReason(Enum):
-    """Why a job waits, cannot run, was moved or ended as it did."""
+    """Why a job waits, cannot run, was requeued or has ended."""
 
     NONE = ""
     NO_ROOM = "no-room"
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRequest:
-    """What a caller asks for; memory is in bytes."""
+    """A caller's description of a job."""
 
     command: str
     cores: float = 1.0
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobDecision:
-    """A decision about the job, kept in its record to explain it."""
+    """A scheduling decision, stored with the job to explain its state."""
 
     at: datetime
     kind: str
@@ -97,10 +97,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """A durable job record.
+    """A stored job record.
 
-    ``attempt`` numbers the starts; ``failures`` counts those that failed.
-    ``memory_floor`` grows when a task was killed for memory.
+    ``attempt`` is the number of the latest start; ``failures`` counts failed attempts.
+    ``memory_floor`` grows each time a task runs out of memory.
     """
 
     job_id: str
@@ -129,7 +129,7 @@
     detail: str = ""
     decisions: tuple[JobDecision, ...] = field(default=())
     key_id: str = ""
-    """The key that the job was submitted with; a queued job ends with its key."""
+    """API key that submitted the job; withdrawing it cancels the job while queued."""
 
     @property
     def units(self) -> int:
@@ -152,12 +152,12 @@
         return self.state in FINAL_STATES
 
     def decided(self, decision: JobDecision) -> tuple[JobDecision, ...]:
-        """Return the last decisions including a new one."""
+        """Return the latest decisions including a new one."""
         return (*self.decisions, decision)[-MAX_JOB_DECISIONS:]
 
 
 def job_id_of(team: str, idempotency_key: str) -> str:
-    """Return the id of the job that a team submits with an idempotency key.
+    """Return the id of a team's job with an idempotency key.
 
     >>> job_id_of("mill", "order-7") == job_id_of("mill", "order-7")
     True
@@ -200,7 +200,7 @@
         ),
         f"1 to {MAX_COMMAND_CHARACTERS} characters",
     ),
-    # Comparisons are written so that NaN fails them.
+    # The comparisons are false for NaN.
     "cores": (lambda r: 0 < r.cores <= MAX_CORES, f"above 0, at most {MAX_CORES:g}"),
     "memory_bytes": (
         lambda r: MIN_MEMORY_BYTES <= r.memory_bytes <= MAX_MEMORY_BYTES,
@@ -223,7 +223,7 @@
 
 
 def valid_label(label: str) -> bool:
-    """Tell whether a label may be given to a job."""
+    """Tell whether a job's label is valid."""
     return len(label) <= MAX_LABEL_CHARACTERS and (not label or label.isprintable())
 
 
@@ -233,7 +233,7 @@
         if not check(request):
             raise refused(RefusalReason.INVALID_INPUT, f"{name}: expected {expected}")
     if team not in config.teams_by_name:
-        # Such a job could neither run nor be called impossible.
+        # The scheduler skips teams it has no limits for, so the job would wait forever.
         raise refused(RefusalReason.NOT_READY, "the team is not configured yet")
     queue = config.queues_by_name.get(request.queue) if request.queue else None
     if request.queue and queue is None:
@@ -250,10 +250,10 @@
 
 
 def pools_of(config: FleetConfig, team: str, queue: str) -> tuple[str, ...] | None:
-    """Return the pools whose workers run a queue's jobs; None if it is missing.
+    """Return the pools whose workers run a queue's jobs, or None for no such queue.
 
-    Without a queue's name, the first queue that is only for listed teams,
-    including this one, is the team's; if there is none, all pools are used.
+    Without a queue name, the first queue by name that is restricted to teams
+    including this one is used; if there is none, all pools are.
     """
     if queue:
         named = config.queues_by_name.get(queue)
@@ -266,5 +266,5 @@
 
 
 def refused(reason: RefusalReason, detail: str) -> RefusedError:
-    """Return the error of a refused job operation."""
+    """Return the error for a refused job operation."""
     return RefusedError(Refused(reason, detail))
--- a/src/pomeloyard/jobs/scheduler.py
+++ b/src/pomeloyard/jobs/scheduler.py
@@ -1,4 +1,4 @@
-"""The scheduler role: follows job records and runs one term of scheduling."""
+"""The scheduler role: watches job records and runs scheduling terms."""
 
 from __future__ import annotations
 
@@ -44,18 +44,18 @@
         self.term: SchedulerTerm | None = None
 
     async def run(self, epoch: int) -> None:
-        """Place and follow jobs until cancelled or the role is lost."""
+        """Schedule jobs until cancelled or the role is lost."""
         guard = await self._guard(epoch)
         while guard is not None:
             try:
                 await self._run_term(epoch, guard)
             except Exception:
-                # The daemon also serves requests, and a successor would meet the
-                # same error; a new term reads everything afresh.
-                log.exception("scheduling failed and starts again")
+                # Keep the daemon running, since it also serves requests. Another
+                # scheduler would fail too; a new term reloads all records.
+                log.exception("scheduling term failed; restarting")
                 await self._clock.sleep(RESTART_DELAY)
             else:
-                log.warning("scheduler role epoch {} was lost", epoch)
+                log.warning("lost the scheduler role of epoch {}", epoch)
                 return
 
     async def _run_term(self, epoch: int, guard: Compare) -> None:
@@ -80,12 +80,12 @@
             self.term = None
 
     async def _guard(self, epoch: int) -> Compare | None:
-        """Return the comparison that fails every write once the role is lost."""
+        """Return the comparison that makes writes fail once the role is lost."""
         while True:
             try:
                 record = await read_record(self._store, EPOCH_KEY, int)
             except StoreError as error:
-                log.debug("scheduler waits for the store: {}", error)
+                log.debug("scheduler cannot read its epoch: {}", error)
                 await self._clock.sleep(RETRY_DELAY)
                 continue
             if record is None or record.value != epoch:
@@ -93,7 +93,7 @@
             return Compare(EPOCH_KEY, record.mod_revision)
 
     async def _follow(self, term: SchedulerTerm) -> None:
-        """Feed job records to the term: one scan, then one watch."""
+        """Load the job records into the term with a scan, then watch them."""
         while True:
             try:
                 page = await scan_all(self._store, layout.JOBS)
@@ -105,6 +105,6 @@
                         for event in batch.events:
                             term.table.apply(event)
             except StoreError as error:
-                log.info("job records are not followed: {}", error)
+                log.info("following job records failed: {}", error)
             term.store_lost()
             await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
--- a/src/pomeloyard/jobs/store.py
+++ b/src/pomeloyard/jobs/store.py
@@ -1,4 +1,4 @@
-"""Durable job records: grouped submission, cancellation, listing, removal."""
+"""Stored job records: batched submission, cancellation, listing and writes."""
 
 from __future__ import annotations
 
@@ -41,12 +41,12 @@
     team_prefix,
 )
 
-GROUP_RECORDS = 100
-"""Records in one transaction; the platform accepts 128 operations."""
+MAX_GROUP_RECORDS = 100
+"""Most records in one transaction; the platform accepts 128 operations."""
 GROUP_DELAY = timedelta(milliseconds=20)
 STORE_RETRY_AFTER = timedelta(seconds=5)
-SCAN_ABOVE_IDS = 20
-"""Above this many ids one scan of the team's jobs costs less than single reads."""
+MAX_SINGLE_READS = 20
+"""Most ids read one by one; above it, scanning the team's jobs costs less."""
 MAX_CANCEL_IDS = 10_000
 CANCEL_ATTEMPTS = 5
 MAX_PAGE = 500
@@ -54,7 +54,7 @@
 
 @dataclass
 class _Submission:
-    """A submission that waits for its group's transaction."""
+    """A submission waiting for the transaction of its group."""
 
     job: Job
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -75,7 +75,7 @@
     async def submit(
         self, team: str, request: JobRequest, idempotency_key: str, key_id: str = ""
     ) -> Job:
-        """Make a job durable and return it; repeating the key returns the first.
+        """Store a job and return it; a repeated idempotency key returns the first job.
 
         Raises RefusedError (not run) or StoreOutcomeUnknownError.
         """
@@ -84,44 +84,44 @@
         name = idempotency_key or secrets.token_hex(16)
         now = self._clock.now()
         job = Job(job_id_of(team, name), team, request, now, key_id=key_id)
-        waiting = self._waiting.get(job.key)
-        if waiting is not None:
-            if waiting.job.request != request:
+        submission = self._waiting.get(job.key)
+        if submission is not None:
+            if submission.job.request != request:
                 raise refused(RefusalReason.KEY_REUSED, job.job_id)
         else:
-            waiting = self._waiting[job.key] = _Submission(job)
+            submission = self._waiting[job.key] = _Submission(job)
             if len(self._waiting) == 1:
-                await self._commit_after_delay(waiting)
-        await waiting.done.wait()
-        if isinstance(waiting.error, ConflictError):
+                await self._commit_after_delay(submission)
+        await submission.done.wait()
+        if isinstance(submission.error, ConflictError):
             return await self._existing(job)
-        if isinstance(waiting.error, StoreUnavailableError):
-            raise _unavailable(waiting.error) from waiting.error
-        if waiting.error is not None:
-            raise waiting.error
-        return waiting.job
+        if isinstance(submission.error, StoreUnavailableError):
+            raise _unavailable(submission.error) from submission.error
+        if submission.error is not None:
+            raise submission.error
+        return submission.job
 
     async def _commit_after_delay(self, first: _Submission) -> None:
-        """Commit, for everyone, what was submitted within the delay."""
-        # A caller that disconnects must not take the others' submissions along.
+        """Commit all submissions that arrive within the delay."""
+        # A disconnecting caller must not cancel the submissions of others.
         with anyio.CancelScope(shield=True):
             await self._clock.sleep(GROUP_DELAY)
             group = list(self._waiting.values())
             self._waiting = {}
             async with anyio.create_task_group() as tasks:
-                for start in range(0, len(group), GROUP_RECORDS):
-                    part = group[start : start + GROUP_RECORDS]
+                for start in range(0, len(group), MAX_GROUP_RECORDS):
+                    part = group[start : start + MAX_GROUP_RECORDS]
                     tasks.start_soon(self._commit_group, part)
 
     async def _commit_group(self, group: Sequence[_Submission]) -> None:
-        """Create a group's records; a conflict of one is separated by halving."""
+        """Create a group's records; halve the group to isolate conflicts."""
         error: Exception | None = None
         try:
             await commit_changes(
                 self._store, [Change(s.job.key, s.job, None) for s in group]
             )
         except (ConflictError, WriteSupersededError):
-            # A job's id follows from its key, so that creating it again is safe.
+            # The id is derived from the idempotency key, so a retry is safe.
             if len(group) > 1:
                 middle = len(group) // 2
                 await self._commit_group(group[:middle])
@@ -142,7 +142,7 @@
 
     async def get(self, team: str, job_id: str) -> Job | None:
         """Return a job of the team, or None if the team has no such job."""
-        if not _is_id(job_id):
+        if not _is_job_id(job_id):
             return None
         record = await read_record(self._store, job_key(team, job_id), Job)
         return None if record is None else record.value
@@ -150,7 +150,7 @@
     async def page(
         self, team: str, after: str = "", limit: int = 100
     ) -> tuple[list[Job], str]:
-        """Return a team's jobs in id order and the id to continue after, or ""."""
+        """Return a page of a team's jobs in id order, and the next ``after`` or ""."""
         prefix = team_prefix(team)
         start = f"{prefix}{after}\0" if after else ""
         limit = max(1, min(limit, MAX_PAGE))
@@ -161,10 +161,10 @@
     async def cancel(
         self, team: str, job_ids: Sequence[str] = (), label: str = ""
     ) -> dict[str, JobState]:
-        """Cancel jobs by id or label; return each found job's state afterwards.
+        """Cancel jobs by id or label; return the resulting state of each job found.
 
-        Queued jobs end at once; for placed jobs the request is recorded and the
-        scheduler stops the task. Repeating the call is harmless.
+        Queued jobs end immediately; for placed jobs the request is recorded and the
+        scheduler stops the task. The call is idempotent.
         """
         if bool(job_ids) == bool(label):
             raise refused(RefusalReason.INVALID_INPUT, "expected either ids or a label")
@@ -177,7 +177,7 @@
                 records = await self._select(team, wanted, label)
                 conflicts = await self._cancel_records(records, states)
             except StoreUnavailableError as error:
-                # Cancellation is idempotent, so repeating all of it is correct.
+                # The caller can repeat the whole call, since it is idempotent.
                 raise _unavailable(error) from error
             if not conflicts:
                 return states
@@ -187,8 +187,8 @@
     async def _select(
         self, team: str, wanted: frozenset[str], label: str
     ) -> list[Versioned[Job]]:
-        if 0 < len(wanted) <= SCAN_ABOVE_IDS:
-            keys = [job_key(team, job_id) for job_id in wanted if _is_id(job_id)]
+        if 0 < len(wanted) <= MAX_SINGLE_READS:
+            keys = [job_key(team, job_id) for job_id in wanted if _is_job_id(job_id)]
             found = [await read_record(self._store, key, Job) for key in keys]
             return [record for record in found if record is not None]
         page = await scan_all(self._store, team_prefix(team))
@@ -200,7 +200,7 @@
     async def _cancel_records(
         self, records: Sequence[Versioned[Job]], states: dict[str, JobState]
     ) -> list[str]:
-        """Write the cancellations; return the ids that changed meanwhile."""
+        """Write the cancellations; return the ids of jobs that changed concurrently."""
         now = self._clock.now()
         changes: list[Change] = []
         for record in records:
@@ -226,10 +226,7 @@
 
 @dataclass
 class GroupResult:
-    """What became of many changes that were written in groups.
-
-    ``conflicts`` were certainly not written; ``failed`` met ``error``.
-    """
+    """Result of writing changes in groups; ``conflicts`` were not written."""
 
     changes_by_key: dict[str, Change] = field(default_factory=dict)
     revisions_by_key: dict[str, int] = field(default_factory=dict)
@@ -242,13 +239,13 @@
 ) -> GroupResult:
     """Write changes in transactions of at most 100 records.
 
-    A conflict of one record is separated from its group by halving. Raises
-    StoreError when the store fails; changes written before that stay written.
+    Groups with a conflict are halved to isolate it. Raises StoreError when the
+    store fails; changes written before that stay written.
     """
     result = GroupResult({change.key: change for change in changes})
     parts = [
-        changes[start : start + GROUP_RECORDS]
-        for start in range(0, len(changes), GROUP_RECORDS)
+        changes[start : start + MAX_GROUP_RECORDS]
+        for start in range(0, len(changes), MAX_GROUP_RECORDS)
     ]
     parts.reverse()
     while parts:
@@ -272,5 +269,5 @@
     return RefusedError(Refused(reason, str(error), STORE_RETRY_AFTER))
 
 
-def _is_id(job_id: str) -> bool:
+def _is_job_id(job_id: str) -> bool:
     return len(job_id) == JOB_ID_LENGTH and job_id.isalnum()
--- a/src/pomeloyard/jobs/table.py
+++ b/src/pomeloyard/jobs/table.py
@@ -1,4 +1,4 @@
-"""The scheduler's copy of all job records, with changes not yet written."""
+"""The scheduler's copy of the job records, with changes not yet written."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 from .job import Job, JobState
 
 RETENTION = timedelta(hours=24)
-"""Time for which final records are kept; it bounds idempotency of submissions."""
+"""Retention of ended jobs' records; until then repeated submissions are recognized."""
 MAX_FINAL_RECORDS = 20_000
-"""Above this many final records the oldest are removed before their time, which
-bounds the store's size (about 30 MB) and the time to take the role."""
+"""Above this many records of ended jobs the oldest are removed early, to bound the
+store's size (about 30 MB) and the time to load a new term."""
 
 OnChange = Callable[[str, Job | None, Job | None], None]
 
@@ -25,7 +25,7 @@
 
 
 class JobTable:
-    """Job records by store key, and pending changes on top of them.
+    """Job records by store key, overlaid with pending changes.
 
     ``on_change`` is called with the key and the job before and after a change.
     """
@@ -36,14 +36,14 @@
         self._keys_by_job_id: dict[str, str] = {}
         self._final: list[tuple[datetime, str]] = []
         self._final_revisions: dict[str, int] = {}
-        """Ended jobs, of which only key and revision are kept in memory."""
+        """Revisions of ended jobs by store key; their records are not kept."""
         self.pending: dict[str, Job] = {}
 
     def __len__(self) -> int:
         return len(self._records)
 
     def get(self, key: str) -> Job | None:
-        """Return a job as it will be when pending changes are written."""
+        """Return a job with its pending change applied."""
         job = self.pending.get(key)
         if job is not None:
             return job
@@ -51,7 +51,7 @@
         return None if record is None else record.value
 
     def recorded(self, key: str) -> Job | None:
-        """Return a job as the store has it."""
+        """Return a job as last read from or written to the store."""
         record = self._records.get(key)
         return None if record is None else record.value
 
@@ -65,7 +65,7 @@
         entries: tuple[Entry, ...],
         on_ended: Callable[[Job], None] | None = None,
     ) -> None:
-        """Take over a complete scan; jobs that are absent from it are forgotten.
+        """Load a complete scan; drop jobs that are absent from it.
 
         ``on_ended`` is called with each job that has ended.
         """
@@ -79,14 +79,14 @@
                 on_ended(job)
 
     def apply(self, event: WatchEvent) -> None:
-        """Take over a change that the watch reports."""
+        """Apply a watch event."""
         if event.entry is not None:
             self._put(event.entry)
         elif event.revision > self._revision(event.key):
             self._forget(event.key)
 
     def set(self, job: Job) -> None:
-        """Change a job; the change is written by the next flush."""
+        """Change a job; the next flush writes the change."""
         before = self.get(job.key)
         if before is None:
             return
@@ -94,24 +94,24 @@
         self._on_change(job.key, before, job)
 
     def changes(self) -> list[Change]:
-        """Return the pending changes, made from the records as known now."""
+        """Return the pending changes, based on the latest known records."""
         return [
             Change(key, job, self._records[key]) for key, job in self.pending.items()
         ]
 
     def written(self, change: Change, revision: int) -> None:
-        """Note that a change is in the store."""
+        """Record that a change has been written at a revision."""
         if revision <= self._revision(change.key):
-            return  # The watch was faster than the answer.
+            return  # The watch event arrived before the commit's answer.
         job: Job = change.value
         writes = change.expected.write_ids if change.expected else ()
         self._records[change.key] = Versioned(change.key, job, revision, writes)
         if self.pending.get(change.key) is job:
             del self.pending[change.key]
-        self._release_final(change.key)
+        self._compact_final(change.key)
 
     def removals(self, now: datetime, limit: int) -> list[Change]:
-        """Return deletions of final records whose retention time has passed."""
+        """Return deletions of ended jobs' records that are due for removal."""
         changes: list[Change] = []
         while self._final and len(changes) < limit:
             ended_at, key = self._final[0]
@@ -126,31 +126,31 @@
         return changes
 
     def removed(self, key: str) -> None:
-        """Note that a record was deleted from the store."""
+        """Drop a job whose record was deleted from the store."""
         self._forget(key)
 
     def _put(self, entry: Entry) -> Job | None:
         # Equal revisions are applied again: after a lost answer the local copy
-        # may have been noted under a revision that another writer made.
+        # may carry the revision of another writer's change.
         if entry.mod_revision < self._revision(entry.key):
             return None
         try:
             record = decode_record(entry, Job)
         except RecordError as error:
-            log.error("job record ignored: {}", error)
+            log.error("ignoring invalid job record: {}", error)
             return None
         key, before = entry.key, self.get(entry.key)
         self._records[key] = record
         self._keys_by_job_id[record.value.job_id] = key
-        self._rebase(key)
+        self._rebase_pending(key)
         after = self.get(key)
         if before != after and not (before is None and record.value.final):
             self._on_change(key, before, after)
-        self._release_final(key)
+        self._compact_final(key)
         return record.value
 
-    def _rebase(self, key: str) -> None:
-        """Apply a pending change to a record that a caller has changed."""
+    def _rebase_pending(self, key: str) -> None:
+        """Rebase a pending change onto a record that a caller has changed."""
         pending, recorded = self.pending.get(key), self._records[key].value
         if pending is None:
             return
@@ -165,8 +165,8 @@
                 after = replace(after, state=JobState.CANCELLED)
             self.pending[key] = after
 
-    def _release_final(self, key: str) -> None:
-        """Keep only the revision of a job that has ended."""
+    def _compact_final(self, key: str) -> None:
+        """Drop an ended job from memory, except for its revision."""
         record = self._records[key]
         job = record.value
         if not job.final or key in self.pending:
--- a/src/pomeloyard/jobs/transitions.py
+++ b/src/pomeloyard/jobs/transitions.py
@@ -1,4 +1,4 @@
-"""What becomes of a job when its task ends, is lost or was never started."""
+"""Job state transitions after a task has ended, is lost or was not started."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 FIRST_RETRY_DELAY = timedelta(seconds=1)
 MAX_RETRY_DELAY = timedelta(seconds=60)
 MAX_FAILED_WORKERS = 3
-"""A job that fails on this many workers is the job's own failure."""
+"""Failures on this many workers are attributed to the job."""
 
 
 def after_report(job: Job, report: TaskReport, now: datetime) -> Job:
@@ -39,9 +39,9 @@
 
 
 def after_loss(job: Job, reason: JobReason, now: datetime) -> Job:
-    """Return the job after its task ended without a result that is known.
+    """Return the job after the result of its task was lost.
 
-    The task may have run, so only an idempotent job is tried again.
+    The task may have run, so only an idempotent job is retried.
     """
     if job.cancel_requested:
         return ended(job, JobState.CANCELLED, JobReason.CANCELLED, now)
@@ -54,7 +54,7 @@
 
 
 def not_started(job: Job, now: datetime) -> Job:
-    """Return the job after its task certainly was not started."""
+    """Return the job after its task was definitely not started."""
     if job.cancel_requested:
         return ended(job, JobState.CANCELLED, JobReason.CANCELLED, now)
     return requeued(job, JobReason.WORKER_UNREACHABLE)
@@ -64,7 +64,7 @@
     reason = JobReason.TASK_FAILED
     failed_on = tuple(dict.fromkeys((*job.failed_on, job.worker)))
     if report.detail == OUT_OF_MEMORY:
-        # Not the worker's failure: the next attempt gets more memory.
+        # Not attributed to the worker; the next attempt gets more memory.
         reason = JobReason.OUT_OF_MEMORY
         failed_on = job.failed_on
         job = replace(job, memory_floor=memory_after_kill(job))
@@ -83,7 +83,7 @@
 
 
 def requeued(job: Job, reason: JobReason, not_before: datetime | None = None) -> Job:
-    """Return the job waiting for another placement."""
+    """Return the job queued for another placement."""
     return replace(
         job,
         state=JobState.QUEUED,
@@ -97,7 +97,7 @@
 
 
 def retry_delay(failures: int) -> timedelta:
-    """Return the delay before the attempt that follows a number of failures.
+    """Return the exponential back-off before the next attempt.
 
     >>> retry_delay(1), retry_delay(3), retry_delay(50)
     (datetime.timedelta(seconds=1), datetime.timedelta(seconds=4), \
--- a/src/pomeloyard/jobs/worker_drain.py
+++ b/src/pomeloyard/jobs/worker_drain.py
@@ -1,4 +1,4 @@
-"""Moves tasks away from workers that are draining or leaving."""
+"""Eviction of tasks from workers that are being drained or removed."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 DEFAULT_DRAIN_TIMEOUT = timedelta(seconds=60)
 CHECK_INTERVAL = timedelta(seconds=1)
-SIGNAL_AGAIN = timedelta(seconds=10)
+SIGNAL_RETRY_INTERVAL = timedelta(seconds=10)
 
 
 class WorkerDrain:
-    """Lets tasks finish until the drain timeout, then moves those that can be.
+    """Lets tasks finish until the drain timeout, then evicts them where possible.
 
     Checkpointable tasks are checkpointed and idempotent ones stopped; both are
-    placed elsewhere. All others run to their end.
+    placed on other workers. All other tasks run to completion.
     """
 
     def __init__(
@@ -30,26 +30,28 @@
         self._state = state
         self._table = table
         self._links = links
-        self._next = timedelta(0)
-        self._since: dict[str, timedelta] = {}
-        self._signalled: dict[str, timedelta] = {}
+        self._next_check = timedelta(0)
+        self._draining_since: dict[str, timedelta] = {}
+        self._signalled_at: dict[str, timedelta] = {}
 
     def check(self, now: timedelta) -> None:
         """Signal the tasks of workers whose drain timeout has passed."""
-        if now < self._next:
+        if now < self._next_check:
             return
-        self._next = now + CHECK_INTERVAL
+        self._next_check = now + CHECK_INTERVAL
         vms = self._state.vm_list.vms_by_name
         for name, link in self._links.by_name.items():
             vm = vms.get(name)
             if vm is None or self._state.accepts_work(vm) or not link.tracks:
-                self._since.pop(name, None)
+                self._draining_since.pop(name, None)
                 continue
-            since = self._since.setdefault(name, now)
+            since = self._draining_since.setdefault(name, now)
             if now >= since + self._timeout(vm):
                 self._move_tasks(link, now)
-        again = now - SIGNAL_AGAIN
-        self._signalled = {t: at for t, at in self._signalled.items() if at > again}
+        resend_before = now - SIGNAL_RETRY_INTERVAL
+        self._signalled_at = {
+            t: at for t, at in self._signalled_at.items() if at > resend_before
+        }
 
     def _timeout(self, vm: Vm) -> timedelta:
         pool = self._state.pool_of(vm)
@@ -60,12 +62,12 @@
     def _move_tasks(self, link: Link, now: timedelta) -> None:
         for task_id, track in link.tracks.items():
             job = self._table.get(track.job_key)
-            if job is None or not track.confirmed or task_id in self._signalled:
+            if job is None or not track.confirmed or task_id in self._signalled_at:
                 continue
             action = TaskAction.STOP
             if job.request.checkpointable:
                 action = TaskAction.CHECKPOINT
             elif not job.request.idempotent:
                 continue
-            self._signalled[task_id] = now
+            self._signalled_at[task_id] = now
             self._links.signal(link, task_id, action)
