--- a/tests/test_job_interface.py
+++ b/tests/test_job_interface.py
@@ -1,4 +1,4 @@
-"""The caller interface and command-line tool of jobs, over HTTP on loopback."""
+"""The HTTP interface for jobs and its command-line tool, on loopback."""
 
 import json
 from types import SimpleNamespace
@@ -54,7 +54,7 @@
 
 
 def test_jobs_from_the_command_line(keys):
-    """Guards against seeing a foreign job, and against doubled submissions."""
+    """Guards against access to other teams' jobs, and duplicated submissions."""
     mill, desk = keys["mill"][0], keys["desk"][0]
 
     def check(address):
@@ -63,9 +63,9 @@
         assert run(address, mill, *submit) == first
         job_id = first["job_id"]
         assert run(address, mill, "list")["jobs"] == [first]
-        foreign = run(address, desk, "status", job_id)
+        other_team = run(address, desk, "status", job_id)
         absent = run(address, desk, "status", "0" * 24)
-        assert (foreign.status, foreign.problem) == (404, absent.problem)
+        assert (other_team.status, other_team.problem) == (404, absent.problem)
         assert run(address, desk, "cancel", "--label", "n") == {}
         changed = run(address, mill, *submit[:-1], "sleep 2")
         assert (changed.status, changed.problem["outcome"]) == (422, "not-run")
--- a/tests/test_job_store.py
+++ b/tests/test_job_store.py
@@ -65,7 +65,7 @@
     ],
 )
 def test_invalid_submissions_are_refused_without_a_store_call(changes, reason):
-    """Guards against sizes that break placement and against foreign queues (R3)."""
+    """Guards against sizes that break placement, and queues of other teams (R3)."""
 
     async def check():
         clock, store, jobs = make()
@@ -79,7 +79,7 @@
 
 
 def test_unconfigured_team_is_refused():
-    """Guards against jobs that wait for ever because no team has a limit for them."""
+    """Guards against jobs that stay queued because their team has no limit."""
 
     async def check():
         clock, store, jobs = make()
@@ -91,24 +91,24 @@
 
 
 def test_one_conflict_does_not_fail_the_group():
-    """Guards against lost or doubled submissions when a group meets one repeat."""
+    """Guards against lost or duplicated submissions in a group with a conflict."""
 
     async def check():
         clock, store, jobs = make()
         first = await with_clock(clock, jobs.submit("mill", GOOD, "k7"))
         store.calls_by_method.clear()
         other = replace(GOOD, cores=3.0)
-        wave = [(GOOD, f"k{n}") for n in range(150)]
-        wave += [(GOOD, "k8"), (other, "k9"), (other, "k7")]
+        submissions = [(GOOD, f"k{n}") for n in range(150)]
+        submissions += [(GOOD, "k8"), (other, "k9"), (other, "k7")]
         store.answers_to_lose = 1
-        results = await submit_all(clock, jobs, "mill", wave)
+        results = await submit_all(clock, jobs, "mill", submissions)
         assert results[7] == first
         assert results[150] == results[8]
         assert results[151:] == [RefusalReason.KEY_REUSED] * 2
         assert len({job.job_id for job in results[:150]}) == 150
         assert len((await store.scan("jobs/")).entries) == 150
         assert store.calls_by_method["commit"] <= 20
-        # Open queues accept any team; a repeat later returns the same job.
+        # Open queues accept any team.
         night = replace(GOOD, queue="night")
         assert (await with_clock(clock, jobs.submit("desk", night, "x"))).team == "desk"
 
@@ -116,7 +116,7 @@
 
 
 def test_store_outage_is_refused_as_not_run():
-    """Guards against a submission acknowledged without being durable (R7)."""
+    """Guards against acknowledging a submission that is not stored (R7)."""
 
     async def check():
         clock, store, jobs = make()
@@ -131,37 +131,37 @@
 
 
 def test_a_team_sees_only_its_own_jobs_page_by_page():
-    """Guards against reading or cancelling another team's job by its id."""
+    """Guards against access to another team's job by its id, and lost pages."""
 
     async def check():
         clock, _, jobs = make()
-        wave = [(GOOD, str(n)) for n in range(7)]
-        mine = await submit_all(clock, jobs, "mill", wave)
-        foreign = mine[0].job_id
-        assert await jobs.get("desk", foreign) is None
-        assert await jobs.cancel("desk", [foreign]) == {}
-        assert await jobs.cancel("desk", ["../mill/" + foreign]) == {}
+        submissions = [(GOOD, str(n)) for n in range(7)]
+        created = await submit_all(clock, jobs, "mill", submissions)
+        other_id = created[0].job_id
+        assert await jobs.get("desk", other_id) is None
+        assert await jobs.cancel("desk", [other_id]) == {}
+        assert await jobs.cancel("desk", ["../mill/" + other_id]) == {}
         seen, after = [], ""
         while True:
             page, after = await jobs.page("mill", after, 3)
             seen += [job.job_id for job in page]
             if not after:
                 break
-        assert seen == sorted(job.job_id for job in mine)
+        assert seen == sorted(job.job_id for job in created)
 
     anyio.run(check)
 
 
 @pytest.mark.parametrize("by_label", [True, False])
 def test_thousands_are_cancelled_in_few_calls(by_label):
-    """Guards against a cancellation wave that reads or writes job by job."""
+    """Guards against a store call for each of many cancelled jobs."""
 
     async def check():
         clock, store, jobs = make()
-        wave = [(GOOD, str(n)) for n in range(5000)]
-        mine = await submit_all(clock, jobs, "mill", wave)
+        submissions = [(GOOD, str(n)) for n in range(5000)]
+        created = await submit_all(clock, jobs, "mill", submissions)
         store.calls_by_method.clear()
-        ids = [] if by_label else [job.job_id for job in mine]
+        ids = [] if by_label else [job.job_id for job in created]
         states = await jobs.cancel("mill", ids, "nightly" if by_label else "")
         assert set(states.values()) == {JobState.CANCELLED}
         assert len(states) == 5000
--- a/tests/test_jobs_processes.py
+++ b/tests/test_jobs_processes.py
@@ -1,4 +1,4 @@
-"""Jobs through real processes while the scheduler is killed or paused."""
+"""Jobs on daemon processes while the scheduler is killed or paused."""
 
 import json
 import signal
@@ -48,7 +48,7 @@
 
 
 def starts(fleet):
-    """Return the ids of all started jobs, with repetitions."""
+    """Return the job id of every task start, with repetitions."""
     history = []
     for vm in fleet.vms:
         answer = httpcore.request("GET", f"http://{vm.address}/standin/audit")
@@ -58,7 +58,7 @@
 
 @pytest.mark.parametrize("fault", [signal.SIGKILL, signal.SIGSTOP])
 def test_jobs_survive_the_loss_of_their_scheduler(fleet, fault):
-    """Guards against lost or doubled jobs when a daemon dies or is paused (R8)."""
+    """Guards against lost or duplicated jobs if a daemon dies or is paused (R8)."""
     run_tool(fleet, "config", "publish", str(CONFIGURATION))
     fleet.wait_ready(*DAEMONS)
     team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
