--- a/src/pomeloyard/fleet/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -1,4 +1,4 @@
-"""Turn outcomes of requests and the state of workers into health observations."""
+"""Derive health observations from request outcomes and worker states."""
 
 from __future__ import annotations
 
@@ -10,34 +10,38 @@
 from ..jobs.scheduler import Scheduler
 from .repair import ObservationKind
 
-Note = Callable[[str, ObservationKind], None]
+RecordObservation = Callable[[str, ObservationKind], None]
 
 WORKER_INTERVAL = timedelta(seconds=5)
-"""A worker that stays set aside for a minute gives the ten failed outcomes after
-which it is taken for failed."""
+"""A worker set aside for a minute yields the ten failed outcomes at which it
+counts as failed."""
 
 
-def note_executor(note: Note, vm: str, *, failed: bool, silent: bool) -> None:
-    """Note the outcome of one request at an executor."""
+def note_executor(
+    record: RecordObservation, vm: str, *, failed: bool, silent: bool
+) -> None:
+    """Record the outcome of one request at an executor."""
     if silent:
-        note(vm, ObservationKind.UNRESPONSIVE)
+        record(vm, ObservationKind.UNRESPONSIVE)
     elif failed:
-        note(vm, ObservationKind.REQUEST_FAILED)
+        record(vm, ObservationKind.REQUEST_FAILED)
     else:
-        note(vm, ObservationKind.REQUEST_DONE)
+        record(vm, ObservationKind.REQUEST_DONE)
 
 
 class WorkerObserver:
     """Reports workers that do not answer or fail their tasks.
 
-    Outcomes of single tasks are not reported: a bad job fails on good workers,
-    and the quarantine tells the two apart.
+    Outcomes of single tasks are not reported, as a faulty job also fails on healthy
+    workers; the quarantine distinguishes the two.
     """
 
-    def __init__(self, clock: Clock, scheduler: Scheduler, note: Note) -> None:
+    def __init__(
+        self, clock: Clock, scheduler: Scheduler, record: RecordObservation
+    ) -> None:
         self._clock = clock
         self._scheduler = scheduler
-        self._note = note
+        self._record = record
 
     async def run(self) -> None:
         """Observe the workers regularly until cancelled."""
@@ -46,15 +50,15 @@
             self.observe()
 
     def observe(self) -> None:
-        """Note the present state of each worker, if this daemon schedules."""
+        """Record the state of each worker if this daemon is the scheduler."""
         term = self._scheduler.term
         if term is None:
             return
         for name, link in term.links.by_name.items():
             if link.reachable:
-                self._note(name, ObservationKind.RESPONSIVE)
+                self._record(name, ObservationKind.RESPONSIVE)
             elif link.failures:
-                self._note(name, ObservationKind.UNRESPONSIVE)
+                self._record(name, ObservationKind.UNRESPONSIVE)
             health = term.follower.quarantine.health(name)
             if health is WorkerHealth.SET_ASIDE:
-                self._note(name, ObservationKind.TASK_FAILED)
+                self._record(name, ObservationKind.TASK_FAILED)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -1,4 +1,4 @@
-"""A fleet in memory: controllers, a store and a platform that can fail."""
+"""An in-memory fleet: controllers, and a store and a platform with faults."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
 from pomeloyard.keyvalue.store import scan_all
 from pomeloyard.vm_platform.directory import Vm, VmRole
 
-from .fleet_faults import FaultyDirectory, FaultyStore, killed
+from .fleet_faults import FaultyDirectory, FaultyStore, is_kill
 
 DAEMONS = ("entry-1.a", "entry-2.b")
 
 
 @dataclass
-class Tasks(TaskCounts):
+class FakeTaskCounts(TaskCounts):
     """Task counts that a test sets."""
 
     count_by_vm: dict[str, int] = field(default_factory=dict)
@@ -55,9 +55,9 @@
         self.config = config
         self.store = FaultyStore(self.clock)
         self.directory = FaultyDirectory(self.clock, vms)
-        self.tasks = Tasks()
+        self.tasks = FakeTaskCounts()
         self.running: dict[tuple[str, str], int | None] = {}
-        """Requests by daemon and VM; None: the daemon does not answer."""
+        """Running requests by daemon and VM; None if the daemon does not answer."""
         self.demand: dict[str, float] = {}
         self.violations: list[str] = []
         self._decoded: dict[str, tuple[int, object]] = {}
@@ -91,7 +91,7 @@
         return self.controllers[0]
 
     async def refresh(self, controller: Controller) -> None:
-        """Bring a controller's copy up to date, as its follower does."""
+        """Update a controller's local copy, as its follower does."""
         state = controller._state
         listing = await self.directory.list_vms()
         state.vm_list = replace(listing)
@@ -105,7 +105,7 @@
     async def step(self, seconds: float = 0.5, refresh: bool = True) -> None:
         """Advance the clock and let every controller take one step."""
         self.clock.advance(timedelta(seconds=seconds))
-        await self.directory.settle()
+        await self.directory.apply_due_operations()
         for number, controller in enumerate(self.controllers):
             if refresh:
                 await self.refresh(controller)
@@ -114,14 +114,14 @@
             except (StoreError, ConflictError, RefusedError):
                 pass
             except BaseException as error:
-                if not killed(error):
+                if not is_kill(error):
                     raise
                 self.controllers[number] = self.new_controller()
 
     async def run_until(
         self, condition: Callable[[], bool], seconds: float = 600, step: float = 0.5
     ) -> float:
-        """Step until a condition holds; return the seconds that it took."""
+        """Step until a condition holds and return the elapsed seconds."""
         began = self.clock.monotonic()
         while not condition():
             passed = (self.clock.monotonic() - began).total_seconds()
@@ -156,7 +156,7 @@
     def all_in_service(self) -> bool:
         return self.states() == {VmState.IN_SERVICE}
 
-    def spent(self) -> set[str]:
+    def unavailable_vms(self) -> set[str]:
         return {vm for b in self.budgets().values() for vm in b.spending_by_vm}
 
     def summary(self) -> str:
@@ -168,9 +168,9 @@
         )
 
     def _check_invariants(self, transaction) -> None:
-        """Note planned spending beyond a budget and VMs not in exactly one pool.
+        """Record planned drains beyond a budget and VMs not in exactly one pool.
 
-        Counts anew, without the functions under test.
+        Counts independently of the functions under test.
         """
         for operation in transaction.operations:
             if operation.key.startswith(layout.BUDGETS):
@@ -191,7 +191,7 @@
                 self._check_planned(service, budget, name)
 
     def _check_planned(self, service, budget, name) -> None:
-        # The list lags: a loss counts once every controller has seen it.
+        # Copies of the list lag: a loss counts once every controller has seen it.
         members = budget.members_by_vm
         known = [c.records.unavailable(members) for c in self.controllers]
         lost = set.intersection(*known)
