--- a/src/pomeloyard/authentication.py
+++ b/src/pomeloyard/authentication.py
@@ -1,4 +1,4 @@
-"""Authentication of callers and operators by bearer key."""
+"""Authentication of callers and operators by bearer keys."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 def authenticate_team(state: FleetState, header: str | None) -> KeyRecord:
-    """Return the key record of a caller; raises RefusedError."""
+    """Return the key record of a caller's team; raises RefusedError."""
     record = _authenticate(state, header)
     if not record.team:
         raise _failure(
@@ -36,7 +36,7 @@
 def authenticate_operator(
     state: FleetState, header: str | None, role: Role
 ) -> KeyRecord:
-    """Return the key record of an operator who has at least ``role``."""
+    """Return the key record of an operator with at least ``role``."""
     record = _authenticate(state, header)
     if record.role is None or ROLE_RANK[record.role] < ROLE_RANK[role]:
         detail = f"this needs the role {role.value}"
@@ -56,7 +56,7 @@
     if record is None:
         record = _bootstrap_record(state, sha256)
     if record is None:
-        # An unknown id is the caller's own text and may be a misplaced secret.
+        # Don't log an unknown id: it is the caller's input and may be a secret.
         known = key_id if key_id in state.keys.keys_by_id else ""
         raise _failure(state, RefusalReason.KEY_INVALID, known)
     return record
@@ -71,7 +71,7 @@
 
 
 def _bootstrap_record(state: FleetState, sha256: str) -> KeyRecord | None:
-    """Return the first operator's record, valid until a publisher's key exists."""
+    """Return the bootstrap key's record, valid until a publisher's key is granted."""
     if any(
         record.role is Role.PUBLISH and not record.withdrawn
         for record in state.keys.keys_by_id.values()
--- a/src/pomeloyard/call_error.py
+++ b/src/pomeloyard/call_error.py
@@ -1,4 +1,4 @@
-"""Failure of a call to a daemon, as its clients see it."""
+"""Failure of a client's call to a daemon."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 class CallError(PomeloyardError):
     """The call was refused, failed or has an unknown outcome.
 
-    ``status`` is the HTTP status, or 0 if there was no answer; ``problem``
-    holds the problem details; ``retry_after`` is in seconds.
+    ``status`` is the HTTP status, or 0 without a response; ``problem`` holds the
+    problem details (RFC 9457); ``retry_after`` is in seconds.
     """
 
     def __init__(
--- a/src/pomeloyard/cli/teams.py
+++ b/src/pomeloyard/cli/teams.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..operators.client import OperatorClient
-from ..usage import TeamUsage, combined
+from ..usage import TeamUsage, combine_usages
 from .output import note, show
 
 
@@ -46,4 +46,4 @@
     for address in silent:
         note(f"no answer from {address}; its requests are not counted")
     usages = msgspec.convert([row for rows in answers for row in rows], list[TeamUsage])
-    show(msgspec.to_builtins(combined(usages)))
+    show(msgspec.to_builtins(combine_usages(usages)))
--- a/src/pomeloyard/clock.py
+++ b/src/pomeloyard/clock.py
@@ -1,4 +1,4 @@
-"""Clock interface, so that every time-dependent decision can be tested."""
+"""Clock interface, which lets tests control time."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
     @abstractmethod
     def monotonic(self) -> timedelta:
-        """Return time since an arbitrary start; it never goes backwards."""
+        """Return the time since an arbitrary start; it never decreases."""
 
     @abstractmethod
     async def sleep(self, delay: timedelta) -> None:
@@ -35,7 +35,7 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> timedelta:
-        """Return the time since boot, which also counts while the VM is suspended."""
+        """Return the time since boot, including time while the VM is suspended."""
         return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     async def sleep(self, delay: timedelta) -> None:
@@ -44,7 +44,7 @@
 
 
 class ManualClock(Clock):
-    """Clock that moves only when a test advances it.
+    """Clock that advances only on request, for tests.
 
     >>> clock = ManualClock()
     >>> clock.advance(timedelta(seconds=5))
@@ -67,7 +67,7 @@
         return self._elapsed
 
     async def sleep(self, delay: timedelta) -> None:
-        """Suspend the calling task until the clock was advanced by ``delay``."""
+        """Suspend the calling task until the clock has been advanced by ``delay``."""
         if delay <= timedelta(0):
             await anyio.lowlevel.checkpoint()
             return
@@ -77,7 +77,7 @@
         await woken.wait()
 
     def advance(self, delay: timedelta) -> None:
-        """Move the clock forward and wake the sleepers that are due."""
+        """Advance the clock and wake the tasks whose delay has passed."""
         self._elapsed += delay
         while self._sleepers and self._sleepers[0][0] <= self._elapsed:
             heapq.heappop(self._sleepers)[2].set()
--- a/src/pomeloyard/concurrency.py
+++ b/src/pomeloyard/concurrency.py
@@ -1,4 +1,4 @@
-"""Calls that are made at once."""
+"""Concurrent calls."""
 
 from __future__ import annotations
 
@@ -14,23 +14,23 @@
 async def both(
     first: Callable[[], Awaitable[A]], second: Callable[[], Awaitable[B]]
 ) -> tuple[A, B]:
-    """Make two calls at once and return both results.
+    """Make two calls concurrently and return both results.
 
-    Waits for both; raises the error of the first that failed, as it is.
+    Waits for both, then raises the first error, not wrapped in an ExceptionGroup.
     """
     errors: list[Exception] = []
-    firsts: list[A] = []
-    seconds: list[B] = []
+    first_results: list[A] = []
+    second_results: list[B] = []
 
     async def run_first() -> None:
         try:
-            firsts.append(await first())
+            first_results.append(await first())
         except Exception as error:
             errors.append(error)
 
     async def run_second() -> None:
         try:
-            seconds.append(await second())
+            second_results.append(await second())
         except Exception as error:
             errors.append(error)
 
@@ -39,4 +39,4 @@
         tasks.start_soon(run_second)
     if errors:
         raise errors[0]
-    return firsts[0], seconds[0]
+    return first_results[0], second_results[0]
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon: builds all parts, runs them and shuts down gracefully."""
+"""The daemon: builds its parts, runs them and shuts down gracefully."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 from .fleet.health_sources import WorkerObserver, note_executor
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
-from .heartbeats import HeartbeatBook
+from .heartbeats import PeerHeartbeats
 from .jobs.scheduler import Scheduler
 from .jobs.store import JobStore
 from .key_service import KeyService
@@ -70,7 +70,7 @@
 
 
 class Daemon:
-    """One daemon with all its parts."""
+    """One daemon and the services that it consists of."""
 
     def __init__(
         self,
@@ -88,7 +88,7 @@
         self.tls = TlsContexts(settings)
         self.log_writer = LogWriter(clock, settings.log_file, settings.log_queue_lines)
         self.incarnation = f"{settings.vm}.{secrets.token_hex(4)}"
-        self._build_links()
+        self._build_connections()
         self._build_allocation()
         self._build_requests()
         self._build_roles()
@@ -96,7 +96,7 @@
         self._servers: list[EmbeddedServer] = []
         self._closing = False
 
-    def _record(self) -> DaemonRecord:
+    def _daemon_record(self) -> DaemonRecord:
         return DaemonRecord(
             incarnation=self.incarnation,
             vm=self.settings.vm,
@@ -106,8 +106,8 @@
             availability_zone=self.settings.availability_zone,
         )
 
-    def _build_links(self) -> None:
-        """Build what connects this daemon to the store and the others."""
+    def _build_connections(self) -> None:
+        """Build the connections to the store and to other daemons."""
         self.follower = FleetFollower(
             self.store, self.directory, self.clock, self.state
         )
@@ -129,8 +129,8 @@
         )
 
     def _build_allocation(self) -> None:
-        """Build what divides slots and limits among the daemons."""
-        record = self._record()
+        """Build the division of slots and limits among the daemons."""
+        record = self._daemon_record()
         self.router = ExecutorRouter(
             self.clock,
             self.settings.availability_zone,
@@ -157,14 +157,14 @@
             self.capacity.book,
             self.capacity.resources,
         )
-        changes = MembershipDecisions(
+        membership_decisions = MembershipDecisions(
             self.clock, self.state, self.incarnation, self.decisions
         )
-        self.membership.on_gained.append(changes.note_gained)
-        self.membership.on_lost.append(changes.note_lost)
+        self.membership.on_gained.append(membership_decisions.note_gained)
+        self.membership.on_lost.append(membership_decisions.note_lost)
 
     def _build_requests(self) -> None:
-        """Build the path of requests."""
+        """Build the services that handle requests."""
         self.endpoints = EndpointClient(self.capacity.connections)
         self.claims = ClaimService(
             self.store, self.clock, self.state, self.peers, self.calls, self.incarnation
@@ -189,7 +189,7 @@
         self.requests = RequestService(self.clock, self.state, sender, keyed)
 
     def _build_roles(self) -> None:
-        """Build jobs and fleet, and the roles that work on them."""
+        """Build job scheduling and fleet control, which run under roles."""
         self.workers = HttpWorkerClient()
         self.jobs = JobStore(self.store, self.clock, lambda: self.state.config)
         self.drain_notices = DrainNotices(
@@ -222,12 +222,12 @@
         )
 
     def _build_monitoring(self) -> None:
-        """Build what operators see and change."""
+        """Build metrics, explanations and the services for operators."""
         self.explanations = Explanations(
             self.peers, self.calls, self.state, self.decisions
         )
-        self.heartbeats = HeartbeatBook(self.clock)
-        self.peers.on(Heartbeat, self.heartbeats.note)
+        self.heartbeats = PeerHeartbeats(self.clock)
+        self.peers.on(Heartbeat, self.heartbeats.record)
         self.keys = KeyService(
             self.store, self.clock, self.state, self.peers.broadcast, self.decisions
         )
@@ -241,7 +241,7 @@
                 self.log_writer,
                 self._team_usage,
                 self.store.calls,
-                more=[lambda: capacity_metrics(self.capacity)],
+                collectors=[lambda: capacity_metrics(self.capacity)],
             ),
         )
         self.decisions.sinks += [
@@ -250,7 +250,7 @@
         ]
 
     async def run(self) -> None:
-        """Run until SIGTERM or SIGINT, logging JSON lines."""
+        """Run until SIGTERM or SIGINT, with log lines as JSON."""
         try:
             with JsonLogHandler(self.log_writer, self.settings.log_level):
                 await self._run()
@@ -270,7 +270,7 @@
             tasks.cancel_scope.cancel()
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Start all parts."""
+        """Start all parts as tasks of ``tasks``."""
         self.state.bootstrap_sha256 = self.settings.bootstrap_key_sha256
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
@@ -302,8 +302,8 @@
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
         operator = operator_app(self._operator_context())
-        counted = RequestMetrics(caller, self.metrics, self.clock, self.state)
-        self._serve(tasks, counted, settings.caller_address, self.tls.caller)
+        app_with_metrics = RequestMetrics(caller, self.metrics, self.clock, self.state)
+        self._serve(tasks, app_with_metrics, settings.caller_address, self.tls.caller)
         self._serve(tasks, operator, settings.operator_address, self.tls.operator)
         monitoring = monitoring_app(self.metrics, self._not_ready_reasons)
         self._serve(tasks, monitoring, settings.metrics_address, self.tls.operator)
@@ -318,7 +318,7 @@
         await self.controller.run(held.epoch)
 
     async def close(self) -> None:
-        """Stop accepting, finish running requests and give up partitions."""
+        """Stop accepting requests, finish running ones and release partitions."""
         self._closing = True
         self.admission.close()
         for server in self._servers:
@@ -329,7 +329,7 @@
             await self.claims.close()
             await self.membership.leave()
         except (StoreError, ConflictError) as error:
-            log.warning("partitions not released: {}", error)
+            log.warning("partitions not released at shutdown: {}", error)
         await self.peers.close()
         await self.endpoints.close()
         await self.workers.close()
@@ -338,8 +338,8 @@
         table = self.state.partitions
         held = table.held_by(self.incarnation) if table is not None else ()
         log.warning(
-            "shutdown time is over: {} requests may still run, {} partitions and "
-            "{} permits after unknown outcomes are not released",
+            "shutdown timed out: {} requests may still be running, {} partitions and "
+            "{} permits of requests with unknown outcome are not released",
             self.admission.running(),
             len(held),
             self.admission.held(),
@@ -372,7 +372,7 @@
         tls: ssl.SSLContext | None,
     ) -> None:
         host, port = address.rsplit(":", 1)
-        # As in serving.py: asyncio disables Nagle only with a stated protocol.
+        # As in serving.py: asyncio sets TCP_NODELAY only with IPPROTO_TCP.
         listener = socket.socket(proto=socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
@@ -417,7 +417,7 @@
         return self.capacity.executors(service)
 
     def _demand_by_pool(self) -> dict[str, float]:
-        """Return the demand of pools in VMs, extrapolated from this daemon's."""
+        """Estimate the demand by pool in VMs from this daemon's requests."""
         daemons = max(1, len(self.state.daemons_by_incarnation))
         demand: dict[str, float] = {}
         for service in self.state.config.services_by_name.values():
@@ -450,14 +450,14 @@
 def main() -> None:
     """Run the daemon with a settings file, or a whole small fleet for trying it out."""
     parser = argparse.ArgumentParser(prog="pomeloyardd", description=main.__doc__)
-    ways = parser.add_mutually_exclusive_group(required=True)
-    ways.add_argument("--settings", type=Path, help="TOML file of this daemon")
-    ways.add_argument(
+    mode = parser.add_mutually_exclusive_group(required=True)
+    mode.add_argument("--settings", type=Path, help="TOML file of this daemon")
+    mode.add_argument(
         "--embedded", action="store_true", help="a fleet in memory, on free ports"
     )
     arguments = parser.parse_args()
     if arguments.embedded:
-        # Only here, because a daemon of a fleet needs no stand-ins.
+        # Imported here, because a daemon of a real fleet needs no stand-ins.
         from .standins.embedded import main as run_embedded
 
         run_embedded()
--- a/src/pomeloyard/decisions.py
+++ b/src/pomeloyard/decisions.py
@@ -1,4 +1,4 @@
-"""Records of decisions, kept to explain what the system did and why."""
+"""Log of decisions in memory, to explain what the system did and why."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from enum import Enum
 
 MAX_DECISIONS = 2000
-"""Decisions kept in a daemon's memory; the oldest are dropped first. Routes take at
-most half, because one is recorded for each request and they would otherwise drop
+"""Decisions kept in a daemon's memory; the oldest are evicted first. Routes use at
+most half, because one is recorded for each request and they would otherwise evict
 all others within seconds."""
 
 
 class DecisionKind(Enum):
-    """What was decided."""
+    """Kind of a decision."""
 
     ROUTE = "route"
     CLAIM = "claim"
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An option that was considered, and why it was or was not chosen."""
+    """A considered option and the reason why it was chosen or not."""
 
     name: str
     reason: Enum
@@ -55,7 +55,7 @@
 
 
 class DecisionLog:
-    """Keeps the latest decisions and passes each one to its sinks."""
+    """Keeps the latest decisions and passes each to the sinks."""
 
     def __init__(self, limit: int = MAX_DECISIONS) -> None:
         self._routes: deque[Decision] = deque(maxlen=limit // 2)
@@ -63,9 +63,9 @@
         self.sinks: list[Callable[[Decision], None]] = []
 
     def record(self, decision: Decision) -> None:
-        """Keep a decision; sinks must not block."""
-        routed = decision.kind is DecisionKind.ROUTE
-        (self._routes if routed else self._others).append(decision)
+        """Add a decision and pass it to the sinks, which must not block."""
+        is_route = decision.kind is DecisionKind.ROUTE
+        (self._routes if is_route else self._others).append(decision)
         for sink in self.sinks:
             sink(decision)
 
--- a/src/pomeloyard/errors.py
+++ b/src/pomeloyard/errors.py
@@ -1,4 +1,4 @@
-"""Exceptions of the package, all derived from one base class."""
+"""Exceptions of the package; all derive from PomeloyardError."""
 
 from __future__ import annotations
 
@@ -18,15 +18,15 @@
 
 
 class FrameError(PomeloyardError):
-    """A frame from another daemon is malformed, oversized or of unknown version."""
+    """A frame from another daemon is malformed, oversized or of an unknown version."""
 
 
 class CallNotSentError(PomeloyardError):
-    """A call certainly did not reach its peer."""
+    """A call to a peer was certainly not received."""
 
 
 class CallUnansweredError(PomeloyardError):
-    """A call got no whole answer; the peer may have carried it out."""
+    """A call to a peer got no complete response; it may have taken effect."""
 
 
 class StaleFenceError(PomeloyardError):
@@ -42,11 +42,11 @@
 
 
 class StoreOutcomeUnknownError(StoreError):
-    """The store's answer was lost; the operation may have taken effect."""
+    """The store's response was lost; the operation may have taken effect."""
 
 
 class WriteSupersededError(StoreOutcomeUnknownError):
-    """The answer was lost and the record was replaced since, so it cannot tell."""
+    """A write's response was lost and the record since replaced: effect unknown."""
 
 
 class StoreRequestError(StoreError):
@@ -54,7 +54,7 @@
 
 
 class CompactedError(StoreError):
-    """A watch asked for a revision that the store has already discarded."""
+    """A watch asked for a revision that the store has compacted."""
 
     def __init__(self, compact_revision: int) -> None:
         super().__init__(f"revisions before {compact_revision} were compacted")
@@ -62,7 +62,7 @@
 
 
 class LeaseLostError(StoreError):
-    """The store lease has expired or was revoked."""
+    """The store lease expired or was revoked."""
 
 
 class RefusedError(PomeloyardError):
--- a/src/pomeloyard/explanations.py
+++ b/src/pomeloyard/explanations.py
@@ -1,4 +1,4 @@
-"""Decisions about a subject, collected from all daemons."""
+"""Collect the decisions about a subject from all daemons."""
 
 from __future__ import annotations
 
@@ -17,19 +17,19 @@
 from .peers.messages import ExplainReply, ExplainRequest
 from .peers.streams import PeerNetwork
 
-ANSWER_TIMEOUT = timedelta(seconds=1)
+REPLY_TIMEOUT = timedelta(seconds=1)
 MAX_RECORDS = 50
-"""Decisions in one daemon's answer; the newest are kept."""
+"""Decisions in one daemon's reply; the newest are kept."""
 MAX_RECORDS_BYTES = 256 * 1024
-"""Encoded decisions in one daemon's answer, a quarter of the longest frame, so that
-an answer holds up heartbeats on the same connection only briefly."""
+"""Encoded decisions in one daemon's reply, a quarter of the largest frame, so that a
+reply delays heartbeats on the same connection only briefly."""
 
 log = logbook.Logger("pomeloyard.explanations")
 
 
 @dataclass(frozen=True, slots=True)
 class CandidateView:
-    """An option as another daemon states it; see decisions.Candidate."""
+    """A considered option in a daemon's reply; see decisions.Candidate."""
 
     name: str
     reason: str
@@ -38,10 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DecisionView:
-    """A decision as another daemon states it; see decisions.Decision.
+    """A decision in a daemon's reply; see decisions.Decision.
 
-    Kinds and reasons are texts, because a daemon of another release may know
-    others than this one.
+    Kinds and reasons are strings, because a daemon of another release may use
+    values that this one does not know.
     """
 
     at: Annotated[datetime, msgspec.Meta(tz=True)]
@@ -52,15 +52,16 @@
     candidates: tuple[CandidateView, ...] = ()
     inputs: dict[str, str | int | float | bool] = field(default_factory=dict)
     daemon: str = ""
-    """Incarnation of the daemon that answered with the decision."""
+    """Incarnation of the daemon that sent the decision."""
 
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
-    """What the daemons know about a subject; decisions are ordered by time.
+    """The daemons' decisions about a subject, ordered by time.
 
-    ``silent`` are daemons that did not answer, ``damaged`` those with records that
-    could not be read, ``omitted`` counts by daemon the older decisions left out.
+    ``silent`` lists daemons that did not reply, ``damaged`` those that sent records
+    that cannot be decoded, and ``omitted`` counts by daemon the older decisions that
+    were left out.
     """
 
     subject: str
@@ -71,7 +72,7 @@
 
 
 class Explanations:
-    """Answers other daemons' questions about decisions, and asks them."""
+    """Requests decisions from other daemons and replies to their requests."""
 
     def __init__(
         self,
@@ -86,28 +87,30 @@
         self._decisions = decisions
 
     def start(self) -> None:
-        """Answer other daemons from now on."""
+        """Start replying to other daemons."""
         self._calls.expect(ExplainReply)
         self._network.on(ExplainRequest, self._on_request)
 
     async def explain(self, subject: str) -> Explanation:
         """Return the decisions of all daemons about a subject."""
-        me = self._network.hello.incarnation
-        # A registered daemon without a connection is named as silent, because
-        # it may know decisions that the answer lacks.
+        own_incarnation = self._network.hello.incarnation
+        # A registered daemon without a connection is reported as silent, because
+        # it may have decisions that the result lacks.
         others = {*self._network.connected(), *self._state.daemons_by_incarnation}
-        replies: dict[str, ExplainReply | None] = {me: self._reply(0, subject)}
+        replies: dict[str, ExplainReply | None] = {
+            own_incarnation: self._reply(0, subject)
+        }
 
         async def ask(incarnation: str) -> None:
             replies[incarnation] = await self._calls.call(
                 incarnation,
                 lambda request_id: ExplainRequest(request_id, subject),
                 ExplainReply,
-                ANSWER_TIMEOUT,
+                REPLY_TIMEOUT,
             )
 
         async with anyio.create_task_group() as tasks:
-            for incarnation in others - {me}:
+            for incarnation in others - {own_incarnation}:
                 tasks.start_soon(ask, incarnation)
         return merge_replies(subject, replies)
 
@@ -129,7 +132,7 @@
 
 
 def merge_replies(subject: str, replies: dict[str, ExplainReply | None]) -> Explanation:
-    """Return the decisions of all replies by incarnation; None is a silent daemon."""
+    """Merge the replies by incarnation; None stands for a daemon that did not reply."""
     decisions: list[DecisionView] = []
     damaged: list[str] = []
     omitted: dict[str, int] = {}
@@ -140,7 +143,7 @@
         decisions += [replace(v, daemon=daemon) for v in views if v is not None]
         if None in views:
             damaged.append(daemon)
-            log.warning("{} sent damaged records about {}", daemon, subject)
+            log.warning("{} sent undecodable records about {}", daemon, subject)
         if reply.omitted > 0:
             omitted[daemon] = reply.omitted
     decisions.sort(key=lambda decision: decision.at)
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -1,4 +1,4 @@
-"""A daemon's copy of what the store says about the fleet."""
+"""A daemon's copy of the fleet state in the store and the platform's VM list."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RoleRecord:
-    """Holder of a role; ``epoch`` is the fencing token."""
+    """Holder of a role, with its fencing token ``epoch``."""
 
     holder: str
     epoch: int
@@ -34,7 +34,7 @@
 
 @dataclass
 class FleetState:
-    """Everything that a daemon follows; changed only by the follower and peers."""
+    """State that a daemon replicates; changed only by the follower and by peers."""
 
     config: FleetConfig = field(default_factory=lambda: FleetConfig(name=""))
     config_content: bytes = b""
@@ -51,10 +51,10 @@
     failed_authentications: Counter[str] = field(default_factory=Counter)
     """Refused authentications since the start, by reason."""
     drain_epochs_by_vm: dict[str, int] = field(default_factory=dict)
-    """Epochs of drains that peers announced, perhaps before the watch did."""
+    """Epochs of drains announced by peers, which may precede the store's watch."""
 
     def note_drain(self, name: str, epoch: int) -> None:
-        """Stop new work at a VM until its record of a later epoch arrives."""
+        """Cordon a VM until its record reaches the epoch of an announced drain."""
         known = self.drain_epochs_by_vm.get(name, 0)
         self.drain_epochs_by_vm[name] = max(known, epoch)
 
@@ -73,7 +73,7 @@
         ]
 
     def pool_of(self, vm: Vm) -> str:
-        """Return the pool of a VM: its record's, else the platform's."""
+        """Return the pool of a VM by its record, else by the platform's list."""
         record = self.vm_records_by_name.get(vm.name)
         return record.pool if record is not None else vm.pool
 
--- a/src/pomeloyard/follower.py
+++ b/src/pomeloyard/follower.py
@@ -1,4 +1,4 @@
-"""Keep a daemon's copy of the fleet up to date with one scan and one watch."""
+"""Keep a daemon's copy of the fleet state up to date with one scan and one watch."""
 
 from __future__ import annotations
 
@@ -25,23 +25,23 @@
 
 MIN_RETRY_DELAY = timedelta(seconds=0.25)
 MAX_RETRY_DELAY = timedelta(seconds=4)
-"""Low enough that an outage's end is noticed well within the 15 s in which a
+"""Low enough to detect the end of an outage well within the 15 s in which a
 published configuration must be in force."""
 
 VM_LIST_INTERVAL = timedelta(seconds=1)
 
 CHECK_INTERVAL = timedelta(seconds=3)
-"""How often single reads verify that the watch is alive. The watch may hang
-without an error, while withdrawn keys must stop working within 5 s."""
+"""Interval of single reads that verify the watch. A watch may hang without an
+error, while withdrawn keys must stop working within 5 s."""
 
 log = logbook.Logger("pomeloyard.follower")
 
 
 class FleetFollower:
-    """Follows the store's records and the platform's VM list.
+    """Keeps the fleet state in step with the store and the platform's VM list.
 
     A record is never replaced by an older revision of itself, so late, repeated
-    and out-of-order events and reads from a lagging replica do no harm.
+    and out-of-order events and reads from a lagging replica are harmless.
     """
 
     def __init__(
@@ -56,29 +56,29 @@
         self.on_change: list[Callable[[], None]] = []
 
     async def run(self) -> None:
-        """Follow the store until cancelled; failures are retried with backoff."""
+        """Follow the store until cancelled, with exponential back-off on failures."""
         delay = MIN_RETRY_DELAY
         while True:
-            followed = False
+            scanned = False
             try:
                 await self._scan()
-                followed = True
+                scanned = True
                 await self._watch_and_check()
             except CompactedError as error:
-                log.info("watch starts again with a scan: {}", error)
+                log.info("watch restarts with a scan: {}", error)
             except StoreError as error:
-                self._lost_store(error, followed)
-            # A failure after a successful scan starts the backoff anew.
-            delay = MIN_RETRY_DELAY if followed else min(delay * 2, MAX_RETRY_DELAY)
+                self._record_store_failure(error, scanned)
+            # A failure after a successful scan resets the back-off.
+            delay = MIN_RETRY_DELAY if scanned else min(delay * 2, MAX_RETRY_DELAY)
             await self._clock.sleep(delay * random.uniform(0.5, 1.5))
 
     async def run_vm_list(self) -> None:
-        """Read the platform's VM list regularly until cancelled."""
+        """Poll the platform's VM list until cancelled."""
         while True:
             try:
                 listing = await self._directory.list_vms()
             except StoreError as error:
-                log.debug("VM list not read: {}", error)
+                log.debug("VM list could not be read: {}", error)
             else:
                 if listing.version > self._state.vm_list.version:
                     self._state.vm_list = listing
@@ -86,39 +86,39 @@
             await self._clock.sleep(VM_LIST_INTERVAL * random.uniform(0.8, 1.2))
 
     def changed(self) -> None:
-        """Tell the daemon's parts that the fleet state has changed."""
+        """Run the callbacks for a change of the fleet state."""
         for callback in self.on_change:
             try:
                 callback()
             except Exception:
-                log.exception("a part failed to take a change of the fleet state")
+                log.exception("a callback for a fleet state change failed")
 
-    def _lost_store(self, error: StoreError, followed: bool) -> None:
-        """Note a failure; after a scan it is confirmed only by the next scan."""
-        if self._state.store_reachable and not followed:
-            log.warning("store is not reachable: {}", error)
+    def _record_store_failure(self, error: StoreError, scanned: bool) -> None:
+        """Record a failure; one after a successful scan is not yet an outage."""
+        if self._state.store_reachable and not scanned:
+            log.warning("store is unreachable: {}", error)
             self._state.store_reachable = False
-        elif followed:
-            log.info("watch ended: {}", error)
+        elif scanned:
+            log.info("watch of the store ended: {}", error)
 
     async def _scan(self) -> None:
-        page = await scan_all(self._store, layout.FOLLOWED)
+        page = await scan_all(self._store, layout.WATCHED_PREFIX)
         for entry in page.entries:
             await self._apply(entry.key, entry, entry.mod_revision)
         await self._delete_missing(page)
-        self._watched_from = page.revision + 1
+        self._watch_from_revision = page.revision + 1
         if not self._state.store_reachable:
             log.info("store is reachable at revision {}", page.revision)
         self._state.store_reachable = True
         self.changed()
 
     async def _delete_missing(self, page: Page) -> None:
-        """Drop records that were deleted while no watch was open."""
+        """Remove records that were deleted while no watch was open."""
         present = {entry.key for entry in page.entries}
         for key, revision in list(self._revisions_by_key.items()):
             if key not in present and revision <= page.revision:
                 await self._apply(key, None, page.revision)
-                # The floor replaces the revisions of deleted records.
+                # The floor revision replaces the revisions of single deleted records.
                 del self._revisions_by_key[key]
         self._floor_revision = max(self._floor_revision, page.revision)
 
@@ -140,7 +140,7 @@
 
     async def _watch(self) -> None:
         async with self._store.watch(
-            layout.FOLLOWED, from_revision=self._watched_from
+            layout.WATCHED_PREFIX, from_revision=self._watch_from_revision
         ) as batches:
             async for batch in batches:
                 for event in batch.events:
@@ -148,7 +148,7 @@
                 self.changed()
 
     async def _check(self) -> None:
-        """Return when the watch has missed a change of the two urgent records."""
+        """Return when the watch missed a change of the configuration or the keys."""
         while True:
             await self._clock.sleep(CHECK_INTERVAL * random.uniform(0.8, 1.2))
             missed = False
@@ -159,22 +159,22 @@
                     await self._apply(key, entry, entry.mod_revision)
             if missed:
                 self.changed()
-                log.info("the watch missed a change and is opened again")
+                log.info("watch missed a change; opening it again")
                 return
 
     def _is_newer(self, key: str, revision: int) -> bool:
         return revision > self._revisions_by_key.get(key, self._floor_revision)
 
     async def _apply(self, key: str, entry: Entry | None, revision: int) -> None:
-        """Adopt a record unless a newer revision of it is known."""
+        """Apply a record unless a newer revision of it is known."""
         if not self._is_newer(key, revision):
             return
         try:
             await self._apply_record(key, entry)
         except RecordError as error:
-            # One damaged record must not stop the rest from being followed.
-            log.error("record ignored: {}", error)
-        # Noted last, so that a record is read again if the store fails here.
+            # One malformed record must not keep the others from being applied.
+            log.error("invalid record ignored: {}", error)
+        # Set last, so that the record is read again if the store fails above.
         self._revisions_by_key[key] = revision
 
     async def _apply_record(self, key: str, entry: Entry | None) -> None:
@@ -192,7 +192,7 @@
             (layout.ROLES, RoleRecord, state.roles_by_name),
         ):
             if key.startswith(prefix):
-                _put(records, key.removeprefix(prefix), entry, kind)
+                _update_record(records, key.removeprefix(prefix), entry, kind)
 
     async def _adopt_config(self, revision: int) -> None:
         if revision <= self._state.config.revision:
@@ -204,7 +204,7 @@
         adopt_config(self._state, record.value)
 
 
-def _put(
+def _update_record(
     records: dict[str, Any], name: str, entry: Entry | None, kind: type[Any]
 ) -> None:
     if entry is None:
@@ -214,7 +214,7 @@
 
 
 def adopt_config(state: FleetState, config: FleetConfig) -> bool:
-    """Take over a configuration if its revision is higher than the present one."""
+    """Adopt a configuration if its revision is higher than the current one."""
     if config.revision <= state.config.revision:
         return False
     state.config = config
@@ -224,7 +224,7 @@
 
 
 def adopt_keys(state: FleetState, ring: KeyRing) -> bool:
-    """Take over a key ring if its version is higher than the present one."""
+    """Adopt a key ring if its version is higher than the current one."""
     if ring.version <= state.keys.version:
         return False
     state.keys = ring
@@ -232,7 +232,7 @@
 
 
 def adopt_partitions(state: FleetState, table: PartitionTable, revision: int) -> bool:
-    """Take over a partition table of a higher store revision than the present one."""
+    """Adopt a partition table if its store revision is higher than the current one."""
     if revision <= state.partitions_revision:
         return False
     state.partitions = table
--- a/src/pomeloyard/heartbeats.py
+++ b/src/pomeloyard/heartbeats.py
@@ -1,4 +1,4 @@
-"""The last heartbeat of each peer, and which configuration is in force where."""
+"""The last heartbeat of each peer, and the configuration in force at each daemon."""
 
 from __future__ import annotations
 
@@ -11,16 +11,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeardHeartbeat:
-    """A heartbeat and the monotonic time of its arrival."""
+class ReceivedHeartbeat:
+    """A heartbeat and the monotonic time at which it was received."""
 
     heartbeat: Heartbeat
-    at: timedelta
+    received_at: timedelta
 
 
 @dataclass(frozen=True, slots=True)
 class DaemonStatus:
-    """What a registered daemon last reported; None where nothing was heard."""
+    """What a registered daemon last reported; None without a heartbeat."""
 
     incarnation: str
     vm: str
@@ -32,49 +32,54 @@
     in_force: bool
 
 
-class HeartbeatBook:
-    """Keeps the last heartbeat of each peer."""
+class PeerHeartbeats:
+    """Last heartbeat of each peer."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._heard_by_incarnation: dict[str, HeardHeartbeat] = {}
+        self._received_by_incarnation: dict[str, ReceivedHeartbeat] = {}
 
-    def note(self, sender: str, heartbeat: Heartbeat) -> None:
-        """Keep a heartbeat that arrived from ``sender``."""
-        heard = HeardHeartbeat(heartbeat, self._clock.monotonic())
-        self._heard_by_incarnation[sender] = heard
+    def record(self, sender: str, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat received from ``sender``."""
+        received = ReceivedHeartbeat(heartbeat, self._clock.monotonic())
+        self._received_by_incarnation[sender] = received
 
     def statuses(
-        self, state: FleetState, own: str, own_beat: Heartbeat
+        self, state: FleetState, own: str, own_heartbeat: Heartbeat
     ) -> list[DaemonStatus]:
-        """Return the status of every registered daemon, by incarnation.
+        """Return the status of every registered daemon, sorted by incarnation.
 
-        The latest revision that any of them reports is the one to be in force.
+        ``in_force`` is True where no daemon reports a higher revision.
         """
-        self._forget(set(state.daemons_by_incarnation))
+        self._remove_unregistered(set(state.daemons_by_incarnation))
         now = self._clock.monotonic()
-        heard = {**self._heard_by_incarnation, own: HeardHeartbeat(own_beat, now)}
-        latest = max(h.heartbeat.config_revision for h in heard.values())
+        received = {
+            **self._received_by_incarnation,
+            own: ReceivedHeartbeat(own_heartbeat, now),
+        }
+        latest = max(r.heartbeat.config_revision for r in received.values())
         statuses = []
         for incarnation, record in sorted(state.daemons_by_incarnation.items()):
-            last = heard.get(incarnation)
-            beat = last.heartbeat if last else None
+            last = received.get(incarnation)
+            heartbeat = last.heartbeat if last else None
             statuses.append(
                 DaemonStatus(
                     incarnation,
                     record.vm,
                     record.availability_zone,
-                    beat.config_revision if beat else None,
-                    beat.keys_version if beat else None,
-                    beat.store_reachable if beat else None,
-                    round((now - last.at).total_seconds(), 1) if last else None,
-                    beat is not None and beat.config_revision >= latest,
+                    heartbeat.config_revision if heartbeat else None,
+                    heartbeat.keys_version if heartbeat else None,
+                    heartbeat.store_reachable if heartbeat else None,
+                    round((now - last.received_at).total_seconds(), 1)
+                    if last
+                    else None,
+                    heartbeat is not None and heartbeat.config_revision >= latest,
                 )
             )
         return statuses
 
-    def _forget(self, registered: set[str]) -> None:
-        """Drop the heartbeats of daemons that are no longer registered."""
-        heard = self._heard_by_incarnation
-        for incarnation in [i for i in heard if i not in registered]:
-            del heard[incarnation]
+    def _remove_unregistered(self, registered: set[str]) -> None:
+        """Remove the heartbeats of daemons that are no longer registered."""
+        received = self._received_by_incarnation
+        for incarnation in [i for i in received if i not in registered]:
+            del received[incarnation]
--- a/src/pomeloyard/key_service.py
+++ b/src/pomeloyard/key_service.py
@@ -1,4 +1,4 @@
-"""Grant and withdraw keys; withdrawals take effect before they are stored."""
+"""Grant and withdraw keys; a withdrawal takes effect before it is stored."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class KeyReason(Enum):
-    """Why a key changed."""
+    """Reason of a decision about a key."""
 
     GRANTED = "granted"
     WITHDRAWN = "withdrawn"
@@ -40,10 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Withdrawal:
-    """Result of a withdrawal, which already holds at this daemon.
+    """Result of a withdrawal, which is already in force at this daemon.
 
-    ``stored`` tells whether the store has it, ``known`` whether the key was in
-    this daemon's ring, ``peers`` how many daemons were told.
+    ``stored`` tells whether it was written to the store, ``known`` whether the key
+    was found in the key ring, ``peers`` how many daemons were notified.
     """
 
     key_id: str
@@ -53,7 +53,7 @@
 
 
 class KeyService:
-    """Changes the key ring in the store by compare-and-swap."""
+    """Updates the key ring in the store by compare-and-swap."""
 
     def __init__(
         self,
@@ -72,7 +72,7 @@
     async def grant(
         self, team: str, role: Role | None, by: str
     ) -> tuple[str, KeyRecord]:
-        """Return the text of a new key, which is shown only here, and its record."""
+        """Return the text of a new key, which is never shown again, and its record."""
         if bool(team) == (role is not None):
             raise _refused(RefusalReason.INVALID_INPUT, "give either a team or a role")
         if team and team not in self._state.config.teams_by_name:
@@ -92,7 +92,7 @@
         return text, record
 
     async def withdraw(self, key_id: str, by: KeyRecord) -> Withdrawal:
-        """Withdraw a key here and at all peers at once, then in the store."""
+        """Withdraw a key immediately here and at all peers, then in the store."""
         known = await self._is_known(key_id)
         record = self._state.keys.keys_by_id.get(key_id)
         if (
@@ -109,12 +109,12 @@
             await self.store_withdrawals()
             stored = known
         except (StoreError, ConflictError) as error:
-            log.warning("withdrawal of {} is not stored yet: {}", key_id, error)
+            log.warning("withdrawal of key {} not stored yet: {}", key_id, error)
             stored = False
         return Withdrawal(key_id, stored, known, peers)
 
     async def store_withdrawals(self) -> None:
-        """Write all withdrawals that the store does not have yet."""
+        """Write all withdrawals that are not in the store yet."""
         pending = self.pending()
         if not pending:
             return
@@ -123,27 +123,27 @@
             self._record(key_id, KeyReason.TOMBSTONE_STORED, "daemon")
 
     def pending(self) -> frozenset[str]:
-        """Return the withdrawn keys that are still valid in the followed ring."""
+        """Return the ids of withdrawn keys that are still valid in the key ring."""
         return self._state.keys.valid_ids() & self._state.withdrawn_key_ids
 
     async def run(self) -> None:
-        """Store withdrawals that were made during an outage, here or at a peer."""
+        """Retry storing withdrawals made during a store outage, here or at a peer."""
         delay = RETRY_INTERVAL
         while True:
-            # The jitter lets one daemon write while the others see its write.
+            # With jitter, usually one daemon writes first and the others see its write.
             await self._clock.sleep(delay * random.uniform(0.5, 1.5))
             try:
                 await self.store_withdrawals()
                 delay = RETRY_INTERVAL
             except (StoreError, ConflictError) as error:
-                log.debug("withdrawals not stored: {}", error)
+                log.debug("withdrawals of keys not stored: {}", error)
                 delay = min(delay * 2, MAX_RETRY_INTERVAL)
 
     async def _is_known(self, key_id: str) -> bool:
         """Tell whether the key exists; raises RefusedError if it certainly does not.
 
-        A withdrawal of a key that cannot be looked up is still taken, because
-        a peer may hold a newer ring.
+        If the store cannot be read, the withdrawal is accepted anyway, because a
+        peer may hold a newer key ring.
         """
         if key_id in self._state.keys.keys_by_id:
             return True
@@ -157,7 +157,7 @@
         return True
 
     async def _change(self, change: Callable[[KeyRing], KeyRing]) -> None:
-        """Apply a change and all known withdrawals to the ring in the store."""
+        """Apply a change and all known withdrawals to the key ring in the store."""
         for attempt in range(CONFLICT_ATTEMPTS):
             current = await read_record(self._store, layout.KEYS, KeyRing)
             ring = current.value if current else KeyRing()
@@ -165,7 +165,7 @@
             pending = changed.valid_ids() & self._state.withdrawn_key_ids
             if pending:
                 at = self._clock.now().isoformat()
-                changed = changed.without_keys(pending, at)
+                changed = changed.with_keys_withdrawn(pending, at)
             if changed is not ring:
                 changed = KeyRing(ring.version + 1, changed.keys_by_id)
                 try:
--- a/src/pomeloyard/keys.py
+++ b/src/pomeloyard/keys.py
@@ -1,4 +1,4 @@
-"""Keys of teams and operators, kept only as hashes."""
+"""Keys of teams and operators, stored only as hashes."""
 
 from __future__ import annotations
 
@@ -11,14 +11,15 @@
 
 KEY_PREFIX = "py1"
 NO_KEY_SHA256 = "0" * 64
+"""Compared for an unknown key, so that its refusal takes as long."""
 MAX_KEYS = 4000
-"""Keys in the ring; at about 200 bytes each it stays below the store's 1 MB."""
+"""Keys in the ring; at about 200 bytes each, it stays under the store's 1 MB."""
 MAX_WITHDRAWN = 1000
-"""Withdrawn keys kept for listing; a key without a record is invalid as well."""
+"""Withdrawn keys kept for listing; keys without a record are refused as well."""
 
 
 class Role(Enum):
-    """What an operator's key allows; each role includes those before it."""
+    """Role of an operator's key; each includes the permissions of those before it."""
 
     READ = "read"
     OPERATE = "operate"
@@ -30,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyRecord:
-    """A granted key of a team, or of an operator when ``role`` is set."""
+    """A granted key, of an operator when ``role`` is set, else of a team."""
 
     key_id: str
     sha256: str
@@ -44,23 +45,23 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyRing:
-    """All keys; ``version`` grows with every change."""
+    """All keys; ``version`` increases with every change."""
 
     version: int = 0
     keys_by_id: dict[str, KeyRecord] = field(default_factory=dict)
 
     def with_key(self, record: KeyRecord) -> KeyRing:
-        """Return a ring that also has ``record``."""
+        """Return a ring with ``record`` added."""
         return KeyRing(self.version + 1, {**self.keys_by_id, record.key_id: record})
 
-    def without_key(self, key_id: str) -> KeyRing:
+    def with_key_withdrawn(self, key_id: str) -> KeyRing:
         """Return a ring in which the key is marked as withdrawn."""
-        return self.without_keys((key_id,))
+        return self.with_keys_withdrawn((key_id,))
 
-    def without_keys(self, key_ids: Collection[str], at: str = "") -> KeyRing:
+    def with_keys_withdrawn(self, key_ids: Collection[str], at: str = "") -> KeyRing:
         """Return a ring in which the keys are marked as withdrawn at ``at``.
 
-        Only the latest withdrawn keys are kept.
+        Only the most recently withdrawn keys are kept.
         """
         keys = dict(self.keys_by_id)
         for key_id in key_ids:
@@ -76,7 +77,7 @@
 
 
 def new_key(team: str = "", role: Role | None = None) -> tuple[str, KeyRecord]:
-    """Return the text of a new key, shown once, and its record."""
+    """Return the text of a new key, which is shown once, and its record."""
     key_id = secrets.token_hex(6)
     text = f"{KEY_PREFIX}.{key_id}.{secrets.token_urlsafe(24)}"
     return text, KeyRecord(key_id, hash_key(text), team, role)
--- a/src/pomeloyard/keyvalue/__init__.py
+++ b/src/pomeloyard/keyvalue/__init__.py
@@ -1,1 +1,1 @@
-"""Key-value store: interface, records, and its etcd and in-memory forms."""
+"""Key-value store: interface, typed records, etcd client and in-memory store."""
--- a/src/pomeloyard/keyvalue/answer_times.py
+++ b/src/pomeloyard/keyvalue/answer_times.py
@@ -1,21 +1,22 @@
-"""How long the store is waited for; pure.
+"""Adaptive timeout of calls to the store; no I/O.
 
-Answers two patterns: answers that are lost while others come in milliseconds, where
-each second of waiting is one without starts, and a store that takes 0.4 s for each.
+Two cases need different timeouts. When single responses are lost while others arrive
+within milliseconds, every second of waiting is a second in which no job starts. When
+the store is slow, each response takes 0.4 s.
 """
 
 from __future__ import annotations
 
 from datetime import timedelta
 
-RECENT = timedelta(seconds=5)
-"""Answers of this time say how long the store takes; slow spells last about as long."""
-TIMES_USUAL = 3
-"""An answer that takes this many times the longest recent one counts as lost."""
+RECENT_WINDOW = timedelta(seconds=5)
+"""Window of the responses that set the timeout; slow periods last about as long."""
+TIMEOUT_FACTOR = 3
+"""A response is taken for lost after this multiple of the longest recent time."""
 
 
 class AnswerTimes:
-    """The times that recent answers took.
+    """Timeout derived from the times of recent responses.
 
     >>> times = AnswerTimes(timedelta(seconds=0.35), timedelta(seconds=1.2))
     >>> times.limit(timedelta(0)).total_seconds()
@@ -28,32 +29,33 @@
     def __init__(self, shortest: timedelta, longest: timedelta) -> None:
         self._shortest = shortest
         self._longest = longest
-        self._answers: list[tuple[timedelta, timedelta]] = []
-        """When answers came and how long they took, the longest of them first; a
-        shorter one is kept only if it is newer."""
-        self._lost_in_row = 0
+        self._recent: list[tuple[timedelta, timedelta]] = []
+        """Arrival and duration of recent responses, longest duration first; a shorter
+        one is kept only if it is newer (a monotonic queue for the maximum)."""
+        self._consecutive_losses = 0
 
     def answered(self, now: timedelta, took: timedelta) -> None:
-        """Note an answer."""
-        self._lost_in_row = 0
-        self._answers = [
+        """Record a response that took ``took``."""
+        self._consecutive_losses = 0
+        self._recent = [
             (at, other)
-            for at, other in self._answers
-            if other > took and now < at + RECENT
+            for at, other in self._recent
+            if other > took and now < at + RECENT_WINDOW
         ]
-        self._answers.append((now, took))
+        self._recent.append((now, took))
 
     def lost(self) -> None:
-        """Note a call without an answer; the next ones are waited for longer."""
-        self._lost_in_row += 1
+        """Record a call without a response; the timeout of the next ones is longer."""
+        self._consecutive_losses += 1
 
     def limit(self, now: timedelta) -> timedelta:
-        """Return how long the next call should be waited for."""
-        usual = next(
-            (took for at, took in self._answers if now < at + RECENT), timedelta(0)
+        """Return the timeout of the next call."""
+        longest_recent = next(
+            (took for at, took in self._recent if now < at + RECENT_WINDOW),
+            timedelta(0),
         )
-        limit = max(self._shortest, TIMES_USUAL * usual)
-        for _ in range(self._lost_in_row):
+        limit = max(self._shortest, TIMEOUT_FACTOR * longest_recent)
+        for _ in range(self._consecutive_losses):
             if limit >= self._longest:
                 break
             limit *= 2
--- a/src/pomeloyard/keyvalue/detour.py
+++ b/src/pomeloyard/keyvalue/detour.py
@@ -1,9 +1,9 @@
-"""Which way a daemon's calls take to the store; pure.
+"""Choice between direct calls to the store and relaying through a peer; no I/O.
 
-Answers a store that turns some daemons away and serves the others, just as a peak is at
-work: the placing daemon would lose its role, and callers would have to find another
-daemon. Calls then go through a peer that still reaches the store. Where nobody does, no
-peer takes them, and a daemon asks only a few times a second.
+Handles a store that rejects some daemons' calls and serves the others, during a peak:
+the placing daemon would lose its role, and callers would have to switch to another
+daemon. Calls then go through a peer that still reaches the store. If no
+daemon reaches it, no peer accepts them, and a daemon tries only a few times a second.
 """
 
 from __future__ import annotations
@@ -13,82 +13,82 @@
 from datetime import timedelta
 
 FAILURES_TO_DETOUR = 2
-"""Calls in a row that fail before another way is tried; one may be a lost packet."""
+"""Consecutive failed calls before relaying; a single one may be a lost packet."""
 SOUND_AGE = timedelta(seconds=3)
-"""A daemon that had an answer within this time relays for others; an idle one polls the
-store every 1.2 s."""
+"""A daemon that got a response within this time relays for others; an idle daemon
+polls the store every 1.2 s."""
 PEER_PAUSE = timedelta(seconds=1)
-"""A peer that could not relay is not asked again for this long."""
+"""Time for which a peer that could not relay is not tried again."""
 RETRY_INTERVAL = timedelta(seconds=0.1)
-"""Between peers that are asked in vain, so that an outage causes no rush."""
+"""Between failed attempts at different peers, to limit the load in an outage."""
 
 
 class Detour:
-    """Knows whether the store is reached directly, and by which peers otherwise."""
+    """Selects whether calls go to the store directly or through which peer."""
 
     def __init__(self) -> None:
         self.speed_by_peer: dict[str, float] = {}
-        """Address and speed of the daemons that may relay."""
+        """Speed of the daemons that may relay, by address."""
         self._failures = 0
-        self._answered_at: timedelta | None = None
-        self._paused_until_by_peer: dict[str, timedelta] = {}
+        self._last_response_at: timedelta | None = None
+        self._retry_at_by_peer: dict[str, timedelta] = {}
         self._peer = ""
         self._next_try_at = timedelta(0)
 
     @property
     def is_needed(self) -> bool:
-        """Tell whether calls do not go to the store directly."""
+        """Tell whether calls are to be relayed instead of sent to the store."""
         return bool(self.speed_by_peer) and self._failures >= FAILURES_TO_DETOUR
 
     def may_relay(self, now: timedelta) -> bool:
-        """Tell whether this daemon reaches the store well enough to help others."""
-        answered_at = self._answered_at
-        sound = answered_at is not None and now - answered_at <= SOUND_AGE
-        return sound and not self._failures
+        """Tell whether this daemon reaches the store and may relay for peers."""
+        last_response_at = self._last_response_at
+        is_recent = last_response_at is not None and now - last_response_at <= SOUND_AGE
+        return is_recent and not self._failures
 
     def set_peers(self, speed_by_peer: Mapping[str, float]) -> None:
-        """Replace the peers that are known."""
+        """Replace the known peers."""
         self.speed_by_peer = dict(speed_by_peer)
 
     def peer(self, now: timedelta) -> str | None:
-        """Return the peer that a call goes through, or None if none should be asked.
+        """Return the peer to relay a call, or None if no peer should be tried now.
 
-        The fastest are asked first: a placing daemon's calls would fill the link of a
-        small VM.
+        The fastest peers are preferred: the placing daemon's calls would saturate the
+        link of a small VM.
         """
         if self._peer:
             return self._peer
         if now < self._next_try_at:
             return None
-        rested = [
+        available = [
             peer
             for peer in self.speed_by_peer
-            if now >= self._paused_until_by_peer.get(peer, timedelta(0))
+            if now >= self._retry_at_by_peer.get(peer, timedelta(0))
         ]
-        if not rested:
+        if not available:
             return None
-        fastest = max(self.speed_by_peer[peer] for peer in rested)
+        fastest = max(self.speed_by_peer[peer] for peer in available)
         return random.choice(
-            [peer for peer in rested if self.speed_by_peer[peer] == fastest]
+            [peer for peer in available if self.speed_by_peer[peer] == fastest]
         )
 
     def answered(self, now: timedelta) -> None:
-        """Note an answer of the store itself."""
+        """Record a response to a direct call."""
         self._failures = 0
-        self._answered_at = now
+        self._last_response_at = now
         self._peer = ""
 
     def failed(self) -> None:
-        """Note a direct call that the store refused or left unanswered."""
+        """Record a direct call that the store rejected or did not respond to."""
         self._failures += 1
 
     def relayed(self, peer: str) -> None:
-        """Note an answer of the store that came through a peer; it is used again."""
+        """Record a response relayed by a peer, which the next calls use as well."""
         self._peer = peer
 
     def refused(self, peer: str, now: timedelta) -> None:
-        """Note a call that a peer could not relay."""
-        self._paused_until_by_peer[peer] = now + PEER_PAUSE
+        """Record a call that a peer could not relay."""
+        self._retry_at_by_peer[peer] = now + PEER_PAUSE
         self._next_try_at = now + RETRY_INTERVAL
         if self._peer == peer:
             self._peer = ""
--- a/src/pomeloyard/keyvalue/etcd.py
+++ b/src/pomeloyard/keyvalue/etcd.py
@@ -1,7 +1,7 @@
 """Store client for the JSON gateway of the etcd v3 API.
 
-Keys and values travel as base64, numbers as decimal strings, as described in
-the published gRPC gateway mapping of that API.
+Keys and values are encoded as base64 and numbers as decimal strings, as the
+published gRPC gateway mapping of that API specifies.
 """
 
 from __future__ import annotations
@@ -42,17 +42,17 @@
 CALL_TIMEOUT = timedelta(seconds=2)
 MAX_CALLS_IN_FLIGHT = 8
 WATCH_IDLE_SECONDS = 30.0
-"""A watch that shows no sign of life for this long is opened again."""
+"""A watch that receives no data for this long fails and has to be reopened."""
 
 MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
 FIRST_KEY = "\0"
-"""Start of a range over all keys, as the empty key is not valid."""
+"""Start of a range over all keys, as etcd accepts no empty key."""
 
 GRPC_NOT_FOUND = 5
 GRPC_RESOURCE_EXHAUSTED = 8
 GRPC_INVALID = frozenset({3, 7, 9, 11, 12, 16})
-"""Invalid argument, permission denied, failed precondition, out of range,
-unimplemented and unauthenticated: rejected without effect."""
+"""Codes of requests rejected without effect: invalid argument, permission denied,
+failed precondition, out of range, unimplemented and unauthenticated."""
 
 T = TypeVar("T")
 
@@ -75,13 +75,13 @@
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if it is absent."""
-        page = await self._range({"key": encode_text(key)})
+        page = await self._range({"key": encode_key(key)})
         return page.entries[0] if page.entries else None
 
     async def scan(self, prefix: str, *, start: str = "", limit: int = 1000) -> Page:
         """Return entries whose key has ``prefix``, from key ``start`` on."""
         body = {
-            "key": encode_text(max(prefix, start) or FIRST_KEY),
+            "key": encode_key(max(prefix, start) or FIRST_KEY),
             "range_end": encode_bytes(prefix_end(prefix)),
             "limit": str(limit),
         }
@@ -93,7 +93,7 @@
         body = {
             "compare": [
                 {
-                    "key": encode_text(compare.key),
+                    "key": encode_key(compare.key),
                     "target": "MOD",
                     "result": "EQUAL",
                     "mod_revision": str(compare.mod_revision),
@@ -130,7 +130,7 @@
         """Yield changes under ``prefix`` from ``from_revision`` on."""
         request = {
             "create_request": {
-                "key": encode_text(prefix or FIRST_KEY),
+                "key": encode_key(prefix or FIRST_KEY),
                 "range_end": encode_bytes(prefix_end(prefix)),
                 "start_revision": str(from_revision),
                 "progress_notify": True,
@@ -163,7 +163,7 @@
         try:
             return await self._call("/v3/kv/range", body, decode_page)
         except StoreOutcomeUnknownError as error:
-            # A read has no effect, so a lost answer is the same as no call.
+            # A read has no side effects, so a lost response equals a failed call.
             raise StoreUnavailableError(str(error)) from error
 
     async def _write(
@@ -200,7 +200,7 @@
         return _decode_answer(path, response, decode)
 
     async def _close_idle(self) -> None:
-        """Close kept connections, as they may hang like the one that failed."""
+        """Close idle connections, as they may hang like the one that failed."""
         for connection in self._pool.connections:
             if connection.is_idle():
                 await connection.aclose()
@@ -234,28 +234,28 @@
     if code == GRPC_NOT_FOUND:
         return LeaseLostError(detail)
     if code == GRPC_RESOURCE_EXHAUSTED:
-        return StoreUnavailableError(detail)  # Refused before it was proposed.
+        return StoreUnavailableError(detail)  # Rejected before the proposal.
     if code in GRPC_INVALID:
         return StoreRequestError(detail)
-    # etcd may answer "unavailable" after a proposal was already replicated.
+    # etcd may respond "unavailable" after the proposal was replicated.
     return StoreOutcomeUnknownError(detail)
 
 
 def decode_page(answer: Mapping[str, Any]) -> Page:
-    """Decode the answer of a range; zero values are omitted by the gateway."""
+    """Decode the response to a range; the gateway omits zero values."""
     entries = tuple(decode_entry(kv) for kv in answer.get("kvs") or ())
     revision = int(answer["header"]["revision"])
     return Page(entries, revision, more=bool(answer.get("more")))
 
 
 def decode_commit(answer: Mapping[str, Any]) -> CommitResult:
-    """Decode the answer of a transaction."""
+    """Decode the response to a transaction."""
     revision = int(answer["header"]["revision"])
     return CommitResult(bool(answer.get("succeeded")), revision)
 
 
 def decode_ttl(answer: Mapping[str, Any]) -> int:
-    """Decode the first message of a keepalive stream, in seconds."""
+    """Decode the first message of a keepalive stream to the TTL in seconds."""
     result = answer["result"]
     int(result["header"]["revision"])
     return int(result.get("TTL", 0))
@@ -301,7 +301,7 @@
 
 
 def decode_event(event: Mapping[str, Any]) -> WatchEvent:
-    """Decode one event of a watch answer."""
+    """Decode one event of a watch response."""
     kv = event["kv"]
     key = base64.b64decode(kv["key"]).decode()
     revision = int(kv["mod_revision"])
@@ -325,18 +325,18 @@
     if isinstance(operation, Put):
         return {
             "request_put": {
-                "key": encode_text(operation.key),
+                "key": encode_key(operation.key),
                 "value": encode_bytes(operation.value),
                 "lease": str(operation.lease),
             }
         }
-    return {"request_delete_range": {"key": encode_text(operation.key)}}
+    return {"request_delete_range": {"key": encode_key(operation.key)}}
 
 
-def encode_text(text: str) -> str:
+def encode_key(text: str) -> str:
     """Encode a key as base64.
 
-    >>> encode_text("config/head")
+    >>> encode_key("config/head")
     'Y29uZmlnL2hlYWQ='
     """
     return encode_bytes(text.encode())
--- a/src/pomeloyard/keyvalue/layout.py
+++ b/src/pomeloyard/keyvalue/layout.py
@@ -1,10 +1,10 @@
-"""Names of the store's keys.
+"""Keys and prefixes in the store.
 
-Everything that each daemon follows is under one prefix, so that a daemon needs
-a single watch for it.
+All records that every daemon follows are under one prefix, so that one watch per
+daemon suffices.
 """
 
-FOLLOWED = "f/"
+WATCHED_PREFIX = "f/"
 CONFIG_HEAD = "f/config/head"
 KEYS = "f/keys"
 PARTITIONS = "f/partitions"
@@ -13,7 +13,7 @@
 ROLES = "f/roles/"
 
 RELAYS = "relays/"
-"""Addresses at which daemons pass calls to the store on, by VM."""
+"""Addresses at which daemons relay calls to the store, by VM."""
 
 CONFIG_REVISIONS = "config/revisions/"
 CONFIG_HISTORY = "config/history"
@@ -25,7 +25,7 @@
 
 
 def config_revision_key(revision: int) -> str:
-    """Return the key of a configuration revision; keys sort by number.
+    """Return the key of a configuration revision; keys sort by revision.
 
     >>> config_revision_key(42)
     'config/revisions/0000000042'
--- a/src/pomeloyard/keyvalue/memory.py
+++ b/src/pomeloyard/keyvalue/memory.py
@@ -1,4 +1,4 @@
-"""In-memory store with the semantics of the platform's key-value store."""
+"""In-memory key-value store with the semantics of etcd."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 )
 
 HISTORY_EVENTS = 100_000
-"""Events kept for watches that start in the past; older ones are compacted."""
+"""Events kept for watches from past revisions; older ones are compacted."""
 
 
 @dataclass(slots=True)
@@ -42,7 +42,7 @@
 
 
 class MemoryStore(PollingStore):
-    """Store held in memory; expired leases end at the next call or ``expire``."""
+    """Store in memory; expired leases are revoked by the next call or ``expire``."""
 
     def __init__(self, clock: Clock, history_events: int = HISTORY_EVENTS) -> None:
         self._clock = clock
@@ -156,19 +156,19 @@
         return WatchBatch((), max(self._revision, after_revision))
 
     def expire(self) -> None:
-        """End leases whose time to live has passed."""
+        """Revoke leases whose time to live has passed."""
         now = self._clock.monotonic()
-        lapsed = [i for i, r in self._leases_by_id.items() if r.expires_at <= now]
-        for lease in lapsed:
+        expired = [i for i, r in self._leases_by_id.items() if r.expires_at <= now]
+        for lease in expired:
             self._delete_keys(self._leases_by_id.pop(lease).keys)
 
     def compact(self) -> None:
-        """Discard the whole history, as a store does from time to time."""
+        """Compact the whole history, as etcd does periodically."""
         self._compact_revision = self._revision
         self._history.clear()
 
     def break_watches(self) -> None:
-        """End all open watches, as a store does when it restarts."""
+        """Close all open watches, as a restart of the store does."""
         for stream in list(self._watchers):
             stream.close()
         self._watchers.clear()
@@ -227,19 +227,19 @@
         while len(self._history) > self._history_events:
             self._compact_revision = self._history.popleft().revision
         for stream, prefix in list(self._watchers.items()):
-            mine = tuple(e for e in events if e.key.startswith(prefix))
-            if not mine:
+            matching = tuple(e for e in events if e.key.startswith(prefix))
+            if not matching:
                 continue
             try:
-                stream.send_nowait(WatchBatch(mine, self._revision))
+                stream.send_nowait(WatchBatch(matching, self._revision))
             except (anyio.WouldBlock, anyio.BrokenResourceError):
-                # A watcher that does not read must start again with a scan.
+                # The buffer is full; its reader must restart with a scan.
                 self._watchers.pop(stream, None)
                 stream.close()
 
 
 class _Batches(AsyncIterator[WatchBatch]):
-    """Batches of a watch; unlike a generator, it survives a cancelled wait."""
+    """Batches of a watch; unlike a generator, usable after a cancelled wait."""
 
     def __init__(self, receive: ObjectReceiveStream[WatchBatch]) -> None:
         self._receive = receive
--- a/src/pomeloyard/keyvalue/records.py
+++ b/src/pomeloyard/keyvalue/records.py
@@ -1,4 +1,4 @@
-"""Typed records in the store, with compare-and-swap and lost-answer resolution."""
+"""Typed records in the store, with compare-and-swap and lost-response recovery."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 T = TypeVar("T")
 
 RECENT_WRITES = 8
-"""Write ids kept in a record, so that a lost answer can be resolved even when
-other writers have changed the record since."""
+"""Write ids kept in a record, so that the outcome of a write with a lost response can
+be determined even after other writers have changed the record."""
 
 RESOLVE_ATTEMPTS = 3
 
@@ -37,7 +37,7 @@
 
 
 class RecordError(StoreError):
-    """A record in the store does not have the expected form."""
+    """A record in the store cannot be decoded as the expected type."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,8 +54,8 @@
 class Change:
     """New value of a record; ``value`` None deletes it.
 
-    ``expected`` is the record that the change was made from, or None when the
-    record must be absent.
+    ``expected`` is the record that the change is based on, or None if the record
+    must be absent.
     """
 
     key: str
@@ -86,9 +86,9 @@
 ) -> int:
     """Apply all changes in one transaction and return the store revision.
 
-    Raises ConflictError if any record is not as expected or a guard, a
-    comparison of a key that is not written, does not hold. An answer lost after
-    taking effect is resolved by reading the write id back; if that fails too,
+    ``guards`` are comparisons of keys that are not written. Raises ConflictError if
+    any record is not as expected or a guard fails. After a lost response, the
+    outcome is determined by reading the write id back; if that fails too,
     StoreOutcomeUnknownError is raised. Other store errors mean that nothing was
     written.
     """
@@ -102,7 +102,7 @@
                 return result.revision
             if lost is None:
                 raise ConflictError(changes[0].key)
-            return await _resolve(store, changes, write_id)
+            return await _resolve_lost_response(store, changes, write_id)
         except WriteSupersededError:
             raise
         except StoreOutcomeUnknownError as error:
@@ -110,15 +110,17 @@
         except StoreError as error:
             if lost is None:
                 raise
-            # This attempt had no effect, but the earlier one may have had.
-            log.debug("write of {} not resolved: {}", changes[0].key, error)
+            # This attempt had no effect, but the previous one may have had.
+            log.debug("outcome of write to {} still unknown: {}", changes[0].key, error)
     raise StoreOutcomeUnknownError(f"commit of {changes[0].key}") from lost
 
 
-async def _resolve(store: Store, changes: Sequence[Change], write_id: str) -> int:
-    """Tell an earlier success of this same write from a conflict.
+async def _resolve_lost_response(
+    store: Store, changes: Sequence[Change], write_id: str
+) -> int:
+    """Distinguish an earlier success of this write from a conflict.
 
-    The transaction is atomic, so that one record decides for all of them.
+    The transaction is atomic, so one record shows the outcome of all.
     """
     entries = [await store.get(change.key) for change in changes]
     for entry in entries:
@@ -127,18 +129,18 @@
     if any(map(_certainly_not_written, changes, entries)):
         raise ConflictError(changes[0].key)
     if not any(entries) and all(change.value is None for change in changes):
-        return 0  # A deletion leaves no write id; absence is what was wanted.
+        return 0  # A deletion leaves no write id; the records are absent as wanted.
     raise WriteSupersededError(f"{changes[0].key} was replaced since")
 
 
 def _certainly_not_written(change: Change, entry: Entry | None) -> bool:
-    """Tell whether ``entry``, which lacks the write id, proves no effect."""
+    """Tell whether ``entry``, without the write id, proves that nothing was written."""
     expected = change.expected
     if entry is None or expected is None:
-        # The record may have been written, deleted and created by another.
+        # The record may have been written, then deleted and created again.
         return False
     if entry.create_revision > expected.mod_revision:
-        return False  # Created again after a deletion, which drops write ids.
+        return False  # Created again after a deletion, which loses the write ids.
     if change.value is None:
         return True
     found = _write_ids(entry)
--- a/src/pomeloyard/keyvalue/store.py
+++ b/src/pomeloyard/keyvalue/store.py
@@ -13,12 +13,12 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_OPERATIONS = 128
-"""Operations in one transaction; the usual limit of etcd."""
+"""Operations in one transaction; the default limit of etcd."""
 
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A key with its value and the store revisions that made it."""
+    """A key with its value and its create and modification revisions."""
 
     key: str
     value: bytes
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Part of a range, in key order, read at store revision ``revision``."""
+    """Page of a range in key order, read at store revision ``revision``."""
 
     entries: tuple[Entry, ...]
     revision: int
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Write of a value, optionally deleted when ``lease`` expires."""
+    """Write of a value, deleted when ``lease`` expires unless that is 0."""
 
     key: str
     value: bytes
@@ -98,10 +98,10 @@
 
 @dataclass
 class CallCounter:
-    """Calls to the store, as the platform counts them against its rates.
+    """Counters of calls to the store, which the platform rate-limits.
 
-    ``failures`` counts calls without an answer; ``relayed`` those that were made for
-    other daemons; ``watches_waiting`` is the number of watches that are open now.
+    ``failures`` counts calls without a response and ``relayed`` those made for other
+    daemons; ``watches_waiting`` is the number of open watches.
     """
 
     reads: int = 0
@@ -155,7 +155,7 @@
     ) -> AbstractAsyncContextManager[AsyncIterator[WatchBatch]]:
         """Yield changes under ``prefix`` from ``from_revision`` on.
 
-        Iteration raises CompactedError when those revisions are gone and
+        Iteration raises CompactedError when those revisions are compacted and
         StoreUnavailableError when the watch breaks.
         """
 
@@ -166,8 +166,8 @@
 class PollingStore(Store):
     """Store whose changes can also be polled.
 
-    An answered poll proves that the caller was current when it was asked, which a
-    watch that has nothing to tell does not.
+    A response to a poll proves that the caller was up to date when it sent the poll;
+    a watch without events proves nothing.
     """
 
     @abstractmethod
@@ -176,8 +176,8 @@
     ) -> WatchBatch:
         """Return changes after a revision, or an empty batch when ``wait`` is over.
 
-        Raises CompactedError when those revisions are gone and
-        StoreUnavailableError when there is no answer.
+        Raises CompactedError when those revisions are compacted and
+        StoreUnavailableError when there is no response.
         """
 
 
@@ -194,10 +194,10 @@
 
 
 async def scan_all(store: Store, prefix: str) -> Page:
-    """Return all entries under ``prefix`` by reading page after page.
+    """Return all entries under ``prefix``, read page by page.
 
-    The revision is that of the first page, so that a watch from there on
-    misses nothing.
+    The revision is that of the first page, so that a watch from the next one on
+    misses no change.
     """
     page = await store.scan(prefix)
     entries = list(page.entries)
@@ -209,5 +209,5 @@
 
 
 def new_write_id() -> str:
-    """Return a random id that identifies one write when its answer is lost."""
+    """Return a random id that identifies one write if its response is lost."""
     return secrets.token_hex(8)
--- a/src/pomeloyard/logs.py
+++ b/src/pomeloyard/logs.py
@@ -1,4 +1,4 @@
-"""JSON log lines on a bounded queue that never blocks the event loop."""
+"""JSON log lines, written through a bounded queue without blocking the event loop."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
 
 FLUSH_INTERVAL = timedelta(seconds=0.05)
 CHUNK_BYTES = 4096
-"""A pipe that polls as writable takes at least this much (PIPE_BUF) without
-blocking, so that the flags of a shared standard error need no change."""
+"""PIPE_BUF: a pipe that polls as writable accepts this much without blocking, so a
+shared standard error need not be set to O_NONBLOCK."""
 MAX_CHUNKS_PER_FLUSH = 64
-"""Bound on the time of one flush; about 5 MB/s at the flush interval."""
+"""Bounds the duration of one flush; about 5 MB/s at the flush interval."""
 MAX_LINE_BYTES = 16 * 1024
 REOPEN_INTERVAL = timedelta(seconds=1)
 STDOUT = 1
@@ -26,9 +26,9 @@
 
 
 class LogWriter:
-    """Writes lines to a file, or to a standard stream, in bounded batches.
+    """Writes lines to a file or a standard stream in bounded batches.
 
-    Lines that find the queue full are dropped and counted.
+    Lines are dropped and counted while the queue is full.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         self._file = file
         self._max_lines = max_lines
         self._lines: deque[bytes] = deque()
-        self._rest = b""
+        self._unwritten = b""
         self._descriptor: int | None = None if file else stream
         self._retry_at = timedelta(0)
         self.dropped_lines = 0
@@ -51,11 +51,11 @@
 
     @property
     def queued_lines(self) -> int:
-        """Return how many lines wait to be written."""
+        """Return the number of lines in the queue."""
         return len(self._lines)
 
     def put(self, line: bytes) -> None:
-        """Queue a line; never blocks."""
+        """Queue a line without blocking; drop it if the queue is full."""
         if len(self._lines) >= self._max_lines or len(line) > MAX_LINE_BYTES:
             self.dropped_lines += 1
             return
@@ -64,12 +64,12 @@
     async def run(self) -> None:
         """Write queued lines until cancelled."""
         while True:
-            if self._lines or self._rest:
+            if self._lines or self._unwritten:
                 self.flush()
             await self._clock.sleep(FLUSH_INTERVAL)
 
     def flush(self) -> None:
-        """Write a bounded batch of what the destination takes without blocking."""
+        """Write a bounded batch, as far as the destination does not block."""
         for _ in range(MAX_CHUNKS_PER_FLUSH):
             chunk = self._next_chunk()
             if not chunk or not self._is_writable():
@@ -79,30 +79,32 @@
             except BlockingIOError:
                 return
             except OSError:
-                self._fail()
+                self._record_failure()
                 return
             self.written_bytes += written
-            self._rest = chunk[written:]
+            self._unwritten = chunk[written:]
 
     def close(self) -> None:
-        """Write what the destination takes and close the file."""
+        """Flush one batch and close the file."""
         self.flush()
         if self._file and self._descriptor is not None:
             os.close(self._descriptor)
             self._descriptor = None
 
     def _next_chunk(self) -> bytes:
-        while self._lines and len(self._rest) < CHUNK_BYTES:
-            self._rest += self._lines.popleft()
+        while self._lines and len(self._unwritten) < CHUNK_BYTES:
+            self._unwritten += self._lines.popleft()
         return (
-            self._rest[:CHUNK_BYTES] if len(self._rest) <= CHUNK_BYTES else self._cut()
+            self._unwritten[:CHUNK_BYTES]
+            if len(self._unwritten) <= CHUNK_BYTES
+            else self._split_chunk()
         )
 
-    def _cut(self) -> bytes:
-        """Return the first chunk and queue the rest again."""
-        chunk, rest = self._rest[:CHUNK_BYTES], self._rest[CHUNK_BYTES:]
+    def _split_chunk(self) -> bytes:
+        """Return the first chunk and put the rest back at the head of the queue."""
+        chunk, rest = self._unwritten[:CHUNK_BYTES], self._unwritten[CHUNK_BYTES:]
         self._lines.appendleft(rest)
-        self._rest = chunk
+        self._unwritten = chunk
         return chunk
 
     def _is_writable(self) -> bool:
@@ -115,28 +117,28 @@
     def _open(self) -> bool:
         if self._clock.monotonic() < self._retry_at:
             return False
-        # Without O_NONBLOCK, opening a pipe that nobody reads would block.
+        # Without O_NONBLOCK, opening a named pipe without a reader would block.
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_NONBLOCK
         try:
             self._descriptor = os.open(self._file, flags, 0o640)
         except OSError:
-            self._fail()
+            self._record_failure()
             return False
         return True
 
-    def _fail(self) -> None:
-        """Count a failed write and try a file again later."""
+    def _record_failure(self) -> None:
+        """Count a failed write; reopen a file after an interval."""
         self.failed_writes += 1
         self._retry_at = self._clock.monotonic() + REOPEN_INTERVAL
         if self._file and self._descriptor is not None:
             os.close(self._descriptor)
             self._descriptor = None
-            # A line that was cut by the failure cannot be continued.
-            self._rest = b""
+            # The rest of a partly written line would be malformed by itself.
+            self._unwritten = b""
 
 
 class JsonLogHandler(logbook.Handler):
-    """Logbook handler that turns records into JSON lines."""
+    """Logbook handler that queues records as JSON lines."""
 
     def __init__(self, writer: LogWriter, level: str = "INFO") -> None:
         super().__init__(logbook.lookup_level(level.upper()))
@@ -155,17 +157,17 @@
         self._writer.put(msgspec.json.encode(line))
 
     def handle_error(self, record: logbook.LogRecord, exc_info: object) -> None:
-        """Count a record that cannot be formatted; logging never raises."""
+        """Count a record that cannot be formatted as dropped, instead of raising."""
         self._writer.dropped_lines += 1
 
 
 def decision_line(decision: Decision) -> bytes:
-    """Return a decision as a JSON line with candidates, choice and typed reason."""
+    """Encode a decision as a JSON line."""
     return msgspec.json.encode(decision)
 
 
 class DecisionSink:
-    """Sink of a DecisionLog that queues one line for each decision."""
+    """Sink of a DecisionLog that queues a JSON line for each decision."""
 
     def __init__(self, writer: LogWriter) -> None:
         self._writer = writer
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics in the Prometheus text format, collected when they are asked for."""
+"""Metrics in the Prometheus text format, collected on each scrape."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True)
 class MetricSources:
-    """The parts of the daemon that metrics are read from."""
+    """The parts of a daemon from which its metrics are collected."""
 
     incarnation: str
     state: FleetState
@@ -40,8 +40,8 @@
     log_writer: LogWriter
     team_usage: Callable[[], list[TeamUsage]]
     store_calls: CallCounter
-    more: list[Callable[[], Iterable[Metric]]] = field(default_factory=list)
-    """Further collectors, added by the parts that own their figures."""
+    collectors: list[Callable[[], Iterable[Metric]]] = field(default_factory=list)
+    """Further collectors, provided by other parts of the daemon."""
 
 
 class FleetMetrics:
@@ -63,13 +63,13 @@
         self._registry.register(self)
 
     def text(self) -> bytes:
-        """Return all metrics in the text format."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
     def count_request(
         self, service: str, team: str, outcome: str, duration: timedelta
     ) -> None:
-        """Count a request that has ended."""
+        """Count a finished request and observe its duration."""
         self._requests[service, team, outcome] += 1
         self._duration.labels(service).observe(duration.total_seconds())
 
@@ -78,18 +78,18 @@
         self._decisions[decision.kind.value, decision.reason.value] += 1
 
     def collect(self) -> Iterator[Metric]:
-        """Yield all metrics that are read from the daemon's state."""
-        yield from self._counted()
+        """Yield all metrics that are collected from the daemon's state."""
+        yield from self._event_counters()
         yield from self._state_gauges()
         yield from self._store_counters()
         yield from self._peer_counters()
         yield from self._team_gauges()
         yield from self._queue_gauges()
         yield from self._log_counters()
-        for collector in self._sources.more:
+        for collector in self._sources.collectors:
             yield from collector()
 
-    def _counted(self) -> Iterator[Metric]:
+    def _event_counters(self) -> Iterator[Metric]:
         requests = CounterMetricFamily(
             "pomeloyard_requests",
             "Requests by service, team and outcome",
@@ -241,8 +241,8 @@
 class RequestMetrics:
     """ASGI middleware that counts service requests by their outcome.
 
-    A problem response states its outcome; every other complete response is
-    "done", and a connection that was cut is "aborted".
+    The outcome of a problem response is in its body; any other complete response
+    counts as "done", and an incomplete response as "aborted".
     """
 
     def __init__(
@@ -254,7 +254,7 @@
         self._state = state
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Pass a request on and count how it ends."""
+        """Forward a request and count its outcome."""
         if scope["type"] != "http" or not scope["path"].startswith(SERVICE_PATH):
             await self._app(scope, receive, send)
             return
@@ -282,7 +282,7 @@
             self._metrics.count_request(service, team, outcome, duration)
 
     def _labels(self, scope: Scope) -> tuple[str, str]:
-        """Return service and team; only known names, so that labels stay few."""
+        """Return service and team, empty if unknown, to bound the number of labels."""
         service = scope["path"].removeprefix(SERVICE_PATH).partition("/")[0]
         if service not in self._state.config.services_by_name:
             service = ""
@@ -297,10 +297,10 @@
 
 
 def problem_outcome(body: bytes) -> str:
-    """Return outcome and reason of a problem of this daemon, else "done".
+    """Return outcome and reason of this daemon's problem response, else "done".
 
-    An executor may answer with problems of its own; only known reasons become
-    labels, so that their number stays small.
+    An executor may respond with problem details of its own; only known reasons
+    become labels, to bound their number.
     """
     try:
         problem = json.loads(body)
--- a/src/pomeloyard/monitoring.py
+++ b/src/pomeloyard/monitoring.py
@@ -18,15 +18,15 @@
 def monitoring_app(
     metrics: FleetMetrics, reasons: Callable[[], list[NotReadyReason]]
 ) -> Starlette:
-    """Return the application; /readyz answers 503 with typed reasons."""
+    """Return the application; /readyz responds 503 with reasons if not ready."""
 
     async def healthy(request: Request) -> Response:
         return Response("ok")
 
     async def ready(request: Request) -> Response:
-        against = reasons()
-        body = {"ready": not against, "reasons": against}
-        status = 503 if against else 200
+        blocking = reasons()
+        body = {"ready": not blocking, "reasons": blocking}
+        status = 503 if blocking else 200
         return Response(
             msgspec.json.encode(body), status, media_type="application/json"
         )
--- a/src/pomeloyard/outcomes.py
+++ b/src/pomeloyard/outcomes.py
@@ -1,4 +1,4 @@
-"""The three outcomes of every operation: done, refused or unknown."""
+"""The three possible outcomes of an operation: done, refused or unknown."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class UnknownReason(Enum):
-    """Why it cannot be said whether an operation ran."""
+    """Why it is unknown whether an operation ran."""
 
     CONNECTION_LOST = "connection-lost"
     TIMEOUT = "timeout"
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Done(Generic[T]):
-    """The operation ran and gave ``value``."""
+    """The operation ran and returned ``value``."""
 
     value: T
 
--- a/src/pomeloyard/problems.py
+++ b/src/pomeloyard/problems.py
@@ -1,4 +1,4 @@
-"""Errors towards callers and operators as problem details (RFC 9457)."""
+"""Error responses to callers and operators as problem details (RFC 9457)."""
 
 from __future__ import annotations
 
@@ -67,7 +67,7 @@
         UnknownReason.IN_PROGRESS,
     }
 )
-"""Reasons that pass by themselves, so that a later retry makes sense."""
+"""Transient reasons, after which a later retry may succeed."""
 
 RETRY_AFTER = timedelta(seconds=1)
 METHOD_NOT_ALLOWED = 405
@@ -174,4 +174,4 @@
     StoreUnavailableError: _store_unavailable,
     StoreOutcomeUnknownError: _store_unknown,
 }
-"""Handlers of typed errors, for the applications towards callers and operators."""
+"""Exception handlers of the applications for callers and operators."""
--- a/src/pomeloyard/readiness.py
+++ b/src/pomeloyard/readiness.py
@@ -1,4 +1,4 @@
-"""Whether a daemon can serve, and why not; pure."""
+"""Readiness of a daemon and the reasons against it; pure functions."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class NotReadyReason(Enum):
-    """Why a daemon should receive no callers."""
+    """Why a daemon should receive no requests from callers."""
 
     NO_CONFIGURATION = "no-configuration"
     NO_VM_LIST = "no-vm-list"
@@ -19,10 +19,10 @@
 def not_ready_reasons(
     state: FleetState, *, closing: bool = False
 ) -> list[NotReadyReason]:
-    """Return all reasons against readiness; none when the daemon can serve.
+    """Return all reasons against readiness; empty when the daemon can serve.
 
-    A daemon that started during an outage holds no partition and serves with
-    loans, so the missing table counts only while the store is reachable.
+    A daemon that started during a store outage holds no partition and serves from
+    loans, so a missing partition table counts only while the store is reachable.
 
     >>> [reason.value for reason in not_ready_reasons(FleetState())][:2]
     ['no-configuration', 'no-vm-list']
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -1,4 +1,4 @@
-"""Roles that one daemon at a time holds, with a fencing token."""
+"""Leader election: each role is held by one daemon at a time, with a fencing token."""
 
 from __future__ import annotations
 
@@ -29,8 +29,9 @@
 
 ROLE_TTL = timedelta(seconds=5)
 RENEW_INTERVAL = timedelta(seconds=1.5)
-VACANCY_WAIT = timedelta(seconds=10)
-"""Longest poll for a vacancy; a silent poll costs the candidate no more."""
+VACANCY_POLL_TIMEOUT = timedelta(seconds=10)
+"""Longest poll for a vacancy. If the poll gets no response, the candidate loses no more
+time than this."""
 EPOCHS = "epochs/"
 
 log = logbook.Logger("pomeloyard.roles")
@@ -40,43 +41,44 @@
 class RoleTimes:
     """How long a role's lease lasts and how often it is renewed.
 
-    ``head_start`` delays a candidate that is less suited, so that others win.
+    ``head_start`` delays a less suited candidate, so that better suited ones acquire
+    the role first.
     """
 
     ttl: timedelta = ROLE_TTL
     renew_interval: timedelta = RENEW_INTERVAL
     head_start: timedelta = timedelta(0)
     polls: bool = False
-    """Whether candidates learn of a vacancy by a poll of the store's changes."""
+    """Whether candidates detect a vacancy by polling the store for changes."""
 
 
 @dataclass(frozen=True, slots=True)
 class HeldRole:
-    """A role that was taken."""
+    """A role that this daemon has acquired."""
 
     epoch: int
     """Fencing token; higher than that of every earlier holder."""
     epoch_revision: int
-    """Store revision of the epoch's record, for writes that only the holder may do."""
+    """Store revision of the epoch's record, to guard writes of the holder alone."""
     vacant_at: timedelta
-    """When the role was seen vacant, by the clock's monotonic time; the holder before
-    had stopped by then."""
+    """Monotonic time at which the role was found vacant; the previous holder had
+    stopped by then."""
     still_held: Callable[[], bool] = lambda: True
-    """Tells whether no other daemon can have taken the role; asked right before each
-    effect, as the process may have been paused since the last wait."""
+    """Tells whether no other daemon can have acquired the role. Call it right before
+    each side effect, as the process may have been paused since the last wait."""
 
 
 class RoleLostError(PomeloyardError):
-    """The role may be held by another daemon; its work must stop."""
+    """Another daemon may hold the role, so the work under it must stop."""
 
 
 class RoleCandidate:
-    """Tries to hold a role and runs its work while it does.
+    """Competes for a role and runs its work while holding it.
 
-    ``work`` is called with the role that was taken. Each time the work continues
-    after waiting, the lease is checked first, so that a holder that was paused does
-    nothing more. Tasks that the work starts itself are not covered; they call
-    ``still_held``.
+    ``work`` is called with the acquired role. Each time the work resumes after an
+    await, the lease is checked first, so that a holder whose process was paused past
+    its lease does nothing more. Tasks that the work starts itself are not checked;
+    they must call ``still_held``.
     """
 
     def __init__(
@@ -97,48 +99,49 @@
         self._held_until: timedelta | None = None
 
     def still_held(self) -> bool:
-        """Tell whether no other daemon can have taken the role.
+        """Tell whether no other daemon can have acquired the role.
 
-        True until the store lease ends, and during an outage for as long as the
-        store was found unreachable within the last lease time: nobody else can
-        take the role then. After a pause it is False until the lease is renewed.
+        True until the store lease expires. During a store outage it stays True as
+        long as a renewal within the last lease time found the store unreachable,
+        because no other daemon can acquire the role then. After a pause of the
+        process it is False until the lease is renewed.
         """
         until = self._held_until
         return until is not None and self._clock.monotonic() < until
 
     async def run(self) -> None:
         """Compete for the role until cancelled."""
-        await self._end_former_lease()
+        await self._revoke_former_lease()
         await self._clock.sleep(self._times.head_start)
         vacant_at: timedelta | None = None
         while True:
             try:
-                await self._compete(vacant_at)
+                await self._acquire_and_hold(vacant_at)
             except (StoreError, ConflictError) as error:
-                log.debug("role {}: {}", self._name, error)
+                log.debug("role {} not acquired: {}", self._name, error)
             vacant_at = await self._await_vacancy()
 
-    async def _end_former_lease(self) -> None:
-        """End the lease that an earlier process of this name holds.
+    async def _revoke_former_lease(self) -> None:
+        """Revoke the lease that an earlier process with this name still holds.
 
-        That process is gone, as this one runs in its place; others need not wait for
-        the lease. A name that no earlier process had ends nothing.
+        That process has ended, as this one replaces it, so the role need not stay
+        unheld until the lease expires. Does nothing if there was no such process.
         """
         try:
             entry = await self._store.get(layout.ROLES + self._name)
             if entry is None or not entry.lease:
                 return
             if decode_record(entry, RoleRecord).value.holder == self._incarnation:
-                log.info("role {} was held by the process before", self._name)
+                log.info("role {} was held by the previous process", self._name)
                 await self._store.revoke_lease(entry.lease)
         except StoreError as error:
-            # Then the lease ends by itself.
-            log.info("role {}: {}", self._name, error)
+            # The lease then expires by itself.
+            log.info("former lease of role {} not revoked: {}", self._name, error)
 
     async def _await_vacancy(self) -> timedelta | None:
-        """Wait for a change of the role's key, or for a renewal interval.
+        """Wait for a change of the role's key, or for about one renewal interval.
 
-        Return when the role was seen vacant, or None if it may be held.
+        Return the time at which the role was found vacant, or None if it may be held.
         """
         vacant_at: timedelta | None = None
         store = self._store
@@ -152,21 +155,23 @@
             if not page.entries:
                 vacant_at = self._clock.monotonic()
             else:
-                batch = await store.poll_changes(key, page.revision, VACANCY_WAIT)
+                batch = await store.poll_changes(
+                    key, page.revision, VACANCY_POLL_TIMEOUT
+                )
                 if batch.events and batch.events[-1].entry is None:
                     vacant_at = self._clock.monotonic()
         except StoreError as error:
-            log.debug("role {}: {}", self._name, error)
+            log.debug("vacancy of role {} not polled: {}", self._name, error)
             pause = self._times.renew_interval * random.uniform(0.4, 0.8)
             await self._clock.sleep(pause)
         await self._clock.sleep(self._times.head_start)
         return vacant_at
 
-    async def _compete(self, vacant_at: timedelta | None) -> None:
-        """Take the role if it is vacant and hold it.
+    async def _acquire_and_hold(self, vacant_at: timedelta | None) -> None:
+        """Acquire the role if it is vacant, and hold it.
 
-        With a vacancy that was seen, the store is asked for as little as possible in
-        turn, as a slow one takes a third of a second for each answer.
+        After a detected vacancy, as few store calls as possible are made one after
+        the other, as a slow store takes a third of a second for each.
         """
         if vacant_at is None:
             if await self._store.get(layout.ROLES + self._name) is not None:
@@ -178,7 +183,7 @@
             lambda: read_record(self._store, EPOCHS + self._name, int),
         )
         try:
-            held = await self._take(lease, earlier, vacant_at)
+            held = await self._acquire(lease, earlier, vacant_at)
             self._held_until = asked_at + self._times.ttl
             log.info(
                 "{} holds role {} epoch {}", self._incarnation, self._name, held.epoch
@@ -187,12 +192,12 @@
         finally:
             self._held_until = None
             with anyio.CancelScope(shield=True):
-                await self._give_up(lease)
+                await self._release(lease)
 
-    async def _take(
+    async def _acquire(
         self, lease: int, earlier: Versioned[int] | None, vacant_at: timedelta
     ) -> HeldRole:
-        """Create the holder's record and raise the epoch in one transaction."""
+        """Create the holder's record and increment the epoch in one transaction."""
         epoch = (earlier.value if earlier else 0) + 1
         role = RoleRecord(self._incarnation, epoch)
         revision = await commit_changes(
@@ -204,15 +209,15 @@
         )
         return HeldRole(epoch, revision, vacant_at, self.still_held)
 
-    async def _give_up(self, lease: int) -> None:
-        """Let others take the role at once; otherwise the lease expires."""
+    async def _release(self, lease: int) -> None:
+        """Revoke the lease, so that others need not wait until it expires."""
         try:
             await self._store.revoke_lease(lease)
         except StoreError as error:
-            log.debug("role {}: {}", self._name, error)
+            log.debug("lease of role {} not revoked: {}", self._name, error)
 
     async def _hold(self, lease: int, held: HeldRole) -> None:
-        """Run the work until the lease is lost."""
+        """Run the work and renew the lease until it is lost."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_work, held, tasks.cancel_scope)
             while await self._renew(lease):
@@ -227,10 +232,10 @@
         except RoleLostError:
             log.warning("work of role {} epoch {} stopped", name, epoch)
         except Exception as error:
-            if _only_lost(error):
+            if _is_only_role_loss(error):
                 log.warning("work of role {} epoch {} stopped", name, epoch)
             else:
-                # The role is given up, and the daemon's requests are not affected.
+                # The role is released; the daemon goes on serving requests.
                 log.exception("work of role {} epoch {} failed", name, epoch)
         scope.cancel()
 
@@ -246,16 +251,16 @@
             self._held_until = None
             return False
         except StoreError as error:
-            # Nobody can take the role while the store is down. A holder that
-            # is cut off alone is stopped by its outdated fencing token.
-            log.debug("role {}: {}", self._name, error)
+            # No daemon can acquire the role while the store is down. If only this
+            # holder has lost its connection, its stale fencing token stops it.
+            log.debug("lease of role {} not renewed: {}", self._name, error)
         if self.still_held():
             self._held_until = asked_at + ttl
         return self.still_held()
 
 
-def _only_lost(error: Exception) -> bool:
-    """Tell whether a task group failed for nothing but the loss of the role."""
+def _is_only_role_loss(error: Exception) -> bool:
+    """Tell whether a task group failed only because the role was lost."""
     return isinstance(error, ExceptionGroup) and error.split(RoleLostError)[1] is None
 
 
@@ -273,9 +278,9 @@
                 value = yield awaited
             except BaseException as caught:
                 error = caught
-            # A cancellation is passed on, as the work then ends anyway.
+            # A cancellation is passed on unchanged, as it ends the work as well.
             if not guard() and (error is None or isinstance(error, Exception)):
-                error = RoleLostError("the lease ended while the work waited")
+                error = RoleLostError("the lease expired while the work was suspended")
             awaited = coroutine.throw(error) if error else coroutine.send(value)
     except StopIteration:
         return
--- a/src/pomeloyard/serving.py
+++ b/src/pomeloyard/serving.py
@@ -1,4 +1,4 @@
-"""Run ASGI applications on loopback inside the current event loop."""
+"""Serve ASGI applications within the current event loop."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 from starlette.types import ASGIApp
 
 BACKLOG = 512
-"""Connections that wait to be accepted; a full queue costs callers seconds."""
+"""Connections waiting to be accepted; when full, callers retry after seconds."""
 
 
 def tcp_listener(address: str) -> socket.socket:
-    """Listen at "host:port"; port 0 takes a free one."""
+    """Return a socket listening at "host:port"; port 0 means any free port."""
     host, _, port = address.rpartition(":")
-    # asyncio disables Nagle only on sockets that state their protocol. Without
-    # it, each response waits up to 40 ms for a delayed acknowledgement.
+    # asyncio sets TCP_NODELAY only on sockets created with IPPROTO_TCP. With Nagle's
+    # algorithm, a response waits up to 40 ms for a delayed acknowledgement.
     listener = socket.socket(proto=socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
@@ -29,7 +29,7 @@
 
 
 class EmbeddedServer(uvicorn.Server):
-    """Uvicorn server that leaves signal handling to its host process."""
+    """Uvicorn server that leaves signal handling to the process."""
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -40,7 +40,7 @@
 def server_config(
     app: ASGIApp, tls: ssl.SSLContext | None = None, **options: object
 ) -> uvicorn.Config:
-    """Return a lean uvicorn configuration for ``app``."""
+    """Return a uvicorn configuration without logging, lifespan and WebSockets."""
     if tls is not None:
         options["ssl_context_factory"] = lambda config, default: tls
     return uvicorn.Config(
--- a/src/pomeloyard/settings.py
+++ b/src/pomeloyard/settings.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingInfo:
-    """What is known about a setting besides its type and default."""
+    """Metadata of a setting besides its type and default."""
 
     doc: str
     unit: str = ""
@@ -37,7 +37,7 @@
 
 
 def setting(doc: str, default: Any = MISSING, **info: Any) -> Any:
-    """Return a data class field with a SettingInfo."""
+    """Return a dataclass field with a SettingInfo as metadata."""
     metadata = {"setting": SettingInfo(doc, **info)}
     return dataclasses.field(default=default, metadata=metadata)
 
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DaemonSettings:
-    """Addresses are "host:port"; ``store_url`` is an HTTP address."""
+    """Settings of a daemon; addresses are "host:port"."""
 
     vm: str = setting("Name of the VM in the platform's list", expected=NAME)
     region: str = setting("Region of the VM", "")
@@ -131,7 +131,7 @@
 
 
 def load_settings(path: Path) -> DaemonSettings:
-    """Read and check a settings file; raises SettingsError naming every error."""
+    """Read and validate a settings file; raises SettingsError listing every error."""
     try:
         text = path.read_bytes().decode()
         values = tomllib.loads(text)
@@ -151,7 +151,7 @@
 def settings_problems(
     settings: DaemonSettings, file: str = ""
 ) -> Iterable[ConfigProblem]:
-    """Return every value that is not allowed."""
+    """Return a problem for each invalid value."""
     for field in dataclasses.fields(settings):
         info: SettingInfo = field.metadata["setting"]
         value = getattr(settings, field.name)
@@ -255,7 +255,7 @@
 
 
 def _with_line(problem: ConfigProblem, text: str) -> ConfigProblem:
-    """Return the problem with the line of its key, if the file has it."""
+    """Return the problem with the line number of its key, 0 if not found."""
     name = problem.path.lstrip(".")
     key = name.partition(".")[0]
     pattern = re.compile(rf"\s*[\"']?{re.escape(key)}[\"']?\s*=")
--- a/src/pomeloyard/shares.py
+++ b/src/pomeloyard/shares.py
@@ -1,4 +1,4 @@
-"""Weighted max-min division of a capacity."""
+"""Weighted max-min fair division of a capacity."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
     demands_by_name: Mapping[str, float],
     weights_by_name: Mapping[str, float],
 ) -> dict[str, float]:
-    """Divide ``capacity`` so that the smallest amount per weight is greatest.
+    """Divide ``capacity`` by weighted max-min fairness.
 
-    Nobody receives more than its demand, and what one does not want goes to the
-    others by weight. A missing weight is 1. Those with weight 0 share, equally,
-    only what all others leave. Takes O(n log n) for n names. Raises ValueError
-    for a negative, infinite or NaN weight or demand (a demand may be infinite).
+    No name receives more than its demand, and what it leaves is divided among the
+    others by weight. A missing weight is 1. Names with weight 0 share equally what
+    all others leave. Takes O(n log n) for n names. Raises ValueError for a negative,
+    infinite or NaN weight and for a negative or NaN demand.
 
     >>> weighted_max_min(10, {"a": 2, "b": 8, "c": 8}, {"a": 1, "b": 1, "c": 3})
     {'a': 2.0, 'b': 2.0, 'c': 6.0}
@@ -47,9 +47,9 @@
     weights: Mapping[str, float],
     shares: dict[str, float],
 ) -> float:
-    """Raise a common level until the capacity is used; return what is left."""
-    # In order of demand per weight, everyone before the first that cannot be
-    # satisfied at the common level is satisfied, and all others are at the level.
+    """Divide ``remaining`` by progressive filling; return what is left."""
+    # In order of demand per weight, all names before the first whose demand exceeds
+    # the common level receive their demand; that one and the rest receive the level.
     names.sort(key=lambda name: demands[name] / weights[name])
     # Suffix sums, because repeated subtraction would accumulate rounding errors.
     sums = list(accumulate(weights[name] for name in reversed(names)))
--- a/src/pomeloyard/tls.py
+++ b/src/pomeloyard/tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts that take up changed certificate files."""
+"""TLS contexts that reload changed certificate files."""
 
 from __future__ import annotations
 
@@ -25,64 +25,65 @@
     certificate: str
     key: str
 
-    def stamp(self) -> tuple[int, ...]:
+    def mtimes_ns(self) -> tuple[int, ...]:
         """Return the modification times of the files."""
         names = (self.certificate, self.key)
         return tuple(Path(name).stat().st_mtime_ns for name in names)
 
 
 @dataclass(eq=False)
-class ReloadedContext:
-    """An SSL context whose certificate follows its files.
+class ReloadableContext:
+    """An SSL context that is updated when its certificate files change.
 
-    New connections use the new certificate; open ones are not interrupted.
+    New connections use the new certificate; open ones are not affected.
     """
 
     context: ssl.SSLContext
     files: TlsFiles
-    stamp: tuple[int, ...] = field(default=())
+    mtimes_ns: tuple[int, ...] = field(default=())
 
     def reload_if_changed(self) -> bool:
-        """Load the files again if they changed; a failure keeps what was loaded."""
+        """Reload the files if they changed; on failure, keep the loaded certificate."""
         try:
-            stamp = self.files.stamp()
-            if stamp == self.stamp:
+            mtimes_ns = self.files.mtimes_ns()
+            if mtimes_ns == self.mtimes_ns:
                 return False
             self.context.load_cert_chain(self.files.certificate, self.files.key)
         except (OSError, ssl.SSLError) as error:
-            # The files are often replaced one after the other.
+            # The files are often replaced one after the other; until both are, they do
+            # not match.
             log.warning("TLS files not loaded: {}", error)
             return False
-        self.stamp = stamp
+        self.mtimes_ns = mtimes_ns
         return True
 
 
 class TlsContexts:
-    """Contexts towards callers and operators; each is None without TLS."""
+    """Server contexts for callers and operators; None without TLS."""
 
     def __init__(self, settings: DaemonSettings) -> None:
-        self._reloaded: list[ReloadedContext] = []
-        self.caller = self._server(
+        self._reloaded: list[ReloadableContext] = []
+        self.caller = self._server_context(
             settings.caller_certificate_file, settings.caller_key_file
         )
-        self.operator = self._server(
+        self.operator = self._server_context(
             settings.operator_certificate_file, settings.operator_key_file
         )
 
     async def run(self, clock: Clock) -> None:
-        """Take up changed files until cancelled."""
+        """Reload changed files until cancelled."""
         while self._reloaded:
             await clock.sleep(RELOAD_INTERVAL)
             for reloaded in self._reloaded:
                 if reloaded.reload_if_changed():
                     log.info("TLS certificate {} loaded", reloaded.files.certificate)
 
-    def _server(self, certificate: str, key: str) -> ssl.SSLContext | None:
+    def _server_context(self, certificate: str, key: str) -> ssl.SSLContext | None:
         if not certificate:
             return None
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         context.minimum_version = ssl.TLSVersion.TLSv1_2
-        reloaded = ReloadedContext(context, TlsFiles(certificate, key))
+        reloaded = ReloadableContext(context, TlsFiles(certificate, key))
         if not reloaded.reload_if_changed():
             raise SettingsError(f"{certificate}, {key}: not usable for TLS")
         self._reloaded.append(reloaded)
--- a/src/pomeloyard/usage.py
+++ b/src/pomeloyard/usage.py
@@ -1,4 +1,4 @@
-"""What each team receives and is entitled to; pure."""
+"""Received and entitled share of each team; pure functions."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamUsage:
-    """Units of a team, at one daemon or at several together.
+    """Usage of a team at one daemon, or the total over several.
 
-    ``running`` and ``queued`` are requests; ``received`` and ``entitled`` are
-    parts of all running requests, the latter by weighted max-min of what the
-    teams ask for.
+    ``running`` and ``queued`` count requests; ``received`` and ``entitled`` are
+    fractions of all running requests, the latter by weighted max-min fairness over
+    the teams' demands.
     """
 
     team: str
@@ -32,7 +32,7 @@
     running_by_team: Mapping[str, int],
     queued_by_team: Mapping[str, int],
 ) -> list[TeamUsage]:
-    """Return the usage of every team, by name.
+    """Return the usage of every team, sorted by name.
 
     >>> teams = {"a": TeamConfig("a", 3, 10), "b": TeamConfig("b", 1, 10)}
     >>> usages = team_usages(teams, {"a": 2, "b": 2}, {"a": 9})
@@ -54,8 +54,8 @@
     return with_shares(usages)
 
 
-def combined(usages: Iterable[TeamUsage]) -> list[TeamUsage]:
-    """Return the usage of every team over several daemons, by name."""
+def combine_usages(usages: Iterable[TeamUsage]) -> list[TeamUsage]:
+    """Add up the usage of every team over several daemons, sorted by name."""
     by_team: dict[str, TeamUsage] = {}
     for usage in usages:
         other = by_team.get(usage.team)
@@ -70,7 +70,7 @@
 
 
 def with_shares(usages: list[TeamUsage]) -> list[TeamUsage]:
-    """Return the usages with the parts received and entitled to."""
+    """Return the usages with their received and entitled fractions."""
     total = sum(usage.running for usage in usages)
     demands = {usage.team: float(usage.running + usage.queued) for usage in usages}
     weights = {usage.team: usage.share for usage in usages}
--- a/src/pomeloyard/vm_platform/__init__.py
+++ b/src/pomeloyard/vm_platform/__init__.py
@@ -1,1 +1,1 @@
-"""The VM service and the lagging list of VMs, as interfaces."""
+"""Interfaces of the platform's VM operations and its eventually consistent VM list."""
--- a/src/pomeloyard/vm_platform/directory.py
+++ b/src/pomeloyard/vm_platform/directory.py
@@ -16,7 +16,7 @@
 
 
 class VmListState(Enum):
-    """State of a VM in the platform's list, which lags behind reality."""
+    """State of a VM in the platform's list, which may be outdated."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -24,7 +24,7 @@
 
 
 class VmOperation(Enum):
-    """Operation that the platform carries out on a VM."""
+    """Operation on a VM that the platform carries out."""
 
     DRAIN = "drain"
     REBOOT = "reboot"
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VmList:
-    """The platform's list at one moment; ``version`` grows with every change."""
+    """Snapshot of the platform's list; ``version`` increases with every change."""
 
     vms_by_name: dict[str, Vm]
     version: int
@@ -77,7 +77,7 @@
     async def operate(
         self, name: str, operation: VmOperation, *, operation_id: str, pool: str = ""
     ) -> None:
-        """Start an operation; repeating an ``operation_id`` has no further effect.
+        """Start an operation; idempotent by ``operation_id``.
 
         ``pool`` is the new pool for VmOperation.ASSIGN.
         """
--- a/src/pomeloyard/vm_platform/vm_service.py
+++ b/src/pomeloyard/vm_platform/vm_service.py
@@ -35,8 +35,8 @@
     async def list_vms(self) -> VmList:
         """Return the platform's current, possibly outdated, list of VMs.
 
-        An unchanged list is not sent again (RFC 9110, If-None-Match), since it is
-        read every second and may hold a thousand VMs.
+        The request is conditional (RFC 9110, If-None-Match), since the list is read
+        every second and may have a thousand VMs.
         """
         try:
             response = await self._call("GET", "/v1/vms", b"", self._etag)
@@ -51,7 +51,7 @@
     async def operate(
         self, name: str, operation: VmOperation, *, operation_id: str, pool: str = ""
     ) -> None:
-        """Start an operation; repeating an ``operation_id`` has no further effect."""
+        """Start an operation; idempotent by ``operation_id``."""
         body = {"operation": operation.value, "operation_id": operation_id}
         if pool:
             body["pool"] = pool
@@ -62,7 +62,7 @@
         detail = f"{operation.value} {name}: status {response.status}"
         if HTTP_CLIENT_ERROR <= response.status < HTTP_SERVER_ERROR:
             raise StoreRequestError(detail)
-        # A gateway may give up after the platform has started the operation.
+        # A gateway may time out after the platform has started the operation.
         raise StoreOutcomeUnknownError(detail)
 
     async def close(self) -> None:
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -1,4 +1,4 @@
-"""Slow and broken log destinations; metrics and readiness."""
+"""Slow and failing log destinations, metrics and readiness."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
 
 @pytest.fixture
 def pipe_writer():
-    """Return a writer to a pipe, and the pipe's reading end."""
+    """Yield a writer to a pipe, and the pipe's read end."""
     reader, end = os.pipe()
     writer = LogWriter(ManualClock(), max_lines=1000)
     writer._descriptor = end
@@ -69,7 +69,7 @@
     assert time.monotonic() - started < 5.0  # a blocking write would never return
     assert writer.dropped_lines > 1000
     content = b""
-    while writer.queued_lines or writer._rest:
+    while writer.queued_lines or writer._unwritten:
         content += os.read(reader, 1 << 20)
         writer.flush()
     content += os.read(reader, 1 << 20)
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings files with errors, TLS files, and the reference page."""
+"""Settings files with errors, reloading of TLS files, and the reference page."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from pomeloyard.config.reference import reference_page
 from pomeloyard.errors import SettingsError
 from pomeloyard.settings import DaemonSettings, load_settings
-from pomeloyard.tls import ReloadedContext, TlsContexts, TlsFiles
+from pomeloyard.tls import ReloadableContext, TlsContexts, TlsFiles
 
 GOOD = """\
 vm = "entry-1"
@@ -116,12 +116,12 @@
     ca = trustme.CA()
     write_certificate(tmp_path, ca, "first.example")
     server = TlsContexts(tls_settings(tmp_path)).caller
-    reloaded = ReloadedContext(
+    reloaded = ReloadableContext(
         server, TlsFiles(str(tmp_path / "cert.pem"), str(tmp_path / "key.pem"))
     )
     assert reloaded.reload_if_changed()
     (tmp_path / "cert.pem").write_text("half written")
-    assert not reloaded.reload_if_changed()  # keeps what was loaded
+    assert not reloaded.reload_if_changed()  # keeps the loaded certificate
     assert served_name(server) == "first.example"
     write_certificate(tmp_path, ca, "second.example")
     assert reloaded.reload_if_changed()
@@ -129,7 +129,7 @@
 
 
 def served_name(context):
-    """Return the name in the certificate that a server context presents."""
+    """Return the DNS name in the certificate that a server context presents."""
     client_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     client_context.check_hostname = False
     client_context.verify_mode = ssl.CERT_NONE
--- a/tests/operators/test_operator_app.py
+++ b/tests/operators/test_operator_app.py
@@ -1,4 +1,4 @@
-"""Publishing and keys through the operator application, with store faults."""
+"""Publishing and keys through the operator application, under store faults."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class Operator:
-    """One daemon's operator application on a store shared with other daemons."""
+    """Operator application of one daemon; the store may be shared with others."""
 
     def __init__(self, store=None, vm="entry-1"):
         self.clock = ManualClock()
@@ -191,8 +191,8 @@
         record = DaemonRecord(name, name, "", "", "", "bulacan")
         operator.state.daemons_by_incarnation[name] = record
         if revision is not None:
-            beat = Heartbeat(revision, 0, 0, True)
-            operator.daemon.heartbeats.note(name, beat)
+            heartbeat = Heartbeat(revision, 0, 0, True)
+            operator.daemon.heartbeats.record(name, heartbeat)
     daemons = operator.call("GET", "/v1/config").json["daemons"]
     assert [(d["vm"], d["config_revision"], d["in_force"]) for d in daemons] == [
         ("a.1", 1, True),
@@ -226,7 +226,8 @@
     assert operator.call("DELETE", withdraw_reader, key=operate).status == 403
     assert operator.call("DELETE", withdraw_team, key=operate).status == 200
     assert operator.call("GET", "/v1/keys", key=team["key"]).status == 401
-    assert operator.call("GET", "/v1/keys").status == 401  # bootstrap has ended
+    # The bootstrap key is no longer valid.
+    assert operator.call("GET", "/v1/keys").status == 401
     assert operator.state.failed_authentications["key-invalid"] == 2
 
 
@@ -262,7 +263,7 @@
 
     assert not valid()
     operator.state.keys = KeyRing()
-    assert adopt_keys(operator.state, older)  # A peer may answer with an older ring.
+    assert adopt_keys(operator.state, older)  # A peer may send an older key ring.
     assert not valid()
 
     operator.store.down = False
@@ -306,7 +307,7 @@
     ring = KeyRing()
     for number in range(4):
         record = dataclasses.replace(new_key(team="mill")[1], key_id=str(number))
-        ring = ring.with_key(record).without_keys(
+        ring = ring.with_key(record).with_keys_withdrawn(
             [record.key_id], f"2026-0{number + 1}"
         )
     assert sorted(ring.keys_by_id) == ["2", "3"]
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -1,4 +1,4 @@
-"""Decisions collected from several daemons, without sockets, in virtual time."""
+"""Collecting decisions from several daemons, without sockets, in virtual time."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from pomeloyard.allocation.partitions import new_table
 from pomeloyard.clock import ManualClock
 from pomeloyard.decisions import Decision, DecisionKind, DecisionLog
-from pomeloyard.explanations import ANSWER_TIMEOUT, MAX_RECORDS, Explanations
+from pomeloyard.explanations import MAX_RECORDS, REPLY_TIMEOUT, Explanations
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.codec import MAX_FRAME_BYTES, encode_frame
@@ -42,7 +42,7 @@
 
 
 def replying(name, networks, records):
-    """Add a daemon that answers with ``records``, or not at all if None."""
+    """Add a daemon that replies with ``records``, or never if None."""
     network = Network(name, networks)
 
     def reply(sender, request):
@@ -53,7 +53,7 @@
 
 
 def explain(records=None, names=(), registered=(), others=()):
-    """Return the explanation of daemon "a" and the seconds that it took."""
+    """Return the explanation by daemon "a" and the seconds it took."""
 
     async def body():
         networks = {}
@@ -69,14 +69,14 @@
 
 
 def text_of(**changes):
-    """Return a record of a later release, with kinds and fields unknown here."""
+    """Return a record of a later release, with an unknown kind and field."""
     fields = {"at": "2026-01-01T00:00:02Z", "kind": "later", "subject": SUBJECT}
     more = {"choice": "c", "reason": "later", "more": 1}
     return msgspec.json.encode({**fields, **more, **changes})
 
 
-# Each row: records of other daemons, their names, daemons of the decisions in order,
-# silent ones, damaged ones. Daemon "x" is registered, not connected.
+# Each row: records of other daemons, their names, daemons of the expected decisions
+# in order, expected silent and damaged daemons. "x" is registered, not connected.
 FAULTS = {
     "all answer": ([text_of()], "c", "abca", "", ""),
     "three silent": (None, "cde", "aba", "cde", ""),
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize("fault", FAULTS)
 def test_answers_are_merged_and_missing_ones_are_named(fault):
-    """Guards against one daemon's fault hiding or falsifying others' decisions."""
+    """Guards against a faulty daemon that hides or falsifies others' decisions."""
     records, names, order, silent, damaged = FAULTS[fault]
     registered = ("a", "b", *silent)
     answer, seconds = explain(records, names, registered, [decision(2)])
@@ -101,13 +101,13 @@
     assert [d.at for d in answer.decisions] == sorted(d.at for d in answer.decisions)
     assert "".join(answer.silent) == silent
     assert "".join(answer.damaged) == damaged
-    # Silent daemons are waited for at once.
-    assert seconds <= ANSWER_TIMEOUT.total_seconds() + 0.001
+    # Silent daemons are waited for concurrently.
+    assert seconds <= REPLY_TIMEOUT.total_seconds() + 0.001
 
 
 @pytest.mark.parametrize(("count", "size"), [(400, 10), (60, 60_000), (1, 2_000_000)])
 def test_oversized_history_is_cut_to_the_newest(count, size):
-    """Guards against an answer over the frame limit, which ends the connection."""
+    """Guards against a reply over the frame limit, which closes the connection."""
     history = [decision(n, text="x" * size) for n in range(count)]
     reply = daemon("b", {}, history)._reply(1, SUBJECT)
     assert len(encode_frame(reply)) < MAX_FRAME_BYTES / 2
@@ -119,7 +119,7 @@
 
 
 def test_routes_do_not_drop_other_decisions():
-    """Guards against a request rate that erases why a VM was drained."""
+    """Guards against requests that evict the decision to drain a VM."""
     log = DecisionLog(limit=10)
     for second in range(100):
         kind = DecisionKind.ROUTE if second else DecisionKind.DRAIN
@@ -129,7 +129,7 @@
 
 
 ME, OTHER = "entry-1.1", "entry-2.1"
-# Each row: holders in order, with whether each change was clean; the last reason.
+# Each row: holders in order, each with whether its change was clean; last reason.
 CHANGES = [
     ([(ME, True)], "first-holder"),
     ([(OTHER, True), ("", True), (ME, True)], "released-by-former-holder"),
@@ -144,7 +144,7 @@
 
 @pytest.mark.parametrize(("holders", "reason"), CHANGES)
 def test_reason_of_a_change_of_partitions(holders, reason):
-    """Guards against a takeover that is explained as a release."""
+    """Guards against a takeover reported as a release."""
     table = new_table(4)
     for holder, clean in holders:
         table = table.with_holder(2, holder, clean=clean)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,4 +1,4 @@
-"""Following the store under faults of the watch, of reads and of records."""
+"""Following the store under faulty watches, reads and records."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 async def settle():
-    """Let all tasks run that are ready; nothing here waits for real time."""
+    """Run all ready tasks; nothing here waits for real time."""
     for _ in range(30):
         await anyio.sleep(0)
 
@@ -50,7 +50,7 @@
         )
 
     async def publish(self, revision):
-        """Publish a configuration at the store itself, without faults."""
+        """Publish a configuration directly in the store, without faults."""
         head = await read_record(self.memory, layout.CONFIG_HEAD, int)
         key = layout.config_revision_key(revision)
         config = FleetConfig(name=f"r{revision}", revision=revision)
@@ -114,8 +114,8 @@
     return [WatchBatch(batch.events[::-1], batch.revision)]
 
 
-class Held:
-    """Delivers each batch only after the next one, and again after that."""
+class DelayedDelivery:
+    """Delivers each batch twice, after the next one."""
 
     def __init__(self):
         self.late = []
@@ -130,12 +130,12 @@
     lambda: no_events,
     lambda: repeated,
     lambda: reversed_events,
-    Held,
+    DelayedDelivery,
 ]
 
 STEPS = st.lists(
     st.one_of(
-        # Mostly changes of few records, so that faults meet related events.
+        # Mostly changes of a few records, so that faults hit related events.
         *[st.tuples(st.just("vm"), st.sampled_from("ab"), st.booleans())] * 4,
         st.tuples(st.just("fault"), st.integers(0, len(WATCH_FAULTS) - 1)),
         st.tuples(st.just("outage"), st.booleans()),
@@ -153,7 +153,7 @@
 @settings(max_examples=150, deadline=None, derandomize=True, database=None)
 @given(STEPS)
 def test_no_record_goes_back_and_all_arrive_in_the_end(steps):
-    """Guards against late, repeated and stale data undoing a newer record."""
+    """Guards against late, repeated or stale data that overwrites a newer record."""
 
     async def test(bench):
         epoch = revision = 0
@@ -163,7 +163,7 @@
         def checked():
             try:
                 check(bench.state)
-            except AssertionError as error:  # Contained by the follower.
+            except AssertionError as error:  # The follower catches errors of callbacks.
                 failures.append(error)
 
         bench.follower.on_change.append(checked)
@@ -187,7 +187,7 @@
             elif kind == "outage":
                 bench.store.set_available(not arguments[0])
             elif kind == "stale":
-                page = await scan_all(bench.memory, layout.FOLLOWED)
+                page = await scan_all(bench.memory, layout.WATCHED_PREFIX)
                 bench.store.stale_page = page if arguments[0] else None
             elif kind == "break":
                 bench.memory.break_watches()
@@ -231,7 +231,7 @@
 
 
 def test_outage_of_any_length_ends_within_the_time_of_a_publication():
-    """Guards against backoff that grows past the targets, and busy retries."""
+    """Guards against a back-off beyond the targets, and retries without delay."""
 
     async def test(bench):
         attempts = []
@@ -252,7 +252,7 @@
     "damaged", [b"", b"{}", b"[]", b'{"writes":[],"data":{"name":7}}', b"\xff" * 40]
 )
 def test_damaged_records_are_ignored_and_the_others_followed(damaged):
-    """Guards against one bad record that stops a daemon from following."""
+    """Guards against one malformed record that stops a daemon from following."""
 
     async def test(bench):
         bench.follower.on_change.append(lambda: {}["a failing part"])
@@ -272,7 +272,7 @@
 
 
 def test_lower_versions_in_the_store_are_not_adopted():
-    """Guards against a rollback of keys or configuration by a lower number."""
+    """Guards against keys or configurations replaced by lower revisions."""
 
     async def test(bench):
         await bench.set_keys(5)
@@ -290,7 +290,7 @@
 
 
 def test_vm_list_never_goes_back_to_an_older_version():
-    """Guards against a lagging list that brings a leaving VM back."""
+    """Guards against an outdated list that shows a leaving VM again."""
 
     async def run():
         bench = Bench()
@@ -317,17 +317,18 @@
 
 @pytest.mark.parametrize("source", ["late event", "stale read"])
 def test_deleted_record_stays_deleted_after_the_watch_starts_again(source):
-    """Guards against revisions of deleted records that are forgotten too early."""
+    """Guards against revisions of deleted records that are dropped too early."""
 
     async def test(bench):
         batches = []
         bench.store.change_batch = lambda batch: batches.append(batch) or [batch]
         await bench.set_vm("a", 1)
-        stale = await scan_all(bench.memory, layout.FOLLOWED)
+        stale = await scan_all(bench.memory, layout.WATCHED_PREFIX)
         await bench.pass_time()
         await bench.set_vm("a", None)
         await bench.pass_time()
-        for _ in range(2):  # The first scan replaces the revision by the floor.
+        # The first scan replaces the record's revision by the floor revision.
+        for _ in range(2):
             bench.memory.break_watches()
             await bench.pass_time(timedelta(seconds=1))
         seen = []
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -1,4 +1,4 @@
-"""Roles under pauses, outages, races and lost answers."""
+"""Roles under process pauses, store outages, races and lost responses."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
 from .support.faulty_store import FaultyStore
 
 FAILOVER = timedelta(seconds=5) + 2 * RENEW_INTERVAL
-"""The design's 5 s lease, then the candidates' interval."""
+"""Lease of 5 s, then the candidates' polling interval."""
 
 WORK_INTERVAL = timedelta(seconds=0.25)
 
 
 class PausableClock(ManualClock):
-    """Clock of one process, whose timers fire late while it is paused."""
+    """Clock of one process; its timers fire only after a pause has ended."""
 
     def __init__(self, shared):
         super().__init__()
@@ -108,7 +108,7 @@
         return [d for d in self.daemons if d.running is not None]
 
 
-def compete(test, count=3):
+def run_candidates(test, count=3):
     async def run():
         bench = Bench(count)
         async with anyio.create_task_group() as tasks:
@@ -122,7 +122,7 @@
 
 
 def test_paused_holder_does_nothing_more_and_another_has_a_higher_epoch():
-    """Guards against work under an expired lease, before the role notices it."""
+    """Guards against work that resumes under an expired lease before the renewal."""
 
     async def test(bench):
         (first,) = bench.holders()
@@ -130,7 +130,7 @@
         await bench.pass_time(timedelta(seconds=15))
         second = next(d for d in bench.holders() if d is not first)
         steps = [s for s in bench.steps if s[1] == first.name]
-        # The first timers that fire after the pause are those of the work.
+        # The work's timers are the first to fire after the pause.
         first.clock.paused = False
         await bench.pass_time(timedelta(seconds=5))
         assert steps == [s for s in bench.steps if s[1] == first.name]
@@ -138,11 +138,11 @@
         assert bench.holders() == [second]
         assert second.running > steps[-1][2]
 
-    compete(test)
+    run_candidates(test)
 
 
 def test_holder_continues_in_an_outage_and_takes_the_role_again_afterwards():
-    """Guards against running jobs that nobody follows while the store is down."""
+    """Guards against running jobs without a scheduler while the store is down."""
 
     async def test(bench):
         (holder,) = bench.holders()
@@ -159,11 +159,11 @@
         (after,) = bench.holders()
         assert after.running > epoch
 
-    compete(test)
+    run_candidates(test)
 
 
 def test_holder_paused_during_an_outage_stops_until_the_store_answers():
-    """Guards against the case that the store was up while the holder was paused."""
+    """Guards against a store that others could reach while the holder was paused."""
 
     async def test(bench):
         (holder,) = bench.holders()
@@ -175,12 +175,12 @@
         assert holder.running is None
         assert len(bench.holders()) == 1
 
-    compete(test)
+    run_candidates(test)
 
 
 @pytest.mark.parametrize(("former", "held"), [("d0", 1), ("d7", 0)])
 def test_a_restarted_holder_does_not_wait_for_its_own_former_lease(former, held):
-    """A kill in a peak costs callers the lease; the process is back sooner."""
+    """Guards against a killed holder that waits for its own lease after a restart."""
 
     async def run():
         bench = Bench(2)
@@ -199,7 +199,7 @@
 
 
 def test_leaving_holder_gives_the_role_up_at_once():
-    """Guards against a planned stop that leaves the role unheld for 5 s."""
+    """Guards against a graceful stop that leaves the role unheld for 5 s."""
 
     async def run():
         bench = Bench(2)
@@ -224,7 +224,7 @@
 
 
 def test_failing_work_gives_the_role_up_and_does_not_end_the_daemon():
-    """Guards against one bad record that ends every daemon in turn."""
+    """Guards against one malformed record that stops every daemon in turn."""
 
     async def test(bench):
         (holder,) = bench.holders()
@@ -237,7 +237,7 @@
         (holder,) = bench.holders()
         assert holder.running > epoch
 
-    compete(test)
+    run_candidates(test)
 
 
 def test_work_that_catches_errors_cannot_continue_after_the_lease():
@@ -247,7 +247,7 @@
         clock = ManualClock()
         steps, lost = [], []
 
-        async def stubborn(held):
+        async def catches_loss(held):
             for _ in range(100):
                 try:
                     await clock.sleep(WORK_INTERVAL)
@@ -258,7 +258,7 @@
                         raise
 
         store = MemoryStore(clock)
-        candidate = RoleCandidate(store, clock, "scheduler", "d", stubborn)
+        candidate = RoleCandidate(store, clock, "scheduler", "d", catches_loss)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(candidate.run)
             for delay in (WORK_INTERVAL, timedelta(seconds=15), *[WORK_INTERVAL] * 5):
@@ -273,7 +273,8 @@
 
 
 def test_a_role_lost_within_a_task_group_is_no_failure_of_the_work():
-    # Soak seed 36.
+    """Guards against an ExceptionGroup logged as a failure; soak test, seed 36."""
+
     async def run():
         clock = ManualClock()
 
@@ -312,7 +313,7 @@
 @settings(max_examples=60, deadline=None, derandomize=True, database=None)
 @given(FAULTS)
 def test_epochs_grow_and_one_daemon_reaches_the_store_as_holder(faults):
-    """Guards against two holders under one epoch, and a role that nobody takes."""
+    """Guards against two holders with one epoch, and a role that stays vacant."""
 
     async def test(bench):
         for kind, number, quarters in faults:
@@ -340,13 +341,13 @@
         stored = await read_record(bench.memory, "epochs/scheduler", int)
         assert stored.value >= holder.running == epochs[-1]
 
-    compete(test)
+    run_candidates(test)
 
 
 @pytest.mark.parametrize("losses", range(1, 7))
 @pytest.mark.parametrize("kind", ["lose_answers", "lose_requests"])
 def test_lost_answers_on_taking_the_role(kind, losses):
-    """Guards against a role held by a daemon that believes that it is not."""
+    """Guards against a daemon that holds the role's lease without knowing it."""
 
     async def run():
         bench = Bench(1)
@@ -364,7 +365,7 @@
 
 
 class SlowStore(MemoryStore):
-    """Takes its time for the answer to each call of a candidate."""
+    """Responds to each call of a candidate after a delay."""
 
     DELAY = timedelta(seconds=0.3)
 
@@ -382,7 +383,11 @@
 
 
 def test_a_seen_vacancy_is_filled_in_two_slow_answers():
-    """Lilim trouble-2: a successor's calls in turn took 1.5 s of a peak."""
+    """Guards against a failover of 1.5 s in a peak, seen in run trouble-2.
+
+    In that run of the Lilim deployment, the successor made its calls to a slow store
+    one after the other.
+    """
 
     async def run():
         clock = ManualClock()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -16,7 +16,7 @@
     st.dictionaries(st.sampled_from("abcdefgh"), st.tuples(AMOUNTS, WEIGHTS)),
 )
 def test_division_is_max_min_fair(capacity, teams):
-    """Guards against capacity left unused, exceeded, or taken from the poorest."""
+    """Guards against unused or exceeded capacity, and against unfair division."""
     demands = {name: demand for name, (demand, _) in teams.items()}
     weights = {name: weight for name, (_, weight) in teams.items()}
     shares = weighted_max_min(capacity, demands, weights)
@@ -30,7 +30,7 @@
 
 @pytest.mark.parametrize("bad", [-1.0, math.nan])
 def test_invalid_amounts_are_rejected(bad):
-    """Guards against a NaN demand that silently disturbs the sorting."""
+    """Guards against a NaN demand, which breaks the sort order without an error."""
     with pytest.raises(ValueError, match="demand"):
         weighted_max_min(1, {"a": bad, "b": 1}, {})
     with pytest.raises(ValueError, match="weight"):
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -1,4 +1,4 @@
-"""One contract for all stores, and the faults of the link to a real one."""
+"""Contract of all stores, and faults of the connection to an etcd store."""
 
 from __future__ import annotations
 
@@ -52,12 +52,12 @@
 from .support.faulty_store import FaultyStore
 
 CALL_LIMIT_SECONDS = 2.5
-"""The design's total timeout of a call, 2 s, and time to notice it."""
+"""Timeout of a call, 2 s, and a margin for measuring it."""
 
 
 @asynccontextmanager
 async def served(memory, through_proxy=False, call_timeout=CALL_TIMEOUT):
-    """Yield a client of ``memory`` over HTTP, and the proxy on the way."""
+    """Yield an HTTP client of ``memory``, and the fault proxy or None."""
     app = platform_app(PlatformState(memory, MemoryVmDirectory(ManualClock())))
     async with AsyncExitStack() as stack:
         address = await stack.enter_async_context(serving(app))
@@ -189,7 +189,7 @@
     async with store.watch("a", from_revision=memory.revision + 1) as batches:
         with anyio.move_on_after(0.01):
             await anext(batches)
-        if store is memory:  # A client's connection ends with the cancellation.
+        if store is memory:  # Over HTTP, the cancellation closes the connection.
             await store.commit(put("a", b"1"))
             assert (await anext(batches)).events[0].entry.value == b"1"
 
@@ -230,7 +230,7 @@
 @pytest.mark.parametrize("over_http", [False, True], ids=["memory", "etcd"])
 @pytest.mark.parametrize("case", CONTRACT, ids=lambda case: case.__name__)
 def test_store_contract(case, over_http, monkeypatch):
-    """Guards against a stand-in that is kinder than the store's protocol."""
+    """Guards against an in-memory store with weaker rules than etcd's protocol."""
     progress = "pomeloyard.standins.platform.WATCH_PROGRESS_INTERVAL"
     monkeypatch.setattr(progress, timedelta(seconds=0.02))
 
@@ -249,7 +249,7 @@
     await proxy.set_faults(Faults(refuse=True))
     proxy.cut()
     await raises(StoreUnavailableError, store.get("a"))
-    # The kept connection was cut, so that one write may be lost with it.
+    # The kept connection was closed; a write sent on it may be lost.
     await raises(StoreUnavailableError, store.commit(put("a", b"1")))
     assert memory.revision == 1
     await proxy.set_faults(Faults())
@@ -275,7 +275,7 @@
             tasks.start_soon(store.get, "a")
     proxy.silence()
     await raises(StoreUnavailableError, store.get("a"))
-    # All kept connections were silent; only one call pays for it.
+    # All kept connections hung; only one call may time out because of it.
     with anyio.fail_after(1):
         await store.get("a")
 
@@ -356,7 +356,7 @@
 
     async def run():
         memory = MemoryStore(ManualClock())
-        # Shorter than the product's, so that waiting for it costs less time.
+        # Shorter than in production, to shorten the test.
         timeout = CALL_TIMEOUT if case is slow_link else timedelta(seconds=0.5)
         async with served(memory, True, timeout) as (store, proxy):
             await case(store, proxy, memory)
@@ -381,7 +381,7 @@
 
 
 def test_malformed_answers_leave_the_outcome_unknown():
-    """Guards against untyped errors, and against calling a write not done."""
+    """Guards against untyped errors, and a write wrongly reported as not done."""
 
     async def check(url, body):
         store = EtcdStore(url)
@@ -409,9 +409,9 @@
 
 
 def test_published_gateway_forms_are_understood():
-    """Guards against answers that only the stand-in gives.
+    """Guards against a client that understands only the stand-in's responses.
 
-    The forms follow the published JSON mapping: zero values are omitted, an
+    The responses follow the published JSON mapping: zero values are omitted, an
     expired lease has no TTL, and streams wrap each message in "result".
     """
     answers = {
@@ -481,7 +481,7 @@
 
 LOST = StoreOutcomeUnknownError
 LOST_WRITES = [
-    # had effect, what others do meanwhile, new value (None: delete), outcome
+    # took effect, concurrent changes, new value (None: delete), outcome
     (True, nothing, 2, "done"),
     (True, overwrite("a", 1), 2, "done"),
     (True, overwrite("a", RECENT_WRITES), 2, LOST),
@@ -499,7 +499,7 @@
 
 @pytest.mark.parametrize(("effect", "meanwhile", "value", "outcome"), LOST_WRITES)
 def test_lost_answer_is_resolved_by_write_id(effect, meanwhile, value, outcome):
-    """Guards against a lost write that is reported as a conflict, or done twice."""
+    """Guards against a lost response that is reported as a conflict or repeated."""
 
     async def run():
         memory = MemoryStore(ManualClock())
@@ -529,7 +529,7 @@
 
 
 def run_now(coroutine):
-    """Run a coroutine that never waits, as those of MemoryStore."""
+    """Run a coroutine that never suspends, as those of MemoryStore."""
     with pytest.raises(StopIteration):
         coroutine.send(None)
 
@@ -575,7 +575,7 @@
                     await call
                 else:
                     await raises(expected, call)
-                # A list that cannot be read is never an empty list.
+                # An unreadable list must not be taken for an empty one.
                 await raises(StoreUnavailableError, directory.list_vms())
                 await directory.close()
 
@@ -583,7 +583,7 @@
 
 
 def test_unchanged_vm_list_is_not_sent_again():
-    """Guards against control traffic that grows with the fleet each second."""
+    """Guards against traffic every second that grows with the size of the fleet."""
 
     async def check():
         clock = SystemClock()
