--- a/src/pomeloyard/config/__init__.py
+++ b/src/pomeloyard/config/__init__.py
@@ -1,1 +1,1 @@
-"""Configuration of the fleet: model, reader and publication."""
+"""Configuration of the fleet: model, reader, checks and publication."""
--- a/src/pomeloyard/config/checks.py
+++ b/src/pomeloyard/config/checks.py
@@ -1,4 +1,4 @@
-"""Checks of a whole configuration; pure, used by the tool and by the daemons."""
+"""Checks of a complete configuration, used by the command-line tool and the daemons."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def no_file(path: str) -> str:
-    """Return an empty name, for a configuration that did not come from files."""
+    """Return an empty name, for a configuration that was not read from files."""
     return ""
 
 
@@ -31,7 +31,7 @@
 def config_problems(
     config: FleetConfig, file_of: FileOf = no_file
 ) -> list[ConfigProblem]:
-    """Return everything that is wrong with a configuration of valid types."""
+    """Return all problems of a configuration whose values have the right types."""
     problems: list[ConfigProblem] = []
     if not config.name:
         problems.append(
@@ -60,8 +60,10 @@
     for region in config.regions_by_name.values():
         path = f"regions.{region.name}"
         if not region.availability_zones:
-            place = f"{path}.availability_zones"
-            yield ConfigProblem(file_of(path), place, "is empty", "at least one zone")
+            key_path = f"{path}.availability_zones"
+            yield ConfigProblem(
+                file_of(path), key_path, "is empty", "at least one zone"
+            )
         for zone in region.availability_zones:
             other = region_by_zone.setdefault(zone, region.name)
             if other != region.name or region.availability_zones.count(zone) > 1:
@@ -73,11 +75,13 @@
     for service in config.services_by_name.values():
         path = f"services.{service.name}"
         file = file_of(path)
-        yield from _missing(
+        yield from _missing_references(
             file, f"{path}.pool", "pool", [service.pool], config.pools_by_name
         )
         owner = [service.team] if service.team is not None else []
-        yield from _missing(file, f"{path}.team", "team", owner, config.teams_by_name)
+        yield from _missing_references(
+            file, f"{path}.team", "team", owner, config.teams_by_name
+        )
 
 
 def _budget_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
@@ -85,8 +89,8 @@
         path = f"services.{problem.service}"
         kind = problem.kind.value.replace("-", " ")
         wrong = f"{problem.needed:g} is {kind} ({problem.vms} {problem.role.value}s)"
-        place = f"{path}.budget.{problem.setting}"
-        yield ConfigProblem(file_of(path), place, wrong, _EXPECTED_BUDGET)
+        key_path = f"{path}.budget.{problem.setting}"
+        yield ConfigProblem(file_of(path), key_path, wrong, _EXPECTED_BUDGET)
 
 
 def _team_problems(config: FleetConfig, file_of: FileOf) -> Iterable[ConfigProblem]:
@@ -102,10 +106,10 @@
     for queue in config.queues_by_name.values():
         path = f"queues.{queue.name}"
         file = file_of(path)
-        yield from _missing(
+        yield from _missing_references(
             file, f"{path}.pools", "pool", queue.pools, config.pools_by_name
         )
-        yield from _missing(
+        yield from _missing_references(
             file, f"{path}.teams", "team", queue.teams, config.teams_by_name
         )
         if not queue.pools:
@@ -115,7 +119,7 @@
             yield ConfigProblem(file, path, wrong, "either open = true or teams")
 
 
-def _missing(
+def _missing_references(
     file: str, path: str, kind: str, names: Iterable[str], known: Mapping[str, object]
 ) -> Iterable[ConfigProblem]:
     for name in names:
--- a/src/pomeloyard/config/conversion.py
+++ b/src/pomeloyard/config/conversion.py
@@ -1,4 +1,4 @@
-"""Convert TOML values to configuration classes, collecting every problem."""
+"""Convert TOML values to dataclasses, collecting all problems."""
 
 from __future__ import annotations
 
@@ -36,48 +36,48 @@
 def convert(
     values: dict[str, Any], kind: type[T], file: str, path: str
 ) -> tuple[T | None, list[ConfigProblem]]:
-    """Return an instance of a data class, or None with the problems."""
+    """Return an instance of the dataclass ``kind``, or None with the problems."""
     hints = field_types(kind)
     problems: list[ConfigProblem] = []
     converted: dict[str, Any] = {}
     for key, value in values.items():
-        place = f"{path}.{key}"
+        key_path = f"{path}.{key}"
         if key not in hints:
             known = [name for name in hints if name != "name"]
-            problems.append(unknown_name(file, place, key, known))
+            problems.append(unknown_name(file, key_path, key, known))
             continue
         if dataclasses.is_dataclass(hints[key]) and isinstance(value, dict):
-            inner, found = convert(value, hints[key], file, place)
+            nested, found = convert(value, hints[key], file, key_path)
             problems.extend(found)
-            converted[key] = inner
+            converted[key] = nested
             continue
         try:
             converted[key] = _value(value, hints[key])
         except _InvalidTypeError as error:
-            wrong = f"{_type_name(value)} is not allowed"
-            problems.append(ConfigProblem(file, place, wrong, error.expected))
+            problem = f"{_type_name(value)} is not allowed"
+            problems.append(ConfigProblem(file, key_path, problem, error.expected))
     for name in _required(kind) - values.keys():
         problems.append(ConfigProblem(file, f"{path}.{name}", "is missing", "a value"))
     return (None, problems) if problems else (kind(**converted), [])
 
 
 def range_problems(item: object, file: str, path: str) -> list[ConfigProblem]:
-    """Return the values of a data class that are out of range."""
+    """Return a problem for each value of a dataclass that is out of range."""
     problems: list[ConfigProblem] = []
     for field in dataclasses.fields(item):  # type: ignore[arg-type]
         value = getattr(item, field.name)
-        place = f"{path}.{field.name}"
+        key_path = f"{path}.{field.name}"
         if dataclasses.is_dataclass(value):
-            problems.extend(range_problems(value, file, place))
+            problems.extend(range_problems(value, file, key_path))
             continue
         for part in value if isinstance(value, tuple) else (value,):
-            found = value_problems(file, place, type(item), field.name, part)
+            found = value_problems(file, key_path, type(item), field.name, part)
             problems.extend(found)
     return problems
 
 
 def field_types(kind: type) -> dict[str, Any]:
-    """Return the resolved types of a data class's fields by name."""
+    """Return the resolved types of a dataclass's fields by name."""
     hints = typing.get_type_hints(kind)
     return {f.name: hints[f.name] for f in dataclasses.fields(kind)}
 
--- a/src/pomeloyard/config/diff.py
+++ b/src/pomeloyard/config/diff.py
@@ -1,4 +1,4 @@
-"""Differences between two configurations; pure."""
+"""Differences between two configurations; no I/O."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
 
 
 def diff_configs(old: FleetConfig, new: FleetConfig) -> tuple[ItemChange, ...]:
-    """Return what changes from ``old`` to ``new``, in table and name order."""
+    """Return the changes from ``old`` to ``new``, ordered by table and name."""
     changes = []
     if old.name != new.name:
         field = FieldChange("name", old.name, new.name)
--- a/src/pomeloyard/config/durations.py
+++ b/src/pomeloyard/config/durations.py
@@ -1,4 +1,4 @@
-"""Durations as they are written in TOML files."""
+"""Parse and format the durations of TOML files."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def parse_duration(value: object) -> timedelta | None:
-    """Return a duration, or None if ``value`` does not describe one.
+    """Parse a number of seconds or a text with a unit; None if invalid.
 
     >>> parse_duration("4w")
     datetime.timedelta(days=28)
@@ -36,7 +36,7 @@
 
 
 def format_duration(value: timedelta) -> str:
-    """Return a duration with the largest unit that divides it.
+    """Format a duration in the largest unit that divides it.
 
     >>> format_duration(timedelta(days=28)), format_duration(timedelta(seconds=90))
     ('4w', '90s')
--- a/src/pomeloyard/config/limits.py
+++ b/src/pomeloyard/config/limits.py
@@ -37,8 +37,8 @@
 DAY = 86_400
 DEFAULT_NUMBER = Range(0, 1_000_000_000)
 DEFAULT_DURATION = Range(0, 366 * DAY)
-SHARE_OF_VMS = Range(0, 1)
-"""Range of ``min_available`` when it is a share (float) of all VMs."""
+FRACTION_OF_VMS = Range(0, 1)
+"""Range of ``min_available`` when it is a fraction (float) of all VMs."""
 
 RANGES_BY_FIELD = {
     "PoolConfig.executors": Range(0, 10_000),
@@ -54,7 +54,7 @@
     "ServiceConfig.queue_length": Range(0, 100_000),
     "ServiceConfig.drain_timeout": Range(0, DAY),
     "ServiceConfig.hedge_after": Range(0.001, 3600),
-    # Bodies of idempotent requests are held in memory for retries.
+    # Bodies of idempotent requests are kept in memory for retries.
     "ServiceConfig.max_body_bytes": Range(0, 64 * 1024 * 1024),
     "TeamConfig.share": Range(0.001, 1_000_000),
     "TeamConfig.limit": Range(0, 1_000_000),
@@ -75,7 +75,7 @@
 def value_problems(
     file: str, path: str, kind: type, field: str, value: object
 ) -> list[ConfigProblem]:
-    """Return what is wrong with a value of the right type."""
+    """Return the problems of a value of the right type."""
     if isinstance(value, str):
         return _text_problems(file, path, field, value)
     if isinstance(value, bool) or not isinstance(value, int | float | timedelta):
@@ -86,17 +86,17 @@
     if isinstance(value, timedelta):
         number, shown = value.total_seconds(), format_duration(value)
     else:
-        number, shown = value, _shown(value)
+        number, shown = value, _number_text(value)
         if kind.__name__ == "BudgetConfig" and isinstance(value, float):
-            allowed = SHARE_OF_VMS
+            allowed = FRACTION_OF_VMS
     if not math.isnan(number) and allowed.low <= number <= allowed.high:
         return []
     expected = allowed.describe(duration=duration)
     return [ConfigProblem(file, path, f"{shown} is out of range", expected)]
 
 
-def _shown(value: int | float) -> str:
-    # Very long integers cannot be converted to text by the interpreter.
+def _number_text(value: int | float) -> str:
+    # Python refuses to convert very long integers to str.
     if isinstance(value, int) and value.bit_length() > 200:
         return "the number"
     return f"{value:g}" if isinstance(value, float) else str(value)
--- a/src/pomeloyard/config/model.py
+++ b/src/pomeloyard/config/model.py
@@ -1,4 +1,4 @@
-"""Data classes of the fleet's configuration, as published in one revision."""
+"""Dataclasses of the fleet's configuration, published as one revision."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolConfig:
-    """A pool of VMs; ``target_vms`` counts are by role."""
+    """A pool of VMs; ``executors`` and ``workers`` are its target sizes by role."""
 
     name: str
     executors: int = 0
@@ -29,7 +29,7 @@
 class BudgetConfig:
     """How many VMs of a service must stay available.
 
-    ``min_available`` is a count (int) or a share of all VMs (float, 0 to 1).
+    ``min_available`` is a count (int) or a fraction of all VMs (float, 0 to 1).
     """
 
     min_available: int | float
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceConfig:
-    """A service: where it runs, how requests are handled, what must stay up."""
+    """A service: its pool, its availability budget and its limits for requests."""
 
     name: str
     pool: str
@@ -57,10 +57,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamConfig:
-    """A team's share when the fleet is full and its upper limit in units.
+    """A team's weight when the fleet is full, and its upper limit in units.
 
     A running request is one unit, a running job ``max(1, ceil(cores))`` units.
-    ``job_limit`` is the part of ``limit`` that only jobs use.
+    ``job_limit`` is the part of ``limit`` reserved for jobs.
     """
 
     name: str
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MaintenanceConfig:
-    """How VMs are maintained and repaired."""
+    """Maintenance and repair of VMs."""
 
     interval: timedelta = timedelta(days=28)
     max_repairs: float = 0.05
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetConfig:
-    """The whole configuration of one revision."""
+    """The complete configuration of one revision."""
 
     name: str
     revision: int = 0
@@ -104,6 +104,6 @@
     maintenance: MaintenanceConfig = MaintenanceConfig()
 
     def longest_request_timeout(self) -> timedelta:
-        """Return the longest time that any request may run."""
+        """Return the longest request timeout of all services."""
         timeouts = [s.request_timeout for s in self.services_by_name.values()]
         return max(timeouts, default=timedelta(0))
--- a/src/pomeloyard/config/problems.py
+++ b/src/pomeloyard/config/problems.py
@@ -11,9 +11,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigProblem:
-    """One error: where it is, what is wrong and what was expected.
+    """One error: its location, what is wrong and what was expected.
 
-    ``line`` counts from 1 and is 0 where the line is not known.
+    ``line`` counts from 1 and is 0 if unknown.
     """
 
     file: str
@@ -24,8 +24,8 @@
 
     def __str__(self) -> str:
         """Return the problem as one line of text."""
-        place = f"{self.file}:{self.line}" if self.line else self.file
-        text = ": ".join(part for part in (place, self.path, self.problem) if part)
+        location = f"{self.file}:{self.line}" if self.line else self.file
+        text = ": ".join(part for part in (location, self.path, self.problem) if part)
         return f"{text} (expected {self.expected})" if self.expected else text
 
 
@@ -40,7 +40,7 @@
 def unknown_name(
     file: str, path: str, name: str, known: Iterable[str]
 ) -> ConfigProblem:
-    """Return the problem of an unknown table or key, with a similar known one.
+    """Return the problem of an unknown table or key, suggesting a similar known one.
 
     >>> unknown_name("f", "pools.a", "executer", ["executors", "workers"]).expected
     'did you mean "executors"?'
--- a/src/pomeloyard/config/publication.py
+++ b/src/pomeloyard/config/publication.py
@@ -25,12 +25,12 @@
 
 KEPT_REVISIONS = 20
 ENVELOPE_BYTES = 1024
-"""Room for what a record adds to the configuration's own content."""
+"""Reserved for the envelope that a record adds to the configuration."""
 
 
 @dataclass(frozen=True, slots=True)
 class RevisionInfo:
-    """When, by whom and from what a kept revision was published."""
+    """Metadata of a retained revision: when, by whom and why it was published."""
 
     revision: int
     at: str
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Published:
-    """A new revision and what it changed."""
+    """A published revision and its changes."""
 
     config: FleetConfig
     changes: tuple[ItemChange, ...]
@@ -53,7 +53,7 @@
 
 
 class ConfigConflictError(ConflictError):
-    """Another revision was published since the one that this was made from."""
+    """Another revision was published after the one that this is based on."""
 
     def __init__(
         self, made_from: int, in_force: int, changes: tuple[ItemChange, ...]
@@ -64,7 +64,7 @@
         self.changes = changes
 
     def __str__(self) -> str:
-        """Return what changed as text."""
+        """Return the conflict and what changed as text."""
         shown = "; ".join(str(change) for change in self.changes[:10])
         text = f"made from revision {self.made_from}, but {self.in_force} is in force"
         return f"{text}: {shown}" if shown else text
@@ -89,13 +89,13 @@
     if size > MAX_VALUE_BYTES - ENVELOPE_BYTES:
         detail = f"{size} bytes are over {MAX_VALUE_BYTES - ENVELOPE_BYTES}"
         raise RefusedError(Refused(RefusalReason.TOO_LARGE, detail))
-    basis = await _read_basis(store, made_from)
-    if (basis.head.value if basis.head else 0) != made_from:
+    base = await _read_base_records(store, made_from)
+    if (base.head.value if base.head else 0) != made_from:
         raise await _conflict(store, made_from)
-    changes = diff_configs(basis.earlier, config)
+    changes = diff_configs(base.earlier, config)
     info = RevisionInfo(config.revision, at, by, note, len(changes))
     try:
-        await commit_changes(store, _record_changes(config, basis, info))
+        await commit_changes(store, _record_changes(config, base, info))
     except ConflictError as error:
         raise await _conflict(store, made_from) from error
     return Published(config, changes)
@@ -111,7 +111,7 @@
 
 
 async def read_revision(store: Store, revision: int) -> FleetConfig:
-    """Return a kept revision; raises RefusedError if there is none."""
+    """Return a retained revision; raises RefusedError if there is none."""
     key = layout.config_revision_key(revision)
     record = await read_record(store, key, FleetConfig)
     if record is None:
@@ -121,7 +121,7 @@
 
 
 async def history(store: Store) -> tuple[RevisionInfo, ...]:
-    """Return the kept revisions, newest first."""
+    """Return the retained revisions, newest first."""
     record = await read_record(
         store,
         layout.CONFIG_HISTORY,
@@ -131,8 +131,8 @@
 
 
 @dataclass
-class _Basis:
-    """The records that a publication is made from."""
+class _BaseRecords:
+    """The stored records that a publication is based on."""
 
     head: Versioned[int] | None = None
     earlier: FleetConfig = field(default_factory=lambda: FleetConfig(name=""))
@@ -140,37 +140,39 @@
     oldest: Entry | None = None
 
 
-async def _read_basis(store: Store, made_from: int) -> _Basis:
-    """Read all records at once, as each call may take long on a slow store."""
-    basis = _Basis()
+async def _read_base_records(store: Store, made_from: int) -> _BaseRecords:
+    """Read all records concurrently, as each call may be slow."""
+    base = _BaseRecords()
 
     async def read_head() -> None:
-        basis.head = await read_record(store, layout.CONFIG_HEAD, int)
+        base.head = await read_record(store, layout.CONFIG_HEAD, int)
 
     async def read_earlier() -> None:
         key = layout.config_revision_key(made_from)
         record = await read_record(store, key, FleetConfig)
-        basis.earlier = record.value if record else basis.earlier
+        base.earlier = record.value if record else base.earlier
 
     async def read_history() -> None:
         kind = tuple[RevisionInfo, ...]
-        basis.kept = await read_record(store, layout.CONFIG_HISTORY, kind)
+        base.kept = await read_record(store, layout.CONFIG_HISTORY, kind)
 
     async def read_oldest() -> None:
         key = layout.config_revision_key(made_from + 1 - KEPT_REVISIONS)
-        basis.oldest = await store.get(key)
+        base.oldest = await store.get(key)
 
     reads = [read_head, read_history]
     if made_from > 0:
         reads.append(read_earlier)
     if made_from >= KEPT_REVISIONS:
         reads.append(read_oldest)
-    await _run_all(reads)
-    return basis
+    await _run_concurrently(reads)
+    return base
 
 
-async def _run_all(reads: Sequence[Callable[[], Coroutine[Any, Any, None]]]) -> None:
-    """Run reads side by side; the first store error ends them all."""
+async def _run_concurrently(
+    reads: Sequence[Callable[[], Coroutine[Any, Any, None]]],
+) -> None:
+    """Run reads concurrently; the first store error cancels the others."""
     failure: StoreError | None = None
 
     async def run(read: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -189,32 +191,32 @@
 
 
 def _record_changes(
-    config: FleetConfig, basis: _Basis, info: RevisionInfo
+    config: FleetConfig, base: _BaseRecords, info: RevisionInfo
 ) -> list[Change]:
     """Return the record changes of one publication.
 
-    Each publication deletes the one revision that is no longer kept.
+    Each publication deletes the one revision that is no longer retained.
     """
-    infos = (*(basis.kept.value if basis.kept else ()), info)[-KEPT_REVISIONS:]
+    infos = (*(base.kept.value if base.kept else ()), info)[-KEPT_REVISIONS:]
     changes = [
-        Change(layout.CONFIG_HEAD, config.revision, basis.head),
+        Change(layout.CONFIG_HEAD, config.revision, base.head),
         Change(layout.config_revision_key(config.revision), config, None),
-        Change(layout.CONFIG_HISTORY, infos, basis.kept),
+        Change(layout.CONFIG_HISTORY, infos, base.kept),
     ]
-    if basis.oldest is not None:
-        old = Versioned(basis.oldest.key, None, basis.oldest.mod_revision)
+    if base.oldest is not None:
+        old = Versioned(base.oldest.key, None, base.oldest.mod_revision)
         changes.append(Change(old.key, None, old))
     return changes
 
 
 async def _conflict(store: Store, made_from: int) -> ConfigConflictError:
-    """Return the conflict with what was published since ``made_from``."""
+    """Return the conflict with the changes published since ``made_from``."""
     head = await read_record(store, layout.CONFIG_HEAD, int)
     in_force = head.value if head else 0
     try:
         new = await read_revision(store, in_force)
         old = await read_revision(store, made_from)
     except RefusedError:
-        # One of the two is no longer kept, so the difference cannot be told.
+        # One of the two is no longer retained, so there is no difference to show.
         return ConfigConflictError(made_from, in_force, ())
     return ConfigConflictError(made_from, in_force, diff_configs(old, new))
--- a/src/pomeloyard/config/reader.py
+++ b/src/pomeloyard/config/reader.py
@@ -1,4 +1,4 @@
-"""Read the short TOML files that stand beside each service's code."""
+"""Read the fleet's configuration from TOML files beside each service's code."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 FILE_PATTERN = "*.pomeloyard.toml"
 MAX_FILE_BYTES = 1024 * 1024
 
-_KINDS_BY_TABLE: dict[str, type] = {
+_CLASS_BY_TABLE: dict[str, type] = {
     "regions": RegionConfig,
     "pools": PoolConfig,
     "services": ServiceConfig,
@@ -39,7 +39,7 @@
 
 
 def read_directories(directories: Iterable[Path]) -> FleetConfig:
-    """Read and check all files below the directories; raises ConfigProblemsError."""
+    """Read and validate all files below the directories; raises ConfigProblemsError."""
     problems: list[ConfigProblem] = []
     files: set[Path] = set()
     for directory in directories:
@@ -89,47 +89,47 @@
 
 
 class _Collector:
-    """Collects entries of all files with the file that defines each."""
+    """Collects the entries of all files, and which file defines each."""
 
     def __init__(self) -> None:
         self.problems: list[ConfigProblem] = []
         self._file_by_path: dict[str, str] = {}
-        self._entries: dict[str, dict[str, Any]] = {t: {} for t in _KINDS_BY_TABLE}
+        self._entries: dict[str, dict[str, Any]] = {t: {} for t in _CLASS_BY_TABLE}
         self._name = ""
         self._maintenance = MaintenanceConfig()
 
     def add_file(self, file: str, content: dict[str, Any]) -> None:
         """Add the tables of one file."""
         for table, value in content.items():
-            if table not in _KINDS_BY_TABLE and table not in _SINGLE_TABLES:
-                known = [*_KINDS_BY_TABLE, *_SINGLE_TABLES]
+            if table not in _CLASS_BY_TABLE and table not in _SINGLE_TABLES:
+                known = [*_CLASS_BY_TABLE, *_SINGLE_TABLES]
                 self.problems.append(unknown_name(file, table, table, known))
             elif not isinstance(value, dict):
                 self._add_problem(file, table, "is not a table", f"[{table}]")
-            elif table in _KINDS_BY_TABLE:
+            elif table in _CLASS_BY_TABLE:
                 for name, entry in value.items():
                     self._add_entry(file, table, name, entry)
-            elif self._is_new(file, table):
+            elif self._is_first_definition(file, table):
                 self._add_single(file, table, value)
 
     def finish(self) -> FleetConfig:
-        """Return the checked configuration; raises ConfigProblemsError."""
+        """Return the validated configuration; raises ConfigProblemsError."""
         entries = {f"{table}_by_name": e for table, e in self._entries.items()}
         config = FleetConfig(
             name=self._name,
             maintenance=self._maintenance,
             **entries,  # type: ignore[arg-type]
         )
-        # References to entries with errors of their own would be reported twice.
-        broken = {p.path for p in self.problems}
+        # Reporting a reference to an invalid entry would repeat the entry's error.
+        invalid = {p.path for p in self.problems}
         for problem in config_problems(config, lambda p: self._file_by_path.get(p, "")):
-            if problem.path not in broken and not self._refers_to_broken(problem):
+            if problem.path not in invalid and not self._refers_to_invalid(problem):
                 self.problems.append(problem)
         if self.problems:
             raise ConfigProblemsError(self.problems)
         return config
 
-    def _refers_to_broken(self, problem: ConfigProblem) -> bool:
+    def _refers_to_invalid(self, problem: ConfigProblem) -> bool:
         return any(
             problem.problem == f'there is no {table[:-1]} "{name}"'
             for table, _, name in (p.partition(".") for p in self._file_by_path)
@@ -138,7 +138,7 @@
 
     def _add_entry(self, file: str, table: str, name: str, entry: object) -> None:
         path = f"{table}.{name[:100]}"
-        if not self._is_new(file, path):
+        if not self._is_first_definition(file, path):
             return
         if not NAME_PATTERN.fullmatch(name):
             self._add_problem(file, path, "invalid name", EXPECTED_NAME)
@@ -147,7 +147,7 @@
         elif "name" in entry:
             self._add_problem(file, f"{path}.name", "the table's key is the name")
         else:
-            kind = _KINDS_BY_TABLE[table]
+            kind = _CLASS_BY_TABLE[table]
             item, problems = convert({"name": name, **entry}, kind, file, path)
             self.problems += problems
             if item is not None:
@@ -161,15 +161,15 @@
             return
         for key in value:
             if key != "name":
-                place = f"{table}.{key}"
-                self.problems.append(unknown_name(file, place, key, ["name"]))
+                key_path = f"{table}.{key}"
+                self.problems.append(unknown_name(file, key_path, key, ["name"]))
         name = value.get("name")
         if isinstance(name, str) and NAME_PATTERN.fullmatch(name):
             self._name = name
         else:
             self._add_problem(file, "fleet.name", "invalid name", EXPECTED_NAME)
 
-    def _is_new(self, file: str, path: str) -> bool:
+    def _is_first_definition(self, file: str, path: str) -> bool:
         other = self._file_by_path.setdefault(path, file)
         if other != file:
             self._add_problem(
--- a/src/pomeloyard/config/reference.py
+++ b/src/pomeloyard/config/reference.py
@@ -1,6 +1,6 @@
 """Reference page of all settings and configuration values.
 
-Run as a module, it prints the page that is kept as ``docs/configuration.md``.
+Run as a module, prints the page that is stored as ``docs/configuration.md``.
 """
 
 from __future__ import annotations
