--- a/src/pomeloyard/cli/explain.py
+++ b/src/pomeloyard/cli/explain.py
@@ -1,4 +1,4 @@
-"""Command that shows why the system decided something."""
+"""Command that shows the decisions about a subject."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 def show_decisions(explanation: dict[str, Any]) -> None:
-    """Print decisions as a table, and what may be missing from it as notes."""
+    """Print decisions as a table, then what may be missing on standard error."""
     show(explanation["decisions"], COLUMNS)
     if explanation["silent"]:
         note(f"no answer from: {', '.join(explanation['silent'])}")
--- a/src/pomeloyard/cli/failures.py
+++ b/src/pomeloyard/cli/failures.py
@@ -1,4 +1,4 @@
-"""Show why a command failed."""
+"""Print the errors of failed commands."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def show_failure(error: PomeloyardError) -> None:
-    """Print a failure to standard error, in the chosen format."""
+    """Print an error to standard error, in the chosen output format."""
     if isinstance(error, ConfigProblemsError):
         for problem in error.problems:
             click.echo(f"error: {problem}", err=True)
--- a/src/pomeloyard/cli/jobs.py
+++ b/src/pomeloyard/cli/jobs.py
@@ -1,4 +1,4 @@
-"""Commands for jobs; they use a team's key and the callers' addresses."""
+"""Commands for jobs; they call the callers' API with a team's key."""
 
 from __future__ import annotations
 
--- a/src/pomeloyard/cli/keys.py
+++ b/src/pomeloyard/cli/keys.py
@@ -53,7 +53,7 @@
     Examples:
       pomeloyard key withdraw 0a1b2c3d4e5f
     """
-    # A withdrawal may be repeated: withdrawals only accumulate.
+    # Withdrawing a key is idempotent, as withdrawals are only ever added.
     answer = client.call("DELETE", f"/v1/keys/{key_id}", repeatable=True)
     if not answer["known"]:
         note("this daemon does not know the key; the withdrawal is kept for its peers")
--- a/src/pomeloyard/cli/logs.py
+++ b/src/pomeloyard/cli/logs.py
@@ -1,4 +1,4 @@
-"""Commands that read the daemons' output; they call no daemon."""
+"""Commands that read the daemons' log output without calling a daemon."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class NoPoolLinesError(PomeloyardError):
-    """The given output says nothing of pools."""
+    """The given output has no lines about pools."""
 
 
 @click.group(epilog="Example: pomeloyard log job 5b3041f9338636bd daemon-*.log")
--- a/src/pomeloyard/cli/main.py
+++ b/src/pomeloyard/cli/main.py
@@ -26,10 +26,10 @@
 
 
 class ToolGroup(click.Group):
-    """Command group that turns typed errors into exit status 1."""
+    """Command group that exits with status 1 on a PomeloyardError."""
 
     def invoke(self, ctx: click.Context) -> Any:
-        """Run the command and show why it failed."""
+        """Run the command and print its error, if any."""
         try:
             return super().invoke(ctx)
         except PomeloyardError as error:
@@ -115,7 +115,7 @@
 
 
 def main() -> None:
-    """Run the tool; status 1 for a refused or failed command, 2 for usage."""
+    """Run the tool; exit status 1 for a refused or failed command, 2 for usage."""
     cli(prog_name="pomeloyard")
 
 
--- a/src/pomeloyard/cli/output.py
+++ b/src/pomeloyard/cli/output.py
@@ -15,7 +15,7 @@
 
 
 def output_format() -> str:
-    """Return the chosen format; without a choice a table on a terminal, else JSON."""
+    """Return the chosen format; by default a table on a terminal, else JSON."""
     context = click.get_current_context(silent=True)
     chosen = context.find_root().meta.get("output") if context is not None else None
     return chosen or (TABLE if sys.stdout.isatty() else JSON)
@@ -24,8 +24,7 @@
 def show(value: Any, columns: Sequence[str] | None = None) -> None:
     """Print a command's result.
 
-    ``columns`` names the fields to show of a list of records, in order;
-    JSON always has all fields.
+    ``columns`` selects and orders the columns of a table; JSON always has all fields.
     """
     if output_format() == JSON:
         click.echo(json.dumps(value))
@@ -40,7 +39,7 @@
 
 
 def note(text: str) -> None:
-    """Print a remark that is not part of the result."""
+    """Print a message that is not part of the result to standard error."""
     click.echo(text, err=True)
 
 
@@ -62,7 +61,7 @@
 
 
 def _show_table(rows: list[dict[str, Any]], columns: Sequence[str]) -> None:
-    # Imported here, because it takes longer than most commands.
+    # Imported here, because the import takes longer than most commands.
     from rich.console import Console
     from rich.table import Table
 
--- a/src/pomeloyard/cli/session.py
+++ b/src/pomeloyard/cli/session.py
@@ -17,7 +17,7 @@
 
 
 class Session(OperatorClient):
-    """Client that asks for missing connection options only when they are needed."""
+    """Client that reports missing connection options on its first call only."""
 
     def __init__(
         self, addresses: list[str], key: str, timeout: timedelta, ca_file: str
@@ -33,7 +33,7 @@
         *,
         repeatable: bool | None = None,
     ) -> Any:
-        """Return the decoded answer; a missing option is a usage error."""
+        """Return the decoded response body; a missing option is a usage error."""
         self._check_complete()
         return super().call(method, path, body, repeatable=repeatable)
 
@@ -53,7 +53,7 @@
 def load_options(
     context: click.Context, parameter: click.Parameter, value: Path | None
 ) -> Path | None:
-    """Take defaults of the options from a TOML file; a click callback."""
+    """Load defaults of the options from a TOML file; a click callback."""
     path = (value or OPTIONS_FILE).expanduser()
     if value is None and not path.exists():
         return None
--- a/src/pomeloyard/cli/vms.py
+++ b/src/pomeloyard/cli/vms.py
@@ -17,7 +17,7 @@
 
 
 class VmStateError(PomeloyardError):
-    """A VM ended in another state than the command asked for."""
+    """A VM ended in a state other than the requested one."""
 
 
 @click.group()
@@ -97,7 +97,7 @@
 
 
 def _wait_until_drained(client: OperatorClient, name: str) -> Any:
-    """Print each change of what the drain waits for; return the last record."""
+    """Print each change of the drain's progress; return the last record."""
     shown = ""
     while True:
         record = client.call("GET", f"/v1/vms/{name}")
--- a/src/pomeloyard/cli/waiting.py
+++ b/src/pomeloyard/cli/waiting.py
@@ -18,13 +18,13 @@
 
 
 class NotInForceError(PomeloyardError):
-    """Some daemons did not report a revision in time."""
+    """A revision was not in force at all daemons before the timeout."""
 
 
 def wait_in_force(client: OperatorClient, revision: int, timeout: timedelta) -> Any:
     """Return the status once all daemons report ``revision``.
 
-    Raises NotInForceError naming the daemons that lag.
+    Raises NotInForceError listing the daemons that still lag at the timeout.
     """
     end = time.monotonic() + timeout.total_seconds()
     with progress() as show_progress:
@@ -62,7 +62,7 @@
 def progress() -> Iterator[Callable[[str], None]]:
     """Yield a function that shows progress on standard error.
 
-    A terminal shows one changing line, a pipe receives a line for each change.
+    A terminal shows one line that is updated; a pipe receives a line per change.
     """
     if sys.stderr.isatty():
         from rich.console import Console
--- a/src/pomeloyard/operators/__init__.py
+++ b/src/pomeloyard/operators/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP application and client for operators."""
+"""HTTP API and client for operators."""
--- a/src/pomeloyard/operators/bodies.py
+++ b/src/pomeloyard/operators/bodies.py
@@ -1,4 +1,4 @@
-"""Decoding of operators' request bodies."""
+"""Decode the bodies of operators' requests."""
 
 from __future__ import annotations
 
--- a/src/pomeloyard/operators/client.py
+++ b/src/pomeloyard/operators/client.py
@@ -1,4 +1,4 @@
-"""HTTP client of the operators' interface, usable without the command line."""
+"""HTTP client of the operators' API, usable without the command-line tool."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 CALL_TIMEOUT = timedelta(seconds=30)
 
 _NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
-_NO_ANSWER = (
+_NO_RESPONSE = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
@@ -24,7 +24,7 @@
 
 
 class OperatorCallError(CallError):
-    """A call of the operators' interface failed."""
+    """A call of the operators' API failed."""
 
 
 class OperatorClient:
@@ -53,11 +53,11 @@
         *,
         repeatable: bool | None = None,
     ) -> Any:
-        """Return the decoded answer; raises OperatorCallError.
+        """Return the decoded response body; raises OperatorCallError.
 
-        The next daemon is tried when a connection cannot be opened. A call
-        that was sent and not answered is repeated only if it is repeatable,
-        which reading calls are.
+        The next daemon is tried if a connection cannot be opened. A call that was
+        sent without getting a response is retried only if it is repeatable; GET
+        requests are by default.
         """
         if repeatable is None:
             repeatable = method == "GET"
@@ -68,27 +68,27 @@
                 response = self._send(address, method, path, body)
             except _NOT_CONNECTED as error:
                 failure = error
-            except _NO_ANSWER as error:
+            except _NO_RESPONSE as error:
                 failure, sent = error, True
                 if not repeatable:
                     break
             else:
-                self._prefer(address)
+                self._move_to_front(address)
                 return _decode(response)
-        raise _no_answer(failure, sent=sent)
+        raise _no_response(failure, sent=sent)
 
     def call_all(self, path: str) -> tuple[list[Any], list[str]]:
-        """Read from every daemon; return the answers and who gave none."""
-        answers: list[Any] = []
-        silent: list[str] = []
+        """Read from every daemon; return the bodies and the unreachable addresses."""
+        bodies: list[Any] = []
+        unreachable: list[str] = []
         for address in list(self._addresses):
             try:
-                answers.append(_decode(self._send(address, "GET", path, None)))
-            except (*_NOT_CONNECTED, *_NO_ANSWER):
-                silent.append(address)
-        if not answers:
-            raise _no_answer(None, sent=False)
-        return answers, silent
+                bodies.append(_decode(self._send(address, "GET", path, None)))
+            except (*_NOT_CONNECTED, *_NO_RESPONSE):
+                unreachable.append(address)
+        if not bodies:
+            raise _no_response(None, sent=False)
+        return bodies, unreachable
 
     def close(self) -> None:
         """Close the connections."""
@@ -109,8 +109,8 @@
             },
         )
 
-    def _prefer(self, address: str) -> None:
-        """Try the daemon that answered first next time."""
+    def _move_to_front(self, address: str) -> None:
+        """Move the daemon that responded to the front of the list."""
         self._addresses.remove(address)
         self._addresses.insert(0, address)
 
@@ -130,7 +130,7 @@
     raise OperatorCallError(response.status, answer, retry_after)
 
 
-def _no_answer(failure: Exception | None, *, sent: bool) -> OperatorCallError:
+def _no_response(failure: Exception | None, *, sent: bool) -> OperatorCallError:
     detail = repr(failure) if failure is not None else "no daemon answers"
     if sent:
         return OperatorCallError(0, _problem("no-answer", detail, "unknown"))
--- a/src/pomeloyard/operators/config_routes.py
+++ b/src/pomeloyard/operators/config_routes.py
@@ -37,7 +37,9 @@
 def config_routes(context: OperatorContext) -> list[Route]:
     """Return the routes below /v1/config."""
 
-    def answer(published: Published, by: str, reason: PublishReason) -> Response:
+    def record_publication(
+        published: Published, by: str, reason: PublishReason
+    ) -> Response:
         config = published.config
         adopt_config(context.state, config)
         at = context.clock.now()
@@ -55,7 +57,7 @@
         return json_response({"revision": config.revision, "changes": changes})
 
     async def publish_config(request: Request) -> Response:
-        by = context.check(request, Role.PUBLISH).key_id
+        by = context.authorize(request, Role.PUBLISH).key_id
         made_from = query_number(request, "made_from")
         config = await read_json(request, FleetConfig)
         problems = config_problems(config)
@@ -63,18 +65,18 @@
             raise ConfigProblemsError(problems)
         at = context.clock.now().isoformat()
         published = await publish(context.store, config, made_from, by=by, at=at)
-        return answer(published, by, PublishReason.PUBLISHED)
+        return record_publication(published, by, PublishReason.PUBLISHED)
 
     async def roll_back_config(request: Request) -> Response:
-        by = context.check(request, Role.PUBLISH).key_id
+        by = context.authorize(request, Role.PUBLISH).key_id
         made_from = query_number(request, "made_from")
         revision = query_number(request, "revision")
         at = context.clock.now().isoformat()
         published = await roll_back(context.store, revision, made_from, by=by, at=at)
-        return answer(published, by, PublishReason.ROLLED_BACK)
+        return record_publication(published, by, PublishReason.ROLLED_BACK)
 
     async def config_status(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         status = {
             "revision": context.state.config.revision,
             "name": context.state.config.name,
@@ -83,11 +85,11 @@
         return json_response(status)
 
     async def config_history(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         return json_response(await history(context.store))
 
     async def config_revision(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         revision = request.path_params["revision"]
         if revision == context.state.config.revision:
             return json_response(context.state.config)
@@ -103,14 +105,14 @@
 
 
 async def problems_response(request: Request, error: Exception) -> Response:
-    """Return the refusal of a configuration with errors, naming each."""
+    """Return the response for an invalid configuration, with all its problems."""
     assert isinstance(error, ConfigProblemsError)
     refusal = Refused(RefusalReason.INVALID_INPUT, f"{len(error.problems)} errors")
     return refusal_response(refusal, {"problems": error.problems})
 
 
 async def conflict_response(request: Request, error: Exception) -> Response:
-    """Return the refusal of a lost race, naming what the winner changed."""
+    """Return the response for a conflict, with the changes published meanwhile."""
     assert isinstance(error, ConfigConflictError)
     members = {
         "made_from": error.made_from,
--- a/src/pomeloyard/operators/explain_routes.py
+++ b/src/pomeloyard/operators/explain_routes.py
@@ -17,7 +17,7 @@
 
 
 class SubjectKind(Enum):
-    """What can be explained."""
+    """Kind of a subject that can be explained."""
 
     VM = "vm"
     WAVE = "wave"
@@ -31,16 +31,16 @@
     """Return the route below /v1/explain."""
 
     async def explain(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         kind, name = _subject(request)
         record, record_read = None, True
         try:
             record = await _record(context, kind, name)
         except StoreError:
-            # Decisions are in memory and explain what happens in a store outage.
+            # Decisions are in memory, so they are available in a store outage.
             record_read = False
         explanation = await context.explain(f"{kind.value}/{name}")
-        # Without an answer of every daemon, nothing says that the subject is unknown.
+        # Only with replies of all daemons is it certain that the subject is unknown.
         complete = record_read and not explanation.silent and not explanation.damaged
         unknown = record is None and not _exists(context, kind, name)
         if unknown and complete and not explanation.decisions:
@@ -64,7 +64,7 @@
 
 
 async def _record(context: OperatorContext, kind: SubjectKind, name: str) -> object:
-    """Return the stored record that holds the subject's last reasons, or None."""
+    """Return the stored record with the subject's latest reasons, or None."""
     if kind is SubjectKind.VM:
         return context.state.vm_records_by_name.get(name)
     if kind is SubjectKind.WAVE:
@@ -78,7 +78,7 @@
 
 
 async def _job(context: OperatorContext, job_id: str) -> object:
-    """Return what explains a job; its request belongs to the team."""
+    """Return a job's state and decisions, without its request, which is private."""
     for team in sorted(context.state.config.teams_by_name):
         job = await context.jobs.get(team, job_id)
         if job is not None:
@@ -93,7 +93,7 @@
 
 
 def _exists(context: OperatorContext, kind: SubjectKind, name: str) -> bool:
-    """Tell whether this daemon knows a subject that has no record of reasons."""
+    """Tell whether this daemon knows a subject of a kind without stored reasons."""
     state = context.state
     if kind is SubjectKind.SERVICE:
         return name in state.config.services_by_name
--- a/src/pomeloyard/operators/key_routes.py
+++ b/src/pomeloyard/operators/key_routes.py
@@ -12,12 +12,12 @@
 from .support import OperatorContext, json_response, read_json
 
 ACCEPTED = 202
-"""Status of a withdrawal that holds but is not in the store yet."""
+"""Status of a withdrawal that is in force but not stored yet."""
 
 
 @dataclass(frozen=True, slots=True)
 class GrantRequest:
-    """Who receives a key: a team, or an operator with a role."""
+    """Request for a key of a team, or of an operator with a role."""
 
     team: str = ""
     role: Role | None = None
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyView:
-    """What is shown of a key; never its text or hash."""
+    """Public part of a key record, without its text or hash."""
 
     key_id: str
     team: str
@@ -40,13 +40,15 @@
     """Return the routes below /v1/keys."""
 
     async def grant_key(request: Request) -> Response:
-        by = context.check(request, Role.PUBLISH).key_id
-        asked = await read_json(request, GrantRequest)
-        text, record = await context.keys.grant(asked.team, asked.role, by)
+        by = context.authorize(request, Role.PUBLISH).key_id
+        grant_request = await read_json(request, GrantRequest)
+        text, record = await context.keys.grant(
+            grant_request.team, grant_request.role, by
+        )
         return json_response({"key": text, "key_id": record.key_id}, 201)
 
     async def list_keys(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         withdrawn = context.state.withdrawn_key_ids
         views = [
             KeyView(
@@ -63,7 +65,7 @@
         return json_response(views)
 
     async def withdraw_key(request: Request) -> Response:
-        by = context.check(request, Role.OPERATE)
+        by = context.authorize(request, Role.OPERATE)
         result = await context.keys.withdraw(request.path_params["key_id"], by)
         return json_response(result, 200 if result.stored else ACCEPTED)
 
--- a/src/pomeloyard/operators/pool_routes.py
+++ b/src/pomeloyard/operators/pool_routes.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveBody:
-    """Request to move a VM to a pool."""
+    """Request to move a VM to another pool."""
 
     vm: str
 
@@ -27,18 +27,18 @@
     controller = context.controller
 
     async def list_pools(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         pools = sorted(context.state.config.pools_by_name)
         return json_response([_pool(context, name) for name in pools])
 
     async def move_vm(request: Request) -> Response:
-        by = context.check(request, Role.OPERATE).key_id
+        by = context.authorize(request, Role.OPERATE).key_id
         body = await read_body(request, MoveBody)
         pool = request.path_params["name"]
         return json_response(await controller.operations.move(body.vm, pool, by))
 
     async def list_budgets(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         stored = await controller.records.budgets()
         budgets = [stored[name].value for name in sorted(stored)]
         return json_response([_budget(context, budget) for budget in budgets])
@@ -73,11 +73,11 @@
             {
                 "role": scope.role.value,
                 "availability_zone": scope.availability_zone,
-                "total": room.total,
-                "needed": room.needed,
-                "available": room.available,
+                "total": scope_headroom.total,
+                "needed": scope_headroom.needed,
+                "available": scope_headroom.available,
             }
-            for scope, room in headroom.items()
+            for scope, scope_headroom in headroom.items()
         ]
     return {
         "service": record.service,
--- a/src/pomeloyard/operators/support.py
+++ b/src/pomeloyard/operators/support.py
@@ -1,4 +1,4 @@
-"""What all operator routes share: authentication, context and JSON answers."""
+"""Shared parts of the operator routes: authentication, context and JSON bodies."""
 
 from __future__ import annotations
 
@@ -45,8 +45,8 @@
     explain: Callable[[str], Awaitable[Explanation]]
     """Returns all daemons' decisions about a subject such as "vm/cut-3"."""
 
-    def check(self, request: Request, role: Role) -> KeyRecord:
-        """Return the operator's key record; raises RefusedError."""
+    def authorize(self, request: Request, role: Role) -> KeyRecord:
+        """Authenticate the operator and return the key record; raises RefusedError."""
         header = request.headers.get("authorization")
         return authenticate_operator(self.state, header, role)
 
@@ -71,7 +71,7 @@
 
 
 def query_number(request: Request, name: str) -> int:
-    """Return a required number of the query; raises RefusedError."""
+    """Return a required whole number of the query string; raises RefusedError."""
     text = request.query_params.get(name, "")
     if not (text.isascii() and text.isdigit() and len(text) <= 10):
         detail = f"{name} must be a whole number"
--- a/src/pomeloyard/operators/team_routes.py
+++ b/src/pomeloyard/operators/team_routes.py
@@ -17,7 +17,7 @@
     state = context.state
 
     async def list_teams(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         keys = Counter(
             key.team
             for key in state.keys.keys_by_id.values()
@@ -37,11 +37,11 @@
         return json_response(teams)
 
     async def shares(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         return json_response(context.team_usage())
 
     async def fleet_status(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         records = state.vm_records_by_name.values()
         partitions = state.partitions.partitions if state.partitions else ()
         held = Counter(partition.holder for partition in partitions)
--- a/src/pomeloyard/operators/vm_routes.py
+++ b/src/pomeloyard/operators/vm_routes.py
@@ -19,16 +19,16 @@
     lifecycle = context.controller.lifecycle
 
     async def list_vms(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         records = context.state.vm_records_by_name
         return json_response([records[name] for name in sorted(records)])
 
     async def show_vm(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         return json_response(_record(context, request.path_params["name"]))
 
     async def explain_vm(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         name = request.path_params["name"]
         record = _record(context, name)
         explanation = await context.explain(f"vm/{name}")
@@ -46,11 +46,11 @@
         )
 
     async def drain_vm(request: Request) -> Response:
-        by = context.check(request, Role.OPERATE).key_id
+        by = context.authorize(request, Role.OPERATE).key_id
         return json_response(await operations.drain(request.path_params["name"], by))
 
     async def return_vm(request: Request) -> Response:
-        by = context.check(request, Role.OPERATE).key_id
+        by = context.authorize(request, Role.OPERATE).key_id
         name = request.path_params["name"]
         return json_response(await operations.return_to_service(name, by))
 
--- a/src/pomeloyard/operators/wave_routes.py
+++ b/src/pomeloyard/operators/wave_routes.py
@@ -35,23 +35,23 @@
     waves = context.controller.waves
 
     async def list_waves(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         stored = await waves.waves()
         ordered = sorted(stored.values(), key=lambda wave: wave.value.started_at)
         return json_response([waves.status_of(wave.value) for wave in ordered])
 
     async def show_wave(request: Request) -> Response:
-        context.check(request, Role.READ)
+        context.authorize(request, Role.READ)
         return json_response(await waves.status(request.path_params["wave"]))
 
     async def start_wave(request: Request) -> Response:
-        by = context.check(request, Role.OPERATE).key_id
+        by = context.authorize(request, Role.OPERATE).key_id
         body = await read_body(request, WaveBody)
         wave = await waves.start(body.scope, body.kind, by)
         return json_response(waves.status_of(wave))
 
     async def change_wave(request: Request) -> Response:
-        by = context.check(request, Role.OPERATE).key_id
+        by = context.authorize(request, Role.OPERATE).key_id
         state = STATES_BY_ACTION.get(request.path_params["action"])
         if state is None:
             detail = request.path_params["action"]
