--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -1,4 +1,4 @@
-"""Configuration files with errors: every error is found, nothing else is raised."""
+"""Configuration files with errors: all are reported, with ConfigProblemsError only."""
 
 from __future__ import annotations
 
@@ -120,7 +120,7 @@
 
 
 def typed_problems(read):
-    """Return None after success, else the problems of the typed error as text."""
+    """Return None on success, else the problems of the ConfigProblemsError as text."""
     try:
         read()
     except ConfigProblemsError as error:
--- a/tests/operators/store_faults.py
+++ b/tests/operators/store_faults.py
@@ -1,4 +1,4 @@
-"""In-memory store with outages and lost answers."""
+"""In-memory store with outages and lost responses."""
 
 from __future__ import annotations
 
@@ -25,8 +25,8 @@
     async def commit(self, transaction):
         self._check_up()
         if self.before_commit is not None:
-            race, self.before_commit = self.before_commit, None
-            await race()
+            concurrent_change, self.before_commit = self.before_commit, None
+            await concurrent_change()
         result = await super().commit(transaction)
         if self.lost_answers:
             self.lost_answers -= 1
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -1,4 +1,4 @@
-"""Contract of the command-line tool with an operator application in this process."""
+"""Command-line tool with an operator application in the same process."""
 
 from __future__ import annotations
 
--- a/tests/operators/test_explain.py
+++ b/tests/operators/test_explain.py
@@ -1,4 +1,4 @@
-"""Contract of the explain route and commands, with several daemons' decisions."""
+"""Explain route and commands, with decisions of several daemons."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class ExplainedOperator(Operator):
-    """A daemon with a peer that decided and, if asked for, a silent one."""
+    """A daemon with a peer that made decisions and optionally a silent peer."""
 
     def __init__(self, silent=False):
         super().__init__()
@@ -68,7 +68,7 @@
 
 @pytest.mark.parametrize(("subject", "status", "daemons"), SUBJECTS)
 def test_route_answers_with_all_decisions_or_a_typed_refusal(subject, status, daemons):
-    """Guards against decisions that only the deciding daemon shows."""
+    """Guards against decisions shown only by the daemon that made them."""
     answer = ExplainedOperator().explain(subject)
     assert answer.status == status, answer.json
     if daemons is not None:
@@ -77,7 +77,7 @@
 
 
 def test_route_needs_an_operators_key_and_shows_no_secrets():
-    """Guards against a team that reads decisions about other teams' work."""
+    """Guards against a team that can read decisions about other teams."""
     operator = ExplainedOperator()
     for key, status in (("", 401), ("nonsense", 401), (TEAM, 403)):
         assert operator.explain("vm/cut-3", key).status == status
@@ -88,7 +88,7 @@
 
 @pytest.mark.parametrize("subject", [f"job/{JOB_ID}", "wave/w 1"])
 def test_store_outage_leaves_the_decisions(subject):
-    """Guards against losing the explanation when it is needed most."""
+    """Guards against explanations that are unavailable during a store outage."""
     operator = ExplainedOperator()
     operator.store.down = True
     answer = operator.explain(subject)
@@ -117,5 +117,5 @@
     for result in (table, vm_table):
         assert "b.1" in result.stdout
         assert "no answer from: c.1" in result.stderr
-    # The silent daemon may know the subject, so that this is not "not-found".
+    # The silent daemon may know the subject, so this is not "not-found".
     assert unknown["explanation"]["decisions"] == []
--- a/tests/support/asgi.py
+++ b/tests/support/asgi.py
@@ -1,4 +1,4 @@
-"""Call ASGI applications directly, without a server."""
+"""Call ASGI applications without a server."""
 
 from __future__ import annotations
 
