--- a/measurements/support/slopes_jobs.py
+++ b/measurements/support/slopes_jobs.py
@@ -19,7 +19,7 @@
 from pomeloyard.jobs.term import PLAN_INTERVAL, TICK
 from pomeloyard.outcomes import Done
 from pomeloyard.workers.client import HttpWorkerClient
-from pomeloyard.workers.links import IDLE_INTERVAL, RENEW_INTERVAL, TASK_LEASE
+from pomeloyard.workers.connections import IDLE_INTERVAL, RENEW_INTERVAL, TASK_LEASE
 from pomeloyard.workers.tasks import TaskReport, TaskState
 from tests.support.fake_workers import GIB, Bench
 
--- a/src/pomeloyard/jobs/preemptor.py
+++ b/src/pomeloyard/jobs/preemptor.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..decisions import Candidate, DecisionKind
-from ..workers.links import WorkerLinks
+from ..workers.connections import WorkerConnections
 from ..workers.tasks import TaskAction
 from .capacity import Demand, Worker
 from .job import Job, JobDecision, JobReason, JobState
@@ -73,7 +73,7 @@
         clock: Clock,
         table: JobTable,
         placer: Placer,
-        links: WorkerLinks,
+        links: WorkerConnections,
         record_decision: Callable[..., Any],
     ) -> None:
         self._clock = clock
@@ -229,7 +229,7 @@
             return
         link = self._links.by_name.get(reservation.preemption.worker)
         if link is not None:
-            self._links.hurry(link, POLL_INTERVAL)
+            self._links.call_soon(link, POLL_INTERVAL)
         retried = reservation.job.key in self._retried
         checkpoint_timeout = RETRY_CHECKPOINT_TIMEOUT if retried else CHECKPOINT_TIMEOUT
         if reservation.escalated or now < reservation.began + checkpoint_timeout:
--- a/src/pomeloyard/jobs/task_follower.py
+++ b/src/pomeloyard/jobs/task_follower.py
@@ -10,13 +10,13 @@
 import logbook
 
 from ..clock import Clock
-from ..workers.links import (
-    LATE_START,
+from ..workers.connections import (
+    LATE_START_WINDOW,
     RECOVERY_WAIT,
-    Link,
-    LinkEvents,
-    Track,
-    WorkerLinks,
+    AssignedTask,
+    WorkerConnections,
+    WorkerEvents,
+    WorkerState,
 )
 from ..workers.tasks import OUT_OF_MEMORY, TaskAction, TaskReport, TaskState
 from .estimates import Estimates, kind_of
@@ -45,10 +45,10 @@
     until: timedelta
 
 
-class TaskFollower(LinkEvents):
+class TaskFollower(WorkerEvents):
     """Tracks tasks from their start until their results are acknowledged."""
 
-    links: WorkerLinks
+    links: WorkerConnections
 
     def __init__(
         self,
@@ -78,7 +78,7 @@
             if not still or (after and after.task_id != before.task_id):
                 former = self.links.by_name.get(before.worker)
                 if former is not None:
-                    former.tracks.pop(before.task_id, None)
+                    former.tasks_by_id.pop(before.task_id, None)
                 self._cancelled.discard(before.key)
                 self._recovered.pop(before.key, None)
         if after is None or not after.placed:
@@ -98,13 +98,13 @@
             self._next_lease_check = now + LEASE_CHECK_INTERVAL
             for link in self.links.by_name.values():
                 if link.failures:
-                    for track in list(link.tracks.values()):
+                    for track in list(link.tasks_by_id.values()):
                         self._check_lease(track, now)
         for key in list(self._cancelled):
             job = self._table.get(key)
             if job is not None and job.placed:
                 current = self.links.by_name.get(job.worker)
-                if current is not None and job.task_id in current.tracks:
+                if current is not None and job.task_id in current.tasks_by_id:
                     self._stop(current, job.task_id)
 
     def _follow_recovered(self, now: timedelta) -> None:
@@ -120,12 +120,14 @@
                     self._mark_lost(job, JobReason.WORKER_GONE)
                 continue
             del self._recovered[key]
-            track = Track(key, None, ended_by, job.request.idempotent, recovered=True)
+            track = AssignedTask(
+                key, None, ended_by, job.request.idempotent, recovered=True
+            )
             track.superseded = job.fence != self._epoch
-            link.tracks.setdefault(job.task_id, track)
-            self.links.hurry(link)
+            link.tasks_by_id.setdefault(job.task_id, track)
+            self.links.call_soon(link)
 
-    def _check_lease(self, track: Track, now: timedelta) -> None:
+    def _check_lease(self, track: AssignedTask, now: timedelta) -> None:
         wait = timedelta(0) if track.idempotent else REPORT_WAIT
         job = self._table.get(track.job_key)
         if job is None or track.starting or now < track.ended_by + wait:
@@ -133,12 +135,12 @@
         if track.uncertain and not track.confirmed:
             # A paused worker may execute the order when it resumes, so its units
             # count toward the team's limit until the worker has answered.
-            late = _LateStart(job.team, job.units, now + LATE_START)
+            late = _LateStart(job.team, job.units, now + LATE_START_WINDOW)
             self._late_starts.setdefault(job.worker, {})[job.task_id] = late
             self._units_by_team[job.team] += job.units
         self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
 
-    def _expire_late_starts(self, link: Link, running: set[str]) -> None:
+    def _expire_late_starts(self, link: WorkerState, running: set[str]) -> None:
         now = self._clock.monotonic()
         late_starts = self._late_starts.get(link.name, {})
         for task_id, late in list(late_starts.items()):
@@ -146,18 +148,18 @@
                 del late_starts[task_id]
                 self._units_by_team[late.team] -= late.units
 
-    def worker_gone(self, link: Link) -> None:
+    def worker_removed(self, link: WorkerState) -> None:
         """Handle the loss of a worker that is no longer in the platform's VM list."""
         self._ended_tasks.pop(link.name, None)
         for late in self._late_starts.pop(link.name, {}).values():
             self._units_by_team[late.team] -= late.units
-        for track in list(link.tracks.values()):
+        for track in list(link.tasks_by_id.values()):
             job = self._table.get(track.job_key)
             if job is not None:
                 self._mark_lost(job, JobReason.WORKER_GONE)
 
     def reported(
-        self, link: Link, reports: Sequence[TaskReport], known: frozenset[str]
+        self, link: WorkerState, reports: Sequence[TaskReport], known: frozenset[str]
     ) -> None:
         """Handle a worker's reports; it had confirmed the ``known`` tasks before."""
         ended: list[str] = []
@@ -169,11 +171,11 @@
         reported = {report.task_id for report in reports}
         self._expire_late_starts(link, reported.difference(ended))
         up_since = self._up_since(reports)
-        for task_id, track in list(link.tracks.items()):
+        for task_id, track in list(link.tasks_by_id.items()):
             if task_id not in reported:
                 self._handle_missing(link, task_id, track, known, up_since)
 
-    def acknowledgeable(self, link: Link) -> list[str]:
+    def acknowledgeable(self, link: WorkerState) -> list[str]:
         """Return ended tasks whose results are in the store."""
         done: list[str] = []
         for task_id in self._ended_tasks.get(link.name, ()):
@@ -183,16 +185,16 @@
                 done.append(task_id)
         return done
 
-    def not_started(self, link: Link, task_id: str, track: Track) -> None:
+    def not_started(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
         """Handle a task that was definitely not started."""
         job = self._table.get(track.job_key)
         if job is not None and job.placed and job.task_id == task_id:
             self._table.set(not_started(job, self._clock.now()))
 
-    def expected_end(self, link: Link) -> timedelta | None:
+    def expected_end(self, link: WorkerState) -> timedelta | None:
         """Return when the worker's next task is expected to end."""
         soonest: float | None = None
-        for track in link.tracks.values():
+        for track in link.tasks_by_id.values():
             job = self._table.get(track.job_key)
             if job is None or job.assigned_at is None:
                 continue
@@ -205,7 +207,7 @@
             return None
         return self._clock.monotonic() + timedelta(seconds=soonest)
 
-    def _handle(self, link: Link, report: TaskReport) -> None:
+    def _handle(self, link: WorkerState, report: TaskReport) -> None:
         job = self._table.by_job_id(report.job_id)
         running = report.state is TaskState.RUNNING
         if job is not None and self._is_unrecorded(job, report):
@@ -216,11 +218,11 @@
             elif job is not None and job.state is JobState.QUEUED:
                 self._accept_late_result(job, report)
             return
-        track = link.tracks.get(report.task_id)
+        track = link.tasks_by_id.get(report.task_id)
         if track is None:
-            track = Track(job.key, None, self._clock.monotonic() + RECOVERY_WAIT)
+            track = AssignedTask(job.key, None, self._clock.monotonic() + RECOVERY_WAIT)
             track.idempotent = job.request.idempotent
-            link.tracks[report.task_id] = track
+            link.tasks_by_id[report.task_id] = track
         track.confirmed = True
         if not running:
             self._record_end(job, report)
@@ -237,7 +239,7 @@
             and int(attempt) > job.attempt
         )
 
-    def _adopt_task(self, link: Link, job: Job, report: TaskReport) -> Job:
+    def _adopt_task(self, link: WorkerState, job: Job, report: TaskReport) -> Job:
         adopted = replace(
             job,
             state=JobState.RUNNING,
@@ -264,9 +266,9 @@
 
     def _handle_missing(
         self,
-        link: Link,
+        link: WorkerState,
         task_id: str,
-        track: Track,
+        track: AssignedTask,
         known: frozenset[str],
         up_since: datetime,
     ) -> None:
@@ -297,7 +299,7 @@
                 self._table.set(not_started(job, self._clock.now()))
             else:
                 self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
-        elif track.uncertain and track.idempotent and track.order is not None:
+        elif track.uncertain and track.idempotent and track.start_request is not None:
             self.links.start_again(link, task_id, track)
         elif track.uncertain and now >= track.ended_by:
             self._mark_lost(job, JobReason.UNKNOWN)
@@ -329,7 +331,7 @@
         if job.placed:
             self._table.set(after_loss(job, reason, self._clock.now()))
 
-    def _stop(self, link: Link, task_id: str) -> None:
+    def _stop(self, link: WorkerState, task_id: str) -> None:
         now = self._clock.monotonic()
         last = self._stop_sent_at.get(task_id)
         if last is None or now >= last + STOP_RETRY_INTERVAL:
--- a/src/pomeloyard/jobs/term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -17,7 +17,7 @@
 from ..keyvalue.records import ConflictError, commit_changes
 from ..keyvalue.store import Compare, Entry, Store, WatchEvent
 from ..workers.client import WorkerClient
-from ..workers.links import TASK_LEASE, Track, WorkerLinks
+from ..workers.connections import TASK_LEASE, AssignedTask, WorkerConnections
 from ..workers.tasks import TaskStart
 from .capacity import CapacityIndex, Demand
 from .estimates import Estimates
@@ -80,7 +80,7 @@
         self.follower = TaskFollower(
             clock, self.table, self.estimates, self.placer.units_by_team, epoch
         )
-        self.links = WorkerLinks(clock, workers, epoch, self.follower)
+        self.links = WorkerConnections(clock, workers, epoch, self.follower)
         self.follower.links = self.links
         self.roster = WorkerRoster(
             clock, state, self.index, self.links, self.follower.quarantine
@@ -286,7 +286,7 @@
             checkpoint=job.checkpoint,
         )
         now = self._clock.monotonic()
-        track = Track(job.key, order, now, idempotent=job.request.idempotent)
+        track = AssignedTask(job.key, order, now, idempotent=job.request.idempotent)
         self.links.start(link, job.task_id, track)
 
     async def _remove_expired(self) -> None:
--- a/src/pomeloyard/jobs/worker_drain.py
+++ b/src/pomeloyard/jobs/worker_drain.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..fleet_state import FleetState
 from ..vm_platform.directory import Vm
-from ..workers.links import Link, WorkerLinks
+from ..workers.connections import WorkerConnections, WorkerState
 from ..workers.tasks import TaskAction
 from .table import JobTable
 
@@ -24,7 +24,7 @@
     """
 
     def __init__(
-        self, clock: Clock, state: FleetState, table: JobTable, links: WorkerLinks
+        self, clock: Clock, state: FleetState, table: JobTable, links: WorkerConnections
     ) -> None:
         self._clock = clock
         self._state = state
@@ -42,7 +42,7 @@
         vms = self._state.vm_list.vms_by_name
         for name, link in self._links.by_name.items():
             vm = vms.get(name)
-            if vm is None or self._state.accepts_work(vm) or not link.tracks:
+            if vm is None or self._state.accepts_work(vm) or not link.tasks_by_id:
                 self._draining_since.pop(name, None)
                 continue
             since = self._draining_since.setdefault(name, now)
@@ -59,8 +59,8 @@
         timeouts = [s.drain_timeout for s in services if s.pool == pool]
         return max(timeouts, default=DEFAULT_DRAIN_TIMEOUT)
 
-    def _move_tasks(self, link: Link, now: timedelta) -> None:
-        for task_id, track in link.tracks.items():
+    def _move_tasks(self, link: WorkerState, now: timedelta) -> None:
+        for task_id, track in link.tasks_by_id.items():
             job = self._table.get(track.job_key)
             if job is None or not track.confirmed or task_id in self._signalled_at:
                 continue
--- a/src/pomeloyard/jobs/worker_roster.py
+++ b/src/pomeloyard/jobs/worker_roster.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..fleet_state import FleetState
 from ..vm_platform.directory import Vm, VmListState, VmRole
-from ..workers.links import RECOVERY_WAIT, WorkerLinks
+from ..workers.connections import RECOVERY_WAIT, WorkerConnections
 from .capacity import CapacityIndex, Demand, Worker
 from .job import JobReason
 from .quarantine import Quarantine, WorkerHealth
@@ -22,14 +22,14 @@
 
 
 class WorkerRoster:
-    """Updates the capacity index and the worker links from the fleet state."""
+    """Updates the capacity index and the worker connections from the fleet state."""
 
     def __init__(
         self,
         clock: Clock,
         state: FleetState,
         index: CapacityIndex,
-        links: WorkerLinks,
+        links: WorkerConnections,
         quarantine: Quarantine,
     ) -> None:
         self._state = state
@@ -85,7 +85,7 @@
         known = self._links.by_name.get(vm.name)
         if known is not None and known.boot_id != vm.boot_id:
             self._quarantine.forget(vm.name)
-        link = self._links.put(vm.name, vm.address, vm.boot_id)
+        link = self._links.add_or_update(vm.name, vm.address, vm.boot_id)
         health = self._quarantine.health(vm.name)
         accepts = (
             self._state.accepts_work(vm)
--- a/src/pomeloyard/workers/links.py
+++ b/src/pomeloyard/workers/connections.py
@@ -30,7 +30,7 @@
 """Time after the write of a task's record in which its start may be sent, so that
 a daemon that was paused in between does not start a task that another scheduler
 has given up."""
-LATE_START = timedelta(seconds=60)
+LATE_START_WINDOW = timedelta(seconds=60)
 """Time after an unanswered start in which the task's report is not acknowledged:
 if the start arrives late, the worker still has the report and does not run the
 task again."""
@@ -45,7 +45,7 @@
 
 
 @dataclass
-class Track:
+class AssignedTask:
     """A task assigned to a worker.
 
     ``confirmed``: the worker is known to have it. ``uncertain``: a start had an
@@ -55,7 +55,7 @@
     """
 
     job_key: str
-    order: TaskStart | None
+    start_request: TaskStart | None
     ended_by: timedelta
     idempotent: bool = False
     confirmed: bool = False
@@ -66,7 +66,7 @@
 
 
 @dataclass
-class Link:
+class WorkerState:
     """State of one worker under this fencing token."""
 
     name: str
@@ -76,8 +76,8 @@
     answered: bool = False
     failures: int = 0
     busy: bool = False
-    tracks: dict[str, Track] = field(default_factory=dict)
-    keep_until: dict[str, timedelta] = field(default_factory=dict)
+    tasks_by_id: dict[str, AssignedTask] = field(default_factory=dict)
+    unacknowledged_until: dict[str, timedelta] = field(default_factory=dict)
 
     @property
     def reachable(self) -> bool:
@@ -85,37 +85,37 @@
         return self.answered and self.failures < FAILURES_BEFORE_PROBING
 
 
-class LinkEvents(ABC):
+class WorkerEvents(ABC):
     """Callbacks of the scheduler for the results of calls to workers."""
 
     @abstractmethod
     def reported(
-        self, link: Link, reports: Sequence[TaskReport], known: frozenset[str]
+        self, link: WorkerState, reports: Sequence[TaskReport], known: frozenset[str]
     ) -> None:
         """Handle all reports of a worker, which certainly had the ``known`` tasks."""
 
     @abstractmethod
-    def worker_gone(self, link: Link) -> None:
+    def worker_removed(self, link: WorkerState) -> None:
         """End the tasks of a worker that is no longer in the platform's VM list."""
 
     @abstractmethod
-    def acknowledgeable(self, link: Link) -> list[str]:
+    def acknowledgeable(self, link: WorkerState) -> list[str]:
         """Return ended tasks whose results have been stored."""
 
     @abstractmethod
-    def not_started(self, link: Link, task_id: str, track: Track) -> None:
+    def not_started(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
         """Handle a task that certainly was not started."""
 
     @abstractmethod
-    def expected_end(self, link: Link) -> timedelta | None:
+    def expected_end(self, link: WorkerState) -> timedelta | None:
         """Return the expected end of the worker's task that ends next, if known."""
 
 
-class WorkerLinks:
+class WorkerConnections:
     """Calls to all workers, with a limit on parallel calls."""
 
     def __init__(
-        self, clock: Clock, client: WorkerClient, fence: int, events: LinkEvents
+        self, clock: Clock, client: WorkerClient, fence: int, events: WorkerEvents
     ) -> None:
         self._clock = clock
         self._client = client
@@ -127,7 +127,7 @@
         self._tasks: TaskGroup | None = None
         self.stale = anyio.Event()
         """Set when a worker has refused a call because of a newer fencing token."""
-        self.by_name: dict[str, Link] = {}
+        self.by_name: dict[str, WorkerState] = {}
         self.health_changed = False
         """Set when a worker has become reachable or unreachable."""
 
@@ -145,11 +145,11 @@
                         tasks.start_soon(self._call_worker, link)
                 await self._clock.sleep(POLL_INTERVAL)
 
-    def put(self, name: str, address: str, boot_id: str) -> Link:
+    def add_or_update(self, name: str, address: str, boot_id: str) -> WorkerState:
         """Add a worker, or update its address and boot id."""
         link = self.by_name.get(name)
         if link is None:
-            link = Link(name, address, boot_id, self._clock.monotonic())
+            link = WorkerState(name, address, boot_id, self._clock.monotonic())
             self.by_name[name] = link
             heapq.heappush(self._due_heap, (link.due, name))
         link.address, link.boot_id = address, boot_id
@@ -157,9 +157,9 @@
 
     def remove(self, name: str) -> None:
         """Remove a worker that no longer exists; its tasks have ended."""
-        self._events.worker_gone(self.by_name.pop(name))
+        self._events.worker_removed(self.by_name.pop(name))
 
-    def hurry(self, link: Link, after: timedelta = timedelta(0)) -> None:
+    def call_soon(self, link: WorkerState, after: timedelta = timedelta(0)) -> None:
         """Call a worker sooner than scheduled."""
         due = self._clock.monotonic() + after
         if due < link.due:
@@ -167,38 +167,42 @@
             if not link.busy:
                 heapq.heappush(self._due_heap, (due, link.name))
 
-    def start(self, link: Link, task_id: str, track: Track) -> None:
+    def start(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
         """Start a task in the background; its record must already be stored."""
-        link.tracks[task_id] = track
+        link.tasks_by_id[task_id] = track
         self._start_in_background(link, task_id, track)
 
-    def start_again(self, link: Link, task_id: str, track: Track) -> None:
+    def start_again(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
         """Repeat a start whose outcome is unknown, with the same task id."""
-        if not track.starting and track.order is not None:
+        if not track.starting and track.start_request is not None:
             self._start_in_background(link, task_id, track)
 
-    def signal(self, link: Link, task_id: str, action: TaskAction) -> None:
+    def signal(self, link: WorkerState, task_id: str, action: TaskAction) -> None:
         """Request an action on a task in the background."""
         assert self._tasks is not None
         self._tasks.start_soon(self._signal, link, task_id, action)
 
-    def _start_in_background(self, link: Link, task_id: str, track: Track) -> None:
+    def _start_in_background(
+        self, link: WorkerState, task_id: str, track: AssignedTask
+    ) -> None:
         assert self._tasks is not None
         track.starting = True
         sent_by = self._clock.monotonic() + MAX_START_DELAY
         self._tasks.start_soon(self._start, link, task_id, track, sent_by)
 
     async def _start(
-        self, link: Link, task_id: str, track: Track, sent_by: timedelta
+        self, link: WorkerState, task_id: str, track: AssignedTask, sent_by: timedelta
     ) -> None:
-        assert track.order is not None
+        assert track.start_request is not None
         async with self._limiter(link):
             outcome: Outcome[None]
             if self._clock.monotonic() > sent_by:
                 reason = RefusalReason.DEADLINE_PASSED
                 outcome = Refused(reason, "start was delayed")
             else:
-                outcome = await self._client.start_task(link.address, track.order)
+                outcome = await self._client.start_task(
+                    link.address, track.start_request
+                )
         track.starting = False
         if self._is_stale(outcome):
             return
@@ -206,30 +210,32 @@
         if isinstance(outcome, Done):
             track.confirmed = True
             track.ended_by = now + TASK_LEASE + LEASE_MARGIN
-            self.hurry(link, self._call_interval(link))
+            self.call_soon(link, self._call_interval(link))
         elif not isinstance(outcome, Refused):
             track.uncertain = True
             track.ended_by = now + TASK_LEASE + LEASE_MARGIN
-            link.keep_until[task_id] = now + LATE_START
-            self.hurry(link)
+            link.unacknowledged_until[task_id] = now + LATE_START_WINDOW
+            self.call_soon(link)
         elif not track.uncertain:
             if outcome.reason is RefusalReason.ENDPOINT_UNREACHABLE:
                 # The worker gets no other tasks until it has answered again.
                 link.failures = max(link.failures, FAILURES_BEFORE_PROBING)
                 self.health_changed = True
-                self.hurry(link)
-            link.tracks.pop(task_id, None)
+                self.call_soon(link)
+            link.tasks_by_id.pop(task_id, None)
             self._events.not_started(link, task_id, track)
 
-    async def _signal(self, link: Link, task_id: str, action: TaskAction) -> None:
+    async def _signal(
+        self, link: WorkerState, task_id: str, action: TaskAction
+    ) -> None:
         async with self._limiter(link):
             outcome = await self._client.signal(
                 link.address, task_id, self._fence, action
             )
         self._is_stale(outcome)
-        self.hurry(link, SIGNAL_REPORT_DELAY)
+        self.call_soon(link, SIGNAL_REPORT_DELAY)
 
-    async def _call_worker(self, link: Link) -> None:
+    async def _call_worker(self, link: WorkerState) -> None:
         try:
             async with self._limiter(link):
                 await self._acknowledge(link)
@@ -241,22 +247,28 @@
                 link.due = self._clock.monotonic() + wait
                 heapq.heappush(self._due_heap, (link.due, link.name))
 
-    async def _acknowledge(self, link: Link) -> None:
+    async def _acknowledge(self, link: WorkerState) -> None:
         now = self._clock.monotonic()
-        for task_id in [t for t, until in link.keep_until.items() if until <= now]:
-            del link.keep_until[task_id]
+        for task_id in [
+            t for t, until in link.unacknowledged_until.items() if until <= now
+        ]:
+            del link.unacknowledged_until[task_id]
         ended = self._events.acknowledgeable(link)
-        ended = [task_id for task_id in ended if task_id not in link.keep_until]
+        ended = [
+            task_id for task_id in ended if task_id not in link.unacknowledged_until
+        ]
         if ended and not link.failures:
             outcome = await self._client.acknowledge(link.address, self._fence, ended)
             self._is_stale(outcome)
 
-    async def _renew(self, link: Link) -> None:
-        known = frozenset(t for t, track in link.tracks.items() if track.confirmed)
+    async def _renew(self, link: WorkerState) -> None:
+        known = frozenset(t for t, track in link.tasks_by_id.items() if track.confirmed)
         renewed: list[str] = []
         if link.failures < FAILURES_BEFORE_PROBING:
             renewed = [
-                t for t, track in link.tracks.items() if t in known or track.recovered
+                t
+                for t, track in link.tasks_by_id.items()
+                if t in known or track.recovered
             ]
         outcome = await self._client.renew(
             link.address, self._fence, TASK_LEASE.total_seconds(), renewed
@@ -266,7 +278,7 @@
         now = self._clock.monotonic()
         if not isinstance(outcome, Refused):
             for task_id in renewed:
-                track = link.tracks.get(task_id)
+                track = link.tasks_by_id.get(task_id)
                 if track is not None:
                     track.ended_by = now + TASK_LEASE + LEASE_MARGIN
         was_reachable = link.reachable
@@ -279,9 +291,9 @@
         if link.reachable is not was_reachable:
             self.health_changed = True
 
-    def _call_interval(self, link: Link) -> timedelta:
-        if not link.tracks:
-            return IDLE_INTERVAL if not link.keep_until else RENEW_INTERVAL
+    def _call_interval(self, link: WorkerState) -> timedelta:
+        if not link.tasks_by_id:
+            return IDLE_INTERVAL if not link.unacknowledged_until else RENEW_INTERVAL
         expected = self._events.expected_end(link)
         if expected is None:
             return RENEW_INTERVAL
@@ -290,7 +302,7 @@
             RENEW_INTERVAL,
         )
 
-    def _limiter(self, link: Link) -> anyio.CapacityLimiter:
+    def _limiter(self, link: WorkerState) -> anyio.CapacityLimiter:
         return self._unresponsive_calls if link.failures else self._calls
 
     def _is_stale(self, outcome: Outcome[None] | Outcome[list[TaskReport]]) -> bool:
