--- a/measurements/support/target_fleet.py
+++ b/measurements/support/target_fleet.py
@@ -81,7 +81,7 @@
         maintained_at=START,
     )
     for _ in range(MAX_REASONS):
-        record = record.after(START, VmState.IN_SERVICE, Cause.TRIAL_PASSED)
+        record = record.with_step(START, VmState.IN_SERVICE, Cause.TRIAL_PASSED)
     return record
 
 
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -31,7 +31,7 @@
 from .fleet.drain_notices import DrainNotices
 from .fleet.drains import JobTaskCounts
 from .fleet.health_reports import HealthReports
-from .fleet.health_sources import WorkerObserver, note_executor
+from .fleet.health_sources import WorkerObserver, record_executor_outcome
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
 from .heartbeats import HeartbeatBook
@@ -204,9 +204,9 @@
             self.store,
             self.directory,
             self.decisions,
-            self.drain_notices.ask,
+            self.drain_notices.query_running,
             JobTaskCounts(self.store),
-            self.drain_notices.announce,
+            self.drain_notices.broadcast_state,
             self._demand_by_pool,
         )
         self.scheduler = Scheduler(
@@ -214,11 +214,14 @@
         )
         self.roles_by_name: dict[str, RoleCandidate] = {}
         self.health_reports = HealthReports(
-            self.clock, self.peers, self.state, self.controller.repairs.health.observe
+            self.clock,
+            self.peers,
+            self.state,
+            self.controller.repairs.health_tracker.observe,
         )
         self.router.on_outcome = self._on_executor_outcome
         self.worker_observer = WorkerObserver(
-            self.clock, self.scheduler, self.health_reports.note
+            self.clock, self.scheduler, self.health_reports.record
         )
 
     def _build_monitoring(self) -> None:
@@ -403,8 +406,10 @@
         self.claims.refresh()
         self.router.forget_except(self.state.vm_list.vms_by_name)
 
-    def _on_executor_outcome(self, vm: str, failed: bool, silent: bool) -> None:
-        note_executor(self.health_reports.note, vm, failed=failed, silent=silent)
+    def _on_executor_outcome(self, vm: str, failed: bool, unresponsive: bool) -> None:
+        record_executor_outcome(
+            self.health_reports.record, vm, failed=failed, unresponsive=unresponsive
+        )
 
     def _zone_of(self, vm: str) -> str:
         record = self.state.vm_list.vms_by_name.get(vm)
--- a/src/pomeloyard/fleet/controller.py
+++ b/src/pomeloyard/fleet/controller.py
@@ -19,7 +19,7 @@
 from .maintenance import MaintenanceSchedule
 from .operations import VmOperations
 from .records import FleetRecords
-from .repair import HealthTracker
+from .repair_planning import HealthTracker
 from .repairs import RepairManager
 from .vms import VmRecord
 from .wave_runner import WaveRunner
@@ -45,13 +45,13 @@
         decisions: DecisionLog,
         query_running: QueryRunning,
         tasks: TaskCounts,
-        announce: Callable[[VmRecord], None] = lambda record: None,
+        broadcast_state: Callable[[VmRecord], None] = lambda record: None,
         demand_by_pool: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._clock = clock
         self._state = state
         self.records = FleetRecords(store, clock, state)
-        self.operations = VmOperations(self.records, decisions, announce)
+        self.operations = VmOperations(self.records, decisions, broadcast_state)
         self.waves = WaveRunner(self.records, self.operations, decisions)
         self.maintenance = MaintenanceSchedule(self.records, self.waves)
         self.repairs = RepairManager(
--- a/src/pomeloyard/fleet/drain_notices.py
+++ b/src/pomeloyard/fleet/drain_notices.py
@@ -35,13 +35,13 @@
         self._network.on(DrainNotice, self._on_notice)
         self._network.on(RunningQuery, self._on_query)
 
-    def announce(self, record: VmRecord) -> None:
+    def broadcast_state(self, record: VmRecord) -> None:
         """Send a VM's state to all daemons, ahead of their store watches."""
         self._network.broadcast(
             DrainNotice(record.name, record.state.value, record.epoch)
         )
 
-    async def ask(self, incarnation: str, record: VmRecord) -> int | None:
+    async def query_running(self, incarnation: str, record: VmRecord) -> int | None:
         """Return how many requests a daemon runs at a VM, or None without an answer."""
         if incarnation == self._network.hello.incarnation:
             return self._running_at(record.name)
@@ -57,11 +57,11 @@
 
     def _on_notice(self, sender: str, notice: DrainNotice) -> None:
         if notice.state != VmState.IN_SERVICE.value:
-            self._state.note_drain(notice.vm, notice.epoch)
+            self._state.record_drain_notice(notice.vm, notice.epoch)
 
     def _on_query(self, sender: str, query: RunningQuery) -> None:
         # A query also acts as a notice, so that an answer of 0 means that this
         # daemon sends no more requests to the VM either.
-        self._state.note_drain(query.vm, query.epoch)
+        self._state.record_drain_notice(query.vm, query.epoch)
         running = self._running_at(query.vm)
         self._network.send(sender, RunningReply(query.request_id, query.vm, running))
--- a/src/pomeloyard/fleet/health_reports.py
+++ b/src/pomeloyard/fleet/health_reports.py
@@ -10,7 +10,7 @@
 from ..fleet_state import FleetState
 from ..peers.messages import HealthReport, VmOutcomes
 from ..peers.streams import PeerNetwork
-from .repair import Observation, ObservationKind
+from .repair_planning import Observation, ObservationKind
 
 REPORT_INTERVAL = timedelta(seconds=5)
 MAX_REPORTED_OUTCOMES = 50
@@ -37,7 +37,7 @@
         """Register the handler for other daemons' reports."""
         self._network.on(HealthReport, self._on_report)
 
-    def note(self, vm: str, kind: ObservationKind) -> None:
+    def record(self, vm: str, kind: ObservationKind) -> None:
         """Count one outcome of a request or task, or one health check."""
         self._counts[vm, kind] += 1
 
--- a/src/pomeloyard/fleet/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..jobs.quarantine import WorkerHealth
 from ..jobs.scheduler import Scheduler
-from .repair import ObservationKind
+from .repair_planning import ObservationKind
 
 RecordObservation = Callable[[str, ObservationKind], None]
 
@@ -17,11 +17,11 @@
 counts as failed."""
 
 
-def note_executor(
-    record: RecordObservation, vm: str, *, failed: bool, silent: bool
+def record_executor_outcome(
+    record: RecordObservation, vm: str, *, failed: bool, unresponsive: bool
 ) -> None:
     """Record the outcome of one request at an executor."""
-    if silent:
+    if unresponsive:
         record(vm, ObservationKind.UNRESPONSIVE)
     elif failed:
         record(vm, ObservationKind.REQUEST_FAILED)
--- a/src/pomeloyard/fleet/operations.py
+++ b/src/pomeloyard/fleet/operations.py
@@ -26,11 +26,11 @@
         self,
         records: FleetRecords,
         decisions: DecisionLog,
-        announce: Callable[[VmRecord], None] = lambda record: None,
+        broadcast_state: Callable[[VmRecord], None] = lambda record: None,
     ) -> None:
         self._records = records
         self._decisions = decisions
-        self._announce = announce
+        self._broadcast_state = broadcast_state
 
     async def drain(
         self,
@@ -72,7 +72,7 @@
         record = await self._records.change(
             name, lambda current: vm_steps.begin_drain(current, now, order)
         )
-        self._announce(record)
+        self._broadcast_state(record)
         self._record_decision(DecisionKind.DRAIN, record, plan.value, cause)
         return record
 
--- a/src/pomeloyard/fleet/records.py
+++ b/src/pomeloyard/fleet/records.py
@@ -81,7 +81,7 @@
             rack=vm.rack,
             boot_id=vm.boot_id,
             maintained_at=now,
-        ).after(now, VmState.IN_SERVICE, Cause.ADOPTED, detail=vm.pool)
+        ).with_step(now, VmState.IN_SERVICE, Cause.ADOPTED, detail=vm.pool)
         await self._commit(None, record)
         self.state.vm_records_by_name[name] = record
 
--- a/src/pomeloyard/fleet/repairs.py
+++ b/src/pomeloyard/fleet/repairs.py
@@ -11,7 +11,13 @@
 from . import vm_steps
 from .operations import VmOperations
 from .records import FleetRecords
-from .repair import REPAIR_PREFIX, HealthTracker, RepairAlarm, Suspicion, plan_repairs
+from .repair_planning import (
+    REPAIR_PREFIX,
+    HealthTracker,
+    RepairAlarm,
+    Suspicion,
+    plan_repairs,
+)
 from .vms import Cause, VmPlan, VmRecord, VmState
 
 CONTROLLER = "controller"
@@ -27,17 +33,17 @@
         records: FleetRecords,
         operations: VmOperations,
         decisions: DecisionLog,
-        health: HealthTracker,
+        health_tracker: HealthTracker,
     ) -> None:
         self._records = records
         self._operations = operations
         self._decisions = decisions
-        self.health = health
+        self.health_tracker = health_tracker
         self.alarms_by_pool: dict[str, RepairAlarm] = {}
 
     def is_failing(self, name: str) -> bool:
         """Tell whether a VM on trial fails its requests or tasks."""
-        return self.health.is_failing(name, self._records.clock.now())
+        return self.health_tracker.is_failing(name, self._records.clock.now())
 
     async def step(self) -> None:
         """Record boots and start the repairs that each pool's limit allows."""
@@ -48,7 +54,7 @@
             by_pool.setdefault(vm.pool, {})[name] = vm
         share = self._records.state.config.maintenance.max_repairs
         for pool, vms in sorted(by_pool.items()):
-            suspicions = self.health.suspicions(vms, now)
+            suspicions = self.health_tracker.suspicions(vms, now)
             plan = plan_repairs(pool, vms, suspicions, now, share)
             self._update_alarm(pool, plan.alarm)
             for suspicion in plan.fail:
@@ -71,7 +77,7 @@
         except (ConflictError, RefusedError) as error:
             log.info("VM {} not taken out of service: {}", suspicion.vm, error)
             return
-        self.health.reset(suspicion.vm)
+        self.health_tracker.reset(suspicion.vm)
         self._record_decision(suspicion.vm, "fail", suspicion.cause, suspicion.evidence)
 
     async def _drain(
@@ -89,7 +95,7 @@
         except (ConflictError, RefusedError) as error:
             log.info("repair of VM {} not started: {}", name, error)
             return
-        self.health.reset(name)
+        self.health_tracker.reset(name)
         self._record_decision(name, plan.value, cause, evidence)
 
     def _record_boots(self) -> None:
@@ -99,7 +105,7 @@
             if record is None or vm.state is VmListState.GONE:
                 continue
             planned = record.state is not VmState.IN_SERVICE
-            self.health.record_boot(name, vm.boot_id, now, planned)
+            self.health_tracker.record_boot(name, vm.boot_id, now, planned)
 
     def _update_alarm(self, pool: str, alarm: RepairAlarm | None) -> None:
         if alarm is None:
--- a/src/pomeloyard/fleet/vm_steps.py
+++ b/src/pomeloyard/fleet/vm_steps.py
@@ -60,7 +60,7 @@
             Refused(RefusalReason.INVALID_INPUT, f"{record.name} is in {record.pool}")
         )
     deadline = now + order.drain_timeout
-    return record.after(
+    return record.with_step(
         now,
         VmState.DRAINING,
         order.cause,
@@ -91,7 +91,7 @@
     """Record that nothing runs at the VM any more."""
     if record.state is not VmState.DRAINING:
         return None
-    return record.after(
+    return record.with_step(
         now, VmState.DRAINED, cause, waiting=None, asked=(), deadline=None
     )
 
@@ -131,7 +131,7 @@
     if record.state is not VmState.REBOOTING:
         return None
     if _is_live(vm) and vm is not None and vm.boot_id != record.boot_id:
-        return record.after(
+        return record.with_step(
             now,
             VmState.TRIAL,
             Cause.NEW_BOOT,
@@ -158,7 +158,7 @@
             return None
         return _next_assign(record, now, timeout, Cause.OPERATION_TIMED_OUT)
     returned = record.home_pool == record.target_pool
-    return record.after(
+    return record.with_step(
         now,
         VmState.TRIAL,
         Cause.ASSIGNED,
@@ -178,10 +178,10 @@
     if record.state is not VmState.TRIAL:
         return None
     if failing or vm is None or vm.state is VmListState.GONE:
-        return record.after(now, VmState.FAILED, Cause.TRIAL_FAILED, failed_at=now)
+        return record.with_step(now, VmState.FAILED, Cause.TRIAL_FAILED, failed_at=now)
     if vm.boot_id != record.boot_id:
         # A delayed operation of an earlier attempt has rebooted the VM again.
-        return record.after(
+        return record.with_step(
             now,
             VmState.TRIAL,
             Cause.NEW_BOOT,
@@ -205,7 +205,7 @@
     # A repair that replaces the VM has already recorded its loss.
     in_repair = record.plan is VmPlan.REPLACE and not record.wave
     if lost or (record.state in UNDOABLE and gone and not in_repair):
-        return record.after(
+        return record.with_step(
             now,
             VmState.FAILED,
             Cause.VM_GONE if gone else Cause.VM_LEAVING,
@@ -218,13 +218,13 @@
         record.reasons[-1].cause is Cause.VM_LEAVING
     )
     if taken_away and gone:
-        return record.after(now, VmState.FAILED, Cause.VM_GONE)
+        return record.with_step(now, VmState.FAILED, Cause.VM_GONE)
     lost_by_list = record.state is VmState.FAILED and record.reasons[-1].cause in (
         Cause.VM_GONE,
         Cause.VM_LEAVING,
     )
     if lost_by_list and _is_live(vm) and vm is not None:
-        return record.after(
+        return record.with_step(
             now, VmState.TRIAL, Cause.VM_BACK, boot_id=vm.boot_id, deadline=now
         )
     return None
@@ -234,7 +234,7 @@
     """Take a VM out of service that a detector found failed."""
     if record.state is not VmState.IN_SERVICE:
         return None
-    return record.after(
+    return record.with_step(
         now,
         VmState.FAILED,
         cause,
@@ -256,7 +256,7 @@
     if record.state in UNDOABLE and _is_live(vm):
         return _in_service(record, now, cause, by)
     boot_id = vm.boot_id if vm is not None else record.boot_id
-    return record.after(
+    return record.with_step(
         now, VmState.TRIAL, cause, by=by, boot_id=boot_id, deadline=now, asked=()
     )
 
@@ -270,7 +270,7 @@
 
 def _in_service(record: VmRecord, now: datetime, cause: Cause, by: str) -> VmRecord:
     rebooted = record.plan in OPERATIONS_BY_PLAN and cause is Cause.TRIAL_PASSED
-    return record.after(
+    return record.with_step(
         now,
         VmState.IN_SERVICE,
         cause,
@@ -294,7 +294,7 @@
 ) -> VmRecord:
     operations: Sequence[VmOperation] = OPERATIONS_BY_PLAN[record.plan]
     if record.attempts >= len(operations):
-        return record.after(
+        return record.with_step(
             now,
             VmState.SET_ASIDE,
             Cause.ATTEMPTS_USED_UP,
@@ -303,7 +303,7 @@
             last_wave=record.wave or record.last_wave,
             failed_at=now,
         )
-    return record.after(
+    return record.with_step(
         now,
         VmState.REBOOTING,
         cause,
@@ -319,7 +319,7 @@
     record: VmRecord, now: datetime, timeout: timedelta, cause: Cause
 ) -> VmRecord:
     if record.attempts >= ASSIGN_ATTEMPTS:
-        return record.after(
+        return record.with_step(
             now,
             VmState.SET_ASIDE,
             Cause.ATTEMPTS_USED_UP,
@@ -327,7 +327,7 @@
             deadline=None,
             failed_at=now,
         )
-    return record.after(
+    return record.with_step(
         now,
         VmState.MOVING,
         cause,
--- a/src/pomeloyard/fleet/vms.py
+++ b/src/pomeloyard/fleet/vms.py
@@ -133,7 +133,7 @@
             and now >= self.deadline
         )
 
-    def after(
+    def with_step(
         self,
         now: datetime,
         state: VmState,
--- a/src/pomeloyard/fleet/wave_runner.py
+++ b/src/pomeloyard/fleet/wave_runner.py
@@ -108,7 +108,7 @@
             targets=targets or self._targets(scope),
             started_at=now,
             scope=scope,
-        ).after(now, WaveState.RUNNING, cause, by)
+        ).with_step(now, WaveState.RUNNING, cause, by)
         key = layout.WAVES + wave.wave_id
         await commit_changes(self._records.store, [Change(key, wave, None)])
         self._record_decision(wave, "start", cause)
@@ -228,7 +228,7 @@
         if failure is None:
             return None
         detail = f"{failure.domain}: {', '.join(failure.vms)}"
-        return wave.after(now, WaveState.STOPPED, failure.cause, detail=detail)
+        return wave.with_step(now, WaveState.STOPPED, failure.cause, detail=detail)
 
     def _update_held_pools(
         self, wave: WaveRecord, now: datetime, held: set[str]
@@ -240,7 +240,7 @@
         if held_pools == wave.held_pools:
             return None
         cause = WaveCause.BUDGET_USED_UP if held_pools else WaveCause.LOSS_OVER
-        changed = wave.after(now, wave.state, cause, detail=", ".join(held_pools))
+        changed = wave.with_step(now, wave.state, cause, detail=", ".join(held_pools))
         return replace(changed, held_pools=held_pools)
 
     def _is_finished(
@@ -262,7 +262,7 @@
         left = [*by_progress[Progress.SET_ASIDE], *by_progress[Progress.HELD]]
         skipped = tuple(sorted(vm.name for vm in left))
         detail = f"{len(wave.targets) - len(skipped)} of {len(wave.targets)} VMs"
-        done = wave.after(now, WaveState.DONE, WaveCause.ALL_DONE, detail=detail)
+        done = wave.with_step(now, WaveState.DONE, WaveCause.ALL_DONE, detail=detail)
         return replace(done, skipped=skipped, ended_at=now)
 
     async def _undo_drains(
--- a/src/pomeloyard/fleet/waves.py
+++ b/src/pomeloyard/fleet/waves.py
@@ -95,7 +95,7 @@
         """Tell whether the wave has ended."""
         return self.state in (WaveState.CANCELLED, WaveState.DONE)
 
-    def after(
+    def with_step(
         self,
         now: datetime,
         state: WaveState,
@@ -125,7 +125,7 @@
         last = wave.reasons[-1]
         detail = f"wave {wave.wave_id} is {wave.state.value} ({last.cause.value})"
         raise RefusedError(Refused(RefusalReason.CONFLICT, detail))
-    changed = wave.after(now, state, WaveCause.OPERATOR, by)
+    changed = wave.with_step(now, state, WaveCause.OPERATOR, by)
     if state is WaveState.RUNNING:
         changed = replace(changed, counted_from=now)
     if state is WaveState.CANCELLED:
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -53,7 +53,7 @@
     drain_epochs_by_vm: dict[str, int] = field(default_factory=dict)
     """Epochs of drains that peers announced, perhaps before the watch did."""
 
-    def note_drain(self, name: str, epoch: int) -> None:
+    def record_drain_notice(self, name: str, epoch: int) -> None:
         """Stop new work at a VM until its record of a later epoch arrives."""
         known = self.drain_epochs_by_vm.get(name, 0)
         self.drain_epochs_by_vm[name] = max(known, epoch)
--- a/tests/test_drain_notices.py
+++ b/tests/test_drain_notices.py
@@ -33,13 +33,13 @@
     sender, _ = daemon("a", networks)
     _, state = daemon("b", networks)
     assert state.accepts_work(VM)
-    sender.announce(DRAINING)
+    sender.broadcast_state(DRAINING)
     assert not state.accepts_work(VM)
     # The record of the return is newer than the notice.
     state.vm_records_by_name[VM.name] = VmRecord(VM.name, VM.role, "mill", epoch=6)
     assert state.accepts_work(VM)
     # A delayed notice has no effect.
-    sender.announce(DRAINING)
+    sender.broadcast_state(DRAINING)
     assert state.accepts_work(VM)
 
 
@@ -50,10 +50,10 @@
         networks = {}
         querying, _ = daemon("a", networks, running=3)
         _, state = daemon("b", networks, running=2)
-        assert await querying.ask("b", DRAINING) == 2
+        assert await querying.query_running("b", DRAINING) == 2
         assert not state.accepts_work(VM)
-        assert await querying.ask("a", DRAINING) == 3
-        assert await querying.ask("unreachable", DRAINING) is None
+        assert await querying.query_running("a", DRAINING) == 3
+        assert await querying.query_running("unreachable", DRAINING) is None
 
     run(body)
 
--- a/tests/test_health_sources.py
+++ b/tests/test_health_sources.py
@@ -8,24 +8,27 @@
 import pytest
 
 from pomeloyard.clock import ManualClock
-from pomeloyard.fleet.health_sources import WorkerObserver, note_executor
-from pomeloyard.fleet.repair import ObservationKind
+from pomeloyard.fleet.health_sources import WorkerObserver, record_executor_outcome
+from pomeloyard.fleet.repair_planning import ObservationKind
 from pomeloyard.jobs.quarantine import WorkerHealth
 
 
 @pytest.mark.parametrize(
-    ("failed", "silent", "kind"),
+    ("failed", "unresponsive", "kind"),
     [
         (False, False, ObservationKind.REQUEST_DONE),
         (True, False, ObservationKind.REQUEST_FAILED),
         (True, True, ObservationKind.UNRESPONSIVE),
     ],
 )
-def test_request_outcome_is_recorded(failed, silent, kind):
+def test_request_outcome_is_recorded(failed, unresponsive, kind):
     """Guards against counting an unresponsive executor as merely failing."""
     recorded = Counter()
-    note_executor(
-        lambda vm, k: recorded.update([(vm, k)]), "e1", failed=failed, silent=silent
+    record_executor_outcome(
+        lambda vm, k: recorded.update([(vm, k)]),
+        "e1",
+        failed=failed,
+        unresponsive=unresponsive,
     )
     assert recorded == {("e1", kind): 1}
 
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pomeloyard.fleet.health_reports import HealthReports
-from pomeloyard.fleet.repair import Observation, ObservationKind
+from pomeloyard.fleet.repair_planning import Observation, ObservationKind
 from pomeloyard.fleet.vms import Cause, VmRecord, VmState
 from pomeloyard.fleet_state import FleetState, RoleRecord
 from pomeloyard.keyvalue import layout
@@ -31,7 +31,7 @@
     for controller in fleet.controllers:
         for _ in range(count):
             observation = Observation(name, kind, fleet.clock.now())
-            controller.repairs.health.observe(observation)
+            controller.repairs.health_tracker.observe(observation)
 
 
 def observe_rest(fleet, failures=0):
@@ -207,7 +207,7 @@
 
     async def body():
         fleet = await new_fleet()
-        health = fleet.controller.repairs.health
+        health = fleet.controller.repairs.health_tracker
         networks = {}
         reports = {}
         for name in ("entry-1.a", "entry-2.b"):
@@ -218,7 +218,7 @@
         observe_rest(fleet)
         for report in reports.values():
             for _ in range(6):
-                report.note(FAULTY_VM, FAILED)
+                report.record(FAULTY_VM, FAILED)
             report.report()
         [suspicion] = health.suspicions([FAULTY_VM, "orders-e000"], fleet.clock.now())
         assert suspicion.cause is Cause.VM_FAILED
