--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -131,5 +131,5 @@
     for node in nodes:
         node.capacity.on_state_change()
         tasks.start_soon(node.capacity.run)
-        tasks.start_soon(node.capacity.run_repeats)
+        tasks.start_soon(node.capacity.run_retransmissions)
     return nodes
--- a/measurements/support/slopes_capacity.py
+++ b/measurements/support/slopes_capacity.py
@@ -1,4 +1,4 @@
-"""Coordinator and loan book, with the product's capacity service of one daemon."""
+"""Coordinator and loan ledger, with the product's capacity service of one daemon."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 from measurements.figures import Figure
 from pomeloyard.allocation.admission import AdmissionController
-from pomeloyard.allocation.loans import LIMIT, SLOTS, LoanBook, Resource
-from pomeloyard.allocation.partitions import vm_of
-from pomeloyard.allocation.service import BUSY_INTERVAL, CapacityService
+from pomeloyard.allocation.loans import LIMIT, SLOTS, LoanLedger, Resource
+from pomeloyard.allocation.partitions import vm_name_of
+from pomeloyard.allocation.service import BUSY_REPORT_INTERVAL, CapacityService
 from pomeloyard.clock import ManualClock
 from pomeloyard.fleet_state import FleetState
 from pomeloyard.peers.codec import LENGTH, decode_payload, encode_frame
@@ -46,7 +46,7 @@
 
 ROUNDS = 12
 SEED = 7
-ROUNDS_PER_SECOND = 1 / BUSY_INTERVAL.total_seconds()
+ROUNDS_PER_SECOND = 1 / BUSY_REPORT_INTERVAL.total_seconds()
 
 
 class CountingNetwork(MemoryNetwork):
@@ -74,7 +74,7 @@
         )
         me = target.MEMBERS[0]
         self.network: Any = CountingNetwork(
-            Hello(me, vm_of(me), "", ""), self.clock, timedelta(0)
+            Hello(me, vm_name_of(me), "", ""), self.clock, timedelta(0)
         )
         admission = AdmissionController(
             self.clock,
@@ -85,10 +85,12 @@
         )
         self.service = CapacityService(self.clock, self.state, self.network, admission)
         self.service.on_state_change()
-        for number in self._table.held_by(me):
+        for number in self._table.partitions_held_by(me):
             epoch = self._table.partitions[number].epoch
             for member in target.MEMBERS[1:]:
-                self.service.book.on_statement(member, LoanStatement(number, epoch, ()))
+                self.service.ledger.on_statement(
+                    member, LoanStatement(number, epoch, ())
+                )
         teams = TEAMS_BY_PAIRS[pairs]
         self._homes = {
             (
@@ -113,7 +115,10 @@
         return [
             encode_frame(
                 DemandReport(
-                    sequence, 1, self._table.held_by(member), tuple(rows[daemon])
+                    sequence,
+                    1,
+                    self._table.partitions_held_by(member),
+                    tuple(rows[daemon]),
                 ),
                 sequence,
             )
@@ -127,12 +132,12 @@
         for member, frame in zip(target.MEMBERS, frames, strict=True):
             report: Any = decode_payload(frame[LENGTH.size :])[1]
             self.service._on_report(member, report)
-        self.service._advise()
+        self.service._send_advice()
         return time.process_time() - began
 
     def plan_seconds(self) -> float:
         """Return the time of ``Coordinator.plan`` alone, on the last reports."""
-        shape, now = self.service._shape(), self.clock.monotonic()
+        shape, now = self.service._fleet_capacity(), self.clock.monotonic()
         return least_seconds(lambda: self.service._coordinator.plan(shape, now), 5)
 
 
@@ -152,7 +157,7 @@
     seconds, reports = [], []
     for sequence in range(ROUNDS + 1):
         frames = bench.reports(sequence)
-        bench.clock.advance(BUSY_INTERVAL)
+        bench.clock.advance(BUSY_REPORT_INTERVAL)
         taken = bench.round(frames)
         if sequence == 0:
             bench.network.sent_bytes_by_type.clear()
@@ -214,7 +219,7 @@
 
 
 def loan_figures() -> Iterable[Figure]:
-    """Yield time and memory of the loan book by resources."""
+    """Yield time and memory of the loan ledger by resources."""
     largest = max(LOAN_SIZES)
     books = {n: traced_bytes(lambda n=n: _book(*LOAN_SIZES[n])) for n in LOAN_SIZES}
     memory = {n: used / MEGABYTE for n, (_, used) in books.items()}
@@ -233,23 +238,23 @@
     )
 
 
-def _book(executors: int, teams: int) -> LoanBook:
+def _book(executors: int, teams: int) -> LoanLedger:
     """Return a book that lends a unit of each resource and borrows from four."""
     chance = random.Random(SEED)
     totals = {Resource(SLOTS, f"vm-{n:04d}"): 8 for n in range(executors)}
     totals.update({Resource(LIMIT, f"team-{n:02d}"): 300 for n in range(teams)})
     table = target.partition_table()
     me, *others = target.MEMBERS
-    book = LoanBook(me, lambda resource: totals[resource], lambda resource: 0)
-    book.follow_table(table)
-    for number in table.held_by(me):
+    book = LoanLedger(me, lambda resource: totals[resource], lambda resource: 0)
+    book.apply_table(table)
+    for number in table.partitions_held_by(me):
         for member in others:
             epoch = table.partitions[number].epoch
             book.on_statement(member, LoanStatement(number, epoch, ()))
     for resource in totals:
-        book.want_lent(resource, {chance.choice(others): 1})
+        book.set_lending_targets(resource, {chance.choice(others): 1})
         for lender in chance.sample(others, HOMES):
-            number = table.held_by(lender)[0]
+            number = table.partitions_held_by(lender)[0]
             epoch = table.partitions[number].epoch
             grant = LoanGrant(number, epoch, resource.kind, resource.name, 1, 1)
             book.on_grant(lender, grant)
--- a/src/pomeloyard/allocation/admission.py
+++ b/src/pomeloyard/allocation/admission.py
@@ -124,7 +124,7 @@
         self._prefer = prefer or (lambda service, names: names)
         self._permit_numbers = itertools.count(1)
         self._services_by_name: dict[str, _Service] = {}
-        self._held: list[tuple[timedelta, int, Permit]] = []
+        self._held_permits: list[tuple[timedelta, int, Permit]] = []
         self.running_by_vm: dict[str, int] = {}
         self.running_by_team: dict[str, int] = {}
         self._closing = False
@@ -133,7 +133,7 @@
         self.on_release: Callable[[Permit], None] = lambda permit: None
         """Called when a slot and a unit are freed, before they are reused."""
 
-    def queued(self, service: str) -> int:
+    def queued_count(self, service: str) -> int:
         """Return the number of requests queued for a service."""
         state = self._services_by_name.get(service)
         return state.queued if state is not None else 0
@@ -146,7 +146,7 @@
                 counts[name] = counts.get(name, 0) + team.queued
         return counts
 
-    def use_by_service_team(self) -> dict[tuple[str, str], TeamUsage]:
+    def usage_by_service_team(self) -> dict[tuple[str, str], TeamUsage]:
         """Return queued and running requests and served time by (service, team)."""
         now = self._clock.monotonic()
         result = {}
@@ -217,7 +217,7 @@
                 for waiter in (*team.urgent, *team.normal):
                     waiter.granted.set()
 
-    def running(self) -> int:
+    def running_count(self) -> int:
         """Return the number of requests that run or may still be running."""
         return sum(self.running_by_vm.values())
 
@@ -232,22 +232,22 @@
         self.on_release(permit)
         self.dispatch_all()
 
-    def hold_until(self, permit: Permit, deadline: timedelta) -> None:
+    def hold_permit_until(self, permit: Permit, deadline: timedelta) -> None:
         """Keep a permit's slot and unit reserved until ``deadline`` (monotonic).
 
         Used when the outcome is unknown and the request may still be running.
         """
-        heapq.heappush(self._held, (deadline, permit.number, permit))
+        heapq.heappush(self._held_permits, (deadline, permit.number, permit))
 
     def release_expired_holds(self) -> None:
         """Release the held permits whose deadline has passed."""
         now = self._clock.monotonic()
-        while self._held and self._held[0][0] <= now:
-            self.release(heapq.heappop(self._held)[2])
+        while self._held_permits and self._held_permits[0][0] <= now:
+            self.release(heapq.heappop(self._held_permits)[2])
 
-    def held(self) -> int:
+    def held_count(self) -> int:
         """Return the number of permits held after unknown outcomes."""
-        return len(self._held)
+        return len(self._held_permits)
 
     def dispatch_all(self) -> None:
         """Admit queued requests of all services."""
--- a/src/pomeloyard/allocation/decisions.py
+++ b/src/pomeloyard/allocation/decisions.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..decisions import Decision, DecisionKind, DecisionLog
 from ..fleet_state import FleetState
-from .partitions import Partition, vm_of
+from .partitions import Partition, vm_name_of
 
 
 class MembershipReason(Enum):
@@ -38,7 +38,7 @@
         self._incarnation = incarnation
         self._decisions = decisions
 
-    def note_gained(self, number: int, clean: bool) -> None:
+    def record_gained(self, number: int, clean: bool) -> None:
         """Record that this daemon has gained a partition."""
         partition = self._partition(number)
         if partition is None:
@@ -51,7 +51,7 @@
             reason = MembershipReason.RELEASED_BY_FORMER_HOLDER
         self._record("gain", partition, reason)
 
-    def note_lost(self, number: int) -> None:
+    def record_lost(self, number: int) -> None:
         """Record that this daemon has lost a partition."""
         partition = self._partition(number)
         if partition is None:
@@ -75,7 +75,7 @@
             Decision(
                 self._clock.now(),
                 DecisionKind.MEMBERSHIP,
-                f"membership/{vm_of(self._incarnation)}",
+                f"membership/{vm_name_of(self._incarnation)}",
                 f"{action} partition {partition.number}",
                 reason,
                 inputs={
--- a/src/pomeloyard/allocation/loans.py
+++ b/src/pomeloyard/allocation/loans.py
@@ -73,7 +73,7 @@
         return sum(lent.max_kept for lent in self.lent.get(resource, {}).values())
 
 
-class LoanBook:
+class LoanLedger:
     """Tracks one daemon's partitions and what it has lent and borrowed."""
 
     def __init__(
@@ -130,7 +130,7 @@
 
     # Partition table
 
-    def follow_table(self, table: PartitionTable) -> OutgoingMessages:
+    def apply_table(self, table: PartitionTable) -> OutgoingMessages:
         """Apply a newer table's holders and members; return the queries to send."""
         self._partition_count = len(table.partitions)
         self._members = frozenset(table.members)
@@ -186,7 +186,7 @@
 
     # Advice
 
-    def want_lent(
+    def set_lending_targets(
         self, resource: Resource, amounts_by_borrower: dict[str, int]
     ) -> None:
         """Set how many units of a resource each borrower should have in total."""
--- a/src/pomeloyard/allocation/membership.py
+++ b/src/pomeloyard/allocation/membership.py
@@ -16,8 +16,8 @@
 from ..keyvalue.records import Change, ConflictError, commit_changes, read_record
 from ..keyvalue.store import Store
 from ..vm_platform.directory import VmListState
-from .loans import LoanBook, Resource
-from .partitions import DEFAULT_PARTITIONS, PartitionTable, new_table, vm_of
+from .loans import LoanLedger, Resource
+from .partitions import DEFAULT_PARTITIONS, PartitionTable, new_table, vm_name_of
 
 REGISTRATION_TTL = timedelta(seconds=10)
 RENEW_INTERVAL = timedelta(seconds=3)
@@ -53,7 +53,7 @@
         clock: Clock,
         state: FleetState,
         record: DaemonRecord,
-        book: LoanBook,
+        ledger: LoanLedger,
         resources: Callable[[], list[Resource]],
     ) -> None:
         self._store = store
@@ -61,7 +61,7 @@
         self._state = state
         self._record = record
         self._incarnation = record.incarnation
-        self._book = book
+        self._ledger = ledger
         self._resources = resources
         self._lease = 0
         self._renew_at = timedelta(0)
@@ -71,9 +71,9 @@
         self._absent_since_by_member: dict[str, timedelta] = {}
         self._held_partitions: frozenset[int] = frozenset()
         self._leaving = False
-        self.on_gained: list[Callable[[int, bool], None]] = []
+        self.on_partition_gained: list[Callable[[int, bool], None]] = []
         """Called with a partition and whether its former holder released it cleanly."""
-        self.on_lost: list[Callable[[int], None]] = []
+        self.on_partition_lost: list[Callable[[int], None]] = []
 
     async def run(self) -> None:
         """Keep the daemon registered and holding its fair share of partitions."""
@@ -87,13 +87,13 @@
                 )
             await self._clock.sleep(STEP_INTERVAL * random.uniform(0.6, 1.4))
 
-    def may_admit(self) -> bool:
+    def can_admit(self) -> bool:
         """Return whether no other daemon can yet consider this one gone.
 
         A VM that has been listed is gone only when the list says so. A daemon on a
         VM that was never listed depends on its registration instead.
         """
-        name = vm_of(self._incarnation)
+        name = vm_name_of(self._incarnation)
         if name in self._listed_vms or name in self._state.vm_list.vms_by_name:
             return True
         if self._registered_at is None:
@@ -105,18 +105,18 @@
         table = self._state.partitions
         return table.partitions[partition].holder if table is not None else ""
 
-    def follow_table(self) -> None:
+    def notify_partition_changes(self) -> None:
         """Call the listeners for partitions gained or lost since the last call."""
         table = self._state.partitions
         if table is None:
             return
-        held = frozenset(table.held_by(self._incarnation))
+        held = frozenset(table.partitions_held_by(self._incarnation))
         for number in sorted(self._held_partitions - held):
-            for on_partition_lost in self.on_lost:
-                on_partition_lost(number)
+            for on_lost in self.on_partition_lost:
+                on_lost(number)
         for number in sorted(held - self._held_partitions):
-            for on_partition_gained in self.on_gained:
-                on_partition_gained(number, table.partitions[number].clean)
+            for on_gained in self.on_partition_gained:
+                on_gained(number, table.partitions[number].clean)
         self._held_partitions = held
 
     async def step(self) -> None:
@@ -135,15 +135,15 @@
         """
         self._leaving = True
         while True:
-            self._book.return_all_borrowed()
+            self._ledger.return_all_borrowed()
             table = self._state.partitions
             if table is None or self._incarnation not in table.members:
                 break
             try:
                 await self._release_surplus()
                 if (
-                    not table.held_by(self._incarnation)
-                    and self._book.has_returned_all()
+                    not table.partitions_held_by(self._incarnation)
+                    and self._ledger.has_returned_all()
                 ):
                     await self._change_table(
                         lambda t: t.without_member(self._incarnation)
@@ -195,7 +195,9 @@
             return None
         changed = table.with_member(self._incarnation)
         changed = self._without_gone_members(changed)
-        missing = self._fair_share(changed) - len(changed.held_by(self._incarnation))
+        missing = self._fair_share(changed) - len(
+            changed.partitions_held_by(self._incarnation)
+        )
         for partition in changed.partitions:
             if missing <= 0:
                 break
@@ -222,17 +224,19 @@
         if table is None:
             return
         fair_share = 0 if self._leaving else self._fair_share(table)
-        surplus = table.held_by(self._incarnation)[fair_share:]
-        for number in table.held_by(self._incarnation)[:fair_share]:
-            self._book.cancel_release(number)
+        surplus = table.partitions_held_by(self._incarnation)[fair_share:]
+        for number in table.partitions_held_by(self._incarnation)[:fair_share]:
+            self._ledger.cancel_release(number)
         for number in surplus:
-            self._book.start_release(number)
-        ready = set(self._book.releasable(self._resources())) & set(surplus)
+            self._ledger.start_release(number)
+        ready = set(self._ledger.releasable(self._resources())) & set(surplus)
         if ready:
             await self._change_table(lambda current: self._released(current, ready))
 
     def _released(self, table: PartitionTable, numbers: set[int]) -> PartitionTable:
-        for number in sorted(numbers & set(table.held_by(self._incarnation))):
+        for number in sorted(
+            numbers & set(table.partitions_held_by(self._incarnation))
+        ):
             table = table.with_holder(number, "", clean=True)
         return table
 
@@ -260,12 +264,14 @@
         absent = [
             m
             for m in table.members
-            if vm_of(m) not in listed and m not in state.daemons_by_incarnation
+            if vm_name_of(m) not in listed and m not in state.daemons_by_incarnation
         ]
         self._absent_since_by_member = {
             m: self._absent_since_by_member.get(m, now) for m in absent
         }
-        self._listed_vms.update(vm_of(m) for m in table.members if vm_of(m) in listed)
+        self._listed_vms.update(
+            vm_name_of(m) for m in table.members if vm_name_of(m) in listed
+        )
 
     def _without_gone_members(self, table: PartitionTable) -> PartitionTable:
         """Remove gone members whose last request must have ended."""
@@ -274,7 +280,7 @@
         for member, since in self._gone_since_by_member.items():
             if now - since < wait or not self._is_gone(member, table):
                 continue
-            for number in table.held_by(member):
+            for number in table.partitions_held_by(member):
                 table = table.with_holder(number, "", clean=False)
             table = replace(table.without_member(member))
         return table
@@ -288,7 +294,7 @@
         """
         if table.is_superseded(incarnation):
             return True
-        name = vm_of(incarnation)
+        name = vm_name_of(incarnation)
         vm = self._state.vm_list.vms_by_name.get(name)
         if vm is not None:
             return vm.state is VmListState.GONE
--- a/src/pomeloyard/allocation/metrics.py
+++ b/src/pomeloyard/allocation/metrics.py
@@ -27,11 +27,11 @@
         )
         for resource in capacity.resources():
             if resource.kind == kind:
-                usable.add_metric([resource.name], capacity.book.usable(resource))
+                usable.add_metric([resource.name], capacity.ledger.usable(resource))
                 base.add_metric([resource.name], _base(capacity, resource))
         yield usable
         yield base
 
 
 def _base(capacity: CapacityService, resource: Resource) -> int:
-    return capacity.book.base(resource.name, capacity.total_of(resource))
+    return capacity.ledger.base(resource.name, capacity.total_of(resource))
--- a/src/pomeloyard/allocation/partitions.py
+++ b/src/pomeloyard/allocation/partitions.py
@@ -35,7 +35,7 @@
     partitions: tuple[Partition, ...]
     members: tuple[str, ...] = ()
 
-    def held_by(self, incarnation: str) -> tuple[int, ...]:
+    def partitions_held_by(self, incarnation: str) -> tuple[int, ...]:
         """Return the numbers of the partitions that an incarnation holds."""
         return tuple(p.number for p in self.partitions if p.holder == incarnation)
 
@@ -68,7 +68,7 @@
         if incarnation not in self.members:
             return False
         later = self.members[self.members.index(incarnation) + 1 :]
-        return any(vm_of(member) == vm_of(incarnation) for member in later)
+        return any(vm_name_of(member) == vm_name_of(incarnation) for member in later)
 
 
 def new_table(count: int = DEFAULT_PARTITIONS) -> PartitionTable:
@@ -76,10 +76,10 @@
     return PartitionTable(tuple(Partition(number) for number in range(count)))
 
 
-def vm_of(incarnation: str) -> str:
+def vm_name_of(incarnation: str) -> str:
     """Return the VM name of an incarnation.
 
-    >>> vm_of("entry-3.9f2c01ab")
+    >>> vm_name_of("entry-3.9f2c01ab")
     'entry-3'
     """
     return incarnation.rpartition(".")[0]
--- a/src/pomeloyard/allocation/service.py
+++ b/src/pomeloyard/allocation/service.py
@@ -22,10 +22,10 @@
 from .admission import AdmissionController, Permit
 from .advice import AdviceIndex, SentAdvice, read_advice
 from .coordination import Advice, Coordinator, Demand, FleetCapacity, Report
-from .loans import LIMIT, SLOTS, LoanBook, OutgoingMessages, Resource
+from .loans import LIMIT, SLOTS, LoanLedger, OutgoingMessages, Resource
 
-BUSY_INTERVAL = timedelta(milliseconds=250)
-IDLE_INTERVAL = timedelta(seconds=1)
+BUSY_REPORT_INTERVAL = timedelta(milliseconds=250)
+IDLE_REPORT_INTERVAL = timedelta(seconds=1)
 MIN_REPORT_INTERVAL = timedelta(milliseconds=50)
 """Minimum time between reports, also when a newly queued request triggers one."""
 
@@ -66,7 +66,7 @@
         self._totals: dict[Resource, int] = {}
         self._connections: dict[str, int] = {}
         self._executors_by_pool: dict[str, list[Vm]] = {}
-        self.book = LoanBook(self._incarnation, self.total_of, self.in_use)
+        self.ledger = LoanLedger(self._incarnation, self.total_of, self.in_use)
         admission.on_request_queued = self._on_request_queued
         admission.on_release = self._on_release
         network.on_connect.append(self._on_connect)
@@ -79,11 +79,11 @@
 
     def slots(self, vm: str) -> int:
         """Return the number of slots of a VM that this daemon may use."""
-        return self.book.usable(Resource(SLOTS, vm))
+        return self.ledger.usable(Resource(SLOTS, vm))
 
     def units(self, team: str) -> int:
         """Return the number of units of a team's limit that this daemon may use."""
-        return self.book.usable(Resource(LIMIT, team))
+        return self.ledger.usable(Resource(LIMIT, team))
 
     def executors(self, service: str) -> list[str]:
         """Return the names of a service's executors that accept work, sorted."""
@@ -95,7 +95,7 @@
 
     def connections(self, vm: str) -> int:
         """Return the number of connections that this daemon may open to a VM."""
-        return self.book.base(f"connections/{vm}", self._connections.get(vm, 0))
+        return self.ledger.base(f"connections/{vm}", self._connections.get(vm, 0))
 
     def in_use(self, resource: Resource) -> int:
         """Return the number of units of a resource in use at this daemon."""
@@ -119,7 +119,7 @@
             return
         if state.partitions_revision > self._applied_table_revision:
             self._applied_table_revision = state.partitions_revision
-            self._send(self.book.follow_table(state.partitions))
+            self._send(self.ledger.apply_table(state.partitions))
         self._admission.dispatch_all()
 
     async def run(self) -> None:
@@ -127,17 +127,19 @@
         while True:
             self._busy = self._report()
             if self._is_coordinator():
-                self._advise()
-            self._send(self.book.reconcile())
+                self._send_advice()
+            self._send(self.ledger.reconcile())
             self._admission.release_expired_holds()
-            await self._pause(BUSY_INTERVAL if self._busy else IDLE_INTERVAL)
+            await self._pause(
+                BUSY_REPORT_INTERVAL if self._busy else IDLE_REPORT_INTERVAL
+            )
 
-    async def run_repeats(self) -> None:
+    async def run_retransmissions(self) -> None:
         """Resend unanswered queries and grants periodically."""
         while True:
             await self._clock.sleep(RETRANSMIT_INTERVAL)
-            self._send(self.book.pending_queries())
-            self._send(self.book.unconfirmed_grants())
+            self._send(self.ledger.pending_queries())
+            self._send(self.ledger.unconfirmed_grants())
             self._admission.release_expired_holds()
 
     async def _pause(self, interval: timedelta) -> None:
@@ -158,12 +160,14 @@
 
     def _on_release(self, permit: Permit) -> None:
         service = permit.service
-        if service in self._queued_services and not self._admission.queued(service):
+        if service in self._queued_services and not self._admission.queued_count(
+            service
+        ):
             # The queue is empty now: report early, as others may need the slots.
             self._queued_services.discard(service)
             self._wake.set()
-        self._send(self.book.reconcile_resource(Resource(SLOTS, permit.vm)))
-        self._send(self.book.reconcile_resource(Resource(LIMIT, permit.team)))
+        self._send(self.ledger.reconcile_resource(Resource(SLOTS, permit.vm)))
+        self._send(self.ledger.reconcile_resource(Resource(LIMIT, permit.team)))
 
     # Reports
 
@@ -171,7 +175,7 @@
         """Send demand to the coordinator; return whether any request is queued."""
         index = self._index()
         services, teams = index.services, index.teams
-        usages = self._admission.use_by_service_team()
+        usages = self._admission.usage_by_service_team()
         demands = tuple(
             (
                 services.index(service),
@@ -188,7 +192,7 @@
         self._queued_services = {s for (s, _), usage in usages.items() if usage.queued}
         self._sequence += 1
         report = DemandReport(
-            self._sequence, index.revisions[0], self.book.ready_partitions(), demands
+            self._sequence, index.revisions[0], self.ledger.ready_partitions(), demands
         )
         coordinator = self._coordinator_incarnation()
         if coordinator == self._incarnation:
@@ -238,9 +242,9 @@
 
     # Advice
 
-    def _advise(self) -> None:
+    def _send_advice(self) -> None:
         now = self._clock.monotonic()
-        for name, advice in self._coordinator.plan(self._shape(), now).items():
+        for name, advice in self._coordinator.plan(self._fleet_capacity(), now).items():
             message = self._advice_message(name, advice, now)
             if message is None:
                 continue
@@ -292,11 +296,11 @@
         if message.full:
             wanted = {r: wanted.get(r, {}) for r in self._totals.keys() | wanted.keys()}
         for resource, amounts in wanted.items():
-            self.book.want_lent(resource, amounts)
+            self.ledger.set_lending_targets(resource, amounts)
         self._admission.set_targets(advice.targets, replace_all=message.full)
-        self._send(self.book.reconcile())
+        self._send(self.ledger.reconcile())
 
-    def _shape(self) -> FleetCapacity:
+    def _fleet_capacity(self) -> FleetCapacity:
         state = self._state
         config = state.config
         vms_by_service = {
@@ -331,24 +335,24 @@
             totals[Resource(LIMIT, team.name)] = max(0, team.limit - team.job_limit)
         if totals != self._totals:
             self._totals = totals
-            self.book.invalidate_usable()
+            self.ledger.invalidate_usable()
 
     # Loans
 
     def _on_grant(self, sender: str, grant: LoanGrant) -> None:
-        self._send(self.book.on_grant(sender, grant))
+        self._send(self.ledger.on_grant(sender, grant))
         self._admission.dispatch_all()
 
     def _on_kept(self, sender: str, kept: LoanKept) -> None:
-        self.book.on_kept(sender, kept)
-        self._send(self.book.reconcile())
+        self.ledger.on_kept(sender, kept)
+        self._send(self.ledger.reconcile())
         self._admission.dispatch_all()
 
     def _on_query(self, sender: str, query: LoanQuery) -> None:
-        self._send(self.book.on_query(sender, query))
+        self._send(self.ledger.on_query(sender, query))
 
     def _on_statement(self, sender: str, statement: LoanStatement) -> None:
-        self.book.on_statement(sender, statement)
+        self.ledger.on_statement(sender, statement)
         self._admission.dispatch_all()
 
     def _send(self, messages: OutgoingMessages) -> None:
--- a/src/pomeloyard/claims/service.py
+++ b/src/pomeloyard/claims/service.py
@@ -127,7 +127,7 @@
             current = table.partitions[number]
             if (current.holder, current.epoch) != (self.incarnation, takeover.epoch):
                 self._drop_partition(number)
-        for number in table.held_by(self.incarnation):
+        for number in table.partitions_held_by(self.incarnation):
             partition = table.partitions[number]
             stale = partition.epoch < self._fences_by_partition[number]
             if self._tasks is None or stale or number in self._takeovers_by_partition:
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -140,7 +140,7 @@
         )
         self.admission = AdmissionController(
             self.clock,
-            lambda vm: self.capacity.slots(vm) if self.membership.may_admit() else 0,
+            lambda vm: self.capacity.slots(vm) if self.membership.can_admit() else 0,
             lambda team: self.capacity.units(team),
             self._executors,
             self._weight,
@@ -154,14 +154,14 @@
             self.clock,
             self.state,
             record,
-            self.capacity.book,
+            self.capacity.ledger,
             self.capacity.resources,
         )
         changes = MembershipDecisions(
             self.clock, self.state, self.incarnation, self.decisions
         )
-        self.membership.on_gained.append(changes.note_gained)
-        self.membership.on_lost.append(changes.note_lost)
+        self.membership.on_partition_gained.append(changes.record_gained)
+        self.membership.on_partition_lost.append(changes.record_lost)
 
     def _build_requests(self) -> None:
         """Build the path of requests."""
@@ -285,7 +285,7 @@
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.capacity.run)
-        tasks.start_soon(self.capacity.run_repeats)
+        tasks.start_soon(self.capacity.run_retransmissions)
         tasks.start_soon(self.claims.run)
         tasks.start_soon(self.keys.run)
         tasks.start_soon(self.log_writer.run)
@@ -326,7 +326,7 @@
         self.admission.close()
         for server in self._servers:
             server.should_exit = True
-        while self.admission.running():
+        while self.admission.running_count():
             await anyio.sleep(0.05)
         try:
             await self.claims.close()
@@ -339,13 +339,13 @@
 
     def _log_unfinished(self) -> None:
         table = self.state.partitions
-        held = table.held_by(self.incarnation) if table is not None else ()
+        held = table.partitions_held_by(self.incarnation) if table is not None else ()
         log.warning(
             "shutdown time is over: {} requests may still run, {} partitions and "
             "{} permits after unknown outcomes are not released",
-            self.admission.running(),
+            self.admission.running_count(),
             len(held),
-            self.admission.held(),
+            self.admission.held_count(),
         )
 
     def _operator_context(self) -> OperatorContext:
@@ -402,7 +402,7 @@
             record.peer_address for record in self.state.daemons_by_incarnation.values()
         )
         self.capacity.on_state_change()
-        self.membership.follow_table()
+        self.membership.notify_partition_changes()
         self.claims.refresh()
         self.router.forget_except(self.state.vm_list.vms_by_name)
 
@@ -426,7 +426,7 @@
         daemons = max(1, len(self.state.daemons_by_incarnation))
         demand: dict[str, float] = {}
         for service in self.state.config.services_by_name.values():
-            uses = self.admission.use_by_service_team().items()
+            uses = self.admission.usage_by_service_team().items()
             asked = sum(u.queued + u.running for (n, _), u in uses if n == service.name)
             slots = asked * daemons
             vms = slots / max(1, service.slots_per_executor)
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -118,7 +118,7 @@
     def _state_gauges(self) -> Iterator[Metric]:
         state = self._sources.state
         table = state.partitions
-        held = len(table.held_by(self._sources.incarnation)) if table else 0
+        held = len(table.partitions_held_by(self._sources.incarnation)) if table else 0
         for name, text, value in (
             (
                 "config_revision",
@@ -210,7 +210,7 @@
             "pomeloyard_queue_length_requests", "Waiting requests", labels=["service"]
         )
         for service in self._sources.state.config.services_by_name:
-            queued.add_metric([service], self._sources.admission.queued(service))
+            queued.add_metric([service], self._sources.admission.queued_count(service))
         yield queued
         running = GaugeMetricFamily(
             "pomeloyard_executor_running_requests", "Running requests", labels=["vm"]
--- a/src/pomeloyard/requests/exchanges.py
+++ b/src/pomeloyard/requests/exchanges.py
@@ -138,7 +138,7 @@
         """Release a permit; if the request may still run, after its time-out."""
         if maybe_running:
             running_until = self._clock.monotonic() + service.request_timeout
-            self._admission.hold_until(permit, running_until)
+            self._admission.hold_permit_until(permit, running_until)
         else:
             self._admission.release(permit)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -88,7 +88,7 @@
         assert refused.retry_after >= timedelta(seconds=1)
         assert anyio.current_time() == seconds
         admission.release(first.value)
-        assert admission.running() == 0
+        assert admission.running_count() == 0
 
     run_virtual(check)
 
@@ -99,7 +99,7 @@
     async def check():
         admission = controller(slots=1)
         first = await acquire(admission, "large")
-        admission.hold_until(first.value, timedelta(seconds=5))
+        admission.hold_permit_until(first.value, timedelta(seconds=5))
         refused = await acquire(admission, "small", timedelta(seconds=4))
         assert isinstance(refused, Refused)
         await anyio.sleep_until(5)
@@ -117,9 +117,9 @@
         first = await acquire(admission, "large")
         with anyio.move_on_after(1):
             await acquire(admission, "small")
-        assert admission.queued("cut") == 0
+        assert admission.queued_count("cut") == 0
         admission.release(first.value)
-        assert admission.running() == 0
+        assert admission.running_count() == 0
         again = await acquire(admission, "large", exclude=frozenset({"e2"}))
         assert isinstance(again, Done)
         excluded = await acquire(
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -151,8 +151,8 @@
     log = DecisionLog()
     changes = MembershipDecisions(ManualClock(), FleetState(partitions=table), ME, log)
     if table.partitions[2].holder == ME:
-        changes.note_gained(2, table.partitions[2].clean)
+        changes.record_gained(2, table.partitions[2].clean)
     else:
-        changes.note_lost(2)
+        changes.record_lost(2)
     (made,) = log.about("membership/entry-1")
     assert (made.reason, made.inputs["partition"]) == (MembershipReason(reason), 2)
--- a/tests/test_loans_model.py
+++ b/tests/test_loans_model.py
@@ -16,7 +16,7 @@
     rule,
 )
 
-from pomeloyard.allocation.loans import SLOTS, LoanBook, Resource
+from pomeloyard.allocation.loans import SLOTS, LoanLedger, Resource
 from pomeloyard.allocation.partitions import new_table
 from pomeloyard.peers.messages import (
     LoanGrant,
@@ -36,17 +36,19 @@
         self.name = name
         self.in_use = 0
         self.alive = True
-        self.book = LoanBook(name, lambda resource: total, lambda resource: self.in_use)
+        self.ledger = LoanLedger(
+            name, lambda resource: total, lambda resource: self.in_use
+        )
 
     def receive(self, sender, message):
         if isinstance(message, LoanGrant):
-            return self.book.on_grant(sender, message)
+            return self.ledger.on_grant(sender, message)
         if isinstance(message, LoanQuery):
-            return self.book.on_query(sender, message)
+            return self.ledger.on_query(sender, message)
         if isinstance(message, LoanKept):
-            self.book.on_kept(sender, message)
+            self.ledger.on_kept(sender, message)
         elif isinstance(message, LoanStatement):
-            self.book.on_statement(sender, message)
+            self.ledger.on_statement(sender, message)
         return []
 
 
@@ -63,7 +65,7 @@
             name = self.pick(number).name
             self.table = self.table.with_holder(number, name, clean=True)
         for node in self.alive():
-            self.send(node, node.book.follow_table(self.table))
+            self.send(node, node.ledger.apply_table(self.table))
         self.deliver_all()
         self.deliver_all()
 
@@ -88,7 +90,7 @@
     @rule(index=INDEX)
     def follow(self, index):
         node = self.pick(index)
-        self.send(node, node.book.follow_table(self.table))
+        self.send(node, node.ledger.apply_table(self.table))
 
     @rule(index=INDEX, number=st.integers(0, PARTITIONS - 1))
     def take(self, index, number):
@@ -108,7 +110,7 @@
         """Remove killed members; their requests have ended by the request timeout."""
         for node in list(self.nodes.values()):
             if not node.alive:
-                for number in self.table.held_by(node.name):
+                for number in self.table.partitions_held_by(node.name):
                     self.table = self.table.with_holder(number, "", clean=False)
                 self.table = self.table.without_member(node.name)
                 del self.nodes[node.name]
@@ -116,8 +118,8 @@
     @rule(index=INDEX, number=st.integers(0, PARTITIONS - 1))
     def release_partition(self, index, number):
         node = self.pick(index)
-        node.book.start_release(number)
-        for ready in node.book.releasable([RESOURCE]):
+        node.ledger.start_release(number)
+        for ready in node.ledger.releasable([RESOURCE]):
             if self.table.partitions[ready].holder == node.name:
                 self.table = self.table.with_holder(ready, "", clean=True)
 
@@ -128,16 +130,16 @@
         node = self.pick(index)
         if former is None or not former.alive or former is node:
             return
-        former.book.start_release(number)
-        if number in former.book.releasable([RESOURCE]):
+        former.ledger.start_release(number)
+        if number in former.ledger.releasable([RESOURCE]):
             table = self.table.with_holder(number, "", clean=True)
             self.table = table.with_holder(number, node.name, clean=True)
-            self.send(node, node.book.follow_table(self.table))
+            self.send(node, node.ledger.apply_table(self.table))
 
     @rule(index=INDEX)
     def start_requests(self, index):
         node = self.pick(index)
-        node.in_use += max(0, node.book.usable(RESOURCE) - node.in_use)
+        node.in_use += max(0, node.ledger.usable(RESOURCE) - node.in_use)
 
     @rule()
     def start_requests_everywhere(self):
@@ -154,8 +156,8 @@
         node, other = self.pick(index), self.pick(borrower)
         if node is other:
             return
-        node.book.want_lent(RESOURCE, {other.name: amount})
-        self.send(node, node.book.reconcile())
+        node.ledger.set_lending_targets(RESOURCE, {other.name: amount})
+        self.send(node, node.ledger.reconcile())
         if at_once:
             self.deliver_all()
             self.deliver_all()
@@ -171,19 +173,19 @@
     @rule(index=INDEX)
     def reconcile(self, index):
         node = self.pick(index)
-        self.send(node, node.book.reconcile())
+        self.send(node, node.ledger.reconcile())
 
     @rule(index=INDEX)
     def repeat(self, index):
         node = self.pick(index)
-        self.send(node, node.book.pending_queries())
-        self.send(node, node.book.unconfirmed_grants())
+        self.send(node, node.ledger.pending_queries())
+        self.send(node, node.ledger.unconfirmed_grants())
 
     @rule(index=INDEX)
     def return_all_borrowed(self, index):
         node = self.pick(index)
-        node.book.return_all_borrowed()
-        self.send(node, node.book.reconcile())
+        node.ledger.return_all_borrowed()
+        self.send(node, node.ledger.reconcile())
 
     @precondition(lambda self: self.network)
     @rule(index=INDEX, repeated=st.booleans(), lost=st.booleans())
@@ -224,13 +226,13 @@
         for _ in range(8):
             for node in self.alive():
                 for number in range(PARTITIONS):
-                    node.book.cancel_release(number)
-                node.book.want_lent(RESOURCE, {})
-                self.send(node, node.book.follow_table(self.table))
-                self.send(node, node.book.reconcile())
-                self.send(node, node.book.unconfirmed_grants())
+                    node.ledger.cancel_release(number)
+                node.ledger.set_lending_targets(RESOURCE, {})
+                self.send(node, node.ledger.apply_table(self.table))
+                self.send(node, node.ledger.reconcile())
+                self.send(node, node.ledger.unconfirmed_grants())
             self.deliver_all()
-        usable = sum(node.book.usable(RESOURCE) for node in self.alive())
+        usable = sum(node.ledger.usable(RESOURCE) for node in self.alive())
         assert usable == TOTAL, f"{usable} of {TOTAL} usable"
 
 
@@ -250,10 +252,10 @@
     older = LoanGrant(0, 1, SLOTS, "cut-1", amount=3, version=1)
     recall = LoanGrant(0, 1, SLOTS, "cut-1", amount=0, version=2)
     borrower.receive("entry-0.0", older)
-    assert borrower.book.usable(RESOURCE) == 3
+    assert borrower.ledger.usable(RESOURCE) == 3
     borrower.receive("entry-0.0", recall)
     [(_, answer)] = borrower.receive("entry-0.0", older)
-    assert borrower.book.usable(RESOURCE) == 0
+    assert borrower.ledger.usable(RESOURCE) == 0
     assert (answer.amount, answer.version) == (0, 2)
 
 
@@ -263,14 +265,14 @@
     table = new_table(PARTITIONS)
     for number in range(PARTITIONS):
         table = table.with_holder(number, lender.name, clean=True)
-    lender.book.follow_table(table.with_member(lender.name))
-    lender.book.follow_table(table.with_member(lender.name).with_member(borrower.name))
+    lender.ledger.apply_table(table.with_member(lender.name))
+    lender.ledger.apply_table(table.with_member(lender.name).with_member(borrower.name))
     return lender, borrower
 
 
 def advise(lender, borrower, amount):
-    lender.book.want_lent(RESOURCE, {borrower.name: amount})
-    return [message for _, message in lender.book.reconcile()]
+    lender.ledger.set_lending_targets(RESOURCE, {borrower.name: amount})
+    return [message for _, message in lender.ledger.reconcile()]
 
 
 def test_answer_to_an_earlier_grant_does_not_free_a_later_one():
@@ -284,9 +286,9 @@
         borrower.receive(lender.name, grant)
     for answer in returned:
         lender.receive(borrower.name, answer)
-    lender.book.want_lent(RESOURCE, {})
-    assert borrower.book.usable(RESOURCE) == 1
-    assert lender.book.usable(RESOURCE) == TOTAL - 1
+    lender.ledger.set_lending_targets(RESOURCE, {})
+    assert borrower.ledger.usable(RESOURCE) == 1
+    assert lender.ledger.usable(RESOURCE) == TOTAL - 1
 
 
 def test_smaller_grant_after_a_recall_still_counts_what_is_in_use():
@@ -297,8 +299,8 @@
     borrower.in_use = 2
     advise(lender, borrower, 0)
     assert len(advise(lender, borrower, 1)) == 1
-    lender.book.want_lent(RESOURCE, {})
-    assert lender.book.usable(RESOURCE) == 2 * TOTAL - 2
+    lender.ledger.set_lending_targets(RESOURCE, {})
+    assert lender.ledger.usable(RESOURCE) == 2 * TOTAL - 2
 
 
 def test_query_and_grant_of_a_former_holder_are_ignored():
@@ -308,4 +310,4 @@
     assert borrower.receive("entry-0.0", LoanQuery(0, epoch=4)) == []
     old = LoanGrant(0, 4, SLOTS, "cut-1", amount=3, version=9)
     assert borrower.receive("entry-0.0", old) == []
-    assert borrower.book.usable(RESOURCE) == 0
+    assert borrower.ledger.usable(RESOURCE) == 0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -57,7 +57,7 @@
         record = DaemonRecord(self.name, name, "", "", "", "bulacan")
         capacity = self.node.capacity
         self.membership = Membership(
-            fleet.store, fleet.clock, state, record, capacity.book, capacity.resources
+            fleet.store, fleet.clock, state, record, capacity.ledger, capacity.resources
         )
         self.follower = FleetFollower(fleet.store, fleet.directory, fleet.clock, state)
         self.follower.on_change.append(self._on_change)
@@ -65,7 +65,7 @@
 
     def _on_change(self):
         self.node.capacity.on_state_change()
-        self.membership.follow_table()
+        self.membership.notify_partition_changes()
 
     async def run(self):
         with self.scope:
@@ -75,7 +75,7 @@
                 tasks.start_soon(self.follower.run_vm_list)
                 tasks.start_soon(self.membership.run)
                 tasks.start_soon(self.node.capacity.run)
-                tasks.start_soon(self.node.capacity.run_repeats)
+                tasks.start_soon(self.node.capacity.run_retransmissions)
 
 
 class Members:
@@ -116,7 +116,7 @@
         return record.value
 
     def usable(self, resource):
-        return sum(m.node.capacity.book.usable(resource) for m in self.running)
+        return sum(m.node.capacity.ledger.usable(resource) for m in self.running)
 
 
 def in_virtual_time(check):
@@ -134,12 +134,12 @@
     async def check(fleet):
         first = fleet.start("entry-1")
         await anyio.sleep(5)
-        assert len((await fleet.table()).held_by(first.name)) == 18
+        assert len((await fleet.table()).partitions_held_by(first.name)) == 18
         for number in range(2, 10):
             fleet.start(f"entry-{number}")
         await anyio.sleep(20)
         table = await fleet.table()
-        assert {len(table.held_by(m.name)) for m in fleet.running} == {2}
+        assert {len(table.partitions_held_by(m.name)) for m in fleet.running} == {2}
         assert fleet.usable(Resource(SLOTS, VM)) == 8
         assert fleet.usable(Resource(LIMIT, "t1")) == LIMIT_OF_T1
 
@@ -221,7 +221,7 @@
         await anyio.sleep(30)
         assert len(permits) == LIMIT_OF_T1
         others = [m.node.capacity for m in fleet.running if m is not busy]
-        assert sum(c.book.usable(Resource(LIMIT, "t1")) for c in others) == 0
+        assert sum(c.ledger.usable(Resource(LIMIT, "t1")) for c in others) == 0
 
     in_virtual_time(check)
 
@@ -239,15 +239,15 @@
             fleet.directory.remove(name)
         await anyio.sleep(10)
         cut_off, other = members
-        assert cut_off.membership.may_admit()
+        assert cut_off.membership.can_admit()
         cut_off.membership._store = DownStore(fleet.store)
         lost_at = anyio.current_time()
-        while cut_off.membership.may_admit():
+        while cut_off.membership.can_admit():
             await anyio.sleep(1)
             assert anyio.current_time() < lost_at + 60
             assert fleet.usable(Resource(LIMIT, "t1")) == LIMIT_OF_T1
         stopped_at = anyio.current_time()
-        while other.node.capacity.book.usable(Resource(LIMIT, "t1")) < LIMIT_OF_T1:
+        while other.node.capacity.ledger.usable(Resource(LIMIT, "t1")) < LIMIT_OF_T1:
             await anyio.sleep(1)
         # The last request it admitted before stopping must have ended by now.
         assert anyio.current_time() >= stopped_at + REQUEST_TIMEOUT
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -126,8 +126,8 @@
     async def check(paths, pool, executors):
         for _ in range(30):
             await paths[0].call(pool, "GET")
-            for permit in list(paths[0].admission._held):
-                paths[0].admission._held.remove(permit)
+            for permit in list(paths[0].admission._held_permits):
+                paths[0].admission._held_permits.remove(permit)
                 paths[0].admission.release(permit[2])
         # 30 requests, 10 initial retry tokens and 3 added by the requests.
         assert sum(len(e.requests) for e in executors) <= 30 + 13
@@ -392,7 +392,7 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(call)
-            while not path.admission.queued("orders"):
+            while not path.admission.queued_count("orders"):
                 await anyio.sleep(0.001)
             path.state.withdrawn_key_ids.update(path.state.keys.keys_by_id)
             for permit in permits:
