--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -20,8 +20,8 @@
 
 from pomeloyard.allocation.partitions import new_table
 from pomeloyard.claims.log import ClaimLog
+from pomeloyard.claims.outage_tracker import OutageTracker
 from pomeloyard.claims.table import CLAIM_BYTES, Claim, ClaimTable
-from pomeloyard.claims.watch import ClaimWatch
 from pomeloyard.clock import ManualClock, SystemClock
 from pomeloyard.errors import StoreUnavailableError
 from pomeloyard.fleet_state import FleetState
@@ -206,7 +206,9 @@
     before = tracemalloc.get_traced_memory()[0]
     for number in range(count):
         key = number.to_bytes(8) + os.urandom(8)
-        table.request(0, Claim(key, os.urandom(16), runner, number, float(number) / 99))
+        table.try_claim(
+            0, Claim(key, os.urandom(16), runner, number, float(number) / 99)
+        )
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     yield at_most("memory_per_claim", used / count, "B", CLAIM_BYTES)
@@ -246,7 +248,7 @@
     state = FleetState(partitions=table, partitions_revision=revision)
     claims = ClaimTable()
     network = PeerNetwork(clock, Hello("a.1", "a", "", "east"))
-    watch = ClaimWatch(clock, state, network, "a.1")
+    watch = OutageTracker(clock, state, network, "a.1")
     log = ClaimLog(store, clock, state, watch, claims, "a.1")
     for number in (0, 1):
         await log.open(number, table.partitions[number].epoch)
@@ -257,7 +259,7 @@
         claim = Claim(
             os.urandom(16), bytes(16), "a.1", number, clock.monotonic().total_seconds()
         )
-        claims.request(number % 2, claim)
+        claims.try_claim(number % 2, claim)
         writers.append(asyncio.create_task(log.write(number % 2, claim)))
         for _ in range(8):
             await asyncio.sleep(0)
--- a/measurements/support/slopes_state.py
+++ b/measurements/support/slopes_state.py
@@ -160,5 +160,5 @@
     for n in range(count):
         key = n.to_bytes(8) + os.urandom(8)
         claim = Claim(key, os.urandom(16), target.MEMBERS[0], n, float(n) / 99)
-        table.request(n % 2, claim)
+        table.try_claim(n % 2, claim)
     return table
--- a/src/pomeloyard/claims/log.py
+++ b/src/pomeloyard/claims/log.py
@@ -25,6 +25,7 @@
     Transaction,
     scan_all,
 )
+from .outage_tracker import OutageTracker
 from .segments import (
     SegmentError,
     SegmentIndex,
@@ -33,7 +34,6 @@
     partition_prefix,
 )
 from .table import CLAIM_WINDOW, Claim, ClaimTable
-from .watch import ClaimWatch
 
 COMMIT_INTERVAL = timedelta(milliseconds=40)
 """Minimum time between two transactions of one daemon.
@@ -69,7 +69,7 @@
         store: Store,
         clock: Clock,
         state: FleetState,
-        watch: ClaimWatch,
+        watch: OutageTracker,
         table: ClaimTable,
         incarnation: str,
     ) -> None:
@@ -233,7 +233,7 @@
         writes: dict[int, SegmentWrite] = {}
         operations = MAX_UNCONFIRMED_DELETES
         for partition, index in self._indexes_by_partition.items():
-            write = index.plan(
+            write = index.plan_write(
                 self._table, new.get(partition, []), self._now(), self._clock_offset()
             )
             size = len(write.put) + len(write.delete)
@@ -285,7 +285,7 @@
         for partition, write in writes.items():
             index = self._indexes_by_partition.get(partition)
             if index is not None:
-                index.applied(write)
+                index.apply_write(write)
             if write.put:
                 self._discard_written(partition, write)
 
--- a/src/pomeloyard/claims/watch.py
+++ b/src/pomeloyard/claims/outage_tracker.py
@@ -21,7 +21,7 @@
 ANNOUNCE_INTERVAL = timedelta(seconds=1)
 
 
-class ClaimWatch:
+class OutageTracker:
     """Tracks store outages and known daemons over one claim window."""
 
     def __init__(
--- a/src/pomeloyard/claims/segments.py
+++ b/src/pomeloyard/claims/segments.py
@@ -105,7 +105,7 @@
         self.segments: list[Segment] = []
         self._next_number = 1
 
-    def plan(
+    def plan_write(
         self, table: ClaimTable, new: list[Claim], now: float, clock_offset: float
     ) -> SegmentWrite:
         """Return the segments to write for ``new`` claims and those to delete."""
@@ -131,7 +131,7 @@
         )
         return SegmentWrite(put, tuple(delete), written)
 
-    def applied(self, write: SegmentWrite) -> None:
+    def apply_write(self, write: SegmentWrite) -> None:
         """Update the index after a planned write was committed."""
         deleted = set(write.delete)
         self.segments = [s for s in self.segments if s not in deleted]
--- a/src/pomeloyard/claims/service.py
+++ b/src/pomeloyard/claims/service.py
@@ -32,9 +32,9 @@
 )
 from ..peers.streams import PeerNetwork
 from .log import ClaimLog
+from .outage_tracker import OutageTracker
 from .table import RETRY_AFTER, Claim, ClaimTable
 from .takeover import Takeover
-from .watch import ClaimWatch
 
 CALL_TIMEOUT = timedelta(seconds=3)
 """Covers a store call that times out at the holder, and recording a claim."""
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EarlierAttempt:
+class ExistingClaim:
     """The key was claimed before, by ``attempt`` of daemon ``runner``."""
 
     runner: str
@@ -93,7 +93,7 @@
         self.table = ClaimTable()
         self.recorded = ClaimTable()
         """Claims of other daemons' partitions that may not be in the store."""
-        self.watch = ClaimWatch(clock, state, network, incarnation)
+        self.watch = OutageTracker(clock, state, network, incarnation)
         self.log = ClaimLog(store, clock, state, self.watch, self.table, incarnation)
         network.on(ClaimRequest, self._on_request)
         network.on(ClaimRelease, self._on_release)
@@ -107,7 +107,7 @@
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self.log.run)
             while True:
-                self.refresh()
+                self.apply_partition_table()
                 self.table.expire(self._now())
                 self.recorded.expire(self._now())
                 self.log.maintain()
@@ -117,7 +117,7 @@
         """Commit unwritten claims before the partitions are released."""
         await self.log.commit()
 
-    def refresh(self) -> None:
+    def apply_partition_table(self) -> None:
         """Apply the partition table: take over gained partitions, drop lost ones."""
         self.watch.update()
         table = self._state.partitions
@@ -145,7 +145,7 @@
 
     async def claim(
         self, key_hash: bytes, fingerprint: bytes
-    ) -> ClaimTicket | EarlierAttempt:
+    ) -> ClaimTicket | ExistingClaim:
         """Claim a key for this daemon.
 
         RefusedError means that the request has certainly not run.
@@ -166,7 +166,7 @@
             self.release(ticket)
             raise
         if reply is not None and reply.result == "duplicate":
-            return EarlierAttempt(reply.holder, reply.attempt)
+            return ExistingClaim(reply.holder, reply.attempt)
         if reply is not None and reply.result == "refused":
             reason = RefusalReason(reply.reason)
             retry = None if reason is RefusalReason.KEY_REUSED else RETRY_AFTER
@@ -220,7 +220,7 @@
         else:
             self._network.send(ticket.holder, message)
 
-    def release_absent(self, key_hash: bytes, attempt: int) -> None:
+    def release_lost_claim(self, key_hash: bytes, attempt: int) -> None:
         """Release a claim of this daemon whose grant or release message was lost."""
         table = self._state.partitions
         if table is None:
@@ -240,7 +240,7 @@
         claim = Claim(
             request.key_hash, request.fingerprint, sender, request.attempt, self._now()
         )
-        earlier = self.table.request(number, claim)
+        earlier = self.table.try_claim(number, claim)
         if isinstance(earlier, Refused):
             reason = earlier.reason.value
             return ClaimReply(
@@ -281,7 +281,7 @@
                 return self._open_epoch(number) == epoch
         return False
 
-    def opening(self) -> bool:
+    def has_unopened_partitions(self) -> bool:
         """Return whether any partition of this daemon cannot grant claims yet."""
         return not all(t.open for t in self._takeovers_by_partition.values())
 
@@ -310,7 +310,7 @@
             self.recorded.release(
                 partition, earlier.key_hash, earlier.runner, earlier.attempt
             )
-        return self.recorded.request(partition, claim) is None
+        return self.recorded.try_claim(partition, claim) is None
 
     def answer_record(self, message: ClaimRecord) -> ClaimRecorded:
         """Record another daemon's claim unless its epoch is outdated."""
--- a/src/pomeloyard/claims/table.py
+++ b/src/pomeloyard/claims/table.py
@@ -80,7 +80,7 @@
     def __len__(self) -> int:
         return self._count
 
-    def request(self, partition: int, claim: Claim) -> Claim | Refused | None:
+    def try_claim(self, partition: int, claim: Claim) -> Claim | Refused | None:
         """Add a claim; return None, the earlier claim or the refusal."""
         self.expire(claim.granted_at)
         claims = self._claims_by_partition.setdefault(partition, {})
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -403,7 +403,7 @@
         )
         self.capacity.on_state_change()
         self.membership.notify_partition_changes()
-        self.claims.refresh()
+        self.claims.apply_partition_table()
         self.router.forget_except(self.state.vm_list.vms_by_name)
 
     def _on_executor_outcome(self, vm: str, failed: bool, unresponsive: bool) -> None:
--- a/src/pomeloyard/requests/keyed.py
+++ b/src/pomeloyard/requests/keyed.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from ..claims.service import ClaimService, ClaimTicket, EarlierAttempt
+from ..claims.service import ClaimService, ClaimTicket, ExistingClaim
 from ..claims.table import (
     CLAIM_WINDOW,
     RETRY_AFTER,
@@ -144,11 +144,11 @@
         return await self._fetch_earlier_response(key, ticket)
 
     async def _fetch_earlier_response(
-        self, key: bytes, earlier: EarlierAttempt
+        self, key: bytes, earlier: ExistingClaim
     ) -> StoredResponse:
         """Ask the daemon that holds the claim for the result of its attempt."""
         if earlier.runner == self._incarnation:
-            self._claims.release_absent(key, earlier.attempt)
+            self._claims.release_lost_claim(key, earlier.attempt)
             raise OutcomeUnknownError(Unknown(UnknownReason.IN_PROGRESS))
         reply = await self._calls.call(
             earlier.runner,
@@ -175,7 +175,7 @@
     def _on_result_request(self, sender: str, message: ResultRequest) -> None:
         result = self._results.get(message.key_hash)
         if result is None:
-            self._claims.release_absent(message.key_hash, message.attempt)
+            self._claims.release_lost_claim(message.key_hash, message.attempt)
             reply = ResultReply(message.request_id, "absent")
         elif result.response is None:
             reply = ResultReply(message.request_id, result.state.value)
--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -186,7 +186,7 @@
                     daemon.state.partitions = record.value
                     daemon.state.partitions_revision = record.mod_revision
                     daemon.state.daemons_by_incarnation = registered
-                    daemon.service.refresh()
+                    daemon.service.apply_partition_table()
         await self.run_steps(2)
 
     async def run_steps(self, steps):
--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -164,8 +164,8 @@
             p.name: DaemonRecord(p.name, p.name.split(".")[0], "", "", "", "")
             for p in paths
         }
-        path.claims.refresh()
-    while any(p.claims.opening() for p in paths):
+        path.claims.apply_partition_table()
+    while any(p.claims.has_unopened_partitions() for p in paths):
         await anyio.sleep(0.01)
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -121,10 +121,10 @@
     """Guards against unbounded claims and keys that are never released."""
     table = ClaimTable(limit=2)
     claims = [Claim(bytes([n]), b"f", "d", n, float(n)) for n in range(3)]
-    assert table.request(0, claims[0]) is None
-    assert table.request(1, claims[1]) is None
-    assert table.request(0, claims[2]).retry_after is not None
-    assert table.request(0, claims[0]) == claims[0]
+    assert table.try_claim(0, claims[0]) is None
+    assert table.try_claim(1, claims[1]) is None
+    assert table.try_claim(0, claims[2]).retry_after is not None
+    assert table.try_claim(0, claims[0]) == claims[0]
     assert table.release(0, claims[0].key_hash, "d", 99) is None
     table.expire(CLAIM_WINDOW.total_seconds() + 0.5)
     assert len(table) == 1
@@ -137,14 +137,14 @@
     for number in range(3000):
         now = number * 0.5
         claim = Claim(number.to_bytes(16), b"f" * 16, "d", number, now)
-        assert table.request(0, claim) is None
-        write = index.plan(table, [claim], now, 0.0)
+        assert table.try_claim(0, claim) is None
+        write = index.plan_write(table, [claim], now, 0.0)
         for segment, value in write.put:
             assert segment.key not in stored
             stored[segment.key] = value
         for segment in write.delete:
             del stored[segment.key]
-        index.applied(write)
+        index.apply_write(write)
         max_stored = max(max_stored, len(stored))
     found = set()
     for key, value in stored.items():
