--- a/measurements/jobs.py
+++ b/measurements/jobs.py
@@ -21,7 +21,7 @@
 from pomeloyard.jobs.placement import Placer
 from pomeloyard.jobs.store import JobStore
 from pomeloyard.jobs.team_shares import TeamLimits
-from tests.support.fake_workers import GIB, Bench
+from tests.support.fake_workers import GIB, SchedulerBench
 
 URGENT_BOUND_SECONDS = 7.2
 SHARE_BOUND_PERCENT = 2.0
@@ -70,14 +70,14 @@
         return min(10.0, chance.lognormvariate(0.0, 0.6))
 
     teams = [f"t{n}" for n in range(deployment.teams)]
-    bench = Bench(
+    bench = SchedulerBench(
         workers=deployment.workers,
         cores=deployment.cores,
         limits=dict.fromkeys(teams, 10**6),
         checkpoint_seconds=checkpoint_seconds,
     )
     waits = anyio.run(_urgent_waits, bench, deployment, teams, chance)
-    assert not bench.problems, bench.problems
+    assert not bench.limit_violations, bench.limit_violations
     waits.sort()
     p99 = waits[min(len(waits) - 1, math.ceil(len(waits) * 0.99) - 1)]
     for name, value in (("greatest", waits[-1]), ("p99", p99)):
@@ -91,7 +91,10 @@
 
 
 async def _urgent_waits(
-    bench: Bench, deployment: Deployment, teams: list[str], chance: random.Random
+    bench: SchedulerBench,
+    deployment: Deployment,
+    teams: list[str],
+    chance: random.Random,
 ) -> list[float]:
     long = JobRequest(
         "sleep 3600", cores=4, memory_bytes=4 * GIB, expected_seconds=3600.0
@@ -216,7 +219,9 @@
 
 async def _share_error(deployment: Deployment) -> float:
     weights = {f"t{n}": 1 + n % 3 for n in range(deployment.teams)}
-    bench = Bench(deployment.workers, deployment.cores, dict.fromkeys(weights, 10**6))
+    bench = SchedulerBench(
+        deployment.workers, deployment.cores, dict.fromkeys(weights, 10**6)
+    )
     teams = bench.state.config.teams_by_name
     capacity = deployment.workers * deployment.cores
     for number, (team, weight) in enumerate(weights.items()):
@@ -245,7 +250,7 @@
 
 
 async def _transactions() -> float:
-    bench = Bench(LILIM.workers, LILIM.cores)
+    bench = SchedulerBench(LILIM.workers, LILIM.cores)
     jobs = JobStore(bench.store, bench.clock, lambda: bench.state.config)
     request = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
     async with bench.scheduler(), anyio.create_task_group() as tasks:
@@ -267,7 +272,7 @@
 
 
 async def _memory_per_job() -> float:
-    bench = Bench(workers=1, cores=1)
+    bench = SchedulerBench(workers=1, cores=1)
     request = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
     count = 10_000
     await bench.submit_many("mill", request, count)
--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -25,7 +25,7 @@
 class Link:
     """What the capacity service reads of a connection."""
 
-    heard_at: timedelta
+    last_received_at: timedelta
 
 
 class MemoryNetwork:
--- a/measurements/support/slopes_capacity.py
+++ b/measurements/support/slopes_capacity.py
@@ -19,7 +19,7 @@
 from pomeloyard.allocation.service import BUSY_REPORT_INTERVAL, CapacityService
 from pomeloyard.clock import ManualClock
 from pomeloyard.fleet_state import FleetState
-from pomeloyard.peers.codec import LENGTH, decode_payload, encode_frame
+from pomeloyard.peers.codec import LENGTH_PREFIX, decode_payload, encode_frame
 from pomeloyard.peers.messages import DemandReport, Hello, LoanGrant, LoanStatement
 
 from . import target_fleet as target
@@ -130,7 +130,7 @@
         gc.collect()
         began = time.process_time()
         for member, frame in zip(target.MEMBERS, frames, strict=True):
-            report: Any = decode_payload(frame[LENGTH.size :])[1]
+            report: Any = decode_payload(frame[LENGTH_PREFIX.size :])[1]
             self.service._on_report(member, report)
         self.service._send_advice()
         return time.process_time() - began
--- a/measurements/support/slopes_fleet.py
+++ b/measurements/support/slopes_fleet.py
@@ -37,7 +37,7 @@
 from pomeloyard.serving import serving
 from pomeloyard.standins.platform import PlatformState, platform_app
 from pomeloyard.standins.vm_directory import MemoryVmDirectory
-from tests.support.fake_workers import GIB, Bench
+from tests.support.fake_workers import GIB, SchedulerBench
 
 from . import target_fleet as target
 from .lines import CONTROL_BYTES_PER_SECOND, CORE_PERCENT, fit, line_figures
@@ -278,7 +278,7 @@
 
 async def _job_writes(count: int) -> int:
     """Return the writes for jobs from submission to result, as they come."""
-    bench = Bench(LILIM.workers, LILIM.cores)
+    bench = SchedulerBench(LILIM.workers, LILIM.cores)
     jobs = JobStore(bench.store, bench.clock, lambda: bench.state.config)
     request = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
     async with bench.scheduler(), anyio.create_task_group() as tasks:
--- a/measurements/support/slopes_jobs.py
+++ b/measurements/support/slopes_jobs.py
@@ -16,12 +16,12 @@
 from measurements.figures import Figure
 from measurements.jobs import _step_seconds
 from pomeloyard.jobs.job import JobRequest, job_id_of
-from pomeloyard.jobs.term import PLAN_INTERVAL, TICK
+from pomeloyard.jobs.term import PLAN_INTERVAL, TICK_INTERVAL
 from pomeloyard.outcomes import Done
 from pomeloyard.workers.client import HttpWorkerClient
 from pomeloyard.workers.connections import IDLE_INTERVAL, RENEW_INTERVAL, TASK_LEASE
 from pomeloyard.workers.tasks import TaskReport, TaskState
-from tests.support.fake_workers import GIB, Bench
+from tests.support.fake_workers import GIB, SchedulerBench
 
 from . import target_fleet as target
 from .lines import (
@@ -73,7 +73,7 @@
 
 async def _queued_bytes(count: int) -> int:
     # The only worker is too small, so that every job stays queued.
-    bench = Bench(workers=1, cores=1)
+    bench = SchedulerBench(workers=1, cores=1)
     request = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
     await bench.submit_many("mill", request, count)
     return await _term_bytes(bench, count, 1)
@@ -81,7 +81,7 @@
 
 async def _running_bytes(count: int) -> int:
     workers = count // TASKS_PER_WORKER
-    bench = Bench(workers, TASKS_PER_WORKER, {"mill": 10**6})
+    bench = SchedulerBench(workers, TASKS_PER_WORKER, {"mill": 10**6})
     request = JobRequest("sleep 3600", 1, GIB, expected_seconds=3600.0)
     await bench.submit_many("mill", request, count)
     async with bench.scheduler():
@@ -91,7 +91,7 @@
     return await _term_bytes(bench, count, 2)
 
 
-async def _term_bytes(bench: Bench, count: int, seconds: float) -> int:
+async def _term_bytes(bench: SchedulerBench, count: int, seconds: float) -> int:
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
@@ -111,7 +111,10 @@
     steps = {n: taken * 1000 for n, taken in seconds.items()}
     yield from line_figures("scheduler.step", "ms", "workers", steps, target.WORKERS)
     # A plan is made each second, and in each tick in which jobs changed.
-    for name, interval in (("each_second", PLAN_INTERVAL), ("each_tick", TICK)):
+    for name, interval in (
+        ("each_second", PLAN_INTERVAL),
+        ("each_tick", TICK_INTERVAL),
+    ):
         rate = 100 / interval.total_seconds()
         share = {n: taken * rate for n, taken in seconds.items()}
         yield from line_figures(
--- a/src/pomeloyard/allocation/service.py
+++ b/src/pomeloyard/allocation/service.py
@@ -233,7 +233,7 @@
             if partition.holder == self._incarnation:
                 return self._incarnation
             link = self._network.connections_by_incarnation.get(partition.holder)
-            if link is not None and now - link.heard_at < COORDINATOR_TIMEOUT:
+            if link is not None and now - link.last_received_at < COORDINATOR_TIMEOUT:
                 return partition.holder
         return ""
 
--- a/src/pomeloyard/claims/service.py
+++ b/src/pomeloyard/claims/service.py
@@ -100,7 +100,7 @@
         network.on(ClaimRecord, self._on_record)
         network.on(ClaimQuery, self._on_query)
         for reply in (ClaimReply, ClaimRecorded, ClaimStatement):
-            calls.expect(reply)
+            calls.register_reply_type(reply)
 
     async def run(self) -> None:
         """Commit claims and follow the partition table until cancelled."""
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -144,7 +144,7 @@
             lambda team: self.capacity.units(team),
             self._executors,
             self._weight,
-            self.router.prefer,
+            self.router.rank,
         )
         self.capacity = CapacityService(
             self.clock, self.state, self.peers, self.admission
@@ -404,7 +404,7 @@
         self.capacity.on_state_change()
         self.membership.notify_partition_changes()
         self.claims.apply_partition_table()
-        self.router.forget_except(self.state.vm_list.vms_by_name)
+        self.router.retain_only(self.state.vm_list.vms_by_name)
 
     def _on_executor_outcome(self, vm: str, failed: bool, unresponsive: bool) -> None:
         record_executor_outcome(
--- a/src/pomeloyard/explanations.py
+++ b/src/pomeloyard/explanations.py
@@ -87,7 +87,7 @@
 
     def start(self) -> None:
         """Answer other daemons from now on."""
-        self._calls.expect(ExplainReply)
+        self._calls.register_reply_type(ExplainReply)
         self._network.on(ExplainRequest, self._on_request)
 
     async def explain(self, subject: str) -> Explanation:
--- a/src/pomeloyard/fleet/drain_notices.py
+++ b/src/pomeloyard/fleet/drain_notices.py
@@ -31,7 +31,7 @@
 
     def start(self) -> None:
         """Register the handlers for other daemons' messages."""
-        self._calls.expect(RunningReply)
+        self._calls.register_reply_type(RunningReply)
         self._network.on(DrainNotice, self._on_notice)
         self._network.on(RunningQuery, self._on_query)
 
--- a/src/pomeloyard/fleet/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -60,5 +60,5 @@
             elif link.failures:
                 self._record(name, ObservationKind.UNRESPONSIVE)
             health = term.follower.quarantine.health(name)
-            if health is WorkerHealth.SET_ASIDE:
+            if health is WorkerHealth.QUARANTINED:
                 self._record(name, ObservationKind.TASK_FAILED)
--- a/src/pomeloyard/jobs/quarantine.py
+++ b/src/pomeloyard/jobs/quarantine.py
@@ -28,7 +28,7 @@
     """Whether a worker may be given tasks."""
 
     GOOD = "good"
-    SET_ASIDE = "set-aside"
+    QUARANTINED = "set-aside"
     ON_TRIAL = "on-trial"
 
 
@@ -113,7 +113,9 @@
                 continue
             for task in failures_of_job:
                 record.tasks.remove(task)
-            if record.health is WorkerHealth.SET_ASIDE and not self._is_suspect(worker):
+            if record.health is WorkerHealth.QUARANTINED and not self._is_suspect(
+                worker
+            ):
                 record.health = WorkerHealth.GOOD
                 record.quarantine_count = max(0, record.quarantine_count - 1)
                 reason = QuarantineReason.FAILURES_RETRACTED
@@ -124,7 +126,7 @@
         """Start the trials of workers whose quarantine time has passed."""
         changes: list[HealthChange] = []
         for worker, record in self._records.items():
-            if record.health is WorkerHealth.SET_ASIDE and now >= record.trial_at:
+            if record.health is WorkerHealth.QUARANTINED and now >= record.trial_at:
                 record.health = WorkerHealth.ON_TRIAL
                 reason = QuarantineReason.QUARANTINE_ENDED
                 changes.append(HealthChange(worker, record.health, reason))
@@ -192,5 +194,5 @@
             FIRST_QUARANTINE * 2 ** min(record.quarantine_count, 10), MAX_QUARANTINE
         )
         record.quarantine_count += 1
-        record.health = WorkerHealth.SET_ASIDE
+        record.health = WorkerHealth.QUARANTINED
         return HealthChange(worker, record.health, reason)
--- a/src/pomeloyard/jobs/term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -32,7 +32,7 @@
 from .worker_drain import WorkerDrain
 from .worker_roster import WorkerRoster
 
-TICK = timedelta(seconds=0.1)
+TICK_INTERVAL = timedelta(seconds=0.1)
 PLAN_INTERVAL = timedelta(seconds=1)
 """Maximum time between plans; a tick in which jobs changed also makes one."""
 REMOVE_INTERVAL = timedelta(seconds=10)
@@ -125,7 +125,7 @@
             while True:
                 if self._loaded:
                     await self.tick()
-                await self._clock.sleep(TICK)
+                await self._clock.sleep(TICK_INTERVAL)
 
     async def _end_when_stale(self) -> None:
         await self.links.stale.wait()
--- a/src/pomeloyard/jobs/worker_roster.py
+++ b/src/pomeloyard/jobs/worker_roster.py
@@ -74,7 +74,7 @@
             return reason
         workers = self._index.workers_by_name
         if all(
-            self._quarantine.health(name) is WorkerHealth.SET_ASIDE
+            self._quarantine.health(name) is WorkerHealth.QUARANTINED
             for name, worker in workers.items()
             if worker.free_cores > 0
         ) and any(worker.free_cores > 0 for worker in workers.values()):
@@ -90,7 +90,7 @@
         accepts = (
             self._state.accepts_work(vm)
             and link.reachable
-            and health is not WorkerHealth.SET_ASIDE
+            and health is not WorkerHealth.QUARANTINED
         )
         max_tasks = 1 if health is WorkerHealth.ON_TRIAL else None
         pool = self._state.pool_of(vm)
--- a/src/pomeloyard/peers/calls.py
+++ b/src/pomeloyard/peers/calls.py
@@ -17,10 +17,10 @@
 
 
 @dataclass(eq=False)
-class _Pending:
-    asked: str
-    arrived: anyio.Event = field(default_factory=anyio.Event)
-    answer: Any = None
+class _PendingCall:
+    target: str
+    ended: anyio.Event = field(default_factory=anyio.Event)
+    reply: Any = None
 
 
 class PeerCalls:
@@ -29,10 +29,10 @@
     def __init__(self, network: PeerNetwork) -> None:
         self._network = network
         self._ids = itertools.count(1)
-        self._pending_by_id: dict[int, _Pending] = {}
+        self._pending_by_id: dict[int, _PendingCall] = {}
         network.on_disconnect.append(self._on_disconnect)
 
-    def expect(self, reply_type: type) -> None:
+    def register_reply_type(self, reply_type: type) -> None:
         """Register ``reply_type``, so that its messages complete waiting calls."""
         self._network.on(reply_type, self._on_reply)
 
@@ -48,26 +48,26 @@
         None does not tell whether the request arrived.
         """
         request_id = next(self._ids)
-        pending = _Pending(incarnation)
+        pending = _PendingCall(incarnation)
         self._pending_by_id[request_id] = pending
         try:
             if not self._network.send(incarnation, make_message(request_id)):
                 return None
             with anyio.move_on_after(timeout.total_seconds()):
-                await pending.arrived.wait()
+                await pending.ended.wait()
         finally:
             del self._pending_by_id[request_id]
-        return pending.answer if isinstance(pending.answer, reply_type) else None
+        return pending.reply if isinstance(pending.reply, reply_type) else None
 
     def _on_disconnect(self, incarnation: str) -> None:
         """End the calls to a disconnected daemon, whose reply can no longer arrive."""
         for pending in self._pending_by_id.values():
-            if pending.asked == incarnation:
-                pending.arrived.set()
+            if pending.target == incarnation:
+                pending.ended.set()
 
     def _on_reply(self, sender: str, message: Any) -> None:
         pending = self._pending_by_id.get(message.request_id)
         # Late replies and those of a daemon that was not called are dropped.
-        if pending is not None and pending.asked == sender:
-            pending.answer = message
-            pending.arrived.set()
+        if pending is not None and pending.target == sender:
+            pending.reply = message
+            pending.ended.set()
--- a/src/pomeloyard/peers/codec.py
+++ b/src/pomeloyard/peers/codec.py
@@ -11,7 +11,7 @@
 from .messages import MESSAGE_TYPES, PROTOCOL_VERSION, Message
 
 MAX_FRAME_BYTES = 1024 * 1024
-LENGTH = struct.Struct(">I")
+LENGTH_PREFIX = struct.Struct(">I")
 
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(MESSAGE_TYPES)
@@ -27,12 +27,12 @@
         raise FrameError(
             f"{type(message).__name__} frame of {len(payload)} bytes is too large"
         )
-    return LENGTH.pack(len(payload)) + payload
+    return LENGTH_PREFIX.pack(len(payload)) + payload
 
 
 def decode_length(prefix: bytes) -> int:
     """Return the payload length of a frame from its 4-byte prefix."""
-    (length,) = LENGTH.unpack(prefix)
+    (length,) = LENGTH_PREFIX.unpack(prefix)
     if length > MAX_FRAME_BYTES:
         raise FrameError(
             f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}"
--- a/src/pomeloyard/peers/streams.py
+++ b/src/pomeloyard/peers/streams.py
@@ -17,7 +17,7 @@
 
 from ..clock import Clock
 from ..errors import FrameError
-from .codec import LENGTH, decode_length, decode_payload, encode_frame
+from .codec import LENGTH_PREFIX, decode_length, decode_payload, encode_frame
 from .dialling import DIAL_INTERVAL, DialSchedule
 from .messages import Goodbye, Hello, Message
 from .tls import PeerTls
@@ -50,7 +50,7 @@
     hello: Hello
     outgoing: MemoryObjectSendStream[bytes]
     scope: anyio.CancelScope
-    heard_at: timedelta
+    last_received_at: timedelta
     opened_at: timedelta = timedelta(0)
     dialled: bool = False
     queued_bytes: int = 0
@@ -272,7 +272,7 @@
         while True:
             with anyio.fail_after(SILENCE_TIMEOUT.total_seconds()):
                 message = await self._receive(reader)
-            connection.heard_at = self._clock.monotonic()
+            connection.last_received_at = self._clock.monotonic()
             sender = connection.hello.incarnation
             if isinstance(message, Goodbye):
                 # A daemon can only announce its own end.
@@ -291,10 +291,10 @@
                 log.exception("handler failed for {!r}", arguments[-1])
 
     async def _receive(self, reader: BufferedByteReceiveStream) -> Message:
-        length = decode_length(await reader.receive_exactly(LENGTH.size))
+        length = decode_length(await reader.receive_exactly(LENGTH_PREFIX.size))
         payload = await reader.receive_exactly(length)
         message = decode_payload(payload)[1]
-        self.traffic.record_received(type(message), LENGTH.size + length)
+        self.traffic.record_received(type(message), LENGTH_PREFIX.size + length)
         return message
 
     def _register(self, connection: Connection) -> None:
@@ -345,7 +345,7 @@
                 and c.hello.incarnation == other
                 and not c.dialled
                 and now - c.opened_at >= DUPLICATE_GRACE
-                and now - c.heard_at < DUPLICATE_GRACE
+                and now - c.last_received_at < DUPLICATE_GRACE
                 for c in self._connections
             ):
                 connection.outgoing.close()
--- a/src/pomeloyard/requests/keyed.py
+++ b/src/pomeloyard/requests/keyed.py
@@ -70,7 +70,7 @@
         self._calls = calls
         self._incarnation = incarnation
         network.on(ResultRequest, self._on_result_request)
-        calls.expect(ResultReply)
+        calls.register_reply_type(ResultReply)
 
     @asynccontextmanager
     async def run(
--- a/src/pomeloyard/requests/routing.py
+++ b/src/pomeloyard/requests/routing.py
@@ -93,7 +93,7 @@
         self.on_outcome: Callable[[str, bool, bool], None] = lambda *_: None
         """Called with an executor, whether it failed and whether it did not respond."""
 
-    def prefer(self, service: str, names: list[str]) -> list[str]:
+    def rank(self, service: str, names: list[str]) -> list[str]:
         """Return names in order of preference, without the ejected ones."""
         health_by_vm = self._health_by_vm
         if not self._is_any_ejected(names):
@@ -130,7 +130,7 @@
         if trial_failed or health.consecutive_failures >= CONSECUTIVE_FAILURES_TO_EJECT:
             self._eject(service, vm, health)
 
-    def forget_except(self, names: Iterable[str]) -> None:
+    def retain_only(self, names: Iterable[str]) -> None:
         """Drop the health records of executors that no longer exist."""
         kept = set(names)
         for name in [n for n in self._health_by_vm if n not in kept]:
--- a/tests/outer/test_encoded_forms.py
+++ b/tests/outer/test_encoded_forms.py
@@ -27,7 +27,7 @@
 from pomeloyard.fleet import wave_runner as fleet_wave_runner
 from pomeloyard.jobs import job
 from pomeloyard.operators import key_routes, pool_routes, wave_routes
-from pomeloyard.peers.codec import LENGTH, decode_payload, encode_frame
+from pomeloyard.peers.codec import LENGTH_PREFIX, decode_payload, encode_frame
 from pomeloyard.peers.messages import MESSAGE_TYPES
 from pomeloyard.platform import (
     advice,
@@ -173,7 +173,7 @@
 
 def test_peer_frames_of_an_older_build_are_read():
     for number, frame in enumerate(FORMS["frames"]):
-        payload = bytes.fromhex(frame)[LENGTH.size :]
+        payload = bytes.fromhex(frame)[LENGTH_PREFIX.size :]
         assert decode_payload(payload) == (3, sample(MESSAGE_TYPES[number]))
 
 
--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -18,7 +18,7 @@
 from pomeloyard.keyvalue import layout
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.records import Change, commit_changes, read_record
-from pomeloyard.peers.calls import PeerCalls, _Pending
+from pomeloyard.peers.calls import PeerCalls, _PendingCall
 from pomeloyard.peers.messages import ClaimOutage
 
 STEP = timedelta(milliseconds=50)
@@ -87,17 +87,17 @@
 
     async def call(self, incarnation, make_message, reply_type, timeout):
         request_id = next(self._ids)
-        pending = self._pending_by_id[request_id] = _Pending(incarnation)
+        pending = self._pending_by_id[request_id] = _PendingCall(incarnation)
         try:
             if self._network.send(incarnation, make_message(request_id)):
-                await pending.arrived.wait()
+                await pending.ended.wait()
         finally:
             del self._pending_by_id[request_id]
-        return pending.answer if isinstance(pending.answer, reply_type) else None
+        return pending.reply if isinstance(pending.reply, reply_type) else None
 
     def expire(self):
         for pending in self._pending_by_id.values():
-            pending.arrived.set()
+            pending.ended.set()
 
 
 class Daemon:
--- a/tests/support/fake_workers.py
+++ b/tests/support/fake_workers.py
@@ -231,7 +231,7 @@
         )
 
 
-class Bench:
+class SchedulerBench:
     """Store, workers, fleet state and schedulers of one test."""
 
     def __init__(
@@ -259,7 +259,7 @@
                 self.state.vm_list.vms_by_name[f"w{n}"] = replace(vm, accelerators=4)
         self.epoch = 0
         self.schedulers: list[Scheduler] = []
-        self.problems: list[str] = []
+        self.limit_violations: list[str] = []
 
     def add_worker(self, name: str, zone: str, rack: str, cores: int) -> None:
         vm = Vm(name, VmRole.WORKER, "p", "luzon", zone, rack, name)
@@ -322,7 +322,7 @@
             await advance(self.clock, 0.25)
             for team, units in self.workers.units_by_team().items():
                 if units > self.limits[team]:
-                    self.problems.append(f"{team}: {units} units")
+                    self.limit_violations.append(f"{team}: {units} units")
 
     def start_count(self, job_id: str) -> int:
         return sum(run[0] == job_id for run in self.workers.starts)
--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -66,7 +66,7 @@
             lambda team: UNITS,
             self.executors,
             lambda team: 1.0,
-            self.router.prefer,
+            self.router.rank,
         )
         self.client = EndpointClient(lambda vm: CONNECTIONS)
         self.decisions = DecisionLog()
--- a/tests/test_health_sources.py
+++ b/tests/test_health_sources.py
@@ -42,7 +42,7 @@
         (
             True,
             0,
-            WorkerHealth.SET_ASIDE,
+            WorkerHealth.QUARANTINED,
             [ObservationKind.RESPONSIVE, ObservationKind.TASK_FAILED],
         ),
     ],
--- a/tests/test_job_model.py
+++ b/tests/test_job_model.py
@@ -6,7 +6,7 @@
 
 from pomeloyard.jobs.job import JobRequest, JobState
 from pomeloyard.jobs.store import JobStore
-from tests.support.fake_workers import GIB, Bench
+from tests.support.fake_workers import GIB, SchedulerBench
 
 LIMITS = {"mill": 4, "desk": 3}
 WORKER = st.integers(0, 3)
@@ -37,7 +37,7 @@
     """Applies actions to a bench and records the accepted jobs."""
 
     def __init__(self):
-        self.bench = Bench(workers=4, cores=2, limits=LIMITS)
+        self.bench = SchedulerBench(workers=4, cores=2, limits=LIMITS)
         self.jobs = JobStore(
             self.bench.store, self.bench.clock, lambda: self.bench.state.config
         )
@@ -133,7 +133,7 @@
             self.repair(name)
         await bench.run(200)
         jobs = await bench.jobs()
-        assert not bench.problems, bench.problems
+        assert not bench.limit_violations, bench.limit_violations
         for job_id, (_, idempotent) in self.accepted.items():
             job = jobs[job_id]
             assert job.final, job
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -23,7 +23,7 @@
 from pomeloyard.errors import FrameError
 from pomeloyard.peers.calls import PeerCalls
 from pomeloyard.peers.codec import (
-    LENGTH,
+    LENGTH_PREFIX,
     MAX_FRAME_BYTES,
     decode_length,
     decode_payload,
@@ -93,7 +93,7 @@
     except FrameError:
         return
     assert type(message) in MESSAGE_TYPES
-    again = decode_payload(encode_frame(message)[LENGTH.size :])[1]
+    again = decode_payload(encode_frame(message)[LENGTH_PREFIX.size :])[1]
     assert type(again) is type(message)
 
 
@@ -101,7 +101,7 @@
 def test_oversized_length_is_refused_before_it_is_read(length):
     """Guards against allocating memory for a false length from a faulty peer."""
     with pytest.raises(FrameError):
-        decode_length(LENGTH.pack(length))
+        decode_length(LENGTH_PREFIX.pack(length))
 
 
 class Peer:
@@ -147,14 +147,14 @@
 
 
 def framed(payload):
-    return LENGTH.pack(len(payload)) + payload
+    return LENGTH_PREFIX.pack(len(payload)) + payload
 
 
 HELLO = encode_frame(Hello("raw.11111111", "raw", "127.0.0.1:1", "zone"))
 INVALID_STREAMS = [
     b"GET / HTTP/1.1\r\n\r\n",
     b"\xff" * 100,
-    LENGTH.pack(MAX_FRAME_BYTES + 1),
+    LENGTH_PREFIX.pack(MAX_FRAME_BYTES + 1),
     framed(b""),
     framed(DEEP_NESTING),
     framed(HUGE_ARRAY),
@@ -165,7 +165,7 @@
     encode_frame(Hello("a.00000000", "a", "not an address", "zone")),
     HELLO + framed(DEEP_NESTING),
     HELLO + framed(msgpack.packb([1, 1, 0, []])),
-    HELLO + LENGTH.pack(50) + b"too short",
+    HELLO + LENGTH_PREFIX.pack(50) + b"too short",
     HELLO + encode_frame(LoanKept(-1, -1, "?", "?", -(2**62), -1)),
     HELLO + encode_frame(RunningQuery(-(2**62), "?")),
     HELLO + encode_frame(Goodbye("b.00000000")),
@@ -239,7 +239,7 @@
 
     async def run():
         calls = PeerCalls(a.network)
-        calls.expect(RunningReply)
+        calls.register_reply_type(RunningReply)
         async with running(a):
             a.network.seeds.add(b.listen)
             await until(lambda: a.is_connected_to(b) and b.is_connected_to(a))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,7 +14,7 @@
 from pomeloyard.jobs.preemption import PreemptionMethod, RunningTask, VictimChooser
 from pomeloyard.jobs.quarantine import Quarantine, WorkerHealth
 from pomeloyard.jobs.team_shares import TeamLimits
-from tests.support.fake_workers import GIB, Bench
+from tests.support.fake_workers import GIB, SchedulerBench
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 TEAMS = {"mill": TeamLimits(3.0, 10**6), "desk": TeamLimits(1.0, 10**6)}
@@ -99,7 +99,7 @@
     """Guards against a share error above 2% in a window of 10 s."""
 
     async def check():
-        bench = Bench(workers=6, cores=16, limits={"mill": 1000, "desk": 1000})
+        bench = SchedulerBench(workers=6, cores=16, limits={"mill": 1000, "desk": 1000})
         teams = bench.state.config.teams_by_name
         teams["mill"] = replace(teams["mill"], share=3)
         request = JobRequest("sleep 1", memory_bytes=GIB, expected_seconds=1.0)
@@ -122,7 +122,7 @@
     """Guards against starvation of a large job by a stream of small jobs."""
 
     async def check():
-        bench = Bench(workers=2, cores=4)
+        bench = SchedulerBench(workers=2, cores=4)
         small = JobRequest("sleep 20", memory_bytes=GIB, expected_seconds=20.0)
         async with bench.scheduler():
             for n in range(40):
@@ -216,18 +216,18 @@
     assert all(quarantine.health(f"w{n}") is WorkerHealth.GOOD for n in range(5))
     for n in range(4):
         health = end(quarantine, "hole", f"h{n}", kind, failed=True)
-    assert health is WorkerHealth.SET_ASIDE
+    assert health is WorkerHealth.QUARANTINED
     # At most a tenth is quarantined: two of twenty.
     for worker in ("hole2", "hole3"):
         for n in range(4):
             end(quarantine, worker, f"{worker}.{n}", kind, failed=True)
-    assert quarantine.health("hole2") is WorkerHealth.SET_ASIDE
+    assert quarantine.health("hole2") is WorkerHealth.QUARANTINED
     assert quarantine.health("hole3") is WorkerHealth.GOOD
     # Each failed trial doubles the quarantine; a successful one ends it.
     at = now
     for rest in (60, 120, 240):
         quarantine.start_due_trials(at + timedelta(seconds=rest - 1))
-        assert quarantine.health("hole") is WorkerHealth.SET_ASIDE
+        assert quarantine.health("hole") is WorkerHealth.QUARANTINED
         at += timedelta(seconds=rest)
         quarantine.start_due_trials(at)
         assert quarantine.health("hole") is WorkerHealth.ON_TRIAL
@@ -243,7 +243,7 @@
         quarantine.task_ended(now, "w9", f"g{n}", kind, failed=False, fleet_size=9)
     for job_id in ("bad", "bad", "other"):
         quarantine.task_ended(now, "w1", job_id, kind, failed=True, fleet_size=9)
-    assert quarantine.health("w1") is WorkerHealth.SET_ASIDE
+    assert quarantine.health("w1") is WorkerHealth.QUARANTINED
     changes = quarantine.retract_failures("bad", kind)
     assert [c.worker for c in changes] == ["w1"]
     assert quarantine.health("w1") is WorkerHealth.GOOD
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -54,7 +54,7 @@
         router.succeeded(name, timedelta(seconds=seconds))
     for name in failed:
         router.failed("s", name)
-    assert router.prefer("s", NAMES)[0] == first
+    assert router.rank("s", NAMES)[0] == first
 
 
 def test_ejection_backs_off_and_lets_one_trial_through():
@@ -62,17 +62,17 @@
     router, clock = make_router()
     fail(router, "e1")
     for doublings in range(3):
-        assert "e1" not in router.prefer("s", NAMES)
+        assert "e1" not in router.rank("s", NAMES)
         clock.advance(FIRST_EJECTION_TIME * 2**doublings)
-        assert router.prefer("s", NAMES)[0] == "e1"
+        assert router.rank("s", NAMES)[0] == "e1"
         router.started("e1")
         assert router.decision("s", "e1").reason is RouteReason.TRIAL
-        assert "e1" not in router.prefer("s", NAMES), "a second trial at once"
+        assert "e1" not in router.rank("s", NAMES), "a second trial at once"
         router.failed("s", "e1")
     clock.advance(timedelta(minutes=1))
     router.started("e1")
     router.succeeded("e1", timedelta(0))
-    assert router.prefer("s", NAMES)[0] == "e1"
+    assert router.rank("s", NAMES)[0] == "e1"
     reasons = {c.name: c.reason for c in router.decision("s", "e3").candidates}
     assert reasons["e3"] is RouteReason.CHOSEN
     assert reasons["e1"] is RouteReason.LESS_PREFERRED
@@ -83,7 +83,7 @@
     for order in itertools.permutations(NAMES):
         router, _ = make_router()
         fail(router, *order)
-        assert len(router.prefer("s", NAMES)) == 2
+        assert len(router.rank("s", NAMES)) == 2
 
 
 def test_retry_budget_is_a_tenth_of_the_requests():
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -11,7 +11,7 @@
 from pomeloyard.jobs.store import JobStore
 from pomeloyard.vm_platform.directory import VmRole
 from pomeloyard.workers.tasks import TaskState
-from tests.support.fake_workers import GIB, Bench
+from tests.support.fake_workers import GIB, SchedulerBench
 from tests.support.job_fakes import advance
 
 NON_IDEMPOTENT = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
@@ -20,14 +20,14 @@
 
 
 def run(check, **options):
-    bench = Bench(**options)
+    bench = SchedulerBench(**options)
 
     async def main():
         with anyio.fail_after(60):
             await check(bench)
 
     anyio.run(main)
-    assert bench.problems == []
+    assert bench.limit_violations == []
 
 
 def test_jobs_run_once_and_their_reports_are_acknowledged():
