--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -25,7 +25,7 @@
 class Link:
     """What the capacity service reads of a connection."""
 
-    heard_at: timedelta
+    last_received_at: timedelta
 
 
 class MemoryNetwork:
@@ -131,5 +131,5 @@
     for node in nodes:
         node.capacity.on_state_change()
         tasks.start_soon(node.capacity.run)
-        tasks.start_soon(node.capacity.run_repeats)
+        tasks.start_soon(node.capacity.run_retransmissions)
     return nodes
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -31,7 +31,7 @@
 from .fleet.drain_notices import DrainNotices
 from .fleet.drains import JobTaskCounts
 from .fleet.health_reports import HealthReports
-from .fleet.health_sources import WorkerObserver, note_executor
+from .fleet.health_sources import WorkerObserver, record_executor_outcome
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
 from .heartbeats import PeerHeartbeats
@@ -140,11 +140,11 @@
         )
         self.admission = AdmissionController(
             self.clock,
-            lambda vm: self.capacity.slots(vm) if self.membership.may_admit() else 0,
+            lambda vm: self.capacity.slots(vm) if self.membership.can_admit() else 0,
             lambda team: self.capacity.units(team),
             self._executors,
             self._weight,
-            self.router.prefer,
+            self.router.rank,
         )
         self.capacity = CapacityService(
             self.clock, self.state, self.peers, self.admission
@@ -154,14 +154,14 @@
             self.clock,
             self.state,
             record,
-            self.capacity.book,
+            self.capacity.ledger,
             self.capacity.resources,
         )
         membership_decisions = MembershipDecisions(
             self.clock, self.state, self.incarnation, self.decisions
         )
-        self.membership.on_gained.append(membership_decisions.note_gained)
-        self.membership.on_lost.append(membership_decisions.note_lost)
+        self.membership.on_partition_gained.append(membership_decisions.record_gained)
+        self.membership.on_partition_lost.append(membership_decisions.record_lost)
 
     def _build_requests(self) -> None:
         """Build the services that handle requests."""
@@ -204,9 +204,9 @@
             self.store,
             self.directory,
             self.decisions,
-            self.drain_notices.ask,
+            self.drain_notices.query_running,
             JobTaskCounts(self.store),
-            self.drain_notices.announce,
+            self.drain_notices.broadcast_state,
             self._demand_by_pool,
         )
         self.scheduler = Scheduler(
@@ -214,11 +214,14 @@
         )
         self.roles_by_name: dict[str, RoleCandidate] = {}
         self.health_reports = HealthReports(
-            self.clock, self.peers, self.state, self.controller.repairs.health.observe
+            self.clock,
+            self.peers,
+            self.state,
+            self.controller.repairs.health_tracker.observe,
         )
         self.router.on_outcome = self._on_executor_outcome
         self.worker_observer = WorkerObserver(
-            self.clock, self.scheduler, self.health_reports.note
+            self.clock, self.scheduler, self.health_reports.record
         )
 
     def _build_monitoring(self) -> None:
@@ -282,7 +285,7 @@
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.capacity.run)
-        tasks.start_soon(self.capacity.run_repeats)
+        tasks.start_soon(self.capacity.run_retransmissions)
         tasks.start_soon(self.claims.run)
         tasks.start_soon(self.keys.run)
         tasks.start_soon(self.log_writer.run)
@@ -323,7 +326,7 @@
         self.admission.close()
         for server in self._servers:
             server.should_exit = True
-        while self.admission.running():
+        while self.admission.running_count():
             await anyio.sleep(0.05)
         try:
             await self.claims.close()
@@ -336,13 +339,13 @@
 
     def _log_unfinished(self) -> None:
         table = self.state.partitions
-        held = table.held_by(self.incarnation) if table is not None else ()
+        held = table.partitions_held_by(self.incarnation) if table is not None else ()
         log.warning(
             "shutdown timed out: {} requests may still be running, {} partitions and "
             "{} permits of requests with unknown outcome are not released",
-            self.admission.running(),
+            self.admission.running_count(),
             len(held),
-            self.admission.held(),
+            self.admission.held_count(),
         )
 
     def _operator_context(self) -> OperatorContext:
@@ -399,12 +402,14 @@
             record.peer_address for record in self.state.daemons_by_incarnation.values()
         )
         self.capacity.on_state_change()
-        self.membership.follow_table()
-        self.claims.refresh()
-        self.router.forget_except(self.state.vm_list.vms_by_name)
+        self.membership.notify_partition_changes()
+        self.claims.apply_partition_table()
+        self.router.retain_only(self.state.vm_list.vms_by_name)
 
-    def _on_executor_outcome(self, vm: str, failed: bool, silent: bool) -> None:
-        note_executor(self.health_reports.note, vm, failed=failed, silent=silent)
+    def _on_executor_outcome(self, vm: str, failed: bool, unresponsive: bool) -> None:
+        record_executor_outcome(
+            self.health_reports.record, vm, failed=failed, unresponsive=unresponsive
+        )
 
     def _zone_of(self, vm: str) -> str:
         record = self.state.vm_list.vms_by_name.get(vm)
@@ -421,7 +426,7 @@
         daemons = max(1, len(self.state.daemons_by_incarnation))
         demand: dict[str, float] = {}
         for service in self.state.config.services_by_name.values():
-            uses = self.admission.use_by_service_team().items()
+            uses = self.admission.usage_by_service_team().items()
             asked = sum(u.queued + u.running for (n, _), u in uses if n == service.name)
             slots = asked * daemons
             vms = slots / max(1, service.slots_per_executor)
--- a/src/pomeloyard/fleet_state.py
+++ b/src/pomeloyard/fleet_state.py
@@ -53,7 +53,7 @@
     drain_epochs_by_vm: dict[str, int] = field(default_factory=dict)
     """Epochs of drains announced by peers, which may precede the store's watch."""
 
-    def note_drain(self, name: str, epoch: int) -> None:
+    def record_drain_notice(self, name: str, epoch: int) -> None:
         """Cordon a VM until its record reaches the epoch of an announced drain."""
         known = self.drain_epochs_by_vm.get(name, 0)
         self.drain_epochs_by_vm[name] = max(known, epoch)
