--- a/measurements/placing.py
+++ b/measurements/placing.py
@@ -21,12 +21,12 @@
 
 from measurements.figures import Figure, at_most
 from pomeloyard.batch import layout
-from pomeloyard.batch.decisions import DecisionLines
+from pomeloyard.batch.configuration_follower import OperatorFollower
+from pomeloyard.batch.decision_log import DecisionLines
+from pomeloyard.batch.executor_registry import ExecutorRegistry
 from pomeloyard.batch.executors import Executor
-from pomeloyard.batch.follow import OperatorFollower
 from pomeloyard.batch.model import JobRecord, JobSpec, JobState, Resources, StepSpec
-from pomeloyard.batch.registry import ExecutorRegistry
-from pomeloyard.batch.term import PlacingTerm
+from pomeloyard.batch.placing_term import PlacingTerm
 from pomeloyard.clock import Clock, SystemClock
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
--- a/src/pomeloyard/batch/demand.py
+++ b/src/pomeloyard/batch/demand.py
@@ -7,13 +7,13 @@
 from math import ceil
 
 from ..clock import Clock
-from .learning import Learning
+from .executor_choice import lasting_tasks_per_vm
+from .job_ranking import finish_and_objective_ms
 from .model import JobRecord, Queue
-from .order import finish_and_objective_ms
-from .pools import LastingLoad
+from .peaks import ArrivalRate, Peak, Turns
+from .pool_scaling import LastingLoad
 from .progress import JobRun, StepRun
-from .spread import lasting_tasks_per_vm
-from .turns import ArrivalRate, Peak, Turns
+from .run_estimates import Learning
 
 
 class PoolDemand:
--- a/src/pomeloyard/batch/spread.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -15,10 +15,10 @@
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 
-from .learning import SLOW_FACTOR, Learning
-from .link import ExecutorLink
+from .executor_link import ExecutorLink
 from .model import StepSpec
 from .progress import StepRun, Task
+from .run_estimates import SLOW_FACTOR, Learning
 from .usage import Usage
 
 ANY_CPU = -sys.maxsize
--- a/src/pomeloyard/batch/registry.py
+++ b/src/pomeloyard/batch/executor_registry.py
@@ -13,8 +13,8 @@
 from ..clock import Clock
 from ..errors import CompactedError, StoreError
 from ..keyvalue.store import Entry, PollingStore
+from .configuration_follower import DocumentError
 from .executors import Executor
-from .follow import DocumentError
 
 POLL_WAIT = timedelta(seconds=1.2)
 """A connection that silently stopped delivering hides draining executors for this long;
--- a/src/pomeloyard/batch/history.py
+++ b/src/pomeloyard/batch/job_history.py
@@ -1,7 +1,7 @@
 """Reconstruction of a job's history and its causes from the daemons' logs.
 
 The logs of all daemons are needed: any of them may have answered a call, and the
-placing role moves between daemons. Lines are JSON: those of ``decisions`` and the
+placing role moves between daemons. Lines are JSON: those of ``decision_log`` and the
 daemon's other messages. A line may be prefixed with the name of its source.
 """
 
--- a/src/pomeloyard/batch/intake.py
+++ b/src/pomeloyard/batch/job_service.py
@@ -33,9 +33,9 @@
 )
 from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 from . import layout
-from .follow import OperatorFollower
+from .configuration_follower import OperatorFollower
 from .model import JobRecord, JobSpec, JobState, Queue, check_spec
-from .records import RunHeader
+from .progress_records import RunHeader
 
 RETRY_DELAY = timedelta(milliseconds=60)
 MAX_RETRIES_WITHOUT_EFFECT = 1
--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -10,8 +10,8 @@
 
 from ..keyvalue.store import CallCounter
 from ..logs import LogWriter
-from .decisions import DecisionLines
-from .follow import OperatorFollower
+from .configuration_follower import OperatorFollower
+from .decision_log import DecisionLines
 from .placing import PlacingRole
 
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -221,17 +221,17 @@
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
         raise _invalid(f"payload: at most {MAX_PAYLOAD_BYTES} bytes")
     if spec.occurrences < 0 or spec.interval_ms < 0:
-        raise _invalid("occurrences and interval must not be negative")
+        raise _invalid("occurrences and interval: not negative")
     tasks = sum(step.count for step in spec.steps) * max(1, spec.occurrences)
     if tasks > MAX_TASKS:
-        raise _invalid(f"tasks: at most {MAX_TASKS}")
+        raise _invalid(f"at most {MAX_TASKS} tasks")
     for number, step in enumerate(spec.steps):
         if step.count < 1:
             raise _invalid(f"step {number}: count must be positive")
         if any(not 0 <= dependency < number for dependency in step.after):
-            raise _invalid(f"step {number}: can depend only on earlier steps")
+            raise _invalid(f"step {number}: only earlier steps can come first")
         if min(step.cpu_millis, step.memory_mb, step.accelerators) < 0:
-            raise _invalid(f"step {number}: resources must not be negative")
+            raise _invalid(f"step {number}: sizes must not be negative")
 
 
 def _invalid(detail: str) -> RefusedError:
--- a/src/pomeloyard/batch/placing.py
+++ b/src/pomeloyard/batch/placing.py
@@ -9,7 +9,7 @@
 
 from ..keyvalue.store import Compare
 from ..roles import EPOCHS, HeldRole, RoleTimes
-from .term import PlacingTerm
+from .placing_term import PlacingTerm
 
 ROLE = "placing"
 TIMES = RoleTimes(
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -32,9 +32,13 @@
 from ..roles import HeldRole
 from . import layout
 from .advice import AdviceService, Advisor
-from .availability import Availability
-from .decisions import DecisionLines
+from .call_losses import CallLosses
+from .configuration_follower import OperatorFollower
+from .decision_log import DecisionLines
 from .demand import PoolDemand
+from .disruption import Availability
+from .executor_link import LATE_ORDER, ExecutorLink, Phase, PlacedRun
+from .executor_registry import ExecutorRegistry
 from .executors import (
     EndedTask,
     Executor,
@@ -42,27 +46,23 @@
     RunningTask,
     StartAnswer,
 )
-from .follow import OperatorFollower
-from .learning import Learning
-from .link import LATE_ORDER, ExecutorLink, Phase, PlacedRun
-from .losses import CallLosses
+from .job_ranking import longest_chain_ms, work_of
 from .model import (
     NOTHING,
     JobRecord,
     JobState,
     Queue,
 )
-from .order import longest_chain_ms, work_of
 from .pacing import next_pace
+from .peaks import Turns
 from .planner import Planner
 from .policy import Policy, UsualPolicy
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter, RecordGroup
-from .registry import ExecutorRegistry
+from .run_estimates import Learning
 from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
-from .turns import Turns
 from .usage import Usage
-from .vm_keeper import VmKeeper
+from .vm_controller import VmKeeper
 
 RETRY_DELAY = timedelta(milliseconds=80)
 """Pause after a store error. Retries are unlimited: if the store stays unreachable,
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -8,10 +8,11 @@
 
 from ..clock import Clock
 from .advice import MAX_EXECUTORS_PER_REQUEST, Advisor
-from .decisions import DecisionLines
-from .follow import OperatorFollower
-from .learning import Learning
-from .link import ExecutorLink, Phase, PlacedRun
+from .configuration_follower import OperatorFollower
+from .decision_log import DecisionLines
+from .executor_choice import FreeCapacityIndex, may_run
+from .executor_link import ExecutorLink, Phase, PlacedRun
+from .job_ranking import Rank, rank, work_of
 from .model import (
     NOTHING,
     Configuration,
@@ -20,10 +21,9 @@
     Queue,
     Resources,
 )
-from .order import Rank, rank, work_of
 from .policy import Policy
 from .progress import JobRun, StepRun, Task, TaskState
-from .spread import FreeCapacityIndex, may_run
+from .run_estimates import Learning
 from .usage import Usage
 
 MEAN_WORK_WEIGHT = 0.05
--- a/src/pomeloyard/batch/policy.py
+++ b/src/pomeloyard/batch/policy.py
@@ -11,12 +11,12 @@
 from collections.abc import Collection, Mapping, Sequence
 from datetime import timedelta
 
-from . import pools, upkeep
-from .link import ExecutorLink
-from .pools import BusyVm, Move, PoolLoad, SpareVm
+from . import maintenance, pool_scaling
+from .executor_choice import FreeCapacityIndex
+from .executor_link import ExecutorLink
+from .maintenance import UpkeepCandidate, UpkeepChoice
+from .pool_scaling import BusyVm, Move, PoolLoad, SpareVm
 from .progress import Task
-from .spread import FreeCapacityIndex
-from .upkeep import UpkeepCandidate, UpkeepChoice
 
 
 class Policy(ABC):
@@ -66,7 +66,7 @@
         self, loads: Sequence[PoolLoad], spares: Sequence[SpareVm], standby_pool: str
     ) -> list[Move]:
         """Return the VMs to move to another pool now."""
-        return pools.choose_moves(loads, spares, standby_pool)
+        return pool_scaling.choose_moves(loads, spares, standby_pool)
 
     def choose_to_empty(
         self,
@@ -76,7 +76,7 @@
         outgoing: Mapping[str, int],
     ) -> list[Move]:
         """Return the busy VMs to drain for another pool."""
-        return pools.choose_to_empty(loads, busy, incoming, outgoing)
+        return pool_scaling.choose_to_empty(loads, busy, incoming, outgoing)
 
     def choose_upkeeps(
         self,
@@ -86,7 +86,7 @@
         needed: timedelta,
     ) -> UpkeepChoice:
         """Return the VMs to maintain now, to drain and to separate."""
-        return upkeep.choose_upkeeps(candidates, free_slots, time_left, needed)
+        return maintenance.choose_upkeeps(candidates, free_slots, time_left, needed)
 
     def choose_executor(
         self,
--- a/src/pomeloyard/batch/pool_history.py
+++ b/src/pomeloyard/batch/pool_history.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from datetime import datetime
 
-from .history import LogLine
+from .job_history import LogLine
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/batch/pools.py
+++ b/src/pomeloyard/batch/pool_scaling.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from .turns import NO_ARRIVALS, ArrivalRate, Peak
+from .peaks import NO_ARRIVALS, ArrivalRate, Peak
 
 BACKLOG_CLEAR_TIME = timedelta(seconds=1.5)
 """Target time for clearing a backlog, about the slack of a typical job."""
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .model import FINAL_STATES, JobRecord, JobState, Queue, StepSpec
-from .records import RunRecord, StepRows, TaskRow
+from .progress_records import RunRecord, StepRows, TaskRow
 
 MAX_AVOIDED_EXECUTORS = 4
 """Limit of executors that a task avoids; more could rule out a whole small pool."""
--- a/src/pomeloyard/batch/recent_orders.py
+++ b/src/pomeloyard/batch/recent_orders.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..clock import Clock
-from .guarded_records import GuardedRecords
+from .fenced_records import GuardedRecords
 
 RECENT_ORDERS = "b/vm-orders"
 """Key of the record with the VM names, written before the first request for each."""
--- a/src/pomeloyard/batch/vm_keeper.py
+++ b/src/pomeloyard/batch/vm_controller.py
@@ -17,9 +17,9 @@
 )
 from ..keyvalue.store import Compare, Store
 from ..roles import HeldRole
-from .decisions import DecisionLines
-from .follow import OperatorFollower
-from .guarded_records import GuardedRecords
+from .configuration_follower import OperatorFollower
+from .decision_log import DecisionLines
+from .fenced_records import GuardedRecords
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vm_mover import PoolTerm, VmMover
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -8,8 +8,8 @@
 import logbook
 
 from ..clock import Clock
-from .decisions import DecisionLines
-from .link import ExecutorLink
+from .decision_log import DecisionLines
+from .executor_link import ExecutorLink
 from .vms import PoolVm, VmService, VmState
 
 LIST_INTERVAL = timedelta(milliseconds=500)
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from .decisions import DecisionLines
+from .decision_log import DecisionLines
 from .demand import PoolDemand
-from .guarded_records import GuardedRecords
-from .link import ExecutorLink
+from .executor_link import ExecutorLink
+from .fenced_records import GuardedRecords
 from .model import Configuration
+from .peaks import NO_ARRIVALS
 from .policy import Policy
-from .pools import BusyVm, LastingLoad, Move, PoolLoad, SpareVm
-from .turns import NO_ARRIVALS
+from .pool_scaling import BusyVm, LastingLoad, Move, PoolLoad, SpareVm
 from .usage import Usage
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..errors import CallNotSentError, CallUnansweredError, StaleFenceError
-from .availability import Availability
+from .disruption import Availability
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vms import PoolVm, VmAnswer, VmState
--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -10,16 +10,16 @@
 import msgspec
 
 from ..clock import Clock
-from .availability import Availability
-from .decisions import DecisionLines
-from .follow import OperatorFollower
-from .guarded_records import GuardedRecords
-from .link import ExecutorLink, Phase, PlacedRun
+from .configuration_follower import OperatorFollower
+from .decision_log import DecisionLines
+from .disruption import Availability
+from .executor_choice import may_run
+from .executor_link import ExecutorLink, Phase, PlacedRun
+from .fenced_records import GuardedRecords
+from .maintenance import UpkeepCandidate, wanted_at_once
 from .model import Wave
 from .policy import Policy
 from .progress import StepRun
-from .spread import may_run
-from .upkeep import UpkeepCandidate, wanted_at_once
 from .usage import Usage
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
--- a/src/pomeloyard/callers/service_routes.py
+++ b/src/pomeloyard/callers/service_routes.py
@@ -16,7 +16,7 @@
 from ..requests.service import RequestService, ServiceRequest
 from .bodies import CallerBody
 from .headers import request_headers
-from .relay import RelayedResponse
+from .streaming import RelayedResponse
 
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
--- a/src/pomeloyard/cli/logs.py
+++ b/src/pomeloyard/cli/logs.py
@@ -6,7 +6,7 @@
 
 import click
 
-from ..batch.history import LogLine, causes, course, parse_line
+from ..batch.job_history import LogLine, causes, course, parse_line
 from ..batch.pool_history import PoolSecond, pool_seconds, totals
 from ..errors import PomeloyardError
 from .output import note, show
--- a/src/pomeloyard/platform/front.py
+++ b/src/pomeloyard/platform/caller_app.py
@@ -12,9 +12,9 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from starlette.types import Receive, Scope, Send
 
-from ..batch.decisions import DecisionLines
-from ..batch.follow import OperatorFollower
-from ..batch.intake import Authorized, Intake
+from ..batch.configuration_follower import OperatorFollower
+from ..batch.decision_log import DecisionLines
+from ..batch.job_service import Authorized, Intake
 from ..batch.metrics import BatchMetrics
 from ..batch.model import JobSpec, StepSpec
 from ..clock import Clock
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -11,14 +11,14 @@
 import logbook
 from starlette.types import ASGIApp
 
-from ..batch.decisions import DecisionLines
-from ..batch.follow import OperatorFollower
-from ..batch.intake import Intake
+from ..batch.configuration_follower import OperatorFollower
+from ..batch.decision_log import DecisionLines
+from ..batch.executor_registry import ExecutorRegistry
+from ..batch.job_service import Intake
 from ..batch.metrics import BatchMetrics
 from ..batch.placing import ROLE, TIMES, PlacingRole
-from ..batch.registry import ExecutorRegistry
-from ..batch.term import PlacingTerm
-from ..batch.vm_keeper import VmKeeper
+from ..batch.placing_term import PlacingTerm
+from ..batch.vm_controller import VmKeeper
 from ..clock import Clock, SystemClock
 from ..errors import SettingsError
 from ..keyvalue.store import Compare
@@ -26,12 +26,12 @@
 from ..roles import HeldRole, RoleCandidate
 from ..serving import EmbeddedServer, server_config, tcp_listener
 from .advice import PlatformAdvice
+from .caller_app import CallerApp, MetricsApp, ReadinessApp
 from .documents import PlatformDocuments, RegistrationDocuments
 from .executors import PlatformExecutors
-from .front import CallerApp, MetricsApp, ReadinessApp
 from .http import HttpCaller
-from .kv import PlatformStore
 from .settings import PlatformSettings, read_settings
+from .store_client import PlatformStore
 from .store_relay import RelayPeers, StoreRelay
 from .vms import PlatformVms
 
--- a/src/pomeloyard/platform/documents.py
+++ b/src/pomeloyard/platform/documents.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from ..batch.configuration_follower import DocumentError
 from ..batch.executors import Executor
-from ..batch.follow import DocumentError
 from ..batch.model import (
     Configuration,
     PlacementAdvice,
--- a/src/pomeloyard/platform/store_relay.py
+++ b/src/pomeloyard/platform/store_relay.py
@@ -17,7 +17,7 @@
 from ..keyvalue.store import Entry, Put, Transaction, scan_all
 from .bodies import read_body
 from .http import Response
-from .kv import RELAY_TIME_HEADER, PlatformStore
+from .store_client import RELAY_TIME_HEADER, PlatformStore
 
 STORE_PATH_PREFIX = "/kv-"
 """Only store calls are relayed."""
--- a/tests/outer/test_encoded_forms.py
+++ b/tests/outer/test_encoded_forms.py
@@ -16,7 +16,7 @@
 from pomeloyard import explanations, fleet_state, heartbeats, key_service, keys, usage
 from pomeloyard.allocation import partitions
 from pomeloyard.batch import model as batch_model
-from pomeloyard.batch import records
+from pomeloyard.batch import progress_records
 from pomeloyard.batch import wave_runner as batch_wave_runner
 from pomeloyard.callers import job_routes
 from pomeloyard.config import diff, problems, publication
@@ -31,11 +31,11 @@
 from pomeloyard.peers.messages import MESSAGE_TYPES
 from pomeloyard.platform import (
     advice,
+    caller_app,
     documents,
     executors,
-    front,
-    kv,
     settings,
+    store_client,
     store_relay,
 )
 from pomeloyard.platform import vms as platform_vms
@@ -52,10 +52,10 @@
     "batch.model.JobSpec": batch_model.JobSpec,
     "batch.model.Resources": batch_model.Resources,
     "batch.model.StepSpec": batch_model.StepSpec,
-    "batch.records.RunHeader": records.RunHeader,
-    "batch.records.RunRecord": records.RunRecord,
-    "batch.records.StepRows": records.StepRows,
-    "batch.records.TaskRow": records.TaskRow,
+    "batch.records.RunHeader": progress_records.RunHeader,
+    "batch.records.RunRecord": progress_records.RunRecord,
+    "batch.records.StepRows": progress_records.StepRows,
+    "batch.records.TaskRow": progress_records.TaskRow,
     "batch.wave_runner.WaveRecord": batch_wave_runner.WaveRecord,
     "callers.job_routes.CancelRequest": job_routes.CancelRequest,
     "config.diff.FieldChange": diff.FieldChange,
@@ -108,14 +108,14 @@
     "platform.documents._Wave": documents._Wave,
     "platform.executors._Clock": executors._StartResponse,
     "platform.executors._Lists": executors._HoldResponse,
-    "platform.front._Job": front._Job,
-    "platform.front._Step": front._Step,
-    "platform.kv._CommitAnswer": kv._CommitResponse,
-    "platform.kv._Item": kv._Item,
-    "platform.kv._ItemAnswer": kv._ItemResponse,
-    "platform.kv._LeaseAnswer": kv._LeaseResponse,
-    "platform.kv._RangeAnswer": kv._RangeResponse,
-    "platform.kv._WatchAnswer": kv._WatchResponse,
+    "platform.front._Job": caller_app._Job,
+    "platform.front._Step": caller_app._Step,
+    "platform.kv._CommitAnswer": store_client._CommitResponse,
+    "platform.kv._Item": store_client._Item,
+    "platform.kv._ItemAnswer": store_client._ItemResponse,
+    "platform.kv._LeaseAnswer": store_client._LeaseResponse,
+    "platform.kv._RangeAnswer": store_client._RangeResponse,
+    "platform.kv._WatchAnswer": store_client._WatchResponse,
     "platform.settings._Bounds": settings._Bounds,
     "platform.settings._CloudPlace": settings._CloudApiSection,
     "platform.settings._File": settings._SettingsFile,
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -8,15 +8,20 @@
 import anyio
 import pytest
 
-from pomeloyard.batch.decisions import MAX_LINES_PER_SECOND, DecisionLines
-from pomeloyard.batch.follow import DocumentError, OperatorFollower
-from pomeloyard.batch.intake import Intake
+from pomeloyard.batch.configuration_follower import DocumentError, OperatorFollower
+from pomeloyard.batch.decision_log import MAX_LINES_PER_SECOND, DecisionLines
+from pomeloyard.batch.job_service import Intake
 from pomeloyard.batch.metrics import BatchMetrics
 from pomeloyard.batch.placing import PlacingRole
 from pomeloyard.errors import RefusedError, SettingsError
 from pomeloyard.logs import LogWriter
+from pomeloyard.platform.caller_app import (
+    CallerApp,
+    MetricsApp,
+    ReadinessApp,
+    decode_job,
+)
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
-from pomeloyard.platform.front import CallerApp, MetricsApp, ReadinessApp, decode_job
 from pomeloyard.platform.settings import read_settings
 from tests.support.asgi import Answer
 from tests.support.batch_world import World
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -9,14 +9,14 @@
 
 import pytest
 
+from pomeloyard.batch.configuration_follower import DocumentError
 from pomeloyard.batch.executors import Executor, StartOrder
-from pomeloyard.batch.follow import DocumentError
 from pomeloyard.batch.model import Resources, check_spec
 from pomeloyard.errors import CallNotSentError, CallUnansweredError, RefusedError
 from pomeloyard.platform.advice import PlatformAdvice
+from pomeloyard.platform.caller_app import decode_job
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
 from pomeloyard.platform.executors import PlatformExecutors
-from pomeloyard.platform.front import decode_job
 from pomeloyard.platform.http import Response
 from pomeloyard.platform.vms import PlatformVms
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -20,7 +20,7 @@
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction, scan_all
 from pomeloyard.platform.http import HttpCaller
-from pomeloyard.platform.kv import (
+from pomeloyard.platform.store_client import (
     MAX_CALL_TIMEOUT,
     MAX_TRANSACTION_ENTRIES,
     MIN_CALL_TIMEOUT,
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -22,7 +22,7 @@
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
 from pomeloyard.platform.daemon import LISTENER_CLOSE_DELAY, SHUTDOWN_TIMEOUT_S
 from pomeloyard.platform.http import HttpCaller
-from pomeloyard.platform.kv import PlatformStore
+from pomeloyard.platform.store_client import PlatformStore
 from pomeloyard.platform.store_relay import MAX_RELAY_TIME, RelayPeers, StoreRelay
 from pomeloyard.serving import serving
 from tests.support.platform_standin import store_app
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -12,7 +12,9 @@
 
 from pomeloyard.batch import layout
 from pomeloyard.batch.advice import Advice, AdviceService
-from pomeloyard.batch.decisions import DecisionLines
+from pomeloyard.batch.configuration_follower import DocumentError, OperatorFollower
+from pomeloyard.batch.decision_log import DecisionLines
+from pomeloyard.batch.executor_registry import ExecutorRegistry
 from pomeloyard.batch.executors import (
     EndedTask,
     Executor,
@@ -21,8 +23,7 @@
     RunningTask,
     StartAnswer,
 )
-from pomeloyard.batch.follow import DocumentError, OperatorFollower
-from pomeloyard.batch.intake import Authorized, Intake
+from pomeloyard.batch.job_service import Authorized, Intake
 from pomeloyard.batch.model import (
     Configuration,
     JobSpec,
@@ -34,10 +35,9 @@
     TeamLimits,
     Wave,
 )
+from pomeloyard.batch.placing_term import PlacingTerm
 from pomeloyard.batch.progress import EndKind
-from pomeloyard.batch.registry import ExecutorRegistry
-from pomeloyard.batch.term import PlacingTerm
-from pomeloyard.batch.vm_keeper import VmKeeper
+from pomeloyard.batch.vm_controller import VmKeeper
 from pomeloyard.batch.vms import PoolVm, VmAnswer, VmService, VmState
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import (
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -8,13 +8,20 @@
 
 import pytest
 
-from pomeloyard.batch.learning import QUARANTINE_TIME, Learning
-from pomeloyard.batch.link import Phase, PlacedRun
-from pomeloyard.batch.losses import CallLosses
+from pomeloyard.batch.call_losses import CallLosses
+from pomeloyard.batch.executor_link import Phase, PlacedRun
+from pomeloyard.batch.job_ranking import rank
+from pomeloyard.batch.maintenance import (
+    MAX_DRAIN_TIME,
+    UpkeepCandidate,
+    UpkeepChoice,
+    choose_upkeeps,
+    wanted_at_once,
+)
 from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec, Wave
-from pomeloyard.batch.order import rank
 from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
-from pomeloyard.batch.pools import (
+from pomeloyard.batch.peaks import NO_ARRIVALS, Peak, Turns
+from pomeloyard.batch.pool_scaling import (
     BusyVm,
     PoolLoad,
     SpareVm,
@@ -22,15 +29,8 @@
     choose_to_empty,
 )
 from pomeloyard.batch.progress import EndKind, JobRun, TaskState
+from pomeloyard.batch.run_estimates import QUARANTINE_TIME, Learning
 from pomeloyard.batch.stalls import slowness, still_for
-from pomeloyard.batch.turns import NO_ARRIVALS, Peak, Turns
-from pomeloyard.batch.upkeep import (
-    MAX_DRAIN_TIME,
-    UpkeepCandidate,
-    UpkeepChoice,
-    choose_upkeeps,
-    wanted_at_once,
-)
 from pomeloyard.clock import ManualClock
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
--- a/tests/test_batch_follow.py
+++ b/tests/test_batch_follow.py
@@ -7,9 +7,9 @@
 import anyio
 import pytest
 
+from pomeloyard.batch.executor_registry import ExecutorRegistry
 from pomeloyard.batch.executors import Executor
 from pomeloyard.batch.model import Resources
-from pomeloyard.batch.registry import ExecutorRegistry
 
 from .support.batch_world import RegistrationDocuments, World, configuration
 from .support.job_fakes import settle
--- a/tests/test_batch_guarded_records.py
+++ b/tests/test_batch_guarded_records.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from pomeloyard.batch.guarded_records import GuardedRecords
+from pomeloyard.batch.fenced_records import GuardedRecords
 from pomeloyard.errors import StoreOutcomeUnknownError
 from pomeloyard.keyvalue.store import Compare
 
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner
 
-from pomeloyard.batch.history import causes, course, parse_line
+from pomeloyard.batch.job_history import causes, course, parse_line
 from pomeloyard.cli.main import cli
 
 JOB = "5b3041f9338636bd"
--- a/tests/test_batch_intake.py
+++ b/tests/test_batch_intake.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pomeloyard.batch import layout
-from pomeloyard.batch.intake import Authorized
+from pomeloyard.batch.job_service import Authorized
 from pomeloyard.batch.model import JobSpec, JobState, StepSpec
 from pomeloyard.errors import OutcomeUnknownError, RefusedError
 from pomeloyard.outcomes import RefusalReason, Refused
--- a/tests/test_batch_spread.py
+++ b/tests/test_batch_spread.py
@@ -7,10 +7,10 @@
 
 import pytest
 
+from pomeloyard.batch.executor_choice import FreeCapacityIndex, may_run
 from pomeloyard.batch.executors import Executor
-from pomeloyard.batch.learning import SLOW_FACTOR, Learning
 from pomeloyard.batch.model import Resources, StepSpec
-from pomeloyard.batch.spread import FreeCapacityIndex, may_run
+from pomeloyard.batch.run_estimates import SLOW_FACTOR, Learning
 from pomeloyard.batch.usage import Usage
 
 from .test_batch_decisions import job_of
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -8,8 +8,8 @@
 import pytest
 
 from pomeloyard.batch import layout
+from pomeloyard.batch.executor_link import LOOK_WAIT, WATCHFUL_WAIT
 from pomeloyard.batch.executors import EndedTask
-from pomeloyard.batch.link import LOOK_WAIT, WATCHFUL_WAIT
 from pomeloyard.batch.model import (
     JobState,
     PlacementAdvice,
@@ -17,8 +17,8 @@
     StepSpec,
     TeamLimits,
 )
+from pomeloyard.batch.placing_term import MAX_CONCURRENT_FIRST_POLLS
 from pomeloyard.batch.progress import EndKind
-from pomeloyard.batch.term import MAX_CONCURRENT_FIRST_POLLS
 
 from .support.batch_world import QUEUE, FakeAdvice, World, configuration
 
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -14,10 +14,10 @@
 import anyio
 import pytest
 
+from pomeloyard.batch.maintenance import UpkeepChoice
 from pomeloyard.batch.model import Pool, StepSpec, Wave
 from pomeloyard.batch.policy import Policy
-from pomeloyard.batch.pools import Move
-from pomeloyard.batch.upkeep import UpkeepChoice
+from pomeloyard.batch.pool_scaling import Move
 
 from .support.batch_world import QUEUE, FakeExecutor, World, configuration
 from .support.job_fakes import settle
