--- a/measurements/placing.py
+++ b/measurements/placing.py
@@ -32,7 +32,7 @@
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
 from pomeloyard.logs import LogWriter
 from pomeloyard.platform.executors import PlatformExecutors
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 from pomeloyard.roles import HeldRole
 from tests.support.batch_world import (
     QUEUE,
@@ -207,7 +207,7 @@
         store,
         follower,
         ExecutorRegistry(clock, store, RegistrationDocuments()),
-        PlatformExecutors(HttpCaller(3)),
+        PlatformExecutors(HttpClient(3)),
         lines,
         HeldRole(epoch, entry.mod_revision, clock.monotonic()),
         Compare("epochs/placing", entry.mod_revision),
--- a/src/pomeloyard/callers/client.py
+++ b/src/pomeloyard/callers/client.py
@@ -45,7 +45,7 @@
         """Explain why a job waits, or where it was placed and why."""
         return self._call("GET", f"/v1/jobs/{quote(job_id, safe='')}/explain")
 
-    def page(self, after: str = "", limit: int = 100) -> Any:
+    def list_jobs(self, after: str = "", limit: int = 100) -> Any:
         """Return a page of the team's jobs and ``after`` for the next page."""
         query = f"?limit={limit}&after={quote(after, safe='')}"
         return self._call("GET", f"/v1/jobs{query}")
--- a/src/pomeloyard/cli/jobs.py
+++ b/src/pomeloyard/cli/jobs.py
@@ -88,7 +88,7 @@
 @click.pass_obj
 def list_jobs(client: JobClient, limit: int, after: str) -> None:
     """Print a page of the team's jobs."""
-    show(client.page(after, limit))
+    show(client.list_jobs(after, limit))
 
 
 @job.command("cancel", epilog="Example: job cancel --label nightly")
--- a/src/pomeloyard/platform/advice.py
+++ b/src/pomeloyard/platform/advice.py
@@ -10,7 +10,7 @@
 from ..batch.advice import Advice, AdviceService
 from ..errors import CallUnansweredError
 from .executors import to_duration
-from .http import HttpCaller
+from .http import HttpClient
 
 
 class _AdviceResponse(msgspec.Struct):
@@ -22,7 +22,7 @@
 class PlatformAdvice(AdviceService):
     """Client for the advice service at one address."""
 
-    def __init__(self, caller: HttpCaller, address: str) -> None:
+    def __init__(self, caller: HttpClient, address: str) -> None:
         self._caller = caller
         self._address = address
 
@@ -31,7 +31,7 @@
     ) -> Advice:
         """Ask which of the given executors may run a step."""
         body = msgspec.json.encode({"step": step, "workers": list(executors)})
-        response = await self._caller.call(
+        response = await self._caller.request(
             "POST", self._address, "/advise", timeout, body
         )
         if response.status != 200:
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -29,7 +29,7 @@
 from .caller_app import CallerApp, MetricsApp, ReadinessApp
 from .documents import PlatformDocuments, RegistrationDocuments
 from .executors import PlatformExecutors
-from .http import HttpCaller
+from .http import HttpClient
 from .settings import PlatformSettings, read_settings
 from .store_client import PlatformStore
 from .store_relay import RelayPeers, StoreRelay
@@ -64,8 +64,8 @@
         self._clock = clock
         self.writer = LogWriter(clock, stream=STDOUT)
         self._lines = DecisionLines(clock, self.writer, settings.vm)
-        self._caller = HttpCaller()
-        self._executor_caller = HttpCaller(MAX_EXECUTOR_CALLS)
+        self._caller = HttpClient()
+        self._executor_caller = HttpClient(MAX_EXECUTOR_CALLS)
         self._store = PlatformStore(self._caller, settings.store_address)
         self._relay_peers = RelayPeers(
             clock,
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -19,7 +19,7 @@
 )
 from ..batch.progress import EndKind
 from ..errors import CallUnansweredError, StaleFenceError
-from .http import HttpCaller, Response, always_permitted
+from .http import HttpClient, Response, always_permitted
 
 INSTANCE_HEADER = "X-Expect-Instance"
 MAX_ENDED_TASKS = 500
@@ -53,7 +53,7 @@
     """Client for all executors; sends nothing once ``permitted`` returns False."""
 
     def __init__(
-        self, caller: HttpCaller, permitted: Callable[[], bool] = always_permitted
+        self, caller: HttpClient, permitted: Callable[[], bool] = always_permitted
     ) -> None:
         self._caller = caller
         self._permitted = permitted
@@ -152,7 +152,7 @@
     async def _call(
         self, executor: Executor, path: str, body: object, timeout: timedelta
     ) -> Response:
-        return await self._caller.call(
+        return await self._caller.request(
             "POST",
             executor.address,
             path,
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -123,7 +123,7 @@
             self._slot_freed = anyio.Event()
 
 
-class HttpCaller:
+class HttpClient:
     """HTTP client with persistent connections to many peers."""
 
     def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
@@ -150,7 +150,7 @@
             )
         return peer
 
-    async def call(
+    async def request(
         self,
         method: str,
         address: str,
--- a/src/pomeloyard/platform/store_client.py
+++ b/src/pomeloyard/platform/store_client.py
@@ -37,7 +37,7 @@
     WatchBatch,
     WatchEvent,
 )
-from .http import HttpCaller, Response
+from .http import HttpClient, Response
 
 MAX_CALL_TIMEOUT = timedelta(seconds=1.2)
 """A slow store responds within 0.4 s; after this, a new connection is better."""
@@ -107,7 +107,7 @@
 class PlatformStore(PollingStore):
     """The platform's store, with calls relayed by peers if it refuses them."""
 
-    def __init__(self, caller: HttpCaller, address: str) -> None:
+    def __init__(self, caller: HttpClient, address: str) -> None:
         self._caller = caller
         self._address = address
         self._answer_times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
@@ -283,7 +283,7 @@
         self, method: str, target: str, content: bytes, limit: timedelta
     ) -> Response:
         try:
-            response = await self._caller.call(
+            response = await self._caller.request(
                 method, self._address, target, limit, content
             )
         except (CallNotSentError, CallUnansweredError):
@@ -307,7 +307,7 @@
             raise CallNotSentError(f"{method} {target}: no way to the store")
         headers = {RELAY_TIME_HEADER: str(round(limit / timedelta(milliseconds=1)))}
         try:
-            response = await self._caller.call(
+            response = await self._caller.request(
                 method, peer, target, limit + RELAY_TIMEOUT_MARGIN, content, headers
             )
         except (CallNotSentError, CallUnansweredError):
--- a/src/pomeloyard/platform/vms.py
+++ b/src/pomeloyard/platform/vms.py
@@ -10,7 +10,7 @@
 
 from ..batch.vms import PoolVm, VmAnswer, VmService, VmState
 from ..errors import CallUnansweredError, StaleFenceError
-from .http import HttpCaller, always_permitted
+from .http import HttpClient, always_permitted
 
 CALL_TIMEOUT = timedelta(seconds=1.5)
 MAX_PAGES = 50
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        caller: HttpCaller,
+        caller: HttpClient,
         address: str,
         permitted: Callable[[], bool] = always_permitted,
     ) -> None:
@@ -61,7 +61,7 @@
         found: list[PoolVm] = []
         target = "/machines"
         for _ in range(MAX_PAGES):
-            response = await self._caller.call(
+            response = await self._caller.request(
                 "GET", self._address, target, CALL_TIMEOUT
             )
             if response.status != 200:
@@ -89,7 +89,7 @@
     async def _send_operation(
         self, path: str, body: object, holder: str, fence: int
     ) -> VmAnswer:
-        response = await self._caller.call(
+        response = await self._caller.request(
             "POST",
             self._address,
             path,
--- a/tests/platform/test_connection.py
+++ b/tests/platform/test_connection.py
@@ -11,7 +11,7 @@
 
 from pomeloyard.errors import CallNotSentError, CallUnansweredError
 from pomeloyard.platform import connection
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 
 pytestmark = pytest.mark.anyio
 SECOND = timedelta(seconds=1)
@@ -59,13 +59,13 @@
     async def calling(self):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        caller = HttpCaller(2)
+        caller = HttpClient(2)
         async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self.serve)
 
             async def call(body=b"x", timeout=SECOND):
                 address = f"127.0.0.1:{port}"
-                return await caller.call("POST", address, "/a", timeout, body)
+                return await caller.request("POST", address, "/a", timeout, body)
 
             yield call
             await caller.close()
@@ -155,7 +155,7 @@
 async def test_an_invalid_address_or_header_counts_as_not_sent(address, header):
     # Addresses and ids come from registrations that other programs write. Any other
     # error would end the term of the placing role.
-    caller = HttpCaller()
+    caller = HttpClient()
     with pytest.raises(CallNotSentError):
-        await caller.call("GET", address, "/a", SECOND, b"", {"X-Id": header})
+        await caller.request("GET", address, "/a", SECOND, b"", {"X-Id": header})
     await caller.close()
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -13,7 +13,7 @@
 
 from pomeloyard.errors import CallNotSentError, CallUnansweredError
 from pomeloyard.platform import http
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 from pomeloyard.serving import serving
 
 pytestmark = pytest.mark.anyio
@@ -41,7 +41,7 @@
 @asynccontextmanager
 async def calling(connections):
     PEER.state.hanging = 0
-    caller = HttpCaller(connections)
+    caller = HttpClient(connections)
     async with serving(PEER) as address:
         yield caller, address
         await caller.close()
@@ -53,7 +53,7 @@
 
     async def one():
         try:
-            await caller.call("GET", address, target, timeout)
+            await caller.request("GET", address, target, timeout)
         except (CallNotSentError, CallUnansweredError) as error:
             outcomes.append(type(error))
         else:
@@ -126,16 +126,16 @@
 
     peer = Starlette(routes=[Route("/slow", slow_answer), Route("/count", count)])
     async with serving(peer) as address:
-        caller = HttpCaller(1)
+        caller = HttpClient(1)
 
         async def call():
             with pytest.raises(CallNotSentError):
-                await caller.call(
+                await caller.request(
                     "GET", address, "/count", SECOND, permitted=lambda: permitted
                 )
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(caller.call, "GET", address, "/slow", SECOND)
+            tasks.start_soon(caller.request, "GET", address, "/slow", SECOND)
             await anyio.lowlevel.checkpoint()
             tasks.start_soon(call)
         assert calls == 0
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -111,7 +111,7 @@
     def __init__(self, content, status=200):
         self.response = Response(status, content)
 
-    async def call(self, *args, **options):
+    async def request(self, *args, **options):
         return self.response
 
 
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -15,10 +15,10 @@
 from pomeloyard.errors import CallNotSentError, CallUnansweredError, StaleFenceError
 from pomeloyard.platform.advice import PlatformAdvice
 from pomeloyard.platform.executors import PlatformExecutors
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 from pomeloyard.platform.vms import PlatformVms
 from pomeloyard.serving import serving
-from tests.support.platform_standin import ScriptedPeer
+from tests.support.platform_standin import FakePeer
 
 pytestmark = pytest.mark.anyio
 SECOND = timedelta(seconds=1)
@@ -32,8 +32,8 @@
 
 @asynccontextmanager
 async def peer_and_executor():
-    peer = ScriptedPeer()
-    caller = HttpCaller()
+    peer = FakePeer()
+    caller = HttpClient()
     async with serving(peer) as address:
         executor = Executor("i-1", address, "s", "z", Resources(1), (), False, 5)
         yield peer, caller, executor
@@ -131,7 +131,7 @@
 async def test_an_order_to_a_closed_port_counts_as_not_sent():
     executor = Executor("i", "127.0.0.1:9", "s", "z", Resources(1), (), False, 5)
     with pytest.raises(CallNotSentError):
-        await PlatformExecutors(HttpCaller()).start(executor, ORDER, SECOND)
+        await PlatformExecutors(HttpClient()).start(executor, ORDER, SECOND)
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -19,7 +19,7 @@
 from pomeloyard.keyvalue.answer_times import AnswerTimes
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction, scan_all
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 from pomeloyard.platform.store_client import (
     MAX_CALL_TIMEOUT,
     MAX_TRANSACTION_ENTRIES,
@@ -27,7 +27,7 @@
     PlatformStore,
 )
 from pomeloyard.serving import serving
-from tests.support.platform_standin import ScriptedPeer, store_app
+from tests.support.platform_standin import FakePeer, store_app
 
 pytestmark = pytest.mark.anyio
 SHORT = timedelta(milliseconds=50)
@@ -40,7 +40,7 @@
 
 @asynccontextmanager
 async def client_of(app):
-    caller = HttpCaller()
+    caller = HttpClient()
     async with serving(app) as address:
         yield PlatformStore(caller, address)
         await caller.close()
@@ -108,7 +108,7 @@
     ],
 )
 async def test_errors_of_writes_that_the_store_rejects(status, body, error):
-    peer = ScriptedPeer()
+    peer = FakePeer()
     peer.script("/kv-txn", status, body)
     async with client_of(peer) as store:
         with pytest.raises(error):
@@ -116,13 +116,13 @@
 
 
 async def test_a_write_to_a_closed_port_has_no_effect():
-    store = PlatformStore(HttpCaller(), "127.0.0.1:9")
+    store = PlatformStore(HttpClient(), "127.0.0.1:9")
     with pytest.raises(StoreUnavailableError):
         await put(store, "a")
 
 
 async def test_an_oversized_transaction_is_not_sent():
-    store = PlatformStore(HttpCaller(), "127.0.0.1:9")
+    store = PlatformStore(HttpClient(), "127.0.0.1:9")
     operations = tuple(Put(str(n), b"") for n in range(MAX_TRANSACTION_ENTRIES + 1))
     with pytest.raises(StoreRequestError):
         await store.commit(Transaction((), operations))
@@ -164,7 +164,7 @@
         await anyio.sleep(60)
 
     async with serving(hang) as address:
-        caller = HttpCaller()
+        caller = HttpClient()
         store = PlatformStore(caller, address)
         began_at = anyio.current_time()
         with pytest.raises(StoreOutcomeUnknownError):
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -21,7 +21,7 @@
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
 from pomeloyard.platform.daemon import LISTENER_CLOSE_DELAY, SHUTDOWN_TIMEOUT_S
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 from pomeloyard.platform.store_client import PlatformStore
 from pomeloyard.platform.store_relay import MAX_RELAY_TIME, RelayPeers, StoreRelay
 from pomeloyard.serving import serving
@@ -77,7 +77,7 @@
 @asynccontextmanager
 async def daemons(count):
     memory = MemoryStore(SystemClock())
-    caller = HttpCaller()
+    caller = HttpClient()
     async with AsyncExitStack() as stack:
         stack.push_async_callback(caller.close)
         started = []
@@ -190,8 +190,10 @@
 async def test_only_valid_store_calls_are_relayed(path, headers):
     async with daemons(1) as (_, (daemon,)):
         calls = daemon.faulty_store.calls
-        caller = HttpCaller()
-        answer = await caller.call("GET", daemon.address, path, SECOND, headers=headers)
+        caller = HttpClient()
+        answer = await caller.request(
+            "GET", daemon.address, path, SECOND, headers=headers
+        )
         assert answer.status in (400, 404)
         assert daemon.faulty_store.calls == calls
         await caller.close()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -26,7 +26,7 @@
 
 from pomeloyard.errors import CallNotSentError, CallUnansweredError
 from pomeloyard.keyvalue import layout
-from pomeloyard.platform.http import HttpCaller
+from pomeloyard.platform.http import HttpClient
 from pomeloyard.serving import serving
 from pomeloyard.standins.fault_proxy import Faults, proxying
 from tests.soak.soak_yard import WITHDRAWAL_S, Yard, YardExecutor
@@ -119,7 +119,7 @@
         async with AsyncExitStack() as stack:
             tasks = await stack.enter_async_context(anyio.create_task_group())
             self.tasks = tasks
-            self.caller = HttpCaller()
+            self.caller = HttpClient()
             stack.push_async_callback(self.caller.close)
             store = await stack.enter_async_context(serving(self.yard.store_app()))
             vms = await stack.enter_async_context(serving(self.yard.vm_app()))
@@ -165,7 +165,7 @@
     async def is_ready(self, daemon):
         try:
             limit = timedelta(seconds=1)
-            answer = await self.caller.call("GET", daemon.ready, "/ready", limit)
+            answer = await self.caller.request("GET", daemon.ready, "/ready", limit)
         except (CallNotSentError, CallUnansweredError):
             return False
         return answer.status == 200
@@ -220,7 +220,7 @@
         headers = {"X-Credential": key, "X-Deadline-Ms": "2000"}
         sent = time.monotonic()
         try:
-            answer = await self.caller.call(
+            answer = await self.caller.request(
                 method,
                 daemon.front,
                 f"/cuts/{job}",
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -132,9 +132,9 @@
         self.starts_to_delay = 0
         """Number of next starts that get no answer and wait in ``delayed_orders``."""
         self.delayed_orders = []
-        self.lose_start_answers = 0
+        self.start_answers_to_lose = 0
         """Number of next starts that take effect but get no answer."""
-        self.lose_looks = 0
+        self.polls_to_lose = 0
         """Number of next polls that get no answer."""
         self.fails = False
         self.stalls = False
@@ -193,8 +193,8 @@
         self.lasting = set()
         self.started = []
         self.stopped = []
-        self.looks = 0
-        self.waits = []
+        self.polls = 0
+        self.poll_waits = []
         self.violations = []
 
     def _connect(self, executor):
@@ -214,8 +214,8 @@
             fake.delayed_orders.append(order)
             raise CallUnansweredError("no answer")
         answer = self.execute_order(fake, order)
-        if fake.lose_start_answers:
-            fake.lose_start_answers -= 1
+        if fake.start_answers_to_lose:
+            fake.start_answers_to_lose -= 1
             raise CallUnansweredError("the answer was lost")
         return answer, fake.now()
 
@@ -270,14 +270,14 @@
             fake.end(task, EndKind.STOPPED)
 
     async def look(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
-        self.looks += 1
-        self.waits.append(wait)
+        self.polls += 1
+        self.poll_waits.append(wait)
         deadline = self.clock.monotonic() + wait
         times_out_at = self.clock.monotonic() + timeout
         incarnation = None
         target = self.by_id.get(executor.executor_id)
-        if target is not None and target.lose_looks:
-            target.lose_looks -= 1
+        if target is not None and target.polls_to_lose:
+            target.polls_to_lose -= 1
             await self.clock.sleep(timeout)
             raise CallUnansweredError("lost")
         while True:
@@ -352,16 +352,16 @@
         self.intake = Intake(self.clock, self.store, self.follower)
         writer = LogWriter(self.clock)
         self.lines = DecisionLines(self.clock, writer, "daemon-1")
-        self.fakes = [
+        self.fake_executors = [
             FakeExecutor(self.clock, f"e-{n}", cpu, rack=f"r{n % 2}")
             for n in range(executors)
         ]
-        for fake in self.fakes:
+        for fake in self.fake_executors:
             self.client.by_id[fake.executor.executor_id] = fake
         self.epoch = 0
         self.new_vm_keeper = None
         self.advice = None
-        self.arrivals = []
+        self.pending_registrations = []
         """Registrations to write, or to delete if the content is None."""
         self.lasting_tasks = 0
         self.stopped_lasting_tasks = set()
@@ -376,7 +376,7 @@
 
     def record_stopped_tasks(self, fake, tasks):
         """Check that a lasting step has no more unavailable tasks than allowed."""
-        for other in self.fakes:
+        for other in self.fake_executors:
             at_work = {task for task in other.runs if other.percent(task) >= 100}
             self.stopped_lasting_tasks -= at_work
         final = (JobState.CANCELLED, JobState.FAILED)
@@ -448,7 +448,7 @@
         deadline = self.clock.monotonic() + timedelta(seconds=3)
         await self.intake.submit(job, spec, authorize, deadline)
 
-    def keep_vms(self, standby=0):
+    def manage_vms(self, standby=0):
         """Let the terms manage VMs, and return the fake VM service."""
         vms = FakeVms(self, standby)
 
@@ -495,12 +495,12 @@
             policy=self.policy,
         )
 
-    async def drive(self, seconds, until=None):
+    async def run_for(self, seconds, until=None):
         """Advance the clock; return True early once ``until`` returns True."""
         for _ in range(round(seconds / STEP.total_seconds())):
             await settle(40)
-            while self.arrivals:
-                key, content = self.arrivals.pop(0)
+            while self.pending_registrations:
+                key, content = self.pending_registrations.pop(0)
                 change = Delete(key) if content is None else Put(key, content)
                 await self.store.commit(Transaction((), (change,)))
             if until is not None and until():
@@ -523,7 +523,7 @@
     async def running(self):
         """Run the follower and a first term; check for violations at the end."""
         await self.publish(configuration())
-        for fake in self.fakes:
+        for fake in self.fake_executors:
             await self.put(f"executors/{fake.executor.executor_id}", fake.executor)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.run)
@@ -544,19 +544,19 @@
         self.vms = {}
         self.available_at_by_vm = {}
         self.fence = 0
-        self.swallow = 0
+        self.lost_answers = 0
         """Number of next operations that take effect but get no answer."""
-        self.hidden = set()
+        self.unlisted_vms = set()
         """VMs that are missing from the list."""
         self.maintained = []
         self.moves = []
         self.down_at_once = 0
-        self.most_away = 0
-        self.turns = []
+        self.max_unavailable = 0
+        self.conflicting_orders = []
         """Orders that two role holders sent for one VM within 3 s."""
         self.last_order_by_vm = {}
         self.ordered_at = defaultdict(list)
-        for fake in world.fakes:
+        for fake in world.fake_executors:
             vm = f"vm-{fake.executor.executor_id}"
             self.vms[vm] = PoolVm(
                 vm, fake.executor.service, VmState.UP, fake.executor.executor_id
@@ -567,7 +567,7 @@
     async def list(self):
         self._advance()
         await anyio.lowlevel.checkpoint()
-        return tuple(vm for vm in self.vms.values() if vm.name not in self.hidden)
+        return tuple(vm for vm in self.vms.values() if vm.name not in self.unlisted_vms)
 
     def crash(self, executor_id):
         """Make an executor silent and list its VM as down."""
@@ -591,11 +591,11 @@
         executor_id = f"{name}-{len(self.maintained) + len(self.moves)}"
         fake = FakeExecutor(self.world.clock, executor_id, service=vm.pool)
         self.world.client.by_id[executor_id] = fake
-        self.world.fakes.append(fake)
+        self.world.fake_executors.append(fake)
         self.vms[name] = replace(vm, state=VmState.UP, executor_id=executor_id)
         key = f"executors/{executor_id}"
         entry = msgspec.msgpack.encode(fake.executor)
-        self.world.arrivals.append((key, entry))
+        self.world.pending_registrations.append((key, entry))
 
     def _detach_executor(self, name, pool, state):
         vm = self.vms[name]
@@ -604,8 +604,10 @@
             fake.advance()
             self.world.record_stopped_tasks(fake, list(fake.runs))
             fake.runs.clear()
-            self.world.fakes.remove(fake)
-            self.world.arrivals.append((f"executors/{vm.executor_id}", None))
+            self.world.fake_executors.remove(fake)
+            self.world.pending_registrations.append(
+                (f"executors/{vm.executor_id}", None)
+            )
         self.vms[name] = PoolVm(name, pool, state, "")
         self.available_at_by_vm[name] = (
             self.world.clock.monotonic() + self.OPERATION_TIME
@@ -615,7 +617,7 @@
         now = self.world.clock.monotonic()
         before, at = self.last_order_by_vm.get(vm, (fence, now))
         if before != fence and now < at + timedelta(seconds=3):
-            self.turns.append((vm, before, fence))
+            self.conflicting_orders.append((vm, before, fence))
         self.last_order_by_vm[vm] = (fence, now)
         self.ordered_at[vm].append(now)
         if fence < self.fence:
@@ -624,8 +626,8 @@
         await anyio.lowlevel.checkpoint()
 
     async def _answer(self):
-        if self.swallow:
-            self.swallow -= 1
+        if self.lost_answers:
+            self.lost_answers -= 1
             raise CallUnansweredError("no answer")
         return VmAnswer.DONE
 
@@ -642,10 +644,10 @@
         self.down_at_once = max(self.down_at_once, len(self.available_at_by_vm))
         away = self.world.lasting_tasks - sum(
             task.split(".")[0] in self.world.client.lasting
-            for fake in self.world.fakes
+            for fake in self.world.fake_executors
             for task in fake.runs
         )
-        self.most_away = max(self.most_away, away)
+        self.max_unavailable = max(self.max_unavailable, away)
         return await self._answer()
 
     async def move(self, vm, pool, holder, fence):
--- a/tests/support/platform_standin.py
+++ b/tests/support/platform_standin.py
@@ -107,7 +107,7 @@
     )
 
 
-class ScriptedPeer:
+class FakePeer:
     """Sends the responses that a test sets per path and records all calls."""
 
     def __init__(self):
--- a/tests/test_batch_guarded_records.py
+++ b/tests/test_batch_guarded_records.py
@@ -46,7 +46,7 @@
     world.store.writes_to_delay = 1
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(records.write, "k", b"first")
-        await world.drive(1)
+        await world.run_for(1)
     assert await records.write("k", b"second")
     assert not (await world.store.commit(world.store.delayed_transaction)).succeeded
     assert world.entry("k").value == b"second"
@@ -63,7 +63,7 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(write)
-        await world.drive(1)
+        await world.run_for(1)
     assert done == [True]
     assert await records.write("k", b"w")
 
--- a/tests/test_batch_intake.py
+++ b/tests/test_batch_intake.py
@@ -59,7 +59,7 @@
 async def submit_until_outcome(world, caller, timeout=3.0):
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(caller.submit, "a1", timeout)
-        await world.drive(timeout + 1, lambda: caller.outcome is not None)
+        await world.run_for(timeout + 1, lambda: caller.outcome is not None)
     return caller.outcome
 
 
@@ -110,7 +110,7 @@
         tasks.start_soon(caller.submit, "a1", 1.0)
         await settle()
         world.store.down = True
-        await world.drive(2, lambda: caller.outcome is not None)
+        await world.run_for(2, lambda: caller.outcome is not None)
     assert caller.outcome == "unknown"
 
 
@@ -121,9 +121,9 @@
     caller = Caller(world)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(caller.submit)
-        await world.drive(0.2)
+        await world.run_for(0.2)
         await world.follower._read_all()
-        await world.drive(2, lambda: caller.outcome is not None)
+        await world.run_for(2, lambda: caller.outcome is not None)
     assert caller.outcome == "key-invalid"
     assert world.entry(layout.JOBS + "a1") is None
 
@@ -153,6 +153,6 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(cancel)
-        await world.drive(2, lambda: bool(done))
+        await world.run_for(2, lambda: bool(done))
     assert done == [True]
     assert world.entry(layout.CANCELS + "a1") is not None
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -40,7 +40,7 @@
         await world.submit(
             "a1", StepSpec(3, 1000, 100), StepSpec(2, 1000, 100, after=(0,))
         )
-        assert await world.drive(5, completed(world))
+        assert await world.run_for(5, completed(world))
         steps = [task.split(".")[2] for task, _, _ in world.client.started]
         assert steps == ["0", "0", "0", "1", "1"]
         assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
@@ -50,18 +50,20 @@
     world = World(executors=1, cpu=2500)
     async with world.running():
         await world.submit("a1", StepSpec(7, 1000, 100))
-        assert await world.drive(10, completed(world))
+        assert await world.run_for(10, completed(world))
 
 
 async def test_an_unanswered_start_is_voided_before_the_task_starts_again():
     world = World()
     async with world.running():
-        world.fakes[0].starts_to_delay = world.fakes[1].starts_to_delay = 1
+        world.fake_executors[0].starts_to_delay = world.fake_executors[
+            1
+        ].starts_to_delay = 1
         await world.submit("a1")
-        await world.drive(3)
-        for fake in world.fakes:
+        await world.run_for(3)
+        for fake in world.fake_executors:
             world.client.execute_delayed_orders(fake)
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         # The second start goes to the other executor, which does not answer either.
         assert world.client.stopped == [("a1.0.0.0", 1), ("a1.0.0.0", 2)]
 
@@ -71,17 +73,17 @@
     world = World(executors=1)
     world.client.run_time = timedelta(milliseconds=300)
     async with world.running():
-        fake = world.fakes[0]
+        fake = world.fake_executors[0]
         fake.starts_to_delay = 1
         await world.submit("a1")
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         await world.submit("a2")
-        assert await world.drive(6, completed(world, "a2"))
+        assert await world.run_for(6, completed(world, "a2"))
         assert [order.run for order in fake.delayed_orders] == [1]
         fake.restart()
         key = f"executors/{fake.executor.executor_id}"
         await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
-        await world.drive(0.6)
+        await world.run_for(0.6)
         world.client.execute_delayed_orders(fake)
 
 
@@ -90,35 +92,35 @@
     # executed a start whose task was done elsewhere by then.
     world = World()
     async with world.running():
-        fake = world.fakes[0]
+        fake = world.fake_executors[0]
         await world.submit("a1")
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         fake.restart()
         key = f"executors/{fake.executor.executor_id}"
         await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
-        await world.drive(2)
+        await world.run_for(2)
         async with world.term():
             fake.starts_to_delay = 1
             await world.submit("a2")
-            await world.drive(1)
+            await world.run_for(1)
             assert [order.task for order in fake.delayed_orders] == ["a2.0.0.0"]
             started = world.client.started
             ordered_at = world.clock.monotonic()
-            assert await world.drive(14, lambda: len(started) == 2)
+            assert await world.run_for(14, lambda: len(started) == 2)
             assert world.clock.monotonic() - ordered_at > timedelta(seconds=10)
 
 
 async def submit_with_delayed_order(world, job, *steps):
     """Submit a job and leave its first start unanswered; return the executor."""
-    for fake in world.fakes:
+    for fake in world.fake_executors:
         fake.starts_to_delay = 1
     await world.submit(job, *steps)
-    assert await world.drive(
-        2, lambda: any(fake.delayed_orders for fake in world.fakes)
+    assert await world.run_for(
+        2, lambda: any(fake.delayed_orders for fake in world.fake_executors)
     )
-    for fake in world.fakes:
+    for fake in world.fake_executors:
         fake.starts_to_delay = 0
-    return next(fake for fake in world.fakes if fake.delayed_orders)
+    return next(fake for fake in world.fake_executors if fake.delayed_orders)
 
 
 async def restart_and_execute_delayed_orders(world, fake):
@@ -136,9 +138,9 @@
     async with world.running():
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
         fake = await submit_with_delayed_order(world, "a1")
-        await world.drive(4)
+        await world.run_for(4)
         await restart_and_execute_delayed_orders(world, fake)
-        assert await world.drive(25, completed(world))
+        assert await world.run_for(25, completed(world))
 
 
 async def test_starts_of_the_previous_term_delay_tasks_where_ids_are_reused():
@@ -150,9 +152,9 @@
         fake = await submit_with_delayed_order(world, "a1")
         term.end_term("ended by the test")
         async with world.term():
-            await world.drive(4)
+            await world.run_for(4)
             await restart_and_execute_delayed_orders(world, fake)
-            assert await world.drive(25, completed(world))
+            assert await world.run_for(25, completed(world))
 
 
 async def test_a_task_completed_by_a_restarted_executor_is_not_run_again():
@@ -165,11 +167,11 @@
     async with world.running():
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
         fake = await submit_with_delayed_order(world, "a1", StepSpec(1, 1000, 100))
-        await world.drive(2)
+        await world.run_for(2)
         assert world.state("a1") is JobState.RUNNING
         await restart_and_execute_delayed_orders(world, fake)
-        assert await world.drive(3, completed(world))
-        await world.drive(15)
+        assert await world.run_for(3, completed(world))
+        await world.run_for(15)
         runs = [run for task, run, _ in world.client.started if task == "a1.0.0.0"]
         assert runs == [1]
 
@@ -182,7 +184,7 @@
             "b1", StepSpec(2, 100, 100, lasting=True, max_per_executor=1)
         )
         fake = await submit_with_delayed_order(world, "a1", StepSpec(1, 1000, 100))
-        await world.drive(0.5)
+        await world.run_for(0.5)
         (later,) = (
             link
             for link in term.links_by_id.values()
@@ -192,7 +194,7 @@
         first = term.links_by_id[fake.executor.executor_id]
         assert term.unassigned_end(first, end) == "a1"
         assert term.unassigned_end(first, end) == ""
-        assert await world.drive(5, lambda: "a1.0.0.0" not in later.runs_by_name)
+        assert await world.run_for(5, lambda: "a1.0.0.0" not in later.runs_by_name)
         assert world.state("a1") is JobState.COMPLETED
         assert ("a1.0.0.0", 2) in world.client.stopped
         free = term.usage.free_cpu(later.executor.executor_id, later.executor.capacity)
@@ -204,28 +206,28 @@
     world = World()
     world.ids_kept = True
     async with world.running():
-        for fake in world.fakes:
-            fake.lose_looks = 2
+        for fake in world.fake_executors:
+            fake.polls_to_lose = 2
         lasting = StepSpec(1, 1000, 100, lasting=True)
         fake = await submit_with_delayed_order(world, "a1", lasting)
-        (other,) = (f for f in world.fakes if f is not fake)
+        (other,) = (f for f in world.fake_executors if f is not fake)
         # Bin packing prefers the other executor from now on.
         rack = StepSpec(1, 2000, 100, lasting=True, label=other.executor.rack)
         await world.submit("b1", rack)
         started = world.client.started
-        assert await world.drive(5, lambda: len(started) == 2)
+        assert await world.run_for(5, lambda: len(started) == 2)
         assert ("a1.0.0.0", 2, fake.executor.executor_id) in started
         await restart_and_execute_delayed_orders(world, fake)
-        await world.drive(20)
+        await world.run_for(20)
         assert [run.run for run in fake.runs.values()] == [3]
 
 
 async def test_a_start_that_took_effect_without_an_answer_is_not_repeated():
     world = World(executors=1)
     async with world.running():
-        world.fakes[0].lose_start_answers = 1
+        world.fake_executors[0].start_answers_to_lose = 1
         await world.submit("a1")
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         assert [run for _, run, _ in world.client.started] == [1]
         assert world.client.stopped == []
 
@@ -237,10 +239,12 @@
     world.client.run_time = timedelta(seconds=3)
     async with world.running():
         await world.submit("a1")
-        await world.drive(0.5)
-        world.fakes[0].starts_to_delay = world.fakes[1].starts_to_delay = 1
+        await world.run_for(0.5)
+        world.fake_executors[0].starts_to_delay = world.fake_executors[
+            1
+        ].starts_to_delay = 1
         await world.submit("a2")
-        assert await world.drive(
+        assert await world.run_for(
             0.3, lambda: "a2.0.0.0" in [task for task, _, _ in world.client.started]
         )
 
@@ -251,18 +255,18 @@
     world.client.run_time = timedelta(seconds=30)
     async with world.running():
         await world.submit("a1", StepSpec(12, 1000, 100, estimate_ms=30_000))
-        await world.drive(2)
-        assert max(world.client.waits) == LOOK_WAIT
-        for fake in world.fakes:
-            fake.lose_looks = 1
-        await world.drive(2.5)
-        assert not any(fake.lose_looks for fake in world.fakes)
-        world.client.waits.clear()
-        await world.drive(1.5)
-        assert 6 <= len(world.client.waits) <= 18
-        assert max(world.client.waits) == WATCHFUL_WAIT
-        await world.drive(6)
-        assert world.client.waits[-1] == LOOK_WAIT
+        await world.run_for(2)
+        assert max(world.client.poll_waits) == LOOK_WAIT
+        for fake in world.fake_executors:
+            fake.polls_to_lose = 1
+        await world.run_for(2.5)
+        assert not any(fake.polls_to_lose for fake in world.fake_executors)
+        world.client.poll_waits.clear()
+        await world.run_for(1.5)
+        assert 6 <= len(world.client.poll_waits) <= 18
+        assert max(world.client.poll_waits) == WATCHFUL_WAIT
+        await world.run_for(6)
+        assert world.client.poll_waits[-1] == LOOK_WAIT
 
 
 async def test_a_new_term_takes_over_running_tasks():
@@ -270,11 +274,11 @@
     world.client.run_time = timedelta(seconds=3)
     async with world.running() as first:
         await world.submit("a1", StepSpec(4, 1000, 100))
-        await world.drive(1)
+        await world.run_for(1)
         first._over.set()
-        await world.drive(0.5)
+        await world.run_for(0.5)
         async with world.term():
-            assert await world.drive(8, completed(world))
+            assert await world.run_for(8, completed(world))
         assert len(world.client.started) == 4
 
 
@@ -283,11 +287,11 @@
     world.client.run_time = timedelta(seconds=2)
     async with world.running() as first:
         await world.submit("a1", StepSpec(2, 1000, 100))
-        await world.drive(0.5)
+        await world.run_for(0.5)
         async with world.term():
-            await world.drive(1)
+            await world.run_for(1)
             await world.submit("a2", StepSpec(2, 1000, 100))
-            assert await world.drive(8, completed(world, "a2"))
+            assert await world.run_for(8, completed(world, "a2"))
             assert first._over.is_set()
 
 
@@ -296,22 +300,22 @@
     world.client.run_time = timedelta(seconds=60)
     async with world.running():
         await world.submit("a1")
-        await world.drive(1)
+        await world.run_for(1)
         ((_, _, first),) = world.client.started
         world.client.by_id[first].silent = True
-        await world.drive(12)
+        await world.run_for(12)
         assert len(world.client.started) == 1
-        assert await world.drive(14, lambda: len(world.client.started) == 2)
+        assert await world.run_for(14, lambda: len(world.client.started) == 2)
 
 
 async def test_tasks_of_a_restarted_executor_restart_immediately():
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(4, 1000, 100))
-        await world.drive(0.3)
-        world.fakes[0].restart()
-        world.fakes[1].restart()
-        assert await world.drive(8, completed(world))
+        await world.run_for(0.3)
+        world.fake_executors[0].restart()
+        world.fake_executors[1].restart()
+        assert await world.run_for(8, completed(world))
 
 
 async def test_a_cancelled_job_stops_and_releases_its_capacity():
@@ -319,35 +323,35 @@
     world.client.run_time = timedelta(seconds=60)
     async with world.running():
         await world.submit("a1", StepSpec(4, 1000, 100))
-        await world.drive(1)
+        await world.run_for(1)
         deadline = world.clock.monotonic() + timedelta(seconds=3)
         assert await world.intake.cancel("a1", deadline)
-        await world.drive(1)
+        await world.run_for(1)
         assert world.state("a1") is JobState.CANCELLED
-        assert world.fakes[0].runs == {}
+        assert world.fake_executors[0].runs == {}
         world.client.run_time = timedelta(seconds=1)
         await world.submit("a2", StepSpec(4, 1000, 100))
-        assert await world.drive(5, completed(world, "a2"))
+        assert await world.run_for(5, completed(world, "a2"))
 
 
 async def test_a_job_cancelled_before_its_first_start_never_starts():
     world = World(executors=1, cpu=500)
     async with world.running():
         await world.submit("a1")
-        await world.drive(0.5)
+        await world.run_for(0.5)
         await world.intake.cancel("a1", world.clock.monotonic() + timedelta(seconds=3))
-        await world.drive(1)
+        await world.run_for(1)
         assert world.state("a1") is JobState.CANCELLED
         assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
 
 
 async def test_a_task_that_always_fails_fails_its_job():
     world = World()
-    for fake in world.fakes:
+    for fake in world.fake_executors:
         fake.fails = True
     async with world.running():
         await world.submit("a1")
-        assert await world.drive(9, lambda: world.state("a1") is JobState.FAILED)
+        assert await world.run_for(9, lambda: world.state("a1") is JobState.FAILED)
         assert [run for _, run, _ in world.client.started] == [1, 2, 3]
 
 
@@ -355,10 +359,10 @@
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(2, 1000, 100, lasting=True))
-        await world.drive(1)
-        fake = next(f for f in world.fakes if f.runs)
+        await world.run_for(1)
+        fake = next(f for f in world.fake_executors if f.runs)
         fake.restart()
-        assert await world.drive(6, lambda: len(world.client.started) >= 3)
+        assert await world.run_for(6, lambda: len(world.client.started) >= 3)
         assert world.state("a1") is JobState.RUNNING
 
 
@@ -366,7 +370,7 @@
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(4, 500, 100, max_per_executor=1))
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         together = [executor for _, _, executor in world.client.started[:2]]
         assert len(set(together)) == 2
 
@@ -379,8 +383,8 @@
         await world.submit("a1", StepSpec(6, 1000, 100))
         maximum = 0
         for _ in range(80):
-            await world.drive(0.1)
-            maximum = max(maximum, sum(len(fake.runs) for fake in world.fakes))
+            await world.run_for(0.1)
+            maximum = max(maximum, sum(len(fake.runs) for fake in world.fake_executors))
         assert world.state("a1") is JobState.COMPLETED
         assert maximum == 2
 
@@ -389,7 +393,7 @@
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(5, 1000, 100, gang=True))
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         assert {run for _, run, _ in world.client.started} == {1}
 
 
@@ -399,18 +403,18 @@
     async with world.running():
         await world.submit("a1", StepSpec(3, 1000, 100))
         world.store.answers_to_lose = lost
-        assert await world.drive(8, completed(world))
+        assert await world.run_for(8, completed(world))
 
 
 async def test_a_job_completes_after_a_store_outage():
     world = World()
     async with world.running():
         await world.submit("a1", StepSpec(3, 1000, 100))
-        await world.drive(0.3)
+        await world.run_for(0.3)
         world.store.down = True
-        await world.drive(4)
+        await world.run_for(4)
         world.store.down = False
-        assert await world.drive(8, completed(world))
+        assert await world.run_for(8, completed(world))
 
 
 async def test_an_occurrence_starts_when_it_is_due():
@@ -420,9 +424,9 @@
         await world.submit(
             "a1", first_due_ms=round(due), interval_ms=1500, occurrences=2
         )
-        await world.drive(1.8)
+        await world.run_for(1.8)
         assert world.client.started == []
-        assert await world.drive(6, completed(world))
+        assert await world.run_for(6, completed(world))
         names = [task for task, _, _ in world.client.started]
         assert names == ["a1.0.0.0", "a1.1.0.0"]
 
@@ -438,7 +442,7 @@
     async with world.running():
         await world.publish(configuration(2, queues=[ADVISED]))
         await world.submit("a1", StepSpec(6, 1000, 100))
-        assert await world.drive(8, completed(world))
+        assert await world.run_for(8, completed(world))
         assert {executor for _, _, executor in world.client.started} == {"e-1"}
 
 
@@ -449,7 +453,7 @@
     async with world.running():
         await world.publish(configuration(2, queues=[ADVISED]))
         await world.submit("a1", StepSpec(8, 1000, 100))
-        assert await world.drive(12, completed(world))
+        assert await world.run_for(12, completed(world))
         assert len(world.advice.requests) <= 8
 
 
@@ -459,7 +463,7 @@
     async with world.running():
         await world.publish(configuration(2, queues=[ADVISED]))
         await world.submit("a1")
-        await world.drive(5)
+        await world.run_for(5)
         assert len(world.advice.requests) == 1
         assert world.client.started == []
 
@@ -468,10 +472,10 @@
     world = World(executors=2)
     async with world.running():
         await world.submit("a1", StepSpec(2, 1000, 100, estimate_ms=1000))
-        await world.drive(0.2)
+        await world.run_for(0.2)
         ((_, _, first), *_) = world.client.started
         world.client.by_id[first].stalls = True
-        assert await world.drive(9, completed(world))
+        assert await world.run_for(9, completed(world))
         assert any(e != first for _, _, e in world.client.started)
 
 
@@ -480,7 +484,7 @@
     async with world.running() as term:
         term.learning.set_aside("e-0", timedelta(days=1))
         await world.submit("a1")
-        assert await world.drive(4, completed(world))
+        assert await world.run_for(4, completed(world))
 
 
 async def test_ends_after_a_restart_are_not_acknowledged_by_earlier_numbers():
@@ -489,11 +493,11 @@
     world = World(executors=1)
     async with world.running():
         await world.submit("a1")
-        assert await world.drive(4, completed(world))
-        await world.drive(2)
-        world.fakes[0].restart()
+        assert await world.run_for(4, completed(world))
+        await world.run_for(2)
+        world.fake_executors[0].restart()
         await world.submit("a2")
-        assert await world.drive(6, completed(world, "a2"))
+        assert await world.run_for(6, completed(world, "a2"))
         assert [run for _, run, _ in world.client.started] == [1, 1]
 
 
@@ -502,9 +506,9 @@
     async with world.running():
         world.client.run_time = timedelta(seconds=2)
         await world.submit("a1", StepSpec(1, 1000, 100), StepSpec(1, after=(0,)))
-        await world.drive(1)
+        await world.run_for(1)
         await world.publish(configuration(2, queues=[]))
-        assert await world.drive(8, completed(world))
+        assert await world.run_for(8, completed(world))
 
 
 async def test_one_silent_connection_delays_jobs_less_than_the_cancellation_limit():
@@ -513,7 +517,7 @@
     world.store.silent_prefix = layout.INCOMING
     async with world.running():
         await world.submit("a1")
-        assert await world.drive(3, lambda: world.client.started != [])
+        assert await world.run_for(3, lambda: world.client.started != [])
 
 
 async def test_two_silent_connections_delay_jobs_less_than_the_cancellation_limit():
@@ -523,7 +527,7 @@
     world.store.silent_prefix, world.store.silent_polls = layout.INCOMING, 2
     async with world.running():
         await world.submit("a1")
-        assert await world.drive(3, lambda: world.client.started != [])
+        assert await world.run_for(3, lambda: world.client.started != [])
 
 
 async def test_a_job_cancelled_during_a_watch_outage_never_starts():
@@ -535,7 +539,7 @@
         await world.submit("a1")
         deadline = world.clock.monotonic() + timedelta(seconds=3)
         assert await world.intake.cancel("a1", deadline)
-        await world.drive(4)
+        await world.run_for(4)
         assert world.client.started == []
         assert world.state("a1") is JobState.CANCELLED
 
@@ -543,14 +547,14 @@
 async def test_an_executor_that_drained_and_restarted_is_used_again():
     world = World(executors=1)
     async with world.running():
-        fake = world.fakes[0]
+        fake = world.fake_executors[0]
         key = f"executors/{fake.executor.executor_id}"
         await world.put(key, replace(fake.executor, draining=True))
-        await world.drive(1)
+        await world.run_for(1)
         fake.restart()
         await world.put(key, replace(fake.executor, incarnation=fake.incarnation))
         await world.submit("a1")
-        assert await world.drive(4, completed(world))
+        assert await world.run_for(4, completed(world))
 
 
 async def test_a_gang_that_lost_a_member_restarts_as_a_whole():
@@ -558,10 +562,10 @@
     world.client.run_time = timedelta(seconds=2)
     async with world.running():
         await world.submit("a1", StepSpec(2, 1000, 100, gang=True))
-        await world.drive(1)
+        await world.run_for(1)
         assert len(world.client.started) == 2
-        world.fakes[0].restart()
-        assert await world.drive(9, completed(world))
+        world.fake_executors[0].restart()
+        assert await world.run_for(9, completed(world))
         assert [run for _, run, _ in world.client.started] == [1, 1, 2, 2]
         assert len(world.client.stopped) == 1
 
@@ -574,12 +578,12 @@
     world.client.run_time = timedelta(seconds=3)
     async with world.running() as first:
         await world.submit("a1", StepSpec(2, 500, 100, estimate_ms=3000))
-        await world.drive(2.9)
+        await world.run_for(2.9)
         first._over.set()
         async with world.term() as successor:
-            assert await world.drive(2, completed(world))
+            assert await world.run_for(2, completed(world))
             await world.submit("a2", StepSpec(1, 500, 100, estimate_ms=3000))
-            await world.drive(0.2)
+            await world.run_for(0.2)
             (step,) = successor.jobs_by_id["a2"].occurrences[0]
             assert successor.learning.expected_ms(step) == 3000
 
@@ -591,14 +595,14 @@
     async with world.running() as term:
         number = 0
         for _ in range(2):
-            await world.drive(8)
+            await world.run_for(8)
             for _ in range(12):
                 number += 1
                 # Ids whose order differs from the order of arrival.
                 await world.submit(f"{number * 7919 % 1000:04}")
-                await world.drive(0.2)
+                await world.run_for(0.2)
         async with world.term() as successor:
-            await world.drive(0.5)
+            await world.run_for(0.5)
             now = world.clock.monotonic()
             assert successor.turns.period() == term.turns.period()
             peaks = [known.turns.peak("mill", now) for known in (term, successor)]
@@ -622,9 +626,9 @@
 
         setattr(world.client, method, failing)
         await world.submit("a1", StepSpec(4, 1000, 100))
-        assert await world.drive(8, completed(world))
+        assert await world.run_for(8, completed(world))
         await world.submit("a2", StepSpec(2, 1000, 100))
-        assert await world.drive(8, completed(world, "a2"))
+        assert await world.run_for(8, completed(world, "a2"))
         assert {executor for _, _, executor in world.client.started} == {"e-1"}
         assert not term._over.is_set()
 
@@ -635,13 +639,13 @@
     world = World()
     async with world.running() as term:
         term.end_term("later terms load the records")
-        await world.drive(0.1)
+        await world.run_for(0.1)
         for number, content in enumerate(undecodable):
             await world.submit(f"a{number}")
             await world.put(f"{layout.RUNS}a{number}", content)
             async with world.term():
                 await world.submit(f"b{number}")
-                assert await world.drive(5, completed(world, f"b{number}"))
+                assert await world.run_for(5, completed(world, f"b{number}"))
         jobs = [task.split(".")[0] for task, _, _ in world.client.started]
         assert jobs == ["b0", "b1", "b2"]
 
@@ -652,15 +656,15 @@
     world = World()
     async with world.running():
         await world.submit("a1")
-        assert await world.drive(5, completed(world))
+        assert await world.run_for(5, completed(world))
         scans = world.store.calls_by_method["scan"]
         # The poll that returns the next job is answered, the one after it is not.
         world.store.silent_prefix = layout.INCOMING
         await world.submit("a2")
-        assert await world.drive(3, completed(world, "a2"))
+        assert await world.run_for(3, completed(world, "a2"))
         assert not world.store.silent_prefix
         await world.submit("a3")
-        assert await world.drive(6, completed(world, "a3"))
+        assert await world.run_for(6, completed(world, "a3"))
         assert world.store.calls_by_method["scan"] == scans
 
 
@@ -682,7 +686,7 @@
 
     world.client.look = counted
     async with world.running() as term:
-        assert await world.drive(
+        assert await world.run_for(
             3, lambda: sum(link.usable for link in term.links_by_id.values()) == 200
         )
         assert maximum == MAX_CONCURRENT_FIRST_POLLS
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -78,9 +78,9 @@
         self.world = World(executors=4)
         for number in range(3):
             fake = FakeExecutor(self.world.clock, f"s-{number}", service="saw")
-            self.world.fakes.append(fake)
+            self.world.fake_executors.append(fake)
             self.world.client.by_id[fake.executor.executor_id] = fake
-        self.vms = self.world.keep_vms(standby=2)
+        self.vms = self.world.manage_vms(standby=2)
         self.world.policy = RandomPolicy(self.vms, self.rng)
         self.jobs = 0
         self.waves = 0
@@ -90,27 +90,27 @@
         pools = [Pool("mill"), Pool("saw"), Pool("spare", standby=True)]
         async with self.world.running() as first:
             await self.world.publish(configuration(2, queues=(QUEUE, SAW), pools=pools))
-            await self.world.drive(1)
+            await self.world.run_for(1)
             await self.world.submit("watch", WATCH)
             await self.world.submit("pairs", PAIRS, queue=SAW)
             await self._run_terms(first)
-        assert self.vms.turns == []
+        assert self.vms.conflicting_orders == []
 
     async def _run_terms(self, term):
         async with AsyncExitStack() as terms:
             for step in range(STEPS):
                 if step and step % STEPS_PER_TERM == 0:
                     term._over.set()
-                    await self.world.drive(0.2)
+                    await self.world.run_for(0.2)
                     term = await terms.enter_async_context(self.world.term())
                 await self._inject_fault()
-                await self.world.drive(STEP_S)
+                await self.world.run_for(STEP_S)
 
     async def _inject_fault(self):
         rng, world = self.rng, self.world
-        if not world.fakes:
+        if not world.fake_executors:
             return
-        fake = rng.choice(world.fakes)
+        fake = rng.choice(world.fake_executors)
         kind = rng.randrange(12)
         if kind < 4:
             self.jobs += 1
@@ -121,11 +121,11 @@
             fake.silent = not fake.silent
         elif kind == 5:
             fake.silent = False
-            fake.lose_start_answers = 1
+            fake.start_answers_to_lose = 1
         elif kind == 6:
-            fake.lose_looks = 2
+            fake.polls_to_lose = 2
         elif kind == 7:
-            self.vms.swallow = 1
+            self.vms.lost_answers = 1
         elif kind == 8 and self.jobs % 10 == 0:
             fake.restart()
         elif kind == 9 and len(self.vms.maintained) >= self._maintained_by_waves():
@@ -146,30 +146,30 @@
     # A task being stopped was not counted as unavailable: of three tasks on one VM, the
     # second was stopped 250 ms after the first.
     world = World(executors=3)
-    vms = world.keep_vms()
+    vms = world.manage_vms()
     async with world.running():
-        for fake in world.fakes[1:]:
+        for fake in world.fake_executors[1:]:
             fake.silent = True
-        await world.drive(1)
+        await world.run_for(1)
         await world.submit("a1", StepSpec(3, 500, 100, lasting=True, may_be_away=1))
-        await world.drive(3)
+        await world.run_for(3)
         assert {where for _, _, where in world.client.started} == {"e-0"}
-        for fake in world.fakes[1:]:
+        for fake in world.fake_executors[1:]:
             fake.silent = False
-        await world.drive(2)
+        await world.run_for(2)
         wave = Wave(1, ("vm-e-0",), timedelta(seconds=20), 1)
         await world.put("op/wave/1", wave)
-        assert await world.drive(20, lambda: vms.maintained == [("vm-e-0", 1)])
+        assert await world.run_for(20, lambda: vms.maintained == [("vm-e-0", 1)])
 
 
 async def test_maintenance_is_held_back_if_another_task_became_unavailable():
     # The order is first written to the store. Meanwhile another task becomes
     # unavailable, which uses up the limit of the step.
     world = World(executors=4)
-    vms = world.keep_vms()
+    vms = world.manage_vms()
     async with world.running() as term:
         await world.submit("a1", StepSpec(3, 500, 100, lasting=True, may_be_away=1))
-        await world.drive(3)
+        await world.run_for(3)
         orders = term.keeper._orders
         vm, other = (
             next(v for v in vms.vms.values() if v.executor_id == executor)
