--- a/measurements/placing.py
+++ b/measurements/placing.py
@@ -21,8 +21,8 @@
 
 from measurements.figures import Figure, at_most
 from pomeloyard.batch import layout
-from pomeloyard.batch.configuration_follower import OperatorFollower
-from pomeloyard.batch.decision_log import DecisionLines
+from pomeloyard.batch.configuration_follower import ConfigurationFollower
+from pomeloyard.batch.decision_log import JobDecisionLog
 from pomeloyard.batch.executor_registry import ExecutorRegistry
 from pomeloyard.batch.executors import Executor
 from pomeloyard.batch.model import JobRecord, JobSpec, JobState, Resources, StepSpec
@@ -97,7 +97,7 @@
     yield Figure(name, peak.takeover_busy_seconds, "s", None, None, SITE)
 
 
-class _Lines(DecisionLines):
+class _Lines(JobDecisionLog):
     """Notes how old each job was when its first task was placed."""
 
     def __init__(self, clock: Clock, writer: LogWriter, daemon: str) -> None:
@@ -106,13 +106,13 @@
         self.prefix = "j"
         """Of the jobs that are noted."""
 
-    def decided(
+    def record(
         self, kind: str, subject: str, outcome: str, **inputs: str | int | float | bool
     ) -> None:
         if kind == "place" and subject.startswith(self.prefix):
             job_id = subject.partition(".")[0]
             self.first_start_ms_by_job.setdefault(job_id, float(inputs["age_ms"]))
-        super().decided(kind, subject, outcome, **inputs)
+        super().record(kind, subject, outcome, **inputs)
 
 
 @contextlib.contextmanager
@@ -139,7 +139,7 @@
 async def _peak(addresses: list[str]) -> Peak:
     clock = SystemClock()
     store = MemoryStore(clock)
-    follower = OperatorFollower(clock, store, ConfigDocuments())
+    follower = ConfigurationFollower(clock, store, ConfigDocuments())
     lines = _Lines(clock, LogWriter(clock), "measured")
     await _put(store, "op/config", configuration())
     for number, address in enumerate(addresses):
@@ -195,8 +195,8 @@
 async def _new_term(
     clock: Clock,
     store: MemoryStore,
-    follower: OperatorFollower,
-    lines: DecisionLines,
+    follower: ConfigurationFollower,
+    lines: JobDecisionLog,
     epoch: int,
 ) -> PlacingTerm:
     await _put(store, "epochs/placing", epoch)
--- a/src/pomeloyard/batch/advice.py
+++ b/src/pomeloyard/batch/advice.py
@@ -77,13 +77,13 @@
             if now < expires_at
         }
 
-    def reject(self, step: StepRun, executor: str) -> None:
+    def discard_ticket(self, step: StepRun, executor: str) -> None:
         """Discard a ticket that an executor rejected."""
         cached = self._by_step.get(step.name)
         if cached is not None and executor in cached.tickets:
             cached.tickets[executor] = ("", timedelta(0))
 
-    def forget(self, job_id: str) -> None:
+    def discard_job(self, job_id: str) -> None:
         """Discard the advice on all steps of a job."""
         prefix = f"{job_id}."
         for name in [n for n in self._by_step if n.startswith(prefix)]:
--- a/src/pomeloyard/batch/call_losses.py
+++ b/src/pomeloyard/batch/call_losses.py
@@ -23,12 +23,12 @@
     def __init__(self) -> None:
         self._losses: list[tuple[timedelta, str]] = []
 
-    def note(self, executor: str, now: timedelta) -> None:
+    def record(self, executor: str, now: timedelta) -> None:
         """Record an unanswered call to an executor."""
         self._losses = [(at, e) for at, e in self._losses if e != executor]
         self._losses = [*self._losses, (now, executor)][-MIN_EXECUTORS:]
 
-    def recent(self, now: timedelta) -> bool:
+    def calls_are_lost(self, now: timedelta) -> bool:
         """Tell whether calls to several executors were lost recently."""
         return (
             len(self._losses) == MIN_EXECUTORS
--- a/src/pomeloyard/batch/configuration_follower.py
+++ b/src/pomeloyard/batch/configuration_follower.py
@@ -29,7 +29,7 @@
     """A configuration, wave or registration cannot be decoded."""
 
 
-class OperatorDocuments(Protocol):
+class ConfigurationDocuments(Protocol):
     """Store keys and decoders of configurations and waves.
 
     Both decoders raise DocumentError.
@@ -47,11 +47,11 @@
         ...
 
 
-class OperatorFollower:
+class ConfigurationFollower:
     """Keeps a current copy of the newest configuration and the waves."""
 
     def __init__(
-        self, clock: Clock, store: PollingStore, documents: OperatorDocuments
+        self, clock: Clock, store: PollingStore, documents: ConfigurationDocuments
     ) -> None:
         self._clock = clock
         self._store = store
@@ -60,8 +60,8 @@
         self.revision = 0
         """Store revision of the configuration's key."""
         self.waves_by_id: dict[int, Wave] = {}
-        self.wave_seen_at_by_id: dict[int, timedelta] = {}
-        self._proved_at: timedelta | None = None
+        self.wave_received_at_by_id: dict[int, timedelta] = {}
+        self._confirmed_at: timedelta | None = None
         self._changed = anyio.Event()
         self.on_change: list[Callable[[], None]] = []
         self._store_reachable = False
@@ -73,9 +73,9 @@
 
     def proof_age(self) -> timedelta:
         """Return the time since the copy was last confirmed current."""
-        if self._proved_at is None:
+        if self._confirmed_at is None:
             return timedelta.max
-        return self._clock.monotonic() - self._proved_at
+        return self._clock.monotonic() - self._confirmed_at
 
     async def wait_for_change(self, timeout: timedelta) -> None:
         """Return at the next change of configuration or waves, or after ``timeout``."""
@@ -90,7 +90,7 @@
             try:
                 asked_at = self._clock.monotonic()
                 if position is None:
-                    position = await self._read_all()
+                    position = await self._load_all()
                 else:
                     batch = await self._store.poll_changes(
                         self._documents.prefix, position, POLL_WAIT
@@ -99,7 +99,7 @@
                         if event.entry is not None:
                             self._apply(event.entry)
                     position = batch.revision
-                self._proved_at = asked_at
+                self._confirmed_at = asked_at
                 self._set_store_reachable(True, "")
             except CompactedError as error:
                 log.info("watch revision was compacted, reloading all: {}", error)
@@ -108,7 +108,7 @@
                 self._set_store_reachable(False, str(error))
                 await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
-    async def _read_all(self) -> int:
+    async def _load_all(self) -> int:
         page = await self._store.scan(self._documents.prefix)
         revision = page.revision
         while True:
@@ -154,7 +154,7 @@
         if wave is not None and self.waves_by_id.get(wave.wave_id) != wave:
             self.waves_by_id[wave.wave_id] = wave
             now = self._clock.monotonic()
-            self.wave_seen_at_by_id.setdefault(wave.wave_id, now)
+            self.wave_received_at_by_id.setdefault(wave.wave_id, now)
             log.info("wave {} received, {} VMs", wave.wave_id, len(wave.vms))
             self._notify()
 
--- a/src/pomeloyard/batch/decision_log.py
+++ b/src/pomeloyard/batch/decision_log.py
@@ -15,7 +15,7 @@
 not written."""
 
 
-class DecisionLines:
+class JobDecisionLog:
     """Writes decision lines at a limited rate without blocking."""
 
     def __init__(self, clock: Clock, writer: LogWriter, daemon: str) -> None:
@@ -23,11 +23,11 @@
         self._writer = writer
         self._daemon = daemon
         self.counts: Counter[tuple[str, str]] = Counter()
-        self.suppressed = 0
+        self.dropped_lines = 0
         self._tokens = float(MAX_LINES_PER_SECOND)
         self._refilled_at = clock.monotonic()
 
-    def decided(
+    def record(
         self, kind: str, subject: str, outcome: str, **inputs: str | int | float | bool
     ) -> None:
         """Log a decision about a subject with its inputs."""
@@ -39,7 +39,7 @@
         refilled = self._tokens + elapsed * MAX_LINES_PER_SECOND
         self._tokens = min(float(MAX_LINES_PER_SECOND), refilled)
         if self._tokens < 1:
-            self.suppressed += 1
+            self.dropped_lines += 1
             return
         self._tokens -= 1
         line = {
--- a/src/pomeloyard/batch/demand.py
+++ b/src/pomeloyard/batch/demand.py
@@ -10,10 +10,10 @@
 from .executor_choice import lasting_tasks_per_vm
 from .job_ranking import finish_and_objective_ms
 from .model import JobRecord, Queue
-from .peaks import ArrivalRate, Peak, Turns
-from .pool_scaling import LastingLoad
+from .peaks import ArrivalRate, Peak, PeakForecaster
+from .pool_scaling import LongRunningLoad
 from .progress import JobRun, StepRun
-from .run_estimates import Learning
+from .run_estimates import RunEstimates
 
 
 class PoolDemand:
@@ -23,17 +23,17 @@
         self,
         clock: Clock,
         live_jobs: Mapping[str, JobRun],
-        learning: Learning,
-        turns: Turns,
+        estimates: RunEstimates,
+        peaks: PeakForecaster,
         queue_of: Callable[[JobRecord], Queue | None],
     ) -> None:
         self._clock = clock
         self._live_jobs = live_jobs
-        self._learning = learning
-        self._turns = turns
+        self._estimates = estimates
+        self._peaks = peaks
         self._queue_of = queue_of
 
-    def waiting(self) -> dict[str, float]:
+    def backlog(self) -> dict[str, float]:
         """Return the core-seconds of ready short tasks, by pool."""
         loads: dict[str, float] = defaultdict(float)
         for job, queue in self._jobs():
@@ -42,15 +42,15 @@
                     loads[queue.service] += self._waiting_work(step)
         return loads
 
-    def urgent(self) -> dict[str, float]:
-        """Return the part of ``waiting`` whose jobs can still meet their objective."""
+    def urgent_backlog(self) -> dict[str, float]:
+        """Return the part of ``backlog`` whose jobs can still meet their objective."""
         now = self._clock.monotonic()
         loads: dict[str, float] = defaultdict(float)
         for job, queue in self._jobs():
             if job.lasting or job.smallest_ready_cpu() is None:
                 continue
             finish_ms, objective_ms = finish_and_objective_ms(
-                job, queue, now - job.seen_at, self._learning.expected_ms
+                job, queue, now - job.accepted_at, self._estimates.expected_ms
             )
             if finish_ms > objective_ms:
                 continue
@@ -58,13 +58,13 @@
                 loads[queue.service] += self._waiting_work(step)
         return loads
 
-    def lasting(self) -> dict[str, LastingLoad]:
+    def long_running(self) -> dict[str, LongRunningLoad]:
         """Return the capacity that long-running tasks need, by pool."""
-        loads: dict[str, LastingLoad] = {}
+        loads: dict[str, LongRunningLoad] = {}
         for job, queue in self._jobs():
             if not job.lasting:
                 continue
-            before = loads.get(queue.service, LastingLoad())
+            before = loads.get(queue.service, LongRunningLoad())
             steps = [step for step in job.steps() if step.spec.lasting]
             vms = max(
                 (ceil(s.spec.count / lasting_tasks_per_vm(s.spec)) for s in steps),
@@ -75,18 +75,18 @@
                 for step in steps
                 if not step.spec.fills
             )
-            loads[queue.service] = LastingLoad(
+            loads[queue.service] = LongRunningLoad(
                 max(before.vms, vms), before.cores + millis / 1000
             )
         return loads
 
-    def rate(self, pool: str) -> ArrivalRate | None:
+    def arrival_rate(self, pool: str) -> ArrivalRate | None:
         """Return the arrival rate of a pool; None if no job has arrived yet."""
-        return self._turns.rate(pool, self._clock.monotonic())
+        return self._peaks.arrival_rate(pool, self._clock.monotonic())
 
     def next_peak(self, pool: str) -> Peak | None:
         """Return the current or next peak of a pool; None if not predictable."""
-        return self._turns.peak(pool, self._clock.monotonic())
+        return self._peaks.next_peak(pool, self._clock.monotonic())
 
     def _jobs(self) -> Iterator[tuple[JobRun, Queue]]:
         for job in self._live_jobs.values():
@@ -95,5 +95,5 @@
                 yield job, queue
 
     def _waiting_work(self, step: StepRun) -> float:
-        task_work = step.spec.cpu_millis * self._learning.expected_ms(step) / 1_000_000
+        task_work = step.spec.cpu_millis * self._estimates.expected_ms(step) / 1_000_000
         return len(step.waiting) * task_work
--- a/src/pomeloyard/batch/disruption.py
+++ b/src/pomeloyard/batch/disruption.py
@@ -14,17 +14,17 @@
 from .progress import StepRun, Task, TaskState
 
 
-class Availability:
+class DisruptionBudgets:
     """Checks the unavailable tasks of long-running steps, as last seen by the links."""
 
     def __init__(self, links_by_id: Mapping[str, ExecutorLink]) -> None:
         self._links_by_id = links_by_id
 
-    def may_end_all(self, link: ExecutorLink) -> bool:
+    def may_disrupt_all(self, link: ExecutorLink) -> bool:
         """Tell whether all runs on an executor may be stopped at once."""
-        return self.may_end(link.runs_by_name.values())
+        return self.may_disrupt(link.runs_by_name.values())
 
-    def may_end(self, runs: Collection[PlacedRun]) -> bool:
+    def may_disrupt(self, runs: Collection[PlacedRun]) -> bool:
         """Tell whether some runs may be stopped together.
 
         For each step, these runs and its tasks that are already unavailable must not
@@ -55,7 +55,7 @@
             task.state is TaskState.PLACED
             and link is not None
             and link.reachable
-            and not link.ending
+            and not link.ordered_by_this_term
             and placed is not None
             and placed.phase is Phase.RUNNING
             and placed.percent >= 100
--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -18,7 +18,7 @@
 from .executor_link import ExecutorLink
 from .model import StepSpec
 from .progress import StepRun, Task
-from .run_estimates import SLOW_FACTOR, Learning
+from .run_estimates import SLOW_FACTOR, RunEstimates
 from .usage import Usage
 
 ANY_CPU = -sys.maxsize
@@ -32,7 +32,7 @@
 """Free cpu and id of an executor."""
 
 
-def may_run(link: ExecutorLink, step: StepRun, usage: Usage) -> bool:
+def can_place(link: ExecutorLink, step: StepRun, usage: Usage) -> bool:
     """Tell whether an executor can take a task of a step now."""
     spec = step.spec
     executor = link.executor
@@ -63,13 +63,13 @@
         self,
         links: Iterable[ExecutorLink],
         usage: Usage,
-        learning: Learning,
+        estimates: RunEstimates,
         now: timedelta,
     ) -> None:
         self._usage = usage
         self._links_by_id = {link.executor.executor_id: link for link in links}
         self._slow = {
-            executor_id: learning.slowness(executor_id, now) >= SLOW_FACTOR
+            executor_id: estimates.slowness(executor_id, now) >= SLOW_FACTOR
             for executor_id in self._links_by_id
         }
         self._entry_lists: tuple[list[_Entry], list[_Entry]] = ([], [])
@@ -147,7 +147,7 @@
             executor = link.executor
             if allowed is not None and executor.executor_id not in allowed:
                 continue
-            if not may_run(link, task.step, self._usage):
+            if not can_place(link, task.step, self._usage):
                 continue
             score = (
                 executor.executor_id in task.failed_on,
@@ -171,14 +171,14 @@
             executor_id = executor.executor_id
             if allowed is not None and executor_id not in allowed:
                 continue
-            if not may_run(link, step, self._usage):
+            if not can_place(link, step, self._usage):
                 continue
             free = self._usage.free_cpu(executor_id, executor.capacity)
             score = (
-                float(link.separating),
+                float(link.spreading_tasks),
                 float(executor_id in task.failed_on),
                 float(self._slow[executor_id]),
-                float(link.due),
+                float(link.needs_maintenance),
                 float(self._usage.tasks_of_step(executor_id, step) >= limit),
                 float(not self._usage.lasting_tasks(executor_id)),
                 float(self._usage.tasks_in_rack(step, executor.rack)),
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -17,7 +17,7 @@
     EndedTask,
     Executor,
     ExecutorClient,
-    Report,
+    ExecutorReport,
     RunningTask,
     StartAnswer,
     StartOrder,
@@ -29,12 +29,12 @@
 short enough that the tasks of an unreachable executor are restarted soon."""
 CLOCK_DRIFT_FACTOR = 1.02
 """An executor's monotonic clock may run slow by up to this factor."""
-LATE_ORDER = timedelta(seconds=12)
+MAX_REQUEST_DELAY = timedelta(seconds=12)
 """A request that timed out may still be carried out until this much later."""
-LOOK_WAIT = timedelta(seconds=1.5)
+POLL_WAIT = timedelta(seconds=1.5)
 """How long a poll waits for a task to end; a lease of 7 s survives several lost
 polls."""
-WATCHFUL_WAIT = timedelta(seconds=0.5)
+SHORT_POLL_WAIT = timedelta(seconds=0.5)
 """Shorter wait while the state of a run is unknown, or while serving and filling tasks
 share the executor."""
 POLL_TIMEOUT_MARGIN = timedelta(seconds=0.5)
@@ -66,9 +66,9 @@
 
     ASSIGNED = "assigned"
     """The assignment is not stored yet; no start was sent."""
-    ORDERED = "ordered"
+    START_SENT = "ordered"
     RUNNING = "running"
-    UNSURE = "unsure"
+    UNCONFIRMED = "unsure"
     """The start got no answer; it may or may not have been carried out."""
     STOPPING = "stopping"
 
@@ -117,32 +117,32 @@
 class LinkHandler(Protocol):
     """Callbacks of the placing term for the events of a link."""
 
-    first_contacts: anyio.Semaphore
+    first_polls: anyio.Semaphore
     """Limits how many links make their first poll at once."""
 
-    def run_ended(
+    def handle_run_end(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
         """Record that a run has ended."""
 
-    def unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
+    def handle_unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
         """Record the end of a run that is not assigned; return the job it changed."""
         ...
 
-    def run_listed(
+    def handle_run_status(
         self, link: ExecutorLink, placed: PlacedRun, row: RunningTask
     ) -> None:
         """Process the state that an executor reports for a running task."""
 
-    def order_refused(
+    def handle_refused_start(
         self, link: ExecutorLink, placed: PlacedRun, answer: StartAnswer
     ) -> None:
         """Record that a start was certainly not carried out."""
 
-    def link_changed(self, link: ExecutorLink) -> None:
+    def handle_link_change(self, link: ExecutorLink) -> None:
         """React to an executor that became usable or unusable."""
 
-    async def jobs_stored(self, job_ids: Collection[str]) -> None:
+    async def wait_until_durable(self, job_ids: Collection[str]) -> None:
         """Wait until all recorded changes of some jobs are durable."""
 
     def spawn(
@@ -153,20 +153,20 @@
     ) -> None:
         """Run a coroutine function in the background of the term."""
 
-    def may_stop(self, placed: PlacedRun) -> bool:
+    def may_disrupt(self, placed: PlacedRun) -> bool:
         """Tell whether a stop stays within the disruption budget of the run's step."""
         ...
 
-    def fence_lost(self, link: ExecutorLink) -> None:
+    def handle_stale_fence(self, link: ExecutorLink) -> None:
         """End the term, as an executor has seen a higher fencing token."""
 
-    def id_kept(self, link: ExecutorLink) -> None:
+    def handle_reused_id(self, link: ExecutorLink) -> None:
         """Record that an executor has restarted under its previous id."""
 
-    def call_lost(self, link: ExecutorLink) -> None:
+    def handle_lost_call(self, link: ExecutorLink) -> None:
         """Record that a call to an executor got no answer."""
 
-    def calls_get_lost(self) -> bool:
+    def calls_are_lost(self) -> bool:
         """Tell whether calls to several executors were lost recently."""
         ...
 
@@ -211,7 +211,7 @@
         self._last_lease_at = clock.monotonic()
         self._work_event = anyio.Event()
         self._failed_polls = 0
-        self.silent_since: timedelta | None = None
+        self.unreachable_since: timedelta | None = None
         self.suspected = False
         """Whether the platform lists the VM as down."""
         self._poll_scope = anyio.CancelScope()
@@ -220,13 +220,13 @@
         """Whether the VM is drained for its maintenance and gets no new runs."""
         self.cordoned_for_move = False
         """Whether the VM is drained for another pool and gets no new runs."""
-        self.separating = False
+        self.spreading_tasks = False
         """Whether lasting tasks are being moved off the VM one by one."""
-        self.due = False
+        self.needs_maintenance = False
         """Whether the VM still needs maintenance in a wave."""
         self.operation_ordered = False
         """Whether an operation that ends all runs may have been requested."""
-        self.ending = False
+        self.ordered_by_this_term = False
         """Whether this term requests such an operation. A request of an earlier term
         that is still to be repeated may never be carried out."""
 
@@ -245,7 +245,7 @@
             and not self.suspected
         )
 
-    def wake(self) -> None:
+    def poll_soon(self) -> None:
         """Poll soon, as there are runs to track."""
         self._work_event.set()
 
@@ -257,29 +257,29 @@
         self.executor = executor
         self.draining = self.draining or executor.draining
         self.registered = True
-        self.wake()
+        self.poll_soon()
 
     def poll_now(self) -> None:
         """Poll at once instead of waiting for the poll in progress."""
         if self.reachable:
             self._poll_scope.cancel()
-        self.wake()
+        self.poll_soon()
 
     def suspect(self) -> None:
         """Probe the executor at once, as its VM is listed as down."""
         if not self.suspected:
             self.suspected = True
             self._poll_scope.cancel()
-            self.wake()
+            self.poll_soon()
 
-    def certainly_over(self, now: timedelta) -> bool:
+    def all_leases_expired(self, now: timedelta) -> bool:
         """Tell whether all leases have expired, even those of delayed requests."""
         lease = max(self._lease, timedelta(seconds=10)) * CLOCK_DRIFT_FACTOR
-        return now >= self._last_lease_at + LATE_ORDER + lease
+        return now >= self._last_lease_at + MAX_REQUEST_DELAY + lease
 
     async def run(self) -> None:
         """Poll the executor while it has runs to track."""
-        async with self._handler.first_contacts:
+        async with self._handler.first_polls:
             answered = await self._poll_once()
         if not answered:
             await self._wait_before_retry()
@@ -300,10 +300,10 @@
         except StaleFenceError as error:
             log.warning("executor {}: {}", self.executor.executor_id, error)
             self.closed = True
-            self._handler.fence_lost(self)
+            self._handler.handle_stale_fence(self)
         except (CallNotSentError, CallUnansweredError) as error:
             if isinstance(error, CallUnansweredError):
-                self._handler.call_lost(self)
+                self._handler.handle_lost_call(self)
             self._mark_unreachable(str(error))
             return False
         except Exception as error:
@@ -319,12 +319,12 @@
         delay = min(delay, MAX_RETRY_DELAY) * random.uniform(0.7, 1.3)
         await self._clock.sleep(delay)
 
-    def doubt(self, reason: str) -> None:
+    def mark_starts_unanswered(self, reason: str) -> None:
         """Treat pending starts as unanswered, as a task of this link has failed."""
         self._mark_unreachable(reason)
         for placed in self.runs_by_name.values():
-            if placed.phase is Phase.ORDERED:
-                placed.phase = Phase.UNSURE
+            if placed.phase is Phase.START_SENT:
+                placed.phase = Phase.UNCONFIRMED
                 placed.unsure = True
 
     async def _poll(self) -> None:
@@ -335,7 +335,7 @@
             until = asked_at + self._clock_offset + self._lease
             self._last_lease_at = asked_at
         wait = timedelta(0) if first else self._poll_wait()
-        report = await self._client.look(
+        report = await self._client.poll(
             self.executor,
             fence=self.fence,
             acknowledged=0 if first else self._end_to_acknowledge(asked_at),
@@ -349,7 +349,7 @@
         self._reported_at = now
         self._clock_offset = report.clock - now
         self._failed_polls = 0
-        self.silent_since = None
+        self.unreachable_since = None
         was_suspected, self.suspected = self.suspected, False
         if was_suspected:
             log.info(
@@ -363,7 +363,7 @@
                     self.executor.executor_id,
                     report.incarnation,
                 )
-                self._handler.id_kept(self)
+                self._handler.handle_reused_id(self)
                 await self._revoke_unanswered_starts(now)
             self.incarnation = report.incarnation
             self.applied_end = self._durable_end = 0
@@ -372,9 +372,9 @@
         self.reachable = True
         self.draining = self.executor.draining or report.draining
         if self.usable != was_usable:
-            self._handler.link_changed(self)
+            self._handler.handle_link_change(self)
         if self.applied_end > self._durable_end:
-            await self._handler.jobs_stored(self._unacknowledged_job_ids)
+            await self._handler.wait_until_durable(self._unacknowledged_job_ids)
             self._durable_end = self.applied_end
             self._unacknowledged_job_ids = set()
 
@@ -385,7 +385,7 @@
         that arrives late.
         """
         for task, (run, ordered_at) in list(self._unanswered_starts.items()):
-            if now < ordered_at + LATE_ORDER:
+            if now < ordered_at + MAX_REQUEST_DELAY:
                 await self._client.stop(
                     self.executor, task, run, self.fence, ORDER_TIMEOUT
                 )
@@ -400,25 +400,25 @@
 
     def _poll_wait(self) -> timedelta:
         serving = filling = False
-        longest = WATCHFUL_WAIT if self._handler.calls_get_lost() else LOOK_WAIT
+        longest = SHORT_POLL_WAIT if self._handler.calls_are_lost() else POLL_WAIT
         for placed in self.runs_by_name.values():
-            if placed.unsure and placed.phase is Phase.UNSURE:
+            if placed.unsure and placed.phase is Phase.UNCONFIRMED:
                 return timedelta(0)
             if placed.unsure and placed.stop_answered_at is not None:
                 # The start is revoked, so there will be no end to wait for.
                 return timedelta(0)
-            if placed.phase in (Phase.UNSURE, Phase.STOPPING):
-                longest = WATCHFUL_WAIT
+            if placed.phase in (Phase.UNCONFIRMED, Phase.STOPPING):
+                longest = SHORT_POLL_WAIT
             spec = placed.task.step.spec
             if spec.lasting and placed.percent < 100:
                 # Other tasks of its step may be disrupted only once it is ready.
-                longest = WATCHFUL_WAIT
+                longest = SHORT_POLL_WAIT
             serving = serving or spec.target_tail_ms > 0
             filling = filling or spec.fills
-        return WATCHFUL_WAIT if serving and filling else longest
+        return SHORT_POLL_WAIT if serving and filling else longest
 
     def _apply_report(
-        self, report: Report, asked_at: timedelta, now: timedelta
+        self, report: ExecutorReport, asked_at: timedelta, now: timedelta
     ) -> None:
         """Reconcile the assigned runs with both lists of a report."""
         for end in report.ended:
@@ -449,19 +449,19 @@
     def _apply_end(self, end: EndedTask) -> None:
         placed = self.runs_by_name.get(end.task)
         if placed is None or placed.run != end.run:
-            job_id = self._handler.unassigned_end(self, end)
+            job_id = self._handler.handle_unassigned_end(self, end)
             if job_id:
                 self._unacknowledged_job_ids.add(job_id)
             return
-        self.forget(placed)
+        self.untrack(placed)
         self._unacknowledged_job_ids.add(placed.task.step.job.job_id)
-        self._handler.run_ended(self, placed, end.kind, end.saved)
+        self._handler.handle_run_end(self, placed, end.kind, end.saved)
 
     def _apply_running(
         self, placed: PlacedRun, row: RunningTask, now: timedelta
     ) -> None:
         placed.unsure = False
-        if placed.phase in (Phase.ORDERED, Phase.UNSURE, Phase.ASSIGNED):
+        if placed.phase in (Phase.START_SENT, Phase.UNCONFIRMED, Phase.ASSIGNED):
             placed.phase = Phase.RUNNING
         if placed.acknowledged_at is None:
             placed.acknowledged_at = now
@@ -471,7 +471,7 @@
         placed.gauge = row.gauge
         if row.saved:
             placed.task.saved = row.saved
-        self._handler.run_listed(self, placed, row)
+        self._handler.handle_run_status(self, placed, row)
 
     def _apply_missing(self, placed: PlacedRun, asked_at: timedelta) -> None:
         """Handle a run that is in neither list of a report.
@@ -479,13 +479,13 @@
         A run whose start was acknowledged before the poll is lost. A run whose start
         may still arrive is stopped first, which revokes that start.
         """
-        if placed.fence < self.fence and placed.phase is Phase.UNSURE:
+        if placed.fence < self.fence and placed.phase is Phase.UNCONFIRMED:
             # The executor has seen a higher fencing token and rejects the start.
             self._mark_lost(placed)
         elif placed.phase is Phase.RUNNING:
             if placed.acknowledged_at is None or placed.acknowledged_at <= asked_at:
                 self._mark_lost(placed)
-        elif placed.phase is Phase.UNSURE:
+        elif placed.phase is Phase.UNCONFIRMED:
             self.stop(placed)
         elif placed.phase is Phase.STOPPING:
             answered = placed.stop_answered_at
@@ -493,15 +493,15 @@
                 self._mark_lost(placed)
 
     def _mark_lost(self, placed: PlacedRun) -> None:
-        self.forget(placed)
-        self._handler.run_ended(self, placed, EndKind.LOST, "")
+        self.untrack(placed)
+        self._handler.handle_run_end(self, placed, EndKind.LOST, "")
 
-    def forget(self, placed: PlacedRun) -> None:
+    def untrack(self, placed: PlacedRun) -> None:
         """Stop tracking a run that is over."""
         if self.runs_by_name.get(placed.task.name) is placed:
             del self.runs_by_name[placed.task.name]
 
-    def lose_all(self, reason: str) -> None:
+    def mark_all_lost(self, reason: str) -> None:
         """Mark all runs as lost, as they are certainly over."""
         if self.runs_by_name:
             log.info(
@@ -523,14 +523,14 @@
         if self.runs_by_name.get(placed.task.name) is not placed:
             return
         if placed.phase is Phase.ASSIGNED:
-            placed.phase = Phase.ORDERED
+            placed.phase = Phase.START_SENT
             self._handler.spawn(self, self._send_start, placed)
 
     async def _send_start(self, placed: PlacedRun) -> None:
         now = self._clock.monotonic()
         task = placed.task
         if self._clock_offset is None or not self.usable:
-            self._start_refused(placed, StartAnswer.NOT_TAKEN)
+            self._start_refused(placed, StartAnswer.NOT_ACCEPTED)
             return
         order = StartOrder(
             task=task.name,
@@ -547,20 +547,20 @@
                 self.executor, order, ORDER_TIMEOUT
             )
         except StaleFenceError:
-            self._handler.fence_lost(self)
+            self._handler.handle_stale_fence(self)
             return
         except CallNotSentError as error:
             self._mark_unreachable(str(error))
-            self._start_refused(placed, StartAnswer.NOT_TAKEN)
+            self._start_refused(placed, StartAnswer.NOT_ACCEPTED)
             return
         except CallUnansweredError as error:
             log.info(
                 "start of {} run {} got no answer: {}", task.name, placed.run, error
             )
             self._record_unanswered_start(placed, now)
-            self._handler.call_lost(self)
-            if placed.phase is Phase.ORDERED:
-                placed.phase = Phase.UNSURE
+            self._handler.handle_lost_call(self)
+            if placed.phase is Phase.START_SENT:
+                placed.phase = Phase.UNCONFIRMED
                 placed.unsure = True
                 self.poll_now()
             return
@@ -569,7 +569,7 @@
             self._clock_offset = clock - answered_at
         if answer is not StartAnswer.STARTED:
             self._start_refused(placed, answer)
-        elif placed.phase is Phase.ORDERED:
+        elif placed.phase is Phase.START_SENT:
             placed.phase = Phase.RUNNING
             placed.acknowledged_at = answered_at
             task.started_at = answered_at
@@ -579,14 +579,14 @@
     ) -> None:
         starts = self._unanswered_starts
         for task, (_, at) in list(starts.items()):
-            if ordered_at >= at + LATE_ORDER:
+            if ordered_at >= at + MAX_REQUEST_DELAY:
                 del starts[task]
         starts[placed.task.name] = (placed.run, ordered_at)
 
     def _start_refused(self, placed: PlacedRun, answer: StartAnswer) -> None:
         if self.runs_by_name.get(placed.task.name) is placed:
-            self.forget(placed)
-            self._handler.order_refused(self, placed, answer)
+            self.untrack(placed)
+            self._handler.handle_refused_start(self, placed, answer)
 
     def stop(self, placed: PlacedRun) -> bool:
         """Stop a run, whether or not its start has arrived.
@@ -597,7 +597,7 @@
             # No start was sent, and the stored assignment is replaced before one is.
             self._mark_lost(placed)
         elif placed.phase is not Phase.STOPPING:
-            if placed.phase is Phase.RUNNING and not self._handler.may_stop(placed):
+            if placed.phase is Phase.RUNNING and not self._handler.may_disrupt(placed):
                 return False
             placed.phase = Phase.STOPPING
             self._handler.spawn(self, self._stop_until_answered, placed)
@@ -611,7 +611,7 @@
                     self.executor, name, placed.run, self.fence, ORDER_TIMEOUT
                 )
             except StaleFenceError:
-                self._handler.fence_lost(self)
+                self._handler.handle_stale_fence(self)
                 return
             except (CallNotSentError, CallUnansweredError) as error:
                 log.debug("stop of {} run {} failed: {}", name, placed.run, error)
@@ -626,11 +626,11 @@
         try:
             await self._client.stop(self.executor, task, run, self.fence, ORDER_TIMEOUT)
         except StaleFenceError:
-            self._handler.fence_lost(self)
+            self._handler.handle_stale_fence(self)
         except (CallNotSentError, CallUnansweredError) as error:
             log.debug("stop of {} run {} failed: {}", task, run, error)
 
-    def pace(self, placed: PlacedRun, percent: int) -> None:
+    def limit_cpu(self, placed: PlacedRun, percent: int) -> None:
         """Limit the CPU share of a run to a percentage."""
         placed.pace = percent
         placed.pace_sent_at = self._clock.monotonic()
@@ -638,7 +638,7 @@
 
     async def _send_pace(self, placed: PlacedRun, percent: int) -> None:
         try:
-            await self._client.pace(
+            await self._client.limit_cpu(
                 self.executor,
                 placed.task.name,
                 placed.run,
@@ -647,18 +647,18 @@
                 ORDER_TIMEOUT,
             )
         except StaleFenceError:
-            self._handler.fence_lost(self)
+            self._handler.handle_stale_fence(self)
         except (CallNotSentError, CallUnansweredError) as error:
             log.info("limiting the CPU share of {} failed: {}", placed.task.name, error)
             # Unknown limit; the next poll decides again.
             placed.pace = -1
 
     def _mark_unreachable(self, detail: str) -> None:
-        if self.silent_since is None:
-            self.silent_since = self._clock.monotonic()
+        if self.unreachable_since is None:
+            self.unreachable_since = self._clock.monotonic()
             log.info("executor {} lost: {}", self.executor.executor_id, detail)
         self._failed_polls += 1
         if self.reachable:
             self.reachable = False
-            self._handler.link_changed(self)
+            self._handler.handle_link_change(self)
         self._work_event.set()
--- a/src/pomeloyard/batch/executor_registry.py
+++ b/src/pomeloyard/batch/executor_registry.py
@@ -54,7 +54,7 @@
         while True:
             try:
                 if position is None:
-                    position = await self._read_all()
+                    position = await self._load_all()
                     self.loaded.set()
                 else:
                     batch = await self._store.poll_changes(
@@ -74,7 +74,7 @@
                 log.info("executor watch failed, retrying: {}", error)
                 await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
-    async def _read_all(self) -> int:
+    async def _load_all(self) -> int:
         prefix = self._documents.prefix
         page = await self._store.scan(prefix)
         revision = page.revision
--- a/src/pomeloyard/batch/executors.py
+++ b/src/pomeloyard/batch/executors.py
@@ -16,7 +16,7 @@
     """Registration of an executor."""
 
     executor_id: str
-    """May be kept across a restart; ``Report.incarnation`` tells restarts apart."""
+    """May be kept across a restart, which ``ExecutorReport.incarnation`` shows."""
     address: str
     service: str
     availability_zone: str
@@ -49,9 +49,9 @@
     """This run of the task, or a later one, was already stopped or ended there."""
     TOO_LATE = "too-late"
     """The lease had already expired when the request arrived."""
-    NO_ROOM = "no-room"
+    NO_CAPACITY = "no-room"
     NO_TICKET = "no-ticket"
-    NOT_TAKEN = "not-taken"
+    NOT_ACCEPTED = "not-taken"
     OTHER_INCARNATION = "other-incarnation"
 
 
@@ -81,7 +81,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
+class ExecutorReport:
     """An executor's answer to a poll: its running runs and unacknowledged ends."""
 
     clock: timedelta
@@ -112,7 +112,7 @@
         """Stop a run, or revoke its start if that has not arrived yet."""
 
     @abstractmethod
-    async def look(
+    async def poll(
         self,
         executor: Executor,
         *,
@@ -121,7 +121,7 @@
         lease_until: timedelta | None,
         wait: timedelta,
         timeout: timedelta,
-    ) -> Report:
+    ) -> ExecutorReport:
         """Poll both lists, extend all leases and acknowledge ends.
 
         The executor waits up to ``wait`` for an end that is not acknowledged;
@@ -129,7 +129,7 @@
         """
 
     @abstractmethod
-    async def pace(
+    async def limit_cpu(
         self,
         executor: Executor,
         task: str,
--- a/src/pomeloyard/batch/fenced_records.py
+++ b/src/pomeloyard/batch/fenced_records.py
@@ -19,7 +19,7 @@
 log = logbook.Logger("pomeloyard.batch.guarded_records")
 
 
-class GuardedRecords:
+class FencedRecords:
     """Writes each key compared with its last revision, one write at a time.
 
     A write whose answer was lost may take effect seconds later; comparing the revision
@@ -52,9 +52,9 @@
 
         Returns False if the epoch was replaced.
         """
-        return await self.write_latest(key, lambda: content)
+        return await self.write_coalesced(key, lambda: content)
 
-    async def write_latest(self, key: str, encode: Callable[[], bytes]) -> bool:
+    async def write_coalesced(self, key: str, encode: Callable[[], bytes]) -> bool:
         """Store what ``encode`` returns once earlier writes of the key have finished.
 
         Concurrent changes share a write: content that is already stored is not written
--- a/src/pomeloyard/batch/job_history.py
+++ b/src/pomeloyard/batch/job_history.py
@@ -39,7 +39,7 @@
     outcome: str = ""
     inputs: dict[str, Any] = field(default_factory=dict)
 
-    def concerns(self, job_id: str) -> bool:
+    def is_about(self, job_id: str) -> bool:
         """Tell whether this is a decision on a job or on one of its tasks."""
         return bool(self.decision) and self.subject.partition(".")[0] == job_id
 
@@ -66,7 +66,7 @@
     return LogLine(at, daemon, kind, subject, str(fields.pop("outcome", "")), fields)
 
 
-def course(lines: Sequence[LogLine], job_id: str) -> list[LogLine]:
+def timeline(lines: Sequence[LogLine], job_id: str) -> list[LogLine]:
     """Return the lines on a job and on its dependencies, sorted by time.
 
     Lines on dependencies report events of its executors, changes of the placing role,
@@ -84,14 +84,14 @@
         line
         for line in lines
         if begin <= line.at <= end
-        and not line.concerns(job_id)
+        and not line.is_about(job_id)
         and _is_relevant(line, executors, daemons)
     ]
     return sorted([*job_lines, *context], key=lambda line: line.at)
 
 
 def _lines_of_job(lines: Iterable[LogLine], job_id: str) -> list[LogLine]:
-    return [line for line in lines if line.concerns(job_id)]
+    return [line for line in lines if line.is_about(job_id)]
 
 
 def _until_final(lines: Sequence[LogLine]) -> Sequence[LogLine]:
@@ -122,7 +122,7 @@
     return words[:1] == ["executor"] and words[1:2] != [] and words[1] in executors
 
 
-def causes(lines: Sequence[LogLine], job_id: str) -> list[str]:
+def findings(lines: Sequence[LogLine], job_id: str) -> list[str]:
     """Return the findings on a job's lines, one sentence each."""
     job_lines = _lines_of_job(lines, job_id)
     if not job_lines:
@@ -204,7 +204,7 @@
         reasons = [
             other
             for other in near
-            if not other.concerns(line.subject.partition(".")[0])
+            if not other.is_about(line.subject.partition(".")[0])
             and abs(other.at - line.at) <= CONTEXT_TIME
         ]
         if reasons:
--- a/src/pomeloyard/batch/job_ranking.py
+++ b/src/pomeloyard/batch/job_ranking.py
@@ -24,7 +24,7 @@
 """Delay between dependent steps: two store writes and two calls to executors."""
 
 
-def longest_chain_ms(
+def critical_path_ms(
     job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
 ) -> float:
     """Return the critical path of a job, or of its unfinished steps, in ms."""
@@ -46,7 +46,7 @@
     return longest
 
 
-def work_of(
+def core_seconds_of(
     job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
 ) -> float:
     """Return the work of all tasks, or of the unfinished ones, in core-seconds."""
@@ -70,10 +70,10 @@
 
     Both are relative to the time at which the caller first submitted the job.
     """
-    objective_ms = queue.stretch * longest_chain_ms(
+    objective_ms = queue.stretch * critical_path_ms(
         job, expected_ms, remaining=False
     ) + queue.objective / timedelta(milliseconds=1)
-    finish_ms = age / timedelta(milliseconds=1) + longest_chain_ms(
+    finish_ms = age / timedelta(milliseconds=1) + critical_path_ms(
         job, expected_ms, remaining=True
     )
     return finish_ms, objective_ms
@@ -103,11 +103,11 @@
     priority = float(queue.priority)
     if job.lasting:
         return Rank((priority, 0.0, 0.0), timedelta.max)
-    age = now - job.seen_at
+    age = now - job.accepted_at
     finish_ms, objective_ms = finish_and_objective_ms(job, queue, age, expected_ms)
-    remaining_work = max(work_of(job, expected_ms, remaining=True), 0.001)
+    remaining_work = max(core_seconds_of(job, expected_ms, remaining=True), 0.001)
     if finish_ms <= objective_ms:
-        total = work_of(job, expected_ms, remaining=False)
+        total = core_seconds_of(job, expected_ms, remaining=False)
         value = BASE_VALUE_SHARE + (1 - BASE_VALUE_SHARE) * total / max(
             mean_work, 0.001
         )
@@ -116,4 +116,4 @@
     if finish_ms <= 3 * objective_ms:
         valid_until = now + timedelta(milliseconds=3 * objective_ms - finish_ms)
         return Rank((priority, 2.0, remaining_work), valid_until)
-    return Rank((priority, 3.0, job.seen_at.total_seconds()), timedelta.max)
+    return Rank((priority, 3.0, job.accepted_at.total_seconds()), timedelta.max)
--- a/src/pomeloyard/batch/job_service.py
+++ b/src/pomeloyard/batch/job_service.py
@@ -33,7 +33,7 @@
 )
 from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 from . import layout
-from .configuration_follower import OperatorFollower
+from .configuration_follower import ConfigurationFollower
 from .model import JobRecord, JobSpec, JobState, Queue, check_spec
 from .progress_records import RunHeader
 
@@ -52,7 +52,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Authorized:
+class AuthorizedCall:
     """Queue and team of an authorized call, and the configuration's store revision."""
 
     queue: Queue
@@ -60,10 +60,12 @@
     revision: int
 
 
-class Intake:
+class JobService:
     """Operations on jobs that callers request."""
 
-    def __init__(self, clock: Clock, store: Store, follower: OperatorFollower) -> None:
+    def __init__(
+        self, clock: Clock, store: Store, follower: ConfigurationFollower
+    ) -> None:
         self._clock = clock
         self._store = store
         self._follower = follower
@@ -72,7 +74,7 @@
         self,
         job_id: str,
         spec: JobSpec,
-        authorize: Callable[[], Authorized],
+        authorize: Callable[[], AuthorizedCall],
         deadline: timedelta,
     ) -> None:
         """Store a job; return once it is durable.
@@ -118,7 +120,7 @@
             await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
     def _creation_transaction(
-        self, job_id: str, spec: JobSpec, authorized: Authorized, write_id: str
+        self, job_id: str, spec: JobSpec, authorized: AuthorizedCall, write_id: str
     ) -> Transaction:
         """Return the transaction that creates a job.
 
@@ -154,7 +156,7 @@
             raise _refusal_of(error) from error
         return None if job is None else JobState.PENDING
 
-    async def waiting(self, queue: str) -> int:
+    async def count_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not begun.
 
         Raises RefusedError when the store does not answer.
--- a/src/pomeloyard/batch/maintenance.py
+++ b/src/pomeloyard/batch/maintenance.py
@@ -28,22 +28,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpkeepCandidate:
+class MaintenanceCandidate:
     """A VM of the wave that has not been maintained yet."""
 
     vm: str
     pool: str
     short_work: float
     """Work of its short tasks that a shutdown would lose, in core-seconds."""
-    may_go: bool
+    may_be_down: bool
     """Whether its long-running tasks may be unavailable now."""
-    pool_waits: bool
+    pool_has_backlog: bool
     """Whether its pool has a backlog."""
-    reserved_for: timedelta | None
+    draining_for: timedelta | None
     """How long the VM has been draining."""
-    crowded: bool = False
+    exceeds_disruption_budget: bool = False
     """Whether it runs more long-running tasks of a step than may be unavailable."""
-    separating: bool = False
+    spreading_tasks: bool = False
     """Whether these tasks are being moved off already."""
     lasting_tasks: int = 0
     """Long-running tasks on the VM. Few of a step may be unavailable at once, so these
@@ -51,70 +51,78 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpkeepChoice:
+class MaintenanceChoice:
     """VMs of a wave, grouped by the action to take now."""
 
-    begin: tuple[str, ...] = ()
-    empty: tuple[str, ...] = ()
+    maintain: tuple[str, ...] = ()
+    drain: tuple[str, ...] = ()
     """VMs to drain: they get no new tasks."""
-    separate: tuple[str, ...] = ()
+    spread: tuple[str, ...] = ()
     """VMs that one of their long-running tasks leaves before their maintenance."""
 
 
-def wanted_at_once(
-    wave: Wave, left: int, time_left: timedelta, upkeep_time: timedelta
+def target_concurrency(
+    wave: Wave, left: int, time_left: timedelta, maintenance_time: timedelta
 ) -> int:
     """Return how many VMs should be draining or down at once."""
-    cycle = upkeep_time + CYCLE_OVERHEAD + MAX_DRAIN_TIME / 2
+    cycle = maintenance_time + CYCLE_OVERHEAD + MAX_DRAIN_TIME / 2
     reserve = max(MIN_RESERVE, wave.complete_by * RESERVE_SHARE)
     usable = max(time_left - reserve, cycle)
     return max(1, min(wave.max_at_once, left, math.ceil(left * cycle / usable)))
 
 
-def choose_upkeeps(
-    candidates: Sequence[UpkeepCandidate],
+def choose_maintenance(
+    candidates: Sequence[MaintenanceCandidate],
     free_slots: int,
     time_left: timedelta,
     needed: timedelta,
-) -> UpkeepChoice:
-    """Return the VMs to maintain now, to drain and to separate.
+) -> MaintenanceChoice:
+    """Return the VMs to maintain now, to drain and to spread tasks from.
 
     ``needed`` is the time that the candidates take at the current rate; if less time is
     left, VMs are maintained without draining.
     """
     if free_slots <= 0:
-        return UpkeepChoice(separate=_choose_separations(candidates))
+        return MaintenanceChoice(spread=_choose_vms_to_spread(candidates))
     late = time_left <= needed
     ordered = sorted(
         candidates,
         key=lambda c: (
-            not c.may_go,
-            c.reserved_for is None,
+            not c.may_be_down,
+            c.draining_for is None,
             not c.lasting_tasks,
-            c.pool_waits and not late,
+            c.pool_has_backlog and not late,
             c.short_work,
         ),
     )
     begin: list[str] = []
     drain: list[str] = []
     for candidate in ordered[:free_slots]:
-        if not candidate.may_go:
+        if not candidate.may_be_down:
             continue
-        busy_pool = candidate.pool_waits and not candidate.lasting_tasks
-        if busy_pool and not late and candidate.reserved_for is None:
+        busy_pool = candidate.pool_has_backlog and not candidate.lasting_tasks
+        if busy_pool and not late and candidate.draining_for is None:
             continue
-        drained_for = candidate.reserved_for or timedelta(0)
+        drained_for = candidate.draining_for or timedelta(0)
         if candidate.short_work == 0 or late or drained_for >= MAX_DRAIN_TIME:
             begin.append(candidate.vm)
         else:
             drain.append(candidate.vm)
-    return UpkeepChoice(tuple(begin), tuple(drain), _choose_separations(candidates))
+    return MaintenanceChoice(
+        tuple(begin), tuple(drain), _choose_vms_to_spread(candidates)
+    )
 
 
-def _choose_separations(candidates: Sequence[UpkeepCandidate]) -> tuple[str, ...]:
+def _choose_vms_to_spread(
+    candidates: Sequence[MaintenanceCandidate],
+) -> tuple[str, ...]:
     """Return one crowded VM of each pool: one in progress, else the least crowded."""
-    by_pool: dict[str, UpkeepCandidate] = {}
-    crowded = (candidate for candidate in candidates if candidate.crowded)
-    for candidate in sorted(crowded, key=lambda c: (not c.separating, c.lasting_tasks)):
+    by_pool: dict[str, MaintenanceCandidate] = {}
+    crowded = (
+        candidate for candidate in candidates if candidate.exceeds_disruption_budget
+    )
+    for candidate in sorted(
+        crowded, key=lambda c: (not c.spreading_tasks, c.lasting_tasks)
+    ):
         by_pool.setdefault(candidate.pool, candidate)
     return tuple(candidate.vm for candidate in by_pool.values())
--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -10,8 +10,8 @@
 
 from ..keyvalue.store import CallCounter
 from ..logs import LogWriter
-from .configuration_follower import OperatorFollower
-from .decision_log import DecisionLines
+from .configuration_follower import ConfigurationFollower
+from .decision_log import JobDecisionLog
 from .placing import PlacingRole
 
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
@@ -22,10 +22,10 @@
 
     def __init__(
         self,
-        lines: DecisionLines,
+        lines: JobDecisionLog,
         writer: LogWriter,
         calls: CallCounter,
-        follower: OperatorFollower,
+        follower: ConfigurationFollower,
         role: PlacingRole,
     ) -> None:
         self._decision_log = lines
@@ -69,7 +69,7 @@
             "pomeloyard_log_lines_dropped", "Log lines over the bound on volume"
         )
         dropped.add_metric(
-            [], self._decision_log.suppressed + self._writer.dropped_lines
+            [], self._decision_log.dropped_lines + self._writer.dropped_lines
         )
         yield dropped
         age = min(self._follower.proof_age(), timedelta(days=1))
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -48,7 +48,7 @@
         )
 
 
-NOTHING = Resources()
+NO_RESOURCES = Resources()
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,12 +86,12 @@
     """Tasks of a long-running step that the system may make unavailable at once."""
 
     @property
-    def need(self) -> Resources:
+    def team_usage(self) -> Resources:
         """Return the resources of a task that count towards its team's limit."""
         return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
 
     @property
-    def room(self) -> Resources:
+    def executor_usage(self) -> Resources:
         """Return the resources that a task takes of an executor's capacity."""
         cpu = 0 if self.fills else self.cpu_millis
         return Resources(cpu, self.memory_mb, self.accelerators)
@@ -166,7 +166,7 @@
     name: str
     keys: tuple[str, ...] = ()
     weight: float = 1.0
-    maximum: Resources = NOTHING
+    maximum: Resources = NO_RESOURCES
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomeloyard/batch/peaks.py
+++ b/src/pomeloyard/batch/peaks.py
@@ -50,7 +50,7 @@
 
     cores: float = 0.0
     """Arriving work, in core-seconds a second."""
-    chain: timedelta = timedelta(0)
+    critical_path: timedelta = timedelta(0)
     """Mean critical path of the jobs."""
 
     def cores_after(self, lead: timedelta, busy_cores: float) -> float:
@@ -60,7 +60,7 @@
         second. It is reached after the duration of one job; until then only a
         proportional part is needed in addition to the busy cores.
         """
-        share = min(1.0, lead / self.chain) if self.chain else 1.0
+        share = min(1.0, lead / self.critical_path) if self.critical_path else 1.0
         return min(self.cores, busy_cores + self.cores * share)
 
 
@@ -72,7 +72,7 @@
         self.arrivals: list[tuple[timedelta, float]] = []
         self.onsets: list[timedelta] = []
         self.in_peak = False
-        self.chain = timedelta(0)
+        self.critical_path = timedelta(0)
         """Mean critical path of the jobs."""
 
     def since(self, earliest: timedelta) -> list[float]:
@@ -85,19 +85,19 @@
         return works
 
 
-class Turns:
+class PeakForecaster:
     """Estimates the period of the peaks and the phase of each pool's peak."""
 
     def __init__(self) -> None:
         self._pools: dict[str, _PoolArrivals] = defaultdict(_PoolArrivals)
         self._first_arrival_at: timedelta | None = None
 
-    def arrived(
+    def record_arrival(
         self,
         pool: str,
         now: timedelta,
         core_seconds: float,
-        chain: timedelta = timedelta(0),
+        critical_path: timedelta = timedelta(0),
     ) -> None:
         """Record the arrival of a job with its work and its critical path."""
         if self._first_arrival_at is None:
@@ -105,7 +105,9 @@
         state = self._pools[pool]
         state.arrivals.append((now, core_seconds))
         first = len(state.arrivals) == 1
-        state.chain += (1.0 if first else CHAIN_WEIGHT) * (chain - state.chain)
+        state.critical_path += (1.0 if first else CHAIN_WEIGHT) * (
+            critical_path - state.critical_path
+        )
         while state.arrivals[0][0] < now - ARRIVAL_RETENTION:
             state.arrivals.pop(0)
         self._note_onset(state, now)
@@ -123,13 +125,13 @@
         elif recent < PEAK_END_FACTOR * mean:
             state.in_peak = False
 
-    def rate(self, pool: str, now: timedelta) -> ArrivalRate | None:
+    def arrival_rate(self, pool: str, now: timedelta) -> ArrivalRate | None:
         """Return the arrival rate of a pool; None if no job has arrived yet."""
         state = self._pools.get(pool)
         if state is None:
             return None
         cores = max(_rate(state.since(now - window), window) for window in RATE_WINDOWS)
-        return ArrivalRate(cores, state.chain)
+        return ArrivalRate(cores, state.critical_path)
 
     def period(self) -> timedelta | None:
         """Return the shortest time between two peaks of a pool, or None if unknown."""
@@ -141,7 +143,7 @@
         ]
         return min(intervals) if intervals else None
 
-    def peak(self, pool: str, now: timedelta) -> Peak | None:
+    def next_peak(self, pool: str, now: timedelta) -> Peak | None:
         """Return the current or next peak of a pool; None if not predictable."""
         period = self.period()
         state = self._pools.get(pool)
--- a/src/pomeloyard/batch/placing.py
+++ b/src/pomeloyard/batch/placing.py
@@ -12,7 +12,7 @@
 from .placing_term import PlacingTerm
 
 ROLE = "placing"
-TIMES = RoleTimes(
+ROLE_TIMES = RoleTimes(
     ttl=timedelta(seconds=1.5), renew_interval=timedelta(seconds=0.4), polls=True
 )
 """A failed holder is replaced once its lease expires. The lease leaves time for three
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -33,11 +33,11 @@
 from . import layout
 from .advice import AdviceService, Advisor
 from .call_losses import CallLosses
-from .configuration_follower import OperatorFollower
-from .decision_log import DecisionLines
+from .configuration_follower import ConfigurationFollower
+from .decision_log import JobDecisionLog
 from .demand import PoolDemand
-from .disruption import Availability
-from .executor_link import LATE_ORDER, ExecutorLink, Phase, PlacedRun
+from .disruption import DisruptionBudgets
+from .executor_link import MAX_REQUEST_DELAY, ExecutorLink, Phase, PlacedRun
 from .executor_registry import ExecutorRegistry
 from .executors import (
     EndedTask,
@@ -46,23 +46,29 @@
     RunningTask,
     StartAnswer,
 )
-from .job_ranking import longest_chain_ms, work_of
+from .job_ranking import core_seconds_of, critical_path_ms
 from .model import (
-    NOTHING,
+    NO_RESOURCES,
     JobRecord,
     JobState,
     Queue,
 )
 from .pacing import next_pace
-from .peaks import Turns
+from .peaks import PeakForecaster
 from .planner import Planner
-from .policy import Policy, UsualPolicy
+from .policy import DefaultPolicy, Policy
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter, RecordGroup
-from .run_estimates import Learning
-from .stalls import AVOID_TIME, STALLED_TIME, STILL_TIME, slowness, still_for
+from .run_estimates import RunEstimates
+from .stalls import (
+    STALL_AVOID_TIME,
+    STALL_SUSPECT_TIME,
+    STALL_TIMEOUT,
+    slowness,
+    stalled_for,
+)
 from .usage import Usage
-from .vm_controller import VmKeeper
+from .vm_controller import VmController
 
 RETRY_DELAY = timedelta(milliseconds=80)
 """Pause after a store error. Retries are unlimited: if the store stays unreachable,
@@ -97,59 +103,59 @@
         self,
         clock: Clock,
         store: PollingStore,
-        follower: OperatorFollower,
+        follower: ConfigurationFollower,
         registry: ExecutorRegistry,
-        client: ExecutorClient,
-        lines: DecisionLines,
+        executor_client: ExecutorClient,
+        decision_log: JobDecisionLog,
         role: HeldRole,
         guard: Compare,
         retention: timedelta,
-        new_keeper: Callable[[PlacingTerm], VmKeeper] | None = None,
+        new_vm_controller: Callable[[PlacingTerm], VmController] | None = None,
         advice: AdviceService | None = None,
         *,
-        ids_kept: bool = False,
+        ids_reused: bool = False,
         policy: Policy | None = None,
     ) -> None:
         self._clock = clock
         self._store = store
         self._follower = follower
         self._registry = registry
-        self._client = client
-        self._decision_log = lines
+        self._client = executor_client
+        self._decision_log = decision_log
         self.role = role
         self.epoch = role.epoch
         self.guard = guard
         self._retention = retention
-        self._advisor = Advisor(clock, advice, self.wake) if advice else None
+        self._advisor = Advisor(clock, advice, self.request_plan) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
         self.links_by_id: dict[str, ExecutorLink] = {}
-        self.availability = Availability(self.links_by_id)
-        self.policy = policy or UsualPolicy()
+        self.availability = DisruptionBudgets(self.links_by_id)
+        self.policy = policy or DefaultPolicy()
         self.usage = Usage()
-        self.learning = Learning()
-        self.turns = Turns()
-        self.first_contacts = anyio.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
+        self.estimates = RunEstimates()
+        self.peaks = PeakForecaster()
+        self.first_polls = anyio.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
         self._lost_calls = CallLosses()
-        self._ids_survive_restarts = ids_kept
+        self._ids_survive_restarts = ids_reused
         """Whether an executor can restart under the same id."""
         self._plan_requested = anyio.Event()
         self._services_to_plan: set[str] = set()
         """Services with changes since the last planning round."""
         self._replan_all = True
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._over = anyio.Event()
+        self._ended = anyio.Event()
         self._active_jobs: dict[str, JobRun] = {}
-        self.keeper = new_keeper(self) if new_keeper else None
+        self.vm_controller = new_vm_controller(self) if new_vm_controller else None
         self._writer = ProgressWriter(clock, store, guard)
         self.demand = PoolDemand(
-            clock, self._active_jobs, self.learning, self.turns, self._queue_of
+            clock, self._active_jobs, self.estimates, self.peaks, self._queue_of
         )
         self._planner = Planner(
             clock,
             follower,
             self.usage,
-            self.learning,
-            lines,
+            self.estimates,
+            decision_log,
             role.epoch,
             self.links_by_id,
             self._active_jobs,
@@ -172,11 +178,11 @@
             tasks.start_soon(self._watch_jobs, position)
             tasks.start_soon(self._run_housekeeping)
             tasks.start_soon(self._run_planner)
-            if self.keeper is not None:
-                tasks.start_soon(self.keeper.run)
+            if self.vm_controller is not None:
+                tasks.start_soon(self.vm_controller.run)
             if self._advisor is not None:
                 tasks.start_soon(self._advisor.run)
-            await self._over.wait()
+            await self._ended.wait()
             tasks.cancel_scope.cancel()
 
     async def _load(self) -> int:
@@ -231,7 +237,7 @@
         job = JobRun(job_id, record, self._queue_of(record), now - age)
         if run is not None:
             try:
-                job.restore(run.value, run.mod_revision)
+                job.restore_progress(run.value, run.mod_revision)
             except (msgspec.MsgspecError, LookupError, ValueError) as error:
                 # Unknown which tasks have run, so none is started.
                 log.error(
@@ -244,11 +250,13 @@
         job.open_due_occurrences(self._unix_ms())
         queue = self._queue_of(record)
         if queue is not None and not job.lasting:
-            work = work_of(job, self.learning.expected_ms, remaining=False)
-            self._planner.note_job(queue, work)
-            chain_ms = longest_chain_ms(job, self.learning.expected_ms, remaining=False)
+            work = core_seconds_of(job, self.estimates.expected_ms, remaining=False)
+            self._planner.record_job(queue, work)
+            chain_ms = critical_path_ms(
+                job, self.estimates.expected_ms, remaining=False
+            )
             chain = timedelta(milliseconds=chain_ms)
-            self.turns.arrived(queue.service, job.seen_at, work, chain)
+            self.peaks.record_arrival(queue.service, job.accepted_at, work, chain)
         for task in job.placed_tasks():
             self._restore_run(task)
         if job.final:
@@ -258,8 +266,8 @@
         self._active_jobs[job_id] = job
         if run is not None and self._ids_survive_restarts:
             self._delay_waiting_tasks(job, now)
-        self._planner.job_changed(job)
-        self._decision_log.decided(
+        self._planner.update_backlog(job)
+        self._decision_log.record(
             "job",
             job_id,
             "found",
@@ -282,12 +290,12 @@
         for step in job.steps():
             for task in step.waiting.values():
                 if task.run and not step.spec.lasting:
-                    task.not_before = now + LATE_ORDER
+                    task.not_before = now + MAX_REQUEST_DELAY
 
     def _restore_run(self, task: Task) -> None:
         """Track a run that an earlier term assigned."""
         link = self._get_or_create_link(task.executor)
-        placed = PlacedRun(task, task.run, Phase.UNSURE, self.epoch - 1)
+        placed = PlacedRun(task, task.run, Phase.UNCONFIRMED, self.epoch - 1)
         self.usage.add(task.executor, link.executor.rack, task)
         task.started_at = self._clock.monotonic()
         # Neither its start time nor whether the start was answered is stored.
@@ -303,12 +311,14 @@
         link = self.links_by_id.get(executor_id)
         if link is None:
             known = self._registry.executors_by_id.get(executor_id)
-            executor = known or Executor(executor_id, "", "", "", NOTHING, (), True, 0)
+            executor = known or Executor(
+                executor_id, "", "", "", NO_RESOURCES, (), True, 0
+            )
             link = ExecutorLink(self._clock, self._client, executor, self.epoch, self)
             link.registered = known is not None
             if known is None:
                 # It has no address to poll; the VM list may show that it is gone.
-                link.silent_since = self._clock.monotonic()
+                link.unreachable_since = self._clock.monotonic()
             self.links_by_id[executor_id] = link
             if known is not None:
                 self.spawn(link, link.run)
@@ -324,7 +334,7 @@
         for executor_id, link in self.links_by_id.items():
             if executor_id not in self._registry.executors_by_id:
                 link.registered = False
-        self.wake()
+        self.request_plan()
 
     async def _watch_jobs(self, position: int) -> None:
         wait = WATCH_WAIT
@@ -360,14 +370,14 @@
                 job = self.jobs_by_id.get(job_id)
                 if job is not None:
                     self._plan_queue_soon(job.record)
-                    if self.keeper is not None:
-                        self.keeper.job_arrived()
+                    if self.vm_controller is not None:
+                        self.vm_controller.job_arrived()
 
     def _cancel(self, job_id: str) -> None:
         job = self.jobs_by_id.get(job_id)
         if job is None or not job.cancel():
             return
-        self._decision_log.decided("cancel", job_id, "stopped", running=job.begun)
+        self._decision_log.record("cancel", job_id, "stopped", running=job.has_started)
         self._end_job(job)
 
     def _end_job(self, job: JobRun) -> None:
@@ -375,7 +385,7 @@
         job.ended_at = self._clock.monotonic()
         self._active_jobs.pop(job.job_id, None)
         if self._advisor is not None:
-            self._advisor.forget(job.job_id)
+            self._advisor.discard_job(job.job_id)
         self._job_changed(job)
         for task in job.placed_tasks():
             link = self.links_by_id.get(task.executor)
@@ -390,7 +400,7 @@
             counts[job.state] += 1
         return counts
 
-    def wake(self) -> None:
+    def request_plan(self) -> None:
         """Request a planning round for all services."""
         self._replan_all = True
         self._plan_requested.set()
@@ -413,7 +423,7 @@
             self._replan_all = False
             self._services_to_plan = set()
             self._planner.plan(services)
-            self._writer.defer_starts(self._planner.take_starts())
+            self._writer.defer_starts(self._planner.take_assignments())
             groups = self._writer.take_groups()
             for group in groups:
                 self.spawn(None, self._store_group, group)
@@ -440,15 +450,15 @@
             for link in list(self.links_by_id.values()):
                 self._check_link(link, now)
             self._expire_jobs(now)
-            self.wake()
+            self.request_plan()
 
     def _check_link(self, link: ExecutorLink, now: timedelta) -> None:
         silent = not link.reachable
-        if silent and link.runs_by_name and link.certainly_over(now):
-            link.lose_all("unreachable until all task leases expired")
+        if silent and link.runs_by_name and link.all_leases_expired(now):
+            link.mark_all_lost("unreachable until all task leases expired")
         if not link.registered and not link.runs_by_name and silent:
             link.closed = True
-            link.wake()
+            link.poll_soon()
             self.links_by_id.pop(link.executor.executor_id, None)
 
     def _expire_jobs(self, now: timedelta) -> None:
@@ -484,7 +494,7 @@
         An unexpected error in work on a link affects only that executor; any other
         unexpected error ends the term.
         """
-        if self._tasks is None or self._over.is_set():
+        if self._tasks is None or self._ended.is_set():
             return
         if link is None:
             self._tasks.start_soon(work, *args)
@@ -501,24 +511,24 @@
             await work(*args)
         except Exception as error:
             log.exception("work on executor {} failed", link.executor.executor_id)
-            link.doubt(repr(error))
+            link.mark_starts_unanswered(repr(error))
 
-    def may_stop(self, placed: PlacedRun) -> bool:
+    def may_disrupt(self, placed: PlacedRun) -> bool:
         """Tell whether stopping a run respects its step's disruption budget."""
-        return self.availability.may_end([placed])
+        return self.availability.may_disrupt([placed])
 
-    def fence_lost(self, link: ExecutorLink) -> None:
+    def handle_stale_fence(self, link: ExecutorLink) -> None:
         """End the term after an executor reported a higher fencing token."""
-        self._decision_log.decided(
+        self._decision_log.record(
             "role", f"epoch/{self.epoch}", "lost", by=link.executor.executor_id
         )
-        self._over.set()
+        self._ended.set()
 
-    def id_kept(self, link: ExecutorLink) -> None:
+    def handle_reused_id(self, link: ExecutorLink) -> None:
         """Record durably that executors restart under the same ids."""
         if not self._ids_survive_restarts:
             self._ids_survive_restarts = True
-            self._decision_log.decided("executor", link.executor.executor_id, "id-kept")
+            self._decision_log.record("executor", link.executor.executor_id, "id-kept")
             self.spawn(link, self._store_ids_survive_restarts)
 
     async def _store_ids_survive_restarts(self) -> None:
@@ -529,20 +539,20 @@
             # Stored at the next restart that a term detects.
             log.info("reuse of executor ids was not stored: {}", error)
 
-    def call_lost(self, link: ExecutorLink) -> None:
+    def handle_lost_call(self, link: ExecutorLink) -> None:
         """Record that a call to an executor got no answer."""
-        self._lost_calls.note(link.executor.executor_id, self._clock.monotonic())
+        self._lost_calls.record(link.executor.executor_id, self._clock.monotonic())
 
-    def calls_get_lost(self) -> bool:
+    def calls_are_lost(self) -> bool:
         """Tell whether calls to several executors were recently lost."""
-        return self._lost_calls.recent(self._clock.monotonic())
+        return self._lost_calls.calls_are_lost(self._clock.monotonic())
 
     def end_term(self, reason: str) -> None:
         """End the term and give up the role."""
-        self._decision_log.decided("role", f"epoch/{self.epoch}", "lost", reason=reason)
-        self._over.set()
+        self._decision_log.record("role", f"epoch/{self.epoch}", "lost", reason=reason)
+        self._ended.set()
 
-    def short_work(self, link: ExecutorLink) -> float:
+    def unsaved_short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of batch tasks on an executor, in core-seconds."""
         now = self._clock.monotonic()
         return sum(
@@ -553,16 +563,16 @@
             if not placed.task.step.spec.lasting
         )
 
-    def link_changed(self, link: ExecutorLink) -> None:
+    def handle_link_change(self, link: ExecutorLink) -> None:
         """Replan the service of an executor that became usable or unusable."""
         self._plan_service_soon(link.executor.service)
 
-    async def jobs_stored(self, job_ids: Collection[str]) -> None:
+    async def wait_until_durable(self, job_ids: Collection[str]) -> None:
         """Return once all earlier changes to the given jobs are durable."""
         self._plan_requested.set()
         await self._writer.wait_until_durable(job_ids)
 
-    def run_ended(
+    def handle_run_end(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
         """Record the end of a run and replan its job."""
@@ -583,7 +593,7 @@
             task.avoid_executor(executor_id)
             self._delay_after_unanswered_start(link, placed)
         if kind is not EndKind.DONE or job.final:
-            self._decision_log.decided(
+            self._decision_log.record(
                 "end",
                 task.name,
                 kind.value,
@@ -598,7 +608,7 @@
             self._finish_job(job)
         self._job_changed(job)
 
-    def unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
+    def handle_unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
         """Mark a task done whose run was assumed lost but completed.
 
         A restarted executor may execute a start that its previous incarnation left
@@ -613,7 +623,7 @@
         if not job.complete_superseded_run(task, end.run):
             return ""
         executor_id = link.executor.executor_id
-        self._decision_log.decided(
+        self._decision_log.record(
             "end", task.name, "done-late", run=end.run, executor=executor_id
         )
         placed = current.runs_by_name.get(task.name) if current is not None else None
@@ -637,7 +647,7 @@
         if not self._ids_survive_restarts or placed.ordered_at is None:
             return
         task = placed.task
-        until = placed.ordered_at + LATE_ORDER
+        until = placed.ordered_at + MAX_REQUEST_DELAY
         if task.step.spec.lasting:
             task.only_on, task.only_on_until = link.executor.executor_id, until
         else:
@@ -654,8 +664,8 @@
                 link.stop(placed)
 
     def _finish_job(self, job: JobRun) -> None:
-        age = self._clock.monotonic() - job.seen_at
-        self._decision_log.decided(
+        age = self._clock.monotonic() - job.accepted_at
+        self._decision_log.record(
             "job",
             job.job_id,
             job.state.value,
@@ -678,17 +688,17 @@
         if spec.lasting:
             return
         if kind is EndKind.DONE:
-            self.learning.task_done(
+            self.estimates.record_completion(
                 task.step, executor_id, run_ms, now, partial=partial
             )
         elif kind is EndKind.FAILED:
             job_id = task.step.job.job_id
-            if self.learning.task_failed(executor_id, job_id, now):
-                self._decision_log.decided(
+            if self.estimates.record_failure(executor_id, job_id, now):
+                self._decision_log.record(
                     "executor", executor_id, "set-aside", job=job_id
                 )
 
-    def run_listed(
+    def handle_run_status(
         self, link: ExecutorLink, placed: PlacedRun, row: RunningTask
     ) -> None:
         """Throttle filler tasks and detect stalled or slow batch runs."""
@@ -698,26 +708,26 @@
         if spec.fills:
             percent = next_pace(placed, link.runs_by_name.values(), self._clock)
             if percent is not None:
-                link.pace(placed, percent)
+                link.limit_cpu(placed, percent)
         elif not spec.lasting and not spec.gang and placed.percent < 100:
             self._check_progress(link, placed)
 
     def _check_progress(self, link: ExecutorLink, placed: PlacedRun) -> None:
         now = self._clock.monotonic()
         executor_id = link.executor.executor_id
-        expected_ms = self.learning.expected_ms(placed.task.step)
-        stalled_for = still_for(placed.moved_at, expected_ms, now)
-        if stalled_for >= STILL_TIME:
-            self.learning.set_aside(executor_id, now + AVOID_TIME)
-        if stalled_for >= STALLED_TIME:
-            self._decision_log.decided(
+        expected_ms = self.estimates.expected_ms(placed.task.step)
+        stall_time = stalled_for(placed.moved_at, expected_ms, now)
+        if stall_time >= STALL_SUSPECT_TIME:
+            self.estimates.quarantine(executor_id, now + STALL_AVOID_TIME)
+        if stall_time >= STALL_TIMEOUT:
+            self._decision_log.record(
                 "end",
                 placed.task.name,
                 "stalled",
                 run=placed.run,
                 executor=executor_id,
                 percent=placed.percent,
-                still_ms=round(stalled_for / timedelta(milliseconds=1)),
+                still_ms=round(stall_time / timedelta(milliseconds=1)),
             )
             link.stop(placed)
             return
@@ -725,17 +735,17 @@
             running_for = now - placed.task.started_at
             ratio = slowness(placed.percent, running_for, expected_ms)
             if ratio is not None:
-                self.learning.run_seen(executor_id, ratio, now)
+                self.estimates.record_progress(executor_id, ratio, now)
 
-    def order_refused(
+    def handle_refused_start(
         self, link: ExecutorLink, placed: PlacedRun, answer: StartAnswer
     ) -> None:
         """Requeue a task whose start was refused and certainly had no effect."""
         task = placed.task
         now = self._clock.monotonic()
         if answer is StartAnswer.NO_TICKET and self._advisor is not None:
-            self._advisor.reject(task.step, link.executor.executor_id)
-        self._decision_log.decided(
+            self._advisor.discard_ticket(task.step, link.executor.executor_id)
+        self._decision_log.record(
             "start",
             task.name,
             answer.value,
@@ -751,7 +761,7 @@
     def _job_changed(self, job: JobRun) -> None:
         """Schedule a job's progress to be stored and its queue to be replanned."""
         self._writer.mark_changed(job)
-        self._planner.job_changed(job)
+        self._planner.update_backlog(job)
         self._plan_queue_soon(job.record)
 
     def _queue_of(self, record: JobRecord) -> Queue | None:
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -8,13 +8,13 @@
 
 from ..clock import Clock
 from .advice import MAX_EXECUTORS_PER_REQUEST, Advisor
-from .configuration_follower import OperatorFollower
-from .decision_log import DecisionLines
-from .executor_choice import FreeCapacityIndex, may_run
+from .configuration_follower import ConfigurationFollower
+from .decision_log import JobDecisionLog
+from .executor_choice import FreeCapacityIndex, can_place
 from .executor_link import ExecutorLink, Phase, PlacedRun
-from .job_ranking import Rank, rank, work_of
+from .job_ranking import Rank, core_seconds_of, rank
 from .model import (
-    NOTHING,
+    NO_RESOURCES,
     Configuration,
     JobRecord,
     PlacementAdvice,
@@ -23,7 +23,7 @@
 )
 from .policy import Policy
 from .progress import JobRun, StepRun, Task, TaskState
-from .run_estimates import Learning
+from .run_estimates import RunEstimates
 from .usage import Usage
 
 MEAN_WORK_WEIGHT = 0.05
@@ -48,10 +48,10 @@
     def __init__(
         self,
         clock: Clock,
-        follower: OperatorFollower,
+        follower: ConfigurationFollower,
         usage: Usage,
-        learning: Learning,
-        lines: DecisionLines,
+        estimates: RunEstimates,
+        lines: JobDecisionLog,
         epoch: int,
         links_by_id: Mapping[str, ExecutorLink],
         live_jobs: Mapping[str, JobRun],
@@ -63,7 +63,7 @@
         self._clock = clock
         self._follower = follower
         self._usage = usage
-        self._learning = learning
+        self._estimates = estimates
         self._lines = lines
         self._epoch = epoch
         self._links_by_id = links_by_id
@@ -79,17 +79,17 @@
         self._waiting_by_service: dict[str, dict[str, _WaitingJob]] = {}
         """Jobs with ready tasks, by service and job id."""
 
-    def take_starts(self) -> list[tuple[ExecutorLink, PlacedRun]]:
+    def take_assignments(self) -> list[tuple[ExecutorLink, PlacedRun]]:
         """Return and clear the new assignments, which are not yet stored durably."""
         starts, self._pending_starts = self._pending_starts, []
         return starts
 
-    def note_job(self, queue: Queue, work: float) -> None:
+    def record_job(self, queue: Queue, work: float) -> None:
         """Add a job to the mean work of its queue, in core-seconds."""
         mean = self._mean_work_by_queue.get(queue.name, work)
         self._mean_work_by_queue[queue.name] = mean + MEAN_WORK_WEIGHT * (work - mean)
 
-    def job_changed(self, job: JobRun) -> None:
+    def update_backlog(self, job: JobRun) -> None:
         """Update the backlog after tasks of a job were added, placed or ended."""
         queue = self._queue_of(job.record)
         if queue is None:
@@ -119,7 +119,7 @@
             if not waiting:
                 continue
             links = self._usable_links(service, now)
-            index = FreeCapacityIndex(links, self._usage, self._learning, now)
+            index = FreeCapacityIndex(links, self._usage, self._estimates, now)
             ranked = self._ranked(waiting.values(), index.max_free_cpu, now)
             self._place_jobs(ranked, index, configuration, now)
 
@@ -131,7 +131,7 @@
         self._links_by_service = links_by_service
         self._waiting_by_service = {}
         for job in self._live_jobs.values():
-            self.job_changed(job)
+            self.update_backlog(job)
 
     def _usable_links(self, service: str, now: timedelta) -> list[ExecutorLink]:
         """Return the executors of a service that accept tasks now."""
@@ -141,7 +141,7 @@
         healthy = [
             link
             for link in usable
-            if not self._learning.is_quarantined(link.executor.executor_id, now)
+            if not self._estimates.is_quarantined(link.executor.executor_id, now)
         ]
         # If all usable executors are quarantined, use them rather than none.
         return healthy or usable
@@ -159,9 +159,11 @@
             job, queue = entry.job, entry.queue
             mean = self._mean_work_by_queue.get(queue.name)
             if mean is None:
-                mean = work_of(job, self._learning.expected_ms, remaining=False)
+                mean = core_seconds_of(
+                    job, self._estimates.expected_ms, remaining=False
+                )
                 self._mean_work_by_queue[queue.name] = mean
-            entry.rank = rank(job, queue, now, self._learning.expected_ms, mean)
+            entry.rank = rank(job, queue, now, self._estimates.expected_ms, mean)
         return entry.rank.key
 
     def _place_jobs(
@@ -176,7 +178,7 @@
                 continue
             job, advice = entry.job, entry.queue.advice
             team = configuration.teams_by_name.get(job.record.team)
-            maximum = team.maximum if team else NOTHING
+            maximum = team.maximum if team else NO_RESOURCES
             for step in list(job.ready_steps()):
                 if advice is not None:
                     self._place_advised(step, index, maximum, advice, now)
@@ -201,7 +203,7 @@
         candidates = [
             link
             for link in index.links
-            if may_run(link, step, self._usage)
+            if can_place(link, step, self._usage)
             and link.executor.executor_id not in tickets
         ]
         candidates.sort(
@@ -254,7 +256,7 @@
             return None
         if allowed is not None and link.executor.executor_id not in allowed:
             return None
-        return link if may_run(link, task.step, self._usage) else None
+        return link if can_place(link, task.step, self._usage) else None
 
     def _pinned_executor(self, task: Task, now: timedelta) -> tuple[str, ...]:
         """Return the executor that the task is pinned to, or nothing.
@@ -343,11 +345,11 @@
         link.assign(placed)
         self._pending_starts.append((link, placed))
         self._changed(job)
-        self._lines.decided(
+        self._lines.record(
             "place",
             task.name,
             executor.executor_id,
             run=run,
-            age_ms=round((now - job.seen_at) / timedelta(milliseconds=1)),
+            age_ms=round((now - job.accepted_at) / timedelta(milliseconds=1)),
             free_cpu=self._usage.free_cpu(executor.executor_id, executor.capacity),
         )
--- a/src/pomeloyard/batch/policy.py
+++ b/src/pomeloyard/batch/policy.py
@@ -1,7 +1,7 @@
 """Interchangeable decisions on VMs and on the executors of tasks.
 
 No safety rule depends on a policy. Availability of long-running tasks, limits and
-fencing are enforced where orders are given (``Availability``, ``Planner``,
+fencing are enforced where orders are given (``DisruptionBudgets``, ``Planner``,
 ``VmOrders``), so any policy is safe, even one that decides at random.
 """
 
@@ -14,8 +14,8 @@
 from . import maintenance, pool_scaling
 from .executor_choice import FreeCapacityIndex
 from .executor_link import ExecutorLink
-from .maintenance import UpkeepCandidate, UpkeepChoice
-from .pool_scaling import BusyVm, Move, PoolLoad, SpareVm
+from .maintenance import MaintenanceCandidate, MaintenanceChoice
+from .pool_scaling import DrainableVm, IdleVm, Move, PoolLoad
 from .progress import Task
 
 
@@ -24,29 +24,29 @@
 
     @abstractmethod
     def choose_moves(
-        self, loads: Sequence[PoolLoad], spares: Sequence[SpareVm], standby_pool: str
+        self, loads: Sequence[PoolLoad], spares: Sequence[IdleVm], standby_pool: str
     ) -> list[Move]:
         """Return the VMs to move to another pool now."""
 
     @abstractmethod
-    def choose_to_empty(
+    def choose_to_drain(
         self,
         loads: Sequence[PoolLoad],
-        busy: Sequence[BusyVm],
+        busy: Sequence[DrainableVm],
         incoming: Mapping[str, int],
         outgoing: Mapping[str, int],
     ) -> list[Move]:
         """Return the busy VMs to drain for another pool."""
 
     @abstractmethod
-    def choose_upkeeps(
+    def choose_maintenance(
         self,
-        candidates: Sequence[UpkeepCandidate],
+        candidates: Sequence[MaintenanceCandidate],
         free_slots: int,
         time_left: timedelta,
         needed: timedelta,
-    ) -> UpkeepChoice:
-        """Return the VMs to maintain now, to drain and to separate."""
+    ) -> MaintenanceChoice:
+        """Return the VMs to maintain now, to drain and to spread tasks from."""
 
     @abstractmethod
     def choose_executor(
@@ -59,34 +59,34 @@
         """Return the executor for a task, or None to keep it waiting."""
 
 
-class UsualPolicy(Policy):
+class DefaultPolicy(Policy):
     """The policy used in production."""
 
     def choose_moves(
-        self, loads: Sequence[PoolLoad], spares: Sequence[SpareVm], standby_pool: str
+        self, loads: Sequence[PoolLoad], spares: Sequence[IdleVm], standby_pool: str
     ) -> list[Move]:
         """Return the VMs to move to another pool now."""
         return pool_scaling.choose_moves(loads, spares, standby_pool)
 
-    def choose_to_empty(
+    def choose_to_drain(
         self,
         loads: Sequence[PoolLoad],
-        busy: Sequence[BusyVm],
+        busy: Sequence[DrainableVm],
         incoming: Mapping[str, int],
         outgoing: Mapping[str, int],
     ) -> list[Move]:
         """Return the busy VMs to drain for another pool."""
-        return pool_scaling.choose_to_empty(loads, busy, incoming, outgoing)
+        return pool_scaling.choose_to_drain(loads, busy, incoming, outgoing)
 
-    def choose_upkeeps(
+    def choose_maintenance(
         self,
-        candidates: Sequence[UpkeepCandidate],
+        candidates: Sequence[MaintenanceCandidate],
         free_slots: int,
         time_left: timedelta,
         needed: timedelta,
-    ) -> UpkeepChoice:
-        """Return the VMs to maintain now, to drain and to separate."""
-        return maintenance.choose_upkeeps(candidates, free_slots, time_left, needed)
+    ) -> MaintenanceChoice:
+        """Return the VMs to maintain now, to drain and to spread tasks from."""
+        return maintenance.choose_maintenance(candidates, free_slots, time_left, needed)
 
     def choose_executor(
         self,
--- a/src/pomeloyard/batch/pool_history.py
+++ b/src/pomeloyard/batch/pool_history.py
@@ -40,7 +40,7 @@
     return sorted(rows, key=lambda row: (row.at, row.pool))
 
 
-def totals(rows: Sequence[PoolSecond]) -> Mapping[str, tuple[int, int]]:
+def vm_seconds_by_pool(rows: Sequence[PoolSecond]) -> Mapping[str, tuple[int, int]]:
     """Return the VM-seconds held and needed, by pool."""
     totals_by_pool: dict[str, tuple[int, int]] = defaultdict(lambda: (0, 0))
     for row in rows:
--- a/src/pomeloyard/batch/pool_scaling.py
+++ b/src/pomeloyard/batch/pool_scaling.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LastingLoad:
+class LongRunningLoad:
     """Capacity that the long-running tasks of a pool need."""
 
     vms: int = 0
@@ -57,20 +57,20 @@
     vm_cores: float
     vms: int
     """VMs of the pool, including those being moved to it."""
-    arriving_vms: int
-    own_vms: int
+    incoming_vms: int
+    base_vms: int
     """VMs that the pool started with."""
-    lasting_vms: int = 0
+    long_running_vms: int = 0
     """VMs that its long-running tasks need."""
     peak: Peak | None = None
     urgent_core_seconds: float = 0.0
     """Part of the waiting work whose jobs can still meet their objective."""
     rate: ArrivalRate = NO_ARRIVALS
-    lead: timedelta = timedelta(0)
+    move_lead_time: timedelta = timedelta(0)
     """Time from ordering a VM until it runs tasks."""
-    busy_cores: float = 0.0
+    busy_short_task_cores: float = 0.0
     """Cores in use by short tasks."""
-    short_cores: float = 0.0
+    short_task_cores: float = 0.0
     """Cores of its present VMs that are not used by long-running tasks."""
     demand_known: bool = True
     """Whether the pool has received a job yet."""
@@ -84,11 +84,11 @@
         return peak.starts_in <= PEAK_LEAD_TIME and peak.ends_in >= MIN_PEAK_REMAINDER
 
     @property
-    def floor(self) -> int:
+    def min_vms(self) -> int:
         """Return the minimum number of VMs that the pool keeps."""
         if not self.demand_known:
-            return self.own_vms
-        return max(math.ceil(self.own_vms * MIN_VMS_SHARE), self.lasting_vms)
+            return self.base_vms
+        return max(math.ceil(self.base_vms * MIN_VMS_SHARE), self.long_running_vms)
 
     @property
     def vms_for_peak(self) -> int:
@@ -96,8 +96,8 @@
         if self.peak is None or not self.peak_is_imminent:
             return 0
         needed = math.ceil(self.peak.core_rate / self.vm_cores)
-        limit = math.ceil(self.own_vms * MAX_PREPARED_SHARE)
-        return min(max(self.own_vms, needed), limit)
+        limit = math.ceil(self.base_vms * MAX_PREPARED_SHARE)
+        return min(max(self.base_vms, needed), limit)
 
     @property
     def missing_vms(self) -> int:
@@ -105,8 +105,10 @@
         to_clear = self.waiting_core_seconds / (
             self.vm_cores * BACKLOG_CLEAR_TIME.total_seconds()
         )
-        needed_cores = self.rate.cores_after(self.lead, self.busy_cores)
-        missing_cores = max(0.0, needed_cores - self.short_cores)
+        needed_cores = self.rate.cores_after(
+            self.move_lead_time, self.busy_short_task_cores
+        )
+        missing_cores = max(0.0, needed_cores - self.short_task_cores)
         return round(to_clear + missing_cores / self.vm_cores)
 
     @property
@@ -117,11 +119,11 @@
     @property
     def surplus_vms(self) -> int:
         """Return how many VMs the pool can release."""
-        return self.vms - max(self.floor, self.vms_for_peak)
+        return self.vms - max(self.min_vms, self.vms_for_peak)
 
 
 @dataclass(frozen=True, slots=True)
-class SpareVm:
+class IdleVm:
     """A VM that can be moved now without stopping a task."""
 
     vm: str
@@ -131,7 +133,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BusyVm:
+class DrainableVm:
     """A VM that runs short tasks only."""
 
     vm: str
@@ -149,7 +151,7 @@
 
 
 def choose_moves(
-    loads: Sequence[PoolLoad], spares: Sequence[SpareVm], standby_pool: str
+    loads: Sequence[PoolLoad], spares: Sequence[IdleVm], standby_pool: str
 ) -> list[Move]:
     """Return the moves of spare VMs to pools in need and back to standby."""
     moves: list[Move] = []
@@ -160,9 +162,9 @@
     surplus = {load.name: load.surplus_vms for load in loads}
     for load in sorted(loads, key=lambda d: (-d.waiting_core_seconds, d.name)):
         missing = max(
-            load.missing_vms - load.arriving_vms,
+            load.missing_vms - load.incoming_vms,
             load.vms_for_peak - load.vms,
-            load.lasting_vms - load.vms,
+            load.long_running_vms - load.vms,
         )
         for spare in list(free):
             if missing <= 0:
@@ -185,9 +187,9 @@
     return moves
 
 
-def choose_to_empty(
+def choose_to_drain(
     loads: Sequence[PoolLoad],
-    busy: Sequence[BusyVm],
+    busy: Sequence[DrainableVm],
     incoming: Mapping[str, int],
     outgoing: Mapping[str, int],
 ) -> list[Move]:
@@ -202,14 +204,14 @@
     moves: list[Move] = []
     free = sorted(busy, key=lambda b: (b.short_work, b.vm))
     borrowed = {
-        load.name: load.vms - load.own_vms - outgoing.get(load.name, 0)
+        load.name: load.vms - load.base_vms - outgoing.get(load.name, 0)
         for load in loads
     }
     loads_by_name = {load.name: load for load in loads}
     for load in sorted(loads, key=lambda d: (-d.urgency, d.name)):
         vm_work = load.vm_cores * BACKLOG_CLEAR_TIME.total_seconds()
         missing = round(load.urgent_core_seconds / vm_work)
-        missing -= load.arriving_vms + incoming.get(load.name, 0)
+        missing -= load.incoming_vms + incoming.get(load.name, 0)
         for candidate in list(free):
             if missing <= 0:
                 break
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -29,10 +29,10 @@
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
-    LAPSED = "lapsed"
+    LEASE_EXPIRED = "lapsed"
     BROKEN = "broken"
     """Another member of its gang ended."""
-    ALONE = "alone"
+    GANG_INCOMPLETE = "alone"
     """The other members of its gang did not start."""
     LOST = "lost"
     """The executor no longer lists the run and did not report how it ended."""
@@ -127,8 +127,8 @@
         self.record = record
         self.max_attempts = queue.max_attempts if queue else 1
         self.state = JobState.PENDING
-        self.begun = False
-        self.seen_at = now
+        self.has_started = False
+        self.accepted_at = now
         self.ended_at: timedelta | None = None
         self.revision = 0
         """Store revision of the run record, 0 if there is none."""
@@ -212,7 +212,7 @@
         task.started_at = now
         task.step.waiting.pop(task.index, None)
         task.step.placed += 1
-        self.begun = True
+        self.has_started = True
         if self.state is JobState.PENDING:
             self.state = JobState.RUNNING
 
@@ -300,7 +300,7 @@
             step.complete for step in self.steps()
         )
 
-    def pack(self) -> bytes:
+    def encode(self) -> bytes:
         """Encode the run record; an ended job keeps only tasks that may still run."""
         packed = []
         for step in self.steps():
@@ -315,12 +315,12 @@
                 )
         return msgspec.msgpack.encode(RunRecord(self.state.value, packed))
 
-    def restore(self, content: bytes, revision: int) -> None:
+    def restore_progress(self, content: bytes, revision: int) -> None:
         """Restore the progress from a stored run record."""
         record = msgspec.msgpack.decode(content, type=RunRecord)
         self.revision = revision
         self.waiting_marker_stored = False
-        self.begun = True
+        self.has_started = True
         for rows in record.steps:
             while self.next_occurrence <= rows.occurrence:
                 self._open_occurrence(self.next_occurrence)
--- a/src/pomeloyard/batch/progress_writer.py
+++ b/src/pomeloyard/batch/progress_writer.py
@@ -113,7 +113,9 @@
         for job in list(self._unwritten_by_id.values()):
             if job.job_id in self._in_flight_since_by_id:
                 continue
-            cost = 3 if job.waiting_marker_stored and (job.begun or job.final) else 2
+            cost = (
+                3 if job.waiting_marker_stored and (job.has_started or job.final) else 2
+            )
             if cost > free_entries:
                 if self._writes_in_flight + len(groups) >= MAX_CONCURRENT_WRITES:
                     break
@@ -137,11 +139,11 @@
         starts: list[PendingStart] = []
         for job in jobs:
             key = layout.RUNS + job.job_id
-            content = job.pack()
+            content = job.encode()
             compares.append(Compare(key, job.revision))
             operations.append(Put(key, content))
             contents.append((job, key, content))
-            if job.waiting_marker_stored and (job.begun or job.final):
+            if job.waiting_marker_stored and (job.has_started or job.final):
                 marker = layout.waiting_prefix(job.record.queue) + job.job_id
                 operations.append(Delete(marker))
                 job.waiting_marker_stored = False
--- a/src/pomeloyard/batch/recent_orders.py
+++ b/src/pomeloyard/batch/recent_orders.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..clock import Clock
-from .fenced_records import GuardedRecords
+from .fenced_records import FencedRecords
 
 RECENT_ORDERS = "b/vm-orders"
 """Key of the record with the VM names, written before the first request for each."""
@@ -25,7 +25,7 @@
     def __init__(
         self,
         clock: Clock,
-        records: GuardedRecords,
+        records: FencedRecords,
         pause: timedelta,
         predecessor_ended_at: timedelta,
     ) -> None:
@@ -73,4 +73,4 @@
             }
             return msgspec.msgpack.encode(sorted({*self._ordered_at, *in_progress}))
 
-        return await self._records.write_latest(RECENT_ORDERS, pack)
+        return await self._records.write_coalesced(RECENT_ORDERS, pack)
--- a/src/pomeloyard/batch/run_estimates.py
+++ b/src/pomeloyard/batch/run_estimates.py
@@ -42,7 +42,7 @@
     quarantined_until: timedelta = timedelta(0)
 
 
-class Learning:
+class RunEstimates:
     """Run times by step and queue, and speed and failures by executor."""
 
     def __init__(self) -> None:
@@ -66,7 +66,7 @@
         weight = ESTIMATE_WEIGHT
         return math.exp(weight * math.log(estimate) + (1 - weight) * mean_log_ms)
 
-    def task_done(
+    def record_completion(
         self,
         step: StepRun,
         executor: str,
@@ -99,7 +99,7 @@
             log_ms - mean_log_ms
         )
 
-    def run_seen(self, executor: str, ratio: float, now: timedelta) -> None:
+    def record_progress(self, executor: str, ratio: float, now: timedelta) -> None:
         """Record the ratio of projected to usual run time of a run in progress."""
         self._update_slowness(self._by_executor[executor], ratio, now)
 
@@ -109,7 +109,7 @@
         record.slowness += SLOWNESS_WEIGHT * (ratio - record.slowness)
         record.slowness_at = now
 
-    def task_failed(self, executor: str, job_id: str, now: timedelta) -> bool:
+    def record_failure(self, executor: str, job_id: str, now: timedelta) -> bool:
         """Record a failure; return whether the executor is now quarantined.
 
         Failures of a single job do not quarantine an executor, as that job may fail
@@ -123,7 +123,7 @@
             return True
         return False
 
-    def set_aside(self, executor: str, until: timedelta) -> None:
+    def quarantine(self, executor: str, until: timedelta) -> None:
         """Quarantine an executor: give it no new tasks until a time."""
         self._by_executor[executor].quarantined_until = until
 
--- a/src/pomeloyard/batch/stalls.py
+++ b/src/pomeloyard/batch/stalls.py
@@ -8,21 +8,21 @@
 
 from datetime import timedelta
 
-STILL_TIME = timedelta(seconds=1.2)
+STALL_SUSPECT_TIME = timedelta(seconds=1.2)
 """Time without progress after which the executor of a run gets no new tasks. Runs are
 polled at least every 1.5 s, and even a slow one advances by some percent in that time.
 """
-STALLED_TIME = timedelta(seconds=2.7)
+STALL_TIMEOUT = timedelta(seconds=2.7)
 """Time without progress after which a run is stopped and placed elsewhere."""
 STALL_GRACE_SHARE = 0.05
 """Share of the usual run time for which a run may make no progress."""
-AVOID_TIME = timedelta(seconds=2)
+STALL_AVOID_TIME = timedelta(seconds=2)
 """How long an executor with a stalled run gets no new tasks."""
 MIN_PERCENT = 10
 """Minimum progress for estimating the total time of a run."""
 
 
-def still_for(
+def stalled_for(
     moved_at: timedelta | None, expected_ms: float, now: timedelta
 ) -> timedelta:
     """Return how long a run has made no progress, beyond what is usual for it."""
--- a/src/pomeloyard/batch/vm_controller.py
+++ b/src/pomeloyard/batch/vm_controller.py
@@ -17,9 +17,9 @@
 )
 from ..keyvalue.store import Compare, Store
 from ..roles import HeldRole
-from .configuration_follower import OperatorFollower
-from .decision_log import DecisionLines
-from .fenced_records import GuardedRecords
+from .configuration_follower import ConfigurationFollower
+from .decision_log import JobDecisionLog
+from .fenced_records import FencedRecords
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vm_mover import PoolTerm, VmMover
@@ -60,30 +60,30 @@
     """The parts of a placing term that the control loop uses."""
 
 
-class VmKeeper:
+class VmController:
     """Reads the list of VMs, runs maintenance waves and moves VMs between pools."""
 
     def __init__(
         self,
         clock: Clock,
         store: Store,
-        follower: OperatorFollower,
+        follower: ConfigurationFollower,
         service: VmService,
         status: WaveStatus,
-        lines: DecisionLines,
+        lines: JobDecisionLog,
         term: VmTerm,
         holder: str,
         role: HeldRole,
         guard: Compare,
         *,
-        upkeep_time: timedelta,
+        maintenance_time: timedelta,
         move_time: timedelta,
         takeover_pause: timedelta,
     ) -> None:
         self._clock = clock
         self._follower = follower
         self._term = term
-        records = GuardedRecords(clock, store, guard)
+        records = FencedRecords(clock, store, guard)
         self._listing = VmListing(clock, service, lines, term.links_by_id)
         self._recent_orders = RecentOrders(
             clock, records, takeover_pause + TAKEOVER_SLACK, role.vacant_at
@@ -103,7 +103,7 @@
             self._orders,
             holder,
             role.epoch,
-            upkeep_time,
+            maintenance_time,
         )
         self._mover = VmMover(
             records,
@@ -168,7 +168,7 @@
                 self._term.end_term("the epoch was replaced")
                 return
             self._loaded = True
-        waiting = self._term.demand.waiting()
+        waiting = self._term.demand.backlog()
         for wave in list(self._follower.waves_by_id.values()):
             await self._waves.advance(wave, waiting, now)
         began_at = self._clock.monotonic()
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -8,7 +8,7 @@
 import logbook
 
 from ..clock import Clock
-from .decision_log import DecisionLines
+from .decision_log import JobDecisionLog
 from .executor_link import ExecutorLink
 from .vms import PoolVm, VmService, VmState
 
@@ -36,7 +36,7 @@
         self,
         clock: Clock,
         service: VmService,
-        lines: DecisionLines,
+        lines: JobDecisionLog,
         links_by_id: Mapping[str, ExecutorLink],
     ) -> None:
         self._clock = clock
@@ -100,10 +100,11 @@
         for executor_id, link in self._links_by_id.items():
             if executor_id in down and link.reachable:
                 link.suspect()
-            silent_since = link.silent_since
+            unreachable_since = link.unreachable_since
             silence = MIN_SILENCE_WHEN_DOWN if executor_id in down else MIN_SILENCE
             silent_long_enough = (
-                silent_since is not None and asked_at >= silent_since + silence
+                unreachable_since is not None
+                and asked_at >= unreachable_since + silence
             )
             if not silent_long_enough or executor_id in alive or not link.runs_by_name:
                 self._absences_by_executor.pop(executor_id, None)
@@ -111,5 +112,5 @@
             missing = self._absences_by_executor.get(executor_id, 0) + 1
             self._absences_by_executor[executor_id] = missing
             if missing >= ABSENCES_TO_CONFIRM:
-                self._lines.decided("executor", executor_id, "gone", lists=missing)
-                link.lose_all("the platform lists no such executor")
+                self._lines.record("executor", executor_id, "gone", lists=missing)
+                link.mark_all_lost("the platform lists no such executor")
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from .decision_log import DecisionLines
+from .decision_log import JobDecisionLog
 from .demand import PoolDemand
 from .executor_link import ExecutorLink
-from .fenced_records import GuardedRecords
+from .fenced_records import FencedRecords
 from .model import Configuration
 from .peaks import NO_ARRIVALS
 from .policy import Policy
-from .pool_scaling import BusyVm, LastingLoad, Move, PoolLoad, SpareVm
+from .pool_scaling import DrainableVm, IdleVm, LongRunningLoad, Move, PoolLoad
 from .usage import Usage
 from .vm_listing import VmListing
 from .vm_orders import VmOrders
@@ -40,7 +40,7 @@
     policy: Policy
     usage: Usage
 
-    def short_work(self, link: ExecutorLink) -> float:
+    def unsaved_short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         ...
 
@@ -59,9 +59,9 @@
 
     def __init__(
         self,
-        records: GuardedRecords,
+        records: FencedRecords,
         service: VmService,
-        lines: DecisionLines,
+        lines: JobDecisionLog,
         term: PoolTerm,
         listing: VmListing,
         orders: VmOrders,
@@ -124,20 +124,20 @@
         for move in self._term.policy.choose_moves(loads, spares, standby):
             self._begin_move(self._listing.vms_by_name[move.vm], move)
 
-    def _busy_vms(self, vm: PoolVm) -> list[BusyVm]:
+    def _busy_vms(self, vm: PoolVm) -> list[DrainableVm]:
         """Return the VM as a candidate for draining, if it runs short tasks only."""
         link = self._term.links_by_id.get(vm.executor_id)
         if link is None or not link.usable:
             return []
         if any(run.task.step.spec.lasting for run in link.runs_by_name.values()):
             return []
-        return [BusyVm(vm.name, vm.pool, self._term.short_work(link))]
+        return [DrainableVm(vm.name, vm.pool, self._term.unsaved_short_work(link))]
 
     def _drain_busy_vms(
         self,
         loads: Sequence[PoolLoad],
-        spares: Sequence[SpareVm],
-        busy: Sequence[BusyVm],
+        spares: Sequence[IdleVm],
+        busy: Sequence[DrainableVm],
         now: timedelta,
     ) -> None:
         """Drain busy VMs for pools with more urgent work, and move them once empty."""
@@ -161,33 +161,33 @@
         draining_by_origin = Counter(
             self._listing.vms_by_name[name].pool for name in self._draining_for
         )
-        for move in self._term.policy.choose_to_empty(
+        for move in self._term.policy.choose_to_drain(
             loads, busy, draining_by_target, draining_by_origin
         ):
             vm = self._listing.vms_by_name[move.vm]
             self._draining_for[move.vm] = (move.pool, now)
             self._term.links_by_id[vm.executor_id].cordoned_for_move = True
-            self._lines.decided(
+            self._lines.record(
                 "move", move.vm, "emptied", origin=vm.pool, target=move.pool
             )
 
-    def _spare_vm(self, vm: PoolVm, on_standby: bool, now: timedelta) -> SpareVm | None:
+    def _spare_vm(self, vm: PoolVm, on_standby: bool, now: timedelta) -> IdleVm | None:
         if on_standby:
-            return SpareVm(vm.name, vm.pool, True, timedelta(0))
+            return IdleVm(vm.name, vm.pool, True, timedelta(0))
         link = self._term.links_by_id.get(vm.executor_id)
         if link is None or not link.usable or link.runs_by_name:
             self._idle_since.pop(vm.name, None)
             return None
         since = self._idle_since.setdefault(vm.name, now)
-        return SpareVm(vm.name, vm.pool, False, now - since)
+        return IdleVm(vm.name, vm.pool, False, now - since)
 
     def _pool_loads(
         self, configuration: Configuration, waiting: dict[str, float], standby: str
     ) -> list[PoolLoad]:
         loads = []
         demand = self._term.demand
-        urgent_loads = demand.urgent()
-        lasting_loads = demand.lasting()
+        urgent_loads = demand.urgent_backlog()
+        lasting_loads = demand.long_running()
         for name in configuration.pools_by_name:
             if name == standby:
                 continue
@@ -209,8 +209,8 @@
                 and vm.name not in self._orders.by_vm
                 for vm in self._listing.vms_by_name.values()
             )
-            lasting = lasting_loads.get(name, LastingLoad())
-            rate = demand.rate(name)
+            lasting = lasting_loads.get(name, LongRunningLoad())
+            rate = demand.arrival_rate(name)
             loads.append(
                 PoolLoad(
                     name,
@@ -219,13 +219,13 @@
                     present + arriving,
                     arriving,
                     self._initial_vms_by_pool.get(name, 0),
-                    lasting_vms=lasting.vms,
+                    long_running_vms=lasting.vms,
                     peak=demand.next_peak(name),
                     urgent_core_seconds=urgent_loads.get(name, 0.0),
                     rate=rate or NO_ARRIVALS,
-                    lead=self._move_time + DISCOVERY_TIME,
-                    busy_cores=self._busy_cores(name) - lasting.cores,
-                    short_cores=cores - lasting.cores,
+                    move_lead_time=self._move_time + DISCOVERY_TIME,
+                    busy_short_task_cores=self._busy_cores(name) - lasting.cores,
+                    short_task_cores=cores - lasting.cores,
                     demand_known=rate is not None or name in lasting_loads,
                 )
             )
@@ -236,14 +236,14 @@
             return
         self._logged_at = now
         for load in loads:
-            self._lines.decided(
+            self._lines.record(
                 "pool",
                 load.name,
                 "load",
                 vms=load.vms,
-                arriving=load.arriving_vms,
-                floor=load.floor,
-                lasting=load.lasting_vms,
+                arriving=load.incoming_vms,
+                floor=load.min_vms,
+                lasting=load.long_running_vms,
                 vm_cores=round(load.vm_cores, 1),
                 busy_cores=round(self._busy_cores(load.name), 1),
                 waiting=round(load.waiting_core_seconds, 1),
@@ -293,10 +293,8 @@
         self._term.spawn(None, self._order_move, vm, move)
 
     async def _order_move(self, vm: PoolVm, move: Move) -> None:
-        self._lines.decided(
-            "move", vm.name, "ordered", origin=vm.pool, target=move.pool
-        )
-        answer = await self._orders.repeat(
+        self._lines.record("move", vm.name, "ordered", origin=vm.pool, target=move.pool)
+        answer = await self._orders.send_until_answered(
             vm,
             lambda: self._service.move(vm.name, move.pool, self._holder, self._epoch),
         )
@@ -306,5 +304,5 @@
             self._orders.mark_done(vm)
             self._orders.end_runs(vm, "moved")
         else:
-            self._lines.decided("move", vm.name, answer.value, target=move.pool)
+            self._lines.record("move", vm.name, answer.value, target=move.pool)
             self._orders.abandon(vm)
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..errors import CallNotSentError, CallUnansweredError, StaleFenceError
-from .disruption import Availability
+from .disruption import DisruptionBudgets
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vms import PoolVm, VmAnswer, VmState
@@ -43,7 +43,7 @@
         clock: Clock,
         listing: VmListing,
         recent_orders: RecentOrders,
-        availability: Availability,
+        availability: DisruptionBudgets,
         end_term: Callable[[str], None],
     ) -> None:
         self._clock = clock
@@ -69,7 +69,7 @@
         link = self._listing.link_of(vm)
         if link is not None:
             link.operation_ordered = True
-            link.ending = not repeated
+            link.ordered_by_this_term = not repeated
 
     def mark_done(self, vm: PoolVm) -> None:
         """Record that an operation took effect."""
@@ -79,7 +79,7 @@
         """Mark all runs on a VM as lost, as its executor has ended."""
         link = self._listing.link_of(vm)
         if link is not None:
-            link.lose_all(reason)
+            link.mark_all_lost(reason)
             link.registered = False
             link.reachable = False
 
@@ -88,13 +88,13 @@
         self.by_vm.pop(vm.name, None)
         link = self._listing.link_of(vm)
         if link is not None:
-            link.operation_ordered = link.ending = False
+            link.operation_ordered = link.ordered_by_this_term = False
 
     def may_order(self, vm: str) -> bool:
         """Tell whether a VM has no operation in progress and is not held back."""
         return vm not in self.by_vm and not self._recent_orders.is_held_back(vm)
 
-    async def repeat(
+    async def send_until_answered(
         self, vm: PoolVm, call: Callable[[], Awaitable[VmAnswer]]
     ) -> VmAnswer | None:
         """Send a request until it is answered; return None if the term ends.
@@ -111,13 +111,13 @@
         may_have_been_sent = self.by_vm[vm.name].repeated
         while True:
             link = self._listing.link_of(vm)
-            if link is not None and not self._availability.may_end_all(link):
+            if link is not None and not self._availability.may_disrupt_all(link):
                 if not may_have_been_sent:
                     return VmAnswer.HELD_BACK
                 await self._clock.sleep(RETRY_DELAY)
                 continue
             if link is not None:
-                link.ending = True
+                link.ordered_by_this_term = True
             may_have_been_sent = True
             self._recent_orders.note_order(vm.name)
             try:
--- a/src/pomeloyard/batch/vms.py
+++ b/src/pomeloyard/batch/vms.py
@@ -12,7 +12,7 @@
 
     UP = "up"
     MOVING = "moving"
-    IN_UPKEEP = "in-upkeep"
+    IN_MAINTENANCE = "in-upkeep"
     DOWN = "down"
 
 
@@ -34,7 +34,7 @@
     DONE = "done"
     BUSY = "busy"
     """The VM is not up, or another operation is about to take it down."""
-    NOT_OF_WAVE = "not-of-wave"
+    NOT_IN_WAVE = "not-of-wave"
     INVALID = "invalid"
     THROTTLED = "throttled"
     HELD_BACK = "held-back"
--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -10,13 +10,13 @@
 import msgspec
 
 from ..clock import Clock
-from .configuration_follower import OperatorFollower
-from .decision_log import DecisionLines
-from .disruption import Availability
-from .executor_choice import may_run
+from .configuration_follower import ConfigurationFollower
+from .decision_log import JobDecisionLog
+from .disruption import DisruptionBudgets
+from .executor_choice import can_place
 from .executor_link import ExecutorLink, Phase, PlacedRun
-from .fenced_records import GuardedRecords
-from .maintenance import UpkeepCandidate, wanted_at_once
+from .fenced_records import FencedRecords
+from .maintenance import MaintenanceCandidate, target_concurrency
 from .model import Wave
 from .policy import Policy
 from .progress import StepRun
@@ -51,11 +51,11 @@
     """The parts of a placing term that waves use."""
 
     links_by_id: dict[str, ExecutorLink]
-    availability: Availability
+    availability: DisruptionBudgets
     policy: Policy
     usage: Usage
 
-    def short_work(self, link: ExecutorLink) -> float:
+    def unsaved_short_work(self, link: ExecutorLink) -> float:
         """Return the unsaved work of short tasks on an executor, in core-seconds."""
         ...
 
@@ -104,11 +104,11 @@
     def __init__(
         self,
         clock: Clock,
-        records: GuardedRecords,
-        follower: OperatorFollower,
+        records: FencedRecords,
+        follower: ConfigurationFollower,
         service: VmService,
         status: WaveStatus,
-        lines: DecisionLines,
+        lines: JobDecisionLog,
         term: WaveTerm,
         listing: VmListing,
         orders: VmOrders,
@@ -138,7 +138,7 @@
         """Advance a wave by what is due; ``waiting`` is the backlog by pool."""
         active = self._waves.get(wave.wave_id)
         if active is None:
-            seen_at = self._follower.wave_seen_at_by_id[wave.wave_id]
+            seen_at = self._follower.wave_received_at_by_id[wave.wave_id]
             active = ActiveWave(wave, seen_at + wave.complete_by)
             self._waves[wave.wave_id] = active
         if not active.loaded:
@@ -170,7 +170,9 @@
                     self._begin_maintenance(active, self._listing.vms_by_name[name])
                 down.append(name)
         time_left = active.deadline - now
-        wanted = wanted_at_once(wave, len(remaining), time_left, self._maintenance_time)
+        wanted = target_concurrency(
+            wave, len(remaining), time_left, self._maintenance_time
+        )
         slots = min(wave.max_at_once, wanted) - len(down)
         candidates = [
             self._candidate(self._listing.vms_by_name[name], waiting, now)
@@ -181,22 +183,22 @@
         ]
         batches = -(-len(remaining) // max(1, wave.max_at_once))
         time_needed = batches * (self._maintenance_time + MAINTENANCE_OVERHEAD)
-        choice = self._term.policy.choose_upkeeps(
+        choice = self._term.policy.choose_maintenance(
             candidates, slots, time_left, time_needed
         )
-        for name in choice.begin[: max(0, slots)]:
+        for name in choice.maintain[: max(0, slots)]:
             # Each VM that goes down leaves less disruption budget for the next ones.
             vm = self._listing.vms_by_name[name]
             link = self._listing.link_of(vm)
-            if link is None or self._term.availability.may_end_all(link):
+            if link is None or self._term.availability.may_disrupt_all(link):
                 self._begin_maintenance(active, vm)
-        self._cordon(active, {*choice.begin, *choice.empty}, now)
+        self._cordon(active, {*choice.maintain, *choice.drain}, now)
         for name in wave.vms:
             link = self._listing.link_of(self._listing.vms_by_name.get(name))
             if link is not None:
-                link.separating = name in choice.separate
-                if link.separating:
-                    self._separate(link)
+                link.spreading_tasks = name in choice.spread
+                if link.spreading_tasks:
+                    self._spread_tasks(link)
 
     def _is_down(self, name: str) -> bool:
         """Tell whether a VM may be down for maintenance; a move does not count."""
@@ -206,30 +208,32 @@
         vm = self._listing.vms_by_name.get(name)
         if vm is None:
             return not self._listing.is_gone(name)
-        return vm.state is VmState.IN_UPKEEP
+        return vm.state is VmState.IN_MAINTENANCE
 
     def _candidate(
         self, vm: PoolVm, waiting: dict[str, float], now: timedelta
-    ) -> UpkeepCandidate:
+    ) -> MaintenanceCandidate:
         link = self._listing.link_of(vm)
         lasting = _lasting_runs_by_step(link) if link is not None else {}
         cordoned_at = self.cordoned_at.get(vm.name)
-        return UpkeepCandidate(
+        return MaintenanceCandidate(
             vm=vm.name,
             pool=vm.pool,
-            short_work=self._term.short_work(link) if link else 0.0,
-            may_go=link is None or self._term.availability.may_end_all(link),
-            pool_waits=waiting.get(vm.pool, 0.0) > 0,
-            reserved_for=None if cordoned_at is None else now - cordoned_at,
-            crowded=any(_exceeds_disruption_budget(runs) for runs in lasting.values()),
-            separating=link is not None and link.separating,
+            short_work=self._term.unsaved_short_work(link) if link else 0.0,
+            may_be_down=link is None or self._term.availability.may_disrupt_all(link),
+            pool_has_backlog=waiting.get(vm.pool, 0.0) > 0,
+            draining_for=None if cordoned_at is None else now - cordoned_at,
+            exceeds_disruption_budget=any(
+                _exceeds_disruption_budget(runs) for runs in lasting.values()
+            ),
+            spreading_tasks=link is not None and link.spreading_tasks,
             lasting_tasks=sum(map(len, lasting.values())),
         )
 
-    def _separate(self, link: ExecutorLink) -> None:
+    def _spread_tasks(self, link: ExecutorLink) -> None:
         """Stop one of several tasks of a step that share a VM.
 
-        The task restarts on another VM, as this one is marked as separating. The VM can
+        The task restarts on another VM, as this one spreads its tasks. The VM can
         go down once the tasks left on it fit into the disruption budget of their step.
         """
         for runs in _lasting_runs_by_step(link).values():
@@ -240,7 +244,7 @@
             if not at_work or not _exceeds_disruption_budget(runs):
                 continue
             if self._has_room_elsewhere(step, link) and link.stop(runs[-1]):
-                self._lines.decided(
+                self._lines.record(
                     "upkeep", link.executor.executor_id, "separated", step=step.name
                 )
                 return
@@ -249,7 +253,7 @@
         return any(
             other.usable
             and other.executor.service == link.executor.service
-            and may_run(other, step, self._term.usage)
+            and can_place(other, step, self._term.usage)
             for other in self._term.links_by_id.values()
             if other is not link
         )
@@ -260,7 +264,7 @@
             vm = self._listing.vms_by_name.get(name)
             link = self._term.links_by_id.get(vm.executor_id) if vm else None
             if link is not None:
-                link.due = name not in active.record.answered
+                link.needs_maintenance = name not in active.record.answered
             if name in names:
                 self.cordoned_at.setdefault(name, now)
             else:
@@ -285,17 +289,17 @@
         if first_order and not await self._store_wave(active):
             self._orders.abandon(vm)
             return
-        self._lines.decided(
+        self._lines.record(
             "upkeep", vm.name, "ordered", wave=wave_id, executor=vm.executor_id
         )
-        answer = await self._orders.repeat(
+        answer = await self._orders.send_until_answered(
             vm,
             lambda: self._service.maintain(vm.name, wave_id, self._holder, self._epoch),
         )
         if answer is None:
             return
         if answer in (VmAnswer.BUSY, VmAnswer.THROTTLED, VmAnswer.HELD_BACK):
-            self._lines.decided("upkeep", vm.name, answer.value, wave=wave_id)
+            self._lines.record("upkeep", vm.name, answer.value, wave=wave_id)
             if answer is VmAnswer.HELD_BACK:
                 active.record.begun.discard(vm.name)
             self._orders.abandon(vm)
@@ -306,7 +310,7 @@
             if first_order:
                 self._orders.end_runs(vm, "upkeep began")
         else:
-            self._lines.decided("upkeep", vm.name, answer.value, wave=wave_id)
+            self._lines.record("upkeep", vm.name, answer.value, wave=wave_id)
             self._orders.abandon(vm)
         await self._store_wave(active)
 
@@ -314,7 +318,7 @@
         active.record.completed = True
         if await self._store_wave(active):
             await self._report_status(active, completed=True)
-            self._lines.decided("wave", str(active.wave.wave_id), "completed")
+            self._lines.record("wave", str(active.wave.wave_id), "completed")
         else:
             active.record.completed = False
 
@@ -332,7 +336,7 @@
         )
 
     async def _store_record(self, key: str, pack: Callable[[], bytes]) -> bool:
-        stored = await self._records.write_latest(key, pack)
+        stored = await self._records.write_coalesced(key, pack)
         if not stored:
             self._term.end_term(f"{key}: the epoch was replaced")
         return stored
--- a/src/pomeloyard/cli/logs.py
+++ b/src/pomeloyard/cli/logs.py
@@ -6,8 +6,8 @@
 
 import click
 
-from ..batch.job_history import LogLine, causes, course, parse_line
-from ..batch.pool_history import PoolSecond, pool_seconds, totals
+from ..batch.job_history import LogLine, findings, parse_line, timeline
+from ..batch.pool_history import PoolSecond, pool_seconds, vm_seconds_by_pool
 from ..errors import PomeloyardError
 from .output import note, show
 
@@ -39,11 +39,11 @@
     Its causes go to standard error.
     """
     lines = [line for path in files for line in _read(path)]
-    found = course(lines, job_id)
+    found = timeline(lines, job_id)
     if not found:
         raise UnknownJobError(f"no line of {len(files)} files names job {job_id}")
     show([_row(line) for line in found])
-    for text in causes(found, job_id):
+    for text in findings(found, job_id):
         note(text)
 
 
@@ -63,7 +63,7 @@
     if not rows:
         raise NoPoolLinesError(f"no line of {len(files)} files tells of pools")
     show([_pool_row(row) for row in rows])
-    for pool, (held, needed) in totals(rows).items():
+    for pool, (held, needed) in vm_seconds_by_pool(rows).items():
         note(f"{pool}: {held} VM-seconds held, {needed} needed")
 
 
--- a/src/pomeloyard/platform/caller_app.py
+++ b/src/pomeloyard/platform/caller_app.py
@@ -12,9 +12,9 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from starlette.types import Receive, Scope, Send
 
-from ..batch.configuration_follower import OperatorFollower
-from ..batch.decision_log import DecisionLines
-from ..batch.job_service import Authorized, Intake
+from ..batch.configuration_follower import ConfigurationFollower
+from ..batch.decision_log import JobDecisionLog
+from ..batch.job_service import AuthorizedCall, JobService
 from ..batch.metrics import BatchMetrics
 from ..batch.model import JobSpec, StepSpec
 from ..clock import Clock
@@ -124,9 +124,9 @@
     def __init__(
         self,
         clock: Clock,
-        follower: OperatorFollower,
-        intake: Intake,
-        lines: DecisionLines,
+        follower: ConfigurationFollower,
+        job_service: JobService,
+        lines: JobDecisionLog,
         config_bound: timedelta,
         withdrawal_bound: timedelta,
         metrics: BatchMetrics | None = None,
@@ -134,7 +134,7 @@
         self._metrics = metrics
         self._clock = clock
         self._follower = follower
-        self._intake = intake
+        self._job_service = job_service
         self._lines = lines
         self._max_config_age = min(
             config_bound * MAX_CONFIG_AGE_RATIO,
@@ -219,7 +219,7 @@
         age = self._follower.proof_age()
         version = self._follower.current.version if self._follower.current else 0
         took = self._clock.monotonic() - started_at
-        self._lines.decided(
+        self._lines.record(
             "call",
             job_id,
             str(int(status)),
@@ -266,26 +266,28 @@
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         key = headers.get(b"x-credential", b"").decode("latin-1")
 
-        def authorize() -> Authorized:
+        def authorize() -> AuthorizedCall:
             return self._authorize(host, path, key)
 
         queue = authorize().queue
         job_id = path[len(queue.path_prefix) :]
         if not job_id and method == "GET":
-            waiting = await self._intake.waiting(queue.name)
+            waiting = await self._job_service.count_waiting(queue.name)
             authorize()
             return HTTPStatus.OK, {"waiting": waiting}
         if not job_id or len(job_id) > MAX_JOB_ID_LENGTH or not job_id.isalnum():
             raise refused(RefusalReason.NOT_FOUND, "no such job")
         if method == "POST":
-            await self._intake.submit(job_id, decode_job(body), authorize, deadline)
+            await self._job_service.submit(
+                job_id, decode_job(body), authorize, deadline
+            )
             return HTTPStatus.OK, {}
         if method == "DELETE":
-            if await self._intake.cancel(job_id, deadline):
+            if await self._job_service.cancel(job_id, deadline):
                 return HTTPStatus.OK, {}
             return HTTPStatus.GONE, {"error": "no such job"}
         if method == "GET":
-            state = await self._intake.state(job_id)
+            state = await self._job_service.state(job_id)
             authorize()
             if state is None:
                 return HTTPStatus.GONE, {"error": "no such job"}
@@ -296,7 +298,7 @@
         current = self._follower.current
         return current.max_body_bytes if current else 262_144
 
-    def _authorize(self, host: str, path: str, key: str) -> Authorized:
+    def _authorize(self, host: str, path: str, key: str) -> AuthorizedCall:
         """Return the queue and the team of a call; raises RefusedError."""
         current = self._follower.current
         if current is None or not self._is_current():
@@ -309,7 +311,7 @@
         team = current.team_by_key.get(key, "")
         if not team and not queue.public:
             raise refused(RefusalReason.KEY_INVALID, "unknown key")
-        return Authorized(queue, team, self._follower.revision)
+        return AuthorizedCall(queue, team, self._follower.revision)
 
 
 class ReadinessApp:
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -11,14 +11,14 @@
 import logbook
 from starlette.types import ASGIApp
 
-from ..batch.configuration_follower import OperatorFollower
-from ..batch.decision_log import DecisionLines
+from ..batch.configuration_follower import ConfigurationFollower
+from ..batch.decision_log import JobDecisionLog
 from ..batch.executor_registry import ExecutorRegistry
-from ..batch.job_service import Intake
+from ..batch.job_service import JobService
 from ..batch.metrics import BatchMetrics
-from ..batch.placing import ROLE, TIMES, PlacingRole
+from ..batch.placing import ROLE, ROLE_TIMES, PlacingRole
 from ..batch.placing_term import PlacingTerm
-from ..batch.vm_controller import VmKeeper
+from ..batch.vm_controller import VmController
 from ..clock import Clock, SystemClock
 from ..errors import SettingsError
 from ..keyvalue.store import Compare
@@ -63,7 +63,7 @@
         self._settings = settings
         self._clock = clock
         self.writer = LogWriter(clock, stream=STDOUT)
-        self._lines = DecisionLines(clock, self.writer, settings.vm)
+        self._lines = JobDecisionLog(clock, self.writer, settings.vm)
         self._caller = HttpClient()
         self._executor_caller = HttpClient(MAX_EXECUTOR_CALLS)
         self._store = PlatformStore(self._caller, settings.store_address)
@@ -79,8 +79,8 @@
             if settings.advice_address
             else None
         )
-        self._follower = OperatorFollower(clock, self._store, PlatformDocuments())
-        intake = Intake(clock, self._store, self._follower)
+        self._follower = ConfigurationFollower(clock, self._store, PlatformDocuments())
+        job_service = JobService(clock, self._store, self._follower)
         self._role = PlacingRole(self._new_term)
         self._metrics = BatchMetrics(
             self._lines, self.writer, self._store.calls, self._follower, self._role
@@ -88,14 +88,16 @@
         self._caller_app = CallerApp(
             clock,
             self._follower,
-            intake,
+            job_service,
             self._lines,
             settings.config_bound,
             settings.withdrawal_bound,
             self._metrics,
         )
         small = settings.core_speed < MIN_PLACING_SPEED
-        times = replace(TIMES, head_start=SMALL_VM_DELAY if small else timedelta(0))
+        times = replace(
+            ROLE_TIMES, head_start=SMALL_VM_DELAY if small else timedelta(0)
+        )
         self._candidate = RoleCandidate(
             self._store, clock, ROLE, settings.vm, self._role.run, times
         )
@@ -112,14 +114,14 @@
             role,
             guard,
             self._settings.job_retention + RETENTION_MARGIN,
-            self._new_vm_keeper if self._settings.vm_service_address else None,
+            self._new_vm_controller if self._settings.vm_service_address else None,
             self._advice,
-            ids_kept=self._settings.executor_ids_kept,
+            ids_reused=self._settings.executor_ids_kept,
         )
 
-    def _new_vm_keeper(self, term: PlacingTerm) -> VmKeeper:
+    def _new_vm_controller(self, term: PlacingTerm) -> VmController:
         settings = self._settings
-        return VmKeeper(
+        return VmController(
             self._clock,
             self._store,
             self._follower,
@@ -132,7 +134,7 @@
             settings.vm,
             term.role,
             term.guard,
-            upkeep_time=settings.upkeep_time,
+            maintenance_time=settings.upkeep_time,
             move_time=settings.move_time,
             takeover_pause=settings.takeover_pause,
         )
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -12,7 +12,7 @@
     EndedTask,
     Executor,
     ExecutorClient,
-    Report,
+    ExecutorReport,
     RunningTask,
     StartAnswer,
     StartOrder,
@@ -30,7 +30,7 @@
 _START_ANSWER_BY_REASON = {
     "old": StartAnswer.STALE_RUN,
     "late": StartAnswer.TOO_LATE,
-    "room": StartAnswer.NO_ROOM,
+    "room": StartAnswer.NO_CAPACITY,
     "ticket": StartAnswer.NO_TICKET,
 }
 
@@ -77,7 +77,7 @@
         if response.status == 421:
             return StartAnswer.OTHER_INCARNATION, None
         if response.status in (400, 429, 503):
-            return StartAnswer.NOT_TAKEN, None
+            return StartAnswer.NOT_ACCEPTED, None
         if response.status not in (200, 409):
             raise CallUnansweredError(f"/run-start: status {response.status}")
         decoded = _decode(response, _StartResponse)
@@ -85,7 +85,9 @@
         if response.status == 200:
             return StartAnswer.STARTED, clock
         _check_fence(executor, decoded.reason)
-        return _START_ANSWER_BY_REASON.get(decoded.reason, StartAnswer.NOT_TAKEN), clock
+        return _START_ANSWER_BY_REASON.get(
+            decoded.reason, StartAnswer.NOT_ACCEPTED
+        ), clock
 
     async def stop(
         self, executor: Executor, task: str, run: int, fence: int, timeout: timedelta
@@ -98,7 +100,7 @@
         if response.status not in (200, 409, 421):
             raise CallUnansweredError(f"/run-stop: status {response.status}")
 
-    async def look(
+    async def poll(
         self,
         executor: Executor,
         *,
@@ -107,7 +109,7 @@
         lease_until: timedelta | None,
         wait: timedelta,
         timeout: timedelta,
-    ) -> Report:
+    ) -> ExecutorReport:
         """Read both task lists, extend all leases and acknowledge ended tasks."""
         body: dict[str, object] = {"fencing_token": fence, "last_seen": acknowledged}
         if lease_until is not None:
@@ -120,7 +122,7 @@
         if response.status != 200:
             raise CallUnansweredError(f"/hold: status {response.status}")
         lists = _decode(response, _HoldResponse)
-        return Report(
+        return ExecutorReport(
             clock=to_duration(lists.clock_ms),
             incarnation=lists.born,
             running=tuple(_running_task(row) for row in lists.running),
@@ -129,7 +131,7 @@
             draining=lists.remaining_ms is not None,
         )
 
-    async def pace(
+    async def limit_cpu(
         self,
         executor: Executor,
         task: str,
--- a/src/pomeloyard/platform/vms.py
+++ b/src/pomeloyard/platform/vms.py
@@ -19,10 +19,10 @@
 _STATE_BY_NAME = {
     "up": VmState.UP,
     "moving": VmState.MOVING,
-    "upkeep": VmState.IN_UPKEEP,
+    "upkeep": VmState.IN_MAINTENANCE,
     "down": VmState.DOWN,
 }
-_ANSWER_BY_REASON = {"busy": VmAnswer.BUSY, "wave": VmAnswer.NOT_OF_WAVE}
+_ANSWER_BY_REASON = {"busy": VmAnswer.BUSY, "wave": VmAnswer.NOT_IN_WAVE}
 
 
 class _Machine(msgspec.Struct):
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -8,9 +8,9 @@
 import anyio
 import pytest
 
-from pomeloyard.batch.configuration_follower import DocumentError, OperatorFollower
-from pomeloyard.batch.decision_log import MAX_LINES_PER_SECOND, DecisionLines
-from pomeloyard.batch.job_service import Intake
+from pomeloyard.batch.configuration_follower import ConfigurationFollower, DocumentError
+from pomeloyard.batch.decision_log import MAX_LINES_PER_SECOND, JobDecisionLog
+from pomeloyard.batch.job_service import JobService
 from pomeloyard.batch.metrics import BatchMetrics
 from pomeloyard.batch.placing import PlacingRole
 from pomeloyard.errors import RefusedError, SettingsError
@@ -69,12 +69,14 @@
     def __init__(self):
         self.world = World()
         clock = self.world.clock
-        self.follower = OperatorFollower(clock, self.world.store, PlatformDocuments())
-        lines = DecisionLines(clock, LogWriter(clock), "d")
+        self.follower = ConfigurationFollower(
+            clock, self.world.store, PlatformDocuments()
+        )
+        lines = JobDecisionLog(clock, LogWriter(clock), "d")
         self.caller_app = CallerApp(
             clock,
             self.follower,
-            Intake(clock, self.world.store, self.follower),
+            JobService(clock, self.world.store, self.follower),
             lines,
             timedelta(seconds=2),
             timedelta(seconds=5),
@@ -82,8 +84,8 @@
 
     async def publish(self, config):
         await self.world.put("op/config", json.dumps(config).encode())
-        await self.follower._read_all()
-        self.follower._proved_at = self.world.clock.monotonic()
+        await self.follower._load_all()
+        self.follower._confirmed_at = self.world.clock.monotonic()
 
     async def call(
         self,
@@ -183,11 +185,11 @@
 async def test_the_log_rate_is_limited_and_suppressed_lines_are_counted():
     world = World()
     for number in range(MAX_LINES_PER_SECOND + 50):
-        world.lines.decided("call", str(number), "200")
-    assert world.lines.suppressed == 50
+        world.lines.record("call", str(number), "200")
+    assert world.lines.dropped_lines == 50
     world.clock.advance(timedelta(seconds=1))
-    world.lines.decided("call", "x", "200")
-    assert world.lines.suppressed == 50
+    world.lines.record("call", "x", "200")
+    assert world.lines.dropped_lines == 50
 
 
 async def test_a_withdrawn_key_stops_working():
@@ -222,8 +224,8 @@
     spec = decode_job(json.dumps({"task_spec": "p", "steps": [step]}).encode())
     (decoded,) = spec.steps
     assert (decoded.label, decoded.data_rack, decoded.may_be_away) == ("ssd", "r1-3", 7)
-    assert decoded.room.cpu_millis == 0
-    assert decoded.need.cpu_millis == 1
+    assert decoded.executor_usage.cpu_millis == 0
+    assert decoded.team_usage.cpu_millis == 1
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b'{"steps":[{"count":1,"cpu":"x"}]}'])
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -153,7 +153,7 @@
     for seed in SEEDS:
         random.seed(seed)
         calls = (
-            lambda content: PlatformExecutors(Caller(content)).look(
+            lambda content: PlatformExecutors(Caller(content)).poll(
                 executor,
                 fence=1,
                 acknowledged=0,
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -46,11 +46,11 @@
         (200, "", StartAnswer.STARTED),
         (409, "old", StartAnswer.STALE_RUN),
         (409, "late", StartAnswer.TOO_LATE),
-        (409, "room", StartAnswer.NO_ROOM),
+        (409, "room", StartAnswer.NO_CAPACITY),
         (409, "ticket", StartAnswer.NO_TICKET),
         (421, "", StartAnswer.OTHER_INCARNATION),
-        (429, "", StartAnswer.NOT_TAKEN),
-        (503, "", StartAnswer.NOT_TAKEN),
+        (429, "", StartAnswer.NOT_ACCEPTED),
+        (503, "", StartAnswer.NOT_ACCEPTED),
     ],
 )
 async def test_answers_to_a_start(status, reason, answer):
@@ -84,7 +84,7 @@
 
 
 async def look(client, executor):
-    return await client.look(
+    return await client.poll(
         executor,
         fence=7,
         acknowledged=3,
@@ -139,7 +139,7 @@
     [
         (200, "", VmAnswer.DONE),
         (409, "busy", VmAnswer.BUSY),
-        (409, "wave", VmAnswer.NOT_OF_WAVE),
+        (409, "wave", VmAnswer.NOT_IN_WAVE),
         (400, "", VmAnswer.INVALID),
         (429, "", VmAnswer.THROTTLED),
     ],
@@ -169,7 +169,7 @@
         vms = await PlatformVms(caller, executor.address).list()
         assert [vm.state for vm in vms] == [
             VmState.UP,
-            VmState.IN_UPKEEP,
+            VmState.IN_MAINTENANCE,
             VmState.DOWN,
         ]
         assert vms[0].executor_id == "i"
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -12,18 +12,18 @@
 
 from pomeloyard.batch import layout
 from pomeloyard.batch.advice import Advice, AdviceService
-from pomeloyard.batch.configuration_follower import DocumentError, OperatorFollower
-from pomeloyard.batch.decision_log import DecisionLines
+from pomeloyard.batch.configuration_follower import ConfigurationFollower, DocumentError
+from pomeloyard.batch.decision_log import JobDecisionLog
 from pomeloyard.batch.executor_registry import ExecutorRegistry
 from pomeloyard.batch.executors import (
     EndedTask,
     Executor,
     ExecutorClient,
-    Report,
+    ExecutorReport,
     RunningTask,
     StartAnswer,
 )
-from pomeloyard.batch.job_service import Authorized, Intake
+from pomeloyard.batch.job_service import AuthorizedCall, JobService
 from pomeloyard.batch.model import (
     Configuration,
     JobSpec,
@@ -37,7 +37,7 @@
 )
 from pomeloyard.batch.placing_term import PlacingTerm
 from pomeloyard.batch.progress import EndKind
-from pomeloyard.batch.vm_controller import VmKeeper
+from pomeloyard.batch.vm_controller import VmController
 from pomeloyard.batch.vms import PoolVm, VmAnswer, VmService, VmState
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import (
@@ -177,7 +177,7 @@
     def advance(self):
         for task, run in list(self.runs.items()):
             if self.now() >= run.lease_until:
-                self.end(task, EndKind.LAPSED)
+                self.end(task, EndKind.LEASE_EXPIRED)
             elif self.now() >= run.ends_at and not self.stalls:
                 self.end(task, EndKind.FAILED if self.fails else EndKind.DONE)
 
@@ -269,7 +269,7 @@
         if task in fake.runs and fake.runs[task].run == run:
             fake.end(task, EndKind.STOPPED)
 
-    async def look(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
+    async def poll(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
         self.polls += 1
         self.poll_waits.append(wait)
         deadline = self.clock.monotonic() + wait
@@ -305,11 +305,11 @@
             RunningTask(task, run.run, run.saved, fake.percent(task), 0)
             for task, run in fake.runs.items()
         )
-        return Report(
+        return ExecutorReport(
             fake.now(), fake.incarnation, rows, tuple(fake.ended), False, False
         )
 
-    async def pace(self, executor, task, run, percent, fence, timeout):
+    async def limit_cpu(self, executor, task, run, percent, fence, timeout):
         self._connect(executor).check_fence(fence)
 
 
@@ -348,10 +348,10 @@
         self.done = set()
         self.specs_by_job = {}
         self.client = FakeExecutors(self.clock, self)
-        self.follower = OperatorFollower(self.clock, self.store, ConfigDocuments())
-        self.intake = Intake(self.clock, self.store, self.follower)
+        self.follower = ConfigurationFollower(self.clock, self.store, ConfigDocuments())
+        self.job_service = JobService(self.clock, self.store, self.follower)
         writer = LogWriter(self.clock)
-        self.lines = DecisionLines(self.clock, writer, "daemon-1")
+        self.lines = JobDecisionLog(self.clock, writer, "daemon-1")
         self.fake_executors = [
             FakeExecutor(self.clock, f"e-{n}", cpu, rack=f"r{n % 2}")
             for n in range(executors)
@@ -359,7 +359,7 @@
         for fake in self.fake_executors:
             self.client.by_id[fake.executor.executor_id] = fake
         self.epoch = 0
-        self.new_vm_keeper = None
+        self.new_vm_controller = None
         self.advice = None
         self.pending_registrations = []
         """Registrations to write, or to delete if the content is None."""
@@ -367,7 +367,7 @@
         self.stopped_lasting_tasks = set()
         """Lasting tasks stopped by an order and not available again yet."""
         self.policy = None
-        self.ids_kept = False
+        self.ids_reused = False
         """Whether the deployment states that executors restart under the same id."""
 
     def cpu_millis_of(self, task):
@@ -443,17 +443,17 @@
             self.client.lasting.add(job)
 
         def authorize():
-            return Authorized(queue, TEAM.name, self.follower.revision)
+            return AuthorizedCall(queue, TEAM.name, self.follower.revision)
 
         deadline = self.clock.monotonic() + timedelta(seconds=3)
-        await self.intake.submit(job, spec, authorize, deadline)
+        await self.job_service.submit(job, spec, authorize, deadline)
 
     def manage_vms(self, standby=0):
         """Let the terms manage VMs, and return the fake VM service."""
         vms = FakeVms(self, standby)
 
-        def new_vm_keeper(term):
-            return VmKeeper(
+        def new_vm_controller(term):
+            return VmController(
                 self.clock,
                 self.store,
                 self.follower,
@@ -464,12 +464,12 @@
                 "daemon-1",
                 term.role,
                 term.guard,
-                upkeep_time=FakeVms.OPERATION_TIME,
+                maintenance_time=FakeVms.OPERATION_TIME,
                 move_time=FakeVms.OPERATION_TIME,
                 takeover_pause=timedelta(seconds=3),
             )
 
-        self.new_vm_keeper = new_vm_keeper
+        self.new_vm_controller = new_vm_controller
         return vms
 
     async def new_term(self):
@@ -489,9 +489,9 @@
             role,
             guard,
             timedelta(seconds=60),
-            self.new_vm_keeper,
+            self.new_vm_controller,
             self.advice,
-            ids_kept=self.ids_kept,
+            ids_reused=self.ids_reused,
             policy=self.policy,
         )
 
@@ -640,7 +640,7 @@
         if self.vms[vm].state is not VmState.UP:
             return VmAnswer.BUSY
         self.maintained.append((vm, wave))
-        self._detach_executor(vm, self.vms[vm].pool, VmState.IN_UPKEEP)
+        self._detach_executor(vm, self.vms[vm].pool, VmState.IN_MAINTENANCE)
         self.down_at_once = max(self.down_at_once, len(self.available_at_by_vm))
         away = self.world.lasting_tasks - sum(
             task.split(".")[0] in self.world.client.lasting
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -13,24 +13,24 @@
 from pomeloyard.batch.job_ranking import rank
 from pomeloyard.batch.maintenance import (
     MAX_DRAIN_TIME,
-    UpkeepCandidate,
-    UpkeepChoice,
-    choose_upkeeps,
-    wanted_at_once,
+    MaintenanceCandidate,
+    MaintenanceChoice,
+    choose_maintenance,
+    target_concurrency,
 )
 from pomeloyard.batch.model import JobRecord, JobSpec, Queue, StepSpec, Wave
 from pomeloyard.batch.pacing import CHANGE_INTERVAL, next_pace
-from pomeloyard.batch.peaks import NO_ARRIVALS, Peak, Turns
+from pomeloyard.batch.peaks import NO_ARRIVALS, Peak, PeakForecaster
 from pomeloyard.batch.pool_scaling import (
-    BusyVm,
+    DrainableVm,
+    IdleVm,
     PoolLoad,
-    SpareVm,
     choose_moves,
-    choose_to_empty,
+    choose_to_drain,
 )
 from pomeloyard.batch.progress import EndKind, JobRun, TaskState
-from pomeloyard.batch.run_estimates import QUARANTINE_TIME, Learning
-from pomeloyard.batch.stalls import slowness, still_for
+from pomeloyard.batch.run_estimates import QUARANTINE_TIME, RunEstimates
+from pomeloyard.batch.stalls import slowness, stalled_for
 from pomeloyard.clock import ManualClock
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -102,7 +102,7 @@
 
 def test_jobs_past_three_times_their_objective_run_oldest_first():
     late, later = (job_of(StepSpec(1, 1000, 100, estimate_ms=500)) for _ in range(2))
-    late.seen_at = timedelta(seconds=20)
+    late.accepted_at = timedelta(seconds=20)
     now = timedelta(seconds=40)
     keys = [rank(job, QUEUE, now, expected_ms, 1.0).key for job in (late, later)]
     assert keys[1] < keys[0]
@@ -122,68 +122,68 @@
 
 def test_calls_count_as_lost_only_if_several_executors_lose_them():
     losses = CallLosses()
-    losses.note("e-1", SECOND)
-    losses.note("e-1", 2 * SECOND)
-    assert not losses.recent(2 * SECOND)
-    losses.note("e-2", 3 * SECOND)
-    assert losses.recent(3 * SECOND)
-    assert losses.recent(5.9 * SECOND)
-    assert not losses.recent(6 * SECOND)
+    losses.record("e-1", SECOND)
+    losses.record("e-1", 2 * SECOND)
+    assert not losses.calls_are_lost(2 * SECOND)
+    losses.record("e-2", 3 * SECOND)
+    assert losses.calls_are_lost(3 * SECOND)
+    assert losses.calls_are_lost(5.9 * SECOND)
+    assert not losses.calls_are_lost(6 * SECOND)
 
 
 def test_an_executor_is_quarantined_by_failures_of_several_jobs():
-    learning = Learning()
+    estimates = RunEstimates()
     for _ in range(6):
-        assert not learning.task_failed("e-1", "bad", timedelta(0))
-    learning = Learning()
-    results = [learning.task_failed("e-2", f"j{n}", timedelta(0)) for n in range(3)]
+        assert not estimates.record_failure("e-1", "bad", timedelta(0))
+    estimates = RunEstimates()
+    results = [estimates.record_failure("e-2", f"j{n}", timedelta(0)) for n in range(3)]
     assert results == [False, False, True]
-    assert learning.is_quarantined("e-2", QUARANTINE_TIME / 2)
-    assert not learning.is_quarantined("e-2", QUARANTINE_TIME * 2)
+    assert estimates.is_quarantined("e-2", QUARANTINE_TIME / 2)
+    assert not estimates.is_quarantined("e-2", QUARANTINE_TIME * 2)
 
 
 def step_of(estimate=0, job_id="a1"):
     return job_of(StepSpec(9, 1000, 100, estimate_ms=estimate), job_id=job_id)
 
 
-def done(learning, job, run_ms, now=SECOND, partial=False, executor="e-1"):
+def done(estimates, job, run_ms, now=SECOND, partial=False, executor="e-1"):
     step = job.occurrences[0][0]
-    learning.task_done(step, executor, run_ms, now, partial=partial)
+    estimates.record_completion(step, executor, run_ms, now, partial=partial)
 
 
 def test_a_slow_executor_is_detected_and_tried_again():
-    learning = Learning()
+    estimates = RunEstimates()
     job = step_of(1000)
     for _ in range(2):
-        done(learning, job, 6000)
-    assert learning.slowness("e-1", SECOND) > 2
-    assert learning.slowness("e-1", SECOND * 20) == 1.0
-    assert learning.expected_ms(job.occurrences[0][0]) == 1000
+        done(estimates, job, 6000)
+    assert estimates.slowness("e-1", SECOND) > 2
+    assert estimates.slowness("e-1", SECOND * 20) == 1.0
+    assert estimates.expected_ms(job.occurrences[0][0]) == 1000
 
 
 def test_run_times_of_a_step_replace_its_estimate():
-    learning = Learning()
+    estimates = RunEstimates()
     job = step_of(300)
-    assert learning.expected_ms(job.occurrences[0][0]) == 300
-    done(learning, job, 550)
-    assert learning.expected_ms(job.occurrences[0][0]) == 550
+    assert estimates.expected_ms(job.occurrences[0][0]) == 300
+    done(estimates, job, 550)
+    assert estimates.expected_ms(job.occurrences[0][0]) == 550
 
 
 def test_an_estimate_is_weighted_with_the_mean_of_the_queue():
-    learning = Learning()
-    done(learning, step_of(1000), 1000)
+    estimates = RunEstimates()
+    done(estimates, step_of(1000), 1000)
     far_off = step_of(60, "a2").occurrences[0][0]
-    assert 200 < learning.expected_ms(far_off) < 300
+    assert 200 < estimates.expected_ms(far_off) < 300
     none = step_of(0, "a3").occurrences[0][0]
-    assert round(learning.expected_ms(none)) == 1000
+    assert round(estimates.expected_ms(none)) == 1000
 
 
 def test_a_resumed_task_does_not_lower_the_expected_run_time():
-    learning = Learning()
+    estimates = RunEstimates()
     job = step_of(1000)
-    done(learning, job, 1000)
-    done(learning, job, 10, partial=True)
-    assert learning.expected_ms(job.occurrences[0][0]) == 1000
+    done(estimates, job, 1000)
+    done(estimates, job, 10, partial=True)
+    assert estimates.expected_ms(job.occurrences[0][0]) == 1000
 
 
 def test_a_job_with_little_remaining_work_ranks_first():
@@ -204,7 +204,7 @@
     job.place(second, "e-2", 4, timedelta(0))
     job.end(first, 1, EndKind.DONE, "")
     loaded = job_of(StepSpec(3, 1000, 100), StepSpec(1, after=(0,)))
-    loaded.restore(job.pack(), 9)
+    loaded.restore_progress(job.encode(), 9)
     states = [task.state for task in loaded.occurrences[0][0].tasks]
     assert states == [TaskState.DONE, TaskState.PLACED, TaskState.WAITING]
     assert loaded.occurrences[0][0].tasks[1].run == 4
@@ -243,7 +243,7 @@
 
 
 def test_a_backlog_gets_as_many_vms_from_standby_as_it_needs():
-    spares = [SpareVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
+    spares = [IdleVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
     moves = choose_moves([pool("a", 72.0), pool("b", 0.0)], spares, "spare")
     assert [move.pool for move in moves] == ["a"] * 3
 
@@ -258,7 +258,7 @@
 
     def __init__(self, seed, with_rate):
         rng = random.Random(seed)
-        turns = Turns()
+        forecaster = PeakForecaster()
         vms, moving = 50, []
         waiting = []
         busy = []
@@ -269,7 +269,7 @@
                 for _ in range(sum(rng.random() < 0.3 for _ in range(10))):
                     waiting.append((now, 13))
                     self.jobs += 1
-                    turns.arrived("a", now * SECOND, 13 * 2.3 * 0.64)
+                    forecaster.record_arrival("a", now * SECOND, 13 * 2.3 * 0.64)
             vms += sum(at <= now for at in moving)
             moving = [at for at in moving if at > now]
             busy = [end for end in busy if end > now]
@@ -288,11 +288,11 @@
                 load = PoolLoad(
                     "a", backlog, 16.0, vms + len(moving), len(moving), 50, 24
                 )
-                rate = turns.rate("a", now * SECOND) if with_rate else None
+                rate = forecaster.arrival_rate("a", now * SECOND) if with_rate else None
                 rate = rate or NO_ARRIVALS
-                load = replace(load, rate=rate, short_cores=vms * 11.5)
+                load = replace(load, rate=rate, short_task_cores=vms * 11.5)
                 spares = [
-                    SpareVm(f"s{n}", "spare", True, timedelta(0))
+                    IdleVm(f"s{n}", "spare", True, timedelta(0))
                     for n in range(95 - vms - len(moving))
                 ]
                 moves = choose_moves([load], spares, "spare")
@@ -316,8 +316,8 @@
 
     def __init__(self, seed, by_rate):
         rng = random.Random(seed)
-        turns = Turns()
-        turns.arrived("a", timedelta(0), 21.0, SECOND)
+        forecaster = PeakForecaster()
+        forecaster.record_arrival("a", timedelta(0), 21.0, SECOND)
         cores, moving, waiting, busy = 3 * 64 - 30, [], [], []
         self.jobs = self.in_time = self.vm_seconds = 0
         for tick in range(200, 360):
@@ -325,7 +325,7 @@
             if tick < 300 and rng.random() < 11 * 0.05:
                 waiting.append(now)
                 self.jobs += 1
-                turns.arrived("a", now * SECOND, 21.0, SECOND)
+                forecaster.record_arrival("a", now * SECOND, 21.0, SECOND)
             cores += 64 * sum(at <= now for at in moving)
             moving = [at for at in moving if at > now]
             busy = [end for end in busy if end > now]
@@ -338,12 +338,12 @@
                 if by_rate:
                     load = replace(
                         load,
-                        rate=turns.rate("a", now * SECOND),
-                        lead=1.75 * SECOND,
-                        busy_cores=21.0 * len(busy),
-                        short_cores=float(cores),
+                        rate=forecaster.arrival_rate("a", now * SECOND),
+                        move_lead_time=1.75 * SECOND,
+                        busy_short_task_cores=21.0 * len(busy),
+                        short_task_cores=float(cores),
                     )
-                spares = [SpareVm(f"s{n}", "spare", True, SECOND) for n in range(18)]
+                spares = [IdleVm(f"s{n}", "spare", True, SECOND) for n in range(18)]
                 moves = choose_moves([load], spares[vms:], "spare")
                 moving += [now + 1.75] * len(moves)
 
@@ -360,23 +360,23 @@
 
 
 def test_an_arrival_rate_needs_several_jobs():
-    turns = Turns()
-    turns.arrived("a", SECOND, 500.0)
-    assert turns.rate("a", SECOND).cores == 0.0
+    forecaster = PeakForecaster()
+    forecaster.record_arrival("a", SECOND, 500.0)
+    assert forecaster.arrival_rate("a", SECOND).cores == 0.0
     for _ in range(3):
-        turns.arrived("a", SECOND, 500.0)
+        forecaster.record_arrival("a", SECOND, 500.0)
     # Three of four jobs within half a second.
-    assert turns.rate("a", SECOND).cores == 3000.0
-    assert turns.rate("a", 3 * SECOND).cores == 0.0
+    assert forecaster.arrival_rate("a", SECOND).cores == 3000.0
+    assert forecaster.arrival_rate("a", 3 * SECOND).cores == 0.0
 
 
 def test_vms_being_moved_to_a_pool_count_towards_its_need():
-    spares = [SpareVm("s1", "spare", True, timedelta(0))]
+    spares = [IdleVm("s1", "spare", True, timedelta(0))]
     assert choose_moves([pool("a", 72.0, 9, 3)], spares, "spare") == []
 
 
 def test_a_pool_keeps_its_own_vms_until_its_first_job():
-    idle = [SpareVm(f"v{n}", "a", False, timedelta(seconds=5)) for n in range(6)]
+    idle = [IdleVm(f"v{n}", "a", False, timedelta(seconds=5)) for n in range(6)]
     unknown = replace(pool("a", 0.0), demand_known=False)
     assert choose_moves([unknown], idle, "spare") == []
     assert len(choose_moves([replace(unknown, vms=8)], idle, "spare")) == 2
@@ -385,32 +385,32 @@
 
 def test_a_pool_gets_the_vms_that_its_long_running_tasks_need():
     # After a rack had failed, all 7 long-running tasks of a pool shared its last VM.
-    spares = [SpareVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
-    short = replace(pool("a", 0.0, vms=1), lasting_vms=4)
+    spares = [IdleVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
+    short = replace(pool("a", 0.0, vms=1), long_running_vms=4)
     assert len(choose_moves([short], spares, "spare")) == 3
 
 
 def test_idle_vms_are_released_between_peaks_down_to_the_minimum():
-    idle = [SpareVm(f"v{n}", "a", False, timedelta(seconds=5)) for n in range(6)]
+    idle = [IdleVm(f"v{n}", "a", False, timedelta(seconds=5)) for n in range(6)]
     moves = choose_moves([pool("a", 0.0, peak=peak_in(9))], idle, "spare")
     assert [move.pool for move in moves] == ["spare"] * 3
     assert choose_moves([pool("a", 0.0, 3, peak=peak_in(9))], idle, "spare") == []
 
 
 def test_vms_are_ordered_before_a_predicted_peak():
-    spares = [SpareVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
+    spares = [IdleVm(f"s{n}", "spare", True, timedelta(0)) for n in range(6)]
     moves = choose_moves([pool("a", 0.0, 3, peak=peak_in(2, 130.0))], spares, "spare")
     assert [move.pool for move in moves] == ["a"] * 6
 
 
 def test_a_pool_with_a_backlog_releases_no_vm():
-    idle = SpareVm("v1", "a", False, timedelta(seconds=5))
+    idle = IdleVm("v1", "a", False, timedelta(seconds=5))
     loads = [pool("a", 1.0, peak=peak_in(9)), pool("b", 72.0)]
     assert choose_moves(loads, [idle], "spare") == []
 
 
 def test_an_idle_vm_moves_directly_to_the_next_peak():
-    idle = SpareVm("v1", "a", False, timedelta(seconds=0.2))
+    idle = IdleVm("v1", "a", False, timedelta(seconds=0.2))
     loads = [pool("a", 0.0, peak=peak_in(9)), pool("b", 72.0)]
     moves = choose_moves(loads, [idle], "spare")
     assert [(move.vm, move.pool) for move in moves] == [("v1", "b")]
@@ -420,60 +420,60 @@
     # 13 VMs worked on a late backlog, while the next pool had only 6 VMs for 8 s.
     late = replace(pool("a", 300.0, vms=13), urgent_core_seconds=5.0)
     peak = replace(pool("b", 200.0, vms=6), urgent_core_seconds=150.0)
-    busy = [BusyVm(f"v{n}", "a", float(n % 3)) for n in range(10)]
-    moves = choose_to_empty([late, peak], busy, {}, {})
+    busy = [DrainableVm(f"v{n}", "a", float(n % 3)) for n in range(10)]
+    moves = choose_to_drain([late, peak], busy, {}, {})
     assert {move.pool for move in moves} == {"b"}
     assert [move.vm for move in moves[:4]] == ["v0", "v3", "v6", "v9"]
     assert len(moves) == 6
-    assert len(choose_to_empty([late, peak], busy, {"b": 4}, {"a": 4})) == 2
-    assert len(choose_to_empty([late, peak], busy, {"b": 2}, {"a": 6})) == 1
+    assert len(choose_to_drain([late, peak], busy, {"b": 4}, {"a": 4})) == 2
+    assert len(choose_to_drain([late, peak], busy, {"b": 2}, {"a": 6})) == 1
 
 
 def test_own_vms_and_vms_with_urgent_work_are_not_drained():
     peak = replace(pool("b", 200.0, vms=6), urgent_core_seconds=150.0)
-    busy = [BusyVm(f"v{n}", "a", 0.0) for n in range(10)]
+    busy = [DrainableVm(f"v{n}", "a", 0.0) for n in range(10)]
     own_only = replace(pool("a", 300.0, vms=6), urgent_core_seconds=0.0)
-    assert choose_to_empty([own_only, peak], busy, {}, {}) == []
+    assert choose_to_drain([own_only, peak], busy, {}, {}) == []
     also_urgent = replace(pool("a", 300.0, vms=13), urgent_core_seconds=150.0)
-    assert choose_to_empty([also_urgent, peak], busy, {}, {}) == []
+    assert choose_to_drain([also_urgent, peak], busy, {}, {}) == []
 
 
 def arrivals_until(seconds, seed=1):
     """Arrivals of two busy and two less busy pools, which peak in turn for 4 s each."""
     rng = random.Random(seed)
-    turns = Turns()
+    forecaster = PeakForecaster()
     for tick in range(round(seconds / 0.05)):
         now = tick * 0.05
         for index, rate in enumerate((3.7, 0.44, 4.6, 0.54)):
             in_turn = int(now // 4) % 4 == index
             if rng.random() < rate * (4 if in_turn else 0.05) * 0.05:
-                turns.arrived(f"p{index}", now * SECOND, 5.0)
-    return turns
+                forecaster.record_arrival(f"p{index}", now * SECOND, 5.0)
+    return forecaster
 
 
 @pytest.mark.parametrize("seed", range(6))
 def test_the_period_of_peaks_is_known_in_the_second_cycle(seed):
     assert arrivals_until(12, seed).period() is None
-    turns = arrivals_until(24, seed)
-    assert 14 * SECOND <= turns.period() <= 18 * SECOND
-    third = turns.peak("p2", 20 * SECOND)
+    forecaster = arrivals_until(24, seed)
+    assert 14 * SECOND <= forecaster.period() <= 18 * SECOND
+    third = forecaster.next_peak("p2", 20 * SECOND)
     assert 2 * SECOND <= third.starts_in <= 6.5 * SECOND
-    first = turns.peak("p0", 24 * SECOND)
+    first = forecaster.next_peak("p0", 24 * SECOND)
     assert 6 * SECOND <= first.starts_in <= 10.5 * SECOND
 
 
 WAVE = Wave(1, tuple(f"v{n}" for n in range(13)), timedelta(seconds=27), 5)
 
 
-def candidate(vm, work=0.0, may_go=True, waits=False, reserved=None):
-    return UpkeepCandidate(vm, "mill", work, may_go, waits, reserved)
+def candidate(vm, work=0.0, may_be_down=True, waits=False, reserved=None):
+    return MaintenanceCandidate(vm, "mill", work, may_be_down, waits, reserved)
 
 
 def test_a_wave_takes_as_many_vms_at_once_as_its_deadline_requires():
     upkeep = timedelta(seconds=2)
-    assert wanted_at_once(WAVE, 13, timedelta(seconds=27), upkeep) == 4
-    assert wanted_at_once(WAVE, 13, timedelta(seconds=8), upkeep) == 5
-    assert wanted_at_once(WAVE, 1, timedelta(seconds=27), upkeep) == 1
+    assert target_concurrency(WAVE, 13, timedelta(seconds=27), upkeep) == 4
+    assert target_concurrency(WAVE, 13, timedelta(seconds=8), upkeep) == 5
+    assert target_concurrency(WAVE, 1, timedelta(seconds=27), upkeep) == 1
 
 
 def test_a_wave_finishes_in_time_despite_an_interruption_of_7_s():
@@ -484,7 +484,7 @@
         if now == 9.0:
             now += 7.0
         time_left = timedelta(seconds=24 - now)
-        left -= min(left, wanted_at_once(wave, left, time_left, 2 * SECOND))
+        left -= min(left, target_concurrency(wave, left, time_left, 2 * SECOND))
         now += cycle
     assert now <= 24
 
@@ -492,42 +492,51 @@
 def test_a_vm_is_maintained_once_drained_or_after_the_drain_time():
     long = timedelta(seconds=20)
     busy = candidate("v1", work=3.0)
-    assert choose_upkeeps([busy], 1, long, SECOND) == UpkeepChoice(empty=("v1",))
+    assert choose_maintenance([busy], 1, long, SECOND) == MaintenanceChoice(
+        drain=("v1",)
+    )
     idle = candidate("v1", reserved=SECOND)
-    assert choose_upkeeps([idle], 1, long, SECOND).begin == ("v1",)
+    assert choose_maintenance([idle], 1, long, SECOND).maintain == ("v1",)
     late = candidate("v1", work=3.0, reserved=MAX_DRAIN_TIME)
-    assert choose_upkeeps([late], 1, long, SECOND).begin == ("v1",)
+    assert choose_maintenance([late], 1, long, SECOND).maintain == ("v1",)
 
 
 def test_a_vm_whose_long_running_tasks_must_stay_available_stays_up_even_when_late():
-    stuck = candidate("v1", may_go=False)
-    assert choose_upkeeps([stuck], 3, timedelta(0), SECOND) == UpkeepChoice()
+    stuck = candidate("v1", may_be_down=False)
+    assert choose_maintenance([stuck], 3, timedelta(0), SECOND) == MaintenanceChoice()
 
 
 def test_vms_with_long_running_tasks_are_maintained_first():
     plain = candidate("v1")
     lasting = replace(candidate("v2", waits=True), lasting_tasks=1)
-    assert choose_upkeeps([plain, lasting], 1, timedelta(seconds=20), SECOND).begin == (
-        "v2",
-    )
+    assert choose_maintenance(
+        [plain, lasting], 1, timedelta(seconds=20), SECOND
+    ).maintain == ("v2",)
 
 
 def test_long_running_tasks_leave_one_crowded_vm_of_a_pool_at_a_time():
     crowded = [
-        replace(candidate(vm, may_go=False), crowded=True, pool=pool)
+        replace(
+            candidate(vm, may_be_down=False), exceeds_disruption_budget=True, pool=pool
+        )
         for vm, pool in (("v1", "mill"), ("v2", "mill"), ("v3", "saw"))
     ]
-    choice = choose_upkeeps(crowded, 3, timedelta(seconds=20), SECOND)
-    assert choice == UpkeepChoice(separate=("v1", "v3"))
-    begun = [crowded[0], replace(crowded[1], separating=True)]
-    choice = choose_upkeeps(begun, 3, timedelta(seconds=20), SECOND)
-    assert choice.separate == ("v2",)
+    choice = choose_maintenance(crowded, 3, timedelta(seconds=20), SECOND)
+    assert choice == MaintenanceChoice(spread=("v1", "v3"))
+    begun = [crowded[0], replace(crowded[1], spreading_tasks=True)]
+    choice = choose_maintenance(begun, 3, timedelta(seconds=20), SECOND)
+    assert choice.spread == ("v2",)
 
 
 def test_vms_of_pools_with_a_backlog_wait_while_there_is_time():
     waits = candidate("v1", waits=True)
-    assert choose_upkeeps([waits], 1, timedelta(seconds=20), SECOND) == UpkeepChoice()
-    assert choose_upkeeps([waits], 1, timedelta(seconds=1), SECOND * 2).begin == ("v1",)
+    assert (
+        choose_maintenance([waits], 1, timedelta(seconds=20), SECOND)
+        == MaintenanceChoice()
+    )
+    assert choose_maintenance(
+        [waits], 1, timedelta(seconds=1), SECOND * 2
+    ).maintain == ("v1",)
 
 
 def pair(gauge, pace=100):
@@ -564,8 +573,8 @@
 
 def test_stalls_and_slowness_are_relative_to_the_expected_run_time():
     ago = timedelta(seconds=7)
-    assert still_for(ago, 1000, ago + 2 * SECOND) > SECOND
-    assert still_for(ago, 60_000, ago + 2 * SECOND) == timedelta(0)
-    assert still_for(None, 1000, ago) == timedelta(0)
+    assert stalled_for(ago, 1000, ago + 2 * SECOND) > SECOND
+    assert stalled_for(ago, 60_000, ago + 2 * SECOND) == timedelta(0)
+    assert stalled_for(None, 1000, ago) == timedelta(0)
     assert slowness(50, 3 * SECOND, 1000) == 6.0
     assert slowness(2, 3 * SECOND, 1000) is None
--- a/tests/test_batch_follow.py
+++ b/tests/test_batch_follow.py
@@ -25,18 +25,18 @@
 async def test_an_older_version_is_never_applied():
     world = World()
     await world.publish(configuration(7))
-    await world.follower._read_all()
+    await world.follower._load_all()
     await world.publish(configuration(5))
-    await world.follower._read_all()
+    await world.follower._load_all()
     assert world.follower.current.version == 7
 
 
 async def test_an_undecodable_configuration_keeps_the_current_one():
     world = World()
     await world.publish(configuration(7))
-    await world.follower._read_all()
+    await world.follower._load_all()
     await world.put("op/config", b"\xff\xff")
-    await world.follower._read_all()
+    await world.follower._load_all()
     assert world.follower.current.version == 7
 
 
@@ -66,8 +66,8 @@
     good = Executor("e", "e:1", "mill", "z", Resources(1), (), False, 1)
     await world.put("executors/e", good)
     await world.put("executors/bad", b"\xc1nonsense")
-    await registry._read_all()
+    await registry._load_all()
     assert list(registry.executors_by_id) == ["e"]
     await world.put("executors/e", b"\xc1")
-    await registry._read_all()
+    await registry._load_all()
     assert registry.executors_by_id == {}
--- a/tests/test_batch_guarded_records.py
+++ b/tests/test_batch_guarded_records.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from pomeloyard.batch.fenced_records import GuardedRecords
+from pomeloyard.batch.fenced_records import FencedRecords
 from pomeloyard.errors import StoreOutcomeUnknownError
 from pomeloyard.keyvalue.store import Compare
 
@@ -36,7 +36,7 @@
 async def new_records(world):
     await world.put(EPOCH_KEY, 1)
     guard = Compare(EPOCH_KEY, world.entry(EPOCH_KEY).mod_revision)
-    return GuardedRecords(world.clock, world.store, guard)
+    return FencedRecords(world.clock, world.store, guard)
 
 
 async def test_a_late_write_does_not_replace_a_newer_one():
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner
 
-from pomeloyard.batch.job_history import causes, course, parse_line
+from pomeloyard.batch.job_history import findings, parse_line, timeline
 from pomeloyard.cli.main import cli
 
 JOB = "5b3041f9338636bd"
@@ -28,7 +28,7 @@
 
 
 def causes_of(lines):
-    return causes(course(lines, JOB), JOB)
+    return findings(timeline(lines, JOB), JOB)
 
 
 def test_an_unknown_outcome_is_explained_by_a_store_outage():
@@ -106,8 +106,8 @@
     lines = parse(decision(1, "d-1", "job", "ffff", "found"))
     assert parse_line("Traceback (most recent call last):", "d-1") is None
     assert parse_line('{"at": "never"}', "d-1") is None
-    assert course(lines, JOB) == []
-    assert causes([], JOB) == ["no daemon logged anything about this job"]
+    assert timeline(lines, JOB) == []
+    assert findings([], JOB) == ["no daemon logged anything about this job"]
     assert parse_line("  3.2 d-7 " + message(1, "x"), "file").daemon == "d-7"
 
 
--- a/tests/test_batch_intake.py
+++ b/tests/test_batch_intake.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pomeloyard.batch import layout
-from pomeloyard.batch.job_service import Authorized
+from pomeloyard.batch.job_service import AuthorizedCall
 from pomeloyard.batch.model import JobSpec, JobState, StepSpec
 from pomeloyard.errors import OutcomeUnknownError, RefusedError
 from pomeloyard.outcomes import RefusalReason, Refused
@@ -36,12 +36,12 @@
         current = self.world.follower.current
         if "key-1" not in current.team_by_key:
             raise RefusedError(Refused(RefusalReason.KEY_INVALID))
-        return Authorized(QUEUE, TEAM.name, self.world.follower.revision)
+        return AuthorizedCall(QUEUE, TEAM.name, self.world.follower.revision)
 
     async def submit(self, job="a1", timeout=3.0):
         deadline = self.world.clock.monotonic() + timedelta(seconds=timeout)
         try:
-            await self.world.intake.submit(job, SPEC, self.authorize, deadline)
+            await self.world.job_service.submit(job, SPEC, self.authorize, deadline)
             self.outcome = "accepted"
         except RefusedError as error:
             self.outcome = error.refusal.reason.value
@@ -52,7 +52,7 @@
 async def configured_world():
     world = World()
     await world.publish(configuration())
-    await world.follower._read_all()
+    await world.follower._load_all()
     return world
 
 
@@ -67,8 +67,8 @@
     world = await configured_world()
     assert await submit_until_outcome(world, Caller(world)) == "accepted"
     assert world.entry(layout.JOBS + "a1") is not None
-    assert await world.intake.waiting(QUEUE.name) == 1
-    assert await world.intake.state("a1") is JobState.PENDING
+    assert await world.job_service.count_waiting(QUEUE.name) == 1
+    assert await world.job_service.state("a1") is JobState.PENDING
 
 
 async def test_a_repeated_submission_of_an_id_is_idempotent():
@@ -122,7 +122,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(caller.submit)
         await world.run_for(0.2)
-        await world.follower._read_all()
+        await world.follower._load_all()
         await world.run_for(2, lambda: caller.outcome is not None)
     assert caller.outcome == "key-invalid"
     assert world.entry(layout.JOBS + "a1") is None
@@ -133,13 +133,15 @@
     caller = Caller(world)
     bad = JobSpec("p", (StepSpec(0),))
     with pytest.raises(RefusedError) as caught:
-        await world.intake.submit("a1", bad, caller.authorize, timedelta(seconds=9))
+        await world.job_service.submit(
+            "a1", bad, caller.authorize, timedelta(seconds=9)
+        )
     assert caught.value.refusal.reason is RefusalReason.INVALID_INPUT
 
 
 async def test_cancelling_an_unknown_job_returns_false():
     world = await configured_world()
-    assert not await world.intake.cancel("a9", timedelta(seconds=3))
+    assert not await world.job_service.cancel("a9", timedelta(seconds=3))
 
 
 async def test_a_cancellation_survives_a_lost_answer():
@@ -149,7 +151,7 @@
     done = []
 
     async def cancel():
-        done.append(await world.intake.cancel("a1", timedelta(seconds=9)))
+        done.append(await world.job_service.cancel("a1", timedelta(seconds=9)))
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(cancel)
--- a/tests/test_batch_spread.py
+++ b/tests/test_batch_spread.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from pomeloyard.batch.executor_choice import FreeCapacityIndex, may_run
+from pomeloyard.batch.executor_choice import FreeCapacityIndex, can_place
 from pomeloyard.batch.executors import Executor
 from pomeloyard.batch.model import Resources, StepSpec
-from pomeloyard.batch.run_estimates import SLOW_FACTOR, Learning
+from pomeloyard.batch.run_estimates import SLOW_FACTOR, RunEstimates
 from pomeloyard.batch.usage import Usage
 
 from .test_batch_decisions import job_of
@@ -28,7 +28,7 @@
         self.executor = Executor(
             f"e{number:03}", "a:1", "mill", "z", capacity, labels, False, 1, rack
         )
-        self.due = self.separating = False
+        self.needs_maintenance = self.spreading_tasks = False
 
 
 class CountingUsage(Usage):
@@ -41,7 +41,7 @@
         return super().fits(executor, capacity, spec)
 
 
-def exhaustive_search(task, links, usage, learning, rack, allowed):
+def exhaustive_search(task, links, usage, estimates, rack, allowed):
     """Return the best executor after scoring all of them."""
     best, best_score = None, ()
     spec = task.step.spec
@@ -50,18 +50,18 @@
         name = executor.executor_id
         if allowed is not None and name not in allowed:
             continue
-        if not may_run(link, task.step, usage):
+        if not can_place(link, task.step, usage):
             continue
-        slow = learning.slowness(name, NOW) >= SLOW_FACTOR
+        slow = estimates.slowness(name, NOW) >= SLOW_FACTOR
         free = usage.free_cpu(name, executor.capacity)
         if spec.lasting:
             spread = (
-                link.due,
+                link.needs_maintenance,
                 usage.tasks_of_step(name, task.step) >= 2,
                 usage.lasting_tasks(name) == 0,
                 usage.tasks_in_rack(task.step, executor.rack),
             )
-            score = (link.separating, name in task.failed_on, slow, *spread)
+            score = (link.spreading_tasks, name in task.failed_on, slow, *spread)
             score += (-free if spec.fills else free,)
         else:
             elsewhere = bool(rack) and executor.rack != rack
@@ -74,16 +74,16 @@
 @pytest.mark.parametrize("seed", range(40))
 def test_the_choice_equals_that_of_an_exhaustive_search(seed):
     rng = random.Random(seed)
-    usage, learning = Usage(), Learning()
+    usage, estimates = Usage(), RunEstimates()
     links = [Link(n, rng.choice([4000, 8000, 16_000])) for n in range(12)]
     for link in rng.sample(links, 3):
         for _ in range(4):
-            learning.run_seen(link.executor.executor_id, 9.0, NOW)
+            estimates.record_progress(link.executor.executor_id, 9.0, NOW)
     for link in rng.sample(links, 3):
-        link.due = True
+        link.needs_maintenance = True
     for link in rng.sample(links, 2):
-        link.separating = True
-    index = FreeCapacityIndex(links, usage, learning, NOW)
+        link.spreading_tasks = True
+    index = FreeCapacityIndex(links, usage, estimates, NOW)
     placed = []
     for number in range(60):
         spec = StepSpec(
@@ -100,7 +100,7 @@
         task.failed_on = tuple(rng.sample(names, rng.choice([0, 0, 2])))
         rack = rng.choice(["", "", "r1"])
         allowed = rng.choice([None, None, set(rng.sample(names, 4))])
-        expected = exhaustive_search(task, links, usage, learning, rack, allowed)
+        expected = exhaustive_search(task, links, usage, estimates, rack, allowed)
         assert index.choose(task, rack, allowed) is expected
         if expected is not None:
             index.allocate(expected, task)
@@ -114,7 +114,7 @@
     # each VM for each task took most of the placing daemon's time on a full pool.
     usage = CountingUsage()
     links = [Link(n) for n in range(105)]
-    index = FreeCapacityIndex(links, usage, Learning(), NOW)
+    index = FreeCapacityIndex(links, usage, RunEstimates(), NOW)
     placed = 0
     for number in range(120):
         step = job_of(StepSpec(8, 2300, 1000), job_id=f"j{number}").occurrences[0][0]
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pomeloyard.batch import layout
-from pomeloyard.batch.executor_link import LOOK_WAIT, WATCHFUL_WAIT
+from pomeloyard.batch.executor_link import POLL_WAIT, SHORT_POLL_WAIT
 from pomeloyard.batch.executors import EndedTask
 from pomeloyard.batch.model import (
     JobState,
@@ -134,7 +134,7 @@
     # Soak seeds 11, 13, 27, 28, 74 and 78: the term had not seen a restart under the
     # same id before, so it did not delay the task.
     world = World()
-    world.ids_kept = True
+    world.ids_reused = True
     async with world.running():
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
         fake = await submit_with_delayed_order(world, "a1")
@@ -146,7 +146,7 @@
 async def test_starts_of_the_previous_term_delay_tasks_where_ids_are_reused():
     # A new term cannot tell whether a start whose run is not listed was answered.
     world = World()
-    world.ids_kept = True
+    world.ids_reused = True
     async with world.running() as term:
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
         fake = await submit_with_delayed_order(world, "a1")
@@ -162,7 +162,7 @@
     # before its first poll; its end was acknowledged, but the task ran again 12 s
     # later.
     world = World()
-    world.ids_kept = True
+    world.ids_reused = True
     world.client.run_time = timedelta(0)
     async with world.running():
         await world.submit("b1", StepSpec(2, 100, 100, lasting=True))
@@ -192,8 +192,8 @@
         )
         end = EndedTask(99, "a1.0.0.0", 1, EndKind.DONE, "")
         first = term.links_by_id[fake.executor.executor_id]
-        assert term.unassigned_end(first, end) == "a1"
-        assert term.unassigned_end(first, end) == ""
+        assert term.handle_unassigned_end(first, end) == "a1"
+        assert term.handle_unassigned_end(first, end) == ""
         assert await world.run_for(5, lambda: "a1.0.0.0" not in later.runs_by_name)
         assert world.state("a1") is JobState.COMPLETED
         assert ("a1.0.0.0", 2) in world.client.stopped
@@ -204,7 +204,7 @@
 async def test_a_lasting_task_restarts_on_the_executor_of_its_unanswered_start():
     # Waiting until the start is void would leave the task unavailable for 12 s.
     world = World()
-    world.ids_kept = True
+    world.ids_reused = True
     async with world.running():
         for fake in world.fake_executors:
             fake.polls_to_lose = 2
@@ -256,7 +256,7 @@
     async with world.running():
         await world.submit("a1", StepSpec(12, 1000, 100, estimate_ms=30_000))
         await world.run_for(2)
-        assert max(world.client.poll_waits) == LOOK_WAIT
+        assert max(world.client.poll_waits) == POLL_WAIT
         for fake in world.fake_executors:
             fake.polls_to_lose = 1
         await world.run_for(2.5)
@@ -264,9 +264,9 @@
         world.client.poll_waits.clear()
         await world.run_for(1.5)
         assert 6 <= len(world.client.poll_waits) <= 18
-        assert max(world.client.poll_waits) == WATCHFUL_WAIT
+        assert max(world.client.poll_waits) == SHORT_POLL_WAIT
         await world.run_for(6)
-        assert world.client.poll_waits[-1] == LOOK_WAIT
+        assert world.client.poll_waits[-1] == POLL_WAIT
 
 
 async def test_a_new_term_takes_over_running_tasks():
@@ -275,7 +275,7 @@
     async with world.running() as first:
         await world.submit("a1", StepSpec(4, 1000, 100))
         await world.run_for(1)
-        first._over.set()
+        first._ended.set()
         await world.run_for(0.5)
         async with world.term():
             assert await world.run_for(8, completed(world))
@@ -292,7 +292,7 @@
             await world.run_for(1)
             await world.submit("a2", StepSpec(2, 1000, 100))
             assert await world.run_for(8, completed(world, "a2"))
-            assert first._over.is_set()
+            assert first._ended.is_set()
 
 
 async def test_tasks_of_a_silent_executor_wait_until_its_leases_expire():
@@ -325,7 +325,7 @@
         await world.submit("a1", StepSpec(4, 1000, 100))
         await world.run_for(1)
         deadline = world.clock.monotonic() + timedelta(seconds=3)
-        assert await world.intake.cancel("a1", deadline)
+        assert await world.job_service.cancel("a1", deadline)
         await world.run_for(1)
         assert world.state("a1") is JobState.CANCELLED
         assert world.fake_executors[0].runs == {}
@@ -339,7 +339,9 @@
     async with world.running():
         await world.submit("a1")
         await world.run_for(0.5)
-        await world.intake.cancel("a1", world.clock.monotonic() + timedelta(seconds=3))
+        await world.job_service.cancel(
+            "a1", world.clock.monotonic() + timedelta(seconds=3)
+        )
         await world.run_for(1)
         assert world.state("a1") is JobState.CANCELLED
         assert world.entry(layout.waiting_prefix(QUEUE.name) + "a1") is None
@@ -482,7 +484,7 @@
 async def test_a_pool_of_avoided_executors_is_still_used():
     world = World(executors=1)
     async with world.running() as term:
-        term.learning.set_aside("e-0", timedelta(days=1))
+        term.estimates.quarantine("e-0", timedelta(days=1))
         await world.submit("a1")
         assert await world.run_for(4, completed(world))
 
@@ -538,7 +540,7 @@
     async with world.running():
         await world.submit("a1")
         deadline = world.clock.monotonic() + timedelta(seconds=3)
-        assert await world.intake.cancel("a1", deadline)
+        assert await world.job_service.cancel("a1", deadline)
         await world.run_for(4)
         assert world.client.started == []
         assert world.state("a1") is JobState.CANCELLED
@@ -579,13 +581,13 @@
     async with world.running() as first:
         await world.submit("a1", StepSpec(2, 500, 100, estimate_ms=3000))
         await world.run_for(2.9)
-        first._over.set()
+        first._ended.set()
         async with world.term() as successor:
             assert await world.run_for(2, completed(world))
             await world.submit("a2", StepSpec(1, 500, 100, estimate_ms=3000))
             await world.run_for(0.2)
             (step,) = successor.jobs_by_id["a2"].occurrences[0]
-            assert successor.learning.expected_ms(step) == 3000
+            assert successor.estimates.expected_ms(step) == 3000
 
 
 async def test_a_new_term_restores_when_the_load_peaks_began():
@@ -604,15 +606,15 @@
         async with world.term() as successor:
             await world.run_for(0.5)
             now = world.clock.monotonic()
-            assert successor.turns.period() == term.turns.period()
-            peaks = [known.turns.peak("mill", now) for known in (term, successor)]
+            assert successor.peaks.period() == term.peaks.period()
+            peaks = [known.peaks.next_peak("mill", now) for known in (term, successor)]
             assert peaks[1].starts_in == peaks[0].starts_in
             assert peaks[1].core_rate == pytest.approx(peaks[0].core_rate)
-            rates = [known.demand.rate("mill") for known in (term, successor)]
-            assert rates[1].chain == rates[0].chain
+            rates = [known.demand.arrival_rate("mill") for known in (term, successor)]
+            assert rates[1].critical_path == rates[0].critical_path
 
 
-@pytest.mark.parametrize("method", ["look", "start"])
+@pytest.mark.parametrize("method", ["poll", "start"])
 async def test_an_unexpected_error_of_one_executor_does_not_end_the_term(method):
     # An executor's clock beyond the range of timedelta ended this and each later term.
     world = World()
@@ -630,7 +632,7 @@
         await world.submit("a2", StepSpec(2, 1000, 100))
         assert await world.run_for(8, completed(world, "a2"))
         assert {executor for _, _, executor in world.client.started} == {"e-1"}
-        assert not term._over.is_set()
+        assert not term._ended.is_set()
 
 
 async def test_an_undecodable_progress_record_runs_nothing_and_ends_no_term():
@@ -672,7 +674,7 @@
     # sweep-300 (08955440): 2,998 concurrent first polls on one core all timed out.
     world = World(executors=2 * MAX_CONCURRENT_FIRST_POLLS)
     concurrent = maximum = 0
-    original = world.client.look
+    original = world.client.poll
 
     async def counted(executor, **options):
         nonlocal concurrent, maximum
@@ -684,7 +686,7 @@
         finally:
             concurrent -= 1
 
-    world.client.look = counted
+    world.client.poll = counted
     async with world.running() as term:
         assert await world.run_for(
             3, lambda: sum(link.usable for link in term.links_by_id.values()) == 200
--- a/tests/test_batch_vms.py
+++ b/tests/test_batch_vms.py
@@ -89,7 +89,7 @@
         await world.run_for(2)
         names = sorted(vms.vms)
         for name in names[:2]:
-            term.keeper._orders.begin(
+            term.vm_controller._orders.begin(
                 vms.vms[name], "move", "spare", timedelta(seconds=60)
             )
         await world.put("op/wave/1", wave_of(vms, at_once=2))
@@ -114,7 +114,7 @@
     async with world.running() as first:
         await world.put("op/wave/1", wave_of(vms, at_once=1))
         assert await world.run_for(10, lambda: len(vms.maintained) == 1)
-        first._over.set()
+        first._ended.set()
         async with world.term():
             assert await world.run_for(40, lambda: wave_status(world) == b"completed")
         assert sorted(vms.maintained) == sorted((vm, 1) for vm in vms.vms)
@@ -132,7 +132,7 @@
         await world.put("op/wave/1", wave_of(vms, at_once=2))
         assert await world.run_for(10, lambda: len(vms.maintained) == 2)
         ordered_before = {vm for vm, _ in vms.maintained}
-        first._over.set()
+        first._ended.set()
         vms.lost_answers = 0
         changed_at = world.clock.monotonic()
         async with world.term():
@@ -152,7 +152,7 @@
     async with world.running() as first:
         await world.publish(configuration(2))
         await world.run_for(1)
-        first._over.set()
+        first._ended.set()
         await world.submit("a1", StepSpec(30, 1000, 100, estimate_ms=2000))
         async with world.term():
             assert await world.run_for(1, lambda: vms.moves != [])
@@ -176,7 +176,7 @@
         await world.submit("a1", StepSpec(1, 500, 100, lasting=True))
         await world.run_for(1)
         ((_, _, executor),) = world.client.started
-        first._over.set()
+        first._ended.set()
         await world.run_for(0.5)
         vms.crash(executor)
         world.pending_registrations.append((f"executors/{executor}", None))
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -14,7 +14,7 @@
 import anyio
 import pytest
 
-from pomeloyard.batch.maintenance import UpkeepChoice
+from pomeloyard.batch.maintenance import MaintenanceChoice
 from pomeloyard.batch.model import Pool, StepSpec, Wave
 from pomeloyard.batch.policy import Policy
 from pomeloyard.batch.pool_scaling import Move
@@ -53,15 +53,15 @@
         names = self.rng.sample(sorted(self.vms.vms), 2)
         return [Move(name, self.rng.choice(pools)) for name in names]
 
-    def choose_to_empty(self, loads, busy, incoming, outgoing):
+    def choose_to_drain(self, loads, busy, incoming, outgoing):
         found = [one for one in busy if self.rng.random() < 0.05]
         pools = [load.name for load in loads]
         return [Move(one.vm, self.rng.choice(pools)) for one in found]
 
-    def choose_upkeeps(self, candidates, free_slots, time_left, needed):
+    def choose_maintenance(self, candidates, free_slots, time_left, needed):
         begin = [one.vm for one in candidates if self.rng.random() < 0.3]
         empty = [one.vm for one in candidates if self.rng.random() < 0.1]
-        return UpkeepChoice(tuple(begin), tuple(empty), tuple(empty))
+        return MaintenanceChoice(tuple(begin), tuple(empty), tuple(empty))
 
     def choose_executor(self, index, task, rack, allowed):
         if self.rng.random() < 0.05 or not index.links:
@@ -100,7 +100,7 @@
         async with AsyncExitStack() as terms:
             for step in range(STEPS):
                 if step and step % STEPS_PER_TERM == 0:
-                    term._over.set()
+                    term._ended.set()
                     await self.world.run_for(0.2)
                     term = await terms.enter_async_context(self.world.term())
                 await self._inject_fault()
@@ -170,7 +170,7 @@
     async with world.running() as term:
         await world.submit("a1", StepSpec(3, 500, 100, lasting=True, may_be_away=1))
         await world.run_for(3)
-        orders = term.keeper._orders
+        orders = term.vm_controller._orders
         vm, other = (
             next(v for v in vms.vms.values() if v.executor_id == executor)
             for _, _, executor in world.client.started[:2]
@@ -187,7 +187,7 @@
         answers = []
 
         async def order():
-            answers.append(await orders.repeat(vm, call))
+            answers.append(await orders.send_until_answered(vm, call))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(order)
