--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -12,17 +12,18 @@
 
 from pomeloyard.batch import layout
 from pomeloyard.batch.advice import Advice, AdviceService
-from pomeloyard.batch.decisions import DecisionLines
+from pomeloyard.batch.configuration_follower import ConfigurationFollower, DocumentError
+from pomeloyard.batch.decision_log import JobDecisionLog
+from pomeloyard.batch.executor_registry import ExecutorRegistry
 from pomeloyard.batch.executors import (
     EndedTask,
     Executor,
     ExecutorClient,
-    Report,
+    ExecutorReport,
     RunningTask,
     StartAnswer,
 )
-from pomeloyard.batch.follow import DocumentError, OperatorFollower
-from pomeloyard.batch.intake import Authorized, Intake
+from pomeloyard.batch.job_service import AuthorizedCall, JobService
 from pomeloyard.batch.model import (
     Configuration,
     JobSpec,
@@ -34,10 +35,9 @@
     TeamLimits,
     Wave,
 )
+from pomeloyard.batch.placing_term import PlacingTerm
 from pomeloyard.batch.progress import EndKind
-from pomeloyard.batch.registry import ExecutorRegistry
-from pomeloyard.batch.term import PlacingTerm
-from pomeloyard.batch.vm_keeper import VmKeeper
+from pomeloyard.batch.vm_controller import VmController
 from pomeloyard.batch.vms import PoolVm, VmAnswer, VmService, VmState
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import (
@@ -132,9 +132,9 @@
         self.starts_to_delay = 0
         """Number of next starts that get no answer and wait in ``delayed_orders``."""
         self.delayed_orders = []
-        self.lose_start_answers = 0
+        self.start_answers_to_lose = 0
         """Number of next starts that take effect but get no answer."""
-        self.lose_looks = 0
+        self.polls_to_lose = 0
         """Number of next polls that get no answer."""
         self.fails = False
         self.stalls = False
@@ -177,7 +177,7 @@
     def advance(self):
         for task, run in list(self.runs.items()):
             if self.now() >= run.lease_until:
-                self.end(task, EndKind.LAPSED)
+                self.end(task, EndKind.LEASE_EXPIRED)
             elif self.now() >= run.ends_at and not self.stalls:
                 self.end(task, EndKind.FAILED if self.fails else EndKind.DONE)
 
@@ -193,8 +193,8 @@
         self.lasting = set()
         self.started = []
         self.stopped = []
-        self.looks = 0
-        self.waits = []
+        self.polls = 0
+        self.poll_waits = []
         self.violations = []
 
     def _connect(self, executor):
@@ -214,8 +214,8 @@
             fake.delayed_orders.append(order)
             raise CallUnansweredError("no answer")
         answer = self.execute_order(fake, order)
-        if fake.lose_start_answers:
-            fake.lose_start_answers -= 1
+        if fake.start_answers_to_lose:
+            fake.start_answers_to_lose -= 1
             raise CallUnansweredError("the answer was lost")
         return answer, fake.now()
 
@@ -269,15 +269,15 @@
         if task in fake.runs and fake.runs[task].run == run:
             fake.end(task, EndKind.STOPPED)
 
-    async def look(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
-        self.looks += 1
-        self.waits.append(wait)
+    async def poll(self, executor, *, fence, acknowledged, lease_until, wait, timeout):
+        self.polls += 1
+        self.poll_waits.append(wait)
         deadline = self.clock.monotonic() + wait
         times_out_at = self.clock.monotonic() + timeout
         incarnation = None
         target = self.by_id.get(executor.executor_id)
-        if target is not None and target.lose_looks:
-            target.lose_looks -= 1
+        if target is not None and target.polls_to_lose:
+            target.polls_to_lose -= 1
             await self.clock.sleep(timeout)
             raise CallUnansweredError("lost")
         while True:
@@ -305,11 +305,11 @@
             RunningTask(task, run.run, run.saved, fake.percent(task), 0)
             for task, run in fake.runs.items()
         )
-        return Report(
+        return ExecutorReport(
             fake.now(), fake.incarnation, rows, tuple(fake.ended), False, False
         )
 
-    async def pace(self, executor, task, run, percent, fence, timeout):
+    async def limit_cpu(self, executor, task, run, percent, fence, timeout):
         self._connect(executor).check_fence(fence)
 
 
@@ -348,26 +348,26 @@
         self.done = set()
         self.specs_by_job = {}
         self.client = FakeExecutors(self.clock, self)
-        self.follower = OperatorFollower(self.clock, self.store, ConfigDocuments())
-        self.intake = Intake(self.clock, self.store, self.follower)
+        self.follower = ConfigurationFollower(self.clock, self.store, ConfigDocuments())
+        self.job_service = JobService(self.clock, self.store, self.follower)
         writer = LogWriter(self.clock)
-        self.lines = DecisionLines(self.clock, writer, "daemon-1")
-        self.fakes = [
+        self.lines = JobDecisionLog(self.clock, writer, "daemon-1")
+        self.fake_executors = [
             FakeExecutor(self.clock, f"e-{n}", cpu, rack=f"r{n % 2}")
             for n in range(executors)
         ]
-        for fake in self.fakes:
+        for fake in self.fake_executors:
             self.client.by_id[fake.executor.executor_id] = fake
         self.epoch = 0
-        self.new_vm_keeper = None
+        self.new_vm_controller = None
         self.advice = None
-        self.arrivals = []
+        self.pending_registrations = []
         """Registrations to write, or to delete if the content is None."""
         self.lasting_tasks = 0
         self.stopped_lasting_tasks = set()
         """Lasting tasks stopped by an order and not available again yet."""
         self.policy = None
-        self.ids_kept = False
+        self.ids_reused = False
         """Whether the deployment states that executors restart under the same id."""
 
     def cpu_millis_of(self, task):
@@ -376,7 +376,7 @@
 
     def record_stopped_tasks(self, fake, tasks):
         """Check that a lasting step has no more unavailable tasks than allowed."""
-        for other in self.fakes:
+        for other in self.fake_executors:
             at_work = {task for task in other.runs if other.percent(task) >= 100}
             self.stopped_lasting_tasks -= at_work
         final = (JobState.CANCELLED, JobState.FAILED)
@@ -443,17 +443,17 @@
             self.client.lasting.add(job)
 
         def authorize():
-            return Authorized(queue, TEAM.name, self.follower.revision)
+            return AuthorizedCall(queue, TEAM.name, self.follower.revision)
 
         deadline = self.clock.monotonic() + timedelta(seconds=3)
-        await self.intake.submit(job, spec, authorize, deadline)
+        await self.job_service.submit(job, spec, authorize, deadline)
 
-    def keep_vms(self, standby=0):
+    def manage_vms(self, standby=0):
         """Let the terms manage VMs, and return the fake VM service."""
         vms = FakeVms(self, standby)
 
-        def new_vm_keeper(term):
-            return VmKeeper(
+        def new_vm_controller(term):
+            return VmController(
                 self.clock,
                 self.store,
                 self.follower,
@@ -464,12 +464,12 @@
                 "daemon-1",
                 term.role,
                 term.guard,
-                upkeep_time=FakeVms.OPERATION_TIME,
+                maintenance_time=FakeVms.OPERATION_TIME,
                 move_time=FakeVms.OPERATION_TIME,
                 takeover_pause=timedelta(seconds=3),
             )
 
-        self.new_vm_keeper = new_vm_keeper
+        self.new_vm_controller = new_vm_controller
         return vms
 
     async def new_term(self):
@@ -489,18 +489,18 @@
             role,
             guard,
             timedelta(seconds=60),
-            self.new_vm_keeper,
+            self.new_vm_controller,
             self.advice,
-            ids_kept=self.ids_kept,
+            ids_reused=self.ids_reused,
             policy=self.policy,
         )
 
-    async def drive(self, seconds, until=None):
+    async def run_for(self, seconds, until=None):
         """Advance the clock; return True early once ``until`` returns True."""
         for _ in range(round(seconds / STEP.total_seconds())):
             await settle(40)
-            while self.arrivals:
-                key, content = self.arrivals.pop(0)
+            while self.pending_registrations:
+                key, content = self.pending_registrations.pop(0)
                 change = Delete(key) if content is None else Put(key, content)
                 await self.store.commit(Transaction((), (change,)))
             if until is not None and until():
@@ -523,7 +523,7 @@
     async def running(self):
         """Run the follower and a first term; check for violations at the end."""
         await self.publish(configuration())
-        for fake in self.fakes:
+        for fake in self.fake_executors:
             await self.put(f"executors/{fake.executor.executor_id}", fake.executor)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.run)
@@ -544,19 +544,19 @@
         self.vms = {}
         self.available_at_by_vm = {}
         self.fence = 0
-        self.swallow = 0
+        self.lost_answers = 0
         """Number of next operations that take effect but get no answer."""
-        self.hidden = set()
+        self.unlisted_vms = set()
         """VMs that are missing from the list."""
         self.maintained = []
         self.moves = []
         self.down_at_once = 0
-        self.most_away = 0
-        self.turns = []
+        self.max_unavailable = 0
+        self.conflicting_orders = []
         """Orders that two role holders sent for one VM within 3 s."""
         self.last_order_by_vm = {}
         self.ordered_at = defaultdict(list)
-        for fake in world.fakes:
+        for fake in world.fake_executors:
             vm = f"vm-{fake.executor.executor_id}"
             self.vms[vm] = PoolVm(
                 vm, fake.executor.service, VmState.UP, fake.executor.executor_id
@@ -567,7 +567,7 @@
     async def list(self):
         self._advance()
         await anyio.lowlevel.checkpoint()
-        return tuple(vm for vm in self.vms.values() if vm.name not in self.hidden)
+        return tuple(vm for vm in self.vms.values() if vm.name not in self.unlisted_vms)
 
     def crash(self, executor_id):
         """Make an executor silent and list its VM as down."""
@@ -591,11 +591,11 @@
         executor_id = f"{name}-{len(self.maintained) + len(self.moves)}"
         fake = FakeExecutor(self.world.clock, executor_id, service=vm.pool)
         self.world.client.by_id[executor_id] = fake
-        self.world.fakes.append(fake)
+        self.world.fake_executors.append(fake)
         self.vms[name] = replace(vm, state=VmState.UP, executor_id=executor_id)
         key = f"executors/{executor_id}"
         entry = msgspec.msgpack.encode(fake.executor)
-        self.world.arrivals.append((key, entry))
+        self.world.pending_registrations.append((key, entry))
 
     def _detach_executor(self, name, pool, state):
         vm = self.vms[name]
@@ -604,8 +604,10 @@
             fake.advance()
             self.world.record_stopped_tasks(fake, list(fake.runs))
             fake.runs.clear()
-            self.world.fakes.remove(fake)
-            self.world.arrivals.append((f"executors/{vm.executor_id}", None))
+            self.world.fake_executors.remove(fake)
+            self.world.pending_registrations.append(
+                (f"executors/{vm.executor_id}", None)
+            )
         self.vms[name] = PoolVm(name, pool, state, "")
         self.available_at_by_vm[name] = (
             self.world.clock.monotonic() + self.OPERATION_TIME
@@ -615,7 +617,7 @@
         now = self.world.clock.monotonic()
         before, at = self.last_order_by_vm.get(vm, (fence, now))
         if before != fence and now < at + timedelta(seconds=3):
-            self.turns.append((vm, before, fence))
+            self.conflicting_orders.append((vm, before, fence))
         self.last_order_by_vm[vm] = (fence, now)
         self.ordered_at[vm].append(now)
         if fence < self.fence:
@@ -624,8 +626,8 @@
         await anyio.lowlevel.checkpoint()
 
     async def _answer(self):
-        if self.swallow:
-            self.swallow -= 1
+        if self.lost_answers:
+            self.lost_answers -= 1
             raise CallUnansweredError("no answer")
         return VmAnswer.DONE
 
@@ -638,14 +640,14 @@
         if self.vms[vm].state is not VmState.UP:
             return VmAnswer.BUSY
         self.maintained.append((vm, wave))
-        self._detach_executor(vm, self.vms[vm].pool, VmState.IN_UPKEEP)
+        self._detach_executor(vm, self.vms[vm].pool, VmState.IN_MAINTENANCE)
         self.down_at_once = max(self.down_at_once, len(self.available_at_by_vm))
         away = self.world.lasting_tasks - sum(
             task.split(".")[0] in self.world.client.lasting
-            for fake in self.world.fakes
+            for fake in self.world.fake_executors
             for task in fake.runs
         )
-        self.most_away = max(self.most_away, away)
+        self.max_unavailable = max(self.max_unavailable, away)
         return await self._answer()
 
     async def move(self, vm, pool, holder, fence):
