--- a/src/pomeloyard/standins/__init__.py
+++ b/src/pomeloyard/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for outside systems, used by tests, the demo and --embedded."""
+"""Stand-ins for external systems, used by tests, the demonstration and --embedded."""
--- a/src/pomeloyard/standins/audit.py
+++ b/src/pomeloyard/standins/audit.py
@@ -1,4 +1,4 @@
-"""Compares what clients were told with what executors and workers recorded."""
+"""Compare the clients' outcomes with the records of executors and workers."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 def read_audits(addresses: Iterable[str]) -> list[Record]:
-    """Return the records of executors or workers."""
+    """Fetch the audit records of executors or workers."""
     return [
-        json.loads(httpcore.request("GET", f"http://{a}/standin/audit").content)
-        for a in addresses
+        json.loads(httpcore.request("GET", f"http://{address}/standin/audit").content)
+        for address in addresses
     ]
 
 
-def find_faults(
+def find_violations(
     sent: list[Sent],
     jobs: list[Sent],
     executors: list[Record],
@@ -37,15 +37,19 @@
         *duplicates(executions, tasks),
         *false_refusals(sent, executions),
         *wrong_answers(sent),
-        *lost(sent, executions),
+        *lost_requests(sent, executions),
         *over_limit(executions, tasks, limits),
         *over_slots(executors),
-        *(f"job {j.key}: {j.attempts[-1].body!r}" for j in jobs if not _sound(j)),
+        *(
+            f"job {j.key}: {j.attempts[-1].body!r}"
+            for j in jobs
+            if not _has_valid_outcomes(j)
+        ),
     ]
 
 
-def _sound(job: Sent) -> bool:
-    """Tell whether a submission was accepted or failed with a stated outcome."""
+def _has_valid_outcomes(job: Sent) -> bool:
+    """Tell whether every attempt was accepted, failed or got no response."""
     return all(a.status in (0, 202) or a.status >= 400 for a in job.attempts)
 
 
@@ -60,62 +64,64 @@
 
 
 def false_refusals(sent: list[Sent], executions: list[Record]) -> list[str]:
-    """Return requests that ran although all answers said "not run"."""
+    """Return requests that ran although every response said "not run"."""
     ran = {e["path"].rpartition("/")[2] for e in executions}
     return [
         f"{s.path} was refused as not run, and ran"
         for s in sent
-        if s.outcome() == NOT_RUN and _name(s) in ran
+        if s.outcome() == NOT_RUN and _request_name(s) in ran
     ]
 
 
-def lost(sent: list[Sent], executions: list[Record]) -> list[str]:
-    """Return requests that were answered as done and never ran."""
+def lost_requests(sent: list[Sent], executions: list[Record]) -> list[str]:
+    """Return requests that were reported as done and never ran."""
     ran = {e["path"].rpartition("/")[2] for e in executions}
     return [
         f"{s.path} was answered as done, and did not run"
         for s in sent
-        if s.outcome() == DONE and _name(s) not in ran
+        if s.outcome() == DONE and _request_name(s) not in ran
     ]
 
 
 def wrong_answers(sent: list[Sent]) -> list[str]:
-    """Return answers that are incomplete or belong to another request."""
-    faults = []
+    """Return responses that are incomplete or belong to another request."""
+    violations = []
     for s in sent:
-        expected = f"ran {s.method} /{_name(s)} ".encode() + s.body
+        expected = f"ran {s.method} /{_request_name(s)} ".encode() + s.body
         for attempt in s.attempts:
             if attempt.status == 200 and not attempt.body.endswith(expected):
-                faults.append(f"{s.path} got {attempt.body[:80]!r}")
-    return faults
+                violations.append(f"{s.path} got {attempt.body[:80]!r}")
+    return violations
 
 
 def over_limit(
     executions: list[Record], tasks: list[Record], limits: dict[str, int]
 ) -> list[str]:
-    """Return teams whose work in progress, over all VMs, exceeded their limit."""
+    """Return teams whose work in progress exceeded their limit across all VMs."""
     events_by_team: dict[str, list[tuple[float, int]]] = defaultdict(list)
-    works = [(e["team"], 1, e["started"], e["ended"]) for e in executions]
-    works += [
+    intervals = [(e["team"], 1, e["started"], e["ended"]) for e in executions]
+    intervals += [
         (t["team"], max(1, math.ceil(t["cores"])), t["started"], t["ended"])
         for t in tasks
     ]
-    for team, units, started, ended in works:
+    for team, units, started, ended in intervals:
         events_by_team[team].append((started, units))
         events_by_team[team].append((math.inf if ended is None else ended, -units))
-    faults = []
+    violations = []
     for team, events in events_by_team.items():
-        running = most = 0
-        for _, units in sorted(events):  # At a tie, ends come first.
+        running = peak = 0
+        for _, units in sorted(events):  # Ends sort before starts at the same time.
             running += units
-            most = max(most, running)
-        if most > limits[team]:
-            faults.append(f"team {team} ran {most} units, its limit is {limits[team]}")
-    return faults
+            peak = max(peak, running)
+        if peak > limits[team]:
+            violations.append(
+                f"team {team} ran {peak} units, its limit is {limits[team]}"
+            )
+    return violations
 
 
 def over_slots(executors: list[Record]) -> list[str]:
-    """Return executors that had more requests at once than slots."""
+    """Return executors that ran more requests at once than they have slots."""
     return [
         f"{e['name']} was over its slots {e['over_slots']} times ({e['most_running']})"
         for e in executors
@@ -123,5 +129,5 @@
     ]
 
 
-def _name(sent: Sent) -> str:
+def _request_name(sent: Sent) -> str:
     return sent.path.rpartition("/")[2].partition("?")[0]
--- a/src/pomeloyard/standins/clients.py
+++ b/src/pomeloyard/standins/clients.py
@@ -1,4 +1,4 @@
-"""Stand-in for client accounts: a steady load, with a record of every request."""
+"""Stand-in for client accounts that sends a steady load and records each request."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 NOT_RUN, UNKNOWN, DONE = "not-run", "unknown", "done"
 CLIENT_TIMEOUT_SECONDS = 10.0
 MAX_ATTEMPTS = 3
-SENT_TWICE = 0.1
+DUPLICATE_SHARE = 0.1
 
 
 @dataclass
 class Attempt:
-    """One sending of a request and what the client knows of it afterwards."""
+    """One attempt at a request, with its outcome as the client knows it."""
 
     daemon: str
     outcome: str
@@ -31,7 +31,7 @@
 
 @dataclass
 class Sent:
-    """One logical request; attempts repeat its method, path, body and key."""
+    """One logical request; every attempt has the same method, path, body and key."""
 
     account: str
     method: str
@@ -41,7 +41,7 @@
     attempts: list[Attempt] = field(default_factory=list)
 
     def outcome(self) -> str:
-        """Return what the client may conclude from all attempts together."""
+        """Return the outcome that follows from all attempts together."""
         outcomes = [attempt.outcome for attempt in self.attempts]
         if DONE in outcomes:
             return DONE
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True)
 class Account:
-    """A client account's key and its rate in requests per second."""
+    """A client account with its key, request rate per second and work per request."""
 
     name: str
     key: str
@@ -68,15 +68,17 @@
         self.sent: list[Sent] = []
         self.jobs: list[Sent] = []
         self.failure: BaseException | None = None
-        self._ending = threading.Event()
-        self._random = random.Random(11)
+        self._stopping = threading.Event()
+        self._rng = random.Random(11)
 
     def finish(self) -> None:
-        """Stop sending, and wait for the responses that are outstanding."""
-        self._ending.set()
+        """Stop sending and wait for outstanding responses."""
+        self._stopping.set()
         self.join(MAX_ATTEMPTS * CLIENT_TIMEOUT_SECONDS)
         if self.is_alive():
-            raise TimeoutError("requests are outstanding beyond their timeouts")
+            raise TimeoutError(
+                "requests are still outstanding after all their timeouts"
+            )
         if self.failure is not None:
             raise self.failure
 
@@ -93,23 +95,27 @@
             anyio.create_task_group() as tasks,
         ):
             for account in self.accounts:
-                tasks.start_soon(self._send_steadily, pool, account, tasks)
+                tasks.start_soon(self._send_at_rate, pool, account, tasks)
 
-    async def _send_steadily(
+    async def _send_at_rate(
         self, pool: httpcore.AsyncConnectionPool, account: Account, tasks: TaskGroup
     ) -> None:
         number = 0
         start = time.monotonic()
-        while not self._ending.is_set():
+        while not self._stopping.is_set():
             number += 1
-            tasks.start_soon(self._send, pool, account, self._request(account, number))
+            tasks.start_soon(
+                self._send, pool, account, self._new_request(account, number)
+            )
             if number % round(2 * account.rate) == 0:
-                tasks.start_soon(self._send, pool, account, self._job(account, number))
+                tasks.start_soon(
+                    self._send, pool, account, self._new_job(account, number)
+                )
             await anyio.sleep(
                 max(0.0, start + number / account.rate - time.monotonic())
             )
 
-    def _request(self, account: Account, number: int) -> Sent:
+    def _new_request(self, account: Account, number: int) -> Sent:
         name = f"{account.name}-{number}"
         service = "orders" if number % 3 else "cutting"
         path = f"/v1/services/{service}/{name}?work_ms={account.work_ms}"
@@ -120,7 +126,7 @@
         self.sent.append(sent)
         return sent
 
-    def _job(self, account: Account, number: int) -> Sent:
+    def _new_job(self, account: Account, number: int) -> Sent:
         body = json.dumps({"command": "sleep 1", "cores": 1}).encode()
         key = f"job-{account.name}-{number}"
         sent = Sent(account.name, "POST", "/v1/jobs", body, key)
@@ -130,30 +136,30 @@
     async def _send(
         self, pool: httpcore.AsyncConnectionPool, account: Account, sent: Sent
     ) -> None:
-        if sent.key and self._random.random() < SENT_TWICE:
-            await self._send_twice(pool, account, sent)
+        if sent.key and self._rng.random() < DUPLICATE_SHARE:
+            await self._send_concurrently(pool, account, sent)
             return
-        # Half of the requests are given up after a refusal, so that the audit
-        # can tell whether "not run" was true.
-        attempts = MAX_ATTEMPTS if self._random.random() < 0.5 else 1
+        # Half of the requests are not retried after a refusal, so that the audit
+        # can check whether "not run" was true.
+        attempts = MAX_ATTEMPTS if self._rng.random() < 0.5 else 1
         for _ in range(attempts):
-            address = self._random.choice(self.addresses)
+            address = self._rng.choice(self.addresses)
             attempt = await self._attempt(pool, account, sent, address)
             sent.attempts.append(attempt)
             if attempt.outcome == DONE:
                 return
             await anyio.sleep(0.2)
 
-    async def _send_twice(
+    async def _send_concurrently(
         self, pool: httpcore.AsyncConnectionPool, account: Account, sent: Sent
     ) -> None:
-        """Send one key to two daemons at once, as a hasty client does."""
+        """Send one key to two daemons at once, as a client that hedges does."""
 
         async def send(address: str) -> None:
             sent.attempts.append(await self._attempt(pool, account, sent, address))
 
         async with anyio.create_task_group() as tasks:
-            for address in self._random.sample(self.addresses, 2):
+            for address in self._rng.sample(self.addresses, 2):
                 tasks.start_soon(send, address)
 
     async def _attempt(
@@ -190,12 +196,12 @@
             pass
         else:
             status, body = response.status, response.content
-            outcome = DONE if status < 300 else _outcome_of(body)
+            outcome = DONE if status < 300 else _stated_outcome(body)
         return Attempt(address, outcome, status, body, time.monotonic())
 
 
-def _outcome_of(body: bytes) -> str:
-    """Return the outcome that a problem states; without one it is unknown."""
+def _stated_outcome(body: bytes) -> str:
+    """Return the outcome stated in a problem body, or "unknown" without one."""
     try:
         stated = json.loads(body).get("outcome")
     except (ValueError, AttributeError):
--- a/src/pomeloyard/standins/embedded.py
+++ b/src/pomeloyard/standins/embedded.py
@@ -1,4 +1,4 @@
-"""A whole small fleet in one process, for trying it out."""
+"""A small complete fleet in one process, for evaluation."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 job_limit = 16
 """
 
-EXPLANATION = """\
+USAGE = """\
 A fleet of 2 executors and 2 workers runs in this process; nothing is kept.
 
 team key      {team_key}
@@ -77,7 +77,7 @@
 
 
 async def _run_fleet(servers: AsyncExitStack, tasks: TaskGroup, clock: Clock) -> None:
-    """Start all parts, explain how to use them, and wait for a signal."""
+    """Start all components, print how to use them and wait for a signal."""
     vms = await _start_vms(servers, tasks, clock)
     store = MemoryStore(clock)
     tasks.start_soon(expire_leases, store, clock)
@@ -86,10 +86,10 @@
     with JsonLogHandler(daemon.log_writer, "WARNING"):
         await publish(store, embedded_config(), 0, by="embedded")
         await daemon.start(tasks)
-        while daemon.state.config.revision == 0 or not _has_slots(daemon):
+        while daemon.state.config.revision == 0 or not _all_partitions_held(daemon):
             await anyio.sleep(0.02)
         team_key, _ = await daemon.keys.grant("mill", None, "embedded")
-        _explain(daemon.settings, team_key, operator_key)
+        _print_usage(daemon.settings, team_key, operator_key)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 break
@@ -102,8 +102,8 @@
     anyio.run(run_embedded)
 
 
-def _has_slots(daemon: Daemon) -> bool:
-    """Tell whether the daemon holds partitions, so that requests can start."""
+def _all_partitions_held(daemon: Daemon) -> bool:
+    """Tell whether every partition has a holder, so that requests can start."""
     table = daemon.state.partitions
     return table is not None and all(p.holder for p in table.partitions)
 
@@ -157,8 +157,8 @@
     return Daemon(settings, store, directory, clock)
 
 
-def _explain(settings: DaemonSettings, team_key: str, operator_key: str) -> None:
-    text = EXPLANATION.format(
+def _print_usage(settings: DaemonSettings, team_key: str, operator_key: str) -> None:
+    text = USAGE.format(
         team_key=team_key,
         operator_key=operator_key,
         caller=settings.caller_address,
--- a/src/pomeloyard/standins/endpoint.py
+++ b/src/pomeloyard/standins/endpoint.py
@@ -24,9 +24,9 @@
 
 @dataclass
 class Execution:
-    """One request that the executor ran, as its own record for audits.
+    """One request that the executor ran, as recorded for audits.
 
-    Times are of the monotonic clock that all processes of a machine share.
+    Times are of the monotonic clock, which all processes of a machine share.
     """
 
     request_id: str
@@ -39,7 +39,7 @@
 
 
 class Truncation(Enum):
-    """How a response body is cut in half."""
+    """How a response body is truncated to half its length."""
 
     NONE = ""
     LENGTH = "length"
@@ -47,7 +47,7 @@
 
 
 class Echo(Enum):
-    """How a response states the id of its request."""
+    """How a response echoes its request ID."""
 
     RIGHT = "right"
     WRONG = "wrong"
@@ -59,8 +59,8 @@
     """How requests are handled; each field is also a query parameter.
 
     ``work_ms`` is how long a request runs, ``status`` and ``size`` are those of
-    the response (0: an echo of the request). ``silent`` runs the request and
-    never responds.
+    the response (size 0: a line that names the request, and its body). With
+    ``silent``, the request runs and no response is sent.
     """
 
     work_ms: float = 0.0
@@ -85,7 +85,7 @@
 
 
 class TruncatedResponse(Response):
-    """Response that ends in the middle of its body."""
+    """Response whose connection ends in the middle of the body."""
 
     def __init__(self, content: bytes, kind: Truncation, **options: Any) -> None:
         super().__init__(content, **options)
@@ -93,7 +93,7 @@
             del self.headers["content-length"]
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Send half of the body and end the connection."""
+        """Send half of the body and abort the connection."""
         start = {"status": self.status_code, "headers": self.raw_headers}
         await send({"type": "http.response.start", **start})
         half = bytes(self.body)[: len(self.body) // 2]
@@ -104,8 +104,8 @@
 def endpoint_app(state: EndpointState) -> Starlette:
     """Return the ASGI application of an executor.
 
-    ``POST /standin/behaviour`` replaces the Behaviour of requests without
-    query parameters of their own.
+    ``POST /standin/behaviour`` replaces the default Behaviour, which applies to
+    requests without behaviour query parameters.
     """
 
     async def run(request: Request) -> Response:
@@ -132,7 +132,7 @@
             execution.ended = time.monotonic()
         return _response(state, behaviour, execution, body)
 
-    async def behave(request: Request) -> Response:
+    async def set_behaviour(request: Request) -> Response:
         body = msgspec.json.decode(await request.body())
         state.behaviour = msgspec.convert(body, Behaviour)
         return JSONResponse({})
@@ -151,7 +151,7 @@
     return Starlette(
         routes=[
             Route("/standin/audit", audit),
-            Route("/standin/behaviour", behave, methods=["POST"]),
+            Route("/standin/behaviour", set_behaviour, methods=["POST"]),
             Route("/healthz", lambda request: Response("ok")),
             Route("/{path:path}", run, methods=ALL_METHODS),
         ]
@@ -159,7 +159,7 @@
 
 
 def _behaviour_of(request: Request, default: Behaviour) -> Behaviour:
-    """Return the behaviour with the request's query parameters applied."""
+    """Return the default behaviour overridden by the request's query parameters."""
     names = {field.name for field in fields(Behaviour)}
     given = {k: v for k, v in request.query_params.items() if k in names}
     if not given:
@@ -177,8 +177,8 @@
         content = line.encode() + body
     headers = {"X-Executor": state.name}
     if behaviour.echo is not Echo.NONE:
-        right = behaviour.echo is Echo.RIGHT
-        headers["X-Request-Id"] = execution.request_id if right else "another"
+        matches = behaviour.echo is Echo.RIGHT
+        headers["X-Request-Id"] = execution.request_id if matches else "another"
     if behaviour.truncate is not Truncation.NONE:
         return TruncatedResponse(
             content,
--- a/src/pomeloyard/standins/fault_proxy.py
+++ b/src/pomeloyard/standins/fault_proxy.py
@@ -34,14 +34,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Faults:
-    """Faults of a link; they apply to open and to new connections.
+    """Faults of a link; they apply to open and new connections.
 
     ``refuse`` stops listening, so that new connections are refused. ``hang``
-    swallows all bytes of connections opened from now on. ``delay_seconds``
-    holds each chunk back in both directions. ``drop_answers`` ends that many
-    connections instead of passing on their next answer, after the request was
-    forwarded. ``truncate_after`` ends a connection after that many bytes of
-    answers. ``duplicate_chunks`` sends that many answer chunks twice.
+    discards all bytes of connections opened from now on. ``delay_seconds``
+    delays each chunk in both directions. ``drop_answers`` closes that many
+    connections instead of forwarding their next response, after the request was
+    forwarded. ``truncate_after`` closes a connection after that many bytes of
+    responses. ``duplicate_chunks`` sends that many response chunks twice.
     """
 
     refuse: bool = False
@@ -53,12 +53,12 @@
 
 
 @dataclass(eq=False)
-class _Link:
+class _Connection:
     """One forwarded connection."""
 
     scope: anyio.CancelScope
     silent: bool = False
-    answer_bytes: int = 0
+    response_bytes: int = 0
 
 
 class FaultProxy:
@@ -68,9 +68,9 @@
         self.target = target
         self.faults = Faults()
         self.accepted = 0
-        self._links: set[_Link] = set()
-        # The bound socket that never listens keeps the port reserved while
-        # connections are refused.
+        self._connections: set[_Connection] = set()
+        # A bound socket that never listens reserves the port while connections
+        # are refused.
         self._reservation = socket.socket()
         self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._reservation.bind(("127.0.0.1", 0))
@@ -85,7 +85,7 @@
         await tasks.start(self._listen)
 
     async def close(self) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening and abort all connections."""
         await self._stop_listening()
         self.cut()
         self._reservation.close()
@@ -99,14 +99,14 @@
             await self._tasks.start(self._listen)
 
     def cut(self) -> None:
-        """End all open connections without a graceful close."""
-        for link in list(self._links):
-            link.scope.cancel()
+        """Abort all open connections."""
+        for connection in list(self._connections):
+            connection.scope.cancel()
 
     def silence(self) -> None:
-        """Swallow all further bytes of the open connections, without closing them."""
-        for link in self._links:
-            link.silent = True
+        """Discard all further bytes of the open connections, without closing them."""
+        for connection in self._connections:
+            connection.silent = True
 
     async def _stop_listening(self) -> None:
         if self._listening is not None:
@@ -126,68 +126,74 @@
             self._closed = anyio.Event()
             async with listener:
                 task_status.started()
-                await listener.serve(self._forward, self._tasks)
+                await listener.serve(self._forward_connection, self._tasks)
         self._closed.set()
 
-    async def _forward(self, client: SocketStream) -> None:
+    async def _forward_connection(self, client: SocketStream) -> None:
         self.accepted += 1
         with anyio.CancelScope() as scope:
-            link = _Link(scope, silent=self.faults.hang)
-            self._links.add(link)
+            connection = _Connection(scope, silent=self.faults.hang)
+            self._connections.add(connection)
             try:
                 with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
                     host, port = self.target.rsplit(":", 1)
                     server = await anyio.connect_tcp(host, int(port))
                 try:
-                    await self._exchange(link, client, server)
+                    await self._forward_both_ways(connection, client, server)
                 finally:
                     await anyio.aclose_forcefully(server)
             except _STREAM_ERRORS:
                 pass
             finally:
-                self._links.discard(link)
+                self._connections.discard(connection)
                 await anyio.aclose_forcefully(client)
 
-    async def _exchange(
-        self, link: _Link, client: SocketStream, server: SocketStream
+    async def _forward_both_ways(
+        self, connection: _Connection, client: SocketStream, server: SocketStream
     ) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._pump, link, client, server, False)
-            tasks.start_soon(self._pump, link, server, client, True)
-
-    async def _pump(
-        self, link: _Link, source: SocketStream, sink: SocketStream, answers: bool
+            tasks.start_soon(self._forward_stream, connection, client, server, False)
+            tasks.start_soon(self._forward_stream, connection, server, client, True)
+
+    async def _forward_stream(
+        self,
+        connection: _Connection,
+        source: SocketStream,
+        sink: SocketStream,
+        is_response: bool,
     ) -> None:
         with contextlib.suppress(*_STREAM_ERRORS):
             while True:
                 chunk = await source.receive(CHUNK_BYTES)
                 if self.faults.delay_seconds:
                     await anyio.sleep(self.faults.delay_seconds)
-                if link.silent:
+                if connection.silent:
                     continue
-                if answers:
-                    await self._send_answer(link, sink, chunk)
+                if is_response:
+                    await self._send_response(connection, sink, chunk)
                 else:
                     await sink.send(chunk)
-        if link.silent:
-            await anyio.sleep_forever()  # The end of one side is swallowed as well.
+        if connection.silent:
+            await anyio.sleep_forever()  # The end of the stream is discarded too.
         with contextlib.suppress(*_STREAM_ERRORS):
             await sink.send_eof()
 
-    async def _send_answer(self, link: _Link, sink: SocketStream, chunk: bytes) -> None:
+    async def _send_response(
+        self, connection: _Connection, sink: SocketStream, chunk: bytes
+    ) -> None:
         faults = self.faults
         if faults.drop_answers:
             self.faults = replace(faults, drop_answers=faults.drop_answers - 1)
-            link.scope.cancel()
+            connection.scope.cancel()
             return
         if faults.truncate_after is not None:
-            room = max(0, faults.truncate_after - link.answer_bytes)
-            if len(chunk) > room:
-                await sink.send(chunk[:room])
+            remaining = max(0, faults.truncate_after - connection.response_bytes)
+            if len(chunk) > remaining:
+                await sink.send(chunk[:remaining])
                 await sink.send_eof()
-                link.scope.cancel()
+                connection.scope.cancel()
                 return
-        link.answer_bytes += len(chunk)
+        connection.response_bytes += len(chunk)
         await sink.send(chunk)
         if faults.duplicate_chunks:
             self.faults = replace(faults, duplicate_chunks=faults.duplicate_chunks - 1)
--- a/src/pomeloyard/standins/launcher.py
+++ b/src/pomeloyard/standins/launcher.py
@@ -1,4 +1,4 @@
-"""Start and stop a small fleet as real processes on loopback."""
+"""Start and stop a small fleet as child processes on loopback."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 FIRST_PORT = 10_000
 PORT_COUNT = 22_000
 PORTS_PER_PROCESS = 101
-"""Distance of the first ports of two processes that start one after the other."""
+"""Offset between the first ports of processes with consecutive process IDs."""
 START_SECONDS = 30.0
 STOP_SECONDS = 15.0
 ADDRESS_KINDS = ("caller", "operator", "peer", "metrics")
@@ -44,9 +44,9 @@
 def free_port() -> int:
     """Return a port of the loopback interface that nothing listens on.
 
-    The ports are below the range from which the system takes the ports of
-    outgoing connections, and each is given out once: a port is free until its
-    user listens, so that the same one could be found again.
+    The ports are below the ephemeral range, which the system uses for outgoing
+    connections. Each port is returned once: it stays free until its user
+    listens, so a second probe could find the same one.
     """
     while True:
         port = FIRST_PORT + next(_port_numbers) % PORT_COUNT
@@ -65,13 +65,13 @@
     started = time.monotonic()
     while not condition():
         if time.monotonic() - started > seconds:
-            raise LaunchError(f"not reached within {seconds} s: {what}")
+            raise LaunchError(f"timed out after {seconds} s waiting for: {what}")
         time.sleep(0.02)
     return time.monotonic() - started
 
 
-def answers(url: str) -> bool:
-    """Tell whether a URL answers with status 200."""
+def responds_ok(url: str) -> bool:
+    """Tell whether a URL responds with status 200."""
     try:
         return httpcore.request("GET", url).status == 200
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
@@ -98,7 +98,7 @@
     def add_vm(
         self, name: str, role: VmRole, pool: str, region: str, zone: str
     ) -> None:
-        """Add a VM; it is started by ``start_vms``."""
+        """Add a VM, which ``start_vms`` starts."""
         address = f"127.0.0.1:{free_port()}"
         cores = 16 if role is VmRole.WORKER else 0
         memory = 32 * 1024**3 if role is VmRole.WORKER else 0
@@ -117,7 +117,7 @@
         self._vms.append(vm)
 
     def start_platform(self) -> None:
-        """Start the stand-in of the platform with the VMs added so far."""
+        """Start the platform stand-in with the VMs added so far."""
         port = free_port()
         file = self._directory / "vms.json"
         file.write_bytes(msgspec.json.encode(self._vms))
@@ -125,18 +125,18 @@
         module = "pomeloyard.standins.platform"
         self.start("platform", module, "--port", str(port), "--vms", str(file))
         url = f"{self.platform_url}/v1/vms"
-        wait_until(lambda: answers(url), "platform answers")
+        wait_until(lambda: responds_ok(url), "platform answers")
 
     def start_slow_store(self, delay_ms: int) -> str:
-        """Start a proxy that delays what passes, and return its store URL."""
+        """Start a proxy that delays the store's traffic and return its store URL."""
         port = free_port()
         self.start("proxy", "pomeloyard.standins.fault_proxy", "--port", str(port))
         control = f"http://127.0.0.1:{port}"
-        wait_until(partial(answers, f"{control}/healthz"), "proxy answers")
+        wait_until(partial(responds_ok, f"{control}/healthz"), "proxy answers")
         target = self.platform_url.removeprefix("http://")
-        link = _control("PUT", f"{control}/links/store", {"target": target})
+        link = _call_proxy_control("PUT", f"{control}/links/store", {"target": target})
         faults = {"delay_seconds": delay_ms / 1000}
-        _control("POST", f"{control}/links/store/faults", faults)
+        _call_proxy_control("POST", f"{control}/links/store/faults", faults)
         self.slow_store_url = f"http://{link['address']}"
         return self.slow_store_url
 
@@ -148,7 +148,7 @@
             self.start(vm.name, module, "--port", port, "--name", vm.name)
         for vm in self._vms:
             url = f"http://{vm.address}/healthz"
-            wait_until(partial(answers, url), f"{vm.name} answers")
+            wait_until(partial(responds_ok, url), f"{vm.name} answers")
 
     def start_daemon(self, name: str, zone: str, store_url: str = "") -> None:
         """Start a daemon with a settings file of its own."""
@@ -171,10 +171,10 @@
         self.start(name, "pomeloyard.daemon", "--settings", str(file))
 
     def wait_for_daemons(self, path: str) -> None:
-        """Wait until all daemons answer ``path`` ("healthz" or "readyz")."""
+        """Wait until all daemons return 200 for ``path`` ("healthz" or "readyz")."""
         for name in self.daemons:
             url = f"http://{self.address(name, 'metrics')}/{path}"
-            wait_until(partial(answers, url), f"{path} of {name}")
+            wait_until(partial(responds_ok, url), f"{path} of {name}")
 
     def address(self, daemon: str, kind: str) -> str:
         """Return an address of a daemon; ``kind`` is one of ADDRESS_KINDS."""
@@ -185,11 +185,11 @@
         return [self.address(name, kind) for name in self.daemons]
 
     def pid(self, name: str) -> int:
-        """Return the process id of a part."""
+        """Return the process ID of a component."""
         return self._processes_by_name[name].pid
 
     def log_text(self, name: str) -> str:
-        """Return what a process has printed."""
+        """Return the output of a process so far."""
         return (self._directory / f"{name}.log").read_text(errors="replace")
 
     def start(self, name: str, module: str, *arguments: str) -> None:
@@ -204,7 +204,7 @@
             )
 
     def kill(self, name: str) -> None:
-        """End a process without warning, as a fault does."""
+        """Kill a process, as a crash does."""
         self._processes_by_name[name].kill()
         self._processes_by_name[name].wait()
 
@@ -213,10 +213,10 @@
         processes = {name: self._processes_by_name[name] for name in self.daemons}
         for process in processes.values():
             process.terminate()
-        return {name: _wait(process) for name, process in processes.items()}
+        return {name: _wait_for_exit(process) for name, process in processes.items()}
 
     def close(self) -> None:
-        """End all processes that still run."""
+        """Kill all processes that still run."""
         for process in self._processes_by_name.values():
             if process.poll() is None:
                 process.kill()
@@ -224,14 +224,14 @@
             process.wait()
 
 
-def _control(method: str, url: str, body: object) -> dict[str, object]:
+def _call_proxy_control(method: str, url: str, body: object) -> dict[str, object]:
     response = httpcore.request(method, url, content=msgspec.json.encode(body))
     if response.status != 200:
         raise LaunchError(f"{url}: status {response.status}")
     return dict(msgspec.json.decode(response.content))
 
 
-def _wait(process: subprocess.Popen[bytes]) -> int:
+def _wait_for_exit(process: subprocess.Popen[bytes]) -> int:
     try:
         return process.wait(STOP_SECONDS)
     except subprocess.TimeoutExpired:
--- a/src/pomeloyard/standins/platform.py
+++ b/src/pomeloyard/standins/platform.py
@@ -52,13 +52,13 @@
 
 
 def platform_app(state: PlatformState) -> Starlette:
-    """Return the ASGI application of the platform's interfaces."""
+    """Return the ASGI application of the store and the VM directory."""
 
     async def call(request: Request) -> Response:
         body = await request.json()
         try:
-            answer = await _CALLS[request.url.path](state.store, body)
-            return JSONResponse(_without_defaults(answer))
+            result = await _HANDLERS_BY_PATH[request.url.path](state.store, body)
+            return JSONResponse(_without_defaults(result))
         except LeaseLostError as error:
             return JSONResponse({"code": 5, "message": str(error)}, 404)
         except (StoreError, KeyError, ValueError) as error:
@@ -95,15 +95,15 @@
         state.directory.put(vm)
         return JSONResponse({})
 
-    async def behave(request: Request) -> Response:
+    async def set_behaviour(request: Request) -> Response:
         body = msgspec.json.decode(await request.body())
         state.directory.behaviour = msgspec.convert(body, DirectoryBehaviour)
         return JSONResponse({})
 
-    routes = [Route(path, call, methods=["POST"]) for path in _CALLS]
+    routes = [Route(path, call, methods=["POST"]) for path in _HANDLERS_BY_PATH]
     routes += [
         Route("/v3/watch", watch, methods=["POST"]),
-        Route("/standin/behaviour", behave, methods=["POST"]),
+        Route("/standin/behaviour", set_behaviour, methods=["POST"]),
         Route("/v1/vms", list_vms),
         Route("/v1/vms/{name}", put_vm, methods=["PUT"]),
         Route("/v1/vms/{name}/operations", operate, methods=["POST"]),
@@ -163,7 +163,7 @@
     return {"header": _header(store)}
 
 
-_CALLS = {
+_HANDLERS_BY_PATH = {
     "/v3/kv/range": _range,
     "/v3/kv/txn": _txn,
     "/v3/lease/grant": _grant,
@@ -195,7 +195,7 @@
 async def _with_progress(
     store: MemoryStore, batches: AsyncIterator[WatchBatch]
 ) -> AsyncIterator[bytes]:
-    """Yield batches as lines, and an empty line of progress when idle."""
+    """Yield each batch as a line, and a progress notification while idle."""
     while True:
         with anyio.move_on_after(WATCH_PROGRESS_INTERVAL.total_seconds()) as scope:
             try:
@@ -276,7 +276,7 @@
 
 
 async def expire_leases(store: MemoryStore, clock: Clock) -> None:
-    """End expired leases regularly, so that watchers see it without a call."""
+    """Expire leases periodically, so that watchers see it without a store call."""
     while True:
         await clock.sleep(timedelta(seconds=0.5))
         store.expire()
--- a/src/pomeloyard/standins/vm_directory.py
+++ b/src/pomeloyard/standins/vm_directory.py
@@ -24,7 +24,7 @@
 
     REFUSED = "refused"
     STUCK = "stuck"
-    """Accepted, but the VM does not come back."""
+    """Accepted, but the operation never finishes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +37,7 @@
 
 
 class MemoryVmDirectory(VmDirectory):
-    """VM list held in memory; operations take effect at once or after a delay.
+    """VM list held in memory; operations take effect immediately or after a delay.
 
     While a reboot or replacement lasts, the VM is listed as leaving or gone.
     """
@@ -47,17 +47,17 @@
         self._vms_by_name = {vm.name: vm for vm in vms or []}
         self._version = 1
         self._history: deque[tuple[timedelta, VmList]] = deque()
-        self._done_operations: set[str] = set()
+        self._applied_operation_ids: set[str] = set()
         self._pending: list[tuple[timedelta, Vm]] = []
         self.behaviour = DirectoryBehaviour()
         self.on_operation: Callable[[str, VmOperation], None] | None = None
-        self._note()
+        self._record_version()
 
     async def list_vms(self) -> VmList:
         """Return the list as it was ``list_lag`` ago."""
         self._finish_pending()
-        until = self._clock.monotonic() - _seconds(self.behaviour.list_lag)
-        while len(self._history) > 1 and self._history[1][0] <= until:
+        cutoff = self._clock.monotonic() - _seconds(self.behaviour.list_lag)
+        while len(self._history) > 1 and self._history[1][0] <= cutoff:
             self._history.popleft()
         return self._history[0][1]
 
@@ -66,12 +66,12 @@
     ) -> None:
         """Apply an operation once for each ``operation_id``."""
         self._finish_pending()
-        if operation_id in self._done_operations:
+        if operation_id in self._applied_operation_ids:
             return
         fault = self.behaviour.faults.get(name)
         if name not in self._vms_by_name or fault is OperationFault.REFUSED:
             raise StoreRequestError(f"{operation.value} of {name} is refused")
-        self._done_operations.add(operation_id)
+        self._applied_operation_ids.add(operation_id)
         self._start(self._vms_by_name[name], operation, operation_id, pool, fault)
         if self.on_operation is not None:
             self.on_operation(name, operation)
@@ -80,13 +80,13 @@
         """Add or change a VM."""
         self._vms_by_name[vm.name] = vm
         self._version += 1
-        self._note()
+        self._record_version()
 
     def remove(self, name: str) -> None:
-        """Drop a VM from the list for good."""
+        """Remove a VM from the list permanently."""
         del self._vms_by_name[name]
         self._version += 1
-        self._note()
+        self._record_version()
 
     def _start(
         self,
@@ -114,7 +114,7 @@
             self._pending.remove((due, vm))
             self.put(vm)
 
-    def _note(self) -> None:
+    def _record_version(self) -> None:
         listing = VmList(dict(self._vms_by_name), self._version)
         self._history.append((self._clock.monotonic(), listing))
 
--- a/src/pomeloyard/standins/worker.py
+++ b/src/pomeloyard/standins/worker.py
@@ -29,8 +29,8 @@
 class WorkerBehaviour:
     """Faults of a worker.
 
-    ``report_lag`` is the age of reports in seconds. The factors are real usage
-    divided by the declared size, unless a command states its own usage.
+    ``report_lag`` is the age of reports in seconds. The factors are the ratio of
+    actual usage to the declared size, unless a command states its own usage.
     """
 
     fail_all: bool = False
@@ -67,7 +67,7 @@
 
 @dataclass
 class WorkerState:
-    """Tasks of one worker; ended tasks are kept until acknowledged."""
+    """Tasks of one worker; ended tasks are retained until acknowledged."""
 
     clock: Clock
     name: str = "worker"
@@ -79,26 +79,26 @@
     snapshots: deque[tuple[timedelta, list[TaskReport]]] = field(default_factory=deque)
     ticked_at: timedelta | None = None
 
-    def begin(self, order: TaskStart) -> None:
-        """Run a task, from its checkpoint if it has one."""
+    def start_task(self, start_request: TaskStart) -> None:
+        """Start a task, from its checkpoint if it has one."""
         now = self.clock.monotonic()
         record: dict[str, object] = {
-            "task": order.task_id,
-            "job": order.job_id,
-            "team": order.team,
-            "cores": order.cores,
-            "fence": order.fence,
+            "task": start_request.task_id,
+            "job": start_request.job_id,
+            "team": start_request.team,
+            "cores": start_request.cores,
+            "fence": start_request.fence,
             "started": time.monotonic(),
             "ended": None,
             "state": TaskState.RUNNING.value,
         }
         self.history.append(record)
-        self.tasks_by_id[order.task_id] = Task(
-            start=order,
+        self.tasks_by_id[start_request.task_id] = Task(
+            start=start_request,
             started=now,
-            lease_until=now + timedelta(seconds=order.lease_seconds),
-            command=parse_command(order.command),
-            progress_seconds=_progress_of(order.checkpoint),
+            lease_until=now + timedelta(seconds=start_request.lease_seconds),
+            command=parse_command(start_request.command),
+            progress_seconds=_saved_seconds(start_request.checkpoint),
             record=record,
         )
 
@@ -129,7 +129,7 @@
             task.checkpoint = f"{task.start.task_id}@{task.progress_seconds:.3f}"
 
     def report(self, task: Task) -> TaskReport:
-        """Return the present state and usage of a task."""
+        """Return the current state and usage of a task."""
         until = task.ended or self.clock.monotonic()
         command, behaviour = task.command, self.behaviour
         cores = task.start.cores * behaviour.cores_factor
@@ -146,13 +146,13 @@
         )
 
     def reports(self) -> list[TaskReport]:
-        """Return what the worker reports, which is ``report_lag`` old."""
+        """Return the worker's reports as of ``report_lag`` ago."""
         self.tick()
         return self.snapshots[0][1]
 
     def _snapshot(self, now: timedelta) -> None:
-        present = [self.report(task) for task in self.tasks_by_id.values()]
-        self.snapshots.append((now, present))
+        reports = [self.report(task) for task in self.tasks_by_id.values()]
+        self.snapshots.append((now, reports))
         until = now - timedelta(seconds=self.behaviour.report_lag)
         while len(self.snapshots) > 1 and self.snapshots[1][0] <= until:
             self.snapshots.popleft()
@@ -161,27 +161,27 @@
 def worker_app(state: WorkerState) -> Starlette:
     """Return the ASGI application of a worker."""
 
-    def fenced(fence: int) -> bool:
+    def accepts_fence(fence: int) -> bool:
         if fence < state.highest_fence:
             return False
         state.highest_fence = fence
         return True
 
-    def stale() -> Response:
+    def stale_fence_response() -> Response:
         return JSONResponse({"highest_fence": state.highest_fence}, 409)
 
     async def start(request: Request) -> Response:
-        order = msgspec.json.decode(await request.body(), type=TaskStart)
-        if not fenced(order.fence):
-            return stale()
-        if order.task_id not in state.tasks_by_id:
-            state.begin(order)
+        start_request = msgspec.json.decode(await request.body(), type=TaskStart)
+        if not accepts_fence(start_request.fence):
+            return stale_fence_response()
+        if start_request.task_id not in state.tasks_by_id:
+            state.start_task(start_request)
         return JSONResponse({})
 
     async def renew(request: Request) -> Response:
         body = await request.json()
-        if not fenced(body["fence"]):
-            return stale()
+        if not accepts_fence(body["fence"]):
+            return stale_fence_response()
         state.tick()
         until = state.clock.monotonic() + timedelta(seconds=body["lease_seconds"])
         for task_id in body["task_ids"]:
@@ -194,8 +194,8 @@
 
     async def acknowledge(request: Request) -> Response:
         body = await request.json()
-        if not fenced(body["fence"]):
-            return stale()
+        if not accepts_fence(body["fence"]):
+            return stale_fence_response()
         for task_id in body["task_ids"]:
             task = state.tasks_by_id.get(task_id)
             if task is not None and task.state is not TaskState.RUNNING:
@@ -204,19 +204,19 @@
 
     async def signal(request: Request) -> Response:
         body = await request.json()
-        if not fenced(body["fence"]):
-            return stale()
+        if not accepts_fence(body["fence"]):
+            return stale_fence_response()
         task = state.tasks_by_id.get(request.path_params["task_id"])
         if task is not None and task.state is TaskState.RUNNING:
             state.tick()
             action = request.path_params["action"]
             if action == "throttle":
                 task.speed = THROTTLED_SPEED
-            elif task.state is TaskState.RUNNING and action in _ENDS:
-                state.end(task, _ENDS[action])
+            elif task.state is TaskState.RUNNING and action in _END_STATES_BY_ACTION:
+                state.end(task, _END_STATES_BY_ACTION[action])
         return JSONResponse({})
 
-    async def behave(request: Request) -> Response:
+    async def set_behaviour(request: Request) -> Response:
         body = msgspec.json.decode(await request.body())
         state.behaviour = msgspec.convert(body, WorkerBehaviour)
         return JSONResponse({})
@@ -238,13 +238,16 @@
             Route("/v1/acknowledge", acknowledge, methods=["POST"]),
             Route("/v1/tasks/{task_id}/{action}", signal, methods=["POST"]),
             Route("/standin/audit", audit),
-            Route("/standin/behaviour", behave, methods=["POST"]),
+            Route("/standin/behaviour", set_behaviour, methods=["POST"]),
             Route("/healthz", lambda request: Response("ok")),
         ]
     )
 
 
-_ENDS = {"stop": TaskState.STOPPED, "checkpoint": TaskState.CHECKPOINTED}
+_END_STATES_BY_ACTION = {
+    "stop": TaskState.STOPPED,
+    "checkpoint": TaskState.CHECKPOINTED,
+}
 
 
 def parse_command(text: str) -> Command:
@@ -266,13 +269,13 @@
     )
 
 
-def _progress_of(checkpoint: str) -> float:
-    """Return the seconds of work that a checkpoint has saved."""
+def _saved_seconds(checkpoint: str) -> float:
+    """Return the seconds of work saved in a checkpoint."""
     return float(checkpoint.rpartition("@")[2] or 0)
 
 
 async def run_ticks(state: WorkerState) -> None:
-    """End finished tasks regularly."""
+    """End finished and expired tasks periodically."""
     while True:
         await state.clock.sleep(TICK)
         state.tick()
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -1,4 +1,4 @@
-"""Start and stop the daemons and stand-ins as real processes on loopback."""
+"""Start and stop the daemons and stand-ins as child processes on loopback."""
 
 from __future__ import annotations
 
@@ -22,13 +22,13 @@
 
 
 def wait_until(condition: Callable[[], bool], seconds: float = 15.0) -> None:
-    """Wait for a condition; fail with the condition's name when time is up."""
+    """Wait for a condition; raise an AssertionError that names it on timeout."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         if condition():
             return
         time.sleep(0.05)
-    raise AssertionError(f"not reached within {seconds} s: {condition}")
+    raise AssertionError(f"timed out after {seconds} s waiting for: {condition}")
 
 
 class Process:
@@ -55,7 +55,7 @@
         self._process.send_signal(number)
 
     def stop(self, seconds: float = 15.0) -> int:
-        """Ask the process to stop and return its exit status."""
+        """Terminate the process gracefully and return its exit status."""
         if self.running():
             self.signal(signal.SIGCONT)
             self._process.terminate()
@@ -92,7 +92,7 @@
         assert isinstance(record, KeyRecord)
 
     def start_proxies(self) -> None:
-        """Start the process that runs the fault proxies of this fleet."""
+        """Start the process that runs this fleet's fault proxies."""
         port = free_port()
         self._control_url = f"http://127.0.0.1:{port}"
         self._start("proxies", "pomeloyard.standins.fault_proxy", "--port", str(port))
@@ -129,7 +129,7 @@
         proxied: bool = False,
         **more,
     ) -> Vm:
-        """Add a VM; when proxied, daemons reach it through the link of its name."""
+        """Add a VM; if proxied, daemons reach it through the link with its name."""
         address = f"127.0.0.1:{free_port()}"
         self._listen_ports[name] = address.rsplit(":", 1)[1]
         if proxied:
@@ -140,7 +140,7 @@
         return vm
 
     def direct_address(self, vm: Vm) -> str:
-        """Return the address of a VM behind its link, if it has one."""
+        """Return the VM's own address, which bypasses its link."""
         return f"127.0.0.1:{self._listen_ports[vm.name]}"
 
     def start_platform(self) -> None:
@@ -177,8 +177,8 @@
     ) -> None:
         """Start a daemon.
 
-        ``store_link`` is the address of a link to the platform that the daemon
-        uses for the store. With ``proxied_peers``, other daemons reach it
+        ``store_link`` is the address of the link through which the daemon reaches
+        the store. With ``proxied_peers``, other daemons reach it
         through the link "peer-NAME".
         """
         settings: dict[str, object] = {
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -1,4 +1,4 @@
-"""The fault proxy itself: a proxy without its fault would hide other failures."""
+"""The fault proxy's faults; one without effect would let other tests pass wrongly."""
 
 from __future__ import annotations
 
@@ -41,13 +41,13 @@
         tasks.cancel_scope.cancel()
 
 
-async def dial(proxy):
+async def connect(proxy):
     host, port = proxy.address.rsplit(":", 1)
     return await anyio.connect_tcp(host, int(port))
 
 
 async def exchange(stream, data):
-    """Send data and the end of the stream; return everything that comes back."""
+    """Send data and return everything received within 0.3 s."""
     received = b""
     await stream.send(data)
     await anyio.sleep(0)
@@ -65,9 +65,9 @@
     async def run():
         async with echo_server() as (target, received), proxying(target) as proxy:
             await proxy.set_faults(faults)
-            async with await dial(proxy) as stream:
+            async with await connect(proxy) as stream:
                 assert await exchange(stream, sent) == expected
-            # Each fault concerns the answer; the request has its effect.
+            # Each fault affects the response only; the request reaches the server.
             assert b"".join(received) == sent
 
     anyio.run(run)
@@ -76,24 +76,24 @@
 def test_silenced_connection_hangs_while_new_ones_work_and_refusal_ends():
     async def run():
         async with echo_server() as (target, received), proxying(target) as proxy:
-            old = await dial(proxy)
-            await old.send(b"a")
-            assert await BufferedByteReceiveStream(old).receive_exactly(1) == b"a"
+            silenced = await connect(proxy)
+            await silenced.send(b"a")
+            assert await BufferedByteReceiveStream(silenced).receive_exactly(1) == b"a"
             proxy.silence()
-            assert await exchange(old, b"lost") == b""
-            async with await dial(proxy) as new:
-                assert await exchange(new, b"b") == b"b"
+            assert await exchange(silenced, b"lost") == b""
+            async with await connect(proxy) as second:
+                assert await exchange(second, b"b") == b"b"
             assert received == [b"a", b"b"]
 
             await proxy.set_faults(Faults(refuse=True))
             with pytest.raises(OSError, match="attempts failed"):
-                await dial(proxy)
+                await connect(proxy)
             await proxy.set_faults(Faults())
-            async with await dial(proxy) as again:
-                assert await exchange(again, b"c") == b"c"
+            async with await connect(proxy) as third:
+                assert await exchange(third, b"c") == b"c"
                 proxy.cut()
                 with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
-                    await again.receive()
-            await anyio.aclose_forcefully(old)
+                    await third.receive()
+            await anyio.aclose_forcefully(silenced)
 
     anyio.run(run)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,4 +1,4 @@
-"""The stand-ins' own faults: a missing fault would make other tests pass wrongly."""
+"""The stand-ins' faults; a fault without effect would let other tests pass wrongly."""
 
 from __future__ import annotations
 
@@ -33,14 +33,14 @@
 ]
 
 
-@pytest.mark.parametrize("by_control", [False, True])
-def test_endpoint_misbehaves_as_told(by_control):
+@pytest.mark.parametrize("by_control_route", [False, True])
+def test_endpoint_applies_requested_faults(by_control_route):
     async def run():
         state = EndpointState("e")
         async with serving(endpoint_app(state)) as address:
             for query, status, body, echoed in RESPONSES:
                 path = f"/p{query}"
-                if by_control:
+                if by_control_route:
                     path = "/p"
                     pairs = [p.split("=") for p in query[1:].split("&") if p]
                     given = dict(pairs) | (
@@ -53,7 +53,7 @@
                 received = await get(address, path)
                 assert received == (status and (status, body, echoed)), query
             assert len(state.executions) == len(RESPONSES)
-            # A request whose caller has gone is not counted as running for ever.
+            # A request stops counting as running once its caller has disconnected.
             with anyio.fail_after(2):
                 while state.running:
                     await anyio.sleep(0.01)
@@ -83,7 +83,7 @@
         assert response.status == 200, response.content
 
 
-def order(command, **more):
+def task_start(command, **more):
     return TaskStart("t", "j", "mill", 1, 10.0, 2.0, 100, command=command, **more)
 
 
@@ -91,35 +91,35 @@
     clock = ManualClock()
     worker = WorkerState(clock)
 
-    def pass_time(seconds):
+    def advance_and_tick(seconds):
         for _ in range(round(seconds * 10)):
             clock.advance(timedelta(seconds=0.1))
             worker.tick()
 
     worker.behaviour = WorkerBehaviour(report_lag=1.0, cores_factor=2.0)
     worker.tick()
-    worker.begin(order("sleep 3 memory=700"))
-    pass_time(0.9)
+    worker.start_task(task_start("sleep 3 memory=700"))
+    advance_and_tick(0.9)
     assert worker.reports() == []
-    pass_time(0.3)
+    advance_and_tick(0.3)
     (report,) = worker.reports()
     assert (report.peak_cores, report.peak_memory_bytes) == (4.0, 700)
     assert report.run_seconds < 0.5
     task = worker.tasks_by_id["t"]
     task.speed = 0.5
-    pass_time(2.0)
+    advance_and_tick(2.0)
     worker.end(task, TaskState.CHECKPOINTED)
     assert worker.reports()[0].state is TaskState.RUNNING
-    pass_time(1.1)
+    advance_and_tick(1.1)
     (report,) = worker.reports()
     assert report.state is TaskState.CHECKPOINTED
 
     del worker.tasks_by_id["t"]
     worker.behaviour = WorkerBehaviour(fail_all=True)
-    worker.begin(order("sleep 3", checkpoint=report.checkpoint))
-    pass_time(0.7)
+    worker.start_task(task_start("sleep 3", checkpoint=report.checkpoint))
+    advance_and_tick(0.7)
     assert worker.reports()[0].state is TaskState.RUNNING
-    pass_time(0.3)
+    advance_and_tick(0.3)
     assert worker.reports()[0].state is TaskState.FAILED
 
 
@@ -139,15 +139,15 @@
         with pytest.raises(StoreRequestError):
             await directory.operate("b", VmOperation.REBOOT, operation_id="2")
         await directory.operate("c", VmOperation.REBOOT, operation_id="3")
-        seen = []
+        observed = []
         for _ in range(10):
             vms_by_name = (await directory.list_vms()).vms_by_name
-            seen.append([vms_by_name[name].state for name in names])
+            observed.append([vms_by_name[name].state for name in names])
             clock.advance(timedelta(seconds=1))
         live, gone, leaving = VmListState.LIVE, VmListState.GONE, VmListState.LEAVING
-        assert seen[:2] == [[live, live, live]] * 2
-        assert seen[2:7] == [[gone, live, leaving]] * 5
-        assert seen[7:] == [[live, live, leaving]] * 3
+        assert observed[:2] == [[live, live, live]] * 2
+        assert observed[2:7] == [[gone, live, leaving]] * 5
+        assert observed[7:] == [[live, live, leaving]] * 3
         assert (await directory.list_vms()).vms_by_name["a"].boot_id == "1"
 
     anyio.run(run)
--- a/tests/test_trying_out.py
+++ b/tests/test_trying_out.py
@@ -1,4 +1,4 @@
-"""What a newcomer runs first: the example files, the demonstration, --embedded."""
+"""The entry points for new users: example files, demonstration and --embedded."""
 
 from __future__ import annotations
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,4 +1,4 @@
-"""The whole path through real processes, without faults."""
+"""End-to-end requests, jobs and drains through real processes, without faults."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
     fleet.close()
 
 
-def run_tool(fleet, *arguments, key=None):
+def run_cli(fleet, *arguments, key=None):
     environment = {
         **os.environ,
         "PYTHONPATH": str(SOURCE),
@@ -64,9 +64,9 @@
 
 
 def test_request_job_and_drain_pass_through_three_daemons(fleet):
-    assert run_tool(fleet, "config", "publish", str(CONFIGURATION)) == 1
+    assert run_cli(fleet, "config", "publish", str(CONFIGURATION)) == 1
     fleet.wait_ready(*DAEMONS)
-    team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
+    team_key = run_cli(fleet, "key", "grant", "--team", "mill")["key"]
 
     for name in DAEMONS:
         wait_until(
@@ -92,18 +92,20 @@
         )
     )
 
-    run_tool(fleet, "vm", "drain", "orders-e1")
+    run_cli(fleet, "vm", "drain", "orders-e1")
     wait_until(lambda: vm_state(fleet, "orders-e1") == "drained")
     for name in DAEMONS:
         _, body = call(fleet, name, "GET", "/v1/services/orders/quote", team_key)
         assert body.startswith(b"orders-e2")
-    explained = [explain(fleet, name, "vm/orders-e1") for name in DAEMONS]
-    assert explained[0] == explained[1] == explained[2]
-    assert "asked-for-by-operator" in [d["reason"] for d in explained[0]["decisions"]]
-    assert explained[0]["silent"] == []
-    gained = explain(fleet, "entry-1", "membership/entry-2")["decisions"]
-    assert {d["kind"] for d in gained} == {"membership"}
-    run_tool(fleet, "vm", "return", "orders-e1")
+    explanations = [explain(fleet, name, "vm/orders-e1") for name in DAEMONS]
+    assert explanations[0] == explanations[1] == explanations[2]
+    assert "asked-for-by-operator" in [
+        d["reason"] for d in explanations[0]["decisions"]
+    ]
+    assert explanations[0]["silent"] == []
+    decisions = explain(fleet, "entry-1", "membership/entry-2")["decisions"]
+    assert {d["kind"] for d in decisions} == {"membership"}
+    run_cli(fleet, "vm", "return", "orders-e1")
     assert vm_state(fleet, "orders-e1") == "in_service"
 
     statuses = [fleet.processes[name].stop() for name in DAEMONS]
@@ -111,7 +113,7 @@
 
 
 def vm_state(fleet, name):
-    records = run_tool(fleet, "vm", "list")
+    records = run_cli(fleet, "vm", "list")
     return {r["name"]: r["state"] for r in records}[name]
 
 
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -1,7 +1,7 @@
-"""The whole system under load and faults, audited from the other side.
+"""The whole system under load and faults, with an audit.
 
-Executors and workers keep their own records. At the end they are compared with
-what the clients were told.
+Executors and workers keep their own records. The audit compares them with the
+outcomes that the clients received.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
     TeamConfig,
 )
 from pomeloyard.operators.client import OperatorCallError, OperatorClient
-from pomeloyard.standins.audit import find_faults, read_audits
+from pomeloyard.standins.audit import find_violations, read_audits
 from pomeloyard.standins.clients import DONE, NOT_RUN, Account, Load
 from pomeloyard.vm_platform.directory import VmListState, VmRole
 
@@ -40,14 +40,14 @@
 FAULTY_DAEMON = "entry-3"
 PAUSED_DAEMON = "entry-4"
 KILLED_DAEMONS = ("entry-5", "entry-6", "entry-7")
-LATE_DAEMON = "entry-10"
+JOINING_DAEMON = "entry-10"
 
 WITHDRAWN_EVERYWHERE_SECONDS = 5.0
 LEAVING_NOTICED_SECONDS = 3.0
 IN_FORCE_EVERYWHERE_SECONDS = 15.0
 OUTAGE_SECONDS = 10.0
 PAUSE_SECONDS = 15.0
-"""The design's pause, which is longer than every lease of a daemon."""
+"""The pause in the design document, which exceeds every lease of a daemon."""
 
 SERVICES = ("orders", "cutting")
 CONFIG = FleetConfig(
@@ -96,8 +96,8 @@
             proxied_peers=name == FAULTY_DAEMON,
             **encryption,
         )
-    # Started by the test itself, during the outage.
-    fleet.settings[LATE_DAEMON] = {
+    # The test starts this daemon during the outage.
+    fleet.settings[JOINING_DAEMON] = {
         "store_url": f"http://{link}",
         "peers": [fleet.address("entry-1", "peer")],
         **encryption,
@@ -111,7 +111,7 @@
 
 
 def certificates(directory):
-    """Write the files of a fleet's authority; return the settings for them."""
+    """Write a certificate authority's files and return the settings that name them."""
     authority = trustme.CA()
     certificate = authority.issue_cert("127.0.0.1")
     files = {name: directory / f"{name}.pem" for name in ("certificate", "key", "ca")}
@@ -122,7 +122,7 @@
 
 
 class Operator:
-    """What operators do, through any daemon that answers."""
+    """Operator calls through any daemon that responds."""
 
     def __init__(self, fleet):
         self.fleet = fleet
@@ -155,7 +155,7 @@
 
 
 def status(fleet, daemon, key):
-    """Return the status of a short request at one daemon."""
+    """Return the response status of a short request to one daemon."""
     response = httpcore.request(
         "GET",
         f"http://{fleet.address(daemon, 'caller')}/v1/services/orders/probe",
@@ -164,20 +164,20 @@
     return response.status
 
 
-class AllAnswer:
-    """Condition that a key has a status at all daemons; shows what was seen."""
+class AllReturnStatus:
+    """Condition that all daemons return a status for a key; shows the statuses."""
 
-    def __init__(self, fleet, daemons, key, wanted):
+    def __init__(self, fleet, daemons, key, expected):
         self.fleet, self.daemons, self.key = fleet, daemons, key
-        self.wanted = wanted
-        self.seen = {}
+        self.expected = expected
+        self.statuses = {}
 
     def __call__(self):
-        self.seen = {n: status(self.fleet, n, self.key) for n in self.daemons}
-        return set(self.seen.values()) == {self.wanted}
+        self.statuses = {n: status(self.fleet, n, self.key) for n in self.daemons}
+        return set(self.statuses.values()) == {self.expected}
 
     def __repr__(self):
-        return f"status {self.wanted} at all of {self.seen}"
+        return f"status {self.expected} at all of {self.statuses}"
 
 
 def sleep_until(moment):
@@ -192,27 +192,27 @@
 
 
 def refusals(sent):
-    """Count the requests that were not run by team, reason and 5 s of the test."""
-    begin = min(one.attempts[0].at for one in sent if one.attempts)
-    found = Counter()
-    for one in sent:
-        if one.outcome() == NOT_RUN:
-            last = one.attempts[-1]
+    """Count the requests that were not run by team, reason and interval of 5 s."""
+    begin = min(request.attempts[0].at for request in sent if request.attempts)
+    counts = Counter()
+    for request in sent:
+        if request.outcome() == NOT_RUN:
+            last = request.attempts[-1]
             problem = last.body and json.loads(last.body)
             reason = problem["type"] if problem else "no connection"
-            found[one.account, reason, 5 * int((last.at - begin) // 5)] += 1
-    return found
+            counts[request.account, reason, 5 * int((last.at - begin) // 5)] += 1
+    return counts
 
 
 def test_no_work_is_lost_duplicated_or_over_limit_under_faults(fleet):
-    """Guards against every invariant of the design's section 1.1 that shows here."""
+    """Check the invariants of section 1.1 of the design that clients can observe."""
     operator = Operator(fleet)
     assert operator.publish(CONFIG) == 1
     fleet.wait_ready(*DAEMONS)
     keys = {team: operator.grant(team)[0] for team in LIMITS}
-    spare_key, spare_id = operator.grant("mill")
-    for key in (*keys.values(), spare_key):
-        wait_until(AllAnswer(fleet, DAEMONS, key, 200), 20.0)
+    withdrawn_key, withdrawn_key_id = operator.grant("mill")
+    for key in (*keys.values(), withdrawn_key):
+        wait_until(AllReturnStatus(fleet, DAEMONS, key, 200), 20.0)
 
     load = Load(
         [fleet.address(name, "caller") for name in DAEMONS],
@@ -231,13 +231,13 @@
     wave_id = operator.client.call("POST", "/v1/waves", wave)["wave"]["wave_id"]
     time.sleep(2.0)
 
-    operator.client.call("DELETE", f"/v1/keys/{spare_id}")
-    refused = AllAnswer(fleet, DAEMONS, spare_key, 401)
+    operator.client.call("DELETE", f"/v1/keys/{withdrawn_key_id}")
+    refused = AllReturnStatus(fleet, DAEMONS, withdrawn_key, 401)
     wait_until(refused, WITHDRAWN_EVERYWHERE_SECONDS)
 
-    # Requests run at this executor, and the answers are lost.
+    # Requests run on this executor, but their responses are lost.
     fleet.set_faults(FAULTY_EXECUTOR, drop_answers=3)
-    # All watches hang without an error, and so do the kept connections.
+    # All watches and pooled connections hang without an error.
     fleet.silence(STORE)
     time.sleep(3.0)
     assert operator.publish(replace(CONFIG, name="second")) == 2
@@ -246,14 +246,14 @@
     fleet.set_faults(STORE, refuse=True)
     fleet.cut(STORE)
     cut_at = time.monotonic()
-    fleet.start_daemon(LATE_DAEMON, "laguna")
+    fleet.start_daemon(JOINING_DAEMON, "laguna")
     time.sleep(2.0)
     fleet.processes[PAUSED_DAEMON].pause()
     paused_at = time.monotonic()
-    # Configuration and keys come from other daemons while the store is down.
-    fleet.wait_ready(LATE_DAEMON)
-    assert status(fleet, LATE_DAEMON, spare_key) == 401
-    assert operator.revisions(LATE_DAEMON) == {2}
+    # While the store is down, configuration and keys come from other daemons.
+    fleet.wait_ready(JOINING_DAEMON)
+    assert status(fleet, JOINING_DAEMON, withdrawn_key) == 401
+    assert operator.revisions(JOINING_DAEMON) == {2}
     assert time.monotonic() < cut_at + OUTAGE_SECONDS
     sleep_until(cut_at + OUTAGE_SECONDS)
     fleet.set_faults(STORE, drop_answers=5)
@@ -281,21 +281,23 @@
         read_audits(fleet.direct_address(vm) for vm in fleet.vms if vm.role is role)
         for role in (VmRole.EXECUTOR, VmRole.WORKER)
     )
-    faults = find_faults(load.sent, load.jobs, executors, workers, LIMITS)
+    violations = find_violations(load.sent, load.jobs, executors, workers, LIMITS)
     latest = max(e["started"] for e in executors[0]["executions"])
     if latest > drained_at + LEAVING_NOTICED_SECONDS:
-        faults.append(f"drained VM got work {latest - drained_at:.1f} s later")
+        violations.append(f"drained VM got work {latest - drained_at:.1f} s later")
     outcomes = Counter(sent.outcome() for sent in load.sent)
     print(f"requests by outcome: {dict(outcomes)}, jobs: {len(load.jobs)}")
     for reason, count in refusals(load.sent).most_common():
         print(count, "not run:", *reason)
-    assert not faults, f"{len(faults)} faults:\n" + "\n".join(faults[:20])
-    # Most requests are within every limit, also during the faults.
+    assert not violations, f"{len(violations)} violations:\n" + "\n".join(
+        violations[:20]
+    )
+    # Most requests are within all limits, even during the faults.
     assert outcomes[DONE] > 0.8 * len(load.sent)
 
-    live = {*DAEMONS, LATE_DAEMON} - {*KILLED_DAEMONS}
+    live = {*DAEMONS, JOINING_DAEMON} - {*KILLED_DAEMONS}
     for key in keys.values():
-        wait_until(AllAnswer(fleet, live, key, 200), 20.0)
-    assert AllAnswer(fleet, live, spare_key, 401)()
+        wait_until(AllReturnStatus(fleet, live, key, 200), 20.0)
+    assert AllReturnStatus(fleet, live, withdrawn_key, 401)()
     assert operator.revisions(*live) == {2}
     assert all(fleet.processes[name].running() for name in live)
