--- a/tests/soak/soak_yard.py
+++ b/tests/soak/platform_standin.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform for the soak: store, executors, VM list, and the audit."""
+"""Platform stand-in for the soak (store, executors, VM list), and its audit."""
 
 from __future__ import annotations
 
@@ -18,89 +18,97 @@
 from pomeloyard.keyvalue.store import Delete, Put, Transaction
 from tests.support.platform_standin import store_app
 
-STOP_MS = 900
+STOP_LIMIT_MS = 900
 HOLD_MAX_MS = 10_000
-WITHDRAWAL_S = 5.0
-CANCEL_S = 3.0
-"""The platform's bounds; the audit allows them in full."""
+WITHDRAWAL_LIMIT_S = 5.0
+CANCEL_LIMIT_S = 3.0
+"""The platform's time limits; the audit allows each of them in full."""
 
 
 class Audit:
-    """What callers and executors saw, and the promises that were broken."""
+    """Observations of callers and executors, and the guarantees that were violated."""
 
     def __init__(self):
-        self.broken = []
+        self.violations = []
         self.running = defaultdict(set)
-        self.noted_done = set()
+        self.acknowledged_done = set()
         self.accepted = set()
         self.refused_only = set()
         self.cancel_confirmed = {}
         self.withdrawn = {}
         self.starts = 0
 
-    def note(self, rule, detail):
-        self.broken.append(f"{time.time() % 1000:.1f} {rule}: {detail}")
+    def add_violation(self, rule, detail):
+        self.violations.append(f"{time.time() % 1000:.1f} {rule}: {detail}")
 
-    def started(self, task, executor, late):
+    def record_start(self, task, executor, delayed):
         self.starts += 1
         job = task.split(".")[0]
         if job in self.refused_only:
-            self.note("REFUSED", f"{task} starts though its job was refused")
+            self.add_violation("REFUSED", f"{task} starts though its job was refused")
         if self.running[task]:
-            self.note("TWICE", f"{task} on {executor} and {self.running[task]}")
-        if task in self.noted_done:
-            self.note("TWICE", f"{task} starts on {executor} after it was done")
+            self.add_violation(
+                "TWICE", f"{task} on {executor} and {self.running[task]}"
+            )
+        if task in self.acknowledged_done:
+            self.add_violation(
+                "TWICE", f"{task} starts on {executor} after it was done"
+            )
         confirmed = self.cancel_confirmed.get(job)
-        if confirmed is not None and not late:
-            passed = time.monotonic() - confirmed
-            if passed > CANCEL_S:
-                self.note("UNASKED", f"{task} starts {passed:.1f} s after cancelling")
+        if confirmed is not None and not delayed:
+            elapsed = time.monotonic() - confirmed
+            if elapsed > CANCEL_LIMIT_S:
+                self.add_violation(
+                    "UNASKED", f"{task} starts {elapsed:.1f} s after cancelling"
+                )
         self.running[task].add(executor)
 
-    def ended(self, task, executor):
+    def record_end(self, task, executor):
         self.running[task].discard(executor)
 
 
-class YardExecutor:
-    """One executor with leases, fences, room, late orders and a slow clock."""
+class ExecutorStandin:
+    """One executor with leases, fencing, capacity, delayed starts and clock drift."""
 
-    def __init__(self, audit, chance, executor_id, capacity):
+    def __init__(self, audit, rng, executor_id, capacity):
         self.audit = audit
-        self.chance = chance
+        self.rng = rng
         self.executor_id = executor_id
         self.capacity = capacity
-        self.drift = chance.choice([1.0, 0.98])
-        self.late_share = 0.0
+        self.drift = rng.choice([1.0, 0.98])
+        self.delayed_start_share = 0.0
         self.failing = False
         self.cpu_by_task = {}
-        self.start_life()
+        self.reset()
 
-    def start_life(self):
-        self.began = time.monotonic()
-        self.born = round(time.time() * 1000) + self.chance.randrange(1000)
+    def reset(self):
+        self.started_at = time.monotonic()
+        self.born = round(time.time() * 1000) + self.rng.randrange(1000)
         self.fence = 0
         self.runs = {}
-        self.ends = []
-        self.number = 0
-        self.highest = {}
-        self.change = anyio.Event()
+        self.unacknowledged_ends = []
+        self.last_end_number = 0
+        self.highest_runs = {}
+        self.ended_event = anyio.Event()
 
     def crash(self):
         for task in self.runs:
-            self.audit.ended(task, self.executor_id)
-        self.start_life()
+            self.audit.record_end(task, self.executor_id)
+        self.reset()
 
     def clock_ms(self):
-        return (time.monotonic() - self.began) * 1000 * self.drift
+        return (time.monotonic() - self.started_at) * 1000 * self.drift
 
-    def end(self, task, how):
+    def end(self, task, reason):
         run = self.runs.pop(task)
-        self.audit.ended(task, self.executor_id)
-        self.number += 1
-        self.highest[task] = max(self.highest.get(task, 0), run["run"])
-        self.ends.append([self.number, task, run["run"], how, ""])
-        self.change.set()
-        self.change = anyio.Event()
+        self.audit.record_end(task, self.executor_id)
+        self.last_end_number += 1
+        self.highest_runs[task] = max(self.highest_runs.get(task, 0), run["run"])
+        self.unacknowledged_ends.append(
+            [self.last_end_number, task, run["run"], reason, ""]
+        )
+        self.ended_event.set()
+        self.ended_event = anyio.Event()
 
     def advance(self):
         now = self.clock_ms()
@@ -110,47 +118,49 @@
             elif now >= run["ends"]:
                 self.end(task, "failed" if run["fails"] else "done")
 
-    def start(self, body, late=False):
+    def start(self, body, delayed=False):
         self.advance()
         now = self.clock_ms()
         if body["fencing_token"] < self.fence:
             return 409, "fence"
         self.fence = body["fencing_token"]
         task, run = body["task"], body["run_id"]
-        mine = self.runs.get(task)
-        if mine is not None and mine["run"] == run:
+        current = self.runs.get(task)
+        if current is not None and current["run"] == run:
             return 200, ""
-        if run <= self.highest.get(task, 0) or mine is not None:
+        if run <= self.highest_runs.get(task, 0) or current is not None:
             return 409, "old"
         if body["until_ms"] <= now:
             return 409, "late"
         spec = json.loads(body["task_spec"])
         self.cpu_by_task[task] = spec["cpu"]
         used = sum(self.cpu_by_task[name] for name in self.runs) + spec["cpu"]
-        if used > self.capacity and not late:
-            self.audit.note("LIMIT", f"{task} brings {self.executor_id} to {used}")
-        self.audit.started(task, self.executor_id, late)
+        if used > self.capacity and not delayed:
+            self.audit.add_violation(
+                "LIMIT", f"{task} brings {self.executor_id} to {used}"
+            )
+        self.audit.record_start(task, self.executor_id, delayed)
         until = min(body["until_ms"], now + HOLD_MAX_MS)
         self.runs[task] = {
             "run": run,
             "until": until,
-            "ends": now + spec["ms"] * self.chance.uniform(0.8, 1.2),
-            "fails": self.failing or self.chance.random() < 0.02,
+            "ends": now + spec["ms"] * self.rng.uniform(0.8, 1.2),
+            "fails": self.failing or self.rng.random() < 0.02,
         }
         return 200, ""
 
     async def _start(self, request: Request):
         body = await request.json()
-        if self.chance.random() < self.late_share:
-            delay = self.chance.uniform(2, 6)
-            self.tasks.start_soon(self._start_late, body, delay)
+        if self.rng.random() < self.delayed_start_share:
+            delay = self.rng.uniform(2, 6)
+            self.tasks.start_soon(self._start_delayed, body, delay)
             await anyio.sleep(30)
         status, reason = self.start(body)
         return self._answer(status, reason)
 
-    async def _start_late(self, body, delay):
+    async def _start_delayed(self, body, delay):
         await anyio.sleep(delay)
-        self.start(body, late=True)
+        self.start(body, delayed=True)
 
     async def _stop(self, request: Request):
         body = await request.json()
@@ -161,11 +171,11 @@
         task, run = body["task"], body["run_id"]
         if task in self.runs and self.runs[task]["run"] == run:
             self.tasks.start_soon(self._stop_later, task, run)
-        self.highest[task] = max(self.highest.get(task, 0), run)
+        self.highest_runs[task] = max(self.highest_runs.get(task, 0), run)
         return self._answer(200, "")
 
     async def _stop_later(self, task, run):
-        await anyio.sleep(self.chance.uniform(0, STOP_MS / 1000))
+        await anyio.sleep(self.rng.uniform(0, STOP_LIMIT_MS / 1000))
         if task in self.runs and self.runs[task]["run"] == run:
             self.end(task, "stopped")
 
@@ -175,10 +185,12 @@
             return self._answer(409, "fence")
         self.fence = body["fencing_token"]
         seen = body["last_seen"]
-        for end in self.ends:
+        for end in self.unacknowledged_ends:
             if end[0] <= seen and end[3] == "done":
-                self.audit.noted_done.add(end[1])
-        self.ends = [end for end in self.ends if end[0] > seen]
+                self.audit.acknowledged_done.add(end[1])
+        self.unacknowledged_ends = [
+            end for end in self.unacknowledged_ends if end[0] > seen
+        ]
         deadline = time.monotonic() + body.get("wait_ms", 0) / 1000
         while True:
             self.advance()
@@ -186,12 +198,16 @@
                 until = min(body["until_ms"], self.clock_ms() + HOLD_MAX_MS)
                 for run in self.runs.values():
                     run["until"] = max(run["until"], until)
-            if self.ends or time.monotonic() >= deadline:
+            if self.unacknowledged_ends or time.monotonic() >= deadline:
                 break
             await anyio.sleep(0.02)
         now = self.clock_ms()
         rows = [[t, r["run"], "", 50, 0] for t, r in self.runs.items()]
-        lists = {"running": rows, "ended": self.ends, "born": self.born}
+        lists = {
+            "running": rows,
+            "ended": self.unacknowledged_ends,
+            "born": self.born,
+        }
         return JSONResponse({"clock_ms": now, **lists})
 
     def _answer(self, status, reason):
@@ -209,11 +225,11 @@
         )
 
 
-class Yard:
-    """The whole stand-in platform."""
+class PlatformStandin:
+    """Store contents, VM list and executors of one seed."""
 
     def __init__(self, seed):
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.audit = Audit()
         self.memory = MemoryStore(SystemClock())
         self.executors = {}
@@ -236,7 +252,7 @@
             "slo_ms": 600,
         }
         tenants = [{"name": name, "api_keys": keys} for name, keys in self.keys.items()]
-        self.version += self.chance.randrange(1, 4)
+        self.version += self.rng.randrange(1, 4)
         config = {
             "version": self.version,
             "routes": [route],
@@ -245,7 +261,7 @@
         }
         await self.write("op/config", config)
 
-    async def withdraw(self, key):
+    async def withdraw_key(self, key):
         for keys in self.keys.values():
             if key in keys:
                 keys.remove(key)
@@ -260,7 +276,7 @@
             "state": "ready",
             "capacity": {"cpu": executor.capacity, "mem_mb": 64_000, "gpu": 0},
             "labels": ["a", "r1-1"],
-            "sequence": self.chance.randrange(1_000_000),
+            "sequence": self.rng.randrange(1_000_000),
             "born": executor.born,
         }
         await self.write(f"servers/{executor.executor_id}", entry)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -1,9 +1,9 @@
-"""Randomized soak: real daemons, faults from outside, promises checked meanwhile.
+"""Randomized soak of real daemons: inject faults and check guarantees.
 
     python -m tests.soak.soak_run --seeds 1-50 [--jobs 4] [--seconds 12]
 
-prints a line a seed and exits with 1 if any promise was broken. Only processes that
-the soak started are signalled, by their ids.
+prints a line for each seed and exits with 1 if any guarantee was violated. Signals are
+sent only to processes that the soak started, by process ID.
 """
 
 from __future__ import annotations
@@ -29,18 +29,23 @@
 from pomeloyard.platform.http import HttpCaller
 from pomeloyard.serving import serving
 from pomeloyard.standins.fault_proxy import Faults, proxying
-from tests.soak.soak_yard import WITHDRAWAL_S, Yard, YardExecutor
+from tests.soak.platform_standin import (
+    WITHDRAWAL_LIMIT_S,
+    ExecutorStandin,
+    PlatformStandin,
+)
 
 ROOT = Path(__file__).resolve().parents[2]
 DAEMONS = 4
 EXECUTORS = 5
 CAPACITY = 4000
-SETTLE_S = 40.0
-"""After the faults all accepted jobs must end within this: the longest wait for a
-silent executor's leases, 22.2 s, a change of the role and the work itself."""
+RECOVERY_LIMIT_S = 40.0
+"""All accepted jobs must end within this time after the faults: the longest wait
+for the leases of an unresponsive executor (22.2 s), a failover of the role and the
+work itself."""
 START_LIMIT_S = 15.0
 EXIT_LIMIT_S = 10.0
-"""The platform's grace of 6 s, and a pause that overlaps it."""
+"""The platform's grace period of 6 s, and a pause that overlaps it."""
 CALL_TIMEOUT = timedelta(seconds=2.5)
 
 
@@ -65,10 +70,10 @@
 
     def start(self):
         if self.running():
-            # Two overlapping faults of one daemon: the first has started it again.
+            # Two faults of this daemon overlapped; the first has restarted it already.
             self.double_starts += 1
             return
-        # The executors of the soak restart under their ids.
+        # The executors of the soak keep their IDs over restarts.
         environment = {
             **os.environ,
             "POMELOYARD_CONFIG": str(self.file),
@@ -98,21 +103,21 @@
 
 
 class Soak:
-    """One seed."""
+    """Daemons, executors and faults of one seed."""
 
     def __init__(self, seed, seconds, folder):
         self.seed = seed
         self.seconds = seconds
         self.folder = folder
-        self.yard = Yard(seed)
-        self.chance = self.yard.chance
-        self.audit = self.yard.audit
+        self.platform = PlatformStandin(seed)
+        self.rng = self.platform.rng
+        self.audit = self.platform.audit
         self.daemons = []
         self.store_proxies = []
         self.executor_proxies = {}
         self.faults_until = 0.0
-        self.done = {}
-        self.faults = []
+        self.states_by_job = {}
+        self.injected_faults = []
         self.answers = {}
 
     async def run(self):
@@ -121,29 +126,29 @@
             self.tasks = tasks
             self.caller = HttpCaller()
             stack.push_async_callback(self.caller.close)
-            store = await stack.enter_async_context(serving(self.yard.store_app()))
-            vms = await stack.enter_async_context(serving(self.yard.vm_app()))
-            await self.yard.publish()
+            store = await stack.enter_async_context(serving(self.platform.store_app()))
+            vms = await stack.enter_async_context(serving(self.platform.vm_app()))
+            await self.platform.publish()
             await self.start_executors(stack, tasks)
             try:
                 await self.start_daemons(stack, store, vms)
-                await self.play(tasks)
-                await self.settle()
+                await self.run_clients_and_faults(tasks)
+                await self.wait_for_jobs()
             finally:
                 for daemon in self.daemons:
                     daemon.end()
                 tasks.cancel_scope.cancel()
-        return self.audit.broken
+        return self.audit.violations
 
     async def start_executors(self, stack, tasks):
         for number in range(EXECUTORS):
-            executor = YardExecutor(self.audit, self.chance, f"i-{number}", CAPACITY)
+            executor = ExecutorStandin(self.audit, self.rng, f"i-{number}", CAPACITY)
             address = await stack.enter_async_context(serving(executor.app(tasks)))
             proxy = await stack.enter_async_context(proxying(address))
-            self.yard.executors[executor.executor_id] = executor
-            self.yard.addresses[executor.executor_id] = proxy.address
+            self.platform.executors[executor.executor_id] = executor
+            self.platform.addresses[executor.executor_id] = proxy.address
             self.executor_proxies[executor.executor_id] = proxy
-            await self.yard.register(executor)
+            await self.platform.register(executor)
 
     async def start_daemons(self, stack, store, vms):
         for number in range(DAEMONS):
@@ -170,53 +175,53 @@
             return False
         return answer.status == 200
 
-    async def play(self, tasks):
-        ends = time.monotonic() + self.seconds
-        self.faults_until = ends
-        async with anyio.create_task_group() as play:
+    async def run_clients_and_faults(self, tasks):
+        end_at = time.monotonic() + self.seconds
+        self.faults_until = end_at
+        async with anyio.create_task_group() as group:
             for number in range(8):
-                play.start_soon(self.client, number, ends)
+                group.start_soon(self.client, number, end_at)
             for _ in range(3):
-                play.start_soon(self.trouble, ends)
+                group.start_soon(self.inject_faults, end_at)
 
     # Clients
 
-    async def client(self, number, ends):
+    async def client(self, number, end_at):
         count = 0
-        while time.monotonic() < ends:
+        while time.monotonic() < end_at:
             job = f"{self.seed:04x}{number:04x}{count:08x}"
             count += 1
-            key = self.chance.choice(["key-a", "key-b", "key-c"])
-            await self.hand_in(job, key)
-            await anyio.sleep(self.chance.uniform(0.1, 0.5))
-
-    async def hand_in(self, job, key):
-        cpu = self.chance.choice([500, 1000, 1500])
-        width = self.chance.randrange(1, 5)
-        spec = json.dumps({"cpu": cpu, "ms": self.chance.choice([200, 500, 1200])})
+            key = self.rng.choice(["key-a", "key-b", "key-c"])
+            await self.submit_job(job, key)
+            await anyio.sleep(self.rng.uniform(0.1, 0.5))
+
+    async def submit_job(self, job, key):
+        cpu = self.rng.choice([500, 1000, 1500])
+        width = self.rng.randrange(1, 5)
+        spec = json.dumps({"cpu": cpu, "ms": self.rng.choice([200, 500, 1200])})
         steps = [{"count": width, "cpu": cpu, "mem_mb": 10, "est_ms": 500}]
-        if self.chance.random() < 0.4:
+        if self.rng.random() < 0.4:
             steps.append({**steps[0], "after": [0]})
         body = json.dumps({"task_spec": spec, "steps": steps}).encode()
-        refused = []
+        refusals = []
         for _ in range(4):
             status = await self.call("POST", job, key, body)
             if status == 200:
                 self.audit.accepted.add(job)
                 break
-            refused.append(status in (429, 503, 401, 404))
+            refusals.append(status in (429, 503, 401, 404))
             await anyio.sleep(0.3)
         else:
-            if all(refused):
+            if all(refusals):
                 self.audit.refused_only.add(job)
             return
-        if self.chance.random() < 0.1:
-            await anyio.sleep(self.chance.uniform(0, 0.5))
+        if self.rng.random() < 0.1:
+            await anyio.sleep(self.rng.uniform(0, 0.5))
             if await self.call("DELETE", job, key) in (200, 410):
                 self.audit.cancel_confirmed[job] = time.monotonic()
 
     async def call(self, method, job, key, body=b""):
-        daemon = self.chance.choice(self.daemons)
+        daemon = self.rng.choice(self.daemons)
         headers = {"X-Credential": key, "X-Deadline-Ms": "2000"}
         sent = time.monotonic()
         try:
@@ -231,58 +236,62 @@
         except (CallNotSentError, CallUnansweredError):
             return 0
         withdrawn = self.audit.withdrawn.get(key)
-        late = withdrawn is not None and sent > withdrawn + WITHDRAWAL_S
+        late = withdrawn is not None and sent > withdrawn + WITHDRAWAL_LIMIT_S
         if late and answer.status == 200:
-            self.audit.note("CONFIG", f"{method} with withdrawn {key} is answered")
+            self.audit.add_violation(
+                "CONFIG", f"{method} with withdrawn {key} is answered"
+            )
         if method == "GET" and answer.status == 200:
-            self.done[job] = json.loads(answer.body)["state"]
+            self.states_by_job[job] = json.loads(answer.body)["state"]
         return answer.status
 
     # Faults
 
-    async def trouble(self, ends):
+    async def inject_faults(self, end_at):
         kinds = [
-            self.kill,
-            self.pause,
-            self.terminate,
-            self.hang_up,
-            self.cut_store,
-            self.lose_answers,
+            self.kill_daemon,
+            self.pause_daemon,
+            self.terminate_daemon,
+            self.send_sighup,
+            self.disconnect_store,
+            self.drop_store_responses,
             self.slow_store,
-            self.forget_history,
-            self.drop_role,
+            self.compact_store,
+            self.revoke_role_lease,
             self.crash_executor,
-            self.silence_executor,
-            self.late_orders,
-            self.bad_registration,
+            self.blackhole_executor,
+            self.delay_starts,
+            self.write_invalid_registration,
             self.publish,
-            self.withdraw,
+            self.withdraw_key,
         ]
-        while time.monotonic() < ends - 1:
-            await anyio.sleep(self.chance.uniform(0.2, 1.2))
-            kind = self.chance.choice(kinds)
-            self.faults.append(f"{time.time() % 1000:.1f} {kind.__name__}")
-            await kind(self.chance.uniform(0.5, 3.0))
-            self.faults.append(f"{time.time() % 1000:.1f} end of {kind.__name__}")
-
-    async def kill(self, seconds):
-        daemon = self.chance.choice(self.daemons)
+        while time.monotonic() < end_at - 1:
+            await anyio.sleep(self.rng.uniform(0.2, 1.2))
+            kind = self.rng.choice(kinds)
+            self.injected_faults.append(f"{time.time() % 1000:.1f} {kind.__name__}")
+            await kind(self.rng.uniform(0.5, 3.0))
+            self.injected_faults.append(
+                f"{time.time() % 1000:.1f} end of {kind.__name__}"
+            )
+
+    async def kill_daemon(self, seconds):
+        daemon = self.rng.choice(self.daemons)
         daemon.signal(signal.SIGKILL)
         await self.restart(daemon, seconds / 2)
 
     async def restart(self, daemon, seconds):
-        ending = daemon.process
+        process = daemon.process
         await anyio.sleep(seconds)
         with anyio.move_on_after(EXIT_LIMIT_S) as waiting:
-            while ending.poll() is None:
+            while process.poll() is None:
                 await anyio.sleep(0.1)
         if waiting.cancelled_caught and not daemon.paused:
-            self.audit.note("EXIT", f"daemon {daemon.number} does not stop")
+            self.audit.add_violation("EXIT", f"daemon {daemon.number} does not stop")
         if not daemon.paused:
             daemon.start()
 
-    async def pause(self, seconds):
-        daemon = self.chance.choice(self.daemons)
+    async def pause_daemon(self, seconds):
+        daemon = self.rng.choice(self.daemons)
         if daemon.paused:
             return
         daemon.paused = True
@@ -293,23 +302,23 @@
         if not daemon.running():
             daemon.start()
 
-    async def terminate(self, seconds):
-        daemon = self.chance.choice(self.daemons)
+    async def terminate_daemon(self, seconds):
+        daemon = self.rng.choice(self.daemons)
         if not daemon.paused:
             daemon.signal(signal.SIGTERM)
             await self.restart(daemon, seconds)
 
-    async def hang_up(self, seconds):
-        self.chance.choice(self.daemons).signal(signal.SIGHUP)
+    async def send_sighup(self, seconds):
+        self.rng.choice(self.daemons).signal(signal.SIGHUP)
 
-    async def cut_store(self, seconds):
-        proxies = self.chance.sample(self.store_proxies, self.chance.randrange(1, 5))
+    async def disconnect_store(self, seconds):
+        proxies = self.rng.sample(self.store_proxies, self.rng.randrange(1, 5))
         for proxy in proxies:
-            way = self.chance.randrange(3)
-            if way == 0:
+            kind = self.rng.randrange(3)
+            if kind == 0:
                 await proxy.set_faults(Faults(refuse=True))
                 proxy.cut()
-            elif way == 1:
+            elif kind == 1:
                 await proxy.set_faults(Faults(hang=True))
                 proxy.silence()
             else:
@@ -318,9 +327,9 @@
         for proxy in proxies:
             await proxy.set_faults(Faults())
 
-    async def lose_answers(self, seconds):
+    async def drop_store_responses(self, seconds):
         for proxy in self.store_proxies:
-            await proxy.set_faults(Faults(drop_answers=self.chance.randrange(1, 6)))
+            await proxy.set_faults(Faults(drop_answers=self.rng.randrange(1, 6)))
 
     async def slow_store(self, seconds):
         for proxy in self.store_proxies:
@@ -329,108 +338,114 @@
         for proxy in self.store_proxies:
             await proxy.set_faults(Faults())
 
-    async def forget_history(self, seconds):
-        self.yard.memory.compact()
+    async def compact_store(self, seconds):
+        self.platform.memory.compact()
 
-    async def drop_role(self, seconds):
-        """Let the holder's lease lapse while it still works."""
-        entry = await self.yard.memory.get(layout.ROLES + "placing")
+    async def revoke_role_lease(self, seconds):
+        """Revoke the holder's lease while it is still active."""
+        entry = await self.platform.memory.get(layout.ROLES + "placing")
         if entry is not None and entry.lease:
-            await self.yard.memory.revoke_lease(entry.lease)
+            await self.platform.memory.revoke_lease(entry.lease)
 
     async def crash_executor(self, seconds):
-        executor = self.chance.choice(list(self.yard.executors.values()))
+        executor = self.rng.choice(list(self.platform.executors.values()))
         proxy = self.executor_proxies[executor.executor_id]
         await proxy.set_faults(Faults(refuse=True))
         proxy.cut()
         executor.crash()
         await anyio.sleep(seconds)
         await proxy.set_faults(Faults())
-        await self.yard.register(executor)
+        await self.platform.register(executor)
 
-    async def silence_executor(self, seconds):
-        name = self.chance.choice(list(self.executor_proxies))
+    async def blackhole_executor(self, seconds):
+        name = self.rng.choice(list(self.executor_proxies))
         proxy = self.executor_proxies[name]
         proxy.silence()
         await proxy.set_faults(Faults(hang=True))
         await anyio.sleep(seconds)
         await proxy.set_faults(Faults())
 
-    async def late_orders(self, seconds):
-        executor = self.chance.choice(list(self.yard.executors.values()))
-        executor.late_share = 0.3
+    async def delay_starts(self, seconds):
+        executor = self.rng.choice(list(self.platform.executors.values()))
+        executor.delayed_start_share = 0.3
         await anyio.sleep(seconds)
-        executor.late_share = 0.0
+        executor.delayed_start_share = 0.0
 
-    async def bad_registration(self, seconds):
-        name = self.chance.choice(list(self.yard.executors))
-        entry = self.chance.choice([{}, {"service": 3}, [], {"state": "gone"}])
-        await self.yard.write(f"servers/{name}", entry)
+    async def write_invalid_registration(self, seconds):
+        name = self.rng.choice(list(self.platform.executors))
+        entry = self.rng.choice([{}, {"service": 3}, [], {"state": "gone"}])
+        await self.platform.write(f"servers/{name}", entry)
         await anyio.sleep(seconds / 2)
-        await self.yard.register(self.yard.executors[name])
+        await self.platform.register(self.platform.executors[name])
 
     async def publish(self, seconds):
-        await self.yard.publish()
+        await self.platform.publish()
 
-    async def withdraw(self, seconds):
+    async def withdraw_key(self, seconds):
         if len(self.audit.withdrawn) < 1:
-            await self.yard.withdraw("key-b")
+            await self.platform.withdraw_key("key-b")
 
-    # The end
+    # Recovery
 
-    async def settle(self):
+    async def wait_for_jobs(self):
         for proxy in [*self.store_proxies, *self.executor_proxies.values()]:
             await proxy.set_faults(Faults())
-        for executor in self.yard.executors.values():
-            executor.late_share = 0.0
-            await self.yard.register(executor)
+        for executor in self.platform.executors.values():
+            executor.delayed_start_share = 0.0
+            await self.platform.register(executor)
         for daemon in self.daemons:
             daemon.signal(signal.SIGCONT)
             if not daemon.running():
                 daemon.start()
         open_jobs = set(self.audit.accepted)
-        deadline = time.monotonic() + SETTLE_S
+        deadline = time.monotonic() + RECOVERY_LIMIT_S
         while open_jobs and time.monotonic() < deadline:
             for job in sorted(open_jobs):
                 await self.call("GET", job, "key-a")
-                if self.done.get(job) in ("completed", "failed", "cancelled"):
+                if self.states_by_job.get(job) in ("completed", "failed", "cancelled"):
                     open_jobs.discard(job)
             await anyio.sleep(0.3)
         for job in sorted(open_jobs):
-            self.audit.note("LOST", f"{job} is {self.done.get(job, 'unknown')}")
+            self.audit.add_violation(
+                "LOST", f"{job} is {self.states_by_job.get(job, 'unknown')}"
+            )
 
 
-def keep_logs(soak, folder, broken):
-    """Keep the daemons' output and the faults of a seed that failed."""
+def save_logs(soak, folder, violations):
+    """Save the daemons' output and the injected faults of a failed seed."""
     kept = ROOT / "target" / "soak" / str(soak.seed)
     shutil.copytree(folder, kept, dirs_exist_ok=True)
-    (kept / "faults.txt").write_text("\n".join([*broken, *soak.faults]) + "\n")
+    (kept / "faults.txt").write_text(
+        "\n".join([*violations, *soak.injected_faults]) + "\n"
+    )
 
 
 def crashes(text):
-    """Return the exceptions that a daemon's output shows."""
+    """Return the exceptions in a daemon's output."""
     lines = text.splitlines()
-    found = []
+    exceptions = []
     for number, line in enumerate(lines):
         if line.startswith("Traceback") or "+ Exception Group" in line:
-            found.append("EXIT: " + " | ".join(lines[number : number + 60])[-1500:])
+            exceptions.append(
+                "EXIT: " + " | ".join(lines[number : number + 60])[-1500:]
+            )
         elif '"exception"' in line:
-            found.append(f"EXIT: {line[-1500:]}")
-    return found[:3]
+            exceptions.append(f"EXIT: {line[-1500:]}")
+    return exceptions[:3]
 
 
-async def play(seed, seconds):
+async def run_seed(seed, seconds):
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, Path(folder))
-        broken = await soak.run()
+        violations = await soak.run()
         for daemon in soak.daemons:
-            broken.extend(crashes(daemon.log.read_text(errors="replace")))
-        if broken:
-            keep_logs(soak, folder, broken)
+            violations.extend(crashes(daemon.log.read_text(errors="replace")))
+        if violations:
+            save_logs(soak, folder, violations)
         counts = f"{len(soak.audit.accepted)} jobs, {soak.audit.starts} starts"
-        doubled = sum(daemon.double_starts for daemon in soak.daemons)
-        counts += f", {doubled} overlapping restarts"
-    return broken, counts
+        double_starts = sum(daemon.double_starts for daemon in soak.daemons)
+        counts += f", {double_starts} overlapping restarts"
+    return violations, counts
 
 
 def main():
@@ -439,9 +454,9 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
     arguments = parser.parse_args()
-    # Ends like an interrupt, so that no daemon is left with the addresses of its seed.
+    # Exit as on an interrupt, so that no daemon stays bound to the seed's addresses.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    # The stand-ins' servers report the connections that the faults cut.
+    # The stand-ins' servers log every connection that a fault aborts.
     logging.disable(logging.CRITICAL)
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
@@ -449,16 +464,16 @@
         return run_many(list(seeds), arguments)
     failed = False
     for seed in seeds:
-        broken, counts = anyio.run(play, seed, arguments.seconds)
-        print(f"seed {seed}: {counts}, {len(broken)} broken", flush=True)
-        for line in broken[:8]:
+        violations, counts = anyio.run(run_seed, seed, arguments.seconds)
+        print(f"seed {seed}: {counts}, {len(violations)} broken", flush=True)
+        for line in violations[:8]:
             print(f"  {line}", flush=True)
-        failed = failed or bool(broken)
+        failed = failed or bool(violations)
     return int(failed)
 
 
 def run_many(seeds, arguments):
-    """Run each seed in a process of its own, some at a time."""
+    """Run each seed in its own process, ``--jobs`` of them at a time."""
     command = [sys.executable, "-m", "tests.soak.soak_run"]
     running = []
     failed = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,26 +5,28 @@
 import anyio
 import pytest
 
-from tests.soak.soak_run import play
+from tests.soak.soak_run import run_seed
 
 SEEDS = [1, 10, 11, 12, 13, 27, 28, 36, 70, 74, 78, 217, 218]
-"""Seed 1 is the first of all; the others failed once.
+"""Seed 1 is the first seed; each of the others has failed once:
 
 10: two overlapping faults started one daemon twice; the soak now starts it once.
-11: an idle executor restarted and its first end was acknowledged by the old count.
-12: a silent channel to the store hid a cancellation for 5.6 s.
+11: an idle executor restarted, and the sequence number acknowledged before the restart
+    acknowledged its first end.
+12: an unresponsive connection to the store delayed a cancellation by 5.6 s.
 36: a role lost within a task group was logged as a failure of the work.
-70: a call hung on a store that was cut off until the daemon's end; and, all jobs read
-    again, a cancellation was applied before its job was known.
-11, 13, 27, 28, 74, 78 also: an order without an answer was carried out by the next life
-of an executor that kept its id, before that could be reached. 78 also as 70.
-217, 218: such an order was done before the next life was looked at; its end
+70: a call to a store that was cut off blocked until the daemon's exit; and after all
+    jobs were read again, a cancellation was applied before its job was known.
+11, 13, 27, 28, 74, 78 also: a start without a response was executed by the next
+incarnation of an executor that kept its ID, before the daemon could reach that
+incarnation. 78 also as 70.
+217, 218: such a start finished before the daemon queried the next incarnation; its end
 was acknowledged, and the task ran again.
-13 also: a call whose caller had left was cancelled at a daemon's end.
+13 also: a call whose caller had disconnected was cancelled at a daemon's exit.
 """
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_promises_hold_under_random_faults(seed):
-    broken, counts = anyio.run(play, seed, 8.0)
-    assert broken == [], counts
+def test_guarantees_hold_under_random_faults(seed):
+    violations, counts = anyio.run(run_seed, seed, 8.0)
+    assert violations == [], counts
