--- a/measurements/__init__.py
+++ b/measurements/__init__.py
@@ -1,4 +1,4 @@
-"""Measurements of the product's targets, one module for each subject.
+"""Measurements against the product's targets, one module for each subject.
 
 Every module defines ``measure() -> Iterable[Figure]``.
 """
--- a/measurements/buffers.py
+++ b/measurements/buffers.py
@@ -1,7 +1,7 @@
-"""Lending between pools against a fixed buffer for each pool's own peak.
+"""Lending between pools, compared with a fixed buffer for each pool's own peak.
 
 Controllers, store and records are the product's; the platform and the queues are
-small fakes on a manual clock.
+fakes on a manual clock.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 PEAK_SECONDS = 20.0
 PEAK_JITTER = 0.2
 LEARNING_CYCLES = 4
-"""Turns of all pools before queue delay is compared; forecasts start empty."""
+"""Peaks of each pool before queue delay is compared, since forecasts start empty."""
 
 MEASURED_CYCLES = 12
 
@@ -58,17 +58,17 @@
 
 @dataclass
 class Series:
-    """Executors at each step: held by the pools, in demand, and a fixed buffer."""
+    """Executors in service and in demand at each step, and those of a fixed buffer."""
 
     seconds: list[float] = field(default_factory=list)
     demanded: dict[str, list[float]] = field(default_factory=dict)
     in_service: dict[str, list[int]] = field(default_factory=dict)
     fixed_vms: int = 0
-    """What a pool holds all the time if it keeps a buffer for its own peak."""
+    """Executors that a pool with a fixed buffer for its own peak always has."""
 
     spare_pool: str = ""
     lending_vms: int = 0
-    """All executors that lending has, in whatever pool they are."""
+    """Executors of all pools together under lending."""
 
     def append(
         self, demanded: dict[str, float], in_service: dict[str, int], measured: float
@@ -122,7 +122,7 @@
         "fleet_buffer_moves_per_hour", result["moves"], "1/h", deployment=site.name
     )
     yield at_most("fleet_buffer_violations", result["violations"], "VMs", 0, site.name)
-    # Without a bound: the demand that is promised comes in turns.
+    # Without a bound: the target assumes that the pools peak in a fixed order.
     result = buffers_run(site, True).results
     for key in ("worst_delay", "mean_delay"):
         name = f"fleet_buffer_{key}_random_order"
@@ -133,17 +133,19 @@
     spare = site.pools[-1]
     peak, low = 5.0 * site.mean_slots, site.mean_slots / 20
     peak_vms = math.ceil(peak / SLOTS)
-    extra = peak_vms - site.executors
-    # Two sets: one serves the present peak, one stands ready for the next.
-    buffer_vms = 2 * extra
+    extra_vms = peak_vms - site.executors
+    # Two sets: one serves the current peak, one is reserved for the next.
+    buffer_vms = 2 * extra_vms
     site_vms = [vm for vm in site.vms() if vm.role is VmRole.EXECUTOR]
-    more = make_vms(spare, site.executors + buffer_vms, 0, site.zones)
-    vms = [vm for vm in site_vms if vm.pool != spare] + more
+    spare_vms = make_vms(spare, site.executors + buffer_vms, 0, site.zones)
+    vms = [vm for vm in site_vms if vm.pool != spare] + spare_vms
     fleet = Fleet(site.config(), vms)
     pools = fleet.config.pools_by_name
     pools[spare] = replace(pools[spare], spare=True)
     await step(fleet)
-    lent, fixed = ({pool: Queue() for pool in site.pools} for _ in range(2))
+    lending_queues, fixed_queues = (
+        {pool: Queue() for pool in site.pools} for _ in range(2)
+    )
     turns = _turns(site, random_order)
     measured_seconds = 0.0
     series = Series(fixed_vms=peak_vms, spare_pool=spare, lending_vms=len(vms))
@@ -156,8 +158,8 @@
             in_service = _in_service(fleet)
             for pool in site.pools:
                 capacity = in_service.get(pool, 0) * SLOTS
-                lent[pool].step(demand[pool], capacity, measured)
-                fixed[pool].step(demand[pool], peak_vms * SLOTS, measured)
+                lending_queues[pool].step(demand[pool], capacity, measured)
+                fixed_queues[pool].step(demand[pool], peak_vms * SLOTS, measured)
             if measured:
                 series.append(fleet.demand, in_service, measured_seconds)
             measured_seconds += STEP_SECONDS if measured else 0.0
@@ -167,14 +169,14 @@
     moves = sum(o is VmOperation.ASSIGN for _, o, _ in fleet.directory.started)
     move_time = fleet.controller.buffers.move_time()
     cost = idle_cost(buffer_vms * hours, moves, move_time, PRICE_PER_HOUR)
-    fixed_cost = PRICE_PER_HOUR * extra * len(site.pools) * hours
-    work = sum(q.delay_sum for q in lent.values())
-    fixed_work = sum(q.delay_sum for q in fixed.values())
+    fixed_cost = PRICE_PER_HOUR * extra_vms * len(site.pools) * hours
+    work = sum(q.delay_sum for q in lending_queues.values())
+    fixed_work = sum(q.delay_sum for q in fixed_queues.values())
     total = sum(peak * s for t, _, s in turns if t >= LEARNING_CYCLES)
     results = {
         "cost_ratio": cost / fixed_cost,
-        "worst_delay": max(q.worst_delay for q in lent.values()),
-        "fixed_worst_delay": max(q.worst_delay for q in fixed.values()),
+        "worst_delay": max(q.worst_delay for q in lending_queues.values()),
+        "fixed_worst_delay": max(q.worst_delay for q in fixed_queues.values()),
         "mean_delay": work / total,
         "fixed_mean_delay": fixed_work / total,
         "moves": moves / hours,
@@ -184,17 +186,17 @@
 
 
 def _turns(site: Site, random_order: bool) -> list[tuple[int, str, float]]:
-    """Return the peaks in turn, or in any order, with lengths that vary."""
-    chance = random.Random(11)
+    """Return peaks of varying length, in a fixed or a random order of pools."""
+    rng = random.Random(11)
     count = (LEARNING_CYCLES + MEASURED_CYCLES) * len(site.pools)
     order = list(site.pools) * (LEARNING_CYCLES + MEASURED_CYCLES)
     if random_order:
-        chance.shuffle(order)
+        rng.shuffle(order)
     return [
         (
             turn,
             order[turn],
-            PEAK_SECONDS * chance.uniform(1 - PEAK_JITTER, 1 + PEAK_JITTER),
+            PEAK_SECONDS * rng.uniform(1 - PEAK_JITTER, 1 + PEAK_JITTER),
         )
         for turn in range(count)
     ]
--- a/measurements/configuration.py
+++ b/measurements/configuration.py
@@ -1,4 +1,4 @@
-"""How fast configurations and withdrawals take effect, and what idling costs."""
+"""Propagation time of configurations and withdrawals, and cost of idle daemons."""
 
 from __future__ import annotations
 
@@ -26,8 +26,8 @@
 PUBLICATIONS = 20
 WITHDRAWALS = 3
 LINK_DELAY_MS = 150
-"""Delay of each chunk on the link to the slow store; the round trip of a call,
-which is measured, takes at least twice as long."""
+"""Delay of each chunk on the link to the slow store. A call's round trip, which is
+measured, takes at least twice as long."""
 SLOW_CALL_SECONDS = 0.3
 IDLE_SECONDS = 4.0
 ZONES = ("bulacan", "pampanga", "laguna")
@@ -131,7 +131,7 @@
         try:
             revision = publisher.call("POST", path, body)["revision"]
         except OperatorCallError as error:
-            # A refusal is repeated, and its time counts.
+            # Retry after a refusal; the time of the refused call counts.
             if error.outcome != "not-run":
                 raise
     for client in clients:
--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -1,7 +1,7 @@
 """Waves, budgets and the cost of planning, on a manual clock.
 
 Only decisions are measured: controllers, store and records are the product's,
-the platform is a small fake.
+and the platform is a fake.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 GROWTH_SIZES = (70, 740, 7400)
 STEP_SECONDS = 0.5
 CPU_SHARE_BOUND = 0.04
-"""A daemon's whole control; the stand-ins for store and platform are included."""
+"""Bound on a daemon's control as a whole; the figure includes the fakes."""
 
 WAVE_STEPS = 300
 PLANNING_STEPS = 40
@@ -71,7 +71,7 @@
         )
 
     def workers_of(self, pool: str) -> int:
-        """Return the workers of a pool; the first ones have one more."""
+        """Return the workers of a pool; the first ``larger_pools`` have one more."""
         return self.workers + (self.pools.index(pool) < self.larger_pools)
 
 
@@ -95,7 +95,7 @@
     1,
     mean_slots=22,
 )
-LATER = Site(
+FUTURE = Site(
     "740-workers",
     tuple(f"pool-{n:02d}" for n in range(29)),
     0,
@@ -104,23 +104,23 @@
     0.85,
     larger_pools=15,
 )
-"""29 pools: 15 of 26 and 14 of 25 workers make 740."""
+"""Expected in two years: 29 pools, 15 with 26 and 14 with 25 of the 740 workers."""
 
 
 def measure() -> Iterable[Figure]:
     """Yield all figures."""
-    for site in (LILIM, HSINCHU, LATER):
+    for site in (LILIM, HSINCHU, FUTURE):
         yield from rollout(site)
     for site in (LILIM, HSINCHU):
         yield from losses_during_wave(site, whole_rack=False)
         yield from losses_during_wave(site, whole_rack=True)
-    yield from losses_during_wave(LATER, whole_rack=True)
+    yield from losses_during_wave(FUTURE, whole_rack=True)
     yield from growth()
 
 
 @dataclass(frozen=True, slots=True)
 class Rollout:
-    """One full wave: its time, the least time, and the VMs maintained over time."""
+    """One full wave: its time, the lower bound, and the VMs maintained over time."""
 
     seconds: float
     least_seconds: float
@@ -147,13 +147,15 @@
 async def _rollout(site: Site) -> Rollout:
     fleet = new_fleet(site)
     await step(fleet)
-    one = _seconds_for_one_vm(fleet)
+    seconds_per_vm = _seconds_for_one_vm(fleet)
     rounds = least_rounds(fleet)
-    most = [(n * one, _most_after(fleet, n)) for n in range(rounds + 1)]
+    most = [(n * seconds_per_vm, _most_after(fleet, n)) for n in range(rounds + 1)]
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
     maintained = await _run_wave(fleet)
     seconds = maintained[-1][0]
-    return Rollout(seconds, rounds * one, len(fleet.violations), maintained, most)
+    return Rollout(
+        seconds, rounds * seconds_per_vm, len(fleet.violations), maintained, most
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,20 +172,20 @@
     vms = list(fleet.stored(layout.VMS, VmRecord).values())
     for pool in fleet.config.pools_by_name:
         for role in (VmRole.EXECUTOR, VmRole.WORKER):
-            mine = [vm for vm in vms if vm.pool == pool and vm.role is role]
-            if not mine:
+            members = [vm for vm in vms if vm.pool == pool and vm.role is role]
+            if not members:
                 continue
-            sizes = Counter(vm.availability_zone for vm in mine)
+            sizes = Counter(vm.availability_zone for vm in members)
             zones = tuple(
                 (size, _allowed(fleet, pool, Scope(role, zone), size))
                 for zone, size in sizes.items()
             )
-            allowed = _allowed(fleet, pool, Scope(role), len(mine))
-            yield Group(len(mine), allowed, zones)
+            allowed = _allowed(fleet, pool, Scope(role), len(members))
+            yield Group(len(members), allowed, zones)
 
 
 def least_rounds(fleet: Fleet) -> int:
-    """Return the rounds that any plan needs, by the budgets alone."""
+    """Return the number of rounds that the budgets require of any plan."""
     limits = [
         limit
         for group in _groups(fleet)
@@ -216,9 +218,9 @@
 
 
 def _seconds_for_one_vm(fleet: Fleet) -> float:
-    """Return the least time out of service: platform's reboot, then the trial.
+    """Return the least time out of service: the platform's reboot, then the trial.
 
-    The drain of an idle VM is taken to need no time at all.
+    The drain of an idle VM is assumed to take no time.
     """
     reboot = fleet.directory.delay + fleet.config.maintenance.trial
     return reboot.total_seconds()
@@ -232,7 +234,7 @@
         return all(wave.state is WaveState.DONE for wave in waves)
 
     def maintained() -> int:
-        # A new VM counts as maintained, so a time before the wave is left out.
+        # A new VM counts as maintained, so times before the wave are excluded.
         vms = fleet.stored(layout.VMS, VmRecord).values()
         return sum(bool(vm.maintained_at and vm.maintained_at > start) for vm in vms)
 
@@ -266,7 +268,7 @@
 
 
 def losses_during_wave(site: Site, *, whole_rack: bool) -> Iterator[Figure]:
-    """Count planned spending beyond budgets while VMs or a rack are lost."""
+    """Count VMs taken beyond the budgets while VMs or a rack are lost."""
     violations, ended = anyio.run(_losses, site, whole_rack)
     name = "rack" if whole_rack else "vm"
     yield at_most(
@@ -278,7 +280,7 @@
 
 
 async def _losses(site: Site, whole_rack: bool) -> tuple[int, bool]:
-    chance = random.Random(7)
+    rng = random.Random(7)
     fleet = new_fleet(site)
     await step(fleet)
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
@@ -286,10 +288,10 @@
     lost: dict[int, set[str]] = {}
     for tick in range(40, 2000):
         if tick % 150 == 40 and tick < 700:
-            victim = chance.choice(listed)
-            names = {victim.name}
+            lost_vm = rng.choice(listed)
+            names = {lost_vm.name}
             if whole_rack:
-                names = {vm.name for vm in listed if vm.rack == victim.rack}
+                names = {vm.name for vm in listed if vm.rack == lost_vm.rack}
             fleet.directory.lose_vms(names)
             lost[tick + 120] = names
         fleet.directory.restore_vms(lost.pop(tick, ()))
@@ -311,20 +313,20 @@
         yield Figure(f"fleet_planning_step_{size}", value * 1000, "ms")
     share = anyio.run(_controller_step) / STEP_SECONDS
     yield at_most(
-        "fleet_controller_cpu_share", share, "cores", CPU_SHARE_BOUND, LATER.name
+        "fleet_controller_cpu_share", share, "cores", CPU_SHARE_BOUND, FUTURE.name
     )
     for small, large in pairwise(GROWTH_SIZES):
         exponent = math.log(seconds[large] / seconds[small]) / math.log(large / small)
-        # The exponent that n log n itself shows between the two sizes.
-        steeper = math.log(math.log(large) / math.log(small))
-        bound = 1 + steeper / math.log(large / small)
+        # The growth exponent of n log n between the two sizes.
+        log_factor = math.log(math.log(large) / math.log(small))
+        bound = 1 + log_factor / math.log(large / small)
         name = f"fleet_planning_growth_exponent_{small}_{large}"
         yield at_most(name, exponent, "exponent", bound)
 
 
 async def _controller_step() -> float:
     """Return the mean time of the whole controller's step during a wave."""
-    fleet = new_fleet(LATER)
+    fleet = new_fleet(FUTURE)
     fleet.store.after_commit.clear()
     await step(fleet)
     await fleet.controller.waves.start("all", WaveKind.REBOOT, "measurement")
@@ -335,14 +337,14 @@
 
 
 async def _planning_step(size: int) -> float:
-    """Return the least of several times of a step in which nothing is drained."""
+    """Return the least time of several steps in which nothing is drained."""
     pools = max(1, size // 26)
     site = Site(
         f"{size}",
         tuple(f"pool-{n:03d}" for n in range(pools)),
         0,
         size // pools,
-        LATER.zones,
+        FUTURE.zones,
         0.85,
     )
     fleet = new_fleet(site)
--- a/measurements/jobs.py
+++ b/measurements/jobs.py
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True)
 class Deployment:
-    """Workers of a deployment and its teams."""
+    """Numbers of a deployment's workers, cores per worker and teams."""
 
     name: str
     workers: int
@@ -42,12 +42,12 @@
 
 LILIM = Deployment("lilim", 30, 16, 6)
 HSINCHU = Deployment("hsinchu", 40, 64, 6)
-LATER = Deployment("740-workers", 740, 64, 84)
+FUTURE = Deployment("740-workers", 740, 64, 84)
 
 
 def measure() -> Iterable[Figure]:
     """Return the figures of all deployments."""
-    for deployment in (LILIM, HSINCHU, LATER):
+    for deployment in (LILIM, HSINCHU, FUTURE):
         yield from urgent_start(deployment)
     yield from planning_step()
     for deployment in (LILIM, HSINCHU):
@@ -57,17 +57,17 @@
 
 
 def urgent_start(deployment: Deployment) -> Iterator[Figure]:
-    """Submit urgent jobs on a fleet full of long tasks.
+    """Submit urgent jobs to a fleet whose cores are all in use by long tasks.
 
-    Some come at random moments, then half as many as there are workers at once.
+    Some arrive at random times, then half as many as there are workers at once.
     """
-    chance = random.Random(7)
+    rng = random.Random(7)
 
     def checkpoint_seconds() -> float:
         # Most checkpoints take about a second; one in twenty hangs.
-        if chance.random() < 0.05:
+        if rng.random() < 0.05:
             return 60.0
-        return min(10.0, chance.lognormvariate(0.0, 0.6))
+        return min(10.0, rng.lognormvariate(0.0, 0.6))
 
     teams = [f"t{n}" for n in range(deployment.teams)]
     bench = Bench(
@@ -76,7 +76,7 @@
         limits=dict.fromkeys(teams, 10**6),
         checkpoint_seconds=checkpoint_seconds,
     )
-    waits = anyio.run(_urgent_waits, bench, deployment, teams, chance)
+    waits = anyio.run(_urgent_waits, bench, deployment, teams, rng)
     assert not bench.problems, bench.problems
     waits.sort()
     p99 = waits[min(len(waits) - 1, math.ceil(len(waits) * 0.99) - 1)]
@@ -91,31 +91,33 @@
 
 
 async def _urgent_waits(
-    bench: Bench, deployment: Deployment, teams: list[str], chance: random.Random
+    bench: Bench, deployment: Deployment, teams: list[str], rng: random.Random
 ) -> list[float]:
-    long = JobRequest(
+    long_request = JobRequest(
         "sleep 3600", cores=4, memory_bytes=4 * GIB, expected_seconds=3600.0
     )
     slots = deployment.workers * deployment.cores // 4
     for number in range(slots):
-        kind = chance.random()
-        request = replace(long, checkpointable=kind < 0.6, idempotent=kind < 0.8)
+        draw = rng.random()
+        request = replace(
+            long_request, checkpointable=draw < 0.6, idempotent=draw < 0.8
+        )
         await bench.submit(teams[number % len(teams)], f"long{number}", request)
     urgent = replace(
-        long, command="sleep 5", urgent=True, cores=8, memory_bytes=8 * GIB
+        long_request, command="sleep 5", urgent=True, cores=8, memory_bytes=8 * GIB
     )
-    # At most half of the cores are wanted for urgent work at a time: beyond that,
-    # urgent jobs would wait for each other and not for room to be made.
+    # Urgent work requests at most half of the cores at a time. Beyond that, urgent
+    # jobs would wait for each other and not for preemption.
     submitted: dict[str, timedelta] = {}
     async with bench.scheduler():
         await bench.run(12)
         assert len(bench.workers.running()) == slots
         for number in range(40):
-            job_id = await bench.submit(chance.choice(teams), f"u{number}", urgent)
+            job_id = await bench.submit(rng.choice(teams), f"u{number}", urgent)
             submitted[job_id] = bench.clock.monotonic()
-            await bench.run(0.25 * chance.randrange(1, 4))
+            await bench.run(0.25 * rng.randrange(1, 4))
         for number in range(deployment.workers // 2):
-            job_id = await bench.submit(chance.choice(teams), f"burst{number}", urgent)
+            job_id = await bench.submit(rng.choice(teams), f"burst{number}", urgent)
             submitted[job_id] = bench.clock.monotonic()
         await bench.run(15)
     started = bench.workers.started_at
@@ -126,7 +128,7 @@
 
 
 def planning_step() -> Iterator[Figure]:
-    """Time a step that fills a tenth of the fleet from a queue as long as it."""
+    """Time a step that fills a tenth of the fleet from a queue of the fleet's size."""
     seconds = {size: _step_seconds(size) for size in SIZES}
     for size, value in seconds.items():
         yield Figure("jobs.planning_step", value * 1000, "ms", deployment=str(size))
@@ -144,7 +146,7 @@
 
 
 def _step_seconds(size: int) -> float:
-    chance = random.Random(3)
+    rng = random.Random(3)
     jobs: dict[str, Job] = {}
     teams = {f"t{n}": TeamLimits(1.0 + n % 3, 10**9) for n in range(84)}
     index = CapacityIndex()
@@ -162,12 +164,12 @@
         index.put(Worker(f"w{n}", "p", zone, f"{zone}-r{n // 24}", capacity))
 
     def queue(number: int) -> None:
-        team = f"t{chance.randrange(84)}"
+        team = f"t{rng.randrange(84)}"
         request = JobRequest(
             "x",
-            cores=float(chance.choice((1, 2, 4, 8))),
-            memory_bytes=chance.choice((1, 2, 4, 8)) * GIB,
-            label=f"l{chance.randrange(4)}",
+            cores=float(rng.choice((1, 2, 4, 8))),
+            memory_bytes=rng.choice((1, 2, 4, 8)) * GIB,
+            label=f"l{rng.randrange(4)}",
         )
         job = Job(job_id_of(team, str(number)), team, request, START)
         jobs[job.key] = job
@@ -187,7 +189,7 @@
     times = []
     for step in range(1, 6):
         running = [key for key, job in jobs.items() if job.placed]
-        for key in chance.sample(running, size // 10):
+        for key in rng.sample(running, size // 10):
             job = jobs.pop(key)
             placer.job_changed(key, job, None)
         for number in range(size // 10):
@@ -234,13 +236,13 @@
             await bench.run(0.25)
             for team in weights:
                 held[team] += scheduler.term.placer.shares.held_by_weight(team)
-    # Cores for each unit of weight are equal when all are at their shares.
+    # When all teams are at their shares, they have equal cores per unit of weight.
     mean = sum(held[t] * w for t, w in weights.items()) / sum(weights.values())
     return max(abs(held[team] / mean - 1) * 100 for team in weights)
 
 
 def transactions() -> Figure:
-    """Count the store's transactions for 1,000 jobs, from submission to result."""
+    """Count the store transactions of 1,000 jobs, from submission to result."""
     return Figure("jobs.transactions_per_1000", anyio.run(_transactions), "count")
 
 
@@ -262,7 +264,7 @@
 
 
 def memory_per_job() -> Figure:
-    """Measure the scheduler's memory for each of 10,000 queued jobs."""
+    """Measure the scheduler's memory per job with 10,000 queued jobs."""
     return Figure("jobs.memory_per_queued_job", anyio.run(_memory_per_job), "B")
 
 
--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -1,7 +1,7 @@
-"""Cost of the request path: added latency, throughput, claims.
+"""Cost of the request path: added latency, throughput and claims.
 
 The daemon's request path, the executor and the callers run in separate
-processes, so that one core's worth of the daemon is measured.
+processes, so that the figures are those of one daemon on at most one core.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 """One transaction per 40 ms (docs/design.md, section 4)."""
 
 CLAIM_WAIT_MS = 40.0 + 10.0
-"""A group commit's interval and a store call of some milliseconds."""
+"""The interval of a group commit, plus some milliseconds for a store call."""
 
 
 def measure() -> Iterable[Figure]:
@@ -72,7 +72,7 @@
         executors = {f"e{n}": executor for n in range(4)}
         options = {"request_timeout": timedelta(seconds=10)}
         async with request_path(executors, **options) as (paths, _):
-            # Units are bounded in the tests' fleet; the path itself is measured.
+            # The test fleet limits units; only the request path is measured.
             queue.put((paths[0].address, paths[0].key, os.getpid()))
             await anyio.sleep_forever()
 
@@ -108,7 +108,7 @@
     times: dict[str, list[float]] = {direct: [], through: []}
     async with httpcore.AsyncConnectionPool() as pool:
         for number in range(CALLS):
-            # Both take turns in one run, so that they meet the same load.
+            # Alternate between both within one run, so that both see the same load.
             for url in (direct, through):
                 started = time.perf_counter()
                 response = await pool.request("GET", url, headers=headers)
@@ -117,9 +117,9 @@
                     times[url].append((time.perf_counter() - started) * 1000)
         rate, cpu = await _throughput(entry, headers, pid)
     figures = []
-    for name, part in (("p50", 0.50), ("p99", 0.99)):
-        base = _quantile(times[direct], part)
-        with_daemon = _quantile(times[through], part)
+    for name, quantile in (("p50", 0.50), ("p99", 0.99)):
+        base = _quantile(times[direct], quantile)
+        with_daemon = _quantile(times[through], quantile)
         figures.append(Figure(f"request_{name}_direct", base, "ms"))
         figures.append(Figure(f"request_{name}_through_daemon", with_daemon, "ms"))
         figures.append(Figure(f"request_{name}_ratio", with_daemon / base, "1"))
@@ -162,7 +162,7 @@
     async def commit(self, transaction):  # type: ignore[no-untyped-def]
         if self.down:
             raise StoreUnavailableError("down")
-        await anyio.sleep(0.003)  # the platform's store responds in milliseconds
+        await anyio.sleep(0.003)  # the platform's store responds within milliseconds
         return await super().commit(transaction)
 
 
@@ -174,7 +174,7 @@
     store = _SwitchableStore(SystemClock())
     figures = []
     async with request_path({}, names=("a.1", "b.1"), store=store) as (paths, _):
-        # Claims 10 ms apart wait for the next group; those 60 ms apart do not.
+        # Claims 10 ms apart wait for the next group commit; those 60 ms apart do not.
         for state, down, pause in (
             ("up_busy", False, 0.01),
             ("up_idle", False, 0.06),
@@ -184,17 +184,21 @@
             for path in paths:
                 path.state.store_reachable = not down
             for side, path in (("local", paths[0]), ("remote", paths[1])):
-                taken = []
+                durations_ms = []
                 for _ in range(60):
                     started = time.perf_counter()
                     await path.claims.claim(os.urandom(16), bytes(16))
-                    taken.append((time.perf_counter() - started) * 1000)
+                    durations_ms.append((time.perf_counter() - started) * 1000)
                     await anyio.sleep(pause)
                 name = f"claim_{side}_store_{state}"
                 figures.append(
-                    at_most(f"{name}_p50", _quantile(taken, 0.5), "ms", CLAIM_WAIT_MS)
+                    at_most(
+                        f"{name}_p50", _quantile(durations_ms, 0.5), "ms", CLAIM_WAIT_MS
+                    )
+                )
+                figures.append(
+                    Figure(f"{name}_p99", _quantile(durations_ms, 0.99), "ms")
                 )
-                figures.append(Figure(f"{name}_p99", _quantile(taken, 0.99), "ms"))
     return figures
 
 
@@ -225,7 +229,7 @@
 
 
 def _store_writes(rate: int) -> Iterable[Figure]:
-    """Claim at a steady rate of the whole fleet, nine daemons of two partitions."""
+    """Claim at a steady fleet-wide rate, with nine daemons of two partitions each."""
     seconds = 60
     writes, written, keys = asyncio.run(_steady_claims(rate / 9, seconds))
     name = f"claims_at_{rate}_per_second"
@@ -271,7 +275,7 @@
     return store.commits / seconds, store.written_bytes / seconds, keys
 
 
-def _quantile(values: list[float], part: float) -> float:
-    if part == 0.5:
+def _quantile(values: list[float], quantile: float) -> float:
+    if quantile == 0.5:
         return statistics.median(values)
-    return sorted(values)[min(len(values) - 1, int(len(values) * part))]
+    return sorted(values)[min(len(values) - 1, int(len(values) * quantile))]
--- a/measurements/rounds.py
+++ b/measurements/rounds.py
@@ -2,10 +2,10 @@
 
     python -m measurements.rounds
 
-reads every entry below ``journal/`` and writes ``docs/rounds.md`` with one plot a
-deployment below ``docs/plots/``: the scores by time and commit, what the last one's
-days were worth and what they paid for, and the hunts. Entries without a result, as of
-runs that were ended, are counted and left out.
+reads all entries below ``journal/`` and writes ``docs/rounds.md``, with one plot per
+deployment below ``docs/plots/``: the scores by time and commit, the worth and prices of
+each day of the last score, and the hunts. Entries without a result, such as those of
+aborted runs, are counted but not shown.
 """
 
 from __future__ import annotations
@@ -30,12 +30,12 @@
     "cloud calls": "store calls",
     "duties missed": "waves late",
 }
-"""Prices with a column of their own; the others are below a hundredth each."""
+"""Prices with their own column; each of the others is below a hundredth."""
 
 
 @dataclass(frozen=True, slots=True)
 class DayResult:
-    """A day as it was played."""
+    """Result of one day of a round."""
 
     name: str
     worth: float
@@ -43,11 +43,11 @@
     broken: tuple[str, ...]
     prices: dict[str, float]
     losses: dict[str, float]
-    """Worth that is not earned, by part of the measure."""
+    """Worth missing to 1, by part of the measure."""
 
     @property
     def other_prices(self) -> float:
-        """Return the prices that have no column of their own."""
+        """Return the sum of the prices without their own column."""
         return sum(
             price for name, price in self.prices.items() if name not in PRICE_COLUMNS
         )
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Round:
-    """One entry of the journal with a result."""
+    """One journal entry with a result."""
 
     entry: str
     began_at: str
@@ -64,7 +64,7 @@
     deployment: str
     commit: str
     edited: bool
-    """Whether its sources were edited during the run; its figures count for nothing."""
+    """Whether sources were edited during the run, which makes its figures invalid."""
     reason: str
     score: float | None
     gate: bool | None
@@ -72,23 +72,23 @@
 
     @property
     def worth_under_load(self) -> float | None:
-        """Return the mean worth of the standard days that have trouble or high load."""
-        found = [
+        """Return the mean worth of the standard days with faults or high load."""
+        worths = [
             day.worth for day in self.days if re.match(r"(trouble|scale)-\d$", day.name)
         ]
-        return sum(found) / len(found) if found else None
+        return sum(worths) / len(worths) if worths else None
 
 
 def read_rounds(entries: Iterable[Path]) -> tuple[list[Round], int]:
-    """Return the rounds in the order of time, and how many entries had no result."""
-    rounds, without = [], 0
+    """Return the rounds ordered by time, and the number of entries without a result."""
+    rounds, resultless_count = [], 0
     for path in sorted(entries):
         content = json.loads(path.read_text(encoding="utf-8"))
         if not content.get("days") or content.get("site") is None:
-            without += 1
+            resultless_count += 1
             continue
         rounds.append(_round(content))
-    return rounds, without
+    return rounds, resultless_count
 
 
 def _round(content: dict[str, Any]) -> Round:
@@ -119,34 +119,45 @@
 
 
 def _losses(parts: Iterable[tuple[str, float, float]]) -> dict[str, float]:
-    """Return the worth that each part of the measure lacks; they add up to it all."""
-    kept = list(parts)
-    weights = sum(weight for _, weight, _ in kept)
-    return {name: weight * (1 - value) / weights for name, weight, value in kept}
+    """Return the worth missing to 1 by part of the measure; the values add up to it."""
+    rows = list(parts)
+    weights = sum(weight for _, weight, _ in rows)
+    return {name: weight * (1 - value) / weights for name, weight, value in rows}
 
 
-def page(rounds: Sequence[Round], without: int) -> str:
+def page(rounds: Sequence[Round], resultless_count: int) -> str:
     """Return the page in Markdown."""
     parts = [
         "# Measured rounds",
         "",
         "Written by `make report` from the entries below `journal/`: "
-        f"{len(rounds)} with a result, {without} without one. A `+` marks a commit "
-        "with changes on top, a `*` sources that were edited during the run; its "
-        "figures count for nothing. Single runs are not shown.",
+        f"{len(rounds)} with a result, {resultless_count} without one. A `+` marks a "
+        "commit with changes on top, a `*` sources that were edited during the run; "
+        "its figures count for nothing. Single runs are not shown.",
     ]
     by_deployment: dict[str, list[Round]] = defaultdict(list)
-    for one in rounds:
-        by_deployment[one.deployment].append(one)
-    for deployment, own in sorted(by_deployment.items()):
-        parts += ["", f"## {deployment}", "", *_scores(own), *_last(own), *_hunts(own)]
-        if any(one.score is not None for one in own):
+    for round_ in rounds:
+        by_deployment[round_.deployment].append(round_)
+    for deployment, deployment_rounds in sorted(by_deployment.items()):
+        parts += [
+            "",
+            f"## {deployment}",
+            "",
+            *_scores(deployment_rounds),
+            *_last_score(deployment_rounds),
+            *_hunts(deployment_rounds),
+        ]
+        if any(round_.score is not None for round_ in deployment_rounds):
             parts += ["", f"![worth by score](plots/rounds-{deployment}.svg)"]
     return "\n".join(parts) + "\n"
 
 
 def _scores(rounds: Sequence[Round]) -> list[str]:
-    rows = [one for one in rounds if one.command == "score" and one.score is not None]
+    rows = [
+        round_
+        for round_ in rounds
+        if round_.command == "score" and round_.score is not None
+    ]
     if not rows:
         return ["No score was played to its end."]
     lines = [
@@ -154,25 +165,26 @@
         "| mean worth of trouble and scale days |",
         "|---|---|---|---|---|---|",
     ]
-    for one in rows:
-        gate = "-" if one.gate is None else ("passed" if one.gate else "failed")
-        worth = one.worth_under_load
+    for round_ in rows:
+        gate = "-" if round_.gate is None else ("passed" if round_.gate else "failed")
+        worth = round_.worth_under_load
         lines.append(
-            f"| {one.began_at} | {one.entry} | {_commit(one)} | {one.score:.3f} "
-            f"| {gate} | {'-' if worth is None else f'{worth:.3f}'} |"
+            f"| {round_.began_at} | {round_.entry} | {_commit(round_)} "
+            f"| {round_.score:.3f} | {gate} "
+            f"| {'-' if worth is None else f'{worth:.3f}'} |"
         )
     return lines
 
 
-def _commit(one: Round) -> str:
-    return one.commit + ("*" if one.edited else "")
+def _commit(round_: Round) -> str:
+    return round_.commit + ("*" if round_.edited else "")
 
 
-def _last(rounds: Sequence[Round]) -> list[str]:
+def _last_score(rounds: Sequence[Round]) -> list[str]:
     scores = [
-        one
-        for one in rounds
-        if one.command == "score" and one.score is not None and not one.edited
+        round_
+        for round_ in rounds
+        if round_.command == "score" and round_.score is not None and not round_.edited
     ]
     if not scores:
         return []
@@ -195,28 +207,31 @@
 
 
 def _hunts(rounds: Sequence[Round]) -> list[str]:
-    hunts = [one for one in rounds if one.command == "hunt"]
+    hunts = [round_ for round_ in rounds if round_.command == "hunt"]
     if not hunts:
         return []
     lines = ["", "| hunt | commit | days | with a broken rule |", "|---|---|---|---|"]
-    for one in hunts:
-        broken = [day for day in one.days if day.broken]
+    for round_ in hunts:
+        broken = [day for day in round_.days if day.broken]
         rules = sorted({rule for day in broken for rule in day.broken})
-        told = f"{len(broken)} ({', '.join(rules)})" if broken else "0"
-        lines.append(f"| {one.entry} | {_commit(one)} | {len(one.days)} | {told} |")
+        broken_cell = f"{len(broken)} ({', '.join(rules)})" if broken else "0"
+        lines.append(
+            f"| {round_.entry} | {_commit(round_)} | {len(round_.days)} "
+            f"| {broken_cell} |"
+        )
     return lines
 
 
 def plot(rounds: Sequence[Round], deployment: str) -> None:
-    """Draw the worth of each standard day over the scores of a deployment."""
+    """Plot the worth of each standard day over the scores of a deployment."""
     scores = [
-        one
-        for one in rounds
-        if one.deployment == deployment and one.command == "score" and one.days
+        round_
+        for round_ in rounds
+        if round_.deployment == deployment and round_.command == "score" and round_.days
     ]
     points: dict[str, list[tuple[int, float]]] = defaultdict(list)
-    for number, one in enumerate(scores, 1):
-        for day in one.days:
+    for number, round_ in enumerate(scores, 1):
+        for day in round_.days:
             if not day.name.startswith("fresh"):
                 points[day.name].append((number, day.worth))
     canvas, axes = plt.subplots(figsize=(10, 4))
@@ -231,9 +246,9 @@
 
 def main() -> None:
     """Write the page and its plots."""
-    rounds, without = read_rounds(JOURNAL.glob("*.json"))
-    PAGE.write_text(page(rounds, without), encoding="utf-8")
-    for deployment in sorted({one.deployment for one in rounds}):
+    rounds, resultless_count = read_rounds(JOURNAL.glob("*.json"))
+    PAGE.write_text(page(rounds, resultless_count), encoding="utf-8")
+    for deployment in sorted({round_.deployment for round_ in rounds}):
         if any(r.score is not None for r in rounds if r.deployment == deployment):
             plot(rounds, deployment)
 
--- a/measurements/shares.py
+++ b/measurements/shares.py
@@ -1,13 +1,13 @@
-"""How near each team comes to its share, against a first-come baseline.
+"""Deviation of each team from its share, compared with a first-come baseline.
 
-Nine daemons' real admission, loans and coordination run in virtual time on an
+The real admission, loans and coordination of nine daemons run in virtual time on an
 in-memory network. The reference is generalized processor sharing, the fluid form
-of weighted max-min: at every moment each team with unserved work gets its part
-of the pool. A team's error is the difference between work received and entitled
-to in a window of 10 s in which its service is full, over the larger of what it
-was entitled to and one percent of the pool. Full means that at least two teams
-compete: in the last second of a backlog a single team may use all slots, and a
-tenth of a second by which the pool lags would show as that team's share error.
+of weighted max-min: at any time, each team with unserved work gets its share of the
+pool. A team's error is the difference between received and entitled work in a
+window of 10 s in which its service is full, divided by the larger of its entitled
+work and one percent of the pool. Full means that at least two teams compete: in the
+last second of a backlog a single team may use all slots, and a lag of the pool of a
+tenth of a second would count as that team's share error.
 """
 
 from __future__ import annotations
@@ -41,13 +41,13 @@
 WINDOW = 10
 PEAK_SECONDS = 15
 WARM_UP_SECONDS = 5
-"""Time without a peak at the start, in which the daemons divide the capacity."""
+"""Initial time without a peak, in which the daemons divide the capacity."""
 
 PEAK_OVER_CAPACITY = 1.5
-"""At its peak a queue asks for more than its pool holds."""
+"""At its peak, a queue's demand exceeds the capacity of its pool."""
 
 TROUGH_OVER_PEAK = 0.01
-"""Five times the mean at the peak, a twentieth of it in between."""
+"""Demand is five times the mean at the peak and a twentieth of it otherwise."""
 
 MEAN_WORK_SECONDS = 0.1
 SHARE_ERROR_BOUND = 0.02
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request: when it comes, from whom, where, and how long it runs."""
+    """A request: arrival time, service, team, receiving daemon and run time."""
 
     at: float
     service: str
@@ -78,18 +78,18 @@
 
 
 def total_seconds(deployment: Deployment) -> int:
-    """Return how long all services take to have their peak in turn."""
+    """Return the total time in which each service has one peak."""
     return WARM_UP_SECONDS + PEAK_SECONDS * len(deployment.services)
 
 
 def arrivals(deployment: Deployment, seed: int) -> list[Arrival]:
-    """Return the demand of one full turn of peaks, in order of time."""
-    generator = random.Random(seed)
+    """Return the requests of one peak per service, ordered by time."""
+    rng = random.Random(seed)
     capacity = deployment.executors * SLOTS
     end = total_seconds(deployment)
     result = []
-    # A client account keeps its connections, so it reaches few daemons.
-    homes = {team: generator.sample(range(DAEMONS), 4) for team in DEMAND_BY_TEAM}
+    # A client account reuses its connections, so it reaches few daemons.
+    daemons_by_team = {team: rng.sample(range(DAEMONS), 4) for team in DEMAND_BY_TEAM}
     for position, service in enumerate(deployment.services):
         for team, part in DEMAND_BY_TEAM.items():
             peak = PEAK_OVER_CAPACITY * capacity * part / MEAN_WORK_SECONDS
@@ -97,28 +97,28 @@
             while now < end:
                 in_peak = (now - WARM_UP_SECONDS) // PEAK_SECONDS == position
                 rate = peak if in_peak else peak * TROUGH_OVER_PEAK
-                now += generator.expovariate(rate)
-                work = generator.uniform(0.5, 1.5) * MEAN_WORK_SECONDS
-                daemon = generator.choice(homes[team])
+                now += rng.expovariate(rate)
+                work = rng.uniform(0.5, 1.5) * MEAN_WORK_SECONDS
+                daemon = rng.choice(daemons_by_team[team])
                 result.append(Arrival(now, service, team, daemon, work))
     return sorted(result, key=lambda a: a.at)
 
 
 Samples = dict[tuple[str, str], list[float]]
-"""Cumulative work by (service, team), one value a second."""
+"""Cumulative work by (service, team), one value per second."""
 
 
 def fluid_reference(
     deployment: Deployment, demand: list[Arrival], seconds: int
 ) -> tuple[Samples, dict[str, list[bool]]]:
-    """Return entitled work, and in which seconds teams competed for a service."""
+    """Return entitled work, and the seconds in which teams competed for a service."""
     capacity = deployment.executors * SLOTS
     samples: Samples = {}
     full: dict[str, list[bool]] = {}
     for service in deployment.services:
         pending = deque(a for a in demand if a.service == service)
         backlog = dict.fromkeys(SHARES_BY_TEAM, 0.0)
-        given = dict.fromkeys(SHARES_BY_TEAM, 0.0)
+        served = dict.fromkeys(SHARES_BY_TEAM, 0.0)
         for team in SHARES_BY_TEAM:
             samples[service, team] = [0.0]
         full[service] = []
@@ -129,7 +129,7 @@
                 while pending and pending[0].at <= now:
                     arrival = pending.popleft()
                     backlog[arrival.team] += arrival.work
-                # A request occupies one slot, so a backlog of few cannot fill more.
+                # A request occupies one slot, so few of them cannot use more.
                 rates = {
                     team: min(work / STEP, math.ceil(work / MEAN_WORK_SECONDS))
                     for team, work in backlog.items()
@@ -140,15 +140,15 @@
                 always_full &= contended
                 for team, slots in share.items():
                     backlog[team] = max(0.0, backlog[team] - slots * STEP)
-                    given[team] += slots * STEP
+                    served[team] += slots * STEP
             full[service].append(always_full)
             for team in SHARES_BY_TEAM:
-                samples[service, team].append(given[team])
+                samples[service, team].append(served[team])
     return samples, full
 
 
 def first_come(deployment: Deployment, demand: list[Arrival], seconds: int) -> Samples:
-    """Return work received when one queue a service is served in order."""
+    """Return work received when each service has one first-in, first-out queue."""
     samples: Samples = {}
     for service in deployment.services:
         free_at = [0.0] * (deployment.executors * SLOTS)
@@ -159,9 +159,9 @@
             free_at[slot] = start + arrival.work
             runs.append((arrival.team, start, start + arrival.work))
         for team in SHARES_BY_TEAM:
-            mine = [(start, end) for t, start, end in runs if t == team]
+            team_runs = [(start, end) for t, start, end in runs if t == team]
             samples[service, team] = [
-                sum(max(0.0, min(end, second) - start) for start, end in mine)
+                sum(max(0.0, min(end, second) - start) for start, end in team_runs)
                 for second in range(seconds + 1)
             ]
     return samples
@@ -170,7 +170,7 @@
 async def run_daemons(
     deployment: Deployment, demand: list[Arrival], seconds: int
 ) -> tuple[Samples, list[float]]:
-    """Return work received, and control bytes a second that each daemon sends."""
+    """Return work received, and the control bytes per second that each daemon sends."""
     clock = LoopClock()
     received: dict[tuple[str, str], float] = defaultdict(float)
     running: dict[int, tuple[tuple[str, str], float]] = {}
@@ -236,7 +236,7 @@
     received: float
     entitled: float
     error: float
-    """Received less entitled, over the larger of entitled and the floor."""
+    """(received - entitled) / max(entitled, floor)."""
 
 
 def full_windows(
@@ -245,17 +245,17 @@
     entitled: Samples,
     full: dict[str, list[bool]],
 ) -> Iterator[Window]:
-    """Yield every team's windows in which its service is full throughout."""
+    """Yield each team's windows during which its service is full throughout."""
     floor = 0.01 * deployment.executors * SLOTS * WINDOW
     for (service, team), values in received.items():
         reference = entitled[service, team]
         for end in range(WINDOW, len(full[service]) + 1):
             if not all(full[service][end - WINDOW : end]):
                 continue
-            got = values[end] - values[end - WINDOW]
-            due = reference[end] - reference[end - WINDOW]
-            error = (got - due) / max(due, floor)
-            yield Window(service, team, end, got, due, error)
+            received_work = values[end] - values[end - WINDOW]
+            entitled_work = reference[end] - reference[end - WINDOW]
+            error = (received_work - entitled_work) / max(entitled_work, floor)
+            yield Window(service, team, end, received_work, entitled_work, error)
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,7 +266,7 @@
     daemons: list[Window]
     first_come: list[Window]
     control: list[float]
-    """Control bytes a second that each daemon sends."""
+    """Control bytes per second that each daemon sends."""
 
 
 @cache
--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -1,7 +1,7 @@
-"""Cost of each role by size, a line through it and its value at the target size.
+"""Cost of each role by size, a linear fit of it and the value at the target size.
 
-Processor time is this machine's. A memory figure counts what the part keeps by
-itself, without the interpreter and the libraries.
+Processor times are those of the measuring machine. A memory figure counts only what
+the component retains, without the interpreter and the libraries.
 """
 
 from __future__ import annotations
@@ -56,12 +56,12 @@
 
 
 def _rounded(figure: Figure) -> Figure:
-    """Return a figure with four digits; its bound was checked before."""
+    """Return a figure with four digits; its bound is checked on the exact value."""
     return replace(figure, value=float(f"{figure.value:.4g}"))
 
 
 def _sums(value_by_name: dict[str, float]) -> Iterator[Figure]:
-    """Yield sums at the target size over parts that one daemon or store has."""
+    """Yield sums at the target size over the parts of one daemon or of the store."""
 
     def total(names: tuple[str, ...]) -> float:
         return sum(value_by_name[f"slopes.{name}"] for name in names)
--- a/measurements/support/__init__.py
+++ b/measurements/support/__init__.py
@@ -1,1 +1,1 @@
-"""Parts that several measurements share."""
+"""Components shared by several measurements."""
--- a/measurements/support/daemons.py
+++ b/measurements/support/daemons.py
@@ -1,4 +1,4 @@
-"""Several daemons' capacity services on an in-memory network."""
+"""Capacity services of several daemons on an in-memory network."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @dataclass
 class Link:
-    """What the capacity service reads of a connection."""
+    """The part of a connection that the capacity service reads."""
 
     heard_at: timedelta
 
@@ -44,7 +44,7 @@
 
     @property
     def connections_by_incarnation(self) -> dict[str, Link]:
-        """Return a link for each daemon that can be reached."""
+        """Return a link for each reachable daemon."""
         now = self._clock.monotonic()
         reachable = {} if self.cut else self.others
         return {name: Link(now) for name, n in reachable.items() if not n.cut}
--- a/measurements/support/deployments.py
+++ b/measurements/support/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments of the brief, at the sizes of today."""
+"""The two deployments in the requirements, at their current sizes."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Sizes of one deployment; ``latency`` is one way between zones."""
+    """Sizes of one deployment; ``latency`` is the one-way latency between zones."""
 
     name: str
     zones: tuple[str, ...]
--- a/measurements/support/executor_yard.py
+++ b/measurements/support/executor_standin.py
@@ -1,8 +1,8 @@
-"""Executors as processes of their own: they answer fast and only keep time.
+"""Executors in a separate process, which respond quickly and only simulate run times.
 
-    python -m measurements.support.executor_yard COUNT
+    python -m measurements.support.executor_standin COUNT
 
-listens on COUNT free ports, prints them and serves until its input ends.
+listens on COUNT free ports, prints them and serves until end of input.
 """
 
 from __future__ import annotations
@@ -18,20 +18,20 @@
 """Run time of a task whose payload does not say "lasts"."""
 
 
-class Yard:
-    """One executor: its runs and the ends that were not acknowledged."""
+class Executor:
+    """One executor, with its runs and the ends not yet acknowledged."""
 
     def __init__(self) -> None:
-        self.born = time.monotonic()
+        self.started_at = time.monotonic()
         self.running: dict[str, int] = {}
         self.ended: list[list[object]] = []
-        self.numbers = itertools.count(1)
-        self.waiting: list[Callable[[], None]] = []
+        self.end_numbers = itertools.count(1)
+        self.waiters: list[Callable[[], None]] = []
 
-    def answer(self, path: str, body: dict[str, object]) -> dict[str, object] | None:
-        """Answer a call; None: it waits for an end."""
+    def response(self, path: str, body: dict[str, object]) -> dict[str, object] | None:
+        """Return the response to a call, or None if it has to wait for an end."""
         loop = asyncio.get_running_loop()
-        clock = {"clock_ms": (time.monotonic() - self.born) * 1000}
+        clock = {"clock_ms": (time.monotonic() - self.started_at) * 1000}
         if path == "/run-start":
             task = str(body["task"])
             self.running[task] = int(str(body["run_id"]))
@@ -42,28 +42,28 @@
             self.ended = [end for end in self.ended if int(str(end[0])) > seen]
             if not self.ended and body.get("wait_ms"):
                 return None
-            return {**clock, **self.lists()}
+            return {**clock, **self.run_lists()}
         return dict(clock)
 
-    def lists(self) -> dict[str, object]:
-        """Return what an executor says of its runs."""
+    def run_lists(self) -> dict[str, object]:
+        """Return the lists of runs and ends that an executor reports."""
         rows = [[task, run, "", 100, 0] for task, run in self.running.items()]
         return {"running": rows, "ended": self.ended, "born": 1}
 
     def end(self, task: str) -> None:
-        """End a run and wake the look that waits for it."""
+        """End a run and wake the hold calls that wait for an end."""
         run = self.running.pop(task)
-        self.ended.append([next(self.numbers), task, run, "done", ""])
-        waiting, self.waiting = self.waiting, []
-        for wake in waiting:
+        self.ended.append([next(self.end_numbers), task, run, "done", ""])
+        waiters, self.waiters = self.waiters, []
+        for wake in waiters:
             wake()
 
 
-class Channel(asyncio.Protocol):
-    """One connection; calls come one at a time."""
+class Connection(asyncio.Protocol):
+    """One connection; it has one call in progress at a time."""
 
-    def __init__(self, yard: Yard) -> None:
-        self.yard = yard
+    def __init__(self, executor: Executor) -> None:
+        self.executor = executor
         self.received = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -72,10 +72,10 @@
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Answer a request once it is whole."""
+        """Respond to a request once it is complete."""
         self.received += data
-        head, found, rest = self.received.partition(b"\r\n\r\n")
-        if not found:
+        head, separator, rest = self.received.partition(b"\r\n\r\n")
+        if not separator:
             return
         lines = head.decode().lower().split("\r\n")
         sizes = [line[15:] for line in lines if line.startswith("content-length:")]
@@ -84,9 +84,9 @@
         self.received = b""
         path = lines[0].split()[1]
         body = json.loads(rest)
-        answer = self.yard.answer(path, body)
-        if answer is not None:
-            self.send(answer)
+        response = self.executor.response(path, body)
+        if response is not None:
+            self.send(response)
             return
         loop = asyncio.get_running_loop()
         seconds = int(body["wait_ms"]) / 1000
@@ -96,27 +96,29 @@
             timer.cancel()
             self.send_lists()
 
-        self.yard.waiting.append(wake)
+        self.executor.waiters.append(wake)
 
     def send_lists(self) -> None:
-        """Answer a look that has waited."""
-        clock = (time.monotonic() - self.yard.born) * 1000
-        self.send({"clock_ms": clock, **self.yard.lists()})
+        """Respond to a hold call that has waited."""
+        clock = (time.monotonic() - self.executor.started_at) * 1000
+        self.send({"clock_ms": clock, **self.executor.run_lists()})
 
-    def send(self, answer: dict[str, object]) -> None:
-        """Send one answer."""
-        body = json.dumps(answer).encode()
+    def send(self, response: dict[str, object]) -> None:
+        """Send one response."""
+        body = json.dumps(response).encode()
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
         self.transport.write(head.encode() + body)
 
 
 async def serve(count: int) -> None:
-    """Serve until the input ends."""
+    """Serve until end of input."""
     loop = asyncio.get_running_loop()
     ports = []
     for _ in range(count):
-        yard = Yard()
-        server = await loop.create_server(lambda y=yard: Channel(y), "127.0.0.1", 0)
+        executor = Executor()
+        server = await loop.create_server(
+            lambda e=executor: Connection(e), "127.0.0.1", 0
+        )
         ports.append(server.sockets[0].getsockname()[1])
     print(json.dumps(ports), flush=True)
     await loop.run_in_executor(None, sys.stdin.read)
--- a/measurements/support/lines.py
+++ b/measurements/support/lines.py
@@ -1,4 +1,4 @@
-"""Straight lines through measured costs, with their error and a value at a size."""
+"""Linear fits of measured costs, with their residual and the value at a size."""
 
 from __future__ import annotations
 
@@ -19,12 +19,12 @@
 CORE_PERCENT = 4.0
 MEMORY_MB = 32.0
 CONTROL_BYTES_PER_SECOND = 2048.0
-"""What a daemon may use for control: section 1.3 of the design page."""
+"""Limits of a daemon's control as stated in section 1.3 of the design document."""
 
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """Least-squares line; ``residual`` is the largest one over its measured cost."""
+    """Least-squares line; ``residual`` is the largest one relative to its cost."""
 
     slope: float
     intercept: float
@@ -73,7 +73,7 @@
 
 
 def growth_exponent(cost_by_size: Mapping[float, float]) -> float:
-    """Return the power of the size by which the cost grows from least to greatest.
+    """Return the exponent of the cost's growth from the smallest to the largest size.
 
     >>> growth_exponent({10: 1.0, 100: 100.0})
     2.0
@@ -84,7 +84,7 @@
 
 
 def least_seconds(work: Callable[[], object], times: int = 7) -> float:
-    """Return the least processor time of several calls, to leave out other load."""
+    """Return the least processor time of several calls, to exclude other load."""
     taken = []
     for _ in range(times):
         gc.collect()
@@ -95,7 +95,7 @@
 
 
 def traced_bytes(build: Callable[[], T]) -> tuple[T, int]:
-    """Return what ``build`` makes and the memory that it keeps."""
+    """Return the result of ``build`` and the memory that it retains."""
     gc.collect()
     tracemalloc.start()
     try:
--- a/measurements/support/plots.py
+++ b/measurements/support/plots.py
@@ -25,21 +25,21 @@
 DIRECTORY = Path("docs/plots")
 SITES = (fleet.LILIM, fleet.HSINCHU)
 BUFFER_PLOT_CYCLES = 2
-"""Turns of all pools in the plot; more cannot be told apart at its width."""
+"""Peaks of each pool in the plot; more would be indistinguishable at its width."""
 
-# Without a fixed salt the ids in the file differ from one run to the next.
+# Without a fixed salt, IDs in the file differ between runs.
 mpl.rcParams["svg.hashsalt"] = "pomeloyard"
 mpl.rcParams["svg.fonttype"] = "none"
 mpl.rcParams["figure.constrained_layout.use"] = True
 
 
 def save(canvas: Canvas, name: str) -> None:
-    """Write a plot without a date, so that equal data give an equal file."""
+    """Write a plot without a date, so that equal data produce an identical file."""
     DIRECTORY.mkdir(parents=True, exist_ok=True)
     path = DIRECTORY / f"{name}.svg"
     canvas.savefig(path, metadata={"Date": None})
     plt.close(canvas)
-    # Lines in the file end in blanks, which checks of patches complain about.
+    # Remove trailing blanks, which patch checks report.
     lines = path.read_text(encoding="utf-8").splitlines()
     path.write_text("\n".join(x.rstrip() for x in lines) + "\n", encoding="utf-8")
     print(path)
@@ -78,7 +78,7 @@
         label = None if team in labelled else team
         labelled.add(team)
         axes.plot(*zip(*values, strict=True), ".-", color=colour, label=label)
-    # A band narrower than twice the bound would hide how near it the lines are.
+    # In a range narrower than twice the bound, the distance to it would not show.
     largest = max(2 * bound, 1.1 * shares.largest_error(windows))
     axes.set_ylim(1 - largest, 1 + largest)
     axes.set_title(title, fontsize="medium")
--- a/measurements/support/report.py
+++ b/measurements/support/report.py
@@ -59,10 +59,10 @@
 
 
 def _quantity(value: float, unit: str) -> str:
-    # Large values keep all digits before the point, small ones four digits.
+    # Large values are shown as integers, small ones with four significant digits.
     whole = float(value).is_integer() or abs(value) >= 1000
     number = f"{value:.0f}" if whole else f"{value:.4g}"
-    # A unit such as "1 = yes" explains the number instead of following it.
+    # A unit such as "1 = yes" explains the number, so it is put in parentheses.
     return f"{number} ({unit})" if "=" in unit else f"{number} {unit}".strip()
 
 
--- a/measurements/support/size.py
+++ b/measurements/support/size.py
@@ -1,4 +1,4 @@
-"""Count lines of code and of tests, and what the tests are about.
+"""Count lines of code, of tests and of tests of faults and limits.
 
 Usage: python -m measurements.support.size
 """
@@ -20,38 +20,38 @@
 TEST_SHARE_BOUND = 1 / 3
 FAULT_SHARE_BOUND = 0.25
 
-# Where new work goes, when an endpoint is ejected, and what the caller sees then.
+# Routing of new work, ejection of endpoints, and the caller's response then.
 ROUTING_FILES = (
     "tests/test_routing.py",
     "tests/test_drain_notices.py",
 )
-# Units and slots in use never exceed a total, and each team gets its share.
+# Units and slots in use stay within the total, and each team gets its share.
 LIMIT_FILES = (
     "tests/test_loans_model.py",
     "tests/test_shares.py",
     "tests/test_budgets.py",
 )
-# What may be tried again after a fault, and that a key runs at most once.
+# Retries that are allowed after a fault; a key runs at most once.
 RETRY_FILES = (
     "tests/test_request_faults.py",
     "tests/test_claim_model.py",
     "tests/test_keyed_processes.py",
 )
-# Who belongs to the fleet, who holds a role, and the links between daemons.
+# Fleet membership, role holders and the links between daemons.
 MEMBERSHIP_FILES = (
     "tests/test_membership.py",
     "tests/test_roles.py",
     "tests/test_peer_streams.py",
     "tests/test_fleet_model.py",
 )
-# What is stored, followed and replicated, with lost answers and outages.
+# Stored, followed and replicated state, with lost responses and outages.
 STATE_FILES = (
     "tests/test_store_contract.py",
     "tests/test_follower.py",
     "tests/test_replication.py",
     "tests/test_job_store.py",
 )
-# What happens after VMs, daemons or controllers fail, pause or are killed.
+# Recovery after VMs, daemons or controllers fail, pause or are killed.
 RECOVERY_FILES = (
     "tests/test_repairs.py",
     "tests/test_vm_operations.py",
@@ -83,9 +83,9 @@
 
 
 def code_lines(text: str) -> int:
-    """Return the lines that are neither blank nor only a comment.
+    """Return the number of lines that are neither blank nor only a comment.
 
-    Doc strings count, except their blank lines.
+    Docstrings count, except their blank lines.
     """
     occupied: set[int] = set()
     for token in tokenize.generate_tokens(io.StringIO(text).readline):
@@ -96,7 +96,7 @@
 
 
 def lines_by_file(root: Path, directories: Iterable[str]) -> dict[str, int]:
-    """Return the lines of every Python file below the directories."""
+    """Return the number of code lines of every Python file in the directories."""
     return {
         path.relative_to(root).as_posix(): code_lines(path.read_text(encoding="utf-8"))
         for directory in directories
@@ -113,11 +113,11 @@
     yield Figure("size_code_lines", code, "lines")
     yield Figure("size_test_lines", tests, "lines")
     share = tests / (code + tests)
-    # The target is under a third, so a third itself is out of bounds.
+    # The target is below a third, so exactly a third is out of bounds.
     ok = share < TEST_SHARE_BOUND
     yield Figure("size_test_share", share, "ratio", TEST_SHARE_BOUND, ok)
     share = faults / tests
-    # The target is a least value: a quarter or more.
+    # The target is a minimum: a quarter or more.
     ok = share >= FAULT_SHARE_BOUND
     yield Figure("size_fault_test_share_least", share, "ratio", FAULT_SHARE_BOUND, ok)
 
--- a/measurements/support/slopes_capacity.py
+++ b/measurements/support/slopes_capacity.py
@@ -1,4 +1,4 @@
-"""Coordinator and loan book, with the product's capacity service of one daemon."""
+"""Coordinator and loan book of one daemon, with the product's capacity service."""
 
 from __future__ import annotations
 
@@ -41,8 +41,8 @@
 LOAN_SIZES = {36: (30, 6), 108: (80, 28), 316: (232, 84)}
 """Resources: (executors, teams); the last is the target."""
 
-HOMES = 4
-"""Daemons that a client account's connections reach."""
+DAEMONS_PER_ACCOUNT = 4
+"""Daemons to which a client account has connections."""
 
 ROUNDS = 12
 SEED = 7
@@ -50,7 +50,7 @@
 
 
 class CountingNetwork(MemoryNetwork):
-    """Encodes and counts what is sent, and delivers nothing."""
+    """Encodes and counts sent messages, and delivers none."""
 
     def send(self, incarnation: str, message: Any) -> bool:
         """Count a message."""
@@ -60,11 +60,11 @@
 
 
 class CoordinatorBench:
-    """The coordinating daemon, which receives all daemons' reports each round."""
+    """The coordinating daemon, which receives a report from each daemon every round."""
 
     def __init__(self, pairs: int, vms: int) -> None:
         self.clock = ManualClock()
-        self._chance = random.Random(SEED)
+        self._rng = random.Random(SEED)
         self._table = target.partition_table()
         self.state = FleetState(
             config=target.config(),
@@ -72,9 +72,11 @@
             partitions=self._table,
             partitions_revision=1,
         )
-        me = target.MEMBERS[0]
+        own_incarnation = target.MEMBERS[0]
         self.network: Any = CountingNetwork(
-            Hello(me, vm_of(me), "", ""), self.clock, timedelta(0)
+            Hello(own_incarnation, vm_of(own_incarnation), "", ""),
+            self.clock,
+            timedelta(0),
         )
         admission = AdmissionController(
             self.clock,
@@ -85,27 +87,27 @@
         )
         self.service = CapacityService(self.clock, self.state, self.network, admission)
         self.service.on_state_change()
-        for number in self._table.held_by(me):
+        for number in self._table.held_by(own_incarnation):
             epoch = self._table.partitions[number].epoch
             for member in target.MEMBERS[1:]:
                 self.service.book.on_statement(member, LoanStatement(number, epoch, ()))
         teams = TEAMS_BY_PAIRS[pairs]
-        self._homes = {
+        self._daemons_by_pair = {
             (
                 (number * (pairs // teams) + k) % target.SERVICES,
                 number,
-            ): self._chance.sample(range(target.DAEMONS), HOMES)
+            ): self._rng.sample(range(target.DAEMONS), DAEMONS_PER_ACCOUNT)
             for number in range(teams)
             for k in range(pairs // teams)
         }
         self._served: Counter[tuple[tuple[int, int], int]] = Counter()
 
     def reports(self, sequence: int) -> list[bytes]:
-        """Return each daemon's report of a random demand, as a frame."""
+        """Return one encoded report of random demand for each daemon."""
         rows = defaultdict(list)
-        for pair, homes in self._homes.items():
-            for daemon in homes:
-                queued, running = self._chance.randrange(6), self._chance.randrange(4)
+        for pair, daemons in self._daemons_by_pair.items():
+            for daemon in daemons:
+                queued, running = self._rng.randrange(6), self._rng.randrange(4)
                 self._served[pair, daemon] += 250 * running + 1
                 served = self._served[pair, daemon]
                 row = (*pair, queued, running, served)
@@ -121,7 +123,7 @@
         ]
 
     def round(self, frames: list[bytes]) -> float:
-        """Take all reports and advise; return the processor time."""
+        """Process all reports and send advice; return the processor time."""
         gc.collect()
         began = time.process_time()
         for member, frame in zip(target.MEMBERS, frames, strict=True):
@@ -131,7 +133,7 @@
         return time.process_time() - began
 
     def plan_seconds(self) -> float:
-        """Return the time of ``Coordinator.plan`` alone, on the last reports."""
+        """Return the time of ``Coordinator.plan`` alone, with the latest reports."""
         shape, now = self.service._shape(), self.clock.monotonic()
         return least_seconds(lambda: self.service._coordinator.plan(shape, now), 5)
 
@@ -147,7 +149,7 @@
 
 
 def measure_rounds(pairs: int, vms: int) -> Rounds:
-    """Run rounds of changing demand; the first, with full advice, is left out."""
+    """Run rounds of changing demand; exclude the first, which sends all advice."""
     bench = CoordinatorBench(pairs, vms)
     seconds, reports = [], []
     for sequence in range(ROUNDS + 1):
@@ -191,7 +193,7 @@
 
 
 def _change_seconds(vms: int) -> float:
-    """Return the time to take a change of VM list, records or configuration."""
+    """Return the time to process a change of VM list, records or configuration."""
     bench = CoordinatorBench(TARGET_PAIRS, vms)
     return least_seconds(bench.service.on_state_change)
 
@@ -226,7 +228,7 @@
     yield from line_figures("loans.reconcile", "ms", "resources", times, largest)
     exponent = growth_exponent(times)
     yield Figure("slopes.loans.reconcile.growth", exponent, "exponent")
-    # A round reconciles once by itself and once more for the advice that came.
+    # A round reconciles once on its own and once more for the advice received.
     share = {n: s * 2 * ROUNDS_PER_SECOND * 100 for n, s in seconds.items()}
     yield from line_figures(
         "loans.core", "% of a core", "resources", share, largest, CORE_PERCENT
@@ -235,20 +237,22 @@
 
 def _book(executors: int, teams: int) -> LoanBook:
     """Return a book that lends a unit of each resource and borrows from four."""
-    chance = random.Random(SEED)
+    rng = random.Random(SEED)
     totals = {Resource(SLOTS, f"vm-{n:04d}"): 8 for n in range(executors)}
     totals.update({Resource(LIMIT, f"team-{n:02d}"): 300 for n in range(teams)})
     table = target.partition_table()
-    me, *others = target.MEMBERS
-    book = LoanBook(me, lambda resource: totals[resource], lambda resource: 0)
+    own_incarnation, *others = target.MEMBERS
+    book = LoanBook(
+        own_incarnation, lambda resource: totals[resource], lambda resource: 0
+    )
     book.follow_table(table)
-    for number in table.held_by(me):
+    for number in table.held_by(own_incarnation):
         for member in others:
             epoch = table.partitions[number].epoch
             book.on_statement(member, LoanStatement(number, epoch, ()))
     for resource in totals:
-        book.want_lent(resource, {chance.choice(others): 1})
-        for lender in chance.sample(others, HOMES):
+        book.want_lent(resource, {rng.choice(others): 1})
+        for lender in rng.sample(others, DAEMONS_PER_ACCOUNT):
             number = table.held_by(lender)[0]
             epoch = table.partitions[number].epoch
             grant = LoanGrant(number, epoch, resource.kind, resource.name, 1, 1)
--- a/measurements/support/slopes_fleet.py
+++ b/measurements/support/slopes_fleet.py
@@ -1,4 +1,4 @@
-"""Controller's steps and transactions, and the store's calls of the whole fleet."""
+"""Steps and transactions of the controller, and store calls of the whole fleet."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 )
 from measurements.figures import Figure, at_most
 from measurements.fleet import (
-    LATER,
+    FUTURE,
     STEP_SECONDS,
     Site,
     _planning_step,
@@ -68,7 +68,7 @@
         tuple(f"pool-{n:03d}" for n in range(pools)),
         0,
         vms // pools,
-        LATER.zones,
+        FUTURE.zones,
         0.85,
     )
 
@@ -83,7 +83,7 @@
         "controller.core", "% of a core", "VMs", share, target.VMS, CORE_PERCENT
     )
     whole = {n: anyio.run(_whole_step_seconds, n) * 1000 for n in VM_SIZES}
-    # The fakes of store and platform are part of this time.
+    # This time includes the fake store and platform.
     yield from line_figures(
         "controller.whole_step_with_fakes", "ms", "VMs", whole, target.VMS
     )
@@ -112,7 +112,7 @@
 
 def _per_day(per_wave_vm: float, per_lost_vm: float) -> Iterator[Figure]:
     maintained = target.VMS / MAINTENANCE_DAYS
-    # A restart or replacement takes the same steps as maintenance.
+    # A restart or replacement has the same steps as maintenance.
     writes = (maintained + RESTARTS_PER_DAY) * per_wave_vm
     writes += FAILURES_PER_DAY * per_lost_vm
     place = f"{target.VMS} VMs"
@@ -147,7 +147,7 @@
 
 
 async def _idle_reads(pools: int) -> float:
-    """Return the reads a second while no VM has a step to take."""
+    """Return the reads per second while no VM has a pending step."""
     fleet = new_fleet(_site(pools * 26))
     await step(fleet)
     await step(fleet)
@@ -168,7 +168,7 @@
 
 
 async def _loss_writes(count: int) -> int:
-    """Return the writes for VMs that are lost one after another and come back."""
+    """Return the writes for VMs that are lost one after another and then restored."""
     fleet = new_fleet(_site(78))
     await step(fleet)
     await step(fleet)
@@ -206,7 +206,7 @@
 
 
 async def _idle_fleets() -> dict[int, Rates]:
-    """Run fleets of three sizes at once; they share nothing but the process."""
+    """Run fleets of three sizes at once; they share only the process."""
     result: dict[int, Rates] = {}
     async with anyio.create_task_group() as tasks:
         for count in DAEMON_SIZES:
@@ -235,7 +235,7 @@
 
 
 def event_figures() -> Iterable[Figure]:
-    """Yield the store writes for each publication, job and claim."""
+    """Yield the store writes per publication, job and claim."""
     published = {n: float(anyio.run(_publications, n)) for n in PUBLICATIONS}
     yield from line_figures(
         "store.publication_writes",
@@ -277,7 +277,7 @@
 
 
 async def _job_writes(count: int) -> int:
-    """Return the writes for jobs from submission to result, as they come."""
+    """Return the writes for jobs that arrive over time, from submission to result."""
     bench = Bench(LILIM.workers, LILIM.cores)
     jobs = JobStore(bench.store, bench.clock, lambda: bench.state.config)
     request = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
--- a/measurements/support/slopes_jobs.py
+++ b/measurements/support/slopes_jobs.py
@@ -35,7 +35,7 @@
 QUEUED_SIZES = (500, 2000, 6000)
 RUNNING_SIZES = (100, 400, 1200)
 TARGET_QUEUED = 10_000
-"""As in measurements/jobs.py; the targets state no length of the job queue."""
+"""As in measurements/jobs.py; the targets do not specify a job queue length."""
 
 TASKS_PER_WORKER = 4
 TARGET_RUNNING = target.WORKERS * TASKS_PER_WORKER
@@ -50,7 +50,7 @@
 
 
 def memory_figures() -> Iterable[Figure]:
-    """Yield the memory of a scheduler that takes over jobs, by their number."""
+    """Yield the memory of a scheduler that takes over jobs, by number of jobs."""
     queued = {n: anyio.run(_queued_bytes, n) / MEGABYTE for n in QUEUED_SIZES}
     yield from line_figures(
         "scheduler.queued.memory",
@@ -72,7 +72,7 @@
 
 
 async def _queued_bytes(count: int) -> int:
-    # The only worker is too small, so that every job stays queued.
+    # The only worker is too small, so every job stays queued.
     bench = Bench(workers=1, cores=1)
     request = JobRequest("sleep 2", cores=1, memory_bytes=GIB)
     await bench.submit_many("mill", request, count)
@@ -87,7 +87,7 @@
     async with bench.scheduler():
         await bench.run(3)
     assert len(bench.workers.running()) == count
-    # The records, the store and the workers are made before the trace begins.
+    # Records, store and workers are created before tracing starts.
     return await _term_bytes(bench, count, 2)
 
 
@@ -110,7 +110,7 @@
     seconds = {n: _step_seconds(n) for n in WORKER_SIZES}
     steps = {n: taken * 1000 for n, taken in seconds.items()}
     yield from line_figures("scheduler.step", "ms", "workers", steps, target.WORKERS)
-    # A plan is made each second, and in each tick in which jobs changed.
+    # The scheduler plans every second, and in each tick in which jobs changed.
     for name, interval in (("each_second", PLAN_INTERVAL), ("each_tick", TICK)):
         rate = 100 / interval.total_seconds()
         share = {n: taken * rate for n, taken in seconds.items()}
@@ -126,7 +126,7 @@
 
 @dataclass
 class Renewals:
-    """What renewals of one worker with some tasks cost."""
+    """Cost of the lease renewals of one worker with some tasks."""
 
     sent: int = 0
     received: int = 0
@@ -134,7 +134,7 @@
 
 
 def renewal_figures() -> Iterable[Figure]:
-    """Yield the traffic of lease renewals: request and answer with headers."""
+    """Yield the traffic of lease renewals: requests and responses with headers."""
     costs = {n: anyio.run(_renewals, n) for n in TASK_SIZES}
     interval = RENEW_INTERVAL.total_seconds()
     one = {n: (c.sent + c.received) / interval for n, c in costs.items()}
@@ -180,7 +180,7 @@
 
 
 async def _renewals(tasks: int) -> Renewals:
-    """Renew over loopback; the processor time includes the answering end."""
+    """Renew over loopback; the processor time includes the server side."""
     ids = [f"{job_id_of('team-01', str(n))}.1" for n in range(tasks)]
     reports = [
         TaskReport(i, i[:-2], TaskState.RUNNING, 7, 1234.567, 3.25, 3 * GIB)
@@ -189,7 +189,9 @@
     body = msgspec.json.encode(reports)
     cost = Renewals()
     client = HttpWorkerClient()
-    async with _answering(HEADERS.format(len(body)).encode() + body, cost) as address:
+    async with _serving_fixed_response(
+        HEADERS.format(len(body)).encode() + body, cost
+    ) as address:
         await client.renew(address, 7, TASK_LEASE.total_seconds(), ids)
         cost.sent = cost.received = 0
         began = time.process_time()
@@ -204,8 +206,10 @@
 
 
 @asynccontextmanager
-async def _answering(answer: bytes, cost: Renewals) -> AsyncIterator[str]:
-    """Serve a fixed answer to each request and count the bytes."""
+async def _serving_fixed_response(
+    response: bytes, cost: Renewals
+) -> AsyncIterator[str]:
+    """Serve a fixed response to each request and count the bytes."""
 
     async def serve(stream: SocketStream) -> None:
         pending = b""
@@ -213,10 +217,10 @@
             async for data in stream:
                 cost.sent += len(data)
                 pending += data
-                if pending.endswith(b"]}"):  # The list of task ids comes last.
+                if pending.endswith(b"]}"):  # The list of task IDs ends the body.
                     pending = b""
-                    cost.received += len(answer)
-                    await stream.send(answer)
+                    cost.received += len(response)
+                    await stream.send(response)
 
     async with anyio.create_task_group() as tasks:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
--- a/measurements/support/slopes_state.py
+++ b/measurements/support/slopes_state.py
@@ -1,4 +1,4 @@
-"""Every daemon: followed state, watch events, repeated reads, heartbeats, claims."""
+"""Costs of every daemon: followed state, events, reads, heartbeats and claims."""
 
 from __future__ import annotations
 
@@ -39,8 +39,8 @@
 EVENTS = 200
 
 
-class Followed:
-    """A store with a fleet's records and what a daemon makes of them."""
+class FollowedFleet:
+    """A store with a fleet's records, for followers of that state."""
 
     def __init__(self, vms: int, teams: int) -> None:
         self.clock = ManualClock()
@@ -49,7 +49,7 @@
         anyio.run(target.fill, self.store, target.vm_list(vms), teams)
 
     def follow(self) -> FleetFollower:
-        """Return a follower that has read everything once."""
+        """Return a follower that has read all records once."""
         directory = MemoryVmDirectory(self.clock, [])
         state = FleetState(vm_list=msgspec.json.decode(self.listing, type=VmList))
         follower = FleetFollower(self.store, directory, self.clock, state)
@@ -57,19 +57,19 @@
         return follower
 
     def event_seconds(self) -> float:
-        """Return the time to take one event of a VM record."""
+        """Return the time to process one event of a VM record."""
         follower = self.follow()
         key = f"{layout.VMS}vm-0001"
         entry = self.store._entries_by_key[key]
         revisions = iter(range(10**6, 10**9))
 
-        async def take() -> None:
+        async def apply_events() -> None:
             for _ in range(EVENTS):
                 event = WatchEvent(key, entry, next(revisions))
                 await follower._apply(event.key, event.entry, event.revision)
                 follower.changed()
 
-        return least_seconds(lambda: anyio.run(take)) / EVENTS
+        return least_seconds(lambda: anyio.run(apply_events)) / EVENTS
 
     def checked_bytes(self) -> int:
         """Return the size of the two records that are read every few seconds."""
@@ -79,8 +79,8 @@
 
 def state_figures() -> Iterable[Figure]:
     """Yield the cost of followed state by VM records and by teams."""
-    by_vms = {n: Followed(n, target.TEAMS) for n in VM_SIZES}
-    by_teams = {n: Followed(target.VMS, n) for n in TEAM_SIZES}
+    by_vms = {n: FollowedFleet(n, target.TEAMS) for n in VM_SIZES}
+    by_teams = {n: FollowedFleet(target.VMS, n) for n in TEAM_SIZES}
     for per, cases, size in (
         ("VM records", by_vms, target.VMS),
         ("teams", by_teams, target.TEAMS),
@@ -100,10 +100,10 @@
 
 
 def _repeated_reads(
-    by_vms: dict[int, Followed], by_teams: dict[int, Followed]
+    by_vms: dict[int, FollowedFleet], by_teams: dict[int, FollowedFleet]
 ) -> Iterator[Figure]:
-    """Yield the content of what is read again and again, without HTTP headers."""
-    # The list is sent only when it has changed since the last read.
+    """Yield the content of periodic reads, without HTTP headers."""
+    # The list is sent only if it has changed since the last read.
     seconds = 86_400 / target.VM_LIST_CHANGES_PER_DAY
     lists = {n: len(case.listing) / seconds for n, case in by_vms.items()}
     yield from line_figures(
@@ -133,7 +133,7 @@
 
 
 def heartbeat_figures() -> Iterable[Figure]:
-    """Yield the heartbeats that a daemon sends; it receives as many."""
+    """Yield the traffic of heartbeats that a daemon sends; it receives as many."""
     frame = len(encode_frame(Heartbeat(1_000_000, 10_000, 1_000_000, True), 1_000_000))
     seconds = HEARTBEAT_INTERVAL.total_seconds()
     sent = {n: frame * (n - 1) / seconds for n in DAEMON_SIZES}
--- a/measurements/support/target_fleet.py
+++ b/measurements/support/target_fleet.py
@@ -1,4 +1,4 @@
-"""Records of a fleet of any size up to the one expected in two years."""
+"""Records of a fleet of any size, up to the size expected in two years."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
 
 
 def config(teams: int = TEAMS, revision: int = 1) -> FleetConfig:
-    """Return a configuration of the target's services and some teams."""
+    """Return a configuration with the target's services and ``teams`` teams."""
     names = [f"service-{n:02d}" for n in range(SERVICES)]
     accounts = [f"team-{n:02d}" for n in range(teams)]
     return FleetConfig(
@@ -70,7 +70,7 @@
 
 
 def vm_record(vm: Vm) -> VmRecord:
-    """Return the record of a VM with a full history."""
+    """Return the record of a VM whose history has its maximum length."""
     record = VmRecord(
         vm.name,
         vm.role,
@@ -92,7 +92,7 @@
 
 
 def partition_table() -> PartitionTable:
-    """Return a table that nine daemons hold evenly."""
+    """Return a table whose partitions are spread evenly over the nine daemons."""
     table = new_table()
     for member in MEMBERS:
         table = table.with_member(member)
--- a/measurements/support/virtual_time.py
+++ b/measurements/support/virtual_time.py
@@ -1,4 +1,4 @@
-"""Run anyio programs in virtual time, so that timers need no waiting."""
+"""Run anyio programs in virtual time, so that timers do not wait."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 
 class LoopClock(Clock):
-    """Clock that shows the time of the running event loop."""
+    """Clock that returns the time of the running event loop."""
 
     def now(self) -> datetime:
         """Return a fixed start plus the loop's time."""
--- a/tests/test_measured_lines.py
+++ b/tests/test_measured_lines.py
@@ -1,4 +1,4 @@
-"""Lines through measured costs."""
+"""Linear fits of measured costs."""
 
 import pytest
 
@@ -14,14 +14,14 @@
     ],
 )
 def test_a_curve_shows_in_the_residual(costs, at_ten, residual):
-    """Guards against a curved cost that is reported as a fitting line."""
+    """Guard against reporting a nonlinear cost as a good linear fit."""
     line = fit(costs)
     assert line.at(10) == pytest.approx(at_ten)
     assert line.residual == pytest.approx(residual)
 
 
 def test_only_the_value_at_the_target_is_bounded():
-    """Guards against a limit that holds at small sizes but not at the target."""
+    """Guard against a limit that is checked at small sizes instead of the target."""
     figures = list(line_figures("x", "B", "VMs", {1: 1.0, 2: 2.0}, 100, 50.0))
     assert [f.ok for f in figures if f.bound is not None] == [False]
     assert figures[-1].value == pytest.approx(100)
--- a/tests/test_measurement_support.py
+++ b/tests/test_measurement_support.py
@@ -1,4 +1,4 @@
-"""Counting lines and reporting figures: a wrong page would hide a missed target."""
+"""Line counts and the page of figures; a wrong page would hide a missed target."""
 
 import pytest
 
--- a/tests/test_rounds_report.py
+++ b/tests/test_rounds_report.py
@@ -1,4 +1,4 @@
-"""The page of measured rounds from journal entries."""
+"""The page of measured rounds, written from journal entries."""
 
 from __future__ import annotations
 
@@ -51,9 +51,9 @@
 
 
 def test_rounds_are_read_in_order_and_entries_without_a_result_counted(journal):
-    rounds, without = read_rounds(journal.glob("*.json"))
-    assert [one.entry for one in rounds] == ["e1", "e2"]
-    assert without == 1
+    rounds, resultless_count = read_rounds(journal.glob("*.json"))
+    assert [round_.entry for round_ in rounds] == ["e1", "e2"]
+    assert resultless_count == 1
     assert rounds[0].worth_under_load == pytest.approx(0.2)
     assert rounds[1].score is None
 
