--- a/src/pomeloyard/keyvalue/detour.py
+++ b/src/pomeloyard/keyvalue/relay_selection.py
@@ -12,23 +12,23 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-FAILURES_TO_DETOUR = 2
+FAILURES_BEFORE_RELAY = 2
 """Consecutive failed calls before relaying; a single one may be a lost packet."""
-SOUND_AGE = timedelta(seconds=3)
+MAX_RESPONSE_AGE = timedelta(seconds=3)
 """A daemon that got a response within this time relays for others; an idle daemon
 polls the store every 1.2 s."""
-PEER_PAUSE = timedelta(seconds=1)
+PEER_RETRY_DELAY = timedelta(seconds=1)
 """Time for which a peer that could not relay is not tried again."""
 RETRY_INTERVAL = timedelta(seconds=0.1)
 """Between failed attempts at different peers, to limit the load in an outage."""
 
 
-class Detour:
+class RelaySelector:
     """Selects whether calls go to the store directly or through which peer."""
 
     def __init__(self) -> None:
         self.speed_by_peer: dict[str, float] = {}
-        """Speed of the daemons that may relay, by address."""
+        """Speed of the daemons that can relay, by address."""
         self._failures = 0
         self._last_response_at: timedelta | None = None
         self._retry_at_by_peer: dict[str, timedelta] = {}
@@ -36,21 +36,23 @@
         self._next_try_at = timedelta(0)
 
     @property
-    def is_needed(self) -> bool:
+    def uses_relay(self) -> bool:
         """Tell whether calls are to be relayed instead of sent to the store."""
-        return bool(self.speed_by_peer) and self._failures >= FAILURES_TO_DETOUR
+        return bool(self.speed_by_peer) and self._failures >= FAILURES_BEFORE_RELAY
 
-    def may_relay(self, now: timedelta) -> bool:
-        """Tell whether this daemon reaches the store and may relay for peers."""
+    def can_relay(self, now: timedelta) -> bool:
+        """Tell whether this daemon reaches the store and can relay for peers."""
         last_response_at = self._last_response_at
-        is_recent = last_response_at is not None and now - last_response_at <= SOUND_AGE
+        is_recent = (
+            last_response_at is not None and now - last_response_at <= MAX_RESPONSE_AGE
+        )
         return is_recent and not self._failures
 
     def set_peers(self, speed_by_peer: Mapping[str, float]) -> None:
         """Replace the known peers."""
         self.speed_by_peer = dict(speed_by_peer)
 
-    def peer(self, now: timedelta) -> str | None:
+    def select_peer(self, now: timedelta) -> str | None:
         """Return the peer to relay a call, or None if no peer should be tried now.
 
         The fastest peers are preferred: the placing daemon's calls would saturate the
@@ -72,23 +74,23 @@
             [peer for peer in available if self.speed_by_peer[peer] == fastest]
         )
 
-    def answered(self, now: timedelta) -> None:
+    def record_response(self, now: timedelta) -> None:
         """Record a response to a direct call."""
         self._failures = 0
         self._last_response_at = now
         self._peer = ""
 
-    def failed(self) -> None:
+    def record_failure(self) -> None:
         """Record a direct call that the store rejected or did not respond to."""
         self._failures += 1
 
-    def relayed(self, peer: str) -> None:
+    def record_relayed(self, peer: str) -> None:
         """Record a response relayed by a peer, which the next calls use as well."""
         self._peer = peer
 
-    def refused(self, peer: str, now: timedelta) -> None:
+    def record_relay_failure(self, peer: str, now: timedelta) -> None:
         """Record a call that a peer could not relay."""
-        self._retry_at_by_peer[peer] = now + PEER_PAUSE
+        self._retry_at_by_peer[peer] = now + PEER_RETRY_DELAY
         self._next_try_at = now + RETRY_INTERVAL
         if self._peer == peer:
             self._peer = ""
--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -25,7 +25,7 @@
 )
 from ..keyvalue import layout
 from ..keyvalue.answer_times import AnswerTimes
-from ..keyvalue.detour import Detour
+from ..keyvalue.relay_selection import RelaySelector
 from ..keyvalue.store import (
     CallCounter,
     CommitResult,
@@ -112,7 +112,7 @@
         self._address = address
         self._answer_times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
         self.calls = CallCounter()
-        self.detour = Detour()
+        self.relay_selector = RelaySelector()
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if it does not exist."""
@@ -234,7 +234,7 @@
         Raises CallUnansweredError, or CallNotSentError, also when this daemon cannot
         reach the store directly.
         """
-        if not self.detour.may_relay(_now()):
+        if not self.relay_selector.can_relay(_now()):
             raise CallNotSentError(
                 f"{method} {target}: the store is not reachable directly"
             )
@@ -266,7 +266,7 @@
         """Make a call; the default time-out adapts to recent response times."""
         started_at = _now()
         limit = timeout or self._answer_times.limit(started_at)
-        through_peer = self.detour.is_needed
+        through_peer = self.relay_selector.uses_relay
         call = self._call_through_peer if through_peer else self._call_directly
         try:
             response = await call(method, target, content, limit)
@@ -287,12 +287,12 @@
                 method, self._address, target, limit, content
             )
         except (CallNotSentError, CallUnansweredError):
-            self.detour.failed()
+            self.relay_selector.record_failure()
             raise
         if response.status in REFUSAL_STATUSES:
-            self.detour.failed()
+            self.relay_selector.record_failure()
         else:
-            self.detour.answered(_now())
+            self.relay_selector.record_response(_now())
         return response
 
     async def _call_through_peer(
@@ -302,7 +302,7 @@
 
         Raises CallNotSentError if no peer is available now.
         """
-        peer = self.detour.peer(_now())
+        peer = self.relay_selector.select_peer(_now())
         if peer is None:
             raise CallNotSentError(f"{method} {target}: no way to the store")
         headers = {RELAY_TIME_HEADER: str(round(limit / timedelta(milliseconds=1)))}
@@ -311,12 +311,12 @@
                 method, peer, target, limit + RELAY_TIMEOUT_MARGIN, content, headers
             )
         except (CallNotSentError, CallUnansweredError):
-            self.detour.refused(peer, _now())
+            self.relay_selector.record_relay_failure(peer, _now())
             raise
         if response.status == NOT_RELAYED_STATUS:
-            self.detour.refused(peer, _now())
+            self.relay_selector.record_relay_failure(peer, _now())
         elif response.status != RELAY_UNANSWERED_STATUS:
-            self.detour.relayed(peer)
+            self.relay_selector.record_relayed(peer)
         return response
 
     async def _read(self, target: str, timeout: timedelta | None = None) -> Response:
--- a/src/pomeloyard/platform/store_relay.py
+++ b/src/pomeloyard/platform/store_relay.py
@@ -121,7 +121,7 @@
             except StoreError as error:
                 log.info("cannot refresh the list of relays: {}", error)
             else:
-                self._store.detour.set_peers(self._decode_others(page.entries))
+                self._store.relay_selector.set_peers(self._decode_others(page.entries))
             await self._clock.sleep(delay * random.uniform(0.7, 1.3))
             delay = PEER_SCAN_INTERVAL
 
@@ -140,12 +140,12 @@
 
     async def probe(self) -> None:
         """Probe the store directly while calls go through peers, until cancelled."""
-        detour = self._store.detour
+        selector = self._store.relay_selector
         through_peers = False
         while True:
             await self._clock.sleep(PROBE_INTERVAL * random.uniform(0.7, 1.3))
-            if detour.is_needed != through_peers:
-                through_peers = detour.is_needed
+            if selector.uses_relay != through_peers:
+                through_peers = selector.uses_relay
                 route = "through other daemons" if through_peers else "directly"
                 log.info("the store is called {}", route)
             if through_peers:
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -11,14 +11,14 @@
 from pomeloyard.clock import SystemClock
 from pomeloyard.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from pomeloyard.keyvalue import layout
-from pomeloyard.keyvalue.detour import (
-    FAILURES_TO_DETOUR,
-    PEER_PAUSE,
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.relay_selection import (
+    FAILURES_BEFORE_RELAY,
+    MAX_RESPONSE_AGE,
+    PEER_RETRY_DELAY,
     RETRY_INTERVAL,
-    SOUND_AGE,
-    Detour,
+    RelaySelector,
 )
-from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
 from pomeloyard.platform.daemon import LISTENER_CLOSE_DELAY, SHUTDOWN_TIMEOUT_S
 from pomeloyard.platform.http import HttpCaller
@@ -91,13 +91,13 @@
             started.append(daemon)
         for daemon in started:
             others = {o.address: 1.0 for o in started if o is not daemon}
-            daemon.store.detour.set_peers(others)
+            daemon.store.relay_selector.set_peers(others)
         yield memory, started
 
 
 async def refuse(daemon, status=503):
     daemon.faulty_store.refusal_status = status
-    for _ in range(FAILURES_TO_DETOUR):
+    for _ in range(FAILURES_BEFORE_RELAY):
         with pytest.raises(StoreUnavailableError):
             await daemon.store.get("k")
 
@@ -150,14 +150,16 @@
         assert (await memory.get("k")).value == b"v"
         # A lost response does not make the peer unavailable as a relay.
         second.faulty_store.loses_answers = False
-        second.store.detour.answered(timedelta(seconds=anyio.current_time()))
+        second.store.relay_selector.record_response(
+            timedelta(seconds=anyio.current_time())
+        )
         assert (await first.store.get("k")).value == b"v"
 
 
 async def test_relayed_calls_are_not_relayed_again():
     async with daemons(3) as (_, (first, second, third)):
         await refuse(second)
-        first.store.detour.set_peers({second.address: 1.0})
+        first.store.relay_selector.set_peers({second.address: 1.0})
         await refuse(first)
         calls = third.faulty_store.calls
         with pytest.raises(StoreUnavailableError):
@@ -169,10 +171,10 @@
     async with daemons(2) as (_, (first, second)):
         await refuse(first)
         await first.store.probe()
-        assert first.store.detour.is_needed
+        assert first.store.relay_selector.uses_relay
         first.faulty_store.refusal_status = 0
         await first.store.probe()
-        assert not first.store.detour.is_needed
+        assert not first.store.relay_selector.uses_relay
         calls = second.faulty_store.calls
         await first.store.get("k")
         assert second.faulty_store.calls == calls
@@ -204,71 +206,71 @@
         await memory.commit(Transaction((), (unreadable,)))
         async with anyio.create_task_group() as tasks:
             for number, daemon in enumerate((first, second)):
-                daemon.store.detour.set_peers({})
+                daemon.store.relay_selector.set_peers({})
                 address = f"{number}:1"
                 peers = RelayPeers(clock, daemon.store, f"d{number}", address, 2.0)
                 tasks.start_soon(peers.run)
             with anyio.fail_after(30):
-                while first.store.detour.speed_by_peer != {"1:1": 2.0}:
+                while first.store.relay_selector.speed_by_peer != {"1:1": 2.0}:
                     await anyio.sleep(0.02)
-                while second.store.detour.speed_by_peer != {"0:1": 2.0}:
+                while second.store.relay_selector.speed_by_peer != {"0:1": 2.0}:
                     await anyio.sleep(0.02)
             tasks.cancel_scope.cancel()
 
 
 def test_calls_to_peers_are_rate_limited_in_a_full_outage():
-    detour = Detour()
-    detour.set_peers({f"p{n}": float(n % 3) for n in range(96)})
-    for _ in range(FAILURES_TO_DETOUR):
-        detour.failed()
+    selector = RelaySelector()
+    selector.set_peers({f"p{n}": float(n % 3) for n in range(96)})
+    for _ in range(FAILURES_BEFORE_RELAY):
+        selector.record_failure()
     asked = 0
     for tick in range(1000):
         now = tick * SECOND / 100
-        peer = detour.peer(now)
+        peer = selector.select_peer(now)
         if peer is not None:
             asked += 1
-            detour.refused(peer, now)
+            selector.record_relay_failure(peer, now)
     assert asked <= 10 * SECOND / RETRY_INTERVAL
 
 
 def test_a_refusing_peer_is_paused_and_a_working_one_is_kept():
-    detour = Detour()
-    detour.set_peers({"a": 1.0})
-    assert not detour.is_needed
-    for _ in range(FAILURES_TO_DETOUR):
-        detour.failed()
-    assert detour.is_needed
-    assert detour.peer(SECOND) == "a"
-    detour.refused("a", SECOND)
-    assert detour.peer(SECOND + RETRY_INTERVAL) is None
-    assert detour.peer(SECOND + PEER_PAUSE) == "a"
-    detour.relayed("a")
-    detour.set_peers({})
-    assert detour.peer(SECOND) == "a"
-    detour.answered(2 * SECOND)
-    assert not detour.is_needed
+    selector = RelaySelector()
+    selector.set_peers({"a": 1.0})
+    assert not selector.uses_relay
+    for _ in range(FAILURES_BEFORE_RELAY):
+        selector.record_failure()
+    assert selector.uses_relay
+    assert selector.select_peer(SECOND) == "a"
+    selector.record_relay_failure("a", SECOND)
+    assert selector.select_peer(SECOND + RETRY_INTERVAL) is None
+    assert selector.select_peer(SECOND + PEER_RETRY_DELAY) == "a"
+    selector.record_relayed("a")
+    selector.set_peers({})
+    assert selector.select_peer(SECOND) == "a"
+    selector.record_response(2 * SECOND)
+    assert not selector.uses_relay
 
 
 def test_fast_peers_are_tried_before_slow_ones():
     # A scan of all jobs through a small VM took 1 s for its slow link, and no job was
     # found meanwhile (lilim-yard-large trouble-1, second 18.6).
-    detour = Detour()
-    detour.set_peers({"small": 0.5, "fast": 2.0, "slow": 0.2})
-    for _ in range(FAILURES_TO_DETOUR):
-        detour.failed()
+    selector = RelaySelector()
+    selector.set_peers({"small": 0.5, "fast": 2.0, "slow": 0.2})
+    for _ in range(FAILURES_BEFORE_RELAY):
+        selector.record_failure()
     asked = []
     for tick in range(3):
         now = SECOND + tick * RETRY_INTERVAL
-        asked.append(detour.peer(now))
-        detour.refused(asked[-1], now)
+        asked.append(selector.select_peer(now))
+        selector.record_relay_failure(asked[-1], now)
     assert asked == ["fast", "small", "slow"]
 
 
 def test_only_a_daemon_with_recent_direct_responses_relays():
-    detour = Detour()
-    assert not detour.may_relay(SECOND)
-    detour.answered(SECOND)
-    assert detour.may_relay(SECOND + SOUND_AGE)
-    assert not detour.may_relay(2 * SECOND + SOUND_AGE)
-    detour.failed()
-    assert not detour.may_relay(SECOND)
+    selector = RelaySelector()
+    assert not selector.can_relay(SECOND)
+    selector.record_response(SECOND)
+    assert selector.can_relay(SECOND + MAX_RESPONSE_AGE)
+    assert not selector.can_relay(2 * SECOND + MAX_RESPONSE_AGE)
+    selector.record_failure()
+    assert not selector.can_relay(SECOND)
