--- a/src/pomeloyard/keyvalue/answer_times.py
+++ b/src/pomeloyard/keyvalue/adaptive_timeout.py
@@ -15,14 +15,14 @@
 """A response is taken for lost after this multiple of the longest recent time."""
 
 
-class AnswerTimes:
+class AdaptiveTimeout:
     """Timeout derived from the times of recent responses.
 
-    >>> times = AnswerTimes(timedelta(seconds=0.35), timedelta(seconds=1.2))
-    >>> times.limit(timedelta(0)).total_seconds()
+    >>> timeouts = AdaptiveTimeout(timedelta(seconds=0.35), timedelta(seconds=1.2))
+    >>> timeouts.timeout(timedelta(0)).total_seconds()
     0.35
-    >>> times.lost()
-    >>> times.limit(timedelta(0)).total_seconds()
+    >>> timeouts.record_loss()
+    >>> timeouts.timeout(timedelta(0)).total_seconds()
     0.7
     """
 
@@ -34,7 +34,7 @@
         one is kept only if it is newer (a monotonic queue for the maximum)."""
         self._consecutive_losses = 0
 
-    def answered(self, now: timedelta, took: timedelta) -> None:
+    def record_response(self, now: timedelta, took: timedelta) -> None:
         """Record a response that took ``took``."""
         self._consecutive_losses = 0
         self._recent = [
@@ -44,19 +44,19 @@
         ]
         self._recent.append((now, took))
 
-    def lost(self) -> None:
+    def record_loss(self) -> None:
         """Record a call without a response; the timeout of the next ones is longer."""
         self._consecutive_losses += 1
 
-    def limit(self, now: timedelta) -> timedelta:
+    def timeout(self, now: timedelta) -> timedelta:
         """Return the timeout of the next call."""
         longest_recent = next(
             (took for at, took in self._recent if now < at + RECENT_WINDOW),
             timedelta(0),
         )
-        limit = max(self._shortest, TIMEOUT_FACTOR * longest_recent)
+        timeout = max(self._shortest, TIMEOUT_FACTOR * longest_recent)
         for _ in range(self._consecutive_losses):
-            if limit >= self._longest:
+            if timeout >= self._longest:
                 break
-            limit *= 2
-        return min(limit, self._longest)
+            timeout *= 2
+        return min(timeout, self._longest)
--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -24,7 +24,7 @@
     StoreUnavailableError,
 )
 from ..keyvalue import layout
-from ..keyvalue.answer_times import AnswerTimes
+from ..keyvalue.adaptive_timeout import AdaptiveTimeout
 from ..keyvalue.relay_selection import RelaySelector
 from ..keyvalue.store import (
     CallCounter,
@@ -110,7 +110,7 @@
     def __init__(self, caller: HttpCaller, address: str) -> None:
         self._caller = caller
         self._address = address
-        self._answer_times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
+        self._adaptive_timeout = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
         self.calls = CallCounter()
         self.relay_selector = RelaySelector()
 
@@ -251,7 +251,7 @@
         target = f"/kv-key?key={quote(PROBE_KEY, safe='')}"
         try:
             await self._call_directly(
-                "GET", target, b"", self._answer_times.limit(_now())
+                "GET", target, b"", self._adaptive_timeout.timeout(_now())
             )
         except (CallNotSentError, CallUnansweredError) as error:
             log.debug("store probe failed: {}", error)
@@ -265,18 +265,18 @@
     ) -> Response:
         """Make a call; the default time-out adapts to recent response times."""
         started_at = _now()
-        limit = timeout or self._answer_times.limit(started_at)
+        limit = timeout or self._adaptive_timeout.timeout(started_at)
         through_peer = self.relay_selector.uses_relay
         call = self._call_through_peer if through_peer else self._call_directly
         try:
             response = await call(method, target, content, limit)
         except CallUnansweredError:
             if timeout is None:
-                self._answer_times.lost()
+                self._adaptive_timeout.record_loss()
             raise
         if timeout is None:
             now = _now()
-            self._answer_times.answered(now, now - started_at)
+            self._adaptive_timeout.record_response(now, now - started_at)
         return response
 
     async def _call_directly(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -16,7 +16,7 @@
     StoreRequestError,
     StoreUnavailableError,
 )
-from pomeloyard.keyvalue.answer_times import AnswerTimes
+from pomeloyard.keyvalue.adaptive_timeout import AdaptiveTimeout
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction, scan_all
 from pomeloyard.platform.http import HttpCaller
@@ -131,32 +131,32 @@
 def test_the_time_out_is_short_unless_the_store_is_slow():
     # Lilim, with 30% of the store's responses lost for a day: each loss stopped task
     # starts for 1.2 s.
-    times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
+    timeouts = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     second = timedelta(seconds=1)
-    times.answered(second, 0.005 * second)
-    assert times.limit(second) == MIN_CALL_TIMEOUT
-    times.answered(1.1 * second, 0.33 * second)
-    times.answered(1.2 * second, 0.3 * second)
-    assert times.limit(2 * second) == 0.99 * second
-    assert times.limit(6.15 * second) == 0.9 * second
-    assert times.limit(7 * second) == MIN_CALL_TIMEOUT
+    timeouts.record_response(second, 0.005 * second)
+    assert timeouts.timeout(second) == MIN_CALL_TIMEOUT
+    timeouts.record_response(1.1 * second, 0.33 * second)
+    timeouts.record_response(1.2 * second, 0.3 * second)
+    assert timeouts.timeout(2 * second) == 0.99 * second
+    assert timeouts.timeout(6.15 * second) == 0.9 * second
+    assert timeouts.timeout(7 * second) == MIN_CALL_TIMEOUT
 
 
 def test_the_time_out_doubles_with_each_lost_response():
-    times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
+    timeouts = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     now = timedelta(0)
     limits = []
     for _ in range(4):
-        limits.append(times.limit(now))
-        times.lost()
+        limits.append(timeouts.timeout(now))
+        timeouts.record_loss()
     assert limits == [
         MIN_CALL_TIMEOUT,
         2 * MIN_CALL_TIMEOUT,
         MAX_CALL_TIMEOUT,
         MAX_CALL_TIMEOUT,
     ]
-    times.answered(now, timedelta(seconds=0.005))
-    assert times.limit(now) == MIN_CALL_TIMEOUT
+    timeouts.record_response(now, timedelta(seconds=0.005))
+    assert timeouts.timeout(now) == MIN_CALL_TIMEOUT
 
 
 async def test_an_unanswered_write_times_out_before_a_role_would_be_lost():
