--- a/measurements/control_links.py
+++ b/measurements/control_links.py
@@ -50,7 +50,7 @@
         before = [_counts(daemon) for daemon in daemons]
         await anyio.sleep(MEASURED_SECONDS)
         after = [_counts(daemon) for daemon in daemons]
-        watches = sum(daemon.store.calls.watches_waiting for daemon in daemons)
+        watches = sum(daemon.store.calls.open_watches for daemon in daemons)
         tasks.cancel_scope.cancel()
     rates = [
         [(late - early) / MEASURED_SECONDS for early, late in zip(b, a, strict=True)]
--- a/measurements/support/slopes_state.py
+++ b/measurements/support/slopes_state.py
@@ -67,7 +67,7 @@
             for _ in range(EVENTS):
                 event = WatchEvent(key, entry, next(revisions))
                 await follower._apply(event.key, event.entry, event.revision)
-                follower.changed()
+                follower.notify_changed()
 
         return least_seconds(lambda: anyio.run(take)) / EVENTS
 
--- a/src/pomeloyard/batch/placing.py
+++ b/src/pomeloyard/batch/placing.py
@@ -13,7 +13,9 @@
 
 ROLE = "placing"
 TIMES = RoleTimes(
-    ttl=timedelta(seconds=1.5), renew_interval=timedelta(seconds=0.4), polls=True
+    ttl=timedelta(seconds=1.5),
+    renew_interval=timedelta(seconds=0.4),
+    polls_for_vacancy=True,
 )
 """A failed holder is replaced once its lease expires. The lease leaves time for three
 renewals at a slow store; a renewal costs a tenth of a read."""
--- a/src/pomeloyard/batch/term.py
+++ b/src/pomeloyard/batch/term.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..concurrency import both
+from ..concurrency import run_both
 from ..errors import CompactedError, StoreError
 from ..keyvalue.store import (
     Compare,
@@ -181,8 +181,8 @@
 
     async def _load(self) -> int:
         """Load all jobs and their progress; return the revision to watch from."""
-        (incoming, runs), id_flags = await both(
-            lambda: both(
+        (incoming, runs), id_flags = await run_both(
+            lambda: run_both(
                 lambda: self._scan(layout.INCOMING), lambda: self._scan(layout.RUNS)
             ),
             lambda: self._scan(layout.EXECUTOR_IDS_REUSED),
--- a/src/pomeloyard/concurrency.py
+++ b/src/pomeloyard/concurrency.py
@@ -11,7 +11,7 @@
 B = TypeVar("B")
 
 
-async def both(
+async def run_both(
     first: Callable[[], Awaitable[A]], second: Callable[[], Awaitable[B]]
 ) -> tuple[A, B]:
     """Make two calls concurrently and return both results.
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -125,7 +125,7 @@
         self.peers.seeds.update(self.settings.peers)
         self.calls = PeerCalls(self.peers)
         self.replication = Replication(
-            self.clock, self.state, self.peers, self.follower.changed
+            self.clock, self.state, self.peers, self.follower.notify_changed
         )
 
     def _build_allocation(self) -> None:
--- a/src/pomeloyard/decisions.py
+++ b/src/pomeloyard/decisions.py
@@ -69,7 +69,7 @@
         for sink in self.sinks:
             sink(decision)
 
-    def about(self, subject: str) -> list[Decision]:
+    def for_subject(self, subject: str) -> list[Decision]:
         """Return the decisions about a subject, oldest first."""
         kept = [*self._routes, *self._others]
         return sorted((d for d in kept if d.subject == subject), key=lambda d: d.at)
--- a/src/pomeloyard/explanations.py
+++ b/src/pomeloyard/explanations.py
@@ -115,7 +115,7 @@
         return merge_replies(subject, replies)
 
     def _reply(self, request_id: int, subject: str) -> ExplainReply:
-        known = self._decisions.about(subject)
+        known = self._decisions.for_subject(subject)
         records: list[bytes] = []
         size = 0
         for decision in reversed(known[-MAX_RECORDS:]):
--- a/src/pomeloyard/follower.py
+++ b/src/pomeloyard/follower.py
@@ -82,10 +82,10 @@
             else:
                 if listing.version > self._state.vm_list.version:
                     self._state.vm_list = listing
-                    self.changed()
+                    self.notify_changed()
             await self._clock.sleep(VM_LIST_INTERVAL * random.uniform(0.8, 1.2))
 
-    def changed(self) -> None:
+    def notify_changed(self) -> None:
         """Run the callbacks for a change of the fleet state."""
         for callback in self.on_change:
             try:
@@ -110,7 +110,7 @@
         if not self._state.store_reachable:
             log.info("store is reachable at revision {}", page.revision)
         self._state.store_reachable = True
-        self.changed()
+        self.notify_changed()
 
     async def _delete_missing(self, page: Page) -> None:
         """Remove records that were deleted while no watch was open."""
@@ -145,7 +145,7 @@
             async for batch in batches:
                 for event in batch.events:
                     await self._apply(event.key, event.entry, event.revision)
-                self.changed()
+                self.notify_changed()
 
     async def _check(self) -> None:
         """Return when the watch missed a change of the configuration or the keys."""
@@ -158,7 +158,7 @@
                     missed = True
                     await self._apply(key, entry, entry.mod_revision)
             if missed:
-                self.changed()
+                self.notify_changed()
                 log.info("watch missed a change; opening it again")
                 return
 
--- a/src/pomeloyard/keyvalue/etcd.py
+++ b/src/pomeloyard/keyvalue/etcd.py
@@ -137,7 +137,7 @@
             }
         }
         self.calls.watches_opened += 1
-        self.calls.watches_waiting += 1
+        self.calls.open_watches += 1
         try:
             async with AsyncExitStack() as stack:
                 with anyio.fail_after(self._timeout):
@@ -156,7 +156,7 @@
         except (TimeoutError, *_TRANSPORT_ERRORS) as error:
             raise StoreUnavailableError(f"watch: {error!r}") from error
         finally:
-            self.calls.watches_waiting -= 1
+            self.calls.open_watches -= 1
 
     async def _range(self, body: Mapping[str, Any]) -> Page:
         self.calls.reads += 1
--- a/src/pomeloyard/keyvalue/memory.py
+++ b/src/pomeloyard/keyvalue/memory.py
@@ -136,11 +136,11 @@
             send.send_nowait(WatchBatch(past, self._revision))
         self._watchers[send] = prefix
         self.calls.watches_opened += 1
-        self.calls.watches_waiting += 1
+        self.calls.open_watches += 1
         try:
             yield _Batches(receive)
         finally:
-            self.calls.watches_waiting -= 1
+            self.calls.open_watches -= 1
             self._watchers.pop(send, None)
             send.close()
             receive.close()
--- a/src/pomeloyard/keyvalue/store.py
+++ b/src/pomeloyard/keyvalue/store.py
@@ -101,7 +101,7 @@
     """Counters of calls to the store, which the platform rate-limits.
 
     ``failures`` counts calls without a response and ``relayed`` those made for other
-    daemons; ``watches_waiting`` is the number of open watches.
+    daemons; ``open_watches`` is a current number, not a total.
     """
 
     reads: int = 0
@@ -109,7 +109,7 @@
     failures: int = 0
     relayed: int = 0
     watches_opened: int = 0
-    watches_waiting: int = 0
+    open_watches: int = 0
 
 
 class Store(ABC):
--- a/src/pomeloyard/metrics.py
+++ b/src/pomeloyard/metrics.py
@@ -163,7 +163,7 @@
             counter.add_metric([kind], count)
         yield counter
         text = "Watches that are open"
-        watches = calls.watches_waiting
+        watches = calls.open_watches
         yield GaugeMetricFamily("pomeloyard_store_open_watches", text, value=watches)
 
     def _peer_counters(self) -> Iterator[Metric]:
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -95,7 +95,9 @@
             self._metrics,
         )
         small = settings.core_speed < MIN_PLACING_SPEED
-        times = replace(TIMES, head_start=SMALL_VM_DELAY if small else timedelta(0))
+        times = replace(
+            TIMES, candidacy_delay=SMALL_VM_DELAY if small else timedelta(0)
+        )
         self._candidate = RoleCandidate(
             self._store, clock, ROLE, settings.vm, self._role.run, times
         )
--- a/src/pomeloyard/platform/kv.py
+++ b/src/pomeloyard/platform/kv.py
@@ -195,11 +195,11 @@
             f"/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={after_revision}&wait_ms={wait_ms}"
         )
-        self.calls.watches_waiting += 1
+        self.calls.open_watches += 1
         try:
             response = await self._read(target, wait + POLL_TIMEOUT_MARGIN)
         finally:
-            self.calls.watches_waiting -= 1
+            self.calls.open_watches -= 1
         if response.status == 410:
             raise CompactedError(after_revision)
         batch = _decode(response, _WatchResponse)
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -13,7 +13,7 @@
 import logbook
 
 from .clock import Clock
-from .concurrency import both
+from .concurrency import run_both
 from .errors import LeaseLostError, PomeloyardError, StoreError
 from .fleet_state import RoleRecord
 from .keyvalue import layout
@@ -41,14 +41,14 @@
 class RoleTimes:
     """How long a role's lease lasts and how often it is renewed.
 
-    ``head_start`` delays a less suited candidate, so that better suited ones acquire
-    the role first.
+    ``candidacy_delay`` delays a less suited candidate, so that better suited ones
+    acquire the role first.
     """
 
     ttl: timedelta = ROLE_TTL
     renew_interval: timedelta = RENEW_INTERVAL
-    head_start: timedelta = timedelta(0)
-    polls: bool = False
+    candidacy_delay: timedelta = timedelta(0)
+    polls_for_vacancy: bool = False
     """Whether candidates detect a vacancy by polling the store for changes."""
 
 
@@ -112,7 +112,7 @@
     async def run(self) -> None:
         """Compete for the role until cancelled."""
         await self._revoke_former_lease()
-        await self._clock.sleep(self._times.head_start)
+        await self._clock.sleep(self._times.candidacy_delay)
         vacant_at: timedelta | None = None
         while True:
             try:
@@ -145,7 +145,7 @@
         """
         vacant_at: timedelta | None = None
         store = self._store
-        if not (self._times.polls and isinstance(store, PollingStore)):
+        if not (self._times.polls_for_vacancy and isinstance(store, PollingStore)):
             pause = self._times.renew_interval * random.uniform(0.8, 1.2)
             await self._clock.sleep(pause)
             return None
@@ -164,7 +164,7 @@
             log.debug("vacancy of role {} not polled: {}", self._name, error)
             pause = self._times.renew_interval * random.uniform(0.4, 0.8)
             await self._clock.sleep(pause)
-        await self._clock.sleep(self._times.head_start)
+        await self._clock.sleep(self._times.candidacy_delay)
         return vacant_at
 
     async def _acquire_and_hold(self, vacant_at: timedelta | None) -> None:
@@ -178,7 +178,7 @@
                 return
             vacant_at = self._clock.monotonic()
         asked_at = self._clock.monotonic()
-        lease, earlier = await both(
+        lease, earlier = await run_both(
             lambda: self._store.grant_lease(self._times.ttl),
             lambda: read_record(self._store, EPOCHS + self._name, int),
         )
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -18,7 +18,7 @@
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
 from pomeloyard.platform.front import CallerApp, MetricsApp, ReadinessApp, decode_job
 from pomeloyard.platform.settings import read_settings
-from tests.support.asgi import Answer
+from tests.support.asgi import Response
 from tests.support.batch_world import World
 
 pytestmark = pytest.mark.anyio
@@ -100,7 +100,7 @@
                 (b"x-deadline-ms", str(timeout_ms).encode()),
             ],
         }
-        answer = Answer()
+        response = Response()
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
 
         async def receive():
@@ -108,13 +108,13 @@
 
         async def send(message):
             if message["type"] == "http.response.start":
-                answer.status = message["status"]
-                answer.headers = dict(message["headers"])
+                response.status = message["status"]
+                response.headers = dict(message["headers"])
             else:
-                answer.body += message["body"]
+                response.body += message["body"]
 
         await (app or self.caller_app)(scope, receive, send)
-        return answer
+        return response
 
 
 async def test_a_job_is_submitted_queried_and_cancelled():
@@ -148,10 +148,10 @@
     await caller.publish(CONFIG)
     assert (await caller.call("GET", "/ready", app=ready)).status == 200
     caller.world.clock.advance(timedelta(seconds=2))
-    answer = await caller.call("POST", "/q/1", JOB)
-    assert answer.status == 503
-    assert answer.headers[b"retry-after"] == b"1"
-    assert answer.headers[b"connection"] == b"close"
+    response = await caller.call("POST", "/q/1", JOB)
+    assert response.status == 503
+    assert response.headers[b"retry-after"] == b"1"
+    assert response.headers[b"connection"] == b"close"
     assert (await caller.call("GET", "/ready", app=ready)).status == 503
 
 
@@ -312,5 +312,5 @@
     for name in ("get", "commit", "scan"):
         setattr(caller.world.store, name, hang)
     with anyio.fail_after(5):
-        answer = await caller.call(method, path, JOB, timeout_ms=250)
-    assert answer.status == status
+        response = await caller.call(method, path, JOB, timeout_ms=250)
+    assert response.status == status
--- a/tests/support/asgi.py
+++ b/tests/support/asgi.py
@@ -5,7 +5,7 @@
 import json
 
 
-class Answer:
+class Response:
     def __init__(self):
         self.status = 0
         self.headers = {}
@@ -29,17 +29,17 @@
         "query_string": query.encode(),
         "headers": headers,
     }
-    answer = Answer()
+    response = Response()
 
     async def receive():
         return {"type": "http.request", "body": content, "more_body": False}
 
     async def send(message):
         if message["type"] == "http.response.start":
-            answer.status = message["status"]
-            answer.headers = {k.decode(): v.decode() for k, v in message["headers"]}
+            response.status = message["status"]
+            response.headers = {k.decode(): v.decode() for k, v in message["headers"]}
         else:
-            answer.body += message.get("body", b"")
+            response.body += message.get("body", b"")
 
     await app(scope, receive, send)
-    return answer
+    return response
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -124,7 +124,7 @@
     for second in range(100):
         kind = DecisionKind.ROUTE if second else DecisionKind.DRAIN
         log.record(decision(second, kind=kind))
-    seconds = [(d.at - START).seconds for d in log.about(SUBJECT)]
+    seconds = [(d.at - START).seconds for d in log.for_subject(SUBJECT)]
     assert seconds == [0, 95, 96, 97, 98, 99]
 
 
@@ -154,5 +154,5 @@
         changes.record_gained(2, table.partitions[2].clean)
     else:
         changes.record_lost(2)
-    (made,) = log.about("membership/entry-1")
+    (made,) = log.for_subject("membership/entry-1")
     assert (made.reason, made.inputs["partition"]) == (MembershipReason(reason), 2)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -124,7 +124,7 @@
         alarm = fleet.controller.repairs.alarms_by_pool["orders"]
         assert alarm.limit == 1
         assert len(alarm.suspects) == 6
-        subject = fleet.controller.repairs._decisions.about("pool/orders")
+        subject = fleet.controller.repairs._decisions.for_subject("pool/orders")
         assert [decision.choice for decision in subject] == ["stop"]
 
     run(body)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from pomeloyard.clock import ManualClock
-from pomeloyard.concurrency import both
+from pomeloyard.concurrency import run_both
 from pomeloyard.fleet_state import RoleRecord
 from pomeloyard.keyvalue import layout
 from pomeloyard.keyvalue.memory import MemoryStore
@@ -398,7 +398,7 @@
             taken.append((held.epoch, held.vacant_at, clock.monotonic()))
             await anyio.sleep_forever()
 
-        times = RoleTimes(ttl=timedelta(seconds=1.5), polls=True)
+        times = RoleTimes(ttl=timedelta(seconds=1.5), polls_for_vacancy=True)
         with anyio.CancelScope() as first:
             async with anyio.create_task_group() as tasks:
                 for name in ("a", "b"):
@@ -440,7 +440,7 @@
             return 1
 
         with pytest.raises(ConflictError):
-            await both(waits, fails)
-        assert await both(waits, waits) == (1, 1)
+            await run_both(waits, fails)
+        assert await run_both(waits, waits) == (1, 1)
 
     anyio.run(run)
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -208,8 +208,8 @@
     await store.commit(put("a", b"1"))
     assert (store.calls.reads, store.calls.writes) == (before[0] + 1, before[1] + 1)
     async with store.watch("a", from_revision=1):
-        assert store.calls.watches_waiting == 1
-    assert store.calls.watches_waiting == 0
+        assert store.calls.open_watches == 1
+    assert store.calls.open_watches == 0
 
 
 CONTRACT = [
