--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -96,7 +96,7 @@
         )
         small = settings.core_speed < MIN_PLACING_SPEED
         times = replace(
-            ROLE_TIMES, head_start=SMALL_VM_DELAY if small else timedelta(0)
+            ROLE_TIMES, candidacy_delay=SMALL_VM_DELAY if small else timedelta(0)
         )
         self._candidate = RoleCandidate(
             self._store, clock, ROLE, settings.vm, self._role.run, times
