--- a/tests/test_jobs_processes.py
+++ b/tests/test_jobs_processes.py
@@ -13,7 +13,7 @@
 from pomeloyard.keyvalue.records import read_record
 from pomeloyard.vm_platform.directory import VmRole
 from tests.support.processes import Fleet, wait_until
-from tests.test_whole_path import CONFIGURATION, DAEMONS, call, run_tool
+from tests.test_whole_path import CONFIGURATION, DAEMONS, call, run_cli
 
 JOBS = 8
 """The limit of team mill in the example is 8 units."""
@@ -59,9 +59,9 @@
 @pytest.mark.parametrize("fault", [signal.SIGKILL, signal.SIGSTOP])
 def test_jobs_survive_the_loss_of_their_scheduler(fleet, fault):
     """Guards against lost or duplicated jobs if a daemon dies or is paused (R8)."""
-    run_tool(fleet, "config", "publish", str(CONFIGURATION))
+    run_cli(fleet, "config", "publish", str(CONFIGURATION))
     fleet.wait_ready(*DAEMONS)
-    team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
+    team_key = run_cli(fleet, "key", "grant", "--team", "mill")["key"]
     wait_until(lambda: scheduler_of(fleet) is not None)
     holder = scheduler_of(fleet)
     other = next(name for name in DAEMONS if name != holder)
--- a/tests/test_keyed_processes.py
+++ b/tests/test_keyed_processes.py
@@ -11,7 +11,7 @@
 from pomeloyard.vm_platform.directory import VmRole
 
 from .support.processes import Fleet, wait_until
-from .test_whole_path import CONFIGURATION, DAEMONS, call, run_tool
+from .test_whole_path import CONFIGURATION, DAEMONS, call, run_cli
 
 KEYS = 30
 
@@ -55,9 +55,9 @@
 
 def test_no_key_runs_twice_while_daemons_are_killed_and_paused(fleet):
     """Guards against a duplicate execution, and reporting work that ran as refused."""
-    run_tool(fleet, "config", "publish", str(CONFIGURATION))
+    run_cli(fleet, "config", "publish", str(CONFIGURATION))
     fleet.wait_ready(*DAEMONS)
-    team_key = run_tool(fleet, "key", "grant", "--team", "mill")["key"]
+    team_key = run_cli(fleet, "key", "grant", "--team", "mill")["key"]
     for name in DAEMONS:
         wait_until(lambda n=name: send(fleet, n, team_key, f"first-{n}")[0] == 200)
 
