--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -48,7 +48,7 @@
         )
 
 
-NOTHING = Resources()
+NO_RESOURCES = Resources()
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,12 +86,12 @@
     """Tasks of a long-running step that the system may make unavailable at once."""
 
     @property
-    def need(self) -> Resources:
+    def team_usage(self) -> Resources:
         """Return the resources of a task that count towards its team's limit."""
         return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
 
     @property
-    def room(self) -> Resources:
+    def executor_usage(self) -> Resources:
         """Return the resources that a task takes of an executor's capacity."""
         cpu = 0 if self.fills else self.cpu_millis
         return Resources(cpu, self.memory_mb, self.accelerators)
@@ -166,7 +166,7 @@
     name: str
     keys: tuple[str, ...] = ()
     weight: float = 1.0
-    maximum: Resources = NOTHING
+    maximum: Resources = NO_RESOURCES
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,17 +221,17 @@
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
         raise _invalid(f"payload: at most {MAX_PAYLOAD_BYTES} bytes")
     if spec.occurrences < 0 or spec.interval_ms < 0:
-        raise _invalid("occurrences and interval must not be negative")
+        raise _invalid("occurrences and interval: not negative")
     tasks = sum(step.count for step in spec.steps) * max(1, spec.occurrences)
     if tasks > MAX_TASKS:
-        raise _invalid(f"tasks: at most {MAX_TASKS}")
+        raise _invalid(f"at most {MAX_TASKS} tasks")
     for number, step in enumerate(spec.steps):
         if step.count < 1:
             raise _invalid(f"step {number}: count must be positive")
         if any(not 0 <= dependency < number for dependency in step.after):
-            raise _invalid(f"step {number}: can depend only on earlier steps")
+            raise _invalid(f"step {number}: only earlier steps can come first")
         if min(step.cpu_millis, step.memory_mb, step.accelerators) < 0:
-            raise _invalid(f"step {number}: resources must not be negative")
+            raise _invalid(f"step {number}: sizes must not be negative")
 
 
 def _invalid(detail: str) -> RefusedError:
--- a/src/pomeloyard/daemon.py
+++ b/src/pomeloyard/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon: builds all parts, runs them and shuts down gracefully."""
+"""The daemon: builds its parts, runs them and shuts down gracefully."""
 
 from __future__ import annotations
 
@@ -31,10 +31,10 @@
 from .fleet.drain_notices import DrainNotices
 from .fleet.drains import JobTaskCounts
 from .fleet.health_reports import HealthReports
-from .fleet.health_sources import WorkerObserver, note_executor
+from .fleet.health_sources import WorkerObserver, record_executor_outcome
 from .fleet_state import DaemonRecord, FleetState
 from .follower import FleetFollower
-from .heartbeats import HeartbeatBook
+from .heartbeats import PeerHeartbeats
 from .jobs.scheduler import Scheduler
 from .jobs.store import JobStore
 from .key_service import KeyService
@@ -70,7 +70,7 @@
 
 
 class Daemon:
-    """One daemon with all its parts."""
+    """One daemon and the services that it consists of."""
 
     def __init__(
         self,
@@ -88,7 +88,7 @@
         self.tls = TlsContexts(settings)
         self.log_writer = LogWriter(clock, settings.log_file, settings.log_queue_lines)
         self.incarnation = f"{settings.vm}.{secrets.token_hex(4)}"
-        self._build_links()
+        self._build_connections()
         self._build_allocation()
         self._build_requests()
         self._build_roles()
@@ -96,7 +96,7 @@
         self._servers: list[EmbeddedServer] = []
         self._closing = False
 
-    def _record(self) -> DaemonRecord:
+    def _daemon_record(self) -> DaemonRecord:
         return DaemonRecord(
             incarnation=self.incarnation,
             vm=self.settings.vm,
@@ -106,8 +106,8 @@
             availability_zone=self.settings.availability_zone,
         )
 
-    def _build_links(self) -> None:
-        """Build what connects this daemon to the store and the others."""
+    def _build_connections(self) -> None:
+        """Build the connections to the store and to other daemons."""
         self.follower = FleetFollower(
             self.store, self.directory, self.clock, self.state
         )
@@ -125,12 +125,12 @@
         self.peers.seeds.update(self.settings.peers)
         self.calls = PeerCalls(self.peers)
         self.replication = Replication(
-            self.clock, self.state, self.peers, self.follower.changed
+            self.clock, self.state, self.peers, self.follower.notify_changed
         )
 
     def _build_allocation(self) -> None:
-        """Build what divides slots and limits among the daemons."""
-        record = self._record()
+        """Build the division of slots and limits among the daemons."""
+        record = self._daemon_record()
         self.router = ExecutorRouter(
             self.clock,
             self.settings.availability_zone,
@@ -140,11 +140,11 @@
         )
         self.admission = AdmissionController(
             self.clock,
-            lambda vm: self.capacity.slots(vm) if self.membership.may_admit() else 0,
+            lambda vm: self.capacity.slots(vm) if self.membership.can_admit() else 0,
             lambda team: self.capacity.units(team),
             self._executors,
             self._weight,
-            self.router.prefer,
+            self.router.rank,
         )
         self.capacity = CapacityService(
             self.clock, self.state, self.peers, self.admission
@@ -154,17 +154,17 @@
             self.clock,
             self.state,
             record,
-            self.capacity.book,
+            self.capacity.ledger,
             self.capacity.resources,
         )
-        changes = MembershipDecisions(
+        membership_decisions = MembershipDecisions(
             self.clock, self.state, self.incarnation, self.decisions
         )
-        self.membership.on_gained.append(changes.note_gained)
-        self.membership.on_lost.append(changes.note_lost)
+        self.membership.on_partition_gained.append(membership_decisions.record_gained)
+        self.membership.on_partition_lost.append(membership_decisions.record_lost)
 
     def _build_requests(self) -> None:
-        """Build the path of requests."""
+        """Build the services that handle requests."""
         self.endpoints = EndpointClient(self.capacity.connections)
         self.claims = ClaimService(
             self.store, self.clock, self.state, self.peers, self.calls, self.incarnation
@@ -189,7 +189,7 @@
         self.requests = RequestService(self.clock, self.state, sender, keyed)
 
     def _build_roles(self) -> None:
-        """Build jobs and fleet, and the roles that work on them."""
+        """Build job scheduling and fleet control, which run under roles."""
         self.workers = HttpWorkerClient()
         self.jobs = JobStore(self.store, self.clock, lambda: self.state.config)
         self.drain_notices = DrainNotices(
@@ -204,9 +204,9 @@
             self.store,
             self.directory,
             self.decisions,
-            self.drain_notices.ask,
+            self.drain_notices.query_running,
             JobTaskCounts(self.store),
-            self.drain_notices.announce,
+            self.drain_notices.broadcast_state,
             self._demand_by_pool,
         )
         self.scheduler = Scheduler(
@@ -214,20 +214,23 @@
         )
         self.roles_by_name: dict[str, RoleCandidate] = {}
         self.health_reports = HealthReports(
-            self.clock, self.peers, self.state, self.controller.repairs.health.observe
+            self.clock,
+            self.peers,
+            self.state,
+            self.controller.repairs.health_tracker.observe,
         )
         self.router.on_outcome = self._on_executor_outcome
         self.worker_observer = WorkerObserver(
-            self.clock, self.scheduler, self.health_reports.note
+            self.clock, self.scheduler, self.health_reports.record
         )
 
     def _build_monitoring(self) -> None:
-        """Build what operators see and change."""
+        """Build metrics, explanations and the services for operators."""
         self.explanations = Explanations(
             self.peers, self.calls, self.state, self.decisions
         )
-        self.heartbeats = HeartbeatBook(self.clock)
-        self.peers.on(Heartbeat, self.heartbeats.note)
+        self.heartbeats = PeerHeartbeats(self.clock)
+        self.peers.on(Heartbeat, self.heartbeats.record)
         self.keys = KeyService(
             self.store, self.clock, self.state, self.peers.broadcast, self.decisions
         )
@@ -241,7 +244,7 @@
                 self.log_writer,
                 self._team_usage,
                 self.store.calls,
-                more=[lambda: capacity_metrics(self.capacity)],
+                collectors=[lambda: capacity_metrics(self.capacity)],
             ),
         )
         self.decisions.sinks += [
@@ -250,7 +253,7 @@
         ]
 
     async def run(self) -> None:
-        """Run until SIGTERM or SIGINT, logging JSON lines."""
+        """Run until SIGTERM or SIGINT, with log lines as JSON."""
         try:
             with JsonLogHandler(self.log_writer, self.settings.log_level):
                 await self._run()
@@ -270,7 +273,7 @@
             tasks.cancel_scope.cancel()
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Start all parts."""
+        """Start all parts as tasks of ``tasks``."""
         self.state.bootstrap_sha256 = self.settings.bootstrap_key_sha256
         self.peers.heartbeat = self._heartbeat
         self.follower.on_change.append(self._on_change)
@@ -282,7 +285,7 @@
         tasks.start_soon(self.follower.run_vm_list)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.capacity.run)
-        tasks.start_soon(self.capacity.run_repeats)
+        tasks.start_soon(self.capacity.run_retransmissions)
         tasks.start_soon(self.claims.run)
         tasks.start_soon(self.keys.run)
         tasks.start_soon(self.log_writer.run)
@@ -302,8 +305,8 @@
         settings = self.settings
         caller = caller_app(self.state, self.requests, self.jobs)
         operator = operator_app(self._operator_context())
-        counted = RequestMetrics(caller, self.metrics, self.clock, self.state)
-        self._serve(tasks, counted, settings.caller_address, self.tls.caller)
+        app_with_metrics = RequestMetrics(caller, self.metrics, self.clock, self.state)
+        self._serve(tasks, app_with_metrics, settings.caller_address, self.tls.caller)
         self._serve(tasks, operator, settings.operator_address, self.tls.operator)
         monitoring = monitoring_app(self.metrics, self._not_ready_reasons)
         self._serve(tasks, monitoring, settings.metrics_address, self.tls.operator)
@@ -318,31 +321,31 @@
         await self.controller.run(held.epoch)
 
     async def close(self) -> None:
-        """Stop accepting, finish running requests and give up partitions."""
+        """Stop accepting requests, finish running ones and release partitions."""
         self._closing = True
         self.admission.close()
         for server in self._servers:
             server.should_exit = True
-        while self.admission.running():
+        while self.admission.running_count():
             await anyio.sleep(0.05)
         try:
             await self.claims.close()
             await self.membership.leave()
         except (StoreError, ConflictError) as error:
-            log.warning("partitions not released: {}", error)
+            log.warning("partitions not released at shutdown: {}", error)
         await self.peers.close()
         await self.endpoints.close()
         await self.workers.close()
 
     def _log_unfinished(self) -> None:
         table = self.state.partitions
-        held = table.held_by(self.incarnation) if table is not None else ()
+        held = table.partitions_held_by(self.incarnation) if table is not None else ()
         log.warning(
-            "shutdown time is over: {} requests may still run, {} partitions and "
-            "{} permits after unknown outcomes are not released",
-            self.admission.running(),
+            "shutdown timed out: {} requests may still be running, {} partitions and "
+            "{} permits of requests with unknown outcome are not released",
+            self.admission.running_count(),
             len(held),
-            self.admission.held(),
+            self.admission.held_count(),
         )
 
     def _operator_context(self) -> OperatorContext:
@@ -372,7 +375,7 @@
         tls: ssl.SSLContext | None,
     ) -> None:
         host, port = address.rsplit(":", 1)
-        # As in serving.py: asyncio disables Nagle only with a stated protocol.
+        # As in serving.py: asyncio sets TCP_NODELAY only with IPPROTO_TCP.
         listener = socket.socket(proto=socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
@@ -399,12 +402,14 @@
             record.peer_address for record in self.state.daemons_by_incarnation.values()
         )
         self.capacity.on_state_change()
-        self.membership.follow_table()
-        self.claims.refresh()
-        self.router.forget_except(self.state.vm_list.vms_by_name)
+        self.membership.notify_partition_changes()
+        self.claims.apply_partition_table()
+        self.router.retain_only(self.state.vm_list.vms_by_name)
 
-    def _on_executor_outcome(self, vm: str, failed: bool, silent: bool) -> None:
-        note_executor(self.health_reports.note, vm, failed=failed, silent=silent)
+    def _on_executor_outcome(self, vm: str, failed: bool, unresponsive: bool) -> None:
+        record_executor_outcome(
+            self.health_reports.record, vm, failed=failed, unresponsive=unresponsive
+        )
 
     def _zone_of(self, vm: str) -> str:
         record = self.state.vm_list.vms_by_name.get(vm)
@@ -417,11 +422,11 @@
         return self.capacity.executors(service)
 
     def _demand_by_pool(self) -> dict[str, float]:
-        """Return the demand of pools in VMs, extrapolated from this daemon's."""
+        """Estimate the demand by pool in VMs from this daemon's requests."""
         daemons = max(1, len(self.state.daemons_by_incarnation))
         demand: dict[str, float] = {}
         for service in self.state.config.services_by_name.values():
-            uses = self.admission.use_by_service_team().items()
+            uses = self.admission.usage_by_service_team().items()
             asked = sum(u.queued + u.running for (n, _), u in uses if n == service.name)
             slots = asked * daemons
             vms = slots / max(1, service.slots_per_executor)
@@ -450,14 +455,14 @@
 def main() -> None:
     """Run the daemon with a settings file, or a whole small fleet for trying it out."""
     parser = argparse.ArgumentParser(prog="pomeloyardd", description=main.__doc__)
-    ways = parser.add_mutually_exclusive_group(required=True)
-    ways.add_argument("--settings", type=Path, help="TOML file of this daemon")
-    ways.add_argument(
+    mode = parser.add_mutually_exclusive_group(required=True)
+    mode.add_argument("--settings", type=Path, help="TOML file of this daemon")
+    mode.add_argument(
         "--embedded", action="store_true", help="a fleet in memory, on free ports"
     )
     arguments = parser.parse_args()
     if arguments.embedded:
-        # Only here, because a daemon of a fleet needs no stand-ins.
+        # Imported here, because a daemon of a real fleet needs no stand-ins.
         from .standins.embedded import main as run_embedded
 
         run_embedded()
--- a/src/pomeloyard/jobs/term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -17,7 +17,7 @@
 from ..keyvalue.records import ConflictError, commit_changes
 from ..keyvalue.store import Compare, Entry, Store, WatchEvent
 from ..workers.client import WorkerClient
-from ..workers.links import TASK_LEASE, Track, WorkerLinks
+from ..workers.connections import TASK_LEASE, AssignedTask, WorkerConnections
 from ..workers.tasks import TaskStart
 from .capacity import CapacityIndex, Demand
 from .estimates import Estimates
@@ -32,7 +32,7 @@
 from .worker_drain import WorkerDrain
 from .worker_roster import WorkerRoster
 
-TICK = timedelta(seconds=0.1)
+TICK_INTERVAL = timedelta(seconds=0.1)
 PLAN_INTERVAL = timedelta(seconds=1)
 """Maximum time between plans; a tick in which jobs changed also makes one."""
 REMOVE_INTERVAL = timedelta(seconds=10)
@@ -80,7 +80,7 @@
         self.follower = TaskFollower(
             clock, self.table, self.estimates, self.placer.units_by_team, epoch
         )
-        self.links = WorkerLinks(clock, workers, epoch, self.follower)
+        self.links = WorkerConnections(clock, workers, epoch, self.follower)
         self.follower.links = self.links
         self.roster = WorkerRoster(
             clock, state, self.index, self.links, self.follower.quarantine
@@ -125,7 +125,7 @@
             while True:
                 if self._loaded:
                     await self.tick()
-                await self._clock.sleep(TICK)
+                await self._clock.sleep(TICK_INTERVAL)
 
     async def _end_when_stale(self) -> None:
         await self.links.stale.wait()
@@ -286,7 +286,7 @@
             checkpoint=job.checkpoint,
         )
         now = self._clock.monotonic()
-        track = Track(job.key, order, now, idempotent=job.request.idempotent)
+        track = AssignedTask(job.key, order, now, idempotent=job.request.idempotent)
         self.links.start(link, job.task_id, track)
 
     async def _remove_expired(self) -> None:
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -9,14 +9,14 @@
 
 import pytest
 
+from pomeloyard.batch.configuration_follower import DocumentError
 from pomeloyard.batch.executors import Executor, StartOrder
-from pomeloyard.batch.follow import DocumentError
 from pomeloyard.batch.model import Resources, check_spec
 from pomeloyard.errors import CallNotSentError, CallUnansweredError, RefusedError
 from pomeloyard.platform.advice import PlatformAdvice
+from pomeloyard.platform.caller_app import decode_job
 from pomeloyard.platform.documents import PlatformDocuments, RegistrationDocuments
 from pomeloyard.platform.executors import PlatformExecutors
-from pomeloyard.platform.front import decode_job
 from pomeloyard.platform.http import Response
 from pomeloyard.platform.vms import PlatformVms
 
@@ -111,7 +111,7 @@
     def __init__(self, content, status=200):
         self.response = Response(status, content)
 
-    async def call(self, *args, **options):
+    async def request(self, *args, **options):
         return self.response
 
 
@@ -153,7 +153,7 @@
     for seed in SEEDS:
         random.seed(seed)
         calls = (
-            lambda content: PlatformExecutors(Caller(content)).look(
+            lambda content: PlatformExecutors(Caller(content)).poll(
                 executor,
                 fence=1,
                 acknowledged=0,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -16,18 +16,18 @@
     StoreRequestError,
     StoreUnavailableError,
 )
-from pomeloyard.keyvalue.answer_times import AnswerTimes
+from pomeloyard.keyvalue.adaptive_timeout import AdaptiveTimeout
 from pomeloyard.keyvalue.memory import MemoryStore
 from pomeloyard.keyvalue.store import Compare, Delete, Put, Transaction, scan_all
-from pomeloyard.platform.http import HttpCaller
-from pomeloyard.platform.kv import (
+from pomeloyard.platform.http import HttpClient
+from pomeloyard.platform.store_client import (
     MAX_CALL_TIMEOUT,
     MAX_TRANSACTION_ENTRIES,
     MIN_CALL_TIMEOUT,
     PlatformStore,
 )
 from pomeloyard.serving import serving
-from tests.support.platform_standin import ScriptedPeer, store_app
+from tests.support.platform_standin import FakePeer, store_app
 
 pytestmark = pytest.mark.anyio
 SHORT = timedelta(milliseconds=50)
@@ -40,7 +40,7 @@
 
 @asynccontextmanager
 async def client_of(app):
-    caller = HttpCaller()
+    caller = HttpClient()
     async with serving(app) as address:
         yield PlatformStore(caller, address)
         await caller.close()
@@ -108,7 +108,7 @@
     ],
 )
 async def test_errors_of_writes_that_the_store_rejects(status, body, error):
-    peer = ScriptedPeer()
+    peer = FakePeer()
     peer.script("/kv-txn", status, body)
     async with client_of(peer) as store:
         with pytest.raises(error):
@@ -116,13 +116,13 @@
 
 
 async def test_a_write_to_a_closed_port_has_no_effect():
-    store = PlatformStore(HttpCaller(), "127.0.0.1:9")
+    store = PlatformStore(HttpClient(), "127.0.0.1:9")
     with pytest.raises(StoreUnavailableError):
         await put(store, "a")
 
 
 async def test_an_oversized_transaction_is_not_sent():
-    store = PlatformStore(HttpCaller(), "127.0.0.1:9")
+    store = PlatformStore(HttpClient(), "127.0.0.1:9")
     operations = tuple(Put(str(n), b"") for n in range(MAX_TRANSACTION_ENTRIES + 1))
     with pytest.raises(StoreRequestError):
         await store.commit(Transaction((), operations))
@@ -131,32 +131,32 @@
 def test_the_time_out_is_short_unless_the_store_is_slow():
     # Lilim, with 30% of the store's responses lost for a day: each loss stopped task
     # starts for 1.2 s.
-    times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
+    timeouts = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     second = timedelta(seconds=1)
-    times.answered(second, 0.005 * second)
-    assert times.limit(second) == MIN_CALL_TIMEOUT
-    times.answered(1.1 * second, 0.33 * second)
-    times.answered(1.2 * second, 0.3 * second)
-    assert times.limit(2 * second) == 0.99 * second
-    assert times.limit(6.15 * second) == 0.9 * second
-    assert times.limit(7 * second) == MIN_CALL_TIMEOUT
+    timeouts.record_response(second, 0.005 * second)
+    assert timeouts.timeout(second) == MIN_CALL_TIMEOUT
+    timeouts.record_response(1.1 * second, 0.33 * second)
+    timeouts.record_response(1.2 * second, 0.3 * second)
+    assert timeouts.timeout(2 * second) == 0.99 * second
+    assert timeouts.timeout(6.15 * second) == 0.9 * second
+    assert timeouts.timeout(7 * second) == MIN_CALL_TIMEOUT
 
 
 def test_the_time_out_doubles_with_each_lost_response():
-    times = AnswerTimes(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
+    timeouts = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
     now = timedelta(0)
     limits = []
     for _ in range(4):
-        limits.append(times.limit(now))
-        times.lost()
+        limits.append(timeouts.timeout(now))
+        timeouts.record_loss()
     assert limits == [
         MIN_CALL_TIMEOUT,
         2 * MIN_CALL_TIMEOUT,
         MAX_CALL_TIMEOUT,
         MAX_CALL_TIMEOUT,
     ]
-    times.answered(now, timedelta(seconds=0.005))
-    assert times.limit(now) == MIN_CALL_TIMEOUT
+    timeouts.record_response(now, timedelta(seconds=0.005))
+    assert timeouts.timeout(now) == MIN_CALL_TIMEOUT
 
 
 async def test_an_unanswered_write_times_out_before_a_role_would_be_lost():
@@ -164,7 +164,7 @@
         await anyio.sleep(60)
 
     async with serving(hang) as address:
-        caller = HttpCaller()
+        caller = HttpClient()
         store = PlatformStore(caller, address)
         began_at = anyio.current_time()
         with pytest.raises(StoreOutcomeUnknownError):
--- a/tests/test_batch_guarded_records.py
+++ b/tests/test_batch_guarded_records.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from pomeloyard.batch.guarded_records import GuardedRecords
+from pomeloyard.batch.fenced_records import FencedRecords
 from pomeloyard.errors import StoreOutcomeUnknownError
 from pomeloyard.keyvalue.store import Compare
 
@@ -36,7 +36,7 @@
 async def new_records(world):
     await world.put(EPOCH_KEY, 1)
     guard = Compare(EPOCH_KEY, world.entry(EPOCH_KEY).mod_revision)
-    return GuardedRecords(world.clock, world.store, guard)
+    return FencedRecords(world.clock, world.store, guard)
 
 
 async def test_a_late_write_does_not_replace_a_newer_one():
@@ -46,7 +46,7 @@
     world.store.writes_to_delay = 1
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(records.write, "k", b"first")
-        await world.drive(1)
+        await world.run_for(1)
     assert await records.write("k", b"second")
     assert not (await world.store.commit(world.store.delayed_transaction)).succeeded
     assert world.entry("k").value == b"second"
@@ -63,7 +63,7 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(write)
-        await world.drive(1)
+        await world.run_for(1)
     assert done == [True]
     assert await records.write("k", b"w")
 
