--- a/measurements/support/slopes_capacity.py
+++ b/measurements/support/slopes_capacity.py
@@ -223,12 +223,12 @@
 def loan_figures() -> Iterable[Figure]:
     """Yield time and memory of the loan ledger by resources."""
     largest = max(LOAN_SIZES)
-    books = {n: traced_bytes(lambda n=n: _book(*LOAN_SIZES[n])) for n in LOAN_SIZES}
-    memory = {n: used / MEGABYTE for n, (_, used) in books.items()}
+    ledgers = {n: traced_bytes(lambda n=n: _ledger(*LOAN_SIZES[n])) for n in LOAN_SIZES}
+    memory = {n: used / MEGABYTE for n, (_, used) in ledgers.items()}
     yield from line_figures(
         "loans.memory", "MB", "resources", memory, largest, MEMORY_MB
     )
-    seconds = {n: least_seconds(book.reconcile) for n, (book, _) in books.items()}
+    seconds = {n: least_seconds(ledger.reconcile) for n, (ledger, _) in ledgers.items()}
     times = {n: taken * 1000 for n, taken in seconds.items()}
     yield from line_figures("loans.reconcile", "ms", "resources", times, largest)
     exponent = growth_exponent(times)
@@ -240,27 +240,27 @@
     )
 
 
-def _book(executors: int, teams: int) -> LoanLedger:
-    """Return a book that lends a unit of each resource and borrows from four."""
+def _ledger(executors: int, teams: int) -> LoanLedger:
+    """Return a ledger that lends a unit of each resource and borrows from four."""
     rng = random.Random(SEED)
     totals = {Resource(SLOTS, f"vm-{n:04d}"): 8 for n in range(executors)}
     totals.update({Resource(LIMIT, f"team-{n:02d}"): 300 for n in range(teams)})
     table = target.partition_table()
     own_incarnation, *others = target.MEMBERS
-    book = LoanLedger(
+    ledger = LoanLedger(
         own_incarnation, lambda resource: totals[resource], lambda resource: 0
     )
-    book.apply_table(table)
+    ledger.apply_table(table)
     for number in table.partitions_held_by(own_incarnation):
         for member in others:
             epoch = table.partitions[number].epoch
-            book.on_statement(member, LoanStatement(number, epoch, ()))
+            ledger.on_statement(member, LoanStatement(number, epoch, ()))
     for resource in totals:
-        book.set_lending_targets(resource, {rng.choice(others): 1})
+        ledger.set_lending_targets(resource, {rng.choice(others): 1})
         for lender in rng.sample(others, DAEMONS_PER_ACCOUNT):
             number = table.partitions_held_by(lender)[0]
             epoch = table.partitions[number].epoch
             grant = LoanGrant(number, epoch, resource.kind, resource.name, 1, 1)
-            book.on_grant(lender, grant)
-    book.reconcile()
-    return book
+            ledger.on_grant(lender, grant)
+    ledger.reconcile()
+    return ledger
