--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -252,8 +252,8 @@
     state = FleetState(partitions=table, partitions_revision=revision)
     claims = ClaimTable()
     network = PeerNetwork(clock, Hello("a.1", "a", "", "east"))
-    watch = OutageTracker(clock, state, network, "a.1")
-    log = ClaimLog(store, clock, state, watch, claims, "a.1")
+    outage_tracker = OutageTracker(clock, state, network, "a.1")
+    log = ClaimLog(store, clock, state, outage_tracker, claims, "a.1")
     for number in (0, 1):
         await log.open(number, table.partitions[number].epoch)
     store.commits = store.written_bytes = 0
--- a/src/pomeloyard/claims/log.py
+++ b/src/pomeloyard/claims/log.py
@@ -69,14 +69,14 @@
         store: Store,
         clock: Clock,
         state: FleetState,
-        watch: OutageTracker,
+        outage_tracker: OutageTracker,
         table: ClaimTable,
         incarnation: str,
     ) -> None:
         self._store = store
         self._clock = clock
         self._state = state
-        self._watch = watch
+        self._outage_tracker = outage_tracker
         self._table = table
         self._incarnation = incarnation
         self._indexes_by_partition: dict[int, SegmentIndex] = {}
@@ -109,7 +109,7 @@
                 self._waiting.discard(pending)
             if pending.durable:
                 return True
-            self._watch.record_outage()
+            self._outage_tracker.record_outage()
         if self._table.get(partition, claim.key_hash) is not claim:
             return False  # The claim was released in the meantime.
         unwritten = self.unwritten_by_partition.setdefault(partition, {})
@@ -199,7 +199,7 @@
         if not self.store_down:
             log.warning("store unavailable, granting claims from memory: {}", reason)
         self.store_down = True
-        self._watch.record_outage()
+        self._outage_tracker.record_outage()
 
     def _complete(self, batch: list[_Pending], durable: set[int]) -> None:
         for pending in batch:
--- a/src/pomeloyard/claims/service.py
+++ b/src/pomeloyard/claims/service.py
@@ -93,8 +93,10 @@
         self.table = ClaimTable()
         self.recorded = ClaimTable()
         """Claims of other daemons' partitions that may not be in the store."""
-        self.watch = OutageTracker(clock, state, network, incarnation)
-        self.log = ClaimLog(store, clock, state, self.watch, self.table, incarnation)
+        self.outage_tracker = OutageTracker(clock, state, network, incarnation)
+        self.log = ClaimLog(
+            store, clock, state, self.outage_tracker, self.table, incarnation
+        )
         network.on(ClaimRequest, self._on_request)
         network.on(ClaimRelease, self._on_release)
         network.on(ClaimRecord, self._on_record)
@@ -119,7 +121,7 @@
 
     def apply_partition_table(self) -> None:
         """Apply the partition table: take over gained partitions, drop lost ones."""
-        self.watch.update()
+        self.outage_tracker.update()
         table = self._state.partitions
         if table is None:
             return
@@ -264,7 +266,7 @@
         """Return whether a second daemon has recorded or will record the claim."""
         if self._open_epoch(number) != epoch:
             return False
-        self.watch.announce_outage()
+        self.outage_tracker.announce_outage()
         if sender != self.incarnation:
             return True  # The requester records it before it runs the request.
         peers = self._network.connected()
@@ -303,7 +305,7 @@
     # Recording claims for other daemons.
 
     def _record_claim(self, partition: int, claim: Claim) -> bool:
-        self.watch.record_outage()
+        self.outage_tracker.record_outage()
         earlier = self.recorded.get(partition, claim.key_hash)
         if earlier is not None:
             # The holder grants a key again only after the earlier claim's release.
@@ -336,10 +338,10 @@
             message.request_id,
             tuple(self._claim_row(claims[key]) for key in keys[:MAX_STATEMENT_CLAIMS]),
             len(keys) > MAX_STATEMENT_CLAIMS,
-            self.watch.outage_seen(),
+            self.outage_tracker.outage_seen(),
             round(lost.total_seconds() * 1000),
-            self.watch.confirms_no_outage(),
-            tuple(sorted(self.watch.known_daemons())),
+            self.outage_tracker.confirms_no_outage(),
+            tuple(sorted(self.outage_tracker.known_daemons())),
         )
 
     # Used by takeovers.
--- a/src/pomeloyard/claims/takeover.py
+++ b/src/pomeloyard/claims/takeover.py
@@ -61,7 +61,7 @@
         """Open the partition once all of its claims are known."""
         with self._scope:
             await self._load()
-            missing = self._service.watch.known_daemons()
+            missing = self._service.outage_tracker.known_daemons()
             while not self._cancelled:
                 missing = await self._query_all_peers(missing)
                 if self._clock.monotonic() >= self._lost_until(missing):
@@ -156,8 +156,11 @@
         confirms that there was no outage, or if all missing daemons are gone.
         Other missing daemons may still answer and must be waited for.
         """
-        if self._outage_seen or self._service.watch.outage_seen():
+        if self._outage_seen or self._service.outage_tracker.outage_seen():
             return False
-        if self._no_outage_confirmed or self._service.watch.confirms_no_outage():
+        if (
+            self._no_outage_confirmed
+            or self._service.outage_tracker.confirms_no_outage()
+        ):
             return True
-        return all(self._service.watch.is_gone(name) for name in missing)
+        return all(self._service.outage_tracker.is_gone(name) for name in missing)
