--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -22,13 +22,13 @@
 
     def __init__(
         self,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         writer: LogWriter,
         calls: CallCounter,
         follower: ConfigurationFollower,
         role: PlacingRole,
     ) -> None:
-        self._decision_log = lines
+        self._decision_log = decision_log
         self._writer = writer
         self._calls = calls
         self._follower = follower
--- a/src/pomeloyard/batch/peaks.py
+++ b/src/pomeloyard/batch/peaks.py
@@ -25,7 +25,7 @@
 RATE_WINDOWS = (timedelta(seconds=0.5), timedelta(seconds=1))
 """Shorter than a move of a VM; the shorter window detects the start of a peak sooner,
 the longer one estimates the rate of queues with few jobs."""
-CHAIN_WEIGHT = 0.1
+CRITICAL_PATH_WEIGHT = 0.1
 """Weight of a new job in the mean critical path; jobs of a queue vary by half."""
 ARRIVAL_RETENTION = timedelta(seconds=240)
 MIN_ARRIVALS = 5
@@ -105,7 +105,7 @@
         state = self._pools[pool]
         state.arrivals.append((now, core_seconds))
         first = len(state.arrivals) == 1
-        state.critical_path += (1.0 if first else CHAIN_WEIGHT) * (
+        state.critical_path += (1.0 if first else CRITICAL_PATH_WEIGHT) * (
             critical_path - state.critical_path
         )
         while state.arrivals[0][0] < now - ARRIVAL_RETENTION:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -120,7 +120,7 @@
         self._store = store
         self._follower = follower
         self._registry = registry
-        self._client = executor_client
+        self._executor_client = executor_client
         self._decision_log = decision_log
         self.role = role
         self.epoch = role.epoch
@@ -129,7 +129,7 @@
         self._advisor = Advisor(clock, advice, self.request_plan) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
         self.links_by_id: dict[str, ExecutorLink] = {}
-        self.availability = DisruptionBudgets(self.links_by_id)
+        self.disruption_budgets = DisruptionBudgets(self.links_by_id)
         self.policy = policy or DefaultPolicy()
         self.usage = Usage()
         self.estimates = RunEstimates()
@@ -314,7 +314,9 @@
             executor = known or Executor(
                 executor_id, "", "", "", NO_RESOURCES, (), True, 0
             )
-            link = ExecutorLink(self._clock, self._client, executor, self.epoch, self)
+            link = ExecutorLink(
+                self._clock, self._executor_client, executor, self.epoch, self
+            )
             link.registered = known is not None
             if known is None:
                 # It has no address to poll; the VM list may show that it is gone.
@@ -515,7 +517,7 @@
 
     def may_disrupt(self, placed: PlacedRun) -> bool:
         """Tell whether stopping a run respects its step's disruption budget."""
-        return self.availability.may_disrupt([placed])
+        return self.disruption_budgets.may_disrupt([placed])
 
     def handle_stale_fence(self, link: ExecutorLink) -> None:
         """End the term after an executor reported a higher fencing token."""
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -51,7 +51,7 @@
         follower: ConfigurationFollower,
         usage: Usage,
         estimates: RunEstimates,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         epoch: int,
         links_by_id: Mapping[str, ExecutorLink],
         live_jobs: Mapping[str, JobRun],
@@ -64,7 +64,7 @@
         self._follower = follower
         self._usage = usage
         self._estimates = estimates
-        self._lines = lines
+        self._decision_log = decision_log
         self._epoch = epoch
         self._links_by_id = links_by_id
         self._live_jobs = live_jobs
@@ -345,7 +345,7 @@
         link.assign(placed)
         self._pending_starts.append((link, placed))
         self._changed(job)
-        self._lines.record(
+        self._decision_log.record(
             "place",
             task.name,
             executor.executor_id,
--- a/src/pomeloyard/batch/vm_controller.py
+++ b/src/pomeloyard/batch/vm_controller.py
@@ -70,7 +70,7 @@
         follower: ConfigurationFollower,
         service: VmService,
         status: WaveStatus,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         term: VmTerm,
         holder: str,
         role: HeldRole,
@@ -84,12 +84,16 @@
         self._follower = follower
         self._term = term
         records = FencedRecords(clock, store, guard)
-        self._listing = VmListing(clock, service, lines, term.links_by_id)
+        self._listing = VmListing(clock, service, decision_log, term.links_by_id)
         self._recent_orders = RecentOrders(
             clock, records, takeover_pause + TAKEOVER_SLACK, role.vacant_at
         )
         self._orders = VmOrders(
-            clock, self._listing, self._recent_orders, term.availability, term.end_term
+            clock,
+            self._listing,
+            self._recent_orders,
+            term.disruption_budgets,
+            term.end_term,
         )
         self._waves = WaveRunner(
             clock,
@@ -97,7 +101,7 @@
             follower,
             service,
             status,
-            lines,
+            decision_log,
             term,
             self._listing,
             self._orders,
@@ -108,7 +112,7 @@
         self._mover = VmMover(
             records,
             service,
-            lines,
+            decision_log,
             term,
             self._listing,
             self._orders,
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -36,12 +36,12 @@
         self,
         clock: Clock,
         service: VmService,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         links_by_id: Mapping[str, ExecutorLink],
     ) -> None:
         self._clock = clock
         self._service = service
-        self._lines = lines
+        self._decision_log = decision_log
         self._links_by_id = links_by_id
         self.vms_by_name: dict[str, PoolVm] = {}
         self.listed_at: timedelta | None = None
@@ -112,5 +112,7 @@
             missing = self._absences_by_executor.get(executor_id, 0) + 1
             self._absences_by_executor[executor_id] = missing
             if missing >= ABSENCES_TO_CONFIRM:
-                self._lines.record("executor", executor_id, "gone", lists=missing)
+                self._decision_log.record(
+                    "executor", executor_id, "gone", lists=missing
+                )
                 link.mark_all_lost("the platform lists no such executor")
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -61,7 +61,7 @@
         self,
         records: FencedRecords,
         service: VmService,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         term: PoolTerm,
         listing: VmListing,
         orders: VmOrders,
@@ -71,7 +71,7 @@
     ) -> None:
         self._records = records
         self._service = service
-        self._lines = lines
+        self._decision_log = decision_log
         self._term = term
         self._listing = listing
         self._orders = orders
@@ -167,7 +167,7 @@
             vm = self._listing.vms_by_name[move.vm]
             self._draining_for[move.vm] = (move.pool, now)
             self._term.links_by_id[vm.executor_id].cordoned_for_move = True
-            self._lines.record(
+            self._decision_log.record(
                 "move", move.vm, "emptied", origin=vm.pool, target=move.pool
             )
 
@@ -236,7 +236,7 @@
             return
         self._logged_at = now
         for load in loads:
-            self._lines.record(
+            self._decision_log.record(
                 "pool",
                 load.name,
                 "load",
@@ -293,7 +293,9 @@
         self._term.spawn(None, self._order_move, vm, move)
 
     async def _order_move(self, vm: PoolVm, move: Move) -> None:
-        self._lines.record("move", vm.name, "ordered", origin=vm.pool, target=move.pool)
+        self._decision_log.record(
+            "move", vm.name, "ordered", origin=vm.pool, target=move.pool
+        )
         answer = await self._orders.send_until_answered(
             vm,
             lambda: self._service.move(vm.name, move.pool, self._holder, self._epoch),
@@ -304,5 +306,5 @@
             self._orders.mark_done(vm)
             self._orders.end_runs(vm, "moved")
         else:
-            self._lines.record("move", vm.name, answer.value, target=move.pool)
+            self._decision_log.record("move", vm.name, answer.value, target=move.pool)
             self._orders.abandon(vm)
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -43,13 +43,13 @@
         clock: Clock,
         listing: VmListing,
         recent_orders: RecentOrders,
-        availability: DisruptionBudgets,
+        disruption_budgets: DisruptionBudgets,
         end_term: Callable[[str], None],
     ) -> None:
         self._clock = clock
         self._listing = listing
         self._recent_orders = recent_orders
-        self._availability = availability
+        self._disruption_budgets = disruption_budgets
         self._end_term = end_term
         self.by_vm: dict[str, VmOperation] = {}
 
@@ -111,7 +111,7 @@
         may_have_been_sent = self.by_vm[vm.name].repeated
         while True:
             link = self._listing.link_of(vm)
-            if link is not None and not self._availability.may_disrupt_all(link):
+            if link is not None and not self._disruption_budgets.may_disrupt_all(link):
                 if not may_have_been_sent:
                     return VmAnswer.HELD_BACK
                 await self._clock.sleep(RETRY_DELAY)
--- a/src/pomeloyard/batch/wave_runner.py
+++ b/src/pomeloyard/batch/wave_runner.py
@@ -51,7 +51,7 @@
     """The parts of a placing term that waves use."""
 
     links_by_id: dict[str, ExecutorLink]
-    availability: DisruptionBudgets
+    disruption_budgets: DisruptionBudgets
     policy: Policy
     usage: Usage
 
@@ -108,7 +108,7 @@
         follower: ConfigurationFollower,
         service: VmService,
         status: WaveStatus,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         term: WaveTerm,
         listing: VmListing,
         orders: VmOrders,
@@ -121,7 +121,7 @@
         self._follower = follower
         self._service = service
         self._status = status
-        self._lines = lines
+        self._decision_log = decision_log
         self._term = term
         self._listing = listing
         self._orders = orders
@@ -190,7 +190,7 @@
             # Each VM that goes down leaves less disruption budget for the next ones.
             vm = self._listing.vms_by_name[name]
             link = self._listing.link_of(vm)
-            if link is None or self._term.availability.may_disrupt_all(link):
+            if link is None or self._term.disruption_budgets.may_disrupt_all(link):
                 self._begin_maintenance(active, vm)
         self._cordon(active, {*choice.maintain, *choice.drain}, now)
         for name in wave.vms:
@@ -220,7 +220,8 @@
             vm=vm.name,
             pool=vm.pool,
             short_work=self._term.unsaved_short_work(link) if link else 0.0,
-            may_be_down=link is None or self._term.availability.may_disrupt_all(link),
+            may_be_down=link is None
+            or self._term.disruption_budgets.may_disrupt_all(link),
             pool_has_backlog=waiting.get(vm.pool, 0.0) > 0,
             draining_for=None if cordoned_at is None else now - cordoned_at,
             exceeds_disruption_budget=any(
@@ -244,7 +245,7 @@
             if not at_work or not _exceeds_disruption_budget(runs):
                 continue
             if self._has_room_elsewhere(step, link) and link.stop(runs[-1]):
-                self._lines.record(
+                self._decision_log.record(
                     "upkeep", link.executor.executor_id, "separated", step=step.name
                 )
                 return
@@ -289,7 +290,7 @@
         if first_order and not await self._store_wave(active):
             self._orders.abandon(vm)
             return
-        self._lines.record(
+        self._decision_log.record(
             "upkeep", vm.name, "ordered", wave=wave_id, executor=vm.executor_id
         )
         answer = await self._orders.send_until_answered(
@@ -299,7 +300,7 @@
         if answer is None:
             return
         if answer in (VmAnswer.BUSY, VmAnswer.THROTTLED, VmAnswer.HELD_BACK):
-            self._lines.record("upkeep", vm.name, answer.value, wave=wave_id)
+            self._decision_log.record("upkeep", vm.name, answer.value, wave=wave_id)
             if answer is VmAnswer.HELD_BACK:
                 active.record.begun.discard(vm.name)
             self._orders.abandon(vm)
@@ -310,7 +311,7 @@
             if first_order:
                 self._orders.end_runs(vm, "upkeep began")
         else:
-            self._lines.record("upkeep", vm.name, answer.value, wave=wave_id)
+            self._decision_log.record("upkeep", vm.name, answer.value, wave=wave_id)
             self._orders.abandon(vm)
         await self._store_wave(active)
 
@@ -318,7 +319,7 @@
         active.record.completed = True
         if await self._store_wave(active):
             await self._report_status(active, completed=True)
-            self._lines.record("wave", str(active.wave.wave_id), "completed")
+            self._decision_log.record("wave", str(active.wave.wave_id), "completed")
         else:
             active.record.completed = False
 
--- a/src/pomeloyard/platform/caller_app.py
+++ b/src/pomeloyard/platform/caller_app.py
@@ -126,7 +126,7 @@
         clock: Clock,
         follower: ConfigurationFollower,
         job_service: JobService,
-        lines: JobDecisionLog,
+        decision_log: JobDecisionLog,
         config_bound: timedelta,
         withdrawal_bound: timedelta,
         metrics: BatchMetrics | None = None,
@@ -135,7 +135,7 @@
         self._clock = clock
         self._follower = follower
         self._job_service = job_service
-        self._lines = lines
+        self._decision_log = decision_log
         self._max_config_age = min(
             config_bound * MAX_CONFIG_AGE_RATIO,
             withdrawal_bound * MAX_KEY_AGE_RATIO,
@@ -219,7 +219,7 @@
         age = self._follower.proof_age()
         version = self._follower.current.version if self._follower.current else 0
         took = self._clock.monotonic() - started_at
-        self._lines.record(
+        self._decision_log.record(
             "call",
             job_id,
             str(int(status)),
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -63,7 +63,7 @@
         self._settings = settings
         self._clock = clock
         self.writer = LogWriter(clock, stream=STDOUT)
-        self._lines = JobDecisionLog(clock, self.writer, settings.vm)
+        self._decision_log = JobDecisionLog(clock, self.writer, settings.vm)
         self._caller = HttpClient()
         self._executor_caller = HttpClient(MAX_EXECUTOR_CALLS)
         self._store = PlatformStore(self._caller, settings.store_address)
@@ -83,13 +83,17 @@
         job_service = JobService(clock, self._store, self._follower)
         self._role = PlacingRole(self._new_term)
         self._metrics = BatchMetrics(
-            self._lines, self.writer, self._store.calls, self._follower, self._role
+            self._decision_log,
+            self.writer,
+            self._store.calls,
+            self._follower,
+            self._role,
         )
         self._caller_app = CallerApp(
             clock,
             self._follower,
             job_service,
-            self._lines,
+            self._decision_log,
             settings.config_bound,
             settings.withdrawal_bound,
             self._metrics,
@@ -110,7 +114,7 @@
             self._follower,
             registry,
             PlatformExecutors(self._executor_caller, role.still_held),
-            self._lines,
+            self._decision_log,
             role,
             guard,
             self._settings.job_retention + RETENTION_MARGIN,
@@ -129,7 +133,7 @@
                 self._caller, settings.vm_service_address, term.role.still_held
             ),
             PlatformDocuments(),
-            self._lines,
+            self._decision_log,
             term,
             settings.vm,
             term.role,
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -72,12 +72,12 @@
         self.follower = ConfigurationFollower(
             clock, self.world.store, PlatformDocuments()
         )
-        lines = JobDecisionLog(clock, LogWriter(clock), "d")
+        decision_log = JobDecisionLog(clock, LogWriter(clock), "d")
         self.caller_app = CallerApp(
             clock,
             self.follower,
             JobService(clock, self.world.store, self.follower),
-            lines,
+            decision_log,
             timedelta(seconds=2),
             timedelta(seconds=5),
         )
@@ -165,9 +165,9 @@
 async def test_metrics_count_calls_and_decisions():
     caller = Caller()
     role = PlacingRole(None)
-    lines = caller.caller_app._lines
+    decision_log = caller.caller_app._decision_log
     metrics = BatchMetrics(
-        lines,
+        decision_log,
         LogWriter(caller.world.clock),
         caller.world.store.calls,
         caller.follower,
@@ -185,11 +185,11 @@
 async def test_the_log_rate_is_limited_and_suppressed_lines_are_counted():
     world = World()
     for number in range(MAX_LINES_PER_SECOND + 50):
-        world.lines.record("call", str(number), "200")
-    assert world.lines.dropped_lines == 50
+        world.decision_log.record("call", str(number), "200")
+    assert world.decision_log.dropped_lines == 50
     world.clock.advance(timedelta(seconds=1))
-    world.lines.record("call", "x", "200")
-    assert world.lines.dropped_lines == 50
+    world.decision_log.record("call", "x", "200")
+    assert world.decision_log.dropped_lines == 50
 
 
 async def test_a_withdrawn_key_stops_working():
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -351,7 +351,7 @@
         self.follower = ConfigurationFollower(self.clock, self.store, ConfigDocuments())
         self.job_service = JobService(self.clock, self.store, self.follower)
         writer = LogWriter(self.clock)
-        self.lines = JobDecisionLog(self.clock, writer, "daemon-1")
+        self.decision_log = JobDecisionLog(self.clock, writer, "daemon-1")
         self.fake_executors = [
             FakeExecutor(self.clock, f"e-{n}", cpu, rack=f"r{n % 2}")
             for n in range(executors)
@@ -459,7 +459,7 @@
                 self.follower,
                 vms,
                 ConfigDocuments(),
-                self.lines,
+                self.decision_log,
                 term,
                 "daemon-1",
                 term.role,
@@ -485,7 +485,7 @@
             self.follower,
             registry,
             self.client,
-            self.lines,
+            self.decision_log,
             role,
             guard,
             timedelta(seconds=60),
