--- a/src/pomeloyard/platform/advice.py
+++ b/src/pomeloyard/platform/advice.py
@@ -22,8 +22,8 @@
 class PlatformAdvice(AdviceService):
     """Client for the advice service at one address."""
 
-    def __init__(self, caller: HttpClient, address: str) -> None:
-        self._caller = caller
+    def __init__(self, client: HttpClient, address: str) -> None:
+        self._client = client
         self._address = address
 
     async def advise(
@@ -31,7 +31,7 @@
     ) -> Advice:
         """Ask which of the given executors may run a step."""
         body = msgspec.json.encode({"step": step, "workers": list(executors)})
-        response = await self._caller.request(
+        response = await self._client.request(
             "POST", self._address, "/advise", timeout, body
         )
         if response.status != 200:
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -64,9 +64,9 @@
         self._clock = clock
         self.writer = LogWriter(clock, stream=STDOUT)
         self._decision_log = JobDecisionLog(clock, self.writer, settings.vm)
-        self._caller = HttpClient()
+        self._client = HttpClient()
         self._executor_caller = HttpClient(MAX_EXECUTOR_CALLS)
-        self._store = PlatformStore(self._caller, settings.store_address)
+        self._store = PlatformStore(self._client, settings.store_address)
         self._relay_peers = RelayPeers(
             clock,
             self._store,
@@ -75,7 +75,7 @@
             settings.core_speed,
         )
         self._advice = (
-            PlatformAdvice(self._caller, settings.advice_address)
+            PlatformAdvice(self._client, settings.advice_address)
             if settings.advice_address
             else None
         )
@@ -130,7 +130,7 @@
             self._store,
             self._follower,
             PlatformVms(
-                self._caller, settings.vm_service_address, term.role.still_held
+                self._client, settings.vm_service_address, term.role.still_held
             ),
             PlatformDocuments(),
             self._decision_log,
@@ -189,7 +189,7 @@
             limit = self._settings.stop_grace - 2 * LISTENER_CLOSE_DELAY
             await wait_idle((caller_server, relay_server), limit)
             tasks.cancel_scope.cancel()
-        await self._caller.close()
+        await self._client.close()
         await self._executor_caller.close()
         self.writer.close()
 
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -53,9 +53,9 @@
     """Client for all executors; sends nothing once ``permitted`` returns False."""
 
     def __init__(
-        self, caller: HttpClient, permitted: Callable[[], bool] = always_permitted
+        self, client: HttpClient, permitted: Callable[[], bool] = always_permitted
     ) -> None:
-        self._caller = caller
+        self._client = client
         self._permitted = permitted
 
     async def start(
@@ -154,7 +154,7 @@
     async def _call(
         self, executor: Executor, path: str, body: object, timeout: timedelta
     ) -> Response:
-        return await self._caller.request(
+        return await self._client.request(
             "POST",
             executor.address,
             path,
--- a/src/pomeloyard/platform/store_client.py
+++ b/src/pomeloyard/platform/store_client.py
@@ -107,8 +107,8 @@
 class PlatformStore(PollingStore):
     """The platform's store, with calls relayed by peers if it refuses them."""
 
-    def __init__(self, caller: HttpClient, address: str) -> None:
-        self._caller = caller
+    def __init__(self, client: HttpClient, address: str) -> None:
+        self._client = client
         self._address = address
         self._adaptive_timeout = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
         self.calls = CallCounter()
@@ -283,7 +283,7 @@
         self, method: str, target: str, content: bytes, limit: timedelta
     ) -> Response:
         try:
-            response = await self._caller.request(
+            response = await self._client.request(
                 method, self._address, target, limit, content
             )
         except (CallNotSentError, CallUnansweredError):
@@ -307,7 +307,7 @@
             raise CallNotSentError(f"{method} {target}: no way to the store")
         headers = {RELAY_TIME_HEADER: str(round(limit / timedelta(milliseconds=1)))}
         try:
-            response = await self._caller.request(
+            response = await self._client.request(
                 method, peer, target, limit + RELAY_TIMEOUT_MARGIN, content, headers
             )
         except (CallNotSentError, CallUnansweredError):
--- a/src/pomeloyard/platform/vms.py
+++ b/src/pomeloyard/platform/vms.py
@@ -48,11 +48,11 @@
 
     def __init__(
         self,
-        caller: HttpClient,
+        client: HttpClient,
         address: str,
         permitted: Callable[[], bool] = always_permitted,
     ) -> None:
-        self._caller = caller
+        self._client = client
         self._address = address
         self._permitted = permitted
 
@@ -61,7 +61,7 @@
         found: list[PoolVm] = []
         target = "/machines"
         for _ in range(MAX_PAGES):
-            response = await self._caller.request(
+            response = await self._client.request(
                 "GET", self._address, target, CALL_TIMEOUT
             )
             if response.status != 200:
@@ -89,7 +89,7 @@
     async def _send_operation(
         self, path: str, body: object, holder: str, fence: int
     ) -> VmAnswer:
-        response = await self._caller.request(
+        response = await self._client.request(
             "POST",
             self._address,
             path,
--- a/tests/platform/test_connection.py
+++ b/tests/platform/test_connection.py
@@ -59,16 +59,16 @@
     async def calling(self):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        caller = HttpClient(2)
+        client = HttpClient(2)
         async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self.serve)
 
             async def call(body=b"x", timeout=SECOND):
                 address = f"127.0.0.1:{port}"
-                return await caller.request("POST", address, "/a", timeout, body)
+                return await client.request("POST", address, "/a", timeout, body)
 
             yield call
-            await caller.close()
+            await client.close()
             tasks.cancel_scope.cancel()
 
 
@@ -155,7 +155,7 @@
 async def test_an_invalid_address_or_header_counts_as_not_sent(address, header):
     # Addresses and ids come from registrations that other programs write. Any other
     # error would end the term of the placing role.
-    caller = HttpClient()
+    client = HttpClient()
     with pytest.raises(CallNotSentError):
-        await caller.request("GET", address, "/a", SECOND, b"", {"X-Id": header})
-    await caller.close()
+        await client.request("GET", address, "/a", SECOND, b"", {"X-Id": header})
+    await client.close()
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -41,19 +41,19 @@
 @asynccontextmanager
 async def calling(connections):
     PEER.state.hanging = 0
-    caller = HttpClient(connections)
+    client = HttpClient(connections)
     async with serving(PEER) as address:
-        yield caller, address
-        await caller.close()
+        yield client, address
+        await client.close()
 
 
-async def call_many(caller, address, target, count, timeout):
+async def call_many(client, address, target, count, timeout):
     """Make concurrent calls; return their error types, None for a success."""
     outcomes = []
 
     async def one():
         try:
-            await caller.request("GET", address, target, timeout)
+            await client.request("GET", address, target, timeout)
         except (CallNotSentError, CallUnansweredError) as error:
             outcomes.append(type(error))
         else:
@@ -69,41 +69,41 @@
 async def test_calls_succeed_after_many_concurrent_calls_timed_out(round_size):
     # A peer did not answer 30% of its orders, at peaks of 20 calls. Calls queued for a
     # connection timed out together and left no connection for any later call.
-    async with calling(4) as (caller, address):
+    async with calling(4) as (client, address):
         for _ in range(4):
-            outcomes = await call_many(caller, address, "/hang", round_size, SHORT)
+            outcomes = await call_many(client, address, "/hang", round_size, SHORT)
             assert None not in outcomes
-            assert await call_many(caller, address, "/answer", 8, SECOND) == [None] * 8
+            assert await call_many(client, address, "/answer", 8, SECOND) == [None] * 8
 
 
 async def test_a_call_that_times_out_in_the_queue_counts_as_not_sent(monkeypatch):
     monkeypatch.setattr(http, "OVERDUE_AFTER_S", 60.0)
-    async with calling(2) as (caller, address), anyio.create_task_group() as tasks:
+    async with calling(2) as (client, address), anyio.create_task_group() as tasks:
         for _ in range(2):
-            tasks.start_soon(call_many, caller, address, "/hang", 1, SECOND * 60)
+            tasks.start_soon(call_many, client, address, "/hang", 1, SECOND * 60)
         with anyio.fail_after(10):
             while PEER.state.hanging < 2:
                 await anyio.sleep(0.01)
-        outcomes = await call_many(caller, address, "/answer", 4, SHORT)
+        outcomes = await call_many(client, address, "/answer", 4, SHORT)
         assert outcomes == [CallNotSentError] * 4
         tasks.cancel_scope.cancel()
 
 
 async def test_overdue_calls_do_not_block_others(monkeypatch):
     monkeypatch.setattr(http, "OVERDUE_AFTER_S", 0.01)
-    async with calling(2) as (caller, address), anyio.create_task_group() as tasks:
+    async with calling(2) as (client, address), anyio.create_task_group() as tasks:
         for _ in range(8):
-            tasks.start_soon(call_many, caller, address, "/hang", 1, SECOND * 60)
-        assert await call_many(caller, address, "/answer", 4, SECOND * 10) == [None] * 4
+            tasks.start_soon(call_many, client, address, "/hang", 1, SECOND * 60)
+        assert await call_many(client, address, "/answer", 4, SECOND * 10) == [None] * 4
         tasks.cancel_scope.cancel()
 
 
 async def test_calls_succeed_after_others_to_the_peer_were_cancelled():
-    async with calling(3) as (caller, address):
+    async with calling(3) as (client, address):
         for number in range(30):
             with anyio.move_on_after(0.001 * (number % 10)):
-                await call_many(caller, address, "/answer", 6, SECOND)
-        assert await call_many(caller, address, "/answer", 6, SECOND) == [None] * 6
+                await call_many(client, address, "/answer", 6, SECOND)
+        assert await call_many(client, address, "/answer", 6, SECOND) == [None] * 6
 
 
 async def test_nothing_is_sent_if_permission_ended_while_the_call_waited():
@@ -126,17 +126,17 @@
 
     peer = Starlette(routes=[Route("/slow", slow_answer), Route("/count", count)])
     async with serving(peer) as address:
-        caller = HttpClient(1)
+        client = HttpClient(1)
 
         async def call():
             with pytest.raises(CallNotSentError):
-                await caller.request(
+                await client.request(
                     "GET", address, "/count", SECOND, permitted=lambda: permitted
                 )
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(caller.request, "GET", address, "/slow", SECOND)
+            tasks.start_soon(client.request, "GET", address, "/slow", SECOND)
             await anyio.lowlevel.checkpoint()
             tasks.start_soon(call)
         assert calls == 0
-        await caller.close()
+        await client.close()
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -33,11 +33,11 @@
 @asynccontextmanager
 async def peer_and_executor():
     peer = FakePeer()
-    caller = HttpClient()
+    client = HttpClient()
     async with serving(peer) as address:
         executor = Executor("i-1", address, "s", "z", Resources(1), (), False, 5)
-        yield peer, caller, executor
-        await caller.close()
+        yield peer, client, executor
+        await client.close()
 
 
 @pytest.mark.parametrize(
@@ -54,9 +54,9 @@
     ],
 )
 async def test_answers_to_a_start(status, reason, answer):
-    async with peer_and_executor() as (peer, caller, executor):
+    async with peer_and_executor() as (peer, client, executor):
         peer.script("/run-start", status, {"clock_ms": 1500, "reason": reason})
-        start_answer, _ = await PlatformExecutors(caller).start(executor, ORDER, SECOND)
+        start_answer, _ = await PlatformExecutors(client).start(executor, ORDER, SECOND)
         assert start_answer is answer
         _, headers, body = peer.calls[0]
         assert headers["x-expect-instance"] == "i-1"
@@ -71,16 +71,16 @@
 
 
 async def test_a_higher_fencing_token_raises_its_own_error():
-    async with peer_and_executor() as (peer, caller, executor):
+    async with peer_and_executor() as (peer, client, executor):
         for path in ("/run-start", "/run-stop", "/hold"):
             peer.script(path, 409, {"clock_ms": 1, "reason": "fence"})
-        client = PlatformExecutors(caller)
+        executor_client = PlatformExecutors(client)
         with pytest.raises(StaleFenceError):
-            await client.start(executor, ORDER, SECOND)
+            await executor_client.start(executor, ORDER, SECOND)
         with pytest.raises(StaleFenceError):
-            await client.stop(executor, "t", 1, 7, SECOND)
+            await executor_client.stop(executor, "t", 1, 7, SECOND)
         with pytest.raises(StaleFenceError):
-            await look(client, executor)
+            await look(executor_client, executor)
 
 
 async def look(client, executor):
@@ -95,7 +95,7 @@
 
 
 async def test_both_task_lists_are_decoded():
-    async with peer_and_executor() as (peer, caller, executor):
+    async with peer_and_executor() as (peer, client, executor):
         lists = {
             "clock_ms": 2000,
             "born": 77,
@@ -104,7 +104,7 @@
             "remaining_ms": 100,
         }
         peer.script("/hold", 200, lists)
-        report = await look(PlatformExecutors(caller), executor)
+        report = await look(PlatformExecutors(client), executor)
         assert report.clock == 2 * SECOND
         assert report.incarnation == 77
         assert [row.gauge for row in report.running] == [12, 0]
@@ -122,10 +122,10 @@
     ],
 )
 async def test_invalid_task_lists_count_as_unanswered(lists):
-    async with peer_and_executor() as (peer, caller, executor):
+    async with peer_and_executor() as (peer, client, executor):
         peer.script("/hold", 200, lists)
         with pytest.raises(CallUnansweredError):
-            await look(PlatformExecutors(caller), executor)
+            await look(PlatformExecutors(client), executor)
 
 
 async def test_an_order_to_a_closed_port_counts_as_not_sent():
@@ -145,8 +145,8 @@
     ],
 )
 async def test_answers_to_an_operation_on_a_vm(status, reason, answer):
-    async with peer_and_executor() as (peer, caller, executor):
-        service = PlatformVms(caller, executor.address)
+    async with peer_and_executor() as (peer, client, executor):
+        service = PlatformVms(client, executor.address)
         for path in ("/machine-move", "/machine-upkeep"):
             peer.script(path, status, {"reason": reason})
         assert await service.move("m", "p", "d-1", 12) is answer
@@ -159,14 +159,14 @@
 
 
 async def test_vms_are_listed_with_their_current_executor():
-    async with peer_and_executor() as (peer, caller, executor):
+    async with peer_and_executor() as (peer, client, executor):
         rows = [
             {"machine": "m1", "pool": "p", "state": "up", "id": "i", "labels": ["r"]},
             {"machine": "m2", "pool": "p", "state": "upkeep", "id": None},
             {"machine": "m3", "pool": "p", "state": "new word"},
         ]
         peer.script("/machines", 200, {"machines": rows, "next_token": None})
-        vms = await PlatformVms(caller, executor.address).list()
+        vms = await PlatformVms(client, executor.address).list()
         assert [vm.state for vm in vms] == [
             VmState.UP,
             VmState.IN_MAINTENANCE,
@@ -176,8 +176,8 @@
 
 
 async def test_advice_is_requested_and_decoded():
-    async with peer_and_executor() as (peer, caller, executor):
-        service = PlatformAdvice(caller, executor.address)
+    async with peer_and_executor() as (peer, client, executor):
+        service = PlatformAdvice(client, executor.address)
         peer.script("/advise", 200, {"good": [["i-1", "t-1"]], "valid_ms": 3000})
         advice = await service.advise("a1.0.0", ["i-1", "i-2"], SECOND)
         assert advice.ticket_by_executor == {"i-1": "t-1"}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -40,10 +40,10 @@
 
 @asynccontextmanager
 async def client_of(app):
-    caller = HttpClient()
+    client = HttpClient()
     async with serving(app) as address:
-        yield PlatformStore(caller, address)
-        await caller.close()
+        yield PlatformStore(client, address)
+        await client.close()
 
 
 async def put(store, key, value=b"1", *compares, lease=0):
@@ -164,10 +164,10 @@
         await anyio.sleep(60)
 
     async with serving(hang) as address:
-        caller = HttpClient()
-        store = PlatformStore(caller, address)
+        client = HttpClient()
+        store = PlatformStore(client, address)
         began_at = anyio.current_time()
         with pytest.raises(StoreOutcomeUnknownError):
             await store.keep_lease_alive(1)
         assert anyio.current_time() - began_at < MAX_CALL_TIMEOUT.total_seconds()
-        await caller.close()
+        await client.close()
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -77,14 +77,14 @@
 @asynccontextmanager
 async def daemons(count):
     memory = MemoryStore(SystemClock())
-    caller = HttpClient()
+    client = HttpClient()
     async with AsyncExitStack() as stack:
-        stack.push_async_callback(caller.close)
+        stack.push_async_callback(client.close)
         started = []
         for _ in range(count):
             daemon = Daemon(memory)
             address = await stack.enter_async_context(serving(daemon.faulty_store))
-            daemon.store = PlatformStore(caller, address)
+            daemon.store = PlatformStore(client, address)
             daemon.relay = StoreRelay(daemon.store)
             daemon.address = await stack.enter_async_context(serving(daemon.relay))
             await daemon.store.get("first")
@@ -192,13 +192,13 @@
 async def test_only_valid_store_calls_are_relayed(path, headers):
     async with daemons(1) as (_, (daemon,)):
         calls = daemon.faulty_store.calls
-        caller = HttpClient()
-        answer = await caller.request(
+        client = HttpClient()
+        answer = await client.request(
             "GET", daemon.address, path, SECOND, headers=headers
         )
         assert answer.status in (400, 404)
         assert daemon.faulty_store.calls == calls
-        await caller.close()
+        await client.close()
 
 
 async def test_daemons_find_each_other_in_the_store():
