--- a/src/pomeloyard/fleet/health_sources.py
+++ b/src/pomeloyard/fleet/health_sources.py
@@ -54,10 +54,10 @@
         term = self._scheduler.term
         if term is None:
             return
-        for name, link in term.links.by_name.items():
-            if link.reachable:
+        for name, worker_state in term.links.by_name.items():
+            if worker_state.reachable:
                 self._record(name, ObservationKind.RESPONSIVE)
-            elif link.failures:
+            elif worker_state.failures:
                 self._record(name, ObservationKind.UNRESPONSIVE)
             health = term.follower.quarantine.health(name)
             if health is WorkerHealth.QUARANTINED:
--- a/src/pomeloyard/jobs/preemptor.py
+++ b/src/pomeloyard/jobs/preemptor.py
@@ -208,10 +208,10 @@
 
     def _signal(self, worker: str, victim: Victim) -> None:
         task = self._table.get(victim.task.job_key)
-        link = self._links.by_name.get(worker)
-        if task is None or not task.placed or link is None:
+        worker_state = self._links.by_name.get(worker)
+        if task is None or not task.placed or worker_state is None:
             return
-        self._links.signal(link, task.task_id, _ACTIONS[victim.method])
+        self._links.signal(worker_state, task.task_id, _ACTIONS[victim.method])
         if victim.method is PreemptionMethod.THROTTLE:
             demand = victim.task.demand
             smaller = replace(demand, cores=demand.cores * THROTTLED_CORE_FRACTION)
@@ -227,9 +227,9 @@
         """Poll the worker, and escalate when checkpoints take too long."""
         if reservation.reason is CandidateReason.RESERVED:
             return
-        link = self._links.by_name.get(reservation.preemption.worker)
-        if link is not None:
-            self._links.call_soon(link, POLL_INTERVAL)
+        worker_state = self._links.by_name.get(reservation.preemption.worker)
+        if worker_state is not None:
+            self._links.call_soon(worker_state, POLL_INTERVAL)
         retried = reservation.job.key in self._retried
         checkpoint_timeout = RETRY_CHECKPOINT_TIMEOUT if retried else CHECKPOINT_TIMEOUT
         if reservation.escalated or now < reservation.began + checkpoint_timeout:
@@ -262,15 +262,15 @@
                 self._throttled.discard(key)
                 continue
             worker = self._index.workers_by_name.get(job.worker)
-            link = self._links.by_name.get(job.worker)
+            worker_state = self._links.by_name.get(job.worker)
             demand = self._placer.demand_on_worker(key)
-            if worker is None or link is None or demand is None:
+            if worker is None or worker_state is None or demand is None:
                 continue
             full_cores = demand.cores / THROTTLED_CORE_FRACTION
             if worker.free_cores >= full_cores - demand.cores:
                 self._throttled.discard(key)
                 self._placer.resize(job, replace(demand, cores=full_cores))
-                self._links.signal(link, job.task_id, TaskAction.UNTHROTTLE)
+                self._links.signal(worker_state, job.task_id, TaskAction.UNTHROTTLE)
                 self._table.set(replace(job, throttled=False))
 
     def _running_tasks(
--- a/src/pomeloyard/jobs/task_follower.py
+++ b/src/pomeloyard/jobs/task_follower.py
@@ -96,10 +96,10 @@
         self._follow_recovered(now)
         if now >= self._next_lease_check:
             self._next_lease_check = now + LEASE_CHECK_INTERVAL
-            for link in self.links.by_name.values():
-                if link.failures:
-                    for track in list(link.tasks_by_id.values()):
-                        self._check_lease(track, now)
+            for worker_state in self.links.by_name.values():
+                if worker_state.failures:
+                    for assigned_task in list(worker_state.tasks_by_id.values()):
+                        self._check_lease(assigned_task, now)
         for key in list(self._cancelled):
             job = self._table.get(key)
             if job is not None and job.placed:
@@ -113,26 +113,26 @@
             if job is None or not job.placed:
                 del self._recovered[key]
                 continue
-            link = self.links.by_name.get(job.worker)
-            if link is None:
+            worker_state = self.links.by_name.get(job.worker)
+            if worker_state is None:
                 # The VM list lacks the worker or has not been read yet.
                 if now >= ended_by:
                     self._mark_lost(job, JobReason.WORKER_GONE)
                 continue
             del self._recovered[key]
-            track = AssignedTask(
+            assigned_task = AssignedTask(
                 key, None, ended_by, job.request.idempotent, recovered=True
             )
-            track.superseded = job.fence != self._epoch
-            link.tasks_by_id.setdefault(job.task_id, track)
-            self.links.call_soon(link)
-
-    def _check_lease(self, track: AssignedTask, now: timedelta) -> None:
-        wait = timedelta(0) if track.idempotent else REPORT_WAIT
-        job = self._table.get(track.job_key)
-        if job is None or track.starting or now < track.ended_by + wait:
+            assigned_task.superseded = job.fence != self._epoch
+            worker_state.tasks_by_id.setdefault(job.task_id, assigned_task)
+            self.links.call_soon(worker_state)
+
+    def _check_lease(self, assigned_task: AssignedTask, now: timedelta) -> None:
+        wait = timedelta(0) if assigned_task.idempotent else REPORT_WAIT
+        job = self._table.get(assigned_task.job_key)
+        if job is None or assigned_task.starting or now < assigned_task.ended_by + wait:
             return
-        if track.uncertain and not track.confirmed:
+        if assigned_task.uncertain and not assigned_task.confirmed:
             # A paused worker may execute the order when it resumes, so its units
             # count toward the team's limit until the worker has answered.
             late = _LateStart(job.team, job.units, now + LATE_START_WINDOW)
@@ -140,62 +140,69 @@
             self._units_by_team[job.team] += job.units
         self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
 
-    def _expire_late_starts(self, link: WorkerState, running: set[str]) -> None:
+    def _expire_late_starts(self, worker_state: WorkerState, running: set[str]) -> None:
         now = self._clock.monotonic()
-        late_starts = self._late_starts.get(link.name, {})
+        late_starts = self._late_starts.get(worker_state.name, {})
         for task_id, late in list(late_starts.items()):
             if task_id not in running and now >= late.until:
                 del late_starts[task_id]
                 self._units_by_team[late.team] -= late.units
 
-    def worker_removed(self, link: WorkerState) -> None:
+    def worker_removed(self, worker_state: WorkerState) -> None:
         """Handle the loss of a worker that is no longer in the platform's VM list."""
-        self._ended_tasks.pop(link.name, None)
-        for late in self._late_starts.pop(link.name, {}).values():
+        self._ended_tasks.pop(worker_state.name, None)
+        for late in self._late_starts.pop(worker_state.name, {}).values():
             self._units_by_team[late.team] -= late.units
-        for track in list(link.tasks_by_id.values()):
-            job = self._table.get(track.job_key)
+        for assigned_task in list(worker_state.tasks_by_id.values()):
+            job = self._table.get(assigned_task.job_key)
             if job is not None:
                 self._mark_lost(job, JobReason.WORKER_GONE)
 
     def reported(
-        self, link: WorkerState, reports: Sequence[TaskReport], known: frozenset[str]
+        self,
+        worker_state: WorkerState,
+        reports: Sequence[TaskReport],
+        known: frozenset[str],
     ) -> None:
         """Handle a worker's reports; it had confirmed the ``known`` tasks before."""
         ended: list[str] = []
         for report in reports:
             if report.state is not TaskState.RUNNING:
                 ended.append(report.task_id)
-            self._handle(link, report)
-        self._ended_tasks[link.name] = tuple(ended)
+            self._handle(worker_state, report)
+        self._ended_tasks[worker_state.name] = tuple(ended)
         reported = {report.task_id for report in reports}
-        self._expire_late_starts(link, reported.difference(ended))
+        self._expire_late_starts(worker_state, reported.difference(ended))
         up_since = self._up_since(reports)
-        for task_id, track in list(link.tasks_by_id.items()):
+        for task_id, assigned_task in list(worker_state.tasks_by_id.items()):
             if task_id not in reported:
-                self._handle_missing(link, task_id, track, known, up_since)
+                self._handle_missing(
+                    worker_state, task_id, assigned_task, known, up_since
+                )
 
-    def acknowledgeable(self, link: WorkerState) -> list[str]:
+    def acknowledgeable(self, worker_state: WorkerState) -> list[str]:
         """Return ended tasks whose results are in the store."""
         done: list[str] = []
-        for task_id in self._ended_tasks.get(link.name, ()):
+        for task_id in self._ended_tasks.get(worker_state.name, ()):
             job = self._table.by_job_id(task_id.rpartition(".")[0])
             written = job is None or job.key not in self._table.pending
             if written and not (job and job.placed and job.task_id == task_id):
                 done.append(task_id)
         return done
 
-    def not_started(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
+    def not_started(
+        self, worker_state: WorkerState, task_id: str, assigned_task: AssignedTask
+    ) -> None:
         """Handle a task that was definitely not started."""
-        job = self._table.get(track.job_key)
+        job = self._table.get(assigned_task.job_key)
         if job is not None and job.placed and job.task_id == task_id:
             self._table.set(not_started(job, self._clock.now()))
 
-    def expected_end(self, link: WorkerState) -> timedelta | None:
+    def expected_end(self, worker_state: WorkerState) -> timedelta | None:
         """Return when the worker's next task is expected to end."""
         soonest: float | None = None
-        for track in link.tasks_by_id.values():
-            job = self._table.get(track.job_key)
+        for assigned_task in worker_state.tasks_by_id.values():
+            job = self._table.get(assigned_task.job_key)
             if job is None or job.assigned_at is None:
                 continue
             ran = (self._clock.now() - job.assigned_at).total_seconds()
@@ -207,23 +214,25 @@
             return None
         return self._clock.monotonic() + timedelta(seconds=soonest)
 
-    def _handle(self, link: WorkerState, report: TaskReport) -> None:
+    def _handle(self, worker_state: WorkerState, report: TaskReport) -> None:
         job = self._table.by_job_id(report.job_id)
         running = report.state is TaskState.RUNNING
         if job is not None and self._is_unrecorded(job, report):
-            job = self._adopt_task(link, job, report)
+            job = self._adopt_task(worker_state, job, report)
         if job is None or not job.placed or job.task_id != report.task_id:
             if running:
-                self._stop(link, report.task_id)
+                self._stop(worker_state, report.task_id)
             elif job is not None and job.state is JobState.QUEUED:
                 self._accept_late_result(job, report)
             return
-        track = link.tasks_by_id.get(report.task_id)
-        if track is None:
-            track = AssignedTask(job.key, None, self._clock.monotonic() + RECOVERY_WAIT)
-            track.idempotent = job.request.idempotent
-            link.tasks_by_id[report.task_id] = track
-        track.confirmed = True
+        assigned_task = worker_state.tasks_by_id.get(report.task_id)
+        if assigned_task is None:
+            assigned_task = AssignedTask(
+                job.key, None, self._clock.monotonic() + RECOVERY_WAIT
+            )
+            assigned_task.idempotent = job.request.idempotent
+            worker_state.tasks_by_id[report.task_id] = assigned_task
+        assigned_task.confirmed = True
         if not running:
             self._record_end(job, report)
         elif job.state is JobState.ASSIGNED:
@@ -239,13 +248,15 @@
             and int(attempt) > job.attempt
         )
 
-    def _adopt_task(self, link: WorkerState, job: Job, report: TaskReport) -> Job:
+    def _adopt_task(
+        self, worker_state: WorkerState, job: Job, report: TaskReport
+    ) -> Job:
         adopted = replace(
             job,
             state=JobState.RUNNING,
             reason=JobReason.NONE,
-            worker=link.name,
-            worker_boot=link.boot_id,
+            worker=worker_state.name,
+            worker_boot=worker_state.boot_id,
             task_id=report.task_id,
             attempt=int(report.task_id.rpartition(".")[2]),
             fence=self._epoch,
@@ -266,25 +277,25 @@
 
     def _handle_missing(
         self,
-        link: WorkerState,
+        worker_state: WorkerState,
         task_id: str,
-        track: AssignedTask,
+        assigned_task: AssignedTask,
         known: frozenset[str],
         up_since: datetime,
     ) -> None:
         """Handle a task that the worker does not report."""
-        job = self._table.get(track.job_key)
-        if job is None or track.starting:
+        job = self._table.get(assigned_task.job_key)
+        if job is None or assigned_task.starting:
             return
         now = self._clock.monotonic()
         if task_id in known:
             # The worker had the task but lost it, for example in a restart.
             self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
-        elif track.recovered and not track.superseded:
+        elif assigned_task.recovered and not assigned_task.superseded:
             # An order of a failed term may still arrive: track it without renewing
             # its lease until the lease has expired.
-            track.recovered, track.uncertain = False, True
-        elif track.recovered:
+            assigned_task.recovered, assigned_task.uncertain = False, True
+        elif assigned_task.recovered:
             # The worker now rejects the previous scheduler's fencing token, so the
             # task cannot start any more. It can have run only before a restart of
             # the worker, which an older running task rules out; the boot id in the
@@ -292,16 +303,22 @@
             assigned_at = job.assigned_at or self._clock.now()
             never_ran = (
                 job.state is JobState.ASSIGNED
-                and job.worker_boot == link.boot_id
+                and job.worker_boot == worker_state.boot_id
                 and up_since + CLOCK_MARGIN < assigned_at
             )
-            if never_ran or (job.state is JobState.ASSIGNED and track.idempotent):
+            if never_ran or (
+                job.state is JobState.ASSIGNED and assigned_task.idempotent
+            ):
                 self._table.set(not_started(job, self._clock.now()))
             else:
                 self._mark_lost(job, JobReason.WORKER_UNREACHABLE)
-        elif track.uncertain and track.idempotent and track.start_request is not None:
-            self.links.start_again(link, task_id, track)
-        elif track.uncertain and now >= track.ended_by:
+        elif (
+            assigned_task.uncertain
+            and assigned_task.idempotent
+            and assigned_task.start_request is not None
+        ):
+            self.links.start_again(worker_state, task_id, assigned_task)
+        elif assigned_task.uncertain and now >= assigned_task.ended_by:
             self._mark_lost(job, JobReason.UNKNOWN)
 
     def _record_end(self, job: Job, report: TaskReport) -> None:
@@ -331,7 +348,7 @@
         if job.placed:
             self._table.set(after_loss(job, reason, self._clock.now()))
 
-    def _stop(self, link: WorkerState, task_id: str) -> None:
+    def _stop(self, worker_state: WorkerState, task_id: str) -> None:
         now = self._clock.monotonic()
         last = self._stop_sent_at.get(task_id)
         if last is None or now >= last + STOP_RETRY_INTERVAL:
@@ -342,4 +359,4 @@
                     if now < at + STOP_RETRY_INTERVAL
                 }
             self._stop_sent_at[task_id] = now
-            self.links.signal(link, task_id, TaskAction.STOP)
+            self.links.signal(worker_state, task_id, TaskAction.STOP)
--- a/src/pomeloyard/jobs/term.py
+++ b/src/pomeloyard/jobs/term.py
@@ -190,7 +190,7 @@
             self.placer.unreserve(job)
             self.placer.enqueue(job)
             return
-        link = self.links.by_name[placement.worker]
+        worker_state = self.links.by_name[placement.worker]
         attempt = job.attempt + 1
         now = self._clock.now()
         reason = JobReason.PLACED
@@ -202,7 +202,7 @@
                 state=JobState.ASSIGNED,
                 reason=JobReason.NONE,
                 worker=placement.worker,
-                worker_boot=link.boot_id,
+                worker_boot=worker_state.boot_id,
                 task_id=f"{job.job_id}.{attempt}",
                 attempt=attempt,
                 fence=self._epoch,
@@ -268,8 +268,8 @@
                 self.table.set(not_started(job, self._clock.now()))
 
     def _start(self, job: Job) -> None:
-        link = self.links.by_name.get(job.worker)
-        if link is None:
+        worker_state = self.links.by_name.get(job.worker)
+        if worker_state is None:
             self.table.set(not_started(job, self._clock.now()))
             return
         demand = self.placer.demand_on_worker(job.key) or self._demand(job)
@@ -286,8 +286,10 @@
             checkpoint=job.checkpoint,
         )
         now = self._clock.monotonic()
-        track = AssignedTask(job.key, order, now, idempotent=job.request.idempotent)
-        self.links.start(link, job.task_id, track)
+        assigned_task = AssignedTask(
+            job.key, order, now, idempotent=job.request.idempotent
+        )
+        self.links.start(worker_state, job.task_id, assigned_task)
 
     async def _remove_expired(self) -> None:
         changes = self.table.removals(self._clock.now(), MAX_REMOVALS)
--- a/src/pomeloyard/jobs/worker_drain.py
+++ b/src/pomeloyard/jobs/worker_drain.py
@@ -40,14 +40,18 @@
             return
         self._next_check = now + CHECK_INTERVAL
         vms = self._state.vm_list.vms_by_name
-        for name, link in self._links.by_name.items():
+        for name, worker_state in self._links.by_name.items():
             vm = vms.get(name)
-            if vm is None or self._state.accepts_work(vm) or not link.tasks_by_id:
+            if (
+                vm is None
+                or self._state.accepts_work(vm)
+                or not worker_state.tasks_by_id
+            ):
                 self._draining_since.pop(name, None)
                 continue
             since = self._draining_since.setdefault(name, now)
             if now >= since + self._timeout(vm):
-                self._move_tasks(link, now)
+                self._move_tasks(worker_state, now)
         resend_before = now - SIGNAL_RETRY_INTERVAL
         self._signalled_at = {
             t: at for t, at in self._signalled_at.items() if at > resend_before
@@ -59,10 +63,14 @@
         timeouts = [s.drain_timeout for s in services if s.pool == pool]
         return max(timeouts, default=DEFAULT_DRAIN_TIMEOUT)
 
-    def _move_tasks(self, link: WorkerState, now: timedelta) -> None:
-        for task_id, track in link.tasks_by_id.items():
-            job = self._table.get(track.job_key)
-            if job is None or not track.confirmed or task_id in self._signalled_at:
+    def _move_tasks(self, worker_state: WorkerState, now: timedelta) -> None:
+        for task_id, assigned_task in worker_state.tasks_by_id.items():
+            job = self._table.get(assigned_task.job_key)
+            if (
+                job is None
+                or not assigned_task.confirmed
+                or task_id in self._signalled_at
+            ):
                 continue
             action = TaskAction.STOP
             if job.request.checkpointable:
@@ -70,4 +78,4 @@
             elif not job.request.idempotent:
                 continue
             self._signalled_at[task_id] = now
-            self._links.signal(link, task_id, action)
+            self._links.signal(worker_state, task_id, action)
--- a/src/pomeloyard/jobs/worker_roster.py
+++ b/src/pomeloyard/jobs/worker_roster.py
@@ -64,8 +64,10 @@
         """Tell whether each worker has answered or all earlier leases have expired."""
         if not self._recovered and self._state.vm_list.version:
             waited = now >= self._started_at + RECOVERY_WAIT
-            links = self._links.by_name.values()
-            self._recovered = waited or all(link.answered for link in links)
+            worker_states = self._links.by_name.values()
+            self._recovered = waited or all(
+                worker_state.answered for worker_state in worker_states
+            )
         return self._recovered
 
     def refine_reason(self, reason: JobReason) -> JobReason:
@@ -85,11 +87,11 @@
         known = self._links.by_name.get(vm.name)
         if known is not None and known.boot_id != vm.boot_id:
             self._quarantine.forget(vm.name)
-        link = self._links.add_or_update(vm.name, vm.address, vm.boot_id)
+        worker_state = self._links.add_or_update(vm.name, vm.address, vm.boot_id)
         health = self._quarantine.health(vm.name)
         accepts = (
             self._state.accepts_work(vm)
-            and link.reachable
+            and worker_state.reachable
             and health is not WorkerHealth.QUARANTINED
         )
         max_tasks = 1 if health is WorkerHealth.ON_TRIAL else None
--- a/src/pomeloyard/workers/connections.py
+++ b/src/pomeloyard/workers/connections.py
@@ -90,24 +90,29 @@
 
     @abstractmethod
     def reported(
-        self, link: WorkerState, reports: Sequence[TaskReport], known: frozenset[str]
+        self,
+        worker_state: WorkerState,
+        reports: Sequence[TaskReport],
+        known: frozenset[str],
     ) -> None:
         """Handle all reports of a worker, which certainly had the ``known`` tasks."""
 
     @abstractmethod
-    def worker_removed(self, link: WorkerState) -> None:
+    def worker_removed(self, worker_state: WorkerState) -> None:
         """End the tasks of a worker that is no longer in the platform's VM list."""
 
     @abstractmethod
-    def acknowledgeable(self, link: WorkerState) -> list[str]:
+    def acknowledgeable(self, worker_state: WorkerState) -> list[str]:
         """Return ended tasks whose results have been stored."""
 
     @abstractmethod
-    def not_started(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
+    def not_started(
+        self, worker_state: WorkerState, task_id: str, assigned_task: AssignedTask
+    ) -> None:
         """Handle a task that certainly was not started."""
 
     @abstractmethod
-    def expected_end(self, link: WorkerState) -> timedelta | None:
+    def expected_end(self, worker_state: WorkerState) -> timedelta | None:
         """Return the expected end of the worker's task that ends next, if known."""
 
 
@@ -139,162 +144,198 @@
                 now = self._clock.monotonic()
                 while self._due_heap and self._due_heap[0][0] <= now:
                     due, name = heapq.heappop(self._due_heap)
-                    link = self.by_name.get(name)
-                    if link is not None and not link.busy and link.due == due:
-                        link.busy = True
-                        tasks.start_soon(self._call_worker, link)
+                    worker_state = self.by_name.get(name)
+                    if (
+                        worker_state is not None
+                        and not worker_state.busy
+                        and worker_state.due == due
+                    ):
+                        worker_state.busy = True
+                        tasks.start_soon(self._call_worker, worker_state)
                 await self._clock.sleep(POLL_INTERVAL)
 
     def add_or_update(self, name: str, address: str, boot_id: str) -> WorkerState:
         """Add a worker, or update its address and boot id."""
-        link = self.by_name.get(name)
-        if link is None:
-            link = WorkerState(name, address, boot_id, self._clock.monotonic())
-            self.by_name[name] = link
-            heapq.heappush(self._due_heap, (link.due, name))
-        link.address, link.boot_id = address, boot_id
-        return link
+        worker_state = self.by_name.get(name)
+        if worker_state is None:
+            worker_state = WorkerState(name, address, boot_id, self._clock.monotonic())
+            self.by_name[name] = worker_state
+            heapq.heappush(self._due_heap, (worker_state.due, name))
+        worker_state.address, worker_state.boot_id = address, boot_id
+        return worker_state
 
     def remove(self, name: str) -> None:
         """Remove a worker that no longer exists; its tasks have ended."""
         self._events.worker_removed(self.by_name.pop(name))
 
-    def call_soon(self, link: WorkerState, after: timedelta = timedelta(0)) -> None:
+    def call_soon(
+        self, worker_state: WorkerState, after: timedelta = timedelta(0)
+    ) -> None:
         """Call a worker sooner than scheduled."""
         due = self._clock.monotonic() + after
-        if due < link.due:
-            link.due = due
-            if not link.busy:
-                heapq.heappush(self._due_heap, (due, link.name))
+        if due < worker_state.due:
+            worker_state.due = due
+            if not worker_state.busy:
+                heapq.heappush(self._due_heap, (due, worker_state.name))
 
-    def start(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
+    def start(
+        self, worker_state: WorkerState, task_id: str, assigned_task: AssignedTask
+    ) -> None:
         """Start a task in the background; its record must already be stored."""
-        link.tasks_by_id[task_id] = track
-        self._start_in_background(link, task_id, track)
+        worker_state.tasks_by_id[task_id] = assigned_task
+        self._start_in_background(worker_state, task_id, assigned_task)
 
-    def start_again(self, link: WorkerState, task_id: str, track: AssignedTask) -> None:
+    def start_again(
+        self, worker_state: WorkerState, task_id: str, assigned_task: AssignedTask
+    ) -> None:
         """Repeat a start whose outcome is unknown, with the same task id."""
-        if not track.starting and track.start_request is not None:
-            self._start_in_background(link, task_id, track)
+        if not assigned_task.starting and assigned_task.start_request is not None:
+            self._start_in_background(worker_state, task_id, assigned_task)
 
-    def signal(self, link: WorkerState, task_id: str, action: TaskAction) -> None:
+    def signal(
+        self, worker_state: WorkerState, task_id: str, action: TaskAction
+    ) -> None:
         """Request an action on a task in the background."""
         assert self._tasks is not None
-        self._tasks.start_soon(self._signal, link, task_id, action)
+        self._tasks.start_soon(self._signal, worker_state, task_id, action)
 
     def _start_in_background(
-        self, link: WorkerState, task_id: str, track: AssignedTask
+        self, worker_state: WorkerState, task_id: str, assigned_task: AssignedTask
     ) -> None:
         assert self._tasks is not None
-        track.starting = True
+        assigned_task.starting = True
         sent_by = self._clock.monotonic() + MAX_START_DELAY
-        self._tasks.start_soon(self._start, link, task_id, track, sent_by)
+        self._tasks.start_soon(
+            self._start, worker_state, task_id, assigned_task, sent_by
+        )
 
     async def _start(
-        self, link: WorkerState, task_id: str, track: AssignedTask, sent_by: timedelta
+        self,
+        worker_state: WorkerState,
+        task_id: str,
+        assigned_task: AssignedTask,
+        sent_by: timedelta,
     ) -> None:
-        assert track.start_request is not None
-        async with self._limiter(link):
+        assert assigned_task.start_request is not None
+        async with self._limiter(worker_state):
             outcome: Outcome[None]
             if self._clock.monotonic() > sent_by:
                 reason = RefusalReason.DEADLINE_PASSED
                 outcome = Refused(reason, "start was delayed")
             else:
                 outcome = await self._client.start_task(
-                    link.address, track.start_request
+                    worker_state.address, assigned_task.start_request
                 )
-        track.starting = False
+        assigned_task.starting = False
         if self._is_stale(outcome):
             return
         now = self._clock.monotonic()
         if isinstance(outcome, Done):
-            track.confirmed = True
-            track.ended_by = now + TASK_LEASE + LEASE_MARGIN
-            self.call_soon(link, self._call_interval(link))
+            assigned_task.confirmed = True
+            assigned_task.ended_by = now + TASK_LEASE + LEASE_MARGIN
+            self.call_soon(worker_state, self._call_interval(worker_state))
         elif not isinstance(outcome, Refused):
-            track.uncertain = True
-            track.ended_by = now + TASK_LEASE + LEASE_MARGIN
-            link.unacknowledged_until[task_id] = now + LATE_START_WINDOW
-            self.call_soon(link)
-        elif not track.uncertain:
+            assigned_task.uncertain = True
+            assigned_task.ended_by = now + TASK_LEASE + LEASE_MARGIN
+            worker_state.unacknowledged_until[task_id] = now + LATE_START_WINDOW
+            self.call_soon(worker_state)
+        elif not assigned_task.uncertain:
             if outcome.reason is RefusalReason.ENDPOINT_UNREACHABLE:
                 # The worker gets no other tasks until it has answered again.
-                link.failures = max(link.failures, FAILURES_BEFORE_PROBING)
+                worker_state.failures = max(
+                    worker_state.failures, FAILURES_BEFORE_PROBING
+                )
                 self.health_changed = True
-                self.call_soon(link)
-            link.tasks_by_id.pop(task_id, None)
-            self._events.not_started(link, task_id, track)
+                self.call_soon(worker_state)
+            worker_state.tasks_by_id.pop(task_id, None)
+            self._events.not_started(worker_state, task_id, assigned_task)
 
     async def _signal(
-        self, link: WorkerState, task_id: str, action: TaskAction
+        self, worker_state: WorkerState, task_id: str, action: TaskAction
     ) -> None:
-        async with self._limiter(link):
+        async with self._limiter(worker_state):
             outcome = await self._client.signal(
-                link.address, task_id, self._fence, action
+                worker_state.address, task_id, self._fence, action
             )
         self._is_stale(outcome)
-        self.call_soon(link, SIGNAL_REPORT_DELAY)
+        self.call_soon(worker_state, SIGNAL_REPORT_DELAY)
 
-    async def _call_worker(self, link: WorkerState) -> None:
+    async def _call_worker(self, worker_state: WorkerState) -> None:
         try:
-            async with self._limiter(link):
-                await self._acknowledge(link)
-                await self._renew(link)
+            async with self._limiter(worker_state):
+                await self._acknowledge(worker_state)
+                await self._renew(worker_state)
         finally:
-            link.busy = False
-            if self.by_name.get(link.name) is link:
-                wait = RETRY_INTERVAL if link.failures else self._call_interval(link)
-                link.due = self._clock.monotonic() + wait
-                heapq.heappush(self._due_heap, (link.due, link.name))
+            worker_state.busy = False
+            if self.by_name.get(worker_state.name) is worker_state:
+                wait = (
+                    RETRY_INTERVAL
+                    if worker_state.failures
+                    else self._call_interval(worker_state)
+                )
+                worker_state.due = self._clock.monotonic() + wait
+                heapq.heappush(self._due_heap, (worker_state.due, worker_state.name))
 
-    async def _acknowledge(self, link: WorkerState) -> None:
+    async def _acknowledge(self, worker_state: WorkerState) -> None:
         now = self._clock.monotonic()
         for task_id in [
-            t for t, until in link.unacknowledged_until.items() if until <= now
+            t for t, until in worker_state.unacknowledged_until.items() if until <= now
         ]:
-            del link.unacknowledged_until[task_id]
-        ended = self._events.acknowledgeable(link)
+            del worker_state.unacknowledged_until[task_id]
+        ended = self._events.acknowledgeable(worker_state)
         ended = [
-            task_id for task_id in ended if task_id not in link.unacknowledged_until
+            task_id
+            for task_id in ended
+            if task_id not in worker_state.unacknowledged_until
         ]
-        if ended and not link.failures:
-            outcome = await self._client.acknowledge(link.address, self._fence, ended)
+        if ended and not worker_state.failures:
+            outcome = await self._client.acknowledge(
+                worker_state.address, self._fence, ended
+            )
             self._is_stale(outcome)
 
-    async def _renew(self, link: WorkerState) -> None:
-        known = frozenset(t for t, track in link.tasks_by_id.items() if track.confirmed)
+    async def _renew(self, worker_state: WorkerState) -> None:
+        known = frozenset(
+            t
+            for t, assigned_task in worker_state.tasks_by_id.items()
+            if assigned_task.confirmed
+        )
         renewed: list[str] = []
-        if link.failures < FAILURES_BEFORE_PROBING:
+        if worker_state.failures < FAILURES_BEFORE_PROBING:
             renewed = [
                 t
-                for t, track in link.tasks_by_id.items()
-                if t in known or track.recovered
+                for t, assigned_task in worker_state.tasks_by_id.items()
+                if t in known or assigned_task.recovered
             ]
         outcome = await self._client.renew(
-            link.address, self._fence, TASK_LEASE.total_seconds(), renewed
+            worker_state.address, self._fence, TASK_LEASE.total_seconds(), renewed
         )
         if self._is_stale(outcome):
             return
         now = self._clock.monotonic()
         if not isinstance(outcome, Refused):
             for task_id in renewed:
-                track = link.tasks_by_id.get(task_id)
-                if track is not None:
-                    track.ended_by = now + TASK_LEASE + LEASE_MARGIN
-        was_reachable = link.reachable
+                assigned_task = worker_state.tasks_by_id.get(task_id)
+                if assigned_task is not None:
+                    assigned_task.ended_by = now + TASK_LEASE + LEASE_MARGIN
+        was_reachable = worker_state.reachable
         if isinstance(outcome, Done):
-            link.answered = True
-            link.failures = 0
-            self._events.reported(link, outcome.value, known)
+            worker_state.answered = True
+            worker_state.failures = 0
+            self._events.reported(worker_state, outcome.value, known)
         else:
-            link.failures += 1
-        if link.reachable is not was_reachable:
+            worker_state.failures += 1
+        if worker_state.reachable is not was_reachable:
             self.health_changed = True
 
-    def _call_interval(self, link: WorkerState) -> timedelta:
-        if not link.tasks_by_id:
-            return IDLE_INTERVAL if not link.unacknowledged_until else RENEW_INTERVAL
-        expected = self._events.expected_end(link)
+    def _call_interval(self, worker_state: WorkerState) -> timedelta:
+        if not worker_state.tasks_by_id:
+            return (
+                IDLE_INTERVAL
+                if not worker_state.unacknowledged_until
+                else RENEW_INTERVAL
+            )
+        expected = self._events.expected_end(worker_state)
         if expected is None:
             return RENEW_INTERVAL
         return min(
@@ -302,8 +343,8 @@
             RENEW_INTERVAL,
         )
 
-    def _limiter(self, link: WorkerState) -> anyio.CapacityLimiter:
-        return self._unresponsive_calls if link.failures else self._calls
+    def _limiter(self, worker_state: WorkerState) -> anyio.CapacityLimiter:
+        return self._unresponsive_calls if worker_state.failures else self._calls
 
     def _is_stale(self, outcome: Outcome[None] | Outcome[list[TaskReport]]) -> bool:
         stale = (
--- a/tests/test_health_sources.py
+++ b/tests/test_health_sources.py
@@ -49,10 +49,10 @@
 )
 def test_worker_state_is_recorded(reachable, failures, health, kinds):
     """Guards against repairing a worker for a faulty job, or never repairing it."""
-    link = SimpleNamespace(reachable=reachable, failures=failures)
+    worker_state = SimpleNamespace(reachable=reachable, failures=failures)
     quarantine = SimpleNamespace(health=lambda name: health)
     term = SimpleNamespace(
-        links=SimpleNamespace(by_name={"w1": link}),
+        links=SimpleNamespace(by_name={"w1": worker_state}),
         follower=SimpleNamespace(quarantine=quarantine),
     )
     scheduler = SimpleNamespace(term=term)
