--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -63,10 +63,10 @@
         self._settings = settings
         self._clock = clock
         self.writer = LogWriter(clock, stream=STDOUT)
-        self._lines = JobDecisionLog(clock, self.writer, settings.vm)
-        self._caller = HttpClient()
+        self._decision_log = JobDecisionLog(clock, self.writer, settings.vm)
+        self._client = HttpClient()
         self._executor_caller = HttpClient(MAX_EXECUTOR_CALLS)
-        self._store = PlatformStore(self._caller, settings.store_address)
+        self._store = PlatformStore(self._client, settings.store_address)
         self._relay_peers = RelayPeers(
             clock,
             self._store,
@@ -75,7 +75,7 @@
             settings.core_speed,
         )
         self._advice = (
-            PlatformAdvice(self._caller, settings.advice_address)
+            PlatformAdvice(self._client, settings.advice_address)
             if settings.advice_address
             else None
         )
@@ -83,13 +83,17 @@
         job_service = JobService(clock, self._store, self._follower)
         self._role = PlacingRole(self._new_term)
         self._metrics = BatchMetrics(
-            self._lines, self.writer, self._store.calls, self._follower, self._role
+            self._decision_log,
+            self.writer,
+            self._store.calls,
+            self._follower,
+            self._role,
         )
         self._caller_app = CallerApp(
             clock,
             self._follower,
             job_service,
-            self._lines,
+            self._decision_log,
             settings.config_bound,
             settings.withdrawal_bound,
             self._metrics,
@@ -110,7 +114,7 @@
             self._follower,
             registry,
             PlatformExecutors(self._executor_caller, role.still_held),
-            self._lines,
+            self._decision_log,
             role,
             guard,
             self._settings.job_retention + RETENTION_MARGIN,
@@ -126,10 +130,10 @@
             self._store,
             self._follower,
             PlatformVms(
-                self._caller, settings.vm_service_address, term.role.still_held
+                self._client, settings.vm_service_address, term.role.still_held
             ),
             PlatformDocuments(),
-            self._lines,
+            self._decision_log,
             term,
             settings.vm,
             term.role,
@@ -185,7 +189,7 @@
             limit = self._settings.stop_grace - 2 * LISTENER_CLOSE_DELAY
             await wait_idle((caller_server, relay_server), limit)
             tasks.cancel_scope.cancel()
-        await self._caller.close()
+        await self._client.close()
         await self._executor_caller.close()
         self.writer.close()
 
