Log crashes of executors and why each lost run is over

A run that ended as lost gave no hint whether its executor had crashed, its VM was moved or maintained, its leases had run out or its start was never carried out, so the hypotheses of the timeline could not be told apart. Now each end names its cause, and a crash is a decision line of its own with the evidence (restarted under its id, or gone from the list of VMs and neither drained nor operated on), followed by a line for each run with how long it certainly ran. A connection that the executor closes in a call counts as a sign of life until then.

--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..errors import (
+    CallClosedError,
     CallNotPermittedError,
     CallNotSentError,
     CallUnansweredError,
@@ -25,7 +26,7 @@
     StartOrder,
 )
 from .link_handler import LinkHandler
-from .placed_run import Phase, PlacedRun
+from .placed_run import LossCause, Phase, PlacedRun
 from .progress import EndKind
 
 LEASE_DURATION = timedelta(seconds=7)
@@ -110,6 +111,10 @@
         self._work_event = anyio.Event()
         self._failed_polls = 0
         self.unreachable_since: timedelta | None = None
+        self.closed_connection_at: timedelta | None = None
+        """When the executor last closed a connection in a call, as a crash does."""
+        self._drained_before_restart = False
+        """Whether the previous incarnation was drained before it ended."""
         self.suspected = False
         """Whether the platform lists the VM as down."""
         self._poll_scope = anyio.CancelScope()
@@ -157,6 +162,7 @@
     def update(self, executor: Executor) -> None:
         """Apply a registration; a new incarnation is polled before it is used."""
         if executor.incarnation != self.executor.incarnation:
+            self._drained_before_restart = self.draining
             self.reachable = False
             self.draining = False
         self.executor = executor
@@ -209,6 +215,7 @@
         except (CallNotSentError, CallUnansweredError) as error:
             if isinstance(error, CallUnansweredError):
                 self._handler.handle_lost_call(self)
+            self._note_closed_connection(error)
             self._mark_unreachable(str(error))
             return False
         except Exception as error:
@@ -255,6 +262,7 @@
         if self._first_reported_at is None:
             self._first_reported_at = now
         self._clock_offset = report.clock - now
+        self.closed_connection_at = None
         self._failed_polls = 0
         self.unreachable_since = None
         was_suspected, self.suspected = self.suspected, False
@@ -271,6 +279,7 @@
                     report.incarnation,
                 )
                 self._handler.handle_reused_id(self)
+                self._report_restart(report)
                 await self._revoke_unanswered_starts(now)
             self.incarnation = report.incarnation
             self.applied_end = self._durable_end = 0
@@ -285,6 +294,23 @@
             self._durable_end = self.applied_end
             self._unacknowledged_job_ids = set()
 
+    def _report_restart(self, report: ExecutorReport) -> None:
+        """Report a crash if the executor has restarted under runs that it lost."""
+        listed = {(row.task, row.run) for row in report.running}
+        runs = [
+            placed
+            for placed in self.runs_by_name.values()
+            if placed.phase not in (Phase.ASSIGNED, Phase.START_SENT)
+            and (placed.task.name, placed.run) not in listed
+        ]
+        drained = self._drained_before_restart or self.draining
+        cause = LossCause.LEFT if drained else LossCause.CRASHED
+        self._drained_before_restart = False
+        for placed in runs:
+            placed.loss_cause = cause
+        if runs and cause is LossCause.CRASHED:
+            self._handler.handle_crash(self, runs, "restarted")
+
     async def _revoke_unanswered_starts(self, now: timedelta) -> None:
         """Stop, on a new incarnation, the starts that got no answer before.
 
@@ -368,6 +394,7 @@
         self, placed: PlacedRun, row: RunningTask, asked_at: timedelta, now: timedelta
     ) -> None:
         placed.unsure = False
+        placed.listed_at = now
         first = self._first_reported_at
         if first is not None and asked_at >= first + MAX_STOP_TIME:
             # A stop that arrived before the first report would have ended it.
@@ -412,7 +439,7 @@
         if self.runs_by_name.get(placed.task.name) is placed:
             del self.runs_by_name[placed.task.name]
 
-    def mark_all_lost(self, reason: str) -> None:
+    def mark_all_lost(self, reason: str, cause: LossCause) -> None:
         """Mark all runs as lost, as they are certainly over."""
         if self.runs_by_name:
             log.info(
@@ -421,7 +448,12 @@
                 len(self.runs_by_name),
                 reason,
             )
-        for placed in list(self.runs_by_name.values()):
+        runs = list(self.runs_by_name.values())
+        for placed in runs:
+            placed.loss_cause = cause
+        if runs and cause is LossCause.CRASHED:
+            self._handler.handle_crash(self, runs, "gone")
+        for placed in runs:
             self._mark_lost(placed)
 
     def assign(self, placed: PlacedRun) -> None:
@@ -481,6 +513,7 @@
             log.info(
                 "start of {} run {} got no answer: {}", task.name, placed.run, error
             )
+            self._note_closed_connection(error)
             self._record_unanswered_start(placed, now)
             self._handler.handle_lost_call(self)
             if placed.phase is Phase.START_SENT:
@@ -586,6 +619,10 @@
             # Unknown limit; the next poll decides again.
             placed.pace = -1
 
+    def _note_closed_connection(self, error: Exception) -> None:
+        if isinstance(error, CallClosedError) and self.closed_connection_at is None:
+            self.closed_connection_at = self._clock.monotonic()
+
     def _mark_unreachable(self, detail: str) -> None:
         if self.unreachable_since is None:
             self.unreachable_since = self._clock.monotonic()
--- a/src/pomeloyard/batch/job_history.py
+++ b/src/pomeloyard/batch/job_history.py
@@ -114,7 +114,7 @@
     if line.decision:
         return line.decision in ("role", "zone") or bool(
             executors & {line.subject, str(line.inputs.get("executor", ""))}
-            and line.decision in ("executor", "upkeep")
+            and line.decision in ("crash", "executor", "upkeep")
         )
     if line.subject.startswith(STORE_MESSAGES):
         return line.daemon in daemons
--- a/src/pomeloyard/batch/link_handler.py
+++ b/src/pomeloyard/batch/link_handler.py
@@ -26,6 +26,11 @@
     ) -> None:
         """Record that a run has ended."""
 
+    def handle_crash(
+        self, link: ExecutorLink, runs: Collection[PlacedRun], evidence: str
+    ) -> None:
+        """Record that an executor has crashed under some runs, before these end."""
+
     def handle_unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
         """Record the end of a run that is not assigned; return the job it changed."""
         ...
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -54,7 +54,7 @@
     Queue,
 )
 from .peaks import PeakForecaster
-from .placed_run import Phase, PlacedRun
+from .placed_run import LossCause, Phase, PlacedRun
 from .planner import Planner
 from .policy import DefaultPolicy, Policy
 from .progress import EndKind, JobRun, Task
@@ -482,7 +482,9 @@
     def _check_link(self, link: ExecutorLink, now: timedelta) -> None:
         silent = not link.reachable
         if silent and link.runs_by_name and link.all_leases_expired(now):
-            link.mark_all_lost("unreachable until all task leases expired")
+            link.mark_all_lost(
+                "unreachable until all task leases expired", LossCause.LEASES_EXPIRED
+            )
         if not link.registered and not link.runs_by_name and silent:
             link.closed = True
             link.poll_soon()
@@ -607,6 +609,35 @@
         self._plan_requested.set()
         await self._writer.wait_until_durable(job_ids)
 
+    def handle_crash(
+        self, link: ExecutorLink, runs: Collection[PlacedRun], evidence: str
+    ) -> None:
+        """Record that an executor has crashed under some runs, before these end."""
+        executor = link.executor
+        alive_at = link.closed_connection_at
+        self._decision_log.record(
+            "crash",
+            executor.executor_id,
+            evidence,
+            vm=executor.vm,
+            rack=executor.rack,
+            zone=executor.availability_zone,
+            runs=len(runs),
+            closed_connection=alive_at is not None,
+        )
+        for placed in runs:
+            uptime = placed.proven_uptime(alive_at)
+            self._decision_log.record(
+                "crash",
+                placed.task.name,
+                "under-it",
+                run=placed.run,
+                executor=executor.executor_id,
+                phase=placed.phase.value,
+                answered=placed.acknowledged_at is not None,
+                up_ms=round(uptime / timedelta(milliseconds=1)),
+            )
+
     def handle_run_end(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
@@ -636,6 +667,7 @@
                 executor=executor_id,
                 run_ms=round(run_ms),
                 job=job.state.value,
+                cause=placed.loss_cause.value if kind is EndKind.LOST else "",
             )
         if kind is not EndKind.DONE:
             self._stop_gang(task, placed.run)
--- a/src/pomeloyard/batch/recent_orders.py
+++ b/src/pomeloyard/batch/recent_orders.py
@@ -35,6 +35,7 @@
         self._held_back_until = predecessor_ended_at + pause
         self._predecessor_vms: frozenset[str] = frozenset()
         self._ordered_at: dict[str, timedelta] = {}
+        self._loaded = False
 
     async def load(self) -> None:
         """Load the VMs that the predecessor has recorded."""
@@ -43,6 +44,11 @@
             names = msgspec.msgpack.decode(entry.value, type=list[str])
             self._predecessor_vms = frozenset(names)
             self._ordered_at = dict.fromkeys(names, self._clock.monotonic())
+        self._loaded = True
+
+    def may_be_ordered_earlier(self, vm: str) -> bool:
+        """Tell whether the predecessor may have requested an operation on a VM."""
+        return not self._loaded or vm in self._predecessor_vms
 
     def is_held_back(self, vm: str) -> bool:
         """Tell whether a VM must wait after a possible request of the predecessor."""
--- a/src/pomeloyard/batch/vm_controller.py
+++ b/src/pomeloyard/batch/vm_controller.py
@@ -84,10 +84,12 @@
         self._follower = follower
         self._term = term
         records = FencedRecords(clock, store, guard)
-        self._listing = VmListing(clock, service, decision_log, term.links_by_id)
         self._recent_orders = RecentOrders(
             clock, records, takeover_pause + TAKEOVER_SLACK, role.vacant_at
         )
+        self._listing = VmListing(
+            clock, service, decision_log, term.links_by_id, self._recent_orders
+        )
         self._orders = VmOrders(
             clock,
             self._listing,
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -10,6 +10,8 @@
 from ..clock import Clock
 from .decision_log import JobDecisionLog
 from .executor_link import ExecutorLink
+from .placed_run import LossCause
+from .recent_orders import RecentOrders
 from .vms import PoolVm, VmService, VmState
 
 LIST_INTERVAL = timedelta(milliseconds=500)
@@ -38,11 +40,13 @@
         service: VmService,
         decision_log: JobDecisionLog,
         links_by_id: Mapping[str, ExecutorLink],
+        recent_orders: RecentOrders,
     ) -> None:
         self._clock = clock
         self._service = service
         self._decision_log = decision_log
         self._links_by_id = links_by_id
+        self._recent_orders = recent_orders
         self.vms_by_name: dict[str, PoolVm] = {}
         self.listed_at: timedelta | None = None
         self._first_listed_at = timedelta(0)
@@ -127,4 +131,28 @@
                 self._decision_log.record(
                     "executor", executor_id, "gone", lists=missing
                 )
-                link.mark_all_lost("the platform lists no such executor")
+                link.mark_all_lost(
+                    "the platform lists no such executor", self._loss_cause(link)
+                )
+
+    def _loss_cause(self, link: ExecutorLink) -> LossCause:
+        """Return why an executor is gone that is unreachable and no longer listed.
+
+        A VM that an earlier term has ordered to be moved or maintained has lost its
+        executor for that reason, unless this term has talked to the executor since.
+        """
+        if link.draining:
+            return LossCause.LEFT
+        vm = self.vms_by_name.get(link.executor.vm)
+        operating = vm is not None and vm.state in (
+            VmState.MOVING,
+            VmState.IN_MAINTENANCE,
+        )
+        if link.operation_ordered or operating:
+            return LossCause.VM_OPERATION
+        if link.incarnation is not None:
+            return LossCause.CRASHED
+        name = link.executor.vm
+        if not name or self._recent_orders.may_be_ordered_earlier(name):
+            return LossCause.UNKNOWN
+        return LossCause.CRASHED
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -12,6 +12,7 @@
 from ..errors import CallNotSentError, CallUnansweredError, StaleFenceError
 from .disruption import DisruptionBudgets
 from .executor_link import ExecutorLink
+from .placed_run import LossCause
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vms import PoolVm, VmAnswer, VmState
@@ -92,7 +93,7 @@
         """Mark all runs on a VM as lost, as its executor has ended."""
         link = self._listing.link_of(vm)
         if link is not None:
-            link.mark_all_lost(reason)
+            link.mark_all_lost(reason, LossCause.VM_OPERATION)
             link.registered = False
             link.reachable = False
 
--- a/src/pomeloyard/errors.py
+++ b/src/pomeloyard/errors.py
@@ -33,6 +33,10 @@
     """A call to a peer got no complete response; it may have taken effect."""
 
 
+class CallClosedError(CallUnansweredError):
+    """The peer closed the connection before its response was complete."""
+
+
 class StaleFenceError(PomeloyardError):
     """A peer has seen a higher fencing token: another daemon holds the role."""
 
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -9,6 +9,7 @@
 import anyio
 
 from ..errors import (
+    CallClosedError,
     CallNotPermittedError,
     CallNotSentError,
     CallUnansweredError,
@@ -199,7 +200,9 @@
             if connection is None:
                 detail = f"no connection: {error!r}"
                 raise CallNotSentError(f"{method} {target}: {detail}") from error
-            raise CallUnansweredError(f"{method} {target}: {error!r}") from error
+            closed = isinstance(error, PeerClosedError)
+            kind = CallClosedError if closed else CallUnansweredError
+            raise kind(f"{method} {target}: {error!r}") from error
         finally:
             if connection is not None:
                 # Also on cancellation: the next call would read this call's response.
