--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -42,6 +42,7 @@
 from pomeloyard.batch.vms import PoolVm, VmAnswer, VmService, VmState
 from pomeloyard.clock import ManualClock
 from pomeloyard.errors import (
+    CallClosedError,
     CallNotPermittedError,
     CallNotSentError,
     CallUnansweredError,
@@ -60,6 +61,12 @@
 """Time from the start of a lasting task until it counts as available."""
 EPOCH_KEY = "epochs/placing"
 QUEUE = Queue("cuts", "desk.example", "/cuts/", "mill", max_attempts=3, stretch=1.6)
+CRASHES_BEFORE_LIMIT = 3
+"""Executors that may crash under a task before its starts are limited."""
+STARTS_AFTER_LIMIT = 2
+"""Starts that a task may have after that many crashes."""
+CRASH_DOWN_TIME = timedelta(seconds=3)
+"""Time from the crash of an executor until its VM has an executor again."""
 TEAM = TeamLimits("nets", ("key-1",), 1.0, Resources(0, 0, 0))
 
 
@@ -139,6 +146,8 @@
             rack,
         )
         self.silent = False
+        self.crashed = False
+        """Whether it is down: calls in flight are closed, later ones refused."""
         self.starts_to_delay = 0
         """Number of next starts that get no answer and wait in ``delayed_orders``."""
         self.delayed_orders = []
@@ -210,6 +219,40 @@
         self.polls = 0
         self.poll_waits = []
         self.violations = []
+        self.deadly = set()
+        """Tasks under which each executor that starts them crashes."""
+        self.crash_delay = timedelta(milliseconds=20)
+        """Time from the start of a deadly task to the crash."""
+        self.crashes_by_task = defaultdict(int)
+        self.starts_after_limit = defaultdict(int)
+        self.started_deadly_at = {}
+        """When an executor started a deadly task, by executor."""
+
+    def crash(self, fake):
+        """Crash an executor; its VM has an executor again after CRASH_DOWN_TIME."""
+        self.started_deadly_at.pop(fake.executor.executor_id, None)
+        for task in fake.runs:
+            self.crashes_by_task[task] += 1
+        fake.crashed = True
+        fake.restart()
+        self.world.returning.append((self.clock.monotonic() + CRASH_DOWN_TIME, fake))
+        if self.world.vms is not None:
+            self.world.vms.mark_down(fake)
+
+    def crash_due(self):
+        """Crash the executors whose deadly task has run long enough."""
+        for executor_id, at in list(self.started_deadly_at.items()):
+            if self.clock.monotonic() >= at + self.crash_delay:
+                self.crash(self.by_id[executor_id])
+
+    def _count_start_after_limit(self, task):
+        if task not in self.deadly or (
+            self.crashes_by_task[task] < CRASHES_BEFORE_LIMIT
+        ):
+            return
+        self.starts_after_limit[task] += 1
+        if self.starts_after_limit[task] > STARTS_AFTER_LIMIT:
+            self.violations.append(f"{task} starts again and again")
 
     def _connect(self, executor):
         fake = self.by_id.get(executor.executor_id)
@@ -217,6 +260,8 @@
             raise CallNotSentError("connection refused")
         if fake.silent:
             raise CallUnansweredError("silent")
+        if fake.crashed:
+            raise CallNotSentError("connection refused")
         fake.advance()
         return fake
 
@@ -262,6 +307,11 @@
             order.run, order.saved, fake.now(), duration, until
         )
         self.started.append((order.task, order.run, fake.executor.executor_id))
+        self._count_start_after_limit(order.task)
+        if order.task in self.deadly:
+            self.started_deadly_at.setdefault(
+                fake.executor.executor_id, self.clock.monotonic()
+            )
         used = sum(self.world.cpu_millis_of(task) for task in fake.runs)
         if used > fake.executor.capacity.cpu_millis:
             self.violations.append(f"{fake.executor.executor_id} exceeds its capacity")
@@ -302,7 +352,7 @@
         while True:
             fake = self.by_id.get(executor.executor_id)
             if fake is not None and incarnation not in (None, fake.incarnation):
-                raise CallUnansweredError("the crash broke the connection")
+                raise CallClosedError("the crash broke the connection")
             incarnation = fake.incarnation if fake is not None else None
             if fake is not None and fake.silent:
                 await self.clock.sleep(times_out_at - self.clock.monotonic())
@@ -397,6 +447,9 @@
         self.stopped_lasting_tasks = set()
         """Lasting tasks stopped by an order and not available again yet."""
         self.policy = None
+        self.returning = []
+        """Crashed executors and when their VMs have an executor again."""
+        self.vms = None
         self.ids_reused = False
         """Whether the deployment states that executors restart under the same id."""
 
@@ -509,7 +562,7 @@
 
     def manage_vms(self, standby=0):
         """Let the terms manage VMs, and return the fake VM service."""
-        vms = FakeVms(self, standby)
+        vms = self.vms = FakeVms(self, standby)
 
         def new_vm_controller(term):
             return VmController(
@@ -554,6 +607,25 @@
             policy=self.policy,
         )
 
+    def _return_crashed(self):
+        """Let crashed executors return: as new ones where VMs are managed."""
+        now = self.clock.monotonic()
+        for at, fake in list(self.returning):
+            if now < at:
+                continue
+            self.returning.remove((at, fake))
+            executor_id = fake.executor.executor_id
+            if self.vms is not None:
+                self.client.by_id.pop(executor_id, None)
+                self.fake_executors.remove(fake)
+                self.pending_registrations.append((f"executors/{executor_id}", None))
+                self.vms.return_to_service(fake.executor.vm)
+                continue
+            fake.crashed = False
+            fake.executor = replace(fake.executor, incarnation=fake.incarnation)
+            content = msgspec.msgpack.encode(fake.executor)
+            self.pending_registrations.append((f"executors/{executor_id}", content))
+
     async def run_for(self, seconds, until=None):
         """Advance the clock; return True early once ``until`` returns True."""
         for _ in range(round(seconds / STEP.total_seconds())):
@@ -565,6 +637,8 @@
             if until is not None and until():
                 return True
             self._record_tasks_at_work()
+            self.client.crash_due()
+            self._return_crashed()
             self.clock.advance(STEP)
         await settle(40)
         return until is not None and until()
@@ -626,9 +700,13 @@
         """Orders that two role holders sent for one VM within 3 s."""
         self.last_order_by_vm = {}
         self.ordered_at = defaultdict(list)
+        self.capacity_by_vm = {}
+        self.rack_by_vm = {}
         for fake in world.fake_executors:
             vm = f"vm-{fake.executor.executor_id}"
             executor = fake.executor = replace(fake.executor, vm=vm)
+            self.capacity_by_vm[vm] = executor.capacity.cpu_millis
+            self.rack_by_vm[vm] = executor.rack
             self.vms[vm] = PoolVm(
                 vm,
                 executor.service,
@@ -679,9 +757,15 @@
         for name, at in list(self.available_at_by_vm.items()):
             if self.world.clock.monotonic() >= at:
                 del self.available_at_by_vm[name]
-                self._return_to_service(name)
+                self.return_to_service(name)
 
-    def _return_to_service(self, name):
+    def mark_down(self, fake):
+        """List the VM of a crashed executor as down."""
+        vm = self.vms[fake.executor.vm]
+        self.vms[vm.name] = replace(vm, state=VmState.DOWN, executor_id="")
+
+    def return_to_service(self, name):
+        """Give a VM a new executor."""
         vm = self.vms[name]
         if vm.pool == "spare":
             self.vms[name] = replace(vm, state=VmState.UP, executor_id="")
@@ -689,7 +773,12 @@
         self.returns += 1
         executor_id = f"{name}-{self.returns}"
         fake = FakeExecutor(
-            self.world.clock, executor_id, service=vm.pool, zone=vm.availability_zone
+            self.world.clock,
+            executor_id,
+            self.capacity_by_vm.get(name, 4000),
+            service=vm.pool,
+            rack=self.rack_by_vm.get(name, "r1"),
+            zone=vm.availability_zone,
         )
         fake.executor = replace(fake.executor, vm=name)
         fake.stop_time = self.world.stop_time
