--- /dev/null
+++ b/src/pomeloyard/batch/crash_blame.py
@@ -0,0 +1,117 @@
+"""Decides which task has crashed an executor (no I/O).
+
+A task may crash each executor that starts it, and each crash ends all that runs there.
+Nothing that the executor reports tells that task from those beside it, but how long
+each has run does: a task that crashes executors does so soon after its start. Tasks
+that were started shortly before a crash are suspects. Each of them is started again on
+trial: alone among the suspects of its executor, which gets no other run until this one
+has run for ``TRIAL_TIME``. A second crash then shows which task it was.
+
+Executors also crash for reasons of their own, several at once if a rack or a zone
+fails. Such a crash is never conclusive, and tasks that had run for longer are put on
+trial only after a second crash.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from datetime import timedelta
+
+TRIAL_TIME = timedelta(seconds=0.5)
+"""A run that has lasted this long is unlikely to be the cause of a crash."""
+TRIAL_POLL_WAIT = timedelta(seconds=0.25)
+"""Wait of a poll during a trial, so that its end is seen soon."""
+CLEARANCE_TIME = timedelta(seconds=10)
+"""A long-running task that has run this long is no longer a suspect."""
+CRASHES_TO_CONVICT = 2
+"""Crashes that convict a task which was the only suspect of the last one."""
+CRASHES_TO_CONVICT_AMONG_SUSPECTS = 3
+"""The same if earlier suspects, past their trial, ran on the executor too."""
+CRASHES_TO_ISOLATE = 3
+"""Crashes after which a trial lasts as long as the run, so that also a task that runs
+for longer before it crashes its executor becomes the only suspect."""
+MAX_CRASHES = 4
+"""Crashes that convict a suspect whatever other suspects there are."""
+SIMULTANEITY = timedelta(seconds=1)
+"""Executors of one rack that are lost within this time may have a common cause."""
+ZONE_CRASHES = 3
+"""The same for this many executors of a zone."""
+
+
+class Suspicion:
+    """Crashes of executors under a task, or under a gang, whose tasks share it."""
+
+    __slots__ = ("convicted", "crashes", "on_trial")
+
+    def __init__(self, crashes: int = 0, on_trial: bool = False) -> None:
+        self.crashes = crashes
+        """Executors that have crashed under it."""
+        self.on_trial = on_trial
+        """Whether its next start is a trial."""
+        self.convicted = False
+
+    @property
+    def trial_time(self) -> timedelta:
+        """Return how long its run must last to pass a trial."""
+        isolated = self.crashes >= CRASHES_TO_ISOLATE
+        return CLEARANCE_TIME if isolated else TRIAL_TIME
+
+
+@dataclass(frozen=True, slots=True)
+class RunAtCrash:
+    """A run that ended with its executor."""
+
+    unit: str
+    """The task, or the step of a gang."""
+    crashes: int
+    """Earlier crashes under it."""
+    suspected: bool
+    uptime: timedelta
+    """How long it certainly ran."""
+    counted: bool
+    """Whether it may have been started before the crash, not only ordered."""
+    witnessed: bool
+    """Whether the executor was certainly alive when it received the start."""
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a crash says about the tasks that it ended; names of tasks or gang steps."""
+
+    counted: frozenset[str]
+    """They have one crash more."""
+    suspects: frozenset[str]
+    """They are started again on trial."""
+    convicted: frozenset[str]
+    """They are given up."""
+
+
+def judge(runs: Collection[RunAtCrash], *, simultaneous: bool) -> Verdict:
+    """Judge the runs that a crash has ended.
+
+    ``simultaneous`` tells that other executors that may share its cause were lost at
+    about the same time.
+    """
+    fresh = {run.unit for run in runs if run.uptime < TRIAL_TIME}
+    earlier = {run.unit for run in runs if run.suspected}
+    suspects = fresh or earlier
+    counted = {run.unit for run in runs if run.counted}
+    witnessed = {run.unit for run in runs if run.witnessed}
+    crashes = {run.unit: run.crashes for run in runs}
+    for unit in counted:
+        crashes[unit] += 1
+    repeated = {unit for unit in counted if crashes[unit] >= CRASHES_TO_CONVICT}
+    convicted = {unit for unit in suspects & counted if crashes[unit] >= MAX_CRASHES}
+    if len(suspects) == 1 and suspects <= witnessed and not simultaneous:
+        (unit,) = suspects
+        needed = (
+            CRASHES_TO_CONVICT_AMONG_SUSPECTS
+            if earlier - suspects
+            else CRASHES_TO_CONVICT
+        )
+        if crashes[unit] >= needed:
+            convicted.add(unit)
+    return Verdict(
+        frozenset(counted), frozenset(suspects | repeated), frozenset(convicted)
+    )
--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -110,6 +110,40 @@
         self._usage.remove(executor.executor_id, executor.rack, task)
         self._reposition(before)
 
+    def discard(self, link: ExecutorLink) -> None:
+        """Remove an executor that takes no further tasks."""
+        executor_id = link.executor.executor_id
+        entries = self._entries_of(executor_id)
+        del entries[bisect.bisect_left(entries, self._entry_of(executor_id))]
+        del self._links_by_id[executor_id]
+
+    def choose_for_trial(
+        self, task: Task, allowed: Collection[str] | None = None
+    ) -> ExecutorLink | None:
+        """Return the best executor for a task that may crash it, or None.
+
+        It is one without other suspects if there is any, then one whose other runs have
+        passed the trial time, then the one with the least to lose.
+        """
+        best: ExecutorLink | None = None
+        best_score: tuple[float, ...] = ()
+        for link in self._links_by_id.values():
+            executor_id = link.executor.executor_id
+            if allowed is not None and executor_id not in allowed:
+                continue
+            if not can_place(link, task.step, self._usage):
+                continue
+            runs = link.runs_by_name.values()
+            score = (
+                float(link.has_suspects_beside(task)),
+                float(sum(not run.has_passed_trial_time for run in runs)),
+                float(len(runs)),
+                float(self._slow[executor_id]),
+            )
+            if best is None or score < best_score:
+                best, best_score = link, score
+        return best
+
     def _reposition(self, before: _Entry) -> None:
         entries = self._entries_of(before[1])
         del entries[bisect.bisect_left(entries, before)]
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -16,6 +16,7 @@
     CallUnansweredError,
     StaleFenceError,
 )
+from .crash_blame import TRIAL_POLL_WAIT
 from .executors import (
     EndedTask,
     Executor,
@@ -27,7 +28,7 @@
 )
 from .link_handler import LinkHandler
 from .placed_run import LossCause, Phase, PlacedRun
-from .progress import EndKind
+from .progress import EndKind, Task
 
 LEASE_DURATION = timedelta(seconds=7)
 """Long enough for tasks to survive a store outage and a failover of the placing role,
@@ -92,6 +93,8 @@
         self.draining = executor.draining
         self.incarnation: int | None = None
         self.runs_by_name: dict[str, PlacedRun] = {}
+        self._trials: set[str] = set()
+        """Tasks whose runs have still to show that they crash no executor."""
         self.unassigned_runs: set[tuple[str, int]] = set()
         """Runs that the executor lists but that are not assigned to it. While there
         are any, its free capacity is unknown."""
@@ -155,6 +158,20 @@
             and not self.suspected
         )
 
+    @property
+    def has_trial(self) -> bool:
+        """Tell whether a run here has still to show that it crashes no executor."""
+        return bool(self._trials)
+
+    def has_suspects_beside(self, task: Task) -> bool:
+        """Tell whether executors have crashed under other tasks that run here."""
+        return any(
+            (suspicion := placed.task.suspicion) is not None
+            and suspicion.on_trial
+            and suspicion is not task.suspicion
+            for placed in self.runs_by_name.values()
+        )
+
     def poll_soon(self) -> None:
         """Poll soon, as there are runs to track."""
         self._work_event.set()
@@ -333,6 +350,8 @@
 
     def _poll_wait(self) -> timedelta:
         serving = filling = False
+        if self.has_trial:
+            return TRIAL_POLL_WAIT
         longest = SHORT_POLL_WAIT if self._handler.calls_are_lost() else POLL_WAIT
         for placed in self.runs_by_name.values():
             if placed.unsure and placed.phase is Phase.UNCONFIRMED:
@@ -362,7 +381,7 @@
         for name, placed in list(self.runs_by_name.items()):
             row = listed.get(name)
             if row is not None and row.run == placed.run:
-                self._apply_running(placed, row, asked_at, now)
+                self._apply_running(placed, row, asked_at, now, report.clock)
             elif not report.ended_truncated:
                 self._apply_missing(placed, asked_at)
         self.unassigned_runs = {
@@ -391,10 +410,22 @@
         self._handler.handle_run_end(self, placed, end.kind, end.saved)
 
     def _apply_running(
-        self, placed: PlacedRun, row: RunningTask, asked_at: timedelta, now: timedelta
+        self,
+        placed: PlacedRun,
+        row: RunningTask,
+        asked_at: timedelta,
+        now: timedelta,
+        clock: timedelta,
     ) -> None:
+        """Update a run that a report lists, made at ``clock`` on the executor."""
         placed.unsure = False
-        placed.listed_at = now
+        placed.listed_clock = clock
+        if placed.started_clock is None:
+            placed.started_clock = clock
+        if placed.on_trial and clock - placed.started_clock >= placed.trial_time:
+            placed.on_trial = False
+            self._trials.discard(placed.task.name)
+            self._handler.handle_trial_passed(self, placed)
         first = self._first_reported_at
         if first is not None and asked_at >= first + MAX_STOP_TIME:
             # A stop that arrived before the first report would have ended it.
@@ -438,6 +469,7 @@
         """Stop tracking a run that is over."""
         if self.runs_by_name.get(placed.task.name) is placed:
             del self.runs_by_name[placed.task.name]
+            self._trials.discard(placed.task.name)
 
     def mark_all_lost(self, reason: str, cause: LossCause) -> None:
         """Mark all runs as lost, as they are certainly over."""
@@ -451,14 +483,19 @@
         runs = list(self.runs_by_name.values())
         for placed in runs:
             placed.loss_cause = cause
-        if runs and cause is LossCause.CRASHED:
-            self._handler.handle_crash(self, runs, "gone")
+        sent = [placed for placed in runs if placed.phase is not Phase.ASSIGNED]
+        if sent and cause is LossCause.CRASHED:
+            self._handler.handle_crash(self, sent, "gone")
         for placed in runs:
-            self._mark_lost(placed)
+            # The job of a run may have ended with the crash, and the run with it.
+            if self.runs_by_name.get(placed.task.name) is placed:
+                self._mark_lost(placed)
 
     def assign(self, placed: PlacedRun) -> None:
         """Track a run from its assignment on."""
         self.runs_by_name[placed.task.name] = placed
+        if placed.on_trial:
+            self._trials.add(placed.task.name)
         self._work_event.set()
 
     def start(self, placed: PlacedRun) -> None:
@@ -514,6 +551,7 @@
                 "start of {} run {} got no answer: {}", task.name, placed.run, error
             )
             self._note_closed_connection(error)
+            placed.start_closed = isinstance(error, CallClosedError)
             self._record_unanswered_start(placed, now)
             self._handler.handle_lost_call(self)
             if placed.phase is Phase.START_SENT:
@@ -529,6 +567,9 @@
         elif placed.phase is Phase.START_SENT:
             placed.phase = Phase.RUNNING
             placed.acknowledged_at = answered_at
+            placed.started_clock = clock
+            if placed.on_trial:
+                self.poll_now()
             task.started_at = answered_at
 
     def _is_pending_start(self, placed: PlacedRun) -> bool:
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -6,6 +6,7 @@
 | ``b/in/cancel/ID`` | any daemon | the job's key unchanged |
 | ``b/waiting/QUEUE/ID`` | created with the job, deleted at its first start | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
+| ``b/crashes/ID`` | the placing daemon, with ``b/runs/ID`` | as that |
 | ``b/ids-kept`` | the placing daemon, once | its epoch |
 """
 
@@ -18,6 +19,9 @@
 CANCELS = "b/in/cancel/"
 WAITING = "b/waiting/"
 RUNS = "b/runs/"
+CRASHES = "b/crashes/"
+"""Separate from ``RUNS``, as earlier builds rewrite a run record without the fields
+that they do not know."""
 EXECUTOR_IDS_REUSED = "b/ids-kept"
 """Present once an executor has restarted under the same id."""
 
--- a/src/pomeloyard/batch/link_handler.py
+++ b/src/pomeloyard/batch/link_handler.py
@@ -31,6 +31,9 @@
     ) -> None:
         """Record that an executor has crashed under some runs, before these end."""
 
+    def handle_trial_passed(self, link: ExecutorLink, placed: PlacedRun) -> None:
+        """Record that a run on trial has not crashed its executor."""
+
     def handle_unassigned_end(self, link: ExecutorLink, end: EndedTask) -> str:
         """Record the end of a run that is not assigned; return the job it changed."""
         ...
--- a/src/pomeloyard/batch/placed_run.py
+++ b/src/pomeloyard/batch/placed_run.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from enum import Enum
 
+from .crash_blame import TRIAL_TIME
 from .progress import Task
 
 
@@ -43,10 +44,11 @@
         "acknowledged_at",
         "fence",
         "gauge",
-        "listed_at",
+        "listed_clock",
         "loss_cause",
         "may_be_stopping",
         "moved_at",
+        "on_trial",
         "ordered_at",
         "pace",
         "pace_sent_at",
@@ -54,6 +56,8 @@
         "percent",
         "phase",
         "run",
+        "start_closed",
+        "started_clock",
         "stop_answered_at",
         "task",
         "ticket",
@@ -77,8 +81,14 @@
         """Whether an earlier term may have ordered its stop."""
         self.percent = 0
         self.gauge = 0
-        self.listed_at: timedelta | None = None
-        """Time of the last report that listed it as running."""
+        self.started_clock: timedelta | None = None
+        """The executor's clock when it answered the start, or first listed the run."""
+        self.listed_clock: timedelta | None = None
+        """The executor's clock when it last listed the run."""
+        self.start_closed = False
+        """Whether the executor closed the connection during the start."""
+        self.on_trial = False
+        """Whether it has still to show that it does not crash its executor."""
         self.loss_cause = LossCause.NOT_LISTED
         """Why it is over, once it is lost."""
         self.moved_at: timedelta | None = None
@@ -88,10 +98,28 @@
     def proven_uptime(self, executor_alive_at: timedelta | None) -> timedelta:
         """Return how long it certainly ran.
 
-        ``executor_alive_at`` is when its executor was last known to be alive.
+        ``executor_alive_at`` is when its executor closed a connection, as it does when
+        it crashes.
         """
-        since = self.acknowledged_at
-        if since is None:
-            return timedelta(0)
-        ran_until = max(self.listed_at or since, executor_alive_at or since)
-        return ran_until - since
+        uptime = timedelta(0)
+        if self.started_clock is not None and self.listed_clock is not None:
+            uptime = self.listed_clock - self.started_clock
+        if self.acknowledged_at is not None and executor_alive_at is not None:
+            uptime = max(uptime, executor_alive_at - self.acknowledged_at)
+        return uptime
+
+    @property
+    def trial_time(self) -> timedelta:
+        """Return how long it must run to pass a trial."""
+        suspicion = self.task.suspicion
+        return suspicion.trial_time if suspicion else TRIAL_TIME
+
+    @property
+    def has_passed_trial_time(self) -> bool:
+        """Tell whether it has run longer than a task that crashes its executor."""
+        return self.proven_uptime(None) >= TRIAL_TIME
+
+    @property
+    def witnessed(self) -> bool:
+        """Tell whether the executor was certainly alive when it received the start."""
+        return self.acknowledged_at is not None or self.start_closed
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -34,6 +34,7 @@
 from .advice import AdviceService, Advisor
 from .call_losses import CallLosses
 from .configuration_follower import ConfigurationFollower
+from .crash_trials import CrashTrials
 from .decision_log import JobDecisionLog
 from .demand import PoolDemand
 from .disruption import DisruptionBudgets
@@ -131,6 +132,7 @@
         self.peaks = PeakForecaster()
         self.first_polls = anyio.Semaphore(MAX_CONCURRENT_FIRST_POLLS)
         self._lost_calls = CallLosses()
+        self.crash_trials = CrashTrials(clock, decision_log, self.links_by_id)
         self._ids_survive_restarts = ids_reused
         """Whether an executor can restart under the same id."""
         self._plan_requested = anyio.Event()
@@ -160,6 +162,7 @@
             self._queue_of,
             self._job_changed,
             self.policy,
+            self.crash_trials,
         )
 
     # Running
@@ -192,15 +195,19 @@
 
     async def _load(self) -> int:
         """Load all jobs and their progress; return the revision to watch from."""
-        (incoming, runs), id_flags = await run_both(
+        (incoming, runs), (crashes, id_flags) = await run_both(
             lambda: run_both(
                 lambda: self._scan(layout.INCOMING), lambda: self._scan(layout.RUNS)
             ),
-            lambda: self._scan(layout.EXECUTOR_IDS_REUSED),
+            lambda: run_both(
+                lambda: self._scan(layout.CRASHES),
+                lambda: self._scan(layout.EXECUTOR_IDS_REUSED),
+            ),
         )
         await self._registry.loaded.wait()
         self._ids_survive_restarts = self._ids_survive_restarts or bool(id_flags[0])
         runs_by_id = {e.key.removeprefix(layout.RUNS): e for e in runs[0]}
+        crashes_by_id = {e.key.removeprefix(layout.CRASHES): e for e in crashes[0]}
         cancelled = []
         # In order of acceptance, which the prediction of load peaks depends on.
         for entry in sorted(incoming[0], key=lambda e: e.mod_revision):
@@ -208,9 +215,15 @@
                 cancelled.append(entry.key.removeprefix(layout.CANCELS))
             else:
                 job_id = entry.key.removeprefix(layout.JOBS)
-                self._add_job(job_id, entry, runs_by_id.get(job_id))
+                self._add_job(
+                    job_id, entry, runs_by_id.get(job_id), crashes_by_id.get(job_id)
+                )
         for job_id in cancelled:
             self._cancel(job_id)
+        # An earlier build deletes a job without this record.
+        orphans = [job_id for job_id in crashes_by_id if job_id not in self.jobs_by_id]
+        for job_id in orphans:
+            self.spawn(None, self._delete, (layout.CRASHES + job_id,))
         log.info(
             "epoch {}: loaded {} jobs, {} with progress",
             self.epoch,
@@ -229,7 +242,13 @@
                 continue
             return list(page.entries), page.revision
 
-    def _add_job(self, job_id: str, entry: Entry, run: Entry | None) -> None:
+    def _add_job(
+        self,
+        job_id: str,
+        entry: Entry,
+        run: Entry | None,
+        crashes: Entry | None = None,
+    ) -> None:
         if job_id in self.jobs_by_id:
             return
         try:
@@ -243,6 +262,8 @@
         if run is not None:
             try:
                 job.restore_progress(run.value, run.mod_revision)
+                if crashes is not None:
+                    job.restore_crashes(crashes.value)
             except (msgspec.MsgspecError, LookupError, ValueError) as error:
                 # Unknown which tasks have run, so none is started.
                 log.error(
@@ -252,6 +273,7 @@
                 )
                 return
         self.jobs_by_id[job_id] = job
+        self.crash_trials.restore(job)
         job.open_due_occurrences(self._unix_ms())
         queue = self._queue_of(record)
         if queue is not None and not job.lasting:
@@ -307,6 +329,7 @@
         placed.partial = True
         placed.unsure = True
         placed.may_be_stopping = True
+        placed.on_trial = self.crash_trials.needs_trial(task)
         placed.ordered_at = task.started_at
         link.assign(placed)
         if task.step.job.final:
@@ -409,11 +432,27 @@
 
     def _end_job(self, job: JobRun) -> None:
         """Store the final state of a job and stop its remaining runs."""
+        self._retire_job(job)
+        self._stop_runs(job)
+
+    def _retire_job(self, job: JobRun) -> None:
+        """Store the final state of a job."""
         job.ended_at = self._clock.monotonic()
         self._active_jobs.pop(job.job_id, None)
         if self._advisor is not None:
             self._advisor.discard_job(job.job_id)
         self._job_changed(job)
+
+    async def _stop_once_durable(self, job: JobRun) -> None:
+        """Stop the runs of a job that was given up, once it is stored as failed.
+
+        Until then another holder would go on with it, and its lasting tasks count as
+        unavailable once they are stopped.
+        """
+        await self.wait_until_durable({job.job_id})
+        self._stop_runs(job)
+
+    def _stop_runs(self, job: JobRun) -> None:
         for task in job.placed_tasks():
             link = self.links_by_id.get(task.executor)
             placed = link.runs_by_name.get(task.name) if link else None
@@ -501,14 +540,18 @@
             del self.jobs_by_id[job_id]
 
     async def _delete_job(self, job: JobRun) -> None:
-        operations = tuple(
-            Delete(prefix + job.job_id)
-            for prefix in (layout.JOBS, layout.CANCELS, layout.RUNS)
-        )
+        prefixes = [layout.JOBS, layout.CANCELS, layout.RUNS]
+        if job.has_suspicions:
+            prefixes.append(layout.CRASHES)
+        await self._delete([prefix + job.job_id for prefix in prefixes])
+
+    async def _delete(self, keys: Sequence[str]) -> None:
+        """Delete the records of a job that has expired."""
+        operations = tuple(map(Delete, keys))
         try:
             await self._store.commit(Transaction((self.guard,), operations))
         except StoreError as error:
-            log.info("expired job {} was not deleted: {}", job.job_id, error)
+            log.info("expired {} was not deleted: {}", keys[0], error)
 
     # Callbacks of executor links
 
@@ -612,31 +655,20 @@
     def handle_crash(
         self, link: ExecutorLink, runs: Collection[PlacedRun], evidence: str
     ) -> None:
-        """Record that an executor has crashed under some runs, before these end."""
-        executor = link.executor
-        alive_at = link.closed_connection_at
-        self._decision_log.record(
-            "crash",
-            executor.executor_id,
-            evidence,
-            vm=executor.vm,
-            rack=executor.rack,
-            zone=executor.availability_zone,
-            runs=len(runs),
-            closed_connection=alive_at is not None,
-        )
-        for placed in runs:
-            uptime = placed.proven_uptime(alive_at)
-            self._decision_log.record(
-                "crash",
-                placed.task.name,
-                "under-it",
-                run=placed.run,
-                executor=executor.executor_id,
-                phase=placed.phase.value,
-                answered=placed.acknowledged_at is not None,
-                up_ms=round(uptime / timedelta(milliseconds=1)),
-            )
+        """Count a crash for the tasks under it, and give up those that cause it."""
+        for task in self.crash_trials.record(link, runs, evidence):
+            job = task.step.job
+            if job.give_up(task):
+                self._log_end(job)
+                self._retire_job(job)
+                self.spawn(None, self._stop_once_durable, job)
+        for job_id in {placed.task.step.job.job_id for placed in runs}:
+            self._job_changed(self.jobs_by_id[job_id])
+
+    def handle_trial_passed(self, link: ExecutorLink, placed: PlacedRun) -> None:
+        """Let other runs start again beside a run that has passed its trial."""
+        self.crash_trials.pass_trial(placed)
+        self._plan_service_soon(link.executor.service)
 
     def handle_run_end(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
@@ -731,6 +763,10 @@
                 link.stop(placed)
 
     def _finish_job(self, job: JobRun) -> None:
+        self._log_end(job)
+        self._end_job(job)
+
+    def _log_end(self, job: JobRun) -> None:
         age = self._clock.monotonic() - job.accepted_at
         self._decision_log.record(
             "job",
@@ -740,12 +776,13 @@
             team=job.record.team,
             age_ms=round(age / timedelta(milliseconds=1)),
         )
-        self._end_job(job)
 
     def handle_run_status(
         self, link: ExecutorLink, placed: PlacedRun, row: RunningTask
     ) -> None:
         """Throttle filler tasks and detect stalled or slow batch runs."""
+        if placed.task.step.spec.lasting and self.crash_trials.clear_if_proven(placed):
+            self._job_changed(placed.task.step.job)
         self._run_monitor.check_status(link, placed)
 
     def handle_refused_start(
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from .advice import MAX_EXECUTORS_PER_REQUEST, Advisor
 from .configuration_follower import ConfigurationFollower
+from .crash_trials import CrashTrials
 from .decision_log import JobDecisionLog
 from .executor_choice import FreeCapacityIndex, can_place
 from .executor_link import ExecutorLink
@@ -43,6 +44,10 @@
         self.rank: Rank | None = None
 
 
+def _crashes_of(task: Task) -> int:
+    return task.suspicion.crashes if task.suspicion else 0
+
+
 class Planner:
     """Ranks jobs, assigns their tasks and queues the starts until they are stored."""
 
@@ -60,6 +65,7 @@
         queue_of: Callable[[JobRecord], Queue | None],
         changed: Callable[[JobRun], None],
         policy: Policy,
+        crash_trials: CrashTrials,
     ) -> None:
         self._clock = clock
         self._follower = follower
@@ -73,6 +79,7 @@
         self._queue_of = queue_of
         self._changed = changed
         self._policy = policy
+        self._crash_trials = crash_trials
         self._mean_work_by_queue: dict[str, float] = {}
         self._pending_starts: list[tuple[ExecutorLink, PlacedRun]] = []
         self._links_by_service: dict[str, list[ExecutorLink]] = {}
@@ -138,7 +145,9 @@
     def _usable_links(self, service: str, now: timedelta) -> list[ExecutorLink]:
         """Return the executors of a service that accept tasks now."""
         usable = [
-            link for link in self._links_by_service.get(service, ()) if link.usable
+            link
+            for link in self._links_by_service.get(service, ())
+            if link.usable and not link.has_trial
         ]
         healthy = [
             link
@@ -231,19 +240,29 @@
         if step.spec.gang:
             self._place_gang(step, index, maximum, now, tickets)
             return
-        for task in list(step.waiting.values()):
+        waiting = list(step.waiting.values())
+        if step.job.has_suspicions:
+            # The most suspect task first, so that others need not be tried.
+            waiting.sort(key=_crashes_of, reverse=True)
+        for task in waiting:
             if now < task.not_before:
                 continue
             if not self._usage.team_fits(step.job.record.team, maximum, step.spec):
                 break
             rack = step.spec.data_rack or self._rack_of(step)
             pinned = self._pinned_executor(task, now)
-            link = self._choose(index, task, rack, pinned or tickets)
+            on_trial = self._crash_trials.needs_trial(task)
+            if on_trial:
+                link = self._choose_for_trial(index, task, pinned or tickets)
+            else:
+                link = self._choose(index, task, rack, pinned or tickets)
             if link is None:
-                if pinned:
+                if pinned or on_trial:
                     continue
                 break
             self._assign(task, link, index, task.run + 1, now, tickets)
+            if on_trial:
+                index.discard(link)
 
     def _choose(
         self,
@@ -260,6 +279,19 @@
             return None
         return link if can_place(link, task.step, self._usage) else None
 
+    def _choose_for_trial(
+        self, index: FreeCapacityIndex, task: Task, allowed: Collection[str] | None
+    ) -> ExecutorLink | None:
+        """Return the executor on which a task that may crash it is started, or None."""
+        pool = self._links_by_service.get(self._service_of(task), ())
+        if not self._crash_trials.may_begin(task, pool):
+            return None
+        return index.choose_for_trial(task, allowed)
+
+    def _service_of(self, task: Task) -> str:
+        queue = self._queue_of(task.step.job.record)
+        return queue.service if queue is not None else ""
+
     def _pinned_executor(self, task: Task, now: timedelta) -> tuple[str, ...]:
         """Return the executor that the task is pinned to, or nothing.
 
@@ -295,6 +327,7 @@
         if any(now < task.not_before for task in step.tasks):
             return
         run = max(task.run for task in step.tasks) + 1
+        on_trial = self._crash_trials.needs_trial(step.tasks[0])
         team = step.job.record.team
         racks = [step.spec.data_rack]
         if step.spec.same_rack:
@@ -315,6 +348,8 @@
                 link = None
                 if self._usage.team_fits(team, maximum, step.spec):
                     link = self._choose(index, task, rack, allowed)
+                if link is not None and on_trial and link.has_suspects_beside(task):
+                    link = None
                 if link is None:
                     break
                 index.allocate(link, task)
@@ -326,6 +361,9 @@
                 for task, link in chosen:
                     task.saved = saved
                     self._assign(task, link, index, run, now, tickets)
+                if on_trial:
+                    for link in {id(link): link for _, link in chosen}.values():
+                        index.discard(link)
                 return
 
     def _assign(
@@ -342,6 +380,7 @@
         placed = PlacedRun(task, run, Phase.ASSIGNED, self._epoch)
         if tickets is not None:
             placed.ticket = tickets[executor.executor_id]
+        placed.on_trial = self._crash_trials.needs_trial(task)
         job.place(task, executor.executor_id, run, now)
         index.allocate(link, task)
         link.assign(placed)
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -8,11 +8,24 @@
 
 import msgspec
 
+from .crash_blame import Suspicion
 from .model import FINAL_STATES, JobRecord, JobState, Queue, StepSpec
-from .progress_records import RunRecord, StepRows, TaskRow
+from .progress_records import (
+    GANG_INDEX,
+    CrashRecord,
+    CrashRow,
+    RunRecord,
+    StepRows,
+    TaskRow,
+)
 
 MAX_AVOIDED_EXECUTORS = 4
 """Limit of executors that a task avoids; more could rule out a whole small pool."""
+MAX_PRESUMED_CRASHES = 3
+"""Crashes that are at most presumed of starts by a build that does not count them; one
+less than give a task up without a further one."""
+MIN_UNCOUNTED_STARTS = 3
+"""Starts without a failure, recorded by such a build, that put a task on trial."""
 
 
 class TaskState(Enum):
@@ -55,6 +68,7 @@
         "started_at",
         "state",
         "step",
+        "suspicion",
     )
 
     def __init__(self, step: StepRun, index: int) -> None:
@@ -73,6 +87,29 @@
         """Executor that may still execute an earlier start, until ``only_on_until``."""
         self.only_on_until = timedelta(0)
         self.started_at = timedelta(0)
+        self.suspicion: Suspicion | None = None
+        """Crashes under it; the tasks of a gang share one."""
+
+    @property
+    def crash_unit(self) -> str:
+        """Return the name under which its crashes count: the task's or the gang's."""
+        return self.step.name if self.step.spec.gang else self.name
+
+    def suspect(self) -> Suspicion:
+        """Return the record of the crashes under it, created at the first one."""
+        if self.suspicion is None:
+            self._set_suspicion(Suspicion())
+        assert self.suspicion is not None
+        return self.suspicion
+
+    def clear(self) -> None:
+        """Forget the crashes under it."""
+        self._set_suspicion(None)
+
+    def _set_suspicion(self, suspicion: Suspicion | None) -> None:
+        for task in self.step.tasks if self.step.spec.gang else [self]:
+            task.suspicion = suspicion
+        self.step.job.has_suspicions = True
 
     def avoid_executor(self, executor: str) -> None:
         """Prefer other executors to one on which a run failed or was lost."""
@@ -128,6 +165,8 @@
         self.max_attempts = queue.max_attempts if queue else 1
         self.state = JobState.PENDING
         self.has_started = False
+        self.has_suspicions = False
+        """Whether executors have crashed under its tasks, so that this is stored."""
         self.accepted_at = now
         self.ended_at: timedelta | None = None
         self.revision = 0
@@ -283,6 +322,15 @@
             self.state = JobState.FAILED
             self._discard_waiting_tasks()
 
+    def give_up(self, task: Task) -> bool:
+        """End the job as failed, as a task crashes executors; False if it has ended."""
+        task.suspect().convicted = True
+        if self.final:
+            return False
+        self.state = JobState.FAILED
+        self._discard_waiting_tasks()
+        return True
+
     def cancel(self) -> bool:
         """Cancel the job unless it has ended; return whether it changed."""
         if self.final:
@@ -313,7 +361,58 @@
                 packed.append(
                     StepRows(step.occurrence, step.number, rows, step.gang_failures)
                 )
-        return msgspec.msgpack.encode(RunRecord(self.state.value, packed))
+        return msgspec.msgpack.encode(
+            RunRecord(self.state.value, packed, counts_crashes=True)
+        )
+
+    def encode_crashes(self) -> bytes:
+        """Encode the crashes of executors under the job's tasks."""
+        rows = []
+        for step in self.steps():
+            gang = step.spec.gang
+            for task in step.tasks[:1] if gang else step.tasks:
+                suspicion = task.suspicion
+                if suspicion is None or task.state is TaskState.DONE:
+                    continue
+                rows.append(
+                    CrashRow(
+                        step.occurrence,
+                        step.number,
+                        GANG_INDEX if gang else task.index,
+                        suspicion.crashes,
+                        suspicion.on_trial,
+                        task.run,
+                        suspicion.convicted,
+                    )
+                )
+        return msgspec.msgpack.encode(CrashRecord(rows))
+
+    def restore_crashes(self, content: bytes) -> None:
+        """Restore the crashes under the job's tasks, after its progress."""
+        record = msgspec.msgpack.decode(content, type=CrashRecord)
+        self.has_suspicions = True
+        for row in record.rows:
+            while self.next_occurrence <= row.occurrence:
+                self._open_occurrence(self.next_occurrence)
+            tasks = self.occurrences[row.occurrence][row.step].tasks
+            task = tasks[max(0, row.index)]
+            suspicion = task.suspect()
+            suspicion.convicted = row.convicted
+            # A build that does not count crashes has started it since.
+            uncounted = task.run - row.run - (task.state is TaskState.PLACED)
+            presumed = max(row.crashes, MAX_PRESUMED_CRASHES)
+            suspicion.crashes = min(row.crashes + max(0, uncounted), presumed)
+            suspicion.on_trial = row.on_trial or uncounted > 0
+
+    def _presume_crashes(self) -> None:
+        """Put tasks on trial that a build without crash counts started repeatedly."""
+        for step in self.steps():
+            for task in step.tasks:
+                starts = task.run - task.failures - step.gang_failures
+                lasting_or_done = step.spec.lasting or task.state is TaskState.DONE
+                if starts >= MIN_UNCOUNTED_STARTS and not lasting_or_done:
+                    suspicion = task.suspect()
+                    suspicion.crashes, suspicion.on_trial = 1, True
 
     def restore_progress(self, content: bytes, revision: int) -> None:
         """Restore the progress from a stored run record."""
@@ -331,6 +430,8 @@
         self.state = JobState(record.state)
         if self.final:
             self._discard_waiting_tasks()
+        elif not record.counts_crashes:
+            self._presume_crashes()
 
 
 def _encode_row(task: Task) -> TaskRow:
--- a/src/pomeloyard/batch/progress_records.py
+++ b/src/pomeloyard/batch/progress_records.py
@@ -39,3 +39,29 @@
 
     state: str
     steps: list[StepRows] = []
+    counts_crashes: bool = False
+    """Whether its writer counts crashes; an earlier build drops the field."""
+
+
+GANG_INDEX = -1
+"""Index of the row that all tasks of a gang share."""
+
+
+class CrashRow(msgspec.Struct, array_like=True):
+    """Crashes of executors under a task or a gang."""
+
+    occurrence: int
+    step: int
+    index: int
+    """The task, or ``GANG_INDEX``."""
+    crashes: int
+    on_trial: bool
+    run: int
+    """Its latest start that a build has recorded which counts crashes."""
+    convicted: bool = False
+
+
+class CrashRecord(msgspec.Struct, array_like=True):
+    """The tasks of a job under which executors have crashed."""
+
+    rows: list[CrashRow] = []
--- a/src/pomeloyard/batch/progress_writer.py
+++ b/src/pomeloyard/batch/progress_writer.py
@@ -114,9 +114,9 @@
         for job in list(self._unwritten_by_id.values()):
             if job.job_id in self._in_flight_since_by_id:
                 continue
-            cost = (
-                3 if job.waiting_marker_stored and (job.has_started or job.final) else 2
-            )
+            cost = 3 if job.has_suspicions else 2
+            if job.waiting_marker_stored and (job.has_started or job.final):
+                cost += 1
             if cost > free_entries:
                 if self._writes_in_flight + len(groups) >= MAX_CONCURRENT_WRITES:
                     break
@@ -144,6 +144,9 @@
             compares.append(Compare(key, job.revision))
             operations.append(Put(key, content))
             contents.append((job, key, content))
+            if job.has_suspicions:
+                crashes = job.encode_crashes()
+                operations.append(Put(layout.CRASHES + job.job_id, crashes))
             if job.waiting_marker_stored and (job.has_started or job.final):
                 marker = layout.waiting_prefix(job.record.queue) + job.job_id
                 operations.append(Delete(marker))
--- a/tests/outer/test_encoded_forms.py
+++ b/tests/outer/test_encoded_forms.py
@@ -52,6 +52,8 @@
     "batch.model.JobSpec": batch_model.JobSpec,
     "batch.model.Resources": batch_model.Resources,
     "batch.model.StepSpec": batch_model.StepSpec,
+    "batch.records.CrashRecord": progress_records.CrashRecord,
+    "batch.records.CrashRow": progress_records.CrashRow,
     "batch.records.RunHeader": progress_records.RunHeader,
     "batch.records.RunRecord": progress_records.RunRecord,
     "batch.records.StepRows": progress_records.StepRows,
