Try the suspects of a job together, and for a shorter time

Cause: each suspect task was tried alone for half a second, on at most half of a pool, and each crash of a packed executor made up to 15 suspects, so suspects came faster than they were tried.

--- a/src/pomeloyard/batch/crash_blame.py
+++ b/src/pomeloyard/batch/crash_blame.py
@@ -3,9 +3,10 @@
 A task may crash each executor that starts it, and each crash ends all that runs there.
 Nothing that the executor reports tells that task from those beside it, but how long
 each has run does: a task that crashes executors does so soon after its start. Tasks
-that were started shortly before a crash are suspects. Each of them is started again on
-trial: alone among the suspects of its executor, which gets no other run until this one
-has run for ``TRIAL_TIME``. A second crash then shows which task it was.
+that were started shortly before a crash are suspects. They are started again on trial,
+the suspects of each job apart from those of others, on an executor that gets no other
+run until they have run for ``TRIAL_TIME``. A second crash then shows which job it was;
+which of its tasks does not matter, as the job fails with any of them.
 
 Executors also crash for reasons of their own, several at once if a rack or a zone
 fails. Such a crash is never conclusive, and tasks that had run for longer are put on
@@ -18,16 +19,17 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-TRIAL_TIME = timedelta(seconds=0.5)
+TRIAL_TIME = timedelta(seconds=0.2)
 """A run that has lasted this long is unlikely to be the cause of a crash."""
-TRIAL_POLL_WAIT = timedelta(seconds=0.25)
+TRIAL_POLL_WAIT = TRIAL_TIME
 """Wait of a poll during a trial, so that its end is seen soon."""
 CLEARANCE_TIME = timedelta(seconds=10)
 """A long-running task that has run this long is no longer a suspect."""
 CRASHES_TO_CONVICT = 2
-"""Crashes that convict a task which was the only suspect of the last one."""
-CRASHES_TO_CONVICT_AMONG_SUSPECTS = 3
-"""The same if earlier suspects, past their trial, ran on the executor too."""
+"""Crashes that convict a task whose job was the only suspect of the last one."""
+CRASHES_TO_CONVICT_IN_DOUBT = 3
+"""The same if it had passed the trial time, or ran beside others that were suspects
+before."""
 CRASHES_TO_ISOLATE = 3
 """Crashes after which a trial lasts as long as the run, so that also a task that runs
 for longer before it crashes its executor becomes the only suspect."""
@@ -42,7 +44,7 @@
 class Suspicion:
     """Crashes of executors under a task, or under a gang, whose tasks share it."""
 
-    __slots__ = ("convicted", "crashes", "on_trial")
+    __slots__ = ("convicted", "crashes", "on_trial", "passed_run")
 
     def __init__(self, crashes: int = 0, on_trial: bool = False) -> None:
         self.crashes = crashes
@@ -50,6 +52,8 @@
         self.on_trial = on_trial
         """Whether its next start is a trial."""
         self.convicted = False
+        self.passed_run = 0
+        """Its latest run that has passed a trial."""
 
     @property
     def trial_time(self) -> timedelta:
@@ -62,6 +66,7 @@
 class RunAtCrash:
     """A run that ended with its executor."""
 
+    job: str
     unit: str
     """The task, or the step of a gang."""
     crashes: int
@@ -93,25 +98,25 @@
     ``simultaneous`` tells that other executors that may share its cause were lost at
     about the same time.
     """
-    fresh = {run.unit for run in runs if run.uptime < TRIAL_TIME}
-    earlier = {run.unit for run in runs if run.suspected}
+    fresh = [run for run in runs if run.uptime < TRIAL_TIME]
+    earlier = [run for run in runs if run.suspected]
     suspects = fresh or earlier
     counted = {run.unit for run in runs if run.counted}
-    witnessed = {run.unit for run in runs if run.witnessed}
-    crashes = {run.unit: run.crashes for run in runs}
-    for unit in counted:
-        crashes[unit] += 1
+    crashes = {run.unit: run.crashes + (run.unit in counted) for run in runs}
     repeated = {unit for unit in counted if crashes[unit] >= CRASHES_TO_CONVICT}
-    convicted = {unit for unit in suspects & counted if crashes[unit] >= MAX_CRASHES}
-    if len(suspects) == 1 and suspects <= witnessed and not simultaneous:
-        (unit,) = suspects
-        needed = (
-            CRASHES_TO_CONVICT_AMONG_SUSPECTS
-            if earlier - suspects
-            else CRASHES_TO_CONVICT
-        )
-        if crashes[unit] >= needed:
-            convicted.add(unit)
+    suspect_units = {run.unit for run in suspects}
+    convicted = {
+        unit for unit in suspect_units & counted if crashes[unit] >= MAX_CRASHES
+    }
+    jobs = {run.job for run in suspects}
+    if len(jobs) == 1 and not simultaneous:
+        doubtful = not fresh or not jobs.issuperset(run.job for run in earlier)
+        needed = CRASHES_TO_CONVICT_IN_DOUBT if doubtful else CRASHES_TO_CONVICT
+        convicted |= {
+            run.unit
+            for run in suspects
+            if run.witnessed and crashes[run.unit] >= needed
+        }
     return Verdict(
-        frozenset(counted), frozenset(suspects | repeated), frozenset(convicted)
+        frozenset(counted), frozenset(suspect_units | repeated), frozenset(convicted)
     )
--- a/src/pomeloyard/batch/crash_trials.py
+++ b/src/pomeloyard/batch/crash_trials.py
@@ -12,6 +12,7 @@
 from .crash_blame import (
     CLEARANCE_TIME,
     SIMULTANEITY,
+    TRIAL_TIME,
     ZONE_CRASHES,
     RunAtCrash,
     Verdict,
@@ -20,7 +21,7 @@
 from .decision_log import JobDecisionLog
 from .executor_link import ExecutorLink
 from .placed_run import PlacedRun
-from .progress import JobRun, Task
+from .progress import JobRun, StepRun, Task
 
 
 class CrashTrials:
@@ -49,6 +50,10 @@
             if convicted and step.spec.image:
                 self._suspected_images.add(step.spec.image)
 
+    def concern(self, step: StepRun) -> bool:
+        """Tell whether a task of a step may need a trial."""
+        return step.job.has_suspicions or step.spec.image in self._suspected_images
+
     def needs_trial(self, task: Task) -> bool:
         """Tell whether a task must be started on trial."""
         suspicion = task.suspicion
@@ -76,6 +81,8 @@
     def pass_trial(self, placed: PlacedRun) -> None:
         """Record that a run on trial has not crashed its executor."""
         self._suspected_images.discard(placed.task.step.spec.image)
+        if placed.task.suspicion is not None:
+            placed.task.suspicion.passed_run = placed.run
         self._decision_log.record("crash", placed.task.name, "passed", run=placed.run)
 
     def clear_if_proven(self, placed: PlacedRun) -> bool:
@@ -191,11 +198,16 @@
 ) -> RunAtCrash:
     """Return what is known of a run; an earlier term knew whether one was started."""
     suspicion = placed.task.suspicion
+    uptime = placed.proven_uptime(alive_at)
+    if adopted and placed.listed_clock is not None:
+        # It had lasted through the change of the holder.
+        uptime = max(uptime, TRIAL_TIME)
     return RunAtCrash(
+        placed.task.step.job.job_id,
         placed.task.crash_unit,
         suspicion.crashes if suspicion else 0,
         suspicion is not None and suspicion.on_trial,
-        placed.proven_uptime(alive_at),
+        uptime,
         placed.witnessed or adopted,
         placed.witnessed,
     )
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -164,11 +164,11 @@
         return bool(self._trials)
 
     def has_suspects_beside(self, task: Task) -> bool:
-        """Tell whether executors have crashed under other tasks that run here."""
+        """Tell whether suspects of other jobs run here."""
         return any(
             (suspicion := placed.task.suspicion) is not None
             and suspicion.on_trial
-            and suspicion is not task.suspicion
+            and placed.task.step.job is not task.step.job
             for placed in self.runs_by_name.values()
         )
 
--- a/src/pomeloyard/batch/placed_run.py
+++ b/src/pomeloyard/batch/placed_run.py
@@ -106,6 +106,10 @@
             uptime = self.listed_clock - self.started_clock
         if self.acknowledged_at is not None and executor_alive_at is not None:
             uptime = max(uptime, executor_alive_at - self.acknowledged_at)
+        suspicion = self.task.suspicion
+        if suspicion is not None and suspicion.passed_run == self.run:
+            # An earlier term may have seen it.
+            uptime = max(uptime, TRIAL_TIME)
         return uptime
 
     @property
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -329,7 +329,9 @@
         placed.partial = True
         placed.unsure = True
         placed.may_be_stopping = True
-        placed.on_trial = self.crash_trials.needs_trial(task)
+        suspicion = task.suspicion
+        passed = suspicion is not None and suspicion.passed_run == task.run
+        placed.on_trial = self.crash_trials.needs_trial(task) and not passed
         placed.ordered_at = task.started_at
         link.assign(placed)
         if task.step.job.final:
@@ -668,6 +670,7 @@
     def handle_trial_passed(self, link: ExecutorLink, placed: PlacedRun) -> None:
         """Let other runs start again beside a run that has passed its trial."""
         self.crash_trials.pass_trial(placed)
+        self._job_changed(placed.task.step.job)
         self._plan_service_soon(link.executor.service)
 
     def handle_run_end(
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -241,9 +241,8 @@
             self._place_gang(step, index, maximum, now, tickets)
             return
         waiting = list(step.waiting.values())
-        if step.job.has_suspicions:
-            # The most suspect task first, so that others need not be tried.
-            waiting.sort(key=_crashes_of, reverse=True)
+        if self._crash_trials.concern(step):
+            waiting = self._place_trials(step, index, maximum, now, tickets)
         for task in waiting:
             if now < task.not_before:
                 continue
@@ -251,18 +250,51 @@
                 break
             rack = step.spec.data_rack or self._rack_of(step)
             pinned = self._pinned_executor(task, now)
-            on_trial = self._crash_trials.needs_trial(task)
-            if on_trial:
-                link = self._choose_for_trial(index, task, pinned or tickets)
-            else:
-                link = self._choose(index, task, rack, pinned or tickets)
+            link = self._choose(index, task, rack, pinned or tickets)
             if link is None:
-                if pinned or on_trial:
+                if pinned:
                     continue
                 break
             self._assign(task, link, index, task.run + 1, now, tickets)
-            if on_trial:
-                index.discard(link)
+
+    def _place_trials(
+        self,
+        step: StepRun,
+        index: FreeCapacityIndex,
+        maximum: Resources,
+        now: timedelta,
+        tickets: Mapping[str, str] | None,
+    ) -> list[Task]:
+        """Place the tasks of a step that need a trial; return the others.
+
+        Suspects of a batch job share a trial as far as they fit on one executor.
+        """
+        others = []
+        shared: ExecutorLink | None = None
+        # The most suspect task first, so that others need not be tried.
+        for task in sorted(step.waiting.values(), key=_crashes_of, reverse=True):
+            if not self._crash_trials.needs_trial(task):
+                others.append(task)
+                continue
+            if now < task.not_before:
+                continue
+            if not self._usage.team_fits(step.job.record.team, maximum, step.spec):
+                break
+            may_share = task.suspicion is not None and not step.spec.lasting
+            if (
+                shared is None
+                or not may_share
+                or not can_place(shared, step, self._usage)
+            ):
+                if shared is not None:
+                    index.discard(shared)
+                allowed = self._pinned_executor(task, now) or tickets
+                shared = self._choose_for_trial(index, task, allowed)
+            if shared is not None:
+                self._assign(task, shared, index, task.run + 1, now, tickets)
+        if shared is not None:
+            index.discard(shared)
+        return others
 
     def _choose(
         self,
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -383,6 +383,7 @@
                         suspicion.on_trial,
                         task.run,
                         suspicion.convicted,
+                        suspicion.passed_run,
                     )
                 )
         return msgspec.msgpack.encode(CrashRecord(rows))
@@ -398,6 +399,7 @@
             task = tasks[max(0, row.index)]
             suspicion = task.suspect()
             suspicion.convicted = row.convicted
+            suspicion.passed_run = row.passed_run
             # A build that does not count crashes has started it since.
             uncounted = task.run - row.run - (task.state is TaskState.PLACED)
             presumed = max(row.crashes, MAX_PRESUMED_CRASHES)
--- a/src/pomeloyard/batch/progress_records.py
+++ b/src/pomeloyard/batch/progress_records.py
@@ -59,6 +59,7 @@
     run: int
     """Its latest start that a build has recorded which counts crashes."""
     convicted: bool = False
+    passed_run: int = 0
 
 
 class CrashRecord(msgspec.Struct, array_like=True):
