Tell crashes at once apart by when connections closed

Change: executors that closed their connections were lost together only within 0.1 s; those that fell silent, within the time in which polls notice it. Tasks that had lasted over the trial time are on trial only after three crashes. Batch tests pass.

--- a/src/pomeloyard/batch/crash_blame.py
+++ b/src/pomeloyard/batch/crash_blame.py
@@ -10,7 +10,7 @@
 
 Executors also crash for reasons of their own, several at once if a rack or a zone
 fails. Such a crash is never conclusive, and tasks that had run for longer are put on
-trial only after a second crash.
+trial only after several crashes.
 """
 
 from __future__ import annotations
@@ -31,12 +31,15 @@
 """The same if it had passed the trial time, or ran beside others that were suspects
 before."""
 CRASHES_TO_ISOLATE = 3
-"""Crashes after which a trial lasts as long as the run, so that also a task that runs
-for longer before it crashes its executor becomes the only suspect."""
+"""Crashes after which any task is on trial, and for as long as it runs, so that also a
+task that runs for longer before it crashes its executor becomes the only suspect."""
 MAX_CRASHES = 4
 """Crashes that convict a suspect whatever other suspects there are."""
-SIMULTANEITY = timedelta(seconds=1)
-"""Executors of one rack that are lost within this time may have a common cause."""
+SIMULTANEITY = timedelta(seconds=0.1)
+"""Executors of one rack that close their connections within this time may have a common
+cause."""
+SILENCE_SPREAD = timedelta(seconds=2.5)
+"""The same for executors that fall silent, which a poll notices up to 2 s later."""
 ZONE_CRASHES = 3
 """The same for this many executors of a zone."""
 
@@ -103,7 +106,7 @@
     suspects = fresh or earlier
     counted = {run.unit for run in runs if run.counted}
     crashes = {run.unit: run.crashes + (run.unit in counted) for run in runs}
-    repeated = {unit for unit in counted if crashes[unit] >= CRASHES_TO_CONVICT}
+    repeated = {unit for unit in counted if crashes[unit] >= CRASHES_TO_ISOLATE}
     suspect_units = {run.unit for run in suspects}
     convicted = {
         unit for unit in suspect_units & counted if crashes[unit] >= MAX_CRASHES
