Let lasting tasks go on when their job has failed over one of them

Change: a lasting job with a task that was given up is failed, and its other tasks go on, protected as before, until it is cancelled.

--- a/src/pomeloyard/batch/crash_blame.py
+++ b/src/pomeloyard/batch/crash_blame.py
@@ -23,13 +23,13 @@
 """A run that has lasted this long is unlikely to be the cause of a crash."""
 TRIAL_POLL_WAIT = TRIAL_TIME
 """Wait of a poll during a trial, so that its end is seen soon."""
-CLEARANCE_TIME = timedelta(seconds=10)
-"""A long-running task that has run this long is no longer a suspect."""
+CLEARANCE_TIME = timedelta(seconds=3)
+"""A task that has run this long is no suspect, neither of this crash nor of earlier
+ones."""
 CRASHES_TO_CONVICT = 2
 """Crashes that convict a task whose job was the only suspect of the last one."""
 CRASHES_TO_CONVICT_IN_DOUBT = 3
-"""The same if it had passed the trial time, or ran beside others that were suspects
-before."""
+"""The same if others that were suspects before ran beside it."""
 CRASHES_TO_ISOLATE = 3
 """Crashes after which any task is on trial, and for as long as it runs, so that also a
 task that runs for longer before it crashes its executor becomes the only suspect."""
@@ -104,7 +104,7 @@
     fresh = [run for run in runs if run.uptime < TRIAL_TIME]
     earlier = [run for run in runs if run.suspected]
     suspects = fresh or earlier
-    counted = {run.unit for run in runs if run.counted}
+    counted = {run.unit for run in runs if run.counted and run.uptime < CLEARANCE_TIME}
     crashes = {run.unit: run.crashes + (run.unit in counted) for run in runs}
     repeated = {unit for unit in counted if crashes[unit] >= CRASHES_TO_ISOLATE}
     suspect_units = {run.unit for run in suspects}
@@ -112,9 +112,9 @@
         unit for unit in suspect_units & counted if crashes[unit] >= MAX_CRASHES
     }
     jobs = {run.job for run in suspects}
-    if len(jobs) == 1 and not simultaneous:
-        doubtful = not fresh or not jobs.issuperset(run.job for run in earlier)
-        needed = CRASHES_TO_CONVICT_IN_DOUBT if doubtful else CRASHES_TO_CONVICT
+    if fresh and len(jobs) == 1 and not simultaneous:
+        alone = jobs.issuperset(run.job for run in earlier)
+        needed = CRASHES_TO_CONVICT if alone else CRASHES_TO_CONVICT_IN_DOUBT
         convicted |= {
             run.unit
             for run in suspects
--- a/src/pomeloyard/batch/disruption.py
+++ b/src/pomeloyard/batch/disruption.py
@@ -67,5 +67,5 @@
 
 
 def _is_protected(run: PlacedRun) -> bool:
-    step = run.task.step
-    return step.spec.lasting and not step.job.final
+    job = run.task.step.job
+    return run.task.step.spec.lasting and (not job.final or job.serves_on)
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -334,7 +334,7 @@
         placed.on_trial = self.crash_trials.needs_trial(task) and not passed
         placed.ordered_at = task.started_at
         link.assign(placed)
-        if task.step.job.final:
+        if task.step.job.final and not task.serves_on:
             link.stop(placed)
 
     def _get_or_create_link(self, executor_id: str) -> ExecutorLink:
@@ -427,7 +427,11 @@
 
     def _cancel(self, job_id: str) -> None:
         job = self.jobs_by_id.get(job_id)
-        if job is None or not job.cancel():
+        if job is None:
+            return
+        if not job.cancel():
+            # Long-running tasks go on after their job has failed.
+            self._stop_runs(job)
             return
         self._decision_log.record("cancel", job_id, "stopped", running=job.has_started)
         self._end_job(job)
@@ -448,18 +452,22 @@
     async def _stop_once_durable(self, job: JobRun) -> None:
         """Stop the runs of a job that was given up, once it is stored as failed.
 
-        Until then another holder would go on with it, and its lasting tasks count as
-        unavailable once they are stopped.
+        Until then another holder would go on with it.
         """
         await self.wait_until_durable({job.job_id})
-        self._stop_runs(job)
+        for task in job.placed_tasks():
+            if not task.serves_on:
+                self._stop_task(task)
 
     def _stop_runs(self, job: JobRun) -> None:
         for task in job.placed_tasks():
-            link = self.links_by_id.get(task.executor)
-            placed = link.runs_by_name.get(task.name) if link else None
-            if link is not None and placed is not None:
-                link.stop(placed)
+            self._stop_task(task)
+
+    def _stop_task(self, task: Task) -> None:
+        link = self.links_by_id.get(task.executor)
+        placed = link.runs_by_name.get(task.name) if link else None
+        if link is not None and placed is not None:
+            link.stop(placed)
 
     def job_counts(self) -> dict[JobState, int]:
         """Return how many jobs are in each state."""
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -90,6 +90,11 @@
         self.suspicion: Suspicion | None = None
         """Crashes under it; the tasks of a gang share one."""
 
+    @property
+    def serves_on(self) -> bool:
+        """Tell whether it goes on although its job has failed."""
+        return self.step.spec.lasting and self.step.job.serves_on
+
     @property
     def crash_unit(self) -> str:
         """Return the name under which its crashes count: the task's or the gang's."""
@@ -165,6 +170,7 @@
         self.max_attempts = queue.max_attempts if queue else 1
         self.state = JobState.PENDING
         self.has_started = False
+        self.cancel_requested = False
         self.has_suspicions = False
         """Whether executors have crashed under its tasks, so that this is stored."""
         self.accepted_at = now
@@ -184,6 +190,16 @@
         """Tell whether the job has ended."""
         return self.state in FINAL_STATES
 
+    @property
+    def serves_on(self) -> bool:
+        """Tell whether its lasting tasks go on although it has failed.
+
+        They serve users of their own, and stopping them would exceed what may be
+        unavailable, as the task that was given up is unavailable already.
+        """
+        failed = self.state is JobState.FAILED
+        return failed and self.lasting and not self.cancel_requested
+
     @property
     def occurrence_count(self) -> int:
         """Return how many times the job's steps run."""
@@ -333,6 +349,7 @@
 
     def cancel(self) -> bool:
         """Cancel the job unless it has ended; return whether it changed."""
+        self.cancel_requested = True
         if self.final:
             return False
         self.state = JobState.CANCELLED
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -286,6 +286,30 @@
         assert all(row.crashes == 0 for row in crash_rows(world, "w2"))
 
 
+async def test_other_lasting_tasks_of_a_failed_job_go_on_until_it_is_cancelled():
+    # Stopping them would make more of a step unavailable than the job allows (AVAIL).
+    world = new_world(8)
+    world.client.deadly.add("w1.0.0.1")
+
+    def running():
+        tasks = {task for fake in world.fake_executors for task in fake.runs}
+        return {task for task in tasks if task.startswith("w1.")}
+
+    others = {"w1.0.0.0", "w1.0.0.2", "w1.0.0.3"}
+    async with world.running():
+        await world.submit("w1", StepSpec(4, 500, 100, lasting=True, may_be_away=1))
+        assert await world.run_for(60, state_is(world, "w1", JobState.FAILED))
+        await world.run_for(12)
+        assert running() == others
+        async with world.term():
+            await world.run_for(12)
+            assert running() == others
+            deadline = world.clock.monotonic() + timedelta(seconds=3)
+            await world.job_service.cancel("w1", deadline)
+            assert await world.run_for(3, lambda: not running())
+            assert world.state("w1") is JobState.FAILED
+
+
 async def test_a_deadly_task_of_a_later_occurrence_is_given_up():
     world = new_world(6)
     world.client.deadly.add("t1.1.0.0")
