Check a start against the capacity of its own time

Cause: an assignment is made by the registration of that moment, and nothing looked again before the start was sent, seconds later if the store is slow; and a watch that hangs left registrations in use of which nobody knew how old they were. Change: right before sending, the executor must be within its capacity, the start included, and the registrations confirmed within contact_ms less the call's time-out, as for evacuations; polls do not wait once the copy is too old. Tasks whose cpu is not counted are placed beside more than the capacity. Ruled out: stops in progress, new terms and pool sizes counted the smaller room before.

--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -90,11 +90,13 @@
 
     @property
     def max_free_cpu(self) -> int:
-        """Return the most free cpu of any executor; -1 without executors."""
-        return max(
-            (entries[-1][0] for entries in self._entry_lists if entries),
-            default=-1,
-        )
+        """Return the most free cpu of any executor; -1 without executors.
+
+        It is 0 at least, as tasks whose cpu is not counted fit beside more than an
+        executor's capacity, which may have shrunk.
+        """
+        free = [entries[-1][0] for entries in self._entry_lists if entries]
+        return max(0, *free) if free else -1
 
     def allocate(self, link: ExecutorLink, task: Task) -> None:
         """Count the resources of a task on an executor."""
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -578,8 +578,9 @@
         return tracked and placed.phase is Phase.START_SENT
 
     def _may_send_start(self, placed: PlacedRun) -> bool:
-        zone = self.executor.availability_zone
-        return self._is_pending_start(placed) and self._handler.may_start_in(zone)
+        return self._is_pending_start(placed) and self._handler.may_start_on(
+            self, placed.task
+        )
 
     def _record_unanswered_start(
         self, placed: PlacedRun, ordered_at: timedelta
--- a/src/pomeloyard/batch/executor_registry.py
+++ b/src/pomeloyard/batch/executor_registry.py
@@ -21,6 +21,11 @@
 nothing may be started on them 2 s after they announced the drain."""
 RETRY_DELAY = timedelta(seconds=0.1)
 """Mean pause after a store error."""
+DEFAULT_CAPACITY_BOUND = timedelta(seconds=3)
+"""Time from the registration of a smaller capacity until starts must keep to it, if the
+deployment states none."""
+MAX_DELIVERY_TIME = timedelta(seconds=0.5)
+"""Time from the check of a start until its call times out."""
 
 log = logbook.Logger("pomeloyard.batch.registry")
 
@@ -39,7 +44,11 @@
     """Keeps the currently registered executors."""
 
     def __init__(
-        self, clock: Clock, store: PollingStore, documents: ExecutorDocuments
+        self,
+        clock: Clock,
+        store: PollingStore,
+        documents: ExecutorDocuments,
+        capacity_bound: timedelta = DEFAULT_CAPACITY_BOUND,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -47,19 +56,47 @@
         self.executors_by_id: dict[str, Executor] = {}
         self.loaded = anyio.Event()
         self.on_change: Callable[[], None] | None = None
+        self._max_age = capacity_bound - MAX_DELIVERY_TIME
+        self._confirmed_at: timedelta | None = None
+        self._confirmed = anyio.Event()
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether the registrations are new enough for a start.
+
+        A capacity that has shrunk since they were read must not be exceeded for long.
+        """
+        if self._confirmed_at is None:
+            return False
+        return self._clock.monotonic() - self._confirmed_at <= self._max_age
+
+    async def wait_until_current(self) -> None:
+        """Return once the registrations are new enough for starts."""
+        while not self.is_current:
+            await self._confirmed.wait()
+
+    def _confirm(self, asked_at: timedelta) -> None:
+        self._confirmed_at = asked_at
+        self._confirmed.set()
+        self._confirmed = anyio.Event()
 
     async def run(self) -> None:
         """Watch the registrations until cancelled."""
         position: int | None = None
         while True:
             try:
+                asked_at = self._clock.monotonic()
                 if position is None:
                     position = await self._load_all()
+                    self._confirm(asked_at)
                     self.loaded.set()
                 else:
+                    # Registrations that are too old for starts are confirmed at once.
+                    wait = POLL_WAIT if self.is_current else timedelta(0)
                     batch = await self._store.poll_changes(
-                        self._documents.prefix, position, POLL_WAIT
+                        self._documents.prefix, position, wait
                     )
+                    self._confirm(asked_at)
                     position = batch.revision
                     for event in batch.events:
                         self._apply(event.key, event.entry)
--- a/src/pomeloyard/batch/link_handler.py
+++ b/src/pomeloyard/batch/link_handler.py
@@ -9,7 +9,7 @@
 
 from .executors import EndedTask, RunningTask, StartAnswer
 from .placed_run import PlacedRun
-from .progress import EndKind
+from .progress import EndKind, Task
 
 if TYPE_CHECKING:
     from .executor_link import ExecutorLink
@@ -66,12 +66,12 @@
         """Tell whether a stop stays within the disruption budget of the run's step."""
         ...
 
-    def may_start_in(self, zone: str) -> bool:
-        """Tell whether tasks may be started in an availability zone now."""
+    def may_start_on(self, link: ExecutorLink, task: Task) -> bool:
+        """Tell whether the start of an assigned task may be sent to an executor now."""
         ...
 
     async def wait_until_current(self) -> None:
-        """Wait until the copy of the evacuations is new enough for starts."""
+        """Wait until evacuations and capacities are known well enough for starts."""
 
     def handle_stale_fence(self, link: ExecutorLink) -> None:
         """End the term, as an executor has seen a higher fencing token."""
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -599,13 +599,21 @@
         """Tell whether stopping a run respects its step's disruption budget."""
         return self.disruption_budgets.may_disrupt([placed])
 
-    def may_start_in(self, zone: str) -> bool:
-        """Tell whether tasks may be started in an availability zone now."""
-        return self._follower.zone_gate.may_start_in(zone)
+    def may_start_on(self, link: ExecutorLink, task: Task) -> bool:
+        """Tell whether the start of an assigned task may be sent to an executor now."""
+        executor = link.executor
+        return (
+            self._follower.zone_gate.may_start_in(executor.availability_zone)
+            and self._registry.is_current
+            and self.usage.within(
+                executor.executor_id, executor.capacity, task.step.spec
+            )
+        )
 
     async def wait_until_current(self) -> None:
-        """Wait until the copy of the evacuations is new enough for starts."""
+        """Wait until evacuations and capacities are known well enough for starts."""
         await self._follower.wait_until_current()
+        await self._registry.wait_until_current()
 
     def handle_stale_fence(self, link: ExecutorLink) -> None:
         """End the term after an executor reported a higher fencing token."""
--- a/src/pomeloyard/batch/usage.py
+++ b/src/pomeloyard/batch/usage.py
@@ -68,6 +68,18 @@
             and accelerators + spec.accelerators <= capacity.accelerators
         )
 
+    def within(self, executor: str, capacity: Resources, spec: StepSpec) -> bool:
+        """Tell whether an executor is within its capacity, a task of a step included.
+
+        The task is counted already; its capacity may have shrunk since.
+        """
+        free = self.free(executor, capacity)
+        return (
+            (spec.fills or free.cpu_millis >= 0)
+            and free.memory_mb >= 0
+            and free.accelerators >= 0
+        )
+
     def team_fits(self, team: str, maximum: Resources, spec: StepSpec) -> bool:
         """Tell whether a task keeps a team within its limits; 0 means unlimited."""
         used = self._by_team[team]
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -113,7 +113,12 @@
         )
 
     def _new_term(self, role: HeldRole, guard: Compare) -> PlacingTerm:
-        registry = ExecutorRegistry(self._clock, self._store, RegistrationDocuments())
+        registry = ExecutorRegistry(
+            self._clock,
+            self._store,
+            RegistrationDocuments(),
+            self._settings.capacity_bound,
+        )
         return PlacingTerm(
             self._clock,
             self._store,
--- a/src/pomeloyard/platform/settings.py
+++ b/src/pomeloyard/platform/settings.py
@@ -38,6 +38,7 @@
     hold_max_ms: float = 10_000
     stop_ms: float = 900
     lease_ms: float = 3000
+    contact_ms: float = 3000
     gang_ms: float = 3000
     notice_ms: float = 4500
     save_s: float = 1
@@ -100,6 +101,8 @@
     """Speed of this VM's core; 1.0 is one whole core."""
     config_bound: timedelta
     """Time limit for a new configuration to take effect."""
+    capacity_bound: timedelta
+    """Time limit for starts to keep to a capacity that has shrunk."""
     evacuation_bound: timedelta
     """Time limit for the evacuation of an availability zone to take effect."""
     withdrawal_bound: timedelta
@@ -152,6 +155,7 @@
         advice_address=file.advice or "",
         core_speed=file.limits.cpu_share * file.limits.cores,
         config_bound=timedelta(milliseconds=bounds.config_ms),
+        capacity_bound=timedelta(milliseconds=bounds.contact_ms),
         evacuation_bound=timedelta(milliseconds=bounds.evac_ms),
         withdrawal_bound=timedelta(milliseconds=bounds.revoke_ms),
         stop_grace=timedelta(seconds=bounds.grace_s),
