Soak deadly tasks, shrinking capacities and two builds beside each other

Its audit gains LIMIT with the time that a smaller capacity takes to count, BUDGET, and that a failed job has a cause: four failures of a task, or two executors that crashed under one.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -5,7 +5,7 @@
 import json
 import random
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import anyio
 from starlette.applications import Starlette
@@ -22,6 +22,11 @@
 HOLD_MAX_MS = 10_000
 WITHDRAWAL_LIMIT_S = 5.0
 CANCEL_LIMIT_S = 3.0
+SHRINK_LIMIT_S = 4.5
+CRASHES_BEFORE_LIMIT = 3
+STARTS_AFTER_LIMIT = 2
+CRASHES_TO_GIVE_UP = 2
+MAX_ATTEMPTS = 4
 """The platform's time limits; the audit allows each of them in full."""
 
 
@@ -37,6 +42,12 @@
         self.cancel_confirmed = {}
         self.withdrawn = {}
         self.starts = 0
+        self.deadly_jobs = set()
+        self.crashes = Counter()
+        self.failures = Counter()
+        self.starts_after_limit = Counter()
+        self.count_starts_of_deadly = True
+        """Off while daemons run that do not count crashes."""
 
     def add_violation(self, rule, detail):
         self.violations.append(f"{time.time() % 1000:.1f} {rule}: {detail}")
@@ -62,9 +73,35 @@
                     "UNASKED", f"{task} starts {elapsed:.1f} s after cancelling"
                 )
         self.running[task].add(executor)
+        if job in self.deadly_jobs and self.crashes[task] >= CRASHES_BEFORE_LIMIT:
+            self.starts_after_limit[task] += self.count_starts_of_deadly
+            if self.starts_after_limit[task] > STARTS_AFTER_LIMIT:
+                self.add_violation("BUDGET", f"{task} starts again and again")
 
-    def record_end(self, task, executor):
+    def record_end(self, task, executor, reason=""):
         self.running[task].discard(executor)
+        self.failures[task] += reason == "failed"
+
+    def record_crash(self, task, executor):
+        self.crashes[task] += 1
+        self.record_end(task, executor)
+
+    def check_final_state(self, job, state):
+        """Check that a job has failed for a reason, and a deadly one at all."""
+        if job in self.deadly_jobs and state == "completed":
+            self.add_violation("MIXED", f"{job} crashes executors and is completed")
+        if state != "failed":
+            return
+        crashes = max(
+            (n for t, n in self.crashes.items() if t.startswith(job)), default=0
+        )
+        failed = max(
+            (n for t, n in self.failures.items() if t.startswith(job)), default=0
+        )
+        if crashes < CRASHES_TO_GIVE_UP and failed < MAX_ATTEMPTS:
+            self.add_violation(
+                "LOST", f"{job} is failed: {failed} failures, {crashes} crashes"
+            )
 
 
 class ExecutorStandin:
@@ -79,6 +116,10 @@
         self.delayed_start_share = 0.0
         self.failing = False
         self.cpu_by_task = {}
+        self.on_deadly_start = None
+        """Called when it has started a task that crashes it."""
+        self.larger_until = []
+        """Earlier, larger capacities, and until when they still count."""
         self.reset()
 
     def reset(self):
@@ -93,15 +134,25 @@
 
     def crash(self):
         for task in self.runs:
-            self.audit.record_end(task, self.executor_id)
+            self.audit.record_crash(task, self.executor_id)
         self.reset()
 
+    def resize(self, capacity):
+        self.larger_until.append((self.capacity, time.monotonic() + SHRINK_LIMIT_S))
+        self.capacity = capacity
+
+    def capacity_limit(self):
+        now = time.monotonic()
+        return max(
+            [self.capacity, *(c for c, until in self.larger_until if now < until)]
+        )
+
     def clock_ms(self):
         return (time.monotonic() - self.started_at) * 1000 * self.drift
 
     def end(self, task, reason):
         run = self.runs.pop(task)
-        self.audit.record_end(task, self.executor_id)
+        self.audit.record_end(task, self.executor_id, reason)
         self.last_end_number += 1
         self.highest_runs[task] = max(self.highest_runs.get(task, 0), run["run"])
         self.unacknowledged_ends.append(
@@ -135,7 +186,7 @@
         spec = json.loads(body["task_spec"])
         self.cpu_by_task[task] = spec["cpu"]
         used = sum(self.cpu_by_task[name] for name in self.runs) + spec["cpu"]
-        if used > self.capacity and not delayed:
+        if used > self.capacity_limit() and not delayed:
             self.audit.add_violation(
                 "LIMIT", f"{task} brings {self.executor_id} to {used}"
             )
@@ -147,6 +198,8 @@
             "ends": now + spec["ms"] * self.rng.uniform(0.8, 1.2),
             "fails": self.failing or self.rng.random() < 0.02,
         }
+        if spec.get("deadly") and task.endswith(".0.0") and self.on_deadly_start:
+            self.on_deadly_start(self)
         return 200, ""
 
     async def _start(self, request: Request):
@@ -154,7 +207,9 @@
         if self.rng.random() < self.delayed_start_share:
             delay = self.rng.uniform(2, 6)
             self.tasks.start_soon(self._start_delayed, body, delay)
+            # The caller gives up long before; the order is carried out once.
             await anyio.sleep(30)
+            return self._answer(503, "")
         status, reason = self.start(body)
         return self._answer(status, reason)
 
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -1,9 +1,11 @@
 """Randomized soak of real daemons: inject faults and check guarantees.
 
-    python -m tests.soak.soak_run --seeds 1-50 [--jobs 4] [--seconds 12]
+    python -m tests.soak.soak_run --seeds 1-50 [--jobs 4] [--seconds 12] [--upgrade]
 
-prints a line for each seed and exits with 1 if any guarantee was violated. Signals are
-sent only to processes that the soak started, by process ID.
+prints a line for each seed and exits with 1 if any guarantee was violated. With
+``--upgrade`` daemons of the build in production and of the working tree are replaced by
+each other, one after the other. Signals are sent only to processes that the soak
+started, by process ID.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from contextlib import AsyncExitStack
 from datetime import timedelta
 from pathlib import Path
@@ -44,16 +47,23 @@
 for the leases of an unresponsive executor (22.2 s), a failover of the role and the
 work itself."""
 START_LIMIT_S = 15.0
+"""For the usual number of daemons."""
 EXIT_LIMIT_S = 10.0
 """The platform's grace period of 6 s, and a pause that overlaps it."""
 CALL_TIMEOUT = timedelta(seconds=2.5)
+DEADLY_SHARE = 0.02
+LARGE_DAEMONS = 24
+LARGE_EXECUTORS = 16
+"""Sizes of the seeds that run many processes."""
 
 
 class Daemon:
     """One daemon process."""
 
-    def __init__(self, number, ip, folder, settings):
+    def __init__(self, number, ip, folder, settings, root=ROOT):
         self.number = number
+        self.root = root
+        """Checkout of the build that the next start runs."""
         self.ip = ip
         self.front = f"{ip}:8340"
         self.ready = f"{ip}:8343"
@@ -82,7 +92,7 @@
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "deploy/daemon.py"],
-                cwd=ROOT,
+                cwd=self.root,
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -105,8 +115,14 @@
 class Soak:
     """Daemons, executors and faults of one seed."""
 
-    def __init__(self, seed, seconds, folder):
+    def __init__(self, seed, seconds, folder, builds=(ROOT,)):
         self.seed = seed
+        self.builds = builds
+        """Checkouts: all daemons begin with the first and end with the last one."""
+        large = seed % 10 == 9
+        self.daemon_count = LARGE_DAEMONS if large else DAEMONS
+        self.executor_count = LARGE_EXECUTORS if large else EXECUTORS
+        self.start_limit_s = START_LIMIT_S * self.daemon_count / DAEMONS
         self.seconds = seconds
         self.folder = folder
         self.platform = PlatformStandin(seed)
@@ -141,17 +157,20 @@
         return self.audit.violations
 
     async def start_executors(self, stack, tasks):
-        for number in range(EXECUTORS):
+        for number in range(self.executor_count):
             executor = ExecutorStandin(self.audit, self.rng, f"i-{number}", CAPACITY)
             address = await stack.enter_async_context(serving(executor.app(tasks)))
             proxy = await stack.enter_async_context(proxying(address))
             self.platform.executors[executor.executor_id] = executor
             self.platform.addresses[executor.executor_id] = proxy.address
             self.executor_proxies[executor.executor_id] = proxy
+            executor.on_deadly_start = lambda one: tasks.start_soon(
+                self.crash, one, self.rng.uniform(1, 3), self.rng.uniform(0, 0.05)
+            )
             await self.platform.register(executor)
 
     async def start_daemons(self, stack, store, vms):
-        for number in range(DAEMONS):
+        for number in range(self.daemon_count):
             proxy = await stack.enter_async_context(proxying(store))
             self.store_proxies.append(proxy)
             ip = f"127.{1 + self.seed // 200 % 100}.{self.seed % 200}.{number + 2}"
@@ -159,10 +178,10 @@
                 "platform": {"address": proxy.address},
                 "cloud_api": {"address": vms},
             }
-            daemon = Daemon(number, ip, self.folder, settings)
+            daemon = Daemon(number, ip, self.folder, settings, self.builds[0])
             self.daemons.append(daemon)
             daemon.start()
-        with anyio.fail_after(START_LIMIT_S):
+        with anyio.fail_after(self.start_limit_s):
             for daemon in self.daemons:
                 while not await self.is_ready(daemon):
                     await anyio.sleep(0.1)
@@ -183,6 +202,8 @@
                 group.start_soon(self.client, number, end_at)
             for _ in range(3):
                 group.start_soon(self.inject_faults, end_at)
+            if len(self.builds) > 1:
+                group.start_soon(self.replace_builds, end_at)
 
     # Clients
 
@@ -198,7 +219,11 @@
     async def submit_job(self, job, key):
         cpu = self.rng.choice([500, 1000, 1500])
         width = self.rng.randrange(1, 5)
-        spec = json.dumps({"cpu": cpu, "ms": self.rng.choice([200, 500, 1200])})
+        spec = {"cpu": cpu, "ms": self.rng.choice([200, 500, 1200])}
+        if self.rng.random() < DEADLY_SHARE and self.all_count_crashes():
+            spec["deadly"] = True
+            self.audit.deadly_jobs.add(job)
+        spec = json.dumps(spec)
         steps = [{"count": width, "cpu": cpu, "mem_mb": 10, "est_ms": 500}]
         if self.rng.random() < 0.4:
             steps.append({**steps[0], "after": [0]})
@@ -245,8 +270,27 @@
             self.states_by_job[job] = json.loads(answer.body)["state"]
         return answer.status
 
+    def all_count_crashes(self):
+        """Tell whether no daemon of an earlier build may place tasks any more."""
+        return all(build == ROOT for build in self.builds)
+
     # Faults
 
+    async def replace_builds(self, end_at):
+        """Replace the daemons one after the other by those of the next build."""
+        steps = [(build, d) for build in self.builds[1:] for d in self.daemons]
+        pause = (end_at - time.monotonic() - 1) / (len(steps) + 1)
+        for build, daemon in steps:
+            await anyio.sleep(pause)
+            daemon.root = build
+            self.injected_faults.append(
+                f"{time.time() % 1000:.1f} daemon {daemon.number} to {build}"
+            )
+            if daemon.paused:
+                continue
+            daemon.signal(signal.SIGTERM)
+            self.tasks.start_soon(self.restart, daemon, 0.1)
+
     async def inject_faults(self, end_at):
         kinds = [
             self.kill_daemon,
@@ -264,6 +308,7 @@
             self.write_invalid_registration,
             self.publish,
             self.withdraw_key,
+            self.shrink_executor,
         ]
         while time.monotonic() < end_at - 1:
             await anyio.sleep(self.rng.uniform(0.2, 1.2))
@@ -349,6 +394,10 @@
 
     async def crash_executor(self, seconds):
         executor = self.rng.choice(list(self.platform.executors.values()))
+        await self.crash(executor, seconds)
+
+    async def crash(self, executor, seconds, delay=0.0):
+        await anyio.sleep(delay)
         proxy = self.executor_proxies[executor.executor_id]
         await proxy.set_faults(Faults(refuse=True))
         proxy.cut()
@@ -357,6 +406,15 @@
         await proxy.set_faults(Faults())
         await self.platform.register(executor)
 
+    async def shrink_executor(self, seconds):
+        executor = self.rng.choice(list(self.platform.executors.values()))
+        executor.resize(self.rng.choice([0, 1000, 2000]))
+        await anyio.sleep(self.rng.uniform(0, 1.5))  # until its next heartbeat
+        await self.platform.register(executor)
+        await anyio.sleep(seconds + 2)
+        executor.resize(CAPACITY)
+        await self.platform.register(executor)
+
     async def blackhole_executor(self, seconds):
         name = self.rng.choice(list(self.executor_proxies))
         proxy = self.executor_proxies[name]
@@ -392,18 +450,22 @@
             await proxy.set_faults(Faults())
         for executor in self.platform.executors.values():
             executor.delayed_start_share = 0.0
+            executor.capacity = CAPACITY
             await self.platform.register(executor)
         for daemon in self.daemons:
             daemon.signal(signal.SIGCONT)
             if not daemon.running():
+                daemon.root = self.builds[-1]
                 daemon.start()
         open_jobs = set(self.audit.accepted)
         deadline = time.monotonic() + RECOVERY_LIMIT_S
         while open_jobs and time.monotonic() < deadline:
             for job in sorted(open_jobs):
                 await self.call("GET", job, "key-a")
-                if self.states_by_job.get(job) in ("completed", "failed", "cancelled"):
+                state = self.states_by_job.get(job)
+                if state in ("completed", "failed", "cancelled"):
                     open_jobs.discard(job)
+                    self.audit.check_final_state(job, state)
             await anyio.sleep(0.3)
         for job in sorted(open_jobs):
             self.audit.add_violation(
@@ -434,15 +496,41 @@
     return exceptions[:3]
 
 
-async def run_seed(seed, seconds):
+def production_commit():
+    """Return the version that operators run, as the deploy file names it."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    return deploy["production"]
+
+
+def check_out_production(folder):
+    """Unpack the build in production from the repository's history; return its root."""
+    root = Path(folder) / "production"
+    root.mkdir()
+    archive = subprocess.run(
+        ["git", "archive", production_commit(), "src", "deploy"],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+    )
+    subprocess.run(["tar", "-x"], cwd=root, input=archive.stdout, check=True)
+    return root
+
+
+async def run_seed(seed, seconds, upgrade=False):
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, Path(folder))
+        builds = [ROOT]
+        if upgrade:
+            # Even seeds upgrade, odd ones go back to the build in production.
+            old = check_out_production(folder)
+            builds = [old, ROOT] if seed % 2 == 0 else [ROOT, old]
+        soak = Soak(seed, seconds, Path(folder), builds)
         violations = await soak.run()
         for daemon in soak.daemons:
             violations.extend(crashes(daemon.log.read_text(errors="replace")))
         if violations:
             save_logs(soak, folder, violations)
         counts = f"{len(soak.audit.accepted)} jobs, {soak.audit.starts} starts"
+        counts += f", {len(soak.audit.deadly_jobs)} deadly"
         double_starts = sum(daemon.double_starts for daemon in soak.daemons)
         counts += f", {double_starts} overlapping restarts"
     return violations, counts
@@ -453,6 +541,7 @@
     parser.add_argument("--seeds", default="1-3", help="N or N-M")
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
+    parser.add_argument("--upgrade", action="store_true", help="mix two builds")
     arguments = parser.parse_args()
     # Exit as on an interrupt, so that no daemon stays bound to the seed's addresses.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -464,7 +553,9 @@
         return run_many(list(seeds), arguments)
     failed = False
     for seed in seeds:
-        violations, counts = anyio.run(run_seed, seed, arguments.seconds)
+        violations, counts = anyio.run(
+            run_seed, seed, arguments.seconds, arguments.upgrade
+        )
         print(f"seed {seed}: {counts}, {len(violations)} broken", flush=True)
         for line in violations[:8]:
             print(f"  {line}", flush=True)
@@ -482,6 +573,7 @@
             while seeds and len(running) < arguments.jobs:
                 options = ["--seeds", str(seeds.pop(0))]
                 options += ["--seconds", str(arguments.seconds)]
+                options += ["--upgrade"] * arguments.upgrade
                 running.append(subprocess.Popen(command + options, cwd=ROOT))
             ended = running.pop(0)
             failed = ended.wait() != 0 or failed
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 from tests.soak.soak_run import run_seed
 
-SEEDS = [1, 10, 11, 12, 13, 27, 28, 36, 70, 74, 78, 217, 218]
+SEEDS = [1, 10, 11, 12, 13, 27, 28, 36, 70, 74, 78, 217, 218, 301, 302]
 """Seed 1 is the first seed; each of the others has failed once:
 
 10: two overlapping faults started one daemon twice; the soak now starts it once.
@@ -22,6 +22,8 @@
 incarnation. 78 also as 70.
 217, 218: such a start finished before the daemon queried the next incarnation; its end
 was acknowledged, and the task ran again.
+301, 302: the stand-in of the executors carried out an order without a response a second
+time, 30 s later.
 13 also: a call whose caller had disconnected was cancelled at a daemon's exit.
 """
 
