Say in pomeloyard log job which task crashed executors

A job that failed over a task that crashed executors was explained by its final state alone. The finding names the task, how many executors crashed under it and the last one. Test: test_a_job_whose_task_crashed_executors_says_so.

--- a/src/pomeloyard/batch/job_history.py
+++ b/src/pomeloyard/batch/job_history.py
@@ -256,6 +256,13 @@
         else:
             text += f", on {executors[0]} only"
         found.append(text)
+    for line in job_lines:
+        if line.decision == "crash" and line.outcome == "given-up":
+            executor, crashes = line.inputs.get("executor"), line.inputs.get("crashes")
+            found.append(
+                f"{line.subject} was given up: {crashes} executors crashed under it,"
+                f" at last {executor}"
+            )
     return found
 
 
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -182,3 +182,17 @@
     output.write_text(message(1, "daemon starts"))
     result = CliRunner().invoke(cli, ["log", "pools", str(output)])
     assert result.exit_code == 1
+
+
+def test_a_job_whose_task_crashed_executors_says_so():
+    task = f"{JOB}.0.1.0"
+    lines = parse(
+        decision(1.0, "d-1", "place", task, "i-1", run=1, age_ms=10),
+        decision(2.0, "d-1", "crash", "i-1", "gone", runs=3),
+        decision(2.0, "d-1", "crash", task, "suspected", executor="i-1", crashes=1),
+        decision(4.0, "d-1", "crash", task, "given-up", executor="i-2", crashes=2),
+        decision(4.0, "d-1", "job", JOB, "failed", age_ms=4000),
+    )
+    expected = f"{task} was given up: 2 executors crashed under it, at last i-2"
+    assert causes_of(lines) == [expected, "it ended as failed after 4.0 s"]
+    assert any(line.subject == "i-1" for line in timeline(lines, JOB))
