Look for a trial's executor once a plan and step

With many suspects in a large pool each waiting one looked at all executors in each plan. If one finds none, the others of its step wait as well, but for those that are pinned. Model of many deadly jobs and the tests of deadly tasks pass unchanged.

--- a/src/pomeloyard/batch/job_history.py
+++ b/src/pomeloyard/batch/job_history.py
@@ -258,10 +258,10 @@
         found.append(text)
     for line in job_lines:
         if line.decision == "crash" and line.outcome == "given-up":
-            executor, crashes = line.inputs.get("executor"), line.inputs.get("crashes")
+            crashes, last = line.inputs.get("crashes"), line.inputs.get("executor")
             found.append(
                 f"{line.subject} was given up: {crashes} executors crashed under it,"
-                f" at last {executor}"
+                f" at last {last}"
             )
     return found
 
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -271,6 +271,7 @@
         """
         others = []
         shared: ExecutorLink | None = None
+        has_room = True
         # The most suspect task first, so that others need not be tried.
         for task in sorted(step.waiting.values(), key=_crashes_of, reverse=True):
             if not self._crash_trials.needs_trial(task):
@@ -288,8 +289,11 @@
             ):
                 if shared is not None:
                     index.discard(shared)
-                allowed = self._pinned_executor(task, now) or tickets
-                shared = self._choose_for_trial(index, task, allowed)
+                shared = None
+                pinned = self._pinned_executor(task, now)
+                if pinned or has_room:
+                    shared = self._choose_for_trial(index, task, pinned or tickets)
+                    has_room = has_room and (bool(pinned) or shared is not None)
             if shared is not None:
                 self._assign(task, shared, index, task.run + 1, now, tickets)
         if shared is not None:
