Count a crash during a pause of the holder, and before an operation on its VM

Found with a test of a paused holder: a task crashed its executor while the holder was paused for 5 s. It noticed the closed connection after the pause and took it for a sign that the task had run for 5 s; and as the VM had a new executor by then and was to be moved, the lost runs counted as ended by the move. So the crash was not counted.

--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -134,6 +134,8 @@
         """Whether the VM still needs maintenance in a wave."""
         self.operation_ordered = False
         """Whether an operation that ends all runs may have been requested."""
+        self.operation_begun_at = timedelta(0)
+        """When this term began it, 0 if an earlier one may have."""
         self.ordered_by_this_term = False
         """Whether this term requests such an operation. A request of an earlier term
         that is still to be repeated may never be carried out."""
@@ -172,6 +174,16 @@
             for placed in self.runs_by_name.values()
         )
 
+    @property
+    def may_end_by_operation(self) -> bool:
+        """Tell whether an operation on its VM may have ended the executor.
+
+        One that begins after contact was lost meets the next executor of the VM.
+        """
+        lost_at = self.unreachable_since
+        lost_before = lost_at is not None and lost_at < self.operation_begun_at
+        return self.operation_ordered and not lost_before
+
     def poll_soon(self) -> None:
         """Poll soon, as there are runs to track."""
         self._work_event.set()
@@ -663,7 +675,9 @@
 
     def _note_closed_connection(self, error: Exception) -> None:
         if isinstance(error, CallClosedError) and self.closed_connection_at is None:
-            self.closed_connection_at = self._clock.monotonic()
+            # A process that was paused notices it late.
+            now = self._clock.monotonic()
+            self.closed_connection_at = min(now, self._handler.awake_until())
 
     def _mark_unreachable(self, detail: str) -> None:
         if self.unreachable_since is None:
--- a/src/pomeloyard/batch/link_handler.py
+++ b/src/pomeloyard/batch/link_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Coroutine
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
@@ -79,6 +80,10 @@
     def handle_reused_id(self, link: ExecutorLink) -> None:
         """Record that an executor has restarted under its previous id."""
 
+    def awake_until(self) -> timedelta:
+        """Return a time until which this process was certainly not paused."""
+        ...
+
     def handle_lost_call(self, link: ExecutorLink) -> None:
         """Record that a call to an executor got no answer."""
 
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -142,6 +142,8 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._ended = anyio.Event()
         self._active_jobs: dict[str, JobRun] = {}
+        self._awake_at = clock.monotonic()
+        """When the last housekeeping began."""
         self._evacuated_zones: frozenset[str] = frozenset()
         """The evacuated zones as last recorded."""
         self.vm_controller = new_vm_controller(self) if new_vm_controller else None
@@ -519,7 +521,7 @@
     async def _run_housekeeping(self) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
-            now = self._clock.monotonic()
+            now = self._awake_at = self._clock.monotonic()
             for job in list(self._active_jobs.values()):
                 if job.open_due_occurrences(self._unix_ms()):
                     self._job_changed(job)
@@ -637,6 +639,10 @@
             # Stored at the next restart that a term detects.
             log.info("reuse of executor ids was not stored: {}", error)
 
+    def awake_until(self) -> timedelta:
+        """Return a time until which this process was certainly not paused."""
+        return self._awake_at + HOUSEKEEPING_INTERVAL
+
     def handle_lost_call(self, link: ExecutorLink) -> None:
         """Record that a call to an executor got no answer."""
         self._lost_calls.record(link.executor.executor_id, self._clock.monotonic())
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -148,7 +148,7 @@
             VmState.MOVING,
             VmState.IN_MAINTENANCE,
         )
-        if link.operation_ordered or operating:
+        if link.may_end_by_operation or (operating and not link.operation_ordered):
             return LossCause.VM_OPERATION
         if link.incarnation is not None:
             return LossCause.CRASHED
--- a/src/pomeloyard/batch/vm_orders.py
+++ b/src/pomeloyard/batch/vm_orders.py
@@ -81,8 +81,10 @@
         self.by_vm[vm.name] = VmOperation(
             kind, target, vm.executor_id, duration, links, repeated
         )
+        begun_at = timedelta(0) if repeated else self._clock.monotonic()
         for link in links:
             link.operation_ordered = True
+            link.operation_begun_at = begun_at
             link.ordered_by_this_term = not repeated
 
     def mark_done(self, vm: PoolVm) -> None:
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -28,6 +28,7 @@
     World,
     configuration,
 )
+from .support.job_fakes import settle
 
 pytestmark = pytest.mark.anyio
 
@@ -155,6 +156,24 @@
         assert await world.run_for(30, state_is(world, "a1", JobState.FAILED))
 
 
+async def test_a_holder_that_is_paused_during_a_crash_counts_it():
+    # It notices the closed connection late, and must not take the pause for a long run.
+    world = new_world(6)
+    world.client.deadly.add("a1.0.0.0")
+    async with world.running():
+        await world.run_for(0.3)
+        await world.submit("a1", StepSpec(1, 1000, 100))
+        await settle(40)
+        assert starts_of(world, "a1.0.0.0") == 1
+        world.client.crash(world.fake_executors[0])
+        world.clock.advance(timedelta(seconds=5))
+        await settle(200)
+        assert await world.run_for(20, lambda: starts_of(world, "a1.0.0.0") == 2)
+        (row,) = crash_rows(world, "a1")
+        assert row.crashes == 1
+        assert await world.run_for(30, state_is(world, "a1", JobState.FAILED))
+
+
 async def test_a_crash_is_stored_before_the_task_starts_again():
     world = new_world(4)
     world.client.deadly.add("a1.0.0.0")
