Look at when a connection closed before an executor's restart is forgotten

Where executors keep their ids, a restart is found by a poll, which forgot when the executor had closed its connection before the crash was judged. So all runs since the last report passed for new ones, and their tasks were put on trial. Change: the restart is reported first. No other behaviour changes; where executors return under new ids nothing does. Evidence: test_tasks_that_ran_before_a_deadly_one_are_no_suspects[same-id] failed before; with it the tests of deadly tasks, terms, VMs, capacities, evacuations and the random policy pass.

--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -291,9 +291,10 @@
         if self._first_reported_at is None:
             self._first_reported_at = now
         self._clock_offset = report.clock - now
-        self.closed_connection_at = None
         self._failed_polls = 0
-        self.unreachable_since = None
+        if self.incarnation not in (None, report.incarnation):
+            self._report_restart(report)
+        self.unreachable_since = self.closed_connection_at = None
         was_suspected, self.suspected = self.suspected, False
         if was_suspected:
             log.info(
@@ -308,7 +309,6 @@
                     report.incarnation,
                 )
                 self._handler.handle_reused_id(self)
-                self._report_restart(report)
                 await self._revoke_unanswered_starts(now)
             self.incarnation = report.incarnation
             self.applied_end = self._durable_end = 0
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -174,6 +174,21 @@
         assert await world.run_for(30, state_is(world, "a1", JobState.FAILED))
 
 
+@MANAGED
+async def test_tasks_that_ran_before_a_deadly_one_are_no_suspects(managed):
+    # Where ids are kept, the closed connection was forgotten before it was looked at.
+    world = new_world(1, managed)
+    world.client.run_time = timedelta(seconds=20)
+    world.client.deadly.add("d1.0.0.0")
+    async with world.running():
+        await world.submit("b1", StepSpec(2, 500, 100))
+        await world.run_for(1)
+        await world.submit("d1", StepSpec(1, 500, 100))
+        assert await world.run_for(20, lambda: crash_rows(world, "d1"))
+        assert [row.on_trial for row in crash_rows(world, "d1")] == [True]
+        assert not any(row.on_trial for row in crash_rows(world, "b1"))
+
+
 async def test_a_crash_is_stored_before_the_task_starts_again():
     world = new_world(4)
     world.client.deadly.add("a1.0.0.0")
