Let the trial of an image go on when its executor is cut off

Callers: once a task of an image had been given up, one task at a time tries the image. A trial on an executor that then fell silent, but was listed as up, held all other tasks of the image in every job until its leases had ended, up to 22 s.

Cause: the trial counted as in progress for as long as its run may exist. Only a crash is worth waiting for, and the list of VMs shows one within three seconds.

Ruled out: waiting only for executors in touch, as the executor that has just crashed is silent too, and the next task of the image would crash another one.

test_a_trial_on_a_silent_executor_does_not_block_its_image failed before: the tasks of another job of the image did not complete within 10 s.

--- a/src/pomeloyard/batch/crash_trials.py
+++ b/src/pomeloyard/batch/crash_trials.py
@@ -27,6 +27,9 @@
 
 CRASH_MEMORY = timedelta(seconds=60)
 """Crashes are compared with those of this time."""
+MAX_TRIAL_SILENCE = timedelta(seconds=3)
+"""An executor that has been silent for longer is cut off rather than crashed, as the
+list of VMs would have shown a crash. The trial of an image does not wait for it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,10 +90,12 @@
         """
         image = task.step.spec.image
         trials = [link for link in links if link.has_trial]
+        now = self._clock.monotonic()
         # An executor that has just crashed may hold the trial of an image.
         if image in self._suspected_images and any(
             run.on_trial and run.task.step.spec.image == image
             for link in trials
+            if link.silence(now) <= MAX_TRIAL_SILENCE
             for run in link.runs_by_name.values()
         ):
             return False
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -184,6 +184,11 @@
         lost_before = lost_at is not None and lost_at < self.operation_begun_at
         return self.operation_ordered and not lost_before
 
+    def silence(self, now: timedelta) -> timedelta:
+        """Return how long the executor has been unreachable, 0 if it answers."""
+        since = self.unreachable_since
+        return now - since if since is not None else timedelta(0)
+
     def poll_soon(self) -> None:
         """Poll soon, as there are runs to track."""
         self._work_event.set()
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -405,6 +405,23 @@
         assert await world.run_for(4, state_is(world, "a3", JobState.COMPLETED))
 
 
+async def test_a_trial_on_a_silent_executor_does_not_block_its_image():
+    # The executor is cut off and listed as up, so its runs last until their leases end.
+    world = new_world(8)
+    world.client.deadly.update(f"a1.0.0.{n}" for n in range(4))
+    world.client.run_time = timedelta(seconds=3)
+    async with world.running():
+        await world.submit("a1", StepSpec(4, 500, 100, image="bad:1"))
+        assert await world.run_for(90, state_is(world, "a1", JobState.FAILED))
+        await world.run_for(4)
+        await world.submit("a2", StepSpec(1, 500, 100, image="bad:1"))
+        assert await world.run_for(2, lambda: starts_of(world, "a2.0.0.0") == 1)
+        _, _, executor_id = world.client.started[-1]
+        world.client.by_id[executor_id].silent = True
+        await world.submit("a3", StepSpec(6, 500, 100, image="bad:1"))
+        assert await world.run_for(10, state_is(world, "a3", JobState.COMPLETED))
+
+
 async def test_a_build_that_does_not_count_crashes_keeps_the_count():
     # It rewrites the record of a job's runs and starts a suspect twice more.
     world = new_world(8)
