End the runs of a silent executor once its VM has a later one

Callers: with the VM service away, everything that ran on an executor when it crashed waited for the end of all leases, 22 s, and a task that crashes its executors was not counted meanwhile.

Cause: only the list of VMs tells that an executor is gone. A VM has one executor at a time, so a later registration for the same VM tells it as well; it counts only while the earlier executor does not answer.

Ruled out: registrations alone, without silence (test_an_executor_registered_beside_another_of_its_vm_ends_no_run_there fails then). A list explains a loss now only if it was read after it (test_a_list_from_before_a_crash_does_not_explain_it failed on the first form).

test_a_crash_is_known_without_the_vm_service failed before: the second start came later than 3.5 s after the crash.

--- a/src/pomeloyard/batch/executor_registry.py
+++ b/src/pomeloyard/batch/executor_registry.py
@@ -70,6 +70,24 @@
             return False
         return self._clock.monotonic() - self._confirmed_at <= self._max_age
 
+    def successor_of(self, executor: Executor) -> Executor | None:
+        """Return a later executor of the same VM, None if none is registered.
+
+        A VM has one executor at a time, so everything on the earlier one has ended.
+        """
+        if not executor.vm:
+            return None
+        return next(
+            (
+                other
+                for other in self.executors_by_id.values()
+                if other.vm == executor.vm
+                and other.executor_id != executor.executor_id
+                and other.incarnation > executor.incarnation
+            ),
+            None,
+        )
+
     async def wait_until_current(self) -> None:
         """Return once the registrations are new enough for starts."""
         while not self.is_current:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -368,9 +368,10 @@
                 self.spawn(link, link.run)
             link.update(executor)
             self._update_evacuated_zone(link)
-        for executor_id, link in self.links_by_id.items():
+        for executor_id, link in list(self.links_by_id.items()):
             if executor_id not in self._registry.executors_by_id:
                 link.registered = False
+            self._end_superseded_runs(link)
         self.request_plan()
 
     def _update_evacuated_zones(self) -> None:
@@ -530,7 +531,26 @@
             self._expire_jobs(now)
             self.request_plan()
 
+    def _end_superseded_runs(self, link: ExecutorLink) -> None:
+        """End the runs of a silent executor whose VM has a later one.
+
+        The list of VMs shows the loss sooner, unless it cannot be read.
+        """
+        if link.unreachable_since is None or not link.runs_by_name:
+            return
+        successor = self._registry.successor_of(link.executor)
+        if successor is None:
+            return
+        executor_id = link.executor.executor_id
+        self._decision_log.record(
+            "executor", executor_id, "superseded", by=successor.executor_id
+        )
+        controller = self.vm_controller
+        cause = controller.loss_cause(link) if controller else LossCause.UNKNOWN
+        link.mark_all_lost("its VM has a later executor", cause)
+
     def _check_link(self, link: ExecutorLink, now: timedelta) -> None:
+        self._end_superseded_runs(link)
         silent = not link.reachable
         if silent and link.runs_by_name and link.all_leases_expired(now):
             link.mark_all_lost(
--- a/src/pomeloyard/batch/vm_controller.py
+++ b/src/pomeloyard/batch/vm_controller.py
@@ -19,7 +19,9 @@
 from ..roles import HeldRole
 from .configuration_follower import ConfigurationFollower
 from .decision_log import JobDecisionLog
+from .executor_link import ExecutorLink
 from .fenced_records import FencedRecords
+from .placed_run import LossCause
 from .recent_orders import RecentOrders
 from .vm_listing import VmListing
 from .vm_mover import PoolTerm, VmMover
@@ -132,6 +134,10 @@
         """Reconcile soon, as a job may be the start of a peak."""
         self._job_arrival.set()
 
+    def loss_cause(self, link: ExecutorLink) -> LossCause:
+        """Return why an executor that is unreachable is gone."""
+        return self._listing.loss_cause(link)
+
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
--- a/src/pomeloyard/batch/vm_listing.py
+++ b/src/pomeloyard/batch/vm_listing.py
@@ -132,11 +132,11 @@
                     "executor", executor_id, "gone", lists=missing
                 )
                 link.mark_all_lost(
-                    "the platform lists no such executor", self._loss_cause(link)
+                    "the platform lists no such executor", self.loss_cause(link)
                 )
 
-    def _loss_cause(self, link: ExecutorLink) -> LossCause:
-        """Return why an executor is gone that is unreachable and no longer listed.
+    def loss_cause(self, link: ExecutorLink) -> LossCause:
+        """Return why an executor that is unreachable is gone.
 
         A VM that an earlier term has ordered to be moved or maintained has lost its
         executor for that reason, unless this term has talked to the executor since.
@@ -144,9 +144,13 @@
         if link.draining:
             return LossCause.LEFT
         vm = self.vms_by_name.get(link.executor.vm)
-        operating = vm is not None and vm.state in (
-            VmState.MOVING,
-            VmState.IN_MAINTENANCE,
+        # A list from before the loss may show an operation that preceded the executor.
+        operating = (
+            vm is not None
+            and vm.state in (VmState.MOVING, VmState.IN_MAINTENANCE)
+            and self.listed_at is not None
+            and link.unreachable_since is not None
+            and self.listed_at >= link.unreachable_since
         )
         if link.may_end_by_operation or (operating and not link.operation_ordered):
             return LossCause.VM_OPERATION
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -701,6 +701,8 @@
         self.fence_by_vm = {}
         """Highest fencing token that was used for each VM."""
         self.returns = 0
+        self.unavailable = False
+        """Whether the list cannot be read and no operation is accepted."""
         self.lost_answers = 0
         """Number of next operations that take effect but get no answer."""
         self.operations_to_delay = 0
@@ -747,6 +749,7 @@
     async def list(self):
         self.advance()
         await anyio.lowlevel.checkpoint()
+        self._check_available()
         now = self.world.clock.monotonic()
         self._snapshots.append((now, tuple(self.vms.values())))
         old_enough = [vms for at, vms in self._snapshots if at <= now - self.list_lag]
@@ -800,7 +803,8 @@
             rack=self.rack_by_vm.get(name, "r1"),
             zone=vm.availability_zone,
         )
-        fake.executor = replace(fake.executor, vm=name)
+        fake.incarnation += self.returns
+        fake.executor = replace(fake.executor, vm=name, incarnation=fake.incarnation)
         fake.stop_time = self.world.stop_time
         self.world.client.by_id[executor_id] = fake
         self.world.fake_executors.append(fake)
@@ -825,7 +829,12 @@
             self.world.clock.monotonic() + self.OPERATION_TIME
         )
 
+    def _check_available(self):
+        if self.unavailable:
+            raise CallUnansweredError("no answer")
+
     async def _check_order(self, fence, vm):
+        self._check_available()
         self.advance()
         now = self.world.clock.monotonic()
         before, at = self.last_order_by_vm.get(vm, (fence, now))
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -19,6 +19,7 @@
 from pomeloyard.batch.crash_blame import MAX_CRASHES, TRIAL_TIME
 from pomeloyard.batch.model import JobState, PlacementAdvice, StepSpec
 from pomeloyard.batch.progress_records import CrashRecord, RunRecord
+from pomeloyard.batch.vms import VmState
 
 from .support.batch_world import (
     CRASH_DOWN_TIME,
@@ -174,6 +175,57 @@
         assert await world.run_for(30, state_is(world, "a1", JobState.FAILED))
 
 
+async def test_a_crash_is_known_without_the_vm_service():
+    # The next executor of its VM registers; the list of VMs cannot be read meanwhile.
+    world = new_world(6)
+    world.client.deadly.add("a1.0.0.0")
+    crashes = world.client.crashes_by_task
+    async with world.running():
+        await world.submit("a1", StepSpec(2, 1000, 100))
+        assert await world.run_for(5, lambda: crashes["a1.0.0.0"] == 1)
+        world.vms.unavailable = True
+        soon = CRASH_DOWN_TIME.total_seconds() + 0.5
+        assert await world.run_for(soon, lambda: starts_of(world, "a1.0.0.0") == 2)
+        (row,) = (r for r in crash_rows(world, "a1") if r.index == 0)
+        assert row.crashes == 1
+        assert await world.run_for(30, state_is(world, "a1", JobState.FAILED))
+        assert crashes["a1.0.0.0"] <= CRASHES_BEFORE_LIMIT
+
+
+async def test_a_list_from_before_a_crash_does_not_explain_it():
+    # The VMs were being moved when the list was read last, long before the crashes.
+    world = new_world(6)
+    world.client.deadly.add("a1.0.0.0")
+    async with world.running():
+        vms = dict(world.vms.vms)
+        for name, vm in vms.items():
+            world.vms.vms[name] = replace(vm, state=VmState.MOVING)
+        await world.run_for(1)
+        world.vms.unavailable = True
+        world.vms.vms = vms
+        await world.submit("a1", StepSpec(2, 1000, 100))
+        assert await world.run_for(40, state_is(world, "a1", JobState.FAILED))
+        assert world.client.crashes_by_task["a1.0.0.0"] <= CRASHES_BEFORE_LIMIT
+
+
+async def test_an_executor_registered_beside_another_of_its_vm_ends_no_run_there():
+    # A registration alone proves nothing while the earlier executor answers.
+    world = new_world(2)
+    world.client.run_time = timedelta(seconds=3)
+    async with world.running():
+        await world.submit("a1", StepSpec(2, 1000, 100))
+        await world.run_for(0.3)
+        for fake in list(world.fake_executors):
+            other = replace(
+                fake.executor,
+                executor_id=f"{fake.executor.executor_id}-x",
+                incarnation=9,
+            )
+            await world.put(f"executors/{other.executor_id}", other)
+        assert await world.run_for(6, state_is(world, "a1", JobState.COMPLETED))
+        assert starts_of(world, "a1.0.0.0") == starts_of(world, "a1.0.0.1") == 1
+
+
 @MANAGED
 async def test_tasks_that_ran_before_a_deadly_one_are_no_suspects(managed):
     # Where ids are kept, the closed connection was forgotten before it was looked at.
