--- a/src/pomeloyard/batch/crash_blame.py
+++ b/src/pomeloyard/batch/crash_blame.py
@@ -47,11 +47,15 @@
 class Suspicion:
     """Crashes of executors under a task, or under a gang, whose tasks share it."""
 
-    __slots__ = ("convicted", "crashes", "on_trial", "passed_run")
+    __slots__ = ("convicted", "counted_run", "crashes", "on_trial", "passed_run")
 
     def __init__(self, crashes: int = 0, on_trial: bool = False) -> None:
         self.crashes = crashes
-        """Executors that have crashed under it."""
+        """Its runs that ended with a crash of their executors."""
+        self.counted_run = 0
+        """The latest of these runs. One start can crash an executor only once, and
+        the members of a gang share a run, so that a repeated report of a crash and
+        further executors of a gang add nothing."""
         self.on_trial = on_trial
         """Whether its next start is a trial."""
         self.convicted = False
@@ -64,6 +68,12 @@
         isolated = self.crashes >= CRASHES_TO_ISOLATE
         return CLEARANCE_TIME if isolated else TRIAL_TIME
 
+    def count_crash(self, run: int) -> None:
+        """Count a crash under a run, unless one is counted already."""
+        if run > self.counted_run:
+            self.counted_run = run
+            self.crashes += 1
+
 
 @dataclass(frozen=True, slots=True)
 class RunAtCrash:
@@ -78,7 +88,8 @@
     uptime: timedelta
     """How long it certainly ran."""
     counted: bool
-    """Whether it may have been started before the crash, not only ordered."""
+    """Whether it may have been started before the crash, not only ordered, and no
+    crash under this run is counted yet."""
     witnessed: bool
     """Whether the executor was certainly alive when it received the start."""
 
@@ -118,7 +129,7 @@
         convicted |= {
             run.unit
             for run in suspects
-            if run.witnessed and crashes[run.unit] >= needed
+            if run.witnessed and run.unit in counted and crashes[run.unit] >= needed
         }
     return Verdict(
         frozenset(counted), frozenset(suspect_units | repeated), frozenset(convicted)
--- a/src/pomeloyard/batch/crash_trials.py
+++ b/src/pomeloyard/batch/crash_trials.py
@@ -136,10 +136,11 @@
         verdict = judge(at_crash, simultaneous=simultaneous)
         self._log(link, runs, evidence, verdict, simultaneous)
         convicted: dict[str, Task] = {}
-        tasks_by_unit = {placed.task.crash_unit: placed.task for placed in runs}
-        for unit, task in tasks_by_unit.items():
+        runs_by_unit = {placed.task.crash_unit: placed for placed in runs}
+        for unit, placed in runs_by_unit.items():
+            task = placed.task
             if unit in verdict.counted:
-                task.suspect().crashes += 1
+                task.suspect().count_crash(placed.run)
             if unit in verdict.suspects:
                 task.suspect().on_trial = True
             if unit in verdict.convicted:
@@ -220,6 +221,7 @@
 ) -> RunAtCrash:
     """Return what is known of a run; an earlier term knew whether one was started."""
     suspicion = placed.task.suspicion
+    counted_before = suspicion is not None and suspicion.counted_run >= placed.run
     uptime = placed.proven_uptime(alive_at)
     if adopted and placed.listed_clock is not None:
         # It had lasted through the change of the holder.
@@ -230,6 +232,6 @@
         suspicion.crashes if suspicion else 0,
         suspicion is not None and suspicion.on_trial,
         uptime,
-        placed.witnessed or adopted,
+        (placed.witnessed or adopted) and not counted_before,
         placed.witnessed,
     )
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -118,6 +118,9 @@
         """When the executor last closed a connection in a call, as a crash does."""
         self._drained_before_restart = False
         """Whether the previous incarnation was drained before it ended."""
+        self._restart_reported: tuple[int, set[tuple[str, int]]] = (0, set())
+        """Incarnation whose first report is not applied yet, and the tasks and runs
+        that were reported as lost with the one before."""
         self.suspected = False
         """Whether the platform lists the VM as down."""
         self._poll_scope = anyio.CancelScope()
@@ -329,14 +332,21 @@
             self._unacknowledged_job_ids = set()
 
     def _report_restart(self, report: ExecutorReport) -> None:
-        """Report a crash if the executor has restarted under runs that it lost."""
-        listed = {(row.task, row.run) for row in report.running}
+        """Report a crash if the executor has restarted under runs that it lost.
+
+        A poll that fails later is repeated, but reports no run twice.
+        """
+        if self._restart_reported[0] != report.incarnation:
+            self._restart_reported = (report.incarnation, set())
+        reported = self._restart_reported[1]
+        not_lost = reported.union((row.task, row.run) for row in report.running)
         runs = [
             placed
             for placed in self.runs_by_name.values()
             if placed.phase not in (Phase.ASSIGNED, Phase.START_SENT)
-            and (placed.task.name, placed.run) not in listed
+            and (placed.task.name, placed.run) not in not_lost
         ]
+        reported.update((placed.task.name, placed.run) for placed in runs)
         drained = self._drained_before_restart or self.draining
         cause = LossCause.LEFT if drained else LossCause.CRASHED
         self._drained_before_restart = False
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -401,6 +401,7 @@
                         task.run,
                         suspicion.convicted,
                         suspicion.passed_run,
+                        suspicion.counted_run,
                     )
                 )
         return msgspec.msgpack.encode(CrashRecord(rows))
@@ -417,6 +418,7 @@
             suspicion = task.suspect()
             suspicion.convicted = row.convicted
             suspicion.passed_run = row.passed_run
+            suspicion.counted_run = row.counted_run
             # A build that does not count crashes has started it since.
             uncounted = task.run - row.run - (task.state is TaskState.PLACED)
             presumed = max(row.crashes, MAX_PRESUMED_CRASHES)
--- a/src/pomeloyard/batch/progress_records.py
+++ b/src/pomeloyard/batch/progress_records.py
@@ -60,6 +60,8 @@
     """Its latest start that a build has recorded which counts crashes."""
     convicted: bool = False
     passed_run: int = 0
+    counted_run: int = 0
+    """Its latest run that ended with a counted crash; an earlier build drops it."""
 
 
 class CrashRecord(msgspec.Struct, array_like=True):
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -160,6 +160,10 @@
         """Number of next starts that take effect but get no answer."""
         self.polls_to_lose = 0
         """Number of next polls that get no answer."""
+        self.stops_to_lose = 0
+        """Number of next stops that get no answer and have no effect."""
+        self.crashes_on_start = False
+        """Whether the next start crashes it before the run begins."""
         self.fails = False
         self.stalls = False
         self.stop_time = timedelta(0)
@@ -290,6 +294,10 @@
             raise CallNotPermittedError("no longer permitted")
         self.world.check_assignment_durable(order, executor.executor_id)
         fake = self._connect(executor)
+        if fake.crashes_on_start:
+            fake.crashes_on_start = False
+            self.crash(fake)
+            raise CallClosedError("the crash broke the connection")
         if fake.starts_to_delay:
             fake.starts_to_delay -= 1
             fake.delayed_orders.append(order)
@@ -348,6 +356,9 @@
 
     async def stop(self, executor, task, run, fence, timeout):
         fake = self._connect(executor)
+        if fake.stops_to_lose:
+            fake.stops_to_lose -= 1
+            raise CallUnansweredError("no answer")
         fake.check_fence(fence)
         self.stopped.append((task, run))
         fake.highest_run_by_task[task] = max(fake.highest_run_by_task.get(task, 0), run)
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -275,6 +275,25 @@
         assert (row.crashes, row.on_trial, row.run) == (1, True, 2)
 
 
+@pytest.mark.parametrize("lost_stops", [1, 3])
+async def test_a_crash_counts_once_although_stops_after_it_get_no_answer(lost_stops):
+    # Each poll that failed in between counted it again, until the job was given up.
+    world = new_world(4, managed=False)
+    async with world.running():
+        for fake in world.fake_executors:
+            fake.crashes_on_start = True
+        await world.submit("a1", StepSpec(1, 1000, 100))
+        assert await world.run_for(
+            5, lambda: any(fake.crashed for fake in world.fake_executors)
+        )
+        for fake in world.fake_executors:
+            fake.crashes_on_start = False
+            fake.stops_to_lose = lost_stops * fake.crashed
+        await world.run_for(CRASH_DOWN_TIME.total_seconds() + 2)
+        assert [row.crashes for row in crash_rows(world, "a1")] == [1]
+        assert await world.run_for(30, state_is(world, "a1", JobState.COMPLETED))
+
+
 async def test_suspects_of_different_jobs_are_tried_apart():
     world = new_world(3)
     world.client.deadly.add("d1.0.0.0")
