--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -13,6 +13,7 @@
     CallClosedError,
     CallNotPermittedError,
     CallNotSentError,
+    CallQueuedError,
     CallUnansweredError,
     StaleFenceError,
 )
@@ -65,6 +66,15 @@
 """A task ends within 0.9 s of its stop, by a clock that may run slow."""
 SUSPECT_POLL_TIMEOUT = timedelta(seconds=0.5)
 """Poll time-out for an executor whose VM is listed as down."""
+MAX_STOPS_UNDER_WAY = 15
+"""Stops that wait for an answer of one executor; thousands may be due at once."""
+MIN_LARGE_REPORT = 32
+"""Reports with more rows than this are large."""
+PAUSE_PER_ROW = timedelta(milliseconds=0.5)
+"""Pause after a large report, for each further row. A poll returns at each end of a
+run, so that its cost would otherwise grow with the square of the number of runs."""
+MAX_REPORT_PAUSE = timedelta(seconds=0.25)
+"""Short of ``MAX_REPORT_AGE``, after which ends are not acknowledged."""
 
 log = logbook.Logger("pomeloyard.batch.link")
 
@@ -124,6 +134,9 @@
         self.suspected = False
         """Whether the platform lists the VM as down."""
         self._poll_scope = anyio.CancelScope()
+        self._stop_slots = anyio.Semaphore(MAX_STOPS_UNDER_WAY)
+        self._report_pause = timedelta(0)
+        """How long to wait after the last report before the next poll."""
         self.closed = False
         self.cordoned_for_maintenance = False
         """Whether the VM is drained for its maintenance and gets no new runs."""
@@ -239,6 +252,8 @@
                 continue
             if not await self._poll_once():
                 await self._wait_before_retry()
+            elif self._report_pause:
+                await self._clock.sleep(self._report_pause)
 
     async def _poll_once(self) -> bool:
         """Poll and handle failures; return whether the executor answered."""
@@ -249,6 +264,9 @@
             log.warning("executor {}: {}", self.executor.executor_id, error)
             self.closed = True
             self._handler.handle_stale_fence(self)
+        except CallQueuedError as error:
+            log.info("executor {}: {}", self.executor.executor_id, error)
+            return False
         except (CallNotSentError, CallUnansweredError) as error:
             if isinstance(error, CallUnansweredError):
                 self._handler.handle_lost_call(self)
@@ -300,6 +318,8 @@
             self._first_reported_at = now
         self._clock_offset = report.clock - now
         self._failed_polls = 0
+        extra_rows = len(report.running) + len(report.ended) - MIN_LARGE_REPORT
+        self._report_pause = min(PAUSE_PER_ROW * max(0, extra_rows), MAX_REPORT_PAUSE)
         if self.incarnation not in (None, report.incarnation):
             self._report_restart(report)
         self.unreachable_since = self.closed_connection_at = None
@@ -525,13 +545,12 @@
             self._trials.add(placed.task.name)
         self._work_event.set()
 
-    def start(self, placed: PlacedRun) -> None:
+    async def start(self, placed: PlacedRun) -> None:
         """Send the start of a run whose assignment is durable."""
-        if self.runs_by_name.get(placed.task.name) is not placed:
-            return
-        if placed.phase is Phase.ASSIGNED:
+        tracked = self.runs_by_name.get(placed.task.name) is placed
+        if tracked and placed.phase is Phase.ASSIGNED:
             placed.phase = Phase.START_SENT
-            self._handler.spawn(self, self._send_start, placed)
+            await self._send_start(placed)
 
     async def _send_start(self, placed: PlacedRun) -> None:
         await self._handler.wait_until_current()
@@ -555,7 +574,6 @@
             fence=self.fence,
             ticket=placed.ticket,
         )
-        self._last_lease_at = placed.ordered_at = now
         try:
             answer, clock = await self._client.start(
                 self.executor,
@@ -569,6 +587,10 @@
         except CallNotPermittedError:
             self._start_refused(placed, StartAnswer.NOT_PERMITTED)
             return
+        except CallQueuedError as error:
+            log.info("start of {} run {}: {}", task.name, placed.run, error)
+            self._start_refused(placed, StartAnswer.NOT_ACCEPTED)
+            return
         except CallNotSentError as error:
             self._mark_unreachable(str(error))
             self._start_refused(placed, StartAnswer.NOT_ACCEPTED)
@@ -579,7 +601,7 @@
             )
             self._note_closed_connection(error)
             placed.start_closed = isinstance(error, CallClosedError)
-            self._record_unanswered_start(placed, now)
+            self._record_unanswered_start(placed, placed.ordered_at or now)
             self._handler.handle_lost_call(self)
             if placed.phase is Phase.START_SENT:
                 placed.phase = Phase.UNCONFIRMED
@@ -605,9 +627,13 @@
         return tracked and placed.phase is Phase.START_SENT
 
     def _may_send_start(self, placed: PlacedRun) -> bool:
-        return self._is_pending_start(placed) and self._handler.may_start_on(
+        """Tell whether a start may be sent now, and if so note the time."""
+        permitted = self._is_pending_start(placed) and self._handler.may_start_on(
             self, placed.task
         )
+        if permitted:
+            self._last_lease_at = placed.ordered_at = self._clock.monotonic()
+        return permitted
 
     def _record_unanswered_start(
         self, placed: PlacedRun, ordered_at: timedelta
@@ -642,9 +668,10 @@
         name = placed.task.name
         while not self.closed and self.runs_by_name.get(name) is placed:
             try:
-                await self._client.stop(
-                    self.executor, name, placed.run, self.fence, ORDER_TIMEOUT
-                )
+                async with self._stop_slots:
+                    await self._client.stop(
+                        self.executor, name, placed.run, self.fence, ORDER_TIMEOUT
+                    )
             except StaleFenceError:
                 self._handler.handle_stale_fence(self)
                 return
@@ -659,7 +686,10 @@
 
     async def _stop_unassigned(self, task: str, run: int) -> None:
         try:
-            await self._client.stop(self.executor, task, run, self.fence, ORDER_TIMEOUT)
+            async with self._stop_slots:
+                await self._client.stop(
+                    self.executor, task, run, self.fence, ORDER_TIMEOUT
+                )
         except StaleFenceError:
             self._handler.handle_stale_fence(self)
         except (CallNotSentError, CallUnansweredError) as error:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -62,6 +62,7 @@
 from .progress_writer import ProgressWriter, RecordGroup
 from .run_estimates import RunEstimates
 from .run_monitor import RunMonitor
+from .start_queue import OVERDUE_AFTER, PendingStart, StartQueue
 from .usage import Usage
 from .vm_controller import VmController
 
@@ -84,6 +85,9 @@
 """Delay before a failed task is placed again, so that a failing executor is detected
 first."""
 
+STARTS_BEFORE_REPLAN = 64
+"""Answered starts after which tasks are assigned that the limit on unanswered starts
+held back; a planning round costs more than a start."""
 MAX_CONCURRENT_FIRST_POLLS = 100
 """Concurrent first polls of executors in a new term. A poll takes about a millisecond
 of CPU time and times out after half a second, so thousands at once would time out."""
@@ -146,8 +150,15 @@
         """When the last housekeeping began."""
         self._evacuated_zones: frozenset[str] = frozenset()
         """The evacuated zones as last recorded."""
+        self._loaded = False
+        """Whether all jobs are known. Until then an executor must not be polled, as
+        runs of jobs that are not loaded yet would be stopped."""
         self.vm_controller = new_vm_controller(self) if new_vm_controller else None
         self._writer = ProgressWriter(clock, store, guard)
+        self._start_queue = StartQueue()
+        self._start_timer_runs = False
+        self._answered_starts = 0
+        """Starts that were answered or given up since the last planning round."""
         self.demand = PoolDemand(
             clock, self._active_jobs, self.estimates, self.peaks, self._queue_of
         )
@@ -182,6 +193,10 @@
             self._tasks = tasks
             tasks.start_soon(self._registry.run)
             position = await self._load()
+            self._loaded = True
+            for link in self.links_by_id.values():
+                if link.registered:
+                    self.spawn(link, link.run)
             self._registry.on_change = self._update_links
             self._update_links()
             self._update_evacuated_zones()
@@ -213,6 +228,8 @@
         cancelled = []
         # In order of acceptance, which the prediction of load peaks depends on.
         for entry in sorted(incoming[0], key=lambda e: e.mod_revision):
+            # The lease of the role is renewed meanwhile.
+            await anyio.lowlevel.checkpoint()
             if entry.key.startswith(layout.CANCELS):
                 cancelled.append(entry.key.removeprefix(layout.CANCELS))
             else:
@@ -356,7 +373,7 @@
                 link.unreachable_since = self._clock.monotonic()
             self.links_by_id[executor_id] = link
             self._update_evacuated_zone(link)
-            if known is not None:
+            if known is not None and self._loaded:
                 self.spawn(link, link.run)
         return link
 
@@ -501,6 +518,7 @@
             services = None if self._replan_all else self._services_to_plan
             self._replan_all = False
             self._services_to_plan = set()
+            self._answered_starts = 0
             self._planner.plan(services)
             self._writer.defer_starts(self._planner.take_assignments())
             groups = self._writer.take_groups()
@@ -514,11 +532,39 @@
         if not await self._writer.store_group(group):
             self.end_term("the epoch or a job record was replaced by another term")
             return
-        for link, placed in group.starts:
-            link.start(placed)
+        self._start_queue.extend(group.starts)
+        self._send_starts()
         if self._writer.has_unwritten_changes:
             self._plan_requested.set()
 
+    def _send_starts(self) -> None:
+        """Send the starts that may be sent now."""
+        while start := self._start_queue.take(self._clock.monotonic()):
+            self.spawn(start[0], self._send_start, start)
+        if len(self._start_queue) and not self._start_timer_runs:
+            self._start_timer_runs = True
+            self.spawn(None, self._send_more_starts_later)
+
+    async def _send_more_starts_later(self) -> None:
+        """Send the starts that overdue ones made room for."""
+        await self._clock.sleep(OVERDUE_AFTER)
+        self._start_timer_runs = False
+        self._send_starts()
+
+    async def _send_start(self, start: PendingStart) -> None:
+        link, placed = start
+        try:
+            await link.start(placed)
+        finally:
+            self._start_queue.finish(start)
+        self._answered_starts += 1
+        self._send_starts()
+        held_back = self._planner.held_back
+        enough = self._answered_starts >= STARTS_BEFORE_REPLAN
+        if held_back and (enough or not len(self._start_queue)):
+            self._services_to_plan |= held_back
+            self._plan_requested.set()
+
     async def _run_housekeeping(self) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -26,6 +26,7 @@
 from .policy import Policy
 from .progress import JobRun, StepRun, Task, TaskState
 from .run_estimates import RunEstimates
+from .start_queue import AssignmentLimit
 from .usage import Usage
 
 MEAN_WORK_WEIGHT = 0.05
@@ -82,6 +83,9 @@
         self._crash_trials = crash_trials
         self._mean_work_by_queue: dict[str, float] = {}
         self._pending_starts: list[tuple[ExecutorLink, PlacedRun]] = []
+        self._assignment_limit = AssignmentLimit()
+        self.held_back: set[str] = set()
+        """Services with tasks that the limit on assignments keeps waiting."""
         self._links_by_service: dict[str, list[ExecutorLink]] = {}
         """All links, grouped when all services were last planned."""
         self._waiting_by_service: dict[str, dict[str, _WaitingJob]] = {}
@@ -122,15 +126,35 @@
             self._group_by_service()
             if self._advisor is not None:
                 self._advisor.clear_queue()
+        planned = set(self._links_by_service) if services is None else services
+        self._assignment_limit.update(self._count_waiting_teams())
+        held_back_before = set(self.held_back)
+        self.held_back -= planned
         # Sorted, so that a replay with the same seed decides alike.
-        for service in sorted(self._links_by_service if services is None else services):
+        for service in sorted(planned):
             waiting = self._waiting_by_service.get(service)
             if not waiting:
                 continue
             links = self._usable_links(service, now)
             index = FreeCapacityIndex(links, self._usage, self._estimates, now)
             ranked = self._ranked(waiting.values(), index.max_free_cpu, now)
+            self._assignment_limit.reached = False
             self._place_jobs(ranked, index, configuration, now)
+            if self._assignment_limit.reached:
+                self.held_back.add(service)
+        for service in sorted(self.held_back ^ held_back_before):
+            outcome = "limited" if service in self.held_back else "unlimited"
+            unanswered = len(self._assignment_limit)
+            self._decision_log.record("starts", service, outcome, unanswered=unanswered)
+
+    def _count_waiting_teams(self) -> int:
+        return len(
+            {
+                entry.job.record.team
+                for waiting in self._waiting_by_service.values()
+                for entry in waiting.values()
+            }
+        )
 
     def _group_by_service(self) -> None:
         """Regroup executors and jobs by service, as either may have changed service."""
@@ -246,7 +270,7 @@
         for task in waiting:
             if now < task.not_before:
                 continue
-            if not self._usage.team_fits(step.job.record.team, maximum, step.spec):
+            if not self._may_assign(step, maximum):
                 break
             rack = step.spec.data_rack or self._rack_of(step)
             pinned = self._pinned_executor(task, now)
@@ -257,6 +281,12 @@
                 break
             self._assign(task, link, index, task.run + 1, now, tickets)
 
+    def _may_assign(self, step: StepRun, maximum: Resources) -> bool:
+        """Tell whether the limits of its team allow another task of a step."""
+        team = step.job.record.team
+        fits = self._usage.team_fits(team, maximum, step.spec)
+        return fits and self._assignment_limit.allows(team)
+
     def _place_trials(
         self,
         step: StepRun,
@@ -279,7 +309,7 @@
                 continue
             if now < task.not_before:
                 continue
-            if not self._usage.team_fits(step.job.record.team, maximum, step.spec):
+            if not self._may_assign(step, maximum):
                 break
             may_share = task.suspicion is not None and not step.spec.lasting
             if (
@@ -365,6 +395,8 @@
         run = max(task.run for task in step.tasks) + 1
         on_trial = self._crash_trials.needs_trial(step.tasks[0])
         team = step.job.record.team
+        if not self._assignment_limit.allows(team):
+            return
         racks = [step.spec.data_rack]
         if step.spec.same_rack:
             racks += sorted({link.executor.rack for link in index.links})
@@ -421,6 +453,7 @@
         index.allocate(link, task)
         link.assign(placed)
         self._pending_starts.append((link, placed))
+        self._assignment_limit.add((link, placed))
         self._changed(job)
         self._decision_log.record(
             "place",
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -19,6 +19,8 @@
     TaskRow,
 )
 
+MAX_INDEX_DIGITS = 9
+"""Longer indices in names that executors report belong to no task."""
 MAX_AVOIDED_EXECUTORS = 4
 """Limit of executors that a task avoids; more could rule out a whole small pool."""
 MAX_PRESUMED_CRASHES = 3
@@ -177,6 +179,8 @@
         self.ended_at: timedelta | None = None
         self.revision = 0
         """Store revision of the run record, 0 if there is none."""
+        self.record_bytes = 0
+        """Size of the run record when it was last encoded or loaded."""
         self.waiting_marker_stored = True
         """Whether the marker of a job that has not begun may still be in the store."""
         self.occurrences: dict[int, list[StepRun]] = {}
@@ -304,9 +308,13 @@
 
     def find_task(self, name: str) -> Task | None:
         """Return a task of this job by name, None if there is none."""
+        step_name, _, index = name.rpartition(".")
+        if not (index.isdecimal() and len(index) <= MAX_INDEX_DIGITS):
+            return None
         for step in self.steps():
-            if name.rpartition(".")[0] == step.name:
-                return next((task for task in step.tasks if task.name == name), None)
+            if step_name == step.name and int(index) < len(step.tasks):
+                task = step.tasks[int(index)]
+                return task if task.name == name else None
         return None
 
     def _finish(self, step: StepRun, task: Task) -> None:
@@ -439,6 +447,7 @@
         """Restore the progress from a stored run record."""
         record = msgspec.msgpack.decode(content, type=RunRecord)
         self.revision = revision
+        self.record_bytes = len(content)
         self.waiting_marker_stored = False
         self.has_started = True
         for rows in record.steps:
--- a/src/pomeloyard/batch/progress_writer.py
+++ b/src/pomeloyard/batch/progress_writer.py
@@ -14,9 +14,8 @@
 from ..errors import StoreError, StoreOutcomeUnknownError
 from ..keyvalue.store import Compare, Delete, Operation, Put, Store, Transaction
 from . import layout
-from .executor_link import ExecutorLink
-from .placed_run import PlacedRun
 from .progress import JobRun
+from .start_queue import PendingStart
 
 MAX_TRANSACTION_ENTRIES = 30
 """The platform's store accepts 32 entries in one transaction."""
@@ -25,15 +24,16 @@
 an answer these writes store some 270 jobs per second."""
 BATCHING_DELAY = timedelta(milliseconds=25)
 """Several times the usual latency of the store."""
+LARGE_RECORD_BYTES = 16 * 1024
+"""Records of this size are written one at a time. A job of 20,000 tasks has a record of
+over 100 kB, which takes a quarter of a second on a link of 5 Mbit/s; several at once
+would delay the renewals of the role's lease."""
 RETRY_DELAY = timedelta(milliseconds=80)
 """Pause after a store error; kept short as starts and acknowledgements wait for it."""
 
 log = logbook.Logger("pomeloyard.batch.progress_writer")
 
 
-PendingStart = tuple[ExecutorLink, PlacedRun]
-
-
 @dataclass(frozen=True, slots=True)
 class RecordGroup:
     """Records to store in one transaction, and the runs to start afterwards."""
@@ -62,6 +62,8 @@
         """Sequence number of each job's first change that no write contains yet."""
         self._in_flight_since_by_id: dict[str, int] = {}
         """Likewise for the jobs whose write is in flight."""
+        self._large_write_in_flight: str | None = None
+        """Id of the job whose large record is being written."""
         self._writes_in_flight = 0
         self._write_finished = anyio.Event()
         """Set and replaced whenever a write succeeded."""
@@ -114,6 +116,9 @@
         for job in list(self._unwritten_by_id.values()):
             if job.job_id in self._in_flight_since_by_id:
                 continue
+            large = job.record_bytes >= LARGE_RECORD_BYTES
+            if large and self._large_write_in_flight is not None:
+                continue
             cost = 3 if job.has_suspicions else 2
             if job.waiting_marker_stored and (job.has_started or job.final):
                 cost += 1
@@ -122,6 +127,8 @@
                     break
                 groups.append([])
                 free_entries = MAX_TRANSACTION_ENTRIES - 1
+            if large:
+                self._large_write_in_flight = job.job_id
             groups[-1].append(job)
             free_entries -= cost
             del self._unwritten_by_id[job.job_id]
@@ -141,6 +148,7 @@
         for job in jobs:
             key = layout.RUNS + job.job_id
             content = job.encode()
+            job.record_bytes = len(content)
             compares.append(Compare(key, job.revision))
             operations.append(Put(key, content))
             contents.append((job, key, content))
@@ -170,6 +178,8 @@
             return False
         for job, _, _ in group.contents:
             del self._in_flight_since_by_id[job.job_id]
+            if job.job_id == self._large_write_in_flight:
+                self._large_write_in_flight = None
         self._writes_in_flight -= 1
         if not self._writes_in_flight:
             self._batching_ended.set()
--- a/src/pomeloyard/errors.py
+++ b/src/pomeloyard/errors.py
@@ -29,6 +29,13 @@
     """A call was not sent, as its condition no longer held right before sending."""
 
 
+class CallQueuedError(CallNotSentError):
+    """A call was not sent, as this process had too many others to the same peer.
+
+    It says nothing about the peer.
+    """
+
+
 class CallUnansweredError(PomeloyardError):
     """A call to a peer got no complete response; it may have taken effect."""
 
--- a/src/pomeloyard/platform/executors.py
+++ b/src/pomeloyard/platform/executors.py
@@ -26,6 +26,9 @@
 MAX_ENDED_TASKS = 500
 """Ended tasks in one response; the rest follow in the next."""
 
+MAX_QUEUE_TIME = timedelta(seconds=1)
+"""How long an order may wait for other calls to the same executor."""
+
 T = TypeVar("T")
 
 _START_ANSWER_BY_REASON = {
@@ -172,6 +175,7 @@
             msgspec.json.encode(body),
             {INSTANCE_HEADER: executor.executor_id},
             lambda: self._permitted() and permitted(),
+            MAX_QUEUE_TIME,
         )
 
 
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -12,6 +12,7 @@
     CallClosedError,
     CallNotPermittedError,
     CallNotSentError,
+    CallQueuedError,
     CallUnansweredError,
 )
 from .connection import BadAnswerError, Connection, PeerClosedError, request_bytes
@@ -164,12 +165,16 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         permitted: Callable[[], bool] = always_permitted,
+        queue_timeout: timedelta | None = None,
     ) -> Response:
         """Send one request to ``host:port`` and return the response.
 
         ``permitted`` is checked after all waiting, immediately before sending.
+        ``timeout`` includes the time in which the call waits for other calls to the
+        same address, unless ``queue_timeout`` limits that separately.
 
-        Raises CallNotSentError or CallUnansweredError within ``timeout``.
+        Raises CallNotSentError, CallUnansweredError or, after ``queue_timeout``,
+        CallQueuedError.
         """
         all_headers = {"Host": address, **(headers or {})}
         if body:
@@ -186,8 +191,16 @@
         connection: Connection | None = None
         started_at: float | None = None
         try:
+            if queue_timeout is not None:
+                with anyio.move_on_after(queue_timeout.total_seconds()):
+                    started_at = await peer.acquire_slot()
+                if started_at is None:
+                    raise CallQueuedError(
+                        f"{method} {target}: too many calls to {address} under way"
+                    )
             with anyio.fail_after(limit):
-                started_at = await peer.acquire_slot()
+                if started_at is None:
+                    started_at = await peer.acquire_slot()
                 connection = await peer.acquire_connection(connect_s)
                 if not permitted():
                     raise CallNotPermittedError(
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -11,7 +11,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from pomeloyard.errors import CallNotSentError, CallUnansweredError
+from pomeloyard.errors import CallNotSentError, CallQueuedError, CallUnansweredError
 from pomeloyard.platform import http
 from pomeloyard.platform.http import HttpClient
 from pomeloyard.serving import serving
@@ -47,13 +47,15 @@
         await client.close()
 
 
-async def call_many(client, address, target, count, timeout):
+async def call_many(client, address, target, count, timeout, queue_timeout=None):
     """Make concurrent calls; return their error types, None for a success."""
     outcomes = []
 
     async def one():
         try:
-            await client.request("GET", address, target, timeout)
+            await client.request(
+                "GET", address, target, timeout, queue_timeout=queue_timeout
+            )
         except (CallNotSentError, CallUnansweredError) as error:
             outcomes.append(type(error))
         else:
@@ -89,6 +91,26 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_the_limit_of_a_call_begins_when_it_has_waited_for_others(monkeypatch):
+    # review/1: starts that waited in this process timed out, and the executors that had
+    # never received them counted as unreachable.
+    monkeypatch.setattr(http, "OVERDUE_AFTER_S", 60.0)
+    async with calling(1) as (client, address), anyio.create_task_group() as tasks:
+        tasks.start_soon(call_many, client, address, "/hang", 1, SHORT * 4)
+        with anyio.fail_after(10):
+            while PEER.state.hanging < 1:
+                await anyio.sleep(0.01)
+        outcomes = await call_many(client, address, "/answer", 2, SHORT * 3, SECOND * 9)
+        assert outcomes == [None] * 2
+        tasks.start_soon(call_many, client, address, "/hang", 1, SECOND * 60)
+        with anyio.fail_after(10):
+            while PEER.state.hanging < 2:
+                await anyio.sleep(0.01)
+        outcomes = await call_many(client, address, "/answer", 2, SECOND, SHORT)
+        assert outcomes == [CallQueuedError] * 2
+        tasks.cancel_scope.cancel()
+
+
 async def test_overdue_calls_do_not_block_others(monkeypatch):
     monkeypatch.setattr(http, "OVERDUE_AFTER_S", 0.01)
     async with calling(2) as (client, address), anyio.create_task_group() as tasks:
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
@@ -240,6 +240,13 @@
         self.lasting = set()
         self.started = []
         self.stopped = []
+        self.call_time = timedelta(0)
+        """How long executors take to answer a start or a stop."""
+        self.calls_under_way = Counter()
+        """Starts and stops that wait for an answer, by executor and by kind."""
+        self.most_under_way = Counter()
+        self.sendable_calls = None
+        """Starts and stops that the sender can handle at once; others fail."""
         self.polls = 0
         self.poll_waits = []
         self.violations = []
@@ -289,7 +296,29 @@
         fake.advance()
         return fake
 
+    @asynccontextmanager
+    async def _call(self, kind, executor):
+        """Take as long as a call does, and count it meanwhile."""
+        keys = (kind, executor.executor_id), kind, "all"
+        self.calls_under_way.update(keys)
+        for key in keys:
+            most = max(self.most_under_way[key], self.calls_under_way[key])
+            self.most_under_way[key] = most
+        try:
+            if self.call_time:
+                await self.clock.sleep(self.call_time)
+            limit = self.sendable_calls
+            if limit is not None and self.calls_under_way["all"] > limit:
+                raise CallNotSentError("timed out in the sender's own queue")
+            yield
+        finally:
+            self.calls_under_way.subtract(keys)
+
     async def start(self, executor, order, timeout, permitted):
+        async with self._call("start", executor):
+            return await self._start(executor, order, permitted)
+
+    async def _start(self, executor, order, permitted):
         if not permitted():
             raise CallNotPermittedError("no longer permitted")
         self.world.check_assignment_durable(order, executor.executor_id)
@@ -355,6 +384,10 @@
         fake.delayed_orders = []
 
     async def stop(self, executor, task, run, fence, timeout):
+        async with self._call("stop", executor):
+            await self._stop(executor, task, run, fence)
+
+    async def _stop(self, executor, task, run, fence):
         fake = self._connect(executor)
         if fake.stops_to_lose:
             fake.stops_to_lose -= 1
@@ -579,14 +612,14 @@
         await self.put("op/config", config)
         await settle()
 
-    async def submit(self, job, *steps, queue=QUEUE, **fields):
+    async def submit(self, job, *steps, queue=QUEUE, team=TEAM.name, **fields):
         spec = JobSpec("payload", tuple(steps or [StepSpec(1, 1000, 100)]), **fields)
         self.specs_by_job[job] = spec
         if any(step.lasting for step in spec.steps):
             self.client.lasting.add(job)
 
         def authorize():
-            return AuthorizedCall(queue, TEAM.name, self.follower.revision)
+            return AuthorizedCall(queue, team, self.follower.revision)
 
         deadline = self.clock.monotonic() + timedelta(seconds=3)
         await self.job_service.submit(job, spec, authorize, deadline)
--- a/tests/test_batch_progress_writer.py
+++ b/tests/test_batch_progress_writer.py
@@ -10,7 +10,11 @@
 from pomeloyard.batch import layout
 from pomeloyard.batch.model import JobRecord, JobSpec, StepSpec
 from pomeloyard.batch.progress import JobRun
-from pomeloyard.batch.progress_writer import MAX_CONCURRENT_WRITES, ProgressWriter
+from pomeloyard.batch.progress_writer import (
+    LARGE_RECORD_BYTES,
+    MAX_CONCURRENT_WRITES,
+    ProgressWriter,
+)
 from pomeloyard.clock import ManualClock
 from pomeloyard.keyvalue.store import Compare
 from tests.support.job_fakes import FaultyStore, settle
@@ -183,3 +187,18 @@
     harness.place(85)
     assert not await harness.writer.store_group(harness.writer.take_groups()[0])
     assert harness.stored() == 0
+
+
+async def test_large_records_are_written_one_at_a_time_beside_small_ones():
+    # Several at once would fill a slow link, and the role's lease would expire.
+    harness = WriterHarness()
+    harness.place(5)
+    for job in harness.jobs[:3]:
+        job.record_bytes = LARGE_RECORD_BYTES
+    written = []
+    while harness.writer.has_unwritten_changes:
+        groups = harness.writer.take_groups()
+        written.append([job.job_id for g in groups for job, _, _ in g.contents])
+        for group in groups:
+            assert await harness.writer.store_group(group)
+    assert written == [["0000", "0003", "0004"], ["0001"], ["0002"]]
