--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -403,6 +403,56 @@
         assert await world.run_for(10, state_is(world, "b1", JobState.COMPLETED))
 
 
+@pytest.mark.parametrize("rack_crashes", [1, 2])
+async def test_a_rack_that_crashes_counts_once_for_the_gang_on_it(rack_crashes):
+    # review/3: each of its executors counted as a crash of its own, and the gang was
+    # given up at the first failure of a rack.
+    world = new_world(12)
+    world.client.run_time = timedelta(seconds=5)
+    async with world.running():
+        await world.submit("g1", StepSpec(5, 2500, 100, gang=True, same_rack=True))
+        for count in range(1, rack_crashes + 1):
+            assert await world.run_for(
+                10, lambda n=count: len(world.client.started) == 5 * n
+            )
+            await world.run_for(1.5)
+            hosts = {executor for _, _, executor in world.client.started[-5:]}
+            assert len(hosts) == 5
+            for executor_id in hosts:
+                world.client.crash(world.client.by_id[executor_id])
+        starts = len(world.client.started)
+        await world.run_for(10, lambda: len(world.client.started) > starts)
+        assert [row.crashes for row in crash_rows(world, "g1")] == [rack_crashes]
+        assert await world.run_for(30, state_is(world, "g1", JobState.COMPLETED))
+
+
+async def test_a_gang_all_of_whose_executors_crash_is_given_up():
+    # Counted as one crash for each start, it must still come to an end (issue 31).
+    world = new_world(12)
+    world.client.deadly.update(f"g1.0.0.{number}" for number in range(4))
+    async with world.running():
+        await world.submit("g1", StepSpec(4, 2500, 100, gang=True))
+        assert await world.run_for(60, state_is(world, "g1", JobState.FAILED))
+        assert max(world.client.crashes_by_task.values()) <= MAX_CRASHES
+
+
+async def test_the_next_holder_knows_which_crash_of_a_gang_is_counted():
+    world = new_world(12)
+    world.client.run_time = timedelta(seconds=20)
+    async with world.running():
+        await world.submit("g1", StepSpec(4, 2500, 100, gang=True))
+        await world.run_for(1)
+        hosts = [executor for _, _, executor in world.client.started]
+        world.client.crash(world.client.by_id[hosts[0]])
+        assert await world.run_for(5, lambda: crash_rows(world, "g1"))
+        # The executor of another member crashes before the first run is over there.
+        world.client.crash(world.client.by_id[hosts[1]])
+        async with world.term():
+            await world.run_for(4)
+        assert [row.crashes for row in crash_rows(world, "g1")] == [1]
+        assert [row.counted_run for row in crash_rows(world, "g1")] == [1]
+
+
 async def test_a_deadly_long_running_task_is_given_up():
     world = new_world(8)
     world.client.deadly.add("w1.0.0.1")
