Count the failures of a gang by run, not by member

Change: the latest failed run is kept and stored beside the count; an earlier build drops it, which costs at most one count at a change of the build.

--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -128,6 +128,7 @@
 
     __slots__ = (
         "done",
+        "gang_failed_run",
         "gang_failures",
         "job",
         "name",
@@ -150,6 +151,9 @@
         self.placed = 0
         self.done = 0
         self.gang_failures = 0
+        """Runs of a gang that failed, whatever number of members failed in each."""
+        self.gang_failed_run = 0
+        """The latest of these runs."""
         self.usual_ms: float | None = None
         """Typical run time of its tasks, None until one is done."""
         self.name = f"{job.job_id}.{occurrence}.{number}"
@@ -337,7 +341,9 @@
         if step.spec.lasting:
             return
         if step.spec.gang:
-            step.gang_failures += 1
+            if task.run > step.gang_failed_run:
+                step.gang_failed_run = task.run
+                step.gang_failures += 1
             failures = step.gang_failures
         else:
             task.failures += 1
@@ -384,7 +390,13 @@
             ]
             if rows:
                 packed.append(
-                    StepRows(step.occurrence, step.number, rows, step.gang_failures)
+                    StepRows(
+                        step.occurrence,
+                        step.number,
+                        rows,
+                        step.gang_failures,
+                        step.gang_failed_run,
+                    )
                 )
         return msgspec.msgpack.encode(
             RunRecord(self.state.value, packed, counts_crashes=True)
@@ -455,6 +467,7 @@
                 self._open_occurrence(self.next_occurrence)
             step = self.occurrences[rows.occurrence][rows.step]
             step.gang_failures = rows.gang_failures
+            step.gang_failed_run = rows.gang_failed_run
             for row in rows.rows:
                 _restore_row(step, row)
         self.state = JobState(record.state)
--- a/src/pomeloyard/batch/progress_records.py
+++ b/src/pomeloyard/batch/progress_records.py
@@ -32,6 +32,9 @@
     step: int
     rows: list[TaskRow]
     gang_failures: int = 0
+    """Runs of a gang that failed."""
+    gang_failed_run: int = 0
+    """The latest of these runs; an earlier build drops it."""
 
 
 class RunRecord(msgspec.Struct, array_like=True):
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -580,7 +580,7 @@
     def check_assignment_durable(self, order, executor_id):
         """Check that an assignment was stored before its start is sent."""
         job, _, step, index = order.task.split(".")
-        for _, number, rows, _ in self.rows(job):
+        for _, number, rows, *_ in self.rows(job):
             for row in rows:
                 same = number == int(step) and row[0] == int(index)
                 if same and row[2] == order.run and row[4] == executor_id:
@@ -592,7 +592,7 @@
         job, _, step, index = task.split(".")
         if self.state(job) in FINAL_STATES:
             return
-        for _, number, rows, _ in self.rows(job):
+        for _, number, rows, *_ in self.rows(job):
             for row in rows:
                 if number == int(step) and row[0] == int(index) and row[1] == 2:
                     return
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -234,6 +234,26 @@
     assert job.state.value == "completed"
 
 
+def test_a_run_of_a_gang_fails_once_whatever_members_report_it():
+    # One executor that fails all it starts failed the job at once (review/earlier/3).
+    job = job_of(StepSpec(3, 1000, 100, gang=True), attempts=2)
+    tasks = job.occurrences[0][0].tasks
+    for run in (1, 2):
+        for task in tasks:
+            job.place(task, "e-1", run, timedelta(0))
+        for task in tasks:
+            job.end(task, run, EndKind.FAILED, "")
+            # The next holder reads what is stored between two reports.
+            content = job.encode()
+            job = job_of(StepSpec(3, 1000, 100, gang=True), attempts=2)
+            job.restore_progress(content, 1)
+            tasks = job.occurrences[0][0].tasks
+            if run == 1:
+                assert job.occurrences[0][0].gang_failures == 1
+                assert not job.final
+    assert job.state.value == "failed"
+
+
 def pool(name, waiting, vms=6, arriving=0, peak=None):
     return PoolLoad(name, waiting, 16.0, vms, arriving, 6, 2, peak)
 
