--- a/src/pomeloyard/batch/job_service.py
+++ b/src/pomeloyard/batch/job_service.py
@@ -15,6 +15,7 @@
 
 from ..clock import Clock
 from ..errors import (
+    LeaseLostError,
     OutcomeUnknownError,
     RefusedError,
     StoreError,
@@ -44,6 +45,17 @@
 CONFIGURATION_WAIT = timedelta(milliseconds=300)
 """Maximum wait of a submission for the newer configuration that its write conflicted
 with."""
+MAX_SUBMISSION_TIME = timedelta(seconds=10)
+"""A submission is given up after this time, also if its caller would wait longer, so
+that a cancellation need not hold it off for longer than ``MIN_DENIAL_TIME``."""
+MIN_DENIAL_TIME = timedelta(seconds=60)
+"""An unknown id stays denied for this long after its cancellation, and for twice as
+long at most. A write without an answer may take effect seconds after the submission
+that sent it has ended, or when a paused daemon resumes."""
+MAX_DENIALS = 300
+"""Unknown ids that one daemon denies within ``MIN_DENIAL_TIME``; each takes an entry
+of the store, which a placing term loads."""
+MAX_DENIALS_PER_TEAM = 100
 RETRY_AFTER = timedelta(seconds=1)
 """The shortest value that the Retry-After header can express; other daemons may reach
 the store already."""
@@ -69,6 +81,7 @@
         self._clock = clock
         self._store = store
         self._follower = follower
+        self._denials = _Denials(clock, store)
 
     async def submit(
         self,
@@ -85,6 +98,7 @@
         stored and OutcomeUnknownError if it may have been.
         """
         check_spec(spec)
+        deadline = min(deadline, self._clock.monotonic() + MAX_SUBMISSION_TIME)
         write_id = new_write_id()
         outcome_unknown = False
         failures = 0
@@ -98,6 +112,9 @@
                     return
                 if await self._store.get(layout.JOBS + job_id) is not None:
                     return
+                if await self._store.get(layout.CANCELS + job_id) is not None:
+                    # No attempt can take effect any more, whether it was answered.
+                    raise _cancelled(job_id)
                 if self._follower.revision == authorized.revision:
                     await self._follower.wait_for_change(CONFIGURATION_WAIT)
             except StoreOutcomeUnknownError as error:
@@ -110,7 +127,8 @@
             except StoreRequestError as error:
                 raise _refusal_of(error) from error
             except RefusedError as error:
-                if outcome_unknown:
+                cancelled = error.refusal.reason is RefusalReason.CANCELLED
+                if outcome_unknown and not cancelled:
                     raise _outcome_unknown(job_id) from error
                 raise
             if self._clock.monotonic() + RETRY_DELAY >= deadline:
@@ -124,7 +142,8 @@
     ) -> Transaction:
         """Return the transaction that creates a job.
 
-        It fails if the configuration changed since the call was authorized.
+        It fails if the configuration changed since the call was authorized, or if the
+        job was cancelled before it was created.
         """
         queue = authorized.queue.name
         record = JobRecord(
@@ -134,6 +153,7 @@
         return Transaction(
             (
                 Compare(key, 0),
+                Compare(layout.CANCELS + job_id, 0),
                 Compare(self._follower.configuration_key, authorized.revision),
             ),
             (
@@ -167,10 +187,12 @@
             raise _refusal_of(error) from error
         return len(page.entries)
 
-    async def cancel(self, job_id: str, deadline: timedelta) -> bool:
+    async def cancel(self, job_id: str, team: str, deadline: timedelta) -> bool:
         """Cancel a job durably; return False if there is no such job.
 
-        Raises RefusedError or OutcomeUnknownError as ``submit`` does.
+        In that case no submission creates it for ``MIN_DENIAL_TIME``, not even one that
+        is in progress or whose write is still to take effect. ``team`` is that of the
+        caller. Raises RefusedError or OutcomeUnknownError as ``submit`` does.
         """
         outcome_unknown = False
         failures = 0
@@ -178,13 +200,17 @@
             try:
                 job = await self._store.get(layout.JOBS + job_id)
                 if job is None:
-                    return False
-                transaction = Transaction(
-                    (Compare(job.key, job.mod_revision),),
-                    (Put(layout.CANCELS + job_id, b"1"),),
-                )
-                if (await self._store.commit(transaction)).succeeded:
-                    return True
+                    if await self._denials.deny(job_id, team):
+                        return False
+                else:
+                    transaction = Transaction(
+                        (Compare(job.key, job.mod_revision),),
+                        (Put(layout.CANCELS + job_id, b"1"),),
+                    )
+                    if (await self._store.commit(transaction)).succeeded:
+                        return True
+            except LeaseLostError as error:
+                log.info("cancellation of {}: {}", job_id, error)
             except StoreOutcomeUnknownError as error:
                 outcome_unknown = True
                 log.info("cancellation of {}: store answer lost: {}", job_id, error)
@@ -199,6 +225,57 @@
             await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
 
+class _Denials:
+    """Ids of jobs that were cancelled before they existed, and must not be created.
+
+    Each is the record of a cancellation, which a creation compares. It ends with a
+    lease, so that the ids of jobs that never exist do not fill the store.
+    """
+
+    def __init__(self, clock: Clock, store: Store) -> None:
+        self._clock = clock
+        self._store = store
+        self._lease = 0
+        self._renew_at = timedelta(0)
+        self._team_by_id: dict[str, str] = {}
+        """Ids that were denied under the present lease."""
+
+    async def deny(self, job_id: str, team: str) -> bool:
+        """Keep a job from being created; return False if it exists.
+
+        Raises LeaseLostError if the next attempt needs a new lease, or RefusedError
+        if too many ids are denied.
+        """
+        if not self._lease or self._clock.monotonic() >= self._renew_at:
+            granted_at = self._clock.monotonic()
+            self._lease = await self._store.grant_lease(2 * MIN_DENIAL_TIME)
+            self._renew_at = granted_at + MIN_DENIAL_TIME
+            self._team_by_id.clear()
+        if job_id in self._team_by_id:
+            return True
+        denied = list(self._team_by_id.values())
+        if len(denied) >= MAX_DENIALS or denied.count(team) >= MAX_DENIALS_PER_TEAM:
+            raise RefusedError(
+                Refused(
+                    RefusalReason.LIMIT_REACHED,
+                    "too many cancellations of unknown jobs",
+                    max(RETRY_AFTER, self._renew_at - self._clock.monotonic()),
+                )
+            )
+        key = layout.CANCELS + job_id
+        transaction = Transaction(
+            (Compare(layout.JOBS + job_id, 0),), (Put(key, b"1", self._lease),)
+        )
+        try:
+            created = (await self._store.commit(transaction)).succeeded
+        except LeaseLostError:
+            self._lease = 0
+            raise
+        if created:
+            self._team_by_id[job_id] = team
+        return created
+
+
 def _decode_state(run: Entry) -> JobState:
     return JobState(msgspec.msgpack.decode(run.value, type=RunHeader).state)
 
@@ -207,6 +284,11 @@
     return RefusedError(Refused(RefusalReason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
 
 
+def _cancelled(job_id: str) -> RefusedError:
+    detail = f"job {job_id} was cancelled before it was created"
+    return RefusedError(Refused(RefusalReason.CANCELLED, detail, 2 * MIN_DENIAL_TIME))
+
+
 def _refusal_of(error: StoreError) -> RefusedError:
     return _store_unavailable(str(error))
 
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -2,8 +2,8 @@
 
 | key | written by | write condition |
 |---|---|---|
-| ``b/in/job/ID`` | the daemon that accepts the job | absent, configuration unchanged |
-| ``b/in/cancel/ID`` | any daemon | the job's key unchanged |
+| ``b/in/job/ID`` | the accepting daemon | absent, not cancelled, configuration unchanged |
+| ``b/in/cancel/ID`` | any daemon | the job's key unchanged, or absent (under a lease) |
 | ``b/waiting/QUEUE/ID`` | created with the job, deleted at its first start | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
 | ``b/crashes/ID`` | the placing daemon, with ``b/runs/ID`` | as that |
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -127,6 +127,9 @@
         self._retention = retention
         self._advisor = Advisor(clock, advice, self.request_plan) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
+        self._denied_job_ids: set[str] = set()
+        """Ids that were cancelled before they existed. An earlier build may create
+        such a job all the same."""
         self.links_by_id: dict[str, ExecutorLink] = {}
         self.disruption_budgets = DisruptionBudgets(self.links_by_id)
         self.policy = policy or DefaultPolicy()
@@ -432,6 +435,7 @@
 
     def _apply(self, event: WatchEvent) -> None:
         if event.entry is None:
+            self._denied_job_ids.discard(event.key.removeprefix(layout.CANCELS))
             return
         if event.key.startswith(layout.CANCELS):
             self._cancel(event.key.removeprefix(layout.CANCELS))
@@ -439,6 +443,8 @@
             job_id = event.key.removeprefix(layout.JOBS)
             if job_id not in self.jobs_by_id:
                 self._add_job(job_id, event.entry, None)
+                if job_id in self._denied_job_ids:
+                    self._cancel(job_id)
                 job = self.jobs_by_id.get(job_id)
                 if job is not None:
                     self._plan_queue_soon(job.record)
@@ -448,6 +454,7 @@
     def _cancel(self, job_id: str) -> None:
         job = self.jobs_by_id.get(job_id)
         if job is None:
+            self._denied_job_ids.add(job_id)
             return
         if not job.cancel():
             # Long-running tasks go on after their job has failed.
--- a/src/pomeloyard/platform/caller_app.py
+++ b/src/pomeloyard/platform/caller_app.py
@@ -284,7 +284,8 @@
             )
             return HTTPStatus.OK, {}
         if method == "DELETE":
-            if await self._job_service.cancel(job_id, deadline):
+            team = authorize().team
+            if await self._job_service.cancel(job_id, team, deadline):
                 return HTTPStatus.OK, {}
             return HTTPStatus.GONE, {"error": "no such job"}
         if method == "GET":
--- a/tests/test_batch_intake.py
+++ b/tests/test_batch_intake.py
@@ -8,9 +8,20 @@
 import pytest
 
 from pomeloyard.batch import layout
-from pomeloyard.batch.job_service import AuthorizedCall
+from pomeloyard.batch.job_service import (
+    MAX_DENIALS,
+    MAX_DENIALS_PER_TEAM,
+    MIN_DENIAL_TIME,
+    AuthorizedCall,
+)
 from pomeloyard.batch.model import JobSpec, JobState, StepSpec
-from pomeloyard.errors import OutcomeUnknownError, RefusedError
+from pomeloyard.errors import (
+    OutcomeUnknownError,
+    RefusedError,
+    StoreOutcomeUnknownError,
+)
+from pomeloyard.keyvalue.memory import MemoryStore
+from pomeloyard.keyvalue.store import Put, Transaction
 from pomeloyard.outcomes import RefusalReason, Refused
 
 from .support.batch_world import QUEUE, TEAM, World, configuration
@@ -141,7 +152,7 @@
 
 async def test_cancelling_an_unknown_job_returns_false():
     world = await configured_world()
-    assert not await world.job_service.cancel("a9", timedelta(seconds=3))
+    assert not await world.job_service.cancel("a9", TEAM.name, timedelta(seconds=3))
 
 
 async def test_a_cancellation_survives_a_lost_answer():
@@ -151,10 +162,149 @@
     done = []
 
     async def cancel():
-        done.append(await world.job_service.cancel("a1", timedelta(seconds=9)))
+        deadline = timedelta(seconds=9)
+        done.append(await world.job_service.cancel("a1", TEAM.name, deadline))
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(cancel)
         await world.run_for(2, lambda: bool(done))
     assert done == [True]
     assert world.entry(layout.CANCELS + "a1") is not None
+
+
+async def cancel(world, job="a1", team=TEAM.name):
+    deadline = world.clock.monotonic() + timedelta(seconds=3)
+    return await world.job_service.cancel(job, team, deadline)
+
+
+def delay_creations(world):
+    """Leave creations without an answer; return those to carry out later."""
+    commit = world.store.commit
+    delayed = []
+
+    async def commit_or_delay(transaction):
+        if any(put.key.startswith(layout.JOBS) for put in transaction.operations):
+            delayed.append(transaction)
+            raise StoreOutcomeUnknownError("no answer")
+        return await commit(transaction)
+
+    world.store.commit = commit_or_delay
+    return delayed
+
+
+@pytest.mark.parametrize("late", [True, False], ids=["late-write", "next-attempt"])
+async def test_a_job_is_not_created_after_its_cancellation_was_denied(late):
+    # review/5: the caller left, cancelled at another daemon and got 410; the submission
+    # went on, and the job ran.
+    world = await configured_world()
+    commit = world.store.commit
+    delayed = delay_creations(world)
+    caller = Caller(world)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(caller.submit)
+        await settle()
+        assert delayed
+        assert not await cancel(world)
+        if late:
+            transaction = delayed[0]
+            assert not (await MemoryStore.commit(world.store, transaction)).succeeded
+        world.store.commit = commit
+        await world.run_for(4, lambda: caller.outcome is not None)
+    # No attempt can take effect any more, so this is a refusal.
+    assert caller.outcome == "cancelled"
+    assert world.entry(layout.JOBS + "a1") is None
+    assert await world.job_service.state("a1") is None
+    assert await world.job_service.count_waiting(QUEUE.name) == 0
+
+
+async def test_a_cancellation_during_the_creation_cancels_the_job():
+    # It is created after the cancellation found no job and before the denial is stored.
+    world = await configured_world()
+    get = world.store.get
+
+    async def get_before_creation(key):
+        entry = await get(key)
+        world.store.get = get
+        assert await submit_until_outcome(world, Caller(world)) == "accepted"
+        return entry
+
+    world.store.get = get_before_creation
+    done = []
+
+    async def run_cancel():
+        done.append(await cancel(world))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_cancel)
+        await world.run_for(2, lambda: bool(done))
+    assert done == [True]
+
+
+async def test_an_id_can_be_used_again_when_its_denial_has_ended():
+    world = await configured_world()
+    assert not await cancel(world)
+    assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+    world.clock.advance(MIN_DENIAL_TIME)
+    assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+    world.clock.advance(MIN_DENIAL_TIME)
+    assert await submit_until_outcome(world, Caller(world)) == "accepted"
+
+
+async def test_cancellations_of_unknown_jobs_do_not_fill_the_store():
+    world = await configured_world()
+
+    async def refusal_of(job, team):
+        try:
+            await cancel(world, job, team)
+        except RefusedError as error:
+            return error.refusal
+        return None
+
+    def denials():
+        world.store.expire()
+        return sum(
+            key.startswith(layout.CANCELS) for key in world.store._entries_by_key
+        )
+
+    for round_number in range(4):
+        for team in "abcdef":
+            outcomes = [
+                await refusal_of(f"{team}{round_number}x{number}", team)
+                for number in range(MAX_DENIALS_PER_TEAM + 20)
+            ]
+            for refusal in outcomes[MAX_DENIALS_PER_TEAM:]:
+                assert refusal.reason is RefusalReason.LIMIT_REACHED
+                assert refusal.retry_after <= MIN_DENIAL_TIME
+        assert denials() <= 2 * MAX_DENIALS
+        # A repeated call needs no further entry.
+        assert await refusal_of(f"a{round_number}x1", "a") is None
+        world.clock.advance(MIN_DENIAL_TIME)
+
+
+async def test_a_denial_gets_a_new_lease_if_the_store_has_ended_its_own():
+    world = await configured_world()
+    assert not await cancel(world, "a1")
+    await world.store.revoke_lease(world.entry(layout.CANCELS + "a1").lease)
+    done = []
+
+    async def run_cancel():
+        done.append(await cancel(world, "a2"))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_cancel)
+        await world.run_for(2, lambda: bool(done))
+    assert done == [False]
+    assert world.entry(layout.CANCELS + "a2") is not None
+
+
+async def test_a_job_that_an_earlier_build_creates_after_its_denial_does_not_run():
+    # That build does not compare the cancellation.
+    world = World()
+    async with world.running():
+        await world.submit("b1", StepSpec(1, 1000, 100))
+        assert not await cancel(world)
+        record = world.entry(layout.JOBS + "b1").value
+        await world.store.commit(Transaction((), (Put(layout.JOBS + "a1", record),)))
+        await world.run_for(3)
+        assert world.state("a1") is JobState.CANCELLED
+        assert not any(task.startswith("a1.") for task, _, _ in world.client.started)
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -325,7 +325,7 @@
         await world.submit("a1", StepSpec(4, 1000, 100))
         await world.run_for(1)
         deadline = world.clock.monotonic() + timedelta(seconds=3)
-        assert await world.job_service.cancel("a1", deadline)
+        assert await world.job_service.cancel("a1", "nets", deadline)
         await world.run_for(1)
         assert world.state("a1") is JobState.CANCELLED
         assert world.fake_executors[0].runs == {}
@@ -340,7 +340,7 @@
         await world.submit("a1")
         await world.run_for(0.5)
         await world.job_service.cancel(
-            "a1", world.clock.monotonic() + timedelta(seconds=3)
+            "a1", "nets", world.clock.monotonic() + timedelta(seconds=3)
         )
         await world.run_for(1)
         assert world.state("a1") is JobState.CANCELLED
@@ -540,7 +540,7 @@
     async with world.running():
         await world.submit("a1")
         deadline = world.clock.monotonic() + timedelta(seconds=3)
-        assert await world.job_service.cancel("a1", deadline)
+        assert await world.job_service.cancel("a1", "nets", deadline)
         await world.run_for(4)
         assert world.client.started == []
         assert world.state("a1") is JobState.CANCELLED
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -484,7 +484,7 @@
             await world.run_for(12)
             assert running() == others
             deadline = world.clock.monotonic() + timedelta(seconds=3)
-            await world.job_service.cancel("w1", deadline)
+            await world.job_service.cancel("w1", "nets", deadline)
             assert await world.run_for(3, lambda: not running())
             assert world.state("w1") is JobState.FAILED
 
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -60,7 +60,7 @@
         await world.run_for(SHRINK_GRACE.total_seconds())
         await world.submit("b1", StepSpec(2, 1000, 100))
         await world.job_service.cancel(
-            "a1", world.clock.monotonic() + timedelta(seconds=3)
+            "a1", "nets", world.clock.monotonic() + timedelta(seconds=3)
         )
         assert await world.run_for(3, lambda: len(world.client.started) == 6)
 
--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -164,7 +164,7 @@
         await world.submit("wide", SMALL, team="wide")
         await world.run_for(3)
         deadline = world.clock.monotonic() + timedelta(seconds=3)
-        assert await world.job_service.cancel("wide", deadline)
+        assert await world.job_service.cancel("wide", "wide", deadline)
         await world.submit("a1", StepSpec(2, 6000, 100), team="small")
         assert await world.run_for(
             5, lambda: any(task == "a1.0.0.0" for task, _, _ in world.client.started)
