Keep a record that cannot be used from costing more than itself

Change: a job is decoded as a whole, and whatever is wrong with its records costs that job; registrations need an IPv4 address, a port and a capacity in range.

Ruled out: skipping unreadable entries of the list of VMs. An executor that is not in the list counts as gone once it is silent, so that its work would be started elsewhere while it runs on.

--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -273,27 +273,11 @@
     ) -> None:
         if job_id in self.jobs_by_id:
             return
-        try:
-            record = msgspec.msgpack.decode(entry.value, type=JobRecord)
-        except msgspec.MsgspecError as error:
-            log.error("job {} cannot be decoded and is not run: {}", job_id, error)
-            return
         now = self._clock.monotonic()
-        age = max(timedelta(0), self._clock.now() - record.submitted_at)
-        job = JobRun(job_id, record, self._queue_of(record), now - age)
-        if run is not None:
-            try:
-                job.restore_progress(run.value, run.mod_revision)
-                if crashes is not None:
-                    job.restore_crashes(crashes.value)
-            except (msgspec.MsgspecError, LookupError, ValueError) as error:
-                # Unknown which tasks have run, so none is started.
-                log.error(
-                    "progress of job {} cannot be decoded, job is not run: {}",
-                    job_id,
-                    error,
-                )
-                return
+        job = self._decode_job(job_id, entry, run, crashes, now)
+        if job is None:
+            return
+        record = job.record
         self.jobs_by_id[job_id] = job
         self.crash_trials.restore(job)
         job.open_due_occurrences(self._unix_ms())
@@ -326,11 +310,37 @@
             tasks=sum(step.count for step in record.spec.steps),
             steps=len(record.spec.steps),
             lasting=job.lasting,
-            at_most=max(step.max_per_executor for step in record.spec.steps),
-            away=max(step.may_be_away for step in record.spec.steps),
-            cpu=max(step.cpu_millis for step in record.spec.steps),
+            at_most=max((s.max_per_executor for s in record.spec.steps), default=0),
+            away=max((s.may_be_away for s in record.spec.steps), default=0),
+            cpu=max((s.cpu_millis for s in record.spec.steps), default=0),
         )
 
+    def _decode_job(
+        self,
+        job_id: str,
+        entry: Entry,
+        run: Entry | None,
+        crashes: Entry | None,
+        now: timedelta,
+    ) -> JobRun | None:
+        """Return a job as its records show it, None if they cannot be decoded.
+
+        Whatever is wrong with them, the other jobs must run.
+        """
+        try:
+            record = msgspec.msgpack.decode(entry.value, type=JobRecord)
+            age = max(timedelta(0), self._clock.now() - record.submitted_at)
+            job = JobRun(job_id, record, self._queue_of(record), now - age)
+            if run is not None:
+                job.restore_progress(run.value, run.mod_revision)
+                if crashes is not None:
+                    job.restore_crashes(crashes.value)
+        except Exception as error:
+            # Unknown which tasks have run, so none is started.
+            log.error("job {} cannot be decoded and is not run: {!r}", job_id, error)
+            return None
+        return job
+
     def _delay_waiting_tasks(self, job: JobRun, now: timedelta) -> None:
         """Delay waiting tasks until unanswered starts of the previous term are void.
 
--- a/src/pomeloyard/platform/documents.py
+++ b/src/pomeloyard/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from ipaddress import IPv4Address
 from types import MappingProxyType
 from typing import TypeVar
 
@@ -20,6 +21,11 @@
     Wave,
 )
 from .codec import decode_json
+from .http import MAX_PORT
+
+MAX_PORT_DIGITS = 5
+MAX_AMOUNT = 10**9
+"""Largest plausible amount of a resource: a million cores, or a petabyte."""
 
 T = TypeVar("T")
 
@@ -190,9 +196,8 @@
         entry = decode(content, _Registration)
         if entry.state not in ("ready", "draining"):
             raise DocumentError(f"unknown state {entry.state!r}")
-        host, _, port = entry.address.rpartition(":")
-        if not host or not port.isdigit():
-            raise DocumentError(f"not a host:port address: {entry.address!r}")
+        _check_address(entry.address)
+        _check_capacity(entry.capacity)
         return Executor(
             executor_id=key.removeprefix(self.prefix),
             address=entry.address,
@@ -207,6 +212,24 @@
         )
 
 
+def _check_address(address: str) -> None:
+    """Raise DocumentError unless an address is an IPv4 address and a port."""
+    host, _, port = address.rpartition(":")
+    digits = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    try:
+        IPv4Address(host)
+    except ValueError as error:
+        raise DocumentError(f"not an IPv4 address: {address[:100]!r}") from error
+    if not digits or not 0 < int(port) <= MAX_PORT:
+        raise DocumentError(f"not a port: {address[:100]!r}")
+
+
+def _check_capacity(capacity: _Resources) -> None:
+    for amount in (capacity.cpu, capacity.mem_mb, capacity.gpu):
+        if not 0 <= amount <= MAX_AMOUNT:
+            raise DocumentError("a capacity out of range")
+
+
 def to_resources(amount: _Resources) -> Resources:
     """Convert platform resources to the product's type."""
     return Resources(amount.cpu, amount.mem_mb, amount.gpu)
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -511,6 +511,7 @@
         self.stopped_lasting_tasks = set()
         """Lasting tasks stopped by an order and not available again yet."""
         self.policy = None
+        self.registrations = RegistrationDocuments()
         self.returning = []
         """Crashed executors and when their VMs have an executor again."""
         self.vms = None
@@ -654,7 +655,7 @@
         revision = self.entry(EPOCH_KEY).mod_revision
         role = HeldRole(self.epoch, revision, self.clock.monotonic())
         guard = Compare(EPOCH_KEY, revision)
-        registry = ExecutorRegistry(self.clock, self.store, RegistrationDocuments())
+        registry = ExecutorRegistry(self.clock, self.store, self.registrations)
         return PlacingTerm(
             self.clock,
             self.store,
