Bound gangs and the occurrences of a job that are at work at once

A gang is placed as a whole, so that each round chose 20,000 executors and gave them back; each change of a job cost a pass over all of its occurrences.

Change: a gang has 512 tasks at most, as many as a holder starts in the few seconds that its members wait for each other; whether it may fit is summed up before tasks are placed. 128 occurrences are open at once; complete ones beyond that are kept as stored rows only.

Ruled out: a lower limit on all jobs (other users have wide steps); leaving out the stored rows of complete occurrences (an earlier build would run them again).

--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -44,6 +44,25 @@
     return not spec.max_per_executor or on_executor < spec.max_per_executor
 
 
+def room_on(link: ExecutorLink, step: StepRun, usage: Usage) -> int:
+    """Return how many tasks of a step an executor can take now."""
+    spec = step.spec
+    executor = link.executor
+    if not can_place(link, step, usage):
+        return 0
+    free = usage.free(executor.executor_id, executor.capacity)
+    amounts = [
+        (free.cpu_millis, 0 if spec.fills else spec.cpu_millis),
+        (free.memory_mb, spec.memory_mb),
+        (free.accelerators, spec.accelerators),
+    ]
+    limits = [available // needed for available, needed in amounts if needed]
+    if spec.max_per_executor:
+        on_executor = usage.tasks_of_step(executor.executor_id, step)
+        limits.append(spec.max_per_executor - on_executor)
+    return min(limits, default=spec.count)
+
+
 def lasting_tasks_per_vm(spec: StepSpec) -> int:
     """Return how many tasks of a long-running step should share a VM.
 
@@ -98,6 +117,16 @@
         free = [entries[-1][0] for entries in self._entry_lists if entries]
         return max(0, *free) if free else -1
 
+    def has_room(self, step: StepRun, allowed: Collection[str] | None) -> bool:
+        """Tell whether all tasks of a step may fit at once; choosing costs more."""
+        missing = step.spec.count
+        for executor_id, link in self._links_by_id.items():
+            if allowed is None or executor_id in allowed:
+                missing -= room_on(link, step, self._usage)
+                if missing <= 0:
+                    return True
+        return False
+
     def allocate(self, link: ExecutorLink, task: Task) -> None:
         """Count the resources of a task on an executor."""
         executor = link.executor
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -12,6 +12,9 @@
 
 MAX_TASKS = 20_000
 """Limit on the tasks of a job over all occurrences; keeps its run record below 1 MB."""
+MAX_GANG_TASKS = 512
+"""Limit on the tasks of a gang, which wait for each other for a few seconds only; a
+holder sends some 500 starts in that time, and plans a gang as a whole."""
 MAX_PAYLOAD_BYTES = 4000
 MAX_STEPS = 64
 """Limit on the steps of a job; planning iterates over them at each event."""
@@ -228,6 +231,8 @@
     for number, step in enumerate(spec.steps):
         if step.count < 1:
             raise _invalid(f"step {number}: count must be positive")
+        if step.gang and step.count > MAX_GANG_TASKS:
+            raise _invalid(f"step {number}: at most {MAX_GANG_TASKS} tasks in a gang")
         if any(not 0 <= dependency < number for dependency in step.after):
             raise _invalid(f"step {number}: only earlier steps can come first")
         if min(step.cpu_millis, step.memory_mb, step.accelerators) < 0:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -49,6 +49,7 @@
 )
 from .job_ranking import core_seconds_of, critical_path_ms
 from .model import (
+    MAX_GANG_TASKS,
     NO_RESOURCES,
     JobRecord,
     JobState,
@@ -300,6 +301,9 @@
         if run is not None and self._ids_survive_restarts:
             self._delay_waiting_tasks(job, now)
         self._planner.update_backlog(job)
+        gang = max((s.count for s in record.spec.steps if s.gang), default=0)
+        if gang > MAX_GANG_TASKS:
+            log.error("job {} is not run: it has a gang of {} tasks", job_id, gang)
         self._decision_log.record(
             "job",
             job_id,
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -15,6 +15,7 @@
 from .executor_link import ExecutorLink
 from .job_ranking import Rank, core_seconds_of, rank
 from .model import (
+    MAX_GANG_TASKS,
     NO_RESOURCES,
     Configuration,
     JobRecord,
@@ -390,6 +391,9 @@
         """Place all tasks of a gang or none of them."""
         if step.placed or len(step.waiting) < step.spec.count:
             return
+        if step.spec.count > MAX_GANG_TASKS:
+            # Accepted by an earlier build.
+            return
         if any(now < task.not_before for task in step.tasks):
             return
         run = max(task.run for task in step.tasks) + 1
@@ -411,6 +415,8 @@
                     if link.executor.rack == rack
                     and (tickets is None or link.executor.executor_id in tickets)
                 }
+            if not index.has_room(step, allowed):
+                continue
             chosen: list[tuple[Task, ExecutorLink]] = []
             for task in step.tasks:
                 link = None
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 from enum import Enum
+from typing import Any
 
 import msgspec
 
@@ -19,6 +20,9 @@
     TaskRow,
 )
 
+MAX_OPEN_OCCURRENCES = 128
+"""Occurrences of a job that are at work at once; further ones that are due begin as
+these are completed. Each change of a job costs a pass over them."""
 MAX_INDEX_DIGITS = 9
 """Longer indices in names that executors report belong to no task."""
 MAX_AVOIDED_EXECUTORS = 4
@@ -188,6 +192,10 @@
         self.waiting_marker_stored = True
         """Whether the marker of a job that has not begun may still be in the store."""
         self.occurrences: dict[int, list[StepRun]] = {}
+        """Steps of the occurrences that are due, by number. Of those that are complete
+        only the latest are kept."""
+        self._closed_rows: list[msgspec.Raw] = []
+        """Stored rows of the steps of the other complete ones."""
         self.next_occurrence = 0
         if record.spec.occurrences == 0:
             self._open_occurrence(0)
@@ -217,13 +225,34 @@
         """Create the steps of due occurrences; return whether any was due."""
         spec = self.record.spec
         opened = False
+        self._close_occurrences()
         while not self.final and self.next_occurrence < spec.occurrences:
+            if len(self._incomplete_occurrences()) >= MAX_OPEN_OCCURRENCES:
+                break
             if unix_ms < spec.first_due_ms + self.next_occurrence * spec.interval_ms:
                 break
             self._open_occurrence(self.next_occurrence)
             opened = True
         return opened
 
+    def _incomplete_occurrences(self) -> list[int]:
+        return [
+            number
+            for number, steps in self.occurrences.items()
+            if not all(step.complete for step in steps)
+        ]
+
+    def _close_occurrences(self) -> None:
+        """Keep only the stored rows of the earliest complete occurrences."""
+        if len(self.occurrences) <= MAX_OPEN_OCCURRENCES:
+            return
+        incomplete = set(self._incomplete_occurrences())
+        complete = [number for number in self.occurrences if number not in incomplete]
+        for number in complete[: len(self.occurrences) - MAX_OPEN_OCCURRENCES]:
+            for step in self.occurrences.pop(number):
+                rows = msgspec.msgpack.encode(_encode_step(step))
+                self._closed_rows.append(msgspec.Raw(rows))
+
     def next_due_ms(self) -> int | None:
         """Return when the next occurrence is due, in ms since 1970 (Unix time)."""
         spec = self.record.spec
@@ -381,23 +410,12 @@
 
     def encode(self) -> bytes:
         """Encode the run record; an ended job keeps only tasks that may still run."""
-        packed = []
+        # The rows of closed occurrences are encoded already.
+        packed: list[Any] = [] if self.final else list(self._closed_rows)
         for step in self.steps():
-            rows = [
-                _encode_row(task)
-                for task in step.tasks
-                if task.run and not (self.final and task.state is not TaskState.PLACED)
-            ]
-            if rows:
-                packed.append(
-                    StepRows(
-                        step.occurrence,
-                        step.number,
-                        rows,
-                        step.gang_failures,
-                        step.gang_failed_run,
-                    )
-                )
+            rows = _encode_step(step, only_placed=self.final)
+            if rows.rows:
+                packed.append(rows)
         return msgspec.msgpack.encode(
             RunRecord(self.state.value, packed, counts_crashes=True)
         )
@@ -433,7 +451,11 @@
         for row in record.rows:
             while self.next_occurrence <= row.occurrence:
                 self._open_occurrence(self.next_occurrence)
-            tasks = self.occurrences[row.occurrence][row.step].tasks
+            steps = self.occurrences.get(row.occurrence)
+            if steps is None:
+                # Complete and closed.
+                continue
+            tasks = steps[row.step].tasks
             task = tasks[max(0, row.index)]
             suspicion = task.suspect()
             suspicion.convicted = row.convicted
@@ -475,6 +497,19 @@
             self._discard_waiting_tasks()
         elif not record.counts_crashes:
             self._presume_crashes()
+        self._close_occurrences()
+
+
+def _encode_step(step: StepRun, *, only_placed: bool = False) -> StepRows:
+    """Return the rows of the tasks that were started, or only of those that may run."""
+    rows = [
+        _encode_row(task)
+        for task in step.tasks
+        if task.run and not (only_placed and task.state is not TaskState.PLACED)
+    ]
+    return StepRows(
+        step.occurrence, step.number, rows, step.gang_failures, step.gang_failed_run
+    )
 
 
 def _encode_row(task: Task) -> TaskRow:
--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -7,10 +7,20 @@
 import anyio
 import pytest
 
+from pomeloyard.batch.executor_choice import FreeCapacityIndex
 from pomeloyard.batch.executor_link import MAX_STOPS_UNDER_WAY
-from pomeloyard.batch.model import JobRecord, JobSpec, JobState, StepSpec
+from pomeloyard.batch.model import (
+    MAX_GANG_TASKS,
+    JobRecord,
+    JobSpec,
+    JobState,
+    Resources,
+    StepSpec,
+    check_spec,
+)
 from pomeloyard.batch.placed_run import Phase, PlacedRun
-from pomeloyard.batch.progress import JobRun
+from pomeloyard.batch.progress import MAX_OPEN_OCCURRENCES, EndKind, JobRun
+from pomeloyard.batch.run_estimates import RunEstimates
 from pomeloyard.batch.start_queue import (
     MAX_STARTS_PER_EXECUTOR,
     MAX_STARTS_UNDER_WAY,
@@ -20,6 +30,8 @@
     AssignmentLimit,
     StartQueue,
 )
+from pomeloyard.batch.usage import Usage
+from pomeloyard.errors import RefusedError
 
 from .support.batch_world import QUEUE, STEP, World
 from .support.job_fakes import settle
@@ -201,3 +213,95 @@
             tasks.cancel_scope.cancel()
         assert turns == [0]
         assert world.client.stopped == []
+
+
+def repeated_job(count, run=None):
+    """Return a job all of whose occurrences are due, with stored progress."""
+    steps = (StepSpec(1, 10, 1), StepSpec(1, 10, 1, after=(0,)))
+    spec = JobSpec("p", steps, 1, 0, count)
+    job = JobRun("a1", JobRecord("q", "nets", spec, NOW, "w"), QUEUE, ZERO)
+    if run is not None:
+        job.restore_progress(run, 1)
+    job.open_due_occurrences(2)
+    return job
+
+
+def test_due_occurrences_are_opened_as_earlier_ones_are_completed():
+    # A job with 20,000 occurrences due at once kept every job from starting: each
+    # change of it cost a pass over all of them.
+    count = 3 * MAX_OPEN_OCCURRENCES
+    job = repeated_job(count)
+    started = []
+    while not job.final:
+        ready = list(job.ready_steps())
+        assert 0 < len(ready) <= MAX_OPEN_OCCURRENCES
+        assert len(job.occurrences) <= 2 * MAX_OPEN_OCCURRENCES
+        for step in ready[:50]:
+            (task,) = step.tasks
+            started.append(task.name)
+            job.place(task, "e-1", 1, ZERO)
+            job.end(task, 1, EndKind.DONE, "")
+        if not job.final:
+            # Another holder goes on with what is stored.
+            job = repeated_job(count, job.encode())
+    assert job.state is JobState.COMPLETED
+    assert len(started) == len(set(started)) == 2 * count
+
+
+async def test_a_job_with_many_due_occurrences_does_not_keep_others_from_starting():
+    world = World(executors=2, cpu=64_000)
+    async with world.running():
+        count = 2 * MAX_OPEN_OCCURRENCES
+        step = StepSpec(1, 10, 1)
+        await world.submit("wide", step, team="wide", occurrences=count)
+        await world.run_for(0.2)
+        await world.submit("a1", StepSpec(2, 1000, 100), team="small")
+        assert await world.run_for(2, lambda: world.state("a1") is JobState.COMPLETED)
+        assert await world.run_for(
+            20, lambda: world.state("wide") is JobState.COMPLETED
+        )
+        names = [task for task, _, _ in world.client.started if task[0] == "w"]
+        assert len(names) == len(set(names)) == count
+
+
+def test_a_gang_that_cannot_start_together_is_refused():
+    # One gang of 20,000 tasks was planned anew in each round, and no job started.
+    check_spec(JobSpec("p", (StepSpec(MAX_GANG_TASKS, 10, 1, gang=True),)))
+    with pytest.raises(RefusedError, match="gang"):
+        check_spec(JobSpec("p", (StepSpec(MAX_GANG_TASKS + 1, 10, 1, gang=True),)))
+
+
+async def test_a_large_gang_of_an_earlier_build_keeps_no_other_job_from_starting(
+    monkeypatch,
+):
+    monkeypatch.setattr("pomeloyard.batch.job_service.check_spec", lambda spec: None)
+    world = World(executors=2, cpu=64_000)
+    async with world.running():
+        gang = StepSpec(MAX_GANG_TASKS + 1, 10, 1, gang=True)
+        await world.submit("wide", gang, team="wide")
+        await world.submit("a1", StepSpec(2, 1000, 100), team="small")
+        assert await world.run_for(2, lambda: world.state("a1") is JobState.COMPLETED)
+        assert not any(task.startswith("wide") for task, _, _ in world.client.started)
+
+
+@pytest.mark.parametrize(
+    ("spec", "fits"),
+    [
+        (StepSpec(8, 1000, 1, gang=True), True),
+        (StepSpec(9, 1000, 1, gang=True), False),
+        (StepSpec(9, 1000, 1, gang=True, fills=True), True),
+        (StepSpec(5, 10, 4000, gang=True), False),
+        (StepSpec(4, 10, 1, gang=True, max_per_executor=2), True),
+        (StepSpec(5, 10, 1, gang=True, max_per_executor=2), False),
+        (StepSpec(1, 10, 1, gang=True, label="gpu"), False),
+    ],
+)
+def test_room_for_a_gang_is_known_without_placing_it(spec, fits):
+    links = [FakeLink(f"e-{number}") for number in range(2)]
+    for link in links:
+        link.capacity, link.labels = Resources(4000, 8000), ("plain",)
+    index = FreeCapacityIndex(links, Usage(), RunEstimates(), ZERO)
+    record = JobRecord("q", "nets", JobSpec("p", (spec,)), NOW, "w")
+    (step,) = JobRun("a1", record, QUEUE, ZERO).ready_steps()
+    assert index.has_room(step, None) is fits
+    assert not index.has_room(step, {"e-9"})
