Halve the limit of a gang, and shorten the pause after large reports

Cause, by reading: 512 starts take a holder on half a core about two seconds, and four if it takes turns with another team, while the members of a gang wait for three; such a gang could fail for ever. A pause of 0.25 s leaves 0.05 s until a report is too old for ends to be acknowledged, so that a busy holder might never acknowledge any.

--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -73,8 +73,8 @@
 PAUSE_PER_ROW = timedelta(milliseconds=0.5)
 """Pause after a large report, for each further row. A poll returns at each end of a
 run, so that its cost would otherwise grow with the square of the number of runs."""
-MAX_REPORT_PAUSE = timedelta(seconds=0.25)
-"""Short of ``MAX_REPORT_AGE``, after which ends are not acknowledged."""
+MAX_REPORT_PAUSE = timedelta(seconds=0.1)
+"""Well below ``MAX_REPORT_AGE``, after which ends are not acknowledged."""
 
 log = logbook.Logger("pomeloyard.batch.link")
 
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -12,9 +12,9 @@
 
 MAX_TASKS = 20_000
 """Limit on the tasks of a job over all occurrences; keeps its run record below 1 MB."""
-MAX_GANG_TASKS = 512
-"""Limit on the tasks of a gang, which wait for each other for a few seconds only; a
-holder sends some 500 starts in that time, and plans a gang as a whole."""
+MAX_GANG_TASKS = 256
+"""Limit on the tasks of a gang. Its members wait for each other for a few seconds only;
+a holder on half a core that takes turns between two teams starts this many in two."""
 MAX_PAYLOAD_BYTES = 4000
 MAX_STEPS = 64
 """Limit on the steps of a job; planning iterates over them at each event."""
