--- a/src/pomeloyard/batch/executor_registry.py
+++ b/src/pomeloyard/batch/executor_registry.py
@@ -70,23 +70,21 @@
             return False
         return self._clock.monotonic() - self._confirmed_at <= self._max_age
 
-    def successor_of(self, executor: Executor) -> Executor | None:
-        """Return a later executor of the same VM, None if none is registered.
+    def successors_of(self, executor: Executor) -> list[Executor]:
+        """Return the registrations that name the same VM and a later start.
 
-        A VM has one executor at a time, so everything on the earlier one has ended.
+        A VM has one executor at a time, so everything on an earlier one has ended. But
+        anybody may write a registration, so only one that answers under its id counts.
         """
         if not executor.vm:
-            return None
-        return next(
-            (
-                other
-                for other in self.executors_by_id.values()
-                if other.vm == executor.vm
-                and other.executor_id != executor.executor_id
-                and other.incarnation > executor.incarnation
-            ),
-            None,
-        )
+            return []
+        return [
+            other
+            for other in self.executors_by_id.values()
+            if other.vm == executor.vm
+            and other.executor_id != executor.executor_id
+            and other.incarnation > executor.incarnation
+        ]
 
     async def wait_until_current(self) -> None:
         """Return once the registrations are new enough for starts."""
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -605,7 +605,10 @@
         """
         if link.unreachable_since is None or not link.runs_by_name:
             return
-        successor = self._registry.successor_of(link.executor)
+        successors = filter(
+            self._has_answered, self._registry.successors_of(link.executor)
+        )
+        successor = next(successors, None)
         if successor is None:
             return
         executor_id = link.executor.executor_id
@@ -616,6 +619,11 @@
         cause = controller.loss_cause(link) if controller else LossCause.UNKNOWN
         link.mark_all_lost("its VM has a later executor", cause)
 
+    def _has_answered(self, executor: Executor) -> bool:
+        """Tell whether an executor has answered as the one that its entry names."""
+        link = self.links_by_id.get(executor.executor_id)
+        return link is not None and link.incarnation == executor.incarnation
+
     def _check_link(self, link: ExecutorLink, now: timedelta) -> None:
         self._end_superseded_runs(link)
         silent = not link.reachable
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -250,6 +250,28 @@
         assert starts_of(world, "a1.0.0.0") == starts_of(world, "a1.0.0.1") == 1
 
 
+@pytest.mark.parametrize("service", ["mill", "node-agent"])
+async def test_an_entry_that_names_a_vm_is_not_taken_for_its_next_executor(service):
+    # review/2: one poll that the real one missed then started its work elsewhere while
+    # it went on there.
+    world = new_world(3)
+    world.client.run_time = timedelta(seconds=6)
+    async with world.running():
+        await world.submit("a1", StepSpec(1, 1000, 100))
+        await world.run_for(1)
+        (fake,) = (fake for fake in world.fake_executors if fake.runs)
+        entry = replace(
+            fake.executor, executor_id="agent", service=service, incarnation=10**6
+        )
+        await world.put("executors/agent", entry)
+        await world.run_for(1)
+        fake.silent = True
+        await world.run_for(3)
+        fake.silent = False
+        assert await world.run_for(10, state_is(world, "a1", JobState.COMPLETED))
+        assert starts_of(world, "a1.0.0.0") == 1
+
+
 @MANAGED
 async def test_tasks_that_ran_before_a_deadly_one_are_no_suspects(managed):
     # Where ids are kept, the closed connection was forgotten before it was looked at.
