Answer calls that arrive until the listeners of an ending daemon are closed

Cause: the daemon asks its servers to exit and returns once no connection is open. A server notices up to 0.1 s later, and accepts connections until then; a call that comes next is cancelled as the event loop ends.

Change: the daemon waits until the listeners are closed, then for the calls.

--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -47,6 +47,7 @@
 MAX_EXECUTOR_CALLS = 3
 """Concurrent calls to one executor, as each new connection has a cost. Long polls and
 orders without a response have a limit of their own (``http.MAX_OVERDUE_CALLS``)."""
+IDLE_POLL_INTERVAL_S = 0.02
 SHUTDOWN_TIMEOUT_S = 3
 """Time to finish calls in flight once the listeners close: callers wait 3 s, and the
 platform kills the process 6 s after SIGTERM."""
@@ -190,15 +191,9 @@
             log.info("SIGTERM received, daemon shutting down")
             role_scope.cancel()
             await self._clock.sleep(LISTENER_CLOSE_DELAY)
-            for server in (
-                caller_server,
-                readiness_server,
-                metrics_server,
-                relay_server,
-            ):
-                server.should_exit = True
+            readiness_server.should_exit = metrics_server.should_exit = True
             limit = self._settings.stop_grace - 2 * LISTENER_CLOSE_DELAY
-            await wait_idle((caller_server, relay_server), limit)
+            await stop_serving((caller_server, relay_server), limit)
             tasks.cancel_scope.cancel()
         await self._client.close()
         await self._executor_caller.close()
@@ -218,6 +213,22 @@
             log.info("SIGHUP received; changed settings apply after a restart")
 
 
+async def stop_serving(servers: Sequence[EmbeddedServer], limit: timedelta) -> None:
+    """Accept no more connections; return once all calls are answered, or after a limit.
+
+    A server closes its listeners some time after it is asked to exit, and calls that
+    arrive until then must be answered as well.
+    """
+    for server in servers:
+        server.should_exit = True
+    with anyio.move_on_after(limit.total_seconds()):
+        while any(one.is_serving() for server in servers for one in server.servers):
+            await anyio.sleep(IDLE_POLL_INTERVAL_S)
+        # A connection that was accepted last may not be among the open ones yet.
+        await anyio.sleep(IDLE_POLL_INTERVAL_S)
+        await wait_idle(servers, limit)
+
+
 async def wait_idle(servers: Sequence[EmbeddedServer], limit: timedelta) -> None:
     """Return once no connection is open and no call in progress, or after ``limit``.
 
@@ -226,7 +237,7 @@
     states = [server.server_state for server in servers]
     with anyio.move_on_after(limit.total_seconds()):
         while any(state.connections or state.tasks for state in states):
-            await anyio.sleep(0.02)
+            await anyio.sleep(IDLE_POLL_INTERVAL_S)
 
 
 def _server(app: ASGIApp, address: str) -> EmbeddedServer:
