--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -337,7 +337,8 @@
         await world.run_for(7)
         await world.submit("a1", SIX_TASKS)
         await world.run_for(1)
-        await world.job_service.cancel("a1", world.clock.monotonic() + 3 * SECOND)
+        deadline = world.clock.monotonic() + 3 * SECOND
+        await world.job_service.cancel("a1", "nets", deadline)
         await world.run_for(1)
         world.store.silent_prefix = ""
         await world.run_for(4)
