Show work for an executor of another service (review/10)

Cause: the decoder of registrations does not name all fields, so that an entry of wrong types is used. Case: such an entry under an executor's id, for 1.4 s.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec python3 play.py
