--- a/review/10/standins.py
+++ b/review/10/standins.py
@@ -446,6 +446,8 @@
         self.count = 0
         self.highest: dict[str, int] = {}
         self.up = True
+        self.late_orders: list[tuple[str, float]] = []
+        """Path and delay, in seconds, of the next orders that get no answer."""
         self.unhealthy = False
         """Answers 503 to starts and does nothing; heartbeats go on."""
         self.draining = False
@@ -534,6 +536,13 @@
         body = json.loads(raw) if raw else {}
         if target == "/healthz":
             return (503 if self.unhealthy or self.draining else 200), None
+        self.world.orders += 1
+        if self.late_orders and self.late_orders[0][0] == target:
+            _, delay = self.late_orders.pop(0)
+            self.world.note_late_order(self, target, body, delay)
+            late = self._carry_out_late(target, body, delay)
+            self.world.later.append(asyncio.create_task(late))
+            return None
         if body.get("fencing_token", 0) < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         if target == "/run-start":
@@ -553,6 +562,11 @@
         status, content = answer
         return status, {"clock_ms": self.clock_ms(), **content}
 
+    async def _carry_out_late(self, target, body, delay) -> None:
+        await asyncio.sleep(delay)
+        if self.up and body["fencing_token"] >= self.fence:
+            (self._start if target == "/run-start" else self._stop)(body)
+
     def _start(self, body):
         task, number = body["task"], body["run_id"]
         if self.unhealthy:
@@ -588,6 +602,7 @@
             run["until"] = max(run["until"], until)
 
     def _stop(self, body):
+        self.world.record(f"{self.name} gets the stop of {body['task']}")
         task, number = body["task"], body["run_id"]
         run = self.runs.get(task)
         if run is not None and run["run"] == number and run["stops"] is None:
@@ -693,6 +708,9 @@
         self.daemons: list[Daemon] = []
         self.runs: list[dict] = []
         """Every run that an executor has begun."""
+        self.orders = 0
+        """Calls that executors have received."""
+        self.late_orders: list[tuple[Executor, str]] = []
         self.temporary = tempfile.TemporaryDirectory()
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.cloud_silent = False
@@ -723,10 +741,17 @@
         self.record(f"{name} of {machine} is up and registered")
         return executor
 
-    async def crash_executor(self, machine: str, back_after: float, **options) -> None:
-        """Crash an executor silently; another life of its machine follows."""
+    async def crash_executor(
+        self, machine: str, back_after: float, *, silent: bool = True
+    ) -> None:
+        """Crash an executor; another life of its machine follows.
+
+        One that is not silent resets its connections.
+        """
         executor = self.executors[machine]
         executor.crash()
+        if not silent:
+            executor.server.close()
         row = self.machines[machine]
         row["state"], row["id"] = "down", None
         self.record(f"{executor.name} of {machine} crashes")
@@ -743,7 +768,6 @@
             cpu=executor.cpu,
             rack=executor.rack,
             zone=executor.zone,
-            **options,
         )
 
     async def start_daemons(self, zones: list[str]) -> None:
@@ -794,6 +818,14 @@
             }
         )
 
+    def note_late_order(self, executor, target, body, delay) -> None:
+        """Keep an order that gets no answer."""
+        self.record(
+            f"{executor.name} leaves {target} of {body['task']} run {body['run_id']}"
+            f" without an answer, to be carried out {delay} s later"
+        )
+        self.late_orders.append((executor, body["task"]))
+
     def note_end(self, executor, task, run, how) -> None:
         """Keep how a run has ended."""
         self.record(f"{executor.name} ends {task} run {run}: {how}")
