Show a stop that ends a task at work beyond the budget (review/10)

Cause: a stop for a start without an answer is repeated after the run is listed, and its budget is never asked.

--- a/review/10/standins.py
+++ b/review/10/standins.py
@@ -958,11 +958,14 @@
     """Run ``play``; it returns what broke. Exit status 0, 1, or 2 if it cannot run."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         world = World(folder)
         try:
             async with asyncio.timeout(115):
                 broken = await play(world)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}")
             return 2
@@ -975,4 +978,8 @@
         print("the rule was broken" if broken else "the rule held")
         return 1 if broken else 0
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except Exception as error:
+        print(f"the case could not run: {error!r}")
+        return 2
