--- a/review/10/standins.py
+++ b/review/10/standins.py
@@ -17,6 +17,7 @@
 import os
 import random
 import signal
+import socket
 import tempfile
 import time
 import tomllib
@@ -27,6 +28,8 @@
 STOP_S = 0.5
 """A stop takes 0.9 s at most."""
 HOLD_MAX_MS = 10_000
+METRICS_PORT = 9464
+"""The only port that the deploy file fixes; all others are drawn."""
 STARTUP_MS = 900
 """Time until a lasting task is at work."""
 BOUNDS = {
@@ -628,6 +631,27 @@
         return 200, {"running": running, "ended": self.ended[:500], "born": self.born}
 
 
+def free_port(ip: str, port: int = 0) -> int:
+    """Return a port that is free at an address: this one, or else any.
+
+    Raises OSError if it is not free.
+    """
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((ip, port))
+        return probe.getsockname()[1]
+
+
+def free_address() -> str:
+    """Return a loopback address at which the port of the deploy file is free."""
+    for _ in range(20):
+        ip = "127.{}.{}.{}".format(*(random.randrange(2, 250) for _ in range(3)))
+        with contextlib.suppress(OSError):
+            free_port(ip, METRICS_PORT)
+            return ip
+    raise RuntimeError(f"port {METRICS_PORT} is not free at any loopback address")
+
+
 class Daemon:
     """A daemon process, started with the command of the deploy file."""
 
@@ -636,10 +660,11 @@
         self.name = name
         self.zone = zone
         self.folder = folder
-        self.ip = "127.{}.{}.{}".format(*(random.randrange(2, 250) for _ in range(3)))
-        self.front = f"{self.ip}:8340"
-        self.ready_address = f"{self.ip}:8343"
-        self.relay = f"{self.ip}:7000"
+        self.ip = free_address()
+        self.front = f"{self.ip}:{free_port(self.ip)}"
+        self.ready_address = f"{self.ip}:{free_port(self.ip)}"
+        self.relay_port = free_port(self.ip)
+        self.relay = f"{self.ip}:{self.relay_port}"
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -648,15 +673,16 @@
         self.store = await world.store.serve(self.name)
         store_path = await world.network.path(self.name, self.store)
         cloud_path = await world.network.path(self.name, world.cloud_address)
+        control = f"{self.ip}:{free_port(self.ip)}"
         settings = {
             "node_name": self.name, "role": "daemon", "node_class": "edge",
             "serves": ["edge"], "ip": self.ip, "zone": self.zone,
             "region": "r" + self.zone[1:], "zones": {"z1": "r1", "z2": "r2"},
             "listen_addrs": {
                 "front": self.front, "ready_addr": self.ready_address,
-                "control_addr": f"{self.ip}:8345",
+                "control_addr": control,
             },
-            "port_range": [7000, 7015], "seeds": [], "bootstrap": True,
+            "port_range": [self.relay_port, self.relay_port + 15], "seeds": [], "bootstrap": True,
             "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300,
                        "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
             "discovery": "platform", "entry_type": "vip", "heartbeat_ms": 1500,
