Read only unknown jobs again after the store dropped its history

No page arrived within the timeout of 1.2 s, each attempt began anew, and no new job was seen from 7.0 s to 14.3 s; 520 jobs arrived at once then. Ruled out: a lost role (epoch 1 throughout) and a full pool (idle until 14.3 s). Change: a job that the holder does not know has not begun, so the markers of such jobs name it. The holder reads these (about 100 bytes each), the cancellations, and then the unknown jobs, 16 at a time. A page that fails is read again alone, also when a term loads.

--- /dev/null
+++ b/src/pomeloyard/batch/job_reload.py
@@ -0,0 +1,109 @@
+"""Reads the jobs and cancellations that a watch has missed.
+
+Load pattern: the store drops its history at a peak, while the holder reaches it only
+through relays with slow links. Hundreds of job records do not arrive within a timeout
+then. The markers of jobs that have not begun are small, and a job that the holder does
+not know has not begun, so the holder reads the markers and then only those jobs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import anyio
+import logbook
+
+from ..clock import Clock
+from ..concurrency import run_both
+from ..errors import StoreError
+from ..keyvalue.store import Entry, Page, Store, WatchEvent
+from . import layout
+
+RETRY_DELAY = timedelta(milliseconds=80)
+"""Pause after a store error. Retries are unlimited: if the store stays unreachable,
+the role's lease expires and ends the term."""
+MAX_CONCURRENT_READS = 16
+"""A record has about 1 kB, so that these arrive within a fraction of the timeout also
+at 10 Mbit/s."""
+
+log = logbook.Logger("pomeloyard.batch.job_reload")
+
+
+async def scan_with_retries(clock: Clock, store: Store, prefix: str) -> Page:
+    """Return all entries under ``prefix``; a page that fails is read again alone.
+
+    The revision is that of the first page, so that a watch from it on misses no change.
+    """
+    entries: list[Entry] = []
+    revision: int | None = None
+    while True:
+        start = entries[-1].key + "\0" if entries else ""
+        try:
+            page = await store.scan(prefix, start=start)
+        except StoreError as error:
+            log.info("scan of {} failed, retrying: {}", prefix, error)
+            await clock.sleep(RETRY_DELAY)
+            continue
+        entries.extend(page.entries)
+        revision = page.revision if revision is None else revision
+        if not page.more:
+            return Page(tuple(entries), revision)
+
+
+class JobReload:
+    """Finds the jobs that are not known, and all cancellations, after a gap."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: Store,
+        is_known: Callable[[str], bool],
+        apply: Callable[[WatchEvent], None],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._is_known = is_known
+        self._apply = apply
+
+    async def run(self) -> int:
+        """Apply what was missed; return the revision from which to watch again."""
+        markers, cancels = await run_both(
+            lambda: self._scan(layout.WAITING), lambda: self._scan(layout.CANCELS)
+        )
+        job_ids = [entry.key.rpartition("/")[2] for entry in markers.entries]
+        unknown = [job_id for job_id in job_ids if not self._is_known(job_id)]
+        await self._read_jobs(unknown)
+        # After the jobs, as a cancellation of an unknown job denies its creation.
+        for entry in cancels.entries:
+            self._apply(WatchEvent(entry.key, entry, entry.mod_revision))
+        log.info(
+            "read the jobs again: {} have not begun, {} of them were unknown",
+            len(job_ids),
+            len(unknown),
+        )
+        return min(markers.revision, cancels.revision)
+
+    async def _scan(self, prefix: str) -> Page:
+        return await scan_with_retries(self._clock, self._store, prefix)
+
+    async def _read_jobs(self, job_ids: Sequence[str]) -> None:
+        limit = anyio.Semaphore(MAX_CONCURRENT_READS)
+        async with anyio.create_task_group() as tasks:
+            for job_id in job_ids:
+                tasks.start_soon(self._read_job, job_id, limit)
+
+    async def _read_job(self, job_id: str, limit: anyio.Semaphore) -> None:
+        key = layout.JOBS + job_id
+        while True:
+            try:
+                async with limit:
+                    entry = await self._store.get(key)
+            except StoreError as error:
+                log.info("reading {} failed, retrying: {}", key, error)
+                await self._clock.sleep(RETRY_DELAY)
+                continue
+            # Without a record it has ended and expired since the marker was read.
+            if entry is not None:
+                self._apply(WatchEvent(key, entry, entry.mod_revision))
+            return
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -27,7 +27,6 @@
     Put,
     Transaction,
     WatchEvent,
-    scan_all,
 )
 from ..roles import HeldRole
 from . import layout
@@ -48,6 +47,7 @@
     StartAnswer,
 )
 from .job_ranking import core_seconds_of, critical_path_ms
+from .job_reload import JobReload, scan_with_retries
 from .model import (
     MAX_GANG_TASKS,
     NO_RESOURCES,
@@ -256,14 +256,8 @@
         return incoming[1]
 
     async def _scan(self, prefix: str) -> tuple[list[Entry], int]:
-        while True:
-            try:
-                page = await scan_all(self._store, prefix)
-            except StoreError as error:
-                log.info("scan of {} failed, retrying: {}", prefix, error)
-                await self._clock.sleep(RETRY_DELAY)
-                continue
-            return list(page.entries), page.revision
+        page = await scan_with_retries(self._clock, self._store, prefix)
+        return list(page.entries), page.revision
 
     def _add_job(
         self,
@@ -427,6 +421,9 @@
 
     async def _watch_jobs(self, position: int) -> None:
         wait = WATCH_WAIT
+        reload = JobReload(
+            self._clock, self._store, self.jobs_by_id.__contains__, self._apply
+        )
         while True:
             try:
                 batch = await self._store.poll_changes(layout.INCOMING, position, wait)
@@ -435,12 +432,8 @@
                     self._apply(event)
                 position = batch.revision
             except CompactedError as error:
-                log.info("watch revision was compacted, reloading all jobs: {}", error)
-                entries, position = await self._scan(layout.INCOMING)
-                # Sorted so that a job is applied before its cancellation, whose key
-                # sorts first.
-                for entry in sorted(entries, key=lambda e: e.mod_revision):
-                    self._apply(WatchEvent(entry.key, entry, entry.mod_revision))
+                log.info("watch revision was compacted, reading jobs again: {}", error)
+                position = await reload.run()
             except StoreError as error:
                 # The next poll resumes from the same revision and misses no event.
                 log.info("job watch failed, retrying: {}", error)
