Divide a full pool among teams by weight

Change: while a pool has more ready work than room, tasks of teams within their weighted max-min share are placed first, then the others on what is left, in each class of the rank. Nothing is stopped for it; without contention the order is the same as before.

--- a/src/pomeloyard/batch/decision_log.py
+++ b/src/pomeloyard/batch/decision_log.py
@@ -31,7 +31,7 @@
         self, kind: str, subject: str, outcome: str, **inputs: str | int | float | bool
     ) -> None:
         """Log a decision about a subject with its inputs."""
-        omit_outcome = kind in ("place", "executor", "upkeep", "move", "pool")
+        omit_outcome = kind in ("place", "executor", "upkeep", "move", "pool", "share")
         self.counts[kind, "" if omit_outcome else outcome] += 1
         now = self._clock.monotonic()
         elapsed = (now - self._refilled_at) / timedelta(seconds=1)
--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from datetime import timedelta
 
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
@@ -13,10 +13,32 @@
 from .configuration_follower import ConfigurationFollower
 from .decision_log import JobDecisionLog
 from .placing import PlacingRole
+from .pool_shares import TeamShare
 
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
 
 
+def _share_metrics(
+    shares_by_pool: Mapping[str, Mapping[str, TeamShare]],
+) -> Iterator[Metric]:
+    held = GaugeMetricFamily(
+        "pomeloyard_team_pool_cores",
+        "Cores, by dominant resource, that a team's short tasks hold in a full pool",
+        labels=["pool", "team"],
+    )
+    entitled = GaugeMetricFamily(
+        "pomeloyard_team_pool_share_cores",
+        "Cores of a full pool that a team is entitled to",
+        labels=["pool", "team"],
+    )
+    for pool, by_team in shares_by_pool.items():
+        for team, share in by_team.items():
+            held.add_metric([pool, team], share.held)
+            entitled.add_metric([pool, team], share.share)
+    yield held
+    yield entitled
+
+
 class BatchMetrics:
     """Metrics registry of a daemon; all but histograms are collected on request."""
 
@@ -110,6 +132,7 @@
         executors.add_metric(["yes"], usable)
         executors.add_metric(["no"], len(term.links_by_id) - usable)
         yield executors
+        yield from _share_metrics(term.shares_by_pool())
         running = sum(len(link.runs_by_name) for link in term.links_by_id.values())
         yield GaugeMetricFamily(
             "pomeloyard_runs", "Runs of tasks that may exist", value=running
--- a/src/pomeloyard/batch/model.py
+++ b/src/pomeloyard/batch/model.py
@@ -50,6 +50,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Return this amount ``count`` times."""
+        return Resources(
+            self.cpu_millis * count, self.memory_mb * count, self.accelerators * count
+        )
+
 
 NO_RESOURCES = Resources()
 
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Collection, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -59,6 +59,7 @@
 from .placed_run import LossCause, Phase, PlacedRun
 from .planner import Planner
 from .policy import DefaultPolicy, Policy
+from .pool_shares import TeamShare
 from .progress import EndKind, JobRun, Task
 from .progress_writer import ProgressWriter, RecordGroup
 from .run_estimates import RunEstimates
@@ -510,6 +511,10 @@
             counts[job.state] += 1
         return counts
 
+    def shares_by_pool(self) -> Mapping[str, Mapping[str, TeamShare]]:
+        """Return what each team holds and its share, by full pool and team."""
+        return self._planner.share_rounds.latest()
+
     def request_plan(self) -> None:
         """Request a planning round for all services."""
         self._replan_all = True
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -25,8 +25,10 @@
 )
 from .placed_run import Phase, PlacedRun
 from .policy import Policy
+from .pool_shares import PoolShares
 from .progress import JobRun, StepRun, Task, TaskState
 from .run_estimates import RunEstimates
+from .share_rounds import ShareRounds
 from .start_queue import AssignmentLimit
 from .usage import Usage
 
@@ -37,15 +39,22 @@
 class _WaitingJob:
     """A job with ready tasks, as of its last change."""
 
-    __slots__ = ("job", "queue", "rank", "smallest_cpu")
+    __slots__ = ("job", "queue", "rank", "ready_short", "smallest_cpu")
 
     def __init__(self, job: JobRun, queue: Queue, smallest_cpu: int) -> None:
         self.job = job
         self.queue = queue
         self.smallest_cpu = smallest_cpu
+        self.ready_short = job.ready_short_tasks()
+        """Resources of its ready short tasks."""
         self.rank: Rank | None = None
 
 
+def _rank_key(entry: _WaitingJob) -> tuple[float, ...]:
+    assert entry.rank is not None
+    return entry.rank.key
+
+
 def _crashes_of(task: Task) -> int:
     return task.suspicion.crashes if task.suspicion else 0
 
@@ -85,6 +94,11 @@
         self._mean_work_by_queue: dict[str, float] = {}
         self._pending_starts: list[tuple[ExecutorLink, PlacedRun]] = []
         self._assignment_limit = AssignmentLimit()
+        self.share_rounds = ShareRounds(usage, decision_log)
+        self._shares: PoolShares | None = None
+        """Division of the pool that is being planned."""
+        self._only_within_share = False
+        """Whether a task is placed only if its team stays within its share."""
         self.held_back: set[str] = set()
         """Services with tasks that the limit on assignments keeps waiting."""
         self._links_by_service: dict[str, list[ExecutorLink]] = {}
@@ -140,7 +154,15 @@
             index = FreeCapacityIndex(links, self._usage, self._estimates, now)
             ranked = self._ranked(waiting.values(), index.max_free_cpu, now)
             self._assignment_limit.reached = False
+            self._shares = self.share_rounds.begin(
+                service,
+                links,
+                ((e.job.record.team, e.ready_short) for e in waiting.values()),
+                configuration,
+            )
             self._place_jobs(ranked, index, configuration, now)
+            self.share_rounds.log(service, now)
+            self._shares, self._only_within_share = None, False
             if self._assignment_limit.reached:
                 self.held_back.add(service)
         for service in sorted(self.held_back ^ held_back_before):
@@ -209,7 +231,9 @@
         configuration: Configuration,
         now: timedelta,
     ) -> None:
-        for entry in ranked:
+        assert self._shares is not None
+        for entry, limited in self._shares.passes(ranked, _rank_key):
+            self._only_within_share = limited and not entry.job.lasting
             if entry.smallest_cpu > index.max_free_cpu:
                 continue
             job, advice = entry.job, entry.queue.advice
@@ -286,7 +310,15 @@
         """Tell whether the limits of its team allow another task of a step."""
         team = step.job.record.team
         fits = self._usage.team_fits(team, maximum, step.spec)
-        return fits and self._assignment_limit.allows(team)
+        return (
+            fits and self._share_allows(step, 1) and self._assignment_limit.allows(team)
+        )
+
+    def _share_allows(self, step: StepRun, tasks: int) -> bool:
+        """Tell whether more tasks of a step may be placed in this pass."""
+        if self._shares is None or not self._only_within_share:
+            return True
+        return self._shares.allows(step.job.record.team, step.spec, tasks)
 
     def _place_trials(
         self,
@@ -399,6 +431,8 @@
         run = max(task.run for task in step.tasks) + 1
         on_trial = self._crash_trials.needs_trial(step.tasks[0])
         team = step.job.record.team
+        if not self._share_allows(step, step.spec.count):
+            return
         if not self._assignment_limit.allows(team):
             return
         racks = [step.spec.data_rack]
@@ -457,6 +491,8 @@
         placed.on_trial = self._crash_trials.needs_trial(task)
         job.place(task, executor.executor_id, run, now)
         index.allocate(link, task)
+        if self._shares is not None and not task.step.spec.lasting:
+            self._shares.add(job.record.team, task.step.spec)
         link.assign(placed)
         self._pending_starts.append((link, placed))
         self._assignment_limit.add((link, placed))
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -10,7 +10,15 @@
 import msgspec
 
 from .crash_blame import Suspicion
-from .model import FINAL_STATES, JobRecord, JobState, Queue, StepSpec
+from .model import (
+    FINAL_STATES,
+    NO_RESOURCES,
+    JobRecord,
+    JobState,
+    Queue,
+    Resources,
+    StepSpec,
+)
 from .progress_records import (
     GANG_INDEX,
     CrashRecord,
@@ -281,6 +289,14 @@
             default=None,
         )
 
+    def ready_short_tasks(self) -> Resources:
+        """Return the resources that its ready short tasks need together."""
+        total = NO_RESOURCES
+        for step in self.ready_steps():
+            if not step.spec.lasting:
+                total += step.spec.executor_usage.times(len(step.waiting))
+        return total
+
     def steps(self) -> Iterator[StepRun]:
         """Yield all steps of the open occurrences."""
         for steps in self.occurrences.values():
--- a/src/pomeloyard/batch/usage.py
+++ b/src/pomeloyard/batch/usage.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 
-from .model import Resources, StepSpec
+from .model import NO_RESOURCES, Resources, StepSpec
 from .progress import StepRun, Task
 
 
@@ -21,6 +22,8 @@
         self._tasks_by_executor_step: Counter[tuple[str, str]] = Counter()
         self._tasks_by_step_rack: Counter[tuple[str, str]] = Counter()
         self._lasting_by_executor: Counter[str] = Counter()
+        self._short_by_queue: dict[str, dict[str, Resources]] = defaultdict(dict)
+        """Resources of the short tasks of each queue, by team."""
 
     def add(self, executor: str, rack: str, task: Task) -> None:
         """Count a task that may run on an executor."""
@@ -45,6 +48,19 @@
         self._tasks_by_step_rack[task.step.name, rack] += sign
         if spec.lasting:
             self._lasting_by_executor[executor] += sign
+        else:
+            self._change_short(task, sign)
+
+    def _change_short(self, task: Task, sign: int) -> None:
+        record = task.step.job.record
+        by_team = self._short_by_queue[record.queue]
+        before = by_team.get(record.team, NO_RESOURCES)
+        usage = task.step.spec.executor_usage
+        after = before + usage if sign > 0 else before - usage
+        if after == NO_RESOURCES:
+            by_team.pop(record.team, None)
+        else:
+            by_team[record.team] = after
 
     def free(self, executor: str, capacity: Resources) -> Resources:
         """Return the free resources of an executor."""
@@ -96,6 +112,10 @@
         """Return the cpu in use by a team, in thousandths of a core."""
         return self._by_team[team][0]
 
+    def short_tasks(self, queue: str) -> Mapping[str, Resources]:
+        """Return the resources of the short tasks of a queue, by team."""
+        return self._short_by_queue.get(queue, {})
+
     def tasks_of_step(self, executor: str, step: StepRun) -> int:
         """Return how many tasks of a step may be running on an executor."""
         return self._tasks_by_executor_step[executor, step.name]
