--- a/src/pomeloyard/cli/logs.py
+++ b/src/pomeloyard/cli/logs.py
@@ -20,6 +20,10 @@
     """The given output has no lines about pools."""
 
 
+class NoShareLinesError(PomeloyardError):
+    """The given output has no lines about shares."""
+
+
 @click.group(epilog="Example: pomeloyard log job 5b3041f9338636bd daemon-*.log")
 def log() -> None:
     """Explain decisions from the daemons' output."""
@@ -67,6 +71,26 @@
         note(f"{pool}: {held} VM-seconds held, {needed} needed")
 
 
+@log.command("shares", epilog="Example: log shares daemon-*.log")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+def shares(files: tuple[Path, ...]) -> None:
+    """Print by second how full pools were divided among teams.
+
+    Teams are shown with the cores that they held and their share, those furthest above
+    or below it first.
+    """
+    lines = [line for path in files for line in _read(path)]
+    found = [line for line in lines if line.decision == "share"]
+    if not found:
+        raise NoShareLinesError(f"no line of {len(files)} files tells of shares")
+    show([_row(line) for line in sorted(found, key=lambda line: line.at)])
+
+
 def _pool_row(row: PoolSecond) -> dict[str, str | int | float]:
     return {
         "at": row.at.isoformat(timespec="milliseconds"),
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -184,6 +184,22 @@
     assert result.exit_code == 1
 
 
+def test_the_shares_command_prints_how_full_pools_were_divided(tmp_path):
+    output = tmp_path / "d-1.log"
+    held = "nets:90.0/40.0"
+    output.write_text(decision(2, "d-1", "share", "mill", "divided", above=held))
+    result = CliRunner().invoke(cli, ["log", "shares", str(output)])
+    assert result.exit_code == 0
+    assert held in result.output
+
+
+def test_the_shares_command_fails_without_a_full_pool(tmp_path):
+    output = tmp_path / "d-1.log"
+    output.write_text(message(1, "daemon starts"))
+    result = CliRunner().invoke(cli, ["log", "shares", str(output)])
+    assert result.exit_code == 1
+
+
 def test_a_job_whose_task_crashed_executors_says_so():
     task = f"{JOB}.0.1.0"
     lines = parse(
