--- a/src/pomeloyard/batch/demand.py
+++ b/src/pomeloyard/batch/demand.py
@@ -50,7 +50,7 @@
             if job.lasting or job.smallest_ready_cpu() is None:
                 continue
             finish_ms, objective_ms = finish_and_objective_ms(
-                job, queue, now - job.accepted_at, self._estimates.expected_ms
+                job, queue, now - job.accepted_at, self._estimates.path_times(now)
             )
             if finish_ms > objective_ms:
                 continue
@@ -95,5 +95,5 @@
                 yield job, queue
 
     def _waiting_work(self, step: StepRun) -> float:
-        task_work = step.spec.cpu_millis * self._estimates.expected_ms(step) / 1_000_000
+        task_work = step.spec.cpu_millis * self._estimates.mean_ms(step) / 1_000_000
         return len(step.waiting) * task_work
--- a/src/pomeloyard/batch/job_ranking.py
+++ b/src/pomeloyard/batch/job_ranking.py
@@ -24,9 +24,26 @@
 """Delay between dependent steps: two store writes and two calls to executors."""
 
 
-def critical_path_ms(
-    job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
-) -> float:
+StepTime = Callable[[StepRun], float]
+"""Returns a time of a step in ms."""
+
+
+@dataclass(frozen=True, slots=True)
+class PathTimes:
+    """How long the steps of a critical path take."""
+
+    whole_ms: StepTime
+    """Time until the slowest task of a step is done."""
+    rest_ms: StepTime
+    """Rest of that time for a step that is not complete."""
+
+    @classmethod
+    def of_tasks(cls, expected_ms: StepTime) -> PathTimes:
+        """Return the times of steps whose tasks all take as long as expected."""
+        return cls(expected_ms, expected_ms)
+
+
+def critical_path_ms(job: JobRun, times: PathTimes, *, remaining: bool) -> float:
     """Return the critical path of a job, or of its unfinished steps, in ms."""
     longest = 0.0
     for steps in job.occurrences.values():
@@ -36,19 +53,23 @@
                 (path_ends_ms[i] for i in step.spec.after), default=0.0
             )
             if not remaining:
-                step_ms = expected_ms(step)
+                step_ms = times.whole_ms(step)
             elif step.complete:
                 step_ms = 0.0
             else:
-                step_ms = expected_ms(step) + STEP_OVERHEAD_MS
+                step_ms = times.rest_ms(step) + STEP_OVERHEAD_MS
             path_ends_ms.append(dependencies_ms + step_ms)
         longest = max([longest, *path_ends_ms])
     return longest
 
 
-def core_seconds_of(
-    job: JobRun, expected_ms: Callable[[StepRun], float], *, remaining: bool
-) -> float:
+def measured_path_ms(job: JobRun) -> float:
+    """Return the critical path of the latest runs of a job's steps, in ms."""
+    times = PathTimes.of_tasks(lambda step: step.longest_ms)
+    return critical_path_ms(job, times, remaining=False)
+
+
+def core_seconds_of(job: JobRun, expected_ms: StepTime, *, remaining: bool) -> float:
     """Return the work of all tasks, or of the unfinished ones, in core-seconds."""
     return sum(
         (step.spec.count - (step.done if remaining else 0))
@@ -64,17 +85,17 @@
     job: JobRun,
     queue: Queue,
     age: timedelta,
-    expected_ms: Callable[[StepRun], float],
+    times: PathTimes,
 ) -> tuple[float, float]:
     """Return the earliest finish time of a job and its objective, in ms.
 
     Both are relative to the time at which the caller first submitted the job.
     """
     objective_ms = queue.stretch * critical_path_ms(
-        job, expected_ms, remaining=False
+        job, times, remaining=False
     ) + queue.objective / timedelta(milliseconds=1)
     finish_ms = age / timedelta(milliseconds=1) + critical_path_ms(
-        job, expected_ms, remaining=True
+        job, times, remaining=True
     )
     return finish_ms, objective_ms
 
@@ -93,18 +114,21 @@
     job: JobRun,
     queue: Queue,
     now: timedelta,
-    expected_ms: Callable[[StepRun], float],
+    expected_ms: StepTime,
     mean_work: float,
+    path: PathTimes | None = None,
 ) -> Rank:
     """Return the rank of a waiting job.
 
-    ``mean_work`` is the mean work of the jobs of its queue, in core-seconds.
+    ``mean_work`` is the mean work of the jobs of its queue, in core-seconds. ``path``
+    has the times of its critical path, by default those of ``expected_ms``.
     """
+    path = path or PathTimes.of_tasks(expected_ms)
     priority = float(queue.priority)
     if job.lasting:
         return Rank((priority, 0.0, 0.0), timedelta.max)
     age = now - job.accepted_at
-    finish_ms, objective_ms = finish_and_objective_ms(job, queue, age, expected_ms)
+    finish_ms, objective_ms = finish_and_objective_ms(job, queue, age, path)
     remaining_work = max(core_seconds_of(job, expected_ms, remaining=True), 0.001)
     if finish_ms <= objective_ms:
         total = core_seconds_of(job, expected_ms, remaining=False)
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -7,6 +7,7 @@
 | ``b/waiting/QUEUE/ID`` | created with the job, deleted at its first start | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
 | ``b/crashes/ID`` | the placing daemon, with ``b/runs/ID`` | as that |
+| ``b/run-times/QUEUE`` | the placing daemon | its epoch, the record's last revision |
 | ``b/ids-kept`` | the placing daemon, once | its epoch |
 """
 
@@ -22,6 +23,8 @@
 CRASHES = "b/crashes/"
 """Separate from ``RUNS``, as earlier builds rewrite a run record without the fields
 that they do not know."""
+RUN_TIMES = "b/run-times/"
+"""What finished runs have shown about each queue. Earlier builds ignore it."""
 EXECUTOR_IDS_REUSED = "b/ids-kept"
 """Present once an executor has restarted under the same id."""
 
--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -14,6 +14,7 @@
 from .decision_log import JobDecisionLog
 from .placing import PlacingRole
 from .pool_shares import TeamShare
+from .run_times import RunTimes
 
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
 
@@ -39,6 +40,24 @@
     yield entitled
 
 
+def _run_time_metrics(run_times: RunTimes) -> Iterator[Metric]:
+    error = GaugeMetricFamily(
+        "pomeloyard_run_time_error",
+        "Mean absolute error of expected run times, in natural logarithms",
+        labels=["queue"],
+    )
+    weight = GaugeMetricFamily(
+        "pomeloyard_estimate_weight",
+        "Weight of the submitters' estimates in expected run times, 0 to 1",
+        labels=["queue"],
+    )
+    for queue in run_times.queues():
+        error.add_metric([queue], run_times.error(queue))
+        weight.add_metric([queue], run_times.estimate_weight(queue))
+    yield error
+    yield weight
+
+
 class BatchMetrics:
     """Metrics registry of a daemon; all but histograms are collected on request."""
 
@@ -132,6 +151,7 @@
         executors.add_metric(["yes"], usable)
         executors.add_metric(["no"], len(term.links_by_id) - usable)
         yield executors
+        yield from _run_time_metrics(term.estimates.run_times)
         yield from _share_metrics(term.shares_by_pool())
         running = sum(len(link.runs_by_name) for link in term.links_by_id.values())
         yield GaugeMetricFamily(
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -46,7 +46,8 @@
     RunningTask,
     StartAnswer,
 )
-from .job_ranking import core_seconds_of, critical_path_ms
+from .fenced_records import FencedRecords
+from .job_ranking import core_seconds_of, critical_path_ms, measured_path_ms
 from .job_reload import JobReload, scan_with_retries
 from .model import (
     MAX_GANG_TASKS,
@@ -64,6 +65,7 @@
 from .progress_writer import ProgressWriter, RecordGroup
 from .run_estimates import RunEstimates
 from .run_monitor import RunMonitor
+from .run_time_records import RunTimeRecords
 from .start_queue import OVERDUE_AFTER, PendingStart, StartQueue
 from .usage import Usage
 from .vm_controller import VmController
@@ -164,6 +166,12 @@
         self._start_timer_runs = False
         self._answered_starts = 0
         """Starts that were answered or given up since the last planning round."""
+        self._run_time_records = RunTimeRecords(
+            clock,
+            store,
+            FencedRecords(clock, store, guard),
+            self.estimates.run_times,
+        )
         self.demand = PoolDemand(
             clock, self._active_jobs, self.estimates, self.peaks, self._queue_of
         )
@@ -197,6 +205,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._registry.run)
+            tasks.start_soon(self._run_time_records.run)
             position = await self._load()
             self._loaded = True
             for link in self.links_by_id.values():
@@ -281,10 +290,9 @@
         if queue is not None and not job.lasting:
             work = core_seconds_of(job, self.estimates.expected_ms, remaining=False)
             self._planner.record_job(queue, work)
-            chain_ms = critical_path_ms(
-                job, self.estimates.expected_ms, remaining=False
-            )
-            chain = timedelta(milliseconds=chain_ms)
+            times = self.estimates.path_times(now)
+            job.expected_path_ms = critical_path_ms(job, times, remaining=False)
+            chain = timedelta(milliseconds=job.expected_path_ms)
             self.peaks.record_arrival(queue.service, job.accepted_at, work, chain)
         for task in job.placed_tasks():
             self._restore_run(task)
@@ -798,7 +806,11 @@
         executor_id = link.executor.executor_id
         self.usage.remove(executor_id, link.executor.rack, task)
         run_ms = (now - task.started_at) / timedelta(milliseconds=1)
-        partial = placed.partial
+        data_rack = task.step.spec.data_rack
+        away_from_data = bool(data_rack) and data_rack != link.executor.rack
+        partial = placed.partial or away_from_data
+        if kind is EndKind.DONE:
+            task.step.longest_ms = max(task.step.longest_ms, run_ms)
         self._run_monitor.record_end(task, executor_id, kind, run_ms, partial, now)
         was_final = job.final
         job.end(task, placed.run, kind, saved)
@@ -893,6 +905,8 @@
             queue=job.record.queue,
             team=job.record.team,
             age_ms=round(age / timedelta(milliseconds=1)),
+            expected_ms=round(job.expected_path_ms),
+            run_ms=round(measured_path_ms(job)),
         )
 
     def handle_run_status(
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -221,7 +221,14 @@
                     job, self._estimates.expected_ms, remaining=False
                 )
                 self._mean_work_by_queue[queue.name] = mean
-            entry.rank = rank(job, queue, now, self._estimates.expected_ms, mean)
+            entry.rank = rank(
+                job,
+                queue,
+                now,
+                self._estimates.expected_ms,
+                mean,
+                self._estimates.path_times(now),
+            )
         return entry.rank.key
 
     def _place_jobs(
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -143,9 +143,11 @@
         "gang_failed_run",
         "gang_failures",
         "job",
+        "longest_ms",
         "name",
         "number",
         "occurrence",
+        "outlier_ms",
         "placed",
         "spec",
         "tasks",
@@ -166,6 +168,10 @@
         """Runs of a gang that failed, whatever number of members failed in each."""
         self.gang_failed_run = 0
         """The latest of these runs."""
+        self.longest_ms = 0.0
+        """Longest run time of its tasks that are done, as far as this term saw it."""
+        self.outlier_ms: float | None = None
+        """Run time of its first task that is done, if that was unexpectedly long."""
         self.usual_ms: float | None = None
         """Typical run time of its tasks, None until one is done."""
         self.name = f"{job.job_id}.{occurrence}.{number}"
@@ -192,6 +198,8 @@
         self.has_suspicions = False
         """Whether executors have crashed under its tasks, so that this is stored."""
         self.accepted_at = now
+        self.expected_path_ms = 0.0
+        """Its critical path as expected when a term found it."""
         self.ended_at: timedelta | None = None
         self.revision = 0
         """Store revision of the run record, 0 if there is none."""
--- a/src/pomeloyard/batch/run_estimates.py
+++ b/src/pomeloyard/batch/run_estimates.py
@@ -1,29 +1,29 @@
 """Estimates learned from runs about steps, queues and executors (no I/O).
 
-Estimates of submitters may be off by a factor of two, and executors may fail, stall or
-slow down while they report themselves healthy.
+Executors may fail, stall or slow down while they report themselves healthy. A long task
+is told apart from a slow executor: an executor is slow if several of its tasks are.
 """
 
 from __future__ import annotations
 
-import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .progress import StepRun
+from .job_ranking import PathTimes
+from .progress import StepRun, Task, TaskState
+from .run_times import RunTimes
 
-QUEUE_WEIGHT = 0.05
-"""Weight of a new run time in its queue's mean; steps of a queue vary by half."""
 STEP_WEIGHT = 0.3
 """Weight of a new run time in its step's mean; tasks of a step vary by a quarter."""
-ESTIMATE_WEIGHT = 0.5
-"""Weight of the submitter's estimate against the queue's mean, as logarithms; both
-have about the same relative error."""
-DEFAULT_RUN_MS = 1000.0
-"""Estimate for the first tasks of a queue if the submitter gave none."""
-SLOWNESS_WEIGHT = 0.5
-"""Weight of a new ratio; an executor stays slow for some seconds."""
+MAX_STEP_RATIO = 3.0
+"""A task that takes longer than this many times its step's typical run time counts as
+this in it: the rare long task says nothing about the others."""
+SLOWNESS_TASKS = 4
+"""Latest tasks of an executor whose ratios to the usual run time are kept."""
+MIN_SLOW_TASKS = 2
+"""Tasks that must be slow for an executor to count as slow. A single one may be a long
+task; of those there are a few in a hundred in some queues."""
 SLOW_FACTOR = 2.0
 """Ratio to the usual run time from which an executor counts as slow."""
 SLOWNESS_MAX_AGE = timedelta(seconds=4)
@@ -36,43 +36,71 @@
 
 @dataclass
 class _ExecutorRecord:
-    slowness: float = 1.0
+    ratios_by_task: dict[str, float] = field(default_factory=dict)
+    """Ratio to the usual run time of its latest tasks, oldest first."""
     slowness_at: timedelta = timedelta(0)
     failed_jobs: list[str] = field(default_factory=list)
     quarantined_until: timedelta = timedelta(0)
 
+    @property
+    def slowness(self) -> float:
+        """Return the lower median of the ratios; one long task has no effect on it."""
+        ratios = sorted(self.ratios_by_task.values())
+        if len(ratios) < MIN_SLOW_TASKS:
+            return 1.0
+        return ratios[(len(ratios) - 1) // 2]
+
 
-MAX_ESTIMATE_MS = 7 * 24 * 3600 * 1000
-"""Longer estimates count as this; a duration must hold the sum over a job's steps."""
+def _inputs(step: StepRun) -> tuple[str, float, float | None]:
+    return step.job.record.queue, float(step.spec.estimate_ms), step.usual_ms
 
 
 class RunEstimates:
-    """Run times by step and queue, and speed and failures by executor."""
+    """Expected run times of steps, and speed and failures by executor."""
 
-    def __init__(self) -> None:
-        self._log_ms_by_queue: dict[str, float] = {}
+    def __init__(self, run_times: RunTimes | None = None) -> None:
+        self.run_times = run_times or RunTimes()
         self._by_executor: dict[str, _ExecutorRecord] = defaultdict(_ExecutorRecord)
 
     def expected_ms(self, step: StepRun) -> float:
-        """Return the expected run time of a step's tasks.
-
-        Until the first of them is done, it is a weighted geometric mean of the
-        submitter's estimate and the queue's mean.
-        """
-        if step.usual_ms is not None:
-            return step.usual_ms
-        estimate = min(max(0, step.spec.estimate_ms), MAX_ESTIMATE_MS)
-        mean_log_ms = self._log_ms_by_queue.get(step.job.record.queue)
-        if mean_log_ms is None:
-            return float(estimate or DEFAULT_RUN_MS)
-        if not estimate:
-            return math.exp(mean_log_ms)
-        weight = ESTIMATE_WEIGHT
-        return math.exp(weight * math.log(estimate) + (1 - weight) * mean_log_ms)
+        """Return the expected run time of a step's tasks."""
+        return self.run_times.expected_ms(*_inputs(step))
+
+    def quantile_ms(self, step: StepRun, quantile: float) -> float:
+        """Return the time that a share ``quantile`` of a step's tasks stays below."""
+        return self.run_times.quantile_ms(*_inputs(step), quantile)
+
+    def mean_ms(self, step: StepRun) -> float:
+        """Return the mean run time of a step's tasks, long ones included."""
+        return self.run_times.mean_ms(*_inputs(step))
+
+    def slowest_ms(self, step: StepRun) -> float:
+        """Return the expected run time of the slowest of a step's tasks."""
+        return self.run_times.slowest_ms(*_inputs(step), step.spec.count)
+
+    def remaining_ms(
+        self, step: StepRun, elapsed: timedelta, quantile: float | None = None
+    ) -> float:
+        """Return the expected rest of a run, or a quantile of it."""
+        elapsed_ms = elapsed / timedelta(milliseconds=1)
+        return self.run_times.remaining_ms(*_inputs(step), elapsed_ms, quantile)
+
+    def path_times(self, now: timedelta) -> PathTimes:
+        """Return the times of steps on a critical path."""
+        return PathTimes(self.slowest_ms, lambda step: self.rest_ms(step, now))
+
+    def rest_ms(self, step: StepRun, now: timedelta) -> float:
+        """Return the expected time until the slowest task of a step is done."""
+        if step.waiting or not step.placed:
+            return self.slowest_ms(step)
+        running = (t for t in step.tasks if t.state is TaskState.PLACED)
+        elapsed = now - min(task.started_at for task in running)
+        quantile = step.placed / (step.placed + 1)
+        return self.remaining_ms(step, max(elapsed, timedelta(0)), quantile)
 
     def record_completion(
         self,
-        step: StepRun,
+        task: Task,
         executor: str,
         run_ms: float,
         now: timedelta,
@@ -81,36 +109,60 @@
     ) -> None:
         """Update the estimates from a task that completed after ``run_ms``.
 
-        A partial run is ignored for run times: it resumed from saved progress, or its
-        start was not observed.
+        A partial run is ignored for run times: it resumed from saved progress, its
+        start was not observed, or it ran away from its data.
         """
         record = self._by_executor[executor]
         record.failed_jobs.clear()
         record.quarantined_until = timedelta(0)
         if partial:
             return
-        self._update_slowness(record, run_ms / max(self.expected_ms(step), 1.0), now)
+        step = task.step
+        ratio = run_ms / max(self.expected_ms(step), 1.0)
+        self._update_slowness(record, task.name, ratio, now)
         if record.slowness >= SLOW_FACTOR:
             return
-        before = step.usual_ms
-        step.usual_ms = (
-            run_ms if before is None else before + STEP_WEIGHT * (run_ms - before)
-        )
-        queue = step.job.record.queue
-        log_ms = math.log(max(run_ms, 1.0))
-        mean_log_ms = self._log_ms_by_queue.get(queue, log_ms)
-        self._log_ms_by_queue[queue] = mean_log_ms + QUEUE_WEIGHT * (
-            log_ms - mean_log_ms
+        if step.usual_ms is None and self._is_outlier(step, run_ms, ratio):
+            return
+        queue, estimate_ms, usual_ms = _inputs(step)
+        if step.outlier_ms is not None:
+            run_ms = min(run_ms, step.outlier_ms)
+            step.outlier_ms = None
+        self.run_times.record(
+            queue, estimate_ms, usual_ms, run_ms, first_of_step=usual_ms is None
         )
+        if usual_ms is None:
+            step.usual_ms = run_ms
+        else:
+            typical_ms = min(run_ms, MAX_STEP_RATIO * usual_ms)
+            step.usual_ms = usual_ms + STEP_WEIGHT * (typical_ms - usual_ms)
+
+    def _is_outlier(self, step: StepRun, run_ms: float, ratio: float) -> bool:
+        """Tell whether the first task of a step must be confirmed by a second one.
 
-    def record_progress(self, executor: str, ratio: float, now: timedelta) -> None:
+        It may be a long task or have run on an executor that has turned slow. If the
+        second one is as long, the estimate was wrong.
+        """
+        if step.spec.count == 1 or step.outlier_ms is not None:
+            return False
+        if ratio < MAX_STEP_RATIO:
+            return False
+        step.outlier_ms = run_ms
+        return True
+
+    def record_progress(
+        self, executor: str, task: str, ratio: float, now: timedelta
+    ) -> None:
         """Record the ratio of projected to usual run time of a run in progress."""
-        self._update_slowness(self._by_executor[executor], ratio, now)
+        self._update_slowness(self._by_executor[executor], task, ratio, now)
 
     def _update_slowness(
-        self, record: _ExecutorRecord, ratio: float, now: timedelta
+        self, record: _ExecutorRecord, task: str, ratio: float, now: timedelta
     ) -> None:
-        record.slowness += SLOWNESS_WEIGHT * (ratio - record.slowness)
+        record.ratios_by_task.pop(task, None)
+        record.ratios_by_task[task] = ratio
+        while len(record.ratios_by_task) > SLOWNESS_TASKS:
+            del record.ratios_by_task[next(iter(record.ratios_by_task))]
         record.slowness_at = now
 
     def record_failure(self, executor: str, job_id: str, now: timedelta) -> bool:
--- a/src/pomeloyard/batch/run_monitor.py
+++ b/src/pomeloyard/batch/run_monitor.py
@@ -44,7 +44,7 @@
             return
         if kind is EndKind.DONE:
             self._estimates.record_completion(
-                task.step, executor_id, run_ms, now, partial=partial
+                task, executor_id, run_ms, now, partial=partial
             )
         elif kind is EndKind.FAILED:
             job_id = task.step.job.job_id
@@ -88,4 +88,6 @@
             running_for = now - placed.task.started_at
             ratio = slowness(placed.percent, running_for, expected_ms)
             if ratio is not None:
-                self._estimates.record_progress(executor_id, ratio, now)
+                self._estimates.record_progress(
+                    executor_id, placed.task.name, ratio, now
+                )
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -146,21 +146,43 @@
     return job_of(StepSpec(9, 1000, 100, estimate_ms=estimate), job_id=job_id)
 
 
-def done(estimates, job, run_ms, now=SECOND, partial=False, executor="e-1"):
+def done(estimates, job, run_ms, now=SECOND, partial=False, executor="e-1", task=0):
     step = job.occurrences[0][0]
-    estimates.record_completion(step, executor, run_ms, now, partial=partial)
+    estimates.record_completion(
+        step.tasks[task], executor, run_ms, now, partial=partial
+    )
 
 
 def test_a_slow_executor_is_detected_and_tried_again():
     estimates = RunEstimates()
     job = step_of(1000)
-    for _ in range(2):
-        done(estimates, job, 6000)
+    for task in range(2):
+        done(estimates, job, 6000, task=task)
     assert estimates.slowness("e-1", SECOND) > 2
     assert estimates.slowness("e-1", SECOND * 20) == 1.0
     assert estimates.expected_ms(job.occurrences[0][0]) == 1000
 
 
+def test_a_long_task_does_not_make_its_executor_slow():
+    """In some queues 3 of 100 tasks take seven times as long as the others."""
+    estimates = RunEstimates()
+    job = step_of(1000)
+    for task in range(3):
+        done(estimates, job, 1000, task=task)
+    done(estimates, job, 7000, task=3)
+    assert estimates.slowness("e-1", SECOND) < 1.5
+    assert estimates.expected_ms(job.occurrences[0][0]) < 2000
+
+
+def test_a_first_task_that_is_much_too_long_is_confirmed_by_a_second_one():
+    estimates = RunEstimates()
+    step = (job := step_of(1000)).occurrences[0][0]
+    done(estimates, job, 7000)
+    assert estimates.expected_ms(step) == 1000
+    done(estimates, job, 5000, executor="e-2", task=1)
+    assert estimates.expected_ms(step) == 5000
+
+
 def test_run_times_of_a_step_replace_its_estimate():
     estimates = RunEstimates()
     job = step_of(300)
--- a/tests/test_batch_spread.py
+++ b/tests/test_batch_spread.py
@@ -77,8 +77,9 @@
     usage, estimates = Usage(), RunEstimates()
     links = [Link(n, rng.choice([4000, 8000, 16_000])) for n in range(12)]
     for link in rng.sample(links, 3):
-        for _ in range(4):
-            estimates.record_progress(link.executor.executor_id, 9.0, NOW)
+        for number in range(4):
+            task = f"a1.0.0.{number}"
+            estimates.record_progress(link.executor.executor_id, task, 9.0, NOW)
     for link in rng.sample(links, 3):
         link.needs_maintenance = True
     for link in rng.sample(links, 2):
