--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -286,6 +286,8 @@
         now: timedelta,
         tickets: Mapping[str, str] | None = None,
     ) -> None:
+        if not self._share_allows(step):
+            return
         if step.spec.gang:
             self._place_gang(step, index, maximum, now, tickets)
             return
@@ -310,15 +312,20 @@
         """Tell whether the limits of its team allow another task of a step."""
         team = step.job.record.team
         fits = self._usage.team_fits(team, maximum, step.spec)
-        return (
-            fits and self._share_allows(step, 1) and self._assignment_limit.allows(team)
-        )
+        return fits and self._assignment_limit.allows(team)
+
+    def _share_allows(self, step: StepRun) -> bool:
+        """Tell whether the tasks of a step may be placed in this pass.
 
-    def _share_allows(self, step: StepRun, tasks: int) -> bool:
-        """Tell whether more tasks of a step may be placed in this pass."""
+        A job that has begun goes on: if its steps waited for the share again, many jobs
+        would be half done and all of them late.
+        """
         if self._shares is None or not self._only_within_share:
             return True
-        return self._shares.allows(step.job.record.team, step.spec, tasks)
+        if step.job.has_started:
+            return True
+        team, tasks = step.job.record.team, len(step.waiting)
+        return self._shares.allows(team, step.spec, tasks)
 
     def _place_trials(
         self,
@@ -431,8 +438,6 @@
         run = max(task.run for task in step.tasks) + 1
         on_trial = self._crash_trials.needs_trial(step.tasks[0])
         team = step.job.record.team
-        if not self._share_allows(step, step.spec.count):
-            return
         if not self._assignment_limit.allows(team):
             return
         racks = [step.spec.data_rack]
--- a/src/pomeloyard/batch/pool_shares.py
+++ b/src/pomeloyard/batch/pool_shares.py
@@ -100,12 +100,15 @@
     def allows(self, team: str, spec: StepSpec, tasks: int = 1) -> bool:
         """Tell whether a team stays within its share with more tasks of a step.
 
-        The last task may reach over it by half: whole tasks do not add up to a share.
+        These may reach over it by half, as whole steps do not add up to a share. A team
+        that holds nothing is always within it: a job may be larger than the share of a
+        small team, which would never begin one otherwise.
         """
         if not self.contended:
             return True
+        held = self._held[team]
         more = self._cost(spec.executor_usage) * tasks
-        return self._held[team] + more / 2 <= self._shares.get(team, 0.0)
+        return held <= 0 or held + more / 2 <= self._shares.get(team, 0.0)
 
     def add(self, team: str, spec: StepSpec) -> None:
         """Count a task that has been assigned."""
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -215,6 +215,18 @@
     assert not shares.allows("a", StepSpec(1, 1000, 1000))
 
 
+def test_a_team_that_holds_nothing_may_begin_a_job_larger_than_its_share():
+    """Small teams never began a job in a full pool, as no step fitted their share."""
+    waiting = {"small": Resources(64_000), "large": Resources(900_000)}
+    weights_by_team = {"small": 1.0, "large": 99.0}
+    shares = PoolShares(CAPACITY, {}, waiting, weights_by_team)
+    assert shares.by_team()["small"].share < 3
+    spec = StepSpec(8, 8000)
+    assert shares.allows("small", spec, 8)
+    shares.add("small", spec)
+    assert not shares.allows("small", spec, 8)
+
+
 def test_long_running_tasks_and_unknown_teams_have_a_weight_of_one():
     waiting = {"": Resources(900_000), "a": Resources(900_000)}
     shares = PoolShares(CAPACITY, {}, waiting, {"a": 1.0})
