--- a/src/pomeloyard/batch/distributions.py
+++ b/src/pomeloyard/batch/distributions.py
@@ -11,9 +11,6 @@
 RELATIVE_ACCURACY = 0.02
 MAX_BINS = 512
 """Bins of a sketch; with this accuracy they span a factor of 10^8."""
-GENERATION_SIZE = 200
-"""Observations after which a new generation begins. Two are kept, so that between 200
-and 400 observations count and older ones are forgotten."""
 POINTS = 64
 """Quantiles that represent a distribution in decisions and records; the last one shows
 a tail of 1 in 64."""
@@ -68,9 +65,14 @@
 
 
 class Distribution:
-    """The latest 200 to 400 observations of a positive quantity."""
+    """The latest observations of a positive quantity.
 
-    def __init__(self) -> None:
+    Two generations of ``generation_size`` observations are kept, so that between one
+    and two times that number count and older ones are forgotten.
+    """
+
+    def __init__(self, generation_size: int) -> None:
+        self._generation_size = generation_size
         self._current = _new_sketch()
         self._previous = _new_sketch()
         self._summary: Summary | None = None
@@ -84,7 +86,7 @@
         """Record an observation; other than positive finite values are ignored."""
         if not 0 < value < math.inf:
             return
-        if self._current.count >= GENERATION_SIZE:
+        if self._current.count >= self._generation_size:
             self._previous, self._current = self._current, _new_sketch()
         self._current.add(value)
         self._summary = None
@@ -104,7 +106,7 @@
     def restore(self, count: int, points: Sequence[float]) -> None:
         """Take up a stored distribution as the previous generation."""
         restored = _new_sketch()
-        weight = min(count, GENERATION_SIZE) / max(1, len(points))
+        weight = min(count, 2 * self._generation_size) / max(1, len(points))
         for point in points:
             if 0 < point < math.inf and weight > 0:
                 restored.add(point, weight)
--- a/src/pomeloyard/batch/job_history.py
+++ b/src/pomeloyard/batch/job_history.py
@@ -274,4 +274,8 @@
     if last.outcome == "found":
         return f"it was {last.inputs.get('state', 'pending')} when last loaded"
     age = last.inputs.get("age_ms")
-    return f"it ended as {last.outcome}" + (f" after {age / 1000:.1f} s" if age else "")
+    text = f"it ended as {last.outcome}" + (f" after {age / 1000:.1f} s" if age else "")
+    expected, ran = last.inputs.get("expected_ms"), last.inputs.get("run_ms")
+    if expected and ran:
+        text += f"; its critical path was expected to take {expected} ms and took {ran}"
+    return text
--- a/src/pomeloyard/batch/run_times.py
+++ b/src/pomeloyard/batch/run_times.py
@@ -18,6 +18,11 @@
 
 from .distributions import Distribution, Summary
 
+LEVEL_GENERATION = 50
+"""Observations of a generation that shows a level; run times that change by a factor of
+five within 400 steps are followed."""
+TAIL_GENERATION = 400
+"""Observations of a generation that shows a tail of a few in a hundred."""
 MAX_QUEUES = 128
 """Queues that are kept; the least recently used one is dropped."""
 PRIOR_OBSERVATIONS = 8
@@ -35,17 +40,25 @@
 """Tasks that took this many times as long as expected, or more, count as this."""
 
 
+def _level() -> Distribution:
+    return Distribution(LEVEL_GENERATION)
+
+
+def _tail() -> Distribution:
+    return Distribution(TAIL_GENERATION)
+
+
 @dataclass
 class QueueRunTimes:
     """What finished runs have shown about one queue."""
 
-    runs: Distribution = field(default_factory=Distribution)
+    runs: Distribution = field(default_factory=_level)
     """Run time of the first task of each step that is done, in ms."""
-    estimate_ratios: Distribution = field(default_factory=Distribution)
+    estimate_ratios: Distribution = field(default_factory=_level)
     """Its ratio to the submitter's estimate."""
-    expectation_ratios: Distribution = field(default_factory=Distribution)
+    expectation_ratios: Distribution = field(default_factory=_tail)
     """Its ratio to what was expected before."""
-    task_ratios: Distribution = field(default_factory=Distribution)
+    task_ratios: Distribution = field(default_factory=_tail)
     """Ratio of later tasks to the typical run time of their step."""
     observations: int = 0
     """Observations of this term."""
@@ -62,7 +75,7 @@
 
 def _variance(summary: Summary) -> float:
     """Return the variance of the logarithms, drawn towards the prior."""
-    count = min(summary.count, 400)
+    count = summary.count
     spread = summary.log_spread if summary.points else 0.0
     prior = PRIOR_OBSERVATIONS * PRIOR_SPREAD**2
     return (count * spread**2 + prior) / (count + PRIOR_OBSERVATIONS)
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -200,6 +200,13 @@
     assert result.exit_code == 1
 
 
+def test_a_job_says_how_long_it_was_expected_to_run_and_how_long_it_ran():
+    times = {"age_ms": 4000, "expected_ms": 800, "run_ms": 3400}
+    lines = parse(decision(4.0, "d-1", "job", JOB, "completed", **times))
+    expected = "its critical path was expected to take 800 ms and took 3400"
+    assert causes_of(lines) == [f"it ended as completed after 4.0 s; {expected}"]
+
+
 def test_a_job_whose_task_crashed_executors_says_so():
     task = f"{JOB}.0.1.0"
     lines = parse(
--- /dev/null
+++ b/tests/test_run_times.py
@@ -0,0 +1,318 @@
+"""Expected run times learned from finished runs, under loads that mislead estimates."""
+
+from __future__ import annotations
+
+import math
+import random
+from datetime import timedelta
+
+import anyio
+import msgspec
+import pytest
+
+from pomeloyard.batch.fenced_records import FencedRecords
+from pomeloyard.batch.run_time_records import (
+    MAX_RECORD_BYTES,
+    RunTimeRecords,
+    encode,
+    key_of,
+    restore,
+)
+from pomeloyard.batch.run_times import MAX_QUEUES, RunTimes
+from pomeloyard.clock import ManualClock
+from pomeloyard.keyvalue.store import Compare, Put, Transaction
+
+from .support.job_fakes import FaultyStore, advance
+
+SEEDS = [1, 2, 3]
+QUEUE = "cuts"
+
+
+class Blend:
+    """The earlier model: one mean of logarithms and a fixed weight of 0.5."""
+
+    def __init__(self):
+        self._log_ms = None
+
+    def expected_ms(self, estimate_ms):
+        if self._log_ms is None:
+            return estimate_ms
+        return math.exp(0.5 * math.log(estimate_ms) + 0.5 * self._log_ms)
+
+    def record(self, run_ms):
+        log_ms = math.log(run_ms)
+        before = log_ms if self._log_ms is None else self._log_ms
+        self._log_ms = before + 0.05 * (log_ms - before)
+
+
+def errors(seed, estimate_error, *, bias=1.0, drift=1.0, long_share=0.0, steps=400):
+    """Return the mean error of the learned model and of the blend, in logarithms.
+
+    Steps differ by 0.5 and the tasks of a step by 0.25; the first 50 do not count.
+    """
+    rng = random.Random(seed)
+    run_times, blend = RunTimes(), Blend()
+    learned_errors, blend_errors = [], []
+    for number in range(steps):
+        middle = 800 * drift ** (number / steps)
+        usual = middle * math.exp(rng.gauss(0, 0.5))
+        estimate = usual * bias * math.exp(rng.gauss(0, estimate_error))
+        run = usual * math.exp(rng.gauss(0, 0.25))
+        run *= 7 if rng.random() < long_share else 1
+        if number >= 50:
+            learned = run_times.expected_ms(QUEUE, estimate)
+            learned_errors.append(abs(math.log(run / learned)))
+            blend_errors.append(abs(math.log(run / blend.expected_ms(estimate))))
+        run_times.record(QUEUE, estimate, None, run, first_of_step=True)
+        blend.record(run)
+    return (
+        sum(learned_errors) / len(learned_errors),
+        sum(blend_errors) / len(blend_errors),
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("estimate_error", [0.2, 0.9])
+def test_estimates_count_as_far_as_they_have_been_right(seed, estimate_error):
+    """A fixed weight trusted good estimates too little and bad ones too much."""
+    learned, blend = errors(seed, estimate_error)
+    assert learned < blend
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_estimates_as_good_as_the_queue_are_weighted_as_before(seed):
+    learned, blend = errors(seed, 0.5)
+    assert learned <= 1.02 * blend
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("bias", [0.1, 5.0])
+def test_a_constant_factor_in_the_estimates_is_corrected(seed, bias):
+    learned, blend = errors(seed, 0.2, bias=bias)
+    assert learned < 0.5 * blend
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("drift", [0.2, 5.0])
+def test_drifting_run_times_are_followed(seed, drift):
+    learned, blend = errors(seed, 0.5, drift=drift)
+    assert learned <= 1.05 * blend
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_heavy_tail_does_not_move_what_is_expected(seed):
+    learned, blend = errors(seed, 0.2, long_share=0.03)
+    assert learned <= blend
+
+
+def with_tail(seed, tasks=2000):
+    """Tasks of known steps, of which 3 in 100 take seven times as long."""
+    rng = random.Random(seed)
+    run_times = RunTimes()
+    for _ in range(tasks):
+        run = 1000 * math.exp(rng.gauss(0, 0.25)) * (7 if rng.random() < 0.03 else 1)
+        run_times.record(QUEUE, 1000, 1000.0, run, first_of_step=False)
+    return run_times
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_quantiles_show_the_tail(seed):
+    run_times = with_tail(seed)
+    assert run_times.quantile_ms(QUEUE, 1000, 1000.0, 0.5) == pytest.approx(1000, 0.1)
+    assert run_times.quantile_ms(QUEUE, 1000, 1000.0, 0.9) < 2000
+    assert run_times.quantile_ms(QUEUE, 1000, 1000.0, 0.99) > 4000
+    assert run_times.mean_ms(QUEUE, 1000, 1000.0) > 1100
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_run_that_has_outlasted_the_usual_is_expected_to_be_a_long_one(seed):
+    run_times = with_tail(seed)
+    fresh = run_times.remaining_ms(QUEUE, 1000, 1000.0, 0.0)
+    old = run_times.remaining_ms(QUEUE, 1000, 1000.0, 2500.0)
+    assert fresh < 1500
+    assert old > 2000
+    quantile = run_times.remaining_ms(QUEUE, 1000, 1000.0, 0.0, 0.9)
+    assert fresh < quantile < 2000
+
+
+def test_a_run_beyond_all_others_is_expected_to_take_as_long_again():
+    assert with_tail(1).remaining_ms(QUEUE, 1000, 1000.0, 90_000.0) == 90_000.0
+
+
+def test_a_step_takes_as_long_as_the_slowest_of_its_tasks():
+    run_times = with_tail(1)
+    one = run_times.slowest_ms(QUEUE, 1000, 1000.0, 1)
+    eight = run_times.slowest_ms(QUEUE, 1000, 1000.0, 8)
+    assert one == pytest.approx(1000, 0.1)
+    assert 1200 < eight < 2000
+
+
+@pytest.mark.parametrize("estimate", [0, -5, 10**15])
+def test_a_missing_or_absurd_estimate_has_no_weight(estimate):
+    run_times = RunTimes()
+    assert run_times.expected_ms(QUEUE, estimate) == 1000
+    for _ in range(30):
+        run_times.record(QUEUE, estimate, None, 400, first_of_step=True)
+    assert run_times.expected_ms(QUEUE, estimate) == pytest.approx(400, 0.03)
+
+
+def test_the_number_of_queues_is_bounded():
+    run_times = RunTimes()
+    for number in range(MAX_QUEUES + 50):
+        run_times.record(f"q{number}", 100, None, 100, first_of_step=True)
+    assert len(run_times.queues()) == MAX_QUEUES
+    assert f"q{MAX_QUEUES + 49}" in run_times.queues()
+
+
+def learned_from(seed=1, steps=300):
+    rng = random.Random(seed)
+    run_times = RunTimes()
+    for _ in range(steps):
+        usual = 2000 * math.exp(rng.gauss(0, 0.5))
+        estimate = 3 * usual * math.exp(rng.gauss(0, 0.2))
+        run_times.record(QUEUE, estimate, None, usual, first_of_step=True)
+        for _ in range(3):
+            run = usual * math.exp(rng.gauss(0, 0.25))
+            run_times.record(QUEUE, estimate, usual, run, first_of_step=False)
+    return run_times
+
+
+def test_a_record_is_small_and_keeps_what_decisions_use():
+    before, after = learned_from(), RunTimes()
+    content = encode(before.queues()[QUEUE])
+    assert len(content) <= MAX_RECORD_BYTES
+    restore(after.queue(QUEUE), content)
+    for estimate in (300.0, 6000.0, 0.0):
+        expected = before.expected_ms(QUEUE, estimate)
+        assert after.expected_ms(QUEUE, estimate) == pytest.approx(expected, rel=0.1)
+    weight = before.estimate_weight(QUEUE)
+    assert after.estimate_weight(QUEUE) == pytest.approx(weight, abs=0.1)
+
+
+def test_fields_of_a_later_build_are_ignored():
+    stored = msgspec.msgpack.decode(encode(learned_from().queues()[QUEUE]))
+    stored["distributions"].append([1, [2.0]])
+    stored["later"] = {"x": 1}
+    known = RunTimes().queue(QUEUE)
+    restore(known, msgspec.msgpack.encode(stored))
+    assert known.runs.count
+
+
+class Terms:
+    """Terms of the placing role that share a store."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.store = FaultyStore(self.clock)
+        self.epoch = 0
+
+    async def new_epoch(self):
+        put = Put("epochs/placing", b"%d" % self.epoch)
+        result = await self.store.commit(Transaction((), (put,)))
+        self.epoch += 1
+        return Compare("epochs/placing", result.revision)
+
+    async def begin(self, tasks, run_times):
+        guard = await self.new_epoch()
+        records = FencedRecords(self.clock, self.store, guard)
+        writer = RunTimeRecords(self.clock, self.store, records, run_times)
+        tasks.start_soon(writer.run)
+        await advance(self.clock, 0.1)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.anyio
+async def test_the_next_holder_takes_up_what_was_learned():
+    terms = Terms()
+    learned = learned_from()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, learned)
+        await advance(terms.clock, 3)
+        tasks.cancel_scope.cancel()
+    successor = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, successor)
+        tasks.cancel_scope.cancel()
+    expected = learned.expected_ms(QUEUE, 6000)
+    assert successor.expected_ms(QUEUE, 6000) == pytest.approx(expected, rel=0.1)
+
+
+@pytest.mark.anyio
+async def test_writes_are_bounded_while_many_queues_learn():
+    terms = Terms()
+    run_times = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, run_times)
+        before = terms.store.calls_by_method["commit"]
+        for _ in range(20):
+            for number in range(3):
+                run_times.record(f"q{number}", 100, None, 90, first_of_step=True)
+            await advance(terms.clock, 1)
+        writes = terms.store.calls_by_method["commit"] - before
+        tasks.cancel_scope.cancel()
+    # One a queue in 5 s, of three queues in 20 s.
+    assert 3 <= writes <= 3 * 5
+
+
+@pytest.mark.anyio
+async def test_learning_goes_on_while_the_store_is_down():
+    terms = Terms()
+    run_times = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, run_times)
+        terms.store.down = True
+        run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+        await advance(terms.clock, 4)
+        assert run_times.queues()[QUEUE].runs.count == 1
+        terms.store.down = False
+        await advance(terms.clock, 4)
+        assert await terms.store.get(key_of(QUEUE)) is not None
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_a_holder_that_was_replaced_stores_nothing():
+    terms = Terms()
+    run_times = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, run_times)
+        await terms.new_epoch()
+        run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+        await advance(terms.clock, 3)
+        assert await terms.store.get(key_of(QUEUE)) is None
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode({"distributions": 3}),
+        msgspec.msgpack.encode({"distributions": [[-5, [-1.0, float("nan")]]]}),
+    ],
+)
+async def test_a_record_that_cannot_be_used_costs_its_queue_only(content):
+    terms = Terms()
+    good = Put(key_of(QUEUE), encode(learned_from().queues()[QUEUE]))
+    await terms.store.commit(Transaction((), (good, Put(key_of("odd"), content))))
+    run_times = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, run_times)
+        tasks.cancel_scope.cancel()
+    assert run_times.queues()[QUEUE].runs.count
+    assert run_times.expected_ms("odd", 700) == 700
+
+
+def test_time_without_observations_writes_nothing():
+    clock = ManualClock()
+    store = FaultyStore(clock)
+    records = FencedRecords(clock, store, Compare("epochs/placing", 0))
+    writer = RunTimeRecords(clock, store, records, RunTimes())
+    clock.advance(timedelta(seconds=60))
+    assert writer._next_to_write() is None
