End a poll of the store once calls go through a peer

Change: when calls begin to go through a peer, polls that wait for the store itself end, and their callers poll again from the same revision. Test: a poll of 30 s ends at once; before the change it did not.

--- a/src/pomeloyard/platform/store_client.py
+++ b/src/pomeloyard/platform/store_client.py
@@ -111,6 +111,8 @@
     def __init__(self, client: HttpClient, address: str) -> None:
         self._client = client
         self._address = address
+        self._direct_polls: set[anyio.CancelScope] = set()
+        """Polls that wait for an answer of the store itself."""
         self._adaptive_timeout = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
         self.calls = CallCounter()
         self.relay_selector = RelaySelector()
@@ -267,8 +269,10 @@
         """Make a call; the default time-out adapts to recent response times."""
         started_at = _now()
         limit = timeout or self._adaptive_timeout.timeout(started_at)
-        through_peer = self.relay_selector.uses_relay
-        call = self._call_through_peer if through_peer else self._call_directly
+        if self.relay_selector.uses_relay:
+            call = self._call_through_peer
+        else:
+            call = self._call_directly if timeout is None else self._poll_directly
         try:
             response = await call(method, target, content, limit)
         except CallUnansweredError:
@@ -280,6 +284,28 @@
             self._adaptive_timeout.record_response(now, now - started_at)
         return response
 
+    async def _poll_directly(
+        self, method: str, target: str, content: bytes, limit: timedelta
+    ) -> Response:
+        """Make a call that waits; it ends once the store no longer answers directly.
+
+        A poll that hangs on a partition would otherwise hide changes for its whole
+        wait, while other calls already go through a peer.
+        """
+        with anyio.CancelScope() as scope:
+            self._direct_polls.add(scope)
+            try:
+                return await self._call_directly(method, target, content, limit)
+            finally:
+                self._direct_polls.discard(scope)
+        raise CallUnansweredError(f"{method} {target}: calls go through a peer now")
+
+    def _record_direct_failure(self) -> None:
+        self.relay_selector.record_failure()
+        if self.relay_selector.uses_relay:
+            for scope in self._direct_polls:
+                scope.cancel()
+
     async def _call_directly(
         self, method: str, target: str, content: bytes, limit: timedelta
     ) -> Response:
@@ -288,10 +314,10 @@
                 method, self._address, target, limit, content
             )
         except (CallNotSentError, CallUnansweredError):
-            self.relay_selector.record_failure()
+            self._record_direct_failure()
             raise
         if response.status in REFUSAL_STATUSES:
-            self.relay_selector.record_failure()
+            self._record_direct_failure()
         else:
             self.relay_selector.record_response(_now())
         return response
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -156,6 +156,28 @@
         assert (await first.store.get("k")).value == b"v"
 
 
+async def test_a_poll_ends_once_calls_go_through_a_peer():
+    """A poll on a cut connection hid new jobs for its wait of 1 s and 0.6 s more."""
+    async with daemons(2) as (_, (first, _peer)):
+        failed = anyio.Event()
+
+        async def poll():
+            with pytest.raises(StoreUnavailableError):
+                await first.store.poll_changes("k", 0, 30 * SECOND)
+            failed.set()
+
+        revision = (await first.store.scan("k")).revision
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(poll)
+            await anyio.wait_all_tasks_blocked()
+            await refuse(first)
+            with anyio.fail_after(5):
+                await failed.wait()
+        assert (await first.store.commit(WRITE)).succeeded
+        batch = await first.store.poll_changes("k", revision, SECOND)
+        assert [event.key for event in batch.events] == ["k"]
+
+
 async def test_relayed_calls_are_not_relayed_again():
     async with daemons(3) as (_, (first, second, third)):
         await refuse(second)
