Keep unusable weights and negative amounts from ending the placing term

A configuration is accepted with a negative weight, and job records are not checked for negative sizes when they are read. weighted_max_min raises ValueError for both, in the planning round of each contended pool, so that every term ended at once. Such a weight now counts as 1 and such an amount as nothing.

--- a/src/pomeloyard/batch/pool_shares.py
+++ b/src/pomeloyard/batch/pool_shares.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
@@ -58,10 +59,23 @@
         (amount.memory_mb, total.memory_mb),
         (amount.accelerators, total.accelerators),
     )
-    fraction = max(part / whole if whole > 0 else 0.0 for part, whole in pairs)
+    # Records of jobs are not checked for negative amounts when they are read.
+    fractions = [part / whole for part, whole in pairs if whole > 0]
+    fraction = max([0.0, *fractions])
     return fraction * total.cpu_millis / 1000
 
 
+def _usable(weight_by_team: Mapping[str, float]) -> dict[str, float]:
+    """Return the weights, 1 for those that are negative or not finite.
+
+    The configuration is not checked for them, and an error would end the placing term.
+    """
+    return {
+        team: weight if 0 <= weight < math.inf else 1.0
+        for team, weight in weight_by_team.items()
+    }
+
+
 class PoolShares:
     """The division of one pool during a planning round."""
 
@@ -91,7 +105,9 @@
         self.contended = compete and sum(demands.values()) > room > 0
         """Whether several teams want more than there is; else nothing is limited."""
         self._shares = (
-            weighted_max_min(room, demands, weight_by_team) if self.contended else {}
+            weighted_max_min(room, demands, _usable(weight_by_team))
+            if self.contended
+            else {}
         )
 
     def _cost(self, amount: Resources) -> float:
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -243,3 +243,19 @@
     before = PoolShares(CAPACITY, {}, waiting, {}, ShareOrder.BEFORE_CLASS)
     order = [(job[0], limited) for job, limited in before.passes(jobs, key)]
     assert order == [("x", True), ("y", True), ("x", False), ("y", False)]
+
+
+@pytest.mark.parametrize("weight", [-1.0, float("inf"), float("nan")])
+def test_a_weight_that_cannot_be_used_counts_as_one(weight):
+    """A negative weight in the configuration ended each placing term in a full pool."""
+    waiting = {"a": Resources(900_000), "b": Resources(900_000)}
+    shares = PoolShares(CAPACITY, {}, waiting, {"a": weight})
+    assert shares.by_team()["a"].share == 128.0
+
+
+def test_negative_amounts_count_as_nothing():
+    """The division raises an error for a negative demand, which ends the term."""
+    capacity = Resources(8000, 8000, 8)
+    waiting = {"a": Resources(-1, -1, -1), "b": Resources(90_000)}
+    shares = PoolShares(capacity, {}, waiting, {})
+    assert shares.by_team()["a"].share == 0.0
