Bound learned run times, so that no record or estimate ends the term

A stored record with numbers near the limits of a float restored to a logarithm of 0 (ValueError) or an infinite duration (OverflowError) in each planning round. Estimates that were far too short by a constant factor made a step expected to take 4,000 years, whose sum over steps a timedelta does not hold. A job record with a count of -1 divided by zero, and a run record with two rows of one task took the minimum of nothing.

--- a/src/pomeloyard/batch/distributions.py
+++ b/src/pomeloyard/batch/distributions.py
@@ -14,6 +14,11 @@
 POINTS = 64
 """Quantiles that represent a distribution in decisions and records; the last one shows
 a tail of 1 in 64."""
+MIN_VALUE = 1e-9
+MAX_VALUE = 1e9
+"""Values beyond these count as these; run times of a week and their ratios to estimates
+lie between them. A stored record may hold any number, and those near the limits of a
+float lead to infinite durations or a logarithm of 0."""
 ONE_SIGMA = (0.16, 0.84)
 """Quantiles of a normal distribution one standard deviation from its mean."""
 
@@ -68,11 +73,13 @@
     """The latest observations of a positive quantity.
 
     Two generations of ``generation_size`` observations are kept, so that between one
-    and two times that number count and older ones are forgotten.
+    and two times that number count and older ones are forgotten. Values above
+    ``maximum`` count as this.
     """
 
-    def __init__(self, generation_size: int) -> None:
+    def __init__(self, generation_size: int, maximum: float = MAX_VALUE) -> None:
         self._generation_size = generation_size
+        self._maximum = maximum
         self._current = _new_sketch()
         self._previous = _new_sketch()
         self._summary: Summary | None = None
@@ -88,7 +95,7 @@
             return
         if self._current.count >= self._generation_size:
             self._previous, self._current = self._current, _new_sketch()
-        self._current.add(value)
+        self._current.add(self._bounded(value))
         self._summary = None
 
     def summary(self) -> Summary:
@@ -109,7 +116,10 @@
         weight = min(count, 2 * self._generation_size) / max(1, len(points))
         for point in points:
             if 0 < point < math.inf and weight > 0:
-                restored.add(point, weight)
+                restored.add(self._bounded(point), weight)
         restored.merge(self._previous)
         self._previous = restored
         self._summary = None
+
+    def _bounded(self, value: float) -> float:
+        return min(max(value, MIN_VALUE), self._maximum)
--- a/src/pomeloyard/batch/run_estimates.py
+++ b/src/pomeloyard/batch/run_estimates.py
@@ -94,7 +94,8 @@
         if step.waiting or not step.placed:
             return self.slowest_ms(step)
         running = (t for t in step.tasks if t.state is TaskState.PLACED)
-        elapsed = now - min(task.started_at for task in running)
+        # A damaged run record may count tasks as placed that are not.
+        elapsed = now - min((task.started_at for task in running), default=now)
         quantile = step.placed / (step.placed + 1)
         return self.remaining_ms(step, max(elapsed, timedelta(0)), quantile)
 
--- a/src/pomeloyard/batch/run_times.py
+++ b/src/pomeloyard/batch/run_times.py
@@ -32,7 +32,8 @@
 DEFAULT_RUN_MS = 1000.0
 """Expected for the first tasks of a queue if the submitter gave no estimate."""
 MAX_ESTIMATE_MS = 7 * 24 * 3600 * 1000
-"""Longer estimates count as absurd; a duration must hold the sum of a job's steps."""
+"""Longer estimates count as absurd, and no step is expected to take longer; a duration
+must hold the sum of a job's steps."""
 MIN_OBSERVATIONS = 20
 """Observations from which quantiles of a queue are used; before, a task is expected to
 take as long as its step."""
@@ -45,7 +46,7 @@
 
 
 def _tail() -> Distribution:
-    return Distribution(TAIL_GENERATION)
+    return Distribution(TAIL_GENERATION, MAX_LENGTH_RATIO)
 
 
 @dataclass
@@ -127,10 +128,11 @@
             return float(estimate_ms) if usable else DEFAULT_RUN_MS
         log_usual = known.runs.summary().log_median
         if not usable:
-            return math.exp(log_usual)
+            return min(math.exp(log_usual), MAX_ESTIMATE_MS)
         weight = self.estimate_weight(queue)
         log_estimate = math.log(estimate_ms) + self._log_bias(known)
-        return math.exp(weight * log_estimate + (1 - weight) * log_usual)
+        log_expected = weight * log_estimate + (1 - weight) * log_usual
+        return min(math.exp(log_expected), MAX_ESTIMATE_MS)
 
     def _log_bias(self, known: QueueRunTimes) -> float:
         """Return the logarithm of the factor by which estimates are too short."""
@@ -171,6 +173,8 @@
         if known is None or known.task_ratios.count < MIN_OBSERVATIONS:
             return expected
         ratios = known.task_ratios.summary()
+        # A record of a job is not checked for its number of tasks when it is read.
+        tasks = max(1, tasks)
         return expected * max(1.0, ratios.quantile(tasks / (tasks + 1)))
 
     def remaining_ms(
@@ -219,7 +223,7 @@
         """
         run_ms = max(run_ms, 1.0)
         expected = self.expected_ms(queue, estimate_ms, usual_ms)
-        ratio = min(run_ms / max(expected, 1.0), MAX_LENGTH_RATIO)
+        ratio = run_ms / max(expected, 1.0)
         known = self.queue(queue)
         known.observations += 1
         if not first_of_step:
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -11,6 +11,9 @@
 import pytest
 
 from pomeloyard.batch.fenced_records import FencedRecords
+from pomeloyard.batch.model import StepSpec
+from pomeloyard.batch.progress import TaskState
+from pomeloyard.batch.run_estimates import RunEstimates
 from pomeloyard.batch.run_time_records import (
     MAX_RECORD_BYTES,
     RunTimeRecords,
@@ -18,11 +21,12 @@
     key_of,
     restore,
 )
-from pomeloyard.batch.run_times import MAX_QUEUES, RunTimes
+from pomeloyard.batch.run_times import MAX_ESTIMATE_MS, MAX_QUEUES, RunTimes
 from pomeloyard.clock import ManualClock
 from pomeloyard.keyvalue.store import Compare, Put, Transaction
 
 from .support.job_fakes import FaultyStore, advance
+from .test_batch_decisions import job_of
 
 SEEDS = [1, 2, 3]
 QUEUE = "cuts"
@@ -156,6 +160,35 @@
     assert run_times.expected_ms(QUEUE, estimate) == pytest.approx(400, 0.03)
 
 
+def test_no_step_is_expected_to_take_longer_than_a_duration_holds():
+    """The times of a job's steps are added up and become a timedelta; an overflow in a
+    planning round ends the term."""
+    rng = random.Random(1)
+    run_times = RunTimes()
+    for _ in range(100):
+        estimate = int(math.exp(rng.uniform(0, 7)))
+        run = estimate * 600_000
+        run_times.record(QUEUE, estimate, None, run, first_of_step=True)
+    assert run_times.expected_ms(QUEUE, MAX_ESTIMATE_MS) <= MAX_ESTIMATE_MS
+
+
+@pytest.mark.parametrize("tasks", [-1, 0])
+def test_a_step_without_tasks_takes_as_long_as_one_task(tasks):
+    run_times = with_tail(1)
+    one = run_times.slowest_ms(QUEUE, 1000, 1000.0, 1)
+    assert run_times.slowest_ms(QUEUE, 1000, 1000.0, tasks) == one
+
+
+def test_a_step_whose_tasks_are_counted_wrongly_does_not_end_the_term():
+    """A run record with two rows of one task counts it as placed and as done."""
+    job = job_of(StepSpec(1, 1000, estimate_ms=700))
+    step = job.occurrences[0][0]
+    (task,) = step.tasks
+    step.waiting.clear()
+    step.placed, task.state = 1, TaskState.DONE
+    assert RunEstimates().rest_ms(step, timedelta(seconds=9)) == 700
+
+
 def test_the_number_of_queues_is_bounded():
     run_times = RunTimes()
     for number in range(MAX_QUEUES + 50):
@@ -309,6 +342,29 @@
     assert run_times.expected_ms("odd", 700) == 700
 
 
+@pytest.mark.parametrize("point", [5e-324, 1e-310, 1e-300, 1e300, 1.7e308])
+@pytest.mark.parametrize("position", range(4))
+def test_absurd_numbers_in_a_record_do_not_end_the_term(point, position):
+    """Numbers near the limits of a float led to infinite times and logarithms of 0."""
+    distributions = [[100, [1.0] * 4] for _ in range(4)]
+    distributions[position] = [100, [point] * 4]
+    run_times = RunTimes()
+    content = msgspec.msgpack.encode({"distributions": distributions})
+    restore(run_times.queue(QUEUE), content)
+    for estimate in (0, 500, MAX_ESTIMATE_MS):
+        for usual_ms in (None, 700.0):
+            times = [
+                run_times.slowest_ms(QUEUE, estimate, usual_ms, 20_000),
+                run_times.mean_ms(QUEUE, estimate, usual_ms),
+                run_times.quantile_ms(QUEUE, estimate, usual_ms, 0.9),
+                run_times.remaining_ms(QUEUE, estimate, usual_ms, 100.0),
+            ]
+            # As many steps as a job may have, until a job is very late.
+            timedelta(milliseconds=64 * 3 * max(times))
+            run_times.record(QUEUE, estimate, usual_ms, 900, first_of_step=True)
+    assert math.isfinite(run_times.error(QUEUE))
+
+
 def test_time_without_observations_writes_nothing():
     clock = ManualClock()
     store = FaultyStore(clock)
