Delete the marker of a scheduled job that a new term starts first

The record of a scheduled job is stored when an occurrence becomes due. If no executor had room before the holder changed, the new holder took the record as a sign that the job had begun, and never deleted its marker. The marker then counted as a waiting job for ever, and a reload read the job again after it had ended. It also exempted the job from its team's share.

--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -506,8 +506,6 @@
         record = msgspec.msgpack.decode(content, type=RunRecord)
         self.revision = revision
         self.record_bytes = len(content)
-        self.waiting_marker_stored = False
-        self.has_started = True
         for rows in record.steps:
             while self.next_occurrence <= rows.occurrence:
                 self._open_occurrence(self.next_occurrence)
@@ -517,6 +515,10 @@
             for row in rows.rows:
                 _restore_row(step, row)
         self.state = JobState(record.state)
+        # The record of a scheduled job is stored when an occurrence becomes due, which
+        # may be before the first start; its marker is deleted with the start.
+        self.has_started = self.state is not JobState.PENDING
+        self.waiting_marker_stored = not self.has_started
         if self.final:
             self._discard_waiting_tasks()
         elif not record.counts_crashes:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -434,6 +434,24 @@
         assert names == ["a1.0.0.0", "a1.1.0.0"]
 
 
+async def test_the_marker_of_a_job_that_a_successor_starts_is_deleted():
+    """The marker of an occurrence that was due in the previous term stayed forever."""
+    world = World(executors=1, cpu=500)
+    due = world.clock.now().timestamp() * 1000 + 500
+    marker = layout.waiting_prefix(QUEUE.name) + "a1"
+    async with world.running() as first:
+        await world.submit("a1", first_due_ms=round(due), occurrences=1)
+        await world.run_for(2)
+        assert world.entry(layout.RUNS + "a1") is not None
+        assert world.entry(marker) is not None
+        first._ended.set()
+        async with world.term():
+            executor = world.fake_executors[0].resize(4000)
+            await world.put(f"executors/{executor.executor_id}", executor)
+            assert await world.run_for(6, completed(world))
+            assert world.entry(marker) is None
+
+
 ADVISED = replace(
     QUEUE, advice=PlacementAdvice(timedelta(0), timedelta(0), timedelta(seconds=3))
 )
