Forget the division of a pool once no task waits

A pool without waiting jobs is not planned, so that its last division stayed in the metrics: after a cancellation of the waiting jobs, it was shown until the next contended round.

Run: tests/test_batch_term.py -k shares_are_shown; it failed before.

--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -149,6 +149,7 @@
         for service in sorted(planned):
             waiting = self._waiting_by_service.get(service)
             if not waiting:
+                self.share_rounds.end(service)
                 continue
             links = self._usable_links(service, now)
             index = FreeCapacityIndex(links, self._usage, self._estimates, now)
--- a/src/pomeloyard/batch/share_rounds.py
+++ b/src/pomeloyard/batch/share_rounds.py
@@ -63,6 +63,10 @@
         self._latest[pool] = shares
         return shares
 
+    def end(self, pool: str) -> None:
+        """Forget the division of a pool in which no task waits."""
+        self._latest.pop(pool, None)
+
     def _held_by_team(
         self, pool: str, configuration: Configuration
     ) -> dict[str, Resources]:
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -21,7 +21,7 @@
 from pomeloyard.batch.placing_term import MAX_CONCURRENT_FIRST_POLLS
 from pomeloyard.batch.progress import EndKind
 
-from .support.batch_world import QUEUE, FakeAdvice, World, configuration
+from .support.batch_world import QUEUE, TEAM, FakeAdvice, World, configuration
 
 pytestmark = pytest.mark.anyio
 
@@ -54,6 +54,23 @@
         assert await world.run_for(10, completed(world))
 
 
+async def test_shares_are_shown_only_while_tasks_wait():
+    """The metrics kept showing a division after the waiting jobs were cancelled."""
+    world = World(executors=1)
+    world.client.run_time = timedelta(seconds=3)
+    async with world.running() as term:
+        await world.submit("a1", StepSpec(8, 1000, 100))
+        await world.submit("a2", StepSpec(8, 1000, 100), team="kites")
+        await world.run_for(0.5)
+        assert set(term.shares_by_pool()["mill"]) == {TEAM.name, "kites"}
+        deadline = world.clock.monotonic() + timedelta(seconds=3)
+        for job in ("a1", "a2"):
+            assert await world.job_service.cancel(job, "nets", deadline)
+        await world.run_for(2)
+        assert term.shares_by_pool() == {}
+        assert not any(term.usage.short_tasks(QUEUE.name).values())
+
+
 async def test_an_unanswered_start_is_voided_before_the_task_starts_again():
     world = World()
     async with world.running():
