Compute the weight of a queue's estimates once for all its steps

It was computed from both variances at each call of expected_ms.

Run: tests/test_run_times.py (the new test failed before), test_batch_decisions.py.

--- a/src/pomeloyard/batch/run_times.py
+++ b/src/pomeloyard/batch/run_times.py
@@ -63,6 +63,8 @@
     """Ratio of later tasks to the typical run time of their step."""
     observations: int = 0
     """Observations of this term."""
+    blend: _Blend | None = field(default=None, repr=False)
+    """As of the summaries that it names."""
 
     def distributions(self) -> Iterator[Distribution]:
         """Yield the distributions in the order in which they are stored."""
@@ -82,6 +84,33 @@
     return (count * spread**2 + prior) / (count + PRIOR_OBSERVATIONS)
 
 
+class _Blend:
+    """How estimates and the run times of a queue combine, by what has been observed.
+
+    It is the same for all steps of a queue, and planning asks for it thousands of times
+    in a round.
+    """
+
+    def __init__(self, runs: Summary, ratios: Summary) -> None:
+        self.runs = runs
+        self.ratios = ratios
+        of_runs, of_errors = _variance(runs), _variance(ratios)
+        self.estimate_weight = of_runs / max(of_runs + of_errors, 1e-9)
+        self.log_bias = 0.0
+        """Logarithm of the factor by which estimates are too short."""
+        if ratios.points:
+            trust = ratios.count / (ratios.count + PRIOR_OBSERVATIONS)
+            self.log_bias = trust * ratios.log_median
+
+
+def _blend_of(known: QueueRunTimes) -> _Blend:
+    runs, ratios = known.runs.summary(), known.estimate_ratios.summary()
+    blend = known.blend
+    if blend is None or blend.runs is not runs or blend.ratios is not ratios:
+        blend = known.blend = _Blend(runs, ratios)
+    return blend
+
+
 class RunTimes:
     """Distributions of run times by queue."""
 
@@ -109,9 +138,7 @@
         known = self._by_queue.get(queue)
         if known is None:
             return 0.5
-        of_runs = _variance(known.runs.summary())
-        of_errors = _variance(known.estimate_ratios.summary())
-        return of_runs / max(of_runs + of_errors, 1e-9)
+        return _blend_of(known).estimate_weight
 
     def expected_ms(
         self, queue: str, estimate_ms: float, usual_ms: float | None = None
@@ -124,24 +151,17 @@
             return usual_ms
         usable = 0 < estimate_ms <= MAX_ESTIMATE_MS
         known = self._by_queue.get(queue)
-        if known is None or not known.runs.count:
+        if known is None or not known.runs.summary().points:
             return float(estimate_ms) if usable else DEFAULT_RUN_MS
-        log_usual = known.runs.summary().log_median
+        blend = _blend_of(known)
+        log_usual = blend.runs.log_median
         if not usable:
             return min(math.exp(log_usual), MAX_ESTIMATE_MS)
-        weight = self.estimate_weight(queue)
-        log_estimate = math.log(estimate_ms) + self._log_bias(known)
+        weight = blend.estimate_weight
+        log_estimate = math.log(estimate_ms) + blend.log_bias
         log_expected = weight * log_estimate + (1 - weight) * log_usual
         return min(math.exp(log_expected), MAX_ESTIMATE_MS)
 
-    def _log_bias(self, known: QueueRunTimes) -> float:
-        """Return the logarithm of the factor by which estimates are too short."""
-        ratios = known.estimate_ratios.summary()
-        if not ratios.points:
-            return 0.0
-        trust = ratios.count / (ratios.count + PRIOR_OBSERVATIONS)
-        return trust * ratios.log_median
-
     def quantile_ms(
         self,
         queue: str,
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from pomeloyard.batch import run_times as run_times_module
 from pomeloyard.batch.distributions import Distribution
 from pomeloyard.batch.fenced_records import FencedRecords
 from pomeloyard.batch.model import StepSpec
@@ -201,6 +202,19 @@
     assert distribution.summary().quantile(0.9) > 2500
 
 
+def test_the_weight_of_estimates_is_not_computed_for_each_step(monkeypatch):
+    """The first round of 2,000 jobs took 2.5 times as long as with a fixed weight."""
+    run_times = learned_from()
+    calls = []
+    variance = run_times_module._variance
+    monkeypatch.setattr(
+        run_times_module, "_variance", lambda s: calls.append(s) or variance(s)
+    )
+    for estimate in range(1, 1000):
+        run_times.expected_ms(QUEUE, estimate)
+    assert len(calls) <= 2
+
+
 def test_the_number_of_queues_is_bounded():
     run_times = RunTimes()
     for number in range(MAX_QUEUES + 50):
