Learn a step's run time from its median task

Change: a step counts once its median task is done; before, the middle one of those that are done, corrected by the ratio that tasks of its rank have had.

--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -144,11 +144,12 @@
         "gang_failures",
         "job",
         "longest_ms",
+        "median_known",
         "name",
         "number",
         "occurrence",
-        "outlier_ms",
         "placed",
+        "run_times_ms",
         "spec",
         "tasks",
         "usual_ms",
@@ -170,8 +171,9 @@
         """The latest of these runs."""
         self.longest_ms = 0.0
         """Longest run time of its tasks that are done, as far as this term saw it."""
-        self.outlier_ms: float | None = None
-        """Run time of its first task that is done, if that was unexpectedly long."""
+        self.run_times_ms: list[float] = []
+        """Sorted run times of its tasks that are done, until their median is known."""
+        self.median_known = False
         self.usual_ms: float | None = None
         """Typical run time of its tasks, None until one is done."""
         self.name = f"{job.job_id}.{occurrence}.{number}"
--- a/src/pomeloyard/batch/run_estimates.py
+++ b/src/pomeloyard/batch/run_estimates.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections import defaultdict
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -14,11 +15,9 @@
 from .progress import StepRun, Task, TaskState
 from .run_times import RunTimes
 
-STEP_WEIGHT = 0.3
-"""Weight of a new run time in its step's mean; tasks of a step vary by a quarter."""
 MAX_STEP_RATIO = 3.0
-"""A task that takes longer than this many times its step's typical run time counts as
-this in it: the rare long task says nothing about the others."""
+"""Ratio to the expected run time from which the first task of a step that is done says
+nothing about the others until a second one is done."""
 SLOWNESS_TASKS = 4
 """Latest tasks of an executor whose ratios to the usual run time are kept."""
 MIN_SLOW_TASKS = 2
@@ -123,33 +122,41 @@
         self._update_slowness(record, task.name, ratio, now)
         if record.slowness >= SLOW_FACTOR:
             return
-        if step.usual_ms is None and self._is_outlier(step, run_ms, ratio):
-            return
-        queue, estimate_ms, usual_ms = _inputs(step)
-        if step.outlier_ms is not None:
-            run_ms = min(run_ms, step.outlier_ms)
-            step.outlier_ms = None
-        self.run_times.record(
-            queue, estimate_ms, usual_ms, run_ms, first_of_step=usual_ms is None
-        )
-        if usual_ms is None:
-            step.usual_ms = run_ms
-        else:
-            typical_ms = min(run_ms, MAX_STEP_RATIO * usual_ms)
-            step.usual_ms = usual_ms + STEP_WEIGHT * (typical_ms - usual_ms)
-
-    def _is_outlier(self, step: StepRun, run_ms: float, ratio: float) -> bool:
-        """Tell whether the first task of a step must be confirmed by a second one.
-
-        It may be a long task or have run on an executor that has turned slow. If the
-        second one is as long, the estimate was wrong.
+        self._learn(step, run_ms, ratio)
+
+    def _learn(self, step: StepRun, run_ms: float, ratio: float) -> None:
+        """Learn from the run time of a task, ``ratio`` times as long as expected.
+
+        The typical run time of a step is that of its median task. Its first tasks that
+        are done are its fastest ones.
         """
-        if step.spec.count == 1 or step.outlier_ms is not None:
-            return False
-        if ratio < MAX_STEP_RATIO:
-            return False
-        step.outlier_ms = run_ms
-        return True
+        queue, estimate_ms, _ = _inputs(step)
+        if step.median_known:
+            self.run_times.record(
+                queue, estimate_ms, step.usual_ms, run_ms, whole_step=False
+            )
+            return
+        run_times = step.run_times_ms
+        bisect.insort(run_times, run_ms)
+        median = (step.spec.count + 1) // 2
+        if len(run_times) < median:
+            # A single one may be a long task, or of an executor that turned slow.
+            if len(run_times) > 1 or ratio < MAX_STEP_RATIO:
+                # The middle one of these, as a long task may be among them.
+                middle = (len(run_times) - 1) // 2
+                share = (middle + 0.5) / step.spec.count
+                step.usual_ms = self.run_times.typical_ms(
+                    queue, run_times[middle], share
+                )
+            return
+        typical_ms = run_times[median - 1]
+        self.run_times.record(queue, estimate_ms, None, typical_ms, whole_step=True)
+        for task_ms in run_times:
+            self.run_times.record(
+                queue, estimate_ms, typical_ms, task_ms, whole_step=False
+            )
+        step.usual_ms, step.median_known = typical_ms, True
+        run_times.clear()
 
     def record_progress(
         self, executor: str, task: str, ratio: float, now: timedelta
--- a/src/pomeloyard/batch/run_times.py
+++ b/src/pomeloyard/batch/run_times.py
@@ -23,6 +23,8 @@
 five within 400 steps are followed."""
 TAIL_GENERATION = 400
 """Observations of a generation that shows a tail of a few in a hundred."""
+MIN_FAST_RATIO = 0.2
+"""Lower bound of the ratio of a step's fastest tasks to its typical one."""
 MAX_QUEUES = 128
 """Queues that are kept; the least recently used one is dropped."""
 PRIOR_OBSERVATIONS = 8
@@ -54,13 +56,13 @@
     """What finished runs have shown about one queue."""
 
     runs: Distribution = field(default_factory=_level)
-    """Run time of the first task of each step that is done, in ms."""
+    """Typical run time of each step, that of its median task, in ms."""
     estimate_ratios: Distribution = field(default_factory=_level)
     """Its ratio to the submitter's estimate."""
     expectation_ratios: Distribution = field(default_factory=_tail)
     """Its ratio to what was expected before."""
     task_ratios: Distribution = field(default_factory=_tail)
-    """Ratio of later tasks to the typical run time of their step."""
+    """Ratio of tasks to the typical run time of their step."""
     observations: int = 0
     """Observations of this term."""
     blend: _Blend | None = field(default=None, repr=False)
@@ -174,6 +176,17 @@
         ratios = self._ratios(queue, usual_ms)
         return expected * ratios.quantile(quantile) if ratios else expected
 
+    def typical_ms(self, queue: str, run_ms: float, share: float) -> float:
+        """Return the typical run time of a step, of which only fast tasks are done.
+
+        ``run_ms`` is the run time that a share of its tasks stays below.
+        """
+        known = self._by_queue.get(queue)
+        if known is None or known.task_ratios.count < MIN_OBSERVATIONS:
+            return run_ms
+        ratio = known.task_ratios.summary().quantile(share)
+        return run_ms / min(1.0, max(MIN_FAST_RATIO, ratio))
+
     def mean_ms(
         self, queue: str, estimate_ms: float, usual_ms: float | None = None
     ) -> float:
@@ -235,18 +248,19 @@
         usual_ms: float | None,
         run_ms: float,
         *,
-        first_of_step: bool,
+        whole_step: bool,
     ) -> None:
-        """Record the run time of a task that is done.
+        """Record a run time.
 
-        ``usual_ms`` is the typical run time of its step before this task.
+        With ``whole_step`` it is the typical one of a step, else that of a task, and
+        ``usual_ms`` the typical one of its step.
         """
         run_ms = max(run_ms, 1.0)
         expected = self.expected_ms(queue, estimate_ms, usual_ms)
         ratio = run_ms / max(expected, 1.0)
         known = self.queue(queue)
         known.observations += 1
-        if not first_of_step:
+        if not whole_step:
             known.task_ratios.add(ratio)
             return
         known.expectation_ratios.add(ratio)
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -192,9 +192,25 @@
     assert estimates.expected_ms(job.occurrences[0][0]) == 550
 
 
+def test_the_median_task_tells_how_long_a_step_takes():
+    """The first tasks that are done are the fastest ones, by up to a third."""
+    estimates = RunEstimates()
+    job = step_of()
+    for task, run_ms in enumerate([500, 600, 700, 800, 900]):
+        done(estimates, job, run_ms, task=task)
+    assert estimates.expected_ms(job.occurrences[0][0]) == 900
+    done(estimates, job, 9000, task=5)
+    assert estimates.expected_ms(job.occurrences[0][0]) == 900
+    other = step_of(job_id="a2").occurrences[0][0]
+    near = pytest.approx(900, rel=RELATIVE_ACCURACY)
+    assert estimates.expected_ms(other) == near
+
+
 def test_an_estimate_is_weighted_with_the_mean_of_the_queue():
     estimates = RunEstimates()
-    done(estimates, step_of(1000), 1000)
+    first = step_of(1000)
+    for task in range(5):
+        done(estimates, first, 1000, task=task)
     far_off = step_of(60, "a2").occurrences[0][0]
     assert 200 < estimates.expected_ms(far_off) < 300
     none = step_of(0, "a3").occurrences[0][0]
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -69,7 +69,7 @@
             learned = run_times.expected_ms(QUEUE, estimate)
             learned_errors.append(abs(math.log(run / learned)))
             blend_errors.append(abs(math.log(run / blend.expected_ms(estimate))))
-        run_times.record(QUEUE, estimate, None, run, first_of_step=True)
+        run_times.record(QUEUE, estimate, None, run, whole_step=True)
         blend.record(run)
     return (
         sum(learned_errors) / len(learned_errors),
@@ -117,7 +117,7 @@
     run_times = RunTimes()
     for _ in range(tasks):
         run = 1000 * math.exp(rng.gauss(0, 0.25)) * (7 if rng.random() < 0.03 else 1)
-        run_times.record(QUEUE, 1000, 1000.0, run, first_of_step=False)
+        run_times.record(QUEUE, 1000, 1000.0, run, whole_step=False)
     return run_times
 
 
@@ -158,7 +158,7 @@
     run_times = RunTimes()
     assert run_times.expected_ms(QUEUE, estimate) == 1000
     for _ in range(30):
-        run_times.record(QUEUE, estimate, None, 400, first_of_step=True)
+        run_times.record(QUEUE, estimate, None, 400, whole_step=True)
     assert run_times.expected_ms(QUEUE, estimate) == pytest.approx(400, 0.03)
 
 
@@ -170,7 +170,7 @@
     for _ in range(100):
         estimate = int(math.exp(rng.uniform(0, 7)))
         run = estimate * 600_000
-        run_times.record(QUEUE, estimate, None, run, first_of_step=True)
+        run_times.record(QUEUE, estimate, None, run, whole_step=True)
     assert run_times.expected_ms(QUEUE, MAX_ESTIMATE_MS) <= MAX_ESTIMATE_MS
 
 
@@ -218,7 +218,7 @@
 def test_the_number_of_queues_is_bounded():
     run_times = RunTimes()
     for number in range(MAX_QUEUES + 50):
-        run_times.record(f"q{number}", 100, None, 100, first_of_step=True)
+        run_times.record(f"q{number}", 100, None, 100, whole_step=True)
     assert len(run_times.queues()) == MAX_QUEUES
     assert f"q{MAX_QUEUES + 49}" in run_times.queues()
 
@@ -229,10 +229,10 @@
     for _ in range(steps):
         usual = 2000 * math.exp(rng.gauss(0, 0.5))
         estimate = 3 * usual * math.exp(rng.gauss(0, 0.2))
-        run_times.record(QUEUE, estimate, None, usual, first_of_step=True)
+        run_times.record(QUEUE, estimate, None, usual, whole_step=True)
         for _ in range(3):
             run = usual * math.exp(rng.gauss(0, 0.25))
-            run_times.record(QUEUE, estimate, usual, run, first_of_step=False)
+            run_times.record(QUEUE, estimate, usual, run, whole_step=False)
     return run_times
 
 
@@ -309,7 +309,7 @@
         before = terms.store.calls_by_method["commit"]
         for _ in range(20):
             for number in range(3):
-                run_times.record(f"q{number}", 100, None, 90, first_of_step=True)
+                run_times.record(f"q{number}", 100, None, 90, whole_step=True)
             await advance(terms.clock, 1)
         writes = terms.store.calls_by_method["commit"] - before
         tasks.cancel_scope.cancel()
@@ -324,7 +324,7 @@
     async with anyio.create_task_group() as tasks:
         await terms.begin(tasks, run_times)
         terms.store.down = True
-        run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+        run_times.record(QUEUE, 100, None, 400, whole_step=True)
         await advance(terms.clock, 4)
         assert run_times.queues()[QUEUE].runs.count == 1
         terms.store.down = False
@@ -340,7 +340,7 @@
     async with anyio.create_task_group() as tasks:
         await terms.begin(tasks, run_times)
         await terms.new_epoch()
-        run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+        run_times.record(QUEUE, 100, None, 400, whole_step=True)
         await advance(terms.clock, 3)
         assert await terms.store.get(key_of(QUEUE)) is None
         tasks.cancel_scope.cancel()
@@ -387,7 +387,7 @@
             ]
             # As many steps as a job may have, until a job is very late.
             timedelta(milliseconds=64 * 3 * max(times))
-            run_times.record(QUEUE, estimate, usual_ms, 900, first_of_step=True)
+            run_times.record(QUEUE, estimate, usual_ms, 900, whole_step=True)
     assert math.isfinite(run_times.error(QUEUE))
 
 
