Warn of entries without effect and limits that contradict each other

Cause: config check reports errors only. A pool that nothing uses or a queue whose teams have no job limit is published and shows only when work waits.

MAX_REQUEST_TIME moves to claims/table.py, beside the claim window that it is derived from, so that the warnings use it without the request path.

--- a/src/pomeloyard/claims/table.py
+++ b/src/pomeloyard/claims/table.py
@@ -18,6 +18,9 @@
 CLAIM_WINDOW = timedelta(minutes=10)
 """Time for which a claim is kept after it was granted."""
 
+MAX_REQUEST_TIME = CLAIM_WINDOW / 2
+"""Latest time to send a request; its claim cannot have expired by then."""
+
 MAX_CLAIMS = 50_000
 """Maximum number of claims at one daemon; further keyed requests are refused.
 
--- a/src/pomeloyard/cli/config.py
+++ b/src/pomeloyard/cli/config.py
@@ -10,7 +10,9 @@
 
 from ..config.diff import ItemChange, diff_configs
 from ..config.model import FleetConfig
-from ..config.reader import read_directories
+from ..config.reader import read_directories, read_source
+from ..config.warnings import config_warnings
+from ..errors import ConfigurationError
 from ..operators.client import OperatorClient
 from .output import note, show
 from .waiting import wait_in_force
@@ -43,9 +45,16 @@
 @config.command("check")
 @directories_argument
 @click.option("--diff", is_flag=True, help="Compare with the revision in force.")
+@click.option("--strict", is_flag=True, help="Fail if there are warnings.")
 @click.pass_obj
-def check(client: OperatorClient, directories: tuple[Path, ...], diff: bool) -> None:
-    """Check the files below DIRECTORIES and report every error.
+def check(
+    client: OperatorClient, directories: tuple[Path, ...], diff: bool, strict: bool
+) -> None:
+    """Check the files below DIRECTORIES and report every error and warning.
+
+    A warning is an entry that has no effect, or a limit that contradicts another.
+    Warnings are printed to standard error; the exit status is 1 if there are
+    errors or, with --strict, warnings. Publishing does not look at warnings.
 
     No daemon is called unless --diff is given.
 
@@ -53,12 +62,19 @@
     Examples:
       pomeloyard config check services/ teams/
       pomeloyard config check --diff services/
+      pomeloyard config check --strict --diff services/
     """
-    fleet = read_directories(directories)
+    source = read_source(directories)
+    warnings = config_warnings(source.config, source.file_of)
+    for warning in warnings:
+        note(f"warning: {warning}")
     if diff:
         in_force = client.call("GET", "/v1/config")["revision"]
-        show_changes(_changes(client, in_force, fleet))
-    note("no errors")
+        show_changes(_changes(client, in_force, source.config))
+    found = f"{len(warnings)} warning{'s' if len(warnings) != 1 else ''}"
+    if warnings and strict:
+        raise ConfigurationError(f"{found}, which --strict does not allow")
+    note(f"no errors, {found}" if warnings else "no errors")
 
 
 @config.command("publish")
--- a/src/pomeloyard/config/reader.py
+++ b/src/pomeloyard/config/reader.py
@@ -5,6 +5,7 @@
 import re
 import tomllib
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +23,13 @@
 )
 from .problems import ConfigProblem, ConfigProblemsError, unknown_name
 
-__all__ = ["ConfigProblem", "ConfigProblemsError", "read_directories"]
+__all__ = [
+    "ConfigProblem",
+    "ConfigProblemsError",
+    "ConfigSource",
+    "read_directories",
+    "read_source",
+]
 
 FILE_PATTERN = "*.pomeloyard.toml"
 MAX_FILE_BYTES = 1024 * 1024
@@ -38,8 +45,25 @@
 _LINE = re.compile(r"\(at line (\d+), column \d+\)")
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigSource:
+    """A configuration and the file that defines each of its entries."""
+
+    config: FleetConfig
+    file_by_path: Mapping[str, str]
+
+    def file_of(self, path: str) -> str:
+        """Return the file that defines a path such as "pools.orders", or ""."""
+        return self.file_by_path.get(path, "")
+
+
 def read_directories(directories: Iterable[Path]) -> FleetConfig:
     """Read and validate all files below the directories; raises ConfigProblemsError."""
+    return read_source(directories).config
+
+
+def read_source(directories: Iterable[Path]) -> ConfigSource:
+    """Read and validate as read_directories does, and keep where entries are."""
     problems: list[ConfigProblem] = []
     files: set[Path] = set()
     for directory in directories:
@@ -59,7 +83,7 @@
         except OSError as error:
             wrong = error.strerror or repr(error)
             problems.append(ConfigProblem(str(file), "", wrong, "a readable file"))
-    return read_contents(contents, problems)
+    return _collect(contents, problems)
 
 
 def parse_file(content: bytes, file: str) -> dict[str, Any]:
@@ -81,6 +105,13 @@
     earlier_problems: Iterable[ConfigProblem] = (),
 ) -> FleetConfig:
     """Return the configuration of parsed files; raises ConfigProblemsError."""
+    return _collect(contents_by_file, earlier_problems).config
+
+
+def _collect(
+    contents_by_file: Mapping[str, dict[str, Any]],
+    earlier_problems: Iterable[ConfigProblem],
+) -> ConfigSource:
     collector = _Collector()
     collector.problems += earlier_problems
     for file, content in contents_by_file.items():
@@ -112,7 +143,7 @@
             elif self._is_first_definition(file, table):
                 self._add_single(file, table, value)
 
-    def finish(self) -> FleetConfig:
+    def finish(self) -> ConfigSource:
         """Return the validated configuration; raises ConfigProblemsError."""
         entries = {f"{table}_by_name": e for table, e in self._entries.items()}
         config = FleetConfig(
@@ -120,14 +151,15 @@
             maintenance=self._maintenance,
             **entries,  # type: ignore[arg-type]
         )
+        source = ConfigSource(config, self._file_by_path)
         # Reporting a reference to an invalid entry would repeat the entry's error.
         invalid = {p.path for p in self.problems}
-        for problem in config_problems(config, lambda p: self._file_by_path.get(p, "")):
+        for problem in config_problems(config, source.file_of):
             if problem.path not in invalid and not self._refers_to_invalid(problem):
                 self.problems.append(problem)
         if self.problems:
             raise ConfigProblemsError(self.problems)
-        return config
+        return source
 
     def _refers_to_invalid(self, problem: ConfigProblem) -> bool:
         return any(
--- a/src/pomeloyard/requests/service.py
+++ b/src/pomeloyard/requests/service.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from ..claims.table import CLAIM_WINDOW
+from ..claims.table import MAX_REQUEST_TIME
 from ..clock import Clock
 from ..config.model import ServiceConfig
 from ..endpoints.client import Progress
@@ -28,9 +28,6 @@
 FIRST_BACKOFF = timedelta(milliseconds=20)
 MAX_BACKOFF = timedelta(seconds=1)
 MAX_ATTEMPTS = 4
-MAX_REQUEST_TIME = CLAIM_WINDOW / 2
-"""Latest time to send a request; its claim cannot have expired by then."""
-
 RETRIABLE_REFUSALS = frozenset(
     {RefusalReason.ENDPOINT_UNREACHABLE, RefusalReason.NO_EXECUTOR}
 )
