--- a/src/pomeloyard/config/warnings.py
+++ b/src/pomeloyard/config/warnings.py
@@ -144,8 +144,8 @@
         value, in_force = getattr(service, key), getattr(ruling, key)
         if value != in_force:
             wrong = (
-                f"{value} has no effect: executors of the pool "
-                f'have the {in_force} of service "{ruling.name}"'
+                f"{value} has no effect: the pool's executors have the {in_force} "
+                f'of service "{ruling.name}"'
             )
             yield key, wrong, "the same value in all services of a pool"
 
--- a/tests/operators/test_commands.py
+++ b/tests/operators/test_commands.py
@@ -86,6 +86,82 @@
     assert run(served, "team", "list")[0]["limit"] == 10
 
 
+WITHOUT_WARNINGS = (
+    FILES
+    + """
+[services.orders]
+pool = "orders"
+budget = { min_available = 1 }
+"""
+)
+
+
+def check_config(operator, *arguments, status=0):
+    return run(operator, "config", "check", *arguments, output="table", status=status)
+
+
+def test_warnings_are_shown_and_the_check_succeeds(served, directory):
+    """Guards against warnings that are lost, or that stop a check without --strict."""
+    file = directory / "fleet.pomeloyard.toml"
+    result = check_config(served, directory)
+    assert result.stdout == ""
+    assert result.stderr.splitlines() == [
+        f"warning: {file}: pools.orders: no service or queue uses it "
+        "(expected a service or queue with this pool)",
+        f"warning: {file}: teams.mill: no queue lists it and no service is its own or "
+        "shared (expected a queue or service for the team)",
+        "no errors, 2 warnings",
+    ]
+    file.write_text(WITHOUT_WARNINGS)
+    for options in ((), ("--strict",)):
+        result = check_config(served, *options, directory)
+        assert result.stderr == "no errors\n"
+
+
+def test_strict_makes_warnings_an_error(served, directory):
+    """Guards against a pipeline that publishes in spite of --strict."""
+    result = check_config(served, "--strict", directory, status=1)
+    assert result.stderr.count("warning: ") == 2
+    assert "error: 2 warnings, which --strict does not allow" in result.stderr
+    assert "no errors" not in result.stderr
+
+
+@pytest.mark.parametrize("strict", [False, True])
+def test_warnings_and_differences_are_shown_together(served, directory, strict):
+    """Guards against --strict that hides the differences, or --diff the warnings."""
+    file = directory / "fleet.pomeloyard.toml"
+    file.write_text(WITHOUT_WARNINGS)
+    run(served, "config", "publish", directory)
+    file.write_text(FILES)
+    options = ("--diff", *(["--strict"] if strict else []))
+    result = check_config(served, *options, directory, status=int(strict))
+    assert "warning: " in result.stderr
+    assert "removed services.orders\n" in result.stderr
+    assert served.state.config.revision == 1
+
+
+def test_warnings_are_shown_when_the_daemon_does_not_answer(served, directory):
+    """Guards against a failed call of --diff that hides what needs no daemon."""
+    served.address = f"127.0.0.1:{free_port()}"
+    result = check_config(served, "--diff", directory, status=1)
+    assert result.stderr.count("warning: ") == 2
+
+
+def test_errors_are_shown_without_warnings(served, directory):
+    """Guards against warnings that only repeat an error."""
+    (directory / "b.pomeloyard.toml").write_text('[queues.q]\npools = ["saws"]\n')
+    result = check_config(served, "--strict", directory, status=1)
+    assert "error: " in result.stderr
+    assert "warning: " not in result.stderr
+
+
+def test_publishing_ignores_warnings(served, directory):
+    """Guards against a warning that stops or changes a publication."""
+    result = run(served, "config", "publish", directory, output="table")
+    assert result.stdout == "1\n"
+    assert "warning" not in result.stderr
+
+
 def test_status_wait_names_the_daemons_that_lag(served):
     register(served)
     wait = ("config", "status", "--wait", "--revision", "9", "--wait-timeout", "0.1")
