Print from the daemons' logs how long jobs waited, by queue and team

Cause: accepting all jobs at a peak is paid in waiting, and operators could not see by whom. Each job counts once, however many terms found it; its first task is the one assigned at the lowest age. Jobs whose queue no line names are counted on standard error. Not run on the output of a real daemon.

--- a/src/pomeloyard/cli/logs.py
+++ b/src/pomeloyard/cli/logs.py
@@ -8,6 +8,7 @@
 
 from ..batch.job_history import LogLine, findings, parse_line, timeline
 from ..batch.pool_history import PoolSecond, pool_seconds, vm_seconds_by_pool
+from ..batch.wait_history import Waits, wait_history
 from ..errors import PomeloyardError
 from .output import note, show
 
@@ -24,6 +25,10 @@
     """The given output has no lines about shares."""
 
 
+class NoJobLinesError(PomeloyardError):
+    """The given output has no lines about jobs."""
+
+
 @click.group(epilog="Example: pomeloyard log job 5b3041f9338636bd daemon-*.log")
 def log() -> None:
     """Explain decisions from the daemons' output."""
@@ -91,6 +96,41 @@
     show([_row(line) for line in sorted(found, key=lambda line: line.at)])
 
 
+@log.command("waits", epilog="Example: log waits daemon-*.log")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+def waits(files: tuple[Path, ...]) -> None:
+    """Print by queue and team how long jobs waited for their first task.
+
+    Also their age at completion; times are in ms, with the median and the 95th
+    percentile.
+    """
+    history = wait_history(line for path in files for line in _read(path))
+    if not history.groups:
+        raise NoJobLinesError(f"no line of {len(files)} files tells of jobs")
+    show([_wait_row(row) for row in history.groups])
+    if history.unattributed_jobs:
+        note(f"{history.unattributed_jobs} jobs: no line names their queue and team")
+
+
+def _wait_row(row: Waits) -> dict[str, str | int | None]:
+    return {
+        "queue": row.group.queue,
+        "team": row.group.team,
+        "found": row.found,
+        "begun": row.at_first_task.jobs,
+        "wait_median_ms": row.at_first_task.median_ms,
+        "wait_p95_ms": row.at_first_task.tail_ms,
+        "completed": row.at_completion.jobs,
+        "age_median_ms": row.at_completion.median_ms,
+        "age_p95_ms": row.at_completion.tail_ms,
+    }
+
+
 def _pool_row(row: PoolSecond) -> dict[str, str | int | float]:
     return {
         "at": row.at.isoformat(timespec="milliseconds"),
--- a/tests/test_batch_history.py
+++ b/tests/test_batch_history.py
@@ -8,6 +8,7 @@
 from click.testing import CliRunner
 
 from pomeloyard.batch.job_history import findings, parse_line, timeline
+from pomeloyard.batch.wait_history import Ages, Group, wait_history
 from pomeloyard.cli.main import cli
 
 JOB = "5b3041f9338636bd"
@@ -219,3 +220,105 @@
     expected = f"{task} was given up: 2 executors crashed under it, at last i-2"
     assert causes_of(lines) == [expected, "it ended as failed after 4.0 s"]
     assert any(line.subject == "i-1" for line in timeline(lines, JOB))
+
+
+def found(second, job, team="nets", queue="q", daemon="d-1"):
+    return decision(second, daemon, "job", job, "found", queue=queue, team=team)
+
+
+def completed(second, job, age_ms, team="nets", queue="q"):
+    inputs = {"queue": queue, "team": team, "age_ms": age_ms}
+    return decision(second, "d-1", "job", job, "completed", **inputs)
+
+
+def placed(second, job, age_ms, task=0):
+    task_name = f"{job}.0.0.{task}"
+    return decision(second, "d-1", "place", task_name, "i-1", run=1, age_ms=age_ms)
+
+
+def test_waits_are_counted_by_queue_and_team():
+    history = wait_history(
+        parse(
+            *(found(1, f"a{n}") for n in range(20)),
+            *(placed(2, f"a{n}", 100 * n) for n in range(20)),
+            *(completed(3, f"a{n}", 1000 + 100 * n) for n in range(10)),
+            found(1, "b1", team="rails"),
+            found(1, "c1", queue="p"),
+        )
+    )
+    first, nets, rails = history.groups
+    assert (first.group, nets.group) == (Group("p", "nets"), Group("q", "nets"))
+    assert nets.found == 20
+    assert nets.at_first_task == Ages(20, 900, 1800)
+    assert nets.at_completion == Ages(10, 1400, 1900)
+    # Jobs that still wait must not look like jobs that did not wait.
+    assert (rails.found, rails.at_first_task) == (1, Ages(0, None, None))
+    assert history.unattributed_jobs == 0
+
+
+def test_a_job_counts_once_whatever_terms_found_it_and_tasks_it_has():
+    """Guards against a takeover or a retried task that looks like a further wait."""
+    (row,) = wait_history(
+        parse(
+            placed(9, JOB, 4000, task=1),
+            found(1, JOB),
+            placed(2, JOB, 700),
+            found(8, JOB, daemon="d-2"),
+            completed(10, JOB, 5000),
+        )
+    ).groups
+    assert (row.found, row.at_first_task) == (1, Ages(1, 700, 700))
+    assert row.at_completion == Ages(1, 5000, 5000)
+
+
+def test_only_completed_jobs_count_as_completed():
+    inputs = {"queue": "q", "team": "nets", "age_ms": 10}
+    lines = [decision(1, "d-1", "job", JOB, "cancelled", **inputs)]
+    lines.append(decision(1, "d-1", "job", "ffff", "failed", **inputs))
+    (row,) = wait_history(parse(*lines)).groups
+    assert row.at_completion.jobs == 0
+
+
+def test_jobs_without_a_line_that_names_their_queue_are_told_apart():
+    """The line of a job that was found is missing if the log is cut or was full."""
+    history = wait_history(parse(placed(1, JOB, 10), placed(1, JOB, 10, task=1)))
+    assert (history.groups, history.unattributed_jobs) == ([], 1)
+    lines = parse(placed(1, JOB, 10), completed(2, JOB, 900))
+    (row,) = wait_history(lines).groups
+    assert (row.found, row.at_first_task.jobs, row.at_completion.jobs) == (0, 1, 1)
+
+
+def test_lines_without_a_valid_age_are_ignored():
+    lines = parse(found(1, JOB), placed(1, JOB, None), placed(1, JOB, "soon"))
+    assert wait_history(lines).groups[0].at_first_task.jobs == 0
+
+
+def test_the_waits_command_prints_who_waits(tmp_path):
+    first, second = tmp_path / "d-1.log", tmp_path / "d-2.log"
+    lines = [found(1, JOB), placed(2, JOB, 700), placed(2, "ffff", 5)]
+    first.write_text("\n".join([*lines, "noise"]))
+    second.write_text(completed(3, JOB, 1500) + "\n")
+    arguments = ["--output", "json", "log", "waits", str(first), str(second)]
+    result = CliRunner().invoke(cli, arguments)
+    assert result.exit_code == 0
+    assert json.loads(result.stdout) == [
+        {
+            "queue": "q",
+            "team": "nets",
+            "found": 1,
+            "begun": 1,
+            "wait_median_ms": 700,
+            "wait_p95_ms": 700,
+            "completed": 1,
+            "age_median_ms": 1500,
+            "age_p95_ms": 1500,
+        }
+    ]
+    assert "1 jobs: no line names their queue and team" in result.stderr
+
+
+def test_the_waits_command_fails_without_lines_about_jobs(tmp_path):
+    output = tmp_path / "d-1.log"
+    output.write_text(message(1, "daemon starts"))
+    result = CliRunner().invoke(cli, ["log", "waits", str(output)])
+    assert result.exit_code == 1
