Bound how long a placing term lasts without confirmation from the store

Cause: RoleCandidate extended the role after renewals that failed as well, without limit. Change: a holder of the placing role ends its term 7.5 s after the last renewal that the store confirmed (MAX_UNCONFIRMED), however later calls fail; all orders ask for that. A successor adds this time, with 2% of drift, to its wait for the leases of an executor that it has never reached. The roles of the product's own interface have no such bound, as its jobs go on for as long as an outage lasts.

--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -38,6 +38,15 @@
 """An executor's monotonic clock may run slow by up to this factor."""
 MAX_REQUEST_DELAY = timedelta(seconds=12)
 """A request that timed out may still be carried out until this much later."""
+MAX_UNCONFIRMED = timedelta(seconds=7.5)
+"""A term ends this long after the request of the last renewal of its role that the
+store confirmed; it then renews no lease and sends no order.
+
+Tasks survive a store outage of 10 s and 2 s for the role to be taken and executors to
+be polled, if 10 + 2 <= MAX_UNCONFIRMED - 0.4 - 1.5 + 0.98 * 7: the last renewal of the
+role and the last poll may be 0.4 s and 1.5 s old as the outage and the term begin and
+end, and an executor's clock may run fast. That takes 7.04 s. Each further second adds
+one to the time for which a successor leaves unreachable executors alone."""
 POLL_WAIT = timedelta(seconds=1.5)
 """How long a poll waits for a task to end; a lease of 7 s survives several lost
 polls."""
@@ -118,6 +127,11 @@
         self._reported_at: timedelta | None = None
         self._first_reported_at: timedelta | None = None
         """From then on the executor rejects the orders of earlier terms."""
+        self._earlier_terms_end = clock.monotonic() + MAX_UNCONFIRMED * (
+            CLOCK_DRIFT_FACTOR
+        )
+        """Until then the holder of an earlier term, whose clock may run slow, may renew
+        leases at an executor that this term does not reach."""
         self._clock_offset: timedelta | None = None
         """Upper bound of the executor's clock minus the local clock."""
         self._last_lease_at = clock.monotonic()
@@ -234,9 +248,16 @@
             self.poll_soon()
 
     def all_leases_expired(self, now: timedelta) -> bool:
-        """Tell whether all leases have expired, even those of delayed requests."""
+        """Tell whether all leases have expired, even those of delayed requests.
+
+        They include those that an earlier term has renewed since this one began.
+        """
         lease = max(self._lease, timedelta(seconds=10)) * CLOCK_DRIFT_FACTOR
-        return now >= self._last_lease_at + MAX_REQUEST_DELAY + lease
+        earlier = self._earlier_terms_end
+        if self._first_reported_at is not None:
+            earlier = min(earlier, self._first_reported_at)
+        last = max(self._last_lease_at, earlier)
+        return now >= last + MAX_REQUEST_DELAY + lease
 
     async def run(self) -> None:
         """Poll the executor while it has runs to track."""
--- a/src/pomeloyard/batch/placing.py
+++ b/src/pomeloyard/batch/placing.py
@@ -9,6 +9,7 @@
 
 from ..keyvalue.store import Compare
 from ..roles import EPOCHS, HeldRole, RoleTimes
+from .executor_link import MAX_UNCONFIRMED
 from .placing_term import PlacingTerm
 
 ROLE = "placing"
@@ -16,6 +17,7 @@
     ttl=timedelta(seconds=1.5),
     renew_interval=timedelta(seconds=0.4),
     polls_for_vacancy=True,
+    max_unconfirmed=MAX_UNCONFIRMED,
 )
 """A failed holder is replaced once its lease expires. The lease leaves time for three
 renewals at a slow store; a renewal costs a tenth of a read."""
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -50,6 +50,10 @@
     candidacy_delay: timedelta = timedelta(0)
     polls_for_vacancy: bool = False
     """Whether candidates detect a vacancy by polling the store for changes."""
+    max_unconfirmed: timedelta | None = None
+    """How long a holder may continue after the request of its last renewal that the
+    store confirmed; None if only refused renewals end the role. Needed where the next
+    holder cannot reach every peer with its higher fencing token."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +68,8 @@
     """Monotonic time at which the role was found vacant; the previous holder had
     stopped by then."""
     still_held: Callable[[], bool] = lambda: True
-    """Tells whether no other daemon can have acquired the role. Call it right before
-    each side effect, as the process may have been paused since the last wait."""
+    """Tells whether the work may continue. Call it right before each side effect, as
+    the process may have been paused since the last wait."""
 
 
 class RoleLostError(PomeloyardError):
@@ -97,14 +101,17 @@
         self._incarnation = incarnation
         self._work = work
         self._held_until: timedelta | None = None
+        self._confirmed_at = timedelta(0)
+        """When the last renewal that the store confirmed was requested."""
 
     def still_held(self) -> bool:
-        """Tell whether no other daemon can have acquired the role.
+        """Tell whether the work of the role may continue.
 
-        True until the store lease expires. During a store outage it stays True as
-        long as a renewal within the last lease time found the store unreachable,
-        because no other daemon can acquire the role then. After a pause of the
-        process it is False until the lease is renewed.
+        True until the store lease expires. While the store cannot be reached it stays
+        True as long as a renewal was attempted within the last lease time, but no
+        longer than ``max_unconfirmed`` after the last confirmed one: in an outage for
+        all no other daemon can acquire the role, but this daemon may be the only one
+        that is cut off. After a pause of the process it is False.
         """
         until = self._held_until
         return until is not None and self._clock.monotonic() < until
@@ -184,7 +191,8 @@
         )
         try:
             held = await self._acquire(lease, earlier, vacant_at)
-            self._held_until = asked_at + self._times.ttl
+            self._confirmed_at = asked_at
+            self._held_until = self._held_from(asked_at, self._times.ttl)
             log.info(
                 "{} holds role {} epoch {}", self._incarnation, self._name, held.epoch
             )
@@ -247,17 +255,26 @@
         ttl = self._times.ttl
         try:
             ttl = min(ttl, await self._store.keep_lease_alive(lease))
+            self._confirmed_at = asked_at
         except LeaseLostError:
             self._held_until = None
             return False
         except StoreError as error:
             # No daemon can acquire the role while the store is down. If only this
-            # holder has lost its connection, its stale fencing token stops it.
+            # holder has lost its connection, its stale fencing token stops it where
+            # the next holder has been, and ``max_unconfirmed`` elsewhere.
             log.debug("lease of role {} not renewed: {}", self._name, error)
         if self.still_held():
-            self._held_until = asked_at + ttl
+            self._held_until = self._held_from(asked_at, ttl)
         return self.still_held()
 
+    def _held_from(self, asked_at: timedelta, ttl: timedelta) -> timedelta:
+        """Return until when the role is held after a renewal requested at a time."""
+        until = asked_at + ttl
+        if self._times.max_unconfirmed is not None:
+            until = min(until, self._confirmed_at + self._times.max_unconfirmed)
+        return until
+
 
 def _is_only_role_loss(error: Exception) -> bool:
     """Tell whether a task group failed only because the role was lost."""
