--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -44,7 +44,7 @@
 CAPACITY = 4000
 RECOVERY_LIMIT_S = 40.0
 """All accepted jobs must end within this time after the faults: the longest wait
-for the leases of an unresponsive executor (22.2 s), a failover of the role and the
+for the leases of an unresponsive executor (29.9 s), a failover of the role and the
 work itself."""
 START_LIMIT_S = 15.0
 """For the usual number of daemons."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -24,7 +24,7 @@
 pytestmark = pytest.mark.anyio
 
 STATE_LIMIT_S = 45.0
-"""The longest wait for the leases of a silent executor, 22.2 s, and a margin for a
+"""The longest wait for the leases of a silent executor, 29.9 s, and a margin for a
 machine that is busy."""
 
 
