Store the run times of a queue that was dropped and came back

With more than 128 queues, one that was dropped begins to count its observations anew. It was not stored until they exceeded those of its last write.

Run: tests/test_run_times.py; the new test failed before.

--- a/src/pomeloyard/batch/run_time_records.py
+++ b/src/pomeloyard/batch/run_time_records.py
@@ -101,7 +101,8 @@
         due = [
             queue
             for queue, known in self._run_times.queues().items()
-            if known.observations > self._written_observations.get(queue, 0)
+            # Fewer than were written if the queue was dropped and came back.
+            if known.observations != self._written_observations.get(queue, 0)
             and now - self._written_at.get(queue, -QUEUE_WRITE_INTERVAL)
             >= QUEUE_WRITE_INTERVAL
         ]
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -317,6 +317,26 @@
     assert 3 <= writes <= 3 * 5
 
 
+@pytest.mark.anyio
+async def test_a_queue_that_was_dropped_and_came_back_is_stored_again():
+    """It was not until it had more observations than when it was dropped."""
+    terms = Terms()
+    run_times = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, run_times)
+        for _ in range(50):
+            run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+        await advance(terms.clock, 2)
+        before = await terms.store.get(key_of(QUEUE))
+        for number in range(MAX_QUEUES):
+            run_times.queue(f"q{number}")
+        assert QUEUE not in run_times.queues()
+        run_times.record(QUEUE, 100, None, 900, first_of_step=True)
+        await advance(terms.clock, 6)
+        assert (await terms.store.get(key_of(QUEUE))).value != before.value
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_learning_goes_on_while_the_store_is_down():
     terms = Terms()
