Notice during a reload that a denial has ended

The id of a job that was cancelled before it existed is denied for a minute or two. If the store dropped the history with the end of the denial, the holder kept denying the id, and cancelled a job that was accepted under it afterwards.

Run: tests/test_job_reload.py (the new test failed without the check), tests/test_batch_term.py.

--- a/src/pomeloyard/batch/job_reload.py
+++ b/src/pomeloyard/batch/job_reload.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 import anyio
@@ -59,11 +59,14 @@
         clock: Clock,
         store: Store,
         is_known: Callable[[str], bool],
+        denied_ids: Collection[str],
         apply: Callable[[WatchEvent], None],
     ) -> None:
+        """Prepare reloads; ``denied_ids`` are of jobs cancelled before they existed."""
         self._clock = clock
         self._store = store
         self._is_known = is_known
+        self._denied_ids = denied_ids
         self._apply = apply
 
     async def run(self) -> int:
@@ -85,8 +88,16 @@
         return min(markers.revision, revision)
 
     async def _apply_cancels(self) -> tuple[int, list[WatchEvent]]:
-        """Apply the cancellations of known jobs; return the revision and the others."""
+        """Apply the cancellations of known jobs; return the revision and the others.
+
+        The end of a denial may have been missed as well; a job of that id that was
+        accepted since must not be cancelled.
+        """
         page = await self._scan(layout.CANCELS)
+        present = {entry.key for entry in page.entries}
+        for key in [layout.CANCELS + job_id for job_id in self._denied_ids]:
+            if key not in present:
+                self._apply(WatchEvent(key, None, page.revision))
         others = []
         for entry in page.entries:
             event = WatchEvent(entry.key, entry, entry.mod_revision)
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -431,7 +431,11 @@
     async def _watch_jobs(self, position: int) -> None:
         wait = WATCH_WAIT
         reload = JobReload(
-            self._clock, self._store, self.jobs_by_id.__contains__, self._apply
+            self._clock,
+            self._store,
+            self.jobs_by_id.__contains__,
+            self._denied_job_ids,
+            self._apply,
         )
         while True:
             try:
--- a/tests/test_job_reload.py
+++ b/tests/test_job_reload.py
@@ -72,13 +72,22 @@
         self.known = set(known)
         self.applied = []
         self.cancelled = []
+        self.denied = set()
+
+    def reload(self, clock, store):
+        known = self.known.__contains__
+        return JobReload(clock, store, known, self.denied, self.apply)
 
     def apply(self, event):
+        if event.entry is None:
+            self.denied.discard(event.key.removeprefix(layout.CANCELS))
+            return
         if event.key.startswith(layout.CANCELS):
             self.cancelled.append(event.key.removeprefix(layout.CANCELS))
             return
         job_id = event.key.removeprefix(layout.JOBS)
         assert job_id not in self.known, "applied twice"
+        assert job_id not in self.denied, "cancelled though it was accepted"
         self.known.add(job_id)
         self.applied.append(job_id)
 
@@ -114,7 +123,7 @@
     error = await with_clock(clock, store.scan(layout.INCOMING))
     assert isinstance(error, StoreUnavailableError)
     holder = Holder(BEGUN)
-    reload = JobReload(clock, store, holder.known.__contains__, holder.apply)
+    reload = holder.reload(clock, store)
     began_at = clock.monotonic()
     await with_clock(clock, reload.run())
     assert sorted(holder.applied) == NEW
@@ -126,7 +135,7 @@
     store = await store_with(clock, BEGUN, NEW)
     await put(store, layout.CANCELS + NEW[0])
     holder = Holder(BEGUN)
-    reload = JobReload(clock, store, holder.known.__contains__, holder.apply)
+    reload = holder.reload(clock, store)
     await with_clock(clock, reload.run())
     assert NEW[0] in holder.applied
     assert holder.cancelled == [NEW[0]]
@@ -145,19 +154,31 @@
             applied_before.append(len(holder.applied))
         holder.apply(event)
 
-    reload = JobReload(clock, store, holder.known.__contains__, apply)
+    reload = JobReload(clock, store, holder.known.__contains__, (), apply)
     await with_clock(clock, reload.run())
     assert applied_before == [0]
     assert holder.cancelled == [BEGUN[0]]
 
 
+async def test_a_job_whose_denial_ended_in_the_gap_is_not_cancelled():
+    """Its id had been cancelled before it existed, and was accepted a minute later."""
+    clock = ManualClock()
+    store = await store_with(clock, BEGUN, NEW)
+    await put(store, layout.CANCELS + "d" * 16)
+    holder = Holder(BEGUN)
+    holder.denied = {NEW[0], "d" * 16}
+    await with_clock(clock, holder.reload(clock, store).run())
+    assert NEW[0] in holder.applied
+    assert holder.denied == {"d" * 16}
+
+
 async def test_a_job_stored_during_the_reload_is_left_to_the_watch():
     """A revision after the first page would hide what changed during the others."""
     clock = ManualClock()
     store = await store_with(clock, (), NEW)
     revision = (await store.scan("none")).revision
     holder = Holder(())
-    reload = JobReload(clock, store, holder.known.__contains__, holder.apply)
+    reload = holder.reload(clock, store)
 
     async def reload_beside_a_submission():
         position = await reload.run()
@@ -175,7 +196,7 @@
     store = await store_with(clock, (), NEW)
     await put(store, layout.waiting_prefix(QUEUE) + "e" * 16)
     holder = Holder(())
-    reload = JobReload(clock, store, holder.known.__contains__, holder.apply)
+    reload = holder.reload(clock, store)
     await with_clock(clock, reload.run())
     assert sorted(holder.applied) == NEW
 
