Test the planner's use of shares, and changes of the store during a reload

No test failed when the planner ignored the division, did not count the tasks that it placed, or limited jobs that had begun. The test of a job stored during a reload stored it afterwards, so that it passed with the revision of the last page and with the larger of the two revisions. It is replaced by one that stores the job before the first and before the second page of markers, and by one of the scan alone.

--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -71,6 +71,45 @@
         assert not any(term.usage.short_tasks(QUEUE.name).values())
 
 
+RELAXED = replace(QUEUE, objective=timedelta(seconds=60))
+"""All jobs are in time, so that their classes do not decide the order."""
+
+
+async def test_a_round_in_a_full_pool_divides_it_among_the_teams():
+    """The team whose jobs came first took all of the pool."""
+    world = World(executors=1, cpu=500)
+    async with world.running():
+        await world.publish(configuration(2, queues=[RELAXED]))
+        for number in range(12):
+            await world.submit(f"a{number}", queue=RELAXED)
+        for number in range(12):
+            await world.submit(f"b{number}", queue=RELAXED, team="kites")
+        executor = world.fake_executors[0].resize(8000)
+        await world.put(f"executors/{executor.executor_id}", executor)
+        await world.run_for(0.9)
+        teams = [task[0] for task, _, _ in world.client.started]
+        assert sorted(teams) == ["a"] * 4 + ["b"] * 4
+
+
+async def test_a_job_that_has_begun_is_not_limited_to_the_share():
+    """Jobs of a team beyond its share were half done, and all of them late."""
+    world = World(executors=1)
+    async with world.running():
+        await world.publish(configuration(2, queues=[RELAXED]))
+        step = StepSpec(1, 1000, 100)
+        await world.submit("a0", step, replace(step, after=(0,)), queue=RELAXED)
+        await world.run_for(0.5)
+        for number in range(1, 4):
+            await world.submit(f"a{number}", queue=RELAXED)
+        await world.run_for(0.2)
+        for number in range(8):
+            await world.submit(f"b{number}", queue=RELAXED, team="kites")
+        await world.run_for(0.7)
+        started = [task for task, _, _ in world.client.started]
+        assert len(started) == 5
+        assert started[-1] == "a0.0.1.0"
+
+
 async def test_an_unanswered_start_is_voided_before_the_task_starts_again():
     world = World()
     async with world.running():
--- a/tests/test_job_reload.py
+++ b/tests/test_job_reload.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from datetime import timedelta
 
+import anyio
 import pytest
 
 from pomeloyard.batch import layout
@@ -38,10 +39,18 @@
         super().__init__(clock)
         self.slow = False
         self.scans_to_lose = 0
+        self.page_size = 500
+        self.cancels_read = anyio.Event()
         self.scanned = Counter()
+        self.before_scan = {}
+        """Called once, by prefix and start, before such a scan is answered."""
 
     async def scan(self, prefix, *, start="", limit=1000):
-        page = await super().scan(prefix, start=start, limit=min(limit, 500))
+        if (prefix, start) in self.before_scan:
+            await self.before_scan.pop((prefix, start))()
+        page = await super().scan(prefix, start=start, limit=self.page_size)
+        if prefix == layout.CANCELS:
+            self.cancels_read.set()
         if not self.slow:
             return page
         self.scanned[prefix, start] += 1
@@ -172,23 +181,30 @@
     assert holder.denied == {"d" * 16}
 
 
-async def test_a_job_stored_during_the_reload_is_left_to_the_watch():
-    """A revision after the first page would hide what changed during the others."""
+LATE = "f" * 16
+
+
+@pytest.mark.parametrize("start", ["", layout.waiting_prefix(QUEUE) + NEW[-2] + "\0"])
+async def test_a_job_stored_during_the_reload_is_left_to_the_watch(start):
+    """A revision after the first page would hide what changed during the others.
+
+    The job is stored before the first or the second page of markers is read, and after
+    the cancellations have been read.
+    """
     clock = ManualClock()
     store = await store_with(clock, (), NEW)
+    store.page_size = len(NEW) - 1
     revision = (await store.scan("none")).revision
-    holder = Holder(())
-    reload = holder.reload(clock, store)
 
-    async def reload_beside_a_submission():
-        position = await reload.run()
-        await add_job(store, "f" * 16, begun=False)
-        return position
+    async def add_late_job():
+        await store.cancels_read.wait()
+        await add_job(store, LATE, begun=False)
 
-    position = await with_clock(clock, reload_beside_a_submission())
+    store.before_scan[layout.WAITING, start] = add_late_job
+    position = await with_clock(clock, Holder(()).reload(clock, store).run())
     assert position == revision
     batch = await store.poll_changes(layout.INCOMING, position, timedelta(0))
-    assert [event.key for event in batch.events] == [layout.JOBS + "f" * 16]
+    assert [event.key for event in batch.events] == [layout.JOBS + LATE]
 
 
 async def test_a_job_that_expired_since_its_marker_was_read_is_skipped():
@@ -210,3 +226,17 @@
     assert len(page.entries) == len(many)
     assert store.scanned[layout.WAITING, ""] == 1
     assert sum(store.scanned.values()) == 3 + 2
+
+
+async def test_the_revision_of_a_scan_is_that_of_its_first_page():
+    """A change of an entry on the first page during the second one would be missed."""
+    clock = ManualClock()
+    store = await store_with(clock, (), NEW)
+    store.page_size = len(NEW) - 1
+    revision = (await store.scan("none")).revision
+    second = layout.waiting_prefix(QUEUE) + NEW[-2] + "\0"
+    store.before_scan[layout.WAITING, second] = lambda: put(store, "b/other")
+    page = await with_clock(clock, scan_with_retries(clock, store, layout.WAITING))
+    assert len(page.entries) == len(NEW)
+    assert page.revision == revision
+    assert not store.before_scan
