Ignore the progress of runs away from their data for the speed of executors

Only their ends were ignored. Their projected run times, which are longer as they read from another rack, marked the executor as slow, so that it was placed on last and its other runs were not learned from. They are now partial from the assignment on, and placing_term.py needs no rule for them.

Also test the rest of a step, the demand of long tasks and the interval of the share log, which no test guarded.

Run: tests/test_batch_term.py (the new test failed before), test_run_times.py, test_pool_shares.py, test_batch_decisions.py.

--- a/src/pomeloyard/batch/placed_run.py
+++ b/src/pomeloyard/batch/placed_run.py
@@ -71,7 +71,8 @@
         self.fence = fence
         self.ticket = ""
         self.partial = bool(task.saved)
-        """Whether it resumes from a checkpoint, or began in an earlier term."""
+        """Whether its run time says nothing about others: it resumes from a checkpoint,
+        began in an earlier term, is paced, or runs away from its data."""
         self.acknowledged_at: timedelta | None = None
         self.stop_answered_at: timedelta | None = None
         self.ordered_at: timedelta | None = None
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -810,9 +810,7 @@
         executor_id = link.executor.executor_id
         self.usage.remove(executor_id, link.executor.rack, task)
         run_ms = (now - task.started_at) / timedelta(milliseconds=1)
-        data_rack = task.step.spec.data_rack
-        away_from_data = bool(data_rack) and data_rack != link.executor.rack
-        partial = placed.partial or away_from_data
+        partial = placed.partial
         if kind is EndKind.DONE:
             task.step.longest_ms = max(task.step.longest_ms, run_ms)
         self._run_monitor.record_end(task, executor_id, kind, run_ms, partial, now)
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -501,6 +501,9 @@
         placed = PlacedRun(task, run, Phase.ASSIGNED, self._epoch)
         if tickets is not None:
             placed.ticket = tickets[executor.executor_id]
+        data_rack = task.step.spec.data_rack
+        if data_rack and data_rack != executor.rack:
+            placed.partial = True
         placed.on_trial = self._crash_trials.needs_trial(task)
         job.place(task, executor.executor_id, run, now)
         index.allocate(link, task)
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -647,6 +647,20 @@
         assert len(world.client.stopped) == 1
 
 
+async def test_runs_away_from_their_data_do_not_change_run_time_estimates():
+    """They take longer than others, as they read their data from another rack."""
+    world = World(executors=1)
+    world.client.run_time = timedelta(seconds=2)
+    async with world.running() as term:
+        here = world.fake_executors[0].executor.rack
+        for job, rack in (("a1", f"not-{here}"), ("a2", here)):
+            learned = term.estimates.run_times.queues()
+            assert QUEUE.name not in learned
+            await world.submit(job, StepSpec(1, 500, estimate_ms=900, data_rack=rack))
+            assert await world.run_for(6, completed(world, job))
+        assert QUEUE.name in term.estimates.run_times.queues()
+
+
 async def test_runs_of_the_previous_term_do_not_change_run_time_estimates():
     # laurentien-ledger trouble-3, after all daemons were killed: tasks that ended 8 ms
     # after the new term began were recorded with that run time, so full pools with a
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -5,6 +5,8 @@
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass
+from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 
@@ -277,3 +279,28 @@
     jobs = [(f"t{number % 20}", Resources(1000)) for number in range(2000)]
     rounds.begin("mill", [], [*jobs, ("idle", Resources())], Configuration(1))
     assert len(additions) < 100
+
+
+def test_the_division_of_a_pool_is_logged_once_a_second_at_most():
+    """A pool is planned up to forty times a second."""
+
+    class Log:
+        def __init__(self):
+            self.lines = []
+
+        def record(self, kind, subject, outcome, **inputs):
+            self.lines.append((kind, subject, inputs))
+
+    log = Log()
+    rounds = ShareRounds(Usage(), log)
+    waiting = [("a", Resources(9000)), ("b", Resources(9000))]
+    link = SimpleNamespace(
+        executor=SimpleNamespace(executor_id="e-1", capacity=Resources(8000))
+    )
+    for milliseconds in range(0, 2500, 25):
+        rounds.begin("mill", [link], waiting, Configuration(1))
+        rounds.log("mill", timedelta(milliseconds=milliseconds))
+    assert len(log.lines) == 3
+    kind, pool, inputs = log.lines[0]
+    assert (kind, pool) == ("share", "mill")
+    assert inputs["below"] == "a:0.0/4.0 b:0.0/4.0"
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -11,9 +12,11 @@
 import pytest
 
 from pomeloyard.batch import run_times as run_times_module
+from pomeloyard.batch.demand import PoolDemand
 from pomeloyard.batch.distributions import Distribution
 from pomeloyard.batch.fenced_records import FencedRecords
-from pomeloyard.batch.model import StepSpec
+from pomeloyard.batch.model import Queue, StepSpec
+from pomeloyard.batch.peaks import PeakForecaster
 from pomeloyard.batch.progress import TaskState
 from pomeloyard.batch.run_estimates import RunEstimates
 from pomeloyard.batch.run_time_records import (
@@ -32,6 +35,7 @@
 
 SEEDS = [1, 2, 3]
 QUEUE = "cuts"
+POOL_QUEUE = Queue(QUEUE, "desk.example", "/cuts/", "mill")
 
 
 class Blend:
@@ -215,6 +219,33 @@
     assert len(calls) <= 2
 
 
+def test_the_rest_of_a_step_counts_from_the_start_of_its_oldest_run():
+    """A job whose last tasks had run for a while counted as if they had just begun."""
+    estimates = RunEstimates()
+    job = job_of(StepSpec(2, 1000, estimate_ms=700))
+    (step,) = job.occurrences[0]
+    now = timedelta(seconds=9)
+    ages = [timedelta(milliseconds=400), timedelta(milliseconds=100)]
+    for task, age in zip(step.tasks, ages, strict=True):
+        assert estimates.rest_ms(step, now) == 700
+        job.place(task, "e-1", 1, now - age)
+    assert estimates.rest_ms(step, now) == 300
+
+
+def test_the_demand_on_a_pool_includes_long_tasks():
+    """With 3 of 100 tasks at seven times their step's time, a pool got too few VMs."""
+    estimates = RunEstimates(with_tail(1))
+    job = job_of(StepSpec(2, 1000, estimate_ms=700))
+    (step,) = job.occurrences[0]
+    record = replace(job.record, queue=QUEUE)
+    job.record = record
+    demand = PoolDemand(
+        ManualClock(), {"a1": job}, estimates, PeakForecaster(), lambda _: POOL_QUEUE
+    )
+    expected = 2 * estimates.expected_ms(step) / 1000
+    assert demand.backlog()["mill"] > 1.1 * expected
+
+
 def test_the_number_of_queues_is_bounded():
     run_times = RunTimes()
     for number in range(MAX_QUEUES + 50):
