Do not learn from runs that were paced

Best-effort runs that were slowed down beside others were recorded with their whole run time.

Run: tests/test_batch_decisions.py; the new test failed before.

--- a/src/pomeloyard/batch/run_monitor.py
+++ b/src/pomeloyard/batch/run_monitor.py
@@ -61,6 +61,7 @@
         if spec.fills:
             percent = next_pace(placed, link.runs_by_name.values(), self._clock)
             if percent is not None:
+                placed.partial = True
                 link.limit_cpu(placed, percent)
         elif not spec.lasting and not spec.gang and placed.percent < 100:
             self._check_progress(link, placed)
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
 
 import pytest
 
@@ -31,6 +32,7 @@
 )
 from pomeloyard.batch.progress import EndKind, JobRun, TaskState
 from pomeloyard.batch.run_estimates import QUARANTINE_TIME, RunEstimates
+from pomeloyard.batch.run_monitor import RunMonitor
 from pomeloyard.batch.stalls import slowness, stalled_for
 from pomeloyard.clock import ManualClock
 
@@ -202,6 +204,30 @@
     assert estimates.expected_ms(none) == near
 
 
+def test_a_paced_run_does_not_change_the_expected_run_time():
+    """Best-effort runs that were slowed down beside others counted as usual ones."""
+    clock = ManualClock()
+    clock.advance(CHANGE_INTERVAL * 2)
+    estimates = RunEstimates()
+    monitor = RunMonitor(clock, estimates, None)
+    job = job_of(StepSpec(1, 1000, fills=True), job_id="a1")
+    filler = PlacedRun(job.occurrences[0][0].tasks[0], 1, Phase.RUNNING, 1)
+    serving = StepSpec(1, 1000, lasting=True, target_tail_ms=100)
+    server = job_of(serving, job_id="a2").occurrences[0][0].tasks[0]
+    other = PlacedRun(server, 1, Phase.RUNNING, 1)
+    other.gauge = 1000
+    sent = []
+    link = SimpleNamespace(
+        runs_by_name={run.task.name: run for run in (filler, other)},
+        limit_cpu=lambda run, percent: sent.append(percent),
+    )
+    monitor.check_status(link, filler)
+    assert sent == [0]
+    now = clock.monotonic()
+    monitor.record_end(filler.task, "e-1", EndKind.DONE, 9000, filler.partial, now)
+    assert estimates.run_times.queues() == {}
+
+
 def test_a_resumed_task_does_not_lower_the_expected_run_time():
     estimates = RunEstimates()
     job = step_of(1000)
