Test which queue is dropped and the remaining time of running steps

No test failed when the queues were dropped in another order, when a running step counted with its whole time in the rank, or when the remaining time of a step was that of its fastest run. Each new test fails with the code that it guards taken out. One test is renamed after what it checks.

Run: tests/test_run_times.py, tests/test_pool_shares.py.

--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -231,7 +231,7 @@
     assert not shares.allows("small", spec, 8)
 
 
-def test_long_running_tasks_and_unknown_teams_have_a_weight_of_one():
+def test_teams_that_are_not_in_the_configuration_have_a_weight_of_one():
     waiting = {"": Resources(900_000), "a": Resources(900_000)}
     shares = PoolShares(CAPACITY, {}, waiting, {"a": 1.0})
     assert shares.by_team()[""].share == 128.0
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -15,6 +15,7 @@
 from pomeloyard.batch.demand import PoolDemand
 from pomeloyard.batch.distributions import Distribution
 from pomeloyard.batch.fenced_records import FencedRecords
+from pomeloyard.batch.job_ranking import STEP_OVERHEAD_MS, critical_path_ms
 from pomeloyard.batch.model import Queue, StepSpec
 from pomeloyard.batch.peaks import PeakForecaster
 from pomeloyard.batch.progress import TaskState
@@ -254,6 +255,42 @@
     assert f"q{MAX_QUEUES + 49}" in run_times.queues()
 
 
+def test_the_queue_that_learned_least_recently_is_dropped():
+    run_times = RunTimes()
+    for number in range(MAX_QUEUES):
+        run_times.record(f"q{number}", 100, None, 100, first_of_step=True)
+    run_times.record("q0", 100, None, 100, first_of_step=True)
+    run_times.record("another", 100, None, 100, first_of_step=True)
+    assert "q0" in run_times.queues()
+    assert "q1" not in run_times.queues()
+
+
+def test_the_rest_of_a_job_counts_the_time_that_its_runs_have_worked():
+    """Jobs counted as late, as their running steps were expected to begin only now."""
+    estimates = RunEstimates()
+    job = job_of(StepSpec(1, 1000, estimate_ms=700))
+    (step,) = job.occurrences[0]
+    job.place(step.tasks[0], "e-1", 1, job.accepted_at)
+    path = estimates.path_times(job.accepted_at + timedelta(milliseconds=600))
+    assert critical_path_ms(job, path, remaining=False) == 700
+    assert critical_path_ms(job, path, remaining=True) == 100 + STEP_OVERHEAD_MS
+
+
+def test_the_rest_of_a_step_is_that_of_the_slowest_of_its_runs():
+    estimates = RunEstimates(with_tail(1))
+    rests = []
+    for count in (1, 8, 64):
+        job = job_of(StepSpec(count, 1000))
+        job.record = replace(job.record, queue=QUEUE)
+        (step,) = job.occurrences[0]
+        step.usual_ms = 1000.0
+        for task in step.tasks:
+            job.place(task, "e-1", 1, job.accepted_at)
+        rests.append(estimates.rest_ms(step, job.accepted_at))
+    assert rests[0] < rests[1] < rests[2]
+    assert rests[2] > 4000
+
+
 def learned_from(seed=1, steps=300):
     rng = random.Random(seed)
     run_times = RunTimes()
