--- a/src/pomeloyard/batch/distributions.py
+++ b/src/pomeloyard/batch/distributions.py
@@ -118,7 +118,7 @@
         return summary
 
     def restore(self, count: int, points: Sequence[float]) -> None:
-        """Take up a stored distribution as the previous generation."""
+        """Merge a stored distribution into the previous generation."""
         restored = _new_sketch()
         weight = min(count, 2 * self._generation_size) / max(1, len(points))
         for point in points:
--- a/src/pomeloyard/batch/run_time_records.py
+++ b/src/pomeloyard/batch/run_time_records.py
@@ -63,7 +63,7 @@
 
 
 class RunTimeRecords:
-    """Takes up what earlier terms learned, and stores what this one learns."""
+    """Loads what earlier terms learned, and stores what this one learns."""
 
     def __init__(
         self, clock: Clock, store: Store, records: FencedRecords, run_times: RunTimes
@@ -93,7 +93,7 @@
                 restore(self._run_times.queue(queue), entry.value)
             except (msgspec.MsgspecError, TypeError, ValueError) as error:
                 log.warning("run times of {} are ignored: {!r}", queue, error)
-        log.info("took up the run times of {} queues", len(latest))
+        log.info("loaded the run times of {} queues", len(latest))
 
     def _next_to_write(self) -> str | None:
         """Return the queue with the oldest write among those with news, or None."""
--- a/src/pomeloyard/batch/run_times.py
+++ b/src/pomeloyard/batch/run_times.py
@@ -205,7 +205,7 @@
         elapsed_ms: float,
         quantile: float | None = None,
     ) -> float:
-        """Return the expected rest of a run that has been at work for a time.
+        """Return the expected remaining time of a run that has been running for a time.
 
         With ``quantile`` return that quantile of the rest. A run that has outlasted all
         others is expected to take as long again.
