--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -11,9 +12,12 @@
 import pytest
 
 from pomeloyard.batch import run_times as run_times_module
+from pomeloyard.batch.demand import PoolDemand
 from pomeloyard.batch.distributions import Distribution
 from pomeloyard.batch.fenced_records import FencedRecords
-from pomeloyard.batch.model import StepSpec
+from pomeloyard.batch.job_ranking import STEP_OVERHEAD_MS, critical_path_ms
+from pomeloyard.batch.model import Queue, StepSpec
+from pomeloyard.batch.peaks import PeakForecaster
 from pomeloyard.batch.progress import TaskState
 from pomeloyard.batch.run_estimates import RunEstimates
 from pomeloyard.batch.run_time_records import (
@@ -32,6 +36,7 @@
 
 SEEDS = [1, 2, 3]
 QUEUE = "cuts"
+POOL_QUEUE = Queue(QUEUE, "desk.example", "/cuts/", "mill")
 
 
 class Blend:
@@ -215,6 +220,33 @@
     assert len(calls) <= 2
 
 
+def test_the_rest_of_a_step_counts_from_the_start_of_its_oldest_run():
+    """A job whose last tasks had run for a while counted as if they had just begun."""
+    estimates = RunEstimates()
+    job = job_of(StepSpec(2, 1000, estimate_ms=700))
+    (step,) = job.occurrences[0]
+    now = timedelta(seconds=9)
+    ages = [timedelta(milliseconds=400), timedelta(milliseconds=100)]
+    for task, age in zip(step.tasks, ages, strict=True):
+        assert estimates.rest_ms(step, now) == 700
+        job.place(task, "e-1", 1, now - age)
+    assert estimates.rest_ms(step, now) == 300
+
+
+def test_the_demand_on_a_pool_includes_long_tasks():
+    """With 3 of 100 tasks at seven times their step's time, a pool got too few VMs."""
+    estimates = RunEstimates(with_tail(1))
+    job = job_of(StepSpec(2, 1000, estimate_ms=700))
+    (step,) = job.occurrences[0]
+    record = replace(job.record, queue=QUEUE)
+    job.record = record
+    demand = PoolDemand(
+        ManualClock(), {"a1": job}, estimates, PeakForecaster(), lambda _: POOL_QUEUE
+    )
+    expected = 2 * estimates.expected_ms(step) / 1000
+    assert demand.backlog()["mill"] > 1.1 * expected
+
+
 def test_the_number_of_queues_is_bounded():
     run_times = RunTimes()
     for number in range(MAX_QUEUES + 50):
@@ -223,6 +255,42 @@
     assert f"q{MAX_QUEUES + 49}" in run_times.queues()
 
 
+def test_the_queue_that_learned_least_recently_is_dropped():
+    run_times = RunTimes()
+    for number in range(MAX_QUEUES):
+        run_times.record(f"q{number}", 100, None, 100, first_of_step=True)
+    run_times.record("q0", 100, None, 100, first_of_step=True)
+    run_times.record("another", 100, None, 100, first_of_step=True)
+    assert "q0" in run_times.queues()
+    assert "q1" not in run_times.queues()
+
+
+def test_the_rest_of_a_job_counts_the_time_that_its_runs_have_worked():
+    """Jobs counted as late, as their running steps were expected to begin only now."""
+    estimates = RunEstimates()
+    job = job_of(StepSpec(1, 1000, estimate_ms=700))
+    (step,) = job.occurrences[0]
+    job.place(step.tasks[0], "e-1", 1, job.accepted_at)
+    path = estimates.path_times(job.accepted_at + timedelta(milliseconds=600))
+    assert critical_path_ms(job, path, remaining=False) == 700
+    assert critical_path_ms(job, path, remaining=True) == 100 + STEP_OVERHEAD_MS
+
+
+def test_the_rest_of_a_step_is_that_of_the_slowest_of_its_runs():
+    estimates = RunEstimates(with_tail(1))
+    rests = []
+    for count in (1, 8, 64):
+        job = job_of(StepSpec(count, 1000))
+        job.record = replace(job.record, queue=QUEUE)
+        (step,) = job.occurrences[0]
+        step.usual_ms = 1000.0
+        for task in step.tasks:
+            job.place(task, "e-1", 1, job.accepted_at)
+        rests.append(estimates.rest_ms(step, job.accepted_at))
+    assert rests[0] < rests[1] < rests[2]
+    assert rests[2] > 4000
+
+
 def learned_from(seed=1, steps=300):
     rng = random.Random(seed)
     run_times = RunTimes()
@@ -317,6 +385,26 @@
     assert 3 <= writes <= 3 * 5
 
 
+@pytest.mark.anyio
+async def test_a_queue_that_was_dropped_and_came_back_is_stored_again():
+    """It was not until it had more observations than when it was dropped."""
+    terms = Terms()
+    run_times = RunTimes()
+    async with anyio.create_task_group() as tasks:
+        await terms.begin(tasks, run_times)
+        for _ in range(50):
+            run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+        await advance(terms.clock, 2)
+        before = await terms.store.get(key_of(QUEUE))
+        for number in range(MAX_QUEUES):
+            run_times.queue(f"q{number}")
+        assert QUEUE not in run_times.queues()
+        run_times.record(QUEUE, 100, None, 900, first_of_step=True)
+        await advance(terms.clock, 6)
+        assert (await terms.store.get(key_of(QUEUE))).value != before.value
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_learning_goes_on_while_the_store_is_down():
     terms = Terms()
