Let a team below its share begin a step larger than the share

Such a step was admitted only while its team held nothing. A team oversteps its share by one such step at a time, as before.

Run: tests/test_pool_shares.py (the new test failed before), tests/test_batch_term.py.

--- a/src/pomeloyard/batch/pool_shares.py
+++ b/src/pomeloyard/batch/pool_shares.py
@@ -117,14 +117,16 @@
         """Tell whether a team stays within its share with more tasks of a step.
 
         These may reach over it by half, as whole steps do not add up to a share. A team
-        that holds nothing is always within it: a job may be larger than the share of a
-        small team, which would never begin one otherwise.
+        that holds nothing is always within it, and one below its share is with a step
+        larger than that: a small team would never begin such a step otherwise, if its
+        smaller jobs keep it from holding nothing.
         """
         if not self.contended:
             return True
         held = self._held[team]
         more = self._cost(spec.executor_usage) * tasks
-        return held <= 0 or held + more / 2 <= self._shares.get(team, 0.0)
+        share = self._shares.get(team, 0.0)
+        return held <= 0 or held + more / 2 <= share or held < share < more
 
     def add(self, team: str, spec: StepSpec) -> None:
         """Count a task that has been assigned."""
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -231,6 +231,19 @@
     assert not shares.allows("small", spec, 8)
 
 
+def test_a_team_below_its_share_may_begin_a_step_larger_than_the_share():
+    """Its small jobs kept it from holding nothing, and the large one never began."""
+    waiting = {"a": Resources(900_000), "b": Resources(900_000)}
+    shares = PoolShares(CAPACITY, {}, waiting, {})
+    large = StepSpec(64, 8000)
+    shares.add("a", StepSpec(1, 1000))
+    assert shares.allows("a", large, 64)
+    shares.add("a", StepSpec(1, 126_000))
+    assert shares.allows("a", large, 64)
+    shares.add("a", StepSpec(1, 1000))
+    assert not shares.allows("a", large, 64)
+
+
 def test_teams_that_are_not_in_the_configuration_have_a_weight_of_one():
     waiting = {"": Resources(900_000), "a": Resources(900_000)}
     shares = PoolShares(CAPACITY, {}, waiting, {"a": 1.0})
