--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -258,9 +258,9 @@
 def test_the_queue_that_learned_least_recently_is_dropped():
     run_times = RunTimes()
     for number in range(MAX_QUEUES):
-        run_times.record(f"q{number}", 100, None, 100, first_of_step=True)
-    run_times.record("q0", 100, None, 100, first_of_step=True)
-    run_times.record("another", 100, None, 100, first_of_step=True)
+        run_times.record(f"q{number}", 100, None, 100, whole_step=True)
+    run_times.record("q0", 100, None, 100, whole_step=True)
+    run_times.record("another", 100, None, 100, whole_step=True)
     assert "q0" in run_times.queues()
     assert "q1" not in run_times.queues()
 
@@ -393,13 +393,13 @@
     async with anyio.create_task_group() as tasks:
         await terms.begin(tasks, run_times)
         for _ in range(50):
-            run_times.record(QUEUE, 100, None, 400, first_of_step=True)
+            run_times.record(QUEUE, 100, None, 400, whole_step=True)
         await advance(terms.clock, 2)
         before = await terms.store.get(key_of(QUEUE))
         for number in range(MAX_QUEUES):
             run_times.queue(f"q{number}")
         assert QUEUE not in run_times.queues()
-        run_times.record(QUEUE, 100, None, 900, first_of_step=True)
+        run_times.record(QUEUE, 100, None, 900, whole_step=True)
         await advance(terms.clock, 6)
         assert (await terms.store.get(key_of(QUEUE))).value != before.value
         tasks.cancel_scope.cancel()
