Know free memory and accelerators in the index of free capacity

Cause: the index and the test whether a job's smallest task fits anywhere knew cpu only. With cores free but no memory, each waiting task was compared with all executors. Change: the index keeps the largest free amount of each resource, and a job is considered only if the least that any of its tasks needs of each resource is within it.

--- a/src/pomeloyard/batch/demand.py
+++ b/src/pomeloyard/batch/demand.py
@@ -47,7 +47,7 @@
         now = self._clock.monotonic()
         loads: dict[str, float] = defaultdict(float)
         for job, queue in self._jobs():
-            if job.lasting or job.smallest_ready_cpu() is None:
+            if job.lasting or job.smallest_ready() is None:
                 continue
             finish_ms, objective_ms = finish_and_objective_ms(
                 job, queue, now - job.accepted_at, self._estimates.path_times(now)
--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -16,7 +16,8 @@
 from datetime import timedelta
 
 from .executor_link import ExecutorLink
-from .model import StepSpec
+from .model import Resources, StepSpec
+from .packing import LargestFree
 from .progress import StepRun, Task
 from .run_estimates import SLOW_FACTOR, RunEstimates
 from .usage import Usage
@@ -91,6 +92,10 @@
             executor_id: estimates.slowness(executor_id, now) >= SLOW_FACTOR
             for executor_id in self._links_by_id
         }
+        self._largest_free = LargestFree(
+            usage.free(executor_id, link.executor.capacity)
+            for executor_id, link in self._links_by_id.items()
+        )
         self._entry_lists: tuple[list[_Entry], list[_Entry]] = ([], [])
         """Sorted entries of the executors of normal speed and of the slow ones."""
         for executor_id in self._links_by_id:
@@ -108,14 +113,13 @@
         return self._links_by_id.get(link.executor.executor_id) is link
 
     @property
-    def max_free_cpu(self) -> int:
-        """Return the most free cpu of any executor; -1 without executors.
+    def max_free(self) -> Resources:
+        """Return the most of each resource that any executor has free.
 
-        It is 0 at least, as tasks whose cpu is not counted fit beside more than an
-        executor's capacity, which may have shrunk.
+        It is 0 at least with executors, as tasks whose cpu is not counted fit beside
+        more than an executor's capacity, which may have shrunk; -1 without executors.
         """
-        free = [entries[-1][0] for entries in self._entry_lists if entries]
-        return max(0, *free) if free else -1
+        return self._largest_free.amounts
 
     def has_room(self, step: StepRun, allowed: Collection[str] | None) -> bool:
         """Tell whether all tasks of a step may fit at once; choosing costs more."""
@@ -130,22 +134,23 @@
     def allocate(self, link: ExecutorLink, task: Task) -> None:
         """Count the resources of a task on an executor."""
         executor = link.executor
-        before = self._entry_of(executor.executor_id)
+        before = self._entry_of(executor.executor_id), self._free_on(link)
         self._usage.add(executor.executor_id, executor.rack, task)
-        self._reposition(before)
+        self._reposition(link, *before)
 
     def release(self, link: ExecutorLink, task: Task) -> None:
         """Stop counting the resources of a task on an executor."""
         executor = link.executor
-        before = self._entry_of(executor.executor_id)
+        before = self._entry_of(executor.executor_id), self._free_on(link)
         self._usage.remove(executor.executor_id, executor.rack, task)
-        self._reposition(before)
+        self._reposition(link, *before)
 
     def discard(self, link: ExecutorLink) -> None:
         """Remove an executor that takes no further tasks."""
         executor_id = link.executor.executor_id
         entries = self._entries_of(executor_id)
         del entries[bisect.bisect_left(entries, self._entry_of(executor_id))]
+        self._largest_free.remove(self._free_on(link))
         del self._links_by_id[executor_id]
 
     def choose_for_trial(
@@ -175,10 +180,16 @@
                 best, best_score = link, score
         return best
 
-    def _reposition(self, before: _Entry) -> None:
-        entries = self._entries_of(before[1])
-        del entries[bisect.bisect_left(entries, before)]
-        bisect.insort(entries, self._entry_of(before[1]))
+    def _reposition(self, link: ExecutorLink, entry: _Entry, free: Resources) -> None:
+        entries = self._entries_of(entry[1])
+        del entries[bisect.bisect_left(entries, entry)]
+        bisect.insort(entries, self._entry_of(entry[1]))
+        self._largest_free.remove(free)
+        self._largest_free.add(self._free_on(link))
+
+    def _free_on(self, link: ExecutorLink) -> Resources:
+        executor = link.executor
+        return self._usage.free(executor.executor_id, executor.capacity)
 
     def _entries_of(self, executor_id: str) -> list[_Entry]:
         return self._entry_lists[self._slow[executor_id]]
@@ -206,6 +217,8 @@
         spec = task.step.spec
         if spec.lasting:
             return self._choose_lasting(task, allowed)
+        if not spec.executor_usage.fits(self.max_free):
+            return None
         fallback: ExecutorLink | None = None
         fallback_score = (True, True)
         for link in self._with_cpu(ANY_CPU if spec.fills else spec.cpu_millis):
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -39,16 +39,34 @@
 class _WaitingJob:
     """A job with ready tasks, as of its last change."""
 
-    __slots__ = ("job", "queue", "rank", "ready_short", "smallest_cpu")
-
-    def __init__(self, job: JobRun, queue: Queue, smallest_cpu: int) -> None:
+    __slots__ = (
+        "job",
+        "queue",
+        "rank",
+        "ready_short",
+        "smallest_accelerators",
+        "smallest_cpu",
+        "smallest_memory",
+    )
+
+    def __init__(self, job: JobRun, queue: Queue, smallest: Resources) -> None:
         self.job = job
         self.queue = queue
-        self.smallest_cpu = smallest_cpu
+        self.smallest_cpu = smallest.cpu_millis
+        self.smallest_memory = smallest.memory_mb
+        self.smallest_accelerators = smallest.accelerators
         self.ready_short = job.ready_short_tasks()
         """Resources of its ready short tasks."""
         self.rank: Rank | None = None
 
+    def may_fit(self, free: Resources) -> bool:
+        """Tell whether any of its ready tasks may fit in the most that is free."""
+        return (
+            self.smallest_cpu <= free.cpu_millis
+            and self.smallest_memory <= free.memory_mb
+            and self.smallest_accelerators <= free.accelerators
+        )
+
 
 def _rank_key(entry: _WaitingJob) -> tuple[float, ...]:
     assert entry.rank is not None
@@ -122,7 +140,7 @@
         if queue is None:
             return
         waiting = self._waiting_by_service.setdefault(queue.service, {})
-        smallest = job.smallest_ready_cpu()
+        smallest = job.smallest_ready()
         if job.job_id not in self._live_jobs or smallest is None:
             waiting.pop(job.job_id, None)
         else:
@@ -152,7 +170,7 @@
                 continue
             links = self._usable_links(service, now)
             index = FreeCapacityIndex(links, self._usage, self._estimates, now)
-            ranked = self._ranked(waiting.values(), index.max_free_cpu, now)
+            ranked = self._ranked(waiting.values(), index.max_free, now)
             self._assignment_limit.reached = False
             self._shares = self.share_rounds.begin(
                 service,
@@ -205,10 +223,10 @@
         return healthy or usable
 
     def _ranked(
-        self, waiting: Iterable[_WaitingJob], max_free_cpu: int, now: timedelta
+        self, waiting: Iterable[_WaitingJob], max_free: Resources, now: timedelta
     ) -> list[_WaitingJob]:
         """Return the jobs whose smallest task fits somewhere, highest rank first."""
-        fitting = [entry for entry in waiting if entry.smallest_cpu <= max_free_cpu]
+        fitting = [entry for entry in waiting if entry.may_fit(max_free)]
         fitting.sort(key=lambda entry: self._rank(entry, now))
         return fitting
 
@@ -241,7 +259,7 @@
         assert self._shares is not None
         for entry, limited in self._shares.passes(ranked, _rank_key):
             self._only_within_share = limited and not entry.job.lasting
-            if entry.smallest_cpu > index.max_free_cpu:
+            if not entry.may_fit(index.max_free):
                 continue
             job, advice = entry.job, entry.queue.advice
             team = configuration.teams_by_name.get(job.record.team)
