Count memory in the demand of a pool

Cause: VMs were asked for by cores alone. A pool whose memory runs out first had tasks waiting while a third of its cores was free. Change: the waiting, urgent and arriving work, the predicted peak and the busy work are also counted in GB-seconds, summed by pool and compared with its cpu in units of the pool's own VMs. The load by memory is used only where it is larger; where cpu dominates, all inputs of the decision are equal to those by cpu alone.

--- a/src/pomeloyard/batch/packing.py
+++ b/src/pomeloyard/batch/packing.py
@@ -7,9 +7,16 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
 
-from .model import Resources
+from .model import NO_RESOURCES, Resources, StepSpec
+from .peaks import NO_ARRIVALS, ArrivalRate
+
+if TYPE_CHECKING:
+    from .executor_link import ExecutorLink
 
 
 def smallest_of(amounts: Iterable[Resources]) -> Resources | None:
@@ -59,3 +66,80 @@
 
 def _values(amount: Resources) -> tuple[int, int, int]:
     return amount.cpu_millis, amount.memory_mb, amount.accelerators
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Work by resource, in core-seconds and memory-seconds."""
+
+    core_seconds: float = 0.0
+    memory_gb_seconds: float = 0.0
+
+    def __add__(self, other: Work) -> Work:
+        return Work(
+            self.core_seconds + other.core_seconds,
+            self.memory_gb_seconds + other.memory_gb_seconds,
+        )
+
+    def dominant(self, cores_per_gb: float) -> float:
+        """Return the larger of both in core-seconds.
+
+        The sums are compared, not single tasks: tasks that need much cpu and tasks
+        that need much memory share executors.
+        """
+        return max(self.core_seconds, self.memory_gb_seconds * cores_per_gb)
+
+
+def work_of(spec: StepSpec, tasks: int, run_ms: float) -> Work:
+    """Return the work of some tasks of a step that run for ``run_ms`` each."""
+    return Work(
+        tasks * (spec.cpu_millis * run_ms / 1_000_000),
+        tasks * (spec.memory_mb * run_ms / 1_000_000),
+    )
+
+
+def cores_per_gb(capacity: Resources) -> float:
+    """Return how many cores an amount of executors has for each GB, 0 if unknown.
+
+    Memory times this is how many cores become unusable by its use.
+    """
+    if capacity.memory_mb <= 0:
+        return 0.0
+    return capacity.cpu_millis / capacity.memory_mb
+
+
+def cores_per_gb_by_pool(links: Iterable[ExecutorLink]) -> Mapping[str, float]:
+    """Return the cores for each GB of the executors of each pool."""
+    capacities: dict[str, Resources] = {}
+    for link in links:
+        if link.usable or link.cordoned_for_move:
+            pool = link.executor.service
+            before = capacities.get(pool, NO_RESOURCES)
+            capacities[pool] = before + link.executor.capacity
+    return {pool: cores_per_gb(capacity) for pool, capacity in capacities.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class ShortTaskLoad:
+    """Load of a pool's short tasks by one resource, in cores."""
+
+    rate: ArrivalRate | None
+    busy_cores: float
+    """In use by short tasks."""
+    capacity_cores: float
+    """Not used by long-running tasks."""
+
+    def missing_cores(self, lead: timedelta) -> float:
+        """Return the cores that are missing after ``lead``, negative if some remain."""
+        rate = self.rate or NO_ARRIVALS
+        return rate.cores_after(lead, self.busy_cores) - self.capacity_cores
+
+
+def dominant_load(
+    by_cpu: ShortTaskLoad, by_memory: ShortTaskLoad, lead: timedelta
+) -> ShortTaskLoad:
+    """Return the load by the resource that will be missing most, cpu if none will."""
+    missing = by_memory.missing_cores(lead)
+    if missing > 0 and missing > by_cpu.missing_cores(lead):
+        return by_memory
+    return by_cpu
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -173,7 +173,12 @@
             self.estimates.run_times,
         )
         self.demand = PoolDemand(
-            clock, self._active_jobs, self.estimates, self.peaks, self._queue_of
+            clock,
+            self._active_jobs,
+            self.estimates,
+            self.peaks,
+            self._queue_of,
+            self.links_by_id,
         )
         self._planner = Planner(
             clock,
@@ -292,8 +297,7 @@
             self._planner.record_job(queue, work)
             times = self.estimates.path_times(now)
             job.expected_path_ms = critical_path_ms(job, times, remaining=False)
-            chain = timedelta(milliseconds=job.expected_path_ms)
-            self.peaks.record_arrival(queue.service, job.accepted_at, work, chain)
+            self.demand.record_arrival(queue.service, job, work)
         for task in job.placed_tasks():
             self._restore_run(task)
         if job.final:
