Reserve executors for large and long-waiting tasks

Cause: a task of half an executor waited as long as a stream of small ones took each piece of capacity that became free. Other tasks start there only if they end before (90% quantile) or fit beside it. Run: tests of reservations, packing, spread, decisions, term, wide jobs, shares, policies, deadly tasks and outer names.

--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -12,7 +12,7 @@
 
 import bisect
 import sys
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from datetime import timedelta
 
 from .executor_link import ExecutorLink
@@ -85,8 +85,11 @@
         usage: Usage,
         estimates: RunEstimates,
         now: timedelta,
+        allows: Callable[[str, Task], bool] | None = None,
     ) -> None:
         self._usage = usage
+        self._allows = allows or (lambda executor_id, task: True)
+        """Whether a task may start on an executor in view of its reservation."""
         self._links_by_id = {link.executor.executor_id: link for link in links}
         self._slow = {
             executor_id: estimates.slowness(executor_id, now) >= SLOW_FACTOR
@@ -121,6 +124,14 @@
         """
         return self._largest_free.amounts
 
+    def is_slow(self, link: ExecutorLink) -> bool:
+        """Tell whether an executor is slow at the moment."""
+        return self._slow[link.executor.executor_id]
+
+    def _may_take(self, link: ExecutorLink, task: Task) -> bool:
+        placeable = can_place(link, task.step, self._usage)
+        return placeable and self._allows(link.executor.executor_id, task)
+
     def has_room(self, step: StepRun, allowed: Collection[str] | None) -> bool:
         """Tell whether all tasks of a step may fit at once; choosing costs more."""
         missing = step.spec.count
@@ -167,7 +178,7 @@
             executor_id = link.executor.executor_id
             if allowed is not None and executor_id not in allowed:
                 continue
-            if not can_place(link, task.step, self._usage):
+            if not self._may_take(link, task):
                 continue
             runs = link.runs_by_name.values()
             score = (
@@ -225,7 +236,7 @@
             executor = link.executor
             if allowed is not None and executor.executor_id not in allowed:
                 continue
-            if not can_place(link, task.step, self._usage):
+            if not self._may_take(link, task):
                 continue
             score = (
                 executor.executor_id in task.failed_on,
@@ -249,7 +260,7 @@
             executor_id = executor.executor_id
             if allowed is not None and executor_id not in allowed:
                 continue
-            if not can_place(link, step, self._usage):
+            if not self._may_take(link, task):
                 continue
             free = self._usage.free_cpu(executor_id, executor.capacity)
             score = (
--- a/src/pomeloyard/batch/packing.py
+++ b/src/pomeloyard/batch/packing.py
@@ -35,6 +35,30 @@
     )
 
 
+def largest_of(amounts: Iterable[Resources]) -> Resources:
+    """Return the largest amount of each resource, nothing without amounts."""
+    largest = NO_RESOURCES
+    for amount in amounts:
+        largest = Resources(*map(max, _values(largest), _values(amount)))
+    return largest
+
+
+def is_large(need: Resources, capacity: Resources) -> bool:
+    """Tell whether an amount is at least half of an executor by any resource."""
+    return (
+        0 < capacity.cpu_millis <= 2 * need.cpu_millis
+        or 0 < capacity.memory_mb <= 2 * need.memory_mb
+        or 0 < capacity.accelerators <= 2 * need.accelerators
+    )
+
+
+def mean_of(amounts: Iterable[Resources]) -> Resources:
+    """Return the mean amount of each resource, nothing without amounts."""
+    found = list(amounts)
+    total = sum(found, NO_RESOURCES)
+    return Resources(*(value // max(1, len(found)) for value in _values(total)))
+
+
 class LargestFree:
     """The most of each resource that any executor has free, kept up to date."""
 
