Allocate less in the search for steps that need a reservation

Cause: in a trial with 100,000 waiting tasks some rounds took 0.18 s. Without Python's garbage collection the longest took 49 ms: each search created a tuple for each waiting job. Change: only jobs that rank before the last large one are kept. Run: tests of reservations, packing, criteria, spread, decisions and policies pass.

--- a/src/pomeloyard/batch/reservations.py
+++ b/src/pomeloyard/batch/reservations.py
@@ -279,7 +279,7 @@
     if not large:
         return []
     new_ranks = 0
-    first_large: tuple[float, ...] | None = None
+    keys: list[tuple[float, ...]] = []
     ranked: list[tuple[tuple[float, ...], int, Entry]] = []
     for number, entry in enumerate(chain(large, waiting)):
         if entry.rank is None or now >= entry.rank.valid_until:
@@ -288,14 +288,16 @@
                 return []
         key = rank_of(entry)
         if number < len(large):
-            first_large = min(first_large or key, key)
+            keys.append(key)
+            ranked.append((key, number, entry))
             continue
-        ranked.append((key, number, entry))
-        if first_large is not None and key < first_large:
+        if number == len(large):
+            first, last = min(keys), max(keys)
+        if key < first and any(map(may_start, entry.job.ready_steps())):
             # Most searches of a pool with a long backlog end here.
-            steps = (step for step in entry.job.ready_steps() if may_start(step))
-            if next(steps, None) is not None:
-                return []
+            return []
+        if key < last and not is_large(entry.largest, capacity):
+            ranked.append((key, number, entry))
     heapq.heapify(ranked)
     found: list[StepRun] = []
     while ranked and len(found) < MAX_ATTEMPTS:
