Ask for the share of each occurrence, and request advice once in a round

Cause, found by review: a scheduled job that had begun once was exempt from its team's share in all later occurrences, and both passes of a full pool requested advice for each step. Change: the share is asked until a task of the occurrence is placed; advice is requested in the pass that considers all tasks.

--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -337,7 +337,8 @@
         limits = configuration.teams_by_name.get(team)
         if limits and not self._usage.team_fits(team, limits.maximum, spec):
             return False
-        goes_on = spec.lasting or step.job.has_started or self._shares is None
+        has_begun = step.job.has_begun(step.occurrence)
+        goes_on = spec.lasting or has_begun or self._shares is None
         if not goes_on and self._shares and not self._shares.allows(team, spec):
             return False
         return any(
@@ -360,6 +361,9 @@
         self._place_step(step, index, maximum, now, tickets)
         if not step.waiting or any(now < task.not_before for task in step.tasks):
             return
+        if self._only_within_share:
+            # Requested once, in the pass that considers all tasks.
+            return
         candidates = [
             link
             for link in index.links
@@ -422,7 +426,7 @@
         """
         if self._shares is None or not self._only_within_share:
             return True
-        if step.job.has_started:
+        if step.job.has_begun(step.occurrence):
             return True
         team, tasks = step.job.record.team, len(step.waiting)
         return self._shares.allows(team, step.spec, tasks)
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -235,6 +235,10 @@
         failed = self.state is JobState.FAILED
         return failed and self.lasting and not self.cancel_requested
 
+    def has_begun(self, occurrence: int) -> bool:
+        """Tell whether a task of an open occurrence is placed or done."""
+        return any(step.placed or step.done for step in self.occurrences[occurrence])
+
     @property
     def occurrence_count(self) -> int:
         """Return how many times the job's steps run."""
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -277,6 +277,18 @@
     assert [step.number for step in loaded.ready_steps()] == [0]
 
 
+def test_each_occurrence_of_a_scheduled_job_begins_by_itself():
+    """Later occurrences were exempt from their team's share for having begun once."""
+    spec = JobSpec("p", (StepSpec(2, 1000, 100),), interval_ms=1000, occurrences=2)
+    job = JobRun("a1", JobRecord("q", "nets", spec, NOW, "w"), QUEUE, timedelta(0))
+    job.open_due_occurrences(1500)
+    first = job.occurrences[0][0].tasks[0]
+    job.place(first, "e", 1, timedelta(0))
+    job.end(first, 1, EndKind.DONE, "")
+    assert job.has_begun(0)
+    assert not job.has_begun(1)
+
+
 def test_the_end_of_an_earlier_run_is_ignored():
     job = job_of(StepSpec(1, 1000, 100))
     (task,) = job.occurrences[0][0].tasks
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -241,7 +241,12 @@
     record = replace(job.record, queue=QUEUE)
     job.record = record
     demand = PoolDemand(
-        ManualClock(), {"a1": job}, estimates, PeakForecaster(), lambda _: POOL_QUEUE
+        ManualClock(),
+        {"a1": job},
+        estimates,
+        PeakForecaster(),
+        lambda _: POOL_QUEUE,
+        {},
     )
     expected = 2 * estimates.expected_ms(step) / 1000
     assert demand.backlog()["mill"] > 1.1 * expected
