--- a/src/pomeloyard/batch/decision_log.py
+++ b/src/pomeloyard/batch/decision_log.py
@@ -13,10 +13,6 @@
 MAX_LINES_PER_SECOND = 600
 """Limits the log volume of one daemon to about 150 KB/s; excess lines are counted but
 not written."""
-KINDS_WITHOUT_OUTCOME = frozenset(
-    ("place", "executor", "upkeep", "move", "pool", "share", "reserve")
-)
-"""Kinds that are counted together, as their outcomes are many or always the same."""
 
 
 class JobDecisionLog:
@@ -35,7 +31,7 @@
         self, kind: str, subject: str, outcome: str, **inputs: str | int | float | bool
     ) -> None:
         """Log a decision about a subject with its inputs."""
-        omit_outcome = kind in KINDS_WITHOUT_OUTCOME
+        omit_outcome = kind in ("place", "executor", "upkeep", "move", "pool", "share")
         self.counts[kind, "" if omit_outcome else outcome] += 1
         now = self._clock.monotonic()
         elapsed = (now - self._refilled_at) / timedelta(seconds=1)
--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -12,12 +12,11 @@
 
 import bisect
 import sys
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 
 from .executor_link import ExecutorLink
-from .model import Resources, StepSpec
-from .packing import LargestFree
+from .model import StepSpec
 from .progress import StepRun, Task
 from .run_estimates import SLOW_FACTOR, RunEstimates
 from .usage import Usage
@@ -85,20 +84,13 @@
         usage: Usage,
         estimates: RunEstimates,
         now: timedelta,
-        allows: Callable[[str, Task], bool] | None = None,
     ) -> None:
         self._usage = usage
-        self._allows = allows or (lambda executor_id, task: True)
-        """Whether a task may start on an executor in view of its reservation."""
         self._links_by_id = {link.executor.executor_id: link for link in links}
         self._slow = {
             executor_id: estimates.slowness(executor_id, now) >= SLOW_FACTOR
             for executor_id in self._links_by_id
         }
-        self._largest_free = LargestFree(
-            usage.free(executor_id, link.executor.capacity)
-            for executor_id, link in self._links_by_id.items()
-        )
         self._entry_lists: tuple[list[_Entry], list[_Entry]] = ([], [])
         """Sorted entries of the executors of normal speed and of the slow ones."""
         for executor_id in self._links_by_id:
@@ -116,21 +108,14 @@
         return self._links_by_id.get(link.executor.executor_id) is link
 
     @property
-    def max_free(self) -> Resources:
-        """Return the most of each resource that any executor has free.
+    def max_free_cpu(self) -> int:
+        """Return the most free cpu of any executor; -1 without executors.
 
-        It is 0 at least with executors, as tasks whose cpu is not counted fit beside
-        more than an executor's capacity, which may have shrunk; -1 without executors.
+        It is 0 at least, as tasks whose cpu is not counted fit beside more than an
+        executor's capacity, which may have shrunk.
         """
-        return self._largest_free.amounts
-
-    def is_slow(self, link: ExecutorLink) -> bool:
-        """Tell whether an executor is slow at the moment."""
-        return self._slow[link.executor.executor_id]
-
-    def _may_take(self, link: ExecutorLink, task: Task) -> bool:
-        placeable = can_place(link, task.step, self._usage)
-        return placeable and self._allows(link.executor.executor_id, task)
+        free = [entries[-1][0] for entries in self._entry_lists if entries]
+        return max(0, *free) if free else -1
 
     def has_room(self, step: StepRun, allowed: Collection[str] | None) -> bool:
         """Tell whether all tasks of a step may fit at once; choosing costs more."""
@@ -145,23 +130,22 @@
     def allocate(self, link: ExecutorLink, task: Task) -> None:
         """Count the resources of a task on an executor."""
         executor = link.executor
-        before = self._entry_of(executor.executor_id), self._free_on(link)
+        before = self._entry_of(executor.executor_id)
         self._usage.add(executor.executor_id, executor.rack, task)
-        self._reposition(link, *before)
+        self._reposition(before)
 
     def release(self, link: ExecutorLink, task: Task) -> None:
         """Stop counting the resources of a task on an executor."""
         executor = link.executor
-        before = self._entry_of(executor.executor_id), self._free_on(link)
+        before = self._entry_of(executor.executor_id)
         self._usage.remove(executor.executor_id, executor.rack, task)
-        self._reposition(link, *before)
+        self._reposition(before)
 
     def discard(self, link: ExecutorLink) -> None:
         """Remove an executor that takes no further tasks."""
         executor_id = link.executor.executor_id
         entries = self._entries_of(executor_id)
         del entries[bisect.bisect_left(entries, self._entry_of(executor_id))]
-        self._largest_free.remove(self._free_on(link))
         del self._links_by_id[executor_id]
 
     def choose_for_trial(
@@ -178,7 +162,7 @@
             executor_id = link.executor.executor_id
             if allowed is not None and executor_id not in allowed:
                 continue
-            if not self._may_take(link, task):
+            if not can_place(link, task.step, self._usage):
                 continue
             runs = link.runs_by_name.values()
             score = (
@@ -191,16 +175,10 @@
                 best, best_score = link, score
         return best
 
-    def _reposition(self, link: ExecutorLink, entry: _Entry, free: Resources) -> None:
-        entries = self._entries_of(entry[1])
-        del entries[bisect.bisect_left(entries, entry)]
-        bisect.insort(entries, self._entry_of(entry[1]))
-        self._largest_free.remove(free)
-        self._largest_free.add(self._free_on(link))
-
-    def _free_on(self, link: ExecutorLink) -> Resources:
-        executor = link.executor
-        return self._usage.free(executor.executor_id, executor.capacity)
+    def _reposition(self, before: _Entry) -> None:
+        entries = self._entries_of(before[1])
+        del entries[bisect.bisect_left(entries, before)]
+        bisect.insort(entries, self._entry_of(before[1]))
 
     def _entries_of(self, executor_id: str) -> list[_Entry]:
         return self._entry_lists[self._slow[executor_id]]
@@ -228,15 +206,13 @@
         spec = task.step.spec
         if spec.lasting:
             return self._choose_lasting(task, allowed)
-        if not spec.executor_usage.fits(self.max_free):
-            return None
         fallback: ExecutorLink | None = None
         fallback_score = (True, True)
         for link in self._with_cpu(ANY_CPU if spec.fills else spec.cpu_millis):
             executor = link.executor
             if allowed is not None and executor.executor_id not in allowed:
                 continue
-            if not self._may_take(link, task):
+            if not can_place(link, task.step, self._usage):
                 continue
             score = (
                 executor.executor_id in task.failed_on,
@@ -260,7 +236,7 @@
             executor_id = executor.executor_id
             if allowed is not None and executor_id not in allowed:
                 continue
-            if not self._may_take(link, task):
+            if not can_place(link, step, self._usage):
                 continue
             free = self._usage.free_cpu(executor_id, executor.capacity)
             score = (
--- a/src/pomeloyard/batch/peaks.py
+++ b/src/pomeloyard/batch/peaks.py
@@ -42,8 +42,6 @@
     ends_in: timedelta
     core_rate: float
     """Work that arrives during the peak, in core-seconds a second."""
-    memory_rate: float = 0.0
-    """The same in GB-seconds a second."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,8 +52,6 @@
     """Arriving work, in core-seconds a second."""
     critical_path: timedelta = timedelta(0)
     """Mean critical path of the jobs."""
-    memory_gb: float = 0.0
-    """Arriving work, in GB-seconds a second."""
 
     def cores_after(self, lead: timedelta, busy_cores: float) -> float:
         """Return the cores needed after ``lead`` if jobs keep arriving at this rate.
@@ -73,20 +69,19 @@
 
 class _PoolArrivals:
     def __init__(self) -> None:
-        self.arrivals: list[tuple[timedelta, float, float]] = []
-        """Time, core-seconds and GB-seconds of each job."""
+        self.arrivals: list[tuple[timedelta, float]] = []
         self.onsets: list[timedelta] = []
         self.in_peak = False
         self.critical_path = timedelta(0)
         """Mean critical path of the jobs."""
 
-    def since(self, earliest: timedelta) -> list[tuple[float, float]]:
+    def since(self, earliest: timedelta) -> list[float]:
         """Return the work of each job after a time; jobs are nearly sorted by time."""
-        works: list[tuple[float, float]] = []
-        for at, core_seconds, gb_seconds in reversed(self.arrivals):
+        works: list[float] = []
+        for at, work in reversed(self.arrivals):
             if at <= earliest:
                 break
-            works.append((core_seconds, gb_seconds))
+            works.append(work)
         return works
 
 
@@ -103,13 +98,12 @@
         now: timedelta,
         core_seconds: float,
         critical_path: timedelta = timedelta(0),
-        memory_gb_seconds: float = 0.0,
     ) -> None:
         """Record the arrival of a job with its work and its critical path."""
         if self._first_arrival_at is None:
             self._first_arrival_at = now
         state = self._pools[pool]
-        state.arrivals.append((now, core_seconds, memory_gb_seconds))
+        state.arrivals.append((now, core_seconds))
         first = len(state.arrivals) == 1
         state.critical_path += (1.0 if first else CRITICAL_PATH_WEIGHT) * (
             critical_path - state.critical_path
@@ -136,10 +130,8 @@
         state = self._pools.get(pool)
         if state is None:
             return None
-        works = [(state.since(now - window), window) for window in RATE_WINDOWS]
-        cores = max(_rate([w[0] for w in recent], window) for recent, window in works)
-        memory = max(_rate([w[1] for w in recent], window) for recent, window in works)
-        return ArrivalRate(cores, state.critical_path, memory)
+        cores = max(_rate(state.since(now - window), window) for window in RATE_WINDOWS)
+        return ArrivalRate(cores, state.critical_path)
 
     def period(self) -> timedelta | None:
         """Return the shortest time between two peaks of a pool, or None if unknown."""
@@ -159,23 +151,22 @@
             return None
         period_s = period / timedelta(seconds=1)
         phases = sorted(
-            ((at / timedelta(seconds=1)) % period_s, core_seconds, gb_seconds)
-            for at, core_seconds, gb_seconds in state.arrivals
+            ((at / timedelta(seconds=1)) % period_s, work)
+            for at, work in state.arrivals
         )
         start, length = _shortest_dense_interval(phases, period_s)
         if length > 0.6 * period_s:
             return None
-        inside = [work for work in phases if (work[0] - start) % period_s <= length]
+        inside = sum(w for p, w in phases if (p - start) % period_s <= length)
         first = state.arrivals[0][0]
         cycles = max(1.0, (now - first) / period)
-        duration = cycles * max(length, 0.5)
+        rate = inside / (cycles * max(length, 0.5))
         position = ((now / timedelta(seconds=1)) - start) % period_s
         starts_in = -position if position <= length else period_s - position
         return Peak(
             timedelta(seconds=starts_in),
             timedelta(seconds=starts_in + length),
-            sum(core_seconds for _, core_seconds, _ in inside) / duration,
-            sum(gb_seconds for _, _, gb_seconds in inside) / duration,
+            rate,
         )
 
 
@@ -191,7 +182,7 @@
 
 
 def _shortest_dense_interval(
-    phases: list[tuple[float, float, float]], period_s: float
+    phases: list[tuple[float, float]], period_s: float
 ) -> tuple[float, float]:
     """Return start and length of the shortest interval with PEAK_SHARE of arrivals."""
     count = len(phases)
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -173,12 +173,7 @@
             self.estimates.run_times,
         )
         self.demand = PoolDemand(
-            clock,
-            self._active_jobs,
-            self.estimates,
-            self.peaks,
-            self._queue_of,
-            self.links_by_id,
+            clock, self._active_jobs, self.estimates, self.peaks, self._queue_of
         )
         self._planner = Planner(
             clock,
@@ -297,7 +292,8 @@
             self._planner.record_job(queue, work)
             times = self.estimates.path_times(now)
             job.expected_path_ms = critical_path_ms(job, times, remaining=False)
-            self.demand.record_arrival(queue.service, job, work)
+            chain = timedelta(milliseconds=job.expected_path_ms)
+            self.peaks.record_arrival(queue.service, job.accepted_at, work, chain)
         for task in job.placed_tasks():
             self._restore_run(task)
         if job.final:
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -23,12 +23,10 @@
     Queue,
     Resources,
 )
-from .packing import largest_of, mean_of
 from .placed_run import Phase, PlacedRun
 from .policy import Policy
 from .pool_shares import PoolShares
 from .progress import JobRun, StepRun, Task, TaskState
-from .reservations import Reservations, large_steps_ahead
 from .run_estimates import RunEstimates
 from .share_rounds import ShareRounds
 from .start_queue import AssignmentLimit
@@ -37,43 +35,20 @@
 MEAN_WORK_WEIGHT = 0.05
 """Weight of a new job in the moving average of its queue's work."""
 
-MILLISECOND = timedelta(milliseconds=1)
-
 
 class _WaitingJob:
     """A job with ready tasks, as of its last change."""
 
-    __slots__ = (
-        "job",
-        "largest",
-        "queue",
-        "rank",
-        "ready_short",
-        "smallest_accelerators",
-        "smallest_cpu",
-        "smallest_memory",
-    )
-
-    def __init__(self, job: JobRun, queue: Queue, smallest: Resources) -> None:
+    __slots__ = ("job", "queue", "rank", "ready_short", "smallest_cpu")
+
+    def __init__(self, job: JobRun, queue: Queue, smallest_cpu: int) -> None:
         self.job = job
         self.queue = queue
-        self.smallest_cpu = smallest.cpu_millis
-        self.smallest_memory = smallest.memory_mb
-        self.smallest_accelerators = smallest.accelerators
+        self.smallest_cpu = smallest_cpu
         self.ready_short = job.ready_short_tasks()
         """Resources of its ready short tasks."""
-        self.largest = largest_of(s.spec.executor_usage for s in job.ready_steps())
-        """The most that any of its ready tasks needs of each resource."""
         self.rank: Rank | None = None
 
-    def may_fit(self, free: Resources) -> bool:
-        """Tell whether any of its ready tasks may fit in the most that is free."""
-        return (
-            self.smallest_cpu <= free.cpu_millis
-            and self.smallest_memory <= free.memory_mb
-            and self.smallest_accelerators <= free.accelerators
-        )
-
 
 def _rank_key(entry: _WaitingJob) -> tuple[float, ...]:
     assert entry.rank is not None
@@ -120,7 +95,6 @@
         self._pending_starts: list[tuple[ExecutorLink, PlacedRun]] = []
         self._assignment_limit = AssignmentLimit()
         self.share_rounds = ShareRounds(usage, decision_log)
-        self._reservations = Reservations(usage, estimates)
         self._shares: PoolShares | None = None
         """Division of the pool that is being planned."""
         self._only_within_share = False
@@ -148,7 +122,7 @@
         if queue is None:
             return
         waiting = self._waiting_by_service.setdefault(queue.service, {})
-        smallest = job.smallest_ready()
+        smallest = job.smallest_ready_cpu()
         if job.job_id not in self._live_jobs or smallest is None:
             waiting.pop(job.job_id, None)
         else:
@@ -178,11 +152,8 @@
                 self.share_rounds.end(service)
                 continue
             links = self._usable_links(service, now)
-            self._reservations.begin(service, links, now)
-            index = FreeCapacityIndex(
-                links, self._usage, self._estimates, now, self._reservations.allows
-            )
-            ranked = self._ranked(waiting.values(), index.max_free, now)
+            index = FreeCapacityIndex(links, self._usage, self._estimates, now)
+            ranked = self._ranked(waiting.values(), index.max_free_cpu, now)
             self._assignment_limit.reached = False
             self._shares = self.share_rounds.begin(
                 service,
@@ -191,7 +162,6 @@
                 configuration,
             )
             self._place_jobs(ranked, index, configuration, now)
-            self._reserve(service, index, configuration, now)
             self.share_rounds.log(service, now)
             self._shares, self._only_within_share = None, False
             if self._assignment_limit.reached:
@@ -236,10 +206,10 @@
         return healthy or usable
 
     def _ranked(
-        self, waiting: Iterable[_WaitingJob], max_free: Resources, now: timedelta
+        self, waiting: Iterable[_WaitingJob], max_free_cpu: int, now: timedelta
     ) -> list[_WaitingJob]:
         """Return the jobs whose smallest task fits somewhere, highest rank first."""
-        fitting = [entry for entry in waiting if entry.may_fit(max_free)]
+        fitting = [entry for entry in waiting if entry.smallest_cpu <= max_free_cpu]
         fitting.sort(key=lambda entry: self._rank(entry, now))
         return fitting
 
@@ -272,7 +242,7 @@
         assert self._shares is not None
         for entry, limited in self._shares.passes(ranked, _rank_key):
             self._only_within_share = limited and not entry.job.lasting
-            if not entry.may_fit(index.max_free):
+            if entry.smallest_cpu > index.max_free_cpu:
                 continue
             job, advice = entry.job, entry.queue.advice
             team = configuration.teams_by_name.get(job.record.team)
@@ -283,69 +253,6 @@
                 else:
                     self._place_step(step, index, maximum, now)
 
-    def _reserve(
-        self,
-        service: str,
-        index: FreeCapacityIndex,
-        configuration: Configuration,
-        now: timedelta,
-    ) -> None:
-        """Reserve executors for large and long-waiting tasks that found none."""
-        links = index.links
-        waiting = self._waiting_by_service[service]
-        if not waiting or not self._reservations.may_search(service, len(links)):
-            return
-
-        def may_start(step: StepRun) -> bool:
-            return self._may_reserve(step, configuration, now)
-
-        entries = [entry for entry in waiting.values() if entry.queue.advice is None]
-        lasting = (
-            step
-            for entry in entries
-            if entry.job.lasting
-            for step in entry.job.ready_steps()
-            if step.spec.lasting
-        )
-        steps = self._reservations.long_waiting(service, lasting)
-        capacity = mean_of(link.executor.capacity for link in links)
-        steps += large_steps_ahead(
-            entries, capacity, lambda entry: self._rank(entry, now), may_start, now
-        )
-        made = self._reservations.reserve(steps, index, may_start)
-        for executor_id, reservation in made:
-            step = reservation.step
-            self._decision_log.record(
-                "reserve",
-                next(iter(step.waiting.values())).name,
-                executor_id,
-                age_ms=round((now - step.job.accepted_at) / MILLISECOND),
-                wait_ms=round((reservation.ready_at - now) / MILLISECOND),
-            )
-
-    def _may_reserve(
-        self, step: StepRun, configuration: Configuration, now: timedelta
-    ) -> bool:
-        """Tell whether only free capacity is missing for a task of a step.
-
-        A gang needs several executors at once, which reserving one does not give, and
-        a task on trial needs one without others.
-        """
-        spec, team = step.spec, step.job.record.team
-        if spec.gang or self._crash_trials.concern(step):
-            return False
-        limits = configuration.teams_by_name.get(team)
-        if limits and not self._usage.team_fits(team, limits.maximum, spec):
-            return False
-        has_begun = step.job.has_begun(step.occurrence)
-        goes_on = spec.lasting or has_begun or self._shares is None
-        if not goes_on and self._shares and not self._shares.allows(team, spec):
-            return False
-        return any(
-            now >= task.not_before and not self._pinned_executor(task, now)
-            for task in step.waiting.values()
-        )
-
     def _place_advised(
         self,
         step: StepRun,
@@ -487,8 +394,6 @@
             return None
         if allowed is not None and link.executor.executor_id not in allowed:
             return None
-        if not self._reservations.allows(link.executor.executor_id, task):
-            return None
         return link if can_place(link, task.step, self._usage) else None
 
     def _choose_for_trial(
@@ -605,7 +510,6 @@
         placed.on_trial = self._crash_trials.needs_trial(task)
         job.place(task, executor.executor_id, run, now)
         index.allocate(link, task)
-        self._reservations.placed(executor.executor_id, task)
         if self._shares is not None and not task.step.spec.lasting:
             self._shares.add(job.record.team, task.step.spec)
         link.assign(placed)
@@ -617,6 +521,6 @@
             task.name,
             executor.executor_id,
             run=run,
-            age_ms=round((now - job.accepted_at) / MILLISECOND),
+            age_ms=round((now - job.accepted_at) / timedelta(milliseconds=1)),
             free_cpu=self._usage.free_cpu(executor.executor_id, executor.capacity),
         )
--- a/src/pomeloyard/batch/pool_scaling.py
+++ b/src/pomeloyard/batch/pool_scaling.py
@@ -45,13 +45,11 @@
     """VMs for the tasks of the largest step, some of which share a VM."""
     cores: float = 0.0
     """Cores of the placed tasks."""
-    memory_gb: float = 0.0
-    """Memory of the placed tasks."""
 
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """Demand and capacity of a pool, in cores by dominant resource."""
+    """Demand and capacity of a pool."""
 
     name: str
     waiting_core_seconds: float
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -19,7 +19,6 @@
     Resources,
     StepSpec,
 )
-from .packing import smallest_of
 from .progress_records import (
     GANG_INDEX,
     CrashRecord,
@@ -297,12 +296,12 @@
                 if step.waiting and all(steps[i].complete for i in step.spec.after):
                     yield step
 
-    def smallest_ready(self) -> Resources | None:
-        """Return the least that any ready task needs of each resource.
-
-        None if no task is ready.
-        """
-        return smallest_of(step.spec.executor_usage for step in self.ready_steps())
+    def smallest_ready_cpu(self) -> int | None:
+        """Return the smallest CPU request of a ready task, None if no task is ready."""
+        return min(
+            (0 if s.spec.fills else s.spec.cpu_millis for s in self.ready_steps()),
+            default=None,
+        )
 
     def ready_short_tasks(self) -> Resources:
         """Return the resources that its ready short tasks need together."""
--- a/src/pomeloyard/batch/vm_mover.py
+++ b/src/pomeloyard/batch/vm_mover.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection, Coroutine, Sequence
-from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -15,8 +14,7 @@
 from .evacuations import ZoneGate
 from .executor_link import ExecutorLink
 from .fenced_records import FencedRecords
-from .model import NO_RESOURCES, Configuration, Resources
-from .packing import ShortTaskLoad, cores_per_gb, dominant_load
+from .model import Configuration
 from .peaks import NO_ARRIVALS
 from .policy import Policy
 from .pool_scaling import DrainableVm, IdleVm, LongRunningLoad, Move, PoolLoad
@@ -206,8 +204,7 @@
                 if link.executor.service == name
                 and (link.usable or link.cordoned_for_move)
             ]
-            capacity = sum((ln.executor.capacity for ln in links), NO_RESOURCES)
-            cores = capacity.cpu_millis / 1000
+            cores = sum(link.executor.capacity.cpu_millis for link in links) / 1000
             vm_cores = cores / len(links) if links else 1.0
             arriving = sum(
                 operation.kind == "move" and operation.target == name
@@ -223,8 +220,6 @@
             lasting = lasting_loads.get(name, LongRunningLoad())
             evacuated = self._evacuated_load(name)
             rate = demand.arrival_rate(name)
-            lead = self._move_time + DISCOVERY_TIME
-            short = self._short_task_load(name, capacity, lasting, evacuated, lead)
             loads.append(
                 PoolLoad(
                     name,
@@ -236,40 +231,15 @@
                     long_running_vms=max(0, lasting.vms - evacuated.vms),
                     peak=demand.next_peak(name),
                     urgent_core_seconds=urgent_loads.get(name, 0.0),
-                    rate=short.rate or NO_ARRIVALS,
-                    move_lead_time=lead,
-                    busy_short_task_cores=short.busy_cores,
-                    short_task_cores=short.capacity_cores,
+                    rate=rate or NO_ARRIVALS,
+                    move_lead_time=self._move_time + DISCOVERY_TIME,
+                    busy_short_task_cores=self._busy_cores(name) - lasting.cores,
+                    short_task_cores=cores - (lasting.cores - evacuated.cores),
                     demand_known=rate is not None or name in lasting_loads,
                 )
             )
         return loads
 
-    def _short_task_load(
-        self,
-        pool: str,
-        capacity: Resources,
-        lasting: LongRunningLoad,
-        evacuated: LongRunningLoad,
-        lead: timedelta,
-    ) -> ShortTaskLoad:
-        """Return the load of a pool's short tasks by the dominant resource."""
-        rate = self._term.demand.arrival_rate(pool)
-        busy = self._busy(pool)
-        by_cpu = ShortTaskLoad(
-            rate,
-            busy.cpu_millis / 1000 - lasting.cores,
-            capacity.cpu_millis / 1000 - (lasting.cores - evacuated.cores),
-        )
-        factor = cores_per_gb(capacity)
-        memory_gb = capacity.memory_mb / 1000
-        by_memory = ShortTaskLoad(
-            replace(rate, cores=rate.memory_gb * factor) if rate else None,
-            (busy.memory_mb / 1000 - lasting.memory_gb) * factor,
-            (memory_gb - (lasting.memory_gb - evacuated.memory_gb)) * factor,
-        )
-        return dominant_load(by_cpu, by_memory, lead)
-
     def _evacuated_load(self, pool: str) -> LongRunningLoad:
         """Return what the long-running tasks of a pool hold in evacuated zones.
 
@@ -281,13 +251,12 @@
             for link in self._term.links_by_id.values()
             if link.zone_evacuated and link.executor.service == pool
         ]
-        held = sum(
-            (run.task.step.spec.executor_usage for runs in runs_by_vm for run in runs),
-            NO_RESOURCES,
-        )
-        return LongRunningLoad(
-            sum(map(bool, runs_by_vm)), held.cpu_millis / 1000, held.memory_mb / 1000
+        millis = sum(
+            run.task.step.spec.executor_usage.cpu_millis
+            for runs in runs_by_vm
+            for run in runs
         )
+        return LongRunningLoad(sum(map(bool, runs_by_vm)), millis / 1000)
 
     def _log_loads(self, loads: Sequence[PoolLoad], now: timedelta) -> None:
         if self._logged_at is not None and now < self._logged_at + LOAD_LOG_INTERVAL:
@@ -303,7 +272,7 @@
                 floor=load.min_vms,
                 lasting=load.long_running_vms,
                 vm_cores=round(load.vm_cores, 1),
-                busy_cores=round(self._busy(load.name).cpu_millis / 1000, 1),
+                busy_cores=round(self._busy_cores(load.name), 1),
                 waiting=round(load.waiting_core_seconds, 1),
                 urgent=round(load.urgent_core_seconds, 1),
                 rate=round(load.rate.cores, 1),
@@ -312,15 +281,17 @@
                 else "",
             )
 
-    def _busy(self, pool: str) -> Resources:
-        """Return the resources allocated to all tasks of a pool."""
-        busy = NO_RESOURCES
-        for link in self._term.links_by_id.values():
-            executor = link.executor
-            if executor.service == pool:
-                free = self._term.usage.free(executor.executor_id, executor.capacity)
-                busy += executor.capacity - free
-        return busy
+    def _busy_cores(self, pool: str) -> float:
+        """Return the cores allocated to all tasks of a pool."""
+        usage = self._term.usage
+        links = self._term.links_by_id.values()
+        executors = [link.executor for link in links if link.executor.service == pool]
+        busy_millis = sum(
+            executor.capacity.cpu_millis
+            - usage.free_cpu(executor.executor_id, executor.capacity)
+            for executor in executors
+        )
+        return busy_millis / 1000
 
     async def load(self) -> bool:
         """Load the initial size of each pool, or store it in the first term.
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -246,7 +246,6 @@
         estimates,
         PeakForecaster(),
         lambda _: POOL_QUEUE,
-        {},
     )
     expected = 2 * estimates.expected_ms(step) / 1000
     assert demand.backlog()["mill"] > 1.1 * expected
