--- a/review/11/yard.py
+++ b/review/11/yard.py
@@ -882,30 +882,27 @@
 
 
 def run_case(folder, play):
-    """Run ``play(yard, trouble)``; exit with 1 if the rule was broken, 0 if it held.
+    """Run ``play(yard, trouble)`` and exit.
 
-    Return 2 if the case could not run.
+    The exit status is 1 if the rule was broken, 0 if it held, 2 if the case could not
+    run.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
-    yard = None
 
     async def main():
-        nonlocal yard
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         yard = Yard(record)
-        async with asyncio.timeout(LIMIT_S):
-            return await play(yard, trouble)
-
-    try:
-        broken = asyncio.run(main())
-    except Exception as error:
-        record.say(f"could not run: {error!r}")
-        return 2
-    finally:
-        if yard is not None:
-            yard.close()
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                status = 1 if await play(yard, trouble) else 0
+        except Exception as error:
+            record.say(f"could not run: {error!r}")
+            status = 2
+        yard.close()
         record.close()
-    sys.stdout.flush()
-    # Without the clean-up of the interpreter, which reports each open channel.
-    os._exit(1 if broken else 0)
+        sys.stdout.flush()
+        # At once, as the stand-ins' open calls need not end.
+        os._exit(status)
+
+    asyncio.run(main())
