--- a/review/15/case.py
+++ b/review/15/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import sys
 from pathlib import Path
 
 from yard import run_case
@@ -67,4 +66,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, play))
+    run_case(Path(__file__).parent, play)
--- a/review/15/yard.py
+++ b/review/15/yard.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -27,6 +28,8 @@
 HOLD_MAX_MS = 10_000
 STOP_S = 0.3
 HEARTBEAT_S = 1.5
+READY_MS = 700
+"""Startup of a work unit that lasts."""
 LIMIT_S = 110
 """Time for the play of a case; the processes are ended then."""
 HOST = "desk.example"
@@ -412,6 +415,8 @@
         self.highest = {}
         self.ended = []
         self.last_end = 0
+        self.tickets = {}
+        """Until when each ticket of this life is valid, by step and ticket."""
         self.changed = asyncio.Event()
 
     @property
@@ -563,6 +568,9 @@
             return 409, "old"
         if content["until_ms"] <= now:
             return 409, "late"
+        ticket = (task.rpartition(".")[0], content.get("ticket"))
+        if self.yard.advised and self.tickets.get(ticket, 0) < time.monotonic():
+            return 409, "ticket"
         spec = json.loads(content["task_spec"])
         self.runs[task] = {
             "run": run,
@@ -570,6 +578,7 @@
             "began": now,
             "ends": now + spec["ms"],
             "how": "done",
+            "lasts": spec.get("lasts", False),
         }
         self.yard.ran_start(self, task, run)
         return 200, ""
@@ -604,6 +613,8 @@
 
     @staticmethod
     def _percent(run, now):
+        if run["lasts"]:
+            return 100 if now - run["began"] >= READY_MS else 0
         length = max(1, run["ends"] - run["began"])
         return min(99, 100 * (now - run["began"]) // length)
 
@@ -631,7 +642,7 @@
             "limits": {"cpu_share": core_share, "cores": cores, "memory_mb": 300,
                        "max_fds": 4100, "link_mbps": link_mbps, "disk_mb": 0},
             "data_dir": None, "discovery": "platform", "heartbeat_ms": 1500,
-            "bounds": BOUNDS, "orders": "call", "advice": None,
+            "bounds": BOUNDS, "orders": "call", "advice": yard.advice or None,
             "platform": {"address": store, "form": "kv", "writes_per_s": 400,
                          "reads_per_s": 2000, "history_s": 20,
                          "value_bytes": 1048576, "ttl_min_ms": 1000},
@@ -686,6 +697,9 @@
         self.store = Store()
         self.store_address = ""
         self.vms = ""
+        self.advice = ""
+        self.advised = None
+        """Times of the queues' ``advice``, None if they have none."""
         self.executors = []
         self.daemons = []
         self.version = 1
@@ -701,6 +715,8 @@
         """Start the stand-ins; the executors take turns on the services."""
         self.store_address = await serve(self.store.handle)
         self.vms = await serve(self._vm_call)
+        if self.advised:
+            self.advice = await serve(self._advise)
         asyncio.create_task(self.store.expire())
         self.publish()
         services = list(self.prefixes)
@@ -722,6 +738,8 @@
             }
             for service, prefix in self.prefixes.items()
         ]  # fmt: skip
+        for route in routes if self.advised else []:
+            route["advice"] = self.advised
         self.store.put(
             "op/config",
             {
@@ -738,6 +756,23 @@
             },
         )  # fmt: skip
 
+    async def _advise(self, method, path, query, headers, body):
+        """Allow every executor that is asked about, with a ticket for the step."""
+        content = json.loads(body)
+        wait_ms = self.advised["decide_ms"]
+        wait_ms += self.advised["each_ms"] * len(content["workers"])
+        await asyncio.sleep(wait_ms / 1000)
+        step = content["step"]
+        good = []
+        for executor in self.executors:
+            if executor.executor_id in content["workers"]:
+                ticket = f"{random.randrange(16**8):08x}"
+                until = time.monotonic() + self.advised["valid_ms"] / 1000
+                executor.tickets[step, ticket] = until
+                good.append([executor.executor_id, ticket])
+        self.record(f"advice on {step}: {len(good)} executors may run it")
+        return 200, {"good": good, "valid_ms": self.advised["valid_ms"]}
+
     async def _vm_call(self, method, path, query, headers, body):
         if path == "/machines":
             rows = [
@@ -847,25 +882,27 @@
 
 
 def run_case(folder, play):
-    """Run ``play(yard, trouble)``; return 1 if the rule was broken, 0 if it held."""
+    """Run ``play(yard, trouble)`` and exit.
+
+    The exit status is 1 if the rule was broken, 0 if it held, 2 if the case could not
+    run.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
-    yard = None
 
     async def main():
-        nonlocal yard
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         yard = Yard(record)
-        async with asyncio.timeout(LIMIT_S):
-            return await play(yard, trouble)
-
-    try:
-        broken = asyncio.run(main())
-    except (TimeoutError, OSError, AssertionError) as error:
-        record.say(f"could not run: {error!r}")
-        return 2
-    finally:
-        if yard is not None:
-            yard.close()
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                status = 1 if await play(yard, trouble) else 0
+        except Exception as error:
+            record.say(f"could not run: {error!r}")
+            status = 2
+        yard.close()
         record.close()
-    return 1 if broken else 0
+        sys.stdout.flush()
+        # At once, as the stand-ins' open calls need not end.
+        os._exit(status)
+
+    asyncio.run(main())
