--- a/review/15/yard.py
+++ b/review/15/yard.py
@@ -466,24 +466,25 @@
     def _register(self):
         self.sequence += 1
         self.registered_at = time.monotonic()
-        self.yard.store.put(
-            f"servers/{self.executor_id}",
-            {
-                "service": self.service,
-                "address": self.address,
-                "zone": "z1",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold_ms": 0,
-                "capacity": self.capacity,
-                "labels": self.labels,
-                "clock_ms": self.clock_ms(),
-                "machine": self.machine,
-                "born": self.born,
-                "sequence": self.sequence,
-            },
-        )
+        self.yard.store.put(f"servers/{self.executor_id}", self.entry())
+
+    def entry(self):
+        """Return what it says of itself in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_ms": 0,
+            "capacity": self.capacity,
+            "labels": self.labels,
+            "clock_ms": self.clock_ms(),
+            "machine": self.machine,
+            "born": self.born,
+            "sequence": self.sequence,
+        }
 
     def _end(self, task, how):
         run = self.runs.pop(task)
