--- a/review/13/yard.py
+++ b/review/13/yard.py
@@ -918,18 +918,25 @@
     record = Record(Path(folder) / "record.txt")
 
     async def main():
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
         yard = Yard(record)
+
+        def end(status):
+            yard.close()
+            record.close()
+            sys.stdout.flush()
+            # At once, as the stand-ins' open calls need not end.
+            os._exit(status)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, end, 2)
         try:
             async with asyncio.timeout(LIMIT_S):
                 status = 1 if await play(yard, trouble) else 0
         except Exception as error:
             record.say(f"could not run: {error!r}")
             status = 2
-        yard.close()
-        record.close()
-        sys.stdout.flush()
-        # At once, as the stand-ins' open calls need not end.
-        os._exit(status)
+        end(status)
 
     asyncio.run(main())
