--- a/review/12/case.py
+++ b/review/12/case.py
@@ -10,6 +10,7 @@
 from yard import run_case
 
 ADVICE = {"decide_ms": 40, "each_ms": 5, "valid_ms": 3000}
+EXECUTORS = 7
 DOWN_S = 1
 """How long an executor is down."""
 LATE_S = 8
@@ -28,7 +29,7 @@
 async def play(yard, trouble):
     record = yard.record
     yard.advised = ADVICE
-    await yard.start()
+    await yard.start(executors=EXECUTORS)
     daemons = [await yard.add_daemon() for _ in range(3)]
     await yard.wait_ready(*daemons)
     while yard.holder() is None:
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -8,6 +8,7 @@
 
 from yard import run_case
 
+EXECUTORS = 7
 UNHEALTHY_S = 6.5
 VISIBLE_S = 3
 JOBS = 8
@@ -17,7 +18,7 @@
 
 async def play(yard, trouble):
     record = yard.record
-    await yard.start()
+    await yard.start(executors=EXECUTORS)
     daemons = [await yard.add_daemon() for _ in range(2)]
     await yard.wait_ready(*daemons)
     while yard.holder() is None:
