Store client: the limit of a page is the silence since its last byte

Cause: a page of 500 records takes about a second on that link, but had the time limit of a small call (0.35 s to 1.2 s for the whole answer). Each failed page was read again with the same limit, as the renewals beside it kept the limit short.

Ruled out: the store (4 ms an answer), the executors (idle), the role's lease (renewed throughout).

Change: a response that has begun may go on for 10 s as long as no pause in it exceeds 1.2 s. Where a page gets no answer while small calls do, the next try waits twice as long, up to 4 s, learned by what is read; small answers do not reset it. The same holds for polls after two silent ones, and a page read through a peer begins at 1.2 s. A request body gets time by its size.

--- a/src/pomeloyard/keyvalue/adaptive_timeout.py
+++ b/src/pomeloyard/keyvalue/adaptive_timeout.py
@@ -13,6 +13,8 @@
 """Window of the responses that set the timeout; slow periods last about as long."""
 TIMEOUT_FACTOR = 3
 """A response is taken for lost after this multiple of the longest recent time."""
+TRANSFER_FACTOR = 2
+"""Likewise for responses that grow with what is stored, whose times vary less."""
 
 
 class AdaptiveTimeout:
@@ -60,3 +62,43 @@
                 break
             timeout *= 2
         return min(timeout, self._longest)
+
+
+class TransferTimeouts:
+    """Timeouts of responses that grow with what is stored, by what is read.
+
+    On a slow link a page takes longer than the timeout of small calls, and each
+    repetition with the same timeout would fail as well. The responses to small calls
+    say nothing about that, so these timeouts are learned apart.
+
+    >>> second = timedelta(seconds=1)
+    >>> timeouts = TransferTimeouts(4 * second)
+    >>> timeouts.timeout("jobs", second).total_seconds()
+    1.0
+    >>> timeouts.record_loss("jobs", second)
+    >>> timeouts.timeout("jobs", second).total_seconds()
+    2.0
+    >>> timeouts.timeout("runs", second).total_seconds()
+    1.0
+    """
+
+    def __init__(self, longest: timedelta) -> None:
+        self._longest = longest
+        self._by_name: dict[str, timedelta] = {}
+        """Only those that exceed the timeout of a small call."""
+
+    def timeout(self, name: str, usual: timedelta) -> timedelta:
+        """Return the timeout; ``usual`` is that of a response of a few bytes."""
+        return max(usual, self._by_name.get(name, usual))
+
+    def record_loss(self, name: str, limit: timedelta) -> None:
+        """Record that a response did not arrive within ``limit``."""
+        self._by_name[name] = min(TRANSFER_FACTOR * limit, max(self._longest, limit))
+
+    def record_response(self, name: str, took: timedelta, usual: timedelta) -> None:
+        """Record a response that took ``took``."""
+        needed = min(TRANSFER_FACTOR * took, self._longest)
+        if needed > usual:
+            self._by_name[name] = needed
+        else:
+            self._by_name.pop(name, None)
--- a/src/pomeloyard/platform/connection.py
+++ b/src/pomeloyard/platform/connection.py
@@ -4,7 +4,7 @@
 
 import select
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import anyio
 import httptools
@@ -102,16 +102,22 @@
         poll.register(descriptor, select.POLLIN)
         return bool(poll.poll(0))
 
-    async def call(self, request: bytes) -> tuple[int, bytes]:
+    async def call(
+        self, request: bytes, on_data: Callable[[], None] | None = None
+    ) -> tuple[int, bytes]:
         """Send one request and return status and body of the response.
 
-        Raises PeerClosedError, BadAnswerError or anyio's stream errors.
+        ``on_data`` is called after each part of the response has arrived. Raises
+        PeerClosedError, BadAnswerError or anyio's stream errors.
         """
         await self._stream.send(request)
         response = _ResponseParser()
         while not response.complete:
             try:
-                response.parser.feed_data(await self._stream.receive())
+                content = await self._stream.receive()
+                if on_data is not None:
+                    on_data()
+                response.parser.feed_data(content)
             except anyio.EndOfStream as error:
                 raise PeerClosedError("the connection ended in an answer") from error
             except httptools.HttpParserError as error:
--- a/src/pomeloyard/platform/http.py
+++ b/src/pomeloyard/platform/http.py
@@ -33,6 +33,9 @@
 MAX_OVERDUE_CALLS = 12
 """Calls to one address in flight beyond the limit: at a peak, half of the orders to an
 executor may get no response and take a second each to time out."""
+MAX_TRANSFER_S = 10.0
+"""Longest call whose response goes on arriving. A page of 1 MB takes 7 s if it shares
+5 Mbit/s with three others."""
 MAX_PORT = 65_535
 
 _TRANSPORT_ERRORS = (
@@ -166,12 +169,15 @@
         headers: Mapping[str, str] | None = None,
         permitted: Callable[[], bool] = always_permitted,
         queue_timeout: timedelta | None = None,
+        max_pause: timedelta | None = None,
     ) -> Response:
         """Send one request to ``host:port`` and return the response.
 
         ``permitted`` is checked after all waiting, immediately before sending.
         ``timeout`` includes the time in which the call waits for other calls to the
-        same address, unless ``queue_timeout`` limits that separately.
+        same address, unless ``queue_timeout`` limits that separately. With
+        ``max_pause`` a response that has begun may go on after ``timeout``, up to
+        ``MAX_TRANSFER_S`` in all, as long as no pause in it is longer.
 
         Raises CallNotSentError, CallUnansweredError or, after ``queue_timeout``,
         CallQueuedError.
@@ -198,7 +204,14 @@
                     raise CallQueuedError(
                         f"{method} {target}: too many calls to {address} under way"
                     )
-            with anyio.fail_after(limit):
+            with anyio.fail_after(limit) as scope:
+
+                def extend() -> None:
+                    if max_pause is not None:
+                        until = anyio.current_time() + max_pause.total_seconds()
+                        scope.deadline = max(scope.deadline, min(until, last))
+
+                last = scope.deadline - limit + MAX_TRANSFER_S
                 if started_at is None:
                     started_at = await peer.acquire_slot()
                 connection = await peer.acquire_connection(connect_s)
@@ -206,7 +219,7 @@
                     raise CallNotPermittedError(
                         f"{method} {target}: no longer permitted"
                     )
-                status, content = await connection.call(request)
+                status, content = await connection.call(request, extend)
                 await peer.release_connection(connection)
                 connection = None
         except _TRANSPORT_ERRORS as error:
--- a/src/pomeloyard/platform/store_client.py
+++ b/src/pomeloyard/platform/store_client.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from datetime import timedelta
@@ -24,7 +25,7 @@
     StoreUnavailableError,
 )
 from ..keyvalue import layout
-from ..keyvalue.adaptive_timeout import AdaptiveTimeout
+from ..keyvalue.adaptive_timeout import AdaptiveTimeout, TransferTimeouts
 from ..keyvalue.relay_selection import RelaySelector
 from ..keyvalue.store import (
     CallCounter,
@@ -44,6 +45,11 @@
 """A slow store responds within 0.4 s; after this, a new connection is better."""
 MIN_CALL_TIMEOUT = timedelta(seconds=0.35)
 """The store usually responds within 10 ms, or 0.25 s later if a packet is lost."""
+MAX_TRANSFER_TIMEOUT = timedelta(seconds=4)
+"""Limit on the time-out of responses that grow with what is stored, which is also that
+of a relayed call."""
+MIN_UPLOAD_RATE = 300_000
+"""Bytes a second that a request body is allowed for, half of the slowest link."""
 POLL_TIMEOUT_MARGIN = timedelta(seconds=0.6)
 """Added to a poll's wait time to get its time-out."""
 WATCH_POLL_TIME = timedelta(seconds=10)
@@ -62,6 +68,9 @@
 RATE_LIMITED_STATUS = 429
 """A call exceeded the rate limit that all daemons share."""
 
+MAX_SILENT_POLLS = 2
+"""Consecutive lost polls that are put down to silent connections."""
+
 PROBE_KEY = layout.ROLES + "placing"
 """A small entry that exists soon after the first start of a system."""
 
@@ -70,6 +79,10 @@
 log = logbook.Logger("pomeloyard.platform.kv")
 
 
+class _ReadUnansweredError(StoreUnavailableError):
+    """A read got no response, from the store or from the peer that relays it."""
+
+
 class _Item(msgspec.Struct):
     key: str
     rev: int
@@ -114,6 +127,11 @@
         self._direct_polls: set[anyio.CancelScope] = set()
         """Polls that wait for an answer of the store itself."""
         self._adaptive_timeout = AdaptiveTimeout(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
+        self._transfer_timeouts = TransferTimeouts(MAX_TRANSFER_TIMEOUT)
+        self._small_response_at = -MAX_CALL_TIMEOUT
+        """When a call with a small response was last answered."""
+        self._lost_polls: Counter[str] = Counter()
+        """Consecutive polls without a response, by prefix."""
         self.calls = CallCounter()
         self.relay_selector = RelaySelector()
 
@@ -132,7 +150,7 @@
         target = f"/kv-range?prefix={quote(prefix, safe='')}"
         if start:
             target += f"&after={quote(start.removesuffix(chr(0)), safe='')}"
-        page = _decode(await self._read(target), _RangeResponse)
+        page = _decode(await self._read_page(prefix, target), _RangeResponse)
         return Page(
             tuple(_entry(item) for item in page.items),
             page.current_rev,
@@ -200,7 +218,7 @@
         )
         self.calls.open_watches += 1
         try:
-            response = await self._read(target, wait + POLL_TIMEOUT_MARGIN)
+            response = await self._poll(prefix, target, wait)
         finally:
             self.calls.open_watches -= 1
         if response.status == 410:
@@ -269,25 +287,72 @@
         """Make a call; the default time-out adapts to recent response times."""
         started_at = _now()
         limit = timeout or self._adaptive_timeout.timeout(started_at)
-        if self.relay_selector.uses_relay:
-            call = self._call_through_peer
-        else:
-            call = self._call_directly if timeout is None else self._poll_directly
+        limit += timedelta(seconds=len(content) / MIN_UPLOAD_RATE)
         try:
-            response = await call(method, target, content, limit)
+            if self.relay_selector.uses_relay:
+                response = await self._call_through_peer(method, target, content, limit)
+            elif timeout is not None:
+                response = await self._poll_directly(method, target, content, limit)
+            else:
+                response = await self._call_directly(
+                    method, target, content, limit, MAX_CALL_TIMEOUT
+                )
         except CallUnansweredError:
             if timeout is None:
                 self._adaptive_timeout.record_loss()
             raise
         if timeout is None:
-            now = _now()
+            self._small_response_at = now = _now()
             self._adaptive_timeout.record_response(now, now - started_at)
         return response
 
+    async def _read_page(self, prefix: str, target: str) -> Response:
+        """Read a page, which may take far longer than a small response."""
+        started_at = _now()
+        usual = self._adaptive_timeout.timeout(started_at)
+        if self.relay_selector.uses_relay:
+            # The peer reads the whole page before its response begins.
+            usual = max(usual, MAX_CALL_TIMEOUT)
+        limit = self._transfer_timeouts.timeout(prefix, usual)
+        try:
+            response = await self._read(target, limit)
+        except _ReadUnansweredError:
+            if self._small_calls_are_answered(started_at):
+                self._transfer_timeouts.record_loss(prefix, limit)
+                log.info("page of {} took over {:.1f} s", prefix, limit.total_seconds())
+            raise
+        self._transfer_timeouts.record_response(prefix, _now() - started_at, usual)
+        return response
+
+    async def _poll(self, prefix: str, target: str, wait: timedelta) -> Response:
+        """Poll for changes, of which there may be many after an interruption."""
+        started_at = _now()
+        margin = self._transfer_timeouts.timeout(
+            "changes " + prefix, POLL_TIMEOUT_MARGIN
+        )
+        try:
+            response = await self._read(target, wait + margin)
+        except _ReadUnansweredError:
+            if self._small_calls_are_answered(started_at):
+                self._lost_polls[prefix] += 1
+                # Two silent connections in a row are not unusual.
+                if self._lost_polls[prefix] > MAX_SILENT_POLLS:
+                    self._transfer_timeouts.record_loss("changes " + prefix, margin)
+            raise
+        if self._lost_polls.pop(prefix, 0) <= MAX_SILENT_POLLS:
+            self._transfer_timeouts.record_response(
+                "changes " + prefix, timedelta(0), margin
+            )
+        return response
+
+    def _small_calls_are_answered(self, started_at: timedelta) -> bool:
+        """Tell whether the store has answered small calls since about then."""
+        return self._small_response_at > started_at - MAX_CALL_TIMEOUT
+
     async def _poll_directly(
         self, method: str, target: str, content: bytes, limit: timedelta
     ) -> Response:
-        """Make a call that waits; it ends once the store no longer answers directly.
+        """Make a call that takes long; it ends once the store fails directly.
 
         A poll that hangs on a partition would otherwise hide changes for its whole
         wait, while other calls already go through a peer.
@@ -295,7 +360,9 @@
         with anyio.CancelScope() as scope:
             self._direct_polls.add(scope)
             try:
-                return await self._call_directly(method, target, content, limit)
+                return await self._call_directly(
+                    method, target, content, limit, MAX_CALL_TIMEOUT
+                )
             finally:
                 self._direct_polls.discard(scope)
         raise CallUnansweredError(f"{method} {target}: calls go through a peer now")
@@ -307,11 +374,21 @@
                 scope.cancel()
 
     async def _call_directly(
-        self, method: str, target: str, content: bytes, limit: timedelta
+        self,
+        method: str,
+        target: str,
+        content: bytes,
+        limit: timedelta,
+        max_pause: timedelta | None = None,
     ) -> Response:
         try:
             response = await self._client.request(
-                method, self._address, target, limit, content
+                method,
+                self._address,
+                target,
+                limit,
+                content,
+                max_pause=max_pause,
             )
         except (CallNotSentError, CallUnansweredError):
             self._record_direct_failure()
@@ -350,13 +427,19 @@
         self.calls.reads += 1
         try:
             response = await self._call("GET", target, timeout=timeout)
-        except (CallNotSentError, CallUnansweredError) as error:
+        except CallNotSentError as error:
             self.calls.failures += 1
             raise StoreUnavailableError(str(error)) from error
+        except CallUnansweredError as error:
+            self.calls.failures += 1
+            raise _ReadUnansweredError(str(error)) from error
         if response.status in (200, 404, 410):
             return response
         self.calls.failures += 1
-        raise StoreUnavailableError(f"GET {target}: status {response.status}")
+        message = f"GET {target}: status {response.status}"
+        if response.status == RELAY_UNANSWERED_STATUS:
+            raise _ReadUnansweredError(message)
+        raise StoreUnavailableError(message)
 
     async def _write(self, method: str, target: str, body: object) -> Response:
         self.calls.writes += 1
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import base64
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
 import anyio
+import msgspec
 import pytest
 
+from pomeloyard.batch.job_reload import scan_with_retries
 from pomeloyard.clock import SystemClock
 from pomeloyard.errors import (
     CompactedError,
@@ -171,3 +174,76 @@
             await store.keep_lease_alive(1)
         assert anyio.current_time() - began_at < MAX_CALL_TIMEOUT.total_seconds()
         await client.close()
+
+
+class SlowLink:
+    """A store behind a slow link: pages arrive in parts, or whole after a delay."""
+
+    PAGE_PARTS = 10
+
+    def __init__(self, page_time, *, in_parts):
+        self.page_time = page_time
+        self.in_parts = in_parts
+        self.pages_asked = 0
+
+    async def __call__(self, scope, receive, send):
+        if scope["path"] != "/kv-range":
+            body = b'{"ttl_ms": 1500}'
+            await self._send_head(send, len(body))
+            await send({"type": "http.response.body", "body": body})
+            return
+        self.pages_asked += 1
+        rows = [
+            {"key": f"a/{n}", "rev": 1, "value": base64.b64encode(b"x" * 900).decode()}
+            for n in range(500)
+        ]
+        body = msgspec.json.encode({"items": rows, "current_rev": 7})
+        parts = self.PAGE_PARTS if self.in_parts else 1
+        size = -(-len(body) // parts)
+        if not self.in_parts:
+            await anyio.sleep(self.page_time)
+        await self._send_head(send, len(body))
+        for number in range(parts):
+            if self.in_parts:
+                await anyio.sleep(self.page_time / parts)
+            part = body[number * size : (number + 1) * size]
+            more = number < parts - 1
+            await send({"type": "http.response.body", "body": part, "more_body": more})
+
+    async def _send_head(self, send, length):
+        headers = [(b"content-length", str(length).encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+
+
+async def keep_renewing(store):
+    while True:
+        await store.keep_lease_alive(1)
+        await anyio.sleep(0.1)
+
+
+@pytest.mark.parametrize("in_parts", [True, False])
+async def test_a_page_arrives_over_a_slow_link_beside_quick_renewals(in_parts):
+    """A new placing term read the same page for ever; review/11 (LOST)."""
+    link = SlowLink(1.6, in_parts=in_parts)
+    async with client_of(link) as store, anyio.create_task_group() as tasks:
+        tasks.start_soon(keep_renewing, store)
+        await anyio.sleep(0.3)
+        with anyio.fail_after(8):
+            page = await scan_with_retries(SystemClock(), store, "a/")
+        tasks.cancel_scope.cancel()
+    assert len(page.entries) == 500
+    assert link.pages_asked == 1 if in_parts else link.pages_asked <= 4
+
+
+async def test_a_response_that_stops_arriving_fails_after_a_pause():
+    """Guards against a call that waits for ever since its response had begun."""
+
+    async def stalls(scope, receive, send):
+        headers = [(b"content-length", b"100")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"{", "more_body": True})
+        await anyio.sleep_forever()
+
+    async with client_of(stalls) as store:
+        with anyio.fail_after(4), pytest.raises(StoreUnavailableError):
+            await store.scan("a/")
