Placing term: give the role up when an activity stalls; slow links defer

Cause: nothing tells a term that holds its lease from one that advances, and a candidate whose work failed competed again at once, so that an error which each term meets moved the role thirty times a second.

Change: a term tracks when its load, job watch, registrations and writes last advanced. If one of them stalls for 5 s while the store confirms the renewals, the term gives the role up and the daemon competes again after 3 s, doubled up to 10 s; after work that failed, after 0.5 s, doubled likewise. Renewals that are not confirmed stop the count, as no other daemon does better in an outage for all. Registrations are loaded page by page as jobs are. A VM with a link below 20 Mbit/s takes a vacant role 0.3 s later than others.

Not built: handing the role to a faster daemon that comes back, standbys that follow the records.

--- a/src/pomeloyard/batch/executor_registry.py
+++ b/src/pomeloyard/batch/executor_registry.py
@@ -15,6 +15,7 @@
 from ..keyvalue.store import Entry, PollingStore
 from .configuration_follower import DocumentError
 from .executors import Executor
+from .job_reload import scan_with_retries
 
 POLL_WAIT = timedelta(seconds=1.2)
 """A connection that silently stopped delivering hides draining executors for this long;
@@ -56,6 +57,8 @@
         self.executors_by_id: dict[str, Executor] = {}
         self.loaded = anyio.Event()
         self.on_change: Callable[[], None] | None = None
+        self.on_progress: Callable[[], None] | None = None
+        """Called after each page of registrations and each answered poll."""
         self._max_age = capacity_bound - MAX_DELIVERY_TIME
         self._confirmed_at: timedelta | None = None
         self._confirmed = anyio.Event()
@@ -91,7 +94,12 @@
         while not self.is_current:
             await self._confirmed.wait()
 
+    def _on_progress(self) -> None:
+        if self.on_progress is not None:
+            self.on_progress()
+
     def _confirm(self, asked_at: timedelta) -> None:
+        self._on_progress()
         self._confirmed_at = asked_at
         self._confirmed.set()
         self._confirmed = anyio.Event()
@@ -129,21 +137,16 @@
 
     async def _load_all(self) -> int:
         prefix = self._documents.prefix
-        page = await self._store.scan(prefix)
-        revision = page.revision
-        entries: dict[str, Entry] = {}
-        while True:
-            entries.update((entry.key, entry) for entry in page.entries)
-            if not page.more:
-                break
-            last = page.entries[-1].key
-            page = await self._store.scan(prefix, start=last + "\0")
+        page = await scan_with_retries(
+            self._clock, self._store, prefix, self._on_progress
+        )
+        entries = {entry.key: entry for entry in page.entries}
         for executor_id in list(self.executors_by_id):
             if prefix + executor_id not in entries:
                 del self.executors_by_id[executor_id]
         for key, entry in entries.items():
             self._apply(key, entry)
-        return revision
+        return page.revision
 
     def _apply(self, key: str, entry: Entry | None) -> None:
         executor_id = key.removeprefix(self._documents.prefix)
--- a/src/pomeloyard/batch/job_reload.py
+++ b/src/pomeloyard/batch/job_reload.py
@@ -29,7 +29,12 @@
 log = logbook.Logger("pomeloyard.batch.job_reload")
 
 
-async def scan_pages(clock: Clock, store: Store, prefix: str) -> AsyncIterator[Page]:
+async def scan_pages(
+    clock: Clock,
+    store: Store,
+    prefix: str,
+    on_page: Callable[[], None] | None = None,
+) -> AsyncIterator[Page]:
     """Yield all entries under ``prefix``; a page that fails is read again alone."""
     start = ""
     while True:
@@ -39,18 +44,26 @@
             log.info("scan of {} failed, retrying: {}", prefix, error)
             await clock.sleep(RETRY_DELAY)
             continue
+        if on_page is not None:
+            on_page()
         yield page
         if not page.more:
             return
         start = page.entries[-1].key + "\0"
 
 
-async def scan_with_retries(clock: Clock, store: Store, prefix: str) -> Page:
+async def scan_with_retries(
+    clock: Clock,
+    store: Store,
+    prefix: str,
+    on_page: Callable[[], None] | None = None,
+) -> Page:
     """Return all entries under ``prefix``; a page that fails is read again alone.
 
-    The revision is that of the first page, so that a watch from it on misses no change.
+    ``on_page`` is called after each page. The revision is that of the first page, so
+    that a watch from it on misses no change.
     """
-    pages = [page async for page in scan_pages(clock, store, prefix)]
+    pages = [page async for page in scan_pages(clock, store, prefix, on_page)]
     entries = tuple(entry for page in pages for entry in page.entries)
     return Page(entries, pages[0].revision)
 
@@ -65,8 +78,13 @@
         is_known: Callable[[str], bool],
         denied_ids: Collection[str],
         apply: Callable[[WatchEvent], None],
+        on_progress: Callable[[], None] | None = None,
     ) -> None:
-        """Prepare reloads; ``denied_ids`` are of jobs cancelled before they existed."""
+        """Prepare reloads; ``denied_ids`` are of jobs cancelled before they existed.
+
+        ``on_progress`` is called after each page that was read.
+        """
+        self._on_progress = on_progress
         self._clock = clock
         self._store = store
         self._is_known = is_known
@@ -89,7 +107,9 @@
         The end of a denial may have been missed as well; a job of that id that was
         accepted since must not be cancelled.
         """
-        page = await scan_with_retries(self._clock, self._store, layout.CANCELS)
+        page = await scan_with_retries(
+            self._clock, self._store, layout.CANCELS, self._on_progress
+        )
         present = {entry.key for entry in page.entries}
         for key in [layout.CANCELS + job_id for job_id in self._denied_ids]:
             if key not in present:
@@ -109,7 +129,9 @@
         revision: int | None = None
         waiting = unknown = 0
         async with anyio.create_task_group() as tasks:
-            async for page in scan_pages(self._clock, self._store, layout.WAITING):
+            async for page in scan_pages(
+                self._clock, self._store, layout.WAITING, self._on_progress
+            ):
                 revision = page.revision if revision is None else revision
                 waiting += len(page.entries)
                 for entry in page.entries:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -28,7 +28,7 @@
     Transaction,
     WatchEvent,
 )
-from ..roles import HeldRole
+from ..roles import HeldRole, RoleYieldedError
 from . import layout
 from .advice import AdviceService, Advisor
 from .call_losses import CallLosses
@@ -47,6 +47,7 @@
     StartAnswer,
 )
 from .fenced_records import FencedRecords
+from .headway import Headway
 from .job_ranking import core_seconds_of, critical_path_ms, measured_path_ms
 from .job_reload import JobReload, scan_with_retries
 from .model import (
@@ -82,6 +83,8 @@
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)
 """Interval between checks for unreachable executors, due occurrences and expired
 jobs."""
+HEADWAY_INTERVAL = timedelta(milliseconds=500)
+"""Interval between checks whether the term makes progress."""
 REFUSED_START_DELAY = timedelta(milliseconds=400)
 """Delay before a task whose start was refused is placed again, which prevents a tight
 loop while the executor's state is still unknown."""
@@ -128,6 +131,9 @@
         self.role = role
         self.epoch = role.epoch
         self.guard = guard
+        self._headway = Headway(clock, role.is_confirmed)
+        self._stalled: str | None = None
+        """The activity because of which the term gives the role up."""
         self._retention = retention
         self._advisor = Advisor(clock, advice, self.request_plan) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
@@ -194,20 +200,34 @@
     # Running
 
     async def run(self) -> None:
-        """Run until the role is lost or the term is cancelled."""
+        """Run until the role is lost or the term is cancelled.
+
+        Raises RoleYieldedError if the term could not go on with its work.
+        """
         self._follower.on_change.append(self._update_evacuated_zones)
         try:
             await self._run()
         finally:
             self._follower.on_change.remove(self._update_evacuated_zones)
+        if self._stalled is not None:
+            raise RoleYieldedError(f"no progress: {self._stalled}")
 
     async def _run(self) -> None:
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._registry.run)
             tasks.start_soon(self._run_time_records.run)
-            position = await self._load()
+            tasks.start_soon(self._watch_headway)
+            position: int | None = None
+            async with anyio.create_task_group() as loading:
+                loading.start_soon(self._cancel_when_ended, loading.cancel_scope)
+                position = await self._load()
+                loading.cancel_scope.cancel()
+            if position is None:
+                tasks.cancel_scope.cancel()
+                return
             self._loaded = True
+            self._headway.finish("load")
             for link in self.links_by_id.values():
                 if link.registered:
                     self.spawn(link, link.run)
@@ -224,6 +244,26 @@
             await self._ended.wait()
             tasks.cancel_scope.cancel()
 
+    async def _watch_headway(self) -> None:
+        """Give the role up if an activity stalls although the role is renewed."""
+        self._registry.on_progress = lambda: self._headway.record("registrations")
+        self._headway.record("load")
+        self._headway.record("registrations")
+        written = 0
+        while self._stalled is None:
+            await self._clock.sleep(HEADWAY_INTERVAL)
+            if not self._writer.writes_in_flight or self._writer.writes_done != written:
+                self._headway.finish("writes")
+            written = self._writer.writes_done
+            if self._writer.writes_in_flight:
+                self._headway.begin("writes")
+            self._stalled = self._headway.find_stalled()
+        self.end_term(f"no progress: {self._stalled}")
+
+    async def _cancel_when_ended(self, scope: anyio.CancelScope) -> None:
+        await self._ended.wait()
+        scope.cancel()
+
     async def _load(self) -> int:
         """Load all jobs and their progress; return the revision to watch from."""
         (incoming, runs), (crashes, id_flags) = await run_both(
@@ -244,6 +284,7 @@
         for entry in sorted(incoming[0], key=lambda e: e.mod_revision):
             # The lease of the role is renewed meanwhile.
             await anyio.lowlevel.checkpoint()
+            self._headway.record("load")
             if entry.key.startswith(layout.CANCELS):
                 cancelled.append(entry.key.removeprefix(layout.CANCELS))
             else:
@@ -266,7 +307,9 @@
         return incoming[1]
 
     async def _scan(self, prefix: str) -> tuple[list[Entry], int]:
-        page = await scan_with_retries(self._clock, self._store, prefix)
+        page = await scan_with_retries(
+            self._clock, self._store, prefix, lambda: self._headway.record("load")
+        )
         return list(page.entries), page.revision
 
     def _add_job(
@@ -436,11 +479,14 @@
             self.jobs_by_id.__contains__,
             self._denied_job_ids,
             self._apply,
+            lambda: self._headway.record("jobs"),
         )
+        self._headway.record("jobs")
         while True:
             try:
                 batch = await self._store.poll_changes(layout.INCOMING, position, wait)
                 wait = WATCH_WAIT
+                self._headway.record("jobs")
                 for event in batch.events:
                     self._apply(event)
                 position = batch.revision
--- a/src/pomeloyard/batch/progress_writer.py
+++ b/src/pomeloyard/batch/progress_writer.py
@@ -64,7 +64,9 @@
         """Likewise for the jobs whose write is in flight."""
         self._large_write_in_flight: str | None = None
         """Id of the job whose large record is being written."""
-        self._writes_in_flight = 0
+        self.writes_in_flight = 0
+        self.writes_done = 0
+        """Writes that succeeded."""
         self._write_finished = anyio.Event()
         """Set and replaced whenever a write succeeded."""
         self._batching_ended = anyio.Event()
@@ -123,7 +125,7 @@
             if job.waiting_marker_stored and (job.has_started or job.final):
                 cost += 1
             if cost > free_entries:
-                if self._writes_in_flight + len(groups) >= MAX_CONCURRENT_WRITES:
+                if self.writes_in_flight + len(groups) >= MAX_CONCURRENT_WRITES:
                     break
                 groups.append([])
                 free_entries = MAX_TRANSACTION_ENTRIES - 1
@@ -136,7 +138,7 @@
                 job.job_id
             )
         if groups:
-            self._writes_in_flight += len(groups)
+            self.writes_in_flight += len(groups)
             self._batching_ended = anyio.Event()
         return [self._build_group(jobs) for jobs in groups]
 
@@ -180,8 +182,9 @@
             del self._in_flight_since_by_id[job.job_id]
             if job.job_id == self._large_write_in_flight:
                 self._large_write_in_flight = None
-        self._writes_in_flight -= 1
-        if not self._writes_in_flight:
+        self.writes_in_flight -= 1
+        self.writes_done += 1
+        if not self.writes_in_flight:
             self._batching_ended.set()
         self._write_finished.set()
         self._write_finished = anyio.Event()
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -44,6 +44,11 @@
 """Placing for 180 executors takes up to 0.4 of a core; slower VMs defer to others."""
 SMALL_VM_DELAY = timedelta(seconds=0.4)
 """Delay of small VMs in acquiring the placing role, so that larger ones win."""
+MIN_PLACING_MBPS = 20
+"""A page of the store, of 1 MB at most, arrives within 0.4 s; VMs with slower links
+defer to others."""
+SLOW_LINK_DELAY = timedelta(seconds=0.3)
+"""Delay of VMs with slow links, added to that of small ones."""
 MAX_EXECUTOR_CALLS = 3
 """Concurrent calls to one executor, as each new connection has a cost. Long polls and
 orders without a response have a limit of their own (``http.MAX_OVERDUE_CALLS``)."""
@@ -105,9 +110,9 @@
             settings.withdrawal_bound,
             self._metrics,
         )
-        small = settings.core_speed < MIN_PLACING_SPEED
         times = replace(
-            ROLE_TIMES, candidacy_delay=SMALL_VM_DELAY if small else timedelta(0)
+            ROLE_TIMES,
+            candidacy_delay=candidacy_delay(settings.core_speed, settings.link_mbps),
         )
         self._candidate = RoleCandidate(
             self._store, clock, ROLE, settings.vm, self._role.run, times
@@ -204,6 +209,24 @@
             await self._candidate.run()
 
 
+def candidacy_delay(core_speed: float, link_mbps: float) -> timedelta:
+    """Return how long a VM waits before it takes the vacant placing role.
+
+    ``core_speed`` is 1.0 for a whole core; ``link_mbps`` is 0 if it is not known.
+
+    >>> candidacy_delay(2.0, 100).total_seconds()
+    0.0
+    >>> candidacy_delay(0.5, 100) < candidacy_delay(0.5, 5)
+    True
+    """
+    delay = timedelta(0)
+    if core_speed < MIN_PLACING_SPEED:
+        delay += SMALL_VM_DELAY
+    if 0 < link_mbps < MIN_PLACING_MBPS:
+        delay += SLOW_LINK_DELAY
+    return delay
+
+
 async def _wait_for_sigterm() -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async for received in signals:
--- a/src/pomeloyard/platform/settings.py
+++ b/src/pomeloyard/platform/settings.py
@@ -28,6 +28,7 @@
     """Fraction of a core; times ``cores``, the speed of one core."""
     cores: float = 1.0
     memory_mb: int = 0
+    link_mbps: float = 0
 
 
 class _Bounds(msgspec.Struct):
@@ -99,6 +100,8 @@
     advice_address: str
     core_speed: float
     """Speed of this VM's core; 1.0 is one whole core."""
+    link_mbps: float
+    """Bandwidth of this VM's link in Mbit/s, 0 if it is not stated."""
     config_bound: timedelta
     """Time limit for a new configuration to take effect."""
     capacity_bound: timedelta
@@ -154,6 +157,7 @@
         vm_service_address=file.cloud_api.address if file.cloud_api else "",
         advice_address=file.advice or "",
         core_speed=file.limits.cpu_share * file.limits.cores,
+        link_mbps=file.limits.link_mbps,
         config_bound=timedelta(milliseconds=bounds.config_ms),
         capacity_bound=timedelta(milliseconds=bounds.contact_ms),
         evacuation_bound=timedelta(milliseconds=bounds.evac_ms),
--- a/src/pomeloyard/roles.py
+++ b/src/pomeloyard/roles.py
@@ -32,6 +32,15 @@
 VACANCY_POLL_TIMEOUT = timedelta(seconds=10)
 """Longest poll for a vacancy. If the poll gets no response, the candidate loses no more
 time than this."""
+FAILURE_PAUSE = timedelta(seconds=0.5)
+"""Pause of a candidate after its work has failed."""
+YIELD_PAUSE = timedelta(seconds=3)
+"""Likewise after it gave the role up for want of progress: long enough for every other
+daemon to take it."""
+MAX_PAUSE = timedelta(seconds=10)
+MAX_DOUBLINGS = 5
+STABLE_TIME = timedelta(seconds=20)
+"""Work that lasted for this long was sound."""
 EPOCHS = "epochs/"
 
 log = logbook.Logger("pomeloyard.roles")
@@ -70,12 +79,19 @@
     still_held: Callable[[], bool] = lambda: True
     """Tells whether the work may continue. Call it right before each side effect, as
     the process may have been paused since the last wait."""
+    is_confirmed: Callable[[], bool] = lambda: False
+    """Tells whether the store has confirmed the renewals of the last moments; False
+    if that is not known."""
 
 
 class RoleLostError(PomeloyardError):
     """Another daemon may hold the role, so the work under it must stop."""
 
 
+class RoleYieldedError(PomeloyardError):
+    """The work cannot go on here, though the role is still held."""
+
+
 class RoleCandidate:
     """Competes for a role and runs its work while holding it.
 
@@ -83,6 +99,11 @@
     await, the lease is checked first, so that a holder whose process was paused past
     its lease does nothing more. Tasks that the work starts itself are not checked;
     they must call ``still_held``.
+
+    After work that failed or gave the role up, the candidate competes again only after
+    a pause, which grows until a work has lasted for ``STABLE_TIME``: other daemons
+    come first, and a state in which the work fails everywhere does not make the role
+    change hands all the time.
     """
 
     def __init__(
@@ -103,6 +124,15 @@
         self._held_until: timedelta | None = None
         self._confirmed_at = timedelta(0)
         """When the last renewal that the store confirmed was requested."""
+        self._failures = 0
+        """Recent works that failed or gave the role up."""
+        self._pause = timedelta(0)
+        """Pause before competing again."""
+
+    def is_confirmed(self) -> bool:
+        """Tell whether the store has confirmed the renewals of the last moments."""
+        age = self._clock.monotonic() - self._confirmed_at
+        return self._held_until is not None and age <= 3 * self._times.renew_interval
 
     def still_held(self) -> bool:
         """Tell whether the work of the role may continue.
@@ -126,6 +156,9 @@
                 await self._acquire_and_hold(vacant_at)
             except (StoreError, ConflictError) as error:
                 log.debug("role {} not acquired: {}", self._name, error)
+            if self._pause:
+                await self._clock.sleep(self._pause)
+                self._pause = timedelta(0)
             vacant_at = await self._await_vacancy()
 
     async def _revoke_former_lease(self) -> None:
@@ -215,7 +248,7 @@
                 Change(EPOCHS + self._name, epoch, earlier),
             ],
         )
-        return HeldRole(epoch, revision, vacant_at, self.still_held)
+        return HeldRole(epoch, revision, vacant_at, self.still_held, self.is_confirmed)
 
     async def _release(self, lease: int) -> None:
         """Revoke the lease, so that others need not wait until it expires."""
@@ -235,18 +268,31 @@
 
     async def _run_work(self, held: HeldRole, scope: anyio.CancelScope) -> None:
         name, epoch = self._name, held.epoch
+        began_at = self._clock.monotonic()
         try:
             await _guarded(self._work(held), self.still_held)
         except RoleLostError:
             log.warning("work of role {} epoch {} stopped", name, epoch)
+        except RoleYieldedError as error:
+            log.warning("work of role {} epoch {} given up: {}", name, epoch, error)
+            self._pause_after_failure(began_at, YIELD_PAUSE)
         except Exception as error:
             if _is_only_role_loss(error):
                 log.warning("work of role {} epoch {} stopped", name, epoch)
             else:
                 # The role is released; the daemon goes on serving requests.
                 log.exception("work of role {} epoch {} failed", name, epoch)
+                self._pause_after_failure(began_at, FAILURE_PAUSE)
         scope.cancel()
 
+    def _pause_after_failure(self, began_at: timedelta, shortest: timedelta) -> None:
+        if self._clock.monotonic() - began_at >= STABLE_TIME:
+            self._failures = 0
+        self._failures += 1
+        pause = shortest * 2 ** min(self._failures - 1, MAX_DOUBLINGS)
+        self._pause = min(pause, MAX_PAUSE) * random.uniform(0.8, 1.2)
+        log.info("competing for role {} again in {}", self._name, self._pause)
+
     async def _renew(self, lease: int) -> bool:
         """Renew the lease; return False when the role is or may be lost."""
         if not self.still_held():
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -515,6 +515,8 @@
         self.returning = []
         """Crashed executors and when their VMs have an executor again."""
         self.vms = None
+        self.role_confirmed = False
+        """Whether the store confirms the renewals of the placing role."""
         self.ids_reused = False
         """Whether the deployment states that executors restart under the same id."""
 
@@ -653,7 +655,12 @@
         self.epoch += 1
         await self.put(EPOCH_KEY, self.epoch)
         revision = self.entry(EPOCH_KEY).mod_revision
-        role = HeldRole(self.epoch, revision, self.clock.monotonic())
+        role = HeldRole(
+            self.epoch,
+            revision,
+            self.clock.monotonic(),
+            is_confirmed=lambda: self.role_confirmed,
+        )
         guard = Compare(EPOCH_KEY, revision)
         registry = ExecutorRegistry(self.clock, self.store, self.registrations)
         return PlacingTerm(
--- a/tests/test_batch_term.py
+++ b/tests/test_batch_term.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import anyio
 import pytest
 
 from pomeloyard.batch import layout
@@ -20,6 +21,8 @@
 )
 from pomeloyard.batch.placing_term import MAX_CONCURRENT_FIRST_POLLS
 from pomeloyard.batch.progress import EndKind
+from pomeloyard.errors import StoreUnavailableError
+from pomeloyard.roles import RoleYieldedError
 
 from .support.batch_world import QUEUE, TEAM, FakeAdvice, World, configuration
 
@@ -784,3 +787,66 @@
             3, lambda: sum(link.usable for link in term.links_by_id.values()) == 200
         )
         assert maximum == MAX_CONCURRENT_FIRST_POLLS
+
+
+@pytest.mark.parametrize(
+    ("confirmed", "prefix", "raises"),
+    [
+        (True, layout.RUNS, True),
+        (True, layout.INCOMING, True),
+        (True, "executors/", True),
+        (False, layout.RUNS, False),
+    ],
+)
+async def test_a_term_that_cannot_load_gives_the_role_up(confirmed, prefix, raises):
+    """The role was renewed while the jobs were never loaded; review/11 (LOST).
+
+    Not while the store confirms no renewals: no other daemon would load them either.
+    """
+    world = World()
+    world.role_confirmed = confirmed
+    scan = world.store.scan
+
+    async def fail_for_prefix(asked, **fields):
+        if asked == prefix:
+            raise StoreUnavailableError("the page did not arrive in time")
+        return await scan(asked, **fields)
+
+    world.store.scan = fail_for_prefix
+    await world.publish(configuration())
+    yielded = []
+
+    async def run(term):
+        try:
+            await term.run()
+        except RoleYieldedError as error:
+            yielded.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(world.follower.run)
+        tasks.start_soon(run, await world.new_term())
+        await world.run_for(8)
+        tasks.cancel_scope.cancel()
+    assert bool(yielded) == raises
+
+
+@pytest.mark.parametrize("call", ["commit", "poll_changes"])
+async def test_a_term_whose_calls_all_fail_gives_the_role_up(call):
+    """Guards against a holder that is renewed and stores or learns nothing."""
+    world = World()
+    world.role_confirmed = True
+
+    async def fail(*args, **fields):
+        raise StoreUnavailableError("no answer")
+
+    async def run():
+        async with world.running():
+            await world.submit("a1", StepSpec(1, 1000, 100))
+            await world.run_for(1, lambda: world.fake_executors[0].runs)
+            await world.submit("a2", StepSpec(1, 1000, 100))
+            setattr(world.store, call, fail)
+            await world.run_for(9)
+
+    with pytest.raises(ExceptionGroup) as raised:
+        await run()
+    assert raised.group_contains(RoleYieldedError)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -22,11 +22,14 @@
     read_record,
 )
 from pomeloyard.roles import (
+    MAX_PAUSE,
     RENEW_INTERVAL,
     ROLE_TTL,
+    YIELD_PAUSE,
     RoleCandidate,
     RoleLostError,
     RoleTimes,
+    RoleYieldedError,
 )
 
 from .support.faulty_store import FaultyStore
@@ -240,6 +243,48 @@
     run_candidates(test)
 
 
+def test_work_that_fails_everywhere_does_not_change_hands_all_the_time():
+    """An error in each term moved the role thirty times a second; review/12 (LOST)."""
+
+    async def test(bench):
+        bench.note_step = lambda daemon, epoch: {}[epoch]
+        before = len(bench.holder_by_epoch)
+        await bench.pass_time(timedelta(seconds=60))
+        assert len(bench.holder_by_epoch) - before <= 40
+        del bench.note_step
+        await bench.pass_time(2 * MAX_PAUSE)
+        assert len(bench.holders()) == 1
+
+    run_candidates(test)
+
+
+def test_a_holder_that_yields_stays_behind_the_others():
+    """A holder that made no progress kept the role; review/11 (LOST)."""
+
+    async def test(bench):
+        (first,) = bench.holders()
+
+        def yield_if_first(daemon, epoch):
+            if daemon is first:
+                raise RoleYieldedError("no progress")
+
+        bench.note_step = yield_if_first
+        await bench.pass_time(YIELD_PAUSE)
+        (second,) = bench.holders()
+        assert second is not first
+        # It does not stay vacant if no other daemon remains.
+        for daemon in bench.daemons:
+            if daemon is not first:
+                daemon.store.set_available(False)
+                daemon.clock.paused = True
+        before = list(bench.holder_by_epoch.values()).count(first.name)
+        await bench.pass_time(FAILOVER + 4 * MAX_PAUSE)
+        terms = list(bench.holder_by_epoch.values()).count(first.name) - before
+        assert 2 <= terms <= 8
+
+    run_candidates(test)
+
+
 def test_work_that_catches_errors_cannot_continue_after_the_lease():
     """Guards against a broad except clause in a role's work."""
 
