Jobs: the denial of an unknown job outlives the store's leases

Cause: the denial, which makes the 410 true, was stored under a lease. Its daemon answered later cancellations of the id from memory, without the record.

Ruled out: a late write (the creation was a new request at another daemon); the placing term (it ran what was stored).

Change: denials carry no lease. Denials of an earlier build end with their leases as before; those of this build stay for as long as an earlier build holds the placing role. Cost: no lease is granted any more; one deletion for ten denials.

What else stands under a lease: the placing role, whose loss ends the term, and in the product's own interface the registration of a daemon; neither makes an answer to a caller true.

test_an_id_can_be_used_again_when_its_denial_has_ended and test_cancellations_of_unknown_jobs_do_not_fill_the_store now run beside a placing term, which ends denials in place of the lease, with the same bounds; the latter also demands that none is left at the end. test_a_denial_gets_a_new_lease_if_the_store_has_ended_its_own tested the lease; test_a_denial_outlives_all_leases_of_the_store replaces it and asks for more, that the denial itself still holds.

--- a/src/pomeloyard/batch/job_service.py
+++ b/src/pomeloyard/batch/job_service.py
@@ -15,7 +15,6 @@
 
 from ..clock import Clock
 from ..errors import (
-    LeaseLostError,
     OutcomeUnknownError,
     RefusedError,
     StoreError,
@@ -35,6 +34,7 @@
 from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 from . import layout
 from .configuration_follower import ConfigurationFollower
+from .denials import CANCELLED, MAX_DENIAL_TIME, DenialWriter
 from .model import JobRecord, JobSpec, JobState, Queue, check_spec
 from .progress_records import RunHeader
 
@@ -48,14 +48,6 @@
 MAX_SUBMISSION_TIME = timedelta(seconds=10)
 """A submission is given up after this time, also if its caller would wait longer, so
 that a cancellation need not hold it off for longer than ``MIN_DENIAL_TIME``."""
-MIN_DENIAL_TIME = timedelta(seconds=60)
-"""An unknown id stays denied for this long after its cancellation, and for twice as
-long at most. A write without an answer may take effect seconds after the submission
-that sent it has ended, or when a paused daemon resumes."""
-MAX_DENIALS = 300
-"""Unknown ids that one daemon denies within ``MIN_DENIAL_TIME``; each takes an entry
-of the store, which a placing term loads."""
-MAX_DENIALS_PER_TEAM = 100
 RETRY_AFTER = timedelta(seconds=1)
 """The shortest value that the Retry-After header can express; other daemons may reach
 the store already."""
@@ -81,7 +73,7 @@
         self._clock = clock
         self._store = store
         self._follower = follower
-        self._denials = _Denials(clock, store)
+        self._denials = DenialWriter(clock, store)
 
     async def submit(
         self,
@@ -205,12 +197,10 @@
                 else:
                     transaction = Transaction(
                         (Compare(job.key, job.mod_revision),),
-                        (Put(layout.CANCELS + job_id, b"1"),),
+                        (Put(layout.CANCELS + job_id, CANCELLED),),
                     )
                     if (await self._store.commit(transaction)).succeeded:
                         return True
-            except LeaseLostError as error:
-                log.info("cancellation of {}: {}", job_id, error)
             except StoreOutcomeUnknownError as error:
                 outcome_unknown = True
                 log.info("cancellation of {}: store answer lost: {}", job_id, error)
@@ -225,57 +215,6 @@
             await self._clock.sleep(RETRY_DELAY * random.uniform(0.5, 1.5))
 
 
-class _Denials:
-    """Ids of jobs that were cancelled before they existed, and must not be created.
-
-    Each is the record of a cancellation, which a creation compares. It ends with a
-    lease, so that the ids of jobs that never exist do not fill the store.
-    """
-
-    def __init__(self, clock: Clock, store: Store) -> None:
-        self._clock = clock
-        self._store = store
-        self._lease = 0
-        self._renew_at = timedelta(0)
-        self._team_by_id: dict[str, str] = {}
-        """Ids that were denied under the present lease."""
-
-    async def deny(self, job_id: str, team: str) -> bool:
-        """Keep a job from being created; return False if it exists.
-
-        Raises LeaseLostError if the next attempt needs a new lease, or RefusedError
-        if too many ids are denied.
-        """
-        if not self._lease or self._clock.monotonic() >= self._renew_at:
-            granted_at = self._clock.monotonic()
-            self._lease = await self._store.grant_lease(2 * MIN_DENIAL_TIME)
-            self._renew_at = granted_at + MIN_DENIAL_TIME
-            self._team_by_id.clear()
-        if job_id in self._team_by_id:
-            return True
-        denied = list(self._team_by_id.values())
-        if len(denied) >= MAX_DENIALS or denied.count(team) >= MAX_DENIALS_PER_TEAM:
-            raise RefusedError(
-                Refused(
-                    RefusalReason.LIMIT_REACHED,
-                    "too many cancellations of unknown jobs",
-                    max(RETRY_AFTER, self._renew_at - self._clock.monotonic()),
-                )
-            )
-        key = layout.CANCELS + job_id
-        transaction = Transaction(
-            (Compare(layout.JOBS + job_id, 0),), (Put(key, b"1", self._lease),)
-        )
-        try:
-            created = (await self._store.commit(transaction)).succeeded
-        except LeaseLostError:
-            self._lease = 0
-            raise
-        if created:
-            self._team_by_id[job_id] = team
-        return created
-
-
 def _decode_state(run: Entry) -> JobState:
     return JobState(msgspec.msgpack.decode(run.value, type=RunHeader).state)
 
@@ -286,7 +225,7 @@
 
 def _cancelled(job_id: str) -> RefusedError:
     detail = f"job {job_id} was cancelled before it was created"
-    return RefusedError(Refused(RefusalReason.CANCELLED, detail, 2 * MIN_DENIAL_TIME))
+    return RefusedError(Refused(RefusalReason.CANCELLED, detail, MAX_DENIAL_TIME))
 
 
 def _refusal_of(error: StoreError) -> RefusedError:
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -3,7 +3,7 @@
 | key | written by | write condition |
 |---|---|---|
 | ``b/in/job/ID`` | the accepting daemon | absent, not cancelled; same configuration |
-| ``b/in/cancel/ID`` | any daemon | the job's key unchanged, or absent (under a lease) |
+| ``b/in/cancel/ID`` | any daemon | the job's key unchanged, or absent |
 | ``b/waiting/QUEUE/ID`` | created with the job, deleted at its first start | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
 | ``b/crashes/ID`` | the placing daemon, with ``b/runs/ID`` | as that |
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -36,6 +36,7 @@
 from .crash_trials import CrashTrials
 from .decision_log import JobDecisionLog
 from .demand import PoolDemand
+from .denials import SeenDenials
 from .disruption import DisruptionBudgets
 from .executor_link import MAX_REQUEST_DELAY, ExecutorLink
 from .executor_registry import ExecutorRegistry
@@ -137,7 +138,7 @@
         self._retention = retention
         self._advisor = Advisor(clock, advice, self.request_plan) if advice else None
         self.jobs_by_id: dict[str, JobRun] = {}
-        self._denied_job_ids: set[str] = set()
+        self._denials = SeenDenials(clock, store, guard)
         """Ids that were cancelled before they existed. An earlier build may create
         such a job all the same."""
         self.links_by_id: dict[str, ExecutorLink] = {}
@@ -286,14 +287,14 @@
             await anyio.lowlevel.checkpoint()
             self._headway.record("load")
             if entry.key.startswith(layout.CANCELS):
-                cancelled.append(entry.key.removeprefix(layout.CANCELS))
+                cancelled.append((entry.key.removeprefix(layout.CANCELS), entry))
             else:
                 job_id = entry.key.removeprefix(layout.JOBS)
                 self._add_job(
                     job_id, entry, runs_by_id.get(job_id), crashes_by_id.get(job_id)
                 )
-        for job_id in cancelled:
-            self._cancel(job_id)
+        for job_id, entry in cancelled:
+            self._cancel(job_id, entry)
         # An earlier build deletes a job without this record.
         orphans = [job_id for job_id in crashes_by_id if job_id not in self.jobs_by_id]
         for job_id in orphans:
@@ -477,7 +478,7 @@
             self._clock,
             self._store,
             self.jobs_by_id.__contains__,
-            self._denied_job_ids,
+            self._denials,
             self._apply,
             lambda: self._headway.record("jobs"),
         )
@@ -501,32 +502,39 @@
 
     def _apply(self, event: WatchEvent) -> None:
         if event.entry is None:
-            self._denied_job_ids.discard(event.key.removeprefix(layout.CANCELS))
+            self._denials.discard(event.key.removeprefix(layout.CANCELS))
             return
         if event.key.startswith(layout.CANCELS):
-            self._cancel(event.key.removeprefix(layout.CANCELS))
+            self._cancel(event.key.removeprefix(layout.CANCELS), event.entry)
         else:
             job_id = event.key.removeprefix(layout.JOBS)
             if job_id not in self.jobs_by_id:
                 self._add_job(job_id, event.entry, None)
-                if job_id in self._denied_job_ids:
-                    self._cancel(job_id)
+                if job_id in self._denials:
+                    self._cancel_job(self.jobs_by_id.get(job_id))
                 job = self.jobs_by_id.get(job_id)
                 if job is not None:
                     self._plan_queue_soon(job.record)
                     if self.vm_controller is not None:
                         self.vm_controller.job_arrived()
 
-    def _cancel(self, job_id: str) -> None:
-        job = self.jobs_by_id.get(job_id)
+    def _cancel(self, job_id: str, entry: Entry) -> None:
+        """Cancel a job, or deny one that does not exist, by the stored record."""
+        if job_id in self.jobs_by_id:
+            self._cancel_job(self.jobs_by_id[job_id])
+        else:
+            self._denials.add(job_id, entry)
+
+    def _cancel_job(self, job: JobRun | None) -> None:
         if job is None:
-            self._denied_job_ids.add(job_id)
             return
         if not job.cancel():
             # Long-running tasks go on after their job has failed.
             self._stop_runs(job)
             return
-        self._decision_log.record("cancel", job_id, "stopped", running=job.has_started)
+        self._decision_log.record(
+            "cancel", job.job_id, "stopped", running=job.has_started
+        )
         self._end_job(job)
 
     def _end_job(self, job: JobRun) -> None:
@@ -652,6 +660,8 @@
             for link in list(self.links_by_id.values()):
                 self._check_link(link, now)
             self._expire_jobs(now)
+            while ended := self._denials.take_due():
+                self.spawn(None, self._denials.remove, ended)
             self.request_plan()
 
     def _end_superseded_runs(self, link: ExecutorLink) -> None:
--- a/tests/test_batch_intake.py
+++ b/tests/test_batch_intake.py
@@ -8,20 +8,24 @@
 import pytest
 
 from pomeloyard.batch import layout
-from pomeloyard.batch.job_service import (
+from pomeloyard.batch.denials import (
+    CANCELLED,
+    MAX_DENIAL_TIME,
     MAX_DENIALS,
     MAX_DENIALS_PER_TEAM,
     MIN_DENIAL_TIME,
-    AuthorizedCall,
+    STALE_AGE,
 )
+from pomeloyard.batch.job_service import AuthorizedCall, JobService
 from pomeloyard.batch.model import JobSpec, JobState, StepSpec
 from pomeloyard.errors import (
     OutcomeUnknownError,
     RefusedError,
     StoreOutcomeUnknownError,
+    StoreUnavailableError,
 )
 from pomeloyard.keyvalue.memory import MemoryStore
-from pomeloyard.keyvalue.store import Put, Transaction
+from pomeloyard.keyvalue.store import Delete, Put, Transaction
 from pomeloyard.outcomes import RefusalReason, Refused
 
 from .support.batch_world import QUEUE, TEAM, World, configuration
@@ -29,6 +33,7 @@
 
 pytestmark = pytest.mark.anyio
 SPEC = JobSpec("payload", (StepSpec(1, 1000, 100),))
+SECOND = timedelta(seconds=1)
 
 
 @pytest.fixture
@@ -241,17 +246,70 @@
 
 
 async def test_an_id_can_be_used_again_when_its_denial_has_ended():
+    world = World()
+    async with world.running():
+        assert not await cancel(world)
+        assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+        await world.run_for(MIN_DENIAL_TIME / SECOND)
+        assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+        await world.run_for(MIN_DENIAL_TIME / SECOND + 1)
+        assert await submit_until_outcome(world, Caller(world)) == "accepted"
+
+
+async def test_a_denial_outlives_all_leases_of_the_store():
+    """Leases ran out in an outage, and the job was created and ran; review/8."""
+    world = World()
+    async with world.running():
+        assert not await cancel(world)
+        for lease in list(world.store._leases_by_id):
+            await world.store.revoke_lease(lease)
+        assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+        # Another daemon knows it only from the store.
+        other = JobService(world.clock, world.store, world.follower)
+        deadline = world.clock.monotonic() + SECOND
+        assert not await other.cancel("a1", TEAM.name, deadline)
+        await world.run_for(MIN_DENIAL_TIME / SECOND)
+        assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+        assert world.client.started == []
+
+
+async def test_a_denial_lasts_from_the_last_cancellation_that_was_answered():
+    """An answer from memory must not outlive the record that makes it true."""
+    world = World()
+    async with world.running():
+        assert not await cancel(world)
+        await world.run_for(MIN_DENIAL_TIME / SECOND - 1)
+        assert not await cancel(world)
+        await world.run_for(MIN_DENIAL_TIME / SECOND)
+        assert await submit_until_outcome(world, Caller(world)) == "cancelled"
+
+
+async def test_two_cancellations_at_once_are_answered_once_the_denial_is_stored():
+    """The second one must not be answered on the strength of a write under way."""
     world = await configured_world()
-    assert not await cancel(world)
-    assert await submit_until_outcome(world, Caller(world)) == "cancelled"
-    world.clock.advance(MIN_DENIAL_TIME)
-    assert await submit_until_outcome(world, Caller(world)) == "cancelled"
-    world.clock.advance(MIN_DENIAL_TIME)
-    assert await submit_until_outcome(world, Caller(world)) == "accepted"
+    commit = world.store.commit
+    answered = []
+
+    async def lose(transaction):
+        raise StoreUnavailableError("no answer")
+
+    async def run_cancel():
+        try:
+            answered.append(await cancel(world))
+        except RefusedError:
+            answered.append(None)
+
+    world.store.commit = lose
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_cancel)
+        tasks.start_soon(run_cancel)
+        await world.run_for(4, lambda: len(answered) == 2)
+    world.store.commit = commit
+    assert answered == [None, None]
 
 
 async def test_cancellations_of_unknown_jobs_do_not_fill_the_store():
-    world = await configured_world()
+    world = World()
 
     async def refusal_of(job, team):
         try:
@@ -261,40 +319,70 @@
         return None
 
     def denials():
-        world.store.expire()
         return sum(
             key.startswith(layout.CANCELS) for key in world.store._entries_by_key
         )
 
-    for round_number in range(4):
-        for team in "abcdef":
-            outcomes = [
-                await refusal_of(f"{team}{round_number}x{number}", team)
-                for number in range(MAX_DENIALS_PER_TEAM + 20)
-            ]
-            for refusal in outcomes[MAX_DENIALS_PER_TEAM:]:
-                assert refusal.reason is RefusalReason.LIMIT_REACHED
-                assert refusal.retry_after <= MIN_DENIAL_TIME
-        assert denials() <= 2 * MAX_DENIALS
-        # A repeated call needs no further entry.
-        assert await refusal_of(f"a{round_number}x1", "a") is None
-        world.clock.advance(MIN_DENIAL_TIME)
-
-
-async def test_a_denial_gets_a_new_lease_if_the_store_has_ended_its_own():
+    async with world.running():
+        for round_number in range(4):
+            for team in "abcdef":
+                outcomes = [
+                    await refusal_of(f"{team}{round_number}x{number}", team)
+                    for number in range(MAX_DENIALS_PER_TEAM + 20)
+                ]
+                for refusal in outcomes[MAX_DENIALS_PER_TEAM:]:
+                    assert refusal.reason is RefusalReason.LIMIT_REACHED
+                    assert refusal.retry_after <= MIN_DENIAL_TIME
+            assert denials() <= 2 * MAX_DENIALS
+            # A repeated call needs no further entry.
+            assert await refusal_of(f"a{round_number}x1", "a") is None
+            await world.run_for(MIN_DENIAL_TIME / SECOND + 1)
+        await world.run_for(MIN_DENIAL_TIME / SECOND + 1)
+        assert denials() == 0
+
+
+async def test_denials_that_no_term_saw_in_time_are_removed_by_the_next():
+    """Terms that each last less than a denial must not let denials pile up."""
     world = await configured_world()
     assert not await cancel(world, "a1")
-    await world.store.revoke_lease(world.entry(layout.CANCELS + "a1").lease)
-    done = []
-
-    async def run_cancel():
-        done.append(await cancel(world, "a2"))
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run_cancel)
-        await world.run_for(2, lambda: bool(done))
-    assert done == [False]
-    assert world.entry(layout.CANCELS + "a2") is not None
+    # An earlier build stored this one under a lease, which ends it.
+    lease = await world.store.grant_lease(timedelta(hours=4))
+    key = layout.CANCELS + "a2"
+    await world.store.commit(Transaction((), (Put(key, CANCELLED, lease),)))
+    world.clock.advance(STALE_AGE + SECOND)
+    async with world.term():
+        await world.run_for(2)
+    assert world.entry(layout.CANCELS + "a1") is None
+    assert world.entry(key) is not None
+
+
+@pytest.mark.parametrize("failure", [StoreUnavailableError, None])
+async def test_a_denial_is_kept_if_its_removal_conflicts_or_fails(failure):
+    world = World()
+    async with world.running():
+        assert not await cancel(world, "a1")
+        assert not await cancel(world, "a2")
+        commit = world.store.commit
+        removals = []
+
+        async def commit_or_fail(transaction):
+            removal = any(isinstance(o, Delete) for o in transaction.operations)
+            if removal and not removals:
+                removals.append(transaction)
+                if failure is not None:
+                    raise failure("no answer")
+                # Denied again at the same moment.
+                await commit(Transaction((), (Put(layout.CANCELS + "a2", CANCELLED),)))
+            return await commit(transaction)
+
+        world.store.commit = commit_or_fail
+        await world.run_for(MAX_DENIAL_TIME / SECOND + 2)
+        assert removals
+        assert world.entry(layout.CANCELS + "a2") is not None
+        assert (world.entry(layout.CANCELS + "a1") is None) == (failure is None)
+        await world.run_for(MAX_DENIAL_TIME / SECOND + 2)
+        assert world.entry(layout.CANCELS + "a1") is None
+        assert world.entry(layout.CANCELS + "a2") is None
 
 
 async def test_a_job_that_an_earlier_build_creates_after_its_denial_does_not_run():
