Planner: a pinned task needs a valid ticket; errors stay with their item

Each term of each holder ended within milliseconds, thirty times a second.

Cause: a lasting task whose start got no answer is pinned to its executor for 12 s. The planner chose from the pinned executor in place of those with a ticket and then looked its ticket up. It had expired, or the term was new and had none; the KeyError ended the round, the planner and the term before the loss of the run was stored.

Ruled out: the late orders (refused for their fences), the executors (idle).

Change: a pinned task starts on its executor once it has a ticket there, and that executor is asked about first. Beyond this lookup: an unexpected error in the handling of one job or executor (ranking, placing, loading, a change seen by the watch, occurrences, housekeeping) concerns only that item. It is logged with its traceback, counted (pomeloyard_failed_items) and recorded as a decision, and the item is left alone for 1 s, doubled up to 30 s. Lookups come before the first change of state in Planner._assign.

--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -151,6 +151,14 @@
         executors.add_metric(["yes"], usable)
         executors.add_metric(["no"], len(term.links_by_id) - usable)
         yield executors
+        failed = CounterMetricFamily(
+            "pomeloyard_failed_items",
+            "Unexpected errors in the handling of single items, by kind of item",
+            labels=["kind"],
+        )
+        for kind, count in term.failed_items.counts.items():
+            failed.add_metric([kind], count)
+        yield failed
         yield from _run_time_metrics(term.estimates.run_times)
         yield from _share_metrics(term.shares_by_pool())
         running = sum(len(link.runs_by_name) for link in term.links_by_id.values())
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -47,6 +47,7 @@
     RunningTask,
     StartAnswer,
 )
+from .failed_items import FailedItems
 from .fenced_records import FencedRecords
 from .headway import Headway
 from .job_ranking import core_seconds_of, critical_path_ms, measured_path_ms
@@ -144,6 +145,7 @@
         self.links_by_id: dict[str, ExecutorLink] = {}
         self.disruption_budgets = DisruptionBudgets(self.links_by_id)
         self.policy = policy or DefaultPolicy()
+        self.failed_items = FailedItems(clock, decision_log)
         self.usage = Usage()
         self.estimates = RunEstimates()
         self._run_monitor = RunMonitor(clock, self.estimates, decision_log)
@@ -196,6 +198,7 @@
             self._job_changed,
             self.policy,
             self.crash_trials,
+            self.failed_items,
         )
 
     # Running
@@ -290,11 +293,13 @@
                 cancelled.append((entry.key.removeprefix(layout.CANCELS), entry))
             else:
                 job_id = entry.key.removeprefix(layout.JOBS)
-                self._add_job(
-                    job_id, entry, runs_by_id.get(job_id), crashes_by_id.get(job_id)
-                )
+                with self.failed_items.contain("job", job_id):
+                    self._add_job(
+                        job_id, entry, runs_by_id.get(job_id), crashes_by_id.get(job_id)
+                    )
         for job_id, entry in cancelled:
-            self._cancel(job_id, entry)
+            with self.failed_items.contain("job", job_id):
+                self._cancel(job_id, entry)
         # An earlier build deletes a job without this record.
         orphans = [job_id for job_id in crashes_by_id if job_id not in self.jobs_by_id]
         for job_id in orphans:
@@ -332,12 +337,8 @@
         job.open_due_occurrences(self._unix_ms())
         queue = self._queue_of(record)
         if queue is not None and not job.lasting:
-            work = core_seconds_of(job, self.estimates.expected_ms, remaining=False)
-            self._planner.record_job(queue, work)
-            times = self.estimates.path_times(now)
-            job.expected_path_ms = critical_path_ms(job, times, remaining=False)
-            chain = timedelta(milliseconds=job.expected_path_ms)
-            self.peaks.record_arrival(queue.service, job.accepted_at, work, chain)
+            with self.failed_items.contain("job", job_id):
+                self._record_arrival(job, queue, now)
         for task in job.placed_tasks():
             self._restore_run(task)
         if job.final:
@@ -366,6 +367,15 @@
             cpu=max((s.cpu_millis for s in record.spec.steps), default=0),
         )
 
+    def _record_arrival(self, job: JobRun, queue: Queue, now: timedelta) -> None:
+        """Record the expected work of a job for its rank and for load peaks."""
+        work = core_seconds_of(job, self.estimates.expected_ms, remaining=False)
+        self._planner.record_job(queue, work)
+        times = self.estimates.path_times(now)
+        job.expected_path_ms = critical_path_ms(job, times, remaining=False)
+        chain = timedelta(milliseconds=job.expected_path_ms)
+        self.peaks.record_arrival(queue.service, job.accepted_at, work, chain)
+
     def _decode_job(
         self,
         job_id: str,
@@ -444,15 +454,17 @@
     def _update_links(self) -> None:
         """Update the links to match the registered executors."""
         for executor_id, executor in self._registry.executors_by_id.items():
-            link = self._get_or_create_link(executor_id)
-            if not link.executor.address:
-                self.spawn(link, link.run)
-            link.update(executor)
-            self._update_evacuated_zone(link)
+            with self.failed_items.contain("executor", executor_id):
+                link = self._get_or_create_link(executor_id)
+                if not link.executor.address:
+                    self.spawn(link, link.run)
+                link.update(executor)
+                self._update_evacuated_zone(link)
         for executor_id, link in list(self.links_by_id.items()):
             if executor_id not in self._registry.executors_by_id:
                 link.registered = False
-            self._end_superseded_runs(link)
+            with self.failed_items.contain("executor", executor_id):
+                self._end_superseded_runs(link)
         self.request_plan()
 
     def _update_evacuated_zones(self) -> None:
@@ -501,6 +513,11 @@
                 await self._clock.sleep(RETRY_DELAY)
 
     def _apply(self, event: WatchEvent) -> None:
+        """Apply a change of a job or cancellation; an error concerns only that job."""
+        with self.failed_items.contain("job", event.key.rpartition("/")[2]):
+            self._apply_change(event)
+
+    def _apply_change(self, event: WatchEvent) -> None:
         if event.entry is None:
             self._denials.discard(event.key.removeprefix(layout.CANCELS))
             return
@@ -655,15 +672,20 @@
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
             now = self._awake_at = self._clock.monotonic()
             for job in list(self._active_jobs.values()):
-                if job.open_due_occurrences(self._unix_ms()):
-                    self._job_changed(job)
-            for link in list(self.links_by_id.values()):
-                self._check_link(link, now)
+                self.failed_items.handle("job", job.job_id, self._open_due, job)
+            for executor_id, link in list(self.links_by_id.items()):
+                self.failed_items.handle(
+                    "executor", executor_id, self._check_link, link, now
+                )
             self._expire_jobs(now)
             while ended := self._denials.take_due():
                 self.spawn(None, self._denials.remove, ended)
             self.request_plan()
 
+    def _open_due(self, job: JobRun) -> None:
+        if job.open_due_occurrences(self._unix_ms()):
+            self._job_changed(job)
+
     def _end_superseded_runs(self, link: ExecutorLink) -> None:
         """End the runs of a silent executor whose VM has a later one.
 
@@ -701,6 +723,7 @@
             link.closed = True
             link.poll_soon()
             self.links_by_id.pop(link.executor.executor_id, None)
+            self.failed_items.forget("executor", link.executor.executor_id)
 
     def _expire_jobs(self, now: timedelta) -> None:
         """Delete ended jobs after the retention period."""
@@ -711,6 +734,7 @@
                 continue
             self.spawn(None, self._delete_job, job)
             del self.jobs_by_id[job_id]
+            self.failed_items.forget("job", job_id)
 
     async def _delete_job(self, job: JobRun) -> None:
         prefixes = [layout.JOBS, layout.CANCELS, layout.RUNS]
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -13,6 +13,7 @@
 from .decision_log import JobDecisionLog
 from .executor_choice import FreeCapacityIndex, can_place
 from .executor_link import ExecutorLink
+from .failed_items import FailedItems
 from .job_ranking import Rank, core_seconds_of, rank
 from .model import (
     MAX_GANG_TASKS,
@@ -55,6 +56,20 @@
     return entry.rank.key
 
 
+def _allowed_executors(
+    pinned: Collection[str], tickets: Collection[str] | None
+) -> Collection[str] | None:
+    """Return the executors on which a task may start, None if it may on all.
+
+    ``tickets`` holds the executors with a valid ticket, None if no advice is needed.
+    """
+    if not pinned:
+        return tickets
+    if tickets is None:
+        return pinned
+    return [executor_id for executor_id in pinned if executor_id in tickets]
+
+
 def _crashes_of(task: Task) -> int:
     return task.suspicion.crashes if task.suspicion else 0
 
@@ -77,6 +92,7 @@
         changed: Callable[[JobRun], None],
         policy: Policy,
         crash_trials: CrashTrials,
+        failed_items: FailedItems,
     ) -> None:
         self._clock = clock
         self._follower = follower
@@ -91,6 +107,7 @@
         self._changed = changed
         self._policy = policy
         self._crash_trials = crash_trials
+        self._failed_items = failed_items
         self._mean_work_by_queue: dict[str, float] = {}
         self._pending_starts: list[tuple[ExecutorLink, PlacedRun]] = []
         self._assignment_limit = AssignmentLimit()
@@ -188,7 +205,7 @@
         self._links_by_service = links_by_service
         self._waiting_by_service = {}
         for job in self._live_jobs.values():
-            self.update_backlog(job)
+            self._failed_items.handle("job", job.job_id, self.update_backlog, job)
 
     def _usable_links(self, service: str, now: timedelta) -> list[ExecutorLink]:
         """Return the executors of a service that accept tasks now."""
@@ -209,8 +226,17 @@
         self, waiting: Iterable[_WaitingJob], max_free_cpu: int, now: timedelta
     ) -> list[_WaitingJob]:
         """Return the jobs whose smallest task fits somewhere, highest rank first."""
-        fitting = [entry for entry in waiting if entry.smallest_cpu <= max_free_cpu]
-        fitting.sort(key=lambda entry: self._rank(entry, now))
+        fitting = []
+        for entry in waiting:
+            job_id = entry.job.job_id
+            if entry.smallest_cpu > max_free_cpu:
+                continue
+            if self._failed_items.is_paused("job", job_id):
+                continue
+            with self._failed_items.contain("job", job_id):
+                self._rank(entry, now)
+                fitting.append(entry)
+        fitting.sort(key=_rank_key)
         return fitting
 
     def _rank(self, entry: _WaitingJob, now: timedelta) -> tuple[float, ...]:
@@ -244,14 +270,26 @@
             self._only_within_share = limited and not entry.job.lasting
             if entry.smallest_cpu > index.max_free_cpu:
                 continue
-            job, advice = entry.job, entry.queue.advice
-            team = configuration.teams_by_name.get(job.record.team)
+            job_id, team_name = entry.job.job_id, entry.job.record.team
+            team = configuration.teams_by_name.get(team_name)
             maximum = team.maximum if team else NO_RESOURCES
-            for step in list(job.ready_steps()):
-                if advice is not None:
-                    self._place_advised(step, index, maximum, advice, now)
-                else:
-                    self._place_step(step, index, maximum, now)
+            self._failed_items.handle(
+                "job", job_id, self._place_job, entry, index, maximum, now
+            )
+
+    def _place_job(
+        self,
+        entry: _WaitingJob,
+        index: FreeCapacityIndex,
+        maximum: Resources,
+        now: timedelta,
+    ) -> None:
+        advice = entry.queue.advice
+        for step in list(entry.job.ready_steps()):
+            if advice is not None:
+                self._place_advised(step, index, maximum, advice, now)
+            else:
+                self._place_step(step, index, maximum, now)
 
     def _place_advised(
         self,
@@ -277,9 +315,16 @@
             if can_place(link, step, self._usage)
             and link.executor.executor_id not in tickets
         ]
+        pinned = {
+            executor_id
+            for task in step.waiting.values()
+            for executor_id in self._pinned_executor(task, now)
+        }
+        # A pinned task can start nowhere else.
         candidates.sort(
             key=lambda ln: (
-                -self._usage.free_cpu(ln.executor.executor_id, ln.executor.capacity)
+                ln.executor.executor_id not in pinned,
+                -self._usage.free_cpu(ln.executor.executor_id, ln.executor.capacity),
             )
         )
         executors = [link.executor.executor_id for link in candidates]
@@ -312,7 +357,8 @@
                 break
             rack = step.spec.data_rack or self._rack_of(step)
             pinned = self._pinned_executor(task, now)
-            link = self._choose(index, task, rack, pinned or tickets)
+            allowed = _allowed_executors(pinned, tickets)
+            link = self._choose(index, task, rack, allowed)
             if link is None:
                 if pinned:
                     continue
@@ -373,7 +419,8 @@
                 shared = None
                 pinned = self._pinned_executor(task, now)
                 if pinned or has_room:
-                    shared = self._choose_for_trial(index, task, pinned or tickets)
+                    allowed = _allowed_executors(pinned, tickets)
+                    shared = self._choose_for_trial(index, task, allowed)
                     has_room = has_room and (bool(pinned) or shared is not None)
             if shared is not None:
                 self._assign(task, shared, index, task.run + 1, now, tickets)
@@ -499,6 +546,7 @@
         now: timedelta,
         tickets: Mapping[str, str] | None = None,
     ) -> None:
+        # Lookups that may fail come before the first change of state.
         executor = link.executor
         job = task.step.job
         placed = PlacedRun(task, run, Phase.ASSIGNED, self._epoch)
