Progress: keep an object only for tasks that were started and are not done

Cause: a job had an object, a name and further fields for each of its tasks, begun or not, and kept them after its end: some 460 B a task, 9.2 MB a job of 20,000.

Ruled out: the executors (idle), the orders under way (bounded).

Change: TaskTable creates a task when it is first used and forgets it when it is done, keeping four bytes for its run; WaitingTasks yields the tasks that were never started by index. Trials and gangs look at the others only as far as they need to. A stored row with an index that its step has not is now an error of that job (it could count as another task by a negative one).

--- a/src/pomeloyard/batch/crash_trials.py
+++ b/src/pomeloyard/batch/crash_trials.py
@@ -68,19 +68,26 @@
         if not job.has_suspicions:
             return
         for step in job.steps():
-            convicted = any(t.suspicion and t.suspicion.convicted for t in step.tasks)
+            convicted = any(
+                task.suspicion and task.suspicion.convicted
+                for task in step.tasks.known()
+            )
             if convicted and step.spec.image:
                 self._suspected_images.add(step.spec.image)
 
     def concern(self, step: StepRun) -> bool:
         """Tell whether a task of a step may need a trial."""
-        return step.job.has_suspicions or step.spec.image in self._suspected_images
+        return step.job.has_suspicions or self.suspects_image(step)
+
+    def suspects_image(self, step: StepRun) -> bool:
+        """Tell whether every task of a step must be started on trial."""
+        return step.spec.image in self._suspected_images
 
     def needs_trial(self, task: Task) -> bool:
         """Tell whether a task must be started on trial."""
         suspicion = task.suspicion
         suspected = suspicion is not None and suspicion.on_trial
-        return suspected or task.step.spec.image in self._suspected_images
+        return suspected or self.suspects_image(task.step)
 
     def may_begin(self, task: Task, links: Collection[ExecutorLink]) -> bool:
         """Tell whether a trial may begin on one of the executors of a pool.
--- a/src/pomeloyard/batch/disruption.py
+++ b/src/pomeloyard/batch/disruption.py
@@ -46,9 +46,9 @@
 
     def _unavailable(self, step: StepRun, excluded: Collection[str]) -> int:
         """Return how many tasks of a step are unavailable, excluding some by name."""
-        return sum(
+        return step.tasks.unknown_count + sum(
             task.name not in excluded and not self._is_available(task)
-            for task in step.tasks
+            for task in step.tasks.known()
         )
 
     def _is_available(self, task: Task) -> bool:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -408,7 +408,7 @@
         Which starts were answered is not stored.
         """
         for step in job.steps():
-            for task in step.waiting.values():
+            for task in step.waiting.returned():
                 if task.run and not step.spec.lasting:
                     task.not_before = now + MAX_REQUEST_DELAY
 
@@ -968,7 +968,7 @@
         """Stop the other members of a gang, which cannot run incomplete."""
         if not task.step.spec.gang:
             return
-        for member in task.step.tasks:
+        for member in task.step.tasks.known():
             link = self.links_by_id.get(member.executor)
             placed = link.runs_by_name.get(member.name) if link else None
             if link is not None and placed is not None and placed.run == run:
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
+from itertools import chain
 
 from ..clock import Clock
 from .advice import MAX_EXECUTORS_PER_REQUEST, Advisor
@@ -304,7 +305,8 @@
             return
         tickets = self._advisor.valid_tickets(step, now)
         self._place_step(step, index, maximum, now, tickets)
-        if not step.waiting or any(now < task.not_before for task in step.tasks):
+        delayed = any(now < task.not_before for task in step.tasks.known())
+        if not step.waiting or delayed:
             return
         if self._only_within_share:
             # Requested once, in the pass that considers all tasks.
@@ -317,7 +319,7 @@
         ]
         pinned = {
             executor_id
-            for task in step.waiting.values()
+            for task in step.waiting.returned()
             for executor_id in self._pinned_executor(task, now)
         }
         # A pinned task can start nowhere else.
@@ -347,7 +349,7 @@
         if step.spec.gang:
             self._place_gang(step, index, maximum, now, tickets)
             return
-        waiting = list(step.waiting.values())
+        waiting: Iterable[Task] = step.waiting.values()
         if self._crash_trials.concern(step):
             waiting = self._place_trials(step, index, maximum, now, tickets)
         for task in waiting:
@@ -391,7 +393,7 @@
         maximum: Resources,
         now: timedelta,
         tickets: Mapping[str, str] | None,
-    ) -> list[Task]:
+    ) -> Iterable[Task]:
         """Place the tasks of a step that need a trial; return the others.
 
         Suspects of a batch job share a trial as far as they fit on one executor.
@@ -400,7 +402,13 @@
         shared: ExecutorLink | None = None
         has_room = True
         # The most suspect task first, so that others need not be tried.
-        for task in sorted(step.waiting.values(), key=_crashes_of, reverse=True):
+        candidates: Iterable[Task] = sorted(
+            step.waiting.returned(), key=_crashes_of, reverse=True
+        )
+        all_need_trial = self._crash_trials.suspects_image(step)
+        if all_need_trial:
+            candidates = chain(candidates, step.waiting.fresh())
+        for task in candidates:
             if not self._crash_trials.needs_trial(task):
                 others.append(task)
                 continue
@@ -418,6 +426,9 @@
                     index.discard(shared)
                 shared = None
                 pinned = self._pinned_executor(task, now)
+                if not (pinned or has_room or task.run):
+                    # The fresh tasks that follow find no room either.
+                    break
                 if pinned or has_room:
                     allowed = _allowed_executors(pinned, tickets)
                     shared = self._choose_for_trial(index, task, allowed)
@@ -426,7 +437,7 @@
                 self._assign(task, shared, index, task.run + 1, now, tickets)
         if shared is not None:
             index.discard(shared)
-        return others
+        return others if all_need_trial else chain(step.waiting.fresh(), others)
 
     def _choose(
         self,
@@ -471,7 +482,7 @@
         """Return the rack of a step's placed tasks if the step needs a single rack."""
         if not step.spec.same_rack:
             return ""
-        for task in step.tasks:
+        for task in step.tasks.known():
             if task.state is TaskState.PLACED:
                 link = self._links_by_id.get(task.executor)
                 return link.executor.rack if link else ""
@@ -491,9 +502,9 @@
         if step.spec.count > MAX_GANG_TASKS:
             # Accepted by an earlier build.
             return
-        if any(now < task.not_before for task in step.tasks):
+        if any(now < task.not_before for task in step.tasks.known()):
             return
-        run = max(task.run for task in step.tasks) + 1
+        run = max((task.run for task in step.tasks.known()), default=0) + 1
         on_trial = self._crash_trials.needs_trial(step.tasks[0])
         team = step.job.record.team
         if not self._assignment_limit.allows(team):
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -27,6 +27,7 @@
     StepRows,
     TaskRow,
 )
+from .task_table import TaskTable, WaitingTasks
 
 MAX_OPEN_OCCURRENCES = 128
 """Occurrences of a job that are at work at once; further ones that are due begin as
@@ -161,8 +162,8 @@
         self.occurrence = occurrence
         self.number = number
         self.spec: StepSpec = job.record.spec.steps[number]
-        self.tasks = [Task(self, index) for index in range(self.spec.count)]
-        self.waiting: dict[int, Task] = dict(enumerate(self.tasks))
+        self.tasks = TaskTable(self.spec.count, self._new_task, self._done_task)
+        self.waiting = WaitingTasks(self.tasks)
         self.placed = 0
         self.done = 0
         self.gang_failures = 0
@@ -179,6 +180,14 @@
         self.name = f"{job.job_id}.{occurrence}.{number}"
         """Name of the step within this occurrence, prefix of its tasks' names."""
 
+    def _new_task(self, index: int) -> Task:
+        return Task(self, index)
+
+    def _done_task(self, index: int, run: int) -> Task:
+        task = Task(self, index)
+        task.state, task.run = TaskState.DONE, run
+        return task
+
     @property
     def complete(self) -> bool:
         """Tell whether all tasks are done."""
@@ -322,7 +331,7 @@
             task
             for step in self.steps()
             if step.placed
-            for task in step.tasks
+            for task in step.tasks.known()
             if task.state is TaskState.PLACED
         ]
 
@@ -332,7 +341,7 @@
         task.executor = executor
         task.run = run
         task.started_at = now
-        task.step.waiting.pop(task.index, None)
+        task.step.waiting.remove(task.index)
         task.step.placed += 1
         self.has_started = True
         if self.state is JobState.PENDING:
@@ -355,7 +364,7 @@
         task.state = TaskState.WAITING
         task.executor = ""
         if not self.final:
-            step.waiting[task.index] = task
+            step.waiting.add(task)
 
     def complete_superseded_run(self, task: Task, run: int) -> bool:
         """Mark a task done by a run that was assumed lost; return whether it changed.
@@ -382,7 +391,7 @@
 
     def _finish(self, step: StepRun, task: Task) -> None:
         """Mark a task done; the tasks of a gang are done together."""
-        finished = step.tasks if step.spec.gang else [task]
+        finished: Iterable[Task] = step.tasks if step.spec.gang else [task]
         for member in finished:
             if member.state is TaskState.DONE:
                 continue
@@ -390,8 +399,9 @@
                 step.placed -= 1
             member.state = TaskState.DONE
             member.saved = ""
-            step.waiting.pop(member.index, None)
+            step.waiting.remove(member.index)
             step.done += 1
+            step.tasks.mark_done(member.index, member.run)
         if not self.final and self._all_steps_complete():
             self.state = JobState.COMPLETED
 
@@ -432,6 +442,7 @@
     def _discard_waiting_tasks(self) -> None:
         for step in self.steps():
             step.waiting.clear()
+            step.tasks.forget(_is_unneeded_after_end)
 
     def _all_steps_complete(self) -> bool:
         return self.next_occurrence >= self.occurrence_count and all(
@@ -455,7 +466,7 @@
         rows = []
         for step in self.steps():
             gang = step.spec.gang
-            for task in step.tasks[:1] if gang else step.tasks:
+            for task in step.tasks[:1] if gang else step.tasks.known():
                 suspicion = task.suspicion
                 if suspicion is None or task.state is TaskState.DONE:
                     continue
@@ -500,7 +511,7 @@
     def _presume_crashes(self) -> None:
         """Put tasks on trial that a build without crash counts started repeatedly."""
         for step in self.steps():
-            for task in step.tasks:
+            for task in step.tasks.known():
                 starts = task.run - task.failures - step.gang_failures
                 lasting_or_done = step.spec.lasting or task.state is TaskState.DONE
                 if starts >= MIN_UNCOUNTED_STARTS and not lasting_or_done:
@@ -536,17 +547,21 @@
     """Return the rows of the tasks that were started, or only of those that may run."""
     rows = [
         _encode_row(task)
-        for task in step.tasks
+        for task in step.tasks.known()
         if task.run and not (only_placed and task.state is not TaskState.PLACED)
     ]
+    if not only_placed:
+        rows += [
+            TaskRow(index, TaskState.DONE.value, run)
+            for index, run in step.tasks.done_runs()
+        ]
+    rows.sort(key=lambda row: row.index)
     return StepRows(
         step.occurrence, step.number, rows, step.gang_failures, step.gang_failed_run
     )
 
 
 def _encode_row(task: Task) -> TaskRow:
-    if task.state is TaskState.DONE:
-        return TaskRow(task.index, task.state.value, task.run)
     return TaskRow(
         task.index,
         task.state.value,
@@ -558,16 +573,26 @@
 
 
 def _restore_row(step: StepRun, row: TaskRow) -> None:
+    state = TaskState(row.code)
+    if not 0 <= row.index < step.spec.count:
+        raise ValueError(f"step {step.name} has no task {row.index}")
+    step.waiting.remove(row.index)
+    if state is TaskState.DONE:
+        step.done += 1
+        step.tasks.mark_done(row.index, row.run)
+        return
     task = step.tasks[row.index]
     task.run = row.run
     task.failures = row.failures
     task.saved = row.saved
-    task.state = TaskState(row.code)
-    if task.state is TaskState.WAITING:
-        return
-    step.waiting.pop(row.index, None)
-    if task.state is TaskState.DONE:
-        step.done += 1
+    task.state = state
+    if state is TaskState.WAITING:
+        step.waiting.add(task)
     else:
         task.executor = row.executor
         step.placed += 1
+
+
+def _is_unneeded_after_end(task: Task) -> bool:
+    """Tell whether a task of an ended job neither runs nor has crashes to store."""
+    return task.state is TaskState.WAITING and task.suspicion is None
--- a/src/pomeloyard/batch/run_estimates.py
+++ b/src/pomeloyard/batch/run_estimates.py
@@ -92,7 +92,7 @@
         """Return the expected time until the slowest task of a step is done."""
         if step.waiting or not step.placed:
             return self.slowest_ms(step)
-        running = (t for t in step.tasks if t.state is TaskState.PLACED)
+        running = (t for t in step.tasks.known() if t.state is TaskState.PLACED)
         # A damaged run record may count tasks as placed that are not.
         elapsed = now - min((task.started_at for task in running), default=now)
         quantile = step.placed / (step.placed + 1)
--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from datetime import timedelta
 
 import anyio
@@ -33,7 +34,7 @@
 from pomeloyard.batch.usage import Usage
 from pomeloyard.errors import RefusedError
 
-from .support.batch_world import QUEUE, STEP, World
+from .support.batch_world import QUEUE, STEP, World, configuration
 from .support.job_fakes import settle
 from .test_batch_decisions import NOW
 
@@ -305,3 +306,33 @@
     (step,) = JobRun("a1", record, QUEUE, ZERO).ready_steps()
     assert index.has_room(step, None) is fits
     assert not index.has_room(step, {"e-9"})
+
+
+MAX_LOADED_BYTES = 50 * (1 << 20)
+"""What the jobs below may take of the smallest holder, which has 200 MB in all."""
+
+
+async def test_wide_jobs_that_have_not_begun_fit_into_the_holder():
+    """Each holder was killed for its memory, and no job began; review/13 (LOST)."""
+    world = World()
+    wide = StepSpec(20_000, 500, 256, estimate_ms=2000, label="nowhere")
+    await world.publish(configuration())
+    tracemalloc.start()
+    try:
+        async with world.running():
+            for number in range(40):
+                await world.submit(f"w{number}", wide)
+            await world.run_for(1)
+            async with world.term() as successor:
+                await world.submit("a1")
+                done = await world.run_for(5, completed(world, "a1"))
+                assert done
+                assert len(successor.jobs_by_id) == 41
+                _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_LOADED_BYTES
+
+
+def completed(world, job_id):
+    return lambda: world.state(job_id) is JobState.COMPLETED
