Admission: what is accepted fits into the memory of each daemon

Change: the placing term estimates the memory of the stored jobs by team from the size of the record and the numbers of steps and tasks. A team above an equal part of what fits is full: with n large teams the part is 1/(n+1), so that one part is left to the teams that take little. What fits is half of the least memory_mb of the known daemons, each of which may have to take over, beyond 120 MB for the daemon itself: 20 MB at 160 MB, 90 MB at 300 MB, some 4,000 and 18,000 jobs of one step. Daemons now name their memory in the relay entries. A full team has a key in the store, which the creation of a job compares; this costs no call. Its further jobs get 429 with Retry-After 15. The keys carry a lease: under an earlier build as holder jobs are accepted as before. Jobs that an earlier build accepts count.

A lost attempt that may have been stored stays unknown, never refused.

--- a/src/pomeloyard/batch/job_service.py
+++ b/src/pomeloyard/batch/job_service.py
@@ -48,6 +48,8 @@
 MAX_SUBMISSION_TIME = timedelta(seconds=10)
 """A submission is given up after this time, also if its caller would wait longer, so
 that a cancellation need not hold it off for longer than ``MIN_DENIAL_TIME``."""
+FULL_RETRY_AFTER = timedelta(seconds=15)
+"""Jobs make room when they expire, minutes after their end, a few at a time."""
 RETRY_AFTER = timedelta(seconds=1)
 """The shortest value that the Retry-After header can express; other daemons may reach
 the store already."""
@@ -107,6 +109,9 @@
                 if await self._store.get(layout.CANCELS + job_id) is not None:
                     # No attempt can take effect any more, whether it was answered.
                     raise _cancelled(job_id)
+                full_key = layout.full_key(authorized.team)
+                if await self._store.get(full_key) is not None:
+                    raise _team_is_full(authorized.team)
                 if self._follower.revision == authorized.revision:
                     await self._follower.wait_for_change(CONFIGURATION_WAIT)
             except StoreOutcomeUnknownError as error:
@@ -134,8 +139,8 @@
     ) -> Transaction:
         """Return the transaction that creates a job.
 
-        It fails if the configuration changed since the call was authorized, or if the
-        job was cancelled before it was created.
+        It fails if the configuration changed since the call was authorized, if the job
+        was cancelled before it was created, or if its team is full.
         """
         queue = authorized.queue.name
         record = JobRecord(
@@ -146,6 +151,7 @@
             (
                 Compare(key, 0),
                 Compare(layout.CANCELS + job_id, 0),
+                Compare(layout.full_key(authorized.team), 0),
                 Compare(self._follower.configuration_key, authorized.revision),
             ),
             (
@@ -228,6 +234,11 @@
     return RefusedError(Refused(RefusalReason.CANCELLED, detail, MAX_DENIAL_TIME))
 
 
+def _team_is_full(team: str) -> RefusedError:
+    detail = f"the jobs of team {team} take all the memory that is left to them"
+    return RefusedError(Refused(RefusalReason.LIMIT_REACHED, detail, FULL_RETRY_AFTER))
+
+
 def _refusal_of(error: StoreError) -> RefusedError:
     return _store_unavailable(str(error))
 
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -8,6 +8,7 @@
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
 | ``b/crashes/ID`` | the placing daemon, with ``b/runs/ID`` | as that |
 | ``b/run-times/QUEUE`` | the placing daemon | its epoch, the record's last revision |
+| ``b/full/TEAM`` | the placing daemon, under a lease | its epoch |
 | ``b/ids-kept`` | the placing daemon, once | its epoch |
 """
 
@@ -25,10 +26,21 @@
 that they do not know."""
 RUN_TIMES = "b/run-times/"
 """What finished runs have shown about each queue. Earlier builds ignore it."""
+FULL = "b/full/"
+"""Teams whose further jobs are rejected. Earlier builds ignore it."""
 EXECUTOR_IDS_REUSED = "b/ids-kept"
 """Present once an executor has restarted under the same id."""
 
 
+def full_key(team: str) -> str:
+    """Return the key that exists while a team's further jobs are rejected.
+
+    >>> full_key("a/b")
+    'b/full/a%2Fb'
+    """
+    return f"{FULL}{quote(team, safe='')}"
+
+
 def waiting_prefix(queue: str) -> str:
     """Return the prefix of the markers of a queue's jobs that have not begun.
 
--- a/src/pomeloyard/batch/metrics.py
+++ b/src/pomeloyard/batch/metrics.py
@@ -142,6 +142,14 @@
         for state, count in term.job_counts().items():
             jobs.add_metric([state.value], count)
         yield jobs
+        stored = GaugeMetricFamily(
+            "pomeloyard_stored_job_bytes",
+            "Estimated memory of the stored jobs, by team",
+            labels=["team"],
+        )
+        for team, size in term.stored_jobs.bytes_by_team.items():
+            stored.add_metric([team], size)
+        yield stored
         executors = GaugeMetricFamily(
             "pomeloyard_executors",
             "Executors by whether they take tasks",
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -30,6 +30,7 @@
 )
 from ..roles import HeldRole, RoleYieldedError
 from . import layout
+from .admission import JobSize, StoredJobs
 from .advice import AdviceService, Advisor
 from .call_losses import CallLosses
 from .configuration_follower import ConfigurationFollower
@@ -49,6 +50,7 @@
 )
 from .failed_items import FailedItems
 from .fenced_records import FencedRecords
+from .full_teams import FullTeams
 from .headway import Headway
 from .job_ranking import core_seconds_of, critical_path_ms, measured_path_ms
 from .job_reload import JobReload, scan_with_retries
@@ -123,6 +125,7 @@
         *,
         ids_reused: bool = False,
         policy: Policy | None = None,
+        memory_for_jobs: Callable[[], int] = lambda: 0,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -181,6 +184,10 @@
             FencedRecords(clock, store, guard),
             self.estimates.run_times,
         )
+        self.stored_jobs = StoredJobs()
+        self._full_teams = FullTeams(
+            clock, store, guard, self.stored_jobs, memory_for_jobs, decision_log
+        )
         self.demand = PoolDemand(
             clock, self._active_jobs, self.estimates, self.peaks, self._queue_of
         )
@@ -241,6 +248,7 @@
             tasks.start_soon(self._watch_jobs, position)
             tasks.start_soon(self._run_housekeeping)
             tasks.start_soon(self._run_planner)
+            tasks.start_soon(self._full_teams.run)
             if self.vm_controller is not None:
                 tasks.start_soon(self.vm_controller.run)
             if self._advisor is not None:
@@ -333,6 +341,11 @@
             return
         record = job.record
         self.jobs_by_id[job_id] = job
+        steps = record.spec.steps
+        tasks = sum(step.count for step in steps) * job.occurrence_count
+        self.stored_jobs.add(
+            job_id, record.team, JobSize(len(entry.value), len(steps), tasks)
+        )
         self.crash_trials.restore(job)
         job.open_due_occurrences(self._unix_ms())
         queue = self._queue_of(record)
@@ -734,6 +747,7 @@
                 continue
             self.spawn(None, self._delete_job, job)
             del self.jobs_by_id[job_id]
+            self.stored_jobs.remove(job_id)
             self.failed_items.forget("job", job_id)
 
     async def _delete_job(self, job: JobRun) -> None:
--- a/src/pomeloyard/platform/daemon.py
+++ b/src/pomeloyard/platform/daemon.py
@@ -11,6 +11,7 @@
 import logbook
 from starlette.types import ASGIApp
 
+from ..batch.admission import memory_for_jobs
 from ..batch.configuration_follower import ConfigurationFollower
 from ..batch.decision_log import JobDecisionLog
 from ..batch.executor_registry import ExecutorRegistry
@@ -79,6 +80,7 @@
             settings.vm,
             settings.relay_address,
             settings.core_speed,
+            settings.memory_mb,
         )
         self._advice = (
             PlatformAdvice(self._client, settings.advice_address)
@@ -138,6 +140,9 @@
             self._new_vm_controller if self._settings.vm_service_address else None,
             self._advice,
             ids_reused=self._settings.executor_ids_kept,
+            memory_for_jobs=lambda: memory_for_jobs(
+                self._relay_peers.smallest_memory_mb
+            ),
         )
 
     def _new_vm_controller(self, term: PlacingTerm) -> VmController:
--- a/src/pomeloyard/platform/settings.py
+++ b/src/pomeloyard/platform/settings.py
@@ -100,6 +100,8 @@
     advice_address: str
     core_speed: float
     """Speed of this VM's core; 1.0 is one whole core."""
+    memory_mb: int
+    """Memory limit of the daemon, 0 if it is not stated."""
     link_mbps: float
     """Bandwidth of this VM's link in Mbit/s, 0 if it is not stated."""
     config_bound: timedelta
@@ -157,6 +159,7 @@
         vm_service_address=file.cloud_api.address if file.cloud_api else "",
         advice_address=file.advice or "",
         core_speed=file.limits.cpu_share * file.limits.cores,
+        memory_mb=file.limits.memory_mb,
         link_mbps=file.limits.link_mbps,
         config_bound=timedelta(milliseconds=bounds.config_ms),
         capacity_bound=timedelta(milliseconds=bounds.contact_ms),
--- a/src/pomeloyard/platform/store_relay.py
+++ b/src/pomeloyard/platform/store_relay.py
@@ -42,6 +42,8 @@
     address: str
     speed: float
     """Core speed of its VM; network links differ as much as cores do."""
+    memory_mb: int = 0
+    """Memory limit of the daemon, 0 if it is not known."""
 
 
 class StoreRelay:
@@ -99,12 +101,21 @@
     """Registers this daemon's relay and tracks the relays of other daemons."""
 
     def __init__(
-        self, clock: Clock, store: PlatformStore, vm: str, address: str, speed: float
+        self,
+        clock: Clock,
+        store: PlatformStore,
+        vm: str,
+        address: str,
+        speed: float,
+        memory_mb: int = 0,
     ) -> None:
         self._clock = clock
         self._store = store
         self._key = layout.RELAYS + vm
-        self._own_entry = _RelayEntry(address, speed)
+        self._own_entry = _RelayEntry(address, speed, memory_mb)
+        self.smallest_memory_mb = memory_mb
+        """Least memory of the known daemons, each of which may have to place all jobs;
+        0 if it is not known of any."""
 
     async def run(self) -> None:
         """Refresh the list of peers until cancelled."""
@@ -128,6 +139,7 @@
     def _decode_others(self, entries: Iterable[Entry]) -> dict[str, float]:
         """Return the core speeds of the other relays by address."""
         speed_by_address = {}
+        memory_mb = [self._own_entry.memory_mb]
         for entry in entries:
             try:
                 relay = msgspec.msgpack.decode(entry.value, type=_RelayEntry)
@@ -136,6 +148,8 @@
                 continue
             if relay.address != self._own_entry.address:
                 speed_by_address[relay.address] = relay.speed
+                memory_mb.append(relay.memory_mb)
+        self.smallest_memory_mb = min(filter(None, memory_mb), default=0)
         return speed_by_address
 
     async def probe(self) -> None:
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -515,6 +515,8 @@
         self.returning = []
         """Crashed executors and when their VMs have an executor again."""
         self.vms = None
+        self.memory_for_jobs = 0
+        """Bytes that stored jobs may take, 0 for any number."""
         self.role_confirmed = False
         """Whether the store confirms the renewals of the placing role."""
         self.ids_reused = False
@@ -677,6 +679,7 @@
             self.advice,
             ids_reused=self.ids_reused,
             policy=self.policy,
+            memory_for_jobs=lambda: self.memory_for_jobs,
         )
 
     def _return_crashed(self):
