Waiting jobs: a job counts until an executor shows that a task began

Cause: the marker that is counted was deleted with the stored assignment, before a start was sent. A rejected or unanswered start did not bring it back.

Ruled out: the age of the count (each call reads the markers).

Change: the marker is deleted once an executor answers a start, lists a run or reports its end: with the job's next record, else every second for up to 29 jobs in one write. A new term assumes that markers of running jobs are still stored. It also looks at all markers once and deletes those of ended and expired jobs, as an earlier build that takes over in between would leave its marker for ever.

Cost: at most one write a second more for 29 begun jobs a second; one deletion more for each job in progress after a change of the holder.

What else is shown from an intention: GET of a job answers "running" from its assignment on. Left as it is: it would cost a second write for each job.

--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -502,6 +502,7 @@
             placed.phase = Phase.RUNNING
         if placed.acknowledged_at is None:
             placed.acknowledged_at = now
+            self._handler.handle_run_begun(placed)
         if placed.percent != row.percent or placed.moved_at is None:
             placed.moved_at = now
         placed.percent = row.percent
@@ -637,6 +638,7 @@
         elif placed.phase is Phase.START_SENT:
             placed.phase = Phase.RUNNING
             placed.acknowledged_at = answered_at
+            self._handler.handle_run_begun(placed)
             placed.started_clock = clock
             if placed.on_trial:
                 self.poll_now()
--- a/src/pomeloyard/batch/link_handler.py
+++ b/src/pomeloyard/batch/link_handler.py
@@ -22,6 +22,9 @@
     first_polls: anyio.Semaphore
     """Limits how many links make their first poll at once."""
 
+    def handle_run_begun(self, placed: PlacedRun) -> None:
+        """Record that an executor has started a run, or lists it."""
+
     def handle_run_end(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -54,6 +54,7 @@
 from .headway import Headway
 from .job_ranking import core_seconds_of, critical_path_ms, measured_path_ms
 from .job_reload import JobReload, scan_with_retries
+from .marker_sweep import MarkerSweep
 from .model import (
     MAX_GANG_TASKS,
     NO_RESOURCES,
@@ -89,6 +90,8 @@
 jobs."""
 HEADWAY_INTERVAL = timedelta(milliseconds=500)
 """Interval between checks whether the term makes progress."""
+MARKER_INTERVAL = timedelta(seconds=1)
+"""Interval between deletions of markers; the count of waiting jobs may be 2 s old."""
 REFUSED_START_DELAY = timedelta(milliseconds=400)
 """Delay before a task whose start was refused is placed again, which prevents a tight
 loop while the executor's state is still unknown."""
@@ -249,6 +252,7 @@
             tasks.start_soon(self._run_housekeeping)
             tasks.start_soon(self._run_planner)
             tasks.start_soon(self._full_teams.run)
+            tasks.start_soon(self._delete_markers)
             if self.vm_controller is not None:
                 tasks.start_soon(self.vm_controller.run)
             if self._advisor is not None:
@@ -680,6 +684,18 @@
             self._services_to_plan |= held_back
             self._plan_requested.set()
 
+    async def _delete_markers(self) -> None:
+        """Delete the markers of jobs that have begun, or that are gone."""
+        await self._clock.sleep(MARKER_INTERVAL)
+        sweep = MarkerSweep(self._clock, self._store, self.guard, self.jobs_by_id)
+        for job in self._active_jobs.values():
+            if job.begin_confirmed:
+                self._writer.mark_begun(job)
+        self.spawn(None, sweep.run)
+        while True:
+            await self._writer.delete_markers()
+            await self._clock.sleep(MARKER_INTERVAL)
+
     async def _run_housekeeping(self) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_INTERVAL)
@@ -754,6 +770,8 @@
         prefixes = [layout.JOBS, layout.CANCELS, layout.RUNS]
         if job.has_suspicions:
             prefixes.append(layout.CRASHES)
+        if job.waiting_marker_stored:
+            prefixes.append(layout.waiting_prefix(job.record.queue))
         await self._delete([prefix + job.job_id for prefix in prefixes])
 
     async def _delete(self, keys: Sequence[str]) -> None:
@@ -894,6 +912,12 @@
         self._job_changed(placed.task.step.job)
         self._plan_service_soon(link.executor.service)
 
+    def handle_run_begun(self, placed: PlacedRun) -> None:
+        """Record that a task of a job has begun."""
+        job = placed.task.step.job
+        job.begin_confirmed = True
+        self._writer.mark_begun(job)
+
     def handle_run_end(
         self, link: ExecutorLink, placed: PlacedRun, kind: EndKind, saved: str
     ) -> None:
@@ -909,6 +933,8 @@
             task.step.longest_ms = max(task.step.longest_ms, run_ms)
         self._run_monitor.record_end(task, executor_id, kind, run_ms, partial, now)
         was_final = job.final
+        if kind is not EndKind.LOST:
+            self.handle_run_begun(placed)
         job.end(task, placed.run, kind, saved)
         if kind is EndKind.FAILED:
             task.not_before = now + FAILED_TASK_DELAY
@@ -947,6 +973,7 @@
         current = self.links_by_id.get(task.executor)
         if not job.complete_superseded_run(task, end.run):
             return ""
+        job.begin_confirmed = True
         executor_id = link.executor.executor_id
         self._decision_log.record(
             "end", task.name, "done-late", run=end.run, executor=executor_id
--- a/src/pomeloyard/batch/progress.py
+++ b/src/pomeloyard/batch/progress.py
@@ -205,6 +205,9 @@
         self.max_attempts = queue.max_attempts if queue else 1
         self.state = JobState.PENDING
         self.has_started = False
+        """Whether a task was assigned, which does not show that it began."""
+        self.begin_confirmed = False
+        """Whether an executor has shown that a task began there."""
         self.cancel_requested = False
         self.has_suspicions = False
         """Whether executors have crashed under its tasks, so that this is stored."""
@@ -532,10 +535,10 @@
             for row in rows.rows:
                 _restore_row(step, row)
         self.state = JobState(record.state)
-        # The record of a scheduled job is stored when an occurrence becomes due, which
-        # may be before the first start; its marker is deleted with the start.
         self.has_started = self.state is not JobState.PENDING
-        self.waiting_marker_stored = not self.has_started
+        self.begin_confirmed = any(_shows_begin(step) for step in self.steps())
+        # The writer before may have ended between the assignment and the begin.
+        self.waiting_marker_stored = not self.final
         if self.final:
             self._discard_waiting_tasks()
         elif not record.counts_crashes:
@@ -593,6 +596,13 @@
         step.placed += 1
 
 
+def _shows_begin(step: StepRun) -> bool:
+    """Tell whether the stored progress of a step shows that a task began."""
+    return step.done > 0 or any(
+        task.failures or task.saved for task in step.tasks.known()
+    )
+
+
 def _is_unneeded_after_end(task: Task) -> bool:
     """Tell whether a task of an ended job neither runs nor has crashes to store."""
     return task.state is TaskState.WAITING and task.suspicion is None
--- a/src/pomeloyard/batch/progress_writer.py
+++ b/src/pomeloyard/batch/progress_writer.py
@@ -19,6 +19,8 @@
 
 MAX_TRANSACTION_ENTRIES = 30
 """The platform's store accepts 32 entries in one transaction."""
+MAX_MARKERS = 29
+"""Markers deleted in one transaction."""
 MAX_CONCURRENT_WRITES = 12
 """Limits the calls per retry during an outage; with a slow store that takes 0.4 s for
 an answer these writes store some 270 jobs per second."""
@@ -56,6 +58,8 @@
         self._store = store
         self._guard = guard
         self._unwritten_by_id: dict[str, JobRun] = {}
+        self._begun_by_id: dict[str, JobRun] = {}
+        """Jobs that have begun and whose marker may still be stored."""
         self._starts_by_job: dict[str, list[PendingStart]] = defaultdict(list)
         self._change_count = 0
         self._unwritten_since_by_id: dict[str, int] = {}
@@ -78,6 +82,30 @@
         self._unwritten_by_id[job.job_id] = job
         self._unwritten_since_by_id.setdefault(job.job_id, self._change_count)
 
+    def mark_begun(self, job: JobRun) -> None:
+        """Schedule the marker of a job that has begun to be deleted.
+
+        It is deleted with the next record of the job or by ``delete_markers``.
+        """
+        if job.waiting_marker_stored:
+            self._begun_by_id[job.job_id] = job
+
+    async def delete_markers(self) -> None:
+        """Delete the markers of jobs that have begun; failed ones stay scheduled."""
+        jobs = [job for job in self._begun_by_id.values() if job.waiting_marker_stored]
+        self._begun_by_id.clear()
+        for start in range(0, len(jobs), MAX_MARKERS):
+            group = jobs[start : start + MAX_MARKERS]
+            deletions = tuple(Delete(_marker_of(job)) for job in group)
+            try:
+                await self._store.commit(Transaction((self._guard,), deletions))
+            except StoreError as error:
+                log.info("{} markers were not deleted: {}", len(group), error)
+                self._begun_by_id.update((job.job_id, job) for job in group)
+                continue
+            for job in group:
+                job.waiting_marker_stored = False
+
     def defer_starts(self, starts: Iterable[PendingStart]) -> None:
         """Defer starts until their assignments are durable."""
         for link, placed in starts:
@@ -122,7 +150,7 @@
             if large and self._large_write_in_flight is not None:
                 continue
             cost = 3 if job.has_suspicions else 2
-            if job.waiting_marker_stored and (job.has_started or job.final):
+            if job.waiting_marker_stored and (job.begin_confirmed or job.final):
                 cost += 1
             if cost > free_entries:
                 if self.writes_in_flight + len(groups) >= MAX_CONCURRENT_WRITES:
@@ -157,9 +185,8 @@
             if job.has_suspicions:
                 crashes = job.encode_crashes()
                 operations.append(Put(layout.CRASHES + job.job_id, crashes))
-            if job.waiting_marker_stored and (job.has_started or job.final):
-                marker = layout.waiting_prefix(job.record.queue) + job.job_id
-                operations.append(Delete(marker))
+            if job.waiting_marker_stored and (job.begin_confirmed or job.final):
+                operations.append(Delete(_marker_of(job)))
                 job.waiting_marker_stored = False
             starts.extend(self._starts_by_job.pop(job.job_id, ()))
         transaction = Transaction(tuple(compares), tuple(operations))
@@ -231,3 +258,7 @@
         for job, _, _ in group.contents:
             job.revision = entry.mod_revision
         return True
+
+
+def _marker_of(job: JobRun) -> str:
+    return layout.waiting_prefix(job.record.queue) + job.job_id
--- a/tests/support/batch_world.py
+++ b/tests/support/batch_world.py
@@ -164,6 +164,8 @@
         """Number of next stops that get no answer and have no effect."""
         self.crashes_on_start = False
         """Whether the next start crashes it before the run begins."""
+        self.rejects_starts = False
+        """Whether it answers each start as an unhealthy executor does."""
         self.fails = False
         self.stalls = False
         self.stop_time = timedelta(0)
@@ -239,6 +241,7 @@
         self.run_time = timedelta(seconds=1)
         self.lasting = set()
         self.started = []
+        self.rejected_starts = 0
         self.stopped = []
         self.call_time = timedelta(0)
         """How long executors take to answer a start or a stop."""
@@ -331,6 +334,9 @@
             fake.starts_to_delay -= 1
             fake.delayed_orders.append(order)
             raise CallUnansweredError("no answer")
+        if fake.rejects_starts:
+            self.rejected_starts += 1
+            return StartAnswer.NOT_ACCEPTED, None
         self.world.check_zone(fake, order.task)
         answer = self.execute_order(fake, order)
         if fake.start_answers_to_lose:
