Planner: an executor that rejects starts comes after the others

Cause: a rejection left no trace in the choice. The executor stayed the first of an idle pool.

Change: a task prefers other executors to one that rejected it, as after a failed run. An executor that rejected a start comes after all others of the pool for 0.5 s, doubled with each further period up to 4 s, and is still used where no other fits.

Ruled out: leaving such executors out of the pool, as a task that fits there alone would wait although the executor may have recovered.

Before: test_an_executor_that_rejects_starts_comes_after_idle_ones failed.

--- a/src/pomeloyard/batch/executor_choice.py
+++ b/src/pomeloyard/batch/executor_choice.py
@@ -84,15 +84,19 @@
         usage: Usage,
         estimates: RunEstimates,
         now: timedelta,
+        rejecting: Collection[str] = (),
     ) -> None:
+        """Index executors; those in ``rejecting`` come last, as slow ones do."""
         self._usage = usage
         self._links_by_id = {link.executor.executor_id: link for link in links}
         self._slow = {
             executor_id: estimates.slowness(executor_id, now) >= SLOW_FACTOR
+            or executor_id in rejecting
             for executor_id in self._links_by_id
         }
         self._entry_lists: tuple[list[_Entry], list[_Entry]] = ([], [])
-        """Sorted entries of the executors of normal speed and of the slow ones."""
+        """Sorted entries of the executors of normal speed, and of those that are slow
+        or reject starts."""
         for executor_id in self._links_by_id:
             self._entries_of(executor_id).append(self._entry_of(executor_id))
         for entries in self._entry_lists:
--- a/src/pomeloyard/batch/executor_link.py
+++ b/src/pomeloyard/batch/executor_link.py
@@ -85,6 +85,11 @@
 MAX_REPORT_PAUSE = timedelta(seconds=0.1)
 """Well below ``MAX_REPORT_AGE``, after which ends are not acknowledged."""
 
+REJECTION_PAUSE = timedelta(seconds=0.5)
+"""After a rejected start other executors are preferred for this long, doubled with
+each further one."""
+MAX_REJECTION_DOUBLINGS = 3
+
 log = logbook.Logger("pomeloyard.batch.link")
 
 
@@ -148,6 +153,9 @@
         self.suspected = False
         """Whether the platform lists the VM as down."""
         self._poll_scope = anyio.CancelScope()
+        self._rejections = 0
+        """Periods of rejected starts since the last one that was accepted."""
+        self._rejecting_until = timedelta(0)
         self._stop_slots = anyio.Semaphore(MAX_STOPS_UNDER_WAY)
         self._report_pause = timedelta(0)
         """How long to wait after the last report before the next poll."""
@@ -634,16 +642,30 @@
         if clock is not None:
             self._clock_offset = clock - answered_at
         if answer is not StartAnswer.STARTED:
+            if answer is StartAnswer.NOT_ACCEPTED:
+                self._note_rejection(answered_at)
             self._start_refused(placed, answer)
         elif placed.phase is Phase.START_SENT:
             placed.phase = Phase.RUNNING
             placed.acknowledged_at = answered_at
+            self._rejections = 0
             self._handler.handle_run_begun(placed)
             placed.started_clock = clock
             if placed.on_trial:
                 self.poll_now()
             task.started_at = answered_at
 
+    def _note_rejection(self, now: timedelta) -> None:
+        """Put the executor behind others for a while that grows with each rejection."""
+        pause = REJECTION_PAUSE * 2 ** min(self._rejections, MAX_REJECTION_DOUBLINGS)
+        if now >= self._rejecting_until:
+            self._rejections += 1
+        self._rejecting_until = max(self._rejecting_until, now + pause)
+
+    def rejects_starts(self, now: timedelta) -> bool:
+        """Tell whether the executor rejected a start a short time ago."""
+        return now < self._rejecting_until
+
     def _is_pending_start(self, placed: PlacedRun) -> bool:
         """Tell whether a start is still to be sent."""
         tracked = self.runs_by_name.get(placed.task.name) is placed
--- a/src/pomeloyard/batch/layout.py
+++ b/src/pomeloyard/batch/layout.py
@@ -4,7 +4,7 @@
 |---|---|---|
 | ``b/in/job/ID`` | the accepting daemon | absent, not cancelled; same configuration |
 | ``b/in/cancel/ID`` | any daemon | the job's key unchanged, or absent |
-| ``b/waiting/QUEUE/ID`` | created with the job, deleted once a task has begun | as those |
+| ``b/waiting/QUEUE/ID`` | with the job, deleted once a task began | as those |
 | ``b/runs/ID`` | the placing daemon | its epoch, the record's last revision |
 | ``b/crashes/ID`` | the placing daemon, with ``b/runs/ID`` | as that |
 | ``b/run-times/QUEUE`` | the placing daemon | its epoch, the record's last revision |
--- a/src/pomeloyard/batch/placing_term.py
+++ b/src/pomeloyard/batch/placing_term.py
@@ -1057,6 +1057,8 @@
         )
         self.usage.remove(link.executor.executor_id, link.executor.rack, task)
         task.step.job.end(task, placed.run, EndKind.LOST, "")
+        if answer is StartAnswer.NOT_ACCEPTED:
+            task.avoid_executor(link.executor.executor_id)
         if answer is not StartAnswer.NOT_PERMITTED:
             task.not_before = now + REFUSED_START_DELAY
         self._stop_gang(task, placed.run)
--- a/src/pomeloyard/batch/planner.py
+++ b/src/pomeloyard/batch/planner.py
@@ -170,7 +170,12 @@
                 self.share_rounds.end(service)
                 continue
             links = self._usable_links(service, now)
-            index = FreeCapacityIndex(links, self._usage, self._estimates, now)
+            rejecting = {
+                link.executor.executor_id for link in links if link.rejects_starts(now)
+            }
+            index = FreeCapacityIndex(
+                links, self._usage, self._estimates, now, rejecting
+            )
             ranked = self._ranked(waiting.values(), index.max_free_cpu, now)
             self._assignment_limit.reached = False
             self._shares = self.share_rounds.begin(
--- a/tests/test_waiting_count.py
+++ b/tests/test_waiting_count.py
@@ -161,3 +161,38 @@
         await world.run_for(DELAY.total_seconds() + 3)
         assert await waiting(world) == 1
         assert world.entry(prefix + "b1") is not None
+
+
+async def test_an_executor_that_rejects_starts_comes_after_idle_ones():
+    """It was chosen again for each start while six others were idle; review/15."""
+    world = World(executors=4)
+    async with world.running():
+        await world.submit("a1", StepSpec(1, 1000, 100))
+        assert await world.run_for(5, lambda: world.state("a1") is JobState.COMPLETED)
+        ((_, _, first),) = world.client.started
+        world.client.by_id[first].rejects_starts = True
+        for number in range(12):
+            await world.submit(f"b{number}", StepSpec(1, 1000, 100))
+            await world.run_for(0.25)
+        await world.run_for(1)
+        names = {task.split(".")[0] for task, _, _ in world.client.started}
+        assert len(names) == 13
+        assert world.client.rejected_starts <= 4
+        # It is tried again, and used once it accepts.
+        world.client.by_id[first].rejects_starts = False
+        await world.run_for(5)
+        world.client.started.clear()
+        await world.submit("c1", StepSpec(16, 1000, 100))
+        await world.run_for(2)
+        assert first in {executor for _, _, executor in world.client.started}
+
+
+async def test_an_executor_that_rejects_starts_is_used_where_no_other_fits():
+    world = World(executors=1)
+    (fake,) = world.fake_executors
+    fake.rejects_starts = True
+    async with world.running():
+        await world.submit("a1", StepSpec(1, 1000, 100))
+        await world.run_for(10)
+        fake.rejects_starts = False
+        assert await world.run_for(2, lambda: world.client.started)
