Admission: reject a team's jobs only near the limit

Cause: each of n teams above 1% of the limit was full at 1/(n+1) of it. With 20 teams that is 5% of the limit for a team with a peak, while most of the limit is free.

Change: no team is full while the stored jobs take less than three quarters of the limit.

--- a/src/pomeloyard/batch/admission.py
+++ b/src/pomeloyard/batch/admission.py
@@ -1,8 +1,9 @@
 """Keeps the stored jobs within the memory of the daemons that may place them (no I/O).
 
-Every job that is stored is in the memory of the placing daemon until it expires. A team
-whose jobs take more than an equal part of what fits is full; its further jobs are
-rejected until some have expired. One part is always left to the teams that take little.
+Every job that is stored is in the memory of the placing daemon until it expires. While
+most of the memory for jobs is free, every job is accepted. Near the limit the further
+jobs of the teams that hold most of it are rejected, at the limit those of all teams but
+the ones that hold next to nothing.
 """
 
 from __future__ import annotations
@@ -23,10 +24,12 @@
 """Memory of a decoded record as a multiple of its encoded size."""
 TASK_BYTES = 16
 """Of a task without an object, and its row in the stored progress."""
+NEAR_PART = 0.75
+"""Part of the limit from which teams above an equal share are full."""
 SMALL_PART = 0.01
-"""Teams below this part of the limit do not reduce the parts of others."""
+"""A team below this part of the limit is never full."""
 RELEASE_PART = 0.9
-"""A team is no longer full below this part of its limit."""
+"""Factor of ``NEAR_PART`` while a team is full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,17 +83,30 @@
     def full_teams(self, limit: int) -> frozenset[str]:
         """Return the teams whose further jobs are rejected.
 
-        ``limit`` is in bytes for all teams together; 0 means none. A team that was full
-        stays so until it is clearly below its part.
+        ``limit`` is in bytes for all teams together; 0 means none.
         """
         if not limit:
             self._full = frozenset()
             return self._full
-        large = sum(size > SMALL_PART * limit for size in self.bytes_by_team.values())
-        part = limit / (large + 1)
+        bound = SMALL_PART * limit
+        if sum(self.bytes_by_team.values()) < limit:
+            # Less while a team is full, so that it does not open at once.
+            near = NEAR_PART * limit * (RELEASE_PART if self._full else 1)
+            bound = max(bound, self._equal_share(near))
         self._full = frozenset(
-            team
-            for team, size in self.bytes_by_team.items()
-            if size >= part * (RELEASE_PART if team in self._full else 1)
+            team for team, size in self.bytes_by_team.items() if size >= bound
         )
         return self._full
+
+    def _equal_share(self, available: float) -> float:
+        """Return the most that each team may take if all together may take so much.
+
+        Teams that take less leave the rest to the others.
+        """
+        sizes = sorted(self.bytes_by_team.values())
+        for number, size in enumerate(sizes):
+            share = available / (len(sizes) - number)
+            if size >= share:
+                return share
+            available -= size
+        return float("inf")
